--- /dev/null
+++ b/findings/findings.go
@@ -0,0 +1,89 @@
+// Package findings collects problems found in input together with their place, so that one answer reports all of them.
+package findings
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Place says where in an input a finding was made. Unset fields are left out of its text.
+type Place struct {
+	File    string `json:"file,omitempty"`
+	Section string `json:"section,omitempty"`
+	Key     string `json:"key,omitempty"`
+	// Line counts from 1; 0 means that the line is not known.
+	Line int `json:"line,omitempty"`
+}
+
+// String returns the place as file:line [section] key.
+func (p Place) String() string {
+	var b strings.Builder
+	b.WriteString(p.File)
+	if p.Line > 0 {
+		fmt.Fprintf(&b, ":%d", p.Line)
+	}
+	if p.Section != "" {
+		fmt.Fprintf(&b, " [%s]", p.Section)
+	}
+	if p.Key != "" {
+		fmt.Fprintf(&b, " %s", p.Key)
+	}
+	return strings.TrimSpace(b.String())
+}
+
+// Finding is one problem of an input.
+type Finding struct {
+	Place   Place  `json:"place"`
+	Message string `json:"message"`
+}
+
+// String returns the finding on one line.
+func (f Finding) String() string {
+	if place := f.Place.String(); place != "" {
+		return place + ": " + f.Message
+	}
+	return f.Message
+}
+
+// List collects findings. Its zero value is ready to use. It is not safe for concurrent use.
+type List struct {
+	items []Finding
+}
+
+// Addf records one finding at a place.
+func (l *List) Addf(place Place, format string, args ...any) {
+	l.items = append(l.items, Finding{Place: place, Message: fmt.Sprintf(format, args...)})
+}
+
+// Merge records all findings of another list.
+func (l *List) Merge(other List) {
+	l.items = append(l.items, other.items...)
+}
+
+// Items returns the findings in the order in which they were recorded.
+func (l *List) Items() []Finding { return l.items }
+
+// Len returns the number of findings.
+func (l *List) Len() int { return len(l.items) }
+
+// Err returns nil for an empty list, and otherwise an *Error that holds all findings.
+func (l *List) Err() error {
+	if len(l.items) == 0 {
+		return nil
+	}
+	return &Error{Findings: l.items}
+}
+
+// Error reports all findings of a rejected input.
+type Error struct {
+	Findings []Finding `json:"findings"`
+}
+
+// Error returns one line for each finding.
+func (e *Error) Error() string {
+	lines := make([]string, len(e.Findings))
+	for i, f := range e.Findings {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/kernel/admin.go
@@ -0,0 +1,64 @@
+package kernel
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/pprof"
+
+	"github.com/gorilla/mux"
+)
+
+// readiness is the body of /readyz.
+type readiness struct {
+	Ready   bool              `json:"ready"`
+	Reasons map[string]string `json:"reasons,omitempty"`
+}
+
+func (p *Process) adminRouter() *mux.Router {
+	router := mux.NewRouter()
+	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		WriteJSON(w, http.StatusOK, struct {
+			Incarnation string `json:"incarnation"`
+		}{p.context.Incarnation})
+	}).Methods(http.MethodGet)
+	router.HandleFunc("/readyz", p.serveReady).Methods(http.MethodGet)
+	router.Handle("/metrics", p.telemetry.handler).Methods(http.MethodGet)
+	router.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	router.PathPrefix("/debug/pprof/").HandlerFunc(pprof.Index)
+	return router
+}
+
+func (p *Process) serveReady(w http.ResponseWriter, _ *http.Request) {
+	state := readiness{Ready: true, Reasons: map[string]string{}}
+	if p.draining.Load() {
+		state.Ready = false
+		state.Reasons["process"] = "draining"
+	}
+	for name, module := range p.context.modules {
+		checker, ok := module.(ReadyChecker)
+		if !ok {
+			continue
+		}
+		if err := checker.Ready(); err != nil {
+			state.Ready = false
+			state.Reasons[name] = err.Error()
+		}
+	}
+	status := http.StatusOK
+	if !state.Ready {
+		status = http.StatusServiceUnavailable
+	}
+	WriteJSON(w, status, state)
+}
+
+// WriteJSON sends a value as the whole JSON answer.
+func WriteJSON(w http.ResponseWriter, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(body, '\n'))
+}
--- /dev/null
+++ b/kernel/module.go
@@ -0,0 +1,106 @@
+// Package kernel runs the life cycle of a process: settings, logs, metrics, traces, HTTP servers, and the modules that
+// have registered themselves for the role of the process.
+package kernel
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/rotisserie/eris"
+)
+
+// Role names a kind of process.
+type Role string
+
+// The roles of processes.
+const (
+	RoleEntry Role = "entry"
+	RoleAgent Role = "agent"
+)
+
+// Module is a part of a process.
+type Module interface {
+	// Settings returns a pointer to the struct that is filled from the module's section, or nil.
+	Settings() any
+	// Provision connects the module to others and adds its HTTP routes. It does no I/O.
+	Provision(c *Context) error
+	// Start begins background work and returns. The work ends when ctx ends.
+	Start(ctx context.Context) error
+	// Stop ends background work; it returns early when ctx ends.
+	Stop(ctx context.Context) error
+}
+
+// Drainer is implemented by modules that take part in a graceful shutdown.
+type Drainer interface {
+	// Drain stops the intake of new work and returns when accepted work is done or ctx ends.
+	Drain(ctx context.Context) error
+}
+
+// ReadyChecker is implemented by modules that can delay the readiness of the process.
+type ReadyChecker interface {
+	// Ready returns nil when the module can take work, and otherwise the reason.
+	Ready() error
+}
+
+// ModuleInfo describes a module to the registry.
+type ModuleInfo struct {
+	// Name is unique and also names the module's settings section.
+	Name string
+	// Roles lists the kinds of process that run the module.
+	Roles []Role
+	// After lists modules that are provisioned and started earlier when the process runs them.
+	After []string
+	New   func() Module
+}
+
+var registry = map[string]ModuleInfo{}
+
+// RegisterModule adds a module to the registry. It is called from init and panics on a repeated name.
+func RegisterModule(info ModuleInfo) {
+	if _, exists := registry[info.Name]; exists {
+		panic(fmt.Sprintf("kernel: module %q is registered twice", info.Name))
+	}
+	registry[info.Name] = info
+}
+
+// modulesFor returns the modules of a role so that each comes after those that it names in After.
+func modulesFor(role Role) ([]ModuleInfo, error) {
+	names := make([]string, 0, len(registry))
+	for name, info := range registry {
+		if slices.Contains(info.Roles, role) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	const visiting, done = 1, 2
+	state := map[string]int{}
+	var ordered []ModuleInfo
+	var visit func(name string) error
+	visit = func(name string) error {
+		switch state[name] {
+		case done:
+			return nil
+		case visiting:
+			return eris.Errorf("module %q depends on itself", name)
+		}
+		state[name] = visiting
+		for _, earlier := range registry[name].After {
+			if !slices.Contains(names, earlier) {
+				continue
+			}
+			if err := visit(earlier); err != nil {
+				return err
+			}
+		}
+		state[name] = done
+		ordered = append(ordered, registry[name])
+		return nil
+	}
+	for _, name := range names {
+		if err := visit(name); err != nil {
+			return nil, err
+		}
+	}
+	return ordered, nil
+}
--- /dev/null
+++ b/kernel/process.go
@@ -0,0 +1,183 @@
+package kernel
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+	"go.uber.org/multierr"
+
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/settings"
+)
+
+// ProcessSettings is the section [process].
+type ProcessSettings struct {
+	// Name is unique in the fleet.
+	Name string `ini:"name"`
+	// Fleet keeps processes of different fleets from exchanging messages.
+	Fleet         string         `ini:"fleet"`
+	Region        string         `ini:"region" default:"local"`
+	FailureDomain string         `ini:"failure_domain"`
+	Listen        netip.AddrPort `ini:"listen"`
+	AdminListen   netip.AddrPort `ini:"admin_listen"`
+	LogLevel      string         `ini:"log_level" default:"info" oneof:"trace debug info warn error"`
+	// TraceFile receives spans as JSON lines; empty turns tracing off.
+	TraceFile string `ini:"trace_file" default:""`
+	// DrainLimit bounds a graceful shutdown.
+	DrainLimit time.Duration `ini:"drain_limit" default:"65s" min:"1s" max:"30m"`
+}
+
+// Process is one running process.
+type Process struct {
+	context   *Context
+	order     []string
+	draining  atomic.Bool
+	telemetry *telemetry
+	server    *http.Server
+	admin     *http.Server
+}
+
+// LoadProcess reads the settings of a role and of its modules. All findings are returned together.
+func LoadProcess(role Role, path string) (*Process, error) {
+	file, err := settings.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	infos, err := modulesFor(role)
+	if err != nil {
+		return nil, err
+	}
+	p := &Process{context: &Context{Role: role, modules: map[string]Module{}}}
+	file.Decode("process", &p.context.Process)
+	for _, info := range infos {
+		module := info.New()
+		if target := module.Settings(); target != nil {
+			file.Decode(info.Name, target)
+		}
+		p.context.modules[info.Name] = module
+		p.order = append(p.order, info.Name)
+	}
+	return p, file.Err()
+}
+
+// Run provisions and starts the modules, serves until ctx ends, and then shuts down gracefully.
+func (p *Process) Run(ctx context.Context) error {
+	if err := p.provision(); err != nil {
+		return err
+	}
+	defer p.telemetry.close()
+	listeners, err := p.listen()
+	if err != nil {
+		return err
+	}
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	failed := make(chan error, len(listeners))
+	for server, listener := range listeners {
+		go func() { failed <- server.Serve(listener) }()
+	}
+	for _, name := range p.order {
+		if err := p.context.modules[name].Start(background); err != nil {
+			return eris.Wrapf(err, "starting %s", name)
+		}
+	}
+	p.context.Log.Info("process started", "address", p.context.Process.Listen, "incarnation", p.context.Incarnation)
+	select {
+	case <-ctx.Done():
+		return p.shutdown()
+	case err := <-failed:
+		return eris.Wrap(err, "serving HTTP")
+	}
+}
+
+func (p *Process) provision() error {
+	c := p.context
+	c.Clock = clock.System{}
+	c.StartedUnixNano = time.Now().UnixNano()
+	c.Incarnation = newIncarnation()
+	c.Log = hclog.New(&hclog.LoggerOptions{
+		Name: string(c.Role) + "." + c.Process.Name, Level: hclog.LevelFromString(c.Process.LogLevel),
+		Output: os.Stderr, JSONFormat: true,
+	})
+	var err error
+	if p.telemetry, err = newTelemetry(c.Role, c.Process); err != nil {
+		return err
+	}
+	c.Metrics = p.telemetry.scope
+	c.Tracer = p.telemetry.tracer
+	c.Router = mux.NewRouter().UseEncodedPath()
+	for _, name := range p.order {
+		if err := c.modules[name].Provision(c); err != nil {
+			return eris.Wrapf(err, "provisioning %s", name)
+		}
+	}
+	return nil
+}
+
+func newIncarnation() string {
+	var raw [8]byte
+	_, _ = rand.Read(raw[:])
+	return hex.EncodeToString(raw[:])
+}
+
+func (p *Process) listen() (map[*http.Server]net.Listener, error) {
+	const headerTimeout = 5 * time.Second
+	p.server = &http.Server{Handler: p.context.Router, ReadHeaderTimeout: headerTimeout, ErrorLog: nil}
+	p.admin = &http.Server{Handler: p.adminRouter(), ReadHeaderTimeout: headerTimeout}
+	main, err := net.Listen("tcp", p.context.Process.Listen.String())
+	if err != nil {
+		return nil, eris.Wrap(err, "main address")
+	}
+	admin, err := net.Listen("tcp", p.context.Process.AdminListen.String())
+	if err != nil {
+		_ = main.Close()
+		return nil, eris.Wrap(err, "admin address")
+	}
+	return map[*http.Server]net.Listener{p.server: main, p.admin: admin}, nil
+}
+
+// shutdown drains all modules together while the servers still answer, then stops the servers and the modules.
+func (p *Process) shutdown() error {
+	p.draining.Store(true)
+	p.context.Log.Info("draining")
+	ctx, cancel := context.WithTimeout(context.Background(), p.context.Process.DrainLimit)
+	defer cancel()
+	err := p.drain(ctx)
+	err = multierr.Append(err, p.server.Shutdown(ctx))
+	for i := len(p.order) - 1; i >= 0; i-- {
+		err = multierr.Append(err, p.context.modules[p.order[i]].Stop(ctx))
+	}
+	err = multierr.Append(err, p.admin.Shutdown(ctx))
+	p.context.Log.Info("process stopped", "clean", err == nil)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (p *Process) drain(ctx context.Context) error {
+	results := make(chan error)
+	count := 0
+	for _, name := range p.order {
+		if drainer, ok := p.context.modules[name].(Drainer); ok {
+			count++
+			go func() { results <- eris.Wrapf(drainer.Drain(ctx), "draining %s", name) }()
+		}
+	}
+	var err error
+	for range count {
+		err = multierr.Append(err, <-results)
+	}
+	return err
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,297 @@
+// Package settings reads INI files into tagged structs and reports every problem of a file together.
+//
+// A field takes part when it has an `ini` tag with its key. A `default` tag gives the text that is used when the key is
+// absent; a field without one is required. `min` and `max` tags bound numbers and durations.
+package settings
+
+import (
+	"bytes"
+	"net/netip"
+	"os"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"gopkg.in/ini.v1"
+
+	"github.com/quetzalshed/quetzalshed/findings"
+)
+
+// Checker is implemented by settings that have rules beyond single fields.
+type Checker interface {
+	// CheckSettings records findings; place gives the place of a key.
+	CheckSettings(place func(key string) findings.Place, found *findings.List)
+}
+
+// File is a parsed INI file of which sections are decoded one by one.
+type File struct {
+	name  string
+	ini   *ini.File
+	lines map[string]int
+	used  map[string]map[string]bool
+	found findings.List
+}
+
+// Load reads a settings file. It fails when the file can't be read or isn't INI.
+func Load(path string) (*File, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "reading settings")
+	}
+	return Parse(path, raw)
+}
+
+// Parse reads settings from memory; name appears in findings.
+func Parse(name string, raw []byte) (*File, error) {
+	opts := ini.LoadOptions{AllowShadows: true, KeyValueDelimiters: "="}
+	parsed, err := ini.LoadSources(opts, raw)
+	if err != nil {
+		var found findings.List
+		found.Addf(findings.Place{File: name}, "not an INI file: %v", err)
+		return nil, found.Err()
+	}
+	f := &File{name: name, ini: parsed, lines: lineNumbers(raw), used: map[string]map[string]bool{}}
+	f.reportRepeats()
+	return f, nil
+}
+
+// lineNumbers maps "section" and "section\x00key" to the line of their first appearance.
+func lineNumbers(raw []byte) map[string]int {
+	lines := map[string]int{}
+	section := ""
+	for i, line := range bytes.Split(raw, []byte("\n")) {
+		text := strings.TrimSpace(string(line))
+		if text == "" || text[0] == '#' || text[0] == ';' {
+			continue
+		}
+		id := ""
+		if strings.HasPrefix(text, "[") {
+			section, _, _ = strings.Cut(text[1:], "]")
+			section = strings.TrimSpace(section)
+			id = section
+		} else {
+			key, _, _ := strings.Cut(text, "=")
+			id = section + "\x00" + strings.TrimSpace(key)
+		}
+		if _, seen := lines[id]; !seen {
+			lines[id] = i + 1
+		}
+	}
+	return lines
+}
+
+func (f *File) reportRepeats() {
+	for _, section := range f.ini.Sections() {
+		for _, key := range section.Keys() {
+			if len(key.ValueWithShadows()) > 1 {
+				f.found.Addf(f.Place(section.Name(), key.Name()), "key is given more than once")
+			}
+		}
+	}
+}
+
+// Place returns the place of a key; an empty key means the section itself.
+func (f *File) Place(section, key string) findings.Place {
+	id := section
+	if key != "" {
+		id = section + "\x00" + key
+	}
+	return findings.Place{File: f.name, Section: section, Key: key, Line: f.lines[id]}
+}
+
+// Sections returns the names of the sections that start with prefix, in the order of the file.
+func (f *File) Sections(prefix string) []string {
+	var names []string
+	for _, name := range f.ini.SectionStrings() {
+		if name != ini.DefaultSection && strings.HasPrefix(name, prefix) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Found returns the list to which further findings about this file are added.
+func (f *File) Found() *findings.List { return &f.found }
+
+// Decode fills the struct that target points to from one section. Problems are kept until Err.
+func (f *File) Decode(section string, target any) {
+	value := reflect.ValueOf(target).Elem()
+	used := f.used[section]
+	if used == nil {
+		used = map[string]bool{}
+		f.used[section] = used
+	}
+	source, _ := f.ini.GetSection(section)
+	before := f.found.Len()
+	for i := range value.NumField() {
+		field := value.Type().Field(i)
+		key, ok := field.Tag.Lookup("ini")
+		if !ok {
+			continue
+		}
+		used[key] = true
+		f.decodeField(section, key, source, field, value.Field(i))
+	}
+	if checker, ok := target.(Checker); ok && f.found.Len() == before {
+		checker.CheckSettings(func(key string) findings.Place { return f.Place(section, key) }, &f.found)
+	}
+}
+
+func (f *File) decodeField(section, key string, source *ini.Section, field reflect.StructField, value reflect.Value) {
+	text, given := "", false
+	if source != nil && source.HasKey(key) {
+		text, given = source.Key(key).Value(), true
+	}
+	if !given {
+		fallback, has := field.Tag.Lookup("default")
+		if !has {
+			f.found.Addf(f.Place(section, key), "required key is missing")
+			return
+		}
+		text = fallback
+	}
+	if message := setValue(value, text, field.Tag); message != "" {
+		f.found.Addf(f.Place(section, key), "%s", message)
+	}
+}
+
+// Err returns all findings, with one for each section and key that nothing has decoded.
+func (f *File) Err() error {
+	all := f.found
+	for _, section := range f.ini.Sections() {
+		name := section.Name()
+		if name == ini.DefaultSection && len(section.Keys()) == 0 {
+			continue
+		}
+		used, known := f.used[name]
+		if !known {
+			all.Addf(f.Place(name, ""), "unknown section")
+			continue
+		}
+		for _, key := range section.KeyStrings() {
+			if !used[key] {
+				all.Addf(f.Place(name, key), "unknown key")
+			}
+		}
+	}
+	return all.Err()
+}
+
+var (
+	durationType = reflect.TypeFor[time.Duration]()
+	addrPortType = reflect.TypeFor[netip.AddrPort]()
+)
+
+// setValue parses text into value and returns a message when it can't.
+func setValue(value reflect.Value, text string, tag reflect.StructTag) string {
+	text = strings.TrimSpace(text)
+	switch {
+	case value.Type() == durationType:
+		return setDuration(value, text, tag)
+	case value.Type() == addrPortType:
+		return setAddrPort(value, text)
+	}
+	switch value.Kind() {
+	case reflect.String:
+		return setString(value, text, tag)
+	case reflect.Bool:
+		parsed, err := strconv.ParseBool(text)
+		if err != nil {
+			return strconv.Quote(text) + " is not true or false"
+		}
+		value.SetBool(parsed)
+	case reflect.Int, reflect.Int64:
+		parsed, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return strconv.Quote(text) + " is not a whole number"
+		}
+		value.SetInt(parsed)
+		return checkBounds(float64(parsed), tag)
+	case reflect.Float64:
+		parsed, err := strconv.ParseFloat(text, 64)
+		if err != nil || parsed != parsed {
+			return strconv.Quote(text) + " is not a number"
+		}
+		value.SetFloat(parsed)
+		return checkBounds(parsed, tag)
+	case reflect.Slice:
+		return setSlice(value, text, tag)
+	default:
+		return "settings of type " + value.Type().String() + " are not supported"
+	}
+	return ""
+}
+
+func setString(value reflect.Value, text string, tag reflect.StructTag) string {
+	if choices, ok := tag.Lookup("oneof"); ok && !slices.Contains(strings.Fields(choices), text) {
+		return strconv.Quote(text) + " is not one of: " + choices
+	}
+	value.SetString(text)
+	return ""
+}
+
+func setDuration(value reflect.Value, text string, tag reflect.StructTag) string {
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		return strconv.Quote(text) + " is not a duration such as 500ms or 3s"
+	}
+	value.SetInt(int64(parsed))
+	if low, ok := tag.Lookup("min"); ok {
+		if bound, err := time.ParseDuration(low); err == nil && parsed < bound {
+			return text + " is below the minimum " + low
+		}
+	}
+	if high, ok := tag.Lookup("max"); ok {
+		if bound, err := time.ParseDuration(high); err == nil && parsed > bound {
+			return text + " is above the maximum " + high
+		}
+	}
+	return ""
+}
+
+// setAddrPort takes IP numbers only, since processes must not depend on name resolution.
+func setAddrPort(value reflect.Value, text string) string {
+	if text == "" {
+		value.Set(reflect.ValueOf(netip.AddrPort{}))
+		return ""
+	}
+	parsed, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return strconv.Quote(text) + " is not an IP address with a port"
+	}
+	value.Set(reflect.ValueOf(parsed))
+	return ""
+}
+
+func setSlice(value reflect.Value, text string, tag reflect.StructTag) string {
+	list := reflect.MakeSlice(value.Type(), 0, 0)
+	for part := range strings.SplitSeq(text, ",") {
+		if strings.TrimSpace(part) == "" {
+			continue
+		}
+		item := reflect.New(value.Type().Elem()).Elem()
+		if message := setValue(item, part, tag); message != "" {
+			return message
+		}
+		list = reflect.Append(list, item)
+	}
+	value.Set(list)
+	return ""
+}
+
+func checkBounds(number float64, tag reflect.StructTag) string {
+	if low, ok := tag.Lookup("min"); ok {
+		if bound, err := strconv.ParseFloat(low, 64); err == nil && number < bound {
+			return strconv.FormatFloat(number, 'g', -1, 64) + " is below the minimum " + low
+		}
+	}
+	if high, ok := tag.Lookup("max"); ok {
+		if bound, err := strconv.ParseFloat(high, 64); err == nil && number > bound {
+			return strconv.FormatFloat(number, 'g', -1, 64) + " is above the maximum " + high
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/structs/heartbeat.go
@@ -0,0 +1,77 @@
+package structs
+
+import "encoding/json"
+
+// TaskUsage is a lagging measurement of one allocation.
+type TaskUsage struct {
+	AllocationID string    `json:"allocation_id"`
+	Used         Resources `json:"used"`
+	// AgeMillis is how old the measurement is.
+	AgeMillis int64 `json:"age_millis"`
+	// LatencyMillis is the tail latency that a service reported, 0 when there is none.
+	LatencyMillis float64 `json:"latency_millis,omitempty"`
+	// Progress ranges from 0 to 1.
+	Progress float64 `json:"progress,omitempty"`
+}
+
+// AllocationState is one allocation that an agent holds.
+type AllocationState struct {
+	Allocation Allocation `json:"allocation"`
+	State      TaskState  `json:"state"`
+	// CheckpointID names the newest checkpoint of the task.
+	CheckpointID string  `json:"checkpoint_id,omitempty"`
+	Progress     float64 `json:"progress,omitempty"`
+}
+
+// TaskResult reports an attempt that has ended. The agent repeats it until it is acknowledged.
+type TaskResult struct {
+	AllocationID string `json:"allocation_id"`
+	Task         TaskID `json:"task"`
+	Attempt      int    `json:"attempt"`
+	// State is finished, failed, cancelled, or pending when the attempt was evicted or refused and may start elsewhere.
+	State        TaskState `json:"state"`
+	CheckpointID string    `json:"checkpoint_id,omitempty"`
+	Progress     float64   `json:"progress,omitempty"`
+	Reason       string    `json:"reason,omitempty"`
+}
+
+// Heartbeat reports the whole state of a worker to the owner of its shard.
+type Heartbeat struct {
+	Worker      Worker            `json:"worker"`
+	Incarnation string            `json:"incarnation"`
+	Sequence    int64             `json:"sequence"`
+	Epoch       int64             `json:"epoch"`
+	Usage       []TaskUsage       `json:"usage,omitempty"`
+	Running     []AllocationState `json:"running,omitempty"`
+	Results     []TaskResult      `json:"results,omitempty"`
+	Draining    bool              `json:"draining,omitempty"`
+}
+
+// TaskStop tells an agent to end an allocation.
+type TaskStop struct {
+	AllocationID string `json:"allocation_id"`
+	// Checkpoint asks for a checkpoint first, so that the task resumes elsewhere.
+	Checkpoint bool   `json:"checkpoint,omitempty"`
+	Reason     string `json:"reason,omitempty"`
+}
+
+// HeartbeatReply answers a heartbeat. A reply renews the leases of the allocations in Keep only.
+type HeartbeatReply struct {
+	Shard           int             `json:"shard"`
+	Epoch           int64           `json:"epoch"`
+	Sequence        int64           `json:"sequence"`
+	Keep            []string        `json:"keep,omitempty"`
+	Start           []Allocation    `json:"start,omitempty"`
+	Stop            []TaskStop      `json:"stop,omitempty"`
+	AckResults      []string        `json:"ack_results,omitempty"`
+	LeaseMillis     int64           `json:"lease_millis"`
+	Head            json.RawMessage `json:"head,omitempty"`
+	ConfirmedMillis int64           `json:"confirmed_millis"`
+}
+
+// ShardOwner says which agent owns a shard. The highest epoch wins.
+type ShardOwner struct {
+	Shard   int    `json:"shard"`
+	Epoch   int64  `json:"epoch"`
+	Address string `json:"address"`
+}
