Announce a shutdown before connections are closed

Ruled out: SetKeepAlivesEnabled(false), since it closes idle connections at once. Change: while draining, each response carries Connection: close, and the listener stays open for drain_notice (2 s) after /readyz has turned to 503.

--- a/kernel/process.go
+++ b/kernel/process.go
@@ -34,6 +34,9 @@
 	LogLevel      string         `ini:"log_level" default:"info" oneof:"trace debug info warn error"`
 	// TraceFile receives spans as JSON lines; empty turns tracing off.
 	TraceFile string `ini:"trace_file" default:""`
+	// DrainNotice is how long a stopping process still accepts connections after it has reported that it is not ready,
+	// so that load balancers and peers stop sending first.
+	DrainNotice time.Duration `ini:"drain_notice" default:"2s" min:"0s" max:"1m"`
 	// DrainLimit bounds a graceful shutdown.
 	DrainLimit time.Duration `ini:"drain_limit" default:"65s" min:"1s" max:"30m"`
 }
@@ -133,7 +136,7 @@
 
 func (p *Process) listen() (map[*http.Server]net.Listener, error) {
 	const headerTimeout = 5 * time.Second
-	p.server = &http.Server{Handler: p.context.Router, ReadHeaderTimeout: headerTimeout, ErrorLog: nil}
+	p.server = &http.Server{Handler: p.closeWhileDraining(p.context.Router), ReadHeaderTimeout: headerTimeout}
 	p.admin = &http.Server{Handler: p.adminRouter(), ReadHeaderTimeout: headerTimeout}
 	main, err := net.Listen("tcp", p.context.Process.Listen.String())
 	if err != nil {
@@ -153,7 +156,13 @@
 	p.context.Log.Info("draining")
 	ctx, cancel := context.WithTimeout(context.Background(), p.context.Process.DrainLimit)
 	defer cancel()
+	notice := time.NewTimer(p.context.Process.DrainNotice)
+	defer notice.Stop()
 	err := p.drain(ctx)
+	select {
+	case <-notice.C:
+	case <-ctx.Done():
+	}
 	err = multierr.Append(err, p.server.Shutdown(ctx))
 	for i := len(p.order) - 1; i >= 0; i-- {
 		err = multierr.Append(err, p.context.modules[p.order[i]].Stop(ctx))
@@ -181,3 +190,14 @@
 	}
 	return err
 }
+
+// closeWhileDraining makes peers give up their kept-alive connections after the current response. Closing idle
+// connections instead could cut a request that is already on its way.
+func (p *Process) closeWhileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if p.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
