--- /dev/null
+++ b/scheduler/plugins/filters.go
@@ -0,0 +1,144 @@
+// Package plugins holds the Filter and Score plug-ins of the scheduler. Importing it registers all of them.
+package plugins
+
+import (
+	"slices"
+
+	"github.com/quetzalshed/quetzalshed/scheduler"
+	"github.com/quetzalshed/quetzalshed/scheduler/quarantine"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// The reasons of the filters.
+const (
+	ReasonCapacity     scheduler.Reason = "not enough free processors, memory or accelerators"
+	ReasonDomainOut    scheduler.Reason = "failure domain is out of service or worker drains"
+	ReasonDomain       scheduler.Reason = "job is constrained to other failure domains"
+	ReasonRack         scheduler.Reason = "job is constrained to other racks"
+	ReasonAccelerator  scheduler.Reason = "job needs another kind of accelerator"
+	ReasonNoBatch      scheduler.Reason = "rack takes no batch"
+	ReasonQuarantined  scheduler.Reason = "worker is quarantined"
+	ReasonInterference scheduler.Reason = "batch class would slow a service down"
+	ReasonExploration  scheduler.Reason = "interference of the batch class is being explored elsewhere"
+	ReasonReturning    scheduler.Reason = "worker returned recently and fills slowly"
+)
+
+func init() {
+	scheduler.RegisterFilter(capacity{})
+	scheduler.RegisterFilter(domainOut{})
+	scheduler.RegisterFilter(constraints{})
+	scheduler.RegisterFilter(racksWithoutBatch{})
+	scheduler.RegisterFilter(quarantined{})
+	scheduler.RegisterFilter(interferenceLimit{})
+	scheduler.RegisterFilter(returnRamp{})
+}
+
+// capacity rejects workers without enough free processors, memory and accelerators.
+type capacity struct{}
+
+func (capacity) Name() string { return "capacity" }
+
+func (capacity) Filter(ctx *scheduler.Cycle, task *scheduler.PendingTask, w *scheduler.WorkerView) scheduler.Reason {
+	if !task.Resources.Fits(ctx.Free(w)) {
+		return ReasonCapacity
+	}
+	return ""
+}
+
+// domainOut rejects workers in failure domains that are out of service, and draining workers.
+type domainOut struct{}
+
+func (domainOut) Name() string { return "failure_domain" }
+
+func (domainOut) Filter(ctx *scheduler.Cycle, _ *scheduler.PendingTask, w *scheduler.WorkerView) scheduler.Reason {
+	if ctx.Leaving(w) {
+		return ReasonDomainOut
+	}
+	return ""
+}
+
+// constraints rejects workers outside the failure domains, racks and accelerator kind of the job.
+type constraints struct{}
+
+func (constraints) Name() string { return "constraints" }
+
+func (constraints) Filter(_ *scheduler.Cycle, task *scheduler.PendingTask, w *scheduler.WorkerView) scheduler.Reason {
+	con := &task.Job.Constraints
+	switch {
+	case len(con.FailureDomains) > 0 && !slices.Contains(con.FailureDomains, w.FailureDomain):
+		return ReasonDomain
+	case len(con.Racks) > 0 && !slices.Contains(con.Racks, w.Rack):
+		return ReasonRack
+	case con.AcceleratorKind != "" && con.AcceleratorKind != w.AcceleratorKind:
+		return ReasonAccelerator
+	}
+	return ""
+}
+
+// racksWithoutBatch rejects workers whose rack takes no batch.
+type racksWithoutBatch struct{}
+
+func (racksWithoutBatch) Name() string { return "racks_without_batch" }
+
+func (racksWithoutBatch) Filter(ctx *scheduler.Cycle, task *scheduler.PendingTask, w *scheduler.WorkerView) scheduler.Reason {
+	if task.Job.Kind == structs.KindBatch && ctx.Rules.RacksWithoutBatch[w.Rack] {
+		return ReasonNoBatch
+	}
+	return ""
+}
+
+// quarantined rejects workers that fail every task. A worker on probation takes one batch task that isn't urgent.
+type quarantined struct{}
+
+func (quarantined) Name() string { return "quarantine" }
+
+func (quarantined) Filter(ctx *scheduler.Cycle, task *scheduler.PendingTask, w *scheduler.WorkerView) scheduler.Reason {
+	switch ctx.Admission(w) {
+	case quarantine.Open:
+		return ""
+	case quarantine.Probe:
+		if task.Job.Kind == structs.KindBatch && !task.Job.Urgent && ctx.Placed(w) == 0 {
+			return ""
+		}
+	}
+	return ReasonQuarantined
+}
+
+// interferenceLimit rejects a batch class beside a service class that it slows down too much, and limits how many tasks
+// of a class run beside a service class before their interference is known.
+type interferenceLimit struct{}
+
+func (interferenceLimit) Name() string { return "interference" }
+
+func (interferenceLimit) Filter(ctx *scheduler.Cycle, task *scheduler.PendingTask, w *scheduler.WorkerView) scheduler.Reason {
+	loads := ctx.Loads(w)
+	for i := range loads {
+		estimate, ok := ctx.Estimate(task, &loads[i])
+		switch {
+		case !ok:
+		case estimate.Blocked:
+			return ReasonInterference
+		case !estimate.Known && task.Job.Kind == structs.KindBatch && ctx.Beside(task, &loads[i]) >= ctx.Rules.ExplorationTasks:
+			return ReasonExploration
+		}
+	}
+	return ""
+}
+
+// returnRamp limits how much batch a worker takes after its failure domain returned, so that returned workers don't all
+// start and restore a full load at the same moment. A worker without tasks may always take one.
+type returnRamp struct{}
+
+func (returnRamp) Name() string { return "return_ramp" }
+
+func (returnRamp) Filter(ctx *scheduler.Cycle, task *scheduler.PendingTask, w *scheduler.WorkerView) scheduler.Reason {
+	ramp := ctx.Ramp(w)
+	if ramp >= 1 || task.Job.Kind == structs.KindService || task.Job.Urgent {
+		return ""
+	}
+	used := w.Capacity.MilliCores - ctx.Free(w).MilliCores
+	if used > 0 && float64(used+task.Resources.MilliCores) > ramp*float64(w.Capacity.MilliCores) {
+		return ReasonReturning
+	}
+	return ""
+}
--- /dev/null
+++ b/scheduler/plugins/scores.go
@@ -0,0 +1,110 @@
+package plugins
+
+import (
+	"github.com/quetzalshed/quetzalshed/scheduler"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// The default weights of the scores. Spreading comes first, since a service without a replica in another failure domain
+// is lost with its domain; a wrong interference estimate costs latency; fit and accelerators cost throughput.
+const (
+	weightSpread       = 4
+	weightInterference = 3
+	weightReturned     = 1
+	weightAccelerators = 2
+	weightFit          = 1
+)
+
+func init() {
+	scheduler.RegisterScore(spread{}, weightSpread)
+	scheduler.RegisterScore(bestFit{}, weightFit)
+	scheduler.RegisterScore(interferenceCost{}, weightInterference)
+	scheduler.RegisterScore(acceleratorWaste{}, weightAccelerators)
+	scheduler.RegisterScore(recentlyReturned{}, weightReturned)
+}
+
+// spread prefers failure domains, and then workers, with few replicas of a service.
+type spread struct{}
+
+func (spread) Name() string { return "spread" }
+
+func (spread) Score(ctx *scheduler.Cycle, task *scheduler.PendingTask, w *scheduler.WorkerView) float64 {
+	if task.Job.Kind != structs.KindService {
+		return 0
+	}
+	here, all := ctx.DomainTasks(task, w)
+	score := 1.0
+	if all > 0 {
+		score -= float64(here) / float64(all)
+	}
+	if ctx.SameJob(task, w) > 0 {
+		score -= 0.5
+	}
+	return score
+}
+
+// bestFit packs batch onto workers that have little left afterwards, and spreads services to workers with much left, so
+// that they have room for load shifts.
+type bestFit struct{}
+
+func (bestFit) Name() string { return "best_fit" }
+
+func (bestFit) Score(ctx *scheduler.Cycle, task *scheduler.PendingTask, w *scheduler.WorkerView) float64 {
+	left := ctx.Free(w).Sub(task.Resources)
+	rest := (fraction(left.MilliCores, w.Capacity.MilliCores) + fraction(left.MemoryMB, w.Capacity.MemoryMB)) / 2
+	if task.Job.Kind == structs.KindService {
+		return rest
+	}
+	return 1 - rest
+}
+
+// interferenceCost prefers workers on which the task slows services down the least: the expected slowdown, weighted by
+// the part of the worker that the batch class fills.
+type interferenceCost struct{}
+
+func (interferenceCost) Name() string { return "interference" }
+
+func (interferenceCost) Score(ctx *scheduler.Cycle, task *scheduler.PendingTask, w *scheduler.WorkerView) float64 {
+	cost := 0.0
+	loads := ctx.Loads(w)
+	for i := range loads {
+		estimate, ok := ctx.Estimate(task, &loads[i])
+		if !ok {
+			continue
+		}
+		cores := task.Resources.MilliCores
+		if task.Job.Kind == structs.KindService {
+			cores = loads[i].MilliCores
+		}
+		cost += (estimate.Slowdown - 1) * fraction(cores, w.Capacity.MilliCores)
+	}
+	return -min(cost, 1)
+}
+
+// acceleratorWaste keeps tasks that need no accelerator off workers with free ones.
+type acceleratorWaste struct{}
+
+func (acceleratorWaste) Name() string { return "accelerator_waste" }
+
+func (acceleratorWaste) Score(ctx *scheduler.Cycle, task *scheduler.PendingTask, w *scheduler.WorkerView) float64 {
+	if task.Resources.Accelerators > 0 || w.Capacity.Accelerators == 0 {
+		return 0
+	}
+	return -fraction(ctx.Free(w).Accelerators, w.Capacity.Accelerators)
+}
+
+// recentlyReturned prefers workers that have been in service for some time over those that have just returned.
+type recentlyReturned struct{}
+
+func (recentlyReturned) Name() string { return "recently_returned" }
+
+func (recentlyReturned) Score(ctx *scheduler.Cycle, _ *scheduler.PendingTask, w *scheduler.WorkerView) float64 {
+	return ctx.Ramp(w) - 1
+}
+
+func fraction(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
--- /dev/null
+++ b/scheduler/registry.go
@@ -0,0 +1,75 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Reason says why a filter rejects a worker. The empty reason accepts it. Reasons are constants, since filters run for
+// each pair of task and worker.
+type Reason string
+
+// Filter rejects workers for a task. Its answer may depend on the worker, on the rules and on the task, and on other
+// workers only through counters of the task's own job or class that the Cycle supplies.
+type Filter interface {
+	Name() string
+	Filter(ctx *Cycle, task *PendingTask, w *WorkerView) Reason
+}
+
+// Score rates a worker that passed all filters. Higher is better; the usual range is 0 to 1. The same restrictions as
+// for filters apply.
+type Score interface {
+	Name() string
+	Score(ctx *Cycle, task *PendingTask, w *WorkerView) float64
+}
+
+type weightedScore struct {
+	plugin Score
+	weight float64
+}
+
+var (
+	filters []Filter
+	scores  []weightedScore
+)
+
+// RegisterFilter adds a filter. It is called in init only; a repeated name panics. Filters run in the order of their
+// names, so that plans don't depend on the order of imports.
+func RegisterFilter(f Filter) {
+	for _, other := range filters {
+		if other.Name() == f.Name() {
+			panic("scheduler: filter " + f.Name() + " is registered twice")
+		}
+	}
+	filters = append(filters, f)
+	slices.SortFunc(filters, func(a, b Filter) int { return cmp.Compare(a.Name(), b.Name()) })
+}
+
+// RegisterScore adds a score with its default weight. It is called in init only; a repeated name panics.
+func RegisterScore(s Score, weight float64) {
+	for _, other := range scores {
+		if other.plugin.Name() == s.Name() {
+			panic("scheduler: score " + s.Name() + " is registered twice")
+		}
+	}
+	scores = append(scores, weightedScore{s, weight})
+	slices.SortFunc(scores, func(a, b weightedScore) int { return cmp.Compare(a.plugin.Name(), b.plugin.Name()) })
+}
+
+// FilterNames returns the names of the registered filters in the order in which they run.
+func FilterNames() []string {
+	names := make([]string, len(filters))
+	for i, f := range filters {
+		names[i] = f.Name()
+	}
+	return names
+}
+
+// ScoreNames returns the names of the registered scores.
+func ScoreNames() []string {
+	names := make([]string, len(scores))
+	for i, s := range scores {
+		names[i] = s.plugin.Name()
+	}
+	return names
+}
--- /dev/null
+++ b/scheduler/verdict.go
@@ -0,0 +1,94 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// reservation returns what the task reserves: its sized resources, or the declared ones if no size is given or no
+// worker could ever hold the sized ones.
+func (c *Cycle) reservation(task *PendingTask) structs.Resources {
+	if task.Resources.IsZero() || negative(task.Resources) {
+		return task.Job.Resources
+	}
+	if task.Resources.Fits(task.Job.Resources) {
+		return task.Resources
+	}
+	if c.snapshot.Quotas.Below(task.Job.Team, task.Resources) {
+		return task.Job.Resources
+	}
+	for i := range c.workers {
+		if c.neverOn(task.Job, task.Resources, &c.workers[i]) == "" {
+			return task.Resources
+		}
+	}
+	return task.Job.Resources
+}
+
+// check adds a verdict if the job can never run as the inventory and the rules stand. What passes by itself gives no
+// verdict: other tasks, out domains, silent workers, quarantine. Without workers nothing is known, and no verdict given.
+func (c *Cycle) check(job *jobState) {
+	if job.checked {
+		return
+	}
+	job.checked = true
+	reason := c.neverReason(job.job)
+	if reason == "" {
+		return
+	}
+	job.never = true
+	c.plan.Verdicts = append(c.plan.Verdicts, Verdict{JobID: job.job.ID, Reason: reason})
+}
+
+func (c *Cycle) neverReason(job *structs.Job) string {
+	need := job.Resources
+	if invalid(need) {
+		return "declared resources are negative or all zero: " + describe(need)
+	}
+	if c.snapshot.Quotas.Below(job.Team, need) {
+		limit, _ := c.snapshot.Quotas.Limit(job.Team)
+		return fmt.Sprintf("one task needs %s, above the quota of team %s: %s", describe(need), job.Team, describe(limit))
+	}
+	if len(c.workers) == 0 {
+		return ""
+	}
+	counts := map[string]int{}
+	for i := range c.workers {
+		reason := c.neverOn(job, need, &c.workers[i])
+		if reason == "" {
+			return ""
+		}
+		counts[reason]++
+	}
+	reasons := make([]string, 0, len(counts))
+	for reason, n := range counts {
+		reasons = append(reasons, fmt.Sprintf("%d %s", n, reason))
+	}
+	slices.Sort(reasons)
+	return fmt.Sprintf("no worker can hold one task with %s: of %d workers %s", describe(need), len(c.workers), strings.Join(reasons, ", "))
+}
+
+// neverOn says why an empty worker could not hold the task, or returns the empty string if it could.
+func (c *Cycle) neverOn(job *structs.Job, need structs.Resources, w *WorkerView) string {
+	con := &job.Constraints
+	switch {
+	case !need.Fits(w.Capacity):
+		return "are too small"
+	case len(con.FailureDomains) > 0 && !slices.Contains(con.FailureDomains, w.FailureDomain):
+		return "are in other failure domains"
+	case len(con.Racks) > 0 && !slices.Contains(con.Racks, w.Rack):
+		return "are in other racks"
+	case con.AcceleratorKind != "" && con.AcceleratorKind != w.AcceleratorKind:
+		return "have other accelerators"
+	case job.Kind == structs.KindBatch && c.Rules.RacksWithoutBatch[w.Rack]:
+		return "are in racks without batch"
+	}
+	return ""
+}
+
+func describe(r structs.Resources) string {
+	return fmt.Sprintf("%d millicores, %d MB, %d accelerators", r.MilliCores, r.MemoryMB, r.Accelerators)
+}
