--- a/scheduler/cycle.go
+++ b/scheduler/cycle.go
@@ -60,6 +60,8 @@
 	MilliCores int64
 
 	id int
+	// slowdown caches Cycle.Slowdown of a service; 0 means not computed.
+	slowdown float64
 }
 
 // jobState is what a cycle keeps for each job.
@@ -164,6 +166,11 @@
 }
 
 func (s *workerState) load(job *structs.Job, class int, r structs.Resources) {
+	if job.Kind == structs.KindBatch {
+		for i := range s.loads {
+			s.loads[i].slowdown = 0
+		}
+	}
 	for i := range s.loads {
 		if s.loads[i].id == class && s.loads[i].Kind == job.Kind {
 			s.loads[i].Tasks++
@@ -171,7 +178,7 @@
 			return
 		}
 	}
-	s.loads = append(s.loads, ClassLoad{job.Kind, job.Class, 1, r.MilliCores, class})
+	s.loads = append(s.loads, ClassLoad{Kind: job.Kind, Class: job.Class, Tasks: 1, MilliCores: r.MilliCores, id: class})
 }
 
 func (c *Cycle) job(job *structs.Job) *jobState {
@@ -282,60 +289,3 @@
 
 // FailureDomains returns the number of failure domains of the snapshot.
 func (c *Cycle) FailureDomains() int { return len(c.domains) }
-
-// Estimate returns what is known of a resident load beside the task: of the service among the two beside the batch
-// class. It returns false when both are of the same kind or nothing has been learned at all.
-func (c *Cycle) Estimate(task *PendingTask, load *ClassLoad) (interference.Estimate, bool) {
-	if c.snapshot.Interference == nil || task.Job.Kind == load.Kind {
-		return interference.Estimate{}, false
-	}
-	service, batch, pair := load.Class, task.Job.Class, [2]int{load.id, task.state.class}
-	if task.Job.Kind == structs.KindService {
-		service, batch, pair = task.Job.Class, load.Class, [2]int{task.state.class, load.id}
-	}
-	if e, ok := c.pairs[pair]; ok {
-		return e, true
-	}
-	if c.pairs == nil {
-		c.pairs = map[[2]int]interference.Estimate{}
-	}
-	e := c.snapshot.Interference.Estimate(service, batch)
-	c.pairs[pair] = e
-	return e, true
-}
-
-// Beside returns how many tasks of the batch class run beside the service class on all workers.
-func (c *Cycle) Beside(task *PendingTask, load *ClassLoad) int {
-	service, batch := load.id, task.state.class
-	if task.Job.Kind == structs.KindService {
-		service, batch = batch, service
-	}
-	counts, ok := c.beside[batch]
-	if !ok {
-		counts = c.countBeside(batch)
-	}
-	return counts[service]
-}
-
-func (c *Cycle) countBeside(batch int) map[int]int {
-	counts := map[int]int{}
-	for i := range c.workers {
-		loads := c.workers[i].cycle.loads
-		tasks := 0
-		for k := range loads {
-			if loads[k].id == batch && loads[k].Kind == structs.KindBatch {
-				tasks = loads[k].Tasks
-			}
-		}
-		for k := range loads {
-			if tasks > 0 && loads[k].Kind == structs.KindService {
-				counts[loads[k].id] += tasks
-			}
-		}
-	}
-	if c.beside == nil {
-		c.beside = map[int]map[int]int{}
-	}
-	c.beside[batch] = counts
-	return counts
-}
--- /dev/null
+++ b/scheduler/interference/config.go
@@ -0,0 +1,78 @@
+package interference
+
+import "time"
+
+// Bounds of a model.
+const (
+	// MaxPairs bounds the pairs of service and batch class. The pair with the least weight makes room for a new one.
+	MaxPairs = 4096
+	// MaxServices bounds the service classes. Samples of further classes are ignored.
+	MaxServices = 1024
+	// MaxWorkers bounds the workers whose loads are remembered. Samples of further workers are ignored.
+	MaxWorkers = 8192
+	// MaxLoads bounds the classes remembered for one worker at one time.
+	MaxLoads = 64
+	// historyLength bounds the load changes remembered for one worker. With a few starts a second on a busy worker it
+	// covers the usual lag of a few seconds.
+	historyLength = 16
+)
+
+// Config holds the parameters of a model. A zero field means its default.
+type Config struct {
+	// Limit is the slowdown factor of a service above which a batch class is blocked beside it.
+	Limit float64
+	// HalfLife is the time in which unused knowledge loses half of its weight.
+	HalfLife time.Duration
+	// MinSamples is the weight of samples from which a pair is known.
+	MinSamples float64
+	// Settle is how long loads must not have changed before a measurement, since a measurement covers some time before.
+	Settle time.Duration
+	// BlockFor is how long a pair stays blocked before it is explored again. It doubles with each block in a row.
+	BlockFor time.Duration
+}
+
+// Defaults of Config.
+const (
+	DefaultLimit      = 1.25
+	DefaultHalfLife   = 20 * time.Minute
+	DefaultMinSamples = 8
+	DefaultSettle     = 2 * time.Second
+	DefaultBlockFor   = 10 * time.Minute
+)
+
+const (
+	// releasePart is the part of the allowed slowdown below which a blocked pair is released. The gap to the limit keeps
+	// a pair near the limit from flapping.
+	releasePart = 0.6
+	// earlySamples and earlyFactor block a pair before it is known, when the first samples are far beyond the limit.
+	earlySamples = 3
+	earlyFactor  = 2
+	// maxWeight caps the weight of a pair, so that it follows a change within about maxWeight samples.
+	maxWeight = 50
+	// maxRatio caps one sample's slowdown, so that a pause of the service does not dominate the estimate.
+	maxRatio = 10
+	// maxCoefficient caps the slowdown that is extrapolated to a worker full of one class.
+	maxCoefficient = 50
+	// maxStrikes caps the doubling of BlockFor: the longest block is 16 times the first.
+	maxStrikes = 4
+	// forgetWeight is the weight below which a pair is dropped.
+	forgetWeight = 0.05
+	// idleShare is the batch share of a worker below which a sample counts as undisturbed.
+	idleShare = 0.02
+)
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.Limit, DefaultLimit)
+	setDefault(&c.HalfLife, DefaultHalfLife)
+	setDefault(&c.MinSamples, DefaultMinSamples)
+	setDefault(&c.Settle, DefaultSettle)
+	setDefault(&c.BlockFor, DefaultBlockFor)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/scheduler/interference/model.go
@@ -0,0 +1,238 @@
+package interference
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Model learns from lagged latency measurements of services. For each service class it keeps the undisturbed latency,
+// and for each batch class a coefficient: the relative slowdown by a worker full of that class. The slowdown of a
+// sample is explained as the sum of coefficient times share over the classes on the worker, and its error is
+// distributed over them (normalised least mean squares), so that a harmless class beside a noisy one isn't blamed for
+// long. A model is not safe for concurrent use.
+type Model struct {
+	config   Config
+	services map[string]*baseline
+	pairs    map[pairKey]*pair
+	workers  map[string]*history
+}
+
+type pairKey struct{ service, batch string }
+
+// baseline is the latency of a service class without batch beside it.
+type baseline struct {
+	millis float64
+	// idle is set once millis stems from undisturbed samples; until then it is the smallest latency seen.
+	idle bool
+}
+
+type pair struct {
+	coefficient float64
+	// share is the mean share of the class when it was seen beside the service.
+	share  float64
+	weight float64
+	// updated is the time to which weight has decayed.
+	updated      time.Time
+	known        bool
+	blocked      bool
+	blockedUntil time.Time
+	strikes      int
+}
+
+// New returns a model that knows nothing.
+func New(config Config) *Model {
+	return &Model{
+		config: config.withDefaults(), services: map[string]*baseline{}, pairs: map[pairKey]*pair{},
+		workers: map[string]*history{},
+	}
+}
+
+// SetLoads tells what batch runs on a worker from now on. Equal loads again change nothing. At most MaxLoads classes
+// are kept.
+func (m *Model) SetLoads(worker string, loads []Load, now time.Time) {
+	h := m.workers[worker]
+	if h == nil {
+		if len(m.workers) >= MaxWorkers {
+			return
+		}
+		h = &history{}
+		m.workers[worker] = h
+	}
+	loads = slices.Clone(loads)
+	slices.SortFunc(loads, func(a, b Load) int { return cmp.Compare(a.Class, b.Class) })
+	h.set(loads[:min(len(loads), MaxLoads)], now)
+}
+
+// Forget drops the loads of a worker.
+func (m *Model) Forget(worker string) { delete(m.workers, worker) }
+
+// Observe learns from one latency measurement of a service on a worker, taken age ago. It tells whether the measurement
+// was used: not when it's not a positive number, when the worker's loads at that time aren't known, or when they had
+// changed shortly before.
+func (m *Model) Observe(worker, service string, latencyMillis float64, age time.Duration, now time.Time) bool {
+	h := m.workers[worker]
+	if h == nil || !(latencyMillis > 0) || math.IsInf(latencyMillis, 0) || age < 0 {
+		return false
+	}
+	loads, ok := h.at(now.Add(-age), m.config.Settle)
+	if !ok {
+		return false
+	}
+	total := 0.0
+	for _, load := range loads {
+		total += load.Share
+	}
+	base := m.services[service]
+	if base == nil {
+		if len(m.services) >= MaxServices {
+			return false
+		}
+		base = &baseline{millis: latencyMillis}
+		m.services[service] = base
+	}
+	base.observe(latencyMillis, total < idleShare)
+	if total >= idleShare {
+		m.learn(service, loads, min(max(latencyMillis/base.millis-1, 0), maxRatio), now)
+	}
+	return true
+}
+
+// observe follows undisturbed samples with a mean, and until the first of them keeps the smallest latency.
+func (b *baseline) observe(millis float64, idle bool) {
+	const step = 0.1
+	switch {
+	case idle && !b.idle:
+		b.millis, b.idle = millis, true
+	case idle:
+		b.millis += step * (millis - b.millis)
+	case millis < b.millis:
+		// Disturbed samples below the mean are noise of the service itself. They only correct a guess.
+		if !b.idle {
+			b.millis = millis
+		}
+	}
+}
+
+func (m *Model) learn(service string, loads []Load, ratio float64, now time.Time) {
+	predicted, power := 0.0, 0.0
+	list := make([]*pair, len(loads))
+	for i, load := range loads {
+		p := m.pair(pairKey{service, load.Class}, now)
+		list[i] = p
+		predicted += p.coefficient * load.Share
+		power += load.Share * load.Share
+	}
+	failure := ratio - predicted
+	for i, load := range loads {
+		p := list[i]
+		credit := load.Share * load.Share / power
+		p.weight = min(p.weight+credit, maxWeight)
+		step := 1 / max(p.weight, 1)
+		p.coefficient = min(max(p.coefficient+step*failure*load.Share/power, 0), maxCoefficient)
+		p.share += step * (load.Share - p.share)
+		m.judge(p, now)
+	}
+}
+
+// pair returns the pair with its weight decayed to now, and adds it if needed.
+func (m *Model) pair(key pairKey, now time.Time) *pair {
+	if p := m.pairs[key]; p != nil {
+		m.decay(p, now)
+		return p
+	}
+	if len(m.pairs) >= MaxPairs {
+		m.dropLeast()
+	}
+	p := &pair{updated: now}
+	m.pairs[key] = p
+	return p
+}
+
+func (m *Model) decay(p *pair, now time.Time) {
+	if age := now.Sub(p.updated); age > 0 {
+		p.weight *= math.Exp2(-float64(age) / float64(m.config.HalfLife))
+		p.updated = now
+	}
+}
+
+// judge sets whether a pair is known and blocked.
+func (m *Model) judge(p *pair, now time.Time) {
+	allowed := m.config.Limit - 1
+	slowdown := p.coefficient * p.share
+	if p.weight >= m.config.MinSamples {
+		p.known = true
+	}
+	switch {
+	case p.blocked:
+		if slowdown < releasePart*allowed && p.known {
+			p.blocked, p.strikes = false, max(p.strikes-1, 0)
+		}
+	case p.known && slowdown > allowed, p.weight >= earlySamples && slowdown > earlyFactor*allowed:
+		p.blocked, p.known = true, true
+		p.blockedUntil = now.Add(m.config.BlockFor << p.strikes)
+		p.strikes = min(p.strikes+1, maxStrikes)
+	case p.known && slowdown < releasePart*allowed && p.weight >= 2*m.config.MinSamples:
+		p.strikes = 0
+	}
+}
+
+// Advance applies the time that has passed: knowledge without new samples fades, and pairs whose block has ended are
+// unknown again, so that a few tasks explore them. It is called about once a second, between plans.
+func (m *Model) Advance(now time.Time) {
+	for key, p := range m.pairs {
+		m.decay(p, now)
+		switch {
+		case p.blocked && !now.Before(p.blockedUntil):
+			p.blocked, p.known, p.weight, p.coefficient = false, false, 0, 0
+		case p.blocked:
+		case p.known && p.weight < m.config.MinSamples/2:
+			p.known = false
+		case p.weight < forgetWeight && now.Sub(p.blockedUntil) > m.config.BlockFor<<maxStrikes:
+			delete(m.pairs, key)
+		}
+	}
+}
+
+// Estimate returns what is known of a pair as of the last Advance or Observe.
+func (m *Model) Estimate(service, batch string) Estimate {
+	p := m.pairs[pairKey{service, batch}]
+	if p == nil {
+		return Estimate{Slowdown: 1}
+	}
+	return Estimate{Slowdown: 1 + p.coefficient, Known: p.known, Blocked: p.blocked}
+}
+
+// BaselineMillis returns the undisturbed latency of a service class, or 0 when it is unknown.
+func (m *Model) BaselineMillis(service string) float64 {
+	if b := m.services[service]; b != nil && b.idle {
+		return b.millis
+	}
+	return 0
+}
+
+// Len returns the number of pairs.
+func (m *Model) Len() int { return len(m.pairs) }
+
+// dropLeast removes the pair with the least weight; pairs that aren't blocked go first.
+func (m *Model) dropLeast() {
+	var least pairKey
+	var found *pair
+	for key, p := range m.pairs {
+		if found == nil || comparePairs(key, p, least, found) < 0 {
+			least, found = key, p
+		}
+	}
+	delete(m.pairs, least)
+}
+
+func comparePairs(aKey pairKey, a *pair, bKey pairKey, b *pair) int {
+	if a.blocked != b.blocked {
+		if b.blocked {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(a.weight, b.weight), cmp.Compare(aKey.service, bKey.service), cmp.Compare(aKey.batch, bKey.batch))
+}
--- /dev/null
+++ b/scheduler/interference/summary.go
@@ -0,0 +1,80 @@
+package interference
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Summary is what a shard's snapshot keeps of a model, so that a new owner doesn't start from nothing.
+type Summary struct {
+	Services []ServiceSummary `json:"services,omitempty"`
+	Pairs    []PairSummary    `json:"pairs,omitempty"`
+}
+
+// ServiceSummary is the undisturbed latency of a service class.
+type ServiceSummary struct {
+	Service string  `json:"service"`
+	Millis  float64 `json:"millis"`
+	Idle    bool    `json:"idle,omitempty"`
+}
+
+// PairSummary is what is known of one pair.
+type PairSummary struct {
+	Service     string  `json:"service"`
+	Batch       string  `json:"batch"`
+	Coefficient float64 `json:"coefficient"`
+	Share       float64 `json:"share"`
+	Weight      float64 `json:"weight"`
+	Known       bool    `json:"known,omitempty"`
+	// BlockedMillis is for how long the pair stays blocked, 0 when it isn't.
+	BlockedMillis int64 `json:"blocked_millis,omitempty"`
+	Strikes       int   `json:"strikes,omitempty"`
+}
+
+// Export returns at most maxPairs pairs, those with the most weight, and the services, in a fixed order.
+func (m *Model) Export(maxPairs int, now time.Time) Summary {
+	var s Summary
+	for service, b := range m.services {
+		s.Services = append(s.Services, ServiceSummary{service, b.millis, b.idle})
+	}
+	slices.SortFunc(s.Services, func(a, b ServiceSummary) int { return cmp.Compare(a.Service, b.Service) })
+	for key, p := range m.pairs {
+		m.decay(p, now)
+		out := PairSummary{
+			Service: key.service, Batch: key.batch, Coefficient: p.coefficient, Share: p.share,
+			Weight: p.weight, Known: p.known, Strikes: p.strikes,
+		}
+		if p.blocked {
+			out.BlockedMillis = max(1, p.blockedUntil.Sub(now).Milliseconds())
+		}
+		s.Pairs = append(s.Pairs, out)
+	}
+	slices.SortFunc(s.Pairs, func(a, b PairSummary) int {
+		return cmp.Or(cmp.Compare(b.BlockedMillis, a.BlockedMillis), cmp.Compare(b.Weight, a.Weight),
+			cmp.Compare(a.Service, b.Service), cmp.Compare(a.Batch, b.Batch))
+	})
+	s.Pairs = s.Pairs[:min(len(s.Pairs), max(maxPairs, 0))]
+	return s
+}
+
+// Import replaces what the model knows with a summary, as if it had been exported now. Entries beyond the bounds and
+// entries with impossible values are left out.
+func (m *Model) Import(s Summary, now time.Time) {
+	m.services, m.pairs = map[string]*baseline{}, map[pairKey]*pair{}
+	for _, in := range s.Services {
+		if len(m.services) < MaxServices && in.Millis > 0 {
+			m.services[in.Service] = &baseline{in.Millis, in.Idle}
+		}
+	}
+	for _, in := range s.Pairs {
+		if len(m.pairs) >= MaxPairs || !(in.Coefficient >= 0 && in.Share >= 0 && in.Weight >= 0) {
+			continue
+		}
+		m.pairs[pairKey{in.Service, in.Batch}] = &pair{
+			coefficient: min(in.Coefficient, maxCoefficient), share: min(in.Share, 1), weight: min(in.Weight, maxWeight),
+			updated: now, known: in.Known, blocked: in.BlockedMillis > 0, strikes: min(max(in.Strikes, 0), maxStrikes),
+			blockedUntil: now.Add(min(time.Duration(max(in.BlockedMillis, 0))*time.Millisecond, m.config.BlockFor<<maxStrikes)),
+		}
+	}
+}
--- a/scheduler/plugins/filters.go
+++ b/scheduler/plugins/filters.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/quetzalshed/quetzalshed/scheduler"
+	"github.com/quetzalshed/quetzalshed/scheduler/interference"
 	"github.com/quetzalshed/quetzalshed/scheduler/quarantine"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
@@ -104,8 +105,8 @@
 	return ReasonQuarantined
 }
 
-// interferenceLimit rejects a batch class beside a service class that it slows down too much, and limits how many tasks
-// of a class run beside a service class before their interference is known.
+// interferenceLimit rejects a batch class beside a service class that it slows down too much, alone or together with
+// the batch there, and limits how many tasks of a class run beside a service class before their interference is known.
 type interferenceLimit struct{}
 
 func (interferenceLimit) Name() string { return "interference" }
@@ -116,7 +117,7 @@
 		estimate, ok := ctx.Estimate(task, &loads[i])
 		switch {
 		case !ok:
-		case estimate.Blocked:
+		case estimate.Blocked || estimate.Known && ctx.Slowdown(task, w, service(task, &loads[i]))+added(task, w, estimate) > ctx.Rules.InterferenceLimit:
 			return ReasonInterference
 		case !estimate.Known && task.Job.Kind == structs.KindBatch && ctx.Beside(task, &loads[i]) >= ctx.Rules.ExplorationTasks:
 			return ReasonExploration
@@ -125,6 +126,23 @@
 	return ""
 }
 
+// service returns the load of the service that the pair is about, or nil if the task itself is the service.
+func service(task *scheduler.PendingTask, load *scheduler.ClassLoad) *scheduler.ClassLoad {
+	if task.Job.Kind == structs.KindService {
+		return nil
+	}
+	return load
+}
+
+// added returns by how much a batch task would raise the slowdown of a service on the worker. A service adds nothing:
+// the batch beside it is counted already.
+func added(task *scheduler.PendingTask, w *scheduler.WorkerView, estimate interference.Estimate) float64 {
+	if task.Job.Kind == structs.KindService {
+		return 0
+	}
+	return (estimate.Slowdown - 1) * fraction(task.Resources.MilliCores, w.Capacity.MilliCores)
+}
+
 // returnRamp limits how much batch a worker takes after its failure domain returned, so that returned workers don't all
 // start and restore a full load at the same moment. A worker without tasks may always take one.
 type returnRamp struct{}
--- a/scheduler/plugins/scores.go
+++ b/scheduler/plugins/scores.go
@@ -15,6 +15,9 @@
 	weightFit          = 1
 )
 
+// unknownSlowdown is assumed of pairs that are not known, so that batch explores only where it has no better place.
+const unknownSlowdown = 1.5
+
 func init() {
 	scheduler.RegisterScore(spread{}, weightSpread)
 	scheduler.RegisterScore(bestFit{}, weightFit)
@@ -76,7 +79,11 @@
 		if task.Job.Kind == structs.KindService {
 			cores = loads[i].MilliCores
 		}
-		cost += (estimate.Slowdown - 1) * fraction(cores, w.Capacity.MilliCores)
+		slowdown := estimate.Slowdown
+		if !estimate.Known {
+			slowdown = max(slowdown, unknownSlowdown)
+		}
+		cost += (slowdown - 1) * fraction(cores, w.Capacity.MilliCores)
 	}
 	return -min(cost, 1)
 }
--- /dev/null
+++ b/scheduler/quarantine/config.go
@@ -0,0 +1,60 @@
+package quarantine
+
+import "time"
+
+// Bounds of a model.
+const (
+	// MaxWorkers bounds the workers with failures. The one that failed longest ago makes room; quarantined ones stay.
+	MaxWorkers = 8192
+	// MaxJobs bounds the jobs with failures. The one that failed longest ago makes room.
+	MaxJobs = 8192
+	// maxEvidence bounds the distinct jobs kept for one worker and the distinct workers kept for one job.
+	maxEvidence = 32
+)
+
+// Config holds the parameters of a model. A zero field means its default.
+type Config struct {
+	// Jobs is the number of distinct jobs that must fail on a worker, with no success between, to quarantine it.
+	Jobs int
+	// Workers is the number of distinct sound workers on which a job must fail, with no success between, to fail it.
+	Workers int
+	// Window is how long a failure counts.
+	Window time.Duration
+	// Backoff is how long the first quarantine lasts; each failed probe doubles it up to MaxBackoff.
+	Backoff    time.Duration
+	MaxBackoff time.Duration
+	// ProbeTimeout is how long a probe may run without a result before another one is admitted.
+	ProbeTimeout time.Duration
+	// MaxShare is the part of the fleet that may be quarantined. Beyond it, failures have a common cause that
+	// quarantine can't help, and stopping the fleet would only add to the harm.
+	MaxShare float64
+}
+
+// Defaults of Config.
+const (
+	DefaultJobs         = 3
+	DefaultWorkers      = 3
+	DefaultWindow       = 15 * time.Minute
+	DefaultBackoff      = time.Minute
+	DefaultMaxBackoff   = time.Hour
+	DefaultProbeTimeout = 10 * time.Minute
+	DefaultMaxShare     = 0.34
+)
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.Jobs, DefaultJobs)
+	setDefault(&c.Workers, DefaultWorkers)
+	setDefault(&c.Window, DefaultWindow)
+	setDefault(&c.Backoff, DefaultBackoff)
+	setDefault(&c.MaxBackoff, DefaultMaxBackoff)
+	setDefault(&c.ProbeTimeout, DefaultProbeTimeout)
+	setDefault(&c.MaxShare, DefaultMaxShare)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
