--- /dev/null
+++ b/entry/requests/announce.go
@@ -0,0 +1,68 @@
+package requests
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/kernel"
+	"github.com/quetzalshed/quetzalshed/routing"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+const (
+	maxAnnouncementBytes = 64 << 10
+	// announcementOverhead is the size of the HTTP headers of an announcement and its response, in bytes.
+	announcementOverhead = 350
+)
+
+// serveAnnounce takes the announcement of an agent and tells when the next one is due.
+func (m *Module) serveAnnounce(w http.ResponseWriter, r *http.Request) {
+	var announcement structs.Announcement
+	body := http.MaxBytesReader(w, r.Body, maxAnnouncementBytes)
+	if err := json.NewDecoder(body).Decode(&announcement); err != nil {
+		m.metrics.refused.Inc(1)
+		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	size := announcementOverhead + int(max(r.ContentLength, 0))
+	applied, err := m.table.Apply(&announcement, size)
+	switch {
+	case errors.Is(err, routing.ErrStale):
+		m.metrics.stale.Inc(1)
+	case errors.Is(err, routing.ErrFull):
+		m.metrics.refused.Inc(1)
+		w.Header().Set("Retry-After", "30")
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	case err != nil:
+		m.metrics.refused.Inc(1)
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	default:
+		m.metrics.announced.Inc(1)
+		m.logAnnouncement(&announcement, applied)
+	}
+	kernel.WriteJSON(w, http.StatusOK, structs.AnnounceReply{NextAfterMillis: applied.NextAfter.Milliseconds()})
+}
+
+func (m *Module) logAnnouncement(a *structs.Announcement, applied routing.Applied) {
+	if applied.New {
+		m.context.Log.Info("agent announced itself", "agent", a.Agent, "incarnation", a.Incarnation, "address", a.Address,
+			"failure_domain", a.FailureDomain, "upstreams", len(a.Upstreams), "leaving", a.Leaving)
+		return
+	}
+	if applied.LeavingChanged {
+		m.context.Log.Info("upstreams of an agent began or ceased to leave", "agent", a.Agent, "leaving", a.Leaving)
+	}
+}
+
+// observeProbe records what a probe of an idle connection tells about the agent at its address.
+func (m *Module) observeProbe(address string, roundTrip time.Duration, err error) {
+	if err != nil {
+		m.metrics.scope.Counter("probes_failed").Inc(1)
+		return
+	}
+	m.table.ObserveRoundTripTo(address, roundTrip)
+}
--- /dev/null
+++ b/entry/requests/entry_test.go
@@ -0,0 +1,121 @@
+package requests
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/gorilla/mux"
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/forward/forwardtest"
+	"github.com/quetzalshed/quetzalshed/idempotency"
+	"github.com/quetzalshed/quetzalshed/kernel"
+	"github.com/quetzalshed/quetzalshed/limit"
+	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/settings"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// testEntry is an entry with short limits that is served on loopback.
+type testEntry struct {
+	*Module
+	url string
+}
+
+func newEntry(t testing.TB, kv store.Store, change func(*Settings)) *testEntry {
+	t.Helper()
+	m := &Module{}
+	file, err := settings.Parse("test.ini", []byte("[entry.requests]\nsilence=150ms\nprobe_every=50ms\nprobe_timeout=100ms\n"+
+		"suspect_for=100ms\nresolve_timeout=300ms\ndrain_grace=0s\n"))
+	qt.Assert(t, err, qt.IsNil)
+	file.Decode("entry.requests", &m.settings)
+	qt.Assert(t, file.Err(), qt.IsNil)
+	if change != nil {
+		change(&m.settings)
+	}
+	router := mux.NewRouter().UseEncodedPath()
+	c := &kernel.Context{
+		Process: kernel.ProcessSettings{Name: "entry-1", FailureDomain: "patan"}, Log: hclog.NewNullLogger(),
+		Metrics: tally.NoopScope, Tracer: noop.NewTracerProvider().Tracer(""), Clock: clock.System{}, Router: router,
+	}
+	qt.Assert(t, m.Provision(c), qt.IsNil)
+	if kv != nil {
+		m.ledger = idempotency.NewLedger(idempotency.Options{
+			Store: kv, Clock: c.Clock, Retention: time.Hour, CallTimeout: m.settings.StoreTimeout,
+			Writes: limit.NewRate(m.settings.RecordsPerSecond, max(1, int(m.settings.RecordsPerSecond))),
+		})
+	}
+	qt.Assert(t, m.Start(t.Context()), qt.IsNil)
+	server := httptest.NewServer(router)
+	t.Cleanup(func() {
+		server.Close()
+		_ = m.Stop(t.Context())
+	})
+	return &testEntry{m, server.URL}
+}
+
+func (e *testEntry) announce(t testing.TB, announcement structs.Announcement) *http.Response {
+	t.Helper()
+	body, err := json.Marshal(announcement)
+	qt.Assert(t, err, qt.IsNil)
+	response, err := http.Post(e.url+"/v1/announce", "application/json", bytes.NewReader(body))
+	qt.Assert(t, err, qt.IsNil)
+	_ = response.Body.Close()
+	return response
+}
+
+// call sends a caller's request. headers holds names and values in turn.
+func (e *testEntry) call(t testing.TB, method, path, body string, headers ...string) (*http.Response, string) {
+	t.Helper()
+	request, err := http.NewRequest(method, e.url+path, bytes.NewReader([]byte(body)))
+	qt.Assert(t, err, qt.IsNil)
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	qt.Assert(t, err, qt.IsNil)
+	defer response.Body.Close()
+	got, err := io.ReadAll(response.Body)
+	qt.Assert(t, err, qt.IsNil)
+	return response, string(got)
+}
+
+func newAgent(t testing.TB, name string, entries ...*testEntry) *forwardtest.Agent {
+	t.Helper()
+	agent, err := forwardtest.New(name)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(agent.Close)
+	for _, e := range entries {
+		qt.Assert(t, e.announce(t, agent.Announcement("price", 1)).StatusCode, qt.Equals, http.StatusOK)
+	}
+	return agent
+}
+
+// Guards against paths, queries, headers or bodies that change on the way, and internal headers that reach the caller.
+func TestRequestReachesUpstreamUnchanged(t *testing.T) {
+	e := newEntry(t, nil, nil)
+	agent := newAgent(t, "a", e)
+	response, body := e.call(t, http.MethodPut, "/s/price/a//b%2Fc/../d?q=1&r=%20", "payload", "X-Caller", "me",
+		"Quetzalshed-Fwd-Evil", "x", "Traceparent", "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01")
+	qt.Assert(t, response.StatusCode, qt.Equals, http.StatusOK)
+	qt.Assert(t, body, qt.Equals, "/a//b%2Fc/../d?q=1&r=%20:payload")
+	qt.Assert(t, response.Header.Get(structs.HeaderOutcome), qt.Equals, "answered")
+	qt.Assert(t, response.Header.Get("X-From"), qt.Equals, "upstream")
+	qt.Assert(t, response.Header.Get(structs.HeaderAttempt), qt.Equals, "")
+	got := agent.Headers()
+	qt.Assert(t, got.Get(structs.HeaderForwardPrefix+"X-Caller"), qt.Equals, "me")
+	qt.Assert(t, got.Values(structs.HeaderForwardPrefix+"Quetzalshed-Fwd-Evil"), qt.HasLen, 0)
+	qt.Assert(t, got.Values(structs.HeaderForwardPrefix+"Evil"), qt.HasLen, 0)
+	qt.Assert(t, got.Get(structs.HeaderService), qt.Equals, "price")
+	qt.Assert(t, got.Get(structs.HeaderMethod), qt.Equals, http.MethodPut)
+	qt.Assert(t, got.Get("Traceparent"), qt.Matches, "00-0af7651916cd43dd8448eb211c80319c-.*")
+}
--- /dev/null
+++ b/entry/requests/metrics.go
@@ -0,0 +1,67 @@
+package requests
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// metrics holds the counters of the caller API. Services are no tag: callers choose their names, so their number has no
+// bound.
+type metrics struct {
+	scope     tally.Scope
+	outcomes  map[structs.Outcome]tally.Counter
+	latency   tally.Histogram
+	limited   tally.Counter
+	draining  tally.Counter
+	malformed tally.Counter
+	followed  tally.Counter
+	announced tally.Counter
+	stale     tally.Counter
+	refused   tally.Counter
+}
+
+func newMetrics(scope tally.Scope) *metrics {
+	s := scope.SubScope("requests")
+	m := &metrics{
+		scope: s, outcomes: map[structs.Outcome]tally.Counter{},
+		// 24 buckets from 1 ms, each a half longer than the one before, reach 11 s.
+		latency: s.Histogram("latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 1.5, 24)),
+		limited: s.Counter("limited"), draining: s.Counter("draining"), malformed: s.Counter("malformed"),
+		followed:  s.Counter("followed_records"),
+		announced: s.Counter("announcements"), stale: s.Counter("announcements_stale"),
+		refused: s.Counter("announcements_refused"),
+	}
+	for _, outcome := range []structs.Outcome{structs.OutcomeAnswered, structs.OutcomeNotRun, structs.OutcomeUnknown} {
+		m.outcomes[outcome] = s.Tagged(map[string]string{"outcome": string(outcome)}).Counter("outcomes")
+	}
+	return m
+}
+
+// gaugeInterval is how often gauges are updated.
+const gaugeInterval = time.Second
+
+func (m *Module) reportGauges(ctx context.Context) {
+	ticker := time.NewTicker(gaugeInterval)
+	defer ticker.Stop()
+	s := m.metrics.scope
+	running, waiting, agents := s.Gauge("running"), s.Gauge("waiting"), s.Gauge("agents")
+	open, idle := s.Gauge("connections_open"), s.Gauge("connections_idle")
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r, w := m.inFlight.Running()
+			o, i := m.pool.Counts()
+			running.Update(float64(r))
+			waiting.Update(float64(w))
+			agents.Update(float64(m.table.Agents()))
+			open.Update(float64(o))
+			idle.Update(float64(i))
+		}
+	}
+}
--- /dev/null
+++ b/entry/requests/once.go
@@ -0,0 +1,122 @@
+package requests
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/forward"
+	"github.com/quetzalshed/quetzalshed/idempotency"
+	"github.com/quetzalshed/quetzalshed/routing"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+const (
+	// followGrace is how long a repeated request only looks for the response of the recorded attempt. After it the attempt
+	// is resolved, which cancels it if it is still queued for a request that is under way at another entry.
+	followGrace = 200 * time.Millisecond
+	// followEvery is the interval between looks.
+	followEvery = 40 * time.Millisecond
+	// maxAdoptions bounds how often one request takes over a record. Two entries that cancel each other's attempts end
+	// there.
+	maxAdoptions = 2
+	// maxFollowFailures bounds the resolves of a recorded attempt without a response.
+	maxFollowFailures = 3
+)
+
+// answerOnce answers a request that may run at most once.
+func (m *Module) answerOnce(ctx context.Context, w http.ResponseWriter, p *parsed) forward.Result {
+	key := p.key
+	if key == "" {
+		key = forward.NewAttemptID()
+		p.request.Header.Set(structs.HeaderIdempotencyKey, key)
+	}
+	w.Header().Set(structs.HeaderIdempotencyKey, key)
+	if m.ledger == nil {
+		return notRun(http.StatusServiceUnavailable, "the entry has no store for at-most-once records", time.Second)
+	}
+	claim := m.ledger.NewClaim(p.request.Service, key, requestHash(&p.request))
+	for adoptions := 0; ; adoptions++ {
+		result := m.forwarder.Do(ctx, &p.request, assigner{claim})
+		var exists *idempotency.ExistsError
+		if !errors.As(result.AssignError, &exists) {
+			return assigned(result)
+		}
+		m.metrics.followed.Inc(1)
+		followed, free := m.follow(ctx, p.request.Deadline, exists.Found.Record)
+		if !free || adoptions >= maxAdoptions {
+			return followed
+		}
+		claim.Adopt(exists.Found)
+	}
+}
+
+// requestHash tells requests under the same key apart.
+func requestHash(r *forward.Request) string {
+	return idempotency.Hash([]byte(r.Method), []byte(r.Path), []byte(r.Header.Get("Content-Type")), r.Body)
+}
+
+// assigned gives an error of the assigner its final response. In each case the request was not run.
+func assigned(result forward.Result) forward.Result {
+	err := result.AssignError
+	var rate *idempotency.RateError
+	switch {
+	case err == nil:
+		return result
+	case errors.Is(err, idempotency.ErrKeyReused):
+		return notRun(http.StatusUnprocessableEntity, err.Error(), 0)
+	case errors.As(err, &rate):
+		return notRun(http.StatusTooManyRequests, err.Error(), rate.RetryAfter)
+	default:
+		return notRun(http.StatusServiceUnavailable, err.Error(), time.Second)
+	}
+}
+
+// follow finds out what became of the attempt of an existing record, and returns its response. free tells that the
+// attempt certainly has not run and never will, so that the record may be taken over.
+func (m *Module) follow(ctx context.Context, deadline time.Time, record idempotency.Record) (result forward.Result, free bool) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	target := forward.Target{ID: routing.ID{Agent: record.Agent, Incarnation: record.Incarnation}, Address: record.Address}
+	if address, ok := m.table.Address(target.ID); ok {
+		target.Address = address
+	}
+	resolveAt := time.Now().Add(followGrace)
+	for failures := 0; failures < maxFollowFailures; {
+		if reply, err := m.forwarder.Answer(ctx, target, record.AttemptID); err == nil && reply.Outcome == structs.OutcomeAnswered {
+			return relayed(reply, record.Agent), false
+		}
+		if !time.Now().Before(resolveAt) {
+			got, err := m.forwarder.Resolve(ctx, target, record.AttemptID)
+			switch {
+			case err != nil:
+				failures++
+			case got.Reply != nil && got.Reply.Outcome == structs.OutcomeAnswered:
+				return relayed(got.Reply, record.Agent), false
+			case got.State.NotRun() || (got.Reply != nil && got.Reply.Outcome == structs.OutcomeNotRun):
+				return conflict("the recorded attempt has not run"), true
+			case got.Reply != nil || got.State == structs.AttemptUnknown:
+				return conflict("the outcome of an earlier request with this key is unknown"), false
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return conflict("an earlier request with this key is under way"), false
+		case <-time.After(followEvery):
+		}
+	}
+	return conflict("the agent that has an earlier request with this key can't be reached"), false
+}
+
+func relayed(reply *forward.Reply, agent string) forward.Result {
+	return forward.Result{
+		Outcome: structs.OutcomeAnswered, Status: reply.Status, Header: reply.Header, Body: reply.Body, Agent: agent,
+	}
+}
+
+func conflict(reason string) forward.Result {
+	return forward.Result{
+		Outcome: structs.OutcomeUnknown, Status: http.StatusConflict, Reason: reason, RetryAfter: time.Second,
+	}
+}
--- /dev/null
+++ b/entry/requests/parse.go
@@ -0,0 +1,152 @@
+package requests
+
+import (
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/findings"
+	"github.com/quetzalshed/quetzalshed/forward"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// callerPrefix precedes the service in the paths of the caller API.
+const callerPrefix = "/s/"
+
+// Bounds of callers' requests.
+const (
+	defaultTimeout = 2 * time.Second
+	maxTimeout     = time.Minute
+	maxKeyBytes    = 255
+	maxNameBytes   = 255
+	// maxHeaderBytes leaves room for the prefix that each header gets on the way to the agent, whose server takes 1 MiB.
+	maxHeaderBytes = 64 << 10
+)
+
+// parsed is a caller's request without its body.
+type parsed struct {
+	request forward.Request
+	timeout time.Duration
+	// key is the caller's Idempotency-Key, empty when there is none.
+	key string
+}
+
+// parse reads the path and the headers of a caller's request. All problems are reported together.
+func parse(r *http.Request) (parsed, error) {
+	var found findings.List
+	p := parsed{timeout: defaultTimeout}
+	p.request.Method = r.Method
+	p.request.Service, p.request.Path = parsePath(r.URL, &found)
+	p.timeout = parseTimeout(r.Header, &found)
+	p.request.Priority = parsePriority(r.Header, &found)
+	p.request.Idempotent = parseIdempotent(r, &found)
+	p.key = parseKey(r.Header, &found)
+	p.request.Header = forwardedHeaders(r.Header)
+	size := 0
+	for name, values := range p.request.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	if size > maxHeaderBytes {
+		found.Addf(findings.Place{}, "the headers have %d bytes, of at most %d", size, maxHeaderBytes)
+	}
+	return p, found.Err()
+}
+
+func parsePath(u *url.URL, found *findings.List) (service, path string) {
+	rest := strings.TrimPrefix(u.EscapedPath(), callerPrefix)
+	name, path, _ := strings.Cut(rest, "/")
+	service, err := url.PathUnescape(name)
+	if err != nil || service == "" || len(service) > maxNameBytes {
+		found.Addf(findings.Place{Section: "path"}, "%q is not the name of a service", name)
+	}
+	path = "/" + path
+	if u.RawQuery != "" {
+		path += "?" + u.RawQuery
+	}
+	return service, path
+}
+
+func parseTimeout(h http.Header, found *findings.List) time.Duration {
+	text := h.Get(structs.HeaderTimeoutMillis)
+	if text == "" {
+		return defaultTimeout
+	}
+	millis, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || millis < 1 || millis > maxTimeout.Milliseconds() {
+		found.Addf(header(structs.HeaderTimeoutMillis), "%q is not a number from 1 to %d", text, maxTimeout.Milliseconds())
+		return defaultTimeout
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
+func parsePriority(h http.Header, found *findings.List) structs.Priority {
+	switch p := structs.Priority(h.Get(structs.HeaderPriority)); p {
+	case "":
+		return structs.PriorityNormal
+	case structs.PriorityCritical, structs.PriorityNormal, structs.PriorityLow:
+		return p
+	default:
+		found.Addf(header(structs.HeaderPriority), "%q is not critical, normal or low", p)
+		return structs.PriorityNormal
+	}
+}
+
+// idempotentMethods may run more than once unless the caller says otherwise.
+var idempotentMethods = []string{http.MethodGet, http.MethodHead, http.MethodPut, http.MethodDelete, http.MethodOptions}
+
+func parseIdempotent(r *http.Request, found *findings.List) bool {
+	switch text := r.Header.Get(structs.HeaderIdempotent); text {
+	case "":
+		return slices.Contains(idempotentMethods, r.Method)
+	case "true", "false":
+		return text == "true"
+	default:
+		found.Addf(header(structs.HeaderIdempotent), "%q is not true or false", text)
+		return false
+	}
+}
+
+func parseKey(h http.Header, found *findings.List) string {
+	values := h.Values(structs.HeaderIdempotencyKey)
+	if len(values) == 0 {
+		return ""
+	}
+	key := values[0]
+	printable := strings.IndexFunc(key, func(r rune) bool { return r <= ' ' || r > '~' }) < 0
+	if len(values) > 1 || key == "" || len(key) > maxKeyBytes || !printable {
+		found.Addf(header(structs.HeaderIdempotencyKey), "not a single key of 1 to %d printable characters", maxKeyBytes)
+	}
+	return key
+}
+
+func header(name string) findings.Place { return findings.Place{Section: "headers", Key: name} }
+
+// connectionHeaders concern one connection and are not passed on in either direction (RFC 9110, section 7.6.1). The trace
+// context is replaced by that of the next hop.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length", "Traceparent", "Tracestate",
+}
+
+const ownPrefix = "Quetzalshed-"
+
+// forwardedHeaders returns the headers that are passed on.
+func forwardedHeaders(from http.Header) http.Header {
+	to := make(http.Header, len(from))
+	for name, values := range from {
+		if !strings.HasPrefix(name, ownPrefix) && !slices.Contains(connectionHeaders, name) {
+			to[name] = values
+		}
+	}
+	for _, list := range from.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			to.Del(strings.TrimSpace(name))
+		}
+	}
+	return to
+}
--- /dev/null
+++ b/entry/requests/respond.go
@@ -0,0 +1,79 @@
+package requests
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/forward"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+func notRun(status int, reason string, retryAfter time.Duration) forward.Result {
+	return forward.Result{Outcome: structs.OutcomeNotRun, Status: status, Reason: reason, RetryAfter: retryAfter}
+}
+
+// failure is the body of a response that doesn't come from an upstream.
+type failure struct {
+	Outcome structs.Outcome `json:"outcome"`
+	Reason  string          `json:"reason"`
+}
+
+// respond sends the final response to the caller.
+func respond(w http.ResponseWriter, r *http.Request, result forward.Result) {
+	h := w.Header()
+	h.Set(structs.HeaderOutcome, string(result.Outcome))
+	if result.Outcome == structs.OutcomeAnswered {
+		for name, values := range forwardedHeaders(result.Header) {
+			h[name] = values
+		}
+		if r.Method == http.MethodHead {
+			if length := result.Header.Get("Content-Length"); length != "" {
+				h.Set("Content-Length", length)
+			}
+		}
+		if _, typed := h["Content-Type"]; !typed {
+			// A nil value keeps net/http from guessing a type that the upstream didn't send.
+			h["Content-Type"] = nil
+		}
+		writeBody(w, r, result.Status, result.Body)
+		return
+	}
+	body, err := json.Marshal(failure{result.Outcome, result.Reason})
+	if err != nil {
+		body = nil
+	}
+	h.Set("Content-Type", "application/json")
+	h.Set(structs.HeaderReason, headerText(result.Reason))
+	if result.RetryAfter > 0 {
+		seconds := (result.RetryAfter + time.Second - 1) / time.Second
+		h.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+	writeBody(w, r, result.Status, append(body, '\n'))
+}
+
+func writeBody(w http.ResponseWriter, r *http.Request, status int, body []byte) {
+	noBody := status == http.StatusNoContent || status == http.StatusNotModified
+	if r.Method != http.MethodHead && !noBody {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	w.WriteHeader(status)
+	if r.Method != http.MethodHead && !noBody {
+		_, _ = w.Write(body)
+	}
+}
+
+// maxReasonBytes bounds the reason in a header; the body has all of it.
+const maxReasonBytes = 200
+
+// headerText returns text as the value of a header: on one line and short.
+func headerText(text string) string {
+	clean := []byte(text[:min(len(text), maxReasonBytes)])
+	for i, c := range clean {
+		if c < ' ' || c > '~' {
+			clean[i] = ' '
+		}
+	}
+	return string(clean)
+}
--- /dev/null
+++ b/entry/requests/settings.go
@@ -0,0 +1,63 @@
+package requests
+
+import (
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/findings"
+)
+
+// Settings is the section [entry.requests].
+type Settings struct {
+	// MaxInFlight bounds the requests that the entry works on at once; MaxWaiting those that wait for a place.
+	MaxInFlight int `ini:"max_in_flight" default:"512" min:"1" max:"65536"`
+	MaxWaiting  int `ini:"max_waiting" default:"256" min:"0" max:"65536"`
+	// MaxWait bounds the wait for a place.
+	MaxWait time.Duration `ini:"max_wait" default:"250ms" min:"0s" max:"10s"`
+
+	// RetryShare and RetryPerSecond form the budget of retries and hedges.
+	RetryShare     float64 `ini:"retry_share" default:"0.1" min:"0" max:"1"`
+	RetryPerSecond float64 `ini:"retry_per_second" default:"3" min:"0" max:"1000"`
+
+	// RecordsPerSecond bounds the at-most-once records that the entry writes. The store takes several hundred writes per
+	// second from the whole fleet.
+	RecordsPerSecond float64       `ini:"records_per_second" default:"80" min:"0.1" max:"10000"`
+	RecordRetention  time.Duration `ini:"record_retention" default:"24h" min:"1m" max:"720h"`
+	StoreTimeout     time.Duration `ini:"store_timeout" default:"500ms" min:"10ms" max:"10s"`
+
+	// Silence is how long a connection in use may carry no byte. Agents send an interim response every 500 ms.
+	Silence        time.Duration `ini:"silence" default:"1500ms" min:"100ms" max:"30s"`
+	DialTimeout    time.Duration `ini:"dial_timeout" default:"500ms" min:"10ms" max:"10s"`
+	ProbeEvery     time.Duration `ini:"probe_every" default:"1s" min:"50ms" max:"1m"`
+	ProbeTimeout   time.Duration `ini:"probe_timeout" default:"1s" min:"10ms" max:"1m"`
+	IdleTimeout    time.Duration `ini:"idle_timeout" default:"15s" min:"1s" max:"10m"`
+	MaxConnections int           `ini:"max_connections_per_agent" default:"64" min:"1" max:"4096"`
+	MaxIdle        int           `ini:"max_idle_connections" default:"1024" min:"0" max:"65536"`
+	ResolveTimeout time.Duration `ini:"resolve_timeout" default:"1s" min:"10ms" max:"10s"`
+	SuspectFor     time.Duration `ini:"suspect_for" default:"2s" min:"0s" max:"1m"`
+	// Margin is taken off the time that agents are given.
+	Margin time.Duration `ini:"margin" default:"10ms" min:"0s" max:"1s"`
+	// MinHedge is the least delay of a hedge; DefaultHedge is the delay until latencies are known.
+	MinHedge     time.Duration `ini:"min_hedge" default:"10ms" min:"0s" max:"10s"`
+	DefaultHedge time.Duration `ini:"default_hedge" default:"500ms" min:"1ms" max:"1m"`
+
+	// AnnounceBytesPerSecond is the budget of received announcements: two thirds of the 18 KB per second that the control
+	// plane may use per node.
+	AnnounceBytesPerSecond int           `ini:"announce_bytes_per_second" default:"12000" min:"1" max:"100000000"`
+	AnnounceMin            time.Duration `ini:"announce_min" default:"1s" min:"100ms" max:"1m"`
+	AnnounceMax            time.Duration `ini:"announce_max" default:"30s" min:"1s" max:"10m"`
+	// RemoteDelay is assumed for other failure domains until the round trip is measured.
+	RemoteDelay time.Duration `ini:"remote_delay" default:"8ms" min:"0s" max:"1s"`
+
+	// DrainGrace is how long requests are still taken after a shutdown began, while the load balancer learns of it.
+	DrainGrace time.Duration `ini:"drain_grace" default:"2s" min:"0s" max:"1m"`
+}
+
+// CheckSettings reports settings that contradict each other.
+func (s *Settings) CheckSettings(place func(key string) findings.Place, found *findings.List) {
+	if s.AnnounceMax < s.AnnounceMin {
+		found.Addf(place("announce_max"), "%s is below announce_min %s", s.AnnounceMax, s.AnnounceMin)
+	}
+	if s.DefaultHedge < s.MinHedge {
+		found.Addf(place("default_hedge"), "%s is below min_hedge %s", s.DefaultHedge, s.MinHedge)
+	}
+}
--- /dev/null
+++ b/forward/attempt.go
@@ -0,0 +1,149 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/quetzalshed/quetzalshed/routing"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// Request is what a caller asked for.
+type Request struct {
+	Service string
+	Method  string
+	// Path starts with a slash and includes the query.
+	Path string
+	// Header holds the caller's headers that are meant for the upstream.
+	Header     http.Header
+	Body       []byte
+	Priority   structs.Priority
+	Idempotent bool
+	Deadline   time.Time
+}
+
+// Target is the agent process that an attempt is sent to.
+type Target struct {
+	ID      routing.ID
+	Address string
+}
+
+// NewAttemptID returns a random ID of 128 bits.
+func NewAttemptID() string {
+	var raw [16]byte
+	_, _ = rand.Read(raw[:])
+	return hex.EncodeToString(raw[:])
+}
+
+// newRequest returns an HTTP/1.1 request to an agent.
+func newRequest(method, address, path string, header http.Header, body []byte) *http.Request {
+	if header == nil {
+		header = http.Header{}
+	}
+	// An empty value keeps Request.Write from adding its default.
+	header.Set("User-Agent", "")
+	r := &http.Request{
+		Method: method, URL: &url.URL{Scheme: "http", Host: address, Path: path}, Host: address, Header: header,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(body)),
+	}
+	if len(body) > 0 {
+		r.Body = io.NopCloser(bytes.NewReader(body))
+	}
+	return r
+}
+
+// attemptRequest builds the message that carries an attempt. trace holds the headers of the trace context.
+func attemptRequest(r *Request, target Target, attempt string, budget time.Duration, trace http.Header) *http.Request {
+	header := make(http.Header, len(r.Header)+len(trace)+8)
+	for name, values := range trace {
+		header[name] = values
+	}
+	for name, values := range r.Header {
+		header[structs.HeaderForwardPrefix+name] = values
+	}
+	header.Set(structs.HeaderMethod, r.Method)
+	header.Set(structs.HeaderPath, r.Path)
+	header.Set(structs.HeaderService, r.Service)
+	header.Set(structs.HeaderPriority, string(r.Priority))
+	header.Set(structs.HeaderIdempotent, strconv.FormatBool(r.Idempotent))
+	header.Set(structs.HeaderBudgetMillis, strconv.FormatInt(budget.Milliseconds(), 10))
+	header.Set(structs.HeaderAgentIncarnation, target.ID.Incarnation)
+	return newRequest(http.MethodPost, target.Address, "/v1/requests/"+attempt, header, r.Body)
+}
+
+// Reply is a verified response of an agent.
+type Reply struct {
+	Outcome structs.Outcome
+	Status  int
+	// Header holds the upstream's headers.
+	Header http.Header
+	Body   []byte
+	Reason string
+	// RetryAfter is set when the agent says that a retry helps.
+	RetryAfter time.Duration
+	Load       *routing.Load
+}
+
+// Checksum returns the value of the header Quetzalshed-Checksum for a body.
+func Checksum(body []byte) string {
+	var sum [8]byte
+	value := xxhash.Sum64(body)
+	for i := range sum {
+		sum[i] = byte(value >> (56 - 8*i))
+	}
+	return hex.EncodeToString(sum[:])
+}
+
+// verify turns a message into the reply to an attempt, or reports why it can't be that.
+func verify(m *Message, attempt string) (*Reply, error) {
+	if got := m.Header.Get(structs.HeaderAttempt); got != attempt {
+		return nil, &AttemptError{Kind: FaultMixedUp, Cause: eris.Errorf("response with status %d to attempt %q", m.Status, got)}
+	}
+	if got := m.Header.Get(structs.HeaderChecksum); !strings.EqualFold(got, Checksum(m.Body)) {
+		return nil, &AttemptError{Kind: FaultChecksum, Cause: eris.Errorf("checksum %q of %d bytes", got, len(m.Body))}
+	}
+	reply := &Reply{
+		Outcome: structs.Outcome(m.Header.Get(structs.HeaderOutcome)), Status: m.Status, Body: m.Body,
+		Header: http.Header{}, Reason: m.Header.Get(structs.HeaderReason),
+	}
+	switch reply.Outcome {
+	case structs.OutcomeAnswered, structs.OutcomeNotRun, structs.OutcomeUnknown:
+	default:
+		return nil, &AttemptError{Kind: FaultMalformed, Cause: eris.Errorf("outcome %q", reply.Outcome)}
+	}
+	for name, values := range m.Header {
+		if bare, ok := strings.CutPrefix(name, structs.HeaderForwardPrefix); ok && bare != "" {
+			reply.Header[bare] = values
+		}
+	}
+	if seconds, err := strconv.Atoi(m.Header.Get("Retry-After")); err == nil && seconds >= 0 {
+		reply.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	if load, ok := routing.ParseLoad(m.Header.Get(structs.HeaderLoad)); ok {
+		reply.Load = &load
+	}
+	return reply, nil
+}
+
+// send makes one attempt and returns its verified reply.
+func (f *Forwarder) send(ctx context.Context, r *Request, target Target, attempt string, interim func(http.Header)) (*Reply, error) {
+	m, err := f.opts.Pool.Exchange(ctx, target.Address, false, func() *http.Request {
+		budget := time.Until(r.Deadline) - f.opts.Margin
+		return attemptRequest(r, target, attempt, max(budget, 0), traceHeaders(ctx))
+	}, interim)
+	if err != nil {
+		return nil, err
+	}
+	return verify(m, attempt)
+}
--- /dev/null
+++ b/forward/conn.go
@@ -0,0 +1,174 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+const (
+	readBufferBytes  = 16 << 10
+	writeBufferBytes = 16 << 10
+	// maxHeaderBytes bounds the headers of one response; package http bounds them only in its own client.
+	maxHeaderBytes = 256 << 10
+)
+
+// Message is one whole HTTP response.
+type Message struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// conn is one HTTP/1.1 connection to an agent. It is used by one goroutine at a time.
+type conn struct {
+	raw     net.Conn
+	address string
+	reader  *bufio.Reader
+	writer  *bufio.Writer
+	// silence is how long the peer may send nothing, and how long a write may make no progress.
+	silence time.Duration
+	// allowance is how many more bytes the current response may have.
+	allowance int
+	// lastRead is when the peer last sent a byte.
+	lastRead time.Time
+	// dialTime is how long the connection took to open.
+	dialTime time.Duration
+	reused   bool
+	sentAny  bool
+}
+
+func newConn(raw net.Conn, address string, silence time.Duration) *conn {
+	c := &conn{raw: raw, address: address, silence: silence, lastRead: time.Now()}
+	c.reader = bufio.NewReaderSize(readSide{c}, readBufferBytes)
+	c.writer = bufio.NewWriterSize(writeSide{c}, writeBufferBytes)
+	return c
+}
+
+type readSide struct{ c *conn }
+
+// Read waits for at most the silence limit.
+func (r readSide) Read(p []byte) (int, error) {
+	if r.c.allowance <= 0 {
+		return 0, &AttemptError{Kind: FaultOversized}
+	}
+	if err := r.c.raw.SetReadDeadline(time.Now().Add(r.c.silence)); err != nil {
+		return 0, err
+	}
+	n, err := r.c.raw.Read(p[:min(len(p), r.c.allowance)])
+	r.c.allowance -= n
+	if n > 0 {
+		r.c.lastRead = time.Now()
+	}
+	return n, err
+}
+
+type writeSide struct{ c *conn }
+
+func (w writeSide) Write(p []byte) (int, error) {
+	if err := w.c.raw.SetWriteDeadline(time.Now().Add(w.c.silence)); err != nil {
+		return 0, err
+	}
+	n, err := w.c.raw.Write(p)
+	if n > 0 {
+		w.c.sentAny = true
+	}
+	return n, err
+}
+
+// roundTrip sends one request and reads its final response. Interim responses go to interim, which may be nil. Unless
+// reusable is true the connection must be closed. A canceled ctx closes the connection.
+func (c *conn) roundTrip(ctx context.Context, request *http.Request, interim func(http.Header)) (m *Message, reusable bool, err error) {
+	stop := context.AfterFunc(ctx, func() { _ = c.raw.Close() })
+	defer func() {
+		if !stop() {
+			reusable = false
+			if err != nil {
+				err = &AttemptError{Kind: FaultCancelled, Cause: context.Cause(ctx)}
+			}
+		}
+	}()
+	c.sentAny = false
+	c.allowance = maxHeaderBytes
+	writeErr := request.Write(c.writer)
+	if writeErr == nil {
+		writeErr = c.writer.Flush()
+	}
+	if writeErr != nil && !c.sentAny {
+		return nil, false, &AttemptError{Kind: FaultNotSent, Cause: writeErr}
+	}
+	// After a failed write the agent may still have answered: it rejects a request before it has read all of it.
+	m, reusable, err = c.readFinal(request, interim)
+	if err != nil && writeErr != nil {
+		return nil, false, classify(writeErr)
+	}
+	return m, reusable && writeErr == nil, err
+}
+
+func (c *conn) readFinal(request *http.Request, interim func(http.Header)) (*Message, bool, error) {
+	for {
+		c.allowance = maxHeaderBytes
+		response, err := http.ReadResponse(c.reader, request)
+		if err != nil {
+			return nil, false, classify(err)
+		}
+		if response.StatusCode >= 100 && response.StatusCode < 200 {
+			if response.StatusCode == http.StatusSwitchingProtocols {
+				return nil, false, &AttemptError{Kind: FaultMalformed, Cause: eris.New("the connection was upgraded")}
+			}
+			if interim != nil {
+				interim(response.Header)
+			}
+			continue
+		}
+		return c.readBody(response)
+	}
+}
+
+// readBody reads a body of a declared length. A response without one can't be told from a truncated one.
+func (c *conn) readBody(response *http.Response) (*Message, bool, error) {
+	length := response.ContentLength
+	switch {
+	case response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified:
+		length = 0
+	case length < 0:
+		return nil, false, &AttemptError{Kind: FaultMalformed, Cause: eris.New("the response has no Content-Length")}
+	case length > structs.MaxAnswerBody:
+		return nil, false, &AttemptError{Kind: FaultOversized}
+	}
+	c.allowance = int(length)
+	body := make([]byte, length)
+	if _, err := io.ReadFull(response.Body, body); errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return nil, false, &AttemptError{Kind: FaultTruncated, Cause: err}
+	} else if err != nil {
+		return nil, false, classify(err)
+	}
+	reusable := !response.Close && c.reader.Buffered() == 0
+	return &Message{Status: response.StatusCode, Header: response.Header, Body: body}, reusable, nil
+}
+
+// classify names the fault of a connection on which at least a part of a request was sent.
+func classify(err error) error {
+	var known *AttemptError
+	if errors.As(err, &known) {
+		return known
+	}
+	var netErr net.Error
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) || (errors.As(err, &netErr) && netErr.Timeout()):
+		return &AttemptError{Kind: FaultSilent, Cause: err}
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr), errors.Is(err, net.ErrClosed):
+		return &AttemptError{Kind: FaultBroken, Cause: err}
+	default:
+		return &AttemptError{Kind: FaultMalformed, Cause: err}
+	}
+}
--- /dev/null
+++ b/forward/probe.go
@@ -0,0 +1,93 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// pingPath answers 200 on a live agent.
+const pingPath = "/v1/ping"
+
+// probeTicks is how often per probe interval the pool looks for connections that are due.
+const probeTicks = 4
+
+// RunProbes probes idle connections until ctx ends.
+func (p *Pool) RunProbes(ctx context.Context) {
+	ticker := time.NewTicker(p.opts.ProbeEvery / probeTicks)
+	defer ticker.Stop()
+	var probes sync.WaitGroup
+	defer probes.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			for _, c := range p.takeDue(time.Now()) {
+				probes.Go(func() { p.probe(ctx, c) })
+			}
+		}
+	}
+}
+
+// takeDue removes the idle connections that are due for a probe, and closes those that were unused for long.
+func (p *Pool) takeDue(now time.Time) []*idleConn {
+	var due, old []*idleConn
+	p.mu.Lock()
+	for address, known := range p.peers {
+		keep := known.idle[:0]
+		expired := 0
+		for _, c := range known.idle {
+			switch {
+			case now.Sub(c.since) > p.opts.IdleTimeout:
+				old = append(old, c)
+				expired++
+			case now.Sub(c.probed) >= p.opts.ProbeEvery:
+				due = append(due, c)
+			default:
+				keep = append(keep, c)
+			}
+		}
+		clear(known.idle[len(keep):])
+		p.idle -= len(known.idle) - len(keep)
+		known.idle = keep
+		if expired > 0 {
+			p.forget(address, expired)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		_ = c.raw.Close()
+	}
+	return due
+}
+
+func (p *Pool) probe(ctx context.Context, c *idleConn) {
+	ctx, cancel := context.WithTimeout(ctx, p.opts.ProbeTimeout)
+	defer cancel()
+	start := time.Now()
+	m, reusable, err := c.roundTrip(ctx, newRequest(http.MethodGet, c.address, pingPath, nil, nil), nil)
+	if err == nil {
+		err = checkPing(m)
+	}
+	if err != nil {
+		p.Distrust(c.address)
+	}
+	p.put(&lease{c.conn, c.distrust}, reusable && err == nil, c.since)
+	if p.opts.OnProbe != nil {
+		p.opts.OnProbe(c.address, time.Since(start), err)
+	}
+}
+
+// checkPing refuses a late response to an earlier attempt that arrives in place of the ping's.
+func checkPing(m *Message) error {
+	if m.Status != http.StatusOK || m.Header.Get(structs.HeaderAttempt) != "" {
+		return &AttemptError{Kind: FaultMixedUp, Cause: eris.Errorf("status %d in answer to a ping", m.Status)}
+	}
+	return nil
+}
--- /dev/null
+++ b/forward/resolve.go
@@ -0,0 +1,78 @@
+package forward
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// Resolution is what an agent process knows of an attempt.
+type Resolution struct {
+	State structs.AttemptState
+	// Reply is set when the attempt has finished and its response was fetched.
+	Reply *Reply
+}
+
+// Resolve asks, over a new connection, what became of an attempt. It has effects: an attempt that is queued is cancelled
+// and one that has not arrived is rejected when it does. A reply of another process than the target's proves nothing.
+func (f *Forwarder) Resolve(ctx context.Context, target Target, attempt string) (Resolution, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.opts.ResolveTimeout)
+	defer cancel()
+	m, err := f.opts.Pool.Exchange(ctx, target.Address, true, func() *http.Request {
+		return newRequest(http.MethodPost, target.Address, "/v1/requests/"+attempt+"/resolve", traceHeaders(ctx), nil)
+	}, nil)
+	if err != nil {
+		return Resolution{}, err
+	}
+	var reply structs.ResolveReply
+	if m.Status != http.StatusOK {
+		return Resolution{}, &AttemptError{Kind: FaultMalformed, Cause: eris.Errorf("resolve: status %d", m.Status)}
+	}
+	if err := json.Unmarshal(m.Body, &reply); err != nil {
+		return Resolution{}, &AttemptError{Kind: FaultMalformed, Cause: err}
+	}
+	if reply.Attempt != attempt {
+		return Resolution{}, &AttemptError{Kind: FaultMixedUp, Cause: eris.Errorf("resolve: attempt %q", reply.Attempt)}
+	}
+	if reply.Incarnation != target.ID.Incarnation {
+		return Resolution{State: structs.AttemptUnknown}, nil
+	}
+	if reply.State != structs.AttemptFinished {
+		return Resolution{State: reply.State}, nil
+	}
+	answer, err := f.Answer(ctx, target, attempt)
+	if err != nil {
+		return Resolution{}, err
+	}
+	return Resolution{State: structs.AttemptFinished, Reply: answer}, nil
+}
+
+// Answer fetches the retained response of an attempt without any effect on the attempt.
+func (f *Forwarder) Answer(ctx context.Context, target Target, attempt string) (*Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.opts.ResolveTimeout)
+	defer cancel()
+	m, err := f.opts.Pool.Exchange(ctx, target.Address, true, func() *http.Request {
+		return newRequest(http.MethodGet, target.Address, "/v1/requests/"+attempt+"/answer", traceHeaders(ctx), nil)
+	}, nil)
+	if err != nil {
+		return nil, err
+	}
+	return verify(m, attempt)
+}
+
+// pollBackoff returns the wait after the n-th resolve that found an attempt running.
+func pollBackoff(n int) time.Duration {
+	const first, most = 10 * time.Millisecond, 200 * time.Millisecond
+	return min(first<<min(n, 5), most)
+}
+
+// failedBackoff returns the wait after the n-th resolve without a response.
+func failedBackoff(n int) time.Duration {
+	const first = 50 * time.Millisecond
+	return first << min(n, 4)
+}
--- /dev/null
+++ b/idempotency/lease.go
@@ -0,0 +1,69 @@
+package idempotency
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/platform/store"
+)
+
+// bucketSpan is how long records are attached to the same lease. One lease for many records makes expiry free of writes
+// and costs one call per hour.
+const bucketSpan = time.Hour
+
+// leaseBucket holds the lease that new records are attached to. It is never renewed, so that it lapses, and its records
+// with it, once the retention of its newest record has passed.
+type leaseBucket struct {
+	opts Options
+	// granting is held during the call of the store, so that an hour begins with one grant.
+	granting chan struct{}
+
+	mu    sync.Mutex
+	lease store.LeaseID
+	ends  time.Time
+}
+
+func (b *leaseBucket) valid() (store.LeaseID, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lease, b.lease != "" && b.opts.Clock.Now().Before(b.ends)
+}
+
+// current returns the lease of the current hour, after granting it if needed. A grant whose response was lost leaves a
+// lease behind that lapses by itself.
+func (b *leaseBucket) current(ctx context.Context) (store.LeaseID, error) {
+	if lease, ok := b.valid(); ok {
+		return lease, nil
+	}
+	select {
+	case b.granting <- struct{}{}:
+	case <-ctx.Done():
+		return "", ctx.Err()
+	}
+	defer func() { <-b.granting }()
+	if lease, ok := b.valid(); ok {
+		return lease, nil
+	}
+	// The hour is counted from before the call, since the store's time to live may start at any point of it.
+	start := b.opts.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, b.opts.CallTimeout)
+	defer cancel()
+	lease, err := b.opts.Store.Grant(ctx, b.opts.Retention+bucketSpan)
+	if err != nil {
+		return "", err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lease, b.ends = lease, start.Add(bucketSpan)
+	return lease, nil
+}
+
+// discard drops a lease that the store no longer knows.
+func (b *leaseBucket) discard(lease store.LeaseID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.lease == lease {
+		b.lease = ""
+	}
+}
--- /dev/null
+++ b/routing/observe.go
@@ -0,0 +1,131 @@
+package routing
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// smoothing is the weight of a new sample in moving averages.
+const smoothing = 0.1
+
+// Load is what an agent reports of an upstream with each response.
+type Load struct{ Running, Queued, Slots int }
+
+// ParseLoad reads the value of the header Quetzalshed-Load: running=n;queued=n;slots=n.
+func ParseLoad(text string) (Load, bool) {
+	var load Load
+	fields := map[string]*int{"running": &load.Running, "queued": &load.Queued, "slots": &load.Slots}
+	for part := range strings.SplitSeq(text, ";") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		target := fields[name]
+		number, err := strconv.Atoi(value)
+		if target == nil || err != nil || number < 0 || number > maxSlots {
+			return Load{}, false
+		}
+		*target = number
+		delete(fields, name)
+	}
+	return load, len(fields) == 0
+}
+
+// Ticket counts one request as in flight at an upstream.
+type Ticket struct {
+	table       *Table
+	upstream    *upstream
+	outstanding int
+	done        bool
+}
+
+// Begin counts a request as in flight at a chosen candidate, until Done.
+func (t *Table) Begin(c Candidate) *Ticket {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c.ref.own++
+	return &Ticket{table: t, upstream: c.ref, outstanding: c.ref.own + c.ref.foreign}
+}
+
+// Observation is what a finished request tells about its upstream.
+type Observation struct {
+	// Answered tells that the upstream ran the request, in Latency, and whether it Failed with a 5xx status.
+	Answered bool
+	Failed   bool
+	Latency  time.Duration
+	// Load is set when the response carried one.
+	Load *Load
+}
+
+// Done ends the count and records what was observed. Only the first call counts.
+func (k *Ticket) Done(o Observation) {
+	k.table.mu.Lock()
+	defer k.table.mu.Unlock()
+	if k.done {
+		return
+	}
+	k.done = true
+	u := k.upstream
+	u.own--
+	if o.Load != nil {
+		u.foreign = max(0, o.Load.Running+o.Load.Queued-u.own)
+		if o.Load.Slots > 0 {
+			u.slots = o.Load.Slots
+		}
+	}
+	if !o.Answered {
+		return
+	}
+	failed := 0.0
+	if o.Failed {
+		failed = 1
+	} else {
+		u.serviceTime = smooth(u.serviceTime, ServiceTimeSample(o.Latency, u.agent.roundTrip, k.outstanding, u.slots))
+	}
+	u.failureRate += smoothing * (failed - u.failureRate)
+}
+
+// ServiceTimeSample estimates how long a request held a slot, given its latency and the requests that were outstanding
+// when it was sent: beyond the slots, requests wait in turn.
+func ServiceTimeSample(latency, roundTrip time.Duration, outstanding, slots int) time.Duration {
+	turns := max(1, float64(outstanding)/float64(max(slots, 1)))
+	return time.Duration(float64(max(latency-roundTrip, 0)) / turns)
+}
+
+func smooth(average, sample time.Duration) time.Duration {
+	return average + time.Duration(smoothing*float64(sample-average))
+}
+
+// Suspect keeps requests from an agent process for a while.
+func (t *Table) Suspect(id ID, span time.Duration) {
+	until := t.opts.Clock.Now().Add(span)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if a := t.agents[id.Agent]; a != nil && a.incarnation == id.Incarnation {
+		a.suspectUntil = until
+	}
+}
+
+// Trust ends the suspicion of an agent process after it has answered.
+func (t *Table) Trust(id ID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if a := t.agents[id.Agent]; a != nil && a.incarnation == id.Incarnation {
+		a.suspectUntil = time.Time{}
+	}
+}
+
+// ObserveRoundTripTo records a measured network round trip to the agent at an address.
+func (t *Table) ObserveRoundTripTo(address string, measured time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if a := t.byAddress[address]; a != nil {
+		a.observeRoundTrip(measured)
+	}
+}
+
+func (a *agent) observeRoundTrip(measured time.Duration) {
+	if a.roundTrip == 0 {
+		a.roundTrip = measured
+		return
+	}
+	a.roundTrip = smooth(a.roundTrip, measured)
+}
--- /dev/null
+++ b/routing/pace.go
@@ -0,0 +1,25 @@
+package routing
+
+import "time"
+
+// Pace spreads announcements so that their total stays within the control budget of an entry.
+type Pace struct {
+	// BytesPerSecond is the budget for received announcements.
+	BytesPerSecond int
+	// Min and Max bound the interval. At Max the total may exceed the budget: a longer interval would leave a restarted
+	// entry without upstreams for too long.
+	Min, Max time.Duration
+}
+
+// missedAnnouncements is how many intervals an announcement stays valid; two may be lost on the way.
+const missedAnnouncements = 3
+
+func (p Pace) interval(totalBytes int) time.Duration {
+	if p.BytesPerSecond <= 0 {
+		return p.Min
+	}
+	needed := time.Duration(float64(totalBytes) / float64(p.BytesPerSecond) * float64(time.Second))
+	return min(max(needed, p.Min), p.Max)
+}
+
+func (p Pace) validity(interval time.Duration) time.Duration { return missedAnnouncements * interval }
--- /dev/null
+++ b/routing/table.go
@@ -0,0 +1,348 @@
+// Package routing holds the upstreams that agents have announced to an entry, and chooses one for a request.
+package routing
+
+import (
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// Errors of Apply.
+var (
+	// ErrStale means that a newer announcement of the agent is known.
+	ErrStale = errors.New("routing: announcement is older than a known one")
+	// ErrInvalid means that a required field is missing or out of range.
+	ErrInvalid = errors.New("routing: invalid announcement")
+	// ErrFull means that the table holds as many agents as it may.
+	ErrFull = errors.New("routing: table is full")
+)
+
+// Bounds of the table and of announcements. Announcements beyond them are rejected.
+const (
+	MaxAgents            = 8192
+	MaxUpstreamsPerAgent = 64
+	maxNameBytes         = 256
+	maxSlots             = 1 << 16
+)
+
+// Below sampleAbove upstreams all are scored. Above, sampleSize of them are: half from the local domain and half from
+// anywhere, so that the cost of a choice is independent of the size of the fleet.
+const (
+	sampleAbove = 64
+	sampleSize  = 32
+)
+
+// forgetAfter is how long an agent is kept after its last announcement has lapsed.
+const forgetAfter = time.Minute
+
+// Options configures a table.
+type Options struct {
+	// Domain is the failure domain of this entry.
+	Domain string
+	Clock  clock.Clock
+	Pace   Pace
+	// RemoteDelay is assumed for remote domains until the round trip is measured.
+	RemoteDelay time.Duration
+	// FailurePenalty is the penalty of an upstream whose responses are all errors.
+	FailurePenalty time.Duration
+	// DefaultServiceTime is assumed until requests have been observed.
+	DefaultServiceTime time.Duration
+}
+
+type agent struct {
+	name, incarnation, address, domain string
+	started, sequence                  int64
+	leaving                            bool
+	validUntil, suspectUntil           time.Time
+	roundTrip                          time.Duration
+	bytes                              int
+	upstreams                          map[string]*upstream
+}
+
+type upstream struct {
+	agent       *agent
+	slots       int
+	own         int
+	foreign     int
+	serviceTime time.Duration
+	failureRate float64
+	leaving     bool
+}
+
+type service struct {
+	all, local []*upstream
+}
+
+// Table is the set of announced upstreams. It is safe for concurrent use.
+type Table struct {
+	opts Options
+
+	mu        sync.Mutex
+	agents    map[string]*agent
+	byAddress map[string]*agent
+	services  map[string]*service
+	bytes     int
+	lastSweep time.Time
+}
+
+// NewTable returns an empty table.
+func NewTable(opts Options) *Table {
+	return &Table{opts: opts, agents: map[string]*agent{}, byAddress: map[string]*agent{}, services: map[string]*service{}}
+}
+
+// Applied reports what an announcement changed.
+type Applied struct {
+	// NextAfter is when the agent should announce itself again if nothing changes.
+	NextAfter time.Duration
+	// New tells that this process was not known before.
+	New bool
+	// LeavingChanged tells that the agent or an upstream of it began or ceased to leave.
+	LeavingChanged bool
+}
+
+// Apply takes an announcement whose message had the given size in bytes.
+func (t *Table) Apply(a *structs.Announcement, size int) (Applied, error) {
+	if !valid(a) {
+		return Applied{}, ErrInvalid
+	}
+	now := t.opts.Clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+	known := t.agents[a.Agent]
+	if known != nil && older(a, known) {
+		return Applied{NextAfter: t.opts.Pace.interval(t.bytes)}, ErrStale
+	}
+	if known == nil && len(t.agents) >= MaxAgents {
+		return Applied{}, ErrFull
+	}
+	result := Applied{New: known == nil || known.incarnation != a.Incarnation}
+	if result.New {
+		t.remove(known)
+		known = &agent{name: a.Agent, incarnation: a.Incarnation, started: a.StartedUnixNano, upstreams: map[string]*upstream{}}
+		t.agents[a.Agent] = known
+	}
+	result.LeavingChanged = known.leaving != a.Leaving
+	t.bytes += size - known.bytes
+	known.bytes, known.sequence, known.leaving = size, a.Sequence, a.Leaving
+	t.move(known, a.Address)
+	result.LeavingChanged = t.applyUpstreams(known, a) || result.LeavingChanged
+	result.NextAfter = t.opts.Pace.interval(t.bytes)
+	known.validUntil = now.Add(t.opts.Pace.validity(result.NextAfter))
+	return result, nil
+}
+
+// move sets the address of an agent. What was measured at the old address doesn't hold for the new one.
+func (t *Table) move(a *agent, address string) {
+	if a.address == address {
+		return
+	}
+	if t.byAddress[a.address] == a {
+		delete(t.byAddress, a.address)
+	}
+	a.address, a.roundTrip = address, 0
+	t.byAddress[address] = a
+}
+
+func valid(a *structs.Announcement) bool {
+	if a.Agent == "" || a.Incarnation == "" || a.Address == "" || len(a.Upstreams) > MaxUpstreamsPerAgent {
+		return false
+	}
+	if max(len(a.Agent), len(a.Incarnation), len(a.Address), len(a.FailureDomain)) > maxNameBytes {
+		return false
+	}
+	seen := make(map[string]bool, len(a.Upstreams))
+	for _, u := range a.Upstreams {
+		if u.Service == "" || len(u.Service) > maxNameBytes || seen[u.Service] || u.Slots < 1 || u.Slots > maxSlots {
+			return false
+		}
+		if u.Running < 0 || u.Queued < 0 || u.Connections < 0 {
+			return false
+		}
+		seen[u.Service] = true
+	}
+	return true
+}
+
+// older tells whether an announcement precedes what is known. Processes of one agent are ordered by their start.
+func older(a *structs.Announcement, known *agent) bool {
+	if a.Incarnation == known.incarnation {
+		return a.Sequence <= known.sequence
+	}
+	return a.StartedUnixNano <= known.started
+}
+
+func (t *Table) applyUpstreams(known *agent, a *structs.Announcement) (leavingChanged bool) {
+	if known.domain != a.FailureDomain {
+		for name, u := range known.upstreams {
+			t.unlink(name, u)
+			delete(known.upstreams, name)
+		}
+		known.domain = a.FailureDomain
+	}
+	announced := make(map[string]bool, len(a.Upstreams))
+	for _, up := range a.Upstreams {
+		announced[up.Service] = true
+		u := known.upstreams[up.Service]
+		if u == nil {
+			u = &upstream{agent: known, serviceTime: t.opts.DefaultServiceTime}
+			known.upstreams[up.Service] = u
+			t.link(up.Service, u)
+		}
+		leavingChanged = leavingChanged || u.leaving != up.Leaving
+		u.slots, u.leaving = up.Slots, up.Leaving
+		u.foreign = max(0, up.Running+up.Queued-u.own)
+	}
+	for name, u := range known.upstreams {
+		if !announced[name] {
+			t.unlink(name, u)
+			delete(known.upstreams, name)
+			leavingChanged = true
+		}
+	}
+	return leavingChanged
+}
+
+func (t *Table) link(name string, u *upstream) {
+	s := t.services[name]
+	if s == nil {
+		s = &service{}
+		t.services[name] = s
+	}
+	s.all = append(s.all, u)
+	if u.agent.domain == t.opts.Domain {
+		s.local = append(s.local, u)
+	}
+}
+
+func (t *Table) unlink(name string, u *upstream) {
+	s := t.services[name]
+	s.all = without(s.all, u)
+	s.local = without(s.local, u)
+	if len(s.all) == 0 {
+		delete(t.services, name)
+	}
+}
+
+func without(list []*upstream, u *upstream) []*upstream {
+	for i, have := range list {
+		if have == u {
+			list[i] = list[len(list)-1]
+			list[len(list)-1] = nil
+			return list[:len(list)-1]
+		}
+	}
+	return list
+}
+
+func (t *Table) remove(a *agent) {
+	if a == nil {
+		return
+	}
+	for name, u := range a.upstreams {
+		t.unlink(name, u)
+	}
+	if t.byAddress[a.address] == a {
+		delete(t.byAddress, a.address)
+	}
+	t.bytes -= a.bytes
+	delete(t.agents, a.name)
+}
+
+// sweep forgets agents that have been silent for long, at most once per second.
+func (t *Table) sweep(now time.Time) {
+	if now.Sub(t.lastSweep) < time.Second {
+		return
+	}
+	t.lastSweep = now
+	for _, a := range t.agents {
+		if now.Sub(a.validUntil) > forgetAfter {
+			t.remove(a)
+		}
+	}
+}
+
+// Snapshot returns the candidates for a service. With many upstreams it holds a random sample, unless complete is set.
+func (t *Table) Snapshot(name string, complete bool) Snapshot {
+	s := Snapshot{LocalDomain: t.opts.Domain, RemoteDelay: t.opts.RemoteDelay, FailurePenalty: t.opts.FailurePenalty}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.services[name]
+	if known == nil {
+		s.Complete = true
+		return s
+	}
+	if complete || len(known.all) <= sampleAbove {
+		s.Complete = true
+		s.Candidates = make([]Candidate, 0, len(known.all))
+		for _, u := range known.all {
+			s.Candidates = append(s.Candidates, u.candidate())
+		}
+		return s
+	}
+	s.Candidates = make([]Candidate, 0, sampleSize)
+	s.Candidates = sample(s.Candidates, known.local, sampleSize/2)
+	s.Candidates = sample(s.Candidates, known.all, sampleSize-len(s.Candidates))
+	return s
+}
+
+// sample appends n upstreams from a random position on, with a random odd stride. Repeats are harmless.
+func sample(to []Candidate, from []*upstream, n int) []Candidate {
+	if len(from) <= n {
+		for _, u := range from {
+			to = append(to, u.candidate())
+		}
+		return to
+	}
+	for range n {
+		to = append(to, from[rand.IntN(len(from))].candidate())
+	}
+	return to
+}
+
+func (u *upstream) candidate() Candidate {
+	a := u.agent
+	return Candidate{
+		Agent: a.name, Incarnation: a.incarnation, Address: a.address, FailureDomain: a.domain,
+		Slots: u.slots, OwnInFlight: u.own, Foreign: u.foreign, ServiceTime: u.serviceTime, RoundTrip: a.roundTrip,
+		FailureRate: u.failureRate, Leaving: a.leaving || u.leaving,
+		ValidUntil: a.validUntil, SuspectUntil: a.suspectUntil, ref: u,
+	}
+}
+
+// Choose takes a snapshot and chooses from it; a sample without a usable upstream is followed by a complete snapshot.
+func (t *Table) Choose(name string, tried []ID) (Candidate, Verdict) {
+	now := t.opts.Clock.Now()
+	s := t.Snapshot(name, false)
+	i, verdict := Choose(s, tried, now)
+	if i < 0 && !s.Complete {
+		s = t.Snapshot(name, true)
+		i, verdict = Choose(s, tried, now)
+	}
+	if i < 0 {
+		return Candidate{}, verdict
+	}
+	return s.Candidates[i], Chosen
+}
+
+// Agents returns the number of known agents.
+func (t *Table) Agents() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.agents)
+}
+
+// Address returns where an agent process can be reached, if the table knows that process.
+func (t *Table) Address(id ID) (string, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := t.agents[id.Agent]
+	if a == nil || a.incarnation != id.Incarnation {
+		return "", false
+	}
+	return a.address, true
+}
