--- a/structs/resources.go
+++ b/structs/resources.go
@@ -35,7 +35,9 @@
 	FailureDomain string `json:"failure_domain"`
 	Rack          string `json:"rack"`
 	// Address is the IP address and port of the agent on this worker.
-	Address         string    `json:"address"`
+	Address string `json:"address"`
+	// TaskAddress is the IP address and port of the platform's task API on this worker.
+	TaskAddress     string    `json:"task_address,omitempty"`
 	Capacity        Resources `json:"capacity"`
 	AcceleratorKind string    `json:"accelerator_kind,omitempty"`
 }
