--- /dev/null
+++ b/config/blobs.go
@@ -0,0 +1,187 @@
+package config
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"sync"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/multierr"
+
+	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+const (
+	// maxBlobBytes keeps blobs well under the largest value of the store.
+	maxBlobBytes = store.MaxValueBytes / 2
+	// maxCachedBlobs holds the blobs of two revisions with the largest number of failure domains.
+	maxCachedBlobs = 2 * (MaxFailureDomains + 1)
+	// hashBytes is the length of a blob's hash. 128 bits exclude accidental collisions and keep the head small.
+	hashBytes = 16
+)
+
+// BlobKind tells rules from inventories.
+type BlobKind string
+
+// The kinds of blob.
+const (
+	BlobRules     BlobKind = "rules"
+	BlobInventory BlobKind = "inventory"
+)
+
+// Key returns the key of a blob in the store.
+func (k BlobKind) Key(hash string) string {
+	if k == BlobRules {
+		return rulesPrefix + hash
+	}
+	return inventoryPrefix + hash
+}
+
+// HashBlob returns the hash under which a blob is stored.
+func HashBlob(raw []byte) string {
+	sum := sha256.Sum256(raw)
+	return hex.EncodeToString(sum[:hashBytes])
+}
+
+// BlobSource finds blobs by hash. What it returns is checked against the hash.
+type BlobSource interface {
+	Blob(ctx context.Context, kind BlobKind, hash string) ([]byte, error)
+}
+
+// StoreSource reads blobs from the store.
+type StoreSource struct {
+	Store store.Store
+}
+
+// Blob implements BlobSource.
+func (s StoreSource) Blob(ctx context.Context, kind BlobKind, hash string) ([]byte, error) {
+	entry, err := s.Store.Get(ctx, kind.Key(hash))
+	return entry.Value, err
+}
+
+// Blobs caches blobs in front of one or more sources. It is safe for concurrent use.
+type Blobs struct {
+	sources []BlobSource
+
+	mu    sync.Mutex
+	cache map[string][]byte
+	// order lists the cached hashes, the least recently used first.
+	order []string
+}
+
+// NewBlobs returns a cache in front of sources, which are asked in turn.
+func NewBlobs(sources ...BlobSource) *Blobs {
+	return &Blobs{sources: sources, cache: map[string][]byte{}}
+}
+
+// Cached returns a blob without asking a source.
+func (b *Blobs) Cached(hash string) ([]byte, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	raw, ok := b.cache[hash]
+	if ok {
+		b.touch(hash)
+	}
+	return raw, ok
+}
+
+// Get returns a blob from the cache or from the first source that has it.
+func (b *Blobs) Get(ctx context.Context, kind BlobKind, hash string) ([]byte, error) {
+	if raw, ok := b.Cached(hash); ok {
+		return raw, nil
+	}
+	var failures error
+	for _, source := range b.sources {
+		raw, err := source.Blob(ctx, kind, hash)
+		if err == nil && HashBlob(raw) != hash {
+			err = eris.Errorf("blob %s has other content", hash)
+		}
+		if err == nil {
+			b.add(hash, raw)
+			return raw, nil
+		}
+		failures = multierr.Append(failures, err)
+	}
+	return nil, eris.Wrapf(failures, "loading %s %s", kind, hash)
+}
+
+func (b *Blobs) add(hash string, raw []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cache[hash] = raw
+	b.touch(hash)
+	if len(b.order) > maxCachedBlobs {
+		delete(b.cache, b.order[0])
+		b.order = b.order[1:]
+	}
+}
+
+// touch marks a hash as the most recently used. The caller holds the lock.
+func (b *Blobs) touch(hash string) {
+	for i, other := range b.order {
+		if other == hash {
+			b.order = append(b.order[:i], b.order[i+1:]...)
+			break
+		}
+	}
+	b.order = append(b.order, hash)
+}
+
+// rulesBlob is the content of a rules blob. The source is kept, so that later findings name its lines.
+type rulesBlob struct {
+	Rules  *Rules `json:"rules"`
+	Source []byte `json:"source"`
+}
+
+func encodeRules(parsed *ParsedRules) []byte {
+	raw, err := json.Marshal(rulesBlob{Rules: parsed.Rules, Source: parsed.Source})
+	if err != nil {
+		panic("config: rules can't be encoded: " + err.Error()) // All numbers are finite, as parsing has checked.
+	}
+	return raw
+}
+
+func encodeDomain(inventory *Inventory, domain string) []byte {
+	raw, err := json.Marshal(inventory.InDomain(domain))
+	if err != nil {
+		panic("config: workers can't be encoded: " + err.Error()) // Workers hold strings and whole numbers only.
+	}
+	return raw
+}
+
+// LoadRules returns the rules that a head names, with their source.
+func (b *Blobs) LoadRules(ctx context.Context, head Head) (*Rules, []byte, error) {
+	if head.RulesHash == "" {
+		return DefaultRules(), nil, nil
+	}
+	raw, err := b.Get(ctx, BlobRules, head.RulesHash)
+	if err != nil {
+		return nil, nil, err
+	}
+	var blob rulesBlob
+	if err := json.Unmarshal(raw, &blob); err != nil || blob.Rules == nil {
+		return nil, nil, eris.Wrap(errors.Join(err), "decoding the rules")
+	}
+	return blob.Rules, blob.Source, nil
+}
+
+// LoadInventory returns the inventory that a head names.
+func (b *Blobs) LoadInventory(ctx context.Context, head Head) (*Inventory, error) {
+	var workers []structs.Worker
+	for domain, state := range head.Domains {
+		raw, err := b.Get(ctx, BlobInventory, state.InventoryHash)
+		if err != nil {
+			return nil, eris.Wrapf(err, "failure domain %s", domain)
+		}
+		var part []structs.Worker
+		if err := json.Unmarshal(raw, &part); err != nil {
+			return nil, eris.Wrapf(err, "decoding the inventory of failure domain %s", domain)
+		}
+		workers = append(workers, part...)
+	}
+	return NewInventory(workers), nil
+}
--- /dev/null
+++ b/config/inventory.go
@@ -0,0 +1,77 @@
+package config
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// Inventory is the list of workers. It is immutable once it has been built.
+type Inventory struct {
+	// Workers is sorted by name.
+	Workers []structs.Worker
+
+	byName  map[string]int
+	domains map[string][]string
+}
+
+// NewInventory returns the inventory of the given workers, which are assumed to be valid.
+func NewInventory(workers []structs.Worker) *Inventory {
+	sorted := slices.Clone(workers)
+	slices.SortFunc(sorted, func(a, b structs.Worker) int { return cmp.Compare(a.Name, b.Name) })
+	inventory := &Inventory{Workers: sorted, byName: map[string]int{}, domains: map[string][]string{}}
+	for i, worker := range sorted {
+		inventory.byName[worker.Name] = i
+		racks := inventory.domains[worker.FailureDomain]
+		if at, found := slices.BinarySearch(racks, worker.Rack); !found {
+			inventory.domains[worker.FailureDomain] = slices.Insert(racks, at, worker.Rack)
+		}
+	}
+	return inventory
+}
+
+// Worker returns the worker of a name.
+func (i *Inventory) Worker(name string) (structs.Worker, bool) {
+	at, ok := i.byName[name]
+	if !ok {
+		return structs.Worker{}, false
+	}
+	return i.Workers[at], true
+}
+
+// FailureDomains returns the sorted names of the failure domains.
+func (i *Inventory) FailureDomains() []string {
+	names := make([]string, 0, len(i.domains))
+	for name := range i.domains {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// HasDomain tells whether a worker is in the failure domain.
+func (i *Inventory) HasDomain(domain string) bool { return len(i.domains[domain]) > 0 }
+
+// Racks returns the sorted racks of a failure domain.
+func (i *Inventory) Racks(domain string) []string { return i.domains[domain] }
+
+// InDomain returns the workers of a failure domain, sorted by name.
+func (i *Inventory) InDomain(domain string) []structs.Worker {
+	var workers []structs.Worker
+	for _, worker := range i.Workers {
+		if worker.FailureDomain == domain {
+			workers = append(workers, worker)
+		}
+	}
+	return workers
+}
+
+// Capacity returns the sum of what all workers hold.
+func (i *Inventory) Capacity() structs.Resources {
+	var sum structs.Resources
+	for _, worker := range i.Workers {
+		sum = sum.Add(worker.Capacity)
+	}
+	return sum
+}
--- /dev/null
+++ b/config/rules_parse.go
@@ -0,0 +1,234 @@
+package config
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/findings"
+	"github.com/quetzalshed/quetzalshed/settings"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// Prefixes of the sections that are named after a service or a team.
+const (
+	servicePrefix = "service "
+	teamPrefix    = "team "
+	// defaultTeam is the section whose quota applies to teams without a section.
+	defaultTeam = "*"
+)
+
+// ParsedRules is a rules file with the places of its keys.
+type ParsedRules struct {
+	Rules  *Rules
+	Source []byte
+
+	file *settings.File
+	// racks are the racks without batch as they were written.
+	racks []string
+}
+
+type clusterSection struct {
+	Shards         int           `ini:"shards" default:"1" min:"1" max:"1024"`
+	StartFreshness time.Duration `ini:"start_freshness" default:"3s" min:"500ms" max:"5s"`
+	TaskLease      time.Duration `ini:"task_lease" default:"4s" min:"1s" max:"1m"`
+	OwnerValidity  time.Duration `ini:"owner_validity" default:"30s" min:"1s" max:"1h"`
+	ServiceLease   time.Duration `ini:"service_lease" default:"10m" min:"10s" max:"24h"`
+}
+
+type batchSection struct {
+	RacksWithoutBatch []string `ini:"racks_without_batch" default:""`
+}
+
+type guardSection struct {
+	Enabled       bool          `ini:"enabled" default:"true"`
+	ThrottleAt    float64       `ini:"throttle_at" default:"0.85" min:"0.1" max:"2"`
+	ResumeAt      float64       `ini:"resume_at" default:"0.7" min:"0.05" max:"2"`
+	EvictAt       float64       `ini:"evict_at" default:"1" min:"0.1" max:"4"`
+	EvictAfter    time.Duration `ini:"evict_after" default:"3s" min:"0s" max:"5m"`
+	CPUThrottleAt float64       `ini:"cpu_throttle_at" default:"0.9" min:"0.1" max:"1"`
+	MemoryEvictAt float64       `ini:"memory_evict_at" default:"0.95" min:"0.1" max:"1"`
+}
+
+type interferenceSection struct {
+	MaxSlowdown float64 `ini:"max_slowdown" default:"1.25" min:"1" max:"10"`
+	Exploration float64 `ini:"exploration" default:"0.02" min:"0" max:"0.5"`
+}
+
+type sizingSection struct {
+	Percentile float64 `ini:"percentile" default:"0.95" min:"0.5" max:"1"`
+	Headroom   float64 `ini:"headroom" default:"0.15" min:"0" max:"4"`
+}
+
+type serviceSection struct {
+	Before         []string      `ini:"before" default:""`
+	LatencyTarget  time.Duration `ini:"latency_target" default:"250ms" min:"1ms" max:"1m"`
+	FailureDomains []string      `ini:"failure_domains" default:""`
+	SpreadDomains  int           `ini:"spread_domains" default:"1" min:"1" max:"24"`
+}
+
+type teamSection struct {
+	Cores        float64 `ini:"cores" min:"0" max:"1000000"`
+	MemoryMB     int64   `ini:"memory_mb" min:"0" max:"1000000000000"`
+	Accelerators int64   `ini:"accelerators" default:"0" min:"0" max:"1000000"`
+}
+
+// ParseRules reads a rules file and returns it, or all findings. Names of racks and failure domains are checked by
+// ParsedRules.Check. file appears in the findings.
+func ParseRules(file string, raw []byte) (*ParsedRules, findings.List) {
+	var found findings.List
+	if len(raw) > MaxRulesBytes {
+		found.Addf(findings.Place{File: file}, "the rules have %d bytes, and at most %d are allowed", len(raw), MaxRulesBytes)
+		return nil, found
+	}
+	opened, err := settings.Parse(file, raw)
+	if err != nil {
+		return nil, toList(file, err)
+	}
+	parsed := &ParsedRules{Rules: &Rules{}, Source: raw, file: opened}
+	parsed.decodeCluster()
+	parsed.decodeThresholds()
+	parsed.decodeServices()
+	parsed.decodeTeams()
+	if err := opened.Err(); err != nil {
+		return nil, limitFindings(file, toList(file, err))
+	}
+	return parsed, found
+}
+
+// toList returns the findings that an error holds, or the error as one finding.
+func toList(file string, err error) findings.List {
+	var found findings.List
+	var held *findings.Error
+	if !errors.As(err, &held) {
+		found.Addf(findings.Place{File: file}, "%v", err)
+		return found
+	}
+	for _, finding := range held.Findings {
+		found.Addf(finding.Place, "%s", finding.Message)
+	}
+	return found
+}
+
+func (p *ParsedRules) addf(section, key, format string, args ...any) {
+	p.file.Found().Addf(p.file.Place(section, key), format, args...)
+}
+
+func (p *ParsedRules) decodeCluster() {
+	var cluster clusterSection
+	p.file.Decode("cluster", &cluster)
+	p.Rules.Shards = cluster.Shards
+	p.Rules.StartFreshness = cluster.StartFreshness
+	p.Rules.TaskLease = cluster.TaskLease
+	p.Rules.OwnerValidity = cluster.OwnerValidity
+	p.Rules.ServiceLease = cluster.ServiceLease
+	if cluster.OwnerValidity < cluster.TaskLease {
+		p.addf("cluster", "owner_validity", "owner_validity %s is below task_lease %s", cluster.OwnerValidity, cluster.TaskLease)
+	}
+	if cluster.ServiceLease < cluster.TaskLease {
+		p.addf("cluster", "service_lease", "service_lease %s is below task_lease %s", cluster.ServiceLease, cluster.TaskLease)
+	}
+	var batch batchSection
+	p.file.Decode("batch", &batch)
+	p.racks = batch.RacksWithoutBatch
+}
+
+func (p *ParsedRules) decodeThresholds() {
+	var guard guardSection
+	p.file.Decode("guard", &guard)
+	p.Rules.Guard = Guard(guard)
+	if guard.ResumeAt >= guard.ThrottleAt {
+		p.addf("guard", "resume_at", "resume_at %g must be below throttle_at %g", guard.ResumeAt, guard.ThrottleAt)
+	}
+	if guard.ThrottleAt > guard.EvictAt {
+		p.addf("guard", "evict_at", "evict_at %g must not be below throttle_at %g", guard.EvictAt, guard.ThrottleAt)
+	}
+	var interference interferenceSection
+	p.file.Decode("interference", &interference)
+	p.Rules.Interference = Interference(interference)
+	var sizing sizingSection
+	p.file.Decode("sizing", &sizing)
+	p.Rules.Sizing = Sizing(sizing)
+}
+
+// named returns the sections of a prefix with their names, at most limit of them.
+func (p *ParsedRules) named(prefix string, limit int, check func(name string) string) []string {
+	var names []string
+	sections := p.file.Sections(prefix)
+	for i, section := range sections {
+		name := strings.TrimPrefix(section, prefix)
+		if i >= limit {
+			p.addf(section, "", "there are %d sections [%s...], and at most %d are allowed", len(sections), prefix, limit)
+			break
+		}
+		if message := check(name); message != "" {
+			p.addf(section, "", "%s", message)
+		}
+		names = append(names, name)
+	}
+	return names
+}
+
+func (p *ParsedRules) decodeServices() {
+	names := p.named(servicePrefix, MaxServices, func(name string) string { return checkName(name, maxNameBytes) })
+	order := newPrecedence(names)
+	for _, name := range names {
+		section := servicePrefix + name
+		var decoded serviceSection
+		p.file.Decode(section, &decoded)
+		p.Rules.Services = append(p.Rules.Services, Service{
+			Name: name, LatencyTarget: decoded.LatencyTarget, FailureDomains: decoded.FailureDomains,
+			SpreadDomains: decoded.SpreadDomains,
+		})
+		for _, later := range decoded.Before {
+			if message := order.add(name, later); message != "" {
+				p.addf(section, "before", "%s", message)
+			}
+		}
+		p.checkServiceDomains(section, decoded)
+	}
+	sorted, cycle := order.sort()
+	if cycle != nil {
+		p.addf(servicePrefix+cycle[0], "before", "precedence is cyclic: %s", strings.Join(cycle, " before "))
+		return
+	}
+	slices.SortFunc(p.Rules.Services, func(a, b Service) int { return sorted[a.Name] - sorted[b.Name] })
+}
+
+func (p *ParsedRules) checkServiceDomains(section string, decoded serviceSection) {
+	for i, domain := range decoded.FailureDomains {
+		if slices.Contains(decoded.FailureDomains[:i], domain) {
+			p.addf(section, "failure_domains", "failure domain %q is given more than once", clip(domain))
+		}
+	}
+	if count := len(decoded.FailureDomains); count > 0 && decoded.SpreadDomains > count {
+		p.addf(section, "spread_domains", "spread_domains %d contradicts failure_domains, which has %d",
+			decoded.SpreadDomains, count)
+	}
+}
+
+func (p *ParsedRules) decodeTeams() {
+	names := p.named(teamPrefix, MaxTeams, func(name string) string {
+		if name == defaultTeam {
+			return ""
+		}
+		return checkName(name, maxNameBytes)
+	})
+	for _, name := range names {
+		var decoded teamSection
+		p.file.Decode(teamPrefix+name, &decoded)
+		quota := structs.Resources{
+			MilliCores: int64(decoded.Cores*milliPerCore + 0.5), MemoryMB: decoded.MemoryMB,
+			Accelerators: decoded.Accelerators,
+		}
+		if name == defaultTeam {
+			p.Rules.DefaultQuota = &quota
+			continue
+		}
+		if p.Rules.Quotas == nil {
+			p.Rules.Quotas = map[string]structs.Resources{}
+		}
+		p.Rules.Quotas[name] = quota
+	}
+}
--- /dev/null
+++ b/gossip/exchange.go
@@ -0,0 +1,143 @@
+package gossip
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/config"
+	"github.com/quetzalshed/quetzalshed/kernel"
+)
+
+// Identity is what a process tells of itself.
+type Identity struct {
+	Fleet   string
+	Name    string
+	Role    kernel.Role
+	Address string
+}
+
+// Sender carries a message to an address and returns the response.
+type Sender interface {
+	Send(ctx context.Context, address string, message Message) (Message, error)
+}
+
+// Exchanger combines what a process knows with what others tell it. It is safe for concurrent use.
+type Exchanger struct {
+	identity Identity
+	clock    clock.Clock
+	follower *config.Follower
+	owners   *OwnerTable
+	peers    *peerTable
+	sender   Sender
+	// reject, if set, is called for each rejected message.
+	reject func(Reason)
+}
+
+// NewExchanger returns an exchanger that knows the seed addresses. reject may be nil.
+func NewExchanger(
+	identity Identity, c clock.Clock, follower *config.Follower, owners *OwnerTable, seeds []string, sender Sender,
+	reject func(Reason),
+) *Exchanger {
+	if reject == nil {
+		reject = func(Reason) {}
+	}
+	return &Exchanger{
+		identity: identity, clock: c, follower: follower, owners: owners, sender: sender, reject: reject,
+		peers: newPeerTable(identity.Address, seeds),
+	}
+}
+
+// compose returns a message for a receiver that holds a revision and, if hasDigest, owners with a digest.
+func (e *Exchanger) compose(revision int64, digest uint64, hasDigest bool) Message {
+	own := e.owners.Digest()
+	message := Message{
+		Version: ProtocolVersion, Fleet: e.identity.Fleet, From: e.identity.Name, Role: e.identity.Role,
+		Address: e.identity.Address, Config: e.follower.Proof(revision), OwnersDigest: strconv.FormatUint(own, 16),
+	}
+	if !hasDigest || digest != own {
+		message.Owners = e.owners.All()
+	}
+	return message
+}
+
+// Receive takes an incoming message and returns the response. Its proof is not used, since the time that the message
+// took is not known.
+func (e *Exchanger) Receive(message Message) (Message, Reason, error) {
+	if reason, err := message.validate(e.identity.Fleet); err != nil {
+		e.reject(reason)
+		return Message{}, reason, err
+	}
+	if head := message.Config.Head; head != nil {
+		if err := e.follower.ObserveHead(*head); err != nil {
+			e.reject(ReasonConfig)
+		}
+	}
+	e.learn(message)
+	digest, _ := message.digest()
+	return e.compose(message.Config.Revision, digest, true), "", nil
+}
+
+// learn takes the owners of a valid message and notes what its sender holds.
+func (e *Exchanger) learn(message Message) {
+	for _, owner := range message.Owners {
+		e.owners.Publish(owner)
+	}
+	digest, _ := message.digest()
+	e.peers.record(message.Address, message.Config.Revision, digest, e.clock.Now())
+}
+
+// maxSends bounds the messages of one exchange: the second one carries what the first response showed to be missing.
+const maxSends = 2
+
+// Exchange tells a peer what this process knows and takes what the peer knows.
+func (e *Exchanger) Exchange(ctx context.Context, address string) error {
+	for range maxSends {
+		sentAt := e.clock.Now()
+		response, err := e.sender.Send(ctx, address, e.compose(e.peers.known(address)))
+		if err != nil {
+			return err
+		}
+		if reason, err := response.validate(e.identity.Fleet); err != nil {
+			e.reject(reason)
+			return err
+		}
+		if err := e.follower.ObserveProof(response.Config, sentAt); err != nil {
+			e.reject(ReasonConfig)
+		}
+		e.learn(response)
+		// The peer is recorded under the address that was called, which is the one that is looked up.
+		digest, _ := response.digest()
+		e.peers.record(address, response.Config.Revision, digest, e.clock.Now())
+		if response.Config.Revision >= e.follower.Revision() && digest == e.owners.Digest() {
+			return nil
+		}
+	}
+	return nil
+}
+
+// pick returns up to count random peers.
+func (e *Exchanger) pick(count int, random *rand.Rand) []string {
+	all := e.candidates()
+	random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(count, len(all))]
+}
+
+// candidates returns the addresses of known peers and of the owners of shards.
+func (e *Exchanger) candidates() []string {
+	var owners []string
+	for _, owner := range e.owners.All() {
+		owners = append(owners, owner.Address)
+	}
+	return e.peers.addresses(e.clock.Now(), owners)
+}
+
+// scaledInterval is the pause between two rounds of a process that neither polls the store nor owns a shard. It grows
+// with the fleet, so that the few processes that do aren't called more often than about 32 times per interval.
+func scaledInterval(interval time.Duration, workers int) time.Duration {
+	const perInterval, most = 32, 5 * time.Second
+	scaled := interval * time.Duration(workers) / perInterval
+	return max(interval, min(scaled, most))
+}
--- /dev/null
+++ b/gossip/module.go
@@ -0,0 +1,218 @@
+package gossip
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/config"
+	"github.com/quetzalshed/quetzalshed/config/configmodule"
+	"github.com/quetzalshed/quetzalshed/kernel"
+)
+
+// Name is the name of the module and of its settings section.
+const Name = "gossip"
+
+// path is where messages are received.
+const path = "/v1/gossip"
+
+func init() {
+	kernel.RegisterModule(kernel.ModuleInfo{
+		Name: Name, Roles: []kernel.Role{kernel.RoleEntry, kernel.RoleAgent}, After: []string{configmodule.Name},
+		New: func() kernel.Module { return &Module{} },
+	})
+}
+
+// Settings is the section [gossip].
+type Settings struct {
+	// Peers lists addresses of processes to start with; entries are enough.
+	Peers    []netip.AddrPort `ini:"peers" default:""`
+	Interval time.Duration    `ini:"interval" default:"500ms" min:"20ms" max:"5s"`
+	// Fanout is the number of peers to which each round sends.
+	Fanout int `ini:"fanout" default:"2" min:"1" max:"8"`
+	// Timeout bounds one exchange.
+	Timeout time.Duration `ini:"timeout" default:"1s" min:"20ms" max:"10s"`
+}
+
+// configHolder is implemented by the configuration module.
+type configHolder interface {
+	Follower() *config.Follower
+	Polling() bool
+	SetPeers(addresses func() []string)
+}
+
+// Module runs the exchange of a process.
+type Module struct {
+	settings  Settings
+	clock     clock.Clock
+	scope     tally.Scope
+	config    configHolder
+	owners    *OwnerTable
+	exchanger *Exchanger
+	client    *http.Client
+	random    *rand.Rand
+	stop      context.CancelFunc
+	done      sync.WaitGroup
+}
+
+// Settings implements kernel.Module.
+func (m *Module) Settings() any { return &m.settings }
+
+// Provision implements kernel.Module.
+func (m *Module) Provision(c *kernel.Context) error {
+	holder, ok := kernel.Lookup[configHolder](c, configmodule.Name)
+	if !ok {
+		return eris.Errorf("module %s is required", configmodule.Name)
+	}
+	m.clock, m.scope, m.config = c.Clock, c.Metrics.SubScope("gossip"), holder
+	m.owners = NewOwnerTable()
+	m.client = &http.Client{
+		Timeout:   m.settings.Timeout,
+		Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxIdleConns: maxLearnedPeers, IdleConnTimeout: time.Minute},
+	}
+	m.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	identity := Identity{
+		Fleet: c.Process.Fleet, Name: c.Process.Name, Role: c.Role, Address: c.Process.Listen.String(),
+	}
+	var seeds []string
+	for _, peer := range m.settings.Peers {
+		seeds = append(seeds, peer.String())
+	}
+	m.exchanger = NewExchanger(identity, m.clock, holder.Follower(), m.owners, seeds, m, func(reason Reason) {
+		m.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("rejected").Inc(1)
+	})
+	holder.SetPeers(m.exchanger.candidates)
+	c.Router.HandleFunc(path, m.serve).Methods(http.MethodPost)
+	return nil
+}
+
+// Owners returns the table of shard owners.
+func (m *Module) Owners() *OwnerTable { return m.owners }
+
+// Start implements kernel.Module.
+func (m *Module) Start(ctx context.Context) error {
+	ctx, m.stop = context.WithCancel(ctx)
+	m.done.Go(func() { m.loop(ctx) })
+	return nil
+}
+
+// Stop implements kernel.Module.
+func (m *Module) Stop(context.Context) error {
+	if m.stop != nil {
+		m.stop()
+	}
+	m.done.Wait()
+	m.client.CloseIdleConnections()
+	return nil
+}
+
+// minPause is the least time between two rounds, however often there is news.
+const minPause = 50 * time.Millisecond
+
+// loop runs a round in each interval, and early when there is news to pass on.
+func (m *Module) loop(ctx context.Context) {
+	follower := m.config.Follower()
+	for {
+		headChanged, ownersChanged := follower.Changed(), m.owners.Changed()
+		m.round(ctx)
+		timer := time.NewTimer(m.pause())
+		select {
+		case <-ctx.Done():
+		case <-headChanged:
+		case <-ownersChanged:
+		case <-timer.C:
+		}
+		timer.Stop()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(minPause):
+		}
+	}
+}
+
+// pause is the interval to the next round, with jitter so that processes that start together spread out.
+func (m *Module) pause() time.Duration {
+	interval := m.settings.Interval
+	if !m.config.Polling() {
+		head, _ := m.config.Follower().Head()
+		interval = scaledInterval(interval, head.Workers())
+	}
+	const jitter = 0.1
+	return time.Duration(float64(interval)*(1+jitter*(2*m.random.Float64()-1))) - minPause
+}
+
+// round exchanges with a few random peers at once.
+func (m *Module) round(ctx context.Context) {
+	var exchanges sync.WaitGroup
+	for _, address := range m.exchanger.pick(m.settings.Fanout, m.random) {
+		exchanges.Go(func() {
+			result := "ok"
+			if err := m.exchanger.Exchange(ctx, address); err != nil {
+				result = "failed"
+			}
+			m.scope.Tagged(map[string]string{"result": result}).Counter("exchanges").Inc(1)
+		})
+	}
+	exchanges.Wait()
+}
+
+// Send implements Sender over HTTP.
+func (m *Module) Send(ctx context.Context, address string, message Message) (Message, error) {
+	raw, err := json.Marshal(message)
+	if err != nil {
+		return Message{}, eris.Wrap(err, "encoding a message")
+	}
+	m.scope.Counter("sent_bytes").Inc(int64(len(raw)))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(raw))
+	if err != nil {
+		return Message{}, eris.Wrap(err, "sending a message")
+	}
+	response, err := m.client.Do(request)
+	if err != nil {
+		return Message{}, eris.Wrap(err, "sending a message")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return Message{}, eris.Errorf("peer %s: status %d", address, response.StatusCode)
+	}
+	return decodeMessage(response.Body)
+}
+
+func decodeMessage(body io.Reader) (Message, error) {
+	raw, err := io.ReadAll(io.LimitReader(body, maxMessageBytes+1))
+	if err != nil {
+		return Message{}, eris.Wrap(err, "reading a message")
+	}
+	if len(raw) > maxMessageBytes {
+		return Message{}, eris.Errorf("message is over %d bytes", maxMessageBytes)
+	}
+	var message Message
+	return message, eris.Wrap(json.Unmarshal(raw, &message), "decoding a message")
+}
+
+func (m *Module) serve(w http.ResponseWriter, r *http.Request) {
+	message, err := decodeMessage(r.Body)
+	if err != nil {
+		m.exchanger.reject(ReasonMalformed)
+		http.Error(w, "malformed message", http.StatusBadRequest)
+		return
+	}
+	m.scope.Counter("received_messages").Inc(1)
+	response, _, err := m.exchanger.Receive(message)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	kernel.WriteJSON(w, http.StatusOK, response)
+}
--- /dev/null
+++ b/gossip/owners.go
@@ -0,0 +1,119 @@
+package gossip
+
+import (
+	"cmp"
+	"encoding/binary"
+	"net/netip"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/quetzalshed/quetzalshed/config"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// OwnerTable holds the newest known owner of each shard. It is safe for concurrent use.
+type OwnerTable struct {
+	mu     sync.Mutex
+	owners map[int]structs.ShardOwner
+	// digest is the exclusive or of the hashes of all owners, so that an update needs no pass over the table.
+	digest  uint64
+	changed chan struct{}
+}
+
+// NewOwnerTable returns an empty table.
+func NewOwnerTable() *OwnerTable {
+	return &OwnerTable{owners: map[int]structs.ShardOwner{}, changed: make(chan struct{})}
+}
+
+// Lookup returns the newest known owner of a shard.
+func (t *OwnerTable) Lookup(shard int) (structs.ShardOwner, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	owner, ok := t.owners[shard]
+	return owner, ok
+}
+
+// Publish records an owner and tells whether it replaced what was known. An invalid one is ignored.
+func (t *OwnerTable) Publish(owner structs.ShardOwner) bool {
+	if !validOwner(owner) {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known, exists := t.owners[owner.Shard]
+	if exists && !newer(owner, known) {
+		return false
+	}
+	if exists {
+		t.digest ^= hashOwner(known)
+	}
+	t.digest ^= hashOwner(owner)
+	t.owners[owner.Shard] = owner
+	close(t.changed)
+	t.changed = make(chan struct{})
+	return true
+}
+
+// Owns tells whether an address is the newest known owner of any shard.
+func (t *OwnerTable) Owns(address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, owner := range t.owners {
+		if owner.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
+// All returns the owners, sorted by shard.
+func (t *OwnerTable) All() []structs.ShardOwner {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	owners := make([]structs.ShardOwner, 0, len(t.owners))
+	for _, owner := range t.owners {
+		owners = append(owners, owner)
+	}
+	slices.SortFunc(owners, func(a, b structs.ShardOwner) int { return cmp.Compare(a.Shard, b.Shard) })
+	return owners
+}
+
+// Digest returns a value that two tables share when they hold the same owners.
+func (t *OwnerTable) Digest() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.digest
+}
+
+// Changed returns a channel that is closed when the table changes.
+func (t *OwnerTable) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
+}
+
+func validOwner(owner structs.ShardOwner) bool {
+	if owner.Shard < 0 || owner.Shard >= config.MaxShards || owner.Epoch < 1 {
+		return false
+	}
+	_, err := netip.ParseAddrPort(owner.Address)
+	return err == nil
+}
+
+// newer orders owners of one shard. The shard log allows one owner per epoch; the address decides between two that claim
+// the same epoch anyway, so that all tables agree.
+func newer(a, b structs.ShardOwner) bool {
+	if a.Epoch != b.Epoch {
+		return a.Epoch > b.Epoch
+	}
+	return a.Address > b.Address
+}
+
+func hashOwner(owner structs.ShardOwner) uint64 {
+	var raw []byte
+	raw = binary.BigEndian.AppendUint64(raw, uint64(owner.Shard))
+	raw = binary.BigEndian.AppendUint64(raw, uint64(owner.Epoch))
+	return xxhash.Sum64(append(raw, owner.Address...))
+}
--- a/structs/heartbeat.go
+++ b/structs/heartbeat.go
@@ -45,6 +45,8 @@
 	Running     []AllocationState `json:"running,omitempty"`
 	Results     []TaskResult      `json:"results,omitempty"`
 	Draining    bool              `json:"draining,omitempty"`
+	// HeadRevision is the configuration revision that the agent holds, so that the reply repeats no known head.
+	HeadRevision int64 `json:"head_revision,omitempty"`
 }
 
 // TaskStop tells an agent to end an allocation.
@@ -57,14 +59,16 @@
 
 // HeartbeatReply answers a heartbeat. A reply renews the leases of the allocations in Keep only.
 type HeartbeatReply struct {
-	Shard           int             `json:"shard"`
-	Epoch           int64           `json:"epoch"`
-	Sequence        int64           `json:"sequence"`
-	Keep            []string        `json:"keep,omitempty"`
-	Start           []Allocation    `json:"start,omitempty"`
-	Stop            []TaskStop      `json:"stop,omitempty"`
-	AckResults      []string        `json:"ack_results,omitempty"`
-	LeaseMillis     int64           `json:"lease_millis"`
+	Shard       int          `json:"shard"`
+	Epoch       int64        `json:"epoch"`
+	Sequence    int64        `json:"sequence"`
+	Keep        []string     `json:"keep,omitempty"`
+	Start       []Allocation `json:"start,omitempty"`
+	Stop        []TaskStop   `json:"stop,omitempty"`
+	AckResults  []string     `json:"ack_results,omitempty"`
+	LeaseMillis int64        `json:"lease_millis"`
+	// HeadRevision is the configuration revision that ConfirmedMillis is about. Head is left out when the agent has it.
+	HeadRevision    int64           `json:"head_revision,omitempty"`
 	Head            json.RawMessage `json:"head,omitempty"`
 	ConfirmedMillis int64           `json:"confirmed_millis"`
 }
