Add the agent's side of the request path

Cause: entries need an agent that admits, runs and resolves attempts, and upstreams need a place to register. Ruled out: http.Transport towards the upstream (it resends by itself after a reused connection breaks); a time limit for tombstones (a paused agent could read a stale message after the tombstone has expired). Instead the table keeps, for each entry incarnation, the highest sequence that it has forgotten, and an attempt at or below it neither runs nor is reported as not run. Freeing the slot at the deadline was ruled out too: the upstream still works on the request. Change: limit.Queue (decisions) and limit.Admission (concurrent wrapper), the modules agent.requests and agent.announcer, the stand-in upstream, attempt IDs with a sequence, and the checksum of bodies in structs. Idle connections per upstream are bounded by its slots: the slots test saw more than 64 connections at the upstream when they were bounded by the connection limit only. Conclusion: `go test -race -count=3 ./agent/requests` passes.

--- /dev/null
+++ b/agent/announcer/peer.go
@@ -0,0 +1,136 @@
+package announcer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+const (
+	// minInterval and maxInterval bound what an entry may ask for: the first keeps an entry from being flooded, the second
+	// keeps a wrong answer from silencing the agent.
+	minInterval = 50 * time.Millisecond
+	maxInterval = 10 * time.Second
+	// maxReply bounds the body of a reply in bytes.
+	maxReply = 4 << 10
+)
+
+// peer is one entry.
+type peer struct {
+	module *Module
+	url    string
+	client *http.Client
+	wake   chan struct{}
+
+	mu sync.Mutex
+	// waiting are closed after the next announcement that starts after they were added.
+	waiting []chan struct{}
+	failing bool
+}
+
+func newPeer(m *Module, address netip.AddrPort) *peer {
+	transport := &http.Transport{MaxIdleConns: 1, IdleConnTimeout: maxInterval * 2, DisableCompression: true}
+	return &peer{
+		module: m, url: "http://" + address.String() + "/v1/announce", wake: make(chan struct{}, 1),
+		client: &http.Client{Transport: transport, Timeout: m.settings.Timeout},
+	}
+}
+
+// kick asks for an announcement now; done is closed after it, if it isn't nil.
+func (p *peer) kick(done chan struct{}) {
+	if done != nil {
+		p.mu.Lock()
+		p.waiting = append(p.waiting, done)
+		p.mu.Unlock()
+	}
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (p *peer) loop(ctx context.Context) {
+	defer p.client.CloseIdleConnections()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-p.wake:
+		}
+		p.mu.Lock()
+		waiting := p.waiting
+		p.waiting = nil
+		p.mu.Unlock()
+		next, err := p.send(ctx)
+		p.note(err)
+		for _, done := range waiting {
+			close(done)
+		}
+		timer.Reset(next)
+	}
+}
+
+// note counts, and logs when an entry becomes unreachable or reachable.
+func (p *peer) note(err error) {
+	if err == nil {
+		p.module.sent.Inc(1)
+	} else {
+		p.module.failed.Inc(1)
+	}
+	if p.failing == (err != nil) {
+		return
+	}
+	p.failing = err != nil
+	if p.failing {
+		p.module.log.Warn("entry does not take announcements", "url", p.url, "error", err)
+		return
+	}
+	p.module.log.Info("entry takes announcements", "url", p.url)
+}
+
+// send makes one announcement and returns the time until the next.
+func (p *peer) send(ctx context.Context) (time.Duration, error) {
+	interval := p.module.settings.Interval
+	body, err := json.Marshal(p.module.announcement())
+	if err != nil {
+		return interval, eris.Wrap(err, "encoding the announcement")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, p.url, bytes.NewReader(body))
+	if err != nil {
+		return interval, eris.Wrap(err, "building the announcement")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := p.client.Do(request)
+	if err != nil {
+		return interval, eris.Wrap(err, "announcing")
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
+	if err != nil {
+		return interval, eris.Wrap(err, "reading the reply")
+	}
+	if response.StatusCode != http.StatusOK {
+		return interval, eris.Errorf("the entry replied with status %d", response.StatusCode)
+	}
+	var reply structs.AnnounceReply
+	if err := json.Unmarshal(raw, &reply); err != nil {
+		return interval, eris.Wrap(err, "decoding the reply")
+	}
+	if reply.NextAfterMillis <= 0 {
+		return interval, nil
+	}
+	millis := min(max(reply.NextAfterMillis, minInterval.Milliseconds()), maxInterval.Milliseconds())
+	return time.Duration(millis) * time.Millisecond, nil
+}
--- /dev/null
+++ b/agent/requests/harness_test.go
@@ -0,0 +1,226 @@
+package requests
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/gorilla/mux"
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/quetzalshed/quetzalshed/agent/requests/upstreamtest"
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/kernel"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+const testIncarnation = "0123456789abcdef"
+
+// testAgent is a module behind an HTTP server, with one registered upstream of service "price".
+type testAgent struct {
+	*Module
+	c        *qt.C
+	server   *httptest.Server
+	upstream *upstreamtest.Server
+	sequence uint64
+}
+
+func newTestAgent(tb testing.TB, change func(*Settings)) *testAgent {
+	c := qt.New(tb)
+	m := &Module{settings: Settings{
+		Queue: 32, MaxSlots: 8, MaxConnections: 64, RegistrationLease: time.Minute, RunLimit: 20 * time.Second,
+	}}
+	if change != nil {
+		change(&m.settings)
+	}
+	router := mux.NewRouter().UseEncodedPath()
+	err := m.Provision(&kernel.Context{
+		Role: kernel.RoleAgent, Incarnation: testIncarnation, Log: hclog.NewNullLogger(), Metrics: tally.NoopScope,
+		Tracer: noop.NewTracerProvider().Tracer(""), Clock: clock.System{}, Router: router,
+	})
+	c.Assert(err, qt.IsNil)
+	c.Assert(m.Start(context.Background()), qt.IsNil)
+	a := &testAgent{Module: m, c: c, server: httptest.NewServer(router)}
+	a.upstream, err = upstreamtest.Listen("127.0.0.1:0", upstreamtest.Behaviour{}, 1)
+	c.Assert(err, qt.IsNil)
+	_, err = a.registrar().Register(context.Background())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() {
+		a.upstream.Close()
+		a.server.Close()
+		c.Check(m.Stop(context.Background()), qt.IsNil)
+	})
+	return a
+}
+
+func (a *testAgent) address() string { return a.server.Listener.Addr().String() }
+
+func (a *testAgent) registrar() *upstreamtest.Registrar {
+	return &upstreamtest.Registrar{Agent: a.address(), Registration: structs.UpstreamRegistration{
+		Service: "price", Address: a.upstream.Address(), Slots: 8, Connections: 64,
+	}}
+}
+
+func (a *testAgent) nextID() string {
+	a.sequence++
+	return structs.AttemptID("entry", a.sequence)
+}
+
+// call is one request of a test; zero fields get usual values.
+type call struct {
+	id, method, body, key string
+	incarnation           string
+	budget                time.Duration
+	header                map[string]string
+}
+
+func (a *testAgent) request(k call) *http.Request {
+	r, err := http.NewRequest(http.MethodPost, a.server.URL+"/v1/requests/"+k.id, strings.NewReader(k.body))
+	a.c.Assert(err, qt.IsNil)
+	set := func(name, value, fallback string) {
+		if value == "" {
+			value = fallback
+		}
+		r.Header.Set(name, value)
+	}
+	set(structs.HeaderMethod, k.method, http.MethodPost)
+	set(structs.HeaderPath, "/check?item=7", "")
+	set(structs.HeaderService, "price", "")
+	set(structs.HeaderAgentIncarnation, k.incarnation, testIncarnation)
+	budget := k.budget
+	if budget == 0 {
+		budget = 10 * time.Second
+	}
+	set(structs.HeaderBudgetMillis, strconv.FormatInt(budget.Milliseconds(), 10), "")
+	set(structs.HeaderForwardPrefix+upstreamtest.HeaderKey, k.key, k.id)
+	for name, value := range k.header {
+		name = strings.Replace(name, "Standin-", structs.HeaderForwardPrefix+"Standin-", 1)
+		r.Header.Set(name, value)
+	}
+	return r
+}
+
+// reply is a response of the agent that was read and verified whole.
+type reply struct {
+	status   int
+	outcome  structs.Outcome
+	reason   string
+	header   http.Header
+	body     string
+	interims []string
+}
+
+var errIncomplete = errors.New("the response is incomplete")
+
+// send makes a request over a new connection. It returns an error when the connection broke.
+func (a *testAgent) send(k call) (reply, error) {
+	conn, err := net.Dial("tcp", a.address())
+	if err != nil {
+		return reply{}, err
+	}
+	defer conn.Close()
+	return exchangeOver(conn, a.request(k))
+}
+
+func exchangeOver(conn net.Conn, r *http.Request) (reply, error) {
+	if err := r.Write(conn); err != nil {
+		return reply{}, err
+	}
+	var out reply
+	reader := bufio.NewReader(conn)
+	for {
+		resp, err := http.ReadResponse(reader, r)
+		if err != nil {
+			return out, err
+		}
+		if resp.StatusCode == http.StatusProcessing {
+			out.interims = append(out.interims, resp.Header.Get(structs.HeaderState))
+			continue
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return out, err
+		}
+		out.status, out.header, out.body = resp.StatusCode, resp.Header, string(body)
+		out.outcome = structs.Outcome(resp.Header.Get(structs.HeaderOutcome))
+		out.reason = resp.Header.Get(structs.HeaderReason)
+		if resp.Header.Get(structs.HeaderChecksum) != structs.Checksum(body) || resp.ContentLength != int64(len(body)) {
+			return out, errIncomplete
+		}
+		return out, nil
+	}
+}
+
+// mustSend makes a request and fails the test when the connection breaks.
+func (a *testAgent) mustSend(k call) reply {
+	out, err := a.send(k)
+	a.c.Assert(err, qt.IsNil)
+	a.c.Assert(out.header.Get(structs.HeaderAttempt), qt.Equals, k.id)
+	return out
+}
+
+// start sends a request from its own goroutine.
+func (a *testAgent) start(k call) <-chan reply {
+	replies := make(chan reply, 1)
+	go func() {
+		out, err := a.send(k)
+		if err != nil {
+			out.reason = "connection: " + err.Error()
+		}
+		replies <- out
+	}()
+	return replies
+}
+
+func (a *testAgent) resolve(id string) structs.AttemptState {
+	resp, err := http.Post(a.server.URL+"/v1/requests/"+id+"/resolve", "", nil)
+	a.c.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	var out structs.ResolveReply
+	a.c.Assert(json.NewDecoder(resp.Body).Decode(&out), qt.IsNil)
+	a.c.Assert(out.Attempt, qt.Equals, id)
+	a.c.Assert(out.Incarnation, qt.Equals, testIncarnation)
+	return out.State
+}
+
+func (a *testAgent) answerOf(id string) reply {
+	conn, err := net.Dial("tcp", a.address())
+	a.c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	r, err := http.NewRequest(http.MethodGet, a.server.URL+"/v1/requests/"+id+"/answer", nil)
+	a.c.Assert(err, qt.IsNil)
+	out, err := exchangeOver(conn, r)
+	a.c.Assert(err, qt.IsNil)
+	return out
+}
+
+// eventually waits for a condition that other goroutines bring about.
+func eventually(c *qt.C, what string, condition func() bool) {
+	for range 2000 {
+		if condition() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.Fatalf("timed out waiting until %s", what)
+}
+
+// inState waits until an attempt has a state.
+func (a *testAgent) inState(id string, want state) {
+	eventually(a.c, id+" is "+want.String(), func() bool {
+		s, _, _ := a.ledger.look(id)
+		return s == want
+	})
+}
--- /dev/null
+++ b/agent/requests/ledger_test.go
@@ -0,0 +1,249 @@
+package requests
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// truth is what the oracle knows of one attempt, without any bound.
+type truth struct {
+	queued, running bool
+	// begun counts how often the send began; promised tells that some entry was told that the attempt was not run.
+	begun    int
+	promised bool
+	body     string
+}
+
+// ledgerMachine compares a ledger with tiny bounds to an oracle that forgets nothing.
+type ledgerMachine struct {
+	clock  *clock.Manual
+	ledger *ledger
+	truths map[string]*truth
+}
+
+func (m *ledgerMachine) draw(t *rapid.T) (string, *truth) {
+	id := structs.AttemptID(rapid.SampledFrom([]string{"e1", "e2", "e3"}).Draw(t, "entry"),
+		rapid.Uint64Range(1, 8).Draw(t, "sequence"))
+	if m.truths[id] == nil {
+		m.truths[id] = &truth{}
+	}
+	return id, m.truths[id]
+}
+
+// report checks what entries are told of an attempt.
+func (m *ledgerMachine) report(t *rapid.T, id string, got structs.AttemptState, known *truth) {
+	switch {
+	case got.NotRun():
+		if known.begun > 0 || known.running {
+			t.Fatalf("%s is reported as %s, but its send began", id, got)
+		}
+		known.promised, known.queued = true, false
+	case known.queued || known.running:
+		if got != structs.AttemptRunning || !known.running {
+			t.Fatalf("%s is reported as %s, queued %v, running %v", id, got, known.queued, known.running)
+		}
+	case got == structs.AttemptUnknown && known.begun == 0 && len(m.truths) <= testLimits.Records:
+		t.Fatalf("%s is reported as unknown, though it never began and no record was dropped", id)
+	case got == structs.AttemptFinished:
+		if _, found, _ := m.ledger.look(id); found == nil || string(found.body) != known.body {
+			t.Fatalf("%s has finished without its response", id)
+		}
+	}
+}
+
+func (m *ledgerMachine) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"arrive": func(t *rapid.T) {
+			id, known := m.draw(t)
+			s, ok := m.ledger.arrive(&attempt{id: id, cancelled: make(chan struct{})})
+			if ok && (known.begun > 0 || known.promised || known.queued) {
+				t.Fatalf("%s is accepted again: %+v", id, known)
+			}
+			known.queued = known.queued || ok
+			if !ok && s.notRun() {
+				m.report(t, id, s.report(), known)
+			}
+		},
+		"reject": func(t *rapid.T) {
+			id, known := m.draw(t)
+			if s := m.ledger.reject(id); s.notRun() {
+				m.report(t, id, s.report(), known)
+			}
+		},
+		"resolve": func(t *rapid.T) {
+			id, known := m.draw(t)
+			s, err := m.ledger.apply(id, resolve)
+			if err != nil {
+				t.Fatalf("resolve: %v", err)
+			}
+			m.report(t, id, s.report(), known)
+		},
+		"withdraw or refuse": func(t *rapid.T) {
+			id, known := m.draw(t)
+			e := rapid.SampledFrom([]event{withdraw, refuse}).Draw(t, "event")
+			if e == refuse && !known.queued {
+				return
+			}
+			_, err := m.ledger.apply(id, e)
+			if (err == nil) != known.queued {
+				t.Fatalf("%s of %s: %v", e, id, err)
+			}
+			known.promised, known.queued = known.promised || err == nil, false
+		},
+		"begin": func(t *rapid.T) {
+			id, known := m.draw(t)
+			_, err := m.ledger.apply(id, begin)
+			if (err == nil) != known.queued {
+				t.Fatalf("begin of %s: %v", id, err)
+			}
+			if err == nil {
+				known.queued, known.running = false, true
+				known.begun++
+			}
+			if known.begun > 1 || (known.begun > 0 && known.promised) {
+				t.Fatalf("%s began against the oracle: %+v", id, known)
+			}
+		},
+		"finish": func(t *rapid.T) {
+			id, known := m.draw(t)
+			known.body = strings.Repeat("x", rapid.IntRange(0, 900).Draw(t, "size"))
+			if err := m.ledger.finish(id, &response{body: []byte(known.body)}); (err == nil) != known.running {
+				t.Fatalf("finish of %s: %v", id, err)
+			}
+			known.running = false
+		},
+		"lose": func(t *rapid.T) {
+			id, known := m.draw(t)
+			if _, err := m.ledger.apply(id, lose); (err == nil) != known.running {
+				t.Fatalf("lose of %s: %v", id, err)
+			}
+			known.running = false
+		},
+		"wait": func(t *rapid.T) {
+			m.clock.Advance(time.Duration(rapid.IntRange(1, 40).Draw(t, "seconds")) * time.Second)
+			m.ledger.expire()
+		},
+		"": m.check,
+	}
+}
+
+func (m *ledgerMachine) check(t *rapid.T) {
+	records, answers, bytes := m.ledger.sizes()
+	live, _, _ := m.ledger.activity()
+	if records > max(testLimits.Records, live) || answers > testLimits.Answers || bytes > testLimits.AnswerBytes {
+		t.Fatalf("bounds: %d records with %d live, %d answers, %d bytes", records, live, answers, bytes)
+	}
+	alive := 0
+	for _, known := range m.truths {
+		if known.queued || known.running {
+			alive++
+		}
+	}
+	if alive != live {
+		t.Fatalf("%d attempts are live, the oracle has %d", live, alive)
+	}
+}
+
+var testLimits = tableLimits{Records: 6, Answers: 3, AnswerBytes: 3000, AnswerAge: time.Minute, Floors: 2}
+
+// Guards against an attempt that runs twice, and against not-run being reported for one that ran, with every bound of the
+// table reached.
+func TestLedgerAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		manual := clock.NewManual(time.Unix(1000, 0))
+		m := &ledgerMachine{clock: manual, ledger: newLedger(testLimits, manual), truths: map[string]*truth{}}
+		t.Repeat(m.actions())
+	})
+}
+
+// Guards against a transition to running from anywhere but the queue, and from a state that may have run to one that
+// means not run.
+func TestTransitionsKeepPromises(t *testing.T) {
+	c := qt.New(t)
+	for from := range stateCount {
+		for e := range eventCount {
+			to, err := from.next(e)
+			if err != nil {
+				c.Assert(to, qt.Equals, from)
+				continue
+			}
+			if to == running && from != running {
+				c.Assert(from, qt.Equals, queued, qt.Commentf("%s", e))
+			}
+			if from == running || from == finished || from == evicted || from == forgotten {
+				c.Assert(to.notRun() || to == neverSeen || to == queued, qt.IsFalse, qt.Commentf("%s %s", from, e))
+			}
+			if from.notRun() {
+				c.Assert(to.notRun() || to == forgotten, qt.IsTrue, qt.Commentf("%s %s", from, e))
+			}
+		}
+	}
+}
+
+// Guards against bounds that lose the outcome silently: a dropped response makes the outcome unknown, a dropped record
+// makes the attempt forgotten, and neither is reported as not run or accepted again.
+func TestTableAtItsBounds(t *testing.T) {
+	c := qt.New(t)
+	manual := clock.NewManual(time.Unix(1000, 0))
+	l := newLedger(testLimits, manual)
+	run := func(id string, size int) {
+		_, ok := l.arrive(&attempt{id: id, cancelled: make(chan struct{})})
+		c.Assert(ok, qt.IsTrue)
+		_, err := l.apply(id, begin)
+		c.Assert(err, qt.IsNil)
+		c.Assert(l.finish(id, &response{body: make([]byte, size)}), qt.IsNil)
+	}
+	states := func(ids ...string) (list []string) {
+		for _, id := range ids {
+			s, _, _ := l.look(id)
+			list = append(list, s.String())
+		}
+		return list
+	}
+	id := func(n int) string { return structs.AttemptID("e1", uint64(n)) }
+	for n := range 4 {
+		run(id(n), 10)
+	}
+	c.Assert(states(id(0), id(1), id(2), id(3)), qt.DeepEquals, []string{"evicted", "finished", "finished", "finished"})
+	run(id(4), 2000)
+	c.Assert(states(id(1), id(2), id(3), id(4)), qt.DeepEquals, []string{"evicted", "evicted", "evicted", "finished"})
+	manual.Advance(time.Minute)
+	c.Assert(states(id(4)), qt.DeepEquals, []string{"evicted"})
+	run(id(5), 10)
+	run(id(6), 10)
+	c.Assert(states(id(0), id(1), id(6)), qt.DeepEquals, []string{"forgotten", "evicted", "finished"})
+	_, ok := l.arrive(&attempt{id: id(0)})
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(l.reject(id(0)), qt.Equals, forgotten)
+	for n := range 20 {
+		_, err := l.apply(structs.AttemptID(fmt.Sprint("f", n), 1), resolve)
+		c.Assert(err, qt.IsNil)
+	}
+	// Both floors are taken by e1 and f0, so that attempts of other entries count as forgotten from then on.
+	c.Assert(states(structs.AttemptID("f19", 1), structs.AttemptID("f0", 1), structs.AttemptID("f0", 2)), qt.DeepEquals,
+		[]string{"forgotten", "forgotten", "never seen"})
+	c.Assert(l.table.floors, qt.HasLen, 2)
+}
+
+// Guards against an attempt without a sequence that is reported as not run after its record was dropped.
+func TestUnorderedAttemptsAfterDrop(t *testing.T) {
+	c := qt.New(t)
+	l := newLedger(testLimits, clock.System{})
+	for n := range testLimits.Records + 1 {
+		name := fmt.Sprintf("%032x", n)
+		s, err := l.apply(name, resolve)
+		c.Assert(err, qt.IsNil)
+		c.Assert(s, qt.Equals, tombstoned)
+	}
+	s, err := l.apply(fmt.Sprintf("%032x", 0), resolve)
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.report(), qt.Equals, structs.AttemptUnknown)
+}
--- /dev/null
+++ b/agent/requests/registration.go
@@ -0,0 +1,116 @@
+package requests
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/quetzalshed/quetzalshed/findings"
+	"github.com/quetzalshed/quetzalshed/kernel"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// renewInterval is how often an upstream renews its registration.
+const renewInterval = 2 * time.Second
+
+// maxRegistration bounds the body of a registration in bytes.
+const maxRegistration = 4 << 10
+
+// serveRegister handles POST /v1/upstreams.
+func (m *Module) serveRegister(w http.ResponseWriter, r *http.Request) {
+	var registration structs.UpstreamRegistration
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRegistration))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&registration); err != nil {
+		m.rejectRegistration(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	address, err := checkRegistration(registration, r.RemoteAddr, &m.settings)
+	if err != nil {
+		m.metrics.rejected.Inc(1)
+		kernel.WriteJSON(w, http.StatusUnprocessableEntity, err)
+		return
+	}
+	switch m.upstreams.register(registration, address) {
+	case conflicting:
+		m.rejectRegistration(w, http.StatusConflict, "another address serves this service")
+		return
+	case stillLeaving:
+		m.rejectRegistration(w, http.StatusConflict, "the upstream or its agent is leaving")
+		return
+	case tooMany:
+		m.rejectRegistration(w, http.StatusServiceUnavailable, "the agent has no room for another upstream")
+		return
+	case registered:
+		m.log.Info("upstream registered", "service", registration.Service, "address", address)
+		m.changed()
+	case renewed:
+	}
+	kernel.WriteJSON(w, http.StatusOK, structs.UpstreamReply{
+		RenewAfterMillis: renewInterval.Milliseconds(), AgentIncarnation: m.incarnation,
+	})
+}
+
+func (m *Module) rejectRegistration(w http.ResponseWriter, status int, message string) {
+	m.metrics.rejected.Inc(1)
+	kernel.WriteJSON(w, status, findings.Error{Findings: []findings.Finding{{Message: message}}})
+}
+
+// leaveReply answers a DELETE of an upstream.
+type leaveReply struct {
+	// Left is true when no request of the upstream waits or runs any more. Otherwise the upstream asks again.
+	Left bool `json:"left"`
+}
+
+const (
+	// leaveWait bounds one DELETE.
+	leaveWait = 20 * time.Second
+	// retireInterval is how often an upstream that leaves is checked for its last request.
+	retireInterval = 20 * time.Millisecond
+)
+
+// serveLeave handles DELETE /v1/upstreams/{service}. It responds once the upstream may stop: entries have been told and
+// accepted requests have ended. An unknown service has left already. The query parameter address, when given, must be that
+// of the registration, so that a late message of a former upstream doesn't remove its successor.
+func (m *Module) serveLeave(w http.ResponseWriter, r *http.Request) {
+	u, first, allowed := m.upstreams.leave(mux.Vars(r)["service"], r.URL.Query().Get("address"), r.RemoteAddr)
+	switch {
+	case u == nil:
+		kernel.WriteJSON(w, http.StatusOK, leaveReply{Left: true})
+		return
+	case !allowed:
+		m.rejectRegistration(w, http.StatusForbidden, "the sender or the address is not that of the registration")
+		return
+	}
+	if first {
+		m.log.Info("upstream leaves", "service", u.service, "address", u.address)
+		go m.retire(u)
+	}
+	timer := time.NewTimer(leaveWait)
+	defer timer.Stop()
+	select {
+	case <-u.gone:
+		kernel.WriteJSON(w, http.StatusOK, leaveReply{Left: true})
+	case <-timer.C:
+		kernel.WriteJSON(w, http.StatusAccepted, leaveReply{Left: false})
+	case <-r.Context().Done():
+	}
+}
+
+// retire takes an upstream out: entries are told first, then its admission is closed, then its requests end.
+func (m *Module) retire(u *upstream) {
+	defer close(u.gone)
+	m.announceLeaving(context.Background())
+	u.admission.Close()
+	ticker := time.NewTicker(retireInterval)
+	defer ticker.Stop()
+	for load := u.admission.Load(); load.Running+load.Queued > 0; load = u.admission.Load() {
+		<-ticker.C
+	}
+	m.upstreams.remove(u)
+	m.changed()
+	m.log.Info("upstream has left", "service", u.service, "address", u.address)
+}
--- /dev/null
+++ b/agent/requests/table.go
@@ -0,0 +1,204 @@
+package requests
+
+import (
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// tableLimits bounds a table.
+type tableLimits struct {
+	// Records is the number of attempts that are remembered.
+	Records int
+	// Answers is the number of retained responses, AnswerBytes their total size.
+	Answers     int
+	AnswerBytes int64
+	// AnswerAge is how long a response is retained.
+	AnswerAge time.Duration
+	// Floors is the number of entry incarnations for which the highest forgotten sequence is kept. Once it is reached,
+	// attempts of further incarnations count as forgotten, so they don't run. 16384 is 12 entries that each restart
+	// daily for over three years within one life of an agent.
+	Floors int
+}
+
+// defaultTableLimits are the bounds of the design page; 65536 records take about 13 MB and cover 65 s at 1000 attempts
+// per second, longer than the longest budget of a request.
+var defaultTableLimits = tableLimits{
+	Records: 1 << 16, Answers: 1024, AnswerBytes: 32 << 20, AnswerAge: time.Minute, Floors: 16384,
+}
+
+// record is one attempt.
+type record struct {
+	id     string
+	state  state
+	answer *response
+	// finishedAt is when the answer was read.
+	finishedAt time.Time
+}
+
+// table remembers attempts. It is a plain state machine: it reads no clock, does no I/O, and isn't safe for concurrent
+// use.
+//
+// At its bounds it drops the oldest response, which makes the attempt's outcome unknown, and the oldest record of a
+// terminal attempt, which makes the attempt forgotten. Attempts that wait or run are never dropped; admission bounds
+// them. For each entry incarnation the table keeps the highest sequence that it has forgotten: an attempt at or below
+// this floor that has no record is forgotten, not never seen, so it neither runs nor is reported as not run.
+//
+// Attempt IDs without a sequence have no floor. Once the record of such an attempt was dropped, such attempts without a
+// record are still accepted, but they are no longer reported as not run.
+type table struct {
+	limits   tableLimits
+	records  map[string]*record
+	terminal fifo[*record]
+	retained fifo[*record]
+	bytes    int64
+	floors   map[string]uint64
+	// unorderedLost tells that the record of an attempt without a sequence was dropped.
+	unorderedLost bool
+}
+
+func newTable(limits tableLimits) *table {
+	return &table{limits: limits, records: map[string]*record{}, floors: map[string]uint64{}}
+}
+
+// state returns the state of an attempt.
+func (t *table) state(id string) state {
+	if r, ok := t.records[id]; ok {
+		return r.state
+	}
+	incarnation, sequence, ordered, _ := structs.ParseAttemptID(id)
+	if !ordered {
+		return neverSeen
+	}
+	floor, known := t.floors[incarnation]
+	if (known && sequence <= floor) || (!known && len(t.floors) >= t.limits.Floors) {
+		return forgotten
+	}
+	return neverSeen
+}
+
+// apply moves an attempt on and returns its new state. Events that the state doesn't allow change nothing.
+func (t *table) apply(id string, e event) (state, error) {
+	from := t.state(id)
+	if e == resolve && t.doubtful(id, from) {
+		return forgotten, nil
+	}
+	to, err := from.next(e)
+	if err != nil || to == from {
+		return from, err
+	}
+	r, ok := t.records[id]
+	if !ok {
+		r = &record{id: id}
+		t.records[id] = r
+	}
+	r.state = to
+	if to.terminal() && !from.terminal() {
+		t.terminal.push(r)
+	}
+	t.dropRecords()
+	return to, nil
+}
+
+// finish stores the response of a running attempt.
+func (t *table) finish(id string, a *response, now time.Time) error {
+	if _, err := t.apply(id, answer); err != nil {
+		return err
+	}
+	r, ok := t.records[id]
+	if !ok {
+		return nil
+	}
+	r.answer, r.finishedAt = a, now
+	t.bytes += a.size()
+	t.retained.push(r)
+	t.expire(now)
+	return nil
+}
+
+// answer returns the retained response of an attempt, or nil.
+func (t *table) answer(id string) *response {
+	if r, ok := t.records[id]; ok {
+		return r.answer
+	}
+	return nil
+}
+
+// expire drops responses that are too old or over the bounds, oldest first.
+func (t *table) expire(now time.Time) {
+	for t.retained.len() > 0 {
+		oldest := t.retained.front()
+		over := t.retained.len() > t.limits.Answers || t.bytes > t.limits.AnswerBytes
+		if !over && now.Sub(oldest.finishedAt) < t.limits.AnswerAge {
+			return
+		}
+		t.evictOldest()
+	}
+}
+
+func (t *table) evictOldest() {
+	r := t.retained.pop()
+	t.bytes -= r.answer.size()
+	r.answer = nil
+	r.state, _ = r.state.next(evict)
+}
+
+func (t *table) dropRecords() {
+	for len(t.records) > t.limits.Records && t.terminal.len() > 0 {
+		oldest := t.terminal.pop()
+		for oldest.state == finished && oldest.answer != nil {
+			t.evictOldest()
+		}
+		delete(t.records, oldest.id)
+		t.raiseFloor(oldest.id)
+	}
+}
+
+func (t *table) raiseFloor(id string) {
+	incarnation, sequence, ordered, _ := structs.ParseAttemptID(id)
+	if !ordered {
+		t.unorderedLost = true
+		return
+	}
+	floor, known := t.floors[incarnation]
+	if !known && len(t.floors) >= t.limits.Floors {
+		return
+	}
+	t.floors[incarnation] = max(floor, sequence)
+}
+
+// doubtful tells whether an attempt without a record may have had one that no floor accounts for.
+func (t *table) doubtful(id string, s state) bool {
+	if s != neverSeen || !t.unorderedLost {
+		return false
+	}
+	_, _, ordered, _ := structs.ParseAttemptID(id)
+	return !ordered
+}
+
+// fifo is a queue that reuses its memory.
+type fifo[T any] struct {
+	items []T
+	head  int
+}
+
+func (f *fifo[T]) len() int { return len(f.items) - f.head }
+
+func (f *fifo[T]) front() T { return f.items[f.head] }
+
+func (f *fifo[T]) push(item T) {
+	if f.head > len(f.items)/2 {
+		n := copy(f.items, f.items[f.head:])
+		clear(f.items[n:])
+		f.items, f.head = f.items[:n], 0
+	}
+	f.items = append(f.items, item)
+}
+
+func (f *fifo[T]) pop() T {
+	var zero T
+	item := f.items[f.head]
+	f.items[f.head] = zero
+	f.head++
+	return item
+}
--- /dev/null
+++ b/agent/requests/upstreamtest/registrar.go
@@ -0,0 +1,106 @@
+package upstreamtest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// registrationTimeout bounds a registration. Leaving takes as long as the agent's requests.
+const registrationTimeout = time.Second
+
+// Registrar keeps an upstream registered with an agent.
+type Registrar struct {
+	// Agent is the address of the agent.
+	Agent        string
+	Registration structs.UpstreamRegistration
+	// Failed is told of each failed registration; it may be nil.
+	Failed func(error)
+}
+
+// Run registers and renews until ctx ends.
+func (r *Registrar) Run(ctx context.Context) {
+	for {
+		next, err := r.Register(ctx)
+		if err != nil {
+			next = registrationTimeout
+			if r.Failed != nil && ctx.Err() == nil {
+				r.Failed(err)
+			}
+		}
+		timer := time.NewTimer(next)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+	}
+}
+
+// Register registers or renews once and returns when to renew.
+func (r *Registrar) Register(ctx context.Context) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, registrationTimeout)
+	defer cancel()
+	body, err := json.Marshal(r.Registration)
+	if err != nil {
+		return 0, eris.Wrap(err, "encoding the registration")
+	}
+	var reply structs.UpstreamReply
+	status, err := r.call(ctx, http.MethodPost, "/v1/upstreams", body, &reply)
+	if err != nil {
+		return 0, err
+	}
+	if status != http.StatusOK || reply.RenewAfterMillis <= 0 {
+		return 0, eris.Errorf("the agent rejected the registration with status %d", status)
+	}
+	return time.Duration(reply.RenewAfterMillis) * time.Millisecond, nil
+}
+
+// Leave tells the agent that the upstream leaves and returns when it may stop, or when ctx ends.
+func (r *Registrar) Leave(ctx context.Context) error {
+	path := "/v1/upstreams/" + url.PathEscape(r.Registration.Service) +
+		"?address=" + url.QueryEscape(r.Registration.Address)
+	for {
+		var reply struct {
+			Left bool `json:"left"`
+		}
+		status, err := r.call(ctx, http.MethodDelete, path, nil, &reply)
+		switch {
+		case err != nil:
+			return err
+		case status != http.StatusOK && status != http.StatusAccepted:
+			return eris.Errorf("the agent rejected the request to leave with status %d", status)
+		case reply.Left:
+			return nil
+		}
+	}
+}
+
+func (r *Registrar) call(ctx context.Context, method, path string, body []byte, reply any) (int, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+r.Agent+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, eris.Wrap(err, "building the request")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, eris.Wrap(err, "calling the agent")
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(response.Body, 4<<10))
+	if err != nil {
+		return 0, eris.Wrap(err, "reading the response of the agent")
+	}
+	if response.StatusCode < http.StatusMultipleChoices {
+		err = eris.Wrap(json.Unmarshal(raw, reply), "decoding the response of the agent")
+	}
+	return response.StatusCode, err
+}
--- /dev/null
+++ b/limit/servicetime.go
@@ -0,0 +1,66 @@
+package limit
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// observationCount is the number of service times that are remembered.
+	observationCount = 64
+	// observationAge is how long a service time counts. Without an end, an upstream that was slow once would stay refused
+	// for all requests with short deadlines, since refused requests yield no new observation.
+	observationAge = 10 * time.Second
+)
+
+// serviceTimes remembers the newest service times of an upstream.
+type serviceTimes struct {
+	took   [observationCount]time.Duration
+	at     [observationCount]time.Time
+	next   int
+	cached timeSummary
+	// validUntil is when the oldest observation in cached no longer counts.
+	validUntil time.Time
+}
+
+// timeSummary holds the 10th, 50th and 90th percentile of the observed service times, or zeros when there are none.
+type timeSummary struct {
+	low, typical, high time.Duration
+	count              int
+}
+
+func (t *serviceTimes) observe(took time.Duration, now time.Time) {
+	t.took[t.next], t.at[t.next] = took, now
+	t.next = (t.next + 1) % observationCount
+	t.refresh(now)
+}
+
+func (t *serviceTimes) summary(now time.Time) timeSummary {
+	if t.cached.count > 0 && !now.Before(t.validUntil) {
+		t.refresh(now)
+	}
+	return t.cached
+}
+
+func (t *serviceTimes) refresh(now time.Time) {
+	var buffer [observationCount]time.Duration
+	fresh := buffer[:0]
+	t.validUntil = now.Add(observationAge)
+	for i, at := range t.at {
+		until := at.Add(observationAge)
+		if at.IsZero() || !now.Before(until) {
+			continue
+		}
+		if until.Before(t.validUntil) {
+			t.validUntil = until
+		}
+		fresh = append(fresh, t.took[i])
+	}
+	t.cached = timeSummary{count: len(fresh)}
+	if len(fresh) == 0 {
+		return
+	}
+	slices.Sort(fresh)
+	last := len(fresh) - 1
+	t.cached.low, t.cached.typical, t.cached.high = fresh[last/10], fresh[last/2], fresh[last*9/10]
+}
