--- /dev/null
+++ b/limit/queue_test.go
@@ -0,0 +1,184 @@
+package limit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func after(d time.Duration) time.Time { return start.Add(d) }
+
+// observed returns a queue of one slot that has seen requests of 100 ms.
+func observed(limits QueueLimits) *Queue {
+	q := NewQueue(limits)
+	for n := range 10 {
+		id := fmt.Sprint("seen", n)
+		q.Offer(Request{ID: id, Deadline: after(time.Hour)}, start)
+		q.Finish(id, 100*time.Millisecond, start)
+	}
+	return q
+}
+
+// Guards against an order other than priority, deadline, arrival.
+func TestQueueOrder(t *testing.T) {
+	c := qt.New(t)
+	q := NewQueue(QueueLimits{Slots: 1, Waiting: 10})
+	c.Assert(q.Offer(Request{ID: "first", Deadline: after(time.Minute)}, start).Start, qt.DeepEquals, []string{"first"})
+	for _, r := range []Request{
+		{"low", 2, after(time.Second)},
+		{"late", 0, after(3 * time.Second)},
+		{"soon", 0, after(2 * time.Second)},
+		{"soon too", 0, after(2 * time.Second)},
+		{"normal", 1, after(time.Second)},
+	} {
+		c.Assert(q.Offer(r, start), qt.DeepEquals, Changes{})
+	}
+	previous := "first"
+	for _, want := range []string{"soon", "soon too", "late", "normal", "low"} {
+		c.Assert(q.Finish(previous, time.Microsecond, start).Start, qt.DeepEquals, []string{want})
+		previous = want
+	}
+}
+
+// Guards against a full queue that turns away an important request, or one that displaces more important ones.
+func TestFullQueueRefusesTheLast(t *testing.T) {
+	c := qt.New(t)
+	q := NewQueue(QueueLimits{Slots: 1, Waiting: 1})
+	q.Offer(Request{ID: "running", Deadline: after(time.Minute)}, start)
+	q.Offer(Request{ID: "normal", Rank: 1, Deadline: after(time.Minute)}, start)
+	refused := q.Offer(Request{ID: "low", Rank: 2, Deadline: after(time.Minute)}, start).Refuse
+	c.Assert(refused, qt.DeepEquals, []Refusal{{"low", ReasonQueueFull, blindRetryAfter}})
+	refused = q.Offer(Request{ID: "critical", Deadline: after(time.Minute)}, start).Refuse
+	c.Assert(refused, qt.DeepEquals, []Refusal{{"normal", ReasonQueueFull, blindRetryAfter}})
+	c.Assert(q.Load(), qt.Equals, Load{Running: 1, Queued: 1, Slots: 1})
+}
+
+// Guards against requests that wait although they can't finish, and against a Retry-After that is too early to help.
+func TestHopelessRequestsAreRefusedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	q := observed(QueueLimits{Slots: 1, Waiting: 10})
+	c.Assert(q.Offer(Request{ID: "short", Deadline: after(99 * time.Millisecond)}, start).Refuse, qt.HasLen, 1)
+	q.Offer(Request{ID: "a", Deadline: after(time.Second)}, start)
+	q.Offer(Request{ID: "b", Deadline: after(time.Second)}, start)
+	// Two requests are ahead, so that the third finishes after 300 ms; with its budget of 150 ms it fits 150 ms later.
+	refused := q.Offer(Request{ID: "c", Rank: 2, Deadline: after(150 * time.Millisecond)}, start).Refuse
+	c.Assert(refused, qt.DeepEquals, []Refusal{{"c", ReasonTooLate, 150 * time.Millisecond}})
+	c.Assert(q.Offer(Request{ID: "d", Rank: 2, Deadline: after(300 * time.Millisecond)}, start), qt.DeepEquals, Changes{})
+}
+
+// Guards against requests that are held until their deadline behind a stalled upstream.
+func TestStalledUpstreamRefusesEarly(t *testing.T) {
+	c := qt.New(t)
+	q := observed(QueueLimits{Slots: 1, Waiting: 10})
+	q.Offer(Request{ID: "stalled", Deadline: after(time.Minute)}, start)
+	q.Offer(Request{ID: "waiting", Deadline: after(2 * time.Second)}, start)
+	c.Assert(q.Tick(after(900*time.Millisecond)).Refuse, qt.HasLen, 0)
+	refused := q.Tick(after(1100 * time.Millisecond)).Refuse
+	c.Assert(refused, qt.HasLen, 1)
+	c.Assert(refused[0].Reason, qt.Equals, ReasonTooLate)
+}
+
+// Guards against an upstream that was slow once and is refused for ever, as refused requests yield no observations.
+func TestOldServiceTimesAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	q := observed(QueueLimits{Slots: 1, Waiting: 10})
+	r := Request{ID: "short", Deadline: after(observationAge + 50*time.Millisecond)}
+	c.Assert(q.Offer(r, after(observationAge-time.Millisecond)).Refuse, qt.HasLen, 1)
+	c.Assert(q.Offer(r, after(observationAge)).Start, qt.DeepEquals, []string{"short"})
+}
+
+// Guards against lost or repeated decisions: each request is started or refused once, or cancelled, within the bounds.
+func TestQueueAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := QueueLimits{Slots: rapid.IntRange(1, 4).Draw(t, "slots"), Waiting: rapid.IntRange(0, 4).Draw(t, "waiting")}
+		q := NewQueue(limits)
+		now := start
+		states := map[string]string{}
+		apply := func(c Changes) {
+			for _, id := range c.Start {
+				if states[id] != "waiting" {
+					t.Fatalf("%s starts, it was %q", id, states[id])
+				}
+				states[id] = "running"
+			}
+			for _, r := range c.Refuse {
+				if states[r.ID] != "waiting" || r.RetryAfter < minRetryAfter || r.RetryAfter > maxRetryAfter {
+					t.Fatalf("%+v, it was %q", r, states[r.ID])
+				}
+				states[r.ID] = "refused"
+			}
+		}
+		id := func(t *rapid.T) string { return fmt.Sprint(rapid.IntRange(0, 12).Draw(t, "id")) }
+		t.Repeat(map[string]func(*rapid.T){
+			"offer": func(t *rapid.T) {
+				name := id(t)
+				if states[name] == "waiting" || states[name] == "running" {
+					if c := q.Offer(Request{ID: name, Deadline: now.Add(time.Hour)}, now); c.Refuse[0].Reason != ReasonDuplicate {
+						t.Fatalf("duplicate: %+v", c)
+					}
+					return
+				}
+				states[name] = "waiting"
+				budget := time.Duration(rapid.IntRange(-1, 3000).Draw(t, "budget")) * time.Millisecond
+				apply(q.Offer(Request{ID: name, Rank: rapid.IntRange(0, 2).Draw(t, "rank"), Deadline: now.Add(budget)}, now))
+			},
+			"finish": func(t *rapid.T) {
+				name := id(t)
+				took := time.Duration(rapid.IntRange(-1, 500).Draw(t, "took")) * time.Millisecond
+				if states[name] == "running" {
+					states[name] = "done"
+				}
+				apply(q.Finish(name, took, now))
+			},
+			"cancel": func(t *rapid.T) {
+				name := id(t)
+				if q.Cancel(name) != (states[name] == "waiting") {
+					t.Fatalf("cancel of %s, which is %q", name, states[name])
+				}
+				if states[name] == "waiting" {
+					states[name] = "cancelled"
+				}
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "millis")) * time.Millisecond)
+				apply(q.Tick(now))
+			},
+			"": func(t *rapid.T) {
+				count := map[string]int{}
+				for _, s := range states {
+					count[s]++
+				}
+				load := q.Load()
+				if load.Running != count["running"] || load.Queued != count["waiting"] {
+					t.Fatalf("load %+v, oracle %v", load, count)
+				}
+				if load.Running > limits.Slots || load.Queued > limits.Waiting || (load.Queued > 0 && load.Running < limits.Slots) {
+					t.Fatalf("load %+v with limits %+v", load, limits)
+				}
+			},
+		})
+	})
+}
+
+// BenchmarkOffer measures the admission of a request into a full system: 8 running and 31 waiting.
+func BenchmarkOffer(b *testing.B) {
+	q := NewQueue(QueueLimits{Slots: 8, Waiting: 32})
+	for n := range 39 {
+		q.Offer(Request{ID: fmt.Sprint(n), Rank: n % 3, Deadline: after(time.Duration(n) * time.Minute)}, start)
+	}
+	for n := range observationCount {
+		q.times.observe(time.Duration(n+1)*time.Millisecond, start)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		q.Offer(Request{ID: "x", Rank: 1, Deadline: after(time.Hour)}, start)
+		if !q.Cancel("x") {
+			b.Fatal("the request doesn't wait")
+		}
+	}
+}
