Test accepted changes under faults

Cause: an outcome reported to an operator must match what the store holds. Ruled out: random faults only; twelve kinds at each of the first twelve calls cover every position. Change: tests of rejected changes, of content after the store, of each fault at each call, and of the removal of unused blobs.

--- /dev/null
+++ b/config/apply_test.go
@@ -0,0 +1,225 @@
+package config_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/config"
+	"github.com/quetzalshed/quetzalshed/findings"
+	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// inventoryCSV returns an inventory with the same number of workers in each failure domain.
+func inventoryCSV(domains, perDomain, cores int) []byte {
+	var b strings.Builder
+	b.WriteString("worker,address,agent_address,failure_domain,rack,cores,memory_mb,accelerators,accelerator_kind\n")
+	for d := range domains {
+		for w := range perDomain {
+			ip := fmt.Sprintf("10.%d.%d.%d", d+1, w/200, w%200+1)
+			fmt.Fprintf(&b, "d%d-w%d,%s:7700,%s:7810,d%d,r%d,%d,61440,0,\n", d, w, ip, ip, d, w/3, cores)
+		}
+	}
+	return []byte(b.String())
+}
+
+func inventoryChange(id string, data []byte) config.Change {
+	return config.Change{ID: id, Inventory: &config.InventoryFile{Name: "inventory.csv", Format: config.FormatCSV, Data: data}}
+}
+
+func rulesChange(id, text string) config.Change {
+	return config.Change{ID: id, Rules: &config.RulesFile{Name: "rules.ini", Data: []byte(text)}}
+}
+
+func domainChange(id, name string, out bool) config.Change {
+	return config.Change{ID: id, Domain: &config.DomainChange{Name: name, Out: out}}
+}
+
+func newAcceptor(s store.Store) *config.Acceptor {
+	acceptor := config.NewAcceptor(s, config.NewBlobs(config.StoreSource{Store: s}))
+	acceptor.RetryPause = time.Microsecond
+	return acceptor
+}
+
+// Guards against findings that are reported one at a time or without their place, and against a rejected change of
+// which a part is written.
+func TestRejectedChangeReportsAllFindingsAndWritesNothing(t *testing.T) {
+	c := qt.New(t)
+	backend := storetest.New(clock.NewManual(start))
+	acceptor := newAcceptor(backend)
+	ctx := context.Background()
+	_, err := acceptor.Apply(ctx, 0, inventoryChange("a", inventoryCSV(2, 4, 16)))
+	c.Assert(err, qt.IsNil)
+	keys := backend.Keys("")
+	_, err = acceptor.Apply(ctx, 1, rulesChange("b", `[batch]
+racks_without_batch = d0/r0, d9/r0, r1
+[service a]
+before = b
+failure_domains = d0, mars
+[service b]
+spread_domains = 3
+`))
+	c.Assert(err, qt.ErrorMatches, `rules.ini:2 \[batch\] racks_without_batch: rack "d9/r0" is not in the inventory
+rules.ini:2 \[batch\] racks_without_batch: rack "r1" is in several failure domains; write one of: d0/r1, d1/r1
+rules.ini:5 \[service a\] failure_domains: failure domain "mars" is not in the inventory
+rules.ini:7 \[service b\] spread_domains: spread_domains 3 is above the 2 failure domains of the inventory`)
+	c.Assert(backend.Keys(""), qt.Equals, keys)
+	_, err = acceptor.Apply(ctx, 1, rulesChange("c", "[batch]\nracks_without_batch = d1/r0\n"))
+	c.Assert(err, qt.IsNil)
+	_, err = acceptor.Apply(ctx, 2, inventoryChange("d", inventoryCSV(1, 4, 16)))
+	c.Assert(err, qt.ErrorMatches, `rules in force:2 \[batch\] racks_without_batch: rack "d1/r0" is not in the inventory`)
+	_, err = acceptor.Apply(ctx, config.AnyBase, domainChange("e", "d7", true))
+	c.Assert(err, qt.ErrorMatches, `failure domain "d7" is not in the inventory`)
+	var found *findings.Error
+	_, err = acceptor.Apply(ctx, config.AnyBase, inventoryChange("f", inventoryCSV(2, 4, 16)))
+	c.Assert(errors.As(err, &found), qt.IsTrue)
+}
+
+// Guards against a failure domain that returns to service because the inventory was replaced, and against rules and
+// inventories that differ after they were stored.
+func TestContentSurvivesTheStore(t *testing.T) {
+	c := qt.New(t)
+	backend := storetest.New(clock.NewManual(start))
+	acceptor := newAcceptor(backend)
+	ctx := context.Background()
+	rules := "[cluster]\nstart_freshness = 1s\nshards = 3\n[team x]\ncores = 1.5\nmemory_mb = 10\n[batch]\nracks_without_batch = d1/r0\n"
+	for i, change := range []config.Change{
+		inventoryChange("a", inventoryCSV(3, 4, 16)), domainChange("b", "d1", true), rulesChange("c", rules),
+		inventoryChange("d", inventoryCSV(3, 5, 8)),
+	} {
+		head, err := acceptor.Apply(ctx, int64(i), change)
+		c.Assert(err, qt.IsNil)
+		c.Assert(head.Revision, qt.Equals, int64(i+1))
+	}
+	head, err := newAcceptor(backend).Current(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert(head.Domains["d1"].Out, qt.IsTrue)
+	c.Assert(head.Domains["d2"].Out, qt.IsFalse)
+	c.Assert(head.StartFreshness(), qt.Equals, time.Second)
+	blobs := config.NewBlobs(config.StoreSource{Store: backend})
+	loaded, _, err := blobs.LoadRules(ctx, head)
+	c.Assert(err, qt.IsNil)
+	c.Assert(loaded.Shards, qt.Equals, 3)
+	c.Assert(loaded.BatchAllowed("d1", "r0"), qt.IsFalse)
+	c.Assert(loaded.BatchAllowed("d0", "r0"), qt.IsTrue)
+	quota, ok := loaded.Quota("x")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(quota.MilliCores, qt.Equals, int64(1500))
+	inventory, err := blobs.LoadInventory(ctx, head)
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(inventory.Workers), qt.Equals, 15)
+	worker, ok := inventory.Worker("d2-w4")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(worker.Capacity.MilliCores, qt.Equals, int64(8000))
+	same, err := acceptor.Apply(ctx, config.AnyBase, domainChange("e", "d1", true))
+	c.Assert(err, qt.IsNil)
+	c.Assert(same.Revision, qt.Equals, head.Revision)
+	again, err := acceptor.Apply(ctx, 0, rulesChange("c", rules))
+	c.Assert(err, qt.IsNil)
+	c.Assert(again.Revision, qt.Equals, head.Revision)
+}
+
+// faultAt injects a fault into one call of a store and another one into all calls after it.
+type faultAt struct {
+	*storetest.Store
+	call, at    int
+	first, then storetest.Faults
+}
+
+func (f *faultAt) step() {
+	f.call++
+	if f.call == f.at {
+		f.SetFaults(f.first)
+	} else if f.call == f.at+1 {
+		f.SetFaults(f.then)
+	}
+}
+
+func (f *faultAt) Get(ctx context.Context, key string) (store.Entry, error) {
+	f.step()
+	return f.Store.Get(ctx, key)
+}
+
+func (f *faultAt) Put(ctx context.Context, key string, value []byte, opts store.PutOptions) (store.Entry, error) {
+	f.step()
+	return f.Store.Put(ctx, key, value, opts)
+}
+
+// Guards against a reported outcome that differs from what the store holds, for each fault at each call of a change, and
+// against a write that was held by the network taking effect after the change was reported as not made.
+func TestFaultAtEachCall(t *testing.T) {
+	const many = 50
+	faults := map[string][2]storetest.Faults{
+		"down":                    {{Down: true}, {}},
+		"down for long":           {{Down: true}, {Down: true}},
+		"lost response":           {{LoseResponses: 1}, {}},
+		"lost responses":          {{LoseResponses: 1}, {LoseResponses: many}},
+		"lost response then down": {{LoseResponses: 1}, {Down: true}},
+		"lost request":            {{LoseRequests: 1}, {}},
+		"lost requests":           {{LoseRequests: 1}, {LoseRequests: many}},
+		"lost request then down":  {{LoseRequests: 1}, {Down: true}},
+		"held":                    {{HoldRequests: 1}, {}},
+		"held requests":           {{HoldRequests: 1}, {HoldRequests: many}},
+		"held then down":          {{HoldRequests: 1}, {Down: true}},
+		"held then lost":          {{HoldRequests: 1}, {LoseResponses: many}},
+	}
+	const calls = 12
+	for name, fault := range faults {
+		for at := 1; at <= calls; at++ {
+			t.Run(fmt.Sprintf("%s at %d", name, at), func(t *testing.T) {
+				c := qt.New(t)
+				backend := storetest.New(clock.NewManual(start))
+				ctx := context.Background()
+				_, err := newAcceptor(backend).Apply(ctx, 0, inventoryChange("base", inventoryCSV(2, 3, 16)))
+				c.Assert(err, qt.IsNil)
+				faulty := &faultAt{Store: backend, at: at, first: fault[0], then: fault[1]}
+				change := inventoryChange("change", inventoryCSV(2, 3, 8))
+				head, err := newAcceptor(faulty).Apply(ctx, 1, change)
+				backend.SetFaults(storetest.Faults{})
+				backend.ReleaseHeld()
+				current, readErr := newAcceptor(backend).Current(ctx)
+				c.Assert(readErr, qt.IsNil)
+				applied := current.ChangeID() == "change"
+				switch {
+				case err == nil:
+					c.Assert(applied, qt.IsTrue)
+					c.Assert(head.Revision, qt.Equals, int64(2))
+				case errors.Is(err, store.ErrUnknownResult):
+					c.Assert(errors.Is(err, store.ErrUnavailable), qt.IsFalse)
+				default:
+					c.Assert(errors.Is(err, store.ErrUnavailable), qt.IsTrue, qt.Commentf("%v", err))
+					c.Assert(applied, qt.IsFalse)
+				}
+				_, err = config.NewBlobs(config.StoreSource{Store: backend}).LoadInventory(ctx, current)
+				c.Assert(err, qt.IsNil)
+			})
+		}
+	}
+}
+
+// Guards against blobs that pile up, and against the removal of one that the head names.
+func TestUnusedBlobsAreRemoved(t *testing.T) {
+	c := qt.New(t)
+	backend := storetest.New(clock.NewManual(start))
+	ctx := context.Background()
+	acceptors := []*config.Acceptor{newAcceptor(backend), newAcceptor(backend)}
+	for i := range 100 {
+		// Two contents alternate, so that blobs become unused and are needed again.
+		_, err := acceptors[i%2].Apply(ctx, int64(i), inventoryChange("", inventoryCSV(3, 2, 1+i%5)))
+		c.Assert(err, qt.IsNil)
+		head, err := acceptors[0].Current(ctx)
+		c.Assert(err, qt.IsNil)
+		_, err = config.NewBlobs(config.StoreSource{Store: backend}).LoadInventory(ctx, head)
+		c.Assert(err, qt.IsNil)
+		c.Assert(backend.Keys("config/") < 60, qt.IsTrue, qt.Commentf("%d keys", backend.Keys("config/")))
+	}
+}
