Check idle connections before use and test the faults of attempts

Cause: after an agent restarts, a non-idempotent request on one of its closed connections could only end as unknown, since the new process can't tell whether the old one ran it. A single upstream whose connection lost a request was not tried again, although nothing spoke against it. Ruled out: a reader goroutine per idle connection, which would detect the close as well but costs a goroutine and a hand-over per connection. Change: a non-blocking read before reuse; an attempt that the agent never saw doesn't exclude the agent; the choice starts at a random upstream so that equal scores don't all go to the first one; tests of 15 faults on the wire, muted connections, incarnation changes, lost resolves, hedges and deadlines. Conclusion: each fault ends in the one outcome that is certain.

--- /dev/null
+++ b/forward/forwarder_test.go
@@ -0,0 +1,384 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/forward/forwardtest"
+	"github.com/quetzalshed/quetzalshed/limit"
+	"github.com/quetzalshed/quetzalshed/routing"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+const testSilence = 100 * time.Millisecond
+
+// fleet is a forwarder with fake agents.
+type fleet struct {
+	*Forwarder
+	table  *routing.Table
+	agents []*forwardtest.Agent
+}
+
+func newFleet(t testing.TB, agents int, budget *limit.RetryBudget) *fleet {
+	t.Helper()
+	table := routing.NewTable(routing.Options{
+		Domain: "patan", Clock: clock.System{}, Pace: routing.Pace{Min: time.Minute, Max: time.Minute},
+		DefaultServiceTime: time.Millisecond,
+	})
+	pool := NewPool(PoolOptions{
+		Silence: testSilence, DialTimeout: time.Second, ProbeEvery: 20 * time.Millisecond, ProbeTimeout: testSilence,
+		IdleTimeout: time.Minute, MaxPerAddress: 64, MaxIdle: 64,
+	})
+	f := &fleet{table: table, Forwarder: New(Options{
+		Pool: pool, Table: table, Budget: budget, Latencies: NewLatencies(time.Minute), Metrics: tally.NoopScope,
+		Tracer: noop.NewTracerProvider().Tracer(""), ResolveTimeout: time.Second, SuspectFor: time.Second, MaxCleanups: 8,
+	})}
+	t.Cleanup(func() {
+		f.Wait()
+		pool.Close()
+	})
+	for i := range agents {
+		agent, err := forwardtest.New(string(rune('a' + i)))
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(agent.Close)
+		f.agents = append(f.agents, agent)
+		f.announce(t, agent, 1)
+	}
+	return f
+}
+
+func (f *fleet) announce(t testing.TB, agent *forwardtest.Agent, sequence int64) {
+	announcement := agent.Announcement("price", sequence)
+	_, err := f.table.Apply(&announcement, 100)
+	qt.Assert(t, err, qt.IsNil)
+}
+
+// faults gives each agent the same script: one fault for each attempt, None after the last.
+func (f *fleet) faults(script ...forwardtest.Fault) {
+	var mu sync.Mutex
+	next := 0
+	for _, agent := range f.agents {
+		agent.Next = func(int) forwardtest.Fault {
+			mu.Lock()
+			defer mu.Unlock()
+			next++
+			if next > len(script) {
+				return forwardtest.None
+			}
+			return script[next-1]
+		}
+	}
+}
+
+func (f *fleet) runs(body string) (total int) {
+	for _, agent := range f.agents {
+		total += agent.RunsOf(body)
+	}
+	return total
+}
+
+func (f *fleet) sends() (total int) {
+	for _, agent := range f.agents {
+		total += agent.Sends()
+	}
+	return total
+}
+
+func plenty() *limit.RetryBudget { return limit.NewRetryBudget(1, 1000) }
+
+func request(body string, idempotent bool, timeout time.Duration) *Request {
+	return &Request{
+		Service: "price", Method: http.MethodPost, Path: "/p", Body: []byte(body), Idempotent: idempotent,
+		Header: http.Header{"Idempotency-Key": {"k"}}, Deadline: time.Now().Add(timeout),
+	}
+}
+
+// assignAll accepts every attempt and counts them.
+type assignAll struct{ count int }
+
+func (a *assignAll) Assign(context.Context, Target, string) error {
+	a.count++
+	return nil
+}
+
+func (f *fleet) once(t testing.TB, body string) Result {
+	t.Helper()
+	return f.Do(t.Context(), request(body, false, 5*time.Second), &assignAll{})
+}
+
+// Guards against a second send by the connection pool itself: http.Transport sends a request with an Idempotency-Key
+// again when a reused connection breaks.
+func TestReusedConnectionThatBreaksSendsOnce(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		fault forwardtest.Fault
+		want  structs.Outcome
+	}{
+		{"the response is retained", forwardtest.RunClose, structs.OutcomeAnswered},
+		{"the response is lost", forwardtest.Forget, structs.OutcomeUnknown},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(t, 1, plenty())
+			f.faults(forwardtest.None, test.fault)
+			qt.Assert(t, f.once(t, "warm").Outcome, qt.Equals, structs.OutcomeAnswered)
+			qt.Assert(t, f.agents[0].Connections(), qt.Equals, 1)
+			result := f.once(t, "payload")
+			qt.Assert(t, result.Outcome, qt.Equals, test.want)
+			qt.Assert(t, f.agents[0].Sends(), qt.Equals, 2, qt.Commentf("one send per request"))
+			qt.Assert(t, f.runs("payload"), qt.Equals, 1)
+		})
+	}
+}
+
+// Guards against a response that is lost, truncated, repeated, altered or someone else's reaching the caller (P5), a
+// non-idempotent request that runs twice (P7), and not-run for a request that ran (P6).
+func TestFaultsOfNonIdempotentRequests(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		fault forwardtest.Fault
+		want  structs.Outcome
+		sends int
+	}{
+		{"lost with the connection", forwardtest.LoseClose, structs.OutcomeAnswered, 2},
+		{"lost in silence", forwardtest.LoseSilent, structs.OutcomeAnswered, 2},
+		{"rejected", forwardtest.Reject, structs.OutcomeAnswered, 2},
+		{"ran, then closed", forwardtest.RunClose, structs.OutcomeAnswered, 1},
+		{"ran, then silent", forwardtest.RunSilent, structs.OutcomeAnswered, 1},
+		{"truncated", forwardtest.Truncate, structs.OutcomeAnswered, 1},
+		{"wrong checksum", forwardtest.BadChecksum, structs.OutcomeAnswered, 1},
+		{"response to another attempt", forwardtest.WrongAttempt, structs.OutcomeAnswered, 1},
+		{"repeated response", forwardtest.Duplicate, structs.OutcomeAnswered, 1},
+		{"no length", forwardtest.NoLength, structs.OutcomeAnswered, 1},
+		{"oversized", forwardtest.Oversized, structs.OutcomeAnswered, 1},
+		{"wrong length", forwardtest.WrongLength, structs.OutcomeAnswered, 1},
+		{"endless headers", forwardtest.HugeHeader, structs.OutcomeAnswered, 1},
+		{"queued in silence", forwardtest.QueueSilent, structs.OutcomeAnswered, 2},
+		{"ran and forgotten", forwardtest.Forget, structs.OutcomeUnknown, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(t, 2, plenty())
+			f.faults(test.fault)
+			result := f.once(t, "payload")
+			qt.Assert(t, result.Outcome, qt.Equals, test.want, qt.Commentf("%s", result.Reason))
+			qt.Assert(t, f.sends(), qt.Equals, test.sends)
+			qt.Assert(t, f.runs("payload"), qt.Equals, 1)
+			if test.want == structs.OutcomeAnswered {
+				qt.Assert(t, string(result.Body), qt.Equals, "/p:payload")
+			}
+			// The next request on the same connections gets its own response.
+			for _, body := range []string{"x", "y", "z"} {
+				next := f.once(t, body)
+				qt.Assert(t, string(next.Body), qt.Equals, "/p:"+body)
+			}
+		})
+	}
+}
+
+// Guards against connections that went silent stalling requests while new connections work.
+func TestMutedConnections(t *testing.T) {
+	f := newFleet(t, 1, plenty())
+	f.once(t, "warm")
+	f.agents[0].Mute()
+	result := f.once(t, "payload")
+	qt.Assert(t, result.Outcome, qt.Equals, structs.OutcomeAnswered)
+	qt.Assert(t, f.runs("payload"), qt.Equals, 1)
+	open, idle := f.opts.Pool.Counts()
+	qt.Assert(t, open, qt.Equals, idle, qt.Commentf("a silent connection was kept"))
+}
+
+// Guards against idle connections that went silent staying in the pool until a request meets them.
+func TestProbesDropSilentIdleConnections(t *testing.T) {
+	f := newFleet(t, 1, plenty())
+	probed := make(chan error, 16)
+	f.opts.Pool.opts.OnProbe = func(_ string, _ time.Duration, err error) { probed <- err }
+	f.once(t, "warm")
+	ctx, cancel := context.WithCancel(t.Context())
+	var done sync.WaitGroup
+	done.Go(func() { f.opts.Pool.RunProbes(ctx) })
+	qt.Assert(t, <-probed, qt.IsNil)
+	f.agents[0].Mute()
+	for err := range probed {
+		if err != nil {
+			break
+		}
+	}
+	open, _ := f.opts.Pool.Counts()
+	qt.Assert(t, open, qt.Equals, 0)
+	cancel()
+	done.Wait()
+}
+
+// Guards against connections that a restarted agent has closed being used, which would make outcomes unknown.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	f := newFleet(t, 1, plenty())
+	f.once(t, "warm")
+	f.agents[0].Restart()
+	f.announce(t, f.agents[0], 1)
+	waitFor(t, func() bool { return staleIdle(f.opts.Pool) })
+	result := f.once(t, "payload")
+	qt.Assert(t, result.Outcome, qt.Equals, structs.OutcomeAnswered)
+	qt.Assert(t, result.Attempts, qt.Equals, 1)
+}
+
+func staleIdle(p *Pool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, known := range p.peers {
+		for _, c := range known.idle {
+			if c.stale() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// waitFor waits for a state that another goroutine reaches, for at most ten seconds.
+func waitFor(t testing.TB, reached func() bool) {
+	t.Helper()
+	for range 10_000 {
+		if reached() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("the state was not reached")
+}
+
+// Guards against outcomes that a restarted agent can't know being reported as not run.
+func TestIncarnationChange(t *testing.T) {
+	f := newFleet(t, 2, plenty())
+	f.faults(forwardtest.Hold)
+	results := make(chan Result, 1)
+	go func() { results <- f.once(t, "payload") }()
+	waitFor(t, func() bool { return f.sends() == 1 })
+	for _, agent := range f.agents {
+		agent.Restart()
+	}
+	qt.Assert(t, (<-results).Outcome, qt.Equals, structs.OutcomeUnknown)
+	// A stale incarnation in the table costs a refusal, not a run at a process that the entry doesn't know.
+	stale := f.once(t, "later")
+	qt.Assert(t, stale.Outcome, qt.Equals, structs.OutcomeNotRun)
+	qt.Assert(t, f.runs("later"), qt.Equals, 0)
+	f.announce(t, f.agents[0], 1)
+	qt.Assert(t, f.once(t, "later").Outcome, qt.Equals, structs.OutcomeAnswered)
+}
+
+// Guards against a running attempt whose connection is lost being given up, and its response not being fetched.
+func TestRunningAttemptIsPolled(t *testing.T) {
+	f := newFleet(t, 1, plenty())
+	f.faults(forwardtest.Hold)
+	results := make(chan Result, 1)
+	go func() { results <- f.once(t, "payload") }()
+	waitFor(t, func() bool { return f.sends() == 1 })
+	f.agents[0].CutConnections()
+	waitFor(t, func() bool { return f.agents[0].Connections() > 2 })
+	f.agents[0].Release()
+	result := <-results
+	qt.Assert(t, result.Outcome, qt.Equals, structs.OutcomeAnswered)
+	qt.Assert(t, f.runs("payload"), qt.Equals, 1)
+}
+
+// Guards against interim responses that don't count as liveness: a slow request must outlive the silence limit.
+func TestInterimResponsesKeepAttemptAlive(t *testing.T) {
+	f := newFleet(t, 1, plenty())
+	f.faults(forwardtest.Hold)
+	time.AfterFunc(3*testSilence, f.agents[0].Release)
+	result := f.once(t, "payload")
+	qt.Assert(t, result.Outcome, qt.Equals, structs.OutcomeAnswered)
+	qt.Assert(t, f.agents[0].Connections(), qt.Equals, 1, qt.Commentf("the attempt was resolved"))
+}
+
+// Guards against one lost response to a resolve making the outcome unknown, and against endless resolves.
+func TestLostResolves(t *testing.T) {
+	f := newFleet(t, 1, plenty())
+	f.faults(forwardtest.RunClose, forwardtest.RunClose)
+	f.agents[0].DropResolves(maxFailedResolves - 1)
+	qt.Assert(t, f.once(t, "a").Outcome, qt.Equals, structs.OutcomeAnswered)
+	f.agents[0].DropResolves(maxFailedResolves)
+	qt.Assert(t, f.once(t, "b").Outcome, qt.Equals, structs.OutcomeUnknown)
+}
+
+// Guards against retries without a budget, and against a request that is held after it was given up on.
+func TestExhaustedBudget(t *testing.T) {
+	f := newFleet(t, 2, limit.NewRetryBudget(0, 0))
+	f.faults(forwardtest.Reject)
+	result := f.Do(t.Context(), request("payload", true, time.Minute), nil)
+	qt.Assert(t, result.Outcome, qt.Equals, structs.OutcomeNotRun)
+	qt.Assert(t, result.RetryAfter > 0, qt.IsTrue)
+	qt.Assert(t, f.sends(), qt.Equals, 1)
+}
+
+// Guards against a slow upstream that sets the latency although another could answer.
+func TestHedge(t *testing.T) {
+	f := newFleet(t, 2, plenty())
+	f.opts.Latencies = NewLatencies(time.Millisecond)
+	f.faults(forwardtest.Hold)
+	result := f.Do(t.Context(), request("payload", true, time.Minute), nil)
+	qt.Assert(t, result.Outcome, qt.Equals, structs.OutcomeAnswered)
+	qt.Assert(t, result.Attempts, qt.Equals, 2)
+	qt.Assert(t, f.sends(), qt.Equals, 2)
+}
+
+// Guards against a queued attempt that goes on to run after its request has ended.
+func TestDeadlineCancelsQueuedAttempt(t *testing.T) {
+	f := newFleet(t, 1, plenty())
+	f.faults(forwardtest.QueueSilent)
+	result := f.Do(t.Context(), request("payload", false, testSilence/2), &assignAll{})
+	qt.Assert(t, result.Outcome, qt.Equals, structs.OutcomeUnknown)
+	f.Wait()
+	qt.Assert(t, f.agents[0].States(), qt.DeepEquals, map[structs.AttemptState]int{structs.AttemptCancelled: 1})
+}
+
+// Guards against a send after the deadline, and against a send without a record.
+func TestNothingIsSent(t *testing.T) {
+	f := newFleet(t, 1, plenty())
+	late := f.Do(t.Context(), request("late", false, -time.Second), &assignAll{})
+	qt.Assert(t, late.Outcome, qt.Equals, structs.OutcomeNotRun)
+	slow := f.Do(t.Context(), request("slow", false, 20*time.Millisecond), assignFunc(func() error {
+		time.Sleep(30 * time.Millisecond)
+		return nil
+	}))
+	qt.Assert(t, slow.Outcome, qt.Equals, structs.OutcomeNotRun)
+	failed := f.Do(t.Context(), request("failed", false, time.Minute), assignFunc(func() error { return errors.New("down") }))
+	qt.Assert(t, failed.Outcome, qt.Equals, structs.OutcomeNotRun)
+	qt.Assert(t, failed.AssignError, qt.ErrorMatches, "down")
+	qt.Assert(t, f.sends(), qt.Equals, 0)
+}
+
+type assignFunc func() error
+
+func (a assignFunc) Assign(context.Context, Target, string) error { return a() }
+
+// Guards against an unreachable agent ending requests that others could run.
+func TestUnreachableAgent(t *testing.T) {
+	f := newFleet(t, 2, plenty())
+	f.agents[0].Close()
+	for range 4 {
+		qt.Assert(t, f.once(t, "payload").Outcome, qt.Equals, structs.OutcomeAnswered)
+	}
+	f.agents[1].Close()
+	result := f.once(t, "payload")
+	qt.Assert(t, result.Outcome, qt.Equals, structs.OutcomeNotRun)
+	qt.Assert(t, result.Status, qt.Equals, http.StatusServiceUnavailable)
+}
+
+// Guards against large bodies that are cut on the way in either direction.
+func TestLargeBodies(t *testing.T) {
+	f := newFleet(t, 1, plenty())
+	f.agents[0].Run = func(_, _ string, body []byte) string { return strings.Repeat(string(body), 8)[:structs.MaxAnswerBody] }
+	body := strings.Repeat("0123456789abcdef", structs.MaxRequestBody/16)
+	result := f.Do(t.Context(), request(body, true, time.Minute), nil)
+	qt.Assert(t, result.Outcome, qt.Equals, structs.OutcomeAnswered)
+	qt.Assert(t, len(result.Body), qt.Equals, structs.MaxAnswerBody)
+}
--- a/forward/forwardtest/agent.go
+++ b/forward/forwardtest/agent.go
@@ -159,7 +159,7 @@
 // Release lets the held attempts run.
 func (a *Agent) Release() { close(a.held) }
 
-// Runs returns how often the upstream ran, and Sends how many attempts arrived.
+// Runs returns how often the upstream ran.
 func (a *Agent) Runs() (total int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -329,3 +329,23 @@
 		}
 	}
 }
+
+// CutConnections closes all connections; the agent goes on.
+func (a *Agent) CutConnections() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for c := range a.open {
+		_ = c.Close()
+	}
+}
+
+// States counts the attempts by state.
+func (a *Agent) States() map[structs.AttemptState]int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	counts := map[structs.AttemptState]int{}
+	for _, known := range a.attempts {
+		counts[known.state]++
+	}
+	return counts
+}
--- /dev/null
+++ b/forward/main_test.go
@@ -0,0 +1,13 @@
+package forward
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of rapid; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261204")
+	os.Exit(m.Run())
+}
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -57,6 +57,15 @@
 	since, probed time.Time
 }
 
+// takeIdle removes the newest idle connection.
+func (p *peer) takeIdle() *idleConn {
+	n := len(p.idle) - 1
+	c := p.idle[n]
+	p.idle[n] = nil
+	p.idle = p.idle[:n]
+	return c
+}
+
 // NewPool returns an empty pool.
 func NewPool(opts PoolOptions) *Pool {
 	if opts.Dial == nil {
@@ -81,10 +90,14 @@
 		known = &peer{}
 		p.peers[address] = known
 	}
-	if n := len(known.idle); n > 0 && !fresh {
-		c := known.idle[n-1]
-		known.idle = known.idle[:n-1]
+	for !fresh && len(known.idle) > 0 {
+		c := known.takeIdle()
 		p.idle--
+		if c.stale() {
+			_ = c.raw.Close()
+			known.open--
+			continue
+		}
 		p.mu.Unlock()
 		c.reused = true
 		return &lease{c.conn, c.distrust}, nil
--- a/forward/run.go
+++ b/forward/run.go
@@ -21,10 +21,11 @@
 	assigner Assigner
 	attempts []*attempt
 	results  chan result
-	tried    []routing.ID
 	next     routing.Candidate
 	verdict  routing.Verdict
 	hedgeAt  time.Time
+	// denied is set when another request took the last token of the retry budget.
+	denied bool
 }
 
 type attempt struct {
@@ -41,6 +42,9 @@
 	polls  int
 	reply  *Reply
 	reason string
+	// undelivered is set when the connection lost the request before the agent saw it, which says nothing against trying
+	// the same agent again.
+	undelivered bool
 }
 
 // result is what an exchange or a resolve of one attempt yielded.
@@ -94,10 +98,10 @@
 	if calm && now.Before(r.hedgeAt) {
 		return v
 	}
-	r.next, r.verdict = r.f.opts.Table.Choose(r.request.Service, r.tried)
+	r.next, r.verdict = r.f.opts.Table.Choose(r.request.Service, r.tried())
 	v.Upstream = r.verdict == routing.Chosen
 	if len(r.attempts) > 0 {
-		v.Budget = r.f.opts.Budget.Available(now)
+		v.Budget = !r.denied && r.f.opts.Budget.Available(now)
 		if !v.Budget {
 			r.f.counters.budgetDenied.Inc(1)
 		}
@@ -105,6 +109,17 @@
 	return v
 }
 
+// tried returns the agent processes that another attempt should avoid.
+func (r *run) tried() []routing.ID {
+	var ids []routing.ID
+	for _, a := range r.attempts {
+		if !a.undelivered {
+			ids = append(ids, a.target.ID)
+		}
+	}
+	return ids
+}
+
 func (r *run) wait(until time.Time) {
 	timer := time.NewTimer(time.Until(until))
 	defer timer.Stop()
@@ -122,8 +137,7 @@
 	a := &attempt{id: NewAttemptID(), target: Target{chosen.ID(), chosen.Address}, hedge: hedge}
 	if len(r.attempts) > 0 {
 		if !r.f.opts.Budget.Take(time.Now()) {
-			// Another request took the token; without an upstream to try, the decision ends the request.
-			r.tried = append(r.tried, chosen.ID())
+			r.denied = true
 			return nil
 		}
 		if hedge {
@@ -138,7 +152,6 @@
 		}
 	}
 	r.attempts = append(r.attempts, a)
-	r.tried = append(r.tried, chosen.ID())
 	a.started = time.Now()
 	if !a.started.Before(r.request.Deadline) {
 		// The record took too long. Nothing was sent.
@@ -263,6 +276,7 @@
 		r.replied(a, got.Reply)
 	case got.State.NotRun():
 		a.Phase, a.reason = PhaseNotRun, "the connection to the agent was lost before the request ran"
+		a.undelivered = got.State == structs.AttemptNeverSeen
 		a.ticket.Done(routing.Observation{})
 	case got.State == structs.AttemptRunning || got.State == structs.AttemptQueued:
 		a.Phase, a.NextResolve = PhaseRunning, time.Now().Add(pollBackoff(a.polls))
--- a/routing/table.go
+++ b/routing/table.go
@@ -279,7 +279,12 @@
 	if complete || len(known.all) <= sampleAbove {
 		s.Complete = true
 		s.Candidates = make([]Candidate, 0, len(known.all))
-		for _, u := range known.all {
+		// The first of equal scores wins. A random start spreads the requests of idle fleets over all upstreams.
+		start := rand.IntN(len(known.all))
+		for _, u := range known.all[start:] {
+			s.Candidates = append(s.Candidates, u.candidate())
+		}
+		for _, u := range known.all[:start] {
 			s.Candidates = append(s.Candidates, u.candidate())
 		}
 		return s
@@ -290,7 +295,7 @@
 	return s
 }
 
-// sample appends n upstreams from a random position on, with a random odd stride. Repeats are harmless.
+// sample appends n random upstreams. Repeats are harmless.
 func sample(to []Candidate, from []*upstream, n int) []Candidate {
 	if len(from) <= n {
 		for _, u := range from {
