Test at-most-once records against lost, late and refused writes

Cause: a record decides whether a non-idempotent request may run, so each way in which the store can fail must leave at most one attempt that may run. Ruled out: treating a read back that finds nothing as proof that the write will never apply; it isn't needed, since an attempt is sent only after its record was seen. Change: a fake store with refused, lost and late writes; tests of Assign under each; a rapid state machine of three entries with one key.

--- /dev/null
+++ b/idempotency/claim_test.go
@@ -0,0 +1,174 @@
+package idempotency
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/limit"
+	"github.com/quetzalshed/quetzalshed/platform/store"
+)
+
+// TestMain fixes the seed of rapid; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261204")
+	os.Exit(m.Run())
+}
+
+var ctx = context.Background()
+
+func newLedger(kv store.Store, now clock.Clock) *Ledger {
+	return NewLedger(Options{
+		Store: kv, Clock: now, Writes: limit.NewRate(1e6, 1e6), Retention: 24 * time.Hour, CallTimeout: time.Second,
+	})
+}
+
+func assign(c *Claim, attempt string) error {
+	return c.Assign(ctx, "agent", "one", "127.0.0.1:1", attempt)
+}
+
+// Guards against a lost response or an outage of the store letting an attempt start without a record, or keeping one
+// with a record from starting.
+func TestAssignUnderFaults(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		fault     storeFault
+		readsDown bool
+		want      error
+	}{
+		{"works", storeWorks, false, nil},
+		{"down", storeDown, false, ErrNotRecorded},
+		{"response lost", storeLosesResponse, false, nil},
+		{"request lost", storeLosesRequest, false, ErrNotRecorded},
+		{"response lost and reads down", storeLosesResponse, true, ErrNotRecorded},
+		{"applied late", storeAppliesLate, false, ErrNotRecorded},
+	} {
+		for _, reassigned := range []bool{false, true} {
+			t.Run(fmt.Sprint(test.name, reassigned), func(t *testing.T) {
+				kv := newFakeStore()
+				claim := newLedger(kv, clock.System{}).NewClaim("price", "key", "hash")
+				if reassigned {
+					qt.Assert(t, assign(claim, "first"), qt.IsNil)
+				}
+				kv.faults, kv.readsDown = []storeFault{test.fault}, test.readsDown
+				err := assign(claim, "second")
+				qt.Assert(t, errors.Is(err, test.want), qt.IsTrue, qt.Commentf("%v", err))
+			})
+		}
+	}
+}
+
+// Guards against two requests with one key that both run, and against a key that is reused for other content.
+func TestExistingRecord(t *testing.T) {
+	kv := newFakeStore()
+	one, two := newLedger(kv, clock.System{}), newLedger(kv, clock.System{})
+	qt.Assert(t, assign(one.NewClaim("price", "key", "hash"), "first"), qt.IsNil)
+	claim := two.NewClaim("price", "key", "hash")
+	var exists *ExistsError
+	qt.Assert(t, errors.As(assign(claim, "second"), &exists), qt.IsTrue)
+	qt.Assert(t, exists.Found.Record, qt.Equals, Record{
+		Agent: "agent", Incarnation: "one", Address: "127.0.0.1:1", AttemptID: "first", RequestHash: "hash",
+	})
+	qt.Assert(t, assign(two.NewClaim("price", "key", "other"), "third"), qt.Equals, ErrKeyReused)
+	qt.Assert(t, assign(two.NewClaim("quote", "key", "other"), "fourth"), qt.IsNil)
+	// Taken over once, the record is lost to a claim that adopted the same revision.
+	late := two.NewClaim("price", "key", "hash")
+	claim.Adopt(exists.Found)
+	late.Adopt(exists.Found)
+	qt.Assert(t, assign(claim, "fifth"), qt.IsNil)
+	qt.Assert(t, errors.As(assign(late, "sixth"), &exists), qt.IsTrue)
+	qt.Assert(t, exists.Found.Record.AttemptID, qt.Equals, "fifth")
+}
+
+// Guards against records that lapse before their retention, and against a lease call per record.
+func TestHourlyLeases(t *testing.T) {
+	kv, now := newFakeStore(), clock.NewManual(time.Unix(1_700_000_000, 0))
+	ledger := newLedger(kv, now)
+	for i := range 20 {
+		qt.Assert(t, assign(ledger.NewClaim("price", fmt.Sprint(i), "hash"), "a"), qt.IsNil)
+		now.Advance(10 * time.Minute)
+	}
+	qt.Assert(t, kv.leases, qt.HasLen, 4)
+	for _, ttl := range kv.leases {
+		qt.Assert(t, ttl, qt.Equals, 25*time.Hour)
+	}
+	// A lease that the store has lost is replaced within the same call.
+	clear(kv.leases)
+	kv.leases["unrelated"] = 0
+	qt.Assert(t, assign(ledger.NewClaim("price", "after", "hash"), "a"), qt.IsNil)
+}
+
+// Guards against an entry that uses up the writes of the fleet's store.
+func TestRecordRate(t *testing.T) {
+	ledger := newLedger(newFakeStore(), clock.NewManual(time.Unix(1_700_000_000, 0)))
+	ledger.opts.Writes = limit.NewRate(2, 1)
+	qt.Assert(t, assign(ledger.NewClaim("price", "a", "hash"), "a"), qt.IsNil)
+	var rate *RateError
+	qt.Assert(t, errors.As(assign(ledger.NewClaim("price", "b", "hash"), "b"), &rate), qt.IsTrue)
+	qt.Assert(t, rate.RetryAfter, qt.Equals, 500*time.Millisecond)
+}
+
+// Guards against two attempts of one key that both may run, under each order of claims by several entries, take-overs of
+// attempts that have certainly not run, and writes that are lost or applied late. The oracle is the set of attempts that
+// were sent and not cancelled: it never has two members.
+func TestAtMostOneLiveAttempt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		kv := newFakeStore()
+		ledgers := []*Ledger{newLedger(kv, clock.System{}), newLedger(kv, clock.System{}), newLedger(kv, clock.System{})}
+		claims := make([]*Claim, len(ledgers))
+		for i, ledger := range ledgers {
+			claims[i] = ledger.NewClaim("price", "key", "hash")
+		}
+		live, cancelled, sequence := map[string]bool{}, map[string]bool{}, 0
+		which := rapid.IntRange(0, len(claims)-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"assign": func(t *rapid.T) {
+				i := which.Draw(t, "entry")
+				kv.faults = []storeFault{storeFault(rapid.IntRange(0, int(storeAppliesLate)).Draw(t, "fault"))}
+				kv.readsDown = rapid.Bool().Draw(t, "reads down")
+				// The forwarder assigns again only after its own attempt has certainly not run.
+				if held := claims[i].held.Record.AttemptID; live[held] {
+					delete(live, held)
+					cancelled[held] = true
+				}
+				sequence++
+				attempt := fmt.Sprint("attempt-", sequence)
+				err := assign(claims[i], attempt)
+				kv.readsDown = false
+				var exists *ExistsError
+				switch {
+				case err == nil && !cancelled[attempt]:
+					live[attempt] = true
+				case errors.As(err, &exists):
+					if rapid.Bool().Draw(t, "resolve") {
+						recorded := exists.Found.Record.AttemptID
+						if live[recorded] && rapid.Bool().Draw(t, "has run") {
+							return
+						}
+						delete(live, recorded)
+						cancelled[recorded] = true
+						claims[i].Adopt(exists.Found)
+					}
+				}
+			},
+			"late": func(*rapid.T) { kv.applyLate() },
+			"restart": func(t *rapid.T) {
+				i := which.Draw(t, "entry")
+				claims[i] = ledgers[i].NewClaim("price", "key", "hash")
+			},
+			"": func(t *rapid.T) {
+				if len(live) > 1 {
+					t.Fatalf("attempts %v may all run", live)
+				}
+			},
+		})
+	})
+}
