Test routing and the limits of the entry

Cause: late announcements, lapsed or leaving upstreams and double-counted load each send requests to the wrong place; limits that leak places stop an entry. Change: tests of the table, of the choice against an oracle, of the retry budget, the rates and the in-flight limit; a benchmark of the decision; the announcement interval is computed with whole numbers, since a test saw 2.049999999 s for 2.05 s.

--- /dev/null
+++ b/limit/entry_limits_test.go
@@ -0,0 +1,157 @@
+package limit
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// Guards against a budget that grows without bound, or admits more than its share in a retry storm.
+func TestRetryBudget(t *testing.T) {
+	b := NewRetryBudget(0.1, 3)
+	taken := 0
+	for i := range 10_000 {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		b.Request(now)
+		for b.Take(now) {
+			taken++
+		}
+	}
+	// 10% of 10,000 requests, 3 per second for 10 s and the initial 3.
+	qt.Assert(t, taken >= 1030 && taken <= 1034, qt.IsTrue, qt.Commentf("%d", taken))
+	late := start.Add(24 * time.Hour)
+	burst := 0
+	for b.Available(late) && b.Take(late) {
+		burst++
+	}
+	qt.Assert(t, burst, qt.Equals, 30)
+	qt.Assert(t, b.Take(start), qt.IsFalse, qt.Commentf("an earlier time must not add tokens"))
+}
+
+// Guards against rejections that don't say when a token is free, or that use one up.
+func TestRate(t *testing.T) {
+	r := NewRate(10, 2)
+	for range 2 {
+		ok, _ := r.Allow(start)
+		qt.Assert(t, ok, qt.IsTrue)
+	}
+	for range 3 {
+		ok, after := r.Allow(start)
+		qt.Assert(t, ok, qt.IsFalse)
+		qt.Assert(t, after, qt.Equals, 100*time.Millisecond)
+	}
+	ok, _ := r.Allow(start.Add(100 * time.Millisecond))
+	qt.Assert(t, ok, qt.IsTrue)
+}
+
+func far() time.Time { return time.Now().Add(time.Hour) }
+
+func waitForWaiting(t *testing.T, l *InFlight, n int) {
+	t.Helper()
+	for range 10_000 {
+		if _, waiting := l.Running(); waiting == n {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatalf("%d requests should wait", n)
+}
+
+// Guards against admission out of order: by priority, then by deadline.
+func TestInFlightOrder(t *testing.T) {
+	l := NewInFlight(1, 8, time.Minute)
+	release, err := l.Acquire(t.Context(), structs.PriorityLow, far())
+	qt.Assert(t, err, qt.IsNil)
+	order := make(chan string, 4)
+	add := func(name string, priority structs.Priority, deadline time.Time) {
+		_, waiting := l.Running()
+		go func() {
+			next, err := l.Acquire(t.Context(), priority, deadline)
+			if err != nil {
+				order <- err.Error()
+				return
+			}
+			order <- name
+			next()
+		}()
+		waitForWaiting(t, l, waiting+1)
+	}
+	deadline := far()
+	add("low", structs.PriorityLow, deadline.Add(-time.Minute))
+	add("normal, later", structs.PriorityNormal, deadline)
+	add("normal, sooner", structs.PriorityNormal, deadline.Add(-time.Minute))
+	add("critical", structs.PriorityCritical, deadline)
+	release()
+	for _, want := range []string{"critical", "normal, sooner", "normal, later", "low"} {
+		qt.Assert(t, <-order, qt.Equals, want)
+	}
+	running, waiting := l.Running()
+	qt.Assert(t, running+waiting, qt.Equals, 0)
+}
+
+// Guards against a full queue that keeps important requests out, and against rejections that are held back.
+func TestInFlightFullQueue(t *testing.T) {
+	l := NewInFlight(1, 1, time.Minute)
+	release, err := l.Acquire(t.Context(), structs.PriorityLow, far())
+	qt.Assert(t, err, qt.IsNil)
+	evicted, admitted := make(chan error, 1), make(chan error, 1)
+	go func() {
+		_, err := l.Acquire(t.Context(), structs.PriorityNormal, far())
+		evicted <- err
+	}()
+	waitForWaiting(t, l, 1)
+	_, err = l.Acquire(t.Context(), structs.PriorityLow, far())
+	var rejection *RejectedError
+	qt.Assert(t, errors.As(err, &rejection), qt.IsTrue)
+	qt.Assert(t, rejection.RetryAfter > 0, qt.IsTrue)
+	go func() {
+		next, err := l.Acquire(t.Context(), structs.PriorityCritical, far())
+		admitted <- err
+		next()
+	}()
+	qt.Assert(t, <-evicted, qt.ErrorMatches, ".*a more important request.*")
+	release()
+	qt.Assert(t, <-admitted, qt.IsNil)
+}
+
+// Guards against waiting for a place that can't come in time, and against places that are lost when a waiter leaves.
+func TestInFlightDeadlineAndCancel(t *testing.T) {
+	l := NewInFlight(1, 8, time.Minute)
+	release, err := l.Acquire(t.Context(), structs.PriorityNormal, far())
+	qt.Assert(t, err, qt.IsNil)
+	_, err = l.Acquire(t.Context(), structs.PriorityNormal, time.Now().Add(initialHold/2))
+	qt.Assert(t, err, qt.ErrorMatches, ".*the wait would be too long")
+	ctx, cancel := context.WithCancel(t.Context())
+	gone := make(chan error, 1)
+	go func() {
+		_, err := l.Acquire(ctx, structs.PriorityNormal, far())
+		gone <- err
+	}()
+	waitForWaiting(t, l, 1)
+	cancel()
+	qt.Assert(t, <-gone, qt.ErrorMatches, ".*the caller went away")
+	release()
+	release()
+	running, waiting := l.Running()
+	qt.Assert(t, running+waiting, qt.Equals, 0)
+}
+
+// Guards against estimates that shrink with a longer queue or a smaller limit.
+func TestEstimateWait(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ahead, limit := rapid.IntRange(0, 1000).Draw(t, "ahead"), rapid.IntRange(1, 1000).Draw(t, "limit")
+		hold := time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "hold"))
+		if EstimateWait(ahead+1, limit, hold) < EstimateWait(ahead, limit, hold) ||
+			EstimateWait(ahead, limit, hold) < EstimateWait(ahead, limit+1, hold) {
+			t.Fatal("the estimate is not monotonic")
+		}
+	})
+}
--- a/routing/pace.go
+++ b/routing/pace.go
@@ -18,7 +18,7 @@
 	if p.BytesPerSecond <= 0 {
 		return p.Min
 	}
-	needed := time.Duration(float64(totalBytes) / float64(p.BytesPerSecond) * float64(time.Second))
+	needed := time.Duration(totalBytes) * time.Second / time.Duration(p.BytesPerSecond)
 	return min(max(needed, p.Min), p.Max)
 }
 
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,271 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func newTable() (*Table, *clock.Manual) {
+	now := clock.NewManual(start)
+	return NewTable(Options{
+		Domain: "patan", Clock: now, Pace: Pace{BytesPerSecond: 10_000, Min: time.Second, Max: 30 * time.Second},
+		RemoteDelay: 8 * time.Millisecond, FailurePenalty: time.Second, DefaultServiceTime: 10 * time.Millisecond,
+	}), now
+}
+
+func announcement(name string, sequence int64) structs.Announcement {
+	return structs.Announcement{
+		Agent: name, Incarnation: name + "-1", Sequence: sequence, StartedUnixNano: 1, Address: "127.0.0.1:" + name,
+		FailureDomain: "patan", Upstreams: []structs.Upstream{{Service: "price", Slots: 8, Connections: 64}},
+	}
+}
+
+func apply(t testing.TB, table *Table, a structs.Announcement) Applied {
+	t.Helper()
+	applied, err := table.Apply(&a, 500)
+	qt.Assert(t, err, qt.IsNil)
+	return applied
+}
+
+// Guards against a late announcement undoing a newer one, such as one that said the upstream is leaving (P8).
+func TestOldAnnouncementsAreIgnored(t *testing.T) {
+	table, _ := newTable()
+	leaving := announcement("1", 2)
+	leaving.Upstreams[0].Leaving = true
+	apply(t, table, leaving)
+	for _, old := range []structs.Announcement{announcement("1", 1), announcement("1", 2)} {
+		_, err := table.Apply(&old, 500)
+		qt.Assert(t, err, qt.Equals, ErrStale)
+	}
+	_, verdict := table.Choose("price", nil)
+	qt.Assert(t, verdict, qt.Equals, AllLeaving)
+	restarted := announcement("1", 1)
+	restarted.Incarnation, restarted.StartedUnixNano = "1-2", 2
+	qt.Assert(t, apply(t, table, restarted).New, qt.IsTrue)
+	chosen, verdict := table.Choose("price", nil)
+	qt.Assert(t, verdict, qt.Equals, Chosen)
+	qt.Assert(t, chosen.ID(), qt.Equals, ID{"1", "1-2"})
+	late := announcement("1", 9)
+	_, err := table.Apply(&late, 500)
+	qt.Assert(t, err, qt.Equals, ErrStale, qt.Commentf("the earlier process came back"))
+}
+
+// Guards against fields that a faulty agent leaves out or sets beyond the bounds.
+func TestInvalidAnnouncements(t *testing.T) {
+	table, _ := newTable()
+	for i, change := range []func(*structs.Announcement){
+		func(a *structs.Announcement) { a.Agent = "" },
+		func(a *structs.Announcement) { a.Incarnation = "" },
+		func(a *structs.Announcement) { a.Address = "" },
+		func(a *structs.Announcement) { a.FailureDomain = string(make([]byte, maxNameBytes+1)) },
+		func(a *structs.Announcement) { a.Upstreams[0].Slots = 0 },
+		func(a *structs.Announcement) { a.Upstreams[0].Queued = -1 },
+		func(a *structs.Announcement) { a.Upstreams = append(a.Upstreams, a.Upstreams[0]) },
+		func(a *structs.Announcement) { a.Upstreams = make([]structs.Upstream, MaxUpstreamsPerAgent+1) },
+	} {
+		a := announcement("1", 1)
+		change(&a)
+		_, err := table.Apply(&a, 500)
+		qt.Assert(t, err, qt.Equals, ErrInvalid, qt.Commentf("change %d", i))
+	}
+	qt.Assert(t, table.Agents(), qt.Equals, 0)
+}
+
+// Guards against requests to an upstream that has stopped announcing itself, and against agents that are never forgotten.
+func TestLapse(t *testing.T) {
+	table, now := newTable()
+	apply(t, table, announcement("1", 1))
+	now.Advance(missedAnnouncements * time.Second)
+	_, verdict := table.Choose("price", nil)
+	qt.Assert(t, verdict, qt.Equals, Chosen)
+	now.Advance(time.Millisecond)
+	_, verdict = table.Choose("price", nil)
+	qt.Assert(t, verdict, qt.Equals, AllExpired)
+	now.Advance(forgetAfter + time.Second)
+	apply(t, table, announcement("2", 1))
+	qt.Assert(t, table.Agents(), qt.Equals, 1)
+}
+
+// Guards against announcements that exceed the control budget, and against intervals that leave it unused.
+func TestPacing(t *testing.T) {
+	table, _ := newTable()
+	for i := range 100 {
+		applied := apply(t, table, announcement(fmt.Sprint(i), 1))
+		want := max(time.Second, time.Duration(i+1)*50*time.Millisecond)
+		qt.Assert(t, applied.NextAfter, qt.Equals, want)
+	}
+	huge := announcement("huge", 1)
+	applied, err := table.Apply(&huge, 1<<30)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, applied.NextAfter, qt.Equals, 30*time.Second)
+}
+
+// Guards against the load of other entries being counted twice or not at all.
+func TestLoadOfOtherEntries(t *testing.T) {
+	table, _ := newTable()
+	apply(t, table, announcement("1", 1))
+	chosen, _ := table.Choose("price", nil)
+	first, second := table.Begin(chosen), table.Begin(chosen)
+	busy := announcement("1", 2)
+	busy.Upstreams[0].Running, busy.Upstreams[0].Queued = 8, 3
+	apply(t, table, busy)
+	c := table.Snapshot("price", true).Candidates[0]
+	qt.Assert(t, c.OwnInFlight, qt.Equals, 2)
+	qt.Assert(t, c.Foreign, qt.Equals, 9)
+	first.Done(Observation{Load: &Load{Running: 4, Queued: 0, Slots: 4}})
+	first.Done(Observation{})
+	c = table.Snapshot("price", true).Candidates[0]
+	qt.Assert(t, []int{c.OwnInFlight, c.Foreign, c.Slots}, qt.DeepEquals, []int{1, 3, 4})
+	second.Done(Observation{})
+	qt.Assert(t, table.Snapshot("price", true).Candidates[0].OwnInFlight, qt.Equals, 0)
+}
+
+// Guards against an upstream that fails at once looking like the fastest one.
+func TestFailingUpstreamIsAvoided(t *testing.T) {
+	table, _ := newTable()
+	apply(t, table, announcement("1", 1))
+	apply(t, table, announcement("2", 1))
+	counts := map[string]int{}
+	for range 100 {
+		chosen, _ := table.Choose("price", nil)
+		counts[chosen.Agent]++
+		table.Begin(chosen).Done(Observation{Answered: true, Failed: chosen.Agent == "1", Latency: time.Millisecond})
+	}
+	qt.Assert(t, counts["1"] <= 1, qt.IsTrue, qt.Commentf("%v", counts))
+}
+
+// Guards against a remote upstream being taken while a local one is free, and against the local ones being overloaded.
+func TestSpillOver(t *testing.T) {
+	s := Snapshot{LocalDomain: "patan", RemoteDelay: 8 * time.Millisecond, Candidates: []Candidate{
+		{Agent: "remote", FailureDomain: "baneshwor", Slots: 8, ServiceTime: 10 * time.Millisecond, ValidUntil: start},
+		{Agent: "local", FailureDomain: "patan", Slots: 8, ServiceTime: 10 * time.Millisecond, ValidUntil: start},
+	}}
+	for inFlight, want := range map[int]int{0: 1, 6: 1, 7: 0, 30: 0} {
+		s.Candidates[1].OwnInFlight = inFlight
+		got, _ := Choose(s, nil, start)
+		qt.Assert(t, got, qt.Equals, want, qt.Commentf("%d in flight", inFlight))
+	}
+	s.Candidates[0].RoundTrip = 20 * time.Millisecond
+	s.Candidates[1].OwnInFlight = 10
+	got, _ := Choose(s, nil, start)
+	qt.Assert(t, got, qt.Equals, 1, qt.Commentf("the measured delay counts"))
+}
+
+// Guards against a choice that is leaving, lapsed, tried, suspected while another is left, or not the best of the rest.
+func TestChooseAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := Snapshot{LocalDomain: "d0", RemoteDelay: 5 * time.Millisecond, FailurePenalty: time.Second}
+		var tried []ID
+		type key struct{ suspect, score float64 }
+		best := key{2, 0}
+		for i := range rapid.IntRange(0, 12).Draw(t, "candidates") {
+			c := Candidate{
+				Agent: fmt.Sprint(i), FailureDomain: fmt.Sprint("d", rapid.IntRange(0, 1).Draw(t, "domain")),
+				Slots: rapid.IntRange(0, 3).Draw(t, "slots"), OwnInFlight: rapid.IntRange(0, 20).Draw(t, "own"),
+				ServiceTime: time.Duration(rapid.IntRange(0, 50).Draw(t, "time")) * time.Millisecond,
+				Leaving:     rapid.IntRange(0, 3).Draw(t, "leaving") == 0,
+				ValidUntil:  start.Add(time.Duration(rapid.IntRange(-1, 2).Draw(t, "valid"))),
+			}
+			if rapid.Bool().Draw(t, "suspect") {
+				c.SuspectUntil = start.Add(1)
+			}
+			s.Candidates = append(s.Candidates, c)
+			if rapid.IntRange(0, 3).Draw(t, "tried") == 0 {
+				tried = append(tried, c.ID())
+			} else if !c.Leaving && !start.After(c.ValidUntil) {
+				k := key{0, Score(&s, &c)}
+				if c.SuspectUntil.After(start) {
+					k.suspect = 1
+				}
+				if k.suspect < best.suspect || (k.suspect == best.suspect && k.score < best.score) {
+					best = k
+				}
+			}
+		}
+		got, verdict := Choose(s, tried, start)
+		if got < 0 {
+			if best.suspect < 2 || verdict == Chosen {
+				t.Fatal("an upstream was left")
+			}
+			return
+		}
+		c := s.Candidates[got]
+		suspect := 0.0
+		if c.SuspectUntil.After(start) {
+			suspect = 1
+		}
+		if (key{suspect, Score(&s, &c)}) != best {
+			t.Fatalf("chose %+v, the best is %+v", c, best)
+		}
+	})
+}
+
+// Guards against samples that hide the only usable upstreams of a large service.
+func TestSampleFallsBackToAll(t *testing.T) {
+	table, _ := newTable()
+	for i := range 500 {
+		a := announcement(fmt.Sprint(i), 1)
+		a.Leaving = i != 321
+		apply(t, table, a)
+	}
+	qt.Assert(t, len(table.Snapshot("price", false).Candidates), qt.Equals, sampleSize)
+	for range 10 {
+		chosen, verdict := table.Choose("price", nil)
+		qt.Assert(t, verdict, qt.Equals, Chosen)
+		qt.Assert(t, chosen.Agent, qt.Equals, "321")
+	}
+}
+
+// Guards against idle upstreams that never get a request because an equal one comes first.
+func TestIdleUpstreamsShareRequests(t *testing.T) {
+	table, _ := newTable()
+	for i := range 11 {
+		apply(t, table, announcement(fmt.Sprint(i), 1))
+	}
+	used := map[string]bool{}
+	for range 1000 {
+		chosen, _ := table.Choose("price", nil)
+		used[chosen.Agent] = true
+	}
+	qt.Assert(t, used, qt.HasLen, 11)
+}
+
+// Guards against a header from a faulty agent that is taken for a load.
+func TestParseLoad(t *testing.T) {
+	load, ok := ParseLoad("running=3; queued=1;slots=8")
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, load, qt.Equals, Load{3, 1, 8})
+	for _, text := range []string{"", "running=3", "running=3;queued=1;slots=-8", "running=3;running=3;slots=8", "running=x;queued=1;slots=8"} {
+		_, ok := ParseLoad(text)
+		qt.Assert(t, ok, qt.IsFalse, qt.Commentf("%q", text))
+	}
+}
+
+// BenchmarkChoose prints the time of one routing decision, with the snapshot that it is made from.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{11, 340, 3400} {
+		b.Run(fmt.Sprint(n, "_upstreams"), func(b *testing.B) {
+			table, _ := newTable()
+			for i := range n {
+				a := announcement(fmt.Sprint(i), 1)
+				a.FailureDomain = []string{"patan", "baneshwor", "bhaktapur"}[i%3]
+				apply(b, table, a)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, verdict := table.Choose("price", nil); verdict != Chosen {
+					b.Fatal(verdict)
+				}
+			}
+		})
+	}
+}
