--- /dev/null
+++ b/agent/runner/cluster_test.go
@@ -0,0 +1,377 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/config"
+	"github.com/quetzalshed/quetzalshed/entry/jobs"
+	"github.com/quetzalshed/quetzalshed/gossip"
+	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+	"github.com/quetzalshed/quetzalshed/platform/worker"
+	"github.com/quetzalshed/quetzalshed/platform/worker/workertest"
+	"github.com/quetzalshed/quetzalshed/scheduler"
+	_ "github.com/quetzalshed/quetzalshed/scheduler/plugins"
+	"github.com/quetzalshed/quetzalshed/shard"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// tick is the smallest step of virtual time in a cluster.
+const tick = 200 * time.Millisecond
+
+var errCut = errors.New("the connection is cut")
+
+// cluster runs owners, runners and workers in virtual time in one goroutine.
+type cluster struct {
+	clock  *clock.Manual
+	store  *storetest.Store
+	head   config.Head
+	nodes  []*node
+	jobs   *jobs.Service
+	check  func()
+	nested int
+}
+
+// node is a host: a worker, and an agent that runs allocations and may own the shard.
+type node struct {
+	c        *cluster
+	name     string
+	domain   string
+	worker   *workertest.Worker
+	follower *config.Follower
+	owners   *gossip.OwnerTable
+	owner    *shard.Owner
+	runner   *Runner
+	starts   int64
+	// down: the agent isn't running. pausedUntil: it runs no instruction before that time.
+	down        bool
+	pausedUntil time.Time
+	// cutStore and cutPeers break its connections.
+	cutStore, cutPeers bool
+	// pauseAtCall pauses the agent at its next outgoing call: before the call takes effect, or after.
+	pauseAtCall time.Duration
+	pauseAfter  bool
+	lastReply   time.Time
+	round       int
+}
+
+func newCluster(nodes int) *cluster {
+	c := &cluster{clock: clock.NewManual(time.Unix(1_800_000_000, 0)), check: func() {}}
+	c.store = storetest.New(c.clock)
+	c.head = config.Head{
+		Revision: 1, Changes: []string{"first"}, StartFreshnessMillis: 3000, Domains: map[string]config.DomainState{},
+	}
+	for i := range nodes {
+		n := &node{c: c, name: fmt.Sprintf("w%02d", i), domain: fmt.Sprintf("d%d", i%3)}
+		n.worker = workertest.New(c.clock, structs.Resources{MilliCores: 4000, MemoryMB: 8000})
+		c.head.Domains[n.domain] = config.DomainState{Workers: 1}
+		c.nodes = append(c.nodes, n)
+	}
+	for _, n := range c.nodes {
+		n.boot()
+	}
+	c.jobs = jobs.NewService(c.store, c.clock, config.NewFollower(c.clock), c)
+	return c
+}
+
+// boot starts the agent of a node anew.
+func (n *node) boot() {
+	c := n.c
+	n.starts++
+	n.down, n.lastReply = false, time.Time{}
+	n.follower, n.owners = config.NewFollower(c.clock), gossip.NewOwnerTable()
+	address := fmt.Sprintf("127.0.0.1:%d", 1000+slices.Index(c.nodes, n))
+	w := structs.Worker{
+		Name: n.name, FailureDomain: n.domain, Rack: "r1", Address: address,
+		Capacity: structs.Resources{MilliCores: 4000, MemoryMB: 8000},
+	}
+	log := hclog.NewNullLogger()
+	n.owner = shard.NewOwner(shard.DefaultConfig(0, n.name, address), storeGate{c.store, n}, c.clock,
+		shard.NewFollowed(n.follower, c.clock), scheduler.Plan, n.owners, pushGate{n}, log)
+	ledger := NewLedger(DefaultSettings(), w, 0, fmt.Sprint(n.name, "-", n.starts), c.clock.Now().UnixNano())
+	n.runner = New(ledger, workerGate{n.worker, n}, c.clock, followed{n.follower}, ownerGate{n}, nil, log)
+}
+
+func (n *node) up() bool { return !n.down && !n.c.clock.Now().Before(n.pausedUntil) }
+
+// call is made at each outgoing call of a node; a pause that is due lets the others run on meanwhile.
+func (n *node) call(after bool) {
+	if n.pauseAtCall == 0 || n.pauseAfter != after || n.c.nested > 2 {
+		return
+	}
+	pause := n.pauseAtCall
+	n.pauseAtCall = 0
+	n.pausedUntil = n.c.clock.Now().Add(pause)
+	n.c.nested++
+	for n.c.clock.Now().Before(n.pausedUntil) {
+		n.c.step()
+	}
+	n.c.nested--
+}
+
+// step advances the time by one tick and runs all agents.
+func (c *cluster) step() {
+	c.clock.Advance(tick)
+	ctx := context.Background()
+	for i, n := range c.nodes {
+		if !n.up() {
+			continue
+		}
+		n.round++
+		_, owns := n.owner.Owns()
+		if owns && n.round%2 == 0 && !n.cutStore && !c.store.Faults().Down {
+			_ = n.follower.ObserveStore(c.head, c.clock.Now())
+		}
+		if owns && n.round%5 == 0 {
+			_ = n.owner.KeepAlive(ctx)
+		}
+		if !owns && n.round%3 == 0 && c.clock.Now().Sub(n.lastReply) > 1500*time.Millisecond {
+			_ = n.owner.Acquire(ctx)
+		}
+		_ = n.owner.Step(ctx)
+		_ = n.runner.Tick(ctx)
+		if (n.round+i)%5 == 0 && n.up() {
+			if n.runner.Beat(ctx) == nil {
+				n.lastReply = c.clock.Now()
+			}
+			_ = n.runner.Tick(ctx)
+		}
+	}
+	c.check()
+}
+
+// run advances the cluster until done returns true, for at most the given time.
+func (c *cluster) run(limit time.Duration, done func() bool) bool {
+	for end := c.clock.Now().Add(limit); c.clock.Now().Before(end); {
+		if done() {
+			return true
+		}
+		c.step()
+	}
+	return done()
+}
+
+func (c *cluster) owner() *node {
+	for _, n := range c.nodes {
+		if _, owns := n.owner.Owns(); owns && n.up() {
+			return n
+		}
+	}
+	return nil
+}
+
+// storeGate is the store as a node reaches it.
+type storeGate struct {
+	store.Store
+	n *node
+}
+
+func (g storeGate) cut() error {
+	if g.n.cutStore {
+		return store.ErrUnavailable
+	}
+	return nil
+}
+
+func (g storeGate) Get(ctx context.Context, key string) (store.Entry, error) {
+	if err := g.cut(); err != nil {
+		return store.Entry{}, err
+	}
+	return g.Store.Get(ctx, key)
+}
+
+func (g storeGate) List(ctx context.Context, prefix string) ([]store.Entry, error) {
+	if err := g.cut(); err != nil {
+		return nil, err
+	}
+	entries, err := g.Store.List(ctx, prefix)
+	g.n.call(true)
+	return entries, err
+}
+
+func (g storeGate) Put(ctx context.Context, key string, value []byte, opts store.PutOptions) (store.Entry, error) {
+	g.n.call(false)
+	if err := g.cut(); err != nil {
+		return store.Entry{}, err
+	}
+	entry, err := g.Store.Put(ctx, key, value, opts)
+	g.n.call(true)
+	return entry, err
+}
+
+func (g storeGate) Delete(ctx context.Context, key string, ifRevision int64) error {
+	g.n.call(false)
+	if err := g.cut(); err != nil {
+		return err
+	}
+	return g.Store.Delete(ctx, key, ifRevision)
+}
+
+func (g storeGate) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	if err := g.cut(); err != nil {
+		return "", err
+	}
+	return g.Store.Grant(ctx, ttl)
+}
+
+func (g storeGate) KeepAlive(ctx context.Context, id store.LeaseID) error {
+	if err := g.cut(); err != nil {
+		return err
+	}
+	err := g.Store.KeepAlive(ctx, id)
+	g.n.call(true)
+	return err
+}
+
+func (g storeGate) Revoke(ctx context.Context, id store.LeaseID) error {
+	if err := g.cut(); err != nil {
+		return err
+	}
+	return g.Store.Revoke(ctx, id)
+}
+
+// ownerGate reaches the owner that a node knows of.
+type ownerGate struct{ n *node }
+
+func (g ownerGate) Epoch(ctx context.Context, number int) (int64, error) {
+	client := shard.NewClient(g.n.owners, storeGate{g.n.c.store, g.n}, g.n.c.clock)
+	return client.Epoch(ctx, number)
+}
+
+func (g ownerGate) Heartbeat(ctx context.Context, number int, hb structs.Heartbeat) (structs.HeartbeatReply, error) {
+	g.n.call(false)
+	target, known := g.n.owners.Lookup(number)
+	if known {
+		for i, n := range g.n.c.nodes {
+			if fmt.Sprintf("127.0.0.1:%d", 1000+i) != target.Address {
+				continue
+			}
+			if !n.up() || (n != g.n && (n.cutPeers || g.n.cutPeers)) {
+				break
+			}
+			reply, err := n.owner.Heartbeat(hb)
+			if err == nil {
+				g.n.call(true)
+				return reply, nil
+			}
+		}
+	}
+	_, _ = g.Epoch(ctx, number)
+	return structs.HeartbeatReply{}, errCut
+}
+
+// pushGate reaches agents from the owner on a node.
+type pushGate struct{ n *node }
+
+func (g pushGate) Push(_ context.Context, address string, request structs.StartRequest) error {
+	for i, n := range g.n.c.nodes {
+		if fmt.Sprintf("127.0.0.1:%d", 1000+i) == address && n.up() && (n == g.n || (!n.cutPeers && !g.n.cutPeers)) {
+			return n.runner.Push(request)
+		}
+	}
+	return errCut
+}
+
+// workerGate is the worker as its agent reaches it.
+type workerGate struct {
+	worker.Worker
+	n *node
+}
+
+func (g workerGate) Start(ctx context.Context, spec worker.TaskSpec) error {
+	err := g.Worker.Start(ctx, spec)
+	g.n.call(true)
+	return err
+}
+
+func (g workerGate) Renew(ctx context.Context, id string, lease time.Duration) error {
+	g.n.call(false)
+	return g.Worker.Renew(ctx, id, lease)
+}
+
+func (g workerGate) Stop(ctx context.Context, id string) error {
+	g.n.call(false)
+	return g.Worker.Stop(ctx, id)
+}
+
+// Submit, Status, Jobs and Cancel reach the present owner for the entry.
+func (c *cluster) Submit(_ context.Context, _ int, job structs.Job) error {
+	if n := c.owner(); n != nil {
+		return n.owner.Submit(job)
+	}
+	return shard.ErrUnreachable
+}
+
+func (c *cluster) Status(_ context.Context, _ int, id string) (structs.JobStatus, error) {
+	if n := c.owner(); n != nil {
+		return n.owner.Status(id)
+	}
+	return structs.JobStatus{}, shard.ErrUnreachable
+}
+
+func (c *cluster) Jobs(context.Context, int) ([]structs.JobStatus, error) {
+	if n := c.owner(); n != nil {
+		return n.owner.Jobs()
+	}
+	return nil, shard.ErrUnreachable
+}
+
+func (c *cluster) Cancel(ctx context.Context, _ int, id string) (structs.JobStatus, error) {
+	n := c.owner()
+	if n == nil {
+		return structs.JobStatus{}, shard.ErrUnreachable
+	}
+	wait, err := n.owner.BeginCancel(id)
+	if err != nil {
+		return structs.JobStatus{}, err
+	}
+	for range 10 {
+		limited, stop := context.WithTimeout(ctx, time.Millisecond)
+		err = wait(limited)
+		stop()
+		if !errors.Is(err, context.DeadlineExceeded) {
+			break
+		}
+		c.step()
+	}
+	return structs.JobStatus{ID: id, Cancelled: true}, err
+}
+
+func (c *cluster) submit(t testing.TB, text string) string {
+	t.Helper()
+	job, err := c.jobs.Submit(context.Background(), []byte(text))
+	if err != nil {
+		t.Fatalf("submitting: %v", err)
+	}
+	return job.ID
+}
+
+func (c *cluster) done(id string) bool {
+	status, err := c.Status(context.Background(), 0, id)
+	return err == nil && status.Done
+}
+
+// Guards against any break in the chain from submission over placement and heartbeats to a durable result.
+func TestBatchJobFinishes(t *testing.T) {
+	assert := qt.New(t)
+	c := newCluster(3)
+	id := c.submit(t, `{"id":"a","team":"t","kind":"batch","tasks":5,"resources":{"milli_cores":1000,"memory_mb":500},"command":"run=3s"}`)
+	assert.Assert(c.run(30*time.Second, func() bool { return c.done(id) }), qt.IsTrue)
+	status, err := c.Status(context.Background(), 0, id)
+	assert.Assert(err, qt.IsNil)
+	assert.Assert(status.Counts, qt.DeepEquals, map[structs.TaskState]int{structs.TaskFinished: 5})
+	starts := 0
+	for _, n := range c.nodes {
+		starts += len(n.worker.Starts())
+	}
+	assert.Assert(starts, qt.Equals, 5)
+}
--- /dev/null
+++ b/agent/runner/perform.go
@@ -0,0 +1,179 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/quetzalshed/quetzalshed/platform/worker"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// perform makes calls to the worker, each after a check that it is still due.
+func (r *Runner) perform(ctx context.Context, operations []operation) {
+	for _, op := range operations {
+		if op.verb == verbRemove {
+			_ = r.worker.Stop(ctx, op.id)
+			continue
+		}
+		r.mu.Lock()
+		h := r.ledger.held[op.id]
+		// Earlier calls may have taken long, so the decision is made again.
+		still := h != nil && r.ledger.verbOf(h, r.clock.Now()) == op.verb
+		r.mu.Unlock()
+		if !still {
+			continue
+		}
+		switch op.verb {
+		case verbStart:
+			r.start(ctx, h)
+		case verbRenew:
+			r.renew(ctx, h)
+		case verbCheckpoint:
+			r.checkpoint(ctx, h)
+		case verbSuspend:
+			r.suspend(ctx, h)
+		case verbResume:
+			r.resume(ctx, h)
+		case verbStop:
+			r.stop(ctx, h)
+		}
+	}
+}
+
+// start starts a task. The freshness check comes directly before the call and once more after it, because the call can
+// take long; the same holds for the lease.
+func (r *Runner) start(ctx context.Context, h *held) {
+	spec, err := r.spec(h)
+	if err != nil {
+		r.finish(h, structs.TaskPending, "refused: "+err.Error())
+		return
+	}
+	if allowed, reason := r.settled.MayStart(r.ledger.worker.FailureDomain); !allowed {
+		r.finish(h, structs.TaskPending, "refused: "+reason)
+		return
+	}
+	err = r.worker.Start(ctx, spec)
+	switch {
+	case errors.Is(err, worker.ErrRejected):
+		r.finish(h, structs.TaskPending, "refused by the worker: "+err.Error())
+		return
+	case err != nil && !errors.Is(err, worker.ErrExists):
+		// The task may run; the start is repeated until the lease ends.
+		return
+	}
+	allowed, reason := r.settled.MayStart(r.ledger.worker.FailureDomain)
+	r.mu.Lock()
+	now := r.clock.Now()
+	h.started, h.state, h.checkpointAt = true, structs.TaskRunning, now
+	h.workerLeaseEnd = now.Add(spec.Lease)
+	late := !now.Before(h.leaseEnd)
+	r.mu.Unlock()
+	if !allowed || late {
+		r.log.Warn("start took too long and is undone", "allocation", h.alloc.ID, "reason", reason)
+		r.stop(ctx, h)
+	}
+}
+
+func (r *Runner) spec(h *held) (worker.TaskSpec, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	text, err := json.Marshal(h.alloc)
+	if err != nil {
+		return worker.TaskSpec{}, err
+	}
+	return worker.TaskSpec{
+		ID: h.alloc.ID, Resources: h.alloc.Resources, Command: h.alloc.Command, CheckpointID: h.alloc.CheckpointID,
+		Lease: r.ledger.renewal(h, r.clock.Now()), Annotations: map[string]string{annotation: string(text)},
+	}, nil
+}
+
+// renew extends the lease on the worker. A failure needs no action: the worker stops the task in time.
+func (r *Runner) renew(ctx context.Context, h *held) bool {
+	r.mu.Lock()
+	now := r.clock.Now()
+	lease := r.ledger.renewal(h, now)
+	r.mu.Unlock()
+	if lease <= 0 {
+		return false
+	}
+	if err := r.worker.Renew(ctx, h.alloc.ID, lease); err != nil {
+		return false
+	}
+	r.mu.Lock()
+	h.workerLeaseEnd = now.Add(lease)
+	r.mu.Unlock()
+	return true
+}
+
+// suspend takes a batch task off the processors and then saves a checkpoint. If the worker doesn't respond, the lease on
+// the worker ends the task.
+func (r *Runner) suspend(ctx context.Context, h *held) {
+	if err := r.worker.Throttle(ctx, h.alloc.ID, 0); err != nil {
+		return
+	}
+	r.mu.Lock()
+	h.state, h.suspendedAt = structs.TaskSuspended, r.clock.Now()
+	r.mu.Unlock()
+	r.renew(ctx, h)
+	r.checkpoint(ctx, h)
+}
+
+func (r *Runner) checkpoint(ctx context.Context, h *held) {
+	id, err := r.worker.Checkpoint(ctx, h.alloc.ID)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h.checkpointAt = r.clock.Now()
+	if err != nil {
+		r.log.Warn("checkpoint failed", "allocation", h.alloc.ID, "error", err)
+		return
+	}
+	h.checkpoint = id
+}
+
+// resume lets a suspended task run again. The lease on the worker is set first, so that a pause between both calls can't
+// leave the task running for long.
+func (r *Runner) resume(ctx context.Context, h *held) {
+	r.mu.Lock()
+	now := r.clock.Now()
+	lease := min(r.ledger.workerLease(h), h.leaseEnd.Sub(now))
+	r.mu.Unlock()
+	if lease <= 0 || r.worker.Renew(ctx, h.alloc.ID, lease) != nil {
+		return
+	}
+	r.mu.Lock()
+	h.workerLeaseEnd = now.Add(lease)
+	over := !r.clock.Now().Before(h.leaseEnd)
+	r.mu.Unlock()
+	if over || r.worker.Throttle(ctx, h.alloc.ID, h.share) != nil {
+		return
+	}
+	r.mu.Lock()
+	h.state = structs.TaskRunning
+	r.mu.Unlock()
+}
+
+// stop ends a task, after a checkpoint if one is asked for. The allocation stays held until the worker has confirmed.
+func (r *Runner) stop(ctx context.Context, h *held) {
+	r.mu.Lock()
+	stop, started := h.stop, h.started
+	if stop == nil {
+		stop = &structs.TaskStop{Checkpoint: h.alloc.Kind == structs.KindBatch, Reason: "the lease ran out"}
+	}
+	r.mu.Unlock()
+	if stop.Checkpoint && started {
+		r.checkpoint(ctx, h)
+	}
+	if err := r.worker.Stop(ctx, h.alloc.ID); err != nil && !errors.Is(err, worker.ErrNotFound) {
+		return
+	}
+	r.finish(h, structs.TaskPending, stop.Reason)
+}
+
+func (r *Runner) finish(h *held, state structs.TaskState, reason string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ledger.held[h.alloc.ID] == h {
+		r.ledger.end(h, state, reason, r.clock.Now())
+	}
+}
--- /dev/null
+++ b/entry/jobs/module.go
@@ -0,0 +1,135 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/gorilla/mux"
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/quetzalshed/quetzalshed/config"
+	"github.com/quetzalshed/quetzalshed/config/configmodule"
+	"github.com/quetzalshed/quetzalshed/findings"
+	"github.com/quetzalshed/quetzalshed/gossip"
+	"github.com/quetzalshed/quetzalshed/kernel"
+	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/platform/store/storemodule"
+	"github.com/quetzalshed/quetzalshed/shard"
+)
+
+// Name is the name of the module.
+const Name = "entry.jobs"
+
+const (
+	// maxBody bounds a job as the caller sends it.
+	maxBody = 1 << 18
+	// retryAfterSeconds is when a call that was not carried out is worth repeating.
+	retryAfterSeconds = "2"
+)
+
+func init() {
+	kernel.RegisterModule(kernel.ModuleInfo{
+		Name: Name, Roles: []kernel.Role{kernel.RoleEntry},
+		After: []string{storemodule.Name, configmodule.Name, gossip.Name},
+		New:   func() kernel.Module { return &Module{} },
+	})
+}
+
+type storeHolder interface{ Store() store.Store }
+
+type configHolder interface{ Follower() *config.Follower }
+
+type ownersHolder interface{ Owners() *gossip.OwnerTable }
+
+// Module serves the job API.
+type Module struct {
+	service *Service
+	scope   tally.Scope
+}
+
+// Settings implements kernel.Module.
+func (m *Module) Settings() any { return nil }
+
+// Provision implements kernel.Module.
+func (m *Module) Provision(c *kernel.Context) error {
+	stores, ok := kernel.Lookup[storeHolder](c, storemodule.Name)
+	if !ok {
+		return eris.Errorf("module %s is required", storemodule.Name)
+	}
+	configs, ok := kernel.Lookup[configHolder](c, configmodule.Name)
+	if !ok {
+		return eris.Errorf("module %s is required", configmodule.Name)
+	}
+	owners, ok := kernel.Lookup[ownersHolder](c, gossip.Name)
+	if !ok {
+		return eris.Errorf("module %s is required", gossip.Name)
+	}
+	m.scope = c.Metrics.SubScope("jobs")
+	client := shard.NewClient(owners.Owners(), stores.Store(), c.Clock)
+	m.service = NewService(stores.Store(), c.Clock, configs.Follower(), client)
+	m.Routes(c.Router)
+	return nil
+}
+
+// Start implements kernel.Module.
+func (m *Module) Start(context.Context) error { return nil }
+
+// Stop implements kernel.Module.
+func (m *Module) Stop(context.Context) error { return nil }
+
+// Routes adds the job API.
+func (m *Module) Routes(router *mux.Router) {
+	router.HandleFunc("/v1/jobs", m.submit).Methods(http.MethodPost)
+	router.HandleFunc("/v1/jobs", func(w http.ResponseWriter, r *http.Request) {
+		list, err := m.service.List(r.Context())
+		m.respond(w, http.StatusOK, list, err)
+	}).Methods(http.MethodGet)
+	router.HandleFunc("/v1/jobs/{id}", func(w http.ResponseWriter, r *http.Request) {
+		status, err := m.service.Status(r.Context(), mux.Vars(r)["id"])
+		m.respond(w, http.StatusOK, status, err)
+	}).Methods(http.MethodGet)
+	router.HandleFunc("/v1/jobs/{id}", func(w http.ResponseWriter, r *http.Request) {
+		status, err := m.service.Cancel(r.Context(), mux.Vars(r)["id"])
+		m.respond(w, http.StatusOK, status, err)
+	}).Methods(http.MethodDelete)
+}
+
+// accepted is the response to a submission.
+type accepted struct {
+	ID string `json:"id"`
+}
+
+func (m *Module) submit(w http.ResponseWriter, r *http.Request) {
+	raw, err := io.ReadAll(io.LimitReader(r.Body, maxBody+1))
+	if err != nil || len(raw) > maxBody {
+		kernel.WriteJSON(w, http.StatusRequestEntityTooLarge, shard.Refusal{Error: "the job is too large"})
+		return
+	}
+	job, err := m.service.Submit(r.Context(), raw)
+	m.respond(w, http.StatusAccepted, accepted{ID: job.ID}, err)
+}
+
+// respond sends a result. Only a result that is certain is reported as such.
+func (m *Module) respond(w http.ResponseWriter, status int, value any, err error) {
+	var rejected *findings.Error
+	switch {
+	case err == nil:
+		kernel.WriteJSON(w, status, value)
+		return
+	case errors.As(err, &rejected):
+		kernel.WriteJSON(w, http.StatusUnprocessableEntity, rejected)
+		return
+	case errors.Is(err, shard.ErrUnknownJob):
+		status = http.StatusNotFound
+	case errors.Is(err, shard.ErrNotOwner), errors.Is(err, store.ErrUnavailable), errors.Is(err, shard.ErrBusy):
+		status = http.StatusServiceUnavailable
+		w.Header().Set("Retry-After", retryAfterSeconds)
+	default:
+		status = http.StatusGatewayTimeout
+	}
+	m.scope.Counter("failures").Inc(1)
+	kernel.WriteJSON(w, status, shard.Refusal{Error: err.Error()})
+}
--- /dev/null
+++ b/entry/jobs/service.go
@@ -0,0 +1,182 @@
+// Package jobs serves the job API of an entry: it validates and stores jobs, and forwards questions and cancellations to
+// the owners of shards.
+package jobs
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/config"
+	"github.com/quetzalshed/quetzalshed/findings"
+	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/shard"
+	"github.com/quetzalshed/quetzalshed/shard/partition"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// errUnknown means that it can't be told whether a job was accepted or cancelled.
+var errUnknown = errors.New("jobs: result unknown; repeat the call with the same ID")
+
+// Owners reaches the owners of shards.
+type Owners interface {
+	Submit(ctx context.Context, shard int, job structs.Job) error
+	Status(ctx context.Context, shard int, id string) (structs.JobStatus, error)
+	Jobs(ctx context.Context, shard int) ([]structs.JobStatus, error)
+	Cancel(ctx context.Context, shard int, id string) (structs.JobStatus, error)
+}
+
+// Configured holds the rules and the inventory.
+type Configured interface {
+	Rules() *config.Rules
+	Inventory() *config.Inventory
+}
+
+// Service accepts jobs. It is safe for concurrent use.
+type Service struct {
+	store      store.Store
+	clock      clock.Clock
+	configured Configured
+	owners     Owners
+}
+
+// NewService returns a service on a store.
+func NewService(s store.Store, c clock.Clock, configured Configured, owners Owners) *Service {
+	return &Service{store: s, clock: c, configured: configured, owners: owners}
+}
+
+func (s *Service) shardOf(id string) int {
+	return partition.Job(id, s.configured.Rules().Shards)
+}
+
+// Submit validates a job and stores it. Once it returns nil, the job is durable. Submitting the same job again under
+// its ID is harmless.
+func (s *Service) Submit(ctx context.Context, raw []byte) (structs.Job, error) {
+	job, found := parse(raw, s.configured.Inventory())
+	if err := found.Err(); err != nil {
+		return job, err
+	}
+	if job.ID == "" {
+		job.ID = "job-" + strings.ToLower(rand.Text())
+	}
+	if job.Name == "" {
+		job.Name = job.ID
+	}
+	if job.Class == "" {
+		job.Class = job.Name
+	}
+	job.Accepted = s.clock.Now().UTC().Round(0)
+	number := s.shardOf(job.ID)
+	if err := s.create(ctx, number, job); err != nil {
+		return job, err
+	}
+	// The owner finds the job in the store if this hint is lost.
+	_ = s.owners.Submit(ctx, number, job)
+	return job, nil
+}
+
+// create stores a job under its key.
+func (s *Service) create(ctx context.Context, number int, job structs.Job) error {
+	value, err := json.Marshal(job)
+	if err != nil {
+		return eris.Wrap(err, "encoding the job")
+	}
+	key := shard.JobKey(number, job.ID)
+	_, err = s.store.Put(ctx, key, value, store.PutOptions{})
+	if err == nil || errors.Is(err, store.ErrUnavailable) {
+		return err
+	}
+	if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrUnknownResult) {
+		return eris.Wrap(err, "storing the job")
+	}
+	entry, readErr := s.store.Get(ctx, key)
+	if readErr == nil {
+		return same(entry.Value, job)
+	}
+	// The owner may have taken the job and removed its key.
+	if _, statusErr := s.owners.Status(ctx, number, job.ID); statusErr == nil {
+		return nil
+	}
+	return errUnknown
+}
+
+// same returns nil if a stored job is the one that was submitted.
+func same(stored []byte, job structs.Job) error {
+	var known structs.Job
+	if err := json.Unmarshal(stored, &known); err != nil {
+		return eris.Wrap(err, "decoding the stored job")
+	}
+	known.Accepted = job.Accepted
+	a, errA := json.Marshal(known)
+	b, errB := json.Marshal(job)
+	if errA == nil && errB == nil && string(a) == string(b) {
+		return nil
+	}
+	var found findings.List
+	found.Addf(findings.Place{File: "job", Key: "id"}, "another job has the ID %q", job.ID)
+	return found.Err()
+}
+
+// Status returns the state of a job, also of one that its owner hasn't taken yet.
+func (s *Service) Status(ctx context.Context, id string) (structs.JobStatus, error) {
+	number := s.shardOf(id)
+	status, err := s.owners.Status(ctx, number, id)
+	if !errors.Is(err, shard.ErrUnknownJob) {
+		return status, err
+	}
+	job, err := s.stored(ctx, number, id)
+	if err != nil {
+		return status, err
+	}
+	return structs.JobStatus{
+		ID: id, Kind: job.Kind, Tasks: job.Tasks, Counts: map[structs.TaskState]int{structs.TaskPending: job.Tasks},
+	}, nil
+}
+
+// stored returns a job that its owner hasn't taken yet, or shard.ErrUnknownJob.
+func (s *Service) stored(ctx context.Context, number int, id string) (structs.Job, error) {
+	var job structs.Job
+	entry, err := s.store.Get(ctx, shard.JobKey(number, id))
+	if errors.Is(err, store.ErrNotFound) {
+		return job, shard.ErrUnknownJob
+	}
+	if err != nil {
+		return job, eris.Wrap(err, "reading the job")
+	}
+	return job, eris.Wrap(json.Unmarshal(entry.Value, &job), "decoding the job")
+}
+
+// Cancel ends a job. Once it returns nil, the cancellation is durable.
+func (s *Service) Cancel(ctx context.Context, id string) (structs.JobStatus, error) {
+	number := s.shardOf(id)
+	status, err := s.owners.Cancel(ctx, number, id)
+	if !errors.Is(err, shard.ErrUnknownJob) {
+		return status, err
+	}
+	job, err := s.stored(ctx, number, id)
+	if err != nil {
+		return status, err
+	}
+	if err := s.owners.Submit(ctx, number, job); err != nil {
+		return status, err
+	}
+	return s.owners.Cancel(ctx, number, id)
+}
+
+// List returns the state of all jobs that owners know.
+func (s *Service) List(ctx context.Context) (structs.JobList, error) {
+	list := structs.JobList{Jobs: []structs.JobStatus{}}
+	for number := range s.configured.Rules().Shards {
+		jobs, err := s.owners.Jobs(ctx, number)
+		if err != nil {
+			return list, eris.Wrapf(err, "shard %d", number)
+		}
+		list.Jobs = append(list.Jobs, jobs...)
+	}
+	return list, nil
+}
--- /dev/null
+++ b/entry/jobs/validate.go
@@ -0,0 +1,217 @@
+package jobs
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/quetzalshed/quetzalshed/config"
+	"github.com/quetzalshed/quetzalshed/findings"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// Bounds of a job.
+const (
+	// MaxTasks bounds the tasks of one job, so that its state fits in a record of the shard's log.
+	MaxTasks = 10000
+	// maxAttempts bounds how often a task may fail.
+	maxAttempts = 100
+	maxPriority = 100
+	// maxNameBytes bounds the ID, the team, the name and the class.
+	maxNameBytes = 63
+	// maxCommandBytes bounds the command.
+	maxCommandBytes = 4096
+	// maxExpectedSeconds bounds the declared run time: a year.
+	maxExpectedSeconds = 366 * 24 * 3600
+)
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+
+// parse reads a job and fills in defaults. All problems of the input are returned together.
+func parse(raw []byte, inventory *config.Inventory) (structs.Job, findings.List) {
+	var job structs.Job
+	v := validator{inventory: inventory}
+	if !json.Valid(raw) {
+		v.addf("", "not valid JSON")
+		return job, v.found
+	}
+	v.unknownKeys("", raw, reflect.TypeFor[structs.Job]())
+	// Fields of a wrong type don't hide the problems of the others.
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(raw, &fields) != nil {
+		v.addf("", "not a JSON object")
+		return job, v.found
+	}
+	wrong := v.decode(fields, &job)
+	v.check(&job, wrong)
+	return job, v.found
+}
+
+type validator struct {
+	inventory *config.Inventory
+	found     findings.List
+}
+
+func (v *validator) addf(key, format string, args ...any) {
+	v.found.Addf(findings.Place{File: "job", Key: key}, format, args...)
+}
+
+// keys returns the JSON keys of a struct type with the types of their fields.
+func keys(t reflect.Type) map[string]reflect.Type {
+	known := map[string]reflect.Type{}
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		known[name] = t.Field(i).Type
+	}
+	return known
+}
+
+func (v *validator) unknownKeys(prefix string, raw []byte, t reflect.Type) {
+	var given map[string]json.RawMessage
+	if json.Unmarshal(raw, &given) != nil {
+		return
+	}
+	known := keys(t)
+	for _, key := range slices.Sorted(func(yield func(string) bool) {
+		for key := range given {
+			if !yield(key) {
+				return
+			}
+		}
+	}) {
+		field, ok := known[key]
+		switch {
+		case !ok:
+			v.addf(prefix+key, "unknown key")
+		case field.Kind() == reflect.Struct && field != reflect.TypeFor[structs.Job]() && key != "accepted":
+			v.unknownKeys(prefix+key+".", given[key], field)
+		}
+	}
+}
+
+// decode fills the job field by field and returns the keys whose values have a wrong type.
+func (v *validator) decode(fields map[string]json.RawMessage, job *structs.Job) map[string]bool {
+	wrong := map[string]bool{}
+	value := reflect.ValueOf(job).Elem()
+	for i := range value.NumField() {
+		name, _, _ := strings.Cut(value.Type().Field(i).Tag.Get("json"), ",")
+		raw, given := fields[name]
+		if !given || name == "accepted" || bytes.Equal(raw, []byte("null")) {
+			continue
+		}
+		if err := json.Unmarshal(raw, value.Field(i).Addr().Interface()); err != nil {
+			wrong[name] = true
+			v.addf(name, "wrong type: %v", err)
+		}
+	}
+	return wrong
+}
+
+// check records what is wrong with the values of a job and fills in defaults.
+func (v *validator) check(job *structs.Job, wrong map[string]bool) {
+	if job.ID != "" && !wrong["id"] {
+		v.name("id", job.ID)
+	}
+	if !wrong["team"] {
+		v.name("team", job.Team)
+	}
+	if job.Name == "" {
+		job.Name = job.ID
+	}
+	if job.Name != "" {
+		v.name("name", job.Name)
+	}
+	if job.Class == "" {
+		job.Class = job.Name
+	}
+	if job.Class != "" && job.Class != job.Name {
+		v.name("class", job.Class)
+	}
+	if job.Kind != structs.KindBatch && job.Kind != structs.KindService && !wrong["kind"] {
+		v.addf("kind", "%.40q is neither batch nor service", string(job.Kind))
+	}
+	if job.Kind == structs.KindService && job.Name == "" {
+		v.addf("name", "a service needs a name")
+	}
+	v.numbers(job, wrong)
+	v.constraints(&job.Constraints)
+	if len(job.Command) > maxCommandBytes {
+		v.addf("command", "longer than %d bytes", maxCommandBytes)
+	}
+}
+
+func (v *validator) name(key, value string) {
+	switch {
+	case value == "":
+		v.addf(key, "required key is missing")
+	case len(value) > maxNameBytes:
+		v.addf(key, "longer than %d bytes", maxNameBytes)
+	case !namePattern.MatchString(value):
+		v.addf(key, "%.80q is not a name of letters, digits, '.', '_' and '-' that starts with a letter or digit", value)
+	}
+}
+
+func (v *validator) numbers(job *structs.Job, wrong map[string]bool) {
+	between := func(key string, value, low, high int64) {
+		if !wrong[key] && (value < low || value > high) {
+			v.addf(key, "%d is not between %d and %d", value, low, high)
+		}
+	}
+	between("tasks", int64(job.Tasks), 1, MaxTasks)
+	between("priority", int64(job.Priority), 0, maxPriority)
+	between("max_attempts", int64(job.MaxAttempts), 0, maxAttempts)
+	if !wrong["expected_seconds"] && (job.ExpectedSeconds < 0 || job.ExpectedSeconds > maxExpectedSeconds) {
+		v.addf("expected_seconds", "%g is not between 0 and %d", job.ExpectedSeconds, maxExpectedSeconds)
+	}
+	if wrong["resources"] {
+		return
+	}
+	for _, field := range []struct {
+		key        string
+		value, low int64
+	}{
+		{"resources.milli_cores", job.Resources.MilliCores, 1},
+		{"resources.memory_mb", job.Resources.MemoryMB, 1},
+		{"resources.accelerators", job.Resources.Accelerators, 0},
+	} {
+		if field.value < field.low {
+			v.addf(field.key, "%d is below %d", field.value, field.low)
+		}
+	}
+}
+
+// constraints checks names against the inventory and replaces racks by "failure domain/rack", since the name of a rack
+// is unique within its failure domain only.
+func (v *validator) constraints(c *structs.Constraints) {
+	for i, domain := range c.FailureDomains {
+		if !v.inventory.HasDomain(domain) {
+			v.addf(fmt.Sprintf("constraints.failure_domains[%d]", i), "failure domain %.80q is not in the inventory", domain)
+		}
+	}
+	var racks []string
+	for i, written := range c.Racks {
+		full := v.racks(written)
+		if len(full) == 0 {
+			v.addf(fmt.Sprintf("constraints.racks[%d]", i), "rack %.80q is not in the inventory", written)
+		}
+		racks = append(racks, full...)
+	}
+	c.Racks = racks
+}
+
+// racks returns the full names of the racks that a written name stands for.
+func (v *validator) racks(written string) []string {
+	var full []string
+	for _, domain := range v.inventory.FailureDomains() {
+		for _, rack := range v.inventory.Racks(domain) {
+			if written == rack || written == domain+"/"+rack {
+				full = append(full, domain+"/"+rack)
+			}
+		}
+	}
+	return full
+}
--- /dev/null
+++ b/shard/client.go
@@ -0,0 +1,210 @@
+package shard
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// ErrUnreachable means that the owner of a shard isn't known or gave no response, so the result of a call is unknown.
+var ErrUnreachable = errors.New("shard: the owner can't be reached")
+
+const (
+	// callTimeout bounds a call to an owner. It is well below the task lease of 4 s, so that a second call can renew it.
+	callTimeout = time.Second
+	// findEvery bounds the reads of the owner key by a process that can't reach the owner.
+	findEvery = time.Second
+	// maxReplyBytes bounds a response: 25,000 jobs of 200 bytes.
+	maxReplyBytes = 8 << 20
+)
+
+// Client calls the owners of shards. It is safe for concurrent use.
+type Client struct {
+	owners    Directory
+	store     store.Store
+	clock     clock.Clock
+	transport http.RoundTripper
+
+	mu    sync.Mutex
+	found map[int]time.Time
+	// bytes counts the bodies that were sent and received.
+	bytes int64
+}
+
+// NewClient returns a client that finds owners in a directory, and in the store when that is out of date.
+func NewClient(owners Directory, s store.Store, c clock.Clock) *Client {
+	return &Client{
+		owners: owners, store: s, clock: c, found: map[int]time.Time{},
+		transport: &http.Transport{MaxIdleConnsPerHost: 4, MaxConnsPerHost: 64, IdleConnTimeout: time.Minute},
+	}
+}
+
+// Bytes returns the size of all bodies that were sent and received.
+func (c *Client) Bytes() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.bytes
+}
+
+// Heartbeat sends a heartbeat to the owner of a shard.
+func (c *Client) Heartbeat(ctx context.Context, shard int, hb structs.Heartbeat) (structs.HeartbeatReply, error) {
+	var reply structs.HeartbeatReply
+	err := c.call(ctx, shard, http.MethodPost, "/heartbeat", hb, &reply)
+	return reply, err
+}
+
+// Submit tells the owner of a shard about a job that is in the store.
+func (c *Client) Submit(ctx context.Context, shard int, job structs.Job) error {
+	return c.call(ctx, shard, http.MethodPost, "/jobs", job, nil)
+}
+
+// Status returns the state of a job, or ErrUnknownJob.
+func (c *Client) Status(ctx context.Context, shard int, id string) (structs.JobStatus, error) {
+	var status structs.JobStatus
+	err := c.call(ctx, shard, http.MethodGet, "/jobs/"+id, nil, &status)
+	return status, err
+}
+
+// Jobs returns the state of all jobs of a shard.
+func (c *Client) Jobs(ctx context.Context, shard int) ([]structs.JobStatus, error) {
+	var list structs.JobList
+	err := c.call(ctx, shard, http.MethodGet, "/jobs", nil, &list)
+	return list.Jobs, err
+}
+
+// Cancel ends a job. When it returns nil, the cancellation is durable.
+func (c *Client) Cancel(ctx context.Context, shard int, id string) (structs.JobStatus, error) {
+	var status structs.JobStatus
+	err := c.call(ctx, shard, http.MethodDelete, "/jobs/"+id, nil, &status)
+	return status, err
+}
+
+// Epoch returns the epoch of the owner that the store names, 0 if there is none.
+func (c *Client) Epoch(ctx context.Context, shard int) (int64, error) {
+	entry, err := c.store.Get(ctx, ownerKey(shard))
+	if errors.Is(err, store.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, eris.Wrap(err, "reading the owner")
+	}
+	var value ownerValue
+	if err := json.Unmarshal(entry.Value, &value); err != nil {
+		return 0, eris.Wrap(err, "decoding the owner")
+	}
+	if value.Epoch > 0 {
+		c.owners.Publish(structs.ShardOwner{Shard: shard, Epoch: value.Epoch, Address: value.Address})
+	}
+	return value.Epoch, nil
+}
+
+// Push sends starts to the agent at an address.
+func (c *Client) Push(ctx context.Context, address string, request structs.StartRequest) error {
+	return c.exchange(ctx, http.MethodPost, "http://"+address+"/v1/allocations", request, nil)
+}
+
+// call reaches the owner that the directory names; if that fails, it looks the owner up for the next call.
+func (c *Client) call(ctx context.Context, shard int, method, path string, body, reply any) error {
+	owner, known := c.owners.Lookup(shard)
+	if !known {
+		c.find(ctx, shard)
+		if owner, known = c.owners.Lookup(shard); !known {
+			return eris.Wrapf(ErrUnreachable, "no owner of shard %d is known", shard)
+		}
+	}
+	err := c.exchange(ctx, method, fmt.Sprintf("http://%s/v1/shards/%d%s", owner.Address, shard, path), body, reply)
+	if errors.Is(err, ErrUnreachable) || errors.Is(err, ErrNotOwner) {
+		c.find(ctx, shard)
+	}
+	return err
+}
+
+// find reads the owner key, at most once in each interval.
+func (c *Client) find(ctx context.Context, shard int) {
+	now := c.clock.Now()
+	c.mu.Lock()
+	due := now.Sub(c.found[shard]) >= findEvery
+	if due {
+		c.found[shard] = now
+	}
+	c.mu.Unlock()
+	if due {
+		_, _ = c.Epoch(ctx, shard)
+	}
+}
+
+func (c *Client) exchange(ctx context.Context, method, url string, body, reply any) error {
+	if _, bounded := ctx.Deadline(); !bounded {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+	}
+	var raw []byte
+	if body != nil {
+		var err error
+		if raw, err = json.Marshal(body); err != nil {
+			return eris.Wrap(err, "encoding a request")
+		}
+	}
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(raw))
+	if err != nil {
+		return eris.Wrap(err, "building a request")
+	}
+	// Without GetBody the transport can't send a body a second time after a reused connection breaks.
+	request.GetBody = nil
+	response, err := c.transport.RoundTrip(request)
+	if err != nil {
+		if t, ok := c.transport.(*http.Transport); ok && ctx.Err() != nil {
+			// Other pooled connections may be as silent as the one that just timed out.
+			t.CloseIdleConnections()
+		}
+		return fmt.Errorf("%w: %w", ErrUnreachable, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnreachable, err)
+	}
+	c.mu.Lock()
+	c.bytes += int64(len(raw) + len(content))
+	c.mu.Unlock()
+	return c.decode(response.StatusCode, content, reply)
+}
+
+func (c *Client) decode(status int, content []byte, reply any) error {
+	if status == http.StatusOK || status == http.StatusAccepted {
+		if reply == nil {
+			return nil
+		}
+		return eris.Wrap(json.Unmarshal(content, reply), "decoding a response")
+	}
+	var refusal Refusal
+	_ = json.Unmarshal(content, &refusal)
+	if refusal.Owner != nil {
+		c.owners.Publish(*refusal.Owner)
+	}
+	switch status {
+	case http.StatusMisdirectedRequest:
+		return eris.Wrap(ErrNotOwner, refusal.Error)
+	case http.StatusNotFound:
+		return eris.Wrap(ErrUnknownJob, refusal.Error)
+	case http.StatusTooManyRequests:
+		return eris.Wrap(ErrBusy, refusal.Error)
+	case http.StatusGatewayTimeout:
+		return eris.Wrap(ErrUnreachable, refusal.Error)
+	default:
+		return eris.Errorf("status %d: %s", status, refusal.Error)
+	}
+}
--- /dev/null
+++ b/shard/http.go
@@ -0,0 +1,138 @@
+package shard
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/quetzalshed/quetzalshed/kernel"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+const (
+	// maxHeartbeatBytes bounds a heartbeat. 4096 results and 200 allocations take under 3 MB.
+	maxHeartbeatBytes = 4 << 20
+	// maxJobBytes bounds a job.
+	maxJobBytes = 1 << 18
+	// cancelTimeout bounds the wait for a cancellation to become durable.
+	cancelTimeout = 10 * time.Second
+)
+
+// Refusal is the body of a response that isn't 200 or 202.
+type Refusal struct {
+	Error string `json:"error"`
+	// Owner is who owns the shard as far as this process knows.
+	Owner *structs.ShardOwner `json:"owner,omitempty"`
+}
+
+// Routes adds the API of owners. find returns the candidate for a shard, or nil.
+func Routes(router *mux.Router, find func(shard int) *Owner) {
+	h := handlers{find: find}
+	router.HandleFunc("/v1/shards/{shard:[0-9]+}/heartbeat", h.with(h.heartbeat)).Methods(http.MethodPost)
+	router.HandleFunc("/v1/shards/{shard:[0-9]+}/jobs", h.with(h.submit)).Methods(http.MethodPost)
+	router.HandleFunc("/v1/shards/{shard:[0-9]+}/jobs", h.with(h.list)).Methods(http.MethodGet)
+	router.HandleFunc("/v1/shards/{shard:[0-9]+}/jobs/{id}", h.with(h.status)).Methods(http.MethodGet)
+	router.HandleFunc("/v1/shards/{shard:[0-9]+}/jobs/{id}", h.with(h.cancel)).Methods(http.MethodDelete)
+}
+
+type handlers struct {
+	find func(shard int) *Owner
+}
+
+func (h handlers) with(serve func(*Owner, http.ResponseWriter, *http.Request)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		number, err := strconv.Atoi(mux.Vars(r)["shard"])
+		if err != nil {
+			kernel.WriteJSON(w, http.StatusBadRequest, Refusal{Error: "shard is not a number"})
+			return
+		}
+		owner := h.find(number)
+		if owner == nil {
+			kernel.WriteJSON(w, http.StatusMisdirectedRequest, Refusal{Error: ErrNotOwner.Error()})
+			return
+		}
+		serve(owner, w, r)
+	}
+}
+
+func (h handlers) heartbeat(o *Owner, w http.ResponseWriter, r *http.Request) {
+	var hb structs.Heartbeat
+	if !readJSON(w, r, maxHeartbeatBytes, &hb) {
+		return
+	}
+	reply, err := o.Heartbeat(hb)
+	o.respond(w, http.StatusOK, reply, err)
+}
+
+func (h handlers) submit(o *Owner, w http.ResponseWriter, r *http.Request) {
+	var job structs.Job
+	if readJSON(w, r, maxJobBytes, &job) {
+		o.respond(w, http.StatusAccepted, struct{}{}, o.Submit(job))
+	}
+}
+
+func (h handlers) list(o *Owner, w http.ResponseWriter, _ *http.Request) {
+	jobs, err := o.Jobs()
+	o.respond(w, http.StatusOK, structs.JobList{Jobs: jobs}, err)
+}
+
+func (h handlers) status(o *Owner, w http.ResponseWriter, r *http.Request) {
+	status, err := o.Status(mux.Vars(r)["id"])
+	o.respond(w, http.StatusOK, status, err)
+}
+
+func (h handlers) cancel(o *Owner, w http.ResponseWriter, r *http.Request) {
+	ctx, stop := context.WithTimeout(r.Context(), cancelTimeout)
+	defer stop()
+	id := mux.Vars(r)["id"]
+	if err := o.Cancel(ctx, id); err != nil {
+		o.respond(w, 0, nil, err)
+		return
+	}
+	status, err := o.Status(id)
+	if err != nil {
+		status = structs.JobStatus{ID: id, Cancelled: true}
+	}
+	o.respond(w, http.StatusOK, status, nil)
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, limit int64, target any) bool {
+	err := json.NewDecoder(io.LimitReader(r.Body, limit)).Decode(target)
+	if err != nil {
+		kernel.WriteJSON(w, http.StatusBadRequest, Refusal{Error: err.Error()})
+	}
+	return err == nil
+}
+
+func (o *Owner) respond(w http.ResponseWriter, status int, value any, err error) {
+	if err == nil {
+		kernel.WriteJSON(w, status, value)
+		return
+	}
+	refusal := Refusal{Error: err.Error()}
+	if known, ok := o.owners.Lookup(o.config.Shard); ok {
+		refusal.Owner = &known
+	}
+	kernel.WriteJSON(w, statusOf(err), refusal)
+}
+
+func statusOf(err error) int {
+	switch {
+	case errors.Is(err, ErrNotOwner):
+		return http.StatusMisdirectedRequest
+	case errors.Is(err, ErrUnknownJob):
+		return http.StatusNotFound
+	case errors.Is(err, ErrBusy), errors.Is(err, ErrFull):
+		return http.StatusTooManyRequests
+	case errors.Is(err, context.DeadlineExceeded):
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusConflict
+	}
+}
--- /dev/null
+++ b/shard/lifecycle/heartbeat.go
@@ -0,0 +1,261 @@
+package lifecycle
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// ErrStale means that a heartbeat is older than one that was already taken, and says nothing about the present.
+var ErrStale = errors.New("lifecycle: heartbeat is out of date")
+
+// Heartbeat takes the report of a worker and returns the reply. renew tells whether the owner is still valid; a reply
+// without it renews and starts nothing. mayStart tells whether starts in the worker's failure domain are allowed.
+func (m *Machine) Heartbeat(now, wall time.Time, hb structs.Heartbeat, renew, mayStart bool) (structs.HeartbeatReply, error) {
+	view, err := m.observe(now, hb)
+	if err != nil {
+		m.counters.StaleHeartbeats++
+		return structs.HeartbeatReply{}, err
+	}
+	reply := structs.HeartbeatReply{
+		Shard: m.shard, Epoch: m.epoch, Sequence: hb.Sequence, LeaseMillis: m.settings.Lease.Milliseconds(),
+	}
+	ended := map[string]bool{}
+	for _, result := range hb.Results {
+		ended[result.AllocationID] = true
+		if m.result(result, hb.Worker.Name, now, wall) {
+			reply.AckResults = append(reply.AckResults, result.AllocationID)
+		}
+	}
+	for _, running := range hb.Running {
+		m.adopt(running, wall)
+	}
+	m.reportLost(hb, view, ended, wall)
+	m.fillReply(&reply, view, now, renew, mayStart)
+	return reply, nil
+}
+
+func (m *Machine) observe(now time.Time, hb structs.Heartbeat) (*View, error) {
+	view := m.workers[hb.Worker.Name]
+	if view == nil {
+		view = &View{}
+		m.workers[hb.Worker.Name] = view
+	}
+	if hb.StartedUnixNano < view.Started ||
+		(hb.Incarnation == view.Incarnation && hb.Sequence <= view.Sequence) {
+		return nil, ErrStale
+	}
+	view.Worker, view.Incarnation, view.Started, view.Sequence = hb.Worker, hb.Incarnation, hb.StartedUnixNano, hb.Sequence
+	if hb.Draining && !view.Draining {
+		view.DrainingSince = now
+	}
+	view.Received, view.Current, view.Draining = now, hb.Epoch == m.epoch, hb.Draining
+	view.Running = make(map[string]structs.AllocationState, len(hb.Running))
+	for _, running := range hb.Running {
+		view.Running[running.Allocation.ID] = running
+	}
+	view.Usage = make(map[string]structs.TaskUsage, len(hb.Usage))
+	for _, usage := range hb.Usage {
+		view.Usage[usage.AllocationID] = usage
+	}
+	return view, nil
+}
+
+// result takes the end of an attempt and tells whether the agent may forget it: once its effect is durable.
+func (m *Machine) result(r structs.TaskResult, worker string, now, wall time.Time) bool {
+	live := m.live[r.AllocationID]
+	delete(m.live, r.AllocationID)
+	task := m.state.Task(r.Task)
+	if task == nil {
+		// The job has ended or is unknown. Its end has to be durable before the result can be dropped.
+		return len(m.pending) == 0
+	}
+	current := task.Active() && task.Attempt == r.Attempt
+	switch {
+	case r.State == structs.TaskFinished && !task.State.Terminal() && r.Attempt <= task.Attempt:
+		m.finish(r, wall)
+	case current:
+		if live == nil {
+			live = &Live{Alloc: m.allocation(m.state.Jobs[r.Task.JobID], r.Task, task)}
+		}
+		m.attemptEnded(r, live, worker, wall)
+		m.delay(task, r, now)
+	default:
+		m.counters.StaleResults++
+	}
+	return m.changed[r.Task] <= m.durable
+}
+
+func (m *Machine) finish(r structs.TaskResult, wall time.Time) {
+	m.counters.Finishes++
+	m.propose(Event{
+		Kind: EventFinish, JobID: r.Task.JobID, Index: r.Task.Index, Attempt: r.Attempt, UnixMilli: wall.UnixMilli(),
+	})
+	// A later attempt of the task may exist when this result was delayed; it is stopped.
+	for _, other := range m.live {
+		if other.Alloc.Task == r.Task {
+			other.Stop = &structs.TaskStop{AllocationID: other.Alloc.ID, Reason: "an earlier attempt has finished"}
+		}
+	}
+}
+
+func (m *Machine) attemptEnded(r structs.TaskResult, live *Live, worker string, wall time.Time) {
+	if r.State == structs.TaskFailed {
+		m.counters.Failures++
+		m.propose(Event{
+			Kind: EventFail, JobID: r.Task.JobID, Index: r.Task.Index, Attempt: r.Attempt, CheckpointID: r.CheckpointID,
+			Progress: r.Progress, Reason: r.Reason, UnixMilli: wall.UnixMilli(),
+		})
+	} else {
+		m.counters.Refused++
+		m.endAttempt(live, r.CheckpointID, r.Progress, r.Reason, wall)
+	}
+	if m.Observe != nil {
+		m.Observe(Observation{
+			Task: r.Task, Class: live.Alloc.Class, Worker: worker, Failed: r.State == structs.TaskFailed, Reason: r.Reason,
+		})
+	}
+}
+
+// Delays of a task after an attempt that failed or was refused.
+const (
+	refusedDelay  = time.Second
+	failedDelay   = 2 * time.Second
+	maxDelayShift = 5
+)
+
+// delay holds a task back after an attempt that failed, longer each time, or that an agent refused.
+func (m *Machine) delay(task *Task, r structs.TaskResult, now time.Time) {
+	switch {
+	case r.State == structs.TaskFailed:
+		task.NotBefore = now.Add(failedDelay << min(task.Failures-1, maxDelayShift))
+	case r.Refused:
+		task.NotBefore = now.Add(refusedDelay)
+	}
+}
+
+// adopt takes over an allocation that an agent holds, if it belongs to the current attempt of its task.
+func (m *Machine) adopt(running structs.AllocationState, wall time.Time) {
+	live := m.live[running.Allocation.ID]
+	if live == nil {
+		return
+	}
+	live.Reported, live.State, live.Progress = true, running.State, running.Progress
+	// What the agent reserved counts, since it may differ from what the job declared.
+	live.Alloc.Resources, live.Alloc.Worker = running.Allocation.Resources, running.Allocation.Worker
+	task := m.state.Task(live.Alloc.Task)
+	if task == nil || !task.Active() || task.Attempt != live.Alloc.Attempt {
+		return
+	}
+	task.State = running.State
+	task.Progress = max(task.Progress, running.Progress)
+	if running.CheckpointID != "" && running.CheckpointID != task.CheckpointID {
+		m.propose(Event{
+			Kind: EventCheckpoint, JobID: live.Alloc.Task.JobID, Index: live.Alloc.Task.Index, Attempt: task.Attempt,
+			CheckpointID: running.CheckpointID, Progress: running.Progress,
+		})
+	}
+}
+
+// reportLost ends the attempts that the agent should hold but doesn't. A report proves an absence only when the agent
+// had accepted this owner's epoch before, since otherwise a start of an earlier owner can still arrive.
+func (m *Machine) reportLost(hb structs.Heartbeat, view *View, ended map[string]bool, wall time.Time) {
+	if !view.Current {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(m.live)) {
+		live := m.live[id]
+		if live.Alloc.Worker != hb.Worker.Name || ended[id] {
+			continue
+		}
+		if _, held := view.Running[id]; held {
+			continue
+		}
+		if live.Adopted || live.Reported {
+			m.counters.Lost++
+			m.lose(live, "the agent no longer holds the allocation", wall)
+		}
+	}
+}
+
+// fillReply keeps, starts and stops allocations of one worker.
+func (m *Machine) fillReply(reply *structs.HeartbeatReply, view *View, now time.Time, renew, mayStart bool) {
+	if !renew {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(view.Running)) {
+		live := m.live[id]
+		switch {
+		case live == nil:
+			reply.Stop = append(reply.Stop, structs.TaskStop{AllocationID: id, Reason: "the attempt is not current"})
+		case live.Stop != nil:
+			reply.Stop = append(reply.Stop, *live.Stop)
+			// An attempt that is to leave a checkpoint needs its lease until it has done so.
+			if live.Stop.Checkpoint {
+				m.keep(reply, live, now)
+			}
+		default:
+			m.keep(reply, live, now)
+		}
+	}
+	for _, live := range m.startable(view.Worker.Name, mayStart) {
+		m.extend(live, now)
+		live.Sent = now
+		reply.Start = append(reply.Start, live.Alloc)
+	}
+	for _, id := range slices.Sorted(maps.Keys(m.live)) {
+		live := m.live[id]
+		if live.Alloc.Worker == view.Worker.Name && live.Stop != nil && !live.Reported && !live.Until.IsZero() {
+			reply.Stop = append(reply.Stop, *live.Stop)
+		}
+	}
+}
+
+func (m *Machine) keep(reply *structs.HeartbeatReply, live *Live, now time.Time) {
+	m.extend(live, now)
+	reply.Keep = append(reply.Keep, live.Alloc.ID)
+}
+
+// extend covers a renewal by a heartbeat that was sent at now or earlier.
+func (m *Machine) extend(live *Live, now time.Time) {
+	until := now.Add(m.leaseOf(live.Alloc.Kind) + m.settings.Margin)
+	if until.After(live.Until) {
+		live.Until = until
+	}
+}
+
+// startable returns the attempts whose start records are durable and which the agent hasn't reported.
+func (m *Machine) startable(worker string, mayStart bool) []*Live {
+	var starts []*Live
+	if !mayStart {
+		return nil
+	}
+	for _, id := range slices.Sorted(maps.Keys(m.live)) {
+		live := m.live[id]
+		if live.Alloc.Worker == worker && !live.Adopted && !live.Reported && live.Stop == nil && live.lsn <= m.durable {
+			starts = append(starts, live)
+		}
+	}
+	return starts
+}
+
+// Push returns the starts to send to a worker at once, or false when there are none. Their leases count from the
+// worker's newest heartbeat.
+func (m *Machine) Push(worker string, now time.Time, mayStart bool) (structs.StartRequest, bool) {
+	view := m.workers[worker]
+	if view == nil || !view.Current || now.Sub(view.Received) >= m.settings.Lease {
+		return structs.StartRequest{}, false
+	}
+	request := structs.StartRequest{
+		Shard: m.shard, Epoch: m.epoch, Incarnation: view.Incarnation, Sequence: view.Sequence,
+	}
+	for _, live := range m.startable(worker, mayStart) {
+		m.extend(live, view.Received)
+		live.Sent = view.Received
+		request.Start = append(request.Start, live.Alloc)
+	}
+	return request, len(request.Start) > 0
+}
--- /dev/null
+++ b/shard/lifecycle/machine.go
@@ -0,0 +1,272 @@
+package lifecycle
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// Live is an attempt that may be running, as the owner sees it.
+type Live struct {
+	Alloc structs.Allocation
+	// Until is when the attempt certainly runs no more unless it is renewed; zero while the start was never sent.
+	Until time.Time
+	// Sent is the basis of the newest offer of the start: when the heartbeat arrived from which its lease counts.
+	Sent time.Time
+	// Reported is set once the agent has listed the allocation.
+	Reported bool
+	// Adopted is set for an attempt that an earlier owner started.
+	Adopted bool
+	State   structs.TaskState
+	// Progress ranges from 0 to 1, as last reported.
+	Progress float64
+	// Stop is what the agent is told to do with the attempt, nil for nothing.
+	Stop *structs.TaskStop
+	// lsn is the position of the start record; the start is sent once it is durable.
+	lsn int64
+}
+
+// View is what the owner knows of one worker.
+type View struct {
+	Worker      structs.Worker
+	Incarnation string
+	Started     int64
+	Sequence    int64
+	// Received is when the newest heartbeat arrived; its lease ends before Received + lease + margin.
+	Received time.Time
+	// Current is set once the agent has reported under this owner's epoch; until then the worker counts as full.
+	Current  bool
+	Draining bool
+	// DrainingSince is when the drain was first reported.
+	DrainingSince time.Time
+	Running       map[string]structs.AllocationState
+	Usage         map[string]structs.TaskUsage
+}
+
+// Machine is the state of a shard in the hands of one owner. It is not safe for concurrent use.
+type Machine struct {
+	settings Settings
+	shard    int
+	epoch    int64
+	// began is when the ownership began.
+	began   time.Time
+	state   *State
+	workers map[string]*View
+	live    map[string]*Live
+	// changed holds the position of the newest event of each task that has one since the start of ownership.
+	changed map[structs.TaskID]int64
+	// pending holds the events that are not yet durable; the first has the position durable + 1.
+	pending  []Event
+	durable  int64
+	counters Counters
+	// Observe receives every ended attempt, for learning; it may be nil.
+	Observe func(Observation)
+}
+
+// Observation is an ended attempt, for quarantine and learned sizes.
+type Observation struct {
+	Task   structs.TaskID
+	Class  string
+	Worker string
+	Failed bool
+	Reason string
+}
+
+// Counters counts what an owner has done.
+type Counters struct {
+	Starts, Finishes, Failures, Requeues, Lost, Refused, StaleHeartbeats, StaleResults, RuleErrors int64
+}
+
+// NewMachine returns the machine of a new owner. State is the replayed log; now is a time after the epoch record was
+// written, and every attempt that the log shows as active waits from then on until it is reported or has run out.
+func NewMachine(settings Settings, shard int, epoch int64, state *State, now time.Time) *Machine {
+	m := &Machine{
+		settings: settings, shard: shard, epoch: epoch, began: now, state: state,
+		workers: map[string]*View{}, live: map[string]*Live{}, changed: map[structs.TaskID]int64{},
+	}
+	for _, jobID := range state.JobIDs() {
+		job := state.Jobs[jobID]
+		for index, task := range job.Tasks {
+			if task.Active() {
+				m.inherit(job, structs.TaskID{JobID: jobID, Index: index}, task, now)
+			}
+		}
+	}
+	return m
+}
+
+// inherit covers an attempt whose leases an earlier owner could have renewed until its validity ended.
+func (m *Machine) inherit(job *Job, id structs.TaskID, task *Task, now time.Time) {
+	alloc := m.allocation(job, id, task)
+	m.live[alloc.ID] = &Live{
+		Alloc: alloc, Adopted: true, State: structs.TaskStarting, Progress: task.Progress,
+		Until: now.Add(m.settings.OwnerValidity + m.leaseOf(job.Spec.Kind) + m.settings.Margin),
+	}
+}
+
+func (m *Machine) allocation(job *Job, id structs.TaskID, task *Task) structs.Allocation {
+	return structs.Allocation{
+		ID: AllocationID(id, task.Attempt), Task: id, Attempt: task.Attempt, Worker: task.Worker, Kind: job.Spec.Kind,
+		Class: job.Spec.Class, Resources: job.Spec.Resources, Shard: m.shard, Epoch: m.epoch,
+		LeaseMillis: m.leaseOf(job.Spec.Kind).Milliseconds(), CheckpointID: task.CheckpointID, Command: job.Spec.Command,
+	}
+}
+
+func (m *Machine) leaseOf(kind structs.JobKind) time.Duration {
+	if kind == structs.KindService {
+		return m.settings.ServiceLease
+	}
+	return m.settings.Lease
+}
+
+// Epoch returns the epoch of this ownership.
+func (m *Machine) Epoch() int64 { return m.epoch }
+
+// State returns the durable state with all proposed events applied. Callers must not change it.
+func (m *Machine) State() *State { return m.state }
+
+// Counters returns what this owner has done.
+func (m *Machine) Counters() Counters { return m.counters }
+
+// Live returns the attempts that may be running, by allocation ID. Callers must not change them.
+func (m *Machine) Live() map[string]*Live { return m.live }
+
+// Workers returns the views of all workers that have reported. Callers must not change them.
+func (m *Machine) Workers() map[string]*View { return m.workers }
+
+// propose applies an event and queues it for the log. It returns the event's position, or 0 when the event breaks a
+// rule, which is counted.
+func (m *Machine) propose(e Event) int64 {
+	if err := m.state.Apply(e); err != nil {
+		m.counters.RuleErrors++
+		return 0
+	}
+	m.pending = append(m.pending, e)
+	lsn := m.durable + int64(len(m.pending))
+	switch e.Kind {
+	case EventAccept, EventCancel, EventVerdict, EventForget:
+	default:
+		m.changed[e.Task()] = lsn
+	}
+	return lsn
+}
+
+// Pending returns the events that are not durable, oldest first.
+func (m *Machine) Pending() []Event { return m.pending }
+
+// Position returns the position of the newest event.
+func (m *Machine) Position() int64 { return m.durable + int64(len(m.pending)) }
+
+// Durable returns the position up to which events are in the log.
+func (m *Machine) Durable() int64 { return m.durable }
+
+// Committed tells the machine that the oldest count pending events are in the log.
+func (m *Machine) Committed(count int) {
+	m.pending = slices.Clone(m.pending[count:])
+	m.durable += int64(count)
+}
+
+// Accept adds a job. It returns the position of its event, or 0 when the job is known.
+func (m *Machine) Accept(job structs.Job) int64 {
+	if m.state.Jobs[job.ID] != nil {
+		return 0
+	}
+	return m.propose(Event{Kind: EventAccept, Job: &job})
+}
+
+// Cancel ends all unfinished tasks of a job and has its attempts stopped. known is false for a job that the shard
+// doesn't have. The cancellation is durable once Durable reaches lsn.
+func (m *Machine) Cancel(jobID string, wall time.Time) (lsn int64, known bool) {
+	job := m.state.Jobs[jobID]
+	if job == nil {
+		return 0, false
+	}
+	if job.Cancelled || job.Open == 0 {
+		return m.Position(), true
+	}
+	lsn = m.propose(Event{Kind: EventCancel, JobID: jobID, UnixMilli: wall.UnixMilli()})
+	for _, live := range m.live {
+		if live.Alloc.Task.JobID == jobID {
+			live.Stop = &structs.TaskStop{AllocationID: live.Alloc.ID, Reason: "the job was cancelled"}
+		}
+	}
+	return lsn, true
+}
+
+// Expire ends the attempts whose leases have certainly run out, and forgets old jobs.
+func (m *Machine) Expire(now, wall time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(m.live)) {
+		live := m.live[id]
+		switch {
+		case live.Until.IsZero():
+			// The start was never sent, so nothing has to be waited for.
+			if m.Silent(live.Alloc.Worker, now) || live.Stop != nil {
+				m.lose(live, "the start was withdrawn", wall)
+			}
+		case m.undelivered(live, now):
+			m.lose(live, "the start did not arrive", wall)
+		case now.After(live.Until):
+			m.counters.Lost++
+			m.lose(live, "the lease ran out", wall)
+		}
+	}
+	for _, id := range m.state.JobIDs() {
+		job := m.state.Jobs[id]
+		if job.EndedUnixMilli > 0 && wall.UnixMilli()-job.EndedUnixMilli > m.settings.Retention.Milliseconds() {
+			m.propose(Event{Kind: EventForget, JobID: id})
+		}
+	}
+}
+
+// undelivered tells whether an offered start can't arrive any more: agents take none that is older than a lease, and the
+// worker has reported since without it.
+func (m *Machine) undelivered(live *Live, now time.Time) bool {
+	view := m.workers[live.Alloc.Worker]
+	return !live.Adopted && !live.Reported && view != nil && view.Current &&
+		view.Received.Sub(live.Sent) > m.settings.Lease+m.settings.Margin
+}
+
+// Silent tells whether nothing has been heard of a worker for a lease and its margin.
+func (m *Machine) Silent(worker string, now time.Time) bool {
+	view := m.workers[worker]
+	return view == nil || now.Sub(view.Received) > m.settings.Lease+m.settings.Margin
+}
+
+// lose ends an attempt that certainly doesn't run and didn't report a result.
+func (m *Machine) lose(live *Live, reason string, wall time.Time) {
+	delete(m.live, live.Alloc.ID)
+	task := m.state.Task(live.Alloc.Task)
+	if task == nil || !task.Active() || task.Attempt != live.Alloc.Attempt {
+		return
+	}
+	m.endAttempt(live, "", 0, reason, wall)
+}
+
+// endAttempt makes the task of an attempt pending; a replica of a service is retired, since indices aren't reused.
+func (m *Machine) endAttempt(live *Live, checkpoint string, progress float64, reason string, wall time.Time) {
+	id := live.Alloc.Task
+	e := Event{
+		Kind: EventRequeue, JobID: id.JobID, Index: id.Index, Attempt: live.Alloc.Attempt, CheckpointID: checkpoint,
+		Progress: progress, Reason: reason,
+	}
+	if live.Alloc.Kind == structs.KindService && live.Reported {
+		e.Kind, e.UnixMilli = EventRetire, wall.UnixMilli()
+	}
+	m.counters.Requeues++
+	m.propose(e)
+}
+
+// Status returns the state of a job for callers.
+func (m *Machine) Status(jobID string) (structs.JobStatus, bool) {
+	job := m.state.Jobs[jobID]
+	if job == nil {
+		return structs.JobStatus{}, false
+	}
+	status := structs.JobStatus{
+		ID: jobID, Kind: job.Spec.Kind, Tasks: job.Spec.Tasks, Counts: job.Counts(), Verdict: job.Verdict,
+		Reason: job.Reason, Cancelled: job.Cancelled, Done: job.EndedUnixMilli > 0,
+	}
+	return status, true
+}
--- /dev/null
+++ b/shard/lifecycle/place.go
@@ -0,0 +1,124 @@
+package lifecycle
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// Pending is a task that waits for a place.
+type Pending struct {
+	Task     structs.TaskID
+	Job      *structs.Job
+	State    *Task
+	Attempts int
+}
+
+// PendingTasks returns the tasks that wait for a place, in the order of jobs and indices.
+func (m *Machine) PendingTasks() []Pending {
+	var tasks []Pending
+	for _, id := range m.state.JobIDs() {
+		job := m.state.Jobs[id]
+		if job.Open == 0 {
+			continue
+		}
+		for index, task := range job.Tasks {
+			if task.State == structs.TaskPending {
+				tasks = append(tasks, Pending{Task: structs.TaskID{JobID: id, Index: index}, Job: &job.Spec, State: task})
+			}
+		}
+	}
+	return tasks
+}
+
+// Usable tells whether a worker takes new tasks: it reported under this epoch, lately, and isn't draining.
+func (m *Machine) Usable(view *View, now time.Time) bool {
+	return view.Current && !view.Draining && now.Sub(view.Received) < m.settings.Lease
+}
+
+// HeldAllocation is an allocation that occupies a worker.
+type HeldAllocation struct {
+	Alloc    structs.Allocation
+	State    structs.TaskState
+	Progress float64
+	// Ending is set when the agent is told to stop it.
+	Ending bool
+}
+
+// Held returns the allocations that occupy a worker: what it reported, and what it may be starting.
+func (m *Machine) Held(worker string) []HeldAllocation {
+	held := map[string]HeldAllocation{}
+	if view := m.workers[worker]; view != nil {
+		for id, r := range view.Running {
+			held[id] = HeldAllocation{Alloc: r.Allocation, State: r.State, Progress: r.Progress, Ending: m.live[id] == nil}
+		}
+	}
+	for id, live := range m.live {
+		if live.Alloc.Worker == worker {
+			held[id] = HeldAllocation{
+				Alloc: live.Alloc, State: live.State, Progress: live.Progress, Ending: live.Stop != nil,
+			}
+		}
+	}
+	list := make([]HeldAllocation, 0, len(held))
+	for _, id := range slices.Sorted(maps.Keys(held)) {
+		list = append(list, held[id])
+	}
+	return list
+}
+
+// Place records the start of a pending task with what the agent is to reserve for it. It returns false when the task is
+// no longer pending.
+func (m *Machine) Place(id structs.TaskID, worker string, reservation structs.Resources) bool {
+	task := m.state.Task(id)
+	if task == nil || task.State != structs.TaskPending {
+		return false
+	}
+	lsn := m.propose(Event{
+		Kind: EventStart, JobID: id.JobID, Index: id.Index, Attempt: task.Attempt + 1, Worker: worker,
+	})
+	if lsn == 0 {
+		return false
+	}
+	alloc := m.allocation(m.state.Jobs[id.JobID], id, task)
+	alloc.Resources = reservation
+	m.live[alloc.ID] = &Live{Alloc: alloc, State: structs.TaskStarting, Progress: task.Progress, lsn: lsn}
+	m.counters.Starts++
+	return true
+}
+
+// Evict has a batch attempt leave its worker with a checkpoint.
+func (m *Machine) Evict(allocationID, reason string) {
+	live := m.live[allocationID]
+	if live != nil && live.Stop == nil && live.Alloc.Kind != structs.KindService {
+		live.Stop = &structs.TaskStop{AllocationID: allocationID, Checkpoint: true, Reason: reason}
+	}
+}
+
+// Verdict records why a job can't run at all, if that is news. An empty reason withdraws the verdict.
+func (m *Machine) Verdict(jobID, reason string) {
+	if job := m.state.Jobs[jobID]; job != nil && job.Verdict != reason {
+		m.propose(Event{Kind: EventVerdict, JobID: jobID, Reason: reason})
+	}
+}
+
+// OpenTasks returns the number of tasks that have not ended.
+func (m *Machine) OpenTasks() int {
+	open := 0
+	for _, job := range m.state.Jobs {
+		open += job.Open
+	}
+	return open
+}
+
+// UrgentStarts tells whether a worker has a start of an urgent job that it hasn't reported.
+func (m *Machine) UrgentStarts(worker string) bool {
+	for _, live := range m.startable(worker, true) {
+		if job := m.state.Jobs[live.Alloc.Task.JobID]; job != nil && job.Spec.Urgent {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/shard/lifecycle/settings.go
@@ -0,0 +1,28 @@
+package lifecycle
+
+import "time"
+
+// Settings holds the periods of leases.
+type Settings struct {
+	// Lease is how long an allocation runs after the agent sent the heartbeat that was last answered.
+	Lease time.Duration
+	// Margin is added to a lease before its end is relied on. It covers one renewal on the worker that a pause of the
+	// agent delayed (agents renew for at most 2 s at a time), and 1 s of clock drift.
+	Margin time.Duration
+	// ServiceLease is how long a service replica continues without contact to an owner.
+	ServiceLease time.Duration
+	// OwnerValidity is how long an owner renews leases after the newest proof of its ownership.
+	OwnerValidity time.Duration
+	// EvacuationBatch bounds the batch tasks that leave failure domains at the same time.
+	EvacuationBatch int
+	// Retention is how long an ended job stays known, so that a repeated submission doesn't run it again.
+	Retention time.Duration
+}
+
+// DefaultSettings returns the periods of the design.
+func DefaultSettings() Settings {
+	return Settings{
+		Lease: 4 * time.Second, Margin: 3 * time.Second, ServiceLease: 600 * time.Second,
+		OwnerValidity: 30 * time.Second, EvacuationBatch: 32, Retention: 24 * time.Hour,
+	}
+}
--- /dev/null
+++ b/shard/lifecycle/state.go
@@ -0,0 +1,224 @@
+package lifecycle
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// DefaultMaxAttempts is how often a task may fail when its job doesn't say.
+const DefaultMaxAttempts = 3
+
+// Task is the durable state of one task.
+type Task struct {
+	State structs.TaskState `json:"s"`
+	// Attempt counts the recorded starts; the newest is the only one that may run.
+	Attempt int `json:"a,omitempty"`
+	// Failures counts the attempts that failed.
+	Failures     int     `json:"f,omitempty"`
+	Worker       string  `json:"w,omitempty"`
+	CheckpointID string  `json:"c,omitempty"`
+	Progress     float64 `json:"p,omitempty"`
+	Reason       string  `json:"r,omitempty"`
+	// Avoid lists workers on which the task failed.
+	Avoid []string `json:"v,omitempty"`
+	// NotBefore delays the next attempt. It is not durable: after a change of ownership the delay ends early.
+	NotBefore time.Time `json:"-"`
+}
+
+// maxAvoid bounds the workers that a task remembers to have failed on.
+const maxAvoid = 4
+
+// Active tells whether the current attempt may be running somewhere.
+func (t *Task) Active() bool { return !t.State.Terminal() && t.State != structs.TaskPending }
+
+// Job is the durable state of one job.
+type Job struct {
+	Spec      structs.Job `json:"spec"`
+	Tasks     []*Task     `json:"tasks,omitempty"`
+	Cancelled bool        `json:"cancelled,omitempty"`
+	Verdict   string      `json:"verdict,omitempty"`
+	// Reason is that of the first task that failed.
+	Reason string `json:"reason,omitempty"`
+	// Open counts the tasks that have not ended.
+	Open int `json:"open"`
+	// Ended holds the final counts by state of a job whose tasks have been dropped.
+	Ended map[structs.TaskState]int `json:"ended,omitempty"`
+	// EndedUnixMilli is when the last task ended.
+	EndedUnixMilli int64 `json:"ended_at,omitempty"`
+}
+
+// Counts returns the number of tasks by state.
+func (j *Job) Counts() map[structs.TaskState]int {
+	counts := map[structs.TaskState]int{}
+	for state, count := range j.Ended {
+		counts[state] = count
+	}
+	for _, task := range j.Tasks {
+		counts[task.State]++
+	}
+	return counts
+}
+
+// State is the durable state of a shard: the result of its log.
+type State struct {
+	Jobs map[string]*Job `json:"jobs"`
+}
+
+// NewState returns an empty state.
+func NewState() *State { return &State{Jobs: map[string]*Job{}} }
+
+// Task returns a task, or nil.
+func (s *State) Task(id structs.TaskID) *Task {
+	job := s.Jobs[id.JobID]
+	if job == nil || id.Index < 0 || id.Index >= len(job.Tasks) {
+		return nil
+	}
+	return job.Tasks[id.Index]
+}
+
+// JobIDs returns the IDs of all jobs in order.
+func (s *State) JobIDs() []string {
+	ids := make([]string, 0, len(s.Jobs))
+	for id := range s.Jobs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Apply changes the state by one event. An event that breaks a rule of the life cycle is an error and changes nothing.
+func (s *State) Apply(e Event) error {
+	switch e.Kind {
+	case EventAccept:
+		return s.accept(e)
+	case EventCancel, EventVerdict, EventGrow, EventForget:
+		return s.applyToJob(e)
+	default:
+		return s.applyToTask(e)
+	}
+}
+
+func (s *State) accept(e Event) error {
+	if e.Job == nil || s.Jobs[e.Job.ID] != nil {
+		return eris.Errorf("accept: job is missing or known")
+	}
+	job := &Job{Spec: *e.Job, Open: e.Job.Tasks}
+	for range e.Job.Tasks {
+		job.Tasks = append(job.Tasks, &Task{State: structs.TaskPending})
+	}
+	s.Jobs[e.Job.ID] = job
+	return nil
+}
+
+func (s *State) applyToJob(e Event) error {
+	job := s.Jobs[e.JobID]
+	if job == nil {
+		return eris.Errorf("%s: unknown job %q", e.Kind, e.JobID)
+	}
+	switch e.Kind {
+	case EventVerdict:
+		job.Verdict = e.Reason
+	case EventCancel:
+		job.Cancelled = true
+		for _, task := range job.Tasks {
+			if !task.State.Terminal() {
+				s.end(job, task, structs.TaskCancelled, e)
+			}
+		}
+	case EventGrow:
+		if job.Spec.Kind != structs.KindService || job.Cancelled || e.Index != len(job.Tasks) {
+			return eris.Errorf("grow: index %d is not the next of service %q", e.Index, e.JobID)
+		}
+		job.Tasks = append(job.Tasks, &Task{State: structs.TaskPending})
+		job.Open++
+	case EventForget:
+		if job.Open > 0 {
+			return eris.Errorf("forget: job %q has open tasks", e.JobID)
+		}
+		delete(s.Jobs, e.JobID)
+	}
+	return nil
+}
+
+func (s *State) applyToTask(e Event) error {
+	task := s.Task(e.Task())
+	if task == nil {
+		return eris.Errorf("%s: unknown task %s/%d", e.Kind, e.JobID, e.Index)
+	}
+	if task.State.Terminal() {
+		return eris.Errorf("%s: task %s/%d has ended as %s", e.Kind, e.JobID, e.Index, task.State)
+	}
+	job := s.Jobs[e.JobID]
+	switch e.Kind {
+	case EventStart:
+		if task.State != structs.TaskPending || e.Attempt != task.Attempt+1 {
+			return eris.Errorf("start: task %s/%d is %s at attempt %d", e.JobID, e.Index, task.State, task.Attempt)
+		}
+		task.State, task.Attempt, task.Worker = structs.TaskStarting, e.Attempt, e.Worker
+		return nil
+	case EventFinish:
+		// An earlier attempt may have finished before its lease ran out and be reported late; its work counts.
+		if e.Attempt < 1 || e.Attempt > task.Attempt {
+			return eris.Errorf("finish: task %s/%d has no attempt %d", e.JobID, e.Index, e.Attempt)
+		}
+		task.Progress = 1
+		s.end(job, task, structs.TaskFinished, e)
+		return nil
+	case EventRetire:
+		s.end(job, task, structs.TaskCancelled, e)
+		return nil
+	}
+	if !task.Active() || e.Attempt != task.Attempt {
+		return eris.Errorf("%s: attempt %d of task %s/%d is not active", e.Kind, e.Attempt, e.JobID, e.Index)
+	}
+	s.applyToAttempt(job, task, e)
+	return nil
+}
+
+func (s *State) applyToAttempt(job *Job, task *Task, e Event) {
+	if e.CheckpointID != "" {
+		task.CheckpointID, task.Progress = e.CheckpointID, e.Progress
+	}
+	switch e.Kind {
+	case EventRequeue:
+		task.State, task.Worker, task.Reason = structs.TaskPending, "", e.Reason
+	case EventFail:
+		task.Failures++
+		if !slices.Contains(task.Avoid, task.Worker) {
+			task.Avoid = append(task.Avoid, task.Worker)
+			task.Avoid = task.Avoid[max(0, len(task.Avoid)-maxAvoid):]
+		}
+		task.Reason = e.Reason
+		limit := job.Spec.MaxAttempts
+		if limit < 1 {
+			limit = DefaultMaxAttempts
+		}
+		// A service goes on with another attempt for as long as it is wanted.
+		if task.Failures >= limit && job.Spec.Kind != structs.KindService {
+			s.end(job, task, structs.TaskFailed, e)
+			return
+		}
+		task.State, task.Worker = structs.TaskPending, ""
+	}
+}
+
+// end gives a task its final state, and replaces the tasks of a job by their counts once all have ended.
+func (s *State) end(job *Job, task *Task, state structs.TaskState, e Event) {
+	task.State, task.CheckpointID = state, ""
+	if e.Reason != "" {
+		task.Reason = e.Reason
+	}
+	if state == structs.TaskFailed && job.Reason == "" {
+		job.Reason = e.Reason
+	}
+	job.Open--
+	if job.Open > 0 || (job.Spec.Kind == structs.KindService && !job.Cancelled) {
+		return
+	}
+	job.EndedUnixMilli = e.UnixMilli
+	job.Ended, job.Tasks = job.Counts(), nil
+}
--- /dev/null
+++ b/shard/settled.go
@@ -0,0 +1,97 @@
+package shard
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/config"
+	"github.com/quetzalshed/quetzalshed/scheduler"
+	"github.com/quetzalshed/quetzalshed/scheduler/quota"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// Followed is the configuration that a config.Follower holds. It is safe for concurrent use.
+type Followed struct {
+	follower *config.Follower
+	clock    clock.Clock
+
+	mu       sync.Mutex
+	out      map[string]time.Time
+	returned map[string]time.Time
+}
+
+var _ Configuration = (*Followed)(nil)
+
+// NewFollowed returns the configuration of a follower.
+func NewFollowed(f *config.Follower, c clock.Clock) *Followed {
+	return &Followed{follower: f, clock: c, out: map[string]time.Time{}, returned: map[string]time.Time{}}
+}
+
+// MayStart implements Configuration.
+func (f *Followed) MayStart(domain string) (bool, string) { return f.follower.MayStart(domain) }
+
+// Out implements Configuration.
+func (f *Followed) Out(domain string) bool {
+	head, ok := f.follower.Head()
+	return ok && head.Domains[domain].Out
+}
+
+// Worker implements Configuration.
+func (f *Followed) Worker(name string) (structs.Worker, bool) {
+	return f.follower.Inventory().Worker(name)
+}
+
+// Rules implements Configuration.
+func (f *Followed) Rules() (scheduler.Rules, quota.Limits) {
+	loaded := f.follower.Rules()
+	rules := scheduler.Rules{RacksWithoutBatch: map[string]bool{}, InterferenceLimit: loaded.Interference.MaxSlowdown}
+	for _, rack := range loaded.RacksWithoutBatch {
+		rules.RacksWithoutBatch[rack] = true
+	}
+	for _, service := range loaded.Services {
+		rules.ServiceOrder = append(rules.ServiceOrder, service.Name)
+	}
+	rules.Out, rules.Returned = f.transitions()
+	return rules, quota.Limits{Teams: loaded.Quotas, Default: loaded.DefaultQuota}
+}
+
+// transitions returns when failure domains left service and returned, as far as this process has seen it.
+func (f *Followed) transitions() (out, returned map[string]time.Time) {
+	head, _ := f.follower.Head()
+	now := f.clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, state := range head.Domains {
+		_, was := f.out[name]
+		switch {
+		case state.Out && !was:
+			f.out[name] = now
+			delete(f.returned, name)
+		case !state.Out && was:
+			delete(f.out, name)
+			f.returned[name] = now
+		}
+	}
+	out, returned = make(map[string]time.Time, len(f.out)), make(map[string]time.Time, len(f.returned))
+	for name, at := range f.out {
+		out[name] = at
+	}
+	for name, at := range f.returned {
+		returned[name] = at
+	}
+	return out, returned
+}
+
+// Attach implements Configuration.
+func (f *Followed) Attach(reply *structs.HeartbeatReply, known int64) {
+	proof := f.follower.Proof(known)
+	reply.HeadRevision, reply.ConfirmedMillis = proof.Revision, proof.AgeMillis
+	if proof.Head == nil {
+		return
+	}
+	if raw, err := json.Marshal(proof.Head); err == nil {
+		reply.Head = raw
+	}
+}
--- a/structs/heartbeat.go
+++ b/structs/heartbeat.go
@@ -33,18 +33,23 @@
 	CheckpointID string    `json:"checkpoint_id,omitempty"`
 	Progress     float64   `json:"progress,omitempty"`
 	Reason       string    `json:"reason,omitempty"`
+	// Refused is set when the attempt was never started.
+	Refused bool `json:"refused,omitempty"`
 }
 
 // Heartbeat reports the whole state of a worker to the owner of its shard.
 type Heartbeat struct {
-	Worker      Worker            `json:"worker"`
-	Incarnation string            `json:"incarnation"`
-	Sequence    int64             `json:"sequence"`
-	Epoch       int64             `json:"epoch"`
-	Usage       []TaskUsage       `json:"usage,omitempty"`
-	Running     []AllocationState `json:"running,omitempty"`
-	Results     []TaskResult      `json:"results,omitempty"`
-	Draining    bool              `json:"draining,omitempty"`
+	Worker      Worker `json:"worker"`
+	Incarnation string `json:"incarnation"`
+	// StartedUnixNano orders incarnations of one agent.
+	StartedUnixNano int64 `json:"started_unix_nano"`
+	Sequence        int64 `json:"sequence"`
+	// Epoch is the highest epoch of the shard that the agent had accepted when it sent the heartbeat.
+	Epoch    int64             `json:"epoch"`
+	Usage    []TaskUsage       `json:"usage,omitempty"`
+	Running  []AllocationState `json:"running,omitempty"`
+	Results  []TaskResult      `json:"results,omitempty"`
+	Draining bool              `json:"draining,omitempty"`
 	// HeadRevision is the configuration revision that the agent holds, so that the reply repeats no known head.
 	HeadRevision int64 `json:"head_revision,omitempty"`
 }
--- /dev/null
+++ b/structs/status.go
@@ -0,0 +1,29 @@
+package structs
+
+// JobStatus is what the owner of a shard tells of a job.
+type JobStatus struct {
+	ID        string            `json:"id"`
+	Kind      JobKind           `json:"kind"`
+	Tasks     int               `json:"tasks"`
+	Counts    map[TaskState]int `json:"counts"`
+	Verdict   string            `json:"verdict,omitempty"`
+	Reason    string            `json:"reason,omitempty"`
+	Cancelled bool              `json:"cancelled,omitempty"`
+	// Done is set once no task runs any more or will run.
+	Done bool `json:"done"`
+}
+
+// StartRequest asks an agent to start allocations before its next heartbeat. Its lease counts from when the agent sent
+// the heartbeat with the given incarnation and sequence, so a delayed request can't start anything late.
+type StartRequest struct {
+	Shard       int          `json:"shard"`
+	Epoch       int64        `json:"epoch"`
+	Incarnation string       `json:"incarnation"`
+	Sequence    int64        `json:"sequence"`
+	Start       []Allocation `json:"start"`
+}
+
+// JobList is a list of jobs with their state.
+type JobList struct {
+	Jobs []JobStatus `json:"jobs"`
+}
