Replay traces in virtual time and wire the processes

Cause: the decisions need a measurement against stated outcomes before they are tuned, and the binaries ran no modules yet. Ruled out: a cluster simulator; the replay drives the pure packages (routing, limit, scheduler, guard, sizing, interference, quarantine) on small fakes only. Change: trace format with stated outcomes, a baseline (first fit, round robin, unbounded queues), quetzalshed-replay, one trace for each site; the modules of entry and agent; two name clashes in package limit resolved.

--- /dev/null
+++ b/cmd/quetzalshed-agent/modules.go
@@ -0,0 +1,13 @@
+package main
+
+// The imported packages register their modules for the agent, and the scheduler's plug-ins.
+import (
+	_ "github.com/quetzalshed/quetzalshed/agent/announcer"
+	_ "github.com/quetzalshed/quetzalshed/agent/requests"
+	_ "github.com/quetzalshed/quetzalshed/agent/runner"
+	_ "github.com/quetzalshed/quetzalshed/config/configmodule"
+	_ "github.com/quetzalshed/quetzalshed/gossip"
+	_ "github.com/quetzalshed/quetzalshed/platform/store/storemodule"
+	_ "github.com/quetzalshed/quetzalshed/scheduler/plugins"
+	_ "github.com/quetzalshed/quetzalshed/shard"
+)
--- /dev/null
+++ b/cmd/quetzalshed-replay/main.go
@@ -0,0 +1,52 @@
+// Command quetzalshed-replay replays recorded traces against the decision packages and compares them with a baseline.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"github.com/quetzalshed/quetzalshed/kernel"
+	"github.com/quetzalshed/quetzalshed/replay"
+)
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	check := false
+	c := &cobra.Command{
+		Use: "quetzalshed-replay TRACE...", Short: "Replay traces and compare the outcomes with a baseline",
+		Args: cobra.MinimumNArgs(1), SilenceUsage: true, SilenceErrors: true,
+		RunE: func(c *cobra.Command, paths []string) error {
+			missed := 0
+			for _, path := range paths {
+				trace, err := replay.Load(path)
+				if err != nil {
+					return err
+				}
+				if check {
+					continue
+				}
+				report := replay.Run(trace)
+				if err := report.Print(c.OutOrStdout()); err != nil {
+					return eris.Wrap(err, "printing the report")
+				}
+				missed += len(report.Missed)
+			}
+			if missed > 0 {
+				return eris.Errorf("%d stated outcomes were missed", missed)
+			}
+			return nil
+		},
+	}
+	c.Flags().BoolVar(&check, "check", false, "check the traces and exit")
+	c.AddCommand(kernel.VersionCommand())
+	return c
+}
--- a/limit/entry_limits_test.go
+++ b/limit/entry_limits_test.go
@@ -12,14 +12,14 @@
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
-var start = time.Unix(1_700_000_000, 0)
+var entryStart = time.Unix(1_700_000_000, 0)
 
 // Guards against a budget that grows without bound, or admits more than its share in a retry storm.
 func TestRetryBudget(t *testing.T) {
 	b := NewRetryBudget(0.1, 3)
 	taken := 0
 	for i := range 10_000 {
-		now := start.Add(time.Duration(i) * time.Millisecond)
+		now := entryStart.Add(time.Duration(i) * time.Millisecond)
 		b.Request(now)
 		for b.Take(now) {
 			taken++
@@ -27,28 +27,28 @@
 	}
 	// 10% of 10,000 requests, 3 per second for 10 s and the initial 3.
 	qt.Assert(t, taken >= 1030 && taken <= 1034, qt.IsTrue, qt.Commentf("%d", taken))
-	late := start.Add(24 * time.Hour)
+	late := entryStart.Add(24 * time.Hour)
 	burst := 0
 	for b.Available(late) && b.Take(late) {
 		burst++
 	}
 	qt.Assert(t, burst, qt.Equals, 30)
-	qt.Assert(t, b.Take(start), qt.IsFalse, qt.Commentf("an earlier time must not add tokens"))
+	qt.Assert(t, b.Take(entryStart), qt.IsFalse, qt.Commentf("an earlier time must not add tokens"))
 }
 
 // Guards against rejections that don't say when a token is free, or that use one up.
 func TestRate(t *testing.T) {
 	r := NewRate(10, 2)
 	for range 2 {
-		ok, _ := r.Allow(start)
+		ok, _ := r.Allow(entryStart)
 		qt.Assert(t, ok, qt.IsTrue)
 	}
 	for range 3 {
-		ok, after := r.Allow(start)
+		ok, after := r.Allow(entryStart)
 		qt.Assert(t, ok, qt.IsFalse)
 		qt.Assert(t, after, qt.Equals, 100*time.Millisecond)
 	}
-	ok, _ := r.Allow(start.Add(100 * time.Millisecond))
+	ok, _ := r.Allow(entryStart.Add(100 * time.Millisecond))
 	qt.Assert(t, ok, qt.IsTrue)
 }
 
--- a/limit/inflight.go
+++ b/limit/inflight.go
@@ -42,7 +42,7 @@
 	return &InFlight{limit: limit, maxWaiting: maxWaiting, maxWait: maxWait, hold: initialHold}
 }
 
-type waiter struct {
+type inFlightWaiter struct {
 	rank     int
 	deadline time.Time
 	arrival  uint64
@@ -52,7 +52,7 @@
 }
 
 // before orders by importance, then by deadline, then by arrival.
-func (w *waiter) before(o *waiter) bool {
+func (w *inFlightWaiter) before(o *inFlightWaiter) bool {
 	if w.rank != o.rank {
 		return w.rank < o.rank
 	}
@@ -73,7 +73,7 @@
 		return l.releaser(), nil
 	}
 	l.arrival++
-	w := &waiter{rank: priority.Rank(), deadline: deadline, arrival: l.arrival, verdict: make(chan error, 1)}
+	w := &inFlightWaiter{rank: priority.Rank(), deadline: deadline, arrival: l.arrival, verdict: make(chan error, 1)}
 	if err := l.enqueue(w, start); err != nil {
 		l.mu.Unlock()
 		return nil, err
@@ -95,8 +95,8 @@
 	return l.releaser(), nil
 }
 
-// enqueue adds a waiter, or returns its rejection. When the queue is full the least important request is rejected.
-func (l *InFlight) enqueue(w *waiter, now time.Time) error {
+// enqueue adds a inFlightWaiter, or returns its rejection. When the queue is full the least important request is rejected.
+func (l *InFlight) enqueue(w *inFlightWaiter, now time.Time) error {
 	ahead := 0
 	for _, other := range l.waiting {
 		if other.before(w) {
@@ -128,8 +128,8 @@
 	return &RejectedError{Reason: reason, RetryAfter: EstimateWait(len(l.waiting), l.limit, l.hold)}
 }
 
-// abandon takes a waiter out of the queue. If its verdict was given meanwhile, that verdict holds.
-func (l *InFlight) abandon(w *waiter, reason string) error {
+// abandon takes a inFlightWaiter out of the queue. If its verdict was given meanwhile, that verdict holds.
+func (l *InFlight) abandon(w *inFlightWaiter, reason string) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if w.index < 0 {
@@ -151,7 +151,7 @@
 	defer l.mu.Unlock()
 	l.hold += time.Duration(smoothing * float64(held-l.hold))
 	if len(l.waiting) > 0 {
-		next := heap.Pop(&l.waiting).(*waiter)
+		next := heap.Pop(&l.waiting).(*inFlightWaiter)
 		next.verdict <- nil
 		return
 	}
@@ -165,7 +165,7 @@
 	return l.running, len(l.waiting)
 }
 
-type waitQueue []*waiter
+type waitQueue []*inFlightWaiter
 
 func (q waitQueue) Len() int           { return len(q) }
 func (q waitQueue) Less(i, j int) bool { return q[i].before(q[j]) }
@@ -174,14 +174,14 @@
 	q[i].index, q[j].index = i, j
 }
 
-// Push adds a waiter; it is called by package heap.
+// Push adds a inFlightWaiter; it is called by package heap.
 func (q *waitQueue) Push(x any) {
-	w := x.(*waiter)
+	w := x.(*inFlightWaiter)
 	w.index = len(*q)
 	*q = append(*q, w)
 }
 
-// Pop removes the last waiter; it is called by package heap.
+// Pop removes the last inFlightWaiter; it is called by package heap.
 func (q *waitQueue) Pop() any {
 	old := *q
 	w := old[len(old)-1]
@@ -191,8 +191,8 @@
 	return w
 }
 
-func (q waitQueue) last() *waiter {
-	var last *waiter
+func (q waitQueue) last() *inFlightWaiter {
+	var last *inFlightWaiter
 	for _, w := range q {
 		if last == nil || last.before(w) {
 			last = w
--- /dev/null
+++ b/replay/host.go
@@ -0,0 +1,176 @@
+package replay
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/limit"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// host is the fake of one worker with an upstream of each service.
+type host struct {
+	index     int
+	worker    structs.Worker
+	up        bool
+	failsAll  bool
+	upstreams []*upstream
+	tasks     []*task
+	// share is the part of its processor time that batch keeps.
+	share float64
+	// reports holds measurements that the scheduler hasn't seen yet, since they lag.
+	reports []report
+	// window holds the service times, in milliseconds, of the newest intervals, by service. Reports cover several
+	// intervals, since the tail of the few requests of one second is mostly noise.
+	window [][windowIntervals][]float64
+}
+
+// windowIntervals is the number of reporting intervals that a latency report covers.
+const windowIntervals = 5
+
+// upstream is one executor of a service on a host.
+type upstream struct {
+	service int
+	leaving bool
+	queue   admission
+	running map[string]*request
+	waiting map[string]*request
+}
+
+// admission is what decides about the slots of an upstream.
+type admission interface {
+	Offer(r limit.Request, now time.Time) limit.Changes
+	Finish(id string, took time.Duration, now time.Time) limit.Changes
+	Tick(now time.Time) limit.Changes
+	Load() limit.Load
+}
+
+// report is one lagging measurement of a host.
+type report struct {
+	at time.Time
+	// latency holds the 95th percentile of each service's time in a slot, 0 without requests.
+	latency []float64
+	used    structs.Resources
+	tasks   []taskUsage
+}
+
+type taskUsage struct {
+	task *task
+	used structs.Resources
+}
+
+// task is one batch task of the trace.
+type task struct {
+	job     *job
+	index   int
+	class   *Class
+	attempt int
+	state   structs.TaskState
+	host    *host
+	// done is the run time that the task has completed, saved the part that a checkpoint holds.
+	done, saved time.Duration
+	reservation structs.Resources
+	notBefore   time.Time
+	peak        structs.Resources
+}
+
+type job struct {
+	spec  structs.Job
+	class *Class
+	tasks []*task
+}
+
+func (h *host) batchUsed() structs.Resources {
+	var sum structs.Resources
+	for _, t := range h.tasks {
+		sum = sum.Add(t.class.Actual)
+	}
+	return sum
+}
+
+func (h *host) serviceCores() int64 {
+	var cores int64
+	for _, u := range h.upstreams {
+		cores += int64(len(u.running)) * 1000
+	}
+	return cores
+}
+
+// pressure is the demanded part of the host's processors, above 1 when everything on it slows down.
+func (h *host) pressure() float64 {
+	demand := float64(h.batchUsed().MilliCores)*h.share + float64(h.serviceCores())
+	return demand / float64(h.worker.Capacity.MilliCores)
+}
+
+// slowdown is the factor on the time that a request of a service holds its slot now.
+func (h *host) slowdown(service string) float64 {
+	factor := 1.0
+	for _, t := range h.tasks {
+		part := float64(t.class.Actual.MilliCores) / float64(h.worker.Capacity.MilliCores)
+		factor += t.class.Slowdown[service] * part * h.share
+	}
+	return factor * math.Max(1, h.pressure())
+}
+
+// progress advances the batch tasks by one step and returns those that completed their work, with the useful core
+// seconds that were added.
+func (h *host) progress(step time.Duration) (finished []*task, work float64) {
+	if !h.up {
+		return nil, 0
+	}
+	rate := h.share / math.Max(1, h.pressure())
+	for _, t := range h.tasks {
+		if t.state != structs.TaskRunning {
+			continue
+		}
+		advance := time.Duration(float64(step) * rate)
+		t.done += advance
+		work += advance.Seconds() * float64(t.class.Actual.MilliCores) / 1000
+		if t.done >= seconds(t.class.ActualSeconds) {
+			finished = append(finished, t)
+		}
+	}
+	return finished, work
+}
+
+func (h *host) remove(t *task) {
+	h.tasks = slices.DeleteFunc(h.tasks, func(other *task) bool { return other == t })
+	t.host = nil
+}
+
+// measure closes the present reporting interval.
+func (h *host) measure(now time.Time) {
+	r := report{at: now, used: h.batchUsed().Add(structs.Resources{MilliCores: h.serviceCores()})}
+	for service := range h.window {
+		w := &h.window[service]
+		r.latency = append(r.latency, percentile95(slices.Concat(w[:]...)))
+		oldest := w[windowIntervals-1]
+		copy(w[1:], w[:windowIntervals-1])
+		w[0] = oldest[:0]
+	}
+	for _, t := range h.tasks {
+		r.tasks = append(r.tasks, taskUsage{task: t, used: t.class.Actual})
+	}
+	h.reports = append(h.reports, r)
+}
+
+// arrived returns the reports that are at least lag old, and forgets them.
+func (h *host) arrived(lag time.Duration, now time.Time) []report {
+	count := 0
+	for count < len(h.reports) && now.Sub(h.reports[count].at) >= lag {
+		count++
+	}
+	ready := h.reports[:count]
+	h.reports = h.reports[count:]
+	return ready
+}
+
+func percentile95(samples []float64) float64 {
+	if len(samples) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(samples)
+	slices.Sort(sorted)
+	return sorted[min(len(sorted)*95/100, len(sorted)-1)]
+}
--- /dev/null
+++ b/replay/trace.go
@@ -0,0 +1,251 @@
+// Package replay runs recorded traces of load, jobs and faults against the decision packages in virtual time, and
+// compares the result with outcomes that the trace states and with a plain baseline.
+package replay
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/quetzalshed/quetzalshed/findings"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// Bounds of a trace.
+const (
+	maxSeconds  = 24 * 3600
+	maxWorkers  = 4096
+	maxTasks    = 100_000
+	maxPerSec   = 100_000.0
+	maxFraction = 1.0
+)
+
+// Trace is one recorded run of a site.
+type Trace struct {
+	Site    string  `json:"site"`
+	Seed    uint64  `json:"seed"`
+	Seconds float64 `json:"seconds"`
+	Network Network `json:"network"`
+	// UsageLagSeconds is the age of usage and latency reports.
+	UsageLagSeconds float64 `json:"usage_lag_seconds"`
+	// OwnerValiditySeconds is how long running batch work goes on while the store is down.
+	OwnerValiditySeconds float64          `json:"owner_validity_seconds"`
+	Workers              []structs.Worker `json:"workers"`
+	// EntryDomains lists the failure domain of each entry.
+	EntryDomains []string  `json:"entry_domains"`
+	Services     []Service `json:"services"`
+	Classes      []Class   `json:"classes"`
+	Events       []Event   `json:"events"`
+	Outcomes     []Outcome `json:"outcomes"`
+}
+
+// Network holds the delays of messages, in milliseconds.
+type Network struct {
+	CallerOneWayMillis float64 `json:"caller_one_way_ms"`
+	DomainOneWayMillis float64 `json:"domain_one_way_ms"`
+	// JitterFraction is the standard deviation of a delay as a part of its mean.
+	JitterFraction float64 `json:"jitter_fraction"`
+	// LossFraction of messages between failure domains arrives RetransmitMillis later.
+	LossFraction     float64 `json:"loss_fraction"`
+	RetransmitMillis float64 `json:"retransmit_ms"`
+}
+
+// Service is a latency-critical service with one upstream on each worker.
+type Service struct {
+	Name        string `json:"name"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	// MedianMillis and Sigma describe the log-normal time that an undisturbed request holds a slot.
+	MedianMillis    float64           `json:"median_ms"`
+	Sigma           float64           `json:"sigma"`
+	ObjectiveMillis float64           `json:"objective_ms"`
+	DeadlineMillis  float64           `json:"deadline_ms"`
+	Reservation     structs.Resources `json:"reservation"`
+}
+
+// Class is a kind of batch task. The scheduler sees only what is declared.
+type Class struct {
+	Name            string            `json:"name"`
+	Declared        structs.Resources `json:"declared"`
+	DeclaredSeconds float64           `json:"declared_seconds"`
+	Actual          structs.Resources `json:"actual"`
+	ActualSeconds   float64           `json:"actual_seconds"`
+	// Slowdown maps a service to the relative slowdown by a worker that is full of this class.
+	Slowdown map[string]float64 `json:"slowdown"`
+}
+
+// EventKind names what an event does.
+type EventKind string
+
+// The kinds of event.
+const (
+	EventLoad      EventKind = "load"
+	EventJob       EventKind = "job"
+	EventCancel    EventKind = "cancel"
+	EventDomainOut EventKind = "domain_out"
+	EventPowerOff  EventKind = "power_off"
+	EventDomainIn  EventKind = "domain_in"
+	EventWorkerOff EventKind = "worker_off"
+	EventWorkerOn  EventKind = "worker_on"
+	EventFailAll   EventKind = "worker_fails_tasks"
+	EventStoreDown EventKind = "store_down"
+	EventStoreUp   EventKind = "store_up"
+)
+
+// Event is one recorded change.
+type Event struct {
+	AtSeconds float64   `json:"at"`
+	Kind      EventKind `json:"kind"`
+	Service   string    `json:"service,omitempty"`
+	PerSecond float64   `json:"per_second,omitempty"`
+	Job       string    `json:"job,omitempty"`
+	Class     string    `json:"class,omitempty"`
+	Team      string    `json:"team,omitempty"`
+	Tasks     int       `json:"tasks,omitempty"`
+	Priority  int       `json:"priority,omitempty"`
+	Urgent    bool      `json:"urgent,omitempty"`
+	Domain    string    `json:"domain,omitempty"`
+	Worker    string    `json:"worker,omitempty"`
+}
+
+// Outcome is a stated bound on a metric of the run with quetzalshed's decisions. Max and Min are absolute; MinRatio and
+// MaxRatio relate to the baseline of the same run.
+type Outcome struct {
+	Metric   string   `json:"metric"`
+	Max      *float64 `json:"max,omitempty"`
+	Min      *float64 `json:"min,omitempty"`
+	MaxRatio *float64 `json:"max_ratio,omitempty"`
+	MinRatio *float64 `json:"min_ratio,omitempty"`
+}
+
+// Load reads and checks a trace file. All findings are returned together as a *findings.Error.
+func Load(path string) (*Trace, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "reading trace")
+	}
+	return Parse(path, raw)
+}
+
+// Parse reads and checks a trace; name appears in findings.
+func Parse(name string, raw []byte) (*Trace, error) {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	var t Trace
+	var found findings.List
+	if err := decoder.Decode(&t); err != nil {
+		found.Addf(findings.Place{File: name}, "not a trace: %v", err)
+		return nil, found.Err()
+	}
+	t.check(name, &found)
+	return &t, found.Err()
+}
+
+func (t *Trace) check(name string, found *findings.List) {
+	bad := func(section, format string, args ...any) {
+		found.Addf(findings.Place{File: name, Section: section}, format, args...)
+	}
+	if t.Seconds <= 0 || t.Seconds > maxSeconds {
+		bad("seconds", "%g is outside (0, %d]", t.Seconds, maxSeconds)
+	}
+	if len(t.Workers) == 0 || len(t.Workers) > maxWorkers {
+		bad("workers", "%d workers; 1 to %d are allowed", len(t.Workers), maxWorkers)
+	}
+	if len(t.EntryDomains) == 0 {
+		bad("entry_domains", "no entry")
+	}
+	if n := t.Network; n.LossFraction < 0 || n.LossFraction > maxFraction {
+		bad("network", "loss_fraction %g is outside [0, 1]", n.LossFraction)
+	}
+	for _, s := range t.Services {
+		if s.Slots < 1 || s.MedianMillis <= 0 || s.DeadlineMillis <= 0 {
+			bad("services "+s.Name, "slots, median_ms and deadline_ms must be positive")
+		}
+	}
+	for i, e := range t.Events {
+		t.checkEvent(fmt.Sprintf("events %d", i), e, bad)
+	}
+	known := metricNames(t)
+	for _, o := range t.Outcomes {
+		if !known[o.Metric] {
+			bad("outcomes", "unknown metric %q", o.Metric)
+		}
+	}
+}
+
+func (t *Trace) checkEvent(place string, e Event, bad func(section, format string, args ...any)) {
+	if e.AtSeconds < 0 || e.AtSeconds > t.Seconds {
+		bad(place, "time %g is outside the trace", e.AtSeconds)
+	}
+	switch e.Kind {
+	case EventLoad:
+		if t.service(e.Service) < 0 {
+			bad(place, "unknown service %q", e.Service)
+		}
+		if e.PerSecond < 0 || e.PerSecond > maxPerSec {
+			bad(place, "per_second %g is outside [0, %g]", e.PerSecond, maxPerSec)
+		}
+	case EventJob:
+		if t.class(e.Class) == nil {
+			bad(place, "unknown class %q", e.Class)
+		}
+		if e.Tasks < 1 || e.Tasks > maxTasks {
+			bad(place, "%d tasks; 1 to %d are allowed", e.Tasks, maxTasks)
+		}
+	case EventDomainOut, EventDomainIn, EventPowerOff:
+		if !t.hasDomain(e.Domain) {
+			bad(place, "unknown failure domain %q", e.Domain)
+		}
+	case EventWorkerOff, EventWorkerOn, EventFailAll:
+		if t.worker(e.Worker) < 0 {
+			bad(place, "unknown worker %q", e.Worker)
+		}
+	case EventCancel, EventStoreDown, EventStoreUp:
+	default:
+		bad(place, "unknown kind %q", e.Kind)
+	}
+}
+
+func (t *Trace) service(name string) int {
+	for i := range t.Services {
+		if t.Services[i].Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func (t *Trace) class(name string) *Class {
+	for i := range t.Classes {
+		if t.Classes[i].Name == name {
+			return &t.Classes[i]
+		}
+	}
+	return nil
+}
+
+func (t *Trace) worker(name string) int {
+	for i := range t.Workers {
+		if t.Workers[i].Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func (t *Trace) hasDomain(name string) bool {
+	for i := range t.Workers {
+		if t.Workers[i].FailureDomain == name {
+			return true
+		}
+	}
+	return false
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
