Bound request bodies and keep the slots of a paused upstream counted

Cause: 32 waiting and 8 running requests of 1 MiB, plus any number still being read, had no common bound; an upstream that was paused beyond its lease and registered again got 8 fresh slots while its earlier requests still ran; a registration with other slots took effect at once with the same result. Ruled out: refusing the registration of a paused upstream (it would stay away until its last late request ends); waiting in GET answer by default, since entries ask for it before they resolve. Change: body_bytes (24 MiB) with refusal agent_memory; expired upstreams with requests are kept and revived; a registration that differs within the lease is rejected with 409; GET answer waits only for the given budget; bodies with a declared length are read into exactly that much memory. Conclusion: `go test -race -count=2 ./agent/requests ./limit` passes.

--- a/agent/requests/attempt.go
+++ b/agent/requests/attempt.go
@@ -28,6 +28,8 @@
 	path       string
 	header     http.Header
 	body       []byte
+	// held is the number of bytes that the attempt holds of the budget for bodies.
+	held int64
 	// deadline is when the entry stops waiting.
 	deadline time.Time
 	upstream *upstream
@@ -40,8 +42,8 @@
 	result result
 }
 
-// readAttempt reads the request of an attempt whole. Errors are the fault of the sender.
-func readAttempt(id string, r *http.Request, now time.Time) (*attempt, error) {
+// newAttempt reads the headers of an attempt. Errors are the fault of the sender.
+func newAttempt(id string, r *http.Request, now time.Time) (*attempt, error) {
 	a := &attempt{
 		id: id, service: r.Header.Get(structs.HeaderService), method: r.Header.Get(structs.HeaderMethod),
 		path:      r.Header.Get(structs.HeaderPath),
@@ -58,20 +60,54 @@
 		return nil, eris.Errorf("%s is not a method that can be forwarded", structs.HeaderMethod)
 	case !validPath(a.path):
 		return nil, eris.Errorf("%s is not an absolute path", structs.HeaderPath)
+	case r.ContentLength > structs.MaxRequestBody:
+		return nil, eris.Errorf("the body exceeds %d bytes", structs.MaxRequestBody)
 	}
 	a.deadline = now.Add(time.Duration(budget) * time.Millisecond)
 	a.idempotent, _ = strconv.ParseBool(r.Header.Get(structs.HeaderIdempotent))
 	a.header = unwrapHeaders(r.Header)
-	a.body, err = io.ReadAll(io.LimitReader(r.Body, structs.MaxRequestBody+1))
-	switch {
-	case err != nil:
-		return nil, eris.Wrap(err, "reading the body")
-	case len(a.body) > structs.MaxRequestBody:
-		return nil, eris.Errorf("the body exceeds %d bytes", structs.MaxRequestBody)
-	}
 	return a, nil
 }
 
+// bodySize returns the number of bytes that a body may take.
+func bodySize(r *http.Request) int64 {
+	if r.ContentLength >= 0 {
+		return r.ContentLength
+	}
+	return structs.MaxRequestBody
+}
+
+// readBody reads the body of an attempt whole.
+func (a *attempt) readBody(r *http.Request) error {
+	body, err := readWhole(r.Body, r.ContentLength, structs.MaxRequestBody)
+	if err != nil {
+		return eris.Wrap(err, "reading the body of the request")
+	}
+	a.body = body
+	return nil
+}
+
+// errTooLarge reports a body over its limit.
+var errTooLarge = eris.New("the body exceeds its limit")
+
+// readWhole reads a body of at most limit bytes. length is its declared length, or negative when there is none; with a
+// length the body takes no more memory than it needs.
+func readWhole(body io.Reader, length, limit int64) ([]byte, error) {
+	if length > limit {
+		return nil, errTooLarge
+	}
+	if length >= 0 {
+		whole := make([]byte, length)
+		_, err := io.ReadFull(body, whole)
+		return whole, err
+	}
+	whole, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err == nil && int64(len(whole)) > limit {
+		err = errTooLarge
+	}
+	return whole, err
+}
+
 // validMethod accepts tokens but CONNECT, which would turn the connection into a tunnel.
 func validMethod(method string) bool {
 	if method == "" || len(method) > 32 || method == http.MethodConnect {
--- a/agent/requests/drain.go
+++ b/agent/requests/drain.go
@@ -13,7 +13,7 @@
 // Drain tells entries that the agent leaves, then refuses new requests, and returns when accepted requests have ended and
 // entries had time to fetch responses over a new connection.
 func (m *Module) Drain(ctx context.Context) error {
-	close(m.draining)
+	m.drainOnce.Do(func() { close(m.draining) })
 	m.announceLeaving(ctx)
 	m.upstreams.close()
 	for {
--- a/agent/requests/exchange.go
+++ b/agent/requests/exchange.go
@@ -96,13 +96,14 @@
 	if r.Method != http.MethodHead && !delimited {
 		return nil, false, eris.New("the response of the upstream has no length, so it can't be known to be whole")
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, structs.MaxAnswerBody+1))
+	length := resp.ContentLength
+	if r.Method == http.MethodHead {
+		length = 0
+	}
+	body, err := readWhole(resp.Body, length, structs.MaxAnswerBody)
 	if err != nil {
 		return nil, false, eris.Wrap(err, "reading the response body of the upstream")
 	}
-	if len(body) > structs.MaxAnswerBody {
-		return nil, false, errResponseTooLarge
-	}
 	result = &response{status: resp.StatusCode, header: resp.Header, body: body, checksum: structs.Checksum(body)}
 	return result, !resp.Close, nil
 }
--- a/agent/requests/execute.go
+++ b/agent/requests/execute.go
@@ -22,6 +22,8 @@
 	reasonForgotten   = "attempt_forgotten"
 	reasonUnreachable = "upstream_unreachable"
 	reasonLost        = "upstream_failed"
+	reasonMemory      = "agent_memory"
+	reasonUnfinished  = "not_finished"
 	reasonDeadline    = "deadline_while_running"
 )
 
@@ -51,6 +53,9 @@
 	defer close(a.done)
 	defer a.span.End()
 	a.result = m.run(a, a.upstream)
+	// Followers of the attempt need its result only.
+	a.body, a.header = nil, nil
+	m.bodies.release(a.held)
 	m.metrics.count(a.result)
 	a.span.SetAttributes(outcomeAttributes(a.result)...)
 }
--- a/agent/requests/harness_test.go
+++ b/agent/requests/harness_test.go
@@ -41,6 +41,7 @@
 	c := qt.New(tb)
 	m := &Module{settings: Settings{
 		Queue: 32, MaxSlots: 8, MaxConnections: 64, RegistrationLease: time.Minute, RunLimit: 20 * time.Second,
+		BodyBytes: 24 << 20,
 	}}
 	if change != nil {
 		change(&m.settings)
@@ -201,6 +202,7 @@
 	defer conn.Close()
 	r, err := http.NewRequest(http.MethodGet, a.server.URL+"/v1/requests/"+id+"/answer", nil)
 	a.c.Assert(err, qt.IsNil)
+	r.Header.Set(structs.HeaderBudgetMillis, "10000")
 	out, err := exchangeOver(conn, r)
 	a.c.Assert(err, qt.IsNil)
 	return out
--- a/agent/requests/module.go
+++ b/agent/requests/module.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -39,6 +40,9 @@
 	// RunLimit is when a running request is given up and its slot is used again. It exceeds the longest budget, since an
 	// upstream that is late still occupies its slot.
 	RunLimit time.Duration `ini:"run_limit" default:"90s" min:"100ms" max:"1h"`
+	// BodyBytes bounds the request bodies that the agent holds. Requests beyond it are refused: 32 waiting and 8 running
+	// requests of 1 MiB would otherwise take a third of the memory that the control plane may use on a host.
+	BodyBytes int64 `ini:"body_bytes" default:"25165824" min:"1048576" max:"1073741824"`
 	// LeaveGrace is how long requests are still accepted after entries were told of a leaving upstream.
 	LeaveGrace time.Duration `ini:"leave_grace" default:"500ms" min:"0s" max:"10s"`
 	// Linger is how long a drained agent keeps responding after its last request ended, so that an entry whose connection
@@ -65,7 +69,9 @@
 	ledger      *ledger
 	upstreams   *directory
 	announcer   announcer
+	bodies      *byteBudget
 	draining    chan struct{}
+	drainOnce   sync.Once
 	stop        context.CancelFunc
 	stopped     chan struct{}
 }
@@ -79,6 +85,7 @@
 	m.metrics = newMetrics(c.Metrics)
 	m.ledger = newLedger(defaultTableLimits, c.Clock)
 	m.upstreams = newDirectory(m.settings.Queue, m.settings.RegistrationLease, c.Clock)
+	m.bodies = &byteBudget{limit: m.settings.BodyBytes}
 	m.draining = make(chan struct{})
 	if found, ok := kernel.Lookup[announcer](c, announcerName); ok {
 		m.announcer = found
--- a/agent/requests/pool.go
+++ b/agent/requests/pool.go
@@ -20,7 +20,7 @@
 )
 
 // errPoolClosed reports a pool whose upstream has left.
-var errPoolClosed = eris.New("the upstream has left")
+var errPoolClosed = eris.New("the upstream has left or hasn't renewed its registration")
 
 // pool holds connections to one upstream. It never sends anything by itself.
 type pool struct {
@@ -35,6 +35,8 @@
 	open   int
 	idle   []*upstreamConn
 	closed bool
+	// suspended tells that the upstream hasn't renewed its registration.
+	suspended bool
 }
 
 // upstreamConn is a connection to an upstream.
@@ -50,7 +52,7 @@
 // would make the outcome unknown.
 func (p *pool) get(ctx context.Context, fresh bool) (*upstreamConn, error) {
 	p.mu.Lock()
-	if p.closed {
+	if p.closed || p.suspended {
 		p.mu.Unlock()
 		return nil, errPoolClosed
 	}
@@ -138,6 +140,13 @@
 	p.idle = kept
 }
 
+// suspend stops or allows the use of connections.
+func (p *pool) suspend(suspended bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.suspended = suspended
+}
+
 // close closes idle connections now and the others when they are returned.
 func (p *pool) close() {
 	p.mu.Lock()
--- a/agent/requests/races_test.go
+++ b/agent/requests/races_test.go
@@ -75,7 +75,7 @@
 
 	conn, err := net.Dial("tcp", a.address())
 	a.c.Assert(err, qt.IsNil)
-	a.c.Assert(a.request(call{id: gone}).Write(conn), qt.IsNil)
+	a.c.Assert(a.request(call{id: gone, body: "waits"}).Write(conn), qt.IsNil)
 	a.inState(gone, queued)
 	a.c.Assert(conn.Close(), qt.IsNil)
 	a.inState(gone, cancelled)
--- a/agent/requests/registration.go
+++ b/agent/requests/registration.go
@@ -36,7 +36,7 @@
 	}
 	switch m.upstreams.register(registration, address) {
 	case conflicting:
-		m.rejectRegistration(w, http.StatusConflict, "another address serves this service")
+		m.rejectRegistration(w, http.StatusConflict, "the service has another registration that was renewed in time")
 		return
 	case stillLeaving:
 		m.rejectRegistration(w, http.StatusConflict, "the upstream or its agent is leaving")
--- a/agent/requests/serve.go
+++ b/agent/requests/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -32,17 +33,17 @@
 		return
 	}
 	_ = out.control.SetReadDeadline(time.Now().Add(bodyLimit))
-	if r.Header.Get(structs.HeaderAgentIncarnation) != m.incarnation {
-		discardBody(r)
-		m.reject(out, id, reasonIncarnation, 0, nil)
-		return
-	}
-	a, err := readAttempt(id, r, m.clock.Now())
-	if err != nil {
+	a, reason := m.readAttempt(id, r)
+	if reason != "" {
 		discardBody(r)
-		m.reject(out, id, reasonBadRequest, 0, nil)
+		m.reject(out, id, reason, unreachableRetryAfter, nil)
 		return
 	}
+	defer func() {
+		if a.upstream == nil {
+			m.bodies.release(a.held)
+		}
+	}()
 	_ = out.control.SetReadDeadline(time.Time{})
 	u, reason := m.upstreams.find(a.service)
 	if reason != "" {
@@ -50,7 +51,6 @@
 		return
 	}
 	ctx := propagation.TraceContext{}.Extract(context.Background(), propagation.HeaderCarrier(r.Header))
-	a.upstream = u
 	_, a.span = m.tracer.Start(ctx, "agent.request", trace.WithSpanKind(trace.SpanKindServer),
 		trace.WithAttributes(attemptAttributes(a)...))
 	if known, ok := m.ledger.arrive(a); !ok {
@@ -60,8 +60,30 @@
 		m.reply(out, id, result, u)
 		return
 	}
+	a.upstream = u
 	go m.execute(a)
-	m.follow(out, r, a, a.deadline)
+	m.follow(out, r, a)
+}
+
+// readAttempt reads the request of an attempt whole, or returns a reason to reject it. The bytes of its body are held
+// until the attempt ends.
+func (m *Module) readAttempt(id string, r *http.Request) (a *attempt, reason string) {
+	if r.Header.Get(structs.HeaderAgentIncarnation) != m.incarnation {
+		return nil, reasonIncarnation
+	}
+	a, err := newAttempt(id, r, m.clock.Now())
+	if err != nil {
+		return nil, reasonBadRequest
+	}
+	a.held = bodySize(r)
+	if !m.bodies.hold(a.held) {
+		return nil, reasonMemory
+	}
+	if err := a.readBody(r); err != nil {
+		m.bodies.release(a.held)
+		return nil, reasonBadRequest
+	}
+	return a, ""
 }
 
 // knownAttempt returns the response to a message about an attempt in the given state, which has a record or was forgotten.
@@ -97,30 +119,25 @@
 // lateInterval is how soon an attempt is looked at again that was between the queue and the upstream at its deadline.
 const lateInterval = 20 * time.Millisecond
 
-// follow sends interim responses until the attempt has ended, the deadline has passed, or the entry has gone. A zero
-// deadline means none.
-func (m *Module) follow(out *replier, r *http.Request, a *attempt, deadline time.Time) {
+// follow sends interim responses until the attempt has ended, its deadline has passed, or the entry has gone.
+func (m *Module) follow(out *replier, r *http.Request, a *attempt) {
 	ticker := time.NewTicker(interimInterval)
 	defer ticker.Stop()
-	var late <-chan time.Time
-	if !deadline.IsZero() {
-		timer := time.NewTimer(deadline.Sub(m.clock.Now()))
-		defer timer.Stop()
-		late = timer.C
-	}
+	late := time.NewTimer(a.deadline.Sub(m.clock.Now()))
+	defer late.Stop()
 	for {
 		select {
 		case <-a.done:
 			m.reply(out, a.id, a.result, a.upstream)
 			return
-		case <-late:
+		case <-late.C:
 			// The queue refuses a waiting attempt now; a running one goes on and its response is retained.
 			a.upstream.admission.Tick()
 			if s, _, _ := m.ledger.look(a.id); s == running {
 				m.reply(out, a.id, unknown(reasonDeadline), a.upstream)
 				return
 			}
-			late = time.After(lateInterval)
+			late.Reset(lateInterval)
 		case <-ticker.C:
 			s, _, _ := m.ledger.look(a.id)
 			out.interim(s)
@@ -152,7 +169,8 @@
 	kernel.WriteJSON(w, http.StatusOK, reply)
 }
 
-// serveAnswer handles GET /v1/requests/{attemptID}/answer. It waits for an attempt that is still queued or running.
+// serveAnswer handles GET /v1/requests/{attemptID}/answer. For an attempt that is still queued or running it waits for as
+// long as HeaderBudgetMillis says, with interim responses, and without that header it responds at once.
 func (m *Module) serveAnswer(w http.ResponseWriter, r *http.Request) {
 	out := newReplier(w)
 	id := mux.Vars(r)["attemptID"]
@@ -161,7 +179,9 @@
 	case found != nil:
 		m.reply(out, id, result{outcome: structs.OutcomeAnswered, response: found}, nil)
 	case a != nil:
-		m.follow(out, r, a, time.Time{})
+		budget, _ := strconv.ParseInt(r.Header.Get(structs.HeaderBudgetMillis), 10, 64)
+		budget = min(max(budget, 0), maxBudget.Milliseconds())
+		m.await(out, r, a, time.Duration(budget)*time.Millisecond)
 	case s.notRun():
 		m.reply(out, id, notRun(reasonCancelled, 0), nil)
 	default:
@@ -169,6 +189,31 @@
 	}
 }
 
+// await sends interim responses until the attempt has ended or the time is over. It has no effect on the attempt.
+func (m *Module) await(out *replier, r *http.Request, a *attempt, limit time.Duration) {
+	ticker := time.NewTicker(interimInterval)
+	defer ticker.Stop()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	for {
+		select {
+		case <-a.done:
+			m.reply(out, a.id, a.result, a.upstream)
+			return
+		case <-timer.C:
+			s, _, _ := m.ledger.look(a.id)
+			out.Header().Set(structs.HeaderState, string(s.report()))
+			m.reply(out, a.id, unknown(reasonUnfinished), a.upstream)
+			return
+		case <-ticker.C:
+			s, _, _ := m.ledger.look(a.id)
+			out.interim(s)
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
 // servePing handles GET /v1/ping.
 func (m *Module) servePing(w http.ResponseWriter, _ *http.Request) {
 	kernel.WriteJSON(w, http.StatusOK, struct {
--- a/agent/requests/upstreams.go
+++ b/agent/requests/upstreams.go
@@ -27,9 +27,12 @@
 	admission   *limit.Admission
 	pool        *pool
 
-	// renewed and leaving are guarded by the directory.
+	// renewed, leaving and expired are guarded by the directory.
 	renewed time.Time
 	leaving bool
+	// expired tells that the upstream hasn't renewed in time but still has requests. It's kept so that its slots stay
+	// counted if it was only paused and returns.
+	expired bool
 	// gone is closed when an upstream that leaves has no more requests.
 	gone chan struct{}
 }
@@ -48,7 +51,8 @@
 const (
 	registered registerResult = iota
 	renewed
-	// conflicting: another address serves the service and has renewed in time.
+	// conflicting: a registration with another address or other slots was renewed in time. Taking the new slots over at
+	// once would add them to those that still run under the old registration.
 	conflicting
 	// stillLeaving: the registration is being removed.
 	stillLeaving
@@ -82,11 +86,10 @@
 	case exists && old.leaving:
 		return stillLeaving
 	case exists && old.address == address && old.slots == r.Slots && old.connections == r.Connections:
-		old.renewed = now
-		return renewed
+		return d.renewLocked(old, now)
 	case d.closed:
 		return stillLeaving
-	case exists && old.address != address && now.Sub(old.renewed) < d.lease:
+	case exists && now.Sub(old.renewed) < d.lease:
 		return conflicting
 	case exists:
 		d.removeLocked(old)
@@ -101,6 +104,16 @@
 	return registered
 }
 
+func (d *directory) renewLocked(u *upstream, now time.Time) registerResult {
+	u.renewed = now
+	if !u.expired {
+		return renewed
+	}
+	u.expired = false
+	u.pool.suspend(false)
+	return registered
+}
+
 // find returns the upstream that takes new requests of a service, or a reason why there is none. An upstream that leaves
 // takes requests until its admission is closed, since entries need a moment to learn of it.
 func (d *directory) find(service string) (u *upstream, reason string) {
@@ -109,7 +122,7 @@
 	if d.closed {
 		return d.byService[service], reasonDraining
 	}
-	if u = d.byService[service]; u == nil {
+	if u = d.byService[service]; u == nil || u.expired {
 		return nil, reasonNoUpstream
 	}
 	return u, ""
@@ -153,21 +166,28 @@
 	u.pool.close()
 }
 
-// expire removes upstreams that haven't renewed in time, and closes connections that are idle for too long. An upstream
-// that leaves is kept until its requests have ended.
-func (d *directory) expire() (removed []string) {
+// expire takes out upstreams that haven't renewed in time, and closes connections that are idle for too long. Upstreams
+// that leave or have requests are kept until these have ended; waiting requests of an expired upstream are refused when
+// they would start.
+func (d *directory) expire() (expired []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
 	for _, u := range d.byService {
-		if !u.leaving && now.Sub(u.renewed) >= d.lease {
-			d.removeLocked(u)
-			removed = append(removed, u.service)
+		u.pool.closeIdle()
+		if u.leaving || now.Sub(u.renewed) < d.lease {
 			continue
 		}
-		u.pool.closeIdle()
+		if !u.expired {
+			u.expired = true
+			u.pool.suspend(true)
+			expired = append(expired, u.service)
+		}
+		if load := u.admission.Load(); load.Running+load.Queued == 0 {
+			d.removeLocked(u)
+		}
 	}
-	return removed
+	return expired
 }
 
 // close refuses all later requests.
@@ -195,6 +215,9 @@
 	defer d.mu.Unlock()
 	list := make([]structs.Upstream, 0, len(d.byService))
 	for _, u := range d.byService {
+		if u.expired {
+			continue
+		}
 		entry := u.announced()
 		entry.Leaving = u.leaving
 		list = append(list, entry)
