--- a/agent/requests/upstreamtest/registrar.go
+++ b/agent/requests/upstreamtest/registrar.go
@@ -5,7 +5,9 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"time"
 
@@ -90,7 +92,11 @@
 	if err != nil {
 		return 0, eris.Wrap(err, "building the request")
 	}
-	response, err := http.DefaultClient.Do(request)
+	client, err := r.client()
+	if err != nil {
+		return 0, err
+	}
+	response, err := client.Do(request)
 	if err != nil {
 		return 0, eris.Wrap(err, "calling the agent")
 	}
@@ -104,3 +110,14 @@
 	}
 	return response.StatusCode, err
 }
+
+// client returns a client that calls from the registered address, since an agent takes registrations only from it.
+// Without a local address, calls within the loopback range come from 127.0.0.1.
+func (r *Registrar) client() (*http.Client, error) {
+	address, err := netip.ParseAddrPort(r.Registration.Address)
+	if err != nil {
+		return nil, eris.Wrap(err, "registered address")
+	}
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: address.Addr().AsSlice()}}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}, nil
+}
--- a/replay/engine.go
+++ b/replay/engine.go
@@ -52,7 +52,6 @@
 	policy   policy
 	stats    *stats
 	arrivals []*arrivals
-	entries  int
 	out      map[string]time.Time
 	returned map[string]time.Time
 	// storeDownSince is zero while the store answers.
