--- a/shard/lifecycle/machine.go
+++ b/shard/lifecycle/machine.go
@@ -265,7 +265,7 @@
 		return structs.JobStatus{}, false
 	}
 	status := structs.JobStatus{
-		ID: jobID, Kind: job.Spec.Kind, Tasks: job.Spec.Tasks, Counts: job.Counts(), Verdict: job.Verdict,
+		ID: jobID, Kind: job.Spec.Kind, Tasks: job.Spec.Tasks, Counts: job.Counts(), Workers: job.Workers(), Verdict: job.Verdict,
 		Reason: job.Reason, Cancelled: job.Cancelled, Done: job.EndedUnixMilli > 0,
 	}
 	return status, true
--- a/shard/lifecycle/state.go
+++ b/shard/lifecycle/state.go
@@ -63,6 +63,17 @@
 	return counts
 }
 
+// Workers returns the number of tasks that may be running on each worker.
+func (j *Job) Workers() map[string]int {
+	workers := map[string]int{}
+	for _, task := range j.Tasks {
+		if task.Active() {
+			workers[task.Worker]++
+		}
+	}
+	return workers
+}
+
 // State is the durable state of a shard: the result of its log.
 type State struct {
 	Jobs map[string]*Job `json:"jobs"`
--- a/structs/status.go
+++ b/structs/status.go
@@ -2,13 +2,15 @@
 
 // JobStatus is what the owner of a shard tells of a job.
 type JobStatus struct {
-	ID        string            `json:"id"`
-	Kind      JobKind           `json:"kind"`
-	Tasks     int               `json:"tasks"`
-	Counts    map[TaskState]int `json:"counts"`
-	Verdict   string            `json:"verdict,omitempty"`
-	Reason    string            `json:"reason,omitempty"`
-	Cancelled bool              `json:"cancelled,omitempty"`
+	ID     string            `json:"id"`
+	Kind   JobKind           `json:"kind"`
+	Tasks  int               `json:"tasks"`
+	Counts map[TaskState]int `json:"counts"`
+	// Workers counts the tasks that may be running by worker.
+	Workers   map[string]int `json:"workers,omitempty"`
+	Verdict   string         `json:"verdict,omitempty"`
+	Reason    string         `json:"reason,omitempty"`
+	Cancelled bool           `json:"cancelled,omitempty"`
 	// Done is set once no task runs any more or will run.
 	Done bool `json:"done"`
 }
