--- a/scheduler/candidates.go
+++ b/scheduler/candidates.go
@@ -9,8 +9,8 @@
 
 // Reasons that the package itself gives.
 const (
-	// ReasonUnusable rejects a worker that is unreported, draining or in an out domain.
-	ReasonUnusable Reason = "worker is unreported, draining or in an out domain"
+	// ReasonUnreported rejects a worker that has not reported and counts as full.
+	ReasonUnreported Reason = "worker has not reported"
 	// ReasonAvoided rejects a worker on which the task failed before.
 	ReasonAvoided Reason = "task failed on this worker before"
 	// ReasonFull means that the task is larger than what is free on any worker.
@@ -138,8 +138,8 @@
 
 // rate returns the weighted sum of the scores, or the reason of the first filter that rejects the worker.
 func (c *Cycle) rate(task *PendingTask, w *WorkerView) (float64, Reason) {
-	if !w.cycle.usable {
-		return rejected, ReasonUnusable
+	if !w.Reported {
+		return rejected, ReasonUnreported
 	}
 	for _, f := range filters {
 		if reason := f.Filter(c, task, w); reason != "" {
@@ -167,9 +167,7 @@
 	w.cycle.added = append(w.cycle.added, task)
 	w.cycle.load(task.Job, job.class, task.Resources)
 	job.account.Charge(task.Resources)
-	if task.Replaces != "" {
-		c.replaced[task.Replaces] = true
-	} else {
+	if task.replaces == "" {
 		job.running++
 		if job.indices != nil {
 			job.indices[task.Index] = true
@@ -183,7 +181,7 @@
 	c.touched = append(c.touched, index)
 	c.countPlaced(task, w)
 	c.plan.Place = append(c.plan.Place, Placement{
-		Task: task.ID(), Attempt: task.Attempt, Worker: w.Name, Resources: task.Resources, Replaces: task.Replaces,
+		Task: task.ID(), Attempt: task.Attempt, Worker: w.Name, Resources: task.Resources, Replaces: task.replaces,
 	})
 	return true
 }
--- a/scheduler/cycle.go
+++ b/scheduler/cycle.go
@@ -69,7 +69,7 @@
 	job     *structs.Job
 	class   int
 	account *quota.Account
-	// domains counts the tasks of a service in each failure domain that is not leaving.
+	// domains counts the tasks of a service in each failure domain.
 	domains []int
 	running int
 	indices map[int]bool
@@ -146,13 +146,10 @@
 		if t.Replaces != "" {
 			c.replaced[t.Replaces] = true
 		}
-		if t.Job.Kind == structs.KindService && !s.leaving {
+		if t.Job.Kind == structs.KindService {
 			job.countDomain(s.domain)
 		}
 	}
-	if !s.usable {
-		s.free, s.future = structs.Resources{}, structs.Resources{}
-	}
 }
 
 // rampOf returns which part of a worker's capacity batch may fill after its failure domain returned.
@@ -220,7 +217,7 @@
 				}
 			}
 			for _, t := range c.workers[i].cycle.added {
-				if t.Job.ID == j.job.ID && t.Replaces == "" {
+				if t.Job.ID == j.job.ID && t.replaces == "" {
 					j.indices[t.Index] = true
 				}
 			}
@@ -233,6 +230,9 @@
 func (c *Cycle) refreshMaxFree() {
 	c.maxFree = structs.Resources{}
 	for i := range c.workers {
+		if !c.workers[i].cycle.usable {
+			continue
+		}
 		free := &c.workers[i].cycle.free
 		c.maxFree.MilliCores = max(c.maxFree.MilliCores, free.MilliCores)
 		c.maxFree.MemoryMB = max(c.maxFree.MemoryMB, free.MemoryMB)
@@ -259,8 +259,7 @@
 // Placed returns how many tasks this cycle has placed on the worker.
 func (c *Cycle) Placed(w *WorkerView) int { return len(w.cycle.added) }
 
-// DomainTasks returns how many tasks of the task's service run in the worker's failure domain and how many run in all
-// domains, without those that are leaving.
+// DomainTasks returns how many tasks of the task's service run in the worker's failure domain and how many in all.
 func (c *Cycle) DomainTasks(task *PendingTask, w *WorkerView) (here, all int) {
 	for domain, n := range task.state.domains {
 		all += n
@@ -286,6 +285,3 @@
 	}
 	return n
 }
-
-// FailureDomains returns the number of failure domains of the snapshot.
-func (c *Cycle) FailureDomains() int { return len(c.domains) }
--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -33,12 +33,6 @@
 
 // replacements returns a pending task for each service replica on a leaving worker that has no replacement yet.
 func (c *Cycle) replacements() []*PendingTask {
-	asked := map[string]bool{}
-	for i := range c.snapshot.Pending {
-		if old := c.snapshot.Pending[i].Replaces; old != "" {
-			asked[old] = true
-		}
-	}
 	var tasks []*PendingTask
 	for i := range c.workers {
 		w := &c.workers[i]
@@ -47,11 +41,11 @@
 		}
 		for k := range w.Running {
 			t := &w.Running[k]
-			if t.Job.Kind != structs.KindService || c.leavingSoon(t) || c.replaced[t.AllocationID] || asked[t.AllocationID] {
+			if t.Job.Kind != structs.KindService || c.leavingSoon(t) || c.replaced[t.AllocationID] {
 				continue
 			}
 			tasks = append(tasks, &PendingTask{
-				Job: t.Job, Index: t.Index, Attempt: t.Attempt, Resources: t.Resources, Replaces: t.AllocationID,
+				Job: t.Job, Index: t.Index, Attempt: t.Attempt, Resources: t.Resources, replaces: t.AllocationID,
 				state: c.job(t.Job),
 			})
 		}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -37,12 +37,12 @@
 // start places one task, or makes room for it if it may preempt.
 func (c *Cycle) start(task *PendingTask) {
 	job := task.state
-	if c.isStarted(task) {
+	if task.replaces == "" && c.isRunning(job, task.Index) {
 		return
 	}
 	// A replacement runs beside the replica it replaces for a short time. Counting it would let a team at its quota
 	// never leave a failure domain.
-	if task.Replaces == "" && !job.account.Allows(task.Resources) {
+	if task.replaces == "" && !job.account.Allows(task.Resources) {
 		c.wait(Waiting{JobID: job.job.ID, Reason: ReasonQuota})
 		return
 	}
@@ -54,14 +54,6 @@
 	}
 }
 
-// isStarted tells whether the task, or a replacement of the same replica, runs or was placed in this cycle.
-func (c *Cycle) isStarted(task *PendingTask) bool {
-	if task.Replaces != "" {
-		return c.replaced[task.Replaces]
-	}
-	return c.isRunning(task.state, task.Index)
-}
-
 func (c *Cycle) wait(w Waiting) {
 	n := len(c.plan.Waiting)
 	if n < MaxWaiting && (n == 0 || c.plan.Waiting[n-1].JobID != w.JobID) {
--- /dev/null
+++ b/scheduler/plan_property_test.go
@@ -0,0 +1,317 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/quetzalshed/quetzalshed/scheduler"
+	"github.com/quetzalshed/quetzalshed/scheduler/quota"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// fleet is a small fleet that carries out what plans decide, with random events between plans.
+type fleet struct {
+	s    scheduler.Snapshot
+	now  time.Time
+	jobs int
+	next int
+	// done holds the tasks that finished.
+	done map[structs.TaskID]bool
+}
+
+func newFleet() *fleet {
+	limit := structs.Resources{MilliCores: 14, MemoryMB: quota.Unlimited, Accelerators: 2}
+	f := &fleet{now: now, done: map[structs.TaskID]bool{}}
+	f.s.Quotas.Teams = map[string]structs.Resources{"t0": limit}
+	f.s.Rules = scheduler.Rules{
+		Out: map[string]time.Time{}, RacksWithoutBatch: map[string]bool{"r5": true}, EvacuationGrace: 3 * time.Second,
+	}
+	for i := range 6 {
+		f.s.Workers = append(f.s.Workers, scheduler.WorkerView{Reported: true, Worker: structs.Worker{
+			Name: fmt.Sprintf("w%d", i), FailureDomain: fmt.Sprintf("d%d", i%3), Rack: fmt.Sprintf("r%d", i),
+			Capacity: structs.Resources{MilliCores: int64(6 + i), MemoryMB: int64(12 - i), Accelerators: int64(i % 2 * 2)},
+		}})
+	}
+	return f
+}
+
+func (f *fleet) submit(t *rapid.T) {
+	f.jobs++
+	job := &structs.Job{
+		ID: fmt.Sprintf("j%03d", f.jobs), Team: fmt.Sprintf("t%d", rapid.IntRange(0, 2).Draw(t, "team")), Kind: structs.KindBatch,
+		Class: fmt.Sprintf("c%d", rapid.IntRange(0, 2).Draw(t, "class")), Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
+		Urgent: rapid.IntRange(0, 4).Draw(t, "urgent") == 0, Tasks: rapid.IntRange(1, 4).Draw(t, "tasks"), Accepted: f.now,
+		Resources: structs.Resources{
+			MilliCores: rapid.Int64Range(1, 13).Draw(t, "cores"), MemoryMB: rapid.Int64Range(0, 8).Draw(t, "memory"),
+			Accelerators: rapid.Int64Range(0, 1).Draw(t, "accelerators"),
+		},
+	}
+	if rapid.IntRange(0, 2).Draw(t, "service") == 0 {
+		job.Kind = structs.KindService
+	}
+	if rapid.IntRange(0, 3).Draw(t, "constrained") == 0 {
+		job.Constraints.FailureDomains = []string{fmt.Sprintf("d%d", rapid.IntRange(0, 3).Draw(t, "domain"))}
+	}
+	for i := range job.Tasks {
+		f.s.Pending = append(f.s.Pending, scheduler.PendingTask{Job: job, Index: i})
+	}
+}
+
+// each calls do for each allocation and removes those for which it returns false.
+func (f *fleet) each(do func(w *scheduler.WorkerView, a *scheduler.RunningTask) bool) {
+	for i := range f.s.Workers {
+		w := &f.s.Workers[i]
+		var kept []scheduler.RunningTask
+		for k := range w.Running {
+			if do(w, &w.Running[k]) {
+				kept = append(kept, w.Running[k])
+			}
+		}
+		w.Running = kept
+	}
+}
+
+// finishEvictions ends evicting allocations. Batch resumes from its checkpoint; a replaced replica is gone.
+func (f *fleet) finishEvictions(t *rapid.T) {
+	f.each(func(_ *scheduler.WorkerView, a *scheduler.RunningTask) bool {
+		if !a.Evicting() || rapid.Bool().Draw(t, "slow") {
+			return true
+		}
+		if a.Job.Kind == structs.KindBatch {
+			f.s.Pending = append(f.s.Pending, scheduler.PendingTask{Job: a.Job, Index: a.Index, Attempt: a.Attempt + 1, WorkDone: a.WorkDone})
+		}
+		return false
+	})
+}
+
+func (f *fleet) finishTasks(t *rapid.T) {
+	f.each(func(_ *scheduler.WorkerView, a *scheduler.RunningTask) bool {
+		a.WorkDone += time.Second
+		a.Ready = true
+		if a.Job.Kind == structs.KindService || a.Evicting() || rapid.IntRange(0, 3).Draw(t, "finish") > 0 {
+			return true
+		}
+		f.done[structs.TaskID{JobID: a.Job.ID, Index: a.Index}] = true
+		return false
+	})
+}
+
+func (f *fleet) disturb(t *rapid.T) {
+	w := &f.s.Workers[rapid.IntRange(0, 5).Draw(t, "worker")]
+	switch rapid.IntRange(0, 3).Draw(t, "disturbance") {
+	case 0:
+		w.Reported = !w.Reported
+	case 1:
+		w.Draining, w.DrainingSince = !w.Draining, f.now
+	default:
+		if f.s.Rules.IsOut(w.FailureDomain) {
+			delete(f.s.Rules.Out, w.FailureDomain)
+		} else {
+			f.s.Rules.Out[w.FailureDomain] = f.now
+		}
+	}
+}
+
+// plan takes decisions, checks them, and carries them out.
+func (f *fleet) plan(t *rapid.T) {
+	f.now = f.now.Add(time.Second)
+	// Pending also lists tasks that run already, as when a start and a hint cross.
+	before := f.copySnapshot()
+	d := scheduler.Plan(f.s, f.now)
+	if !reflect.DeepEqual(before, f.s) {
+		t.Fatalf("the plan changed its snapshot")
+	}
+	shuffled := f.copySnapshot()
+	slices.Reverse(shuffled.Workers)
+	shuffled.Pending = rapid.Permutation(shuffled.Pending).Draw(t, "order")
+	again := scheduler.Plan(shuffled, f.now)
+	if !reflect.DeepEqual(d.Place, again.Place) || !reflect.DeepEqual(d.Evict, again.Evict) {
+		t.Fatalf("the plan depends on the order of its input:\n%+v\n%+v", d, again)
+	}
+	f.checkEvictions(t, d)
+	f.place(t, d)
+	f.checkWaiting(t, d)
+	for _, e := range d.Evict {
+		f.each(func(_ *scheduler.WorkerView, a *scheduler.RunningTask) bool {
+			if a.AllocationID == e.AllocationID {
+				a.State = structs.TaskEvicting
+			}
+			return true
+		})
+	}
+}
+
+func (f *fleet) copySnapshot() scheduler.Snapshot {
+	s := f.s
+	s.Workers = slices.Clone(s.Workers)
+	for i := range s.Workers {
+		s.Workers[i].Running = slices.Clone(s.Workers[i].Running)
+	}
+	s.Pending = slices.Clone(s.Pending)
+	return s
+}
+
+// place carries out placements and checks each against the rules that hold whatever plug-ins do.
+func (f *fleet) place(t *rapid.T, d scheduler.Decisions) {
+	for _, p := range d.Place {
+		w := f.worker(p.Worker)
+		if !w.Reported || w.Draining || f.s.Rules.IsOut(w.FailureDomain) {
+			t.Fatalf("%v placed on %s, which takes no tasks", p.Task, w.Name)
+		}
+		replaces := p.Replaces
+		var task scheduler.PendingTask
+		if replaces != "" {
+			old := f.allocation(replaces)
+			task = scheduler.PendingTask{Job: old.Job, Index: 100 + f.next}
+		} else {
+			i := slices.IndexFunc(f.s.Pending, func(o scheduler.PendingTask) bool { return o.ID() == p.Task })
+			if i < 0 {
+				t.Fatalf("%v placed twice, or never submitted", p.Task)
+			}
+			task = f.s.Pending[i]
+			f.s.Pending = slices.Delete(f.s.Pending, i, i+1)
+			if f.done[p.Task] || f.runs(p.Task) {
+				t.Fatalf("%v placed while it runs or after it finished", p.Task)
+			}
+		}
+		f.next++
+		w.Running = append(w.Running, scheduler.RunningTask{
+			AllocationID: fmt.Sprintf("a%d", f.next), Job: task.Job, Index: task.Index, Resources: p.Resources,
+			State: structs.TaskRunning, Replaces: replaces, WorkDone: task.WorkDone,
+		})
+		if used(w).Fits(w.Capacity) {
+			continue
+		}
+		t.Fatalf("%s holds %v and was assigned %v", w.Name, w.Capacity, used(w))
+	}
+	f.checkQuotas(t)
+}
+
+func used(w *scheduler.WorkerView) (sum structs.Resources) {
+	for i := range w.Running {
+		sum = sum.Add(w.Running[i].Resources)
+	}
+	return sum
+}
+
+func (f *fleet) worker(name string) *scheduler.WorkerView {
+	for i := range f.s.Workers {
+		if f.s.Workers[i].Name == name {
+			return &f.s.Workers[i]
+		}
+	}
+	return nil
+}
+
+func (f *fleet) allocation(id string) (found *scheduler.RunningTask) {
+	f.each(func(_ *scheduler.WorkerView, a *scheduler.RunningTask) bool {
+		if a.AllocationID == id {
+			found = a
+		}
+		return true
+	})
+	return found
+}
+
+func (f *fleet) runs(id structs.TaskID) (found bool) {
+	f.each(func(_ *scheduler.WorkerView, a *scheduler.RunningTask) bool {
+		found = found || a.Job.ID == id.JobID && a.Index == id.Index
+		return true
+	})
+	return found
+}
+
+// checkQuotas leaves out replacements, which the quota admits while the replica that they replace runs.
+func (f *fleet) checkQuotas(t *rapid.T) {
+	var sum structs.Resources
+	f.each(func(_ *scheduler.WorkerView, a *scheduler.RunningTask) bool {
+		if a.Job.Team == "t0" && (a.Replaces == "" || f.allocation(a.Replaces) == nil) {
+			sum = sum.Add(a.Resources)
+		}
+		return true
+	})
+	if limit := f.s.Quotas.Teams["t0"]; sum.MilliCores > limit.MilliCores || sum.Accelerators > limit.Accelerators {
+		t.Fatalf("team t0 uses %v of %v", sum, limit)
+	}
+}
+
+func (f *fleet) checkEvictions(t *rapid.T, d scheduler.Decisions) {
+	seen := map[string]bool{}
+	for _, e := range d.Evict {
+		a, w := f.allocation(e.AllocationID), f.worker(e.Worker)
+		leaving := w.Draining || f.s.Rules.IsOut(w.FailureDomain)
+		switch {
+		case a == nil || a.Evicting() || seen[e.AllocationID]:
+			t.Fatalf("eviction of %s, which does not run or is evicted already", e.AllocationID)
+		case a.Job.Kind == structs.KindService && (e.Reason != scheduler.EvictReplaced || !f.replacementReady(e.AllocationID)):
+			t.Fatalf("eviction of replica %s for %q without a ready replacement", e.AllocationID, e.Reason)
+		case e.Reason == scheduler.EvictPreempted && a.Job.Urgent:
+			t.Fatalf("preemption of urgent task %s", e.AllocationID)
+		case e.Reason == scheduler.EvictEvacuated && !leaving:
+			t.Fatalf("evacuation of %s from %s, which is in service", e.AllocationID, e.Worker)
+		}
+		seen[e.AllocationID] = true
+	}
+}
+
+func (f *fleet) replacementReady(id string) (ready bool) {
+	f.each(func(_ *scheduler.WorkerView, a *scheduler.RunningTask) bool {
+		ready = ready || a.Replaces == id && a.Ready
+		return true
+	})
+	return ready
+}
+
+// checkWaiting tells whether a task waits although a worker has room, which means that another job blocks it. Room may
+// be held for preempting and evacuated tasks, so the check needs a plan without those.
+func (f *fleet) checkWaiting(t *rapid.T, d scheduler.Decisions) {
+	for i := range f.s.Workers {
+		if w := &f.s.Workers[i]; w.Draining || f.s.Rules.IsOut(w.FailureDomain) {
+			return
+		}
+	}
+	verdicts := map[string]bool{}
+	for _, v := range d.Verdicts {
+		verdicts[v.JobID] = true
+	}
+	for i := range f.s.Pending {
+		if task := &f.s.Pending[i]; task.Preempts() && !verdicts[task.Job.ID] {
+			return
+		}
+	}
+	for i := range f.s.Pending {
+		job := f.s.Pending[i].Job
+		if verdicts[job.ID] || job.Team == "t0" {
+			continue
+		}
+		for k := range f.s.Workers {
+			w := &f.s.Workers[k]
+			con := job.Constraints.FailureDomains
+			if w.Reported && job.Resources.Add(used(w)).Fits(w.Capacity) && !f.s.Rules.RacksWithoutBatch[w.Rack] &&
+				(len(con) == 0 || con[0] == w.FailureDomain) {
+				t.Fatalf("%s waits, and %s has room for it", job.ID, w.Name)
+			}
+		}
+	}
+}
+
+// Guards against overloaded workers, starts in out domains, tasks that run twice, quotas that are exceeded, services
+// that stop early, jobs that block others, and plans that depend on more than their snapshot.
+func TestPlanAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet()
+		t.Repeat(map[string]func(*rapid.T){
+			"submit":  f.submit,
+			"plan":    f.plan,
+			"replan":  f.plan,
+			"evicted": f.finishEvictions,
+			"finish":  f.finishTasks,
+			"disturb": f.disturb,
+		})
+	})
+}
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -83,10 +83,10 @@
 	WorkDone time.Duration
 	// Avoid lists workers on which the task failed before.
 	Avoid []string
-	// Replaces names the allocation that a service replica replaces. Plan sets it itself in an evacuation.
-	Replaces string
 
-	state *jobState
+	// replaces names the allocation that a service replica is to replace in an evacuation.
+	replaces string
+	state    *jobState
 }
 
 // ID returns the ID of the task.
--- a/scheduler/verdict.go
+++ b/scheduler/verdict.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/quetzalshed/quetzalshed/structs"
@@ -90,5 +91,12 @@
 }
 
 func describe(r structs.Resources) string {
-	return fmt.Sprintf("%d millicores, %d MB, %d accelerators", r.MilliCores, r.MemoryMB, r.Accelerators)
+	return amount(r.MilliCores) + " millicores, " + amount(r.MemoryMB) + " MB, " + amount(r.Accelerators) + " accelerators"
+}
+
+func amount(n int64) string {
+	if n < 0 {
+		return "unlimited"
+	}
+	return strconv.FormatInt(n, 10)
 }
