--- a/agent/requests/execute.go
+++ b/agent/requests/execute.go
@@ -90,6 +90,7 @@
 	started := m.clock.Now()
 	response, err := c.exchange(request, time.Now().Add(m.settings.RunLimit))
 	if err != nil {
+		u.pool.distrust()
 		_, _ = m.ledger.apply(a.id, lose)
 		m.log.Debug("upstream failed", "attempt", a.id, "service", a.service, "error", err)
 		a.span.RecordError(err)
--- a/agent/requests/pool.go
+++ b/agent/requests/pool.go
@@ -140,6 +140,16 @@
 	p.idle = kept
 }
 
+// distrust closes idle connections. It's called after a failure of one connection: connections may fall silent together,
+// and a request on a silent one would occupy its slot until the run limit.
+func (p *pool) distrust() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 {
+		p.closeLocked(p.popIdle())
+	}
+}
+
 // suspend stops or allows the use of connections.
 func (p *pool) suspend(suspended bool) {
 	p.mu.Lock()
--- a/agent/requests/serve.go
+++ b/agent/requests/serve.go
@@ -134,6 +134,7 @@
 			// The queue refuses a waiting attempt now; a running one goes on and its response is retained.
 			a.upstream.admission.Tick()
 			if s, _, _ := m.ledger.look(a.id); s == running {
+				a.upstream.pool.distrust()
 				m.reply(out, a.id, unknown(reasonDeadline), a.upstream)
 				return
 			}
--- /dev/null
+++ b/test/faultnet/faultnet_test.go
@@ -0,0 +1,211 @@
+package faultnet
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// echo runs a server that sends back what it gets, and counts the bytes.
+type echo struct {
+	net.Listener
+	mu   sync.Mutex
+	seen int
+}
+
+func newEcho(c *qt.C) *echo {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	e := &echo{Listener: l}
+	c.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, _ = io.Copy(conn, io.TeeReader(conn, e))
+			}()
+		}
+	}()
+	return e
+}
+
+func (e *echo) Write(p []byte) (int, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.seen += len(p)
+	return len(p), nil
+}
+
+func (e *echo) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.seen
+}
+
+func setUp(t *testing.T) (*qt.C, *Forwarder, *echo) {
+	c := qt.New(t)
+	e := newEcho(c)
+	f, err := Listen(e.Addr().String())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(f.Close)
+	return c, f, e
+}
+
+func dial(c *qt.C, f *Forwarder) net.Conn {
+	conn, err := net.Dial("tcp", f.Address())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func say(c *qt.C, conn net.Conn, line string) string {
+	_, err := io.WriteString(conn, line+"\n")
+	c.Assert(err, qt.IsNil)
+	back, err := bufio.NewReader(conn).ReadString('\n')
+	c.Assert(err, qt.IsNil)
+	return strings.TrimSpace(back)
+}
+
+func eventually(c *qt.C, what string, condition func() bool) {
+	for range 2000 {
+		if condition() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	c.Fatalf("timed out waiting until %s", what)
+}
+
+// expectSilence fails when a connection yields anything but a timeout.
+func expectSilence(c *qt.C, conn net.Conn) {
+	c.Assert(conn.SetReadDeadline(time.Now().Add(50*time.Millisecond)), qt.IsNil)
+	n, err := conn.Read(make([]byte, 1))
+	c.Assert(n, qt.Equals, 0)
+	c.Assert(errors.Is(err, os.ErrDeadlineExceeded), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+// Guards against a silence that shows as an end or an error, lets bytes through, or affects new connections.
+func TestSilence(t *testing.T) {
+	c, f, e := setUp(t)
+	old := dial(c, f)
+	c.Assert(say(c, old, "before"), qt.Equals, "before")
+	c.Assert(f.Silence(), qt.Equals, 1)
+	_, err := io.WriteString(old, "dropped")
+	c.Assert(err, qt.IsNil)
+	eventually(c, "the bytes are dropped", func() bool { return f.Counts().Dropped[ToServer] == 7 })
+	expectSilence(c, old)
+	c.Assert(say(c, dial(c, f), "new"), qt.Equals, "new")
+	c.Assert(e.count(), qt.Equals, len("before\nnew\n"))
+	c.Assert(old.Close(), qt.IsNil)
+	c.Assert(f.Counts().Open, qt.Equals, 2)
+	f.Cut()
+	eventually(c, "all connections are gone", func() bool { return f.Counts().Open == 0 })
+}
+
+// Guards against bytes that wait for their delay and arrive although the connection fell silent meanwhile.
+func TestSilenceDropsDelayedBytes(t *testing.T) {
+	c, f, e := setUp(t)
+	f.SetDelay(ToServer, time.Hour)
+	conn := dial(c, f)
+	_, err := io.WriteString(conn, "delayed")
+	c.Assert(err, qt.IsNil)
+	eventually(c, "the connection is forwarded", func() bool { return f.Counts().Open == 1 })
+	time.Sleep(10 * time.Millisecond)
+	f.Silence()
+	eventually(c, "the bytes are dropped", func() bool { return f.Counts().Dropped[ToServer] == 7 })
+	c.Assert(e.count(), qt.Equals, 0)
+}
+
+// Guards against a silent start that passes the first bytes.
+func TestSilentStart(t *testing.T) {
+	c, f, e := setUp(t)
+	f.SetSilentStart(true)
+	conn := dial(c, f)
+	_, err := io.WriteString(conn, "dropped")
+	c.Assert(err, qt.IsNil)
+	expectSilence(c, conn)
+	f.SetSilentStart(false)
+	c.Assert(say(c, dial(c, f), "new"), qt.Equals, "new")
+	c.Assert(e.count(), qt.Equals, len("new\n"))
+}
+
+// Guards against a delay that reorders or loses bytes, or that is not applied.
+func TestDelay(t *testing.T) {
+	c, f, e := setUp(t)
+	f.SetDelay(ToClient, time.Hour)
+	held := dial(c, f)
+	_, err := io.WriteString(held, "held")
+	c.Assert(err, qt.IsNil)
+	eventually(c, "the server has responded", func() bool { return e.count() == 4 })
+	expectSilence(c, held)
+	f.SetDelay(ToClient, time.Millisecond)
+	conn := dial(c, f)
+	text := strings.Repeat("0123456789", 100_000)
+	go func() { _, _ = io.WriteString(conn, text) }()
+	got := make([]byte, len(text))
+	_, err = io.ReadFull(conn, got)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(got) == text, qt.IsTrue)
+}
+
+// Guards against a truncation that delivers more or fewer bytes, or that shows as a reset.
+func TestTruncate(t *testing.T) {
+	c, f, _ := setUp(t)
+	for _, size := range []int64{0, 1, 5, 100_000} {
+		f.SetTruncate(ToClient, size)
+		conn := dial(c, f)
+		go func() { _, _ = io.WriteString(conn, strings.Repeat("x", 200_000)) }()
+		got, err := io.ReadAll(conn)
+		c.Assert(err, qt.IsNil)
+		c.Assert(int64(len(got)), qt.Equals, size)
+		c.Assert(conn.Close(), qt.IsNil)
+	}
+	f.SetTruncate(ToClient, -1)
+	c.Assert(say(c, dial(c, f), "whole"), qt.Equals, "whole")
+}
+
+// Guards against a cut that shows as a regular end, and against a refusal that outlasts its setting.
+func TestCutAndRefuse(t *testing.T) {
+	c, f, _ := setUp(t)
+	conn := dial(c, f)
+	c.Assert(say(c, conn, "before"), qt.Equals, "before")
+	c.Assert(f.Cut(), qt.Equals, 1)
+	_, err := conn.Read(make([]byte, 1))
+	c.Assert(errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+	f.SetRefuse(true)
+	// The reset arrives before or after the connection is established.
+	refused, err := net.Dial("tcp", f.Address())
+	if err == nil {
+		_, err = refused.Read(make([]byte, 1))
+		c.Assert(refused.Close(), qt.IsNil)
+	}
+	c.Assert(errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+	f.SetRefuse(false)
+	c.Assert(say(c, dial(c, f), "after"), qt.Equals, "after")
+}
+
+// Guards against a regular end of one direction that ends the other one too.
+func TestHalfClose(t *testing.T) {
+	c, f, _ := setUp(t)
+	conn := dial(c, f)
+	_, err := io.WriteString(conn, "all")
+	c.Assert(err, qt.IsNil)
+	c.Assert(conn.(*net.TCPConn).CloseWrite(), qt.IsNil)
+	got, err := io.ReadAll(conn)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(got), qt.Equals, "all")
+	eventually(c, "the connection is gone", func() bool { return f.Counts().Open == 0 })
+}
--- /dev/null
+++ b/test/faultnet/link.go
@@ -0,0 +1,198 @@
+package faultnet
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// chunkSize is the largest number of bytes that are forwarded at once.
+	chunkSize = 16 << 10
+	// truncatedLimit bounds how long the receiver of a truncated stream may keep its side open.
+	truncatedLimit = 2 * time.Second
+	// maxDelayed bounds the chunks that wait for their delay in one direction; beyond it the reader waits.
+	maxDelayed = 1024
+)
+
+// link is one forwarded connection.
+type link struct {
+	forwarder *Forwarder
+	// ends holds the connection from the client and the one to the server, so that direction d reads ends[d].
+	ends  [2]net.Conn
+	limit [2]int64
+
+	// silenced is closed when no more bytes are forwarded.
+	silenced  chan struct{}
+	truncated atomic.Bool
+	ended     chan struct{}
+	mute      sync.Once
+	end       sync.Once
+}
+
+// chunk is a number of bytes, or the end of the stream when there are none.
+type chunk struct {
+	bytes []byte
+	due   time.Time
+}
+
+func newLink(f *Forwarder, client, server net.Conn, limit [2]int64) *link {
+	return &link{
+		forwarder: f, ends: [2]net.Conn{client, server}, limit: limit,
+		silenced: make(chan struct{}), ended: make(chan struct{}),
+	}
+}
+
+func (l *link) silence() { l.mute.Do(func() { close(l.silenced) }) }
+
+// cut resets both sides.
+func (l *link) cut() {
+	l.end.Do(func() {
+		close(l.ended)
+		reset(l.ends[0])
+		reset(l.ends[1])
+	})
+}
+
+// finish closes both sides regularly, after everything before was written.
+func (l *link) finish() {
+	l.end.Do(func() {
+		close(l.ended)
+		_ = l.ends[0].Close()
+		_ = l.ends[1].Close()
+	})
+}
+
+func (l *link) isSilent() bool {
+	select {
+	case <-l.silenced:
+		return true
+	default:
+		return false
+	}
+}
+
+// run forwards until both directions have ended. A silent link ends only by cut.
+func (l *link) run() {
+	var both sync.WaitGroup
+	for _, d := range []Direction{ToServer, ToClient} {
+		chunks := make(chan chunk, maxDelayed)
+		both.Go(func() { l.read(d, chunks) })
+		both.Go(func() { l.write(d, chunks) })
+	}
+	both.Wait()
+	if l.isSilent() && !l.truncated.Load() {
+		<-l.ended
+	}
+	l.finish()
+}
+
+// read takes bytes from one end for as long as the link exists, so that a sender on a silent link isn't held up. A reset
+// by one side is passed on to the other.
+func (l *link) read(d Direction, chunks chan<- chunk) {
+	defer close(chunks)
+	buffer := make([]byte, chunkSize)
+	for {
+		n, err := l.ends[d].Read(buffer)
+		if n > 0 && l.isSilent() {
+			l.forwarder.count(d, 0, n)
+			n = 0
+		}
+		if n > 0 && !l.queue(chunks, chunk{append([]byte(nil), buffer[:n]...), time.Now().Add(l.forwarder.delayOf(d))}) {
+			return
+		}
+		if err == nil {
+			continue
+		}
+		if !errors.Is(err, io.EOF) && !l.isSilent() {
+			l.cut()
+			return
+		}
+		l.queue(chunks, chunk{due: time.Now().Add(l.forwarder.delayOf(d))})
+		return
+	}
+}
+
+func (l *link) queue(chunks chan<- chunk, c chunk) bool {
+	select {
+	case chunks <- c:
+		return true
+	case <-l.ended:
+		return false
+	}
+}
+
+// write delivers the chunks of one direction at their due time. Chunks that wait when the link falls silent are dropped.
+func (l *link) write(d Direction, chunks <-chan chunk) {
+	to := l.ends[1-d]
+	for c := range chunks {
+		if !l.waitUntil(c.due) {
+			l.forwarder.count(d, 0, len(c.bytes))
+			continue
+		}
+		if c.bytes == nil {
+			closeWrite(to)
+			return
+		}
+		send, last := l.truncate(d, c.bytes)
+		n, err := to.Write(send)
+		l.forwarder.count(d, n, len(c.bytes)-n)
+		if last {
+			l.endTruncated(d)
+			for range chunks {
+				continue
+			}
+			return
+		}
+		if err != nil {
+			l.cut()
+			return
+		}
+	}
+}
+
+// endTruncated ends the stream of a direction regularly. What the receiver still sends is read and dropped until it closes:
+// closing with unread input would reset the connection, and the receiver could lose delivered bytes.
+func (l *link) endTruncated(d Direction) {
+	l.truncated.Store(true)
+	l.silence()
+	to := l.ends[1-d]
+	closeWrite(to)
+	_ = to.SetReadDeadline(time.Now().Add(truncatedLimit))
+	_ = l.ends[d].Close()
+}
+
+// truncate returns the bytes that may still be delivered, and whether the connection ends with them.
+func (l *link) truncate(d Direction, bytes []byte) (send []byte, last bool) {
+	switch {
+	case l.limit[d] < 0:
+		return bytes, false
+	case int64(len(bytes)) < l.limit[d]:
+		l.limit[d] -= int64(len(bytes))
+		return bytes, false
+	}
+	return bytes[:l.limit[d]], true
+}
+
+// waitUntil returns false when the link is silent or has ended.
+func (l *link) waitUntil(due time.Time) bool {
+	timer := time.NewTimer(time.Until(due))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return !l.isSilent()
+	case <-l.silenced:
+		return false
+	case <-l.ended:
+		return false
+	}
+}
+
+func closeWrite(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+}
