--- a/agent/requests/upstreamtest/registrar.go
+++ b/agent/requests/upstreamtest/registrar.go
@@ -14,8 +14,12 @@
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
-// registrationTimeout bounds a registration. Leaving takes as long as the agent's requests.
-const registrationTimeout = time.Second
+const (
+	// registrationTimeout bounds a registration. Leaving takes as long as the agent's requests.
+	registrationTimeout = time.Second
+	// leaveInterval is the time between two questions whether the upstream may stop.
+	leaveInterval = 100 * time.Millisecond
+)
 
 // Registrar keeps an upstream registered with an agent.
 type Registrar struct {
@@ -82,6 +86,11 @@
 		case reply.Left:
 			return nil
 		}
+		select {
+		case <-time.After(leaveInterval):
+		case <-ctx.Done():
+			return eris.Wrap(ctx.Err(), "leaving")
+		}
 	}
 }
 
