Announce changes together and honour Retry-After of an entry

Cause: an upstream that registers and leaves in a loop sent one announcement per change to each entry, and an entry that is full was asked again each second.

--- a/agent/announcer/peer.go
+++ b/agent/announcer/peer.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -20,6 +21,8 @@
 	// keeps a wrong answer from silencing the agent.
 	minInterval = 50 * time.Millisecond
 	maxInterval = 10 * time.Second
+	// maxRetrySeconds keeps the computation of a duration from a Retry-After header in range.
+	maxRetrySeconds = 3600
 	// maxReply bounds the body of a reply in bytes.
 	maxReply = 4 << 10
 )
@@ -79,6 +82,22 @@
 			close(done)
 		}
 		timer.Reset(next)
+		if !pause(ctx, minInterval) {
+			return
+		}
+	}
+}
+
+// pause waits and returns false when ctx ends. Changes that arrive meanwhile are announced together, so that an upstream
+// that comes and goes doesn't flood the entry.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
 
@@ -122,6 +141,9 @@
 		return interval, eris.Wrap(err, "reading the reply")
 	}
 	if response.StatusCode != http.StatusOK {
+		if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil && seconds > 0 {
+			interval = min(time.Duration(min(seconds, maxRetrySeconds))*time.Second, maxInterval)
+		}
 		return interval, eris.Errorf("the entry replied with status %d", response.StatusCode)
 	}
 	var reply structs.AnnounceReply
--- a/agent/requests/faults_test.go
+++ b/agent/requests/faults_test.go
@@ -38,7 +38,8 @@
 				a.c.Assert(warm.body, qt.Equals, "warm")
 				a.upstream.SetBehaviour(upstreamtest.Behaviour{Fault: k.fault, FaultRate: 1})
 				body := strings.Repeat("b", 100)
-				if k.fault != upstreamtest.FaultEarly {
+				// Extra bytes after a short response are read together with it.
+				if k.fault != upstreamtest.FaultEarly && k.fault != upstreamtest.FaultExtra {
 					body = strings.Repeat("b", large)
 				}
 				id := a.nextID()
--- a/agent/requests/silence_test.go
+++ b/agent/requests/silence_test.go
@@ -10,7 +10,6 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/quetzalshed/quetzalshed/agent/requests/upstreamtest"
 	"github.com/quetzalshed/quetzalshed/structs"
 	"github.com/quetzalshed/quetzalshed/test/faultnet"
 )
@@ -52,17 +51,23 @@
 	a.c.Assert([]int{counts[ran], counts[waits], counts[lost]}, qt.DeepEquals, []int{1, 0, 0})
 }
 
-// Guards against idle connections to the upstream that fell silent together and hold up one request after the other.
-func TestSilentUpstreamConnections(t *testing.T) {
-	a := newTestAgent(t, func(s *Settings) { s.RunLimit = 400 * time.Millisecond })
+// throughNetwork registers the upstream behind a forwarder.
+func (a *testAgent) throughNetwork() *faultnet.Forwarder {
 	network, err := faultnet.Listen(a.upstream.Address())
 	a.c.Assert(err, qt.IsNil)
-	defer network.Close()
+	a.c.Cleanup(network.Close)
 	a.c.Assert(a.registrar().Leave(context.Background()), qt.IsNil)
 	through := a.registrar()
 	through.Registration.Address = network.Address()
 	_, err = through.Register(context.Background())
 	a.c.Assert(err, qt.IsNil)
+	return network
+}
+
+// Guards against idle connections to the upstream that fell silent together and hold up one request after the other.
+func TestSilentUpstreamConnections(t *testing.T) {
+	a := newTestAgent(t, func(s *Settings) { s.RunLimit = 400 * time.Millisecond })
+	network := a.throughNetwork()
 
 	idempotent := map[string]string{structs.HeaderIdempotent: "true"}
 	for _, r := range a.fill("100") {
@@ -84,14 +89,7 @@
 // Guards against a response of the upstream that is cut at any point and passed on as a whole one.
 func TestTruncatedUpstreamResponses(t *testing.T) {
 	a := newTestAgent(t, nil)
-	network, err := faultnet.Listen(a.upstream.Address())
-	a.c.Assert(err, qt.IsNil)
-	defer network.Close()
-	a.c.Assert(a.registrar().Leave(context.Background()), qt.IsNil)
-	through := a.registrar()
-	through.Registration.Address = network.Address()
-	_, err = through.Register(context.Background())
-	a.c.Assert(err, qt.IsNil)
+	network := a.throughNetwork()
 	answered := 0
 	for cut := int64(0); cut < 300; cut += 7 {
 		network.SetTruncate(faultnet.ToClient, cut)
@@ -107,5 +105,4 @@
 		a.c.Assert(a.resolve(id), qt.Equals, structs.AttemptUnknown)
 	}
 	a.c.Assert(answered > 0 && answered < 20, qt.IsTrue, qt.Commentf("%d", answered))
-	a.upstream.SetBehaviour(upstreamtest.Behaviour{})
 }
--- a/agent/requests/upstreamtest/server.go
+++ b/agent/requests/upstreamtest/server.go
@@ -258,7 +258,7 @@
 	}
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nStandin-Executions: %d\r\nStandin-Method: %s\r\n", executions, r.Method)
-	fmt.Fprintf(&head, "Standin-Uri: %s\r\n", r.RequestURI)
+	fmt.Fprintf(&head, "Standin-Uri: %s\r\nStandin-Traceparent: %s\r\n", r.RequestURI, r.Header.Get("Traceparent"))
 	if fault == FaultUnbounded {
 		_, _ = c.Write(append(append(head.Bytes(), "Connection: close\r\n\r\n"...), body...))
 		return false
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -69,19 +69,19 @@
 // I/O, and isn't safe for concurrent use. Waiting requests are ordered by rank, deadline and arrival.
 type Queue struct {
 	limits  QueueLimits
-	waiting []waiter
+	waiting []queueEntry
 	running map[string]time.Time
 	times   serviceTimes
 	arrival uint64
 	closed  bool
 }
 
-type waiter struct {
+type queueEntry struct {
 	Request
 	arrival uint64
 }
 
-func (w waiter) compare(o waiter) int {
+func (w queueEntry) compare(o queueEntry) int {
 	switch {
 	case w.Rank != o.Rank:
 		return w.Rank - o.Rank
@@ -113,8 +113,8 @@
 		return Changes{Refuse: []Refusal{{ID: r.ID, Reason: ReasonDuplicate}}}
 	}
 	q.arrival++
-	entry := waiter{Request: r, arrival: q.arrival}
-	at, _ := slices.BinarySearchFunc(q.waiting, entry, waiter.compare)
+	entry := queueEntry{Request: r, arrival: q.arrival}
+	at, _ := slices.BinarySearchFunc(q.waiting, entry, queueEntry.compare)
 	if finish := q.estimate(at, now); finish.After(r.Deadline) || !now.Before(r.Deadline) {
 		return Changes{Refuse: []Refusal{q.refusal(r, ReasonTooLate, finish, now)}}
 	}
@@ -137,7 +137,7 @@
 
 // Cancel removes a waiting request and tells whether it was waiting. A running request is left alone.
 func (q *Queue) Cancel(id string) bool {
-	at := slices.IndexFunc(q.waiting, func(w waiter) bool { return w.ID == id })
+	at := slices.IndexFunc(q.waiting, func(w queueEntry) bool { return w.ID == id })
 	if at < 0 {
 		return false
 	}
@@ -155,7 +155,7 @@
 	if _, ok := q.running[id]; ok {
 		return true
 	}
-	return slices.ContainsFunc(q.waiting, func(w waiter) bool { return w.ID == id })
+	return slices.ContainsFunc(q.waiting, func(w queueEntry) bool { return w.ID == id })
 }
 
 func (q *Queue) settle(now time.Time) Changes {
--- a/limit/queue_test.go
+++ b/limit/queue_test.go
@@ -9,17 +9,17 @@
 	"pgregory.net/rapid"
 )
 
-var start = time.Unix(1_000_000, 0)
+var queueStart = time.Unix(1_000_000, 0)
 
-func after(d time.Duration) time.Time { return start.Add(d) }
+func queueAfter(d time.Duration) time.Time { return queueStart.Add(d) }
 
 // observed returns a queue of one slot that has seen requests of 100 ms.
 func observed(limits QueueLimits) *Queue {
 	q := NewQueue(limits)
 	for n := range 10 {
 		id := fmt.Sprint("seen", n)
-		q.Offer(Request{ID: id, Deadline: after(time.Hour)}, start)
-		q.Finish(id, 100*time.Millisecond, start)
+		q.Offer(Request{ID: id, Deadline: queueAfter(time.Hour)}, queueStart)
+		q.Finish(id, 100*time.Millisecond, queueStart)
 	}
 	return q
 }
@@ -28,19 +28,19 @@
 func TestQueueOrder(t *testing.T) {
 	c := qt.New(t)
 	q := NewQueue(QueueLimits{Slots: 1, Waiting: 10})
-	c.Assert(q.Offer(Request{ID: "first", Deadline: after(time.Minute)}, start).Start, qt.DeepEquals, []string{"first"})
+	c.Assert(q.Offer(Request{ID: "first", Deadline: queueAfter(time.Minute)}, queueStart).Start, qt.DeepEquals, []string{"first"})
 	for _, r := range []Request{
-		{"low", 2, after(time.Second)},
-		{"late", 0, after(3 * time.Second)},
-		{"soon", 0, after(2 * time.Second)},
-		{"soon too", 0, after(2 * time.Second)},
-		{"normal", 1, after(time.Second)},
+		{"low", 2, queueAfter(time.Second)},
+		{"late", 0, queueAfter(3 * time.Second)},
+		{"soon", 0, queueAfter(2 * time.Second)},
+		{"soon too", 0, queueAfter(2 * time.Second)},
+		{"normal", 1, queueAfter(time.Second)},
 	} {
-		c.Assert(q.Offer(r, start), qt.DeepEquals, Changes{})
+		c.Assert(q.Offer(r, queueStart), qt.DeepEquals, Changes{})
 	}
 	previous := "first"
 	for _, want := range []string{"soon", "soon too", "late", "normal", "low"} {
-		c.Assert(q.Finish(previous, time.Microsecond, start).Start, qt.DeepEquals, []string{want})
+		c.Assert(q.Finish(previous, time.Microsecond, queueStart).Start, qt.DeepEquals, []string{want})
 		previous = want
 	}
 }
@@ -49,11 +49,11 @@
 func TestFullQueueRefusesTheLast(t *testing.T) {
 	c := qt.New(t)
 	q := NewQueue(QueueLimits{Slots: 1, Waiting: 1})
-	q.Offer(Request{ID: "running", Deadline: after(time.Minute)}, start)
-	q.Offer(Request{ID: "normal", Rank: 1, Deadline: after(time.Minute)}, start)
-	refused := q.Offer(Request{ID: "low", Rank: 2, Deadline: after(time.Minute)}, start).Refuse
+	q.Offer(Request{ID: "running", Deadline: queueAfter(time.Minute)}, queueStart)
+	q.Offer(Request{ID: "normal", Rank: 1, Deadline: queueAfter(time.Minute)}, queueStart)
+	refused := q.Offer(Request{ID: "low", Rank: 2, Deadline: queueAfter(time.Minute)}, queueStart).Refuse
 	c.Assert(refused, qt.DeepEquals, []Refusal{{"low", ReasonQueueFull, blindRetryAfter}})
-	refused = q.Offer(Request{ID: "critical", Deadline: after(time.Minute)}, start).Refuse
+	refused = q.Offer(Request{ID: "critical", Deadline: queueAfter(time.Minute)}, queueStart).Refuse
 	c.Assert(refused, qt.DeepEquals, []Refusal{{"normal", ReasonQueueFull, blindRetryAfter}})
 	c.Assert(q.Load(), qt.Equals, Load{Running: 1, Queued: 1, Slots: 1})
 }
@@ -62,23 +62,23 @@
 func TestHopelessRequestsAreRefusedAtOnce(t *testing.T) {
 	c := qt.New(t)
 	q := observed(QueueLimits{Slots: 1, Waiting: 10})
-	c.Assert(q.Offer(Request{ID: "short", Deadline: after(99 * time.Millisecond)}, start).Refuse, qt.HasLen, 1)
-	q.Offer(Request{ID: "a", Deadline: after(time.Second)}, start)
-	q.Offer(Request{ID: "b", Deadline: after(time.Second)}, start)
+	c.Assert(q.Offer(Request{ID: "short", Deadline: queueAfter(99 * time.Millisecond)}, queueStart).Refuse, qt.HasLen, 1)
+	q.Offer(Request{ID: "a", Deadline: queueAfter(time.Second)}, queueStart)
+	q.Offer(Request{ID: "b", Deadline: queueAfter(time.Second)}, queueStart)
 	// Two requests are ahead, so that the third finishes after 300 ms; with its budget of 150 ms it fits 150 ms later.
-	refused := q.Offer(Request{ID: "c", Rank: 2, Deadline: after(150 * time.Millisecond)}, start).Refuse
+	refused := q.Offer(Request{ID: "c", Rank: 2, Deadline: queueAfter(150 * time.Millisecond)}, queueStart).Refuse
 	c.Assert(refused, qt.DeepEquals, []Refusal{{"c", ReasonTooLate, 150 * time.Millisecond}})
-	c.Assert(q.Offer(Request{ID: "d", Rank: 2, Deadline: after(300 * time.Millisecond)}, start), qt.DeepEquals, Changes{})
+	c.Assert(q.Offer(Request{ID: "d", Rank: 2, Deadline: queueAfter(300 * time.Millisecond)}, queueStart), qt.DeepEquals, Changes{})
 }
 
 // Guards against requests that are held until their deadline behind a stalled upstream.
 func TestStalledUpstreamRefusesEarly(t *testing.T) {
 	c := qt.New(t)
 	q := observed(QueueLimits{Slots: 1, Waiting: 10})
-	q.Offer(Request{ID: "stalled", Deadline: after(time.Minute)}, start)
-	q.Offer(Request{ID: "waiting", Deadline: after(2 * time.Second)}, start)
-	c.Assert(q.Tick(after(900*time.Millisecond)).Refuse, qt.HasLen, 0)
-	refused := q.Tick(after(1100 * time.Millisecond)).Refuse
+	q.Offer(Request{ID: "stalled", Deadline: queueAfter(time.Minute)}, queueStart)
+	q.Offer(Request{ID: "waiting", Deadline: queueAfter(2 * time.Second)}, queueStart)
+	c.Assert(q.Tick(queueAfter(900*time.Millisecond)).Refuse, qt.HasLen, 0)
+	refused := q.Tick(queueAfter(1100 * time.Millisecond)).Refuse
 	c.Assert(refused, qt.HasLen, 1)
 	c.Assert(refused[0].Reason, qt.Equals, ReasonTooLate)
 }
@@ -87,9 +87,9 @@
 func TestOldServiceTimesAreForgotten(t *testing.T) {
 	c := qt.New(t)
 	q := observed(QueueLimits{Slots: 1, Waiting: 10})
-	r := Request{ID: "short", Deadline: after(observationAge + 50*time.Millisecond)}
-	c.Assert(q.Offer(r, after(observationAge-time.Millisecond)).Refuse, qt.HasLen, 1)
-	c.Assert(q.Offer(r, after(observationAge)).Start, qt.DeepEquals, []string{"short"})
+	r := Request{ID: "short", Deadline: queueAfter(observationAge + 50*time.Millisecond)}
+	c.Assert(q.Offer(r, queueAfter(observationAge-time.Millisecond)).Refuse, qt.HasLen, 1)
+	c.Assert(q.Offer(r, queueAfter(observationAge)).Start, qt.DeepEquals, []string{"short"})
 }
 
 // Guards against lost or repeated decisions: each request is started or refused once, or cancelled, within the bounds.
@@ -97,7 +97,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		limits := QueueLimits{Slots: rapid.IntRange(1, 4).Draw(t, "slots"), Waiting: rapid.IntRange(0, 4).Draw(t, "waiting")}
 		q := NewQueue(limits)
-		now := start
+		now := queueStart
 		states := map[string]string{}
 		apply := func(c Changes) {
 			for _, id := range c.Start {
@@ -169,14 +169,14 @@
 func BenchmarkOffer(b *testing.B) {
 	q := NewQueue(QueueLimits{Slots: 8, Waiting: 32})
 	for n := range 39 {
-		q.Offer(Request{ID: fmt.Sprint(n), Rank: n % 3, Deadline: after(time.Duration(n) * time.Minute)}, start)
+		q.Offer(Request{ID: fmt.Sprint(n), Rank: n % 3, Deadline: queueAfter(time.Duration(n) * time.Minute)}, queueStart)
 	}
 	for n := range observationCount {
-		q.times.observe(time.Duration(n+1)*time.Millisecond, start)
+		q.times.observe(time.Duration(n+1)*time.Millisecond, queueStart)
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		q.Offer(Request{ID: "x", Rank: 1, Deadline: after(time.Hour)}, start)
+		q.Offer(Request{ID: "x", Rank: 1, Deadline: queueAfter(time.Hour)}, queueStart)
 		if !q.Cancel("x") {
 			b.Fatal("the request doesn't wait")
 		}
