Answer repeated requests without an upstream, and test the caller API

Cause: a repeated request with a caller's key was reported as not run when no upstream took new work, although the first one had run and its response was retained. The writes of records were not bounded by the request's deadline. Ruled out: looking up the record before each request, which would cost a read for every non-idempotent request; it is needed only when nothing was assigned. Change: Claim.Lookup, used when no upstream is left; the deadline bounds Assign; spans for assignments and resolves, span events for interim states; tests of repeated requests, one key at two entries at once, lost entries, lost outcomes, store faults, bad requests, deadlines, leaving upstreams, drain and limits.

--- a/entry/requests/entry_test.go
+++ b/entry/requests/entry_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/forward/forwardtest"
 	"github.com/quetzalshed/quetzalshed/idempotency"
+	"github.com/quetzalshed/quetzalshed/idempotency/idempotencytest"
 	"github.com/quetzalshed/quetzalshed/kernel"
 	"github.com/quetzalshed/quetzalshed/limit"
 	"github.com/quetzalshed/quetzalshed/platform/store"
@@ -119,3 +121,133 @@
 	qt.Assert(t, got.Get(structs.HeaderMethod), qt.Equals, http.MethodPut)
 	qt.Assert(t, got.Get("Traceparent"), qt.Matches, "00-0af7651916cd43dd8448eb211c80319c-.*")
 }
+
+// Guards against wrong headers and oversized bodies that are sent on, and against findings that are reported one by one.
+func TestBadRequests(t *testing.T) {
+	e := newEntry(t, idempotencytest.New(), nil)
+	agent := newAgent(t, "a", e)
+	response, body := e.call(t, http.MethodPost, "/s/price/p", "", structs.HeaderTimeoutMillis, "60001",
+		structs.HeaderPriority, "urgent", structs.HeaderIdempotent, "maybe", structs.HeaderIdempotencyKey, "a b")
+	qt.Assert(t, outcome(response), qt.Equals, "400 not-run")
+	for _, name := range []string{"Timeout-Ms", "Priority", "Idempotent:", "Idempotency-Key"} {
+		qt.Assert(t, body, qt.Contains, name)
+	}
+	qt.Assert(t, response.Header.Get("Retry-After"), qt.Equals, "")
+	for _, wrong := range []string{"0", "-1", "1.5", "x"} {
+		response, _ = e.call(t, http.MethodGet, "/s/price/p", "", structs.HeaderTimeoutMillis, wrong)
+		qt.Assert(t, outcome(response), qt.Equals, "400 not-run")
+	}
+	response, _ = e.call(t, http.MethodGet, "/s//p", "")
+	qt.Assert(t, outcome(response), qt.Equals, "400 not-run")
+	response, _ = e.call(t, http.MethodGet, "/s/price/p", "", "X-Long", strings.Repeat("x", maxHeaderBytes))
+	qt.Assert(t, outcome(response), qt.Equals, "400 not-run")
+	response, _ = e.call(t, http.MethodPut, "/s/price/p", strings.Repeat("x", structs.MaxRequestBody+1))
+	qt.Assert(t, outcome(response), qt.Equals, "413 not-run")
+	chunked, err := http.NewRequest(http.MethodPut, e.url+"/s/price/p", io.MultiReader(strings.NewReader(strings.Repeat("x", structs.MaxRequestBody+1))))
+	qt.Assert(t, err, qt.IsNil)
+	response, err = http.DefaultClient.Do(chunked)
+	qt.Assert(t, err, qt.IsNil)
+	_ = response.Body.Close()
+	qt.Assert(t, outcome(response), qt.Equals, "413 not-run")
+	qt.Assert(t, agent.Sends(), qt.Equals, 0)
+	response, _ = e.call(t, http.MethodPut, "/s/price/p", strings.Repeat("x", structs.MaxRequestBody))
+	qt.Assert(t, outcome(response), qt.Equals, "200 answered")
+}
+
+// Guards against a request that is held after its deadline, or whose expiry is reported as certain.
+func TestExpiredDeadline(t *testing.T) {
+	e := newEntry(t, idempotencytest.New(), nil)
+	agent := newAgent(t, "a", e)
+	agent.Next = always(forwardtest.Hold)
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		response, _ := e.call(t, method, "/s/price/p", "", structs.HeaderTimeoutMillis, "30")
+		qt.Assert(t, outcome(response), qt.Equals, "504 unknown")
+	}
+}
+
+// Guards against new work at an upstream that is leaving (P8), and against a leaving agent whose other state is lost.
+func TestLeavingUpstream(t *testing.T) {
+	e := newEntry(t, nil, nil)
+	one, two := newAgent(t, "a", e), newAgent(t, "b", e)
+	for range 20 {
+		e.call(t, http.MethodGet, "/s/price/p", "")
+	}
+	qt.Assert(t, one.Sends() > 0 && two.Sends() > 0, qt.IsTrue)
+	leaving := one.Announcement("price", 2)
+	leaving.Upstreams[0].Leaving = true
+	e.announce(t, leaving)
+	before := one.Sends()
+	for range 20 {
+		response, _ := e.call(t, http.MethodGet, "/s/price/p", "")
+		qt.Assert(t, outcome(response), qt.Equals, "200 answered")
+	}
+	qt.Assert(t, one.Sends(), qt.Equals, before)
+}
+
+// Guards against a shutdown that interrupts requests under way (P9), or that takes new ones.
+func TestDrain(t *testing.T) {
+	e := newEntry(t, nil, nil)
+	agent := newAgent(t, "a", e)
+	agent.Next = always(forwardtest.Hold)
+	answered := make(chan string, 1)
+	go func() {
+		response, _ := e.call(t, http.MethodGet, "/s/price/p", "", structs.HeaderTimeoutMillis, "20000")
+		answered <- outcome(response)
+	}()
+	waitFor(t, func() bool { return agent.Sends() == 1 })
+	drained := make(chan error, 1)
+	go func() { drained <- e.Drain(t.Context()) }()
+	waitFor(t, func() bool {
+		response, _ := e.call(t, http.MethodGet, "/s/price/p", "", structs.HeaderTimeoutMillis, "1")
+		return outcome(response) == "503 not-run" && response.Header.Get("Retry-After") == "1"
+	})
+	select {
+	case <-drained:
+		t.Fatal("drained with a request under way")
+	default:
+	}
+	agent.Release()
+	qt.Assert(t, <-answered, qt.Equals, "200 answered")
+	qt.Assert(t, <-drained, qt.IsNil)
+}
+
+// Guards against announcements that can't be read being taken, and against a process that takes callers before it knows
+// an upstream.
+func TestAnnouncements(t *testing.T) {
+	e := newEntry(t, nil, nil)
+	qt.Assert(t, e.Ready(), qt.Equals, errNoUpstreams)
+	qt.Assert(t, e.announce(t, structs.Announcement{Agent: "a"}).StatusCode, qt.Equals, http.StatusBadRequest)
+	for _, body := range []string{"{", strings.Repeat(" ", maxAnnouncementBytes) + "{}"} {
+		response, _ := e.call(t, http.MethodPost, "/v1/announce", body)
+		qt.Assert(t, response.StatusCode, qt.Equals, http.StatusBadRequest)
+	}
+	agent := newAgent(t, "a", e)
+	qt.Assert(t, e.Ready(), qt.IsNil)
+	_, body := e.call(t, http.MethodPost, "/v1/announce", string(mustJSON(t, agent.Announcement("price", 1))))
+	qt.Assert(t, body, qt.Equals, "{\"next_after_millis\":1000}\n")
+}
+
+func mustJSON(t testing.TB, value any) []byte {
+	t.Helper()
+	raw, err := json.Marshal(value)
+	qt.Assert(t, err, qt.IsNil)
+	return raw
+}
+
+// Guards against a limit that holds requests back instead of rejecting them with a time to retry.
+func TestEntryLimit(t *testing.T) {
+	e := newEntry(t, nil, func(s *Settings) { s.MaxInFlight, s.MaxWaiting, s.MaxWait = 1, 0, time.Minute })
+	agent := newAgent(t, "a", e)
+	agent.Next = always(forwardtest.Hold)
+	answered := make(chan string, 1)
+	go func() {
+		response, _ := e.call(t, http.MethodGet, "/s/price/p", "", structs.HeaderTimeoutMillis, "20000")
+		answered <- outcome(response)
+	}()
+	waitFor(t, func() bool { return agent.Sends() == 1 })
+	response, _ := e.call(t, http.MethodGet, "/s/price/p", "", structs.HeaderTimeoutMillis, "60000")
+	qt.Assert(t, outcome(response), qt.Equals, "503 not-run")
+	qt.Assert(t, response.Header.Get("Retry-After"), qt.Equals, "1")
+	agent.Release()
+	qt.Assert(t, <-answered, qt.Equals, "200 answered")
+}
--- a/entry/requests/once.go
+++ b/entry/requests/once.go
@@ -39,19 +39,40 @@
 	claim := m.ledger.NewClaim(p.request.Service, key, requestHash(&p.request))
 	for adoptions := 0; ; adoptions++ {
 		result := m.forwarder.Do(ctx, &p.request, assigner{claim})
-		var exists *idempotency.ExistsError
-		if !errors.As(result.AssignError, &exists) {
+		found, exists := existing(ctx, claim, &result, p.key != "" && adoptions == 0)
+		if !exists {
 			return assigned(result)
 		}
 		m.metrics.followed.Inc(1)
-		followed, free := m.follow(ctx, p.request.Deadline, exists.Found.Record)
-		if !free || adoptions >= maxAdoptions {
+		followed, free := m.follow(ctx, p.request.Deadline, found.Record)
+		switch {
+		case !free || adoptions >= maxAdoptions:
 			return followed
+		case result.AssignError == nil:
+			// The recorded attempt has not run, and there is no upstream for another one.
+			return result
 		}
-		claim.Adopt(exists.Found)
+		claim.Adopt(found)
 	}
 }
 
+// existing returns the record that kept a request from running. A repeated request for which there is no upstream gets
+// the response of the earlier one all the same, so its record is looked up too.
+func existing(ctx context.Context, claim *idempotency.Claim, result *forward.Result, repeated bool) (idempotency.Stored, bool) {
+	var exists *idempotency.ExistsError
+	if errors.As(result.AssignError, &exists) {
+		return exists.Found, true
+	}
+	if !repeated || result.AssignError != nil || result.Attempts > 0 {
+		return idempotency.Stored{}, false
+	}
+	found, ok, err := claim.Lookup(ctx)
+	if err != nil {
+		result.AssignError = err
+	}
+	return found, ok && err == nil
+}
+
 // requestHash tells requests under the same key apart.
 func requestHash(r *forward.Request) string {
 	return idempotency.Hash([]byte(r.Method), []byte(r.Path), []byte(r.Header.Get("Content-Type")), r.Body)
--- /dev/null
+++ b/entry/requests/once_test.go
@@ -0,0 +1,173 @@
+package requests
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/forward/forwardtest"
+	"github.com/quetzalshed/quetzalshed/idempotency/idempotencytest"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+func always(fault forwardtest.Fault) func(int) forwardtest.Fault {
+	return func(int) forwardtest.Fault { return fault }
+}
+
+func (e *testEntry) post(t testing.TB, key, body string, headers ...string) (*http.Response, string) {
+	t.Helper()
+	return e.call(t, http.MethodPost, "/s/price/p", body, append([]string{structs.HeaderIdempotencyKey, key}, headers...)...)
+}
+
+func outcome(r *http.Response) string {
+	return fmt.Sprint(r.StatusCode, " ", r.Header.Get(structs.HeaderOutcome))
+}
+
+func waitFor(t testing.TB, reached func() bool) {
+	t.Helper()
+	for range 10_000 {
+		if reached() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("the state was not reached")
+}
+
+// Guards against a repeated request that runs again instead of getting the response of the first one (P7), also at
+// another entry, and against a key that is reused for other content.
+func TestRepeatedRequest(t *testing.T) {
+	kv := idempotencytest.New()
+	one, two := newEntry(t, kv, nil), newEntry(t, kv, nil)
+	agent := newAgent(t, "a", one, two)
+	for _, e := range []*testEntry{one, one, two} {
+		response, body := e.post(t, "k", "buy")
+		qt.Assert(t, outcome(response), qt.Equals, "200 answered")
+		qt.Assert(t, body, qt.Equals, "/p:buy")
+	}
+	qt.Assert(t, agent.Runs(), qt.Equals, 1)
+	response, _ := two.post(t, "k", "sell")
+	qt.Assert(t, outcome(response), qt.Equals, "422 not-run")
+	// Without a key each request is its own, and the generated key is returned.
+	first, _ := one.call(t, http.MethodPost, "/s/price/p", "buy")
+	second, _ := one.call(t, http.MethodPost, "/s/price/p", "buy")
+	qt.Assert(t, agent.RunsOf("buy"), qt.Equals, 3)
+	qt.Assert(t, first.Header.Get(structs.HeaderIdempotencyKey), qt.Not(qt.Equals), second.Header.Get(structs.HeaderIdempotencyKey))
+	qt.Assert(t, agent.Headers().Get("Quetzalshed-Fwd-Idempotency-Key"), qt.Equals, second.Header.Get(structs.HeaderIdempotencyKey))
+}
+
+// Guards against the same key through two entries at once running twice, or one of them getting no response.
+func TestSameKeyAtOnce(t *testing.T) {
+	kv := idempotencytest.New()
+	one, two := newEntry(t, kv, nil), newEntry(t, kv, nil)
+	agent := newAgent(t, "a", one, two)
+	agent.Next = always(forwardtest.Hold)
+	var done sync.WaitGroup
+	for _, e := range []*testEntry{one, two, one, two} {
+		done.Go(func() {
+			response, body := e.post(t, "k", "buy", structs.HeaderTimeoutMillis, "20000")
+			qt.Check(t, outcome(response), qt.Equals, "200 answered")
+			qt.Check(t, body, qt.Equals, "/p:buy")
+		})
+	}
+	waitFor(t, func() bool { return agent.Sends() == 1 })
+	time.Sleep(2 * followGrace)
+	agent.Release()
+	done.Wait()
+	qt.Assert(t, agent.Runs(), qt.Equals, 1)
+	qt.Assert(t, agent.Sends(), qt.Equals, 1)
+}
+
+// Guards against an entry that dies between the record and the send blocking the key for good.
+func TestRecordOfLostEntryIsTakenOver(t *testing.T) {
+	kv := idempotencytest.New()
+	e := newEntry(t, kv, nil)
+	agent := newAgent(t, "a", e)
+	p, err := parse(mustRequest(t, "buy"))
+	qt.Assert(t, err, qt.IsNil)
+	p.request.Body = []byte("buy")
+	claim := e.ledger.NewClaim("price", "k", requestHash(&p.request))
+	qt.Assert(t, claim.Assign(t.Context(), "a", "a-1", agent.Address(), "never-sent"), qt.IsNil)
+	response, _ := e.post(t, "k", "buy")
+	qt.Assert(t, outcome(response), qt.Equals, "200 answered")
+	qt.Assert(t, agent.Runs(), qt.Equals, 1)
+	// Had the lost entry only been paused, its attempt would be refused now.
+	qt.Assert(t, agent.States()[structs.AttemptRefused], qt.Equals, 1)
+}
+
+func mustRequest(t testing.TB, body string) *http.Request {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://entry/s/price/p", nil)
+	qt.Assert(t, err, qt.IsNil)
+	request.ContentLength = int64(len(body))
+	return request
+}
+
+// Guards against a response that nobody retains being reported as not run, or the request running again.
+func TestOutcomeThatIsLost(t *testing.T) {
+	kv := idempotencytest.New()
+	e := newEntry(t, kv, nil)
+	agent, other := newAgent(t, "a", e), newAgent(t, "b")
+	agent.Next = always(forwardtest.Forget)
+	response, _ := e.post(t, "k", "buy")
+	qt.Assert(t, outcome(response), qt.Equals, "504 unknown")
+	qt.Assert(t, e.announce(t, other.Announcement("price", 1)).StatusCode, qt.Equals, http.StatusOK)
+	response, _ = e.post(t, "k", "buy")
+	qt.Assert(t, outcome(response), qt.Equals, "409 unknown")
+	agent.Restart()
+	response, _ = e.post(t, "k", "buy")
+	qt.Assert(t, outcome(response), qt.Equals, "409 unknown")
+	agent.Close()
+	response, _ = e.post(t, "k", "buy")
+	qt.Assert(t, outcome(response), qt.Equals, "409 unknown")
+	qt.Assert(t, agent.Runs()+other.Runs(), qt.Equals, 1)
+}
+
+// Guards against a repeated request being reported as not run because no upstream takes new work, although the first one
+// ran.
+func TestRepeatedRequestWithoutUpstream(t *testing.T) {
+	e := newEntry(t, idempotencytest.New(), nil)
+	agent := newAgent(t, "a", e)
+	e.post(t, "k", "buy")
+	leaving := agent.Announcement("price", 2)
+	leaving.Leaving = true
+	e.announce(t, leaving)
+	response, body := e.post(t, "k", "buy")
+	qt.Assert(t, outcome(response), qt.Equals, "200 answered")
+	qt.Assert(t, body, qt.Equals, "/p:buy")
+	response, _ = e.post(t, "k", "sell")
+	qt.Assert(t, outcome(response), qt.Equals, "422 not-run")
+	response, _ = e.post(t, "k2", "buy")
+	qt.Assert(t, outcome(response), qt.Equals, "503 not-run")
+	qt.Assert(t, response.Header.Get(structs.HeaderReason), qt.Contains, "leaving")
+	qt.Assert(t, response.Header.Get("Retry-After"), qt.Equals, "1")
+}
+
+// Guards against an outage of the store letting a request run without a record, or stopping idempotent requests.
+func TestStoreFaults(t *testing.T) {
+	kv := idempotencytest.New()
+	e := newEntry(t, kv, func(s *Settings) { s.RecordsPerSecond = 5 })
+	agent := newAgent(t, "a", e)
+	kv.Script(idempotencytest.Down, idempotencytest.LosesRequest, idempotencytest.LosesResponse)
+	for i, want := range []string{"503 not-run", "503 not-run", "200 answered", "200 answered", "200 answered"} {
+		response, _ := e.post(t, fmt.Sprint(i), "buy")
+		qt.Assert(t, outcome(response), qt.Equals, want)
+		if response.StatusCode == http.StatusServiceUnavailable {
+			qt.Assert(t, response.Header.Get("Retry-After"), qt.Equals, "1")
+		}
+	}
+	response, _ := e.post(t, "over-the-limit", "buy")
+	qt.Assert(t, outcome(response), qt.Equals, "429 not-run")
+	qt.Assert(t, response.Header.Get("Retry-After"), qt.Equals, "1")
+	qt.Assert(t, agent.Runs(), qt.Equals, 3)
+	response, _ = e.call(t, http.MethodGet, "/s/price/p", "")
+	qt.Assert(t, outcome(response), qt.Equals, "200 answered")
+	none := newEntry(t, nil, nil)
+	newAgent(t, "b", none)
+	response, _ = none.post(t, "k", "buy")
+	qt.Assert(t, outcome(response), qt.Equals, "503 not-run")
+}
--- a/forward/run.go
+++ b/forward/run.go
@@ -146,10 +146,8 @@
 			r.f.counters.retries.Inc(1)
 		}
 	}
-	if r.assigner != nil {
-		if err := r.assigner.Assign(r.ctx, a.target, a.id); err != nil {
-			return err
-		}
+	if err := r.assign(a); err != nil {
+		return err
 	}
 	r.attempts = append(r.attempts, a)
 	a.started = time.Now()
@@ -165,6 +163,22 @@
 	return nil
 }
 
+// assign has the attempt of a non-idempotent request recorded.
+func (r *run) assign(a *attempt) error {
+	if r.assigner == nil {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(r.ctx, r.request.Deadline)
+	defer cancel()
+	ctx, span := r.f.opts.Tracer.Start(ctx, "assign")
+	defer span.End()
+	err := r.assigner.Assign(ctx, a.target, a.id)
+	if err != nil {
+		span.RecordError(err)
+	}
+	return err
+}
+
 func (r *run) launch(a *attempt, chosen routing.Candidate, index int) {
 	f := r.f
 	f.counters.attempts.Inc(1)
@@ -174,9 +188,9 @@
 		attribute.Bool("quetzalshed.hedge", a.hedge)))
 	a.span = span
 	a.ctx, a.cancel = context.WithDeadline(ctx, r.request.Deadline)
-	request, target, id, results := r.request, a.target, a.id, r.results
+	request, target, id, results, ctx := r.request, a.target, a.id, r.results, a.ctx
 	go func() {
-		reply, err := f.send(a.ctx, request, target, id, nil)
+		reply, err := f.send(ctx, request, target, id, stateEvents(span))
 		results <- result{attempt: index, reply: reply, err: err}
 	}()
 }
@@ -187,7 +201,10 @@
 	f, target, id, results, ctx := r.f, a.target, a.id, r.results, a.ctx
 	f.counters.resolves.Inc(1)
 	go func() {
+		ctx, span := f.opts.Tracer.Start(ctx, "resolve", trace.WithSpanKind(trace.SpanKindClient))
 		resolution, err := f.Resolve(ctx, target, id)
+		span.SetAttributes(attribute.String("quetzalshed.state", string(resolution.State)))
+		span.End()
 		results <- result{attempt: index, err: err, resolve: true, resolution: resolution}
 	}()
 }
@@ -302,61 +319,3 @@
 		a.span.End()
 	}
 }
-
-func (r *run) answered(a *attempt) Result {
-	if a.hedge {
-		r.f.counters.hedgesWon.Inc(1)
-	}
-	now := time.Now()
-	r.f.opts.Latencies.Observe(r.request.Service, now.Sub(a.started), now)
-	return Result{
-		Outcome: structs.OutcomeAnswered, Status: a.reply.Status, Header: a.reply.Header, Body: a.reply.Body,
-		Agent: a.target.ID.Agent, Attempts: len(r.attempts),
-	}
-}
-
-// defaultRetryAfter is told to callers when no agent has named a time.
-const defaultRetryAfter = time.Second
-
-// notRun relays why the newest attempt was refused.
-func (r *run) notRun() Result {
-	out := Result{
-		Outcome: structs.OutcomeNotRun, Status: http.StatusServiceUnavailable, Reason: string(r.verdict),
-		RetryAfter: defaultRetryAfter, Attempts: len(r.attempts),
-	}
-	if len(r.attempts) == 0 {
-		if !time.Now().Before(r.request.Deadline) {
-			out.Reason = "the deadline passed before the request was sent"
-		}
-		return out
-	}
-	last := r.attempts[len(r.attempts)-1]
-	out.Agent, out.Reason = last.target.ID.Agent, last.reason
-	if last.reply == nil {
-		return out
-	}
-	switch last.reply.Status {
-	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
-		out.Status, out.RetryAfter = last.reply.Status, 0
-	case http.StatusTooManyRequests:
-		out.Status = last.reply.Status
-	}
-	if last.reply.RetryAfter > 0 {
-		out.RetryAfter = last.reply.RetryAfter
-	}
-	return out
-}
-
-func (r *run) unknown() Result {
-	out := Result{
-		Outcome: structs.OutcomeUnknown, Status: http.StatusGatewayTimeout, Attempts: len(r.attempts),
-		Reason: "the deadline passed",
-	}
-	for _, a := range r.attempts {
-		out.Agent = a.target.ID.Agent
-		if a.reason != "" {
-			out.Reason = a.reason
-		}
-	}
-	return out
-}
--- a/forward/trace.go
+++ b/forward/trace.go
@@ -5,8 +5,22 @@
 	"net/http"
 
 	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/quetzalshed/quetzalshed/structs"
 )
 
+// stateEvents returns a receiver of interim responses that records each change of the attempt's state on its span.
+func stateEvents(span trace.Span) func(http.Header) {
+	last := ""
+	return func(header http.Header) {
+		if state := header.Get(structs.HeaderState); state != last {
+			last = state
+			span.AddEvent(state)
+		}
+	}
+}
+
 // traceHeaders returns the W3C trace context of ctx as headers.
 func traceHeaders(ctx context.Context) http.Header {
 	header := http.Header{}
--- a/idempotency/claim.go
+++ b/idempotency/claim.go
@@ -66,6 +66,15 @@
 	}
 }
 
+// Lookup returns the record of the key, if there is one.
+func (c *Claim) Lookup(ctx context.Context) (found Stored, ok bool, err error) {
+	found, ok, err = c.ledger.read(ctx, c.key)
+	if err == nil && ok && found.Record.RequestHash != c.hash {
+		return Stored{}, false, ErrKeyReused
+	}
+	return found, ok, err
+}
+
 // readBack finds out whether the write of an attempt has taken effect.
 func (c *Claim) readBack(ctx context.Context, attempt string, cause error) error {
 	found, ok, err := c.ledger.read(ctx, c.key)
--- a/idempotency/claim_test.go
+++ b/idempotency/claim_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/idempotency/idempotencytest"
 	"github.com/quetzalshed/quetzalshed/limit"
 	"github.com/quetzalshed/quetzalshed/platform/store"
 )
@@ -40,25 +41,26 @@
 func TestAssignUnderFaults(t *testing.T) {
 	for _, test := range []struct {
 		name      string
-		fault     storeFault
+		fault     idempotencytest.Fault
 		readsDown bool
 		want      error
 	}{
-		{"works", storeWorks, false, nil},
-		{"down", storeDown, false, ErrNotRecorded},
-		{"response lost", storeLosesResponse, false, nil},
-		{"request lost", storeLosesRequest, false, ErrNotRecorded},
-		{"response lost and reads down", storeLosesResponse, true, ErrNotRecorded},
-		{"applied late", storeAppliesLate, false, ErrNotRecorded},
+		{"works", idempotencytest.Works, false, nil},
+		{"down", idempotencytest.Down, false, ErrNotRecorded},
+		{"response lost", idempotencytest.LosesResponse, false, nil},
+		{"request lost", idempotencytest.LosesRequest, false, ErrNotRecorded},
+		{"response lost and reads down", idempotencytest.LosesResponse, true, ErrNotRecorded},
+		{"applied late", idempotencytest.AppliesLate, false, ErrNotRecorded},
 	} {
 		for _, reassigned := range []bool{false, true} {
 			t.Run(fmt.Sprint(test.name, reassigned), func(t *testing.T) {
-				kv := newFakeStore()
+				kv := idempotencytest.New()
 				claim := newLedger(kv, clock.System{}).NewClaim("price", "key", "hash")
 				if reassigned {
 					qt.Assert(t, assign(claim, "first"), qt.IsNil)
 				}
-				kv.faults, kv.readsDown = []storeFault{test.fault}, test.readsDown
+				kv.Script(test.fault)
+				kv.SetReadsDown(test.readsDown)
 				err := assign(claim, "second")
 				qt.Assert(t, errors.Is(err, test.want), qt.IsTrue, qt.Commentf("%v", err))
 			})
@@ -68,7 +70,7 @@
 
 // Guards against two requests with one key that both run, and against a key that is reused for other content.
 func TestExistingRecord(t *testing.T) {
-	kv := newFakeStore()
+	kv := idempotencytest.New()
 	one, two := newLedger(kv, clock.System{}), newLedger(kv, clock.System{})
 	qt.Assert(t, assign(one.NewClaim("price", "key", "hash"), "first"), qt.IsNil)
 	claim := two.NewClaim("price", "key", "hash")
@@ -90,25 +92,24 @@
 
 // Guards against records that lapse before their retention, and against a lease call per record.
 func TestHourlyLeases(t *testing.T) {
-	kv, now := newFakeStore(), clock.NewManual(time.Unix(1_700_000_000, 0))
+	kv, now := idempotencytest.New(), clock.NewManual(time.Unix(1_700_000_000, 0))
 	ledger := newLedger(kv, now)
 	for i := range 20 {
 		qt.Assert(t, assign(ledger.NewClaim("price", fmt.Sprint(i), "hash"), "a"), qt.IsNil)
 		now.Advance(10 * time.Minute)
 	}
-	qt.Assert(t, kv.leases, qt.HasLen, 4)
-	for _, ttl := range kv.leases {
+	qt.Assert(t, kv.Leases(), qt.HasLen, 4)
+	for _, ttl := range kv.Leases() {
 		qt.Assert(t, ttl, qt.Equals, 25*time.Hour)
 	}
 	// A lease that the store has lost is replaced within the same call.
-	clear(kv.leases)
-	kv.leases["unrelated"] = 0
+	kv.LoseLeases()
 	qt.Assert(t, assign(ledger.NewClaim("price", "after", "hash"), "a"), qt.IsNil)
 }
 
 // Guards against an entry that uses up the writes of the fleet's store.
 func TestRecordRate(t *testing.T) {
-	ledger := newLedger(newFakeStore(), clock.NewManual(time.Unix(1_700_000_000, 0)))
+	ledger := newLedger(idempotencytest.New(), clock.NewManual(time.Unix(1_700_000_000, 0)))
 	ledger.opts.Writes = limit.NewRate(2, 1)
 	qt.Assert(t, assign(ledger.NewClaim("price", "a", "hash"), "a"), qt.IsNil)
 	var rate *RateError
@@ -121,7 +122,7 @@
 // were sent and not cancelled: it never has two members.
 func TestAtMostOneLiveAttempt(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		kv := newFakeStore()
+		kv := idempotencytest.New()
 		ledgers := []*Ledger{newLedger(kv, clock.System{}), newLedger(kv, clock.System{}), newLedger(kv, clock.System{})}
 		claims := make([]*Claim, len(ledgers))
 		for i, ledger := range ledgers {
@@ -132,8 +133,8 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"assign": func(t *rapid.T) {
 				i := which.Draw(t, "entry")
-				kv.faults = []storeFault{storeFault(rapid.IntRange(0, int(storeAppliesLate)).Draw(t, "fault"))}
-				kv.readsDown = rapid.Bool().Draw(t, "reads down")
+				kv.Script(idempotencytest.Fault(rapid.IntRange(0, idempotencytest.Faults-1).Draw(t, "fault")))
+				kv.SetReadsDown(rapid.Bool().Draw(t, "reads down"))
 				// The forwarder assigns again only after its own attempt has certainly not run.
 				if held := claims[i].held.Record.AttemptID; live[held] {
 					delete(live, held)
@@ -142,7 +143,7 @@
 				sequence++
 				attempt := fmt.Sprint("attempt-", sequence)
 				err := assign(claims[i], attempt)
-				kv.readsDown = false
+				kv.SetReadsDown(false)
 				var exists *ExistsError
 				switch {
 				case err == nil && !cancelled[attempt]:
@@ -159,7 +160,7 @@
 					}
 				}
 			},
-			"late": func(*rapid.T) { kv.applyLate() },
+			"late": func(*rapid.T) { kv.ApplyLate() },
 			"restart": func(t *rapid.T) {
 				i := which.Draw(t, "entry")
 				claims[i] = ledgers[i].NewClaim("price", "key", "hash")
