--- /dev/null
+++ b/gossip/exchange_test.go
@@ -0,0 +1,140 @@
+package gossip_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/config"
+	"github.com/quetzalshed/quetzalshed/gossip"
+	"github.com/quetzalshed/quetzalshed/kernel"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// member is a process of a small group whose messages always arrive.
+type member struct {
+	follower  *config.Follower
+	owners    *gossip.OwnerTable
+	exchanger *gossip.Exchanger
+	rejected  []gossip.Reason
+}
+
+// group delivers messages between its members by address and adds up their bytes.
+type group struct {
+	clock    *clock.Manual
+	members  map[string]*member
+	messages int
+	bytes    int
+	largest  int
+}
+
+func newGroup() *group {
+	return &group{clock: clock.NewManual(time.Unix(1_700_000_000, 0)), members: map[string]*member{}}
+}
+
+func (g *group) add(address string) *member {
+	m := &member{follower: config.NewFollower(g.clock), owners: gossip.NewOwnerTable()}
+	identity := gossip.Identity{Fleet: "test", Name: "agent-" + address, Role: kernel.RoleAgent, Address: address}
+	m.exchanger = gossip.NewExchanger(identity, g.clock, m.follower, m.owners, nil, g, func(reason gossip.Reason) {
+		m.rejected = append(m.rejected, reason)
+	})
+	g.members[address] = m
+	return m
+}
+
+func (g *group) Send(_ context.Context, to string, message gossip.Message) (gossip.Message, error) {
+	g.count(message)
+	response, _, err := g.members[to].exchanger.Receive(message)
+	g.count(response)
+	return response, err
+}
+
+func (g *group) count(message gossip.Message) {
+	raw, err := json.Marshal(message)
+	if err != nil {
+		panic(err)
+	}
+	g.messages++
+	g.bytes += len(raw)
+	g.largest = max(g.largest, len(raw))
+}
+
+func fullHead(revision int64, domains, workers int) config.Head {
+	head := config.Head{
+		Revision: revision, StartFreshnessMillis: 3000, RulesHash: config.HashBlob([]byte("rules")),
+		Domains: map[string]config.DomainState{},
+	}
+	for i := range 16 {
+		head.Changes = append(head.Changes, fmt.Sprintf("%016x", revision*1000+int64(i)))
+	}
+	for d := range domains {
+		name := fmt.Sprintf("domain-%d", d)
+		head.Domains[name] = config.DomainState{InventoryHash: config.HashBlob([]byte(name)), Workers: workers / domains}
+	}
+	return head
+}
+
+// Guards against a peer that restarts and isn't told what its predecessor knew.
+func TestRestartedPeerCatchesUpInOneExchange(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup()
+	a, _ := g.add("127.0.0.1:1"), g.add("127.0.0.1:2")
+	c.Assert(a.follower.ObserveStore(fullHead(4, 3, 11), g.clock.Now()), qt.IsNil)
+	a.owners.Publish(structs.ShardOwner{Shard: 0, Epoch: 7, Address: "127.0.0.1:9"})
+	ctx := context.Background()
+	for range 2 {
+		c.Assert(a.exchanger.Exchange(ctx, "127.0.0.1:2"), qt.IsNil)
+		c.Assert(g.members["127.0.0.1:2"].follower.Revision(), qt.Equals, int64(4))
+		owner, ok := g.members["127.0.0.1:2"].owners.Lookup(0)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(owner.Epoch, qt.Equals, int64(7))
+		g.add("127.0.0.1:2")
+	}
+}
+
+// Guards against messages of another fleet, another protocol, or with impossible content being taken.
+func TestInvalidMessagesAreRejectedAndCounted(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup()
+	a := g.add("127.0.0.1:1")
+	head := fullHead(3, 3, 11)
+	valid := gossip.Message{
+		Version: gossip.ProtocolVersion, Fleet: "test", Address: "127.0.0.1:2", OwnersDigest: "0",
+		Config: config.Proof{Revision: 3, AgeMillis: 0, Head: &head},
+		Owners: []structs.ShardOwner{{Shard: 0, Epoch: 1, Address: "127.0.0.1:2"}},
+	}
+	for _, broken := range []func(*gossip.Message){
+		func(m *gossip.Message) { m.Fleet = "other" },
+		func(m *gossip.Message) { m.Version = 0 },
+		func(m *gossip.Message) { m.Config.AgeMillis = -2 },
+		func(m *gossip.Message) { m.Config.Revision = 2 },
+		func(m *gossip.Message) { m.OwnersDigest = "x" },
+		func(m *gossip.Message) { m.Owners = []structs.ShardOwner{{Shard: 0, Epoch: 0, Address: "127.0.0.1:2"}} },
+		func(m *gossip.Message) {
+			m.Owners = []structs.ShardOwner{{Shard: -1, Epoch: 1, Address: "127.0.0.1:2"}}
+		},
+		func(m *gossip.Message) { m.Owners = []structs.ShardOwner{{Shard: 1, Epoch: 1, Address: "host:2"}} },
+		func(m *gossip.Message) { m.Owners = make([]structs.ShardOwner, config.MaxShards+1) },
+	} {
+		message := valid
+		broken(&message)
+		_, _, err := a.exchanger.Receive(message)
+		c.Check(err, qt.IsNotNil)
+	}
+	c.Assert(a.rejected, qt.DeepEquals, []gossip.Reason{
+		gossip.ReasonFleet, gossip.ReasonVersion, gossip.ReasonConfig, gossip.ReasonConfig, gossip.ReasonOwners,
+		gossip.ReasonOwners, gossip.ReasonOwners, gossip.ReasonOwners, gossip.ReasonOwners,
+	})
+	c.Assert(a.follower.Revision(), qt.Equals, int64(0))
+	c.Assert(a.owners.All(), qt.HasLen, 0)
+	_, _, err := a.exchanger.Receive(valid)
+	c.Assert(err, qt.IsNil)
+	c.Assert(a.follower.Revision(), qt.Equals, int64(3))
+	_, proven := a.follower.Confirmed()
+	c.Assert(proven, qt.IsFalse)
+}
