--- /dev/null
+++ b/cmd/quetzalctl/command_test.go
@@ -0,0 +1,188 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/kernel"
+	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+
+	_ "github.com/quetzalshed/quetzalshed/config/configmodule"
+	_ "github.com/quetzalshed/quetzalshed/entry/operators"
+	_ "github.com/quetzalshed/quetzalshed/gossip"
+	_ "github.com/quetzalshed/quetzalshed/platform/store/storemodule"
+)
+
+// Environment variables with which the test binary runs as a process of a fleet. Several processes can't run in one
+// binary, since their metrics would be registered twice.
+const (
+	roleVariable     = "QUETZALSHED_TEST_ROLE"
+	settingsVariable = "QUETZALSHED_TEST_SETTINGS"
+)
+
+func TestMain(m *testing.M) {
+	role := os.Getenv(roleVariable)
+	if role == "" {
+		os.Exit(m.Run())
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	process, err := kernel.LoadProcess(kernel.Role(role), os.Getenv(settingsVariable))
+	if err == nil {
+		err = process.Run(ctx)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// freeAddress returns a loopback address that nothing listened on a moment ago.
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// startProcess runs a process until the test ends and returns its address.
+func startProcess(t *testing.T, role kernel.Role, name, storeAddress, peers string) string {
+	address := freeAddress(t)
+	path := filepath.Join(t.TempDir(), name+".ini")
+	text := fmt.Sprintf(`[process]
+name = %s
+fleet = test
+failure_domain = patan
+listen = %s
+admin_listen = %s
+drain_limit = 1s
+log_level = error
+[store]
+address = %s
+[config]
+poll_interval = 20ms
+[gossip]
+peers = %s
+interval = 20ms
+`, name, address, freeAddress(t), storeAddress, peers)
+	qt.Assert(t, os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), roleVariable+"="+string(role), settingsVariable+"="+path)
+	cmd.Stderr = os.Stderr
+	qt.Assert(t, cmd.Start(), qt.IsNil)
+	t.Cleanup(func() {
+		qt.Check(t, cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+		qt.Check(t, cmd.Wait(), qt.IsNil)
+	})
+	return address
+}
+
+// run executes the command and returns its exit status and output.
+func run(entry string, args ...string) (status int, output string) {
+	var out bytes.Buffer
+	cmd := command()
+	cmd.SetArgs(append([]string{"--entry", entry}, args...))
+	cmd.SetOut(&out)
+	if err := cmd.ExecuteContext(context.Background()); err != nil {
+		return exitStatus(err), err.Error()
+	}
+	return 0, out.String()
+}
+
+// eventually repeats a command until its output has a text. It gives up after a number of attempts.
+func eventually(t *testing.T, text, entry string, args ...string) {
+	output := ""
+	for range 500 {
+		if _, output = run(entry, args...); strings.Contains(output, text) {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("%v never printed %q, but:\n%s", args, text, output)
+}
+
+func example(name string) string { return filepath.Join("..", "..", "examples", "bagmati", name) }
+
+// Guards against commands, the operators' API, polling and gossip that don't work together: two entries and an agent
+// that never polls share one store.
+func TestOperatorsChangeTheConfiguration(t *testing.T) {
+	c := qt.New(t)
+	backend := storetest.New(clock.System{})
+	server := httptest.NewServer(backend.Handler())
+	defer server.Close()
+	storeAddress := strings.TrimPrefix(server.URL, "http://")
+	first := startProcess(t, kernel.RoleEntry, "entry-1", storeAddress, "")
+	second := startProcess(t, kernel.RoleEntry, "entry-2", storeAddress, first)
+	startProcess(t, kernel.RoleAgent, "agent-1", storeAddress, first+", "+second)
+	eventually(t, "revision   0", first, "status")
+
+	status, output := run(first, "inventory", "apply", example("inventory.csv"))
+	c.Assert(status, qt.Equals, 0, qt.Commentf("%s", output))
+	eventually(t, "revision   1 (loaded 1)", second, "status")
+	status, output = run(second, "rules", "apply", example("rules.ini"))
+	c.Assert(status, qt.Equals, 0, qt.Commentf("%s", output))
+	status, output = run(first, "rules", "apply", "--base", "1", example("rules.ini"))
+	c.Assert(status, qt.Equals, exitConflict)
+	c.Assert(output, qt.Contains, "based on revision 1, and the configuration is at revision 2")
+	status, output = run(first, "domain", "out", "patan")
+	c.Assert(status, qt.Equals, 0, qt.Commentf("%s", output))
+	eventually(t, "patan                                4 workers  out of service", second, "status")
+	eventually(t, "price-check", second, "config", "show", "rules")
+	eventually(t, "bhaktapur-03", first, "config", "show", "inventory")
+
+	bad := filepath.Join(t.TempDir(), "rules.ini")
+	c.Assert(os.WriteFile(bad, []byte("[cluster]\nshards = 0\nshrads = 1\n"), 0o600), qt.IsNil)
+	expected := bad + ":2 [cluster] shards: 0 is below the minimum 1\n" + bad + ":3 [cluster] shrads: unknown key"
+	for _, extra := range [][]string{nil, {"--check"}} {
+		status, output = run(first, append([]string{"rules", "apply", bad}, extra...)...)
+		c.Assert(status, qt.Equals, exitFailed)
+		c.Assert(output, qt.Equals, expected)
+	}
+	status, _ = run(first, "domain", "out", "mars")
+	c.Assert(status, qt.Equals, exitFailed)
+}
+
+// Guards against an operator being told another outcome than that of the store's failure, and against a repeated change
+// being made twice.
+func TestOutcomesWhileTheStoreFails(t *testing.T) {
+	c := qt.New(t)
+	backend := storetest.New(clock.System{})
+	server := httptest.NewServer(backend.Handler())
+	defer server.Close()
+	entry := startProcess(t, kernel.RoleEntry, "entry-1", strings.TrimPrefix(server.URL, "http://"), "")
+	eventually(t, "revision   0", entry, "status")
+	status, output := run(entry, "inventory", "apply", example("inventory.csv"))
+	c.Assert(status, qt.Equals, 0, qt.Commentf("%s", output))
+	backend.SetFaults(storetest.Faults{Down: true})
+	status, _ = run(entry, "domain", "out", "patan")
+	c.Assert(status, qt.Equals, exitNotApplied)
+	backend.SetFaults(storetest.Faults{LoseResponses: 1})
+	status, output = run(entry, "domain", "out", "patan")
+	c.Assert(status, qt.Equals, 0, qt.Commentf("%s", output))
+	backend.SetFaults(storetest.Faults{LoseRequests: 100})
+	status, output = run(entry, "domain", "in", "patan", "--change", "return-patan")
+	c.Assert(status, qt.Equals, exitUnknown)
+	c.Assert(output, qt.Contains, "(change return-patan)")
+	backend.SetFaults(storetest.Faults{})
+	for range 2 {
+		status, output = run(entry, "domain", "in", "patan", "--change", "return-patan")
+		c.Assert(status, qt.Equals, 0)
+		c.Assert(output, qt.Contains, "revision 3 in force (change return-patan)")
+	}
+	status, _ = run(freeAddress(t), "status")
+	c.Assert(status, qt.Equals, exitNotApplied)
+}
--- a/config/follower.go
+++ b/config/follower.go
@@ -197,6 +197,14 @@
 	return true, ""
 }
 
+// DomainOut tells whether the held head says that a failure domain is out of service, however old that head is. It is
+// for work that drains; whether work may start is decided by MayStart.
+func (f *Follower) DomainOut(domain string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.head.Domains[domain].Out
+}
+
 // SetLoaded records the rules and the inventory of a head. Those of an older head than the loaded one are ignored.
 func (f *Follower) SetLoaded(loaded Configuration) {
 	f.mu.Lock()
