Let the guard release batch that does no harm

Ruled out: interference (the coefficients of the running classes were near 1.1), and too few reports (five seconds of requests each). Change: pressure and trend are smoothed; a further step needs a measurement taken after the last one; a service may release batch at 1.15 times the pressure that remained at the lowest share. PendingTask.Replaces is exported again, since the shard owner sets it for the substitute of an unreachable replica.

--- a/scheduler/candidates.go
+++ b/scheduler/candidates.go
@@ -167,7 +167,7 @@
 	w.cycle.added = append(w.cycle.added, task)
 	w.cycle.load(task.Job, job.class, task.Resources)
 	job.account.Charge(task.Resources)
-	if task.replaces == "" {
+	if task.Replaces == "" {
 		job.running++
 		if job.indices != nil {
 			job.indices[task.Index] = true
@@ -181,7 +181,7 @@
 	c.touched = append(c.touched, index)
 	c.countPlaced(task, w)
 	c.plan.Place = append(c.plan.Place, Placement{
-		Task: task.ID(), Attempt: task.Attempt, Worker: w.Name, Resources: task.Resources, Replaces: task.replaces,
+		Task: task.ID(), Attempt: task.Attempt, Worker: w.Name, Resources: task.Resources, Replaces: task.Replaces,
 	})
 	return true
 }
--- a/scheduler/cycle.go
+++ b/scheduler/cycle.go
@@ -217,7 +217,7 @@
 				}
 			}
 			for _, t := range c.workers[i].cycle.added {
-				if t.Job.ID == j.job.ID && t.replaces == "" {
+				if t.Job.ID == j.job.ID && t.Replaces == "" {
 					j.indices[t.Index] = true
 				}
 			}
--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -45,7 +45,7 @@
 				continue
 			}
 			tasks = append(tasks, &PendingTask{
-				Job: t.Job, Index: t.Index, Attempt: t.Attempt, Resources: t.Resources, replaces: t.AllocationID,
+				Job: t.Job, Index: t.Index, Attempt: t.Attempt, Resources: t.Resources, Replaces: t.AllocationID,
 				state: c.job(t.Job),
 			})
 		}
--- a/scheduler/guard/guard.go
+++ b/scheduler/guard/guard.go
@@ -22,11 +22,11 @@
 	ReleaseAt  float64
 	// MemoryAt is the part of the worker's memory in use at which batch is evicted. Throttling frees no memory.
 	MemoryAt float64
-	// StepAfter is the least time between two steps down, so that a step shows in the lagging measurements first.
+	// StepAfter is how long after a step down a measurement must have been taken to justify the next step.
 	StepAfter time.Duration
 	// ReleaseAfter is how long all services must stay below ReleaseAt before a step up.
 	ReleaseAfter time.Duration
-	// EvictAfter is how long batch must have been at the lowest share before it is evicted.
+	// EvictAfter is how long after the step to the lowest share a measurement must have been taken to justify an eviction.
 	EvictAfter time.Duration
 	// EvictEvery is the least time between two evictions for latency, so that the first one shows before the next.
 	EvictEvery time.Duration
@@ -51,6 +51,16 @@
 // already, and further small steps would each cost a lag.
 const urgentAt = 1.0
 
+// smoothing is the weight of a new measurement. The tail of the few requests of one report is noisy: unsmoothed, its
+// trend over a lag of seconds reaches the throttling threshold without any change of load.
+const smoothing = 0.3
+
+// floorMargin is how far above its floor a service may be, and floorCeiling how near to ThrottleAt, for a release.
+const (
+	floorMargin  = 1.15
+	floorCeiling = 0.95
+)
+
 // maxTrend caps how far a rising latency is extrapolated, as a factor.
 const maxTrend = 1.5
 
@@ -125,7 +135,7 @@
 	Relapses int
 	// Released is when the last step up was taken.
 	Released time.Time
-	// last holds the previous measurement of each service.
+	// last holds the newest measurement of each service.
 	last []measurement
 }
 
@@ -133,8 +143,11 @@
 	allocation string
 	pressure   float64
 	at         time.Time
-	// rate is the change of pressure per second between the last two measurements.
-	rate float64
+	// smooth is the pressure without most of its sampling noise, rate its change per second.
+	smooth float64
+	rate   float64
+	// floor is the smoothed pressure that remained at the lowest share, 0 while it has not been measured.
+	floor float64
 }
 
 // Action is what the runner applies.
@@ -160,26 +173,25 @@
 // Decide returns the next state and what to do now.
 func Decide(rules Rules, state State, in Input, now time.Time) (State, Action) {
 	rules = rules.withDefaults()
-	pressure, known, last := measure(rules, state.last, in.Services, now)
-	state.last = last
+	signal := measure(rules, &state, in.Services, now)
 	if victim := memoryVictim(rules, in); victim != "" {
 		state.Evicted = now
 		return state, Action{Share: shares[state.Level], Evict: []string{victim}, Reason: ReasonMemory}
 	}
-	if !known {
+	if !signal.known {
 		// Old measurements justify neither a step nor a release.
 		state.CalmSince = time.Time{}
 		return state, Action{Share: shares[state.Level], Reason: ReasonUnknown}
 	}
-	if pressure >= rules.ReleaseAt {
+	if !signal.calm {
 		state.CalmSince = time.Time{}
 	} else if state.CalmSince.IsZero() {
 		state.CalmSince = now
 	}
 	action := Action{Reason: ReasonNone}
 	switch {
-	case pressure >= rules.ThrottleAt:
-		action = tighten(rules, &state, in, pressure, now)
+	case signal.expected >= rules.ThrottleAt:
+		action = tighten(rules, &state, in, signal, now)
 	case state.Level > 0:
 		action.Reason = ReasonHold
 		loosen(rules, &state, now)
@@ -188,24 +200,28 @@
 	return state, action
 }
 
-// tighten takes a step down, or evicts a task when the lowest share didn't help.
-func tighten(rules Rules, state *State, in Input, pressure float64, now time.Time) Action {
+// tighten takes a step down, or evicts a task when the lowest share didn't help. Each further step waits for
+// measurements that were taken after the one before, however much they lag.
+func tighten(rules Rules, state *State, in Input, signal signal, now time.Time) Action {
 	action := Action{Reason: ReasonLatency}
 	lowest := len(shares) - 1
-	if pressure >= urgentAt {
+	missed := signal.pressure >= urgentAt
+	if missed {
 		action.Reason = ReasonMissed
 	}
+	seen := signal.at.Sub(state.Changed)
 	switch {
 	case len(in.Batch) == 0:
-	case pressure >= urgentAt && state.Level < lowest:
-		relapse(rules, state, now)
-		state.Level, state.Changed = lowest, now
 	case state.Level < lowest:
-		if state.Level == 0 || now.Sub(state.Changed) >= rules.StepAfter {
-			relapse(rules, state, now)
-			state.Level, state.Changed = state.Level+1, now
+		if state.Level > 0 && seen < rules.StepAfter {
+			break
 		}
-	case pressure >= rules.EvictAt && now.Sub(state.Changed) >= rules.EvictAfter && now.Sub(state.Evicted) >= rules.EvictEvery:
+		relapse(rules, state, now)
+		state.Level, state.Changed = state.Level+1, now
+		if missed {
+			state.Level = lowest
+		}
+	case signal.expected >= rules.EvictAt && seen >= rules.EvictAfter && now.Sub(state.Evicted) >= rules.EvictEvery:
 		if victim := latencyVictim(in.Batch); victim != "" {
 			state.Evicted = now
 			action.Evict = []string{victim}
@@ -235,44 +251,85 @@
 	state.Released = time.Time{}
 }
 
-// measure returns the highest pressure of all services, the latency as a part of the objective extrapolated to now, and
-// whether every service with an objective has a recent measurement.
-func measure(rules Rules, previous []measurement, services []Service, now time.Time) (float64, bool, []measurement) {
-	highest, known := 0.0, true
+// signal is what the latest measurements of all services say together.
+type signal struct {
+	// pressure is the highest latency as a part of its objective, expected the same with the trend extrapolated to now.
+	pressure, expected float64
+	// known is set when the measurements are recent enough to act on, calm when all services allow a release.
+	known, calm bool
+	// at is the time of the oldest measurement that counts.
+	at time.Time
+}
+
+// measure updates the measurements in the state and combines them.
+func measure(rules Rules, state *State, services []Service, now time.Time) signal {
+	result := signal{known: true, calm: true, at: now}
 	var last []measurement
 	for _, s := range services {
 		if s.ObjectiveMillis <= 0 {
 			continue
 		}
 		if s.Age < 0 || s.Age > rules.MaxAge {
-			known = false
+			result.known, result.calm = false, false
 			continue
 		}
 		if s.LatencyMillis <= 0 {
 			// A recent report without a latency means that the service had no requests.
 			continue
 		}
-		m := measurement{allocation: s.AllocationID, pressure: s.LatencyMillis / s.ObjectiveMillis, at: now.Add(-s.Age)}
-		for _, p := range previous {
-			if p.allocation != s.AllocationID {
-				continue
-			}
-			if passed := m.at.Sub(p.at); passed > 0 {
-				m.rate = (m.pressure - p.pressure) / passed.Seconds()
-			} else {
-				m = p
-			}
-		}
-		expected := m.pressure
-		if m.rate > 0 {
-			expected = min(m.pressure+m.rate*now.Sub(m.at).Seconds(), m.pressure*maxTrend)
+		m := state.update(rules, s, now)
+		result.pressure = max(result.pressure, m.pressure)
+		result.expected = max(result.expected, m.expected(now))
+		result.calm = result.calm && m.smooth < m.releaseAt(rules)
+		if m.at.Before(result.at) {
+			result.at = m.at
 		}
-		highest = max(highest, expected)
 		if len(last) < MaxServices {
 			last = append(last, m)
 		}
 	}
-	return highest, known || highest >= rules.ThrottleAt, last
+	state.last = last
+	result.known = result.known || result.expected >= rules.ThrottleAt
+	return result
+}
+
+// update returns the measurement of a service after its newest report.
+func (s *State) update(rules Rules, report Service, now time.Time) measurement {
+	pressure := report.LatencyMillis / report.ObjectiveMillis
+	m := measurement{allocation: report.AllocationID, pressure: pressure, smooth: pressure, at: now.Add(-report.Age)}
+	at := slices.IndexFunc(s.last, func(p measurement) bool { return p.allocation == report.AllocationID })
+	if at < 0 {
+		return m
+	}
+	p := s.last[at]
+	passed := m.at.Sub(p.at)
+	if passed <= 0 {
+		return p
+	}
+	m.smooth = p.smooth + smoothing*(pressure-p.smooth)
+	m.rate = p.rate + smoothing*((pressure-p.pressure)/passed.Seconds()-p.rate)
+	m.floor = p.floor
+	if s.Level == len(shares)-1 && m.at.Sub(s.Changed) >= rules.StepAfter {
+		m.floor = m.smooth
+		if p.floor > 0 {
+			m.floor = p.floor + smoothing*(m.smooth-p.floor)
+		}
+	}
+	return m
+}
+
+// expected is the pressure to be expected by now if the trend goes on.
+func (m measurement) expected(now time.Time) float64 {
+	if m.rate <= 0 {
+		return m.pressure
+	}
+	return min(m.pressure+m.rate*now.Sub(m.at).Seconds(), m.pressure*maxTrend)
+}
+
+// releaseAt is the pressure below which the service allows a release. A service whose latency stays near its objective
+// even beside fully throttled batch would otherwise never allow one, and batch would starve without any gain.
+func (m measurement) releaseAt(rules Rules) float64 {
+	return max(rules.ReleaseAt, min(m.floor*floorMargin, rules.ThrottleAt*floorCeiling))
 }
 
 // memoryVictim returns the batch task that exceeds its reservation of memory the most, or else uses the most, if memory
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -58,7 +58,7 @@
 		for end < len(tasks) && c.compareRank(tasks[start], tasks[end]) == 0 {
 			end++
 		}
-		if tasks[start].replaces != "" || tasks[start].Job.Urgent {
+		if tasks[start].Replaces != "" || tasks[start].Job.Urgent {
 			first = append(first, newLevel(tasks[start:end]))
 		} else {
 			rest = append(rest, newLevel(tasks[start:end]))
@@ -87,7 +87,7 @@
 
 // compareRank orders tasks by what fair share doesn't override: replacements, urgent, priority, services by importance.
 func (c *Cycle) compareRank(a, b *PendingTask) int {
-	if order := falseLast(a.replaces != "", b.replaces != ""); order != 0 {
+	if order := falseLast(a.Replaces != "", b.Replaces != ""); order != 0 {
 		return order
 	}
 	if order := falseLast(a.Job.Urgent, b.Job.Urgent); order != 0 {
@@ -117,7 +117,7 @@
 		}
 		return strings.Compare(a.Job.ID, b.Job.ID)
 	}
-	return cmp.Or(cmp.Compare(a.Index, b.Index), strings.Compare(a.replaces, b.replaces), cmp.Compare(b.Attempt, a.Attempt))
+	return cmp.Or(cmp.Compare(a.Index, b.Index), strings.Compare(a.Replaces, b.Replaces), cmp.Compare(b.Attempt, a.Attempt))
 }
 
 func falseLast(a, b bool) int {
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -37,12 +37,12 @@
 // start places one task, or makes room for it if it may preempt.
 func (c *Cycle) start(task *PendingTask) {
 	job := task.state
-	if task.replaces == "" && c.isRunning(job, task.Index) {
+	if task.Replaces == "" && c.isRunning(job, task.Index) {
 		return
 	}
 	// A replacement runs beside the replica it replaces for a short time. Counting it would let a team at its quota
 	// never leave a failure domain.
-	if task.replaces == "" && !job.account.Allows(task.Resources) {
+	if task.Replaces == "" && !job.account.Allows(task.Resources) {
 		c.wait(Waiting{JobID: job.job.ID, Reason: ReasonQuota})
 		return
 	}
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -83,10 +83,11 @@
 	WorkDone time.Duration
 	// Avoid lists workers on which the task failed before.
 	Avoid []string
+	// Replaces names the allocation that a service replica replaces. Plan sets it itself in an evacuation; the owner sets
+	// it for the substitute of a replica whose worker can't be reached.
+	Replaces string
 
-	// replaces names the allocation that a service replica is to replace in an evacuation.
-	replaces string
-	state    *jobState
+	state *jobState
 }
 
 // ID returns the ID of the task.
