Make plans cheap, and replace each evacuated replica once

Cause: a plan for 63 workers with 600 tasks took over a millisecond, mostly for maps of jobs and classes that no pending task needed. A longer run of the state machine found a replica that was replaced twice when its replacement had to leave its worker as well. Change: Planner reuses memory between plans; classes, jobs and accounts are counted only when a pending task asks. While both run, a replacement needs no replacement itself; one that must leave before it is ready is stopped.

--- a/scheduler/candidates.go
+++ b/scheduler/candidates.go
@@ -57,7 +57,8 @@
 		return -1
 	}
 	if !task.Resources.Fits(c.maxFree) {
-		c.block(key, task)
+		c.blocked[key] = true
+		c.wait(Waiting{JobID: task.Job.ID, Reason: ReasonFull, Workers: len(c.workers)})
 		return -1
 	}
 	s := c.shapes[key]
@@ -165,16 +166,13 @@
 	job := task.state
 	w.cycle.free = w.cycle.free.Sub(task.Resources)
 	w.cycle.added = append(w.cycle.added, task)
-	w.cycle.load(task.Job, job.class, task.Resources)
-	job.account.Charge(task.Resources)
-	if task.replaces == "" {
-		job.running++
-		if job.indices != nil {
-			job.indices[task.Index] = true
-		}
+	if w.cycle.loaded {
+		w.cycle.count(task.Job, task.Resources)
 	}
+	job.account.Charge(task.Resources)
+	c.count(job)
+	job.add(task.Index, w.FailureDomain)
 	if task.Job.Kind == structs.KindService {
-		job.countDomain(w.cycle.domain)
 		// The replicas of a service are rated by where the others are.
 		delete(c.shapes, keyOf(task))
 	}
@@ -191,13 +189,11 @@
 	if c.snapshot.Interference == nil {
 		return
 	}
-	for i := range w.cycle.loads {
-		load := &w.cycle.loads[i]
-		e, ok := c.Estimate(task, load)
-		if !ok {
-			continue
-		}
-		service, batch, tasks := load.id, task.state.class, 1
+	loads := c.Neighbours(task, w)
+	for i := range loads {
+		load := &loads[i]
+		e := c.Estimate(task, load)
+		service, batch, tasks := c.loadID(load), task.state.class, 1
 		if task.Job.Kind == structs.KindService {
 			service, batch, tasks = batch, service, load.Tasks
 		}
@@ -218,7 +214,7 @@
 // hold keeps room on a worker for a task that waits for evictions there: first what the evictions will free, then what
 // is free now. Tasks that come later in the order of the cycle don't get it.
 func (c *Cycle) hold(r structs.Resources, index int) {
-	s := &c.workers[index].cycle
+	s := c.workers[index].cycle
 	claimed := structs.Resources{
 		MilliCores:   min(max(s.future.MilliCores, 0), r.MilliCores),
 		MemoryMB:     min(max(s.future.MemoryMB, 0), r.MemoryMB),
--- a/scheduler/cycle.go
+++ b/scheduler/cycle.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/quetzalshed/quetzalshed/scheduler/interference"
 	"github.com/quetzalshed/quetzalshed/scheduler/quarantine"
 	"github.com/quetzalshed/quetzalshed/scheduler/quota"
 	"github.com/quetzalshed/quetzalshed/structs"
@@ -20,94 +19,130 @@
 
 	snapshot *Snapshot
 	workers  []WorkerView
-	jobs     map[string]*jobState
-	domains  map[string]int
-	classes  map[string]int
-	quotas   *quota.Table
-	scores   []weightedScore
-	pairs    map[[2]int]interference.Estimate
-	beside   map[int]map[int]int
-	shapes   map[shapeKey]*shape
-	blocked  map[shapeKey]bool
-	touched  []int
-	maxFree  structs.Resources
-	plan     Decisions
-	// replaced holds the allocations for which a replacement runs, evicted those that this cycle evicts.
-	replaced map[string]bool
-	evicted  map[string]bool
+	states   []workerState
+	// jobs holds the jobs with pending tasks, and others as far as they were asked for.
+	jobs    map[string]*jobState
+	quotas  *quota.Table
+	scores  []weightedScore
+	classes map[string]int
+	// pairs caches estimates by batch class and service class.
+	pairs   [][]cachedEstimate
+	beside  map[int]map[int]int
+	shapes  map[shapeKey]*shape
+	blocked map[shapeKey]bool
+	touched []int
+	// maxFree bounds what any worker has free, field by field.
+	maxFree structs.Resources
+	plan    Decisions
+	// counted is set once the running tasks of all jobs were counted.
+	counted bool
+	// replacing is set if any replacement runs. replaced holds the allocations that need no replacement, since one runs
+	// or they are one; evicted holds those that this cycle evicts.
+	replacing bool
+	replaced  map[string]bool
+	evicted   map[string]bool
 }
 
 // workerState is what a cycle keeps for each worker.
 type workerState struct {
 	// free is what may still be placed in this cycle; future is what evictions will free, as far as nothing claims it.
-	free     structs.Resources
-	future   structs.Resources
-	loads    []ClassLoad
-	added    []*PendingTask
-	domain   int
+	free   structs.Resources
+	future structs.Resources
+	// services and batch are valid once loaded is set.
+	services []ClassLoad
+	batch    []ClassLoad
+	loaded   bool
 	leaving  bool
 	usable   bool
+	added    []*PendingTask
 	admits   quarantine.Admission
 	ramp     float64
 	evicting int
 }
 
-// ClassLoad is what tasks of one class and kind reserve on a worker.
+// ClassLoad is what the services, or the batch tasks, of one class reserve on a worker.
 type ClassLoad struct {
-	Kind       structs.JobKind
 	Class      string
 	Tasks      int
 	MilliCores int64
 
+	// id is the number of the class in this cycle once it was asked for.
 	id int
 	// slowdown caches Cycle.Slowdown of a service; 0 means not computed.
 	slowdown float64
 }
 
-// jobState is what a cycle keeps for each job.
+// unnumbered is the id of a load whose class has not been numbered.
+const unnumbered = -1
+
+// jobState is what a cycle keeps for a job.
 type jobState struct {
 	job     *structs.Job
 	class   int
 	account *quota.Account
-	// domains counts the tasks of a service in each failure domain.
-	domains []int
-	running int
+	// indices holds the tasks that run and domains counts them by failure domain, both valid once counted is set.
 	indices map[int]bool
+	domains map[string]int
+	counted bool
 	// checked is set once the job was tested for a verdict, never once it got one.
 	checked bool
 	never   bool
 }
 
-func newCycle(snapshot *Snapshot, now time.Time) *Cycle {
-	c := &Cycle{
-		Now: now, Rules: snapshot.Rules.withDefaults(), snapshot: snapshot,
-		jobs: make(map[string]*jobState, 64), domains: map[string]int{}, classes: map[string]int{},
-		shapes: map[shapeKey]*shape{}, blocked: map[shapeKey]bool{}, replaced: map[string]bool{}, evicted: map[string]bool{},
+// reset prepares the cycle for a snapshot and keeps the memory of the last one.
+func (c *Cycle) reset(snapshot *Snapshot, now time.Time) {
+	last := *c
+	*c = Cycle{
+		Now: now, Rules: snapshot.Rules.withDefaults(), snapshot: snapshot, jobs: cleared(last.jobs),
+		classes: cleared(last.classes), shapes: cleared(last.shapes), blocked: cleared(last.blocked),
+		beside: cleared(last.beside), replaced: cleared(last.replaced), evicted: cleared(last.evicted),
+		workers: append(last.workers[:0], snapshot.Workers...), states: last.states, touched: last.touched[:0],
 	}
 	c.scores = weighted(c.Rules.Weights)
-	c.workers = slices.Clone(snapshot.Workers)
-	byName := func(a, b WorkerView) int { return cmp.Compare(a.Name, b.Name) }
 	if !slices.IsSortedFunc(c.workers, byName) {
 		slices.SortStableFunc(c.workers, byName)
 	}
+	for len(c.states) < len(c.workers) {
+		c.states = append(c.states, workerState{})
+	}
+	c.openAccounts()
+	for i := range c.workers {
+		c.prepare(&c.workers[i], &c.states[i])
+	}
+}
+
+func cleared[K comparable, V any](m map[K]V) map[K]V {
+	if m == nil {
+		return map[K]V{}
+	}
+	clear(m)
+	return m
+}
+
+// openAccounts opens the accounts of the teams with pending tasks. What other teams use doesn't matter to the plan.
+func (c *Cycle) openAccounts() {
 	var total structs.Resources
 	for i := range c.workers {
 		total = total.Add(c.workers[i].Capacity)
-		if _, ok := c.domains[c.workers[i].FailureDomain]; !ok {
-			c.domains[c.workers[i].FailureDomain] = len(c.domains)
-		}
 	}
-	c.quotas = quota.NewTable(&snapshot.Quotas, total)
-	for team, used := range snapshot.Used {
-		c.quotas.Account(team).Charge(used)
+	c.quotas = quota.NewTable(&c.snapshot.Quotas, total)
+	for i := range c.snapshot.Pending {
+		c.quotas.Account(c.snapshot.Pending[i].Job.Team)
 	}
-	for i := range c.workers {
-		c.prepare(&c.workers[i])
+	for team, used := range c.snapshot.Used {
+		c.charge(team, used)
+	}
+}
+
+// charge counts what a team uses if it has an account.
+func (c *Cycle) charge(team string, r structs.Resources) {
+	if account := c.quotas.Find(team); account != nil {
+		account.Charge(r)
 	}
-	c.refreshMaxFree()
-	return c
 }
 
+func byName(a, b WorkerView) int { return cmp.Compare(a.Name, b.Name) }
+
 func weighted(weights map[string]float64) []weightedScore {
 	if len(weights) == 0 {
 		return scores
@@ -121,34 +156,33 @@
 	return list
 }
 
-// prepare computes the state of one worker from what runs on it.
-func (c *Cycle) prepare(w *WorkerView) {
-	s := &w.cycle
-	*s = workerState{domain: c.domains[w.FailureDomain], ramp: c.rampOf(w.FailureDomain)}
-	s.leaving = w.Draining || c.Rules.IsOut(w.FailureDomain)
+// prepare computes the state of one worker from what runs on it. It runs for every task of the fleet in every plan, so
+// that what depends on classes and jobs is computed only when asked for.
+func (c *Cycle) prepare(w *WorkerView, s *workerState) {
+	*s = workerState{ramp: 1, free: w.Capacity, services: s.services[:0], batch: s.batch[:0], added: s.added[:0]}
+	w.cycle = s
+	s.leaving = w.Draining || len(c.Rules.Out) > 0 && c.Rules.IsOut(w.FailureDomain)
 	s.usable = w.Reported && !s.leaving
+	if len(c.Rules.Returned) > 0 {
+		s.ramp = c.rampOf(w.FailureDomain)
+	}
 	if c.snapshot.Quarantine != nil {
 		s.admits = c.snapshot.Quarantine.Admits(w.Name, c.Now)
 	}
-	s.free = w.Capacity
-	s.loads = make([]ClassLoad, 0, 8)
 	for i := range w.Running {
 		t := &w.Running[i]
-		job := c.job(t.Job)
-		job.running++
-		job.account.Charge(t.Resources)
 		s.free = s.free.Sub(t.Resources)
+		c.charge(t.Job.Team, t.Resources)
 		if t.Evicting() {
 			s.future = s.future.Add(t.Resources)
 			s.evicting++
 		}
-		s.load(t.Job, job.class, t.Resources)
-		if t.Replaces != "" {
-			c.replaced[t.Replaces] = true
-		}
-		if t.Job.Kind == structs.KindService {
-			job.countDomain(s.domain)
-		}
+		c.replacing = c.replacing || t.Replaces != ""
+	}
+	if s.usable {
+		c.maxFree.MilliCores = max(c.maxFree.MilliCores, s.free.MilliCores)
+		c.maxFree.MemoryMB = max(c.maxFree.MemoryMB, s.free.MemoryMB)
+		c.maxFree.Accelerators = max(c.maxFree.Accelerators, s.free.Accelerators)
 	}
 }
 
@@ -162,20 +196,37 @@
 	return min(1, max(0, float64(age)/float64(c.Rules.ReturnRamp)))
 }
 
-func (s *workerState) load(job *structs.Job, class int, r structs.Resources) {
-	if job.Kind == structs.KindBatch {
-		for i := range s.loads {
-			s.loads[i].slowdown = 0
+// load counts the tasks of a worker by class when that is first needed.
+func (c *Cycle) load(w *WorkerView) *workerState {
+	s := w.cycle
+	if !s.loaded {
+		s.loaded = true
+		for i := range w.Running {
+			s.count(w.Running[i].Job, w.Running[i].Resources)
+		}
+		for _, task := range s.added {
+			s.count(task.Job, task.Resources)
 		}
 	}
-	for i := range s.loads {
-		if s.loads[i].id == class && s.loads[i].Kind == job.Kind {
-			s.loads[i].Tasks++
-			s.loads[i].MilliCores += r.MilliCores
-			return
+	return s
+}
+
+// count adds one task to the loads of its kind.
+func (s *workerState) count(job *structs.Job, r structs.Resources) {
+	loads := &s.services
+	if job.Kind == structs.KindBatch {
+		loads = &s.batch
+		for i := range s.services {
+			s.services[i].slowdown = 0
 		}
 	}
-	s.loads = append(s.loads, ClassLoad{Kind: job.Kind, Class: job.Class, Tasks: 1, MilliCores: r.MilliCores, id: class})
+	found := slices.IndexFunc(*loads, func(load ClassLoad) bool { return load.Class == job.Class })
+	if found < 0 {
+		found = len(*loads)
+		*loads = append(*loads, ClassLoad{Class: job.Class, id: unnumbered})
+	}
+	(*loads)[found].Tasks++
+	(*loads)[found].MilliCores += r.MilliCores
 }
 
 func (c *Cycle) job(job *structs.Job) *jobState {
@@ -187,11 +238,11 @@
 	return s
 }
 
-func (j *jobState) countDomain(domain int) {
-	for len(j.domains) <= domain {
-		j.domains = append(j.domains, 0)
+func (c *Cycle) loadID(load *ClassLoad) int {
+	if load.id == unnumbered {
+		load.id = c.classID(load.Class)
 	}
-	j.domains[domain]++
+	return load.id
 }
 
 func (c *Cycle) classID(class string) int {
@@ -203,50 +254,51 @@
 	return id
 }
 
-// isRunning tells whether a task with this index of the job holds an allocation or was placed in this cycle.
-func (c *Cycle) isRunning(j *jobState, index int) bool {
-	if j.running == 0 {
-		return false
+// scanJobs is the number of pending jobs up to which each is counted by a scan of its own, which compares one ID for
+// each running task. With more jobs, a single scan that looks each running task's job up is cheaper.
+const scanJobs = 4
+
+// count finds the tasks of a job that run, once for each job that is about to be placed.
+func (c *Cycle) count(j *jobState) {
+	if j.counted {
+		return
 	}
-	if j.indices == nil {
-		j.indices = make(map[int]bool, j.running)
-		for i := range c.workers {
-			for k := range c.workers[i].Running {
-				if t := &c.workers[i].Running[k]; t.Job.ID == j.job.ID {
-					j.indices[t.Index] = true
-				}
-			}
-			for _, t := range c.workers[i].cycle.added {
-				if t.Job.ID == j.job.ID && t.replaces == "" {
-					j.indices[t.Index] = true
+	all := len(c.jobs) > scanJobs && !c.counted
+	for i := range c.workers {
+		w := &c.workers[i]
+		for k := range w.Running {
+			t := &w.Running[k]
+			if all {
+				if other := c.jobs[t.Job.ID]; other != nil && !other.counted {
+					other.add(t.Index, w.FailureDomain)
 				}
+			} else if t.Job == j.job || t.Job.ID == j.job.ID {
+				j.add(t.Index, w.FailureDomain)
 			}
 		}
 	}
-	return j.indices[index]
+	j.counted = true
+	if all {
+		c.counted = true
+		for _, other := range c.jobs {
+			other.counted = true
+		}
+	}
 }
 
-// refreshMaxFree computes an upper bound of what any worker has free, field by field. Free room only shrinks in a cycle.
-func (c *Cycle) refreshMaxFree() {
-	c.maxFree = structs.Resources{}
-	for i := range c.workers {
-		if !c.workers[i].cycle.usable {
-			continue
-		}
-		free := &c.workers[i].cycle.free
-		c.maxFree.MilliCores = max(c.maxFree.MilliCores, free.MilliCores)
-		c.maxFree.MemoryMB = max(c.maxFree.MemoryMB, free.MemoryMB)
-		c.maxFree.Accelerators = max(c.maxFree.Accelerators, free.Accelerators)
+// add counts one task of the job.
+func (j *jobState) add(index int, domain string) {
+	if j.indices == nil {
+		j.indices, j.domains = map[int]bool{}, map[string]int{}
 	}
+	j.indices[index] = true
+	j.domains[domain]++
 }
 
 // Free returns what is free on a worker, less what this cycle placed there or holds for a task that waits for
 // evictions. Fields are negative on an overcommitted worker.
 func (c *Cycle) Free(w *WorkerView) structs.Resources { return w.cycle.free }
 
-// Loads returns what runs on a worker by class, with this cycle's placements. Callers only read it.
-func (c *Cycle) Loads(w *WorkerView) []ClassLoad { return w.cycle.loads }
-
 // Leaving tells whether the worker drains or is in a failure domain that is out of service.
 func (c *Cycle) Leaving(w *WorkerView) bool { return w.cycle.leaving }
 
@@ -261,13 +313,11 @@
 
 // DomainTasks returns how many tasks of the task's service run in the worker's failure domain and how many in all.
 func (c *Cycle) DomainTasks(task *PendingTask, w *WorkerView) (here, all int) {
-	for domain, n := range task.state.domains {
+	c.count(task.state)
+	for _, n := range task.state.domains {
 		all += n
-		if domain == w.cycle.domain {
-			here = n
-		}
 	}
-	return here, all
+	return task.state.domains[w.FailureDomain], all
 }
 
 // SameJob returns how many tasks of the task's job run on the worker.
--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -7,30 +7,51 @@
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
-// stopReplaced evicts service replicas whose replacement is ready. The old replica serves until then.
-func (c *Cycle) stopReplaced() {
-	ready := map[string]bool{}
+// replacement is a service replica that was started to replace another one.
+type replacement struct {
+	task   *RunningTask
+	worker *WorkerView
+}
+
+// settleReplacements evicts service replicas whose replacement is ready; the old replica serves until then. A
+// replacement that has to leave itself before it is ready is of no use and is evicted, so that another one is started.
+func (c *Cycle) settleReplacements() {
+	if !c.replacing {
+		return
+	}
+	byOld := map[string]replacement{}
 	for i := range c.workers {
 		for k := range c.workers[i].Running {
-			if t := &c.workers[i].Running[k]; t.Replaces != "" && t.Ready && !t.Evicting() {
-				ready[t.Replaces] = true
+			if t := &c.workers[i].Running[k]; t.Replaces != "" && !t.Evicting() {
+				byOld[t.Replaces] = replacement{t, &c.workers[i]}
 			}
 		}
 	}
-	if len(ready) == 0 {
-		return
-	}
 	for i := range c.workers {
-		w := &c.workers[i]
-		for k := range w.Running {
-			t := &w.Running[k]
-			if ready[t.AllocationID] && !t.Evicting() && len(c.plan.Evict) < c.Rules.MaxEvictions {
-				c.evict(w, t, EvictReplaced, structs.TaskID{})
+		for k := range c.workers[i].Running {
+			t := &c.workers[i].Running[k]
+			if r, ok := byOld[t.AllocationID]; ok {
+				c.settle(&c.workers[i], t, r)
 			}
 		}
 	}
 }
 
+// settle decides on a replica that runs and its replacement. While both run, the replacement needs none itself: if it
+// got one, the old replica would outlive its own replacement and be replaced twice.
+func (c *Cycle) settle(w *WorkerView, old *RunningTask, r replacement) {
+	c.replaced[r.task.AllocationID] = true
+	useless := !r.task.Ready && r.worker.cycle.leaving
+	c.replaced[old.AllocationID] = !useless
+	switch {
+	case len(c.plan.Evict) >= c.Rules.MaxEvictions:
+	case useless:
+		c.evict(r.worker, r.task, EvictUseless, structs.TaskID{})
+	case r.task.Ready && !old.Evicting():
+		c.evict(w, old, EvictReplaced, structs.TaskID{})
+	}
+}
+
 // replacements returns a pending task for each service replica on a leaving worker that has no replacement yet.
 func (c *Cycle) replacements() []*PendingTask {
 	var tasks []*PendingTask
@@ -93,8 +114,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b leavingTask) int {
-		return cmp.Or(falseLast(a.task.Job.Urgent, b.task.Job.Urgent), cmp.Compare(b.task.WorkDone, a.task.WorkDone),
-			cmp.Compare(a.task.AllocationID, b.task.AllocationID))
+		return cmp.Or(cmp.Compare(b.task.WorkDone, a.task.WorkDone), cmp.Compare(a.task.AllocationID, b.task.AllocationID))
 	})
 	return list
 }
--- a/scheduler/interfere.go
+++ b/scheduler/interfere.go
@@ -5,29 +5,45 @@
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
-// Estimate returns what is known of a resident load beside the task: of the service among the two beside the batch
-// class. It returns false when both are of the same kind or nothing has been learned at all.
-func (c *Cycle) Estimate(task *PendingTask, load *ClassLoad) (interference.Estimate, bool) {
-	if c.snapshot.Interference == nil || task.Job.Kind == load.Kind {
-		return interference.Estimate{}, false
+// Interferes tells whether interference has been learned at all.
+func (c *Cycle) Interferes() bool { return c.snapshot.Interference != nil }
+
+// Neighbours returns the loads of the other kind on a worker, with this cycle's placements: services for a batch task
+// and batch for a service. Callers only read them.
+func (c *Cycle) Neighbours(task *PendingTask, w *WorkerView) []ClassLoad {
+	s := c.load(w)
+	if task.Job.Kind == structs.KindService {
+		return s.batch
 	}
+	return s.services
+}
+
+// Estimate returns what is known of a neighbour beside the task: of the service among the two beside the batch class.
+func (c *Cycle) Estimate(task *PendingTask, load *ClassLoad) interference.Estimate {
 	if task.Job.Kind == structs.KindService {
-		return c.pair(task.Job.Class, task.state.class, load.Class, load.id), true
+		return c.pair(task.Job.Class, task.state.class, load.Class, c.loadID(load))
 	}
-	return c.pair(load.Class, load.id, task.Job.Class, task.state.class), true
+	return c.pair(load.Class, c.loadID(load), task.Job.Class, task.state.class)
+}
+
+// cachedEstimate is an estimate that this cycle has asked for.
+type cachedEstimate struct {
+	estimate interference.Estimate
+	asked    bool
 }
 
 func (c *Cycle) pair(service string, serviceID int, batch string, batchID int) interference.Estimate {
-	key := [2]int{serviceID, batchID}
-	if e, ok := c.pairs[key]; ok {
-		return e
+	for len(c.pairs) <= batchID {
+		c.pairs = append(c.pairs, nil)
+	}
+	if len(c.pairs[batchID]) <= serviceID {
+		c.pairs[batchID] = append(c.pairs[batchID], make([]cachedEstimate, serviceID+8-len(c.pairs[batchID]))...)
 	}
-	if c.pairs == nil {
-		c.pairs = map[[2]int]interference.Estimate{}
+	cached := &c.pairs[batchID][serviceID]
+	if !cached.asked {
+		*cached = cachedEstimate{c.snapshot.Interference.Estimate(service, batch), true}
 	}
-	e := c.snapshot.Interference.Estimate(service, batch)
-	c.pairs[key] = e
-	return e
+	return cached.estimate
 }
 
 // Slowdown returns the factor by which the known batch classes on the worker are expected to slow a service class down,
@@ -38,16 +54,14 @@
 		if service.slowdown > 0 {
 			return service.slowdown
 		}
-		name, id = service.Class, service.id
+		name, id = service.Class, c.loadID(service)
 	}
 	factor := 1.0
 	if c.snapshot.Interference != nil && w.Capacity.MilliCores > 0 {
-		for i := range w.cycle.loads {
-			load := &w.cycle.loads[i]
-			if load.Kind != structs.KindBatch {
-				continue
-			}
-			if e := c.pair(name, id, load.Class, load.id); e.Known {
+		batch := c.load(w).batch
+		for i := range batch {
+			load := &batch[i]
+			if e := c.pair(name, id, load.Class, c.loadID(load)); e.Known {
 				factor += (e.Slowdown - 1) * float64(load.MilliCores) / float64(w.Capacity.MilliCores)
 			}
 		}
@@ -60,7 +74,7 @@
 
 // Beside returns how many tasks of the batch class run beside the service class on all workers.
 func (c *Cycle) Beside(task *PendingTask, load *ClassLoad) int {
-	service, batch := load.id, task.state.class
+	service, batch := c.loadID(load), task.state.class
 	if task.Job.Kind == structs.KindService {
 		service, batch = batch, service
 	}
@@ -74,22 +88,19 @@
 func (c *Cycle) countBeside(batch int) map[int]int {
 	counts := map[int]int{}
 	for i := range c.workers {
-		loads := c.workers[i].cycle.loads
+		s := c.load(&c.workers[i])
 		tasks := 0
-		for k := range loads {
-			if loads[k].id == batch && loads[k].Kind == structs.KindBatch {
-				tasks = loads[k].Tasks
+		for k := range s.batch {
+			if c.loadID(&s.batch[k]) == batch {
+				tasks = s.batch[k].Tasks
 			}
 		}
-		for k := range loads {
-			if tasks > 0 && loads[k].Kind == structs.KindService {
-				counts[loads[k].id] += tasks
+		for k := range s.services {
+			if tasks > 0 {
+				counts[c.loadID(&s.services[k])] += tasks
 			}
 		}
 	}
-	if c.beside == nil {
-		c.beside = map[int]map[int]int{}
-	}
 	c.beside[batch] = counts
 	return counts
 }
--- a/scheduler/lifecycle_test.go
+++ b/scheduler/lifecycle_test.go
@@ -114,6 +114,31 @@
 	c.Assert(got.Evict[0].Reason, qt.Equals, scheduler.EvictReplaced)
 }
 
+// Guards against a replica that ends up replaced twice when its replacement has to leave as well.
+func TestReplacementThatMustLeave(t *testing.T) {
+	c := qt.New(t)
+	service := newJob("s", structs.KindService, 4000)
+	replacement := running(service, 1, 0)
+	replacement.Replaces, replacement.Ready = "s/0", false
+	s := scheduler.Snapshot{
+		Workers: []scheduler.WorkerView{
+			newWorker("a1", "a", running(service, 0, 0)), newWorker("b1", "b", replacement), newWorker("c1", "c"),
+		},
+		Rules: scheduler.Rules{Out: map[string]time.Time{"a": now, "b": now}},
+	}
+	got := scheduler.Plan(s, now)
+	c.Assert(evicted(got), qt.DeepEquals, []string{"s/1"})
+	c.Assert(got.Evict[0].Reason, qt.Equals, scheduler.EvictUseless)
+	c.Assert(placedOn(got), qt.DeepEquals, map[string]string{"s/0": "c1"})
+
+	s.Workers[1].Running[0].Ready = true
+	got = scheduler.Plan(s, now)
+	c.Assert(evicted(got), qt.DeepEquals, []string{"s/0"})
+	c.Assert(got.Place, qt.HasLen, 0, qt.Commentf("the replacement is replaced once the old replica is gone"))
+	s.Workers[0].Running = nil
+	c.Assert(scheduler.Plan(s, now).Place[0].Replaces, qt.Equals, "s/1")
+}
+
 // Guards against a replacement that waits behind other work, urgent or not.
 func TestReplacementComesFirst(t *testing.T) {
 	c := qt.New(t)
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -6,19 +6,29 @@
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
+// Planner makes plans and reuses its memory between them. Its plans are the same as those of Plan. The zero value is
+// ready to use. It is not safe for concurrent use.
+type Planner struct{ cycle Cycle }
+
+// Plan decides as the function Plan does.
+func (p *Planner) Plan(snapshot Snapshot, now time.Time) Decisions {
+	c := &p.cycle
+	c.reset(&snapshot, now)
+	c.settleReplacements()
+	first, rest := c.queues()
+	c.run(first)
+	c.evacuateBatch()
+	c.run(rest)
+	return c.plan
+}
+
 // Plan decides placements, evictions and verdicts for a snapshot at a time. It only reads the snapshot.
 //
 // The order is: replacements of service replicas that must leave and urgent work; then batch that must leave, by the
 // value of the work already done; then the rest by priority, services before batch at the same priority, and fair
 // share by team. A job that can't be placed blocks no other job.
 func Plan(snapshot Snapshot, now time.Time) Decisions {
-	c := newCycle(&snapshot, now)
-	c.stopReplaced()
-	first, rest := c.queues()
-	c.run(first)
-	c.evacuateBatch()
-	c.run(rest)
-	return c.plan
+	return new(Planner).Plan(snapshot, now)
 }
 
 // run places the tasks of the levels, one level after the other.
@@ -37,19 +47,20 @@
 // start places one task, or makes room for it if it may preempt.
 func (c *Cycle) start(task *PendingTask) {
 	job := task.state
-	if task.replaces == "" && c.isRunning(job, task.Index) {
-		return
-	}
 	// A replacement runs beside the replica it replaces for a short time. Counting it would let a team at its quota
 	// never leave a failure domain.
 	if task.replaces == "" && !job.account.Allows(task.Resources) {
 		c.wait(Waiting{JobID: job.job.ID, Reason: ReasonQuota})
 		return
 	}
-	if index := c.best(task); index >= 0 && c.place(task, index) {
+	index := c.best(task)
+	if index < 0 && !task.Preempts() {
+		return
+	}
+	if c.count(job); task.replaces == "" && job.indices[task.Index] {
 		return
 	}
-	if task.Preempts() {
+	if index < 0 || !c.place(task, index) {
 		c.makeRoom(task)
 	}
 }
--- a/scheduler/plugins/filters.go
+++ b/scheduler/plugins/filters.go
@@ -112,12 +112,14 @@
 func (interferenceLimit) Name() string { return "interference" }
 
 func (interferenceLimit) Filter(ctx *scheduler.Cycle, task *scheduler.PendingTask, w *scheduler.WorkerView) scheduler.Reason {
-	loads := ctx.Loads(w)
+	if !ctx.Interferes() {
+		return ""
+	}
+	loads := ctx.Neighbours(task, w)
 	for i := range loads {
-		estimate, ok := ctx.Estimate(task, &loads[i])
+		estimate := ctx.Estimate(task, &loads[i])
 		switch {
-		case !ok:
-		case estimate.Blocked || estimate.Known && ctx.Slowdown(task, w, service(task, &loads[i]))+added(task, w, estimate) > ctx.Rules.InterferenceLimit:
+		case estimate.Blocked || estimate.Known && exceeds(ctx, task, w, &loads[i], estimate):
 			return ReasonInterference
 		case !estimate.Known && task.Job.Kind == structs.KindBatch && ctx.Beside(task, &loads[i]) >= ctx.Rules.ExplorationTasks:
 			return ReasonExploration
@@ -126,21 +128,15 @@
 	return ""
 }
 
-// service returns the load of the service that the pair is about, or nil if the task itself is the service.
-func service(task *scheduler.PendingTask, load *scheduler.ClassLoad) *scheduler.ClassLoad {
-	if task.Job.Kind == structs.KindService {
-		return nil
-	}
-	return load
-}
-
-// added returns by how much a batch task would raise the slowdown of a service on the worker. A service adds nothing:
-// the batch beside it is counted already.
-func added(task *scheduler.PendingTask, w *scheduler.WorkerView, estimate interference.Estimate) float64 {
+// exceeds tells whether the service of a pair would be slowed down by more than the limit.
+func exceeds(ctx *scheduler.Cycle, task *scheduler.PendingTask, w *scheduler.WorkerView, load *scheduler.ClassLoad,
+	estimate interference.Estimate,
+) bool {
 	if task.Job.Kind == structs.KindService {
-		return 0
+		return ctx.Slowdown(task, w, nil) > ctx.Rules.InterferenceLimit
 	}
-	return (estimate.Slowdown - 1) * fraction(task.Resources.MilliCores, w.Capacity.MilliCores)
+	added := (estimate.Slowdown - 1) * fraction(task.Resources.MilliCores, w.Capacity.MilliCores)
+	return added > 0 && ctx.Slowdown(task, w, load)+added > ctx.Rules.InterferenceLimit
 }
 
 // returnRamp limits how much batch a worker takes after its failure domain returned, so that returned workers don't all
--- a/scheduler/plugins/scores.go
+++ b/scheduler/plugins/scores.go
@@ -68,13 +68,13 @@
 func (interferenceCost) Name() string { return "interference" }
 
 func (interferenceCost) Score(ctx *scheduler.Cycle, task *scheduler.PendingTask, w *scheduler.WorkerView) float64 {
+	if !ctx.Interferes() {
+		return 0
+	}
 	cost := 0.0
-	loads := ctx.Loads(w)
+	loads := ctx.Neighbours(task, w)
 	for i := range loads {
-		estimate, ok := ctx.Estimate(task, &loads[i])
-		if !ok {
-			continue
-		}
+		estimate := ctx.Estimate(task, &loads[i])
 		cores := task.Resources.MilliCores
 		if task.Job.Kind == structs.KindService {
 			cores = loads[i].MilliCores
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -57,19 +57,21 @@
 func (c *Cycle) rateWithout(task *PendingTask, w *WorkerView, gone []int) float64 {
 	saved := w.cycle
 	defer func() { w.cycle = saved }()
+	state := *saved
+	w.cycle = &state
 	w.cycle.free = w.cycle.free.Add(w.cycle.future)
-	w.cycle.loads = nil
+	w.cycle.services, w.cycle.batch, w.cycle.loaded = nil, nil, true
 	for k := range w.Running {
 		t := &w.Running[k]
 		switch {
 		case slices.Contains(gone, k):
 			w.cycle.free = w.cycle.free.Add(t.Resources)
 		case !c.leavingSoon(t):
-			w.cycle.load(t.Job, c.job(t.Job).class, t.Resources)
+			w.cycle.count(t.Job, t.Resources)
 		}
 	}
 	for _, t := range w.cycle.added {
-		w.cycle.load(t.Job, t.state.class, t.Resources)
+		w.cycle.count(t.Job, t.Resources)
 	}
 	rating, _ := c.rate(task, w)
 	return rating
--- a/scheduler/quota/quota.go
+++ b/scheduler/quota/quota.go
@@ -66,7 +66,10 @@
 	return &Table{limits: limits, total: total, teams: map[string]*Account{}}
 }
 
-// Account returns the account of a team, which stays valid as long as the table.
+// Find returns the account of a team, or nil if none has been opened.
+func (t *Table) Find(team string) *Account { return t.teams[team] }
+
+// Account opens the account of a team if needed. It stays valid as long as the table.
 func (t *Table) Account(team string) *Account {
 	if a := t.teams[team]; a != nil {
 		return a
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -46,7 +46,7 @@
 	// Running holds every allocation that holds a reservation: starting, running, suspended and evicting ones.
 	Running []RunningTask
 
-	cycle workerState
+	cycle *workerState
 }
 
 // RunningTask is one allocation on a worker.
@@ -126,6 +126,8 @@
 	EvictEvacuated EvictReason = "failure domain is out of service"
 	// EvictReplaced stops a service replica whose replacement is ready.
 	EvictReplaced EvictReason = "replacement is ready"
+	// EvictUseless stops a replacement that must leave its worker before it is ready.
+	EvictUseless EvictReason = "replacement must leave before it is ready"
 )
 
 // Eviction tells the owner to end an allocation. Its room is free only once the agent has reported the end.
