Let batch use what a service's latency objective leaves

Change: the interference model knows the objective of a service and bears a slowdown up to 0.7 of it; throttling has seven steps of 15% instead of four; the replay tells the model the throttled load and not the reservation.

--- a/replay/managed.go
+++ b/replay/managed.go
@@ -54,6 +54,9 @@
 		quarantine: quarantine.New(quarantine.Config{}), failures: map[*task]int{}, verdicts: map[string]bool{},
 	}
 	m.quarantine.SetFleet(len(e.hosts))
+	for _, s := range e.trace.Services {
+		m.interference.SetObjective(s.Name, s.ObjectiveMillis)
+	}
 	for _, domain := range e.trace.EntryDomains {
 		m.tables = append(m.tables, routing.NewTable(routing.Options{
 			Domain: domain, Clock: e.line.clock, Pace: routing.Pace{BytesPerSecond: 12_000, Min: time.Second, Max: 30 * time.Second},
@@ -222,7 +225,7 @@
 	var loads []interference.Load
 	at := map[string]int{}
 	for _, t := range h.tasks {
-		share := float64(t.reservation.MilliCores) / float64(h.worker.Capacity.MilliCores)
+		share := h.share * float64(t.reservation.MilliCores) / float64(h.worker.Capacity.MilliCores)
 		i, known := at[t.class.Name]
 		if !known {
 			i = len(loads)
--- a/scheduler/guard/guard.go
+++ b/scheduler/guard/guard.go
@@ -11,7 +11,7 @@
 )
 
 // Shares are the steps of throttling: the part of its processor time that each batch task keeps.
-var shares = []float64{1, 0.5, 0.25, 0.1}
+var shares = []float64{1, 0.85, 0.7, 0.55, 0.4, 0.25, 0.1}
 
 // Rules are the guard's thresholds. A zero field means its default.
 type Rules struct {
--- a/scheduler/interference/config.go
+++ b/scheduler/interference/config.go
@@ -21,6 +21,9 @@
 type Config struct {
 	// Limit is the slowdown factor of a service above which a batch class is blocked beside it.
 	Limit float64
+	// ObjectivePart is the part of a service's latency objective up to which batch may raise the latency, if that is
+	// more than Limit allows. It lies below the point at which the guard throttles.
+	ObjectivePart float64
 	// HalfLife is the time in which unused knowledge loses half of its weight.
 	HalfLife time.Duration
 	// MinSamples is the weight of samples from which a pair is known.
@@ -33,11 +36,12 @@
 
 // Defaults of Config.
 const (
-	DefaultLimit      = 1.25
-	DefaultHalfLife   = 20 * time.Minute
-	DefaultMinSamples = 8
-	DefaultSettle     = 2 * time.Second
-	DefaultBlockFor   = 10 * time.Minute
+	DefaultLimit         = 1.25
+	DefaultObjectivePart = 0.7
+	DefaultHalfLife      = 20 * time.Minute
+	DefaultMinSamples    = 8
+	DefaultSettle        = 2 * time.Second
+	DefaultBlockFor      = 10 * time.Minute
 )
 
 const (
@@ -63,6 +67,7 @@
 
 func (c Config) withDefaults() Config {
 	setDefault(&c.Limit, DefaultLimit)
+	setDefault(&c.ObjectivePart, DefaultObjectivePart)
 	setDefault(&c.HalfLife, DefaultHalfLife)
 	setDefault(&c.MinSamples, DefaultMinSamples)
 	setDefault(&c.Settle, DefaultSettle)
--- a/scheduler/interference/estimate.go
+++ b/scheduler/interference/estimate.go
@@ -5,6 +5,8 @@
 type Estimate struct {
 	// Slowdown is the factor by which a worker full of the batch class multiplies the service's latency, at least 1.
 	Slowdown float64
+	// Limit is the slowdown that the service bears, all batch classes beside it together.
+	Limit float64
 	// Known is false until enough samples have been seen. Unknown pairs are explored with few tasks.
 	Known bool
 	// Blocked is set once the slowdown exceeds the limit, and cleared only well below it.
--- a/scheduler/interference/model.go
+++ b/scheduler/interference/model.go
@@ -23,9 +23,12 @@
 
 // baseline is the latency of a service class without batch beside it.
 type baseline struct {
+	// millis is 0 while no latency has been seen.
 	millis float64
 	// idle is set once millis stems from undisturbed samples; until then it is the smallest latency seen.
 	idle bool
+	// objectiveMillis is what the latency should stay below, 0 when there is none.
+	objectiveMillis float64
 }
 
 type pair struct {
@@ -65,6 +68,31 @@
 	h.set(loads[:min(len(loads), MaxLoads)], now)
 }
 
+// SetObjective tells what the tail latency of a service class should stay below, in milliseconds; 0 means that it has no
+// objective.
+func (m *Model) SetObjective(service string, millis float64) {
+	base := m.services[service]
+	if base == nil {
+		if len(m.services) >= MaxServices {
+			return
+		}
+		base = &baseline{}
+		m.services[service] = base
+	}
+	base.objectiveMillis = max(millis, 0)
+}
+
+// limit returns the slowdown that a service class bears: the configured factor, or more if the undisturbed latency is
+// far below the objective. A service that answers in a third of its objective loses nothing by a factor of two, while
+// keeping batch away from it would leave most workers idle.
+func (m *Model) limit(service string) float64 {
+	base := m.services[service]
+	if base == nil || !base.idle || base.millis <= 0 {
+		return m.config.Limit
+	}
+	return max(m.config.Limit, m.config.ObjectivePart*base.objectiveMillis/base.millis)
+}
+
 // Forget drops the loads of a worker.
 func (m *Model) Forget(worker string) { delete(m.workers, worker) }
 
@@ -89,9 +117,12 @@
 		if len(m.services) >= MaxServices {
 			return false
 		}
-		base = &baseline{millis: latencyMillis}
+		base = &baseline{}
 		m.services[service] = base
 	}
+	if base.millis == 0 {
+		base.millis = latencyMillis
+	}
 	base.observe(latencyMillis, total < idleShare)
 	if total >= idleShare {
 		m.learn(service, loads, min(max(latencyMillis/base.millis-1, 0), maxRatio), now)
@@ -132,7 +163,7 @@
 		step := 1 / max(p.weight, 1)
 		p.coefficient = min(max(p.coefficient+step*failure*load.Share/power, 0), maxCoefficient)
 		p.share += step * (load.Share - p.share)
-		m.judge(p, now)
+		m.judge(p, m.limit(service), now)
 	}
 }
 
@@ -157,9 +188,9 @@
 	}
 }
 
-// judge sets whether a pair is known and blocked.
-func (m *Model) judge(p *pair, now time.Time) {
-	allowed := m.config.Limit - 1
+// judge sets whether a pair is known and blocked, given the slowdown that its service bears.
+func (m *Model) judge(p *pair, limit float64, now time.Time) {
+	allowed := limit - 1
 	slowdown := p.coefficient * p.share
 	if p.weight >= m.config.MinSamples {
 		p.known = true
@@ -199,9 +230,9 @@
 func (m *Model) Estimate(service, batch string) Estimate {
 	p := m.pairs[pairKey{service, batch}]
 	if p == nil {
-		return Estimate{Slowdown: 1}
+		return Estimate{Slowdown: 1, Limit: m.limit(service)}
 	}
-	return Estimate{Slowdown: 1 + p.coefficient, Known: p.known, Blocked: p.blocked}
+	return Estimate{Slowdown: 1 + p.coefficient, Limit: m.limit(service), Known: p.known, Blocked: p.blocked}
 }
 
 // BaselineMillis returns the undisturbed latency of a service class, or 0 when it is unknown.
--- a/scheduler/interference/summary.go
+++ b/scheduler/interference/summary.go
@@ -36,7 +36,9 @@
 func (m *Model) Export(maxPairs int, now time.Time) Summary {
 	var s Summary
 	for service, b := range m.services {
-		s.Services = append(s.Services, ServiceSummary{service, b.millis, b.idle})
+		if b.millis > 0 {
+			s.Services = append(s.Services, ServiceSummary{service, b.millis, b.idle})
+		}
 	}
 	slices.SortFunc(s.Services, func(a, b ServiceSummary) int { return cmp.Compare(a.Service, b.Service) })
 	for key, p := range m.pairs {
@@ -61,12 +63,16 @@
 // Import replaces what the model knows with a summary, as if it had been exported now. Entries beyond the bounds and
 // entries with impossible values are left out.
 func (m *Model) Import(s Summary, now time.Time) {
+	objectives := m.services
 	m.services, m.pairs = map[string]*baseline{}, map[pairKey]*pair{}
 	for _, in := range s.Services {
 		if len(m.services) < MaxServices && in.Millis > 0 {
-			m.services[in.Service] = &baseline{in.Millis, in.Idle}
+			m.services[in.Service] = &baseline{millis: in.Millis, idle: in.Idle}
 		}
 	}
+	for service, b := range objectives {
+		m.SetObjective(service, b.objectiveMillis)
+	}
 	for _, in := range s.Pairs {
 		if len(m.pairs) >= MaxPairs || !(in.Coefficient >= 0 && in.Share >= 0 && in.Weight >= 0) {
 			continue
