Test the learned models, quotas and the guard; count shared blame half

Cause: the models decide which jobs fail and which workers stop, and had no tests. Three faulty workers that are not quarantined yet could have failed a sound job, and three faulty jobs could have quarantined a sound worker. Ruled out: higher thresholds, which only delay both mistakes. Change: a failure that the other side explains as well counts half in quarantine. Tests of sizing against sorted samples, of interference with lagged samples of a known truth, of quarantine in a random world of faulty workers and jobs, and of the guard in a closed loop with lag.

--- /dev/null
+++ b/scheduler/guard/guard_test.go
@@ -0,0 +1,168 @@
+package guard_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/scheduler/guard"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+var start = time.Date(2026, 5, 4, 10, 0, 0, 0, time.UTC)
+
+func service(latency float64, age time.Duration) []guard.Service {
+	return []guard.Service{{AllocationID: "s", LatencyMillis: latency, ObjectiveMillis: 100, Age: age}}
+}
+
+func batch(ids ...string) []guard.Batch {
+	var list []guard.Batch
+	for i, id := range ids {
+		list = append(list, guard.Batch{AllocationID: id, WorkDone: time.Duration(i) * time.Minute})
+	}
+	return list
+}
+
+// Guards against steps faster than they show in the measurements, evictions before throttling was tried, evictions all
+// at once, and the eviction of the most valuable task.
+func TestThrottleThenEvict(t *testing.T) {
+	c := qt.New(t)
+	var state guard.State
+	var action guard.Action
+	var history []float64
+	var evicted []string
+	tasks := batch("new", "old", "oldest")
+	tasks[2].Priority = -1
+	tasks[0].Urgent = true
+	for second := range 14 {
+		in := guard.Input{Services: service(95, time.Second), Batch: tasks}
+		state, action = guard.Decide(guard.Rules{}, state, in, start.Add(time.Duration(second)*time.Second))
+		history = append(history, action.Share)
+		evicted = append(evicted, action.Evict...)
+		for i := range tasks {
+			if len(action.Evict) > 0 && tasks[i].AllocationID == action.Evict[0] {
+				tasks = append(tasks[:i], tasks[i+1:]...)
+				break
+			}
+		}
+	}
+	c.Assert(history, qt.DeepEquals, []float64{0.5, 0.5, 0.25, 0.25, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1})
+	c.Assert(evicted, qt.DeepEquals, []string{"oldest", "old"}, qt.Commentf("lowest priority first, one every 4 s, urgent last"))
+}
+
+// Guards against small steps while the objective is missed, and evictions while one is under way.
+func TestMissedObjective(t *testing.T) {
+	c := qt.New(t)
+	in := guard.Input{Services: service(130, 0), Batch: batch("a", "b")}
+	state, action := guard.Decide(guard.Rules{}, guard.State{}, in, start)
+	c.Assert(action.Share, qt.Equals, 0.1)
+	c.Assert(action.Reason, qt.Equals, guard.ReasonMissed)
+	in.Batch[1].Evicting = true
+	_, action = guard.Decide(guard.Rules{}, state, in, start.Add(time.Minute))
+	c.Assert(action.Evict, qt.HasLen, 0)
+	in.Batch[1].Evicting = false
+	_, action = guard.Decide(guard.Rules{}, state, in, start.Add(time.Minute))
+	c.Assert(action.Evict, qt.DeepEquals, []string{"a"})
+}
+
+// Guards against waiting for the objective to be missed while a lagging measurement rises.
+func TestRisingLatencyIsExtrapolated(t *testing.T) {
+	c := qt.New(t)
+	state, action := guard.Decide(guard.Rules{}, guard.State{}, guard.Input{Services: service(50, 2*time.Second), Batch: batch("a")}, start)
+	c.Assert(action.Share, qt.Equals, 1.0)
+	rising := guard.Input{Services: service(62, 2*time.Second), Batch: batch("a")}
+	_, action = guard.Decide(guard.Rules{}, state, rising, start.Add(time.Second))
+	c.Assert(action.Share, qt.Equals, 0.5, qt.Commentf("62 ms rising by 12 ms a second, 2 s ago"))
+	_, action = guard.Decide(guard.Rules{}, guard.State{}, rising, start.Add(time.Second))
+	c.Assert(action.Share, qt.Equals, 1.0, qt.Commentf("no trend is known"))
+}
+
+// Guards against a release on old measurements, and against a guard that stays throttled when a service has no requests.
+func TestUnknownIsNotCalm(t *testing.T) {
+	c := qt.New(t)
+	state := guard.State{Level: 2, Changed: start}
+	now := start
+	for range 60 {
+		now = now.Add(time.Second)
+		var action guard.Action
+		state, action = guard.Decide(guard.Rules{}, state, guard.Input{Services: service(10, time.Minute)}, now)
+		c.Assert(action.Share, qt.Equals, 0.25)
+		c.Assert(action.Reason, qt.Equals, guard.ReasonUnknown)
+	}
+	for range 60 {
+		now = now.Add(time.Second)
+		state, _ = guard.Decide(guard.Rules{}, state, guard.Input{Services: service(0, time.Second)}, now)
+	}
+	c.Assert(state.Level, qt.Equals, 0)
+}
+
+// Guards against throttling for memory, which frees none, and against the eviction of a task within its reservation.
+func TestMemory(t *testing.T) {
+	c := qt.New(t)
+	in := guard.Input{
+		Services: service(10, 0), Capacity: structs.Resources{MemoryMB: 1000}, Used: structs.Resources{MemoryMB: 950},
+		Batch: []guard.Batch{
+			{AllocationID: "large", Reserved: structs.Resources{MemoryMB: 600}, Used: structs.Resources{MemoryMB: 590}},
+			{AllocationID: "over", Reserved: structs.Resources{MemoryMB: 100}, Used: structs.Resources{MemoryMB: 200}},
+		},
+	}
+	_, action := guard.Decide(guard.Rules{}, guard.State{}, in, start)
+	c.Assert(action, qt.DeepEquals, guard.Action{Share: 1, Evict: []string{"over"}, Reason: guard.ReasonMemory})
+	in.Used.MemoryMB = 930
+	_, action = guard.Decide(guard.Rules{}, guard.State{}, in, start)
+	c.Assert(action.Evict, qt.HasLen, 0)
+}
+
+// loop runs the guard against a worker whose service slows down by the part of processor time that batch gets, with
+// measurements that lag. It returns for how many seconds the objective was missed, and how often the share changed.
+func loop(seconds int, slowdown func(second int) float64) (missed, changes int) {
+	const lagSeconds = 3
+	var state guard.State
+	share := 1.0
+	measured := make([]float64, lagSeconds)
+	for second := range seconds {
+		now := start.Add(time.Duration(second) * time.Second)
+		latency := 50 * (1 + slowdown(second)*share)
+		if latency > 100 {
+			missed++
+		}
+		measured = append(measured, latency)
+		in := guard.Input{Services: service(measured[second], lagSeconds*time.Second), Batch: batch("a")}
+		var action guard.Action
+		if state, action = guard.Decide(guard.Rules{}, state, in, now); action.Share != share {
+			share, changes = action.Share, changes+1
+		}
+	}
+	return missed, changes
+}
+
+// Guards against oscillation: batch that a service can't bear at full speed must not be released again and again.
+func TestNoOscillation(t *testing.T) {
+	c := qt.New(t)
+	missed, changes := loop(1200, func(int) float64 { return 0.9 })
+	c.Assert(missed, qt.Equals, 0)
+	c.Assert(changes <= 40, qt.IsTrue, qt.Commentf("%d changes in 20 minutes", changes))
+}
+
+// Guards against a burst that keeps the service slow, or that keeps batch throttled after it ended.
+func TestBurst(t *testing.T) {
+	c := qt.New(t)
+	missed, _ := loop(300, func(second int) float64 {
+		if second >= 100 && second < 140 {
+			return 2
+		}
+		return 0.1
+	})
+	c.Assert(missed <= 4, qt.IsTrue, qt.Commentf("missed for %d s: the lag and one step", missed))
+	var state guard.State
+	for second := range 100 {
+		latency := 130.0
+		if second > 10 {
+			latency = 20
+		}
+		state, _ = guard.Decide(guard.Rules{}, state, guard.Input{Services: service(latency, 0), Batch: batch("a")},
+			start.Add(time.Duration(second)*time.Second))
+	}
+	c.Assert(state.Level, qt.Equals, 0)
+}
--- /dev/null
+++ b/scheduler/interference/model_test.go
@@ -0,0 +1,166 @@
+package interference_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/scheduler/interference"
+)
+
+var start = time.Date(2026, 5, 4, 10, 0, 0, 0, time.UTC)
+
+const lag = 4 * time.Second
+
+// trial feeds a model with lagged measurements of a service whose true slowdown is known.
+type trial struct {
+	model  *interference.Model
+	now    time.Time
+	random *rand.Rand
+	// truth maps batch classes to the relative slowdown by a worker full of them.
+	truth map[string]float64
+	noise float64
+}
+
+func newTrial(seed uint64, truth map[string]float64) *trial {
+	return &trial{interference.New(interference.Config{}), start, rand.New(rand.NewPCG(seed, 3)), truth, 0.05}
+}
+
+func (s *trial) latency(loads []interference.Load) float64 {
+	factor := 1.0
+	for _, load := range loads {
+		factor += s.truth[load.Class] * load.Share
+	}
+	return 100 * factor * (1 + s.noise*(2*s.random.Float64()-1))
+}
+
+// run keeps loads for some seconds and measures every second.
+func (s *trial) run(seconds int, loads ...interference.Load) {
+	s.model.SetLoads("w", loads, s.now)
+	for i := range seconds {
+		s.now = s.now.Add(time.Second)
+		if i >= int(lag/time.Second) {
+			s.model.Observe("w", "svc", s.latency(loads), lag, s.now)
+		}
+		s.model.Advance(s.now)
+	}
+}
+
+// Guards against a harmless class that is blamed for the noisy class beside it.
+func TestNoisyClassIsFound(t *testing.T) {
+	for seed := range uint64(20) {
+		c := qt.New(t)
+		s := newTrial(seed, map[string]float64{"noisy": 2, "calm": 0.05})
+		for range 8 {
+			s.run(12)
+			s.run(12, interference.Load{Class: "noisy", Share: 0.3}, interference.Load{Class: "calm", Share: 0.3})
+			s.run(12, interference.Load{Class: "calm", Share: 0.5})
+		}
+		noisy, calm := s.model.Estimate("svc", "noisy"), s.model.Estimate("svc", "calm")
+		c.Assert(noisy.Blocked, qt.IsTrue, qt.Commentf("seed %d: %+v", seed, noisy))
+		c.Assert(calm.Known && !calm.Blocked && calm.Slowdown < 1.25, qt.IsTrue, qt.Commentf("seed %d: %+v", seed, calm))
+		c.Assert(noisy.Slowdown > 2 && noisy.Slowdown < 4, qt.IsTrue, qt.Commentf("seed %d: %+v", seed, noisy))
+		c.Assert(s.model.Estimate("svc", "new"), qt.Equals, interference.Estimate{Slowdown: 1})
+	}
+}
+
+// Guards against measurements that are blamed on what runs now instead of what ran when they were taken.
+func TestLaggedSamples(t *testing.T) {
+	c := qt.New(t)
+	m := interference.New(interference.Config{})
+	m.SetLoads("w", nil, start)
+	m.SetLoads("w", []interference.Load{{Class: "b", Share: 0.5}}, start.Add(10*time.Second))
+	now := start.Add(13 * time.Second)
+	c.Assert(m.Observe("w", "svc", 100, 5*time.Second, now), qt.IsTrue)
+	c.Assert(m.BaselineMillis("svc"), qt.Equals, 100.0)
+	c.Assert(m.Observe("w", "svc", 300, 2*time.Second, now), qt.IsFalse, qt.Commentf("the loads had just changed"))
+	c.Assert(m.Observe("w", "svc", 300, time.Minute, now), qt.IsFalse, qt.Commentf("the loads are not known"))
+	c.Assert(m.Observe("v", "svc", 300, 0, now), qt.IsFalse)
+	c.Assert(m.Len(), qt.Equals, 0)
+	c.Assert(m.Observe("w", "svc", 150, 0, now), qt.IsTrue)
+	c.Assert(m.Estimate("svc", "b").Slowdown, qt.Equals, 2.0)
+}
+
+// Guards against a pair near the limit that is blocked and released over and over.
+func TestNoFlapping(t *testing.T) {
+	for seed := range uint64(20) {
+		c := qt.New(t)
+		s := newTrial(seed, map[string]float64{"b": 0.5})
+		s.noise = 0.15
+		s.run(30)
+		changes, blocked := 0, false
+		for range 100 {
+			s.run(6, interference.Load{Class: "b", Share: 0.5})
+			if now := s.model.Estimate("svc", "b").Blocked; now != blocked {
+				changes, blocked = changes+1, now
+			}
+		}
+		c.Assert(changes <= 2, qt.IsTrue, qt.Commentf("seed %d: %d changes", seed, changes))
+	}
+}
+
+// Guards against a block that never ends although the class became harmless, and a class that is tried again as soon
+// each time although it didn't.
+func TestBlockEndsAndGrows(t *testing.T) {
+	c := qt.New(t)
+	s := newTrial(1, map[string]float64{"b": 4})
+	s.run(30)
+	load := interference.Load{Class: "b", Share: 0.2}
+	var blocks []time.Duration
+	for range 3 {
+		s.run(15, load)
+		c.Assert(s.model.Estimate("svc", "b").Blocked, qt.IsTrue)
+		from := s.now
+		for s.model.Estimate("svc", "b").Blocked {
+			s.run(10)
+		}
+		c.Assert(s.model.Estimate("svc", "b").Known, qt.IsFalse, qt.Commentf("explored with few tasks"))
+		blocks = append(blocks, s.now.Sub(from).Round(time.Minute))
+	}
+	c.Assert(blocks, qt.DeepEquals, []time.Duration{10 * time.Minute, 20 * time.Minute, 40 * time.Minute})
+	s.truth["b"] = 0.1
+	s.run(40, load)
+	got := s.model.Estimate("svc", "b")
+	c.Assert(got.Known && !got.Blocked, qt.IsTrue, qt.Commentf("%+v", got))
+}
+
+// Guards against knowledge that never ages.
+func TestKnowledgeFades(t *testing.T) {
+	c := qt.New(t)
+	s := newTrial(1, map[string]float64{"b": 0.1})
+	s.run(20)
+	s.run(40, interference.Load{Class: "b", Share: 0.5})
+	c.Assert(s.model.Estimate("svc", "b").Known, qt.IsTrue)
+	s.model.Advance(s.now.Add(2 * time.Hour))
+	c.Assert(s.model.Estimate("svc", "b").Known, qt.IsFalse)
+	s.model.Advance(s.now.Add(24 * time.Hour))
+	c.Assert(s.model.Len(), qt.Equals, 0)
+}
+
+// Guards against tables that grow with every pair, and against estimates that a new owner loses.
+func TestBoundAndSummary(t *testing.T) {
+	c := qt.New(t)
+	s := newTrial(1, map[string]float64{"b": 4, "calm": 0.1})
+	s.run(20)
+	s.run(30, interference.Load{Class: "b", Share: 0.5})
+	s.run(40, interference.Load{Class: "calm", Share: 0.5})
+	restored := interference.New(interference.Config{})
+	summary := s.model.Export(2, s.now)
+	c.Assert(summary.Pairs, qt.HasLen, 2)
+	restored.Import(summary, s.now)
+	for _, class := range []string{"b", "calm"} {
+		c.Assert(restored.Estimate("svc", class), qt.Equals, s.model.Estimate("svc", class))
+	}
+	c.Assert(restored.BaselineMillis("svc"), qt.Equals, s.model.BaselineMillis("svc"))
+
+	for i := range interference.MaxPairs {
+		s.model.SetLoads("w", []interference.Load{{Class: fmt.Sprint(i), Share: 0.5}}, s.now)
+		s.now = s.now.Add(3 * time.Second)
+		s.model.Observe("w", "svc", 120, 0, s.now)
+	}
+	c.Assert(s.model.Len(), qt.Equals, interference.MaxPairs)
+	c.Assert(s.model.Estimate("svc", "b").Blocked, qt.IsTrue, qt.Commentf("a blocked pair is kept"))
+}
--- a/scheduler/quarantine/model.go
+++ b/scheduler/quarantine/model.go
@@ -9,8 +9,9 @@
 
 // Model tells faulty workers from faulty jobs by who fails where. A worker is faulty when enough distinct jobs failed
 // on it in a row, not counting jobs that are faulty themselves. A job is faulty when it failed on enough distinct
-// workers in a row, not counting quarantined ones. Either side's success clears its evidence. Evictions, cancellations
-// and lost workers are no failures and must not be reported. A model is not safe for concurrent use.
+// workers in a row, not counting quarantined ones. A failure that the other side explains as well counts half. Either
+// side's success clears its evidence. Evictions, cancellations and lost workers are no failures and must not be
+// reported. A model is not safe for concurrent use.
 type Model struct {
 	config  Config
 	fleet   int
@@ -56,7 +57,7 @@
 	m.expire(w.failed, now)
 	probed := w.closed && !w.probe.IsZero()
 	w.probe = time.Time{}
-	if m.judgeJob(j) {
+	if m.judgeJob(job, j) {
 		// The job is to blame, so what it did to workers is no evidence against them.
 		m.releaseFrom(job, now)
 	}
@@ -64,7 +65,7 @@
 	case w.closed && probed && j.reason == "":
 		m.close(w, now)
 	case !w.closed:
-		m.judgeWorker(w, now)
+		m.judgeWorker(worker, w, now)
 	}
 }
 
@@ -140,40 +141,81 @@
 // ForgetJob drops the evidence against a job that has ended. What it did to workers stays until the window has passed.
 func (m *Model) ForgetJob(job string) { delete(m.jobs, job) }
 
-// judgeJob sets the verdict on a job and tells whether it is new.
-func (m *Model) judgeJob(j *jobRecord) bool {
+// Evidence is counted in halves: a failure that the other side explains as well counts half.
+const (
+	fullEvidence = 2
+	halfEvidence = 1
+)
+
+// judgeJob sets the verdict on a job and tells whether it is new. A quarantined worker is no evidence against the job,
+// and a suspect one half.
+func (m *Model) judgeJob(name string, j *jobRecord) bool {
 	if j.reason != "" {
 		return false
 	}
-	sound := 0
+	evidence, workers := 0, 0
 	for worker := range j.failed {
-		if w := m.workers[worker]; w == nil || !w.closed {
-			sound++
+		w := m.workers[worker]
+		switch {
+		case w != nil && w.closed:
+			continue
+		case w != nil && m.suspect(w, name):
+			evidence += halfEvidence
+		default:
+			evidence += fullEvidence
 		}
+		workers++
 	}
-	if sound < m.config.Workers {
+	if evidence < m.config.Workers*fullEvidence {
 		return false
 	}
-	j.reason = fmt.Sprintf("failed on %d distinct workers that are not quarantined, and nowhere succeeded since", sound)
+	j.reason = fmt.Sprintf("failed on %d distinct workers that are not quarantined, and nowhere succeeded since", workers)
 	return true
 }
 
+// suspect tells whether a sound job other than the given one failed on the worker since its last success.
+func (m *Model) suspect(w *workerRecord, except string) bool {
+	for job := range w.failed {
+		if j := m.jobs[job]; job != except && (j == nil || j.reason == "") {
+			return true
+		}
+	}
+	return false
+}
+
 // judgeWorker quarantines a worker if enough distinct jobs failed on it.
-func (m *Model) judgeWorker(w *workerRecord, now time.Time) {
-	if m.evidence(w) >= m.config.Jobs && m.mayClose() {
+func (m *Model) judgeWorker(name string, w *workerRecord, now time.Time) {
+	if m.evidence(name, w) >= m.config.Jobs*fullEvidence && m.mayClose() {
 		m.close(w, now)
 	}
 }
 
-// evidence counts the distinct jobs that failed on a worker and aren't faulty themselves.
-func (m *Model) evidence(w *workerRecord) int {
-	n := 0
+// evidence sums up the distinct jobs that failed on a worker. A faulty job is no evidence against it, and one that failed
+// on another worker that isn't quarantined half.
+func (m *Model) evidence(name string, w *workerRecord) int {
+	sum := 0
 	for job := range w.failed {
-		if j := m.jobs[job]; j == nil || j.reason == "" {
-			n++
+		j := m.jobs[job]
+		switch {
+		case j == nil:
+			sum += fullEvidence
+		case j.reason != "":
+		case m.failedElsewhere(j, name):
+			sum += halfEvidence
+		default:
+			sum += fullEvidence
 		}
 	}
-	return n
+	return sum
+}
+
+func (m *Model) failedElsewhere(j *jobRecord, except string) bool {
+	for worker := range j.failed {
+		if w := m.workers[worker]; worker != except && (w == nil || !w.closed) {
+			return true
+		}
+	}
+	return false
 }
 
 // mayClose tells whether one more worker may be quarantined. One always may, in a fleet of two or more.
@@ -198,8 +240,8 @@
 
 // releaseFrom ends the quarantine of workers that only a faulty job gave enough evidence for.
 func (m *Model) releaseFrom(job string, now time.Time) {
-	for _, w := range m.workers {
-		if _, ok := w.failed[job]; ok && w.closed && m.evidence(w) < m.config.Jobs {
+	for name, w := range m.workers {
+		if _, ok := w.failed[job]; ok && w.closed && m.evidence(name, w) < m.config.Jobs*fullEvidence {
 			w.closed, w.probe, w.last, w.level = false, time.Time{}, now, max(w.level-1, 0)
 		}
 	}
@@ -286,3 +328,6 @@
 		delete(entries, found.name)
 	}
 }
+
+// Len returns the numbers of jobs and workers with evidence.
+func (m *Model) Len() (jobs, workers int) { return len(m.jobs), len(m.workers) }
--- /dev/null
+++ b/scheduler/quarantine/model_test.go
@@ -0,0 +1,207 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/scheduler/quarantine"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+var start = time.Date(2026, 5, 4, 10, 0, 0, 0, time.UTC)
+
+func failDistinctJobs(m *quarantine.Model, worker string, n int, now time.Time) {
+	for i := range n {
+		m.Failed(fmt.Sprintf("%s-job%d", worker, i), worker, now)
+	}
+}
+
+// Guards against a faulty worker that keeps failing tasks, and against its victims being blamed.
+func TestFaultyWorker(t *testing.T) {
+	c := qt.New(t)
+	m := quarantine.New(quarantine.Config{})
+	failDistinctJobs(m, "w", 2, start)
+	c.Assert(m.Admits("w", start), qt.Equals, quarantine.Open)
+	m.Failed("w-job1", "w", start)
+	c.Assert(m.Admits("w", start), qt.Equals, quarantine.Open, qt.Commentf("the same job again is no more evidence"))
+	failDistinctJobs(m, "w", 3, start)
+	c.Assert(m.Admits("w", start), qt.Equals, quarantine.Closed)
+	for i := range 3 {
+		c.Assert(m.JobVerdict(fmt.Sprintf("w-job%d", i)), qt.Equals, "")
+	}
+}
+
+// Guards against a faulty job that runs for ever, or takes sound workers with it.
+func TestFaultyJob(t *testing.T) {
+	c := qt.New(t)
+	m := quarantine.New(quarantine.Config{})
+	for _, worker := range []string{"w1", "w1", "w2", "w1", "w2"} {
+		m.Failed("bad", worker, start)
+	}
+	c.Assert(m.JobVerdict("bad"), qt.Equals, "")
+	m.Failed("bad", "w3", start)
+	c.Assert(m.JobVerdict("bad"), qt.Matches, "failed on 3 distinct workers.*")
+	c.Assert(m.Quarantined(), qt.HasLen, 0)
+	m.ForgetJob("bad")
+	c.Assert(m.JobVerdict("bad"), qt.Equals, "")
+}
+
+// Guards against evidence that outlives a success, or its window.
+func TestEvidenceEnds(t *testing.T) {
+	c := qt.New(t)
+	m := quarantine.New(quarantine.Config{})
+	failDistinctJobs(m, "w", 2, start)
+	m.Succeeded("other", "w", start)
+	m.Failed("third", "w", start)
+	c.Assert(m.Admits("w", start), qt.Equals, quarantine.Open)
+
+	m.Failed("bad", "w1", start)
+	m.Failed("bad", "w2", start)
+	m.Succeeded("bad", "w4", start)
+	m.Failed("bad", "w3", start)
+	c.Assert(m.JobVerdict("bad"), qt.Equals, "")
+
+	late := start.Add(quarantine.DefaultWindow + time.Second)
+	m.Failed("bad", "w5", late)
+	m.Failed("bad", "w6", late)
+	c.Assert(m.JobVerdict("bad"), qt.Equals, "", qt.Commentf("the failure on w3 is too old"))
+	failDistinctJobs(m, "w", 2, late)
+	c.Assert(m.Admits("w", late), qt.Equals, quarantine.Open)
+}
+
+// Guards against workers that stay quarantined on the evidence of jobs that turn out to be faulty.
+func TestFaultyJobsReleaseWorker(t *testing.T) {
+	c := qt.New(t)
+	m := quarantine.New(quarantine.Config{})
+	failDistinctJobs(m, "w", 3, start)
+	c.Assert(m.Quarantined(), qt.DeepEquals, []string{"w"})
+	for _, worker := range []string{"x", "y", "z"} {
+		m.Failed("w-job0", worker, start)
+	}
+	c.Assert(m.JobVerdict("w-job0"), qt.Not(qt.Equals), "")
+	c.Assert(m.Admits("w", start), qt.Equals, quarantine.Open)
+}
+
+// Guards against a quarantine that never ends, probes that run side by side, and backoff that doesn't grow.
+func TestProbation(t *testing.T) {
+	c := qt.New(t)
+	m := quarantine.New(quarantine.Config{Backoff: time.Minute, MaxBackoff: 3 * time.Minute, ProbeTimeout: time.Minute})
+	now := start
+	failDistinctJobs(m, "w", 3, now)
+	for i, backoff := range []time.Duration{time.Minute, 2 * time.Minute, 3 * time.Minute, 3 * time.Minute} {
+		c.Assert(m.Admits("w", now.Add(backoff-1)), qt.Equals, quarantine.Closed)
+		now = now.Add(backoff)
+		c.Assert(m.Admits("w", now), qt.Equals, quarantine.Probe)
+		m.ProbeStarted("w", now)
+		c.Assert(m.Admits("w", now), qt.Equals, quarantine.Closed)
+		m.Failed(fmt.Sprintf("probe%d", i), "w", now)
+	}
+	now = now.Add(3 * time.Minute)
+	m.ProbeStarted("w", now)
+	m.ProbeEnded("w")
+	c.Assert(m.Admits("w", now), qt.Equals, quarantine.Probe, qt.Commentf("the probe was evicted"))
+	m.ProbeStarted("w", now)
+	c.Assert(m.Admits("w", now.Add(time.Minute)), qt.Equals, quarantine.Probe, qt.Commentf("the probe got lost"))
+	m.Succeeded("probe", "w", now)
+	c.Assert(m.Admits("w", now), qt.Equals, quarantine.Open)
+	failDistinctJobs(m, "w", 3, now)
+	c.Assert(m.Admits("w", now.Add(2*time.Minute)), qt.Equals, quarantine.Closed, qt.Commentf("soon again: the backoff is kept"))
+	m.Succeeded("probe", "w", now)
+	now = now.Add(time.Hour)
+	failDistinctJobs(m, "w", 3, now)
+	c.Assert(m.Admits("w", now.Add(time.Minute)), qt.Equals, quarantine.Probe, qt.Commentf("well for long: the backoff starts anew"))
+}
+
+// Guards against a common cause, such as a broken file server, that quarantines the whole fleet.
+func TestShareOfFleet(t *testing.T) {
+	c := qt.New(t)
+	m := quarantine.New(quarantine.Config{})
+	m.SetFleet(11)
+	for i := range 11 {
+		failDistinctJobs(m, fmt.Sprintf("w%d", i), 5, start)
+	}
+	c.Assert(m.Quarantined(), qt.HasLen, 3)
+	one := quarantine.New(quarantine.Config{})
+	one.SetFleet(1)
+	failDistinctJobs(one, "w", 5, start)
+	c.Assert(one.Quarantined(), qt.HasLen, 0)
+}
+
+// Guards against wrong verdicts when faulty workers and faulty jobs occur together: no sound job may be failed, every
+// faulty job must be, and in the end exactly the faulty workers are quarantined.
+func TestFaultyWorkersAndJobsTogether(t *testing.T) {
+	for seed := range uint64(300) {
+		c := qt.New(t)
+		random := rand.New(rand.NewPCG(seed, 1))
+		m := quarantine.New(quarantine.Config{})
+		const workers, jobs, faultyWorkers, faultyJobs = 20, 30, 3, 4
+		m.SetFleet(workers)
+		now := start
+		for range 3000 {
+			now = now.Add(200 * time.Millisecond)
+			w, j := random.IntN(workers), random.IntN(jobs)
+			worker, job := fmt.Sprintf("w%02d", w), fmt.Sprintf("j%02d", j)
+			switch {
+			case m.JobVerdict(job) != "":
+				continue
+			case m.Admits(worker, now) == quarantine.Closed:
+				continue
+			case m.Admits(worker, now) == quarantine.Probe:
+				m.ProbeStarted(worker, now)
+			}
+			if w < faultyWorkers || j < faultyJobs {
+				m.Failed(job, worker, now)
+			} else {
+				m.Succeeded(job, worker, now)
+			}
+		}
+		for j := range jobs {
+			c.Assert(m.JobVerdict(fmt.Sprintf("j%02d", j)) != "", qt.Equals, j < faultyJobs, qt.Commentf("seed %d job %d", seed, j))
+		}
+		c.Assert(m.Quarantined(), qt.DeepEquals, []string{"w00", "w01", "w02"}, qt.Commentf("seed %d", seed))
+	}
+}
+
+// Guards against tables that grow with every job and worker that ever failed.
+func TestBounds(t *testing.T) {
+	c := qt.New(t)
+	m := quarantine.New(quarantine.Config{})
+	failDistinctJobs(m, "first", 3, start)
+	for i := range quarantine.MaxWorkers + 10 {
+		m.Failed(fmt.Sprintf("job%d", i), fmt.Sprintf("worker%d", i), start.Add(time.Duration(i)))
+	}
+	jobs, workers := m.Len()
+	c.Assert(jobs, qt.Equals, quarantine.MaxJobs)
+	c.Assert(workers, qt.Equals, quarantine.MaxWorkers)
+	c.Assert(m.Quarantined(), qt.DeepEquals, []string{"first"}, qt.Commentf("a quarantine is not forgotten"))
+	m.Advance(start.Add(2 * time.Hour))
+	jobs, workers = m.Len()
+	c.Assert(jobs, qt.Equals, 0)
+	c.Assert(workers, qt.Equals, 1)
+}
+
+// Guards against retries without end or at the same moment.
+func TestRetryPolicy(t *testing.T) {
+	c := qt.New(t)
+	p := quarantine.RetryPolicy{Base: time.Second, Max: 10 * time.Second}
+	distinct := map[time.Duration]bool{}
+	for failures, want := range []time.Duration{time.Second, time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second, 10 * time.Second} {
+		for index := range 20 {
+			delay, ok := p.Next(structs.TaskID{JobID: "j", Index: index}, failures, 50)
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(delay >= want*3/4 && delay <= want*5/4, qt.IsTrue, qt.Commentf("%d failures: %v", failures, delay))
+			distinct[delay] = true
+		}
+	}
+	c.Assert(len(distinct) > 60, qt.IsTrue)
+	_, ok := p.Next(structs.TaskID{}, 3, 3)
+	c.Assert(ok, qt.IsFalse)
+	_, ok = p.Next(structs.TaskID{}, quarantine.DefaultAttempts, 0)
+	c.Assert(ok, qt.IsFalse)
+	_, ok = p.Next(structs.TaskID{}, quarantine.DefaultMaxAttempts, 1000)
+	c.Assert(ok, qt.IsFalse)
+}
--- /dev/null
+++ b/scheduler/sizing/sizing_test.go
@@ -0,0 +1,115 @@
+package sizing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/scheduler/sizing"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+var (
+	start    = time.Date(2026, 5, 4, 10, 0, 0, 0, time.UTC)
+	declared = structs.Resources{MilliCores: 4000, MemoryMB: 8000, Accelerators: 1}
+)
+
+func usage(milliCores, memoryMB int64) structs.Resources {
+	return structs.Resources{MilliCores: milliCores, MemoryMB: memoryMB}
+}
+
+// Guards against reservations that few samples pull far from the declared size, in either direction.
+func TestFewSamplesStayNearDeclared(t *testing.T) {
+	c := qt.New(t)
+	m := sizing.New(sizing.Config{})
+	c.Assert(m.Reservation("c", declared, structs.Resources{}, start), qt.Equals, declared)
+	m.Observe("c", usage(100, 100_000), 0, start)
+	c.Assert(m.Reservation("c", declared, structs.Resources{}, start), qt.Equals,
+		structs.Resources{MilliCores: 2000, MemoryMB: 16000, Accelerators: 1})
+	for range sizing.DefaultMinSamples {
+		m.Observe("c", usage(100, 100_000), 0, start)
+	}
+	got := m.Reservation("c", declared, structs.Resources{}, start)
+	c.Assert(got.MilliCores < 130, qt.IsTrue)
+	c.Assert(got.MemoryMB > 115_000, qt.IsTrue)
+	c.Assert(got.Accelerators, qt.Equals, int64(1))
+}
+
+// Guards against a reservation below what the task uses already.
+func TestNeverBelowActualUsage(t *testing.T) {
+	c := qt.New(t)
+	m := sizing.New(sizing.Config{})
+	actual := usage(9000, 17000)
+	c.Assert(m.Reservation("c", declared, actual, start), qt.Equals, structs.Resources{MilliCores: 9000, MemoryMB: 17000, Accelerators: 1})
+	m.Observe("c", usage(10, 10), 0, start)
+	c.Assert(m.Reservation("c", declared, actual, start), qt.Equals, structs.Resources{MilliCores: 9000, MemoryMB: 17000, Accelerators: 1})
+}
+
+// Guards against percentiles that the buckets distort: the reservation covers the percentile of the samples, with the
+// headroom, and exceeds that by at most one bucket.
+func TestPercentileAgainstSortedSamples(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		m := sizing.New(sizing.Config{CoreHeadroom: 1.2, MemoryHeadroom: 1.5})
+		var cores, memory []int64
+		for range 500 {
+			u := usage(50+random.Int64N(1+random.Int64N(16000)), 100+random.Int64N(60000))
+			cores, memory = append(cores, u.MilliCores), append(memory, u.MemoryMB)
+			m.Observe("c", u, 0, start)
+		}
+		slices.Sort(cores)
+		slices.Sort(memory)
+		got := m.Reservation("c", declared, structs.Resources{}, start)
+		checkRange(c, got.MilliCores, float64(cores[474])*1.2)
+		checkRange(c, got.MemoryMB, float64(memory[494])*1.5)
+	}
+}
+
+func checkRange(c *qt.C, got int64, want float64) {
+	c.Helper()
+	c.Assert(float64(got) >= want && float64(got) <= want*1.08+2, qt.IsTrue, qt.Commentf("got %d, want %.0f", got, want))
+}
+
+// Guards against a class that keeps the size of its past, and against weights that overflow over a long time.
+func TestOldUsageFades(t *testing.T) {
+	c := qt.New(t)
+	m := sizing.New(sizing.Config{HalfLife: time.Hour, MinSamples: 8})
+	now := start
+	for range 1000 {
+		m.Observe("c", usage(10000, 30000), 0, now)
+	}
+	for range 200 {
+		now = now.Add(time.Hour)
+		for range 5 {
+			m.Observe("c", usage(1000, 3000), 2*time.Second, now)
+		}
+	}
+	got := m.Reservation("c", declared, structs.Resources{}, now)
+	c.Assert(got.MilliCores < 1300 && got.MemoryMB < 4000, qt.IsTrue, qt.Commentf("%v", got))
+	got = m.Reservation("c", declared, structs.Resources{}, now.Add(24*time.Hour))
+	c.Assert(got, qt.Equals, structs.Resources{MilliCores: 2000, MemoryMB: 4000, Accelerators: 1}, qt.Commentf("samples of a day ago are few"))
+}
+
+// Guards against a table that grows with every class name, and against learned sizes that a new owner loses.
+func TestBoundAndSummary(t *testing.T) {
+	c := qt.New(t)
+	m := sizing.New(sizing.Config{})
+	for i := range sizing.MaxClasses + 5 {
+		m.Observe(fmt.Sprint(i), usage(10, 10), 0, start.Add(time.Duration(i)))
+	}
+	c.Assert(m.Len(), qt.Equals, sizing.MaxClasses)
+	for i := range 500 {
+		m.Observe("c", usage(int64(1000+i), int64(2000+i)), 0, start)
+	}
+	want := m.Reservation("c", declared, structs.Resources{}, start)
+	restored := sizing.New(sizing.Config{})
+	summary := m.Export(3, start)
+	c.Assert(summary, qt.HasLen, 3)
+	restored.Import(summary, start)
+	c.Assert(restored.Reservation("c", declared, structs.Resources{}, start), qt.Equals, want)
+}
