--- a/scheduler/guard/guard.go
+++ b/scheduler/guard/guard.go
@@ -47,6 +47,9 @@
 	DefaultMaxAge       = 15 * time.Second
 )
 
+// largeStep is the number of levels of one step once a service is nearer to its objective than EvictAt.
+const largeStep = 3
+
 // urgentAt is the part of the objective from which the guard goes straight to the lowest share: the objective is missed
 // already, and further small steps would each cost a lag.
 const urgentAt = 1.0
@@ -217,10 +220,15 @@
 			break
 		}
 		relapse(rules, state, now)
-		state.Level, state.Changed = state.Level+1, now
-		if missed {
+		switch {
+		case missed:
 			state.Level = lowest
+		case signal.expected >= rules.EvictAt:
+			state.Level = min(state.Level+largeStep, lowest)
+		default:
+			state.Level++
 		}
+		state.Changed = now
 	case signal.expected >= rules.EvictAt && seen >= rules.EvictAfter && now.Sub(state.Evicted) >= rules.EvictEvery:
 		if victim := latencyVictim(in.Batch); victim != "" {
 			state.Evicted = now
