Assume that unheard peers lack nothing, and measure gossip

Ruled out: a larger peer table; an agent calls each of 72 polling processes every 180 s on average, so most peers are unknown at any time, and each unknown one was sent the whole head and all owners. Change: an unknown peer is sent the revision and the digest only; one that lacks something shows it in its response and gets it in the second message.

--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -50,14 +50,24 @@
 	}
 }
 
-// compose returns a message for a receiver that holds a revision and, if hasDigest, owners with a digest.
-func (e *Exchanger) compose(revision int64, digest uint64, hasDigest bool) Message {
+// composeFor returns a message for an address. A peer that hasn't been heard from lately is assumed to lack nothing: in a
+// large fleet most peers are such, and one that does lack something says so in its response.
+func (e *Exchanger) composeFor(address string) Message {
+	revision, digest, ok := e.peers.known(address)
+	if !ok {
+		revision, digest = e.follower.Revision(), e.owners.Digest()
+	}
+	return e.compose(revision, digest)
+}
+
+// compose returns a message for a receiver that holds a revision and owners with a digest.
+func (e *Exchanger) compose(revision int64, digest uint64) Message {
 	own := e.owners.Digest()
 	message := Message{
 		Version: ProtocolVersion, Fleet: e.identity.Fleet, From: e.identity.Name, Role: e.identity.Role,
 		Address: e.identity.Address, Config: e.follower.Proof(revision), OwnersDigest: strconv.FormatUint(own, 16),
 	}
-	if !hasDigest || digest != own {
+	if digest != own {
 		message.Owners = e.owners.All()
 	}
 	return message
@@ -77,7 +87,7 @@
 	}
 	e.learn(message)
 	digest, _ := message.digest()
-	return e.compose(message.Config.Revision, digest, true), "", nil
+	return e.compose(message.Config.Revision, digest), "", nil
 }
 
 // learn takes the owners of a valid message and notes what its sender holds.
@@ -96,7 +106,7 @@
 func (e *Exchanger) Exchange(ctx context.Context, address string) error {
 	for range maxSends {
 		sentAt := e.clock.Now()
-		response, err := e.sender.Send(ctx, address, e.compose(e.peers.known(address)))
+		response, err := e.sender.Send(ctx, address, e.composeFor(address))
 		if err != nil {
 			return err
 		}
@@ -118,8 +128,8 @@
 	return nil
 }
 
-// pick returns up to count random peers.
-func (e *Exchanger) pick(count int, random *rand.Rand) []string {
+// Pick returns up to count random peers.
+func (e *Exchanger) Pick(count int, random *rand.Rand) []string {
 	all := e.candidates()
 	random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	return all[:min(count, len(all))]
@@ -134,9 +144,12 @@
 	return e.peers.addresses(e.clock.Now(), owners)
 }
 
-// scaledInterval is the pause between two rounds of a process that neither polls the store nor owns a shard. It grows
-// with the fleet, so that the few processes that do aren't called more often than about 32 times per interval.
-func scaledInterval(interval time.Duration, workers int) time.Duration {
+// RoundInterval is the pause between two rounds. That of a process that doesn't poll the store grows with the fleet, so
+// that the few processes that do aren't called more often than about 32 times per interval by all of them.
+func RoundInterval(interval time.Duration, polling bool, workers int) time.Duration {
+	if polling {
+		return interval
+	}
 	const perInterval, most = 32, 5 * time.Second
 	scaled := interval * time.Duration(workers) / perInterval
 	return max(interval, min(scaled, most))
--- a/gossip/exchange_test.go
+++ b/gossip/exchange_test.go
@@ -31,16 +31,20 @@
 	messages int
 	bytes    int
 	largest  int
+	// perNode adds up the bytes that each address has sent and received.
+	perNode map[string]int
 }
 
 func newGroup() *group {
-	return &group{clock: clock.NewManual(time.Unix(1_700_000_000, 0)), members: map[string]*member{}}
+	return &group{clock: clock.NewManual(time.Unix(1_700_000_000, 0)), members: map[string]*member{}, perNode: map[string]int{}}
 }
 
-func (g *group) add(address string) *member {
+func (g *group) add(address string) *member { return g.addSeeded(address, nil) }
+
+func (g *group) addSeeded(address string, seeds []string) *member {
 	m := &member{follower: config.NewFollower(g.clock), owners: gossip.NewOwnerTable()}
 	identity := gossip.Identity{Fleet: "test", Name: "agent-" + address, Role: kernel.RoleAgent, Address: address}
-	m.exchanger = gossip.NewExchanger(identity, g.clock, m.follower, m.owners, nil, g, func(reason gossip.Reason) {
+	m.exchanger = gossip.NewExchanger(identity, g.clock, m.follower, m.owners, seeds, g, func(reason gossip.Reason) {
 		m.rejected = append(m.rejected, reason)
 	})
 	g.members[address] = m
@@ -48,13 +52,13 @@
 }
 
 func (g *group) Send(_ context.Context, to string, message gossip.Message) (gossip.Message, error) {
-	g.count(message)
+	g.count(message, message.Address, to)
 	response, _, err := g.members[to].exchanger.Receive(message)
-	g.count(response)
+	g.count(response, message.Address, to)
 	return response, err
 }
 
-func (g *group) count(message gossip.Message) {
+func (g *group) count(message gossip.Message, ends ...string) {
 	raw, err := json.Marshal(message)
 	if err != nil {
 		panic(err)
@@ -62,6 +66,9 @@
 	g.messages++
 	g.bytes += len(raw)
 	g.largest = max(g.largest, len(raw))
+	for _, end := range ends {
+		g.perNode[end] += len(raw)
+	}
 }
 
 func fullHead(revision int64, domains, workers int) config.Head {
--- a/gossip/module.go
+++ b/gossip/module.go
@@ -143,11 +143,8 @@
 
 // pause is the interval to the next round, with jitter so that processes that start together spread out.
 func (m *Module) pause() time.Duration {
-	interval := m.settings.Interval
-	if !m.config.Polling() {
-		head, _ := m.config.Follower().Head()
-		interval = scaledInterval(interval, head.Workers())
-	}
+	head, _ := m.config.Follower().Head()
+	interval := RoundInterval(m.settings.Interval, m.config.Polling(), head.Workers())
 	const jitter = 0.1
 	return time.Duration(float64(interval)*(1+jitter*(2*m.random.Float64()-1))) - minPause
 }
@@ -155,7 +152,7 @@
 // round exchanges with a few random peers at once.
 func (m *Module) round(ctx context.Context) {
 	var exchanges sync.WaitGroup
-	for _, address := range m.exchanger.pick(m.settings.Fanout, m.random) {
+	for _, address := range m.exchanger.Pick(m.settings.Fanout, m.random) {
 		exchanges.Go(func() {
 			result := "ok"
 			if err := m.exchanger.Exchange(ctx, address); err != nil {
