Remove unused blobs in small parts and suspend failed peers

Cause: one list of all blobs in 16 revisions returned up to 9 MB at 3,400 workers and led to up to 288 deletions in one change; entries that share the changes could let the list outgrow the client's limit, after which nothing would be removed. A silent peer delayed each gossip round that picked it by the whole timeout of 1 s. Ruled out: a queue of deletions per acceptor, which grows with the number of entries. Change: after each change with new content, one of 17 parts is listed by the first digit of the hash and its unused blobs are deleted, if they are older than the head and still at the listed revision. Failed peers are suspended for 2 to 30 s. Conclusion: the store holds at most the unused blobs of 17 revisions.

--- a/config/acceptor.go
+++ b/config/acceptor.go
@@ -124,11 +124,12 @@
 	if err := a.writeBlobs(ctx, blobs); err != nil {
 		return Head{}, err
 	}
-	if err := a.replaceHead(ctx, now, next); err != nil {
+	headRevision, err := a.replaceHead(ctx, now, next)
+	if err != nil {
 		return Head{}, err
 	}
-	if next.Revision%pruneInterval == 0 {
-		a.prune(ctx)
+	if len(blobs) > 0 && headRevision > 0 {
+		a.prune(ctx, next, headRevision)
 	}
 	return next, nil
 }
@@ -145,26 +146,28 @@
 	return eris.Wrapf(store.ErrUnavailable, "revision %d is incomplete: %v", base.Revision, missing)
 }
 
-// replaceHead compare-and-swaps the head and finds out what became of a write without a response.
-func (a *Acceptor) replaceHead(ctx context.Context, now current, next Head) error {
+// replaceHead compare-and-swaps the head and finds out what became of a write without a response. It returns the store's
+// revision of the new head, or 0 when that is not known.
+func (a *Acceptor) replaceHead(ctx context.Context, now current, next Head) (headRevision int64, err error) {
 	raw, err := next.encode()
 	if err != nil {
-		return err
+		return 0, err
 	}
-	_, err = a.store.Put(ctx, HeadKey, raw, store.PutOptions{IfRevision: now.revision})
+	entry, err := a.store.Put(ctx, HeadKey, raw, store.PutOptions{IfRevision: now.revision})
 	if err == nil || !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrUnknownResult) {
-		return eris.Wrap(err, "replacing the head")
+		return entry.Revision, eris.Wrap(err, "replacing the head")
 	}
 	unknown := errors.Is(err, store.ErrUnknownResult)
 	for attempt := range maxResolveAttempts {
 		found, readErr := a.readHead(ctx)
 		if readErr == nil {
 			if done, err := settled(found.head, now.head.Revision, next); done {
-				return err
+				return 0, err
 			}
 			// The head is still the base, so the write may yet arrive. Repeating it settles which one takes effect.
-			if _, err = a.store.Put(ctx, HeadKey, raw, store.PutOptions{IfRevision: now.revision}); err == nil {
-				return nil
+			entry, err = a.store.Put(ctx, HeadKey, raw, store.PutOptions{IfRevision: now.revision})
+			if err == nil {
+				return entry.Revision, nil
 			}
 		}
 		if !a.pause(ctx, attempt) {
@@ -173,10 +176,10 @@
 	}
 	if !unknown {
 		// The store reported a conflict, so nothing was written; only the current revision is not known.
-		return &ConflictError{Base: now.head.Revision, Current: next.Revision}
+		return 0, &ConflictError{Base: now.head.Revision, Current: next.Revision}
 	}
 	// The text of err only: a later ErrUnavailable says nothing about the first write.
-	return eris.Wrapf(store.ErrUnknownResult, "replacing the head: %v", err)
+	return 0, eris.Wrapf(store.ErrUnknownResult, "replacing the head: %v", err)
 }
 
 // settled tells whether a head shows what became of the change to next, and the error that follows.
--- a/config/apply_test.go
+++ b/config/apply_test.go
@@ -211,15 +211,21 @@
 	c := qt.New(t)
 	backend := storetest.New(clock.NewManual(start))
 	ctx := context.Background()
-	acceptors := []*config.Acceptor{newAcceptor(backend), newAcceptor(backend)}
-	for i := range 100 {
-		// Two contents alternate, so that blobs become unused and are needed again.
-		_, err := acceptors[i%2].Apply(ctx, int64(i), inventoryChange("", inventoryCSV(3, 2, 1+i%5)))
+	acceptors := []*config.Acceptor{newAcceptor(backend), newAcceptor(backend), newAcceptor(backend)}
+	const changes, domains = 200, 3
+	for i := range changes {
+		// Every second content is the same, so that blobs become unused and are needed again.
+		cores := 1
+		if i%2 == 0 {
+			cores = 2 + i
+		}
+		_, err := acceptors[i%len(acceptors)].Apply(ctx, int64(i), inventoryChange("", inventoryCSV(domains, 2, cores)))
 		c.Assert(err, qt.IsNil)
 		head, err := acceptors[0].Current(ctx)
 		c.Assert(err, qt.IsNil)
 		_, err = config.NewBlobs(config.StoreSource{Store: backend}).LoadInventory(ctx, head)
 		c.Assert(err, qt.IsNil)
-		c.Assert(backend.Keys("config/") < 60, qt.IsTrue, qt.Commentf("%d keys", backend.Keys("config/")))
 	}
+	// Of the 300 blobs that are unused, at most those of the last 17 revisions remain.
+	c.Assert(backend.Keys("config/inventory/") <= 17*domains, qt.IsTrue, qt.Commentf("%d keys", backend.Keys("config/")))
 }
--- a/config/prune.go
+++ b/config/prune.go
@@ -2,48 +2,49 @@
 
 import (
 	"context"
-	"strings"
+	"errors"
+	"fmt"
 
 	"github.com/quetzalshed/quetzalshed/platform/store"
 )
 
 const (
-	// pruneInterval is the number of revisions between two removals of unused blobs. Each costs one list with the
-	// content of all blobs, which at 3,400 workers are about 500 KB per revision that replaces the whole inventory.
-	pruneInterval = 16
-	// maxPruned bounds the deletions of one removal; the next one continues.
-	maxPruned = 256
+	// pruneParts is the number of parts in which unused blobs are looked for, one after each accepted change. A part holds
+	// the unused blobs of as many revisions, so a list stays small whatever the rate of changes is.
+	pruneParts = 17
+	// maxPruned bounds the deletions after one change, so that they stay a small share of the store's several hundred
+	// writes per second. A change of the whole inventory makes at most 25 blobs unused.
+	maxPruned = 64
 )
 
-// prune deletes blobs that the head doesn't name. It is best effort: what remains is found by the next one.
+// prunePrefix returns the keys that are looked at after a revision: blobs of inventories by the first digit of their
+// hash, and rules.
+func prunePrefix(revision int64) string {
+	part := revision % pruneParts
+	if part == pruneParts-1 {
+		return rulesPrefix
+	}
+	return fmt.Sprintf("%s%x", inventoryPrefix, part)
+}
+
+// prune deletes blobs that a head doesn't name. It is best effort: what remains is found again pruneParts revisions later.
 //
 // A change in progress may need a blob that is unused yet. It writes each such blob after it has read the head, so only
 // blobs that are older than the head are deleted, and only at the revision at which they were listed.
-func (a *Acceptor) prune(ctx context.Context) {
-	entries, err := a.store.List(ctx, "config/")
+func (a *Acceptor) prune(ctx context.Context, head Head, headRevision int64) {
+	entries, err := a.store.List(ctx, prunePrefix(head.Revision))
 	if err != nil {
 		return
 	}
-	var head Head
-	var headRevision int64
-	for _, entry := range entries {
-		if entry.Key != HeadKey {
-			continue
-		}
-		if head, err = DecodeHead(entry.Value); err != nil {
-			return
-		}
-		headRevision = entry.Revision
-	}
 	used := head.blobKeys()
 	pruned := 0
 	for _, entry := range entries {
-		isBlob := strings.HasPrefix(entry.Key, rulesPrefix) || strings.HasPrefix(entry.Key, inventoryPrefix)
-		if !isBlob || used[entry.Key] || entry.Revision >= headRevision || pruned >= maxPruned {
+		if used[entry.Key] || entry.Revision >= headRevision || pruned >= maxPruned {
 			continue
 		}
 		pruned++
-		if err := a.store.Delete(ctx, entry.Key, entry.Revision); store.ResultOf(err) == store.Result(store.CodeUnavailable) {
+		err := a.store.Delete(ctx, entry.Key, entry.Revision)
+		if errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrUnknownResult) {
 			return
 		}
 	}
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -108,8 +108,10 @@
 		sentAt := e.clock.Now()
 		response, err := e.sender.Send(ctx, address, e.composeFor(address))
 		if err != nil {
+			e.peers.failed(address, e.clock.Now())
 			return err
 		}
+		e.peers.succeeded(address)
 		if reason, err := response.validate(e.identity.Fleet); err != nil {
 			e.reject(reason)
 			return err
--- a/gossip/exchange_test.go
+++ b/gossip/exchange_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -53,6 +54,9 @@
 
 func (g *group) Send(_ context.Context, to string, message gossip.Message) (gossip.Message, error) {
 	g.count(message, message.Address, to)
+	if g.members[to] == nil {
+		return gossip.Message{}, errLost
+	}
 	response, _, err := g.members[to].exchanger.Receive(message)
 	g.count(response, message.Address, to)
 	return response, err
@@ -145,3 +149,29 @@
 	_, proven := a.follower.Confirmed()
 	c.Assert(proven, qt.IsFalse)
 }
+
+// Guards against rounds that keep calling a peer that doesn't answer, and against such a peer never being called again.
+func TestFailedPeersAreSuspended(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup()
+	const live, dead = "127.0.0.1:2", "127.0.0.1:3"
+	a := g.addSeeded("127.0.0.1:1", []string{live, dead})
+	g.add(live)
+	random := rand.New(rand.NewPCG(1, 1))
+	ctx := context.Background()
+	for _, length := range []time.Duration{2, 4, 8, 16, 30, 30} {
+		c.Assert(a.exchanger.Pick(2, random), qt.HasLen, 2)
+		c.Assert(a.exchanger.Exchange(ctx, dead), qt.IsNotNil)
+		c.Assert(a.exchanger.Exchange(ctx, live), qt.IsNil)
+		g.clock.Advance(length*time.Second - time.Millisecond)
+		c.Assert(a.exchanger.Pick(2, random), qt.DeepEquals, []string{live})
+		g.clock.Advance(time.Millisecond)
+	}
+	c.Assert(a.exchanger.Exchange(ctx, dead), qt.IsNotNil)
+	delete(g.members, live)
+	c.Assert(a.exchanger.Exchange(ctx, live), qt.IsNotNil)
+	c.Assert(a.exchanger.Pick(2, random), qt.HasLen, 2)
+	g.add(dead)
+	c.Assert(a.exchanger.Exchange(ctx, dead), qt.IsNil)
+	c.Assert(a.exchanger.Pick(2, random), qt.DeepEquals, []string{dead})
+}
--- a/gossip/machine_test.go
+++ b/gossip/machine_test.go
@@ -174,6 +174,13 @@
 	return entry, err
 }
 
+func (s interleaved) List(ctx context.Context, prefix string) ([]store.Entry, error) {
+	s.f.meanwhile("list")
+	entries, err := s.Store.List(ctx, prefix)
+	s.f.meanwhile("listed")
+	return entries, err
+}
+
 func (f *fleet) apply(base int64, change config.Change) {
 	s := interleaved{f.backend, f}
 	acceptor := config.NewAcceptor(s, config.NewBlobs(config.StoreSource{Store: s}))
@@ -289,6 +296,7 @@
 
 // check compares each process with the oracle.
 func (f *fleet) check() {
+	f.checkBlobs()
 	now := f.clock.Now()
 	for i, p := range f.processes {
 		head, held := p.follower.Head()
@@ -318,6 +326,22 @@
 	}
 }
 
+// checkBlobs looks for the content of the head in force.
+func (f *fleet) checkBlobs() {
+	if len(f.history) == 0 {
+		return
+	}
+	head := f.history[len(f.history)-1].head
+	for name, domain := range head.Domains {
+		if f.backend.Keys(config.BlobInventory.Key(domain.InventoryHash)) == 0 {
+			f.t.Fatalf("the inventory of %s at revision %d is gone", name, head.Revision)
+		}
+	}
+	if f.backend.Keys(config.BlobRules.Key(head.RulesHash)) == 0 {
+		f.t.Fatalf("the rules of revision %d are gone", head.Revision)
+	}
+}
+
 // checkOutcomes compares what operators were told with the accepted heads.
 func (f *fleet) checkOutcomes() {
 	times := map[string]int{}
@@ -380,7 +404,7 @@
 // Guards, with racing operators, lost responses, held writes, restarts and messages in any order, against: a change with
 // another outcome than reported, a process that goes back, a proof that is younger than it should be, a start in a
 // failure domain that has been out of service for longer than the freshness (P4), and a process or an owner table that
-// doesn't converge once the faults end (P10).
+// doesn't converge once the faults end (P10), and content of the head in force that is removed as unused.
 func TestFleetFollowsTheOracle(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		f := newFleet(r)
--- a/gossip/module.go
+++ b/gossip/module.go
@@ -77,8 +77,10 @@
 	m.clock, m.scope, m.config = c.Clock, c.Metrics.SubScope("gossip"), holder
 	m.owners = NewOwnerTable()
 	m.client = &http.Client{
-		Timeout:   m.settings.Timeout,
-		Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxIdleConns: maxLearnedPeers, IdleConnTimeout: time.Minute},
+		Timeout: m.settings.Timeout,
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: 1, MaxIdleConns: maxLearnedPeers, IdleConnTimeout: time.Minute, DisableCompression: true,
+		},
 	}
 	m.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	identity := Identity{
@@ -175,6 +177,7 @@
 	if err != nil {
 		return Message{}, eris.Wrap(err, "sending a message")
 	}
+	request.Header.Set("User-Agent", "") // Not sent: it would be a tenth of a message.
 	response, err := m.client.Do(request)
 	if err != nil {
 		return Message{}, eris.Wrap(err, "sending a message")
--- a/gossip/peers.go
+++ b/gossip/peers.go
@@ -12,8 +12,19 @@
 	maxLearnedPeers = 128
 	// peerLifetime is how long a peer is kept after its last message.
 	peerLifetime = 30 * time.Second
+	// firstSuspension is how long a peer isn't called after a failure; it doubles with each further one in a row. A call
+	// to a silent peer delays a round by its whole timeout, which the start freshness of 3 s leaves little room for.
+	firstSuspension = 2 * time.Second
+	// maxSuspension bounds a suspension, so that a peer that returns is found again.
+	maxSuspension = 30 * time.Second
 )
 
+// suspension keeps a peer that failed from being called.
+type suspension struct {
+	until  time.Time
+	length time.Duration
+}
+
 // peer is what is known of another process.
 type peer struct {
 	heard time.Time
@@ -29,10 +40,12 @@
 
 	mu      sync.Mutex
 	learned map[string]*peer
+	// suspended holds seeds and owners only, so its size is bounded by theirs.
+	suspended map[string]suspension
 }
 
 func newPeerTable(self string, seeds []string) *peerTable {
-	return &peerTable{self: self, seeds: seeds, learned: map[string]*peer{}}
+	return &peerTable{self: self, seeds: seeds, learned: map[string]*peer{}, suspended: map[string]suspension{}}
 }
 
 // record notes what a peer holds and tells whether there was room for it.
@@ -73,7 +86,24 @@
 	return 0, 0, false
 }
 
-// addresses returns the sorted addresses of all peers, including extra ones.
+// failed notes that a call to a peer failed. A learned peer is forgotten until it calls again; others are suspended.
+func (t *peerTable) failed(address string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.learned, address)
+	length := min(max(firstSuspension, 2*t.suspended[address].length), maxSuspension)
+	t.suspended[address] = suspension{until: now.Add(length), length: length}
+}
+
+// succeeded notes that a call to a peer succeeded.
+func (t *peerTable) succeeded(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.suspended, address)
+}
+
+// addresses returns the sorted addresses of all peers, including extra ones, without suspended ones. When all are
+// suspended, all are returned.
 func (t *peerTable) addresses(now time.Time, extra []string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -84,5 +114,15 @@
 	}
 	slices.Sort(all)
 	all = slices.Compact(all)
-	return slices.DeleteFunc(all, func(address string) bool { return address == t.self || address == "" })
+	all = slices.DeleteFunc(all, func(address string) bool { return address == t.self || address == "" })
+	for address := range t.suspended {
+		if _, member := slices.BinarySearch(all, address); !member {
+			delete(t.suspended, address)
+		}
+	}
+	usable := slices.DeleteFunc(slices.Clone(all), func(address string) bool { return now.Before(t.suspended[address].until) })
+	if len(usable) == 0 {
+		return all
+	}
+	return usable
 }
