--- a/gossip/exchange_test.go
+++ b/gossip/exchange_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -31,16 +32,20 @@
 	messages int
 	bytes    int
 	largest  int
+	// perNode adds up the bytes that each address has sent and received.
+	perNode map[string]int
 }
 
 func newGroup() *group {
-	return &group{clock: clock.NewManual(time.Unix(1_700_000_000, 0)), members: map[string]*member{}}
+	return &group{clock: clock.NewManual(time.Unix(1_700_000_000, 0)), members: map[string]*member{}, perNode: map[string]int{}}
 }
 
-func (g *group) add(address string) *member {
+func (g *group) add(address string) *member { return g.addSeeded(address, nil) }
+
+func (g *group) addSeeded(address string, seeds []string) *member {
 	m := &member{follower: config.NewFollower(g.clock), owners: gossip.NewOwnerTable()}
 	identity := gossip.Identity{Fleet: "test", Name: "agent-" + address, Role: kernel.RoleAgent, Address: address}
-	m.exchanger = gossip.NewExchanger(identity, g.clock, m.follower, m.owners, nil, g, func(reason gossip.Reason) {
+	m.exchanger = gossip.NewExchanger(identity, g.clock, m.follower, m.owners, seeds, g, func(reason gossip.Reason) {
 		m.rejected = append(m.rejected, reason)
 	})
 	g.members[address] = m
@@ -48,13 +53,16 @@
 }
 
 func (g *group) Send(_ context.Context, to string, message gossip.Message) (gossip.Message, error) {
-	g.count(message)
+	g.count(message, message.Address, to)
+	if g.members[to] == nil {
+		return gossip.Message{}, errLost
+	}
 	response, _, err := g.members[to].exchanger.Receive(message)
-	g.count(response)
+	g.count(response, message.Address, to)
 	return response, err
 }
 
-func (g *group) count(message gossip.Message) {
+func (g *group) count(message gossip.Message, ends ...string) {
 	raw, err := json.Marshal(message)
 	if err != nil {
 		panic(err)
@@ -62,6 +70,9 @@
 	g.messages++
 	g.bytes += len(raw)
 	g.largest = max(g.largest, len(raw))
+	for _, end := range ends {
+		g.perNode[end] += len(raw)
+	}
 }
 
 func fullHead(revision int64, domains, workers int) config.Head {
@@ -138,3 +149,29 @@
 	_, proven := a.follower.Confirmed()
 	c.Assert(proven, qt.IsFalse)
 }
+
+// Guards against rounds that keep calling a peer that doesn't answer, and against such a peer never being called again.
+func TestFailedPeersAreSuspended(t *testing.T) {
+	c := qt.New(t)
+	g := newGroup()
+	const live, dead = "127.0.0.1:2", "127.0.0.1:3"
+	a := g.addSeeded("127.0.0.1:1", []string{live, dead})
+	g.add(live)
+	random := rand.New(rand.NewPCG(1, 1))
+	ctx := context.Background()
+	for _, length := range []time.Duration{2, 4, 8, 16, 30, 30} {
+		c.Assert(a.exchanger.Pick(2, random), qt.HasLen, 2)
+		c.Assert(a.exchanger.Exchange(ctx, dead), qt.IsNotNil)
+		c.Assert(a.exchanger.Exchange(ctx, live), qt.IsNil)
+		g.clock.Advance(length*time.Second - time.Millisecond)
+		c.Assert(a.exchanger.Pick(2, random), qt.DeepEquals, []string{live})
+		g.clock.Advance(time.Millisecond)
+	}
+	c.Assert(a.exchanger.Exchange(ctx, dead), qt.IsNotNil)
+	delete(g.members, live)
+	c.Assert(a.exchanger.Exchange(ctx, live), qt.IsNotNil)
+	c.Assert(a.exchanger.Pick(2, random), qt.HasLen, 2)
+	g.add(dead)
+	c.Assert(a.exchanger.Exchange(ctx, dead), qt.IsNil)
+	c.Assert(a.exchanger.Pick(2, random), qt.DeepEquals, []string{dead})
+}
--- a/gossip/module.go
+++ b/gossip/module.go
@@ -77,8 +77,10 @@
 	m.clock, m.scope, m.config = c.Clock, c.Metrics.SubScope("gossip"), holder
 	m.owners = NewOwnerTable()
 	m.client = &http.Client{
-		Timeout:   m.settings.Timeout,
-		Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxIdleConns: maxLearnedPeers, IdleConnTimeout: time.Minute},
+		Timeout: m.settings.Timeout,
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: 1, MaxIdleConns: maxLearnedPeers, IdleConnTimeout: time.Minute, DisableCompression: true,
+		},
 	}
 	m.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	identity := Identity{
@@ -143,11 +145,8 @@
 
 // pause is the interval to the next round, with jitter so that processes that start together spread out.
 func (m *Module) pause() time.Duration {
-	interval := m.settings.Interval
-	if !m.config.Polling() {
-		head, _ := m.config.Follower().Head()
-		interval = scaledInterval(interval, head.Workers())
-	}
+	head, _ := m.config.Follower().Head()
+	interval := RoundInterval(m.settings.Interval, m.config.Polling(), head.Workers())
 	const jitter = 0.1
 	return time.Duration(float64(interval)*(1+jitter*(2*m.random.Float64()-1))) - minPause
 }
@@ -155,7 +154,7 @@
 // round exchanges with a few random peers at once.
 func (m *Module) round(ctx context.Context) {
 	var exchanges sync.WaitGroup
-	for _, address := range m.exchanger.pick(m.settings.Fanout, m.random) {
+	for _, address := range m.exchanger.Pick(m.settings.Fanout, m.random) {
 		exchanges.Go(func() {
 			result := "ok"
 			if err := m.exchanger.Exchange(ctx, address); err != nil {
@@ -178,6 +177,7 @@
 	if err != nil {
 		return Message{}, eris.Wrap(err, "sending a message")
 	}
+	request.Header.Set("User-Agent", "") // Not sent: it would be a tenth of a message.
 	response, err := m.client.Do(request)
 	if err != nil {
 		return Message{}, eris.Wrap(err, "sending a message")
