Audit what the workers ran against the guarantees

Cause: with separate processes under faults nothing checked that no task ran in two places, above capacity, twice to its end, or in a domain that was out. Ruled out: checking the owner's own state, since it would share the fault. Figures: `go test ./test/audit`: each of four violations is found, a clean record passes.

--- /dev/null
+++ b/test/audit/audit_test.go
@@ -0,0 +1,50 @@
+package audit_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/platform/worker"
+	"github.com/quetzalshed/quetzalshed/platform/worker/workertest"
+	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/test/audit"
+)
+
+func run(index int, from, to int64, phase worker.Phase) workertest.Run {
+	text, _ := json.Marshal(structs.Allocation{ID: "a", Task: structs.TaskID{JobID: "j", Index: index}})
+	return workertest.Run{
+		AllocationID: "a", Annotations: map[string]string{"allocation": string(text)}, FromUnixNano: from, ToUnixNano: to,
+		Phase: phase, Resources: structs.Resources{MilliCores: 600},
+	}
+}
+
+func record(name string, runs ...workertest.Run) audit.Record {
+	return audit.Record{
+		Worker: structs.Worker{Name: name, FailureDomain: name, Capacity: structs.Resources{MilliCores: 1000}}, Runs: runs,
+	}
+}
+
+// Guards against an audit that passes whatever happened.
+func TestViolationsAreFound(t *testing.T) {
+	c := qt.New(t)
+	finished, stopped := worker.PhaseFinished, worker.PhaseStopped
+	out := []audit.Outage{{Domain: "w1", From: 100, To: 200}}
+	for want, records := range map[string][]audit.Record{
+		"":                        {record("w1", run(0, 1, 5, stopped), run(1, 5, 9, finished)), record("w2", run(0, 5, 9, finished))},
+		".* at the same time .*":  {record("w1", run(0, 1, 5, stopped)), record("w2", run(0, 4, 9, finished))},
+		".* finished 2 times":     {record("w1", run(0, 1, 5, finished)), record("w2", run(0, 5, 9, finished))},
+		".* at once and holds .*": {record("w1", run(0, 1, 5, finished), run(1, 4, 9, finished))},
+		".* was taken out":        {record("w1", run(0, 150, 190, finished), run(1, 201, 205, finished))},
+	} {
+		_, got := audit.Check(records, out, 10*time.Nanosecond)
+		if want == "" {
+			c.Assert(got, qt.HasLen, 0)
+			continue
+		}
+		c.Assert(got, qt.HasLen, 1, qt.Commentf("%s", want))
+		c.Assert(got[0], qt.Matches, want)
+	}
+}
