Share the blob cache with peers and report a store that lost data

Cause: blobs that an entry had just written were not in the cache that it serves, so each polling process read them from the store; a dead peer cost a timeout per blob; a store that is behind the held head stayed unnoticed. Ruled out: reading blobs from the store first, which at 72 polling processes and 18 failure domains is up to 1,300 reads at once. Change: one cache for both, peers that fail are avoided for 5 s, and four polls in a row behind the held revision, or another head of the same revision, are logged once and counted.

--- a/cmd/quetzalctl/command_test.go
+++ b/cmd/quetzalctl/command_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -18,6 +19,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/config"
 	"github.com/quetzalshed/quetzalshed/kernel"
 	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
 
@@ -115,6 +117,21 @@
 	t.Fatalf("%v never printed %q, but:\n%s", args, text, output)
 }
 
+// eventuallyServes repeats a request until it succeeds, as when an agent that doesn't poll the store has learned of a head
+// by gossip and loaded its rules.
+func eventuallyServes(t *testing.T, url string) {
+	for range 500 {
+		response, err := http.Get(url)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, response.Body.Close(), qt.IsNil)
+		if response.StatusCode == http.StatusOK {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("%s is never served", url)
+}
+
 func example(name string) string { return filepath.Join("..", "..", "examples", "bagmati", name) }
 
 // Guards against commands, the operators' API, polling and gossip that don't work together: two entries and an agent
@@ -127,7 +144,7 @@
 	storeAddress := strings.TrimPrefix(server.URL, "http://")
 	first := startProcess(t, kernel.RoleEntry, "entry-1", storeAddress, "")
 	second := startProcess(t, kernel.RoleEntry, "entry-2", storeAddress, first)
-	startProcess(t, kernel.RoleAgent, "agent-1", storeAddress, first+", "+second)
+	agent := startProcess(t, kernel.RoleAgent, "agent-1", storeAddress, first+", "+second)
 	eventually(t, "revision   0", first, "status")
 
 	status, output := run(first, "inventory", "apply", example("inventory.csv"))
@@ -142,6 +159,9 @@
 	c.Assert(status, qt.Equals, 0, qt.Commentf("%s", output))
 	eventually(t, "patan                                4 workers  out of service", second, "status")
 	eventually(t, "price-check", second, "config", "show", "rules")
+	head, err := config.NewAcceptor(backend, config.NewBlobs()).Current(context.Background())
+	c.Assert(err, qt.IsNil)
+	eventuallyServes(t, "http://"+agent+"/v1/config/blobs/rules/"+head.RulesHash)
 	eventually(t, "bhaktapur-03", first, "config", "show", "inventory")
 
 	bad := filepath.Join(t.TempDir(), "rules.ini")
--- a/config/acceptor.go
+++ b/config/acceptor.go
@@ -231,7 +231,7 @@
 			// The head hasn't been written, so the change certainly wasn't made, whatever became of the blob.
 			return eris.Wrapf(store.ErrUnavailable, "writing %s %s: %v", b.kind, b.hash, err)
 		}
-		a.blobs.add(b.hash, b.raw)
+		a.blobs.cache.add(b.hash, b.raw)
 	}
 	return nil
 }
--- /dev/null
+++ b/config/blobcache.go
@@ -0,0 +1,43 @@
+package config
+
+import (
+	"slices"
+	"sync"
+)
+
+// blobCache holds the most recently used blobs. It is safe for concurrent use.
+type blobCache struct {
+	mu    sync.Mutex
+	blobs map[string][]byte
+	// order lists the hashes, the least recently used first.
+	order []string
+}
+
+func (c *blobCache) get(hash string) ([]byte, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	raw, ok := c.blobs[hash]
+	if ok {
+		c.touch(hash)
+	}
+	return raw, ok
+}
+
+func (c *blobCache) add(hash string, raw []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.blobs[hash] = raw
+	c.touch(hash)
+	if len(c.order) > maxCachedBlobs {
+		delete(c.blobs, c.order[0])
+		c.order = slices.Delete(c.order, 0, 1)
+	}
+}
+
+// touch marks a hash as the most recently used. The caller holds the lock.
+func (c *blobCache) touch(hash string) {
+	if at := slices.Index(c.order, hash); at >= 0 {
+		c.order = slices.Delete(c.order, at, at+1)
+	}
+	c.order = append(c.order, hash)
+}
--- a/config/blobs.go
+++ b/config/blobs.go
@@ -6,7 +6,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"sync"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/multierr"
@@ -66,29 +65,22 @@
 // Blobs caches blobs in front of one or more sources. It is safe for concurrent use.
 type Blobs struct {
 	sources []BlobSource
-
-	mu    sync.Mutex
-	cache map[string][]byte
-	// order lists the cached hashes, the least recently used first.
-	order []string
+	cache   *blobCache
 }
 
 // NewBlobs returns a cache in front of sources, which are asked in turn.
 func NewBlobs(sources ...BlobSource) *Blobs {
-	return &Blobs{sources: sources, cache: map[string][]byte{}}
+	return &Blobs{sources: sources, cache: &blobCache{blobs: map[string][]byte{}}}
 }
 
-// Cached returns a blob without asking a source.
-func (b *Blobs) Cached(hash string) ([]byte, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	raw, ok := b.cache[hash]
-	if ok {
-		b.touch(hash)
-	}
-	return raw, ok
+// WithSources returns the same cache in front of other sources.
+func (b *Blobs) WithSources(sources ...BlobSource) *Blobs {
+	return &Blobs{sources: sources, cache: b.cache}
 }
 
+// Cached returns a blob without asking a source.
+func (b *Blobs) Cached(hash string) ([]byte, bool) { return b.cache.get(hash) }
+
 // Get returns a blob from the cache or from the first source that has it.
 func (b *Blobs) Get(ctx context.Context, kind BlobKind, hash string) ([]byte, error) {
 	if raw, ok := b.Cached(hash); ok {
@@ -101,7 +93,7 @@
 			err = eris.Errorf("blob %s has other content", hash)
 		}
 		if err == nil {
-			b.add(hash, raw)
+			b.cache.add(hash, raw)
 			return raw, nil
 		}
 		failures = multierr.Append(failures, err)
@@ -109,28 +101,6 @@
 	return nil, eris.Wrapf(failures, "loading %s %s", kind, hash)
 }
 
-func (b *Blobs) add(hash string, raw []byte) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.cache[hash] = raw
-	b.touch(hash)
-	if len(b.order) > maxCachedBlobs {
-		delete(b.cache, b.order[0])
-		b.order = b.order[1:]
-	}
-}
-
-// touch marks a hash as the most recently used. The caller holds the lock.
-func (b *Blobs) touch(hash string) {
-	for i, other := range b.order {
-		if other == hash {
-			b.order = append(b.order[:i], b.order[i+1:]...)
-			break
-		}
-	}
-	b.order = append(b.order, hash)
-}
-
 // rulesBlob is the content of a rules blob. The source is kept, so that later findings name its lines.
 type rulesBlob struct {
 	Rules  *Rules `json:"rules"`
--- a/config/configmodule/module.go
+++ b/config/configmodule/module.go
@@ -56,8 +56,12 @@
 	// polling is set in entries, and in agents while they own a shard.
 	polling atomic.Bool
 	wake    chan struct{}
-	stop    context.CancelFunc
-	done    sync.WaitGroup
+	// behind counts polls in a row that returned a lower revision than the held one; lost is the last reported head. Both
+	// belong to the polling goroutine.
+	behind int
+	lost   string
+	stop   context.CancelFunc
+	done   sync.WaitGroup
 }
 
 // Settings implements kernel.Module.
@@ -71,10 +75,11 @@
 	}
 	m.clock, m.log, m.scope = c.Clock, c.Log.Named(Name), c.Metrics.SubScope("config")
 	m.store = holder.Store()
-	m.peers = newPeerSource()
-	// Shared blobs come from peers first, so that a change doesn't make the whole fleet read the store at once.
+	m.peers = newPeerSource(m.clock)
+	// Blobs come from peers first, so that a change doesn't make the whole fleet read the store at once.
 	m.blobs = config.NewBlobs(m.peers, config.StoreSource{Store: m.store})
-	m.acceptor = config.NewAcceptor(m.store, config.NewBlobs(config.StoreSource{Store: m.store}))
+	// A change is based on the store alone, so that it doesn't wait for peers. What it writes is cached for them.
+	m.acceptor = config.NewAcceptor(m.store, m.blobs.WithSources(config.StoreSource{Store: m.store}))
 	m.follower = config.NewFollower(m.clock)
 	m.wake = make(chan struct{}, 1)
 	m.polling.Store(c.Role == kernel.RoleEntry)
@@ -106,7 +111,7 @@
 func (m *Module) Acceptor() *config.Acceptor { return m.acceptor }
 
 // SetPeers sets the addresses from which blobs are fetched before the store is asked. It is called while provisioning.
-func (m *Module) SetPeers(addresses func() []string) { m.peers.set(addresses) }
+func (m *Module) SetPeers(addresses func() []string) { m.peers.addresses = addresses }
 
 // SetPolling turns the polling of the head in an agent on, while it owns a shard, or off.
 func (m *Module) SetPolling(on bool) {
@@ -156,7 +161,28 @@
 		return
 	}
 	if err := m.follower.ObserveStore(head, sentAt); err != nil {
-		m.count("forked_heads", "store")
+		m.reportLoss("another head has the held revision", head)
+	} else if newest := m.follower.Revision(); head.Revision < newest {
+		// Normal for a read that overlaps with a change; it doesn't last then.
+		m.behind++
+		if m.behind == lossPolls {
+			m.reportLoss("the store stays behind the held revision", head)
+		}
+		return
+	}
+	m.behind = 0
+}
+
+// lossPolls is the number of reads in a row after which a store that is behind counts as having lost data.
+const lossPolls = 4
+
+// reportLoss reports that the store has lost data, or that a process of another store is in this fleet. The held head
+// stays in force until the store's revision exceeds it.
+func (m *Module) reportLoss(what string, head config.Head) {
+	m.count("lost_heads", "store")
+	if m.lost != head.ChangeID() {
+		m.lost = head.ChangeID()
+		m.log.Error(what, "store_revision", head.Revision, "held_revision", m.follower.Revision())
 	}
 }
 
@@ -220,7 +246,7 @@
 	}
 	m.count("loads", "ok")
 	m.follower.SetLoaded(next)
-	m.scope.Gauge("revision").Update(float64(head.Revision))
+	m.scope.Gauge("loaded_revision").Update(float64(head.Revision))
 	m.log.Info("configuration in force", "revision", head.Revision, "workers", head.Workers())
 	return true
 }
--- a/config/configmodule/peers.go
+++ b/config/configmodule/peers.go
@@ -5,40 +5,50 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/config"
 	"github.com/quetzalshed/quetzalshed/platform/store"
 )
 
 const (
 	// maxPeersAsked bounds the peers that are asked for one blob before the store.
-	maxPeersAsked = 3
-	// peerTimeout bounds one request for a blob to a peer.
-	peerTimeout = time.Second
+	maxPeersAsked = 2
+	// peerTimeout bounds one request to a peer. Blobs have at most about 32 KB at 189 workers per failure domain.
+	peerTimeout = 500 * time.Millisecond
+	// avoidTime is how long a peer that failed isn't asked, so that the blobs of one head don't each wait for it.
+	avoidTime = 5 * time.Second
+	// maxAvoided bounds the peers that are avoided; beyond it, all are asked again.
+	maxAvoided = 256
 )
 
 // peerSource fetches blobs from other processes.
 type peerSource struct {
 	client    *http.Client
+	clock     clock.Clock
 	addresses func() []string
+
+	mu      sync.Mutex
+	avoided map[string]time.Time
 }
 
-func newPeerSource() *peerSource {
+func newPeerSource(c clock.Clock) *peerSource {
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
 	return &peerSource{
-		client:    &http.Client{Timeout: peerTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}},
-		addresses: func() []string { return nil },
+		client: &http.Client{Timeout: peerTimeout, Transport: transport}, clock: c,
+		addresses: func() []string { return nil }, avoided: map[string]time.Time{},
 	}
 }
 
-func (p *peerSource) set(addresses func() []string) { p.addresses = addresses }
-
 // Blob implements config.BlobSource. It asks a few random peers.
 func (p *peerSource) Blob(ctx context.Context, kind config.BlobKind, hash string) ([]byte, error) {
 	err := eris.New("no peer is known")
-	addresses := p.addresses()
+	addresses := slices.DeleteFunc(p.addresses(), p.avoids)
 	for i, at := range rand.Perm(len(addresses)) {
 		if i >= maxPeersAsked {
 			break
@@ -51,6 +61,21 @@
 	return nil, err
 }
 
+func (p *peerSource) avoids(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.clock.Now().Before(p.avoided[address])
+}
+
+func (p *peerSource) avoid(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.avoided) >= maxAvoided {
+		clear(p.avoided)
+	}
+	p.avoided[address] = p.clock.Now().Add(avoidTime)
+}
+
 func (p *peerSource) fetch(ctx context.Context, address string, kind config.BlobKind, hash string) ([]byte, error) {
 	url := "http://" + address + "/v1/config/blobs/" + string(kind) + "/" + hash
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
@@ -59,6 +84,7 @@
 	}
 	response, err := p.client.Do(request)
 	if err != nil {
+		p.avoid(address)
 		return nil, eris.Wrap(err, "asking a peer")
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -66,8 +92,12 @@
 		return nil, eris.Errorf("peer %s: status %d", address, response.StatusCode)
 	}
 	raw, err := io.ReadAll(io.LimitReader(response.Body, store.MaxValueBytes+1))
-	if err == nil && config.HashBlob(raw) != hash {
-		err = eris.Errorf("peer %s: blob %s has other content", address, hash)
+	if err != nil {
+		p.avoid(address)
+		return nil, eris.Wrap(err, "asking a peer")
+	}
+	if config.HashBlob(raw) != hash {
+		return nil, eris.Errorf("peer %s: blob %s has other content", address, hash)
 	}
-	return raw, eris.Wrap(err, "asking a peer")
+	return raw, nil
 }
