Verify responses before their connection is used again

Cause: a response that failed its checks left its connection in the pool for a moment, until the attempt's failure was handled; a test of the fault kinds found the connection there. Ruled out: that another request could have got the wrong response: each response is checked against its attempt. Change: the pool checks a response before it takes the connection back; tests of fault kinds, pool bounds and interim states; a rapid state machine of request outcomes with two entries, two agents and a store, all of which fail; a benchmark of the added latency against a direct call in the same run.

--- /dev/null
+++ b/entry/requests/bench_test.go
@@ -0,0 +1,63 @@
+package requests
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/quetzalshed/quetzalshed/idempotency/idempotencytest"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// BenchmarkAddedLatency prints the latency of a request through the entry to a fake agent beside that of a direct call
+// of a server with the same response. Both alternate within one run, so that their difference holds on a noisy machine.
+func BenchmarkAddedLatency(b *testing.B) {
+	for _, method := range []string{http.MethodPut, http.MethodPost} {
+		b.Run(method, func(b *testing.B) {
+			e := newEntry(b, idempotencytest.New(), func(s *Settings) {
+				s.RecordsPerSecond, s.MinHedge, s.AnnounceMin = 1e4, time.Second, time.Hour
+				s.AnnounceMax = time.Hour
+			})
+			newAgent(b, "a", e)
+			direct := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				body, _ := io.ReadAll(r.Body)
+				_, _ = w.Write(append([]byte("/p:"), body...))
+			}))
+			defer direct.Close()
+			paths := map[string]*hdrhistogram.Histogram{}
+			for _, name := range []string{"direct", "entry"} {
+				paths[name] = hdrhistogram.New(1, int64(time.Minute), 3)
+			}
+			measure := func(name, url string) {
+				start := time.Now()
+				request, _ := http.NewRequest(method, url, strings.NewReader("payload"))
+				response, err := http.DefaultClient.Do(request)
+				if err != nil {
+					b.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+				if name == "entry" && response.Header.Get(structs.HeaderOutcome) != "answered" {
+					b.Fatal(response.Status, response.Header.Get(structs.HeaderReason))
+				}
+				_ = paths[name].RecordValue(time.Since(start).Nanoseconds())
+			}
+			for b.Loop() {
+				measure("direct", direct.URL)
+				measure("entry", e.url+"/s/price/p")
+			}
+			for _, p := range []float64{50, 99} {
+				d, v := paths["direct"].ValueAtPercentile(p), paths["entry"].ValueAtPercentile(p)
+				unit := map[float64]string{50: "p50", 99: "p99"}[p]
+				b.ReportMetric(float64(d)/1e3, unit+"-direct-us")
+				b.ReportMetric(float64(v)/1e3, unit+"-entry-us")
+				b.ReportMetric(float64(v-d)/1e3, unit+"-added-us")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/entry/requests/machine_test.go
@@ -0,0 +1,193 @@
+package requests
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/quetzalshed/quetzalshed/forward/forwardtest"
+	"github.com/quetzalshed/quetzalshed/idempotency/idempotencytest"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// TestMain fixes the seed of rapid and bounds its work, since each step takes real time. Flags override both.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "25")
+	_ = flag.Set("rapid.steps", "20")
+	os.Exit(m.Run())
+}
+
+// machine is a small fleet with the oracle of its requests.
+type machine struct {
+	t        *testing.T
+	kv       *idempotencytest.Store
+	entries  []*testEntry
+	agents   []*forwardtest.Agent
+	sequence int64
+
+	mu   sync.Mutex
+	keys []*keyUse
+}
+
+// keyUse is what the oracle knows of the requests with one key, whose body is the key.
+type keyUse struct {
+	key string
+	// once tells that the request is not idempotent.
+	once bool
+	// answered tells that a response arrived; open that one may have run without a response.
+	answered, open bool
+	uses           int
+}
+
+func newMachine(t *testing.T) *machine {
+	m := &machine{t: t, kv: idempotencytest.New()}
+	for range 2 {
+		m.entries = append(m.entries, newEntry(t, m.kv, func(s *Settings) {
+			s.Silence, s.ResolveTimeout, s.SuspectFor = 40*time.Millisecond, 100*time.Millisecond, 50*time.Millisecond
+			s.RetryPerSecond, s.DefaultHedge, s.MinHedge = 1000, 20*time.Millisecond, time.Millisecond
+			s.RecordsPerSecond = 10_000
+		}))
+	}
+	for i := range 2 {
+		m.agents = append(m.agents, newAgent(t, fmt.Sprint("agent-", i)))
+	}
+	m.announce(false, false)
+	return m
+}
+
+// announce tells the entries of the agents, of which the first may be leaving. With stale set only one entry learns.
+func (m *machine) announce(leaving, stale bool) {
+	m.sequence++
+	for i, agent := range m.agents {
+		announcement := agent.Announcement("price", m.sequence)
+		announcement.Leaving = leaving && i == 0
+		for j, e := range m.entries {
+			if j == 0 || !stale {
+				e.announce(m.t, announcement)
+			}
+		}
+	}
+}
+
+func (m *machine) runs(body string) (total int) {
+	for _, agent := range m.agents {
+		total += agent.RunsOf(body)
+	}
+	return total
+}
+
+// send makes one request and checks its response against the runs that the agents counted.
+func (m *machine) send(entry int, use *keyUse) error {
+	method := http.MethodPut
+	if use.once {
+		method = http.MethodPost
+	}
+	response, body := m.entries[entry].call(m.t, method, "/s/price/p", use.key, structs.HeaderIdempotencyKey, use.key,
+		structs.HeaderTimeoutMillis, "600")
+	runs := m.runs(use.key)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	use.uses++
+	switch got := structs.Outcome(response.Header.Get(structs.HeaderOutcome)); got {
+	case structs.OutcomeAnswered:
+		use.answered = true
+		if body != "/p:"+use.key {
+			return fmt.Errorf("%s got the response %q", use.key, body)
+		}
+		if runs == 0 {
+			return fmt.Errorf("%s was answered without a run", use.key)
+		}
+	case structs.OutcomeNotRun:
+	case structs.OutcomeUnknown:
+		use.open = true
+	default:
+		return fmt.Errorf("%s got status %d without an outcome", use.key, response.StatusCode)
+	}
+	return nil
+}
+
+// check compares the runs of each key with what the callers were told.
+func (m *machine) check() error {
+	for _, e := range m.entries {
+		e.forwarder.Wait()
+	}
+	for _, use := range m.keys {
+		runs := m.runs(use.key)
+		if use.once && runs > 1 {
+			return fmt.Errorf("%s ran %d times", use.key, runs)
+		}
+		if !use.answered && !use.open && runs > 0 {
+			return fmt.Errorf("%s ran, but all of its %d callers were told that it did not", use.key, use.uses)
+		}
+	}
+	return nil
+}
+
+// Guards against a wrong or missing response (P5), not-run for a request that ran (P6), and a non-idempotent request that
+// runs twice (P7), under random faults of agents, connections, announcements and the store, with keys that are used again
+// and at two entries at once.
+func TestRequestOutcomes(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newMachine(t)
+		draw := func(name string, below int) int { return rapid.IntRange(0, below-1).Draw(rt, name) }
+		faults := func() {
+			for _, agent := range m.agents {
+				fault := forwardtest.Fault(draw("fault", forwardtest.Faults))
+				if fault == forwardtest.Hold {
+					fault = forwardtest.None
+				}
+				agent.Script(fault, forwardtest.Fault(draw("second fault", int(forwardtest.Truncate))))
+			}
+		}
+		use := func() *keyUse {
+			if n := len(m.keys); n > 0 && draw("again", 3) == 0 {
+				return m.keys[draw("key", n)]
+			}
+			m.keys = append(m.keys, &keyUse{key: fmt.Sprint("key-", len(m.keys)), once: draw("once", 3) > 0})
+			return m.keys[len(m.keys)-1]
+		}
+		fail := func(err error) {
+			if err != nil {
+				rt.Fatal(err)
+			}
+		}
+		request := func(*rapid.T) {
+			faults()
+			fail(m.send(draw("entry", 2), use()))
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"request": request, "another request": request,
+			"same key at once": func(*rapid.T) {
+				faults()
+				u := use()
+				errs := make(chan error, 2)
+				for entry := range 2 {
+					go func() { errs <- m.send(entry, u) }()
+				}
+				first, second := <-errs, <-errs
+				fail(first)
+				fail(second)
+			},
+			"store fault": func(*rapid.T) {
+				m.kv.Script(idempotencytest.Fault(draw("store fault", idempotencytest.Faults)))
+				m.kv.SetReadsDown(draw("reads", 4) == 0)
+			},
+			"late writes": func(*rapid.T) { m.kv.ApplyLate() },
+			"restart": func(*rapid.T) {
+				m.agents[draw("agent", 2)].Restart()
+				m.announce(false, draw("stale", 2) == 0)
+			},
+			"leave or return": func(*rapid.T) { m.announce(draw("leaving", 2) == 0, false) },
+			"mute":            func(*rapid.T) { m.agents[draw("agent", 2)].Mute() },
+			"lost resolves":   func(*rapid.T) { m.agents[draw("agent", 2)].DropResolves(draw("resolves", 5)) },
+		})
+		fail(m.check())
+	})
+}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -138,12 +138,21 @@
 
 // send makes one attempt and returns its verified reply.
 func (f *Forwarder) send(ctx context.Context, r *Request, target Target, attempt string, interim func(http.Header)) (*Reply, error) {
-	m, err := f.opts.Pool.Exchange(ctx, target.Address, false, func() *http.Request {
-		budget := time.Until(r.Deadline) - f.opts.Margin
-		return attemptRequest(r, target, attempt, max(budget, 0), traceHeaders(ctx))
-	}, interim)
-	if err != nil {
-		return nil, err
+	var reply *Reply
+	_, err := f.opts.Pool.exchange(ctx, call{
+		address: target.Address, interim: interim, check: verifyInto(&reply, attempt),
+		build: func() *http.Request {
+			budget := time.Until(r.Deadline) - f.opts.Margin
+			return attemptRequest(r, target, attempt, max(budget, 0), traceHeaders(ctx))
+		},
+	})
+	return reply, err
+}
+
+// verifyInto returns a check that verifies a response to an attempt and stores the reply.
+func verifyInto(reply **Reply, attempt string) func(*Message) error {
+	return func(m *Message) (err error) {
+		*reply, err = verify(m, attempt)
+		return err
 	}
-	return verify(m, attempt)
 }
--- a/forward/forwardtest/agent.go
+++ b/forward/forwardtest/agent.go
@@ -55,8 +55,12 @@
 	Hold
 	// Forget runs the attempt, closes the connection and retains nothing.
 	Forget
+	faults
 )
 
+// Faults is the number of faults.
+const Faults = int(faults)
+
 // Agent is a fake agent.
 type Agent struct {
 	Name string
@@ -142,6 +146,19 @@
 	}
 }
 
+// Script sets the faults of the next attempts; later ones have none.
+func (a *Agent) Script(script ...Fault) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	first := a.order
+	a.Next = func(n int) Fault {
+		if n-first < len(script) {
+			return script[n-first]
+		}
+		return None
+	}
+}
+
 // Mute makes all connections that are open now silent for ever. New ones work.
 func (a *Agent) Mute() {
 	a.mu.Lock()
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -182,15 +182,34 @@
 	}
 }
 
-// Exchange sends one request and returns the whole response.
-func (p *Pool) Exchange(ctx context.Context, address string, fresh bool, build func() *http.Request, interim func(http.Header)) (*Message, error) {
-	c, err := p.get(ctx, address, fresh)
+// call is one request to an agent.
+type call struct {
+	address string
+	// fresh asks for a new connection.
+	fresh bool
+	// build returns the request; it is called once a connection is there.
+	build func() *http.Request
+	// interim receives the headers of interim responses and may be nil.
+	interim func(http.Header)
+	// check refuses a response that doesn't belong to the request. Its connection is not used again.
+	check func(*Message) error
+}
+
+// exchange sends one request and returns the whole, checked response.
+func (p *Pool) exchange(ctx context.Context, k call) (*Message, error) {
+	c, err := p.get(ctx, k.address, k.fresh)
 	if err != nil {
 		return nil, err
 	}
-	m, reusable, err := c.roundTrip(ctx, build(), interim)
+	m, reusable, err := c.roundTrip(ctx, k.build(), k.interim)
+	if err == nil {
+		err = k.check(m)
+	}
 	p.put(c, reusable && err == nil, time.Now())
-	return m, err
+	if err != nil {
+		return nil, err
+	}
+	return m, nil
 }
 
 // Counts returns the number of open and of idle connections.
--- /dev/null
+++ b/forward/pool_test.go
@@ -0,0 +1,79 @@
+package forward
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/forward/forwardtest"
+)
+
+// Guards against a fault that is taken for another one: only FaultNotSent and FaultExhausted prove that nothing ran.
+func TestFaultKinds(t *testing.T) {
+	for fault, want := range map[forwardtest.Fault]Fault{
+		forwardtest.LoseClose: FaultBroken, forwardtest.RunSilent: FaultSilent, forwardtest.Truncate: FaultTruncated,
+		forwardtest.BadChecksum: FaultChecksum, forwardtest.WrongAttempt: FaultMixedUp, forwardtest.NoLength: FaultMalformed,
+		forwardtest.Oversized: FaultOversized, forwardtest.HugeHeader: FaultOversized,
+	} {
+		f := newFleet(t, 1, plenty())
+		f.faults(fault)
+		chosen, _ := f.table.Choose("price", nil)
+		_, err := f.send(t.Context(), request("payload", true, testSilence*10), Target{chosen.ID(), chosen.Address}, "id", nil)
+		var got *AttemptError
+		qt.Assert(t, errors.As(err, &got), qt.IsTrue)
+		qt.Assert(t, got.Kind, qt.Equals, want, qt.Commentf("fault %d", fault))
+		open, _ := f.opts.Pool.Counts()
+		qt.Assert(t, open, qt.Equals, 0, qt.Commentf("a faulty connection was kept"))
+	}
+}
+
+// Guards against connections that are as old as a silent one being used again, and against the bounds of the pool being
+// exceeded or its counts being wrong.
+func TestPoolBoundsAndDistrust(t *testing.T) {
+	f := newFleet(t, 1, plenty())
+	pool, address := f.opts.Pool, f.agents[0].Address()
+	pool.opts.MaxPerAddress = 2
+	one, err := pool.get(t.Context(), address, false)
+	qt.Assert(t, err, qt.IsNil)
+	two, err := pool.get(t.Context(), address, false)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = pool.get(t.Context(), address, false)
+	var fault *AttemptError
+	qt.Assert(t, errors.As(err, &fault), qt.IsTrue)
+	qt.Assert(t, fault.Kind, qt.Equals, FaultExhausted)
+	fresh, err := pool.get(t.Context(), address, true)
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("a resolve must not wait for connections that it decides about"))
+	pool.put(one, true, one.lastRead)
+	open, idle := pool.Counts()
+	qt.Assert(t, []int{open, idle}, qt.DeepEquals, []int{3, 1})
+	pool.Distrust(address)
+	pool.put(two, true, two.lastRead)
+	pool.put(fresh, true, fresh.lastRead)
+	open, idle = pool.Counts()
+	qt.Assert(t, []int{open, idle}, qt.DeepEquals, []int{0, 0})
+	newest, err := pool.get(t.Context(), address, false)
+	qt.Assert(t, err, qt.IsNil)
+	pool.opts.MaxIdle = 0
+	pool.put(newest, true, newest.lastRead)
+	open, _ = pool.Counts()
+	qt.Assert(t, open, qt.Equals, 0)
+}
+
+// Guards against interim responses being taken for the final one, and against their loss.
+func TestInterimStates(t *testing.T) {
+	f := newFleet(t, 1, plenty())
+	f.faults(forwardtest.Hold)
+	chosen, _ := f.table.Choose("price", nil)
+	states := 0
+	reply, err := f.send(t.Context(), request("payload", true, testSilence*100), Target{chosen.ID(), chosen.Address}, "id",
+		func(h http.Header) {
+			if states++; states == 3 {
+				f.agents[0].Release()
+			}
+		})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, reply.Status, qt.Equals, http.StatusOK)
+	qt.Assert(t, states >= 3, qt.IsTrue)
+}
--- a/forward/resolve.go
+++ b/forward/resolve.go
@@ -23,22 +23,15 @@
 func (f *Forwarder) Resolve(ctx context.Context, target Target, attempt string) (Resolution, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.opts.ResolveTimeout)
 	defer cancel()
-	m, err := f.opts.Pool.Exchange(ctx, target.Address, true, func() *http.Request {
-		return newRequest(http.MethodPost, target.Address, "/v1/requests/"+attempt+"/resolve", traceHeaders(ctx), nil)
-	}, nil)
+	var reply structs.ResolveReply
+	_, err := f.opts.Pool.exchange(ctx, call{
+		address: target.Address, fresh: true, check: parseInto(&reply, attempt), build: func() *http.Request {
+			return newRequest(http.MethodPost, target.Address, "/v1/requests/"+attempt+"/resolve", traceHeaders(ctx), nil)
+		},
+	})
 	if err != nil {
 		return Resolution{}, err
 	}
-	var reply structs.ResolveReply
-	if m.Status != http.StatusOK {
-		return Resolution{}, &AttemptError{Kind: FaultMalformed, Cause: eris.Errorf("resolve: status %d", m.Status)}
-	}
-	if err := json.Unmarshal(m.Body, &reply); err != nil {
-		return Resolution{}, &AttemptError{Kind: FaultMalformed, Cause: err}
-	}
-	if reply.Attempt != attempt {
-		return Resolution{}, &AttemptError{Kind: FaultMixedUp, Cause: eris.Errorf("resolve: attempt %q", reply.Attempt)}
-	}
 	if reply.Incarnation != target.ID.Incarnation {
 		return Resolution{State: structs.AttemptUnknown}, nil
 	}
@@ -56,13 +49,29 @@
 func (f *Forwarder) Answer(ctx context.Context, target Target, attempt string) (*Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.opts.ResolveTimeout)
 	defer cancel()
-	m, err := f.opts.Pool.Exchange(ctx, target.Address, true, func() *http.Request {
-		return newRequest(http.MethodGet, target.Address, "/v1/requests/"+attempt+"/answer", traceHeaders(ctx), nil)
-	}, nil)
-	if err != nil {
-		return nil, err
+	var reply *Reply
+	_, err := f.opts.Pool.exchange(ctx, call{
+		address: target.Address, fresh: true, check: verifyInto(&reply, attempt), build: func() *http.Request {
+			return newRequest(http.MethodGet, target.Address, "/v1/requests/"+attempt+"/answer", traceHeaders(ctx), nil)
+		},
+	})
+	return reply, err
+}
+
+// parseInto returns a check that stores the response to the resolve of an attempt.
+func parseInto(reply *structs.ResolveReply, attempt string) func(*Message) error {
+	return func(m *Message) error {
+		if m.Status != http.StatusOK {
+			return &AttemptError{Kind: FaultMalformed, Cause: eris.Errorf("resolve: status %d", m.Status)}
+		}
+		if err := json.Unmarshal(m.Body, reply); err != nil {
+			return &AttemptError{Kind: FaultMalformed, Cause: err}
+		}
+		if reply.Attempt != attempt {
+			return &AttemptError{Kind: FaultMixedUp, Cause: eris.Errorf("resolve: attempt %q", reply.Attempt)}
+		}
+		return nil
 	}
-	return verify(m, attempt)
 }
 
 // pollBackoff returns the wait after the n-th resolve that found an attempt running.
