Number attempts, wait for responses at the agent, and name the process in resolves

Cause: agents recognize an attempt that they have forgotten by a sequence in its ID, which random IDs don't have. A resolve that reached another process than the attempt was sent to left a tombstone there, and a later look at that process could read it as not-run. A response that arrived late was polled for. Ruled out: trusting not-run from GET answer: it doesn't name the process. Change: attempt IDs are the entry's incarnation and a sequence of 16 hexadecimal digits; resolves carry the incarnation; GET answer carries the time for which the agent may wait, with interim responses; the caller's Host header is passed on; no attempt starts with less than 25 ms left, since agents give up 10 ms early. Conclusion: a lost connection costs one resolve and one wait instead of polls.

--- a/entry/requests/entry_test.go
+++ b/entry/requests/entry_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +29,9 @@
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
+// incarnations keeps the IDs of attempts of different entries apart.
+var incarnations atomic.Int64
+
 // testEntry is an entry with short limits that is served on loopback.
 type testEntry struct {
 	*Module
@@ -47,7 +52,8 @@
 	router := mux.NewRouter().UseEncodedPath()
 	c := &kernel.Context{
 		Process: kernel.ProcessSettings{Name: "entry-1", FailureDomain: "patan"}, Log: hclog.NewNullLogger(),
-		Metrics: tally.NoopScope, Tracer: noop.NewTracerProvider().Tracer(""), Clock: clock.System{}, Router: router,
+		Incarnation: fmt.Sprint("entry-", incarnations.Add(1)),
+		Metrics:     tally.NoopScope, Tracer: noop.NewTracerProvider().Tracer(""), Clock: clock.System{}, Router: router,
 	}
 	qt.Assert(t, m.Provision(c), qt.IsNil)
 	if kv != nil {
--- a/entry/requests/module.go
+++ b/entry/requests/module.go
@@ -65,6 +65,7 @@
 	m.forwarder = forward.New(forward.Options{
 		Pool: m.pool, Table: m.table, Budget: limit.NewRetryBudget(s.RetryShare, s.RetryPerSecond),
 		Latencies: forward.NewLatencies(s.DefaultHedge), Tracer: c.Tracer, Metrics: c.Metrics, Margin: s.Margin,
+		Incarnation:    c.Incarnation,
 		ResolveTimeout: s.ResolveTimeout, SuspectFor: s.SuspectFor, MinHedge: s.MinHedge, MaxCleanups: maxCleanups,
 	})
 	m.inFlight = limit.NewInFlight(s.MaxInFlight, s.MaxWaiting, s.MaxWait)
--- a/entry/requests/once.go
+++ b/entry/requests/once.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/hex"
 	"errors"
 	"net/http"
 	"time"
@@ -16,7 +18,7 @@
 	// followGrace is how long a repeated request only looks for the response of the recorded attempt. After it the attempt
 	// is resolved, which cancels it if it is still queued for a request that is under way at another entry.
 	followGrace = 200 * time.Millisecond
-	// followEvery is the interval between looks.
+	// followEvery is the wait between two rounds of questions to the agent.
 	followEvery = 40 * time.Millisecond
 	// maxAdoptions bounds how often one request takes over a record. Two entries that cancel each other's attempts end
 	// there.
@@ -29,7 +31,7 @@
 func (m *Module) answerOnce(ctx context.Context, w http.ResponseWriter, p *parsed) forward.Result {
 	key := p.key
 	if key == "" {
-		key = forward.NewAttemptID()
+		key = newKey()
 		p.request.Header.Set(structs.HeaderIdempotencyKey, key)
 	}
 	w.Header().Set(structs.HeaderIdempotencyKey, key)
@@ -73,6 +75,13 @@
 	return found, ok && err == nil
 }
 
+// newKey returns a random key of 128 bits for a request that came without one.
+func newKey() string {
+	var raw [16]byte
+	_, _ = rand.Read(raw[:])
+	return hex.EncodeToString(raw[:])
+}
+
 // requestHash tells requests under the same key apart.
 func requestHash(r *forward.Request) string {
 	return idempotency.Hash([]byte(r.Method), []byte(r.Path), []byte(r.Header.Get("Content-Type")), r.Body)
@@ -103,23 +112,24 @@
 	if address, ok := m.table.Address(target.ID); ok {
 		target.Address = address
 	}
-	resolveAt := time.Now().Add(followGrace)
+	wait := followGrace
 	for failures := 0; failures < maxFollowFailures; {
-		if reply, err := m.forwarder.Answer(ctx, target, record.AttemptID); err == nil && reply.Outcome == structs.OutcomeAnswered {
+		reply, err := m.forwarder.Answer(ctx, target, record.AttemptID, wait)
+		if err == nil && reply.Outcome == structs.OutcomeAnswered {
 			return relayed(reply, record.Agent), false
 		}
-		if !time.Now().Before(resolveAt) {
-			got, err := m.forwarder.Resolve(ctx, target, record.AttemptID)
-			switch {
-			case err != nil:
-				failures++
-			case got.Reply != nil && got.Reply.Outcome == structs.OutcomeAnswered:
-				return relayed(got.Reply, record.Agent), false
-			case got.State.NotRun() || (got.Reply != nil && got.Reply.Outcome == structs.OutcomeNotRun):
-				return conflict("the recorded attempt has not run"), true
-			case got.Reply != nil || got.State == structs.AttemptUnknown:
-				return conflict("the outcome of an earlier request with this key is unknown"), false
-			}
+		got, err := m.forwarder.Resolve(ctx, target, record.AttemptID)
+		switch {
+		case err != nil:
+			failures++
+		case got.Reply != nil && got.Reply.Outcome == structs.OutcomeAnswered:
+			return relayed(got.Reply, record.Agent), false
+		case got.State.NotRun():
+			return conflict("the recorded attempt has not run"), true
+		case got.Reply != nil || got.State == structs.AttemptUnknown:
+			return conflict("the outcome of an earlier request with this key is unknown"), false
+		default:
+			wait = max(0, time.Until(deadline))
 		}
 		select {
 		case <-ctx.Done():
--- a/entry/requests/parse.go
+++ b/entry/requests/parse.go
@@ -45,6 +45,7 @@
 	p.request.Idempotent = parseIdempotent(r, &found)
 	p.key = parseKey(r.Header, &found)
 	p.request.Header = forwardedHeaders(r.Header)
+	p.request.Header.Set("Host", r.Host)
 	size := 0
 	for name, values := range p.request.Header {
 		for _, value := range values {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -3,8 +3,8 @@
 import (
 	"bytes"
 	"context"
-	"crypto/rand"
 	"encoding/hex"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -39,11 +39,10 @@
 	Address string
 }
 
-// NewAttemptID returns a random ID of 128 bits.
-func NewAttemptID() string {
-	var raw [16]byte
-	_, _ = rand.Read(raw[:])
-	return hex.EncodeToString(raw[:])
+// newAttemptID returns an ID that is unique among the attempts of all entries. Its last part grows with each attempt of
+// this process, so that an agent which has forgotten an attempt recognizes it as an old one.
+func (f *Forwarder) newAttemptID() string {
+	return fmt.Sprintf("%s-%016x", f.opts.Incarnation, f.sequence.Add(1))
 }
 
 // newRequest returns an HTTP/1.1 request to an agent.
--- a/forward/decide.go
+++ b/forward/decide.go
@@ -90,8 +90,9 @@
 	maxAttempts = 3
 	// maxFailedResolves bounds resolves without a response; after them the outcome counts as unknown.
 	maxFailedResolves = 3
-	// minRetryTime is the least remaining time for which another attempt is worth its load.
-	minRetryTime = 5 * time.Millisecond
+	// minRetryTime is the least remaining time for which another attempt is worth its load. Agents give up on a request
+	// by a margin before its deadline; what is left then is not enough.
+	minRetryTime = 25 * time.Millisecond
 )
 
 // Decide returns what to do next for a request. It is pure.
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -22,6 +23,8 @@
 	Latencies *Latencies
 	Tracer    trace.Tracer
 	Metrics   tally.Scope
+	// Incarnation differs for each start of the process and is part of the IDs of its attempts.
+	Incarnation string
 	// Margin is taken off the budget that agents are told, so that their response arrives before the deadline.
 	Margin time.Duration
 	// ResolveTimeout bounds one resolve or fetch.
@@ -41,6 +44,7 @@
 	counters *counters
 	cleanups chan struct{}
 	cleaning sync.WaitGroup
+	sequence atomic.Uint64
 }
 
 // New returns a forwarder.
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -41,7 +41,7 @@
 	})
 	f := &fleet{table: table, Forwarder: New(Options{
 		Pool: pool, Table: table, Budget: budget, Latencies: NewLatencies(time.Minute), Metrics: tally.NoopScope,
-		Tracer: noop.NewTracerProvider().Tracer(""), ResolveTimeout: time.Second, SuspectFor: time.Second, MaxCleanups: 8,
+		Tracer: noop.NewTracerProvider().Tracer(""), Incarnation: "entry-1", ResolveTimeout: time.Second, SuspectFor: time.Second, MaxCleanups: 8,
 	})}
 	t.Cleanup(func() {
 		f.Wait()
--- a/forward/forwardtest/agent.go
+++ b/forward/forwardtest/agent.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -262,9 +263,9 @@
 		case request.URL.Path == "/v1/ping":
 			_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		case action == "resolve":
-			ok = a.resolve(c, id)
+			ok = a.resolve(c, id, request.Header.Get(structs.HeaderAgentIncarnation))
 		case action == "answer":
-			ok = a.fetch(c, id)
+			ok = a.fetch(c, id, request)
 		default:
 			ok = a.attempt(c, id, request, body)
 		}
@@ -277,7 +278,7 @@
 // silent keeps the connection open without a byte until the peer closes it.
 func (a *Agent) silent(c net.Conn) { _, _ = io.Copy(io.Discard, c) }
 
-func (a *Agent) resolve(c net.Conn, id string) bool {
+func (a *Agent) resolve(c net.Conn, id, asked string) bool {
 	a.mu.Lock()
 	if a.dropResolve > 0 {
 		a.dropResolve--
@@ -287,6 +288,8 @@
 	known := a.attempts[id]
 	state := structs.AttemptNeverSeen
 	switch {
+	case asked != "" && asked != a.incarnation:
+		state = structs.AttemptUnknown
 	case known == nil:
 		a.attempts[id] = &seen{state: structs.AttemptRefused}
 	case known.state == structs.AttemptQueued:
@@ -301,15 +304,29 @@
 	return err == nil
 }
 
-func (a *Agent) fetch(c net.Conn, id string) bool {
-	a.mu.Lock()
-	answer := []byte("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
-	if known := a.attempts[id]; known != nil && known.answer != nil {
-		answer = known.answer
+// fetch delivers a retained response. For a live attempt it waits for as long as the request says.
+func (a *Agent) fetch(c net.Conn, id string, request *http.Request) bool {
+	millis, _ := strconv.Atoi(request.Header.Get(structs.HeaderBudgetMillis))
+	for waited := 0; ; waited++ {
+		a.mu.Lock()
+		known := a.attempts[id]
+		answer := Response(id, http.StatusGatewayTimeout, structs.OutcomeUnknown, "")
+		live := known != nil && (known.state == structs.AttemptQueued || known.state == structs.AttemptRunning)
+		if known != nil && known.answer != nil {
+			answer = known.answer
+		} else if known != nil && known.state.NotRun() {
+			answer = Response(id, http.StatusServiceUnavailable, structs.OutcomeNotRun, "")
+		}
+		a.mu.Unlock()
+		if !live || waited >= millis {
+			_, err := c.Write(answer)
+			return err == nil
+		}
+		if waited%int(interimEvery/time.Millisecond) == 0 {
+			_, _ = io.WriteString(c, interimPrefix+string(structs.AttemptRunning)+"\r\n\r\n")
+		}
+		time.Sleep(time.Millisecond)
 	}
-	a.mu.Unlock()
-	_, err := c.Write(answer)
-	return err == nil
 }
 
 // Response returns the bytes of a whole response to an attempt.
--- a/forward/resolve.go
+++ b/forward/resolve.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -26,7 +27,10 @@
 	var reply structs.ResolveReply
 	_, err := f.opts.Pool.exchange(ctx, call{
 		address: target.Address, fresh: true, check: parseInto(&reply, attempt), build: func() *http.Request {
-			return newRequest(http.MethodPost, target.Address, "/v1/requests/"+attempt+"/resolve", traceHeaders(ctx), nil)
+			// Another process must not note the attempt as one that it has refused.
+			header := traceHeaders(ctx)
+			header.Set(structs.HeaderAgentIncarnation, target.ID.Incarnation)
+			return newRequest(http.MethodPost, target.Address, "/v1/requests/"+attempt+"/resolve", header, nil)
 		},
 	})
 	if err != nil {
@@ -38,26 +42,43 @@
 	if reply.State != structs.AttemptFinished {
 		return Resolution{State: reply.State}, nil
 	}
-	answer, err := f.Answer(ctx, target, attempt)
+	answer, err := f.Answer(ctx, target, attempt, 0)
 	if err != nil {
 		return Resolution{}, err
 	}
 	return Resolution{State: structs.AttemptFinished, Reply: answer}, nil
 }
 
-// Answer fetches the retained response of an attempt without any effect on the attempt.
-func (f *Forwarder) Answer(ctx context.Context, target Target, attempt string) (*Reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.opts.ResolveTimeout)
+// Answer fetches the response of an attempt without any effect on the attempt. While the attempt is queued or running the
+// agent waits for it, for at most the given time, and then responds with outcome unknown. An outcome of not-run proves
+// nothing, since the process that responds may be another one than the attempt was sent to.
+func (f *Forwarder) Answer(ctx context.Context, target Target, attempt string, wait time.Duration) (*Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+f.opts.ResolveTimeout)
 	defer cancel()
 	var reply *Reply
 	_, err := f.opts.Pool.exchange(ctx, call{
 		address: target.Address, fresh: true, check: verifyInto(&reply, attempt), build: func() *http.Request {
-			return newRequest(http.MethodGet, target.Address, "/v1/requests/"+attempt+"/answer", traceHeaders(ctx), nil)
+			header := traceHeaders(ctx)
+			header.Set(structs.HeaderBudgetMillis, strconv.FormatInt(wait.Milliseconds(), 10))
+			return newRequest(http.MethodGet, target.Address, "/v1/requests/"+attempt+"/answer", header, nil)
 		},
 	})
 	return reply, err
 }
 
+// await waits for the response of an attempt that was resolved as running.
+func (f *Forwarder) await(ctx context.Context, target Target, attempt string) (Resolution, error) {
+	deadline, _ := ctx.Deadline()
+	reply, err := f.Answer(ctx, target, attempt, max(0, time.Until(deadline)))
+	if err != nil {
+		return Resolution{}, err
+	}
+	if reply.Outcome == structs.OutcomeAnswered {
+		return Resolution{State: structs.AttemptFinished, Reply: reply}, nil
+	}
+	return f.Resolve(ctx, target, attempt)
+}
+
 // parseInto returns a check that stores the response to the resolve of an attempt.
 func parseInto(reply *structs.ResolveReply, attempt string) func(*Message) error {
 	return func(m *Message) error {
@@ -74,11 +95,8 @@
 	}
 }
 
-// pollBackoff returns the wait after the n-th resolve that found an attempt running.
-func pollBackoff(n int) time.Duration {
-	const first, most = 10 * time.Millisecond, 200 * time.Millisecond
-	return min(first<<min(n, 5), most)
-}
+// pollInterval is the wait before an attempt that is still running is looked at again.
+const pollInterval = 50 * time.Millisecond
 
 // failedBackoff returns the wait after the n-th resolve without a response.
 func failedBackoff(n int) time.Duration {
--- a/forward/run.go
+++ b/forward/run.go
@@ -38,10 +38,8 @@
 	ctx     context.Context
 	started time.Time
 	hedge   bool
-	// polls counts resolves that got a response.
-	polls  int
-	reply  *Reply
-	reason string
+	reply   *Reply
+	reason  string
 	// undelivered is set when the connection lost the request before the agent saw it, which says nothing against trying
 	// the same agent again.
 	undelivered bool
@@ -134,7 +132,7 @@
 // send starts an attempt at the upstream that the last view has found.
 func (r *run) send(hedge bool) error {
 	chosen := r.next
-	a := &attempt{id: NewAttemptID(), target: Target{chosen.ID(), chosen.Address}, hedge: hedge}
+	a := &attempt{id: r.f.newAttemptID(), target: Target{chosen.ID(), chosen.Address}, hedge: hedge}
 	if len(r.attempts) > 0 {
 		if !r.f.opts.Budget.Take(time.Now()) {
 			r.denied = true
@@ -197,12 +195,16 @@
 
 func (r *run) resolve(index int) {
 	a := r.attempts[index]
+	find := r.f.Resolve
+	if a.Phase == PhaseRunning {
+		find = r.f.await
+	}
 	a.Phase = PhaseResolving
 	f, target, id, results, ctx := r.f, a.target, a.id, r.results, a.ctx
 	f.counters.resolves.Inc(1)
 	go func() {
 		ctx, span := f.opts.Tracer.Start(ctx, "resolve", trace.WithSpanKind(trace.SpanKindClient))
-		resolution, err := f.Resolve(ctx, target, id)
+		resolution, err := find(ctx, target, id)
 		span.SetAttributes(attribute.String("quetzalshed.state", string(resolution.State)))
 		span.End()
 		results <- result{attempt: index, err: err, resolve: true, resolution: resolution}
@@ -287,7 +289,6 @@
 	if got.State != structs.AttemptUnknown {
 		r.f.opts.Table.Trust(a.target.ID)
 	}
-	a.polls++
 	switch {
 	case got.Reply != nil:
 		r.replied(a, got.Reply)
@@ -296,7 +297,7 @@
 		a.undelivered = got.State == structs.AttemptNeverSeen
 		a.ticket.Done(routing.Observation{})
 	case got.State == structs.AttemptRunning || got.State == structs.AttemptQueued:
-		a.Phase, a.NextResolve = PhaseRunning, time.Now().Add(pollBackoff(a.polls))
+		a.Phase, a.NextResolve = PhaseRunning, time.Now().Add(pollInterval)
 	default:
 		a.Phase, a.reason = PhaseUnknown, "the agent no longer knows the attempt"
 		a.ticket.Done(routing.Observation{})
