--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -3,8 +3,8 @@
 import (
 	"bytes"
 	"context"
-	"crypto/rand"
 	"encoding/hex"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -39,11 +39,10 @@
 	Address string
 }
 
-// NewAttemptID returns a random ID of 128 bits.
-func NewAttemptID() string {
-	var raw [16]byte
-	_, _ = rand.Read(raw[:])
-	return hex.EncodeToString(raw[:])
+// newAttemptID returns an ID that is unique among the attempts of all entries. Its last part grows with each attempt of
+// this process, so that an agent which has forgotten an attempt recognizes it as an old one.
+func (f *Forwarder) newAttemptID() string {
+	return fmt.Sprintf("%s-%016x", f.opts.Incarnation, f.sequence.Add(1))
 }
 
 // newRequest returns an HTTP/1.1 request to an agent.
@@ -138,12 +137,21 @@
 
 // send makes one attempt and returns its verified reply.
 func (f *Forwarder) send(ctx context.Context, r *Request, target Target, attempt string, interim func(http.Header)) (*Reply, error) {
-	m, err := f.opts.Pool.Exchange(ctx, target.Address, false, func() *http.Request {
-		budget := time.Until(r.Deadline) - f.opts.Margin
-		return attemptRequest(r, target, attempt, max(budget, 0), traceHeaders(ctx))
-	}, interim)
-	if err != nil {
-		return nil, err
+	var reply *Reply
+	_, err := f.opts.Pool.exchange(ctx, call{
+		address: target.Address, interim: interim, check: verifyInto(&reply, attempt),
+		build: func() *http.Request {
+			budget := time.Until(r.Deadline) - f.opts.Margin
+			return attemptRequest(r, target, attempt, max(budget, 0), traceHeaders(ctx))
+		},
+	})
+	return reply, err
+}
+
+// verifyInto returns a check that verifies a response to an attempt and stores the reply.
+func verifyInto(reply **Reply, attempt string) func(*Message) error {
+	return func(m *Message) (err error) {
+		*reply, err = verify(m, attempt)
+		return err
 	}
-	return verify(m, attempt)
 }
