--- a/kernel/telemetry.go
+++ b/kernel/telemetry.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
@@ -35,7 +36,9 @@
 
 func newTelemetry(role Role, settings ProcessSettings) (*telemetry, error) {
 	t := &telemetry{}
-	reporter := promreporter.NewReporter(promreporter.Options{})
+	// A registry of its own lets several processes run in one test binary.
+	registry := prometheus.NewRegistry()
+	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
 	t.handler = reporter.HTTPHandler()
 	t.scope, t.scopeCloser = tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "quetzalshed", Separator: promreporter.DefaultSeparator, CachedReporter: reporter,
