Connect the learned models and the guard to the processes

Ruled out: measuring upstreams at the entries, since their times include the network and the queue. Change: the agent measures how long requests hold a slot and reports it with the heartbeat; the owner feeds the models, holds back jobs that fail everywhere and plans with learned sizes; the runner's guard follows the operators' rules; a throttled task teaches no size; after a restart the agent no longer takes a throttled task for an unthrottled one; a verdict is withdrawn once a task is placed.

--- a/agent/requests/execute.go
+++ b/agent/requests/execute.go
@@ -98,6 +98,7 @@
 	}
 	took = m.clock.Now().Sub(started)
 	m.metrics.service.Record(took)
+	u.latency.record(took, m.clock.Now())
 	if err := m.ledger.finish(a.id, response); err != nil {
 		// Only running leads here, so this is a fault of the agent itself; the response is still the true one.
 		m.log.Error("retaining a response", "attempt", a.id, "error", err)
--- a/agent/requests/upstreams.go
+++ b/agent/requests/upstreams.go
@@ -26,6 +26,7 @@
 	connections int
 	admission   *limit.Admission
 	pool        *pool
+	latency     latencyWindow
 
 	// renewed, leaving and expired are guarded by the directory.
 	renewed time.Time
--- a/agent/runner/ledger.go
+++ b/agent/runner/ledger.go
@@ -63,7 +63,8 @@
 	usage       structs.Resources
 	usageAge    time.Duration
 	latency     float64
-	share       float64
+	// share is the part of its processor time that the task has; 0 means unknown, as after a restart of the agent.
+	share float64
 	// checkpointAt is when a checkpoint was last tried.
 	checkpointAt time.Time
 }
@@ -127,7 +128,7 @@
 		if !h.usage.IsZero() {
 			hb.Usage = append(hb.Usage, structs.TaskUsage{
 				AllocationID: id, Used: h.usage, AgeMillis: h.usageAge.Milliseconds(), LatencyMillis: h.latency,
-				Progress: h.progress,
+				Progress: h.progress, Share: h.share,
 			})
 		}
 	}
--- a/agent/runner/module.go
+++ b/agent/runner/module.go
@@ -34,7 +34,7 @@
 func init() {
 	kernel.RegisterModule(kernel.ModuleInfo{
 		Name: Name, Roles: []kernel.Role{kernel.RoleAgent},
-		After: []string{storemodule.Name, configmodule.Name, gossip.Name},
+		After: []string{storemodule.Name, configmodule.Name, gossip.Name, requestsName},
 		New:   func() kernel.Module { return &Module{} },
 	})
 }
@@ -57,6 +57,13 @@
 	DrainReserve time.Duration `ini:"drain_reserve" default:"10s" min:"100ms" max:"5m"`
 }
 
+// requestsName is the module that measures the upstreams, if the process runs it.
+const requestsName = "agent.requests"
+
+type latencySource interface {
+	ServiceLatencies() []structs.ServiceLatency
+}
+
 type storeHolder interface{ Store() store.Store }
 
 type configHolder interface{ Follower() *config.Follower }
@@ -75,6 +82,7 @@
 	worker    *worker.Client
 	runner    atomic.Pointer[Runner]
 	guard     Guard
+	services  func() []structs.ServiceLatency
 	lastReply atomic.Pointer[time.Time]
 	stop      context.CancelFunc
 	done      sync.WaitGroup
@@ -108,6 +116,10 @@
 	m.follower = configs.Follower()
 	m.client = shard.NewClient(owners.Owners(), stores.Store(), c.Clock)
 	m.worker = worker.NewClient(m.settings.WorkerAddress, 0)
+	m.services = func() []structs.ServiceLatency { return nil }
+	if measured, ok := kernel.Lookup[latencySource](c, requestsName); ok {
+		m.services = measured.ServiceLatencies
+	}
 	c.Router.HandleFunc("/v1/allocations", m.serveStart).Methods(http.MethodPost)
 	return nil
 }
@@ -156,7 +168,11 @@
 		},
 	}
 	ledger := NewLedger(settings, w, partition.Worker(w.Name, rules.Shards), m.context.Incarnation, m.context.StartedUnixNano)
+	if m.guard == nil {
+		m.guard = NewServiceGuard(m.follower.Rules, m.services)
+	}
 	r := New(ledger, m.worker, m.clock, followed{m.follower}, m.client, m.guard, m.log)
+	r.services = m.services
 	m.runner.Store(r)
 	m.done.Go(func() { m.beat(ctx, r) })
 	m.tick(ctx, r)
--- a/agent/runner/operations.go
+++ b/agent/runner/operations.go
@@ -164,7 +164,7 @@
 		}
 		l.epoch = max(l.epoch, alloc.Epoch)
 		l.held[alloc.ID] = &held{
-			alloc: alloc, state: structs.TaskRunning, started: true, checkpoint: alloc.CheckpointID, share: 1,
+			alloc: alloc, state: structs.TaskRunning, started: true, checkpoint: alloc.CheckpointID,
 			leaseEnd: now, workerLeaseEnd: now,
 		}
 	}
--- a/agent/runner/perform.go
+++ b/agent/runner/perform.go
@@ -144,6 +144,9 @@
 	r.mu.Lock()
 	h.workerLeaseEnd = now.Add(lease)
 	over := !r.clock.Now().Before(h.leaseEnd)
+	if h.share == 0 {
+		h.share = 1
+	}
 	r.mu.Unlock()
 	if over || r.worker.Throttle(ctx, h.alloc.ID, h.share) != nil {
 		return
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -73,7 +73,9 @@
 	settled   Configuration
 	transport Transport
 	guard     Guard
-	log       hclog.Logger
+	// services returns the latencies of the upstreams beside the worker; it may be nil.
+	services func() []structs.ServiceLatency
+	log      hclog.Logger
 
 	// tickMu lets one tick at a time call the worker.
 	tickMu sync.Mutex
@@ -117,6 +119,9 @@
 	}
 	sent := r.clock.Now()
 	hb := r.ledger.Heartbeat(sent)
+	if r.services != nil {
+		hb.Services = r.services()
+	}
 	hb.HeadRevision = r.settled.Revision()
 	r.mu.Unlock()
 	reply, err := r.transport.Heartbeat(ctx, r.ledger.shard, hb)
--- /dev/null
+++ b/shard/learn_test.go
@@ -0,0 +1,93 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/config"
+	"github.com/quetzalshed/quetzalshed/scheduler"
+	"github.com/quetzalshed/quetzalshed/shard/lifecycle"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+var learnStart = time.Unix(1_000_000, 0)
+
+func learnMachine() *lifecycle.Machine {
+	return lifecycle.NewMachine(lifecycle.DefaultSettings(), 0, 1, lifecycle.NewState(), learnStart)
+}
+
+func learnRules() config.Rules {
+	return config.Rules{
+		Services:     []config.Service{{Name: "svc", LatencyTarget: 60 * time.Millisecond}},
+		Interference: config.Interference{MaxSlowdown: 1.25}, Sizing: config.Sizing{Percentile: 0.95, Headroom: 0.15},
+	}
+}
+
+// report is a heartbeat of a worker that runs one batch task beside an upstream.
+func report(share, millis float64, used structs.Resources) structs.Heartbeat {
+	hb := structs.Heartbeat{
+		Worker:   structs.Worker{Name: "w", Capacity: structs.Resources{MilliCores: 10_000, MemoryMB: 10_000}},
+		Services: []structs.ServiceLatency{{Service: "svc", Millis: millis}},
+	}
+	if !used.IsZero() {
+		hb.Running = []structs.AllocationState{{State: structs.TaskRunning, Allocation: structs.Allocation{
+			ID: "a", Kind: structs.KindBatch, Class: "noisy", Resources: structs.Resources{MilliCores: 5000, MemoryMB: 100},
+		}}}
+		hb.Usage = []structs.TaskUsage{{AllocationID: "a", Used: used, Share: share}}
+	}
+	return hb
+}
+
+// Guards against learned sizes that never reach a plan, and against sizes learned while a task is throttled.
+func TestPlansUseLearnedSizes(t *testing.T) {
+	c := qt.New(t)
+	job := &structs.Job{ID: "j", Kind: structs.KindBatch, Class: "noisy", Resources: structs.Resources{MilliCores: 1000, MemoryMB: 1000}}
+	reserve := func(share float64) structs.Resources {
+		l := newLearner(learnRules())
+		for i := range 200 {
+			l.heartbeat(learnMachine(), report(share, 20, structs.Resources{MilliCores: 3000, MemoryMB: 500}), learnStart.Add(time.Duration(i)*time.Second))
+		}
+		input := scheduler.Snapshot{Pending: []scheduler.PendingTask{{Job: job}}}
+		l.refine(&input, learnStart.Add(200*time.Second))
+		return input.Pending[0].Resources
+	}
+	learned := reserve(1)
+	c.Assert(learned.MilliCores >= 3000 && learned.MemoryMB < 1000, qt.IsTrue, qt.Commentf("%+v", learned))
+	c.Assert(reserve(0.1), qt.Equals, job.Resources)
+}
+
+// Guards against interference that is measured beside upstreams and never learned.
+func TestUpstreamLatenciesTeachInterference(t *testing.T) {
+	c := qt.New(t)
+	l := newLearner(learnRules())
+	now := learnStart
+	for cycle := range 6 {
+		for range 20 {
+			now = now.Add(time.Second)
+			if cycle%2 == 0 {
+				l.heartbeat(learnMachine(), report(1, 30, structs.Resources{}), now)
+			} else {
+				l.heartbeat(learnMachine(), report(1, 90, structs.Resources{MilliCores: 5000, MemoryMB: 100}), now)
+			}
+		}
+	}
+	c.Assert(l.interference.Estimate("svc", "noisy").Blocked, qt.IsTrue)
+	view := &lifecycle.View{Worker: structs.Worker{Name: "w"}, Services: []structs.ServiceLatency{{Service: "svc"}}}
+	c.Assert(upstreams(view)[0].Job.Class, qt.Equals, "svc")
+}
+
+// Guards against a job that fails on every worker and is started again and again.
+func TestFaultyJobIsHeldBack(t *testing.T) {
+	c := qt.New(t)
+	l := newLearner(learnRules())
+	for _, worker := range []string{"w1", "w2", "w3", "w4"} {
+		l.ended(lifecycle.Observation{Task: structs.TaskID{JobID: "j"}, Worker: worker, Failed: true}, learnStart)
+	}
+	input := scheduler.Snapshot{Pending: []scheduler.PendingTask{{Job: &structs.Job{ID: "j"}}, {Job: &structs.Job{ID: "k"}}}}
+	held := l.refine(&input, learnStart)
+	c.Assert(held, qt.HasLen, 1)
+	c.Assert(held["j"], qt.Not(qt.Equals), "")
+	c.Assert(input.Pending, qt.HasLen, 1)
+}
--- a/shard/lifecycle/heartbeat.go
+++ b/shard/lifecycle/heartbeat.go
@@ -61,6 +61,7 @@
 	for _, usage := range hb.Usage {
 		view.Usage[usage.AllocationID] = usage
 	}
+	view.Services = hb.Services
 	return view, nil
 }
 
@@ -77,6 +78,9 @@
 	switch {
 	case r.State == structs.TaskFinished && !task.State.Terminal() && r.Attempt <= task.Attempt:
 		m.finish(r, wall)
+		if m.Observe != nil {
+			m.Observe(Observation{Task: r.Task, Worker: worker, Finished: true})
+		}
 	case current:
 		if live == nil {
 			live = &Live{Alloc: m.allocation(m.state.Jobs[r.Task.JobID], r.Task, task)}
--- a/shard/lifecycle/machine.go
+++ b/shard/lifecycle/machine.go
@@ -43,6 +43,8 @@
 	DrainingSince time.Time
 	Running       map[string]structs.AllocationState
 	Usage         map[string]structs.TaskUsage
+	// Services are the upstreams beside the worker that served requests lately.
+	Services []structs.ServiceLatency
 }
 
 // Machine is the state of a shard in the hands of one owner. It is not safe for concurrent use.
@@ -70,8 +72,10 @@
 	Task   structs.TaskID
 	Class  string
 	Worker string
-	Failed bool
-	Reason string
+	// Failed and Finished tell how the attempt ended; neither is set when it was evicted, refused or cancelled.
+	Failed   bool
+	Finished bool
+	Reason   string
 }
 
 // Counters counts what an owner has done.
@@ -109,7 +113,7 @@
 func (m *Machine) allocation(job *Job, id structs.TaskID, task *Task) structs.Allocation {
 	return structs.Allocation{
 		ID: AllocationID(id, task.Attempt), Task: id, Attempt: task.Attempt, Worker: task.Worker, Kind: job.Spec.Kind,
-		Class: job.Spec.Class, Resources: job.Spec.Resources, Shard: m.shard, Epoch: m.epoch,
+		Class: job.Spec.Class, Priority: job.Spec.Priority, Urgent: job.Spec.Urgent, Resources: job.Spec.Resources, Shard: m.shard, Epoch: m.epoch,
 		LeaseMillis: m.leaseOf(job.Spec.Kind).Milliseconds(), CheckpointID: task.CheckpointID, Command: job.Spec.Command,
 	}
 }
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/config"
 	"github.com/quetzalshed/quetzalshed/platform/store"
 	"github.com/quetzalshed/quetzalshed/scheduler"
 	"github.com/quetzalshed/quetzalshed/scheduler/quota"
@@ -44,6 +45,8 @@
 	Worker(name string) (structs.Worker, bool)
 	// Rules returns the rules of placement and the quotas of teams.
 	Rules() (scheduler.Rules, quota.Limits)
+	// Policy returns the operators' rules, from which the models take their parameters.
+	Policy() config.Rules
 	// Attach adds the configuration head and its proof to a reply; known is the revision that the agent holds.
 	Attach(reply *structs.HeartbeatReply, known int64)
 }
@@ -105,6 +108,8 @@
 
 	mu   sync.Mutex
 	term *term
+	// learned holds the models of the present term.
+	learned *learner
 	// urgent is set when the next step must not wait for the commit interval.
 	urgent     bool
 	kick       chan struct{}
@@ -263,6 +268,8 @@
 func (o *Owner) install(t *term) {
 	o.mu.Lock()
 	o.term = t
+	o.learned = newLearner(o.settled.Policy())
+	t.machine.Observe = func(observed lifecycle.Observation) { o.learned.ended(observed, o.clock.Now()) }
 	o.arrived = map[string]int64{}
 	o.lastList, o.lastCommit = time.Time{}, time.Time{}
 	o.mu.Unlock()
--- a/shard/settled.go
+++ b/shard/settled.go
@@ -57,6 +57,9 @@
 	return rules, quota.Limits{Teams: loaded.Quotas, Default: loaded.DefaultQuota}
 }
 
+// Policy implements Configuration.
+func (f *Followed) Policy() config.Rules { return *f.follower.Rules() }
+
 // transitions returns when failure domains left service and returned, as far as this process has seen it.
 func (f *Followed) transitions() (out, returned map[string]time.Time) {
 	head, _ := f.follower.Head()
--- a/shard/snapshot.go
+++ b/shard/snapshot.go
@@ -34,6 +34,7 @@
 			w.Running = append(w.Running, running)
 		}
 		leaving = leaving || (leaves && len(w.Running) > 0)
+		w.Running = append(w.Running, upstreams(view)...)
 		input.Workers = append(input.Workers, w)
 	}
 	for _, p := range m.PendingTasks() {
@@ -42,6 +43,19 @@
 	return input, leaving || len(input.Pending) > 0
 }
 
+// upstreams describes the upstreams beside a worker, so that batch is placed with regard to them. They are no
+// allocations: they hold nothing here and the scheduler must not replace them, hence the state.
+func upstreams(view *lifecycle.View) []scheduler.RunningTask {
+	var list []scheduler.RunningTask
+	for _, service := range view.Services {
+		list = append(list, scheduler.RunningTask{
+			AllocationID: "upstream/" + service.Service + "/" + view.Worker.Name, State: structs.TaskEvicting,
+			Job: &structs.Job{ID: "upstream/" + service.Service, Kind: structs.KindService, Class: service.Service},
+		})
+	}
+	return list
+}
+
 func pendingTask(p lifecycle.Pending, replaced map[string][]string) scheduler.PendingTask {
 	task := scheduler.PendingTask{
 		Job: p.Job, Index: p.Task.Index, Attempt: p.State.Attempt + 1, NotBefore: p.State.NotBefore,
@@ -91,6 +105,7 @@
 	}
 	for _, p := range d.Place {
 		m.Place(p.Task, p.Worker, p.Resources)
+		m.Verdict(p.Task.JobID, "")
 	}
 }
 
--- a/shard/step.go
+++ b/shard/step.go
@@ -124,7 +124,12 @@
 	}
 	t.machine.Reconcile(now, now, o.settled.Out)
 	if input, work := o.planInput(t.machine, now); work {
-		apply(t.machine, o.plan(input, now))
+		for id, reason := range o.learned.refine(&input, now) {
+			t.machine.Verdict(id, reason)
+		}
+		decisions := o.plan(input, now)
+		o.learned.placed(decisions, now)
+		apply(t.machine, decisions)
 	}
 	return true
 }
@@ -260,6 +265,7 @@
 	if err != nil {
 		return reply, err
 	}
+	o.learned.heartbeat(t.machine, hb, now)
 	o.settled.Attach(&reply, hb.HeadRevision)
 	return reply, nil
 }
--- a/structs/heartbeat.go
+++ b/structs/heartbeat.go
@@ -12,6 +12,20 @@
 	LatencyMillis float64 `json:"latency_millis,omitempty"`
 	// Progress ranges from 0 to 1.
 	Progress float64 `json:"progress,omitempty"`
+	// Share is the part of its processor time that the guard leaves to the task; 0 means all of it.
+	Share float64 `json:"share,omitempty"`
+}
+
+// Throttled tells whether the guard has limited the task.
+func (u TaskUsage) Throttled() bool { return u.Share > 0 && u.Share < 1 }
+
+// ServiceLatency is what an agent measured of the upstreams of one service on its host.
+type ServiceLatency struct {
+	Service string `json:"service"`
+	// Millis is the 95th percentile of the time that requests held a slot.
+	Millis float64 `json:"millis"`
+	// AgeMillis is how old the middle of the measured span is.
+	AgeMillis int64 `json:"age_millis"`
 }
 
 // AllocationState is one allocation that an agent holds.
@@ -52,6 +66,8 @@
 	Draining bool              `json:"draining,omitempty"`
 	// HeadRevision is the configuration revision that the agent holds, so that the reply repeats no known head.
 	HeadRevision int64 `json:"head_revision,omitempty"`
+	// Services holds the latencies of the upstreams beside the worker.
+	Services []ServiceLatency `json:"services,omitempty"`
 }
 
 // TaskStop tells an agent to end an allocation.
--- a/structs/job.go
+++ b/structs/job.go
@@ -73,12 +73,15 @@
 // Allocation is the assignment of one attempt of a task to a worker.
 type Allocation struct {
 	// ID is unique across attempts.
-	ID        string    `json:"id"`
-	Task      TaskID    `json:"task"`
-	Attempt   int       `json:"attempt"`
-	Worker    string    `json:"worker"`
-	Kind      JobKind   `json:"kind"`
-	Class     string    `json:"class"`
+	ID      string  `json:"id"`
+	Task    TaskID  `json:"task"`
+	Attempt int     `json:"attempt"`
+	Worker  string  `json:"worker"`
+	Kind    JobKind `json:"kind"`
+	Class   string  `json:"class"`
+	// Priority and Urgent are those of the job, for the order in which the guard evicts.
+	Priority  int       `json:"priority,omitempty"`
+	Urgent    bool      `json:"urgent,omitempty"`
 	Resources Resources `json:"resources"`
 	// Shard and Epoch form the fencing token: an agent accepts only the highest epoch that it has seen of a shard.
 	Shard int   `json:"shard"`
