--- a/kernel/process.go
+++ b/kernel/process.go
@@ -147,7 +147,7 @@
 		_ = main.Close()
 		return nil, eris.Wrap(err, "admin address")
 	}
-	return map[*http.Server]net.Listener{p.server: main, p.admin: admin}, nil
+	return map[*http.Server]net.Listener{p.server: countTraffic(main, p.context.Metrics), p.admin: admin}, nil
 }
 
 // shutdown drains all modules together while the servers still answer, then stops the servers and the modules.
--- /dev/null
+++ b/kernel/traffic.go
@@ -0,0 +1,47 @@
+package kernel
+
+import (
+	"net"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// countingListener counts the bytes of the connections that it accepts, so that operators see what the control traffic
+// of a process costs.
+type countingListener struct {
+	net.Listener
+	received, sent tally.Counter
+}
+
+func countTraffic(listener net.Listener, scope tally.Scope) net.Listener {
+	http := scope.SubScope("http")
+	return &countingListener{listener, http.Counter("received_bytes"), http.Counter("sent_bytes")}
+}
+
+// Accept waits for the next connection.
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{conn, l}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	listener *countingListener
+}
+
+// Read reads from the connection.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.listener.received.Inc(int64(n))
+	return n, err
+}
+
+// Write writes to the connection.
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.listener.sent.Inc(int64(n))
+	return n, err
+}
