Locate every finding and detect hosts listed under two spellings

Cause: tests of the findings showed that an IPv4 address and its IPv6 spelling counted as two hosts, that a missing key had no line, and that keys before the first section were reported without their name. Ruled out: a change of package settings, which other processes share; the lead may prefer the fallback to the section's line there. Change: addresses are compared unmapped; a key that isn't in the file gets the line of its section; stray keys are reported one by one. Tests of findings and bounds of inventories and rules, of eight concurrent operators, and a fuzz test of messages. Conclusion: each finding of a rules file with a section names a line.

--- a/config/apply_test.go
+++ b/config/apply_test.go
@@ -229,3 +229,29 @@
 	// Of the 300 blobs that are unused, at most those of the last 17 revisions remain.
 	c.Assert(backend.Keys("config/inventory/") <= 17*domains, qt.IsTrue, qt.Commentf("%d keys", backend.Keys("config/")))
 }
+
+// Guards against operators who change different failure domains at the same time and get a conflict, or lose a change.
+func TestConcurrentDomainChanges(t *testing.T) {
+	c := qt.New(t)
+	backend := storetest.New(clock.NewManual(start))
+	ctx := context.Background()
+	const operators = 8
+	_, err := newAcceptor(backend).Apply(ctx, 0, inventoryChange("", inventoryCSV(operators, 1, 16)))
+	c.Assert(err, qt.IsNil)
+	errs := make(chan error)
+	for i := range operators {
+		go func() {
+			_, err := newAcceptor(backend).Apply(ctx, config.AnyBase, domainChange("", fmt.Sprintf("d%d", i), true))
+			errs <- err
+		}()
+	}
+	for range operators {
+		c.Check(<-errs, qt.IsNil)
+	}
+	head, err := newAcceptor(backend).Current(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert(head.Revision, qt.Equals, int64(1+operators))
+	for name, domain := range head.Domains {
+		c.Check(domain.Out, qt.IsTrue, qt.Commentf("%s", name))
+	}
+}
--- a/config/fuzz_test.go
+++ b/config/fuzz_test.go
@@ -72,6 +72,7 @@
 	f.Add([]byte("[cluster]\nshards = 2\n[service a]\nbefore = b\n[service b]\nlatency_target = 1s\n[team x]\ncores = 1\nmemory_mb = 1\n"))
 	f.Add([]byte("[service a]\nbefore = b\n[service b]\nbefore = a\n[team *]\ncores = x\n"))
 	f.Add([]byte("[batch]\nracks_without_batch = d0/r0, r9\n[guard]\nresume_at = 1\n"))
+	f.Add([]byte("stray = 1\n[cluster]\n[DEFAULT]\nshards = 2\n[cluster]\nshards = 1\n"))
 	f.Add([]byte("[a\nb = \"\"\"c\n= d\n"))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		parsed, found := config.ParseRules("f", raw)
--- a/config/inventory_rows.go
+++ b/config/inventory_rows.go
@@ -162,7 +162,8 @@
 		r.addf(column, "%.80q is not an IP address with a port", text)
 		return ""
 	}
-	canonical := parsed.String()
+	// An IPv4 address may be written as an IPv6 one.
+	canonical := netip.AddrPortFrom(parsed.Addr().Unmap(), parsed.Port()).String()
 	if first, ok := r.addresses[canonical]; ok {
 		r.addf(column, "address %s is already used on line %d", canonical, first)
 		return canonical
--- a/config/rules_check.go
+++ b/config/rules_check.go
@@ -12,7 +12,7 @@
 func (p *ParsedRules) Check(inventory *Inventory) findings.List {
 	var found findings.List
 	addf := func(section, key, format string, args ...any) {
-		found.Addf(p.file.Place(section, key), format, args...)
+		found.Addf(p.place(section, key), format, args...)
 	}
 	p.Rules.RacksWithoutBatch = nil
 	for _, written := range p.racks {
--- a/config/rules_parse.go
+++ b/config/rules_parse.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"gopkg.in/ini.v1"
+
 	"github.com/quetzalshed/quetzalshed/findings"
 	"github.com/quetzalshed/quetzalshed/settings"
 	"github.com/quetzalshed/quetzalshed/structs"
@@ -92,11 +94,42 @@
 	parsed.decodeServices()
 	parsed.decodeTeams()
 	if err := opened.Err(); err != nil {
-		return nil, limitFindings(file, toList(file, err))
+		return nil, limitFindings(file, parsed.locate(toList(file, err)))
 	}
 	return parsed, found
 }
 
+// locate adds the line of the section to findings about keys that aren't in the file, and the keys to the finding about
+// keys that precede all sections.
+func (p *ParsedRules) locate(found findings.List) findings.List {
+	var located findings.List
+	for _, finding := range found.Items() {
+		place := p.place(finding.Place.Section, finding.Place.Key)
+		if place.Section == ini.DefaultSection && place.Line == 0 {
+			p.addStrayKeys(&located)
+			continue
+		}
+		located.Addf(place, "%s", finding.Message)
+	}
+	return located
+}
+
+func (p *ParsedRules) addStrayKeys(found *findings.List) {
+	place := p.file.Place("", "")
+	for i, line := range strings.Split(string(p.Source), "\n") {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "[") {
+			return
+		}
+		if line == "" || line[0] == '#' || line[0] == ';' {
+			continue
+		}
+		key, _, _ := strings.Cut(line, "=")
+		place.Line, place.Key = i+1, clip(strings.TrimSpace(key))
+		found.Addf(place, "key precedes the first section")
+	}
+}
+
 // toList returns the findings that an error holds, or the error as one finding.
 func toList(file string, err error) findings.List {
 	var found findings.List
@@ -112,7 +145,16 @@
 }
 
 func (p *ParsedRules) addf(section, key, format string, args ...any) {
-	p.file.Found().Addf(p.file.Place(section, key), format, args...)
+	p.file.Found().Addf(p.place(section, key), format, args...)
+}
+
+// place returns the place of a key, with the line of its section when the key isn't in the file.
+func (p *ParsedRules) place(section, key string) findings.Place {
+	place := p.file.Place(section, key)
+	if place.Line == 0 && section != "" {
+		place.Line = p.file.Place(section, "").Line
+	}
+	return place
 }
 
 func (p *ParsedRules) decodeCluster() {
--- a/gossip/exchange_test.go
+++ b/gossip/exchange_test.go
@@ -175,3 +175,33 @@
 	c.Assert(a.exchanger.Exchange(ctx, dead), qt.IsNil)
 	c.Assert(a.exchanger.Pick(2, random), qt.DeepEquals, []string{dead})
 }
+
+// FuzzReceive guards against a message that makes a process panic, or hold a head or an owner that is out of bounds.
+func FuzzReceive(f *testing.F) {
+	head := fullHead(3, 3, 11)
+	seed, _ := json.Marshal(gossip.Message{
+		Version: gossip.ProtocolVersion, Fleet: "test", Address: "127.0.0.1:2", OwnersDigest: "0",
+		Config: config.Proof{Revision: 3, Head: &head}, Owners: []structs.ShardOwner{{Epoch: 1, Address: "127.0.0.1:2"}},
+	})
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var message gossip.Message
+		if json.Unmarshal(raw, &message) != nil {
+			return
+		}
+		g := newGroup()
+		a := g.add("127.0.0.1:1")
+		response, _, err := a.exchanger.Receive(message)
+		if held, ok := a.follower.Head(); ok && (err != nil || held.Validate() != nil) {
+			t.Fatalf("holds %+v: %v", held, err)
+		}
+		for _, owner := range a.owners.All() {
+			if owner.Shard < 0 || owner.Shard >= config.MaxShards || owner.Epoch < 1 {
+				t.Fatalf("holds owner %+v", owner)
+			}
+		}
+		if err == nil && response.Config.AgeMillis != config.NoProof {
+			t.Fatalf("a message led to a proof of age %d", response.Config.AgeMillis)
+		}
+	})
+}
