--- /dev/null
+++ b/gossip/interleaved_test.go
@@ -0,0 +1,69 @@
+package gossip_test
+
+import (
+	"context"
+	"errors"
+
+	"pgregory.net/rapid"
+
+	"github.com/quetzalshed/quetzalshed/gossip"
+	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+)
+
+// network delivers messages between the processes. It may delay, lose or repeat each.
+type network struct{ f *fleet }
+
+var errLost = errors.New("message lost")
+
+func (n network) Send(_ context.Context, to string, message gossip.Message) (gossip.Message, error) {
+	f := n.f
+	f.meanwhile("request")
+	if !f.healthy {
+		switch rapid.SampledFrom([]string{"deliver", "deliver", "deliver", "lose", "repeat"}).Draw(f.t, "request fate") {
+		case "lose":
+			return gossip.Message{}, errLost
+		case "repeat":
+			f.repeats = append(f.repeats, message)
+		}
+	}
+	for i, p := range f.processes {
+		if address(i) != to {
+			continue
+		}
+		response, _, err := p.exchanger.Receive(message)
+		f.meanwhile("response")
+		if !f.healthy && rapid.IntRange(0, 3).Draw(f.t, "response fate") == 0 {
+			return gossip.Message{}, errLost
+		}
+		return response, err
+	}
+	return gossip.Message{}, errLost
+}
+
+// interleaved is the store as one caller sees it: other actions run before a call takes effect and before it returns.
+type interleaved struct {
+	*storetest.Store
+	f *fleet
+}
+
+func (s interleaved) Get(ctx context.Context, key string) (store.Entry, error) {
+	s.f.meanwhile("get")
+	entry, err := s.Store.Get(ctx, key)
+	s.f.meanwhile("got")
+	return entry, err
+}
+
+func (s interleaved) Put(ctx context.Context, key string, value []byte, opts store.PutOptions) (store.Entry, error) {
+	s.f.meanwhile("put")
+	entry, err := s.Store.Put(ctx, key, value, opts)
+	s.f.meanwhile("done")
+	return entry, err
+}
+
+func (s interleaved) List(ctx context.Context, prefix string) ([]store.Entry, error) {
+	s.f.meanwhile("list")
+	entries, err := s.Store.List(ctx, prefix)
+	s.f.meanwhile("listed")
+	return entries, err
+}
