Avoid paused agents after three hedges and let failing upstreams recover

Cause: in a trial with real processes an agent paused for 3 s held idempotent requests for up to 1.5 s: each hedge that won made the paused agent look idle, it got the next request, and the hedges used up the retry budget. A hedge without budget was not considered again. An upstream that had failed once was avoided for good while others were idle, since only requests could show its recovery. Ruled out: a score penalty per hedge; normal tails cause hedges everywhere, and the noise of such penalties would outweigh the load in the score. Change: three attempts in a row that end without a reply of the agent make it suspected for a while; hedges don't go to suspected agents; a denied hedge is looked at again after 20 ms; failure rates halve every 2 s. Conclusion: in the test the paused agent gets at most three requests.

--- a/forward/decide.go
+++ b/forward/decide.go
@@ -28,6 +28,11 @@
 	return [...]string{"sent", "lost", "resolving", "running", "not_run", "answered", "unknown"}[p]
 }
 
+// live tells whether the attempt may still be answered.
+func (p Phase) live() bool {
+	return p == PhaseSent || p == PhaseLost || p == PhaseResolving || p == PhaseRunning
+}
+
 // AttemptView is one attempt as the decision sees it.
 type AttemptView struct {
 	Phase Phase
@@ -93,6 +98,8 @@
 	// minRetryTime is the least remaining time for which another attempt is worth its load. Agents give up on a request
 	// by a margin before its deadline; what is left then is not enough.
 	minRetryTime = 25 * time.Millisecond
+	// hedgeRecheck is how soon a hedge without budget is considered again.
+	hedgeRecheck = 20 * time.Millisecond
 )
 
 // Decide returns what to do next for a request. It is pure.
@@ -107,8 +114,10 @@
 			return Decision{Action: ActionAnswer, Attempt: i}
 		case PhaseNotRun:
 			notRun++
-		case PhaseSent, PhaseLost, PhaseResolving, PhaseRunning:
-			live++
+		default:
+			if a.Phase.live() {
+				live++
+			}
 		}
 	}
 	certain := notRun == len(v.Attempts)
@@ -124,13 +133,16 @@
 		}
 		return giveUp(certain)
 	}
-	if hedge, due := mayHedge(v, live); hedge {
-		if due {
-			return Decision{Action: ActionSend, Hedge: true}
-		}
-		return Decision{Action: ActionWait, At: earliest(v, true)}
+	switch hedge(v, live) {
+	case hedgeNow:
+		return Decision{Action: ActionSend, Hedge: true}
+	case hedgeLater:
+		return Decision{Action: ActionWait, At: earliest(v, v.HedgeAt)}
+	case hedgeDenied:
+		return Decision{Action: ActionWait, At: earliest(v, v.Now.Add(hedgeRecheck))}
+	default:
+		return Decision{Action: ActionWait, At: earliest(v, v.Deadline)}
 	}
-	return Decision{Action: ActionWait, At: earliest(v, false)}
 }
 
 func giveUp(certain bool) Decision {
@@ -162,31 +174,50 @@
 }
 
 // extra tells whether one more attempt is affordable.
-func extra(v View) bool {
-	return len(v.Attempts) < maxAttempts && v.Budget && v.Upstream && v.Deadline.Sub(v.Now) >= minRetryTime
+func extra(v View) bool { return v.Budget && possible(v) }
+
+// possible tells whether one more attempt makes sense, whatever the budget.
+func possible(v View) bool {
+	return len(v.Attempts) < maxAttempts && v.Upstream && v.Deadline.Sub(v.Now) >= minRetryTime
 }
 
-// mayHedge tells whether a second concurrent attempt is allowed, and whether it is due. An attempt whose connection was
-// lost is hedged without further delay.
-func mayHedge(v View, live int) (allowed, due bool) {
-	if !v.Idempotent || live != 1 || !extra(v) {
-		return false, false
+// hedging is whether a second concurrent attempt is started.
+type hedging int
+
+const (
+	hedgeNever hedging = iota
+	hedgeLater
+	hedgeNow
+	// hedgeDenied is due but has no budget; the budget is looked at again.
+	hedgeDenied
+)
+
+// hedge decides about a second concurrent attempt. An attempt whose connection was lost is hedged without further delay.
+func hedge(v View, live int) hedging {
+	if !v.Idempotent || live != 1 || !possible(v) {
+		return hedgeNever
 	}
+	due := !v.Now.Before(v.HedgeAt)
 	for _, a := range v.Attempts {
 		if a.Final {
-			return false, false
-		}
-		if a.Phase == PhaseLost || a.Phase == PhaseResolving || a.Phase == PhaseRunning {
-			return true, true
+			return hedgeNever
 		}
+		due = due || a.Phase == PhaseLost || a.Phase == PhaseResolving || a.Phase == PhaseRunning
+	}
+	switch {
+	case !due:
+		return hedgeLater
+	case !v.Budget:
+		return hedgeDenied
+	default:
+		return hedgeNow
 	}
-	return true, !v.Now.Before(v.HedgeAt)
 }
 
-func earliest(v View, hedge bool) time.Time {
-	at := v.Deadline
-	if hedge && v.HedgeAt.Before(at) {
-		at = v.HedgeAt
+// earliest returns the next time at which the decision may change by itself.
+func earliest(v View, at time.Time) time.Time {
+	if v.Deadline.Before(at) {
+		at = v.Deadline
 	}
 	for _, a := range v.Attempts {
 		if (a.Phase == PhaseLost || a.Phase == PhaseRunning) && a.NextResolve.Before(at) {
--- a/forward/decide_test.go
+++ b/forward/decide_test.go
@@ -68,6 +68,10 @@
 			"no hedge of a non-idempotent request", change(with(base, PhaseSent), func(v *View) { v.HedgeAt = epoch }),
 			Decision{Action: ActionWait, At: base.Deadline},
 		},
+		{
+			"a hedge without budget is considered again", change(with(idempotent, PhaseSent), func(v *View) { v.HedgeAt, v.Budget = epoch, false }),
+			Decision{Action: ActionWait, At: epoch.Add(hedgeRecheck)},
+		},
 		{
 			"one hedge at a time", change(with(idempotent, PhaseSent, PhaseSent), func(v *View) { v.HedgeAt = epoch }),
 			Decision{Action: ActionWait, At: base.Deadline},
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -382,3 +382,18 @@
 	qt.Assert(t, result.Outcome, qt.Equals, structs.OutcomeAnswered)
 	qt.Assert(t, len(result.Body), qt.Equals, structs.MaxAnswerBody)
 }
+
+// Guards against an agent that stopped responding using up the retry budget, request after request.
+func TestPausedAgentIsAvoidedAfterFewHedges(t *testing.T) {
+	f := newFleet(t, 2, plenty())
+	f.opts.Latencies, f.opts.SuspectFor = NewLatencies(time.Millisecond), time.Hour
+	f.agents[0].Next = func(int) forwardtest.Fault { return forwardtest.LoseSilent }
+	f.agents[0].DropResolves(1000)
+	for range 50 {
+		result := f.Do(t.Context(), request("payload", true, time.Minute), nil)
+		qt.Assert(t, result.Outcome, qt.Equals, structs.OutcomeAnswered)
+		f.Wait()
+	}
+	// A hedge that wins early may cancel an attempt before the agent has read it, so that fewer than three are counted.
+	qt.Assert(t, f.agents[0].Sends() <= 3, qt.IsTrue, qt.Commentf("%d sends", f.agents[0].Sends()))
+}
--- a/forward/run.go
+++ b/forward/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -98,6 +99,10 @@
 	}
 	r.next, r.verdict = r.f.opts.Table.Choose(r.request.Service, r.tried())
 	v.Upstream = r.verdict == routing.Chosen
+	if r.live() && now.Before(r.next.SuspectUntil) {
+		// A suspected upstream is worth a try only when nothing else is left.
+		v.Upstream = false
+	}
 	if len(r.attempts) > 0 {
 		v.Budget = !r.denied && r.f.opts.Budget.Available(now)
 		if !v.Budget {
@@ -107,6 +112,11 @@
 	return v
 }
 
+// live tells whether an attempt may still be answered.
+func (r *run) live() bool {
+	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.Phase.live() })
+}
+
 // tried returns the agent processes that another attempt should avoid.
 func (r *run) tried() []routing.ID {
 	var ids []routing.ID
@@ -313,6 +323,9 @@
 		switch a.Phase {
 		case PhaseSent, PhaseLost, PhaseResolving:
 			r.f.cleanup(r.ctx, a.target, a.id)
+			if r.ctx.Err() == nil {
+				r.f.opts.Table.Overdue(a.target.ID, r.f.opts.SuspectFor)
+			}
 		}
 		a.cancel()
 		a.ticket.Done(routing.Observation{})
--- a/routing/observe.go
+++ b/routing/observe.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -80,7 +81,27 @@
 	} else {
 		u.serviceTime = smooth(u.serviceTime, ServiceTimeSample(o.Latency, u.agent.roundTrip, k.outstanding, u.slots))
 	}
-	u.failureRate += smoothing * (failed - u.failureRate)
+	now := k.table.opts.Clock.Now()
+	rate := u.currentFailureRate(now)
+	u.failureRate, u.failureAt = rate+smoothing*(failed-rate), now
+}
+
+// Failures are forgotten with time, since an upstream that is avoided gets no request that could show its recovery. From
+// the rate after one failure it takes 13 s until the upstream counts as faultless again.
+const (
+	failureHalfLife  = 2 * time.Second
+	leastFailureRate = 0.001
+)
+
+func (u *upstream) currentFailureRate(now time.Time) float64 {
+	if u.failureRate == 0 {
+		return 0
+	}
+	rate := u.failureRate * math.Exp2(-now.Sub(u.failureAt).Seconds()/failureHalfLife.Seconds())
+	if rate < leastFailureRate {
+		return 0
+	}
+	return rate
 }
 
 // ServiceTimeSample estimates how long a request held a slot, given its latency and the requests that were outstanding
@@ -109,7 +130,26 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if a := t.agents[id.Agent]; a != nil && a.incarnation == id.Incarnation {
-		a.suspectUntil = time.Time{}
+		a.suspectUntil, a.overdue = time.Time{}, 0
+	}
+}
+
+// overdueLimit is how many attempts in a row may end without a reply before the agent is suspected. Single slow requests
+// are normal; without the limit a paused agent keeps getting requests until its connections count as silent.
+const overdueLimit = 3
+
+// Overdue notes that an attempt was abandoned without a reply, because another agent was faster. After some in a row
+// without a reply of the agent between them it is suspected for a while.
+func (t *Table) Overdue(id ID, span time.Duration) {
+	until := t.opts.Clock.Now().Add(span)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := t.agents[id.Agent]
+	if a == nil || a.incarnation != id.Incarnation {
+		return
+	}
+	if a.overdue++; a.overdue >= overdueLimit {
+		a.overdue, a.suspectUntil = 0, until
 	}
 }
 
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -143,6 +143,41 @@
 	qt.Assert(t, counts["1"] <= 1, qt.IsTrue, qt.Commentf("%v", counts))
 }
 
+// Guards against an upstream that failed once never getting a request again.
+func TestRecoveredUpstreamIsUsedAgain(t *testing.T) {
+	table, now := newTable()
+	apply(t, table, announcement("1", 1))
+	chosen, _ := table.Choose("price", nil)
+	table.Begin(chosen).Done(Observation{Answered: true, Failed: true})
+	qt.Assert(t, table.Snapshot("price", true).Candidates[0].FailureRate, qt.Equals, smoothing)
+	now.Advance(failureHalfLife)
+	qt.Assert(t, table.Snapshot("price", true).Candidates[0].FailureRate, qt.Equals, smoothing/2)
+	now.Advance(20 * time.Second)
+	qt.Assert(t, table.Snapshot("price", true).Candidates[0].FailureRate, qt.Equals, 0.0)
+}
+
+// Guards against a paused agent that gets requests until its connections count as silent, and against suspicion of an
+// agent that is merely slow now and then.
+func TestOverdueAttempts(t *testing.T) {
+	table, now := newTable()
+	apply(t, table, announcement("1", 1))
+	id := ID{"1", "1-1"}
+	suspected := func() bool { return table.Snapshot("price", true).Candidates[0].SuspectUntil.After(now.Now()) }
+	for range 2 * overdueLimit {
+		for range overdueLimit - 1 {
+			table.Overdue(id, time.Second)
+		}
+		qt.Assert(t, suspected(), qt.IsFalse)
+		table.Trust(id)
+	}
+	for range overdueLimit {
+		table.Overdue(id, time.Second)
+	}
+	qt.Assert(t, suspected(), qt.IsTrue)
+	now.Advance(time.Second)
+	qt.Assert(t, suspected(), qt.IsFalse)
+}
+
 // Guards against a remote upstream being taken while a local one is free, and against the local ones being overloaded.
 func TestSpillOver(t *testing.T) {
 	s := Snapshot{LocalDomain: "patan", RemoteDelay: 8 * time.Millisecond, Candidates: []Candidate{
--- a/routing/table.go
+++ b/routing/table.go
@@ -59,8 +59,10 @@
 	leaving                            bool
 	validUntil, suspectUntil           time.Time
 	roundTrip                          time.Duration
-	bytes                              int
-	upstreams                          map[string]*upstream
+	// overdue counts attempts that ended without a reply since the agent's last reply.
+	overdue   int
+	bytes     int
+	upstreams map[string]*upstream
 }
 
 type upstream struct {
@@ -69,7 +71,9 @@
 	own         int
 	foreign     int
 	serviceTime time.Duration
+	// failureRate is as of failureAt and halves with time.
 	failureRate float64
+	failureAt   time.Time
 	leaving     bool
 }
 
@@ -269,6 +273,7 @@
 // Snapshot returns the candidates for a service. With many upstreams it holds a random sample, unless complete is set.
 func (t *Table) Snapshot(name string, complete bool) Snapshot {
 	s := Snapshot{LocalDomain: t.opts.Domain, RemoteDelay: t.opts.RemoteDelay, FailurePenalty: t.opts.FailurePenalty}
+	now := t.opts.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.services[name]
@@ -282,39 +287,39 @@
 		// The first of equal scores wins. A random start spreads the requests of idle fleets over all upstreams.
 		start := rand.IntN(len(known.all))
 		for _, u := range known.all[start:] {
-			s.Candidates = append(s.Candidates, u.candidate())
+			s.Candidates = append(s.Candidates, u.candidate(now))
 		}
 		for _, u := range known.all[:start] {
-			s.Candidates = append(s.Candidates, u.candidate())
+			s.Candidates = append(s.Candidates, u.candidate(now))
 		}
 		return s
 	}
 	s.Candidates = make([]Candidate, 0, sampleSize)
-	s.Candidates = sample(s.Candidates, known.local, sampleSize/2)
-	s.Candidates = sample(s.Candidates, known.all, sampleSize-len(s.Candidates))
+	s.Candidates = sample(s.Candidates, known.local, sampleSize/2, now)
+	s.Candidates = sample(s.Candidates, known.all, sampleSize-len(s.Candidates), now)
 	return s
 }
 
 // sample appends n random upstreams. Repeats are harmless.
-func sample(to []Candidate, from []*upstream, n int) []Candidate {
+func sample(to []Candidate, from []*upstream, n int, now time.Time) []Candidate {
 	if len(from) <= n {
 		for _, u := range from {
-			to = append(to, u.candidate())
+			to = append(to, u.candidate(now))
 		}
 		return to
 	}
 	for range n {
-		to = append(to, from[rand.IntN(len(from))].candidate())
+		to = append(to, from[rand.IntN(len(from))].candidate(now))
 	}
 	return to
 }
 
-func (u *upstream) candidate() Candidate {
+func (u *upstream) candidate(now time.Time) Candidate {
 	a := u.agent
 	return Candidate{
 		Agent: a.name, Incarnation: a.incarnation, Address: a.address, FailureDomain: a.domain,
 		Slots: u.slots, OwnInFlight: u.own, Foreign: u.foreign, ServiceTime: u.serviceTime, RoundTrip: a.roundTrip,
-		FailureRate: u.failureRate, Leaving: a.leaving || u.leaving,
+		FailureRate: u.currentFailureRate(now), Leaving: a.leaving || u.leaving,
 		ValidUntil: a.validUntil, SuspectUntil: a.suspectUntil, ref: u,
 	}
 }
