Test each rule of the learned models

Ruled out: relying on the random world of faulty workers and jobs; a success clears evidence there so often that the finer rules hardly matter. Change: tests of each of these rules. Conclusion: each rule has a test that fails without it.

--- a/scheduler/guard/guard_test.go
+++ b/scheduler/guard/guard_test.go
@@ -51,6 +51,19 @@
 	c.Assert(evicted, qt.DeepEquals, []string{"oldest", "old"}, qt.Commentf("lowest priority first, one every 4 s, urgent last"))
 }
 
+// Guards against evictions while throttling is enough.
+func TestNoEvictionBelowThreshold(t *testing.T) {
+	c := qt.New(t)
+	var state guard.State
+	for second := range 100 {
+		var action guard.Action
+		in := guard.Input{Services: service(85, time.Second), Batch: batch("a")}
+		state, action = guard.Decide(guard.Rules{}, state, in, start.Add(time.Duration(second)*time.Second))
+		c.Assert(action.Evict, qt.HasLen, 0)
+	}
+	c.Assert(state.Level, qt.Equals, 3)
+}
+
 // Guards against small steps while the objective is missed, and evictions while one is under way.
 func TestMissedObjective(t *testing.T) {
 	c := qt.New(t)
@@ -76,11 +89,17 @@
 	c.Assert(action.Share, qt.Equals, 0.5, qt.Commentf("62 ms rising by 12 ms a second, 2 s ago"))
 	_, action = guard.Decide(guard.Rules{}, guard.State{}, rising, start.Add(time.Second))
 	c.Assert(action.Share, qt.Equals, 1.0, qt.Commentf("no trend is known"))
+	state, _ = guard.Decide(guard.Rules{}, guard.State{}, guard.Input{Services: service(10, 8*time.Second), Batch: batch("a")}, start)
+	_, action = guard.Decide(guard.Rules{}, state, guard.Input{Services: service(30, 8*time.Second), Batch: batch("a")}, start.Add(time.Second))
+	c.Assert(action.Share, qt.Equals, 1.0, qt.Commentf("a small number that doubles is no trend to extrapolate far"))
 }
 
 // Guards against a release on old measurements, and against a guard that stays throttled when a service has no requests.
 func TestUnknownIsNotCalm(t *testing.T) {
 	c := qt.New(t)
+	two := append(service(80, time.Second), guard.Service{AllocationID: "t", ObjectiveMillis: 100, Age: time.Minute})
+	_, urgent := guard.Decide(guard.Rules{}, guard.State{}, guard.Input{Services: two, Batch: batch("a")}, start)
+	c.Assert(urgent.Share, qt.Equals, 0.5, qt.Commentf("one unknown service hides no other that is slow"))
 	state := guard.State{Level: 2, Changed: start}
 	now := start
 	for range 60 {
@@ -116,14 +135,14 @@
 
 // loop runs the guard against a worker whose service slows down by the part of processor time that batch gets, with
 // measurements that lag. It returns for how many seconds the objective was missed, and how often the share changed.
-func loop(seconds int, slowdown func(second int) float64) (missed, changes int) {
+func loop(seconds int, base float64, slowdown func(second int) float64) (missed, changes int) {
 	const lagSeconds = 3
 	var state guard.State
 	share := 1.0
 	measured := make([]float64, lagSeconds)
 	for second := range seconds {
 		now := start.Add(time.Duration(second) * time.Second)
-		latency := 50 * (1 + slowdown(second)*share)
+		latency := base * (1 + slowdown(second)*share)
 		if latency > 100 {
 			missed++
 		}
@@ -140,7 +159,7 @@
 // Guards against oscillation: batch that a service can't bear at full speed must not be released again and again.
 func TestNoOscillation(t *testing.T) {
 	c := qt.New(t)
-	missed, changes := loop(1200, func(int) float64 { return 0.9 })
+	missed, changes := loop(1200, 32, func(int) float64 { return 1.4 })
 	c.Assert(missed, qt.Equals, 0)
 	c.Assert(changes <= 40, qt.IsTrue, qt.Commentf("%d changes in 20 minutes", changes))
 }
@@ -148,7 +167,7 @@
 // Guards against a burst that keeps the service slow, or that keeps batch throttled after it ended.
 func TestBurst(t *testing.T) {
 	c := qt.New(t)
-	missed, _ := loop(300, func(second int) float64 {
+	missed, _ := loop(300, 50, func(second int) float64 {
 		if second >= 100 && second < 140 {
 			return 2
 		}
--- a/scheduler/interference/model_test.go
+++ b/scheduler/interference/model_test.go
@@ -67,6 +67,26 @@
 	}
 }
 
+// Guards against many samples of harm before a class is blocked that is far beyond the limit.
+func TestEarlyBlock(t *testing.T) {
+	c := qt.New(t)
+	s := newTrial(1, map[string]float64{"b": 5})
+	s.run(20)
+	s.run(int(lag/time.Second)+5, interference.Load{Class: "b", Share: 0.3})
+	c.Assert(s.model.Estimate("svc", "b").Blocked, qt.IsTrue)
+}
+
+// Guards against a baseline that stays at the first, disturbed measurement.
+func TestBaselineFromUndisturbedSamples(t *testing.T) {
+	c := qt.New(t)
+	s := newTrial(1, map[string]float64{"b": 4})
+	s.noise = 0
+	s.run(10, interference.Load{Class: "b", Share: 0.5})
+	c.Assert(s.model.BaselineMillis("svc"), qt.Equals, 0.0)
+	s.run(10)
+	c.Assert(s.model.BaselineMillis("svc"), qt.Equals, 100.0)
+}
+
 // Guards against measurements that are blamed on what runs now instead of what ran when they were taken.
 func TestLaggedSamples(t *testing.T) {
 	c := qt.New(t)
@@ -140,8 +160,8 @@
 	c.Assert(s.model.Len(), qt.Equals, 0)
 }
 
-// Guards against tables that grow with every pair, and against estimates that a new owner loses.
-func TestBoundAndSummary(t *testing.T) {
+// Guards against estimates that a new owner loses.
+func TestSummary(t *testing.T) {
 	c := qt.New(t)
 	s := newTrial(1, map[string]float64{"b": 4, "calm": 0.1})
 	s.run(20)
@@ -155,12 +175,25 @@
 		c.Assert(restored.Estimate("svc", class), qt.Equals, s.model.Estimate("svc", class))
 	}
 	c.Assert(restored.BaselineMillis("svc"), qt.Equals, s.model.BaselineMillis("svc"))
+}
 
+// Guards against tables that grow with every pair, and against a blocked pair that is dropped for its few samples.
+func TestBound(t *testing.T) {
+	c := qt.New(t)
+	m := interference.New(interference.Config{Settle: time.Nanosecond})
+	now := start
+	observe := func(class string, latency float64, n int) {
+		m.SetLoads("w", []interference.Load{{Class: class, Share: 0.5}}, now)
+		now = now.Add(time.Millisecond)
+		for range n {
+			m.Observe("w", "svc", latency, 0, now)
+		}
+	}
+	observe("first", 100, 1)
+	observe("bad", 900, 4)
 	for i := range interference.MaxPairs {
-		s.model.SetLoads("w", []interference.Load{{Class: fmt.Sprint(i), Share: 0.5}}, s.now)
-		s.now = s.now.Add(3 * time.Second)
-		s.model.Observe("w", "svc", 120, 0, s.now)
+		observe(fmt.Sprint(i), 100, 5)
 	}
-	c.Assert(s.model.Len(), qt.Equals, interference.MaxPairs)
-	c.Assert(s.model.Estimate("svc", "b").Blocked, qt.IsTrue, qt.Commentf("a blocked pair is kept"))
+	c.Assert(m.Len(), qt.Equals, interference.MaxPairs)
+	c.Assert(m.Estimate("svc", "bad").Blocked, qt.IsTrue)
 }
--- a/scheduler/quarantine/model_test.go
+++ b/scheduler/quarantine/model_test.go
@@ -86,12 +86,64 @@
 	c.Assert(m.Admits("w", start), qt.Equals, quarantine.Open)
 }
 
+// Guards against a sound job that is failed for the faults of workers: quarantined ones, and ones that are suspect since
+// other jobs failed there too.
+func TestFaultyWorkersDoNotFailJob(t *testing.T) {
+	c := qt.New(t)
+	m := quarantine.New(quarantine.Config{})
+	for i := range 3 {
+		worker := fmt.Sprintf("closed%d", i)
+		failDistinctJobs(m, worker, 3, start)
+		m.Failed("victim", worker, start)
+	}
+	m.Failed("victim", "x", start)
+	m.Failed("victim", "y", start)
+	c.Assert(m.JobVerdict("victim"), qt.Equals, "", qt.Commentf("two workers are sound"))
+
+	for i := range 6 {
+		c.Assert(m.JobVerdict("other"), qt.Equals, "", qt.Commentf("%d suspect workers", i))
+		worker := fmt.Sprintf("suspect%d", i)
+		failDistinctJobs(m, worker, 1, start)
+		m.Failed("other", worker, start)
+	}
+	c.Assert(m.JobVerdict("other"), qt.Not(qt.Equals), "")
+}
+
+// Guards against a sound worker that is quarantined for the faults of jobs: known faulty ones, and ones that failed
+// elsewhere too.
+func TestFaultyJobsDoNotCloseWorker(t *testing.T) {
+	c := qt.New(t)
+	m := quarantine.New(quarantine.Config{})
+	for i := range 5 {
+		m.Failed(fmt.Sprintf("spread%d", i), fmt.Sprintf("elsewhere%d", i), start)
+		m.Failed(fmt.Sprintf("spread%d", i), "w", start)
+	}
+	c.Assert(m.Admits("w", start), qt.Equals, quarantine.Open)
+	m.Failed("spread5", "elsewhere5", start)
+	m.Failed("spread5", "w", start)
+	c.Assert(m.Admits("w", start), qt.Equals, quarantine.Closed)
+
+	for _, job := range []string{"bad", "bad2"} {
+		for _, worker := range []string{"x", "y", "z", "v"} {
+			m.Failed(job, worker, start)
+		}
+	}
+	failDistinctJobs(m, "v", 2, start)
+	c.Assert(m.Admits("v", start), qt.Equals, quarantine.Open)
+	failDistinctJobs(m, "v", 3, start)
+	now := start.Add(quarantine.DefaultBackoff)
+	m.ProbeStarted("v", now)
+	m.Failed("bad", "v", now)
+	c.Assert(m.Admits("v", now), qt.Equals, quarantine.Probe, qt.Commentf("a faulty job as probe shows nothing"))
+}
+
 // Guards against a quarantine that never ends, probes that run side by side, and backoff that doesn't grow.
 func TestProbation(t *testing.T) {
 	c := qt.New(t)
 	m := quarantine.New(quarantine.Config{Backoff: time.Minute, MaxBackoff: 3 * time.Minute, ProbeTimeout: time.Minute})
 	now := start
 	failDistinctJobs(m, "w", 3, now)
+	m.Failed("straggler", "w", now)
 	for i, backoff := range []time.Duration{time.Minute, 2 * time.Minute, 3 * time.Minute, 3 * time.Minute} {
 		c.Assert(m.Admits("w", now.Add(backoff-1)), qt.Equals, quarantine.Closed)
 		now = now.Add(backoff)
--- a/scheduler/sizing/sizing_test.go
+++ b/scheduler/sizing/sizing_test.go
@@ -85,14 +85,19 @@
 	}
 	for range 200 {
 		now = now.Add(time.Hour)
-		for range 5 {
-			m.Observe("c", usage(1000, 3000), 2*time.Second, now)
+		for i := range int64(5) {
+			m.Observe("c", usage(960+i*10, 2960+i*10), 2*time.Second, now)
 		}
 	}
 	got := m.Reservation("c", declared, structs.Resources{}, now)
 	c.Assert(got.MilliCores < 1300 && got.MemoryMB < 4000, qt.IsTrue, qt.Commentf("%v", got))
 	got = m.Reservation("c", declared, structs.Resources{}, now.Add(24*time.Hour))
 	c.Assert(got, qt.Equals, structs.Resources{MilliCores: 2000, MemoryMB: 4000, Accelerators: 1}, qt.Commentf("samples of a day ago are few"))
+	for range 20 {
+		m.Observe("c", usage(2000, 5000), 0, now)
+	}
+	grown := m.Reservation("c", declared, structs.Resources{}, now)
+	c.Assert(grown.MilliCores >= 2200 && grown.MemoryMB >= 5750, qt.IsTrue, qt.Commentf("%v", grown))
 }
 
 // Guards against a table that grows with every class name, and against learned sizes that a new owner loses.
