--- a/scheduler/candidates.go
+++ b/scheduler/candidates.go
@@ -49,13 +49,13 @@
 
 // best returns the index of the best worker for the task, or -1 when no worker takes it.
 func (c *Cycle) best(task *PendingTask) int {
-	if len(task.Avoid) > 0 {
-		return c.bestAvoiding(task)
-	}
 	key := keyOf(task)
 	if c.blocked[key] {
 		return -1
 	}
+	if len(task.Avoid) > 0 {
+		return c.bestAvoiding(task)
+	}
 	if !task.Resources.Fits(c.maxFree) {
 		c.blocked[key] = true
 		c.wait(Waiting{JobID: task.Job.ID, Reason: ReasonFull, Workers: len(c.workers)})
--- /dev/null
+++ b/scheduler/comparison_test.go
@@ -0,0 +1,165 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/scheduler"
+	"github.com/quetzalshed/quetzalshed/scheduler/interference"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// slowdowns is the true relative slowdown of a service by a worker full of a batch class, which only measurements show.
+var slowdowns = map[[2]string]float64{
+	{"price", "render"}: 3, {"price", "index"}: 0.4, {"price", "pack"}: 0.1,
+	{"motion", "render"}: 0.2, {"motion", "index"}: 2.5, {"motion", "pack"}: 0.1,
+	{"search", "render"}: 0.3, {"search", "index"}: 0.3, {"search", "pack"}: 0.2,
+}
+
+// comparison replays a synthetic trace in virtual time: 11 workers with two service replicas each, and batch jobs of
+// three classes. Measurements of latency arrive with a lag of 5 s. Nothing throttles or evicts batch.
+type comparison struct {
+	random   *rand.Rand
+	planner  scheduler.Planner
+	model    *interference.Model
+	s        scheduler.Snapshot
+	ends     map[string]time.Time
+	jobs     int
+	underway []measurement
+	// latencies holds the slowdown of each replica in each second.
+	latencies []float64
+	finished  time.Duration
+}
+
+// measurement is a latency that is on its way to the model.
+type measurement struct {
+	worker, service string
+	millis          float64
+	at              time.Time
+}
+
+func newComparison(seed uint64, aware bool) *comparison {
+	x := &comparison{random: rand.New(rand.NewPCG(seed, 4)), model: interference.New(interference.Config{}), ends: map[string]time.Time{}}
+	if aware {
+		x.s.Interference = x.model
+	}
+	classes := []string{"price", "motion", "search"}
+	for i := range 11 {
+		w := newWorker(fmt.Sprintf("w%02d", i), fmt.Sprintf("d%d", i%3))
+		for k := range 2 {
+			service := newJob(fmt.Sprintf("s%d", (i+k)%3), structs.KindService, 3000)
+			service.Class = classes[(i+k*(1+i%2))%3]
+			w.Running = append(w.Running, running(service, i*2+k, 0))
+		}
+		x.s.Workers = append(x.s.Workers, w)
+	}
+	return x
+}
+
+func (x *comparison) second(now time.Time) {
+	for i := range x.s.Workers {
+		w := &x.s.Workers[i]
+		w.Running = slices.DeleteFunc(w.Running, func(t scheduler.RunningTask) bool {
+			end, ok := x.ends[t.AllocationID]
+			if ok = ok && !end.After(now); ok {
+				x.finished += t.WorkDone
+			}
+			return ok
+		})
+	}
+	if x.random.Float64() < 0.5 {
+		x.jobs++
+		job := newJob(fmt.Sprintf("b%05d", x.jobs), structs.KindBatch, int64(1000*(1+x.random.IntN(3))))
+		job.Class = []string{"render", "index", "pack"}[x.random.IntN(3)]
+		job.ExpectedSeconds = 30 + x.random.ExpFloat64()*60
+		x.s.Pending = append(x.s.Pending, scheduler.PendingTask{Job: job})
+	}
+	for _, p := range x.planner.Plan(x.s, now).Place {
+		i := slices.IndexFunc(x.s.Pending, func(t scheduler.PendingTask) bool { return t.ID() == p.Task })
+		length := time.Duration(x.s.Pending[i].Job.ExpectedSeconds * float64(time.Second))
+		task := running(x.s.Pending[i].Job, 0, length)
+		x.ends[task.AllocationID] = now.Add(length)
+		x.s.Pending = slices.Delete(x.s.Pending, i, i+1)
+		w := slices.IndexFunc(x.s.Workers, func(w scheduler.WorkerView) bool { return w.Name == p.Worker })
+		x.s.Workers[w].Running = append(x.s.Workers[w].Running, task)
+	}
+	for i := range x.s.Workers {
+		x.measure(&x.s.Workers[i], now)
+	}
+	for len(x.underway) > 0 && now.Sub(x.underway[0].at) >= 5*time.Second {
+		m := x.underway[0]
+		x.model.Observe(m.worker, m.service, m.millis, now.Sub(m.at), now)
+		x.underway = x.underway[1:]
+	}
+	x.model.Advance(now)
+}
+
+// measure records the latency of the worker's replicas, and sends it as a measurement.
+func (x *comparison) measure(w *scheduler.WorkerView, now time.Time) {
+	shares := map[string]float64{}
+	for i := range w.Running {
+		if t := &w.Running[i]; t.Job.Kind == structs.KindBatch {
+			shares[t.Job.Class] += float64(t.Resources.MilliCores) / float64(w.Capacity.MilliCores)
+		}
+	}
+	var loads []interference.Load
+	for _, class := range []string{"index", "pack", "render"} {
+		if shares[class] > 0 {
+			loads = append(loads, interference.Load{Class: class, Share: shares[class]})
+		}
+	}
+	x.model.SetLoads(w.Name, loads, now)
+	for i := range w.Running {
+		t := &w.Running[i]
+		if t.Job.Kind != structs.KindService {
+			continue
+		}
+		factor := 1.0
+		for _, load := range loads {
+			factor += slowdowns[[2]string{t.Job.Class, load.Class}] * load.Share
+		}
+		x.latencies = append(x.latencies, factor)
+		x.underway = append(x.underway, measurement{w.Name, t.Job.Class, 20 * factor * (0.95 + 0.1*x.random.Float64()), now})
+	}
+}
+
+// run replays an hour and returns the part of replica seconds above the limit, the 99th percentile of the slowdown, and
+// the hours of finished batch work.
+func (x *comparison) run() (slow, p99, finished float64) {
+	for second := range 3600 {
+		x.second(now.Add(time.Duration(second) * time.Second))
+	}
+	slices.Sort(x.latencies)
+	above, _ := slices.BinarySearch(x.latencies, scheduler.DefaultInterferenceLimit)
+	n := len(x.latencies)
+	return 1 - float64(above)/float64(n), x.latencies[n*99/100], x.finished.Hours()
+}
+
+// Guards against learned interference that has no effect on placement, or that costs batch work.
+func TestInterferenceAwarePlacement(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(3) {
+		slow, _, finished := newComparison(seed, true).run()
+		slowIgnoring, _, finishedIgnoring := newComparison(seed, false).run()
+		c.Assert(slow < slowIgnoring/2, qt.IsTrue, qt.Commentf("seed %d: %.4f against %.4f", seed, slow, slowIgnoring))
+		c.Assert(finished > 0.95*finishedIgnoring, qt.IsTrue, qt.Commentf("seed %d: %.1f h against %.1f h", seed, finished, finishedIgnoring))
+	}
+}
+
+func BenchmarkInterferenceAwarePlacement(b *testing.B) {
+	for _, aware := range []bool{true, false} {
+		b.Run(fmt.Sprintf("aware=%v", aware), func(b *testing.B) {
+			for b.Loop() {
+				slow, p99, finished := newComparison(1, aware).run()
+				b.ReportMetric(100*slow, "%slow")
+				b.ReportMetric(p99, "p99-slowdown")
+				b.ReportMetric(finished, "batch-hours")
+			}
+		})
+	}
+}
--- a/scheduler/cycle.go
+++ b/scheduler/cycle.go
@@ -30,6 +30,8 @@
 	beside  map[int]map[int]int
 	shapes  map[shapeKey]*shape
 	blocked map[shapeKey]bool
+	// noRoom holds the shapes for which preemption found no room.
+	noRoom  map[shapeKey]bool
 	touched []int
 	// maxFree bounds what any worker has free, field by field.
 	maxFree structs.Resources
@@ -94,7 +96,7 @@
 	last := *c
 	*c = Cycle{
 		Now: now, Rules: snapshot.Rules.withDefaults(), snapshot: snapshot, jobs: cleared(last.jobs),
-		classes: cleared(last.classes), shapes: cleared(last.shapes), blocked: cleared(last.blocked),
+		classes: cleared(last.classes), shapes: cleared(last.shapes), blocked: cleared(last.blocked), noRoom: cleared(last.noRoom),
 		beside: cleared(last.beside), replaced: cleared(last.replaced), evicted: cleared(last.evicted),
 		workers: append(last.workers[:0], snapshot.Workers...), states: last.states, touched: last.touched[:0],
 	}
--- a/scheduler/lifecycle_test.go
+++ b/scheduler/lifecycle_test.go
@@ -193,3 +193,28 @@
 		c.Check(scheduler.Plan(s, now.Add(step.after)).Place, qt.HasLen, step.want)
 	}
 }
+
+// Guards against a large task that small ones overtake without end, and against more than one worker kept free.
+func TestStarvingTask(t *testing.T) {
+	c := qt.New(t)
+	small := newJob("small", structs.KindBatch, 2000)
+	s := scheduler.Snapshot{Pending: append(pending(newJob("large", structs.KindBatch, 16000), 2), pending(small, 40)...)}
+	for i, name := range []string{"w1", "w2", "w3"} {
+		s.Workers = append(s.Workers, newWorker(name, name, running(small, 100+i, 0)))
+	}
+	c.Assert(scheduler.Plan(s, now).Place, qt.HasLen, 21)
+	s.Pending[0].Since = now.Add(-scheduler.DefaultStarveAfter - time.Second)
+	s.Pending[1].Since = s.Pending[0].Since
+	got := scheduler.Plan(s, now)
+	c.Assert(got.Place, qt.HasLen, 14)
+	used := map[string]bool{}
+	for _, p := range got.Place {
+		used[p.Worker] = true
+	}
+	for i := range s.Workers {
+		if !used[s.Workers[i].Name] {
+			s.Workers[i].Running = nil
+			c.Assert(placedOn(scheduler.Plan(s, now))["large/0"], qt.Equals, s.Workers[i].Name)
+		}
+	}
+}
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -12,6 +12,8 @@
 // level holds tasks of the same rank, in one queue for each team.
 type level struct {
 	queues []teamQueue
+	// preempts is set if the tasks may evict batch.
+	preempts bool
 }
 
 type teamQueue struct {
@@ -70,7 +72,7 @@
 
 // newLevel groups the tasks by team and keeps their order within each team.
 func newLevel(tasks []*PendingTask) level {
-	var l level
+	l := level{preempts: tasks[0].Preempts()}
 	positions := map[*quota.Account]int{}
 	for _, task := range tasks {
 		account := task.state.account
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -18,6 +18,7 @@
 	first, rest := c.queues()
 	c.run(first)
 	c.evacuateBatch()
+	c.feedStarving(rest)
 	c.run(rest)
 	return c.plan
 }
@@ -26,7 +27,8 @@
 //
 // The order is: replacements of service replicas that must leave and urgent work; then batch that must leave, by the
 // value of the work already done; then the rest by priority, services before batch at the same priority, and fair
-// share by team. A job that can't be placed blocks no other job.
+// share by team. A job that can't be placed blocks no other job, but for one starving batch task at a time, for which
+// one worker is kept free.
 func Plan(snapshot Snapshot, now time.Time) Decisions {
 	return new(Planner).Plan(snapshot, now)
 }
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -10,6 +10,10 @@
 // makeRoom holds room for a task that may preempt: on a worker where evictions under way free enough, or else on the
 // worker where evicting batch costs least. The task is placed by a later plan, once the evictions have ended.
 func (c *Cycle) makeRoom(task *PendingTask) {
+	key := keyOf(task)
+	if c.noRoom[key] {
+		return
+	}
 	if index := c.awaited(task); index >= 0 {
 		c.hold(task.Resources, index)
 		return
@@ -28,6 +32,8 @@
 		}
 	}
 	if best < 0 || len(c.plan.Evict)+len(victims) > c.Rules.MaxEvictions {
+		// What may be evicted only shrinks in a cycle, so equal tasks need not try again.
+		c.noRoom[key] = true
 		return
 	}
 	w := &c.workers[best]
--- a/scheduler/rules.go
+++ b/scheduler/rules.go
@@ -15,6 +15,9 @@
 	DefaultReturnRamp = 30 * time.Second
 	// DefaultEvacuationGrace is how long batch may wait in an out domain for room elsewhere before it is evicted anyway.
 	DefaultEvacuationGrace = 20 * time.Second
+	// DefaultStarveAfter is how long a batch task waits before room is held for it. Until then smaller tasks that fit may
+	// overtake it without end.
+	DefaultStarveAfter = 10 * time.Minute
 	// DefaultInterferenceLimit is the service slowdown above which a worker takes no more batch beside the service.
 	DefaultInterferenceLimit = 1.25
 	// DefaultExplorationTasks bounds the tasks of one batch class that run beside one service class while their
@@ -40,6 +43,8 @@
 	ReturnRamp time.Duration
 	// EvacuationGrace is how long batch in an out domain may wait for room elsewhere. Negative: no wait.
 	EvacuationGrace time.Duration
+	// StarveAfter is how long a batch task waits before a worker is kept free for it. Negative: for ever.
+	StarveAfter time.Duration
 	// EvictionsPerWorker bounds concurrent evictions of an evacuation on one worker.
 	EvictionsPerWorker int
 	// MaxPlacements and MaxEvictions bound one plan. What exceeds them waits for the next plan.
@@ -55,6 +60,7 @@
 	setDefault(&r.ExplorationTasks, DefaultExplorationTasks)
 	setDefault(&r.ReturnRamp, DefaultReturnRamp)
 	setDefault(&r.EvacuationGrace, DefaultEvacuationGrace)
+	setDefault(&r.StarveAfter, DefaultStarveAfter)
 	setDefault(&r.EvictionsPerWorker, DefaultEvictionsPerWorker)
 	setDefault(&r.MaxPlacements, DefaultMaxPlacements)
 	setDefault(&r.MaxEvictions, DefaultMaxEvictions)
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -77,6 +77,8 @@
 	Attempt int
 	// Resources is the reservation, usually from sizing. Zero means the declared resources of the job.
 	Resources structs.Resources
+	// Since is when the task became pending. Zero means that it is never treated as starving.
+	Since time.Time
 	// NotBefore holds a retry back until its backoff has passed.
 	NotBefore time.Time
 	// WorkDone is the run time saved in the task's checkpoint. Tasks with more of it resume first.
