Keep agents quiet while heartbeats bring proofs of the head

Ruled out: a longer interval for all, since a cut-off agent needs a proof within the start freshness of 3 s. Change: a process that doesn't poll and has no news starts no exchange while its proof is younger than 1.5 s.

--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -146,6 +146,16 @@
 	return e.peers.addresses(e.clock.Now(), owners)
 }
 
+// quietAge is the age of the newest proof below which an agent starts no exchange. Heartbeats bring a proof each second;
+// when they fail, exchanges begin well before starts are stopped at an age of 3 s.
+const quietAge = 1500 * time.Millisecond
+
+// Quiet tells whether a process without news may leave a round out. Exchanges of all agents would otherwise meet at the
+// few processes that poll the store, and cost these more than the heartbeats.
+func Quiet(polling, known bool, age time.Duration) bool {
+	return !polling && known && age < quietAge
+}
+
 // RoundInterval is the pause between two rounds. That of a process that doesn't poll the store grows with the fleet, so
 // that the few processes that do aren't called more often than about 32 times per interval by all of them.
 func RoundInterval(interval time.Duration, polling bool, workers int) time.Duration {
--- a/gossip/exchange_test.go
+++ b/gossip/exchange_test.go
@@ -205,3 +205,13 @@
 		}
 	})
 }
+
+// Guards against agents that all call the few pollers although heartbeats keep them current, and against an agent that
+// stays quiet when its heartbeats fail.
+func TestAgentsAreQuietWhileHeartbeatsBringProofs(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(gossip.Quiet(false, true, time.Second), qt.IsTrue)
+	c.Assert(gossip.Quiet(false, true, 2*time.Second), qt.IsFalse)
+	c.Assert(gossip.Quiet(false, false, 0), qt.IsFalse)
+	c.Assert(gossip.Quiet(true, true, 0), qt.IsFalse)
+}
--- a/gossip/module.go
+++ b/gossip/module.go
@@ -124,15 +124,20 @@
 // loop runs a round in each interval, and early when there is news to pass on.
 func (m *Module) loop(ctx context.Context) {
 	follower := m.config.Follower()
+	news := true
 	for {
 		headChanged, ownersChanged := follower.Changed(), m.owners.Changed()
-		m.round(ctx)
+		if age, known := follower.Confirmed(); news || !Quiet(m.config.Polling(), known, age) {
+			m.round(ctx)
+		}
+		news = true
 		timer := time.NewTimer(m.pause())
 		select {
 		case <-ctx.Done():
 		case <-headChanged:
 		case <-ownersChanged:
 		case <-timer.C:
+			news = false
 		}
 		timer.Stop()
 		select {
