Test shards and the runner under faults and fix what that found

A state machine over four nodes, an oracle that knows only the log and the starts on workers, and focused tests found these faults: a batch task could not be suspended at the end of its lease, because the lease on the worker ends no later and the worker had stopped it by then; an allocation on a worker whose task API is silent was held for ever; an owner that was back after an outage of the store gave up work that agents had only suspended; an allocation reported by a silent worker kept the next attempt of its task from being placed; a late result of an earlier attempt could finish a task while a start of the later attempt was still on its way.

Ruled out: a grace on the worker's lease beyond the allocation's lease (owners would have to wait longer for every lost worker). Batch is suspended 0.5 s before the end of its lease instead.

Change: as above, plus verdicts that are withdrawn once a job can run, and heartbeats that an owner without validity records but doesn't answer.

--- a/agent/runner/cluster_test.go
+++ b/agent/runner/cluster_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,6 +40,19 @@
 	jobs   *jobs.Service
 	check  func()
 	nested int
+	// snapshotEvery is a number of records.
+	snapshotEvery int64
+	// sent and pushed hold messages that can be delivered again.
+	sent   []structs.Heartbeat
+	pushed []push
+	// truncated holds the records that owners have deleted since the last check.
+	truncated []store.Entry
+}
+
+// push is a start request to a node.
+type push struct {
+	to      *node
+	request structs.StartRequest
 }
 
 // node is a host: a worker, and an agent that runs allocations and may own the shard.
@@ -55,6 +69,8 @@
 	// down: the agent isn't running. pausedUntil: it runs no instruction before that time.
 	down        bool
 	pausedUntil time.Time
+	// busy is set while the agent is paused in the middle of a call.
+	busy bool
 	// cutStore and cutPeers break its connections.
 	cutStore, cutPeers bool
 	// pauseAtCall pauses the agent at its next outgoing call: before the call takes effect, or after.
@@ -65,7 +81,7 @@
 }
 
 func newCluster(nodes int) *cluster {
-	c := &cluster{clock: clock.NewManual(time.Unix(1_800_000_000, 0)), check: func() {}}
+	c := &cluster{clock: clock.NewManual(time.Unix(1_800_000_000, 0)), check: func() {}, snapshotEvery: 64}
 	c.store = storetest.New(c.clock)
 	c.head = config.Head{
 		Revision: 1, Changes: []string{"first"}, StartFreshnessMillis: 3000, Domains: map[string]config.DomainState{},
@@ -87,6 +103,7 @@
 func (n *node) boot() {
 	c := n.c
 	n.starts++
+	n.pausedUntil = time.Time{}
 	n.down, n.lastReply = false, time.Time{}
 	n.follower, n.owners = config.NewFollower(c.clock), gossip.NewOwnerTable()
 	address := fmt.Sprintf("127.0.0.1:%d", 1000+slices.Index(c.nodes, n))
@@ -95,13 +112,15 @@
 		Capacity: structs.Resources{MilliCores: 4000, MemoryMB: 8000},
 	}
 	log := hclog.NewNullLogger()
-	n.owner = shard.NewOwner(shard.DefaultConfig(0, n.name, address), storeGate{c.store, n}, c.clock,
+	settings := shard.DefaultConfig(0, n.name, address)
+	settings.SnapshotEvery = c.snapshotEvery
+	n.owner = shard.NewOwner(settings, storeGate{c.store, n}, c.clock,
 		shard.NewFollowed(n.follower, c.clock), scheduler.Plan, n.owners, pushGate{n}, log)
 	ledger := NewLedger(DefaultSettings(), w, 0, fmt.Sprint(n.name, "-", n.starts), c.clock.Now().UnixNano())
 	n.runner = New(ledger, workerGate{n.worker, n}, c.clock, followed{n.follower}, ownerGate{n}, nil, log)
 }
 
-func (n *node) up() bool { return !n.down && !n.c.clock.Now().Before(n.pausedUntil) }
+func (n *node) up() bool { return !n.down && !n.busy && !n.c.clock.Now().Before(n.pausedUntil) }
 
 // call is made at each outgoing call of a node; a pause that is due lets the others run on meanwhile.
 func (n *node) call(after bool) {
@@ -112,41 +131,64 @@
 	n.pauseAtCall = 0
 	n.pausedUntil = n.c.clock.Now().Add(pause)
 	n.c.nested++
+	n.busy = true
+	life := n.starts
 	for n.c.clock.Now().Before(n.pausedUntil) {
 		n.c.step()
 	}
 	n.c.nested--
+	n.busy = false
+	if n.down || n.starts != life {
+		panic(killed{})
+	}
 }
 
+// killed ends what a process was doing when it was killed during a pause.
+type killed struct{}
+
+// kill ends the agent of a node.
+func (n *node) kill() { n.down = true }
+
 // step advances the time by one tick and runs all agents.
 func (c *cluster) step() {
 	c.clock.Advance(tick)
-	ctx := context.Background()
 	for i, n := range c.nodes {
-		if !n.up() {
-			continue
-		}
-		n.round++
-		_, owns := n.owner.Owns()
-		if owns && n.round%2 == 0 && !n.cutStore && !c.store.Faults().Down {
-			_ = n.follower.ObserveStore(c.head, c.clock.Now())
+		if n.up() {
+			n.act(i)
 		}
-		if owns && n.round%5 == 0 {
-			_ = n.owner.KeepAlive(ctx)
+	}
+	c.check()
+}
+
+// act runs the agent of a node for one tick.
+func (n *node) act(i int) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			if _, ok := cause.(killed); !ok {
+				panic(cause)
+			}
 		}
-		if !owns && n.round%3 == 0 && c.clock.Now().Sub(n.lastReply) > 1500*time.Millisecond {
-			_ = n.owner.Acquire(ctx)
+	}()
+	c, ctx := n.c, context.Background()
+	n.round++
+	_, owns := n.owner.Owns()
+	if owns && n.round%2 == 0 && !n.cutStore && !c.store.Faults().Down {
+		_ = n.follower.ObserveStore(c.head, c.clock.Now())
+	}
+	if owns && n.round%5 == 0 {
+		_ = n.owner.KeepAlive(ctx)
+	}
+	if !owns && n.round%3 == 0 && c.clock.Now().Sub(n.lastReply) > 1500*time.Millisecond {
+		_ = n.owner.Acquire(ctx)
+	}
+	_ = n.owner.Step(ctx)
+	_ = n.runner.Tick(ctx)
+	if (n.round+i)%5 == 0 && n.up() {
+		if n.runner.Beat(ctx) == nil {
+			n.lastReply = c.clock.Now()
 		}
-		_ = n.owner.Step(ctx)
 		_ = n.runner.Tick(ctx)
-		if (n.round+i)%5 == 0 && n.up() {
-			if n.runner.Beat(ctx) == nil {
-				n.lastReply = c.clock.Now()
-			}
-			_ = n.runner.Tick(ctx)
-		}
 	}
-	c.check()
 }
 
 // run advances the cluster until done returns true, for at most the given time.
@@ -161,12 +203,14 @@
 }
 
 func (c *cluster) owner() *node {
+	var owner *node
+	highest := int64(0)
 	for _, n := range c.nodes {
-		if _, owns := n.owner.Owns(); owns && n.up() {
-			return n
+		if epoch, owns := n.owner.Owns(); owns && n.up() && epoch > highest {
+			owner, highest = n, epoch
 		}
 	}
-	return nil
+	return owner
 }
 
 // storeGate is the store as a node reaches it.
@@ -213,6 +257,9 @@
 	if err := g.cut(); err != nil {
 		return err
 	}
+	if entry, err := g.Store.Get(ctx, key); err == nil && strings.Contains(key, "/log/") {
+		g.n.c.truncated = append(g.n.c.truncated, entry)
+	}
 	return g.Store.Delete(ctx, key, ifRevision)
 }
 
@@ -258,6 +305,7 @@
 			if !n.up() || (n != g.n && (n.cutPeers || g.n.cutPeers)) {
 				break
 			}
+			g.n.c.sent = append(g.n.c.sent, hb)
 			reply, err := n.owner.Heartbeat(hb)
 			if err == nil {
 				g.n.call(true)
@@ -274,6 +322,7 @@
 
 func (g pushGate) Push(_ context.Context, address string, request structs.StartRequest) error {
 	for i, n := range g.n.c.nodes {
+		g.n.c.pushed = append(g.n.c.pushed, push{n, request})
 		if fmt.Sprintf("127.0.0.1:%d", 1000+i) == address && n.up() && (n == g.n || (!n.cutPeers && !g.n.cutPeers)) {
 			return n.runner.Push(request)
 		}
@@ -375,3 +424,8 @@
 	}
 	assert.Assert(starts, qt.Equals, 5)
 }
+
+var (
+	workerDown    = workertest.Faults{Down: true}
+	workerHealthy = workertest.Faults{}
+)
--- a/agent/runner/ledger.go
+++ b/agent/runner/ledger.go
@@ -14,6 +14,16 @@
 	maxResults = 4096
 	// sentKept is how many send times of heartbeats are remembered; a push that names an older one is rejected.
 	sentKept = 16
+	// unusableAfter is how long the worker may give no status before nothing more is placed on it. Its calls time out
+	// after 1 s.
+	unusableAfter = 3 * time.Second
+	// startTries is how long a start is repeated when its result is unknown.
+	startTries = 5 * time.Second
+	// suspendEarly is how long before the end of its lease a batch task is suspended. The lease on the worker never lasts
+	// longer, so a later suspension would find the task stopped and its memory lost. Two ticks fit into it.
+	suspendEarly = 500 * time.Millisecond
+	// drift is added to the end of a lease on the worker before the task is taken as stopped by it.
+	drift = time.Second
 )
 
 // Settings holds the periods of a runner.
@@ -47,6 +57,8 @@
 type held struct {
 	alloc structs.Allocation
 	state structs.TaskState
+	// admitted is when the allocation was accepted.
+	admitted time.Time
 	// started is set once a start call may have taken effect.
 	started bool
 	// leaseEnd is when the allocation must not run any more.
@@ -84,6 +96,8 @@
 	// ended remembers allocations that were ended, for as long as a start of them can still arrive.
 	ended    map[string]time.Time
 	draining bool
+	// responded is when the worker last responded with its status.
+	responded time.Time
 }
 
 // NewLedger returns an empty ledger of a worker.
@@ -117,7 +131,7 @@
 	delete(l.sent, l.sequence-sentKept)
 	hb := structs.Heartbeat{
 		Worker: l.worker, Incarnation: l.incarnation, StartedUnixNano: l.started, Sequence: l.sequence, Epoch: l.epoch,
-		Draining: l.draining,
+		Draining: l.draining, Unusable: l.unusable(now),
 	}
 	for _, id := range slices.Sorted(maps.Keys(l.held)) {
 		h := l.held[id]
@@ -217,7 +231,7 @@
 		return
 	}
 	h := &held{
-		alloc: alloc, state: structs.TaskStarting, confirmed: true, checkpoint: alloc.CheckpointID, share: 1,
+		alloc: alloc, state: structs.TaskStarting, confirmed: true, admitted: now, checkpoint: alloc.CheckpointID, share: 1,
 		leaseEnd: sent.Add(time.Duration(alloc.LeaseMillis) * time.Millisecond),
 	}
 	switch {
@@ -246,6 +260,11 @@
 	}
 }
 
+// unusable tells whether the worker has stopped responding.
+func (l *Ledger) unusable(now time.Time) bool {
+	return now.Sub(l.responded) > unusableAfter
+}
+
 // prune forgets ended allocations of which no start can arrive any more.
 func (l *Ledger) prune(now time.Time) {
 	for id, at := range l.ended {
--- /dev/null
+++ b/agent/runner/ledger_test.go
@@ -0,0 +1,204 @@
+package runner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/platform/worker"
+	"github.com/quetzalshed/quetzalshed/platform/worker/workertest"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+var origin = time.Unix(1_800_000_000, 0)
+
+func newTestLedger() *Ledger {
+	w := structs.Worker{Name: "w", FailureDomain: "d", Capacity: structs.Resources{MilliCores: 4000, MemoryMB: 4000}}
+	return NewLedger(DefaultSettings(), w, 0, "first", 1)
+}
+
+func testAllocation(id string, cores int64) structs.Allocation {
+	return structs.Allocation{
+		ID: id, Task: structs.TaskID{JobID: id}, Attempt: 1, Worker: "w", Kind: structs.KindBatch, Epoch: 1,
+		Resources: structs.Resources{MilliCores: cores, MemoryMB: 100}, LeaseMillis: 4000, Command: "run=1h",
+	}
+}
+
+func startReply(hb structs.Heartbeat, epoch int64, starts ...structs.Allocation) structs.HeartbeatReply {
+	return structs.HeartbeatReply{Epoch: epoch, Sequence: hb.Sequence, LeaseMillis: 4000, Start: starts}
+}
+
+// Guards against a worker that is given more than it holds because an owner's view was out of date (P1).
+func TestLedgerRefusesWhatDoesNotFit(t *testing.T) {
+	c := qt.New(t)
+	l := newTestLedger()
+	hb := l.Heartbeat(origin)
+	c.Assert(l.Apply(startReply(hb, 1, testAllocation("a", 3000), testAllocation("b", 1500), testAllocation("c", 1000)), origin), qt.IsTrue)
+	next := l.Heartbeat(origin)
+	c.Assert(next.Running, qt.HasLen, 2)
+	c.Assert(next.Results, qt.HasLen, 1)
+	c.Assert(next.Results[0].AllocationID, qt.Equals, "b")
+	c.Assert(next.Results[0].Refused, qt.IsTrue)
+}
+
+// Guards against a lease that counts from when a reply arrived: the owner counts from when it got the heartbeat.
+func TestLeaseCountsFromTheSentHeartbeat(t *testing.T) {
+	c := qt.New(t)
+	l := newTestLedger()
+	hb := l.Heartbeat(origin)
+	l.Apply(startReply(hb, 1, testAllocation("a", 1000)), origin)
+	l.held["a"].started, l.held["a"].state = true, structs.TaskRunning
+	hb = l.Heartbeat(origin.Add(time.Second))
+	reply := structs.HeartbeatReply{Epoch: 1, Sequence: hb.Sequence, LeaseMillis: 4000, Keep: []string{"a"}}
+	c.Assert(l.Apply(reply, origin.Add(4*time.Second)), qt.IsTrue)
+	c.Assert(l.held["a"].leaseEnd, qt.Equals, origin.Add(5*time.Second))
+	l.held["a"].workerLeaseEnd = origin.Add(5 * time.Second)
+	l.responded = origin.Add(4 * time.Second)
+	c.Assert(l.renewal(l.held["a"], origin.Add(2*time.Second)), qt.Equals, 2*time.Second)
+	c.Assert(l.renewal(l.held["a"], origin.Add(4*time.Second)), qt.Equals, time.Second)
+	c.Assert(l.verbOf(l.held["a"], origin.Add(4499*time.Millisecond)), qt.Equals, verbRenew)
+	c.Assert(l.verbOf(l.held["a"], origin.Add(4500*time.Millisecond)), qt.Equals, verbSuspend)
+}
+
+// Guards against an earlier owner that keeps or starts work after a later one has been seen.
+func TestLedgerIgnoresLowerEpochs(t *testing.T) {
+	c := qt.New(t)
+	l := newTestLedger()
+	c.Assert(l.Apply(startReply(l.Heartbeat(origin), 3), origin), qt.IsTrue)
+	c.Assert(l.Apply(startReply(l.Heartbeat(origin), 2, testAllocation("a", 1000)), origin), qt.IsFalse)
+	c.Assert(l.held, qt.HasLen, 0)
+	push := structs.StartRequest{Epoch: 2, Incarnation: "first", Sequence: 1, Start: []structs.Allocation{testAllocation("a", 1000)}}
+	c.Assert(l.Push(push, origin), qt.IsFalse)
+}
+
+// Guards against a start that was delayed on its way and arrives after its owner has given it up.
+func TestDelayedStartIsNotTaken(t *testing.T) {
+	c := qt.New(t)
+	l := newTestLedger()
+	hb := l.Heartbeat(origin)
+	l.Apply(startReply(hb, 1), origin)
+	push := structs.StartRequest{
+		Epoch: 1, Incarnation: "first", Sequence: hb.Sequence, Start: []structs.Allocation{testAllocation("a", 1000)},
+	}
+	service := testAllocation("s", 1000)
+	service.Kind, service.LeaseMillis = structs.KindService, 600_000
+	push.Start = append(push.Start, service)
+	l.Push(push, origin.Add(4*time.Second))
+	c.Assert(l.held, qt.HasLen, 0)
+	l.Push(push, origin.Add(3*time.Second))
+	c.Assert(l.held, qt.HasLen, 2)
+}
+
+// Guards against a start that overtakes its own stop: the task must not start after the owner was told that it ended.
+func TestStopOutrunsStart(t *testing.T) {
+	c := qt.New(t)
+	l := newTestLedger()
+	hb := l.Heartbeat(origin)
+	stop := structs.HeartbeatReply{Epoch: 1, Sequence: hb.Sequence, Stop: []structs.TaskStop{{AllocationID: "a"}}}
+	l.Apply(stop, origin)
+	l.Push(structs.StartRequest{
+		Epoch: 1, Incarnation: "first", Sequence: hb.Sequence, Start: []structs.Allocation{testAllocation("a", 1000)},
+	}, origin.Add(time.Second))
+	c.Assert(l.held, qt.HasLen, 0)
+}
+
+// fixedOwner is a transport with one owner.
+type fixedOwner struct {
+	stored int64
+	reply  func(structs.Heartbeat) structs.HeartbeatReply
+	beats  int
+}
+
+func (f *fixedOwner) Epoch(context.Context, int) (int64, error) { return f.stored, nil }
+
+func (f *fixedOwner) Heartbeat(_ context.Context, _ int, hb structs.Heartbeat) (structs.HeartbeatReply, error) {
+	f.beats++
+	return f.reply(hb), nil
+}
+
+// gateSettings allows a number of starts.
+type gateSettings struct{ allowed int }
+
+func (g *gateSettings) MayStart(string) (bool, string) {
+	g.allowed--
+	return g.allowed >= 0, "the domain is out of service"
+}
+func (g *gateSettings) Revision() int64                         { return 0 }
+func (g *gateSettings) Relay(structs.HeartbeatReply, time.Time) {}
+
+func newTestRunner(c clock.Clock, w worker.Worker, owner Transport, allowed int) *Runner {
+	return New(newTestLedger(), w, c, &gateSettings{allowed}, owner, nil, hclog.NewNullLogger())
+}
+
+// Guards against a restarted agent that follows an owner which its earlier process had already left for a later one.
+func TestRestartedAgentSkipsFormerOwner(t *testing.T) {
+	c := qt.New(t)
+	at := clock.NewManual(origin)
+	former := &fixedOwner{stored: 5, reply: func(hb structs.Heartbeat) structs.HeartbeatReply {
+		return startReply(hb, 4, testAllocation("a", 1000))
+	}}
+	w := workertest.New(at, structs.Resources{MilliCores: 4000, MemoryMB: 4000})
+	r := newTestRunner(at, w, former, 100)
+	c.Assert(r.Tick(context.Background()), qt.IsNil)
+	c.Assert(r.Beat(context.Background()), qt.ErrorIs, ErrOutdated)
+	c.Assert(r.Tick(context.Background()), qt.IsNil)
+	c.Assert(w.Starts(), qt.HasLen, 0)
+	former.stored = 0
+	r = newTestRunner(at, w, former, 100)
+	c.Assert(r.Tick(context.Background()), qt.IsNil)
+	c.Assert(r.Beat(context.Background()), qt.ErrorIs, ErrNoOwner)
+}
+
+// Guards against starts in a domain that left service (P4): directly before the start, and when the call took long.
+func TestFreshnessIsCheckedBeforeAndAfterStart(t *testing.T) {
+	for allowed, starts := range []int{0, 1, 1} {
+		c := qt.New(t)
+		at := clock.NewManual(origin)
+		owner := &fixedOwner{stored: 1, reply: func(hb structs.Heartbeat) structs.HeartbeatReply {
+			return startReply(hb, 1, testAllocation("a", 1000))
+		}}
+		w := workertest.New(at, structs.Resources{MilliCores: 4000, MemoryMB: 4000})
+		r := newTestRunner(at, w, owner, allowed)
+		c.Assert(r.Tick(context.Background()), qt.IsNil)
+		c.Assert(r.Beat(context.Background()), qt.IsNil)
+		c.Assert(r.Tick(context.Background()), qt.IsNil)
+		c.Assert(w.Starts(), qt.HasLen, starts)
+		c.Assert(len(w.Running()), qt.Equals, max(0, allowed-1))
+	}
+}
+
+// Guards against tasks that a restarted agent forgets, starts again, or renews without an owner's confirmation.
+func TestRestartedAgentRecoversTasks(t *testing.T) {
+	c := qt.New(t)
+	at := clock.NewManual(origin)
+	ctx := context.Background()
+	owner := &fixedOwner{stored: 1, reply: func(hb structs.Heartbeat) structs.HeartbeatReply {
+		return startReply(hb, 1, testAllocation("a", 1000), testAllocation("b", 1000))
+	}}
+	w := workertest.New(at, structs.Resources{MilliCores: 4000, MemoryMB: 4000})
+	r := newTestRunner(at, w, owner, 100)
+	c.Assert(r.Tick(ctx), qt.IsNil)
+	c.Assert(r.Beat(ctx), qt.IsNil)
+	c.Assert(r.Tick(ctx), qt.IsNil)
+	c.Assert(w.Running(), qt.HasLen, 2)
+
+	r = newTestRunner(at, w, owner, 100)
+	c.Assert(r.Tick(ctx), qt.IsNil)
+	var reported []structs.AllocationState
+	owner.reply = func(hb structs.Heartbeat) structs.HeartbeatReply {
+		reported = hb.Running
+		return structs.HeartbeatReply{Epoch: 1, Sequence: hb.Sequence, LeaseMillis: 4000, Keep: []string{"a"}}
+	}
+	c.Assert(r.Beat(ctx), qt.IsNil)
+	c.Assert(reported, qt.HasLen, 2)
+	at.Advance(1500 * time.Millisecond)
+	c.Assert(r.Tick(ctx), qt.IsNil)
+	at.Advance(1000 * time.Millisecond)
+	c.Assert(r.Tick(ctx), qt.IsNil)
+	c.Assert(w.Running(), qt.DeepEquals, []string{"a"})
+	c.Assert(w.Starts(), qt.HasLen, 2)
+}
--- a/agent/runner/operations.go
+++ b/agent/runner/operations.go
@@ -19,6 +19,8 @@
 	verbResume     verb = "resume"
 	verbStop       verb = "stop"
 	verbCheckpoint verb = "checkpoint"
+	// verbAbandon ends an allocation that certainly doesn't run, on a worker that doesn't respond.
+	verbAbandon verb = "abandon"
 	// verbRemove stops a task that the ledger doesn't hold.
 	verbRemove verb = "remove"
 )
@@ -50,6 +52,19 @@
 
 func (l *Ledger) verbOf(h *held, now time.Time) verb {
 	over := !now.Before(h.leaseEnd)
+	if h.alloc.Kind == structs.KindBatch && h.started {
+		over = !now.Before(h.leaseEnd.Add(-suspendEarly))
+	}
+	// The worker stops a task whose lease it has not renewed, whether it can be reached or not. A start whose result is
+	// unknown may have taken effect until its last try, with a lease of its own.
+	if l.unusable(now) {
+		switch lastTry := h.admitted.Add(startTries + l.workerLease(h) + drift); {
+		case h.started && now.After(h.workerLeaseEnd.Add(drift)):
+			return verbAbandon
+		case !h.started && now.After(lastTry):
+			return verbAbandon
+		}
+	}
 	switch {
 	case h.stop != nil:
 		return verbStop
@@ -59,6 +74,12 @@
 		if over {
 			return verbStop
 		}
+		if now.Sub(h.admitted) > startTries {
+			if l.unusable(now) {
+				return ""
+			}
+			return verbStop
+		}
 		return verbStart
 	case h.state == structs.TaskSuspended:
 		if !over {
@@ -101,6 +122,7 @@
 // observe takes the status of the worker and returns the tasks that the ledger doesn't hold.
 func (l *Ledger) observe(statuses []worker.TaskStatus, now time.Time) []operation {
 	var remove []operation
+	l.responded = now
 	seen := map[string]bool{}
 	for _, status := range statuses {
 		seen[status.ID] = true
@@ -163,10 +185,12 @@
 			continue
 		}
 		l.epoch = max(l.epoch, alloc.Epoch)
-		l.held[alloc.ID] = &held{
+		h := &held{
 			alloc: alloc, state: structs.TaskRunning, started: true, checkpoint: alloc.CheckpointID, share: 1,
-			leaseEnd: now, workerLeaseEnd: now,
+			leaseEnd: now,
 		}
+		h.workerLeaseEnd = now.Add(l.workerLease(h))
+		l.held[alloc.ID] = h
 	}
 	l.observe(statuses, now)
 }
--- a/agent/runner/perform.go
+++ b/agent/runner/perform.go
@@ -37,6 +37,8 @@
 			r.resume(ctx, h)
 		case verbStop:
 			r.stop(ctx, h)
+		case verbAbandon:
+			r.finish(h, structs.TaskPending, "the worker doesn't respond and the lease on it has run out")
 		}
 	}
 }
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -200,7 +200,7 @@
 	r.tickMu.Lock()
 	defer r.tickMu.Unlock()
 	// Leases are enforced before the status is read, since that call can take long.
-	r.perform(ctx, r.due(verbSuspend, verbStop))
+	r.perform(ctx, r.due(verbSuspend, verbStop, verbAbandon))
 	statuses, err := r.worker.Status(ctx)
 	if err != nil {
 		return eris.Wrap(err, "reading the worker's status")
--- a/shard/lifecycle/heartbeat.go
+++ b/shard/lifecycle/heartbeat.go
@@ -53,6 +53,7 @@
 		view.DrainingSince = now
 	}
 	view.Received, view.Current, view.Draining = now, hb.Epoch == m.epoch, hb.Draining
+	view.Unusable = hb.Unusable
 	view.Running = make(map[string]structs.AllocationState, len(hb.Running))
 	for _, running := range hb.Running {
 		view.Running[running.Allocation.ID] = running
@@ -75,7 +76,7 @@
 	}
 	current := task.Active() && task.Attempt == r.Attempt
 	switch {
-	case r.State == structs.TaskFinished && !task.State.Terminal() && r.Attempt <= task.Attempt:
+	case r.State == structs.TaskFinished && task.finishes(r.Attempt):
 		m.finish(r, wall)
 	case current:
 		if live == nil {
@@ -94,12 +95,6 @@
 	m.propose(Event{
 		Kind: EventFinish, JobID: r.Task.JobID, Index: r.Task.Index, Attempt: r.Attempt, UnixMilli: wall.UnixMilli(),
 	})
-	// A later attempt of the task may exist when this result was delayed; it is stopped.
-	for _, other := range m.live {
-		if other.Alloc.Task == r.Task {
-			other.Stop = &structs.TaskStop{AllocationID: other.Alloc.ID, Reason: "an earlier attempt has finished"}
-		}
-	}
 }
 
 func (m *Machine) attemptEnded(r structs.TaskResult, live *Live, worker string, wall time.Time) {
--- a/shard/lifecycle/machine.go
+++ b/shard/lifecycle/machine.go
@@ -39,6 +39,8 @@
 	// Current is set once the agent has reported under this owner's epoch; until then the worker counts as full.
 	Current  bool
 	Draining bool
+	// Unusable is set while the worker doesn't respond to its agent.
+	Unusable bool
 	// DrainingSince is when the drain was first reported.
 	DrainingSince time.Time
 	Running       map[string]structs.AllocationState
@@ -207,7 +209,7 @@
 			}
 		case m.undelivered(live, now):
 			m.lose(live, "the start did not arrive", wall)
-		case now.After(live.Until):
+		case now.After(live.Until) && !m.holds(live, now):
 			m.counters.Lost++
 			m.lose(live, "the lease ran out", wall)
 		}
@@ -228,6 +230,16 @@
 		view.Received.Sub(live.Sent) > m.settings.Lease+m.settings.Margin
 }
 
+// holds tells whether the worker has lately reported the attempt. An owner that could not renew for a while must not give
+// up what the agent has only suspended.
+func (m *Machine) holds(live *Live, now time.Time) bool {
+	if m.Silent(live.Alloc.Worker, now) {
+		return false
+	}
+	_, held := m.workers[live.Alloc.Worker].Running[live.Alloc.ID]
+	return held
+}
+
 // Silent tells whether nothing has been heard of a worker for a lease and its margin.
 func (m *Machine) Silent(worker string, now time.Time) bool {
 	view := m.workers[worker]
--- /dev/null
+++ b/shard/lifecycle/machine_test.go
@@ -0,0 +1,277 @@
+package lifecycle
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+var origin = time.Unix(1_800_000_000, 0)
+
+// fixture drives a machine whose events become durable on demand.
+type fixture struct {
+	*Machine
+	now      time.Time
+	sequence int64
+}
+
+func newFixture(state *State) *fixture {
+	return &fixture{Machine: NewMachine(DefaultSettings(), 0, 7, state, origin), now: origin}
+}
+
+func (f *fixture) accept(kind structs.JobKind, tasks int) {
+	f.Accept(structs.Job{ID: "a", Kind: kind, Tasks: tasks, Resources: structs.Resources{MilliCores: 1000, MemoryMB: 1}})
+}
+
+func (f *fixture) commit() { f.Committed(len(f.Pending())) }
+
+// beat sends a heartbeat of a worker that holds allocations, with the epoch that its agent has accepted.
+func (f *fixture) beat(worker string, epoch int64, running []structs.Allocation, results ...structs.TaskResult) structs.HeartbeatReply {
+	f.sequence++
+	hb := structs.Heartbeat{
+		Worker: structs.Worker{Name: worker, FailureDomain: worker}, Incarnation: "i", Sequence: f.sequence, Epoch: epoch,
+		Results: results,
+	}
+	for _, alloc := range running {
+		hb.Running = append(hb.Running, structs.AllocationState{Allocation: alloc, State: structs.TaskRunning})
+	}
+	reply, err := f.Heartbeat(f.now, f.now, hb, true, true)
+	if err != nil {
+		panic(err)
+	}
+	return reply
+}
+
+func (f *fixture) pass(d time.Duration) {
+	f.now = f.now.Add(d)
+	f.Expire(f.now, f.now)
+}
+
+// place starts task 0 of the job on a worker and returns its allocation.
+func (f *fixture) place(worker string) structs.Allocation {
+	if !f.Place(structs.TaskID{JobID: "a"}, worker, structs.Resources{MilliCores: 1000, MemoryMB: 1}) {
+		panic("not placed")
+	}
+	return f.Live()[AllocationID(structs.TaskID{JobID: "a"}, f.state.Jobs["a"].Tasks[0].Attempt)].Alloc
+}
+
+func (f *fixture) task() *Task { return f.state.Jobs["a"].Tasks[0] }
+
+func resultOf(alloc structs.Allocation, state structs.TaskState) structs.TaskResult {
+	return structs.TaskResult{AllocationID: alloc.ID, Task: alloc.Task, Attempt: alloc.Attempt, State: state}
+}
+
+// Guards against starts that are sent before the log knows of them.
+func TestStartWaitsForItsRecord(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(NewState())
+	f.accept(structs.KindBatch, 1)
+	f.beat("w", 7, nil)
+	f.place("w")
+	c.Assert(f.beat("w", 7, nil).Start, qt.HasLen, 0)
+	f.commit()
+	c.Assert(f.beat("w", 7, nil).Start, qt.HasLen, 1)
+}
+
+// Guards against a result that the agent forgets before the log has it.
+func TestResultIsAcknowledgedOnceDurable(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(NewState())
+	f.accept(structs.KindBatch, 2)
+	f.beat("w", 7, nil)
+	alloc := f.place("w")
+	f.commit()
+	c.Assert(f.beat("w", 7, nil, resultOf(alloc, structs.TaskFinished)).AckResults, qt.HasLen, 0)
+	c.Assert(f.beat("w", 7, nil, resultOf(alloc, structs.TaskFinished)).AckResults, qt.HasLen, 0)
+	f.commit()
+	c.Assert(f.beat("w", 7, nil, resultOf(alloc, structs.TaskFinished)).AckResults, qt.DeepEquals, []string{alloc.ID})
+}
+
+// inherited returns a state in which an earlier owner has started task 0 on a worker.
+func inherited(worker string) *State {
+	f := newFixture(NewState())
+	f.accept(structs.KindBatch, 1)
+	f.place(worker)
+	return f.state
+}
+
+// Guards against a new owner that takes an absence for proven while a start of the former owner can still arrive.
+func TestAbsenceNeedsTheOwnEpoch(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(inherited("w"))
+	f.beat("w", 6, nil)
+	c.Assert(f.task().State, qt.Equals, structs.TaskStarting)
+	f.beat("w", 7, nil)
+	c.Assert(f.task().State, qt.Equals, structs.TaskPending)
+}
+
+// Guards against a new owner that counts a worker as empty before it has reported under the new epoch.
+func TestWorkerIsFullUntilItReports(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(NewState())
+	f.beat("w", 6, nil)
+	c.Assert(f.Usable(f.Workers()["w"], f.now), qt.IsFalse)
+	f.beat("w", 7, nil)
+	c.Assert(f.Usable(f.Workers()["w"], f.now), qt.IsTrue)
+	f.now = f.now.Add(4 * time.Second)
+	c.Assert(f.Usable(f.Workers()["w"], f.now), qt.IsFalse)
+}
+
+// Guards against a new owner that doesn't cover the leases that the former one could have renewed.
+func TestInheritedWorkWaits(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(inherited("w"))
+	f.pass(37 * time.Second)
+	c.Assert(f.task().State, qt.Equals, structs.TaskStarting)
+	f.pass(time.Millisecond)
+	c.Assert(f.task().State, qt.Equals, structs.TaskPending)
+}
+
+// Guards against a start that is given up while it can still arrive, and against one that is offered for ever.
+func TestUndeliveredStartIsGivenUpLate(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(NewState())
+	f.accept(structs.KindService, 1)
+	f.beat("w", 7, nil)
+	f.place("w")
+	f.commit()
+	f.now = f.now.Add(time.Second)
+	_, ok := f.Push("w", f.now, true)
+	c.Assert(ok, qt.IsTrue)
+	for range 7 {
+		_, err := f.Heartbeat(f.now, f.now, structs.Heartbeat{
+			Worker: structs.Worker{Name: "w"}, Incarnation: "i", Sequence: f.nextSequence(), Epoch: 7,
+		}, true, false)
+		c.Assert(err, qt.IsNil)
+		f.pass(time.Second)
+		c.Assert(f.task().State, qt.Equals, structs.TaskStarting)
+	}
+	f.now = f.now.Add(100 * time.Millisecond)
+	f.beat2("w")
+	f.pass(0)
+	c.Assert(f.task().State, qt.Equals, structs.TaskPending)
+}
+
+func (f *fixture) nextSequence() int64 {
+	f.sequence++
+	return f.sequence
+}
+
+// beat2 sends a heartbeat while starts are not allowed.
+func (f *fixture) beat2(worker string) {
+	_, _ = f.Heartbeat(f.now, f.now, structs.Heartbeat{
+		Worker: structs.Worker{Name: worker}, Incarnation: "i", Sequence: f.nextSequence(), Epoch: 7,
+	}, true, false)
+}
+
+// Guards against work that is given up although its agent still reports it, as after an outage of the store.
+func TestReportedWorkIsNotGivenUp(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(NewState())
+	f.accept(structs.KindBatch, 1)
+	f.beat("w", 7, nil)
+	alloc := f.place("w")
+	f.commit()
+	f.beat("w", 7, nil)
+	for range 20 {
+		f.now = f.now.Add(time.Second)
+		_, err := f.Heartbeat(f.now, f.now, structs.Heartbeat{
+			Worker: structs.Worker{Name: "w"}, Incarnation: "i", Sequence: f.nextSequence(), Epoch: 7,
+			Running: []structs.AllocationState{{Allocation: alloc, State: structs.TaskSuspended}},
+		}, false, false)
+		c.Assert(err, qt.IsNil)
+		f.pass(0)
+	}
+	c.Assert(f.task().Attempt, qt.Equals, 1)
+	c.Assert(f.beat("w", 7, []structs.Allocation{alloc}).Keep, qt.DeepEquals, []string{alloc.ID})
+	f.pass(8 * time.Second)
+	c.Assert(f.task().State, qt.Equals, structs.TaskPending)
+}
+
+// Guards against a late result of an earlier attempt that finishes a task while a later attempt may run.
+func TestLateFinishOfAnEarlierAttempt(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		c := qt.New(t)
+		f := newFixture(NewState())
+		f.accept(structs.KindBatch, 1)
+		f.beat("w", 7, nil)
+		first := f.place("w")
+		f.commit()
+		f.beat("w", 7, nil)
+		f.pass(8 * time.Second)
+		if restarted {
+			f.beat("v", 7, nil)
+			f.place("v")
+			f.commit()
+		}
+		f.beat("w", 7, nil, resultOf(first, structs.TaskFinished))
+		status, _ := f.Status("a")
+		c.Assert(status.Counts[structs.TaskFinished] == 1, qt.Equals, !restarted)
+	}
+}
+
+// Guards against an old heartbeat, delivered late or of an earlier process, that is taken for the present state.
+func TestStaleHeartbeatsAreRejected(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(NewState())
+	send := func(incarnation string, started, sequence int64) error {
+		_, err := f.Heartbeat(f.now, f.now, structs.Heartbeat{
+			Worker: structs.Worker{Name: "w"}, Incarnation: incarnation, StartedUnixNano: started, Sequence: sequence,
+		}, true, true)
+		return err
+	}
+	c.Assert(send("one", 1, 5), qt.IsNil)
+	c.Assert(send("one", 1, 5), qt.ErrorIs, ErrStale)
+	c.Assert(send("one", 1, 4), qt.ErrorIs, ErrStale)
+	c.Assert(send("two", 2, 1), qt.IsNil)
+	c.Assert(send("one", 1, 6), qt.ErrorIs, ErrStale)
+}
+
+// Guards against a task that never ends although it fails each time, and against one that forgets its checkpoint.
+func TestFailedAttemptsEndTheTask(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(NewState())
+	f.accept(structs.KindBatch, 1)
+	f.beat("w", 7, nil)
+	for attempt := 1; attempt <= DefaultMaxAttempts; attempt++ {
+		alloc := f.place("w")
+		c.Assert(alloc.CheckpointID, qt.Equals, map[int]string{1: "", 2: "c1", 3: "c2"}[attempt])
+		f.commit()
+		result := resultOf(alloc, structs.TaskFailed)
+		result.CheckpointID, result.Reason = fmt.Sprintf("c%d", attempt), "broken"
+		f.beat("w", 7, nil, result)
+	}
+	status, _ := f.Status("a")
+	c.Assert(status.Counts, qt.DeepEquals, map[structs.TaskState]int{structs.TaskFailed: 1})
+	c.Assert(status.Reason, qt.Equals, "broken")
+}
+
+// Guards against a service that stops replicas in a leaving domain before others run elsewhere.
+func TestLeavingReplicaStopsLast(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(NewState())
+	f.accept(structs.KindService, 1)
+	out := map[string]bool{}
+	isOut := func(domain string) bool { return out[domain] }
+	f.beat("w", 7, nil)
+	f.beat("v", 7, nil)
+	old := f.place("w")
+	f.commit()
+	f.beat("w", 7, []structs.Allocation{old})
+	out["w"] = true
+	f.Reconcile(f.now, f.now, isOut)
+	c.Assert(f.PendingTasks(), qt.HasLen, 1)
+	c.Assert(f.Place(structs.TaskID{JobID: "a", Index: 1}, "v", old.Resources), qt.IsTrue)
+	f.commit()
+	f.Reconcile(f.now, f.now, isOut)
+	c.Assert(f.beat("w", 7, []structs.Allocation{old}).Stop, qt.HasLen, 0)
+	substitute := f.Live()["a:1:1"].Alloc
+	f.beat("v", 7, []structs.Allocation{substitute})
+	f.Reconcile(f.now, f.now, isOut)
+	c.Assert(f.beat("w", 7, []structs.Allocation{old}).Stop, qt.HasLen, 1)
+	c.Assert(f.PendingTasks(), qt.HasLen, 0)
+}
--- a/shard/lifecycle/place.go
+++ b/shard/lifecycle/place.go
@@ -35,7 +35,7 @@
 
 // Usable tells whether a worker takes new tasks: it reported under this epoch, lately, and isn't draining.
 func (m *Machine) Usable(view *View, now time.Time) bool {
-	return view.Current && !view.Draining && now.Sub(view.Received) < m.settings.Lease
+	return view.Current && !view.Draining && !view.Unusable && now.Sub(view.Received) < m.settings.Lease
 }
 
 // HeldAllocation is an allocation that occupies a worker.
@@ -45,6 +45,8 @@
 	Progress float64
 	// Ending is set when the agent is told to stop it.
 	Ending bool
+	// Superseded is set when it is no longer the current attempt of its task.
+	Superseded bool
 }
 
 // Held returns the allocations that occupy a worker: what it reported, and what it may be starting.
@@ -52,7 +54,10 @@
 	held := map[string]HeldAllocation{}
 	if view := m.workers[worker]; view != nil {
 		for id, r := range view.Running {
-			held[id] = HeldAllocation{Alloc: r.Allocation, State: r.State, Progress: r.Progress, Ending: m.live[id] == nil}
+			gone := m.live[id] == nil
+			held[id] = HeldAllocation{
+				Alloc: r.Allocation, State: r.State, Progress: r.Progress, Ending: gone, Superseded: gone,
+			}
 		}
 	}
 	for id, live := range m.live {
--- a/shard/lifecycle/state.go
+++ b/shard/lifecycle/state.go
@@ -29,6 +29,16 @@
 	NotBefore time.Time `json:"-"`
 }
 
+// finishes tells whether the end of an attempt finishes the task. An earlier attempt may have finished before its lease
+// ran out and be reported late; its work counts, unless a later attempt may run by now: a start of that one could still
+// arrive after the task has finished.
+func (t *Task) finishes(attempt int) bool {
+	if t.State == structs.TaskPending {
+		return attempt >= 1 && attempt <= t.Attempt
+	}
+	return t.Active() && attempt == t.Attempt
+}
+
 // maxAvoid bounds the workers that a task remembers to have failed on.
 const maxAvoid = 4
 
@@ -161,9 +171,8 @@
 		task.State, task.Attempt, task.Worker = structs.TaskStarting, e.Attempt, e.Worker
 		return nil
 	case EventFinish:
-		// An earlier attempt may have finished before its lease ran out and be reported late; its work counts.
-		if e.Attempt < 1 || e.Attempt > task.Attempt {
-			return eris.Errorf("finish: task %s/%d has no attempt %d", e.JobID, e.Index, e.Attempt)
+		if !task.finishes(e.Attempt) {
+			return eris.Errorf("finish: attempt %d of task %s/%d can't finish it now", e.Attempt, e.JobID, e.Index)
 		}
 		task.Progress = 1
 		s.end(job, task, structs.TaskFinished, e)
--- /dev/null
+++ b/shard/owner_test.go
@@ -0,0 +1,223 @@
+package shard
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/gorilla/mux"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/config"
+	"github.com/quetzalshed/quetzalshed/gossip"
+	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+	"github.com/quetzalshed/quetzalshed/scheduler"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+type fixture struct {
+	clock  *clock.Manual
+	store  *storetest.Store
+	owners *gossip.OwnerTable
+}
+
+func newFixture() *fixture {
+	f := &fixture{clock: clock.NewManual(time.Unix(1_800_000_000, 0)), owners: gossip.NewOwnerTable()}
+	f.store = storetest.New(f.clock)
+	return f
+}
+
+// candidate returns a candidate that reaches the store through s.
+func (f *fixture) candidate(name, address string, s store.Store) *Owner {
+	settings := DefaultConfig(0, name, address)
+	settings.SnapshotEvery = 4
+	client := NewClient(f.owners, f.store, f.clock)
+	followed := NewFollowed(config.NewFollower(f.clock), f.clock)
+	return NewOwner(settings, s, f.clock, followed, scheduler.Plan, f.owners, client, hclog.NewNullLogger())
+}
+
+func job(id string) structs.Job {
+	return structs.Job{
+		ID: id, Team: "t", Kind: structs.KindBatch, Tasks: 1, Resources: structs.Resources{MilliCores: 1, MemoryMB: 1},
+	}
+}
+
+// write appends a record for one job.
+func (f *fixture) write(c *qt.C, o *Owner, id string) {
+	f.clock.Advance(200 * time.Millisecond)
+	c.Assert(o.Submit(job(id)), qt.IsNil)
+	c.Assert(o.Step(context.Background()), qt.IsNil)
+}
+
+// hooked runs a function before or after a call to the store.
+type hooked struct {
+	store.Store
+	beforePut, afterPut, onKeepAlive func(key string)
+}
+
+func (h *hooked) Put(ctx context.Context, key string, value []byte, opts store.PutOptions) (store.Entry, error) {
+	if before := h.beforePut; before != nil {
+		before(key)
+	}
+	entry, err := h.Store.Put(ctx, key, value, opts)
+	if after := h.afterPut; after != nil {
+		after(key)
+	}
+	return entry, err
+}
+
+func (h *hooked) KeepAlive(ctx context.Context, id store.LeaseID) error {
+	err := h.Store.KeepAlive(ctx, id)
+	if h.onKeepAlive != nil {
+		h.onKeepAlive("")
+	}
+	return err
+}
+
+// Guards against a paused former owner whose append succeeds because the log has been truncated past its place, and
+// against one that brings back an older snapshot.
+func TestPausedFormerOwnerIsFenced(t *testing.T) {
+	for _, at := range []string{"/log/", "/snapshot"} {
+		c := qt.New(t)
+		f := newFixture()
+		ctx := context.Background()
+		gate := &hooked{Store: f.store}
+		former, next := f.candidate("one", "127.0.0.1:1", gate), f.candidate("two", "127.0.0.1:2", f.store)
+		c.Assert(former.Acquire(ctx), qt.IsNil)
+		f.write(c, former, "first")
+		f.write(c, former, "second")
+		var newest []byte
+		gate.beforePut = func(key string) {
+			if !strings.Contains(key, at) {
+				return
+			}
+			gate.beforePut = nil
+			f.clock.Advance(10 * time.Second)
+			c.Assert(next.Acquire(ctx), qt.IsNil)
+			for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+				f.write(c, next, id)
+			}
+			entry, err := f.store.Get(ctx, snapshotKey(0))
+			c.Assert(err, qt.IsNil)
+			newest = entry.Value
+		}
+		for i := range 8 {
+			f.clock.Advance(200 * time.Millisecond)
+			_ = former.Submit(job("lost" + string(rune('a'+i))))
+			_ = former.Step(ctx)
+			if newest != nil {
+				break
+			}
+		}
+		c.Assert(newest, qt.IsNotNil)
+		f.clock.Advance(200 * time.Millisecond)
+		_ = former.Submit(job("lostlast"))
+		_ = former.Step(ctx)
+		_, owns := former.Owns()
+		c.Assert(owns, qt.IsFalse)
+		entry, err := f.store.Get(ctx, snapshotKey(0))
+		c.Assert(err, qt.IsNil)
+		c.Assert(entry.Value, qt.DeepEquals, newest)
+		c.Assert(next.Resign(ctx), qt.IsNil)
+		c.Assert(former.Acquire(ctx), qt.IsNil)
+		_, err = former.Status("h")
+		c.Assert(err, qt.IsNil)
+		_, err = former.Status("lostlast")
+		c.Assert(err, qt.ErrorIs, ErrUnknownJob)
+	}
+}
+
+// Guards against a proof of ownership that is dated when the response arrived instead of when the call was sent.
+func TestProofIsDatedWhenSent(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture()
+	gate := &hooked{Store: f.store}
+	o := f.candidate("one", "127.0.0.1:1", gate)
+	c.Assert(o.Acquire(context.Background()), qt.IsNil)
+	gate.onKeepAlive = func(string) { f.clock.Advance(31 * time.Second) }
+	c.Assert(o.KeepAlive(context.Background()), qt.IsNil)
+	_, err := o.Heartbeat(structs.Heartbeat{Worker: structs.Worker{Name: "w"}, Sequence: 1})
+	c.Assert(err, qt.ErrorIs, ErrNotOwner)
+}
+
+// Guards against events that are lost or doubled when responses of the store are lost before or after the effect.
+func TestLostResponsesOfAppends(t *testing.T) {
+	for name, faults := range map[string]storetest.Faults{
+		"after":  {LoseResponses: 1},
+		"before": {LoseRequests: 1},
+		"late":   {HoldRequests: 1},
+		"down":   {Down: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFixture()
+			ctx := context.Background()
+			o := f.candidate("one", "127.0.0.1:1", f.store)
+			c.Assert(o.Acquire(ctx), qt.IsNil)
+			f.write(c, o, "a")
+			f.clock.Advance(200 * time.Millisecond)
+			c.Assert(o.Submit(job("b")), qt.IsNil)
+			f.store.SetFaults(faults)
+			_ = o.Step(ctx)
+			f.store.SetFaults(storetest.Faults{})
+			f.store.ReleaseHeld()
+			f.write(c, o, "c")
+			f.write(c, o, "d")
+			c.Assert(o.Resign(ctx), qt.IsNil)
+			c.Assert(o.Acquire(ctx), qt.IsNil)
+			jobs, err := o.Jobs()
+			c.Assert(err, qt.IsNil)
+			c.Assert(jobs, qt.HasLen, 4)
+		})
+	}
+}
+
+// Guards against a break between the HTTP API of an owner and its client, and against results that aren't certain.
+func TestClientAndRoutes(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture()
+	ctx, stop := context.WithTimeout(context.Background(), 20*time.Second)
+	defer stop()
+	var o *Owner
+	router := mux.NewRouter().UseEncodedPath()
+	Routes(router, func(int) *Owner { return o })
+	server := httptest.NewServer(router)
+	defer server.Close()
+	o = f.candidate("one", server.Listener.Addr().String(), f.store)
+	client := NewClient(f.owners, f.store, f.clock)
+	_, err := client.Status(ctx, 0, "a")
+	c.Assert(err, qt.ErrorIs, ErrUnreachable)
+	c.Assert(o.Acquire(ctx), qt.IsNil)
+	c.Assert(client.Submit(ctx, 0, job("a")), qt.IsNil)
+	_, err = client.Status(ctx, 0, "b")
+	c.Assert(err, qt.ErrorIs, ErrUnknownJob)
+	reply, err := client.Heartbeat(ctx, 0, structs.Heartbeat{Worker: structs.Worker{Name: "w"}, Sequence: 1})
+	c.Assert(err, qt.IsNil)
+	c.Assert(reply.Epoch, qt.Equals, int64(1))
+	done := make(chan error, 1)
+	go func() {
+		_, err := client.Cancel(ctx, 0, "a")
+		done <- err
+	}()
+	for err = errors.New("not yet"); err != nil; {
+		f.clock.Advance(time.Second)
+		_ = o.Step(ctx)
+		select {
+		case err = <-done:
+			c.Assert(err, qt.IsNil)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+	status, err := client.Status(ctx, 0, "a")
+	c.Assert(err, qt.IsNil)
+	c.Assert(status.Done && status.Cancelled, qt.IsTrue)
+	c.Assert(o.Resign(ctx), qt.IsNil)
+	_, err = client.Jobs(ctx, 0)
+	c.Assert(err, qt.ErrorIs, ErrNotOwner)
+}
--- a/shard/snapshot.go
+++ b/shard/snapshot.go
@@ -63,6 +63,10 @@
 	if h.Ending {
 		task.State = structs.TaskEvicting
 	}
+	if h.Superseded {
+		// It holds its room until the agent has stopped it, but must not keep the next attempt of its task from starting.
+		task.Index = -1
+	}
 	if job := m.State().Jobs[h.Alloc.Task.JobID]; job != nil {
 		task.Job = &job.Spec
 	} else {
@@ -82,9 +86,15 @@
 }
 
 // apply records what the scheduler decided.
-func apply(m *lifecycle.Machine, d scheduler.Decisions) {
+func apply(m *lifecycle.Machine, input scheduler.Snapshot, d scheduler.Decisions) {
+	reasons := map[string]string{}
 	for _, v := range d.Verdicts {
-		m.Verdict(v.JobID, v.Reason)
+		reasons[v.JobID] = v.Reason
+	}
+	for i := range input.Pending {
+		// A job that has no verdict any more can run again, as after a change of the inventory.
+		id := input.Pending[i].Job.ID
+		m.Verdict(id, reasons[id])
 	}
 	for _, e := range d.Evict {
 		m.Evict(e.AllocationID, string(e.Reason))
--- a/shard/step.go
+++ b/shard/step.go
@@ -124,7 +124,7 @@
 	}
 	t.machine.Reconcile(now, now, o.settled.Out)
 	if input, work := o.planInput(t.machine, now); work {
-		apply(t.machine, o.plan(input, now))
+		apply(t.machine, input, o.plan(input, now))
 	}
 	return true
 }
@@ -251,15 +251,17 @@
 	}
 	// The clock is read after the wait for the mutex, so that a pause in between can't renew too late.
 	now := o.clock.Now()
-	if !t.valid(now, o.config.Lifecycle.OwnerValidity) {
-		return structs.HeartbeatReply{}, ErrNotOwner
-	}
+	renew := t.valid(now, o.config.Lifecycle.OwnerValidity)
 	o.identify(&hb.Worker)
 	allowed, _ := o.settled.MayStart(hb.Worker.FailureDomain)
-	reply, err := t.machine.Heartbeat(now, now, hb, true, allowed)
+	reply, err := t.machine.Heartbeat(now, now, hb, renew, allowed)
 	if err != nil {
 		return reply, err
 	}
+	if !renew {
+		// The report is kept, so that work which agents have suspended isn't given up once the store is back.
+		return structs.HeartbeatReply{}, ErrNotOwner
+	}
 	o.settled.Attach(&reply, hb.HeadRevision)
 	return reply, nil
 }
--- a/structs/heartbeat.go
+++ b/structs/heartbeat.go
@@ -50,6 +50,8 @@
 	Running  []AllocationState `json:"running,omitempty"`
 	Results  []TaskResult      `json:"results,omitempty"`
 	Draining bool              `json:"draining,omitempty"`
+	// Unusable is set while the worker's task API doesn't respond. Nothing is placed on the worker then.
+	Unusable bool `json:"unusable,omitempty"`
 	// HeadRevision is the configuration revision that the agent holds, so that the reply repeats no known head.
 	HeadRevision int64 `json:"head_revision,omitempty"`
 }
