Count store calls and control bytes, and send starts and results at once

Cause: the design sets budgets for store calls and control bytes that nothing measured, and the first run of BenchmarkControl showed that short tasks (2 s) occupy a worker for 4 s: starts and results waited for the next heartbeat.

Ruled out: shorter heartbeats (bytes for every worker all the time).

Change: TestStoreCallsPerJob, BenchmarkControl and BenchmarkOwnerDeath. Owners push every start once, not only urgent ones; the reply to a heartbeat repeats a lost one. Agents send a heartbeat when a result waits, at most every 250 ms. The pushes of a process run in the background and are bounded.

--- a/agent/runner/cluster_test.go
+++ b/agent/runner/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
@@ -46,7 +47,18 @@
 	sent   []structs.Heartbeat
 	pushed []push
 	// truncated holds the records that owners have deleted since the last check.
-	truncated []store.Entry
+	truncated     []store.Entry
+	keepTruncated bool
+	// bytes is the size of heartbeats, replies and pushes as JSON, counted while counting is set.
+	bytes    int
+	counting bool
+}
+
+func (c *cluster) count(message any) {
+	if c.counting {
+		raw, _ := json.Marshal(message)
+		c.bytes += len(raw)
+	}
 }
 
 // push is a start request to a node.
@@ -183,7 +195,13 @@
 	}
 	_ = n.owner.Step(ctx)
 	_ = n.runner.Tick(ctx)
-	if (n.round+i)%5 == 0 && n.up() {
+	due := (n.round+i)%5 == 0
+	select {
+	case <-n.runner.ResultWaiting():
+		due = true
+	default:
+	}
+	if due && n.up() {
 		if n.runner.Beat(ctx) == nil {
 			n.lastReply = c.clock.Now()
 		}
@@ -257,8 +275,10 @@
 	if err := g.cut(); err != nil {
 		return err
 	}
-	if entry, err := g.Store.Get(ctx, key); err == nil && strings.Contains(key, "/log/") {
-		g.n.c.truncated = append(g.n.c.truncated, entry)
+	if g.n.c.keepTruncated && strings.Contains(key, "/log/") {
+		if entry, err := g.Store.Get(ctx, key); err == nil {
+			g.n.c.truncated = append(g.n.c.truncated, entry)
+		}
 	}
 	return g.Store.Delete(ctx, key, ifRevision)
 }
@@ -308,6 +328,8 @@
 			g.n.c.sent = append(g.n.c.sent, hb)
 			reply, err := n.owner.Heartbeat(hb)
 			if err == nil {
+				g.n.c.count(hb)
+				g.n.c.count(reply)
 				g.n.call(true)
 				return reply, nil
 			}
@@ -324,6 +346,7 @@
 	for i, n := range g.n.c.nodes {
 		g.n.c.pushed = append(g.n.c.pushed, push{n, request})
 		if fmt.Sprintf("127.0.0.1:%d", 1000+i) == address && n.up() && (n == g.n || (!n.cutPeers && !g.n.cutPeers)) {
+			n.c.count(request)
 			return n.runner.Push(request)
 		}
 	}
--- /dev/null
+++ b/agent/runner/figures_test.go
@@ -0,0 +1,121 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/platform/store"
+)
+
+// Guards against store calls that grow with tasks or workers: a job costs its own key, and shares of records.
+func TestStoreCallsPerJob(t *testing.T) {
+	assert := qt.New(t)
+	c := watched(t, 6)
+	puts := func() int64 { return c.store.Counters().Calls(store.OpPut) }
+	deletes := func() int64 { return c.store.Counters().Calls(store.OpDelete) }
+	beforePuts, beforeDeletes := puts(), deletes()
+	c.submit(t, `{"id":"a","team":"t","kind":"batch","tasks":20,"resources":{"milli_cores":1000,"memory_mb":100},"command":"run=10s"}`)
+	assert.Assert(puts()-beforePuts, qt.Equals, int64(1), qt.Commentf("acceptance"))
+	assert.Assert(c.run(5*time.Second, func() bool { return len(c.running("a")) == 20 }), qt.IsTrue)
+	assert.Assert(puts()-beforePuts, qt.Equals, int64(2), qt.Commentf("acceptance and start of 20 tasks share a record"))
+	assert.Assert(deletes()-beforeDeletes, qt.Equals, int64(1), qt.Commentf("the key of the job"))
+	beforePuts = puts()
+	assert.Assert(c.run(20*time.Second, func() bool { return c.done("a") }), qt.IsTrue)
+	c.run(2*time.Second, func() bool { return false })
+	// The heartbeats of 6 workers arrive within one second, so at most five commit intervals see results.
+	assert.Assert(puts()-beforePuts <= 5, qt.IsTrue, qt.Commentf("%d records for the results", puts()-beforePuts))
+}
+
+// BenchmarkControl prints store calls and control bytes by number of workers and task starts. The head's polling (two
+// reads per second by the owner and by each entry) comes on top.
+func BenchmarkControl(b *testing.B) {
+	const seconds = 60
+	for _, workers := range []int{11, 63} {
+		for _, starts := range []int{0, 10, 40} {
+			b.Run(fmt.Sprintf("workers=%d/starts=%d", workers, starts), func(b *testing.B) {
+				for b.Loop() {
+					c := newCluster(workers)
+					c.run(10*time.Second, func() bool { return false })
+					reads, writes := c.store.Counters().Reads(), c.store.Counters().Writes()
+					c.counting = true
+					for second := range seconds {
+						if starts > 0 {
+							c.submit(b, fmt.Sprintf(`{"id":"j%d","team":"t","kind":"batch","tasks":%d,
+								"resources":{"milli_cores":400,"memory_mb":50},"command":"run=2s"}`, second, starts))
+						}
+						c.run(time.Second, func() bool { return false })
+					}
+					began := 0
+					for _, n := range c.nodes {
+						began += len(n.worker.Starts())
+					}
+					b.ReportMetric(float64(c.store.Counters().Reads()-reads)/seconds, "store-reads/s")
+					b.ReportMetric(float64(c.store.Counters().Writes()-writes)/seconds, "store-writes/s")
+					b.ReportMetric(float64(c.bytes)/seconds/float64(workers), "B/s/worker")
+					b.ReportMetric(float64(c.bytes)/seconds, "B/s-at-owner")
+					b.ReportMetric(float64(began)/seconds, "starts/s")
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkOwnerDeath prints for how many heartbeats (of 1 s) work stands still after the owner's host dies, and when the
+// first new task starts.
+func BenchmarkOwnerDeath(b *testing.B) {
+	for _, workers := range []int{11, 63} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			for b.Loop() {
+				c := newCluster(workers)
+				c.run(10*time.Second, func() bool { return false })
+				c.submit(b, fmt.Sprintf(`{"id":"a","team":"t","kind":"batch","tasks":%d,"resources":{"milli_cores":2000,"memory_mb":50},"command":"run=1h"}`, workers))
+				c.run(10*time.Second, func() bool { return false })
+				former := c.owner()
+				former.kill()
+				killed := c.clock.Now()
+				others, stalled, ticks := 0, 0, 0
+				for _, n := range c.nodes {
+					if n != former {
+						others += len(n.worker.Running())
+					}
+				}
+				c.submitDirect("b")
+				var first, taken time.Duration
+				for c.clock.Now().Sub(killed) < 20*time.Second {
+					c.step()
+					ticks++
+					running := 0
+					for _, n := range c.nodes {
+						if n != former {
+							for _, id := range n.worker.Running() {
+								if taskOf(id).JobID == "a" && taskOf(id).Index >= 0 {
+									running++
+								}
+							}
+						}
+					}
+					stalled += max(0, others-running)
+					if taken == 0 && c.other2(former) != nil {
+						taken = c.clock.Now().Sub(killed)
+					}
+					if first == 0 && len(c.running("b")) > 0 {
+						first = c.clock.Now().Sub(killed)
+					}
+				}
+				b.ReportMetric(float64(stalled)*tick.Seconds()/float64(others), "stalled-heartbeats/task")
+				b.ReportMetric(taken.Seconds(), "takeover-s")
+				b.ReportMetric(first.Seconds(), "first-start-s")
+			}
+		})
+	}
+}
+
+// submitDirect stores a job while no owner can be told.
+func (c *cluster) submitDirect(id string) {
+	_, _ = c.jobs.Submit(context.Background(), []byte(fmt.Sprintf(`{"id":%q,"team":"t","kind":"batch","tasks":1,
+		"resources":{"milli_cores":500,"memory_mb":50},"command":"run=1h"}`, id)))
+}
--- a/agent/runner/ledger.go
+++ b/agent/runner/ledger.go
@@ -96,6 +96,8 @@
 	// ended remembers allocations that were ended, for as long as a start of them can still arrive.
 	ended    map[string]time.Time
 	draining bool
+	// endings counts the allocations that have ended.
+	endings int64
 	// responded is when the worker last responded with its status.
 	responded time.Time
 }
@@ -253,6 +255,7 @@
 // end replaces an allocation by its result.
 func (l *Ledger) end(h *held, state structs.TaskState, reason string, now time.Time) {
 	delete(l.held, h.alloc.ID)
+	l.endings++
 	l.ended[h.alloc.ID] = now
 	l.results[h.alloc.ID] = structs.TaskResult{
 		AllocationID: h.alloc.ID, Task: h.alloc.Task, Attempt: h.alloc.Attempt, State: state, CheckpointID: h.checkpoint,
--- a/agent/runner/model_test.go
+++ b/agent/runner/model_test.go
@@ -59,7 +59,7 @@
 		c: c, fail: fail, next: 1, tasks: map[structs.TaskID]*oracleTask{}, seen: map[*node]int{},
 		outFrom: map[string]time.Time{}, kinds: map[string]structs.JobKind{},
 	}
-	c.check = o.check
+	c.check, c.keepTruncated = o.check, true
 	return o
 }
 
--- a/agent/runner/module.go
+++ b/agent/runner/module.go
@@ -192,14 +192,24 @@
 			now := m.clock.Now()
 			m.lastReply.Store(&now)
 		}
+		// Results go early, but not more often than every minBeat.
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(minBeat):
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-r.ResultWaiting():
 		}
 	}
 }
 
+// minBeat is the least time between two heartbeats of a worker.
+const minBeat = 250 * time.Millisecond
+
 // Drain has the owner move all work, and stops what is left shortly before the limit. It returns when nothing is held
 // and every result has been acknowledged, or when ctx ends.
 func (m *Module) Drain(ctx context.Context) error {
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -85,19 +85,36 @@
 	// trusted is set once the epochs that this process could accept exclude all owners that an earlier process left.
 	trusted bool
 	kick    chan struct{}
+	// report receives when a result waits for the owner.
+	report chan struct{}
 }
 
 // New returns a runner. It does nothing until Tick and Beat are called.
 func New(ledger *Ledger, w worker.Worker, c clock.Clock, settled Configuration, transport Transport, guard Guard, log hclog.Logger) *Runner {
 	return &Runner{
 		worker: w, clock: c, settled: settled, transport: transport, guard: guard, log: log, ledger: ledger,
-		began: c.Now(), kick: make(chan struct{}, 1),
+		began: c.Now(), kick: make(chan struct{}, 1), report: make(chan struct{}, 1),
 	}
 }
 
 // Kicked returns a channel that receives when a tick is due at once.
 func (r *Runner) Kicked() <-chan struct{} { return r.kick }
 
+// ResultWaiting returns a channel that receives when a new result waits for the owner, so that the next task can start
+// without waiting for the next regular heartbeat.
+func (r *Runner) ResultWaiting() <-chan struct{} { return r.report }
+
+// noteResults signals results that are new since the given number of ended allocations; r.mu is held.
+func (r *Runner) noteResults(before int64) {
+	if r.ledger.endings == before {
+		return
+	}
+	select {
+	case r.report <- struct{}{}:
+	default:
+	}
+}
+
 func (r *Runner) wake() {
 	select {
 	case r.kick <- struct{}{}:
@@ -199,6 +216,14 @@
 func (r *Runner) Tick(ctx context.Context) error {
 	r.tickMu.Lock()
 	defer r.tickMu.Unlock()
+	r.mu.Lock()
+	before := r.ledger.endings
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.noteResults(before)
+	}()
 	// Leases are enforced before the status is read, since that call can take long.
 	r.perform(ctx, r.due(verbSuspend, verbStop, verbAbandon))
 	statuses, err := r.worker.Status(ctx)
--- a/shard/client.go
+++ b/shard/client.go
@@ -115,6 +115,35 @@
 	return c.exchange(ctx, http.MethodPost, "http://"+address+"/v1/allocations", request, nil)
 }
 
+// AsyncPusher sends starts in the background, so that an agent that doesn't respond holds nobody up. At its bound it
+// drops a request, which the reply to the agent's next heartbeat makes up for.
+type AsyncPusher struct {
+	pusher Pusher
+	slots  chan struct{}
+}
+
+// maxPushes bounds the requests that are on their way at the same time.
+const maxPushes = 64
+
+// NewAsyncPusher returns a pusher that sends through another.
+func NewAsyncPusher(p Pusher) *AsyncPusher {
+	return &AsyncPusher{pusher: p, slots: make(chan struct{}, maxPushes)}
+}
+
+// Push implements Pusher. It returns ErrBusy at the bound.
+func (a *AsyncPusher) Push(ctx context.Context, address string, request structs.StartRequest) error {
+	select {
+	case a.slots <- struct{}{}:
+	default:
+		return ErrBusy
+	}
+	go func() {
+		defer func() { <-a.slots }()
+		_ = a.pusher.Push(ctx, address, request)
+	}()
+	return nil
+}
+
 // call reaches the owner that the directory names; if that fails, it looks the owner up for the next call.
 func (c *Client) call(ctx context.Context, shard int, method, path string, body, reply any) error {
 	owner, known := c.owners.Lookup(shard)
--- a/shard/lifecycle/heartbeat.go
+++ b/shard/lifecycle/heartbeat.go
@@ -248,6 +248,10 @@
 		Shard: m.shard, Epoch: m.epoch, Incarnation: view.Incarnation, Sequence: view.Sequence,
 	}
 	for _, live := range m.startable(worker, mayStart) {
+		if live.pushed {
+			continue
+		}
+		live.pushed = true
 		m.extend(live, view.Received)
 		live.Sent = view.Received
 		request.Start = append(request.Start, live.Alloc)
--- a/shard/lifecycle/machine.go
+++ b/shard/lifecycle/machine.go
@@ -24,6 +24,8 @@
 	Progress float64
 	// Stop is what the agent is told to do with the attempt, nil for nothing.
 	Stop *structs.TaskStop
+	// pushed is set once the start was sent outside of a reply, which is tried once.
+	pushed bool
 	// lsn is the position of the start record; the start is sent once it is durable.
 	lsn int64
 }
--- a/shard/lifecycle/place.go
+++ b/shard/lifecycle/place.go
@@ -117,13 +117,3 @@
 	}
 	return open
 }
-
-// UrgentStarts tells whether a worker has a start of an urgent job that it hasn't reported.
-func (m *Machine) UrgentStarts(worker string) bool {
-	for _, live := range m.startable(worker, true) {
-		if job := m.state.Jobs[live.Alloc.Task.JobID]; job != nil && job.Spec.Urgent {
-			return true
-		}
-	}
-	return false
-}
--- a/shard/module.go
+++ b/shard/module.go
@@ -162,7 +162,8 @@
 	cfg.SnapshotEvery = int64(m.settings.SnapshotEvery)
 	cfg.Lifecycle = lifecycleSettings(rules)
 	client := NewClient(m.owners, m.store, m.clock)
-	o := NewOwner(cfg, m.store, m.clock, NewFollowed(follower, m.clock), scheduler.Plan, m.owners, client, m.log)
+	o := NewOwner(cfg, m.store, m.clock, NewFollowed(follower, m.clock), scheduler.Plan, m.owners,
+		NewAsyncPusher(client), m.log)
 	m.owner.Store(o)
 	m.done.Go(func() { m.keepAlive(ctx, o) })
 	m.work(ctx, o)
--- a/shard/step.go
+++ b/shard/step.go
@@ -188,7 +188,7 @@
 	return nil
 }
 
-// push sends starts that can't wait for the next heartbeat.
+// push sends starts without waiting for the next heartbeat. A start that gets lost is part of the next reply.
 func (o *Owner) push(ctx context.Context, t *term) {
 	type message struct {
 		address string
@@ -200,9 +200,6 @@
 	if t.valid(now, o.config.Lifecycle.OwnerValidity) {
 		for _, name := range slices.Sorted(maps.Keys(t.machine.Workers())) {
 			view := t.machine.Workers()[name]
-			if !t.machine.UrgentStarts(name) {
-				continue
-			}
 			allowed, _ := o.settled.MayStart(view.Worker.FailureDomain)
 			if request, ok := t.machine.Push(name, now, allowed); ok {
 				messages = append(messages, message{view.Worker.Address, request})
