Refuse proofs of an older head and unreachable gossip addresses

Cause: a proof of a lower revision than the held one was taken, which is right only while the store loses no data; after a loss, tasks would start under the old head while new changes are ignored. A process that listens on an unspecified address announced it to its peers. Ruled out: raising the store's revision above the held one on the next change; data loss is not in the failure model, and refusing to start is the safe side. The gossip module refuses an unspecified listen address. Conclusion: a poll that overlaps with a change proves nothing; the next one does.

--- a/config/follower.go
+++ b/config/follower.go
@@ -101,8 +101,9 @@
 	return f.observe(p.Revision, p.Head, provenAt)
 }
 
-// observe takes a head when it is newer, and then a proof when the held head is at least the proven revision: what was
-// the newest revision at provenAt is then covered by what is held.
+// observe takes a head when it is newer, and then a proof when it is about the held revision. A proof of a lower one
+// would do as long as the store loses no data; after a loss it would confirm a head that the store doesn't hold, and
+// starts would go on while operators' new changes are ignored.
 func (f *Follower) observe(revision int64, head *Head, provenAt time.Time) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -114,7 +115,7 @@
 		close(f.changed)
 		f.changed = make(chan struct{})
 	}
-	if f.head.Revision >= revision && provenAt.After(f.provenAt) {
+	if f.head.Revision == revision && provenAt.After(f.provenAt) {
 		f.provenAt = provenAt
 	}
 	return nil
--- a/config/follower_test.go
+++ b/config/follower_test.go
@@ -19,7 +19,7 @@
 }
 
 // Guards against a proof of a revision that isn't held, as when a reply leaves out a head that its sender believes to be
-// known, and against a proof that is refused although what it proves is covered by the held head.
+// known, or of one below the held one, as after a loss of data in the store.
 func TestProofNeedsItsRevision(t *testing.T) {
 	c := qt.New(t)
 	manual := clock.NewManual(start)
@@ -31,7 +31,11 @@
 	c.Assert(follower.ObserveProof(config.Proof{Revision: 3, AgeMillis: 0}, manual.Now()), qt.IsNil)
 	_, proven := follower.Confirmed()
 	c.Assert(proven, qt.IsFalse)
-	c.Assert(follower.ObserveProof(config.Proof{Revision: 1, AgeMillis: 500}, manual.Now()), qt.IsNil)
+	c.Assert(follower.ObserveProof(config.Proof{Revision: 1, AgeMillis: 0}, manual.Now()), qt.IsNil)
+	c.Assert(follower.ObserveStore(testHead(1, false), manual.Now()), qt.IsNil)
+	_, proven = follower.Confirmed()
+	c.Assert(proven, qt.IsFalse)
+	c.Assert(follower.ObserveProof(config.Proof{Revision: 2, AgeMillis: 500}, manual.Now()), qt.IsNil)
 	age, proven := follower.Confirmed()
 	c.Assert(proven, qt.IsTrue)
 	c.Assert(age, qt.Equals, 500*time.Millisecond)
--- a/gossip/module.go
+++ b/gossip/module.go
@@ -74,6 +74,9 @@
 	if !ok {
 		return eris.Errorf("module %s is required", configmodule.Name)
 	}
+	if c.Process.Listen.Addr().IsUnspecified() {
+		return eris.Errorf("[process] listen: peers can't reach %s; an address of this host is required", c.Process.Listen)
+	}
 	m.clock, m.scope, m.config = c.Clock, c.Metrics.SubScope("gossip"), holder
 	m.owners = NewOwnerTable()
 	m.client = &http.Client{
