--- a/scheduler/candidates.go
+++ b/scheduler/candidates.go
@@ -9,8 +9,8 @@
 
 // Reasons that the package itself gives.
 const (
-	// ReasonUnusable rejects a worker that is unreported, draining or in an out domain.
-	ReasonUnusable Reason = "worker is unreported, draining or in an out domain"
+	// ReasonUnreported rejects a worker that has not reported and counts as full.
+	ReasonUnreported Reason = "worker has not reported"
 	// ReasonAvoided rejects a worker on which the task failed before.
 	ReasonAvoided Reason = "task failed on this worker before"
 	// ReasonFull means that the task is larger than what is free on any worker.
@@ -49,15 +49,16 @@
 
 // best returns the index of the best worker for the task, or -1 when no worker takes it.
 func (c *Cycle) best(task *PendingTask) int {
-	if len(task.Avoid) > 0 {
-		return c.bestAvoiding(task)
-	}
 	key := keyOf(task)
 	if c.blocked[key] {
 		return -1
 	}
+	if len(task.Avoid) > 0 {
+		return c.bestAvoiding(task)
+	}
 	if !task.Resources.Fits(c.maxFree) {
-		c.block(key, task)
+		c.blocked[key] = true
+		c.wait(Waiting{JobID: task.Job.ID, Reason: ReasonFull, Workers: len(c.workers)})
 		return -1
 	}
 	s := c.shapes[key]
@@ -138,8 +139,8 @@
 
 // rate returns the weighted sum of the scores, or the reason of the first filter that rejects the worker.
 func (c *Cycle) rate(task *PendingTask, w *WorkerView) (float64, Reason) {
-	if !w.cycle.usable {
-		return rejected, ReasonUnusable
+	if !w.Reported {
+		return rejected, ReasonUnreported
 	}
 	for _, f := range filters {
 		if reason := f.Filter(c, task, w); reason != "" {
@@ -165,25 +166,20 @@
 	job := task.state
 	w.cycle.free = w.cycle.free.Sub(task.Resources)
 	w.cycle.added = append(w.cycle.added, task)
-	w.cycle.load(task.Job, job.class, task.Resources)
-	job.account.Charge(task.Resources)
-	if task.Replaces != "" {
-		c.replaced[task.Replaces] = true
-	} else {
-		job.running++
-		if job.indices != nil {
-			job.indices[task.Index] = true
-		}
+	if w.cycle.loaded {
+		w.cycle.count(task.Job, task.Resources)
 	}
+	job.account.Charge(task.Resources)
+	c.count(job)
+	job.add(task.Index, w.FailureDomain)
 	if task.Job.Kind == structs.KindService {
-		job.countDomain(w.cycle.domain)
 		// The replicas of a service are rated by where the others are.
 		delete(c.shapes, keyOf(task))
 	}
 	c.touched = append(c.touched, index)
 	c.countPlaced(task, w)
 	c.plan.Place = append(c.plan.Place, Placement{
-		Task: task.ID(), Attempt: task.Attempt, Worker: w.Name, Resources: task.Resources, Replaces: task.Replaces,
+		Task: task.ID(), Attempt: task.Attempt, Worker: w.Name, Resources: task.Resources, Replaces: task.replaces,
 	})
 	return true
 }
@@ -193,13 +189,11 @@
 	if c.snapshot.Interference == nil {
 		return
 	}
-	for i := range w.cycle.loads {
-		load := &w.cycle.loads[i]
-		e, ok := c.Estimate(task, load)
-		if !ok {
-			continue
-		}
-		service, batch, tasks := load.id, task.state.class, 1
+	loads := c.Neighbours(task, w)
+	for i := range loads {
+		load := &loads[i]
+		e := c.Estimate(task, load)
+		service, batch, tasks := c.loadID(load), task.state.class, 1
 		if task.Job.Kind == structs.KindService {
 			service, batch, tasks = batch, service, load.Tasks
 		}
@@ -220,7 +214,7 @@
 // hold keeps room on a worker for a task that waits for evictions there: first what the evictions will free, then what
 // is free now. Tasks that come later in the order of the cycle don't get it.
 func (c *Cycle) hold(r structs.Resources, index int) {
-	s := &c.workers[index].cycle
+	s := c.workers[index].cycle
 	claimed := structs.Resources{
 		MilliCores:   min(max(s.future.MilliCores, 0), r.MilliCores),
 		MemoryMB:     min(max(s.future.MemoryMB, 0), r.MemoryMB),
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -6,21 +6,33 @@
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
-// Plan decides placements, evictions and verdicts for a snapshot at a time. It only reads the snapshot.
-//
-// The order is: replacements of service replicas that must leave and urgent work; then batch that must leave, by the
-// value of the work already done; then the rest by priority, services before batch at the same priority, and fair
-// share by team. A job that can't be placed blocks no other job.
-func Plan(snapshot Snapshot, now time.Time) Decisions {
-	c := newCycle(&snapshot, now)
-	c.stopReplaced()
+// Planner makes plans and reuses its memory between them. Its plans are the same as those of Plan. The zero value is
+// ready to use. It is not safe for concurrent use.
+type Planner struct{ cycle Cycle }
+
+// Plan decides as the function Plan does.
+func (p *Planner) Plan(snapshot Snapshot, now time.Time) Decisions {
+	c := &p.cycle
+	c.reset(&snapshot, now)
+	c.settleReplacements()
 	first, rest := c.queues()
 	c.run(first)
 	c.evacuateBatch()
+	c.feedStarving(rest)
 	c.run(rest)
 	return c.plan
 }
 
+// Plan decides placements, evictions and verdicts for a snapshot at a time. It only reads the snapshot.
+//
+// The order is: replacements of service replicas that must leave and urgent work; then batch that must leave, by the
+// value of the work already done; then the rest by priority, services before batch at the same priority, and fair
+// share by team. A job that can't be placed blocks no other job, but for one starving batch task at a time, for which
+// one worker is kept free.
+func Plan(snapshot Snapshot, now time.Time) Decisions {
+	return new(Planner).Plan(snapshot, now)
+}
+
 // run places the tasks of the levels, one level after the other.
 func (c *Cycle) run(levels []level) {
 	for i := range levels {
@@ -37,29 +49,22 @@
 // start places one task, or makes room for it if it may preempt.
 func (c *Cycle) start(task *PendingTask) {
 	job := task.state
-	if c.isStarted(task) {
-		return
-	}
 	// A replacement runs beside the replica it replaces for a short time. Counting it would let a team at its quota
 	// never leave a failure domain.
-	if task.Replaces == "" && !job.account.Allows(task.Resources) {
+	if task.replaces == "" && !job.account.Allows(task.Resources) {
 		c.wait(Waiting{JobID: job.job.ID, Reason: ReasonQuota})
 		return
 	}
-	if index := c.best(task); index >= 0 && c.place(task, index) {
+	index := c.best(task)
+	if index < 0 && !task.Preempts() {
 		return
 	}
-	if task.Preempts() {
-		c.makeRoom(task)
+	if c.count(job); task.replaces == "" && job.indices[task.Index] {
+		return
 	}
-}
-
-// isStarted tells whether the task, or a replacement of the same replica, runs or was placed in this cycle.
-func (c *Cycle) isStarted(task *PendingTask) bool {
-	if task.Replaces != "" {
-		return c.replaced[task.Replaces]
+	if index < 0 || !c.place(task, index) {
+		c.makeRoom(task)
 	}
-	return c.isRunning(task.state, task.Index)
 }
 
 func (c *Cycle) wait(w Waiting) {
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -10,6 +10,10 @@
 // makeRoom holds room for a task that may preempt: on a worker where evictions under way free enough, or else on the
 // worker where evicting batch costs least. The task is placed by a later plan, once the evictions have ended.
 func (c *Cycle) makeRoom(task *PendingTask) {
+	key := keyOf(task)
+	if c.noRoom[key] {
+		return
+	}
 	if index := c.awaited(task); index >= 0 {
 		c.hold(task.Resources, index)
 		return
@@ -28,6 +32,8 @@
 		}
 	}
 	if best < 0 || len(c.plan.Evict)+len(victims) > c.Rules.MaxEvictions {
+		// What may be evicted only shrinks in a cycle, so equal tasks need not try again.
+		c.noRoom[key] = true
 		return
 	}
 	w := &c.workers[best]
@@ -57,19 +63,21 @@
 func (c *Cycle) rateWithout(task *PendingTask, w *WorkerView, gone []int) float64 {
 	saved := w.cycle
 	defer func() { w.cycle = saved }()
+	state := *saved
+	w.cycle = &state
 	w.cycle.free = w.cycle.free.Add(w.cycle.future)
-	w.cycle.loads = nil
+	w.cycle.services, w.cycle.batch, w.cycle.loaded = nil, nil, true
 	for k := range w.Running {
 		t := &w.Running[k]
 		switch {
 		case slices.Contains(gone, k):
 			w.cycle.free = w.cycle.free.Add(t.Resources)
 		case !c.leavingSoon(t):
-			w.cycle.load(t.Job, c.job(t.Job).class, t.Resources)
+			w.cycle.count(t.Job, t.Resources)
 		}
 	}
 	for _, t := range w.cycle.added {
-		w.cycle.load(t.Job, t.state.class, t.Resources)
+		w.cycle.count(t.Job, t.Resources)
 	}
 	rating, _ := c.rate(task, w)
 	return rating
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -46,7 +46,7 @@
 	// Running holds every allocation that holds a reservation: starting, running, suspended and evicting ones.
 	Running []RunningTask
 
-	cycle workerState
+	cycle *workerState
 }
 
 // RunningTask is one allocation on a worker.
@@ -77,16 +77,18 @@
 	Attempt int
 	// Resources is the reservation, usually from sizing. Zero means the declared resources of the job.
 	Resources structs.Resources
+	// Since is when the task became pending. Zero means that it is never treated as starving.
+	Since time.Time
 	// NotBefore holds a retry back until its backoff has passed.
 	NotBefore time.Time
 	// WorkDone is the run time saved in the task's checkpoint. Tasks with more of it resume first.
 	WorkDone time.Duration
 	// Avoid lists workers on which the task failed before.
 	Avoid []string
-	// Replaces names the allocation that a service replica replaces. Plan sets it itself in an evacuation.
-	Replaces string
 
-	state *jobState
+	// replaces names the allocation that a service replica is to replace in an evacuation.
+	replaces string
+	state    *jobState
 }
 
 // ID returns the ID of the task.
@@ -126,6 +128,8 @@
 	EvictEvacuated EvictReason = "failure domain is out of service"
 	// EvictReplaced stops a service replica whose replacement is ready.
 	EvictReplaced EvictReason = "replacement is ready"
+	// EvictUseless stops a replacement that must leave its worker before it is ready.
+	EvictUseless EvictReason = "replacement must leave before it is ready"
 )
 
 // Eviction tells the owner to end an allocation. Its room is free only once the agent has reported the end.
