--- a/shard/step.go
+++ b/shard/step.go
@@ -129,7 +129,7 @@
 		}
 		decisions := o.plan(input, now)
 		o.learned.placed(decisions, now)
-		apply(t.machine, decisions)
+		apply(t.machine, input, decisions)
 	}
 	return true
 }
@@ -193,7 +193,7 @@
 	return nil
 }
 
-// push sends starts that can't wait for the next heartbeat.
+// push sends starts without waiting for the next heartbeat. A start that gets lost is part of the next reply.
 func (o *Owner) push(ctx context.Context, t *term) {
 	type message struct {
 		address string
@@ -205,9 +205,6 @@
 	if t.valid(now, o.config.Lifecycle.OwnerValidity) {
 		for _, name := range slices.Sorted(maps.Keys(t.machine.Workers())) {
 			view := t.machine.Workers()[name]
-			if !t.machine.UrgentStarts(name) {
-				continue
-			}
 			allowed, _ := o.settled.MayStart(view.Worker.FailureDomain)
 			if request, ok := t.machine.Push(name, now, allowed); ok {
 				messages = append(messages, message{view.Worker.Address, request})
@@ -256,20 +253,22 @@
 	}
 	// The clock is read after the wait for the mutex, so that a pause in between can't renew too late.
 	now := o.clock.Now()
-	if !t.valid(now, o.config.Lifecycle.OwnerValidity) {
-		return structs.HeartbeatReply{}, ErrNotOwner
-	}
+	renew := t.valid(now, o.config.Lifecycle.OwnerValidity)
 	if err := expand(t.machine.Workers()[hb.Worker.Name], &hb); err != nil {
 		return structs.HeartbeatReply{}, err
 	}
 	stated := hb.Worker
 	o.identify(&hb.Worker)
 	allowed, _ := o.settled.MayStart(hb.Worker.FailureDomain)
-	reply, err := t.machine.Heartbeat(now, now, hb, true, allowed)
+	reply, err := t.machine.Heartbeat(now, now, hb, renew, allowed)
 	if err != nil {
 		return reply, err
 	}
 	t.machine.Workers()[hb.Worker.Name].Stated = stated
+	if !renew {
+		// The report is kept, so that work which agents have suspended isn't given up once the store is back.
+		return structs.HeartbeatReply{}, ErrNotOwner
+	}
 	o.learned.heartbeat(t.machine, hb, now)
 	shorten(hb, &reply)
 	o.settled.Attach(&reply, hb.HeadRevision)
