Send rejections before the body has arrived

Cause: net/http reads an unread body before it sends a response, so a rejection was held back until a slow caller had sent its body, and for ever once the read deadline was cleared; the new test of a body that doesn't arrive hung. A record that was just written, whose attempt hadn't arrived, was resolved at once by a repeated request, which cancelled the attempt. A status below 100 from an agent made package http panic. Ruled out: closing the connection after each rejection, which costs callers that behave well a new connection. Change: full duplex and a read deadline for requests with a body; repeated requests look for the response for the whole grace period before they resolve; such a status counts as malformed; tests of spans, counters, settings, callers that go away, and of the sources not using the client of package http; a benchmark of announcements. Conclusion: a rejection leaves at once, whatever the caller sends.

--- a/entry/requests/bench_test.go
+++ b/entry/requests/bench_test.go
@@ -1,6 +1,8 @@
 package requests
 
 import (
+	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -61,3 +63,31 @@
 		})
 	}
 }
+
+// BenchmarkAnnounce prints the cost of one announcement in a fleet of two-year scale.
+func BenchmarkAnnounce(b *testing.B) {
+	e := newEntry(b, nil, nil)
+	for i := range 3400 {
+		a := structs.Announcement{
+			Agent: fmt.Sprint("agent-", i), Incarnation: "i", StartedUnixNano: 1, Address: fmt.Sprint("10.0.0.1:", i),
+			FailureDomain: "patan", Upstreams: []structs.Upstream{{Service: "price", Slots: 8, Connections: 64}},
+		}
+		if _, err := e.table.Apply(&a, 500); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportAllocs()
+	sequence := int64(0)
+	for b.Loop() {
+		sequence++
+		body := mustJSON(b, structs.Announcement{
+			Agent: fmt.Sprint("agent-", sequence%3400), Incarnation: "i", StartedUnixNano: 1, Sequence: sequence,
+			Address: "10.0.0.1:1", FailureDomain: "patan", Upstreams: []structs.Upstream{{Service: "price", Slots: 8, Connections: 64}},
+		})
+		recorder := httptest.NewRecorder()
+		e.serveAnnounce(recorder, httptest.NewRequest(http.MethodPost, "/v1/announce", bytes.NewReader(body)))
+		if recorder.Code != http.StatusOK {
+			b.Fatal(recorder.Code)
+		}
+	}
+}
--- a/entry/requests/entry_test.go
+++ b/entry/requests/entry_test.go
@@ -39,6 +39,11 @@
 }
 
 func newEntry(t testing.TB, kv store.Store, change func(*Settings)) *testEntry {
+	t.Helper()
+	return newEntryWith(t, kv, change, func(*kernel.Context) {})
+}
+
+func newEntryWith(t testing.TB, kv store.Store, change func(*Settings), adapt func(*kernel.Context)) *testEntry {
 	t.Helper()
 	m := &Module{}
 	file, err := settings.Parse("test.ini", []byte("[entry.requests]\nsilence=150ms\nprobe_every=50ms\nprobe_timeout=100ms\n"+
@@ -55,6 +60,7 @@
 		Incarnation: fmt.Sprint("entry-", incarnations.Add(1)),
 		Metrics:     tally.NoopScope, Tracer: noop.NewTracerProvider().Tracer(""), Clock: clock.System{}, Router: router,
 	}
+	adapt(c)
 	qt.Assert(t, m.Provision(c), qt.IsNil)
 	if kv != nil {
 		m.ledger = idempotency.NewLedger(idempotency.Options{
--- a/entry/requests/handler.go
+++ b/entry/requests/handler.go
@@ -32,6 +32,7 @@
 }
 
 func (m *Module) answer(ctx context.Context, w http.ResponseWriter, r *http.Request, start time.Time) forward.Result {
+	limitBody(w, r, start.Add(defaultTimeout))
 	if !m.active.begin() {
 		m.metrics.draining.Inc(1)
 		w.Header().Set("Connection", "close")
@@ -44,6 +45,7 @@
 		return notRun(http.StatusBadRequest, err.Error(), 0)
 	}
 	p.request.Deadline = start.Add(p.timeout)
+	limitBody(w, r, p.request.Deadline)
 	release, err := m.inFlight.Acquire(ctx, p.request.Priority, p.request.Deadline)
 	if err != nil {
 		m.metrics.limited.Inc(1)
@@ -69,7 +71,20 @@
 	return notRun(http.StatusServiceUnavailable, err.Error(), time.Second)
 }
 
-// readBody reads the whole body, in the time and the size that a request may have.
+// limitBody bounds the time for which the body of a request is read, also by package http after the response. Without
+// full duplex that package reads an unread body before it sends the response, so that a caller who sends slowly would get
+// a rejection late or never.
+func limitBody(w http.ResponseWriter, r *http.Request, deadline time.Time) {
+	if r.ContentLength == 0 {
+		return
+	}
+	controller := http.NewResponseController(w)
+	// Both fail only for writers that aren't connections.
+	_ = controller.EnableFullDuplex()
+	_ = controller.SetReadDeadline(deadline)
+}
+
+// readBody reads the whole body, of at most the size that a request may have.
 func readBody(w http.ResponseWriter, r *http.Request, request *forward.Request) (forward.Result, bool) {
 	if r.ContentLength > structs.MaxRequestBody {
 		return notRun(http.StatusRequestEntityTooLarge, "the body is over 1 MiB", 0), false
@@ -77,11 +92,11 @@
 	if r.ContentLength == 0 {
 		return forward.Result{}, true
 	}
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(request.Deadline)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, structs.MaxRequestBody))
-	// A read deadline that stays set would end the request as if the caller had disconnected.
-	_ = controller.SetReadDeadline(time.Time{})
+	if err == nil {
+		// A read deadline that stays set would end the request as if the caller had disconnected.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/entry/requests/once.go
+++ b/entry/requests/once.go
@@ -18,7 +18,7 @@
 	// followGrace is how long a repeated request only looks for the response of the recorded attempt. After it the attempt
 	// is resolved, which cancels it if it is still queued for a request that is under way at another entry.
 	followGrace = 200 * time.Millisecond
-	// followEvery is the wait between two rounds of questions to the agent.
+	// followEvery is the wait between two questions to the agent.
 	followEvery = 40 * time.Millisecond
 	// maxAdoptions bounds how often one request takes over a record. Two entries that cancel each other's attempts end
 	// there.
@@ -112,12 +112,10 @@
 	if address, ok := m.table.Address(target.ID); ok {
 		target.Address = address
 	}
-	wait := followGrace
+	if reply := m.lookForAnswer(ctx, target, record.AttemptID); reply != nil {
+		return relayed(reply, record.Agent), false
+	}
 	for failures := 0; failures < maxFollowFailures; {
-		reply, err := m.forwarder.Answer(ctx, target, record.AttemptID, wait)
-		if err == nil && reply.Outcome == structs.OutcomeAnswered {
-			return relayed(reply, record.Agent), false
-		}
 		got, err := m.forwarder.Resolve(ctx, target, record.AttemptID)
 		switch {
 		case err != nil:
@@ -129,7 +127,10 @@
 		case got.Reply != nil || got.State == structs.AttemptUnknown:
 			return conflict("the outcome of an earlier request with this key is unknown"), false
 		default:
-			wait = max(0, time.Until(deadline))
+			reply, err := m.forwarder.Answer(ctx, target, record.AttemptID, max(0, time.Until(deadline)))
+			if err == nil && reply.Outcome == structs.OutcomeAnswered {
+				return relayed(reply, record.Agent), false
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -140,6 +141,21 @@
 	return conflict("the agent that has an earlier request with this key can't be reached"), false
 }
 
+// lookForAnswer looks for the response of an attempt for the grace period, without an effect on the attempt.
+func (m *Module) lookForAnswer(ctx context.Context, target forward.Target, attempt string) *forward.Reply {
+	until := time.Now().Add(followGrace)
+	for {
+		reply, err := m.forwarder.Answer(ctx, target, attempt, max(0, time.Until(until)))
+		if err == nil && reply.Outcome == structs.OutcomeAnswered {
+			return reply
+		}
+		if ctx.Err() != nil || time.Until(until) < followEvery {
+			return nil
+		}
+		time.Sleep(followEvery)
+	}
+}
+
 func relayed(reply *forward.Reply, agent string) forward.Result {
 	return forward.Result{
 		Outcome: structs.OutcomeAnswered, Status: reply.Status, Header: reply.Header, Body: reply.Body, Agent: agent,
--- /dev/null
+++ b/entry/requests/telemetry_test.go
@@ -0,0 +1,94 @@
+package requests
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+
+	"github.com/quetzalshed/quetzalshed/forward/forwardtest"
+	"github.com/quetzalshed/quetzalshed/idempotency/idempotencytest"
+	"github.com/quetzalshed/quetzalshed/kernel"
+	"github.com/quetzalshed/quetzalshed/settings"
+)
+
+// Guards against hops without a span, spans that don't belong to the caller's trace, and outcomes that aren't counted.
+func TestSpansAndCounters(t *testing.T) {
+	spans := tracetest.NewSpanRecorder()
+	scope := tally.NewTestScope("", nil)
+	e := newEntryWith(t, idempotencytest.New(), nil, func(c *kernel.Context) {
+		c.Tracer = sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(spans)).Tracer("")
+		c.Metrics = scope
+	})
+	agent := newAgent(t, "a", e)
+	agent.Script(forwardtest.RunClose)
+	const trace = "0af7651916cd43dd8448eb211c80319c"
+	response, _ := e.call(t, http.MethodPost, "/s/price/p", "", "Traceparent", "00-"+trace+"-b7ad6b7169203331-01")
+	qt.Assert(t, outcome(response), qt.Equals, "200 answered")
+	waitFor(t, func() bool { return len(spans.Ended()) == 4 })
+	parents := map[string]string{}
+	names := map[string]string{}
+	for _, span := range spans.Ended() {
+		qt.Assert(t, span.SpanContext().TraceID().String(), qt.Equals, trace)
+		names[span.SpanContext().SpanID().String()] = span.Name()
+	}
+	for _, span := range spans.Ended() {
+		parents[span.Name()] = names[span.Parent().SpanID().String()]
+	}
+	qt.Assert(t, parents, qt.DeepEquals, map[string]string{
+		"request": "", "assign": "request", "attempt": "request", "resolve": "attempt",
+	})
+	qt.Assert(t, agent.Headers().Get("Traceparent"), qt.Matches, "00-"+trace+"-.*-01")
+	counters := scope.Snapshot().Counters()
+	qt.Assert(t, counters["requests.outcomes+outcome=answered"].Value(), qt.Equals, int64(1))
+	qt.Assert(t, counters["forward.resolves+"].Value(), qt.Equals, int64(1))
+	qt.Assert(t, counters["forward.faults+kind=broken"].Value(), qt.Equals, int64(1))
+}
+
+// Guards against defaults that contradict each other, and settings that do being accepted.
+func TestSettings(t *testing.T) {
+	for text, want := range map[string]string{
+		"": "",
+		"announce_min=10s\nannounce_max=5s\nmin_hedge=2s\nmax_in_flight=0\n":  `(?s).*max_in_flight: 0 is below the minimum 1`,
+		"announce_min=10s\nannounce_max=5s\nmin_hedge=2s\ndefault_hedge=1s\n": `(?s).*announce_max: 5s is below.*default_hedge: 1s is below.*`,
+	} {
+		file, err := settings.Parse("test.ini", []byte("[entry.requests]\n"+text))
+		qt.Assert(t, err, qt.IsNil)
+		var got Settings
+		file.Decode("entry.requests", &got)
+		if want == "" {
+			qt.Assert(t, file.Err(), qt.IsNil)
+			continue
+		}
+		qt.Assert(t, file.Err(), qt.ErrorMatches, want)
+	}
+}
+
+// Guards against a caller that sends its body slowly holding a place at the entry after its deadline, and against a
+// rejection that is held back until the body has arrived.
+func TestBodyThatDoesNotArrive(t *testing.T) {
+	e := newEntry(t, nil, nil)
+	agent := newAgent(t, "a", e)
+	for _, header := range []string{"Quetzalshed-Timeout-Ms: 50", "Quetzalshed-Priority: wrong"} {
+		c, err := net.Dial("tcp", strings.TrimPrefix(e.url, "http://"))
+		qt.Assert(t, err, qt.IsNil)
+		defer c.Close()
+		_, err = fmt.Fprintf(c, "PUT /s/price/p HTTP/1.1\r\nHost: entry\r\n%s\r\nContent-Length: 10\r\n\r\nabc", header)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, c.SetReadDeadline(time.Now().Add(30*time.Second)), qt.IsNil)
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, outcome(response), qt.Equals, "400 not-run")
+	}
+	running, waiting := e.inFlight.Running()
+	qt.Assert(t, running+waiting, qt.Equals, 0)
+	qt.Assert(t, agent.Sends(), qt.Equals, 0)
+}
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -121,10 +121,10 @@
 		if err != nil {
 			return nil, false, classify(err)
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
-			if response.StatusCode == http.StatusSwitchingProtocols {
-				return nil, false, &AttemptError{Kind: FaultMalformed, Cause: eris.New("the connection was upgraded")}
-			}
+		if response.StatusCode < 100 || response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, false, &AttemptError{Kind: FaultMalformed, Cause: eris.Errorf("status %d", response.StatusCode)}
+		}
+		if response.StatusCode < 200 {
 			if interim != nil {
 				interim(response.Header)
 			}
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -340,6 +340,20 @@
 	qt.Assert(t, f.agents[0].States(), qt.DeepEquals, map[structs.AttemptState]int{structs.AttemptCancelled: 1})
 }
 
+// Guards against a queued attempt that goes on to run after its caller went away.
+func TestCallerThatGoesAwayCancelsQueuedAttempt(t *testing.T) {
+	f := newFleet(t, 1, plenty())
+	f.faults(forwardtest.QueueSilent)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan Result, 1)
+	go func() { ended <- f.Do(ctx, request("payload", true, time.Minute), nil) }()
+	waitFor(t, func() bool { return f.agents[0].States()[structs.AttemptQueued] == 1 })
+	cancel()
+	qt.Assert(t, (<-ended).Outcome, qt.Equals, structs.OutcomeUnknown)
+	f.Wait()
+	qt.Assert(t, f.agents[0].States(), qt.DeepEquals, map[structs.AttemptState]int{structs.AttemptCancelled: 1})
+}
+
 // Guards against a send after the deadline, and against a send without a record.
 func TestNothingIsSent(t *testing.T) {
 	f := newFleet(t, 1, plenty())
--- a/forward/forwardtest/agent.go
+++ b/forward/forwardtest/agent.go
@@ -56,6 +56,8 @@
 	Hold
 	// Forget runs the attempt, closes the connection and retains nothing.
 	Forget
+	// LowStatus delivers the response with status 42.
+	LowStatus
 	faults
 )
 
--- a/forward/forwardtest/attempt.go
+++ b/forward/forwardtest/attempt.go
@@ -107,6 +107,8 @@
 	case WrongLength:
 		answer = bytes.Replace(answer, fmt.Appendf(nil, "Content-Length: %d", len(body)),
 			fmt.Appendf(nil, "Content-Length: %d", len(body)-1), 1)
+	case LowStatus:
+		answer = bytes.Replace(answer, []byte("HTTP/1.1 200"), []byte("HTTP/1.1 042"), 1)
 	case HugeHeader:
 		_, _ = io.WriteString(c, "HTTP/1.1 200 X\r\nX-Endless: ")
 		_, _ = c.Write(bytes.Repeat([]byte("x"), 1<<20))
--- a/forward/pool_test.go
+++ b/forward/pool_test.go
@@ -2,12 +2,21 @@
 
 import (
 	"errors"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
 	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/quetzalshed/quetzalshed/forward/forwardtest"
+	"github.com/quetzalshed/quetzalshed/structs"
 )
 
 // Guards against a fault that is taken for another one: only FaultNotSent and FaultExhausted prove that nothing ran.
@@ -77,3 +86,40 @@
 	qt.Assert(t, reply.Status, qt.Equals, http.StatusOK)
 	qt.Assert(t, states >= 3, qt.IsTrue)
 }
+
+// Guards against package http's own client on the request path: it sends requests again by itself.
+func TestNoClientOfPackageHTTP(t *testing.T) {
+	for _, dir := range []string{".", "../routing", "../limit", "../idempotency", "../entry/requests"} {
+		files, err := filepath.Glob(filepath.Join(dir, "*.go"))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, len(files) > 0, qt.IsTrue)
+		for _, name := range files {
+			if strings.HasSuffix(name, "_test.go") {
+				continue
+			}
+			source, err := os.ReadFile(name)
+			qt.Assert(t, err, qt.IsNil)
+			file, err := parser.ParseFile(token.NewFileSet(), name, source, 0)
+			qt.Assert(t, err, qt.IsNil)
+			for _, imported := range file.Imports {
+				qt.Assert(t, imported.Path.Value, qt.Not(qt.Equals), `"net/http/httputil"`, qt.Commentf("%s", name))
+			}
+			ast.Inspect(file, func(n ast.Node) bool {
+				if selector, ok := n.(*ast.SelectorExpr); ok && fmt.Sprint(selector.X) == "http" {
+					banned := []string{"Transport", "Client", "DefaultTransport", "DefaultClient", "Get", "Post", "PostForm", "Head"}
+					qt.Check(t, slices.Contains(banned, selector.Sel.Name), qt.IsFalse, qt.Commentf("%s: %s", name, selector.Sel.Name))
+				}
+				return true
+			})
+		}
+	}
+}
+
+// Guards against a status that package http can't send to the caller.
+func TestImpossibleStatus(t *testing.T) {
+	f := newFleet(t, 1, plenty())
+	f.faults(forwardtest.LowStatus)
+	result := f.once(t, "payload")
+	qt.Assert(t, result.Outcome, qt.Equals, structs.OutcomeAnswered)
+	qt.Assert(t, result.Status, qt.Equals, http.StatusOK)
+}
