Let owners learn sizes, interference and quarantine, and agents apply the guard

Cause: the scheduler's models had no source of observations, and the guard was not connected. The scheduler now decides itself which replica replaces another, which the owner had done too.

Ruled out: learning in agents (a task's class is seen by many agents, an owner sees all of its shard).

Placements that replace a replica start under a new index and don't count until the old one is told to stop. RulesGuard adapts the guard to the runner.

--- /dev/null
+++ b/agent/runner/guard_test.go
@@ -0,0 +1,34 @@
+package runner
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/config"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// Guards against a guard that isn't connected: batch must lose processor time once a service nears its objective, and
+// the service must never be throttled.
+func TestRulesGuardThrottlesBatch(t *testing.T) {
+	c := qt.New(t)
+	rules := *config.DefaultRules()
+	rules.Guard.Enabled = true
+	rules.Services = []config.Service{{Name: "web", LatencyTarget: 100 * time.Millisecond}}
+	g := NewRulesGuard(func() *config.Rules { return &rules })
+	tasks := []GuardTask{
+		{Allocation: structs.Allocation{ID: "s", Kind: structs.KindService, Class: "web"}, LatencyMillis: 98},
+		{Allocation: structs.Allocation{ID: "b", Kind: structs.KindBatch}, State: structs.TaskRunning, Share: 1},
+	}
+	var actions []GuardAction
+	for i := range 4 {
+		actions = g.Decide(origin.Add(time.Duration(i)*3*time.Second), structs.Worker{}, tasks)
+	}
+	c.Assert(actions, qt.HasLen, 1)
+	c.Assert(actions[0].AllocationID, qt.Equals, "b")
+	c.Assert(actions[0].Share < 1, qt.IsTrue)
+	rules.Guard.Enabled = false
+	c.Assert(g.Decide(origin, structs.Worker{}, tasks), qt.HasLen, 0)
+}
--- a/agent/runner/module.go
+++ b/agent/runner/module.go
@@ -83,7 +83,7 @@
 // Settings implements kernel.Module.
 func (m *Module) Settings() any { return &m.settings }
 
-// SetGuard sets the guard. It is called while provisioning.
+// SetGuard replaces the guard of the rules. It is called before the module is provisioned.
 func (m *Module) SetGuard(g Guard) { m.guard = g }
 
 // Provision implements kernel.Module.
@@ -106,6 +106,9 @@
 		m.settings.Worker = c.Process.Name
 	}
 	m.follower = configs.Follower()
+	if m.guard == nil {
+		m.guard = NewRulesGuard(m.follower.Rules)
+	}
 	m.client = shard.NewClient(owners.Owners(), stores.Store(), c.Clock)
 	m.worker = worker.NewClient(m.settings.WorkerAddress, 0)
 	c.Router.HandleFunc("/v1/allocations", m.serveStart).Methods(http.MethodPost)
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -55,7 +55,9 @@
 	UsageAge      time.Duration
 	LatencyMillis float64
 	Progress      float64
-	Share         float64
+	// SinceCheckpoint is the run time that an eviction without a checkpoint would lose.
+	SinceCheckpoint time.Duration
+	Share           float64
 }
 
 // GuardAction throttles a task, or has it leave the worker with a checkpoint.
@@ -281,7 +283,7 @@
 	for _, h := range r.ledger.held {
 		tasks = append(tasks, GuardTask{
 			Allocation: h.alloc, State: h.state, Used: h.usage, UsageAge: h.usageAge, LatencyMillis: h.latency,
-			Progress: h.progress, Share: h.share,
+			Progress: h.progress, Share: h.share, SinceCheckpoint: r.clock.Now().Sub(h.checkpointAt),
 		})
 	}
 	actions := r.guard.Decide(r.clock.Now(), r.ledger.worker, tasks)
--- a/entry/jobs/validate.go
+++ b/entry/jobs/validate.go
@@ -137,6 +137,9 @@
 	if job.Kind == structs.KindService && job.Name == "" {
 		v.addf("name", "a service needs a name")
 	}
+	if job.Kind == structs.KindService && job.Class != job.Name {
+		v.addf("class", "the class of a service is its name")
+	}
 	v.numbers(job, wrong)
 	v.constraints(&job.Constraints)
 	if len(job.Command) > maxCommandBytes {
--- a/shard/lifecycle/event.go
+++ b/shard/lifecycle/event.go
@@ -27,6 +27,8 @@
 	EventFail EventKind = "fail"
 	// EventCancel ends all unfinished tasks of a job.
 	EventCancel EventKind = "cancel"
+	// EventFailJob fails all unfinished tasks of a job.
+	EventFailJob EventKind = "failjob"
 	// EventGrow adds one pending task to a service, a substitute under a new index.
 	EventGrow EventKind = "grow"
 	// EventRetire ends one replica of a service for good.
@@ -48,6 +50,8 @@
 	CheckpointID string       `json:"c,omitempty"`
 	Progress     float64      `json:"p,omitempty"`
 	Reason       string       `json:"r,omitempty"`
+	// Replaces names the allocation that a new replica of a service is to replace.
+	Replaces string `json:"x,omitempty"`
 	// UnixMilli is the wall time of the owner, for the retention of ended jobs only.
 	UnixMilli int64 `json:"t,omitempty"`
 }
--- a/shard/lifecycle/heartbeat.go
+++ b/shard/lifecycle/heartbeat.go
@@ -33,6 +33,7 @@
 	for _, running := range hb.Running {
 		m.adopt(running, wall)
 	}
+	m.recordPeaks(hb.Usage)
 	m.reportLost(hb, view, ended, wall)
 	m.fillReply(&reply, view, now, renew, mayStart)
 	return reply, nil
@@ -77,7 +78,7 @@
 	current := task.Active() && task.Attempt == r.Attempt
 	switch {
 	case r.State == structs.TaskFinished && task.finishes(r.Attempt):
-		m.finish(r, wall)
+		m.finish(r, worker, wall)
 	case current:
 		if live == nil {
 			live = &Live{Alloc: m.allocation(m.state.Jobs[r.Task.JobID], r.Task, task)}
@@ -90,8 +91,11 @@
 	return m.changed[r.Task] <= m.durable
 }
 
-func (m *Machine) finish(r structs.TaskResult, wall time.Time) {
+func (m *Machine) finish(r structs.TaskResult, worker string, wall time.Time) {
 	m.counters.Finishes++
+	if m.Observe != nil {
+		m.Observe(Observation{Task: r.Task, Worker: worker})
+	}
 	m.propose(Event{
 		Kind: EventFinish, JobID: r.Task.JobID, Index: r.Task.Index, Attempt: r.Attempt, UnixMilli: wall.UnixMilli(),
 	})
@@ -108,10 +112,8 @@
 		m.counters.Refused++
 		m.endAttempt(live, r.CheckpointID, r.Progress, r.Reason, wall)
 	}
-	if m.Observe != nil {
-		m.Observe(Observation{
-			Task: r.Task, Class: live.Alloc.Class, Worker: worker, Failed: r.State == structs.TaskFailed, Reason: r.Reason,
-		})
+	if m.Observe != nil && r.State == structs.TaskFailed {
+		m.Observe(Observation{Task: r.Task, Worker: worker, Failed: true})
 	}
 }
 
@@ -155,6 +157,20 @@
 	}
 }
 
+// recordPeaks keeps the highest usage of each task, so that its next attempt reserves at least that.
+func (m *Machine) recordPeaks(usages []structs.TaskUsage) {
+	for _, usage := range usages {
+		live := m.live[usage.AllocationID]
+		if live == nil {
+			continue
+		}
+		if task := m.state.Task(live.Alloc.Task); task != nil {
+			task.Peak.MilliCores = max(task.Peak.MilliCores, usage.Used.MilliCores)
+			task.Peak.MemoryMB = max(task.Peak.MemoryMB, usage.Used.MemoryMB)
+		}
+	}
+}
+
 // reportLost ends the attempts that the agent should hold but doesn't. A report proves an absence only when the agent
 // had accepted this owner's epoch before, since otherwise a start of an earlier owner can still arrive.
 func (m *Machine) reportLost(hb structs.Heartbeat, view *View, ended map[string]bool, wall time.Time) {
--- a/shard/lifecycle/machine.go
+++ b/shard/lifecycle/machine.go
@@ -65,17 +65,15 @@
 	pending  []Event
 	durable  int64
 	counters Counters
-	// Observe receives every ended attempt, for learning; it may be nil.
+	// Observe receives every attempt that has finished or failed, for learning; it may be nil.
 	Observe func(Observation)
 }
 
-// Observation is an ended attempt, for quarantine and learned sizes.
+// Observation is an attempt that has finished or failed.
 type Observation struct {
 	Task   structs.TaskID
-	Class  string
 	Worker string
 	Failed bool
-	Reason string
 }
 
 // Counters counts what an owner has done.
@@ -150,7 +148,7 @@
 	m.pending = append(m.pending, e)
 	lsn := m.durable + int64(len(m.pending))
 	switch e.Kind {
-	case EventAccept, EventCancel, EventVerdict, EventForget:
+	case EventAccept, EventCancel, EventFailJob, EventVerdict, EventForget:
 	default:
 		m.changed[e.Task()] = lsn
 	}
@@ -191,12 +189,26 @@
 		return m.Position(), true
 	}
 	lsn = m.propose(Event{Kind: EventCancel, JobID: jobID, UnixMilli: wall.UnixMilli()})
+	m.stopAll(jobID, "the job was cancelled")
+	return lsn, true
+}
+
+// FailJob fails all unfinished tasks of a batch job and has its attempts stopped.
+func (m *Machine) FailJob(jobID, reason string, wall time.Time) {
+	job := m.state.Jobs[jobID]
+	if job == nil || job.Open == 0 || job.Spec.Kind == structs.KindService {
+		return
+	}
+	m.propose(Event{Kind: EventFailJob, JobID: jobID, Reason: reason, UnixMilli: wall.UnixMilli()})
+	m.stopAll(jobID, reason)
+}
+
+func (m *Machine) stopAll(jobID, reason string) {
 	for _, live := range m.live {
 		if live.Alloc.Task.JobID == jobID {
-			live.Stop = &structs.TaskStop{AllocationID: live.Alloc.ID, Reason: "the job was cancelled"}
+			live.Stop = &structs.TaskStop{AllocationID: live.Alloc.ID, Reason: reason}
 		}
 	}
-	return lsn, true
 }
 
 // Expire ends the attempts whose leases have certainly run out, and forgets old jobs.
@@ -258,14 +270,16 @@
 	m.endAttempt(live, "", 0, reason, wall)
 }
 
-// endAttempt makes the task of an attempt pending; a replica of a service is retired, since indices aren't reused.
+// endAttempt makes the task of an attempt pending. A replica of a service that has run is retired, since its index isn't
+// reused; so is one that was to replace another, since the scheduler places a new one if that is still needed.
 func (m *Machine) endAttempt(live *Live, checkpoint string, progress float64, reason string, wall time.Time) {
 	id := live.Alloc.Task
 	e := Event{
 		Kind: EventRequeue, JobID: id.JobID, Index: id.Index, Attempt: live.Alloc.Attempt, CheckpointID: checkpoint,
 		Progress: progress, Reason: reason,
 	}
-	if live.Alloc.Kind == structs.KindService && live.Reported {
+	task := m.state.Task(id)
+	if live.Alloc.Kind == structs.KindService && (live.Reported || (task != nil && task.Replaces != "")) {
 		e.Kind, e.UnixMilli = EventRetire, wall.UnixMilli()
 	}
 	m.counters.Requeues++
--- a/shard/lifecycle/place.go
+++ b/shard/lifecycle/place.go
@@ -94,11 +94,32 @@
 	return true
 }
 
-// Evict has a batch attempt leave its worker with a checkpoint.
-func (m *Machine) Evict(allocationID, reason string) {
+// Replace starts a new replica of a service, under an index of its own, that is to replace an allocation.
+func (m *Machine) Replace(old, worker string, reservation structs.Resources) bool {
+	live := m.live[old]
+	if live == nil {
+		return false
+	}
+	id := live.Alloc.Task
+	id.Index = len(m.state.Jobs[id.JobID].Tasks)
+	if m.propose(Event{Kind: EventGrow, JobID: id.JobID, Index: id.Index, Replaces: old}) == 0 {
+		return false
+	}
+	return m.Place(id, worker, reservation)
+}
+
+// Evict has an attempt leave its worker: batch with a checkpoint, a replica of a service for good.
+func (m *Machine) Evict(allocationID, reason string, wall time.Time) {
 	live := m.live[allocationID]
-	if live != nil && live.Stop == nil && live.Alloc.Kind != structs.KindService {
+	if live == nil || live.Stop != nil {
+		return
+	}
+	if live.Alloc.Kind != structs.KindService {
 		live.Stop = &structs.TaskStop{AllocationID: allocationID, Checkpoint: true, Reason: reason}
+		return
+	}
+	if task := m.state.Task(live.Alloc.Task); task != nil && task.Active() && task.Attempt == live.Alloc.Attempt {
+		m.retire(live.Alloc.Task.JobID, replica{index: live.Alloc.Task.Index, task: task, live: live, reachable: true}, reason, wall)
 	}
 }
 
--- a/shard/lifecycle/services.go
+++ b/shard/lifecycle/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -15,46 +16,54 @@
 	live  *Live
 	// reachable is false while nothing is heard of its worker.
 	reachable bool
-	// leaving is set when its worker is draining or its failure domain is out of service.
-	leaving bool
+	// extra is set while the replica that it is to replace still runs; it doesn't count then.
+	extra bool
 }
 
 // good tells whether the replica counts towards the number that the service wants.
-func (r replica) good() bool { return r.reachable && !r.leaving }
+func (r replica) good() bool { return r.reachable && !r.extra }
 
-// running tells whether the replica serves at a place where it may stay.
+// running tells whether the replica counts and serves.
 func (r replica) running() bool {
 	return r.good() && r.live != nil && r.live.State == structs.TaskRunning
 }
 
-// Reconcile keeps the number of replicas of services, wherever they may stay. Batch leaves by evictions of the scheduler.
-func (m *Machine) Reconcile(now, wall time.Time, out func(domain string) bool) {
+// Reconcile keeps the number of replicas of services. Moving them out of failure domains and off draining workers is up
+// to the scheduler.
+func (m *Machine) Reconcile(now, wall time.Time) {
 	for _, id := range m.state.JobIDs() {
 		job := m.state.Jobs[id]
 		if job.Spec.Kind == structs.KindService && !job.Cancelled {
-			m.reconcileService(id, job, now, wall, out)
+			m.reconcileService(id, job, now, wall)
 		}
 	}
 }
 
-// Leaving tells whether a worker is to be left by its tasks.
-func (m *Machine) Leaving(worker string, out func(domain string) bool) bool {
-	view := m.workers[worker]
-	return view != nil && (view.Draining || out(view.Worker.FailureDomain))
+// Withdraw ends starts that were never sent to workers which are to be left.
+func (m *Machine) Withdraw(wall time.Time, out func(domain string) bool) {
+	for _, id := range slices.Sorted(maps.Keys(m.live)) {
+		live := m.live[id]
+		view := m.workers[live.Alloc.Worker]
+		if live.Until.IsZero() && view != nil && (view.Draining || out(view.Worker.FailureDomain)) {
+			m.lose(live, "the start was withdrawn", wall)
+		}
+	}
 }
 
-func (m *Machine) replicas(id string, job *Job, now time.Time, out func(domain string) bool) []replica {
+func (m *Machine) replicas(id string, job *Job, now time.Time) []replica {
 	var list []replica
 	for index, task := range job.Tasks {
 		if task.State.Terminal() {
 			continue
 		}
 		r := replica{index: index, task: task, reachable: true}
+		if old := m.live[task.Replaces]; old != nil && old.Stop == nil {
+			r.extra = true
+		}
 		if task.Active() {
 			r.live = m.live[AllocationID(structs.TaskID{JobID: id, Index: index}, task.Attempt)]
 			if r.live != nil {
 				r.reachable = !m.unreachable(r.live, now)
-				r.leaving = m.Leaving(r.live.Alloc.Worker, out)
 			}
 		}
 		list = append(list, r)
@@ -73,8 +82,8 @@
 }
 
 // reconcileService adds replicas that are missing and stops those that are superfluous.
-func (m *Machine) reconcileService(id string, job *Job, now, wall time.Time, out func(domain string) bool) {
-	replicas := m.replicas(id, job, now, out)
+func (m *Machine) reconcileService(id string, job *Job, now, wall time.Time) {
+	replicas := m.replicas(id, job, now)
 	good, running := 0, 0
 	for _, r := range replicas {
 		if r.good() {
@@ -89,17 +98,13 @@
 			break
 		}
 	}
-	// Nothing is stopped before the full number runs where it may stay.
+	// Nothing is stopped before the full number runs.
 	if running < job.Spec.Tasks {
 		return
 	}
 	excess := good - job.Spec.Tasks
 	for _, r := range stopOrder(replicas) {
-		if !r.good() {
-			m.retire(id, r, "the replica has been replaced", wall)
-			continue
-		}
-		if excess > 0 {
+		if excess > 0 && r.good() {
 			m.retire(id, r, "the replica is superfluous", wall)
 			excess--
 		}
--- a/shard/lifecycle/state.go
+++ b/shard/lifecycle/state.go
@@ -25,8 +25,14 @@
 	Reason       string  `json:"r,omitempty"`
 	// Avoid lists workers on which the task failed.
 	Avoid []string `json:"v,omitempty"`
+	// Replaces names the allocation of the same service that this replica is to replace, if any.
+	Replaces string `json:"x,omitempty"`
 	// NotBefore delays the next attempt. It is not durable: after a change of ownership the delay ends early.
 	NotBefore time.Time `json:"-"`
+	// Since is when the task became pending, as far as this owner has seen. It is not durable either.
+	Since time.Time `json:"-"`
+	// Peak is the highest usage that was reported of the task. It is not durable either.
+	Peak structs.Resources `json:"-"`
 }
 
 // finishes tells whether the end of an attempt finishes the task. An earlier attempt may have finished before its lease
@@ -105,7 +111,7 @@
 	switch e.Kind {
 	case EventAccept:
 		return s.accept(e)
-	case EventCancel, EventVerdict, EventGrow, EventForget:
+	case EventCancel, EventFailJob, EventVerdict, EventGrow, EventForget:
 		return s.applyToJob(e)
 	default:
 		return s.applyToTask(e)
@@ -134,16 +140,17 @@
 		job.Verdict = e.Reason
 	case EventCancel:
 		job.Cancelled = true
-		for _, task := range job.Tasks {
-			if !task.State.Terminal() {
-				s.end(job, task, structs.TaskCancelled, e)
-			}
+		s.endAll(job, structs.TaskCancelled, e)
+	case EventFailJob:
+		if job.Spec.Kind == structs.KindService {
+			return eris.Errorf("failjob: %q is a service", e.JobID)
 		}
+		s.endAll(job, structs.TaskFailed, e)
 	case EventGrow:
 		if job.Spec.Kind != structs.KindService || job.Cancelled || e.Index != len(job.Tasks) {
 			return eris.Errorf("grow: index %d is not the next of service %q", e.Index, e.JobID)
 		}
-		job.Tasks = append(job.Tasks, &Task{State: structs.TaskPending})
+		job.Tasks = append(job.Tasks, &Task{State: structs.TaskPending, Replaces: e.Replaces})
 		job.Open++
 	case EventForget:
 		if job.Open > 0 {
@@ -154,6 +161,14 @@
 	return nil
 }
 
+func (s *State) endAll(job *Job, state structs.TaskState, e Event) {
+	for _, task := range job.Tasks {
+		if !task.State.Terminal() {
+			s.end(job, task, state, e)
+		}
+	}
+}
+
 func (s *State) applyToTask(e Event) error {
 	task := s.Task(e.Task())
 	if task == nil {
@@ -169,6 +184,7 @@
 			return eris.Errorf("start: task %s/%d is %s at attempt %d", e.JobID, e.Index, task.State, task.Attempt)
 		}
 		task.State, task.Attempt, task.Worker = structs.TaskStarting, e.Attempt, e.Worker
+		task.Since = time.Time{}
 		return nil
 	case EventFinish:
 		if !task.finishes(e.Attempt) {
--- a/shard/log.go
+++ b/shard/log.go
@@ -37,6 +37,7 @@
 	// next append goes to the first of them after its own records, and must fail.
 	EpochRecords []int64          `json:"epoch_records"`
 	State        *lifecycle.State `json:"state"`
+	Learned      Learned          `json:"learned"`
 }
 
 // maxEpochRecords bounds the epoch records that stay in the log after they are covered by a snapshot. A former owner
@@ -64,6 +65,7 @@
 	covered      int64
 	snapshotRev  int64
 	epochRecords []int64
+	learned      Learned
 	// kept lists the sequences of records that are still in the store.
 	kept []int64
 }
@@ -100,6 +102,7 @@
 		return eris.Wrap(err, "decoding the snapshot")
 	}
 	r.state, r.epoch, r.next = snapshot.State, snapshot.Epoch, snapshot.Sequence+1
+	r.learned = snapshot.Learned
 	r.covered, r.snapshotRev, r.epochRecords = snapshot.Sequence, entry.Revision, snapshot.EpochRecords
 	return nil
 }
--- a/shard/snapshot.go
+++ b/shard/snapshot.go
@@ -11,48 +11,48 @@
 )
 
 // planInput describes the shard to the scheduler. work is false when there is nothing to decide.
-func (o *Owner) planInput(m *lifecycle.Machine, now time.Time) (input scheduler.Snapshot, work bool) {
+func (o *Owner) planInput(t *term, now time.Time) (input scheduler.Snapshot, work bool) {
+	m := t.machine
 	input.Rules, input.Quotas = o.settled.Rules()
 	leaving := false
-	replaced := map[string][]string{}
 	for _, name := range slices.Sorted(maps.Keys(m.Workers())) {
 		view := m.Workers()[name]
 		w := scheduler.WorkerView{
-			Worker: qualified(view.Worker), Reported: m.Usable(view, now), Draining: view.Draining, DrainingSince: view.DrainingSince,
+			Worker: qualified(view.Worker), Reported: m.Usable(view, now), Draining: view.Draining,
+			DrainingSince: view.DrainingSince,
 		}
 		if allowed, _ := o.settled.MayStart(view.Worker.FailureDomain); !allowed {
 			w.Reported = false
 		}
-		leaves := m.Leaving(name, o.settled.Out)
 		for _, h := range m.Held(name) {
-			running := runningTask(m, h)
-			if leaves && running.Job.Kind == structs.KindService && !running.Evicting() {
-				replaced[running.Job.ID] = append(replaced[running.Job.ID], running.AllocationID)
-				// The machine stops the replica once enough others run, so the scheduler leaves it alone.
-				running.State = structs.TaskEvicting
-			}
-			w.Running = append(w.Running, running)
+			w.Running = append(w.Running, runningTask(m, h))
 		}
+		leaves := view.Draining || o.settled.Out(view.Worker.FailureDomain)
 		leaving = leaving || (leaves && len(w.Running) > 0)
 		input.Workers = append(input.Workers, w)
 	}
+	peaks := map[structs.TaskID]structs.Resources{}
 	for _, p := range m.PendingTasks() {
-		input.Pending = append(input.Pending, pendingTask(p, replaced))
+		if reason := t.learned.quarantine.JobVerdict(p.Task.JobID); reason != "" {
+			m.FailJob(p.Task.JobID, reason, now)
+			continue
+		}
+		if p.State.Since.IsZero() {
+			p.State.Since = now
+		}
+		input.Pending = append(input.Pending, pendingTask(p))
+		peaks[p.Task] = p.State.Peak
 	}
+	t.learned.prepare(&input, peaks, now)
 	return input, leaving || len(input.Pending) > 0
 }
 
-func pendingTask(p lifecycle.Pending, replaced map[string][]string) scheduler.PendingTask {
-	task := scheduler.PendingTask{
+func pendingTask(p lifecycle.Pending) scheduler.PendingTask {
+	return scheduler.PendingTask{
 		Job: p.Job, Index: p.Task.Index, Attempt: p.State.Attempt + 1, NotBefore: p.State.NotBefore,
+		Since:    p.State.Since,
 		WorkDone: workDone(p.Job, p.State.Progress), Avoid: p.State.Avoid,
 	}
-	// A substitute may exceed the quota of its team for as long as the replica that it replaces still runs.
-	if old := replaced[p.Job.ID]; len(old) > 0 {
-		task.Replaces = old[0]
-		replaced[p.Job.ID] = old[1:]
-	}
-	return task
 }
 
 func runningTask(m *lifecycle.Machine, h lifecycle.HeldAllocation) scheduler.RunningTask {
@@ -77,6 +77,9 @@
 		}
 	}
 	task.WorkDone = workDone(task.Job, h.Progress)
+	if state := m.State().Task(h.Alloc.Task); state != nil && m.Live()[state.Replaces] != nil {
+		task.Replaces = state.Replaces
+	}
 	return task
 }
 
@@ -86,7 +89,8 @@
 }
 
 // apply records what the scheduler decided.
-func apply(m *lifecycle.Machine, input scheduler.Snapshot, d scheduler.Decisions) {
+func apply(t *term, input scheduler.Snapshot, d scheduler.Decisions, now time.Time) {
+	m := t.machine
 	reasons := map[string]string{}
 	for _, v := range d.Verdicts {
 		reasons[v.JobID] = v.Reason
@@ -97,10 +101,18 @@
 		m.Verdict(id, reasons[id])
 	}
 	for _, e := range d.Evict {
-		m.Evict(e.AllocationID, string(e.Reason))
+		m.Evict(e.AllocationID, string(e.Reason), now)
 	}
 	for _, p := range d.Place {
-		m.Place(p.Task, p.Worker, p.Resources)
+		placed := false
+		if p.Replaces != "" {
+			placed = m.Replace(p.Replaces, p.Worker, p.Resources)
+		} else {
+			placed = m.Place(p.Task, p.Worker, p.Resources)
+		}
+		if placed {
+			t.learned.placed(p.Worker, now)
+		}
 	}
 }
 
--- a/shard/step.go
+++ b/shard/step.go
@@ -122,9 +122,10 @@
 	if len(t.machine.Pending()) > maxPendingEvents || !t.valid(now, o.config.Lifecycle.OwnerValidity) {
 		return true
 	}
-	t.machine.Reconcile(now, now, o.settled.Out)
-	if input, work := o.planInput(t.machine, now); work {
-		apply(t.machine, input, o.plan(input, now))
+	t.machine.Reconcile(now, now)
+	t.machine.Withdraw(now, o.settled.Out)
+	if input, work := o.planInput(t, now); work {
+		apply(t, input, o.plan(input, now), now)
 	}
 	return true
 }
@@ -136,7 +137,7 @@
 		o.mu.Unlock()
 		return nil
 	}
-	b, err := t.nextBatch(o.config.SnapshotEvery)
+	b, err := t.nextBatch(o.config.SnapshotEvery, o.clock.Now())
 	o.mu.Unlock()
 	if err != nil || b == nil {
 		return err
@@ -255,6 +256,7 @@
 	if err != nil {
 		return reply, err
 	}
+	t.learned.heartbeat(&hb, now)
 	if !renew {
 		// The report is kept, so that work which agents have suspended isn't given up once the store is back.
 		return structs.HeartbeatReply{}, ErrNotOwner
--- a/shard/term.go
+++ b/shard/term.go
@@ -25,6 +25,7 @@
 	id      string
 	lease   store.LeaseID
 	machine *lifecycle.Machine
+	learned *learned
 	// proof is when the newest store call was sent that proved the ownership.
 	proof time.Time
 	next  int64
@@ -75,9 +76,12 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "appending the epoch record")
 		}
-		machine := lifecycle.NewMachine(o.config.Lifecycle, o.config.Shard, record.Epoch, r.state, o.clock.Now())
+		now := o.clock.Now()
+		machine := lifecycle.NewMachine(o.config.Lifecycle, o.config.Shard, record.Epoch, r.state, now)
+		model := newLearned(r.learned, now)
+		machine.Observe = func(ended lifecycle.Observation) { model.ended(ended, o.clock.Now()) }
 		return &term{
-			id: id, lease: lease, machine: machine, proof: proof, next: record.Sequence + 1, covered: r.covered,
+			id: id, lease: lease, machine: machine, learned: model, proof: proof, next: record.Sequence + 1, covered: r.covered,
 			snapshotRev: r.snapshotRev, epochRecords: append(r.epochRecords, record.Sequence),
 			kept: append(r.kept, record.Sequence), changed: make(chan struct{}),
 		}, nil
@@ -86,7 +90,7 @@
 }
 
 // nextBatch returns the unresolved record, or a new one from the pending events, or nil.
-func (t *term) nextBatch(snapshotEvery int64) (*batch, error) {
+func (t *term) nextBatch(snapshotEvery int64, now time.Time) (*batch, error) {
 	if t.inflight != nil {
 		return t.inflight, nil
 	}
@@ -104,6 +108,7 @@
 	if count == len(pending) && t.next-t.covered >= snapshotEvery {
 		b.snapshot, err = encodeSnapshot(Snapshot{
 			Sequence: t.next, Epoch: t.machine.Epoch(), EpochRecords: t.epochRecords, State: t.machine.State(),
+			Learned: t.learned.summary(now),
 		})
 		if err != nil {
 			return nil, err
