--- a/agent/runner/protect_test.go
+++ b/agent/runner/protect_test.go
@@ -12,14 +12,14 @@
 
 // Guards against a guard that isn't connected: batch must be throttled when an upstream beside it nears its target, by
 // the operators' thresholds, and get its processor time back when the guard is switched off.
-func TestServiceGuardFollowsTheRules(t *testing.T) {
+func TestGuardProtectsUpstreams(t *testing.T) {
 	c := qt.New(t)
 	millis := 50.0
 	rules := &config.Rules{
 		Services: []config.Service{{Name: "svc", LatencyTarget: 100 * time.Millisecond}},
 		Guard:    config.Guard{Enabled: true, ThrottleAt: 0.8, ResumeAt: 0.6, EvictAt: 0.95, EvictAfter: time.Second},
 	}
-	g := NewServiceGuard(func() *config.Rules { return rules }, func() []structs.ServiceLatency {
+	g := NewRulesGuard(func() *config.Rules { return rules }, func() []structs.ServiceLatency {
 		return []structs.ServiceLatency{{Service: "svc", Millis: millis}, {Service: "other", Millis: 900}}
 	})
 	tasks := []GuardTask{{Allocation: structs.Allocation{ID: "a", Kind: structs.KindBatch}, State: structs.TaskRunning}}
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -108,8 +108,6 @@
 
 	mu   sync.Mutex
 	term *term
-	// learned holds the models of the present term.
-	learned *learner
 	// urgent is set when the next step must not wait for the commit interval.
 	urgent     bool
 	kick       chan struct{}
@@ -268,8 +266,6 @@
 func (o *Owner) install(t *term) {
 	o.mu.Lock()
 	o.term = t
-	o.learned = newLearner(o.settled.Policy())
-	t.machine.Observe = func(observed lifecycle.Observation) { o.learned.ended(observed, o.clock.Now()) }
 	o.arrived = map[string]int64{}
 	o.lastList, o.lastCommit = time.Time{}, time.Time{}
 	o.mu.Unlock()
--- a/shard/step.go
+++ b/shard/step.go
@@ -122,14 +122,10 @@
 	if len(t.machine.Pending()) > maxPendingEvents || !t.valid(now, o.config.Lifecycle.OwnerValidity) {
 		return true
 	}
-	t.machine.Reconcile(now, now, o.settled.Out)
-	if input, work := o.planInput(t.machine, now); work {
-		for id, reason := range o.learned.refine(&input, now) {
-			t.machine.Verdict(id, reason)
-		}
-		decisions := o.plan(input, now)
-		o.learned.placed(decisions, now)
-		apply(t.machine, input, decisions)
+	t.machine.Reconcile(now, now)
+	t.machine.Withdraw(now, o.settled.Out)
+	if input, work := o.planInput(t, now); work {
+		apply(t, input, o.plan(input, now), now)
 	}
 	return true
 }
@@ -141,7 +137,7 @@
 		o.mu.Unlock()
 		return nil
 	}
-	b, err := t.nextBatch(o.config.SnapshotEvery)
+	b, err := t.nextBatch(o.config.SnapshotEvery, o.clock.Now())
 	o.mu.Unlock()
 	if err != nil || b == nil {
 		return err
@@ -265,11 +261,11 @@
 		return reply, err
 	}
 	t.machine.Workers()[hb.Worker.Name].Stated = stated
+	t.learned.heartbeat(&hb, now)
 	if !renew {
 		// The report is kept, so that work which agents have suspended isn't given up once the store is back.
 		return structs.HeartbeatReply{}, ErrNotOwner
 	}
-	o.learned.heartbeat(t.machine, hb, now)
 	shorten(hb, &reply)
 	o.settled.Attach(&reply, hb.HeadRevision)
 	return reply, nil
