Replay each site with its own rules, and drop settings without effect

Cause: the replay applied the guard's defaults to both sites although their operators weigh tail latency and throughput differently; cpu_throttle_at had no effect, and exploration (a share) was not what the scheduler bounds (a number). Ruled out: throttling by used processors, since a worker that batch fills on purpose would be throttled for ever.

--- a/config/rules.go
+++ b/config/rules.go
@@ -56,8 +56,6 @@
 	EvictAt float64 `json:"evict_at"`
 	// EvictAfter is how long the share must stay at EvictAt.
 	EvictAfter time.Duration `json:"evict_after"`
-	// CPUThrottleAt is the used share of a worker's processors at which batch work is throttled.
-	CPUThrottleAt float64 `json:"cpu_throttle_at"`
 	// MemoryEvictAt is the used share of a worker's memory at which batch work is evicted.
 	MemoryEvictAt float64 `json:"memory_evict_at"`
 }
@@ -66,8 +64,8 @@
 type Interference struct {
 	// MaxSlowdown is the learned slowdown of a service beyond which a batch class isn't placed beside it.
 	MaxSlowdown float64 `json:"max_slowdown"`
-	// Exploration is the share of placements that may try a pair without enough samples.
-	Exploration float64 `json:"exploration"`
+	// ExplorationTasks bounds the tasks of a batch class beside a service while their interference is not known.
+	ExplorationTasks int `json:"exploration_tasks"`
 }
 
 // Sizing says how reservations follow from observed usage.
--- a/config/rules_parse.go
+++ b/config/rules_parse.go
@@ -49,13 +49,12 @@
 	ResumeAt      float64       `ini:"resume_at" default:"0.7" min:"0.05" max:"2"`
 	EvictAt       float64       `ini:"evict_at" default:"1" min:"0.1" max:"4"`
 	EvictAfter    time.Duration `ini:"evict_after" default:"3s" min:"0s" max:"5m"`
-	CPUThrottleAt float64       `ini:"cpu_throttle_at" default:"0.9" min:"0.1" max:"1"`
 	MemoryEvictAt float64       `ini:"memory_evict_at" default:"0.95" min:"0.1" max:"1"`
 }
 
 type interferenceSection struct {
-	MaxSlowdown float64 `ini:"max_slowdown" default:"1.25" min:"1" max:"10"`
-	Exploration float64 `ini:"exploration" default:"0.02" min:"0" max:"0.5"`
+	MaxSlowdown      float64 `ini:"max_slowdown" default:"1.25" min:"1" max:"10"`
+	ExplorationTasks int     `ini:"exploration_tasks" default:"2" min:"1" max:"1000"`
 }
 
 type sizingSection struct {
--- a/replay/managed.go
+++ b/replay/managed.go
@@ -50,7 +50,7 @@
 func newManaged(e *engine) policy {
 	m := &managed{
 		e: e, incarnations: make([]int, len(e.hosts)), guards: make([]guard.State, len(e.hosts)),
-		sizes: sizing.New(sizing.Config{}), interference: interference.New(interference.Config{}),
+		sizes: sizing.New(sizing.Config{}), interference: interference.New(interference.Config{Limit: e.trace.Rules.MaxSlowdown}),
 		quarantine: quarantine.New(quarantine.Config{}), failures: map[*task]int{}, verdicts: map[string]bool{},
 	}
 	m.quarantine.SetFleet(len(e.hosts))
@@ -254,7 +254,10 @@
 			Reserved: t.reservation, Used: t.peak, Evicting: t.state == structs.TaskEvicting,
 		})
 	}
-	state, action := guard.Decide(guard.Rules{}, m.guards[h.index], input, now)
+	rules := m.e.trace.Rules
+	state, action := guard.Decide(guard.Rules{
+		ThrottleAt: rules.ThrottleAt, ReleaseAt: rules.ResumeAt, EvictAt: rules.EvictAt, EvictAfter: seconds(rules.EvictAfterSeconds),
+	}, m.guards[h.index], input, now)
 	m.guards[h.index] = state
 	h.share = action.Share
 	for _, id := range action.Evict {
--- a/replay/managed_plan.go
+++ b/replay/managed_plan.go
@@ -16,7 +16,10 @@
 	tasks := map[structs.TaskID]*task{}
 	running := map[string]*task{}
 	snapshot := scheduler.Snapshot{
-		Rules:        scheduler.Rules{Out: m.e.out, Returned: m.e.returned},
+		Rules: scheduler.Rules{
+			Out: m.e.out, Returned: m.e.returned, InterferenceLimit: m.e.trace.Rules.MaxSlowdown,
+			ExplorationTasks: m.e.trace.Rules.ExplorationTasks,
+		},
 		Interference: m.interference, Quarantine: m.quarantine,
 	}
 	for _, h := range m.e.hosts {
--- a/replay/trace.go
+++ b/replay/trace.go
@@ -33,8 +33,10 @@
 	// UsageLagSeconds is the age of usage and latency reports.
 	UsageLagSeconds float64 `json:"usage_lag_seconds"`
 	// OwnerValiditySeconds is how long running batch work goes on while the store is down.
-	OwnerValiditySeconds float64          `json:"owner_validity_seconds"`
-	Workers              []structs.Worker `json:"workers"`
+	OwnerValiditySeconds float64 `json:"owner_validity_seconds"`
+	// Rules are those of the site's operators that the replay applies.
+	Rules   Rules            `json:"rules"`
+	Workers []structs.Worker `json:"workers"`
 	// EntryDomains lists the failure domain of each entry.
 	EntryDomains []string  `json:"entry_domains"`
 	Services     []Service `json:"services"`
@@ -43,6 +45,16 @@
 	Outcomes     []Outcome `json:"outcomes"`
 }
 
+// Rules are thresholds with the meaning of the keys of the same names in the operators' rules. Zero means the default.
+type Rules struct {
+	ThrottleAt        float64 `json:"throttle_at"`
+	ResumeAt          float64 `json:"resume_at"`
+	EvictAt           float64 `json:"evict_at"`
+	EvictAfterSeconds float64 `json:"evict_after_seconds"`
+	MaxSlowdown       float64 `json:"max_slowdown"`
+	ExplorationTasks  int     `json:"exploration_tasks"`
+}
+
 // Network holds the delays of messages, in milliseconds.
 type Network struct {
 	CallerOneWayMillis float64 `json:"caller_one_way_ms"`
--- a/shard/settled.go
+++ b/shard/settled.go
@@ -46,7 +46,10 @@
 // Rules implements Configuration.
 func (f *Followed) Rules() (scheduler.Rules, quota.Limits) {
 	loaded := f.follower.Rules()
-	rules := scheduler.Rules{RacksWithoutBatch: map[string]bool{}, InterferenceLimit: loaded.Interference.MaxSlowdown}
+	rules := scheduler.Rules{
+		RacksWithoutBatch: map[string]bool{}, InterferenceLimit: loaded.Interference.MaxSlowdown,
+		ExplorationTasks: loaded.Interference.ExplorationTasks,
+	}
 	for _, rack := range loaded.RacksWithoutBatch {
 		rules.RacksWithoutBatch[rack] = true
 	}
