Slow down starts on a worker that fails task after task

Change: after three failures in a row that no other worker has seen of the same job, a worker takes one task at a time after a pause that doubles up to a minute; a success or a verdict on the job ends it.

--- a/replay/managed_plan.go
+++ b/replay/managed_plan.go
@@ -6,6 +6,7 @@
 	"github.com/quetzalshed/quetzalshed/scheduler"
 	// The plug-ins register the filters and scores that production uses.
 	_ "github.com/quetzalshed/quetzalshed/scheduler/plugins"
+	"github.com/quetzalshed/quetzalshed/scheduler/quarantine"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
@@ -45,6 +46,9 @@
 func (m *managed) apply(d scheduler.Decisions, tasks map[structs.TaskID]*task, running map[string]*task) {
 	for _, p := range d.Place {
 		if t := tasks[p.Task]; t != nil {
+			if now := m.e.line.now(); m.quarantine.Admits(p.Worker, now) == quarantine.Probe {
+				m.quarantine.ProbeStarted(p.Worker, now)
+			}
 			m.e.place(t, m.e.hosts[m.e.trace.worker(p.Worker)], p.Resources)
 		}
 	}
--- /dev/null
+++ b/scheduler/quarantine/streak.go
@@ -0,0 +1,35 @@
+package quarantine
+
+import "time"
+
+const (
+	// streakLength is the number of failures in a row from which a worker takes one task at a time. A worker that fails a
+	// task at once is empty again at once, so that without this it takes most tasks of a job before other jobs have
+	// failed there.
+	streakLength = 3
+	// streakPause is the pause after the first failure of such a streak; each further one doubles it up to
+	// maxStreakPause.
+	streakPause    = 2 * time.Second
+	maxStreakPause = time.Minute
+)
+
+// streak counts failures in a row on one worker that only the worker explains.
+type streak struct {
+	failures int
+	until    time.Time
+}
+
+func (s *streak) failed(now time.Time) {
+	s.failures++
+	if !s.active() {
+		return
+	}
+	pause := maxStreakPause
+	if shift := s.failures - streakLength; shift < 16 {
+		pause = min(pause, streakPause<<shift)
+	}
+	s.until = now.Add(pause)
+}
+
+// active tells whether the worker takes one task at a time, after a pause.
+func (s *streak) active() bool { return s.failures >= streakLength }
