Wait for former owners as long as they can be valid, and start an attempt once

Cause: a new owner waited for its own validity, while an owner before it may have begun under a longer one, or have resigned.

Ruled out: offering the start to the later process after all (a start of the earlier process may still be on its way to the worker), and no wait at all after a resignation (an owner before the resigned one can still be valid).

A start goes to one process of an agent. Callers get 503 instead of 504 while no owner is known, since nothing was sent.

Conclusion: replacing hosts as planned no longer holds up the work of unreachable workers. Work on the host of an owner that dies unplanned still waits 37 s, since that owner could be alive and cut off.

--- a/agent/runner/model_test.go
+++ b/agent/runner/model_test.go
@@ -275,6 +275,11 @@
 				_, _ = m.c.Cancel(context.Background(), 0, id)
 			}
 		},
+		"resign": func(t *rapid.T) {
+			if n := m.target(t); n.up() {
+				_ = n.owner.Resign(context.Background())
+			}
+		},
 		"kill agent": func(t *rapid.T) { m.target(t).kill() },
 		"boot agent": func(t *rapid.T) {
 			if n := m.node(t); n.down || rapid.Bool().Draw(t, "restart") {
--- a/entry/jobs/module.go
+++ b/entry/jobs/module.go
@@ -85,11 +85,11 @@
 	router.HandleFunc("/v1/jobs", m.submit).Methods(http.MethodPost)
 	router.HandleFunc("/v1/jobs", func(w http.ResponseWriter, r *http.Request) {
 		list, err := m.service.List(r.Context())
-		m.respond(w, http.StatusOK, list, err)
+		m.respond(w, http.StatusOK, list, readError(err))
 	}).Methods(http.MethodGet)
 	router.HandleFunc("/v1/jobs/{id}", func(w http.ResponseWriter, r *http.Request) {
 		status, err := m.service.Status(r.Context(), mux.Vars(r)["id"])
-		m.respond(w, http.StatusOK, status, err)
+		m.respond(w, http.StatusOK, status, readError(err))
 	}).Methods(http.MethodGet)
 	router.HandleFunc("/v1/jobs/{id}", func(w http.ResponseWriter, r *http.Request) {
 		status, err := m.service.Cancel(r.Context(), mux.Vars(r)["id"])
@@ -112,6 +112,14 @@
 	m.respond(w, http.StatusAccepted, accepted{ID: job.ID}, err)
 }
 
+// readError turns the lost response to a question into the absence of an owner: asking again is all that it takes.
+func readError(err error) error {
+	if errors.Is(err, shard.ErrUnreachable) {
+		return shard.ErrNoOwner
+	}
+	return err
+}
+
 // respond sends a result. Only a result that is certain is reported as such.
 func (m *Module) respond(w http.ResponseWriter, status int, value any, err error) {
 	var rejected *findings.Error
@@ -124,7 +132,8 @@
 		return
 	case errors.Is(err, shard.ErrUnknownJob):
 		status = http.StatusNotFound
-	case errors.Is(err, shard.ErrNotOwner), errors.Is(err, store.ErrUnavailable), errors.Is(err, shard.ErrBusy):
+	case errors.Is(err, shard.ErrNotOwner), errors.Is(err, store.ErrUnavailable), errors.Is(err, shard.ErrBusy),
+		errors.Is(err, shard.ErrNoOwner):
 		status = http.StatusServiceUnavailable
 		w.Header().Set("Retry-After", retryAfterSeconds)
 	default:
--- a/shard/client.go
+++ b/shard/client.go
@@ -18,8 +18,13 @@
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
-// ErrUnreachable means that the owner of a shard isn't known or gave no response, so the result of a call is unknown.
-var ErrUnreachable = errors.New("shard: the owner can't be reached")
+// Errors of a client. Callers compare with errors.Is.
+var (
+	// ErrUnreachable means that the owner of a shard gave no response, so the result of a call is unknown.
+	ErrUnreachable = errors.New("shard: the owner gave no response")
+	// ErrNoOwner means that no owner of the shard is known; nothing was sent.
+	ErrNoOwner = errors.New("shard: no owner is known")
+)
 
 const (
 	// callTimeout bounds a call to an owner. It is well below the task lease of 4 s, so that a second call can renew it.
@@ -150,7 +155,7 @@
 	if !known {
 		c.find(ctx, shard)
 		if owner, known = c.owners.Lookup(shard); !known {
-			return eris.Wrapf(ErrUnreachable, "no owner of shard %d is known", shard)
+			return eris.Wrapf(ErrNoOwner, "shard %d", shard)
 		}
 	}
 	err := c.exchange(ctx, method, fmt.Sprintf("http://%s/v1/shards/%d%s", owner.Address, shard, path), body, reply)
--- a/shard/lifecycle/heartbeat.go
+++ b/shard/lifecycle/heartbeat.go
@@ -214,7 +214,7 @@
 	}
 	for _, live := range m.startable(view.Worker.Name, mayStart) {
 		m.extend(live, now)
-		live.Sent = now
+		live.Sent, live.offeredTo = now, view.Incarnation
 		reply.Start = append(reply.Start, live.Alloc)
 	}
 	for _, id := range slices.Sorted(maps.Keys(m.live)) {
@@ -238,7 +238,9 @@
 	}
 }
 
-// startable returns the attempts whose start records are durable and which the agent hasn't reported.
+// startable returns the attempts whose start records are durable and which the agent hasn't reported. What was offered to
+// an earlier process of the agent isn't offered again: that process may have started the task and lost it with the host,
+// and an attempt starts once. It ends when its lease has run out.
 func (m *Machine) startable(worker string, mayStart bool) []*Live {
 	var starts []*Live
 	if !mayStart {
@@ -246,7 +248,10 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(m.live)) {
 		live := m.live[id]
-		if live.Alloc.Worker == worker && !live.Adopted && !live.Reported && live.Stop == nil && live.lsn <= m.durable {
+		if live.Alloc.Worker != worker || (live.offeredTo != "" && live.offeredTo != m.workers[worker].Incarnation) {
+			continue
+		}
+		if !live.Adopted && !live.Reported && live.Stop == nil && live.lsn <= m.durable {
 			starts = append(starts, live)
 		}
 	}
@@ -269,7 +274,7 @@
 		}
 		live.pushed = true
 		m.extend(live, view.Received)
-		live.Sent = view.Received
+		live.Sent, live.offeredTo = view.Received, view.Incarnation
 		request.Start = append(request.Start, live.Alloc)
 	}
 	return request, len(request.Start) > 0
--- a/shard/lifecycle/machine.go
+++ b/shard/lifecycle/machine.go
@@ -24,6 +24,8 @@
 	Progress float64
 	// Stop is what the agent is told to do with the attempt, nil for nothing.
 	Stop *structs.TaskStop
+	// offeredTo is the incarnation of the agent to which the start was sent.
+	offeredTo string
 	// pushed is set once the start was sent outside of a reply, which is tried once.
 	pushed bool
 	// lsn is the position of the start record; the start is sent once it is durable.
@@ -83,7 +85,7 @@
 
 // NewMachine returns the machine of a new owner. State is the replayed log; now is a time after the epoch record was
 // written, and every attempt that the log shows as active waits from then on until it is reported or has run out.
-func NewMachine(settings Settings, shard int, epoch int64, state *State, now time.Time) *Machine {
+func NewMachine(settings Settings, former Former, shard int, epoch int64, state *State, now time.Time) *Machine {
 	m := &Machine{
 		settings: settings, shard: shard, epoch: epoch, began: now, state: state,
 		workers: map[string]*View{}, live: map[string]*Live{}, changed: map[structs.TaskID]int64{},
@@ -92,7 +94,7 @@
 		job := state.Jobs[jobID]
 		for index, task := range job.Tasks {
 			if task.Active() {
-				m.inherit(job, structs.TaskID{JobID: jobID, Index: index}, task, now)
+				m.inherit(job, structs.TaskID{JobID: jobID, Index: index}, task, former, now)
 			}
 		}
 	}
@@ -100,11 +102,15 @@
 }
 
 // inherit covers an attempt whose leases an earlier owner could have renewed until its validity ended.
-func (m *Machine) inherit(job *Job, id structs.TaskID, task *Task, now time.Time) {
+func (m *Machine) inherit(job *Job, id structs.TaskID, task *Task, former Former, now time.Time) {
+	lease := former.Lease
+	if job.Spec.Kind == structs.KindService {
+		lease = former.ServiceLease
+	}
 	alloc := m.allocation(job, id, task)
 	m.live[alloc.ID] = &Live{
 		Alloc: alloc, Adopted: true, State: structs.TaskStarting, Progress: task.Progress,
-		Until: now.Add(m.settings.OwnerValidity + m.leaseOf(job.Spec.Kind) + m.settings.Margin),
+		Until: now.Add(former.OwnerValidity + lease + m.settings.Margin),
 	}
 }
 
--- a/shard/lifecycle/settings.go
+++ b/shard/lifecycle/settings.go
@@ -26,3 +26,17 @@
 		OwnerValidity: 30 * time.Second, EvacuationBatch: 32, Retention: 24 * time.Hour,
 	}
 }
+
+// Former is how long attempts of earlier owners can run at most without being renewed by the present one. Rules may have
+// changed since those owners began, so their own periods count.
+type Former struct {
+	// OwnerValidity is 0 after an owner that has resigned: it renews nothing from then on.
+	OwnerValidity time.Duration `json:"owner_validity"`
+	Lease         time.Duration `json:"lease"`
+	ServiceLease  time.Duration `json:"service_lease"`
+}
+
+// Former returns the periods that a later owner has to wait for.
+func (s Settings) Former() Former {
+	return Former{OwnerValidity: s.OwnerValidity, Lease: s.Lease, ServiceLease: s.ServiceLease}
+}
--- a/shard/log.go
+++ b/shard/log.go
@@ -27,6 +27,10 @@
 	// Owner is unique to one ownership, so that an append whose response was lost can be recognised.
 	Owner  string            `json:"owner"`
 	Events []lifecycle.Event `json:"events,omitempty"`
+	// Former is part of epoch records and resignations: what the next owner has to wait for.
+	Former *lifecycle.Former `json:"former,omitempty"`
+	// Resigned marks the last record of an owner that renews nothing any more.
+	Resigned bool `json:"resigned,omitempty"`
 }
 
 // Snapshot is the state after a number of records.
@@ -38,6 +42,7 @@
 	EpochRecords []int64          `json:"epoch_records"`
 	State        *lifecycle.State `json:"state"`
 	Learned      Learned          `json:"learned"`
+	Former       lifecycle.Former `json:"former"`
 }
 
 // maxEpochRecords bounds the epoch records that stay in the log after they are covered by a snapshot. A former owner
@@ -66,6 +71,7 @@
 	snapshotRev  int64
 	epochRecords []int64
 	learned      Learned
+	former       lifecycle.Former
 	// kept lists the sequences of records that are still in the store.
 	kept []int64
 }
@@ -102,7 +108,7 @@
 		return eris.Wrap(err, "decoding the snapshot")
 	}
 	r.state, r.epoch, r.next = snapshot.State, snapshot.Epoch, snapshot.Sequence+1
-	r.learned = snapshot.Learned
+	r.learned, r.former = snapshot.Learned, snapshot.Former
 	r.covered, r.snapshotRev, r.epochRecords = snapshot.Sequence, entry.Revision, snapshot.EpochRecords
 	return nil
 }
@@ -127,6 +133,14 @@
 		r.epochRecords = append(r.epochRecords, sequence)
 	}
 	r.epoch, r.next = record.Epoch, sequence+1
+	switch {
+	case record.Former == nil:
+	case record.Resigned:
+		r.former = *record.Former
+	default:
+		// Terms can follow each other within one validity, so the longest wait counts.
+		r.former = longest(r.former, *record.Former)
+	}
 	for _, event := range record.Events {
 		if err := r.state.Apply(event); err != nil {
 			return eris.Wrapf(err, "record %d", sequence)
@@ -135,6 +149,13 @@
 	return nil
 }
 
+func longest(a, b lifecycle.Former) lifecycle.Former {
+	return lifecycle.Former{
+		OwnerValidity: max(a.OwnerValidity, b.OwnerValidity), Lease: max(a.Lease, b.Lease),
+		ServiceLease: max(a.ServiceLease, b.ServiceLease),
+	}
+}
+
 func encodeSnapshot(s Snapshot) ([]byte, error) {
 	var b bytes.Buffer
 	w := gzip.NewWriter(&b)
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -183,7 +183,20 @@
 	if t == nil {
 		return nil
 	}
-	return eris.Wrap(o.store.Revoke(ctx, t.lease), "revoking the lease")
+	// Replies that are on their way renew leases by a heartbeat that was sent before this record.
+	if record := t.resignation(o.clock.Now()); record != nil {
+		raw, err := json.Marshal(record)
+		if err != nil {
+			return eris.Wrap(err, "encoding the resignation")
+		}
+		if err := appendRecord(ctx, o.store, o.config.Shard, *record, raw); err != nil {
+			o.log.Warn("resignation is not in the log", "shard", o.config.Shard, "error", err)
+		}
+	}
+	if err := o.store.Revoke(ctx, t.lease); err != nil && !errors.Is(err, store.ErrLeaseNotFound) {
+		return eris.Wrap(err, "revoking the lease")
+	}
+	return nil
 }
 
 // Acquire tries to become the owner once. It returns nil when another process owns the shard.
--- a/shard/term.go
+++ b/shard/term.go
@@ -26,6 +26,10 @@
 	lease   store.LeaseID
 	machine *lifecycle.Machine
 	learned *learned
+	// own holds the periods of this owner, former the longest of it and the ones before, of which the last can be valid
+	// until inherited.
+	own, former lifecycle.Former
+	inherited   time.Time
 	// proof is when the newest store call was sent that proved the ownership.
 	proof time.Time
 	next  int64
@@ -64,7 +68,8 @@
 		if err != nil {
 			return nil, err
 		}
-		record := Record{Sequence: r.next, Epoch: r.epoch + 1, Owner: id}
+		own := o.config.Lifecycle.Former()
+		record := Record{Sequence: r.next, Epoch: r.epoch + 1, Owner: id, Former: &own}
 		raw, err := json.Marshal(record)
 		if err != nil {
 			return nil, eris.Wrap(err, "encoding the epoch record")
@@ -77,11 +82,12 @@
 			return nil, eris.Wrap(err, "appending the epoch record")
 		}
 		now := o.clock.Now()
-		machine := lifecycle.NewMachine(o.config.Lifecycle, o.config.Shard, record.Epoch, r.state, now)
+		machine := lifecycle.NewMachine(o.config.Lifecycle, r.former, o.config.Shard, record.Epoch, r.state, now)
 		model := newLearned(r.learned, now)
 		machine.Observe = func(ended lifecycle.Observation) { model.ended(ended, o.clock.Now()) }
 		return &term{
-			id: id, lease: lease, machine: machine, learned: model, proof: proof, next: record.Sequence + 1, covered: r.covered,
+			id: id, lease: lease, machine: machine, learned: model, own: own, former: longest(r.former, own),
+			inherited: now.Add(r.former.OwnerValidity), proof: proof, next: record.Sequence + 1, covered: r.covered,
 			snapshotRev: r.snapshotRev, epochRecords: append(r.epochRecords, record.Sequence),
 			kept: append(r.kept, record.Sequence), changed: make(chan struct{}),
 		}, nil
@@ -108,7 +114,7 @@
 	if count == len(pending) && t.next-t.covered >= snapshotEvery {
 		b.snapshot, err = encodeSnapshot(Snapshot{
 			Sequence: t.next, Epoch: t.machine.Epoch(), EpochRecords: t.epochRecords, State: t.machine.State(),
-			Learned: t.learned.summary(now),
+			Learned: t.learned.summary(now), Former: t.waits(now),
 		})
 		if err != nil {
 			return nil, err
@@ -133,6 +139,25 @@
 	t.changed = make(chan struct{})
 }
 
+// resignation returns the record that tells the next owner not to wait for this one, or nil when a record is unresolved.
+func (t *term) resignation(now time.Time) *Record {
+	if t.inflight != nil {
+		return nil
+	}
+	// Owners before this one may still be valid.
+	former := t.former
+	former.OwnerValidity = max(0, t.inherited.Sub(now))
+	return &Record{Sequence: t.next, Epoch: t.machine.Epoch(), Owner: t.id, Resigned: true, Former: &former}
+}
+
+// waits returns what the next owner has to wait for if this one doesn't resign.
+func (t *term) waits(now time.Time) lifecycle.Former {
+	if now.After(t.inherited) {
+		return t.own
+	}
+	return t.former
+}
+
 // valid tells whether the owner may renew leases.
 func (t *term) valid(now time.Time, validity time.Duration) bool {
 	return !t.ended && now.Sub(t.proof) < validity
