Keep store keys out of the reasons that callers get

Cause: in a trial with a store that was down, the reason of a rejection named the key of the record in the store. Ruled out: shortening the error in package idempotency; logs and spans need it. Conclusion: callers learn what happened and nothing about where records are kept.

--- a/entry/requests/metrics.go
+++ b/entry/requests/metrics.go
@@ -19,6 +19,9 @@
 	draining  tally.Counter
 	malformed tally.Counter
 	followed  tally.Counter
+	// recordsFailed counts requests rejected for lack of a record, recordsLimited those over the rate of records.
+	recordsFailed, recordsLimited tally.Counter
+
 	announced tally.Counter
 	stale     tally.Counter
 	refused   tally.Counter
@@ -31,8 +34,9 @@
 		// 24 buckets from 1 ms, each a half longer than the one before, reach 11 s.
 		latency: s.Histogram("latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 1.5, 24)),
 		limited: s.Counter("limited"), draining: s.Counter("draining"), malformed: s.Counter("malformed"),
-		followed:  s.Counter("followed_records"),
-		announced: s.Counter("announcements"), stale: s.Counter("announcements_stale"),
+		followed: s.Counter("followed_records"), recordsFailed: s.Counter("records_failed"),
+		recordsLimited: s.Counter("records_limited"),
+		announced:      s.Counter("announcements"), stale: s.Counter("announcements_stale"),
 		refused: s.Counter("announcements_refused"),
 	}
 	for _, outcome := range []structs.Outcome{structs.OutcomeAnswered, structs.OutcomeNotRun, structs.OutcomeUnknown} {
--- a/entry/requests/once.go
+++ b/entry/requests/once.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/quetzalshed/quetzalshed/forward"
 	"github.com/quetzalshed/quetzalshed/idempotency"
 	"github.com/quetzalshed/quetzalshed/routing"
@@ -43,7 +45,7 @@
 		result := m.forwarder.Do(ctx, &p.request, assigner{claim})
 		found, exists := existing(ctx, claim, &result, p.key != "" && adoptions == 0)
 		if !exists {
-			return assigned(result)
+			return m.assigned(ctx, result)
 		}
 		m.metrics.followed.Inc(1)
 		followed, free := m.follow(ctx, p.request.Deadline, found.Record)
@@ -87,8 +89,9 @@
 	return idempotency.Hash([]byte(r.Method), []byte(r.Path), []byte(r.Header.Get("Content-Type")), r.Body)
 }
 
-// assigned gives an error of the assigner its final response. In each case the request was not run.
-func assigned(result forward.Result) forward.Result {
+// assigned gives an error of the assigner its final response. In each case the request was not run. Errors of the store
+// name its keys, which are no business of callers; they go to the span.
+func (m *Module) assigned(ctx context.Context, result forward.Result) forward.Result {
 	err := result.AssignError
 	var rate *idempotency.RateError
 	switch {
@@ -97,9 +100,12 @@
 	case errors.Is(err, idempotency.ErrKeyReused):
 		return notRun(http.StatusUnprocessableEntity, err.Error(), 0)
 	case errors.As(err, &rate):
+		m.metrics.recordsLimited.Inc(1)
 		return notRun(http.StatusTooManyRequests, err.Error(), rate.RetryAfter)
 	default:
-		return notRun(http.StatusServiceUnavailable, err.Error(), time.Second)
+		m.metrics.recordsFailed.Inc(1)
+		trace.SpanFromContext(ctx).RecordError(err)
+		return notRun(http.StatusServiceUnavailable, "the store did not confirm the at-most-once record", time.Second)
 	}
 }
 
--- a/entry/requests/once_test.go
+++ b/entry/requests/once_test.go
@@ -158,6 +158,7 @@
 		qt.Assert(t, outcome(response), qt.Equals, want)
 		if response.StatusCode == http.StatusServiceUnavailable {
 			qt.Assert(t, response.Header.Get("Retry-After"), qt.Equals, "1")
+			qt.Assert(t, response.Header.Get(structs.HeaderReason), qt.Equals, "the store did not confirm the at-most-once record")
 		}
 	}
 	response, _ := e.post(t, "over-the-limit", "buy")
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -10,112 +10,12 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/uber-go/tally/v4"
-	"go.opentelemetry.io/otel/trace/noop"
 
-	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/forward/forwardtest"
 	"github.com/quetzalshed/quetzalshed/limit"
-	"github.com/quetzalshed/quetzalshed/routing"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
-const testSilence = 100 * time.Millisecond
-
-// fleet is a forwarder with fake agents.
-type fleet struct {
-	*Forwarder
-	table  *routing.Table
-	agents []*forwardtest.Agent
-}
-
-func newFleet(t testing.TB, agents int, budget *limit.RetryBudget) *fleet {
-	t.Helper()
-	table := routing.NewTable(routing.Options{
-		Domain: "patan", Clock: clock.System{}, Pace: routing.Pace{Min: time.Minute, Max: time.Minute},
-		DefaultServiceTime: time.Millisecond,
-	})
-	pool := NewPool(PoolOptions{
-		Silence: testSilence, DialTimeout: time.Second, ProbeEvery: 20 * time.Millisecond, ProbeTimeout: testSilence,
-		IdleTimeout: time.Minute, MaxPerAddress: 64, MaxIdle: 64,
-	})
-	f := &fleet{table: table, Forwarder: New(Options{
-		Pool: pool, Table: table, Budget: budget, Latencies: NewLatencies(time.Minute), Metrics: tally.NoopScope,
-		Tracer: noop.NewTracerProvider().Tracer(""), Incarnation: "entry-1", ResolveTimeout: time.Second, SuspectFor: time.Second, MaxCleanups: 8,
-	})}
-	t.Cleanup(func() {
-		f.Wait()
-		pool.Close()
-	})
-	for i := range agents {
-		agent, err := forwardtest.New(string(rune('a' + i)))
-		qt.Assert(t, err, qt.IsNil)
-		t.Cleanup(agent.Close)
-		f.agents = append(f.agents, agent)
-		f.announce(t, agent, 1)
-	}
-	return f
-}
-
-func (f *fleet) announce(t testing.TB, agent *forwardtest.Agent, sequence int64) {
-	announcement := agent.Announcement("price", sequence)
-	_, err := f.table.Apply(&announcement, 100)
-	qt.Assert(t, err, qt.IsNil)
-}
-
-// faults gives each agent the same script: one fault for each attempt, None after the last.
-func (f *fleet) faults(script ...forwardtest.Fault) {
-	var mu sync.Mutex
-	next := 0
-	for _, agent := range f.agents {
-		agent.Next = func(int) forwardtest.Fault {
-			mu.Lock()
-			defer mu.Unlock()
-			next++
-			if next > len(script) {
-				return forwardtest.None
-			}
-			return script[next-1]
-		}
-	}
-}
-
-func (f *fleet) runs(body string) (total int) {
-	for _, agent := range f.agents {
-		total += agent.RunsOf(body)
-	}
-	return total
-}
-
-func (f *fleet) sends() (total int) {
-	for _, agent := range f.agents {
-		total += agent.Sends()
-	}
-	return total
-}
-
-func plenty() *limit.RetryBudget { return limit.NewRetryBudget(1, 1000) }
-
-func request(body string, idempotent bool, timeout time.Duration) *Request {
-	return &Request{
-		Service: "price", Method: http.MethodPost, Path: "/p", Body: []byte(body), Idempotent: idempotent,
-		Header: http.Header{"Idempotency-Key": {"k"}}, Deadline: time.Now().Add(timeout),
-	}
-}
-
-// assignAll accepts every attempt and counts them.
-type assignAll struct{ count int }
-
-func (a *assignAll) Assign(context.Context, Target, string) error {
-	a.count++
-	return nil
-}
-
-func (f *fleet) once(t testing.TB, body string) Result {
-	t.Helper()
-	return f.Do(t.Context(), request(body, false, 5*time.Second), &assignAll{})
-}
-
 // Guards against a second send by the connection pool itself: http.Transport sends a request with an Idempotency-Key
 // again when a reused connection breaks.
 func TestReusedConnectionThatBreaksSendsOnce(t *testing.T) {
