--- /dev/null
+++ b/cmd/quetzalshed-entry/main_test.go
@@ -0,0 +1,15 @@
+package main
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/kernel"
+)
+
+// Guards against an example whose keys the modules no longer know, and against modules that the binary doesn't import.
+func TestExampleSettings(t *testing.T) {
+	_, err := kernel.LoadProcess(kernel.RoleEntry, "../../examples/entry.ini")
+	qt.Assert(t, err, qt.IsNil)
+}
