Consider a denied hedge again and trust only answered responses of resolves

Cause: a request that lost the race for a token of the retry budget was never hedged later. After a resolve said finished, a not-run from the fetch of the response would have been believed, although the fetch doesn't name the process that responds. Ruled out: asking for the incarnation in the fetch as well; an answered response proves itself, and anything else is unknown. Change: a denial holds for one decision; a fetch without an answered response makes the outcome unknown. Conclusion: not-run comes only from a connection on which the attempt was sent, or from a resolve by the same process.

--- a/entry/requests/once.go
+++ b/entry/requests/once.go
@@ -126,11 +126,11 @@
 		switch {
 		case err != nil:
 			failures++
-		case got.Reply != nil && got.Reply.Outcome == structs.OutcomeAnswered:
+		case got.Reply != nil:
 			return relayed(got.Reply, record.Agent), false
 		case got.State.NotRun():
 			return conflict("the recorded attempt has not run"), true
-		case got.Reply != nil || got.State == structs.AttemptUnknown:
+		case got.State == structs.AttemptUnknown:
 			return conflict("the outcome of an earlier request with this key is unknown"), false
 		default:
 			reply, err := m.forwarder.Answer(ctx, target, record.AttemptID, max(0, time.Until(deadline)))
--- a/forward/resolve.go
+++ b/forward/resolve.go
@@ -46,6 +46,10 @@
 	if err != nil {
 		return Resolution{}, err
 	}
+	if answer.Outcome != structs.OutcomeAnswered {
+		// The response was evicted since, or the agent was restarted.
+		return Resolution{State: structs.AttemptUnknown}, nil
+	}
 	return Resolution{State: structs.AttemptFinished, Reply: answer}, nil
 }
 
--- a/forward/run.go
+++ b/forward/run.go
@@ -25,7 +25,7 @@
 	next     routing.Candidate
 	verdict  routing.Verdict
 	hedgeAt  time.Time
-	// denied is set when another request took the last token of the retry budget.
+	// denied is set when another request took the last token of the retry budget, and holds for the next decision.
 	denied bool
 }
 
@@ -105,6 +105,7 @@
 	}
 	if len(r.attempts) > 0 {
 		v.Budget = !r.denied && r.f.opts.Budget.Available(now)
+		r.denied = false
 		if !v.Budget {
 			r.f.counters.budgetDenied.Inc(1)
 		}
