Make replays repeatable and let stale estimates be checked again

Results differed between runs by the order of a map and by unseeded ties in routing. Ruled out: faster decay of all knowledge, which would let noisy classes back in. Change: a known pair without a sample for 30 s may be explored by as many tasks as an unknown one; the replay iterates in order and seeds the choices of routing; tests of the stated outcomes, of repeatability and of bad traces.

--- a/replay/managed.go
+++ b/replay/managed.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -61,7 +62,7 @@
 		m.tables = append(m.tables, routing.NewTable(routing.Options{
 			Domain: domain, Clock: e.line.clock, Pace: routing.Pace{BytesPerSecond: 12_000, Min: time.Second, Max: 30 * time.Second},
 			RemoteDelay: 2 * millis(e.trace.Network.DomainOneWayMillis), FailurePenalty: time.Second,
-			DefaultServiceTime: 20 * time.Millisecond,
+			DefaultServiceTime: 20 * time.Millisecond, IntN: rand.New(rand.NewPCG(e.trace.Seed, 0)).IntN,
 		}))
 	}
 	e.line.after(0, m.announceAll)
--- /dev/null
+++ b/replay/replay_test.go
@@ -0,0 +1,63 @@
+package replay_test
+
+import (
+	"path/filepath"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/replay"
+)
+
+// Guards against decisions that make a stated outcome worse. The trace of bagmati is replayed in full by the command
+// only, since its outcome on batch throughput is not met yet; see docs/PROOFS.md.
+func TestStatedOutcomesOfVaidlusmaja(t *testing.T) {
+	trace, err := replay.Load("../traces/vaidlusmaja.json")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, replay.Run(trace).Missed, qt.HasLen, 0)
+}
+
+// Guards against results that differ between runs, and against outcomes that hold at one site only: no start in a
+// domain that is out, no worker above its capacity, a verdict on the job that can never run.
+func TestReplayIsRepeatable(t *testing.T) {
+	c := qt.New(t)
+	trace, err := replay.Load("../traces/bagmati.json")
+	c.Assert(err, qt.IsNil)
+	trace.Seconds = 300
+	events := trace.Events[:0]
+	for _, e := range trace.Events {
+		if e.AtSeconds <= trace.Seconds {
+			events = append(events, e)
+		}
+	}
+	trace.Events = events
+	first := replay.Run(trace)
+	c.Assert(replay.Run(trace), qt.DeepEquals, first)
+	got := map[string]float64{}
+	for _, m := range first.Metrics {
+		got[m.Name] = m.Managed
+	}
+	c.Assert(got["late_starts"], qt.Equals, 0.0)
+	c.Assert(got["overcommitted_worker_seconds"], qt.Equals, 0.0)
+	c.Assert(got["batch.verdicts"], qt.Equals, 1.0)
+	c.Assert(got["price-check.missed_percent"] < 0.1, qt.IsTrue)
+}
+
+// Guards against findings of a trace that are reported one at a time.
+func TestBadTrace(t *testing.T) {
+	_, err := replay.Parse("t.json", []byte(`{"site":"x","seconds":-1,"events":[{"at":9,"kind":"job","class":"none"}],
+		"outcomes":[{"metric":"speed","max":1}]}`))
+	qt.Assert(t, err, qt.ErrorMatches, `(?s).*seconds.*workers.*entry_domains.*unknown class.*unknown metric "speed".*`)
+	_, err = replay.Parse("t.json", []byte(`{"sights":1}`))
+	qt.Assert(t, err, qt.ErrorMatches, `t.json: not a trace.*`)
+}
+
+// Guards against traces that no longer match the format.
+func TestTracesAreValid(t *testing.T) {
+	paths, err := filepath.Glob("../traces/*.json")
+	qt.Assert(t, err, qt.IsNil)
+	for _, path := range paths {
+		_, err := replay.Load(path)
+		qt.Check(t, err, qt.IsNil)
+	}
+}
--- a/replay/requests.go
+++ b/replay/requests.go
@@ -1,8 +1,10 @@
 package replay
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -205,7 +207,9 @@
 // dropRequests loses the requests of an upstream whose host has failed.
 func (e *engine) dropRequests(u *upstream) {
 	for _, lost := range []map[string]*request{u.running, u.waiting} {
-		for id, r := range lost {
+		// Sorted, since the order decides about ties and a replay must give the same result each time.
+		for _, id := range slices.Sorted(maps.Keys(lost)) {
+			r := lost[id]
 			delete(lost, id)
 			e.silent(r, nil, r.attempts)
 		}
--- a/routing/table.go
+++ b/routing/table.go
@@ -51,6 +51,8 @@
 	FailurePenalty time.Duration
 	// DefaultServiceTime is assumed until requests have been observed.
 	DefaultServiceTime time.Duration
+	// IntN returns a random number from 0 up to n; nil means rand.IntN. A replay sets it to get the same choices again.
+	IntN func(n int) int
 }
 
 type agent struct {
@@ -95,6 +97,9 @@
 
 // NewTable returns an empty table.
 func NewTable(opts Options) *Table {
+	if opts.IntN == nil {
+		opts.IntN = rand.IntN
+	}
 	return &Table{opts: opts, agents: map[string]*agent{}, byAddress: map[string]*agent{}, services: map[string]*service{}}
 }
 
@@ -285,7 +290,7 @@
 		s.Complete = true
 		s.Candidates = make([]Candidate, 0, len(known.all))
 		// The first of equal scores wins. A random start spreads the requests of idle fleets over all upstreams.
-		start := rand.IntN(len(known.all))
+		start := t.opts.IntN(len(known.all))
 		for _, u := range known.all[start:] {
 			s.Candidates = append(s.Candidates, u.candidate(now))
 		}
@@ -295,13 +300,13 @@
 		return s
 	}
 	s.Candidates = make([]Candidate, 0, sampleSize)
-	s.Candidates = sample(s.Candidates, known.local, sampleSize/2, now)
-	s.Candidates = sample(s.Candidates, known.all, sampleSize-len(s.Candidates), now)
+	s.Candidates = t.sample(s.Candidates, known.local, sampleSize/2, now)
+	s.Candidates = t.sample(s.Candidates, known.all, sampleSize-len(s.Candidates), now)
 	return s
 }
 
 // sample appends n random upstreams. Repeats are harmless.
-func sample(to []Candidate, from []*upstream, n int, now time.Time) []Candidate {
+func (t *Table) sample(to []Candidate, from []*upstream, n int, now time.Time) []Candidate {
 	if len(from) <= n {
 		for _, u := range from {
 			to = append(to, u.candidate(now))
@@ -309,7 +314,7 @@
 		return to
 	}
 	for range n {
-		to = append(to, from[rand.IntN(len(from))].candidate(now))
+		to = append(to, from[t.opts.IntN(len(from))].candidate(now))
 	}
 	return to
 }
--- a/scheduler/interference/config.go
+++ b/scheduler/interference/config.go
@@ -57,6 +57,8 @@
 	maxRatio = 10
 	// maxCoefficient caps the slowdown that is extrapolated to a worker full of one class.
 	maxCoefficient = 50
+	// staleAfter is the time without samples after which a known pair may be explored again.
+	staleAfter = 30 * time.Second
 	// maxStrikes caps the doubling of BlockFor: the longest block is 16 times the first.
 	maxStrikes = 4
 	// forgetWeight is the weight below which a pair is dropped.
--- a/scheduler/interference/estimate.go
+++ b/scheduler/interference/estimate.go
@@ -9,6 +9,8 @@
 	Limit float64
 	// Known is false until enough samples have been seen. Unknown pairs are explored with few tasks.
 	Known bool
+	// Stale is set when a known pair has had no sample for a while, so that a few tasks may check it again.
+	Stale bool
 	// Blocked is set once the slowdown exceeds the limit, and cleared only well below it.
 	Blocked bool
 }
--- a/scheduler/interference/model.go
+++ b/scheduler/interference/model.go
@@ -17,6 +17,8 @@
 	services map[string]*baseline
 	pairs    map[pairKey]*pair
 	workers  map[string]*history
+	// now is the time of the last Advance.
+	now time.Time
 }
 
 type pairKey struct{ service, batch string }
@@ -36,6 +38,8 @@
 	// share is the mean share of the class when it was seen beside the service.
 	share  float64
 	weight float64
+	// sampled is the time of the newest sample.
+	sampled time.Time
 	// updated is the time to which weight has decayed.
 	updated      time.Time
 	known        bool
@@ -160,6 +164,7 @@
 		p := list[i]
 		credit := load.Share * load.Share / power
 		p.weight = min(p.weight+credit, maxWeight)
+		p.sampled = now
 		step := 1 / max(p.weight, 1)
 		p.coefficient = min(max(p.coefficient+step*failure*load.Share/power, 0), maxCoefficient)
 		p.share += step * (load.Share - p.share)
@@ -212,6 +217,7 @@
 // Advance applies the time that has passed: knowledge without new samples fades, and pairs whose block has ended are
 // unknown again, so that a few tasks explore them. It is called about once a second, between plans.
 func (m *Model) Advance(now time.Time) {
+	m.now = now
 	for key, p := range m.pairs {
 		m.decay(p, now)
 		switch {
@@ -232,7 +238,10 @@
 	if p == nil {
 		return Estimate{Slowdown: 1, Limit: m.limit(service)}
 	}
-	return Estimate{Slowdown: 1 + p.coefficient, Limit: m.limit(service), Known: p.known, Blocked: p.blocked}
+	return Estimate{
+		Slowdown: 1 + p.coefficient, Limit: m.limit(service), Known: p.known, Blocked: p.blocked,
+		Stale: p.known && m.now.Sub(p.sampled) > staleAfter,
+	}
 }
 
 // BaselineMillis returns the undisturbed latency of a service class, or 0 when it is unknown.
--- a/scheduler/interference/model_test.go
+++ b/scheduler/interference/model_test.go
@@ -214,3 +214,18 @@
 		c.Assert(model.Estimate("svc", "b").Limit, qt.Equals, limit, qt.Commentf("after a change of ownership"))
 	}
 }
+
+// Guards against an estimate that is too high for ever, since the class is kept away from the service and yields no
+// samples any more.
+func TestKnownPairsBecomeStale(t *testing.T) {
+	c := qt.New(t)
+	s := newTrial(1, map[string]float64{"calm": 0.05})
+	s.run(12)
+	s.run(30, interference.Load{Class: "calm", Share: 0.5})
+	s.model.Advance(s.now)
+	c.Assert(s.model.Estimate("svc", "calm").Known, qt.IsTrue)
+	c.Assert(s.model.Estimate("svc", "calm").Stale, qt.IsFalse)
+	s.run(60)
+	s.model.Advance(s.now)
+	c.Assert(s.model.Estimate("svc", "calm").Stale, qt.IsTrue)
+}
--- a/scheduler/interference/summary.go
+++ b/scheduler/interference/summary.go
@@ -29,6 +29,7 @@
 	Known       bool    `json:"known,omitempty"`
 	// BlockedMillis is for how long the pair stays blocked, 0 when it isn't.
 	BlockedMillis int64 `json:"blocked_millis,omitempty"`
+	Stale         bool  `json:"stale,omitempty"`
 	Strikes       int   `json:"strikes,omitempty"`
 }
 
@@ -45,7 +46,7 @@
 		m.decay(p, now)
 		out := PairSummary{
 			Service: key.service, Batch: key.batch, Coefficient: p.coefficient, Share: p.share,
-			Weight: p.weight, Known: p.known, Strikes: p.strikes,
+			Weight: p.weight, Known: p.known, Strikes: p.strikes, Stale: now.Sub(p.sampled) > staleAfter,
 		}
 		if p.blocked {
 			out.BlockedMillis = max(1, p.blockedUntil.Sub(now).Milliseconds())
@@ -64,6 +65,7 @@
 // entries with impossible values are left out.
 func (m *Model) Import(s Summary, now time.Time) {
 	objectives := m.services
+	m.now = now
 	m.services, m.pairs = map[string]*baseline{}, map[pairKey]*pair{}
 	for _, in := range s.Services {
 		if len(m.services) < MaxServices && in.Millis > 0 {
@@ -77,7 +79,12 @@
 		if len(m.pairs) >= MaxPairs || !(in.Coefficient >= 0 && in.Share >= 0 && in.Weight >= 0) {
 			continue
 		}
+		sampled := now
+		if in.Stale {
+			sampled = time.Time{}
+		}
 		m.pairs[pairKey{in.Service, in.Batch}] = &pair{
+			sampled:     sampled,
 			coefficient: min(in.Coefficient, maxCoefficient), share: min(in.Share, 1), weight: min(in.Weight, maxWeight),
 			updated: now, known: in.Known, blocked: in.BlockedMillis > 0, strikes: min(max(in.Strikes, 0), maxStrikes),
 			blockedUntil: now.Add(min(time.Duration(max(in.BlockedMillis, 0))*time.Millisecond, m.config.BlockFor<<maxStrikes)),
--- a/scheduler/plugins/filters.go
+++ b/scheduler/plugins/filters.go
@@ -118,10 +118,15 @@
 	loads := ctx.Neighbours(task, w)
 	for i := range loads {
 		estimate := ctx.Estimate(task, &loads[i])
+		// A class that runs nowhere beside the service yields no samples, so that an estimate which is too high would
+		// never be corrected. A few tasks are let in all the same; the guard protects the service from them.
+		explores := task.Job.Kind == structs.KindBatch && ctx.Beside(task, &loads[i]) < ctx.Rules.ExplorationTasks
 		switch {
-		case estimate.Blocked || estimate.Known && exceeds(ctx, task, w, &loads[i], estimate):
+		case estimate.Blocked:
 			return ReasonInterference
-		case !estimate.Known && task.Job.Kind == structs.KindBatch && ctx.Beside(task, &loads[i]) >= ctx.Rules.ExplorationTasks:
+		case estimate.Known && !(estimate.Stale && explores) && exceeds(ctx, task, w, &loads[i], estimate):
+			return ReasonInterference
+		case !estimate.Known && !explores && task.Job.Kind == structs.KindBatch:
 			return ReasonExploration
 		}
 	}
