Count services and batch of a worker only when a plan asks for them

Cause: a plan for one task spent a third of its time on counting all tasks of each worker by class, and a sixth on looking up the teams of running tasks. Ruled out: caching the counts between plans, which would have to be invalidated by each change of a worker. Change: services and batch are counted separately; a batch task needs only the services beside it. Teams are compared by name while few have pending tasks.

--- a/scheduler/candidates.go
+++ b/scheduler/candidates.go
@@ -166,9 +166,7 @@
 	job := task.state
 	w.cycle.free = w.cycle.free.Sub(task.Resources)
 	w.cycle.added = append(w.cycle.added, task)
-	if w.cycle.loaded {
-		w.cycle.count(task.Job, task.Resources)
-	}
+	w.cycle.count(task.Job, task.Resources)
 	job.account.Charge(task.Resources)
 	c.count(job)
 	job.add(task.Index, w.FailureDomain)
--- a/scheduler/cycle.go
+++ b/scheduler/cycle.go
@@ -52,16 +52,17 @@
 	// free is what may still be placed in this cycle; future is what evictions will free, as far as nothing claims it.
 	free   structs.Resources
 	future structs.Resources
-	// services and batch are valid once loaded is set.
-	services []ClassLoad
-	batch    []ClassLoad
-	loaded   bool
-	leaving  bool
-	usable   bool
-	added    []*PendingTask
-	admits   quarantine.Admission
-	ramp     float64
-	evicting int
+	// serviceLoads and batchLoads are valid once they are loaded.
+	serviceLoads   []ClassLoad
+	batchLoads     []ClassLoad
+	servicesLoaded bool
+	batchLoaded    bool
+	leaving        bool
+	usable         bool
+	added          []*PendingTask
+	admits         quarantine.Admission
+	ramp           float64
+	evicting       int
 }
 
 // ClassLoad is what the services, or the batch tasks, of one class reserve on a worker.
@@ -180,7 +181,7 @@
 // prepare computes the state of one worker from what runs on it. It runs for every task of the fleet in every plan, so
 // that what depends on classes and jobs is computed only when asked for.
 func (c *Cycle) prepare(w *WorkerView, s *workerState) {
-	*s = workerState{ramp: 1, free: w.Capacity, services: s.services[:0], batch: s.batch[:0], added: s.added[:0]}
+	*s = workerState{ramp: 1, free: w.Capacity, serviceLoads: s.serviceLoads[:0], batchLoads: s.batchLoads[:0], added: s.added[:0]}
 	w.cycle = s
 	s.leaving = w.Draining || len(c.Rules.Out) > 0 && c.Rules.IsOut(w.FailureDomain)
 	s.usable = w.Reported && !s.leaving
@@ -217,37 +218,60 @@
 	return min(1, max(0, float64(age)/float64(c.Rules.ReturnRamp)))
 }
 
-// load counts the tasks of a worker by class when that is first needed.
-func (c *Cycle) load(w *WorkerView) *workerState {
+// services returns the services of a worker by class. They are counted when first asked for, and so is batch: a batch
+// task is rated by the services beside it, and most tasks are batch.
+func (c *Cycle) services(w *WorkerView) []ClassLoad {
 	s := w.cycle
-	if !s.loaded {
-		s.loaded = true
-		for i := range w.Running {
-			s.count(w.Running[i].Job, w.Running[i].Resources)
+	if !s.servicesLoaded {
+		s.servicesLoaded = true
+		s.countAll(w, structs.KindService)
+	}
+	return s.serviceLoads
+}
+
+// batch returns the batch of a worker by class.
+func (c *Cycle) batch(w *WorkerView) []ClassLoad {
+	s := w.cycle
+	if !s.batchLoaded {
+		s.batchLoaded = true
+		s.countAll(w, structs.KindBatch)
+	}
+	return s.batchLoads
+}
+
+func (s *workerState) countAll(w *WorkerView, kind structs.JobKind) {
+	for i := range w.Running {
+		if t := &w.Running[i]; t.Job.Kind == kind {
+			s.count(t.Job, t.Resources)
 		}
-		for _, task := range s.added {
+	}
+	for _, task := range s.added {
+		if task.Job.Kind == kind {
 			s.count(task.Job, task.Resources)
 		}
 	}
-	return s
 }
 
-// count adds one task to the loads of its kind.
+// count adds one task to the loads of its kind, if these were asked for.
 func (s *workerState) count(job *structs.Job, r structs.Resources) {
-	loads := &s.services
+	loads, loaded := &s.serviceLoads, s.servicesLoaded
 	if job.Kind == structs.KindBatch {
-		loads = &s.batch
-		for i := range s.services {
-			s.services[i].slowdown = 0
+		loads, loaded = &s.batchLoads, s.batchLoaded
+		for i := range s.serviceLoads {
+			s.serviceLoads[i].slowdown = 0
 		}
 	}
-	found := slices.IndexFunc(*loads, func(load ClassLoad) bool { return load.Class == job.Class })
-	if found < 0 {
-		found = len(*loads)
-		*loads = append(*loads, ClassLoad{Class: job.Class, id: unnumbered})
+	if !loaded {
+		return
+	}
+	for i := range *loads {
+		if load := &(*loads)[i]; load.Class == job.Class {
+			load.Tasks++
+			load.MilliCores += r.MilliCores
+			return
+		}
 	}
-	(*loads)[found].Tasks++
-	(*loads)[found].MilliCores += r.MilliCores
+	*loads = append(*loads, ClassLoad{Class: job.Class, Tasks: 1, MilliCores: r.MilliCores, id: unnumbered})
 }
 
 func (c *Cycle) job(job *structs.Job) *jobState {
--- a/scheduler/interfere.go
+++ b/scheduler/interfere.go
@@ -11,11 +11,10 @@
 // Neighbours returns the loads of the other kind on a worker, with this cycle's placements: services for a batch task
 // and batch for a service. Callers only read them.
 func (c *Cycle) Neighbours(task *PendingTask, w *WorkerView) []ClassLoad {
-	s := c.load(w)
 	if task.Job.Kind == structs.KindService {
-		return s.batch
+		return c.batch(w)
 	}
-	return s.services
+	return c.services(w)
 }
 
 // Estimate returns what is known of a neighbour beside the task: of the service among the two beside the batch class.
@@ -58,7 +57,7 @@
 	}
 	factor := 1.0
 	if c.snapshot.Interference != nil && w.Capacity.MilliCores > 0 {
-		batch := c.load(w).batch
+		batch := c.batch(w)
 		for i := range batch {
 			load := &batch[i]
 			if e := c.pair(name, id, load.Class, c.loadID(load)); e.Known {
@@ -88,16 +87,17 @@
 func (c *Cycle) countBeside(batch int) map[int]int {
 	counts := map[int]int{}
 	for i := range c.workers {
-		s := c.load(&c.workers[i])
+		loads := c.batch(&c.workers[i])
 		tasks := 0
-		for k := range s.batch {
-			if c.loadID(&s.batch[k]) == batch {
-				tasks = s.batch[k].Tasks
+		for k := range loads {
+			if c.loadID(&loads[k]) == batch {
+				tasks = loads[k].Tasks
 			}
 		}
-		for k := range s.services {
+		services := c.services(&c.workers[i])
+		for k := range services {
 			if tasks > 0 {
-				counts[c.loadID(&s.services[k])] += tasks
+				counts[c.loadID(&services[k])] += tasks
 			}
 		}
 	}
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -66,7 +66,7 @@
 	state := *saved
 	w.cycle = &state
 	w.cycle.free = w.cycle.free.Add(w.cycle.future)
-	w.cycle.services, w.cycle.batch, w.cycle.loaded = nil, nil, true
+	w.cycle.serviceLoads, w.cycle.servicesLoaded, w.cycle.batchLoads, w.cycle.batchLoaded = nil, true, nil, true
 	for k := range w.Running {
 		t := &w.Running[k]
 		switch {
--- a/scheduler/quota/quota.go
+++ b/scheduler/quota/quota.go
@@ -50,6 +50,14 @@
 	limits *Limits
 	total  structs.Resources
 	teams  map[string]*Account
+	// first holds the first accounts. A plan asks for the team of each running task and mostly has pending tasks of few
+	// teams, for which comparing names is cheaper than the map.
+	first [4]namedAccount
+}
+
+type namedAccount struct {
+	team    string
+	account *Account
 }
 
 // Account counts what one team uses.
@@ -68,6 +76,14 @@
 
 // Find returns the account of a team, or nil if none has been opened. Beyond the bound it is the shared one.
 func (t *Table) Find(team string) *Account {
+	if len(t.teams) <= len(t.first) {
+		for i := range len(t.teams) {
+			if t.first[i].team == team {
+				return t.first[i].account
+			}
+		}
+		return nil
+	}
 	if a := t.teams[team]; a != nil || len(t.teams) < MaxTeams {
 		return a
 	}
@@ -90,6 +106,9 @@
 	if weight, ok := t.limits.Weights[team]; ok && weight > 0 {
 		a.weight = weight
 	}
+	if n := len(t.teams); n < len(t.first) {
+		t.first[n] = namedAccount{team, a}
+	}
 	t.teams[team] = a
 	return a
 }
