Spread replicas that preempt, and keep batch from preempting

Cause: replicas of one service that had to preempt in the same plan could choose the same failure domain, since room that is held was not counted for spreading. Without the capacity filter, a batch task whose worker was full went through the search for victims, which found none only because nothing checked capacity. Ruled out: rating victims with all scores, which would trade more evictions for small gains of fit. Change: held room counts as a replica of its domain; sets of victims are compared by priority, then replicas in the domain, then number and work done. Only tasks that may preempt search for victims. Trial on a scratch copy: the test of preempting replicas fails without either of its two changes; no test reaches the search by a batch task. Conclusion: services keep their spread when the fleet is full.

--- a/scheduler/lifecycle_test.go
+++ b/scheduler/lifecycle_test.go
@@ -63,12 +63,12 @@
 	c.Assert(decide(s, now), qt.Equals, "+b/0@w")
 }
 
-// Guards against two tasks that count on the same eviction.
+// Guards against two tasks that count on the same eviction, and replicas that preempt in the same failure domain.
 func TestOneEvictionServesOneTask(t *testing.T) {
 	batch := newJob("b", structs.KindBatch, 16000)
-	s := fleetOf(newWorker("w1", "a", running(batch, 0, 0)), newWorker("w2", "b", running(batch, 1, 0)))
-	s.Pending = pending(newJob("s", structs.KindService, 10000), 2)
-	qt.Assert(t, decide(s, now), qt.Equals, "-b/0 preempted, -b/1 preempted")
+	s := fleetOf(newWorker("a1", "a", running(batch, 0, 0)), newWorker("a2", "a", running(batch, 1, 0)), newWorker("b1", "b", running(batch, 2, 0)))
+	s.Pending = pending(newJob("s", structs.KindService, 10000), 3)
+	qt.Assert(t, decide(s, now), qt.Equals, "-b/0 preempted, -b/2 preempted, -b/1 preempted")
 }
 
 // Guards against a service that never starts since noisy batch runs everywhere, although nothing but that is in its way.
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -63,9 +63,10 @@
 	if c.count(job); task.replaces == "" && job.indices[task.Index] {
 		return
 	}
-	if index < 0 || !c.place(task, index) {
-		c.makeRoom(task)
+	if index >= 0 && c.place(task, index) || !task.Preempts() {
+		return
 	}
+	c.makeRoom(task)
 }
 
 func (c *Cycle) wait(w Waiting) {
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -15,7 +15,7 @@
 		return
 	}
 	if index := c.awaited(task); index >= 0 {
-		c.hold(task.Resources, index)
+		c.holdFor(task, index)
 		return
 	}
 	best, cost := -1, victimCost{}
@@ -26,7 +26,7 @@
 			continue
 		}
 		if list, ok := c.victims(task, w); ok {
-			if price := costOf(w, list); best < 0 || price.less(cost) {
+			if price := c.costOf(task, w, list); best < 0 || price.less(cost) {
 				best, cost, victims = i, price, list
 			}
 		}
@@ -40,7 +40,13 @@
 	for _, k := range victims {
 		c.evict(w, &w.Running[k], EvictPreempted, task.ID())
 	}
-	c.hold(task.Resources, best)
+	c.holdFor(task, best)
+}
+
+// holdFor holds room for a task and counts it on the worker, so that further replicas of its service spread.
+func (c *Cycle) holdFor(task *PendingTask, index int) {
+	c.hold(task.Resources, index)
+	task.state.add(task.Index, c.workers[index].FailureDomain)
 }
 
 // awaited returns the best worker that takes the task once the evictions under way have ended, or -1. It keeps a
@@ -120,14 +126,18 @@
 	return list
 }
 
-// victimCost orders sets of victims: by their highest priority, their number, and the work that they have done.
+// victimCost orders sets of victims: by their highest priority, the replicas of the service in the failure domain, the
+// number of victims, and the work that they have done.
 type victimCost struct {
-	priority, count int
-	work            float64
+	priority, replicas, count int
+	work                      float64
 }
 
-func costOf(w *WorkerView, victims []int) victimCost {
+func (c *Cycle) costOf(task *PendingTask, w *WorkerView, victims []int) victimCost {
 	cost := victimCost{count: len(victims)}
+	if task.Job.Kind == structs.KindService {
+		cost.replicas, _ = c.DomainTasks(task, w)
+	}
 	for _, k := range victims {
 		cost.priority = max(cost.priority, w.Running[k].Job.Priority)
 		cost.work += w.Running[k].WorkDone.Seconds()
@@ -136,5 +146,5 @@
 }
 
 func (a victimCost) less(b victimCost) bool {
-	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.count, b.count), cmp.Compare(a.work, b.work)) < 0
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.replicas, b.replicas), cmp.Compare(a.count, b.count), cmp.Compare(a.work, b.work)) < 0
 }
