Close connections after rejections of bodies that were not read

With full duplex package http sent a rejection without reading the body and without closing the connection towards the caller, then closed it because of the unread bytes, so that the caller's next request on it was lost. Ruled out: discarding up to 4 MiB after the response; it hides both faults only for bodies that are small or fast enough. Conclusion: a rejection is sent at once and the caller knows whether the connection can be used again.

--- /dev/null
+++ b/entry/requests/body.go
@@ -0,0 +1,88 @@
+package requests
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/forward"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// Bounds of the handling of a body that was not read when the response is sent.
+const (
+	// smallBody is how many bytes of it are read before the response, and briefTime for how long. Most bodies have arrived
+	// with the headers, and the connection then stays usable.
+	smallBody = 64 << 10
+	briefTime = 10 * time.Millisecond
+	// discardTime is how long package http may read after the response. A connection that is closed with unread bytes is
+	// reset, and the caller may then lose the response.
+	discardTime = time.Second
+)
+
+// callerBody is the body of a caller's request; it remembers whether all of it was read.
+type callerBody struct {
+	io.ReadCloser
+	writer http.ResponseWriter
+	whole  bool
+}
+
+// newCallerBody takes over the body of a request.
+func newCallerBody(w http.ResponseWriter, r *http.Request) *callerBody {
+	b := &callerBody{ReadCloser: r.Body, writer: w, whole: r.ContentLength == 0}
+	r.Body = b
+	return b
+}
+
+// Read reads from the body.
+func (b *callerBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && !b.whole {
+		b.whole = true
+		// A read deadline that stays set would end the request as if the caller had disconnected.
+		b.limitTime(time.Time{})
+	}
+	return n, err
+}
+
+// limitTime sets until when the body may be read.
+func (b *callerBody) limitTime(deadline time.Time) {
+	_ = http.NewResponseController(b.writer).SetReadDeadline(deadline)
+}
+
+// settle prepares the response to a request whose body may not have been read. If it is not small, or late, the
+// connection is closed after the response. Otherwise package http would read the body before it sends the response, so
+// that a caller who sends slowly would get a rejection late or never. Full duplex is no way out: that package panics when
+// it comes to the end of a body after the response (invalid concurrent Body.Read call).
+func (b *callerBody) settle() {
+	if b.whole {
+		return
+	}
+	b.limitTime(time.Now().Add(briefTime))
+	_, _ = io.CopyN(io.Discard, b, smallBody)
+	if b.whole {
+		return
+	}
+	b.writer.Header().Set("Connection", "close")
+	b.limitTime(time.Now().Add(discardTime))
+}
+
+// read reads the whole body, of at most the size that a request may have, until its deadline.
+func (b *callerBody) read(r *http.Request, request *forward.Request) (forward.Result, bool) {
+	if r.ContentLength > structs.MaxRequestBody {
+		return notRun(http.StatusRequestEntityTooLarge, "the body is over 1 MiB", 0), false
+	}
+	if b.whole {
+		return forward.Result{}, true
+	}
+	b.limitTime(request.Deadline)
+	body, err := io.ReadAll(io.LimitReader(b, structs.MaxRequestBody+1))
+	switch {
+	case err != nil:
+		return notRun(http.StatusBadRequest, "the body did not arrive: "+err.Error(), 0), false
+	case len(body) > structs.MaxRequestBody:
+		return notRun(http.StatusRequestEntityTooLarge, "the body is over 1 MiB", 0), false
+	}
+	request.Body = body
+	return forward.Result{}, true
+}
