--- a/agent/runner/figures_test.go
+++ b/agent/runner/figures_test.go
@@ -106,6 +106,10 @@
 						first = c.clock.Now().Sub(killed)
 					}
 				}
+				own := len(former.worker.Starts())
+				resumed := func() bool { return len(c.running("a")) >= others+own }
+				c.run(60*time.Second, resumed)
+				b.ReportMetric(c.clock.Now().Sub(killed).Seconds(), "owner-host-work-s")
 				b.ReportMetric(float64(stalled)*tick.Seconds()/float64(others), "stalled-heartbeats/task")
 				b.ReportMetric(taken.Seconds(), "takeover-s")
 				b.ReportMetric(first.Seconds(), "first-start-s")
--- a/agent/runner/module.go
+++ b/agent/runner/module.go
@@ -191,6 +191,10 @@
 		if err := r.Beat(ctx); err != nil {
 			m.scope.Counter("heartbeat_failures").Inc(1)
 			m.log.Debug("heartbeat failed", "error", err)
+			if errors.Is(err, shard.ErrNotOwner) {
+				// The owner has resigned or lost its validity, so a candidate need not wait for its silence.
+				m.lastReply.Store(nil)
+			}
 		} else {
 			now := m.clock.Now()
 			m.lastReply.Store(&now)
--- a/agent/runner/rules_test.go
+++ b/agent/runner/rules_test.go
@@ -269,3 +269,23 @@
 	assert.Assert(err, qt.IsNil)
 	assert.Assert(status.Counts[structs.TaskFinished], qt.Equals, 6)
 }
+
+// Guards against a planned stop of an agent that loses work, or ends while something is left on the worker.
+func TestDrainMovesEverything(t *testing.T) {
+	assert := qt.New(t)
+	c := watched(t, 4)
+	c.submit(t, `{"id":"s","team":"t","name":"web","kind":"service","tasks":2,"resources":{"milli_cores":1000,"memory_mb":500}}`)
+	c.submit(t, `{"id":"a","team":"t","kind":"batch","tasks":6,"expected_seconds":40,"resources":{"milli_cores":1000,"memory_mb":500},"command":"run=40s"}`)
+	assert.Assert(c.run(20*time.Second, func() bool { return len(c.running("s")) == 2 && len(c.running("a")) == 6 }), qt.IsTrue)
+	c.run(5*time.Second, func() bool { return false })
+	n := c.running("s")[0]
+	n.runner.Drain()
+	assert.Assert(c.run(40*time.Second, func() bool {
+		if len(c.running("s")) < 2 {
+			t.Fatalf("only %d replicas run", len(c.running("s")))
+		}
+		return n.runner.Idle()
+	}), qt.IsTrue)
+	assert.Assert(n.worker.Running(), qt.HasLen, 0)
+	assert.Assert(c.run(2*time.Minute, func() bool { return c.done("a") }), qt.IsTrue)
+}
--- a/shard/module.go
+++ b/shard/module.go
@@ -178,7 +178,8 @@
 func (m *Module) work(ctx context.Context, o *Owner) {
 	step := time.NewTicker(m.settings.CommitEvery)
 	defer step.Stop()
-	var tried time.Time
+	var next time.Time
+	failures := 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -193,14 +194,30 @@
 			m.logged("step", o.Step(ctx))
 			continue
 		}
-		if now := m.clock.Now(); now.Sub(tried) >= m.settings.AcquireEvery && m.suspects(now) && !m.draining.Load() {
-			// Spread out, so that the candidates of a shard don't all ask the store at the same moment.
-			tried = now.Add(rand.N(m.settings.AcquireEvery / 2))
-			m.logged("acquire", o.Acquire(ctx))
+		now := m.clock.Now()
+		if now.Before(next) || m.draining.Load() || !m.suspects(now) {
+			continue
+		}
+		err := o.Acquire(ctx)
+		m.logged("acquire", err)
+		failures++
+		if err == nil {
+			failures = 0
 		}
+		next = now.Add(acquireDelay(m.settings.AcquireEvery, failures))
 	}
 }
 
+// maxAcquireShift bounds the delay of candidates at 16 times the interval.
+const maxAcquireShift = 4
+
+// acquireDelay is the time to the next try of a candidate. It is spread, so that the candidates of a shard don't all ask
+// the store at the same moment, and grows while the store doesn't respond.
+func acquireDelay(interval time.Duration, failures int) time.Duration {
+	delay := interval << min(failures, maxAcquireShift)
+	return delay + rand.N(delay/2+1)
+}
+
 // suspects tells whether the owner may be gone: the local worker has had no reply for a while.
 func (m *Module) suspects(now time.Time) bool {
 	watcher, ok := kernel.Lookup[replyWatcher](m.context, "agent.runner")
