--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -20,6 +20,7 @@
 	c.evacuateBatch()
 	c.feedStarving(rest)
 	c.run(rest)
+	c.rebalance()
 	return c.plan
 }
 
@@ -62,9 +63,10 @@
 	if c.count(job); task.replaces == "" && job.indices[task.Index] {
 		return
 	}
-	if index < 0 || !c.place(task, index) {
-		c.makeRoom(task)
+	if index >= 0 && c.place(task, index) || !task.Preempts() {
+		return
 	}
+	c.makeRoom(task)
 }
 
 func (c *Cycle) wait(w Waiting) {
