Share the start of commands and the defaults of parameters

Cause: six commands repeated how a signal ends them and how they print an error, two stand-ins how they serve, six packages had a setDefault of their own, and the checksum and the format of attempt IDs stood twice. Change: kernel.Execute and kernel.ServeUntil, cmp.Or for defaults, one Checksum and one AttemptID in structs.

--- a/cmd/quetzalctl/main.go
+++ b/cmd/quetzalctl/main.go
@@ -6,28 +6,16 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
 	"github.com/quetzalshed/quetzalshed/kernel"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	err := command().ExecuteContext(ctx)
-	stop()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitStatus(err))
-	}
-}
+func main() { kernel.Execute(command(), exitStatus) }
 
 // options are the flags that all commands share.
 type options struct {
--- a/cmd/quetzalshed-replay/main.go
+++ b/cmd/quetzalshed-replay/main.go
@@ -2,9 +2,6 @@
 package main
 
 import (
-	"fmt"
-	"os"
-
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 
@@ -12,12 +9,7 @@
 	"github.com/quetzalshed/quetzalshed/replay"
 )
 
-func main() {
-	if err := command().Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+func main() { kernel.Execute(command(), kernel.Failure) }
 
 func command() *cobra.Command {
 	check := false
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/hex"
-	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -12,7 +10,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/quetzalshed/quetzalshed/routing"
@@ -42,7 +39,7 @@
 // newAttemptID returns an ID that is unique among the attempts of all entries. Its last part grows with each attempt of
 // this process, so that an agent which has forgotten an attempt recognizes it as an old one.
 func (f *Forwarder) newAttemptID() string {
-	return fmt.Sprintf("%s-%016x", f.opts.Incarnation, f.sequence.Add(1))
+	return structs.AttemptID(f.opts.Incarnation, uint64(f.sequence.Add(1)))
 }
 
 // newRequest returns an HTTP/1.1 request to an agent.
@@ -94,22 +91,12 @@
 	Load       *routing.Load
 }
 
-// Checksum returns the value of the header Quetzalshed-Checksum for a body.
-func Checksum(body []byte) string {
-	var sum [8]byte
-	value := xxhash.Sum64(body)
-	for i := range sum {
-		sum[i] = byte(value >> (56 - 8*i))
-	}
-	return hex.EncodeToString(sum[:])
-}
-
 // verify turns a message into the reply to an attempt, or reports why it can't be that.
 func verify(m *Message, attempt string) (*Reply, error) {
 	if got := m.Header.Get(structs.HeaderAttempt); got != attempt {
 		return nil, &AttemptError{Kind: FaultMixedUp, Cause: eris.Errorf("response with status %d to attempt %q", m.Status, got)}
 	}
-	if got := m.Header.Get(structs.HeaderChecksum); !strings.EqualFold(got, Checksum(m.Body)) {
+	if got := m.Header.Get(structs.HeaderChecksum); !strings.EqualFold(got, structs.Checksum(m.Body)) {
 		return nil, &AttemptError{Kind: FaultChecksum, Cause: eris.Errorf("checksum %q of %d bytes", got, len(m.Body))}
 	}
 	reply := &Reply{
--- a/kernel/command.go
+++ b/kernel/command.go
@@ -2,27 +2,58 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 )
 
 // Version is the released version of the project.
 const Version = "0.1.0"
 
-// Main runs the command of a role and exits the process.
+// Main runs the command of a role and exits the process on failure.
 func Main(role Role, short string) {
+	Execute(Command(role, short), Failure)
+}
+
+// Execute runs a command until it returns or the process is told to stop. On failure it prints the error and exits with
+// the status that it stands for.
+func Execute(command *cobra.Command, exitStatus func(error) int) {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := Command(role, short).ExecuteContext(ctx); err != nil {
+	err := command.ExecuteContext(ctx)
+	stop()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		stop()
-		os.Exit(1)
+		os.Exit(exitStatus(err))
+	}
+}
+
+// Failure is the exit status of commands that know only one.
+func Failure(error) int { return 1 }
+
+// ServeUntil serves HTTP on an address until ctx ends, and prints the address once it listens. It is meant for the
+// stand-ins, which need no graceful shutdown.
+func ServeUntil(ctx context.Context, address string, handler http.Handler) error {
+	const headerTimeout = 5 * time.Second
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrap(err, "listening")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	fmt.Fprintln(os.Stderr, "listening on", listener.Addr())
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrap(err, "serving")
 	}
+	return nil
 }
 
 // Command returns the command line of a role.
--- a/scheduler/guard/guard.go
+++ b/scheduler/guard/guard.go
@@ -74,25 +74,18 @@
 const MaxServices = 64
 
 func (r Rules) withDefaults() Rules {
-	setDefault(&r.ThrottleAt, DefaultThrottleAt)
-	setDefault(&r.EvictAt, DefaultEvictAt)
-	setDefault(&r.ReleaseAt, DefaultReleaseAt)
-	setDefault(&r.MemoryAt, DefaultMemoryAt)
-	setDefault(&r.StepAfter, DefaultStepAfter)
-	setDefault(&r.ReleaseAfter, DefaultReleaseAfter)
-	setDefault(&r.EvictAfter, DefaultEvictAfter)
-	setDefault(&r.EvictEvery, DefaultEvictEvery)
-	setDefault(&r.MaxAge, DefaultMaxAge)
+	r.ThrottleAt = cmp.Or(r.ThrottleAt, DefaultThrottleAt)
+	r.EvictAt = cmp.Or(r.EvictAt, DefaultEvictAt)
+	r.ReleaseAt = cmp.Or(r.ReleaseAt, DefaultReleaseAt)
+	r.MemoryAt = cmp.Or(r.MemoryAt, DefaultMemoryAt)
+	r.StepAfter = cmp.Or(r.StepAfter, DefaultStepAfter)
+	r.ReleaseAfter = cmp.Or(r.ReleaseAfter, DefaultReleaseAfter)
+	r.EvictAfter = cmp.Or(r.EvictAfter, DefaultEvictAfter)
+	r.EvictEvery = cmp.Or(r.EvictEvery, DefaultEvictEvery)
+	r.MaxAge = cmp.Or(r.MaxAge, DefaultMaxAge)
 	return r
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Input is what the worker measured.
 type Input struct {
 	Services []Service
--- a/scheduler/interference/config.go
+++ b/scheduler/interference/config.go
@@ -1,6 +1,9 @@
 package interference
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Bounds of a model.
 const (
@@ -68,18 +71,11 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Limit, DefaultLimit)
-	setDefault(&c.ObjectivePart, DefaultObjectivePart)
-	setDefault(&c.HalfLife, DefaultHalfLife)
-	setDefault(&c.MinSamples, DefaultMinSamples)
-	setDefault(&c.Settle, DefaultSettle)
-	setDefault(&c.BlockFor, DefaultBlockFor)
+	c.Limit = cmp.Or(c.Limit, DefaultLimit)
+	c.ObjectivePart = cmp.Or(c.ObjectivePart, DefaultObjectivePart)
+	c.HalfLife = cmp.Or(c.HalfLife, DefaultHalfLife)
+	c.MinSamples = cmp.Or(c.MinSamples, DefaultMinSamples)
+	c.Settle = cmp.Or(c.Settle, DefaultSettle)
+	c.BlockFor = cmp.Or(c.BlockFor, DefaultBlockFor)
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/scheduler/quarantine/config.go
+++ b/scheduler/quarantine/config.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Bounds of a model.
 const (
@@ -42,19 +45,12 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Jobs, DefaultJobs)
-	setDefault(&c.Workers, DefaultWorkers)
-	setDefault(&c.Window, DefaultWindow)
-	setDefault(&c.Backoff, DefaultBackoff)
-	setDefault(&c.MaxBackoff, DefaultMaxBackoff)
-	setDefault(&c.ProbeTimeout, DefaultProbeTimeout)
-	setDefault(&c.MaxShare, DefaultMaxShare)
+	c.Jobs = cmp.Or(c.Jobs, DefaultJobs)
+	c.Workers = cmp.Or(c.Workers, DefaultWorkers)
+	c.Window = cmp.Or(c.Window, DefaultWindow)
+	c.Backoff = cmp.Or(c.Backoff, DefaultBackoff)
+	c.MaxBackoff = cmp.Or(c.MaxBackoff, DefaultMaxBackoff)
+	c.ProbeTimeout = cmp.Or(c.ProbeTimeout, DefaultProbeTimeout)
+	c.MaxShare = cmp.Or(c.MaxShare, DefaultMaxShare)
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/scheduler/quarantine/retry.go
+++ b/scheduler/quarantine/retry.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"hash/fnv"
 	"time"
 
@@ -31,10 +32,10 @@
 // workers are no failures. The delay is spread by a quarter to either side, by task, so that the tasks of a job that
 // failed together don't start together; the same task and count give the same delay.
 func (p RetryPolicy) Next(task structs.TaskID, failures, declaredAttempts int) (time.Duration, bool) {
-	setDefault(&p.Base, DefaultRetryBase)
-	setDefault(&p.Max, DefaultRetryMax)
-	setDefault(&p.Attempts, DefaultAttempts)
-	setDefault(&p.MaxAttempts, DefaultMaxAttempts)
+	p.Base = cmp.Or(p.Base, DefaultRetryBase)
+	p.Max = cmp.Or(p.Max, DefaultRetryMax)
+	p.Attempts = cmp.Or(p.Attempts, DefaultAttempts)
+	p.MaxAttempts = cmp.Or(p.MaxAttempts, DefaultMaxAttempts)
 	limit := declaredAttempts
 	if limit <= 0 {
 		limit = p.Attempts
--- a/scheduler/rules.go
+++ b/scheduler/rules.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Defaults of Rules. They apply where the field is zero.
 const (
@@ -56,24 +59,17 @@
 
 // withDefaults returns the rules with each zero field replaced by its default.
 func (r Rules) withDefaults() Rules {
-	setDefault(&r.InterferenceLimit, DefaultInterferenceLimit)
-	setDefault(&r.ExplorationTasks, DefaultExplorationTasks)
-	setDefault(&r.ReturnRamp, DefaultReturnRamp)
-	setDefault(&r.EvacuationGrace, DefaultEvacuationGrace)
-	setDefault(&r.StarveAfter, DefaultStarveAfter)
-	setDefault(&r.EvictionsPerWorker, DefaultEvictionsPerWorker)
-	setDefault(&r.MaxPlacements, DefaultMaxPlacements)
-	setDefault(&r.MaxEvictions, DefaultMaxEvictions)
+	r.InterferenceLimit = cmp.Or(r.InterferenceLimit, DefaultInterferenceLimit)
+	r.ExplorationTasks = cmp.Or(r.ExplorationTasks, DefaultExplorationTasks)
+	r.ReturnRamp = cmp.Or(r.ReturnRamp, DefaultReturnRamp)
+	r.EvacuationGrace = cmp.Or(r.EvacuationGrace, DefaultEvacuationGrace)
+	r.StarveAfter = cmp.Or(r.StarveAfter, DefaultStarveAfter)
+	r.EvictionsPerWorker = cmp.Or(r.EvictionsPerWorker, DefaultEvictionsPerWorker)
+	r.MaxPlacements = cmp.Or(r.MaxPlacements, DefaultMaxPlacements)
+	r.MaxEvictions = cmp.Or(r.MaxEvictions, DefaultMaxEvictions)
 	return r
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // IsOut tells whether a failure domain is out of service.
 func (r *Rules) IsOut(domain string) bool {
 	_, out := r.Out[domain]
--- a/scheduler/sizing/sizing.go
+++ b/scheduler/sizing/sizing.go
@@ -51,23 +51,16 @@
 const rescaleAt = 16
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.CorePercentile, DefaultCorePercentile)
-	setDefault(&c.MemoryPercentile, DefaultMemoryPercentile)
-	setDefault(&c.CoreHeadroom, DefaultCoreHeadroom)
-	setDefault(&c.MemoryHeadroom, DefaultMemoryHeadroom)
-	setDefault(&c.HalfLife, DefaultHalfLife)
-	setDefault(&c.MinSamples, DefaultMinSamples)
-	setDefault(&c.Bound, DefaultBound)
+	c.CorePercentile = cmp.Or(c.CorePercentile, DefaultCorePercentile)
+	c.MemoryPercentile = cmp.Or(c.MemoryPercentile, DefaultMemoryPercentile)
+	c.CoreHeadroom = cmp.Or(c.CoreHeadroom, DefaultCoreHeadroom)
+	c.MemoryHeadroom = cmp.Or(c.MemoryHeadroom, DefaultMemoryHeadroom)
+	c.HalfLife = cmp.Or(c.HalfLife, DefaultHalfLife)
+	c.MinSamples = cmp.Or(c.MinSamples, DefaultMinSamples)
+	c.Bound = cmp.Or(c.Bound, DefaultBound)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Model learns the usage of job classes from lagged samples. It is not safe for concurrent use.
 type Model struct {
 	config  Config
