--- a/agent/runner/figures_test.go
+++ b/agent/runner/figures_test.go
@@ -99,7 +99,7 @@
 						}
 					}
 					stalled += max(0, others-running)
-					if taken == 0 && c.other2(former) != nil {
+					if taken == 0 && c.ownerBesides(former) != nil {
 						taken = c.clock.Now().Sub(killed)
 					}
 					if first == 0 && len(c.running("b")) > 0 {
--- a/agent/runner/model_test.go
+++ b/agent/runner/model_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
@@ -14,11 +13,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/quetzalshed/quetzalshed/config"
-	"github.com/quetzalshed/quetzalshed/platform/store"
 	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
 	"github.com/quetzalshed/quetzalshed/platform/worker/workertest"
-	"github.com/quetzalshed/quetzalshed/shard"
-	"github.com/quetzalshed/quetzalshed/shard/lifecycle"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
@@ -38,170 +34,6 @@
 	os.Exit(m.Run())
 }
 
-// oracle follows the log in the store and the starts on workers, and knows nothing else of the implementation.
-type oracle struct {
-	c *cluster
-	// fail reports a violation.
-	fail    func(format string, args ...any)
-	next    int64
-	tasks   map[structs.TaskID]*oracleTask
-	seen    map[*node]int
-	outFrom map[string]time.Time
-	kinds   map[string]structs.JobKind
-}
-
-type oracleTask struct {
-	finished   bool
-	checkpoint string
-	attempt    int
-	// worker and from are those of the newest start record.
-	worker, from string
-	// started counts the starts on workers by attempt.
-	started map[int]int
-}
-
-func newOracle(c *cluster, fail func(string, ...any)) *oracle {
-	o := &oracle{
-		c: c, fail: fail, next: 1, tasks: map[structs.TaskID]*oracleTask{}, seen: map[*node]int{},
-		outFrom: map[string]time.Time{}, kinds: map[string]structs.JobKind{},
-	}
-	c.check, c.keepTruncated = o.check, true
-	return o
-}
-
-func (o *oracle) task(id structs.TaskID) *oracleTask {
-	if o.tasks[id] == nil {
-		o.tasks[id] = &oracleTask{started: map[int]int{}}
-	}
-	return o.tasks[id]
-}
-
-// check compares the workers with the log after each tick.
-func (o *oracle) check() {
-	// Starts are compared with the log as it was before this tick, and then with the newest: a start that the older log
-	// forbids was ordered before the record that forbids it.
-	o.readLog()
-	places := map[structs.TaskID][]string{}
-	for _, n := range o.c.nodes {
-		for _, id := range n.worker.Running() {
-			task := taskOf(id)
-			places[task] = append(places[task], n.name)
-		}
-		if n.worker.Overcommitted() {
-			o.fail("worker %s holds more than its capacity: %+v", n.name, n.worker.Reserved())
-		}
-		starts := n.worker.Starts()
-		for _, spec := range starts[min(o.seen[n], len(starts)):] {
-			o.start(n, spec.ID, spec.CheckpointID)
-		}
-		o.seen[n] = len(starts)
-	}
-	for task, names := range places {
-		if len(names) > 1 {
-			o.fail("task %v runs on %v", task, names)
-		}
-	}
-}
-
-func taskOf(allocation string) structs.TaskID {
-	var id structs.TaskID
-	var attempt int
-	parts := strings.Split(allocation, ":")
-	id.JobID = parts[0]
-	_, _ = fmt.Sscan(parts[1], &id.Index)
-	_, _ = fmt.Sscan(parts[2], &attempt)
-	return id
-}
-
-func (o *oracle) start(n *node, allocation, checkpoint string) {
-	id := taskOf(allocation)
-	task := o.task(id)
-	var attempt int
-	_, _ = fmt.Sscan(allocation[strings.LastIndex(allocation, ":")+1:], &attempt)
-	task.started[attempt]++
-	switch {
-	case task.started[attempt] > 1:
-		o.fail("attempt %d of task %v was started %d times", attempt, id, task.started[attempt])
-	case attempt > task.attempt:
-		o.fail("attempt %d of task %v was started without a start record", attempt, id)
-	case attempt == task.attempt && task.worker != n.name:
-		o.fail("attempt %d of task %v was started on %s, the record says %s", attempt, id, n.name, task.worker)
-	case attempt == task.attempt && checkpoint != task.from:
-		o.fail("attempt %d of task %v started from %q, the newest checkpoint was %q", attempt, id, checkpoint, task.from)
-	case task.finished:
-		o.fail("finished task %v was started again", id)
-	}
-	if out, ok := o.outFrom[n.domain]; ok && o.c.clock.Now().Sub(out) > 3*time.Second+tick {
-		o.fail("task %v started in %s, which is out since %s", id, n.domain, o.c.clock.Now().Sub(out))
-	}
-}
-
-func (o *oracle) readLog() {
-	faults := o.c.store.Faults()
-	o.c.store.SetFaults(storetest.Faults{})
-	defer o.c.store.SetFaults(faults)
-	entries, err := o.c.store.List(context.Background(), "shards/0/log/")
-	if err != nil {
-		o.fail("reading the log: %v", err)
-	}
-	entries = append(o.c.truncated, entries...)
-	o.c.truncated = nil
-	slices.SortStableFunc(entries, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
-	for _, entry := range entries {
-		var record shard.Record
-		if err := json.Unmarshal(entry.Value, &record); err != nil {
-			o.fail("record %s: %v", entry.Key, err)
-		}
-		if record.Sequence < o.next {
-			continue
-		}
-		if record.Sequence != o.next {
-			o.fail("record %d is missing", o.next)
-		}
-		o.next++
-		for _, event := range record.Events {
-			o.apply(event)
-		}
-	}
-}
-
-func (o *oracle) apply(e lifecycle.Event) {
-	if e.Kind == lifecycle.EventAccept {
-		o.kinds[e.Job.ID] = e.Job.Kind
-		return
-	}
-	task := o.task(e.Task())
-	switch e.Kind {
-	case lifecycle.EventStart:
-		if task.finished {
-			o.fail("a start of the finished task %v is in the log", e.Task())
-		}
-		if e.Attempt != task.attempt+1 {
-			o.fail("attempt %d of task %v follows %d", e.Attempt, e.Task(), task.attempt)
-		}
-		task.attempt, task.worker, task.from = e.Attempt, e.Worker, task.checkpoint
-	case lifecycle.EventFinish:
-		if task.finished {
-			o.fail("task %v finished twice", e.Task())
-		}
-		task.finished = true
-	case lifecycle.EventCheckpoint, lifecycle.EventRequeue, lifecycle.EventFail:
-		if e.CheckpointID != "" {
-			o.progress(task, e)
-		}
-	}
-}
-
-// progress checks that a checkpoint in the log never replaces a newer one.
-func (o *oracle) progress(task *oracleTask, e lifecycle.Event) {
-	before, _ := workertest.ProgressOf(task.checkpoint)
-	after, err := workertest.ProgressOf(e.CheckpointID)
-	if err != nil || after < before {
-		o.fail("checkpoint %q of task %v replaces %q", e.CheckpointID, e.Task(), task.checkpoint)
-	}
-	task.checkpoint = e.CheckpointID
-}
-
 // model is the state machine: a cluster under faults.
 type model struct {
 	c      *cluster
--- a/agent/runner/rules_test.go
+++ b/agent/runner/rules_test.go
@@ -105,7 +105,7 @@
 	}
 	former.cutStore, former.cutPeers = true, true
 	cut := c.clock.Now()
-	assert.Assert(c.run(20*time.Second, func() bool { return c.other2(former) != nil }), qt.IsTrue)
+	assert.Assert(c.run(20*time.Second, func() bool { return c.ownerBesides(former) != nil }), qt.IsTrue)
 	// The former owner renews for its validity of 30 s after its last proof; the work stands still after that.
 	assert.Assert(c.run(60*time.Second, func() bool { return len(c.running("a")) == 0 }), qt.IsTrue)
 	still := c.clock.Now().Sub(cut)
@@ -115,8 +115,8 @@
 	assert.Assert(c.run(3*time.Minute, func() bool { return c.done("a") }), qt.IsTrue)
 }
 
-// other2 returns an owner besides the given one.
-func (c *cluster) other2(former *node) *node {
+// ownerBesides returns an owner besides the given one.
+func (c *cluster) ownerBesides(former *node) *node {
 	for _, n := range c.nodes {
 		if n != former && isOwner(n) {
 			return n
@@ -136,7 +136,7 @@
 	assert.Assert(c.run(20*time.Second, func() bool { return len(c.running("a")) == 6 }), qt.IsTrue)
 	c.run(2*time.Second, func() bool { return false })
 	former.kill()
-	assert.Assert(c.run(10*time.Second, func() bool { return c.other2(former) != nil }), qt.IsTrue)
+	assert.Assert(c.run(10*time.Second, func() bool { return c.ownerBesides(former) != nil }), qt.IsTrue)
 	c.submit(t, `{"id":"b","team":"t","kind":"batch","tasks":2,"resources":{"milli_cores":1000,"memory_mb":500},"command":"run=5s"}`)
 	assert.Assert(c.run(15*time.Second, func() bool { return c.done("b") }), qt.IsTrue)
 	assert.Assert(c.run(80*time.Second, func() bool { return c.done("a") }), qt.IsTrue)
--- a/shard/lifecycle/machine_test.go
+++ b/shard/lifecycle/machine_test.go
@@ -151,7 +151,7 @@
 		c.Assert(f.task().State, qt.Equals, structs.TaskStarting)
 	}
 	f.now = f.now.Add(100 * time.Millisecond)
-	f.beat2("w")
+	f.beatWithoutStarts("w")
 	f.pass(0)
 	c.Assert(f.task().State, qt.Equals, structs.TaskPending)
 }
@@ -161,8 +161,8 @@
 	return f.sequence
 }
 
-// beat2 sends a heartbeat while starts are not allowed.
-func (f *fixture) beat2(worker string) {
+// beatWithoutStarts sends a heartbeat while starts are not allowed.
+func (f *fixture) beatWithoutStarts(worker string) {
 	_, _ = f.Heartbeat(f.now, f.now, structs.Heartbeat{
 		Worker: structs.Worker{Name: worker}, Incarnation: "i", Sequence: f.nextSequence(), Epoch: 7,
 	}, true, false)
