Restrict services to the failure domains of their rules, and wait longer for replicas

Cause: failure_domains of a service had no effect; and the margin after a replica's lease (3 s) was shorter than the 60 s for which an agent renews it on the worker, so that an index could have been used again while a paused agent's replica still ran. Ruled out: shorter renewals, since a replica has to outlive a restart of the agent. Change: the plan sees a service's job with the rule's domains unless the job has its own; a margin of 61 s for replicas.

--- a/shard/learned_test.go
+++ b/shard/learned_test.go
@@ -74,3 +74,19 @@
 	view := &lifecycle.View{Worker: structs.Worker{Name: "w"}, Services: []structs.ServiceLatency{{Service: "svc"}}}
 	c.Assert(upstreams(view)[0].Job.Class, qt.Equals, "svc")
 }
+
+// Guards against a rule on the failure domains of a service that has no effect, or that overrides the job's own.
+func TestRulesRestrictServices(t *testing.T) {
+	c := qt.New(t)
+	rules := learnRules()
+	rules.Services[0].FailureDomains = []string{"north"}
+	specs := specifications{rules: rules, restricted: map[string]*structs.Job{}}
+	job := &structs.Job{ID: "j", Name: "svc", Kind: structs.KindService}
+	c.Assert(specs.of(job).Constraints.FailureDomains, qt.DeepEquals, []string{"north"})
+	c.Assert(specs.of(job) == specs.of(job), qt.IsTrue)
+	c.Assert(job.Constraints.FailureDomains, qt.HasLen, 0)
+	own := &structs.Job{ID: "k", Name: "svc", Kind: structs.KindService, Constraints: structs.Constraints{FailureDomains: []string{"south"}}}
+	c.Assert(specs.of(own) == own, qt.IsTrue)
+	batch := &structs.Job{ID: "l", Name: "svc", Kind: structs.KindBatch}
+	c.Assert(specs.of(batch) == batch, qt.IsTrue)
+}
--- a/shard/lifecycle/heartbeat.go
+++ b/shard/lifecycle/heartbeat.go
@@ -233,7 +233,7 @@
 
 // extend covers a renewal by a heartbeat that was sent at now or earlier.
 func (m *Machine) extend(live *Live, now time.Time) {
-	until := now.Add(m.leaseOf(live.Alloc.Kind) + m.settings.Margin)
+	until := now.Add(m.leaseOf(live.Alloc.Kind) + m.settings.marginOf(live.Alloc.Kind))
 	if until.After(live.Until) {
 		live.Until = until
 	}
--- a/shard/lifecycle/machine.go
+++ b/shard/lifecycle/machine.go
@@ -114,7 +114,7 @@
 	alloc := m.allocation(job, id, task)
 	m.live[alloc.ID] = &Live{
 		Alloc: alloc, Adopted: true, State: structs.TaskStarting, Progress: task.Progress,
-		Until: now.Add(former.OwnerValidity + lease + m.settings.Margin),
+		Until: now.Add(former.OwnerValidity + lease + m.settings.marginOf(job.Spec.Kind)),
 	}
 }
 
--- a/shard/lifecycle/settings.go
+++ b/shard/lifecycle/settings.go
@@ -1,6 +1,10 @@
 package lifecycle
 
-import "time"
+import (
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+)
 
 // Settings holds the periods of leases.
 type Settings struct {
@@ -9,6 +13,9 @@
 	// Margin is added to a lease before its end is relied on. It covers one renewal on the worker that a pause of the
 	// agent delayed (agents renew for at most 2 s at a time), and 1 s of clock drift.
 	Margin time.Duration
+	// ServiceMargin is the same for replicas of services, whose leases on the worker agents renew for up to 60 s at a time,
+	// so that they outlive a restart of the agent.
+	ServiceMargin time.Duration
 	// ServiceLease is how long a service replica continues without contact to an owner.
 	ServiceLease time.Duration
 	// OwnerValidity is how long an owner renews leases after the newest proof of its ownership.
@@ -22,7 +29,7 @@
 // DefaultSettings returns the periods of the design.
 func DefaultSettings() Settings {
 	return Settings{
-		Lease: 4 * time.Second, Margin: 3 * time.Second, ServiceLease: 600 * time.Second,
+		Lease: 4 * time.Second, Margin: 3 * time.Second, ServiceMargin: 61 * time.Second, ServiceLease: 600 * time.Second,
 		OwnerValidity: 30 * time.Second, EvacuationBatch: 32, Retention: 24 * time.Hour,
 	}
 }
@@ -40,3 +47,10 @@
 func (s Settings) Former() Former {
 	return Former{OwnerValidity: s.OwnerValidity, Lease: s.Lease, ServiceLease: s.ServiceLease}
 }
+
+func (s Settings) marginOf(kind structs.JobKind) time.Duration {
+	if kind == structs.KindService {
+		return s.ServiceMargin
+	}
+	return s.Margin
+}
--- a/shard/snapshot.go
+++ b/shard/snapshot.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/quetzalshed/quetzalshed/config"
 	"github.com/quetzalshed/quetzalshed/scheduler"
 	"github.com/quetzalshed/quetzalshed/shard/lifecycle"
 	"github.com/quetzalshed/quetzalshed/structs"
@@ -15,6 +16,7 @@
 	m := t.machine
 	input.Rules, input.Quotas = o.settled.Rules()
 	leaving := false
+	specs := specifications{rules: o.settled.Policy(), restricted: map[string]*structs.Job{}}
 	for _, name := range slices.Sorted(maps.Keys(m.Workers())) {
 		view := m.Workers()[name]
 		w := scheduler.WorkerView{
@@ -25,7 +27,9 @@
 			w.Reported = false
 		}
 		for _, h := range m.Held(name) {
-			w.Running = append(w.Running, runningTask(m, h))
+			running := runningTask(m, h)
+			running.Job = specs.of(running.Job)
+			w.Running = append(w.Running, running)
 		}
 		leaves := view.Draining || o.settled.Out(view.Worker.FailureDomain)
 		leaving = leaving || (leaves && len(w.Running) > 0)
@@ -41,13 +45,40 @@
 		if p.State.Since.IsZero() {
 			p.State.Since = now
 		}
-		input.Pending = append(input.Pending, pendingTask(p))
+		task := pendingTask(p)
+		task.Job = specs.of(task.Job)
+		input.Pending = append(input.Pending, task)
 		peaks[p.Task] = p.State.Peak
 	}
 	t.learned.prepare(&input, peaks, now)
 	return input, leaving || len(input.Pending) > 0
 }
 
+// specifications adds what the rules say of services to their jobs. All tasks of a job share one specification.
+type specifications struct {
+	rules      config.Rules
+	restricted map[string]*structs.Job
+}
+
+// of returns the job, or a copy that is restricted to the failure domains of the service's rules. Constraints of the job
+// itself come first.
+func (s *specifications) of(job *structs.Job) *structs.Job {
+	if job.Kind != structs.KindService || len(job.Constraints.FailureDomains) > 0 {
+		return job
+	}
+	if known := s.restricted[job.ID]; known != nil {
+		return known
+	}
+	result := job
+	if service, _, ok := s.rules.Service(job.Name); ok && len(service.FailureDomains) > 0 {
+		limited := *job
+		limited.Constraints.FailureDomains = service.FailureDomains
+		result = &limited
+	}
+	s.restricted[job.ID] = result
+	return result
+}
+
 // upstreams describes the upstreams beside a worker, so that batch is placed with regard to them. They are no
 // allocations: they hold nothing here and the scheduler must not replace them, hence the state.
 func upstreams(view *lifecycle.View) []scheduler.RunningTask {
