Require modules by one function

Cause: six modules repeated how a missing module is reported. Ruled out: panics in Lookup, since a wrong build must name the module. Change: kernel.Require.

--- a/agent/runner/module.go
+++ b/agent/runner/module.go
@@ -98,17 +98,17 @@
 func (m *Module) Provision(c *kernel.Context) error {
 	m.context, m.clock, m.log = c, c.Clock, c.Log.Named("runner")
 	m.scope = c.Metrics.SubScope("runner")
-	stores, ok := kernel.Lookup[storeHolder](c, storemodule.Name)
-	if !ok {
-		return eris.Errorf("module %s is required", storemodule.Name)
+	stores, err := kernel.Require[storeHolder](c, storemodule.Name)
+	if err != nil {
+		return err
 	}
-	configs, ok := kernel.Lookup[configHolder](c, configmodule.Name)
-	if !ok {
-		return eris.Errorf("module %s is required", configmodule.Name)
+	configs, err := kernel.Require[configHolder](c, configmodule.Name)
+	if err != nil {
+		return err
 	}
-	owners, ok := kernel.Lookup[ownersHolder](c, gossip.Name)
-	if !ok {
-		return eris.Errorf("module %s is required", gossip.Name)
+	owners, err := kernel.Require[ownersHolder](c, gossip.Name)
+	if err != nil {
+		return err
 	}
 	if m.settings.Worker == "" {
 		m.settings.Worker = c.Process.Name
--- a/config/configmodule/module.go
+++ b/config/configmodule/module.go
@@ -11,7 +11,6 @@
 
 	"github.com/gorilla/mux"
 	"github.com/hashicorp/go-hclog"
-	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/quetzalshed/quetzalshed/clock"
@@ -69,9 +68,9 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(c *kernel.Context) error {
-	holder, ok := kernel.Lookup[storeHolder](c, storemodule.Name)
-	if !ok {
-		return eris.Errorf("module %s is required", storemodule.Name)
+	holder, err := kernel.Require[storeHolder](c, storemodule.Name)
+	if err != nil {
+		return err
 	}
 	m.clock, m.log, m.scope = c.Clock, c.Log.Named(Name), c.Metrics.SubScope("config")
 	m.store = holder.Store()
--- a/entry/jobs/module.go
+++ b/entry/jobs/module.go
@@ -55,17 +55,17 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(c *kernel.Context) error {
-	stores, ok := kernel.Lookup[storeHolder](c, storemodule.Name)
-	if !ok {
-		return eris.Errorf("module %s is required", storemodule.Name)
+	stores, err := kernel.Require[storeHolder](c, storemodule.Name)
+	if err != nil {
+		return err
 	}
-	configs, ok := kernel.Lookup[configHolder](c, configmodule.Name)
-	if !ok {
-		return eris.Errorf("module %s is required", configmodule.Name)
+	configs, err := kernel.Require[configHolder](c, configmodule.Name)
+	if err != nil {
+		return err
 	}
-	owners, ok := kernel.Lookup[ownersHolder](c, gossip.Name)
-	if !ok {
-		return eris.Errorf("module %s is required", gossip.Name)
+	owners, err := kernel.Require[ownersHolder](c, gossip.Name)
+	if err != nil {
+		return err
 	}
 	m.scope = c.Metrics.SubScope("jobs")
 	client := shard.NewClient(owners.Owners(), stores.Store(), c.Clock)
--- a/entry/operators/module.go
+++ b/entry/operators/module.go
@@ -51,9 +51,9 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(c *kernel.Context) error {
-	holder, ok := kernel.Lookup[configHolder](c, configmodule.Name)
-	if !ok {
-		return eris.Errorf("module %s is required", configmodule.Name)
+	holder, err := kernel.Require[configHolder](c, configmodule.Name)
+	if err != nil {
+		return err
 	}
 	m.log, m.scope = c.Log.Named("operators"), c.Metrics.SubScope("operators")
 	m.follower, m.acceptor = holder.Follower(), holder.Acceptor()
--- a/gossip/module.go
+++ b/gossip/module.go
@@ -70,9 +70,9 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(c *kernel.Context) error {
-	holder, ok := kernel.Lookup[configHolder](c, configmodule.Name)
-	if !ok {
-		return eris.Errorf("module %s is required", configmodule.Name)
+	holder, err := kernel.Require[configHolder](c, configmodule.Name)
+	if err != nil {
+		return err
 	}
 	if c.Process.Listen.Addr().IsUnspecified() {
 		return eris.Errorf("[process] listen: peers can't reach %s; an address of this host is required", c.Process.Listen)
--- a/kernel/context.go
+++ b/kernel/context.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/gorilla/mux"
 	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace"
 
@@ -38,3 +39,12 @@
 	found, ok = module.(T)
 	return found, ok
 }
+
+// Require returns the module of a name as type T, or an error that names it.
+func Require[T any](c *Context, name string) (T, error) {
+	found, ok := Lookup[T](c, name)
+	if !ok {
+		return found, eris.Errorf("module %s is required", name)
+	}
+	return found, nil
+}
--- a/shard/module.go
+++ b/shard/module.go
@@ -89,16 +89,16 @@
 func (m *Module) Provision(c *kernel.Context) error {
 	m.context, m.clock, m.log = c, c.Clock, c.Log.Named("shard")
 	m.scope = c.Metrics.SubScope("shard")
-	stores, ok := kernel.Lookup[storeHolder](c, storemodule.Name)
-	if !ok {
-		return eris.Errorf("module %s is required", storemodule.Name)
+	stores, err := kernel.Require[storeHolder](c, storemodule.Name)
+	if err != nil {
+		return err
 	}
-	if m.config, ok = kernel.Lookup[configHolder](c, configmodule.Name); !ok {
-		return eris.Errorf("module %s is required", configmodule.Name)
+	if m.config, err = kernel.Require[configHolder](c, configmodule.Name); err != nil {
+		return err
 	}
-	owners, ok := kernel.Lookup[ownersHolder](c, gossip.Name)
-	if !ok {
-		return eris.Errorf("module %s is required", gossip.Name)
+	owners, err := kernel.Require[ownersHolder](c, gossip.Name)
+	if err != nil {
+		return err
 	}
 	m.store, m.owners = stores.Store(), owners.Owners()
 	if m.settings.Worker == "" {
