--- a/entry/operators/module.go
+++ b/entry/operators/module.go
@@ -6,7 +6,6 @@
 	"net/http"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/quetzalshed/quetzalshed/config"
--- a/shard/module.go
+++ b/shard/module.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/quetzalshed/quetzalshed/clock"
