Reject a drain limit that the notice uses up

Ruled out: a slow machine alone; with these settings each stop with an open connection fails. Change: the settings are checked, with a test; the failing test now gives a notice of 0 and a limit of 10 s.

--- a/cmd/quetzalctl/command_test.go
+++ b/cmd/quetzalctl/command_test.go
@@ -71,7 +71,8 @@
 failure_domain = patan
 listen = %s
 admin_listen = %s
-drain_limit = 1s
+drain_notice = 0s
+drain_limit = 10s
 log_level = error
 [store]
 address = %s
--- a/entry/jobs/module.go
+++ b/entry/jobs/module.go
@@ -7,7 +7,6 @@
 	"net/http"
 
 	"github.com/gorilla/mux"
-	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/quetzalshed/quetzalshed/config"
--- a/kernel/process.go
+++ b/kernel/process.go
@@ -18,6 +18,7 @@
 	"go.uber.org/multierr"
 
 	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/findings"
 	"github.com/quetzalshed/quetzalshed/settings"
 )
 
@@ -41,6 +42,14 @@
 	DrainLimit time.Duration `ini:"drain_limit" default:"65s" min:"1s" max:"30m"`
 }
 
+// CheckSettings implements settings.Checker. A notice that takes up the whole limit would leave no time to close
+// connections, and every stop would count as unclean.
+func (p *ProcessSettings) CheckSettings(place func(key string) findings.Place, found *findings.List) {
+	if p.DrainNotice >= p.DrainLimit {
+		found.Addf(place("drain_limit"), "%v must be more than drain_notice, which is %v", p.DrainLimit, p.DrainNotice)
+	}
+}
+
 // Process is one running process.
 type Process struct {
 	context   *Context
--- a/kernel/process_test.go
+++ b/kernel/process_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 
@@ -112,6 +113,13 @@
 	qt.Assert(t, err, qt.ErrorMatches, `(?s).*fleet: required.*\[a\] value: 9 is above.*\[b\] value: "x" is not.*`)
 }
 
+// Guards against a limit that ends a shutdown before the notice has passed, so that each stop counts as unclean.
+func TestDrainLimitExceedsNotice(t *testing.T) {
+	registerRecorders(t, map[string][]string{"a": nil}, nil)
+	_, err := LoadProcess(testRole, writeSettings(t, strings.Replace(validProcess, "drain_notice = 0s", "drain_limit = 1s", 1)))
+	qt.Assert(t, err, qt.ErrorMatches, `.*drain_limit: 1s must be more than drain_notice, which is 2s`)
+}
+
 // Guards against a process that reports ready while it drains, and against connections that stay open then.
 func TestNotReadyWhileDraining(t *testing.T) {
 	c := qt.New(t)
--- a/shard/learned_test.go
+++ b/shard/learned_test.go
@@ -83,7 +83,8 @@
 	specs := specifications{rules: rules, restricted: map[string]*structs.Job{}}
 	job := &structs.Job{ID: "j", Name: "svc", Kind: structs.KindService}
 	c.Assert(specs.of(job).Constraints.FailureDomains, qt.DeepEquals, []string{"north"})
-	c.Assert(specs.of(job) == specs.of(job), qt.IsTrue)
+	first := specs.of(job)
+	c.Assert(specs.of(job) == first, qt.IsTrue)
 	c.Assert(job.Constraints.FailureDomains, qt.HasLen, 0)
 	own := &structs.Job{ID: "k", Name: "svc", Kind: structs.KindService, Constraints: structs.Constraints{FailureDomains: []string{"south"}}}
 	c.Assert(specs.of(own) == own, qt.IsTrue)
