Send changes of allocations instead of all of them

Cause: a heartbeat left its state out only when nothing had changed, so that under churn each one carried all allocations of the worker. Ruled out: sending new allocations by ID only, since an owner must be able to take over work that it didn't start. Change: package shard/heartbeat holds both sides; a heartbeat carries new, changed and gone allocations against the one directly before. Conclusion: kept, since it removes a copy of the protocol from two packages and bounds the cost of workers with many tasks.

--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -14,6 +14,7 @@
 
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/platform/worker"
+	"github.com/quetzalshed/quetzalshed/shard/heartbeat"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
@@ -84,7 +85,7 @@
 
 	mu        sync.Mutex
 	ledger    *Ledger
-	compactor compactor
+	compactor heartbeat.Compactor
 	recovered bool
 	began     time.Time
 	// trusted is set once the epochs that this process could accept exclude all owners that an earlier process left.
@@ -143,18 +144,17 @@
 		hb.Services = r.services()
 	}
 	hb.HeadRevision = r.settled.Revision()
-	wire := r.compactor.compact(hb)
-	r.compactor.failed()
+	wire := r.compactor.Compact(hb)
 	r.mu.Unlock()
 	reply, err := r.transport.Heartbeat(ctx, r.ledger.shard, wire)
 	if err != nil {
 		return err
 	}
-	kept(hb, &reply)
+	heartbeat.Kept(hb, &reply)
 	r.mu.Lock()
 	applied := reply.Sequence == hb.Sequence && r.ledger.Apply(reply, r.clock.Now())
 	if applied {
-		r.compactor.answered(hb, reply.Epoch)
+		r.compactor.Answered(hb, reply.Epoch)
 	}
 	r.mu.Unlock()
 	if !applied {
--- a/shard/step.go
+++ b/shard/step.go
@@ -11,6 +11,8 @@
 	"go.uber.org/multierr"
 
 	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/shard/heartbeat"
+	"github.com/quetzalshed/quetzalshed/shard/lifecycle"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
@@ -250,7 +252,7 @@
 	// The clock is read after the wait for the mutex, so that a pause in between can't renew too late.
 	now := o.clock.Now()
 	renew := t.valid(now, o.config.Lifecycle.OwnerValidity)
-	if err := expand(t.machine.Workers()[hb.Worker.Name], &hb); err != nil {
+	if err := heartbeat.Expand(baseOf(t.machine.Workers()[hb.Worker.Name]), &hb); err != nil {
 		return structs.HeartbeatReply{}, err
 	}
 	stated := hb.Worker
@@ -266,11 +268,21 @@
 		// The report is kept, so that work which agents have suspended isn't given up once the store is back.
 		return structs.HeartbeatReply{}, ErrNotOwner
 	}
-	shorten(hb, &reply)
+	heartbeat.Shorten(hb, &reply)
 	o.settled.Attach(&reply, hb.HeadRevision)
 	return reply, nil
 }
 
+// baseOf returns the heartbeat on which the next one of a worker may build, nil when there is none under this epoch.
+func baseOf(view *lifecycle.View) *heartbeat.Base {
+	if view == nil || !view.Current {
+		return nil
+	}
+	return &heartbeat.Base{
+		Incarnation: view.Incarnation, Sequence: view.Sequence, Worker: view.Stated, Running: view.Running,
+	}
+}
+
 // identify replaces what a worker says of its place and size by what the inventory says, where that is known. The
 // capacity is the smaller of both, since the agent refuses what exceeds its own.
 func (o *Owner) identify(w *structs.Worker) {
--- a/structs/heartbeat.go
+++ b/structs/heartbeat.go
@@ -58,9 +58,11 @@
 	// StartedUnixNano orders incarnations of one agent.
 	StartedUnixNano int64 `json:"started_unix_nano"`
 	Sequence        int64 `json:"sequence"`
-	// Base is the sequence of the heartbeat whose worker and running allocations still hold and are left out; 0 means
-	// that the heartbeat is complete.
+	// Base is the sequence of the heartbeat on which this one builds: Worker has only its name, and Running only
+	// what is new or has changed. 0 means that the heartbeat is complete.
 	Base int64 `json:"base,omitempty"`
+	// Gone lists the allocations of the base that the agent no longer holds.
+	Gone []string `json:"gone,omitempty"`
 	// Epoch is the highest epoch of the shard that the agent had accepted when it sent the heartbeat.
 	Epoch    int64             `json:"epoch"`
 	Usage    []TaskUsage       `json:"usage,omitempty"`
