Test guarantees across packages with separate processes

Cause: P5 to P9 between an entry and an agent, and P2 to P4 and P10 between an owner, agents and a store that only some processes reach, were checked by scripts/faults alone, which go test doesn't run. Ruled out: several processes in one binary, since their metrics would be registered twice; the test binary runs itself.

--- /dev/null
+++ b/test/guarantees/fleet_test.go
@@ -0,0 +1,384 @@
+// Package guarantees_test proves guarantees of docs/design.md across packages: entries and agents run as separate
+// processes of this test binary, the store, the workers and the upstreams are stand-ins within the test, and each process
+// reaches the store, and is reached by requests, through a faultnet forwarder of its own.
+package guarantees_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	_ "github.com/quetzalshed/quetzalshed/agent/announcer"
+	_ "github.com/quetzalshed/quetzalshed/agent/requests"
+	"github.com/quetzalshed/quetzalshed/agent/requests/upstreamtest"
+	_ "github.com/quetzalshed/quetzalshed/agent/runner"
+	"github.com/quetzalshed/quetzalshed/clock"
+	_ "github.com/quetzalshed/quetzalshed/config/configmodule"
+	_ "github.com/quetzalshed/quetzalshed/entry/jobs"
+	_ "github.com/quetzalshed/quetzalshed/entry/operators"
+	_ "github.com/quetzalshed/quetzalshed/entry/requests"
+	_ "github.com/quetzalshed/quetzalshed/gossip"
+	"github.com/quetzalshed/quetzalshed/kernel"
+	_ "github.com/quetzalshed/quetzalshed/platform/store/storemodule"
+	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+	"github.com/quetzalshed/quetzalshed/platform/worker/workertest"
+	_ "github.com/quetzalshed/quetzalshed/scheduler/plugins"
+	_ "github.com/quetzalshed/quetzalshed/shard"
+	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/test/faultnet"
+)
+
+// Environment variables with which the test binary runs as a process of a fleet.
+const (
+	roleVariable     = "QUETZALSHED_TEST_ROLE"
+	settingsVariable = "QUETZALSHED_TEST_SETTINGS"
+)
+
+func TestMain(m *testing.M) {
+	role := os.Getenv(roleVariable)
+	if role == "" {
+		os.Exit(m.Run())
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	process, err := kernel.LoadProcess(kernel.Role(role), os.Getenv(settingsVariable))
+	if err == nil {
+		err = process.Run(ctx)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// process is an entry or an agent in a process of its own.
+type process struct {
+	c             *qt.C
+	role          kernel.Role
+	name          string
+	listen, admin string
+	settings      string
+	cmd           *exec.Cmd
+	// store is the way to the store.
+	store *faultnet.Forwarder
+}
+
+// host is a worker, an upstream, and the agent beside them.
+type host struct {
+	*process
+	domain string
+	// front is the way of requests to the agent.
+	front  *faultnet.Forwarder
+	worker *workertest.Worker
+	// workerAddress is that of the worker's API.
+	workerAddress string
+	upstream      *upstreamtest.Server
+	registrar     *upstreamtest.Registrar
+	// unregister ends the renewals of the upstream's registration.
+	unregister context.CancelFunc
+}
+
+type fleet struct {
+	c       *qt.C
+	store   *storetest.Store
+	entries []*process
+	hosts   []*host
+}
+
+const capacity = 4000 // thousandths of a core of each worker
+
+// newFleet starts two entries and a number of hosts in as many failure domains, and waits until all of them work together.
+func newFleet(t *testing.T, hosts int) *fleet {
+	c := qt.New(t)
+	f := &fleet{c: c, store: storetest.New(clock.System{})}
+	server := httptest.NewServer(f.store.Handler())
+	t.Cleanup(server.Close)
+	storeAddress := server.Listener.Addr().String()
+	var peers []string
+	for i := range 2 {
+		p := f.newProcess(kernel.RoleEntry, fmt.Sprint("entry-", i), storeAddress)
+		f.entries = append(f.entries, p)
+		peers = append(peers, p.listen)
+	}
+	for i, p := range f.entries {
+		p.configure(fmt.Sprint("d", i), strings.Join(peers, ", "), "[entry.requests]\ndrain_grace = 500ms\n")
+		p.start()
+	}
+	inventory := "worker,address,agent_address,failure_domain,rack,cores,memory_mb,accelerators,accelerator_kind\n"
+	for i := range hosts {
+		h := f.newHost(fmt.Sprint("d", i), i, storeAddress, strings.Join(peers, ", "))
+		f.hosts = append(f.hosts, h)
+		inventory += fmt.Sprintf("%s,%s,%s,%s,r%d,4,8000,0,\n", h.name, h.workerAddress, h.listen, h.domain, i)
+	}
+	for i, p := range f.entries {
+		f.eventually(fmt.Sprint("entry ", i, " listens"), func() bool { return p.answers("/v1/config") })
+	}
+	f.operate(0, http.MethodPut, "/v1/config/inventory?base=0&format=csv", inventory)
+	f.operate(0, http.MethodPut, "/v1/config/rules?base=1",
+		"[cluster]\ntask_lease = 2s\nowner_validity = 3s\n[team t]\ncores = 1000\nmemory_mb = 1000000\n")
+	for i := range f.entries {
+		f.eventually("each upstream is announced", func() bool {
+			return f.call(i, "warm", "warm", nil).outcome == structs.OutcomeAnswered
+		})
+	}
+	return f
+}
+
+func (f *fleet) newProcess(role kernel.Role, name, storeAddress string) *process {
+	p := &process{c: f.c, role: role, name: name, listen: freeAddress(f.c), admin: freeAddress(f.c)}
+	p.store = f.forward(storeAddress)
+	p.settings = filepath.Join(f.c.TB.(*testing.T).TempDir(), name+".ini")
+	return p
+}
+
+func (f *fleet) forward(target string) *faultnet.Forwarder {
+	forwarder, err := faultnet.Listen(target)
+	f.c.Assert(err, qt.IsNil)
+	f.c.Cleanup(forwarder.Close)
+	return forwarder
+}
+
+func (f *fleet) newHost(domain string, i int, storeAddress, peers string) *host {
+	h := &host{process: f.newProcess(kernel.RoleAgent, fmt.Sprint("w", i), storeAddress), domain: domain}
+	h.front = f.forward(h.listen)
+	h.worker = workertest.New(clock.System{}, structs.Resources{MilliCores: capacity, MemoryMB: 8000})
+	server := httptest.NewServer(h.worker.Handler())
+	f.c.Cleanup(server.Close)
+	h.workerAddress = server.Listener.Addr().String()
+	h.configure(domain, peers, fmt.Sprintf(`[agent.announcer]
+entries = %s
+address = %s
+[agent.runner]
+worker_address = %s
+rack = r%d
+milli_cores = %d
+memory_mb = 8000
+[agent.requests]
+linger = 300ms
+`, peers, h.front.Address(), h.workerAddress, i, capacity))
+	h.start()
+	var err error
+	h.upstream, err = upstreamtest.Listen("127.0.0.1:0", upstreamtest.Behaviour{}, uint64(i)+1)
+	f.c.Assert(err, qt.IsNil)
+	f.c.Cleanup(h.upstream.Close)
+	h.registrar = &upstreamtest.Registrar{Agent: h.listen, Registration: structs.UpstreamRegistration{
+		Service: "price", Address: h.upstream.Address(), Slots: 8, Connections: 64,
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	h.unregister = cancel
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		h.registrar.Run(ctx)
+	}()
+	f.c.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	f.eventually("the upstream is registered", func() bool {
+		_, err := h.registrar.Register(context.Background())
+		return err == nil
+	})
+	return h
+}
+
+// freeAddress returns a loopback address that nothing listened on a moment ago.
+func freeAddress(c *qt.C) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func (p *process) configure(domain, peers, more string) {
+	text := fmt.Sprintf(`[process]
+name = %s
+fleet = test
+failure_domain = %s
+listen = %s
+admin_listen = %s
+drain_notice = 1s
+drain_limit = 20s
+log_level = error
+[store]
+address = %s
+[config]
+poll_interval = 100ms
+[gossip]
+peers = %s
+interval = 100ms
+%s`, p.name, domain, p.listen, p.admin, p.store.Address(), peers, more)
+	p.c.Assert(os.WriteFile(p.settings, []byte(text), 0o600), qt.IsNil)
+}
+
+// start runs the process until it is killed, stopped or the test ends.
+func (p *process) start() {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), roleVariable+"="+string(p.role), settingsVariable+"="+p.settings)
+	cmd.Stderr = os.Stderr
+	p.c.Assert(cmd.Start(), qt.IsNil)
+	p.cmd = cmd
+	p.c.Cleanup(func() {
+		if p.cmd == cmd {
+			p.kill()
+		}
+	})
+}
+
+// kill ends the process without notice.
+func (p *process) kill() {
+	if p.cmd == nil {
+		return
+	}
+	_ = p.cmd.Process.Kill()
+	_ = p.cmd.Wait()
+	p.cmd = nil
+}
+
+func (p *process) signal(s syscall.Signal) { p.c.Assert(p.cmd.Process.Signal(s), qt.IsNil) }
+
+// freeze stops the process from running until thaw.
+func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
+func (p *process) thaw()   { p.signal(syscall.SIGCONT) }
+
+// stop ends the process gracefully and returns what it reported.
+func (p *process) stop() error {
+	cmd := p.cmd
+	p.cmd = nil
+	p.c.Assert(cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	return cmd.Wait()
+}
+
+// cutStore breaks the way to the store until mendStore.
+func (p *process) cutStore() {
+	p.store.SetRefuse(true)
+	p.store.Cut()
+}
+func (p *process) mendStore() { p.store.SetRefuse(false) }
+
+var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 30 * time.Second}
+
+func (p *process) answers(path string) bool {
+	response, err := client.Get("http://" + p.listen + path)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (p *process) ready() bool {
+	response, err := client.Get("http://" + p.admin + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// head returns what an entry holds as the configuration head.
+func (p *process) head() (revision int64, out map[string]bool, ok bool) {
+	response, err := client.Get("http://" + p.listen + "/v1/config")
+	if err != nil {
+		return 0, nil, false
+	}
+	defer func() { _ = response.Body.Close() }()
+	var status struct {
+		Head struct {
+			Revision int64 `json:"revision"`
+			Domains  map[string]struct {
+				Out bool `json:"out"`
+			} `json:"domains"`
+		} `json:"head"`
+	}
+	if json.NewDecoder(response.Body).Decode(&status) != nil {
+		return 0, nil, false
+	}
+	out = map[string]bool{}
+	for name, domain := range status.Head.Domains {
+		out[name] = domain.Out
+	}
+	return status.Head.Revision, out, true
+}
+
+// eventually waits for a condition that other processes bring about. The bound only keeps a broken run from hanging.
+func (f *fleet) eventually(what string, condition func() bool) {
+	f.c.Helper()
+	for range 3000 {
+		if condition() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.c.Fatalf("gave up waiting until %s", what)
+}
+
+// operate makes a change through an entry.
+func (f *fleet) operate(entry int, method, path, body string) {
+	f.c.Helper()
+	request, err := http.NewRequest(method, "http://"+f.entries[entry].listen+path, strings.NewReader(body))
+	f.c.Assert(err, qt.IsNil)
+	response, err := client.Do(request)
+	f.c.Assert(err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	text, _ := io.ReadAll(response.Body)
+	f.c.Assert(response.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+}
+
+// answer is what a caller got.
+type answer struct {
+	outcome structs.Outcome
+	status  int
+	reason  string
+	body    string
+	// broken is set when the connection ended without a whole response.
+	broken error
+}
+
+// call sends a request of a caller with a key through an entry. Header holds further headers.
+func (f *fleet) call(entry int, key, body string, header map[string]string) answer {
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.entries[entry].listen+"/s/price/check", bytes.NewReader([]byte(body)))
+	if err != nil {
+		return answer{broken: err}
+	}
+	request.Header.Set(structs.HeaderIdempotencyKey, key)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return answer{broken: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return answer{
+		outcome: structs.Outcome(response.Header.Get(structs.HeaderOutcome)), status: response.StatusCode,
+		reason: response.Header.Get(structs.HeaderReason), body: string(text), broken: err,
+	}
+}
+
+// executions counts the runs of each key at all upstreams.
+func (f *fleet) executions() map[string]int {
+	sum := map[string]int{}
+	for _, h := range f.hosts {
+		for key, n := range h.upstream.Counts().Executions {
+			sum[key] += n
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/test/guarantees/requests_test.go
@@ -0,0 +1,241 @@
+package guarantees_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/test/faultnet"
+)
+
+// seed fixes the random choices of all tests here. The schedule of processes still differs between runs.
+const seed = 20261204
+
+// calls collects what callers got, by key.
+type calls struct {
+	f    *fleet
+	mu   sync.Mutex
+	got  map[string][]answer
+	done sync.WaitGroup
+	// repeat is how often the body of a request repeats its key.
+	repeat int
+}
+
+func newCalls(f *fleet) *calls { return &calls{f: f, got: map[string][]answer{}, repeat: 1} }
+
+// send makes a call in the background. The body repeats the key, so that a response of another request is recognized.
+func (s *calls) send(entry int, key string, header map[string]string) {
+	s.done.Go(func() {
+		got := s.f.call(entry, key, strings.Repeat(key, s.repeat), header)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.got[key] = append(s.got[key], got)
+	})
+}
+
+// count returns the number of answers with an outcome; broken connections have none.
+func (s *calls) count(outcome structs.Outcome) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, answers := range s.got {
+		for _, a := range answers {
+			if a.outcome == outcome {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// reasons counts why requests were not answered.
+func (s *calls) reasons() map[string]int {
+	counts := map[string]int{}
+	for _, answers := range s.got {
+		for _, a := range answers {
+			if a.outcome != structs.OutcomeAnswered {
+				counts[fmt.Sprintf("%s: %s", a.outcome, a.reason)]++
+			}
+		}
+	}
+	return counts
+}
+
+// check compares the answers of all calls with what the upstreams ran.
+func (s *calls) check(c *qt.C, atMostOnce bool) {
+	c.Helper()
+	s.done.Wait()
+	executions := s.f.executions()
+	for key, answers := range s.got {
+		answered, notRun := 0, 0
+		for _, a := range answers {
+			c.Check(a.broken, qt.IsNil, qt.Commentf("%s", key))
+			switch a.outcome {
+			case structs.OutcomeAnswered:
+				answered++
+				c.Check(a.body, qt.Equals, strings.Repeat(key, s.repeat), qt.Commentf("P5: response of another request or a part of one"))
+			case structs.OutcomeNotRun:
+				notRun++
+			}
+		}
+		if notRun == len(answers) {
+			c.Check(executions[key], qt.Equals, 0, qt.Commentf("P6: %s was reported as not run", key))
+		}
+		if answered > 0 {
+			c.Check(executions[key] > 0, qt.IsTrue, qt.Commentf("%s was answered and has not run", key))
+		}
+		if atMostOnce {
+			c.Check(executions[key] <= 1, qt.IsTrue, qt.Commentf("P7: %s ran %d times", key, executions[key]))
+		}
+	}
+	for reason, n := range s.reasons() {
+		c.Logf("%d times %s", n, reason)
+	}
+	c.Logf("%d keys, answered %d, not run %d, unknown %d", len(s.got), s.count(structs.OutcomeAnswered),
+		s.count(structs.OutcomeNotRun), s.count(structs.OutcomeUnknown))
+}
+
+// Guards against a response that reaches another caller or is incomplete (P5), a request that is reported as not run and
+// ran (P6), and a second run of a non-idempotent request (P7), while the connections between the entries and the agents
+// fall silent in the middle of requests, deliver late, are cut and end early.
+func TestConnectionFaultsInTheMiddleOfRequests(t *testing.T) {
+	f := newFleet(t, 2)
+	random := rand.New(rand.NewPCG(seed, 1))
+	faults := map[string]func(*faultnet.Forwarder){
+		"silence": func(n *faultnet.Forwarder) { n.Silence() },
+		"cut":     func(n *faultnet.Forwarder) { n.Cut() },
+		"late":    func(n *faultnet.Forwarder) { n.SetDelay(faultnet.ToClient, 1800*time.Millisecond) },
+		// Requests that are on their way arrive after the entry has resolved them over a new connection.
+		"late request": func(n *faultnet.Forwarder) { n.SetDelay(faultnet.ToServer, 2500*time.Millisecond) },
+		"truncate": func(n *faultnet.Forwarder) {
+			n.SetTruncate(faultnet.ToClient, int64(500+random.IntN(4000)))
+			n.Cut()
+		},
+		"silent start": func(n *faultnet.Forwarder) {
+			n.Silence()
+			n.SetSilentStart(true)
+		},
+	}
+	once, repeatable := newCalls(f), newCalls(f)
+	// Responses of several kilobytes are cut in their bodies as well as in their headers.
+	once.repeat, repeatable.repeat = 400, 400
+	for round, name := range []string{"late request", "silence", "late", "cut", "truncate", "late request", "silent start", "late", "late request"} {
+		for i := range 16 {
+			delay := map[string]string{"Standin-Delay-Ms": fmt.Sprint(random.IntN(500))}
+			once.send(i%2, fmt.Sprintf("once-%d-%d", round, i), delay)
+			again := map[string]string{structs.HeaderIdempotent: "true", "Standin-Delay-Ms": fmt.Sprint(random.IntN(500))}
+			repeatable.send(i%2, fmt.Sprintf("repeatable-%d-%d", round, i), again)
+		}
+		time.Sleep(100 * time.Millisecond)
+		front := f.hosts[round%2].front
+		faults[name](front)
+		if round >= 4 {
+			// The later rounds have faults on both ways.
+			f.hosts[(round+1)%2].front.Silence()
+		}
+		for i := range 8 {
+			once.send(i%2, fmt.Sprintf("once-%d-%d", round, 100+i), nil)
+		}
+		time.Sleep(600 * time.Millisecond)
+		front.SetDelay(faultnet.ToServer, 0)
+		front.SetDelay(faultnet.ToClient, 0)
+		front.SetTruncate(faultnet.ToClient, -1)
+		front.SetSilentStart(false)
+	}
+	once.check(f.c, true)
+	repeatable.check(f.c, false)
+	f.c.Assert(once.count(structs.OutcomeAnswered) > 0, qt.IsTrue)
+	f.c.Assert(repeatable.count(structs.OutcomeAnswered) > 0, qt.IsTrue)
+}
+
+// Guards against a second run of a non-idempotent request (P7) when its key arrives through two entries while the agent
+// that has it is frozen, killed and replaced, and the store loses responses, one after the other, twice, and together.
+func TestOneKeyThroughTwoEntries(t *testing.T) {
+	f := newFleet(t, 2)
+	s := newCalls(f)
+	header := map[string]string{"Standin-Delay-Ms": "300", structs.HeaderTimeoutMillis: "4000"}
+	const keys = 6
+	both := func(name string) {
+		for i := range keys {
+			for entry := range f.entries {
+				s.send(entry, fmt.Sprintf("%s-%d", name, i), header)
+			}
+		}
+	}
+	for round := range 2 {
+		victim, other := f.hosts[round], f.hosts[1-round]
+		lose := func(n int) { f.store.SetFaults(storetest.Faults{LoseResponses: n}) }
+		name := func(what string) string { return fmt.Sprint(what, "-", round) }
+
+		both(name("frozen"))
+		time.Sleep(150 * time.Millisecond)
+		victim.freeze()
+		both(name("while-frozen"))
+		time.Sleep(2 * time.Second)
+		both(name("frozen")) // again, with the agent frozen
+		time.Sleep(500 * time.Millisecond)
+		victim.thaw()
+
+		lose(keys)
+		both(name("lost"))
+		s.done.Wait()
+		lose(0)
+		both(name("lost"))
+
+		both(name("killed"))
+		time.Sleep(150 * time.Millisecond)
+		victim.kill()
+		both(name("killed")) // again, with the agent gone
+		victim.start()
+		s.done.Wait()
+		both(name("killed")) // and with it replaced
+
+		lose(keys)
+		both(name("together"))
+		time.Sleep(100 * time.Millisecond)
+		victim.freeze()
+		other.kill()
+		both(name("together"))
+		other.start()
+		victim.thaw()
+		s.done.Wait()
+		both(name("together"))
+		s.done.Wait()
+		lose(0)
+	}
+	s.check(f.c, true)
+	f.c.Assert(s.count(structs.OutcomeAnswered) > 0, qt.IsTrue)
+}
+
+// Guards against a request that arrives at the agent after its resolve (P6, P7): it was reported as not run, or was sent again and
+// has run meanwhile. The close of its connection arrives later still, so that only the record of the resolve can keep the
+// agent from running it.
+func TestRequestThatArrivesAfterItsResolve(t *testing.T) {
+	f := newFleet(t, 1)
+	s := newCalls(f)
+	front := f.hosts[0].front
+	for round := range 2 {
+		before := front.Counts().Forwarded[faultnet.ToServer]
+		front.SetDelay(faultnet.ToServer, 4*time.Second)
+		for i := range 8 {
+			s.send(i%2, fmt.Sprintf("late-%d-%d", round, i), map[string]string{structs.HeaderTimeoutMillis: "10000"})
+		}
+		time.Sleep(2 * time.Second) // longer than the silence after which entries give up a connection
+		front.SetDelay(faultnet.ToServer, 0)
+		s.done.Wait()
+		// A resolve found that these have not run, and they were sent again or reported as not run.
+		f.c.Assert(s.count(structs.OutcomeAnswered)+s.count(structs.OutcomeNotRun) > 0, qt.IsTrue)
+		f.eventually("the late requests arrive", func() bool {
+			return front.Counts().Forwarded[faultnet.ToServer] > before+8*300
+		})
+		time.Sleep(3 * time.Second)
+	}
+	s.check(f.c, true)
+}
--- /dev/null
+++ b/test/guarantees/tasks_test.go
@@ -0,0 +1,225 @@
+package guarantees_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/test/audit"
+)
+
+// submit hands in a batch job through an entry.
+func (f *fleet) submit(id string, tasks, milliCores int, run string) {
+	f.c.Helper()
+	text := fmt.Sprintf(`{"id":%q,"team":"t","name":%q,"kind":"batch","tasks":%d,"max_attempts":50,
+		"resources":{"milli_cores":%d,"memory_mb":500},"class":"c","command":"run=%s"}`, id, id, tasks, milliCores, run)
+	f.eventually("job "+id+" is accepted", func() bool {
+		response, err := client.Post("http://"+f.entries[0].listen+"/v1/jobs", "application/json", strings.NewReader(text))
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusAccepted
+	})
+}
+
+func (f *fleet) status(id string) structs.JobStatus {
+	var status structs.JobStatus
+	response, err := client.Get("http://" + f.entries[0].listen + "/v1/jobs/" + id)
+	if err != nil {
+		return status
+	}
+	defer func() { _ = response.Body.Close() }()
+	_ = json.NewDecoder(response.Body).Decode(&status)
+	return status
+}
+
+// running counts the running tasks on all workers.
+func (f *fleet) running() int {
+	n := 0
+	for _, h := range f.hosts {
+		n += len(h.worker.Running())
+	}
+	return n
+}
+
+// owner returns the host whose agent the store names as the owner of the shard, or nil.
+func (f *fleet) owner() *host {
+	entry, err := f.store.Get(f.c.Context(), "shards/0/owner")
+	if err != nil {
+		return nil
+	}
+	var value struct {
+		Address string `json:"address"`
+		Epoch   int64  `json:"epoch"`
+	}
+	if json.Unmarshal(entry.Value, &value) != nil || value.Epoch == 0 {
+		return nil
+	}
+	for _, h := range f.hosts {
+		if h.listen == value.Address {
+			return h
+		}
+	}
+	return nil
+}
+
+// audit checks the history of all workers for violations of P1 to P4.
+func (f *fleet) audit(outages ...audit.Outage) audit.Summary {
+	f.c.Helper()
+	var records []audit.Record
+	for _, h := range f.hosts {
+		records = append(records, audit.Record{
+			Worker: structs.Worker{
+				Name: h.name, FailureDomain: h.domain, Capacity: structs.Resources{MilliCores: capacity, MemoryMB: 8000},
+			},
+			Runs: h.worker.History(),
+		})
+	}
+	// The configuration in force is at most 3 s old when a start begins, and the agent removes a task whose start took
+	// longer, so that a start which the worker saw later than this is a violation.
+	summary, violations := audit.Check(records, outages, 4*time.Second)
+	f.c.Check(violations, qt.HasLen, 0)
+	f.c.Logf("audit: %+v", summary)
+	return summary
+}
+
+// Guards against a task that runs in two places (P2), resumes or finishes twice (P3), or a worker above its capacity (P1),
+// when the ownership of the shard moves while its owner is paused or cut off from the store and comes back, agents are killed and restarted, and the
+// store loses responses: each alone, then together, twice.
+func TestOwnershipMovesUnderFaults(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3)
+	f.eventually("the shard has an owner", func() bool { return f.owner() != nil })
+	moved := func(former *host) {
+		f.eventually("the ownership moves", func() bool { now := f.owner(); return now != nil && now != former })
+	}
+	other := func(not ...*host) *host {
+		for _, h := range f.hosts {
+			taken := false
+			for _, n := range not {
+				taken = taken || n == h
+			}
+			if !taken {
+				return h
+			}
+		}
+		return nil
+	}
+	for round := range 2 {
+		job := fmt.Sprint("job-", round)
+		f.submit(job, 24, 1000, "12s")
+		f.eventually("tasks run", func() bool { return f.running() >= 6 })
+
+		former := f.owner()
+		former.freeze()
+		moved(former)
+		// Work of the frozen agent moves once the validity of the former owner, a lease and the margin have passed.
+		time.Sleep(9 * time.Second)
+		former.thaw()
+
+		restarted := other(f.owner())
+		restarted.kill()
+		restarted.start()
+		f.eventually("tasks run", func() bool { return f.running() >= 3 })
+
+		// Agents still reach a former owner that is cut off from the store only.
+		former = f.owner()
+		former.cutStore()
+		moved(former)
+		former.mendStore()
+		f.eventually("tasks run", func() bool { return f.running() >= 3 })
+
+		former = f.owner()
+		f.store.SetFaults(storetest.Faults{LoseResponses: 4})
+		former.freeze()
+		killed := other(former)
+		killed.kill()
+		moved(former)
+		former.thaw()
+		killed.start()
+		f.eventually("all tasks finish", func() bool { return f.status(job).Counts[structs.TaskFinished] == 24 })
+		f.store.SetFaults(storetest.Faults{})
+	}
+	summary := f.audit()
+	f.c.Assert(summary.Finished, qt.Equals, 48)
+}
+
+// heads watches the entries and fails the test when one goes back to an earlier configuration.
+type heads struct {
+	f       *fleet
+	stopped atomic.Bool
+	ended   chan struct{}
+}
+
+func (f *fleet) watchHeads() *heads {
+	w := &heads{f: f, ended: make(chan struct{})}
+	go func() {
+		defer close(w.ended)
+		highest := make([]int64, len(f.entries))
+		for !w.stopped.Load() {
+			for i, e := range f.entries {
+				if revision, _, ok := e.head(); ok {
+					f.c.Check(revision >= highest[i], qt.IsTrue, qt.Commentf("P10: entry %d went from %d to %d", i, highest[i], revision))
+					highest[i] = max(highest[i], revision)
+				}
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	return w
+}
+
+func (w *heads) stop() {
+	w.stopped.Store(true)
+	<-w.ended
+}
+
+// Guards against starts in a failure domain that was taken out of service (P4), and a configuration that isn't in force
+// everywhere or reverts (P10), when the change is made while some processes reach the store and others don't: an entry,
+// the shard's owner, and both together, twice.
+func TestConfigurationChangeDuringPartialStoreOutage(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3)
+	f.eventually("the shard has an owner", func() bool { return f.owner() != nil })
+	f.submit("job", 400, 1000, "1s")
+	f.eventually("tasks run", func() bool { return f.running() >= 9 })
+	watch := f.watchHeads()
+	var outages []audit.Outage
+	for round := range 4 {
+		acting, cut := round%2, f.entries[1-round%2]
+		domain := f.hosts[round%3].domain
+		cut.cutStore()
+		owner := f.owner()
+		if round%2 == 1 && owner != nil {
+			owner.cutStore()
+		}
+		f.operate(acting, http.MethodPost, "/v1/failure-domains/"+domain+"/out", "")
+		from := time.Now().UnixNano()
+		f.eventually("the change is in force at the entry without the store", func() bool {
+			_, out, ok := cut.head()
+			return ok && out[domain]
+		})
+		f.eventually("no task runs in the domain", func() bool { return len(f.hosts[round%3].worker.Running()) == 0 })
+		time.Sleep(4 * time.Second) // longer than the start freshness, so that a late start would show
+		f.c.Check(f.hosts[round%3].worker.Running(), qt.HasLen, 0)
+		cut.mendStore()
+		if owner != nil {
+			owner.mendStore()
+		}
+		back := time.Now().UnixNano()
+		f.operate(acting, http.MethodPost, "/v1/failure-domains/"+domain+"/in", "")
+		outages = append(outages, audit.Outage{Domain: domain, From: from, To: back})
+		f.eventually("tasks run in the domain again", func() bool { return len(f.hosts[round%3].worker.Running()) > 0 })
+	}
+	watch.stop()
+	f.audit(outages...)
+}
