--- a/agent/runner/module.go
+++ b/agent/runner/module.go
@@ -91,7 +91,7 @@
 // Settings implements kernel.Module.
 func (m *Module) Settings() any { return &m.settings }
 
-// SetGuard sets the guard. It is called while provisioning.
+// SetGuard replaces the guard of the rules. It is called before the module is provisioned.
 func (m *Module) SetGuard(g Guard) { m.guard = g }
 
 // Provision implements kernel.Module.
@@ -120,6 +120,9 @@
 	if measured, ok := kernel.Lookup[latencySource](c, requestsName); ok {
 		m.services = measured.ServiceLatencies
 	}
+	if m.guard == nil {
+		m.guard = NewRulesGuard(m.follower.Rules, m.services)
+	}
 	c.Router.HandleFunc("/v1/allocations", m.serveStart).Methods(http.MethodPost)
 	return nil
 }
@@ -168,9 +171,6 @@
 		},
 	}
 	ledger := NewLedger(settings, w, partition.Worker(w.Name, rules.Shards), m.context.Incarnation, m.context.StartedUnixNano)
-	if m.guard == nil {
-		m.guard = NewServiceGuard(m.follower.Rules, m.services)
-	}
 	r := New(ledger, m.worker, m.clock, followed{m.follower}, m.client, m.guard, m.log)
 	r.services = m.services
 	m.runner.Store(r)
@@ -204,6 +204,10 @@
 		if err := r.Beat(ctx); err != nil {
 			m.scope.Counter("heartbeat_failures").Inc(1)
 			m.log.Debug("heartbeat failed", "error", err)
+			if errors.Is(err, shard.ErrNotOwner) {
+				// The owner has resigned or lost its validity, so a candidate need not wait for its silence.
+				m.lastReply.Store(nil)
+			}
 		} else {
 			now := m.clock.Now()
 			m.lastReply.Store(&now)
--- a/agent/runner/rules_test.go
+++ b/agent/runner/rules_test.go
@@ -105,7 +105,7 @@
 	}
 	former.cutStore, former.cutPeers = true, true
 	cut := c.clock.Now()
-	assert.Assert(c.run(20*time.Second, func() bool { return c.other2(former) != nil }), qt.IsTrue)
+	assert.Assert(c.run(20*time.Second, func() bool { return c.ownerBesides(former) != nil }), qt.IsTrue)
 	// The former owner renews for its validity of 30 s after its last proof; the work stands still after that.
 	assert.Assert(c.run(60*time.Second, func() bool { return len(c.running("a")) == 0 }), qt.IsTrue)
 	still := c.clock.Now().Sub(cut)
@@ -115,8 +115,8 @@
 	assert.Assert(c.run(3*time.Minute, func() bool { return c.done("a") }), qt.IsTrue)
 }
 
-// other2 returns an owner besides the given one.
-func (c *cluster) other2(former *node) *node {
+// ownerBesides returns an owner besides the given one.
+func (c *cluster) ownerBesides(former *node) *node {
 	for _, n := range c.nodes {
 		if n != former && isOwner(n) {
 			return n
@@ -136,7 +136,7 @@
 	assert.Assert(c.run(20*time.Second, func() bool { return len(c.running("a")) == 6 }), qt.IsTrue)
 	c.run(2*time.Second, func() bool { return false })
 	former.kill()
-	assert.Assert(c.run(10*time.Second, func() bool { return c.other2(former) != nil }), qt.IsTrue)
+	assert.Assert(c.run(10*time.Second, func() bool { return c.ownerBesides(former) != nil }), qt.IsTrue)
 	c.submit(t, `{"id":"b","team":"t","kind":"batch","tasks":2,"resources":{"milli_cores":1000,"memory_mb":500},"command":"run=5s"}`)
 	assert.Assert(c.run(15*time.Second, func() bool { return c.done("b") }), qt.IsTrue)
 	assert.Assert(c.run(80*time.Second, func() bool { return c.done("a") }), qt.IsTrue)
@@ -269,3 +269,23 @@
 	assert.Assert(err, qt.IsNil)
 	assert.Assert(status.Counts[structs.TaskFinished], qt.Equals, 6)
 }
+
+// Guards against a planned stop of an agent that loses work, or ends while something is left on the worker.
+func TestDrainMovesEverything(t *testing.T) {
+	assert := qt.New(t)
+	c := watched(t, 4)
+	c.submit(t, `{"id":"s","team":"t","name":"web","kind":"service","tasks":2,"resources":{"milli_cores":1000,"memory_mb":500}}`)
+	c.submit(t, `{"id":"a","team":"t","kind":"batch","tasks":6,"expected_seconds":40,"resources":{"milli_cores":1000,"memory_mb":500},"command":"run=40s"}`)
+	assert.Assert(c.run(20*time.Second, func() bool { return len(c.running("s")) == 2 && len(c.running("a")) == 6 }), qt.IsTrue)
+	c.run(5*time.Second, func() bool { return false })
+	n := c.running("s")[0]
+	n.runner.Drain()
+	assert.Assert(c.run(40*time.Second, func() bool {
+		if len(c.running("s")) < 2 {
+			t.Fatalf("only %d replicas run", len(c.running("s")))
+		}
+		return n.runner.Idle()
+	}), qt.IsTrue)
+	assert.Assert(n.worker.Running(), qt.HasLen, 0)
+	assert.Assert(c.run(2*time.Minute, func() bool { return c.done("a") }), qt.IsTrue)
+}
--- a/replay/managed.go
+++ b/replay/managed.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -50,7 +51,7 @@
 func newManaged(e *engine) policy {
 	m := &managed{
 		e: e, incarnations: make([]int, len(e.hosts)), guards: make([]guard.State, len(e.hosts)),
-		sizes: sizing.New(sizing.Config{}), interference: interference.New(interference.Config{}),
+		sizes: sizing.New(sizing.Config{}), interference: interference.New(interference.Config{Limit: e.trace.Rules.MaxSlowdown}),
 		quarantine: quarantine.New(quarantine.Config{}), failures: map[*task]int{}, verdicts: map[string]bool{},
 	}
 	m.quarantine.SetFleet(len(e.hosts))
@@ -61,7 +62,7 @@
 		m.tables = append(m.tables, routing.NewTable(routing.Options{
 			Domain: domain, Clock: e.line.clock, Pace: routing.Pace{BytesPerSecond: 12_000, Min: time.Second, Max: 30 * time.Second},
 			RemoteDelay: 2 * millis(e.trace.Network.DomainOneWayMillis), FailurePenalty: time.Second,
-			DefaultServiceTime: 20 * time.Millisecond,
+			DefaultServiceTime: 20 * time.Millisecond, IntN: rand.New(rand.NewPCG(e.trace.Seed, 0)).IntN,
 		}))
 	}
 	e.line.after(0, m.announceAll)
@@ -254,7 +255,10 @@
 			Reserved: t.reservation, Used: t.peak, Evicting: t.state == structs.TaskEvicting,
 		})
 	}
-	state, action := guard.Decide(guard.Rules{}, m.guards[h.index], input, now)
+	rules := m.e.trace.Rules
+	state, action := guard.Decide(guard.Rules{
+		ThrottleAt: rules.ThrottleAt, ReleaseAt: rules.ResumeAt, EvictAt: rules.EvictAt, EvictAfter: seconds(rules.EvictAfterSeconds),
+	}, m.guards[h.index], input, now)
 	m.guards[h.index] = state
 	h.share = action.Share
 	for _, id := range action.Evict {
--- a/replay/managed_plan.go
+++ b/replay/managed_plan.go
@@ -6,6 +6,7 @@
 	"github.com/quetzalshed/quetzalshed/scheduler"
 	// The plug-ins register the filters and scores that production uses.
 	_ "github.com/quetzalshed/quetzalshed/scheduler/plugins"
+	"github.com/quetzalshed/quetzalshed/scheduler/quarantine"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
@@ -16,7 +17,10 @@
 	tasks := map[structs.TaskID]*task{}
 	running := map[string]*task{}
 	snapshot := scheduler.Snapshot{
-		Rules:        scheduler.Rules{Out: m.e.out, Returned: m.e.returned},
+		Rules: scheduler.Rules{
+			Out: m.e.out, Returned: m.e.returned, InterferenceLimit: m.e.trace.Rules.MaxSlowdown,
+			ExplorationTasks: m.e.trace.Rules.ExplorationTasks,
+		},
 		Interference: m.interference, Quarantine: m.quarantine,
 	}
 	for _, h := range m.e.hosts {
@@ -42,6 +46,9 @@
 func (m *managed) apply(d scheduler.Decisions, tasks map[structs.TaskID]*task, running map[string]*task) {
 	for _, p := range d.Place {
 		if t := tasks[p.Task]; t != nil {
+			if now := m.e.line.now(); m.quarantine.Admits(p.Worker, now) == quarantine.Probe {
+				m.quarantine.ProbeStarted(p.Worker, now)
+			}
 			m.e.place(t, m.e.hosts[m.e.trace.worker(p.Worker)], p.Resources)
 		}
 	}
--- a/scheduler/candidates.go
+++ b/scheduler/candidates.go
@@ -166,14 +166,12 @@
 	job := task.state
 	w.cycle.free = w.cycle.free.Sub(task.Resources)
 	w.cycle.added = append(w.cycle.added, task)
-	if w.cycle.loaded {
-		w.cycle.count(task.Job, task.Resources)
-	}
+	w.cycle.count(task.Job, task.Resources)
 	job.account.Charge(task.Resources)
 	c.count(job)
 	job.add(task.Index, w.FailureDomain)
-	if task.Job.Kind == structs.KindService {
-		// The replicas of a service are rated by where the others are.
+	if task.Job.Kind == structs.KindService || task.Job.SpreadDomains {
+		// Tasks that spread are rated by where the others are.
 		delete(c.shapes, keyOf(task))
 	}
 	c.touched = append(c.touched, index)
--- /dev/null
+++ b/shard/learned.go
@@ -0,0 +1,148 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/config"
+	"github.com/quetzalshed/quetzalshed/scheduler"
+	"github.com/quetzalshed/quetzalshed/scheduler/interference"
+	"github.com/quetzalshed/quetzalshed/scheduler/quarantine"
+	"github.com/quetzalshed/quetzalshed/scheduler/sizing"
+	"github.com/quetzalshed/quetzalshed/shard/lifecycle"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// learned holds what an owner learns from heartbeats. It is not safe for concurrent use.
+type learned struct {
+	sizes        *sizing.Model
+	interference *interference.Model
+	quarantine   *quarantine.Model
+	advanced     time.Time
+}
+
+const (
+	// advanceEvery is how often aged evidence is dropped and ended blocks are lifted.
+	advanceEvery = time.Second
+	// maxClasses and maxPairs bound the summary in the snapshot, to about 100 KB.
+	maxClasses = 512
+	maxPairs   = 1024
+)
+
+// Learned is the part of what was learned that a new owner takes over, as part of the snapshot.
+type Learned struct {
+	Sizes        []sizing.ClassSummary `json:"sizes,omitempty"`
+	Interference interference.Summary  `json:"interference"`
+}
+
+// newLearned starts from what an earlier owner has left, with the parameters of the operators' rules.
+func newLearned(rules config.Rules, summary Learned, now time.Time) *learned {
+	headroom := 1 + rules.Sizing.Headroom
+	l := &learned{
+		sizes: sizing.New(sizing.Config{
+			CorePercentile: rules.Sizing.Percentile, CoreHeadroom: headroom, MemoryHeadroom: headroom,
+		}),
+		interference: interference.New(interference.Config{Limit: rules.Interference.MaxSlowdown}),
+		quarantine:   quarantine.New(quarantine.Config{}), advanced: now,
+	}
+	for _, service := range rules.Services {
+		l.interference.SetObjective(service.Name, float64(service.LatencyTarget)/float64(time.Millisecond))
+	}
+	l.sizes.Import(summary.Sizes, now)
+	l.interference.Import(summary.Interference, now)
+	return l
+}
+
+func (l *learned) summary(now time.Time) Learned {
+	return Learned{Sizes: l.sizes.Export(maxClasses, now), Interference: l.interference.Export(maxPairs, now)}
+}
+
+// heartbeat learns from the usage and the latencies that a worker reports.
+func (l *learned) heartbeat(hb *structs.Heartbeat, now time.Time) {
+	running := make(map[string]structs.Allocation, len(hb.Running))
+	for _, r := range hb.Running {
+		running[r.Allocation.ID] = r.Allocation
+	}
+	l.setLoads(hb, now)
+	for _, usage := range hb.Usage {
+		alloc, ok := running[usage.AllocationID]
+		if !ok {
+			continue
+		}
+		age := time.Duration(usage.AgeMillis) * time.Millisecond
+		switch {
+		case alloc.Kind == structs.KindService:
+			l.observe(hb.Worker.Name, alloc.Class, usage.LatencyMillis, age, now)
+		case !usage.Throttled():
+			// A throttled task uses less than it needs, so it teaches nothing.
+			l.sizes.Observe(alloc.Class, usage.Used, age, now)
+		}
+	}
+	for _, s := range hb.Services {
+		l.observe(hb.Worker.Name, s.Service, s.Millis, time.Duration(s.AgeMillis)*time.Millisecond, now)
+	}
+}
+
+func (l *learned) observe(worker, service string, millis float64, age time.Duration, now time.Time) {
+	if millis > 0 {
+		l.interference.Observe(worker, service, millis, age, now)
+	}
+}
+
+// setLoads tells the model what batch runs on a worker, as far as the guard lets it.
+func (l *learned) setLoads(hb *structs.Heartbeat, now time.Time) {
+	share := make(map[string]float64, len(hb.Usage))
+	for _, usage := range hb.Usage {
+		if usage.Throttled() {
+			share[usage.AllocationID] = usage.Share
+		}
+	}
+	cores := map[string]float64{}
+	for _, r := range hb.Running {
+		if r.Allocation.Kind != structs.KindBatch || r.State != structs.TaskRunning {
+			continue
+		}
+		part := float64(r.Allocation.Resources.MilliCores)
+		if limited, throttled := share[r.Allocation.ID]; throttled {
+			part *= limited
+		}
+		cores[r.Allocation.Class] += part
+	}
+	var loads []interference.Load
+	for class, used := range cores {
+		loads = append(loads, interference.Load{Class: class, Share: used / float64(max(1, hb.Worker.Capacity.MilliCores))})
+	}
+	l.interference.SetLoads(hb.Worker.Name, loads, now)
+}
+
+// ended learns from an attempt that has ended by itself.
+func (l *learned) ended(o lifecycle.Observation, now time.Time) {
+	if o.Failed {
+		l.quarantine.Failed(o.Task.JobID, o.Worker, now)
+	} else {
+		l.quarantine.Succeeded(o.Task.JobID, o.Worker, now)
+	}
+}
+
+// placed notes that a task starts on a worker, which may be the one that a quarantined worker is tried with.
+func (l *learned) placed(worker string, now time.Time) {
+	if l.quarantine.Admits(worker, now) == quarantine.Probe {
+		l.quarantine.ProbeStarted(worker, now)
+	}
+}
+
+// prepare adds what was learned to the scheduler's input. peaks holds the highest usage of each task that has run.
+func (l *learned) prepare(input *scheduler.Snapshot, peaks map[structs.TaskID]structs.Resources, now time.Time) {
+	if now.Sub(l.advanced) >= advanceEvery {
+		l.advanced = now
+		l.quarantine.Advance(now)
+		l.interference.Advance(now)
+	}
+	l.quarantine.SetFleet(len(input.Workers))
+	input.Interference, input.Quarantine = l.interference, l.quarantine
+	for i := range input.Pending {
+		task := &input.Pending[i]
+		if task.Job.Kind == structs.KindBatch {
+			task.Resources = l.sizes.Reservation(task.Job.Class, task.Job.Resources, peaks[task.ID()], now)
+		}
+	}
+}
--- a/shard/lifecycle/machine.go
+++ b/shard/lifecycle/machine.go
@@ -24,6 +24,8 @@
 	Progress float64
 	// Stop is what the agent is told to do with the attempt, nil for nothing.
 	Stop *structs.TaskStop
+	// offeredTo is the incarnation of the agent to which the start was sent.
+	offeredTo string
 	// pushed is set once the start was sent outside of a reply, which is tried once.
 	pushed bool
 	// lsn is the position of the start record; the start is sent once it is durable.
@@ -69,19 +71,15 @@
 	pending  []Event
 	durable  int64
 	counters Counters
-	// Observe receives every ended attempt, for learning; it may be nil.
+	// Observe receives every attempt that has finished or failed, for learning; it may be nil.
 	Observe func(Observation)
 }
 
-// Observation is an ended attempt, for quarantine and learned sizes.
+// Observation is an attempt that has finished or failed.
 type Observation struct {
 	Task   structs.TaskID
-	Class  string
 	Worker string
-	// Failed and Finished tell how the attempt ended; neither is set when it was evicted, refused or cancelled.
-	Failed   bool
-	Finished bool
-	Reason   string
+	Failed bool
 }
 
 // Counters counts what an owner has done.
@@ -91,7 +89,7 @@
 
 // NewMachine returns the machine of a new owner. State is the replayed log; now is a time after the epoch record was
 // written, and every attempt that the log shows as active waits from then on until it is reported or has run out.
-func NewMachine(settings Settings, shard int, epoch int64, state *State, now time.Time) *Machine {
+func NewMachine(settings Settings, former Former, shard int, epoch int64, state *State, now time.Time) *Machine {
 	m := &Machine{
 		settings: settings, shard: shard, epoch: epoch, began: now, state: state,
 		workers: map[string]*View{}, live: map[string]*Live{}, changed: map[structs.TaskID]int64{},
@@ -100,7 +98,7 @@
 		job := state.Jobs[jobID]
 		for index, task := range job.Tasks {
 			if task.Active() {
-				m.inherit(job, structs.TaskID{JobID: jobID, Index: index}, task, now)
+				m.inherit(job, structs.TaskID{JobID: jobID, Index: index}, task, former, now)
 			}
 		}
 	}
@@ -108,11 +106,15 @@
 }
 
 // inherit covers an attempt whose leases an earlier owner could have renewed until its validity ended.
-func (m *Machine) inherit(job *Job, id structs.TaskID, task *Task, now time.Time) {
+func (m *Machine) inherit(job *Job, id structs.TaskID, task *Task, former Former, now time.Time) {
+	lease := former.Lease
+	if job.Spec.Kind == structs.KindService {
+		lease = former.ServiceLease
+	}
 	alloc := m.allocation(job, id, task)
 	m.live[alloc.ID] = &Live{
 		Alloc: alloc, Adopted: true, State: structs.TaskStarting, Progress: task.Progress,
-		Until: now.Add(m.settings.OwnerValidity + m.leaseOf(job.Spec.Kind) + m.settings.Margin),
+		Until: now.Add(former.OwnerValidity + lease + m.settings.Margin),
 	}
 }
 
@@ -156,7 +158,7 @@
 	m.pending = append(m.pending, e)
 	lsn := m.durable + int64(len(m.pending))
 	switch e.Kind {
-	case EventAccept, EventCancel, EventVerdict, EventForget:
+	case EventAccept, EventCancel, EventFailJob, EventVerdict, EventForget:
 	default:
 		m.changed[e.Task()] = lsn
 	}
@@ -197,12 +199,26 @@
 		return m.Position(), true
 	}
 	lsn = m.propose(Event{Kind: EventCancel, JobID: jobID, UnixMilli: wall.UnixMilli()})
+	m.stopAll(jobID, "the job was cancelled")
+	return lsn, true
+}
+
+// FailJob fails all unfinished tasks of a batch job and has its attempts stopped.
+func (m *Machine) FailJob(jobID, reason string, wall time.Time) {
+	job := m.state.Jobs[jobID]
+	if job == nil || job.Open == 0 || job.Spec.Kind == structs.KindService {
+		return
+	}
+	m.propose(Event{Kind: EventFailJob, JobID: jobID, Reason: reason, UnixMilli: wall.UnixMilli()})
+	m.stopAll(jobID, reason)
+}
+
+func (m *Machine) stopAll(jobID, reason string) {
 	for _, live := range m.live {
 		if live.Alloc.Task.JobID == jobID {
-			live.Stop = &structs.TaskStop{AllocationID: live.Alloc.ID, Reason: "the job was cancelled"}
+			live.Stop = &structs.TaskStop{AllocationID: live.Alloc.ID, Reason: reason}
 		}
 	}
-	return lsn, true
 }
 
 // Expire ends the attempts whose leases have certainly run out, and forgets old jobs.
@@ -264,14 +280,16 @@
 	m.endAttempt(live, "", 0, reason, wall)
 }
 
-// endAttempt makes the task of an attempt pending; a replica of a service is retired, since indices aren't reused.
+// endAttempt makes the task of an attempt pending. A replica of a service that has run is retired, since its index isn't
+// reused; so is one that was to replace another, since the scheduler places a new one if that is still needed.
 func (m *Machine) endAttempt(live *Live, checkpoint string, progress float64, reason string, wall time.Time) {
 	id := live.Alloc.Task
 	e := Event{
 		Kind: EventRequeue, JobID: id.JobID, Index: id.Index, Attempt: live.Alloc.Attempt, CheckpointID: checkpoint,
 		Progress: progress, Reason: reason,
 	}
-	if live.Alloc.Kind == structs.KindService && live.Reported {
+	task := m.state.Task(id)
+	if live.Alloc.Kind == structs.KindService && (live.Reported || (task != nil && task.Replaces != "")) {
 		e.Kind, e.UnixMilli = EventRetire, wall.UnixMilli()
 	}
 	m.counters.Requeues++
--- a/shard/lifecycle/machine_test.go
+++ b/shard/lifecycle/machine_test.go
@@ -20,7 +20,7 @@
 }
 
 func newFixture(state *State) *fixture {
-	return &fixture{Machine: NewMachine(DefaultSettings(), 0, 7, state, origin), now: origin}
+	return &fixture{Machine: NewMachine(DefaultSettings(), DefaultSettings().Former(), 0, 7, state, origin), now: origin}
 }
 
 func (f *fixture) accept(kind structs.JobKind, tasks int) {
@@ -151,7 +151,7 @@
 		c.Assert(f.task().State, qt.Equals, structs.TaskStarting)
 	}
 	f.now = f.now.Add(100 * time.Millisecond)
-	f.beat2("w")
+	f.beatWithoutStarts("w")
 	f.pass(0)
 	c.Assert(f.task().State, qt.Equals, structs.TaskPending)
 }
@@ -161,8 +161,8 @@
 	return f.sequence
 }
 
-// beat2 sends a heartbeat while starts are not allowed.
-func (f *fixture) beat2(worker string) {
+// beatWithoutStarts sends a heartbeat while starts are not allowed.
+func (f *fixture) beatWithoutStarts(worker string) {
 	_, _ = f.Heartbeat(f.now, f.now, structs.Heartbeat{
 		Worker: structs.Worker{Name: worker}, Incarnation: "i", Sequence: f.nextSequence(), Epoch: 7,
 	}, true, false)
@@ -250,28 +250,49 @@
 	c.Assert(status.Reason, qt.Equals, "broken")
 }
 
-// Guards against a service that stops replicas in a leaving domain before others run elsewhere.
-func TestLeavingReplicaStopsLast(t *testing.T) {
+// Guards against a replacement that counts as surplus, or is forgotten, while the replica that it replaces runs.
+func TestReplacementOfReplica(t *testing.T) {
 	c := qt.New(t)
 	f := newFixture(NewState())
 	f.accept(structs.KindService, 1)
-	out := map[string]bool{}
-	isOut := func(domain string) bool { return out[domain] }
 	f.beat("w", 7, nil)
 	f.beat("v", 7, nil)
 	old := f.place("w")
 	f.commit()
 	f.beat("w", 7, []structs.Allocation{old})
-	out["w"] = true
-	f.Reconcile(f.now, f.now, isOut)
-	c.Assert(f.PendingTasks(), qt.HasLen, 1)
-	c.Assert(f.Place(structs.TaskID{JobID: "a", Index: 1}, "v", old.Resources), qt.IsTrue)
+	c.Assert(f.Replace(old.ID, "v", old.Resources), qt.IsTrue)
 	f.commit()
-	f.Reconcile(f.now, f.now, isOut)
-	c.Assert(f.beat("w", 7, []structs.Allocation{old}).Stop, qt.HasLen, 0)
-	substitute := f.Live()["a:1:1"].Alloc
+	refused := resultOf(f.Live()["a:1:1"].Alloc, structs.TaskPending)
+	f.beat("v", 7, nil, refused)
+	c.Assert(f.PendingTasks(), qt.HasLen, 0, qt.Commentf("the scheduler decides again"))
+	c.Assert(f.Replace(old.ID, "v", old.Resources), qt.IsTrue)
+	f.commit()
+	substitute := f.Live()["a:2:1"].Alloc
 	f.beat("v", 7, []structs.Allocation{substitute})
-	f.Reconcile(f.now, f.now, isOut)
+	f.Reconcile(f.now, f.now)
+	c.Assert(f.beat("v", 7, []structs.Allocation{substitute}).Stop, qt.HasLen, 0)
+	c.Assert(f.beat("w", 7, []structs.Allocation{old}).Stop, qt.HasLen, 0)
+	f.Evict(old.ID, "replaced", f.now)
+	f.Reconcile(f.now, f.now)
 	c.Assert(f.beat("w", 7, []structs.Allocation{old}).Stop, qt.HasLen, 1)
+	c.Assert(f.beat("v", 7, []structs.Allocation{substitute}).Stop, qt.HasLen, 0)
 	c.Assert(f.PendingTasks(), qt.HasLen, 0)
 }
+
+// Guards against an attempt that starts twice because its host was lost after the start and came back at once.
+func TestStartIsNotOfferedToALaterProcess(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(NewState())
+	f.accept(structs.KindBatch, 1)
+	f.beat("w", 7, nil)
+	f.place("w")
+	f.commit()
+	c.Assert(f.beat("w", 7, nil).Start, qt.HasLen, 1)
+	reply, err := f.Heartbeat(f.now, f.now, structs.Heartbeat{
+		Worker: structs.Worker{Name: "w"}, Incarnation: "later", StartedUnixNano: 1, Sequence: 1, Epoch: 7,
+	}, true, true)
+	c.Assert(err, qt.IsNil)
+	c.Assert(reply.Start, qt.HasLen, 0)
+	f.pass(8 * time.Second)
+	c.Assert(f.task().State, qt.Equals, structs.TaskPending)
+}
