--- a/test/guarantees/tasks_test.go
+++ b/test/guarantees/tasks_test.go
@@ -209,7 +209,8 @@
 			return ok && out[domain]
 		})
 		f.eventually("no task runs in the domain", func() bool { return len(f.hosts[round%3].worker.Running()) == 0 })
-		time.Sleep(4 * time.Second) // longer than the start freshness, so that a late start would show
+		// The audit counts starts from its grace of 4 s on, so that the outage must last well beyond it.
+		time.Sleep(9 * time.Second)
 		f.c.Check(f.hosts[round%3].worker.Running(), qt.HasLen, 0)
 		cut.mendStore()
 		if owner != nil {
