Use one store stand-in in the tests of the request path

Cause: the tests of idempotency and entry/requests had a store in memory of their own, with other rules than platform/store/storetest (no lapsing leases, no size limit). Ruled out: storetest.Faults alone. Its counters also hit grants, and its order of faults is fixed, so the sequences of these tests could not be expressed without weakening them. Package forward uses no store, so nothing changes there. The old fake refused a record without a lease; TestHourlyLeases now asserts that all records go with the leases.

--- a/entry/requests/bench_test.go
+++ b/entry/requests/bench_test.go
@@ -12,7 +12,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/quetzalshed/quetzalshed/idempotency/idempotencytest"
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
@@ -21,7 +22,7 @@
 func BenchmarkAddedLatency(b *testing.B) {
 	for _, method := range []string{http.MethodPut, http.MethodPost} {
 		b.Run(method, func(b *testing.B) {
-			e := newEntry(b, idempotencytest.New(), func(s *Settings) {
+			e := newEntry(b, storetest.New(clock.System{}), func(s *Settings) {
 				s.RecordsPerSecond, s.MinHedge, s.AnnounceMin = 1e4, time.Second, time.Hour
 				s.AnnounceMax = time.Hour
 			})
--- a/entry/requests/entry_test.go
+++ b/entry/requests/entry_test.go
@@ -21,10 +21,10 @@
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/forward/forwardtest"
 	"github.com/quetzalshed/quetzalshed/idempotency"
-	"github.com/quetzalshed/quetzalshed/idempotency/idempotencytest"
 	"github.com/quetzalshed/quetzalshed/kernel"
 	"github.com/quetzalshed/quetzalshed/limit"
 	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
 	"github.com/quetzalshed/quetzalshed/settings"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
@@ -136,7 +136,7 @@
 
 // Guards against wrong headers and oversized bodies that are sent on, and against findings that are reported one by one.
 func TestBadRequests(t *testing.T) {
-	e := newEntry(t, idempotencytest.New(), nil)
+	e := newEntry(t, storetest.New(clock.System{}), nil)
 	agent := newAgent(t, "a", e)
 	response, body := e.call(t, http.MethodPost, "/s/price/p", "", structs.HeaderTimeoutMillis, "60001",
 		structs.HeaderPriority, "urgent", structs.HeaderIdempotent, "maybe", structs.HeaderIdempotencyKey, "a b")
@@ -168,7 +168,7 @@
 
 // Guards against a request that is held after its deadline, or whose expiry is reported as certain.
 func TestExpiredDeadline(t *testing.T) {
-	e := newEntry(t, idempotencytest.New(), nil)
+	e := newEntry(t, storetest.New(clock.System{}), nil)
 	agent := newAgent(t, "a", e)
 	agent.Next = always(forwardtest.Hold)
 	for _, method := range []string{http.MethodGet, http.MethodPost} {
--- a/entry/requests/machine_test.go
+++ b/entry/requests/machine_test.go
@@ -11,8 +11,9 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/forward/forwardtest"
-	"github.com/quetzalshed/quetzalshed/idempotency/idempotencytest"
+	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
@@ -27,7 +28,7 @@
 // machine is a small fleet with the oracle of its requests.
 type machine struct {
 	t        *testing.T
-	kv       *idempotencytest.Store
+	kv       *storetest.Store
 	entries  []*testEntry
 	agents   []*forwardtest.Agent
 	sequence int64
@@ -47,7 +48,7 @@
 }
 
 func newMachine(t *testing.T) *machine {
-	m := &machine{t: t, kv: idempotencytest.New()}
+	m := &machine{t: t, kv: storetest.New(clock.System{})}
 	for range 2 {
 		m.entries = append(m.entries, newEntry(t, m.kv, func(s *Settings) {
 			s.Silence, s.ResolveTimeout, s.SuspectFor = 40*time.Millisecond, 100*time.Millisecond, 50*time.Millisecond
@@ -176,10 +177,10 @@
 				fail(second)
 			},
 			"store fault": func(*rapid.T) {
-				m.kv.Script(idempotencytest.Fault(draw("store fault", idempotencytest.Faults)))
-				m.kv.SetReadsDown(draw("reads", 4) == 0)
+				m.kv.ScriptPuts(storetest.WriteFault(draw("store fault", storetest.WriteFaults)))
+				m.kv.SetFaults(storetest.Faults{ReadsDown: draw("reads", 4) == 0})
 			},
-			"late writes": func(*rapid.T) { m.kv.ApplyLate() },
+			"late writes": func(*rapid.T) { m.kv.ReleaseHeld() },
 			"restart": func(*rapid.T) {
 				m.agents[draw("agent", 2)].Restart()
 				m.announce(false, draw("stale", 2) == 0)
--- a/entry/requests/once_test.go
+++ b/entry/requests/once_test.go
@@ -9,8 +9,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/forward/forwardtest"
-	"github.com/quetzalshed/quetzalshed/idempotency/idempotencytest"
+	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
@@ -41,7 +42,7 @@
 // Guards against a repeated request that runs again instead of getting the response of the first one (P7), also at
 // another entry, and against a key that is reused for other content.
 func TestRepeatedRequest(t *testing.T) {
-	kv := idempotencytest.New()
+	kv := storetest.New(clock.System{})
 	one, two := newEntry(t, kv, nil), newEntry(t, kv, nil)
 	agent := newAgent(t, "a", one, two)
 	for _, e := range []*testEntry{one, one, two} {
@@ -62,7 +63,7 @@
 
 // Guards against the same key through two entries at once running twice, or one of them getting no response.
 func TestSameKeyAtOnce(t *testing.T) {
-	kv := idempotencytest.New()
+	kv := storetest.New(clock.System{})
 	one, two := newEntry(t, kv, nil), newEntry(t, kv, nil)
 	agent := newAgent(t, "a", one, two)
 	agent.Next = always(forwardtest.Hold)
@@ -84,7 +85,7 @@
 
 // Guards against an entry that dies between the record and the send blocking the key for good.
 func TestRecordOfLostEntryIsTakenOver(t *testing.T) {
-	kv := idempotencytest.New()
+	kv := storetest.New(clock.System{})
 	e := newEntry(t, kv, nil)
 	agent := newAgent(t, "a", e)
 	p, err := parse(mustRequest(t, "buy"))
@@ -109,7 +110,7 @@
 
 // Guards against a response that nobody retains being reported as not run, or the request running again.
 func TestOutcomeThatIsLost(t *testing.T) {
-	kv := idempotencytest.New()
+	kv := storetest.New(clock.System{})
 	e := newEntry(t, kv, nil)
 	agent, other := newAgent(t, "a", e), newAgent(t, "b")
 	agent.Next = always(forwardtest.Forget)
@@ -130,7 +131,7 @@
 // Guards against a repeated request being reported as not run because no upstream takes new work, although the first one
 // ran.
 func TestRepeatedRequestWithoutUpstream(t *testing.T) {
-	e := newEntry(t, idempotencytest.New(), nil)
+	e := newEntry(t, storetest.New(clock.System{}), nil)
 	agent := newAgent(t, "a", e)
 	e.post(t, "k", "buy")
 	leaving := agent.Announcement("price", 2)
@@ -149,10 +150,10 @@
 
 // Guards against an outage of the store letting a request run without a record, or stopping idempotent requests.
 func TestStoreFaults(t *testing.T) {
-	kv := idempotencytest.New()
+	kv := storetest.New(clock.System{})
 	e := newEntry(t, kv, func(s *Settings) { s.RecordsPerSecond = 5 })
 	agent := newAgent(t, "a", e)
-	kv.Script(idempotencytest.Down, idempotencytest.LosesRequest, idempotencytest.LosesResponse)
+	kv.ScriptPuts(storetest.Down, storetest.LosesRequest, storetest.LosesResponse)
 	for i, want := range []string{"503 not-run", "503 not-run", "200 answered", "200 answered", "200 answered"} {
 		response, _ := e.post(t, fmt.Sprint(i), "buy")
 		qt.Assert(t, outcome(response), qt.Equals, want)
--- a/entry/requests/telemetry_test.go
+++ b/entry/requests/telemetry_test.go
@@ -9,9 +9,10 @@
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
+	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/forward/forwardtest"
-	"github.com/quetzalshed/quetzalshed/idempotency/idempotencytest"
 	"github.com/quetzalshed/quetzalshed/kernel"
+	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
 	"github.com/quetzalshed/quetzalshed/settings"
 )
 
@@ -19,7 +20,7 @@
 func TestSpansAndCounters(t *testing.T) {
 	spans := tracetest.NewSpanRecorder()
 	scope := tally.NewTestScope("", nil)
-	e := newEntryWith(t, idempotencytest.New(), nil, func(c *kernel.Context) {
+	e := newEntryWith(t, storetest.New(clock.System{}), nil, func(c *kernel.Context) {
 		c.Tracer = sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(spans)).Tracer("")
 		c.Metrics = scope
 	})
--- a/idempotency/claim_test.go
+++ b/idempotency/claim_test.go
@@ -13,9 +13,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/quetzalshed/quetzalshed/clock"
-	"github.com/quetzalshed/quetzalshed/idempotency/idempotencytest"
 	"github.com/quetzalshed/quetzalshed/limit"
 	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
 )
 
 // TestMain fixes the seed of rapid; -rapid.seed overrides it.
@@ -41,26 +41,26 @@
 func TestAssignUnderFaults(t *testing.T) {
 	for _, test := range []struct {
 		name      string
-		fault     idempotencytest.Fault
+		fault     storetest.WriteFault
 		readsDown bool
 		want      error
 	}{
-		{"works", idempotencytest.Works, false, nil},
-		{"down", idempotencytest.Down, false, ErrNotRecorded},
-		{"response lost", idempotencytest.LosesResponse, false, nil},
-		{"request lost", idempotencytest.LosesRequest, false, ErrNotRecorded},
-		{"response lost and reads down", idempotencytest.LosesResponse, true, ErrNotRecorded},
-		{"applied late", idempotencytest.AppliesLate, false, ErrNotRecorded},
+		{"works", storetest.Works, false, nil},
+		{"down", storetest.Down, false, ErrNotRecorded},
+		{"response lost", storetest.LosesResponse, false, nil},
+		{"request lost", storetest.LosesRequest, false, ErrNotRecorded},
+		{"response lost and reads down", storetest.LosesResponse, true, ErrNotRecorded},
+		{"applied late", storetest.AppliesLate, false, ErrNotRecorded},
 	} {
 		for _, reassigned := range []bool{false, true} {
 			t.Run(fmt.Sprint(test.name, reassigned), func(t *testing.T) {
-				kv := idempotencytest.New()
+				kv := storetest.New(clock.System{})
 				claim := newLedger(kv, clock.System{}).NewClaim("price", "key", "hash")
 				if reassigned {
 					qt.Assert(t, assign(claim, "first"), qt.IsNil)
 				}
-				kv.Script(test.fault)
-				kv.SetReadsDown(test.readsDown)
+				kv.ScriptPuts(test.fault)
+				kv.SetFaults(storetest.Faults{ReadsDown: test.readsDown})
 				err := assign(claim, "second")
 				qt.Assert(t, errors.Is(err, test.want), qt.IsTrue, qt.Commentf("%v", err))
 			})
@@ -70,7 +70,7 @@
 
 // Guards against two requests with one key that both run, and against a key that is reused for other content.
 func TestExistingRecord(t *testing.T) {
-	kv := idempotencytest.New()
+	kv := storetest.New(clock.System{})
 	one, two := newLedger(kv, clock.System{}), newLedger(kv, clock.System{})
 	qt.Assert(t, assign(one.NewClaim("price", "key", "hash"), "first"), qt.IsNil)
 	claim := two.NewClaim("price", "key", "hash")
@@ -92,24 +92,28 @@
 
 // Guards against records that lapse before their retention, and against a lease call per record.
 func TestHourlyLeases(t *testing.T) {
-	kv, now := idempotencytest.New(), clock.NewManual(time.Unix(1_700_000_000, 0))
+	now := clock.NewManual(time.Unix(1_700_000_000, 0))
+	kv := storetest.New(now)
 	ledger := newLedger(kv, now)
 	for i := range 20 {
 		qt.Assert(t, assign(ledger.NewClaim("price", fmt.Sprint(i), "hash"), "a"), qt.IsNil)
 		now.Advance(10 * time.Minute)
 	}
-	qt.Assert(t, kv.Leases(), qt.HasLen, 4)
-	for _, ttl := range kv.Leases() {
+	qt.Assert(t, kv.LeaseTimes(), qt.HasLen, 4)
+	for _, ttl := range kv.LeaseTimes() {
 		qt.Assert(t, ttl, qt.Equals, 25*time.Hour)
 	}
+	// Each record is attached to a lease.
+	qt.Assert(t, kv.Keys(keyPrefix), qt.Equals, 20)
+	kv.EndLeases()
+	qt.Assert(t, kv.Keys(keyPrefix), qt.Equals, 0)
 	// A lease that the store has lost is replaced within the same call.
-	kv.LoseLeases()
 	qt.Assert(t, assign(ledger.NewClaim("price", "after", "hash"), "a"), qt.IsNil)
 }
 
 // Guards against an entry that uses up the writes of the fleet's store.
 func TestRecordRate(t *testing.T) {
-	ledger := newLedger(idempotencytest.New(), clock.NewManual(time.Unix(1_700_000_000, 0)))
+	ledger := newLedger(storetest.New(clock.System{}), clock.NewManual(time.Unix(1_700_000_000, 0)))
 	ledger.opts.Writes = limit.NewRate(2, 1)
 	qt.Assert(t, assign(ledger.NewClaim("price", "a", "hash"), "a"), qt.IsNil)
 	var rate *RateError
@@ -122,7 +126,7 @@
 // were sent and not cancelled: it never has two members.
 func TestAtMostOneLiveAttempt(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		kv := idempotencytest.New()
+		kv := storetest.New(clock.System{})
 		ledgers := []*Ledger{newLedger(kv, clock.System{}), newLedger(kv, clock.System{}), newLedger(kv, clock.System{})}
 		claims := make([]*Claim, len(ledgers))
 		for i, ledger := range ledgers {
@@ -133,8 +137,8 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"assign": func(t *rapid.T) {
 				i := which.Draw(t, "entry")
-				kv.Script(idempotencytest.Fault(rapid.IntRange(0, idempotencytest.Faults-1).Draw(t, "fault")))
-				kv.SetReadsDown(rapid.Bool().Draw(t, "reads down"))
+				kv.ScriptPuts(storetest.WriteFault(rapid.IntRange(0, storetest.WriteFaults-1).Draw(t, "fault")))
+				kv.SetFaults(storetest.Faults{ReadsDown: rapid.Bool().Draw(t, "reads down")})
 				// The forwarder assigns again only after its own attempt has certainly not run.
 				if held := claims[i].held.Record.AttemptID; live[held] {
 					delete(live, held)
@@ -143,7 +147,7 @@
 				sequence++
 				attempt := fmt.Sprint("attempt-", sequence)
 				err := assign(claims[i], attempt)
-				kv.SetReadsDown(false)
+				kv.SetFaults(storetest.Faults{ReadsDown: false})
 				var exists *ExistsError
 				switch {
 				case err == nil && !cancelled[attempt]:
@@ -160,7 +164,7 @@
 					}
 				}
 			},
-			"late": func(*rapid.T) { kv.ApplyLate() },
+			"late": func(*rapid.T) { kv.ReleaseHeld() },
 			"restart": func(t *rapid.T) {
 				i := which.Draw(t, "entry")
 				claims[i] = ledgers[i].NewClaim("price", "key", "hash")
