Reject announcements of agents of another fleet

Cause: an agent whose settings name an entry of another fleet was taken, and would have got requests of that fleet. Ruled out: counting these among refused announcements, which would hide a wrong setting among malformed messages; taking an empty name as any fleet, since no released agent sends none. Change: Announcement carries ProcessSettings.Fleet; the entry replies 400 and counts announcements_other_fleet. Figures: TestAnnouncementOfAnotherFleet fails with the comparison disabled and passes with it (go test -race ./entry/requests). Entries and agents must be upgraded together.

--- a/agent/announcer/announcer_test.go
+++ b/agent/announcer/announcer_test.go
@@ -197,6 +197,7 @@
 		for _, a := range e.all() {
 			c.Assert(a.Sequence > sequence, qt.IsTrue)
 			c.Assert(a.Incarnation, qt.Equals, incarnation)
+			c.Assert(a.Fleet, qt.Equals, "test")
 			sequence = a.Sequence
 		}
 	}
--- a/agent/announcer/module.go
+++ b/agent/announcer/module.go
@@ -159,6 +159,7 @@
 		}
 	}
 	return structs.Announcement{
+		Fleet: m.context.Process.Fleet,
 		Agent: m.context.Process.Name, Incarnation: m.context.Incarnation, Sequence: m.sequence.Add(1),
 		StartedUnixNano: m.context.StartedUnixNano, Address: m.settings.Address.String(),
 		FailureDomain: m.context.Process.FailureDomain, Upstreams: upstreams, Leaving: m.source.Leaving(),
--- a/entry/requests/announce.go
+++ b/entry/requests/announce.go
@@ -26,6 +26,11 @@
 		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
 		return
 	}
+	if announcement.Fleet != m.context.Process.Fleet {
+		m.metrics.otherFleet.Inc(1)
+		http.Error(w, "announcement: the agent belongs to another fleet", http.StatusBadRequest)
+		return
+	}
 	size := announcementOverhead + int(max(r.ContentLength, 0))
 	applied, err := m.table.Apply(&announcement, size)
 	switch {
--- a/entry/requests/bench_test.go
+++ b/entry/requests/bench_test.go
@@ -13,6 +13,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/forward/forwardtest"
 	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
@@ -82,7 +83,7 @@
 	for b.Loop() {
 		sequence++
 		body := mustJSON(b, structs.Announcement{
-			Agent: fmt.Sprint("agent-", sequence%3400), Incarnation: "i", StartedUnixNano: 1, Sequence: sequence,
+			Fleet: forwardtest.Fleet, Agent: fmt.Sprint("agent-", sequence%3400), Incarnation: "i", StartedUnixNano: 1, Sequence: sequence,
 			Address: "10.0.0.1:1", FailureDomain: "patan", Upstreams: []structs.Upstream{{Service: "price", Slots: 8, Connections: 64}},
 		})
 		recorder := httptest.NewRecorder()
--- a/entry/requests/entry_test.go
+++ b/entry/requests/entry_test.go
@@ -56,7 +56,8 @@
 	}
 	router := mux.NewRouter().UseEncodedPath()
 	c := &kernel.Context{
-		Process: kernel.ProcessSettings{Name: "entry-1", FailureDomain: "patan"}, Log: hclog.NewNullLogger(),
+		Process:     kernel.ProcessSettings{Name: "entry-1", Fleet: forwardtest.Fleet, FailureDomain: "patan"},
+		Log:         hclog.NewNullLogger(),
 		Incarnation: fmt.Sprint("entry-", incarnations.Add(1)),
 		Metrics:     tally.NoopScope, Tracer: noop.NewTracerProvider().Tracer(""), Clock: clock.System{}, Router: router,
 	}
@@ -228,7 +229,7 @@
 func TestAnnouncements(t *testing.T) {
 	e := newEntry(t, nil, nil)
 	qt.Assert(t, e.Ready(), qt.Equals, errNoUpstreams)
-	qt.Assert(t, e.announce(t, structs.Announcement{Agent: "a"}).StatusCode, qt.Equals, http.StatusBadRequest)
+	qt.Assert(t, e.announce(t, structs.Announcement{Fleet: forwardtest.Fleet, Agent: "a"}).StatusCode, qt.Equals, http.StatusBadRequest)
 	for _, body := range []string{"{", strings.Repeat(" ", maxAnnouncementBytes) + "{}"} {
 		response, _ := e.call(t, http.MethodPost, "/v1/announce", body)
 		qt.Assert(t, response.StatusCode, qt.Equals, http.StatusBadRequest)
@@ -239,6 +240,26 @@
 	qt.Assert(t, body, qt.Equals, "{\"next_after_millis\":1000}\n")
 }
 
+// Guards against an agent that is configured with an entry of another fleet getting requests of that fleet.
+func TestAnnouncementOfAnotherFleet(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	e := newEntryWith(t, nil, nil, func(c *kernel.Context) { c.Metrics = scope })
+	agent := newAgent(t, "a")
+	for _, fleet := range []string{"other", "", "Test", "test "} {
+		announcement := agent.Announcement("price", 1)
+		announcement.Fleet = fleet
+		qt.Assert(t, e.announce(t, announcement).StatusCode, qt.Equals, http.StatusBadRequest)
+	}
+	qt.Assert(t, e.table.Agents(), qt.Equals, 0)
+	response, _ := e.call(t, http.MethodGet, "/s/price/p", "")
+	qt.Assert(t, outcome(response), qt.Equals, "503 not-run")
+	counters := scope.Snapshot().Counters()
+	qt.Assert(t, counters["requests.announcements_other_fleet+"].Value(), qt.Equals, int64(4))
+	qt.Assert(t, counters["requests.announcements+"].Value(), qt.Equals, int64(0))
+	qt.Assert(t, e.announce(t, agent.Announcement("price", 1)).StatusCode, qt.Equals, http.StatusOK)
+	qt.Assert(t, scope.Snapshot().Counters()["requests.announcements+"].Value(), qt.Equals, int64(1))
+}
+
 func mustJSON(t testing.TB, value any) []byte {
 	t.Helper()
 	raw, err := json.Marshal(value)
--- a/entry/requests/metrics.go
+++ b/entry/requests/metrics.go
@@ -25,6 +25,8 @@
 	announced tally.Counter
 	stale     tally.Counter
 	refused   tally.Counter
+	// otherFleet counts announcements of agents of another fleet.
+	otherFleet tally.Counter
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -37,7 +39,7 @@
 		followed: s.Counter("followed_records"), recordsFailed: s.Counter("records_failed"),
 		recordsLimited: s.Counter("records_limited"),
 		announced:      s.Counter("announcements"), stale: s.Counter("announcements_stale"),
-		refused: s.Counter("announcements_refused"),
+		refused: s.Counter("announcements_refused"), otherFleet: s.Counter("announcements_other_fleet"),
 	}
 	for _, outcome := range []structs.Outcome{structs.OutcomeAnswered, structs.OutcomeNotRun, structs.OutcomeUnknown} {
 		m.outcomes[outcome] = s.Tagged(map[string]string{"outcome": string(outcome)}).Counter("outcomes")
--- a/forward/forwardtest/agent.go
+++ b/forward/forwardtest/agent.go
@@ -127,12 +127,15 @@
 // Address is where the agent listens.
 func (a *Agent) Address() string { return a.listener.Addr().String() }
 
+// Fleet is the fleet's name in announcements.
+const Fleet = "test"
+
 // Announcement returns a valid announcement of one upstream.
 func (a *Agent) Announcement(service string, sequence int64) structs.Announcement {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return structs.Announcement{
-		Agent: a.Name, Incarnation: a.incarnation, Sequence: sequence, StartedUnixNano: int64(len(a.incarnation)),
+		Fleet: Fleet, Agent: a.Name, Incarnation: a.incarnation, Sequence: sequence, StartedUnixNano: int64(len(a.incarnation)),
 		Address: a.Address(), FailureDomain: "patan",
 		Upstreams: []structs.Upstream{{Service: service, Slots: 8, Connections: 64}},
 	}
--- a/structs/request.go
+++ b/structs/request.go
@@ -72,6 +72,8 @@
 
 // Announcement tells an entry which upstreams an agent serves.
 type Announcement struct {
+	// Fleet is the name of the agent's fleet. Entries of other fleets reject the announcement.
+	Fleet string `json:"fleet"`
 	Agent string `json:"agent"`
 	// Incarnation differs for each start of the agent's process.
 	Incarnation string `json:"incarnation"`
