Announce again at once when the entry ends the connection

Cause: a restarted entry learned its upstreams with the next paced announcement, up to 30 s later in large fleets. Ruled out: a check of the kept connection each second. http.Transport keeps a read pending on it, so the error of that read reports the end at once, without a timer and without sending bytes. Also ruled out: announcing without jitter, since all agents notice at the same time. Change: the announcer wraps its connections, and announces after a random part of its interval when the peer ends one. A reply with Connection: close, as a stopping entry sends it, leaves no connection to watch; the next announcement then follows within five intervals. The reply carries the entry's incarnation; a change is counted (entry_restarts) and logged. A host that vanishes without ending the connection is noticed only by TCP keep-alive or by the next announcement.

--- a/agent/announcer/module.go
+++ b/agent/announcer/module.go
@@ -69,8 +69,11 @@
 	peers  []*peer
 	sent   tally.Counter
 	failed tally.Counter
-	stop   context.CancelFunc
-	done   sync.WaitGroup
+	// lost counts connections that entries ended, and restarts the new incarnations of entries.
+	lost     tally.Counter
+	restarts tally.Counter
+	stop     context.CancelFunc
+	done     sync.WaitGroup
 }
 
 // Settings returns the target of the section [agent.announcer].
@@ -90,6 +93,7 @@
 	}
 	scope := c.Metrics.SubScope("agent_announcer")
 	m.sent, m.failed = scope.Counter("sent"), scope.Counter("failed")
+	m.lost, m.restarts = scope.Counter("connections_lost"), scope.Counter("entry_restarts")
 	for _, entry := range m.settings.Entries {
 		m.peers = append(m.peers, newPeer(m, entry))
 	}
--- a/agent/announcer/peer.go
+++ b/agent/announcer/peer.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -21,6 +23,9 @@
 	// keeps a wrong answer from silencing the agent. Entries of large fleets ask for up to 30 s.
 	minInterval = 50 * time.Millisecond
 	maxInterval = 30 * time.Second
+	// closedIntervals bounds, in intervals of the settings, the time until the next announcement to an entry that closes
+	// the connection with its reply because it stops. Without a kept connection the agent doesn't notice the restart.
+	closedIntervals = 5
 	// maxRetrySeconds keeps the computation of a duration from a Retry-After header in range.
 	maxRetrySeconds = 3600
 	// maxReply bounds the body of a reply in bytes.
@@ -33,6 +38,10 @@
 	url    string
 	client *http.Client
 	wake   chan struct{}
+	// lost tells that the entry has ended a connection.
+	lost chan struct{}
+	// incarnation is the entry's, as of its last reply.
+	incarnation string
 
 	mu sync.Mutex
 	// waiting are closed after the next announcement that starts after they were added.
@@ -41,10 +50,24 @@
 }
 
 func newPeer(m *Module, address netip.AddrPort) *peer {
-	transport := &http.Transport{MaxIdleConns: 1, IdleConnTimeout: maxInterval * 2, DisableCompression: true}
-	return &peer{
-		module: m, url: "http://" + address.String() + "/v1/announce", wake: make(chan struct{}, 1),
-		client: &http.Client{Transport: transport, Timeout: m.settings.Timeout},
+	p := &peer{
+		module: m, url: "http://" + address.String() + "/v1/announce",
+		wake: make(chan struct{}, 1), lost: make(chan struct{}, 1),
+	}
+	transport := &http.Transport{
+		MaxIdleConns: 1, IdleConnTimeout: maxInterval * 2, DisableCompression: true,
+		DialContext: dialWatched(&net.Dialer{Timeout: m.settings.Timeout}, p.connectionLost),
+	}
+	p.client = &http.Client{Transport: transport, Timeout: m.settings.Timeout}
+	return p
+}
+
+// connectionLost notes that the entry has ended a connection.
+func (p *peer) connectionLost() {
+	p.module.lost.Inc(1)
+	select {
+	case p.lost <- struct{}{}:
+	default:
 	}
 }
 
@@ -69,6 +92,11 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-p.lost:
+			// An entry that has restarted knows no upstream. All agents notice at the same time, so each waits for a random
+			// part of the interval at which it also repeats the announcement while the entry is down.
+			timer.Reset(rand.N(p.module.settings.Interval))
+			continue
 		case <-timer.C:
 		case <-p.wake:
 		}
@@ -150,9 +178,22 @@
 	if err := json.Unmarshal(raw, &reply); err != nil {
 		return interval, eris.Wrap(err, "decoding the reply")
 	}
-	if reply.NextAfterMillis <= 0 {
-		return interval, nil
+	p.noteIncarnation(reply.Incarnation)
+	if reply.NextAfterMillis > 0 {
+		millis := min(max(reply.NextAfterMillis, minInterval.Milliseconds()), maxInterval.Milliseconds())
+		interval = time.Duration(millis) * time.Millisecond
+	}
+	if response.Close {
+		interval = min(interval, closedIntervals*p.module.settings.Interval)
+	}
+	return interval, nil
+}
+
+// noteIncarnation counts and logs restarts of the entry.
+func (p *peer) noteIncarnation(incarnation string) {
+	if p.incarnation != "" && p.incarnation != incarnation {
+		p.module.restarts.Inc(1)
+		p.module.log.Info("entry has restarted", "url", p.url, "incarnation", incarnation)
 	}
-	millis := min(max(reply.NextAfterMillis, minInterval.Milliseconds()), maxInterval.Milliseconds())
-	return time.Duration(millis) * time.Millisecond, nil
+	p.incarnation = incarnation
 }
--- a/entry/requests/announce.go
+++ b/entry/requests/announce.go
@@ -49,7 +49,9 @@
 		m.metrics.announced.Inc(1)
 		m.logAnnouncement(&announcement, applied)
 	}
-	kernel.WriteJSON(w, http.StatusOK, structs.AnnounceReply{NextAfterMillis: applied.NextAfter.Milliseconds()})
+	kernel.WriteJSON(w, http.StatusOK, structs.AnnounceReply{
+		NextAfterMillis: applied.NextAfter.Milliseconds(), Incarnation: m.context.Incarnation,
+	})
 }
 
 func (m *Module) logAnnouncement(a *structs.Announcement, applied routing.Applied) {
--- a/structs/request.go
+++ b/structs/request.go
@@ -91,6 +91,8 @@
 type AnnounceReply struct {
 	// NextAfterMillis is when the entry wants the next announcement if nothing changes.
 	NextAfterMillis int64 `json:"next_after_millis"`
+	// Incarnation differs for each start of the entry's process.
+	Incarnation string `json:"incarnation"`
 }
 
 // AttemptState is what an agent knows of an attempt.
