--- a/entry/requests/bench_test.go
+++ b/entry/requests/bench_test.go
@@ -12,7 +12,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/quetzalshed/quetzalshed/idempotency/idempotencytest"
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/forward/forwardtest"
+	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
@@ -21,7 +23,7 @@
 func BenchmarkAddedLatency(b *testing.B) {
 	for _, method := range []string{http.MethodPut, http.MethodPost} {
 		b.Run(method, func(b *testing.B) {
-			e := newEntry(b, idempotencytest.New(), func(s *Settings) {
+			e := newEntry(b, storetest.New(clock.System{}), func(s *Settings) {
 				s.RecordsPerSecond, s.MinHedge, s.AnnounceMin = 1e4, time.Second, time.Hour
 				s.AnnounceMax = time.Hour
 			})
@@ -81,7 +83,7 @@
 	for b.Loop() {
 		sequence++
 		body := mustJSON(b, structs.Announcement{
-			Agent: fmt.Sprint("agent-", sequence%3400), Incarnation: "i", StartedUnixNano: 1, Sequence: sequence,
+			Fleet: forwardtest.Fleet, Agent: fmt.Sprint("agent-", sequence%3400), Incarnation: "i", StartedUnixNano: 1, Sequence: sequence,
 			Address: "10.0.0.1:1", FailureDomain: "patan", Upstreams: []structs.Upstream{{Service: "price", Slots: 8, Connections: 64}},
 		})
 		recorder := httptest.NewRecorder()
--- a/structs/request.go
+++ b/structs/request.go
@@ -72,6 +72,8 @@
 
 // Announcement tells an entry which upstreams an agent serves.
 type Announcement struct {
+	// Fleet is the name of the agent's fleet. Entries of other fleets reject the announcement.
+	Fleet string `json:"fleet"`
 	Agent string `json:"agent"`
 	// Incarnation differs for each start of the agent's process.
 	Incarnation string `json:"incarnation"`
@@ -89,6 +91,8 @@
 type AnnounceReply struct {
 	// NextAfterMillis is when the entry wants the next announcement if nothing changes.
 	NextAfterMillis int64 `json:"next_after_millis"`
+	// Incarnation differs for each start of the entry's process.
+	Incarnation string `json:"incarnation"`
 }
 
 // AttemptState is what an agent knows of an attempt.
