Report readiness only after the start

Cause: TestNotReadyBeforeStart: the admin server answers before the modules start, so that /readyz could say ready before an upstream was known, and read a field that Start was writing. Ruled out: serving the admin address after the start, since /healthz must answer while a module waits for the store. Change: the process isn't ready until all modules have started; the entry takes the time in Provision.

--- a/entry/requests/module.go
+++ b/entry/requests/module.go
@@ -50,6 +50,8 @@
 
 // Provision builds the request path and adds the routes.
 func (m *Module) Provision(c *kernel.Context) error {
+	// The admin server answers before Start, and an entry without upstreams must not be ready then.
+	m.started = time.Now()
 	s := m.settings
 	m.context = c
 	m.metrics = newMetrics(c.Metrics)
@@ -97,7 +99,6 @@
 // Start begins to probe connections.
 func (m *Module) Start(ctx context.Context) error {
 	ctx, m.stop = context.WithCancel(ctx)
-	m.started = time.Now()
 	m.background.Go(func() { m.pool.RunProbes(ctx) })
 	m.background.Go(func() { m.reportGauges(ctx) })
 	return nil
--- a/kernel/admin.go
+++ b/kernel/admin.go
@@ -34,6 +34,10 @@
 		state.Ready = false
 		state.Reasons["process"] = "draining"
 	}
+	if !p.started.Load() {
+		state.Ready = false
+		state.Reasons["process"] = "starting"
+	}
 	for name, module := range p.context.modules {
 		checker, ok := module.(ReadyChecker)
 		if !ok {
--- a/kernel/process.go
+++ b/kernel/process.go
@@ -52,9 +52,11 @@
 
 // Process is one running process.
 type Process struct {
-	context   *Context
-	order     []string
-	draining  atomic.Bool
+	context  *Context
+	order    []string
+	draining atomic.Bool
+	// started is set once all modules have started.
+	started   atomic.Bool
 	telemetry *telemetry
 	server    *http.Server
 	admin     *http.Server
@@ -104,6 +106,7 @@
 			return eris.Wrapf(err, "starting %s", name)
 		}
 	}
+	p.started.Store(true)
 	p.context.Log.Info("process started", "address", p.context.Process.Listen, "incarnation", p.context.Incarnation)
 	select {
 	case <-ctx.Done():
