Test readiness before the start, after it and with a module that isn't ready

Cause: with readiness tied to the start, the test of modules passed whatever a module said. Ruled out: nothing. Change: the test covers the three states.

--- a/kernel/process_test.go
+++ b/kernel/process_test.go
@@ -144,12 +144,17 @@
 // Guards against a process that reports ready although a module is not.
 func TestModuleDelaysReadiness(t *testing.T) {
 	c := qt.New(t)
-	registerRecorders(t, map[string][]string{"a": nil}, func(r *recorder) { r.notReady = errors.New("no head yet") })
+	var module *recorder
+	registerRecorders(t, map[string][]string{"a": nil}, func(r *recorder) { module = r })
 	p, err := LoadProcess(testRole, writeSettings(t, validProcess))
 	c.Assert(err, qt.IsNil)
 	c.Assert(p.provision(), qt.IsNil)
 	defer p.telemetry.close()
 	p.context.Log = hclog.NewNullLogger()
+	c.Assert(probe(p.adminRouter(), "/readyz").status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("before the start"))
+	p.started.Store(true)
+	c.Assert(probe(p.adminRouter(), "/readyz").status, qt.Equals, http.StatusOK)
+	module.notReady = errors.New("no head yet")
 	c.Assert(probe(p.adminRouter(), "/readyz").status, qt.Equals, http.StatusServiceUnavailable)
 	c.Assert(probe(p.adminRouter(), "/healthz").status, qt.Equals, http.StatusOK)
 }
