Keep the distrust of a connection in the connection

Cause: the pool wrapped a connection in two types that each repeated its distrust, and conn had three fields that only tests or nothing read (reused, dialTime, lastRead). Ruled out: merging idleConn into conn as well; its times mean nothing while a connection is in use. Change: type lease is gone, conn holds distrust, the unread fields are removed. The pool test passed lastRead of a fresh connection to put as the time of its last use and now passes the current time. Conclusion: no change of behaviour.

--- a/forward/conn.go
+++ b/forward/conn.go
@@ -39,16 +39,14 @@
 	silence time.Duration
 	// allowance is how many more bytes the current response may have.
 	allowance int
-	// lastRead is when the peer last sent a byte.
-	lastRead time.Time
-	// dialTime is how long the connection took to open.
-	dialTime time.Duration
-	reused   bool
-	sentAny  bool
+	// sentAny tells that a part of the current request was sent.
+	sentAny bool
+	// distrust is that of the peer when the connection was opened.
+	distrust int
 }
 
 func newConn(raw net.Conn, address string, silence time.Duration) *conn {
-	c := &conn{raw: raw, address: address, silence: silence, lastRead: time.Now()}
+	c := &conn{raw: raw, address: address, silence: silence}
 	c.reader = bufio.NewReaderSize(readSide{c}, readBufferBytes)
 	c.writer = bufio.NewWriterSize(writeSide{c}, writeBufferBytes)
 	return c
@@ -66,9 +64,6 @@
 	}
 	n, err := r.c.raw.Read(p[:min(len(p), r.c.allowance)])
 	r.c.allowance -= n
-	if n > 0 {
-		r.c.lastRead = time.Now()
-	}
 	return n, err
 }
 
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -52,7 +52,6 @@
 
 type idleConn struct {
 	*conn
-	distrust int
 	// since is when the last request ended, probed when the last probe ended.
 	since, probed time.Time
 }
@@ -76,14 +75,8 @@
 	return &Pool{opts: opts, peers: map[string]*peer{}}
 }
 
-// lease is a connection in use together with what is needed to return it.
-type lease struct {
-	*conn
-	distrust int
-}
-
 // get returns an idle connection or, if there is none or fresh is set, a new one. Its errors are of kind FaultNotSent.
-func (p *Pool) get(ctx context.Context, address string, fresh bool) (*lease, error) {
+func (p *Pool) get(ctx context.Context, address string, fresh bool) (*conn, error) {
 	p.mu.Lock()
 	known := p.peers[address]
 	if known == nil {
@@ -99,8 +92,7 @@
 			continue
 		}
 		p.mu.Unlock()
-		c.reused = true
-		return &lease{c.conn, c.distrust}, nil
+		return c.conn, nil
 	}
 	// Connections for resolution are exempt from the bound: they decide the outcome of requests that hold the others.
 	if known.open >= p.opts.MaxPerAddress && !fresh {
@@ -115,29 +107,28 @@
 		p.closed(address)
 		return nil, &AttemptError{Kind: FaultNotSent, Cause: err}
 	}
-	return &lease{c, distrust}, nil
+	c.distrust = distrust
+	return c, nil
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
 	defer cancel()
-	start := time.Now()
 	raw, err := p.opts.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	c := newConn(raw, address, p.opts.Silence)
-	c.dialTime = time.Since(start)
-	return c, nil
+	return newConn(raw, address, p.opts.Silence), nil
 }
 
+// closed counts a connection that was closed, or not opened.
 func (p *Pool) closed(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.forget(address, 1)
 }
 
-// forget counts closed connections and drops a peer without any.
+// forget counts closed connections and drops a peer without any. The caller holds the lock.
 func (p *Pool) forget(address string, n int) {
 	known := p.peers[address]
 	known.open -= n
@@ -146,8 +137,9 @@
 	}
 }
 
-// put returns a connection. It is closed when it can't be used again or the pool has enough.
-func (p *Pool) put(c *lease, reusable bool, used time.Time) {
+// put returns a connection whose last request ended at used. It is closed when it can't be used again or the pool has
+// enough.
+func (p *Pool) put(c *conn, reusable bool, used time.Time) {
 	now := time.Now()
 	p.mu.Lock()
 	known := p.peers[c.address]
@@ -157,7 +149,7 @@
 		_ = c.raw.Close()
 		return
 	}
-	known.idle = append(known.idle, &idleConn{conn: c.conn, distrust: c.distrust, since: used, probed: now})
+	known.idle = append(known.idle, &idleConn{conn: c, since: used, probed: now})
 	p.idle++
 	p.mu.Unlock()
 }
--- a/forward/pool_test.go
+++ b/forward/pool_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -54,18 +55,18 @@
 	qt.Assert(t, fault.Kind, qt.Equals, FaultExhausted)
 	fresh, err := pool.get(t.Context(), address, true)
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("a resolve must not wait for connections that it decides about"))
-	pool.put(one, true, one.lastRead)
+	pool.put(one, true, time.Now())
 	open, idle := pool.Counts()
 	qt.Assert(t, []int{open, idle}, qt.DeepEquals, []int{3, 1})
 	pool.Distrust(address)
-	pool.put(two, true, two.lastRead)
-	pool.put(fresh, true, fresh.lastRead)
+	pool.put(two, true, time.Now())
+	pool.put(fresh, true, time.Now())
 	open, idle = pool.Counts()
 	qt.Assert(t, []int{open, idle}, qt.DeepEquals, []int{0, 0})
 	newest, err := pool.get(t.Context(), address, false)
 	qt.Assert(t, err, qt.IsNil)
 	pool.opts.MaxIdle = 0
-	pool.put(newest, true, newest.lastRead)
+	pool.put(newest, true, time.Now())
 	open, _ = pool.Counts()
 	qt.Assert(t, open, qt.Equals, 0)
 }
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		p.Distrust(c.address)
 	}
-	p.put(&lease{c.conn, c.distrust}, reusable && err == nil, c.since)
+	p.put(c.conn, reusable && err == nil, c.since)
 	if p.opts.OnProbe != nil {
 		p.opts.OnProbe(c.address, time.Since(start), err)
 	}
