Split the run of a request into smaller functions

Ruled out: moving the choice of an upstream out of view; Decide needs its result, and a second look-up would cost the table's lock twice. Conclusion: no change of behaviour; no test changed.

--- a/forward/run.go
+++ b/forward/run.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"net/http"
 	"slices"
 	"time"
 
@@ -11,7 +9,6 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/quetzalshed/quetzalshed/routing"
-	"github.com/quetzalshed/quetzalshed/structs"
 )
 
 // run is the state of one request. Only the goroutine of Do uses it; attempts report through results.
@@ -22,9 +19,10 @@
 	assigner Assigner
 	attempts []*attempt
 	results  chan result
-	next     routing.Candidate
-	verdict  routing.Verdict
-	hedgeAt  time.Time
+	// next is the upstream for another attempt as of the last view, if verdict is Chosen.
+	next    routing.Candidate
+	verdict routing.Verdict
+	hedgeAt time.Time
 	// denied is set when another request took the last token of the retry budget, and holds for the next decision.
 	denied bool
 }
@@ -46,15 +44,6 @@
 	undelivered bool
 }
 
-// result is what an exchange or a resolve of one attempt yielded.
-type result struct {
-	attempt    int
-	reply      *Reply
-	err        error
-	resolve    bool
-	resolution Resolution
-}
-
 // Do answers one request. assigner is nil for an idempotent request.
 func (f *Forwarder) Do(ctx context.Context, request *Request, assigner Assigner) Result {
 	f.opts.Budget.Request(time.Now())
@@ -83,39 +72,48 @@
 	}
 }
 
-// view returns what the decision needs. Whether an upstream is left is looked up only when it can matter.
+// view returns what the decision needs, and chooses the upstream of the next attempt. While the only thing to do is to
+// wait for responses, neither the table nor the budget is looked at.
 func (r *run) view(now time.Time) View {
 	v := View{
 		Now: now, Deadline: r.request.Deadline, Idempotent: r.request.Idempotent, HedgeAt: r.hedgeAt,
 		Abandoned: r.ctx.Err() != nil, Budget: true, Upstream: true,
 	}
-	calm := len(r.attempts) > 0
 	for _, a := range r.attempts {
 		v.Attempts = append(v.Attempts, a.AttemptView)
-		calm = calm && a.Phase == PhaseSent
 	}
-	if calm && now.Before(r.hedgeAt) {
+	if r.allSent() && now.Before(r.hedgeAt) {
 		return v
 	}
-	r.next, r.verdict = r.f.opts.Table.Choose(r.request.Service, r.tried())
-	v.Upstream = r.verdict == routing.Chosen
-	if r.live() && now.Before(r.next.SuspectUntil) {
-		// A suspected upstream is worth a try only when nothing else is left.
-		v.Upstream = false
-	}
+	v.Upstream = r.chooseNext(now)
 	if len(r.attempts) > 0 {
-		v.Budget = !r.denied && r.f.opts.Budget.Available(now)
-		r.denied = false
-		if !v.Budget {
-			r.f.counters.budgetDenied.Inc(1)
-		}
+		v.Budget = r.hasBudget(now)
 	}
 	return v
 }
 
-// live tells whether an attempt may still be answered.
-func (r *run) live() bool {
-	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.Phase.live() })
+// allSent tells whether there are attempts and each waits for its response.
+func (r *run) allSent() bool {
+	return len(r.attempts) > 0 &&
+		!slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.Phase != PhaseSent })
+}
+
+// chooseNext chooses the upstream of the next attempt and returns whether there is one. While an attempt may still be
+// answered, a suspected upstream doesn't count.
+func (r *run) chooseNext(now time.Time) bool {
+	r.next, r.verdict = r.f.opts.Table.Choose(r.request.Service, r.tried())
+	live := slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.Phase.live() })
+	return r.verdict == routing.Chosen && !(live && now.Before(r.next.SuspectUntil))
+}
+
+// hasBudget tells whether the retry budget has a token, and counts when it has none.
+func (r *run) hasBudget(now time.Time) bool {
+	available := !r.denied && r.f.opts.Budget.Available(now)
+	r.denied = false
+	if !available {
+		r.f.counters.budgetDenied.Inc(1)
+	}
+	return available
 }
 
 // tried returns the agent processes that another attempt should avoid.
@@ -140,20 +138,13 @@
 	}
 }
 
-// send starts an attempt at the upstream that the last view has found.
+// send starts an attempt at the upstream that the last view has chosen. Without a token of the retry budget it does
+// nothing, and the next view reports that.
 func (r *run) send(hedge bool) error {
 	chosen := r.next
 	a := &attempt{id: r.f.newAttemptID(), target: Target{chosen.ID(), chosen.Address}, hedge: hedge}
-	if len(r.attempts) > 0 {
-		if !r.f.opts.Budget.Take(time.Now()) {
-			r.denied = true
-			return nil
-		}
-		if hedge {
-			r.f.counters.hedges.Inc(1)
-		} else {
-			r.f.counters.retries.Inc(1)
-		}
+	if len(r.attempts) > 0 && !r.takeBudget(hedge) {
+		return nil
 	}
 	if err := r.assign(a); err != nil {
 		return err
@@ -172,6 +163,20 @@
 	return nil
 }
 
+// takeBudget takes a token of the retry budget for a retry or a hedge, or returns false.
+func (r *run) takeBudget(hedge bool) bool {
+	if !r.f.opts.Budget.Take(time.Now()) {
+		r.denied = true
+		return false
+	}
+	if hedge {
+		r.f.counters.hedges.Inc(1)
+	} else {
+		r.f.counters.retries.Inc(1)
+	}
+	return true
+}
+
 // assign has the attempt of a non-idempotent request recorded.
 func (r *run) assign(a *attempt) error {
 	if r.assigner == nil {
@@ -188,6 +193,7 @@
 	return err
 }
 
+// launch sends an attempt in the background; its result goes to results.
 func (r *run) launch(a *attempt, chosen routing.Candidate, index int) {
 	f := r.f
 	f.counters.attempts.Inc(1)
@@ -204,6 +210,7 @@
 	}()
 }
 
+// resolve finds out in the background what became of an attempt. One that is known to run is waited for.
 func (r *run) resolve(index int) {
 	a := r.attempts[index]
 	find := r.f.Resolve
@@ -222,99 +229,6 @@
 	}()
 }
 
-// take updates an attempt with a result.
-func (r *run) take(got result) {
-	a := r.attempts[got.attempt]
-	switch {
-	case got.resolve && got.err != nil:
-		r.f.counters.resolvesFailed.Inc(1)
-		r.resolveFailed(a, got.err)
-	case got.resolve:
-		r.resolved(a, got.resolution)
-	case got.err != nil:
-		r.failed(a, got.err)
-	default:
-		r.replied(a, got.reply)
-	}
-}
-
-func (r *run) replied(a *attempt, reply *Reply) {
-	a.reply, a.reason = reply, reply.Reason
-	r.f.opts.Table.Trust(a.target.ID)
-	observation := routing.Observation{Load: reply.Load}
-	switch reply.Outcome {
-	case structs.OutcomeAnswered:
-		a.Phase = PhaseAnswered
-		observation.Answered, observation.Failed = true, reply.Status >= http.StatusInternalServerError
-		observation.Latency = time.Since(a.started)
-	case structs.OutcomeNotRun:
-		a.Phase = PhaseNotRun
-		a.Final = reply.Status >= 400 && reply.Status < 500 && reply.Status != http.StatusTooManyRequests &&
-			reply.Status != http.StatusConflict
-	default:
-		a.Phase = PhaseUnknown
-	}
-	a.ticket.Done(observation)
-}
-
-func (r *run) failed(a *attempt, err error) {
-	kind := FaultBroken
-	var fault *AttemptError
-	if errors.As(err, &fault) {
-		kind = fault.Kind
-	}
-	r.f.counters.fault(kind)
-	a.span.SetAttributes(attribute.String("quetzalshed.fault", string(kind)))
-	switch kind {
-	case FaultExhausted:
-		a.Phase, a.reason = PhaseNotRun, "no connection to the agent is free"
-		a.ticket.Done(routing.Observation{})
-	case FaultNotSent:
-		a.Phase, a.reason = PhaseNotRun, "the agent can't be reached"
-		a.ticket.Done(routing.Observation{})
-		r.f.opts.Table.Suspect(a.target.ID, r.f.opts.SuspectFor)
-	default:
-		a.Phase, a.NextResolve = PhaseLost, time.Now()
-		a.reason = "the connection to the agent was lost"
-		if kind == FaultSilent {
-			r.f.opts.Table.Suspect(a.target.ID, r.f.opts.SuspectFor)
-		}
-		if kind != FaultCancelled {
-			r.f.opts.Pool.Distrust(a.target.Address)
-		}
-	}
-}
-
-func (r *run) resolveFailed(a *attempt, err error) {
-	r.f.opts.Table.Suspect(a.target.ID, r.f.opts.SuspectFor)
-	a.FailedResolves++
-	if a.FailedResolves >= maxFailedResolves {
-		a.Phase, a.reason = PhaseUnknown, "the connection to the agent was lost and the attempt can't be resolved"
-		a.span.RecordError(err)
-		return
-	}
-	a.Phase, a.NextResolve = PhaseLost, time.Now().Add(failedBackoff(a.FailedResolves))
-}
-
-func (r *run) resolved(a *attempt, got Resolution) {
-	if got.State != structs.AttemptUnknown {
-		r.f.opts.Table.Trust(a.target.ID)
-	}
-	switch {
-	case got.Reply != nil:
-		r.replied(a, got.Reply)
-	case got.State.NotRun():
-		a.Phase, a.reason = PhaseNotRun, "the connection to the agent was lost before the request ran"
-		a.undelivered = got.State == structs.AttemptNeverSeen
-		a.ticket.Done(routing.Observation{})
-	case got.State == structs.AttemptRunning || got.State == structs.AttemptQueued:
-		a.Phase, a.NextResolve = PhaseRunning, time.Now().Add(pollInterval)
-	default:
-		a.Phase, a.reason = PhaseUnknown, "the agent no longer knows the attempt"
-		a.ticket.Done(routing.Observation{})
-	}
-}
-
 // finish ends what is still under way for the request. Attempts that may be queued are cancelled.
 func (r *run) finish() {
 	for _, a := range r.attempts {
