Make the responses of an entry easier to read

Cause: respond handled two kinds of response in one function, writeBody tested the same condition twice, and assigned, existing and the results without a doc comment didn't say what they do. Ruled out: one type for the five parameters of answer; it would be used once. Change: respondAnswered, respondFailure and headerBytes are functions of their own, assigned is named explainAssignError, doc comments are added. Conclusion: no change of behaviour; no test changed.

--- a/entry/requests/handler.go
+++ b/entry/requests/handler.go
@@ -31,6 +31,7 @@
 	respond(w, r, result)
 }
 
+// answer returns the final outcome of a request that arrived at start. It may add headers to the response.
 func (m *Module) answer(
 	ctx context.Context, w http.ResponseWriter, r *http.Request, body *callerBody, start time.Time,
 ) forward.Result {
--- a/entry/requests/once.go
+++ b/entry/requests/once.go
@@ -45,14 +45,14 @@
 		result := m.forwarder.Do(ctx, &p.request, assigner{claim})
 		found, exists := existing(ctx, claim, &result, p.key != "" && adoptions == 0)
 		if !exists {
-			return m.assigned(ctx, result)
+			return m.explainAssignError(ctx, result)
 		}
 		m.metrics.followed.Inc(1)
 		followed, free := m.follow(ctx, p.request.Deadline, found.Record)
-		switch {
-		case !free || adoptions >= maxAdoptions:
+		if !free || adoptions >= maxAdoptions {
 			return followed
-		case result.AssignError == nil:
+		}
+		if result.AssignError == nil {
 			// The recorded attempt has not run, and there is no upstream for another one.
 			return result
 		}
@@ -60,8 +60,9 @@
 	}
 }
 
-// existing returns the record that kept a request from running. A repeated request for which there is no upstream gets
-// the response of the earlier one all the same, so its record is looked up too.
+// existing returns the record that kept a request from running. A request whose key may be repeated and for which there is
+// no upstream gets the response of an earlier one all the same, so its record is looked up too. An error of the look-up
+// becomes the AssignError of the result.
 func existing(ctx context.Context, claim *idempotency.Claim, result *forward.Result, repeated bool) (idempotency.Stored, bool) {
 	var exists *idempotency.ExistsError
 	if errors.As(result.AssignError, &exists) {
@@ -89,9 +90,10 @@
 	return idempotency.Hash([]byte(r.Method), []byte(r.Path), []byte(r.Header.Get("Content-Type")), r.Body)
 }
 
-// assigned gives an error of the assigner its final response. In each case the request was not run. Errors of the store
-// name its keys, which are no business of callers; they go to the span.
-func (m *Module) assigned(ctx context.Context, result forward.Result) forward.Result {
+// explainAssignError turns an error of the assigner into the final result, and leaves other results as they are. In each
+// case of an error the request was not run. Errors of the store name its keys, which are no business of callers; they go
+// to the span.
+func (m *Module) explainAssignError(ctx context.Context, result forward.Result) forward.Result {
 	err := result.AssignError
 	var rate *idempotency.RateError
 	switch {
@@ -162,12 +164,14 @@
 	}
 }
 
+// relayed returns the response of a recorded attempt as the result.
 func relayed(reply *forward.Reply, agent string) forward.Result {
 	return forward.Result{
 		Outcome: structs.OutcomeAnswered, Status: reply.Status, Header: reply.Header, Body: reply.Body, Agent: agent,
 	}
 }
 
+// conflict returns an unknown outcome because of another request with the same key.
 func conflict(reason string) forward.Result {
 	return forward.Result{
 		Outcome: structs.OutcomeUnknown, Status: http.StatusConflict, Reason: reason, RetryAfter: time.Second,
--- a/entry/requests/parse.go
+++ b/entry/requests/parse.go
@@ -46,16 +46,21 @@
 	p.key = parseKey(r.Header, &found)
 	p.request.Header = forwardedHeaders(r.Header)
 	p.request.Header.Set("Host", r.Host)
+	if size := headerBytes(p.request.Header); size > maxHeaderBytes {
+		found.Addf(findings.Place{}, "the headers have %d bytes, of at most %d", size, maxHeaderBytes)
+	}
+	return p, found.Err()
+}
+
+// headerBytes returns the length of all names and values.
+func headerBytes(h http.Header) int {
 	size := 0
-	for name, values := range p.request.Header {
+	for name, values := range h {
 		for _, value := range values {
 			size += len(name) + len(value)
 		}
 	}
-	if size > maxHeaderBytes {
-		found.Addf(findings.Place{}, "the headers have %d bytes, of at most %d", size, maxHeaderBytes)
-	}
-	return p, found.Err()
+	return size
 }
 
 func parsePath(u *url.URL, found *findings.List) (service, path string) {
@@ -134,6 +139,7 @@
 	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length", "Traceparent", "Tracestate",
 }
 
+// ownPrefix precedes the names of the headers that this system defines.
 const ownPrefix = "Quetzalshed-"
 
 // forwardedHeaders returns the headers that are passed on.
--- a/entry/requests/respond.go
+++ b/entry/requests/respond.go
@@ -10,6 +10,7 @@
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
+// notRun returns the result of a request that certainly was not run. Without retryAfter the response has no Retry-After.
 func notRun(status int, reason string, retryAfter time.Duration) forward.Result {
 	return forward.Result{Outcome: structs.OutcomeNotRun, Status: status, Reason: reason, RetryAfter: retryAfter}
 }
@@ -22,24 +23,34 @@
 
 // respond sends the final response to the caller.
 func respond(w http.ResponseWriter, r *http.Request, result forward.Result) {
-	h := w.Header()
-	h.Set(structs.HeaderOutcome, string(result.Outcome))
+	w.Header().Set(structs.HeaderOutcome, string(result.Outcome))
 	if result.Outcome == structs.OutcomeAnswered {
-		for name, values := range forwardedHeaders(result.Header) {
-			h[name] = values
-		}
-		if r.Method == http.MethodHead {
-			if length := result.Header.Get("Content-Length"); length != "" {
-				h.Set("Content-Length", length)
-			}
-		}
-		if _, typed := h["Content-Type"]; !typed {
-			// A nil value keeps net/http from guessing a type that the upstream didn't send.
-			h["Content-Type"] = nil
-		}
-		writeBody(w, r, result.Status, result.Body)
+		respondAnswered(w, r, result)
 		return
 	}
+	respondFailure(w, r, result)
+}
+
+// respondAnswered relays the response of an upstream.
+func respondAnswered(w http.ResponseWriter, r *http.Request, result forward.Result) {
+	h := w.Header()
+	for name, values := range forwardedHeaders(result.Header) {
+		h[name] = values
+	}
+	// The response to HEAD has no body, and names the length that the response to GET would have.
+	if length := result.Header.Get("Content-Length"); r.Method == http.MethodHead && length != "" {
+		h.Set("Content-Length", length)
+	}
+	if _, typed := h["Content-Type"]; !typed {
+		// A nil value keeps net/http from guessing a type that the upstream didn't send.
+		h["Content-Type"] = nil
+	}
+	writeBody(w, r, result.Status, result.Body)
+}
+
+// respondFailure says why there is no response of an upstream.
+func respondFailure(w http.ResponseWriter, r *http.Request, result forward.Result) {
+	h := w.Header()
 	body, err := json.Marshal(failure{result.Outcome, result.Reason})
 	if err != nil {
 		body = nil
@@ -53,15 +64,15 @@
 	writeBody(w, r, result.Status, append(body, '\n'))
 }
 
+// writeBody sends the status, and the body if HTTP allows one.
 func writeBody(w http.ResponseWriter, r *http.Request, status int, body []byte) {
-	noBody := status == http.StatusNoContent || status == http.StatusNotModified
-	if r.Method != http.MethodHead && !noBody {
-		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if r.Method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified {
+		w.WriteHeader(status)
+		return
 	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
-	if r.Method != http.MethodHead && !noBody {
-		_, _ = w.Write(body)
-	}
+	_, _ = w.Write(body)
 }
 
 // maxReasonBytes bounds the reason in a header; the body has all of it.
