Ask the configuration module about failure domains without reflection

Cause: the announcer called Follower by reflection, so that it could be built before package config. Ruled out: importing config's follower; one method is all it needs. Figures: `go test -race ./agent/announcer ./config/...` passes.

--- a/agent/announcer/announcer_test.go
+++ b/agent/announcer/announcer_test.go
@@ -31,15 +31,11 @@
 
 type configModule struct{}
 
-type follower struct{}
-
-func (follower) DomainOut(name string) bool { return name == "patan" && domainOut.Load() }
-
 func (configModule) Settings() any                   { return nil }
 func (configModule) Provision(*kernel.Context) error { return nil }
 func (configModule) Start(context.Context) error     { return nil }
 func (configModule) Stop(context.Context) error      { return nil }
-func (configModule) Follower() *follower             { return &follower{} }
+func (configModule) DomainOut(name string) bool      { return name == "patan" && domainOut.Load() }
 
 func init() {
 	kernel.RegisterModule(kernel.ModuleInfo{
--- a/agent/announcer/module.go
+++ b/agent/announcer/module.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"net/netip"
-	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,8 +49,8 @@
 	Leaving() bool
 }
 
-// domainFollower tells which failure domains are out of service.
-type domainFollower interface {
+// domains tells which failure domains are out of service.
+type domains interface {
 	DomainOut(name string) bool
 }
 
@@ -61,8 +60,8 @@
 	context  *kernel.Context
 	log      hclog.Logger
 	source   source
-	// config is the module config, or nil.
-	config   kernel.Module
+	// config is the module config, or nil when the process doesn't run it.
+	config   domains
 	sequence atomic.Int64
 	// out tells whether the failure domain of the agent was out of service at the last check.
 	out    atomic.Bool
@@ -87,7 +86,7 @@
 		return eris.Errorf("the module %s is missing", requestsName)
 	}
 	m.source = found
-	m.config, _ = kernel.Lookup[kernel.Module](c, configName)
+	m.config, _ = kernel.Lookup[domains](c, configName)
 	if !m.settings.Address.IsValid() {
 		m.settings.Address = c.Process.Listen
 	}
@@ -178,7 +177,7 @@
 	ticker := time.NewTicker(domainInterval)
 	defer ticker.Stop()
 	for {
-		out := domainOut(m.config, m.context.Process.FailureDomain)
+		out := m.config.DomainOut(m.context.Process.FailureDomain)
 		if m.out.Swap(out) != out {
 			m.log.Info("service state of the failure domain changed", "out", out)
 			m.Changed()
@@ -190,18 +189,3 @@
 		}
 	}
 }
-
-// domainOut asks the module config. The type of its method Follower is not named here, so that this package doesn't
-// depend on package config.
-func domainOut(config kernel.Module, name string) bool {
-	method := reflect.ValueOf(config).MethodByName("Follower")
-	if !method.IsValid() || method.Type().NumIn() != 0 || method.Type().NumOut() != 1 {
-		return false
-	}
-	result := method.Call(nil)[0]
-	if result.Kind() == reflect.Pointer && result.IsNil() {
-		return false
-	}
-	follower, ok := result.Interface().(domainFollower)
-	return ok && follower.DomainOut(name)
-}
--- a/config/configmodule/module.go
+++ b/config/configmodule/module.go
@@ -106,6 +106,9 @@
 // Follower returns the process's view of the configuration.
 func (m *Module) Follower() *config.Follower { return m.follower }
 
+// DomainOut tells whether a failure domain is out of service.
+func (m *Module) DomainOut(name string) bool { return m.follower.DomainOut(name) }
+
 // Acceptor returns the acceptor of changes on the process's store.
 func (m *Module) Acceptor() *config.Acceptor { return m.acceptor }
 
