Drop a comparison that can't be true

Cause: shutdown compared its error with http.ErrServerClosed, which only Serve returns. Ruled out: nothing. Change: removed. Figures: `go test ./kernel` passes.

--- a/kernel/process.go
+++ b/kernel/process.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -181,9 +180,6 @@
 	}
 	err = multierr.Append(err, p.admin.Shutdown(ctx))
 	p.context.Log.Info("process stopped", "clean", err == nil)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
 	return err
 }
 
