Keep throttled loads throttled between usage reports

Cause: since only every fifth heartbeat carries usage, the owner took a throttled task for a full load on the others, and underestimated its interference. Ruled out: sending usage with each heartbeat again, which is most of its size. Change: the share of a throttled task holds until the next usage report.

--- a/shard/learned.go
+++ b/shard/learned.go
@@ -18,6 +18,8 @@
 	interference *interference.Model
 	quarantine   *quarantine.Model
 	advanced     time.Time
+	// shares holds what the guard leaves to throttled tasks, by worker and allocation, as of the newest usage report.
+	shares map[string]map[string]float64
 }
 
 const (
@@ -43,6 +45,7 @@
 		}),
 		interference: interference.New(interference.Config{Limit: rules.Interference.MaxSlowdown}),
 		quarantine:   quarantine.New(quarantine.Config{}), advanced: now,
+		shares: map[string]map[string]float64{},
 	}
 	for _, service := range rules.Services {
 		l.interference.SetObjective(service.Name, float64(service.LatencyTarget)/float64(time.Millisecond))
@@ -90,12 +93,20 @@
 
 // setLoads tells the model what batch runs on a worker, as far as the guard lets it.
 func (l *learned) setLoads(hb *structs.Heartbeat, now time.Time) {
-	share := make(map[string]float64, len(hb.Usage))
-	for _, usage := range hb.Usage {
-		if usage.Throttled() {
-			share[usage.AllocationID] = usage.Share
+	// Most heartbeats carry no usage; the newest report holds until the next one.
+	if len(hb.Usage) > 0 {
+		throttled := map[string]float64{}
+		for _, usage := range hb.Usage {
+			if usage.Throttled() {
+				throttled[usage.AllocationID] = usage.Share
+			}
+		}
+		if len(l.shares) >= interference.MaxWorkers {
+			clear(l.shares)
 		}
+		l.shares[hb.Worker.Name] = throttled
 	}
+	share := l.shares[hb.Worker.Name]
 	cores := map[string]float64{}
 	for _, r := range hb.Running {
 		if r.Allocation.Kind != structs.KindBatch || r.State != structs.TaskRunning {
--- a/shard/learned_test.go
+++ b/shard/learned_test.go
@@ -91,3 +91,24 @@
 	batch := &structs.Job{ID: "l", Name: "svc", Kind: structs.KindBatch}
 	c.Assert(specs.of(batch) == batch, qt.IsTrue)
 }
+
+// Guards against a throttled load that counts in full whenever a heartbeat carries no usage, so that its interference is
+// underestimated: a quarter of the worker triples the latency here.
+func TestThrottledLoadsStayThrottled(t *testing.T) {
+	c := qt.New(t)
+	l := newLearned(learnRules(), Learned{}, learnStart)
+	now := learnStart
+	for second := range 120 {
+		now = now.Add(time.Second)
+		hb := report(0.5, 30, structs.Resources{})
+		if second >= 20 {
+			hb = report(0.5, 90, structs.Resources{MilliCores: 5000, MemoryMB: 100})
+			if second%5 != 0 {
+				hb.Usage = nil
+			}
+		}
+		l.heartbeat(&hb, now)
+	}
+	estimate := l.interference.Estimate("svc", "noisy")
+	c.Assert(estimate.Known && estimate.Slowdown > 8, qt.IsTrue, qt.Commentf("%+v", estimate))
+}
