--- a/shard/heartbeat/compact.go
+++ b/shard/heartbeat/compact.go
@@ -13,8 +13,8 @@
 	usageEvery = 5
 )
 
-// Compactor leaves out of heartbeats what the owner knows from the one before. A worker with nine tasks would otherwise
-// send about 5 KB a second, of the 18 KB that control may use on the owner's node. Its zero value is ready to use.
+// Compactor leaves out of heartbeats what the owner knows from the one before. Repeating all
+// allocations each second would use up the 18 KB/s that control may use on the owner's node. Its zero value is ready to use.
 type Compactor struct {
 	// base is the newest heartbeat, complete, if it was answered by the present epoch; otherwise its sequence is 0.
 	base      structs.Heartbeat
--- a/structs/heartbeat.go
+++ b/structs/heartbeat.go
@@ -85,7 +85,8 @@
 	Reason     string `json:"reason,omitempty"`
 }
 
-// HeartbeatReply answers a heartbeat. A reply renews the leases of the allocations in Keep only.
+// HeartbeatReply answers a heartbeat. A reply renews the leases of the allocations in Keep, or of all
+// that the heartbeat reported if KeepAll is set, and of no others.
 type HeartbeatReply struct {
 	Shard    int      `json:"shard"`
 	Epoch    int64    `json:"epoch"`
