Count a task that finishes beside a silent agent once

Three ways lead there, each shown by a test that fails without this change: - An agent removed the worker's record of a task as soon as it had seen the end, and held the result in memory only. Killed before the result was in the log, it left nothing of the finish. - A task that ends while its agent is frozen or dead is reported by nobody, and the owner gave the attempt up when its lease had run out. - A stop that met a task at the moment of its end erased the record, and the agent reported the task as evicted.

Change: the worker keeps the record of an ended task until the owner has acknowledged the result. Owners ask workers of silent agents for their tasks, each second and beside the steps: an end counts at once; anything else is given up once the lease has run out, with the worker's newest checkpoint. Batch tasks are suspended before they are stopped. A start that is undone stays to be stopped when the call fails. The stand-in worker ends a run when the task ended, not when somebody looked, and the audit lists the runs of a task that finished twice. The oracle of TestClusterUnderFaults checks finishes on workers too.

Conclusion: the worker's own record is the one that survives agents, and costs no store call. A finish on a host that is lost or that the owner can't reach is still repeated.

--- a/agent/runner/cluster_test.go
+++ b/agent/runner/cluster_test.go
@@ -76,6 +76,8 @@
 	owner    *shard.Owner
 	runner   *Runner
 	starts   int64
+	// lost: the host is gone; a new agent starts on a new one.
+	lost bool
 	// down: the agent isn't running. pausedUntil: it runs no instruction before that time.
 	down        bool
 	pausedUntil time.Time
@@ -114,7 +116,7 @@
 	c := n.c
 	n.starts++
 	n.pausedUntil = time.Time{}
-	n.down, n.lastReply = false, time.Time{}
+	n.down, n.lost, n.lastReply = false, false, time.Time{}
 	n.follower, n.owners = config.NewFollower(c.clock), gossip.NewOwnerTable()
 	address := fmt.Sprintf("127.0.0.1:%d", 1000+slices.Index(c.nodes, n))
 	w := structs.Worker{
@@ -126,6 +128,7 @@
 	settings.SnapshotEvery = c.snapshotEvery
 	n.owner = shard.NewOwner(settings, storeGate{c.store, n}, c.clock,
 		shard.NewFollowed(n.follower, c.clock), scheduler.Plan, n.owners, pushGate{n}, log)
+	n.owner.AskThrough(taskGate{n})
 	ledger := NewLedger(DefaultSettings(), w, 0, fmt.Sprint(n.name, "-", n.starts), c.clock.Now().UnixNano())
 	n.runner = New(ledger, workerGate{n.worker, n}, c.clock, followed{n.follower}, ownerGate{n}, nil, log)
 }
--- a/agent/runner/figures_test.go
+++ b/agent/runner/figures_test.go
@@ -64,58 +64,62 @@
 	}
 }
 
-// BenchmarkOwnerDeath prints for how many heartbeats (of 1 s) work stands still after the owner's host dies, and when the
-// first new task starts.
+// BenchmarkOwnerDeath prints for how many heartbeats (of 1 s) work on other hosts stands still after the agent that owns the
+// shard has died, alone or with its host, when the first new task starts, and when the work beside that agent goes on.
 func BenchmarkOwnerDeath(b *testing.B) {
-	for _, workers := range []int{11, 63} {
-		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
-			for b.Loop() {
-				c := newCluster(workers)
-				c.run(10*time.Second, func() bool { return false })
-				c.submit(b, fmt.Sprintf(`{"id":"a","team":"t","kind":"batch","tasks":%d,"resources":{"milli_cores":2000,"memory_mb":50},"command":"run=1h"}`, workers))
-				c.run(10*time.Second, func() bool { return false })
-				former := c.owner()
-				former.kill()
-				killed := c.clock.Now()
-				others, stalled, ticks := 0, 0, 0
-				for _, n := range c.nodes {
-					if n != former {
-						others += len(n.worker.Running())
-					}
-				}
-				c.submitDirect("b")
-				var first, taken time.Duration
-				for c.clock.Now().Sub(killed) < 20*time.Second {
-					c.step()
-					ticks++
-					running := 0
-					for _, n := range c.nodes {
-						if n != former {
-							for _, id := range n.worker.Running() {
-								if taskOf(id).JobID == "a" && taskOf(id).Index >= 0 {
-									running++
-								}
-							}
-						}
-					}
-					stalled += max(0, others-running)
-					if taken == 0 && c.ownerBesides(former) != nil {
-						taken = c.clock.Now().Sub(killed)
-					}
-					if first == 0 && len(c.running("b")) > 0 {
-						first = c.clock.Now().Sub(killed)
-					}
+	for _, host := range []bool{false, true} {
+		for _, workers := range []int{11, 63} {
+			b.Run(fmt.Sprintf("host=%t/workers=%d", host, workers), func(b *testing.B) {
+				for b.Loop() {
+					ownerDeath(b, workers, host)
 				}
-				own := len(former.worker.Starts())
-				resumed := func() bool { return len(c.running("a")) >= others+own }
-				c.run(60*time.Second, resumed)
-				b.ReportMetric(c.clock.Now().Sub(killed).Seconds(), "owner-host-work-s")
-				b.ReportMetric(float64(stalled)*tick.Seconds()/float64(others), "stalled-heartbeats/task")
-				b.ReportMetric(taken.Seconds(), "takeover-s")
-				b.ReportMetric(first.Seconds(), "first-start-s")
+			})
+		}
+	}
+}
+
+func ownerDeath(b *testing.B, workers int, host bool) {
+	const observed = 60 * time.Second
+	c := newCluster(workers)
+	c.run(10*time.Second, func() bool { return false })
+	c.submit(b, fmt.Sprintf(`{"id":"a","team":"t","kind":"batch","tasks":%d,"resources":{"milli_cores":2000,"memory_mb":50},"command":"run=1h"}`, workers))
+	c.run(10*time.Second, func() bool { return false })
+	former := c.owner()
+	own := len(former.worker.Running())
+	others := len(c.running("a")) - own
+	former.kill()
+	if host {
+		former.worker.Reset()
+		former.lost = true
+	}
+	killed := c.clock.Now()
+	c.submitDirect("b")
+	stalled := 0
+	var first, taken, resumed time.Duration
+	for c.clock.Now().Sub(killed) < observed {
+		c.step()
+		since := c.clock.Now().Sub(killed)
+		running := 0
+		for _, n := range c.running("a") {
+			if n != former {
+				running++
 			}
-		})
+		}
+		stalled += max(0, others-running)
+		if taken == 0 && c.ownerBesides(former) != nil {
+			taken = since
+		}
+		if first == 0 && len(c.running("b")) > 0 {
+			first = since
+		}
+		if resumed == 0 && running >= others+own {
+			resumed = since
+		}
 	}
+	b.ReportMetric(resumed.Seconds(), "own-work-s")
+	b.ReportMetric(float64(stalled)*tick.Seconds()/float64(others), "stalled-heartbeats/task")
+	b.ReportMetric(taken.Seconds(), "takeover-s")
+	b.ReportMetric(first.Seconds(), "first-start-s")
 }
 
 // submitDirect stores a job while no owner can be told.
--- /dev/null
+++ b/agent/runner/finish_test.go
@@ -0,0 +1,190 @@
+package runner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+	"github.com/quetzalshed/quetzalshed/platform/worker"
+	"github.com/quetzalshed/quetzalshed/platform/worker/workertest"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// starts counts the starts on all workers.
+func (c *cluster) starts() int {
+	starts := 0
+	for _, n := range c.nodes {
+		starts += len(n.worker.Starts())
+	}
+	return starts
+}
+
+// almostFinished returns a cluster and a node without the ownership on which the task "a" has one second left to run.
+func almostFinished(t *testing.T) (*cluster, *node) {
+	c := watched(t, 3)
+	n, owner := c.other(), c.owner()
+	owner.worker.SetFaults(workerDown)
+	c.pinned(t, n, "a")
+	owner.worker.SetFaults(workerHealthy)
+	if !c.run(2*time.Minute, func() bool { return n.task().Progress > 89.0/90 }) {
+		t.Fatal("the task doesn't get on")
+	}
+	return c, n
+}
+
+// task returns the only task on the worker.
+func (n *node) task() worker.TaskStatus {
+	statuses, _ := n.worker.Status(context.Background())
+	if len(statuses) != 1 {
+		return worker.TaskStatus{}
+	}
+	return statuses[0]
+}
+
+// Guards against a finished task that runs again because its agent was killed after it had seen the end, but before the
+// result was in the log (P3).
+func TestFinishSurvivesRestartOfTheAgent(t *testing.T) {
+	assert := qt.New(t)
+	c, n := almostFinished(t)
+	c.store.SetFaults(storetest.Faults{Down: true})
+	assert.Assert(c.run(5*time.Second, func() bool { return len(c.running("a")) == 0 }), qt.IsTrue)
+	c.run(time.Second, func() bool { return false })
+	n.kill()
+	c.owner().kill()
+	c.store.SetFaults(storetest.Faults{})
+	n.boot()
+	assert.Assert(c.run(5*time.Minute, func() bool { return c.done("a") }), qt.IsTrue)
+	assert.Assert(c.starts(), qt.Equals, 1)
+	assert.Assert(c.run(10*time.Second, func() bool {
+		return n.task().ID == ""
+	}), qt.IsTrue, qt.Commentf("the worker keeps the record of an acknowledged result"))
+}
+
+// Guards against a finished task that runs again because its agent was frozen or killed before the end (P3).
+func TestFinishBesideASilentAgent(t *testing.T) {
+	for name, silence := range map[string]func(*node){
+		"killed": (*node).kill,
+		"frozen": func(n *node) { n.pausedUntil = n.c.clock.Now().Add(20 * time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert := qt.New(t)
+			c, n := almostFinished(t)
+			silence(n)
+			assert.Assert(c.run(5*time.Minute, func() bool { return c.done("a") }), qt.IsTrue)
+			c.run(30*time.Second, func() bool { return false })
+			assert.Assert(c.starts(), qt.Equals, 1)
+		})
+	}
+}
+
+// Guards against work that is repeated from an old checkpoint although the worker has a newer one, when its agent is gone.
+func TestWorkBesideADeadAgentResumesFromTheNewestCheckpoint(t *testing.T) {
+	assert := qt.New(t)
+	c, n := almostFinished(t)
+	checkpoint, err := n.worker.Checkpoint(context.Background(), n.task().ID)
+	assert.Assert(err, qt.IsNil)
+	assert.Assert(n.worker.Throttle(context.Background(), n.task().ID, 0), qt.IsNil)
+	n.kill()
+	assert.Assert(c.run(time.Minute, func() bool { return c.done("a") }), qt.IsTrue)
+	assert.Assert(c.starts(), qt.Equals, 2)
+	for _, other := range c.nodes {
+		if other != n && len(other.worker.Starts()) > 0 {
+			assert.Assert(other.worker.Starts()[0].CheckpointID, qt.Equals, checkpoint)
+		}
+	}
+}
+
+// Guards against work that waits for the validity of a dead owner although the worker beside it says that it has stopped.
+func TestWorkBesideADeadOwnerResumesEarly(t *testing.T) {
+	assert := qt.New(t)
+	c := watched(t, 3)
+	owner := c.owner()
+	for _, n := range c.nodes {
+		if n != owner {
+			n.worker.SetFaults(workerDown)
+		}
+	}
+	c.pinned(t, owner, "a")
+	for _, n := range c.nodes {
+		n.worker.SetFaults(workerHealthy)
+	}
+	owner.kill()
+	assert.Assert(c.run(DefaultSettings().OwnerValidity, func() bool {
+		running := c.running("a")
+		return len(running) == 1 && running[0] != owner
+	}), qt.IsTrue)
+}
+
+// Guards against a host that is gone and delays its tasks by inquiries: nothing answers, so there is nothing to wait for.
+func TestLostHostIsNotWaitedFor(t *testing.T) {
+	assert := qt.New(t)
+	c, n := almostFinished(t)
+	n.kill()
+	n.worker.Reset()
+	n.lost = true
+	lost := c.clock.Now()
+	assert.Assert(c.run(time.Minute, func() bool { return len(c.running("a")) == 1 }), qt.IsTrue)
+	settings := DefaultSettings()
+	// The lease, the margin, one step of the owner and the way to the agent.
+	assert.Assert(c.clock.Now().Sub(lost) <= settings.Lease+3*time.Second+5*tick, qt.IsTrue, qt.Commentf("%s", c.clock.Now().Sub(lost)))
+}
+
+// Guards against a stop that erases the record of a task which has just finished: the owner would start it again (P3).
+func TestStopOfAFinishedTaskReportsTheFinish(t *testing.T) {
+	for _, checkpoint := range []bool{true, false} {
+		c := qt.New(t)
+		ctx := context.Background()
+		at := clock.NewManual(origin)
+		w := workertest.New(at, structs.Resources{MilliCores: 4000, MemoryMB: 4000})
+		var stop []structs.TaskStop
+		owner := &fixedOwner{stored: 1, reply: func(hb structs.Heartbeat) structs.HeartbeatReply {
+			alloc := testAllocation("a", 1000)
+			alloc.Command = "run=1s"
+			reply := startReply(hb, 1, alloc)
+			reply.Stop = stop
+			return reply
+		}}
+		r := newTestRunner(at, w, owner, 100)
+		c.Assert(r.Tick(ctx), qt.IsNil)
+		c.Assert(r.Beat(ctx), qt.IsNil)
+		c.Assert(r.Tick(ctx), qt.IsNil)
+		c.Assert(w.Running(), qt.HasLen, 1)
+		at.Advance(1100 * time.Millisecond)
+		stop = []structs.TaskStop{{AllocationID: "a", Checkpoint: checkpoint}}
+		c.Assert(r.Beat(ctx), qt.IsNil)
+		c.Assert(r.Tick(ctx), qt.IsNil)
+		results := r.ledger.Heartbeat(at.Now()).Results
+		c.Assert(results, qt.HasLen, 1)
+		c.Assert(results[0].State, qt.Equals, structs.TaskFinished)
+	}
+}
+
+// Guards against the loss of a finish on a worker that didn't respond for so long that its tasks were given up.
+func TestFinishOnAWorkerThatDidNotRespond(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	at := clock.NewManual(origin)
+	w := workertest.New(at, structs.Resources{MilliCores: 4000, MemoryMB: 4000})
+	owner := &fixedOwner{stored: 1, reply: func(hb structs.Heartbeat) structs.HeartbeatReply {
+		alloc := testAllocation("a", 1000)
+		alloc.Command = "run=1s"
+		return startReply(hb, 1, alloc)
+	}}
+	r := newTestRunner(at, w, owner, 100)
+	c.Assert(r.Tick(ctx), qt.IsNil)
+	c.Assert(r.Beat(ctx), qt.IsNil)
+	c.Assert(r.Tick(ctx), qt.IsNil)
+	w.SetFaults(workerDown)
+	for range 8 {
+		at.Advance(time.Second)
+		_ = r.Tick(ctx)
+	}
+	c.Assert(r.ledger.Heartbeat(at.Now()).Results[0].State, qt.Equals, structs.TaskPending)
+	w.SetFaults(workerHealthy)
+	c.Assert(r.Tick(ctx), qt.IsNil)
+	c.Assert(r.ledger.Heartbeat(at.Now()).Results[0].State, qt.Equals, structs.TaskFinished)
+}
--- a/agent/runner/gates_test.go
+++ b/agent/runner/gates_test.go
@@ -155,3 +155,15 @@
 	g.n.call(false)
 	return g.Worker.Stop(ctx, id)
 }
+
+// taskGate reaches workers without their agents.
+type taskGate struct{ n *node }
+
+func (g taskGate) Tasks(ctx context.Context, w structs.Worker) ([]worker.TaskStatus, error) {
+	for _, n := range g.n.c.nodes {
+		if n.name == w.Name && !n.lost && (n == g.n || (!n.cutPeers && !g.n.cutPeers)) {
+			return n.worker.Status(ctx)
+		}
+	}
+	return nil, errCut
+}
--- a/agent/runner/model_test.go
+++ b/agent/runner/model_test.go
@@ -161,6 +161,8 @@
 			n := m.node(t)
 			n.kill()
 			n.worker.Reset()
+			n.lost = true
+			m.oracle.unreachable(n)
 		},
 		"pause": func(t *rapid.T) { m.target(t).pausedUntil = m.c.clock.Now().Add(m.pause(t)) },
 		"pause at call": func(t *rapid.T) {
--- a/agent/runner/operations.go
+++ b/agent/runner/operations.go
@@ -119,7 +119,8 @@
 	return max(0, min(lease, h.leaseEnd.Sub(now)))
 }
 
-// observe takes the status of the worker and returns the tasks that the ledger doesn't hold.
+// observe takes the status of the worker and returns the tasks that the ledger doesn't hold. The worker keeps the record
+// of a task that has ended until the owner has acknowledged the result, so that a restart of the agent doesn't lose it.
 func (l *Ledger) observe(statuses []worker.TaskStatus, now time.Time) []operation {
 	var remove []operation
 	l.responded = now
@@ -128,18 +129,12 @@
 		seen[status.ID] = true
 		h := l.held[status.ID]
 		if h == nil {
-			remove = append(remove, operation{verbRemove, status.ID})
+			if !l.awaitsAck(status) {
+				remove = append(remove, operation{verbRemove, status.ID})
+			}
 			continue
 		}
-		h.started = true
-		h.progress = max(h.progress, status.Progress)
-		if status.CheckpointID != "" {
-			h.checkpoint = status.CheckpointID
-		}
-		h.usage, h.usageAge, h.latency = status.Used, status.UsageAge, status.LatencyMillis
-		if l.observePhase(h, status, now) {
-			remove = append(remove, operation{verbRemove, status.ID})
-		}
+		l.observeTask(h, status, now)
 	}
 	for _, id := range slices.Sorted(maps.Keys(l.held)) {
 		h := l.held[id]
@@ -151,8 +146,33 @@
 	return remove
 }
 
-// observePhase takes the phase of a task and tells whether it has ended.
-func (l *Ledger) observePhase(h *held, status worker.TaskStatus, now time.Time) bool {
+// observeTask takes the status of a held task.
+func (l *Ledger) observeTask(h *held, status worker.TaskStatus, now time.Time) {
+	h.started = true
+	h.progress = max(h.progress, status.Progress)
+	if status.CheckpointID != "" {
+		h.checkpoint = status.CheckpointID
+	}
+	h.usage, h.usageAge, h.latency = status.Used, status.UsageAge, status.LatencyMillis
+	l.observePhase(h, status, now)
+}
+
+// awaitsAck tells whether a task has ended on the worker and its result has not been acknowledged. A task that was given up
+// while the worker didn't respond may have finished before its lease ran out.
+func (l *Ledger) awaitsAck(status worker.TaskStatus) bool {
+	result, waits := l.results[status.ID]
+	if !waits || !status.Phase.Ended() {
+		return false
+	}
+	if status.Phase == worker.PhaseFinished {
+		result.State, result.Reason = structs.TaskFinished, ""
+		l.results[status.ID] = result
+	}
+	return true
+}
+
+// observePhase takes the phase of a task.
+func (l *Ledger) observePhase(h *held, status worker.TaskStatus, now time.Time) {
 	switch status.Phase {
 	case worker.PhaseFinished:
 		l.end(h, structs.TaskFinished, "", now)
@@ -164,14 +184,11 @@
 		if h.state != structs.TaskSuspended && h.state != structs.TaskEvicting {
 			h.state, h.suspendedAt = structs.TaskSuspended, now
 		}
-		return false
 	default:
 		if h.state == structs.TaskStarting {
 			h.state = structs.TaskRunning
 		}
-		return false
 	}
-	return true
 }
 
 // annotation is the key under which the worker keeps the allocation of a task.
--- a/agent/runner/oracle_test.go
+++ b/agent/runner/oracle_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/quetzalshed/quetzalshed/platform/store"
 	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+	"github.com/quetzalshed/quetzalshed/platform/worker"
 	"github.com/quetzalshed/quetzalshed/platform/worker/workertest"
 	"github.com/quetzalshed/quetzalshed/shard"
 	"github.com/quetzalshed/quetzalshed/shard/lifecycle"
@@ -20,10 +21,12 @@
 type oracle struct {
 	c *cluster
 	// fail reports a violation.
-	fail    func(format string, args ...any)
-	next    int64
-	tasks   map[structs.TaskID]*oracleTask
-	seen    map[*node]int
+	fail  func(format string, args ...any)
+	next  int64
+	tasks map[structs.TaskID]*oracleTask
+	seen  map[*node]int
+	// ended counts the ended runs of each worker that were compared.
+	ended   map[*node]int
 	outFrom map[string]time.Time
 	kinds   map[string]structs.JobKind
 }
@@ -36,11 +39,16 @@
 	worker, from string
 	// started counts the starts on workers by attempt.
 	started map[int]int
+	// finishedOn is the worker on which the task finished, whether its result is known or not.
+	finishedOn *node
+	// unreachable is set once an owner could not have asked that worker.
+	unreachable bool
 }
 
 func newOracle(c *cluster, fail func(string, ...any)) *oracle {
 	o := &oracle{
 		c: c, fail: fail, next: 1, tasks: map[structs.TaskID]*oracleTask{}, seen: map[*node]int{},
+		ended:   map[*node]int{},
 		outFrom: map[string]time.Time{}, kinds: map[string]structs.JobKind{},
 	}
 	c.check, c.keepTruncated = o.check, true
@@ -73,6 +81,7 @@
 			o.start(n, spec.ID, spec.CheckpointID)
 		}
 		o.seen[n] = len(starts)
+		o.finishes(n)
 	}
 	for task, names := range places {
 		if len(names) > 1 {
@@ -81,6 +90,36 @@
 	}
 }
 
+// unreachable notes that what finished on a worker can't be asked for.
+func (o *oracle) unreachable(n *node) {
+	for _, task := range o.tasks {
+		task.unreachable = task.unreachable || task.finishedOn == n
+	}
+}
+
+// finishes checks that no task finishes on a worker after it has finished on another that owners could ask at any time
+// since, whatever had happened to the agents.
+func (o *oracle) finishes(n *node) {
+	if slices.ContainsFunc(o.c.nodes, func(m *node) bool { return m.cutPeers }) {
+		o.unreachable(n)
+	}
+	runs := n.worker.History()
+	for _, run := range runs[min(o.ended[n], len(runs)):] {
+		if run.ToUnixNano == 0 {
+			break
+		}
+		o.ended[n]++
+		if run.Phase != worker.PhaseFinished {
+			continue
+		}
+		task := o.task(taskOf(run.AllocationID))
+		if earlier := task.finishedOn; earlier != nil && !task.unreachable {
+			o.fail("%s finished on %s although the task had finished on %s", run.AllocationID, n.name, earlier.name)
+		}
+		task.finishedOn, task.unreachable = n, false
+	}
+}
+
 func taskOf(allocation string) structs.TaskID {
 	var id structs.TaskID
 	var attempt int
--- a/agent/runner/perform.go
+++ b/agent/runner/perform.go
@@ -69,9 +69,14 @@
 	now := r.clock.Now()
 	h.started, h.state, h.checkpointAt = true, structs.TaskRunning, now
 	h.workerLeaseEnd = now.Add(spec.Lease)
-	late := !now.Before(h.leaseEnd)
+	undo := !allowed || !now.Before(h.leaseEnd)
+	if undo && h.stop == nil {
+		h.stop = &structs.TaskStop{
+			AllocationID: h.alloc.ID, Checkpoint: h.alloc.Kind == structs.KindBatch, Reason: "the start took too long",
+		}
+	}
 	r.mu.Unlock()
-	if !allowed || late {
+	if undo {
 		r.log.Warn("start took too long and is undone", "allocation", h.alloc.ID, "reason", reason)
 		r.stop(ctx, h)
 	}
@@ -158,16 +163,26 @@
 	r.mu.Unlock()
 }
 
-// stop ends a task, after a checkpoint if one is asked for. The allocation stays held until the worker has confirmed.
+// stop ends a task, after a checkpoint if one is asked for. The allocation stays held until the worker has confirmed. A
+// batch task is suspended first, since a stop would erase the record of one that finishes at that moment.
 func (r *Runner) stop(ctx context.Context, h *held) {
 	r.mu.Lock()
-	stop, started := h.stop, h.started
+	stop := h.stop
 	if stop == nil {
 		stop = &structs.TaskStop{Checkpoint: h.alloc.Kind == structs.KindBatch, Reason: "the lease ran out"}
 	}
 	r.mu.Unlock()
-	if stop.Checkpoint && started {
-		r.checkpoint(ctx, h)
+	if h.alloc.Kind == structs.KindBatch {
+		switch err := r.worker.Throttle(ctx, h.alloc.ID, 0); {
+		case errors.Is(err, worker.ErrNotFound):
+			if ended, err := r.observeEnd(ctx, h); ended || err != nil {
+				return
+			}
+		case err != nil:
+			return
+		case stop.Checkpoint:
+			r.checkpoint(ctx, h)
+		}
 	}
 	if err := r.worker.Stop(ctx, h.alloc.ID); err != nil && !errors.Is(err, worker.ErrNotFound) {
 		return
@@ -175,6 +190,23 @@
 	r.finish(h, structs.TaskPending, stop.Reason)
 }
 
+// observeEnd takes the result of a task that has ended on the worker, and tells whether it has one.
+func (r *Runner) observeEnd(ctx context.Context, h *held) (bool, error) {
+	statuses, err := r.worker.Status(ctx)
+	if err != nil {
+		return false, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, status := range statuses {
+		if status.ID == h.alloc.ID && status.Phase.Ended() && r.ledger.held[status.ID] == h {
+			r.ledger.observeTask(h, status, r.clock.Now())
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
 func (r *Runner) finish(h *held, state structs.TaskState, reason string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/shard/lifecycle/machine.go
+++ b/shard/lifecycle/machine.go
@@ -30,6 +30,8 @@
 	pushed bool
 	// lsn is the position of the start record; the start is sent once it is durable.
 	lsn int64
+	// answered is when the worker itself last answered an inquiry.
+	answered time.Time
 }
 
 // View is what the owner knows of one worker.
@@ -85,6 +87,8 @@
 // Counters counts what an owner has done.
 type Counters struct {
 	Starts, Finishes, Failures, Requeues, Lost, Refused, StaleHeartbeats, StaleResults, RuleErrors int64
+	// Answers counts the attempts whose end the worker told without its agent.
+	Answers int64
 }
 
 // NewMachine returns the machine of a new owner. State is the replayed log; now is a time after the epoch record was
@@ -233,7 +237,7 @@
 			}
 		case m.undelivered(live, now):
 			m.lose(live, "the start did not arrive", wall)
-		case now.After(live.Until) && !m.holds(live, now):
+		case now.After(live.Until) && !m.holds(live, now) && !m.awaitsAnswer(live, now):
 			m.counters.Lost++
 			m.lose(live, "the lease ran out", wall)
 		}
--- a/shard/module.go
+++ b/shard/module.go
@@ -257,7 +257,7 @@
 	for name, value := range map[string]int64{
 		"starts": c.Starts, "finishes": c.Finishes, "failures": c.Failures, "requeues": c.Requeues, "lost": c.Lost,
 		"refused": c.Refused, "stale_heartbeats": c.StaleHeartbeats, "stale_results": c.StaleResults,
-		"rule_errors": c.RuleErrors,
+		"rule_errors": c.RuleErrors, "answers": c.Answers,
 	} {
 		m.scope.Gauge("term_" + name).Update(float64(value))
 	}
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -113,6 +113,12 @@
 	kick       chan struct{}
 	lastCommit time.Time
 	lastList   time.Time
+	inquirer   Inquirer
+	// background runs an inquiry beside the steps.
+	background func(func())
+	// asked is when each worker was last asked for its tasks, asking holds those whose answers are on their way.
+	asked  map[string]time.Time
+	asking map[string]bool
 	// arrived holds the jobs whose keys are deleted from the store once they are in the log.
 	arrived map[string]int64
 }
@@ -123,10 +129,17 @@
 ) *Owner {
 	return &Owner{
 		config: config, store: s, clock: c, settled: settled, plan: plan, owners: owners, pusher: pusher, log: log,
-		kick: make(chan struct{}, 1), arrived: map[string]int64{},
+		kick: make(chan struct{}, 1), arrived: map[string]int64{}, inquirer: WorkerInquirer{},
+		background: func(f func()) { go f() }, asked: map[string]time.Time{}, asking: map[string]bool{},
 	}
 }
 
+// AskThrough replaces the way to workers whose agents are silent. The steps wait for the answers, which makes their order
+// that of the clock.
+func (o *Owner) AskThrough(i Inquirer) {
+	o.inquirer, o.background = i, func(f func()) { f() }
+}
+
 // Owns tells whether this process owns the shard, and under which epoch.
 func (o *Owner) Owns() (int64, bool) {
 	o.mu.Lock()
@@ -280,6 +293,7 @@
 	o.mu.Lock()
 	o.term = t
 	o.arrived = map[string]int64{}
+	o.asked = map[string]time.Time{}
 	o.lastList, o.lastCommit = time.Time{}, time.Time{}
 	o.mu.Unlock()
 	epoch := t.machine.Epoch()
--- a/shard/step.go
+++ b/shard/step.go
@@ -32,6 +32,7 @@
 	if t == nil {
 		return nil
 	}
+	o.inquire(ctx, t)
 	err := o.takeJobs(ctx, t)
 	due := o.decide(t)
 	if !due {
--- a/test/audit/audit.go
+++ b/test/audit/audit.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/quetzalshed/quetzalshed/platform/worker"
@@ -113,11 +114,21 @@
 	}
 	summary.Finished += min(finished, 1)
 	if finished > 1 {
-		bad = append(bad, fmt.Sprintf("task %v finished %d times", task, finished))
+		bad = append(bad, fmt.Sprintf("task %v finished %d times: %s", task, finished, describe(spans)))
 	}
 	return bad
 }
 
+// describe lists the runs of a task, with times since the first one began.
+func describe(spans []span) string {
+	var runs []string
+	for _, s := range spans {
+		runs = append(runs, fmt.Sprintf("%s on %s from %v to %v %s from checkpoint %q", s.AllocationID, s.worker,
+			time.Duration(s.FromUnixNano-spans[0].FromUnixNano), time.Duration(s.end()-spans[0].FromUnixNano), s.Phase, s.CheckpointID))
+	}
+	return strings.Join(runs, "; ")
+}
+
 func overCapacity(w structs.Worker, spans []span) []string {
 	type change struct {
 		at  int64
--- a/test/audit/audit_test.go
+++ b/test/audit/audit_test.go
@@ -35,7 +35,7 @@
 	for want, records := range map[string][]audit.Record{
 		"":                        {record("w1", run(0, 1, 5, stopped), run(1, 5, 9, finished)), record("w2", run(0, 5, 9, finished))},
 		".* at the same time .*":  {record("w1", run(0, 1, 5, stopped)), record("w2", run(0, 4, 9, finished))},
-		".* finished 2 times":     {record("w1", run(0, 1, 5, finished)), record("w2", run(0, 5, 9, finished))},
+		".* finished 2 times: .*": {record("w1", run(0, 1, 5, finished)), record("w2", run(0, 5, 9, finished))},
 		".* at once and holds .*": {record("w1", run(0, 1, 5, finished), run(1, 4, 9, finished))},
 		".* was taken out":        {record("w1", run(0, 150, 190, finished), run(1, 201, 205, finished))},
 	} {
--- a/test/guarantees/tasks_test.go
+++ b/test/guarantees/tasks_test.go
@@ -153,6 +153,51 @@
 	f.c.Assert(summary.Finished, qt.Equals, 48)
 }
 
+// Guards against a task that finishes twice (P3) because its agent is frozen before the end or killed before the result is
+// in the log: the agent that owns the shard, another one, and both together, twice.
+func TestTasksFinishBesideSilentAgents(t *testing.T) {
+	t.Parallel()
+	const tasks = 40
+	f := newFleet(t, 3)
+	for way, silence := range []func(*process){(*process).freeze, (*process).kill} {
+		for kind := range 3 {
+			f.eventually("the shard has an owner", func() bool { return f.owner() != nil })
+			job := fmt.Sprint("job-", way, "-", kind)
+			// The lease on the worker lasts longer than the task, whatever happens to the agent.
+			f.submit(job, tasks, 1000, "600ms")
+			silent := f.silent(kind)
+			for _, h := range silent {
+				f.eventually("a task runs beside the agent", func() bool { return len(h.worker.Running()) > 0 })
+				silence(h.process)
+			}
+			f.eventually("all tasks finish", func() bool { return f.status(job).Counts[structs.TaskFinished] == tasks })
+			for _, h := range silent {
+				h.restoreAgent()
+			}
+		}
+	}
+	f.c.Assert(f.audit().Finished, qt.Equals, 2*3*tasks)
+}
+
+// silent returns the owner of the shard, another host, or both.
+func (f *fleet) silent(kind int) []*host {
+	owner := f.owner()
+	other := f.hosts[0]
+	if other == owner {
+		other = f.hosts[1]
+	}
+	return [][]*host{{owner}, {other}, {owner, other}}[kind]
+}
+
+// restoreAgent lets a frozen agent run again and starts a killed one.
+func (h *host) restoreAgent() {
+	if h.cmd == nil {
+		h.start()
+		return
+	}
+	h.thaw()
+}
+
 // heads watches the entries and fails the test when one goes back to an earlier configuration.
 type heads struct {
 	f       *fleet
