Look up the connections to shards in one place

Cause: the runner, the shard owner and the job API of the entry each looked up store, configuration and owner table with the same lines, and tests pinned tasks and prepared started attempts with the same lines.

Ruled out: one holder type for all modules; the owner alone needs to turn polling on and off, and asks for that by itself.

Change: shard.Connect and shard.Requirements; pinnedToOwner and started in tests; checkAndPrint in quetzalctl. The answers of workers get a table of unit tests: what is final before and after the lease has run out.

Figures: none, behaviour is unchanged; the tests of the packages pass.

Conclusion: three copies less; a new module that reaches shards names its requirements once.

--- a/agent/runner/finish_test.go
+++ b/agent/runner/finish_test.go
@@ -103,15 +103,7 @@
 	assert := qt.New(t)
 	c := watched(t, 3)
 	owner := c.owner()
-	for _, n := range c.nodes {
-		if n != owner {
-			n.worker.SetFaults(workerDown)
-		}
-	}
-	c.pinned(t, owner, "a")
-	for _, n := range c.nodes {
-		n.worker.SetFaults(workerHealthy)
-	}
+	c.pinnedToOwner(t, owner, "a")
 	owner.kill()
 	assert.Assert(c.run(DefaultSettings().OwnerValidity, func() bool {
 		running := c.running("a")
--- a/agent/runner/module.go
+++ b/agent/runner/module.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,11 +18,7 @@
 
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/config"
-	"github.com/quetzalshed/quetzalshed/config/configmodule"
-	"github.com/quetzalshed/quetzalshed/gossip"
 	"github.com/quetzalshed/quetzalshed/kernel"
-	"github.com/quetzalshed/quetzalshed/platform/store"
-	"github.com/quetzalshed/quetzalshed/platform/store/storemodule"
 	"github.com/quetzalshed/quetzalshed/platform/worker"
 	"github.com/quetzalshed/quetzalshed/shard"
 	"github.com/quetzalshed/quetzalshed/shard/partition"
@@ -34,7 +31,7 @@
 func init() {
 	kernel.RegisterModule(kernel.ModuleInfo{
 		Name: Name, Roles: []kernel.Role{kernel.RoleAgent},
-		After: []string{storemodule.Name, configmodule.Name, gossip.Name, requestsName},
+		After: append(slices.Clone(shard.Requirements), requestsName),
 		New:   func() kernel.Module { return &Module{} },
 	})
 }
@@ -64,12 +61,6 @@
 	ServiceLatencies() []structs.ServiceLatency
 }
 
-type storeHolder interface{ Store() store.Store }
-
-type configHolder interface{ Follower() *config.Follower }
-
-type ownersHolder interface{ Owners() *gossip.OwnerTable }
-
 // Module runs the allocations of a worker.
 type Module struct {
 	settings  ModuleSettings
@@ -98,23 +89,15 @@
 func (m *Module) Provision(c *kernel.Context) error {
 	m.context, m.clock, m.log = c, c.Clock, c.Log.Named("runner")
 	m.scope = c.Metrics.SubScope("runner")
-	stores, err := kernel.Require[storeHolder](c, storemodule.Name)
-	if err != nil {
-		return err
-	}
-	configs, err := kernel.Require[configHolder](c, configmodule.Name)
-	if err != nil {
-		return err
-	}
-	owners, err := kernel.Require[ownersHolder](c, gossip.Name)
+	connections, err := shard.Connect(c)
 	if err != nil {
 		return err
 	}
 	if m.settings.Worker == "" {
 		m.settings.Worker = c.Process.Name
 	}
-	m.follower = configs.Follower()
-	m.client = shard.NewClient(owners.Owners(), stores.Store(), c.Clock)
+	m.follower = connections.Follower
+	m.client = shard.NewClient(connections.Owners, connections.Store, c.Clock)
 	m.worker = worker.NewClient(m.settings.WorkerAddress, 0)
 	m.services = func() []structs.ServiceLatency { return nil }
 	if measured, ok := kernel.Lookup[latencySource](c, requestsName); ok {
--- a/agent/runner/rules_test.go
+++ b/agent/runner/rules_test.go
@@ -53,6 +53,19 @@
 	c.run(3*time.Second, func() bool { return false })
 }
 
+// pinnedToOwner starts a long batch task on the node that owns the shard.
+func (c *cluster) pinnedToOwner(t *testing.T, owner *node, id string) {
+	for _, n := range c.nodes {
+		if n != owner {
+			n.worker.SetFaults(workerDown)
+		}
+	}
+	c.pinned(t, owner, id)
+	for _, n := range c.nodes {
+		n.worker.SetFaults(workerHealthy)
+	}
+}
+
 func isOwner(n *node) bool {
 	_, owns := n.owner.Owns()
 	return owns
@@ -94,15 +107,7 @@
 	assert := qt.New(t)
 	c := watched(t, 3)
 	former := c.owner()
-	for _, n := range c.nodes {
-		if n != former {
-			n.worker.SetFaults(workerDown)
-		}
-	}
-	c.pinned(t, former, "a")
-	for _, n := range c.nodes {
-		n.worker.SetFaults(workerHealthy)
-	}
+	c.pinnedToOwner(t, former, "a")
 	former.cutStore, former.cutPeers = true, true
 	cut := c.clock.Now()
 	assert.Assert(c.run(20*time.Second, func() bool { return c.ownerBesides(former) != nil }), qt.IsTrue)
--- a/cmd/quetzalctl/config.go
+++ b/cmd/quetzalctl/config.go
@@ -104,6 +104,14 @@
 	return found.Err()
 }
 
+// checkAndPrint validates an inventory and rules, of which one is the named file, and reports that it is valid.
+func checkAndPrint(cmd *cobra.Command, name, inventoryPath, rulesPath string) error {
+	if err := checkFiles(inventoryPath, rulesPath); err != nil {
+		return err
+	}
+	return printValid(cmd, name)
+}
+
 func inventoryCommand(o *options) *cobra.Command {
 	var check bool
 	var rules string
@@ -112,10 +120,7 @@
 		Use: "apply FILE", Short: "Replace the inventory with a CSV or JSON file", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if check {
-				if err := checkFiles(args[0], rules); err != nil {
-					return err
-				}
-				return printValid(cmd, args[0])
+				return checkAndPrint(cmd, args[0], args[0], rules)
 			}
 			query := url.Values{"format": {string(inventoryFormat(args[0]))}, "file": {args[0]}}
 			return applyFile(cmd, o, flags, "/v1/config/inventory", query, args[0], config.MaxInventoryBytes)
@@ -137,10 +142,7 @@
 		Use: "apply FILE", Short: "Replace the rules with an INI file", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if check {
-				if err := checkFiles(inventory, args[0]); err != nil {
-					return err
-				}
-				return printValid(cmd, args[0])
+				return checkAndPrint(cmd, args[0], inventory, args[0])
 			}
 			return applyFile(cmd, o, flags, "/v1/config/rules", url.Values{"file": {args[0]}}, args[0], config.MaxRulesBytes)
 		},
--- a/entry/jobs/module.go
+++ b/entry/jobs/module.go
@@ -9,13 +9,9 @@
 	"github.com/gorilla/mux"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/quetzalshed/quetzalshed/config"
-	"github.com/quetzalshed/quetzalshed/config/configmodule"
 	"github.com/quetzalshed/quetzalshed/findings"
-	"github.com/quetzalshed/quetzalshed/gossip"
 	"github.com/quetzalshed/quetzalshed/kernel"
 	"github.com/quetzalshed/quetzalshed/platform/store"
-	"github.com/quetzalshed/quetzalshed/platform/store/storemodule"
 	"github.com/quetzalshed/quetzalshed/shard"
 )
 
@@ -32,17 +28,11 @@
 func init() {
 	kernel.RegisterModule(kernel.ModuleInfo{
 		Name: Name, Roles: []kernel.Role{kernel.RoleEntry},
-		After: []string{storemodule.Name, configmodule.Name, gossip.Name},
+		After: shard.Requirements,
 		New:   func() kernel.Module { return &Module{} },
 	})
 }
 
-type storeHolder interface{ Store() store.Store }
-
-type configHolder interface{ Follower() *config.Follower }
-
-type ownersHolder interface{ Owners() *gossip.OwnerTable }
-
 // Module serves the job API.
 type Module struct {
 	service *Service
@@ -54,21 +44,13 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(c *kernel.Context) error {
-	stores, err := kernel.Require[storeHolder](c, storemodule.Name)
-	if err != nil {
-		return err
-	}
-	configs, err := kernel.Require[configHolder](c, configmodule.Name)
-	if err != nil {
-		return err
-	}
-	owners, err := kernel.Require[ownersHolder](c, gossip.Name)
+	connections, err := shard.Connect(c)
 	if err != nil {
 		return err
 	}
 	m.scope = c.Metrics.SubScope("jobs")
-	client := shard.NewClient(owners.Owners(), stores.Store(), c.Clock)
-	m.service = NewService(stores.Store(), c.Clock, configs.Follower(), client)
+	client := shard.NewClient(connections.Owners, connections.Store, c.Clock)
+	m.service = NewService(connections.Store, c.Clock, connections.Follower, client)
 	m.Routes(c.Router)
 	return nil
 }
--- /dev/null
+++ b/shard/connections.go
@@ -0,0 +1,37 @@
+package shard
+
+import (
+	"github.com/quetzalshed/quetzalshed/config"
+	"github.com/quetzalshed/quetzalshed/config/configmodule"
+	"github.com/quetzalshed/quetzalshed/gossip"
+	"github.com/quetzalshed/quetzalshed/kernel"
+	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/platform/store/storemodule"
+)
+
+// Connections are what a process needs to reach the owners of shards.
+type Connections struct {
+	Store    store.Store
+	Follower *config.Follower
+	Owners   *gossip.OwnerTable
+}
+
+// Requirements are the modules that Connect looks up, for ModuleInfo.After.
+var Requirements = []string{storemodule.Name, configmodule.Name, gossip.Name}
+
+// Connect returns the connections of a process, or an error that names the module which is missing.
+func Connect(c *kernel.Context) (Connections, error) {
+	stores, err := kernel.Require[interface{ Store() store.Store }](c, storemodule.Name)
+	if err != nil {
+		return Connections{}, err
+	}
+	configs, err := kernel.Require[interface{ Follower() *config.Follower }](c, configmodule.Name)
+	if err != nil {
+		return Connections{}, err
+	}
+	owners, err := kernel.Require[interface{ Owners() *gossip.OwnerTable }](c, gossip.Name)
+	if err != nil {
+		return Connections{}, err
+	}
+	return Connections{Store: stores.Store(), Follower: configs.Follower(), Owners: owners.Owners()}, nil
+}
--- /dev/null
+++ b/shard/lifecycle/inquiry_test.go
@@ -0,0 +1,75 @@
+package lifecycle
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/platform/worker"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// Guards against work that is repeated or doubled because a worker's answer is taken for final too early, or not at all:
+// before the lease has run out only the end of a task is final, and after it everything but a running task.
+func TestAnswersOfWorkers(t *testing.T) {
+	const before, after = 5 * time.Second, 8 * time.Second
+	for name, test := range map[string]struct {
+		silent time.Duration
+		phase  worker.Phase
+		want   structs.TaskState
+	}{
+		"finished":                  {before, worker.PhaseFinished, structs.TaskFinished},
+		"failed":                    {before, worker.PhaseFailed, structs.TaskPending},
+		"stopped":                   {before, worker.PhaseStopped, structs.TaskPending},
+		"suspended":                 {before, worker.PhaseSuspended, structs.TaskStarting},
+		"running":                   {before, worker.PhaseRunning, structs.TaskStarting},
+		"unknown to the worker":     {before, "", structs.TaskStarting},
+		"suspended after the lease": {after, worker.PhaseSuspended, structs.TaskPending},
+		"unknown after the lease":   {after, "", structs.TaskPending},
+		"running after the lease":   {after, worker.PhaseRunning, structs.TaskStarting},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f, alloc := started()
+			f.now = f.now.Add(test.silent)
+			c.Assert(f.Inquiries(f.now), qt.DeepEquals, []string{"w"})
+			var statuses []worker.TaskStatus
+			if test.phase != "" {
+				statuses = []worker.TaskStatus{{ID: alloc.ID, Phase: test.phase, CheckpointID: "c", Progress: 0.5}}
+			}
+			f.Answer("w", statuses, f.now, f.now, f.now)
+			f.pass(0)
+			status, _ := f.Status("a")
+			c.Assert(status.Counts, qt.DeepEquals, map[structs.TaskState]int{test.want: 1})
+			if test.want == structs.TaskPending && test.phase != "" {
+				c.Assert(f.task().CheckpointID, qt.Equals, "c")
+			}
+		})
+	}
+}
+
+// Guards against an answer that is older than a report of the agent, and against inquiries while agents report.
+func TestAnswersOfWorkersWhoseAgentsReport(t *testing.T) {
+	c := qt.New(t)
+	f, alloc := started()
+	asked := f.now.Add(5 * time.Second)
+	f.now = asked.Add(time.Second)
+	f.beat("w", 7, []structs.Allocation{alloc})
+	f.Answer("w", []worker.TaskStatus{{ID: alloc.ID, Phase: worker.PhaseStopped}}, asked, f.now, f.now)
+	c.Assert(f.Inquiries(f.now), qt.HasLen, 0)
+	c.Assert(f.task().State, qt.Equals, structs.TaskRunning)
+}
+
+// Guards against an attempt that is given up between two answers of its worker, and against one that waits for a worker
+// which has stopped answering.
+func TestAttemptAwaitsTheNextAnswer(t *testing.T) {
+	c := qt.New(t)
+	f, alloc := started()
+	f.now = f.now.Add(6 * time.Second)
+	f.Answer("w", []worker.TaskStatus{{ID: alloc.ID, Phase: worker.PhaseSuspended}}, f.now, f.now, f.now)
+	f.pass(2 * time.Second)
+	c.Assert(f.task().State, qt.Equals, structs.TaskStarting)
+	f.pass(time.Second)
+	c.Assert(f.task().State, qt.Equals, structs.TaskPending)
+}
--- a/shard/lifecycle/machine_test.go
+++ b/shard/lifecycle/machine_test.go
@@ -59,6 +59,17 @@
 	return f.Live()[AllocationID(structs.TaskID{JobID: "a"}, f.state.Jobs["a"].Tasks[0].Attempt)].Alloc
 }
 
+// started returns a fixture with a job of one task, whose start was sent to the worker "w".
+func started() (*fixture, structs.Allocation) {
+	f := newFixture(NewState())
+	f.accept(structs.KindBatch, 1)
+	f.beat("w", 7, nil)
+	alloc := f.place("w")
+	f.commit()
+	f.beat("w", 7, nil)
+	return f, alloc
+}
+
 func (f *fixture) task() *Task { return f.state.Jobs["a"].Tasks[0] }
 
 func resultOf(alloc structs.Allocation, state structs.TaskState) structs.TaskResult {
@@ -171,12 +182,7 @@
 // Guards against work that is given up although its agent still reports it, as after an outage of the store.
 func TestReportedWorkIsNotGivenUp(t *testing.T) {
 	c := qt.New(t)
-	f := newFixture(NewState())
-	f.accept(structs.KindBatch, 1)
-	f.beat("w", 7, nil)
-	alloc := f.place("w")
-	f.commit()
-	f.beat("w", 7, nil)
+	f, alloc := started()
 	for range 20 {
 		f.now = f.now.Add(time.Second)
 		_, err := f.Heartbeat(f.now, f.now, structs.Heartbeat{
@@ -196,12 +202,7 @@
 func TestLateFinishOfAnEarlierAttempt(t *testing.T) {
 	for _, restarted := range []bool{false, true} {
 		c := qt.New(t)
-		f := newFixture(NewState())
-		f.accept(structs.KindBatch, 1)
-		f.beat("w", 7, nil)
-		first := f.place("w")
-		f.commit()
-		f.beat("w", 7, nil)
+		f, first := started()
 		f.pass(8 * time.Second)
 		if restarted {
 			f.beat("v", 7, nil)
--- a/shard/module.go
+++ b/shard/module.go
@@ -13,10 +13,7 @@
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/config"
 	"github.com/quetzalshed/quetzalshed/config/configmodule"
-	"github.com/quetzalshed/quetzalshed/gossip"
 	"github.com/quetzalshed/quetzalshed/kernel"
-	"github.com/quetzalshed/quetzalshed/platform/store"
-	"github.com/quetzalshed/quetzalshed/platform/store/storemodule"
 	"github.com/quetzalshed/quetzalshed/scheduler"
 	_ "github.com/quetzalshed/quetzalshed/scheduler/plugins" // registers the filters and scores
 	"github.com/quetzalshed/quetzalshed/shard/lifecycle"
@@ -29,7 +26,7 @@
 func init() {
 	kernel.RegisterModule(kernel.ModuleInfo{
 		Name: Name, Roles: []kernel.Role{kernel.RoleAgent},
-		After: []string{storemodule.Name, configmodule.Name, gossip.Name},
+		After: Requirements,
 		New:   func() kernel.Module { return &Module{} },
 	})
 }
@@ -52,33 +49,26 @@
 	SuspectAfter time.Duration `ini:"suspect_after" default:"1500ms" min:"50ms" max:"1m"`
 }
 
-type storeHolder interface{ Store() store.Store }
-
-type configHolder interface {
-	Follower() *config.Follower
-	SetPolling(on bool)
-}
-
-type ownersHolder interface{ Owners() *gossip.OwnerTable }
+// pollSwitch turns the regular reads of the configuration head on and off.
+type pollSwitch interface{ SetPolling(on bool) }
 
 // replyWatcher is implemented by the runner: it knows when the owner last answered.
 type replyWatcher interface{ LastReply() time.Time }
 
 // Module competes for the ownership of the shard of the local worker, and owns it.
 type Module struct {
-	settings ModuleSettings
-	context  *kernel.Context
-	clock    clock.Clock
-	log      hclog.Logger
-	scope    tally.Scope
-	store    store.Store
-	config   configHolder
-	owners   *gossip.OwnerTable
-	owner    atomic.Pointer[Owner]
-	began    time.Time
-	draining atomic.Bool
-	stop     context.CancelFunc
-	done     sync.WaitGroup
+	settings    ModuleSettings
+	context     *kernel.Context
+	clock       clock.Clock
+	log         hclog.Logger
+	scope       tally.Scope
+	connections Connections
+	polling     pollSwitch
+	owner       atomic.Pointer[Owner]
+	began       time.Time
+	draining    atomic.Bool
+	stop        context.CancelFunc
+	done        sync.WaitGroup
 }
 
 // Settings implements kernel.Module.
@@ -88,18 +78,15 @@
 func (m *Module) Provision(c *kernel.Context) error {
 	m.context, m.clock, m.log = c, c.Clock, c.Log.Named("shard")
 	m.scope = c.Metrics.SubScope("shard")
-	stores, err := kernel.Require[storeHolder](c, storemodule.Name)
+	connections, err := Connect(c)
 	if err != nil {
 		return err
 	}
-	if m.config, err = kernel.Require[configHolder](c, configmodule.Name); err != nil {
-		return err
-	}
-	owners, err := kernel.Require[ownersHolder](c, gossip.Name)
+	polling, err := kernel.Require[pollSwitch](c, configmodule.Name)
 	if err != nil {
 		return err
 	}
-	m.store, m.owners = stores.Store(), owners.Owners()
+	m.connections, m.polling = connections, polling
 	if m.settings.Worker == "" {
 		m.settings.Worker = c.Process.Name
 	}
@@ -145,7 +132,7 @@
 
 // run waits for the configuration, which holds the number of shards, and then competes and works.
 func (m *Module) run(ctx context.Context) {
-	follower := m.config.Follower()
+	follower := m.connections.Follower
 	for follower.Loaded().Head.Revision == 0 {
 		select {
 		case <-ctx.Done():
@@ -160,8 +147,8 @@
 	cfg.CommitEvery, cfg.ListEvery = m.settings.CommitEvery, m.settings.ListEvery
 	cfg.SnapshotEvery = int64(m.settings.SnapshotEvery)
 	cfg.Lifecycle = lifecycleSettings(rules)
-	client := NewClient(m.owners, m.store, m.clock)
-	o := NewOwner(cfg, m.store, m.clock, NewFollowed(follower, m.clock), scheduler.Plan, m.owners,
+	client := NewClient(m.connections.Owners, m.connections.Store, m.clock)
+	o := NewOwner(cfg, m.connections.Store, m.clock, NewFollowed(follower, m.clock), scheduler.Plan, m.connections.Owners,
 		NewAsyncPusher(client), m.log)
 	m.owner.Store(o)
 	m.done.Go(func() { m.keepAlive(ctx, o) })
@@ -187,7 +174,7 @@
 		case <-o.Kicked():
 		}
 		_, owns := o.Owns()
-		m.config.SetPolling(owns)
+		m.polling.SetPolling(owns)
 		if owns {
 			m.report(o)
 			m.logged("step", o.Step(ctx))
