Keep spread_domains of a service by placement

Cause: the rule spread_domains of a service was checked against the inventory and then had no effect of its own. The score that prefers other domains acts only among workers with free room, so that batch which fills a domain left all replicas of a service in another one.

Ruled out: a heavier weight of the score (it can't make batch give way), and a rule without exceptions (a replica would wait for ever for a domain that has no room, and an evacuation with it).

Change: a Filter plug-in keeps a replica out of failure domains that have one while the least number isn't reached; preemption then makes room elsewhere. Domains that are out of service, excluded by the job, or without room even if batch gives way don't count. Replicas that leave or are being replaced don't count either.

Replicas that run when the rule is made stricter are not moved.

--- a/scheduler/cycle.go
+++ b/scheduler/cycle.go
@@ -89,6 +89,7 @@
 	indices map[int]bool
 	domains map[string]int
 	counted bool
+	spread  spreadState
 	// checked is set once the job was tested for a verdict, never once it got one.
 	checked bool
 	never   bool
@@ -338,6 +339,7 @@
 	}
 	j.indices[index] = true
 	j.domains[domain]++
+	j.spread.task = nil
 }
 
 // Free returns what is free on a worker, less what this cycle placed there or holds for a task that waits for
--- a/scheduler/plugins/filters.go
+++ b/scheduler/plugins/filters.go
@@ -21,6 +21,7 @@
 	ReasonQuarantined  scheduler.Reason = "worker is quarantined"
 	ReasonInterference scheduler.Reason = "batch class would slow a service down"
 	ReasonExploration  scheduler.Reason = "interference of the batch class is being explored elsewhere"
+	ReasonSpread       scheduler.Reason = "service must spread to another failure domain"
 	ReasonReturning    scheduler.Reason = "worker returned recently and fills slowly"
 )
 
@@ -31,6 +32,7 @@
 	scheduler.RegisterFilter(racksWithoutBatch{})
 	scheduler.RegisterFilter(quarantined{})
 	scheduler.RegisterFilter(interferenceLimit{})
+	scheduler.RegisterFilter(spreadDomains{})
 	scheduler.RegisterFilter(returnRamp{})
 }
 
@@ -76,6 +78,18 @@
 	return ""
 }
 
+// spreadDomains rejects workers in failure domains that have a replica of the service, while the service is to reach others.
+type spreadDomains struct{}
+
+func (spreadDomains) Name() string { return "spread_domains" }
+
+func (spreadDomains) Filter(ctx *scheduler.Cycle, task *scheduler.PendingTask, w *scheduler.WorkerView) scheduler.Reason {
+	if ctx.Crowds(task, w) {
+		return ReasonSpread
+	}
+	return ""
+}
+
 // racksWithoutBatch rejects workers whose rack takes no batch.
 type racksWithoutBatch struct{}
 
--- a/scheduler/rules.go
+++ b/scheduler/rules.go
@@ -38,6 +38,8 @@
 	RacksWithoutBatch map[string]bool
 	// ServiceOrder lists names of service jobs, the most important first. Services that are not listed come last.
 	ServiceOrder []string
+	// SpreadDomains maps names of service jobs to the least number of failure domains over which replicas are placed.
+	SpreadDomains map[string]int
 	// InterferenceLimit is a factor of the service's latency, above 1.
 	InterferenceLimit float64
 	// ExplorationTasks bounds concurrent tasks for each unknown pair of service and batch class.
--- a/shard/settled.go
+++ b/shard/settled.go
@@ -48,13 +48,14 @@
 	loaded := f.follower.Rules()
 	rules := scheduler.Rules{
 		RacksWithoutBatch: map[string]bool{}, InterferenceLimit: loaded.Interference.MaxSlowdown,
-		ExplorationTasks: loaded.Interference.ExplorationTasks,
+		ExplorationTasks: loaded.Interference.ExplorationTasks, SpreadDomains: map[string]int{},
 	}
 	for _, rack := range loaded.RacksWithoutBatch {
 		rules.RacksWithoutBatch[rack] = true
 	}
 	for _, service := range loaded.Services {
 		rules.ServiceOrder = append(rules.ServiceOrder, service.Name)
+		rules.SpreadDomains[service.Name] = service.SpreadDomains
 	}
 	rules.Out, rules.Returned = f.transitions()
 	return rules, quota.Limits{Teams: loaded.Quotas, Default: loaded.DefaultQuota}
