Never raise a reservation by usage that it covered

Cause: a measurement of store outages found that 11 of 33 tasks ran for 165 s after the store was back (tasks of 20 s, owner_validity 120 s, outage 1 min). Reservations had grown from 1000 to 1164, 1359, 1584 and 1847 millicores from one generation of tasks to the next: the model adds headroom to all usage, and these tasks use all that they are given.

Ruled out: the change of ownership (every task was adopted or placed at once), quotas, quarantine and the ramp of returned domains (the plans gave no free capacity as the reason for all workers).

Change: Observe takes the reservation; usage within it counts at most as the reservation without its headroom, usage beyond it as before. The benchmark StoreOutage prints the batch work that an outage of the store costs and how long workers take to be busy again.

Conclusion: sizes follow usage up only where a task needed more than it had. On a platform that enforces reservations as limits, a class that is declared too small would stay small; this platform reports such usage.

--- a/agent/runner/cluster_test.go
+++ b/agent/runner/cluster_test.go
@@ -41,6 +41,7 @@
 	nested int
 	// snapshotEvery is a number of records.
 	snapshotEvery int64
+	ownerValidity time.Duration
 	// sent and pushed hold messages that can be delivered again.
 	sent   []structs.Heartbeat
 	pushed []push
@@ -94,6 +95,7 @@
 
 func newCluster(nodes int) *cluster {
 	c := &cluster{clock: clock.NewManual(time.Unix(1_800_000_000, 0)), check: func() {}, snapshotEvery: 64}
+	c.ownerValidity = DefaultSettings().OwnerValidity
 	c.store = storetest.New(c.clock)
 	c.head = config.Head{
 		Revision: 1, Changes: []string{"first"}, StartFreshnessMillis: 3000, Domains: map[string]config.DomainState{},
@@ -126,10 +128,13 @@
 	log := hclog.NewNullLogger()
 	settings := shard.DefaultConfig(0, n.name, address)
 	settings.SnapshotEvery = c.snapshotEvery
+	settings.Lifecycle.OwnerValidity = c.ownerValidity
 	n.owner = shard.NewOwner(settings, storeGate{c.store, n}, c.clock,
 		shard.NewFollowed(n.follower, c.clock), scheduler.Plan, n.owners, pushGate{n}, log)
 	n.owner.AskThrough(taskGate{n})
-	ledger := NewLedger(DefaultSettings(), w, 0, fmt.Sprint(n.name, "-", n.starts), c.clock.Now().UnixNano())
+	runnerSettings := DefaultSettings()
+	runnerSettings.OwnerValidity = c.ownerValidity
+	ledger := NewLedger(runnerSettings, w, 0, fmt.Sprint(n.name, "-", n.starts), c.clock.Now().UnixNano())
 	n.runner = New(ledger, workerGate{n.worker, n}, c.clock, followed{n.follower}, ownerGate{n}, nil, log)
 }
 
--- a/agent/runner/figures_test.go
+++ b/agent/runner/figures_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
 )
 
 // Guards against store calls that grow with tasks or workers: a job costs its own key, and shares of records.
@@ -122,6 +123,49 @@
 	b.ReportMetric(first.Seconds(), "first-start-s")
 }
 
+// BenchmarkStoreOutage prints the batch work that an outage of the store costs, as a share of what the workers did
+// before, and how long they take afterwards until they are as busy again. Tasks of 20 s end during the outage and leave room
+// that nothing may fill; tasks of 1 h run for the validity of the owner.
+func BenchmarkStoreOutage(b *testing.B) {
+	for _, run := range []string{"20s", "1h"} {
+		for _, validity := range []time.Duration{30 * time.Second, 120 * time.Second} {
+			for _, outage := range []time.Duration{time.Minute, 10 * time.Minute} {
+				b.Run(fmt.Sprintf("tasks=%s/validity=%s/outage=%s", run, validity, outage), func(b *testing.B) {
+					for b.Loop() {
+						storeOutage(b, run, validity, outage)
+					}
+				})
+			}
+		}
+	}
+}
+
+func storeOutage(b *testing.B, run string, validity, outage time.Duration) {
+	const workers = 11
+	c := newCluster(workers)
+	c.ownerValidity = validity
+	for _, n := range c.nodes {
+		n.boot()
+	}
+	c.run(10*time.Second, func() bool { return false })
+	c.submit(b, fmt.Sprintf(`{"id":"a","team":"t","kind":"batch","tasks":4000,"resources":{"milli_cores":1000,"memory_mb":50},"command":"run=%s"}`, run))
+	c.run(30*time.Second, func() bool { return false })
+	busy := len(c.running("a"))
+	c.store.SetFaults(storetest.Faults{Down: true})
+	idle, ticks := 0, 0
+	for began := c.clock.Now(); c.clock.Now().Sub(began) < outage; ticks++ {
+		c.step()
+		idle += max(0, busy-len(c.running("a")))
+	}
+	c.store.SetFaults(storetest.Faults{})
+	healed := c.clock.Now()
+	if !c.run(5*time.Minute, func() bool { return len(c.running("a")) >= busy }) {
+		b.Fatal("the workers don't fill again")
+	}
+	b.ReportMetric(100*float64(idle)/float64(ticks*busy), "%work-lost")
+	b.ReportMetric(c.clock.Now().Sub(healed).Seconds(), "refilled-s")
+}
+
 // submitDirect stores a job while no owner can be told.
 func (c *cluster) submitDirect(id string) {
 	_, _ = c.jobs.Submit(context.Background(), []byte(fmt.Sprintf(`{"id":%q,"team":"t","kind":"batch","tasks":1,
--- a/replay/managed.go
+++ b/replay/managed.go
@@ -210,7 +210,7 @@
 			}
 		}
 		for _, u := range r.tasks {
-			m.sizes.Observe(u.task.class.Name, u.used, age, now)
+			m.sizes.Observe(u.task.class.Name, u.used, u.task.reservation, age, now)
 			u.task.peak = structs.Resources{
 				MilliCores: max(u.task.peak.MilliCores, u.used.MilliCores),
 				MemoryMB:   max(u.task.peak.MemoryMB, u.used.MemoryMB),
--- a/scheduler/sizing/sizing.go
+++ b/scheduler/sizing/sizing.go
@@ -83,8 +83,10 @@
 	return &Model{config: config.withDefaults(), classes: map[string]*class{}}
 }
 
-// Observe learns from one usage measurement of a task of the class, taken age ago. Negative values are ignored.
-func (m *Model) Observe(name string, used structs.Resources, age time.Duration, now time.Time) {
+// Observe learns from one usage measurement of a task of the class, taken age ago. Negative values are ignored. Usage that
+// the task's reservation covered never leads to a higher one: some tasks use all that they are given, and with headroom on
+// top of it each of their generations would reserve more than the last.
+func (m *Model) Observe(name string, used, reserved structs.Resources, age time.Duration, now time.Time) {
 	if used.MilliCores < 0 || used.MemoryMB < 0 || age < 0 {
 		return
 	}
@@ -96,14 +98,23 @@
 		c.reference, power = at, 0
 	}
 	weight := math.Exp2(power)
-	c.cores.add(used.MilliCores, weight)
-	c.memory.add(used.MemoryMB, weight)
+	c.cores.add(covered(used.MilliCores, reserved.MilliCores, m.config.CoreHeadroom), weight)
+	c.memory.add(covered(used.MemoryMB, reserved.MemoryMB, m.config.MemoryHeadroom), weight)
 	if at.After(c.updated) {
 		c.updated = at
 	}
 	c.fresh = false
 }
 
+// covered returns the usage to learn from: at most what the reservation holds without its headroom, unless the task used
+// more than the reservation.
+func covered(used, reserved int64, headroom float64) int64 {
+	if used > reserved {
+		return used
+	}
+	return min(used, int64(float64(reserved)/headroom))
+}
+
 func (c *class) rescale(power float64) {
 	c.cores.scale(math.Exp2(-power))
 	c.memory.scale(math.Exp2(-power))
--- a/scheduler/sizing/sizing_test.go
+++ b/scheduler/sizing/sizing_test.go
@@ -27,11 +27,11 @@
 	c := qt.New(t)
 	m := sizing.New(sizing.Config{})
 	c.Assert(m.Reservation("c", declared, structs.Resources{}, start), qt.Equals, declared)
-	m.Observe("c", usage(100, 100_000), 0, start)
+	m.Observe("c", usage(100, 100_000), structs.Resources{}, 0, start)
 	c.Assert(m.Reservation("c", declared, structs.Resources{}, start), qt.Equals,
 		structs.Resources{MilliCores: 2000, MemoryMB: 16000, Accelerators: 1})
 	for range sizing.DefaultMinSamples {
-		m.Observe("c", usage(100, 100_000), 0, start)
+		m.Observe("c", usage(100, 100_000), structs.Resources{}, 0, start)
 	}
 	got := m.Reservation("c", declared, structs.Resources{}, start)
 	c.Assert(got.MilliCores < 130, qt.IsTrue)
@@ -45,10 +45,32 @@
 	m := sizing.New(sizing.Config{})
 	actual := usage(9000, 17000)
 	c.Assert(m.Reservation("c", declared, actual, start), qt.Equals, structs.Resources{MilliCores: 9000, MemoryMB: 17000, Accelerators: 1})
-	m.Observe("c", usage(10, 10), 0, start)
+	m.Observe("c", usage(10, 10), structs.Resources{}, 0, start)
 	c.Assert(m.Reservation("c", declared, actual, start), qt.Equals, structs.Resources{MilliCores: 9000, MemoryMB: 17000, Accelerators: 1})
 }
 
+// Guards against reservations that grow from one generation of tasks to the next, until one task takes a whole worker,
+// because the tasks use all that they are given; and against such a class that keeps no more than it has.
+func TestCoveredUsageDoesNotRaiseReservations(t *testing.T) {
+	c := qt.New(t)
+	m := sizing.New(sizing.Config{})
+	reserved := declared
+	for range 50 {
+		for range 100 {
+			m.Observe("c", reserved, reserved, 0, start)
+		}
+		reserved = m.Reservation("c", declared, structs.Resources{}, start)
+	}
+	// The buckets of the histograms round up by 8% at most, once.
+	c.Assert(reserved.MilliCores <= 4320 && reserved.MemoryMB <= 8640, qt.IsTrue, qt.Commentf("%v", reserved))
+	c.Assert(reserved.MilliCores >= 4000 && reserved.MemoryMB >= 8000, qt.IsTrue, qt.Commentf("%v", reserved))
+	for range 1000 {
+		m.Observe("c", usage(6000, 12000), reserved, 0, start)
+	}
+	grown := m.Reservation("c", declared, structs.Resources{}, start)
+	c.Assert(grown.MilliCores >= 6600 && grown.MemoryMB >= 13800, qt.IsTrue, qt.Commentf("usage beyond the reservation: %v", grown))
+}
+
 // Guards against percentiles that the buckets distort: the reservation covers the percentile of the samples, with the
 // headroom, and exceeds that by at most one bucket.
 func TestPercentileAgainstSortedSamples(t *testing.T) {
@@ -60,7 +82,7 @@
 		for range 500 {
 			u := usage(50+random.Int64N(1+random.Int64N(16000)), 100+random.Int64N(60000))
 			cores, memory = append(cores, u.MilliCores), append(memory, u.MemoryMB)
-			m.Observe("c", u, 0, start)
+			m.Observe("c", u, structs.Resources{}, 0, start)
 		}
 		slices.Sort(cores)
 		slices.Sort(memory)
@@ -81,12 +103,12 @@
 	m := sizing.New(sizing.Config{HalfLife: time.Hour, MinSamples: 8})
 	now := start
 	for range 1000 {
-		m.Observe("c", usage(10000, 30000), 0, now)
+		m.Observe("c", usage(10000, 30000), structs.Resources{}, 0, now)
 	}
 	for range 200 {
 		now = now.Add(time.Hour)
 		for i := range int64(5) {
-			m.Observe("c", usage(960+i*10, 2960+i*10), 2*time.Second, now)
+			m.Observe("c", usage(960+i*10, 2960+i*10), structs.Resources{}, 2*time.Second, now)
 		}
 	}
 	got := m.Reservation("c", declared, structs.Resources{}, now)
@@ -94,7 +116,7 @@
 	got = m.Reservation("c", declared, structs.Resources{}, now.Add(24*time.Hour))
 	c.Assert(got, qt.Equals, structs.Resources{MilliCores: 2000, MemoryMB: 4000, Accelerators: 1}, qt.Commentf("samples of a day ago are few"))
 	for range 20 {
-		m.Observe("c", usage(2000, 5000), 0, now)
+		m.Observe("c", usage(2000, 5000), structs.Resources{}, 0, now)
 	}
 	grown := m.Reservation("c", declared, structs.Resources{}, now)
 	c.Assert(grown.MilliCores >= 2200 && grown.MemoryMB >= 5750, qt.IsTrue, qt.Commentf("%v", grown))
@@ -105,11 +127,11 @@
 	c := qt.New(t)
 	m := sizing.New(sizing.Config{})
 	for i := range sizing.MaxClasses + 5 {
-		m.Observe(fmt.Sprint(i), usage(10, 10), 0, start.Add(time.Duration(i)))
+		m.Observe(fmt.Sprint(i), usage(10, 10), structs.Resources{}, 0, start.Add(time.Duration(i)))
 	}
 	c.Assert(m.Len(), qt.Equals, sizing.MaxClasses)
 	for i := range 500 {
-		m.Observe("c", usage(int64(1000+i), int64(2000+i)), 0, start)
+		m.Observe("c", usage(int64(1000+i), int64(2000+i)), structs.Resources{}, 0, start)
 	}
 	want := m.Reservation("c", declared, structs.Resources{}, start)
 	restored := sizing.New(sizing.Config{})
--- a/shard/learned.go
+++ b/shard/learned.go
@@ -77,7 +77,7 @@
 			l.observe(hb.Worker.Name, alloc.Class, usage.LatencyMillis, age, now)
 		case !usage.Throttled():
 			// A throttled task uses less than it needs, so it teaches nothing.
-			l.sizes.Observe(alloc.Class, usage.Used, age, now)
+			l.sizes.Observe(alloc.Class, usage.Used, alloc.Resources, age, now)
 		}
 	}
 	for _, s := range hb.Services {
