--- a/agent/runner/cluster_test.go
+++ b/agent/runner/cluster_test.go
@@ -132,6 +132,7 @@
 	n.owner = shard.NewOwner(settings, storeGate{c.store, n}, c.clock,
 		shard.NewFollowed(n.follower, c.clock), scheduler.Plan, n.owners, pushGate{n}, log)
 	n.owner.AskThrough(taskGate{n})
+	n.owner.InOneGoroutine()
 	runnerSettings := DefaultSettings()
 	runnerSettings.OwnerValidity = c.ownerValidity
 	ledger := NewLedger(runnerSettings, w, 0, fmt.Sprint(n.name, "-", n.starts), c.clock.Now().UnixNano())
--- a/config/configmodule/module.go
+++ b/config/configmodule/module.go
@@ -55,8 +55,9 @@
 	// polling is set in entries, and in agents while they own a shard.
 	polling atomic.Bool
 	wake    chan struct{}
-	// behind counts polls in a row that returned a lower revision than the held one; lost is the last reported head. Both
-	// belong to the polling goroutine.
+	// pollMu guards behind, which counts polls in a row that returned a lower revision than the held one, and lost, which is
+	// the last reported head.
+	pollMu sync.Mutex
 	behind int
 	lost   string
 	stop   context.CancelFunc
@@ -132,12 +133,25 @@
 	}
 }
 
+// maxPolls bounds the reads of the head that are on their way. They overlap, since with one at a time a store that
+// answers in 1.5 s would confirm the head later than the start freshness of 3 s allows. It is below lossPolls, so that
+// reads which overlap with one change don't count as a loss.
+const maxPolls = 3
+
 func (m *Module) pollLoop(ctx context.Context) {
 	ticker := time.NewTicker(m.settings.PollInterval)
 	defer ticker.Stop()
+	slots := make(chan struct{}, maxPolls)
 	for {
 		if m.polling.Load() {
-			m.poll(ctx)
+			select {
+			case slots <- struct{}{}:
+				m.done.Go(func() {
+					defer func() { <-slots }()
+					m.poll(ctx)
+				})
+			default:
+			}
 		}
 		if age, ok := m.follower.Confirmed(); ok {
 			m.scope.Gauge("confirmed_age_seconds").Update(age.Seconds())
@@ -162,6 +176,8 @@
 		m.count("invalid_heads", "store")
 		return
 	}
+	m.pollMu.Lock()
+	defer m.pollMu.Unlock()
 	if err := m.follower.ObserveStore(head, sentAt); err != nil {
 		m.reportLoss("another head has the held revision", head)
 	} else if newest := m.follower.Revision(); head.Revision < newest {
@@ -179,7 +195,7 @@
 const lossPolls = 4
 
 // reportLoss reports that the store has lost data, or that a process of another store is in this fleet. The held head
-// stays in force until the store's revision exceeds it.
+// stays in force until the store's revision exceeds it. m.pollMu is held.
 func (m *Module) reportLoss(what string, head config.Head) {
 	m.count("lost_heads", "store")
 	if m.lost != head.ChangeID() {
--- a/shard/module.go
+++ b/shard/module.go
@@ -214,15 +214,27 @@
 	return last.IsZero() || now.Sub(last) >= m.settings.SuspectAfter
 }
 
+// maxKeepAlives bounds the renewals of the store lease that are on their way. They overlap, so that a slow store renews
+// the lease as often as a fast one.
+const maxKeepAlives = 4
+
 func (m *Module) keepAlive(ctx context.Context, o *Owner) {
 	ticker := time.NewTicker(m.settings.LeaseTTL / 3)
 	defer ticker.Stop()
+	slots := make(chan struct{}, maxKeepAlives)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			m.logged("keep alive", o.KeepAlive(ctx))
+		}
+		select {
+		case slots <- struct{}{}:
+			m.done.Go(func() {
+				defer func() { <-slots }()
+				m.logged("keep alive", o.KeepAlive(ctx))
+			})
+		default:
 		}
 	}
 }
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -113,8 +113,10 @@
 	kick       chan struct{}
 	lastCommit time.Time
 	lastList   time.Time
-	inquirer   Inquirer
-	// background runs an inquiry beside the steps.
+	// listing is set while the accepted jobs are being listed.
+	listing  bool
+	inquirer Inquirer
+	// background runs calls beside the steps.
 	background func(func())
 	// asked is when each worker was last asked for its tasks, asking holds those whose answers are on their way.
 	asked  map[string]time.Time
@@ -134,11 +136,12 @@
 	}
 }
 
-// AskThrough replaces the way to workers whose agents are silent. The steps wait for the answers, which makes their order
-// that of the clock.
-func (o *Owner) AskThrough(i Inquirer) {
-	o.inquirer, o.background = i, func(f func()) { f() }
-}
+// AskThrough replaces the way to workers whose agents are silent.
+func (o *Owner) AskThrough(i Inquirer) { o.inquirer = i }
+
+// InOneGoroutine lets steps wait for the calls that are otherwise made beside them, so that their order is that of an
+// injected clock.
+func (o *Owner) InOneGoroutine() { o.background = func(f func()) { f() } }
 
 // Owns tells whether this process owns the shard, and under which epoch.
 func (o *Owner) Owns() (int64, bool) {
--- a/shard/owner_test.go
+++ b/shard/owner_test.go
@@ -39,7 +39,9 @@
 	settings.SnapshotEvery = 4
 	client := NewClient(f.owners, f.store, f.clock)
 	followed := NewFollowed(config.NewFollower(f.clock), f.clock)
-	return NewOwner(settings, s, f.clock, followed, scheduler.Plan, f.owners, client, hclog.NewNullLogger())
+	o := NewOwner(settings, s, f.clock, followed, scheduler.Plan, f.owners, client, hclog.NewNullLogger())
+	o.InOneGoroutine()
+	return o
 }
 
 func job(id string) structs.Job {
--- a/shard/step.go
+++ b/shard/step.go
@@ -6,6 +6,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"sync"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/multierr"
@@ -33,28 +34,39 @@
 		return nil
 	}
 	o.inquire(ctx, t)
-	err := o.takeJobs(ctx, t)
+	o.takeJobs(ctx, t)
 	due := o.decide(t)
 	if !due {
-		return err
+		return nil
 	}
-	err = multierr.Append(err, o.commit(ctx, t))
+	err := o.commit(ctx, t)
 	o.push(ctx, t)
 	return multierr.Append(err, o.clean(ctx, t))
 }
 
-// takeJobs lists the accepted jobs when the interval has passed.
-func (o *Owner) takeJobs(ctx context.Context, t *term) error {
+// takeJobs lists the accepted jobs when the interval has passed, beside the step.
+func (o *Owner) takeJobs(ctx context.Context, t *term) {
 	now := o.clock.Now()
 	o.mu.Lock()
-	due := o.lastList.IsZero() || now.Sub(o.lastList) >= o.config.ListEvery
+	due := !o.listing && (o.lastList.IsZero() || now.Sub(o.lastList) >= o.config.ListEvery)
 	if due {
-		o.lastList = now
+		o.lastList, o.listing = now, true
 	}
 	o.mu.Unlock()
 	if !due {
-		return nil
+		return
 	}
+	o.background(func() {
+		if err := o.listJobs(ctx, t); err != nil {
+			o.log.Debug("accepted jobs were not taken", "error", err)
+		}
+		o.mu.Lock()
+		o.listing = false
+		o.mu.Unlock()
+	})
+}
+
+func (o *Owner) listJobs(ctx context.Context, t *term) error {
 	entries, err := o.store.List(ctx, jobPrefix(o.config.Shard))
 	if err != nil {
 		return eris.Wrap(err, "listing accepted jobs")
@@ -233,13 +245,20 @@
 		keys = append(keys, recordKey(o.config.Shard, sequence))
 	}
 	o.mu.Unlock()
-	var err error
-	for _, key := range keys {
-		if e := o.store.Delete(ctx, key, store.AnyRevision); e != nil && !errors.Is(e, store.ErrNotFound) {
-			err = multierr.Append(err, eris.Wrap(e, "deleting a superfluous key"))
-		}
+	errs := make([]error, len(keys))
+	var deletions sync.WaitGroup
+	for i, key := range keys {
+		deletions.Add(1)
+		// With a slow store, one deletion after another would delay the next commit by all of them.
+		o.background(func() {
+			defer deletions.Done()
+			if err := o.store.Delete(ctx, key, store.AnyRevision); err != nil && !errors.Is(err, store.ErrNotFound) {
+				errs[i] = eris.Wrap(err, "deleting a superfluous key")
+			}
+		})
 	}
-	return err
+	deletions.Wait()
+	return multierr.Combine(errs...)
 }
 
 // Heartbeat answers the report of a worker.
--- a/test/guarantees/tasks_test.go
+++ b/test/guarantees/tasks_test.go
@@ -198,6 +198,26 @@
 	h.thaw()
 }
 
+// Guards against a store that answers late and brings all starts, or the ownership, to a standstill: calls of 1.3 s are
+// above the timeout for a fast store. While it is slow, jobs finish and a failure domain leaves and returns.
+func TestSlowStore(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3)
+	f.eventually("the shard has an owner", func() bool { return f.owner() != nil })
+	f.store.SetFaults(storetest.Faults{SlowMillis: 1300})
+	f.submit("a", 24, 1000, "1s")
+	f.eventually("all tasks finish", func() bool { return f.status("a").Counts[structs.TaskFinished] == 24 })
+	domain := f.hosts[0].domain
+	f.operate(0, http.MethodPost, "/v1/failure-domains/"+domain+"/out", "")
+	from := time.Now().UnixNano()
+	f.submit("b", 24, 1000, "1s")
+	f.eventually("all tasks finish", func() bool { return f.status("b").Counts[structs.TaskFinished] == 24 })
+	back := time.Now().UnixNano()
+	f.operate(1, http.MethodPost, "/v1/failure-domains/"+domain+"/in", "")
+	f.store.SetFaults(storetest.Faults{})
+	f.audit(audit.Outage{Domain: domain, From: from, To: back})
+}
+
 // heads watches the entries and fails the test when one goes back to an earlier configuration.
 type heads struct {
 	f       *fleet
