Measure what requests cost an entry and an agent

Cause: docs/CAPACITY.md has no figures for the processor time and memory of an entry and of agents while they carry requests, and its added latency comes from a fake agent in one process.

Ruled out: sampling from the shell as in scripts/footprint, since memory must be seen during a step and latencies need the two paths to alternate within one run; a closed loop of callers, which slows down with the system and hides its load.

--- /dev/null
+++ b/test/load/process.go
@@ -0,0 +1,49 @@
+package load
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// tick is the unit of processor times in /proc on Linux (USER_HZ, 100 on all supported architectures).
+const tick = time.Second / 100
+
+// Usage is what a process has used.
+type Usage struct {
+	// CPU is the processor time since the start of the process, in user and kernel mode.
+	CPU time.Duration
+	// Resident is the resident memory in bytes.
+	Resident int64
+}
+
+// ReadUsage returns the usage of a process from /proc.
+func ReadUsage(pid int) (Usage, error) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return Usage{}, eris.Wrap(err, "reading the usage of a process")
+	}
+	return parseStat(stat, int64(os.Getpagesize()))
+}
+
+// parseStat reads a line of /proc/PID/stat. The name of the program, in parentheses, may have spaces.
+func parseStat(stat []byte, pageBytes int64) (Usage, error) {
+	const userField, systemField, pagesField = 11, 12, 21
+	fields := bytes.Fields(stat[bytes.LastIndexByte(stat, ')')+1:])
+	if len(fields) <= pagesField {
+		return Usage{}, eris.Errorf("%q has too few fields", stat)
+	}
+	var numbers [3]int64
+	for i, field := range []int{userField, systemField, pagesField} {
+		n, err := strconv.ParseInt(string(fields[field]), 10, 64)
+		if err != nil {
+			return Usage{}, eris.Wrapf(err, "field %d of %q", field, stat)
+		}
+		numbers[i] = n
+	}
+	return Usage{CPU: time.Duration(numbers[0]+numbers[1]) * tick, Resident: numbers[2] * pageBytes}, nil
+}
