Bound the memory of requests in flight at an entry by bytes

Cause: an entry's memory was bounded only by max_in_flight (512) times the limits of the bodies (1 MiB and 8 MiB).

Ruled out: reserving 8 MiB for each response at admission, which would admit three requests within 32 MB; refusing a response that doesn't fit, since its request has run; reserving only when the body is read, since a refusal after the wait in the queue isn't one at once.

Change: limit.Bytes bounds bodies, headers and responses over all requests (max_bytes, 32 MB, a quarter of the 128 MB for control). Bodies take at most half, normal priority seven eighths and low priority three quarters of that half, and are held from admission. A body that doesn't fit is refused before it is read, as not run with Retry-After, unless waiting requests of less importance make room. A response is read from the agent once it fits, by priority and deadline, and counts until the caller has taken it; a caller that doesn't take it is cut off (write_limit). Bodies with a length are read into a buffer of that length. Tests of the admission pass a share; their assertions are unchanged.

Conclusion: requests in flight no longer decide the memory of an entry beyond max_bytes and a fixed cost for each.

--- a/entry/requests/bench_test.go
+++ b/entry/requests/bench_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -13,8 +15,10 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/forward"
 	"github.com/quetzalshed/quetzalshed/forward/forwardtest"
 	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+	"github.com/quetzalshed/quetzalshed/routing"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
@@ -93,3 +97,98 @@
 		}
 	}
 }
+
+// memory returns the memory in use by the heap and by stacks in MB of 10^6 bytes.
+func memory() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc+stats.StackInuse) / 1e6
+}
+
+// BenchmarkFullTables prints the memory of each bounded table of an entry at its bound. That of requests in flight includes
+// the caller's and the agent's end of each, which are in the same process.
+func BenchmarkFullTables(b *testing.B) {
+	for b.Loop() {
+		start := memory()
+		e := newEntry(b, nil, func(s *Settings) { s.MinHedge, s.DefaultHedge = time.Minute, time.Minute })
+		agents, upstreams := 0, 0
+		for n := range routing.MaxAgents {
+			a := structs.Announcement{
+				Agent: fmt.Sprintf("%0256d", n), Incarnation: fmt.Sprintf("%0256d", n), Address: fmt.Sprintf("%0256d", n),
+				FailureDomain: "patan", StartedUnixNano: 1,
+			}
+			for u := range routing.MaxUpstreamsPerAgent {
+				a.Upstreams = append(a.Upstreams, structs.Upstream{
+					Service: fmt.Sprintf("%0256d", n*routing.MaxUpstreamsPerAgent+u), Slots: 8, Connections: 64,
+				})
+			}
+			if _, err := e.table.Apply(&a, 500); err != nil {
+				break
+			}
+			agents, upstreams = agents+1, upstreams+len(a.Upstreams)
+		}
+		announced := memory()
+		b.ReportMetric(announced-start, "MB-announcements")
+		b.ReportMetric(float64(agents), "agents")
+		b.ReportMetric(float64(upstreams), "upstreams")
+		latencies := forward.NewLatencies(time.Second)
+		for n := range 4096 {
+			latencies.Observe(fmt.Sprint(n), time.Millisecond, time.Now())
+		}
+		observed := memory()
+		b.ReportMetric(observed-announced, "MB-latencies")
+		b.ReportMetric(requestsInFlight(b), "KB-a-request-in-flight")
+		runtime.KeepAlive(e)
+		runtime.KeepAlive(latencies)
+	}
+}
+
+// requestsInFlight returns the memory of a request of 1 KB in flight, in kB of 10^3 bytes.
+func requestsInFlight(b *testing.B) float64 {
+	const count = 512
+	e := newEntry(b, nil, func(s *Settings) {
+		s.MinHedge, s.DefaultHedge, s.Silence = time.Minute, time.Minute, time.Minute
+	})
+	agents := make([]*forwardtest.Agent, 16)
+	for i := range agents {
+		agents[i] = newAgent(b, fmt.Sprint("agent-", i), e)
+		agents[i].Next = func(int) forwardtest.Fault { return forwardtest.Hold }
+	}
+	before := memory()
+	body := strings.Repeat("x", 1000)
+	ended := make(chan error, count)
+	for range count {
+		go func() {
+			c, err := net.Dial("tcp", strings.TrimPrefix(e.url, "http://"))
+			if err == nil {
+				defer func() { _ = c.Close() }()
+				_, err = fmt.Fprintf(c, "PUT /s/price/p HTTP/1.1\r\nHost: entry\r\nQuetzalshed-Timeout-Ms: 50000\r\n"+
+					"Connection: close\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			}
+			if err == nil {
+				_, err = io.Copy(io.Discard, c)
+			}
+			ended <- err
+		}()
+	}
+	sends := func() (n int) {
+		for _, a := range agents {
+			n += a.Sends()
+		}
+		return n
+	}
+	for sends() < count {
+		time.Sleep(10 * time.Millisecond)
+	}
+	used := (memory() - before) * 1e3 / count
+	for _, a := range agents {
+		a.Release()
+	}
+	for range count {
+		if err := <-ended; err != nil {
+			b.Fatal(err)
+		}
+	}
+	return used
+}
--- a/entry/requests/body.go
+++ b/entry/requests/body.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/quetzalshed/quetzalshed/forward"
+	"github.com/quetzalshed/quetzalshed/limit"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
@@ -25,6 +26,27 @@
 	io.ReadCloser
 	writer http.ResponseWriter
 	whole  bool
+	// share is what the request holds in memory, nil before admission.
+	share *limit.Share
+}
+
+// release gives back what the request holds in memory.
+func (b *callerBody) release() {
+	if b.share != nil {
+		b.share.Release()
+	}
+}
+
+// undeclaredBody is what a body without a length takes while it is read: a buffer that has grown, and its last copy.
+const undeclaredBody = 2 * structs.MaxRequestBody
+
+// heldBytes returns what the body and the headers of a request take.
+func heldBytes(r *http.Request, request *forward.Request) int64 {
+	if r.ContentLength < 0 {
+		return int64(headerBytes(request.Header)) + undeclaredBody
+	}
+	// Larger bodies are refused before they are read.
+	return int64(headerBytes(request.Header)) + min(r.ContentLength, structs.MaxRequestBody)
 }
 
 // newCallerBody takes over the body of a request.
@@ -76,7 +98,7 @@
 		return forward.Result{}, true
 	}
 	b.limitTime(request.Deadline)
-	body, err := io.ReadAll(io.LimitReader(b, structs.MaxRequestBody+1))
+	body, err := b.readAll(r.ContentLength)
 	switch {
 	case err != nil:
 		return notRun(http.StatusBadRequest, "the body did not arrive: "+err.Error(), 0), false
@@ -84,5 +106,23 @@
 		return notRun(http.StatusRequestEntityTooLarge, "the body is over 1 MiB", 0), false
 	}
 	request.Body = body
+	b.share.Settle(int64(headerBytes(request.Header) + len(body)))
 	return forward.Result{}, true
 }
+
+// readAll reads the body. With a length it takes no more memory than the length.
+func (b *callerBody) readAll(length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(io.LimitReader(b, structs.MaxRequestBody+1))
+	}
+	body := make([]byte, length)
+	if _, err := io.ReadFull(b, body); err != nil {
+		return nil, err
+	}
+	// The end is read too, since only then the body counts as whole.
+	_, err := b.Read(make([]byte, 1))
+	if err == io.EOF {
+		err = nil
+	}
+	return body, err
+}
--- a/entry/requests/handler.go
+++ b/entry/requests/handler.go
@@ -22,13 +22,15 @@
 	ctx, span := m.context.Tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
 	body := newCallerBody(w, r)
+	// What the request holds in memory counts until the caller has its response.
+	defer body.release()
 	result := m.answer(ctx, w, r, body, start)
 	span.SetAttributes(attribute.String("quetzalshed.outcome", string(result.Outcome)),
 		attribute.Int("http.response.status_code", result.Status), attribute.Int("quetzalshed.attempts", result.Attempts))
 	m.metrics.outcomes[result.Outcome].Inc(1)
 	m.metrics.latency.RecordDuration(time.Since(start))
 	body.settle()
-	respond(w, r, result)
+	respond(w, r, result, m.settings.WriteLimit)
 }
 
 // answer returns the final outcome of a request that arrived at start. It may add headers to the response.
@@ -47,12 +49,13 @@
 		return notRun(http.StatusBadRequest, err.Error(), 0)
 	}
 	p.request.Deadline = start.Add(p.timeout)
-	release, err := m.inFlight.Acquire(ctx, p.request.Priority, p.request.Deadline)
+	body.share = m.memory.Share(p.request.Priority, p.request.Deadline, heldBytes(r, &p.request))
+	release, err := m.inFlight.Acquire(ctx, body.share)
 	if err != nil {
-		m.metrics.limited.Inc(1)
-		return rejected(err)
+		return m.rejected(err)
 	}
 	defer release()
+	ctx = forward.WithMemory(ctx, body.share)
 	if result, ok := body.read(r, &p.request); !ok {
 		m.metrics.malformed.Inc(1)
 		return result
@@ -64,9 +67,13 @@
 }
 
 // rejected reports that the entry is at its limit.
-func rejected(err error) forward.Result {
+func (m *Module) rejected(err error) forward.Result {
+	m.metrics.limited.Inc(1)
 	var rejection *limit.RejectedError
 	if errors.As(err, &rejection) {
+		if rejection.Memory {
+			m.metrics.memoryLimited.Inc(1)
+		}
 		return notRun(http.StatusServiceUnavailable, rejection.Reason, rejection.RetryAfter)
 	}
 	return notRun(http.StatusServiceUnavailable, err.Error(), time.Second)
--- a/entry/requests/metrics.go
+++ b/entry/requests/metrics.go
@@ -12,13 +12,15 @@
 // metrics holds the counters of the caller API. Services are no tag: callers choose their names, so their number has no
 // bound.
 type metrics struct {
-	scope     tally.Scope
-	outcomes  map[structs.Outcome]tally.Counter
-	latency   tally.Histogram
-	limited   tally.Counter
-	draining  tally.Counter
-	malformed tally.Counter
-	followed  tally.Counter
+	scope    tally.Scope
+	outcomes map[structs.Outcome]tally.Counter
+	latency  tally.Histogram
+	limited  tally.Counter
+	// memoryLimited counts those of limited whose body didn't fit.
+	memoryLimited tally.Counter
+	draining      tally.Counter
+	malformed     tally.Counter
+	followed      tally.Counter
 	// recordsFailed counts requests rejected for lack of a record, recordsLimited those over the rate of records.
 	recordsFailed, recordsLimited tally.Counter
 
@@ -35,7 +37,7 @@
 		scope: s, outcomes: map[structs.Outcome]tally.Counter{},
 		// 24 buckets from 1 ms, each a half longer than the one before, reach 11 s.
 		latency: s.Histogram("latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 1.5, 24)),
-		limited: s.Counter("limited"), draining: s.Counter("draining"), malformed: s.Counter("malformed"),
+		limited: s.Counter("limited"), memoryLimited: s.Counter("memory_limited"), draining: s.Counter("draining"), malformed: s.Counter("malformed"),
 		followed: s.Counter("followed_records"), recordsFailed: s.Counter("records_failed"),
 		recordsLimited: s.Counter("records_limited"),
 		announced:      s.Counter("announcements"), stale: s.Counter("announcements_stale"),
@@ -55,6 +57,7 @@
 	defer ticker.Stop()
 	s := m.metrics.scope
 	running, waiting, agents := s.Gauge("running"), s.Gauge("waiting"), s.Gauge("agents")
+	held := s.Gauge("held_bytes")
 	open, idle := s.Gauge("connections_open"), s.Gauge("connections_idle")
 	for {
 		select {
@@ -65,6 +68,7 @@
 			o, i := m.pool.Counts()
 			running.Update(float64(r))
 			waiting.Update(float64(w))
+			held.Update(float64(m.memory.Used()))
 			agents.Update(float64(m.table.Agents()))
 			open.Update(float64(o))
 			idle.Update(float64(i))
--- a/entry/requests/module.go
+++ b/entry/requests/module.go
@@ -35,6 +35,8 @@
 	pool      *forward.Pool
 	forwarder *forward.Forwarder
 	inFlight  *limit.InFlight
+	// memory bounds the bodies and responses of the requests in flight.
+	memory *limit.Bytes
 	// ledger is nil when the process runs no store module; non-idempotent requests are then rejected.
 	ledger  *idempotency.Ledger
 	metrics *metrics
@@ -71,6 +73,7 @@
 		ResolveTimeout: s.ResolveTimeout, SuspectFor: s.SuspectFor, MinHedge: s.MinHedge, MaxCleanups: maxCleanups,
 	})
 	m.inFlight = limit.NewInFlight(s.MaxInFlight, s.MaxWaiting, s.MaxWait)
+	m.memory = limit.NewBytes(s.MaxBytes)
 	if provider, ok := kernel.Lookup[storeModule](c, "store"); ok {
 		m.ledger = idempotency.NewLedger(idempotency.Options{
 			Store: provider.Store(), Clock: c.Clock, Retention: s.RecordRetention, CallTimeout: s.StoreTimeout,
--- a/entry/requests/respond.go
+++ b/entry/requests/respond.go
@@ -21,18 +21,18 @@
 	Reason  string          `json:"reason"`
 }
 
-// respond sends the final response to the caller.
-func respond(w http.ResponseWriter, r *http.Request, result forward.Result) {
+// respond sends the final response to the caller. partLimit bounds the time that the caller may take for a part of it.
+func respond(w http.ResponseWriter, r *http.Request, result forward.Result, partLimit time.Duration) {
 	w.Header().Set(structs.HeaderOutcome, string(result.Outcome))
 	if result.Outcome == structs.OutcomeAnswered {
-		respondAnswered(w, r, result)
+		respondAnswered(w, r, result, partLimit)
 		return
 	}
-	respondFailure(w, r, result)
+	respondFailure(w, r, result, partLimit)
 }
 
 // respondAnswered relays the response of an upstream.
-func respondAnswered(w http.ResponseWriter, r *http.Request, result forward.Result) {
+func respondAnswered(w http.ResponseWriter, r *http.Request, result forward.Result, partLimit time.Duration) {
 	h := w.Header()
 	for name, values := range forwardedHeaders(result.Header) {
 		h[name] = values
@@ -45,11 +45,11 @@
 		// A nil value keeps net/http from guessing a type that the upstream didn't send.
 		h["Content-Type"] = nil
 	}
-	writeBody(w, r, result.Status, result.Body)
+	writeBody(w, r, result.Status, result.Body, partLimit)
 }
 
 // respondFailure says why there is no response of an upstream.
-func respondFailure(w http.ResponseWriter, r *http.Request, result forward.Result) {
+func respondFailure(w http.ResponseWriter, r *http.Request, result forward.Result, partLimit time.Duration) {
 	h := w.Header()
 	body, err := json.Marshal(failure{result.Outcome, result.Reason})
 	if err != nil {
@@ -61,20 +61,43 @@
 		seconds := (result.RetryAfter + time.Second - 1) / time.Second
 		h.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
 	}
-	writeBody(w, r, result.Status, append(body, '\n'))
+	writeBody(w, r, result.Status, append(body, '\n'), partLimit)
 }
 
 // writeBody sends the status, and the body if HTTP allows one.
-func writeBody(w http.ResponseWriter, r *http.Request, status int, body []byte) {
+func writeBody(w http.ResponseWriter, r *http.Request, status int, body []byte, partLimit time.Duration) {
 	if r.Method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified {
 		w.WriteHeader(status)
 		return
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
-	_, _ = w.Write(body)
+	control := http.NewResponseController(w)
+	last := time.Now().Add(wholeLimit * partLimit)
+	for len(body) > 0 {
+		part := body[:min(len(body), writePart)]
+		deadline := time.Now().Add(partLimit)
+		if deadline.After(last) {
+			deadline = last
+		}
+		_ = control.SetWriteDeadline(deadline)
+		if _, err := w.Write(part); err != nil {
+			return
+		}
+		body = body[len(part):]
+	}
+	_ = control.Flush()
+	_ = control.SetWriteDeadline(time.Time{})
 }
 
+// A caller that takes less than writePart bytes in the limit of a part, or the whole response not in wholeLimit times as
+// much, is given up: its response holds memory that other requests wait for. With the default of 5 s for a part, the longest
+// response needs 140 KB/s.
+const (
+	writePart  = 64 << 10
+	wholeLimit = 12
+)
+
 // maxReasonBytes bounds the reason in a header; the body has all of it.
 const maxReasonBytes = 200
 
--- a/entry/requests/settings.go
+++ b/entry/requests/settings.go
@@ -13,6 +13,12 @@
 	MaxWaiting  int `ini:"max_waiting" default:"256" min:"0" max:"65536"`
 	// MaxWait bounds the wait for a place.
 	MaxWait time.Duration `ini:"max_wait" default:"250ms" min:"0s" max:"10s"`
+	// MaxBytes bounds the bodies and headers of the requests in flight and of their responses. The default is a quarter of
+	// the 128 MB that the control plane may use on a node. The least value is twice the largest response and what limits
+	// headers.
+	MaxBytes int64 `ini:"max_bytes" default:"32000000" min:"18000000" max:"1099511627776"`
+	// WriteLimit is how long a caller may take for 64 KiB of its response; the whole may take 12 times as long.
+	WriteLimit time.Duration `ini:"write_limit" default:"5s" min:"10ms" max:"10m"`
 
 	// RetryShare and RetryPerSecond form the budget of retries and hedges.
 	RetryShare     float64 `ini:"retry_share" default:"0.1" min:"0" max:"1"`
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -81,8 +81,11 @@
 }
 
 // roundTrip sends one request and reads its final response. Interim responses go to interim, which may be nil. Unless
-// reusable is true the connection must be closed. A canceled ctx closes the connection.
-func (c *conn) roundTrip(ctx context.Context, request *http.Request, interim func(http.Header)) (m *Message, reusable bool, err error) {
+// reusable is true the connection must be closed. A canceled ctx closes the connection. Before a body is read, take is
+// asked for room for the response; an error of it ends the exchange.
+func (c *conn) roundTrip(
+	ctx context.Context, request *http.Request, interim func(http.Header), take func(bytes int64) error,
+) (m *Message, reusable bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.Close() })
 	defer func() {
 		if !stop() {
@@ -102,14 +105,16 @@
 		return nil, false, &AttemptError{Kind: FaultNotSent, Cause: writeErr}
 	}
 	// After a failed write the agent may still have answered: it rejects a request before it has read all of it.
-	m, reusable, err = c.readFinal(request, interim)
+	m, reusable, err = c.readFinal(request, interim, take)
 	if err != nil && writeErr != nil {
 		return nil, false, classify(writeErr)
 	}
 	return m, reusable && writeErr == nil, err
 }
 
-func (c *conn) readFinal(request *http.Request, interim func(http.Header)) (*Message, bool, error) {
+func (c *conn) readFinal(
+	request *http.Request, interim func(http.Header), take func(bytes int64) error,
+) (*Message, bool, error) {
 	for {
 		c.allowance = maxHeaderBytes
 		response, err := http.ReadResponse(c.reader, request)
@@ -125,12 +130,12 @@
 			}
 			continue
 		}
-		return c.readBody(response)
+		return c.readBody(response, take)
 	}
 }
 
 // readBody reads a body of a declared length. A response without one can't be told from a truncated one.
-func (c *conn) readBody(response *http.Response) (*Message, bool, error) {
+func (c *conn) readBody(response *http.Response, take func(bytes int64) error) (*Message, bool, error) {
 	length := response.ContentLength
 	switch {
 	case response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified:
@@ -140,6 +145,9 @@
 	case length > structs.MaxAnswerBody:
 		return nil, false, &AttemptError{Kind: FaultOversized}
 	}
+	if err := take(length + headerBytes(response.Header)); err != nil {
+		return nil, false, &AttemptError{Kind: FaultCancelled, Cause: err}
+	}
 	c.allowance = int(length)
 	body := make([]byte, length)
 	if _, err := io.ReadFull(response.Body, body); errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -193,10 +193,14 @@
 	if err != nil {
 		return nil, err
 	}
-	m, reusable, err := c.roundTrip(ctx, k.build(), k.interim)
+	room := room{ctx: ctx, memory: memoryOf(ctx)}
+	m, reusable, err := c.roundTrip(ctx, k.build(), k.interim, room.take)
 	if err == nil {
 		err = k.check(m)
 	}
+	if err != nil {
+		room.giveBack()
+	}
 	p.put(c, reusable && err == nil, time.Now())
 	if err != nil {
 		return nil, err
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -71,7 +71,7 @@
 	ctx, cancel := context.WithTimeout(ctx, p.opts.ProbeTimeout)
 	defer cancel()
 	start := time.Now()
-	m, reusable, err := c.roundTrip(ctx, newRequest(http.MethodGet, c.address, pingPath, nil, nil), nil)
+	m, reusable, err := c.roundTrip(ctx, newRequest(http.MethodGet, c.address, pingPath, nil, nil), nil, unbounded)
 	if err == nil {
 		err = checkPing(m)
 	}
--- /dev/null
+++ b/limit/bytes_test.go
@@ -0,0 +1,258 @@
+package limit
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+func memoryRejection(err error) bool {
+	var rejection *RejectedError
+	return errors.As(err, &rejection) && rejection.Memory && rejection.RetryAfter > 0
+}
+
+// Guards against bodies that fill the memory without a bound, and against unimportant bodies that leave important ones no
+// room.
+func TestBodiesBeyondTheRoomOfTheirClass(t *testing.T) {
+	b, l := NewBytes(1600), NewInFlight(100, 100, time.Minute)
+	var held []*Share
+	for _, step := range []struct {
+		priority structs.Priority
+		size     int64
+		fits     bool
+	}{
+		{structs.PriorityLow, 601, false},
+		{structs.PriorityLow, 600, true},
+		{structs.PriorityLow, 1, false},
+		{structs.PriorityNormal, 100, true},
+		{structs.PriorityNormal, 1, false},
+		{structs.PriorityCritical, 101, false},
+		{structs.PriorityCritical, 100, true},
+		{structs.PriorityCritical, 1, false},
+		{structs.PriorityLow, 0, false},
+	} {
+		s := b.Share(step.priority, far(), step.size)
+		release, err := l.Acquire(t.Context(), s)
+		if !step.fits {
+			qt.Assert(t, memoryRejection(err), qt.IsTrue, qt.Commentf("%+v: %v", step, err))
+			continue
+		}
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("%+v", step))
+		release()
+		held = append(held, s)
+	}
+	// The body counts until its share is released, whether or not the request still has a place.
+	qt.Assert(t, b.Used(), qt.Equals, int64(800))
+	held[0].Settle(50)
+	qt.Assert(t, b.Used(), qt.Equals, int64(250))
+	held[0].Settle(500)
+	qt.Assert(t, b.Used(), qt.Equals, int64(250), qt.Commentf("a share must not grow without a check"))
+	for _, s := range held {
+		s.Release()
+		s.Release()
+	}
+	qt.Assert(t, b.Used(), qt.Equals, int64(0))
+}
+
+// Guards against waiting requests that keep a more important body out, and against rejecting them when that doesn't help.
+func TestImportantBodyDisplacesWaitingOnes(t *testing.T) {
+	b, l := NewBytes(1600), NewInFlight(1, 8, time.Minute)
+	running := b.Share(structs.PriorityCritical, far(), 300)
+	release, err := l.Acquire(t.Context(), running)
+	qt.Assert(t, err, qt.IsNil)
+	low, critical := make(chan error, 1), make(chan error, 1)
+	go func() {
+		_, err := l.Acquire(t.Context(), b.Share(structs.PriorityLow, far(), 300))
+		low <- err
+	}()
+	waitForWaiting(t, l, 1)
+	_, err = l.Acquire(t.Context(), b.Share(structs.PriorityCritical, far(), 501))
+	qt.Assert(t, memoryRejection(err), qt.IsTrue)
+	_, err = l.Acquire(t.Context(), b.Share(structs.PriorityLow, far(), 1))
+	qt.Assert(t, memoryRejection(err), qt.IsTrue, qt.Commentf("an equal request must not displace an earlier one"))
+	_, waiting := l.Running()
+	qt.Assert(t, waiting, qt.Equals, 1)
+	go func() {
+		next, err := l.Acquire(t.Context(), b.Share(structs.PriorityCritical, far(), 500))
+		critical <- err
+		next()
+	}()
+	qt.Assert(t, memoryRejection(<-low), qt.IsTrue)
+	waitForWaiting(t, l, 1)
+	qt.Assert(t, b.Used(), qt.Equals, int64(800))
+	release()
+	qt.Assert(t, <-critical, qt.IsNil)
+}
+
+func waitForResponses(t *testing.T, b *Bytes, n int) {
+	t.Helper()
+	for range 10_000 {
+		b.mu.Lock()
+		waiting := len(b.waiting)
+		b.mu.Unlock()
+		if waiting == n {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatalf("%d responses should wait", n)
+}
+
+// Guards against responses that fill the memory without a bound, or get room out of order.
+func TestResponsesWaitInOrder(t *testing.T) {
+	b := NewBytes(1000)
+	first := b.Share(structs.PriorityLow, far(), 0)
+	qt.Assert(t, first.Hold(t.Context(), 400), qt.IsNil)
+	qt.Assert(t, first.Hold(t.Context(), 400), qt.IsNil)
+	order := make(chan string, 3)
+	deadline := far()
+	for i, next := range []struct {
+		name     string
+		priority structs.Priority
+		deadline time.Time
+	}{
+		{"normal, later", structs.PriorityNormal, deadline},
+		{"critical", structs.PriorityCritical, deadline},
+		{"normal, sooner", structs.PriorityNormal, deadline.Add(-time.Minute)},
+	} {
+		go func() {
+			s := b.Share(next.priority, next.deadline, 0)
+			if err := s.Hold(t.Context(), 900); err != nil {
+				order <- err.Error()
+				return
+			}
+			order <- next.name
+			s.Release()
+		}()
+		waitForResponses(t, b, i+1)
+	}
+	first.Return(400)
+	waitForResponses(t, b, 3)
+	first.Release()
+	for _, want := range []string{"critical", "normal, sooner", "normal, later"} {
+		qt.Assert(t, <-order, qt.Equals, want)
+	}
+	waitForResponses(t, b, 0)
+}
+
+// Guards against room that is lost to a request that has ended, and against a response that waits behind one of those.
+func TestEndedRequestsHoldNothing(t *testing.T) {
+	b := NewBytes(1000)
+	first, gone, ended := b.Share(structs.PriorityLow, far(), 0), b.Share(structs.PriorityCritical, far(), 0), b.Share(structs.PriorityNormal, far(), 0)
+	qt.Assert(t, first.Hold(t.Context(), 500), qt.IsNil)
+	ctx, cancel := context.WithCancel(t.Context())
+	results := make(chan error, 2)
+	go func() { results <- gone.Hold(ctx, 600) }()
+	waitForResponses(t, b, 1)
+	go func() { results <- ended.Hold(t.Context(), 600) }()
+	waitForResponses(t, b, 2)
+	ended.Release()
+	cancel()
+	for range 2 {
+		qt.Assert(t, <-results, qt.IsNotNil)
+	}
+	qt.Assert(t, first.Hold(t.Context(), 500), qt.IsNil)
+	// With a context that has ended, room may be granted or not, but never to a request that is told otherwise.
+	for range 100 {
+		other := NewBytes(1000)
+		s := other.Share(structs.PriorityLow, far(), 0)
+		if s.Hold(ctx, 10) == nil {
+			s.Return(10)
+		}
+		qt.Assert(t, other.Used(), qt.Equals, int64(0))
+	}
+	first.Release()
+	first.Return(500)
+	qt.Assert(t, first.Hold(t.Context(), 1), qt.Equals, errShareReleased)
+	qt.Assert(t, b.Used(), qt.Equals, int64(0))
+}
+
+// Guards against counts that drift from what the requests hold, and against any order of events that exceeds a bound.
+func TestBytesAgainstOracle(t *testing.T) {
+	over, cancel := context.WithCancel(t.Context())
+	cancel()
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 1000
+		type holder struct {
+			*Share
+			body, response int64
+		}
+		b := NewBytes(limit)
+		held := map[string]*holder{}
+		sum := func() (bodies, used int64) {
+			for _, h := range held {
+				bodies += h.body
+				used += h.body + h.response
+			}
+			return bodies, used
+		}
+		name := func(t *rapid.T) string { return fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "request")) }
+		t.Repeat(map[string]func(*rapid.T){
+			"body": func(t *rapid.T) {
+				n := name(t)
+				if held[n] != nil {
+					return
+				}
+				size := rapid.Int64Range(0, 300).Draw(t, "size")
+				s := b.Share(structs.PriorityCritical, far(), size)
+				bodies, used := sum()
+				want := bodies+size <= limit/2 && used+size <= limit
+				if got := s.holdBody(); got != want {
+					t.Fatalf("%d bytes beside %d of bodies and %d: %v", size, bodies, used, got)
+				}
+				if want {
+					held[n] = &holder{Share: s, body: size}
+				}
+			},
+			"response": func(t *rapid.T) {
+				h := held[name(t)]
+				if h == nil {
+					return
+				}
+				size := rapid.Int64Range(0, limit/2).Draw(t, "size")
+				if _, used := sum(); used+size > limit {
+					if h.Hold(over, size) == nil {
+						t.Fatalf("%d bytes beside %d", size, used)
+					}
+					return
+				}
+				if err := h.Hold(context.Background(), size); err != nil {
+					t.Fatal(err)
+				}
+				h.response += size
+			},
+			"settle": func(t *rapid.T) {
+				if h := held[name(t)]; h != nil {
+					size := rapid.Int64Range(0, 300).Draw(t, "size")
+					h.Settle(size)
+					h.body = min(h.body, size)
+				}
+			},
+			"return": func(t *rapid.T) {
+				if h := held[name(t)]; h != nil {
+					h.Return(h.response)
+					h.response = 0
+				}
+			},
+			"release": func(t *rapid.T) {
+				n := name(t)
+				if h := held[n]; h != nil {
+					h.Release()
+					delete(held, n)
+				}
+			},
+			"": func(t *rapid.T) {
+				if _, used := sum(); b.Used() != used {
+					t.Fatalf("%d bytes are counted, %d held", b.Used(), used)
+				}
+			},
+		})
+	})
+}
--- a/limit/entry_limits_test.go
+++ b/limit/entry_limits_test.go
@@ -54,6 +54,11 @@
 
 func far() time.Time { return time.Now().Add(time.Hour) }
 
+// share returns the share of a request without a body.
+func share(priority structs.Priority, deadline time.Time) *Share {
+	return NewBytes(1<<20).Share(priority, deadline, 0)
+}
+
 func waitForWaiting(t *testing.T, l *InFlight, n int) {
 	t.Helper()
 	for range 10_000 {
@@ -68,13 +73,13 @@
 // Guards against admission out of order: by priority, then by deadline.
 func TestInFlightOrder(t *testing.T) {
 	l := NewInFlight(1, 8, time.Minute)
-	release, err := l.Acquire(t.Context(), structs.PriorityLow, far())
+	release, err := l.Acquire(t.Context(), share(structs.PriorityLow, far()))
 	qt.Assert(t, err, qt.IsNil)
 	order := make(chan string, 4)
 	add := func(name string, priority structs.Priority, deadline time.Time) {
 		_, waiting := l.Running()
 		go func() {
-			next, err := l.Acquire(t.Context(), priority, deadline)
+			next, err := l.Acquire(t.Context(), share(priority, deadline))
 			if err != nil {
 				order <- err.Error()
 				return
@@ -100,20 +105,20 @@
 // Guards against a full queue that keeps important requests out, and against rejections that are held back.
 func TestInFlightFullQueue(t *testing.T) {
 	l := NewInFlight(1, 1, time.Minute)
-	release, err := l.Acquire(t.Context(), structs.PriorityLow, far())
+	release, err := l.Acquire(t.Context(), share(structs.PriorityLow, far()))
 	qt.Assert(t, err, qt.IsNil)
 	evicted, admitted := make(chan error, 1), make(chan error, 1)
 	go func() {
-		_, err := l.Acquire(t.Context(), structs.PriorityNormal, far())
+		_, err := l.Acquire(t.Context(), share(structs.PriorityNormal, far()))
 		evicted <- err
 	}()
 	waitForWaiting(t, l, 1)
-	_, err = l.Acquire(t.Context(), structs.PriorityLow, far())
+	_, err = l.Acquire(t.Context(), share(structs.PriorityLow, far()))
 	var rejection *RejectedError
 	qt.Assert(t, errors.As(err, &rejection), qt.IsTrue)
 	qt.Assert(t, rejection.RetryAfter > 0, qt.IsTrue)
 	go func() {
-		next, err := l.Acquire(t.Context(), structs.PriorityCritical, far())
+		next, err := l.Acquire(t.Context(), share(structs.PriorityCritical, far()))
 		admitted <- err
 		next()
 	}()
@@ -125,14 +130,14 @@
 // Guards against waiting for a place that can't come in time, and against places that are lost when a waiter leaves.
 func TestInFlightDeadlineAndCancel(t *testing.T) {
 	l := NewInFlight(1, 8, time.Minute)
-	release, err := l.Acquire(t.Context(), structs.PriorityNormal, far())
+	release, err := l.Acquire(t.Context(), share(structs.PriorityNormal, far()))
 	qt.Assert(t, err, qt.IsNil)
-	_, err = l.Acquire(t.Context(), structs.PriorityNormal, time.Now().Add(initialHold/2))
+	_, err = l.Acquire(t.Context(), share(structs.PriorityNormal, time.Now().Add(initialHold/2)))
 	qt.Assert(t, err, qt.ErrorMatches, ".*the wait would be too long")
 	ctx, cancel := context.WithCancel(t.Context())
 	gone := make(chan error, 1)
 	go func() {
-		_, err := l.Acquire(ctx, structs.PriorityNormal, far())
+		_, err := l.Acquire(ctx, share(structs.PriorityNormal, far()))
 		gone <- err
 	}()
 	waitForWaiting(t, l, 1)
--- a/limit/inflight.go
+++ b/limit/inflight.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"sync"
 	"time"
-
-	"github.com/quetzalshed/quetzalshed/structs"
 )
 
 // RejectedError reports that a request was not admitted, and so was not run.
@@ -15,6 +13,8 @@
 	Reason string
 	// RetryAfter is when another try is likely to be admitted.
 	RetryAfter time.Duration
+	// Memory tells that the body didn't fit beside those of other requests.
+	Memory bool
 }
 
 // Error returns the reason.
@@ -49,6 +49,9 @@
 	index    int
 	// verdict receives nil for admission and otherwise the rejection, exactly once.
 	verdict chan error
+	share   *Share
+	// response is the size of the response that waits for room; requests that wait for a place have none.
+	response int64
 }
 
 // before orders by importance, then by deadline, then by arrival.
@@ -62,26 +65,39 @@
 	return w.arrival < o.arrival
 }
 
-// Acquire waits for admission. The returned function ends the request's place and must be called once. A rejection is a
-// *RejectedError and is returned as soon as it is certain.
-func (l *InFlight) Acquire(ctx context.Context, priority structs.Priority, deadline time.Time) (func(), error) {
+// Acquire waits for admission. The bytes of the request's body are held from now on; a body that doesn't fit is rejected
+// at once, unless less important requests that wait make room. The returned function ends the request's place and must be
+// called once; the share is released on its own. A rejection is a *RejectedError and is returned as soon as it is certain.
+// It releases the share.
+func (l *InFlight) Acquire(ctx context.Context, share *Share) (release func(), err error) {
+	defer func() {
+		if err != nil {
+			share.Release()
+		}
+	}()
 	start := time.Now()
 	l.mu.Lock()
+	l.arrival++
+	w := &inFlightWaiter{
+		rank: share.rank, deadline: share.deadline, arrival: l.arrival, verdict: make(chan error, 1), share: share,
+	}
+	if !l.holdBody(w) {
+		err := &RejectedError{Reason: "the bodies of other requests leave no room at the entry", RetryAfter: l.hold, Memory: true}
+		l.mu.Unlock()
+		return nil, err
+	}
 	if l.running < l.limit && len(l.waiting) == 0 {
 		l.running++
 		l.mu.Unlock()
 		return l.releaser(), nil
 	}
-	l.arrival++
-	w := &inFlightWaiter{rank: priority.Rank(), deadline: deadline, arrival: l.arrival, verdict: make(chan error, 1)}
 	if err := l.enqueue(w, start); err != nil {
 		l.mu.Unlock()
 		return nil, err
 	}
 	l.mu.Unlock()
-	timer := time.NewTimer(min(l.maxWait, deadline.Sub(start)))
+	timer := time.NewTimer(min(l.maxWait, w.deadline.Sub(start)))
 	defer timer.Stop()
-	var err error
 	select {
 	case err = <-w.verdict:
 	case <-timer.C:
@@ -112,13 +128,45 @@
 		if last == nil || !w.before(last) {
 			return l.rejection("the queue of the entry is full")
 		}
-		heap.Remove(&l.waiting, last.index)
-		last.verdict <- l.rejection("a more important request took the place in the queue of the entry")
+		l.displace(last, l.rejection("a more important request took the place in the queue of the entry"))
 	}
 	heap.Push(&l.waiting, w)
 	return nil
 }
 
+// displace takes a waiting request out of the queue.
+func (l *InFlight) displace(w *inFlightWaiter, cause *RejectedError) {
+	heap.Remove(&l.waiting, w.index)
+	w.share.Release()
+	w.verdict <- cause
+}
+
+// holdBody holds the bytes of a request's body. When they don't fit beside the others, waiting requests that are less
+// important are rejected, the last first, if that makes room.
+func (l *InFlight) holdBody(w *inFlightWaiter) bool {
+	if w.share.holdBody() {
+		return true
+	}
+	var later []*Share
+	for _, other := range l.waiting {
+		if w.before(other) {
+			later = append(later, other.share)
+		}
+	}
+	if len(later) == 0 || !w.share.canHold(later) {
+		return false
+	}
+	for range later {
+		cause := l.rejection("a more important request took the room for the body at the entry")
+		cause.Memory = true
+		l.displace(l.waiting.last(), cause)
+		if w.share.holdBody() {
+			return true
+		}
+	}
+	return false
+}
+
 // EstimateWait returns how long a request waits behind others when limit requests at once hold a place for hold each.
 func EstimateWait(ahead, limit int, hold time.Duration) time.Duration {
 	return time.Duration(float64(hold) * float64(ahead+1) / float64(max(limit, 1)))
