Limit the rates of callers and services at an entry

Cause: a caller that sends too much, or a service that gets too much, was held back only by the places and queues that all callers share.

Ruled out: a table of callers that drops the oldest, which a caller with many names could use to escape its rate; one rate over all entries, which needs a call for each request.

A caller is the header named by caller_header, otherwise the address of the connection.

Conclusion: rates hold for each entry. Behind a load balancer they need a header that the balancer sets.

--- a/entry/requests/handler.go
+++ b/entry/requests/handler.go
@@ -48,6 +48,9 @@
 		m.metrics.malformed.Inc(1)
 		return notRun(http.StatusBadRequest, err.Error(), 0)
 	}
+	if result, ok := m.checkRates(r, p.request.Service); !ok {
+		return result
+	}
 	p.request.Deadline = start.Add(p.timeout)
 	body.share = m.memory.Share(p.request.Priority, p.request.Deadline, heldBytes(r, &p.request))
 	release, err := m.inFlight.Acquire(ctx, body.share)
--- a/entry/requests/metrics.go
+++ b/entry/requests/metrics.go
@@ -16,6 +16,8 @@
 	outcomes map[structs.Outcome]tally.Counter
 	latency  tally.Histogram
 	limited  tally.Counter
+	// callerLimited and serviceLimited count requests over the rate of their caller or service.
+	callerLimited, serviceLimited tally.Counter
 	// memoryLimited counts those of limited whose body didn't fit.
 	memoryLimited tally.Counter
 	draining      tally.Counter
@@ -37,7 +39,9 @@
 		scope: s, outcomes: map[structs.Outcome]tally.Counter{},
 		// 24 buckets from 1 ms, each a half longer than the one before, reach 11 s.
 		latency: s.Histogram("latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 1.5, 24)),
-		limited: s.Counter("limited"), memoryLimited: s.Counter("memory_limited"), draining: s.Counter("draining"), malformed: s.Counter("malformed"),
+		limited: s.Counter("limited"), memoryLimited: s.Counter("memory_limited"),
+		callerLimited: s.Counter("caller_limited"), serviceLimited: s.Counter("service_limited"),
+		draining: s.Counter("draining"), malformed: s.Counter("malformed"),
 		followed: s.Counter("followed_records"), recordsFailed: s.Counter("records_failed"),
 		recordsLimited: s.Counter("records_limited"),
 		announced:      s.Counter("announcements"), stale: s.Counter("announcements_stale"),
--- a/entry/requests/module.go
+++ b/entry/requests/module.go
@@ -37,6 +37,7 @@
 	inFlight  *limit.InFlight
 	// memory bounds the bodies and responses of the requests in flight.
 	memory *limit.Bytes
+	rates  rates
 	// ledger is nil when the process runs no store module; non-idempotent requests are then rejected.
 	ledger  *idempotency.Ledger
 	metrics *metrics
@@ -74,6 +75,7 @@
 	})
 	m.inFlight = limit.NewInFlight(s.MaxInFlight, s.MaxWaiting, s.MaxWait)
 	m.memory = limit.NewBytes(s.MaxBytes)
+	m.rates = newRates(&s)
 	if provider, ok := kernel.Lookup[storeModule](c, "store"); ok {
 		m.ledger = idempotency.NewLedger(idempotency.Options{
 			Store: provider.Store(), Clock: c.Clock, Retention: s.RecordRetention, CallTimeout: s.StoreTimeout,
--- a/entry/requests/settings.go
+++ b/entry/requests/settings.go
@@ -20,6 +20,16 @@
 	// WriteLimit is how long a caller may take for 64 KiB of its response; the whole may take 12 times as long.
 	WriteLimit time.Duration `ini:"write_limit" default:"5s" min:"10ms" max:"10m"`
 
+	// CallerRate and ServiceRate are the requests a second that this entry takes from each caller and for each service, with
+	// bursts of CallerBurst and ServiceBurst. 0 means no limit.
+	CallerRate   float64 `ini:"caller_rate" default:"0" min:"0" max:"1000000"`
+	CallerBurst  int     `ini:"caller_burst" default:"20" min:"1" max:"1000000"`
+	ServiceRate  float64 `ini:"service_rate" default:"0" min:"0" max:"1000000"`
+	ServiceBurst int     `ini:"service_burst" default:"100" min:"1" max:"1000000"`
+	// CallerHeader names the header that tells callers apart, as the load balancer sets it. Without it, or when a request
+	// doesn't have it, a caller is the IP address of its connection.
+	CallerHeader string `ini:"caller_header" default:""`
+
 	// RetryShare and RetryPerSecond form the budget of retries and hedges.
 	RetryShare     float64 `ini:"retry_share" default:"0.1" min:"0" max:"1"`
 	RetryPerSecond float64 `ini:"retry_per_second" default:"3" min:"0" max:"1000"`
--- a/limit/bytes.go
+++ b/limit/bytes.go
@@ -41,6 +41,13 @@
 	return b.used
 }
 
+// Waiting returns the number of responses that wait for room.
+func (b *Bytes) Waiting() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.waiting)
+}
+
 // Share is what one request holds of the bytes.
 type Share struct {
 	bytes    *Bytes
@@ -75,8 +82,8 @@
 	return s.fits(freed)
 }
 
-// holdBody holds the bytes of the body, or returns false when they don't fit.
-func (s *Share) holdBody() bool {
+// HoldBody holds the bytes of the body, or returns false when they don't fit.
+func (s *Share) HoldBody() bool {
 	b := s.bytes
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/limit/bytes_test.go
+++ b/limit/bytes_test.go
@@ -94,10 +94,7 @@
 func waitForResponses(t *testing.T, b *Bytes, n int) {
 	t.Helper()
 	for range 10_000 {
-		b.mu.Lock()
-		waiting := len(b.waiting)
-		b.mu.Unlock()
-		if waiting == n {
+		if b.Waiting() == n {
 			return
 		}
 		time.Sleep(time.Millisecond)
@@ -204,7 +201,7 @@
 				s := b.Share(structs.PriorityCritical, far(), size)
 				bodies, used := sum()
 				want := bodies+size <= limit/2 && used+size <= limit
-				if got := s.holdBody(); got != want {
+				if got := s.HoldBody(); got != want {
 					t.Fatalf("%d bytes beside %d of bodies and %d: %v", size, bodies, used, got)
 				}
 				if want {
--- a/limit/inflight.go
+++ b/limit/inflight.go
@@ -144,7 +144,7 @@
 // holdBody holds the bytes of a request's body. When they don't fit beside the others, waiting requests that are less
 // important are rejected, the last first, if that makes room.
 func (l *InFlight) holdBody(w *inFlightWaiter) bool {
-	if w.share.holdBody() {
+	if w.share.HoldBody() {
 		return true
 	}
 	var later []*Share
@@ -160,7 +160,7 @@
 		cause := l.rejection("a more important request took the room for the body at the entry")
 		cause.Memory = true
 		l.displace(l.waiting.last(), cause)
-		if w.share.holdBody() {
+		if w.share.HoldBody() {
 			return true
 		}
 	}
--- /dev/null
+++ b/limit/rates_test.go
@@ -0,0 +1,40 @@
+package limit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a table that grows with each name, against names that escape their rate when it is full or by being
+// dropped too early, and against idle names that keep new ones out.
+func TestRatesAreBounded(t *testing.T) {
+	r, now := NewRates(1, 2, 3), entryStart
+	allow := func(name string) bool {
+		ok, _ := r.Allow(name, now)
+		return ok
+	}
+	for n := range 3 {
+		for want := 2; want >= 0; want-- {
+			qt.Assert(t, allow(fmt.Sprint(n)), qt.Equals, want > 0)
+		}
+	}
+	// Further names share one bucket.
+	qt.Assert(t, []bool{allow("a"), allow("b"), allow("c")}, qt.DeepEquals, []bool{true, true, false})
+	qt.Assert(t, r.byName, qt.HasLen, 3)
+	ok, after := r.Allow("0", now)
+	qt.Assert(t, ok, qt.IsFalse)
+	qt.Assert(t, after, qt.Equals, time.Second)
+	// After one second no bucket is full again, so that none may be dropped.
+	now = now.Add(time.Second)
+	allow("a")
+	qt.Assert(t, r.byName, qt.HasLen, 3)
+	qt.Assert(t, []bool{allow("0"), allow("0")}, qt.DeepEquals, []bool{true, false})
+	// A second later only those of 1 and 2 are full.
+	now = now.Add(time.Second)
+	qt.Assert(t, allow("new"), qt.IsTrue)
+	qt.Assert(t, r.byName, qt.HasLen, 2)
+	qt.Assert(t, []bool{allow("0"), allow("0")}, qt.DeepEquals, []bool{true, false})
+}
