--- a/entry/requests/bench_test.go
+++ b/entry/requests/bench_test.go
@@ -4,8 +4,13 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"runtime"
+	"runtime/debug"
 	"strings"
 	"testing"
 	"time"
@@ -13,9 +18,12 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/forward"
 	"github.com/quetzalshed/quetzalshed/forward/forwardtest"
 	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+	"github.com/quetzalshed/quetzalshed/routing"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/test/load"
 )
 
 // BenchmarkAddedLatency prints the latency of a request through the entry to a fake agent beside that of a direct call
@@ -93,3 +101,140 @@
 		}
 	}
 }
+
+// memory returns the memory in use by the heap and by stacks in MB of 10^6 bytes.
+func memory() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc+stats.StackInuse) / 1e6
+}
+
+// BenchmarkFullTables prints the memory of each bounded table of an entry at its bound. That of requests in flight includes
+// the agent's end of each, which is in the same process.
+func BenchmarkFullTables(b *testing.B) {
+	for b.Loop() {
+		start := memory()
+		e := newEntry(b, nil, func(s *Settings) { s.MinHedge, s.DefaultHedge = time.Minute, time.Minute })
+		agents, upstreams := 0, 0
+		for n := range routing.MaxAgents {
+			a := structs.Announcement{
+				Agent: fmt.Sprintf("%0256d", n), Incarnation: fmt.Sprintf("%0256d", n), Address: fmt.Sprintf("%0256d", n),
+				FailureDomain: "patan", StartedUnixNano: 1,
+			}
+			for u := range routing.MaxUpstreamsPerAgent {
+				a.Upstreams = append(a.Upstreams, structs.Upstream{
+					Service: fmt.Sprintf("%0256d", n*routing.MaxUpstreamsPerAgent+u), Slots: 8, Connections: 64,
+				})
+			}
+			if _, err := e.table.Apply(&a, 500); err != nil {
+				break
+			}
+			agents, upstreams = agents+1, upstreams+len(a.Upstreams)
+		}
+		announced := memory()
+		b.ReportMetric(announced-start, "MB-announcements")
+		b.ReportMetric(float64(agents), "agents")
+		b.ReportMetric(float64(upstreams), "upstreams")
+		latencies := forward.NewLatencies(time.Second)
+		for n := range 4096 {
+			latencies.Observe(fmt.Sprint(n), time.Millisecond, time.Now())
+		}
+		observed := memory()
+		b.ReportMetric(observed-announced, "MB-latencies")
+		bodies := touched(32_000_000)
+		requestsInFlight(b, func(used float64) {
+			b.ReportMetric(used, "KB-a-request-in-flight")
+			b.ReportMetric(memory()-start, "MB-sum")
+			b.ReportMetric(resident(b, memoryLimit), "MB-resident")
+			b.ReportMetric(resident(b, math.MaxInt64), "MB-resident-without-limit")
+		})
+		runtime.KeepAlive(bodies)
+		runtime.KeepAlive(e)
+		runtime.KeepAlive(latencies)
+	}
+}
+
+// requestsInFlight reports the memory of a request of 1 KB in flight, in kB of 10^3 bytes, while 512 are under way.
+func requestsInFlight(b *testing.B, report func(used float64)) {
+	const count = 512
+	e := newEntry(b, nil, func(s *Settings) {
+		s.MinHedge, s.DefaultHedge, s.Silence = time.Minute, time.Minute, time.Minute
+	})
+	agents := make([]*forwardtest.Agent, 16)
+	for i := range agents {
+		agents[i] = newAgent(b, fmt.Sprint("agent-", i), e)
+		agents[i].Next = func(int) forwardtest.Fault { return forwardtest.Hold }
+	}
+	before := memory()
+	body := strings.Repeat("x", 1000)
+	callers := make([]net.Conn, count)
+	for i := range callers {
+		c, err := net.Dial("tcp", strings.TrimPrefix(e.url, "http://"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		callers[i] = c
+		_, err = fmt.Fprintf(c, "PUT /s/price/p HTTP/1.1\r\nHost: entry\r\nQuetzalshed-Timeout-Ms: 50000\r\n"+
+			"Connection: close\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+	sends := func() (n int) {
+		for _, a := range agents {
+			n += a.Sends()
+		}
+		return n
+	}
+	for sends() < count {
+		time.Sleep(10 * time.Millisecond)
+	}
+	report((memory() - before) * 1e3 / count)
+	for _, a := range agents {
+		a.Release()
+	}
+	for _, c := range callers {
+		if _, err := io.Copy(io.Discard, c); err != nil {
+			b.Fatal(err)
+		}
+		_ = c.Close()
+	}
+}
+
+// resident returns the highest resident memory of this process in MB of 10^6 bytes while it makes garbage as bodies do, of
+// about 64 MB a second, under a memory limit of the runtime.
+func resident(b *testing.B, limit int64) float64 {
+	const body, times = 64 << 10, 4_000
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(limit))
+	debug.FreeOSMemory()
+	highest := int64(0)
+	for n := range times {
+		garbage = touched(body)
+		time.Sleep(time.Millisecond)
+		if n%100 == 0 {
+			usage, err := load.ReadUsage(os.Getpid())
+			if err != nil {
+				b.Fatal(err)
+			}
+			highest = max(highest, usage.Resident)
+		}
+	}
+	return float64(highest) / 1e6
+}
+
+// touched returns memory of which each page is resident.
+func touched(size int) []byte {
+	const page = 4096
+	body := make([]byte, size)
+	for i := 0; i < size; i += page {
+		body[i] = 1
+	}
+	return body
+}
+
+// garbage keeps allocations on the heap.
+var garbage []byte
+
+// memoryLimit is the default of [process] memory_limit.
+const memoryLimit = 112_000_000
