Let a process advertise another address than it listens on

Cause: a process told others its listen address, so that nothing (a translated address, a forwarder in a test) could stand between it and its peers, and a process that listens on 0.0.0.0 couldn't be used at all. Ruled out: one setting for each module. [agent.announcer] address exists for entries and stays; a module that is forgotten would tell an address nobody reaches.

--- a/kernel/process.go
+++ b/kernel/process.go
@@ -30,8 +30,10 @@
 	Region        string         `ini:"region" default:"local"`
 	FailureDomain string         `ini:"failure_domain"`
 	Listen        netip.AddrPort `ini:"listen"`
-	AdminListen   netip.AddrPort `ini:"admin_listen"`
-	LogLevel      string         `ini:"log_level" default:"info" oneof:"trace debug info warn error"`
+	// Advertise is the address that other processes are told; the listen address when empty. Read it with PeerAddress.
+	Advertise   netip.AddrPort `ini:"advertise" default:""`
+	AdminListen netip.AddrPort `ini:"admin_listen"`
+	LogLevel    string         `ini:"log_level" default:"info" oneof:"trace debug info warn error"`
 	// TraceFile receives spans as JSON lines; empty turns tracing off.
 	TraceFile string `ini:"trace_file" default:""`
 	// DrainNotice is how long a stopping process still accepts connections after it has reported that it is not ready,
@@ -41,9 +43,23 @@
 	DrainLimit time.Duration `ini:"drain_limit" default:"65s" min:"1s" max:"30m"`
 }
 
+// PeerAddress returns the address at which other processes reach this one.
+func (p *ProcessSettings) PeerAddress() netip.AddrPort {
+	if p.Advertise.IsValid() {
+		return p.Advertise
+	}
+	return p.Listen
+}
+
 // CheckSettings implements settings.Checker. A notice that takes up the whole limit would leave no time to close
 // connections, and every stop would count as unclean.
 func (p *ProcessSettings) CheckSettings(place func(key string) findings.Place, found *findings.List) {
+	switch {
+	case !p.Advertise.IsValid() && p.Listen.Addr().IsUnspecified():
+		found.Addf(place("listen"), "peers can't reach %s; set advertise to an address of this host", p.Listen)
+	case p.Advertise.IsValid() && (p.Advertise.Addr().IsUnspecified() || p.Advertise.Port() == 0):
+		found.Addf(place("advertise"), "peers can't reach %s", p.Advertise)
+	}
 	if p.DrainNotice >= p.DrainLimit {
 		found.Addf(place("drain_limit"), "%v must be more than drain_notice, which is %v", p.DrainLimit, p.DrainNotice)
 	}
@@ -106,7 +122,8 @@
 		}
 	}
 	p.started.Store(true)
-	p.context.Log.Info("process started", "address", p.context.Process.Listen, "incarnation", p.context.Incarnation)
+	p.context.Log.Info("process started", "address", p.context.Process.Listen,
+		"advertise", p.context.Process.PeerAddress(), "incarnation", p.context.Incarnation)
 	select {
 	case <-ctx.Done():
 		return p.shutdown()
--- a/kernel/process_test.go
+++ b/kernel/process_test.go
@@ -120,6 +120,29 @@
 	qt.Assert(t, err, qt.ErrorMatches, `.*drain_limit: 1s must be more than drain_notice, which is 2s`)
 }
 
+// Guards against a process that tells its peers an address at which they can't reach it.
+func TestAdvertisedAddress(t *testing.T) {
+	const listen = "listen = 127.0.0.1:0\n"
+	for _, test := range []struct{ settings, address, finding string }{
+		{listen, "127.0.0.1:0", ""},
+		{listen + "advertise = 10.0.0.1:7800\n", "10.0.0.1:7800", ""},
+		{"listen = 0.0.0.0:7800\nadvertise = 10.0.0.1:7801\n", "10.0.0.1:7801", ""},
+		{"listen = 0.0.0.0:7800\n", "", `.*:5 \[process\] listen: peers can't reach 0.0.0.0:7800; set advertise .*`},
+		{listen + "advertise = 0.0.0.0:7800\n", "", `.*:6 \[process\] advertise: peers can't reach 0.0.0.0:7800`},
+		{listen + "advertise = 10.0.0.1:0\n", "", `.*:6 \[process\] advertise: peers can't reach 10.0.0.1:0`},
+		{listen + "advertise = host:7800\n", "", `.*:6 \[process\] advertise: "host:7800" is not an IP address with a port`},
+	} {
+		registerRecorders(t, map[string][]string{"a": nil}, nil)
+		p, err := LoadProcess(testRole, writeSettings(t, strings.Replace(validProcess, listen, test.settings, 1)))
+		if test.finding != "" {
+			qt.Check(t, err, qt.ErrorMatches, test.finding)
+			continue
+		}
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, p.context.Process.PeerAddress().String(), qt.Equals, test.address)
+	}
+}
+
 // Guards against a process that reports ready while it drains, and against connections that stay open then.
 func TestNotReadyWhileDraining(t *testing.T) {
 	c := qt.New(t)
