Let faultnet separate one source from a target

Cause: a forwarder treated all its connections alike, so that one process could be cut off from others only where nobody else used the same address. Ruled out: a forwarder for each pair of processes; a process has one advertised address, which all others learn by gossip, so that all use the same forwarder. Change: SetIdentify names the source of a connection, Separate drops the bytes of one source in both directions without an error, as a partition does, and Join ends it.

--- a/test/faultnet/faultnet.go
+++ b/test/faultnet/faultnet.go
@@ -1,9 +1,10 @@
 // Package faultnet forwards TCP connections for tests and misbehaves on demand: it silently drops all bytes of existing
-// connections while new ones work, delays, truncates and cuts.
+// connections while new ones work, delays, truncates and cuts, for all connections or for those of one source.
 package faultnet
 
 import (
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -39,6 +40,9 @@
 	limit  [2]int64
 	refuse bool
 	mute   bool
+	// identify names the source of a connection; apart holds the sources that don't reach the target.
+	identify func(source netip.AddrPort) string
+	apart    map[string]bool
 	conns  map[*link]bool
 	counts Counts
 	closed bool
@@ -50,7 +54,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listening")
 	}
-	f := &Forwarder{listener: listener, target: target, limit: [2]int64{-1, -1}, conns: map[*link]bool{}}
+	f := &Forwarder{listener: listener, target: target, limit: [2]int64{-1, -1}, apart: map[string]bool{}, conns: map[*link]bool{}}
 	f.done.Go(f.accept)
 	return f, nil
 }
@@ -149,7 +153,7 @@
 func (f *Forwarder) connect(client net.Conn) {
 	f.mu.Lock()
 	f.counts.Accepted++
-	refuse, mute, target, limit := f.refuse || f.closed, f.mute, f.target, f.limit
+	refuse, mute, target, limit, identify := f.refuse || f.closed, f.mute, f.target, f.limit, f.identify
 	f.mu.Unlock()
 	if refuse {
 		reset(client)
@@ -161,10 +165,13 @@
 		return
 	}
 	l := newLink(f, client, server, limit)
-	if mute {
-		l.silence()
+	if identify != nil {
+		l.source = identify(addrPort(client.RemoteAddr()))
 	}
 	f.mu.Lock()
+	if mute || f.separates(l) {
+		l.silence()
+	}
 	f.conns[l] = true
 	closed := f.closed
 	f.mu.Unlock()
--- a/test/faultnet/faultnet_test.go
+++ b/test/faultnet/faultnet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/netip"
 	"os"
 	"strings"
 	"sync"
@@ -209,3 +210,44 @@
 	c.Assert(string(got), qt.Equals, "all")
 	eventually(c, "the connection is gone", func() bool { return f.Counts().Open == 0 })
 }
+
+// Guards against a partition that leaves a connection of the separated source open, or that hits others.
+func TestSeparateOneSource(t *testing.T) {
+	c, f, e := setUp(t)
+	var mu sync.Mutex
+	names := map[netip.AddrPort]string{}
+	f.SetIdentify(func(source netip.AddrPort) string {
+		mu.Lock()
+		defer mu.Unlock()
+		return names[source]
+	})
+	// The lock is held until the name is known, so that the forwarder can't ask for it before.
+	named := func(name string) net.Conn {
+		mu.Lock()
+		defer mu.Unlock()
+		conn := dial(c, f)
+		names[addrPort(conn.LocalAddr())] = name
+		return conn
+	}
+	a, b, unknown := named("a"), named("b"), named("")
+	for _, conn := range []net.Conn{a, b, unknown} {
+		c.Assert(say(c, conn, "before"), qt.Equals, "before")
+	}
+	f.Separate("a")
+	before := e.count()
+	for _, conn := range []net.Conn{a, unknown, named("a"), named("")} {
+		_, err := io.WriteString(conn, "apart\n")
+		c.Assert(err, qt.IsNil)
+		c.Assert(conn.SetReadDeadline(time.Now().Add(100*time.Millisecond)), qt.IsNil)
+		_, err = conn.Read(make([]byte, 1))
+		c.Assert(errors.Is(err, os.ErrDeadlineExceeded), qt.IsTrue, qt.Commentf("%v", err))
+	}
+	c.Assert(e.count(), qt.Equals, before)
+	c.Assert(say(c, b, "other"), qt.Equals, "other")
+	c.Assert(say(c, named("b"), "other"), qt.Equals, "other")
+	f.Join("a")
+	c.Assert(a.SetReadDeadline(time.Time{}), qt.IsNil)
+	_, err := a.Read(make([]byte, 1))
+	c.Assert(errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(say(c, named("a"), "after"), qt.Equals, "after")
+}
--- a/test/faultnet/link.go
+++ b/test/faultnet/link.go
@@ -21,6 +21,8 @@
 // link is one forwarded connection.
 type link struct {
 	forwarder *Forwarder
+	// source is the name of the side that connected, empty when it isn't known.
+	source string
 	// ends holds the connection from the client and the one to the server, so that direction d reads ends[d].
 	ends  [2]net.Conn
 	limit [2]int64
