Keep the addresses of concurrent test binaries apart

Cause: addresses of two test binaries were equal when their process numbers were equal modulo 30. Two of about twenty runs of test/guarantees ended with `listen tcp 127.222.0.6:7800: bind: address already in use` while other runs were under way. Ruled out: ports from the range of outgoing connections, which others can take while a process is down. Change: the third octet depends on the process number too.

--- a/test/loopback/loopback.go
+++ b/test/loopback/loopback.go
@@ -13,10 +13,10 @@
 
 var last atomic.Uint32
 
-// Address returns an address that no other caller of this process gets. The second octet tells apart test binaries that
-// run at the same time.
+// Address returns an address that no other caller of this process gets. The second and third octets tell apart test
+// binaries that run at the same time; with the second alone, one in 30 pairs of binaries had the same addresses.
 func Address() string {
-	const hosts = 250
-	n := last.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d:%d", 220+os.Getpid()%30, n/hosts%hosts, n%hosts+1, port)
+	const networks, hosts = 30, 250
+	pid, n := os.Getpid(), int(last.Add(1))
+	return fmt.Sprintf("127.%d.%d.%d:%d", 220+pid%networks, (pid/networks+n/hosts)%hosts, n%hosts+1, port)
 }
