Partition an owner and an agent from the rest in test/guarantees

Cause: P2 between real processes, and the age in MayStart, were unproved, since agents couldn't be cut off from each other. Ruled out: a forwarder for each pair of processes (one address is advertised to all); a refused connection instead of a silent one, which tells the peer at once. Change: each entry and agent advertises a forwarder, which names the process that connects by the kernel's table of sockets. TestPartitionedOwnerStaysFenced cuts the owner off from all but its worker and the store, then from the store, and lets it return after another has taken over, twice. TestLateStartAtPartitionedAgent delivers a start late to an agent that hasn't heard that its domain is out. Rules are applied before the inventory, so that no agent starts with the default periods.

--- a/test/faultnet/faultnet.go
+++ b/test/faultnet/faultnet.go
@@ -43,9 +43,9 @@
 	// identify names the source of a connection; apart holds the sources that don't reach the target.
 	identify func(source netip.AddrPort) string
 	apart    map[string]bool
-	conns  map[*link]bool
-	counts Counts
-	closed bool
+	conns    map[*link]bool
+	counts   Counts
+	closed   bool
 }
 
 // Listen starts a forwarder on a free loopback port.
--- a/test/guarantees/fleet_test.go
+++ b/test/guarantees/fleet_test.go
@@ -1,6 +1,6 @@
 // Package guarantees_test proves guarantees of docs/design.md across packages: entries and agents run as separate
 // processes of this test binary, the store, the workers and the upstreams are stand-ins within the test, and each process
-// reaches the store, and is reached by requests, through a faultnet forwarder of its own.
+// reaches the store, and is reached by its peers and by requests, through faultnet forwarders of its own.
 package guarantees_test
 
 import (
@@ -16,6 +16,8 @@
 	"os/signal"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -74,8 +76,10 @@
 	listen, admin string
 	settings      string
 	cmd           *exec.Cmd
-	// store is the way to the store.
-	store *faultnet.Forwarder
+	// pid is that of cmd, 0 while the process doesn't run.
+	pid atomic.Int64
+	// store is the way to the store, peers that of all other processes to this one: its address is advertised.
+	store, peers *faultnet.Forwarder
 }
 
 // host is a worker, an upstream, and the agent beside them.
@@ -98,12 +102,20 @@
 	store   *storetest.Store
 	entries []*process
 	hosts   []*host
+	mu      sync.Mutex
+	// processes holds entries and agents; mu guards it, since connections arrive while further processes are added.
+	processes []*process
 }
 
 const capacity = 4000 // thousandths of a core of each worker
 
 // newFleet starts two entries and a number of hosts in as many failure domains, and waits until all of them work together.
 func newFleet(t *testing.T, hosts int) *fleet {
+	return newFleetWith(t, hosts, 2*time.Second, 3*time.Second)
+}
+
+// newFleetWith is newFleet with other periods of tasks and shard owners.
+func newFleetWith(t *testing.T, hosts int, taskLease, ownerValidity time.Duration) *fleet {
 	c := qt.New(t)
 	f := &fleet{c: c, store: storetest.New(clock.System{})}
 	server := httptest.NewServer(f.store.Handler())
@@ -113,7 +125,7 @@
 	for i := range 2 {
 		p := f.newProcess(kernel.RoleEntry, fmt.Sprint("entry-", i), storeAddress)
 		f.entries = append(f.entries, p)
-		peers = append(peers, p.listen)
+		peers = append(peers, p.peers.Address())
 	}
 	for i, p := range f.entries {
 		p.configure(fmt.Sprint("d", i), strings.Join(peers, ", "), "[entry.requests]\ndrain_grace = 500ms\n")
@@ -123,14 +135,15 @@
 	for i := range hosts {
 		h := f.newHost(fmt.Sprint("d", i), i, storeAddress, strings.Join(peers, ", "))
 		f.hosts = append(f.hosts, h)
-		inventory += fmt.Sprintf("%s,%s,%s,%s,r%d,4,8000,0,\n", h.name, h.workerAddress, h.listen, h.domain, i)
+		inventory += fmt.Sprintf("%s,%s,%s,%s,r%d,4,8000,0,\n", h.name, h.workerAddress, h.peers.Address(), h.domain, i)
 	}
 	for i, p := range f.entries {
 		f.eventually(fmt.Sprint("entry ", i, " listens"), func() bool { return p.answers("/v1/config") })
 	}
-	f.operate(0, http.MethodPut, "/v1/config/inventory?base=0&format=csv", inventory)
-	f.operate(0, http.MethodPut, "/v1/config/rules?base=1",
-		"[cluster]\ntask_lease = 2s\nowner_validity = 3s\n[team t]\ncores = 1000\nmemory_mb = 1000000\n")
+	// An agent keeps the periods of the first revision that it sees, so that the rules come first.
+	f.operate(0, http.MethodPut, "/v1/config/rules?base=0", fmt.Sprintf(
+		"[cluster]\ntask_lease = %v\nowner_validity = %v\n[team t]\ncores = 1000\nmemory_mb = 1000000\n", taskLease, ownerValidity))
+	f.operate(0, http.MethodPut, "/v1/config/inventory?base=1&format=csv", inventory)
 	for i := range f.entries {
 		f.eventually("each entry answers", func() bool { return f.serves(i) })
 	}
@@ -147,7 +160,12 @@
 func (f *fleet) newProcess(role kernel.Role, name, storeAddress string) *process {
 	p := &process{c: f.c, role: role, name: name, listen: loopback.Address(), admin: loopback.Address()}
 	p.store = f.forward(storeAddress)
+	p.peers = f.forward(p.listen)
 	p.settings = filepath.Join(f.c.TB.(*testing.T).TempDir(), name+".ini")
+	p.peers.SetIdentify(f.sourceOf)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.processes = append(f.processes, p)
 	return p
 }
 
@@ -161,6 +179,7 @@
 func (f *fleet) newHost(domain string, i int, storeAddress, peers string) *host {
 	h := &host{process: f.newProcess(kernel.RoleAgent, fmt.Sprint("w", i), storeAddress), domain: domain}
 	h.front = f.forward(h.listen)
+	h.front.SetIdentify(f.sourceOf)
 	h.worker = workertest.New(clock.System{}, structs.Resources{MilliCores: capacity, MemoryMB: 8000})
 	server := httptest.NewServer(h.worker.Handler())
 	f.c.Cleanup(server.Close)
@@ -208,6 +227,7 @@
 fleet = test
 failure_domain = %s
 listen = %s
+advertise = %s
 admin_listen = %s
 drain_notice = 1s
 drain_limit = 20s
@@ -219,7 +239,7 @@
 [gossip]
 peers = %s
 interval = 100ms
-%s`, p.name, domain, p.listen, p.admin, p.store.Address(), peers, more)
+%s`, p.name, domain, p.listen, p.peers.Address(), p.admin, p.store.Address(), peers, more)
 	p.c.Assert(os.WriteFile(p.settings, []byte(text), 0o600), qt.IsNil)
 }
 
@@ -230,6 +250,7 @@
 	cmd.Stderr = os.Stderr
 	p.c.Assert(cmd.Start(), qt.IsNil)
 	p.cmd = cmd
+	p.pid.Store(int64(cmd.Process.Pid))
 	p.c.Cleanup(func() {
 		if p.cmd == cmd {
 			p.kill()
@@ -242,6 +263,7 @@
 	if p.cmd == nil {
 		return
 	}
+	p.pid.Store(0)
 	_ = p.cmd.Process.Kill()
 	_ = p.cmd.Wait()
 	p.cmd = nil
@@ -258,6 +280,7 @@
 	cmd := p.cmd
 	p.cmd = nil
 	p.c.Assert(cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	defer p.pid.Store(0)
 	return cmd.Wait()
 }
 
--- /dev/null
+++ b/test/guarantees/partition_test.go
@@ -0,0 +1,208 @@
+package guarantees_test
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/test/audit"
+	"github.com/quetzalshed/quetzalshed/test/faultnet"
+)
+
+// all returns the entries and agents.
+func (f *fleet) all() []*process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.processes)
+}
+
+// isolate drops everything between a process and all other entries and agents, in both directions. The process still
+// reaches itself, its worker and the store.
+func (f *fleet) isolate(h *host) {
+	for _, other := range f.all() {
+		if other != h.process {
+			other.peers.Separate(h.name)
+			h.peers.Separate(other.name)
+			h.front.Separate(other.name)
+		}
+	}
+}
+
+// reconnect ends isolate.
+func (f *fleet) reconnect(h *host) {
+	for _, other := range f.all() {
+		if other != h.process {
+			other.peers.Join(h.name)
+			h.peers.Join(other.name)
+			h.front.Join(other.name)
+		}
+	}
+}
+
+// sourceOf names the process of the fleet that has the connection with a local address, or returns "". All processes
+// connect from 127.0.0.1, so that the kernel's table of sockets (Linux) has to tell them apart.
+func (f *fleet) sourceOf(local netip.AddrPort) string {
+	inode := inodeOf(local)
+	if inode == "" {
+		return ""
+	}
+	for _, p := range f.all() {
+		pid := p.pid.Load()
+		if pid == 0 {
+			continue
+		}
+		files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
+		for _, file := range files {
+			if target, err := os.Readlink(file); err == nil && target == "socket:["+inode+"]" {
+				return p.name
+			}
+		}
+	}
+	return ""
+}
+
+// inodeOf returns the inode of the socket with a local IPv4 address, or "".
+func inodeOf(local netip.AddrPort) string {
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil || !local.Addr().Unmap().Is4() {
+		return ""
+	}
+	const localColumn, inodeColumn = 1, 9
+	ip := local.Addr().Unmap().As4()
+	// The table has the address as a number in the order of the host, which is taken as little endian.
+	wanted := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], local.Port())
+	for line := range bytes.Lines(table) {
+		if !bytes.Contains(line, []byte(wanted)) {
+			continue
+		}
+		if fields := strings.Fields(string(line)); len(fields) > inodeColumn && fields[localColumn] == wanted {
+			return fields[inodeColumn]
+		}
+	}
+	return ""
+}
+
+// runningBeside counts the running tasks on all workers but that of one host.
+func (f *fleet) runningBeside(h *host) int { return f.running() - len(h.worker.Running()) }
+
+// Guards against a task that runs in two places (P2) when the owner of the shard is cut off from all other processes, goes
+// on with the tasks on its own worker, is then cut off from the store too while it has a record to write, and comes back
+// after another owner has taken over: once after all tasks have moved, and once while its own validity lasts. A new owner
+// that doesn't wait for the former one starts these tasks while they still run; a former owner whose late record replaces
+// one of the new owner is valid again and resumes them, and leaves a log that nobody can replay.
+func TestPartitionedOwnerStaysFenced(t *testing.T) {
+	t.Parallel()
+	const (
+		tasks = 3 // leaves room for one more on each worker
+		// The former owner's tasks run for validity + lease (2 s) after it was cut off from the store. This is longer than
+		// the lapse of its key (3 s), the claim by another (up to 1.5 s), a lease and the margin (3 s) together, so that
+		// each part of the new owner's wait is needed.
+		validity = 10 * time.Second
+	)
+	f := newFleetWith(t, 3, 2*time.Second, validity)
+	f.eventually("the shard has an owner", func() bool { return f.owner() != nil })
+	f.submit("long", tasks, capacity/4, "0s") // never finishes
+	f.eventually("tasks run", func() bool { return f.running() == tasks })
+	var summary audit.Summary
+	for round := range 2 {
+		former := f.owner()
+		f.isolate(former)
+		f.eventually("the isolated owner has all tasks on its worker", func() bool {
+			return len(former.worker.Running()) == tasks && f.runningBeside(former) == 0
+		})
+		f.c.Assert(f.owner(), qt.Equals, former)
+
+		former.cutStore()
+		late := fmt.Sprint("late-", round)
+		f.hint(former, jobText(late, 1, capacity/4, "3s"))
+		f.submit(late, 1, capacity/4, "3s")
+		f.eventually("the ownership moves", func() bool { now := f.owner(); return now != nil && now != former })
+		f.eventually("the new owner starts a task", func() bool { return f.runningBeside(former) > 0 })
+		returns := func() {
+			former.mendStore()
+			f.eventually("the former owner gives up", func() bool { return !f.claims(former) })
+		}
+		if round == 1 {
+			f.c.Assert(f.claims(former), qt.IsTrue)
+			returns()
+		}
+		f.eventually("the new owner has all tasks", func() bool {
+			return f.runningBeside(former) == tasks && f.status(late).Counts[structs.TaskFinished] == 1
+		})
+		f.audit()
+		f.c.Assert(former.worker.Running(), qt.HasLen, 0)
+		if round == 0 {
+			returns()
+		}
+		f.reconnect(former)
+		back := fmt.Sprint("back-", round)
+		f.submit(back, 1, capacity/4, "1s", former.domain)
+		f.eventually("the new owner uses the worker of the former one", func() bool {
+			return f.status(back).Counts[structs.TaskFinished] == 1
+		})
+		summary = f.audit()
+	}
+	f.c.Assert(summary.Tasks, qt.Equals, tasks+2*2)
+	f.c.Assert(summary.Finished, qt.Equals, 2*2)
+}
+
+// Guards against a start in a failure domain that was taken out of service (P4), when the start was sent before the change
+// and arrives late at an agent that is cut off from all others and hasn't heard of the change. Only the age of what the
+// agent knows can keep it from starting the task, since the lease is longer than the delay.
+func TestLateStartAtPartitionedAgent(t *testing.T) {
+	t.Parallel()
+	const lease, delay = 20 * time.Second, 9 * time.Second
+	f := newFleetWith(t, 2, lease, lease)
+	f.eventually("the shard has an owner", func() bool { return f.owner() != nil })
+	target := f.hosts[0]
+	if target == f.owner() {
+		target = f.hosts[1]
+	}
+	f.submit("before", 1, capacity/4, "1s", target.domain)
+	f.eventually("the agent starts tasks", func() bool { return f.status("before").Counts[structs.TaskFinished] == 1 })
+
+	target.peers.SetDelay(faultnet.ToServer, delay)
+	for _, other := range f.all() {
+		if other != target.process {
+			other.peers.Separate(target.name)
+		}
+	}
+	toAgent := func() int64 { return target.peers.Counts().Forwarded[faultnet.ToServer] }
+	f.submit("late", 1, capacity/4, "0s", target.domain)
+	f.eventually("the start is in the log", func() bool { return f.status("late").Counts[structs.TaskStarting] == 1 })
+	time.Sleep(time.Second) // the owner sends the start at its next step
+	sent := toAgent()
+	f.operate(0, http.MethodPost, "/v1/failure-domains/"+target.domain+"/out", "")
+	outage := audit.Outage{Domain: target.domain, From: time.Now().UnixNano()}
+	time.Sleep(delay + 2*time.Second) // the late start arrives before what was sent after the change
+	f.c.Assert(toAgent() > sent, qt.IsTrue)
+	f.audit(outage)
+	f.c.Assert(target.worker.Starts(), qt.HasLen, 1)
+}
+
+// claims tells whether a process takes itself for the owner of the shard.
+func (f *fleet) claims(h *host) bool {
+	response, err := client.Get("http://" + h.listen + "/v1/shards/0/jobs")
+	f.c.Assert(err, qt.IsNil)
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// hint tells an owner directly of a job, as the hint of an entry that arrives late does.
+func (f *fleet) hint(h *host, text string) {
+	f.c.Helper()
+	response, err := client.Post("http://"+h.listen+"/v1/shards/0/jobs", "application/json", strings.NewReader(text))
+	f.c.Assert(err, qt.IsNil)
+	_ = response.Body.Close()
+	f.c.Assert(response.StatusCode, qt.Equals, http.StatusAccepted)
+}
--- a/test/guarantees/tasks_test.go
+++ b/test/guarantees/tasks_test.go
@@ -16,11 +16,17 @@
 	"github.com/quetzalshed/quetzalshed/test/audit"
 )
 
+// jobText describes a batch job, which runs in any failure domain when none is given.
+func jobText(id string, tasks, milliCores int, run string, domains ...string) string {
+	constraints, _ := json.Marshal(structs.Constraints{FailureDomains: domains})
+	return fmt.Sprintf(`{"id":%q,"team":"t","name":%q,"kind":"batch","tasks":%d,"max_attempts":50,"constraints":%s,
+		"resources":{"milli_cores":%d,"memory_mb":500},"class":"c","command":"run=%s"}`, id, id, tasks, constraints, milliCores, run)
+}
+
 // submit hands in a batch job through an entry.
-func (f *fleet) submit(id string, tasks, milliCores int, run string) {
+func (f *fleet) submit(id string, tasks, milliCores int, run string, domains ...string) {
 	f.c.Helper()
-	text := fmt.Sprintf(`{"id":%q,"team":"t","name":%q,"kind":"batch","tasks":%d,"max_attempts":50,
-		"resources":{"milli_cores":%d,"memory_mb":500},"class":"c","command":"run=%s"}`, id, id, tasks, milliCores, run)
+	text := jobText(id, tasks, milliCores, run, domains...)
 	f.eventually("job "+id+" is accepted", func() bool {
 		response, err := client.Post("http://"+f.entries[0].listen+"/v1/jobs", "application/json", strings.NewReader(text))
 		if err != nil {
@@ -65,7 +71,7 @@
 		return nil
 	}
 	for _, h := range f.hosts {
-		if h.listen == value.Address {
+		if h.peers.Address() == value.Address {
 			return h
 		}
 	}
