Forget silent agents in a fixed order

Agents that fall silent together were forgotten in map order, and removal swaps upstreams of a service, so that later equal scores were decided by that order. TestForgettingKeepsTheOrderOfChoices fails without the change.

--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -95,6 +95,33 @@
 	qt.Assert(t, table.Agents(), qt.Equals, 1)
 }
 
+// Guards against a replay that differs between runs because agents which fall silent together are forgotten in any order.
+func TestForgettingKeepsTheOrderOfChoices(t *testing.T) {
+	var first []string
+	for range 20 {
+		table, now := newTable()
+		table.opts.IntN = func(int) int { return 0 }
+		for i := range 12 {
+			apply(t, table, announcement(fmt.Sprint(i), 1))
+		}
+		for _, passed := range []time.Duration{forgetAfter, missedAnnouncements*time.Second + time.Second} {
+			now.Advance(passed)
+			for i := 6; i < 12; i++ {
+				apply(t, table, announcement(fmt.Sprint(i), now.Now().Unix()))
+			}
+		}
+		qt.Assert(t, table.Agents(), qt.Equals, 6)
+		var order []string
+		for _, candidate := range table.Snapshot("price", true).Candidates {
+			order = append(order, candidate.Agent)
+		}
+		if first == nil {
+			first = order
+		}
+		qt.Assert(t, order, qt.DeepEquals, first)
+	}
+}
+
 // Guards against announcements that exceed the control budget, and against intervals that leave it unused.
 func TestPacing(t *testing.T) {
 	table, _ := newTable()
--- a/routing/table.go
+++ b/routing/table.go
@@ -2,8 +2,10 @@
 package routing
 
 import (
+	"cmp"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -268,11 +270,17 @@
 		return
 	}
 	t.lastSweep = now
+	var silent []*agent
 	for _, a := range t.agents {
 		if now.Sub(a.validUntil) > forgetAfter {
-			t.remove(a)
+			silent = append(silent, a)
 		}
 	}
+	// Removal reorders the upstreams of a service. Sorted, since equal calls must lead to equal choices in a replay.
+	slices.SortFunc(silent, func(a, b *agent) int { return cmp.Compare(a.name, b.name) })
+	for _, a := range silent {
+		t.remove(a)
+	}
 }
 
 // Snapshot returns the candidates for a service. With many upstreams it holds a random sample, unless complete is set.
