Account for the processor time of a replay by use

Cause: the replay says how much batch work was done, but not where the rest of the processor time went. Ruled out: counting only the reason that most workers give (Decisions.Waiting), which hides the others. Decisions don't change.

--- a/cmd/quetzalshed-replay/main.go
+++ b/cmd/quetzalshed-replay/main.go
@@ -12,7 +12,7 @@
 func main() { kernel.Execute(command(), kernel.Failure) }
 
 func command() *cobra.Command {
-	check := false
+	check, shares := false, false
 	c := &cobra.Command{
 		Use: "quetzalshed-replay TRACE...", Short: "Replay traces and compare the outcomes with a baseline",
 		Args: cobra.MinimumNArgs(1), SilenceUsage: true, SilenceErrors: true,
@@ -30,6 +30,11 @@
 				if err := report.Print(c.OutOrStdout()); err != nil {
 					return eris.Wrap(err, "printing the report")
 				}
+				if shares {
+					if err := report.PrintShares(c.OutOrStdout()); err != nil {
+						return eris.Wrap(err, "printing the shares")
+					}
+				}
 				missed += len(report.Missed)
 			}
 			if missed > 0 {
@@ -39,6 +44,7 @@
 		},
 	}
 	c.Flags().BoolVar(&check, "check", false, "check the traces and exit")
+	c.Flags().BoolVar(&shares, "shares", false, "also print where the fleet's processor time went, idle time by its cause")
 	c.AddCommand(kernel.VersionCommand())
 	return c
 }
--- a/replay/managed.go
+++ b/replay/managed.go
@@ -7,6 +7,7 @@
 
 	"github.com/quetzalshed/quetzalshed/limit"
 	"github.com/quetzalshed/quetzalshed/routing"
+	"github.com/quetzalshed/quetzalshed/scheduler"
 	"github.com/quetzalshed/quetzalshed/scheduler/guard"
 	"github.com/quetzalshed/quetzalshed/scheduler/interference"
 	"github.com/quetzalshed/quetzalshed/scheduler/quarantine"
@@ -33,6 +34,7 @@
 	incarnations []int
 	sequence     int64
 	guards       []guard.State
+	planner      scheduler.Planner
 	sizes        *sizing.Model
 	interference *interference.Model
 	quarantine   *quarantine.Model
--- a/replay/managed_plan.go
+++ b/replay/managed_plan.go
@@ -40,7 +40,12 @@
 		snapshot.Pending = append(snapshot.Pending, pending)
 		return len(snapshot.Pending) < maxPending
 	})
-	m.apply(scheduler.Plan(snapshot, now), tasks, running)
+	plan := m.planner.Plan(snapshot, now)
+	refusals := m.planner.Refusals()
+	m.apply(plan, tasks, running)
+	for _, h := range m.e.hosts {
+		m.e.stats.shares.add(m.e, h, refusals[h.worker.Name])
+	}
 }
 
 func (m *managed) apply(d scheduler.Decisions, tasks map[structs.TaskID]*task, running map[string]*task) {
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -1,6 +1,7 @@
 package replay_test
 
 import (
+	"math"
 	"path/filepath"
 	"testing"
 
@@ -61,3 +62,20 @@
 		qt.Check(t, err, qt.IsNil)
 	}
 }
+
+// Guards against processor time that the account of its uses counts twice or leaves out.
+func TestSharesAddUpToTheFleet(t *testing.T) {
+	c := qt.New(t)
+	trace, err := replay.Load("../traces/bagmati.json")
+	c.Assert(err, qt.IsNil)
+	trace.Seconds, trace.Events = 60, trace.Events[:5]
+	fleet, total := 0.0, 0.0
+	for _, w := range trace.Workers {
+		fleet += float64(w.Capacity.MilliCores) / 1000 * trace.Seconds
+	}
+	for _, coreSeconds := range replay.Run(trace).Shares {
+		c.Assert(coreSeconds >= 0, qt.IsTrue)
+		total += coreSeconds
+	}
+	c.Assert(math.Abs(total-fleet) < 1, qt.IsTrue, qt.Commentf("%.1f of %.1f core seconds", total, fleet))
+}
--- a/replay/report.go
+++ b/replay/report.go
@@ -20,13 +20,16 @@
 	Metrics []Metric `json:"metrics"`
 	// Missed lists the stated outcomes that were not met.
 	Missed []string `json:"missed"`
+	// Shares holds the fleet's processor time in core seconds by use, idle time by its cause.
+	Shares map[string]float64 `json:"shares"`
 }
 
 // Run replays a trace under both policies.
 func Run(t *Trace) *Report {
 	baseline := metrics(t, newEngine(t, newPlain).run())
-	managed := metrics(t, newEngine(t, newManaged).run())
-	r := &Report{Site: t.Site}
+	stats := newEngine(t, newManaged).run()
+	managed := metrics(t, stats)
+	r := &Report{Site: t.Site, Shares: stats.shares}
 	for i := range managed {
 		r.Metrics = append(r.Metrics, Metric{Name: managed[i].name, Baseline: baseline[i].value, Managed: managed[i].value})
 	}
--- a/replay/stats.go
+++ b/replay/stats.go
@@ -26,6 +26,8 @@
 	// overcommits counts seconds in which reservations on a worker exceeded its capacity.
 	overcommits int
 	verdicts    int
+	// shares is kept under quetzalshed's decisions only, and not while the store is down.
+	shares shares
 }
 
 // serviceStats is what one replay measured of one service.
@@ -35,7 +37,7 @@
 }
 
 func newStats(t *Trace) *stats {
-	s := &stats{}
+	s := &stats{shares: shares{}}
 	const maxMicros, digits = 120_000_000, 3
 	for range t.Services {
 		s.services = append(s.services, &serviceStats{latency: hdrhistogram.New(1, maxMicros, digits)})
--- a/scheduler/rules_test.go
+++ b/scheduler/rules_test.go
@@ -252,3 +252,20 @@
 	s.Quotas.Default = &structs.Resources{MilliCores: 1500, MemoryMB: 1000}
 	c.Assert(scheduler.Plan(s, now).Place[0].Resources, qt.Equals, s.Pending[0].Job.Resources)
 }
+
+// Guards against idle room that is put down to another rule than the one that keeps batch away from it.
+func TestRefusalsNameTheRule(t *testing.T) {
+	c := qt.New(t)
+	s := scheduler.Snapshot{Workers: []scheduler.WorkerView{newWorker("full", "a"), newWorker("free", "b"), newWorker("away", "c")}}
+	small, large := newJob("small", structs.KindBatch, 4000), newJob("large", structs.KindBatch, 15000)
+	load(&s.Workers[0], newJob("x", structs.KindBatch, 13000))
+	s.Rules.Out = map[string]time.Time{"c": now}
+	s.Pending = append(pending(large, 2), pending(small, 5)...)
+	var planner scheduler.Planner
+	c.Assert(planner.Plan(s, now).Place, qt.HasLen, 1)
+	c.Assert(planner.Refusals(), qt.DeepEquals, map[string]map[string]scheduler.Reason{
+		"full": {"large": plugins.ReasonCapacity, "small": plugins.ReasonCapacity},
+		"free": {"large": plugins.ReasonCapacity, "small": plugins.ReasonCapacity},
+		"away": {"large": plugins.ReasonDomainOut, "small": plugins.ReasonDomainOut},
+	})
+}
