Place batch up to the slowdown that a service bears

Cause: the interference filter compared the slowdown by all batch on a worker with max_slowdown, while the model blocks pairs only from the limit that follows from the service's objective. docs/design.md states the latter for both. Ruled out: another max_slowdown in the trace, which is the operators' rule and stays as it is. Change: the filter uses the estimate's limit, or the rule if that is more, for batch and for services. Both new cases of TestRulesChooseWorker fail without the change.

--- a/scheduler/plugins/filters.go
+++ b/scheduler/plugins/filters.go
@@ -133,15 +133,17 @@
 	return ""
 }
 
-// exceeds tells whether the service of a pair would be slowed down by more than the limit.
+// exceeds tells whether the service of a pair would be slowed down by more than the limit: what the estimate says that
+// the service bears, or the rule if that is more.
 func exceeds(ctx *scheduler.Cycle, task *scheduler.PendingTask, w *scheduler.WorkerView, load *scheduler.ClassLoad,
 	estimate interference.Estimate,
 ) bool {
+	limit := max(ctx.Rules.InterferenceLimit, estimate.Limit)
 	if task.Job.Kind == structs.KindService {
-		return ctx.Slowdown(task, w, nil) > ctx.Rules.InterferenceLimit
+		return ctx.Slowdown(task, w, nil) > limit
 	}
 	added := (estimate.Slowdown - 1) * fraction(task.Resources.MilliCores, w.Capacity.MilliCores)
-	return added > 0 && ctx.Slowdown(task, w, load)+added > ctx.Rules.InterferenceLimit
+	return added > 0 && ctx.Slowdown(task, w, load)+added > limit
 }
 
 // returnRamp limits how much batch a worker takes after its failure domain returned, so that returned workers don't all
--- a/scheduler/rules_test.go
+++ b/scheduler/rules_test.go
@@ -68,6 +68,16 @@
 			load(x.bad, service, newClass("x", "b", 8000))
 			x.s.Interference = pairs{{"s", "b"}: {Slowdown: 1.4, Known: true}}
 		}},
+		{"a service kept from batch that it bears", batch, "good", func(x *world) {
+			x.bad.Draining = true
+			load(x.good, service, newClass("x", "b", 8000))
+			x.s.Interference = pairs{{"s", "b"}: {Slowdown: 1.4, Known: true, Limit: 1.5}}
+		}},
+		{"a service kept beside batch that it bears", service, "good", func(x *world) {
+			x.bad.Draining = true
+			load(x.good, newClass("x", "b", 12000))
+			x.s.Interference = pairs{{"s", "b"}: {Slowdown: 1.4, Known: true, Limit: 1.5}}
+		}},
 		{"herd onto a returned domain", batch, "good", func(x *world) {
 			load(x.bad, other)
 			x.s.Rules.Returned = map[string]time.Time{"a": now.Add(-time.Second)}
