Learn interference by what samples at small shares can tell

Cause: the model divides a sample's slowdown by the share of the batch class. A class was also blocked for the share that it had filled, though placement limits that share already. Ruled out: evicting throttled tasks of unknown classes, which would end the exploration. Change: the normalised least mean squares are regularised: samples of shares below a quarter of a worker count less, by the square of the share. A block is judged at a quarter of a worker at most. TestSmallSharesTellLittle and TestFullWorkerBlocksNoModestClass fail without the change.

--- a/scheduler/interference/config.go
+++ b/scheduler/interference/config.go
@@ -66,6 +66,10 @@
 	maxStrikes = 4
 	// forgetWeight is the weight below which a pair is dropped.
 	forgetWeight = 0.05
+	// fullShare is the batch share of a worker from which a sample counts in full. The slowdown by a smaller share is
+	// hidden by the noise of the measurement, which the division by the share would multiply. It is also the largest share
+	// at which a pair is judged for a block: placement limits the shares of a class that a service bears up to here.
+	fullShare = 0.25
 	// idleShare is the batch share of a worker below which a sample counts as undisturbed.
 	idleShare = 0.02
 )
--- a/scheduler/interference/model.go
+++ b/scheduler/interference/model.go
@@ -10,7 +10,7 @@
 // Model learns from lagged latency measurements of services. For each service class it keeps the undisturbed latency,
 // and for each batch class a coefficient: the relative slowdown by a worker full of that class. The slowdown of a
 // sample is explained as the sum of coefficient times share over the classes on the worker, and its error is
-// distributed over them (normalised least mean squares), so that a harmless class beside a noisy one isn't blamed for
+// distributed over them (normalised least mean squares, regularised for small shares), so that a harmless class beside a noisy one isn't blamed for
 // long. A model is not safe for concurrent use.
 type Model struct {
 	config   Config
@@ -160,6 +160,7 @@
 		power += load.Share * load.Share
 	}
 	failure := ratio - predicted
+	power = max(power, fullShare*fullShare)
 	for i, load := range loads {
 		p := list[i]
 		credit := load.Share * load.Share / power
@@ -167,7 +168,10 @@
 		p.sampled = now
 		step := 1 / max(p.weight, 1)
 		p.coefficient = min(max(p.coefficient+step*failure*load.Share/power, 0), maxCoefficient)
-		p.share += step * (load.Share - p.share)
+		if p.weight > 0 {
+			// The mean follows what the samples tell, so that throttled batch doesn't hide the usual share.
+			p.share += credit / p.weight * (load.Share - p.share)
+		}
 		m.judge(p, m.limit(service), now)
 	}
 }
@@ -196,7 +200,7 @@
 // judge sets whether a pair is known and blocked, given the slowdown that its service bears.
 func (m *Model) judge(p *pair, limit float64, now time.Time) {
 	allowed := limit - 1
-	slowdown := p.coefficient * p.share
+	slowdown := p.coefficient * min(p.share, fullShare)
 	if p.weight >= m.config.MinSamples {
 		p.known = true
 	}
--- a/scheduler/interference/model_test.go
+++ b/scheduler/interference/model_test.go
@@ -67,6 +67,31 @@
 	}
 }
 
+// Guards against a harmless class that is blamed for the noise of measurements beside its throttled tasks: divided by
+// their small share, noise of a few percent looks like a slowdown by several times.
+func TestSmallSharesTellLittle(t *testing.T) {
+	for seed := range uint64(20) {
+		c := qt.New(t)
+		s := newTrial(seed, map[string]float64{"b": 0.3})
+		s.noise = 0.15
+		s.run(30)
+		s.run(60, interference.Load{Class: "b", Share: 0.02})
+		s.run(8, interference.Load{Class: "b", Share: 0.2})
+		got := s.model.Estimate("svc", "b")
+		c.Assert(!got.Blocked && got.Slowdown < 2, qt.IsTrue, qt.Commentf("seed %d: %+v", seed, got))
+	}
+}
+
+// Guards against a class that a service bears in part of a worker and that is blocked everywhere, because it filled one.
+func TestFullWorkerBlocksNoModestClass(t *testing.T) {
+	c := qt.New(t)
+	s := newTrial(1, map[string]float64{"b": 0.6})
+	s.run(30)
+	s.run(60, interference.Load{Class: "b", Share: 0.8})
+	got := s.model.Estimate("svc", "b")
+	c.Assert(got.Known && !got.Blocked && got.Slowdown > 1.5, qt.IsTrue, qt.Commentf("%+v", got))
+}
+
 // Guards against many samples of harm before a class is blocked that is far beyond the limit.
 func TestEarlyBlock(t *testing.T) {
 	c := qt.New(t)
