Throttle for trends beyond the noise of the measurement only

Cause: the guard extrapolates a rising latency over the lag of 4 s. The tail of the few requests of one worker changes by several percent from one report to the next, so that the extrapolated latency reached throttle_at beside a steady service, and each step takes at least 10 s to release. Ruled out: smoothing the latency itself, which reacts to a real rise too late (TestRisingLatencyIsExtrapolated). Change: the guard keeps the mean square of the trend; a trend counts from three times its root. TestNoisyTailIsNoTrend fails without the change.

--- a/scheduler/guard/guard.go
+++ b/scheduler/guard/guard.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -67,6 +68,14 @@
 // maxTrend caps how far a rising latency is extrapolated, as a factor.
 const maxTrend = 1.5
 
+// A trend counts once it exceeds its usual size by trendFactor: three standard deviations, since a decision is made every
+// second. Beside a steady load, the trend of a tail measured from few requests reached the throttling threshold several
+// times a minute. usualWeight is the weight of a new trend in the usual size.
+const (
+	trendFactor = 3
+	usualWeight = 0.05
+)
+
 // maxRelapses caps the doubling of ReleaseAfter, at 16 times.
 const maxRelapses = 4
 
@@ -142,6 +151,8 @@
 	// smooth is the pressure without most of its sampling noise, rate its change per second.
 	smooth float64
 	rate   float64
+	// usual is the mean square of rate, of which most is sampling noise.
+	usual float64
 	// floor is the smoothed pressure that remained at the lowest share, 0 while it has not been measured.
 	floor float64
 }
@@ -309,6 +320,7 @@
 	}
 	m.smooth = p.smooth + smoothing*(pressure-p.smooth)
 	m.rate = p.rate + smoothing*((pressure-p.pressure)/passed.Seconds()-p.rate)
+	m.usual = p.usual + usualWeight*(m.rate*m.rate-p.usual)
 	m.floor = p.floor
 	if s.Level == len(shares)-1 && m.at.Sub(s.Changed) >= rules.StepAfter {
 		m.floor = m.smooth
@@ -319,9 +331,9 @@
 	return m
 }
 
-// expected is the pressure to be expected by now if the trend goes on.
+// expected is the pressure to be expected by now if a trend that is more than noise goes on.
 func (m measurement) expected(now time.Time) float64 {
-	if m.rate <= 0 {
+	if m.rate <= trendFactor*math.Sqrt(m.usual) {
 		return m.pressure
 	}
 	return min(m.pressure+m.rate*now.Sub(m.at).Seconds(), m.pressure*maxTrend)
--- a/scheduler/guard/guard_test.go
+++ b/scheduler/guard/guard_test.go
@@ -1,6 +1,7 @@
 package guard_test
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -111,6 +112,33 @@
 	}
 }
 
+// Guards against throttling beside a steady service, because the trend of a noisy tail is extrapolated over the lag. The
+// measurements cover 5 s each, as those of the agent do.
+func TestNoisyTailIsNoTrend(t *testing.T) {
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 5))
+		var window [5]float64
+		for i := range window {
+			window[i] = 60
+		}
+		var state guard.State
+		changes := 0
+		for second := range 600 {
+			window[second%len(window)] = 60 + 16*(2*random.Float64()-1)
+			sum := 0.0
+			for _, latency := range window {
+				sum += latency
+			}
+			in := guard.Input{Services: service(sum/float64(len(window)), 4*time.Second), Batch: batch("a")}
+			before := state.Level
+			if state, _ = guard.Decide(guard.Rules{}, state, in, start.Add(time.Duration(second)*time.Second)); state.Level > before {
+				changes++
+			}
+		}
+		qt.Assert(t, changes <= 1, qt.IsTrue, qt.Commentf("seed %d: throttled %d times", seed, changes))
+	}
+}
+
 // Guards against batch that starves beside a service whose undisturbed latency lies above the usual release threshold.
 func TestReleaseNearTheFloor(t *testing.T) {
 	c := qt.New(t)
