Apply changed limits on interference without a new owner

Cause: the learned model took max_slowdown and the latency targets when ownership of the shard began. Since placement uses the limit that follows from them, a lowered max_slowdown or target would have held only for the next owner. Ruled out: computing the limit in the scheduler, which doesn't know the undisturbed latency. Conclusion: TestChangedLimitsHoldAtOnce fails without the change.

--- a/scheduler/interference/model.go
+++ b/scheduler/interference/model.go
@@ -86,6 +86,9 @@
 	base.objectiveMillis = max(millis, 0)
 }
 
+// SetLimit changes Config.Limit; 0 means its default.
+func (m *Model) SetLimit(limit float64) { m.config.Limit = cmp.Or(limit, DefaultLimit) }
+
 // limit returns the slowdown that a service class bears: the configured factor, or more if the undisturbed latency is
 // far below the objective. A service that answers in a third of its objective loses nothing by a factor of two, while
 // keeping batch away from it would leave most workers idle.
--- a/shard/learned.go
+++ b/shard/learned.go
@@ -18,6 +18,8 @@
 	interference *interference.Model
 	quarantine   *quarantine.Model
 	advanced     time.Time
+	// objectives holds the services that had a latency target in the rules that were followed last.
+	objectives map[string]bool
 	// shares holds what the guard leaves to throttled tasks, by worker and allocation, as of the newest usage report.
 	shares map[string]map[string]float64
 }
@@ -43,18 +45,32 @@
 		sizes: sizing.New(sizing.Config{
 			CorePercentile: rules.Sizing.Percentile, CoreHeadroom: headroom, MemoryHeadroom: headroom,
 		}),
-		interference: interference.New(interference.Config{Limit: rules.Interference.MaxSlowdown}),
+		interference: interference.New(interference.Config{}),
 		quarantine:   quarantine.New(quarantine.Config{}), advanced: now,
 		shares: map[string]map[string]float64{},
 	}
-	for _, service := range rules.Services {
-		l.interference.SetObjective(service.Name, float64(service.LatencyTarget)/float64(time.Millisecond))
-	}
+	l.follow(rules)
 	l.sizes.Import(summary.Sizes, now)
 	l.interference.Import(summary.Interference, now)
 	return l
 }
 
+// follow applies the operators' limits on interference. Changed rules must hold at once, not only for the next owner.
+func (l *learned) follow(rules config.Rules) {
+	l.interference.SetLimit(rules.Interference.MaxSlowdown)
+	last := l.objectives
+	l.objectives = make(map[string]bool, len(rules.Services))
+	for _, service := range rules.Services {
+		l.objectives[service.Name] = true
+		l.interference.SetObjective(service.Name, float64(service.LatencyTarget)/float64(time.Millisecond))
+	}
+	for service := range last {
+		if !l.objectives[service] {
+			l.interference.SetObjective(service, 0)
+		}
+	}
+}
+
 func (l *learned) summary(now time.Time) Learned {
 	return Learned{Sizes: l.sizes.Export(maxClasses, now), Interference: l.interference.Export(maxPairs, now)}
 }
@@ -141,8 +157,10 @@
 	}
 }
 
-// prepare adds what was learned to the scheduler's input. peaks holds the highest usage of each task that has run.
-func (l *learned) prepare(input *scheduler.Snapshot, peaks map[structs.TaskID]structs.Resources, now time.Time) {
+// prepare adds what was learned to the scheduler's input, under the present rules. peaks holds the highest usage of each
+// task that has run.
+func (l *learned) prepare(input *scheduler.Snapshot, rules config.Rules, peaks map[structs.TaskID]structs.Resources, now time.Time) {
+	l.follow(rules)
 	if now.Sub(l.advanced) >= advanceEvery {
 		l.advanced = now
 		l.quarantine.Advance(now)
--- a/shard/learned_test.go
+++ b/shard/learned_test.go
@@ -47,7 +47,7 @@
 			l.heartbeat(&hb, learnStart.Add(time.Duration(i)*time.Second))
 		}
 		input := scheduler.Snapshot{Pending: []scheduler.PendingTask{{Job: job}}}
-		l.prepare(&input, nil, learnStart.Add(200*time.Second))
+		l.prepare(&input, learnRules(), nil, learnStart.Add(200*time.Second))
 		return input.Pending[0].Resources
 	}
 	learned := reserve(1)
@@ -75,6 +75,30 @@
 	c.Assert(upstreams(view)[0].Job.Class, qt.Equals, "svc")
 }
 
+// Guards against placement by limits of earlier rules until the shard's owner changes.
+func TestChangedLimitsHoldAtOnce(t *testing.T) {
+	c := qt.New(t)
+	rules := learnRules()
+	l := newLearned(rules, Learned{}, learnStart)
+	for second := range 20 {
+		hb := report(1, 20, structs.Resources{})
+		l.heartbeat(&hb, learnStart.Add(time.Duration(second)*time.Second))
+	}
+	limit := func() float64 {
+		l.prepare(&scheduler.Snapshot{}, rules, nil, learnStart.Add(time.Minute))
+		return l.interference.Estimate("svc", "noisy").Limit
+	}
+	c.Assert(limit() > 2, qt.IsTrue, qt.Commentf("%g of a service that answers in a third of its target", limit()))
+	rules.Services[0].LatencyTarget = 20 * time.Millisecond
+	c.Assert(limit(), qt.Equals, 1.25)
+	rules.Interference.MaxSlowdown = 1.1
+	c.Assert(limit(), qt.Equals, 1.1)
+	rules.Services[0].LatencyTarget = 60 * time.Millisecond
+	c.Assert(limit() > 2, qt.IsTrue)
+	rules.Services = nil
+	c.Assert(limit(), qt.Equals, 1.1, qt.Commentf("the service has no target any more"))
+}
+
 // Guards against a rule on the failure domains of a service that has no effect, or that overrides the job's own.
 func TestRulesRestrictServices(t *testing.T) {
 	c := qt.New(t)
--- a/shard/snapshot.go
+++ b/shard/snapshot.go
@@ -50,7 +50,7 @@
 		input.Pending = append(input.Pending, task)
 		peaks[p.Task] = p.State.Peak
 	}
-	t.learned.prepare(&input, peaks, now)
+	t.learned.prepare(&input, specs.rules, peaks, now)
 	return input, leaving || len(input.Pending) > 0
 }
 
