Release throttled batch by what throttling gained the service

Cause: a step up needed the smoothed latency below resume_at for 10 s and longer. Ruled out: assuming only that all latency comes from batch, which releases nothing below a share of 0.7 there. Change: the guard keeps the pressure at the lowest share in force so far. A step up is also allowed while the line through it and the present pressure, or the line through the origin, stays below 0.95 of throttle_at at the next share. The wait, and its doubling after a relapse, stay as they were. TestReleaseByTheGainFromThrottling fails without the change.

--- a/config/rules.go
+++ b/config/rules.go
@@ -50,7 +50,8 @@
 	Enabled bool `json:"enabled"`
 	// ThrottleAt is the share at which batch work is throttled.
 	ThrottleAt float64 `json:"throttle_at"`
-	// ResumeAt is the share below which throttled batch work resumes.
+	// ResumeAt is the share below which throttled batch work always resumes. Above it, batch resumes step by step while
+	// the guard expects the latency to stay well below ThrottleAt.
 	ResumeAt float64 `json:"resume_at"`
 	// EvictAt is the share at which batch work is checkpointed and evicted.
 	EvictAt float64 `json:"evict_at"`
--- a/scheduler/guard/guard.go
+++ b/scheduler/guard/guard.go
@@ -17,7 +17,8 @@
 // Rules are the guard's thresholds. A zero field means its default.
 type Rules struct {
 	// ThrottleAt, EvictAt and ReleaseAt are parts of a service's latency objective. Batch is throttled before the
-	// objective is missed, and released only well below it.
+	// objective is missed. It is released below ReleaseAt, and above if the service is expected to stay well below
+	// ThrottleAt afterwards.
 	ThrottleAt float64
 	EvictAt    float64
 	ReleaseAt  float64
@@ -25,7 +26,7 @@
 	MemoryAt float64
 	// StepAfter is how long after a step down a measurement must have been taken to justify the next step.
 	StepAfter time.Duration
-	// ReleaseAfter is how long all services must stay below ReleaseAt before a step up.
+	// ReleaseAfter is how long all services must allow a release before a step up.
 	ReleaseAfter time.Duration
 	// EvictAfter is how long after the step to the lowest share a measurement must have been taken to justify an eviction.
 	EvictAfter time.Duration
@@ -133,7 +134,7 @@
 	// Changed is when Level last changed, Evicted when a task was last evicted.
 	Changed time.Time
 	Evicted time.Time
-	// CalmSince is since when all services have been below ReleaseAt; zero when they aren't.
+	// CalmSince is since when all services have allowed a release; zero when they don't.
 	CalmSince time.Time
 	// Relapses counts releases in a row that soon led to throttling again. Each doubles ReleaseAfter, so that batch that
 	// can't run beside a service isn't released and throttled over and over.
@@ -153,8 +154,9 @@
 	rate   float64
 	// usual is the mean square of rate, of which most is sampling noise.
 	usual float64
-	// floor is the smoothed pressure that remained at the lowest share, 0 while it has not been measured.
-	floor float64
+	// floor is the smoothed pressure that remained at floorShare, the lowest share in force so far; 0 while it has not been
+	// measured.
+	floor, floorShare float64
 }
 
 // Action is what the runner applies.
@@ -292,7 +294,7 @@
 		m := state.update(rules, s, now)
 		result.pressure = max(result.pressure, m.pressure)
 		result.expected = max(result.expected, m.expected(now))
-		result.calm = result.calm && m.smooth < m.releaseAt(rules)
+		result.calm = result.calm && (m.smooth < m.releaseAt(rules) || m.bears(rules, state.Level))
 		if m.at.Before(result.at) {
 			result.at = m.at
 		}
@@ -321,10 +323,10 @@
 	m.smooth = p.smooth + smoothing*(pressure-p.smooth)
 	m.rate = p.rate + smoothing*((pressure-p.pressure)/passed.Seconds()-p.rate)
 	m.usual = p.usual + usualWeight*(m.rate*m.rate-p.usual)
-	m.floor = p.floor
-	if s.Level == len(shares)-1 && m.at.Sub(s.Changed) >= rules.StepAfter {
-		m.floor = m.smooth
-		if p.floor > 0 {
+	m.floor, m.floorShare = p.floor, p.floorShare
+	if share := shares[s.Level]; m.at.Sub(s.Changed) >= rules.StepAfter && (p.floor == 0 || share <= p.floorShare) {
+		m.floor, m.floorShare = m.smooth, share
+		if p.floor > 0 && share == p.floorShare {
 			m.floor = p.floor + smoothing*(m.smooth-p.floor)
 		}
 	}
@@ -342,9 +344,26 @@
 // releaseAt is the pressure below which the service allows a release. A service whose latency stays near its objective
 // even beside fully throttled batch would otherwise never allow one, and batch would starve without any gain.
 func (m measurement) releaseAt(rules Rules) float64 {
+	if m.floorShare > shares[len(shares)-1] {
+		return rules.ReleaseAt
+	}
 	return max(rules.ReleaseAt, min(m.floor*floorMargin, rules.ThrottleAt*floorCeiling))
 }
 
+// bears tells whether the service can be expected to stay below ThrottleAt at the next higher share. The pressure lies at
+// most on the line through the origin, as if all of it came from batch, and is expected on the line through the floor.
+func (m measurement) bears(rules Rules, level int) bool {
+	if level == 0 {
+		return false
+	}
+	share := shares[level]
+	slope := m.smooth / share
+	if m.floor > 0 && share > m.floorShare {
+		slope = min(slope, max(0, (m.smooth-m.floor)/(share-m.floorShare)))
+	}
+	return m.smooth+slope*(shares[level-1]-share) < rules.ThrottleAt*floorCeiling
+}
+
 // memoryVictim returns the batch task that exceeds its reservation of memory the most, or else uses the most, if memory
 // is nearly used up and no eviction is under way.
 func memoryVictim(rules Rules, in Input) string {
--- a/scheduler/guard/guard_test.go
+++ b/scheduler/guard/guard_test.go
@@ -151,6 +151,24 @@
 	c.Assert(action.Share, qt.Equals, 1.0)
 }
 
+// Guards against batch that stays throttled between the two thresholds though the service hardly gains from it, and
+// against a release that takes the service to the upper one.
+func TestReleaseByTheGainFromThrottling(t *testing.T) {
+	c := qt.New(t)
+	settle := func(base, slowdown float64) float64 {
+		state := guard.State{Level: 6, Changed: start}
+		action := guard.Action{Share: 0.1}
+		for second := range 300 {
+			in := guard.Input{Services: service(base+slowdown*action.Share, time.Second), Batch: batch("a")}
+			state, action = guard.Decide(guard.Rules{}, state, in, start.Add(time.Duration(second)*time.Second))
+			c.Assert(action.Reason, qt.Not(qt.Equals), guard.ReasonLatency)
+		}
+		return action.Share
+	}
+	c.Assert(settle(50, 20), qt.Equals, 1.0)
+	c.Assert(settle(40, 60), qt.Equals, 0.4, qt.Commentf("73 ms are expected at the next share"))
+}
+
 // Guards against a release on old measurements, and against a guard that stays throttled when a service has no requests.
 func TestUnknownIsNotCalm(t *testing.T) {
 	c := qt.New(t)
