Explore one unknown batch class on a worker at a time

Cause: the tasks that explore two classes were packed onto one worker. Change: an unknown class isn't started beside another unknown class on the same worker. The new case of TestRulesChooseWorker fails without the change.

--- a/scheduler/interfere.go
+++ b/scheduler/interfere.go
@@ -71,6 +71,18 @@
 	return factor
 }
 
+// Explores tells whether another batch class runs on the worker whose interference with the service isn't known either.
+func (c *Cycle) Explores(task *PendingTask, w *WorkerView, service *ClassLoad) bool {
+	batch := c.batch(w)
+	for i := range batch {
+		load := &batch[i]
+		if load.Class != task.Job.Class && !c.pair(service.Class, c.loadID(service), load.Class, c.loadID(load)).Known {
+			return true
+		}
+	}
+	return false
+}
+
 // Beside returns how many tasks of the batch class run beside the service class on all workers.
 func (c *Cycle) Beside(task *PendingTask, load *ClassLoad) int {
 	service, batch := c.loadID(load), task.state.class
--- a/scheduler/plugins/filters.go
+++ b/scheduler/plugins/filters.go
@@ -126,7 +126,9 @@
 			return ReasonInterference
 		case estimate.Known && !(estimate.Stale && explores) && exceeds(ctx, task, w, &loads[i], estimate):
 			return ReasonInterference
-		case !estimate.Known && !explores && task.Job.Kind == structs.KindBatch:
+		case !estimate.Known && task.Job.Kind == structs.KindBatch && (!explores || ctx.Explores(task, w, &loads[i])):
+			// Two unknown classes on one worker can't be told apart: the harmless one would be blamed as well, and the guard
+			// would throttle both, so that neither becomes known.
 			return ReasonExploration
 		}
 	}
--- a/scheduler/rules_test.go
+++ b/scheduler/rules_test.go
@@ -78,6 +78,11 @@
 			load(x.good, newClass("x", "b", 12000))
 			x.s.Interference = pairs{{"s", "b"}: {Slowdown: 1.4, Known: true, Limit: 1.5}}
 		}},
+		{"two unknown classes that can't be told apart", batch, "good", func(x *world) {
+			load(x.bad, service, newClass("x", "c", 4000))
+			load(x.good, service)
+			x.s.Interference = pairs{{"s", "b"}: {Slowdown: 1}, {"s", "c"}: {Slowdown: 1}}
+		}},
 		{"herd onto a returned domain", batch, "good", func(x *world) {
 			load(x.bad, other)
 			x.s.Rules.Returned = map[string]time.Time{"a": now.Add(-time.Second)}
