Measure starts of urgent work and changes between processes

Cause: two targets of the design, urgent work within 1.5 s and a configuration in force within 7 s, had no measurement between processes, and no fleet on one machine had the delay of links between failure domains. Ruled out: delaying in the processes, which would change what is measured; one delay for all connections, since links within a failure domain have none. Source addresses can't tell the domains apart, as all connections leave from one loopback address, so the forwarder finds the process that opened a connection. Conclusion: the command prints all figures and fails only when something can't be measured.

--- a/agent/announcer/module.go
+++ b/agent/announcer/module.go
@@ -35,7 +35,7 @@
 type Settings struct {
 	// Entries are the addresses of the entries.
 	Entries []netip.AddrPort `ini:"entries"`
-	// Address is where entries reach this agent; the listen address of the process when empty.
+	// Address is where entries reach this agent; the advertised address of the process when empty.
 	Address netip.AddrPort `ini:"address" default:""`
 	// Interval is the time between announcements to an entry that hasn't asked for another one.
 	Interval time.Duration `ini:"interval" default:"1s" min:"50ms" max:"10s"`
@@ -88,7 +88,7 @@
 	m.source = found
 	m.config, _ = kernel.Lookup[domains](c, configName)
 	if !m.settings.Address.IsValid() {
-		m.settings.Address = c.Process.Listen
+		m.settings.Address = c.Process.Address()
 	}
 	scope := c.Metrics.SubScope("agent_announcer")
 	m.sent, m.failed = scope.Counter("sent"), scope.Counter("failed")
--- a/agent/runner/module.go
+++ b/agent/runner/module.go
@@ -165,7 +165,7 @@
 	settings.Lease, settings.OwnerValidity = rules.TaskLease, rules.OwnerValidity
 	w := structs.Worker{
 		Name: m.settings.Worker, FailureDomain: m.context.Process.FailureDomain, Rack: m.settings.Rack,
-		Address: m.context.Process.Listen.String(), AcceleratorKind: m.settings.AcceleratorKind,
+		Address: m.context.Process.Address().String(), AcceleratorKind: m.settings.AcceleratorKind,
 		Capacity: structs.Resources{
 			MilliCores: m.settings.MilliCores, MemoryMB: m.settings.MemoryMB, Accelerators: m.settings.Accelerators,
 		},
--- /dev/null
+++ b/cmd/standin-durations/changes.go
@@ -0,0 +1,239 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/quetzalshed/quetzalshed/config"
+	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+)
+
+// change is an accepted change of a failure domain.
+type change struct {
+	domain         string
+	revision       int64
+	sent, accepted time.Time
+}
+
+// setDomain takes a failure domain out of service or back in.
+func (r *run) setDomain(entry int, domain string, out bool) (change, error) {
+	state := "in"
+	if out {
+		state = "out"
+	}
+	c := change{domain: domain, sent: time.Now()}
+	var head config.Head
+	url := "http://" + r.entries[entry%len(r.entries)] + "/v1/failure-domains/" + domain + "/" + state
+	if err := r.call(http.MethodPost, url, nil, &head); err != nil {
+		return c, err
+	}
+	c.accepted, c.revision = time.Now(), head.Revision
+	return c, nil
+}
+
+// setNext makes the i-th change of a series: each failure domain in turn goes out and comes back.
+func (r *run) setNext(entry, i int) (change, error) {
+	return r.setDomain(entry, r.domains[i/2%len(r.domains)], i%2 == 0)
+}
+
+// inForce returns when the last process had a revision in force, and which one that was.
+func (r *run) inForce(revision int64) (last time.Time, process string, err error) {
+	err = r.await(fmt.Sprintf("revision %d is in force everywhere", revision), func() (bool, error) {
+		last = time.Time{}
+		for _, name := range r.processes {
+			list, err := r.loadedBy(name)
+			if err != nil {
+				return false, err
+			}
+			at, ok := firstWith(list, revision)
+			if !ok {
+				return false, nil
+			}
+			if at.After(last) {
+				last, process = at, name
+			}
+		}
+		return true, nil
+	})
+	return last, process, err
+}
+
+// printChanges prints the times until the changes were in force everywhere.
+func (r *run) printChanges(label string, changes []change) error {
+	var fromAccepted, fromSent []time.Duration
+	for _, c := range changes {
+		last, _, err := r.inForce(c.revision)
+		if err != nil {
+			return err
+		}
+		fromAccepted = append(fromAccepted, last.Sub(c.accepted))
+		fromSent = append(fromSent, last.Sub(c.sent))
+	}
+	printFigures(r.out, "  "+label+", from acceptance", fromAccepted)
+	printFigures(r.out, "  "+label+", from sending", fromSent)
+	return nil
+}
+
+func (r *run) changesHealthy() error {
+	fmt.Fprintf(r.out, "changes of a failure domain, time until all %d processes have them in force\n", len(r.processes))
+	var changes []change
+	for i := range r.changes {
+		if !r.pause(time.Second + rand.N(time.Second)) {
+			return r.ctx.Err()
+		}
+		c, err := r.setNext(i, i)
+		if err != nil {
+			return err
+		}
+		changes = append(changes, c)
+	}
+	return r.printChanges("healthy store", changes)
+}
+
+// cutOff makes the store unreachable for the processes of some store links; none ends this.
+func (r *run) cutOff(links ...string) error {
+	return r.call(http.MethodPut, "http://"+r.links+"/cut", map[string][]string{"addresses": links}, nil)
+}
+
+// settleTime lets leases lapse and ownership move after the store became reachable or unreachable.
+const settleTime = 5 * time.Second
+
+// changesCutOff measures changes while the store is unreachable for one third of the processes after the other. Their
+// links to the store accept connections and stay silent.
+func (r *run) changesCutOff() error {
+	var all []change
+	groups := len(r.storeLinks)
+	for group := range groups {
+		if err := r.cutOff(r.storeLinks[group]); err != nil {
+			return err
+		}
+		if !r.pause(settleTime) {
+			return r.ctx.Err()
+		}
+		for i := group * r.changes / groups; i < (group+1)*r.changes/groups; i++ {
+			if !r.pause(time.Second + rand.N(time.Second)) {
+				return r.ctx.Err()
+			}
+			// Process i has store link i, so this entry still reaches the store.
+			entry := 0
+			if group == 0 {
+				entry = 1
+			}
+			c, err := r.setNext(entry, i)
+			if err != nil {
+				return err
+			}
+			all = append(all, c)
+		}
+		if err := r.cutOff(); err != nil {
+			return err
+		}
+		if !r.pause(settleTime) {
+			return r.ctx.Err()
+		}
+	}
+	return r.printChanges("store cut off from a third", all)
+}
+
+func (r *run) storeFaults(f storetest.Faults) error {
+	return r.call(http.MethodPost, "http://"+r.store+"/faults", f, nil)
+}
+
+// changesStoreDown measures changes after each of which the store goes down at once, until they are in force.
+func (r *run) changesStoreDown() error {
+	var all []change
+	for i := range r.changes {
+		c, err := r.setNext(i, i)
+		if err != nil {
+			return err
+		}
+		if err := r.storeFaults(storetest.Faults{Down: true}); err != nil {
+			return err
+		}
+		_, _, err = r.inForce(c.revision)
+		if upErr := r.storeFaults(storetest.Faults{}); err != nil || upErr != nil {
+			return eris.Wrapf(err, "with the store down; ending the outage: %v", upErr)
+		}
+		all = append(all, c)
+		if !r.pause(time.Second + rand.N(time.Second)) {
+			return r.ctx.Err()
+		}
+	}
+	return r.printChanges("store down from acceptance on", all)
+}
+
+// domainsOut takes each failure domain in turn out of service while tasks of 1 s start everywhere.
+func (r *run) domainsOut() error {
+	const away, back = 4 * time.Second, 6 * time.Second
+	churn := "churn-" + r.label
+	fmt.Fprintln(r.out, "failure domain taken out while tasks of 1 s start, time to the last start there")
+	// A slot starts less than one task a second.
+	tasks := r.perWorker * len(r.workers) * r.outs * int((away+back)/time.Second)
+	if err := r.submit(0, job(churn, min(tasks, maxChurn), false, "run=1s")); err != nil {
+		return err
+	}
+	var outs []change
+	var ends []time.Time
+	for i := range r.outs {
+		if !r.pause(back) {
+			return r.ctx.Err()
+		}
+		c, err := r.setDomain(i, r.domains[i%len(r.domains)], true)
+		if err != nil {
+			return err
+		}
+		outs = append(outs, c)
+		if !r.pause(away) {
+			return r.ctx.Err()
+		}
+		ends = append(ends, time.Now())
+		if _, err := r.setDomain(i, c.domain, false); err != nil {
+			return err
+		}
+	}
+	if err := r.cancel(churn); err != nil {
+		return err
+	}
+	return r.printLastStarts(outs, ends)
+}
+
+// maxChurn leaves room below the bound of open tasks of a shard.
+const maxChurn = 40000
+
+func (r *run) printLastStarts(outs []change, ends []time.Time) error {
+	starts, err := r.starts()
+	if err != nil {
+		return err
+	}
+	var fromAccepted, fromSent []time.Duration
+	before, after := 0, 0
+	for i, c := range outs {
+		var last time.Time
+		for _, s := range starts {
+			if s.worker.FailureDomain != c.domain || s.at.After(ends[i]) || s.at.Before(c.sent.Add(-time.Second)) {
+				continue
+			}
+			if s.at.After(last) {
+				last = s.at
+			}
+			if s.at.After(c.accepted) {
+				after++
+			} else {
+				before++
+			}
+		}
+		if last.IsZero() {
+			return eris.Wrapf(errNotMeasured, "nothing started in %s in the second before it was taken out", c.domain)
+		}
+		fromAccepted = append(fromAccepted, last.Sub(c.accepted))
+		fromSent = append(fromSent, last.Sub(c.sent))
+	}
+	printFigures(r.out, "  last start, from acceptance (below 0: before it)", fromAccepted)
+	printFigures(r.out, "  last start, from sending (below 0: before it)", fromSent)
+	fmt.Fprintf(r.out, "  starts there in the second before the acceptance %d, after it %d\n", before, after)
+	return nil
+}
--- /dev/null
+++ b/cmd/standin-durations/main.go
@@ -0,0 +1,132 @@
+// Command standin-durations measures, in a running fleet of stand-ins, how long urgent work takes to start and how long a
+// change of the configuration takes to be in force everywhere. All clocks are that of one machine.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"github.com/quetzalshed/quetzalshed/config"
+	"github.com/quetzalshed/quetzalshed/kernel"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+func main() { kernel.Execute(command(), kernel.Failure) }
+
+// options describe the fleet and the size of the measurement.
+type options struct {
+	entries, storeLinks           []string
+	inventory, logs, links, store string
+	label                         string
+	urgent, changes, outs         int
+	perWorker, workerPort         int
+}
+
+func command() *cobra.Command {
+	var o options
+	c := &cobra.Command{
+		Use: "standin-durations", Short: "Measure starts of urgent work and changes of the configuration", Args: cobra.NoArgs,
+		SilenceUsage: true, SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error { return measure(cmd.Context(), o, cmd.OutOrStdout()) },
+	}
+	flags := c.Flags()
+	flags.StringSliceVar(&o.entries, "entries", nil, "addresses of the entries")
+	flags.StringSliceVar(&o.storeLinks, "store-links", nil, "addresses at which the processes, in turns, reach the store")
+	flags.StringVar(&o.inventory, "inventory", "", "inventory as CSV")
+	flags.StringVar(&o.logs, "logs", "", "directory with NAME.log of each process")
+	flags.StringVar(&o.links, "links", "", "address of the control API of standin-links")
+	flags.StringVar(&o.store, "store", "", "address of the stand-in store")
+	flags.StringVar(&o.label, "label", "1", "part of the IDs of jobs, for several measurements of one fleet")
+	flags.IntVar(&o.urgent, "urgent", 100, "urgent jobs on the idle fleet, and again on the full one")
+	flags.IntVar(&o.changes, "changes", 30, "changes of the configuration in each condition")
+	flags.IntVar(&o.outs, "outs", 9, "times that a failure domain is taken out while tasks start")
+	flags.IntVar(&o.perWorker, "slots", 8, "tasks of 2 cores and 4000 MB that a worker holds")
+	flags.IntVar(&o.workerPort, "worker-port", 7700, "port of the workers' task API, at the address of their agents")
+	for _, name := range []string{"entries", "store-links", "inventory", "logs", "links", "store"} {
+		_ = c.MarkFlagRequired(name)
+	}
+	c.AddCommand(kernel.VersionCommand())
+	return c
+}
+
+// run is one measurement.
+type run struct {
+	options
+	ctx     context.Context
+	out     io.Writer
+	workers []structs.Worker
+	domains []string
+	// processes holds the names of entries and agents in the order of their start, which assigns their store links.
+	processes []string
+}
+
+func measure(ctx context.Context, o options, out io.Writer) error {
+	raw, err := os.ReadFile(o.inventory)
+	if err != nil {
+		return eris.Wrap(err, "reading the inventory")
+	}
+	inventory, found := config.ParseInventory(o.inventory, config.FormatCSV, raw)
+	if err := found.Err(); err != nil {
+		return err
+	}
+	r := &run{options: o, ctx: ctx, out: out, workers: inventory.Workers}
+	for i := range o.entries {
+		r.processes = append(r.processes, fmt.Sprintf("entry-%d", i))
+	}
+	known := map[string]bool{}
+	for _, w := range r.workers {
+		r.processes = append(r.processes, w.Name)
+		if !known[w.FailureDomain] {
+			known[w.FailureDomain] = true
+			r.domains = append(r.domains, w.FailureDomain)
+		}
+	}
+	for _, step := range []func() error{
+		r.urgentIdle, r.urgentFull, r.changesHealthy, r.changesCutOff, r.changesStoreDown, r.domainsOut,
+	} {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// pause waits, or returns false when the measurement is to end.
+func (r *run) pause(d time.Duration) bool {
+	select {
+	case <-r.ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// errNotMeasured means that what was to be measured did not happen in time.
+var errNotMeasured = eris.New("could not be measured")
+
+// measureLimit bounds the wait for what is measured. It only keeps a broken run from hanging.
+const measureLimit = 60 * time.Second
+
+// await repeats a check until it holds.
+func (r *run) await(what string, check func() (bool, error)) error {
+	var err error
+	for end := time.Now().Add(measureLimit); time.Now().Before(end); {
+		var ok bool
+		if ok, err = check(); ok && err == nil {
+			return nil
+		}
+		if !r.pause(50 * time.Millisecond) {
+			return r.ctx.Err()
+		}
+	}
+	if err != nil {
+		return eris.Wrapf(err, "%s", what)
+	}
+	return eris.Wrapf(errNotMeasured, "%s", what)
+}
--- /dev/null
+++ b/cmd/standin-durations/observe.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/quetzalshed/quetzalshed/platform/worker/workertest"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// callTimeout bounds one call of the measurement.
+const callTimeout = 15 * time.Second
+
+// call sends a request and decodes the response, whose status must be 200 or 202.
+func (r *run) call(method, url string, body, reply any) error {
+	var raw []byte
+	if body != nil {
+		var err error
+		if raw, err = json.Marshal(body); err != nil {
+			return eris.Wrap(err, "encoding a request")
+		}
+	}
+	request, err := http.NewRequestWithContext(r.ctx, method, url, bytes.NewReader(raw))
+	if err != nil {
+		return eris.Wrap(err, "building a request")
+	}
+	client := http.Client{Timeout: callTimeout}
+	response, err := client.Do(request)
+	if err != nil {
+		return eris.Wrap(err, "calling the fleet")
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return eris.Wrap(err, "reading a response")
+	}
+	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusAccepted {
+		return eris.Errorf("%s %s: status %d: %.300s", method, url, response.StatusCode, content)
+	}
+	if reply == nil {
+		return nil
+	}
+	return eris.Wrap(json.Unmarshal(content, reply), "decoding a response")
+}
+
+// start is the first run of a task's attempt on a worker.
+type start struct {
+	worker structs.Worker
+	task   structs.TaskID
+	at     time.Time
+}
+
+// starts returns all starts that the workers recorded. A task that is resumed after a suspension doesn't count.
+func (r *run) starts() ([]start, error) {
+	var all []start
+	for _, w := range r.workers {
+		agent, err := netip.ParseAddrPort(w.Address)
+		if err != nil {
+			return nil, eris.Wrap(err, "address of "+w.Name)
+		}
+		var runs []workertest.Run
+		url := "http://" + netip.AddrPortFrom(agent.Addr(), uint16(r.workerPort)).String() + "/history"
+		if err := r.call(http.MethodGet, url, nil, &runs); err != nil {
+			return nil, err
+		}
+		for _, ran := range runs {
+			var alloc structs.Allocation
+			if err := json.Unmarshal([]byte(ran.Annotations["allocation"]), &alloc); err != nil {
+				return nil, eris.Wrap(err, "decoding an allocation of "+w.Name)
+			}
+			if !ran.Resumed {
+				all = append(all, start{w, alloc.Task, time.Unix(0, ran.FromUnixNano)})
+			}
+		}
+	}
+	return all, nil
+}
+
+// loaded is a log line of a process that a revision is in force.
+type loaded struct {
+	Message  string    `json:"@message"`
+	At       time.Time `json:"@timestamp"`
+	Revision int64     `json:"revision"`
+}
+
+// loadedBy returns when a process had each revision in force, in the order of its log.
+func (r *run) loadedBy(process string) ([]loaded, error) {
+	file, err := os.Open(filepath.Join(r.logs, process+".log"))
+	if err != nil {
+		return nil, eris.Wrap(err, "reading a log")
+	}
+	defer file.Close()
+	return decodeLoaded(file)
+}
+
+func decodeLoaded(log io.Reader) ([]loaded, error) {
+	var list []loaded
+	lines := bufio.NewScanner(log)
+	for lines.Scan() {
+		const message = "configuration in force"
+		if !bytes.Contains(lines.Bytes(), []byte(message)) {
+			continue
+		}
+		var line loaded
+		// The last line may be incomplete while the process writes it.
+		if json.Unmarshal(lines.Bytes(), &line) == nil && line.Message == message {
+			list = append(list, line)
+		}
+	}
+	return list, eris.Wrap(lines.Err(), "reading a log")
+}
+
+// firstWith returns when a process had a revision or a later one in force for the first time.
+func firstWith(list []loaded, revision int64) (time.Time, bool) {
+	for _, line := range list {
+		if line.Revision >= revision {
+			return line.At, true
+		}
+	}
+	return time.Time{}, false
+}
--- /dev/null
+++ b/cmd/standin-links/main.go
@@ -0,0 +1,147 @@
+// Command standin-links forwards the connections between the processes of a fleet on one machine, with the delay of links
+// between failure domains. It tells links within a failure domain from others by the process that opened the connection.
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"github.com/quetzalshed/quetzalshed/kernel"
+	"github.com/quetzalshed/quetzalshed/test/faultnet"
+)
+
+func main() { kernel.Execute(command(), kernel.Failure) }
+
+type options struct {
+	listen, links, processes string
+	delay                    Delay
+}
+
+func command() *cobra.Command {
+	var o options
+	c := &cobra.Command{
+		Use: "standin-links", Short: "Forward connections with the delay of links between failure domains", Args: cobra.NoArgs,
+		SilenceUsage: true, SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error { return o.run(cmd.Context()) },
+	}
+	flags := c.Flags()
+	flags.StringVar(&o.listen, "listen", "127.0.0.1:0", "IP address and port of the control API")
+	flags.StringVar(&o.links, "links", "", "file with a line LISTEN TARGET DOMAIN for each link; domain * delays every process")
+	flags.StringVar(&o.processes, "processes", "", "file with a line PID DOMAIN for each process; it may grow")
+	flags.DurationVar(&o.delay.Least, "least", defaultLeast, "least delay one way")
+	flags.DurationVar(&o.delay.Mean, "variable", defaultVariable, "mean of the exponential part of the delay")
+	flags.Float64Var(&o.delay.LossRate, "loss", defaultLoss, "share of messages that are lost and sent again")
+	for _, name := range []string{"links", "processes"} {
+		_ = c.MarkFlagRequired(name)
+	}
+	c.AddCommand(kernel.VersionCommand())
+	return c
+}
+
+// farFrom is the domain of a link that is in none of the failure domains.
+const farFrom = "*"
+
+func (o *options) run(ctx context.Context) error {
+	links, err := readFields(o.links, 3)
+	if err != nil {
+		return err
+	}
+	n := &network{forwarders: map[string]*faultnet.Forwarder{}}
+	defer n.close()
+	finder := &finder{path: o.processes}
+	for _, link := range links {
+		f, err := faultnet.ListenAt(link[0], link[1])
+		if err != nil {
+			return err
+		}
+		n.forwarders[link[0]] = f
+		f.SetPath(pathTo(link[0], link[2], finder, o.delay))
+	}
+	return kernel.ServeUntil(ctx, o.listen, n)
+}
+
+// readFields reads a file of lines with a number of fields each.
+func readFields(path string, fields int) ([][]string, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "reading a list")
+	}
+	defer file.Close()
+	var list [][]string
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		found := strings.Fields(lines.Text())
+		if len(found) != fields {
+			return nil, eris.Errorf("%s: line %q does not have %d fields", path, lines.Text(), fields)
+		}
+		list = append(list, found)
+	}
+	return list, eris.Wrap(lines.Err(), "reading a list")
+}
+
+// Cut is the body of PUT /cut: the links to these addresses fall silent, and all others work. Connections that were
+// silent are reset when their link works again.
+type Cut struct {
+	Addresses []string `json:"addresses"`
+}
+
+// network holds the forwarders by the address on which they listen.
+type network struct {
+	mu         sync.Mutex
+	forwarders map[string]*faultnet.Forwarder
+	silent     map[string]bool
+}
+
+func (n *network) close() {
+	for _, f := range n.forwarders {
+		f.Close()
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (n *network) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var cut Cut
+	if r.Method != http.MethodPut || r.URL.Path != "/cut" {
+		http.NotFound(w, r)
+		return
+	}
+	if err := json.NewDecoder(r.Body).Decode(&cut); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := n.cut(cut.Addresses); err != nil {
+		http.Error(w, err.Error(), http.StatusNotFound)
+	}
+}
+
+func (n *network) cut(addresses []string) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	silent := map[string]bool{}
+	for _, address := range addresses {
+		if n.forwarders[address] == nil {
+			return eris.Errorf("no link listens on %s", address)
+		}
+		silent[address] = true
+	}
+	for address, f := range n.forwarders {
+		switch {
+		case silent[address] && !n.silent[address]:
+			f.SetSilentStart(true)
+			f.Silence()
+		case !silent[address] && n.silent[address]:
+			f.SetSilentStart(false)
+			f.Cut()
+		}
+	}
+	n.silent = silent
+	return nil
+}
--- a/gossip/module.go
+++ b/gossip/module.go
@@ -74,8 +74,8 @@
 	if err != nil {
 		return err
 	}
-	if c.Process.Listen.Addr().IsUnspecified() {
-		return eris.Errorf("[process] listen: peers can't reach %s; an address of this host is required", c.Process.Listen)
+	if c.Process.Address().Addr().IsUnspecified() {
+		return eris.Errorf("[process] listen: peers can't reach %s; an address of this host is required, here or as advertise", c.Process.Address())
 	}
 	m.clock, m.scope, m.config = c.Clock, c.Metrics.SubScope("gossip"), holder
 	m.owners = NewOwnerTable()
@@ -87,7 +87,7 @@
 	}
 	m.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	identity := Identity{
-		Fleet: c.Process.Fleet, Name: c.Process.Name, Role: c.Role, Address: c.Process.Listen.String(),
+		Fleet: c.Process.Fleet, Name: c.Process.Name, Role: c.Role, Address: c.Process.Address().String(),
 	}
 	var seeds []string
 	for _, peer := range m.settings.Peers {
--- a/kernel/process.go
+++ b/kernel/process.go
@@ -30,8 +30,10 @@
 	Region        string         `ini:"region" default:"local"`
 	FailureDomain string         `ini:"failure_domain"`
 	Listen        netip.AddrPort `ini:"listen"`
-	AdminListen   netip.AddrPort `ini:"admin_listen"`
-	LogLevel      string         `ini:"log_level" default:"info" oneof:"trace debug info warn error"`
+	// Advertise is where other processes reach this one, if that differs from Listen, as behind an address translation.
+	Advertise   netip.AddrPort `ini:"advertise" default:""`
+	AdminListen netip.AddrPort `ini:"admin_listen"`
+	LogLevel    string         `ini:"log_level" default:"info" oneof:"trace debug info warn error"`
 	// TraceFile receives spans as JSON lines; empty turns tracing off.
 	TraceFile string `ini:"trace_file" default:""`
 	// DrainNotice is how long a stopping process still accepts connections after it has reported that it is not ready,
@@ -41,6 +43,14 @@
 	DrainLimit time.Duration `ini:"drain_limit" default:"65s" min:"1s" max:"30m"`
 }
 
+// Address returns where other processes reach this one.
+func (p *ProcessSettings) Address() netip.AddrPort {
+	if p.Advertise.IsValid() {
+		return p.Advertise
+	}
+	return p.Listen
+}
+
 // CheckSettings implements settings.Checker. A notice that takes up the whole limit would leave no time to close
 // connections, and every stop would count as unclean.
 func (p *ProcessSettings) CheckSettings(place func(key string) findings.Place, found *findings.List) {
--- a/kernel/process_test.go
+++ b/kernel/process_test.go
@@ -174,3 +174,16 @@
 	handler.ServeHTTP(result, request)
 	return result
 }
+
+// Guards against peers that are sent to the address on which a process listens although it is reached at another one.
+func TestAdvertisedAddress(t *testing.T) {
+	c := qt.New(t)
+	registerRecorders(t, map[string][]string{"a": nil}, nil)
+	p, err := LoadProcess(testRole, writeSettings(t, validProcess))
+	c.Assert(err, qt.IsNil)
+	c.Assert(p.context.Process.Address().String(), qt.Equals, "127.0.0.1:0")
+	p, err = LoadProcess(testRole, writeSettings(t, validProcess+"advertise = 10.40.1.5:7800\n"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(p.context.Process.Address().String(), qt.Equals, "10.40.1.5:7800")
+	c.Assert(p.context.Process.Listen.String(), qt.Equals, "127.0.0.1:0")
+}
--- a/test/faultnet/faultnet.go
+++ b/test/faultnet/faultnet.go
@@ -35,6 +35,7 @@
 	mu     sync.Mutex
 	target string
 	delay  [2]time.Duration
+	path   PathFunc
 	// limit is after how many bytes in a direction a new connection is cut, or negative for never.
 	limit  [2]int64
 	refuse bool
@@ -44,9 +45,18 @@
 	closed bool
 }
 
+// DelayFunc returns the delay of the next bytes in a direction. It may be called concurrently.
+type DelayFunc func(Direction) time.Duration
+
+// PathFunc returns the delay of a connection by the address of its client, or nil for none of its own.
+type PathFunc func(client net.Addr) DelayFunc
+
 // Listen starts a forwarder on a free loopback port.
-func Listen(target string) (*Forwarder, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func Listen(target string) (*Forwarder, error) { return ListenAt("127.0.0.1:0", target) }
+
+// ListenAt starts a forwarder on an address.
+func ListenAt(address, target string) (*Forwarder, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, eris.Wrap(err, "listening")
 	}
@@ -89,6 +99,14 @@
 	f.delay[d] = delay
 }
 
+// SetPath gives each new connection a delay of its own, in addition to that of SetDelay. The first bytes of the client
+// wait for one more round trip, which the handshake takes on a real link.
+func (f *Forwarder) SetPath(path PathFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.path = path
+}
+
 // SetTruncate cuts each new connection after a number of bytes in a direction; a negative number ends this. The bytes up
 // to the number are delivered, followed by a regular end of the connection.
 func (f *Forwarder) SetTruncate(d Direction, bytes int64) {
@@ -149,18 +167,26 @@
 func (f *Forwarder) connect(client net.Conn) {
 	f.mu.Lock()
 	f.counts.Accepted++
-	refuse, mute, target, limit := f.refuse || f.closed, f.mute, f.target, f.limit
+	refuse, mute, target, limit, path := f.refuse || f.closed, f.mute, f.target, f.limit, f.path
 	f.mu.Unlock()
 	if refuse {
 		reset(client)
 		return
 	}
+	var delay DelayFunc
+	established := time.Now()
+	if path != nil {
+		if delay = path(client.RemoteAddr()); delay != nil {
+			established = established.Add(delay(ToServer) + delay(ToClient))
+		}
+	}
 	server, err := net.DialTimeout("tcp", target, dialTimeout)
 	if err != nil {
 		reset(client)
 		return
 	}
 	l := newLink(f, client, server, limit)
+	l.delay, l.established = delay, established
 	if mute {
 		l.silence()
 	}
--- a/test/faultnet/faultnet_test.go
+++ b/test/faultnet/faultnet_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -209,3 +210,29 @@
 	c.Assert(string(got), qt.Equals, "all")
 	eventually(c, "the connection is gone", func() bool { return f.Counts().Open == 0 })
 }
+
+// Guards against a delay by client that is applied to other clients, or that reorders bytes when it varies.
+func TestPath(t *testing.T) {
+	c, f, e := setUp(t)
+	f.SetPath(func(net.Addr) DelayFunc { return func(Direction) time.Duration { return time.Hour } })
+	held := dial(c, f)
+	_, err := io.WriteString(held, "held")
+	c.Assert(err, qt.IsNil)
+	eventually(c, "the connection is forwarded", func() bool { return f.Counts().Open == 1 })
+	var calls atomic.Int64
+	f.SetPath(func(net.Addr) DelayFunc {
+		return func(Direction) time.Duration { return time.Duration(calls.Add(1)%5) * time.Millisecond }
+	})
+	conn := dial(c, f)
+	text := strings.Repeat("0123456789", 100_000)
+	go func() { _, _ = io.WriteString(conn, text) }()
+	got := make([]byte, len(text))
+	_, err = io.ReadFull(conn, got)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(got) == text, qt.IsTrue)
+	c.Assert(calls.Load() > 2, qt.IsTrue)
+	expectSilence(c, held)
+	c.Assert(e.count(), qt.Equals, len(text))
+	f.SetPath(nil)
+	c.Assert(say(c, dial(c, f), "direct"), qt.Equals, "direct")
+}
--- a/test/faultnet/link.go
+++ b/test/faultnet/link.go
@@ -24,6 +24,10 @@
 	// ends holds the connection from the client and the one to the server, so that direction d reads ends[d].
 	ends  [2]net.Conn
 	limit [2]int64
+	// delay adds to the forwarder's delay; it may be nil.
+	delay DelayFunc
+	// established is when the handshake would have ended on a real link.
+	established time.Time
 
 	// silenced is closed when no more bytes are forwarded.
 	silenced  chan struct{}
@@ -101,7 +105,7 @@
 			l.forwarder.count(d, 0, n)
 			n = 0
 		}
-		if n > 0 && !l.queue(chunks, chunk{append([]byte(nil), buffer[:n]...), time.Now().Add(l.forwarder.delayOf(d))}) {
+		if n > 0 && !l.queue(chunks, chunk{append([]byte(nil), buffer[:n]...), l.due(d)}) {
 			return
 		}
 		if err == nil {
@@ -111,11 +115,24 @@
 			l.cut()
 			return
 		}
-		l.queue(chunks, chunk{due: time.Now().Add(l.forwarder.delayOf(d))})
+		l.queue(chunks, chunk{due: l.due(d)})
 		return
 	}
 }
 
+// due returns when bytes that were read now are to be delivered. Later bytes never overtake earlier ones, since they are
+// written in order.
+func (l *link) due(d Direction) time.Time {
+	at := time.Now()
+	if d == ToServer && at.Before(l.established) {
+		at = l.established
+	}
+	if l.delay != nil {
+		at = at.Add(l.delay(d))
+	}
+	return at.Add(l.forwarder.delayOf(d))
+}
+
 func (l *link) queue(chunks chan<- chunk, c chunk) bool {
 	select {
 	case chunks <- c:
