--- a/shard/step.go
+++ b/shard/step.go
@@ -221,19 +221,22 @@
 // again is known, and records that a snapshot covers are skipped.
 func (o *Owner) clean(ctx context.Context, t *term) error {
 	o.mu.Lock()
-	var keys []string
 	for _, id := range slices.Sorted(maps.Keys(o.arrived)) {
-		if o.arrived[id] <= t.machine.Durable() && len(keys) < maxDeletes {
+		if o.arrived[id] <= t.machine.Durable() && len(t.superfluous) < maxDeletes {
 			delete(o.arrived, id)
-			keys = append(keys, JobKey(o.config.Shard, id))
+			t.superfluous = append(t.superfluous, JobKey(o.config.Shard, id))
 		}
 	}
 	for _, sequence := range t.truncatable() {
-		keys = append(keys, recordKey(o.config.Shard, sequence))
+		t.superfluous = append(t.superfluous, recordKey(o.config.Shard, sequence))
 	}
 	o.mu.Unlock()
 	var err error
-	for _, key := range keys {
+	for range maxDeletes {
+		key, ok := o.nextSuperfluous(t)
+		if !ok {
+			break
+		}
 		if e := o.store.Delete(ctx, key, store.AnyRevision); e != nil && !errors.Is(e, store.ErrNotFound) {
 			err = multierr.Append(err, eris.Wrap(e, "deleting a superfluous key"))
 		}
@@ -241,6 +244,19 @@
 	return err
 }
 
+// nextSuperfluous takes a key to delete. It returns false when there is none, or when a step is due at once: the deletions
+// after a snapshot take half a second with 4 ms to the store, for which urgent work would wait.
+func (o *Owner) nextSuperfluous(t *term) (string, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.urgent || len(t.superfluous) == 0 {
+		return "", false
+	}
+	key := t.superfluous[0]
+	t.superfluous = t.superfluous[1:]
+	return key, true
+}
+
 // Heartbeat answers the report of a worker.
 func (o *Owner) Heartbeat(hb structs.Heartbeat) (structs.HeartbeatReply, error) {
 	o.mu.Lock()
--- a/shard/term.go
+++ b/shard/term.go
@@ -39,6 +39,8 @@
 	snapshotRev  int64
 	epochRecords []int64
 	kept         []int64
+	// superfluous holds keys that are still to be deleted.
+	superfluous []string
 	// changed is closed and replaced whenever records become durable or the term ends.
 	changed chan struct{}
 	ended   bool
