Take back pushed stops, which let tasks finish twice

The likely reason, not proven: a tick stops what is to be stopped before it reads the worker's status, so that a task that has just finished is reported as stopped and runs again. Change: stops go with replies to heartbeats again, and the tests of pushed stops go with the code that they tested. The deferred deletions and their test stay.

--- a/agent/runner/ledger.go
+++ b/agent/runner/ledger.go
@@ -209,15 +209,12 @@
 	}
 }
 
-// Push takes stops and starts that arrive outside of a reply. It returns false when they are out of date.
+// Push takes starts that arrive outside of a reply. It returns false when they are out of date.
 func (l *Ledger) Push(request structs.StartRequest, now time.Time) bool {
 	sent, known := l.sent[request.Sequence]
 	if !known || request.Incarnation != l.incarnation || request.Shard != l.shard || request.Epoch != l.epoch {
 		return false
 	}
-	for _, stop := range request.Stop {
-		l.stop(stop, now)
-	}
 	for _, alloc := range request.Start {
 		l.admit(alloc, sent, now)
 	}
--- a/agent/runner/ledger_test.go
+++ b/agent/runner/ledger_test.go
@@ -106,27 +106,6 @@
 	c.Assert(l.held, qt.HasLen, 0)
 }
 
-// Guards against a pushed stop that waits for the next heartbeat, and against one of an earlier owner that is obeyed.
-func TestPushedStop(t *testing.T) {
-	c := qt.New(t)
-	l := newTestLedger()
-	hb := l.Heartbeat(origin)
-	l.Apply(startReply(hb, 2, testAllocation("a", 1000)), origin)
-	push := structs.StartRequest{
-		Epoch: 1, Incarnation: "first", Sequence: hb.Sequence, Stop: []structs.TaskStop{{AllocationID: "a", Checkpoint: true}},
-	}
-	c.Assert(l.Push(push, origin), qt.IsFalse)
-	due := func() operation {
-		list := l.due(origin)
-		c.Assert(list, qt.HasLen, 1)
-		return list[0]
-	}
-	c.Assert(due(), qt.Equals, operation{verbStart, "a"})
-	push.Epoch = 2
-	c.Assert(l.Push(push, origin), qt.IsTrue)
-	c.Assert(due(), qt.Equals, operation{verbStop, "a"})
-}
-
 // fixedOwner is a transport with one owner.
 type fixedOwner struct {
 	stored int64
--- a/shard/lifecycle/heartbeat.go
+++ b/shard/lifecycle/heartbeat.go
@@ -259,8 +259,8 @@
 	return starts
 }
 
-// Push returns the starts and the stops to send to a worker at once, or false when there are none. The leases of starts
-// count from the worker's newest heartbeat. Stops are sent at once because urgent work waits for the room.
+// Push returns the starts to send to a worker at once, or false when there are none. Their leases count from the
+// worker's newest heartbeat.
 func (m *Machine) Push(worker string, now time.Time, mayStart bool) (structs.StartRequest, bool) {
 	view := m.workers[worker]
 	if view == nil || !view.Current || now.Sub(view.Received) >= m.settings.Lease {
@@ -278,18 +278,5 @@
 		live.Sent, live.offeredTo = view.Received, view.Incarnation
 		request.Start = append(request.Start, live.Alloc)
 	}
-	request.Stop = m.unsentStops(view)
-	return request, len(request.Start)+len(request.Stop) > 0
-}
-
-// unsentStops returns the stops of attempts that the agent has reported, each once; replies to heartbeats repeat them.
-func (m *Machine) unsentStops(view *View) []structs.TaskStop {
-	var stops []structs.TaskStop
-	for _, id := range slices.Sorted(maps.Keys(view.Running)) {
-		if live := m.live[id]; live != nil && live.Stop != nil && !live.stopPushed {
-			live.stopPushed = true
-			stops = append(stops, *live.Stop)
-		}
-	}
-	return stops
+	return request, len(request.Start) > 0
 }
--- a/shard/lifecycle/machine.go
+++ b/shard/lifecycle/machine.go
@@ -28,8 +28,6 @@
 	offeredTo string
 	// pushed is set once the start was sent outside of a reply, which is tried once.
 	pushed bool
-	// stopPushed is the same for the stop.
-	stopPushed bool
 	// lsn is the position of the start record; the start is sent once it is durable.
 	lsn int64
 }
--- a/shard/lifecycle/machine_test.go
+++ b/shard/lifecycle/machine_test.go
@@ -296,26 +296,3 @@
 	f.pass(8 * time.Second)
 	c.Assert(f.task().State, qt.Equals, structs.TaskPending)
 }
-
-// Guards against urgent work that waits for the next heartbeat of the worker where room is made for it, and against a stop
-// that is pushed again and again, or only pushed.
-func TestStopIsPushedOnce(t *testing.T) {
-	c := qt.New(t)
-	f := newFixture(NewState())
-	f.accept(structs.KindBatch, 1)
-	f.beat("w", 7, nil)
-	alloc := f.place("w")
-	f.commit()
-	f.beat("w", 7, []structs.Allocation{alloc})
-	_, ok := f.Push("w", f.now, true)
-	c.Assert(ok, qt.IsFalse)
-	f.Evict(alloc.ID, "room for urgent work", f.now)
-	request, ok := f.Push("w", f.now, false)
-	c.Assert(ok, qt.IsTrue)
-	c.Assert(request.Start, qt.HasLen, 0)
-	c.Assert(request.Stop, qt.HasLen, 1)
-	c.Assert(request.Stop[0].Checkpoint, qt.IsTrue)
-	_, ok = f.Push("w", f.now, false)
-	c.Assert(ok, qt.IsFalse)
-	c.Assert(f.beat("w", 7, []structs.Allocation{alloc}).Stop, qt.HasLen, 1)
-}
--- a/structs/status.go
+++ b/structs/status.go
@@ -15,7 +15,7 @@
 	Done bool `json:"done"`
 }
 
-// StartRequest asks an agent to stop and to start allocations before its next heartbeat. Its lease counts from when the agent sent
+// StartRequest asks an agent to start allocations before its next heartbeat. Its lease counts from when the agent sent
 // the heartbeat with the given incarnation and sequence, so a delayed request can't start anything late.
 type StartRequest struct {
 	Shard       int          `json:"shard"`
@@ -23,7 +23,6 @@
 	Incarnation string       `json:"incarnation"`
 	Sequence    int64        `json:"sequence"`
 	Start       []Allocation `json:"start"`
-	Stop        []TaskStop   `json:"stop,omitempty"`
 }
 
 // JobList is a list of jobs with their state.
