--- a/shard/step.go
+++ b/shard/step.go
@@ -234,20 +234,23 @@
 // again is known, and records that a snapshot covers are skipped.
 func (o *Owner) clean(ctx context.Context, t *term) error {
 	o.mu.Lock()
-	var keys []string
 	for _, id := range slices.Sorted(maps.Keys(o.arrived)) {
-		if o.arrived[id] <= t.machine.Durable() && len(keys) < maxDeletes {
+		if o.arrived[id] <= t.machine.Durable() && len(t.superfluous) < maxDeletes {
 			delete(o.arrived, id)
-			keys = append(keys, JobKey(o.config.Shard, id))
+			t.superfluous = append(t.superfluous, JobKey(o.config.Shard, id))
 		}
 	}
 	for _, sequence := range t.truncatable() {
-		keys = append(keys, recordKey(o.config.Shard, sequence))
+		t.superfluous = append(t.superfluous, recordKey(o.config.Shard, sequence))
 	}
 	o.mu.Unlock()
-	errs := make([]error, len(keys))
+	var errs [maxDeletes]error
 	var deletions sync.WaitGroup
-	for i, key := range keys {
+	for i := range maxDeletes {
+		key, ok := o.nextSuperfluous(t)
+		if !ok {
+			break
+		}
 		deletions.Add(1)
 		// With a slow store, one deletion after another would delay the next commit by all of them.
 		o.background(func() {
@@ -258,7 +261,20 @@
 		})
 	}
 	deletions.Wait()
-	return multierr.Combine(errs...)
+	return multierr.Combine(errs[:]...)
+}
+
+// nextSuperfluous takes a key to delete. It returns false when there is none, or when a step is due at once: the deletions
+// after a snapshot take half a second with 4 ms to the store, for which urgent work would wait.
+func (o *Owner) nextSuperfluous(t *term) (string, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.urgent || len(t.superfluous) == 0 {
+		return "", false
+	}
+	key := t.superfluous[0]
+	t.superfluous = t.superfluous[1:]
+	return key, true
 }
 
 // Heartbeat answers the report of a worker.
