Start test processes in one place

Cause: the tests of quetzalctl and test/guarantees each had the code with which a test binary runs as a process of a fleet.

Change: package test/processtest with Main and Command.

Conclusion: the next test that starts processes needs two lines.

--- a/cmd/quetzalctl/command_test.go
+++ b/cmd/quetzalctl/command_test.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
-	"os/signal"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -27,31 +25,10 @@
 	_ "github.com/quetzalshed/quetzalshed/gossip"
 	_ "github.com/quetzalshed/quetzalshed/platform/store/storemodule"
 	"github.com/quetzalshed/quetzalshed/test/loopback"
+	"github.com/quetzalshed/quetzalshed/test/processtest"
 )
 
-// Environment variables with which the test binary runs as a process of a fleet. Several processes can't run in one
-// binary, since their metrics would be registered twice.
-const (
-	roleVariable     = "QUETZALSHED_TEST_ROLE"
-	settingsVariable = "QUETZALSHED_TEST_SETTINGS"
-)
-
-func TestMain(m *testing.M) {
-	role := os.Getenv(roleVariable)
-	if role == "" {
-		os.Exit(m.Run())
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
-	defer stop()
-	process, err := kernel.LoadProcess(kernel.Role(role), os.Getenv(settingsVariable))
-	if err == nil {
-		err = process.Run(ctx)
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+func TestMain(m *testing.M) { os.Exit(processtest.Main(m)) }
 
 // startProcess runs a process until the test ends and returns its address.
 func startProcess(t *testing.T, role kernel.Role, name, storeAddress, peers string) string {
@@ -75,9 +52,7 @@
 interval = 20ms
 `, name, address, loopback.Address(), storeAddress, peers)
 	qt.Assert(t, os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
-	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), roleVariable+"="+string(role), settingsVariable+"="+path)
-	cmd.Stderr = os.Stderr
+	cmd := processtest.Command(role, path)
 	qt.Assert(t, cmd.Start(), qt.IsNil)
 	t.Cleanup(func() {
 		qt.Check(t, cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
--- a/test/guarantees/fleet_test.go
+++ b/test/guarantees/fleet_test.go
@@ -13,7 +13,6 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
-	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -43,30 +42,10 @@
 	"github.com/quetzalshed/quetzalshed/structs"
 	"github.com/quetzalshed/quetzalshed/test/faultnet"
 	"github.com/quetzalshed/quetzalshed/test/loopback"
+	"github.com/quetzalshed/quetzalshed/test/processtest"
 )
 
-// Environment variables with which the test binary runs as a process of a fleet.
-const (
-	roleVariable     = "QUETZALSHED_TEST_ROLE"
-	settingsVariable = "QUETZALSHED_TEST_SETTINGS"
-)
-
-func TestMain(m *testing.M) {
-	role := os.Getenv(roleVariable)
-	if role == "" {
-		os.Exit(m.Run())
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
-	defer stop()
-	process, err := kernel.LoadProcess(kernel.Role(role), os.Getenv(settingsVariable))
-	if err == nil {
-		err = process.Run(ctx)
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+func TestMain(m *testing.M) { os.Exit(processtest.Main(m)) }
 
 // process is an entry or an agent in a process of its own.
 type process struct {
@@ -260,9 +239,7 @@
 
 // start runs the process until it is killed, stopped or the test ends.
 func (p *process) start() {
-	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), roleVariable+"="+string(p.role), settingsVariable+"="+p.settings)
-	cmd.Stderr = os.Stderr
+	cmd := processtest.Command(p.role, p.settings)
 	p.c.Assert(cmd.Start(), qt.IsNil)
 	p.cmd = cmd
 	p.pid.Store(int64(cmd.Process.Pid))
