Split the shard owner's step by its jobs

Cause: shard/step.go had grown to 423 lines with the periodic step, the calls of agents and entries, and the removal of keys.

Ruled out: packages of their own; all three share the owner's lock.

No code changed.

Conclusion: each file has one job.

--- /dev/null
+++ b/shard/serve.go
@@ -0,0 +1,183 @@
+package shard
+
+import (
+	"context"
+
+	"github.com/quetzalshed/quetzalshed/shard/heartbeat"
+	"github.com/quetzalshed/quetzalshed/shard/lifecycle"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// maxOpenTasks bounds the open tasks of a shard, so that its snapshot stays well under the store's limit of 1 MB.
+const maxOpenTasks = 50000
+
+// Heartbeat answers the report of a worker.
+func (o *Owner) Heartbeat(hb structs.Heartbeat) (structs.HeartbeatReply, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t := o.term
+	if t == nil {
+		return structs.HeartbeatReply{}, ErrNotOwner
+	}
+	// The clock is read after the wait for the mutex, so that a pause in between can't renew too late.
+	now := o.clock.Now()
+	renew := t.valid(now, o.config.Lifecycle.OwnerValidity)
+	if err := heartbeat.Expand(baseOf(t.machine.Workers()[hb.Worker.Name]), &hb); err != nil {
+		return structs.HeartbeatReply{}, err
+	}
+	stated := hb.Worker
+	o.identify(&hb.Worker)
+	allowed, _ := o.settled.MayStart(hb.Worker.FailureDomain)
+	reply, err := t.machine.Heartbeat(now, now, hb, renew, allowed)
+	if err != nil {
+		return reply, err
+	}
+	t.machine.Workers()[hb.Worker.Name].Stated = stated
+	t.learned.heartbeat(&hb, now)
+	if !renew {
+		// The report is kept, so that work which agents have suspended isn't given up once the store is back.
+		return structs.HeartbeatReply{}, ErrNotOwner
+	}
+	heartbeat.Shorten(hb, &reply)
+	o.settled.Attach(&reply, hb.HeadRevision)
+	return reply, nil
+}
+
+// baseOf returns the heartbeat on which the next one of a worker may build, nil when there is none under this epoch.
+func baseOf(view *lifecycle.View) *heartbeat.Base {
+	if view == nil || !view.Current {
+		return nil
+	}
+	return &heartbeat.Base{
+		Incarnation: view.Incarnation, Sequence: view.Sequence, Worker: view.Stated, Running: view.Running,
+	}
+}
+
+// identify replaces what a worker says of its place and size by what the inventory says, where that is known. The
+// capacity is the smaller of both, since the agent refuses what exceeds its own.
+func (o *Owner) identify(w *structs.Worker) {
+	listed, ok := o.settled.Worker(w.Name)
+	if !ok {
+		return
+	}
+	own, address := w.Capacity, w.Address
+	*w = listed
+	w.Address = address
+	w.Capacity = structs.Resources{
+		MilliCores:   min(own.MilliCores, listed.Capacity.MilliCores),
+		MemoryMB:     min(own.MemoryMB, listed.Capacity.MemoryMB),
+		Accelerators: min(own.Accelerators, listed.Capacity.Accelerators),
+	}
+}
+
+// accept adds a job that is stored under its key; o.mu is held.
+func (o *Owner) accept(t *term, job structs.Job) error {
+	machine := t.machine
+	if t.ended {
+		return ErrNotOwner
+	}
+	if len(machine.Pending()) > maxPendingEvents {
+		return ErrBusy
+	}
+	if machine.OpenTasks()+job.Tasks > maxOpenTasks {
+		return ErrFull
+	}
+	lsn := machine.Accept(job)
+	if lsn == 0 {
+		// The job is known; its key may be deleted once everything so far is in the log.
+		lsn = machine.Position()
+	}
+	if _, waiting := o.arrived[job.ID]; !waiting {
+		o.arrived[job.ID] = lsn
+	}
+	if job.Urgent {
+		o.setUrgent()
+	}
+	return nil
+}
+
+// Submit takes a job that an entry has stored.
+func (o *Owner) Submit(job structs.Job) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.term == nil {
+		return ErrNotOwner
+	}
+	return o.accept(o.term, job)
+}
+
+// Status returns the state of a job.
+func (o *Owner) Status(id string) (structs.JobStatus, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.term == nil || !o.term.valid(o.clock.Now(), o.config.Lifecycle.OwnerValidity) {
+		return structs.JobStatus{}, ErrNotOwner
+	}
+	status, known := o.term.machine.Status(id)
+	if !known {
+		return status, ErrUnknownJob
+	}
+	return status, nil
+}
+
+// Jobs returns the state of all jobs in the order of their IDs.
+func (o *Owner) Jobs() ([]structs.JobStatus, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.term == nil {
+		return nil, ErrNotOwner
+	}
+	list := []structs.JobStatus{}
+	for _, id := range o.term.machine.State().JobIDs() {
+		status, _ := o.term.machine.Status(id)
+		list = append(list, status)
+	}
+	return list, nil
+}
+
+// Cancel ends a job and returns once the cancellation is in the log. Cancellations that arrive within one commit
+// interval share a record.
+func (o *Owner) Cancel(ctx context.Context, id string) error {
+	done, err := o.BeginCancel(id)
+	if err != nil {
+		return err
+	}
+	return done(ctx)
+}
+
+// BeginCancel ends a job and returns a function that waits until the cancellation is in the log.
+func (o *Owner) BeginCancel(id string) (func(context.Context) error, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t := o.term
+	if t == nil {
+		return nil, ErrNotOwner
+	}
+	if len(t.machine.Pending()) > maxPendingEvents {
+		return nil, ErrBusy
+	}
+	lsn, known := t.machine.Cancel(id, o.clock.Now())
+	if !known {
+		return nil, ErrUnknownJob
+	}
+	return func(ctx context.Context) error { return o.waitDurable(ctx, t, lsn) }, nil
+}
+
+func (o *Owner) waitDurable(ctx context.Context, t *term, lsn int64) error {
+	for {
+		o.mu.Lock()
+		durable, ended, changed := t.machine.Durable() >= lsn, t.ended, t.changed
+		o.mu.Unlock()
+		switch {
+		case durable:
+			return nil
+		case ended:
+			return ErrNotOwner
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
