Measure resident memory with one function

Cause: the benchmarks of full tables in agent/requests and entry/requests had the same functions for resident memory and touched bodies.

Change: load.Resident, load.Touched and load.ProcessMemoryLimit.

--- a/agent/requests/bench_test.go
+++ b/agent/requests/bench_test.go
@@ -3,9 +3,7 @@
 import (
 	"fmt"
 	"math"
-	"os"
 	"runtime"
-	"runtime/debug"
 	"testing"
 	"time"
 
@@ -92,7 +90,7 @@
 			id := structs.AttemptID("entry", uint64(n))
 			answers.arrive(&attempt{id: id})
 			_, _ = answers.apply(id, begin)
-			_ = answers.finish(id, &response{body: touched(int(size))})
+			_ = answers.finish(id, &response{body: load.Touched(int(size))})
 		}
 		_, retained, _ := answers.sizes()
 		if retained != defaultTableLimits.Answers {
@@ -103,7 +101,7 @@
 		b.ReportMetric((after-before)/mb, "MB-responses")
 		budget, bodies := byteBudget{limit: bodyBytes}, [][]byte{}
 		for budget.hold(structs.MaxRequestBody) {
-			bodies = append(bodies, touched(structs.MaxRequestBody))
+			bodies = append(bodies, load.Touched(structs.MaxRequestBody))
 		}
 		before = after
 		after = heap()
@@ -121,8 +119,7 @@
 		after = heap()
 		b.ReportMetric((after-before)/mb, "MB-results")
 		b.ReportMetric((after-start)/mb, "MB-sum")
-		b.ReportMetric(resident(b, memoryLimit), "MB-resident")
-		b.ReportMetric(resident(b, math.MaxInt64), "MB-resident-without-limit")
+		reportResident(b)
 		runtime.KeepAlive(records)
 		runtime.KeepAlive(answers)
 		runtime.KeepAlive(bodies)
@@ -130,39 +127,15 @@
 	}
 }
 
-// resident returns the highest resident memory of this process in MB of 10^6 bytes while it makes garbage as bodies do, of
-// about 64 MB a second, under a memory limit of the runtime.
-func resident(b *testing.B, limit int64) float64 {
-	const body, times = 64 << 10, 4_000
-	defer debug.SetMemoryLimit(debug.SetMemoryLimit(limit))
-	debug.FreeOSMemory()
-	highest := int64(0)
-	for n := range times {
-		garbage = touched(body)
-		time.Sleep(time.Millisecond)
-		if n%100 == 0 {
-			usage, err := load.ReadUsage(os.Getpid())
-			if err != nil {
-				b.Fatal(err)
-			}
-			highest = max(highest, usage.Resident)
+// reportResident reports the resident memory with and without the memory limit of processes.
+func reportResident(b *testing.B) {
+	report := func(name string, limit int64) {
+		resident, err := load.Resident(limit)
+		if err != nil {
+			b.Fatal(err)
 		}
+		b.ReportMetric(resident, name)
 	}
-	return float64(highest) / 1e6
+	report("MB-resident", load.ProcessMemoryLimit)
+	report("MB-resident-without-limit", math.MaxInt64)
 }
-
-// touched returns memory of which each page is resident.
-func touched(size int) []byte {
-	const page = 4096
-	body := make([]byte, size)
-	for i := 0; i < size; i += page {
-		body[i] = 1
-	}
-	return body
-}
-
-// garbage keeps allocations on the heap.
-var garbage []byte
-
-// memoryLimit is the default of [process] memory_limit.
-const memoryLimit = 112_000_000
--- a/entry/requests/bench_test.go
+++ b/entry/requests/bench_test.go
@@ -8,9 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"runtime"
-	"runtime/debug"
 	"strings"
 	"testing"
 	"time"
@@ -142,12 +140,11 @@
 		}
 		observed := memory()
 		b.ReportMetric(observed-announced, "MB-latencies")
-		bodies := touched(32_000_000)
+		bodies := load.Touched(32_000_000)
 		requestsInFlight(b, func(used float64) {
 			b.ReportMetric(used, "KB-a-request-in-flight")
 			b.ReportMetric(memory()-start, "MB-sum")
-			b.ReportMetric(resident(b, memoryLimit), "MB-resident")
-			b.ReportMetric(resident(b, math.MaxInt64), "MB-resident-without-limit")
+			reportResident(b)
 		})
 		runtime.KeepAlive(bodies)
 		runtime.KeepAlive(e)
@@ -202,39 +199,15 @@
 	}
 }
 
-// resident returns the highest resident memory of this process in MB of 10^6 bytes while it makes garbage as bodies do, of
-// about 64 MB a second, under a memory limit of the runtime.
-func resident(b *testing.B, limit int64) float64 {
-	const body, times = 64 << 10, 4_000
-	defer debug.SetMemoryLimit(debug.SetMemoryLimit(limit))
-	debug.FreeOSMemory()
-	highest := int64(0)
-	for n := range times {
-		garbage = touched(body)
-		time.Sleep(time.Millisecond)
-		if n%100 == 0 {
-			usage, err := load.ReadUsage(os.Getpid())
-			if err != nil {
-				b.Fatal(err)
-			}
-			highest = max(highest, usage.Resident)
+// reportResident reports the resident memory with and without the memory limit of processes.
+func reportResident(b *testing.B) {
+	report := func(name string, limit int64) {
+		resident, err := load.Resident(limit)
+		if err != nil {
+			b.Fatal(err)
 		}
+		b.ReportMetric(resident, name)
 	}
-	return float64(highest) / 1e6
-}
-
-// touched returns memory of which each page is resident.
-func touched(size int) []byte {
-	const page = 4096
-	body := make([]byte, size)
-	for i := 0; i < size; i += page {
-		body[i] = 1
-	}
-	return body
+	report("MB-resident", load.ProcessMemoryLimit)
+	report("MB-resident-without-limit", math.MaxInt64)
 }
-
-// garbage keeps allocations on the heap.
-var garbage []byte
-
-// memoryLimit is the default of [process] memory_limit.
-const memoryLimit = 112_000_000
