--- a/scheduler/interference/model.go
+++ b/scheduler/interference/model.go
@@ -10,8 +10,8 @@
 // Model learns from lagged latency measurements of services. For each service class it keeps the undisturbed latency,
 // and for each batch class a coefficient: the relative slowdown by a worker full of that class. The slowdown of a
 // sample is explained as the sum of coefficient times share over the classes on the worker, and its error is
-// distributed over them (normalised least mean squares, regularised for small shares), so that a harmless class beside a noisy one isn't blamed for
-// long. A model is not safe for concurrent use.
+// distributed over them (normalised least mean squares, regularised for small shares), so that a harmless class beside
+// a noisy one isn't blamed for long. A model is not safe for concurrent use.
 type Model struct {
 	config   Config
 	services map[string]*baseline
--- a/shard/inquiry.go
+++ b/shard/inquiry.go
@@ -37,7 +37,7 @@
 	return client.Status(ctx)
 }
 
-// inquire asks the workers of attempts that are about to be given up. The answers arrive in the background, so that a host
+// inquire asks the workers of attempts that no agent has reported for a lease. The answers arrive in the background, so that a host
 // that doesn't respond holds no commit up.
 func (o *Owner) inquire(ctx context.Context, t *term) {
 	for _, w := range o.dueInquiries(t) {
