--- a/agent/runner/cluster_test.go
+++ b/agent/runner/cluster_test.go
@@ -16,13 +16,13 @@
 	"github.com/quetzalshed/quetzalshed/config"
 	"github.com/quetzalshed/quetzalshed/entry/jobs"
 	"github.com/quetzalshed/quetzalshed/gossip"
-	"github.com/quetzalshed/quetzalshed/platform/store"
-	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
-	"github.com/quetzalshed/quetzalshed/platform/worker/workertest"
 	"github.com/quetzalshed/quetzalshed/scheduler"
 	_ "github.com/quetzalshed/quetzalshed/scheduler/plugins"
 	"github.com/quetzalshed/quetzalshed/shard"
+	"github.com/quetzalshed/quetzalshed/store"
+	"github.com/quetzalshed/quetzalshed/store/storetest"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/worker/workertest"
 )
 
 // tick is the smallest step of virtual time in a cluster.
--- a/agent/runner/figures_test.go
+++ b/agent/runner/figures_test.go
@@ -8,8 +8,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/quetzalshed/quetzalshed/platform/store"
-	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+	"github.com/quetzalshed/quetzalshed/store"
+	"github.com/quetzalshed/quetzalshed/store/storetest"
 )
 
 // Guards against store calls that grow with tasks or workers: a job costs its own key, and shares of records.
--- a/agent/runner/finish_test.go
+++ b/agent/runner/finish_test.go
@@ -8,10 +8,10 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/quetzalshed/quetzalshed/clock"
-	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
-	"github.com/quetzalshed/quetzalshed/platform/worker"
-	"github.com/quetzalshed/quetzalshed/platform/worker/workertest"
+	"github.com/quetzalshed/quetzalshed/store/storetest"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/worker"
+	"github.com/quetzalshed/quetzalshed/worker/workertest"
 )
 
 // starts counts the starts on all workers.
--- a/agent/runner/gates_test.go
+++ b/agent/runner/gates_test.go
@@ -6,10 +6,10 @@
 	"strings"
 	"time"
 
-	"github.com/quetzalshed/quetzalshed/platform/store"
-	"github.com/quetzalshed/quetzalshed/platform/worker"
 	"github.com/quetzalshed/quetzalshed/shard"
+	"github.com/quetzalshed/quetzalshed/store"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/worker"
 )
 
 // storeGate is the store as a node reaches it.
--- a/agent/runner/ledger_test.go
+++ b/agent/runner/ledger_test.go
@@ -9,9 +9,9 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/quetzalshed/quetzalshed/clock"
-	"github.com/quetzalshed/quetzalshed/platform/worker"
-	"github.com/quetzalshed/quetzalshed/platform/worker/workertest"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/worker"
+	"github.com/quetzalshed/quetzalshed/worker/workertest"
 )
 
 var origin = time.Unix(1_800_000_000, 0)
--- a/agent/runner/model_test.go
+++ b/agent/runner/model_test.go
@@ -13,9 +13,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/quetzalshed/quetzalshed/config"
-	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
-	"github.com/quetzalshed/quetzalshed/platform/worker/workertest"
+	"github.com/quetzalshed/quetzalshed/store/storetest"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/worker/workertest"
 )
 
 // defaultChecks is the number of runs unless one is given: with the race detector each takes about a quarter of a second.
--- a/agent/runner/module.go
+++ b/agent/runner/module.go
@@ -19,10 +19,10 @@
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/config"
 	"github.com/quetzalshed/quetzalshed/kernel"
-	"github.com/quetzalshed/quetzalshed/platform/worker"
 	"github.com/quetzalshed/quetzalshed/shard"
 	"github.com/quetzalshed/quetzalshed/shard/partition"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/worker"
 )
 
 // Name is the name of the module and of its settings section.
--- a/agent/runner/operations.go
+++ b/agent/runner/operations.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/quetzalshed/quetzalshed/platform/worker"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/worker"
 )
 
 // verb is a kind of call to the worker.
--- a/agent/runner/oracle_test.go
+++ b/agent/runner/oracle_test.go
@@ -8,13 +8,13 @@
 	"strings"
 	"time"
 
-	"github.com/quetzalshed/quetzalshed/platform/store"
-	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
-	"github.com/quetzalshed/quetzalshed/platform/worker"
-	"github.com/quetzalshed/quetzalshed/platform/worker/workertest"
 	"github.com/quetzalshed/quetzalshed/shard"
 	"github.com/quetzalshed/quetzalshed/shard/lifecycle"
+	"github.com/quetzalshed/quetzalshed/store"
+	"github.com/quetzalshed/quetzalshed/store/storetest"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/worker"
+	"github.com/quetzalshed/quetzalshed/worker/workertest"
 )
 
 // oracle follows the log in the store and the starts on workers, and knows nothing else of the implementation.
--- a/agent/runner/perform.go
+++ b/agent/runner/perform.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"errors"
 
-	"github.com/quetzalshed/quetzalshed/platform/worker"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/worker"
 )
 
 // perform makes calls to the worker, each after a check that it is still due.
--- a/agent/runner/rules_test.go
+++ b/agent/runner/rules_test.go
@@ -9,7 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+	"github.com/quetzalshed/quetzalshed/store/storetest"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -13,9 +13,9 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/quetzalshed/quetzalshed/clock"
-	"github.com/quetzalshed/quetzalshed/platform/worker"
 	"github.com/quetzalshed/quetzalshed/shard/heartbeat"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/worker"
 )
 
 // ErrNoOwner means that no owner of the shard is known or reachable.
--- a/cmd/quetzalctl/command_test.go
+++ b/cmd/quetzalctl/command_test.go
@@ -18,12 +18,12 @@
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/config"
 	"github.com/quetzalshed/quetzalshed/kernel"
-	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+	"github.com/quetzalshed/quetzalshed/store/storetest"
 
 	_ "github.com/quetzalshed/quetzalshed/config/configmodule"
 	_ "github.com/quetzalshed/quetzalshed/entry/operators"
 	_ "github.com/quetzalshed/quetzalshed/gossip"
-	_ "github.com/quetzalshed/quetzalshed/platform/store/storemodule"
+	_ "github.com/quetzalshed/quetzalshed/store/storemodule"
 	"github.com/quetzalshed/quetzalshed/test/loopback"
 	"github.com/quetzalshed/quetzalshed/test/processtest"
 )
--- a/cmd/quetzalshed-agent/modules.go
+++ b/cmd/quetzalshed-agent/modules.go
@@ -7,7 +7,7 @@
 	_ "github.com/quetzalshed/quetzalshed/agent/runner"
 	_ "github.com/quetzalshed/quetzalshed/config/configmodule"
 	_ "github.com/quetzalshed/quetzalshed/gossip"
-	_ "github.com/quetzalshed/quetzalshed/platform/store/storemodule"
 	_ "github.com/quetzalshed/quetzalshed/scheduler/plugins"
 	_ "github.com/quetzalshed/quetzalshed/shard"
+	_ "github.com/quetzalshed/quetzalshed/store/storemodule"
 )
--- a/cmd/quetzalshed-entry/modules.go
+++ b/cmd/quetzalshed-entry/modules.go
@@ -7,5 +7,5 @@
 	_ "github.com/quetzalshed/quetzalshed/entry/operators"
 	_ "github.com/quetzalshed/quetzalshed/entry/requests"
 	_ "github.com/quetzalshed/quetzalshed/gossip"
-	_ "github.com/quetzalshed/quetzalshed/platform/store/storemodule"
+	_ "github.com/quetzalshed/quetzalshed/store/storemodule"
 )
--- a/cmd/standin-durations/changes.go
+++ b/cmd/standin-durations/changes.go
@@ -9,7 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/quetzalshed/quetzalshed/config"
-	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+	"github.com/quetzalshed/quetzalshed/store/storetest"
 )
 
 // change is an accepted change of a failure domain.
--- a/cmd/standin-durations/observe.go
+++ b/cmd/standin-durations/observe.go
@@ -13,8 +13,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/quetzalshed/quetzalshed/platform/worker/workertest"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/worker/workertest"
 )
 
 // callTimeout bounds one call of the measurement.
--- a/cmd/standin-store/main.go
+++ b/cmd/standin-store/main.go
@@ -6,7 +6,7 @@
 
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/kernel"
-	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+	"github.com/quetzalshed/quetzalshed/store/storetest"
 )
 
 func main() { kernel.Execute(command(), kernel.Failure) }
--- a/cmd/standin-worker/main.go
+++ b/cmd/standin-worker/main.go
@@ -9,8 +9,8 @@
 
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/kernel"
-	"github.com/quetzalshed/quetzalshed/platform/worker/workertest"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/worker/workertest"
 )
 
 func main() { kernel.Execute(command(), kernel.Failure) }
--- a/config/acceptor.go
+++ b/config/acceptor.go
@@ -10,7 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/store"
 )
 
 // AnyBase as a base revision applies a change of one failure domain to the current revision.
--- a/config/apply_test.go
+++ b/config/apply_test.go
@@ -13,8 +13,8 @@
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/config"
 	"github.com/quetzalshed/quetzalshed/findings"
-	"github.com/quetzalshed/quetzalshed/platform/store"
-	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+	"github.com/quetzalshed/quetzalshed/store"
+	"github.com/quetzalshed/quetzalshed/store/storetest"
 )
 
 var start = time.Unix(1_700_000_000, 0)
--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/config"
-	"github.com/quetzalshed/quetzalshed/platform/store"
-	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+	"github.com/quetzalshed/quetzalshed/store"
+	"github.com/quetzalshed/quetzalshed/store/storetest"
 )
 
 // BenchmarkAcceptedChange prints the store calls of an accepted change and the bytes that it writes, by kind of change and
--- a/config/configmodule/module.go
+++ b/config/configmodule/module.go
@@ -16,8 +16,8 @@
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/config"
 	"github.com/quetzalshed/quetzalshed/kernel"
-	"github.com/quetzalshed/quetzalshed/platform/store"
-	"github.com/quetzalshed/quetzalshed/platform/store/storemodule"
+	"github.com/quetzalshed/quetzalshed/store"
+	"github.com/quetzalshed/quetzalshed/store/storemodule"
 )
 
 // Name is the name of the module and of its settings section.
--- a/config/configmodule/peers.go
+++ b/config/configmodule/peers.go
@@ -13,7 +13,7 @@
 
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/config"
-	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/store"
 )
 
 const (
--- a/config/fuzz_test.go
+++ b/config/fuzz_test.go
@@ -8,7 +8,7 @@
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/config"
 	"github.com/quetzalshed/quetzalshed/findings"
-	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+	"github.com/quetzalshed/quetzalshed/store/storetest"
 )
 
 // checkFindings fails unless each finding has a file and a message, and their number is bounded.
--- a/config/prune.go
+++ b/config/prune.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 
-	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/store"
 )
 
 const (
--- a/entry/jobs/module.go
+++ b/entry/jobs/module.go
@@ -11,8 +11,8 @@
 
 	"github.com/quetzalshed/quetzalshed/findings"
 	"github.com/quetzalshed/quetzalshed/kernel"
-	"github.com/quetzalshed/quetzalshed/platform/store"
 	"github.com/quetzalshed/quetzalshed/shard"
+	"github.com/quetzalshed/quetzalshed/store"
 )
 
 // Name is the name of the module.
--- a/entry/jobs/service.go
+++ b/entry/jobs/service.go
@@ -14,9 +14,9 @@
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/config"
 	"github.com/quetzalshed/quetzalshed/findings"
-	"github.com/quetzalshed/quetzalshed/platform/store"
 	"github.com/quetzalshed/quetzalshed/shard"
 	"github.com/quetzalshed/quetzalshed/shard/partition"
+	"github.com/quetzalshed/quetzalshed/store"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
--- a/entry/operators/handlers.go
+++ b/entry/operators/handlers.go
@@ -14,7 +14,7 @@
 	"github.com/quetzalshed/quetzalshed/config"
 	"github.com/quetzalshed/quetzalshed/findings"
 	"github.com/quetzalshed/quetzalshed/kernel"
-	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/store"
 )
 
 // applyTimeout bounds one change. It is independent of the operator's connection, so that a change in progress isn't
--- a/entry/requests/bench_test.go
+++ b/entry/requests/bench_test.go
@@ -18,8 +18,8 @@
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/forward"
 	"github.com/quetzalshed/quetzalshed/forward/forwardtest"
-	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
 	"github.com/quetzalshed/quetzalshed/routing"
+	"github.com/quetzalshed/quetzalshed/store/storetest"
 	"github.com/quetzalshed/quetzalshed/structs"
 	"github.com/quetzalshed/quetzalshed/test/load"
 )
--- a/entry/requests/entry_test.go
+++ b/entry/requests/entry_test.go
@@ -23,9 +23,9 @@
 	"github.com/quetzalshed/quetzalshed/idempotency"
 	"github.com/quetzalshed/quetzalshed/kernel"
 	"github.com/quetzalshed/quetzalshed/limit"
-	"github.com/quetzalshed/quetzalshed/platform/store"
-	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
 	"github.com/quetzalshed/quetzalshed/settings"
+	"github.com/quetzalshed/quetzalshed/store"
+	"github.com/quetzalshed/quetzalshed/store/storetest"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
--- a/entry/requests/machine_test.go
+++ b/entry/requests/machine_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/forward/forwardtest"
-	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+	"github.com/quetzalshed/quetzalshed/store/storetest"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
--- a/entry/requests/module.go
+++ b/entry/requests/module.go
@@ -12,8 +12,8 @@
 	"github.com/quetzalshed/quetzalshed/idempotency"
 	"github.com/quetzalshed/quetzalshed/kernel"
 	"github.com/quetzalshed/quetzalshed/limit"
-	"github.com/quetzalshed/quetzalshed/platform/store"
 	"github.com/quetzalshed/quetzalshed/routing"
+	"github.com/quetzalshed/quetzalshed/store"
 )
 
 func init() {
--- a/entry/requests/telemetry_test.go
+++ b/entry/requests/telemetry_test.go
@@ -12,8 +12,8 @@
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/forward/forwardtest"
 	"github.com/quetzalshed/quetzalshed/kernel"
-	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
 	"github.com/quetzalshed/quetzalshed/settings"
+	"github.com/quetzalshed/quetzalshed/store/storetest"
 )
 
 // Guards against hops without a span, spans that don't belong to the caller's trace, and outcomes that aren't counted.
--- /dev/null
+++ b/gateway/writer.go
@@ -0,0 +1,174 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+
+	"github.com/quetzalshed/quetzalshed/kv"
+)
+
+const (
+	// jobsPerWrite is how many jobs share a write; each takes a condition and a put.
+	jobsPerWrite = kv.MaxTransactionRows / 2
+	// queuedJobs bounds the jobs that wait for a write; more are rejected.
+	queuedJobs = 256
+	// writesAtOnce bounds the writes in flight.
+	writesAtOnce = 4
+)
+
+// writer creates keys; those that arrive while a write is in flight share the next one.
+type writer struct {
+	store kv.Store
+	log   hclog.Logger
+	queue chan *creation
+	slots chan struct{}
+}
+
+// creation is a key to create.
+type creation struct {
+	ctx      context.Context
+	key      string
+	value    []byte
+	repeated bool
+	// uncertain tells that an earlier attempt may still take effect.
+	uncertain bool
+	done      chan error
+}
+
+func newWriter(store kv.Store, log hclog.Logger) *writer {
+	return &writer{store: store, log: log, queue: make(chan *creation, queuedJobs), slots: make(chan struct{}, writesAtOnce)}
+}
+
+// create stores a value under a key that doesn't exist. If it exists, repeated is true.
+func (w *writer) create(ctx context.Context, key string, value []byte) (repeated bool, err error) {
+	c := &creation{ctx: ctx, key: key, value: value, done: make(chan error, 1)}
+	select {
+	case w.queue <- c:
+	default:
+		return false, eris.Wrap(ErrUnavailable, "too many jobs wait for a write")
+	}
+	select {
+	case err := <-c.done:
+		return c.repeated, err
+	case <-ctx.Done():
+		return false, eris.Wrap(ErrUnknown, "time is up")
+	}
+}
+
+func (w *writer) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case w.slots <- struct{}{}:
+		}
+		batch := w.next(ctx)
+		if batch == nil {
+			return
+		}
+		go func() {
+			defer func() { <-w.slots }()
+			w.write(ctx, batch)
+		}()
+	}
+}
+
+// next waits for a creation and takes those that wait with it.
+func (w *writer) next(ctx context.Context) []*creation {
+	var batch []*creation
+	select {
+	case <-ctx.Done():
+		return nil
+	case c := <-w.queue:
+		batch = append(batch, c)
+	}
+	for len(batch) < jobsPerWrite {
+		select {
+		case c := <-w.queue:
+			batch = append(batch, c)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// write repeats a write until each key certainly exists, or certainly never will, or its client has gone.
+func (w *writer) write(ctx context.Context, batch []*creation) {
+	for len(batch) > 0 && ctx.Err() == nil {
+		err := w.attempt(batch)
+		var conflict *kv.ConflictError
+		switch {
+		case err == nil:
+			finish(batch, nil)
+			return
+		case errors.As(err, &conflict):
+			batch = withoutExisting(batch, conflict)
+			continue
+		case errors.Is(err, kv.ErrUnknown):
+			for _, c := range batch {
+				c.uncertain = true
+			}
+		}
+		batch = withoutEnded(batch, err)
+		if len(batch) == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryPause):
+		}
+	}
+	finish(batch, eris.Wrap(ErrUnknown, "the process stops"))
+}
+
+// attempt sends one write. It doesn't end with the client's request, since a write under way can't be taken back.
+func (w *writer) attempt(batch []*creation) error {
+	var t kv.Transaction
+	for _, c := range batch {
+		t.Conditions = append(t.Conditions, kv.Condition{Key: c.key})
+		t.Puts = append(t.Puts, kv.Put{Key: c.key, Value: c.value})
+	}
+	_, err := w.store.Commit(context.Background(), t)
+	return err
+}
+
+func finish(batch []*creation, err error) {
+	for _, c := range batch {
+		c.done <- err
+	}
+}
+
+// withoutExisting answers the creations whose keys exist and returns the others.
+func withoutExisting(batch []*creation, conflict *kv.ConflictError) []*creation {
+	var rest []*creation
+	for _, c := range batch {
+		if _, exists := conflict.Find(c.key); exists {
+			c.repeated = !c.uncertain
+			c.done <- nil
+			continue
+		}
+		rest = append(rest, c)
+	}
+	return rest
+}
+
+// withoutEnded answers the creations that certainly had no effect, and those whose clients have gone.
+func withoutEnded(batch []*creation, err error) []*creation {
+	var rest []*creation
+	for _, c := range batch {
+		switch {
+		case !c.uncertain:
+			c.done <- eris.Wrap(ErrUnavailable, err.Error())
+		case c.ctx.Err() != nil:
+			c.done <- eris.Wrap(ErrUnknown, err.Error())
+		default:
+			rest = append(rest, c)
+		}
+	}
+	return rest
+}
--- a/gossip/interleaved_test.go
+++ b/gossip/interleaved_test.go
@@ -7,8 +7,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/quetzalshed/quetzalshed/gossip"
-	"github.com/quetzalshed/quetzalshed/platform/store"
-	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+	"github.com/quetzalshed/quetzalshed/store"
+	"github.com/quetzalshed/quetzalshed/store/storetest"
 )
 
 // network delivers messages between the processes. It may delay, lose or repeat each.
--- a/gossip/machine_test.go
+++ b/gossip/machine_test.go
@@ -15,8 +15,8 @@
 	"github.com/quetzalshed/quetzalshed/config"
 	"github.com/quetzalshed/quetzalshed/gossip"
 	"github.com/quetzalshed/quetzalshed/kernel"
-	"github.com/quetzalshed/quetzalshed/platform/store"
-	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+	"github.com/quetzalshed/quetzalshed/store"
+	"github.com/quetzalshed/quetzalshed/store/storetest"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
--- a/idempotency/claim.go
+++ b/idempotency/claim.go
@@ -8,7 +8,7 @@
 	"errors"
 	"fmt"
 
-	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/store"
 )
 
 // keyPrefix precedes the keys of all records in the store.
--- a/idempotency/claim_test.go
+++ b/idempotency/claim_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/limit"
-	"github.com/quetzalshed/quetzalshed/platform/store"
-	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+	"github.com/quetzalshed/quetzalshed/store"
+	"github.com/quetzalshed/quetzalshed/store/storetest"
 )
 
 // TestMain fixes the seed of rapid; -rapid.seed overrides it.
--- a/idempotency/lease.go
+++ b/idempotency/lease.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/store"
 )
 
 // bucketSpan is how long records are attached to the same lease. One lease for many records makes expiry free of writes
--- a/idempotency/ledger.go
+++ b/idempotency/ledger.go
@@ -12,7 +12,7 @@
 
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/limit"
-	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/store"
 )
 
 // Errors of Assign. After each of them the attempt must not be sent.
--- /dev/null
+++ b/kv/follow.go
@@ -0,0 +1,107 @@
+package kv
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+// Periods of a follower.
+const (
+	// followRetry is the pause after a failed call.
+	followRetry = 100 * time.Millisecond
+	// revisionAge is how old a store's revision must be before a watch continues from it. A store can answer a watch with
+	// its newest revision while it has not passed on changes before it.
+	revisionAge = 5 * time.Second
+)
+
+// Follower keeps a copy of the keys under a prefix.
+type Follower struct {
+	Store  Store
+	Prefix string
+	// Wait is how long one watch waits for changes.
+	Wait time.Duration
+	Log  hclog.Logger
+	// Reset receives all items after each complete reading.
+	Reset func(items []Item)
+	// Changed receives each later change, the oldest first.
+	Changed func(event Event)
+	// Fresh is called whenever the copy is known to have been complete at a time; it may be nil.
+	Fresh func(asked time.Time)
+
+	seen      int64
+	revisions []agedRevision
+}
+
+type agedRevision struct {
+	at       time.Time
+	revision int64
+}
+
+// Run follows the prefix until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		asked := time.Now()
+		items, revision, err := f.Store.List(ctx, f.Prefix)
+		if err != nil {
+			f.failed(ctx, "list", err)
+			continue
+		}
+		f.seen, f.revisions = revision, nil
+		f.Reset(items)
+		f.fresh(asked)
+		f.watch(ctx)
+	}
+}
+
+// watch passes on changes until the history is lost.
+func (f *Follower) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		asked := time.Now()
+		events, revision, err := f.Store.Watch(ctx, f.Prefix, f.seen, f.Wait)
+		if errors.Is(err, ErrCompacted) {
+			f.Log.Info("history lost, reading all keys again", "prefix", f.Prefix, "after", f.seen)
+			return
+		}
+		if err != nil {
+			f.failed(ctx, "watch", err)
+			continue
+		}
+		for i := range events {
+			if events[i].Revision > f.seen {
+				f.seen = events[i].Revision
+			}
+			f.Changed(events[i])
+		}
+		f.age(asked, revision)
+		f.fresh(asked)
+	}
+}
+
+// age continues from the newest revision that is old enough.
+func (f *Follower) age(now time.Time, revision int64) {
+	f.revisions = append(f.revisions, agedRevision{now, revision})
+	for len(f.revisions) > 0 && now.Sub(f.revisions[0].at) >= revisionAge {
+		f.seen = max(f.seen, f.revisions[0].revision)
+		f.revisions = f.revisions[1:]
+	}
+}
+
+func (f *Follower) fresh(asked time.Time) {
+	if f.Fresh != nil {
+		f.Fresh(asked)
+	}
+}
+
+func (f *Follower) failed(ctx context.Context, call string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.Log.Debug("store call failed", "call", call, "prefix", f.Prefix, "error", err)
+	select {
+	case <-ctx.Done():
+	case <-time.After(followRetry):
+	}
+}
--- /dev/null
+++ b/node/hold.go
@@ -0,0 +1,203 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/node/sharing"
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+const (
+	// holdWait is how long an executor waits for an end before it answers.
+	holdWait = time.Second
+	// sharingWait is the same where filling tasks work beside serving ones, whose latencies change each half second.
+	sharingWait = 400 * time.Millisecond
+	// holdSlack is how much longer than the wait an answer may take.
+	holdSlack = 800 * time.Millisecond
+	// holdRetry is the pause after a call that failed.
+	holdRetry = 100 * time.Millisecond
+	// ackWait is how long the next call waits for the acknowledgement of ends that were listed.
+	ackWait = 150 * time.Millisecond
+)
+
+// holdLoop asks the executor for its runs, again and again.
+func (n *Node) holdLoop(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		life, fence, ack, deadline, wait, covers := n.nextHold()
+		if life == "" {
+			n.sleep(ctx, n.wakeHold, holdWait)
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, wait+holdSlack)
+		lists, err := n.executor.Hold(call, life, fence, ack, deadline, wait)
+		cancel()
+		if err != nil {
+			failures++
+			if failures == 1 && ctx.Err() == nil {
+				n.log.Warn("executor doesn't answer", "executor", life, "error", err)
+			}
+			n.sleep(ctx, nil, holdRetry)
+			continue
+		}
+		if failures > 0 {
+			n.log.Info("executor answers again", "executor", life, "failed_calls", failures)
+			failures = 0
+		}
+		if n.listed(life, lists, covers) {
+			wake(n.wakeReport)
+			n.sleep(ctx, n.wakeHold, ackWait)
+		}
+		n.share(ctx)
+	}
+}
+
+// nextHold returns the parameters of the next call.
+func (n *Node) nextHold() (life string, fence, ack, deadline int64, wait time.Duration, covers int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.current == nil {
+		return "", 0, 0, 0, 0, 0
+	}
+	wait = holdWait
+	if n.shares() {
+		wait = sharingWait
+	}
+	if n.lists == nil {
+		wait = 0
+	}
+	return n.current.Life(), n.epoch, n.ack, n.deadline(time.Now()), wait, n.operations
+}
+
+// listed takes over an answer. It returns true if it lists ends that aren't acknowledged, or if it is the first.
+func (n *Node) listed(life string, lists *Lists, covers int64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.current == nil || n.current.Life() != life {
+		return false
+	}
+	if lists.BornUnixMillis != 0 && lists.BornUnixMillis != n.current.BornUnixMillis {
+		n.log.Info("another incarnation answers", "executor", life, "born", lists.BornUnixMillis)
+		return false
+	}
+	first := n.lists == nil
+	known := n.lists
+	n.lists, n.covers = lists, covers
+	n.clockMillis, n.clockAt = lists.ClockMillis, time.Now()
+	n.logEnds(life, known, lists)
+	return first || len(lists.Ended) > 0 && lists.Ended[len(lists.Ended)-1].Number > n.ack
+}
+
+// logEnds logs the ends that the answer before did not list.
+func (n *Node) logEnds(life string, before, lists *Lists) {
+	var last int64
+	if before != nil && len(before.Ended) > 0 {
+		last = before.Ended[len(before.Ended)-1].Number
+	}
+	last = max(last, n.ack)
+	for i := range lists.Ended {
+		if end := &lists.Ended[i]; end.Number > last {
+			n.metrics.ends.Inc(1)
+			n.log.Info("run ended", "task", end.Task, "run", end.Run, "how", end.How, "executor", life, "number", end.Number)
+		}
+	}
+}
+
+// shares tells whether filling tasks work beside serving ones.
+func (n *Node) shares() bool {
+	if n.lists == nil {
+		return false
+	}
+	serving, filling := false, false
+	for i := range n.lists.Running {
+		traits := n.traits[n.lists.Running[i].Task]
+		serving = serving || traits.TargetMillis > 0
+		filling = filling || traits.Fills
+	}
+	return serving && filling
+}
+
+// pacing is a pace to set.
+type pacing struct {
+	run     workflow.RunState
+	percent int
+}
+
+// share sets the pace of the filling tasks by the latencies of the serving ones.
+func (n *Node) share(ctx context.Context) {
+	life, fence, changes := n.paceChanges(time.Now())
+	for _, c := range changes {
+		call, cancel := context.WithTimeout(ctx, orderTimeout)
+		err := n.executor.Pace(call, life, c.run.Task, c.run.Run, c.percent, fence)
+		cancel()
+		if err != nil {
+			n.log.Debug("pace not set", "task", c.run.Task, "run", c.run.Run, "percent", c.percent, "error", err)
+			continue
+		}
+		n.mu.Lock()
+		n.paces[c.run.Task] = c.percent
+		n.mu.Unlock()
+		n.log.Info("pace set", "task", c.run.Task, "run", c.run.Run, "percent", c.percent, "executor", life)
+	}
+}
+
+func (n *Node) paceChanges(now time.Time) (life string, fence int64, changes []pacing) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.current == nil || n.lists == nil {
+		return "", 0, nil
+	}
+	ratio := 0.0
+	var filling []workflow.RunState
+	for _, run := range n.lists.Running {
+		traits := n.traits[run.Task]
+		if traits.TargetMillis > 0 {
+			ratio = max(ratio, run.Usage/float64(traits.TargetMillis), 0.01)
+		}
+		if traits.Fills {
+			filling = append(filling, run)
+		}
+	}
+	if len(filling) == 0 {
+		ratio = 0
+	}
+	percent := n.pacer.Observe(ratio, now)
+	for _, run := range filling {
+		present, known := n.paces[run.Task]
+		if !known {
+			present = sharing.FullPace
+		}
+		if present != percent {
+			changes = append(changes, pacing{run, percent})
+		}
+	}
+	return n.current.Life(), n.epoch, changes
+}
+
+// sleep waits for a signal or for a time.
+func (n *Node) sleep(ctx context.Context, signal <-chan struct{}, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-signal:
+	case <-timer.C:
+	}
+}
+
+// rejection returns the reason of a rejected call.
+func rejection(err error) (string, bool) {
+	var rejected *RejectedError
+	if errors.As(err, &rejected) {
+		return rejected.Reason, true
+	}
+	if errors.Is(err, ErrAnotherLife) {
+		return "life", true
+	}
+	if errors.Is(err, ErrNotReached) {
+		return "unreachable", true
+	}
+	return "", false
+}
--- /dev/null
+++ b/node/sharing/sharing.go
@@ -0,0 +1,63 @@
+// Package sharing decides how much of their work the tasks that fill an executor may do beside tasks that serve users.
+package sharing
+
+import "time"
+
+// Fractions of a serving task's bound of tail latency, and steps of the pace in percent.
+const (
+	// slowAt is the latency from which filling tasks are slowed down. It leaves time before the bound is reached, since
+	// latencies are rough and half a second old.
+	slowAt = 0.85
+	// haltAt is the latency from which filling tasks are slowed down at the largest step.
+	haltAt = 1.0
+	// releaseAt is the latency below which filling tasks get more.
+	releaseAt = 0.65
+	// FullPace is the pace of a task that nothing slows down, in percent.
+	FullPace = 100
+	// releaseStep is how much a release gives, in percent.
+	releaseStep = 20
+	// lowestPace is the smallest pace above a halt, in percent.
+	lowestPace = 15
+	// settle is the time in which a change of pace shows in the latencies.
+	settle = 700 * time.Millisecond
+)
+
+// Controller decides the pace of the filling tasks of one executor.
+type Controller struct {
+	pace    int
+	changed time.Time
+}
+
+// NewController returns a controller at full pace.
+func NewController() *Controller { return &Controller{pace: FullPace} }
+
+// Pace returns the pace in percent.
+func (c *Controller) Pace() int { return c.pace }
+
+// Observe takes the largest ratio of a serving task's tail latency to its bound, and returns the pace from now on. With
+// nothing that serves, the ratio is 0.
+func (c *Controller) Observe(ratio float64, now time.Time) int {
+	if ratio <= 0 {
+		c.pace = FullPace
+		return c.pace
+	}
+	if now.Sub(c.changed) < settle {
+		return c.pace
+	}
+	next := c.pace
+	switch {
+	case ratio >= haltAt:
+		next = c.pace / 4
+	case ratio >= slowAt:
+		next = c.pace / 2
+	case ratio < releaseAt:
+		next = min(c.pace+releaseStep, FullPace)
+	}
+	if next < c.pace && next < lowestPace {
+		next = 0
+	}
+	if next != c.pace {
+		c.pace, c.changed = next, now
+	}
+	return c.pace
+}
--- /dev/null
+++ b/owner/commit.go
@@ -0,0 +1,124 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/quetzalshed/quetzalshed/kv"
+	"github.com/quetzalshed/quetzalshed/ownership"
+)
+
+const (
+	// rowsPerJob is the rows that the deletion of a job takes: its input, its cancellation and its state.
+	rowsPerJob = 3
+	// commitPause is the pause after a write without a result.
+	commitPause = 50 * time.Millisecond
+	// changesPerCommit leaves rows for the condition and the write of the commit key.
+	changesPerCommit = kv.MaxTransactionRows - 2
+)
+
+// commitMark is the value of the commit key. It tells whether a write without an answer has taken effect.
+type commitMark struct {
+	Epoch int64 `json:"epoch"`
+	Count int64 `json:"count"`
+}
+
+// commit stores a batch, in several writes if it is large. The records of one job are always in one write.
+func (t *term) commit(ctx context.Context, b *batch) error {
+	var puts []kv.Put
+	for _, c := range b.changes {
+		value, err := json.Marshal(&c.Record)
+		if err != nil {
+			return eris.Wrapf(err, "record of job %s", c.Job)
+		}
+		puts = append(puts, kv.Put{Key: StatePrefix + c.Job, Value: value})
+	}
+	for len(puts) > 0 {
+		n := min(len(puts), changesPerCommit)
+		if err := t.write(ctx, kv.Transaction{Puts: puts[:n:n]}); err != nil {
+			return err
+		}
+		puts = puts[n:]
+	}
+	deletions := b.deletions
+	for len(deletions) > 0 {
+		n := min(len(deletions), changesPerCommit/rowsPerJob)
+		var keys []string
+		for _, id := range deletions[:n] {
+			keys = append(keys, JobPrefix+id, CancelPrefix+id, StatePrefix+id)
+		}
+		if err := t.write(ctx, kv.Transaction{Deletions: keys}); err != nil {
+			return err
+		}
+		deletions = deletions[n:]
+	}
+	return nil
+}
+
+// write repeats a write until it has certainly taken effect. Every write is conditional on the one before, so that
+// neither a former owner nor a write that is carried out late can overwrite newer records.
+func (t *term) write(ctx context.Context, transaction kv.Transaction) error {
+	t.commitCount++
+	mark := commitMark{t.tenure.Record.Epoch, t.commitCount}
+	value, err := json.Marshal(mark)
+	if err != nil {
+		return err
+	}
+	transaction.Puts = append(transaction.Puts, kv.Put{Key: ownership.CommitKey, Value: value})
+	begun := time.Now()
+	for attempt := 1; ; attempt++ {
+		transaction.Conditions = []kv.Condition{{Key: ownership.CommitKey, Revision: t.commitRevision}}
+		revision, err := t.store.Commit(ctx, transaction)
+		if err == nil {
+			t.commitRevision = revision
+			if attempt > 1 {
+				t.log.Info("write stored after repetition", "attempts", attempt, "took_ms", time.Since(begun).Milliseconds(), "revision", revision)
+			}
+			return nil
+		}
+		if ctx.Err() != nil {
+			return t.ended(ctx)
+		}
+		var conflict *kv.ConflictError
+		if errors.As(err, &conflict) {
+			taken, err := t.taken(conflict, mark)
+			if err != nil || taken {
+				return err
+			}
+			continue
+		}
+		if errors.Is(err, kv.ErrConflict) {
+			return errLost
+		}
+		if attempt == 1 {
+			t.log.Warn("write not stored, repeating", "epoch", mark.Epoch, "count", mark.Count, "rows", len(transaction.Puts), "error", err)
+		}
+		select {
+		case <-ctx.Done():
+			return t.ended(ctx)
+		case <-time.After(commitPause):
+		}
+	}
+}
+
+// taken tells from the state of the commit key whether an earlier attempt of a write has taken effect.
+func (t *term) taken(conflict *kv.ConflictError, mark commitMark) (bool, error) {
+	item, found := conflict.Find(ownership.CommitKey)
+	if !found {
+		return false, errLost
+	}
+	var present commitMark
+	if err := json.Unmarshal(item.Value, &present); err != nil || present.Epoch != mark.Epoch {
+		t.log.Info("another owner has written", "epoch", mark.Epoch, "revision", item.Revision)
+		return false, errLost
+	}
+	if present.Count != mark.Count {
+		return false, errLost
+	}
+	t.commitRevision = item.Revision
+	return true, nil
+}
--- /dev/null
+++ b/owner/owner.go
@@ -0,0 +1,233 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/quetzalshed/quetzalshed/kv"
+	"github.com/quetzalshed/quetzalshed/ownership"
+	"github.com/quetzalshed/quetzalshed/rpc"
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+// Paths between processes.
+const (
+	// ReportPath takes the reports of nodes at the owner.
+	ReportPath = "/v1/owner/report"
+	// JobPath and QueuePath answer questions at the owner.
+	JobPath   = "/v1/owner/jobs/"
+	QueuePath = "/v1/owner/queues/"
+	// OrdersPath takes orders at a node.
+	OrdersPath = "/v1/node/orders"
+	// AnnouncePath takes the announcement of an owner at any process.
+	AnnouncePath = "/v1/owner/announce"
+)
+
+const (
+	// candidateJitter spreads the attempts of candidates, so that most see the winner before they try.
+	candidateJitter = 120 * time.Millisecond
+	// loadWait is how long a question waits while a new owner loads the jobs.
+	loadWait = 500 * time.Millisecond
+	// maxReportBytes bounds a report.
+	maxReportBytes = 4 << 20
+	// announceTimeout bounds one announcement of a new owner.
+	announceTimeout = time.Second
+)
+
+// Candidate takes the ownership whenever nobody has it.
+type Candidate struct {
+	Node, Address string
+	Store         kv.Store
+	Locator       *ownership.Locator
+	Operators     Operators
+	RPC           *rpc.Client
+	Log           hclog.Logger
+	Scope         tally.Scope
+
+	mu   sync.Mutex
+	term *term
+}
+
+// Run takes part in elections until ctx ends. A present ownership is then handed over.
+func (c *Candidate) Run(ctx context.Context) {
+	metrics := newMetrics(c.Scope)
+	for ctx.Err() == nil {
+		changed := c.Locator.Changed()
+		if _, present := c.Locator.Current(); present {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		c.pause(ctx)
+		if _, present := c.Locator.Current(); present || ctx.Err() != nil {
+			continue
+		}
+		c.serve(ctx, metrics)
+	}
+}
+
+func (c *Candidate) pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(rand.N(candidateJitter)):
+	}
+}
+
+// serve tries to take the ownership and runs one term.
+func (c *Candidate) serve(ctx context.Context, metrics metrics) {
+	self := workflow.OwnerRecord{Node: c.Node, Address: c.Address}
+	tenure, err := ownership.Acquire(ctx, c.Store, self, c.Log)
+	if err != nil {
+		c.Log.Debug("ownership not taken", "error", err)
+		c.Locator.Doubt(ctx)
+		return
+	}
+	if tenure == nil {
+		c.Locator.Doubt(ctx)
+		return
+	}
+	t := &term{
+		tenure: tenure, store: c.Store, operators: c.Operators, rpc: c.RPC, log: c.Log, metrics: metrics,
+		events: make(chan event, eventQueue), loaded: make(chan struct{}), commitDone: make(chan error, 1),
+		commitRevision: tenure.CommitRevision, acked: map[string]int64{},
+	}
+	c.Log.Info("ownership taken", "epoch", tenure.Record.Epoch)
+	c.setTerm(t)
+	c.Locator.Offer(tenure.Record)
+	termContext, cancel := context.WithCancelCause(ctx)
+	go c.watchEpoch(termContext, tenure.Record.Epoch, func() { cancel(errLost) })
+	go c.announce(termContext, tenure.Record)
+	err = t.run(termContext)
+	cancel(nil)
+	c.setTerm(nil)
+	c.Log.Info("ownership ended", "epoch", tenure.Record.Epoch, "error", err)
+	if !errors.Is(err, errLost) {
+		tenure.Release()
+	}
+	c.Locator.Doubt(context.WithoutCancel(ctx))
+}
+
+// watchEpoch ends a term when another owner is known.
+func (c *Candidate) watchEpoch(ctx context.Context, epoch int64, lost func()) {
+	for ctx.Err() == nil {
+		changed := c.Locator.Changed()
+		owner, present := c.Locator.Current()
+		if owner.Epoch > epoch || owner.Epoch == epoch && !present {
+			lost()
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// announce tells all known processes of a new owner, since some may have no way to the store.
+func (c *Candidate) announce(ctx context.Context, record workflow.OwnerRecord) {
+	items, _, err := c.Store.List(ctx, ownership.NodePrefix)
+	if err != nil {
+		c.Log.Warn("addresses of processes can't be read", "error", err)
+		return
+	}
+	for _, item := range items {
+		var node workflow.OwnerRecord
+		if err := json.Unmarshal(item.Value, &node); err != nil || node.Address == c.Address {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+			defer cancel()
+			if _, err := c.RPC.Call(ctx, http.MethodPost, "http://"+node.Address+AnnouncePath, nil, &record); err != nil {
+				c.Log.Debug("owner not announced", "node", node.Node, "error", err)
+			}
+		}()
+	}
+}
+
+func (c *Candidate) setTerm(t *term) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.term = t
+}
+
+// current returns the term once its jobs are loaded, or nil.
+func (c *Candidate) current(ctx context.Context) *term {
+	c.mu.Lock()
+	t := c.term
+	c.mu.Unlock()
+	if t == nil {
+		return nil
+	}
+	select {
+	case <-t.loaded:
+		return t
+	case <-time.After(loadWait):
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+// Register adds the paths that the owner serves.
+func (c *Candidate) Register(router *mux.Router) {
+	router.HandleFunc(ReportPath, c.handleReport).Methods(http.MethodPost)
+	router.HandleFunc(JobPath+"{id}", c.handleJob).Methods(http.MethodGet)
+	router.HandleFunc(QueuePath+"{name}", c.handleQueue).Methods(http.MethodGet)
+}
+
+func (c *Candidate) handleReport(w http.ResponseWriter, r *http.Request) {
+	var report workflow.Report
+	if !rpc.ReadJSON(w, r, maxReportBytes, &report) {
+		return
+	}
+	t := c.current(r.Context())
+	if t == nil {
+		rpc.NotHere(w)
+		return
+	}
+	rpc.WriteJSON(w, http.StatusOK, t.report(r.Context(), &report))
+}
+
+func (c *Candidate) handleJob(w http.ResponseWriter, r *http.Request) {
+	t := c.current(r.Context())
+	if t == nil {
+		rpc.NotHere(w)
+		return
+	}
+	var phase workflow.Phase
+	var found bool
+	if !t.ask(r.Context(), func() { phase, found = t.engine.Phase(mux.Vars(r)["id"]) }) {
+		rpc.NotHere(w)
+		return
+	}
+	if !found {
+		rpc.WriteJSON(w, http.StatusNotFound, workflow.JobStatus{})
+		return
+	}
+	rpc.WriteJSON(w, http.StatusOK, workflow.JobStatus{Phase: phase})
+}
+
+func (c *Candidate) handleQueue(w http.ResponseWriter, r *http.Request) {
+	t := c.current(r.Context())
+	if t == nil {
+		rpc.NotHere(w)
+		return
+	}
+	status := workflow.QueueStatus{}
+	if !t.ask(r.Context(), func() { status.Waiting = t.engine.Waiting(mux.Vars(r)["name"]) }) {
+		rpc.NotHere(w)
+		return
+	}
+	rpc.WriteJSON(w, http.StatusOK, status)
+}
--- /dev/null
+++ b/owner/serve.go
@@ -0,0 +1,157 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/rpc"
+	"github.com/quetzalshed/quetzalshed/workflow"
+	"github.com/quetzalshed/quetzalshed/workflow/engine"
+)
+
+// replyWait is how long the reply to a report may wait for a write. The grant must reach the node while the store is
+// slow.
+const replyWait = 300 * time.Millisecond
+
+// do applies an event and waits until its changes are stored, for a limited time.
+func (t *term) do(ctx context.Context, wait time.Duration, apply func(now, wall time.Time)) bool {
+	done := make(chan struct{})
+	select {
+	case t.events <- func(now, wall time.Time) func() {
+		apply(now, wall)
+		return func() { close(done) }
+	}:
+	case <-ctx.Done():
+		return false
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// report handles the report of a node.
+func (t *term) report(ctx context.Context, r *workflow.Report) workflow.ReportReply {
+	var traits []workflow.RunTraits
+	t.do(ctx, replyWait, func(now, wall time.Time) {
+		ack := t.engine.Report(r, now, wall)
+		if r.Unaware {
+			traits = t.engine.Traits(r.Node)
+		}
+		if ack > 0 {
+			life := r.Executor.Life()
+			t.waiting = append(t.waiting, func() { t.acknowledge(life, ack) })
+		}
+	})
+	reply := workflow.ReportReply{Epoch: t.tenure.Record.Epoch, Traits: traits}
+	if r.Executor != nil {
+		reply.Ack = t.acknowledged(r.Executor.Life())
+	}
+	if t.tenure.Valid(time.Now()) {
+		reply.GrantMillis = grant.Milliseconds()
+	}
+	return reply
+}
+
+func (t *term) acknowledge(life string, number int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.acked[life] = max(t.acked[life], number)
+}
+
+func (t *term) acknowledged(life string) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.acked[life]
+}
+
+// ask reads from the engine.
+func (t *term) ask(ctx context.Context, read func()) bool {
+	done := make(chan struct{})
+	select {
+	case t.events <- func(_, _ time.Time) func() {
+		read()
+		close(done)
+		return nil
+	}:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// deliver sends orders to a node and takes over the results.
+func (t *term) deliver(d *engine.Delivery) {
+	ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
+	defer cancel()
+	d.Orders.Epoch = t.tenure.Record.Epoch
+	for i := range d.Orders.Starts {
+		s := &d.Orders.Starts[i]
+		t.log.Info("start ordered", "task", s.Task, "run", s.Run, "executor", d.Orders.Life, "node", d.Node, "epoch", d.Orders.Epoch, "basis", d.Orders.Basis)
+	}
+	for i := range d.Orders.Stops {
+		s := &d.Orders.Stops[i]
+		t.log.Info("stop ordered", "task", s.Task, "run", s.Run, "executor", d.Orders.Life, "node", d.Node, "epoch", d.Orders.Epoch)
+	}
+	t.metrics.orders.Inc(int64(len(d.Orders.Starts) + len(d.Orders.Stops)))
+	reply, err := t.push(ctx, d)
+	if err != nil {
+		t.log.Warn("orders without an answer", "node", d.Node, "executor", d.Orders.Life, "starts", len(d.Orders.Starts), "stops", len(d.Orders.Stops), "error", err)
+		reply = undelivered(d, err)
+	}
+	apply := func(now, _ time.Time) func() {
+		for i := range reply.Results {
+			r := &reply.Results[i]
+			if r.Outcome != workflow.OutcomeDone {
+				t.metrics.rejected.Inc(1)
+				t.log.Info("order not accepted", "task", r.Task, "run", r.Run, "stop", r.Stop, "node", d.Node, "outcome", r.Outcome, "reason", r.Reason)
+			}
+			t.engine.Result(d.Node, reply.Incarnation, r, now)
+		}
+		return nil
+	}
+	select {
+	case t.events <- apply:
+	case <-time.After(pushTimeout):
+	}
+}
+
+func (t *term) push(ctx context.Context, d *engine.Delivery) (*workflow.OrdersReply, error) {
+	answer, err := t.rpc.Call(ctx, http.MethodPost, "http://"+d.Address+OrdersPath, nil, &d.Orders)
+	if err != nil {
+		return nil, err
+	}
+	reply := &workflow.OrdersReply{}
+	if err := answer.Decode(reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// undelivered makes the results of orders that a node has not answered.
+func undelivered(d *engine.Delivery, err error) *workflow.OrdersReply {
+	outcome := workflow.OutcomeUnknown
+	if errors.Is(err, rpc.ErrNotSent) {
+		outcome = workflow.OutcomeRejected
+	}
+	reply := &workflow.OrdersReply{}
+	for _, s := range d.Orders.Starts {
+		reply.Results = append(reply.Results, workflow.OrderResult{Task: s.Task, Run: s.Run, Outcome: outcome, Reason: "unreachable"})
+	}
+	for _, s := range d.Orders.Stops {
+		reply.Results = append(reply.Results, workflow.OrderResult{Task: s.Task, Run: s.Run, Stop: true, Outcome: workflow.OutcomeUnknown, Reason: "unreachable"})
+	}
+	return reply
+}
--- /dev/null
+++ b/rpc/rpc.go
@@ -0,0 +1,116 @@
+// Package rpc calls JSON interfaces over HTTP and tells calls that had no effect from calls whose effect is unknown.
+package rpc
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Errors of a call. Callers compare with errors.Is.
+var (
+	// ErrNotSent means that the call certainly had no effect, since no connection could be opened.
+	ErrNotSent = errors.New("rpc: not sent")
+	// ErrNoAnswer means that the call may have had its effect, or may still have it.
+	ErrNoAnswer = errors.New("rpc: no answer")
+)
+
+const (
+	// maxAnswerBytes bounds the body of an answer.
+	maxAnswerBytes = 16 << 20
+	// dialTimeout bounds the opening of a connection; hosts without power don't answer at all.
+	dialTimeout = 500 * time.Millisecond
+	// idleConnections bounds the unused connections to one host.
+	idleConnections = 8
+	// idleTimeout closes connections that were not used. It is below the time after which peers close them.
+	idleTimeout = 10 * time.Second
+)
+
+// Client sends calls. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient returns a client with a connection pool of its own.
+func NewClient() *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	return &Client{http: &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: idleConnections,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// CloseIdle closes the connections that are not in use.
+func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
+
+// Answer is what a call returned.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Decode reads the JSON body.
+func (a *Answer) Decode(into any) error {
+	if err := json.Unmarshal(a.Body, into); err != nil {
+		return eris.Wrapf(err, "answer with status %d", a.Status)
+	}
+	return nil
+}
+
+// Call sends body as JSON, unless it is nil, and returns the whole answer. Errors match ErrNotSent or ErrNoAnswer.
+func (c *Client) Call(ctx context.Context, method, url string, header http.Header, body any) (*Answer, error) {
+	var reader io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return nil, eris.Wrap(err, "body of a call")
+		}
+		reader = bytes.NewReader(data)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, url, reader)
+	if err != nil {
+		return nil, eris.Wrapf(ErrNotSent, "%s %s: %v", method, url, err)
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	if body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		if neverConnected(err) {
+			return nil, eris.Wrapf(ErrNotSent, "%s %s: %v", method, url, err)
+		}
+		return nil, eris.Wrapf(ErrNoAnswer, "%s %s: %v", method, url, err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, eris.Wrapf(ErrNoAnswer, "%s %s: %v", method, url, err)
+	}
+	return &Answer{Status: response.StatusCode, Header: response.Header, Body: data}, nil
+}
+
+// neverConnected tells whether an error arose before a connection existed.
+func neverConnected(err error) bool {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return true
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/shard/clean.go
+++ b/shard/clean.go
@@ -10,7 +10,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/multierr"
 
-	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/store"
 )
 
 // maxDeletes bounds the store calls of one step that remove superfluous keys.
--- a/shard/client.go
+++ b/shard/client.go
@@ -14,7 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/quetzalshed/quetzalshed/clock"
-	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/store"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
--- a/shard/connections.go
+++ b/shard/connections.go
@@ -5,8 +5,8 @@
 	"github.com/quetzalshed/quetzalshed/config/configmodule"
 	"github.com/quetzalshed/quetzalshed/gossip"
 	"github.com/quetzalshed/quetzalshed/kernel"
-	"github.com/quetzalshed/quetzalshed/platform/store"
-	"github.com/quetzalshed/quetzalshed/platform/store/storemodule"
+	"github.com/quetzalshed/quetzalshed/store"
+	"github.com/quetzalshed/quetzalshed/store/storemodule"
 )
 
 // Connections are what a process needs to reach the owners of shards.
--- a/shard/inquiry.go
+++ b/shard/inquiry.go
@@ -7,8 +7,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/quetzalshed/quetzalshed/platform/worker"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/worker"
 )
 
 // maxInquiries bounds the workers that an owner asks at the same time. The rest are asked in the next steps.
--- a/shard/lifecycle/inquiry.go
+++ b/shard/lifecycle/inquiry.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/quetzalshed/quetzalshed/platform/worker"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/worker"
 )
 
 // inquiryPatience is how long an attempt whose worker has answered an inquiry waits for the next answer. An inquiry is
--- a/shard/lifecycle/inquiry_test.go
+++ b/shard/lifecycle/inquiry_test.go
@@ -6,8 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/quetzalshed/quetzalshed/platform/worker"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/worker"
 )
 
 // Guards against work that is repeated or doubled because a worker's answer is taken for final too early, or not at all:
--- a/shard/log.go
+++ b/shard/log.go
@@ -13,8 +13,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/quetzalshed/quetzalshed/platform/store"
 	"github.com/quetzalshed/quetzalshed/shard/lifecycle"
+	"github.com/quetzalshed/quetzalshed/store"
 )
 
 // errFenced means that another owner has written to the log, so this ownership has ended.
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -16,10 +16,10 @@
 
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/config"
-	"github.com/quetzalshed/quetzalshed/platform/store"
 	"github.com/quetzalshed/quetzalshed/scheduler"
 	"github.com/quetzalshed/quetzalshed/scheduler/quota"
 	"github.com/quetzalshed/quetzalshed/shard/lifecycle"
+	"github.com/quetzalshed/quetzalshed/store"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
--- a/shard/owner_test.go
+++ b/shard/owner_test.go
@@ -16,9 +16,9 @@
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/config"
 	"github.com/quetzalshed/quetzalshed/gossip"
-	"github.com/quetzalshed/quetzalshed/platform/store"
-	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
 	"github.com/quetzalshed/quetzalshed/scheduler"
+	"github.com/quetzalshed/quetzalshed/store"
+	"github.com/quetzalshed/quetzalshed/store/storetest"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
--- a/shard/step.go
+++ b/shard/step.go
@@ -10,7 +10,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/multierr"
 
-	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/store"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
--- a/shard/term.go
+++ b/shard/term.go
@@ -9,8 +9,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/quetzalshed/quetzalshed/platform/store"
 	"github.com/quetzalshed/quetzalshed/shard/lifecycle"
+	"github.com/quetzalshed/quetzalshed/store"
 )
 
 // Bounds of one record.
--- a/platform/store/client_test.go
+++ b/store/client_test.go
@@ -14,7 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/store"
 )
 
 // operations calls each method of a store once.
--- a/platform/store/storemodule/module.go
+++ b/store/storemodule/module.go
@@ -10,7 +10,7 @@
 
 	"github.com/quetzalshed/quetzalshed/findings"
 	"github.com/quetzalshed/quetzalshed/kernel"
-	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/store"
 )
 
 // Name is the name of the module and of its settings section.
--- a/platform/store/storetest/faults.go
+++ b/store/storetest/faults.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/store"
 )
 
 // Faults says how the store misbehaves. The zero value is a healthy store.
--- a/platform/store/storetest/handler.go
+++ b/store/storetest/handler.go
@@ -11,7 +11,7 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/store"
 )
 
 const (
--- a/platform/store/storetest/store.go
+++ b/store/storetest/store.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/quetzalshed/quetzalshed/clock"
-	"github.com/quetzalshed/quetzalshed/platform/store"
+	"github.com/quetzalshed/quetzalshed/store"
 )
 
 // expiryInterval is how often a pending watch looks for lapsed leases.
--- a/platform/store/storetest/store_test.go
+++ b/store/storetest/store_test.go
@@ -15,8 +15,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/quetzalshed/quetzalshed/clock"
-	"github.com/quetzalshed/quetzalshed/platform/store"
-	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
+	"github.com/quetzalshed/quetzalshed/store"
+	"github.com/quetzalshed/quetzalshed/store/storetest"
 )
 
 var start = time.Unix(1_700_000_000, 0)
--- a/test/audit/audit.go
+++ b/test/audit/audit.go
@@ -9,9 +9,9 @@
 	"strings"
 	"time"
 
-	"github.com/quetzalshed/quetzalshed/platform/worker"
-	"github.com/quetzalshed/quetzalshed/platform/worker/workertest"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/worker"
+	"github.com/quetzalshed/quetzalshed/worker/workertest"
 )
 
 // annotation is where the agent keeps the allocation of a task on the worker.
--- a/test/audit/audit_test.go
+++ b/test/audit/audit_test.go
@@ -7,10 +7,10 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/quetzalshed/quetzalshed/platform/worker"
-	"github.com/quetzalshed/quetzalshed/platform/worker/workertest"
 	"github.com/quetzalshed/quetzalshed/structs"
 	"github.com/quetzalshed/quetzalshed/test/audit"
+	"github.com/quetzalshed/quetzalshed/worker"
+	"github.com/quetzalshed/quetzalshed/worker/workertest"
 )
 
 func run(index int, from, to int64, phase worker.Phase) workertest.Run {
--- a/test/guarantees/fleet_test.go
+++ b/test/guarantees/fleet_test.go
@@ -34,15 +34,15 @@
 	_ "github.com/quetzalshed/quetzalshed/entry/requests"
 	_ "github.com/quetzalshed/quetzalshed/gossip"
 	"github.com/quetzalshed/quetzalshed/kernel"
-	_ "github.com/quetzalshed/quetzalshed/platform/store/storemodule"
-	"github.com/quetzalshed/quetzalshed/platform/store/storetest"
-	"github.com/quetzalshed/quetzalshed/platform/worker/workertest"
 	_ "github.com/quetzalshed/quetzalshed/scheduler/plugins"
 	_ "github.com/quetzalshed/quetzalshed/shard"
+	_ "github.com/quetzalshed/quetzalshed/store/storemodule"
+	"github.com/quetzalshed/quetzalshed/store/storetest"
 	"github.com/quetzalshed/quetzalshed/structs"
 	"github.com/quetzalshed/quetzalshed/test/faultnet"
 	"github.com/quetzalshed/quetzalshed/test/loopback"
 	"github.com/quetzalshed/quetzalshed/test/processtest"
+	"github.com/quetzalshed/quetzalshed/worker/workertest"
 )
 
 func TestMain(m *testing.M) { os.Exit(processtest.Main(m)) }
--- a/platform/worker/workertest/handler.go
+++ b/worker/workertest/handler.go
@@ -9,7 +9,7 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/quetzalshed/quetzalshed/platform/worker"
+	"github.com/quetzalshed/quetzalshed/worker"
 )
 
 // maxBodyBytes bounds a request.
--- a/platform/worker/workertest/history.go
+++ b/worker/workertest/history.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/quetzalshed/quetzalshed/platform/worker"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/worker"
 )
 
 // maxHistory bounds the remembered runs. Later ones are counted but not kept.
--- a/platform/worker/workertest/worker.go
+++ b/worker/workertest/worker.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/quetzalshed/quetzalshed/clock"
-	"github.com/quetzalshed/quetzalshed/platform/worker"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/worker"
 )
 
 // DefaultUsageLag is how old reported usage is.
--- a/platform/worker/workertest/worker_test.go
+++ b/worker/workertest/worker_test.go
@@ -10,9 +10,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/quetzalshed/quetzalshed/clock"
-	"github.com/quetzalshed/quetzalshed/platform/worker"
-	"github.com/quetzalshed/quetzalshed/platform/worker/workertest"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/worker"
+	"github.com/quetzalshed/quetzalshed/worker/workertest"
 )
 
 // Guards against differences between the HTTP client and the stand-in: every call, error and field has to pass through.
--- /dev/null
+++ b/workflow/config.go
@@ -0,0 +1,71 @@
+package workflow
+
+import "strings"
+
+// Queue accepts jobs for one pool of executors.
+type Queue struct {
+	Name string `json:"name"`
+	// Host and Prefix select the queue of a request: the host must match, and the longest prefix of the path wins.
+	Host   string `json:"host,omitempty"`
+	Prefix string `json:"prefix,omitempty"`
+	// Pool names the executors that run the queue's tasks.
+	Pool string `json:"pool"`
+	// Priority orders queues, 0 first.
+	Priority int `json:"priority"`
+	// MaxAttempts is how often a task may fail before its job has failed.
+	MaxAttempts int `json:"max_attempts"`
+	// Stretch times the longest chain of work, and ObjectiveMillis more, is the latency objective of a job.
+	Stretch         float64 `json:"stretch"`
+	ObjectiveMillis int64   `json:"objective_ms"`
+	// TimeoutMillis bounds a request of a client at this queue.
+	TimeoutMillis int64 `json:"timeout_ms"`
+	// Advised tells that a start needs a ticket of the advice service.
+	Advised bool `json:"advised,omitempty"`
+}
+
+// Pool is a set of executors.
+type Pool struct {
+	Name string `json:"name"`
+	// Guarded tells that executors reject starts beyond their capacity themselves.
+	Guarded bool `json:"guarded"`
+	// Spare tells that the pool's hosts are switched off.
+	Spare bool `json:"spare,omitempty"`
+}
+
+// Config is one version of the operators' configuration.
+type Config struct {
+	Version int64
+	Queues  []Queue
+	Pools   []Pool
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes int64
+	// IdleTimeoutMillis closes idle connections of clients.
+	IdleTimeoutMillis int64
+}
+
+// Match returns the queue of a request and the rest of the path behind the queue's prefix.
+func (c *Config) Match(host, path string) (queue *Queue, rest string, ok bool) {
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		if q.Host != host || !strings.HasPrefix(path, q.Prefix) {
+			continue
+		}
+		if queue == nil || len(q.Prefix) > len(queue.Prefix) {
+			queue = q
+		}
+	}
+	if queue == nil {
+		return nil, "", false
+	}
+	return queue, path[len(queue.Prefix):], true
+}
+
+// Queue returns the queue with a name, or nil.
+func (c *Config) Queue(name string) *Queue {
+	for i := range c.Queues {
+		if c.Queues[i].Name == name {
+			return &c.Queues[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/workflow/engine/events.go
@@ -0,0 +1,366 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+// stopRetry is the time after which a stop without a result is ordered again.
+const stopRetry = 400 * time.Millisecond
+
+// Cancel ends a job at the request of its client. It returns false if the job is unknown.
+func (e *Engine) Cancel(id string, wall time.Time) bool {
+	j := e.jobs[id]
+	if j == nil {
+		return false
+	}
+	if !j.phase.Final() {
+		e.finish(j, workflow.Cancelled, wall)
+	}
+	return true
+}
+
+// finish moves a job to a final phase and stops what still runs.
+func (e *Engine) finish(j *job, phase workflow.Phase, wall time.Time) {
+	j.phase = phase
+	j.endedUnix = wall.UnixMilli()
+	e.touch(j)
+	e.changed = true
+	for _, t := range j.tasks {
+		if t.phase == workflow.TaskAssigned {
+			t.stopWanted = true
+		}
+	}
+}
+
+// Report takes over what a node says. It returns the number up to which ends may be acknowledged once the changed
+// records are stored.
+func (e *Engine) Report(r *workflow.Report, now, wall time.Time) (ack int64) {
+	n := e.nodes[r.Node]
+	if n == nil {
+		n = &node{name: r.Node, lapses: e.unreached}
+		e.nodes[r.Node] = n
+	}
+	if r.Incarnation < n.incarnation || r.Incarnation == n.incarnation && r.Number <= n.number {
+		return 0
+	}
+	n.address, n.incarnation, n.number = r.Address, r.Incarnation, r.Number
+	n.reported = now
+	if r.Executor == nil {
+		return 0
+	}
+	if !n.known || n.executor.Life() != r.Executor.Life() {
+		if n.known && r.Executor.BornUnixMillis < n.executor.BornUnixMillis {
+			return 0
+		}
+		e.begin(n, r.Executor, now)
+	}
+	if r.Executor.Draining != n.executor.Draining {
+		e.changed = true
+	}
+	n.executor = *r.Executor
+	if !r.Listed {
+		return n.acked
+	}
+	n.lapses = now.Add(e.settings.Lapse)
+	e.lists(n, r, now, wall)
+	return n.acked
+}
+
+// begin replaces the executor of a node by another incarnation. What ran on the former one has ended; a start that it
+// never answered may still reach the new one if that has the same ID, so it is stopped there before it counts as ended.
+func (e *Engine) begin(n *node, executor *workflow.Executor, now time.Time) {
+	if n.known {
+		e.bury(n, n.executor.Life(), executor, now)
+	}
+	n.executor, n.known, n.acked, n.foreign = *executor, true, 0, nil
+	life := executor.Life()
+	for former := range e.assigned {
+		if former != life && sameID(former, executor.ID) {
+			e.bury(n, former, executor, now)
+		}
+	}
+	for t := range e.assigned[life] {
+		if t.node == nil {
+			n.add(t)
+		}
+	}
+	e.changed = true
+}
+
+func sameID(life, id string) bool {
+	return len(life) > len(id) && life[:len(id)] == id && life[len(id)] == '@'
+}
+
+// bury ends the runs of a former incarnation of an executor.
+func (e *Engine) bury(n *node, former string, executor *workflow.Executor, now time.Time) {
+	if former == executor.Life() {
+		return
+	}
+	for _, t := range e.assignedTo(former) {
+		if (t.ordered || t.startedSequence == 0 && !t.listed) && sameID(former, executor.ID) {
+			e.move(t, n, executor.Life())
+			t.stopWanted = true
+			continue
+		}
+		e.release(t)
+	}
+}
+
+// move files an assigned task under another incarnation.
+func (e *Engine) move(t *task, n *node, life string) {
+	e.untrack(t)
+	t.life = life
+	t.stoppedSequence, t.stopSent = 0, time.Time{}
+	n.add(t)
+	e.track(t)
+	e.touch(t.job)
+}
+
+// assignedTo returns the tasks of an incarnation in a fixed order.
+func (e *Engine) assignedTo(life string) []*task {
+	tasks := make([]*task, 0, len(e.assigned[life]))
+	for t := range e.assigned[life] {
+		tasks = append(tasks, t)
+	}
+	slices.SortFunc(tasks, func(a, b *task) int {
+		if a.name < b.name {
+			return -1
+		}
+		return 1
+	})
+	return tasks
+}
+
+// lists compares what an executor runs and has ended with what is assigned to it.
+func (e *Engine) lists(n *node, r *workflow.Report, now, wall time.Time) {
+	life := n.executor.Life()
+	present := make(map[string]int, len(r.Running)+len(r.Ended))
+	n.foreign = n.foreign[:0]
+	for i := range r.Running {
+		run := &r.Running[i]
+		present[run.Task] = max(present[run.Task], run.Run)
+		t := e.task(run.Task)
+		if t == nil || t.phase != workflow.TaskAssigned || t.life != life || t.run != run.Run {
+			n.foreign = append(n.foreign, *run)
+			continue
+		}
+		t.observe(run, now)
+	}
+	for i := range r.Ended {
+		end := &r.Ended[i]
+		present[end.Task] = max(present[end.Task], end.Run)
+		e.end(n, life, end, wall)
+		n.acked = max(n.acked, end.Number)
+	}
+	for _, t := range e.assignedTo(life) {
+		if present[t.name] >= t.run || t.ordered {
+			continue
+		}
+		e.absent(t, r)
+	}
+	e.stopForeign(n, now)
+}
+
+// observe takes over a row of a running task.
+func (t *task) observe(run *workflow.RunState, now time.Time) {
+	if !t.listed {
+		t.listed, t.movedAt = true, now
+	}
+	if run.Percent != t.percent || run.Saved != t.saved {
+		t.movedAt = now
+	}
+	t.percent, t.usage = run.Percent, run.Usage
+	if run.Saved != "" {
+		t.saved = run.Saved
+	}
+}
+
+// absent decides on a task that its executor neither runs nor lists as ended. Its start may still arrive, so it is
+// stopped first: an executor never starts a run that it was told to stop.
+func (e *Engine) absent(t *task, r *workflow.Report) {
+	if t.startedSequence > r.Covers && t.startedIncarnation == r.Incarnation {
+		return
+	}
+	if t.stoppedSequence > 0 && t.stoppedIncarnation == r.Incarnation && r.Covers >= t.stoppedSequence {
+		e.release(t)
+		return
+	}
+	t.stopWanted = true
+	e.changed = true
+}
+
+// stopForeign stops runs that no task is assigned to.
+func (e *Engine) stopForeign(n *node, now time.Time) {
+	if len(n.foreign) == 0 || now.Sub(n.foreignStops) < stopRetry {
+		return
+	}
+	n.foreignStops = now
+	for _, run := range n.foreign {
+		e.box(n.name).stops = append(e.box(n.name).stops, workflow.StopOrder{Task: run.Task, Run: run.Run})
+	}
+}
+
+func (e *Engine) box(node string) *outbox {
+	b := e.outbox[node]
+	if b == nil {
+		b = &outbox{}
+		e.outbox[node] = b
+	}
+	return b
+}
+
+// end takes over the end of a run.
+func (e *Engine) end(n *node, life string, end *workflow.RunEnd, wall time.Time) {
+	t := e.task(end.Task)
+	if t == nil || t.run != end.Run || t.phase == workflow.TaskDone {
+		return
+	}
+	if t.phase == workflow.TaskAssigned && t.life != life {
+		return
+	}
+	if t.phase == workflow.TaskWaiting && end.How != workflow.EndDone {
+		return
+	}
+	if end.Saved != "" {
+		t.saved = end.Saved
+	}
+	assigned := t.phase == workflow.TaskAssigned
+	if end.How == workflow.EndDone {
+		e.done(t, wall)
+		return
+	}
+	if end.How == workflow.EndFailed {
+		t.failures++
+		t.avoid = append(t.avoid, n.name)
+	}
+	if assigned {
+		e.release(t)
+	}
+	if end.How == workflow.EndFailed && !t.step.LongRunning && !t.job.phase.Final() && e.exhausted(t) {
+		e.finish(t.job, workflow.Failed, wall)
+	}
+}
+
+// exhausted tells whether a task, or its gang, has failed too often.
+func (e *Engine) exhausted(t *task) bool {
+	failures := t.failures
+	if t.step.Gang {
+		failures = 0
+		for _, member := range t.group.tasks {
+			failures += member.failures
+		}
+	}
+	return failures >= max(e.queueOf(t.job).MaxAttempts, 1)
+}
+
+// done marks a task, or all members of its gang, as finished.
+func (e *Engine) done(t *task, wall time.Time) {
+	members := []*task{t}
+	if t.step.Gang {
+		members = t.group.tasks
+	}
+	for _, m := range members {
+		if m.phase == workflow.TaskDone {
+			continue
+		}
+		if m.phase == workflow.TaskAssigned {
+			e.untrack(m)
+		}
+		m.phase = workflow.TaskDone
+		m.clearRun()
+		m.group.done++
+	}
+	j := t.job
+	e.touch(j)
+	e.changed = true
+	if t.group.done == len(t.group.tasks) {
+		j.measure()
+	}
+	if !j.phase.Final() && j.complete() {
+		e.finish(j, workflow.Completed, wall)
+	}
+}
+
+func (j *job) complete() bool {
+	for i := range j.groups {
+		if j.groups[i].done < len(j.groups[i].tasks) {
+			return false
+		}
+	}
+	return true
+}
+
+// Result takes over the result of an order to a node. Undelivered orders have no sequence.
+func (e *Engine) Result(node string, incarnation int64, r *workflow.OrderResult, now time.Time) {
+	t := e.task(r.Task)
+	if t == nil || t.phase != workflow.TaskAssigned || t.run != r.Run || t.node == nil || t.node.name != node {
+		return
+	}
+	if r.Stop {
+		if r.Outcome == workflow.OutcomeDone {
+			t.stoppedSequence, t.stoppedIncarnation = r.Sequence, incarnation
+		}
+		return
+	}
+	if !t.ordered {
+		return
+	}
+	t.ordered = false
+	switch r.Outcome {
+	case workflow.OutcomeDone:
+		t.startedSequence, t.startedIncarnation = r.Sequence, incarnation
+	case workflow.OutcomeRejected:
+		t.notBefore = now.Add(rejectedPause)
+		if r.Reason == "room" || r.Reason == "unhealthy" {
+			t.node.closedUntil = now.Add(rejectedPause)
+		}
+		e.release(t)
+	default:
+		t.stopWanted = true
+		e.changed = true
+	}
+}
+
+// rejectedPause keeps a task and an executor apart for a moment after a rejected start, until a report corrects what is
+// known of the executor.
+const rejectedPause = 150 * time.Millisecond
+
+// Expire ends the runs of executors whose grants have run out.
+func (e *Engine) Expire(now time.Time) (lapsed []string) {
+	for _, n := range e.nodes {
+		if !n.known || now.Before(n.lapses) {
+			continue
+		}
+		if tasks := e.assignedTo(n.executor.Life()); len(tasks) > 0 {
+			lapsed = append(lapsed, n.executor.Life())
+			for _, t := range tasks {
+				e.release(t)
+			}
+		}
+	}
+	if now.Before(e.unreached) {
+		return lapsed
+	}
+	for life := range e.assigned {
+		if !e.reported(life) {
+			lapsed = append(lapsed, life)
+			for _, t := range e.assignedTo(life) {
+				e.release(t)
+			}
+		}
+	}
+	slices.Sort(lapsed)
+	return lapsed
+}
+
+func (e *Engine) reported(life string) bool {
+	for _, n := range e.nodes {
+		if n.known && n.executor.Life() == life {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/workflow/engine/output.go
@@ -0,0 +1,183 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+// Change is a record that has to be stored before anything that follows from it may be said or done.
+type Change struct {
+	Job    string
+	Record workflow.JobRecord
+}
+
+// TakeDirty returns the records that have changed since the last call.
+func (e *Engine) TakeDirty() []Change {
+	changes := make([]Change, 0, len(e.dirty))
+	for j := range e.dirty {
+		changes = append(changes, Change{Job: j.ID, Record: j.record()})
+	}
+	clear(e.dirty)
+	slices.SortFunc(changes, func(a, b Change) int {
+		if a.Job < b.Job {
+			return -1
+		}
+		return 1
+	})
+	return changes
+}
+
+// record returns what is kept of a job. A finished job keeps only the tasks that may still run.
+func (j *job) record() workflow.JobRecord {
+	r := workflow.JobRecord{Phase: j.phase, EndedUnixMillis: j.endedUnix}
+	for _, t := range j.tasks {
+		if t.run == 0 || j.phase.Final() && t.phase != workflow.TaskAssigned {
+			continue
+		}
+		r.Tasks = append(r.Tasks, workflow.TaskRecord{
+			Occurrence: t.id.Occurrence, Step: t.id.Step, Index: t.id.Index, Phase: t.phase, Run: t.run,
+			Life: t.life, Failures: t.failures, Saved: t.saved,
+		})
+	}
+	return r
+}
+
+// Stored notes that records are stored, so that clients may be told of them.
+func (e *Engine) Stored(changes []Change) {
+	for _, c := range changes {
+		if j := e.jobs[c.Job]; j != nil {
+			j.shown = c.Record.Phase
+		}
+	}
+}
+
+// Delivery is the orders for one node.
+type Delivery struct {
+	Node    string
+	Address string
+	Orders  workflow.Orders
+}
+
+// TakeOrders returns the orders that were decided since the last call. The epoch is left to the caller.
+func (e *Engine) TakeOrders() []Delivery {
+	deliveries := make([]Delivery, 0, len(e.outbox))
+	for name, b := range e.outbox {
+		n := e.nodes[name]
+		if n == nil {
+			continue
+		}
+		deliveries = append(deliveries, Delivery{Node: name, Address: n.address, Orders: n.orders(b)})
+	}
+	clear(e.outbox)
+	slices.SortFunc(deliveries, func(a, b Delivery) int {
+		if a.Node < b.Node {
+			return -1
+		}
+		return 1
+	})
+	return deliveries
+}
+
+func (n *node) orders(b *outbox) workflow.Orders {
+	o := workflow.Orders{
+		Incarnation: n.incarnation, Basis: n.number, Life: n.executor.Life(), Stops: b.stops, Specs: map[string]string{},
+	}
+	for _, t := range b.starts {
+		if t.phase != workflow.TaskAssigned || t.node != n {
+			continue
+		}
+		o.Specs[t.job.ID] = t.job.Spec
+		o.Starts = append(o.Starts, workflow.StartOrder{RunTraits: t.traits(), Run: t.run, Saved: t.saved})
+	}
+	return o
+}
+
+func (t *task) traits() workflow.RunTraits {
+	return workflow.RunTraits{Task: t.name, TargetMillis: t.step.TargetMillis, Fills: t.step.Fills}
+}
+
+// Traits describes the tasks that are assigned to a node.
+func (e *Engine) Traits(node string) []workflow.RunTraits {
+	n := e.nodes[node]
+	if n == nil || !n.known {
+		return nil
+	}
+	var traits []workflow.RunTraits
+	for _, t := range e.assignedTo(n.executor.Life()) {
+		traits = append(traits, t.traits())
+	}
+	return traits
+}
+
+// Phase returns the stored phase of a job.
+func (e *Engine) Phase(id string) (workflow.Phase, bool) {
+	j := e.jobs[id]
+	if j == nil {
+		return "", false
+	}
+	return j.shown, true
+}
+
+// Waiting returns the number of accepted jobs of a queue without a due time of which no task has started.
+func (e *Engine) Waiting(queue string) int {
+	count := 0
+	for _, j := range e.jobs {
+		if j.Queue.Name == queue && j.shown == workflow.Pending && j.Occurrences == 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// Counts summarises the engine for metrics and logs.
+type Counts struct {
+	Jobs, Active, Assigned, Executors int
+}
+
+// Counts returns the present counts.
+func (e *Engine) Counts() Counts {
+	c := Counts{Jobs: len(e.jobs)}
+	for _, j := range e.jobs {
+		if !j.phase.Final() {
+			c.Active++
+		}
+	}
+	for _, set := range e.assigned {
+		c.Assigned += len(set)
+	}
+	for _, n := range e.nodes {
+		if n.known {
+			c.Executors++
+		}
+	}
+	return c
+}
+
+// Expired returns finished jobs whose retention has passed and that have no task left; the caller deletes their keys
+// and then calls Forget.
+func (e *Engine) Expired(wall time.Time, limit int) []string {
+	var ids []string
+	for _, j := range e.jobs {
+		if len(ids) == limit {
+			break
+		}
+		if j.phase.Final() && j.shown.Final() && wall.UnixMilli()-j.endedUnix > e.settings.Retention.Milliseconds() && !j.assigned() {
+			ids = append(ids, j.ID)
+		}
+	}
+	return ids
+}
+
+func (j *job) assigned() bool {
+	return slices.ContainsFunc(j.tasks, func(t *task) bool { return t.phase == workflow.TaskAssigned })
+}
+
+// Forget drops a job.
+func (e *Engine) Forget(id string) {
+	if j := e.jobs[id]; j != nil {
+		delete(e.dirty, j)
+	}
+	delete(e.jobs, id)
+}
--- /dev/null
+++ b/workflow/engine/placement.go
@@ -0,0 +1,128 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+// placement is one question for an executor.
+type placement struct {
+	engine *Engine
+	queue  *workflow.Queue
+	task   *task
+	now    time.Time
+}
+
+// Filter tells whether an executor may run a task.
+type Filter struct {
+	Name   string
+	Admits func(p *placement, n *node) bool
+}
+
+// Score tells how well an executor suits a task; more is better, and 1 is the weight of a whole executor.
+type Score struct {
+	Name  string
+	Value func(p *placement, n *node) float64
+}
+
+var (
+	filters []Filter
+	scores  []Score
+)
+
+func registerFilter(name string, admits func(p *placement, n *node) bool) {
+	filters = append(filters, Filter{name, admits})
+}
+
+func registerScore(name string, value func(p *placement, n *node) float64) {
+	scores = append(scores, Score{name, value})
+}
+
+func (p *placement) admits(n *node) bool {
+	for i := range filters {
+		if !filters[i].Admits(p, n) {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *placement) score(n *node) float64 {
+	total := 0.0
+	for i := range scores {
+		total += scores[i].Value(p, n)
+	}
+	return total
+}
+
+const (
+	// silence is how long an executor may go without a report before it gets no more starts.
+	silence = 2 * time.Second
+	// fillShare is the part of a filling task's wish that must be free for it to start.
+	fillShare = 0.9
+	// servingUse is the part of its reservation that a serving task is expected to use.
+	servingUse = 0.6
+)
+
+func init() {
+	registerFilter("pool", func(p *placement, n *node) bool { return n.executor.Pool == p.queue.Pool })
+	registerFilter("present", func(p *placement, n *node) bool {
+		return !n.executor.Draining && p.now.Sub(n.reported) < silence && !p.now.Before(n.closedUntil)
+	})
+	registerFilter("evacuated", func(p *placement, n *node) bool { return !p.engine.evacuated[n.executor.FailureDomain] })
+	registerFilter("label", func(p *placement, n *node) bool {
+		return p.task.step.Label == "" || n.executor.HasLabel(p.task.step.Label)
+	})
+	registerFilter("room", func(p *placement, n *node) bool {
+		return n.used.Add(p.task.step.Reserved()).Fits(n.executor.Capacity) && len(n.foreign) == 0
+	})
+	registerFilter("leftover", func(p *placement, n *node) bool {
+		if !p.task.step.Fills {
+			return true
+		}
+		return float64(n.leftover()) >= fillShare*float64(p.task.step.Need.MilliCores)
+	})
+	registerFilter("spread", func(p *placement, n *node) bool {
+		limit := p.task.step.PerExecutor
+		return limit == 0 || n.count(p.task.group) < limit
+	})
+	registerFilter("failed", func(p *placement, n *node) bool {
+		return !slices.Contains(p.task.avoid, n.name) || len(p.task.avoid) >= len(p.engine.nodes)
+	})
+	registerScore("free", func(p *placement, n *node) float64 {
+		if n.executor.Capacity.MilliCores == 0 {
+			return 0
+		}
+		return float64(n.leftover()) / float64(n.executor.Capacity.MilliCores)
+	})
+	registerScore("rack", func(p *placement, n *node) float64 {
+		if p.task.step.Rack == "" || n.executor.HasLabel(p.task.step.Rack) {
+			return 0
+		}
+		return 1/p.engine.settings.FarFactor - 1
+	})
+	registerScore("sharing", func(p *placement, n *node) float64 {
+		if p.task.step.Fills && n.serving > 0 || p.task.step.TargetMillis > 0 && n.filling > 0 {
+			return -0.5
+		}
+		return 0
+	})
+}
+
+// leftover returns the processor time that filling tasks may still take, in thousandths of a core.
+func (n *node) leftover() int64 {
+	return n.executor.Capacity.MilliCores - n.used.MilliCores - n.filling
+}
+
+// count returns how many tasks of a group are assigned to the node.
+func (n *node) count(g *group) int {
+	count := 0
+	for _, t := range g.tasks {
+		if t.node == n {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/workflow/engine/plan.go
@@ -0,0 +1,241 @@
+package engine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+// lateFactor times the latency objective is when a job is worth nothing more to its client.
+const lateFactor = 3
+
+// urgency is the order in which jobs get executors.
+type urgency int
+
+const (
+	// inTime jobs can still meet their latency objective.
+	inTime urgency = iota
+	// late jobs can still be of some use.
+	late
+	// lost jobs have to be done, but nobody is waiting for them.
+	lost
+)
+
+// Plan decides which waiting tasks start now. The decisions take effect at once in the engine; the orders are taken
+// with TakeOrders once the records that TakeDirty returns are stored.
+func (e *Engine) Plan(now, wall time.Time) {
+	e.orderStops(now)
+	if !e.changed {
+		return
+	}
+	e.changed = false
+	jobs := e.ready(now, wall)
+	full := map[shape]bool{}
+	for _, c := range jobs {
+		e.startReady(c, now, wall, full)
+	}
+}
+
+// shape is what decides whether a task fits anywhere; tasks of a shape that found no executor aren't tried again.
+type shape struct {
+	pool, label string
+	need        structs.Resources
+	fills       int64
+}
+
+// candidate is a job with tasks to start.
+type candidate struct {
+	job     *job
+	queue   *workflow.Queue
+	urgency urgency
+	slack   time.Duration
+}
+
+// ready returns the jobs that have waiting tasks, the most urgent first.
+func (e *Engine) ready(now, wall time.Time) []candidate {
+	var found []candidate
+	for _, j := range e.jobs {
+		if j.phase.Final() || !e.hasReady(j, now, wall) {
+			continue
+		}
+		found = append(found, e.rank(j, now))
+	}
+	slices.SortFunc(found, compareCandidates)
+	return found
+}
+
+func compareCandidates(a, b candidate) int {
+	return cmp.Or(
+		cmp.Compare(a.urgency, b.urgency),
+		cmp.Compare(a.queue.Priority, b.queue.Priority),
+		cmp.Compare(a.slack, b.slack),
+		cmp.Compare(a.job.ID, b.job.ID),
+	)
+}
+
+// rank tells how urgent a job is.
+func (e *Engine) rank(j *job, now time.Time) candidate {
+	q := e.queueOf(j)
+	c := candidate{job: j, queue: q}
+	if j.lasting() || j.Occurrences > 0 {
+		return c
+	}
+	objective := time.Duration(q.Stretch*float64(j.chain)) + time.Duration(q.ObjectiveMillis)*time.Millisecond
+	end := now.Sub(j.born) + j.remaining
+	c.slack = objective - end
+	switch {
+	case end > lateFactor*objective:
+		c.urgency = lost
+	case end > objective:
+		c.urgency = late
+	}
+	return c
+}
+
+func (j *job) lasting() bool { return j.Steps[len(j.Steps)-1].LongRunning }
+
+func (e *Engine) hasReady(j *job, now, wall time.Time) bool {
+	for i := range j.groups {
+		if e.groupReady(j, &j.groups[i], wall) && slices.ContainsFunc(j.groups[i].tasks, func(t *task) bool { return t.waits(now) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// groupReady tells whether the tasks of a group may start: they are due, and all steps before them have finished.
+func (e *Engine) groupReady(j *job, g *group, wall time.Time) bool {
+	if g.done == len(g.tasks) {
+		return false
+	}
+	if due := j.DueUnixMillis(g.occurrence); due > 0 && wall.UnixMilli() < due {
+		return false
+	}
+	for _, after := range j.Steps[g.step].After {
+		before := j.group(g.occurrence, after)
+		if before.done < len(before.tasks) {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *task) waits(now time.Time) bool {
+	return t.phase == workflow.TaskWaiting && !now.Before(t.notBefore)
+}
+
+// startReady starts the waiting tasks of a job that fit.
+func (e *Engine) startReady(c candidate, now, wall time.Time, full map[shape]bool) {
+	for i := range c.job.groups {
+		g := &c.job.groups[i]
+		if !e.groupReady(c.job, g, wall) {
+			continue
+		}
+		if c.job.Steps[g.step].Gang {
+			e.startGang(c, g, now)
+			continue
+		}
+		for _, t := range g.tasks {
+			if !t.waits(now) {
+				continue
+			}
+			s := shape{c.queue.Pool, t.step.Label, t.step.Reserved(), 0}
+			if t.step.Fills {
+				s.fills = t.step.Need.MilliCores
+			}
+			if full[s] {
+				break
+			}
+			n := e.choose(c, t, now)
+			if n == nil {
+				// A limit per executor or a failed executor can be the cause, which says nothing of other jobs.
+				if t.step.PerExecutor == 0 && len(t.avoid) == 0 {
+					full[s] = true
+				}
+				continue
+			}
+			e.assign(t, n, t.run+1, now)
+		}
+	}
+}
+
+// startGang starts all tasks of a gang with one run number, or none.
+func (e *Engine) startGang(c candidate, g *group, now time.Time) {
+	run := 0
+	for _, t := range g.tasks {
+		if !t.waits(now) {
+			return
+		}
+		run = max(run, t.run)
+	}
+	chosen := make([]*node, 0, len(g.tasks))
+	for _, t := range g.tasks {
+		n := e.choose(c, t, now)
+		if n == nil {
+			break
+		}
+		// Reserves the room, so that the next member of the gang sees it taken.
+		n.add(t)
+		chosen = append(chosen, n)
+	}
+	for i, n := range chosen {
+		n.remove(g.tasks[i])
+	}
+	if len(chosen) < len(g.tasks) {
+		return
+	}
+	for i, t := range g.tasks {
+		e.assign(t, chosen[i], run+1, now)
+	}
+}
+
+// assign gives a task a new run on an executor.
+func (e *Engine) assign(t *task, n *node, run int, now time.Time) {
+	t.clearRun()
+	t.phase, t.run, t.life = workflow.TaskAssigned, run, n.executor.Life()
+	t.ordered, t.startedAt, t.movedAt = true, now, now
+	n.add(t)
+	e.track(t)
+	if t.job.phase == workflow.Pending {
+		t.job.phase = workflow.Running
+	}
+	e.touch(t.job)
+	e.box(n.name).starts = append(e.box(n.name).starts, t)
+}
+
+// choose returns the executor that suits a task best, or nil.
+func (e *Engine) choose(c candidate, t *task, now time.Time) *node {
+	var best *node
+	var most float64
+	request := &placement{engine: e, queue: c.queue, task: t, now: now}
+	for _, n := range e.nodes {
+		if !n.known || !request.admits(n) {
+			continue
+		}
+		score := request.score(n)
+		if best == nil || score > most || score == most && n.name < best.name {
+			best, most = n, score
+		}
+	}
+	return best
+}
+
+// orderStops orders the stops that are wanted, and repeats those without a result.
+func (e *Engine) orderStops(now time.Time) {
+	for life := range e.assigned {
+		for t := range e.assigned[life] {
+			if !t.stopWanted || t.node == nil || t.ordered || t.stoppedSequence > 0 && !t.listed {
+				continue
+			}
+			if now.Sub(t.stopSent) < stopRetry {
+				continue
+			}
+			t.stopSent = now
+			b := e.box(t.node.name)
+			b.stops = append(b.stops, workflow.StopOrder{Task: t.name, Run: t.run})
+		}
+	}
+}
--- /dev/null
+++ b/workflow/engine/state.go
@@ -0,0 +1,364 @@
+// Package engine decides which tasks of jobs run where. It is a state machine without input or output: the owner feeds
+// it what it learns, with a reading of a monotonic clock, and carries out what it decides once that is stored.
+package engine
+
+import (
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+// Settings are the bounds that the engine keeps.
+type Settings struct {
+	// Grant is how long an executor may keep its tasks after a report of its node.
+	Grant time.Duration
+	// Lapse is the time after the last grant at which no task of the executor runs any more. It exceeds Grant by the
+	// drift of the executor's clock and the time that it takes to stop.
+	Lapse time.Duration
+	// FarFactor is how many times longer a task takes away from its data.
+	FarFactor float64
+	// TakeoverSlack is how long a former owner may give grants after the present one has taken over.
+	TakeoverSlack time.Duration
+	// Retention is how long the state of a finished job can be read.
+	Retention time.Duration
+}
+
+// Engine holds all jobs and executors. It is not safe for concurrent use.
+type Engine struct {
+	settings  Settings
+	config    *workflow.Config
+	evacuated map[string]bool
+	jobs      map[string]*job
+	nodes     map[string]*node
+	// assigned holds the tasks that may run, by the incarnation that they are assigned to.
+	assigned map[string]map[*task]struct{}
+	// unreached is when tasks of incarnations that no node has reported have ended at the latest.
+	unreached time.Time
+	dirty     map[*job]struct{}
+	outbox    map[string]*outbox
+	// changed tells that the next Plan may find something to start.
+	changed bool
+}
+
+// outbox collects the orders for a node until they may be sent.
+type outbox struct {
+	starts []*task
+	stops  []workflow.StopOrder
+}
+
+// job is the state of one job.
+type job struct {
+	workflow.Job
+	phase workflow.Phase
+	// shown is the phase that is stored, and that clients are told.
+	shown     workflow.Phase
+	tasks     []*task
+	groups    []group
+	endedUnix int64
+	// born is when the job was accepted, on the owner's clock.
+	born time.Time
+	// chain is the longest sum of estimates along dependent steps, for the whole job.
+	chain time.Duration
+	// remaining is the same for what has not finished yet.
+	remaining time.Duration
+	cancelled bool
+}
+
+// group is the tasks of one step in one occurrence.
+type group struct {
+	occurrence, step int
+	tasks            []*task
+	done             int
+}
+
+// task is the state of one task.
+type task struct {
+	job   *job
+	step  *workflow.Step
+	group *group
+	id    workflow.TaskID
+	name  string
+
+	phase    workflow.TaskPhase
+	run      int
+	life     string
+	node     *node
+	failures int
+	saved    string
+
+	// ordered tells that a start has been decided and its result isn't known yet.
+	ordered bool
+	// startedSequence is the node's sequence when the executor accepted the start, with the node's incarnation.
+	startedSequence    int64
+	startedIncarnation int64
+	// listed tells that the executor has listed the run.
+	listed bool
+	// stopWanted tells that the run is to end; stopSent is when it was last ordered.
+	stopWanted bool
+	stopSent   time.Time
+	// stoppedSequence is the node's sequence when the executor accepted the stop; 0 before.
+	stoppedSequence    int64
+	stoppedIncarnation int64
+
+	startedAt time.Time
+	percent   float64
+	// movedAt is when the progress last changed.
+	movedAt time.Time
+	usage   float64
+	// avoid lists hosts on which the task has failed.
+	avoid []string
+	// notBefore delays the next start after a rejected one.
+	notBefore time.Time
+}
+
+// node is a host with its executor.
+type node struct {
+	name        string
+	address     string
+	incarnation int64
+	number      int64
+	executor    workflow.Executor
+	known       bool
+	// lapses is when everything on the executor has ended unless a further grant is given.
+	lapses time.Time
+	// reported is when the last report arrived.
+	reported time.Time
+	acked    int64
+	// used is what assigned tasks reserve; filling is the processor time that filling tasks ask for.
+	used    structs.Resources
+	filling int64
+	serving int
+	// foreign lists runs that the executor has and that no task is assigned to.
+	foreign []workflow.RunState
+	// closedUntil keeps starts away after the executor has rejected one.
+	closedUntil time.Time
+	// foreignStops is when stops of foreign runs were last ordered.
+	foreignStops time.Time
+}
+
+// New returns an engine without jobs. Incarnations of executors that no node reports count as ended after Lapse.
+func New(settings Settings, now time.Time) *Engine {
+	return &Engine{
+		settings:  settings,
+		config:    &workflow.Config{},
+		evacuated: map[string]bool{},
+		jobs:      map[string]*job{},
+		nodes:     map[string]*node{},
+		assigned:  map[string]map[*task]struct{}{},
+		unreached: now.Add(settings.Lapse + settings.TakeoverSlack),
+		dirty:     map[*job]struct{}{},
+		outbox:    map[string]*outbox{},
+	}
+}
+
+// Configure replaces the configuration. Older versions are ignored.
+func (e *Engine) Configure(config *workflow.Config) bool {
+	if config.Version < e.config.Version {
+		return false
+	}
+	e.config = config
+	e.changed = true
+	return true
+}
+
+// ConfigVersion returns the version in force; 0 before the first.
+func (e *Engine) ConfigVersion() int64 { return e.config.Version }
+
+// SetEvacuated replaces the failure domains that get no starts.
+func (e *Engine) SetEvacuated(domains []string) {
+	clear(e.evacuated)
+	for _, domain := range domains {
+		e.evacuated[domain] = true
+	}
+	e.changed = true
+}
+
+// Wake makes the next Plan look for tasks to start, since delays may have passed.
+func (e *Engine) Wake() { e.changed = true }
+
+// queueOf returns the queue of a job as it is configured now, or as it was when the job was accepted.
+func (e *Engine) queueOf(j *job) *workflow.Queue {
+	if q := e.config.Queue(j.Queue.Name); q != nil {
+		return q
+	}
+	return &j.Queue
+}
+
+// Add takes over a job with its record; nil for a new one. It returns false if the job is known.
+func (e *Engine) Add(spec workflow.Job, record *workflow.JobRecord, now, wall time.Time) bool {
+	if _, known := e.jobs[spec.ID]; known {
+		return false
+	}
+	age := max(wall.Sub(time.UnixMilli(spec.AcceptedUnixMillis)), 0)
+	j := &job{Job: spec, phase: workflow.Pending, shown: workflow.Pending, born: now.Add(-age)}
+	j.build()
+	e.jobs[spec.ID] = j
+	if record != nil {
+		e.restore(j, record)
+	}
+	j.measure()
+	e.changed = true
+	return true
+}
+
+// build creates the tasks of all occurrences.
+func (j *job) build() {
+	steps := len(j.Steps)
+	j.groups = make([]group, 0, steps*j.Runs())
+	for occurrence := range j.Runs() {
+		for step := range j.Steps {
+			j.groups = append(j.groups, group{occurrence: occurrence, step: step})
+			g := &j.groups[len(j.groups)-1]
+			for index := range j.Steps[step].Count {
+				id := workflow.TaskID{Job: j.ID, Occurrence: occurrence, Step: step, Index: index}
+				t := &task{job: j, step: &j.Steps[step], group: g, id: id, name: id.String()}
+				g.tasks = append(g.tasks, t)
+				j.tasks = append(j.tasks, t)
+			}
+		}
+	}
+}
+
+func (j *job) group(occurrence, step int) *group {
+	if occurrence < 0 || occurrence >= j.Runs() || step < 0 || step >= len(j.Steps) {
+		return nil
+	}
+	return &j.groups[occurrence*len(j.Steps)+step]
+}
+
+// task returns the task with an ID, or nil.
+func (e *Engine) task(name string) *task {
+	id, ok := workflow.ParseTaskID(name)
+	if !ok {
+		return nil
+	}
+	j := e.jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	return j.find(id)
+}
+
+func (j *job) find(id workflow.TaskID) *task {
+	g := j.group(id.Occurrence, id.Step)
+	if g == nil || id.Index < 0 || id.Index >= len(g.tasks) {
+		return nil
+	}
+	return g.tasks[id.Index]
+}
+
+// restore sets the state of a job from its record.
+func (e *Engine) restore(j *job, record *workflow.JobRecord) {
+	j.phase = record.Phase
+	j.shown = record.Phase
+	j.endedUnix = record.EndedUnixMillis
+	j.cancelled = record.Phase == workflow.Cancelled
+	for _, r := range record.Tasks {
+		t := j.find(workflow.TaskID{Job: j.ID, Occurrence: r.Occurrence, Step: r.Step, Index: r.Index})
+		if t == nil {
+			continue
+		}
+		t.run, t.failures, t.saved = r.Run, r.Failures, r.Saved
+		t.phase = r.Phase
+		switch r.Phase {
+		case workflow.TaskDone:
+			t.group.done++
+		case workflow.TaskAssigned:
+			t.life = r.Life
+			e.track(t)
+			t.stopWanted = j.phase.Final()
+		}
+	}
+}
+
+// track files an assigned task under its incarnation.
+func (e *Engine) track(t *task) {
+	set := e.assigned[t.life]
+	if set == nil {
+		set = map[*task]struct{}{}
+		e.assigned[t.life] = set
+	}
+	set[t] = struct{}{}
+}
+
+// release returns an assigned task to waiting: no run of it exists any more, and none can begin.
+func (e *Engine) release(t *task) {
+	e.untrack(t)
+	t.phase = workflow.TaskWaiting
+	t.clearRun()
+	e.touch(t.job)
+	e.changed = true
+}
+
+func (e *Engine) untrack(t *task) {
+	if set := e.assigned[t.life]; set != nil {
+		delete(set, t)
+		if len(set) == 0 {
+			delete(e.assigned, t.life)
+		}
+	}
+	if t.node != nil {
+		t.node.remove(t)
+	}
+}
+
+func (t *task) clearRun() {
+	t.life, t.node = "", nil
+	t.ordered, t.listed, t.stopWanted = false, false, false
+	t.startedSequence, t.stoppedSequence = 0, 0
+	t.startedIncarnation, t.stoppedIncarnation = 0, 0
+	t.stopSent = time.Time{}
+	t.percent, t.usage = 0, 0
+}
+
+func (n *node) add(t *task) {
+	t.node = n
+	n.used = n.used.Add(t.step.Reserved())
+	if t.step.Fills {
+		n.filling += t.step.Need.MilliCores
+	}
+	if t.step.TargetMillis > 0 {
+		n.serving++
+	}
+}
+
+func (n *node) remove(t *task) {
+	n.used = n.used.Sub(t.step.Reserved())
+	if t.step.Fills {
+		n.filling -= t.step.Need.MilliCores
+	}
+	if t.step.TargetMillis > 0 {
+		n.serving--
+	}
+	t.node = nil
+}
+
+// touch marks a job whose record has to be stored.
+func (e *Engine) touch(j *job) { e.dirty[j] = struct{}{} }
+
+// measure computes the chains of work of a job.
+func (j *job) measure() {
+	j.chain = j.longest(func(*group) bool { return true })
+	j.remaining = j.longest(func(g *group) bool { return g.done < len(g.tasks) })
+}
+
+// longest returns the longest sum of estimates along dependent steps of one occurrence, over the groups that count.
+func (j *job) longest(counts func(*group) bool) time.Duration {
+	var most time.Duration
+	ends := make([]time.Duration, len(j.Steps))
+	for occurrence := range j.Runs() {
+		for step := range j.Steps {
+			var begin time.Duration
+			for _, after := range j.Steps[step].After {
+				begin = max(begin, ends[after])
+			}
+			ends[step] = begin
+			if counts(j.group(occurrence, step)) {
+				ends[step] += time.Duration(j.Steps[step].EstimateMillis) * time.Millisecond
+			}
+			most = max(most, ends[step])
+		}
+	}
+	return most
+}
