Learn which filling tasks disturb serving ones, and place by it

Reservations of serving tasks counted in full although they use about half.

Change: serving tasks fill one executor after the other; filling tasks count what serving ones leave; the interference model of the scheduler learns the slowdown by pair of images from reports; images that add little go beside serving tasks, others go elsewhere, and the heaviest is moved away with its checkpoint when a latency nears its bound.

--- a/owner/term.go
+++ b/owner/term.go
@@ -82,10 +82,9 @@
 	log       hclog.Logger
 	metrics   metrics
 
-	engine  *engine.Engine
-	events  chan event
-	loaded  chan struct{}
-	serving bool
+	engine *engine.Engine
+	events chan event
+	loaded chan struct{}
 
 	// Only the loop uses these.
 	commitRevision int64
@@ -215,7 +214,9 @@
 	}
 	if t.engine.Add(spec, records[id], now, wall) {
 		t.log.Info("job known", "job", id, "queue", spec.Queue.Name, "steps", len(spec.Steps), "revision", item.Revision,
-			"recorded", records[id] != nil, "age_ms", wall.UnixMilli()-spec.AcceptedUnixMillis)
+			"recorded", records[id] != nil, "age_ms", wall.UnixMilli()-spec.AcceptedUnixMillis,
+			"chain_ms", t.engine.Chain(id).Milliseconds(), "objective_ms", t.engine.Objective(id).Milliseconds(),
+			"first_step", spec.Steps[0])
 		delete(records, id)
 	}
 }
@@ -297,7 +298,7 @@
 
 func (t *term) tick() {
 	now := time.Now()
-	t.engine.Wake()
+	t.engine.Wake(now)
 	for _, life := range t.engine.Expire(now) {
 		t.metrics.lapsed.Inc(1)
 		t.log.Info("tasks of an executor have lapsed", "executor", life, "epoch", t.tenure.Record.Epoch)
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -162,6 +162,7 @@
 		e.absent(t, r)
 	}
 	e.stopForeign(n, now)
+	e.sample(n, now)
 }
 
 // observe takes over a row of a running task.
--- a/workflow/engine/output.go
+++ b/workflow/engine/output.go
@@ -95,7 +95,9 @@
 }
 
 func (t *task) traits() workflow.RunTraits {
-	return workflow.RunTraits{Task: t.name, TargetMillis: t.step.TargetMillis, Fills: t.step.Fills}
+	return workflow.RunTraits{
+		Task: t.name, TargetMillis: t.step.TargetMillis, Image: t.step.Image, MilliCores: t.step.Need.MilliCores, Fills: t.step.Fills,
+	}
 }
 
 // Traits describes the tasks that are assigned to a node.
@@ -111,6 +113,22 @@
 	return traits
 }
 
+// Chain returns the longest sum of estimates along dependent steps of a job; 0 if it is unknown.
+func (e *Engine) Chain(id string) time.Duration {
+	if j := e.jobs[id]; j != nil {
+		return j.chain
+	}
+	return 0
+}
+
+// Objective returns the time from acceptance in which a job is of full use to its client; 0 if the job is unknown.
+func (e *Engine) Objective(id string) time.Duration {
+	if j := e.jobs[id]; j != nil {
+		return objective(j, e.queueOf(j))
+	}
+	return 0
+}
+
 // Phase returns the stored phase of a job.
 func (e *Engine) Phase(id string) (workflow.Phase, bool) {
 	j := e.jobs[id]
--- a/workflow/engine/placement.go
+++ b/workflow/engine/placement.go
@@ -84,6 +84,9 @@
 		}
 		return float64(n.leftover()) >= fillShare*float64(p.task.step.Need.MilliCores)
 	})
+	registerFilter("interference", func(p *placement, n *node) bool {
+		return !p.task.step.Fills || p.engine.bears(n, p.task.step, p.now)
+	})
 	registerFilter("spread", func(p *placement, n *node) bool {
 		limit := p.task.step.PerExecutor
 		return limit == 0 || n.count(p.task.group) < limit
@@ -95,7 +98,12 @@
 		if n.executor.Capacity.MilliCores == 0 {
 			return 0
 		}
-		return float64(n.leftover()) / float64(n.executor.Capacity.MilliCores)
+		free := float64(n.leftover()) / float64(n.executor.Capacity.MilliCores)
+		if p.task.step.TargetMillis > 0 {
+			// Serving tasks fill one executor after the other, so that others stay free of them.
+			return -free
+		}
+		return free
 	})
 	registerScore("rack", func(p *placement, n *node) float64 {
 		if p.task.step.Rack == "" || n.executor.HasLabel(p.task.step.Rack) {
@@ -104,16 +112,24 @@
 		return 1/p.engine.settings.FarFactor - 1
 	})
 	registerScore("sharing", func(p *placement, n *node) float64 {
-		if p.task.step.Fills && n.serving > 0 || p.task.step.TargetMillis > 0 && n.filling > 0 {
-			return -0.5
+		switch {
+		case p.task.step.Fills && n.serving > 0:
+			if p.engine.heaviness(n, p.task.step.Image) < lightSlowdown*usualRatio {
+				return 1
+			}
+			return -1
+		case p.task.step.TargetMillis > 0 && n.serving == 0:
+			return -1
 		}
 		return 0
 	})
 }
 
-// leftover returns the processor time that filling tasks may still take, in thousandths of a core.
+// leftover returns the processor time that filling tasks may still take, in thousandths of a core. Serving tasks use
+// less than they reserve.
 func (n *node) leftover() int64 {
-	return n.executor.Capacity.MilliCores - n.used.MilliCores - n.filling
+	idle := int64(float64(n.reservedServing) * (1 - servingUse))
+	return n.executor.Capacity.MilliCores - n.used.MilliCores - n.filling + idle
 }
 
 // count returns how many tasks of a group are assigned to the node.
--- a/workflow/engine/plan.go
+++ b/workflow/engine/plan.go
@@ -83,7 +83,7 @@
 	if j.lasting() || j.Occurrences > 0 {
 		return c
 	}
-	objective := time.Duration(q.Stretch*float64(j.chain)) + time.Duration(q.ObjectiveMillis)*time.Millisecond
+	objective := objective(j, q)
 	end := now.Sub(j.born) + j.remaining
 	c.slack = objective - end
 	switch {
@@ -91,10 +91,17 @@
 		c.urgency = lost
 	case end > objective:
 		c.urgency = late
+	default:
+		c.urgency = inTime
 	}
 	return c
 }
 
+// objective returns the time from acceptance in which a job is of full use.
+func objective(j *job, q *workflow.Queue) time.Duration {
+	return time.Duration(q.Stretch*float64(j.chain)) + time.Duration(q.ObjectiveMillis)*time.Millisecond
+}
+
 func (j *job) lasting() bool { return j.Steps[len(j.Steps)-1].LongRunning }
 
 func (e *Engine) hasReady(j *job, now, wall time.Time) bool {
--- /dev/null
+++ b/workflow/engine/sharing.go
@@ -0,0 +1,196 @@
+package engine
+
+import (
+	"math"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/scheduler/interference"
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+const (
+	// sampleInterval is how often the latencies of an executor's serving tasks change.
+	sampleInterval = 450 * time.Millisecond
+	// shareStep rounds the processor shares of images, whose measurements are rough.
+	shareStep = 0.01
+	// unknownSlowdown is assumed of an image for a whole executor, relative to the undisturbed latency, until it is known.
+	// It admits about one task at a time beside a serving one.
+	unknownSlowdown = 3.0
+	// bearable is the part of the bound of a serving task's latency up to which filling tasks are placed beside it.
+	bearable = 0.75
+	// disturbed is the part of that bound from which filling tasks are moved away.
+	disturbed = 0.85
+	// sampleLag is how long a started task doesn't show in the latencies.
+	sampleLag = 1200 * time.Millisecond
+	// moveInterval is the least time between two tasks that are moved away from one executor.
+	moveInterval = time.Second
+	// lightSlowdown is below what an image adds that is better placed beside serving tasks, so that the executors without
+	// any are left to others.
+	lightSlowdown = 1.5
+	// usualRatio is assumed for the undisturbed latency of a serving task by its bound.
+	usualRatio = 0.3
+)
+
+// newInterference returns the model of the slowdown of serving tasks by filling ones. Samples are fresh when they
+// arrive, so nothing has to settle; how images behave changes within seconds, so little is remembered.
+func newInterference() *interference.Model {
+	return interference.New(interference.Config{HalfLife: 30 * time.Second, MinSamples: 3, Settle: time.Nanosecond, BlockFor: time.Second})
+}
+
+// sample teaches the model what the rows of a report show.
+func (e *Engine) sample(n *node, now time.Time) {
+	if now.Sub(n.sampled) < sampleInterval {
+		return
+	}
+	n.sampled = now
+	capacity := float64(n.executor.Capacity.MilliCores)
+	if n.serving == 0 || capacity == 0 {
+		return
+	}
+	shares := map[string]float64{}
+	tasks := e.assignedTo(n.executor.Life())
+	for _, t := range tasks {
+		if t.step.Fills && t.listed {
+			shares[t.step.Image] += t.usage / capacity
+		}
+	}
+	var loads []interference.Load
+	for image, share := range shares {
+		if share = math.Round(share/shareStep) * shareStep; share > 0 {
+			loads = append(loads, interference.Load{Class: image, Share: share})
+		}
+	}
+	e.interference.SetLoads(n.name, loads, now)
+	for _, t := range tasks {
+		if t.step.TargetMillis == 0 || !t.listed || t.usage == 0 || now.Sub(t.startedAt) < sampleLag {
+			continue
+		}
+		e.servingImages[t.step.Image] = true
+		e.interference.SetObjective(t.step.Image, float64(t.step.TargetMillis))
+		e.interference.Observe(n.name, t.step.Image, t.usage, 0, now)
+	}
+}
+
+// slowdown returns by how much of its bound an executor full of an image would raise the latency of a serving task.
+func (e *Engine) slowdown(serving *task, image string) float64 {
+	ratio := usualRatio
+	if base := e.interference.BaselineMillis(serving.step.Image); base > 0 {
+		ratio = base / float64(serving.step.TargetMillis)
+	}
+	estimate := e.interference.Estimate(serving.step.Image, image)
+	if !estimate.Known {
+		return ratio * e.elsewhereKnown(image)
+	}
+	return ratio * (estimate.Slowdown - 1)
+}
+
+// elsewhereKnown returns the mean slowdown of the serving images that are known beside a filling one.
+func (e *Engine) elsewhereKnown(image string) float64 {
+	sum, count := 0.0, 0
+	for serving := range e.servingImages {
+		if estimate := e.interference.Estimate(serving, image); estimate.Known {
+			sum += estimate.Slowdown - 1
+			count++
+		}
+	}
+	if count == 0 {
+		return unknownSlowdown
+	}
+	return sum / float64(count)
+}
+
+// latency returns the expected latency of a serving task by its bound, with the tasks that started just now.
+func (e *Engine) latency(n *node, serving *task, now time.Time) float64 {
+	ratio := usualRatio
+	if serving.listed && serving.usage > 0 {
+		ratio = serving.usage / float64(serving.step.TargetMillis)
+	}
+	for t := range e.assigned[n.executor.Life()] {
+		if t.step.Fills && now.Sub(t.startedAt) < sampleLag {
+			ratio += e.slowdown(serving, t.step.Image) * share(t.step, n)
+		}
+	}
+	return ratio
+}
+
+func share(step *workflow.Step, n *node) float64 {
+	return float64(step.Need.MilliCores) / float64(max(n.executor.Capacity.MilliCores, 1))
+}
+
+// bears tells whether the serving tasks of an executor bear a further filling one.
+func (e *Engine) bears(n *node, step *workflow.Step, now time.Time) bool {
+	if n.serving == 0 {
+		return true
+	}
+	for t := range e.assigned[n.executor.Life()] {
+		if t.step.TargetMillis == 0 {
+			continue
+		}
+		if e.latency(n, t, now)+e.slowdown(t, step.Image)*share(step, n) > bearable {
+			return false
+		}
+	}
+	return true
+}
+
+// heaviness returns the most that an image adds to the latency of a serving task on an executor, by its bound.
+func (e *Engine) heaviness(n *node, image string) float64 {
+	most := 0.0
+	for t := range e.assigned[n.executor.Life()] {
+		if t.step.TargetMillis > 0 {
+			most = max(most, e.slowdown(t, image))
+		}
+	}
+	return most
+}
+
+// relieve stops the filling task that disturbs a serving one most, where it keeps its progress and another executor has
+// room for it.
+func (e *Engine) relieve(now time.Time) {
+	for _, n := range e.nodes {
+		if !n.known || n.serving == 0 || n.filling == 0 || now.Sub(n.relieved) < moveInterval || !e.isDisturbed(n) {
+			continue
+		}
+		worst := e.heaviest(n)
+		if worst == nil || e.elsewhere(worst, n, now) == nil {
+			continue
+		}
+		n.relieved = now
+		worst.stopWanted = true
+	}
+}
+
+func (e *Engine) isDisturbed(n *node) bool {
+	for t := range e.assigned[n.executor.Life()] {
+		if t.step.TargetMillis > 0 && t.usage >= disturbed*float64(t.step.TargetMillis) {
+			return true
+		}
+	}
+	return false
+}
+
+// heaviest returns the filling task with checkpoints that adds most to the latencies on an executor.
+func (e *Engine) heaviest(n *node) *task {
+	var worst *task
+	most := 0.0
+	for _, t := range e.assignedTo(n.executor.Life()) {
+		if !t.step.Fills || !t.step.Checkpoints || t.stopWanted || !t.listed {
+			continue
+		}
+		if adds := e.heaviness(n, t.step.Image) * share(t.step, n); adds > most {
+			worst, most = t, adds
+		}
+	}
+	return worst
+}
+
+// elsewhere returns another executor that would take a task now, or nil.
+func (e *Engine) elsewhere(t *task, from *node, now time.Time) *node {
+	p := &placement{engine: e, queue: e.queueOf(t.job), task: t, now: now}
+	for _, n := range e.nodes {
+		if n != from && n.known && p.admits(n) {
+			return n
+		}
+	}
+	return nil
+}
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/quetzalshed/quetzalshed/scheduler/interference"
 	"github.com/quetzalshed/quetzalshed/structs"
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
@@ -39,6 +40,10 @@
 	outbox    map[string]*outbox
 	// changed tells that the next Plan may find something to start.
 	changed bool
+	// interference knows how much filling tasks slow serving ones down.
+	interference *interference.Model
+	// servingImages holds the images of serving tasks that the model has seen.
+	servingImages map[string]bool
 }
 
 // outbox collects the orders for a node until they may be sent.
@@ -128,9 +133,13 @@
 	// used is what assigned tasks reserve; filling is the processor time that filling tasks ask for.
 	used    structs.Resources
 	filling int64
-	serving int
+	// serving counts the serving tasks, reservedServing is the processor time that they reserve.
+	serving         int
+	reservedServing int64
 	// foreign lists runs that the executor has and that no task is assigned to.
 	foreign []workflow.RunState
+	// sampled is when latencies were last taken from a report, relieved when a filling task was last moved away.
+	sampled, relieved time.Time
 	// closedUntil keeps starts away after the executor has rejected one.
 	closedUntil time.Time
 	// foreignStops is when stops of foreign runs were last ordered.
@@ -149,6 +158,8 @@
 		unreached: now.Add(settings.Lapse + settings.TakeoverSlack),
 		dirty:     map[*job]struct{}{},
 		outbox:    map[string]*outbox{},
+
+		interference: newInterference(), servingImages: map[string]bool{},
 	}
 }
 
@@ -175,7 +186,11 @@
 }
 
 // Wake makes the next Plan look for tasks to start, since delays may have passed.
-func (e *Engine) Wake() { e.changed = true }
+func (e *Engine) Wake(now time.Time) {
+	e.changed = true
+	e.interference.Advance(now)
+	e.relieve(now)
+}
 
 // queueOf returns the queue of a job as it is configured now, or as it was when the job was accepted.
 func (e *Engine) queueOf(j *job) *workflow.Queue {
@@ -320,6 +335,7 @@
 	}
 	if t.step.TargetMillis > 0 {
 		n.serving++
+		n.reservedServing += t.step.Need.MilliCores
 	}
 }
 
@@ -330,6 +346,7 @@
 	}
 	if t.step.TargetMillis > 0 {
 		n.serving--
+		n.reservedServing -= t.step.Need.MilliCores
 	}
 	t.node = nil
 }
--- a/workflow/messages.go
+++ b/workflow/messages.go
@@ -38,6 +38,10 @@
 	Task string `json:"task"`
 	// TargetMillis is the bound of the tail latency of a serving task; 0 for others.
 	TargetMillis int64 `json:"target_ms,omitempty"`
+	// Image names what the task runs.
+	Image string `json:"image,omitempty"`
+	// MilliCores is the processor time that the task asks for.
+	MilliCores int64 `json:"milli_cores,omitempty"`
 	// Fills tells that the task uses the processor time that others leave.
 	Fills bool `json:"fills,omitempty"`
 }
