--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -10,10 +10,12 @@
 // stopRetry is the time after which a stop without a result is ordered again.
 const stopRetry = 400 * time.Millisecond
 
-// Cancel ends a job at the request of its client. It returns false if the job is unknown.
+// Cancel ends a job at the request of its client. It returns false if the job is unknown; the cancellation then takes
+// effect when the job is added, since a new owner reads both in any order.
 func (e *Engine) Cancel(id string, wall time.Time) bool {
 	j := e.jobs[id]
 	if j == nil {
+		e.cancelled[id] = true
 		return false
 	}
 	if !j.phase.Final() {
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -31,6 +31,8 @@
 	config    *workflow.Config
 	evacuated map[string]bool
 	jobs      map[string]*job
+	// cancelled holds the cancellations of jobs that aren't known yet.
+	cancelled map[string]bool
 	nodes     map[string]*node
 	// assigned holds the tasks that may run, by the incarnation that they are assigned to.
 	assigned map[string]map[*task]struct{}
@@ -153,6 +155,7 @@
 		config:    &workflow.Config{},
 		evacuated: map[string]bool{},
 		jobs:      map[string]*job{},
+		cancelled: map[string]bool{},
 		nodes:     map[string]*node{},
 		assigned:  map[string]map[*task]struct{}{},
 		unreached: now.Add(settings.Lapse + settings.TakeoverSlack),
@@ -213,6 +216,10 @@
 		e.restore(j, record)
 	}
 	j.measure()
+	if e.cancelled[j.ID] {
+		delete(e.cancelled, j.ID)
+		e.Cancel(j.ID, wall)
+	}
 	e.changed = true
 	return true
 }
