Judge filling tasks by latencies relative to the same step elsewhere

Fills counted as room for serving tasks, executors that were announced late stayed out, and the model took the swing of a serving task's own load for disturbance: after 30 s it knew hardly any pair.

Ruled out: moving serving tasks together (mayMiss is 0).

Change: tasks that last wait until executors had time to announce themselves after a takeover, and the largest and most restricted go first; samples are relative to the lowest latency of the same step on another executor, and hold for all serving images.

--- a/workflow/engine/placement.go
+++ b/workflow/engine/placement.go
@@ -60,6 +60,9 @@
 const (
 	// silence is how long an executor may go without a report before it gets no more starts.
 	silence = 2 * time.Second
+	// gatherTime is how long a new owner waits for executors before it places tasks that last. All executors announce
+	// themselves within it, and where these tasks are decides for long which executors are free of them.
+	gatherTime = 1700 * time.Millisecond
 	// fillShare is the part of a filling task's wish that must be free for it to start.
 	fillShare = 0.9
 	// servingUse is the part of its reservation that a serving task is expected to use.
@@ -87,6 +90,9 @@
 	registerFilter("interference", func(p *placement, n *node) bool {
 		return !p.task.step.Fills || p.engine.bears(n, p.task.step, p.now)
 	})
+	registerFilter("gathering", func(p *placement, n *node) bool {
+		return !p.task.step.LongRunning || !p.now.Before(p.engine.gathered)
+	})
 	registerFilter("spread", func(p *placement, n *node) bool {
 		limit := p.task.step.PerExecutor
 		return limit == 0 || n.count(p.task.group) < limit
@@ -98,12 +104,12 @@
 		if n.executor.Capacity.MilliCores == 0 {
 			return 0
 		}
-		free := float64(n.leftover()) / float64(n.executor.Capacity.MilliCores)
+		capacity := float64(n.executor.Capacity.MilliCores)
 		if p.task.step.TargetMillis > 0 {
 			// Serving tasks fill one executor after the other, so that others stay free of them.
-			return -free
+			return float64(n.used.MilliCores-n.filling)/capacity - 1
 		}
-		return free
+		return float64(n.leftover()) / capacity
 	})
 	registerScore("rack", func(p *placement, n *node) float64 {
 		if p.task.step.Rack == "" || n.executor.HasLabel(p.task.step.Rack) {
@@ -114,7 +120,7 @@
 	registerScore("sharing", func(p *placement, n *node) float64 {
 		switch {
 		case p.task.step.Fills && n.serving > 0:
-			if p.engine.heaviness(n, p.task.step.Image) < lightSlowdown*usualRatio {
+			if p.engine.slowdown(p.task.step.Image) < lightSlowdown {
 				return 1
 			}
 			return -1
--- a/workflow/engine/plan.go
+++ b/workflow/engine/plan.go
@@ -72,10 +72,22 @@
 		cmp.Compare(a.urgency, b.urgency),
 		cmp.Compare(a.queue.Priority, b.queue.Priority),
 		cmp.Compare(a.slack, b.slack),
+		// The largest and most restricted of tasks that last go first, since they find the fewest places.
+		cmp.Compare(b.spread(), a.spread()),
+		cmp.Compare(b.job.Steps[0].Need.MilliCores, a.job.Steps[0].Need.MilliCores),
 		cmp.Compare(a.job.ID, b.job.ID),
 	)
 }
 
+// spread returns how many executors the first step of a lasting job needs at least; 0 for others.
+func (c candidate) spread() int {
+	s := &c.job.Steps[0]
+	if !s.LongRunning || s.PerExecutor == 0 {
+		return 0
+	}
+	return s.Count / s.PerExecutor
+}
+
 // rank tells how urgent a job is.
 func (e *Engine) rank(j *job, now time.Time) candidate {
 	q := e.queueOf(j)
--- a/workflow/engine/sharing.go
+++ b/workflow/engine/sharing.go
@@ -16,6 +16,10 @@
 	// unknownSlowdown is assumed of an image for a whole executor, relative to the undisturbed latency, until it is known.
 	// It admits about one task at a time beside a serving one.
 	unknownSlowdown = 3.0
+	// anyServing is the service in the model: samples are relative to the undisturbed latency, so that they hold for all.
+	anyServing = "serving"
+	// normalLatency is an undisturbed sample.
+	normalLatency = 100.0
 	// bearable is the part of the bound of a serving task's latency up to which filling tasks are placed beside it.
 	bearable = 0.75
 	// disturbed is the part of that bound from which filling tasks are moved away.
@@ -34,7 +38,7 @@
 // newInterference returns the model of the slowdown of serving tasks by filling ones. Samples are fresh when they
 // arrive, so nothing has to settle; how images behave changes within seconds, so little is remembered.
 func newInterference() *interference.Model {
-	return interference.New(interference.Config{HalfLife: 30 * time.Second, MinSamples: 3, Settle: time.Nanosecond, BlockFor: time.Second})
+	return interference.New(interference.Config{HalfLife: 30 * time.Second, MinSamples: 1, Settle: time.Nanosecond, BlockFor: time.Second})
 }
 
 // sample teaches the model what the rows of a report show.
@@ -65,38 +69,44 @@
 		if t.step.TargetMillis == 0 || !t.listed || t.usage == 0 || now.Sub(t.startedAt) < sampleLag {
 			continue
 		}
-		e.servingImages[t.step.Image] = true
-		e.interference.SetObjective(t.step.Image, float64(t.step.TargetMillis))
-		e.interference.Observe(n.name, t.step.Image, t.usage, 0, now)
+		if base, ok := t.undisturbed(n); ok || len(loads) == 0 {
+			e.interference.Observe(n.name, anyServing, normalLatency*t.usage/base, 0, now)
+		}
 	}
 }
 
-// slowdown returns by how much of its bound an executor full of an image would raise the latency of a serving task.
-func (e *Engine) slowdown(serving *task, image string) float64 {
-	ratio := usualRatio
-	if base := e.interference.BaselineMillis(serving.step.Image); base > 0 {
-		ratio = base / float64(serving.step.TargetMillis)
-	}
-	estimate := e.interference.Estimate(serving.step.Image, image)
-	if !estimate.Known {
-		return ratio * e.elsewhereKnown(image)
+// undisturbed returns the latency that a serving task would have without filling tasks: the lowest among the tasks of
+// its step, which share its load. It returns false if all of them are on the same executor.
+func (t *task) undisturbed(n *node) (millis float64, ok bool) {
+	millis = t.usage
+	for _, other := range t.group.tasks {
+		if other.node == nil || !other.listed || other.usage == 0 {
+			continue
+		}
+		ok = ok || other.node != n
+		millis = min(millis, other.usage)
 	}
-	return ratio * (estimate.Slowdown - 1)
+	return max(millis, 1), ok
 }
 
-// elsewhereKnown returns the mean slowdown of the serving images that are known beside a filling one.
-func (e *Engine) elsewhereKnown(image string) float64 {
-	sum, count := 0.0, 0
-	for serving := range e.servingImages {
-		if estimate := e.interference.Estimate(serving, image); estimate.Known {
-			sum += estimate.Slowdown - 1
-			count++
-		}
-	}
-	if count == 0 {
+// slowdown returns by how much an executor full of an image would raise the latency of a serving task, relative to the
+// undisturbed latency.
+func (e *Engine) slowdown(image string) float64 {
+	estimate := e.interference.Estimate(anyServing, image)
+	if !estimate.Known {
 		return unknownSlowdown
 	}
-	return sum / float64(count)
+	return estimate.Slowdown - 1
+}
+
+// adds returns by how much a filling task raises the latency of a serving one, by the bound of the latter.
+func (e *Engine) adds(serving *task, step *workflow.Step, n *node) float64 {
+	base, _ := serving.undisturbed(n)
+	ratio := base / float64(serving.step.TargetMillis)
+	if serving.usage == 0 {
+		ratio = usualRatio
+	}
+	return ratio * e.slowdown(step.Image) * share(step, n)
 }
 
 // latency returns the expected latency of a serving task by its bound, with the tasks that started just now.
@@ -107,7 +117,7 @@
 	}
 	for t := range e.assigned[n.executor.Life()] {
 		if t.step.Fills && now.Sub(t.startedAt) < sampleLag {
-			ratio += e.slowdown(serving, t.step.Image) * share(t.step, n)
+			ratio += e.adds(serving, t.step, n)
 		}
 	}
 	return ratio
@@ -126,24 +136,13 @@
 		if t.step.TargetMillis == 0 {
 			continue
 		}
-		if e.latency(n, t, now)+e.slowdown(t, step.Image)*share(step, n) > bearable {
+		if e.latency(n, t, now)+e.adds(t, step, n) > bearable {
 			return false
 		}
 	}
 	return true
 }
 
-// heaviness returns the most that an image adds to the latency of a serving task on an executor, by its bound.
-func (e *Engine) heaviness(n *node, image string) float64 {
-	most := 0.0
-	for t := range e.assigned[n.executor.Life()] {
-		if t.step.TargetMillis > 0 {
-			most = max(most, e.slowdown(t, image))
-		}
-	}
-	return most
-}
-
 // relieve stops the filling task that disturbs a serving one most, where it keeps its progress and another executor has
 // room for it.
 func (e *Engine) relieve(now time.Time) {
@@ -177,7 +176,7 @@
 		if !t.step.Fills || !t.step.Checkpoints || t.stopWanted || !t.listed {
 			continue
 		}
-		if adds := e.heaviness(n, t.step.Image) * share(t.step, n); adds > most {
+		if adds := e.slowdown(t.step.Image) * share(t.step, n); adds > most {
 			worst, most = t, adds
 		}
 	}
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -38,14 +38,14 @@
 	assigned map[string]map[*task]struct{}
 	// unreached is when tasks of incarnations that no node has reported have ended at the latest.
 	unreached time.Time
-	dirty     map[*job]struct{}
-	outbox    map[string]*outbox
+	// gathered is when all executors have had the time to announce themselves.
+	gathered time.Time
+	dirty    map[*job]struct{}
+	outbox   map[string]*outbox
 	// changed tells that the next Plan may find something to start.
 	changed bool
 	// interference knows how much filling tasks slow serving ones down.
 	interference *interference.Model
-	// servingImages holds the images of serving tasks that the model has seen.
-	servingImages map[string]bool
 }
 
 // outbox collects the orders for a node until they may be sent.
@@ -159,10 +159,11 @@
 		nodes:     map[string]*node{},
 		assigned:  map[string]map[*task]struct{}{},
 		unreached: now.Add(settings.Lapse + settings.TakeoverSlack),
+		gathered:  now.Add(gatherTime),
 		dirty:     map[*job]struct{}{},
 		outbox:    map[string]*outbox{},
 
-		interference: newInterference(), servingImages: map[string]bool{},
+		interference: newInterference(),
 	}
 }
 
