Grant no further time to executors that have stopped answering

Ruled out: taking a refused connection as the end of the executor, since a cut can refuse connections too. Change: reports carry the age of the lists; lists older than 2.5 s earn no grant, and no start goes there. A reply no longer reads results that the engine may still write. Test: TestSilentExecutorBesideLivingNode, which fails without the change.

--- a/node/hold.go
+++ b/node/hold.go
@@ -18,6 +18,8 @@
 	holdSlack = 800 * time.Millisecond
 	// holdRetry is the pause after a call that failed.
 	holdRetry = 100 * time.Millisecond
+	// keptTraits is the number of tasks from which those that have ended are dropped.
+	keptTraits = 256
 	// ackWait is how long the next call waits for the acknowledgement of ends that were listed.
 	ackWait = 150 * time.Millisecond
 )
@@ -84,12 +86,31 @@
 	}
 	first := n.lists == nil
 	known := n.lists
-	n.lists, n.covers = lists, covers
-	n.clockMillis, n.clockAt = lists.ClockMillis, time.Now()
+	n.lists, n.covers, n.listedAt = lists, covers, time.Now()
+	n.clockMillis, n.clockAt = lists.ClockMillis, n.listedAt
 	n.logEnds(life, known, lists)
+	n.prune(lists)
 	return first || len(lists.Ended) > 0 && lists.Ended[len(lists.Ended)-1].Number > n.ack
 }
 
+// prune drops what is known of tasks that have ended, once there is much of it. A task that was started just now may not
+// be listed yet, so nothing is dropped below the bound.
+func (n *Node) prune(lists *Lists) {
+	if len(n.traits) < keptTraits {
+		return
+	}
+	listed := make(map[string]bool, len(lists.Running))
+	for i := range lists.Running {
+		listed[lists.Running[i].Task] = true
+	}
+	for _, end := range lists.Ended {
+		if !listed[end.Task] {
+			delete(n.traits, end.Task)
+			delete(n.paces, end.Task)
+		}
+	}
+}
+
 // logEnds logs the ends that the answer before did not list.
 func (n *Node) logEnds(life string, before, lists *Lists) {
 	var last int64
--- a/node/node.go
+++ b/node/node.go
@@ -79,9 +79,11 @@
 	// clockMillis is a reading of the executor's clock that was received at clockAt.
 	clockMillis int64
 	clockAt     time.Time
-	// lists is the newest answer of the incarnation; nil before the first. covers is the operations it covers.
-	lists  *Lists
-	covers int64
+	// lists is the newest answer of the incarnation; nil before the first. It arrived at listedAt, and covers is the
+	// operations it covers.
+	lists    *Lists
+	listedAt time.Time
+	covers   int64
 	// operations counts the orders that were carried out.
 	operations int64
 	// grantEnd is when the runs end unless an owner grants more.
--- a/node/report.go
+++ b/node/report.go
@@ -91,7 +91,7 @@
 		r.Executor = &executor
 	}
 	if n.current != nil && n.lists != nil {
-		r.Listed, r.Covers = true, n.covers
+		r.Listed, r.Covers, r.AgeMillis = true, n.covers, time.Since(n.listedAt).Milliseconds()
 		r.Running = n.lists.Running
 		for _, end := range n.lists.Ended {
 			if end.Number > n.ack {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -196,7 +196,12 @@
 		rpc.NotHere(w)
 		return
 	}
-	rpc.WriteJSON(w, http.StatusOK, t.report(r.Context(), &report))
+	reply, ok := t.report(r.Context(), &report)
+	if !ok {
+		rpc.NotHere(w)
+		return
+	}
+	rpc.WriteJSON(w, http.StatusOK, reply)
 }
 
 func (c *Candidate) handleJob(w http.ResponseWriter, r *http.Request) {
--- a/owner/serve.go
+++ b/owner/serve.go
@@ -15,33 +15,45 @@
 // slow.
 const replyWait = 300 * time.Millisecond
 
-// do applies an event and waits until its changes are stored, for a limited time.
+// do applies an event and then waits until its changes are stored, for a limited time. It returns false if the event
+// was not applied in time; what apply sets may only be read otherwise.
 func (t *term) do(ctx context.Context, wait time.Duration, apply func(now, wall time.Time)) bool {
-	done := make(chan struct{})
+	applied, stored := make(chan struct{}), make(chan struct{})
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
 	select {
 	case t.events <- func(now, wall time.Time) func() {
 		apply(now, wall)
-		return func() { close(done) }
+		close(applied)
+		return func() { close(stored) }
 	}:
+	case <-timer.C:
+		return false
 	case <-ctx.Done():
 		return false
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
 	select {
-	case <-done:
-		return true
+	case <-applied:
+	case <-timer.C:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-stored:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return false
+	return true
 }
 
-// report handles the report of a node.
-func (t *term) report(ctx context.Context, r *workflow.Report) workflow.ReportReply {
+// report handles the report of a node. It returns false if the engine was too busy to take it over.
+func (t *term) report(ctx context.Context, r *workflow.Report) (workflow.ReportReply, bool) {
 	var traits []workflow.RunTraits
-	t.do(ctx, replyWait, func(now, wall time.Time) {
-		ack := t.engine.Report(r, now, wall)
+	granted := false
+	applied := t.do(ctx, replyWait, func(now, wall time.Time) {
+		var ack int64
+		ack, granted = t.engine.Report(r, now, wall)
 		if r.Unaware {
 			traits = t.engine.Traits(r.Node)
 		}
@@ -50,14 +62,17 @@
 			t.waiting = append(t.waiting, func() { t.acknowledge(life, ack) })
 		}
 	})
+	if !applied {
+		return workflow.ReportReply{}, false
+	}
 	reply := workflow.ReportReply{Epoch: t.tenure.Record.Epoch, Traits: traits}
 	if r.Executor != nil {
 		reply.Ack = t.acknowledged(r.Executor.Life())
 	}
-	if t.tenure.Valid(time.Now()) {
+	if granted && t.tenure.Valid(time.Now()) {
 		reply.GrantMillis = grant.Milliseconds()
 	}
-	return reply
+	return reply, true
 }
 
 func (t *term) acknowledge(life string, number int64) {
@@ -72,7 +87,7 @@
 	return t.acked[life]
 }
 
-// ask reads from the engine.
+// ask reads from the engine. What read sets may only be read if ask returns true.
 func (t *term) ask(ctx context.Context, read func()) bool {
 	done := make(chan struct{})
 	select {
--- a/workflow/engine/engine_test.go
+++ b/workflow/engine/engine_test.go
@@ -67,10 +67,11 @@
 // report sends a report that covers all orders.
 func (h *harness) report(node string, x *workflow.Executor, running []workflow.RunState, ended []workflow.RunEnd) int64 {
 	h.reports[node]++
-	return h.engine.Report(&workflow.Report{
+	ack, _ := h.engine.Report(&workflow.Report{
 		Node: node, Address: node, Incarnation: 1, Number: h.reports[node], Executor: x, Listed: true,
 		Running: running, Ended: ended, Covers: 1 << 40,
 	}, h.now, h.now)
+	return ack
 }
 
 // plan returns the orders for a node, and stores everything.
@@ -113,3 +114,28 @@
 	h.Assert(h.plan(), qt.HasLen, 0)
 	h.Assert(h.phase(job.ID), qt.Equals, workflow.Cancelled)
 }
+
+// Guards against tasks that stay assigned to an executor that is gone while its node lives and repeats the last lists
+// (found by hunt on vaidlusmaja, mix 725681597518: LOST).
+func TestSilentExecutorBesideLivingNode(t *testing.T) {
+	h := newHarness(t)
+	job := h.job(step(1))
+	h.engine.Add(job, nil, h.now, h.now)
+	h.report("a", executor("a", 1), nil, nil)
+	running := h.accept("a", h.plan()["a"])
+	h.Assert(running, qt.HasLen, 1)
+	silentSince := h.now
+	for range 12 {
+		h.now = h.now.Add(time.Second)
+		h.reports["a"]++
+		h.engine.Report(&workflow.Report{
+			Node: "a", Address: "a", Incarnation: 1, Number: h.reports["a"], Executor: executor("a", 1), Listed: true,
+			Running: running, Covers: 1 << 40, AgeMillis: h.now.Sub(silentSince).Milliseconds(),
+		}, h.now, h.now)
+		h.engine.Expire(h.now)
+	}
+	h.report("b", executor("b", 1), nil, nil)
+	orders := h.plan()
+	h.Assert(orders["b"].Starts, qt.HasLen, 1)
+	h.Assert(orders["b"].Starts[0].Run, qt.Equals, 2)
+}
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -37,25 +37,29 @@
 	}
 }
 
+// staleLists is the age from which the lists of a report are no sign of life of the executor.
+const staleLists = 2500 * time.Millisecond
+
 // Report takes over what a node says. It returns the number up to which ends may be acknowledged once the changed
-// records are stored.
-func (e *Engine) Report(r *workflow.Report, now, wall time.Time) (ack int64) {
+// records are stored, and whether the node may keep the tasks running. It may not once the executor has stopped
+// answering: its tasks would otherwise count as running for as long as its node lives.
+func (e *Engine) Report(r *workflow.Report, now, wall time.Time) (ack int64, granted bool) {
 	n := e.nodes[r.Node]
 	if n == nil {
 		n = &node{name: r.Node, lapses: e.unreached}
 		e.nodes[r.Node] = n
 	}
 	if r.Incarnation < n.incarnation || r.Incarnation == n.incarnation && r.Number <= n.number {
-		return 0
+		return 0, false
 	}
 	n.address, n.incarnation, n.number = r.Address, r.Incarnation, r.Number
 	n.reported = now
 	if r.Executor == nil {
-		return 0
+		return 0, false
 	}
 	if !n.known || n.executor.Life() != r.Executor.Life() {
 		if n.known && r.Executor.BornUnixMillis < n.executor.BornUnixMillis {
-			return 0
+			return 0, false
 		}
 		e.begin(n, r.Executor, now)
 	}
@@ -64,11 +68,15 @@
 	}
 	n.executor = *r.Executor
 	if !r.Listed {
-		return n.acked
+		return n.acked, true
 	}
-	n.lapses = now.Add(e.settings.Lapse)
+	n.answered = now.Add(-time.Duration(r.AgeMillis) * time.Millisecond)
 	e.lists(n, r, now, wall)
-	return n.acked
+	if now.Sub(n.answered) > staleLists {
+		return n.acked, false
+	}
+	n.lapses = now.Add(e.settings.Lapse)
+	return n.acked, true
 }
 
 // begin replaces the executor of a node by another incarnation. What ran on the former one has ended; a start that it
--- a/workflow/engine/placement.go
+++ b/workflow/engine/placement.go
@@ -72,7 +72,7 @@
 func init() {
 	registerFilter("pool", func(p *placement, n *node) bool { return n.executor.Pool == p.queue.Pool })
 	registerFilter("present", func(p *placement, n *node) bool {
-		return !n.executor.Draining && p.now.Sub(n.reported) < silence && !p.now.Before(n.closedUntil)
+		return !n.executor.Draining && p.now.Sub(n.reported) < silence && p.now.Sub(n.answered) < staleLists && !p.now.Before(n.closedUntil)
 	})
 	registerFilter("evacuated", func(p *placement, n *node) bool { return !p.engine.evacuated[n.executor.FailureDomain] })
 	registerFilter("label", func(p *placement, n *node) bool {
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -129,9 +129,9 @@
 	known       bool
 	// lapses is when everything on the executor has ended unless a further grant is given.
 	lapses time.Time
-	// reported is when the last report arrived.
-	reported time.Time
-	acked    int64
+	// reported is when the last report arrived, answered when the executor gave the last lists.
+	reported, answered time.Time
+	acked              int64
 	// used is what assigned tasks reserve; filling is the processor time that filling tasks ask for.
 	used    structs.Resources
 	filling int64
--- a/workflow/messages.go
+++ b/workflow/messages.go
@@ -12,9 +12,11 @@
 	// Executor is the present incarnation of the executor; nil while none is known.
 	Executor *Executor `json:"executor,omitempty"`
 	// Listed tells that Running and Ended were listed by that incarnation.
-	Listed  bool       `json:"listed,omitempty"`
-	Running []RunState `json:"running,omitempty"`
-	Ended   []RunEnd   `json:"ended,omitempty"`
+	Listed bool `json:"listed,omitempty"`
+	// AgeMillis is how long ago the executor gave the lists.
+	AgeMillis int64      `json:"age_ms,omitempty"`
+	Running   []RunState `json:"running,omitempty"`
+	Ended     []RunEnd   `json:"ended,omitempty"`
 	// Covers is the sequence of the last order that had been carried out when the lists were requested.
 	Covers int64 `json:"covers"`
 	// Unaware tells that the node doesn't know how the running tasks behave, since its process started after them.
