Reach the store through the owner, and resume sooner after a loss of all hosts

A front host that the store refused or ignored answered 504 after 2.9 s, after which clients can't repeat an unsafe request; after the loss of all hosts, tasks waited 8.5 s since a record named the executor's incarnation but not its host; a new owner took 2 s. Ruled out: taking a front host out of rotation when it loses the store (open connections stay with it). Change: entries store jobs and cancellations through the owner when the store doesn't answer them within 0.7 s, and reject at once when neither can; records name the host, so that a new executor there ends the former one; the owner's lease is 1.5 s with overlapping renewals; orders carry the grant of the report that they rest on.

--- a/cmd/quetzalshed-gateway/main.go
+++ b/cmd/quetzalshed-gateway/main.go
@@ -14,6 +14,7 @@
 	"github.com/quetzalshed/quetzalshed/gateway"
 	"github.com/quetzalshed/quetzalshed/hosting"
 	"github.com/quetzalshed/quetzalshed/kernel"
+	"github.com/quetzalshed/quetzalshed/kv"
 	"github.com/quetzalshed/quetzalshed/owner"
 	"github.com/quetzalshed/quetzalshed/ownership"
 	"github.com/quetzalshed/quetzalshed/platform"
@@ -53,7 +54,7 @@
 	address := settings.InternalAddress(0)
 	p.Log.Info("process starts", "host", settings.NodeName, "failure_domain", settings.Zone, "address", address)
 
-	store := platform.NewStore(settings.Platform.Address, p.Scope)
+	store := kv.NewMonitor(platform.NewStore(settings.Platform.Address, p.Scope))
 	locator := ownership.NewLocator(store, p.Log)
 	g := gateway.New(store, locator, rpc.NewClient(), p.Log, p.Scope)
 	background, cancel := context.WithCancel(context.Background())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/quetzalshed/quetzalshed/intake"
 	"github.com/quetzalshed/quetzalshed/kv"
 	"github.com/quetzalshed/quetzalshed/owner"
 	"github.com/quetzalshed/quetzalshed/ownership"
@@ -36,6 +37,8 @@
 const (
 	// askTimeout bounds one question to the owner; the store answers otherwise.
 	askTimeout = 500 * time.Millisecond
+	// directTime is how long one way to the store is tried before the other.
+	directTime = 700 * time.Millisecond
 	// retryPause is the pause between attempts of a write.
 	retryPause = 60 * time.Millisecond
 	// rememberedPhases bounds the final phases that are remembered.
@@ -44,11 +47,11 @@
 
 // Gateway serves the clients of one entry.
 type Gateway struct {
-	store   kv.Store
+	store   *kv.Monitor
 	locator *ownership.Locator
 	rpc     *rpc.Client
 	log     hclog.Logger
-	writer  *writer
+	writer  *intake.Writer
 	metrics metrics
 
 	config atomic.Pointer[workflow.Config]
@@ -58,20 +61,21 @@
 }
 
 type metrics struct {
-	accepted, repeated, unavailable, unknown, cancelled, states, fallbacks tally.Counter
-	acceptTime, stateTime                                                  tally.Histogram
+	accepted, repeated, unavailable, unknown, cancelled, states, fallbacks, relayed tally.Counter
+	acceptTime, stateTime                                                           tally.Histogram
 }
 
 // New returns a gateway. Run has to be called before it accepts jobs.
-func New(store kv.Store, locator *ownership.Locator, client *rpc.Client, log hclog.Logger, scope tally.Scope) *Gateway {
+func New(store *kv.Monitor, locator *ownership.Locator, client *rpc.Client, log hclog.Logger, scope tally.Scope) *Gateway {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 13)
 	return &Gateway{
-		store: store, locator: locator, rpc: client, log: log, writer: newWriter(store, log),
+		store: store, locator: locator, rpc: client, log: log, writer: intake.NewWriter(store, log),
 		phases: map[string]workflow.Phase{},
 		metrics: metrics{
 			accepted: scope.Counter("jobs_accepted"), repeated: scope.Counter("jobs_repeated"),
 			unavailable: scope.Counter("requests_unavailable"), unknown: scope.Counter("requests_unknown"),
 			cancelled: scope.Counter("jobs_cancelled"), states: scope.Counter("states_asked"),
+			relayed:    scope.Counter("jobs_relayed"),
 			fallbacks:  scope.Counter("states_from_store"),
 			acceptTime: scope.Histogram("job_accept_seconds", buckets),
 			stateTime:  scope.Histogram("state_seconds", buckets),
@@ -81,7 +85,7 @@
 
 // Run follows the configuration and writes jobs until ctx ends.
 func (g *Gateway) Run(ctx context.Context, operators owner.Operators) {
-	go g.writer.run(ctx)
+	go g.writer.Run(ctx)
 	operators.Follow(ctx, func(state owner.OperatorState) {
 		present := g.config.Load()
 		if state.Config == nil || present != nil && state.Config.Version <= present.Version {
@@ -105,7 +109,7 @@
 	if err != nil {
 		return eris.Wrap(ErrUnavailable, err.Error())
 	}
-	repeated, err := g.writer.create(ctx, owner.JobPrefix+job.ID, value)
+	repeated, err := g.create(ctx, job.ID, value)
 	g.metrics.acceptTime.RecordDuration(time.Since(begun))
 	took := time.Since(begun).Milliseconds()
 	switch {
@@ -201,6 +205,9 @@
 
 // readState returns the phase that the store holds. The owner may not know a job that was accepted just now.
 func (g *Gateway) readState(ctx context.Context, id string) (workflow.Phase, error) {
+	if !g.store.Healthy() {
+		return "", eris.Wrap(ErrUnavailable, "neither the owner nor the store answers")
+	}
 	_, found, _, err := g.store.Get(ctx, owner.JobPrefix+id)
 	if err != nil {
 		return "", eris.Wrap(ErrUnavailable, err.Error())
@@ -223,14 +230,71 @@
 	return record.Phase, nil
 }
 
-// Cancel stores the cancellation of a job. Errors match ErrNotFound, ErrUnavailable or ErrUnknown.
+// create stores a job, through the owner where this entry doesn't reach the store.
+func (g *Gateway) create(ctx context.Context, id string, value []byte) (repeated bool, err error) {
+	direct, cancel := context.WithTimeout(ctx, directTime)
+	defer cancel()
+	repeated, err = g.writer.Create(direct, owner.JobPrefix+id, value)
+	if err == nil {
+		return repeated, nil
+	}
+	uncertain := errors.Is(err, intake.ErrUnknown)
+	relayErr := g.relay(ctx, owner.CreatePath+id, json.RawMessage(value))
+	switch {
+	case relayErr == nil:
+		g.metrics.relayed.Inc(1)
+		return false, nil
+	case uncertain || errors.Is(relayErr, ErrUnknown):
+		return false, eris.Wrapf(ErrUnknown, "%v; by the owner: %v", err, relayErr)
+	}
+	return false, eris.Wrapf(ErrUnavailable, "%v; by the owner: %v", err, relayErr)
+}
+
+// relay sends a change through the owner. Errors match ErrNotFound, ErrUnavailable or ErrUnknown.
+func (g *Gateway) relay(ctx context.Context, path string, body any) error {
+	record, present := g.locator.Current()
+	if !present {
+		return eris.Wrap(ErrUnavailable, "no owner")
+	}
+	answer, err := g.rpc.Call(ctx, http.MethodPost, "http://"+record.Address+path, nil, body)
+	if err != nil {
+		go g.locator.Doubt(context.WithoutCancel(ctx))
+		if errors.Is(err, rpc.ErrNotSent) {
+			return eris.Wrap(ErrUnavailable, err.Error())
+		}
+		return eris.Wrap(ErrUnknown, err.Error())
+	}
+	switch answer.Status {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusMisdirectedRequest:
+		go g.locator.Doubt(context.WithoutCancel(ctx))
+		return eris.Wrap(ErrUnavailable, "not the owner")
+	case http.StatusServiceUnavailable:
+		return eris.Wrap(ErrUnavailable, "the owner doesn't reach the store")
+	}
+	return eris.Wrapf(ErrUnknown, "status %d", answer.Status)
+}
+
+// Cancel stores the cancellation of a job: as a change of its record by the owner, or as a key that the next owner reads.
+// Errors match ErrNotFound, ErrUnavailable or ErrUnknown.
 func (g *Gateway) Cancel(ctx context.Context, id string) error {
-	unknown := false
+	byOwner, cancel := context.WithTimeout(ctx, directTime)
+	err := g.relay(byOwner, owner.CancelPath+id, struct{}{})
+	cancel()
+	if err == nil {
+		g.metrics.cancelled.Inc(1)
+		g.log.Info("cancellation stored", "job", id, "by", "owner")
+		return nil
+	}
+	unknown := errors.Is(err, ErrUnknown)
 	for {
 		err := g.cancelOnce(ctx, id)
 		if err == nil {
 			g.metrics.cancelled.Inc(1)
-			g.log.Info("cancellation stored", "job", id)
+			g.log.Info("cancellation stored", "job", id, "by", "key")
 			return nil
 		}
 		if errors.Is(err, ErrNotFound) {
--- a/gateway/writer.go
+++ b/intake/writer.go
@@ -1,4 +1,6 @@
-package gateway
+// Package intake writes new jobs to the store, several in one write, and tells those that certainly were not stored from
+// those that may be.
+package intake
 
 import (
 	"context"
@@ -11,7 +13,17 @@
 	"github.com/quetzalshed/quetzalshed/kv"
 )
 
+// Errors of a creation. Callers compare with errors.Is.
+var (
+	// ErrUnknown means that the key may exist, or may appear later.
+	ErrUnknown = errors.New("intake: result unknown")
+	// ErrUnavailable means that the key was not created and never will be by this call.
+	ErrUnavailable = errors.New("intake: store unavailable")
+)
+
 const (
+	// retryPause is the pause between attempts of a write.
+	retryPause = 60 * time.Millisecond
 	// jobsPerWrite is how many jobs share a write; each takes a condition and a put.
 	jobsPerWrite = kv.MaxTransactionRows / 2
 	// queuedJobs bounds the jobs that wait for a write; more are rejected.
@@ -20,9 +32,9 @@
 	writesAtOnce = 4
 )
 
-// writer creates keys; those that arrive while a write is in flight share the next one.
-type writer struct {
-	store kv.Store
+// Writer creates keys; those that arrive while writes are in flight share the next one.
+type Writer struct {
+	store *kv.Monitor
 	log   hclog.Logger
 	queue chan *creation
 	slots chan struct{}
@@ -39,12 +51,17 @@
 	done      chan error
 }
 
-func newWriter(store kv.Store, log hclog.Logger) *writer {
-	return &writer{store: store, log: log, queue: make(chan *creation, queuedJobs), slots: make(chan struct{}, writesAtOnce)}
+// NewWriter returns a writer. Run has to be called before it creates keys.
+func NewWriter(store *kv.Monitor, log hclog.Logger) *Writer {
+	return &Writer{store: store, log: log, queue: make(chan *creation, queuedJobs), slots: make(chan struct{}, writesAtOnce)}
 }
 
-// create stores a value under a key that doesn't exist. If it exists, repeated is true.
-func (w *writer) create(ctx context.Context, key string, value []byte) (repeated bool, err error) {
+// Create stores a value under a key that doesn't exist. If it exists, repeated is true. While the store doesn't answer,
+// keys are rejected at once.
+func (w *Writer) Create(ctx context.Context, key string, value []byte) (repeated bool, err error) {
+	if !w.store.Healthy() {
+		return false, eris.Wrap(ErrUnavailable, "the store doesn't answer")
+	}
 	c := &creation{ctx: ctx, key: key, value: value, done: make(chan error, 1)}
 	select {
 	case w.queue <- c:
@@ -59,7 +76,8 @@
 	}
 }
 
-func (w *writer) run(ctx context.Context) {
+// Run writes until ctx ends.
+func (w *Writer) Run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -78,7 +96,7 @@
 }
 
 // next waits for a creation and takes those that wait with it.
-func (w *writer) next(ctx context.Context) []*creation {
+func (w *Writer) next(ctx context.Context) []*creation {
 	var batch []*creation
 	select {
 	case <-ctx.Done():
@@ -98,7 +116,7 @@
 }
 
 // write repeats a write until each key certainly exists, or certainly never will, or its client has gone.
-func (w *writer) write(ctx context.Context, batch []*creation) {
+func (w *Writer) write(ctx context.Context, batch []*creation) {
 	for len(batch) > 0 && ctx.Err() == nil {
 		err := w.attempt(batch)
 		var conflict *kv.ConflictError
@@ -127,7 +145,7 @@
 }
 
 // attempt sends one write. It doesn't end with the client's request, since a write under way can't be taken back.
-func (w *writer) attempt(batch []*creation) error {
+func (w *Writer) attempt(batch []*creation) error {
 	var t kv.Transaction
 	for _, c := range batch {
 		t.Conditions = append(t.Conditions, kv.Condition{Key: c.key})
--- /dev/null
+++ b/kv/monitor.go
@@ -0,0 +1,85 @@
+package kv
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+)
+
+// healthyFor is how long a store counts as reachable after an answer. Watches of the configuration are answered at least
+// every 0.7 s while it is.
+const healthyFor = 1500 * time.Millisecond
+
+// Monitor passes calls on and remembers when the store last answered.
+type Monitor struct {
+	store    Store
+	started  time.Time
+	answered atomic.Int64
+}
+
+// NewMonitor returns a monitor of a store. The store counts as reachable at first.
+func NewMonitor(store Store) *Monitor {
+	return &Monitor{store: store, started: time.Now()}
+}
+
+// Healthy tells whether the store has answered recently.
+func (m *Monitor) Healthy() bool {
+	return time.Since(m.started)-time.Duration(m.answered.Load()) < healthyFor
+}
+
+// note remembers an answer. A store that says it can't serve has answered, but is of no use.
+func (m *Monitor) note(err error) {
+	if err == nil || errors.Is(err, ErrConflict) || errors.Is(err, ErrLeaseNotFound) || errors.Is(err, ErrCompacted) {
+		m.answered.Store(int64(time.Since(m.started)))
+	}
+}
+
+// Get implements Store.
+func (m *Monitor) Get(ctx context.Context, key string) (Item, bool, int64, error) {
+	item, found, revision, err := m.store.Get(ctx, key)
+	m.note(err)
+	return item, found, revision, err
+}
+
+// List implements Store.
+func (m *Monitor) List(ctx context.Context, prefix string) ([]Item, int64, error) {
+	items, revision, err := m.store.List(ctx, prefix)
+	m.note(err)
+	return items, revision, err
+}
+
+// Watch implements Store.
+func (m *Monitor) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error) {
+	events, revision, err := m.store.Watch(ctx, prefix, after, wait)
+	m.note(err)
+	return events, revision, err
+}
+
+// Commit implements Store.
+func (m *Monitor) Commit(ctx context.Context, t Transaction) (int64, error) {
+	revision, err := m.store.Commit(ctx, t)
+	m.note(err)
+	return revision, err
+}
+
+// Grant implements Store.
+func (m *Monitor) Grant(ctx context.Context, ttl time.Duration) (Lease, error) {
+	lease, err := m.store.Grant(ctx, ttl)
+	m.note(err)
+	return lease, err
+}
+
+// KeepAlive implements Store.
+func (m *Monitor) KeepAlive(ctx context.Context, id int64) error {
+	err := m.store.KeepAlive(ctx, id)
+	m.note(err)
+	return err
+}
+
+// Revoke implements Store.
+func (m *Monitor) Revoke(ctx context.Context, id int64) error {
+	err := m.store.Revoke(ctx, id)
+	m.note(err)
+	return err
+}
--- a/node/orders.go
+++ b/node/orders.go
@@ -77,7 +77,11 @@
 		return 0, "draining"
 	case orders.Incarnation != n.incarnation || !known || now.Sub(basis) >= grantLength:
 		return 0, "basis"
-	case n.grantEnd.Sub(now) < leastGrant:
+	}
+	if end := basis.Add(time.Duration(orders.GrantMillis) * time.Millisecond); orders.GrantMillis > 0 && end.After(n.grantEnd) {
+		n.grantEnd = end
+	}
+	if n.grantEnd.Sub(now) < leastGrant {
 		return 0, "grant"
 	}
 	n.epoch = orders.Epoch
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/quetzalshed/quetzalshed/intake"
 	"github.com/quetzalshed/quetzalshed/kv"
 	"github.com/quetzalshed/quetzalshed/ownership"
 	"github.com/quetzalshed/quetzalshed/rpc"
@@ -23,6 +24,9 @@
 const (
 	// ReportPath takes the reports of nodes at the owner.
 	ReportPath = "/v1/owner/report"
+	// CreatePath stores a job, and CancelPath cancels one, for an entry that doesn't reach the store.
+	CreatePath = "/v1/owner/create/"
+	CancelPath = "/v1/owner/cancel/"
 	// JobPath and QueuePath answer questions at the owner.
 	JobPath   = "/v1/owner/jobs/"
 	QueuePath = "/v1/owner/queues/"
@@ -37,6 +41,8 @@
 	candidateJitter = 120 * time.Millisecond
 	// loadWait is how long a question waits while a new owner loads the jobs.
 	loadWait = 500 * time.Millisecond
+	// createTime bounds the storing of a job for an entry.
+	createTime = 1500 * time.Millisecond
 	// maxReportBytes bounds a report.
 	maxReportBytes = 4 << 20
 	// announceTimeout bounds one announcement of a new owner.
@@ -46,13 +52,15 @@
 // Candidate takes the ownership whenever nobody has it.
 type Candidate struct {
 	Node, Address string
-	Store         kv.Store
+	Store         *kv.Monitor
 	Locator       *ownership.Locator
 	Operators     Operators
 	RPC           *rpc.Client
 	Log           hclog.Logger
 	Scope         tally.Scope
 
+	writer *intake.Writer
+
 	mu   sync.Mutex
 	term *term
 }
@@ -60,6 +68,7 @@
 // Run takes part in elections until ctx ends. A present ownership is then handed over.
 func (c *Candidate) Run(ctx context.Context) {
 	metrics := newMetrics(c.Scope)
+	go c.writer.Run(ctx)
 	for ctx.Err() == nil {
 		changed := c.Locator.Changed()
 		if _, present := c.Locator.Current(); present {
@@ -179,8 +188,11 @@
 	return nil
 }
 
-// Register adds the paths that the owner serves.
+// Register adds the paths that the owner serves. It has to be called before Run.
 func (c *Candidate) Register(router *mux.Router) {
+	c.writer = intake.NewWriter(c.Store, c.Log)
+	router.HandleFunc(CreatePath+"{id}", c.handleCreate).Methods(http.MethodPost)
+	router.HandleFunc(CancelPath+"{id}", c.handleCancel).Methods(http.MethodPost)
 	router.HandleFunc(ReportPath, c.handleReport).Methods(http.MethodPost)
 	router.HandleFunc(JobPath+"{id}", c.handleJob).Methods(http.MethodGet)
 	router.HandleFunc(QueuePath+"{name}", c.handleQueue).Methods(http.MethodGet)
@@ -204,6 +216,48 @@
 	rpc.WriteJSON(w, http.StatusOK, reply)
 }
 
+// handleCreate stores a job for an entry.
+func (c *Candidate) handleCreate(w http.ResponseWriter, r *http.Request) {
+	var value json.RawMessage
+	if !rpc.ReadJSON(w, r, maxReportBytes, &value) {
+		return
+	}
+	if c.current(r.Context()) == nil {
+		rpc.NotHere(w)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), createTime)
+	defer cancel()
+	id := mux.Vars(r)["id"]
+	_, err := c.writer.Create(ctx, JobPrefix+id, value)
+	c.Log.Info("job relayed", "job", id, "error", err)
+	switch {
+	case err == nil:
+		rpc.WriteJSON(w, http.StatusOK, struct{}{})
+	case errors.Is(err, intake.ErrUnavailable):
+		rpc.WriteJSON(w, http.StatusServiceUnavailable, struct{}{})
+	default:
+		rpc.WriteJSON(w, http.StatusGatewayTimeout, struct{}{})
+	}
+}
+
+// handleCancel answers once the record of the cancelled job is stored.
+func (c *Candidate) handleCancel(w http.ResponseWriter, r *http.Request) {
+	t := c.current(r.Context())
+	if t == nil {
+		rpc.NotHere(w)
+		return
+	}
+	switch found, stored := t.cancel(r.Context(), mux.Vars(r)["id"]); {
+	case !found:
+		rpc.WriteJSON(w, http.StatusNotFound, struct{}{})
+	case !stored:
+		rpc.WriteJSON(w, http.StatusGatewayTimeout, struct{}{})
+	default:
+		rpc.WriteJSON(w, http.StatusOK, struct{}{})
+	}
+}
+
 func (c *Candidate) handleJob(w http.ResponseWriter, r *http.Request) {
 	t := c.current(r.Context())
 	if t == nil {
--- a/owner/serve.go
+++ b/owner/serve.go
@@ -15,9 +15,12 @@
 // slow.
 const replyWait = 300 * time.Millisecond
 
-// do applies an event and then waits until its changes are stored, for a limited time. It returns false if the event
-// was not applied in time; what apply sets may only be read otherwise.
-func (t *term) do(ctx context.Context, wait time.Duration, apply func(now, wall time.Time)) bool {
+// cancelWait is how long a cancellation waits to be stored. The entry then stores it as a key of its own.
+const cancelWait = 600 * time.Millisecond
+
+// do applies an event and then waits until its changes are stored, for a limited time. What apply sets may only be read
+// if the event was applied.
+func (t *term) do(ctx context.Context, wait time.Duration, apply func(now, wall time.Time)) (isApplied, isStored bool) {
 	applied, stored := make(chan struct{}), make(chan struct{})
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -28,30 +31,44 @@
 		return func() { close(stored) }
 	}:
 	case <-timer.C:
-		return false
+		return false, false
 	case <-ctx.Done():
-		return false
+		return false, false
 	}
 	select {
 	case <-applied:
 	case <-timer.C:
-		return false
+		return false, false
 	case <-ctx.Done():
-		return false
+		return false, false
 	}
 	select {
 	case <-stored:
+		return true, true
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return true
+	return true, false
+}
+
+// cancel ends a job and waits until that is stored.
+func (t *term) cancel(ctx context.Context, id string) (found, stored bool) {
+	applied, stored := t.do(ctx, cancelWait, func(_, wall time.Time) {
+		if _, found = t.engine.Phase(id); found {
+			t.engine.Cancel(id, wall)
+		}
+	})
+	if !applied {
+		return true, false
+	}
+	return found, stored
 }
 
 // report handles the report of a node. It returns false if the engine was too busy to take it over.
 func (t *term) report(ctx context.Context, r *workflow.Report) (workflow.ReportReply, bool) {
 	var traits []workflow.RunTraits
 	granted := false
-	applied := t.do(ctx, replyWait, func(now, wall time.Time) {
+	applied, _ := t.do(ctx, replyWait, func(now, wall time.Time) {
 		var ack int64
 		ack, granted = t.engine.Report(r, now, wall)
 		if r.Unaware {
@@ -112,6 +129,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
 	defer cancel()
 	d.Orders.Epoch = t.tenure.Record.Epoch
+	if !t.tenure.Valid(time.Now()) {
+		d.Orders.GrantMillis = 0
+	}
 	for i := range d.Orders.Starts {
 		s := &d.Orders.Starts[i]
 		t.log.Info("start ordered", "task", s.Task, "run", s.Run, "executor", d.Orders.Life, "node", d.Node, "epoch", d.Orders.Epoch, "basis", d.Orders.Basis)
--- a/ownership/lease.go
+++ b/ownership/lease.go
@@ -15,9 +15,11 @@
 
 const (
 	// leaseTTL is how long an owner that says nothing keeps the ownership.
-	leaseTTL = 2 * time.Second
-	// renewInterval leaves three renewals to one that is lost.
-	renewInterval = 500 * time.Millisecond
+	leaseTTL = 1500 * time.Millisecond
+	// renewInterval leaves several renewals to those that are lost; they don't wait for each other.
+	renewInterval = 350 * time.Millisecond
+	// renewTimeout bounds one renewal.
+	renewTimeout = 900 * time.Millisecond
 	// releaseTimeout bounds the release at a planned stop.
 	releaseTimeout = time.Second
 )
@@ -73,21 +75,43 @@
 func (t *Tenure) Keep(ctx context.Context) bool {
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
+	ended := make(chan struct{}, 1)
 	for {
 		select {
 		case <-ctx.Done():
 			return false
+		case <-ended:
+			return true
 		case <-ticker.C:
+			go t.renew(ctx, ended)
 		}
-		asked := time.Now()
-		err := t.store.KeepAlive(ctx, t.lease)
-		switch {
-		case errors.Is(err, kv.ErrLeaseNotFound):
-			return true
-		case err != nil:
-			t.log.Debug("lease of the owner not renewed", "epoch", t.Record.Epoch, "error", err)
+	}
+}
+
+func (t *Tenure) renew(ctx context.Context, ended chan<- struct{}) {
+	call, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	asked := time.Now()
+	err := t.store.KeepAlive(call, t.lease)
+	switch {
+	case errors.Is(err, kv.ErrLeaseNotFound):
+		select {
+		case ended <- struct{}{}:
 		default:
-			t.validUntil.Store(int64(asked.Add(leaseTTL).Sub(t.started)))
+		}
+	case err != nil:
+		t.log.Debug("lease of the owner not renewed", "epoch", t.Record.Epoch, "error", err)
+	default:
+		t.extend(int64(asked.Add(leaseTTL).Sub(t.started)))
+	}
+}
+
+// extend moves the end of the validity forward; answers may arrive out of order.
+func (t *Tenure) extend(until int64) {
+	for {
+		present := t.validUntil.Load()
+		if until <= present || t.validUntil.CompareAndSwap(present, until) {
+			return
 		}
 	}
 }
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -53,7 +53,7 @@
 		return 0, false
 	}
 	n.address, n.incarnation, n.number = r.Address, r.Incarnation, r.Number
-	n.reported = now
+	n.reported, n.granted = now, false
 	if r.Executor == nil {
 		return 0, false
 	}
@@ -75,7 +75,7 @@
 	if now.Sub(n.answered) > staleLists {
 		return n.acked, false
 	}
-	n.lapses = now.Add(e.settings.Lapse)
+	n.lapses, n.granted = now.Add(e.settings.Lapse), true
 	return n.acked, true
 }
 
@@ -87,8 +87,8 @@
 	}
 	n.executor, n.known, n.acked, n.foreign = *executor, true, 0, nil
 	life := executor.Life()
-	for former := range e.assigned {
-		if former != life && sameID(former, executor.ID) {
+	for former, tasks := range e.assigned {
+		if former != life && (sameID(former, executor.ID) || onHost(tasks, n.name)) {
 			e.bury(n, former, executor, now)
 		}
 	}
@@ -100,6 +100,14 @@
 	e.changed = true
 }
 
+// onHost tells whether the tasks of an incarnation were assigned to a host. A host has one executor at a time.
+func onHost(tasks map[*task]struct{}, host string) bool {
+	for t := range tasks {
+		return t.host == host
+	}
+	return false
+}
+
 func sameID(life, id string) bool {
 	return len(life) > len(id) && life[:len(id)] == id && life[len(id)] == '@'
 }
@@ -122,7 +130,7 @@
 // move files an assigned task under another incarnation.
 func (e *Engine) move(t *task, n *node, life string) {
 	e.untrack(t)
-	t.life = life
+	t.life, t.host = life, n.name
 	t.stoppedSequence, t.stopSent = 0, time.Time{}
 	n.add(t)
 	e.track(t)
--- a/workflow/engine/output.go
+++ b/workflow/engine/output.go
@@ -38,7 +38,7 @@
 		}
 		r.Tasks = append(r.Tasks, workflow.TaskRecord{
 			Occurrence: t.id.Occurrence, Step: t.id.Step, Index: t.id.Index, Phase: t.phase, Run: t.run,
-			Life: t.life, Failures: t.failures, Saved: t.saved,
+			Life: t.life, Node: t.host, Failures: t.failures, Saved: t.saved,
 		})
 	}
 	return r
@@ -68,7 +68,7 @@
 		if n == nil {
 			continue
 		}
-		deliveries = append(deliveries, Delivery{Node: name, Address: n.address, Orders: n.orders(b)})
+		deliveries = append(deliveries, Delivery{Node: name, Address: n.address, Orders: n.orders(b, e.settings.Grant)})
 	}
 	clear(e.outbox)
 	slices.SortFunc(deliveries, func(a, b Delivery) int {
@@ -80,10 +80,13 @@
 	return deliveries
 }
 
-func (n *node) orders(b *outbox) workflow.Orders {
+func (n *node) orders(b *outbox, grant time.Duration) workflow.Orders {
 	o := workflow.Orders{
 		Incarnation: n.incarnation, Basis: n.number, Life: n.executor.Life(), Stops: b.stops, Specs: map[string]string{},
 	}
+	if n.granted {
+		o.GrantMillis = grant.Milliseconds()
+	}
 	for _, t := range b.starts {
 		if t.phase != workflow.TaskAssigned || t.node != n {
 			continue
--- a/workflow/engine/plan.go
+++ b/workflow/engine/plan.go
@@ -214,7 +214,7 @@
 // assign gives a task a new run on an executor.
 func (e *Engine) assign(t *task, n *node, run int, now time.Time) {
 	t.clearRun()
-	t.phase, t.run, t.life = workflow.TaskAssigned, run, n.executor.Life()
+	t.phase, t.run, t.life, t.host = workflow.TaskAssigned, run, n.executor.Life(), n.name
 	t.ordered, t.startedAt, t.movedAt = true, now, now
 	n.add(t)
 	e.track(t)
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -87,9 +87,11 @@
 	id    workflow.TaskID
 	name  string
 
-	phase    workflow.TaskPhase
-	run      int
-	life     string
+	phase workflow.TaskPhase
+	run   int
+	life  string
+	// host is the name of the node of that incarnation, also while the node is unknown.
+	host     string
 	node     *node
 	failures int
 	saved    string
@@ -129,6 +131,8 @@
 	known       bool
 	// lapses is when everything on the executor has ended unless a further grant is given.
 	lapses time.Time
+	// granted tells that the last report earned a grant.
+	granted bool
 	// reported is when the last report arrived, answered when the executor gave the last lists.
 	reported, answered time.Time
 	acked              int64
@@ -288,7 +292,7 @@
 		case workflow.TaskDone:
 			t.group.done++
 		case workflow.TaskAssigned:
-			t.life = r.Life
+			t.life, t.host = r.Life, r.Node
 			e.track(t)
 			t.stopWanted = j.phase.Final()
 		}
@@ -327,7 +331,7 @@
 }
 
 func (t *task) clearRun() {
-	t.life, t.node = "", nil
+	t.life, t.host, t.node = "", "", nil
 	t.ordered, t.listed, t.stopWanted = false, false, false
 	t.startedSequence, t.stoppedSequence = 0, 0
 	t.startedIncarnation, t.stoppedIncarnation = 0, 0
--- a/workflow/messages.go
+++ b/workflow/messages.go
@@ -69,6 +69,8 @@
 	// report has run out, so that orders that a partition held back don't start tasks that run elsewhere by then.
 	Incarnation int64 `json:"incarnation"`
 	Basis       int64 `json:"basis"`
+	// GrantMillis is how long after the sending of that report the node may keep tasks running; 0 for no word on it.
+	GrantMillis int64 `json:"grant_ms,omitempty"`
 	// Life is the incarnation of the executor that the starts are meant for.
 	Life   string       `json:"life"`
 	Starts []StartOrder `json:"starts,omitempty"`
--- a/workflow/record.go
+++ b/workflow/record.go
@@ -41,8 +41,9 @@
 	Phase      TaskPhase
 	// Run is the number of the newest run.
 	Run int
-	// Life is the incarnation of the executor that the newest run was assigned to.
+	// Life is the incarnation of the executor that the newest run was assigned to, Node its host.
 	Life string
+	Node string
 	// Failures is how many runs have ended as failed.
 	Failures int
 	// Saved is the newest checkpoint that is known.
@@ -51,12 +52,12 @@
 
 // MarshalJSON writes the record as an array, since a job has up to thousands of tasks.
 func (t TaskRecord) MarshalJSON() ([]byte, error) {
-	return json.Marshal([...]any{t.Occurrence, t.Step, t.Index, int(t.Phase), t.Run, t.Failures, t.Life, t.Saved})
+	return json.Marshal([...]any{t.Occurrence, t.Step, t.Index, int(t.Phase), t.Run, t.Failures, t.Life, t.Saved, t.Node})
 }
 
 // UnmarshalJSON reads the form that MarshalJSON writes.
 func (t *TaskRecord) UnmarshalJSON(data []byte) error {
-	row := [...]any{&t.Occurrence, &t.Step, &t.Index, &t.Phase, &t.Run, &t.Failures, &t.Life, &t.Saved}
+	row := [...]any{&t.Occurrence, &t.Step, &t.Index, &t.Phase, &t.Run, &t.Failures, &t.Life, &t.Saved, &t.Node}
 	var cells []json.RawMessage
 	if err := json.Unmarshal(data, &cells); err != nil {
 		return err
