Take samples of interference, finer paces, and small jobs first

Cause: the model dropped nearly all samples, since loads that are set at the time of a sample count as just changed; paces fell by half and came back by 20 only below 0.65 of the bound, where serving tasks rarely are, so filling tasks used 40 of the 90 cores that they asked for; in a burst all large jobs became late together. Change: loads are set a moment before the sample; paces fall by 0.7 or 0.4 and rise from 0.78; among jobs that can be in time, the one with the least work left goes first.

--- a/node/sharing/sharing.go
+++ b/node/sharing/sharing.go
@@ -7,19 +7,19 @@
 const (
 	// slowAt is the latency from which filling tasks are slowed down. It leaves time before the bound is reached, since
 	// latencies are rough and half a second old.
-	slowAt = 0.85
+	slowAt = 0.9
 	// haltAt is the latency from which filling tasks are slowed down at the largest step.
 	haltAt = 1.0
 	// releaseAt is the latency below which filling tasks get more.
-	releaseAt = 0.65
+	releaseAt = 0.78
 	// FullPace is the pace of a task that nothing slows down, in percent.
 	FullPace = 100
 	// releaseStep is how much a release gives, in percent.
 	releaseStep = 20
 	// lowestPace is the smallest pace above a halt, in percent.
-	lowestPace = 15
+	lowestPace = 8
 	// settle is the time in which a change of pace shows in the latencies.
-	settle = 700 * time.Millisecond
+	settle = 450 * time.Millisecond
 )
 
 // Controller decides the pace of the filling tasks of one executor.
@@ -47,9 +47,9 @@
 	next := c.pace
 	switch {
 	case ratio >= haltAt:
-		next = c.pace / 4
+		next = c.pace * 4 / 10
 	case ratio >= slowAt:
-		next = c.pace / 2
+		next = c.pace * 7 / 10
 	case ratio < releaseAt:
 		next = min(c.pace+releaseStep, FullPace)
 	}
--- a/workflow/engine/plan.go
+++ b/workflow/engine/plan.go
@@ -52,6 +52,8 @@
 	queue   *workflow.Queue
 	urgency urgency
 	slack   time.Duration
+	// work is the processor time that the job still needs by its estimates, in core milliseconds.
+	work int64
 }
 
 // ready returns the jobs that have waiting tasks, the most urgent first.
@@ -71,6 +73,7 @@
 	return cmp.Or(
 		cmp.Compare(a.urgency, b.urgency),
 		cmp.Compare(a.queue.Priority, b.queue.Priority),
+		cmp.Compare(a.work, b.work),
 		cmp.Compare(a.slack, b.slack),
 		// The largest and most restricted of tasks that last go first, since they find the fewest places.
 		cmp.Compare(b.spread(), a.spread()),
@@ -98,6 +101,7 @@
 	objective := objective(j, q)
 	end := now.Sub(j.born) + j.remaining
 	c.slack = objective - end
+	c.work = j.work()
 	switch {
 	case end > lateFactor*objective:
 		c.urgency = lost
@@ -116,6 +120,16 @@
 
 func (j *job) lasting() bool { return j.Steps[len(j.Steps)-1].LongRunning }
 
+// work returns the processor time that a job still needs by its estimates, in core milliseconds.
+func (j *job) work() int64 {
+	total := int64(0)
+	for i := range j.groups {
+		s := &j.Steps[j.groups[i].step]
+		total += int64(len(j.groups[i].tasks)-j.groups[i].done) * s.Need.MilliCores * s.EstimateMillis / 1000
+	}
+	return total
+}
+
 func (e *Engine) hasReady(j *job, now, wall time.Time) bool {
 	for i := range j.groups {
 		if e.groupReady(j, &j.groups[i], wall) && slices.ContainsFunc(j.groups[i].tasks, func(t *task) bool { return t.waits(now) }) {
--- a/workflow/engine/sharing.go
+++ b/workflow/engine/sharing.go
@@ -64,7 +64,7 @@
 			loads = append(loads, interference.Load{Class: image, Share: share})
 		}
 	}
-	e.interference.SetLoads(n.name, loads, now)
+	e.interference.SetLoads(n.name, loads, now.Add(-time.Millisecond))
 	for _, t := range tasks {
 		if t.step.TargetMillis == 0 || !t.listed || t.usage == 0 || now.Sub(t.startedAt) < sampleLag {
 			continue
