--- a/workflow/engine/sharing.go
+++ b/workflow/engine/sharing.go
@@ -15,7 +15,7 @@
 	shareStep = 0.01
 	// unknownSlowdown is assumed of an image for a whole executor, relative to the undisturbed latency, until it is known.
 	// It admits about one task at a time beside a serving one.
-	unknownSlowdown = 3.0
+	unknownSlowdown = 4.0
 	// anyServing is the service in the model: samples are relative to the undisturbed latency, so that they hold for all.
 	anyServing = "serving"
 	// normalLatency is an undisturbed sample.
