Learn slowdowns by pair of images, relative to the undisturbed latency

One figure for all serving images can't tell them apart. Change: one figure for each pair; nodes are told the pairs that they host, and leave images alone that don't slow down what is near its bound.

--- a/node/hold.go
+++ b/node/hold.go
@@ -170,22 +170,31 @@
 	if n.current == nil || n.lists == nil {
 		return "", 0, nil
 	}
-	ratio := 0.0
+	latency := 0.0
 	var filling []workflow.RunState
+	pressed := map[string]bool{}
 	for _, run := range n.lists.Running {
 		traits := n.traits[run.Task]
 		if traits.TargetMillis > 0 {
-			ratio = max(ratio, run.Usage/float64(traits.TargetMillis), 0.01)
+			ratio := run.Usage / float64(traits.TargetMillis)
+			latency = max(latency, ratio, 0.01)
+			if ratio >= sharing.PressedAt {
+				pressed[traits.Image] = true
+			}
 		}
 		if traits.Fills {
 			filling = append(filling, run)
 		}
 	}
 	if len(filling) == 0 {
-		ratio = 0
+		latency = 0
 	}
-	percent := n.pacer.Observe(ratio, now)
+	level := n.pacer.Observe(latency, now)
 	for _, run := range filling {
+		percent := level
+		if level > 0 && n.spares(pressed, n.traits[run.Task].Image) {
+			percent = sharing.FullPace
+		}
 		present, known := n.paces[run.Task]
 		if !known {
 			present = sharing.FullPace
@@ -222,3 +231,14 @@
 	}
 	return "", false
 }
+
+// spares tells whether an image is known not to slow down the serving images that are near their bounds.
+func (n *Node) spares(pressed map[string]bool, image string) bool {
+	for serving := range pressed {
+		slowdown, known := n.slowdowns[serving][image]
+		if !known || slowdown >= sharing.LightSlowdown {
+			return false
+		}
+	}
+	return true
+}
--- a/node/node.go
+++ b/node/node.go
@@ -87,14 +87,16 @@
 	// operations counts the orders that were carried out.
 	operations int64
 	// grantEnd is when the runs end unless an owner grants more.
-	grantEnd   time.Time
-	epoch      int64
-	ack        int64
-	sent       map[int64]time.Time
-	number     int64
-	unaware    bool
-	traits     map[string]workflow.RunTraits
-	paces      map[string]int
+	grantEnd time.Time
+	epoch    int64
+	ack      int64
+	sent     map[int64]time.Time
+	number   int64
+	unaware  bool
+	traits   map[string]workflow.RunTraits
+	paces    map[string]int
+	// slowdowns is by how much images slow serving ones down, as the owner has learned.
+	slowdowns  map[string]map[string]float64
 	pacer      *sharing.Controller
 	wakeHold   chan struct{}
 	wakeReport chan struct{}
--- a/node/report.go
+++ b/node/report.go
@@ -128,6 +128,9 @@
 	if report.Unaware && report.Listed {
 		n.unaware = false
 	}
+	if reply.Slowdowns != nil {
+		n.slowdowns = reply.Slowdowns
+	}
 	for _, traits := range reply.Traits {
 		n.traits[traits.Task] = traits
 	}
--- a/node/sharing/sharing.go
+++ b/node/sharing/sharing.go
@@ -12,6 +12,10 @@
 	haltAt = 1.0
 	// releaseAt is the latency below which filling tasks get more.
 	releaseAt = 0.78
+	// PressedAt is the latency from which a serving task limits the images that slow it down.
+	PressedAt = releaseAt
+	// LightSlowdown is the slowdown by a full executor below which an image is not paced.
+	LightSlowdown = 2.0
 	// FullPace is the pace of a task that nothing slows down, in percent.
 	FullPace = 100
 	// releaseStep is how much a release gives, in percent.
--- a/workflow/engine/sharing.go
+++ b/workflow/engine/sharing.go
@@ -16,9 +16,8 @@
 	// unknownSlowdown is assumed of an image for a whole executor, relative to the undisturbed latency, until it is known.
 	// It admits about one task at a time beside a serving one.
 	unknownSlowdown = 4.0
-	// anyServing is the service in the model: samples are relative to the undisturbed latency, so that they hold for all.
-	anyServing = "serving"
-	// normalLatency is an undisturbed sample.
+	// normalLatency is an undisturbed sample: they are relative to the undisturbed latency, so that the load of a serving
+	// task doesn't count as disturbance.
 	normalLatency = 100.0
 	// bearable is the part of the bound of a serving task's latency up to which filling tasks are placed beside it.
 	bearable = 0.75
@@ -30,7 +29,7 @@
 	moveInterval = time.Second
 	// lightSlowdown is below what an image adds that is better placed beside serving tasks, so that the executors without
 	// any are left to others.
-	lightSlowdown = 1.5
+	lightSlowdown = 2.0
 	// usualRatio is assumed for the undisturbed latency of a serving task by its bound.
 	usualRatio = 0.3
 )
@@ -70,7 +69,7 @@
 			continue
 		}
 		if base, ok := t.undisturbed(n); ok || len(loads) == 0 {
-			e.interference.Observe(n.name, anyServing, normalLatency*t.usage/base, 0, now)
+			e.interference.Observe(n.name, t.step.Image, normalLatency*t.usage/base, 0, now)
 		}
 	}
 }
@@ -91,8 +90,8 @@
 
 // slowdown returns by how much an executor full of an image would raise the latency of a serving task, relative to the
 // undisturbed latency.
-func (e *Engine) slowdown(image string) float64 {
-	estimate := e.interference.Estimate(anyServing, image)
+func (e *Engine) slowdown(serving *task, image string) float64 {
+	estimate := e.interference.Estimate(serving.step.Image, image)
 	if !estimate.Known {
 		return unknownSlowdown
 	}
@@ -106,7 +105,40 @@
 	if serving.usage == 0 {
 		ratio = usualRatio
 	}
-	return ratio * e.slowdown(step.Image) * share(step, n)
+	return ratio * e.slowdown(serving, step.Image) * share(step, n)
+}
+
+// heaviness returns the most that a full executor of an image would slow the serving tasks of a node down.
+func (e *Engine) heaviness(n *node, image string) float64 {
+	most := 0.0
+	for t := range e.assigned[n.executor.Life()] {
+		if t.step.TargetMillis > 0 {
+			most = max(most, e.slowdown(t, image))
+		}
+	}
+	return most
+}
+
+// Slowdowns returns what is known of the images that fill the executor of a node, by the images that serve there.
+func (e *Engine) Slowdowns(node string) map[string]map[string]float64 {
+	n := e.nodes[node]
+	if n == nil || !n.known || n.serving == 0 || n.filling == 0 {
+		return nil
+	}
+	known := map[string]map[string]float64{}
+	for serving := range e.assigned[n.executor.Life()] {
+		if serving.step.TargetMillis == 0 || known[serving.step.Image] != nil {
+			continue
+		}
+		row := map[string]float64{}
+		known[serving.step.Image] = row
+		for t := range e.assigned[n.executor.Life()] {
+			if estimate := e.interference.Estimate(serving.step.Image, t.step.Image); t.step.Fills && estimate.Known {
+				row[t.step.Image] = estimate.Slowdown - 1
+			}
+		}
+	}
+	return known
 }
 
 // latency returns the expected latency of a serving task by its bound, with the tasks that started just now.
@@ -176,7 +208,7 @@
 		if !t.step.Fills || !t.step.Checkpoints || t.stopWanted || !t.listed {
 			continue
 		}
-		if adds := e.slowdown(t.step.Image) * share(t.step, n); adds > most {
+		if adds := e.heaviness(n, t.step.Image) * share(t.step, n); adds > most {
 			worst, most = t, adds
 		}
 	}
