--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -46,7 +46,7 @@
 func (e *Engine) Report(r *workflow.Report, now, wall time.Time) (ack int64, granted bool) {
 	n := e.nodes[r.Node]
 	if n == nil {
-		n = &node{name: r.Node, lapses: e.unreached}
+		n = &node{name: r.Node, lapses: e.unreached, servingImages: map[string]int{}}
 		e.nodes[r.Node] = n
 	}
 	if r.Incarnation < n.incarnation || r.Incarnation == n.incarnation && r.Number <= n.number {
--- a/workflow/engine/placement.go
+++ b/workflow/engine/placement.go
@@ -65,6 +65,8 @@
 	gatherTime = 1700 * time.Millisecond
 	// fillShare is the part of a filling task's wish that must be free for it to start.
 	fillShare = 0.9
+	// sameImageWeight is how much room a serving task gives up to be among others of its image.
+	sameImageWeight = 0.5
 	// servingUse is the part of its reservation that a serving task is expected to use.
 	servingUse = 0.6
 )
@@ -107,7 +109,7 @@
 		capacity := float64(n.executor.Capacity.MilliCores)
 		if p.task.step.TargetMillis > 0 {
 			// Serving tasks fill one executor after the other, so that others stay free of them.
-			return float64(n.used.MilliCores-n.filling)/capacity - 1
+			return float64(n.used.MilliCores)/capacity - 1
 		}
 		return float64(n.leftover()) / capacity
 	})
@@ -126,6 +128,9 @@
 			return -1
 		case p.task.step.TargetMillis > 0 && n.serving == 0:
 			return -1
+		case p.task.step.TargetMillis > 0:
+			// Executors with few serving images are open to more filling ones.
+			return sameImageWeight * float64(n.servingLike(p.task.step.Image)) / float64(n.serving)
 		}
 		return 0
 	})
@@ -138,6 +143,9 @@
 	return n.executor.Capacity.MilliCores - n.used.MilliCores - n.filling + idle
 }
 
+// servingLike returns how many serving tasks run an image.
+func (n *node) servingLike(image string) int { return n.servingImages[image] }
+
 // count returns how many tasks of a group are assigned to the node.
 func (n *node) count(g *group) int {
 	count := 0
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -142,6 +142,8 @@
 	// serving counts the serving tasks, reservedServing is the processor time that they reserve.
 	serving         int
 	reservedServing int64
+	// servingImages counts the serving tasks by image.
+	servingImages map[string]int
 	// foreign lists runs that the executor has and that no task is assigned to.
 	foreign []workflow.RunState
 	// sampled is when latencies were last taken from a report, relieved when a filling task was last moved away.
@@ -347,6 +349,7 @@
 	}
 	if t.step.TargetMillis > 0 {
 		n.serving++
+		n.servingImages[t.step.Image]++
 		n.reservedServing += t.step.Need.MilliCores
 	}
 }
@@ -358,6 +361,7 @@
 	}
 	if t.step.TargetMillis > 0 {
 		n.serving--
+		n.servingImages[t.step.Image]--
 		n.reservedServing -= t.step.Need.MilliCores
 	}
 	t.node = nil
