Keep the pace of filling tasks while a latency is near its bound

Change: images that were near their bounds count until the pace is full again; large drops aim at 0.8 of the bound; paces rise by 30 below 0.84.

--- a/node/hold.go
+++ b/node/hold.go
@@ -172,14 +172,13 @@
 	}
 	latency := 0.0
 	var filling []workflow.RunState
-	pressed := map[string]bool{}
 	for _, run := range n.lists.Running {
 		traits := n.traits[run.Task]
 		if traits.TargetMillis > 0 {
 			ratio := run.Usage / float64(traits.TargetMillis)
 			latency = max(latency, ratio, 0.01)
 			if ratio >= sharing.PressedAt {
-				pressed[traits.Image] = true
+				n.pressed[traits.Image] = true
 			}
 		}
 		if traits.Fills {
@@ -190,9 +189,12 @@
 		latency = 0
 	}
 	level := n.pacer.Observe(latency, now)
+	if level == sharing.FullPace && latency < sharing.PressedAt {
+		clear(n.pressed)
+	}
 	for _, run := range filling {
 		percent := level
-		if level > 0 && n.spares(pressed, n.traits[run.Task].Image) {
+		if level > 0 && n.spares(n.traits[run.Task].Image) {
 			percent = sharing.FullPace
 		}
 		present, known := n.paces[run.Task]
@@ -232,9 +234,10 @@
 	return "", false
 }
 
-// spares tells whether an image is known not to slow down the serving images that are near their bounds.
-func (n *Node) spares(pressed map[string]bool, image string) bool {
-	for serving := range pressed {
+// spares tells whether an image is known not to slow down the serving images that have been near their bounds since the
+// pace was last full.
+func (n *Node) spares(image string) bool {
+	for serving := range n.pressed {
 		slowdown, known := n.slowdowns[serving][image]
 		if !known || slowdown >= sharing.LightSlowdown {
 			return false
--- a/node/node.go
+++ b/node/node.go
@@ -96,7 +96,9 @@
 	traits   map[string]workflow.RunTraits
 	paces    map[string]int
 	// slowdowns is by how much images slow serving ones down, as the owner has learned.
-	slowdowns  map[string]map[string]float64
+	slowdowns map[string]map[string]float64
+	// pressed holds the serving images that have been near their bounds since the pace was last full.
+	pressed    map[string]bool
 	pacer      *sharing.Controller
 	wakeHold   chan struct{}
 	wakeReport chan struct{}
@@ -113,7 +115,7 @@
 	return &Node{
 		name: name, address: address, incarnation: time.Now().UnixNano(), executor: executor, locator: locator,
 		rpc: client, log: log, sent: map[int64]time.Time{}, unaware: true,
-		traits: map[string]workflow.RunTraits{}, paces: map[string]int{}, pacer: sharing.NewController(),
+		traits: map[string]workflow.RunTraits{}, paces: map[string]int{}, pressed: map[string]bool{}, pacer: sharing.NewController(),
 		wakeHold: make(chan struct{}, 1), wakeReport: make(chan struct{}, 1),
 		metrics: nodeMetrics{
 			starts: scope.Counter("node_starts"), rejected: scope.Counter("node_starts_rejected"),
@@ -178,6 +180,7 @@
 	n.grantEnd = time.Time{}
 	n.pacer = sharing.NewController()
 	clear(n.paces)
+	clear(n.pressed)
 	clear(n.traits)
 }
 
--- a/node/sharing/sharing.go
+++ b/node/sharing/sharing.go
@@ -1,17 +1,23 @@
 // Package sharing decides how much of their work the tasks that fill an executor may do beside tasks that serve users.
 package sharing
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Fractions of a serving task's bound of tail latency, and steps of the pace in percent.
 const (
 	// slowAt is the latency from which filling tasks are slowed down. It leaves time before the bound is reached, since
 	// latencies are rough and half a second old.
 	slowAt = 0.9
+	// aim is the latency that a large step aims at, taking the latency to grow with a power of the pace.
+	aim      = 0.8
+	aimPower = 1.4
 	// haltAt is the latency from which filling tasks are slowed down at the largest step.
 	haltAt = 1.0
 	// releaseAt is the latency below which filling tasks get more.
-	releaseAt = 0.78
+	releaseAt = 0.84
 	// PressedAt is the latency from which a serving task limits the images that slow it down.
 	PressedAt = releaseAt
 	// LightSlowdown is the slowdown by a full executor below which an image is not paced.
@@ -19,7 +25,7 @@
 	// FullPace is the pace of a task that nothing slows down, in percent.
 	FullPace = 100
 	// releaseStep is how much a release gives, in percent.
-	releaseStep = 20
+	releaseStep = 30
 	// lowestPace is the smallest pace above a halt, in percent.
 	lowestPace = 8
 	// settle is the time in which a change of pace shows in the latencies.
@@ -51,7 +57,7 @@
 	next := c.pace
 	switch {
 	case ratio >= haltAt:
-		next = c.pace * 4 / 10
+		next = int(float64(c.pace) * math.Pow(aim/ratio, aimPower))
 	case ratio >= slowAt:
 		next = c.pace * 7 / 10
 	case ratio < releaseAt:
