Test jobs over faulty stores, executors and networks, and mend what that finds

Cause, each found by TestRandomFaults (rapid, virtual time, an oracle that sees only what executors do): - a start for a former incarnation can reach the next one under the same ID; the task was started elsewhere at once; - an end that was ignored, of an earlier run, was acknowledged all the same; - a number that was acknowledged to a former incarnation was sent to the next one, and acknowledged ends nobody had seen; - a stop that a former process of a node had carried out kept the task from ever being stopped again; - a node asked an executor without pause while another incarnation answered than the announced one. Ruled out: waiting for the next announcement before calls (an announcement can be 1.5 s old), and the header with the ID alone, which doesn't tell incarnations apart. Change: tasks of a former incarnation with the same ID are assigned to the next one until its lists tell; a finished earlier run counts; acknowledgements are sent only for ends that are listed; fencing tokens rise with each incarnation; a node drops an incarnation once another one answers. kv/kvtest, node/nodetest and rpc/rpctest are the stand-ins.

--- /dev/null
+++ b/kv/kvtest/client.go
@@ -0,0 +1,193 @@
+package kvtest
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/kv"
+)
+
+const (
+	// callTimeout is how long a client waits for an answer that doesn't come.
+	callTimeout = 1200 * time.Millisecond
+	// expiryInterval is how often a watch looks for leases that have ended.
+	expiryInterval = 50 * time.Millisecond
+)
+
+// Faults are what goes wrong between a client and the store.
+type Faults struct {
+	// Refused makes calls fail without an effect, Silent lets them time out without one.
+	Refused, Silent bool
+	// Lost is the share of transactions whose answer is lost; they take effect after Late.
+	Lost float64
+	Late time.Duration
+	// Delay is how long each call takes.
+	Delay time.Duration
+}
+
+// Client is one process's way to a store. It implements kv.Store.
+type Client struct {
+	store *Store
+
+	mu     sync.Mutex
+	faults Faults
+	random *rand.Rand
+}
+
+// Client returns a way to the store without faults.
+func (s *Store) Client(seed uint64) *Client {
+	return &Client{store: s, random: rand.New(rand.NewPCG(seed, 1))}
+}
+
+// Set replaces the faults.
+func (c *Client) Set(f Faults) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.faults = f
+}
+
+// reach waits as the faults say, and returns whether the answer of a write is lost.
+func (c *Client) reach(ctx context.Context) (lost bool, late time.Duration, err error) {
+	c.mu.Lock()
+	f := c.faults
+	lost = f.Lost > 0 && c.random.Float64() < f.Lost
+	c.mu.Unlock()
+	switch {
+	case f.Refused:
+		return false, 0, kv.ErrUnavailable
+	case f.Silent:
+		return false, 0, wait(ctx, callTimeout, kv.ErrUnknown)
+	}
+	return lost, f.Late, wait(ctx, f.Delay, nil)
+}
+
+// wait returns result after a time, or earlier with an unknown result.
+func wait(ctx context.Context, d time.Duration, result error) error {
+	if d == 0 {
+		return result
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return kv.ErrUnknown
+	case <-timer.C:
+		return result
+	}
+}
+
+// Get implements kv.Store.
+func (c *Client) Get(ctx context.Context, key string) (kv.Item, bool, int64, error) {
+	if _, _, err := c.reach(ctx); err != nil {
+		return kv.Item{}, false, 0, err
+	}
+	items, revision := c.store.list(key)
+	for _, item := range items {
+		if item.Key == key {
+			return item, true, revision, nil
+		}
+	}
+	return kv.Item{}, false, revision, nil
+}
+
+// List implements kv.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]kv.Item, int64, error) {
+	if _, _, err := c.reach(ctx); err != nil {
+		return nil, 0, err
+	}
+	items, revision := c.store.list(prefix)
+	return items, revision, nil
+}
+
+// Watch implements kv.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, after int64, patience time.Duration) ([]kv.Event, int64, error) {
+	if _, _, err := c.reach(ctx); err != nil {
+		return nil, 0, err
+	}
+	deadline := time.NewTimer(patience)
+	defer deadline.Stop()
+	for {
+		events, revision, changed, err := c.store.since(prefix, after)
+		if err != nil || len(events) > 0 {
+			return events, revision, err
+		}
+		expiry := time.NewTimer(expiryInterval)
+		select {
+		case <-ctx.Done():
+			expiry.Stop()
+			return nil, 0, kv.ErrUnknown
+		case <-deadline.C:
+			expiry.Stop()
+			return nil, revision, nil
+		case <-changed:
+		case <-expiry.C:
+		}
+		expiry.Stop()
+	}
+}
+
+// Commit implements kv.Store.
+func (c *Client) Commit(ctx context.Context, t kv.Transaction) (int64, error) {
+	lost, late, err := c.reach(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if !lost {
+		return c.store.commit(t)
+	}
+	if late == 0 {
+		_, _ = c.store.commit(t)
+	} else {
+		time.AfterFunc(late, func() { _, _ = c.store.commit(t) })
+	}
+	return 0, wait(ctx, callTimeout, kv.ErrUnknown)
+}
+
+// Grant implements kv.Store.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (kv.Lease, error) {
+	if _, _, err := c.reach(ctx); err != nil {
+		return kv.Lease{}, err
+	}
+	s := c.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextLease++
+	s.leases[s.nextLease] = time.Now().Add(ttl)
+	return kv.Lease{ID: s.nextLease, TTL: ttl}, nil
+}
+
+// leaseTTL is what a renewal extends a lease by; the tests use one length.
+const leaseTTL = 1500 * time.Millisecond
+
+// KeepAlive implements kv.Store.
+func (c *Client) KeepAlive(ctx context.Context, id int64) error {
+	if _, _, err := c.reach(ctx); err != nil {
+		return err
+	}
+	s := c.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if _, found := s.leases[id]; !found {
+		return kv.ErrLeaseNotFound
+	}
+	s.leases[id] = time.Now().Add(leaseTTL)
+	return nil
+}
+
+// Revoke implements kv.Store.
+func (c *Client) Revoke(ctx context.Context, id int64) error {
+	if _, _, err := c.reach(ctx); err != nil {
+		return err
+	}
+	s := c.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, found := s.leases[id]; found {
+		s.leases[id] = time.Now()
+	}
+	s.expire()
+	return nil
+}
--- /dev/null
+++ b/kv/kvtest/store.go
@@ -0,0 +1,170 @@
+// Package kvtest has a store in memory with the faults of the platform's store, for tests.
+package kvtest
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/kv"
+)
+
+// Store is a store in memory. Clients reach it through Client, each with faults of its own.
+type Store struct {
+	mu       sync.Mutex
+	revision int64
+	items    map[string]kv.Item
+	history  []kv.Event
+	// compacted is the revision up to which the history is gone.
+	compacted int64
+	leases    map[int64]time.Time
+	nextLease int64
+	changed   chan struct{}
+	// Commits counts the transactions that took effect.
+	commits int
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{revision: 1, items: map[string]kv.Item{}, leases: map[int64]time.Time{}, changed: make(chan struct{})}
+}
+
+// Revision returns the present revision.
+func (s *Store) Revision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+// Commits returns how many transactions took effect.
+func (s *Store) Commits() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.commits
+}
+
+// Compact drops the history and cuts the watches.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.compacted = nil, s.revision
+	s.wake()
+}
+
+// Remove takes the keys under a prefix away without a request.
+func (s *Store) Remove(prefix string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			s.revision++
+			s.delete(key)
+		}
+	}
+	s.wake()
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) delete(key string) {
+	if _, found := s.items[key]; !found {
+		return
+	}
+	delete(s.items, key)
+	s.history = append(s.history, kv.Event{Item: kv.Item{Key: key, Revision: s.revision}, Deleted: true})
+}
+
+// expire ends the leases whose time has run out.
+func (s *Store) expire() {
+	now := time.Now()
+	for id, end := range s.leases {
+		if now.Before(end) {
+			continue
+		}
+		delete(s.leases, id)
+		for key, item := range s.items {
+			if item.Lease == id {
+				s.revision++
+				s.delete(key)
+				s.wake()
+			}
+		}
+	}
+}
+
+func (s *Store) commit(t kv.Transaction) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if len(t.Conditions)+len(t.Puts)+len(t.Deletions) > kv.MaxTransactionRows {
+		return 0, kv.ErrInvalid
+	}
+	conflict := &kv.ConflictError{}
+	failed := false
+	for _, c := range t.Conditions {
+		item := s.items[c.Key]
+		item.Key = c.Key
+		conflict.Items = append(conflict.Items, item)
+		failed = failed || item.Revision != c.Revision
+	}
+	if failed {
+		return 0, conflict
+	}
+	for _, p := range t.Puts {
+		if _, found := s.leases[p.Lease]; p.Lease != 0 && !found {
+			return 0, kv.ErrLeaseNotFound
+		}
+	}
+	s.revision++
+	s.commits++
+	for _, p := range t.Puts {
+		created := s.revision
+		if former, found := s.items[p.Key]; found {
+			created = former.Created
+		}
+		item := kv.Item{Key: p.Key, Value: slices.Clone(p.Value), Revision: s.revision, Created: created, Lease: p.Lease}
+		s.items[p.Key] = item
+		s.history = append(s.history, kv.Event{Item: item})
+	}
+	for _, key := range t.Deletions {
+		s.delete(key)
+	}
+	s.wake()
+	return s.revision, nil
+}
+
+func (s *Store) list(prefix string) ([]kv.Item, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	var items []kv.Item
+	for key, item := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			items = append(items, item)
+		}
+	}
+	slices.SortFunc(items, func(a, b kv.Item) int { return cmp.Compare(a.Key, b.Key) })
+	return items, s.revision
+}
+
+// since returns the changes after a revision, and the channel that is closed at the next one.
+func (s *Store) since(prefix string, after int64) ([]kv.Event, int64, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if after < s.compacted {
+		return nil, 0, nil, kv.ErrCompacted
+	}
+	var events []kv.Event
+	for _, e := range s.history {
+		if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
+			events = append(events, e)
+		}
+	}
+	return events, s.revision, s.changed, nil
+}
--- a/node/hold.go
+++ b/node/hold.go
@@ -48,7 +48,10 @@
 			n.log.Info("executor answers again", "executor", life, "failed_calls", failures)
 			failures = 0
 		}
-		if n.listed(life, lists, covers) {
+		switch n.listed(life, lists, covers) {
+		case otherLife:
+			n.sleep(ctx, nil, holdRetry)
+		case news:
 			wake(n.wakeReport)
 			n.sleep(ctx, n.wakeHold, ackWait)
 		}
@@ -70,19 +73,43 @@
 	if n.lists == nil {
 		wait = 0
 	}
-	return n.current.Life(), n.epoch, n.ack, n.deadline(time.Now()), wait, n.operations
+	return n.current.Life(), n.fence(n.epoch), n.dueAck(), n.deadline(time.Now()), wait, n.operations
+}
+
+// dueAck returns the number to acknowledge, or 0 if the executor has nothing listed up to it. An executor that starts again
+// under its ID counts from 1, so a number that is sent without need could acknowledge ends that nobody has seen.
+func (n *Node) dueAck() int64 {
+	if n.lists == nil || len(n.lists.Ended) == 0 || n.lists.Ended[0].Number > n.ack {
+		return 0
+	}
+	return n.ack
 }
 
-// listed takes over an answer. It returns true if it lists ends that aren't acknowledged, or if it is the first.
-func (n *Node) listed(life string, lists *Lists, covers int64) bool {
+// answer tells what the lists of an executor are worth.
+type answer int
+
+const (
+	// noNews lists nothing that has to be reported at once.
+	noNews answer = iota
+	// news is the first answer, or one with ends that aren't acknowledged.
+	news
+	// otherLife comes from another incarnation than the call was meant for.
+	otherLife
+)
+
+// listed takes over an answer.
+func (n *Node) listed(life string, lists *Lists, covers int64) answer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.current == nil || n.current.Life() != life {
-		return false
+		return otherLife
 	}
 	if lists.BornUnixMillis != 0 && lists.BornUnixMillis != n.current.BornUnixMillis {
 		n.log.Info("another incarnation answers", "executor", life, "born", lists.BornUnixMillis)
-		return false
+		if lists.BornUnixMillis > n.current.BornUnixMillis {
+			n.forget()
+		}
+		return otherLife
 	}
 	first := n.lists == nil
 	known := n.lists
@@ -90,7 +117,10 @@
 	n.clockMillis, n.clockAt = lists.ClockMillis, n.listedAt
 	n.logEnds(life, known, lists)
 	n.prune(lists)
-	return first || len(lists.Ended) > 0 && lists.Ended[len(lists.Ended)-1].Number > n.ack
+	if first || len(lists.Ended) > 0 && lists.Ended[len(lists.Ended)-1].Number > n.ack {
+		return news
+	}
+	return noNews
 }
 
 // prune drops what is known of tasks that have ended, once there is much of it. A task that was started just now may not
@@ -205,7 +235,7 @@
 			changes = append(changes, pacing{run, percent})
 		}
 	}
-	return n.current.Life(), n.epoch, changes
+	return n.current.Life(), n.fence(n.epoch), changes
 }
 
 // sleep waits for a signal or for a time.
--- a/node/node.go
+++ b/node/node.go
@@ -199,6 +199,19 @@
 	loops.Wait()
 }
 
+const (
+	// lifeBits of a fence tell incarnations of an executor apart, in steps of lifeStep milliseconds; they repeat after
+	// twelve days. What is left of the 53 bits that JSON carries exactly holds two thousand million revisions of the store.
+	lifeBits = 22
+	lifeStep = 250
+)
+
+// fence returns the fencing token of calls under an epoch. It rises with the epoch, and with each incarnation of the
+// executor: a call to a former incarnation that is carried out late finds a higher one.
+func (n *Node) fence(epoch int64) int64 {
+	return epoch<<lifeBits | n.current.BornUnixMillis/lifeStep&(1<<lifeBits-1)
+}
+
 // deadline returns the end of the grant on the executor's clock; 0 if there is no grant or no reading of the clock. The
 // executor's clock may be 2% slow, and the reading is older than its receipt.
 func (n *Node) deadline(now time.Time) int64 {
--- a/node/orders.go
+++ b/node/orders.go
@@ -97,7 +97,9 @@
 	result := workflow.OrderResult{Task: s.Task, Run: s.Run, Outcome: workflow.OutcomeRejected}
 	n.mu.Lock()
 	deadline, reason := n.admit(orders, time.Now())
+	fence := int64(0)
 	if reason == "" {
+		fence = n.fence(orders.Epoch)
 		n.traits[s.Task] = s.RunTraits
 		n.paces[s.Task] = 100
 	}
@@ -112,7 +114,7 @@
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	err := n.executor.Start(call, orders.Life, Start{
-		Task: s.Task, Run: s.Run, Spec: orders.Specs[jobOf(s.Task)], Saved: s.Saved, Ticket: s.Ticket, Fence: orders.Epoch, DeadlineMillis: deadline,
+		Task: s.Task, Run: s.Run, Spec: orders.Specs[jobOf(s.Task)], Saved: s.Saved, Ticket: s.Ticket, Fence: fence, DeadlineMillis: deadline,
 	})
 	n.metrics.startTime.RecordDuration(time.Since(begun))
 	result.Sequence = n.operation()
@@ -140,9 +142,13 @@
 	n.mu.Lock()
 	former := orders.Epoch < n.epoch || orders.Epoch < n.locator.Epoch()
 	here := n.current != nil && n.current.Life() == orders.Life
+	fence := int64(0)
 	if !former {
 		n.epoch = orders.Epoch
 	}
+	if here {
+		fence = n.fence(orders.Epoch)
+	}
 	n.mu.Unlock()
 	if former || !here {
 		result.Reason = "epoch or incarnation"
@@ -150,7 +156,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	err := n.executor.Stop(call, orders.Life, s.Task, s.Run, orders.Epoch)
+	err := n.executor.Stop(call, orders.Life, s.Task, s.Run, fence)
 	result.Sequence = n.operation()
 	if err == nil {
 		n.metrics.stops.Inc(1)
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -42,13 +42,18 @@
 // NewClient returns a client with a connection pool of its own.
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	return NewClientOver(&http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	})
+}
+
+// NewClientOver returns a client that sends its calls over a transport.
+func NewClientOver(transport http.RoundTripper) *Client {
 	return &Client{http: &http.Client{
-		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: idleConnections,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
-		},
+		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
--- /dev/null
+++ b/rpc/rpctest/network.go
@@ -0,0 +1,125 @@
+// Package rpctest carries calls between handlers of one process, with faults, for tests in virtual time.
+package rpctest
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"time"
+)
+
+// Network carries calls to the handlers that are registered by address.
+type Network struct {
+	// Delay is the time of a call in each direction.
+	Delay time.Duration
+
+	mu       sync.Mutex
+	handlers map[string]http.Handler
+	cut      map[string]bool
+}
+
+// New returns a network without handlers.
+func New() *Network {
+	return &Network{handlers: map[string]http.Handler{}, cut: map[string]bool{}}
+}
+
+// Handle serves an address; nil takes it out of service, so that connections to it are refused.
+func (n *Network) Handle(address string, handler http.Handler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if handler == nil {
+		delete(n.handlers, address)
+		return
+	}
+	n.handlers[address] = handler
+}
+
+// Cut lets calls to or from an address wait without an answer, or heals that.
+func (n *Network) Cut(address string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[address] = cut
+}
+
+// From returns the transport of the process at an address.
+func (n *Network) From(address string) http.RoundTripper { return &transport{n, address} }
+
+type transport struct {
+	network *Network
+	from    string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	handler, cut := t.lookup(r.URL.Host)
+	if cut {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	if handler == nil {
+		return nil, &net.OpError{Op: "dial", Err: errors.New("connection refused")}
+	}
+	request, err := t.copy(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := pause(r.Context(), t.network.Delay); err != nil {
+		return nil, err
+	}
+	answers := make(chan *http.Response, 1)
+	go func() {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, request)
+		answers <- recorder.Result()
+	}()
+	select {
+	case answer := <-answers:
+		if _, cut := t.lookup(r.URL.Host); cut {
+			<-r.Context().Done()
+			return nil, r.Context().Err()
+		}
+		if err := pause(r.Context(), t.network.Delay); err != nil {
+			return nil, err
+		}
+		return answer, nil
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	}
+}
+
+func (t *transport) lookup(to string) (http.Handler, bool) {
+	t.network.mu.Lock()
+	defer t.network.mu.Unlock()
+	return t.network.handlers[to], t.network.cut[to] || t.network.cut[t.from]
+}
+
+// copy returns the request as the handler sees it, with the caller's context.
+func (t *transport) copy(r *http.Request) (*http.Request, error) {
+	var body []byte
+	if r.Body != nil {
+		data, err := io.ReadAll(r.Body)
+		if err != nil {
+			return nil, err
+		}
+		body = data
+	}
+	request := httptest.NewRequestWithContext(r.Context(), r.Method, r.URL.String(), bytes.NewReader(body))
+	request.Header = r.Header.Clone()
+	return request, nil
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/test/workflows/fleet_test.go
@@ -0,0 +1,245 @@
+// Package workflows_test runs gateways, nodes and owners in one process and in virtual time, over a store, executors
+// and a network with faults, and checks the promises of jobs from what the executors see.
+package workflows_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/gorilla/mux"
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/quetzalshed/quetzalshed/gateway"
+	"github.com/quetzalshed/quetzalshed/kv"
+	"github.com/quetzalshed/quetzalshed/kv/kvtest"
+	"github.com/quetzalshed/quetzalshed/node"
+	"github.com/quetzalshed/quetzalshed/node/nodetest"
+	"github.com/quetzalshed/quetzalshed/owner"
+	"github.com/quetzalshed/quetzalshed/ownership"
+	"github.com/quetzalshed/quetzalshed/rpc"
+	"github.com/quetzalshed/quetzalshed/rpc/rpctest"
+	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+const (
+	// taskTime is how long each task takes.
+	taskTime = 800 * time.Millisecond
+	// announceInterval is how often executors announce themselves.
+	announceInterval = 1500 * time.Millisecond
+	// networkDelay is the time of a call between hosts in each direction.
+	networkDelay = 3 * time.Millisecond
+	// storeDelay is the time of a call to the store.
+	storeDelay = 4 * time.Millisecond
+)
+
+var queue = workflow.Queue{Name: "checks", Pool: "pool", MaxAttempts: 3, Stretch: 1.5, ObjectiveMillis: 250}
+
+// operators is a fixed configuration.
+type operators struct{}
+
+func (operators) Follow(ctx context.Context, apply func(owner.OperatorState)) {
+	apply(owner.OperatorState{Config: &workflow.Config{
+		Version: 1, Queues: []workflow.Queue{queue}, Pools: []workflow.Pool{{Name: "pool", Guarded: true}},
+	}})
+	<-ctx.Done()
+}
+
+// host is a host with an executor and a node process.
+type host struct {
+	fleet    *fleet
+	name     string
+	executor *nodetest.Executor
+	store    *kvtest.Client
+	cancel   context.CancelFunc
+	ended    chan struct{}
+	withdraw context.CancelFunc
+	locator  *ownership.Locator
+}
+
+// fleet is a set of hosts and one gateway.
+type fleet struct {
+	*qt.C
+	ctx     context.Context
+	store   *kvtest.Store
+	network *rpctest.Network
+	oracle  *oracle
+	hosts   []*host
+	gateway *gateway.Gateway
+	entry   *kvtest.Client
+	jobs    int
+}
+
+func newFleet(t testing.TB, ctx context.Context, hosts int) *fleet {
+	f := &fleet{C: qt.New(t), ctx: ctx, store: kvtest.New(), network: rpctest.New(), oracle: newOracle()}
+	f.network.Delay = networkDelay
+	for i := range hosts {
+		name := fmt.Sprintf("host-%d", i)
+		h := &host{fleet: f, name: name, store: f.client(uint64(i))}
+		h.executor = nodetest.New(name, structs.Resources{MilliCores: 4000, MemoryMB: 8000}, taskTime, f.oracle)
+		f.hosts = append(f.hosts, h)
+		h.start()
+	}
+	f.entry = f.client(100)
+	monitor := kv.NewMonitor(f.entry)
+	locator := ownership.NewLocator(monitor, hclog.NewNullLogger())
+	f.gateway = gateway.New(monitor, locator, f.rpc("entry"), hclog.NewNullLogger(), tally.NoopScope)
+	go locator.Run(ctx)
+	go f.gateway.Run(ctx, operators{})
+	return f
+}
+
+func (f *fleet) client(seed uint64) *kvtest.Client {
+	client := f.store.Client(seed)
+	client.Set(kvtest.Faults{Delay: storeDelay})
+	return client
+}
+
+func (f *fleet) rpc(address string) *rpc.Client { return rpc.NewClientOver(f.network.From(address)) }
+
+// start starts the node process of a host.
+func (h *host) start() {
+	f := h.fleet
+	ctx, cancel := context.WithCancel(f.ctx)
+	log := hclog.NewNullLogger()
+	monitor := kv.NewMonitor(h.store)
+	h.locator = ownership.NewLocator(monitor, log)
+	client := f.rpc(h.name)
+	n := node.New(h.name, h.name, h.executor, h.locator, client, log, tally.NoopScope)
+	candidate := &owner.Candidate{
+		Node: h.name, Address: h.name, Store: monitor, Locator: h.locator, Operators: operators{}, RPC: client,
+		Log: log, Scope: tally.NoopScope,
+	}
+	router := mux.NewRouter()
+	n.Register(router)
+	candidate.Register(router)
+	owner.RegisterAnnounce(router, h.locator)
+	f.network.Handle(h.name, router)
+	candidacy, withdraw := context.WithCancel(ctx)
+	h.cancel, h.withdraw, h.ended = cancel, withdraw, make(chan struct{})
+	go h.locator.Run(ctx)
+	go n.Run(ctx)
+	go ownership.Register(ctx, monitor, h.name, h.name, log)
+	ended := h.ended
+	go func() {
+		candidate.Run(candidacy)
+		close(ended)
+	}()
+	go h.announce(ctx, n)
+}
+
+// announce sends the executor's announcements.
+func (h *host) announce(ctx context.Context, n *node.Node) {
+	for sequence := int64(1); ctx.Err() == nil; sequence++ {
+		if x, up := h.executor.Describe(); up {
+			n.Announce(x, sequence, 0)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(announceInterval):
+		}
+	}
+}
+
+// kill ends the node process without a hand-over.
+func (h *host) kill() {
+	h.store.Set(kvtest.Faults{Refused: true})
+	h.fleet.network.Handle(h.name, nil)
+	h.cancel()
+	<-h.ended
+	h.store.Set(kvtest.Faults{Delay: storeDelay})
+}
+
+// owner returns the host that owns the jobs by what it knows itself, or nil.
+func (f *fleet) owner() *host {
+	for _, h := range f.hosts {
+		if record, present := h.locator.Current(); present {
+			for _, other := range f.hosts {
+				if other.name == record.Node {
+					return other
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// submit hands a job in until it is accepted. The steps follow each other.
+func (f *fleet) submit(counts ...int) string {
+	job := f.job(counts...)
+	for {
+		ctx, cancel := context.WithTimeout(f.ctx, 3*time.Second)
+		err := f.gateway.Submit(ctx, &job)
+		cancel()
+		if err == nil {
+			return job.ID
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func (f *fleet) job(counts ...int) workflow.Job {
+	f.jobs++
+	job := workflow.Job{ID: fmt.Sprintf("%016x", f.jobs), Queue: queue, AcceptedUnixMillis: time.Now().UnixMilli()}
+	job.Spec = "spec of " + job.ID
+	for i, count := range counts {
+		step := workflow.Step{
+			Count: count, Need: structs.Resources{MilliCores: 1000, MemoryMB: 100}, EstimateMillis: taskTime.Milliseconds(),
+		}
+		if i > 0 {
+			step.After = []int{i - 1}
+		}
+		job.Steps = append(job.Steps, step)
+	}
+	f.oracle.submitted(job)
+	return job
+}
+
+// phase asks for the state of a job until there is an answer.
+func (f *fleet) phase(id string) workflow.Phase {
+	for {
+		ctx, cancel := context.WithTimeout(f.ctx, 3*time.Second)
+		phase, err := f.gateway.State(ctx, id)
+		cancel()
+		if err == nil {
+			return phase
+		}
+		if errors.Is(err, gateway.ErrNotFound) {
+			f.Fatalf("job %s is not known", id)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// finish waits until all jobs have completed, and fails after a limit.
+func (f *fleet) finish(limit time.Duration, ids ...string) {
+	f.Helper()
+	deadline := time.Now().Add(limit)
+	for _, id := range ids {
+		for phase := f.phase(id); phase != workflow.Completed; phase = f.phase(id) {
+			if phase.Final() || time.Now().After(deadline) {
+				f.Fatalf("job %s is %s; broken: %v", id, phase, f.oracle.broken())
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	f.Assert(f.oracle.broken(), qt.HasLen, 0)
+}
+
+// waitFor waits until a condition holds, and returns how long that took.
+func (f *fleet) waitFor(limit time.Duration, condition func() bool) time.Duration {
+	f.Helper()
+	begun := time.Now()
+	for !condition() {
+		if time.Since(begun) > limit {
+			f.Fatalf("condition does not hold after %v", limit)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(begun)
+}
--- /dev/null
+++ b/test/workflows/model_test.go
@@ -0,0 +1,223 @@
+package workflows_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/quetzalshed/quetzalshed/gateway"
+	"github.com/quetzalshed/quetzalshed/kv/kvtest"
+	"github.com/quetzalshed/quetzalshed/ownership"
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+// action is one step of a random history.
+type action struct {
+	kind   string
+	host   int
+	counts []int
+	pause  time.Duration
+}
+
+var actionKinds = []string{
+	"submit", "submit", "submit", "cancel", "kill", "start", "withdraw", "crash", "restart", "silence", "speak", "late",
+	"punctual", "refuse", "mute", "lose", "delay", "heal", "compact", "take", "cut", "join",
+}
+
+const modelHosts = 3
+
+func drawActions(t *rapid.T) []action {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) action {
+		return action{
+			kind:   rapid.SampledFrom(actionKinds).Draw(t, "kind"),
+			host:   rapid.IntRange(0, modelHosts).Draw(t, "host"),
+			counts: rapid.SliceOfN(rapid.IntRange(1, 6), 1, 3).Draw(t, "counts"),
+			pause:  time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond,
+		}
+	}), 5, 25).Draw(t, "actions")
+}
+
+// history plays actions on a fleet.
+type history struct {
+	*fleet
+	dead      map[int]bool
+	accepted  []string
+	cancelled map[string]bool
+}
+
+func (h *history) play(a action) {
+	if a.host == modelHosts {
+		h.playEntry(a)
+		return
+	}
+	host := h.hosts[a.host]
+	switch a.kind {
+	case "kill":
+		if !h.dead[a.host] {
+			host.kill()
+			h.dead[a.host] = true
+		}
+	case "start":
+		h.revive(a.host)
+	case "withdraw":
+		if !h.dead[a.host] {
+			host.withdraw()
+			<-host.ended
+			host.kill()
+			h.dead[a.host] = true
+		}
+	case "crash":
+		host.executor.Crash()
+	case "restart":
+		host.executor.Restart()
+	case "silence", "speak":
+		host.executor.SetSilent(a.kind == "silence")
+	case "late":
+		host.executor.SetLate(0.3)
+	case "punctual":
+		host.executor.SetLate(0)
+	case "cut", "join":
+		h.network.Cut(host.name, a.kind == "cut")
+	default:
+		h.playStore(a, host.store)
+	}
+}
+
+func (h *history) playEntry(a action) {
+	switch a.kind {
+	case "cut", "join":
+		h.network.Cut("entry", a.kind == "cut")
+	default:
+		h.playStore(a, h.entry)
+	}
+}
+
+func (h *history) playStore(a action, client *kvtest.Client) {
+	switch a.kind {
+	case "submit":
+		h.hand(a.counts)
+	case "cancel":
+		h.cancel()
+	case "refuse":
+		client.Set(kvtest.Faults{Refused: true})
+	case "mute":
+		client.Set(kvtest.Faults{Silent: true})
+	case "lose":
+		client.Set(kvtest.Faults{Delay: storeDelay, Lost: 0.3, Late: a.pause})
+	case "delay":
+		client.Set(kvtest.Faults{Delay: 240 * time.Millisecond})
+	case "heal":
+		client.Set(kvtest.Faults{Delay: storeDelay})
+	case "compact":
+		h.store.Compact()
+	case "take":
+		h.store.Remove(ownership.OwnerKey)
+	}
+}
+
+// hand submits a job once. A job without a definite rejection counts as accepted and has to be known later.
+func (h *history) hand(counts []int) {
+	job := h.job(counts...)
+	ctx, cancel := context.WithTimeout(h.ctx, 3*time.Second)
+	defer cancel()
+	err := h.gateway.Submit(ctx, &job)
+	if errors.Is(err, gateway.ErrUnavailable) {
+		h.oracle.rejected(job.ID)
+		return
+	}
+	if err == nil {
+		h.accepted = append(h.accepted, job.ID)
+	}
+}
+
+func (h *history) cancel() {
+	if len(h.accepted) == 0 {
+		return
+	}
+	id := h.accepted[len(h.accepted)-1]
+	ctx, cancel := context.WithTimeout(h.ctx, 3*time.Second)
+	defer cancel()
+	// A cancellation that has no result may still take effect.
+	h.cancelled[id] = true
+	_ = h.gateway.Cancel(ctx, id)
+}
+
+func (h *history) revive(i int) {
+	if h.dead[i] {
+		h.hosts[i].start()
+		delete(h.dead, i)
+	}
+}
+
+// heal ends all faults.
+func (h *history) heal() {
+	for i, host := range h.hosts {
+		host.store.Set(kvtest.Faults{Delay: storeDelay})
+		h.network.Cut(host.name, false)
+		host.executor.SetSilent(false)
+		host.executor.SetLate(0)
+		if _, up := host.executor.Describe(); !up {
+			host.executor.Restart()
+		}
+		h.revive(i)
+	}
+	h.network.Cut("entry", false)
+	h.entry.Set(kvtest.Faults{Delay: storeDelay})
+}
+
+// settle waits until all accepted jobs have ended, and returns what is wrong.
+func (h *history) settle() string {
+	deadline := time.Now().Add(2 * time.Minute)
+	for _, id := range h.accepted {
+		for {
+			ctx, cancel := context.WithTimeout(h.ctx, 3*time.Second)
+			phase, err := h.gateway.State(ctx, id)
+			cancel()
+			if errors.Is(err, gateway.ErrNotFound) {
+				return fmt.Sprintf("accepted job %s is not known", id)
+			}
+			if phase == workflow.Completed || phase == workflow.Cancelled && h.cancelled[id] {
+				break
+			}
+			if time.Now().After(deadline) {
+				return fmt.Sprintf("job %s is still %s, %v", id, phase, err)
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+	}
+	if broken := h.oracle.broken(); len(broken) > 0 {
+		return fmt.Sprint(broken)
+	}
+	return ""
+}
+
+// Guards against broken promises under random series of faults: two runs of a task at once, a start before the steps
+// that it waits for, a start after an acknowledged end, a start of a rejected job, an accepted job that is lost or never
+// ends.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		actions := drawActions(rt)
+		wrong := ""
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer time.Sleep(lastCalls)
+			defer cancel()
+			h := &history{fleet: newFleet(t, ctx, modelHosts), dead: map[int]bool{}, cancelled: map[string]bool{}}
+			time.Sleep(settled)
+			for _, a := range actions {
+				h.play(a)
+				time.Sleep(a.pause)
+			}
+			h.heal()
+			wrong = h.settle()
+		})
+		if wrong != "" {
+			rt.Fatal(wrong)
+		}
+	})
+}
--- a/workflow/engine/engine_test.go
+++ b/workflow/engine/engine_test.go
@@ -139,3 +139,162 @@
 	h.Assert(orders["b"].Starts, qt.HasLen, 1)
 	h.Assert(orders["b"].Starts[0].Run, qt.Equals, 2)
 }
+
+// Guards against a second run of a task whose start reached the next incarnation of an executor under the same ID (found
+// by TestRandomFaults: a start after an acknowledged end).
+func TestStartReachesTheNextIncarnation(t *testing.T) {
+	h := newHarness(t)
+	job := h.job(step(1))
+	h.engine.Add(job, nil, h.now, h.now)
+	h.report("a", executor("a", 1), nil, nil)
+	running := h.accept("a", h.plan()["a"])
+	h.reports["a"]++
+	h.engine.Report(&workflow.Report{
+		Node: "a", Address: "a", Incarnation: 1, Number: h.reports["a"], Executor: executor("a", 2),
+	}, h.now, h.now)
+	h.Assert(h.plan(), qt.HasLen, 0)
+	h.report("a", executor("a", 2), nil, []workflow.RunEnd{{Number: 1, Task: running[0].Task, Run: 1, How: workflow.EndDone}})
+	h.plan()
+	h.Assert(h.phase(job.ID), qt.Equals, workflow.Completed)
+}
+
+// Guards against a task that is never run again: its stop was accepted by a process of the node that has ended since
+// (found by TestRandomFaults: a job that never ends).
+func TestStopAcceptedByFormerProcess(t *testing.T) {
+	h := newHarness(t)
+	h.engine.Add(h.job(step(1)), nil, h.now, h.now)
+	x := executor("a", 1)
+	h.report("a", x, nil, nil)
+	start := h.plan()["a"].Starts[0]
+	h.engine.Result("a", 1, &workflow.OrderResult{Task: start.Task, Run: 1, Outcome: workflow.OutcomeUnknown}, h.now)
+	h.engine.Result("a", 1, &workflow.OrderResult{Task: start.Task, Run: 1, Stop: true, Outcome: workflow.OutcomeDone, Sequence: 9}, h.now)
+	restarted := func() {
+		h.now = h.now.Add(time.Second)
+		h.reports["a"]++
+		h.engine.Report(&workflow.Report{
+			Node: "a", Address: "a", Incarnation: 2, Number: h.reports["a"], Executor: x, Listed: true, Covers: 5,
+		}, h.now, h.now)
+	}
+	restarted()
+	stops := h.plan()["a"].Stops
+	h.Assert(stops, qt.HasLen, 1)
+	h.engine.Result("a", 2, &workflow.OrderResult{Task: start.Task, Run: 1, Stop: true, Outcome: workflow.OutcomeDone, Sequence: 4}, h.now)
+	restarted()
+	h.Assert(h.plan()["a"].Starts, qt.HasLen, 1)
+}
+
+// Guards against a task that waits for the lease of an executor that was replaced on the same host under another ID, after
+// a new owner has read its record (found on bagmati-quotes, day trouble-1).
+func TestRecordNamesTheHost(t *testing.T) {
+	h := newHarness(t)
+	job := h.job(step(1))
+	h.engine.Add(job, nil, h.now, h.now)
+	h.report("a", executor("a", 1), nil, nil)
+	h.engine.Plan(h.now, h.now)
+	record := h.engine.TakeDirty()[0].Record
+	h.engine = h.successor()
+	h.engine.Add(job, &record, h.now, h.now)
+	x := executor("a", 5)
+	x.ID = "i-other"
+	h.report("a", x, nil, nil)
+	h.Assert(h.plan()["a"].Starts, qt.HasLen, 1)
+}
+
+// Guards against starts beyond the capacity of an executor, with tasks that are being stopped still counted.
+func TestStopsCountUntilTheyEnd(t *testing.T) {
+	h := newHarness(t)
+	first, second := h.job(step(4)), h.job(step(4))
+	h.engine.Add(first, nil, h.now, h.now)
+	x := executor("a", 1)
+	h.report("a", x, nil, nil)
+	running := h.accept("a", h.plan()["a"])
+	h.engine.Cancel(first.ID, h.now)
+	h.engine.Add(second, nil, h.now, h.now)
+	orders := h.plan()["a"]
+	h.Assert(orders.Starts, qt.HasLen, 0)
+	h.Assert(orders.Stops, qt.HasLen, 4)
+	var ended []workflow.RunEnd
+	for i, run := range running {
+		ended = append(ended, workflow.RunEnd{Number: int64(i + 1), Task: run.Task, Run: 1, How: workflow.EndStopped})
+	}
+	h.report("a", x, nil, ended)
+	h.Assert(h.plan()["a"].Starts, qt.HasLen, 4)
+}
+
+// Guards against large jobs that become late together in a burst: of the jobs that can be in time, the one with the least
+// work left goes first.
+func TestSmallJobsFirstInABurst(t *testing.T) {
+	h := newHarness(t)
+	large, small := h.job(step(4), step(4), step(4)), h.job(step(4))
+	h.engine.Add(large, nil, h.now, h.now)
+	h.engine.Add(small, nil, h.now, h.now)
+	h.report("a", executor("a", 1), nil, nil)
+	starts := h.plan()["a"].Starts
+	h.Assert(starts, qt.HasLen, 4)
+	for _, s := range starts {
+		id, _ := workflow.ParseTaskID(s.Task)
+		h.Assert(id.Job, qt.Equals, small.ID)
+	}
+}
+
+// Guards against a job that can't be in time any more and keeps one from its executor that can.
+func TestLostJobsYield(t *testing.T) {
+	h := newHarness(t)
+	lost := h.job(step(4))
+	h.engine.Add(lost, nil, h.now, h.now)
+	h.now = h.now.Add(time.Minute)
+	fresh := h.job(step(4), step(4))
+	h.engine.Add(fresh, nil, h.now, h.now)
+	h.report("a", executor("a", 1), nil, nil)
+	for _, s := range h.plan()["a"].Starts {
+		id, _ := workflow.ParseTaskID(s.Task)
+		h.Assert(id.Job, qt.Equals, fresh.ID)
+	}
+}
+
+// Guards against a gang that starts in part, or with run numbers that differ.
+func TestGangStartsWhole(t *testing.T) {
+	h := newHarness(t)
+	gang := step(6)
+	gang.Gang = true
+	h.engine.Add(h.job(gang), nil, h.now, h.now)
+	h.report("a", executor("a", 1), nil, nil)
+	h.Assert(h.plan(), qt.HasLen, 0)
+	h.report("b", executor("b", 1), nil, nil)
+	orders := h.plan()
+	h.Assert(len(orders["a"].Starts)+len(orders["b"].Starts), qt.Equals, 6)
+}
+
+// Guards against starts in a failure domain that operators have taken out of service.
+func TestEvacuatedDomainGetsNoStarts(t *testing.T) {
+	h := newHarness(t)
+	h.engine.SetEvacuated([]string{"domain-a"})
+	h.engine.Add(h.job(step(2)), nil, h.now, h.now)
+	h.report("a", executor("a", 1), nil, nil)
+	h.Assert(h.plan(), qt.HasLen, 0)
+	h.engine.SetEvacuated(nil)
+	h.Assert(h.plan()["a"].Starts, qt.HasLen, 2)
+}
+
+// Guards against a job that fails before its tasks have used their attempts, or goes on after.
+func TestAttempts(t *testing.T) {
+	h := newHarness(t)
+	job := h.job(step(1))
+	h.engine.Add(job, nil, h.now, h.now)
+	nodes := []string{"a", "b", "c"}
+	for _, node := range nodes {
+		h.report(node, executor(node, 1), nil, nil)
+	}
+	starts := 0
+	for range 5 {
+		for node, orders := range h.plan() {
+			for _, run := range h.accept(node, orders) {
+				starts++
+				h.report(node, executor(node, 1), nil, []workflow.RunEnd{{Number: int64(starts), Task: run.Task, Run: run.Run, How: workflow.EndFailed}})
+			}
+		}
+		h.now = h.now.Add(200 * time.Millisecond)
+	}
+	h.Assert(starts, qt.Equals, queue.MaxAttempts)
+	h.Assert(h.phase(job.ID), qt.Equals, workflow.Failed)
+}
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -55,6 +55,7 @@
 	n.address, n.incarnation, n.number = r.Address, r.Incarnation, r.Number
 	n.reported, n.granted = now, false
 	if r.Executor == nil {
+		n.answered = time.Time{}
 		return 0, false
 	}
 	if !n.known || n.executor.Life() != r.Executor.Life() {
@@ -79,8 +80,9 @@
 	return n.acked, true
 }
 
-// begin replaces the executor of a node by another incarnation. What ran on the former one has ended; a start that it
-// never answered may still reach the new one if that has the same ID, so it is stopped there before it counts as ended.
+// begin replaces the executor of a node by another incarnation. What ran on the former one has ended. If the new one has
+// the same ID, it may have got starts that were meant for the former one: the tasks are assigned to it until its lists
+// show what became of them.
 func (e *Engine) begin(n *node, executor *workflow.Executor, now time.Time) {
 	if n.known {
 		e.bury(n, n.executor.Life(), executor, now)
@@ -118,9 +120,8 @@
 		return
 	}
 	for _, t := range e.assignedTo(former) {
-		if (t.ordered || t.startedSequence == 0 && !t.listed) && sameID(former, executor.ID) {
+		if sameID(former, executor.ID) {
 			e.move(t, n, executor.Life())
-			t.stopWanted = true
 			continue
 		}
 		e.release(t)
@@ -131,6 +132,7 @@
 func (e *Engine) move(t *task, n *node, life string) {
 	e.untrack(t)
 	t.life, t.host = life, n.name
+	t.listed, t.startedSequence = false, 0
 	t.stoppedSequence, t.stopSent = 0, time.Time{}
 	n.add(t)
 	e.track(t)
@@ -207,6 +209,10 @@
 		e.release(t)
 		return
 	}
+	if t.stoppedIncarnation != r.Incarnation {
+		// The sequences of another process of the node say nothing of this one's lists.
+		t.stoppedSequence = 0
+	}
 	t.stopWanted = true
 	e.changed = true
 }
@@ -234,10 +240,14 @@
 // end takes over the end of a run.
 func (e *Engine) end(n *node, life string, end *workflow.RunEnd, wall time.Time) {
 	t := e.task(end.Task)
-	if t == nil || t.run != end.Run || t.phase == workflow.TaskDone {
+	if t == nil || t.phase == workflow.TaskDone {
 		return
 	}
-	if t.phase == workflow.TaskAssigned && t.life != life {
+	if t.run != end.Run || t.phase == workflow.TaskAssigned && t.life != life {
+		if end.How == workflow.EndDone && end.Run < t.run && !t.step.LongRunning {
+			// An earlier run has finished after all; the later one is stopped as a run that no task is assigned to.
+			e.done(t, wall)
+		}
 		return
 	}
 	if t.phase == workflow.TaskWaiting && end.How != workflow.EndDone {
