--- a/cmd/quetzalshed-gateway/main.go
+++ b/cmd/quetzalshed-gateway/main.go
@@ -3,8 +3,6 @@
 
 import (
 	"context"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -48,17 +46,16 @@
 	}
 	p := hosting.New(settings.NodeName, "gateway", level, memoryLimit)
 	defer p.Close()
-	hangups, stop := signal.NotifyContext(context.Background(), syscall.SIGHUP)
-	defer stop()
-	context.AfterFunc(hangups, func() {})
 	address := settings.InternalAddress(0)
 	p.Log.Info("process starts", "host", settings.NodeName, "failure_domain", settings.Zone, "address", address)
 
-	store := kv.NewMonitor(platform.NewStore(settings.Platform.Address, p.Scope))
+	storeClient := platform.NewStore(settings.Platform.Address, p.Scope)
+	store := kv.NewMonitor(storeClient)
 	locator := ownership.NewLocator(store, p.Log)
 	g := gateway.New(store, locator, rpc.NewClient(), p.Log, p.Scope)
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	go platform.FollowSettings(background, p.Log, func(s *platform.Settings) { storeClient.SetAddress(s.Platform.Address) })
 	go locator.Run(background)
 	go g.Run(background, &platform.Operators{Store: store, Log: p.Log})
 	go ownership.Register(background, store, settings.NodeName, address, p.Log)
@@ -76,6 +73,9 @@
 	if err := p.Serve(settings.Listen.Front, platform.Front(g)); err != nil {
 		return err
 	}
+	if err := p.ServeMetrics(settings.IP); err != nil {
+		return err
+	}
 	if err := p.Wait(ctx); err != nil {
 		return err
 	}
--- a/cmd/quetzalshed-node/main.go
+++ b/cmd/quetzalshed-node/main.go
@@ -3,9 +3,7 @@
 
 import (
 	"context"
-	"os/signal"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -47,13 +45,11 @@
 	}
 	p := hosting.New(settings.NodeName, "node", level, memoryLimit)
 	defer p.Close()
-	hangups, stop := signal.NotifyContext(context.Background(), syscall.SIGHUP)
-	defer stop()
-	context.AfterFunc(hangups, func() {})
 	address := settings.InternalAddress(0)
 	p.Log.Info("process starts", "host", settings.NodeName, "failure_domain", settings.Zone, "address", address)
 
-	store := kv.NewMonitor(platform.NewStore(settings.Platform.Address, p.Scope))
+	storeClient := platform.NewStore(settings.Platform.Address, p.Scope)
+	store := kv.NewMonitor(storeClient)
 	locator := ownership.NewLocator(store, p.Log)
 	client := rpc.NewClient()
 	n := node.New(settings.NodeName, address, platform.NewExecutor(settings.App), locator, client, p.Log, p.Scope)
@@ -69,11 +65,15 @@
 	if err := p.Serve(address, router); err != nil {
 		return err
 	}
+	if err := p.ServeMetrics(settings.IP); err != nil {
+		return err
+	}
 	if err := p.Serve(settings.Listen.Control, platform.Heartbeats(n, p.Log)); err != nil {
 		return err
 	}
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	go platform.FollowSettings(background, p.Log, func(s *platform.Settings) { storeClient.SetAddress(s.Platform.Address) })
 	go locator.Run(background)
 	go n.Run(background)
 	go ownership.Register(background, store, settings.NodeName, address, p.Log)
--- a/hosting/hosting.go
+++ b/hosting/hosting.go
@@ -21,6 +21,9 @@
 	"github.com/quetzalshed/quetzalshed/logging"
 )
 
+// metricsPort is where processes serve their metrics; deploy/system.toml names it too.
+const metricsPort = "9464"
+
 const (
 	// metricsInterval is how often counters become visible.
 	metricsInterval = 2 * time.Second
@@ -80,6 +83,13 @@
 	return nil
 }
 
+// ServeMetrics serves the metrics as text at /metrics on the metrics port of an IP address.
+func (p *Process) ServeMetrics(ip string) error {
+	router := http.NewServeMux()
+	router.Handle("/metrics", p.Metrics)
+	return p.Serve(net.JoinHostPort(ip, metricsPort), router)
+}
+
 // Draining tells whether the process is about to stop.
 func (p *Process) Draining() bool { return p.draining.Load() }
 
--- /dev/null
+++ b/kv/follow_test.go
@@ -0,0 +1,55 @@
+package kv_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/quetzalshed/quetzalshed/kv"
+	"github.com/quetzalshed/quetzalshed/kv/kvtest"
+)
+
+// deaf is a store whose watches hear nothing for a while and answer with the newest revision all the same.
+type deaf struct {
+	kv.Store
+	store *kvtest.Store
+	deaf  bool
+}
+
+func (d *deaf) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]kv.Event, int64, error) {
+	if d.deaf {
+		time.Sleep(wait)
+		return nil, d.store.Revision(), nil
+	}
+	return d.Store.Watch(ctx, prefix, after, wait)
+}
+
+// Guards against a change that is lost for good, since a watch was answered with a revision after it before the change
+// was passed on.
+func TestFollowerHearsChangesThatAWatchHasSkipped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := kvtest.New()
+		source := &deaf{Store: store.Client(1), store: store, deaf: true}
+		seen := map[string]string{}
+		follower := &kv.Follower{
+			Store: source, Prefix: "p/", Wait: 500 * time.Millisecond, Log: hclog.NewNullLogger(),
+			Reset:   func([]kv.Item) {},
+			Changed: func(e kv.Event) { seen[e.Key] = string(e.Value) },
+		}
+		go follower.Run(ctx)
+		time.Sleep(100 * time.Millisecond)
+		_, err := store.Client(2).Commit(ctx, kv.Transaction{Puts: []kv.Put{{Key: "p/a", Value: []byte("1")}}})
+		c.Assert(err, qt.IsNil)
+		time.Sleep(2 * time.Second)
+		source.deaf = false
+		time.Sleep(time.Second)
+		c.Assert(seen, qt.DeepEquals, map[string]string{"p/a": "1"})
+	})
+}
