--- a/test/workflows/model_test.go
+++ b/test/workflows/model_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +18,21 @@
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
+// defaultChecks is the number of histories unless one is given.
+const defaultChecks = "60"
+
+// TestMain fixes the seed and the number of histories unless they are given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
+		_ = f.Value.Set("20261204")
+	}
+	if f := flag.Lookup("rapid.checks"); f != nil && f.Value.String() == f.DefValue {
+		_ = f.Value.Set(defaultChecks)
+	}
+	os.Exit(m.Run())
+}
+
 // action is one step of a random history.
 type action struct {
 	kind   string
