--- a/node/nodetest/executor.go
+++ b/node/nodetest/executor.go
@@ -153,7 +153,7 @@
 }
 
 // call admits a call, or lets it be carried out later without an answer.
-func (x *Executor) call(ctx context.Context, life string, order func() error) error {
+func (x *Executor) call(ctx context.Context, life string, order func(answered bool) error) error {
 	x.mu.Lock()
 	if x.down || x.silent {
 		x.mu.Unlock()
@@ -170,7 +170,7 @@
 			defer x.mu.Unlock()
 			if !x.down {
 				x.advance()
-				_ = order()
+				_ = order(false)
 			}
 		})
 		x.mu.Unlock()
@@ -179,12 +179,12 @@
 	}
 	defer x.mu.Unlock()
 	x.advance()
-	return order()
+	return order(true)
 }
 
 // Start implements node.Executor.
 func (x *Executor) Start(ctx context.Context, life string, s node.Start) error {
-	return x.call(ctx, life, func() error {
+	return x.call(ctx, life, func(bool) error {
 		deadline := x.born.Add(time.Duration(s.DeadlineMillis) * time.Millisecond)
 		switch {
 		case s.Fence < x.fence:
@@ -211,7 +211,7 @@
 
 // Stop implements node.Executor.
 func (x *Executor) Stop(ctx context.Context, life, task string, number int, fence int64) error {
-	return x.call(ctx, life, func() error {
+	return x.call(ctx, life, func(bool) error {
 		if fence < x.fence {
 			return &node.RejectedError{Reason: "fence"}
 		}
@@ -227,7 +227,7 @@
 
 // Pace implements node.Executor. It has no effect.
 func (x *Executor) Pace(ctx context.Context, life, _ string, _, _ int, _ int64) error {
-	return x.call(ctx, life, func() error { return nil })
+	return x.call(ctx, life, func(bool) error { return nil })
 }
 
 // holdStep is how often a waiting hold looks for ends.
@@ -238,7 +238,7 @@
 	until := time.Now().Add(wait)
 	for first := true; ; first = false {
 		var lists *node.Lists
-		err := x.call(ctx, life, func() error {
+		err := x.call(ctx, life, func(answered bool) error {
 			if fence < x.fence {
 				return &node.RejectedError{Reason: "fence"}
 			}
@@ -247,7 +247,9 @@
 				x.extend(deadlineMillis)
 				x.acknowledge(ack)
 			}
-			lists = x.lists()
+			if answered {
+				lists = x.lists()
+			}
 			return nil
 		})
 		if err != nil || len(lists.Ended) > 0 || !time.Now().Before(until) {
