--- /dev/null
+++ b/cmd/internal/program/program.go
@@ -0,0 +1,66 @@
+// Package program holds what the programs for the users' platform share: their command line, and the connection to the
+// platform.
+package program
+
+import (
+	"context"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/spf13/cobra"
+
+	"github.com/quetzalshed/quetzalshed/hosting"
+	"github.com/quetzalshed/quetzalshed/kernel"
+	"github.com/quetzalshed/quetzalshed/kv"
+	"github.com/quetzalshed/quetzalshed/ownership"
+	"github.com/quetzalshed/quetzalshed/platform"
+	"github.com/quetzalshed/quetzalshed/rpc"
+)
+
+// Main runs a program from its command line and exits the process on failure.
+func Main(use, short string, run func(ctx context.Context, level hclog.Level) error) {
+	level := "info"
+	command := &cobra.Command{
+		Use: use, Short: short, Version: kernel.Version, SilenceUsage: true, Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return run(cmd.Context(), hclog.LevelFromString(level)) },
+	}
+	command.Flags().StringVar(&level, "log-level", level, "trace, debug, info, warn or error")
+	kernel.Execute(command, kernel.Failure)
+}
+
+// Program is a process on the users' platform.
+type Program struct {
+	*hosting.Process
+	Settings *platform.Settings
+	// Address is where other processes reach this one, as IP:PORT.
+	Address   string
+	Store     *kv.Monitor
+	Locator   *ownership.Locator
+	RPC       *rpc.Client
+	Operators *platform.Operators
+}
+
+// New reads the settings and connects to the platform. The memory limit in bytes is where the garbage collector works
+// harder.
+func New(role string, level hclog.Level, memoryLimit int64) (*Program, error) {
+	settings, err := platform.LoadSettings()
+	if err != nil {
+		return nil, err
+	}
+	process := hosting.New(settings.NodeName, role, level, memoryLimit)
+	client := platform.NewStore(settings.Platform.Address, process.Scope)
+	store := kv.NewMonitor(client)
+	p := &Program{
+		Process: process, Settings: settings, Address: settings.InternalAddress(0), Store: store,
+		Locator: ownership.NewLocator(store, process.Log), RPC: rpc.NewClient(),
+		Operators: &platform.Operators{Store: store, Log: process.Log},
+	}
+	p.Log.Info("process starts", "host", settings.NodeName, "failure_domain", settings.Zone, "address", p.Address)
+	go platform.FollowSettings(context.Background(), p.Log, func(s *platform.Settings) { client.SetAddress(s.Platform.Address) })
+	return p, nil
+}
+
+// Join looks for the owner and makes the process known, until ctx ends.
+func (p *Program) Join(ctx context.Context) {
+	go p.Locator.Run(ctx)
+	go ownership.Register(ctx, p.Store, p.Settings.NodeName, p.Address, p.Log)
+}
--- a/cmd/quetzalshed-gateway/main.go
+++ b/cmd/quetzalshed-gateway/main.go
@@ -1,4 +1,4 @@
-// Command quetzalshed-gateway accepts jobs from clients on an entry host of the platform.
+// Command quetzalshed-gateway accepts jobs from clients on a front host of the platform.
 package main
 
 import (
@@ -7,16 +7,11 @@
 
 	"github.com/gorilla/mux"
 	"github.com/hashicorp/go-hclog"
-	"github.com/spf13/cobra"
 
+	"github.com/quetzalshed/quetzalshed/cmd/internal/program"
 	"github.com/quetzalshed/quetzalshed/gateway"
-	"github.com/quetzalshed/quetzalshed/hosting"
-	"github.com/quetzalshed/quetzalshed/kernel"
-	"github.com/quetzalshed/quetzalshed/kv"
 	"github.com/quetzalshed/quetzalshed/owner"
-	"github.com/quetzalshed/quetzalshed/ownership"
 	"github.com/quetzalshed/quetzalshed/platform"
-	"github.com/quetzalshed/quetzalshed/rpc"
 )
 
 const (
@@ -29,56 +24,44 @@
 )
 
 func main() {
-	level := "info"
-	command := &cobra.Command{
-		Use: "quetzalshed-gateway", Short: "Accepts jobs from clients", Version: kernel.Version, SilenceUsage: true,
-		Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error { return run(cmd.Context(), hclog.LevelFromString(level)) },
-	}
-	command.Flags().StringVar(&level, "log-level", level, "trace, debug, info, warn or error")
-	kernel.Execute(command, kernel.Failure)
+	program.Main("quetzalshed-gateway", "Accepts jobs from clients", run)
 }
 
 func run(ctx context.Context, level hclog.Level) error {
-	settings, err := platform.LoadSettings()
+	p, err := program.New("gateway", level, memoryLimit)
 	if err != nil {
 		return err
 	}
-	p := hosting.New(settings.NodeName, "gateway", level, memoryLimit)
 	defer p.Close()
-	address := settings.InternalAddress(0)
-	p.Log.Info("process starts", "host", settings.NodeName, "failure_domain", settings.Zone, "address", address)
-
-	storeClient := platform.NewStore(settings.Platform.Address, p.Scope)
-	store := kv.NewMonitor(storeClient)
-	locator := ownership.NewLocator(store, p.Log)
-	g := gateway.New(store, locator, rpc.NewClient(), p.Log, p.Scope)
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go platform.FollowSettings(background, p.Log, func(s *platform.Settings) { storeClient.SetAddress(s.Platform.Address) })
-	go locator.Run(background)
-	go g.Run(background, &platform.Operators{Store: store, Log: p.Log})
-	go ownership.Register(background, store, settings.NodeName, address, p.Log)
-
-	internal := mux.NewRouter()
-	owner.RegisterAnnounce(internal, locator)
-	internal.Handle("/metrics", p.Metrics)
-	if err := p.Serve(address, internal); err != nil {
+	g := gateway.New(p.Store, p.Locator, p.RPC, p.Log, p.Scope)
+	p.Join(background)
+	go g.Run(background, p.Operators)
+	if err := serve(p, g); err != nil {
 		return err
 	}
-	ready := platform.Ready(func() bool { return g.Ready() && !p.Draining() })
-	if err := p.Serve(settings.Listen.Ready, ready); err != nil {
+	if err := p.Wait(ctx); err != nil {
 		return err
 	}
-	if err := p.Serve(settings.Listen.Front, platform.Front(g)); err != nil {
+	p.Drain(drainNotice, drainLimit)
+	return nil
+}
+
+// serve listens at all addresses of the process; clients come last.
+func serve(p *program.Program, g *gateway.Gateway) error {
+	internal := mux.NewRouter()
+	owner.RegisterAnnounce(internal, p.Locator)
+	internal.Handle("/metrics", p.Metrics)
+	if err := p.Serve(p.Address, internal); err != nil {
 		return err
 	}
-	if err := p.ServeMetrics(settings.IP); err != nil {
+	if err := p.ServeMetrics(p.Settings.IP); err != nil {
 		return err
 	}
-	if err := p.Wait(ctx); err != nil {
+	ready := platform.Ready(func() bool { return g.Ready() && !p.Draining() })
+	if err := p.Serve(p.Settings.Listen.Ready, ready); err != nil {
 		return err
 	}
-	p.Drain(drainNotice, drainLimit)
-	return nil
+	return p.Serve(p.Settings.Listen.Front, platform.Front(g))
 }
--- a/cmd/quetzalshed-node/main.go
+++ b/cmd/quetzalshed-node/main.go
@@ -8,16 +8,11 @@
 
 	"github.com/gorilla/mux"
 	"github.com/hashicorp/go-hclog"
-	"github.com/spf13/cobra"
 
-	"github.com/quetzalshed/quetzalshed/hosting"
-	"github.com/quetzalshed/quetzalshed/kernel"
-	"github.com/quetzalshed/quetzalshed/kv"
+	"github.com/quetzalshed/quetzalshed/cmd/internal/program"
 	"github.com/quetzalshed/quetzalshed/node"
 	"github.com/quetzalshed/quetzalshed/owner"
-	"github.com/quetzalshed/quetzalshed/ownership"
 	"github.com/quetzalshed/quetzalshed/platform"
-	"github.com/quetzalshed/quetzalshed/rpc"
 )
 
 const (
@@ -28,56 +23,30 @@
 )
 
 func main() {
-	level := "info"
-	command := &cobra.Command{
-		Use: "quetzalshed-node", Short: "Drives the executor of a host", Version: kernel.Version, SilenceUsage: true,
-		Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error { return run(cmd.Context(), hclog.LevelFromString(level)) },
-	}
-	command.Flags().StringVar(&level, "log-level", level, "trace, debug, info, warn or error")
-	kernel.Execute(command, kernel.Failure)
+	program.Main("quetzalshed-node", "Drives the executor of a host", run)
 }
 
 func run(ctx context.Context, level hclog.Level) error {
-	settings, err := platform.LoadSettings()
+	p, err := program.New("node", level, memoryLimit)
 	if err != nil {
 		return err
 	}
-	p := hosting.New(settings.NodeName, "node", level, memoryLimit)
 	defer p.Close()
-	address := settings.InternalAddress(0)
-	p.Log.Info("process starts", "host", settings.NodeName, "failure_domain", settings.Zone, "address", address)
-
-	storeClient := platform.NewStore(settings.Platform.Address, p.Scope)
-	store := kv.NewMonitor(storeClient)
-	locator := ownership.NewLocator(store, p.Log)
-	client := rpc.NewClient()
-	n := node.New(settings.NodeName, address, platform.NewExecutor(settings.App), locator, client, p.Log, p.Scope)
+	executor := platform.NewExecutor(p.Settings.App)
+	n := node.New(p.Settings.NodeName, p.Address, executor, p.Locator, p.RPC, p.Log, p.Scope)
 	candidate := &owner.Candidate{
-		Node: settings.NodeName, Address: address, Store: store, Locator: locator,
-		Operators: &platform.Operators{Store: store, Log: p.Log}, RPC: client, Log: p.Log, Scope: p.Scope,
-	}
-	router := mux.NewRouter()
-	n.Register(router)
-	candidate.Register(router)
-	owner.RegisterAnnounce(router, locator)
-	router.Handle("/metrics", p.Metrics)
-	if err := p.Serve(address, router); err != nil {
-		return err
-	}
-	if err := p.ServeMetrics(settings.IP); err != nil {
-		return err
+		Node: p.Settings.NodeName, Address: p.Address, Store: p.Store, Locator: p.Locator, Operators: p.Operators,
+		RPC: p.RPC, Log: p.Log, Scope: p.Scope,
 	}
-	if err := p.Serve(settings.Listen.Control, platform.Heartbeats(n, p.Log)); err != nil {
+	if err := serve(p, n, candidate); err != nil {
 		return err
 	}
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go platform.FollowSettings(background, p.Log, func(s *platform.Settings) { storeClient.SetAddress(s.Platform.Address) })
-	go locator.Run(background)
+	p.Join(background)
 	go n.Run(background)
-	go ownership.Register(background, store, settings.NodeName, address, p.Log)
 	candidacy, withdraw := context.WithCancel(background)
+	defer withdraw()
 	var elections sync.WaitGroup
 	elections.Go(func() { candidate.Run(candidacy) })
 	err = p.Wait(ctx)
@@ -89,3 +58,19 @@
 	p.Drain(0, drainLimit)
 	return nil
 }
+
+// serve listens at all addresses of the process; the executor comes last.
+func serve(p *program.Program, n *node.Node, candidate *owner.Candidate) error {
+	router := mux.NewRouter()
+	n.Register(router)
+	candidate.Register(router)
+	owner.RegisterAnnounce(router, p.Locator)
+	router.Handle("/metrics", p.Metrics)
+	if err := p.Serve(p.Address, router); err != nil {
+		return err
+	}
+	if err := p.ServeMetrics(p.Settings.IP); err != nil {
+		return err
+	}
+	return p.Serve(p.Settings.Listen.Control, platform.Heartbeats(n, p.Log))
+}
