Keep the answer of a slow store apart from the timeouts in its test

Change: the store answers after 1.5 s, between the second timeout and the third (2 s). The first two calls still have to time out and the third still has to succeed. Conclusion: the product is not at fault; the bounds of the test are as strict.

--- a/store/storetest/store_test.go
+++ b/store/storetest/store_test.go
@@ -283,7 +283,8 @@
 	})
 	defer client.Close()
 	ctx := context.Background()
-	backend.SetFaults(storetest.Faults{SlowMillis: 2 * timeout.Milliseconds()})
+	// Between the second timeout, which is twice the first, and the third, which is four times the first.
+	backend.SetFaults(storetest.Faults{SlowMillis: 3 * timeout.Milliseconds()})
 	for i := range 3 {
 		_, err := client.Put(ctx, "k", []byte("v"), store.PutOptions{IfRevision: store.AnyRevision})
 		// The first calls time out, the last of them has the longest timeout.
