--- a/cmd/quetzalshed-gateway/main.go
+++ b/cmd/quetzalshed-gateway/main.go
@@ -19,8 +19,10 @@
 	memoryLimit = 120 << 20
 	// drainNotice is longer than the load balancer takes to notice that the process isn't ready.
 	drainNotice = 2500 * time.Millisecond
-	// drainLimit bounds the requests that still run; it ends before the platform kills the process.
+	// drainLimit bounds the requests that still run.
 	drainLimit = 2500 * time.Millisecond
+	// drainPart is the part of the time until the platform kills the process that the notice and the limit each may take.
+	drainPart = 0.42
 )
 
 func main() {
@@ -44,7 +46,8 @@
 	if err := p.Wait(ctx); err != nil {
 		return err
 	}
-	p.Drain(drainNotice, drainLimit)
+	part := time.Duration(drainPart * p.Settings.Bounds.GraceS * float64(time.Second))
+	p.Drain(min(drainNotice, part), min(drainLimit, part))
 	return nil
 }
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -39,6 +40,8 @@
 const (
 	// candidateJitter spreads the attempts of candidates, so that most see the winner before they try.
 	candidateJitter = 120 * time.Millisecond
+	// defaultFarFactor holds where the platform doesn't say how much longer tasks take away from their data.
+	defaultFarFactor = 1.5
 	// loadWait is how long a question waits while a new owner loads the jobs.
 	loadWait = 500 * time.Millisecond
 	// createTime bounds the storing of a job for an entry.
@@ -58,6 +61,8 @@
 	RPC           *rpc.Client
 	Log           hclog.Logger
 	Scope         tally.Scope
+	// FarFactor is how many times longer a task takes away from its data; 0 means defaultFarFactor.
+	FarFactor float64
 
 	writer *intake.Writer
 
@@ -109,7 +114,7 @@
 	t := &term{
 		tenure: tenure, store: c.Store, operators: c.Operators, rpc: c.RPC, log: c.Log, metrics: metrics,
 		events: make(chan event, eventQueue), loaded: make(chan struct{}), commitDone: make(chan error, 1),
-		commitRevision: tenure.CommitRevision, acked: map[string]int64{},
+		farFactor: cmp.Or(c.FarFactor, defaultFarFactor), commitRevision: tenure.CommitRevision, acked: map[string]int64{},
 	}
 	c.Log.Info("ownership taken", "epoch", tenure.Record.Epoch)
 	c.setTerm(t)
--- a/owner/term.go
+++ b/owner/term.go
@@ -81,6 +81,7 @@
 	rpc       *rpc.Client
 	log       hclog.Logger
 	metrics   metrics
+	farFactor float64
 
 	engine *engine.Engine
 	events chan event
@@ -141,7 +142,7 @@
 	records := t.parseRecords(states)
 	now := time.Now()
 	t.engine = engine.New(engine.Settings{
-		Grant: grant, Lapse: lapse, FarFactor: 1.5, Retention: retention, TakeoverSlack: takeoverSlack,
+		Grant: grant, Lapse: lapse, FarFactor: t.farFactor, Retention: retention, TakeoverSlack: takeoverSlack,
 	}, now)
 	inputs := make(chan func(), eventQueue)
 	go t.followInputs(ctx, inputs, records)
--- a/workflow/config.go
+++ b/workflow/config.go
@@ -39,8 +39,6 @@
 	Pools   []Pool
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64
-	// IdleTimeoutMillis closes idle connections of clients.
-	IdleTimeoutMillis int64
 }
 
 // Match returns the queue of a request and the rest of the path behind the queue's prefix.
