Make the test of small jobs fail without its rule

Cause: TestSmallJobsFirstInABurst passed in a scratch copy without the comparison of the work left, since the small job also had less time to spare. Change: the large job is a second older, so that time to spare alone would put it first.

--- a/workflow/engine/engine_test.go
+++ b/workflow/engine/engine_test.go
@@ -225,8 +225,11 @@
 // work left goes first.
 func TestSmallJobsFirstInABurst(t *testing.T) {
 	h := newHarness(t)
-	large, small := h.job(step(4), step(4), step(4)), h.job(step(4))
+	large := h.job(step(4), step(4), step(4))
 	h.engine.Add(large, nil, h.now, h.now)
+	// The large job is older and has less time to spare, but can still be in time.
+	h.now = h.now.Add(time.Second)
+	small := h.job(step(4))
 	h.engine.Add(small, nil, h.now, h.now)
 	h.report("a", executor("a", 1), nil, nil)
 	starts := h.plan()["a"].Starts
