Acknowledge only ends that the executor has just listed

A node acknowledged, after a call without an answer, ends of the former incarnation of its executor; the next one under the same ID took the number for its own first ends, which nobody had seen, and their tasks ran again. The stand-in decided anew in each look of a waiting call whether it is late, so that calls which wait never got an answer. Change: a number is acknowledged only within 0.5 s of a list by the same incarnation, and never after a call without an answer; the stand-in decides once for each call.

--- a/node/hold.go
+++ b/node/hold.go
@@ -18,6 +18,8 @@
 	holdSlack = 800 * time.Millisecond
 	// holdRetry is the pause after a call that failed.
 	holdRetry = 100 * time.Millisecond
+	// ackWindow is how long ends that an executor has listed may be acknowledged; it is listed again while they aren't.
+	ackWindow = 500 * time.Millisecond
 	// keptTraits is the number of tasks from which those that have ended are dropped.
 	keptTraits = 256
 	// ackWait is how long the next call waits for the acknowledgement of ends that were listed.
@@ -38,6 +40,7 @@
 		cancel()
 		if err != nil {
 			failures++
+			n.unconfirm()
 			if failures == 1 && ctx.Err() == nil {
 				n.log.Warn("executor doesn't answer", "executor", life, "error", err)
 			}
@@ -76,9 +79,20 @@
 	return n.current.Life(), n.fence(n.epoch), n.dueAck(), n.deadline(time.Now()), wait, n.operations
 }
 
-// dueAck returns the number to acknowledge, or 0 if the executor has nothing listed up to it. An executor that starts again
-// under its ID counts from 1, so a number that is sent without need could acknowledge ends that nobody has seen.
+// unconfirm notes that a call had no answer: the next one may reach another incarnation.
+func (n *Node) unconfirm() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.confirmed = false
+}
+
+// dueAck returns the number to acknowledge, or 0 if the executor has nothing listed up to it, or has not just listed it. An
+// executor that starts again under its ID counts from 1, so a number that is sent to it could acknowledge ends that nobody
+// has seen.
 func (n *Node) dueAck() int64 {
+	if !n.confirmed || time.Since(n.listedAt) > ackWindow {
+		return 0
+	}
 	if n.lists == nil || len(n.lists.Ended) == 0 || n.lists.Ended[0].Number > n.ack {
 		return 0
 	}
@@ -113,7 +127,7 @@
 	}
 	first := n.lists == nil
 	known := n.lists
-	n.lists, n.covers, n.listedAt = lists, covers, time.Now()
+	n.lists, n.covers, n.listedAt, n.confirmed = lists, covers, time.Now(), true
 	n.clockMillis, n.clockAt = lists.ClockMillis, n.listedAt
 	n.logEnds(life, known, lists)
 	n.prune(lists)
--- a/node/node.go
+++ b/node/node.go
@@ -84,6 +84,8 @@
 	lists    *Lists
 	listedAt time.Time
 	covers   int64
+	// confirmed tells that the last call was answered by that incarnation.
+	confirmed bool
 	// operations counts the orders that were carried out.
 	operations int64
 	// grantEnd is when the runs end unless an owner grants more.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -51,10 +51,22 @@
 func TestOnlyListedEndsAreAcknowledged(t *testing.T) {
 	c := qt.New(t)
 	n := newNode()
+	list := func(numbers ...int64) {
+		lists := &Lists{BornUnixMillis: 1000}
+		for _, number := range numbers {
+			lists.Ended = append(lists.Ended, workflow.RunEnd{Number: number})
+		}
+		n.listed("i-1@1000", lists, 0)
+	}
 	n.ack = 3
 	c.Assert(n.dueAck(), qt.Equals, int64(0))
-	n.lists = &Lists{Ended: []workflow.RunEnd{{Number: 4}}}
+	list(4)
 	c.Assert(n.dueAck(), qt.Equals, int64(0))
-	n.lists = &Lists{Ended: []workflow.RunEnd{{Number: 2}, {Number: 3}, {Number: 4}}}
+	list(2, 3, 4)
 	c.Assert(n.dueAck(), qt.Equals, int64(3))
+	n.unconfirm()
+	c.Assert(n.dueAck(), qt.Equals, int64(0), qt.Commentf("a call without an answer: the next may reach another incarnation"))
+	list(2, 3, 4)
+	n.listedAt = n.listedAt.Add(-2 * ackWindow)
+	c.Assert(n.dueAck(), qt.Equals, int64(0), qt.Commentf("listed long ago"))
 }
--- a/node/nodetest/executor.go
+++ b/node/nodetest/executor.go
@@ -152,8 +152,9 @@
 	x.observer.Ended(x.describe.Life(), task, r.number, how)
 }
 
-// call admits a call, or lets it be carried out later without an answer.
-func (x *Executor) call(ctx context.Context, life string, order func(answered bool) error) error {
+// call admits a call, or lets it be carried out later without an answer. Whether that happens is decided once, when the
+// call arrives.
+func (x *Executor) call(ctx context.Context, life string, arrives bool, order func(answered bool) error) error {
 	x.mu.Lock()
 	if x.down || x.silent {
 		x.mu.Unlock()
@@ -164,7 +165,7 @@
 		x.mu.Unlock()
 		return node.ErrAnotherLife
 	}
-	if x.random.Float64() < x.late {
+	if arrives && x.random.Float64() < x.late {
 		time.AfterFunc(2*time.Second+time.Duration(x.random.Int64N(int64(8*time.Second))), func() {
 			x.mu.Lock()
 			defer x.mu.Unlock()
@@ -184,7 +185,7 @@
 
 // Start implements node.Executor.
 func (x *Executor) Start(ctx context.Context, life string, s node.Start) error {
-	return x.call(ctx, life, func(bool) error {
+	return x.call(ctx, life, true, func(bool) error {
 		deadline := x.born.Add(time.Duration(s.DeadlineMillis) * time.Millisecond)
 		switch {
 		case s.Fence < x.fence:
@@ -211,7 +212,7 @@
 
 // Stop implements node.Executor.
 func (x *Executor) Stop(ctx context.Context, life, task string, number int, fence int64) error {
-	return x.call(ctx, life, func(bool) error {
+	return x.call(ctx, life, true, func(bool) error {
 		if fence < x.fence {
 			return &node.RejectedError{Reason: "fence"}
 		}
@@ -227,7 +228,7 @@
 
 // Pace implements node.Executor. It has no effect.
 func (x *Executor) Pace(ctx context.Context, life, _ string, _, _ int, _ int64) error {
-	return x.call(ctx, life, func(bool) error { return nil })
+	return x.call(ctx, life, true, func(bool) error { return nil })
 }
 
 // holdStep is how often a waiting hold looks for ends.
@@ -238,7 +239,7 @@
 	until := time.Now().Add(wait)
 	for first := true; ; first = false {
 		var lists *node.Lists
-		err := x.call(ctx, life, func(answered bool) error {
+		err := x.call(ctx, life, first, func(answered bool) error {
 			if fence < x.fence {
 				return &node.RejectedError{Reason: "fence"}
 			}
--- a/test/workflows/faults_test.go
+++ b/test/workflows/faults_test.go
@@ -238,3 +238,25 @@
 		f.Assert(lists.Ended, qt.HasLen, 0)
 	})
 }
+
+// Guards against an acknowledgement for a former incarnation that reaches the next one under the same ID after a call
+// without an answer: it acknowledges the end of a task that nobody has seen, and the task runs again (found by
+// TestRandomFaults beside load, seed 22).
+func TestExecutorIsRebornWhileACallWaits(t *testing.T) {
+	play(t, modelHosts, func(f *fleet) {
+		// The ends are acknowledged at 7.05 s of the fleet, by calls that wait until 8.05 s. The executors start again just after
+		// their announcements at 7.5 s, so that the nodes learn of it at 9.0 s only, after the calls without an answer.
+		time.Sleep(6200*time.Millisecond - time.Since(f.began))
+		ids := []string{f.submit(6)}
+		time.Sleep(7510*time.Millisecond - time.Since(f.began))
+		for _, h := range f.hosts {
+			h.executor.Crash()
+		}
+		time.Sleep(25 * time.Millisecond)
+		for _, h := range f.hosts {
+			h.executor.Restart()
+		}
+		ids = append(ids, f.submit(6))
+		f.finish(40*time.Second, ids...)
+	})
+}
--- a/test/workflows/fleet_test.go
+++ b/test/workflows/fleet_test.go
@@ -66,6 +66,7 @@
 type fleet struct {
 	*qt.C
 	ctx     context.Context
+	began   time.Time
 	store   *kvtest.Store
 	network *rpctest.Network
 	oracle  *oracle
@@ -76,7 +77,7 @@
 }
 
 func newFleet(t testing.TB, ctx context.Context, hosts int) *fleet {
-	f := &fleet{C: qt.New(t), ctx: ctx, store: kvtest.New(), network: rpctest.New(), oracle: newOracle()}
+	f := &fleet{C: qt.New(t), ctx: ctx, began: time.Now(), store: kvtest.New(), network: rpctest.New(), oracle: newOracle()}
 	f.network.Delay = networkDelay
 	for i := range hosts {
 		name := fmt.Sprintf("host-%d", i)
