--- a/hosting/hosting_test.go
+++ b/hosting/hosting_test.go
@@ -4,6 +4,10 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -70,3 +74,40 @@
 	qt.Assert(t, p.Serve(address, http.NotFoundHandler()), qt.IsNil)
 	qt.Assert(t, p.Serve(address, http.NotFoundHandler()), qt.ErrorMatches, ".*listening on.*")
 }
+
+// Guards against settings that are applied without a change, that a SIGHUP doesn't apply, and that are lost with an invalid
+// file.
+func TestFollowFile(t *testing.T) {
+	c := qt.New(t)
+	path := filepath.Join(t.TempDir(), "file")
+	write := func(content string) { c.Assert(os.WriteFile(path, []byte(content), 0o600), qt.IsNil) }
+	write("a")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	// Keeps a SIGHUP that arrives before the file is followed from ending the test.
+	early := make(chan os.Signal, 1)
+	signal.Notify(early, syscall.SIGHUP)
+	defer signal.Stop(early)
+	applied := make(chan string, 16)
+	go hosting.FollowFile(ctx, path, hclog.NewNullLogger(), func(data []byte) error {
+		applied <- string(data)
+		return nil
+	})
+	hangUpUntil := func(want string) {
+		for {
+			c.Assert(syscall.Kill(os.Getpid(), syscall.SIGHUP), qt.IsNil)
+			select {
+			case got := <-applied:
+				c.Assert(got, qt.Equals, want)
+				return
+			case <-time.After(10 * time.Millisecond):
+			}
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
+	write("b")
+	hangUpUntil("b")
+	write("c")
+	hangUpUntil("c")
+	c.Assert(applied, qt.HasLen, 0)
+}
