Start tasks that last again where they failed if there is no other room

A task keeps away from every executor on which it has failed; here only that one had room, since four fifths of the processors are reserved by such tasks.

Change: the filter holds for tasks that end; for tasks that last, executors on which they failed only score less. These tasks fail at any time without a fault of the executor and have no limit of attempts.

TestLastingTaskReturnsToTheOnlyRoom failed before (0 starts) and passes.

--- a/workflow/engine/engine_test.go
+++ b/workflow/engine/engine_test.go
@@ -326,3 +326,31 @@
 	}
 	h.Assert(starts, qt.Equals, 1)
 }
+
+// Guards against a task that lasts and stays down because the only executor with room is the one on which it failed before
+// (found once: vaidlusmaja trouble-1 --seed 5, LOST 1). Such tasks fail at any time, which says nothing of the executor.
+func TestLastingTaskReturnsToTheOnlyRoom(t *testing.T) {
+	h := newHarness(t)
+	lasting, other := step(1), step(7)
+	lasting.LongRunning = true
+	nodes := []string{"a", "b"}
+	for range 2 {
+		for _, node := range nodes {
+			h.report(node, executor(node, 1), nil, nil)
+		}
+		h.now = h.now.Add(1900 * time.Millisecond)
+	}
+	h.engine.Add(h.job(lasting), nil, h.now, h.now)
+	first := h.plan()
+	h.Assert(first, qt.HasLen, 1)
+	h.engine.Add(h.job(other), nil, h.now, h.now)
+	filled := h.plan()
+	h.Assert(len(filled["a"].Starts)+len(filled["b"].Starts), qt.Equals, 7)
+	for node, orders := range first {
+		run := h.accept(node, orders)[0]
+		h.report(node, executor(node, 1), nil, []workflow.RunEnd{{Number: 1, Task: run.Task, Run: run.Run, How: workflow.EndFailed}})
+		again := h.plan()[node].Starts
+		h.Assert(again, qt.HasLen, 1)
+		h.Assert(again[0].Run, qt.Equals, 2)
+	}
+}
--- a/workflow/engine/placement.go
+++ b/workflow/engine/placement.go
@@ -69,6 +69,8 @@
 	fillShare = 0.9
 	// sameImageWeight is how much room a serving task gives up to be among others of its image.
 	sameImageWeight = 0.5
+	// failedWeight is how much a task that lasts prefers executors on which it has not failed.
+	failedWeight = 0.5
 	// servingUse is the part of its reservation that a serving task is expected to use.
 	servingUse = 0.6
 )
@@ -102,7 +104,8 @@
 		return limit == 0 || n.count(p.task.group) < limit
 	})
 	registerFilter("failed", func(p *placement, n *node) bool {
-		return p.relaxed || !slices.Contains(p.task.avoid, n.name) || len(p.task.avoid) >= len(p.engine.nodes)
+		// Tasks that last fail at any time, without a fault of the executor, and have no limit of attempts to save.
+		return p.relaxed || p.task.step.LongRunning || !slices.Contains(p.task.avoid, n.name) || len(p.task.avoid) >= len(p.engine.nodes)
 	})
 	registerFilter("shunned", func(p *placement, n *node) bool {
 		return p.relaxed || p.task.shunned != n.name || !p.now.Before(p.task.shunnedUntil)
@@ -113,6 +116,12 @@
 		}
 		return -n.slowness
 	})
+	registerScore("failed", func(p *placement, n *node) float64 {
+		if p.task.step.LongRunning && slices.Contains(p.task.avoid, n.name) {
+			return -failedWeight
+		}
+		return 0
+	})
 	registerScore("free", func(p *placement, n *node) float64 {
 		if n.executor.Capacity.MilliCores == 0 {
 			return 0
