Give executors that fail what they run a pause and a single task

Cause: an executor that fails all that it starts is empty again at once, so that it gets most tasks of all jobs.

Ruled out: a list for each task alone (it was there: each task still spends its attempts on the failing executors one after the other); closing executors by failures of tasks that last (they fail at any time without a fault of the executor).

Change: the engine feeds the model of scheduler/quarantine, whose pauses are settings now, with the ends of tasks; a filter and a score keep starts away. The pauses are 1.5 to 6 s, since executors fail for seconds here. Tasks that last may still start there where nothing else has room.

--- a/scheduler/quarantine/config.go
+++ b/scheduler/quarantine/config.go
@@ -28,6 +28,10 @@
 	MaxBackoff time.Duration
 	// ProbeTimeout is how long a probe may run without a result before another one is admitted.
 	ProbeTimeout time.Duration
+	// StreakPause is the pause after a third failure in a row that only the worker explains; each further one doubles it up
+	// to MaxStreakPause.
+	StreakPause    time.Duration
+	MaxStreakPause time.Duration
 	// MaxShare is the part of the fleet that may be quarantined. Beyond it, failures have a common cause that
 	// quarantine can't help, and stopping the fleet would only add to the harm.
 	MaxShare float64
@@ -42,6 +46,9 @@
 	DefaultMaxBackoff   = time.Hour
 	DefaultProbeTimeout = 10 * time.Minute
 	DefaultMaxShare     = 0.34
+
+	DefaultStreakPause    = 2 * time.Second
+	DefaultMaxStreakPause = time.Minute
 )
 
 func (c Config) withDefaults() Config {
@@ -51,6 +58,8 @@
 	c.Backoff = cmp.Or(c.Backoff, DefaultBackoff)
 	c.MaxBackoff = cmp.Or(c.MaxBackoff, DefaultMaxBackoff)
 	c.ProbeTimeout = cmp.Or(c.ProbeTimeout, DefaultProbeTimeout)
+	c.StreakPause = cmp.Or(c.StreakPause, DefaultStreakPause)
+	c.MaxStreakPause = cmp.Or(c.MaxStreakPause, DefaultMaxStreakPause)
 	c.MaxShare = cmp.Or(c.MaxShare, DefaultMaxShare)
 	return c
 }
--- a/scheduler/quarantine/model.go
+++ b/scheduler/quarantine/model.go
@@ -59,7 +59,7 @@
 	probed := w.closed && !w.probe.IsZero()
 	w.probe = time.Time{}
 	if !m.failedElsewhere(j, worker) {
-		w.streak.failed(now)
+		w.streak.failed(&m.config, now)
 	}
 	if m.judgeJob(job, j) {
 		// The job is to blame, so what it did to workers is no evidence against them.
--- a/scheduler/quarantine/streak.go
+++ b/scheduler/quarantine/streak.go
@@ -2,16 +2,9 @@
 
 import "time"
 
-const (
-	// streakLength is the number of failures in a row from which a worker takes one task at a time. A worker that fails a
-	// task at once is empty again at once, so that without this it takes most tasks of a job before other jobs have
-	// failed there.
-	streakLength = 3
-	// streakPause is the pause after the first failure of such a streak; each further one doubles it up to
-	// maxStreakPause.
-	streakPause    = 2 * time.Second
-	maxStreakPause = time.Minute
-)
+// streakLength is the number of failures in a row from which a worker takes one task at a time. A worker that fails a task
+// at once is empty again at once, so that without this it takes most tasks of a job before other jobs have failed there.
+const streakLength = 3
 
 // streak counts failures in a row on one worker that only the worker explains.
 type streak struct {
@@ -19,14 +12,14 @@
 	until    time.Time
 }
 
-func (s *streak) failed(now time.Time) {
+func (s *streak) failed(config *Config, now time.Time) {
 	s.failures++
 	if !s.active() {
 		return
 	}
-	pause := maxStreakPause
+	pause := config.MaxStreakPause
 	if shift := s.failures - streakLength; shift < 16 {
-		pause = min(pause, streakPause<<shift)
+		pause = min(pause, config.StreakPause<<shift)
 	}
 	s.until = now.Add(pause)
 }
--- a/workflow/engine/engine_test.go
+++ b/workflow/engine/engine_test.go
@@ -354,3 +354,51 @@
 		h.Assert(again[0].Run, qt.Equals, 2)
 	}
 }
+
+// Guards against an executor that fails all that it starts and, empty again at once, gets most tasks of all jobs.
+func TestFailingExecutorGetsFewTasks(t *testing.T) {
+	h := newHarness(t)
+	ended := map[string][]workflow.RunEnd{}
+	starts := 0
+	for range 40 {
+		h.now = h.now.Add(50 * time.Millisecond)
+		h.engine.Add(h.job(step(1)), nil, h.now, h.now)
+		for _, node := range []string{"a", "b"} {
+			h.report(node, executor(node, 1), nil, ended[node])
+		}
+		for node, orders := range h.plan() {
+			how := workflow.EndDone
+			if node == "a" {
+				how = workflow.EndFailed
+				starts += len(orders.Starts)
+			}
+			for _, run := range h.accept(node, orders) {
+				ended[node] = append(ended[node], workflow.RunEnd{Number: int64(len(ended[node]) + 1), Task: run.Task, Run: run.Run, How: how})
+			}
+		}
+	}
+	h.Assert(starts <= 4, qt.IsTrue, qt.Commentf("%d starts on the failing executor", starts))
+}
+
+// Guards against an executor that is avoided for longer than it fails: it gets a single task to show that it is well.
+func TestRecoveredExecutorIsUsedAgain(t *testing.T) {
+	h := newHarness(t)
+	var ended []workflow.RunEnd
+	end := func(how workflow.How) int {
+		starts := h.accept("a", h.plan()["a"])
+		for _, run := range starts {
+			ended = append(ended, workflow.RunEnd{Number: int64(len(ended) + 1), Task: run.Task, Run: run.Run, How: how})
+		}
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.report("a", executor("a", 1), nil, ended)
+		return len(starts)
+	}
+	h.report("a", executor("a", 1), nil, nil)
+	h.engine.Add(h.job(step(3)), nil, h.now, h.now)
+	h.Assert(end(workflow.EndFailed), qt.Equals, 3)
+	h.Assert(end(workflow.EndDone), qt.Equals, 0)
+	h.now = h.now.Add(8 * time.Second)
+	h.report("a", executor("a", 1), nil, ended)
+	h.Assert(end(workflow.EndDone), qt.Equals, 1)
+	h.Assert(end(workflow.EndDone), qt.Equals, 2)
+}
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -88,6 +88,7 @@
 		e.bury(n, n.executor.Life(), executor, now)
 	}
 	n.executor, n.known, n.acked, n.foreign = *executor, true, 0, nil
+	e.quarantine.ForgetWorker(n.name)
 	life := executor.Life()
 	for former, tasks := range e.assigned {
 		if former != life && (sameID(former, executor.ID) || onHost(tasks, n.name)) {
@@ -260,6 +261,7 @@
 	if end.How == workflow.EndDone {
 		if assigned {
 			n.learnSpeed(t, now)
+			e.quarantine.Succeeded(t.job.ID, n.name, now)
 		}
 		e.done(t, wall)
 		return
@@ -267,6 +269,10 @@
 	if end.How == workflow.EndFailed {
 		t.failures++
 		t.avoid = append(t.avoid, n.name)
+		if !t.step.LongRunning {
+			// Tasks that last fail at any time, without a fault of the executor.
+			e.quarantine.Failed(t.job.ID, n.name, now)
+		}
 	}
 	if assigned {
 		e.release(t)
--- /dev/null
+++ b/workflow/engine/failing.go
@@ -0,0 +1,27 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/scheduler/quarantine"
+)
+
+const (
+	// failureWindow is how long a failure counts against an executor.
+	failureWindow = 10 * time.Second
+	// failurePause is how long an executor that fails what it runs gets nothing; it doubles up to longestFailurePause while
+	// the task that it gets then fails as well.
+	failurePause        = 1500 * time.Millisecond
+	longestFailurePause = 6 * time.Second
+	// probeTimeout is how long such a task may run before another one is tried.
+	probeTimeout = 4 * time.Second
+)
+
+// newQuarantine returns the model that tells failing executors from failing jobs. Executors fail for seconds here, and
+// jobs run for seconds, so the periods are short.
+func newQuarantine() *quarantine.Model {
+	return quarantine.New(quarantine.Config{
+		Window: failureWindow, Backoff: failurePause, MaxBackoff: longestFailurePause, ProbeTimeout: probeTimeout,
+		StreakPause: failurePause, MaxStreakPause: longestFailurePause,
+	})
+}
--- a/workflow/engine/placement.go
+++ b/workflow/engine/placement.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/quetzalshed/quetzalshed/scheduler/quarantine"
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
@@ -71,6 +72,8 @@
 	sameImageWeight = 0.5
 	// failedWeight is how much a task that lasts prefers executors on which it has not failed.
 	failedWeight = 0.5
+	// quarantinedWeight keeps them off executors that fail what they run wherever there is room elsewhere.
+	quarantinedWeight = 4
 	// servingUse is the part of its reservation that a serving task is expected to use.
 	servingUse = 0.6
 )
@@ -107,6 +110,9 @@
 		// Tasks that last fail at any time, without a fault of the executor, and have no limit of attempts to save.
 		return p.relaxed || p.task.step.LongRunning || !slices.Contains(p.task.avoid, n.name) || len(p.task.avoid) >= len(p.engine.nodes)
 	})
+	registerFilter("quarantined", func(p *placement, n *node) bool {
+		return p.relaxed || p.task.step.LongRunning || p.engine.quarantine.Admits(n.name, p.now) != quarantine.Closed
+	})
 	registerFilter("shunned", func(p *placement, n *node) bool {
 		return p.relaxed || p.task.shunned != n.name || !p.now.Before(p.task.shunnedUntil)
 	})
@@ -117,7 +123,12 @@
 		return -n.slowness
 	})
 	registerScore("failed", func(p *placement, n *node) float64 {
-		if p.task.step.LongRunning && slices.Contains(p.task.avoid, n.name) {
+		switch {
+		case !p.task.step.LongRunning:
+			return 0
+		case p.engine.quarantine.Admits(n.name, p.now) != quarantine.Open:
+			return -quarantinedWeight
+		case slices.Contains(p.task.avoid, n.name):
 			return -failedWeight
 		}
 		return 0
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/quetzalshed/quetzalshed/scheduler/interference"
+	"github.com/quetzalshed/quetzalshed/scheduler/quarantine"
 	"github.com/quetzalshed/quetzalshed/structs"
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
@@ -46,6 +47,8 @@
 	changed bool
 	// interference knows how much filling tasks slow serving ones down.
 	interference *interference.Model
+	// quarantine knows the executors that fail what they run, by the names of their nodes.
+	quarantine *quarantine.Model
 }
 
 // outbox collects the orders for a node until they may be sent.
@@ -179,6 +182,7 @@
 		outbox:    map[string]*outbox{},
 
 		interference: newInterference(),
+		quarantine:   newQuarantine(),
 	}
 }
 
@@ -208,6 +212,8 @@
 func (e *Engine) Wake(now time.Time) {
 	e.changed = true
 	e.interference.Advance(now)
+	e.quarantine.Advance(now)
+	e.quarantine.SetFleet(len(e.nodes))
 	e.relieve(now)
 	e.rescue(now)
 }
