Place filling tasks by headroom, and remember the images that disturb most

Two reasons: - The engine took latency to grow in proportion to the share of a filling task. It grows without bound near capacity: one image raised it to 1.9 times at a fifth of an executor and 38 times at a third. - The model blocks a pair of images that disturbs much, and a block ends with the pair unknown, so that the heaviest pairs were tried again every few seconds. The engine never looked at blocks.

--- a/node/hold.go
+++ b/node/hold.go
@@ -282,8 +282,8 @@
 // pace was last full.
 func (n *Node) spares(image string) bool {
 	for serving := range n.pressed {
-		slowdown, known := n.slowdowns[serving][image]
-		if !known || slowdown >= sharing.LightSlowdown {
+		loss, known := n.losses[serving][image]
+		if !known || loss >= sharing.LightLoss {
 			return false
 		}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -97,8 +97,8 @@
 	unaware  bool
 	traits   map[string]workflow.RunTraits
 	paces    map[string]int
-	// slowdowns is by how much images slow serving ones down, as the owner has learned.
-	slowdowns map[string]map[string]float64
+	// losses is the headroom that images take from serving ones, as the owner has learned.
+	losses map[string]map[string]float64
 	// pressed holds the serving images that have been near their bounds since the pace was last full.
 	pressed    map[string]bool
 	pacer      *sharing.Controller
--- a/node/report.go
+++ b/node/report.go
@@ -128,8 +128,8 @@
 	if report.Unaware && report.Listed {
 		n.unaware = false
 	}
-	if reply.Slowdowns != nil {
-		n.slowdowns = reply.Slowdowns
+	if reply.Losses != nil {
+		n.losses = reply.Losses
 	}
 	for _, traits := range reply.Traits {
 		n.traits[traits.Task] = traits
--- a/node/sharing/sharing.go
+++ b/node/sharing/sharing.go
@@ -20,8 +20,8 @@
 	releaseAt = 0.84
 	// PressedAt is the latency from which a serving task limits the images that slow it down.
 	PressedAt = releaseAt
-	// LightSlowdown is the slowdown by a full executor below which an image is not paced.
-	LightSlowdown = 2.0
+	// LightLoss is the headroom that a full executor of an image takes below which it is not paced.
+	LightLoss = 1.0
 	// FullPace is the pace of a task that nothing slows down, in percent.
 	FullPace = 100
 	// releaseStep is how much a release gives, in percent.
--- a/owner/serve.go
+++ b/owner/serve.go
@@ -67,12 +67,12 @@
 // report handles the report of a node. It returns false if the engine was too busy to take it over.
 func (t *term) report(ctx context.Context, r *workflow.Report) (workflow.ReportReply, bool) {
 	var traits []workflow.RunTraits
-	var slowdowns map[string]map[string]float64
+	var losses map[string]map[string]float64
 	granted := false
 	applied, _ := t.do(ctx, replyWait, func(now, wall time.Time) {
 		var ack int64
 		ack, granted = t.engine.Report(r, now, wall)
-		slowdowns = t.engine.Slowdowns(r.Node)
+		losses = t.engine.Losses(r.Node)
 		if r.Unaware {
 			traits = t.engine.Traits(r.Node)
 		}
@@ -84,7 +84,7 @@
 	if !applied {
 		return workflow.ReportReply{}, false
 	}
-	reply := workflow.ReportReply{Epoch: t.tenure.Record.Epoch, Traits: traits, Slowdowns: slowdowns}
+	reply := workflow.ReportReply{Epoch: t.tenure.Record.Epoch, Traits: traits, Losses: losses}
 	if r.Executor != nil {
 		reply.Ack = t.acknowledged(r.Executor.Life())
 	}
--- a/workflow/engine/placement.go
+++ b/workflow/engine/placement.go
@@ -153,7 +153,7 @@
 	registerScore("sharing", func(p *placement, n *node) float64 {
 		switch {
 		case p.task.step.Fills && n.serving > 0:
-			if p.engine.heaviness(n, p.task.step.Image) < lightSlowdown {
+			if p.engine.heaviness(n, p.task.step.Image) < lightLoss {
 				return 1
 			}
 			return -1
--- a/workflow/engine/sharing.go
+++ b/workflow/engine/sharing.go
@@ -13,12 +13,11 @@
 	sampleInterval = 450 * time.Millisecond
 	// shareStep rounds the processor shares of images, whose measurements are rough.
 	shareStep = 0.01
-	// unknownSlowdown is assumed of an image for a whole executor, relative to the undisturbed latency, until it is known.
-	// It admits about one task at a time beside a serving one.
-	unknownSlowdown = 4.0
-	// normalLatency is an undisturbed sample: they are relative to the undisturbed latency, so that the load of a serving
-	// task doesn't count as disturbance.
-	normalLatency = 100.0
+	// unknownLoss is the headroom that an image for a whole executor is assumed to take until it is known. It admits about
+	// one task at a time beside a serving one.
+	unknownLoss = 4.0
+	// normalSample is an undisturbed sample; the headroom that a serving task has lost is added to 1.
+	normalSample = 100.0
 	// bearable is the part of the bound of a serving task's latency up to which filling tasks are placed beside it.
 	bearable = 0.75
 	// disturbed is the part of that bound from which filling tasks are moved away.
@@ -27,17 +26,20 @@
 	sampleLag = 1200 * time.Millisecond
 	// moveInterval is the least time between two tasks that are moved away from one executor.
 	moveInterval = time.Second
-	// lightSlowdown is below what an image adds that is better placed beside serving tasks, so that the executors without
+	// lightLoss is below what an image takes that is better placed beside serving tasks, so that the executors without
 	// any are left to others.
-	lightSlowdown = 2.0
-	// usualRatio is assumed for the undisturbed latency of a serving task by its bound.
-	usualRatio = 0.3
+	lightLoss = 1.0
+	// usualHeadroom is assumed of an undisturbed serving task.
+	usualHeadroom = 2.5
 )
 
-// newInterference returns the model of the slowdown of serving tasks by filling ones. Samples are fresh when they
-// arrive, so nothing has to settle; how images behave changes within seconds, so little is remembered.
+// newInterference returns the model of the headroom that filling tasks take from serving ones. Samples are fresh when they
+// arrive, so nothing has to settle. No pair of images is blocked, since a block ends with the pair unknown: placement goes
+// by the estimates.
 func newInterference() *interference.Model {
-	return interference.New(interference.Config{HalfLife: 30 * time.Second, MinSamples: 1, Settle: time.Nanosecond, BlockFor: time.Second})
+	return interference.New(interference.Config{
+		HalfLife: 30 * time.Second, MinSamples: 1, Settle: time.Nanosecond, Limit: math.Inf(1),
+	})
 }
 
 // sample teaches the model what the rows of a report show.
@@ -69,11 +71,18 @@
 			continue
 		}
 		if base, ok := t.undisturbed(n); ok || len(loads) == 0 {
-			e.interference.Observe(n.name, t.step.Image, normalLatency*t.usage/base, 0, now)
+			lost := max(t.headroomAt(base)-t.headroomAt(t.usage), 0)
+			e.interference.Observe(n.name, t.step.Image, normalSample*(1+lost), 0, now)
 		}
 	}
 }
 
+// headroomAt returns the bound of a serving task's latency by a latency. A queue's latency is the inverse of the capacity
+// that its load leaves, so that headroom falls in proportion to what disturbs the task, while latency grows without bound.
+func (t *task) headroomAt(millis float64) float64 {
+	return float64(t.step.TargetMillis) / max(millis, 1)
+}
+
 // undisturbed returns the latency that a serving task would have without filling tasks: the lowest among the tasks of
 // its step, which share its load. It returns false if all of them are on the same executor.
 func (t *task) undisturbed(n *node) (millis float64, ok bool) {
@@ -88,39 +97,29 @@
 	return max(millis, 1), ok
 }
 
-// slowdown returns by how much an executor full of an image would raise the latency of a serving task, relative to the
-// undisturbed latency.
-func (e *Engine) slowdown(serving *task, image string) float64 {
+// loss returns the headroom that an executor full of an image takes from a serving task.
+func (e *Engine) loss(serving *task, image string) float64 {
 	estimate := e.interference.Estimate(serving.step.Image, image)
 	if !estimate.Known {
-		return unknownSlowdown
+		return max(unknownLoss, estimate.Slowdown-1)
 	}
 	return estimate.Slowdown - 1
 }
 
-// adds returns by how much a filling task raises the latency of a serving one, by the bound of the latter.
-func (e *Engine) adds(serving *task, step *workflow.Step, n *node) float64 {
-	base, _ := serving.undisturbed(n)
-	ratio := base / float64(serving.step.TargetMillis)
-	if serving.usage == 0 {
-		ratio = usualRatio
-	}
-	return ratio * e.slowdown(serving, step.Image) * share(step, n)
-}
-
-// heaviness returns the most that a full executor of an image would slow the serving tasks of a node down.
+// heaviness returns the most headroom that a full executor of an image would take from the serving tasks of a node.
 func (e *Engine) heaviness(n *node, image string) float64 {
 	most := 0.0
 	for t := range e.assigned[n.executor.Life()] {
 		if t.step.TargetMillis > 0 {
-			most = max(most, e.slowdown(t, image))
+			most = max(most, e.loss(t, image))
 		}
 	}
 	return most
 }
 
-// Slowdowns returns what is known of the images that fill the executor of a node, by the images that serve there.
-func (e *Engine) Slowdowns(node string) map[string]map[string]float64 {
+// Losses returns the headroom that the images that fill the executor of a node take, as far as it is known, by the images
+// that serve there.
+func (e *Engine) Losses(node string) map[string]map[string]float64 {
 	n := e.nodes[node]
 	if n == nil || !n.known || n.serving == 0 || n.filling == 0 {
 		return nil
@@ -141,18 +140,18 @@
 	return known
 }
 
-// latency returns the expected latency of a serving task by its bound, with the tasks that started just now.
-func (e *Engine) latency(n *node, serving *task, now time.Time) float64 {
-	ratio := usualRatio
+// headroom returns what is expected of a serving task, with the tasks that started just now.
+func (e *Engine) headroom(n *node, serving *task, now time.Time) float64 {
+	left := usualHeadroom
 	if serving.listed && serving.usage > 0 {
-		ratio = serving.usage / float64(serving.step.TargetMillis)
+		left = serving.headroomAt(serving.usage)
 	}
 	for t := range e.assigned[n.executor.Life()] {
 		if t.step.Fills && now.Sub(t.startedAt) < sampleLag {
-			ratio += e.adds(serving, t.step, n)
+			left -= e.loss(serving, t.step.Image) * share(t.step, n)
 		}
 	}
-	return ratio
+	return left
 }
 
 func share(step *workflow.Step, n *node) float64 {
@@ -168,7 +167,7 @@
 		if t.step.TargetMillis == 0 {
 			continue
 		}
-		if e.latency(n, t, now)+e.adds(t, step, n) > bearable {
+		if e.headroom(n, t, now)-e.loss(t, step.Image)*share(step, n) < 1/bearable {
 			return false
 		}
 	}
--- a/workflow/messages.go
+++ b/workflow/messages.go
@@ -31,9 +31,9 @@
 	Ack int64 `json:"ack"`
 	// GrantMillis is how long after the sending of the report the node may keep tasks running, in milliseconds.
 	GrantMillis int64 `json:"grant_ms"`
-	// Slowdowns is by how much a full executor of a filling image slows a serving one down, as far as it is known: first by
-	// the serving image, then by the filling one.
-	Slowdowns map[string]map[string]float64 `json:"slowdowns,omitempty"`
+	// Losses is the headroom that a full executor of a filling image takes from a serving one, as far as it is known: first by
+	// the serving image, then by the filling one. Headroom is the bound of a serving task's latency by its latency.
+	Losses map[string]map[string]float64 `json:"losses,omitempty"`
 	// Traits describes the tasks of an unaware node.
 	Traits []RunTraits `json:"traits,omitempty"`
 }
