Count filling tasks that are held at a low pace in full

Cause: placement looked at present latencies. Where filling tasks were held at a low pace these were low, so that further ones were put beside them, all of them slow.

Change: a serving task's expected headroom is at most what it would have if all filling tasks beside it worked at full pace, where a task of its step without such neighbours tells the undisturbed latency.

--- a/workflow/engine/sharing.go
+++ b/workflow/engine/sharing.go
@@ -140,17 +140,28 @@
 	return known
 }
 
-// headroom returns what is expected of a serving task, with the tasks that started just now.
+// headroom returns what is expected of a serving task: what it has, less what the tasks take that started just now, and at
+// most what it would have if all filling tasks beside it worked at full pace.
 func (e *Engine) headroom(n *node, serving *task, now time.Time) float64 {
 	left := usualHeadroom
 	if serving.listed && serving.usage > 0 {
 		left = serving.headroomAt(serving.usage)
 	}
+	base, known := serving.undisturbed(n)
+	full := serving.headroomAt(base)
 	for t := range e.assigned[n.executor.Life()] {
-		if t.step.Fills && now.Sub(t.startedAt) < sampleLag {
-			left -= e.loss(serving, t.step.Image) * share(t.step, n)
+		if !t.step.Fills {
+			continue
+		}
+		takes := e.loss(serving, t.step.Image) * share(t.step, n)
+		full -= takes
+		if now.Sub(t.startedAt) < sampleLag {
+			left -= takes
 		}
 	}
+	if known {
+		left = min(left, full)
+	}
 	return left
 }
 
--- a/workflow/engine/sharing_test.go
+++ b/workflow/engine/sharing_test.go
@@ -82,3 +82,23 @@
 	s.engine.Wake(s.now.Add(20 * time.Second))
 	s.Assert(s.starts(25), qt.Equals, 0)
 }
+
+// Guards against filling tasks that gather on an executor where others are held at a low pace: the latencies show little of
+// what these would take.
+func TestPacedTasksCountInFull(t *testing.T) {
+	s := newSharing(t, 60)
+	placed := map[string]int{}
+	for range 3 {
+		s.reportAll()
+		s.now = s.now.Add(2 * time.Second)
+		s.reportAll()
+		s.engine.Add(s.job(s.filling), nil, s.now, s.now)
+		s.engine.Plan(s.now, s.now)
+		for _, d := range s.engine.TakeOrders() {
+			placed[d.Node] += len(d.Orders.Starts)
+			s.running[d.Node] = append(s.running[d.Node], s.accept(d.Node, d.Orders)...)
+			s.running[d.Node][0].Usage = 25
+		}
+	}
+	s.Assert(placed, qt.DeepEquals, map[string]int{"a": 1, "b": 1})
+}
