--- /dev/null
+++ b/kv/monitor_test.go
@@ -0,0 +1,29 @@
+package kv_test
+
+import (
+	"context"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/kv"
+	"github.com/quetzalshed/quetzalshed/kv/kvtest"
+)
+
+// Guards against requests that are sent to a store that is going away, so that nobody can tell whether they were carried
+// out, and against a store that counts as away for one lost answer.
+func TestMonitorNoticesFailuresInARow(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	client := kvtest.New().Client(1)
+	m := kv.NewMonitor(client)
+	get := func() { _, _, _, _ = m.Get(ctx, "key") }
+	client.Set(kvtest.Faults{Refused: true})
+	get()
+	c.Assert(m.Healthy(), qt.IsTrue)
+	get()
+	c.Assert(m.Healthy(), qt.IsFalse)
+	client.Set(kvtest.Faults{})
+	get()
+	c.Assert(m.Healthy(), qt.IsTrue)
+}
