Tell rejected clients again to come back after a second

Change: Retry-After is 1 s again, which gives a client two or three further tries in its time. The detection of outages by failures in a row stays.

Conclusion: what binds is the client's limit of 3 s against outages of 4 s and more; nothing accepts a job without the store.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,26 +102,6 @@
 // Ready tells whether the gateway can serve clients.
 func (g *Gateway) Ready() bool { return g.config.Load() != nil }
 
-const (
-	// leastRetry and longestRetry bound the time after which rejected clients are told to come back.
-	leastRetry   = time.Second
-	longestRetry = 3 * time.Second
-)
-
-// RetryAfter returns when a client whose request was rejected should come back.
-func (g *Gateway) RetryAfter() time.Duration {
-	if g.store.Healthy() {
-		return leastRetry
-	}
-	return retryAfter(g.store.Age())
-}
-
-// retryAfter lets clients wait as long again as the store has been away. They come back a few times only: at a fixed second
-// they would have given up before an outage of five seconds ends.
-func retryAfter(away time.Duration) time.Duration {
-	return min(max(away.Round(time.Second), leastRetry), longestRetry)
-}
-
 // Submit stores a job. Repeating it has no effect. Errors match ErrUnavailable or ErrUnknown.
 func (g *Gateway) Submit(ctx context.Context, job *workflow.Job) error {
 	begun := time.Now()
