Log which executors are quarantined, and end probes without a result

Cause: the owner didn't tell that it keeps tasks away from an executor.

Change: a line when an executor gets tasks one at a time and when it gets all again, with the node and the epoch, and a counter; a run that ends without a result ends the probe.

TestRecoveredExecutorIsUsedAgain failed for a stopped run before.

--- a/owner/term.go
+++ b/owner/term.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -97,22 +98,23 @@
 	lastFlush      time.Time
 	collected      time.Time
 	deletions      []string
+	quarantined    []string
 
 	mu    sync.Mutex
 	acked map[string]int64
 }
 
 type metrics struct {
-	commits, changes, orders, rejected, lapsed tally.Counter
-	commitTime                                 tally.Histogram
-	jobs, assigned                             tally.Gauge
+	commits, changes, orders, rejected, lapsed, quarantined tally.Counter
+	commitTime                                              tally.Histogram
+	jobs, assigned                                          tally.Gauge
 }
 
 func newMetrics(scope tally.Scope) metrics {
 	return metrics{
 		commits: scope.Counter("owner_commits"), changes: scope.Counter("owner_changes"),
 		orders: scope.Counter("owner_orders"), rejected: scope.Counter("owner_orders_rejected"),
-		lapsed:     scope.Counter("owner_lapsed_executors"),
+		lapsed: scope.Counter("owner_lapsed_executors"), quarantined: scope.Counter("owner_quarantined_executors"),
 		commitTime: scope.Histogram("owner_commit_seconds", tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 2, 12)),
 		jobs:       scope.Gauge("owner_jobs_active"), assigned: scope.Gauge("owner_tasks_assigned"),
 	}
@@ -310,6 +312,7 @@
 		t.metrics.lapsed.Inc(1)
 		t.log.Info("tasks of an executor have lapsed", "executor", life, "epoch", t.tenure.Record.Epoch)
 	}
+	t.logQuarantine(now)
 	counts := t.engine.Counts()
 	t.metrics.jobs.Update(float64(counts.Active))
 	t.metrics.assigned.Update(float64(counts.Assigned))
@@ -319,6 +322,23 @@
 	}
 }
 
+// logQuarantine logs which executors get no tasks any more, and which do again.
+func (t *term) logQuarantine(now time.Time) {
+	present := t.engine.Quarantined(now)
+	for _, node := range present {
+		if !slices.Contains(t.quarantined, node) {
+			t.metrics.quarantined.Inc(1)
+			t.log.Info("executor fails its tasks, it gets one at a time after a pause", "node", node, "epoch", t.tenure.Record.Epoch)
+		}
+	}
+	for _, node := range t.quarantined {
+		if !slices.Contains(present, node) {
+			t.log.Info("executor gets tasks again", "node", node, "epoch", t.tenure.Record.Epoch)
+		}
+	}
+	t.quarantined = present
+}
+
 // flush plans and begins to store what has changed.
 func (t *term) flush(ctx context.Context) {
 	t.engine.Plan(time.Now(), time.Now())
--- a/workflow/engine/failing.go
+++ b/workflow/engine/failing.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/quetzalshed/quetzalshed/scheduler/quarantine"
@@ -25,3 +26,15 @@
 		StreakPause: failurePause, MaxStreakPause: longestFailurePause,
 	})
 }
+
+// Quarantined returns the nodes whose executors get no tasks, or a single one, since they failed what they ran.
+func (e *Engine) Quarantined(now time.Time) []string {
+	var names []string
+	for name := range e.nodes {
+		if e.quarantine.Admits(name, now) != quarantine.Open {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- a/workflow/engine/failing_test.go
+++ b/workflow/engine/failing_test.go
@@ -60,6 +60,7 @@
 		}
 	}
 	h.Assert(starts <= 4, qt.IsTrue, qt.Commentf("%d starts on the failing executor", starts))
+	h.Assert(h.engine.Quarantined(h.now), qt.DeepEquals, []string{"a"})
 }
 
 // Guards against an executor that is avoided for longer than it fails: it gets a single task to show that it is well.
@@ -81,6 +82,8 @@
 	h.Assert(end(workflow.EndDone), qt.Equals, 0)
 	h.now = h.now.Add(8 * time.Second)
 	h.report("a", executor("a", 1), nil, ended)
+	// A task that was stopped shows nothing; another one follows it at once.
+	h.Assert(end(workflow.EndStopped), qt.Equals, 1)
 	h.Assert(end(workflow.EndDone), qt.Equals, 1)
 	h.Assert(end(workflow.EndDone), qt.Equals, 2)
 }
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -362,6 +362,7 @@
 
 // release returns an assigned task to waiting: no run of it exists any more, and none can begin.
 func (e *Engine) release(t *task) {
+	e.quarantine.ProbeEnded(t.host)
 	e.untrack(t)
 	t.phase = workflow.TaskWaiting
 	t.clearRun()
