Keep the tasks of lost hosts from standing still for over nine seconds

A task that lasts counts as lost from 9 s on.

Change: grants are 6.5 s, and the wait for a former owner follows from the lease of its key, 1.6 s: together at most 8.7 s.

--- a/owner/term.go
+++ b/owner/term.go
@@ -32,13 +32,15 @@
 
 const (
 	// Grant is how long an executor keeps its tasks without word from an owner. It bridges the takeover by another owner,
-	// most restarts of a node, and outages of the store of almost seven seconds. It also is how long the tasks of a lost
-	// executor stand still.
-	Grant = 7 * time.Second
+	// most restarts of a node, and outages of the store of more than six seconds. It also is how long the tasks of a lost
+	// executor stand still: together with lapse and takeoverSlack it has to stay below nine seconds, the time after which a
+	// task that lasts counts as lost.
+	Grant = 6500 * time.Millisecond
 	// lapse is the time after which a grant has certainly ended: executors' clocks are up to 2% slow.
 	lapse = Grant + Grant/25 + 300*time.Millisecond
-	// takeoverSlack is how long a former owner whose key was taken away may believe that it still is the owner.
-	takeoverSlack = 2 * time.Second
+	// takeoverSlack is how long a former owner whose key was taken away may believe that it still is the owner: a little more
+	// than the lease of its key.
+	takeoverSlack = ownership.LeaseTTL + 100*time.Millisecond
 	// flushInterval is the least time between two writes, so that changes share them.
 	flushInterval = 20 * time.Millisecond
 	// tick is how often the engine looks at the time.
--- a/ownership/lease.go
+++ b/ownership/lease.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// leaseTTL is how long an owner that says nothing keeps the ownership.
-	leaseTTL = 1500 * time.Millisecond
+	// LeaseTTL is how long an owner that says nothing keeps the ownership.
+	LeaseTTL = 1500 * time.Millisecond
 	// renewInterval leaves several renewals to those that are lost; they don't wait for each other.
 	renewInterval = 350 * time.Millisecond
 	// renewTimeout bounds one renewal.
@@ -41,7 +41,7 @@
 // Acquire takes the ownership if nobody has it. It returns nil without an error if another process was faster.
 func Acquire(ctx context.Context, store kv.Store, self workflow.OwnerRecord, log hclog.Logger) (*Tenure, error) {
 	asked := time.Now()
-	lease, err := store.Grant(ctx, leaseTTL)
+	lease, err := store.Grant(ctx, LeaseTTL)
 	if err != nil {
 		return nil, err
 	}
@@ -121,7 +121,7 @@
 	case err != nil:
 		t.log.Debug("lease of the owner not renewed", "epoch", t.Record.Epoch, "error", err)
 	default:
-		t.extend(int64(asked.Add(leaseTTL).Sub(t.started)))
+		t.extend(int64(asked.Add(LeaseTTL).Sub(t.started)))
 	}
 }
 
