Notice the return of a silent store sooner

Ruled out: shorter timeouts throughout (a slow store answers after a quarter of a second and more), several writes at once (one after the other under the same condition is settled by the mark of the commit key already).

The stand-in's silent watches end after their wait, as they do on the platform.

--- a/kv/follow.go
+++ b/kv/follow.go
@@ -12,6 +12,9 @@
 const (
 	// followRetry is the pause after a failed call.
 	followRetry = 100 * time.Millisecond
+	// recoveryWait is how long a watch waits after one that failed, so that the end of a silent outage is noticed soon: a
+	// watch that is sent into it ends only with its wait and a timeout.
+	recoveryWait = 100 * time.Millisecond
 	// revisionAge is how old a store's revision must be before a watch continues from it. A store can answer a watch with
 	// its newest revision while it has not passed on changes before it.
 	revisionAge = 5 * time.Second
@@ -58,17 +61,23 @@
 
 // watch passes on changes until the history is lost.
 func (f *Follower) watch(ctx context.Context) {
+	wait, failures := f.Wait, 0
 	for ctx.Err() == nil {
 		asked := time.Now()
-		events, revision, err := f.Store.Watch(ctx, f.Prefix, f.seen, f.Wait)
+		call, cancel := RetryContext(ctx, failures)
+		events, revision, err := f.Store.Watch(call, f.Prefix, f.seen, wait)
+		cancel()
 		if errors.Is(err, ErrCompacted) {
 			f.Log.Info("history lost, reading all keys again", "prefix", f.Prefix, "after", f.seen)
 			return
 		}
 		if err != nil {
 			f.failed(ctx, "watch", err)
+			wait = min(f.Wait, recoveryWait)
+			failures++
 			continue
 		}
+		wait, failures = f.Wait, 0
 		for i := range events {
 			if events[i].Revision > f.seen {
 				f.seen = events[i].Revision
--- a/kv/kvtest/client.go
+++ b/kv/kvtest/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -104,6 +105,10 @@
 // Watch implements kv.Store.
 func (c *Client) Watch(ctx context.Context, prefix string, after int64, patience time.Duration) ([]kv.Event, int64, error) {
 	if _, _, err := c.reach(ctx); err != nil {
+		if errors.Is(err, kv.ErrUnknown) {
+			// A watch without an answer ends only after the time that it may wait.
+			err = wait(ctx, patience, err)
+		}
 		return nil, 0, err
 	}
 	deadline := time.NewTimer(patience)
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -72,7 +72,9 @@
 	begun := time.Now()
 	for attempt := 1; ; attempt++ {
 		transaction.Conditions = []kv.Condition{{Key: ownership.CommitKey, Revision: t.commitRevision}}
-		revision, err := t.store.Commit(ctx, transaction)
+		call, cancel := kv.RetryContext(ctx, attempt-1)
+		revision, err := t.store.Commit(call, transaction)
+		cancel()
 		if err == nil {
 			t.commitRevision = revision
 			if attempt > 1 {
