Receive large configurations over slow links in full

Cause: calls to the store ended 1.2 s after they were sent, the repetitions of a watch after 0.4 and 0.8 s, whatever arrived meanwhile. Ruled out: time for decoding (70 ms at 0.12 of a core), a watch that was sent with a wrong revision. Where only the newest state counts and changes arrive slowly, a follower reads the newest items instead of all changes that led to them, since these queue up behind each other while versions come in quick succession. TestRetriesAreShortAndLong read the deadline of a context; there is none any more, so it measures in virtual time when the context ends, with the same figures.

--- a/kv/follow.go
+++ b/kv/follow.go
@@ -18,6 +18,9 @@
 	// revisionAge is how old a store's revision must be before a watch continues from it. A store can answer a watch with
 	// its newest revision while it has not passed on changes before it.
 	revisionAge = 5 * time.Second
+	// slowTransfer is how long an answer takes, beyond the wait for a change, from which the newest items are read instead of
+	// the changes that led to them: over a slow link the changes of a large value would queue up behind each other.
+	slowTransfer = 600 * time.Millisecond
 )
 
 // Follower keeps a copy of the keys under a prefix.
@@ -26,7 +29,9 @@
 	Prefix string
 	// Wait is how long one watch waits for changes.
 	Wait time.Duration
-	Log  hclog.Logger
+	// Newest tells that only the newest state counts, and not each change that led to it.
+	Newest bool
+	Log    hclog.Logger
 	// Reset receives all items after each complete reading.
 	Reset func(items []Item)
 	// Changed receives each later change, the oldest first.
@@ -34,7 +39,9 @@
 	// Fresh is called whenever the copy is known to have been complete at a time; it may be nil.
 	Fresh func(asked time.Time)
 
-	seen      int64
+	seen int64
+	// newest is the revision of the item that had changed last at the last complete reading.
+	newest    int64
 	revisions []agedRevision
 }
 
@@ -45,22 +52,42 @@
 
 // Run follows the prefix until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	slow := false
 	for ctx.Err() == nil {
-		asked := time.Now()
-		items, revision, err := f.Store.List(ctx, f.Prefix)
-		if err != nil {
-			f.failed(ctx, "list", err)
-			continue
+		changed, ok := f.read(ctx)
+		if ok && !(slow && changed) {
+			slow = f.watch(ctx)
 		}
-		f.seen, f.revisions = revision, nil
-		f.Reset(items)
-		f.fresh(asked)
-		f.watch(ctx)
 	}
 }
 
-// watch passes on changes until the history is lost.
-func (f *Follower) watch(ctx context.Context) {
+// read takes over all items. It tells whether one has changed since the last reading; ok is false after a failure.
+func (f *Follower) read(ctx context.Context) (changed, ok bool) {
+	asked := time.Now()
+	items, revision, err := f.Store.List(ctx, f.Prefix)
+	if err != nil {
+		f.failed(ctx, "list", err)
+		return false, false
+	}
+	newest := newestChange(items)
+	changed = newest != f.newest
+	f.seen, f.newest, f.revisions = revision, newest, nil
+	f.Reset(items)
+	f.fresh(asked)
+	return changed, true
+}
+
+// newestChange returns the revision of the item that changed last.
+func newestChange(items []Item) int64 {
+	newest := int64(0)
+	for i := range items {
+		newest = max(newest, items[i].Revision)
+	}
+	return newest
+}
+
+// watch passes on changes until the history is lost, or arrives too slowly where only the newest state counts.
+func (f *Follower) watch(ctx context.Context) (slow bool) {
 	wait, failures := f.Wait, 0
 	for ctx.Err() == nil {
 		asked := time.Now()
@@ -69,7 +96,7 @@
 		cancel()
 		if errors.Is(err, ErrCompacted) {
 			f.Log.Info("history lost, reading all keys again", "prefix", f.Prefix, "after", f.seen)
-			return
+			return false
 		}
 		if err != nil {
 			f.failed(ctx, "watch", err)
@@ -77,7 +104,6 @@
 			failures++
 			continue
 		}
-		wait, failures = f.Wait, 0
 		for i := range events {
 			if events[i].Revision > f.seen {
 				f.seen = events[i].Revision
@@ -86,7 +112,13 @@
 		}
 		f.age(asked, revision)
 		f.fresh(asked)
+		if took := time.Since(asked); f.Newest && len(events) > 0 && took > wait+slowTransfer {
+			f.Log.Info("changes arrive slowly, reading the newest state", "prefix", f.Prefix, "events", len(events), "took_ms", took.Milliseconds())
+			return true
+		}
+		wait, failures = f.Wait, 0
 	}
+	return false
 }
 
 // age continues from the newest revision that is old enough.
--- a/kv/follow_test.go
+++ b/kv/follow_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/quetzalshed/quetzalshed/kv"
 	"github.com/quetzalshed/quetzalshed/kv/kvtest"
+	"github.com/quetzalshed/quetzalshed/progress"
 )
 
 // deaf is a store whose watches hear nothing for a while and answer with the newest revision all the same.
@@ -87,16 +88,105 @@
 
 // Guards against repetitions that a slow store never answers in time, and against ones that all wait for a silent store.
 func TestRetriesAreShortAndLong(t *testing.T) {
-	var timeouts []time.Duration
-	for failures := range 6 {
-		ctx, cancel := kv.RetryContext(t.Context(), failures)
-		timeout := time.Duration(0)
-		if deadline, bounded := ctx.Deadline(); bounded {
-			timeout = time.Until(deadline).Round(10 * time.Millisecond)
+	synctest.Test(t, func(t *testing.T) {
+		const unbounded = time.Minute
+		var timeouts []time.Duration
+		for failures := range 6 {
+			outer, cancelOuter := context.WithTimeout(t.Context(), unbounded)
+			ctx, cancel := kv.RetryContext(outer, failures)
+			begun := time.Now()
+			<-ctx.Done()
+			timeouts = append(timeouts, time.Since(begun))
+			cancel()
+			cancelOuter()
+		}
+		short, long := 400*time.Millisecond, 800*time.Millisecond
+		qt.Assert(t, timeouts, qt.DeepEquals, []time.Duration{unbounded, short, long, unbounded, short, long})
+	})
+}
+
+const (
+	// slowLinkBytes is what arrives each slowLinkStep over a slow link: 2 Mbit/s.
+	slowLinkBytes = 25_000
+	slowLinkStep  = 100 * time.Millisecond
+	// silentTimeout is how long a client of the slow link waits while nothing arrives.
+	silentTimeout = 1200 * time.Millisecond
+)
+
+// slowLink is a way to a store over which values take their time.
+type slowLink struct{ kv.Store }
+
+func (s slowLink) transfer(ctx context.Context, bytes int) error {
+	for ; bytes > 0; bytes -= slowLinkBytes {
+		select {
+		case <-ctx.Done():
+			return kv.ErrUnknown
+		case <-time.After(slowLinkStep):
 		}
-		timeouts = append(timeouts, timeout)
-		cancel()
+		progress.Note(ctx)
 	}
-	short, long := 400*time.Millisecond, 800*time.Millisecond
-	qt.Assert(t, timeouts, qt.DeepEquals, []time.Duration{0, short, long, 0, short, long})
+	return nil
+}
+
+func (s slowLink) List(ctx context.Context, prefix string) ([]kv.Item, int64, error) {
+	ctx, cancel := progress.WithTimeout(ctx, silentTimeout)
+	defer cancel()
+	items, revision, err := s.Store.List(ctx, prefix)
+	for _, item := range items {
+		if err == nil {
+			err = s.transfer(ctx, len(item.Value))
+		}
+	}
+	return items, revision, err
+}
+
+func (s slowLink) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]kv.Event, int64, error) {
+	ctx, cancel := progress.WithTimeout(ctx, wait+silentTimeout)
+	defer cancel()
+	events, revision, err := s.Store.Watch(ctx, prefix, after, wait)
+	for _, e := range events {
+		if err == nil {
+			err = s.transfer(ctx, len(e.Value))
+		}
+	}
+	return events, revision, err
+}
+
+// Guards against a large configuration that never arrives over a slow link, since each attempt is given up before its end,
+// and against one that arrives late, since all versions before it are received as well.
+func TestFollowerReceivesLargeValuesOverASlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := kvtest.New()
+		var held atomic.Int64
+		follower := &kv.Follower{
+			Store: slowLink{store.Client(1)}, Prefix: "p/", Wait: 700 * time.Millisecond, Newest: true, Log: hclog.NewNullLogger(),
+			Reset: func(items []kv.Item) {
+				for _, item := range items {
+					held.Store(int64(item.Value[0]))
+				}
+			},
+			Changed: func(e kv.Event) { held.Store(int64(e.Value[0])) },
+		}
+		go follower.Run(ctx)
+		time.Sleep(3500 * time.Millisecond)
+		write := func(version byte) {
+			value := make([]byte, 400_000)
+			value[0] = version
+			_, err := store.Client(2).Commit(ctx, kv.Transaction{Puts: []kv.Put{{Key: "p/config", Value: value}}})
+			c.Assert(err, qt.IsNil)
+		}
+		write(1)
+		time.Sleep(3 * time.Second)
+		c.Assert(held.Load(), qt.Equals, int64(1))
+		// Each transfer takes 1.6 s: one that is under way and one more hold the newest version.
+		for version := byte(2); version <= 8; version++ {
+			write(version)
+			time.Sleep(400 * time.Millisecond)
+		}
+		time.Sleep(2900 * time.Millisecond)
+		c.Assert(held.Load(), qt.Equals, int64(8))
+	})
 }
--- a/kv/retry.go
+++ b/kv/retry.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/quetzalshed/quetzalshed/progress"
 )
 
 // firstRetryTimeout bounds the first repetition of a call to a store that has not answered.
@@ -12,10 +14,10 @@
 // that answers again is noticed soon by the short ones, and one that is slow is waited for by the long ones.
 const retryRounds = 3
 
-// RetryContext bounds a call that follows a number of failed ones.
+// RetryContext bounds the silence in a call that follows a number of failed ones.
 func RetryContext(ctx context.Context, failures int) (context.Context, context.CancelFunc) {
 	if failures == 0 || failures%retryRounds == 0 {
 		return context.WithCancel(ctx)
 	}
-	return context.WithTimeout(ctx, firstRetryTimeout<<(failures%retryRounds-1))
+	return progress.WithTimeout(ctx, firstRetryTimeout<<(failures%retryRounds-1))
 }
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/quetzalshed/quetzalshed/progress"
 )
 
 // Errors of a call. Callers compare with errors.Is.
@@ -76,7 +78,8 @@
 	return nil
 }
 
-// Call sends body as JSON, unless it is nil, and returns the whole answer. Errors match ErrNotSent or ErrNoAnswer.
+// Call sends body as JSON, unless it is nil, and returns the whole answer. What arrives of it extends the timeouts of package
+// progress. Errors match ErrNotSent or ErrNoAnswer.
 func (c *Client) Call(ctx context.Context, method, url string, header http.Header, body any) (*Answer, error) {
 	var reader io.Reader
 	if body != nil {
@@ -104,7 +107,7 @@
 		return nil, eris.Wrapf(ErrNoAnswer, "%s %s: %v", method, url, err)
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	data, err := io.ReadAll(io.LimitReader(progress.Reader(ctx, response.Body), maxAnswerBytes))
 	if err != nil {
 		return nil, eris.Wrapf(ErrNoAnswer, "%s %s: %v", method, url, err)
 	}
