Judge executors once for a group of tasks, and score the base

Cause: a plan asked every executor for every waiting task, each question about a filling task went over all pairs of serving and filling tasks there, and names of incarnations were put together inside these loops. Shapes of tasks that found no room were only recognised when all needs were equal, so a backlog was tried on all executors in each plan. orderStops, Expire and rescue went over the whole fleet in each call. Ruled out: the commit of records and reports in the engine (5% of the profile). Change: executors are ranked once for a group and judged again where a task was placed (ranking.go); the least headroom of each serving image is kept per executor until its tasks change; tasks that need as much or more than one that found no room aren't tried in the same plan; tasks to stop, jobs that have not ended and nodes by incarnation have indexes. Decisions are the same but for one case: a shape that found no room because of its image or a quarantine no longer keeps other images and lasting tasks from being tried. Tests: TestRankingFollowsPlacements (rapid: a ranking made afresh names the same executor), TestExhaustedShapesCoverLargerNeedsOnly; the model tests and random faults pass.

--- /dev/null
+++ b/workflow/engine/bench_test.go
@@ -0,0 +1,45 @@
+package engine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkSecond prints what one second of the usual load costs the engine, and what that is for each start.
+func BenchmarkSecond(b *testing.B) {
+	for _, executors := range []int{11, 160, 340} {
+		b.Run(fmt.Sprintf("executors=%d", executors), func(b *testing.B) {
+			s := newSimulation(executors, 1)
+			s.serve(0.5)
+			s.load(10*time.Second, 1)
+			before := s.starts
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				s.load(time.Second, 1)
+			}
+			b.StopTimer()
+			starts := s.starts - before
+			b.ReportMetric(float64(starts)/float64(b.N), "starts/op")
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(max(starts, 1)), "µs/start")
+		})
+	}
+}
+
+// BenchmarkBurst prints what one second of three times the usual load costs the engine, while jobs wait for room.
+func BenchmarkBurst(b *testing.B) {
+	for _, executors := range []int{11, 160, 340} {
+		b.Run(fmt.Sprintf("executors=%d", executors), func(b *testing.B) {
+			s := newSimulation(executors, 1)
+			s.serve(0.5)
+			s.load(5*time.Second, 1)
+			s.load(5*time.Second, 3)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				s.load(time.Second, 3)
+			}
+		})
+	}
+}
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -28,11 +29,12 @@
 func (e *Engine) finish(j *job, phase workflow.Phase, wall time.Time) {
 	j.phase = phase
 	j.endedUnix = wall.UnixMilli()
+	delete(e.active, j.ID)
 	e.touch(j)
 	e.changed = true
 	for _, t := range j.tasks {
 		if t.phase == workflow.TaskAssigned {
-			t.stop("its job has ended")
+			e.stop(t, "its job has ended")
 		}
 	}
 }
@@ -51,8 +53,10 @@
 func (e *Engine) Report(r *workflow.Report, now, wall time.Time) (ack int64, granted bool) {
 	n := e.nodes[r.Node]
 	if n == nil {
-		n = &node{name: r.Node, lapses: e.unreached, servingImages: map[string]int{}}
+		n = &node{name: r.Node, lapses: e.unreached}
 		e.nodes[r.Node] = n
+		i, _ := slices.BinarySearchFunc(e.fleet, n, func(a, b *node) int { return cmp.Compare(a.name, b.name) })
+		e.fleet = slices.Insert(e.fleet, i, n)
 	}
 	if r.Incarnation < n.incarnation || r.Incarnation == n.incarnation && r.Number <= n.number {
 		return 0, false
@@ -63,7 +67,7 @@
 		n.answered = time.Time{}
 		return 0, false
 	}
-	if !n.known || n.executor.Life() != r.Executor.Life() {
+	if !n.known || n.life != r.Executor.Life() {
 		if n.known && r.Executor.BornUnixMillis < n.executor.BornUnixMillis {
 			return 0, false
 		}
@@ -90,18 +94,23 @@
 // show what became of them.
 func (e *Engine) begin(n *node, executor *workflow.Executor, now time.Time) {
 	if n.known {
-		e.bury(n, n.executor.Life(), executor, now)
+		e.bury(n, n.life, executor, now)
+		if e.lives[n.life] == n {
+			delete(e.lives, n.life)
+		}
 	}
 	n.executor, n.known, n.acked, n.foreign = *executor, true, 0, nil
+	n.life = executor.Life()
+	e.lives[n.life] = n
 	e.quarantine.ForgetWorker(n.name)
 	delete(e.missing, n.name)
-	life := executor.Life()
+	life := n.life
 	for former, tasks := range e.assigned {
 		if former != life && (sameID(former, executor.ID) || onHost(tasks, n.name)) {
 			e.bury(n, former, executor, now)
 		}
 	}
-	for t := range e.assigned[life] {
+	for _, t := range e.assigned[life] {
 		if t.node == nil {
 			n.add(t)
 		}
@@ -110,12 +119,7 @@
 }
 
 // onHost tells whether the tasks of an incarnation were assigned to a host. A host has one executor at a time.
-func onHost(tasks map[*task]struct{}, host string) bool {
-	for t := range tasks {
-		return t.host == host
-	}
-	return false
-}
+func onHost(tasks []*task, host string) bool { return len(tasks) > 0 && tasks[0].host == host }
 
 func sameID(life, id string) bool {
 	return len(life) > len(id) && life[:len(id)] == id && life[len(id)] == '@'
@@ -146,24 +150,22 @@
 	e.touch(t.job)
 }
 
-// assignedTo returns the tasks of an incarnation in a fixed order.
-func (e *Engine) assignedTo(life string) []*task {
-	tasks := make([]*task, 0, len(e.assigned[life]))
-	for t := range e.assigned[life] {
-		tasks = append(tasks, t)
-	}
-	slices.SortFunc(tasks, func(a, b *task) int {
-		if a.name < b.name {
-			return -1
-		}
-		return 1
-	})
-	return tasks
+// assignedTo returns a copy of the tasks of an incarnation, for callers that release some of them.
+func (e *Engine) assignedTo(life string) []*task { return slices.Clone(e.assigned[life]) }
+
+// stop asks for the end of a run.
+func (e *Engine) stop(t *task, why string) {
+	t.stopWanted = true
+	if t.stopReason == "" {
+		t.stopReason = why
+	}
+	e.stopping[t] = struct{}{}
 }
 
 // lists compares what an executor runs and has ended with what is assigned to it.
 func (e *Engine) lists(n *node, r *workflow.Report, now, wall time.Time) {
-	life := n.executor.Life()
+	life := n.life
+	n.headroomsAt = time.Time{}
 	present := make(map[string]int, len(r.Running)+len(r.Ended))
 	n.foreign = n.foreign[:0]
 	for i := range r.Running {
@@ -201,6 +203,7 @@
 		t.movedAt = now
 	}
 	t.percent, t.usage = run.Percent, run.Usage
+	t.group.quietAt = time.Time{}
 	if run.Saved != "" {
 		t.saved = run.Saved
 	}
@@ -220,7 +223,7 @@
 		// The sequences of another process of the node say nothing of this one's lists.
 		t.stoppedSequence = 0
 	}
-	t.stop("its executor doesn't list it")
+	e.stop(t, "its executor doesn't list it")
 	e.changed = true
 }
 
@@ -312,6 +315,7 @@
 		}
 		if m.phase == workflow.TaskAssigned {
 			e.untrack(m)
+			delete(e.stopping, m)
 		}
 		m.phase = workflow.TaskDone
 		m.clearRun()
@@ -363,7 +367,7 @@
 		}
 		e.release(t)
 	default:
-		t.stop("its start has no result")
+		e.stop(t, "its start has no result")
 		e.changed = true
 	}
 }
@@ -374,12 +378,12 @@
 
 // Expire ends the runs of executors whose grants have run out.
 func (e *Engine) Expire(now time.Time) (lapsed []string) {
-	for _, n := range e.nodes {
+	for _, n := range e.fleet {
 		if !n.known || now.Before(n.lapses) {
 			continue
 		}
-		if tasks := e.assignedTo(n.executor.Life()); len(tasks) > 0 {
-			lapsed = append(lapsed, n.executor.Life())
+		if tasks := e.assignedTo(n.life); len(tasks) > 0 {
+			lapsed = append(lapsed, n.life)
 			for _, t := range tasks {
 				e.release(t)
 			}
@@ -389,7 +393,7 @@
 		return lapsed
 	}
 	for life := range e.assigned {
-		if !e.reported(life) {
+		if e.lives[life] == nil {
 			lapsed = append(lapsed, life)
 			for _, t := range e.assignedTo(life) {
 				e.release(t)
@@ -399,12 +403,3 @@
 	slices.Sort(lapsed)
 	return lapsed
 }
-
-func (e *Engine) reported(life string) bool {
-	for _, n := range e.nodes {
-		if n.known && n.executor.Life() == life {
-			return true
-		}
-	}
-	return false
-}
--- a/workflow/engine/output.go
+++ b/workflow/engine/output.go
@@ -110,7 +110,7 @@
 		return nil
 	}
 	var traits []workflow.RunTraits
-	for _, t := range e.assignedTo(n.executor.Life()) {
+	for _, t := range e.assigned[n.life] {
 		traits = append(traits, t.traits())
 	}
 	return traits
@@ -159,20 +159,11 @@
 
 // Counts returns the present counts.
 func (e *Engine) Counts() Counts {
-	c := Counts{Jobs: len(e.jobs)}
-	for _, j := range e.jobs {
-		if !j.phase.Final() {
-			c.Active++
-		}
-	}
-	for _, set := range e.assigned {
-		c.Assigned += len(set)
-	}
-	for _, n := range e.nodes {
-		if n.known {
-			c.Executors++
-		}
+	c := Counts{Jobs: len(e.jobs), Active: len(e.active)}
+	for _, tasks := range e.assigned {
+		c.Assigned += len(tasks)
 	}
+	c.Executors = len(e.lives)
 	return c
 }
 
@@ -200,5 +191,6 @@
 	if j := e.jobs[id]; j != nil {
 		delete(e.dirty, j)
 	}
+	delete(e.active, id)
 	delete(e.jobs, id)
 }
--- a/workflow/engine/placement.go
+++ b/workflow/engine/placement.go
@@ -8,41 +8,54 @@
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
-// placement is one question for an executor.
+// placement is one question for executors.
 type placement struct {
 	engine *Engine
 	queue  *workflow.Queue
-	task   *task
-	now    time.Time
+	// task stands for all tasks of its group.
+	task *task
+	now  time.Time
 	// relaxed admits a filling task wherever it has room, whatever it disturbs.
 	relaxed bool
 }
 
-// Filter tells whether an executor may run a task.
+// Filter tells whether an executor may run the tasks of a group.
 type Filter struct {
 	Name   string
 	Admits func(p *placement, n *node) bool
 }
 
-// Score tells how well an executor suits a task; more is better, and 1 is the weight of a whole executor.
+// TaskFilter tells whether an executor may run one task, by what has become of it before.
+type TaskFilter struct {
+	Name   string
+	Admits func(p *placement, t *task, n *node) bool
+}
+
+// Score tells how well an executor suits the tasks of a group; more is better, and 1 is the weight of a whole executor.
 type Score struct {
 	Name  string
 	Value func(p *placement, n *node) float64
 }
 
 var (
-	filters []Filter
-	scores  []Score
+	filters     []Filter
+	taskFilters []TaskFilter
+	scores      []Score
 )
 
 func registerFilter(name string, admits func(p *placement, n *node) bool) {
 	filters = append(filters, Filter{name, admits})
 }
 
+func registerTaskFilter(name string, admits func(p *placement, t *task, n *node) bool) {
+	taskFilters = append(taskFilters, TaskFilter{name, admits})
+}
+
 func registerScore(name string, value func(p *placement, n *node) float64) {
 	scores = append(scores, Score{name, value})
 }
 
+// admits tells whether an executor may run the group's tasks, but for what each of them has met before.
 func (p *placement) admits(n *node) bool {
 	for i := range filters {
 		if !filters[i].Admits(p, n) {
@@ -52,6 +65,24 @@
 	return true
 }
 
+// admitsTask tells whether an executor may run one task of the group.
+func (p *placement) admitsTask(t *task, n *node) bool {
+	for i := range taskFilters {
+		if !taskFilters[i].Admits(p, t, n) {
+			return false
+		}
+	}
+	return true
+}
+
+// taskScore returns what a task prefers beside the scores of its group.
+func (p *placement) taskScore(t *task, n *node) float64 {
+	if t.step.LongRunning && p.engine.quarantine.Admits(n.name, p.now) == quarantine.Open && slices.Contains(t.avoid, n.name) {
+		return -failedWeight
+	}
+	return 0
+}
+
 func (p *placement) score(n *node) float64 {
 	total := 0.0
 	for i := range scores {
@@ -106,15 +137,15 @@
 		limit := p.task.step.PerExecutor
 		return limit == 0 || n.count(p.task.group) < limit
 	})
-	registerFilter("failed", func(p *placement, n *node) bool {
+	registerTaskFilter("failed", func(p *placement, t *task, n *node) bool {
 		// Tasks that last fail at any time, without a fault of the executor, and have no limit of attempts to save.
-		return p.relaxed || p.task.step.LongRunning || !slices.Contains(p.task.avoid, n.name) || len(p.task.avoid) >= len(p.engine.nodes)
+		return len(t.avoid) == 0 || p.relaxed || t.step.LongRunning || !slices.Contains(t.avoid, n.name) || len(t.avoid) >= len(p.engine.nodes)
 	})
 	registerFilter("quarantined", func(p *placement, n *node) bool {
 		return p.relaxed || p.task.step.LongRunning || p.engine.quarantine.Admits(n.name, p.now) != quarantine.Closed
 	})
-	registerFilter("shunned", func(p *placement, n *node) bool {
-		return p.relaxed || p.task.shunned != n.name || !p.now.Before(p.task.shunnedUntil)
+	registerTaskFilter("shunned", func(p *placement, t *task, n *node) bool {
+		return p.relaxed || t.shunned != n.name || !p.now.Before(t.shunnedUntil)
 	})
 	registerScore("speed", func(p *placement, n *node) float64 {
 		if p.task.step.LongRunning || !n.isSlow(p.now) {
@@ -122,14 +153,9 @@
 		}
 		return -n.slowness
 	})
-	registerScore("failed", func(p *placement, n *node) float64 {
-		switch {
-		case !p.task.step.LongRunning:
-			return 0
-		case p.engine.quarantine.Admits(n.name, p.now) != quarantine.Open:
+	registerScore("quarantined", func(p *placement, n *node) float64 {
+		if p.task.step.LongRunning && p.engine.quarantine.Admits(n.name, p.now) != quarantine.Open {
 			return -quarantinedWeight
-		case slices.Contains(p.task.avoid, n.name):
-			return -failedWeight
 		}
 		return 0
 	})
@@ -161,7 +187,7 @@
 			return -1
 		case p.task.step.TargetMillis > 0:
 			// Executors with few serving images are open to more filling ones.
-			return sameImageWeight * float64(n.servingLike(p.task.step.Image)) / float64(n.serving)
+			return sameImageWeight * float64(n.servingImages.of(p.task.step.Image)) / float64(n.serving)
 		}
 		return 0
 	})
@@ -174,9 +200,6 @@
 	return n.executor.Capacity.MilliCores - n.used.MilliCores - n.filling + idle
 }
 
-// servingLike returns how many serving tasks run an image.
-func (n *node) servingLike(image string) int { return n.servingImages[image] }
-
 // count returns how many tasks of a group are assigned to the node.
 func (n *node) count(g *group) int {
 	count := 0
--- a/workflow/engine/plan.go
+++ b/workflow/engine/plan.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/quetzalshed/quetzalshed/structs"
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
@@ -33,7 +32,7 @@
 	}
 	e.changed = false
 	jobs := e.ready(now, wall)
-	full := map[shape]bool{}
+	full := &exhaustedShapes{}
 	for _, c := range jobs {
 		e.startReady(c, now, wall, full)
 	}
@@ -64,7 +63,8 @@
 			continue
 		}
 		if t := e.firstWaiting(j, now, wall); t != nil {
-			if n := e.pick(&placement{engine: e, queue: c.queue, task: t, now: now, relaxed: true}); n != nil {
+			r := e.rankExecutors(&placement{engine: e, queue: c.queue, task: t, now: now, relaxed: true})
+			if n := r.best(t); n != nil {
 				e.assign(t, n, t.run+1, now)
 			}
 		}
@@ -90,7 +90,7 @@
 // reserved returns the part of the processors that is reserved. Filling tasks reserve none.
 func (e *Engine) reserved() float64 {
 	var used, capacity int64
-	for _, n := range e.nodes {
+	for _, n := range e.fleet {
 		if n.known {
 			used += n.used.MilliCores
 			capacity += n.executor.Capacity.MilliCores
@@ -99,13 +99,6 @@
 	return float64(used) / float64(max(capacity, 1))
 }
 
-// shape is what decides whether a task fits anywhere; tasks of a shape that found no executor aren't tried again.
-type shape struct {
-	pool, label string
-	need        structs.Resources
-	fills       int64
-}
-
 // candidate is a job with tasks to start.
 type candidate struct {
 	job     *job
@@ -119,8 +112,8 @@
 // ready returns the jobs that have waiting tasks, the most urgent first.
 func (e *Engine) ready(now, wall time.Time) []candidate {
 	var found []candidate
-	for _, j := range e.jobs {
-		if j.phase.Final() || !e.hasReady(j, now, wall) {
+	for _, j := range e.active {
+		if !e.hasReady(j, now, wall) {
 			continue
 		}
 		found = append(found, e.rank(j, now))
@@ -221,57 +214,68 @@
 }
 
 // startReady starts the waiting tasks of a job that fit.
-func (e *Engine) startReady(c candidate, now, wall time.Time, full map[shape]bool) {
+func (e *Engine) startReady(c candidate, now, wall time.Time, full *exhaustedShapes) {
 	for i := range c.job.groups {
 		g := &c.job.groups[i]
 		if !e.groupReady(c.job, g, wall) {
 			continue
 		}
+		s := shapeOf(c.queue, g.tasks[0].step)
+		if full.covers(s) {
+			continue
+		}
+		request := &placement{engine: e, queue: c.queue, task: g.tasks[0], now: now}
 		if c.job.Steps[g.step].Gang {
-			e.startGang(c, g, now)
+			e.startGang(g, request)
 			continue
 		}
-		for _, t := range g.tasks {
-			if !t.waits(now) {
-				continue
-			}
-			s := shape{c.queue.Pool, t.step.Label, t.step.Reserved(), 0}
-			if t.step.Fills {
-				s.fills = t.step.Need.MilliCores
-			}
-			if full[s] {
-				break
-			}
-			n := e.choose(c, t, now)
-			if n == nil {
-				// A limit per executor or a failed executor can be the cause, which says nothing of other jobs.
-				if t.step.PerExecutor == 0 && len(t.avoid) == 0 {
-					full[s] = true
-				}
-				continue
+		e.startGroup(g, request, s, full)
+	}
+}
+
+// startGroup starts the waiting tasks of a group that fit.
+func (e *Engine) startGroup(g *group, request *placement, s shape, full *exhaustedShapes) {
+	var r *ranking
+	for _, t := range g.tasks {
+		if !t.waits(request.now) {
+			continue
+		}
+		if r == nil {
+			r = e.rankExecutors(request)
+		}
+		n := r.best(t)
+		if n == nil {
+			// A limit per executor or a failed executor can be the cause, which says nothing of other jobs.
+			if t.step.PerExecutor == 0 && len(t.avoid) == 0 {
+				full.add(s)
+				return
 			}
-			e.assign(t, n, t.run+1, now)
+			continue
 		}
+		e.assign(t, n, t.run+1, request.now)
+		r.changed(n)
 	}
 }
 
 // startGang starts all tasks of a gang with one run number, or none.
-func (e *Engine) startGang(c candidate, g *group, now time.Time) {
+func (e *Engine) startGang(g *group, request *placement) {
 	run := 0
 	for _, t := range g.tasks {
-		if !t.waits(now) {
+		if !t.waits(request.now) {
 			return
 		}
 		run = max(run, t.run)
 	}
+	r := e.rankExecutors(request)
 	chosen := make([]*node, 0, len(g.tasks))
 	for _, t := range g.tasks {
-		n := e.choose(c, t, now)
+		n := r.best(t)
 		if n == nil {
 			break
 		}
 		// Reserves the room, so that the next member of the gang sees it taken.
 		n.add(t)
+		r.changed(n)
 		chosen = append(chosen, n)
 	}
 	for i, n := range chosen {
@@ -281,14 +285,14 @@
 		return
 	}
 	for i, t := range g.tasks {
-		e.assign(t, chosen[i], run+1, now)
+		e.assign(t, chosen[i], run+1, request.now)
 	}
 }
 
 // assign gives a task a new run on an executor.
 func (e *Engine) assign(t *task, n *node, run int, now time.Time) {
 	t.clearRun()
-	t.phase, t.run, t.life, t.host = workflow.TaskAssigned, run, n.executor.Life(), n.name
+	t.phase, t.run, t.life, t.host = workflow.TaskAssigned, run, n.life, n.name
 	t.ordered, t.startedAt, t.movedAt = true, now, now
 	n.add(t)
 	e.quarantine.ProbeStarted(n.name, now)
@@ -300,40 +304,19 @@
 	e.box(n.name).starts = append(e.box(n.name).starts, t)
 }
 
-// choose returns the executor that suits a task best, or nil.
-func (e *Engine) choose(c candidate, t *task, now time.Time) *node {
-	return e.pick(&placement{engine: e, queue: c.queue, task: t, now: now})
-}
-
-// pick returns the executor with the best score among those that are admitted, or nil.
-func (e *Engine) pick(request *placement) *node {
-	var best *node
-	var most float64
-	for _, n := range e.nodes {
-		if !n.known || !request.admits(n) {
-			continue
-		}
-		score := request.score(n)
-		if best == nil || score > most || score == most && n.name < best.name {
-			best, most = n, score
-		}
-	}
-	return best
-}
-
 // orderStops orders the stops that are wanted, and repeats those without a result.
 func (e *Engine) orderStops(now time.Time) {
-	for life := range e.assigned {
-		for t := range e.assigned[life] {
-			if !t.stopWanted || t.node == nil || t.ordered || t.stoppedSequence > 0 && !t.listed {
-				continue
-			}
-			if now.Sub(t.stopSent) < stopRetry {
-				continue
-			}
-			t.stopSent = now
-			b := e.box(t.node.name)
-			b.stops = append(b.stops, workflow.StopOrder{Task: t.name, Run: t.run, Reason: t.stopReason})
+	var due []*task
+	for t := range e.stopping {
+		if t.node == nil || t.ordered || t.stoppedSequence > 0 && !t.listed || now.Sub(t.stopSent) < stopRetry {
+			continue
 		}
+		due = append(due, t)
+	}
+	slices.SortFunc(due, compareTasks)
+	for _, t := range due {
+		t.stopSent = now
+		b := e.box(t.node.name)
+		b.stops = append(b.stops, workflow.StopOrder{Task: t.name, Run: t.run, Reason: t.stopReason})
 	}
 }
--- /dev/null
+++ b/workflow/engine/ranking.go
@@ -0,0 +1,102 @@
+package engine
+
+import (
+	"slices"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+// ranking holds the executors that may run the tasks of a group, with their scores. Tasks of a group differ only in the
+// executors that they keep away from, so that the other filters and scores are computed once for all of them.
+type ranking struct {
+	request *placement
+	entries []ranked
+}
+
+type ranked struct {
+	node  *node
+	score float64
+}
+
+// rankExecutors returns the executors that may run the tasks of a group, in the order of their names.
+func (e *Engine) rankExecutors(request *placement) *ranking {
+	r := &ranking{request: request}
+	for _, n := range e.fleet {
+		if n.known && request.admits(n) {
+			r.entries = append(r.entries, ranked{n, request.score(n)})
+		}
+	}
+	return r
+}
+
+// best returns the executor with the best score for a task, the first by name among equal ones, or nil.
+func (r *ranking) best(t *task) *node {
+	var best *node
+	var most float64
+	for i := range r.entries {
+		entry := &r.entries[i]
+		score := entry.score
+		if best != nil && score <= most && !t.step.LongRunning {
+			continue
+		}
+		if !r.request.admitsTask(t, entry.node) {
+			continue
+		}
+		score += r.request.taskScore(t, entry.node)
+		if best == nil || score > most {
+			best, most = entry.node, score
+		}
+	}
+	return best
+}
+
+// changed judges an executor again after a task was placed on it.
+func (r *ranking) changed(n *node) {
+	i := slices.IndexFunc(r.entries, func(entry ranked) bool { return entry.node == n })
+	if i < 0 {
+		return
+	}
+	if !r.request.admits(n) {
+		r.entries = slices.Delete(r.entries, i, i+1)
+		return
+	}
+	r.entries[i].score = r.request.score(n)
+}
+
+// shape is what decides whether a task fits anywhere.
+type shape struct {
+	pool, label, image string
+	need               structs.Resources
+	fills, lasting     bool
+}
+
+func shapeOf(q *workflow.Queue, s *workflow.Step) shape {
+	found := shape{pool: q.Pool, label: s.Label, need: s.Need, fills: s.Fills, lasting: s.LongRunning}
+	if s.Fills {
+		// What fills is also bounded by what its image takes from others.
+		found.image = s.Image
+	}
+	return found
+}
+
+// exhaustedShapes are the shapes that found no executor in a plan. Tasks that need as much or more aren't tried again.
+type exhaustedShapes struct{ shapes []shape }
+
+func (f *exhaustedShapes) covers(s shape) bool {
+	return slices.ContainsFunc(f.shapes, func(tried shape) bool {
+		need := tried.need
+		tried.need = s.need
+		return tried == s && need.Fits(s.need)
+	})
+}
+
+// add notes a shape; those that need more are dropped, since it covers them.
+func (f *exhaustedShapes) add(s shape) {
+	f.shapes = slices.DeleteFunc(f.shapes, func(tried shape) bool {
+		need := tried.need
+		tried.need = s.need
+		return tried == s && s.need.Fits(need)
+	})
+	f.shapes = append(f.shapes, s)
+}
--- /dev/null
+++ b/workflow/engine/ranking_test.go
@@ -0,0 +1,102 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+var rankingQueue = workflow.Queue{Name: "checks", Pool: "pool", MaxAttempts: 2, Stretch: 1.5, ObjectiveMillis: 250}
+
+// drawEngine returns an engine with executors of different room and load, and the time.
+func drawEngine(t *rapid.T) (*Engine, time.Time) {
+	now := time.Unix(1000, 0)
+	e := New(Settings{Grant: time.Second, Lapse: 2 * time.Second, FarFactor: 1.5}, now.Add(-time.Minute))
+	e.Configure(&workflow.Config{Version: 1, Queues: []workflow.Queue{rankingQueue}, Pools: []workflow.Pool{{Name: "pool"}}})
+	for i := range rapid.IntRange(1, 8).Draw(t, "executors") {
+		name := fmt.Sprintf("host-%d", i)
+		e.Report(&workflow.Report{Node: name, Address: name, Incarnation: 1, Number: 1, Listed: true, Executor: &workflow.Executor{
+			ID: "i-" + name, BornUnixMillis: 1, Pool: "pool", FailureDomain: "domain", Labels: []string{fmt.Sprintf("r%d", i%2)},
+			Capacity: structs.Resources{MilliCores: int64(1000 * rapid.IntRange(1, 8).Draw(t, "cores")), MemoryMB: 8000},
+		}}, now, now)
+	}
+	e.Add(drawJob(t, 1, workflow.Step{LongRunning: true, TargetMillis: 50, Image: "serving"}), nil, now, now)
+	e.Plan(now, now)
+	for _, tasks := range e.assigned {
+		for _, t := range tasks {
+			t.listed, t.usage, t.startedAt = true, 20, now.Add(-time.Minute)
+		}
+	}
+	return e, now
+}
+
+func drawJob(t *rapid.T, number int, step workflow.Step) workflow.Job {
+	step.Count = rapid.IntRange(1, 12).Draw(t, "count")
+	step.Need = structs.Resources{MilliCores: int64(100 * rapid.IntRange(1, 20).Draw(t, "cpu")), MemoryMB: int64(rapid.IntRange(1, 4000).Draw(t, "memory"))}
+	step.PerExecutor = rapid.IntRange(0, 2).Draw(t, "per executor")
+	return workflow.Job{ID: fmt.Sprintf("%016x", number), Steps: []workflow.Step{step}, Queue: rankingQueue, AcceptedUnixMillis: 1000_000}
+}
+
+// Guards against scores and admissions that are kept for the tasks of a group although a placement has changed them: every
+// task has to get the executor that a ranking made just then would name.
+func TestRankingFollowsPlacements(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e, now := drawEngine(t)
+		step := workflow.Step{EstimateMillis: 800, Fills: rapid.Bool().Draw(t, "fills"), Image: "filling"}
+		if rapid.Bool().Draw(t, "rack") {
+			step.Rack = "r1"
+		}
+		e.Add(drawJob(t, 2, step), nil, now, now)
+		j := e.jobs[fmt.Sprintf("%016x", 2)]
+		request := &placement{engine: e, queue: &rankingQueue, task: j.tasks[0], now: now}
+		kept := e.rankExecutors(request)
+		for _, task := range j.tasks {
+			if rapid.Bool().Draw(t, "failed before") {
+				task.avoid = []string{"host-0"}
+			}
+			want := e.rankExecutors(request).best(task)
+			if got := kept.best(task); got != want {
+				t.Fatalf("task %s: got %v, want %v", task.name, nameOf(got), nameOf(want))
+			}
+			if want == nil {
+				continue
+			}
+			e.assign(task, want, task.run+1, now)
+			kept.changed(want)
+		}
+	})
+}
+
+func nameOf(n *node) string {
+	if n == nil {
+		return "none"
+	}
+	return n.name
+}
+
+// Guards against a task that is passed over although it needs less than one that found no executor, or runs another image
+// or on other executors.
+func TestExhaustedShapesCoverLargerNeedsOnly(t *testing.T) {
+	c := qt.New(t)
+	need := func(cpu, memory int64) structs.Resources { return structs.Resources{MilliCores: cpu, MemoryMB: memory} }
+	full := &exhaustedShapes{}
+	full.add(shape{pool: "p", need: need(1000, 500)})
+	full.add(shape{pool: "p", need: need(500, 900)})
+	full.add(shape{pool: "p", image: "i", fills: true, need: need(1000, 500)})
+	c.Assert(full.covers(shape{pool: "p", need: need(1000, 500)}), qt.IsTrue)
+	c.Assert(full.covers(shape{pool: "p", need: need(2000, 500)}), qt.IsTrue)
+	c.Assert(full.covers(shape{pool: "p", need: need(500, 900)}), qt.IsTrue)
+	c.Assert(full.covers(shape{pool: "p", need: need(900, 800)}), qt.IsFalse)
+	c.Assert(full.covers(shape{pool: "q", need: need(2000, 2000)}), qt.IsFalse)
+	c.Assert(full.covers(shape{pool: "p", label: "a", need: need(2000, 2000)}), qt.IsFalse)
+	c.Assert(full.covers(shape{pool: "p", lasting: true, need: need(2000, 2000)}), qt.IsFalse)
+	c.Assert(full.covers(shape{pool: "p", image: "j", fills: true, need: need(2000, 500)}), qt.IsFalse)
+	full.add(shape{pool: "p", need: need(100, 100)})
+	c.Assert(full.shapes, qt.HasLen, 2)
+}
--- a/workflow/engine/sharing.go
+++ b/workflow/engine/sharing.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/quetzalshed/quetzalshed/scheduler/interference"
@@ -53,7 +54,7 @@
 		return
 	}
 	shares := map[string]float64{}
-	tasks := e.assignedTo(n.executor.Life())
+	tasks := e.assigned[n.life]
 	for _, t := range tasks {
 		if t.step.Fills && t.listed {
 			shares[t.step.Image] += t.usage / capacity
@@ -70,7 +71,7 @@
 		if t.step.TargetMillis == 0 || !t.listed || t.usage == 0 || now.Sub(t.startedAt) < sampleLag {
 			continue
 		}
-		if base, ok := t.undisturbed(n); ok || len(loads) == 0 {
+		if base, ok := t.undisturbed(n, now); ok || len(loads) == 0 {
 			lost := max(t.headroomAt(base)-t.headroomAt(t.usage), 0)
 			e.interference.Observe(n.name, t.step.Image, normalSample*(1+lost), 0, now)
 		}
@@ -83,23 +84,47 @@
 	return float64(t.step.TargetMillis) / max(millis, 1)
 }
 
-// undisturbed returns the latency that a serving task would have without filling tasks: the lowest among the tasks of
-// its step, which share its load. It returns false if all of them are on the same executor.
-func (t *task) undisturbed(n *node) (millis float64, ok bool) {
-	millis = t.usage
-	for _, other := range t.group.tasks {
-		if other.node == nil || !other.listed || other.usage == 0 {
+// quietLatency is the lowest latency of the tasks of a group; millis is 0 while none is known.
+type quietLatency struct {
+	millis float64
+	// node is where one of the tasks runs that have a latency, spread tells that another runs elsewhere.
+	node   *node
+	spread bool
+}
+
+// quietest returns the lowest latency of the group's tasks. It is kept for calls at the same time.
+func (g *group) quietest(now time.Time) quietLatency {
+	if g.quietAt.Equal(now) {
+		return g.quiet
+	}
+	q := quietLatency{}
+	for _, t := range g.tasks {
+		if t.node == nil || !t.listed || t.usage == 0 {
 			continue
 		}
-		ok = ok || other.node != n
-		millis = min(millis, other.usage)
+		if q.node == nil {
+			q.millis, q.node = t.usage, t.node
+		}
+		q.spread = q.spread || t.node != q.node
+		q.millis = min(q.millis, t.usage)
 	}
-	return max(millis, 1), ok
+	g.quiet, g.quietAt = q, now
+	return q
 }
 
-// loss returns the headroom that an executor full of an image takes from a serving task.
-func (e *Engine) loss(serving *task, image string) float64 {
-	estimate := e.interference.Estimate(serving.step.Image, image)
+// undisturbed returns the latency that a serving task would have without filling tasks: the lowest among the tasks of
+// its step, which share its load. It returns false if all of them are on the same executor.
+func (t *task) undisturbed(n *node, now time.Time) (millis float64, ok bool) {
+	q := t.group.quietest(now)
+	if q.node == nil {
+		return max(t.usage, 1), false
+	}
+	return max(min(t.usage, q.millis), 1), q.spread || q.node != n
+}
+
+// loss returns the headroom that an executor full of an image takes from a serving task of another one.
+func (e *Engine) loss(serving, image string) float64 {
+	estimate := e.interference.Estimate(serving, image)
 	if !estimate.Known {
 		return max(unknownLoss, estimate.Slowdown-1)
 	}
@@ -109,10 +134,8 @@
 // heaviness returns the most headroom that a full executor of an image would take from the serving tasks of a node.
 func (e *Engine) heaviness(n *node, image string) float64 {
 	most := 0.0
-	for t := range e.assigned[n.executor.Life()] {
-		if t.step.TargetMillis > 0 {
-			most = max(most, e.loss(t, image))
-		}
+	for _, serving := range n.servingImages {
+		most = max(most, e.loss(serving.image, image))
 	}
 	return most
 }
@@ -125,13 +148,13 @@
 		return nil
 	}
 	known := map[string]map[string]float64{}
-	for serving := range e.assigned[n.executor.Life()] {
+	for _, serving := range e.assigned[n.life] {
 		if serving.step.TargetMillis == 0 || known[serving.step.Image] != nil {
 			continue
 		}
 		row := map[string]float64{}
 		known[serving.step.Image] = row
-		for t := range e.assigned[n.executor.Life()] {
+		for _, t := range e.assigned[n.life] {
 			if estimate := e.interference.Estimate(serving.step.Image, t.step.Image); t.step.Fills && estimate.Known {
 				row[t.step.Image] = estimate.Slowdown - 1
 			}
@@ -147,13 +170,13 @@
 	if serving.listed && serving.usage > 0 {
 		left = serving.headroomAt(serving.usage)
 	}
-	base, known := serving.undisturbed(n)
+	base, known := serving.undisturbed(n, now)
 	full := serving.headroomAt(base)
-	for t := range e.assigned[n.executor.Life()] {
+	for _, t := range e.assigned[n.life] {
 		if !t.step.Fills {
 			continue
 		}
-		takes := e.loss(serving, t.step.Image) * share(t.step, n)
+		takes := e.loss(serving.step.Image, t.step.Image) * share(t.step, n)
 		full -= takes
 		if now.Sub(t.startedAt) < sampleLag {
 			left -= takes
@@ -174,21 +197,46 @@
 	if n.serving == 0 {
 		return true
 	}
-	for t := range e.assigned[n.executor.Life()] {
+	for _, serving := range e.leastHeadrooms(n, now) {
+		if serving.headroom-e.loss(serving.image, step.Image)*share(step, n) < 1/bearable {
+			return false
+		}
+	}
+	return true
+}
+
+// imageHeadroom is the least headroom of the serving tasks of an image on one executor.
+type imageHeadroom struct {
+	image    string
+	headroom float64
+}
+
+// leastHeadrooms returns the headroom of each serving image on an executor. It is kept for calls at the same time, until the
+// tasks there change.
+func (e *Engine) leastHeadrooms(n *node, now time.Time) []imageHeadroom {
+	if n.headroomsAt.Equal(now) {
+		return n.headrooms
+	}
+	n.headrooms, n.headroomsAt = n.headrooms[:0], now
+	for _, t := range e.assigned[n.life] {
 		if t.step.TargetMillis == 0 {
 			continue
 		}
-		if e.headroom(n, t, now)-e.loss(t, step.Image)*share(step, n) < 1/bearable {
-			return false
+		left := e.headroom(n, t, now)
+		i := slices.IndexFunc(n.headrooms, func(h imageHeadroom) bool { return h.image == t.step.Image })
+		if i < 0 {
+			n.headrooms = append(n.headrooms, imageHeadroom{t.step.Image, left})
+			continue
 		}
+		n.headrooms[i].headroom = min(n.headrooms[i].headroom, left)
 	}
-	return true
+	return n.headrooms
 }
 
 // relieve stops the filling task that disturbs a serving one most, where it keeps its progress and another executor has
 // room for it.
 func (e *Engine) relieve(now time.Time) {
-	for _, n := range e.nodes {
+	for _, n := range e.fleet {
 		if !n.known || n.serving == 0 || n.filling == 0 || now.Sub(n.relieved) < moveInterval || !e.isDisturbed(n) {
 			continue
 		}
@@ -197,12 +245,12 @@
 			continue
 		}
 		n.relieved = now
-		worst.stop("it slows a serving task down")
+		e.stop(worst, "it slows a serving task down")
 	}
 }
 
 func (e *Engine) isDisturbed(n *node) bool {
-	for t := range e.assigned[n.executor.Life()] {
+	for _, t := range e.assigned[n.life] {
 		if t.step.TargetMillis > 0 && t.usage >= disturbed*float64(t.step.TargetMillis) {
 			return true
 		}
@@ -214,7 +262,7 @@
 func (e *Engine) heaviest(n *node) *task {
 	var worst *task
 	most := 0.0
-	for _, t := range e.assignedTo(n.executor.Life()) {
+	for _, t := range e.assigned[n.life] {
 		if !t.step.Fills || !t.step.Checkpoints || t.stopWanted || !t.listed {
 			continue
 		}
@@ -228,8 +276,8 @@
 // elsewhere returns another executor that would take a task now, or nil.
 func (e *Engine) elsewhere(t *task, from *node, now time.Time) *node {
 	p := &placement{engine: e, queue: e.queueOf(t.job), task: t, now: now}
-	for _, n := range e.nodes {
-		if n != from && n.known && p.admits(n) {
+	for _, n := range e.fleet {
+		if n != from && n.known && p.admits(n) && p.admitsTask(t, n) {
 			return n
 		}
 	}
--- a/workflow/engine/speed.go
+++ b/workflow/engine/speed.go
@@ -74,11 +74,11 @@
 
 // rescue stops runs that stand still, or that would end sooner if they began again on another executor.
 func (e *Engine) rescue(now time.Time) {
-	for _, n := range e.nodes {
+	for _, n := range e.fleet {
 		if !n.known || now.Sub(n.answered) > staleLists {
 			continue
 		}
-		for _, t := range e.assignedTo(n.executor.Life()) {
+		for _, t := range e.assigned[n.life] {
 			if t.listed && !t.stopWanted && t.judges() {
 				n.suspect(t, now)
 				e.rescueTask(t, n, now)
@@ -105,7 +105,7 @@
 	if other == nil || other.isSlow(now) {
 		return
 	}
-	t.stop("it stands still or is slow")
+	e.stop(t, "it stands still or is slow")
 	t.avoidFor(n, now)
 }
 
@@ -114,14 +114,6 @@
 	t.shunned, t.shunnedUntil = n.name, now.Add(2*speedHalfLife)
 }
 
-// stop asks for the end of a run.
-func (t *task) stop(why string) {
-	t.stopWanted = true
-	if t.stopReason == "" {
-		t.stopReason = why
-	}
-}
-
 // halved returns what is left of 1 after an age, given the time in which it halves.
 func halved(age, halfLife time.Duration) float64 {
 	return math.Exp2(-float64(age) / float64(halfLife))
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -3,6 +3,8 @@
 package engine
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/quetzalshed/quetzalshed/scheduler/interference"
@@ -34,9 +36,16 @@
 	jobs      map[string]*job
 	// cancelled holds the cancellations of jobs that aren't known yet.
 	cancelled map[string]bool
-	nodes     map[string]*node
-	// assigned holds the tasks that may run, by the incarnation that they are assigned to.
-	assigned map[string]map[*task]struct{}
+	// active holds the jobs that have not ended.
+	active map[string]*job
+	nodes  map[string]*node
+	// fleet holds the same nodes in the order of their names, lives the node of each reported incarnation.
+	fleet []*node
+	lives map[string]*node
+	// assigned holds the tasks that may run, by the incarnation that they are assigned to, in the order of their names.
+	assigned map[string][]*task
+	// stopping holds the assigned tasks that are to end.
+	stopping map[*task]struct{}
 	// unreached is when tasks of incarnations that no node has reported have ended at the latest.
 	unreached time.Time
 	// gathered is when all executors have had the time to announce themselves.
@@ -85,6 +94,9 @@
 	occurrence, step int
 	tasks            []*task
 	done             int
+	// quiet is what the latencies of the group's tasks showed at quietAt.
+	quiet   quietLatency
+	quietAt time.Time
 }
 
 // task is the state of one task.
@@ -141,6 +153,8 @@
 	number      int64
 	executor    workflow.Executor
 	known       bool
+	// life is the name of the executor's incarnation.
+	life string
 	// lapses is when everything on the executor has ended unless a further grant is given.
 	lapses time.Time
 	// granted tells that the last report earned a grant.
@@ -155,7 +169,10 @@
 	serving         int
 	reservedServing int64
 	// servingImages counts the serving tasks by image.
-	servingImages map[string]int
+	servingImages imageCounts
+	// headrooms is the least headroom of the serving tasks of each image, as of headroomsAt.
+	headrooms   []imageHeadroom
+	headroomsAt time.Time
 	// foreign lists runs that the executor has and that no task is assigned to.
 	foreign []workflow.RunState
 	// sampled is when latencies were last taken from a report, relieved when a filling task was last moved away.
@@ -177,8 +194,11 @@
 		evacuated: map[string]bool{},
 		jobs:      map[string]*job{},
 		cancelled: map[string]bool{},
+		active:    map[string]*job{},
 		nodes:     map[string]*node{},
-		assigned:  map[string]map[*task]struct{}{},
+		lives:     map[string]*node{},
+		assigned:  map[string][]*task{},
+		stopping:  map[*task]struct{}{},
 		unreached: now.Add(settings.Lapse + settings.TakeoverSlack),
 		gathered:  now.Add(gatherTime),
 		missing:   map[string]bool{},
@@ -239,9 +259,13 @@
 	j := &job{Job: spec, phase: workflow.Pending, shown: workflow.Pending, born: now.Add(-age)}
 	j.build()
 	e.jobs[spec.ID] = j
+	e.active[spec.ID] = j
 	if record != nil {
 		e.restore(j, record)
 	}
+	if j.phase.Final() {
+		delete(e.active, j.ID)
+	}
 	j.measure()
 	if e.cancelled[j.ID] {
 		delete(e.cancelled, j.ID)
@@ -344,7 +368,7 @@
 			e.await(r.Node)
 			e.track(t)
 			if j.phase.Final() {
-				t.stop("its job has ended")
+				e.stop(t, "its job has ended")
 			}
 		}
 	}
@@ -352,18 +376,19 @@
 
 // track files an assigned task under its incarnation.
 func (e *Engine) track(t *task) {
-	set := e.assigned[t.life]
-	if set == nil {
-		set = map[*task]struct{}{}
-		e.assigned[t.life] = set
+	tasks := e.assigned[t.life]
+	if i, found := slices.BinarySearchFunc(tasks, t, compareTasks); !found {
+		e.assigned[t.life] = slices.Insert(tasks, i, t)
 	}
-	set[t] = struct{}{}
 }
 
+func compareTasks(a, b *task) int { return cmp.Compare(a.name, b.name) }
+
 // release returns an assigned task to waiting: no run of it exists any more, and none can begin.
 func (e *Engine) release(t *task) {
 	e.quarantine.ProbeEnded(t.host)
 	e.untrack(t)
+	delete(e.stopping, t)
 	t.phase = workflow.TaskWaiting
 	t.clearRun()
 	e.touch(t.job)
@@ -371,10 +396,12 @@
 }
 
 func (e *Engine) untrack(t *task) {
-	if set := e.assigned[t.life]; set != nil {
-		delete(set, t)
-		if len(set) == 0 {
+	tasks := e.assigned[t.life]
+	if i, found := slices.BinarySearchFunc(tasks, t, compareTasks); found {
+		if tasks = slices.Delete(tasks, i, i+1); len(tasks) == 0 {
 			delete(e.assigned, t.life)
+		} else {
+			e.assigned[t.life] = tasks
 		}
 	}
 	if t.node != nil {
@@ -391,30 +418,63 @@
 	t.percent, t.usage = 0, 0
 }
 
+// imageCounts counts tasks by image. An executor has few images, so a list is faster than a map.
+type imageCounts []imageCount
+
+type imageCount struct {
+	image string
+	tasks int
+}
+
+func (c *imageCounts) add(image string, tasks int) {
+	for i := range *c {
+		if (*c)[i].image != image {
+			continue
+		}
+		if (*c)[i].tasks += tasks; (*c)[i].tasks == 0 {
+			*c = slices.Delete(*c, i, i+1)
+		}
+		return
+	}
+	*c = append(*c, imageCount{image, tasks})
+}
+
+func (c imageCounts) of(image string) int {
+	for i := range c {
+		if c[i].image == image {
+			return c[i].tasks
+		}
+	}
+	return 0
+}
+
 func (n *node) add(t *task) {
 	t.node = n
+	n.headroomsAt = time.Time{}
 	n.used = n.used.Add(t.step.Reserved())
 	if t.step.Fills {
 		n.filling += t.step.Need.MilliCores
 	}
 	if t.step.TargetMillis > 0 {
 		n.serving++
-		n.servingImages[t.step.Image]++
+		n.servingImages.add(t.step.Image, 1)
 		n.reservedServing += t.step.Need.MilliCores
 	}
 }
 
 func (n *node) remove(t *task) {
+	n.headroomsAt = time.Time{}
 	n.used = n.used.Sub(t.step.Reserved())
 	if t.step.Fills {
 		n.filling -= t.step.Need.MilliCores
 	}
 	if t.step.TargetMillis > 0 {
 		n.serving--
-		n.servingImages[t.step.Image]--
+		n.servingImages.add(t.step.Image, -1)
 		n.reservedServing -= t.step.Need.MilliCores
 	}
 	t.node = nil
+	t.group.quietAt = time.Time{}
 }
 
 // touch marks a job whose record has to be stored.
