Wait for the last request before counting places in TestInFlightOrder

Cause: a request sends its name before it gives its place back, and the test counted right after the last name. Ruled out: the limiter itself: with a delay of 20 ms before the release the former test fails each time, and the test that waits for the goroutines passes. Change: the test waits for them. The check is the same.

--- a/limit/entry_limits_test.go
+++ b/limit/entry_limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -76,9 +77,10 @@
 	release, err := l.Acquire(t.Context(), share(structs.PriorityLow, far()))
 	qt.Assert(t, err, qt.IsNil)
 	order := make(chan string, 4)
+	var requests sync.WaitGroup
 	add := func(name string, priority structs.Priority, deadline time.Time) {
 		_, waiting := l.Running()
-		go func() {
+		requests.Go(func() {
 			next, err := l.Acquire(t.Context(), share(priority, deadline))
 			if err != nil {
 				order <- err.Error()
@@ -86,7 +88,7 @@
 			}
 			order <- name
 			next()
-		}()
+		})
 		waitForWaiting(t, l, waiting+1)
 	}
 	deadline := far()
@@ -98,6 +100,8 @@
 	for _, want := range []string{"critical", "normal, sooner", "normal, later", "low"} {
 		qt.Assert(t, <-order, qt.Equals, want)
 	}
+	// The last request sends its name before it gives its place back.
+	requests.Wait()
 	running, waiting := l.Running()
 	qt.Assert(t, running+waiting, qt.Equals, 0)
 }
