Look up starts without an answer at once, and keep waits from beginning anew

By reading, three things could make it, each with a test that failed first: a start that came to nothing began the wait of startIdle anew (starts after 1.3 and 2.7 s); a task that keeps away from an executor made its whole shape count as exhausted; a start without an answer was decided only when the executor's call ended, up to a second later.

--- a/node/hold.go
+++ b/node/hold.go
@@ -78,7 +78,7 @@
 		wait = sharingWait
 	}
 	now := time.Now()
-	if left := n.grantEnd.Sub(now); left > 0 && left < endingLease {
+	if left := n.grantEnd.Sub(now); left > 0 && left < endingLease || n.unsure > n.covers {
 		wait = endingWait
 	}
 	if n.lists == nil {
@@ -113,7 +113,7 @@
 const (
 	// noNews lists nothing that has to be reported at once.
 	noNews answer = iota
-	// news is the first answer, or one with ends that aren't acknowledged.
+	// news is the first answer, one with ends that aren't acknowledged, or one that tells of a start without an answer.
 	news
 	// otherLife comes from another incarnation than the call was meant for.
 	otherLife
@@ -135,11 +135,12 @@
 	}
 	first := n.lists == nil
 	known := n.lists
+	decided := n.unsure > n.covers && n.unsure <= covers
 	n.lists, n.covers, n.listedAt, n.confirmed = lists, covers, time.Now(), true
 	n.clockMillis, n.clockAt = lists.ClockMillis, n.listedAt
 	n.logEnds(life, known, lists)
 	n.prune(lists)
-	if first || len(lists.Ended) > 0 && lists.Ended[len(lists.Ended)-1].Number > n.ack {
+	if first || decided || len(lists.Ended) > 0 && lists.Ended[len(lists.Ended)-1].Number > n.ack {
 		return news
 	}
 	return noNews
--- a/node/node.go
+++ b/node/node.go
@@ -86,8 +86,8 @@
 	covers   int64
 	// confirmed tells that the last call was answered by that incarnation.
 	confirmed bool
-	// operations counts the orders that were carried out.
-	operations int64
+	// operations counts the orders that were carried out, and unsure is the number of the last start without an answer.
+	operations, unsure int64
 	// grantEnd is when the runs end unless an owner grants more.
 	grantEnd time.Time
 	epoch    int64
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -71,3 +71,22 @@
 	n.listedAt = n.listedAt.Add(-2 * ackWindow)
 	c.Assert(n.dueAck(), qt.Equals, int64(0), qt.Commentf("listed long ago"))
 }
+
+// Guards against a start without an answer that stays undecided for as long as the executor waits for ends before it lists
+// its runs: the task can't start elsewhere until then.
+func TestStartWithoutAnAnswerIsLookedUpAtOnce(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	now := time.Now()
+	n.grantEnd = now.Add(time.Minute)
+	lists := func() *Lists { return &Lists{ClockMillis: 600, BornUnixMillis: 1000} }
+	c.Assert(n.listed("i-1@1000", lists(), 0), qt.Equals, news)
+	c.Assert(n.listed("i-1@1000", lists(), 0), qt.Equals, noNews)
+	n.doubt(n.operation())
+	_, _, _, _, wait, covers := n.nextHold()
+	c.Assert(wait, qt.Equals, endingWait)
+	c.Assert(n.listed("i-1@1000", lists(), 0), qt.Equals, noNews, qt.Commentf("lists from before the start"))
+	c.Assert(n.listed("i-1@1000", lists(), covers), qt.Equals, news)
+	_, _, _, _, wait, _ = n.nextHold()
+	c.Assert(wait, qt.Equals, holdWait)
+}
--- a/node/orders.go
+++ b/node/orders.go
@@ -126,6 +126,7 @@
 		if result.Reason, rejected = rejection(err); !rejected {
 			result.Outcome, result.Reason = workflow.OutcomeUnknown, err.Error()
 			n.metrics.unknown.Inc(1)
+			n.doubt(result.Sequence)
 		} else {
 			n.metrics.rejected.Inc(1)
 		}
@@ -175,6 +176,14 @@
 	return n.operations
 }
 
+// doubt notes a start without an answer, so that the executor's lists tell soon what became of it.
+func (n *Node) doubt(sequence int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.unsure = max(n.unsure, sequence)
+	wake(n.wakeHold)
+}
+
 func jobOf(task string) string {
 	id, _ := workflow.ParseTaskID(task)
 	return id.Job
--- a/owner/delay_test.go
+++ b/owner/delay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -76,13 +77,13 @@
 			`{"id":"` + id + `","steps":[{"count":-1}]}`, `{"id":"` + id + `","steps":"none"}`, `{"id":"other","steps":[{"count":1}]}`,
 			`{"id":"` + id + `","occurrences":1000000000,"steps":[{"count":1}]}`,
 		} {
-			term.input(kv.Item{Key: JobPrefix + id, Value: []byte(value)}, nil)
+			term.input(kv.Item{Key: JobPrefix + id, Value: []byte(value)}, nil, true)
 			_, known := term.engine.Phase(id)
 			c.Assert(known, qt.IsFalse, qt.Commentf("%s", value))
 		}
 		term.input(kv.Item{Key: JobPrefix + id, Value: []byte(`{"id":"` + id + `","steps":[{"count":1}]}`)}, map[string]*workflow.JobRecord{
 			id: {Phase: "unheard of", Tasks: []workflow.TaskRecord{{Step: 5, Index: 9, Phase: 1}, {Phase: 9, Run: -1}}},
-		})
+		}, false)
 		_, known := term.engine.Phase(id)
 		c.Assert(known, qt.IsTrue)
 		term.engine.Plan(time.Now(), time.Now())
@@ -97,3 +98,23 @@
 		qt.Assert(t, errors.Is(err, errBroken), qt.IsTrue)
 	})
 }
+
+// Guards against jobs that count as late, and wait behind others, because the time of day of the owner's host has jumped
+// ahead of the entry's.
+func TestAgeOfNewJobsNeedsNoTimeOfDay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		term := newTerm(t, rpctest.New())
+		accepted := time.Now().Add(-8 * time.Second).UnixMilli()
+		add := func(id string, live bool) {
+			value := fmt.Sprintf(`{"id":%q,"steps":[{"count":1,"estimate_ms":800}],"accepted_unix_ms":%d}`, id, accepted)
+			term.input(kv.Item{Key: JobPrefix + id, Value: []byte(value)}, nil, live)
+		}
+		add("00000000000000aa", true)
+		add("00000000000000bb", false)
+		live, _ := term.engine.Age("00000000000000aa", time.Now())
+		loaded, _ := term.engine.Age("00000000000000bb", time.Now())
+		c.Assert(live, qt.Equals, time.Duration(0))
+		c.Assert(loaded, qt.Equals, 8*time.Second)
+	})
+}
--- a/owner/term.go
+++ b/owner/term.go
@@ -197,7 +197,7 @@
 		Reset: func(items []kv.Item) {
 			send(func() {
 				for _, item := range items {
-					t.input(item, records)
+					t.input(item, records, false)
 				}
 				if first {
 					first = false
@@ -208,15 +208,16 @@
 		},
 		Changed: func(e kv.Event) {
 			if !e.Deleted {
-				send(func() { t.input(e.Item, records) })
+				send(func() { t.input(e.Item, records, true) })
 			}
 		},
 	}
 	follower.Run(ctx)
 }
 
-// input takes over one job or cancellation.
-func (t *term) input(item kv.Item, records map[string]*workflow.JobRecord) {
+// input takes over one job or cancellation. One that arrives live has just been stored, so that its age needs no comparison
+// of the entry's time of day with this host's, which may be off by seconds.
+func (t *term) input(item kv.Item, records map[string]*workflow.JobRecord, live bool) {
 	now, wall := time.Now(), time.Now()
 	if id, ok := strings.CutPrefix(item.Key, CancelPrefix); ok {
 		if t.engine.Cancel(id, wall) {
@@ -238,9 +239,12 @@
 		t.log.Error("job can't be read", "key", item.Key, "revision", item.Revision, "error", err)
 		return
 	}
+	if live {
+		wall = time.UnixMilli(spec.AcceptedUnixMillis)
+	}
 	if t.engine.Add(spec, records[id], now, wall) {
 		t.log.Info("job known", "job", id, "queue", spec.Queue.Name, "steps", len(spec.Steps), "revision", item.Revision,
-			"recorded", records[id] != nil, "age_ms", wall.UnixMilli()-spec.AcceptedUnixMillis,
+			"recorded", records[id] != nil, "live", live, "age_ms", wall.UnixMilli()-spec.AcceptedUnixMillis,
 			"chain_ms", t.engine.Chain(id).Milliseconds(), "objective_ms", t.engine.Objective(id).Milliseconds(),
 			"first_step", spec.Steps[0])
 		delete(records, id)
--- a/workflow/engine/engine_test.go
+++ b/workflow/engine/engine_test.go
@@ -308,6 +308,38 @@
 	h.Assert(h.phase(job.ID), qt.Equals, workflow.Failed)
 }
 
+// Guards against a job that stands still for more than three seconds because a start of it has no answer and its wait for
+// room begins anew.
+func TestIdleTimeGoesOnAfterAStartThatCameToNothing(t *testing.T) {
+	h := newHarness(t)
+	serving, filling := step(1), step(2)
+	serving.LongRunning, serving.TargetMillis, serving.Image = true, 50, "serving"
+	filling.Fills, filling.Image = true, "filling"
+	h.engine.Add(h.job(serving), nil, h.now, h.now)
+	x := executor("a", 1)
+	h.report("a", x, nil, nil)
+	h.now = h.now.Add(2 * time.Second)
+	h.report("a", x, nil, nil)
+	running := h.accept("a", h.plan()["a"])
+	running[0].Usage = 48
+	h.engine.Add(h.job(filling), nil, h.now, h.now)
+	var starts []time.Duration
+	for began := h.now; h.now.Sub(began) < 3*time.Second; {
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.report("a", x, running, nil)
+		orders := h.plan()["a"]
+		for _, s := range orders.Starts {
+			starts = append(starts, h.now.Sub(began))
+			h.engine.Result("a", 1, &workflow.OrderResult{Task: s.Task, Run: s.Run, Outcome: workflow.OutcomeUnknown, Sequence: 1}, h.now)
+		}
+		for _, s := range orders.Stops {
+			h.engine.Result("a", 1, &workflow.OrderResult{Task: s.Task, Run: s.Run, Stop: true, Outcome: workflow.OutcomeDone, Sequence: 2}, h.now)
+		}
+	}
+	h.Assert(len(starts) >= 2, qt.IsTrue, qt.Commentf("starts: %v", starts))
+	h.Assert(starts[1]-starts[0] < 500*time.Millisecond, qt.IsTrue, qt.Commentf("starts: %v", starts))
+}
+
 // Guards against a filling task that never starts because the serving tasks of every executor are near their bounds, while
 // most of the room is free (found once: bagmati-quotes scale-1 --seed 11, LOST 1).
 func TestIdleJobStartsBesideServingTasks(t *testing.T) {
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -58,7 +58,7 @@
 		i, _ := slices.BinarySearchFunc(e.fleet, n, func(a, b *node) int { return cmp.Compare(a.name, b.name) })
 		e.fleet = slices.Insert(e.fleet, i, n)
 	}
-	if r.Incarnation < n.incarnation || r.Incarnation == n.incarnation && r.Number <= n.number {
+	if r.Incarnation < n.incarnation && !n.setBack(r, now) || r.Incarnation == n.incarnation && r.Number <= n.number {
 		return 0, false
 	}
 	n.address, n.incarnation, n.number = r.Address, r.Incarnation, r.Number
@@ -92,6 +92,13 @@
 	return n.acked, true
 }
 
+// setBack tells whether a report with a lower incarnation comes from a newer process of the node, whose host's time of day was
+// set back between the two. The former process has fallen silent then, and the newer one has sent few reports.
+func (n *node) setBack(r *workflow.Report, now time.Time) bool {
+	const fewReports = 32
+	return now.Sub(n.reported) > lateReport && r.Number <= fewReports
+}
+
 // begin replaces the executor of a node by another incarnation. What ran on the former one has ended. If the new one has
 // the same ID, it may have got starts that were meant for the former one: the tasks are assigned to it until its lists
 // show what became of them.
@@ -365,8 +372,11 @@
 		t.startedSequence, t.startedIncarnation = r.Sequence, incarnation
 	case workflow.OutcomeRejected:
 		t.notBefore = now.Add(rejectedPause)
-		if r.Reason == "room" || r.Reason == "unhealthy" {
+		switch r.Reason {
+		case "room", "unhealthy":
 			t.node.closedUntil = now.Add(rejectedPause)
+		case "unreachable":
+			t.node.closedUntil = now.Add(unreachablePause)
 		}
 		e.release(t)
 	default:
@@ -376,6 +386,9 @@
 	}
 }
 
+// unreachablePause keeps starts away from an executor that could not be reached, while its node still reports it.
+const unreachablePause = 600 * time.Millisecond
+
 // rejectedPause keeps a task and an executor apart for a moment after a rejected start, until a report corrects what is
 // known of the executor.
 const rejectedPause = 150 * time.Millisecond
--- a/workflow/engine/output.go
+++ b/workflow/engine/output.go
@@ -132,6 +132,15 @@
 	return 0
 }
 
+// Age returns the time since a job was accepted.
+func (e *Engine) Age(id string, now time.Time) (time.Duration, bool) {
+	j := e.jobs[id]
+	if j == nil {
+		return 0, false
+	}
+	return now.Sub(j.born), true
+}
+
 // Phase returns the stored phase of a job.
 func (e *Engine) Phase(id string) (workflow.Phase, bool) {
 	j := e.jobs[id]
@@ -186,6 +195,11 @@
 	return slices.ContainsFunc(j.tasks, func(t *task) bool { return t.phase == workflow.TaskAssigned })
 }
 
+// listed tells whether an executor lists a run of the job.
+func (j *job) listed() bool {
+	return slices.ContainsFunc(j.tasks, func(t *task) bool { return t.phase == workflow.TaskAssigned && t.listed })
+}
+
 // Forget drops a job.
 func (e *Engine) Forget(id string) {
 	if j := e.jobs[id]; j != nil {
--- a/workflow/engine/placement.go
+++ b/workflow/engine/placement.go
@@ -94,6 +94,10 @@
 const (
 	// silence is how long an executor may go without a report before it gets no more starts.
 	silence = 2 * time.Second
+	// lateReport is the age from which a report is late, and lateWeight how much starts prefer executors whose reports aren't:
+	// when a failure domain is lost, its hosts can't be told from others for up to a second after their last reports.
+	lateReport = 1300 * time.Millisecond
+	lateWeight = 3
 	// gatherTime is how long a new owner waits for executors at most before it places tasks that last. All executors announce
 	// themselves within it, and where these tasks are decides for long which executors are free of them.
 	gatherTime = 1700 * time.Millisecond
@@ -153,6 +157,12 @@
 		}
 		return -n.slowness
 	})
+	registerScore("reports", func(p *placement, n *node) float64 {
+		if p.now.Sub(n.reported) > lateReport {
+			return -lateWeight
+		}
+		return 0
+	})
 	registerScore("quarantined", func(p *placement, n *node) float64 {
 		if p.task.step.LongRunning && p.engine.quarantine.Admits(n.name, p.now) != quarantine.Open {
 			return -quarantinedWeight
--- a/workflow/engine/plan.go
+++ b/workflow/engine/plan.go
@@ -41,7 +41,7 @@
 
 const (
 	// idleLimit is how long a job may have nothing running while most of the room is free.
-	idleLimit = 1200 * time.Millisecond
+	idleLimit = time.Second
 	// mostlyFree is the part of the processors that is reserved below which most of the room is free.
 	mostlyFree = 0.6
 )
@@ -53,13 +53,14 @@
 	for _, c := range jobs {
 		j := c.job
 		switch {
-		case j.assigned():
+		case j.listed():
 			j.idleSince = time.Time{}
 			continue
 		case j.idleSince.IsZero():
 			j.idleSince = now
 		}
-		if !free || now.Sub(j.idleSince) < idleLimit {
+		// A start that comes to nothing doesn't begin the wait anew.
+		if !free || now.Sub(j.idleSince) < idleLimit || j.assigned() {
 			continue
 		}
 		if t := e.firstWaiting(j, now, wall); t != nil {
@@ -245,8 +246,8 @@
 		}
 		n := r.best(t)
 		if n == nil {
-			// A limit per executor or a failed executor can be the cause, which says nothing of other jobs.
-			if t.step.PerExecutor == 0 && len(t.avoid) == 0 {
+			// A limit per executor, or one that the task keeps away from, can be the cause, which says nothing of others.
+			if t.step.PerExecutor == 0 && len(t.avoid) == 0 && t.shunned == "" {
 				full.add(s)
 				return
 			}
--- a/workflow/engine/ranking_test.go
+++ b/workflow/engine/ranking_test.go
@@ -101,3 +101,25 @@
 	full.add(shape{pool: "p", need: need(100, 100)})
 	c.Assert(full.shapes, qt.HasLen, 2)
 }
+
+// Guards against jobs that wait because a task before them keeps away from the only executor with room.
+func TestShunnedExecutorServesOthers(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	e := New(Settings{Grant: time.Second, Lapse: 2 * time.Second, FarFactor: 1.5}, now)
+	e.SetEvacuated(nil)
+	e.Report(&workflow.Report{Node: "a", Address: "a", Incarnation: 1, Number: 1, Listed: true, Executor: &workflow.Executor{
+		ID: "i-a", BornUnixMillis: 1, Pool: "pool", Capacity: structs.Resources{MilliCores: 4000, MemoryMB: 8000},
+	}}, now, now)
+	for number := range 2 {
+		e.Add(workflow.Job{
+			ID: fmt.Sprintf("%016x", number), Queue: rankingQueue, AcceptedUnixMillis: now.UnixMilli(),
+			Steps: []workflow.Step{{Count: 1, Need: structs.Resources{MilliCores: 1000}, EstimateMillis: 800}},
+		}, nil, now, now)
+	}
+	first, second := e.jobs[fmt.Sprintf("%016x", 0)].tasks[0], e.jobs[fmt.Sprintf("%016x", 1)].tasks[0]
+	first.avoidFor(e.nodes["a"], now)
+	e.Plan(now, now)
+	c.Assert(first.phase, qt.Equals, workflow.TaskWaiting)
+	c.Assert(second.phase, qt.Equals, workflow.TaskAssigned)
+}
