Serve executors that fetch their orders with their heartbeats

Weighed: a second way through node and engine; a mailbox behind the interface of an executor that is called. The second keeps one set of decisions. Ruled out: handing orders out again until they are listed (a start that was handed out twice could begin after its stop). Change: node/mailbox.go keeps orders until the executor fetches them, apart by incarnation and fence; leases in an answer are a second shorter, since they count from its arrival; such executors are marked as unpaced, so that only images known to be light fill beside serving tasks, and what disturbs is stopped. `platform/` translates. Unknown values of `commands` end the process with the place. Executors come back each 250 ms.

--- a/cmd/quetzalshed-node/main.go
+++ b/cmd/quetzalshed-node/main.go
@@ -32,13 +32,18 @@
 		return err
 	}
 	defer p.Close()
-	executor := platform.NewExecutor(p.Settings.App)
+	var executor node.Executor = platform.NewExecutor(p.Settings.App)
+	var mailbox *node.Mailbox
+	if p.Settings.Commands == platform.CommandsByFetch {
+		mailbox = node.NewMailbox()
+		executor = mailbox
+	}
 	n := node.New(p.Settings.NodeName, p.Address, executor, p.Locator, p.RPC, p.Log, p.Scope)
 	candidate := &owner.Candidate{
 		Node: p.Settings.NodeName, Address: p.Address, Store: p.Store, Locator: p.Locator, Operators: p.Operators,
 		RPC: p.RPC, Log: p.Log, Scope: p.Scope, FarFactor: p.Settings.Bounds.FarX,
 	}
-	if err := serve(p, n, candidate); err != nil {
+	if err := serve(p, n, mailbox, candidate); err != nil {
 		return err
 	}
 	background, cancel := context.WithCancel(context.Background())
@@ -60,7 +65,7 @@
 }
 
 // serve listens at all addresses of the process; the executor comes last.
-func serve(p *program.Program, n *node.Node, candidate *owner.Candidate) error {
+func serve(p *program.Program, n *node.Node, mailbox *node.Mailbox, candidate *owner.Candidate) error {
 	router := mux.NewRouter()
 	n.Register(router)
 	candidate.Register(router)
@@ -72,5 +77,5 @@
 	if err := p.ServeMetrics(p.Settings.IP); err != nil {
 		return err
 	}
-	return p.Serve(p.Settings.Listen.Control, platform.Heartbeats(n, p.Log))
+	return p.Serve(p.Settings.Listen.Control, platform.Heartbeats(n, mailbox, p.Log))
 }
--- a/node/hold.go
+++ b/node/hold.go
@@ -220,7 +220,7 @@
 func (n *Node) paceChanges(now time.Time) (life string, fence int64, changes []pacing) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.current == nil || n.lists == nil {
+	if n.current == nil || n.lists == nil || n.current.Unpaced {
 		return "", 0, nil
 	}
 	latency := 0.0
--- a/test/workflows/fleet_test.go
+++ b/test/workflows/fleet_test.go
@@ -60,6 +60,8 @@
 	ended    chan struct{}
 	withdraw context.CancelFunc
 	locator  *ownership.Locator
+	// fence is the highest fencing token that the executor has fetched.
+	fence int64
 }
 
 // fleet is a set of hosts and one gateway.
@@ -74,10 +76,16 @@
 	gateway *gateway.Gateway
 	entry   *kvtest.Client
 	jobs    int
+	// fetching tells that executors fetch their orders with their heartbeats.
+	fetching bool
 }
 
 func newFleet(t testing.TB, ctx context.Context, hosts int) *fleet {
-	f := &fleet{C: qt.New(t), ctx: ctx, began: time.Now(), store: kvtest.New(), network: rpctest.New(), oracle: newOracle()}
+	return newFleetOf(t, ctx, hosts, false)
+}
+
+func newFleetOf(t testing.TB, ctx context.Context, hosts int, fetching bool) *fleet {
+	f := &fleet{C: qt.New(t), ctx: ctx, fetching: fetching, began: time.Now(), store: kvtest.New(), network: rpctest.New(), oracle: newOracle()}
 	f.network.Delay = networkDelay
 	for i := range hosts {
 		name := fmt.Sprintf("host-%d", i)
@@ -119,7 +127,13 @@
 	monitor := kv.NewMonitor(h.store)
 	h.locator = ownership.NewLocator(monitor, log)
 	client := f.rpc(h.name)
-	n := node.New(h.name, h.name, h.executor, h.locator, client, log, tally.NoopScope)
+	var executor node.Executor = h.executor
+	var mailbox *node.Mailbox
+	if f.fetching {
+		mailbox = node.NewMailbox()
+		executor = mailbox
+	}
+	n := node.New(h.name, h.name, executor, h.locator, client, log, tally.NoopScope)
 	candidate := &owner.Candidate{
 		Node: h.name, Address: h.name, Store: monitor, Locator: h.locator, Operators: operators{}, RPC: client,
 		Log: log, Scope: tally.NoopScope,
@@ -139,22 +153,53 @@
 		candidate.Run(candidacy)
 		close(ended)
 	}()
-	go h.announce(ctx, n)
+	go h.announce(ctx, n, mailbox)
 }
 
 // announce sends the executor's announcements.
-func (h *host) announce(ctx context.Context, n *node.Node) {
+func (h *host) announce(ctx context.Context, n *node.Node, mailbox *node.Mailbox) {
 	for sequence := int64(1); ctx.Err() == nil; sequence++ {
+		pause := announceInterval
 		if x, up := h.executor.Describe(); up {
+			x.Unpaced = mailbox != nil
 			n.Announce(x, sequence, 0)
+			if mailbox != nil {
+				pause = h.fetch(ctx, x.Life(), mailbox)
+			}
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(announceInterval):
+		case <-time.After(pause):
 		}
 	}
 }
 
+// fetch lets the executor fetch its orders and carry them out, and returns when it comes back. An executor that doesn't
+// answer fetches nothing.
+func (h *host) fetch(ctx context.Context, life string, mailbox *node.Mailbox) time.Duration {
+	call, cancel := context.WithTimeout(ctx, announceInterval)
+	defer cancel()
+	lists, err := h.executor.Hold(call, life, h.fence, 0, 0, 0)
+	if err != nil {
+		return announceInterval
+	}
+	commands := mailbox.Fetch(life, lists)
+	h.fence = max(h.fence, commands.Fence)
+	deadline := int64(0)
+	if commands.HoldMillis > 0 {
+		deadline = lists.ClockMillis + commands.HoldMillis
+	}
+	_, _ = h.executor.Hold(call, life, commands.Fence, commands.Ack, deadline, 0)
+	for _, s := range commands.Stops {
+		_ = h.executor.Stop(call, life, s.Task, s.Run, s.Fence)
+	}
+	for _, s := range commands.Starts {
+		s.DeadlineMillis = deadline
+		_ = h.executor.Start(call, life, s)
+	}
+	return commands.FetchAgain
+}
+
 // kill ends the node process without a hand-over.
 func (h *host) kill() {
 	h.store.Set(kvtest.Faults{Refused: true})
--- a/test/workflows/model_test.go
+++ b/test/workflows/model_test.go
@@ -216,7 +216,12 @@
 // Guards against broken promises under random series of faults: two runs of a task at once, a start before the steps
 // that it waits for, a start after an acknowledged end, a start of a rejected job, an accepted job that is lost or never
 // ends.
-func TestRandomFaults(t *testing.T) {
+func TestRandomFaults(t *testing.T) { checkRandomFaults(t, false) }
+
+// Guards against the same where executors take no calls and fetch their orders with their heartbeats.
+func TestRandomFaultsWithFetchedOrders(t *testing.T) { checkRandomFaults(t, true) }
+
+func checkRandomFaults(t *testing.T, fetching bool) {
 	rapid.Check(t, func(rt *rapid.T) {
 		actions := drawActions(rt)
 		wrong := ""
@@ -224,7 +229,7 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			defer time.Sleep(lastCalls)
 			defer cancel()
-			h := &history{fleet: newFleet(t, ctx, modelHosts), dead: map[int]bool{}, cancelled: map[string]bool{}}
+			h := &history{fleet: newFleetOf(t, ctx, modelHosts, fetching), dead: map[int]bool{}, cancelled: map[string]bool{}}
 			time.Sleep(settled)
 			for _, a := range actions {
 				h.play(a)
--- a/workflow/engine/placement.go
+++ b/workflow/engine/placement.go
@@ -134,6 +134,11 @@
 	registerFilter("interference", func(p *placement, n *node) bool {
 		return !p.task.step.Fills || p.relaxed || p.engine.bears(n, p.task.step, p.now)
 	})
+	registerFilter("unpaced", func(p *placement, n *node) bool {
+		// Nothing but a stop protects serving tasks there from what fills beside them.
+		return !n.executor.Unpaced || !p.task.step.Fills || p.relaxed || n.serving == 0 ||
+			p.engine.heaviness(n, p.task.step.Image) < lightLoss
+	})
 	registerFilter("gathering", func(p *placement, n *node) bool {
 		return !p.task.step.LongRunning || p.engine.hasGathered(p.now)
 	})
--- a/workflow/engine/sharing.go
+++ b/workflow/engine/sharing.go
@@ -241,7 +241,7 @@
 			continue
 		}
 		worst := e.heaviest(n)
-		if worst == nil || e.elsewhere(worst, n, now) == nil {
+		if worst == nil || !n.executor.Unpaced && e.elsewhere(worst, n, now) == nil {
 			continue
 		}
 		n.relieved = now
--- a/workflow/executor.go
+++ b/workflow/executor.go
@@ -56,6 +56,8 @@
 	Capacity       structs.Resources `json:"capacity"`
 	// Labels hold the kind of the host and its rack.
 	Labels []string `json:"labels,omitempty"`
+	// Unpaced tells that the executor can't slow down the tasks that fill it.
+	Unpaced bool `json:"unpaced,omitempty"`
 	// Draining tells that the executor ends soon, at the earliest after RemainingMillis.
 	Draining        bool  `json:"draining,omitempty"`
 	RemainingMillis int64 `json:"remaining_ms,omitempty"`
