Refuse jobs of queues that need tickets

Cause: a queue with `advice` needs a ticket of the advice service for each start. The programs ask for none, so its jobs were accepted and never run.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,8 @@
 	ErrUnknown = errors.New("gateway: result unknown")
 	// ErrUnavailable means that the request had no effect and never will.
 	ErrUnavailable = errors.New("gateway: unavailable")
+	// ErrUnsupported means that the queue can't be served under its configuration; the request had no effect.
+	ErrUnsupported = errors.New("gateway: queue not supported")
 	// ErrNotFound means that no such job exists.
 	ErrNotFound = errors.New("gateway: no such job")
 )
@@ -61,8 +63,8 @@
 }
 
 type metrics struct {
-	accepted, repeated, unavailable, unknown, cancelled, states, fallbacks, relayed tally.Counter
-	acceptTime, stateTime                                                           tally.Histogram
+	accepted, repeated, unavailable, unsupported, unknown, cancelled, states, fallbacks, relayed tally.Counter
+	acceptTime, stateTime                                                                        tally.Histogram
 }
 
 // New returns a gateway. Run has to be called before it accepts jobs.
@@ -73,7 +75,7 @@
 		phases: map[string]workflow.Phase{},
 		metrics: metrics{
 			accepted: scope.Counter("jobs_accepted"), repeated: scope.Counter("jobs_repeated"),
-			unavailable: scope.Counter("requests_unavailable"), unknown: scope.Counter("requests_unknown"),
+			unavailable: scope.Counter("requests_unavailable"), unsupported: scope.Counter("requests_unsupported"), unknown: scope.Counter("requests_unknown"),
 			cancelled: scope.Counter("jobs_cancelled"), states: scope.Counter("states_asked"),
 			relayed:    scope.Counter("jobs_relayed"),
 			fallbacks:  scope.Counter("states_from_store"),
@@ -102,9 +104,15 @@
 // Ready tells whether the gateway can serve clients.
 func (g *Gateway) Ready() bool { return g.config.Load() != nil }
 
-// Submit stores a job. Repeating it has no effect. Errors match ErrUnavailable or ErrUnknown.
+// Submit stores a job. Repeating it has no effect. Errors match ErrUnsupported, ErrUnavailable or ErrUnknown.
 func (g *Gateway) Submit(ctx context.Context, job *workflow.Job) error {
 	begun := time.Now()
+	if job.Queue.Advised {
+		// Its executors reject starts without a ticket, so that the job would be accepted and never run.
+		g.metrics.unsupported.Inc(1)
+		g.log.Info("job rejected", "job", job.ID, "queue", job.Queue.Name, "error", "its queue needs tickets of the advice service")
+		return eris.Wrap(ErrUnsupported, "starts need tickets of the advice service")
+	}
 	value, err := json.Marshal(job)
 	if err != nil {
 		return eris.Wrap(ErrUnavailable, err.Error())
