Start filling tasks with half of what they ask for

Cause: a filling task waited until 90% of its wish was left by others. Change: fillShare 0.5. Paces and moves protect serving tasks as before. Test: TestFillingTaskStartsWithMostOfItsWish (0 starts before, 1 after).

--- a/workflow/engine/placement.go
+++ b/workflow/engine/placement.go
@@ -102,7 +102,7 @@
 	// themselves within it, and where these tasks are decides for long which executors are free of them.
 	gatherTime = 1700 * time.Millisecond
 	// fillShare is the part of a filling task's wish that must be free for it to start.
-	fillShare = 0.9
+	fillShare = 0.5
 	// sameImageWeight is how much room a serving task gives up to be among others of its image.
 	sameImageWeight = 0.5
 	// failedWeight is how much a task that lasts prefers executors on which it has not failed.
--- a/workflow/engine/speed_test.go
+++ b/workflow/engine/speed_test.go
@@ -55,3 +55,19 @@
 	h.Assert(stops["a"] >= 4, qt.IsTrue, qt.Commentf("stops: %v", stops))
 	h.Assert(stops["b"], qt.Equals, 0)
 }
+
+// Guards against filling tasks that wait although most of what they ask for is free: their jobs come too late in a burst, when
+// waiting costs them more than a lower speed.
+func TestFillingTaskStartsWithMostOfItsWish(t *testing.T) {
+	h := newHarness(t)
+	short, filling := step(3), step(2)
+	filling.Fills, filling.Image, filling.Need.MilliCores = true, "filling", 1500
+	h.engine.Add(h.job(short), nil, h.now, h.now)
+	h.report("a", executor("a", 1), nil, nil)
+	running := h.accept("a", h.plan()["a"])
+	h.Assert(running, qt.HasLen, 3)
+	h.engine.Add(h.job(filling), nil, h.now, h.now)
+	h.report("a", executor("a", 1), running, nil)
+	// One of four cores is left: two thirds of what the first asks for, and nothing for the second.
+	h.Assert(h.plan()["a"].Starts, qt.HasLen, 1)
+}
