--- a/workflow/engine/ranking.go
+++ b/workflow/engine/ranking.go
@@ -37,6 +37,7 @@
 	for i := range r.entries {
 		entry := &r.entries[i]
 		score := entry.score
+		// Only tasks that last have a score of their own, so that others can't gain on a better executor.
 		if best != nil && score <= most && !t.step.LongRunning {
 			continue
 		}
