--- /dev/null
+++ b/workflow/engine/job.go
@@ -0,0 +1,66 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+// build creates the tasks of all occurrences.
+func (j *job) build() {
+	steps := len(j.Steps)
+	j.groups = make([]group, 0, steps*j.Runs())
+	for occurrence := range j.Runs() {
+		for step := range j.Steps {
+			j.groups = append(j.groups, group{occurrence: occurrence, step: step})
+			g := &j.groups[len(j.groups)-1]
+			for index := range j.Steps[step].Count {
+				id := workflow.TaskID{Job: j.ID, Occurrence: occurrence, Step: step, Index: index}
+				t := &task{job: j, step: &j.Steps[step], group: g, id: id, name: id.String()}
+				g.tasks = append(g.tasks, t)
+				j.tasks = append(j.tasks, t)
+			}
+		}
+	}
+}
+
+func (j *job) group(occurrence, step int) *group {
+	if occurrence < 0 || occurrence >= j.Runs() || step < 0 || step >= len(j.Steps) {
+		return nil
+	}
+	return &j.groups[occurrence*len(j.Steps)+step]
+}
+
+func (j *job) find(id workflow.TaskID) *task {
+	g := j.group(id.Occurrence, id.Step)
+	if g == nil || id.Index < 0 || id.Index >= len(g.tasks) {
+		return nil
+	}
+	return g.tasks[id.Index]
+}
+
+// measure computes the chains of work of a job.
+func (j *job) measure() {
+	j.chain = j.longest(func(*group) bool { return true })
+	j.remaining = j.longest(func(g *group) bool { return g.done < len(g.tasks) })
+}
+
+// longest returns the longest sum of estimates along dependent steps of one occurrence, over the groups that count.
+func (j *job) longest(counts func(*group) bool) time.Duration {
+	var most time.Duration
+	ends := make([]time.Duration, len(j.Steps))
+	for occurrence := range j.Runs() {
+		for step := range j.Steps {
+			var begin time.Duration
+			for _, after := range j.Steps[step].After {
+				begin = max(begin, ends[after])
+			}
+			ends[step] = begin
+			if counts(j.group(occurrence, step)) {
+				ends[step] += time.Duration(j.Steps[step].EstimateMillis) * time.Millisecond
+			}
+			most = max(most, ends[step])
+		}
+	}
+	return most
+}
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -306,31 +306,6 @@
 	return e.restored && len(e.missing) == 0 || !now.Before(e.gathered)
 }
 
-// build creates the tasks of all occurrences.
-func (j *job) build() {
-	steps := len(j.Steps)
-	j.groups = make([]group, 0, steps*j.Runs())
-	for occurrence := range j.Runs() {
-		for step := range j.Steps {
-			j.groups = append(j.groups, group{occurrence: occurrence, step: step})
-			g := &j.groups[len(j.groups)-1]
-			for index := range j.Steps[step].Count {
-				id := workflow.TaskID{Job: j.ID, Occurrence: occurrence, Step: step, Index: index}
-				t := &task{job: j, step: &j.Steps[step], group: g, id: id, name: id.String()}
-				g.tasks = append(g.tasks, t)
-				j.tasks = append(j.tasks, t)
-			}
-		}
-	}
-}
-
-func (j *job) group(occurrence, step int) *group {
-	if occurrence < 0 || occurrence >= j.Runs() || step < 0 || step >= len(j.Steps) {
-		return nil
-	}
-	return &j.groups[occurrence*len(j.Steps)+step]
-}
-
 // task returns the task with an ID, or nil.
 func (e *Engine) task(name string) *task {
 	id, ok := workflow.ParseTaskID(name)
@@ -344,14 +319,6 @@
 	return j.find(id)
 }
 
-func (j *job) find(id workflow.TaskID) *task {
-	g := j.group(id.Occurrence, id.Step)
-	if g == nil || id.Index < 0 || id.Index >= len(g.tasks) {
-		return nil
-	}
-	return g.tasks[id.Index]
-}
-
 // restore sets the state of a job from its record.
 func (e *Engine) restore(j *job, record *workflow.JobRecord) {
 	j.phase = record.Phase
@@ -423,90 +390,5 @@
 	t.percent, t.usage = 0, 0
 }
 
-// imageCounts counts tasks by image. An executor has few images, so a list is faster than a map.
-type imageCounts []imageCount
-
-type imageCount struct {
-	image string
-	tasks int
-}
-
-func (c *imageCounts) add(image string, tasks int) {
-	for i := range *c {
-		if (*c)[i].image != image {
-			continue
-		}
-		if (*c)[i].tasks += tasks; (*c)[i].tasks == 0 {
-			*c = slices.Delete(*c, i, i+1)
-		}
-		return
-	}
-	*c = append(*c, imageCount{image, tasks})
-}
-
-func (c imageCounts) of(image string) int {
-	for i := range c {
-		if c[i].image == image {
-			return c[i].tasks
-		}
-	}
-	return 0
-}
-
-func (n *node) add(t *task) {
-	t.node = n
-	n.headroomsAt = time.Time{}
-	n.used = n.used.Add(t.step.Reserved())
-	if t.step.Fills {
-		n.filling += t.step.Need.MilliCores
-	}
-	if t.step.TargetMillis > 0 {
-		n.serving++
-		n.servingImages.add(t.step.Image, 1)
-		n.reservedServing += t.step.Need.MilliCores
-	}
-}
-
-func (n *node) remove(t *task) {
-	n.headroomsAt = time.Time{}
-	n.used = n.used.Sub(t.step.Reserved())
-	if t.step.Fills {
-		n.filling -= t.step.Need.MilliCores
-	}
-	if t.step.TargetMillis > 0 {
-		n.serving--
-		n.servingImages.add(t.step.Image, -1)
-		n.reservedServing -= t.step.Need.MilliCores
-	}
-	t.node = nil
-	t.group.quietAt = time.Time{}
-}
-
 // touch marks a job whose record has to be stored.
 func (e *Engine) touch(j *job) { e.dirty[j] = struct{}{} }
-
-// measure computes the chains of work of a job.
-func (j *job) measure() {
-	j.chain = j.longest(func(*group) bool { return true })
-	j.remaining = j.longest(func(g *group) bool { return g.done < len(g.tasks) })
-}
-
-// longest returns the longest sum of estimates along dependent steps of one occurrence, over the groups that count.
-func (j *job) longest(counts func(*group) bool) time.Duration {
-	var most time.Duration
-	ends := make([]time.Duration, len(j.Steps))
-	for occurrence := range j.Runs() {
-		for step := range j.Steps {
-			var begin time.Duration
-			for _, after := range j.Steps[step].After {
-				begin = max(begin, ends[after])
-			}
-			ends[step] = begin
-			if counts(j.group(occurrence, step)) {
-				ends[step] += time.Duration(j.Steps[step].EstimateMillis) * time.Millisecond
-			}
-			most = max(most, ends[step])
-		}
-	}
-	return most
-}
