Prove moves of stranded tasks and the rule for executors without paces

Cause: on reading the change once more, rescueFilling and the filter `unpaced` had no test of their own (the suite passed with the filter taken out), and the mailbox's rules had not been taken out one by one. Ruled out: faults of the code: no line of it changes. Change: TestFillingTaskThatGetsLittleMoves and TestUnpacedExecutorsKeepFillingTasksAway, both fail with their mechanism taken out. Five rules of the mailbox, the refusal of unserved queues and fillShare were taken out in a scratch copy: each test failed. A comment said of 723 runs that they were no older than their peers become; they were younger than 1.3 times that.

--- a/workflow/engine/speed_test.go
+++ b/workflow/engine/speed_test.go
@@ -41,7 +41,7 @@
 }
 
 // Guards against runs that are started again elsewhere because they take longer than their estimate, on executors that are
-// not slow: of 741 such stops on a day of vaidlusmaja-large, 723 were of runs no older than their peers become.
+// not slow: of 741 such stops on a day of vaidlusmaja-large, 723 were of runs younger than 1.3 times what their peers took.
 func TestWrongEstimatesMoveNoRuns(t *testing.T) {
 	h := newHarness(t)
 	stops := runTasks(h, 100, 2250*time.Millisecond, map[string]float64{"a": 40, "b": 42})
@@ -71,3 +71,57 @@
 	// One of four cores is left: two thirds of what the first asks for, and nothing for the second.
 	h.Assert(h.plan()["a"].Starts, qt.HasLen, 1)
 }
+
+// fillOne returns how many stops are ordered for a filling task with checkpoints that uses a share of what it asks
+// for, on an executor beside a free one.
+func fillOne(t *testing.T, use float64) (stops int) {
+	h := newHarness(t)
+	filling := step(1)
+	filling.Fills, filling.Image, filling.Checkpoints, filling.EstimateMillis = true, "filling", true, 4000
+	h.report("a", executor("a", 1), nil, nil)
+	h.engine.Add(h.job(filling), nil, h.now, h.now)
+	running := h.accept("a", h.plan()["a"])
+	h.Assert(running, qt.HasLen, 1)
+	running[0].Usage = use * float64(filling.Need.MilliCores)
+	for range 8 {
+		h.now = h.now.Add(250 * time.Millisecond)
+		running[0].Percent++
+		h.report("a", executor("a", 1), running, nil)
+		h.report("b", executor("b", 1), nil, nil)
+		stops += len(h.plan()["a"].Stops)
+	}
+	return stops
+}
+
+// Guards against a filling task that is left at a low pace, so that its job waits for it, although another executor is free.
+func TestFillingTaskThatGetsLittleMoves(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(fillOne(t, 0.2) > 0, qt.IsTrue)
+	c.Assert(fillOne(t, 0.8), qt.Equals, 0)
+}
+
+// Guards against filling tasks beside serving ones on executors that can't slow them down, unless their image is known not to
+// disturb.
+func TestUnpacedExecutorsKeepFillingTasksAway(t *testing.T) {
+	c := qt.New(t)
+	starts := func(unpaced bool) int {
+		h := newHarness(t)
+		serving, filling := step(1), step(1)
+		serving.LongRunning, serving.TargetMillis, serving.Image = true, 50, "serving"
+		filling.Fills, filling.Image = true, "filling"
+		x := executor("a", 1)
+		x.Unpaced = unpaced
+		h.engine.Add(h.job(serving), nil, h.now, h.now)
+		h.report("a", x, nil, nil)
+		h.now = h.now.Add(2 * time.Second)
+		h.report("a", x, nil, nil)
+		running := h.accept("a", h.plan()["a"])
+		h.Assert(running, qt.HasLen, 1)
+		running[0].Usage = 10
+		h.engine.Add(h.job(filling), nil, h.now, h.now)
+		h.report("a", x, running, nil)
+		return len(h.plan()["a"].Starts)
+	}
+	c.Assert(starts(false), qt.Equals, 1)
+	c.Assert(starts(true), qt.Equals, 0)
+}
