Order jobs by expected worth for each core second, and log why ready tasks wait

Cause: jobs that arrive faster than they can be served were ordered by urgency, estimated work and slack.

Ruled out: no room (nothing was rejected by memory; serving tasks asked for 268 of 352 cores), failing runs, slow starts after a restart of the owner.

Change: workflow/engine/order.go ranks jobs within a priority by expected value over remaining work; durations come from a regression over finished steps of the queue (durations.go), and from the step's own finished tasks once there are some. A ready task that does not start gets one log line per reason with the executors that each filter rejects, and the counter owner_waits (waiting.go).

--- a/owner/term.go
+++ b/owner/term.go
@@ -114,6 +114,7 @@
 	commits, changes, orders, rejected, lapsed, quarantined tally.Counter
 	commitTime                                              tally.Histogram
 	jobs, assigned                                          tally.Gauge
+	scope                                                   tally.Scope
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -123,6 +124,7 @@
 		lapsed: scope.Counter("owner_lapsed_executors"), quarantined: scope.Counter("owner_quarantined_executors"),
 		commitTime: scope.Histogram("owner_commit_seconds", tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 2, 12)),
 		jobs:       scope.Gauge("owner_jobs_active"), assigned: scope.Gauge("owner_tasks_assigned"),
+		scope: scope,
 	}
 }
 
@@ -374,9 +376,18 @@
 	t.quarantined = quarantined
 }
 
+// logWaits logs and counts why ready tasks do not start.
+func (t *term) logWaits() {
+	for _, w := range t.engine.TakeWaits() {
+		t.metrics.scope.Tagged(map[string]string{"reason": w.Reason}).Counter("owner_waits").Inc(1)
+		t.log.Info("job waits", "job", w.Job, "task", w.Task, "reason", w.Reason, "rejections", w.Rejections, "age_ms", w.Age.Milliseconds(), "epoch", t.lease.Record.Epoch)
+	}
+}
+
 // flush plans tasks and starts to store the changes. If nothing has changed, it releases the batch at once.
 func (t *term) flush(ctx context.Context) {
 	t.engine.Plan(time.Now(), time.Now())
+	t.logWaits()
 	b := &batch{
 		changes: t.engine.TakeDirty(), deliveries: t.engine.TakeOrders(), afterCommit: t.afterCommit, deletions: t.deletions,
 		started: time.Now(),
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -338,7 +338,7 @@
 	e.markDirty(j)
 	e.needsPlanning = true
 	if t.group.done == len(t.group.tasks) {
-		j.updateCriticalPaths()
+		e.observeDuration(t.group)
 	}
 	if !j.phase.Final() && j.isComplete() {
 		e.finish(j, workflow.Completed, wall)
--- a/workflow/engine/job.go
+++ b/workflow/engine/job.go
@@ -39,28 +39,26 @@
 	return g.tasks[id.Index]
 }
 
-// updateCriticalPaths computes the critical paths of a job.
-func (j *job) updateCriticalPaths() {
-	j.criticalPath = j.longestPath(func(*group) bool { return true })
-	j.remainingPath = j.longestPath(func(g *group) bool { return g.done < len(g.tasks) })
+// criticalPath returns the largest sum of estimates along dependent steps.
+func (j *job) criticalPath() time.Duration {
+	return j.longestPath(func(g *group) time.Duration { return g.tasks[0].estimate() })
 }
 
-// longestPath returns the largest sum of estimates along dependent steps of one occurrence, over the groups that counts
-// selects.
-func (j *job) longestPath(counts func(*group) bool) time.Duration {
+// longestPath returns the largest sum of durations along dependent steps of one occurrence.
+func (j *job) longestPath(duration func(*group) time.Duration) time.Duration {
 	var longest time.Duration
-	ends := make([]time.Duration, len(j.Steps))
+	var buffer [8]time.Duration
+	ends := buffer[:0]
 	for occurrence := range j.OccurrenceCount() {
+		ends = ends[:0]
 		for step := range j.Steps {
 			var start time.Duration
 			for _, after := range j.Steps[step].After {
 				start = max(start, ends[after])
 			}
-			ends[step] = start
-			if counts(j.group(occurrence, step)) {
-				ends[step] += time.Duration(j.Steps[step].EstimateMillis) * time.Millisecond
-			}
-			longest = max(longest, ends[step])
+			end := start + duration(j.group(occurrence, step))
+			ends = append(ends, end)
+			longest = max(longest, end)
 		}
 	}
 	return longest
--- a/workflow/engine/output.go
+++ b/workflow/engine/output.go
@@ -119,7 +119,7 @@
 // CriticalPath returns the largest sum of estimates along dependent steps of a job; 0 if the job is unknown.
 func (e *Engine) CriticalPath(id string) time.Duration {
 	if j := e.jobs[id]; j != nil {
-		return j.criticalPath
+		return j.criticalPath()
 	}
 	return 0
 }
--- a/workflow/engine/placement.go
+++ b/workflow/engine/placement.go
@@ -22,7 +22,9 @@
 
 // Filter decides whether an executor may run the tasks of a group.
 type Filter struct {
-	Name   string
+	Name string
+	// Static is set if neither the load nor the history of an executor changes the decision.
+	Static bool
 	Admits func(p *placementRequest, n *node) bool
 }
 
@@ -45,7 +47,11 @@
 )
 
 func registerFilter(name string, admits func(p *placementRequest, n *node) bool) {
-	filters = append(filters, Filter{name, admits})
+	filters = append(filters, Filter{Name: name, Admits: admits})
+}
+
+func registerStaticFilter(name string, admits func(p *placementRequest, n *node) bool) {
+	filters = append(filters, Filter{Name: name, Static: true, Admits: admits})
 }
 
 func registerTaskFilter(name string, admits func(p *placementRequest, t *task, n *node) bool) {
@@ -117,16 +123,20 @@
 )
 
 func init() {
-	registerFilter("pool", func(p *placementRequest, n *node) bool { return n.executor.Pool == p.queue.Pool })
-	registerFilter("present", func(p *placementRequest, n *node) bool {
+	registerStaticFilter("pool", func(p *placementRequest, n *node) bool { return n.executor.Pool == p.queue.Pool })
+	registerStaticFilter("present", func(p *placementRequest, n *node) bool {
 		return !n.executor.Draining && p.now.Sub(n.reportedAt) < reportTimeout && p.now.Sub(n.listedAt) < maxListAge && !p.now.Before(n.noStartsUntil)
 	})
-	registerFilter("evacuated", func(p *placementRequest, n *node) bool { return !p.engine.evacuated[n.executor.FailureDomain] })
-	registerFilter("label", func(p *placementRequest, n *node) bool {
+	registerStaticFilter("evacuated", func(p *placementRequest, n *node) bool { return !p.engine.evacuated[n.executor.FailureDomain] })
+	registerStaticFilter("label", func(p *placementRequest, n *node) bool {
 		return p.task.step.Label == "" || n.executor.HasLabel(p.task.step.Label)
 	})
+	registerFilter("orphans", func(p *placementRequest, n *node) bool { return len(n.orphanedRuns) == 0 })
+	registerFilter("memory", func(p *placementRequest, n *node) bool {
+		return n.reserved.MemoryMB+p.task.step.Need.MemoryMB <= n.executor.Capacity.MemoryMB
+	})
 	registerFilter("room", func(p *placementRequest, n *node) bool {
-		return n.reserved.Add(p.task.step.Reserved()).Fits(n.executor.Capacity) && len(n.orphanedRuns) == 0
+		return n.reserved.Add(p.task.step.Reserved()).Fits(n.executor.Capacity)
 	})
 	registerFilter("leftover", func(p *placementRequest, n *node) bool {
 		if !p.task.step.BestEffort || p.relaxed {
--- a/workflow/engine/plan.go
+++ b/workflow/engine/plan.go
@@ -1,28 +1,12 @@
 package engine
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
-// lateFactor is the multiple of the latency objective after which a job has no value left for its client.
-const lateFactor = 3
-
-// urgency is the first key by which jobs are ordered for placement.
-type urgency int
-
-const (
-	// onTime jobs can still meet their latency objectives.
-	onTime urgency = iota
-	// late jobs miss their objectives but still have some value.
-	late
-	// overdue jobs have to finish, but have no value left for their clients.
-	overdue
-)
-
 // Plan decides which waiting tasks start now. The decisions take effect in the engine immediately; the caller fetches
 // the orders with TakeOrders once the records that TakeDirty returns are stored.
 func (e *Engine) Plan(now, wall time.Time) {
@@ -37,6 +21,7 @@
 		e.startReadyTasks(c, now, wall, unplaceable)
 	}
 	e.startIdleJobs(jobs, now, wall)
+	e.explainWaits(jobs, now, wall)
 }
 
 const (
@@ -101,17 +86,7 @@
 	return float64(used) / float64(max(capacity, 1))
 }
 
-// candidate is a job with tasks to start.
-type candidate struct {
-	job     *job
-	queue   *workflow.Queue
-	urgency urgency
-	slack   time.Duration
-	// work is the estimated CPU time that the job still needs, in core milliseconds.
-	work int64
-}
-
-// readyJobs returns the jobs that have tasks to start, the most urgent first.
+// readyJobs returns the jobs that have tasks to start, in the order in which they get what is free.
 func (e *Engine) readyJobs(now, wall time.Time) []candidate {
 	var found []candidate
 	for _, j := range e.activeJobs {
@@ -124,69 +99,6 @@
 	return found
 }
 
-func compareCandidates(a, b candidate) int {
-	return cmp.Or(
-		cmp.Compare(a.urgency, b.urgency),
-		cmp.Compare(a.queue.Priority, b.queue.Priority),
-		cmp.Compare(a.work, b.work),
-		cmp.Compare(a.slack, b.slack),
-		// Among long-running jobs, those with the most constraints and the largest tasks go first: they fit the fewest
-		// executors.
-		cmp.Compare(b.minExecutors(), a.minExecutors()),
-		cmp.Compare(b.job.Steps[0].Need.MilliCores, a.job.Steps[0].Need.MilliCores),
-		cmp.Compare(a.job.ID, b.job.ID),
-	)
-}
-
-// minExecutors returns how many executors the first step of a job needs for its per-executor limit; 0 if it isn't a
-// long-running step or has no such limit.
-func (c candidate) minExecutors() int {
-	s := &c.job.Steps[0]
-	if !s.LongRunning || s.PerExecutor == 0 {
-		return 0
-	}
-	return s.Count / s.PerExecutor
-}
-
-// rank computes the urgency, slack and remaining work of a job.
-func (e *Engine) rank(j *job, now time.Time) candidate {
-	q := e.queueOf(j)
-	c := candidate{job: j, queue: q}
-	if j.isLongRunning() || j.Occurrences > 0 {
-		return c
-	}
-	objective := latencyObjective(j, q)
-	projected := now.Sub(j.acceptedAt) + j.remainingPath
-	c.slack = objective - projected
-	c.work = j.remainingWork()
-	switch {
-	case projected > lateFactor*objective:
-		c.urgency = overdue
-	case projected > objective:
-		c.urgency = late
-	default:
-		c.urgency = onTime
-	}
-	return c
-}
-
-// latencyObjective returns the time from acceptance within which a job has its full value.
-func latencyObjective(j *job, q *workflow.Queue) time.Duration {
-	return time.Duration(q.Stretch*float64(j.criticalPath)) + time.Duration(q.ObjectiveMillis)*time.Millisecond
-}
-
-func (j *job) isLongRunning() bool { return j.Steps[len(j.Steps)-1].LongRunning }
-
-// remainingWork returns the estimated CPU time that a job still needs, in core milliseconds.
-func (j *job) remainingWork() int64 {
-	total := int64(0)
-	for i := range j.groups {
-		s := &j.Steps[j.groups[i].step]
-		total += int64(len(j.groups[i].tasks)-j.groups[i].done) * s.Need.MilliCores * s.EstimateMillis / 1000
-	}
-	return total
-}
-
 func (e *Engine) hasReadyTask(j *job, now, wall time.Time) bool {
 	for i := range j.groups {
 		if e.groupReady(j, &j.groups[i], wall) && slices.ContainsFunc(j.groups[i].tasks, func(t *task) bool { return t.canStart(now) }) {
--- a/workflow/engine/simulation_test.go
+++ b/workflow/engine/simulation_test.go
@@ -18,6 +18,9 @@
 	reportInterval = 900 * time.Millisecond
 	// tickInterval is how often the simulated owner calls Tick.
 	tickInterval = 100 * time.Millisecond
+	// minRunDuration and maxRunDuration limit how long a run takes, whatever its estimate says.
+	minRunDuration = 200 * time.Millisecond
+	maxRunDuration = 2 * time.Second
 )
 
 // simulation drives an engine with simulated executors in steps of planInterval. Its load is drawn from a seed: serving
@@ -35,6 +38,9 @@
 	submitted map[string]time.Time
 	objective map[string]time.Duration
 	ended     map[string]time.Duration
+	// jobSteps and jobTasks are the numbers of steps and tasks of each job, and longest is the longest run of each step.
+	jobSteps, jobTasks map[string]int
+	longest            map[stepKey]time.Duration
 }
 
 // simulatedNode is a node with its executor.
@@ -60,6 +66,7 @@
 	s := &simulation{
 		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)), byName: map[string]*simulatedNode{},
 		submitted: map[string]time.Time{}, objective: map[string]time.Duration{}, ended: map[string]time.Duration{},
+		jobSteps: map[string]int{}, jobTasks: map[string]int{}, longest: map[stepKey]time.Duration{},
 	}
 	s.began = s.now
 	s.engine = engine.New(engine.Settings{
@@ -90,7 +97,10 @@
 	}
 	job := workflow.Job{ID: fmt.Sprintf("%016x", s.jobs), Steps: steps, Queue: queue, AcceptedUnixMillis: s.now.UnixMilli()}
 	s.engine.Add(job, nil, s.now, s.now)
-	s.submitted[job.ID] = s.now
+	s.submitted[job.ID], s.jobSteps[job.ID] = s.now, len(steps)
+	for i := range steps {
+		s.jobTasks[job.ID] += steps[i].Count
+	}
 	s.objective[job.ID] = s.engine.Objective(job.ID)
 	return job.ID
 }
@@ -199,6 +209,7 @@
 			return false
 		}
 		n.ends++
+		s.recordRun(r)
 		how := workflow.EndDone
 		if s.random.IntN(50) == 0 {
 			how = workflow.EndFailed
@@ -239,7 +250,7 @@
 		s.starts++
 		n.running = append(n.running, &simulatedRun{
 			state: workflow.RunState{Task: o.Task, Run: o.Run}, traits: o.RunTraits, began: s.now, forever: o.TargetMillis > 0,
-			duration: time.Duration(200+s.random.IntN(1800)) * time.Millisecond,
+			duration: minRunDuration + time.Duration(s.random.Int64N(int64(maxRunDuration-minRunDuration))),
 		})
 		s.engine.HandleOrderResult(n.name, 1, &workflow.OrderResult{Task: o.Task, Run: o.Run, Outcome: workflow.OutcomeDone, Sequence: 1}, s.now)
 	}
--- a/workflow/engine/speed.go
+++ b/workflow/engine/speed.go
@@ -77,13 +77,35 @@
 	return durations[len(durations)/2]
 }
 
-// recordDuration updates the executor's slowness with the duration of a finished run, compared with other tasks of its
-// group.
+// medianDuration returns the median duration of the finished tasks of a group; 0 if none is known.
+func (g *group) medianDuration() time.Duration {
+	if g.medianOf == g.done {
+		return g.median
+	}
+	var durations []time.Duration
+	for _, t := range g.tasks {
+		if t.duration > 0 {
+			durations = append(durations, t.duration)
+		}
+	}
+	g.medianOf, g.median = g.done, 0
+	if len(durations) > 0 {
+		slices.Sort(durations)
+		g.median = durations[len(durations)/2]
+	}
+	return g.median
+}
+
+// recordDuration records the duration of a finished first run and updates the executor's slowness with it, compared with
+// other tasks of its group.
 func (n *node) recordDuration(t *task) {
-	if !t.indicatesSpeed() || t.startedAt.IsZero() || t.saved != "" {
+	if t.startedAt.IsZero() || t.run > 1 || t.step.LongRunning {
 		return
 	}
 	t.duration = n.listedAt.Sub(t.startedAt)
+	if !t.indicatesSpeed() || t.saved != "" {
+		return
+	}
 	usual := t.group.typicalDuration(t)
 	if usual == 0 {
 		return
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -65,6 +65,11 @@
 	interference *interference.Model
 	// quarantine tracks executors whose tasks fail, by node name.
 	quarantine *quarantine.Model
+	// durations holds the model of task durations of each queue, and meanWork the mean work of its jobs in core seconds.
+	durations map[string]*durationModel
+	meanWork  map[string]float64
+	// waits holds the reasons of waiting jobs that the owner has not taken yet.
+	waits []Wait
 }
 
 // outbox collects the orders for a node until the records behind them are stored.
@@ -84,13 +89,12 @@
 	endedUnixMillis int64
 	// acceptedAt is when the job was accepted, on the owner's monotonic clock.
 	acceptedAt time.Time
-	// criticalPath is the largest sum of estimates along dependent steps, for the whole job.
-	criticalPath time.Duration
-	// remainingPath is the critical path over the steps that have not finished.
-	remainingPath time.Duration
-	cancelled     bool
+	cancelled  bool
 	// idleSince is when Plan first found the job ready with no task running; zero while a task runs.
 	idleSince time.Time
+	// waitReason is why the job's first ready task did not start when that was last looked for, at waitExplainedAt.
+	waitReason      string
+	waitExplainedAt time.Time
 }
 
 // group holds the tasks of one step in one occurrence.
@@ -98,6 +102,9 @@
 	occurrence, step int
 	tasks            []*task
 	done             int
+	// median caches the median duration of the finished tasks when medianOf of them were done.
+	median   time.Duration
+	medianOf int
 	// lowest caches the lowest latency of the group's tasks as of lowestAt.
 	lowest   lowestLatency
 	lowestAt time.Time
@@ -216,6 +223,8 @@
 
 		interference: newInterference(),
 		quarantine:   newQuarantine(),
+		durations:    map[string]*durationModel{},
+		meanWork:     map[string]float64{},
 	}
 }
 
@@ -277,7 +286,7 @@
 	if j.phase.Final() {
 		delete(e.activeJobs, j.ID)
 	}
-	j.updateCriticalPaths()
+	e.observeWork(j)
 	if e.pendingCancellations[j.ID] {
 		delete(e.pendingCancellations, j.ID)
 		e.Cancel(j.ID, wall)
