--- a/workflow/engine/interference.go
+++ b/workflow/engine/interference.go
@@ -23,7 +23,7 @@
 	baselineSample = 100.0
 	// admissionThreshold is the fraction of a serving task's latency target up to which best-effort tasks are placed
 	// beside it.
-	admissionThreshold = 0.75
+	admissionThreshold = 0.83
 	// evictionThreshold is the fraction of that target from which best-effort tasks are evicted.
 	evictionThreshold = 0.85
 	// sampleLag is the time until a started task shows in the latencies.
--- a/workflow/engine/interference_test.go
+++ b/workflow/engine/interference_test.go
@@ -133,3 +133,32 @@
 	}
 	s.Assert(starts, qt.Equals, 1)
 }
+
+// Guards against jobs that wait although the serving tasks would stay below their targets by a sixth: in a burst of best-effort
+// work, the margin that is kept decides how much of it is served.
+func TestHeadroomBelowTargetIsUsed(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(newSharingHarness(t, 33).starts(45), qt.Equals, 1)
+}
+
+// Guards against best-effort work that waits beside reservations that are used to half: when serving tasks reserve all CPU,
+// nothing else is left for it.
+func TestBestEffortTasksUseHalfOfIdleReservations(t *testing.T) {
+	h := newHarness(t)
+	h.now = h.now.Add(2 * time.Second)
+	x := executor("a", 1)
+	serving, bestEffort := step(4), step(3)
+	serving.LongRunning, serving.TargetMillis, serving.Image = true, 100, "serving"
+	bestEffort.BestEffort, bestEffort.Image, bestEffort.Need.MilliCores = true, "filling", 1250
+	h.engine.Add(h.job(serving), nil, h.now, h.now)
+	h.report("a", x, nil, nil)
+	running := h.accept("a", h.plan()["a"])
+	h.Assert(running, qt.HasLen, 4)
+	for i := range running {
+		running[i].Usage = 10
+	}
+	h.engine.Add(h.job(bestEffort), nil, h.now, h.now)
+	h.report("a", x, running, nil)
+	// Of 4 cores, 2.2 are expected to stay unused. The second task starts with part of its request, the third has to wait.
+	h.Assert(h.plan()["a"].Starts, qt.HasLen, 2)
+}
--- a/workflow/engine/placement.go
+++ b/workflow/engine/placement.go
@@ -119,7 +119,7 @@
 	// quarantinePenalty keeps long-running tasks off quarantined executors unless no other has room.
 	quarantinePenalty = 4
 	// servingUtilization is the fraction of its reserved CPU that a serving task is expected to use.
-	servingUtilization = 0.6
+	servingUtilization = 0.45
 )
 
 func init() {
