Pace best-effort tasks by how much they disturb

What a task takes of the headroom for each core differs by image, by more than ten times.

Change: node/sharing/paces.go spreads the pace that the controller allows so that all tasks that are not light disturb equally for each core: those that disturb least keep their pace, the most disturbing give way.

--- a/node/hold.go
+++ b/node/hold.go
@@ -249,11 +249,8 @@
 	if level == sharing.FullPace && latency < sharing.NearTargetRatio {
 		clear(n.nearTarget)
 	}
-	for _, run := range bestEffort {
-		percent := level
-		if level > 0 && n.isNegligible(n.traits[run.Task].Image) {
-			percent = sharing.FullPace
-		}
+	for i, percent := range sharing.Paces(level, n.disturbances(bestEffort)) {
+		run := bestEffort[i]
 		current, known := n.paces[run.Task]
 		if !known {
 			current = sharing.FullPace
@@ -291,14 +288,25 @@
 	return "", false
 }
 
-// isNegligible reports whether an image is known to have little effect on each serving image in nearTarget. Its tasks then keep
-// their full pace.
-func (n *Node) isNegligible(image string) bool {
+// disturbances returns how much each best-effort run takes from the serving images in nearTarget.
+func (n *Node) disturbances(runs []workflow.RunState) []sharing.Disturbance {
+	found := make([]sharing.Disturbance, len(runs))
+	for i := range runs {
+		traits := n.traits[runs[i].Task]
+		found[i] = sharing.Disturbance{Loss: n.maxLoss(traits.Image), MilliCores: traits.MilliCores}
+	}
+	return found
+}
+
+// maxLoss returns the largest loss of headroom that an image causes to a serving image in nearTarget.
+func (n *Node) maxLoss(image string) float64 {
+	largest := 0.0
 	for serving := range n.nearTarget {
 		loss, known := n.losses[serving][image]
-		if !known || loss >= sharing.NegligibleLoss {
-			return false
+		if !known {
+			loss = sharing.UnknownLoss
 		}
+		largest = max(largest, loss)
 	}
-	return true
+	return largest
 }
