Pace light best-effort tasks too while a serving task stays over its target

Such images kept their full pace however long that lasted. What an image takes changes within seconds, so the kept code could do the same.

Change: from one second over the target on, all images get the controller's pace, and from two seconds on all are halted.

Ruled out: a lost call or a silent executor (its lists came all the while, no pace was ordered), the store (stable from 11 to 31 s).

--- a/node/hold.go
+++ b/node/hold.go
@@ -249,7 +249,7 @@
 	if level == sharing.FullPace && latency < sharing.NearTargetRatio {
 		clear(n.nearTarget)
 	}
-	for i, percent := range sharing.Paces(level, n.disturbances(bestEffort)) {
+	for i, percent := range n.pacer.Paces(n.disturbances(bestEffort), now) {
 		run := bestEffort[i]
 		current, known := n.paces[run.Task]
 		if !known {
--- a/node/sharing/paces.go
+++ b/node/sharing/paces.go
@@ -18,10 +18,10 @@
 
 func (d Disturbance) atFullPace() float64 { return d.Loss * float64(max(d.MilliCores, 1)) }
 
-// Paces returns a pace in percent for each task, so that all of them together disturb as much as if each had the pace of
+// spread returns a pace in percent for each task, so that all of them together disturb as much as if each had the pace of
 // the level. Tasks that disturb little for each core keep their full pace, and the others disturb equally for each core:
 // this takes the least work from best-effort tasks while serving tasks are near their targets.
-func Paces(level int, tasks []Disturbance) []int {
+func spread(level int, tasks []Disturbance) []int {
 	paces := make([]int, len(tasks))
 	order := make([]int, len(tasks))
 	total := 0.0
--- a/node/sharing/sharing.go
+++ b/node/sharing/sharing.go
@@ -31,6 +31,11 @@
 	releaseStep = 30
 	// minPace is the lowest pace in percent; a reduction below it halts the tasks.
 	minPace = 8
+	// exemptionLimit is how long a serving task may be over its target before images that are known to disturb little are
+	// paced too: what is known of them may no longer hold. haltLimit is the time after which all best-effort tasks are
+	// halted. Both leave time for the measured latency, which is up to a second old.
+	exemptionLimit = time.Second
+	haltLimit      = 2 * time.Second
 	// settleTime is how long a change of pace takes to show in the measured latencies.
 	settleTime = 450 * time.Millisecond
 )
@@ -39,6 +44,8 @@
 type Controller struct {
 	pace      int
 	changedAt time.Time
+	// overSince is when a serving task was first seen over its target; zero if none is.
+	overSince time.Time
 }
 
 // NewController returns a controller at full pace.
@@ -50,10 +57,20 @@
 // Observe updates the pace from the largest ratio of a serving task's tail latency to its target, and returns the pace. The
 // ratio is 0 if there are no serving tasks.
 func (c *Controller) Observe(ratio float64, now time.Time) int {
+	switch {
+	case ratio < 1:
+		c.overSince = time.Time{}
+	case c.overSince.IsZero():
+		c.overSince = now
+	}
 	if ratio <= 0 {
 		c.pace = FullPace
 		return c.pace
 	}
+	if c.overFor(now) >= haltLimit && c.pace > 0 {
+		c.pace, c.changedAt = 0, now
+		return c.pace
+	}
 	if now.Sub(c.changedAt) < settleTime {
 		return c.pace
 	}
@@ -74,3 +91,23 @@
 	}
 	return c.pace
 }
+
+// overFor returns how long a serving task has been over its target.
+func (c *Controller) overFor(now time.Time) time.Duration {
+	if c.overSince.IsZero() {
+		return 0
+	}
+	return now.Sub(c.overSince)
+}
+
+// Paces returns a pace in percent for each task at the controller's current pace.
+func (c *Controller) Paces(tasks []Disturbance, now time.Time) []int {
+	if c.overFor(now) < exemptionLimit {
+		return spread(c.pace, tasks)
+	}
+	paces := make([]int, len(tasks))
+	for i := range paces {
+		paces[i] = c.pace
+	}
+	return paces
+}
