Answer a repeated submission as the earlier one while the store can't be asked

A client whose answer was lost submits its job again. With the store down, the gateway answered 503, which says that the job was not accepted and never runs, although the first submission was stored, or was still under way.

Change: the owner answers a relayed job that it knows; a gateway remembers the jobs that it accepted, and those without a result, 20,000 at most, and answers 200 or 504 instead of 503.

Ruled out: asking the store (it is what is down); asking all gateways (a second list of jobs, for the few seconds until the store is back).

Figures: TestRepeatedSubmissionDuringStoreOutage and TestRejectionDoesNotContradictUnknownResult fail without the two parts, each alone, and pass with them.

Open: another gateway that reaches neither the owner nor the store still answers 503, see the questions in docs/design.md.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,8 @@
 
 	config atomic.Pointer[workflow.Config]
 
+	submitted *submissions
+
 	mu     sync.Mutex
 	phases map[string]workflow.Phase
 }
@@ -73,7 +75,7 @@
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 13)
 	return &Gateway{
 		store: store, locator: locator, rpc: client, log: log, writer: intake.NewWriter(store, log),
-		phases: map[string]workflow.Phase{},
+		phases: map[string]workflow.Phase{}, submitted: newSubmissions(),
 		metrics: metrics{
 			accepted: scope.Counter("jobs_accepted"), repeated: scope.Counter("jobs_repeated"),
 			unavailable: scope.Counter("requests_unavailable"), unsupported: scope.Counter("requests_unsupported"), unknown: scope.Counter("requests_unknown"),
@@ -119,6 +121,9 @@
 		return eris.Wrap(ErrUnavailable, err.Error())
 	}
 	repeated, err := g.create(ctx, job.ID, value)
+	if errors.Is(err, ErrUnavailable) {
+		repeated, err = g.recallSubmission(job.ID, err)
+	}
 	g.metrics.acceptTime.RecordDuration(time.Since(started))
 	took := time.Since(started).Milliseconds()
 	switch {
@@ -126,9 +131,11 @@
 		g.metrics.unavailable.Inc(1)
 		g.log.Info("job rejected", "job", job.ID, "queue", job.Queue.Name, "took_ms", took, "error", err)
 	case err != nil:
+		g.submitted.remember(job.ID, false)
 		g.metrics.unknown.Inc(1)
 		g.log.Info("job without a result", "job", job.ID, "queue", job.Queue.Name, "took_ms", took, "error", err)
 	default:
+		g.submitted.remember(job.ID, true)
 		if repeated {
 			g.metrics.repeated.Inc(1)
 		} else {
@@ -139,6 +146,18 @@
 	return err
 }
 
+// recallSubmission replaces a rejection by the result of an earlier submission of the same job, which the rejection would
+// contradict: the client must not be told that a job was not accepted that runs, or may run later.
+func (g *Gateway) recallSubmission(id string, rejection error) (repeated bool, err error) {
+	switch accepted, known := g.submitted.find(id); {
+	case !known:
+		return false, rejection
+	case accepted:
+		return true, nil
+	}
+	return false, eris.Wrapf(ErrUnknown, "an earlier submission had no result: %v", rejection)
+}
+
 func (g *Gateway) configVersion() int64 {
 	if c := g.config.Load(); c != nil {
 		return c.Version
--- /dev/null
+++ b/gateway/submissions.go
@@ -0,0 +1,37 @@
+package gateway
+
+import "sync"
+
+// maxRememberedSubmissions limits the submissions whose results are remembered.
+const maxRememberedSubmissions = 20000
+
+// submissions remembers the results of submissions, by job, that a later one of the same job must not contradict while the
+// store can't be asked. Beyond maxRememberedSubmissions the oldest half is forgotten.
+type submissions struct {
+	mu sync.Mutex
+	// newer and older hold true for an accepted job and false for one whose result was unknown.
+	newer, older map[string]bool
+}
+
+func newSubmissions() *submissions { return &submissions{newer: map[string]bool{}} }
+
+// remember records that a job was accepted, or that the result of its submission was unknown.
+func (s *submissions) remember(job string, accepted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.newer) >= maxRememberedSubmissions/2 {
+		s.newer, s.older = map[string]bool{}, s.newer
+	}
+	s.newer[job] = accepted
+}
+
+// find returns the result of an earlier submission of a job. known is false if there was none, or if it was rejected.
+func (s *submissions) find(job string) (accepted, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if accepted, known = s.newer[job]; known {
+		return accepted, true
+	}
+	accepted, known = s.older[job]
+	return accepted, known
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -241,13 +241,21 @@
 	if !rpc.ReadJSON(w, r, maxReportBytes, &value) {
 		return
 	}
-	if c.loadedTerm(r.Context()) == nil {
+	t := c.loadedTerm(r.Context())
+	if t == nil {
 		rpc.WriteNotOwner(w)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), createTimeout)
 	defer cancel()
 	id := mux.Vars(r)["id"]
+	// A client whose answer was lost submits a job again. It must not be told that the job was not accepted, even if the
+	// store can't be asked.
+	if t.knows(ctx, id) {
+		c.Log.Info("relayed job is known", "job", id)
+		rpc.WriteJSON(w, http.StatusOK, struct{}{})
+		return
+	}
 	_, err := c.writer.Create(ctx, JobPrefix+id, value)
 	c.Log.Info("job relayed", "job", id, "error", err)
 	switch {
--- a/owner/serve.go
+++ b/owner/serve.go
@@ -127,6 +127,11 @@
 	}
 }
 
+// knows reports whether a job is stored, as far as the owner has read the store.
+func (t *term) knows(ctx context.Context, id string) (known bool) {
+	return t.query(ctx, func() { _, known = t.engine.Phase(id) }) && known
+}
+
 // deliver sends orders to a node and passes their results to the engine.
 func (t *term) deliver(d *engine.NodeOrders) {
 	ctx, cancel := context.WithTimeout(context.Background(), ordersTimeout)
--- a/test/workflows/faults_test.go
+++ b/test/workflows/faults_test.go
@@ -116,6 +116,46 @@
 	})
 }
 
+// Guards against a client that is told that its job was not accepted although it runs: the answer to its first submission was
+// lost, and the store is down when it submits the job again, to the same entry or to another one.
+func TestRepeatedSubmissionDuringStoreOutage(t *testing.T) {
+	for _, outage := range []time.Duration{200 * time.Millisecond, 3 * time.Second} {
+		runWithFleet(t, 4, func(f *fleet) {
+			other := f.newGateway("other-entry", f.entryStore)
+			job := f.newJob(4)
+			f.Assert(f.gateway.Submit(f.ctx, &job), qt.IsNil)
+			time.Sleep(200 * time.Millisecond)
+			f.setStoreFaults(kvtest.Faults{Unavailable: true})
+			time.Sleep(outage)
+			f.Assert(f.gateway.Submit(f.ctx, &job), qt.IsNil)
+			if outage < time.Second {
+				// The owner still holds its lease, and knows the job.
+				f.Assert(other.Submit(f.ctx, &job), qt.IsNil)
+			}
+			f.setStoreFaults(kvtest.Faults{Delay: storeDelay})
+			f.waitCompleted(30*time.Second, job.ID)
+			f.Assert(f.checker.startCount(), qt.Equals, 4)
+		})
+	}
+}
+
+// Guards against a client that is told that its job was not accepted, while an earlier submission of it may still be carried
+// out: its answer was lost, and the store is down when the job is submitted again.
+func TestRejectionDoesNotContradictUnknownResult(t *testing.T) {
+	runWithFleet(t, 4, func(f *fleet) {
+		f.submit(1)
+		f.setStoreFaults(kvtest.Faults{ResponseLoss: 1, CommitDelay: 2 * time.Second})
+		job := f.newJob(2)
+		f.Assert(f.gateway.Submit(f.ctx, &job), qt.ErrorIs, gateway.ErrUnknown)
+		f.setStoreFaults(kvtest.Faults{Unavailable: true})
+		time.Sleep(500 * time.Millisecond)
+		f.Assert(f.gateway.Submit(f.ctx, &job), qt.ErrorIs, gateway.ErrUnknown)
+		f.setStoreFaults(kvtest.Faults{Delay: storeDelay})
+		f.waitFor(30*time.Second, func() bool { return f.gateway.Submit(f.ctx, &job) == nil })
+		f.waitCompleted(30*time.Second, job.ID)
+	})
+}
+
 // Guards against leases that expire during a store outage of typical length, which loses the work of their tasks. If
 // leases are not renewed without the store, they last one second (on vaidlusmaja-grown scale-1, 335 runs expired in 6.6 s).
 func TestLeasesOutlastAnOutage(t *testing.T) {
--- a/test/workflows/fleet_test.go
+++ b/test/workflows/fleet_test.go
@@ -95,14 +95,20 @@
 		h.start()
 	}
 	f.entryStore = f.newStoreClient(100)
-	monitor := kv.NewMonitor(f.entryStore)
-	locator := ownership.NewLocator(monitor, hclog.NewNullLogger())
-	f.gateway = gateway.New(monitor, locator, f.newRPCClient("entry"), hclog.NewNullLogger(), tally.NoopScope)
-	go locator.Run(ctx)
-	go f.gateway.Run(ctx, operators{})
+	f.gateway = f.newGateway("entry", f.entryStore)
 	return f
 }
 
+// newGateway starts a gateway that reaches the store through a client.
+func (f *fleet) newGateway(address string, store *kvtest.Client) *gateway.Gateway {
+	monitor := kv.NewMonitor(store)
+	locator := ownership.NewLocator(monitor, hclog.NewNullLogger())
+	g := gateway.New(monitor, locator, f.newRPCClient(address), hclog.NewNullLogger(), tally.NoopScope)
+	go locator.Run(f.ctx)
+	go g.Run(f.ctx, operators{})
+	return g
+}
+
 func (f *fleet) newStoreClient(seed uint64) *kvtest.Client {
 	client := f.store.Client(seed)
 	client.SetFaults(kvtest.Faults{Delay: storeDelay})
