--- a/scheduler/candidates.go
+++ b/scheduler/candidates.go
@@ -11,8 +11,6 @@
 const (
 	// ReasonUnreported rejects a worker that has not reported, which counts as full.
 	ReasonUnreported Reason = "worker has not reported"
-	// ReasonAvoided rejects a worker on which the task failed before.
-	ReasonAvoided Reason = "task failed on this worker before"
 	// ReasonFull means that the task needs more than is free on any worker.
 	ReasonFull Reason = "not enough free processors, memory or accelerators"
 	// ReasonQuota means that the team would exceed its quota.
--- a/shard/lifecycle/settings.go
+++ b/shard/lifecycle/settings.go
@@ -20,8 +20,6 @@
 	ServiceLease time.Duration
 	// OwnerValidity is how long an owner renews leases after the newest proof of its ownership.
 	OwnerValidity time.Duration
-	// EvacuationBatch bounds the batch tasks that leave failure domains at the same time.
-	EvacuationBatch int
 	// Retention is how long an ended job is remembered, so that a repeated submission doesn't run it again.
 	Retention time.Duration
 }
@@ -30,7 +28,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		Lease: 4 * time.Second, Margin: 3 * time.Second, ServiceMargin: 61 * time.Second, ServiceLease: 600 * time.Second,
-		OwnerValidity: 30 * time.Second, EvacuationBatch: 32, Retention: 24 * time.Hour,
+		OwnerValidity: 30 * time.Second, Retention: 24 * time.Hour,
 	}
 }
 
--- a/shard/module.go
+++ b/shard/module.go
@@ -67,7 +67,6 @@
 	dependencies Dependencies
 	poller       poller
 	owner        atomic.Pointer[Owner]
-	startedAt    time.Time
 	draining     atomic.Bool
 	stop         context.CancelFunc
 	done         sync.WaitGroup
@@ -104,7 +103,6 @@
 // Start implements kernel.Module.
 func (m *Module) Start(ctx context.Context) error {
 	ctx, m.stop = context.WithCancel(ctx)
-	m.startedAt = m.clock.Now()
 	if m.settings.Candidate {
 		m.done.Go(func() { m.run(ctx) })
 	}
--- a/workflow/engine/job.go
+++ b/workflow/engine/job.go
@@ -6,6 +6,38 @@
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
+// job is the state of one job.
+type job struct {
+	workflow.Job
+	phase workflow.Phase
+	// storedPhase is the last stored phase, which is the one reported to clients.
+	storedPhase     workflow.Phase
+	tasks           []*task
+	groups          []group
+	endedUnixMillis int64
+	// acceptedAt is when the job was accepted, on the owner's monotonic clock.
+	acceptedAt time.Time
+	cancelled  bool
+	// idleSince is when Plan first found the job ready with no task running; zero while a task runs.
+	idleSince time.Time
+	// waitReason is why the job's first ready task did not start when that was last looked for, at waitExplainedAt.
+	waitReason      string
+	waitExplainedAt time.Time
+}
+
+// group holds the tasks of one step in one occurrence.
+type group struct {
+	occurrence, step int
+	tasks            []*task
+	done             int
+	// median caches the median duration of the finished tasks when medianOf of them were done.
+	median   time.Duration
+	medianOf int
+	// lowest caches the lowest latency of the group's tasks as of lowestAt.
+	lowest   lowestLatency
+	lowestAt time.Time
+}
+
 // buildTasks creates the groups and tasks of all occurrences.
 func (j *job) buildTasks() {
 	steps := len(j.Steps)
--- a/workflow/engine/node.go
+++ b/workflow/engine/node.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
 // imageCounts counts tasks by image. An executor has few images, so a list is faster than a map.
@@ -35,6 +38,49 @@
 	return 0
 }
 
+// node is a host with its executor.
+type node struct {
+	name        string
+	address     string
+	incarnation int64
+	number      int64
+	executor    workflow.Executor
+	known       bool
+	// executorIncarnation identifies the executor's current incarnation.
+	executorIncarnation string
+	// leaseExpires is when all runs on the executor have ended, unless its lease is renewed.
+	leaseExpires time.Time
+	// leaseGranted is set if the last report renewed the lease.
+	leaseGranted bool
+	// reportedAt is when the last report arrived, listedAt when the executor last listed its runs.
+	reportedAt, listedAt time.Time
+	ackedEnd             int64
+	// reserved is what assigned tasks reserve; bestEffortDemand is the CPU that best-effort tasks request, in
+	// millicores.
+	reserved         structs.Resources
+	bestEffortDemand int64
+	// servingCount is the number of serving tasks, servingReserved the CPU that they reserve, in millicores.
+	servingCount    int
+	servingReserved int64
+	// servingImages counts the serving tasks by image.
+	servingImages imageCounts
+	// headrooms caches the lowest headroom of the serving tasks of each image as of headroomsAt.
+	headrooms   []imageHeadroom
+	headroomsAt time.Time
+	// orphanedRuns lists the runs on the executor that match no assigned task.
+	orphanedRuns []workflow.RunState
+	// sampledAt is when latencies were last sampled, bestEffortEvictedAt when a best-effort task was last evicted.
+	sampledAt, bestEffortEvictedAt time.Time
+	// slowness is a moving average of task durations relative to the typical durations of their groups, as of
+	// slownessAt; 0 if unknown.
+	slowness   float64
+	slownessAt time.Time
+	// noStartsUntil blocks starts for a time after the executor has rejected one or could not be reached.
+	noStartsUntil time.Time
+	// orphanStopsAt is when stops of orphaned runs were last ordered.
+	orphanStopsAt time.Time
+}
+
 func (n *node) addTask(t *task) {
 	t.node = n
 	n.headroomsAt = time.Time{}
--- a/workflow/engine/plan.go
+++ b/workflow/engine/plan.go
@@ -49,7 +49,7 @@
 		if !free || now.Sub(j.idleSince) < maxIdleTime || j.hasAssignedTask() {
 			continue
 		}
-		if t := e.firstWaiting(j, now, wall); t != nil {
+		if t := e.firstReady(j, now, wall, false); t != nil {
 			r := e.rankExecutors(&placementRequest{engine: e, queue: c.queue, task: t, now: now, relaxed: true})
 			if n := r.best(t); n != nil {
 				e.assign(t, n, t.run+1, now)
@@ -58,22 +58,6 @@
 	}
 }
 
-// firstWaiting returns the first task of a job that can start and is not part of a gang, or nil.
-func (e *Engine) firstWaiting(j *job, now, wall time.Time) *task {
-	for i := range j.groups {
-		g := &j.groups[i]
-		if !e.groupReady(j, g, wall) || j.Steps[g.step].Gang {
-			continue
-		}
-		for _, t := range g.tasks {
-			if t.canStart(now) {
-				return t
-			}
-		}
-	}
-	return nil
-}
-
 // reservedFraction returns the fraction of all CPU that is reserved. Best-effort tasks reserve none.
 func (e *Engine) reservedFraction() float64 {
 	var used, capacity int64
@@ -90,7 +74,7 @@
 func (e *Engine) readyJobs(now, wall time.Time) []candidate {
 	var found []candidate
 	for _, j := range e.activeJobs {
-		if !e.hasReadyTask(j, now, wall) {
+		if e.firstReady(j, now, wall, true) == nil {
 			continue
 		}
 		found = append(found, e.rank(j, now))
@@ -99,13 +83,20 @@
 	return found
 }
 
-func (e *Engine) hasReadyTask(j *job, now, wall time.Time) bool {
+// firstReady returns the first task of a job that can start, or nil. Members of gangs count only if gangs is set.
+func (e *Engine) firstReady(j *job, now, wall time.Time, gangs bool) *task {
 	for i := range j.groups {
-		if e.groupReady(j, &j.groups[i], wall) && slices.ContainsFunc(j.groups[i].tasks, func(t *task) bool { return t.canStart(now) }) {
-			return true
+		g := &j.groups[i]
+		if !gangs && j.Steps[g.step].Gang || !e.groupReady(j, g, wall) {
+			continue
+		}
+		for _, t := range g.tasks {
+			if t.canStart(now) {
+				return t
+			}
 		}
 	}
-	return false
+	return nil
 }
 
 // groupReady reports whether a group has unfinished tasks that are due and whose preceding steps have all finished.
--- /dev/null
+++ b/workflow/engine/reconcile.go
@@ -0,0 +1,83 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+// reconcile compares the running and ended runs that an executor lists with the tasks assigned to it.
+func (e *Engine) reconcile(n *node, r *workflow.Report, now, wall time.Time) {
+	incarnation := n.executorIncarnation
+	n.headroomsAt = time.Time{}
+	present := make(map[string]int, len(r.Running)+len(r.Ended))
+	n.orphanedRuns = n.orphanedRuns[:0]
+	for i := range r.Running {
+		run := &r.Running[i]
+		present[run.Task] = max(present[run.Task], run.Run)
+		t := e.taskByName(run.Task)
+		if t == nil || t.phase != workflow.TaskAssigned || t.executorIncarnation != incarnation || t.run != run.Run {
+			n.orphanedRuns = append(n.orphanedRuns, *run)
+			continue
+		}
+		t.updateProgress(run, n.listedAt)
+	}
+	for i := range r.Ended {
+		end := &r.Ended[i]
+		present[end.Task] = max(present[end.Task], end.Run)
+		e.handleRunEnd(n, incarnation, end, now, wall)
+		n.ackedEnd = max(n.ackedEnd, end.Number)
+	}
+	for _, t := range e.assignedTo(incarnation) {
+		if present[t.name] >= t.run || t.startPending {
+			continue
+		}
+		e.handleUnlistedRun(t, r)
+	}
+	e.stopOrphanedRuns(n, now)
+	e.sampleLatencies(n, now)
+}
+
+// updateProgress updates a task from the state of its run that the executor listed at the given time.
+func (t *task) updateProgress(run *workflow.RunState, at time.Time) {
+	if !t.listed {
+		t.listed, t.progressedAt = true, at
+	}
+	if run.Percent != t.percent || run.Saved != t.saved {
+		t.progressedAt = at
+	}
+	t.percent, t.usage = run.Percent, run.Usage
+	t.group.lowestAt = time.Time{}
+	if run.Saved != "" {
+		t.saved = run.Saved
+	}
+}
+
+// handleUnlistedRun handles a task that its executor lists neither as running nor as ended. Its start may still arrive,
+// so a stop is ordered before the task is unassigned: an executor never starts a run after an order to stop it.
+func (e *Engine) handleUnlistedRun(t *task, r *workflow.Report) {
+	if t.startedSequence > r.CoveredSequence && t.startedIncarnation == r.Incarnation {
+		return
+	}
+	if t.stoppedSequence > 0 && t.stoppedIncarnation == r.Incarnation && r.CoveredSequence >= t.stoppedSequence {
+		e.unassign(t)
+		return
+	}
+	if t.stoppedIncarnation != r.Incarnation {
+		// Order sequences of another node process can't be compared with those of this one.
+		t.stoppedSequence = 0
+	}
+	e.requestStop(t, "its executor doesn't list it")
+	e.needsPlanning = true
+}
+
+// stopOrphanedRuns orders stops of the runs that match no assigned task.
+func (e *Engine) stopOrphanedRuns(n *node, now time.Time) {
+	if len(n.orphanedRuns) == 0 || now.Sub(n.orphanStopsAt) < stopRetry {
+		return
+	}
+	n.orphanStopsAt = now
+	for _, run := range n.orphanedRuns {
+		e.outboxFor(n.name).stops = append(e.outboxFor(n.name).stops, workflow.StopOrder{Task: run.Task, Run: run.Run, Reason: "no task is assigned to it"})
+	}
+}
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -9,7 +9,6 @@
 
 	"github.com/quetzalshed/quetzalshed/scheduler/interference"
 	"github.com/quetzalshed/quetzalshed/scheduler/quarantine"
-	"github.com/quetzalshed/quetzalshed/structs"
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
@@ -78,129 +77,6 @@
 	stops  []workflow.StopOrder
 }
 
-// job is the state of one job.
-type job struct {
-	workflow.Job
-	phase workflow.Phase
-	// storedPhase is the last stored phase, which is the one reported to clients.
-	storedPhase     workflow.Phase
-	tasks           []*task
-	groups          []group
-	endedUnixMillis int64
-	// acceptedAt is when the job was accepted, on the owner's monotonic clock.
-	acceptedAt time.Time
-	cancelled  bool
-	// idleSince is when Plan first found the job ready with no task running; zero while a task runs.
-	idleSince time.Time
-	// waitReason is why the job's first ready task did not start when that was last looked for, at waitExplainedAt.
-	waitReason      string
-	waitExplainedAt time.Time
-}
-
-// group holds the tasks of one step in one occurrence.
-type group struct {
-	occurrence, step int
-	tasks            []*task
-	done             int
-	// median caches the median duration of the finished tasks when medianOf of them were done.
-	median   time.Duration
-	medianOf int
-	// lowest caches the lowest latency of the group's tasks as of lowestAt.
-	lowest   lowestLatency
-	lowestAt time.Time
-}
-
-// task is the state of one task.
-type task struct {
-	job   *job
-	step  *workflow.Step
-	group *group
-	id    workflow.TaskID
-	name  string
-
-	phase               workflow.TaskPhase
-	run                 int
-	executorIncarnation string
-	// host is the node name of the executor incarnation. It is set even before the node has reported.
-	host     string
-	node     *node
-	failures int
-	saved    string
-
-	// startPending is set while the result of a start order is outstanding.
-	startPending bool
-	// startedSequence and startedIncarnation are the node's order sequence and incarnation of the start's result.
-	startedSequence    int64
-	startedIncarnation int64
-	// listed is set once the executor has listed the run as running.
-	listed bool
-	// stopRequested is set if the run is to be stopped; stopOrderedAt is when the stop was last ordered.
-	stopRequested bool
-	stopReason    string
-	stopOrderedAt time.Time
-	// stoppedSequence is the node's order sequence when the executor accepted the stop; 0 before.
-	stoppedSequence    int64
-	stoppedIncarnation int64
-
-	startedAt time.Time
-	// duration is how long the successful run took; 0 if unknown.
-	duration time.Duration
-	percent  float64
-	// progressedAt is when the percentage or the checkpoint last changed.
-	progressedAt time.Time
-	usage        float64
-	// failedHosts lists the hosts on which the task has failed.
-	failedHosts []string
-	// avoidedHost is a host on which the task is not started before avoidedUntil.
-	avoidedHost  string
-	avoidedUntil time.Time
-	// notBefore is the earliest time of the next start after a rejected one.
-	notBefore time.Time
-}
-
-// node is a host with its executor.
-type node struct {
-	name        string
-	address     string
-	incarnation int64
-	number      int64
-	executor    workflow.Executor
-	known       bool
-	// executorIncarnation identifies the executor's current incarnation.
-	executorIncarnation string
-	// leaseExpires is when all runs on the executor have ended, unless its lease is renewed.
-	leaseExpires time.Time
-	// leaseGranted is set if the last report renewed the lease.
-	leaseGranted bool
-	// reportedAt is when the last report arrived, listedAt when the executor last listed its runs.
-	reportedAt, listedAt time.Time
-	ackedEnd             int64
-	// reserved is what assigned tasks reserve; bestEffortDemand is the CPU that best-effort tasks request, in
-	// millicores.
-	reserved         structs.Resources
-	bestEffortDemand int64
-	// servingCount is the number of serving tasks, servingReserved the CPU that they reserve, in millicores.
-	servingCount    int
-	servingReserved int64
-	// servingImages counts the serving tasks by image.
-	servingImages imageCounts
-	// headrooms caches the lowest headroom of the serving tasks of each image as of headroomsAt.
-	headrooms   []imageHeadroom
-	headroomsAt time.Time
-	// orphanedRuns lists the runs on the executor that match no assigned task.
-	orphanedRuns []workflow.RunState
-	// sampledAt is when latencies were last sampled, bestEffortEvictedAt when a best-effort task was last evicted.
-	sampledAt, bestEffortEvictedAt time.Time
-	// slowness is a moving average of task durations relative to the typical durations of their groups, as of
-	// slownessAt; 0 if unknown.
-	slowness   float64
-	slownessAt time.Time
-	// noStartsUntil blocks starts for a time after the executor has rejected one or could not be reached.
-	noStartsUntil time.Time
-	// orphanStopsAt is when stops of orphaned runs were last ordered.
-	orphanStopsAt time.Time
-}
-
 // New returns an engine without jobs. Executor incarnations that no node reports are taken as ended after
 // settings.LeaseExpiry and TakeoverSlack.
 func New(settings Settings, now time.Time) *Engine {
--- /dev/null
+++ b/workflow/engine/task.go
@@ -0,0 +1,55 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+// task is the state of one task.
+type task struct {
+	job   *job
+	step  *workflow.Step
+	group *group
+	id    workflow.TaskID
+	name  string
+
+	phase               workflow.TaskPhase
+	run                 int
+	executorIncarnation string
+	// host is the node name of the executor incarnation. It is set even before the node has reported.
+	host     string
+	node     *node
+	failures int
+	saved    string
+
+	// startPending is set while the result of a start order is outstanding.
+	startPending bool
+	// startedSequence and startedIncarnation are the node's order sequence and incarnation of the start's result.
+	startedSequence    int64
+	startedIncarnation int64
+	// listed is set once the executor has listed the run as running.
+	listed bool
+	// stopRequested is set if the run is to be stopped; stopOrderedAt is when the stop was last ordered.
+	stopRequested bool
+	stopReason    string
+	stopOrderedAt time.Time
+	// stoppedSequence is the node's order sequence when the executor accepted the stop; 0 before.
+	stoppedSequence    int64
+	stoppedIncarnation int64
+
+	startedAt time.Time
+	// duration is how long the successful run took; 0 if unknown.
+	duration time.Duration
+	percent  float64
+	// progressedAt is when the percentage or the checkpoint last changed.
+	progressedAt time.Time
+	usage        float64
+	// failedHosts lists the hosts on which the task has failed.
+	failedHosts []string
+	// avoidedHost is a host on which the task is not started before avoidedUntil.
+	avoidedHost  string
+	avoidedUntil time.Time
+	// notBefore is the earliest time of the next start after a rejected one.
+	notBefore time.Time
+}
--- a/workflow/engine/waiting.go
+++ b/workflow/engine/waiting.go
@@ -51,7 +51,7 @@
 		if now.Sub(j.acceptedAt) < explainedWait || now.Sub(j.waitExplainedAt) < waitExplainInterval {
 			continue
 		}
-		t := e.firstReady(j, now, wall)
+		t := e.firstReady(j, now, wall, true)
 		if t == nil {
 			continue
 		}
@@ -66,21 +66,6 @@
 	}
 }
 
-// firstReady returns the first task of a job that can start, or nil.
-func (e *Engine) firstReady(j *job, now, wall time.Time) *task {
-	for i := range j.groups {
-		if !e.groupReady(j, &j.groups[i], wall) {
-			continue
-		}
-		for _, t := range j.groups[i].tasks {
-			if t.canStart(now) {
-				return t
-			}
-		}
-	}
-	return nil
-}
-
 // explainWait counts the executors that each filter rejects for a task.
 func (e *Engine) explainWait(q *workflow.Queue, t *task, now time.Time) Wait {
 	p := &placementRequest{engine: e, queue: q, task: t, now: now}
