Spread the executors without serving tasks over failure domains

Cause: serving tasks are packed, and executors that are equal were filled by name, so that those without serving tasks, the only place for images that disturb, stood in the last failure domain by name.

Change: a small score by the position of an executor in its failure domain, for serving tasks; the last executors of each domain stay free.

--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -114,6 +114,7 @@
 	n.executorIncarnation = executor.IncarnationID()
 	e.nodeByIncarnation[n.executorIncarnation] = n
 	e.quarantine.ForgetWorker(n.name)
+	e.indexDomains()
 	delete(e.unreportedHosts, n.name)
 	incarnation := n.executorIncarnation
 	for former, tasks := range e.assignedTasks {
@@ -129,6 +130,18 @@
 	e.needsPlanning = true
 }
 
+// indexDomains numbers the executors within each failure domain.
+func (e *Engine) indexDomains() {
+	counts := map[string]int{}
+	for _, n := range e.sortedNodes {
+		if !n.known {
+			continue
+		}
+		n.domainIndex = counts[n.executor.FailureDomain]
+		counts[n.executor.FailureDomain]++
+	}
+}
+
 // onHost reports whether the tasks of an incarnation are assigned to a host. A host has one executor at a time.
 func onHost(tasks []*task, host string) bool { return len(tasks) > 0 && tasks[0].host == host }
 
--- a/workflow/engine/node.go
+++ b/workflow/engine/node.go
@@ -46,6 +46,8 @@
 	number      int64
 	executor    workflow.Executor
 	known       bool
+	// domainIndex is the position of the executor among those of its failure domain, by name of the node.
+	domainIndex int
 	// executorIncarnation identifies the executor's current incarnation.
 	executorIncarnation string
 	// leaseExpires is when all runs on the executor have ended, unless its lease is renewed.
--- a/workflow/engine/placement.go
+++ b/workflow/engine/placement.go
@@ -118,6 +118,8 @@
 	failedHostPenalty = 0.5
 	// quarantinePenalty keeps long-running tasks off quarantined executors unless no other has room.
 	quarantinePenalty = 4
+	// domainIndexWeight is what the position of an executor in its failure domain counts in scores.
+	domainIndexWeight = 0.001
 	// servingUtilization is the fraction of its reserved CPU that a serving task is expected to use.
 	servingUtilization = 0.45
 )
@@ -198,6 +200,14 @@
 		}
 		return float64(n.spareMilliCores()) / capacity
 	})
+	registerScore("domains", func(p *placementRequest, n *node) float64 {
+		if p.task.step.TargetMillis == 0 {
+			return 0
+		}
+		// Of executors that are equal otherwise, serving tasks fill the first ones of each failure domain, so that those that
+		// stay free of them don't leave together with one domain.
+		return -domainIndexWeight * float64(n.domainIndex)
+	})
 	registerScore("rack", func(p *placementRequest, n *node) float64 {
 		if p.task.step.Rack == "" || n.executor.HasLabel(p.task.step.Rack) {
 			return 0
