--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -69,6 +69,8 @@
 	meanWork  map[string]float64
 	// waits holds the reasons of waiting jobs that the owner has not taken yet.
 	waits []Wait
+	// waitsToExplain is how many more jobs may be explained before the next Tick.
+	waitsToExplain int
 }
 
 // outbox collects the orders for a node until the records behind them are stored.
@@ -131,6 +133,7 @@
 // expired, and requests stops of runs that disturb serving tasks or make too little progress.
 func (e *Engine) Tick(now time.Time) {
 	e.needsPlanning = true
+	e.waitsToExplain = maxWaitsExplained
 	e.interference.Advance(now)
 	e.quarantine.Advance(now)
 	e.quarantine.SetFleetSize(len(e.nodes))
--- a/workflow/engine/waiting.go
+++ b/workflow/engine/waiting.go
@@ -7,11 +7,12 @@
 )
 
 const (
-	// explainedWait is how long a job has had a ready task before the reason is looked for, and waitExplainInterval the
-	// time between two searches for one job.
-	explainedWait       = 500 * time.Millisecond
+	// minExplainedAge is the age from which a job is explained, and waitExplainInterval the time between two searches for one
+	// job.
+	minExplainedAge     = 500 * time.Millisecond
 	waitExplainInterval = time.Second
-	// maxWaitsExplained bounds the jobs that one Plan explains, since each takes a look at all executors.
+	// maxWaitsExplained bounds the jobs that are explained between two calls of Tick, since each takes a look at all
+	// executors and may be logged.
 	maxWaitsExplained = 2
 	// noExecutorReason is the reason of a wait if no executor is known.
 	noExecutorReason = "no executor"
@@ -42,20 +43,19 @@
 
 // explainWaits looks for the reasons of jobs that still have ready tasks after a plan.
 func (e *Engine) explainWaits(jobs []candidate, now, wall time.Time) {
-	explained := 0
 	for _, c := range jobs {
 		j := c.job
-		if explained == maxWaitsExplained {
+		if e.waitsToExplain == 0 {
 			return
 		}
-		if now.Sub(j.acceptedAt) < explainedWait || now.Sub(j.waitExplainedAt) < waitExplainInterval {
+		if now.Sub(j.acceptedAt) < minExplainedAge || now.Sub(j.waitExplainedAt) < waitExplainInterval {
 			continue
 		}
 		t := e.firstReady(j, now, wall, true)
 		if t == nil {
 			continue
 		}
-		explained++
+		e.waitsToExplain--
 		j.waitExplainedAt = now
 		w := e.explainWait(c.queue, t, now)
 		if w.Reason == j.waitReason {
--- a/workflow/engine/waiting_test.go
+++ b/workflow/engine/waiting_test.go
@@ -26,7 +26,7 @@
 		return e.TakeWaits()
 	}
 	c.Assert(plan(), qt.HasLen, 0)
-	now = now.Add(explainedWait)
+	now = now.Add(minExplainedAge)
 	waits := plan()
 	c.Assert(waits, qt.HasLen, 1)
 	c.Assert(waits[0].Job, qt.Equals, j.ID)
