Bound the queues with learned durations

Cause: the owner kept a model for each queue that ever had a job; every table has a bound.

Figures: no decision changes below the bound.

--- a/node/sharing/sharing.go
+++ b/node/sharing/sharing.go
@@ -55,7 +55,7 @@
 func (c *Controller) Pace() int { return c.pace }
 
 // Observe updates the pace from the largest ratio of a serving task's tail latency to its target, and returns the pace. The
-// ratio is 0 if there are no serving tasks.
+// ratio is 0 if there are no serving tasks. The pace is 0 once the ratio has been 1 or more for haltLimit.
 func (c *Controller) Observe(ratio float64, now time.Time) int {
 	switch {
 	case ratio < 1:
--- a/workflow/engine/durations.go
+++ b/workflow/engine/durations.go
@@ -15,6 +15,8 @@
 	defaultDurationDeviation = 0.6
 	// durationSampleDecay is the factor by which the weight of earlier samples falls with each new one.
 	durationSampleDecay = 0.99
+	// maxLearnedQueues limits the queues with learned durations and mean work. Beyond it, all are learned anew.
+	maxLearnedQueues = 1024
 	// minDuration is the shortest duration that is used in logarithms.
 	minDuration = 10 * time.Millisecond
 )
@@ -78,6 +80,10 @@
 func (e *Engine) durationsOf(queue string) *durationModel {
 	m := e.durations[queue]
 	if m == nil {
+		if len(e.durations) >= maxLearnedQueues {
+			clear(e.durations)
+			clear(e.meanWork)
+		}
 		m = &durationModel{}
 		e.durations[queue] = m
 	}
--- a/workflow/engine/order_test.go
+++ b/workflow/engine/order_test.go
@@ -108,6 +108,22 @@
 	})
 }
 
+// Guards against an owner whose memory grows with each queue that a configuration ever had.
+func TestLearnedQueuesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	e := newOrderEngine(now)
+	for number := range maxLearnedQueues + 10 {
+		e.Add(workflow.Job{
+			ID: fmt.Sprintf("%016x", number), AcceptedUnixMillis: now.UnixMilli(),
+			Queue: workflow.Queue{Name: fmt.Sprintf("queue-%d", number), Pool: "pool", Stretch: 1.5},
+			Steps: []workflow.Step{{Count: 1, Need: structs.Resources{MilliCores: 1000}, EstimateMillis: 500}},
+		}, nil, now, now)
+	}
+	c.Assert(len(e.durations), qt.Equals, 10)
+	c.Assert(len(e.meanWork), qt.Equals, 10)
+}
+
 // Guards against an order that depends on the order of the input.
 func TestOrderOfJobsIsTotal(t *testing.T) {
 	c := qt.New(t)
--- a/workflow/engine/placement.go
+++ b/workflow/engine/placement.go
@@ -23,7 +23,8 @@
 // Filter decides whether an executor may run the tasks of a group.
 type Filter struct {
 	Name string
-	// Static is set if neither the load nor the history of an executor changes the decision.
+	// Static is set if the filter asks whether an executor is in service for such tasks at all, and not for its load or what
+	// became of earlier tasks.
 	Static bool
 	Admits func(p *placementRequest, n *node) bool
 }
