Bound what one job counts for in the mean work of its queue

Cause: the mean work of a queue decides how much the size of a job counts in the order. One job with an absurd request, which no executor could run, raised it by 27 orders of magnitude, so that all others counted as equally small for hundreds of jobs.

Change: a job counts for 100 times the mean at most.

--- a/workflow/engine/order.go
+++ b/workflow/engine/order.go
@@ -24,8 +24,10 @@
 	fixedValueShare = 0.3
 	// minRemainingWork is the least work, in core seconds, by which a value is divided.
 	minRemainingWork = 0.05
-	// workSampleWeight is the weight of one job in the mean work of its queue.
+	// workSampleWeight is the weight of one job in the mean work of its queue, and maxWorkSample the most that it counts for,
+	// in multiples of that mean: a job with an absurd request must not change the order of all others.
 	workSampleWeight = 0.05
+	maxWorkSample    = 100
 	// observedDeviation is the standard deviation of the logarithm of a task's duration once other tasks of its group have
 	// shown their typical duration.
 	observedDeviation = 0.3
@@ -211,6 +213,7 @@
 	if !known {
 		mean = work
 	}
+	work = min(work, maxWorkSample*mean)
 	e.meanWork[q.Name] = mean + workSampleWeight*(work-mean)
 }
 
--- a/workflow/engine/order_test.go
+++ b/workflow/engine/order_test.go
@@ -108,6 +108,23 @@
 	})
 }
 
+// Guards against one job with an absurd request that makes all others of its queue count as equally small.
+func TestAbsurdRequestDoesNotChangeMeanWork(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	e := newOrderEngine(now)
+	for number := range 40 {
+		orderedJob(e, number, 8, 0, time.Second, now)
+	}
+	before := e.meanWork[rankingQueue.Name]
+	e.Add(workflow.Job{
+		ID: fmt.Sprintf("%016x", 1000), Queue: rankingQueue, AcceptedUnixMillis: now.UnixMilli(),
+		Steps: []workflow.Step{{Count: 5000, Need: structs.Resources{MilliCores: math.MaxInt64}, EstimateMillis: math.MaxInt64 / 1_000_000}},
+	}, nil, now, now)
+	after := e.meanWork[rankingQueue.Name]
+	c.Assert(after < 10*before, qt.IsTrue, qt.Commentf("%v, before %v", after, before))
+}
+
 // Guards against an owner whose memory grows with each queue that a configuration ever had.
 func TestLearnedQueuesAreBounded(t *testing.T) {
 	c := qt.New(t)
