Narrow the margins of serving tasks only while best-effort work waits

Change: workflow/engine/pressure.go keeps a moving average, over 2 s, of the best-effort work that finds no executor by what runs. From 0.8 on, best-effort tasks are admitted up to 0.83 of a target instead of 0.75, and serving tasks are expected to use 0.45 of their reservations instead of 0.6.

--- a/workflow/engine/interference.go
+++ b/workflow/engine/interference.go
@@ -21,10 +21,7 @@
 	// baselineSample is the sample of an undisturbed serving task. With lost headroom, the sample is baselineSample
 	// times one plus the loss.
 	baselineSample = 100.0
-	// admissionThreshold is the fraction of a serving task's latency target up to which best-effort tasks are placed
-	// beside it.
-	admissionThreshold = 0.83
-	// evictionThreshold is the fraction of that target from which best-effort tasks are evicted.
+	// evictionThreshold is the fraction of a serving task's latency target from which best-effort tasks are evicted.
 	evictionThreshold = 0.85
 	// sampleLag is the time until a started task shows in the latencies.
 	sampleLag = 1200 * time.Millisecond
@@ -203,7 +200,7 @@
 		return true
 	}
 	for _, serving := range e.leastHeadrooms(n, now) {
-		if serving.headroom-e.headroomLoss(serving.image, step.Image)*cpuShare(step, n) < 1/admissionThreshold {
+		if serving.headroom-e.headroomLoss(serving.image, step.Image)*cpuShare(step, n) < 1/e.pressure.threshold() {
 			return false
 		}
 	}
--- a/workflow/engine/placement.go
+++ b/workflow/engine/placement.go
@@ -121,8 +121,6 @@
 	quarantinePenalty = 4
 	// domainIndexWeight is what the position of an executor in its failure domain counts in scores.
 	domainIndexWeight = 0.001
-	// servingUtilization is the fraction of its reserved CPU that a serving task is expected to use.
-	servingUtilization = 0.45
 )
 
 func init() {
@@ -145,7 +143,7 @@
 		if !p.task.step.BestEffort || p.relaxed {
 			return true
 		}
-		return float64(n.spareMilliCores()) >= minBestEffortShare*float64(p.task.step.Need.MilliCores)
+		return float64(n.spareMilliCores(p.engine.pressure.utilization())) >= minBestEffortShare*float64(p.task.step.Need.MilliCores)
 	})
 	registerFilter("interference", func(p *placementRequest, n *node) bool {
 		return !p.task.step.BestEffort || p.relaxed || p.engine.canAdmitBestEffort(n, p.task.step, p.now)
@@ -199,7 +197,7 @@
 			// Serving tasks are packed, so that other executors stay free of them.
 			return float64(n.reserved.MilliCores)/capacity - 1
 		}
-		return float64(n.spareMilliCores()) / capacity
+		return float64(n.spareMilliCores(p.engine.pressure.utilization())) / capacity
 	})
 	registerScore("domains", func(p *placementRequest, n *node) float64 {
 		if p.task.step.TargetMillis == 0 {
@@ -233,9 +231,9 @@
 }
 
 // spareMilliCores returns the CPU that is left for best-effort tasks, in millicores. It includes the part of the
-// serving tasks' reservations that is expected to stay unused.
-func (n *node) spareMilliCores() int64 {
-	idle := int64(float64(n.servingReserved) * (1 - servingUtilization))
+// serving tasks' reservations that is expected to stay unused at a utilization of them.
+func (n *node) spareMilliCores(utilization float64) int64 {
+	idle := int64(float64(n.servingReserved) * (1 - utilization))
 	return n.executor.Capacity.MilliCores - n.reserved.MilliCores - n.bestEffortDemand + idle
 }
 
--- a/workflow/engine/plan.go
+++ b/workflow/engine/plan.go
@@ -21,6 +21,7 @@
 		e.startReadyTasks(c, now, wall, unplaceable)
 	}
 	e.startIdleJobs(jobs, now, wall)
+	e.observePressure(jobs, now, wall)
 	e.explainWaits(jobs, now, wall)
 }
 
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -67,6 +67,8 @@
 	// durations holds the model of task durations of each queue, and meanWork the mean work of its jobs in core seconds.
 	durations map[string]*durationModel
 	meanWork  map[string]float64
+	// pressure follows the backlog of best-effort work.
+	pressure pressure
 	// waits holds the reasons of waiting jobs that the owner has not taken yet.
 	waits []Wait
 	// waitsToExplain is how many more jobs may be explained before the next Tick.
