Renew a shard's lease while its ownership is acquired

Its agents had taken the owner key 37, 55 and 44 times, and 34, 54 and 41 renewals, all but one, were answered with lease_not_found. An acquisition is a chain of store calls (grant, claim, replay of the log, record of the epoch). With calls of 1.3 s it takes longer than the lease of 3 s, which was renewed only after it. An owner that held the lease from before kept it; once load had cost it, no candidate could keep it as long as the store stayed slow.

A lapsed lease ends the acquisition.

--- a/shard/owner.go
+++ b/shard/owner.go
@@ -238,17 +238,14 @@
 	if err != nil {
 		return eris.Wrap(err, "granting a lease")
 	}
-	proof := o.clock.Now()
-	revision, err := o.claimOwnerKey(ctx, id, lease)
-	if err != nil || revision == 0 {
-		_ = o.store.Revoke(ctx, lease)
-		return err
-	}
-	t, err := o.beginTerm(ctx, id, lease, proof)
-	if err != nil {
+	acquiring, renewal := o.renewWhileAcquiring(ctx, lease)
+	t, revision, err := o.claimAndBegin(acquiring, id, lease)
+	provenAt := renewal.stop()
+	if err != nil || t == nil {
 		_ = o.store.Revoke(ctx, lease)
 		return err
 	}
+	t.provenAt = provenAt
 	o.startTerm(t)
 	// The epoch in the owner key tells agents without gossip where to send heartbeats; a failure only delays that.
 	raw, err := json.Marshal(ownerValue{Term: id, Address: o.config.Address, Epoch: t.machine.Epoch()})
@@ -259,6 +256,16 @@
 	return eris.Wrap(err, "publishing the epoch")
 }
 
+// claimAndBegin claims the owner key and begins a term. The term is nil if another process holds the key.
+func (o *Owner) claimAndBegin(ctx context.Context, id string, lease store.LeaseID) (*term, int64, error) {
+	revision, err := o.claimOwnerKey(ctx, id, lease)
+	if err != nil || revision == 0 {
+		return nil, 0, err
+	}
+	t, err := o.beginTerm(ctx, id, lease)
+	return t, revision, err
+}
+
 // publishOwner updates the directory with the owner that the store names.
 func (o *Owner) publishOwner(entry store.Entry) {
 	var value ownerValue
--- a/shard/owner_test.go
+++ b/shard/owner_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -156,6 +158,52 @@
 	c.Assert(err, qt.ErrorIs, ErrNotOwner)
 }
 
+// Guards against a shard that stays without an owner as long as the store is slow: the steps of an acquisition took longer
+// together than the lease, which was not renewed before they had ended (found by TestSlowStore beside a loaded machine).
+func TestAcquisitionOutlastsSlowStore(t *testing.T) {
+	for slow := int64(200); slow <= 1900; slow += 100 {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			o := candidateAtSlowStore(slow)
+			stop := keepAlive(t.Context(), o)
+			defer stop()
+			c.Assert(o.Acquire(t.Context()), qt.IsNil, qt.Commentf("calls take %d ms", slow))
+			time.Sleep(3 * o.config.LeaseTTL)
+			_, owns := o.Owns()
+			c.Assert(owns, qt.IsTrue, qt.Commentf("calls take %d ms", slow))
+		})
+	}
+}
+
+// candidateAtSlowStore returns a candidate on the system's clock, at a store whose calls take the given time in milliseconds.
+func candidateAtSlowStore(slow int64) *Owner {
+	system := clock.System{}
+	owners := gossip.NewOwnerTable()
+	s := storetest.New(system)
+	s.SetFaults(storetest.Faults{SlowMillis: slow})
+	followed := NewFollowerConfig(config.NewFollower(system), system)
+	client := NewClient(owners, s, system)
+	o := NewOwner(DefaultConfig(0, "one", "127.0.0.1:1"), s, system, followed, scheduler.Plan, owners, client, hclog.NewNullLogger())
+	o.RunSynchronously()
+	return o
+}
+
+// keepAlive renews the lease of an owner at its own pace, as its module does, until stop is called.
+func keepAlive(ctx context.Context, o *Owner) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var calls sync.WaitGroup
+	calls.Go(func() {
+		for ctx.Err() == nil {
+			time.Sleep(o.config.KeepAliveEvery)
+			calls.Go(func() { _ = o.KeepAlive(ctx) })
+		}
+	})
+	return func() {
+		cancel()
+		calls.Wait()
+	}
+}
+
 // Guards against events that are lost or duplicated when store requests or responses are lost.
 func TestLostResponsesOfAppends(t *testing.T) {
 	for name, faults := range map[string]storetest.Faults{
--- a/shard/term.go
+++ b/shard/term.go
@@ -64,7 +64,7 @@
 }
 
 // beginTerm replays the log and appends the epoch record of a new term.
-func (o *Owner) beginTerm(ctx context.Context, id string, lease store.LeaseID, proof time.Time) (*term, error) {
+func (o *Owner) beginTerm(ctx context.Context, id string, lease store.LeaseID) (*term, error) {
 	const maxReplays = 5
 	for range maxReplays {
 		r, err := replay(ctx, o.store, o.config.Shard)
@@ -90,7 +90,7 @@
 		machine.OnAttemptEnd = func(ended lifecycle.AttemptEnd) { model.observeAttemptEnd(ended, o.clock.Now()) }
 		return &term{
 			id: id, lease: lease, machine: machine, models: model, ownPeriods: own, formerPeriods: longestPeriods(r.formerPeriods, own),
-			formerValidUntil: now.Add(r.formerPeriods.OwnerValidity), provenAt: proof, nextSequence: record.Sequence + 1, snapshotSequence: r.snapshotSequence,
+			formerValidUntil: now.Add(r.formerPeriods.OwnerValidity), nextSequence: record.Sequence + 1, snapshotSequence: r.snapshotSequence,
 			snapshotRevision: r.snapshotRevision, epochRecords: append(r.epochRecords, record.Sequence),
 			storedRecords: append(r.storedRecords, record.Sequence), changed: make(chan struct{}),
 		}, nil
