Take the ownership of jobs while the store is slow

Its lease of 1.5 s was granted before a read and the write that takes the ownership, and renewed 0.35 s after them for the first time. With calls of 400 ms the lease had ended by then, so that a lost owner was not replaced while the store stayed that slow.

Ruled out: renewals themselves, which run concurrently and hold the lease with calls of up to 0.9 s.

Change: the lease is granted last, and its first renewal is sent at once.

Figures: TestOwnershipIsTakenWhileStoreIsSlow, calls of 100 to 700 ms in virtual time, fails from 400 ms on without the change.

--- a/ownership/lease.go
+++ b/ownership/lease.go
@@ -52,8 +52,7 @@
 
 // Acquire takes the ownership if there is no owner. It returns nil without an error if another process has it or was faster.
 func Acquire(ctx context.Context, store kv.Store, self workflow.OwnerRecord, log hclog.Logger) (*Lease, error) {
-	sentAt := instant{time.Now(), clock.SinceBoot()}
-	lease, err := store.Grant(ctx, LeaseTTL)
+	value, err := json.Marshal(self)
 	if err != nil {
 		return nil, err
 	}
@@ -61,7 +60,9 @@
 	if err != nil {
 		return nil, err
 	}
-	value, err := json.Marshal(self)
+	// The lease is granted last, since it runs while the store answers the calls that follow.
+	sentAt := instant{time.Now(), clock.SinceBoot()}
+	lease, err := store.Grant(ctx, LeaseTTL)
 	if err != nil {
 		return nil, err
 	}
@@ -111,6 +112,8 @@
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
 	ended := make(chan struct{}, 1)
+	// Much of the lease may be over by now if the store is slow.
+	go l.renew(ctx, ended)
 	for {
 		select {
 		case <-ctx.Done():
--- a/ownership/lease_test.go
+++ b/ownership/lease_test.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,3 +31,21 @@
 		c.Assert(lease.Valid(time.Now()), qt.IsFalse)
 	})
 }
+
+// Guards against jobs without an owner as long as the store is slow: between the grant of the lease and its first renewal were
+// two calls and a pause, and together they took longer than the lease.
+func TestOwnershipIsTakenWhileStoreIsSlow(t *testing.T) {
+	for delay := 100 * time.Millisecond; delay <= 700*time.Millisecond; delay += 100 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			client := kvtest.New().Client(1)
+			client.SetFaults(kvtest.Faults{Delay: delay})
+			lease, err := Acquire(t.Context(), client, workflow.OwnerRecord{Node: "n"}, hclog.NewNullLogger())
+			c.Assert(err, qt.IsNil, qt.Commentf("calls take %v", delay))
+			c.Assert(lease, qt.IsNotNil, qt.Commentf("calls take %v", delay))
+			ctx, cancel := context.WithTimeout(t.Context(), 4*LeaseTTL)
+			defer cancel()
+			c.Assert(lease.KeepAlive(ctx), qt.IsFalse, qt.Commentf("the lease has ended, calls take %v", delay))
+		})
+	}
+}
