Halt light images at pace 0 again, and state the headroom losses in one place

The loss that is assumed of unknown images, and the bound of light ones, stood in node/sharing and in the engine.

Change: light images keep their pace only while the pace is above 0. The two figures are workflow.DefaultHeadroomLoss and workflow.LightHeadroomLoss. The spread of paces is split into steps without the repeated check.

--- a/node/hold.go
+++ b/node/hold.go
@@ -304,7 +304,7 @@
 	for serving := range n.nearTarget {
 		loss, known := n.losses[serving][image]
 		if !known {
-			loss = sharing.UnknownLoss
+			loss = workflow.DefaultHeadroomLoss
 		}
 		largest = max(largest, loss)
 	}
--- a/node/sharing/paces.go
+++ b/node/sharing/paces.go
@@ -3,10 +3,9 @@
 import (
 	"cmp"
 	"slices"
-)
 
-// UnknownLoss is the assumed loss of headroom by an image that is not known yet.
-const UnknownLoss = 4.0
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
 
 // Disturbance is what a best-effort task takes from serving tasks on its executor.
 type Disturbance struct {
@@ -16,45 +15,47 @@
 	MilliCores int64
 }
 
-func (d Disturbance) atFullPace() float64 { return d.Loss * float64(max(d.MilliCores, 1)) }
+func (d Disturbance) cores() float64 { return float64(max(d.MilliCores, 1)) }
+
+// uniform returns the same pace for a number of tasks.
+func uniform(level, tasks int) []int {
+	return slices.Repeat([]int{level}, tasks)
+}
 
 // spread returns a pace in percent for each task, so that all of them together disturb as much as if each had the pace of
-// the level. Tasks that disturb little for each core keep their full pace, and the others disturb equally for each core:
-// this takes the least work from best-effort tasks while serving tasks are near their targets.
+// the level. Light tasks keep their full pace unless the level is 0, and the others disturb equally for each core: this
+// takes the least work from best-effort tasks while serving tasks are near their targets.
 func spread(level int, tasks []Disturbance) []int {
-	paces := make([]int, len(tasks))
-	order := make([]int, len(tasks))
-	total := 0.0
-	for i := range tasks {
-		paces[i], order[i] = FullPace, i
-		if tasks[i].Loss < NegligibleLoss {
-			continue
-		}
-		total += tasks[i].atFullPace()
-	}
-	if level >= FullPace || total == 0 {
-		return paces
+	if level == 0 || level >= FullPace {
+		return uniform(level, len(tasks))
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(tasks[a].Loss, tasks[b].Loss) })
-	budget := total * float64(level) / FullPace
-	cores := 0.0
-	for _, i := range order {
-		if tasks[i].Loss >= NegligibleLoss {
-			cores += float64(max(tasks[i].MilliCores, 1))
-		}
+	paces := uniform(FullPace, len(tasks))
+	disturbing := disturbingTasks(tasks)
+	budget, cores := 0.0, 0.0
+	for _, i := range disturbing {
+		budget += tasks[i].Loss * tasks[i].cores() * float64(level) / FullPace
+		cores += tasks[i].cores()
 	}
-	for _, i := range order {
+	for _, i := range disturbing {
 		t := tasks[i]
-		if t.Loss < NegligibleLoss {
-			continue
-		}
-		taskCores := float64(max(t.MilliCores, 1))
-		share := min(budget/cores/t.Loss, 1)
-		budget -= share * t.atFullPace()
-		cores -= taskCores
-		if paces[i] = int(share * FullPace); paces[i] < minPace {
+		pace := min(budget/cores/t.Loss, 1)
+		budget -= pace * t.Loss * t.cores()
+		cores -= t.cores()
+		if paces[i] = int(pace * FullPace); paces[i] < minPace {
 			paces[i] = 0
 		}
 	}
 	return paces
 }
+
+// disturbingTasks returns the indexes of the tasks that are not light, those that disturb least for each core first.
+func disturbingTasks(tasks []Disturbance) []int {
+	var found []int
+	for i := range tasks {
+		if tasks[i].Loss >= workflow.LightHeadroomLoss {
+			found = append(found, i)
+		}
+	}
+	slices.SortStableFunc(found, func(a, b int) int { return cmp.Compare(tasks[a].Loss, tasks[b].Loss) })
+	return found
+}
--- a/node/sharing/sharing.go
+++ b/node/sharing/sharing.go
@@ -22,9 +22,6 @@
 	releaseRatio = 0.84
 	// NearTargetRatio is the ratio from which a serving task limits the pace of images that slow it down.
 	NearTargetRatio = releaseRatio
-	// NegligibleLoss is the loss of latency headroom below which an image is not paced. The loss is the one that an executor
-	// full of tasks of that image causes.
-	NegligibleLoss = 1.0
 	// FullPace is the pace of a task that is not slowed down, in percent.
 	FullPace = 100
 	// releaseStep is how much the pace is increased at once, in percentage points.
@@ -105,9 +102,5 @@
 	if c.overFor(now) < exemptionLimit {
 		return spread(c.pace, tasks)
 	}
-	paces := make([]int, len(tasks))
-	for i := range paces {
-		paces[i] = c.pace
-	}
-	return paces
+	return uniform(c.pace, len(tasks))
 }
--- a/workflow/engine/interference.go
+++ b/workflow/engine/interference.go
@@ -15,9 +15,6 @@
 	sampleInterval = 450 * time.Millisecond
 	// shareResolution is the step to which CPU shares of images are rounded, since their measurements are imprecise.
 	shareResolution = 0.01
-	// defaultLoss is the headroom that an image is assumed to take at full use of an executor until it is known. With
-	// this value, about one best-effort task is admitted beside a serving one.
-	defaultLoss = 4.0
 	// baselineSample is the sample of an undisturbed serving task. With lost headroom, the sample is baselineSample
 	// times one plus the loss.
 	baselineSample = 100.0
@@ -27,9 +24,6 @@
 	sampleLag = 1200 * time.Millisecond
 	// evictionInterval is the minimum time between two evictions from one executor.
 	evictionInterval = time.Second
-	// lightLoss is the headroom loss below which an image is preferably placed beside serving tasks, so that executors
-	// without serving tasks are left to heavier images.
-	lightLoss = 1.0
 	// defaultHeadroom is the assumed headroom of an undisturbed serving task.
 	defaultHeadroom = 2.5
 )
@@ -127,7 +121,7 @@
 func (e *Engine) headroomLoss(serving, image string) float64 {
 	estimate := e.interference.Estimate(serving, image)
 	if !estimate.Known {
-		return max(defaultLoss, estimate.Slowdown-1)
+		return max(workflow.DefaultHeadroomLoss, estimate.Slowdown-1)
 	}
 	return estimate.Slowdown - 1
 }
--- a/workflow/engine/placement.go
+++ b/workflow/engine/placement.go
@@ -151,7 +151,7 @@
 	registerFilter("unpaced", func(p *placementRequest, n *node) bool {
 		// Such an executor can't throttle best-effort tasks, so that only a stop would protect its serving tasks.
 		return !n.executor.Unpaced || !p.task.step.BestEffort || p.relaxed || n.servingCount == 0 ||
-			p.engine.maxHeadroomLoss(n, p.task.step.Image) < lightLoss
+			p.engine.maxHeadroomLoss(n, p.task.step.Image) < workflow.LightHeadroomLoss
 	})
 	registerFilter("gathering", func(p *placementRequest, n *node) bool {
 		return !p.task.step.LongRunning || p.engine.executorsDiscovered(p.now)
@@ -216,7 +216,7 @@
 	registerScore("sharing", func(p *placementRequest, n *node) float64 {
 		switch {
 		case p.task.step.BestEffort && n.servingCount > 0:
-			if p.engine.maxHeadroomLoss(n, p.task.step.Image) < lightLoss {
+			if p.engine.maxHeadroomLoss(n, p.task.step.Image) < workflow.LightHeadroomLoss {
 				return 1
 			}
 			return -1
