--- a/node/nodetest/executor.go
+++ b/node/nodetest/executor.go
@@ -56,6 +56,8 @@
 	ended        []endedRun
 	lastNumber   int64
 	unresponsive bool
+	// left is set once the executor has left; its address then refuses connections.
+	left         bool
 	delayedShare float64
 	random       *rand.Rand
 	failing      bool
@@ -83,7 +85,13 @@
 	x.fence, x.lastNumber, x.ended = 0, 0, nil
 	x.runs, x.highestRun = map[string]*run{}, map[string]int{}
 	x.deadline = time.Time{}
-	x.down = false
+	x.down, x.left = false, false
+}
+
+// Leave ends all runs and the executor, as after a planned drain. Calls are refused until Restart.
+func (x *Executor) Leave() {
+	x.Crash()
+	x.update(func() { x.left = true })
 }
 
 // Crash ends all runs. Calls get no response until Restart.
@@ -162,6 +170,10 @@
 // arrives, which is when arrives is true.
 func (x *Executor) handle(ctx context.Context, incarnation string, arrives bool, order func(responds bool) error) error {
 	x.mu.Lock()
+	if x.left {
+		x.mu.Unlock()
+		return node.ErrNotDelivered
+	}
 	if x.down || x.unresponsive {
 		x.mu.Unlock()
 		<-ctx.Done()
--- /dev/null
+++ b/test/workflows/departed_executors_test.go
@@ -0,0 +1,74 @@
+package workflows_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// maxStandstill is how long a long-running task may have no run, with room for it on other hosts, before it counts as lost.
+const maxStandstill = 9 * time.Second
+
+// submitLongRunning submits a job whose tasks run until it is cancelled, at most one on each executor, and waits until all
+// of them run.
+func (f *fleet) submitLongRunning(count int) {
+	for _, h := range f.hosts {
+		h.executor.SetDuration(time.Hour)
+	}
+	job := f.newJob(count)
+	job.Steps[0].LongRunning, job.Steps[0].PerExecutor = true, 1
+	job.Steps[0].Need = structs.Resources{MilliCores: 1000, MemoryMB: 100}
+	f.checker.recordSubmitted(job)
+	f.Assert(f.gateway.Submit(f.ctx, &job), qt.IsNil)
+	f.waitFor(10*time.Second, func() bool { return f.checker.runningCount() == count })
+}
+
+// busyHostBesideOwner returns a host that has a run and isn't the owner.
+func (f *fleet) busyHostBesideOwner() *host {
+	for _, h := range f.hosts {
+		description, _ := h.executor.Describe()
+		if h != f.owner() && f.checker.runningOn(description.IncarnationID()) > 0 {
+			return h
+		}
+	}
+	f.Fatal("no host beside the owner has a run")
+	return nil
+}
+
+// handOver stops the owner's process as at a planned stop.
+func (f *fleet) handOver() {
+	former := f.owner()
+	former.stopCandidacy()
+	<-former.candidateDone
+	former.kill()
+}
+
+// leave shuts the executor of a host down as planned.
+func (h *host) leave() {
+	description, _ := h.executor.Describe()
+	h.executor.SetDraining(true)
+	time.Sleep(3 * time.Second)
+	h.executor.Leave()
+	h.node.Leave(description.ID)
+}
+
+// Guards against long-running tasks that stand still for twice the lease of their executor: it has left as planned, its host is
+// stopped, and the owner hands over before the lease has expired (incident inc1: LOST).
+func TestTasksOfDepartedExecutorRestartDespiteHandOver(t *testing.T) {
+	runWithFleet(t, 6, func(f *fleet) {
+		f.submitLongRunning(4)
+		leaving := f.busyHostBesideOwner()
+		leaving.leave()
+		leftAt := time.Now()
+		time.Sleep(time.Second)
+		leaving.kill()
+		time.Sleep(2 * time.Second)
+		f.handOver()
+		f.waitFor(30*time.Second, func() bool { return f.checker.runningCount() == 4 })
+		f.Assert(time.Since(leftAt) <= maxStandstill, qt.IsTrue, qt.Commentf("restarted after %v", time.Since(leftAt)))
+		f.Assert(f.checker.foundViolations(), qt.HasLen, 0)
+	})
+}
--- a/test/workflows/fleet_test.go
+++ b/test/workflows/fleet_test.go
@@ -54,6 +54,7 @@
 type host struct {
 	fleet         *fleet
 	name          string
+	node          *node.Node
 	executor      *nodetest.Executor
 	store         *kvtest.Client
 	cancel        context.CancelFunc
@@ -153,6 +154,7 @@
 	f.network.Handle(h.name, router)
 	candidacy, withdraw := context.WithCancel(ctx)
 	h.cancel, h.stopCandidacy, h.candidateDone = cancel, withdraw, make(chan struct{})
+	h.node = n
 	go h.locator.Run(ctx)
 	go n.Run(ctx)
 	go ownership.Register(ctx, monitor, h.name, h.name, log)
--- a/test/workflows/invariants_test.go
+++ b/test/workflows/invariants_test.go
@@ -111,3 +111,23 @@
 	}
 	return total
 }
+
+// runningOn returns how many runs an executor has.
+func (o *invariantChecker) runningOn(executor string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	count := 0
+	for _, on := range o.running {
+		if on == executor {
+			count++
+		}
+	}
+	return count
+}
+
+// runningCount returns how many tasks are running.
+func (o *invariantChecker) runningCount() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.running)
+}
