End the tasks of an executor that has left as planned

Cause: the node knew from the executor's announcement that it had ended, and reported it as draining only. Its tasks stayed assigned until its lease had certainly expired, 7.06 s after the last renewal, and a new owner counted anew, 8.66 s from its takeover. In the record six executors left 0.4 to 4.6 s before a planned hand-over.

Ruled out: no room (starts on five executors 0.6 s after the takeover), a late read of the store (the same).

Change: a node reports an executor as left once it has announced its end and can't be reached any more; the owner unassigns its tasks at once. The announcement names no incarnation and may be late, so it is no proof alone. A host that is stopped first waits until an owner has taken the report. The owner logs and counts departures with tasks.

--- a/node/hold.go
+++ b/node/hold.go
@@ -46,7 +46,7 @@
 		cancel()
 		if err != nil {
 			failures++
-			n.clearConfirmed()
+			n.handleHoldError(incarnation, err)
 			if failures == 1 && ctx.Err() == nil {
 				n.log.Warn("executor doesn't answer", "executor", incarnation, "error", err)
 			}
@@ -90,13 +90,6 @@
 	return n.current.IncarnationID(), n.fence(n.epoch), n.pendingAck(), n.deadline(now), wait, n.executedOrders
 }
 
-// clearConfirmed records that a call got no response. The next call may reach another incarnation.
-func (n *Node) clearConfirmed() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.confirmed = false
-}
-
 // pendingAck returns the number up to which ends may be acknowledged, or 0 if the executor has not recently listed any end up to
 // it. An executor that restarts under the same ID numbers its ends from 1 again, so acknowledging a number that it has not
 // listed could discard ends that were never reported.
@@ -140,6 +133,7 @@
 	first := n.lists == nil
 	previous := n.lists
 	resolved := n.lastUnknownStart > n.listsCover && n.lastUnknownStart <= covers
+	n.noteResponse()
 	n.lists, n.listsCover, n.listedAt, n.confirmed = lists, covers, time.Now(), true
 	n.clockMillis, n.clockAt = lists.ClockMillis, n.listedAt
 	n.logEnds(incarnation, previous, lists)
--- a/node/node.go
+++ b/node/node.go
@@ -87,6 +87,10 @@
 	listsCover int64
 	// confirmed is true if the last call got a response from that incarnation.
 	confirmed bool
+	// departing is set once that incarnation has announced its end. departureReported is closed when an owner has been told
+	// that it has ended.
+	departing         bool
+	departureReported chan struct{}
 	// executedOrders counts the executed orders, and lastUnknownStart is the number of the last start without a response.
 	executedOrders, lastUnknownStart int64
 	// leaseEnd is the end of the lease, after which the runs end unless an owner renews it.
@@ -148,6 +152,10 @@
 	if n.current == nil {
 		n.log.Info("executor found", "executor", e.IncarnationID(), "pool", e.Pool, "cpu", e.Capacity.MilliCores, "memory_mb", e.Capacity.MemoryMB, "failure_domain", e.FailureDomain)
 	}
+	if n.departing {
+		// An announcement that was sent before the end may arrive after it.
+		e.Draining, e.Left = true, n.current.Left
+	}
 	changed := n.current == nil || n.current.Draining != e.Draining
 	if changed && e.Draining {
 		n.log.Info("executor leaves", "executor", e.IncarnationID(), "remaining_ms", e.RemainingMillis)
@@ -163,22 +171,11 @@
 	return true
 }
 
-// Leave records that the executor has left, so that it gets no more starts.
-func (n *Node) Leave(id string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.current == nil || n.current.ID != id {
-		return
-	}
-	n.log.Info("executor has left", "executor", n.current.IncarnationID())
-	n.current.Draining = true
-	signal(n.wakeReport)
-}
-
 // forgetIncarnation discards the state of the current incarnation.
 func (n *Node) forgetIncarnation() {
 	n.log.Info("executor replaced", "former", n.current.IncarnationID())
 	n.current, n.lists, n.ack = nil, nil, 0
+	n.departing, n.departureReported = false, nil
 	n.clockAt = time.Time{}
 	n.leaseEnd = time.Time{}
 	n.pacer = sharing.NewController()
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -65,7 +66,7 @@
 	c.Assert(n.pendingAck(), qt.Equals, int64(0))
 	list(2, 3, 4)
 	c.Assert(n.pendingAck(), qt.Equals, int64(3))
-	n.clearConfirmed()
+	n.handleHoldError("i-1@1000", errors.New("no response"))
 	c.Assert(n.pendingAck(), qt.Equals, int64(0), qt.Commentf("after a call without a response, the next call may reach another incarnation"))
 	list(2, 3, 4)
 	n.listedAt = n.listedAt.Add(-2 * ackWindow)
--- a/owner/serve.go
+++ b/owner/serve.go
@@ -72,6 +72,7 @@
 	applied, _ := t.applyAndWait(ctx, reportReplyTimeout, func(now, wall time.Time) {
 		var ack int64
 		ack, granted = t.engine.HandleReport(r, now, wall)
+		t.logDepartures()
 		losses = t.engine.HeadroomLosses(r.Node)
 		if r.TraitsUnknown {
 			traits = t.engine.Traits(r.Node)
--- a/owner/term.go
+++ b/owner/term.go
@@ -111,17 +111,17 @@
 }
 
 type metrics struct {
-	commits, changes, orders, rejected, lapsed, quarantined tally.Counter
-	commitTime                                              tally.Histogram
-	jobs, assigned                                          tally.Gauge
-	scope                                                   tally.Scope
+	commits, changes, orders, rejected, lapsed, departed, quarantined tally.Counter
+	commitTime                                                        tally.Histogram
+	jobs, assigned                                                    tally.Gauge
+	scope                                                             tally.Scope
 }
 
 func newMetrics(scope tally.Scope) metrics {
 	return metrics{
 		commits: scope.Counter("owner_commits"), changes: scope.Counter("owner_changes"),
 		orders: scope.Counter("owner_orders"), rejected: scope.Counter("owner_orders_rejected"),
-		lapsed: scope.Counter("owner_lapsed_executors"), quarantined: scope.Counter("owner_quarantined_executors"),
+		lapsed: scope.Counter("owner_lapsed_executors"), departed: scope.Counter("owner_departed_executors"), quarantined: scope.Counter("owner_quarantined_executors"),
 		commitTime: scope.Histogram("owner_commit_seconds", tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 2, 12)),
 		jobs:       scope.Gauge("owner_jobs_active"), assigned: scope.Gauge("owner_tasks_assigned"),
 		scope: scope,
@@ -295,6 +295,14 @@
 	t.quarantined = quarantined
 }
 
+// logDepartures logs and counts the executors that have left with tasks.
+func (t *term) logDepartures() {
+	for _, d := range t.engine.TakeDepartures() {
+		t.metrics.departed.Inc(1)
+		t.log.Info("tasks of an executor that has left start again", "executor", d.Incarnation, "node", d.Node, "tasks", d.Tasks, "epoch", t.lease.Record.Epoch)
+	}
+}
+
 // logWaits logs and counts why ready tasks do not start.
 func (t *term) logWaits() {
 	for _, w := range t.engine.TakeWaits() {
--- a/test/workflows/departed_executors_test.go
+++ b/test/workflows/departed_executors_test.go
@@ -46,11 +46,20 @@
 	former.kill()
 }
 
-// leave shuts the executor of a host down as planned.
-func (h *host) leave() {
+// stop ends the node process of a host as at a planned stop.
+func (h *host) stop() {
+	h.stopCandidacy()
+	<-h.candidateDone
+	h.node.AwaitDepartureReport(h.fleet.ctx)
+	h.kill()
+}
+
+// drainTime is how long an executor drains before it leaves.
+const drainTime = 3 * time.Second
+
+// depart ends the executor of a host, which announces its end.
+func (h *host) depart() {
 	description, _ := h.executor.Describe()
-	h.executor.SetDraining(true)
-	time.Sleep(3 * time.Second)
 	h.executor.Leave()
 	h.node.Leave(description.ID)
 }
@@ -61,7 +70,9 @@
 	runWithFleet(t, 6, func(f *fleet) {
 		f.submitLongRunning(4)
 		leaving := f.busyHostBesideOwner()
-		leaving.leave()
+		leaving.executor.SetDraining(true)
+		time.Sleep(drainTime)
+		leaving.depart()
 		leftAt := time.Now()
 		time.Sleep(time.Second)
 		leaving.kill()
@@ -72,3 +83,20 @@
 		f.Assert(f.checker.foundViolations(), qt.HasLen, 0)
 	})
 }
+
+// Guards against a departure that no owner learns of because the host is stopped while there is no owner.
+func TestDepartureIsReportedBeforeHostStops(t *testing.T) {
+	runWithFleet(t, 6, func(f *fleet) {
+		f.submitLongRunning(4)
+		leaving := f.busyHostBesideOwner()
+		leaving.executor.SetDraining(true)
+		time.Sleep(drainTime)
+		f.owner().kill()
+		leaving.depart()
+		leftAt := time.Now()
+		leaving.stop()
+		f.waitFor(30*time.Second, func() bool { return f.checker.runningCount() == 4 })
+		f.Assert(time.Since(leftAt) <= maxStandstill, qt.IsTrue, qt.Commentf("restarted after %v", time.Since(leftAt)))
+		f.Assert(f.checker.foundViolations(), qt.HasLen, 0)
+	})
+}
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -80,6 +80,10 @@
 	}
 	n.executor = *r.Executor
 	n.executor.Draining = draining
+	if r.Executor.Left {
+		e.endDeparted(n)
+		return 0, false
+	}
 	if !r.Listed {
 		return n.ackedEnd, true
 	}
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -69,6 +69,8 @@
 	meanWork  map[string]float64
 	// pressure follows the backlog of best-effort work.
 	pressure pressure
+	// departures holds the executors that have left with tasks and that the owner has not taken yet.
+	departures []Departure
 	// waits holds the reasons of waiting jobs that the owner has not taken yet.
 	waits []Wait
 	// waitsToExplain is how many more jobs may be explained before the next Tick.
--- a/workflow/executor.go
+++ b/workflow/executor.go
@@ -62,6 +62,8 @@
 	// Draining is set if the executor will shut down, at the earliest after RemainingMillis.
 	Draining        bool  `json:"draining,omitempty"`
 	RemainingMillis int64 `json:"remaining_ms,omitempty"`
+	// Left is set once the executor has shut down as planned. Everything that ran on the incarnation has ended.
+	Left bool `json:"left,omitempty"`
 }
 
 // IncarnationID returns the identifier of the incarnation.
