Apply the last lists of an executor that has left

What callers would see: finished work that is done again, a job that gets more attempts than allowed, lost checkpoints.

Cause: a report that an executor has left ended its tasks before the ends and checkpoints in the same report were applied. They arrive together if the ends were listed while no owner answered.

Change: the last lists are applied first. Nothing is acknowledged and no lease is renewed.

--- a/workflow/engine/departures.go
+++ b/workflow/engine/departures.go
@@ -1,6 +1,10 @@
 package engine
 
-import "github.com/quetzalshed/quetzalshed/workflow"
+import (
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
 
 // Departure describes an executor that has left as planned while tasks were assigned to it.
 type Departure struct {
@@ -12,8 +16,8 @@
 // endDeparted unassigns the tasks of an executor that has left: their runs have ended, so they don't wait until its lease has
 // expired. A task whose start may still be carried out stays assigned until then, since the start may reach the next
 // incarnation under the executor's ID.
-func (e *Engine) endDeparted(n *node, r *workflow.Report) {
-	e.noteListedStarts(r)
+func (e *Engine) endDeparted(n *node, r *workflow.Report, now, wall time.Time) {
+	e.applyLastLists(n, r, now, wall)
 	ended := 0
 	for _, t := range e.assignedTo(n.executorIncarnation) {
 		if !t.started {
@@ -27,16 +31,24 @@
 	}
 }
 
-// noteListedStarts records which starts have been carried out, by the lists of an executor. An owner that has taken over
-// doesn't know their results.
-func (e *Engine) noteListedStarts(r *workflow.Report) {
+// applyLastLists updates the tasks of an executor that has left from the last lists of its runs: no other report may have
+// delivered them to this owner.
+func (e *Engine) applyLastLists(n *node, r *workflow.Report, now, wall time.Time) {
+	listedAt := now.Add(-time.Duration(r.ListAgeMillis) * time.Millisecond)
 	for i := range r.Running {
 		run := &r.Running[i]
-		t := e.taskByName(run.Task)
-		if t != nil && t.run == run.Run && t.executorIncarnation == r.Executor.IncarnationID() {
-			t.started = true
+		if t := e.taskByName(run.Task); t.isRun(n.executorIncarnation, run.Run) {
+			t.updateProgress(run, listedAt)
 		}
 	}
+	for i := range r.Ended {
+		e.handleRunEnd(n, n.executorIncarnation, &r.Ended[i], now, wall)
+	}
+}
+
+// isRun reports whether a task is assigned to an executor incarnation with the given run.
+func (t *task) isRun(incarnation string, run int) bool {
+	return t != nil && t.phase == workflow.TaskAssigned && t.executorIncarnation == incarnation && t.run == run
 }
 
 // TakeDepartures returns the executors that have left with tasks since the last call.
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -81,7 +81,7 @@
 	n.executor = *r.Executor
 	n.executor.Draining = draining
 	if r.Executor.Left {
-		e.endDeparted(n, r)
+		e.endDeparted(n, r, now, wall)
 		return 0, false
 	}
 	if !r.Listed {
--- a/workflow/engine/reconcile.go
+++ b/workflow/engine/reconcile.go
@@ -16,7 +16,7 @@
 		run := &r.Running[i]
 		present[run.Task] = max(present[run.Task], run.Run)
 		t := e.taskByName(run.Task)
-		if t == nil || t.phase != workflow.TaskAssigned || t.executorIncarnation != incarnation || t.run != run.Run {
+		if !t.isRun(incarnation, run.Run) {
 			n.orphanedRuns = append(n.orphanedRuns, *run)
 			continue
 		}
