Answer the report of a departure once it is stored

Cause: the reply to a report waits for the store for 300 ms at most. A node that is about to stop took any reply as the confirmation that its executor's departure is known. If the owner ended before its write, the departure was forgotten.

No lease depends on it.

--- a/owner/serve.go
+++ b/owner/serve.go
@@ -64,12 +64,13 @@
 	return found, stored
 }
 
-// report handles the report of a node. It returns false if the engine did not process the report in time.
+// report handles the report of a node. It returns false if the engine did not process the report in time, or if it says that
+// an executor has left and this is not stored in time.
 func (t *term) report(ctx context.Context, r *workflow.Report) (workflow.ReportReply, bool) {
 	var traits []workflow.RunTraits
 	var losses map[string]map[string]float64
 	granted := false
-	applied, _ := t.applyAndWait(ctx, reportReplyTimeout, func(now, wall time.Time) {
+	applied, stored := t.applyAndWait(ctx, reportReplyTimeout, func(now, wall time.Time) {
 		var ack int64
 		ack, granted = t.engine.HandleReport(r, now, wall)
 		t.logDepartures()
@@ -82,7 +83,8 @@
 			t.afterCommit = append(t.afterCommit, func() { t.acknowledge(incarnation, ack) })
 		}
 	})
-	if !applied {
+	// A node may stop after a reply to the report that its executor has left.
+	if !applied || r.Executor != nil && r.Executor.Left && !stored {
 		return workflow.ReportReply{}, false
 	}
 	reply := workflow.ReportReply{Epoch: t.lease.Record.Epoch, Traits: traits, HeadroomLosses: losses}
