Renew no lease on a report without lists

Callers could see a task run twice: a node whose executor had not listed its runs yet got a lease of 6.5 s with each report, and the owner did not count it. If the calls that pass the lease on take effect without a response, the executor keeps its tasks, and the owner starts them elsewhere 7.06 s after the last lease that it has counted.

Cause: HandleReport returned granted for such a report before it moved leaseExpires.

Found by reading. The first report with lists follows within one call to the executor, so a new executor gets its first lease a few milliseconds later.

--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -48,8 +48,8 @@
 )
 
 // HandleReport processes a node's report. It returns the number up to which run ends may be acknowledged once the changed
-// records are stored, and whether the lease is renewed. It is not renewed when the executor has stopped responding:
-// otherwise its tasks would count as running for as long as its node is up.
+// records are stored, and whether the lease is renewed. It is not renewed when the executor has stopped responding, or has
+// not responded yet: otherwise its tasks would count as running for as long as its node is up.
 func (e *Engine) HandleReport(r *workflow.Report, now, wall time.Time) (ack int64, granted bool) {
 	n := e.nodes[r.Node]
 	if n == nil {
@@ -81,7 +81,7 @@
 	n.executor = *r.Executor
 	n.executor.Draining = draining
 	if !r.Listed {
-		return n.ackedEnd, true
+		return n.ackedEnd, false
 	}
 	n.listedAt = now.Add(-time.Duration(r.ListAgeMillis) * time.Millisecond)
 	e.reconcile(n, r, now, wall)
