Take the lease of a silent executor from its node after a takeover

Cause: a new owner didn't know when its predecessor had last renewed the lease. The node on the host does: only its processes pass leases on to the executor. Its reports now say how long any lease that it or a former process of the host can have passed on lasts (lease_bound), and from which epoch on an owner can still renew it: the node raises its own epoch to that when it creates the report. The owner uses this until it has renewed the lease itself, if the epoch is its own, with the allowance for clock drift and stop time that its own renewals have. It holds for tasks of other incarnations on that host, too. Reports of older nodes keep the present behaviour. The line about lapsed tasks says how many and where the expiry was known from.

--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/quetzalshed/quetzalshed/node/sharing"
+	"github.com/quetzalshed/quetzalshed/owner"
 	"github.com/quetzalshed/quetzalshed/ownership"
 	"github.com/quetzalshed/quetzalshed/rpc"
 	"github.com/quetzalshed/quetzalshed/workflow"
@@ -90,7 +91,10 @@
 	// executedOrders counts the executed orders, and lastUnknownStart is the number of the last start without a response.
 	executedOrders, lastUnknownStart int64
 	// leaseEnd is the end of the lease, after which the runs end unless an owner renews it.
-	leaseEnd     time.Time
+	leaseEnd time.Time
+	// leaseBound is the latest end of all leases that this process and former ones of the host can have passed on, to whichever
+	// incarnation of the executor.
+	leaseBound   time.Time
 	epoch        int64
 	ack          int64
 	reportSentAt map[int64]time.Time
@@ -115,9 +119,10 @@
 // New returns a node that reports under the given name and receives orders at the given address.
 func New(name, address string, executor Executor, locator *ownership.Locator, client *rpc.Client, log hclog.Logger, scope tally.Scope) *Node {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)
+	now := time.Now()
 	return &Node{
-		name: name, address: address, incarnation: time.Now().UnixNano(), executor: executor, locator: locator,
-		rpc: client, log: log, reportSentAt: map[int64]time.Time{}, needsTraits: true,
+		name: name, address: address, incarnation: now.UnixNano(), executor: executor, locator: locator,
+		leaseBound: now.Add(owner.ExecutorLeaseDuration), rpc: client, log: log, reportSentAt: map[int64]time.Time{}, needsTraits: true,
 		traits: map[string]workflow.RunTraits{}, paces: map[string]int{}, nearTarget: map[string]bool{}, pacer: sharing.NewController(),
 		wakeHold: make(chan struct{}, 1), wakeReport: make(chan struct{}, 1),
 		metrics: nodeMetrics{
@@ -187,6 +192,18 @@
 	clear(n.traits)
 }
 
+// extendLease moves the end of the lease to the time duration after sent, unless it ends later already.
+func (n *Node) extendLease(sent time.Time, duration time.Duration) {
+	end := sent.Add(duration)
+	if duration <= 0 || !end.After(n.leaseEnd) {
+		return
+	}
+	n.leaseEnd = end
+	if end.After(n.leaseBound) {
+		n.leaseBound = end
+	}
+}
+
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -90,3 +90,42 @@
 	_, _, _, _, wait, _ = n.nextHold()
 	c.Assert(wait, qt.Equals, holdWait)
 }
+
+// Guards against a lease that is renewed beyond what the node has reported to a new owner: by a reply or orders of the former
+// owner that arrive afterwards.
+func TestReportedLeaseIsNotRenewedByFormerOwner(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	// The process has been running for long.
+	n.leaseBound = time.Now()
+	first := n.nextReport(1)
+	sent := n.reportSentAt[first.Number]
+	n.applyReply(first, &workflow.ReportReply{Epoch: 1, LeaseMillis: 6500}, sent)
+	end := n.leaseEnd
+	c.Assert(end.Equal(sent.Add(6500*time.Millisecond)), qt.IsTrue)
+	late := n.nextReport(1)
+	report := n.nextReport(2)
+	c.Assert(report.LeaseBound.Epoch, qt.Equals, int64(2))
+	left := time.Duration(report.LeaseBound.LeftMillis) * time.Millisecond
+	c.Assert(left > 6*time.Second && left <= 6500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", left))
+	n.applyReply(late, &workflow.ReportReply{Epoch: 1, LeaseMillis: 9500}, time.Now())
+	_, reason := n.checkStart(&workflow.Orders{
+		Epoch: 1, Incarnation: n.incarnation, ReportNumber: late.Number, LeaseMillis: 9500, ExecutorIncarnation: "i-1@1000",
+	}, time.Now())
+	c.Assert(reason, qt.Equals, "epoch")
+	c.Assert(n.leaseEnd.Equal(end), qt.IsTrue)
+}
+
+// Guards against a node that forgets leases: those that a former process of its host has passed on, and those of a former
+// incarnation of the executor, which calls under way may still give to the next one.
+func TestNodeReportsLeasesOfFormerProcessAndIncarnation(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	c.Assert(n.nextReport(1).LeaseBound.LeftMillis > 6400, qt.IsTrue)
+	n.leaseBound = time.Now().Add(-time.Minute)
+	report := n.nextReport(1)
+	c.Assert(report.LeaseBound.LeftMillis < 0, qt.IsTrue)
+	n.applyReply(report, &workflow.ReportReply{Epoch: 1, LeaseMillis: 5000}, time.Now())
+	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 4000}, 1, 0)
+	c.Assert(n.nextReport(1).LeaseBound.LeftMillis > 4900, qt.IsTrue)
+}
--- a/node/orders.go
+++ b/node/orders.go
@@ -77,9 +77,7 @@
 	case orders.Incarnation != n.incarnation || !known || now.Sub(reportSentAt) >= owner.ExecutorLeaseDuration:
 		return 0, "basis"
 	}
-	if end := reportSentAt.Add(time.Duration(orders.LeaseMillis) * time.Millisecond); orders.LeaseMillis > 0 && end.After(n.leaseEnd) {
-		n.leaseEnd = end
-	}
+	n.extendLease(reportSentAt, time.Duration(orders.LeaseMillis)*time.Millisecond)
 	if n.leaseEnd.Sub(now) < minLeaseLeft {
 		return 0, "grant"
 	}
--- a/node/report.go
+++ b/node/report.go
@@ -55,7 +55,7 @@
 }
 
 func (n *Node) report(ctx context.Context, record workflow.OwnerRecord) error {
-	report := n.nextReport()
+	report := n.nextReport(record.Epoch)
 	sent := time.Now()
 	call, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
@@ -76,15 +76,19 @@
 	return nil
 }
 
-// nextReport returns a report of the current state.
-func (n *Node) nextReport() *workflow.Report {
+// nextReport returns a report of the current state for the owner of an epoch. From then on no owner of a lower epoch can renew
+// the lease, so that the report can tell how long it lasts.
+func (n *Node) nextReport(epoch int64) *workflow.Report {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	now := time.Now()
+	n.epoch = max(n.epoch, epoch)
 	n.reportNumber++
-	n.reportSentAt[n.reportNumber] = time.Now()
+	n.reportSentAt[n.reportNumber] = now
 	delete(n.reportSentAt, n.reportNumber-maxSentReports)
 	r := &workflow.Report{
 		Node: n.name, Address: n.address, Incarnation: n.incarnation, Number: n.reportNumber, TraitsUnknown: n.needsTraits,
+		LeaseBound: &workflow.LeaseBound{Epoch: n.epoch, LeftMillis: n.leaseBound.Sub(now).Milliseconds()},
 	}
 	if n.current != nil {
 		executor := *n.current
@@ -114,9 +118,7 @@
 		return
 	}
 	hadLease := n.leaseEnd.After(time.Now())
-	if end := sent.Add(time.Duration(reply.LeaseMillis) * time.Millisecond); reply.LeaseMillis > 0 && end.After(n.leaseEnd) {
-		n.leaseEnd = end
-	}
+	n.extendLease(sent, time.Duration(reply.LeaseMillis)*time.Millisecond)
 	if !hadLease && n.leaseEnd.After(time.Now()) {
 		n.log.Info("lease granted", "epoch", reply.Epoch, "executor", n.current.IncarnationID(), "until_ms", time.Until(n.leaseEnd).Milliseconds())
 		signal(n.wakeHold)
--- a/owner/term.go
+++ b/owner/term.go
@@ -154,6 +154,7 @@
 	now := time.Now()
 	t.engine = engine.New(engine.Settings{
 		LeaseDuration: ExecutorLeaseDuration, LeaseExpiry: executorLeaseExpiry, RemoteSlowdown: t.remoteSlowdown, Retention: retention, TakeoverSlack: takeoverSlack,
+		Epoch: t.lease.Record.Epoch,
 	}, now)
 	inputs := make(chan func(), eventQueueSize)
 	go t.followInputs(ctx, inputs, records)
@@ -264,9 +265,9 @@
 func (t *term) tick() {
 	now := time.Now()
 	t.engine.Tick(now)
-	for _, incarnation := range t.engine.ExpireLeases(now) {
+	for _, l := range t.engine.ExpireLeases(now) {
 		t.metrics.lapsed.Inc(1)
-		t.log.Info("tasks of an executor have lapsed", "executor", incarnation, "epoch", t.lease.Record.Epoch)
+		t.log.Info("tasks of an executor have lapsed", "executor", l.Incarnation, "tasks", l.Tasks, "lease_known_from", l.Source, "epoch", t.lease.Record.Epoch)
 	}
 	t.logQuarantine(now)
 	counts := t.engine.Counts()
--- a/test/workflows/invariants_test.go
+++ b/test/workflows/invariants_test.go
@@ -125,6 +125,30 @@
 	return count
 }
 
+// tasksOn returns the tasks that run on an executor.
+func (o *invariantChecker) tasksOn(executor string) (tasks []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for task, on := range o.running {
+		if on == executor {
+			tasks = append(tasks, task)
+		}
+	}
+	return tasks
+}
+
+// runElsewhere reports whether all of the tasks run, on other executors than the given one.
+func (o *invariantChecker) runElsewhere(executor string, tasks []string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, task := range tasks {
+		if on := o.running[task]; on == "" || on == executor {
+			return false
+		}
+	}
+	return true
+}
+
 // runningCount returns how many tasks are running.
 func (o *invariantChecker) runningCount() int {
 	o.mu.Lock()
--- /dev/null
+++ b/test/workflows/silent_executors_test.go
@@ -0,0 +1,96 @@
+package workflows_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// changeOwner ends the term of the owner: by a planned hand-over, or by a loss of its process.
+func (f *fleet) changeOwner(planned bool) {
+	f.waitFor(5*time.Second, func() bool { return f.owner() != nil })
+	if planned {
+		f.handOver()
+		return
+	}
+	f.owner().kill()
+}
+
+// lostTasks holds the tasks that ran on an executor when it was lost.
+type lostTasks struct {
+	fleet       *fleet
+	incarnation string
+	tasks       []string
+}
+
+func (f *fleet) tasksOf(h *host) lostTasks {
+	description, _ := h.executor.Describe()
+	tasks := f.checker.tasksOn(description.IncarnationID())
+	f.Assert(len(tasks) > 0, qt.IsTrue)
+	return lostTasks{f, description.IncarnationID(), tasks}
+}
+
+// assertRestarted waits until the tasks run elsewhere. It fails if that is later than maxStandstill after since, or if a task
+// had two runs at once.
+func (l lostTasks) assertRestarted(since time.Time) {
+	f := l.fleet
+	f.Helper()
+	f.waitFor(30*time.Second, func() bool { return f.checker.runElsewhere(l.incarnation, l.tasks) })
+	f.Assert(time.Since(since) <= maxStandstill, qt.IsTrue, qt.Commentf("restarted after %v", time.Since(since)))
+	f.Assert(f.checker.foundViolations(), qt.HasLen, 0)
+}
+
+// Guards against long-running tasks that stand still for longer the later the owner changes after the loss of their executor,
+// whose node still runs and knows its lease (incident inc1: LOST).
+func TestTasksOfLostExecutorRestartDespiteNewOwners(t *testing.T) {
+	for _, planned := range []bool{true, false} {
+		for _, changes := range [][]time.Duration{
+			{500 * time.Millisecond},
+			{1500 * time.Millisecond},
+			{3 * time.Second},
+			{5 * time.Second},
+			{time.Second, 3 * time.Second},
+			{3 * time.Second, 2 * time.Second},
+		} {
+			t.Run(fmt.Sprintf("planned=%v/%v", planned, changes), func(t *testing.T) {
+				runWithFleet(t, 8, func(f *fleet) {
+					f.submitLongRunning(4)
+					lost := f.busyHostBesideOwner()
+					tasks := f.tasksOf(lost)
+					// As the owner it would be stopped.
+					lost.stopCandidacy()
+					lost.executor.Crash()
+					lostAt := time.Now()
+					for _, pause := range changes {
+						time.Sleep(pause)
+						f.changeOwner(planned)
+					}
+					tasks.assertRestarted(lostAt)
+				})
+			})
+		}
+	}
+}
+
+// Guards against two runs of a task at once: its executor answers no calls, and works on until its lease has expired.
+func TestTasksOfSilentExecutorRunOnceDespiteNewOwners(t *testing.T) {
+	for _, planned := range []bool{true, false} {
+		for pause := 200 * time.Millisecond; pause < 8*time.Second; pause += 700 * time.Millisecond {
+			t.Run(fmt.Sprintf("planned=%v/%v", planned, pause), func(t *testing.T) {
+				runWithFleet(t, 8, func(f *fleet) {
+					f.submitLongRunning(4)
+					silent := f.busyHostBesideOwner()
+					tasks := f.tasksOf(silent)
+					silent.stopCandidacy()
+					silent.executor.SetUnresponsive(true)
+					time.Sleep(pause)
+					f.changeOwner(planned)
+					f.waitFor(30*time.Second, func() bool { return f.checker.runningOn(tasks.incarnation) == 0 })
+					tasks.assertRestarted(time.Now())
+				})
+			})
+		}
+	}
+}
--- a/workflow/engine/engine_test.go
+++ b/workflow/engine/engine_test.go
@@ -20,6 +20,8 @@
 	// reports is the number of reports sent by each node.
 	reports map[string]int64
 	jobs    int
+	// epoch is that of the next engine.
+	epoch int64
 }
 
 func newHarness(t *testing.T) *harness {
@@ -33,7 +35,7 @@
 func newEngineWithoutOperatorState(h *harness) *engine.Engine {
 	return engine.New(engine.Settings{
 		LeaseDuration: 6500 * time.Millisecond, LeaseExpiry: 7060 * time.Millisecond, TakeoverSlack: 1600 * time.Millisecond, RemoteSlowdown: 1.5,
-		Retention: 130 * time.Second,
+		Retention: 130 * time.Second, Epoch: h.epoch,
 	}, h.now)
 }
 
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -53,7 +53,7 @@
 func (e *Engine) HandleReport(r *workflow.Report, now, wall time.Time) (ack int64, granted bool) {
 	n := e.nodes[r.Node]
 	if n == nil {
-		n = &node{name: r.Node, leaseExpires: e.unreportedExpiry}
+		n = &node{name: r.Node, leaseExpires: e.unreportedExpiry, leaseSource: LeaseOfTakeover}
 		e.nodes[r.Node] = n
 		i, _ := slices.BinarySearchFunc(e.sortedNodes, n, func(a, b *node) int { return cmp.Compare(a.name, b.name) })
 		e.sortedNodes = slices.Insert(e.sortedNodes, i, n)
@@ -63,6 +63,7 @@
 	}
 	n.address, n.incarnation, n.number = r.Address, r.Incarnation, r.Number
 	n.reportedAt, n.leaseGranted = now, false
+	e.applyLeaseBound(n, r.LeaseBound, now)
 	if r.Executor == nil {
 		n.listedAt = time.Time{}
 		return 0, false
@@ -88,7 +89,7 @@
 	if now.Sub(n.listedAt) > maxLeaseListAge {
 		return n.ackedEnd, false
 	}
-	n.leaseExpires, n.leaseGranted = now.Add(e.settings.LeaseExpiry), true
+	n.leaseExpires, n.leaseSource, n.leaseGranted = now.Add(e.settings.LeaseExpiry), LeaseOfOwner, true
 	return n.ackedEnd, true
 }
 
@@ -333,31 +334,3 @@
 // rejectionBackoff delays starts of the task, and on the executor, after a rejected start, until a report has updated
 // the executor's state.
 const rejectionBackoff = 150 * time.Millisecond
-
-// ExpireLeases unassigns the tasks of executors whose leases have expired and returns these executors' incarnations.
-func (e *Engine) ExpireLeases(now time.Time) (lapsed []string) {
-	for _, n := range e.sortedNodes {
-		if !n.known || now.Before(n.leaseExpires) {
-			continue
-		}
-		if tasks := e.assignedTo(n.executorIncarnation); len(tasks) > 0 {
-			lapsed = append(lapsed, n.executorIncarnation)
-			for _, t := range tasks {
-				e.unassign(t)
-			}
-		}
-	}
-	if now.Before(e.unreportedExpiry) {
-		return lapsed
-	}
-	for incarnation := range e.assignedTasks {
-		if e.nodeByIncarnation[incarnation] == nil {
-			lapsed = append(lapsed, incarnation)
-			for _, t := range e.assignedTo(incarnation) {
-				e.unassign(t)
-			}
-		}
-	}
-	slices.Sort(lapsed)
-	return lapsed
-}
--- a/workflow/engine/node.go
+++ b/workflow/engine/node.go
@@ -52,6 +52,8 @@
 	executorIncarnation string
 	// leaseExpires is when all runs on the executor have ended, unless its lease is renewed.
 	leaseExpires time.Time
+	// leaseSource tells where leaseExpires comes from.
+	leaseSource LeaseSource
 	// leaseGranted is set if the last report renewed the lease.
 	leaseGranted bool
 	// reportedAt is when the last report arrived, listedAt when the executor last listed its runs.
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -23,6 +23,8 @@
 	RemoteSlowdown float64
 	// TakeoverSlack is how long a former owner may still grant leases after the current one has taken over.
 	TakeoverSlack time.Duration
+	// Epoch is the epoch of the owner.
+	Epoch int64
 	// Retention is how long the state of a finished job stays readable.
 	Retention time.Duration
 }
--- a/workflow/messages.go
+++ b/workflow/messages.go
@@ -21,6 +21,17 @@
 	CoveredSequence int64 `json:"covers"`
 	// TraitsUnknown is set if the node lacks the traits of the running tasks, since its process started after them.
 	TraitsUnknown bool `json:"unaware,omitempty"`
+	// LeaseBound limits the lease of the host's executor; nil from nodes that don't know it.
+	LeaseBound *LeaseBound `json:"lease_bound,omitempty"`
+}
+
+// LeaseBound is what a node knows of the lease of its host's executor. Only the node passes leases on to the executor.
+type LeaseBound struct {
+	// Epoch is the lowest epoch whose owner can still renew the lease.
+	Epoch int64 `json:"epoch"`
+	// LeftMillis is how long after the report was created any lease that the host's node processes have passed on lasts. It is
+	// negative if the lease had ended before.
+	LeftMillis int64 `json:"left_ms"`
 }
 
 // ReportReply is the owner's reply to a Report, sent once all lasting changes from the report are stored.
