Hand the leases of executors over to the next owner

A term that ends as planned now stores in its last write how long each executor with assigned tasks may still hold its lease, and how long any other may. It is part of the value of the commit key: a deposed owner can't write it, and the next owner replaces it as it takes over, so that it is believed only if nobody has owned the jobs since. The times count from when it was read. The slack for a former owner that may still renew leases isn't needed then, except for what is left of it if the former owner had just taken over itself.

The owner logs 2 s after a takeover how many executors haven't reported, and how long their tasks are held.

--- a/owner/commit.go
+++ b/owner/commit.go
@@ -8,6 +8,7 @@
 
 	"github.com/quetzalshed/quetzalshed/kv"
 	"github.com/quetzalshed/quetzalshed/ownership"
+	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
 const (
@@ -24,6 +25,8 @@
 type commitMark struct {
 	Epoch int64 `json:"epoch"`
 	Count int64 `json:"count"`
+	// Leases is what the next owner has to know of the executors' leases.
+	Leases *workflow.OwnerLeases `json:"leases,omitempty"`
 }
 
 // commit stores a batch, split into several transactions if it is large. The rows of one job are never split.
@@ -58,7 +61,7 @@
 // previous one, so that neither a former owner nor a delayed write can overwrite newer records.
 func (t *term) write(ctx context.Context, transaction kv.Transaction) error {
 	t.commitCount++
-	mark := commitMark{t.lease.Record.Epoch, t.commitCount}
+	mark := commitMark{t.lease.Record.Epoch, t.commitCount, t.leases}
 	value, err := json.Marshal(mark)
 	if err != nil {
 		return err
@@ -114,9 +117,10 @@
 		t.log.Info("commit key was changed by another owner", "epoch", mark.Epoch, "revision", item.Revision)
 		return false, errOwnershipLost
 	}
-	if stored.Count != mark.Count {
+	if stored.Count > mark.Count {
 		return false, errOwnershipLost
 	}
+	// A lower count is that of an earlier write of this term whose result was unknown when the term ended.
 	t.commitRevision = item.Revision
-	return true, nil
+	return stored.Count == mark.Count, nil
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -139,6 +139,9 @@
 	cancel(nil)
 	c.setTerm(nil)
 	c.Log.Info("ownership ended", "epoch", lease.Record.Epoch, "error", err)
+	if err == nil {
+		t.handOver()
+	}
 	if !errors.Is(err, errOwnershipLost) {
 		lease.Release()
 	}
--- a/owner/term.go
+++ b/owner/term.go
@@ -51,6 +51,8 @@
 	eventQueueSize = 1024
 	// ordersTimeout limits the delivery of orders to a node.
 	ordersTimeout = 2 * time.Second
+	// unreportedLogDelay is the time after a takeover from which executors that have not reported are logged.
+	unreportedLogDelay = 2 * time.Second
 	// retention is how long the state of a finished job is kept.
 	retention = 130 * time.Second
 	// collectInterval is how often expired finished jobs are deleted, and collectLimit how many at a time.
@@ -100,11 +102,14 @@
 	commitCount    int64
 	commitDone     chan error
 	committing     *batch
+	leases         *workflow.OwnerLeases
 	afterCommit    []func()
 	lastFlush      time.Time
 	lastCollection time.Time
-	deletions      []string
-	quarantined    []string
+	// unreportedLogAt is when executors that have not reported are logged; zero once that is done.
+	unreportedLogAt time.Time
+	deletions       []string
+	quarantined     []string
 
 	mu    sync.Mutex
 	acked map[string]int64
@@ -156,6 +161,8 @@
 		LeaseDuration: ExecutorLeaseDuration, LeaseExpiry: executorLeaseExpiry, RemoteSlowdown: t.remoteSlowdown, Retention: retention, TakeoverSlack: takeoverSlack,
 		Epoch: t.lease.Record.Epoch,
 	}, now)
+	t.inheritLeases()
+	t.unreportedLogAt = now.Add(unreportedLogDelay)
 	inputs := make(chan func(), eventQueueSize)
 	go t.followInputs(ctx, inputs, records)
 	go t.operators.Follow(ctx, func(state OperatorState) { t.applyOperatorState(ctx, state) })
@@ -269,6 +276,7 @@
 		t.metrics.lapsed.Inc(1)
 		t.log.Info("tasks of an executor have lapsed", "executor", l.Incarnation, "tasks", l.Tasks, "lease_known_from", l.Source, "epoch", t.lease.Record.Epoch)
 	}
+	t.logUnreported(now)
 	t.logQuarantine(now)
 	counts := t.engine.Counts()
 	t.metrics.jobs.Update(float64(counts.Active))
@@ -279,6 +287,17 @@
 	}
 }
 
+// logUnreported logs once after the takeover for how long tasks are held because their executors have not reported.
+func (t *term) logUnreported(now time.Time) {
+	if t.unreportedLogAt.IsZero() || now.Before(t.unreportedLogAt) {
+		return
+	}
+	t.unreportedLogAt = time.Time{}
+	if executors, tasks, longest := t.engine.Unreported(now); executors > 0 {
+		t.log.Info("executors have not reported, their tasks are held", "executors", executors, "tasks", tasks, "longest_ms", longest.Milliseconds(), "epoch", t.lease.Record.Epoch)
+	}
+}
+
 // logQuarantine logs which executors entered or left quarantine.
 func (t *term) logQuarantine(now time.Time) {
 	quarantined := t.engine.Quarantined(now)
--- a/ownership/lease.go
+++ b/ownership/lease.go
@@ -31,6 +31,10 @@
 	Record workflow.OwnerRecord
 	// CommitRevision is the revision of CommitKey right after the ownership was acquired.
 	CommitRevision int64
+	// Former is the value of CommitKey that the last owner left, if any; nobody has owned the jobs since. It was read at
+	// FormerReadAt.
+	Former       []byte
+	FormerReadAt time.Time
 
 	store     kv.Store
 	leaseID   int64
@@ -60,6 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
+	readAt := time.Now()
 	// The lease is granted last, since it runs while the store answers the calls that follow.
 	sentAt := instant{time.Now(), clock.SinceBoot()}
 	lease, err := store.Grant(ctx, LeaseTTL)
@@ -77,7 +82,7 @@
 		return nil, err
 	}
 	self.Epoch = revision
-	l := &Lease{Record: self, CommitRevision: revision, store: store, leaseID: lease.ID, log: log, sinceBoot: clock.SinceBoot}
+	l := &Lease{Record: self, CommitRevision: revision, Former: commit.Value, FormerReadAt: readAt, store: store, leaseID: lease.ID, log: log, sinceBoot: clock.SinceBoot}
 	l.extend(sentAt.add(lease.TTL))
 	return l, nil
 }
--- a/test/workflows/silent_executors_test.go
+++ b/test/workflows/silent_executors_test.go
@@ -94,3 +94,51 @@
 		}
 	}
 }
+
+// Guards against long-running tasks that stand still for longer the later the owner hands over after the loss of their host,
+// of which nobody but the former owner knows the lease (incident inc1: LOST).
+func TestTasksOfLostHostRestartDespiteHandOver(t *testing.T) {
+	for _, changes := range [][]time.Duration{
+		{200 * time.Millisecond},
+		{1500 * time.Millisecond},
+		{3 * time.Second},
+		{6 * time.Second},
+		{time.Second, 3 * time.Second},
+		{200 * time.Millisecond, time.Second, 3 * time.Second},
+	} {
+		t.Run(fmt.Sprint(changes), func(t *testing.T) {
+			runWithFleet(t, 8, func(f *fleet) {
+				f.submitLongRunning(4)
+				lost := f.busyHostBesideOwner()
+				tasks := f.tasksOf(lost)
+				lost.kill()
+				lost.executor.Crash()
+				lostAt := time.Now()
+				for _, pause := range changes {
+					time.Sleep(pause)
+					f.changeOwner(true)
+				}
+				tasks.assertRestarted(lostAt)
+			})
+		})
+	}
+}
+
+// Guards against two runs of a task at once after a hand-over: its host is cut off, and its executor works on until its lease
+// has expired.
+func TestTasksOfCutOffHostRunOnceDespiteHandOver(t *testing.T) {
+	for pause := 200 * time.Millisecond; pause < 8*time.Second; pause += 700 * time.Millisecond {
+		t.Run(pause.String(), func(t *testing.T) {
+			runWithFleet(t, 8, func(f *fleet) {
+				f.submitLongRunning(4)
+				lost := f.busyHostBesideOwner()
+				tasks := f.tasksOf(lost)
+				lost.kill()
+				time.Sleep(pause)
+				f.changeOwner(true)
+				f.waitFor(30*time.Second, func() bool { return f.checker.runningOn(tasks.incarnation) == 0 })
+				tasks.assertRestarted(time.Now())
+			})
+		})
+	}
+}
--- a/workflow/engine/leases.go
+++ b/workflow/engine/leases.go
@@ -17,6 +17,8 @@
 	LeaseOfOwner LeaseSource = "owner"
 	// LeaseOfNode means that the node on the executor's host knows the lease.
 	LeaseOfNode LeaseSource = "node"
+	// LeaseOfFormerOwner means that the former owner has stored when the lease expires.
+	LeaseOfFormerOwner LeaseSource = "former owner"
 	// LeaseOfTakeover means that nothing is known but that a former owner may have renewed the lease until the takeover.
 	LeaseOfTakeover LeaseSource = "takeover"
 )
@@ -41,38 +43,78 @@
 	}
 }
 
-// unreportedLease returns when the lease of an incarnation that no node has reported has expired. Its host's node may have
-// reported without knowing an executor.
-func (e *Engine) unreportedLease(host string) (time.Time, LeaseSource) {
-	if n := e.nodes[host]; n != nil && n.leaseSource != LeaseOfOwner && n.leaseExpires.Before(e.unreportedExpiry) {
+// InheritLeases takes over what the former owner has stored of the leases of executors, counted from when it was read.
+func (e *Engine) InheritLeases(leases *workflow.OwnerLeases, readAt time.Time) {
+	if leases.OthersMillis > 0 {
+		e.unreportedExpiry, e.unreportedSource = readAt.Add(time.Duration(leases.OthersMillis)*time.Millisecond), LeaseOfFormerOwner
+	}
+	for _, l := range leases.Executors {
+		e.inheritedLeases[l.Incarnation] = readAt.Add(time.Duration(l.LeftMillis) * time.Millisecond)
+	}
+}
+
+// FinalLeases returns the leases of the executors with assigned tasks for the next owner. This owner must not renew any lease
+// from then on.
+func (e *Engine) FinalLeases(now time.Time) workflow.OwnerLeases {
+	// A lease that this owner has renewed may belong to an executor whose tasks are still assigned only in the store.
+	others := max(e.unreportedExpiry.Sub(now), e.settings.LeaseExpiry)
+	leases := workflow.OwnerLeases{OthersMillis: others.Milliseconds() + 1}
+	for incarnation, tasks := range e.assignedTasks {
+		expires, _ := e.leaseOf(incarnation, tasks)
+		leases.Executors = append(leases.Executors, workflow.ExecutorLease{
+			Incarnation: incarnation, LeftMillis: expires.Sub(now).Milliseconds() + 1,
+		})
+	}
+	slices.SortFunc(leases.Executors, func(a, b workflow.ExecutorLease) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	leases.Executors = leases.Executors[:min(len(leases.Executors), workflow.MaxExecutorLeases)]
+	return leases
+}
+
+// leaseOf returns when the lease of an incarnation with assigned tasks has expired.
+func (e *Engine) leaseOf(incarnation string, tasks []*task) (time.Time, LeaseSource) {
+	expires, source := e.unreportedExpiry, e.unreportedSource
+	n := e.nodeByIncarnation[incarnation]
+	if n != nil && n.leaseSource == LeaseOfOwner {
 		return n.leaseExpires, n.leaseSource
 	}
-	return e.unreportedExpiry, LeaseOfTakeover
+	if n == nil {
+		// The node of the host may have reported without knowing an executor.
+		n = e.nodes[tasks[0].host]
+	}
+	if n != nil && n.leaseSource == LeaseOfNode && n.leaseExpires.Before(expires) {
+		expires, source = n.leaseExpires, n.leaseSource
+	}
+	if inherited, found := e.inheritedLeases[incarnation]; found && inherited.Before(expires) {
+		expires, source = inherited, LeaseOfFormerOwner
+	}
+	return expires, source
+}
+
+// Unreported returns the number of executors with assigned tasks whose leases this owner has not renewed, the number of their
+// tasks, and the longest time for which these are held.
+func (e *Engine) Unreported(now time.Time) (executors, held int, longest time.Duration) {
+	for incarnation, tasks := range e.assignedTasks {
+		if expires, source := e.leaseOf(incarnation, tasks); source != LeaseOfOwner {
+			executors++
+			held += len(tasks)
+			longest = max(longest, expires.Sub(now))
+		}
+	}
+	return executors, held, longest
 }
 
 // ExpireLeases unassigns the tasks of executors whose leases have expired and returns these executors.
 func (e *Engine) ExpireLeases(now time.Time) (lapsed []Lapse) {
-	expire := func(incarnation string, expires time.Time, source LeaseSource) {
-		tasks := e.assignedTo(incarnation)
-		if len(tasks) == 0 || now.Before(expires) {
-			return
+	for incarnation, tasks := range e.assignedTasks {
+		expires, source := e.leaseOf(incarnation, tasks)
+		if now.Before(expires) {
+			continue
 		}
 		lapsed = append(lapsed, Lapse{incarnation, len(tasks), source})
-		for _, t := range tasks {
+		for _, t := range slices.Clone(tasks) {
 			e.unassign(t)
 		}
 	}
-	for _, n := range e.sortedNodes {
-		if n.known {
-			expire(n.executorIncarnation, n.leaseExpires, n.leaseSource)
-		}
-	}
-	for incarnation, tasks := range e.assignedTasks {
-		if e.nodeByIncarnation[incarnation] == nil {
-			expires, source := e.unreportedLease(tasks[0].host)
-			expire(incarnation, expires, source)
-		}
-	}
 	slices.SortFunc(lapsed, func(a, b Lapse) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
 	return lapsed
 }
--- a/workflow/engine/leases_test.go
+++ b/workflow/engine/leases_test.go
@@ -1,6 +1,7 @@
 package engine_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -25,18 +26,25 @@
 	}
 }
 
-// takeOver replaces the engine by that of a new owner, which has read the records of all jobs.
-func (h *harness) takeOver(jobs ...workflow.Job) {
-	h.engine.Plan(h.now, h.now)
-	records := map[string]workflow.JobRecord{}
-	for _, change := range h.engine.TakeDirty() {
-		records[change.Job] = change.Record
-	}
+// takeOver replaces the engine by that of a new owner, which has read the record of the job.
+func (h *harness) takeOver(job workflow.Job, record workflow.JobRecord) {
 	h.engine = h.newEngine()
-	for _, job := range jobs {
-		record := records[job.ID]
-		h.engine.Add(job, &record, h.now, h.now)
+	h.engine.Add(job, &record, h.now, h.now)
+}
+
+// assigned adds a job with two tasks that run on an executor, and returns it with its record.
+func (h *harness) assigned(x *workflow.Executor) (workflow.Job, workflow.JobRecord, []workflow.RunState) {
+	job := h.job(step(2))
+	h.engine.Add(job, nil, h.now, h.now)
+	h.report("a", x, nil, nil)
+	h.engine.Plan(h.now, h.now)
+	record := h.engine.TakeDirty()[0].Record
+	var running []workflow.RunState
+	for _, d := range h.engine.TakeOrders() {
+		running = append(running, h.accept(d.Node, d.Orders)...)
 	}
+	h.Assert(running, qt.HasLen, 2)
+	return job, record, running
 }
 
 // lapsesAfter advances the clock until tasks lapse, and returns after how long they did and where their lease was known from.
@@ -79,15 +87,13 @@
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t)
 			h.epoch = epoch
-			job := h.job(step(2))
-			h.engine.Add(job, nil, h.now, h.now)
-			h.report("a", executor("a", 1), nil, nil)
-			h.takeOver(job)
+			job, record, running := h.assigned(executor("a", 1))
+			h.takeOver(job, record)
 			r := *test.report
 			r.Node, r.Address, r.Incarnation, r.Number = "a", "a", 1, 5
 			if r.ListAgeMillis == 0 {
 				// The task is listed, so that it stays assigned.
-				r.Running = []workflow.RunState{{Task: job.ID + ".0.0.0", Run: 1}, {Task: job.ID + ".0.0.1", Run: 1}}
+				r.Running = running
 			}
 			h.engine.HandleReport(&r, h.now, h.now)
 			after, source := h.lapsesAfter()
@@ -114,3 +120,78 @@
 	h.Assert(after, qt.Equals, 7060*time.Millisecond)
 	h.Assert(source, qt.Equals, engine.LeaseOfOwner)
 }
+
+// handOver replaces the engine by that of a new owner, which reads after some time what the former one has left.
+func (h *harness) handOver(pause time.Duration, job workflow.Job, record workflow.JobRecord) {
+	leases := h.engine.FinalLeases(h.now)
+	h.now = h.now.Add(pause)
+	h.takeOver(job, record)
+	h.engine.InheritLeases(&leases, h.now)
+}
+
+// Guards against tasks of a lost host that a new owner holds as if their lease had been renewed at its takeover, and against
+// tasks that lapse before the lease has expired, after one hand-over or two.
+func TestLeasesAreInherited(t *testing.T) {
+	h := newHarness(t)
+	x := executor("a", 1)
+	job, record, running := h.assigned(x)
+	h.now = h.now.Add(2 * time.Second)
+	h.report("a", x, running, nil)
+	renewedAt := h.now
+	h.now = h.now.Add(3 * time.Second)
+	h.handOver(100*time.Millisecond, job, record)
+	h.now = h.now.Add(time.Second)
+	h.handOver(100*time.Millisecond, job, record)
+	_, source := h.lapsesAfter()
+	h.Assert(source, qt.Equals, engine.LeaseOfFormerOwner)
+	after := h.now.Sub(renewedAt)
+	h.Assert(after >= 7060*time.Millisecond && after < 7300*time.Millisecond, qt.IsTrue, qt.Commentf("lapsed %v after the renewal", after))
+}
+
+// Guards against tasks that lapse by an inherited lease although the owner has renewed it, or on another incarnation of the
+// executor, for which it was not meant.
+func TestInheritedLeaseIsRenewed(t *testing.T) {
+	h := newHarness(t)
+	x := executor("a", 1)
+	job, record, running := h.assigned(x)
+	h.now = h.now.Add(4 * time.Second)
+	h.handOver(0, job, record)
+	h.report("a", x, running, nil)
+	after, source := h.lapsesAfter()
+	h.Assert(source, qt.Equals, engine.LeaseOfOwner)
+	h.Assert(after, qt.Equals, 7060*time.Millisecond)
+	h = newHarness(t)
+	job, record, _ = h.assigned(x)
+	h.now = h.now.Add(4 * time.Second)
+	h.handOver(0, job, record)
+	h.engine.HandleReport(&workflow.Report{Node: "a", Address: "a", Incarnation: 2, Number: 1, Executor: executor("a", 2)}, h.now, h.now)
+	after, source = h.lapsesAfter()
+	h.Assert(source, qt.Equals, engine.LeaseOfFormerOwner)
+	h.Assert(after >= 7060*time.Millisecond, qt.IsTrue, qt.Commentf("%v", after))
+}
+
+// Guards against a successor that counts leases as expired which an owner before its predecessor may have renewed: the
+// predecessor handed over right after its own takeover.
+func TestShortTermInheritsTakeoverBound(t *testing.T) {
+	h := newHarness(t)
+	job, record, _ := h.assigned(executor("a", 1))
+	h.takeOver(job, record)
+	tookOverAt := h.now
+	h.now = h.now.Add(300 * time.Millisecond)
+	h.handOver(100*time.Millisecond, job, record)
+	h.lapsesAfter()
+	after := h.now.Sub(tookOverAt)
+	h.Assert(after >= 8660*time.Millisecond && after < 8900*time.Millisecond, qt.IsTrue, qt.Commentf("%v", after))
+}
+
+// Guards against a record of leases that grows with the number of hosts without limit.
+func TestInheritedLeasesAreBounded(t *testing.T) {
+	h := newHarness(t)
+	for i := range workflow.MaxExecutorLeases + 10 {
+		job := h.job(step(1))
+		h.engine.Add(job, &workflow.JobRecord{Phase: workflow.Running, Tasks: []workflow.TaskRecord{
+			{Phase: workflow.TaskAssigned, Run: 1, Life: fmt.Sprintf("i-%d@1", i), Node: fmt.Sprint(i)},
+		}}, h.now, h.now)
+	}
+	h.Assert(h.engine.FinalLeases(h.now).Executors, qt.HasLen, workflow.MaxExecutorLeases)
+}
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -52,6 +52,10 @@
 	stopping map[*task]struct{}
 	// unreportedExpiry is when the leases of executor incarnations that no node has reported have expired.
 	unreportedExpiry time.Time
+	// unreportedSource tells where unreportedExpiry comes from.
+	unreportedSource LeaseSource
+	// inheritedLeases holds when the leases of executor incarnations have expired, as the former owner has stored it.
+	inheritedLeases map[string]time.Time
 	// discoveryDeadline is when all executors have had time to announce themselves to a new owner.
 	discoveryDeadline time.Time
 	// hasRestoredRuns is set if restored records named hosts of running tasks; unreportedHosts holds those of these
@@ -98,6 +102,8 @@
 		assignedTasks:        map[string][]*task{},
 		stopping:             map[*task]struct{}{},
 		unreportedExpiry:     now.Add(settings.LeaseExpiry + settings.TakeoverSlack),
+		unreportedSource:     LeaseOfTakeover,
+		inheritedLeases:      map[string]time.Time{},
 		discoveryDeadline:    now.Add(discoveryTimeout),
 		unreportedHosts:      map[string]bool{},
 		dirtyJobs:            map[*job]struct{}{},
