Merge the knowledge of leases across owners

A new owner takes how long an executor can hold its lease from the node on its host or from the planned hand-over of its predecessor, instead of counting anew from the takeover.

--- a/node/departure_test.go
+++ b/node/departure_test.go
@@ -35,18 +35,18 @@
 	c := qt.New(t)
 	n := newNode()
 	n.handleHoldError(testIncarnation, ErrRefused)
-	c.Assert(n.nextReport().Executor.Left, qt.IsFalse, qt.Commentf("the end is not announced"))
+	c.Assert(n.nextReport(1).Executor.Left, qt.IsFalse, qt.Commentf("the end is not announced"))
 	n.Leave("i-1")
-	c.Assert(n.nextReport().Executor.Draining, qt.IsTrue)
-	c.Assert(n.nextReport().Executor.Left, qt.IsFalse, qt.Commentf("it may still run its tasks"))
+	c.Assert(n.nextReport(1).Executor.Draining, qt.IsTrue)
+	c.Assert(n.nextReport(1).Executor.Left, qt.IsFalse, qt.Commentf("it may still run its tasks"))
 	n.handleHoldError(testIncarnation, errors.New("no response"))
 	n.handleHoldError(testIncarnation, ErrNotDelivered)
 	n.handleHoldError("i-1@500", ErrRefused)
-	c.Assert(n.nextReport().Executor.Left, qt.IsFalse)
+	c.Assert(n.nextReport(1).Executor.Left, qt.IsFalse)
 	n.handleHoldError(testIncarnation, ErrRefused)
-	c.Assert(n.nextReport().Executor.Left, qt.IsTrue)
+	c.Assert(n.nextReport(1).Executor.Left, qt.IsTrue)
 	n.applyLists(testIncarnation, &RunLists{StartedUnixMillis: 1000}, 0)
-	c.Assert(n.nextReport().Executor.Left, qt.IsFalse, qt.Commentf("the incarnation still responds"))
+	c.Assert(n.nextReport(1).Executor.Left, qt.IsFalse, qt.Commentf("the incarnation still responds"))
 }
 
 // Guards against an executor that has left and counts as alive again because of an announcement that it sent before, and
@@ -55,11 +55,11 @@
 	c := qt.New(t)
 	n := departedNode()
 	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 1000}, 2, 600)
-	c.Assert(n.nextReport().Executor.Left, qt.IsTrue)
-	c.Assert(n.nextReport().Executor.Draining, qt.IsTrue)
+	c.Assert(n.nextReport(1).Executor.Left, qt.IsTrue)
+	c.Assert(n.nextReport(1).Executor.Draining, qt.IsTrue)
 	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 2000}, 1, 100)
-	c.Assert(n.nextReport().Executor.Left, qt.IsFalse)
-	c.Assert(n.nextReport().Executor.Draining, qt.IsFalse)
+	c.Assert(n.nextReport(1).Executor.Left, qt.IsFalse)
+	c.Assert(n.nextReport(1).Executor.Draining, qt.IsFalse)
 }
 
 // Guards against an executor that drains for ever because a late announcement of a former incarnation's end was taken for its
@@ -70,11 +70,11 @@
 	n.Leave("i-1")
 	n.applyLists(testIncarnation, &RunLists{StartedUnixMillis: 1000}, 0)
 	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 1000}, 2, 600)
-	c.Assert(n.nextReport().Executor.Draining, qt.IsTrue, qt.Commentf("it may end at any moment"))
+	c.Assert(n.nextReport(1).Executor.Draining, qt.IsTrue, qt.Commentf("it may end at any moment"))
 	n.departure.announcedAt = n.departure.announcedAt.Add(-2 * maxDepartureTime)
 	n.applyLists(testIncarnation, &RunLists{StartedUnixMillis: 1000}, 0)
 	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 1000}, 3, 700)
-	c.Assert(n.nextReport().Executor.Draining, qt.IsFalse)
+	c.Assert(n.nextReport(1).Executor.Draining, qt.IsFalse)
 	c.Assert(n.settles(t), qt.IsTrue)
 }
 
@@ -87,11 +87,11 @@
 	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 1000, Draining: true}, 2, 600)
 	c.Assert(n.settles(t), qt.IsFalse, qt.Commentf("it will leave"))
 	n.Leave("i-1")
-	n.applyReply(n.nextReport(), &workflow.ReportReply{Epoch: 1}, time.Now())
+	n.applyReply(n.nextReport(1), &workflow.ReportReply{Epoch: 1}, time.Now())
 	c.Assert(n.settles(t), qt.IsFalse, qt.Commentf("the report said that it drains"))
 	n.handleHoldError(testIncarnation, ErrRefused)
 	for range 2 {
-		n.applyReply(n.nextReport(), &workflow.ReportReply{Epoch: 1}, time.Now())
+		n.applyReply(n.nextReport(1), &workflow.ReportReply{Epoch: 1}, time.Now())
 		c.Assert(n.settles(t), qt.IsTrue)
 	}
 }
@@ -101,7 +101,7 @@
 func TestNextExecutorSettlesDeparture(t *testing.T) {
 	c := qt.New(t)
 	n := departedNode()
-	late := n.nextReport()
+	late := n.nextReport(1)
 	settled := n.departure.settled
 	n.applyLists(testIncarnation, &RunLists{StartedUnixMillis: 2000}, 0)
 	<-settled
--- /dev/null
+++ b/workflow/engine/leases.go
@@ -0,0 +1,120 @@
+package engine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+// LeaseSource tells how it is known when the lease of an executor has expired.
+type LeaseSource string
+
+// Sources of the expiry of a lease.
+const (
+	// LeaseOfOwner means that this owner has renewed the lease.
+	LeaseOfOwner LeaseSource = "owner"
+	// LeaseOfNode means that the node on the executor's host knows the lease.
+	LeaseOfNode LeaseSource = "node"
+	// LeaseOfFormerOwner means that the former owner has stored when the lease expires.
+	LeaseOfFormerOwner LeaseSource = "former owner"
+	// LeaseOfTakeover means that nothing is known but that a former owner may have renewed the lease until the takeover.
+	LeaseOfTakeover LeaseSource = "takeover"
+)
+
+// Lapse is an executor incarnation whose lease has expired, with the number of its tasks.
+type Lapse struct {
+	Incarnation string
+	Tasks       int
+	Source      LeaseSource
+}
+
+// applyLeaseBound takes over what a node knows of the lease of its executor. Once this owner has renewed the lease, the node's
+// reports may be older than the renewal.
+func (e *Engine) applyLeaseBound(n *node, b *workflow.LeaseBound, now time.Time) {
+	if b == nil || b.Epoch < e.settings.Epoch || n.leaseSource == LeaseOfOwner {
+		return
+	}
+	left := time.Duration(b.LeftMillis) * time.Millisecond
+	// LeaseExpiry exceeds LeaseDuration by the drift of the executor's clock and the time that it takes to stop.
+	if expires := now.Add(left + e.settings.LeaseExpiry - e.settings.LeaseDuration); expires.Before(n.leaseExpires) {
+		n.leaseExpires, n.leaseSource = expires, LeaseOfNode
+	}
+}
+
+// InheritLeases takes over what the former owner has stored of the leases of executors, counted from when it was read.
+func (e *Engine) InheritLeases(leases *workflow.OwnerLeases, readAt time.Time) {
+	if leases.OthersMillis > 0 {
+		e.unreportedExpiry, e.unreportedSource = readAt.Add(time.Duration(leases.OthersMillis)*time.Millisecond), LeaseOfFormerOwner
+	}
+	for _, l := range leases.Executors {
+		e.inheritedLeases[l.Incarnation] = readAt.Add(time.Duration(l.LeftMillis) * time.Millisecond)
+	}
+}
+
+// FinalLeases returns the leases of the executors with assigned tasks for the next owner. This owner must not renew any lease
+// from then on.
+func (e *Engine) FinalLeases(now time.Time) workflow.OwnerLeases {
+	// A lease that this owner has renewed may belong to an executor whose tasks are still assigned only in the store.
+	others := max(e.unreportedExpiry.Sub(now), e.settings.LeaseExpiry)
+	leases := workflow.OwnerLeases{OthersMillis: others.Milliseconds() + 1}
+	for incarnation, tasks := range e.assignedTasks {
+		expires, _ := e.leaseOf(incarnation, tasks)
+		leases.Executors = append(leases.Executors, workflow.ExecutorLease{
+			Incarnation: incarnation, LeftMillis: expires.Sub(now).Milliseconds() + 1,
+		})
+	}
+	slices.SortFunc(leases.Executors, func(a, b workflow.ExecutorLease) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	leases.Executors = leases.Executors[:min(len(leases.Executors), workflow.MaxExecutorLeases)]
+	return leases
+}
+
+// leaseOf returns when the lease of an incarnation with assigned tasks has expired.
+func (e *Engine) leaseOf(incarnation string, tasks []*task) (time.Time, LeaseSource) {
+	expires, source := e.unreportedExpiry, e.unreportedSource
+	n := e.nodeByIncarnation[incarnation]
+	if n != nil && n.leaseSource == LeaseOfOwner {
+		return n.leaseExpires, n.leaseSource
+	}
+	if n == nil {
+		// The node of the host may have reported without knowing an executor.
+		n = e.nodes[tasks[0].host]
+	}
+	if n != nil && n.leaseSource == LeaseOfNode && n.leaseExpires.Before(expires) {
+		expires, source = n.leaseExpires, n.leaseSource
+	}
+	if inherited, found := e.inheritedLeases[incarnation]; found && inherited.Before(expires) {
+		expires, source = inherited, LeaseOfFormerOwner
+	}
+	return expires, source
+}
+
+// Unreported returns the number of executors with assigned tasks whose leases this owner has not renewed, the number of their
+// tasks, and the longest time for which these are held.
+func (e *Engine) Unreported(now time.Time) (executors, held int, longest time.Duration) {
+	for incarnation, tasks := range e.assignedTasks {
+		if expires, source := e.leaseOf(incarnation, tasks); source != LeaseOfOwner {
+			executors++
+			held += len(tasks)
+			longest = max(longest, expires.Sub(now))
+		}
+	}
+	return executors, held, longest
+}
+
+// ExpireLeases unassigns the tasks of executors whose leases have expired and returns these executors.
+func (e *Engine) ExpireLeases(now time.Time) (lapsed []Lapse) {
+	for incarnation, tasks := range e.assignedTasks {
+		expires, source := e.leaseOf(incarnation, tasks)
+		if now.Before(expires) {
+			continue
+		}
+		lapsed = append(lapsed, Lapse{incarnation, len(tasks), source})
+		for _, t := range slices.Clone(tasks) {
+			e.unassign(t)
+		}
+	}
+	slices.SortFunc(lapsed, func(a, b Lapse) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	return lapsed
+}
