End the first renewal of a stand-in upstream before its second registration

What the test saw: TestUpstreamAndAgentLeaveUnderLoad failed in about one run of ten, "P8: work after the upstream has left", with 10 to 40 executions too many.

Cause: the test, not the product. After the agent that it had stopped in the first round was started again, it registered that host's upstream a second time and kept the first renewal loop running: unregister stopped only the second one. If the same host's upstream was the one to leave in the second round, the first loop got 409 while the upstream was leaving, tried again each second and registered it anew at most a second after it had left, as a new upstream that takes work. The check came 0.4 s after the leave, so that the test passed when the loop's next try came later.

Change: register replaces reregister; unregister returns once no renewal is under way, and the host whose agent was stopped is unregistered before it is registered again. A stand-in upstream doesn't cancel a renewal that it has begun, since the agent could process it after a later leave. The check waits 2.5 s longer, more than the interval of renewals, so that each renewal after a leave is seen. It is stricter than before.

--- a/agent/requests/upstreamtest/registrar.go
+++ b/agent/requests/upstreamtest/registrar.go
@@ -33,10 +33,11 @@
 	OnFailure func(error)
 }
 
-// Run registers the upstream and renews the registration until ctx ends.
+// Run registers the upstream and renews the registration until ctx ends. A renewal that has begun isn't cancelled, since the
+// agent could process it after a later Leave.
 func (r *Registrar) Run(ctx context.Context) {
 	for {
-		next, err := r.Register(ctx)
+		next, err := r.Register(context.WithoutCancel(ctx))
 		if err != nil {
 			next = registrationTimeout
 			if r.OnFailure != nil && ctx.Err() == nil {
--- a/test/guarantees/fleet_test.go
+++ b/test/guarantees/fleet_test.go
@@ -73,8 +73,8 @@
 	workerLink    *faultnet.Forwarder
 	upstream      *upstreamtest.Server
 	registrar     *upstreamtest.Registrar
-	// unregister stops renewing the upstream's registration.
-	unregister context.CancelFunc
+	// unregister stops renewing the upstream's registration and returns once no renewal is under way.
+	unregister func()
 }
 
 type fleet struct {
@@ -197,22 +197,28 @@
 	h.registrar = &upstreamtest.Registrar{Agent: h.listen, Registration: structs.UpstreamRegistration{
 		Service: "price", Address: h.upstream.Address(), Slots: 8, Connections: 64,
 	}}
+	f.register(h)
+	return h
+}
+
+// register registers the upstream of a host and renews the registration until h.unregister is called or the test ends.
+func (f *fleet) register(h *host) {
+	f.c.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	h.unregister = cancel
 	ended := make(chan struct{})
+	h.unregister = func() {
+		cancel()
+		<-ended
+	}
+	f.c.Cleanup(h.unregister)
 	go func() {
 		defer close(ended)
 		h.registrar.Run(ctx)
 	}()
-	f.c.Cleanup(func() {
-		cancel()
-		<-ended
-	})
 	f.eventually("the upstream is registered", func() bool {
-		_, err := h.registrar.Register(context.Background())
+		_, err := h.registrar.Register(ctx)
 		return err == nil
 	})
-	return h
 }
 
 func (p *process) configure(domain, peers, more string) {
--- a/test/guarantees/graceful_stop_test.go
+++ b/test/guarantees/graceful_stop_test.go
@@ -101,6 +101,10 @@
 	}
 }
 
+// workAfterLeaveWait is longer than the interval at which upstreams renew their registration (2 s), so that a registration
+// that continues after the upstream has left is noticed.
+const workAfterLeaveWait = 2500 * time.Millisecond
+
 // Guards against new work at a leaving upstream or agent (P8), and against requests that its shutdown interrupts (P9),
 // under load from two entries, in two rounds.
 func TestUpstreamAndAgentLeaveUnderLoad(t *testing.T) {
@@ -114,6 +118,7 @@
 		countsAfterLeave := leaving.upstream.Counts()
 		f.c.Assert(countsAfterLeave.Running, qt.Equals, 0)
 		l.waitForAnswers(50)
+		time.Sleep(workAfterLeaveWait)
 		f.c.Assert(leaving.upstream.Counts().Total, qt.Equals, countsAfterLeave.Total, qt.Commentf("P8: work after the upstream has left"))
 
 		stopped := l.startLongRequests(leaving, round)
@@ -124,26 +129,15 @@
 		f.c.Assert(stopped.upstream.Counts().Total, qt.Equals, countsAfterStop.Total)
 
 		stopped.start()
-		f.reregister(leaving)
-		f.reregister(stopped)
+		f.register(leaving)
+		stopped.unregister()
+		f.register(stopped)
 		before := stopped.upstream.Counts().Total
 		f.eventually("the agent serves again", func() bool { return stopped.upstream.Counts().Total > before })
 	}
 	l.stopAndCheck()
 }
 
-// reregister registers the upstream of a host again and renews the registration.
-func (f *fleet) reregister(h *host) {
-	ctx, cancel := context.WithCancel(context.Background())
-	f.c.Cleanup(cancel)
-	h.unregister = cancel
-	f.eventually("the upstream is registered", func() bool {
-		_, err := h.registrar.Register(ctx)
-		return err == nil
-	})
-	go h.registrar.Run(ctx)
-}
-
 // Guards against a stop of an entry that interrupts requests or leaves callers without a complete response (P9), under
 // load, for one entry after the other, in two rounds.
 func TestEntriesStopUnderLoad(t *testing.T) {
