Ignore reads of the owner that an election has overtaken

What callers could see: two waits in an election. A process that has just taken the ownership gives it up, and nothing starts until the lease of its key has expired (1.5 s) and the next owner has waited for leases again. Or a process takes a former owner for the current one and stays out of the election until its next report has failed, at most 1.3 s later.

Cause: Locator.Refresh applied the response to a read whatever had happened since the read was sent. A response "no owner" removed an owner that was found meanwhile, and the new owner's own process then ended its term as lost. A response with the former owner, or its late announcement, brought back an owner whose deletion was already seen. Each failed report or call sends such a read, so they are in flight at every change of the owner.

Change: the locator keeps the epoch up to which all ownerships have ended, and finds none of these again. A read without an owner ends only ownerships that were known before it was sent; after a reset of the watch the key is read again if an owner is known.

--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -41,6 +41,8 @@
 	mu      sync.Mutex
 	owner   workflow.OwnerRecord
 	present bool
+	// ended is the epoch up to which all ownerships are known to have ended.
+	ended int64
 	// absentAt is when the key was last known not to exist; zero while it exists.
 	absentAt    time.Time
 	changed     chan struct{}
@@ -56,15 +58,7 @@
 func (l *Locator) Run(ctx context.Context) {
 	follower := &kv.Follower{
 		Store: l.store, Prefix: ownerPrefix, WatchTimeout: watchTimeout, Log: l.log,
-		OnReset: func(items []kv.Item) {
-			for _, item := range items {
-				if item.Key == OwnerKey {
-					l.updateFromItem(item)
-					return
-				}
-			}
-			l.clearOwner(0)
-		},
+		OnReset: func(items []kv.Item) { l.reset(ctx, items) },
 		OnChange: func(event kv.Event) {
 			if event.Key != OwnerKey {
 				return
@@ -79,6 +73,23 @@
 	follower.Run(ctx)
 }
 
+// reset applies a complete read of the prefix. If it doesn't contain the known owner, the key is read again, since the owner may
+// have been found after the read was sent.
+func (l *Locator) reset(ctx context.Context, items []kv.Item) {
+	for _, item := range items {
+		if item.Key == OwnerKey {
+			l.updateFromItem(item)
+			return
+		}
+	}
+	owner, present := l.Current()
+	if present {
+		l.read(ctx)
+		return
+	}
+	l.clearOwner(owner.Epoch)
+}
+
 func (l *Locator) updateFromItem(item kv.Item) {
 	var record workflow.OwnerRecord
 	if err := json.Unmarshal(item.Value, &record); err != nil {
@@ -89,11 +100,12 @@
 	l.Update(record)
 }
 
-// Update sets the owner unless its epoch is older than that of the known owner. It returns false in that case.
+// Update sets the owner unless its epoch is older than that of the known owner, or its ownership is known to have ended. It
+// returns false in these cases.
 func (l *Locator) Update(record workflow.OwnerRecord) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if record.Epoch < l.owner.Epoch {
+	if record.Epoch < l.owner.Epoch || record.Epoch <= l.ended {
 		return false
 	}
 	if record.Epoch == l.owner.Epoch && l.present {
@@ -105,12 +117,12 @@
 	return true
 }
 
-// clearOwner records that there is no owner. A deletion at a revision before the epoch of the known owner is ignored; 0 stands
-// for a read that found no key.
-func (l *Locator) clearOwner(revision int64) {
+// clearOwner records that all ownerships up to an epoch have ended. A later owner stays.
+func (l *Locator) clearOwner(ended int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if revision != 0 && revision < l.owner.Epoch {
+	l.ended = max(l.ended, ended)
+	if l.owner.Epoch > ended {
 		return
 	}
 	if l.present || l.absentAt.IsZero() {
@@ -155,6 +167,13 @@
 	}
 	l.lastRefresh = time.Now()
 	l.mu.Unlock()
+	l.read(ctx)
+}
+
+// read reads the owner's key. If the key doesn't exist, the owner that was known before the read has ended; one that was found
+// meanwhile may be newer.
+func (l *Locator) read(ctx context.Context) {
+	known := l.Epoch()
 	item, found, _, err := l.store.Get(ctx, OwnerKey)
 	switch {
 	case err != nil:
@@ -162,6 +181,6 @@
 	case found:
 		l.updateFromItem(item)
 	default:
-		l.clearOwner(0)
+		l.clearOwner(known)
 	}
 }
