Admit another probe when a probe ends without a result

What operators could see: a quarantined worker whose probe task is evicted, refused, cancelled or lost gets no task for 10 minutes (ProbeTimeout), though it may be sound.

Cause: the owner of a shard told the quarantine only of attempts that finished or failed. RecordProbeAbort existed and only the engine of workflows called it.

Change: Machine.OnAttemptEnd is called for every attempt that ends; an inconclusive end frees the probe.

Measured: TestProbeThatEndsWithoutResultAdmitsAnother fails in its four cases before the change and passes after it. go test -race of shard/..., agent/..., replay and scheduler/quarantine passes.

--- a/shard/lifecycle/heartbeat.go
+++ b/shard/lifecycle/heartbeat.go
@@ -74,6 +74,9 @@
 	live := m.attempts[r.AllocationID]
 	delete(m.attempts, r.AllocationID)
 	task := m.state.Task(r.Task)
+	if live != nil && !m.conclusive(r) {
+		m.notifyEnd(AttemptEnd{Task: r.Task, Worker: live.Alloc.Worker, Inconclusive: true})
+	}
 	if task == nil {
 		// The job has ended or is unknown. Its end must be durable before the agent may discard the result.
 		return len(m.pending) == 0
@@ -94,11 +97,21 @@
 	return m.lastChange[r.Task] <= m.durable
 }
 
+// conclusive reports whether a result ends its task's current attempt as finished or failed.
+func (m *Machine) conclusive(r structs.TaskResult) bool {
+	task := m.state.Task(r.Task)
+	switch {
+	case task == nil:
+		return false
+	case r.State == structs.TaskFinished:
+		return task.canFinish(r.Attempt)
+	}
+	return r.State == structs.TaskFailed && task.Active() && task.Attempt == r.Attempt
+}
+
 func (m *Machine) finishTask(r structs.TaskResult, worker string, wall time.Time) {
 	m.counters.Finishes++
-	if m.OnAttemptEnd != nil {
-		m.OnAttemptEnd(AttemptEnd{Task: r.Task, Worker: worker})
-	}
+	m.notifyEnd(AttemptEnd{Task: r.Task, Worker: worker})
 	m.propose(Event{
 		Kind: EventFinish, JobID: r.Task.JobID, Index: r.Task.Index, Attempt: r.Attempt, UnixMilli: wall.UnixMilli(),
 	})
@@ -115,8 +128,8 @@
 		m.counters.Refused++
 		m.requeueOrRetire(live, r.CheckpointID, r.Progress, r.Reason, wall)
 	}
-	if m.OnAttemptEnd != nil && r.State == structs.TaskFailed {
-		m.OnAttemptEnd(AttemptEnd{Task: r.Task, Worker: worker, Failed: true})
+	if r.State == structs.TaskFailed {
+		m.notifyEnd(AttemptEnd{Task: r.Task, Worker: worker, Failed: true})
 	}
 }
 
--- a/shard/lifecycle/machine.go
+++ b/shard/lifecycle/machine.go
@@ -75,15 +75,17 @@
 	pending  []Event
 	durable  int64
 	counters Counters
-	// OnAttemptEnd is called for every attempt that has finished or failed; it may be nil.
+	// OnAttemptEnd is called for every attempt that has ended; it may be nil.
 	OnAttemptEnd func(AttemptEnd)
 }
 
-// AttemptEnd describes an attempt that has finished or failed.
+// AttemptEnd describes an attempt that has ended.
 type AttemptEnd struct {
 	Task   structs.TaskID
 	Worker string
 	Failed bool
+	// Inconclusive is set if the attempt has neither finished nor failed: it was evicted, refused, cancelled or lost.
+	Inconclusive bool
 }
 
 // Counters counts the actions of an owner.
@@ -278,9 +280,16 @@
 	return view == nil || now.Sub(view.ReceivedAt) > m.settings.Lease+m.settings.Margin
 }
 
+func (m *Machine) notifyEnd(end AttemptEnd) {
+	if m.OnAttemptEnd != nil {
+		m.OnAttemptEnd(end)
+	}
+}
+
 // endLostAttempt ends an attempt that can't be running and reported no result.
 func (m *Machine) endLostAttempt(live *LiveAttempt, reason string, wall time.Time) {
 	delete(m.attempts, live.Alloc.ID)
+	m.notifyEnd(AttemptEnd{Task: live.Alloc.Task, Worker: live.Alloc.Worker, Inconclusive: true})
 	task := m.state.Task(live.Alloc.Task)
 	if task == nil || !task.Active() || task.Attempt != live.Alloc.Attempt {
 		return
--- a/shard/models.go
+++ b/shard/models.go
@@ -143,11 +143,14 @@
 	m.interference.SetLoads(hb.Worker.Name, loads, now)
 }
 
-// observeAttemptEnd updates the quarantine model with an attempt that finished or failed.
+// observeAttemptEnd updates the quarantine model with an attempt that has ended.
 func (m *models) observeAttemptEnd(end lifecycle.AttemptEnd, now time.Time) {
-	if end.Failed {
+	switch {
+	case end.Inconclusive:
+		m.quarantine.RecordProbeAbort(end.Worker)
+	case end.Failed:
 		m.quarantine.RecordFailure(end.Task.JobID, end.Worker, now)
-	} else {
+	default:
 		m.quarantine.RecordSuccess(end.Task.JobID, end.Worker, now)
 	}
 }
--- a/shard/models_test.go
+++ b/shard/models_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/quetzalshed/quetzalshed/config"
 	"github.com/quetzalshed/quetzalshed/scheduler"
+	"github.com/quetzalshed/quetzalshed/scheduler/quarantine"
 	"github.com/quetzalshed/quetzalshed/shard/lifecycle"
 	"github.com/quetzalshed/quetzalshed/structs"
 )
@@ -137,3 +138,61 @@
 	estimate := l.interference.Estimate("svc", "noisy")
 	c.Assert(estimate.Known && estimate.Slowdown > 8, qt.IsTrue, qt.Commentf("%+v", estimate))
 }
+
+// Guards against a quarantined worker that gets no task for ProbeTimeout after its probe ended without a result.
+func TestProbeThatEndsWithoutResultAdmitsAnother(t *testing.T) {
+	id := structs.TaskID{JobID: "probe"}
+	type end func(m *lifecycle.Machine, hb structs.Heartbeat, alloc structs.Allocation, now time.Time)
+	report := func(m *lifecycle.Machine, hb structs.Heartbeat, now time.Time) {
+		_, _ = m.Heartbeat(now, now, hb, true, true)
+	}
+	for name, ends := range map[string]end{
+		"evicted": func(m *lifecycle.Machine, hb structs.Heartbeat, alloc structs.Allocation, now time.Time) {
+			hb.Results = []structs.TaskResult{{AllocationID: alloc.ID, Task: id, Attempt: 1, State: structs.TaskPending}}
+			report(m, hb, now)
+		},
+		"cancelled": func(m *lifecycle.Machine, hb structs.Heartbeat, alloc structs.Allocation, now time.Time) {
+			m.Cancel(id.JobID, now)
+			hb.Results = []structs.TaskResult{{AllocationID: alloc.ID, Task: id, Attempt: 1, State: structs.TaskPending}}
+			report(m, hb, now)
+		},
+		"missing": func(m *lifecycle.Machine, hb structs.Heartbeat, _ structs.Allocation, now time.Time) {
+			report(m, hb, now)
+		},
+		"lost": func(m *lifecycle.Machine, _ structs.Heartbeat, _ structs.Allocation, now time.Time) {
+			m.Expire(now.Add(time.Minute), now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			now := modelStart
+			l := newModels(modelRules(), ModelSummary{}, now)
+			m := lifecycle.NewMachine(lifecycle.DefaultSettings(), lifecycle.LeasePeriods{}, 0, 1, lifecycle.NewState(), now)
+			m.OnAttemptEnd = func(e lifecycle.AttemptEnd) { l.observeAttemptEnd(e, now) }
+			for _, job := range []string{"a", "b", "c"} {
+				l.observeAttemptEnd(lifecycle.AttemptEnd{Task: structs.TaskID{JobID: job}, Worker: "w", Failed: true}, now)
+			}
+			now = now.Add(quarantine.DefaultBackoff)
+			c.Assert(l.quarantine.Admits("w", now), qt.Equals, quarantine.AdmitProbe)
+
+			m.Accept(structs.Job{ID: id.JobID, Kind: structs.KindBatch, Tasks: 1, Resources: structs.Resources{MilliCores: 1}})
+			hb := structs.Heartbeat{Worker: structs.Worker{Name: "w"}, Incarnation: "i", Sequence: 1, Epoch: 1}
+			report(m, hb, now)
+			c.Assert(m.Place(id, "w", structs.Resources{MilliCores: 1}), qt.IsTrue)
+			l.recordPlacement("w", now)
+			alloc := m.LiveAttempts()[lifecycle.AllocationID(id, 1)].Alloc
+			m.Committed(len(m.PendingEvents()))
+			hb.Running = []structs.AllocationState{{Allocation: alloc, State: structs.TaskRunning}}
+			hb.Sequence++
+			report(m, hb, now)
+			c.Assert(l.quarantine.Admits("w", now), qt.Equals, quarantine.AdmitNone)
+
+			hb.Running = nil
+			hb.Sequence++
+			now = now.Add(time.Second)
+			ends(m, hb, alloc, now)
+			c.Assert(m.LiveAttempts(), qt.HasLen, 0)
+			c.Assert(l.quarantine.Admits("w", now), qt.Equals, quarantine.AdmitProbe)
+		})
+	}
+}
