Wait no longer for a former owner whose lease has ended

Long-running tasks on the host of the owner stood still for 9.4 to 9.7 s after its loss, alone or with another host: 1.5 s until its key lapses, and 8.66 s from the takeover, 1.6 s of which are for a former owner that still believes that it is one.

An owner grants leases only while its own lease is valid by its own clock, which starts when a renewal is sent, and in the store when it arrives. So once the store says that the lease has ended, its holder grants nothing: it has expired, was released after the end of the term, or was revoked by the next process on the host. The next owner asks the store beside its first read, and allows 0.1 s for clocks of different speed. The full slack stays if the lease goes on (its key was deleted by others), if the store gives no answer within 0.5 s, if the former owner is of an older version or wrote nothing, and if its own predecessor may still have been granting when it wrote last.

Assumed: the store ends no lease before its time. If it dropped leases at an outage of less than 1.5 s, an owner that reaches it would find out at its next renewal, 0.35 s later, and one that doesn't could grant for up to 1.5 s.

--- a/owner/leases_test.go
+++ b/owner/leases_test.go
@@ -88,3 +88,58 @@
 		qt.Assert(t, time.Since(started) <= handOverTimeout, qt.IsTrue)
 	})
 }
+
+// Guards against an owner that takes leases as expired which a former owner may still have renewed after the takeover.
+func TestSlackForFormerOwner(t *testing.T) {
+	for name, test := range map[string]struct {
+		end   func(t *testing.T, store *kvtest.Store, former *term, client *kvtest.Client)
+		slack time.Duration
+	}{
+		"expired":  {func(*testing.T, *kvtest.Store, *term, *kvtest.Client) { time.Sleep(ownership.LeaseTTL) }, clockSlack},
+		"released": {func(_ *testing.T, _ *kvtest.Store, former *term, _ *kvtest.Client) { former.lease.Release() }, clockSlack},
+		"key deleted, lease goes on": {func(_ *testing.T, store *kvtest.Store, _ *term, _ *kvtest.Client) {
+			store.DeletePrefix(ownership.OwnerKey)
+		}, takeoverSlack},
+		"ended right after its own takeover": {func(t *testing.T, _ *kvtest.Store, former *term, _ *kvtest.Client) {
+			former.settledAt = time.Now().Add(time.Second)
+			qt.Assert(t, former.write(t.Context(), kv.Transaction{}), qt.IsNil)
+			former.lease.Release()
+		}, takeoverSlack},
+		"store fails": {func(_ *testing.T, _ *kvtest.Store, former *term, client *kvtest.Client) {
+			former.lease.Release()
+			time.AfterFunc(time.Millisecond, func() { client.SetFaults(kvtest.Faults{Unresponsive: true}) })
+		}, takeoverSlack},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				store := kvtest.New()
+				client := store.Client(1)
+				former := acquire(t, client)
+				c.Assert(former.write(t.Context(), kv.Transaction{}), qt.IsNil)
+				test.end(t, store, former, client)
+				term := acquire(t, client)
+				time.Sleep(2 * time.Millisecond)
+				mark, found := parseFormer(term.lease.Former)
+				c.Assert(term.slackAfter(t.Context(), mark, found), qt.Equals, test.slack)
+			})
+		})
+	}
+}
+
+// Guards against the same when the former owner has written nothing, or something that can't be read.
+func TestSlackForUnknownFormerOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		client := kvtest.New().Client(1)
+		first := acquire(t, client)
+		mark, found := parseFormer(first.lease.Former)
+		c.Assert(first.slackAfter(t.Context(), mark, found), qt.Equals, time.Duration(0), qt.Commentf("the first owner of all"))
+		first.lease.Release()
+		second := acquire(t, client)
+		mark, found = parseFormer(second.lease.Former)
+		c.Assert(second.slackAfter(t.Context(), mark, found), qt.Equals, takeoverSlack)
+		mark, found = parseFormer([]byte("{"))
+		c.Assert(second.slackAfter(t.Context(), mark, found), qt.Equals, takeoverSlack)
+	})
+}
--- a/test/workflows/silent_executors_test.go
+++ b/test/workflows/silent_executors_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -142,3 +143,38 @@
 		})
 	}
 }
+
+// Guards against long-running tasks that stand still for too long after the loss of the owner's host, alone or with another one.
+func TestTasksOfOwnersHostRestart(t *testing.T) {
+	for _, alone := range []bool{true, false} {
+		for pause := time.Duration(0); pause < 400*time.Millisecond; pause += 70 * time.Millisecond {
+			t.Run(fmt.Sprintf("alone=%v/%v", alone, pause), func(t *testing.T) {
+				runWithFleet(t, 8, func(f *fleet) {
+					lost := f.owner()
+					// The tasks run on all executors but two, and the owner's is none of these.
+					spare := slices.DeleteFunc(slices.Clone(f.hosts), func(h *host) bool { return h == lost })[:2]
+					for _, h := range spare {
+						h.executor.SetDraining(true)
+					}
+					time.Sleep(2 * announceInterval)
+					f.submitLongRunning(6)
+					for _, h := range spare {
+						h.executor.SetDraining(false)
+						h.executor.Restart()
+					}
+					time.Sleep(2*announceInterval + pause)
+					tasks := f.tasksOf(lost)
+					if !alone {
+						other := f.busyHostBesideOwner()
+						other.kill()
+						other.executor.Crash()
+					}
+					lost.kill()
+					lost.executor.Crash()
+					lostAt := time.Now()
+					tasks.assertRestarted(lostAt)
+				})
+			})
+		}
+	}
+}
