--- a/node/nodetest/executor.go
+++ b/node/nodetest/executor.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -61,8 +62,18 @@
 	delayedShare float64
 	random       *rand.Rand
 	failing      bool
+	// crashes decides whether a run crashes the executor, and lives counts the IDs that it has had.
+	crashes func(task string) bool
+	lives   int
 }
 
+const (
+	// crashDelay is the time after its start at which a run crashes the executor, and crashDowntime the time until the
+	// executor is back.
+	crashDelay    = 10 * time.Millisecond
+	crashDowntime = 3 * time.Second
+)
+
 // New returns an executor whose tasks take the given duration.
 func New(name string, capacity structs.Resources, duration time.Duration, observer Observer) *Executor {
 	x := &Executor{
@@ -104,6 +115,28 @@
 	x.runs, x.down = map[string]*run{}, true
 }
 
+// SetCrashing sets which tasks crash the executor shortly after their start. It then refuses connections and comes back under
+// another ID.
+func (x *Executor) SetCrashing(crashes func(task string) bool) {
+	x.update(func() { x.crashes = crashes })
+}
+
+// crashUnderRun crashes an incarnation of the executor, unless it has ended before.
+func (x *Executor) crashUnderRun(incarnation string) {
+	if description, up := x.Describe(); !up || description.IncarnationID() != incarnation {
+		return
+	}
+	x.Leave()
+	time.AfterFunc(crashDowntime, func() {
+		x.update(func() {
+			x.lives++
+			name, _, _ := strings.Cut(x.description.ID, "/")
+			x.description.ID = name + "/" + strconv.Itoa(x.lives)
+		})
+		x.Restart()
+	})
+}
+
 // SetUnresponsive sets whether calls get no response and have no effect.
 func (x *Executor) SetUnresponsive(unresponsive bool) {
 	x.update(func() { x.unresponsive = unresponsive })
@@ -224,6 +257,10 @@
 		x.advanceAt(time.Now().Add(x.duration))
 		x.advanceAt(x.deadline)
 		x.observer.Started(x.description.IncarnationID(), s.Task, s.Run, s.Spec)
+		if x.crashes != nil && x.crashes(s.Task) {
+			lifetime := x.description.IncarnationID()
+			time.AfterFunc(crashDelay, func() { x.crashUnderRun(lifetime) })
+		}
 		return nil
 	})
 }
