Give up the jobs whose tasks crash one executor after the other

Cause: the end of an incarnation only unassigned its tasks. Nothing counted how often that had happened to a task, neither in the engine nor in the record; only ends that an executor lists as failed count as attempts, and a crashed executor lists nothing.

The records now count, for each task, the runs in a row that ended with a crash, and those in which it was a suspect. The tasks that had begun shortly before a crash become suspects; those of one job start together on one executor, apart from other suspects and from other starts, on at most half of the executors, and rather on one with few tasks. The next crash then shows the job: it fails after two crashes if the second followed from the start within 400 ms, after three otherwise. A suspect that outlives the age at which executors crashed under it is cleared. A task under which three executors in a row have crashed is a suspect whatever its age. Ends as planned, restarts of the whole host and leases that lapse while the host is cut off are no crashes; the last become one when the host reports another incarnation. Nodes report when a connection to the executor broke, which dates the crash.

--- a/node/hold.go
+++ b/node/hold.go
@@ -43,10 +43,11 @@
 		}
 		call, cancel := context.WithTimeout(ctx, wait+holdResponseMargin)
 		lists, err := n.executor.Hold(call, incarnation, fence, ack, deadline, wait)
+		broken := call.Err() == nil && isBroken(err)
 		cancel()
 		if err != nil {
 			failures++
-			n.clearConfirmed()
+			n.recordFailedCall(incarnation, broken)
 			if failures == 1 && ctx.Err() == nil {
 				n.log.Warn("executor doesn't answer", "executor", incarnation, "error", err)
 			}
@@ -90,11 +91,21 @@
 	return n.current.IncarnationID(), n.fence(n.epoch), n.pendingAck(), n.deadline(now), wait, n.executedOrders
 }
 
-// clearConfirmed records that a call got no response. The next call may reach another incarnation.
-func (n *Node) clearConfirmed() {
+// isBroken reports whether a call failed because its connection was broken or refused.
+func isBroken(err error) bool {
+	reason, rejected := rejectionReason(err)
+	return err != nil && (!rejected || reason == unreachable)
+}
+
+// recordFailedCall records that a call got no response. The next call may reach another incarnation. broken is set if its
+// connection was broken or refused, which shows that the executor has just ended.
+func (n *Node) recordFailedCall(incarnation string, broken bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.confirmed = false
+	if broken && n.current != nil && n.current.IncarnationID() == incarnation && n.brokenAt.IsZero() {
+		n.brokenAt = time.Now()
+	}
 }
 
 // pendingAck returns the number up to which ends may be acknowledged, or 0 if the executor has not recently listed any end up to
@@ -141,6 +152,7 @@
 	previous := n.lists
 	resolved := n.lastUnknownStart > n.listsCover && n.lastUnknownStart <= covers
 	n.lists, n.listsCover, n.listedAt, n.confirmed = lists, covers, time.Now(), true
+	n.brokenAt = time.Time{}
 	n.clockMillis, n.clockAt = lists.ClockMillis, n.listedAt
 	n.logEnds(incarnation, previous, lists)
 	n.pruneTraits(lists)
@@ -273,6 +285,9 @@
 	}
 }
 
+// unreachable is the reason of a call that could not be delivered.
+const unreachable = "unreachable"
+
 // rejectionReason returns the reason of a call that certainly had no effect, and false if the effect is unknown.
 func rejectionReason(err error) (string, bool) {
 	var rejected *RejectedError
@@ -283,7 +298,7 @@
 		return "life", true
 	}
 	if errors.Is(err, ErrNotDelivered) {
-		return "unreachable", true
+		return unreachable, true
 	}
 	return "", false
 }
--- a/node/node.go
+++ b/node/node.go
@@ -87,6 +87,8 @@
 	listsCover int64
 	// confirmed is true if the last call got a response from that incarnation.
 	confirmed bool
+	// brokenAt is when a connection to that incarnation was first broken or refused since it last responded; zero if none was.
+	brokenAt time.Time
 	// executedOrders counts the executed orders, and lastUnknownStart is the number of the last start without a response.
 	executedOrders, lastUnknownStart int64
 	// leaseEnd is the end of the lease, after which the runs end unless an owner renews it.
@@ -179,7 +181,7 @@
 func (n *Node) forgetIncarnation() {
 	n.log.Info("executor replaced", "former", n.current.IncarnationID())
 	n.current, n.lists, n.ack = nil, nil, 0
-	n.clockAt = time.Time{}
+	n.clockAt, n.brokenAt = time.Time{}, time.Time{}
 	n.leaseEnd = time.Time{}
 	n.pacer = sharing.NewController()
 	clear(n.paces)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -65,7 +65,7 @@
 	c.Assert(n.pendingAck(), qt.Equals, int64(0))
 	list(2, 3, 4)
 	c.Assert(n.pendingAck(), qt.Equals, int64(3))
-	n.clearConfirmed()
+	n.recordFailedCall("i-1@1000", false)
 	c.Assert(n.pendingAck(), qt.Equals, int64(0), qt.Commentf("after a call without a response, the next call may reach another incarnation"))
 	list(2, 3, 4)
 	n.listedAt = n.listedAt.Add(-2 * ackWindow)
--- a/node/report.go
+++ b/node/report.go
@@ -90,6 +90,9 @@
 		executor := *n.current
 		r.Executor = &executor
 	}
+	if n.current != nil && !n.brokenAt.IsZero() {
+		r.BrokenMillis = max(time.Since(n.brokenAt).Milliseconds(), 1)
+	}
 	if n.current != nil && n.lists != nil {
 		r.Listed, r.CoveredSequence, r.ListAgeMillis = true, n.listsCover, time.Since(n.listedAt).Milliseconds()
 		r.Running = n.lists.Running
--- a/owner/term.go
+++ b/owner/term.go
@@ -111,10 +111,10 @@
 }
 
 type metrics struct {
-	commits, changes, orders, rejected, lapsed, quarantined tally.Counter
-	commitTime                                              tally.Histogram
-	jobs, assigned                                          tally.Gauge
-	scope                                                   tally.Scope
+	commits, changes, orders, rejected, lapsed, quarantined, crashed, givenUp tally.Counter
+	commitTime                                                                tally.Histogram
+	jobs, assigned                                                            tally.Gauge
+	scope                                                                     tally.Scope
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -122,6 +122,7 @@
 		commits: scope.Counter("owner_commits"), changes: scope.Counter("owner_changes"),
 		orders: scope.Counter("owner_orders"), rejected: scope.Counter("owner_orders_rejected"),
 		lapsed: scope.Counter("owner_lapsed_executors"), quarantined: scope.Counter("owner_quarantined_executors"),
+		crashed: scope.Counter("owner_crashed_executors"), givenUp: scope.Counter("owner_given_up_jobs"),
 		commitTime: scope.Histogram("owner_commit_seconds", tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 2, 12)),
 		jobs:       scope.Gauge("owner_jobs_active"), assigned: scope.Gauge("owner_tasks_assigned"),
 		scope: scope,
@@ -269,6 +270,7 @@
 		t.log.Info("tasks of an executor have lapsed", "executor", incarnation, "epoch", t.lease.Record.Epoch)
 	}
 	t.logQuarantine(now)
+	t.logCrashes()
 	counts := t.engine.Counts()
 	t.metrics.jobs.Update(float64(counts.Active))
 	t.metrics.assigned.Update(float64(counts.Assigned))
@@ -295,6 +297,19 @@
 	t.quarantined = quarantined
 }
 
+// logCrashes logs and counts the crashes of executors that had tasks, and the jobs that were given up because of them.
+func (t *term) logCrashes() {
+	crashes, givenUp := t.engine.TakeCrashes()
+	for _, c := range crashes {
+		t.metrics.crashed.Inc(1)
+		t.log.Warn("executor has crashed", "executor", c.Executor, "node", c.Node, "runs", c.Runs, "suspects", c.Suspects, "epoch", t.lease.Record.Epoch)
+	}
+	for _, c := range givenUp {
+		t.metrics.givenUp.Inc(1)
+		t.log.Warn("job given up, its task crashes executors", "task", c.Task, "crashes", c.Crashes, "suspicions", c.Suspicions, "epoch", t.lease.Record.Epoch)
+	}
+}
+
 // logWaits logs and counts why ready tasks do not start.
 func (t *term) logWaits() {
 	for _, w := range t.engine.TakeWaits() {
--- /dev/null
+++ b/workflow/engine/crashes.go
@@ -0,0 +1,401 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+// A task may crash each executor that starts it. Which of an executor's tasks was the cause can't be seen, so the tasks that had
+// begun shortly before a crash become suspects. Suspects of one job start together on one executor, apart from other suspects,
+// and nothing else starts there until they have survived. The next crashes then show the job that causes them, which is given up.
+
+const (
+	// youngAge is the age of a run up to which a crash of its executor makes its task a suspect. An executor lists its runs at
+	// least once a second, so the age is known to a second.
+	youngAge = 1500 * time.Millisecond
+	// minSurvival is how long a run has to last for its task to be cleared, unless an executor has crashed under an older run
+	// of the task: then it has to last survivalFactor times as long as that.
+	minSurvival    = time.Second
+	survivalFactor = 2
+	// maxProbe is how long at most nothing else starts on an executor that a suspect has started on.
+	maxProbe = 4 * time.Second
+	// quietTime is how long an executor must have been without starts of other jobs before a suspect starts there.
+	quietTime = 300 * time.Millisecond
+	// suddenCrashAge is the age of a run up to which a crash is taken to follow from its start, since executors rarely crash
+	// for another reason within so short a time.
+	suddenCrashAge = 400 * time.Millisecond
+	// A job is given up after suddenSuspicions crashes with a task as suspect if the last one left no other job in question and
+	// followed from the start, after loneSuspicions if it left no other job in question, and after maxSuspicions in any case.
+	suddenSuspicions = 2
+	loneSuspicions   = 3
+	maxSuspicions    = 4
+	// maxUnsuspectedCrashes is the number of runs of a task in a row that end with a crash of their executors from which it is
+	// a suspect whatever the age of the runs.
+	maxUnsuspectedCrashes = 3
+	// crashAvoidance is how long a suspect is not started on the host on which an executor has crashed under it, so that a host
+	// that fails repeatedly does not convict it.
+	crashAvoidance = 5 * time.Second
+	// hostRestartTime is the time between the starts of a node's process and of its executor up to which a crash is ascribed to
+	// the host.
+	hostRestartTime = 5 * time.Second
+	// maxProbedShare is the fraction of the executors on which suspects may start at the same time.
+	maxProbedShare = 0.5
+	// suspectTaskWeight and suspectServingWeight are how much suspects prefer executors with one task, or one serving task,
+	// less: all of them end if the executor crashes.
+	suspectTaskWeight    = 0.05
+	suspectServingWeight = 0.5
+)
+
+// crashState is what is known of crashes of executors under their tasks.
+type crashState struct {
+	// suspects holds the tasks that may have crashed an executor and have not survived since.
+	suspects map[*task]struct{}
+	// probedJobs holds the jobs with suspects that run and have not survived yet, probedNodes the number of their executors.
+	probedJobs  map[*job]struct{}
+	probedNodes int
+	// convicted holds the tasks whose jobs the next Plan gives up.
+	convicted []*task
+	crashes   []Crash
+	givenUp   []CrashingTask
+}
+
+func newCrashState() crashState {
+	return crashState{suspects: map[*task]struct{}{}, probedJobs: map[*job]struct{}{}}
+}
+
+// taskCrashes is what is known of crashes of executors under one task.
+type taskCrashes struct {
+	// total is the number of runs in a row that ended with a crash of their executors, and suspicions the number of those in
+	// which the task was a suspect. Both are stored.
+	total, suspicions int
+	// age is the largest known age of such a run.
+	age time.Duration
+	// listedSince is when the current run was first listed to this owner.
+	listedSince time.Time
+}
+
+// crashedRun is a run that an executor had when it crashed.
+type crashedRun struct {
+	task *task
+	// age is the age of the run at the crash, or at the executor's last sign of life if the time of the crash is unknown. It is
+	// unknown if the run began under a former owner and its executor never reported to this one.
+	age   time.Duration
+	known bool
+	// timed is set if the time of the crash is known.
+	timed bool
+}
+
+// isSudden reports whether the crash followed from the start of the run.
+func (r *crashedRun) isSudden() bool { return r.known && r.timed && r.age < suddenCrashAge }
+
+// Crash is the crash of an executor that had tasks.
+type Crash struct {
+	Node, Executor string
+	// Runs is the number of the executor's runs; Suspects holds the tasks that may have caused the crash.
+	Runs     int
+	Suspects []CrashingTask
+}
+
+// CrashingTask is a task that may crash, or that crashes, the executors that start it.
+type CrashingTask struct {
+	Task string `json:"task"`
+	// Crashes is the number of executors that have crashed under the task, Suspicions the number of those with the task as a
+	// suspect.
+	Crashes    int `json:"crashes"`
+	Suspicions int `json:"suspicions"`
+}
+
+// TakeCrashes returns the crashes of executors, and the tasks whose jobs were given up for crashing them, since the last call.
+func (e *Engine) TakeCrashes() ([]Crash, []CrashingTask) {
+	crashes, givenUp := e.crashes.crashes, e.crashes.givenUp
+	e.crashes.crashes, e.crashes.givenUp = nil, nil
+	return crashes, givenUp
+}
+
+func (t *task) crashing() CrashingTask {
+	return CrashingTask{Task: t.name, Crashes: t.crashes.total, Suspicions: t.crashes.suspicions}
+}
+
+func (t *task) isSuspect() bool { return t.crashes.suspicions > 0 }
+
+// crashedRuns returns the unfinished runs on an incarnation with their ages.
+func (e *Engine) crashedRuns(n *node, incarnation string) []crashedRun {
+	tasks := e.assignedTasks[incarnation]
+	alive, timed := time.Time{}, false
+	if n.known && n.executorIncarnation == incarnation {
+		alive, timed = n.aliveAt, !n.brokenAt.IsZero()
+		if timed {
+			alive = n.brokenAt
+		}
+	}
+	for _, t := range tasks {
+		if !t.startPending && t.startedAt.After(alive) {
+			alive = t.startedAt
+		}
+	}
+	runs := make([]crashedRun, 0, len(tasks))
+	for _, t := range tasks {
+		begun := t.begunAt()
+		if begun.IsZero() {
+			runs = append(runs, crashedRun{task: t})
+			continue
+		}
+		runs = append(runs, crashedRun{task: t, age: max(alive.Sub(begun), 0), known: true, timed: timed})
+	}
+	return runs
+}
+
+// brokenAt returns when a connection to the executor of a report was first broken; zero if none was.
+func brokenAt(r *workflow.Report, now time.Time) time.Time {
+	if r.BrokenMillis == 0 {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(r.BrokenMillis) * time.Millisecond)
+}
+
+// begunAt returns when the run of an assigned task began, as far as this owner knows; zero if it doesn't.
+func (t *task) begunAt() time.Time {
+	if !t.startedAt.IsZero() {
+		return t.startedAt
+	}
+	return t.crashes.listedSince
+}
+
+// isYoung reports whether a run had begun shortly before the crash. A long-running task of unknown age has most likely run for
+// long.
+func (r *crashedRun) isYoung() bool {
+	if !r.known {
+		return !r.task.step.LongRunning
+	}
+	return r.age < youngAge
+}
+
+// recordEnd records that an executor has been replaced by another incarnation. That is a crash unless the former one was to
+// shut down, or the whole host has restarted.
+func (e *Engine) recordEnd(n *node, former string, executor *workflow.Executor) {
+	runs := e.crashedRuns(n, former)
+	if n.known && n.executorIncarnation == former {
+		runs = append(runs, n.lapsedRuns...)
+		n.lapsedRuns = nil
+		if n.executor.Draining {
+			return
+		}
+	}
+	nodeStarted := time.Duration(n.incarnation)
+	executorStarted := time.Duration(executor.StartedUnixMillis) * time.Millisecond
+	if hostRestarted := nodeStarted > executorStarted-hostRestartTime; !hostRestarted {
+		e.recordCrash(n, former, runs)
+	}
+}
+
+// recordLapse records that the lease of an executor has expired. It has crashed if its node still reports. Otherwise the host may
+// be cut off, and the next incarnation shows whether the executor has crashed.
+func (e *Engine) recordLapse(n *node, now time.Time) {
+	if n.executor.Draining {
+		return
+	}
+	runs := e.crashedRuns(n, n.executorIncarnation)
+	if now.Sub(n.reportedAt) < reportTimeout {
+		e.recordCrash(n, n.executorIncarnation, runs)
+		return
+	}
+	n.lapsedRuns = append(n.lapsedRuns, runs...)
+}
+
+// recordCrash records the crash of an executor and decides which of its tasks are suspects and which are convicted.
+func (e *Engine) recordCrash(n *node, incarnation string, runs []crashedRun) {
+	runs = slices.DeleteFunc(runs, func(r crashedRun) bool { return r.task.phase == workflow.TaskDone || r.task.job.phase.Final() })
+	if len(runs) == 0 {
+		return
+	}
+	suspects := suspectsOf(runs)
+	first := suspects[0].task.job
+	alone := !slices.ContainsFunc(suspects, func(r crashedRun) bool { return r.task.job != first })
+	for i := range suspects {
+		r := &suspects[i]
+		r.task.crashes.suspicions++
+		if r.isConvicted(alone) {
+			e.crashes.convicted = append(e.crashes.convicted, r.task)
+		}
+	}
+	for _, r := range runs {
+		t := r.task
+		t.crashes.total++
+		t.crashes.age = max(t.crashes.age, r.age)
+		if t.crashes.total >= maxUnsuspectedCrashes {
+			t.crashes.suspicions = max(t.crashes.suspicions, 1)
+		}
+		if t.isSuspect() {
+			e.crashes.suspects[t] = struct{}{}
+			t.avoidedHost, t.avoidedUntil = n.name, n.reportedAt.Add(crashAvoidance)
+		}
+		e.markDirty(t.job)
+	}
+	crash := Crash{Node: n.name, Executor: incarnation, Runs: len(runs)}
+	for _, r := range suspects {
+		crash.Suspects = append(crash.Suspects, r.task.crashing())
+	}
+	e.crashes.crashes = append(e.crashes.crashes, crash)
+	e.needsPlanning = true
+}
+
+// isConvicted reports whether the crashes are enough to give the job of a suspect up. alone is set if the last one left no other
+// job in question.
+func (r *crashedRun) isConvicted(alone bool) bool {
+	suspicions := r.task.crashes.suspicions
+	switch {
+	case alone && r.isSudden():
+		return suspicions >= suddenSuspicions
+	case alone:
+		return suspicions >= loneSuspicions
+	}
+	return suspicions >= maxSuspicions
+}
+
+// suspectsOf returns the runs that may have caused a crash: those of suspects of an earlier one, or else those that had begun
+// shortly before, or else all.
+func suspectsOf(runs []crashedRun) []crashedRun {
+	for _, suspected := range []func(r *crashedRun) bool{
+		func(r *crashedRun) bool { return r.task.isSuspect() },
+		(*crashedRun).isYoung,
+		func(*crashedRun) bool { return true },
+	} {
+		var found []crashedRun
+		for i := range runs {
+			if suspected(&runs[i]) {
+				found = append(found, runs[i])
+			}
+		}
+		if len(found) > 0 {
+			return found
+		}
+	}
+	return nil
+}
+
+// recordAlive clears the tasks whose runs have lasted longer than those that ended with a crash. The executor listed its runs at
+// n.listedAt.
+func (e *Engine) recordAlive(n *node) {
+	n.aliveAt, n.lapsedRuns = n.listedAt, nil
+	for _, t := range e.assignedTasks[n.executorIncarnation] {
+		if !t.listed {
+			continue
+		}
+		if t.crashes.listedSince.IsZero() {
+			t.crashes.listedSince = n.listedAt
+		}
+		if t.crashes.total > 0 && n.listedAt.Sub(t.begunAt()) >= t.requiredSurvival() {
+			t.crashes = taskCrashes{listedSince: t.crashes.listedSince}
+			delete(e.crashes.suspects, t)
+			e.markDirty(t.job)
+			e.needsPlanning = true
+		}
+	}
+}
+
+// requiredSurvival returns how long a run must last for its task to be cleared.
+func (t *task) requiredSurvival() time.Duration {
+	return max(minSurvival, survivalFactor*t.crashes.age)
+}
+
+// isProbe reports whether a suspect runs, or may run, and has not lasted long enough for other tasks to start beside it.
+func (t *task) isProbe() bool {
+	return t.node != nil && (!t.listed || t.node.aliveAt.Sub(t.begunAt()) < min(t.requiredSurvival(), maxProbe))
+}
+
+// giveUpCrashing fails the jobs of the convicted tasks.
+func (e *Engine) giveUpCrashing(wall time.Time) {
+	for _, t := range e.crashes.convicted {
+		if !t.job.phase.Final() {
+			e.crashes.givenUp = append(e.crashes.givenUp, t.crashing())
+			e.finish(t.job, workflow.Failed, wall)
+		}
+	}
+	e.crashes.convicted = nil
+}
+
+// indexProbes updates which executors and jobs have suspects that have not survived yet.
+func (e *Engine) indexProbes() {
+	if e.crashes.probedNodes > 0 {
+		for _, n := range e.sortedNodes {
+			n.probedBy = nil
+		}
+		clear(e.crashes.probedJobs)
+		e.crashes.probedNodes = 0
+	}
+	for t := range e.crashes.suspects {
+		switch {
+		case t.phase == workflow.TaskDone || t.job.phase.Final():
+			delete(e.crashes.suspects, t)
+		case t.isProbe():
+			e.addProbe(t)
+		}
+	}
+}
+
+// addProbe records that a suspect runs on its executor.
+func (e *Engine) addProbe(t *task) {
+	n := t.node
+	e.crashes.probedJobs[t.job] = struct{}{}
+	if n.probedBy == nil {
+		e.crashes.probedNodes++
+	}
+	if n.probedBy == nil || t.job.ID < n.probedBy.ID {
+		n.probedBy = t.job
+	}
+}
+
+// startSuspects starts suspects before all other tasks, since those would leave no executor free for them.
+func (e *Engine) startSuspects(jobs []candidate, now, wall time.Time) {
+	if len(e.crashes.suspects) == 0 {
+		return
+	}
+	for _, c := range jobs {
+		for i := range c.job.groups {
+			g := &c.job.groups[i]
+			if c.job.Steps[g.step].Gang || !slices.ContainsFunc(g.tasks, (*task).isSuspect) || !e.groupReady(c.job, g, wall) {
+				continue
+			}
+			r := e.rankExecutors(&placementRequest{engine: e, queue: c.queue, task: g.tasks[0], now: now})
+			for _, t := range g.tasks {
+				if !t.isSuspect() || !t.canStart(now) {
+					continue
+				}
+				if n := r.best(t); n != nil {
+					e.assign(t, n, t.run+1, now)
+					r.update(n)
+				}
+			}
+		}
+	}
+}
+
+func init() {
+	registerFilter("probed", func(p *placementRequest, n *node) bool { return n.probedBy == nil || n.probedBy == p.task.job })
+	registerTaskFilter("suspect", func(p *placementRequest, t *task, n *node) bool {
+		if !t.isSuspect() || n.probedBy == t.job {
+			return true
+		}
+		if _, probed := p.engine.crashes.probedJobs[t.job]; probed && !t.step.Gang {
+			return false
+		}
+		return p.engine.mayProbe(n, t.job, p.now)
+	})
+}
+
+// mayProbe reports whether suspects of a job may start on an executor that has none.
+func (e *Engine) mayProbe(n *node, j *job, now time.Time) bool {
+	if limit := max(int(maxProbedShare*float64(len(e.nodeByIncarnation))), 1); e.crashes.probedNodes >= limit {
+		return false
+	}
+	return !slices.ContainsFunc(e.assignedTasks[n.executorIncarnation], func(t *task) bool {
+		return t.job != j && (t.startPending || now.Sub(t.startedAt) < quietTime)
+	})
+}
+
+// suspectScore returns how well an executor suits a suspect apart from the scores of its group.
+func (e *Engine) suspectScore(n *node) float64 {
+	return -suspectTaskWeight*float64(len(e.assignedTasks[n.executorIncarnation])) - suspectServingWeight*float64(n.servingCount)
+}
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -80,6 +80,7 @@
 	}
 	n.executor = *r.Executor
 	n.executor.Draining = draining
+	n.brokenAt = brokenAt(r, now)
 	if !r.Listed {
 		return n.ackedEnd, true
 	}
@@ -154,6 +155,7 @@
 	if former == executor.IncarnationID() {
 		return
 	}
+	e.recordEnd(n, former, executor)
 	for _, t := range e.assignedTo(former) {
 		if hasExecutorID(former, executor.ID) {
 			e.reassign(t, n, executor.IncarnationID())
@@ -342,6 +344,7 @@
 		}
 		if tasks := e.assignedTo(n.executorIncarnation); len(tasks) > 0 {
 			lapsed = append(lapsed, n.executorIncarnation)
+			e.recordLapse(n, now)
 			for _, t := range tasks {
 				e.unassign(t)
 			}
--- a/workflow/engine/node.go
+++ b/workflow/engine/node.go
@@ -79,6 +79,14 @@
 	slownessAt time.Time
 	// noStartsUntil blocks starts for a time after the executor has rejected one or could not be reached.
 	noStartsUntil time.Time
+	// aliveAt is when the executor's current incarnation last listed its runs. lapsedRuns are those that it had when its lease
+	// expired, until it lists its runs again.
+	aliveAt time.Time
+	// brokenAt is when a connection to that incarnation was first broken or refused since it last responded; zero if none was.
+	brokenAt   time.Time
+	lapsedRuns []crashedRun
+	// probedBy is the job whose suspects of a crash the executor runs, as of the last Plan.
+	probedBy *job
 	// orphanStopsAt is when stops of orphaned runs were last ordered.
 	orphanStopsAt time.Time
 }
--- a/workflow/engine/placement.go
+++ b/workflow/engine/placement.go
@@ -85,10 +85,14 @@
 
 // taskScore returns the score that depends on the history of a single task. It is added to the score of its group.
 func (p *placementRequest) taskScore(t *task, n *node) float64 {
+	score := 0.0
+	if t.isSuspect() {
+		score = p.engine.suspectScore(n)
+	}
 	if t.step.LongRunning && p.engine.quarantine.Admits(n.name, p.now) == quarantine.AdmitAll && slices.Contains(t.failedHosts, n.name) {
-		return -failedHostPenalty
+		score -= failedHostPenalty
 	}
-	return 0
+	return score
 }
 
 func (p *placementRequest) score(n *node) float64 {
--- a/workflow/engine/plan.go
+++ b/workflow/engine/plan.go
@@ -10,12 +10,15 @@
 // Plan decides which waiting tasks start now. The decisions take effect in the engine immediately; the caller fetches
 // the orders with TakeOrders once the records that TakeDirty returns are stored.
 func (e *Engine) Plan(now, wall time.Time) {
+	e.giveUpCrashing(wall)
 	e.orderStops(now)
 	if !e.needsPlanning || !e.operatorStateLoaded {
 		return
 	}
 	e.needsPlanning = false
 	jobs := e.readyJobs(now, wall)
+	e.indexProbes()
+	e.startSuspects(jobs, now, wall)
 	unplaceable := &unplaceableShapes{}
 	for _, c := range jobs {
 		e.startReadyTasks(c, now, wall, unplaceable)
@@ -154,7 +157,7 @@
 		n := r.best(t)
 		if n == nil {
 			// The shape is exhausted only if neither a per-executor limit nor hosts that this task avoids can be the cause.
-			if t.step.PerExecutor == 0 && len(t.failedHosts) == 0 && t.avoidedHost == "" {
+			if t.step.PerExecutor == 0 && len(t.failedHosts) == 0 && t.avoidedHost == "" && !t.isSuspect() {
 				unplaceable.add(s)
 				return
 			}
@@ -203,6 +206,9 @@
 	t.phase, t.run, t.executorIncarnation, t.host = workflow.TaskAssigned, run, n.executorIncarnation, n.name
 	t.startPending, t.startedAt, t.progressedAt = true, now, now
 	n.addTask(t)
+	if t.isSuspect() {
+		e.addProbe(t)
+	}
 	e.quarantine.RecordProbeStart(n.name, now)
 	e.track(t)
 	if t.job.phase == workflow.Pending {
--- a/workflow/engine/ranking.go
+++ b/workflow/engine/ranking.go
@@ -37,9 +37,9 @@
 	for i := range r.entries {
 		entry := &r.entries[i]
 		score := entry.score
-		// Only long-running tasks have a score of their own. For others, an executor with a lower or equal group score
+		// Only long-running tasks and suspects have a score of their own. For others, an executor with a lower or equal group score
 		// can't win.
-		if best != nil && score <= bestScore && !t.step.LongRunning {
+		if best != nil && score <= bestScore && !t.step.LongRunning && !t.isSuspect() {
 			continue
 		}
 		if !r.request.admitsTask(t, entry.node) {
--- a/workflow/engine/reconcile.go
+++ b/workflow/engine/reconcile.go
@@ -34,6 +34,7 @@
 		}
 		e.handleUnlistedRun(t, r)
 	}
+	e.recordAlive(n)
 	e.stopOrphanedRuns(n, now)
 	e.sampleLatencies(n, now)
 }
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -67,6 +67,8 @@
 	// durations holds the model of task durations of each queue, and meanWork the mean work of its jobs in core seconds.
 	durations map[string]*durationModel
 	meanWork  map[string]float64
+	// crashes tracks the tasks under which executors have crashed.
+	crashes crashState
 	// pressure follows the backlog of best-effort work.
 	pressure pressure
 	// waits holds the reasons of waiting jobs that the owner has not taken yet.
@@ -103,6 +105,7 @@
 
 		interference: newInterference(),
 		quarantine:   newQuarantine(),
+		crashes:      newCrashState(),
 		durations:    map[string]*durationModel{},
 		meanWork:     map[string]float64{},
 	}
@@ -227,6 +230,10 @@
 			continue
 		}
 		t.run, t.failures, t.saved = r.Run, r.Failures, r.Saved
+		t.crashes.total, t.crashes.suspicions = r.Crashes, r.Suspicions
+		if t.isSuspect() {
+			e.crashes.suspects[t] = struct{}{}
+		}
 		t.phase = r.Phase
 		switch r.Phase {
 		case workflow.TaskDone:
@@ -284,6 +291,7 @@
 	t.startedIncarnation, t.stoppedIncarnation = 0, 0
 	t.stopOrderedAt = time.Time{}
 	t.percent, t.usage = 0, 0
+	t.crashes.listedSince = time.Time{}
 }
 
 // markDirty marks a job whose record has changed and has to be stored.
--- a/workflow/engine/task.go
+++ b/workflow/engine/task.go
@@ -52,4 +52,5 @@
 	avoidedUntil time.Time
 	// notBefore is the earliest time of the next start after a rejected one.
 	notBefore time.Time
+	crashes   taskCrashes
 }
--- a/workflow/messages.go
+++ b/workflow/messages.go
@@ -14,9 +14,12 @@
 	// Listed is set if Running and Ended were listed by that incarnation.
 	Listed bool `json:"listed,omitempty"`
 	// ListAgeMillis is the time since the executor listed its runs.
-	ListAgeMillis int64      `json:"age_ms,omitempty"`
-	Running       []RunState `json:"running,omitempty"`
-	Ended         []RunEnd   `json:"ended,omitempty"`
+	ListAgeMillis int64 `json:"age_ms,omitempty"`
+	// BrokenMillis is the time since a connection to that incarnation was first broken or refused since it last responded; 0 if
+	// none was.
+	BrokenMillis int64      `json:"broken_ms,omitempty"`
+	Running      []RunState `json:"running,omitempty"`
+	Ended        []RunEnd   `json:"ended,omitempty"`
 	// CoveredSequence is the sequence of the last order that had been carried out when the lists were requested.
 	CoveredSequence int64 `json:"covers"`
 	// TraitsUnknown is set if the node lacks the traits of the running tasks, since its process started after them.
--- a/workflow/record.go
+++ b/workflow/record.go
@@ -49,6 +49,10 @@
 	Failures int
 	// Saved is the newest known checkpoint.
 	Saved string
+	// Crashes is the number of runs in a row that ended with a crash of their executors, and Suspicions the number of those in
+	// which the task may have been the cause.
+	Crashes    int
+	Suspicions int
 }
 
 // MarshalJSON encodes the record as an array without trailing empty cells, since a job may have thousands of tasks.
@@ -67,7 +71,7 @@
 	}
 	texts := [...]string{t.Life, t.Saved, t.Node}
 	last := len(texts)
-	for last > 0 && texts[last-1] == "" {
+	for last > 0 && texts[last-1] == "" && t.Crashes == 0 {
 		last--
 	}
 	if last > 0 || t.Failures > 0 {
@@ -78,6 +82,12 @@
 		b = append(b, ',')
 		b = appendString(b, text)
 	}
+	if t.Crashes > 0 {
+		b = append(b, ',')
+		b = strconv.AppendInt(b, int64(t.Crashes), 10)
+		b = append(b, ',')
+		b = strconv.AppendInt(b, int64(t.Suspicions), 10)
+	}
 	return append(b, ']')
 }
 
@@ -87,7 +97,7 @@
 // UnmarshalJSONFrom reads the same form.
 func (t *TaskRecord) UnmarshalJSONFrom(dec *jsontext.Decoder) error {
 	phase := 0
-	err := readRow(dec, requiredCells, &t.Occurrence, &t.Step, &t.Index, &phase, &t.Run, &t.Failures, &t.Life, &t.Saved, &t.Node)
+	err := readRow(dec, requiredCells, &t.Occurrence, &t.Step, &t.Index, &phase, &t.Run, &t.Failures, &t.Life, &t.Saved, &t.Node, &t.Crashes, &t.Suspicions)
 	t.Phase = TaskPhase(phase)
 	return err
 }
--- a/workflow/record_test.go
+++ b/workflow/record_test.go
@@ -18,10 +18,12 @@
 		number := rapid.IntRange(0, 5000)
 		text := rapid.OneOf(rapid.Just(""), rapid.String(), rapid.Just(`i-"\\@17`))
 		task := rapid.Custom(func(t *rapid.T) workflow.TaskRecord {
+			crashed := rapid.IntRange(0, 1).Draw(t, "crashed")
 			return workflow.TaskRecord{
 				Occurrence: number.Draw(t, "occurrence"), Step: number.Draw(t, "step"), Index: number.Draw(t, "index"),
 				Phase: workflow.TaskPhase(rapid.IntRange(0, 2).Draw(t, "phase")), Run: number.Draw(t, "run"),
 				Life: text.Draw(t, "life"), Node: text.Draw(t, "node"), Failures: number.Draw(t, "failures"), Saved: text.Draw(t, "saved"),
+				Crashes: crashed * rapid.IntRange(1, 9).Draw(t, "crashes"), Suspicions: crashed * rapid.IntRange(0, 9).Draw(t, "suspicions"),
 			}
 		})
 		record := workflow.JobRecord{Phase: workflow.Running, EndedUnixMillis: int64(number.Draw(t, "ended"))}
@@ -48,7 +50,7 @@
 	c.Assert(read.Tasks, qt.DeepEquals, []workflow.TaskRecord{
 		{Step: 1, Index: 2, Phase: workflow.TaskAssigned, Run: 3, Failures: 4, Life: "life", Saved: "saved", Node: "node"},
 	})
-	c.Assert(json.Unmarshal([]byte(`{"phase":"running","tasks":[[0,1,2,1]]}`), &read), qt.ErrorMatches, "(?s).*4 cells, 5 to 9 expected.*")
+	c.Assert(json.Unmarshal([]byte(`{"phase":"running","tasks":[[0,1,2,1]]}`), &read), qt.ErrorMatches, "(?s).*4 cells, 5 to 11 expected.*")
 }
 
 // Guards against reports that the owner decodes differently from what the node encoded, and against accepting rows that
