Let starts follow the capacity of an executor that shrinks while it runs

An executor may say in a heartbeat that its capacity has changed. The node passed that on with the next regular report, up to 0.9 s later, and starts that the owner had decided on before were carried out whatever the executor had said since: they wait for the store, and may be up to 6.5 s old. On an executor that doesn't guard its capacity such a start exceeds it (LIMIT).

A changed capacity is now reported at once and logged, and a node rejects starts that are based on a report from before the capacity shrank, as it does with those for a former incarnation. The owner places the tasks again after the next report. Tasks that are being stopped count until their ends are listed, as before. A task that fits no executor any more waits with reason "room".

TestOrdersBeforeCapacityShrankAreRejected and TestChangedCapacityIsReportedAtOnce failed before.

--- a/node/node.go
+++ b/node/node.go
@@ -77,6 +77,8 @@
 	current *workflow.Executor
 	// announceSequence is the sequence number of the last announcement of that incarnation.
 	announceSequence int64
+	// shrunkReport is the number of the last report before the capacity of that incarnation shrank.
+	shrunkReport int64
 	// clockMillis is a reading of the executor's clock that was received at clockAt.
 	clockMillis int64
 	clockAt     time.Time
@@ -150,7 +152,10 @@
 	if n.current == nil {
 		n.log.Info("executor found", "executor", e.IncarnationID(), "pool", e.Pool, "cpu", e.Capacity.MilliCores, "memory_mb", e.Capacity.MemoryMB, "failure_domain", e.FailureDomain)
 	}
-	changed := n.current == nil || n.current.Draining != e.Draining
+	changed := n.current == nil || n.current.Draining != e.Draining || n.current.Capacity != e.Capacity
+	if n.current != nil && n.current.Capacity != e.Capacity {
+		n.changeCapacity(&e)
+	}
 	if changed && e.Draining {
 		n.log.Info("executor leaves", "executor", e.IncarnationID(), "remaining_ms", e.RemainingMillis)
 	}
@@ -165,6 +170,15 @@
 	return true
 }
 
+// changeCapacity records that the capacity of the executor has changed.
+func (n *Node) changeCapacity(e *workflow.Executor) {
+	n.log.Info("capacity changed", "executor", e.IncarnationID(), "cpu", e.Capacity.MilliCores, "memory_mb", e.Capacity.MemoryMB,
+		"former_cpu", n.current.Capacity.MilliCores, "former_memory_mb", n.current.Capacity.MemoryMB)
+	if !n.current.Capacity.Fits(e.Capacity) {
+		n.shrunkReport = n.reportNumber
+	}
+}
+
 // Leave records that the executor has left, so that it gets no more starts.
 func (n *Node) Leave(id string) {
 	n.mu.Lock()
@@ -180,7 +194,7 @@
 // forgetIncarnation discards the state of the current incarnation.
 func (n *Node) forgetIncarnation() {
 	n.log.Info("executor replaced", "former", n.current.IncarnationID())
-	n.current, n.lists, n.ack = nil, nil, 0
+	n.current, n.lists, n.ack, n.shrunkReport = nil, nil, 0, 0
 	n.clockAt, n.brokenAt = time.Time{}, time.Time{}
 	n.leaseEnd = time.Time{}
 	n.pacer = sharing.NewController()
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -12,6 +12,7 @@
 	"github.com/quetzalshed/quetzalshed/owner"
 	"github.com/quetzalshed/quetzalshed/ownership"
 	"github.com/quetzalshed/quetzalshed/rpc"
+	"github.com/quetzalshed/quetzalshed/structs"
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
@@ -38,6 +39,46 @@
 	c.Assert(reason, qt.Equals, "basis")
 }
 
+// Guards against starts beyond the capacity of an executor: the owner decided on them before the capacity had shrunk.
+func TestOrdersBeforeCapacityShrankAreRejected(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	announce := func(sequence, milliCores int64) {
+		n.Announce(workflow.Executor{
+			ID: "i-1", StartedUnixMillis: 1000, Capacity: structs.Resources{MilliCores: milliCores, MemoryMB: 100},
+		}, sequence, 500)
+	}
+	reason := func(report *workflow.Report) string {
+		_, reason := n.checkStart(&workflow.Orders{
+			Epoch: 1, Incarnation: n.incarnation, ReportNumber: report.Number, LeaseMillis: 6000, ExecutorIncarnation: "i-1@1000",
+		}, time.Now())
+		return reason
+	}
+	announce(2, 4000)
+	before := n.nextReport()
+	c.Assert(reason(before), qt.Equals, "")
+	announce(3, 2000)
+	c.Assert(reason(before), qt.Equals, "room")
+	after := n.nextReport()
+	c.Assert(after.Executor.Capacity.MilliCores, qt.Equals, int64(2000))
+	c.Assert(reason(after), qt.Equals, "")
+	announce(4, 4000)
+	c.Assert(reason(after), qt.Equals, "", qt.Commentf("more room takes nothing away"))
+}
+
+// Guards against a capacity that the owner hears of only with the next regular report.
+func TestChangedCapacityIsReportedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	for i, milliCores := range []int64{4000, 2000, 4000} {
+		for len(n.wakeReport) > 0 {
+			<-n.wakeReport
+		}
+		n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 1000, Capacity: structs.Resources{MilliCores: milliCores}}, int64(i+2), 500)
+		c.Assert(n.wakeReport, qt.HasLen, 1)
+	}
+}
+
 // Guards against a delayed call to a former incarnation that is executed by the next incarnation under the same ID.
 func TestFenceIncreasesWithIncarnation(t *testing.T) {
 	c := qt.New(t)
--- a/node/nodetest/executor.go
+++ b/node/nodetest/executor.go
@@ -151,6 +151,11 @@
 // SetDuration sets how long the runs take that start from now on.
 func (x *Executor) SetDuration(duration time.Duration) { x.update(func() { x.duration = duration }) }
 
+// SetCapacity sets the capacity that the executor announces. It starts whatever it is ordered to start.
+func (x *Executor) SetCapacity(capacity structs.Resources) {
+	x.update(func() { x.description.Capacity = capacity })
+}
+
 // SetDraining sets whether the executor announces that it is draining.
 func (x *Executor) SetDraining(draining bool) { x.update(func() { x.description.Draining = draining }) }
 
--- a/node/orders.go
+++ b/node/orders.go
@@ -76,6 +76,9 @@
 		return 0, "draining"
 	case orders.Incarnation != n.incarnation || !known || now.Sub(reportSentAt) >= owner.ExecutorLeaseDuration:
 		return 0, "basis"
+	case orders.ReportNumber <= n.shrunkReport:
+		// The owner decided on the start before it knew that the capacity has shrunk.
+		return 0, "room"
 	}
 	if end := reportSentAt.Add(time.Duration(orders.LeaseMillis) * time.Millisecond); orders.LeaseMillis > 0 && end.After(n.leaseEnd) {
 		n.leaseEnd = end
