Keep suspects of a crash from holding the executors that others need

Now the time of a crash, which nodes report at once, narrows the suspects to the runs from whose start it followed, if there are any. An executor with a suspect takes other starts again as soon as its node has reported it up half a second after the start. Long-running tasks may start beside suspects. Suspects that have waited for 1.5 s share an executor with those of other jobs, but not those of two crashes. A task under which three executors in a row have crashed is given up after the next crash that leaves no other job in question. The log names at most ten suspects.

--- a/node/hold.go
+++ b/node/hold.go
@@ -105,6 +105,7 @@
 	n.confirmed = false
 	if broken && n.current != nil && n.current.IncarnationID() == incarnation && n.brokenAt.IsZero() {
 		n.brokenAt = time.Now()
+		signal(n.wakeReport)
 	}
 }
 
--- a/owner/term.go
+++ b/owner/term.go
@@ -56,6 +56,8 @@
 	// collectInterval is how often expired finished jobs are deleted, and collectLimit how many at a time.
 	collectInterval = 2 * time.Second
 	collectLimit    = 8
+	// maxLoggedSuspects bounds the length of a log line.
+	maxLoggedSuspects = 10
 )
 
 var (
@@ -302,7 +304,8 @@
 	crashes, givenUp := t.engine.TakeCrashes()
 	for _, c := range crashes {
 		t.metrics.crashed.Inc(1)
-		t.log.Warn("executor has crashed", "executor", c.Executor, "node", c.Node, "runs", c.Runs, "suspects", c.Suspects, "epoch", t.lease.Record.Epoch)
+		logged := c.Suspects[:min(len(c.Suspects), maxLoggedSuspects)]
+		t.log.Warn("executor has crashed", "executor", c.Executor, "node", c.Node, "runs", c.Runs, "suspect_count", len(c.Suspects), "suspects", logged, "epoch", t.lease.Record.Epoch)
 	}
 	for _, c := range givenUp {
 		t.metrics.givenUp.Inc(1)
--- a/workflow/engine/crashes.go
+++ b/workflow/engine/crashes.go
@@ -9,20 +9,23 @@
 
 // A task may crash each executor that starts it. Which of an executor's tasks was the cause can't be seen, so the tasks that had
 // begun shortly before a crash become suspects. Suspects of one job start together on one executor, apart from other suspects,
-// and nothing else starts there until they have survived. The next crashes then show the job that causes them, which is given up.
+// and nothing else but long-running tasks starts there until they have survived. The next crashes then show the job that causes
+// them, which is given up. Suspects of one crash that wait for an executor too long start beside those of other jobs.
 
 const (
 	// youngAge is the age of a run up to which a crash of its executor makes its task a suspect. An executor lists its runs at
-	// least once a second, so the age is known to a second.
+	// least once a second, so the age is known to a second if the time of the crash isn't known.
 	youngAge = 1500 * time.Millisecond
 	// minSurvival is how long a run has to last for its task to be cleared, unless an executor has crashed under an older run
 	// of the task: then it has to last survivalFactor times as long as that.
-	minSurvival    = time.Second
+	minSurvival    = 500 * time.Millisecond
 	survivalFactor = 2
 	// maxProbe is how long at most nothing else starts on an executor that a suspect has started on.
 	maxProbe = 4 * time.Second
 	// quietTime is how long an executor must have been without starts of other jobs before a suspect starts there.
 	quietTime = 300 * time.Millisecond
+	// maxProbeWait is how long a suspect waits for an executor of its own, unless it is one for the second time.
+	maxProbeWait = 1500 * time.Millisecond
 	// suddenCrashAge is the age of a run up to which a crash is taken to follow from its start, since executors rarely crash
 	// for another reason within so short a time.
 	suddenCrashAge = 400 * time.Millisecond
@@ -32,7 +35,7 @@
 	loneSuspicions   = 3
 	maxSuspicions    = 4
 	// maxUnsuspectedCrashes is the number of runs of a task in a row that end with a crash of their executors from which it is
-	// a suspect whatever the age of the runs.
+	// a suspect whatever the age of the runs, and given up after the next crash that leaves no other job in question.
 	maxUnsuspectedCrashes = 3
 	// crashAvoidance is how long a suspect is not started on the host on which an executor has crashed under it, so that a host
 	// that fails repeatedly does not convict it.
@@ -52,9 +55,10 @@
 type crashState struct {
 	// suspects holds the tasks that may have crashed an executor and have not survived since.
 	suspects map[*task]struct{}
-	// probedJobs holds the jobs with suspects that run and have not survived yet, probedNodes the number of their executors.
-	probedJobs  map[*job]struct{}
-	probedNodes int
+	// probedJobs holds the jobs with suspects that run and have not survived yet, with their executors. probedNodes is the number
+	// of these executors that are up, of upNodes.
+	probedJobs           map[*job]*node
+	probedNodes, upNodes int
 	// convicted holds the tasks whose jobs the next Plan gives up.
 	convicted []*task
 	crashes   []Crash
@@ -62,7 +66,7 @@
 }
 
 func newCrashState() crashState {
-	return crashState{suspects: map[*task]struct{}{}, probedJobs: map[*job]struct{}{}}
+	return crashState{suspects: map[*task]struct{}{}, probedJobs: map[*job]*node{}}
 }
 
 // taskCrashes is what is known of crashes of executors under one task.
@@ -74,6 +78,8 @@
 	age time.Duration
 	// listedSince is when the current run was first listed to this owner.
 	listedSince time.Time
+	// suspectSince is when the task last became a suspect of a crash.
+	suspectSince time.Time
 }
 
 // crashedRun is a run that an executor had when it crashed.
@@ -174,7 +180,7 @@
 
 // recordEnd records that an executor has been replaced by another incarnation. That is a crash unless the former one was to
 // shut down, or the whole host has restarted.
-func (e *Engine) recordEnd(n *node, former string, executor *workflow.Executor) {
+func (e *Engine) recordEnd(n *node, former string, executor *workflow.Executor, now time.Time) {
 	runs := e.crashedRuns(n, former)
 	if n.known && n.executorIncarnation == former {
 		runs = append(runs, n.lapsedRuns...)
@@ -186,7 +192,7 @@
 	nodeStarted := time.Duration(n.incarnation)
 	executorStarted := time.Duration(executor.StartedUnixMillis) * time.Millisecond
 	if hostRestarted := nodeStarted > executorStarted-hostRestartTime; !hostRestarted {
-		e.recordCrash(n, former, runs)
+		e.recordCrash(n, former, runs, now)
 	}
 }
 
@@ -198,14 +204,14 @@
 	}
 	runs := e.crashedRuns(n, n.executorIncarnation)
 	if now.Sub(n.reportedAt) < reportTimeout {
-		e.recordCrash(n, n.executorIncarnation, runs)
+		e.recordCrash(n, n.executorIncarnation, runs, now)
 		return
 	}
 	n.lapsedRuns = append(n.lapsedRuns, runs...)
 }
 
 // recordCrash records the crash of an executor and decides which of its tasks are suspects and which are convicted.
-func (e *Engine) recordCrash(n *node, incarnation string, runs []crashedRun) {
+func (e *Engine) recordCrash(n *node, incarnation string, runs []crashedRun, now time.Time) {
 	runs = slices.DeleteFunc(runs, func(r crashedRun) bool { return r.task.phase == workflow.TaskDone || r.task.job.phase.Final() })
 	if len(runs) == 0 {
 		return
@@ -229,7 +235,8 @@
 		}
 		if t.isSuspect() {
 			e.crashes.suspects[t] = struct{}{}
-			t.avoidedHost, t.avoidedUntil = n.name, n.reportedAt.Add(crashAvoidance)
+			t.crashes.suspectSince = now
+			t.avoidedHost, t.avoidedUntil = n.name, now.Add(crashAvoidance)
 		}
 		e.markDirty(t.job)
 	}
@@ -249,16 +256,17 @@
 	case alone && r.isSudden():
 		return suspicions >= suddenSuspicions
 	case alone:
-		return suspicions >= loneSuspicions
+		return suspicions >= loneSuspicions || r.task.crashes.total >= maxUnsuspectedCrashes
 	}
 	return suspicions >= maxSuspicions
 }
 
-// suspectsOf returns the runs that may have caused a crash: those of suspects of an earlier one, or else those that had begun
-// shortly before, or else all.
+// suspectsOf returns the runs that may have caused a crash: those of suspects of an earlier one, or else those from whose start it
+// followed, or else those that had begun shortly before, or else all.
 func suspectsOf(runs []crashedRun) []crashedRun {
 	for _, suspected := range []func(r *crashedRun) bool{
 		func(r *crashedRun) bool { return r.task.isSuspect() },
+		(*crashedRun).isSudden,
 		(*crashedRun).isYoung,
 		func(*crashedRun) bool { return true },
 	} {
@@ -302,7 +310,16 @@
 
 // isProbe reports whether a suspect runs, or may run, and has not lasted long enough for other tasks to start beside it.
 func (t *task) isProbe() bool {
-	return t.node != nil && (!t.listed || t.node.aliveAt.Sub(t.begunAt()) < min(t.requiredSurvival(), maxProbe))
+	switch {
+	case t.node == nil:
+		return false
+	case t.startPending || t.begunAt().IsZero() || !t.node.brokenAt.IsZero():
+		return true
+	case t.node.reportedAt.Sub(t.node.aliveAt) > maxLeaseListAge:
+		// The executor has stopped responding.
+		return true
+	}
+	return t.node.reportedAt.Sub(t.begunAt()) < min(t.requiredSurvival(), maxProbe)
 }
 
 // giveUpCrashing fails the jobs of the convicted tasks.
@@ -318,12 +335,13 @@
 
 // indexProbes updates which executors and jobs have suspects that have not survived yet.
 func (e *Engine) indexProbes() {
-	if e.crashes.probedNodes > 0 {
-		for _, n := range e.sortedNodes {
-			n.probedBy = nil
+	e.crashes.probedNodes, e.crashes.upNodes = 0, 0
+	clear(e.crashes.probedJobs)
+	for _, n := range e.sortedNodes {
+		n.probes, n.repeatedProbes = 0, false
+		if n.known && n.brokenAt.IsZero() {
+			e.crashes.upNodes++
 		}
-		clear(e.crashes.probedJobs)
-		e.crashes.probedNodes = 0
 	}
 	for t := range e.crashes.suspects {
 		switch {
@@ -338,13 +356,14 @@
 // addProbe records that a suspect runs on its executor.
 func (e *Engine) addProbe(t *task) {
 	n := t.node
-	e.crashes.probedJobs[t.job] = struct{}{}
-	if n.probedBy == nil {
-		e.crashes.probedNodes++
+	if other := e.crashes.probedJobs[t.job]; other == nil || n.name < other.name {
+		e.crashes.probedJobs[t.job] = n
 	}
-	if n.probedBy == nil || t.job.ID < n.probedBy.ID {
-		n.probedBy = t.job
+	if n.probes == 0 && n.brokenAt.IsZero() {
+		e.crashes.probedNodes++
 	}
+	n.probes++
+	n.repeatedProbes = n.repeatedProbes || t.crashes.suspicions > 1
 }
 
 // startSuspects starts suspects before all other tasks, since those would leave no executor free for them.
@@ -373,25 +392,30 @@
 }
 
 func init() {
-	registerFilter("probed", func(p *placementRequest, n *node) bool { return n.probedBy == nil || n.probedBy == p.task.job })
+	registerTaskFilter("probed", func(p *placementRequest, t *task, n *node) bool {
+		return t.isSuspect() || t.step.LongRunning || n.probes == 0 || p.engine.crashes.probedJobs[t.job] == n
+	})
 	registerTaskFilter("suspect", func(p *placementRequest, t *task, n *node) bool {
-		if !t.isSuspect() || n.probedBy == t.job {
+		if !t.isSuspect() {
 			return true
 		}
-		if _, probed := p.engine.crashes.probedJobs[t.job]; probed && !t.step.Gang {
-			return false
+		if probed := p.engine.crashes.probedJobs[t.job]; probed != nil && !t.step.Gang {
+			return probed == n
 		}
-		return p.engine.mayProbe(n, t.job, p.now)
+		return p.engine.mayProbe(n, t, p.now)
 	})
 }
 
-// mayProbe reports whether suspects of a job may start on an executor that has none.
-func (e *Engine) mayProbe(n *node, j *job, now time.Time) bool {
-	if limit := max(int(maxProbedShare*float64(len(e.nodeByIncarnation))), 1); e.crashes.probedNodes >= limit {
+// mayProbe reports whether a suspect may start on an executor on which none of its job runs.
+func (e *Engine) mayProbe(n *node, t *task, now time.Time) bool {
+	if n.probes > 0 {
+		return !n.repeatedProbes && t.crashes.suspicions == 1 && now.Sub(t.crashes.suspectSince) >= maxProbeWait
+	}
+	if limit := max(int(maxProbedShare*float64(e.crashes.upNodes)), 1); e.crashes.probedNodes >= limit {
 		return false
 	}
-	return !slices.ContainsFunc(e.assignedTasks[n.executorIncarnation], func(t *task) bool {
-		return t.job != j && (t.startPending || now.Sub(t.startedAt) < quietTime)
+	return !slices.ContainsFunc(e.assignedTasks[n.executorIncarnation], func(other *task) bool {
+		return other.job != t.job && (other.startPending || now.Sub(other.startedAt) < quietTime)
 	})
 }
 
--- a/workflow/engine/crashes_test.go
+++ b/workflow/engine/crashes_test.go
@@ -198,8 +198,8 @@
 	bad := f.job(longStep(1))
 	f.engine.Add(bad, nil, f.now, f.now)
 	host, begun := "", time.Time{}
-	for i := range 240 {
-		if i%4 == 0 {
+	for range 240 {
+		for range f.names {
 			f.engine.Add(f.job(longStep(1)), nil, f.now, f.now)
 		}
 		f.round(func(task, name string) {
@@ -212,7 +212,7 @@
 			host = ""
 		}
 		for _, name := range f.names {
-			// Other tasks end after a time, as stopped ones do; they are not started again.
+			f.finishOldest(name, bad.ID)
 			f.finishOldest(name, bad.ID)
 		}
 	}
@@ -394,3 +394,57 @@
 	delete(f.running, name)
 	f.report(name, f.executors[name], nil, ended)
 }
+
+// crashWithJobs runs single tasks of several jobs on executor a, while the others drain, and crashes it. It returns when the
+// crash has just been noticed and the suspects may start again.
+func crashWithJobs(t *testing.T, jobs int, names ...string) (f *crashFleet, tasks []string) {
+	f = newCrashFleet(t, names...)
+	for _, name := range names[1:] {
+		f.executors[name].Draining = true
+	}
+	f.reportAll()
+	for range jobs {
+		job := f.job(longStep(1))
+		tasks = append(tasks, job.ID+".0.0.0")
+		f.engine.Add(job, nil, f.now, f.now)
+	}
+	f.round(nothing)
+	f.Assert(f.running["a"], qt.HasLen, jobs)
+	f.crash("a")
+	for _, name := range names[1:] {
+		f.restore(name)
+		f.executors[name].Draining = false
+	}
+	for len(f.broken) > 0 {
+		f.round(nothing)
+	}
+	return f, tasks
+}
+
+// Guards against long-running tasks that stand still while suspects of a crash hold all executors that have room (seen in a play:
+// LOST).
+func TestLongRunningTasksStartBesideSuspects(t *testing.T) {
+	f, suspects := crashWithJobs(t, 1, "a")
+	restarted := f.accept("a", f.plan()["a"])
+	f.Assert(restarted, qt.HasLen, 1)
+	f.Assert(restarted[0].Task, qt.Equals, suspects[0])
+	lasting := longStep(1)
+	lasting.LongRunning = true
+	long, short := f.job(lasting), f.job(longStep(1))
+	f.engine.Add(long, nil, f.now, f.now)
+	f.engine.Add(short, nil, f.now, f.now)
+	starts := f.plan()["a"].Starts
+	f.Assert(starts, qt.HasLen, 1)
+	f.Assert(starts[0].Task, qt.Equals, long.ID+".0.0.0")
+}
+
+// Guards against a queue of suspects that grows faster than they can be started one job at a time.
+func TestWaitingSuspectsShareExecutors(t *testing.T) {
+	f, suspects := crashWithJobs(t, 9, "a", "b")
+	for range 5 {
+		f.round(nothing)
+	}
+	for _, task := range suspects {
+		f.Assert(f.starts[task], qt.Equals, 2)
+	}
+}
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -155,7 +155,7 @@
 	if former == executor.IncarnationID() {
 		return
 	}
-	e.recordEnd(n, former, executor)
+	e.recordEnd(n, former, executor, now)
 	for _, t := range e.assignedTo(former) {
 		if hasExecutorID(former, executor.ID) {
 			e.reassign(t, n, executor.IncarnationID())
--- a/workflow/engine/node.go
+++ b/workflow/engine/node.go
@@ -85,8 +85,10 @@
 	// brokenAt is when a connection to that incarnation was first broken or refused since it last responded; zero if none was.
 	brokenAt   time.Time
 	lapsedRuns []crashedRun
-	// probedBy is the job whose suspects of a crash the executor runs, as of the last Plan.
-	probedBy *job
+	// probes is the number of suspects of a crash that run on the executor and have not survived yet, as of the last Plan.
+	// repeatedProbes is set if one of them is a suspect of several crashes.
+	probes         int
+	repeatedProbes bool
 	// orphanStopsAt is when stops of orphaned runs were last ordered.
 	orphanStopsAt time.Time
 }
