Bound the crashes under a task whatever its suspicions, and clear tasks by the ages of their runs

A job is now given up at the fourth crash under a task that was a suspect twice, and at the fifth in any case, as the rule allows two starts after the third. A crash under a run older than 5 s, or at an age unlike those before, starts the count of the task anew. A crash that followed from starts is ascribed to them before it is ascribed to older suspects.

TestLongRunningTaskOutlivesOtherCrashes guards the second part.

--- a/workflow/engine/crashes.go
+++ b/workflow/engine/crashes.go
@@ -29,13 +29,18 @@
 	// suddenCrashAge is the age of a run up to which a crash is taken to follow from its start, since executors rarely crash
 	// for another reason within so short a time.
 	suddenCrashAge = 400 * time.Millisecond
+	// maxCrashAge is the age of a run from which a crash counts for its task as if the run had ended otherwise: most tasks that
+	// have run for so long are not the cause.
+	maxCrashAge = 5 * time.Second
 	// A job is given up after suddenSuspicions crashes with a task as suspect if the last one left no other job in question and
-	// followed from the start, after loneSuspicions if it left no other job in question, and after maxSuspicions in any case.
+	// followed from the start, and after loneCrashes if it left no other job in question. In any case it is given up after
+	// repeatedCrashes if the task was a suspect more than once, and after maxCrashes.
 	suddenSuspicions = 2
-	loneSuspicions   = 3
-	maxSuspicions    = 4
-	// maxUnsuspectedCrashes is the number of runs of a task in a row that end with a crash of their executors from which it is
-	// a suspect whatever the age of the runs, and given up after the next crash that leaves no other job in question.
+	loneCrashes      = 3
+	repeatedCrashes  = 4
+	maxCrashes       = 5
+	// maxUnsuspectedCrashes is the number of crashes under a task from which it is a suspect although each could be ascribed to
+	// others.
 	maxUnsuspectedCrashes = 3
 	// crashAvoidance is how long a suspect is not started on the host on which an executor has crashed under it, so that a host
 	// that fails repeatedly does not convict it.
@@ -71,11 +76,11 @@
 
 // taskCrashes is what is known of crashes of executors under one task.
 type taskCrashes struct {
-	// total is the number of runs in a row that ended with a crash of their executors, and suspicions the number of those in
-	// which the task was a suspect. Both are stored.
+	// total is the number of runs in a row that ended with a crash of their executors at similar ages, and suspicions the number
+	// of those in which the task was a suspect. Both are stored.
 	total, suspicions int
-	// age is the largest known age of such a run.
-	age time.Duration
+	// age and minAge are the largest and the smallest known age of such a run; age is 0 if none is known.
+	age, minAge time.Duration
 	// listedSince is when the current run was first listed to this owner.
 	listedSince time.Time
 	// suspectSince is when the task last became a suspect of a crash.
@@ -216,29 +221,34 @@
 	if len(runs) == 0 {
 		return
 	}
+	for i := range runs {
+		e.countCrash(&runs[i])
+	}
 	suspects := suspectsOf(runs)
-	first := suspects[0].task.job
-	alone := !slices.ContainsFunc(suspects, func(r crashedRun) bool { return r.task.job != first })
-	for i := range suspects {
-		r := &suspects[i]
+	alone := !slices.ContainsFunc(suspects, func(r crashedRun) bool { return r.task.job != suspects[0].task.job })
+	for _, r := range suspects {
 		r.task.crashes.suspicions++
-		if r.isConvicted(alone) {
-			e.crashes.convicted = append(e.crashes.convicted, r.task)
-		}
 	}
-	for _, r := range runs {
+	for i := range runs {
+		r := &runs[i]
 		t := r.task
-		t.crashes.total++
-		t.crashes.age = max(t.crashes.age, r.age)
+		e.markDirty(t.job)
+		if t.crashes.total == 0 {
+			continue
+		}
 		if t.crashes.total >= maxUnsuspectedCrashes {
 			t.crashes.suspicions = max(t.crashes.suspicions, 1)
 		}
-		if t.isSuspect() {
-			e.crashes.suspects[t] = struct{}{}
-			t.crashes.suspectSince = now
-			t.avoidedHost, t.avoidedUntil = n.name, now.Add(crashAvoidance)
+		if !t.isSuspect() {
+			continue
+		}
+		e.crashes.suspects[t] = struct{}{}
+		t.crashes.suspectSince = now
+		t.avoidedHost, t.avoidedUntil = n.name, now.Add(crashAvoidance)
+		isSuspect := slices.ContainsFunc(suspects, func(s crashedRun) bool { return s.task == t })
+		if r.isConvicted(alone && isSuspect) {
+			e.crashes.convicted = append(e.crashes.convicted, t)
 		}
-		e.markDirty(t.job)
 	}
 	crash := Crash{Node: n.name, Executor: incarnation, Runs: len(runs)}
 	for _, r := range suspects {
@@ -248,27 +258,61 @@
 	e.needsPlanning = true
 }
 
-// isConvicted reports whether the crashes are enough to give the job of a suspect up. alone is set if the last one left no other
-// job in question.
+// countCrash counts the crash for the task of a run. An age that differs much from those at earlier crashes shows that the task was
+// not the cause of all of them, so that counting begins anew.
+func (e *Engine) countCrash(r *crashedRun) {
+	c := &r.task.crashes
+	if r.known && (r.age >= maxCrashAge || c.age > 0 && !similarAges(min(c.minAge, r.age), max(c.age, r.age))) {
+		*c = taskCrashes{listedSince: c.listedSince}
+		delete(e.crashes.suspects, r.task)
+	}
+	if !r.mayBeCause() {
+		return
+	}
+	c.total++
+	if r.known {
+		if c.age == 0 || r.age < c.minAge {
+			c.minAge = r.age
+		}
+		c.age = max(c.age, r.age, 1)
+	}
+}
+
+// similarAges reports whether a task may have caused crashes at both ages, given how exactly ages are known.
+func similarAges(youngest, oldest time.Duration) bool {
+	return oldest <= survivalFactor*youngest+youngAge
+}
+
+// mayBeCause reports whether the task of a run counts as a possible cause of the crash.
+func (r *crashedRun) mayBeCause() bool {
+	if !r.known {
+		return !r.task.step.LongRunning
+	}
+	return r.age < maxCrashAge
+}
+
+// isConvicted reports whether the crashes are enough to give the job of a task up. alone is set if the last one left no other job in
+// question.
 func (r *crashedRun) isConvicted(alone bool) bool {
-	suspicions := r.task.crashes.suspicions
+	c := &r.task.crashes
 	switch {
-	case alone && r.isSudden():
-		return suspicions >= suddenSuspicions
-	case alone:
-		return suspicions >= loneSuspicions || r.task.crashes.total >= maxUnsuspectedCrashes
+	case alone && r.isSudden() && c.suspicions >= suddenSuspicions, alone && c.total >= loneCrashes:
+		return true
+	case c.total >= repeatedCrashes && c.suspicions > 1:
+		return true
 	}
-	return suspicions >= maxSuspicions
+	return c.total >= maxCrashes
 }
 
-// suspectsOf returns the runs that may have caused a crash: those of suspects of an earlier one, or else those from whose start it
-// followed, or else those that had begun shortly before, or else all.
+// suspectsOf returns the runs that may have caused a crash: those from whose start it followed, first those of suspects of an
+// earlier one; or else those of such suspects, or else those that had begun shortly before, or else all but the old ones.
 func suspectsOf(runs []crashedRun) []crashedRun {
 	for _, suspected := range []func(r *crashedRun) bool{
-		func(r *crashedRun) bool { return r.task.isSuspect() },
+		func(r *crashedRun) bool { return r.task.isSuspect() && r.isSudden() },
 		(*crashedRun).isSudden,
+		func(r *crashedRun) bool { return r.task.isSuspect() && r.mayBeCause() },
 		(*crashedRun).isYoung,
-		func(*crashedRun) bool { return true },
+		(*crashedRun).mayBeCause,
 	} {
 		var found []crashedRun
 		for i := range runs {
--- a/workflow/engine/crashes_test.go
+++ b/workflow/engine/crashes_test.go
@@ -448,3 +448,23 @@
 		f.Assert(f.starts[task], qt.Equals, 2)
 	}
 }
+
+// Guards against long-running tasks that are given up because executors crash again and again for other reasons.
+func TestLongRunningTaskOutlivesOtherCrashes(t *testing.T) {
+	f := newCrashFleet(t, "a", "b", "c")
+	lasting := longStep(1)
+	lasting.LongRunning = true
+	job := f.job(lasting)
+	f.engine.Add(job, nil, f.now, f.now)
+	ages := []time.Duration{9 * time.Second, 2 * time.Second, 7 * time.Second, 500 * time.Millisecond, 4 * time.Second}
+	host, begun := "", time.Time{}
+	for range 200 {
+		f.round(func(_, name string) { host, begun = name, f.now })
+		if host != "" && f.now.Sub(begun) >= ages[f.starts[job.ID+".0.0.0"]%len(ages)] {
+			f.crash(host)
+			host = ""
+		}
+	}
+	f.Assert(f.starts[job.ID+".0.0.0"] > 8, qt.IsTrue)
+	f.Assert(f.phase(job.ID), qt.Equals, workflow.Running)
+}
