--- a/node/nodetest/executor.go
+++ b/node/nodetest/executor.go
@@ -65,6 +65,7 @@
 	// crashes decides whether a run crashes the executor, and lives counts the IDs that it has had.
 	crashes func(task string) bool
 	lives   int
+	keepsID bool
 }
 
 const (
@@ -116,11 +117,14 @@
 }
 
 // SetCrashing sets which tasks crash the executor shortly after their start. It then refuses connections and comes back under
-// another ID.
+// another ID, unless SetKeepsID was called.
 func (x *Executor) SetCrashing(crashes func(task string) bool) {
 	x.update(func() { x.crashes = crashes })
 }
 
+// SetKeepsID makes the executor come back under its ID after a crash.
+func (x *Executor) SetKeepsID() { x.update(func() { x.keepsID = true }) }
+
 // crashUnderRun crashes an incarnation of the executor, unless it has ended before.
 func (x *Executor) crashUnderRun(incarnation string) {
 	if description, up := x.Describe(); !up || description.IncarnationID() != incarnation {
@@ -129,6 +133,9 @@
 	x.Leave()
 	time.AfterFunc(crashDowntime, func() {
 		x.update(func() {
+			if x.keepsID {
+				return
+			}
 			x.lives++
 			name, _, _ := strings.Cut(x.description.ID, "/")
 			x.description.ID = name + "/" + strconv.Itoa(x.lives)
--- a/test/workflows/crashing_tasks_test.go
+++ b/test/workflows/crashing_tasks_test.go
@@ -94,6 +94,18 @@
 	})
 }
 
+// Guards against the same if the executors come back under their IDs, where starts meant for their former incarnations may arrive.
+func TestCrashingTaskIsGivenUpIfExecutorsKeepTheirIDs(t *testing.T) {
+	runWithFleet(t, 6, func(f *fleet) {
+		for _, h := range f.hosts {
+			h.executor.SetKeepsID()
+		}
+		crashing, others, tasks := f.submitCrashing(2)
+		f.waitGivenUp(40*time.Second, tasks, crashing...)
+		f.waitCompleted(40*time.Second, others...)
+	})
+}
+
 // Guards against an owner that doesn't know which executors have crashed under a task before it took over (issue 22: BUDGET).
 func TestCrashingTaskIsGivenUpDespiteTakeovers(t *testing.T) {
 	runWithFleet(t, 6, func(f *fleet) {
