--- a/node/departure.go
+++ b/node/departure.go
@@ -51,12 +51,17 @@
 	signal(n.wakeReport)
 }
 
-// handleHoldError processes a hold call to an incarnation that failed. If the incarnation has announced its end and its address
-// refuses connections, it has ended. Otherwise the next call may reach another incarnation.
-func (n *Node) handleHoldError(incarnation string, err error) {
+// handleHoldError processes a hold call to an incarnation that failed, after which the next call may reach another one. broken is
+// set if its connection was broken or refused, which shows that the executor has just ended. If the incarnation had announced its
+// end and its address refuses connections, it has left.
+func (n *Node) handleHoldError(incarnation string, err error, broken bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.confirmed = false
+	if broken && n.current != nil && n.current.IncarnationID() == incarnation && n.brokenAt.IsZero() {
+		n.brokenAt = time.Now()
+		signal(n.wakeReport)
+	}
 	if !n.departure.announced() || n.current.Left || n.current.IncarnationID() != incarnation || !errors.Is(err, ErrRefused) {
 		return
 	}
--- a/node/departure_test.go
+++ b/node/departure_test.go
@@ -17,7 +17,7 @@
 func departedNode() *Node {
 	n := newNode()
 	n.Leave("i-1")
-	n.handleHoldError(testIncarnation, ErrRefused)
+	n.handleHoldError(testIncarnation, ErrRefused, false)
 	return n
 }
 
@@ -34,16 +34,16 @@
 func TestExecutorHasLeftOnceItRefusesConnections(t *testing.T) {
 	c := qt.New(t)
 	n := newNode()
-	n.handleHoldError(testIncarnation, ErrRefused)
+	n.handleHoldError(testIncarnation, ErrRefused, false)
 	c.Assert(n.nextReport(1).Executor.Left, qt.IsFalse, qt.Commentf("the end is not announced"))
 	n.Leave("i-1")
 	c.Assert(n.nextReport(1).Executor.Draining, qt.IsTrue)
 	c.Assert(n.nextReport(1).Executor.Left, qt.IsFalse, qt.Commentf("it may still run its tasks"))
-	n.handleHoldError(testIncarnation, errors.New("no response"))
-	n.handleHoldError(testIncarnation, ErrNotDelivered)
-	n.handleHoldError("i-1@500", ErrRefused)
+	n.handleHoldError(testIncarnation, errors.New("no response"), false)
+	n.handleHoldError(testIncarnation, ErrNotDelivered, false)
+	n.handleHoldError("i-1@500", ErrRefused, false)
 	c.Assert(n.nextReport(1).Executor.Left, qt.IsFalse)
-	n.handleHoldError(testIncarnation, ErrRefused)
+	n.handleHoldError(testIncarnation, ErrRefused, false)
 	c.Assert(n.nextReport(1).Executor.Left, qt.IsTrue)
 	n.applyLists(testIncarnation, &RunLists{StartedUnixMillis: 1000}, 0)
 	c.Assert(n.nextReport(1).Executor.Left, qt.IsFalse, qt.Commentf("the incarnation still responds"))
@@ -89,7 +89,7 @@
 	n.Leave("i-1")
 	n.applyReply(n.nextReport(1), &workflow.ReportReply{Epoch: 1}, time.Now())
 	c.Assert(n.settles(t), qt.IsFalse, qt.Commentf("the report said that it drains"))
-	n.handleHoldError(testIncarnation, ErrRefused)
+	n.handleHoldError(testIncarnation, ErrRefused, false)
 	for range 2 {
 		n.applyReply(n.nextReport(1), &workflow.ReportReply{Epoch: 1}, time.Now())
 		c.Assert(n.settles(t), qt.IsTrue)
--- a/node/hold.go
+++ b/node/hold.go
@@ -43,10 +43,11 @@
 		}
 		call, cancel := context.WithTimeout(ctx, wait+holdResponseMargin)
 		lists, err := n.executor.Hold(call, incarnation, fence, ack, deadline, wait)
+		broken := call.Err() == nil && isBroken(err)
 		cancel()
 		if err != nil {
 			failures++
-			n.handleHoldError(incarnation, err)
+			n.handleHoldError(incarnation, err, broken)
 			if failures == 1 && ctx.Err() == nil {
 				n.log.Warn("executor doesn't answer", "executor", incarnation, "error", err)
 			}
@@ -90,6 +91,12 @@
 	return n.current.IncarnationID(), n.fence(n.epoch), n.pendingAck(), n.deadline(now), wait, n.executedOrders
 }
 
+// isBroken reports whether a call failed because its connection was broken or refused.
+func isBroken(err error) bool {
+	reason, rejected := rejectionReason(err)
+	return err != nil && (!rejected || reason == unreachable)
+}
+
 // pendingAck returns the number up to which ends may be acknowledged, or 0 if the executor has not recently listed any end up to
 // it. An executor that restarts under the same ID numbers its ends from 1 again, so acknowledging a number that it has not
 // listed could discard ends that were never reported.
@@ -135,6 +142,7 @@
 	resolved := n.lastUnknownStart > n.listsCover && n.lastUnknownStart <= covers
 	n.noteResponse(time.Now())
 	n.lists, n.listsCover, n.listedAt, n.confirmed = lists, covers, time.Now(), true
+	n.brokenAt = time.Time{}
 	n.clockMillis, n.clockAt = lists.ClockMillis, n.listedAt
 	n.logEnds(incarnation, previous, lists)
 	n.pruneTraits(lists)
@@ -267,6 +275,9 @@
 	}
 }
 
+// unreachable is the reason of a call that could not be delivered.
+const unreachable = "unreachable"
+
 // rejectionReason returns the reason of a call that certainly had no effect, and false if the effect is unknown.
 func rejectionReason(err error) (string, bool) {
 	var rejected *RejectedError
@@ -277,7 +288,7 @@
 		return "life", true
 	}
 	if errors.Is(err, ErrNotDelivered) {
-		return "unreachable", true
+		return unreachable, true
 	}
 	return "", false
 }
--- a/node/node.go
+++ b/node/node.go
@@ -81,6 +81,8 @@
 	current *workflow.Executor
 	// announceSequence is the sequence number of the last announcement of that incarnation.
 	announceSequence int64
+	// shrunkReport is the number of the last report before the capacity of that incarnation shrank.
+	shrunkReport int64
 	// clockMillis is a reading of the executor's clock that was received at clockAt.
 	clockMillis int64
 	clockAt     time.Time
@@ -93,6 +95,8 @@
 	confirmed bool
 	// departure is set from when that incarnation drains or has announced its end.
 	departure *departure
+	// brokenAt is when a connection to that incarnation was first broken or refused since it last responded; zero if none was.
+	brokenAt time.Time
 	// executedOrders counts the executed orders, and lastUnknownStart is the number of the last start without a response.
 	executedOrders, lastUnknownStart int64
 	// leaseEnd is the end of the lease, after which the runs end unless an owner renews it.
@@ -165,7 +169,10 @@
 	if e.Draining && n.departure == nil {
 		n.departure = newDeparture()
 	}
-	changed := n.current == nil || n.current.Draining != e.Draining
+	changed := n.current == nil || n.current.Draining != e.Draining || n.current.Capacity != e.Capacity
+	if n.current != nil && n.current.Capacity != e.Capacity {
+		n.changeCapacity(&e)
+	}
 	if changed && e.Draining {
 		n.log.Info("executor leaves", "executor", e.IncarnationID(), "remaining_ms", e.RemainingMillis)
 	}
@@ -180,12 +187,21 @@
 	return true
 }
 
+// changeCapacity records that the capacity of the executor has changed.
+func (n *Node) changeCapacity(e *workflow.Executor) {
+	n.log.Info("capacity changed", "executor", e.IncarnationID(), "cpu", e.Capacity.MilliCores, "memory_mb", e.Capacity.MemoryMB,
+		"former_cpu", n.current.Capacity.MilliCores, "former_memory_mb", n.current.Capacity.MemoryMB)
+	if !n.current.Capacity.Fits(e.Capacity) {
+		n.shrunkReport = n.reportNumber
+	}
+}
+
 // forgetIncarnation discards the state of the current incarnation.
 func (n *Node) forgetIncarnation() {
 	n.log.Info("executor replaced", "former", n.current.IncarnationID())
-	n.current, n.lists, n.ack = nil, nil, 0
+	n.current, n.lists, n.ack, n.shrunkReport = nil, nil, 0, 0
 	n.endDeparture()
-	n.clockAt = time.Time{}
+	n.clockAt, n.brokenAt = time.Time{}, time.Time{}
 	n.leaseEnd = time.Time{}
 	n.pacer = sharing.NewController()
 	clear(n.paces)
--- a/node/nodetest/executor.go
+++ b/node/nodetest/executor.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -61,8 +62,19 @@
 	delayedShare float64
 	random       *rand.Rand
 	failing      bool
+	// crashes decides whether a run crashes the executor, and lives counts the IDs that it has had.
+	crashes func(task string) bool
+	lives   int
+	keepsID bool
 }
 
+const (
+	// crashDelay is the time after its start at which a run crashes the executor, and crashDowntime the time until the
+	// executor is back.
+	crashDelay    = 10 * time.Millisecond
+	crashDowntime = 3 * time.Second
+)
+
 // New returns an executor whose tasks take the given duration.
 func New(name string, capacity structs.Resources, duration time.Duration, observer Observer) *Executor {
 	x := &Executor{
@@ -104,6 +116,34 @@
 	x.runs, x.down = map[string]*run{}, true
 }
 
+// SetCrashing sets which tasks crash the executor shortly after their start. It then refuses connections and comes back under
+// another ID, unless SetKeepsID was called.
+func (x *Executor) SetCrashing(crashes func(task string) bool) {
+	x.update(func() { x.crashes = crashes })
+}
+
+// SetKeepsID makes the executor come back under its ID after a crash.
+func (x *Executor) SetKeepsID() { x.update(func() { x.keepsID = true }) }
+
+// crashUnderRun crashes an incarnation of the executor, unless it has ended before.
+func (x *Executor) crashUnderRun(incarnation string) {
+	if description, up := x.Describe(); !up || description.IncarnationID() != incarnation {
+		return
+	}
+	x.Leave()
+	time.AfterFunc(crashDowntime, func() {
+		x.update(func() {
+			if x.keepsID {
+				return
+			}
+			x.lives++
+			name, _, _ := strings.Cut(x.description.ID, "/")
+			x.description.ID = name + "/" + strconv.Itoa(x.lives)
+		})
+		x.Restart()
+	})
+}
+
 // SetUnresponsive sets whether calls get no response and have no effect.
 func (x *Executor) SetUnresponsive(unresponsive bool) {
 	x.update(func() { x.unresponsive = unresponsive })
@@ -118,6 +158,11 @@
 // SetDuration sets how long the runs take that start from now on.
 func (x *Executor) SetDuration(duration time.Duration) { x.update(func() { x.duration = duration }) }
 
+// SetCapacity sets the capacity that the executor announces. It starts whatever it is ordered to start.
+func (x *Executor) SetCapacity(capacity structs.Resources) {
+	x.update(func() { x.description.Capacity = capacity })
+}
+
 // SetDraining sets whether the executor announces that it is draining.
 func (x *Executor) SetDraining(draining bool) { x.update(func() { x.description.Draining = draining }) }
 
@@ -224,6 +269,10 @@
 		x.advanceAt(time.Now().Add(x.duration))
 		x.advanceAt(x.deadline)
 		x.observer.Started(x.description.IncarnationID(), s.Task, s.Run, s.Spec)
+		if x.crashes != nil && x.crashes(s.Task) {
+			lifetime := x.description.IncarnationID()
+			time.AfterFunc(crashDelay, func() { x.crashUnderRun(lifetime) })
+		}
 		return nil
 	})
 }
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -85,6 +85,7 @@
 		e.endDeparted(n, r, now, wall)
 		return 0, false
 	}
+	n.brokenAt = brokenAt(r, now)
 	if !r.Listed {
 		return n.ackedEnd, false
 	}
@@ -159,6 +160,7 @@
 	if former == executor.IncarnationID() {
 		return
 	}
+	e.recordEnd(n, former, executor, now)
 	for _, t := range e.assignedTo(former) {
 		if hasExecutorID(former, executor.ID) {
 			e.reassign(t, n, executor.IncarnationID())
--- a/workflow/engine/leases.go
+++ b/workflow/engine/leases.go
@@ -111,6 +111,9 @@
 			continue
 		}
 		lapsed = append(lapsed, Lapse{incarnation, len(tasks), source})
+		if n := e.nodeByIncarnation[incarnation]; n != nil {
+			e.recordLapse(n, now)
+		}
 		for _, t := range slices.Clone(tasks) {
 			e.unassign(t)
 		}
--- a/workflow/engine/node.go
+++ b/workflow/engine/node.go
@@ -81,6 +81,16 @@
 	slownessAt time.Time
 	// noStartsUntil blocks starts for a time after the executor has rejected one or could not be reached.
 	noStartsUntil time.Time
+	// aliveAt is when the executor's current incarnation last listed its runs. lapsedRuns are those that it had when its lease
+	// expired, until it lists its runs again.
+	aliveAt time.Time
+	// brokenAt is when a connection to that incarnation was first broken or refused since it last responded; zero if none was.
+	brokenAt   time.Time
+	lapsedRuns []crashedRun
+	// probes is the number of suspects of a crash that run on the executor and have not survived yet, as of the last Plan.
+	// repeatedProbes is set if one of them is a suspect of several crashes.
+	probes         int
+	repeatedProbes bool
 	// orphanStopsAt is when stops of orphaned runs were last ordered.
 	orphanStopsAt time.Time
 }
