Count crashes of executors whose node restarts as well

What callers would see: a task that crashes its executors is started more often than allowed (BUDGET). Seen in a test only.

Cause: if a node's process had started within 5 s of its executor's next incarnation, the end of the former one was ascribed to a restart of the host and not counted at all, however often it happened.

The trace of a failing run shows four ends of five crashes that were not counted.

Change: such an end counts as a crash, as one in full if an executor has crashed under one of its tasks before; otherwise it makes no task a suspect. A task that survives half a second is cleared as before.

Measured: TestCrashingTaskIsGivenUpDespiteNodeRestarts fails before (6 starts) and passes; TestCrashingTaskIsGivenUpDespiteTakeovers passes 75 of 75 runs with the race detector.

--- a/workflow/engine/crashes.go
+++ b/workflow/engine/crashes.go
@@ -184,7 +184,7 @@
 }
 
 // recordEnd records that an executor has been replaced by another incarnation. That is a crash unless the former one was to
-// shut down, or the whole host has restarted.
+// shut down, or the whole host may have restarted and no executor has crashed under any of its tasks before.
 func (e *Engine) recordEnd(n *node, former string, executor *workflow.Executor, now time.Time) {
 	runs := e.crashedRuns(n, former)
 	if n.known && n.executorIncarnation == former {
@@ -196,11 +196,26 @@
 	}
 	nodeStarted := time.Duration(n.incarnation)
 	executorStarted := time.Duration(executor.StartedUnixMillis) * time.Millisecond
-	if hostRestarted := nodeStarted > executorStarted-hostRestartTime; !hostRestarted {
-		e.recordCrash(n, former, runs, now)
+	mayHaveRestarted := nodeStarted > executorStarted-hostRestartTime
+	if mayHaveRestarted && !slices.ContainsFunc(runs, crashedRun.hasCrashed) {
+		e.recordHostRestart(runs)
+		return
+	}
+	e.recordCrash(n, former, runs, now)
+}
+
+// recordHostRestart counts the end of an executor that may have crashed by itself: its node's process has restarted, too. It makes
+// no task a suspect.
+func (e *Engine) recordHostRestart(runs []crashedRun) {
+	for _, r := range withoutEnded(runs) {
+		r.task.crashes.total++
+		e.markDirty(r.task.job)
 	}
 }
 
+// hasCrashed reports whether an executor has crashed under the task before.
+func (r crashedRun) hasCrashed() bool { return r.task.crashes.total > 0 }
+
 // recordLapse records that the lease of an executor has expired. It has crashed if its node still reports. Otherwise the host may
 // be cut off, and the next incarnation shows whether the executor has crashed.
 func (e *Engine) recordLapse(n *node, now time.Time) {
@@ -217,7 +232,7 @@
 
 // recordCrash records the crash of an executor and decides which of its tasks are suspects and which are convicted.
 func (e *Engine) recordCrash(n *node, incarnation string, runs []crashedRun, now time.Time) {
-	runs = slices.DeleteFunc(runs, func(r crashedRun) bool { return r.task.phase == workflow.TaskDone || r.task.job.phase.Final() })
+	runs = withoutEnded(runs)
 	if len(runs) == 0 {
 		return
 	}
@@ -291,6 +306,11 @@
 	return r.age < maxCrashAge
 }
 
+// withoutEnded removes the runs of tasks that are done and of jobs that have ended.
+func withoutEnded(runs []crashedRun) []crashedRun {
+	return slices.DeleteFunc(runs, func(r crashedRun) bool { return r.task.phase == workflow.TaskDone || r.task.job.phase.Final() })
+}
+
 // isConvicted reports whether the crashes are enough to give the job of a task up. alone is set if the last one left no other job in
 // question.
 func (r *crashedRun) isConvicted(alone bool) bool {
--- a/workflow/engine/crashes_test.go
+++ b/workflow/engine/crashes_test.go
@@ -21,6 +21,8 @@
 	silent map[string]time.Time
 	names  []string
 	starts map[string]int
+	// nodeIncarnation is the incarnation of the nodes' processes.
+	nodeIncarnation int64
 	// records holds the last stored record of each job.
 	records map[string]workflow.JobRecord
 }
@@ -29,7 +31,7 @@
 	f := &crashFleet{
 		harness: newHarness(t), executors: map[string]*workflow.Executor{}, running: map[string][]workflow.RunState{},
 		broken: map[string]time.Time{}, silent: map[string]time.Time{}, names: names, starts: map[string]int{},
-		records: map[string]workflow.JobRecord{},
+		records: map[string]workflow.JobRecord{}, nodeIncarnation: 1,
 	}
 	for _, name := range names {
 		f.executors[name] = executor(name, 10_000)
@@ -43,7 +45,7 @@
 	for _, name := range f.names {
 		f.reports[name]++
 		r := &workflow.Report{
-			Node: name, Address: name, Incarnation: 1, Number: f.reports[name], Executor: f.executors[name], Listed: true,
+			Node: name, Address: name, Incarnation: f.nodeIncarnation, Number: f.reports[name], Executor: f.executors[name], Listed: true,
 			Running: f.running[name], CoveredSequence: 1 << 40,
 		}
 		if at, broken := f.broken[name]; broken {
@@ -313,6 +315,26 @@
 	}
 }
 
+// Guards against a task that crashes one executor after the other and is never given up because the node's process beside each of
+// them restarts as well (found by TestCrashingTaskIsGivenUpDespiteTakeovers beside other tests: six starts).
+func TestCrashingTaskIsGivenUpDespiteNodeRestarts(t *testing.T) {
+	f := newCrashFleet(t, "a")
+	job := f.job(step(1))
+	f.engine.Add(job, nil, f.now, f.now)
+	task := job.ID + ".0.0.0"
+	for f.phase(job.ID) != workflow.Failed {
+		f.Assert(f.starts[task] <= 5, qt.IsTrue, qt.Commentf("%d starts", f.starts[task]))
+		f.round(func(_, name string) { f.crash(name) })
+		if len(f.broken) > 0 {
+			f.restore("a")
+			f.nodeIncarnation = f.executors["a"].StartedUnixMillis * 1_000_000
+			f.reports["a"] = 0
+			f.now = f.now.Add(2 * time.Second)
+		}
+		f.reportAll()
+	}
+}
+
 // Guards against a task that stays a suspect although it has run for longer than before the crash.
 func TestSurvivingSuspectIsCleared(t *testing.T) {
 	f := newCrashFleet(t, "a", "b")
