--- a/owner/term.go
+++ b/owner/term.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"runtime/debug"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -51,15 +50,11 @@
 	eventQueueSize = 1024
 	// ordersTimeout limits the delivery of orders to a node.
 	ordersTimeout = 2 * time.Second
-	// unreportedLogDelay is the time after a takeover from which executors that have not reported are logged.
-	unreportedLogDelay = 2 * time.Second
 	// retention is how long the state of a finished job is kept.
 	retention = 130 * time.Second
 	// collectInterval is how often expired finished jobs are deleted, and collectLimit how many at a time.
 	collectInterval = 2 * time.Second
 	collectLimit    = 8
-	// maxLoggedSuspects bounds the length of a log line.
-	maxLoggedSuspects = 10
 )
 
 var (
@@ -291,64 +286,6 @@
 	}
 }
 
-// logUnreported logs once after the takeover for how long tasks are held because their executors have not reported.
-func (t *term) logUnreported(now time.Time) {
-	if t.unreportedLogAt.IsZero() || now.Before(t.unreportedLogAt) {
-		return
-	}
-	t.unreportedLogAt = time.Time{}
-	if executors, tasks, longest := t.engine.Unreported(now); executors > 0 {
-		t.log.Info("executors have not reported, their tasks are held", "executors", executors, "tasks", tasks, "longest_ms", longest.Milliseconds(), "epoch", t.lease.Record.Epoch)
-	}
-}
-
-// logQuarantine logs which executors entered or left quarantine.
-func (t *term) logQuarantine(now time.Time) {
-	quarantined := t.engine.Quarantined(now)
-	for _, node := range quarantined {
-		if !slices.Contains(t.quarantined, node) {
-			t.metrics.quarantined.Inc(1)
-			t.log.Info("executor fails its tasks, it gets one at a time after a pause", "node", node, "epoch", t.lease.Record.Epoch)
-		}
-	}
-	for _, node := range t.quarantined {
-		if !slices.Contains(quarantined, node) {
-			t.log.Info("executor gets tasks again", "node", node, "epoch", t.lease.Record.Epoch)
-		}
-	}
-	t.quarantined = quarantined
-}
-
-// logDepartures logs and counts the executors that have left with tasks.
-func (t *term) logDepartures() {
-	for _, d := range t.engine.TakeDepartures() {
-		t.metrics.departed.Inc(1)
-		t.log.Info("tasks of an executor that has left are unassigned", "executor", d.Incarnation, "node", d.Node, "tasks", d.Tasks, "epoch", t.lease.Record.Epoch)
-	}
-}
-
-// logCrashes logs and counts the crashes of executors that had tasks, and the jobs that were given up because of them.
-func (t *term) logCrashes() {
-	crashes, givenUp := t.engine.TakeCrashes()
-	for _, c := range crashes {
-		t.metrics.crashed.Inc(1)
-		logged := c.Suspects[:min(len(c.Suspects), maxLoggedSuspects)]
-		t.log.Warn("executor has crashed", "executor", c.Executor, "node", c.Node, "runs", c.Runs, "suspect_count", len(c.Suspects), "suspects", logged, "epoch", t.lease.Record.Epoch)
-	}
-	for _, c := range givenUp {
-		t.metrics.givenUp.Inc(1)
-		t.log.Warn("job given up, its task crashes executors", "task", c.Task, "crashes", c.Crashes, "suspicions", c.Suspicions, "epoch", t.lease.Record.Epoch)
-	}
-}
-
-// logWaits logs and counts why ready tasks do not start.
-func (t *term) logWaits() {
-	for _, w := range t.engine.TakeWaits() {
-		t.metrics.scope.Tagged(map[string]string{"reason": w.Reason}).Counter("owner_waits").Inc(1)
-		t.log.Info("job waits", "job", w.Job, "task", w.Task, "reason", w.Reason, "rejections", w.Rejections, "age_ms", w.Age.Milliseconds(), "epoch", t.lease.Record.Epoch)
-	}
-}
-
 // flush plans tasks and starts to store the changes. If nothing has changed, it releases the batch at once.
 func (t *term) flush(ctx context.Context) {
 	t.engine.Plan(time.Now(), time.Now())
