--- a/workflow/engine/crashes.go
+++ b/workflow/engine/crashes.go
@@ -45,8 +45,8 @@
 	// crashAvoidance is how long a suspect is not started on the host on which an executor has crashed under it, so that a host
 	// that fails repeatedly does not convict it.
 	crashAvoidance = 5 * time.Second
-	// hostRestartTime is the time between the starts of a node's process and of its executor up to which a crash is ascribed to
-	// the host.
+	// hostRestartTime is the time between the starts of a node's process and of its executor up to which the whole host may have
+	// restarted.
 	hostRestartTime = 5 * time.Second
 	// maxProbedShare is the fraction of the executors on which suspects may start at the same time.
 	maxProbedShare = 0.5
