--- a/workflow/engine/leases.go
+++ b/workflow/engine/leases.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -65,6 +66,12 @@
 			Incarnation: incarnation, LeftMillis: expires.Sub(now).Milliseconds() + 1,
 		})
 	}
+	for incarnation, at := range e.lapsedAt {
+		if e.assignedTasks[incarnation] == nil && now.Sub(at) < lapseStoreTime {
+			// Its tasks may still be assigned in the store.
+			leases.Executors = append(leases.Executors, workflow.ExecutorLease{Incarnation: incarnation, LeftMillis: 1})
+		}
+	}
 	slices.SortFunc(leases.Executors, func(a, b workflow.ExecutorLease) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
 	leases.Executors = leases.Executors[:min(len(leases.Executors), workflow.MaxExecutorLeases)]
 	return leases
@@ -103,8 +110,12 @@
 	return executors, held, longest
 }
 
+// lapseStoreTime is how long it may take until the end of an executor's tasks is stored. A hand-over lists the executor until then.
+const lapseStoreTime = 10 * time.Second
+
 // ExpireLeases unassigns the tasks of executors whose leases have expired and returns these executors.
 func (e *Engine) ExpireLeases(now time.Time) (lapsed []Lapse) {
+	maps.DeleteFunc(e.lapsedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= lapseStoreTime })
 	for incarnation, tasks := range e.assignedTasks {
 		expires, source := e.leaseOf(incarnation, tasks)
 		if now.Before(expires) {
@@ -117,6 +128,7 @@
 		for _, t := range slices.Clone(tasks) {
 			e.unassign(t)
 		}
+		e.lapsedAt[incarnation] = now
 	}
 	slices.SortFunc(lapsed, func(a, b Lapse) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
 	return lapsed
--- a/workflow/engine/leases_test.go
+++ b/workflow/engine/leases_test.go
@@ -148,6 +148,20 @@
 	h.Assert(after >= 7060*time.Millisecond && after < 7300*time.Millisecond, qt.IsTrue, qt.Commentf("lapsed %v after the renewal", after))
 }
 
+// Guards against tasks that are held for another lease because their executor's had expired right before a hand-over and this was
+// not stored any more.
+func TestLapseThatIsNotStoredIsInherited(t *testing.T) {
+	h := newHarness(t)
+	job, record, _ := h.assigned(executor("a", 1))
+	h.now = h.now.Add(7100 * time.Millisecond)
+	h.Assert(h.engine.ExpireLeases(h.now), qt.HasLen, 1)
+	h.handOver(100*time.Millisecond, job, record)
+	h.now = h.now.Add(100 * time.Millisecond)
+	lapsed := h.engine.ExpireLeases(h.now)
+	h.Assert(lapsed, qt.HasLen, 1)
+	h.Assert(lapsed[0].Source, qt.Equals, engine.LeaseOfFormerOwner)
+}
+
 // Guards against tasks that lapse by an inherited lease although the owner has renewed it, or on another incarnation of the
 // executor, for which it was not meant.
 func TestInheritedLeaseIsRenewed(t *testing.T) {
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -54,6 +54,8 @@
 	unreportedExpiry time.Time
 	// unreportedSource tells where unreportedExpiry comes from.
 	unreportedSource LeaseSource
+	// lapsedAt holds when the leases of executor incarnations with tasks have recently expired.
+	lapsedAt map[string]time.Time
 	// inheritedLeases holds when the leases of executor incarnations have expired, as the former owner has stored it.
 	inheritedLeases map[string]time.Time
 	// discoveryDeadline is when all executors have had time to announce themselves to a new owner.
@@ -108,6 +110,7 @@
 		unreportedExpiry:     now.Add(settings.LeaseExpiry + settings.TakeoverSlack),
 		unreportedSource:     LeaseOfTakeover,
 		inheritedLeases:      map[string]time.Time{},
+		lapsedAt:             map[string]time.Time{},
 		discoveryDeadline:    now.Add(discoveryTimeout),
 		unreportedHosts:      map[string]bool{},
 		dirtyJobs:            map[*job]struct{}{},
