--- a/owner/logs.go
+++ b/owner/logs.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -69,3 +70,13 @@
 		t.log.Info("job waits", "job", w.Job, "task", w.Task, "reason", w.Reason, "rejections", w.Rejections, "age_ms", w.Age.Milliseconds(), "epoch", t.lease.Record.Epoch)
 	}
 }
+
+// logIdle logs the jobs that have had no run for some seconds although a task was ready.
+func (t *term) logIdle() {
+	for _, i := range t.engine.TakeIdle() {
+		t.metrics.scope.Tagged(map[string]string{"state": string(i.State)}).Counter("owner_idle_jobs").Inc(1)
+		t.log.Info("job has no run", "job", i.Job, "task", i.Task, "state", i.State, "duration_ms", i.Duration.Milliseconds(),
+			"reserved", math.Round(i.Reserved*100)/100, "admitting", i.Admitting, "rejections", i.Rejections, "node", i.Node,
+			"report_age_ms", i.ReportAge.Milliseconds(), "list_age_ms", i.ListAge.Milliseconds(), "epoch", t.lease.Record.Epoch)
+	}
+}
--- a/owner/term.go
+++ b/owner/term.go
@@ -290,6 +290,7 @@
 func (t *term) flush(ctx context.Context) {
 	t.engine.Plan(time.Now(), time.Now())
 	t.logWaits()
+	t.logIdle()
 	b := &batch{
 		changes: t.engine.TakeDirty(), deliveries: t.engine.TakeOrders(), afterCommit: t.afterCommit, deletions: t.deletions,
 		started: time.Now(),
--- a/workflow/engine/crashes.go
+++ b/workflow/engine/crashes.go
@@ -459,27 +459,34 @@
 	registerTaskFilter("probed", func(p *placementRequest, t *task, n *node) bool {
 		return t.isSuspect() || t.step.LongRunning || n.probes == 0 || p.engine.crashes.probedJobs[t.job] == n
 	})
-	registerTaskFilter("suspect", func(p *placementRequest, t *task, n *node) bool {
-		if !t.isSuspect() {
-			return true
-		}
-		if probed := p.engine.crashes.probedJobs[t.job]; probed != nil && !t.step.Gang {
-			return probed == n
-		}
-		return p.engine.mayProbe(n, t, p.now)
+	registerTaskFilter("job probed", func(p *placementRequest, t *task, n *node) bool {
+		probed := p.engine.crashes.probedJobs[t.job]
+		return !t.isSuspect() || probed == nil || t.step.Gang || probed == n
+	})
+	registerProbeFilter("probe shared", func(p *placementRequest, t *task, n *node) bool {
+		return n.probes == 0 || !n.repeatedProbes && t.crashes.suspicions == 1 && p.now.Sub(t.crashes.suspectSince) >= maxProbeWait
+	})
+	registerProbeFilter("probe limit", func(p *placementRequest, _ *task, n *node) bool {
+		crashes := &p.engine.crashes
+		return n.probes > 0 || crashes.probedNodes < max(int(maxProbedShare*float64(crashes.upNodes)), 1)
+	})
+	registerProbeFilter("not quiet", func(p *placementRequest, t *task, n *node) bool {
+		return n.probes > 0 || p.engine.isQuiet(n, t.job, p.now)
 	})
 }
 
-// mayProbe reports whether a suspect may start on an executor on which none of its job runs.
-func (e *Engine) mayProbe(n *node, t *task, now time.Time) bool {
-	if n.probes > 0 {
-		return !n.repeatedProbes && t.crashes.suspicions == 1 && now.Sub(t.crashes.suspectSince) >= maxProbeWait
-	}
-	if limit := max(int(maxProbedShare*float64(e.crashes.upNodes)), 1); e.crashes.probedNodes >= limit {
-		return false
-	}
+// registerProbeFilter registers a filter on the executors on which a suspect may start while no other suspect of its job is being
+// probed.
+func registerProbeFilter(name string, admits func(p *placementRequest, t *task, n *node) bool) {
+	registerTaskFilter(name, func(p *placementRequest, t *task, n *node) bool {
+		return !t.isSuspect() || p.engine.crashes.probedJobs[t.job] != nil && !t.step.Gang || admits(p, t, n)
+	})
+}
+
+// isQuiet reports whether an executor has had no starts of other jobs for quietTime.
+func (e *Engine) isQuiet(n *node, j *job, now time.Time) bool {
 	return !slices.ContainsFunc(e.assignedTasks[n.executorIncarnation], func(other *task) bool {
-		return other.job != t.job && (other.startPending || now.Sub(other.startedAt) < quietTime)
+		return other.job != j && (other.startPending || now.Sub(other.startedAt) < quietTime)
 	})
 }
 
--- a/workflow/engine/job.go
+++ b/workflow/engine/job.go
@@ -20,6 +20,10 @@
 	cancelled  bool
 	// idleSince is when Plan first found the job ready with no task running; zero while a task runs.
 	idleSince time.Time
+	// noRunSince is when no executor was first found to list a run of the job although a task was ready; zero while one does.
+	// idleState is the state that was last explained.
+	noRunSince time.Time
+	idleState  IdleState
 	// waitReason is why the job's first ready task did not start when that was last looked for, at waitExplainedAt.
 	waitReason      string
 	waitExplainedAt time.Time
--- a/workflow/engine/plan.go
+++ b/workflow/engine/plan.go
@@ -26,6 +26,7 @@
 	e.startIdleJobs(jobs, now, wall)
 	e.observePressure(jobs, now, wall)
 	e.explainWaits(jobs, now, wall)
+	e.explainIdle(now, wall)
 }
 
 const (
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -83,6 +83,9 @@
 	departures []Departure
 	// waits holds the reasons of waiting jobs that the owner has not taken yet.
 	waits []Wait
+	// idle holds the jobs without a run that the owner has not taken yet; idleSearchedAt is when such jobs were last looked for.
+	idle           []Idle
+	idleSearchedAt time.Time
 	// waitsToExplain is how many more jobs may be explained before the next Tick.
 	waitsToExplain int
 }
