--- a/workflow/engine/crashes_test.go
+++ b/workflow/engine/crashes_test.go
@@ -25,13 +25,16 @@
 	nodeIncarnation int64
 	// records holds the last stored record of each job.
 	records map[string]workflow.JobRecord
+	// ends holds when the runs of short tasks end, and ended the ends that each executor lists.
+	ends  map[string]time.Time
+	ended map[string][]workflow.RunEnd
 }
 
 func newCrashFleet(t *testing.T, names ...string) *crashFleet {
 	f := &crashFleet{
 		harness: newHarness(t), executors: map[string]*workflow.Executor{}, running: map[string][]workflow.RunState{},
 		broken: map[string]time.Time{}, silent: map[string]time.Time{}, names: names, starts: map[string]int{},
-		records: map[string]workflow.JobRecord{}, nodeIncarnation: 1,
+		records: map[string]workflow.JobRecord{}, nodeIncarnation: 1, ends: map[string]time.Time{}, ended: map[string][]workflow.RunEnd{},
 	}
 	for _, name := range names {
 		f.executors[name] = executor(name, 10_000)
@@ -46,7 +49,7 @@
 		f.reports[name]++
 		r := &workflow.Report{
 			Node: name, Address: name, Incarnation: f.nodeIncarnation, Number: f.reports[name], Executor: f.executors[name], Listed: true,
-			Running: f.running[name], CoveredSequence: 1 << 40,
+			Running: f.running[name], Ended: f.ended[name], CoveredSequence: 1 << 40,
 		}
 		if at, broken := f.broken[name]; broken {
 			r.ListAgeMillis = f.now.Sub(at).Milliseconds() + 100
@@ -82,6 +85,7 @@
 	f.executors[name] = &next
 	delete(f.broken, name)
 	delete(f.running, name)
+	delete(f.ended, name)
 }
 
 // round plans and carries the starts out, calls started for each of them, and then lets 500 ms pass. Executors that have crashed
--- /dev/null
+++ b/workflow/engine/standstill_test.go
@@ -0,0 +1,216 @@
+package engine_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+const (
+	// maxStandstill is how long a job may have nothing running while a task is ready and there is room for it.
+	maxStandstill = 3 * time.Second
+	// maxRestart is the same for a task that may still be running, or may still be started by a delayed order.
+	maxRestart = 9 * time.Second
+	// standstillStep is the time between two planning cycles.
+	standstillStep = 100 * time.Millisecond
+)
+
+// advance plans, carries the starts out, lets standstillStep pass and reports. The tasks of jobs for which isShort returns true
+// end after 200 ms.
+func (f *crashFleet) advance(isShort func(job string) bool) {
+	for name, orders := range f.plan() {
+		for _, run := range f.accept(name, orders) {
+			f.starts[run.Task]++
+			f.running[name] = append(f.running[name], run)
+			if id, _ := workflow.ParseTaskID(run.Task); isShort(id.Job) {
+				f.ends[run.Task] = f.now.Add(200 * time.Millisecond)
+			}
+		}
+	}
+	f.now = f.now.Add(standstillStep)
+	for _, name := range f.names {
+		f.running[name] = slices.DeleteFunc(f.running[name], func(run workflow.RunState) bool {
+			at, short := f.ends[run.Task]
+			if !short || f.now.Before(at) {
+				return false
+			}
+			f.ended[name] = append(f.ended[name], workflow.RunEnd{
+				Number: int64(len(f.ended[name]) + 1), Task: run.Task, Run: run.Run, How: workflow.EndDone,
+			})
+			return true
+		})
+	}
+	for name, at := range f.broken {
+		if f.now.Sub(at) >= 3*time.Second {
+			f.restore(name)
+		}
+	}
+	f.reportAll()
+	f.engine.ExpireLeases(f.now)
+}
+
+// startsWithin reports whether each task is started once more within a limit.
+func (f *crashFleet) startsWithin(limit time.Duration, tasks []string, isShort func(job string) bool, each func()) bool {
+	before := map[string]int{}
+	for _, task := range tasks {
+		before[task] = f.starts[task]
+	}
+	for end := f.now.Add(limit); f.now.Before(end); {
+		each()
+		f.advance(isShort)
+		if !slices.ContainsFunc(tasks, func(task string) bool { return f.starts[task] == before[task] }) {
+			return true
+		}
+	}
+	return false
+}
+
+func none(string) bool { return false }
+
+// addSuspects adds jobs with one task each that waits after crashes under it, as an owner restores them, and returns the tasks.
+func (f *crashFleet) addSuspects(jobs, crashes int) (tasks []string) {
+	for range jobs {
+		job := f.job(longStep(1))
+		f.engine.Add(job, &workflow.JobRecord{Phase: workflow.Running, Tasks: []workflow.TaskRecord{
+			{Phase: workflow.TaskWaiting, Run: crashes, Crashes: crashes, Suspicions: crashes},
+		}}, f.now, f.now)
+		tasks = append(tasks, job.ID+".0.0.0")
+	}
+	return tasks
+}
+
+// Guards against a task without fault that waits after a crash for as long as tasks of other jobs start on all executors
+// (issue 25: LOST).
+func TestSuspectStartsWhileAllExecutorsAreBusy(t *testing.T) {
+	f := newCrashFleet(t, "a", "b", "c", "d")
+	short := map[string]bool{}
+	isShort := func(job string) bool { return short[job] }
+	submit := func() {
+		s := longStep(16)
+		s.Need.MilliCores = 50
+		job := f.job(s)
+		short[job.ID] = true
+		f.engine.Add(job, nil, f.now, f.now)
+	}
+	for range 5 {
+		submit()
+		f.advance(isShort)
+	}
+	f.Assert(f.startsWithin(maxStandstill, f.addSuspects(1, 2), isShort, submit), qt.IsTrue)
+}
+
+// Guards against tasks without fault that wait one after the other for executors of their own after two crashes
+// (issue 25: LOST).
+func TestManySuspectsStartInTime(t *testing.T) {
+	f := newCrashFleet(t, "a", "b", "c", "d")
+	tasks := f.addSuspects(20, 2)
+	f.Assert(f.startsWithin(maxStandstill, tasks, none, func() {}), qt.IsTrue)
+}
+
+// Guards against a job that waits for the lease of a lost executor because another of its tasks was to show there whether it
+// crashes executors (issue 25: LOST).
+func TestSuspectsDoNotWaitForLostProbe(t *testing.T) {
+	f := newCrashFleet(t, "a", "b", "c", "d")
+	for _, name := range f.names[1:] {
+		f.executors[name].Draining = true
+	}
+	f.reportAll()
+	job := f.job(longStep(2))
+	f.engine.Add(job, nil, f.now, f.now)
+	tasks := []string{job.ID + ".0.0.0", job.ID + ".0.0.1"}
+	f.Assert(f.startsWithin(time.Second, tasks, none, func() {}), qt.IsTrue)
+	f.crash("a")
+	for f.broken["a"] != (time.Time{}) {
+		f.advance(none)
+	}
+	// There is room for a single task until the executor with it is lost together with its host.
+	f.executors["a"].Capacity.MilliCores = 500
+	f.reportAll()
+	f.Assert(f.startsWithin(maxStandstill, tasks[:1], none, func() {}), qt.IsTrue)
+	f.names = f.names[1:]
+	for _, name := range f.names {
+		f.restore(name)
+		f.executors[name].Draining = false
+	}
+	f.Assert(f.startsWithin(maxStandstill, tasks[1:], none, func() {}), qt.IsTrue)
+}
+
+// Guards against a task that goes back again and again to an executor that rejects all starts, while others have room
+// (issue 25: LOST).
+func TestRejectedTaskStartsElsewhere(t *testing.T) {
+	f := newCrashFleet(t, "a", "b")
+	job := f.job(longStep(1))
+	f.engine.Add(job, nil, f.now, f.now)
+	for end := f.now.Add(maxStandstill); f.now.Before(end); f.now = f.now.Add(standstillStep) {
+		f.reportAll()
+		for name, orders := range f.plan() {
+			if name == "b" {
+				return
+			}
+			for _, s := range orders.Starts {
+				f.engine.HandleOrderResult(name, 1, &workflow.OrderResult{Task: s.Task, Run: s.Run, Outcome: workflow.OutcomeRejected, Reason: "unhealthy"}, f.now)
+			}
+		}
+	}
+	f.Fatal("the task was ordered to the executor that rejects it only")
+}
+
+// unconfirmed reports an executor that lists no runs and confirms no stops, until a condition holds or a limit has passed. It
+// returns whether the condition held.
+func (f *crashFleet) unconfirmed(limit time.Duration, done func(orders map[string]workflow.Orders) bool) bool {
+	for end := f.now.Add(limit); f.now.Before(end); f.now = f.now.Add(standstillStep) {
+		f.reportAll()
+		f.engine.ExpireLeases(f.now)
+		orders := f.plan()
+		if done(orders) {
+			return true
+		}
+		for name, o := range orders {
+			for _, s := range o.Starts {
+				f.engine.HandleOrderResult(name, 1, &workflow.OrderResult{Task: s.Task, Run: s.Run, Outcome: workflow.OutcomeUnknown, Sequence: 1}, f.now)
+			}
+			for _, s := range o.Stops {
+				f.engine.HandleOrderResult(name, 1, &workflow.OrderResult{Task: s.Task, Run: s.Run, Stop: true, Outcome: workflow.OutcomeUnknown, Sequence: 1}, f.now)
+			}
+		}
+	}
+	return false
+}
+
+// Guards against a task that is bound for good to an executor that has not answered its start, does not list it and answers no
+// stop, although the start can't be carried out any more (issue 25: LOST).
+func TestUnansweredStartDoesNotBindTaskForGood(t *testing.T) {
+	f := newCrashFleet(t, "a", "b")
+	job := f.job(longStep(1))
+	f.engine.Add(job, nil, f.now, f.now)
+	first := ""
+	f.Assert(f.unconfirmed(maxRestart, func(orders map[string]workflow.Orders) bool {
+		for name, o := range orders {
+			if len(o.Starts) > 0 && first != "" && name != first {
+				return true
+			}
+			if len(o.Starts) > 0 && first == "" {
+				first = name
+			}
+		}
+		return false
+	}), qt.IsTrue)
+}
+
+// Guards against a job of which nothing runs because a start without an answer keeps its other tasks back (issue 25: LOST).
+func TestUnansweredStartDoesNotHoldIdleJobBack(t *testing.T) {
+	f, service, serving := newBestEffortJobBesideBusyService(t, 2)
+	started := map[string]bool{}
+	for end := f.now.Add(maxStandstill + time.Second); f.now.Before(end); f.now = f.now.Add(standstillStep) {
+		f.report("a", service, serving, nil)
+		for _, s := range f.plan()["a"].Starts {
+			started[s.Task] = true
+			f.engine.HandleOrderResult("a", 1, &workflow.OrderResult{Task: s.Task, Run: s.Run, Outcome: workflow.OutcomeUnknown, Sequence: 1 << 41}, f.now)
+		}
+	}
+	f.Assert(len(started) > 1, qt.IsTrue)
+}
