--- a/test/workflows/invariants_test.go
+++ b/test/workflows/invariants_test.go
@@ -112,6 +112,13 @@
 	return total
 }
 
+// starts returns how often a task has been started.
+func (o *invariantChecker) starts(task string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.startsByTask[task]
+}
+
 // runningOn returns how many runs an executor has.
 func (o *invariantChecker) runningOn(executor string) int {
 	o.mu.Lock()
--- /dev/null
+++ b/test/workflows/unanswered_calls_test.go
@@ -0,0 +1,56 @@
+package workflows_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+const (
+	// unansweredShare is the share of the calls to executors that get no answer and are carried out seconds later.
+	unansweredShare = 0.5
+	// maxIdleTime is how long an accepted job may have nothing running while there is room for it.
+	maxIdleTime = 3 * time.Second
+)
+
+// loseAnswers makes all executors leave a share of the calls without an answer.
+func (f *fleet) loseAnswers(share float64) {
+	for _, h := range f.hosts {
+		h.executor.SetDelayedShare(share)
+	}
+}
+
+// Guards against jobs that stand still because a start without an answer, and a stop of it without an answer, are each waited for
+// before the task is started again (issue 25: LOST).
+func TestStartsWithoutAnswerDoNotStopJobs(t *testing.T) {
+	runWithFleet(t, 6, func(f *fleet) {
+		f.loseAnswers(unansweredShare)
+		for range 12 {
+			id := f.submit(1)
+			task := workflow.TaskID{Job: id}.String()
+			waited := f.waitFor(20*time.Second, func() bool { return f.checker.starts(task) > 0 })
+			f.Check(waited <= maxIdleTime, qt.IsTrue, qt.Commentf("job %s starts after %v", id, waited))
+		}
+		f.Assert(f.checker.foundViolations(), qt.HasLen, 0)
+	})
+}
+
+// Guards against tasks that end with the lease of their executor because renewals without an answer are not repeated in time
+// (issue 25: LOST).
+func TestLeasesOutlastRenewalsWithoutAnswer(t *testing.T) {
+	runWithFleet(t, 6, func(f *fleet) {
+		for _, h := range f.hosts {
+			h.executor.SetDuration(2 * longTaskTime)
+		}
+		id := f.submit(12)
+		f.waitFor(3*time.Second, func() bool { return f.checker.runningCount() == 12 })
+		f.loseAnswers(unansweredShare)
+		time.Sleep(longTaskTime)
+		f.loseAnswers(0)
+		f.waitCompleted(2*longTaskTime, id)
+		f.Assert(f.checker.startCount(), qt.Equals, 12)
+	})
+}
