--- a/node/repeat_test.go
+++ b/node/repeat_test.go
@@ -15,8 +15,8 @@
 var errSilent = errors.New("no answer")
 
 // repeatWith repeats an order whose copies are answered as given, in the order in which they are sent. Copies beyond these get no
-// answer. It returns the result, the time that it took and the number of copies.
-func repeatWith(t *testing.T, answers ...error) (err error, took time.Duration, copies int) {
+// answer. It returns the time that the order took, the number of copies and the result.
+func repeatWith(t *testing.T, answers ...error) (took time.Duration, copies int, err error) {
 	var sent atomic.Int64
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
@@ -30,7 +30,7 @@
 		})
 		took = time.Since(began)
 	})
-	return err, took, int(sent.Load())
+	return took, int(sent.Load()), err
 }
 
 // Guards against a task that runs twice because a copy of its start is carried out late after another copy was rejected, and
@@ -58,7 +58,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			err, took, copies := repeatWith(t, test.answers...)
+			took, copies, err := repeatWith(t, test.answers...)
 			c.Check(errors.Is(err, test.result), qt.IsTrue, qt.Commentf("%v", err))
 			_, rejected := rejectionReason(err)
 			c.Check(rejected, qt.Equals, test.rejected)
