--- a/node/hold.go
+++ b/node/hold.go
@@ -99,7 +99,7 @@
 // isBroken reports whether a call failed because its connection was broken or refused.
 func isBroken(err error) bool {
 	reason, rejected := rejectionReason(err)
-	return err != nil && (!rejected || reason == unreachable)
+	return err != nil && (!rejected || reason == workflow.ReasonUnreachable)
 }
 
 // pendingAck returns the number up to which ends may be acknowledged, or 0 if the executor has not recently listed any end up to
@@ -280,9 +280,6 @@
 	}
 }
 
-// unreachable is the reason of a call that could not be delivered.
-const unreachable = "unreachable"
-
 // rejectionReason returns the reason of a call that certainly had no effect, and false if the effect is unknown.
 func rejectionReason(err error) (string, bool) {
 	var rejected *RejectedError
@@ -293,7 +290,7 @@
 		return "life", true
 	}
 	if errors.Is(err, ErrNotDelivered) {
-		return unreachable, true
+		return workflow.ReasonUnreachable, true
 	}
 	return "", false
 }
--- a/node/orders.go
+++ b/node/orders.go
@@ -78,7 +78,7 @@
 		return 0, "basis"
 	case orders.ReportNumber <= n.shrunkReport:
 		// The owner decided on the start before it knew that the capacity has shrunk.
-		return 0, "room"
+		return 0, workflow.ReasonRoom
 	}
 	n.extendLease(reportSentAt, time.Duration(orders.LeaseMillis)*time.Millisecond)
 	if n.leaseEnd.Sub(now) < minLeaseLeft {
--- a/owner/serve.go
+++ b/owner/serve.go
@@ -219,10 +219,10 @@
 	}
 	reply := &workflow.OrdersReply{}
 	for _, s := range d.Orders.Starts {
-		reply.Results = append(reply.Results, workflow.OrderResult{Task: s.Task, Run: s.Run, Outcome: outcome, Reason: "unreachable"})
+		reply.Results = append(reply.Results, workflow.OrderResult{Task: s.Task, Run: s.Run, Outcome: outcome, Reason: workflow.ReasonUnreachable})
 	}
 	for _, s := range d.Orders.Stops {
-		reply.Results = append(reply.Results, workflow.OrderResult{Task: s.Task, Run: s.Run, Stop: true, Outcome: workflow.OutcomeUnknown, Reason: "unreachable"})
+		reply.Results = append(reply.Results, workflow.OrderResult{Task: s.Task, Run: s.Run, Stop: true, Outcome: workflow.OutcomeUnknown, Reason: workflow.ReasonUnreachable})
 	}
 	return reply
 }
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -116,7 +116,7 @@
 			delete(e.nodeByIncarnation, n.executorIncarnation)
 		}
 	}
-	n.executor, n.known, n.ackedEnd, n.orphanedRuns = *executor, true, 0, nil
+	n.executor, n.known, n.ackedEnd, n.orphanedRuns, n.rejections = *executor, true, 0, nil, 0
 	n.executorIncarnation = executor.IncarnationID()
 	e.nodeByIncarnation[n.executorIncarnation] = n
 	e.quarantine.ForgetWorker(n.name)
@@ -316,16 +316,12 @@
 	t.startPending = false
 	switch r.Outcome {
 	case workflow.OutcomeDone:
+		t.node.rejections = 0
 		t.started = true
 		t.startedSequence, t.startedIncarnation = r.Sequence, incarnation
 	case workflow.OutcomeRejected:
 		t.notBefore = now.Add(rejectionBackoff)
-		switch r.Reason {
-		case "room", "unhealthy":
-			t.node.noStartsUntil = now.Add(rejectionBackoff)
-		case "unreachable":
-			t.node.noStartsUntil = now.Add(unreachableBackoff)
-		}
+		t.node.pauseStarts(r.Reason, now)
 		e.unassign(t)
 	default:
 		// The run may have begun or may still begin. It continues if the executor's next lists contain it, and is stopped
@@ -334,10 +330,34 @@
 	}
 }
 
-// unreachableBackoff is how long no task is started on an executor that could not be reached while its node still
-// reports it.
-const unreachableBackoff = 600 * time.Millisecond
+const (
+	// rejectionBackoff delays starts of a task after a rejected start, until a report has updated the executor's state.
+	rejectionBackoff = 150 * time.Millisecond
+	// unreachableBackoff is how long no task is started on an executor that could not be reached while its node still
+	// reports it.
+	unreachableBackoff = 600 * time.Millisecond
+	// maxStartPause limits how long no task is started on an executor that rejects one start after the other. It is reached
+	// after maxPauseDoublings pauses at the latest.
+	maxStartPause     = 2400 * time.Millisecond
+	maxPauseDoublings = 4
+)
 
-// rejectionBackoff delays starts of the task, and on the executor, after a rejected start, until a report has updated
-// the executor's state.
-const rejectionBackoff = 150 * time.Millisecond
+// pauseStarts starts no tasks on an executor for a time after it has rejected a start for a reason that concerns the executor.
+// The pause doubles with each rejection in a row: otherwise it would end together with the backoff of the rejected task, and
+// the task would return to this executor for as long as it looks best.
+func (n *node) pauseStarts(reason string, now time.Time) {
+	pause := rejectionBackoff
+	switch reason {
+	case workflow.ReasonRoom, workflow.ReasonUnhealthy:
+	case workflow.ReasonUnreachable:
+		pause = unreachableBackoff
+	default:
+		return
+	}
+	if now.Before(n.noStartsUntil) {
+		// The start had been ordered before the executor paused.
+		return
+	}
+	n.noStartsUntil = now.Add(min(pause<<n.rejections, maxStartPause))
+	n.rejections = min(n.rejections+1, maxPauseDoublings)
+}
--- a/workflow/engine/node.go
+++ b/workflow/engine/node.go
@@ -79,8 +79,10 @@
 	// slownessAt; 0 if unknown.
 	slowness   float64
 	slownessAt time.Time
-	// noStartsUntil blocks starts for a time after the executor has rejected one or could not be reached.
+	// noStartsUntil blocks starts for a time after the executor has rejected one or could not be reached. rejections counts these
+	// pauses since it last accepted a start.
 	noStartsUntil time.Time
+	rejections    int
 	// aliveAt is when the executor's current incarnation last listed its runs. lapsedRuns are those that it had when its lease
 	// expired, until it lists its runs again.
 	aliveAt time.Time
--- a/workflow/messages.go
+++ b/workflow/messages.go
@@ -113,6 +113,16 @@
 	OutcomeUnknown Outcome = "unknown"
 )
 
+// Reasons of rejected starts that concern the executor and not the task.
+const (
+	// ReasonRoom means that the executor has no room for the task.
+	ReasonRoom = "room"
+	// ReasonUnhealthy means that the executor does not carry out any order at present.
+	ReasonUnhealthy = "unhealthy"
+	// ReasonUnreachable means that the order could not be delivered to the executor or its node.
+	ReasonUnreachable = "unreachable"
+)
+
 // OrderResult is the result of one order.
 type OrderResult struct {
 	Task    string  `json:"task"`
