--- a/workflow/engine/plan.go
+++ b/workflow/engine/plan.go
@@ -50,8 +50,8 @@
 		case j.idleSince.IsZero():
 			j.idleSince = now
 		}
-		// A start that leads to no run does not reset idleSince.
-		if !free || now.Sub(j.idleSince) < maxIdleTime || j.hasAssignedTask() {
+		// A start that leads to no run does not reset idleSince, and holds other tasks back only while its result is to be expected.
+		if !free || now.Sub(j.idleSince) < maxIdleTime || j.startedSince(now.Add(-maxIdleTime)) {
 			continue
 		}
 		if t := e.firstReady(j, now, wall, false); t != nil {
@@ -63,6 +63,11 @@
 	}
 }
 
+// startedSince reports whether a start of an assigned task has been ordered since the given time.
+func (j *job) startedSince(since time.Time) bool {
+	return slices.ContainsFunc(j.tasks, func(t *task) bool { return t.phase == workflow.TaskAssigned && t.startedAt.After(since) })
+}
+
 // reservedFraction returns the fraction of all CPU that is reserved. Best-effort tasks reserve none.
 func (e *Engine) reservedFraction() float64 {
 	var used, capacity int64
