--- a/node/repeat.go
+++ b/node/repeat.go
@@ -27,7 +27,7 @@
 
 // repeat sends an idempotent call, and sends it again while it has no answer: first after patience and repeatInterval, then in
 // intervals. A copy without an answer may have been carried out, or may be carried out later. So a success is conclusive, and
-// a rejection only if it also holds for the other copies. first tells call whether it sends the first copy.
+// a rejection only if no other copy is without an answer. first tells call whether it sends the first copy.
 func repeat[T any](ctx context.Context, patience time.Duration, call func(ctx context.Context, first bool) (T, error)) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -51,9 +51,9 @@
 		select {
 		case r := <-results:
 			pending--
-			reason, rejected := rejectionReason(r.err)
+			_, rejected := rejectionReason(r.err)
 			switch {
-			case r.err == nil, rejected && isFinal(reason), pending == 0 && !silent:
+			case r.err == nil, pending == 0 && !silent:
 				return r.value, r.err
 			case rejected, pending == 0:
 				return none, inconclusive(r.err)
@@ -73,10 +73,6 @@
 // inconclusive returns errInconclusive with the text of the last answer. It doesn't wrap the answer, which may be a rejection.
 func inconclusive(answer error) error { return fmt.Errorf("%w: %v", errInconclusive, answer) }
 
-// isFinal reports whether a rejection for a reason also holds for copies of the call that arrive later: the executor keeps the
-// highest fencing token that it has seen, and the highest run of a task that was stopped or has ended.
-func isFinal(reason string) bool { return reason == "fence" || reason == "old" }
-
 // repeatOrder repeats an order to the executor within orderTimeout.
 func repeatOrder(ctx context.Context, order func(ctx context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
