--- a/workflow/engine/crashes.go
+++ b/workflow/engine/crashes.go
@@ -26,6 +26,9 @@
 	quietTime = 300 * time.Millisecond
 	// maxProbeWait is how long a suspect waits for an executor of its own, unless it is one for the second time.
 	maxProbeWait = 1500 * time.Millisecond
+	// maxIsolationWait is how long a suspect waits at most for an executor on which it can be told from other causes. A job may
+	// have nothing running for 3 s if there is room for it.
+	maxIsolationWait = 2 * time.Second
 	// suddenCrashAge is the age of a run up to which a crash is taken to follow from its start, since executors rarely crash
 	// for another reason within so short a time.
 	suddenCrashAge = 400 * time.Millisecond
@@ -83,7 +86,7 @@
 	age, minAge time.Duration
 	// listedSince is when the current run was first listed to this owner.
 	listedSince time.Time
-	// suspectSince is when the task last became a suspect of a crash.
+	// suspectSince is when the task last became a suspect of a crash, or when this owner learned that it is one.
 	suspectSince time.Time
 }
 
@@ -461,7 +464,7 @@
 	})
 	registerTaskFilter("job probed", func(p *placementRequest, t *task, n *node) bool {
 		probed := p.engine.crashes.probedJobs[t.job]
-		return !t.isSuspect() || probed == nil || t.step.Gang || probed == n
+		return !t.awaitsIsolation(p.now) || probed == nil || t.step.Gang || probed == n
 	})
 	registerProbeFilter("probe shared", func(p *placementRequest, t *task, n *node) bool {
 		return n.probes == 0 || !n.repeatedProbes && t.crashes.suspicions == 1 && p.now.Sub(t.crashes.suspectSince) >= maxProbeWait
@@ -479,10 +482,15 @@
 // probed.
 func registerProbeFilter(name string, admits func(p *placementRequest, t *task, n *node) bool) {
 	registerTaskFilter(name, func(p *placementRequest, t *task, n *node) bool {
-		return !t.isSuspect() || p.engine.crashes.probedJobs[t.job] != nil && !t.step.Gang || admits(p, t, n)
+		return !t.awaitsIsolation(p.now) || p.engine.crashes.probedJobs[t.job] != nil && !t.step.Gang || admits(p, t, n)
 	})
 }
 
+// awaitsIsolation reports whether a suspect starts only where it can be told from other causes of a crash.
+func (t *task) awaitsIsolation(now time.Time) bool {
+	return t.isSuspect() && now.Sub(t.crashes.suspectSince) < maxIsolationWait
+}
+
 // isQuiet reports whether an executor has had no starts of other jobs for quietTime.
 func (e *Engine) isQuiet(n *node, j *job, now time.Time) bool {
 	return !slices.ContainsFunc(e.assignedTasks[n.executorIncarnation], func(other *task) bool {
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -181,7 +181,7 @@
 	e.jobs[spec.ID] = j
 	e.activeJobs[spec.ID] = j
 	if record != nil {
-		e.restore(j, record)
+		e.restore(j, record, now)
 	}
 	if j.phase.Final() {
 		delete(e.activeJobs, j.ID)
@@ -235,7 +235,7 @@
 }
 
 // restore sets the state of a job from its record.
-func (e *Engine) restore(j *job, record *workflow.JobRecord) {
+func (e *Engine) restore(j *job, record *workflow.JobRecord, now time.Time) {
 	j.phase = record.Phase
 	j.storedPhase = record.Phase
 	j.endedUnixMillis = record.EndedUnixMillis
@@ -248,6 +248,7 @@
 		t.run, t.failures, t.saved = r.Run, r.Failures, r.Saved
 		t.crashes.total, t.crashes.suspicions = r.Crashes, r.Suspicions
 		if t.isSuspect() {
+			t.crashes.suspectSince = now
 			e.crashes.suspects[t] = struct{}{}
 		}
 		t.phase = r.Phase
