--- a/workflow/engine/plan.go
+++ b/workflow/engine/plan.go
@@ -20,6 +20,7 @@
 	e.indexProbes()
 	e.startSuspects(jobs, now, wall)
 	unplaceable := &unplaceableShapes{}
+	e.startRestarts(e.readyRestarts(jobs, now, wall), now, unplaceable)
 	for _, c := range jobs {
 		e.startReadyTasks(c, now, wall, unplaceable)
 	}
@@ -140,14 +141,14 @@
 			e.startGang(g, request)
 			continue
 		}
-		e.startGroup(g, request, s, unplaceable)
+		e.startTasks(g.tasks, request, s, unplaceable)
 	}
 }
 
-// startGroup starts those waiting tasks of a group for which an executor is found.
-func (e *Engine) startGroup(g *group, request *placementRequest, s shape, unplaceable *unplaceableShapes) {
+// startTasks starts those waiting tasks of a group for which an executor is found.
+func (e *Engine) startTasks(tasks []*task, request *placementRequest, s shape, unplaceable *unplaceableShapes) {
 	var r *ranking
-	for _, t := range g.tasks {
+	for _, t := range tasks {
 		if !t.canStart(request.now) {
 			continue
 		}
--- a/workflow/engine/room_test.go
+++ b/workflow/engine/room_test.go
@@ -137,3 +137,25 @@
 	b.Assert(starts, qt.HasLen, 1)
 	b.Assert(jobOf(starts[0].Task), qt.Equals, displaced.ID)
 }
+
+// Guards against a long-running task whose executor has left and that waits for as long as executors with larger ones leave.
+func TestDisplacedTasksStartInOrderOfWaiting(t *testing.T) {
+	b := newBusyHarness(t, time.Hour)
+	first, second := b.job(longRunning(1, 3)), b.job(longRunning(1, 4))
+	for i, node := range []string{"a", "b"} {
+		b.report(node, executor(node, 1), nil, nil)
+		b.engine.Add([]workflow.Job{first, second}[i], nil, b.now, b.now)
+		b.Assert(b.accept(node, b.plan()[node]), qt.HasLen, 1)
+	}
+	for _, node := range []string{"a", "b"} {
+		left := executor(node, 1)
+		left.Draining, left.Left = true, true
+		b.report(node, left, nil, nil)
+		b.Assert(b.plan(), qt.HasLen, 0)
+		b.now = b.now.Add(2 * time.Second)
+	}
+	b.report("c", executor("c", 1), nil, nil)
+	starts := b.plan()["c"].Starts
+	b.Assert(starts, qt.HasLen, 1)
+	b.Assert(jobOf(starts[0].Task), qt.Equals, first.ID)
+}
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -298,6 +298,9 @@
 }
 
 func (t *task) clearRun() {
+	if t.started {
+		t.waitingSince = time.Time{}
+	}
 	t.executorIncarnation, t.host, t.node = "", "", nil
 	t.startPending, t.started, t.listed, t.stopRequested, t.stopReason = false, false, false, false, ""
 	t.startedSequence, t.stoppedSequence = 0, 0
--- a/workflow/engine/task.go
+++ b/workflow/engine/task.go
@@ -52,6 +52,8 @@
 	// avoidedHost is a host on which the task is not started before avoidedUntil.
 	avoidedHost  string
 	avoidedUntil time.Time
+	// waitingSince is when Plan first found a long-running task ready to run again since its last run.
+	waitingSince time.Time
 	// notBefore is the earliest time of the next start after a rejected one.
 	notBefore time.Time
 	crashes   taskCrashes
