--- a/workflow/engine/node.go
+++ b/workflow/engine/node.go
@@ -81,9 +81,6 @@
 	slownessAt time.Time
 	// noStartsUntil blocks starts for a time after the executor has rejected one or could not be reached.
 	noStartsUntil time.Time
-	// hold keeps room on the executor for a long-running task; nil if it isn't held. It is not held again before noHoldUntil.
-	hold        *hold
-	noHoldUntil time.Time
 	// aliveAt is when the executor's current incarnation last listed its runs. lapsedRuns are those that it had when its lease
 	// expired, until it lists its runs again.
 	aliveAt time.Time
--- a/workflow/engine/placement.go
+++ b/workflow/engine/placement.go
@@ -18,8 +18,6 @@
 	// relaxed admits a task wherever its reservation fits, skipping the filters on spare CPU, interference, quarantine
 	// and earlier failures of the task.
 	relaxed bool
-	// restart admits a task to executors that are held for restarts.
-	restart bool
 }
 
 // Filter decides whether an executor may run the tasks of a group.
@@ -28,9 +26,7 @@
 	// Static is set if the filter asks whether an executor is in service for such tasks at all, and not for its load or what
 	// became of earlier tasks.
 	Static bool
-	// Awaited is set if an executor is held for a task although the filter rejects it.
-	Awaited bool
-	Admits  func(p *placementRequest, n *node) bool
+	Admits func(p *placementRequest, n *node) bool
 }
 
 // TaskFilter decides whether an executor may run one task, by that task's own history.
@@ -59,10 +55,6 @@
 	filters = append(filters, Filter{Name: name, Static: true, Admits: admits})
 }
 
-func registerAwaitedFilter(name string, admits func(p *placementRequest, n *node) bool) {
-	filters = append(filters, Filter{Name: name, Awaited: true, Admits: admits})
-}
-
 func registerTaskFilter(name string, admits func(p *placementRequest, t *task, n *node) bool) {
 	taskFilters = append(taskFilters, TaskFilter{name, admits})
 }
@@ -145,15 +137,12 @@
 		return p.task.step.Label == "" || n.executor.HasLabel(p.task.step.Label)
 	})
 	registerFilter("orphans", func(p *placementRequest, n *node) bool { return len(n.orphanedRuns) == 0 })
-	registerAwaitedFilter("memory", func(p *placementRequest, n *node) bool {
+	registerFilter("memory", func(p *placementRequest, n *node) bool {
 		return n.reserved.MemoryMB+p.task.step.Need.MemoryMB <= n.executor.Capacity.MemoryMB
 	})
-	registerAwaitedFilter("room", func(p *placementRequest, n *node) bool {
+	registerFilter("room", func(p *placementRequest, n *node) bool {
 		return n.reserved.Add(p.task.step.Reserved()).Fits(n.executor.Capacity)
 	})
-	registerAwaitedFilter("held", func(p *placementRequest, n *node) bool {
-		return n.hold == nil || p.restart || n.leavesHeldRoom(p.task.step)
-	})
 	registerFilter("leftover", func(p *placementRequest, n *node) bool {
 		if !p.task.step.BestEffort || p.relaxed {
 			return true
@@ -168,7 +157,7 @@
 		return !n.executor.Unpaced || !p.task.step.BestEffort || p.relaxed || n.servingCount == 0 ||
 			p.engine.maxHeadroomLoss(n, p.task.step.Image) < workflow.LightHeadroomLoss
 	})
-	registerAwaitedFilter("gathering", func(p *placementRequest, n *node) bool {
+	registerFilter("gathering", func(p *placementRequest, n *node) bool {
 		return !p.task.step.LongRunning || p.engine.executorsDiscovered(p.now)
 	})
 	registerFilter("spread", func(p *placementRequest, n *node) bool {
--- a/workflow/engine/plan.go
+++ b/workflow/engine/plan.go
@@ -20,9 +20,7 @@
 	e.indexProbes()
 	e.startSuspects(jobs, now, wall)
 	unplaceable := &unplaceableShapes{}
-	restarts := e.readyRestarts(jobs, now, wall)
-	e.startRestarts(restarts, now, unplaceable)
-	e.updateHolds(restarts, now)
+	e.startRestarts(e.readyRestarts(jobs, now, wall), now, unplaceable)
 	for _, c := range jobs {
 		e.startReadyTasks(c, now, wall, unplaceable)
 	}
@@ -209,9 +207,6 @@
 	t.phase, t.run, t.executorIncarnation, t.host = workflow.TaskAssigned, run, n.executorIncarnation, n.name
 	t.startPending, t.startedAt, t.progressedAt = true, now, now
 	n.addTask(t)
-	if n.hold != nil && n.hold.group == t.group {
-		n.hold = nil
-	}
 	if t.isSuspect() {
 		e.addProbe(t)
 	}
--- a/workflow/engine/restarts.go
+++ b/workflow/engine/restarts.go
@@ -57,7 +57,7 @@
 		}
 		s := shapeOf(first.queue, first.task.step)
 		if !unplaceable.covers(s) {
-			e.startTasks(tasks, &placementRequest{engine: e, queue: first.queue, task: first.task, now: now, restart: true}, s, unplaceable)
+			e.startTasks(tasks, &placementRequest{engine: e, queue: first.queue, task: first.task, now: now}, s, unplaceable)
 		}
 	}
 }
