--- a/node/hold.go
+++ b/node/hold.go
@@ -19,6 +19,8 @@
 	// before its lease expires.
 	shortLease    = 2 * time.Second
 	shortHoldWait = 100 * time.Millisecond
+	// urgentRenewal is the remaining time of the lease that the executor has confirmed below which each copy of a call renews it.
+	urgentRenewal = 3 * time.Second
 	// holdResponseMargin is how much longer than the wait a response may take.
 	holdResponseMargin = 800 * time.Millisecond
 	// holdRetryDelay is the pause after a failed call.
@@ -36,34 +38,34 @@
 func (n *Node) holdLoop(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
-		incarnation, fence, ack, deadline, wait, covers := n.nextHold()
-		if incarnation == "" {
+		hold := n.nextHold()
+		if hold.incarnation == "" {
 			n.sleep(ctx, n.wakeHold, holdWait)
 			continue
 		}
-		call, cancel := context.WithTimeout(ctx, wait+holdResponseMargin)
-		lists, err := repeat(call, wait, func(ctx context.Context, first bool) (*RunLists, error) {
-			if !first {
-				return n.executor.Hold(ctx, incarnation, fence, ack, deadline, 0)
-			}
-			return n.executor.Hold(ctx, incarnation, fence, ack, deadline, wait)
+		call, cancel := context.WithTimeout(ctx, hold.wait+holdResponseMargin)
+		answer, err := repeat(call, hold.wait, func(ctx context.Context, first bool) (holdAnswer, error) {
+			return n.sendHold(ctx, &hold, first)
 		})
 		broken := call.Err() == nil && isBroken(err)
 		cancel()
 		if err != nil {
 			failures++
-			n.handleHoldError(incarnation, err, broken)
+			n.handleHoldError(hold.incarnation, err, broken)
 			if failures == 1 && ctx.Err() == nil {
-				n.log.Warn("executor doesn't answer", "executor", incarnation, "error", err)
+				n.log.Warn("executor doesn't answer", "executor", hold.incarnation, "error", err)
 			}
 			n.sleep(ctx, nil, holdRetryDelay)
 			continue
 		}
 		if failures > 0 {
-			n.log.Info("executor responds again", "executor", incarnation, "failed_calls", failures)
+			n.log.Info("executor responds again", "executor", hold.incarnation, "failed_calls", failures)
 			failures = 0
 		}
-		switch n.applyLists(incarnation, lists, covers) {
+		if answer.renewed {
+			n.noteRenewal(&hold)
+		}
+		switch n.applyLists(hold.incarnation, answer.lists, hold.covers) {
 		case otherIncarnation:
 			n.sleep(ctx, nil, holdRetryDelay)
 		case reportAtOnce:
@@ -74,15 +76,59 @@
 	}
 }
 
-// nextHold returns the parameters of the next hold call, and the number of executed orders that its response will cover. The
-// incarnation is empty if no executor is known.
-func (n *Node) nextHold() (incarnation string, fence, ack, deadline int64, wait time.Duration, covers int64) {
+// holdCall holds the parameters of a hold call.
+type holdCall struct {
+	// incarnation is empty if no executor is known.
+	incarnation string
+	fence, ack  int64
+	// deadline is the end of the lease on the executor's clock, leaseEnd the same on this host's.
+	deadline int64
+	leaseEnd time.Time
+	wait     time.Duration
+	// covers is the number of executed orders that the response covers.
+	covers int64
+	// urgent is set if the lease that the executor has confirmed ends soon.
+	urgent bool
+}
+
+// holdAnswer is the response to a copy of a hold call. renewed is set if that copy carried the deadline.
+type holdAnswer struct {
+	lists   *RunLists
+	renewed bool
+}
+
+// sendHold sends a copy of a hold call. A copy that is carried out late may reach another incarnation under the executor's ID,
+// which has neither listed the acknowledged ends nor the same clock. So copies beyond the first carry no acknowledgement, and the
+// deadline only if the executor needs it soon.
+func (n *Node) sendHold(ctx context.Context, h *holdCall, first bool) (holdAnswer, error) {
+	ack, deadline, wait := h.ack, h.deadline, h.wait
+	if !first {
+		ack, wait = 0, 0
+	}
+	if !first && !h.urgent {
+		deadline = 0
+	}
+	lists, err := n.executor.Hold(ctx, h.incarnation, h.fence, ack, deadline, wait)
+	return holdAnswer{lists, deadline > 0}, err
+}
+
+// noteRenewal records that the executor has confirmed the deadline of a hold call.
+func (n *Node) noteRenewal(h *holdCall) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.current != nil && n.current.IncarnationID() == h.incarnation {
+		n.renewedUntil = h.leaseEnd
+	}
+}
+
+// nextHold returns the parameters of the next hold call.
+func (n *Node) nextHold() holdCall {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.current == nil {
-		return "", 0, 0, 0, 0, 0
+		return holdCall{}
 	}
-	wait = holdWait
+	wait := holdWait
 	if n.hasServingAndBestEffort() {
 		wait = sharedHoldWait
 	}
@@ -93,7 +139,10 @@
 	if n.lists == nil || !n.confirmed {
 		wait = 0
 	}
-	return n.current.IncarnationID(), n.fence(n.epoch), n.pendingAck(), n.deadline(now), wait, n.executedOrders
+	return holdCall{
+		incarnation: n.current.IncarnationID(), fence: n.fence(n.epoch), ack: n.pendingAck(), deadline: n.deadline(now), leaseEnd: n.leaseEnd,
+		wait: wait, covers: n.executedOrders, urgent: n.renewedUntil.Sub(now) < urgentRenewal,
+	}
 }
 
 // isBroken reports whether a call failed because its connection was broken or refused.
--- a/node/node.go
+++ b/node/node.go
@@ -101,6 +101,8 @@
 	executedOrders, lastUnknownStart int64
 	// leaseEnd is the end of the lease, after which the runs end unless an owner renews it.
 	leaseEnd time.Time
+	// renewedUntil is the end of the lease that the executor has last confirmed by its answer to a hold call.
+	renewedUntil time.Time
 	// leaseBound is the latest end of all leases that this process and former ones of the host can have passed on, to whichever
 	// incarnation of the executor.
 	leaseBound   time.Time
@@ -202,7 +204,7 @@
 	n.current, n.lists, n.ack, n.shrunkReport = nil, nil, 0, 0
 	n.endDeparture()
 	n.clockAt, n.brokenAt = time.Time{}, time.Time{}
-	n.leaseEnd = time.Time{}
+	n.leaseEnd, n.renewedUntil = time.Time{}, time.Time{}
 	n.pacer = sharing.NewController()
 	clear(n.paces)
 	clear(n.nearTarget)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -125,12 +125,12 @@
 	c.Assert(n.applyLists("i-1@1000", lists(), 0), qt.Equals, reportAtOnce)
 	c.Assert(n.applyLists("i-1@1000", lists(), 0), qt.Equals, nothingNew)
 	n.noteUnknownStart(n.countOrder())
-	_, _, _, _, wait, covers := n.nextHold()
-	c.Assert(wait, qt.Equals, shortHoldWait)
+	hold := n.nextHold()
+	c.Assert(hold.wait, qt.Equals, shortHoldWait)
 	c.Assert(n.applyLists("i-1@1000", lists(), 0), qt.Equals, nothingNew, qt.Commentf("lists that don't cover the start"))
-	c.Assert(n.applyLists("i-1@1000", lists(), covers), qt.Equals, reportAtOnce)
-	_, _, _, _, wait, _ = n.nextHold()
-	c.Assert(wait, qt.Equals, holdWait)
+	c.Assert(n.applyLists("i-1@1000", lists(), hold.covers), qt.Equals, reportAtOnce)
+	hold = n.nextHold()
+	c.Assert(hold.wait, qt.Equals, holdWait)
 }
 
 // Guards against a lease that is renewed beyond what the node has reported to a new owner: by a reply or orders of the former
--- a/node/repeat_test.go
+++ b/node/repeat_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -67,3 +68,45 @@
 		})
 	}
 }
+
+// holdRecorder records the hold calls that an executor gets. It answers none.
+type holdRecorder struct {
+	Executor
+	mu    sync.Mutex
+	calls []holdCall
+}
+
+func (r *holdRecorder) Hold(ctx context.Context, _ string, _, ack, deadline int64, wait time.Duration) (*RunLists, error) {
+	r.mu.Lock()
+	r.calls = append(r.calls, holdCall{ack: ack, deadline: deadline, wait: wait})
+	r.mu.Unlock()
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Guards against ends that are lost, and against runs that outlive the lease that the owner knows, because a repeated renewal is
+// carried out late by the next incarnation under the executor's ID.
+func TestRepeatedHoldCarriesOnlyWhatIsNeeded(t *testing.T) {
+	for _, urgent := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			recorder := &holdRecorder{}
+			n := newNode()
+			n.executor = recorder
+			h := holdCall{incarnation: "i-1@1000", ack: 5, deadline: 9000, wait: holdWait, urgent: urgent}
+			ctx, cancel := context.WithTimeout(t.Context(), holdWait+holdResponseMargin)
+			defer cancel()
+			_, err := repeat(ctx, h.wait, func(ctx context.Context, first bool) (holdAnswer, error) { return n.sendHold(ctx, &h, first) })
+			c.Assert(errors.Is(err, errInconclusive), qt.IsTrue)
+			synctest.Wait()
+			c.Assert(recorder.calls, qt.HasLen, maxCopies)
+			c.Check(recorder.calls[0].ack, qt.Equals, int64(5))
+			c.Check(recorder.calls[0].deadline, qt.Equals, int64(9000))
+			for _, call := range recorder.calls[1:] {
+				c.Check(call.ack, qt.Equals, int64(0))
+				c.Check(call.deadline > 0, qt.Equals, urgent)
+				c.Check(call.wait, qt.Equals, time.Duration(0))
+			}
+		})
+	}
+}
