--- a/node/nodetest/executor.go
+++ b/node/nodetest/executor.go
@@ -58,10 +58,11 @@
 	lastNumber   int64
 	unresponsive bool
 	// left is set once the executor has left; its address then refuses connections.
-	left         bool
-	delayedShare float64
-	random       *rand.Rand
-	failing      bool
+	left      bool
+	faults    CallFaults
+	random    *rand.Rand
+	durations func(task string) time.Duration
+	failing   bool
 	// crashes decides whether a run crashes the executor, and lives counts the IDs that it has had.
 	crashes func(task string) bool
 	lives   int
@@ -149,8 +150,36 @@
 	x.update(func() { x.unresponsive = unresponsive })
 }
 
+// CallFaults are the shares of calls that fail in each way. A call fails in at most one of them.
+type CallFaults struct {
+	// Rejected calls have no effect and are answered as by an unhealthy executor.
+	Rejected float64
+	// AnswerLost calls take effect at once and get no response.
+	AnswerLost float64
+	// Delayed calls get no response and take effect between 2 s and MaxDelay later.
+	Delayed  float64
+	MaxDelay time.Duration
+	// OrdersOnly is set if all calls but starts and stops are free of faults.
+	OrdersOnly bool
+}
+
+const (
+	// minCallDelay and defaultMaxCallDelay limit how much later delayed calls take effect.
+	minCallDelay        = 2 * time.Second
+	defaultMaxCallDelay = 10 * time.Second
+)
+
+// SetCallFaults sets which calls fail from now on.
+func (x *Executor) SetCallFaults(faults CallFaults) { x.update(func() { x.faults = faults }) }
+
 // SetDelayedShare sets the share of calls that get no response and take effect seconds later.
-func (x *Executor) SetDelayedShare(share float64) { x.update(func() { x.delayedShare = share }) }
+func (x *Executor) SetDelayedShare(share float64) {
+	if share == 0 {
+		x.SetCallFaults(CallFaults{})
+		return
+	}
+	x.SetCallFaults(CallFaults{Delayed: share, MaxDelay: defaultMaxCallDelay})
+}
 
 // SetFailing sets whether all runs that complete fail.
 func (x *Executor) SetFailing(failing bool) { x.update(func() { x.failing = failing }) }
@@ -158,6 +187,21 @@
 // SetDuration sets how long the runs take that start from now on.
 func (x *Executor) SetDuration(duration time.Duration) { x.update(func() { x.duration = duration }) }
 
+// SetDurations sets how long the runs of each task take that start from now on; 0 stands for the duration of all others.
+func (x *Executor) SetDurations(durations func(task string) time.Duration) {
+	x.update(func() { x.durations = durations })
+}
+
+// durationOf returns how long a run of a task takes.
+func (x *Executor) durationOf(task string) time.Duration {
+	if x.durations != nil {
+		if d := x.durations(task); d > 0 {
+			return d
+		}
+	}
+	return x.duration
+}
+
 // SetCapacity sets the capacity that the executor announces. It starts whatever it is ordered to start.
 func (x *Executor) SetCapacity(capacity structs.Resources) {
 	x.update(func() { x.description.Capacity = capacity })
@@ -179,6 +223,13 @@
 	return x.description, !x.down && !x.unresponsive
 }
 
+// Answers reports whether the executor is up and answers all calls.
+func (x *Executor) Answers() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return !x.down && !x.unresponsive && x.faults == (CallFaults{})
+}
+
 // advance ends the runs that are due, and marks the recorded ends as lapsed if the lease has expired.
 func (x *Executor) advance() {
 	now := time.Now()
@@ -211,9 +262,31 @@
 	x.observer.Ended(x.description.IncarnationID(), task, r.number, how)
 }
 
-// handle executes a call, or executes it seconds later without a response. Whether a call is delayed is decided only when it
-// arrives, which is when arrives is true.
-func (x *Executor) handle(ctx context.Context, incarnation string, arrives bool, order func(responds bool) error) error {
+// callKind tells starts and stops from other calls, and from the repetitions by which a call waits.
+type callKind int
+
+const (
+	orderCall callKind = iota
+	otherCall
+	waitingCall
+)
+
+// drawFault decides whether a call that arrives fails, and how: by at most one of rejected, lost and delayed.
+func (x *Executor) drawFault(kind callKind) (rejected, lost, delayed bool) {
+	if kind == waitingCall {
+		return false, false, false
+	}
+	u := x.random.Float64()
+	f := x.faults
+	if f.OrdersOnly && kind != orderCall {
+		return false, false, false
+	}
+	return u < f.Rejected, u >= f.Rejected && u < f.Rejected+f.AnswerLost,
+		u >= f.Rejected+f.AnswerLost && u < f.Rejected+f.AnswerLost+f.Delayed
+}
+
+// handle executes a call, or fails it as its CallFaults say.
+func (x *Executor) handle(ctx context.Context, incarnation string, kind callKind, order func(responds bool) error) error {
 	x.mu.Lock()
 	if x.left {
 		x.mu.Unlock()
@@ -228,11 +301,23 @@
 		x.mu.Unlock()
 		return node.ErrOtherIncarnation
 	}
-	if arrives && x.random.Float64() < x.delayedShare {
-		time.AfterFunc(2*time.Second+time.Duration(x.random.Int64N(int64(8*time.Second))), func() {
+	rejected, lost, delayed := x.drawFault(kind)
+	switch {
+	case rejected:
+		x.mu.Unlock()
+		return &node.RejectedError{Reason: "unhealthy"}
+	case lost:
+		x.advance()
+		_ = order(false)
+		x.mu.Unlock()
+		<-ctx.Done()
+		return errNoAnswer
+	case delayed:
+		called := x.description.ID
+		time.AfterFunc(minCallDelay+time.Duration(x.random.Int64N(int64(x.faults.MaxDelay-minCallDelay))), func() {
 			x.mu.Lock()
 			defer x.mu.Unlock()
-			if !x.down {
+			if !x.down && x.description.ID == called {
 				x.advance()
 				_ = order(false)
 			}
@@ -248,7 +333,7 @@
 
 // Start implements node.Executor.
 func (x *Executor) Start(ctx context.Context, incarnation string, s node.Start) error {
-	return x.handle(ctx, incarnation, true, func(bool) error {
+	return x.handle(ctx, incarnation, orderCall, func(bool) error {
 		deadline := x.born.Add(time.Duration(s.DeadlineMillis) * time.Millisecond)
 		switch {
 		case s.Fence < x.fence:
@@ -264,9 +349,10 @@
 		if deadline.After(x.deadline) {
 			x.deadline = deadline
 		}
-		x.runs[s.Task] = &run{number: s.Run, endsAt: time.Now().Add(x.duration), checkpoint: s.Checkpoint}
+		endsAt := time.Now().Add(x.durationOf(s.Task))
+		x.runs[s.Task] = &run{number: s.Run, endsAt: endsAt, checkpoint: s.Checkpoint}
 		x.highestRun[s.Task] = s.Run
-		x.advanceAt(time.Now().Add(x.duration))
+		x.advanceAt(endsAt)
 		x.advanceAt(x.deadline)
 		x.observer.Started(x.description.IncarnationID(), s.Task, s.Run, s.Spec)
 		if x.crashes != nil && x.crashes(s.Task) {
@@ -279,7 +365,7 @@
 
 // Stop implements node.Executor.
 func (x *Executor) Stop(ctx context.Context, incarnation, task string, number int, fence int64) error {
-	return x.handle(ctx, incarnation, true, func(bool) error {
+	return x.handle(ctx, incarnation, orderCall, func(bool) error {
 		if fence < x.fence {
 			return &node.RejectedError{Reason: "fence"}
 		}
@@ -295,7 +381,7 @@
 
 // SetPace implements node.Executor. It has no effect.
 func (x *Executor) SetPace(ctx context.Context, incarnation, _ string, _, _ int, _ int64) error {
-	return x.handle(ctx, incarnation, true, func(bool) error { return nil })
+	return x.handle(ctx, incarnation, otherCall, func(bool) error { return nil })
 }
 
 // holdPollInterval is how often a waiting hold call checks for ended runs.
@@ -306,7 +392,11 @@
 	until := time.Now().Add(wait)
 	for first := true; ; first = false {
 		var lists *node.RunLists
-		err := x.handle(ctx, incarnation, first, func(responds bool) error {
+		kind := otherCall
+		if !first {
+			kind = waitingCall
+		}
+		err := x.handle(ctx, incarnation, kind, func(responds bool) error {
 			if fence < x.fence {
 				return &node.RejectedError{Reason: "fence"}
 			}
--- a/rpc/rpctest/network.go
+++ b/rpc/rpctest/network.go
@@ -46,6 +46,13 @@
 	n.partitioned[address] = partitioned
 }
 
+// Reaches reports whether an address has a handler and is not cut off.
+func (n *Network) Reaches(address string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.handlers[address] != nil && !n.partitioned[address]
+}
+
 // Transport returns the transport for calls from an address.
 func (n *Network) Transport(address string) http.RoundTripper { return &transport{n, address} }
 
