--- a/test/workflows/fleet_test.go
+++ b/test/workflows/fleet_test.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -38,6 +40,9 @@
 	storeDelay = 4 * time.Millisecond
 )
 
+// logFleet makes the nodes and owners of a fleet write their logs, in virtual time.
+var logFleet = flag.Bool("fleet.log", false, "write the logs of nodes and owners to standard error")
+
 var testQueue = workflow.Queue{Name: "checks", Pool: "pool", MaxAttempts: 3, Stretch: 1.5, ObjectiveMillis: 250}
 
 // operators provides a fixed configuration.
@@ -77,6 +82,7 @@
 	gateway    *gateway.Gateway
 	entryStore *kvtest.Client
 	jobs       int
+	log        hclog.Logger
 	// fetchOrders is set if executors fetch their orders with their heartbeats instead of taking calls.
 	fetchOrders bool
 }
@@ -86,7 +92,13 @@
 }
 
 func newFleetOf(t testing.TB, ctx context.Context, hosts int, fetching bool) *fleet {
-	f := &fleet{C: qt.New(t), ctx: ctx, fetchOrders: fetching, startedAt: time.Now(), store: kvtest.New(), network: rpctest.New(), checker: newInvariantChecker()}
+	f := &fleet{
+		C: qt.New(t), ctx: ctx, fetchOrders: fetching, startedAt: time.Now(), store: kvtest.New(), network: rpctest.New(),
+		checker: newInvariantChecker(), log: hclog.NewNullLogger(),
+	}
+	if *logFleet {
+		f.log = hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: os.Stderr, TimeFormat: "05.000"})
+	}
 	f.network.Delay = networkDelay
 	for i := range hosts {
 		name := fmt.Sprintf("host-%d", i)
@@ -132,7 +144,7 @@
 func (h *host) start() {
 	f := h.fleet
 	ctx, cancel := context.WithCancel(f.ctx)
-	log := hclog.NewNullLogger()
+	log := f.log.Named(h.name)
 	monitor := kv.NewMonitor(h.store)
 	h.locator = ownership.NewLocator(monitor, log)
 	client := f.newRPCClient(h.name)
@@ -236,12 +248,17 @@
 // submit submits a job, repeatedly until it is accepted. Each step depends on the one before.
 func (f *fleet) submit(counts ...int) string {
 	job := f.newJob(counts...)
+	f.submitUntilAccepted(job)
+	return job.ID
+}
+
+func (f *fleet) submitUntilAccepted(job workflow.Job) {
 	for {
 		ctx, cancel := context.WithTimeout(f.ctx, 3*time.Second)
 		err := f.gateway.Submit(ctx, &job)
 		cancel()
 		if err == nil {
-			return job.ID
+			return
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
--- a/test/workflows/invariants_test.go
+++ b/test/workflows/invariants_test.go
@@ -18,12 +18,18 @@
 	rejectedJobs map[string]bool
 	startsByTask map[string]int
 	violations   []string
+	// changedAt is when a run of each task, and of each job, last started or ended.
+	changedAt map[string]time.Time
+	// doneOn holds the executor that finished each task last, and taken the tasks whose end was acknowledged.
+	doneOn map[string]string
+	taken  map[string]bool
 }
 
 func newInvariantChecker() *invariantChecker {
 	return &invariantChecker{
 		running: map[string]string{}, completed: map[string]bool{}, acknowledged: map[string]string{},
 		jobs: map[string]workflow.Job{}, startsByTask: map[string]int{}, rejectedJobs: map[string]bool{},
+		changedAt: map[string]time.Time{}, doneOn: map[string]string{}, taken: map[string]bool{},
 	}
 }
 
@@ -44,11 +50,17 @@
 	o.rejectedJobs[id] = true
 }
 
+func (o *invariantChecker) recordChange(task string) {
+	id, _ := workflow.ParseTaskID(task)
+	o.changedAt[task], o.changedAt[id.Job] = time.Now(), time.Now()
+}
+
 // Started implements nodetest.Observer.
 func (o *invariantChecker) Started(executor, task string, run int, spec string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.startsByTask[task]++
+	o.recordChange(task)
 	if other, twice := o.running[task]; twice {
 		o.addViolation("%s run %d started on %s while it runs on %s", task, run, executor, other)
 	}
@@ -79,11 +91,13 @@
 func (o *invariantChecker) Ended(executor, task string, _ int, how workflow.EndReason) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.recordChange(task)
 	if o.running[task] == executor {
 		delete(o.running, task)
 	}
 	if how == workflow.EndDone {
 		o.completed[task] = true
+		o.doneOn[task] = executor
 	}
 }
 
@@ -91,6 +105,9 @@
 func (o *invariantChecker) Acknowledged(executor, task string, run int, how workflow.EndReason, lapsed bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if how == workflow.EndDone {
+		o.taken[task] = true
+	}
 	if how == workflow.EndDone && !lapsed {
 		o.acknowledged[task] = fmt.Sprintf("run %d on %s at %v", run, executor, time.Now())
 	}
--- a/test/workflows/random_faults_test.go
+++ b/test/workflows/random_faults_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,6 +34,16 @@
 	os.Exit(m.Run())
 }
 
+// setDefaultChecks changes the number of histories of a test that takes long, unless it is given.
+func setDefaultChecks(t *testing.T, checks string) {
+	f := flag.Lookup("rapid.checks")
+	if f.Value.String() != defaultChecks {
+		return
+	}
+	_ = f.Value.Set(checks)
+	t.Cleanup(func() { _ = f.Value.Set(defaultChecks) })
+}
+
 // action is one step of a random history.
 type action struct {
 	kind   string
@@ -56,7 +67,11 @@
 	"reconnect", "refuse", "store-hangs", "lose", "heal", "remove-owner-key", "end-leases", "end-leases",
 }
 
-const randomTestHosts = 3
+const (
+	randomTestHosts = 3
+	// watchedShare is the inverse of the share of histories after which standstills are looked for.
+	watchedShare = 5
+)
 
 func drawActions(t *rapid.T, kinds []string) []action {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) action {
@@ -220,6 +235,24 @@
 	h.entryStore.SetFaults(kvtest.Faults{Delay: storeDelay})
 }
 
+// submitLasting submits jobs that last until all jobs are judged, so that some still run then.
+func (h *history) submitLasting() {
+	for _, width := range []int{1, 2} {
+		counts := make([]int, int((finishTime+time.Second)/taskTime))
+		for i := range counts {
+			counts[i] = width
+		}
+		h.accepted = append(h.accepted, h.submit(counts...))
+	}
+}
+
+// watchAfterFaults looks for standstills from when all jobs have to run. It returns the first one, or "".
+func (h *history) watchAfterFaults() string {
+	jobs := slices.DeleteFunc(slices.Clone(h.accepted), func(id string) bool { return h.cancelled[id] })
+	time.Sleep(finishTime - maxIdle)
+	return newStandstillOracle(h.fleet, jobs).watch(maxIdle + time.Second)
+}
+
 // awaitCompletion waits until all accepted jobs have ended. It returns a description of the first failure, or "".
 func (h *history) awaitCompletion() string {
 	deadline := time.Now().Add(2 * time.Minute)
@@ -247,8 +280,8 @@
 }
 
 // Guards against violated guarantees under random series of faults: two concurrent runs of a task, a start before the
-// steps that it depends on, a start after an acknowledged end, a start of a rejected job, and an accepted job that is lost
-// or never ends.
+// steps that it depends on, a start after an acknowledged end, a start of a rejected job, and an accepted job that is lost,
+// never ends, or stands still after the faults.
 func TestRandomFaults(t *testing.T) {
 	checkRandomFaults(t, randomFaults{kinds: actionKinds, taskTime: taskTime})
 }
@@ -288,6 +321,8 @@
 func checkRandomFaults(t *testing.T, faults randomFaults) {
 	rapid.Check(t, func(rt *rapid.T) {
 		actions := drawActions(rt, faults.kinds)
+		// Looking for standstills takes several times as long as the rest of a history.
+		watched := rapid.IntRange(1, watchedShare).Draw(rt, "watched") == watchedShare
 		failure := ""
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
@@ -305,7 +340,13 @@
 			}
 			h.clearFaults()
 			h.setTaskTime(taskTime)
-			failure = h.awaitCompletion()
+			if watched {
+				h.submitLasting()
+				failure = h.watchAfterFaults()
+			}
+			if failure == "" {
+				failure = h.awaitCompletion()
+			}
 		})
 		if failure != "" {
 			rt.Fatal(failure)
