--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -321,12 +321,13 @@
 		t.startedSequence, t.startedIncarnation = r.Sequence, incarnation
 	case workflow.OutcomeRejected:
 		t.notBefore = now.Add(rejectionBackoff)
-		t.node.pauseStarts(r.Reason, now)
+		t.node.pauseStarts(pauseAfterRejection(r.Reason), now)
 		e.unassign(t)
 	default:
 		// The run may have begun or may still begin. It continues if the executor's next lists contain it, and is stopped
 		// otherwise.
 		t.startedSequence, t.startedIncarnation = r.Sequence, incarnation
+		t.node.pauseStarts(rejectionBackoff, now)
 	}
 }
 
@@ -342,20 +343,23 @@
 	maxPauseDoublings = 4
 )
 
-// pauseStarts starts no tasks on an executor for a time after it has rejected a start for a reason that concerns the executor.
-// The pause doubles with each rejection in a row: otherwise it would end together with the backoff of the rejected task, and
-// the task would return to this executor for as long as it looks best.
-func (n *node) pauseStarts(reason string, now time.Time) {
-	pause := rejectionBackoff
+// pauseAfterRejection returns how long an executor gets no starts after it has rejected one; 0 if the reason concerns the task.
+func pauseAfterRejection(reason string) time.Duration {
 	switch reason {
 	case workflow.ReasonRoom, workflow.ReasonUnhealthy:
+		return rejectionBackoff
 	case workflow.ReasonUnreachable:
-		pause = unreachableBackoff
-	default:
-		return
+		return unreachableBackoff
 	}
-	if now.Before(n.noStartsUntil) {
-		// The start had been ordered before the executor paused.
+	return 0
+}
+
+// pauseStarts starts no tasks on an executor for a time after it has rejected a start or left it unanswered. The pause doubles
+// each time in a row: otherwise it would end together with the backoff of the task, and the task would return to this
+// executor for as long as it looks best.
+func (n *node) pauseStarts(pause time.Duration, now time.Time) {
+	if pause == 0 || now.Before(n.noStartsUntil) {
+		// A start that was ordered before the executor paused doesn't prolong the pause.
 		return
 	}
 	n.noStartsUntil = now.Add(min(pause<<n.rejections, maxStartPause))
--- a/workflow/engine/node.go
+++ b/workflow/engine/node.go
@@ -79,8 +79,8 @@
 	// slownessAt; 0 if unknown.
 	slowness   float64
 	slownessAt time.Time
-	// noStartsUntil blocks starts for a time after the executor has rejected one or could not be reached. rejections counts these
-	// pauses since it last accepted a start.
+	// noStartsUntil blocks starts for a time after the executor has rejected one, has not answered one or could not be reached.
+	// rejections counts these pauses since it last accepted a start.
 	noStartsUntil time.Time
 	rejections    int
 	// aliveAt is when the executor's current incarnation last listed its runs. lapsedRuns are those that it had when its lease
