--- a/node/nodetest/executor.go
+++ b/node/nodetest/executor.go
@@ -57,8 +57,8 @@
 	ended        []endedRun
 	lastNumber   int64
 	unresponsive bool
-	// left is set once the executor has left; its address then refuses connections.
-	left         bool
+	// refusing is set while no process listens at the executor's address, so that connections are refused.
+	refusing     bool
 	delayedShare float64
 	random       *rand.Rand
 	failing      bool
@@ -97,16 +97,19 @@
 	x.fence, x.lastNumber, x.ended = 0, 0, nil
 	x.runs, x.highestRun = map[string]*run{}, map[string]int{}
 	x.deadline = time.Time{}
-	x.down, x.left = false, false
+	x.down, x.refusing = false, false
 }
 
-// Leave ends all runs and the executor, as after a planned drain. Calls are refused until Restart.
+// Leave ends all runs and the executor's process, as after a planned drain or a crash. Connections are refused until Restart.
 func (x *Executor) Leave() {
 	x.Crash()
-	x.update(func() { x.left = true })
+	x.SetRefusing(true)
 }
 
-// Crash ends all runs. Calls get no response until Restart.
+// SetRefusing sets whether connections are refused. Runs go on.
+func (x *Executor) SetRefusing(refusing bool) { x.update(func() { x.refusing = refusing }) }
+
+// Crash ends all runs, as a loss of the executor's host does. Calls get no response until Restart.
 func (x *Executor) Crash() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -215,7 +218,7 @@
 // arrives, which is when arrives is true.
 func (x *Executor) handle(ctx context.Context, incarnation string, arrives bool, order func(responds bool) error) error {
 	x.mu.Lock()
-	if x.left {
+	if x.refusing {
 		x.mu.Unlock()
 		return node.ErrRefused
 	}
