--- a/node/nodetest/executor.go
+++ b/node/nodetest/executor.go
@@ -57,8 +57,8 @@
 	ended        []endedRun
 	lastNumber   int64
 	unresponsive bool
-	// left is set once the executor has left; its address then refuses connections.
-	left      bool
+	// refusing is set while no process listens at the executor's address, so that connections are refused.
+	refusing  bool
 	faults    CallFaults
 	random    *rand.Rand
 	durations func(task string) time.Duration
@@ -98,16 +98,19 @@
 	x.fence, x.lastNumber, x.ended = 0, 0, nil
 	x.runs, x.highestRun = map[string]*run{}, map[string]int{}
 	x.deadline = time.Time{}
-	x.down, x.left = false, false
+	x.down, x.refusing = false, false
 }
 
-// Leave ends all runs and the executor, as after a planned drain. Calls are refused until Restart.
+// Leave ends all runs and the executor's process, as after a planned drain or a crash. Connections are refused until Restart.
 func (x *Executor) Leave() {
 	x.Crash()
-	x.update(func() { x.left = true })
+	x.SetRefusing(true)
 }
 
-// Crash ends all runs. Calls get no response until Restart.
+// SetRefusing sets whether connections are refused. Runs go on.
+func (x *Executor) SetRefusing(refusing bool) { x.update(func() { x.refusing = refusing }) }
+
+// Crash ends all runs, as a loss of the executor's host does. Calls get no response until Restart.
 func (x *Executor) Crash() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -288,7 +291,7 @@
 // handle executes a call, or fails it as its CallFaults say.
 func (x *Executor) handle(ctx context.Context, incarnation string, kind callKind, order func(responds bool) error) error {
 	x.mu.Lock()
-	if x.left {
+	if x.refusing {
 		x.mu.Unlock()
 		return node.ErrRefused
 	}
@@ -384,6 +387,21 @@
 	return x.handle(ctx, incarnation, otherCall, func(bool) error { return nil })
 }
 
+// Connect implements node.Executor.
+func (x *Executor) Connect(ctx context.Context) error {
+	x.mu.Lock()
+	refusing, silent := x.refusing, x.down || x.unresponsive
+	x.mu.Unlock()
+	if refusing {
+		return node.ErrRefused
+	}
+	if silent {
+		<-ctx.Done()
+		return errNoAnswer
+	}
+	return nil
+}
+
 // holdPollInterval is how often a waiting hold call checks for ended runs.
 const holdPollInterval = 20 * time.Millisecond
 
