--- a/test/workflows/standstill_causes_test.go
+++ b/test/workflows/standstill_causes_test.go
@@ -71,7 +71,6 @@
 // room (LOST).
 func TestTaskOfCrashedExecutorRunsElsewhere(t *testing.T) {
 	forPhases(t, func(f *fleet) {
-		f.setDurations()
 		for _, h := range f.hosts {
 			h.executor.SetDuration(5 * time.Second)
 		}
--- a/test/workflows/standstill_faults_test.go
+++ b/test/workflows/standstill_faults_test.go
@@ -23,6 +23,9 @@
 	judgedTime = 10 * time.Second
 	// lastingSteps is the number of steps, one after the other, of the jobs that last until the end.
 	lastingSteps = 36
+	// denseTaskTime and denseMilliCores are the run time and the CPU of the tasks of dense jobs.
+	denseTaskTime   = 400 * time.Millisecond
+	denseMilliCores = 250
 	// lastingFaultChecks is the number of histories with lasting faults of each kind unless -rapid.checks is given.
 	lastingFaultChecks = "12"
 	// lateness is the maximum delay of orders that are carried out late.
@@ -37,6 +40,8 @@
 	// deadlyStep is the step from which the tasks of a deadly job crash executors, and deadlyTasks the number of these tasks.
 	deadlyStep, deadlyTasks int
 	pause                   time.Duration
+	// dense is set if the steps have several short tasks that need little, so that tasks start on all executors all the time.
+	dense bool
 }
 
 // lastingFaults describes the faults that stay in force at the end of a history.
@@ -62,8 +67,14 @@
 			pause:       time.Duration(rapid.IntRange(0, 800).Draw(t, "pause")) * time.Millisecond,
 		}
 	}), 2, 10).Draw(t, "jobs")
-	for range rapid.IntRange(2, 5).Draw(t, "lasting") {
-		plans = append(plans, jobPlan{kind: "lasting", width: rapid.IntRange(1, 2).Draw(t, "width")})
+	if deadly && rapid.Bool().Draw(t, "dense") {
+		for range rapid.IntRange(5, 8).Draw(t, "lasting") {
+			plans = append(plans, jobPlan{kind: "lasting", width: rapid.IntRange(2, 5).Draw(t, "width"), dense: true})
+		}
+	} else {
+		for range rapid.IntRange(2, 5).Draw(t, "lasting") {
+			plans = append(plans, jobPlan{kind: "lasting", width: rapid.IntRange(1, 2).Draw(t, "width")})
+		}
 	}
 	if deadly {
 		plans = append(plans, jobPlan{kind: "deadly", width: 2, deadlyTasks: 1, deadlyStep: rapid.IntRange(0, 22).Draw(t, "deadly step")})
@@ -87,7 +98,14 @@
 	var job workflow.Job
 	switch p.kind {
 	case "lasting":
-		job = chain(lastingSteps)
+		if !p.dense {
+			job = chain(lastingSteps)
+			break
+		}
+		job = chain(lastingSteps * int(taskTime/denseTaskTime))
+		for i := range job.Steps {
+			job.Steps[i].Need.MilliCores, job.Steps[i].EstimateMillis = denseMilliCores, denseTaskTime.Milliseconds()
+		}
 	case "best effort":
 		job = chain(lastingSteps)
 		for i := range job.Steps {
@@ -121,17 +139,18 @@
 	return names
 }
 
-// setDurations makes the runs of long-running tasks last until they are stopped.
+// setDurations makes the runs of long-running tasks last until they are stopped, and those of all others as long as estimated.
 func (f *fleet) setDurations() {
 	for _, h := range f.hosts {
 		h.executor.SetDurations(func(task string) time.Duration {
 			f.checker.mu.Lock()
 			defer f.checker.mu.Unlock()
 			id, _ := workflow.ParseTaskID(task)
-			if job := f.checker.jobs[id.Job]; id.Step < len(job.Steps) && job.Steps[id.Step].LongRunning {
+			step := &f.checker.jobs[id.Job].Steps[id.Step]
+			if step.LongRunning {
 				return time.Hour
 			}
-			return 0
+			return time.Duration(step.EstimateMillis) * time.Millisecond
 		})
 	}
 }
