--- a/agent/runner/cluster_test.go
+++ b/agent/runner/cluster_test.go
@@ -127,7 +127,7 @@
 		Capacity: structs.Resources{MilliCores: 4000, MemoryMB: 8000},
 	}
 	log := hclog.NewNullLogger()
-	settings := shard.DefaultConfig(0, n.name, address)
+	settings := shard.DefaultConfig(0, address)
 	settings.SnapshotEvery = c.recordsPerSnapshot
 	settings.Lifecycle.OwnerValidity = c.ownerValidity
 	n.owner = shard.NewOwner(settings, storeConnection{c.store, n}, c.clock,
--- a/config/inventory.go
+++ b/config/inventory.go
@@ -66,12 +66,3 @@
 	}
 	return workers
 }
-
-// Capacity returns the total capacity of all workers.
-func (i *Inventory) Capacity() structs.Resources {
-	var sum structs.Resources
-	for _, worker := range i.Workers {
-		sum = sum.Add(worker.Capacity)
-	}
-	return sum
-}
--- a/gossip/owners.go
+++ b/gossip/owners.go
@@ -56,18 +56,6 @@
 	return true
 }
 
-// OwnsShard reports whether an address is the newest known owner of any shard.
-func (t *OwnerTable) OwnsShard(address string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, owner := range t.owners {
-		if owner.Address == address {
-			return true
-		}
-	}
-	return false
-}
-
 // All returns all known owners, sorted by shard.
 func (t *OwnerTable) All() []structs.ShardOwner {
 	t.mu.Lock()
--- a/hosting/hosting.go
+++ b/hosting/hosting.go
@@ -35,7 +35,6 @@
 
 // Process holds the logger, metrics and HTTP servers that all parts of a process share.
 type Process struct {
-	Name    string
 	Log     hclog.Logger
 	Scope   tally.Scope
 	Metrics http.Handler
@@ -59,7 +58,7 @@
 	}, metricsInterval)
 	writer := logging.NewWriter(os.Stdout, scope)
 	return &Process{
-		Name: name, Log: logging.New(role, writer, level), Scope: scope, Metrics: reporter.HTTPHandler(),
+		Log: logging.New(role, writer, level), Scope: scope, Metrics: reporter.HTTPHandler(),
 		logWriter: writer, metricsCloser: closer, serveErrors: make(chan error, 1),
 	}
 }
--- a/replay/batch.go
+++ b/replay/batch.go
@@ -13,7 +13,7 @@
 	if id == "" {
 		id = "job-" + strconv.Itoa(len(e.jobs))
 	}
-	j := &job{class: class, spec: structs.Job{
+	j := &job{spec: structs.Job{
 		ID: id, Team: event.Team, Name: id, Kind: structs.KindBatch, Priority: event.Priority, Urgent: event.Urgent,
 		Tasks: event.Tasks, Resources: class.Declared, Class: class.Name, ExpectedSeconds: class.DeclaredSeconds,
 		Accepted: e.timeline.now(),
--- a/replay/host.go
+++ b/replay/host.go
@@ -77,7 +77,6 @@
 
 type job struct {
 	spec  structs.Job
-	class *Class
 	tasks []*task
 }
 
--- a/scheduler/registry.go
+++ b/scheduler/registry.go
@@ -55,21 +55,3 @@
 	scores = append(scores, weightedScore{s, weight})
 	slices.SortFunc(scores, func(a, b weightedScore) int { return cmp.Compare(a.plugin.Name(), b.plugin.Name()) })
 }
-
-// FilterNames returns the names of the registered filters in the order in which they run.
-func FilterNames() []string {
-	names := make([]string, len(filters))
-	for i, f := range filters {
-		names[i] = f.Name()
-	}
-	return names
-}
-
-// ScoreNames returns the names of the registered scores.
-func ScoreNames() []string {
-	names := make([]string, len(scores))
-	for i, s := range scores {
-		names[i] = s.plugin.Name()
-	}
-	return names
-}
--- a/shard/client.go
+++ b/shard/client.go
@@ -45,8 +45,6 @@
 
 	mu         sync.Mutex
 	lastLookup map[int]time.Time
-	// bytes counts the body bytes that were sent and received.
-	bytes int64
 }
 
 // NewClient returns a client that finds owners in a directory and reads the store if the directory is out of date.
@@ -59,13 +57,6 @@
 	}
 }
 
-// Bytes returns the total size of all bodies that were sent and received.
-func (c *Client) Bytes() int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.bytes
-}
-
 // Heartbeat sends a heartbeat to the owner of a shard.
 func (c *Client) Heartbeat(ctx context.Context, shard int, hb structs.Heartbeat) (structs.HeartbeatReply, error) {
 	var reply structs.HeartbeatReply
@@ -217,9 +208,6 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
-	c.mu.Lock()
-	c.bytes += int64(len(raw) + len(content))
-	c.mu.Unlock()
 	return c.decode(response.StatusCode, content, reply)
 }
 
--- a/shard/lifecycle/placement.go
+++ b/shard/lifecycle/placement.go
@@ -10,10 +10,9 @@
 
 // PendingTask is a task that waits for placement.
 type PendingTask struct {
-	Task     structs.TaskID
-	Job      *structs.Job
-	State    *Task
-	Attempts int
+	Task  structs.TaskID
+	Job   *structs.Job
+	State *Task
 }
 
 // PendingTasks returns the tasks that wait for placement, ordered by job ID and index.
--- a/shard/module.go
+++ b/shard/module.go
@@ -142,7 +142,7 @@
 	}
 	rules := follower.Rules()
 	number := partition.WorkerShard(m.settings.Worker, rules.Shards)
-	cfg := DefaultConfig(number, m.context.Process.Name, m.context.Process.PeerAddress().String())
+	cfg := DefaultConfig(number, m.context.Process.PeerAddress().String())
 	cfg.LeaseTTL, cfg.KeepAliveEvery = m.settings.LeaseTTL, m.settings.LeaseTTL/3
 	cfg.CommitEvery, cfg.ListEvery = m.settings.CommitEvery, m.settings.ListEvery
 	cfg.SnapshotEvery = int64(m.settings.SnapshotEvery)
--- a/shard/owner.go
+++ b/shard/owner.go
@@ -69,7 +69,6 @@
 // Config holds the settings of a shard's owner.
 type Config struct {
 	Shard   int
-	Name    string
 	Address string
 	// LeaseTTL is the lease period of the owner key in the store.
 	LeaseTTL time.Duration
@@ -85,9 +84,9 @@
 }
 
 // DefaultConfig returns the default settings for a shard.
-func DefaultConfig(shard int, name, address string) Config {
+func DefaultConfig(shard int, address string) Config {
 	return Config{
-		Shard: shard, Name: name, Address: address, LeaseTTL: 3 * time.Second, KeepAliveEvery: time.Second,
+		Shard: shard, Address: address, LeaseTTL: 3 * time.Second, KeepAliveEvery: time.Second,
 		CommitEvery: 200 * time.Millisecond, ListEvery: 2 * time.Second, SnapshotEvery: 64,
 		Lifecycle: lifecycle.DefaultSettings(),
 	}
--- a/shard/owner_test.go
+++ b/shard/owner_test.go
@@ -37,8 +37,8 @@
 }
 
 // candidate returns a candidate that accesses the store through s.
-func (f *fixture) candidate(name, address string, s store.Store) *Owner {
-	settings := DefaultConfig(0, name, address)
+func (f *fixture) candidate(address string, s store.Store) *Owner {
+	settings := DefaultConfig(0, address)
 	settings.SnapshotEvery = 4
 	client := NewClient(f.owners, f.store, f.clock)
 	followed := NewFollowerConfig(config.NewFollower(f.clock), f.clock)
@@ -100,7 +100,7 @@
 		f := newFixture()
 		ctx := context.Background()
 		hooks := &hookedStore{Store: f.store}
-		former, next := f.candidate("one", "127.0.0.1:1", hooks), f.candidate("two", "127.0.0.1:2", f.store)
+		former, next := f.candidate("127.0.0.1:1", hooks), f.candidate("127.0.0.1:2", f.store)
 		c.Assert(former.Acquire(ctx), qt.IsNil)
 		f.submitAndCommit(c, former, "first")
 		f.submitAndCommit(c, former, "second")
@@ -150,7 +150,7 @@
 	c := qt.New(t)
 	f := newFixture()
 	hooks := &hookedStore{Store: f.store}
-	o := f.candidate("one", "127.0.0.1:1", hooks)
+	o := f.candidate("127.0.0.1:1", hooks)
 	c.Assert(o.Acquire(context.Background()), qt.IsNil)
 	hooks.onKeepAlive = func(string) { f.clock.Advance(31 * time.Second) }
 	c.Assert(o.KeepAlive(context.Background()), qt.IsNil)
@@ -183,7 +183,7 @@
 	s.SetFaults(storetest.Faults{SlowMillis: slow})
 	followed := NewFollowerConfig(config.NewFollower(system), system)
 	client := NewClient(owners, s, system)
-	o := NewOwner(DefaultConfig(0, "one", "127.0.0.1:1"), s, system, followed, scheduler.Plan, owners, client, hclog.NewNullLogger())
+	o := NewOwner(DefaultConfig(0, "127.0.0.1:1"), s, system, followed, scheduler.Plan, owners, client, hclog.NewNullLogger())
 	o.RunSynchronously()
 	return o
 }
@@ -216,7 +216,7 @@
 			c := qt.New(t)
 			f := newFixture()
 			ctx := context.Background()
-			o := f.candidate("one", "127.0.0.1:1", f.store)
+			o := f.candidate("127.0.0.1:1", f.store)
 			c.Assert(o.Acquire(ctx), qt.IsNil)
 			f.submitAndCommit(c, o, "a")
 			f.clock.Advance(200 * time.Millisecond)
@@ -248,7 +248,7 @@
 	RegisterRoutes(router, func(int) *Owner { return o })
 	server := httptest.NewServer(router)
 	defer server.Close()
-	o = f.candidate("one", server.Listener.Addr().String(), f.store)
+	o = f.candidate(server.Listener.Addr().String(), f.store)
 	client := NewClient(f.owners, f.store, f.clock)
 	_, err := client.Status(ctx, 0, "a")
 	c.Assert(err, qt.ErrorIs, ErrNoOwner)
@@ -297,8 +297,8 @@
 		c := qt.New(t)
 		f := newFixture()
 		ctx := context.Background()
-		former, next := f.candidate("one", "127.0.0.1:1", f.store), f.candidate("two", "127.0.0.1:2", f.store)
-		first := f.candidate("zero", "127.0.0.1:3", f.store)
+		former, next := f.candidate("127.0.0.1:1", f.store), f.candidate("127.0.0.1:2", f.store)
+		first := f.candidate("127.0.0.1:3", f.store)
 		first.config.Lifecycle.OwnerValidity = time.Minute
 		c.Assert(first.Acquire(ctx), qt.IsNil)
 		f.clock.Advance(4 * time.Second)
@@ -328,7 +328,7 @@
 	f := newFixture()
 	ctx := context.Background()
 	hooks := &hookedStore{Store: f.store}
-	o := f.candidate("one", "127.0.0.1:1", hooks)
+	o := f.candidate("127.0.0.1:1", hooks)
 	const records = 40
 	o.config.SnapshotEvery = records
 	c.Assert(o.Acquire(ctx), qt.IsNil)
--- a/test/faultnet/faultnet.go
+++ b/test/faultnet/faultnet.go
@@ -82,13 +82,6 @@
 	f.goroutines.Wait()
 }
 
-// SetTarget changes the address to which new connections are forwarded.
-func (f *Forwarder) SetTarget(target string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.target = target
-}
-
 // Blackhole drops all further bytes of the existing connections in both directions and returns their number. The connections
 // stay open: neither side sees data, an end of the stream or an error, whatever the other side does. New connections work.
 func (f *Forwarder) Blackhole() int { return f.forEachLink((*link).blackhole) }
