--- a/agent/runner/module.go
+++ b/agent/runner/module.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/netip"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -63,20 +62,19 @@
 
 // Module runs the allocations of a worker.
 type Module struct {
-	settings  ModuleSettings
-	context   *kernel.Context
-	clock     clock.Clock
-	log       hclog.Logger
-	scope     tally.Scope
-	follower  *config.Follower
-	client    *shard.Client
-	worker    *worker.Client
-	runner    atomic.Pointer[Runner]
-	guard     Guard
-	latencies func() []structs.ServiceLatency
-	lastReply atomic.Pointer[time.Time]
-	stop      context.CancelFunc
-	done      sync.WaitGroup
+	settings   ModuleSettings
+	context    *kernel.Context
+	clock      clock.Clock
+	log        hclog.Logger
+	scope      tally.Scope
+	follower   *config.Follower
+	client     *shard.Client
+	worker     *worker.Client
+	runner     atomic.Pointer[Runner]
+	guard      Guard
+	latencies  func() []structs.ServiceLatency
+	lastReply  atomic.Pointer[time.Time]
+	background kernel.Background
 }
 
 // Settings implements kernel.Module.
@@ -112,17 +110,14 @@
 
 // Start implements kernel.Module.
 func (m *Module) Start(ctx context.Context) error {
-	ctx, m.stop = context.WithCancel(ctx)
-	m.done.Go(func() { m.run(ctx) })
+	ctx = m.background.Start(ctx)
+	m.background.Go(func() { m.run(ctx) })
 	return nil
 }
 
 // Stop implements kernel.Module.
 func (m *Module) Stop(context.Context) error {
-	if m.stop != nil {
-		m.stop()
-	}
-	m.done.Wait()
+	m.background.Stop()
 	m.worker.Close()
 	return nil
 }
@@ -157,7 +152,7 @@
 	r := New(leases, m.worker, m.clock, followerConfiguration{m.follower}, m.client, m.guard, m.log)
 	r.latencies = m.latencies
 	m.runner.Store(r)
-	m.done.Go(func() { m.heartbeatLoop(ctx, r) })
+	m.background.Go(func() { m.heartbeatLoop(ctx, r) })
 	m.reconcileLoop(ctx, r)
 }
 
--- a/config/configmodule/module.go
+++ b/config/configmodule/module.go
@@ -61,8 +61,7 @@
 	pollMu           sync.Mutex
 	stalePolls       int
 	lastReportedLoss string
-	stop             context.CancelFunc
-	wg               sync.WaitGroup
+	background       kernel.Background
 }
 
 // Settings implements kernel.Module.
@@ -91,18 +90,15 @@
 
 // Start implements kernel.Module.
 func (m *Module) Start(ctx context.Context) error {
-	ctx, m.stop = context.WithCancel(ctx)
-	m.wg.Go(func() { m.pollLoop(ctx) })
-	m.wg.Go(func() { m.loadLoop(ctx) })
+	ctx = m.background.Start(ctx)
+	m.background.Go(func() { m.pollLoop(ctx) })
+	m.background.Go(func() { m.loadLoop(ctx) })
 	return nil
 }
 
 // Stop implements kernel.Module.
 func (m *Module) Stop(context.Context) error {
-	if m.stop != nil {
-		m.stop()
-	}
-	m.wg.Wait()
+	m.background.Stop()
 	return nil
 }
 
@@ -149,7 +145,7 @@
 		if m.polling.Load() {
 			select {
 			case slots <- struct{}{}:
-				m.wg.Go(func() {
+				m.background.Go(func() {
 					defer func() { <-slots }()
 					m.poll(ctx)
 				})
--- a/entry/requests/module.go
+++ b/entry/requests/module.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/quetzalshed/quetzalshed/forward"
@@ -44,8 +43,7 @@
 	active        activeRequests
 	provisionedAt time.Time
 
-	stop       context.CancelFunc
-	background sync.WaitGroup
+	background kernel.Background
 }
 
 // Settings returns the settings to be decoded into.
@@ -104,7 +102,7 @@
 
 // Start starts the probes of idle connections and the updates of the gauges.
 func (m *Module) Start(ctx context.Context) error {
-	ctx, m.stop = context.WithCancel(ctx)
+	ctx = m.background.Start(ctx)
 	m.background.Go(func() { m.pool.RunProbes(ctx) })
 	m.background.Go(func() { m.reportGauges(ctx) })
 	return nil
@@ -112,8 +110,7 @@
 
 // Stop ends the background work and closes the connections to agents.
 func (m *Module) Stop(context.Context) error {
-	m.stop()
-	m.background.Wait()
+	m.background.Stop()
 	m.forwarder.Wait()
 	m.pool.Close()
 	return nil
--- a/gossip/module.go
+++ b/gossip/module.go
@@ -53,16 +53,15 @@
 
 // Module runs the gossip rounds of a process and serves messages from peers.
 type Module struct {
-	settings  Settings
-	clock     clock.Clock
-	scope     tally.Scope
-	config    configSource
-	owners    *OwnerTable
-	exchanger *Exchanger
-	client    *http.Client
-	random    *rand.Rand
-	stop      context.CancelFunc
-	done      sync.WaitGroup
+	settings   Settings
+	clock      clock.Clock
+	scope      tally.Scope
+	config     configSource
+	owners     *OwnerTable
+	exchanger  *Exchanger
+	client     *http.Client
+	random     *rand.Rand
+	background kernel.Background
 }
 
 // Settings implements kernel.Module.
@@ -103,17 +102,14 @@
 
 // Start implements kernel.Module.
 func (m *Module) Start(ctx context.Context) error {
-	ctx, m.stop = context.WithCancel(ctx)
-	m.done.Go(func() { m.run(ctx) })
+	ctx = m.background.Start(ctx)
+	m.background.Go(func() { m.run(ctx) })
 	return nil
 }
 
 // Stop implements kernel.Module.
 func (m *Module) Stop(context.Context) error {
-	if m.stop != nil {
-		m.stop()
-	}
-	m.done.Wait()
+	m.background.Stop()
 	m.client.CloseIdleConnections()
 	return nil
 }
--- a/shard/module.go
+++ b/shard/module.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -68,8 +67,7 @@
 	poller       poller
 	owner        atomic.Pointer[Owner]
 	draining     atomic.Bool
-	stop         context.CancelFunc
-	done         sync.WaitGroup
+	background   kernel.Background
 }
 
 // Settings implements kernel.Module.
@@ -102,9 +100,9 @@
 
 // Start implements kernel.Module.
 func (m *Module) Start(ctx context.Context) error {
-	ctx, m.stop = context.WithCancel(ctx)
+	ctx = m.background.Start(ctx)
 	if m.settings.Candidate {
-		m.done.Go(func() { m.run(ctx) })
+		m.background.Go(func() { m.run(ctx) })
 	}
 	return nil
 }
@@ -120,10 +118,7 @@
 
 // Stop implements kernel.Module.
 func (m *Module) Stop(context.Context) error {
-	if m.stop != nil {
-		m.stop()
-	}
-	m.done.Wait()
+	m.background.Stop()
 	return nil
 }
 
@@ -151,7 +146,7 @@
 	o := NewOwner(cfg, m.dependencies.Store, m.clock, NewFollowerConfig(follower, m.clock), scheduler.Plan, m.dependencies.Owners,
 		NewAsyncPusher(client), m.log)
 	m.owner.Store(o)
-	m.done.Go(func() { m.keepAliveLoop(ctx, o) })
+	m.background.Go(func() { m.keepAliveLoop(ctx, o) })
 	m.stepLoop(ctx, o)
 }
 
@@ -231,7 +226,7 @@
 		}
 		select {
 		case slots <- struct{}{}:
-			m.done.Go(func() {
+			m.background.Go(func() {
 				defer func() { <-slots }()
 				m.recordFailure("keep alive", o.KeepAlive(ctx))
 			})
