--- a/cmd/quetzalctl/client.go
+++ b/cmd/quetzalctl/client.go
@@ -51,6 +51,15 @@
 	return exitFailed
 }
 
+// addID adds the ID of a change or a job to an error if the result is unknown. Repeating the call with this ID applies it at
+// most once.
+func addID(err error, kind, id string) error {
+	if exitStatus(err) != exitResultUnknown {
+		return err
+	}
+	return &exitError{exitResultUnknown, fmt.Errorf("%w (%s %s)", err, kind, id)}
+}
+
 // client calls the operators' API of one entry.
 type client struct {
 	base string
--- a/cmd/quetzalctl/command_test.go
+++ b/cmd/quetzalctl/command_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -178,3 +179,23 @@
 	status, _ = run(loopback.Address(), "status")
 	c.Assert(status, qt.Equals, exitNotApplied)
 }
+
+// Guards against an unknown result without the ID that makes the call safe to repeat, and against an ID on other errors.
+func TestOnlyUnknownResultsNameTheID(t *testing.T) {
+	c := qt.New(t)
+	cause := errors.New("no response")
+	for _, test := range []struct {
+		status int
+		text   string
+	}{
+		{exitFailed, "no response"},
+		{exitConflict, "no response"},
+		{exitNotApplied, "no response"},
+		{exitResultUnknown, "no response (job j1)"},
+	} {
+		err := addID(&exitError{test.status, cause}, "job", "j1")
+		c.Assert(err.Error(), qt.Equals, test.text)
+		c.Assert(exitStatus(err), qt.Equals, test.status)
+		c.Assert(err, qt.ErrorIs, cause)
+	}
+}
--- a/cmd/quetzalctl/job.go
+++ b/cmd/quetzalctl/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"net/url"
 
@@ -54,10 +53,7 @@
 			}
 			var reply any
 			if err := c.call(cmd.Context(), http.MethodPost, "/v1/jobs", nil, body, &reply); err != nil {
-				if exitStatus(err) == exitResultUnknown {
-					return &exitError{exitResultUnknown, fmt.Errorf("%w (job %s)", err, job.ID)}
-				}
-				return err
+				return addID(err, "job", job.ID)
 			}
 			return printJSON(cmd.OutOrStdout(), reply)
 		},
