--- a/scheduler/cycle.go
+++ b/scheduler/cycle.go
@@ -72,37 +72,6 @@
 	evictingCount int
 }
 
-// ClassLoad is the load of the service replicas, or of the batch tasks, of one class on a worker.
-type ClassLoad struct {
-	Class      string
-	Tasks      int
-	MilliCores int64
-
-	// classID is the ID of the class in this cycle, or unassignedClassID.
-	classID int
-	// slowdown caches Cycle.Slowdown of a service class; 0 means not computed.
-	slowdown float64
-}
-
-// unassignedClassID marks a load whose class has no ID yet.
-const unassignedClassID = -1
-
-// jobState is the state of a job in a cycle.
-type jobState struct {
-	job     *structs.Job
-	classID int
-	account *quota.Account
-	// runningIndices holds the indices of the running tasks, and domainCounts their number by failure domain. Both are
-	// valid once counted is set.
-	runningIndices map[int]bool
-	domainCounts   map[string]int
-	counted        bool
-	spread         spreadState
-	// checked is set once the job has been tested, unschedulable if it can never run.
-	checked       bool
-	unschedulable bool
-}
-
 // reset prepares the cycle for a snapshot and reuses the memory of the previous cycle.
 func (c *Cycle) reset(snapshot *Snapshot, now time.Time) {
 	previous := *c
@@ -133,47 +102,6 @@
 	return m
 }
 
-// openAccounts opens the quota accounts of the teams with pending tasks. The usage of other teams doesn't affect the
-// plan.
-func (c *Cycle) openAccounts() {
-	var total structs.Resources
-	for i := range c.workers {
-		total = total.Add(c.workers[i].Capacity)
-	}
-	c.quotas = quota.NewTable(&c.snapshot.Quotas, total)
-	for i := range c.snapshot.Pending {
-		c.quotas.OpenAccount(c.snapshot.Pending[i].Job.Team)
-	}
-	for team, used := range c.snapshot.Used {
-		c.charge(team, used)
-	}
-}
-
-// teamAccount returns the quota account of a team. An account that was not opened for a pending task is opened now and
-// charged with the team's usage.
-func (c *Cycle) teamAccount(team string) *quota.Account {
-	if account := c.quotas.Find(team); account != nil {
-		return account
-	}
-	account := c.quotas.OpenAccount(team)
-	account.Charge(c.snapshot.Used[team])
-	for i := range c.workers {
-		for k := range c.workers[i].Running {
-			if t := &c.workers[i].Running[k]; t.Job.Team == team {
-				account.Charge(t.Resources)
-			}
-		}
-	}
-	return account
-}
-
-// charge adds to the usage of a team if the team has an account.
-func (c *Cycle) charge(team string, r structs.Resources) {
-	if account := c.quotas.Find(team); account != nil {
-		account.Charge(r)
-	}
-}
-
 func byName(a, b WorkerView) int { return cmp.Compare(a.Name, b.Name) }
 
 func applyWeights(weights map[string]float64) []weightedScore {
@@ -229,130 +157,6 @@
 	return min(1, max(0, float64(age)/float64(c.Rules.ReturnRamp)))
 }
 
-// serviceLoads returns the services on a worker by class. Service and batch loads are each computed on first use: a
-// batch task is rated by the services beside it only, and most tasks are batch.
-func (c *Cycle) serviceLoads(w *WorkerView) []ClassLoad {
-	s := w.cycle
-	if !s.serviceLoadsValid {
-		s.serviceLoadsValid = true
-		s.computeLoads(w, structs.KindService)
-	}
-	return s.serviceLoads
-}
-
-// batchLoads returns the batch tasks on a worker by class.
-func (c *Cycle) batchLoads(w *WorkerView) []ClassLoad {
-	s := w.cycle
-	if !s.batchLoadsValid {
-		s.batchLoadsValid = true
-		s.computeLoads(w, structs.KindBatch)
-	}
-	return s.batchLoads
-}
-
-func (s *workerState) computeLoads(w *WorkerView, kind structs.JobKind) {
-	for i := range w.Running {
-		if t := &w.Running[i]; t.Job.Kind == kind {
-			s.addLoad(t.Job, t.Resources)
-		}
-	}
-	for _, task := range s.placed {
-		if task.Job.Kind == kind {
-			s.addLoad(task.Job, task.Resources)
-		}
-	}
-}
-
-// addLoad adds one task to the loads of its kind, if these have been computed.
-func (s *workerState) addLoad(job *structs.Job, r structs.Resources) {
-	loads, loaded := &s.serviceLoads, s.serviceLoadsValid
-	if job.Kind == structs.KindBatch {
-		loads, loaded = &s.batchLoads, s.batchLoadsValid
-		for i := range s.serviceLoads {
-			s.serviceLoads[i].slowdown = 0
-		}
-	}
-	if !loaded {
-		return
-	}
-	for i := range *loads {
-		if load := &(*loads)[i]; load.Class == job.Class {
-			load.Tasks++
-			load.MilliCores += r.MilliCores
-			return
-		}
-	}
-	*loads = append(*loads, ClassLoad{Class: job.Class, Tasks: 1, MilliCores: r.MilliCores, classID: unassignedClassID})
-}
-
-func (c *Cycle) stateOf(job *structs.Job) *jobState {
-	if s := c.jobs[job.ID]; s != nil {
-		return s
-	}
-	s := &jobState{job: job, classID: c.classID(job.Class), account: c.teamAccount(job.Team)}
-	c.jobs[job.ID] = s
-	return s
-}
-
-func (c *Cycle) loadClassID(load *ClassLoad) int {
-	if load.classID == unassignedClassID {
-		load.classID = c.classID(load.Class)
-	}
-	return load.classID
-}
-
-func (c *Cycle) classID(class string) int {
-	if id, ok := c.classes[class]; ok {
-		return id
-	}
-	id := len(c.classes)
-	c.classes[class] = id
-	return id
-}
-
-// maxJobsScannedSeparately is the number of jobs in the cycle up to which the tasks of each job are counted in a scan
-// of their own, which compares one ID for each running task. With more jobs, a single scan that looks up the job of
-// each running task is cheaper.
-const maxJobsScannedSeparately = 4
-
-// countJobTasks counts the running tasks of a job, once in a cycle for each job that is about to be placed.
-func (c *Cycle) countJobTasks(j *jobState) {
-	if j.counted {
-		return
-	}
-	countAll := len(c.jobs) > maxJobsScannedSeparately && !c.jobsCounted
-	for i := range c.workers {
-		w := &c.workers[i]
-		for k := range w.Running {
-			t := &w.Running[k]
-			if countAll {
-				if other := c.jobs[t.Job.ID]; other != nil && !other.counted {
-					other.addTask(t.Index, w.FailureDomain)
-				}
-			} else if t.Job == j.job || t.Job.ID == j.job.ID {
-				j.addTask(t.Index, w.FailureDomain)
-			}
-		}
-	}
-	j.counted = true
-	if countAll {
-		c.jobsCounted = true
-		for _, other := range c.jobs {
-			other.counted = true
-		}
-	}
-}
-
-// addTask counts one task of the job.
-func (j *jobState) addTask(index int, domain string) {
-	if j.runningIndices == nil {
-		j.runningIndices, j.domainCounts = map[int]bool{}, map[string]int{}
-	}
-	j.runningIndices[index] = true
-	j.domainCounts[domain]++
-	j.spread.task = nil
-}
-
 // Free returns the free resources of a worker, less what this cycle placed there or holds for tasks that wait for
 // evictions. Fields are negative on an overcommitted worker.
 func (c *Cycle) Free(w *WorkerView) structs.Resources { return w.cycle.free }
@@ -369,28 +173,3 @@
 
 // PlacedCount returns the number of tasks that this cycle has placed on the worker.
 func (c *Cycle) PlacedCount(w *WorkerView) int { return len(w.cycle.placed) }
-
-// DomainTasks returns how many tasks of the task's job run in the worker's failure domain, and how many run in all.
-func (c *Cycle) DomainTasks(task *PendingTask, w *WorkerView) (here, all int) {
-	c.countJobTasks(task.state)
-	for _, n := range task.state.domainCounts {
-		all += n
-	}
-	return task.state.domainCounts[w.FailureDomain], all
-}
-
-// JobTasks returns the number of tasks of the task's job on the worker.
-func (c *Cycle) JobTasks(task *PendingTask, w *WorkerView) int {
-	n := 0
-	for i := range w.Running {
-		if w.Running[i].Job.ID == task.Job.ID {
-			n++
-		}
-	}
-	for _, other := range w.cycle.placed {
-		if other.Job.ID == task.Job.ID {
-			n++
-		}
-	}
-	return n
-}
--- a/scheduler/ledger.go
+++ b/scheduler/ledger.go
@@ -105,12 +105,9 @@
 // nothing. On an error nothing changes; it is ErrUnknownWorker, ErrUnreported, ErrReserved, ErrInvalidResources,
 // ErrLedgerBound or ErrFull.
 func (l *Ledger) Reserve(worker, allocationID string, r structs.Resources) error {
-	w := l.workers[worker]
-	switch {
-	case w == nil:
-		return ErrUnknownWorker
-	case invalid(r):
-		return ErrInvalidResources
+	w, err := l.workerFor(worker, r)
+	if err != nil {
+		return err
 	}
 	if held, ok := l.reservations[allocationID]; ok {
 		if held.Worker == worker && held.Resources == r {
@@ -134,12 +131,9 @@
 // it out would let more work start beside it. It returns ErrUnknownWorker, ErrReserved if the allocation is reserved
 // on another worker, ErrInvalidResources or ErrLedgerBound.
 func (l *Ledger) Adopt(worker, allocationID string, r structs.Resources) error {
-	w := l.workers[worker]
-	switch {
-	case w == nil:
-		return ErrUnknownWorker
-	case invalid(r):
-		return ErrInvalidResources
+	w, err := l.workerFor(worker, r)
+	if err != nil {
+		return err
 	}
 	held, ok := l.reservations[allocationID]
 	if ok && held.Worker != worker {
@@ -155,6 +149,18 @@
 	return nil
 }
 
+// workerFor returns the worker of a reservation, or ErrUnknownWorker or ErrInvalidResources.
+func (l *Ledger) workerFor(name string, r structs.Resources) (*ledgerWorker, error) {
+	w := l.workers[name]
+	switch {
+	case w == nil:
+		return nil, ErrUnknownWorker
+	case invalid(r):
+		return nil, ErrInvalidResources
+	}
+	return w, nil
+}
+
 func (l *Ledger) add(w *ledgerWorker, r Reservation) {
 	w.reserved = w.reserved.Add(r.Resources)
 	w.held[r.AllocationID] = true
