--- a/agent/announcer/entry_client_test.go
+++ b/agent/announcer/entry_client_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/quetzalshed/quetzalshed/kernel"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/test/poll"
 )
 
 type noUpstreams struct{}
@@ -42,7 +43,8 @@
 	return scope
 }
 
-// restartableEntry is an entry that requests the longest interval between announcements.
+// restartableEntry is an entry that requests the longest interval between announcements, 30 s. poll.Until gives up after
+// about 10 s, so a wait that ends well has not just seen the next regular announcement.
 type restartableEntry struct {
 	*httptest.Server
 	announced atomic.Int64
@@ -68,18 +70,6 @@
 	return e
 }
 
-// waitUntil waits for up to about 10 s, which is less than the interval of 30 s that the entries of these tests request.
-func waitUntil(t *testing.T, what string, reached func() bool) {
-	t.Helper()
-	for range 10_000 {
-		if reached() {
-			return
-		}
-		time.Sleep(time.Millisecond)
-	}
-	t.Fatalf("timed out waiting until %s", what)
-}
-
 func counter(scope tally.TestScope, name string) int64 {
 	return scope.Snapshot().Counters()[name+"+"].Value()
 }
@@ -92,11 +82,11 @@
 			first := serveEntry(t, "127.0.0.1:0", "one", closes)
 			address := first.Listener.Addr().String()
 			scope := startEntryClient(t, address)
-			waitUntil(t, "the first process has received an announcement", func() bool { return counter(scope, "sent") >= 1 })
+			poll.Until(t, "the first process has received an announcement", func() bool { return counter(scope, "sent") >= 1 })
 			first.Close()
 			second := serveEntry(t, address, "two", false)
-			waitUntil(t, "the second process has received an announcement", func() bool { return second.announced.Load() >= 1 })
-			waitUntil(t, "the restart is counted", func() bool { return counter(scope, "restarts") == 1 })
+			poll.Until(t, "the second process has received an announcement", func() bool { return second.announced.Load() >= 1 })
+			poll.Until(t, "the restart is counted", func() bool { return counter(scope, "restarts") == 1 })
 		})
 	}
 }
@@ -106,13 +96,13 @@
 	e := serveEntry(t, "127.0.0.1:0", "one", false)
 	scope := startEntryClient(t, e.Listener.Addr().String())
 	for losses := range int64(3) {
-		waitUntil(t, "the announcement is taken", func() bool { return counter(scope, "sent") == losses+1 })
+		poll.Until(t, "the announcement is taken", func() bool { return counter(scope, "sent") == losses+1 })
 		// Twice the interval is long enough for an additional announcement to be noticed.
 		time.Sleep(200 * time.Millisecond)
 		qt.Assert(t, e.announced.Load(), qt.Equals, losses+1)
 		qt.Assert(t, counter(scope, "lost"), qt.Equals, losses)
 		e.CloseClientConnections()
 	}
-	waitUntil(t, "the announcement is taken", func() bool { return counter(scope, "sent") == 4 })
+	poll.Until(t, "the announcement is taken", func() bool { return counter(scope, "sent") == 4 })
 	qt.Assert(t, counter(scope, "restarts"), qt.Equals, int64(0))
 }
--- a/agent/requests/bench_test.go
+++ b/agent/requests/bench_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"runtime"
 	"testing"
 	"time"
@@ -122,23 +121,10 @@
 		after = heap()
 		b.ReportMetric((after-before)/mb, "MB-results")
 		b.ReportMetric((after-start)/mb, "MB-sum")
-		reportResident(b)
+		load.ReportResident(b)
 		runtime.KeepAlive(records)
 		runtime.KeepAlive(answers)
 		runtime.KeepAlive(bodies)
 		runtime.KeepAlive(results)
 	}
 }
-
-// reportResident reports the resident memory with and without the memory limit of the processes.
-func reportResident(b *testing.B) {
-	report := func(name string, limit int64) {
-		resident, err := load.MeasureResident(limit)
-		if err != nil {
-			b.Fatal(err)
-		}
-		b.ReportMetric(resident, name)
-	}
-	report("MB-resident", load.DefaultMemoryLimit)
-	report("MB-resident-without-limit", math.MaxInt64)
-}
--- a/agent/requests/harness_test.go
+++ b/agent/requests/harness_test.go
@@ -24,6 +24,7 @@
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/kernel"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/test/poll"
 )
 
 const testIncarnation = "0123456789abcdef"
@@ -208,20 +209,9 @@
 	return out
 }
 
-// eventually waits until a condition holds, and fails the test after about 10 s.
-func eventually(c *qt.C, what string, condition func() bool) {
-	for range 2000 {
-		if condition() {
-			return
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
-	c.Fatalf("timed out waiting until %s", what)
-}
-
 // waitForState waits until an attempt is in the given state.
 func (a *testAgent) waitForState(id string, want state) {
-	eventually(a.c, id+" is "+want.String(), func() bool {
+	poll.Until(a.c, id+" is "+want.String(), func() bool {
 		s, _, _ := a.attempts.lookup(id)
 		return s == want
 	})
--- a/agent/requests/races_test.go
+++ b/agent/requests/races_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/quetzalshed/quetzalshed/agent/requests/upstreamtest"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/test/poll"
 )
 
 // An attempt that was reported as never seen before it arrived must not run.
@@ -228,7 +229,7 @@
 	}
 	drained := make(chan error, 1)
 	go func() { drained <- a.Drain(context.Background()) }()
-	eventually(a.c, "the agent refuses new requests", func() bool {
+	poll.Until(a.c, "the agent refuses new requests", func() bool {
 		out := a.mustSend(call{id: a.nextID(), header: map[string]string{structs.HeaderService: "price"}, budget: time.Millisecond})
 		return out.reason == reasonDraining
 	})
--- a/agent/requests/response_body_test.go
+++ b/agent/requests/response_body_test.go
@@ -13,6 +13,7 @@
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/limit"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/test/poll"
 )
 
 // Bodies with and without a declared length must be read completely, be rejected above the limit, and reserve exactly the
@@ -49,17 +50,6 @@
 	}
 }
 
-func waitUntil(t *testing.T, what string, reached func() bool) {
-	t.Helper()
-	for range 10_000 {
-		if reached() {
-			return
-		}
-		time.Sleep(time.Millisecond)
-	}
-	t.Fatal(what)
-}
-
 // A response that doesn't fit into the memory limit must wait until memory is free, and must then be delivered.
 func TestResponsesBeyondMemoryWait(t *testing.T) {
 	a := newTestAgent(t, nil)
@@ -67,13 +57,13 @@
 	qt.Assert(t, other.Hold(t.Context(), structs.MaxResponseBody+1), qt.IsNil)
 	id := a.nextID()
 	got := a.start(call{id: id, header: map[string]string{upstreamtest.HeaderSize: strconv.Itoa(structs.MaxResponseBody)}})
-	waitUntil(t, "the response doesn't wait for memory", func() bool { return a.responses.Waiting() == 1 })
+	poll.Until(t, "the response waits for memory", func() bool { return a.responses.Waiting() == 1 })
 	a.waitForState(id, running)
 	other.Release()
 	reply := <-got
 	qt.Assert(t, reply.outcome, qt.Equals, structs.OutcomeAnswered)
 	qt.Assert(t, len(reply.body), qt.Equals, structs.MaxResponseBody)
-	waitUntil(t, "bytes remain held", func() bool { return a.responses.Used() == 0 })
+	poll.Until(t, "no bytes are held", func() bool { return a.responses.Used() == 0 })
 }
 
 // The memory of a response must be released when the upstream fails and when the entry has disconnected.
@@ -82,7 +72,7 @@
 	for _, fault := range []upstreamtest.Fault{upstreamtest.FaultTruncate, upstreamtest.FaultBreakAfter} {
 		reply := a.mustSend(call{id: a.nextID(), body: "body", header: map[string]string{upstreamtest.HeaderFault: string(fault)}})
 		qt.Assert(t, reply.outcome, qt.Equals, structs.OutcomeUnknown)
-		waitUntil(t, "bytes remain held", func() bool { return a.responses.Used() == 0 })
+		poll.Until(t, "no bytes are held", func() bool { return a.responses.Used() == 0 })
 	}
 	other := a.responses.NewReservation(structs.PriorityNormal, time.Now().Add(time.Hour), 0)
 	qt.Assert(t, other.Hold(t.Context(), 16<<20), qt.IsNil)
@@ -92,7 +82,7 @@
 	qt.Assert(t, reply.outcome, qt.Equals, structs.OutcomeUnknown)
 	other.Release()
 	a.waitForState(id, finished)
-	waitUntil(t, "bytes remain held", func() bool { return a.responses.Used() == 0 })
+	poll.Until(t, "no bytes are held", func() bool { return a.responses.Used() == 0 })
 }
 
 // Responses in flight and retained ones together must not exceed ResponseBytes: older retained responses are evicted, but
@@ -104,7 +94,7 @@
 	for range 4 {
 		ids = append(ids, a.nextID())
 		qt.Assert(t, a.mustSend(call{id: ids[len(ids)-1], header: header}).outcome, qt.Equals, structs.OutcomeAnswered)
-		waitUntil(t, "bytes remain held", func() bool { return a.responses.Used() == 0 })
+		poll.Until(t, "no bytes are held", func() bool { return a.responses.Used() == 0 })
 		a.waitForState(ids[len(ids)-1], finished)
 	}
 	// The first response was evicted while the fourth was in flight.
--- a/agent/requests/silent_connections_test.go
+++ b/agent/requests/silent_connections_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/quetzalshed/quetzalshed/structs"
 	"github.com/quetzalshed/quetzalshed/test/faultnet"
+	"github.com/quetzalshed/quetzalshed/test/poll"
 )
 
 // When the connection of an entry stops delivering data, the entry must be able to get the outcome of its attempt over a
@@ -40,7 +41,7 @@
 	a.waitForState(waits, queued)
 	network.SetDelay(faultnet.ToServer, time.Hour)
 	begin(call{id: lost})
-	eventually(a.c, "all connections are forwarded", func() bool { return network.Counts().Open == 10 })
+	poll.Until(a.c, "all connections are forwarded", func() bool { return network.Counts().Open == 10 })
 	network.Blackhole()
 	a.c.Assert(a.resolve(lost), qt.Equals, structs.AttemptNeverSeen)
 	a.c.Assert(a.resolve(waits), qt.Equals, structs.AttemptCancelled)
@@ -73,7 +74,7 @@
 	for _, r := range a.fillSlots("100") {
 		a.c.Assert((<-r).outcome, qt.Equals, structs.OutcomeAnswered)
 	}
-	eventually(a.c, "all slots are free", func() bool { return a.upstreams.list()[0].Running == 0 })
+	poll.Until(a.c, "all slots are free", func() bool { return a.upstreams.list()[0].Running == 0 })
 	a.c.Assert(network.Blackhole() > 1, qt.IsTrue)
 	silent := a.nextID()
 	out := a.mustSend(call{id: silent, header: idempotent, budget: 200 * time.Millisecond})
--- a/agent/requests/upstream_registry_test.go
+++ b/agent/requests/upstream_registry_test.go
@@ -15,6 +15,7 @@
 	"github.com/quetzalshed/quetzalshed/findings"
 	"github.com/quetzalshed/quetzalshed/limit"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/test/poll"
 )
 
 // An upstream that was paused and renews after its lease must keep the slots of its running requests occupied, and
@@ -83,5 +84,5 @@
 	a.c.Assert(refused.reason, qt.Equals, reasonMemory)
 	a.c.Assert((<-first).outcome, qt.Equals, structs.OutcomeAnswered)
 	a.c.Assert(a.mustSend(call{id: a.nextID(), body: "x"}).outcome, qt.Equals, structs.OutcomeAnswered)
-	eventually(a.c, "all bytes are returned", func() bool { return a.bodies.used.Load() == 0 })
+	poll.Until(a.c, "all bytes are returned", func() bool { return a.bodies.used.Load() == 0 })
 }
--- a/entry/requests/at_most_once_test.go
+++ b/entry/requests/at_most_once_test.go
@@ -13,6 +13,7 @@
 	"github.com/quetzalshed/quetzalshed/forward/forwardtest"
 	"github.com/quetzalshed/quetzalshed/store/storetest"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/test/poll"
 )
 
 func always(fault forwardtest.Fault) func(int) forwardtest.Fault {
@@ -28,17 +29,6 @@
 	return fmt.Sprint(r.StatusCode, " ", r.Header.Get(structs.HeaderOutcome))
 }
 
-func waitFor(t testing.TB, reached func() bool) {
-	t.Helper()
-	for range 10_000 {
-		if reached() {
-			return
-		}
-		time.Sleep(time.Millisecond)
-	}
-	t.Fatal("timed out waiting for the condition")
-}
-
 // Guards against a repeated request that runs again instead of getting the response of the first one (P7), also through
 // another entry, and against accepting a key that is reused for different content.
 func TestRepeatedRequest(t *testing.T) {
@@ -75,7 +65,7 @@
 			qt.Check(t, body, qt.Equals, "/p:buy")
 		})
 	}
-	waitFor(t, func() bool { return agent.AttemptsReceived() == 1 })
+	poll.Until(t, "the attempt arrives", func() bool { return agent.AttemptsReceived() == 1 })
 	time.Sleep(2 * followGrace)
 	agent.ReleaseHeld()
 	done.Wait()
--- a/entry/requests/bench_test.go
+++ b/entry/requests/bench_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -144,7 +143,7 @@
 		reportRequestMemory(b, func(used float64) {
 			b.ReportMetric(used, "KB-a-request-in-flight")
 			b.ReportMetric(memoryInUse()-start, "MB-sum")
-			reportResident(b)
+			load.ReportResident(b)
 		})
 		runtime.KeepAlive(bodies)
 		runtime.KeepAlive(e)
@@ -199,16 +198,3 @@
 		_ = c.Close()
 	}
 }
-
-// reportResident reports the resident memory with and without the memory limit that processes set.
-func reportResident(b *testing.B) {
-	report := func(name string, limit int64) {
-		resident, err := load.MeasureResident(limit)
-		if err != nil {
-			b.Fatal(err)
-		}
-		b.ReportMetric(resident, name)
-	}
-	report("MB-resident", load.DefaultMemoryLimit)
-	report("MB-resident-without-limit", math.MaxInt64)
-}
--- a/entry/requests/entry_test.go
+++ b/entry/requests/entry_test.go
@@ -27,6 +27,7 @@
 	"github.com/quetzalshed/quetzalshed/store"
 	"github.com/quetzalshed/quetzalshed/store/storetest"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/test/poll"
 )
 
 // incarnations makes the incarnations of the test entries unique, and with them the IDs of their attempts.
@@ -208,10 +209,10 @@
 		response, _ := e.call(t, http.MethodGet, "/s/price/p", "", structs.HeaderTimeoutMillis, "20000")
 		answered <- outcome(response)
 	}()
-	waitFor(t, func() bool { return agent.AttemptsReceived() == 1 })
+	poll.Until(t, "the attempt arrives", func() bool { return agent.AttemptsReceived() == 1 })
 	drained := make(chan error, 1)
 	go func() { drained <- e.Drain(t.Context()) }()
-	waitFor(t, func() bool {
+	poll.Until(t, "the entry rejects requests", func() bool {
 		response, _ := e.call(t, http.MethodGet, "/s/price/p", "", structs.HeaderTimeoutMillis, "1")
 		return outcome(response) == "503 not-run" && response.Header.Get("Retry-After") == "1"
 	})
@@ -278,7 +279,7 @@
 		response, _ := e.call(t, http.MethodGet, "/s/price/p", "", structs.HeaderTimeoutMillis, "20000")
 		answered <- outcome(response)
 	}()
-	waitFor(t, func() bool { return agent.AttemptsReceived() == 1 })
+	poll.Until(t, "the attempt arrives", func() bool { return agent.AttemptsReceived() == 1 })
 	response, _ := e.call(t, http.MethodGet, "/s/price/p", "", structs.HeaderTimeoutMillis, "60000")
 	qt.Assert(t, outcome(response), qt.Equals, "503 not-run")
 	qt.Assert(t, response.Header.Get("Retry-After"), qt.Equals, "1")
--- a/entry/requests/memory_test.go
+++ b/entry/requests/memory_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/quetzalshed/quetzalshed/forward/forwardtest"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/test/poll"
 )
 
 // openRequest sends the headers of a request without its body.
@@ -29,13 +30,9 @@
 
 func waitForHeld(t *testing.T, e *testEntry, reached func(int64) bool) {
 	t.Helper()
-	for range 10_000 {
-		if reached(e.memory.Used()) {
-			return
-		}
-		time.Sleep(time.Millisecond)
+	if !poll.Reached(func() bool { return reached(e.memory.Used()) }) {
+		t.Fatalf("timed out, %d bytes are held", e.memory.Used())
 	}
-	t.Fatalf("timed out, %d bytes are held", e.memory.Used())
 }
 
 func none(used int64) bool { return used == 0 }
--- a/entry/requests/telemetry_test.go
+++ b/entry/requests/telemetry_test.go
@@ -14,6 +14,7 @@
 	"github.com/quetzalshed/quetzalshed/kernel"
 	"github.com/quetzalshed/quetzalshed/settings"
 	"github.com/quetzalshed/quetzalshed/store/storetest"
+	"github.com/quetzalshed/quetzalshed/test/poll"
 )
 
 // Guards against hops without a span, spans outside the caller's trace, and outcomes that aren't counted.
@@ -29,7 +30,7 @@
 	const trace = "0af7651916cd43dd8448eb211c80319c"
 	response, _ := e.call(t, http.MethodPost, "/s/price/p", "", "Traceparent", "00-"+trace+"-b7ad6b7169203331-01")
 	qt.Assert(t, outcome(response), qt.Equals, "200 answered")
-	waitFor(t, func() bool { return len(spans.Ended()) == 4 })
+	poll.Until(t, "all spans have ended", func() bool { return len(spans.Ended()) == 4 })
 	parents := map[string]string{}
 	names := map[string]string{}
 	for _, span := range spans.Ended() {
--- a/forward/forwarder_test.go
+++ b/forward/forwarder_test.go
@@ -14,6 +14,7 @@
 	"github.com/quetzalshed/quetzalshed/forward/forwardtest"
 	"github.com/quetzalshed/quetzalshed/limit"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/test/poll"
 )
 
 // Guards against a connection pool that resends requests by itself. http.Transport does so for a request with an
@@ -124,7 +125,7 @@
 	f.doNonIdempotent(t, "warm")
 	f.agents[0].Restart()
 	f.announce(t, f.agents[0], 1)
-	waitFor(t, func() bool { return staleIdle(f.opts.Pool) })
+	poll.Until(t, "an idle connection is closed by the agent", func() bool { return staleIdle(f.opts.Pool) })
 	result := f.doNonIdempotent(t, "payload")
 	qt.Assert(t, result.Outcome, qt.Equals, structs.OutcomeAnswered)
 	qt.Assert(t, result.Attempts, qt.Equals, 1)
@@ -143,25 +144,13 @@
 	return false
 }
 
-// waitFor polls a condition that another goroutine makes true, for about ten seconds.
-func waitFor(t testing.TB, reached func() bool) {
-	t.Helper()
-	for range 10_000 {
-		if reached() {
-			return
-		}
-		time.Sleep(time.Millisecond)
-	}
-	t.Fatal("the state was not reached")
-}
-
 // Guards against a result of not-run when the agent was restarted and can't know the outcome.
 func TestAgentRestartLeavesOutcomeUnknown(t *testing.T) {
 	f := newFleet(t, 2, largeRetryBudget())
 	f.scriptFaults(forwardtest.RunOnRelease)
 	results := make(chan Result, 1)
 	go func() { results <- f.doNonIdempotent(t, "payload") }()
-	waitFor(t, func() bool { return f.attemptsReceived() == 1 })
+	poll.Until(t, "the attempt arrives", func() bool { return f.attemptsReceived() == 1 })
 	for _, agent := range f.agents {
 		agent.Restart()
 	}
@@ -180,9 +169,9 @@
 	f.scriptFaults(forwardtest.RunOnRelease)
 	results := make(chan Result, 1)
 	go func() { results <- f.doNonIdempotent(t, "payload") }()
-	waitFor(t, func() bool { return f.attemptsReceived() == 1 })
+	poll.Until(t, "the attempt arrives", func() bool { return f.attemptsReceived() == 1 })
 	f.agents[0].CloseConnections()
-	waitFor(t, func() bool { return f.agents[0].Connections() > 2 })
+	poll.Until(t, "more than two connections are opened", func() bool { return f.agents[0].Connections() > 2 })
 	f.agents[0].ReleaseHeld()
 	result := <-results
 	qt.Assert(t, result.Outcome, qt.Equals, structs.OutcomeAnswered)
@@ -247,7 +236,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan Result, 1)
 	go func() { ended <- f.Do(ctx, request("payload", true, time.Minute), nil) }()
-	waitFor(t, func() bool { return f.agents[0].States()[structs.AttemptQueued] == 1 })
+	poll.Until(t, "the attempt is queued", func() bool { return f.agents[0].States()[structs.AttemptQueued] == 1 })
 	cancel()
 	qt.Assert(t, (<-ended).Outcome, qt.Equals, structs.OutcomeUnknown)
 	f.Wait()
--- a/limit/limits_test.go
+++ b/limit/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/test/poll"
 )
 
 var testStart = time.Unix(1_700_000_000, 0)
@@ -62,13 +64,10 @@
 
 func waitForWaitingRequests(t *testing.T, l *InFlight, n int) {
 	t.Helper()
-	for range 10_000 {
-		if _, waiting := l.Counts(); waiting == n {
-			return
-		}
-		time.Sleep(time.Millisecond)
-	}
-	t.Fatalf("timed out waiting until %d requests wait", n)
+	poll.Until(t, fmt.Sprint(n, " requests wait"), func() bool {
+		_, waiting := l.Counts()
+		return waiting == n
+	})
 }
 
 // Guards against admission in another order than by priority and then by deadline.
--- a/limit/memory_test.go
+++ b/limit/memory_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/test/poll"
 )
 
 func isMemoryRejection(err error) bool {
@@ -94,13 +95,7 @@
 
 func waitForWaitingResponses(t *testing.T, b *MemoryBudget, n int) {
 	t.Helper()
-	for range 10_000 {
-		if b.Waiting() == n {
-			return
-		}
-		time.Sleep(time.Millisecond)
-	}
-	t.Fatalf("timed out waiting until %d responses wait for memory", n)
+	poll.Until(t, fmt.Sprint(n, " responses wait for memory"), func() bool { return b.Waiting() == n })
 }
 
 // Guards against responses that take memory beyond the limit or get it out of order.
