--- /dev/null
+++ b/test/guarantees/calls_test.go
@@ -0,0 +1,85 @@
+package guarantees_test
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+
+	qt "github.com/frankban/quicktest"
+
+	_ "github.com/quetzalshed/quetzalshed/agent/announcer"
+	_ "github.com/quetzalshed/quetzalshed/agent/requests"
+	_ "github.com/quetzalshed/quetzalshed/agent/runner"
+	_ "github.com/quetzalshed/quetzalshed/config/configmodule"
+	_ "github.com/quetzalshed/quetzalshed/entry/jobs"
+	_ "github.com/quetzalshed/quetzalshed/entry/operators"
+	_ "github.com/quetzalshed/quetzalshed/entry/requests"
+	_ "github.com/quetzalshed/quetzalshed/gossip"
+	_ "github.com/quetzalshed/quetzalshed/scheduler/plugins"
+	_ "github.com/quetzalshed/quetzalshed/shard"
+	_ "github.com/quetzalshed/quetzalshed/store/storemodule"
+	"github.com/quetzalshed/quetzalshed/structs"
+)
+
+// callResult is the response that a caller got.
+type callResult struct {
+	outcome structs.Outcome
+	status  int
+	reason  string
+	body    string
+	// err is set when the connection ended before the complete response.
+	err error
+}
+
+// call sends a request with an idempotency key through an entry. header holds further headers.
+func (f *fleet) call(entry int, key, body string, header map[string]string) callResult {
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.entries[entry].listen+"/s/price/check", bytes.NewReader([]byte(body)))
+	if err != nil {
+		return callResult{err: err}
+	}
+	request.Header.Set(structs.HeaderIdempotencyKey, key)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return callResult{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return callResult{
+		outcome: structs.Outcome(response.Header.Get(structs.HeaderOutcome)), status: response.StatusCode,
+		reason: response.Header.Get(structs.HeaderReason), body: string(text), err: err,
+	}
+}
+
+// executions counts the executions of each key on all upstreams.
+func (f *fleet) executions() map[string]int {
+	sum := map[string]int{}
+	for _, h := range f.hosts {
+		for key, n := range h.upstream.Counts().Executions {
+			sum[key] += n
+		}
+	}
+	return sum
+}
+
+// answersRequests returns whether a request through an entry is answered. The request is idempotent, so that repeating it
+// neither uses up the entry's rate limit for at-most-once records nor finds a record whose response is no longer retained.
+func (f *fleet) answersRequests(entry int) bool {
+	got := f.call(entry, "warm", "warm", map[string]string{structs.HeaderIdempotent: "true"})
+	return got.outcome == structs.OutcomeAnswered
+}
+
+// changeConfig changes the configuration through an entry.
+func (f *fleet) changeConfig(entry int, method, path, body string) {
+	f.c.Helper()
+	request, err := http.NewRequest(method, "http://"+f.entries[entry].listen+path, strings.NewReader(body))
+	f.c.Assert(err, qt.IsNil)
+	response, err := client.Do(request)
+	f.c.Assert(err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	text, _ := io.ReadAll(response.Body)
+	f.c.Assert(response.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+}
--- a/test/guarantees/fleet_test.go
+++ b/test/guarantees/fleet_test.go
@@ -4,20 +4,14 @@
 package guarantees_test
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -47,20 +41,6 @@
 
 func TestMain(m *testing.M) { os.Exit(processtest.Main(m)) }
 
-// process is an entry or an agent that runs as a separate process.
-type process struct {
-	c             *qt.C
-	role          kernel.Role
-	name          string
-	listen, admin string
-	settings      string
-	cmd           *exec.Cmd
-	// pid is the process ID of cmd, or 0 while the process doesn't run.
-	pid atomic.Int64
-	// storeLink forwards to the store. peerLink forwards from all other processes to this one; its address is advertised.
-	storeLink, peerLink *faultnet.Forwarder
-}
-
 // host is a worker with an upstream and an agent.
 type host struct {
 	*process
@@ -136,13 +116,6 @@
 	return f
 }
 
-// answersRequests returns whether a request through an entry is answered. The request is idempotent, so that repeating it
-// neither uses up the entry's rate limit for at-most-once records nor finds a record whose response is no longer retained.
-func (f *fleet) answersRequests(entry int) bool {
-	got := f.call(entry, "warm", "warm", map[string]string{structs.HeaderIdempotent: "true"})
-	return got.outcome == structs.OutcomeAnswered
-}
-
 func (f *fleet) newProcess(role kernel.Role, name, storeAddress string) *process {
 	p := &process{c: f.c, role: role, name: name, listen: loopback.Address(), admin: loopback.Address()}
 	p.storeLink = f.newForwarder(storeAddress)
@@ -221,119 +194,6 @@
 	})
 }
 
-func (p *process) configure(domain, peers, more string) {
-	text := fmt.Sprintf(`[process]
-name = %s
-fleet = test
-failure_domain = %s
-listen = %s
-advertise = %s
-admin_listen = %s
-drain_notice = 1s
-drain_limit = 20s
-log_level = error
-[store]
-address = %s
-[config]
-poll_interval = 100ms
-[gossip]
-peers = %s
-interval = 100ms
-%s`, p.name, domain, p.listen, p.peerLink.Address(), p.admin, p.storeLink.Address(), peers, more)
-	p.c.Assert(os.WriteFile(p.settings, []byte(text), 0o600), qt.IsNil)
-}
-
-// start runs the process until it is killed or stopped, or the test ends.
-func (p *process) start() {
-	cmd := processtest.Command(p.role, p.settings)
-	p.c.Assert(cmd.Start(), qt.IsNil)
-	p.cmd = cmd
-	p.pid.Store(int64(cmd.Process.Pid))
-	p.c.Cleanup(func() {
-		if p.cmd == cmd {
-			p.kill()
-		}
-	})
-}
-
-// kill ends the process with SIGKILL.
-func (p *process) kill() {
-	if p.cmd == nil {
-		return
-	}
-	p.pid.Store(0)
-	_ = p.cmd.Process.Kill()
-	_ = p.cmd.Wait()
-	p.cmd = nil
-}
-
-func (p *process) signal(s syscall.Signal) { p.c.Assert(p.cmd.Process.Signal(s), qt.IsNil) }
-
-// pause suspends the process until resume.
-func (p *process) pause()  { p.signal(syscall.SIGSTOP) }
-func (p *process) resume() { p.signal(syscall.SIGCONT) }
-
-// stop shuts the process down gracefully and returns its exit error.
-func (p *process) stop() error {
-	cmd := p.cmd
-	p.cmd = nil
-	p.c.Assert(cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
-	defer p.pid.Store(0)
-	return cmd.Wait()
-}
-
-// cutStore resets and refuses the connections to the store until restoreStore.
-func (p *process) cutStore() {
-	p.storeLink.SetRefuse(true)
-	p.storeLink.Cut()
-}
-func (p *process) restoreStore() { p.storeLink.SetRefuse(false) }
-
-var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 30 * time.Second}
-
-func (p *process) respondsOK(path string) bool {
-	response, err := client.Get("http://" + p.listen + path)
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
-
-func (p *process) ready() bool {
-	response, err := client.Get("http://" + p.admin + "/readyz")
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
-
-// configHead returns the configuration head that an entry holds.
-func (p *process) configHead() (revision int64, out map[string]bool, ok bool) {
-	response, err := client.Get("http://" + p.listen + "/v1/config")
-	if err != nil {
-		return 0, nil, false
-	}
-	defer func() { _ = response.Body.Close() }()
-	var status struct {
-		Head struct {
-			Revision int64 `json:"revision"`
-			Domains  map[string]struct {
-				Out bool `json:"out"`
-			} `json:"domains"`
-		} `json:"head"`
-	}
-	if json.NewDecoder(response.Body).Decode(&status) != nil {
-		return 0, nil, false
-	}
-	out = map[string]bool{}
-	for name, domain := range status.Head.Domains {
-		out[name] = domain.Out
-	}
-	return status.Head.Revision, out, true
-}
-
 // eventually waits for a condition that depends on other processes.
 func (f *fleet) eventually(what string, condition func() bool) {
 	f.c.Helper()
@@ -346,58 +206,3 @@
 	}
 	f.c.Fatalf("timed out waiting until %s", what)
 }
-
-// changeConfig changes the configuration through an entry.
-func (f *fleet) changeConfig(entry int, method, path, body string) {
-	f.c.Helper()
-	request, err := http.NewRequest(method, "http://"+f.entries[entry].listen+path, strings.NewReader(body))
-	f.c.Assert(err, qt.IsNil)
-	response, err := client.Do(request)
-	f.c.Assert(err, qt.IsNil)
-	defer func() { _ = response.Body.Close() }()
-	text, _ := io.ReadAll(response.Body)
-	f.c.Assert(response.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
-}
-
-// callResult is the response that a caller got.
-type callResult struct {
-	outcome structs.Outcome
-	status  int
-	reason  string
-	body    string
-	// err is set when the connection ended before the complete response.
-	err error
-}
-
-// call sends a request with an idempotency key through an entry. header holds further headers.
-func (f *fleet) call(entry int, key, body string, header map[string]string) callResult {
-	request, err := http.NewRequest(http.MethodPost, "http://"+f.entries[entry].listen+"/s/price/check", bytes.NewReader([]byte(body)))
-	if err != nil {
-		return callResult{err: err}
-	}
-	request.Header.Set(structs.HeaderIdempotencyKey, key)
-	for name, value := range header {
-		request.Header.Set(name, value)
-	}
-	response, err := client.Do(request)
-	if err != nil {
-		return callResult{err: err}
-	}
-	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
-	return callResult{
-		outcome: structs.Outcome(response.Header.Get(structs.HeaderOutcome)), status: response.StatusCode,
-		reason: response.Header.Get(structs.HeaderReason), body: string(text), err: err,
-	}
-}
-
-// executions counts the executions of each key on all upstreams.
-func (f *fleet) executions() map[string]int {
-	sum := map[string]int{}
-	for _, h := range f.hosts {
-		for key, n := range h.upstream.Counts().Executions {
-			sum[key] += n
-		}
-	}
-	return sum
-}
