--- a/node/hold.go
+++ b/node/hold.go
@@ -45,7 +45,7 @@
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, hold.wait+holdResponseMargin)
-		answer, err := repeat(call, hold.wait, func(ctx context.Context, first bool) (holdAnswer, error) {
+		answer, err := repeat(call, repetition{patience: hold.wait, copies: n.copies}, func(ctx context.Context, first bool) (holdAnswer, error) {
 			return n.sendHold(ctx, &hold, first)
 		})
 		broken := call.Err() == nil && isBroken(err)
@@ -109,6 +109,9 @@
 	if !first && !h.urgent {
 		deadline = 0
 	}
+	if !first {
+		n.metrics.repeated.Inc(1)
+	}
 	lists, err := n.executor.Hold(ctx, h.incarnation, h.fence, ack, deadline, wait)
 	return holdAnswer{lists, deadline > 0}, err
 }
@@ -149,7 +152,7 @@
 // isBroken reports whether a call failed because its connection was broken or refused.
 func isBroken(err error) bool {
 	reason, rejected := rejectionReason(err)
-	return err != nil && (!rejected || reason == workflow.ReasonUnreachable)
+	return err != nil && !errors.Is(err, errInconclusive) && (!rejected || reason == workflow.ReasonUnreachable)
 }
 
 // pendingAck returns the number up to which ends may be acknowledged, or 0 if the executor has not recently listed any end up to
--- a/node/node.go
+++ b/node/node.go
@@ -124,21 +124,29 @@
 	// nearTarget holds the serving images whose latency has been near its target since the pace was last full.
 	nearTarget map[string]bool
 	pacer      *sharing.Controller
+	// copies is how often a call to the executor is sent at most.
+	copies     int
 	wakeHold   chan struct{}
 	wakeReport chan struct{}
 }
 
 type nodeMetrics struct {
-	starts, rejected, unknown, stops, ends, reports, failedReports tally.Counter
-	startTime, reportTime                                          tally.Histogram
+	starts, rejected, unknown, stops, ends, reports, failedReports, repeated tally.Counter
+	startTime, reportTime                                                    tally.Histogram
 }
 
 // New returns a node that reports under the given name and receives orders at the given address.
 func New(name, address string, executor Executor, locator *ownership.Locator, client *rpc.Client, log hclog.Logger, scope tally.Scope) *Node {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)
 	now := time.Now()
+	copies := maxCopies
+	if _, fetches := executor.(*Mailbox); fetches {
+		// An order that is not fetched is withdrawn, so that it certainly has no effect.
+		copies = 1
+	}
 	return &Node{
-		name: name, address: address, incarnation: now.UnixNano(), executor: executor, locator: locator,
+		copies: copies,
+		name:   name, address: address, incarnation: now.UnixNano(), executor: executor, locator: locator,
 		leaseBound: now.Add(owner.ExecutorLeaseDuration), rpc: client, log: log, reportSentAt: map[int64]time.Time{},
 		unlistedStarts: map[int64]workflow.RunState{}, needsTraits: true, traits: map[string]workflow.RunTraits{}, paces: map[string]int{}, nearTarget: map[string]bool{}, pacer: sharing.NewController(),
 		wakeHold: make(chan struct{}, 1), wakeReport: make(chan struct{}, 1),
@@ -146,9 +154,9 @@
 			starts: scope.Counter("node_starts"), rejected: scope.Counter("node_starts_rejected"),
 			unknown: scope.Counter("node_starts_unknown"), stops: scope.Counter("node_stops"),
 			ends: scope.Counter("node_ends"), reports: scope.Counter("node_reports"),
-			failedReports: scope.Counter("node_reports_failed"),
-			startTime:     scope.Histogram("node_start_seconds", buckets),
-			reportTime:    scope.Histogram("node_report_seconds", buckets),
+			failedReports: scope.Counter("node_reports_failed"), repeated: scope.Counter("node_calls_repeated"),
+			startTime:  scope.Histogram("node_start_seconds", buckets),
+			reportTime: scope.Histogram("node_report_seconds", buckets),
 		},
 	}
 }
--- a/node/orders.go
+++ b/node/orders.go
@@ -113,7 +113,7 @@
 		return result
 	}
 	startedAt := time.Now()
-	err := repeatOrder(ctx, func(ctx context.Context) error {
+	err := n.repeatOrder(ctx, func(ctx context.Context) error {
 		return n.executor.Start(ctx, orders.ExecutorIncarnation, Start{
 			Task: s.Task, Run: s.Run, Spec: orders.Specs[jobOf(s.Task)], Checkpoint: s.Saved, Ticket: s.Ticket, Fence: fence, DeadlineMillis: deadline,
 		})
@@ -157,7 +157,7 @@
 		result.Reason = "epoch or incarnation"
 		return result
 	}
-	err := repeatOrder(ctx, func(ctx context.Context) error {
+	err := n.repeatOrder(ctx, func(ctx context.Context) error {
 		return n.executor.Stop(ctx, orders.ExecutorIncarnation, s.Task, s.Run, fence)
 	})
 	result.Sequence = n.countOrder(err == nil)
--- a/node/repeat.go
+++ b/node/repeat.go
@@ -25,13 +25,23 @@
 	err   error
 }
 
-// repeat sends an idempotent call, and sends it again while it has no answer: first after patience and repeatInterval, then in
-// intervals. A copy without an answer may have been carried out, or may be carried out later. So a success is conclusive, and
-// a rejection only if no other copy is without an answer. first tells call whether it sends the first copy.
-func repeat[T any](ctx context.Context, patience time.Duration, call func(ctx context.Context, first bool) (T, error)) (T, error) {
+// repetition says how a call is repeated.
+type repetition struct {
+	// patience is the time that the first copy is meant to wait.
+	patience time.Duration
+	// copies is the number of copies that are sent at most.
+	copies int
+	// afterBreak is set if a copy whose connection broke is followed by another one.
+	afterBreak bool
+}
+
+// repeat sends an idempotent call, and sends it again in intervals while it has no answer. A copy without an answer may have
+// been carried out, or may be carried out later. So a success is conclusive, and a rejection only if all copies are
+// rejected. first tells call whether it sends the first copy.
+func repeat[T any](ctx context.Context, r repetition, call func(ctx context.Context, first bool) (T, error)) (T, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan copyResult[T], maxCopies)
+	results := make(chan copyResult[T], r.copies)
 	sent, pending := 0, 0
 	send := func() {
 		first := sent == 0
@@ -43,29 +53,36 @@
 		}()
 	}
 	send()
-	timer := time.NewTimer(patience + repeatInterval)
+	timer := time.NewTimer(r.patience + repeatInterval)
 	defer timer.Stop()
 	var none T
-	silent := false
+	unresolved, wasRejected := false, false
+	done := ctx.Done()
 	for {
 		select {
-		case r := <-results:
+		case result := <-results:
 			pending--
-			_, rejected := rejectionReason(r.err)
+			if result.err == nil {
+				return result.value, nil
+			}
+			_, rejected := rejectionReason(result.err)
+			wasRejected, unresolved = wasRejected || rejected, unresolved || !rejected
 			switch {
-			case r.err == nil, pending == 0 && !silent:
-				return r.value, r.err
-			case rejected, pending == 0:
-				return none, inconclusive(r.err)
+			case pending > 0, r.afterBreak && !wasRejected && sent < r.copies && ctx.Err() == nil:
+			case !unresolved, sent == 1:
+				return none, result.err
+			default:
+				return none, inconclusive(result.err)
 			}
-			silent = true
 		case <-timer.C:
-			if sent < maxCopies {
+			// Once a copy is rejected, further ones would be, too.
+			if sent < r.copies && !wasRejected && ctx.Err() == nil {
 				send()
 				timer.Reset(repeatInterval)
 			}
-		case <-ctx.Done():
-			return none, inconclusive(ctx.Err())
+		case <-done:
+			// The copies return now, and tell whether they have been sent.
+			done = nil
 		}
 	}
 }
@@ -74,9 +91,14 @@
 func inconclusive(answer error) error { return fmt.Errorf("%w: %v", errInconclusive, answer) }
 
 // repeatOrder repeats an order to the executor within orderTimeout.
-func repeatOrder(ctx context.Context, order func(ctx context.Context) error) error {
+func (n *Node) repeatOrder(ctx context.Context, order func(ctx context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	_, err := repeat(ctx, 0, func(ctx context.Context, _ bool) (struct{}, error) { return struct{}{}, order(ctx) })
+	_, err := repeat(ctx, repetition{copies: n.copies, afterBreak: true}, func(ctx context.Context, first bool) (struct{}, error) {
+		if !first {
+			n.metrics.repeated.Inc(1)
+		}
+		return struct{}{}, order(ctx)
+	})
 	return err
 }
--- a/node/repeat_test.go
+++ b/node/repeat_test.go
@@ -10,6 +10,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
 // errSilent stands for a copy of a call that gets no answer.
@@ -21,7 +24,7 @@
 	var sent atomic.Int64
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
-		err = repeatOrder(t.Context(), func(ctx context.Context) error {
+		err = newNode().repeatOrder(t.Context(), func(ctx context.Context) error {
 			i := int(sent.Add(1)) - 1
 			if i >= len(answers) || errors.Is(answers[i], errSilent) {
 				<-ctx.Done()
@@ -49,11 +52,12 @@
 	}{
 		{"answered at once", []error{nil}, nil, false, 0, 1},
 		{"rejected at once", []error{room}, room, true, 0, 1},
-		{"connection broken", []error{broken}, broken, false, 0, 1},
 		{"second copy answered", []error{errSilent, nil}, nil, false, repeatInterval, 2},
-		{"second copy rejected for its own time", []error{errSilent, room}, errInconclusive, false, repeatInterval, 2},
-		{"second copy not delivered", []error{errSilent, ErrRefused}, errInconclusive, false, repeatInterval, 2},
-		{"second copy rejected since the run has ended", []error{errSilent, old}, errInconclusive, false, repeatInterval, 2},
+		{"second copy rejected for its own time", []error{errSilent, room}, errInconclusive, false, orderTimeout, 2},
+		{"second copy not delivered", []error{errSilent, ErrRefused}, errInconclusive, false, orderTimeout, 2},
+		{"second copy rejected since the run has ended", []error{errSilent, old}, errInconclusive, false, orderTimeout, 2},
+		{"connection broken, second copy answered", []error{broken, nil}, nil, false, repeatInterval, 2},
+		{"connection broken, second copy not delivered", []error{broken, ErrRefused}, errInconclusive, false, repeatInterval, 2},
 		{"second connection broken, third copy answered", []error{errSilent, broken, nil}, nil, false, 2 * repeatInterval, 3},
 		{"no answer", nil, errInconclusive, false, orderTimeout, maxCopies},
 	} {
@@ -96,7 +100,7 @@
 			h := holdCall{incarnation: "i-1@1000", ack: 5, deadline: 9000, wait: holdWait, urgent: urgent}
 			ctx, cancel := context.WithTimeout(t.Context(), holdWait+holdResponseMargin)
 			defer cancel()
-			_, err := repeat(ctx, h.wait, func(ctx context.Context, first bool) (holdAnswer, error) { return n.sendHold(ctx, &h, first) })
+			_, err := repeat(ctx, repetition{patience: h.wait, copies: maxCopies}, func(ctx context.Context, first bool) (holdAnswer, error) { return n.sendHold(ctx, &h, first) })
 			c.Assert(errors.Is(err, errInconclusive), qt.IsTrue)
 			synctest.Wait()
 			c.Assert(recorder.calls, qt.HasLen, maxCopies)
@@ -110,3 +114,46 @@
 		})
 	}
 }
+
+// Guards against a start that is taken as unknown, so that it is stopped before the task starts elsewhere, although all copies
+// of it were rejected, later than the first one was repeated.
+func TestLateRejectionsOfAllCopiesAreConclusive(t *testing.T) {
+	for _, answer := range []error{ErrNotDelivered, &RejectedError{Reason: workflow.ReasonRoom}} {
+		for _, after := range []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond} {
+			synctest.Test(t, func(t *testing.T) {
+				err := newNode().repeatOrder(t.Context(), func(ctx context.Context) error {
+					select {
+					case <-time.After(after):
+						return answer
+					case <-ctx.Done():
+						return ErrNotDelivered
+					}
+				})
+				_, rejected := rejectionReason(err)
+				qt.Check(t, rejected, qt.IsTrue, qt.Commentf("all copies answered %q after %v, or were not sent: %v", answer, after, err))
+			})
+		}
+	}
+}
+
+// Guards against orders that an executor fetches more than once, and against one that it never fetches, which is withdrawn, being
+// taken as unknown.
+func TestOrdersInMailboxAreNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		m := NewMailbox()
+		m.Fetch(firstIncarnation, &RunLists{})
+		n := newNode()
+		n = New(n.name, n.address, m, n.locator, n.rpc, n.log, tally.NoopScope)
+		order := func() error {
+			return n.repeatOrder(t.Context(), func(ctx context.Context) error { return m.Start(ctx, firstIncarnation, Start{Task: "t", Run: 1}) })
+		}
+		_, rejected := rejectionReason(order())
+		c.Assert(rejected, qt.IsTrue)
+		done := make(chan error, 1)
+		go func() { done <- order() }()
+		time.Sleep(700 * time.Millisecond)
+		c.Assert(m.Fetch(firstIncarnation, &RunLists{}).Starts, qt.HasLen, 1)
+		c.Assert(<-done, qt.IsNil)
+	})
+}
--- a/test/workflows/unanswered_calls_test.go
+++ b/test/workflows/unanswered_calls_test.go
@@ -1,7 +1,9 @@
 package workflows_test
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -56,3 +58,27 @@
 		f.Assert(f.checker.runningCount(), qt.Equals, tasks)
 	})
 }
+
+// Guards against tasks that wait for the lease of an executor that has stopped fetching its orders, although an order that is not
+// fetched has no effect.
+func TestTasksStartBesideSilentFetcher(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer time.Sleep(callDrainTime)
+		defer cancel()
+		f := newFleetOf(t, ctx, 4, true)
+		time.Sleep(startupTime)
+		for i := range 8 {
+			x := f.hosts[i%len(f.hosts)].executor
+			x.SetUnresponsive(true)
+			for range 6 {
+				id := f.submit(1)
+				task := workflow.TaskID{Job: id}.String()
+				waited := f.waitFor(20*time.Second, func() bool { return f.checker.starts(task) > 0 })
+				f.Check(waited <= maxIdleTime, qt.IsTrue, qt.Commentf("job %s starts after %v", id, waited))
+			}
+			x.SetUnresponsive(false)
+			time.Sleep(10 * time.Second)
+		}
+	})
+}
