--- a/node/hold.go
+++ b/node/hold.go
@@ -88,8 +88,8 @@
 	wait     time.Duration
 	// covers is the number of executed orders that the response covers.
 	covers int64
-	// urgent is set if the lease that the executor has confirmed ends soon.
-	urgent bool
+	// renewedUntil is the end of the lease that the executor has confirmed.
+	renewedUntil time.Time
 }
 
 // holdAnswer is the response to a copy of a hold call. renewed is set if that copy carried the deadline.
@@ -106,7 +106,7 @@
 	if !first {
 		ack, wait = 0, 0
 	}
-	if !first && !h.urgent {
+	if !first && time.Until(h.renewedUntil) >= urgentRenewal {
 		deadline = 0
 	}
 	if !first {
@@ -137,7 +137,8 @@
 		wait = sharedHoldWait
 	}
 	now := time.Now()
-	if left := n.leaseEnd.Sub(now); left > 0 && left < shortLease || n.lastUnknownStart > n.listsCover {
+	left, renewable := n.leaseEnd.Sub(now), !n.renewedUntil.IsZero() && n.leaseEnd.After(n.renewedUntil) && n.renewedUntil.Sub(now) < urgentRenewal
+	if left > 0 && (left < shortLease || renewable) || n.lastUnknownStart > n.listsCover {
 		wait = shortHoldWait
 	}
 	if n.lists == nil || !n.confirmed {
@@ -145,7 +146,7 @@
 	}
 	return holdCall{
 		incarnation: n.current.IncarnationID(), fence: n.fence(n.epoch), ack: n.pendingAck(), deadline: n.deadline(now), leaseEnd: n.leaseEnd,
-		wait: wait, covers: n.executedOrders, urgent: n.renewedUntil.Sub(now) < urgentRenewal,
+		wait: wait, covers: n.executedOrders, renewedUntil: n.renewedUntil,
 	}
 }
 
--- a/node/repeat_test.go
+++ b/node/repeat_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/quetzalshed/quetzalshed/owner"
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
@@ -97,7 +98,10 @@
 			recorder := &holdRecorder{}
 			n := newNode()
 			n.executor = recorder
-			h := holdCall{incarnation: "i-1@1000", ack: 5, deadline: 9000, wait: holdWait, urgent: urgent}
+			h := holdCall{incarnation: "i-1@1000", ack: 5, deadline: 9000, wait: holdWait}
+			if !urgent {
+				h.renewedUntil = time.Now().Add(owner.ExecutorLeaseDuration)
+			}
 			ctx, cancel := context.WithTimeout(t.Context(), holdWait+holdResponseMargin)
 			defer cancel()
 			_, err := repeat(ctx, repetition{patience: h.wait, copies: maxCopies}, func(ctx context.Context, first bool) (holdAnswer, error) { return n.sendHold(ctx, &h, first) })
--- a/test/workflows/unanswered_calls_test.go
+++ b/test/workflows/unanswered_calls_test.go
@@ -82,3 +82,21 @@
 		}
 	})
 }
+
+// Guards against leases that lapse although some renewals are answered, because a call repeats the renewal only if it was urgent when
+// the call began.
+func TestLeasesOutlastManyRenewalsWithoutAnswer(t *testing.T) {
+	runWithFleet(t, 6, func(f *fleet) {
+		for _, h := range f.hosts {
+			h.executor.SetDuration(100 * time.Hour)
+		}
+		const tasks = 12
+		job := f.newJob(tasks)
+		job.Steps[0].LongRunning = true
+		f.Assert(f.gateway.Submit(f.ctx, &job), qt.IsNil)
+		f.waitFor(3*time.Second, func() bool { return f.checker.runningCount() == tasks })
+		f.loseAnswers(0.7)
+		time.Sleep(10 * time.Minute)
+		f.Check(f.checker.startCount(), qt.Equals, tasks)
+	})
+}
