--- a/node/hold.go
+++ b/node/hold.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"sync"
 	"time"
 
 	"github.com/quetzalshed/quetzalshed/node/sharing"
@@ -24,6 +25,8 @@
 	urgentRenewal = 3 * time.Second
 	// holdResponseMargin is how much longer than the wait a response may take.
 	holdResponseMargin = 800 * time.Millisecond
+	// paceTimeout limits the calls that set paces after the response to a hold call.
+	paceTimeout = 300 * time.Millisecond
 	// holdRetryDelay is the pause after a failed call.
 	holdRetryDelay = 100 * time.Millisecond
 	// ackWindow is how long after a response the ends that it lists may be acknowledged. Ends that are not acknowledged are
@@ -265,22 +268,33 @@
 	percent int
 }
 
-// adjustPaces sets the paces of the best-effort tasks according to the latencies of the serving tasks.
+// adjustPaces sets the paces of the best-effort tasks according to the latencies of the serving tasks. It takes paceTimeout at
+// most, since the next renewal of the lease waits for it.
 func (n *Node) adjustPaces(ctx context.Context) {
 	incarnation, fence, changes := n.nextPaceChanges(time.Now())
+	ctx, cancel := context.WithTimeout(ctx, paceTimeout)
+	defer cancel()
+	slots := make(chan struct{}, maxParallelOrders)
+	var calls sync.WaitGroup
 	for _, c := range changes {
-		call, cancel := context.WithTimeout(ctx, orderTimeout)
-		err := n.executor.SetPace(call, incarnation, c.run.Task, c.run.Run, c.percent, fence)
-		cancel()
-		if err != nil {
-			n.log.Debug("pace not set", "task", c.run.Task, "run", c.run.Run, "percent", c.percent, "error", err)
-			continue
-		}
-		n.mu.Lock()
-		n.paces[c.run.Task] = c.percent
-		n.mu.Unlock()
-		n.log.Info("pace set", "task", c.run.Task, "run", c.run.Run, "percent", c.percent, "executor", incarnation)
+		slots <- struct{}{}
+		calls.Go(func() {
+			n.setPace(ctx, incarnation, fence, c)
+			<-slots
+		})
 	}
+	calls.Wait()
+}
+
+func (n *Node) setPace(ctx context.Context, incarnation string, fence int64, c paceChange) {
+	if err := n.executor.SetPace(ctx, incarnation, c.run.Task, c.run.Run, c.percent, fence); err != nil {
+		n.log.Debug("pace not set", "task", c.run.Task, "run", c.run.Run, "percent", c.percent, "error", err)
+		return
+	}
+	n.mu.Lock()
+	n.paces[c.run.Task] = c.percent
+	n.mu.Unlock()
+	n.log.Info("pace set", "task", c.run.Task, "run", c.run.Run, "percent", c.percent, "executor", incarnation)
 }
 
 func (n *Node) nextPaceChanges(now time.Time) (incarnation string, fence int64, changes []paceChange) {
--- a/node/repeat_test.go
+++ b/node/repeat_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -161,3 +162,52 @@
 		c.Assert(<-done, qt.IsNil)
 	})
 }
+
+// paceRecorder answers hold calls, which it records, and no pace calls.
+type paceRecorder struct {
+	Executor
+	mu    sync.Mutex
+	holds []time.Time
+	lists *RunLists
+}
+
+func (r *paceRecorder) Hold(_ context.Context, _ string, _, _, _ int64, wait time.Duration) (*RunLists, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.holds = append(r.holds, time.Now())
+	time.Sleep(min(wait, 10*time.Millisecond))
+	return r.lists, nil
+}
+
+func (r *paceRecorder) SetPace(ctx context.Context, _, _ string, _, _ int, _ int64) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// Guards against leases that lapse because their renewals wait for pace calls without an answer, one for each best-effort run.
+func TestPaceCallsDoNotHoldRenewalsBack(t *testing.T) {
+	for _, runs := range []int{1, 5, 9, 12} {
+		synctest.Test(t, func(t *testing.T) {
+			n := newNode()
+			x := &paceRecorder{lists: &RunLists{ClockMillis: 1, Running: []workflow.RunState{{Task: "s", Run: 1, Usage: 200}}}}
+			n.traits["s"] = workflow.RunTraits{Task: "s", TargetMillis: 100, Image: "serving"}
+			for i := range runs {
+				name := fmt.Sprintf("b%d", i)
+				x.lists.Running = append(x.lists.Running, workflow.RunState{Task: name, Run: 1})
+				n.traits[name] = workflow.RunTraits{Task: name, Image: "filling", BestEffort: true, MilliCores: 500}
+			}
+			n.executor = x
+			ctx, cancel := context.WithCancel(t.Context())
+			go n.holdLoop(ctx)
+			time.Sleep(20 * time.Second)
+			cancel()
+			time.Sleep(2 * time.Second)
+			longest := time.Duration(0)
+			for i := 1; i < len(x.holds); i++ {
+				longest = max(longest, x.holds[i].Sub(x.holds[i-1]))
+			}
+			// Lists that are older than that renew no lease at the owner.
+			qt.Check(t, longest < 1300*time.Millisecond, qt.IsTrue, qt.Commentf("%d best-effort runs: %v between two hold calls", runs, longest))
+		})
+	}
+}
