--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -350,10 +350,10 @@
 	// unreachableBackoff is how long no task is started on an executor that could not be reached while its node still
 	// reports it.
 	unreachableBackoff = 600 * time.Millisecond
-	// maxStartPause limits how long no task is started on an executor that rejects one start after the other. It is reached
-	// after maxPauseDoublings pauses at the latest.
-	maxStartPause     = 2400 * time.Millisecond
-	maxPauseDoublings = 4
+	// maxStartPause limits how long no task is started on an executor that rejects one start after the other, which may be the only
+	// one for a task. It is reached after maxPauseDoublings pauses at the latest.
+	maxStartPause     = 600 * time.Millisecond
+	maxPauseDoublings = 2
 )
 
 // pauseAfterRejection returns how long an executor gets no starts after it has rejected one; 0 if the reason concerns the task.
--- a/workflow/engine/standstill_test.go
+++ b/workflow/engine/standstill_test.go
@@ -170,3 +170,26 @@
 	}
 	f.Assert(len(started) > 1, qt.IsTrue)
 }
+
+// Guards against a task that waits for the end of ever longer pauses of the only executor for it, which has rejected some starts
+// and would accept the next (issue 25: LOST).
+func TestPausesOfOnlyExecutorAreShort(t *testing.T) {
+	for _, rejections := range []int{4, 5, 6} {
+		f := newCrashFleet(t, "a")
+		f.engine.Add(f.job(longStep(1)), nil, f.now, f.now)
+		began, rejected := f.now, 0
+		for f.now.Sub(began) < 20*time.Second {
+			f.reportAll()
+			starts := f.plan()["a"].Starts
+			if len(starts) > 0 && rejected == rejections {
+				break
+			}
+			for _, s := range starts {
+				rejected++
+				f.engine.HandleOrderResult("a", 1, &workflow.OrderResult{Task: s.Task, Run: s.Run, Outcome: workflow.OutcomeRejected, Reason: workflow.ReasonUnhealthy}, f.now)
+			}
+			f.now = f.now.Add(50 * time.Millisecond)
+		}
+		f.Check(f.now.Sub(began) <= maxStandstill, qt.IsTrue, qt.Commentf("%d rejections: starts after %v", rejections, f.now.Sub(began)))
+	}
+}
