--- a/owner/serve.go
+++ b/owner/serve.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/quetzalshed/quetzalshed/rpc"
 	"github.com/quetzalshed/quetzalshed/workflow"
 	"github.com/quetzalshed/quetzalshed/workflow/engine"
@@ -204,6 +206,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if response.Status != http.StatusOK {
+		return nil, eris.Errorf("orders answered with status %d", response.Status)
+	}
 	reply := &workflow.OrdersReply{}
 	if err := response.Decode(reply); err != nil {
 		return nil, err
--- a/workflow/engine/order_results_test.go
+++ b/workflow/engine/order_results_test.go
@@ -112,3 +112,33 @@
 	e.Plan(h.now, h.now)
 	h.Assert(e.TakeOrders(), qt.HasLen, 1)
 }
+
+// Guards against a task that is never started again, nor stopped after its job was cancelled, because the result of its start
+// was lost.
+func TestLostResultOfStartIsResolved(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		h := newHarness(t)
+		job := h.job(step(1))
+		h.engine.Add(job, nil, h.now, h.now)
+		h.report("a", executor("a", 1), nil, nil)
+		h.Assert(h.plan()["a"].Starts, qt.HasLen, 1)
+		var running []workflow.RunState
+		if listed {
+			running = []workflow.RunState{{Task: job.ID + ".0.0.0", Run: 1}}
+			h.engine.Cancel(job.ID, h.now)
+		}
+		starts, stops := 0, 0
+		for range 100 {
+			h.now = h.now.Add(100 * time.Millisecond)
+			h.report("a", executor("a", 1), running, nil)
+			orders := h.plan()["a"]
+			starts += len(orders.Starts)
+			stops += len(orders.Stops)
+			for _, s := range orders.Stops {
+				h.engine.HandleOrderResult("a", 1, &workflow.OrderResult{Task: s.Task, Run: s.Run, Stop: true, Outcome: workflow.OutcomeDone, Sequence: 1}, h.now)
+			}
+		}
+		h.Check(stops > 0, qt.IsTrue, qt.Commentf("listed: %v", listed))
+		h.Check(starts > 0, qt.Equals, !listed)
+	}
+}
--- a/workflow/engine/reconcile.go
+++ b/workflow/engine/reconcile.go
@@ -6,6 +6,10 @@
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
+// startResultTimeout is the time after which the result of a start counts as lost. Orders are answered or given up within 2 s; a
+// loaded owner may take longer to hear of it.
+const startResultTimeout = 5 * time.Second
+
 // reconcile compares the running and ended runs that an executor lists with the tasks assigned to it.
 func (e *Engine) reconcile(n *node, r *workflow.Report, now, wall time.Time) {
 	incarnation := n.executorIncarnation
@@ -29,6 +33,9 @@
 		n.ackedEnd = max(n.ackedEnd, end.Number)
 	}
 	for _, t := range e.assignedTo(incarnation) {
+		if t.startPending && now.Sub(t.startedAt) >= startResultTimeout {
+			t.startPending = false
+		}
 		if present[t.name] >= t.run || t.startPending {
 			continue
 		}
