--- a/workflow/engine/plan.go
+++ b/workflow/engine/plan.go
@@ -55,11 +55,26 @@
 		if !free || now.Sub(j.idleSince) < maxIdleTime || j.startedSince(now.Add(-maxIdleTime)) {
 			continue
 		}
-		if t := e.firstReady(j, now, wall, false); t != nil {
-			r := e.rankExecutors(&placementRequest{engine: e, queue: c.queue, task: t, now: now, relaxed: true})
-			if n := r.best(t); n != nil {
-				e.assign(t, n, t.run+1, now)
-			}
+		e.startIdleJob(c, now, wall)
+	}
+}
+
+// startIdleJob starts the first ready task of a job for which any executor has room. Members of gangs don't count.
+func (e *Engine) startIdleJob(c candidate, now, wall time.Time) {
+	for i := range c.job.groups {
+		g := &c.job.groups[i]
+		if c.job.Steps[g.step].Gang || !e.groupReady(c.job, g, wall) {
+			continue
+		}
+		ready := slices.IndexFunc(g.tasks, func(t *task) bool { return t.canStart(now) })
+		if ready < 0 {
+			continue
+		}
+		t := g.tasks[ready]
+		r := e.rankExecutors(&placementRequest{engine: e, queue: c.queue, task: t, now: now, relaxed: true})
+		if n := r.best(t); n != nil {
+			e.assign(t, n, t.run+1, now)
+			return
 		}
 	}
 }
@@ -85,7 +100,7 @@
 func (e *Engine) readyJobs(now, wall time.Time) []candidate {
 	var found []candidate
 	for _, j := range e.activeJobs {
-		if e.firstReady(j, now, wall, true) == nil {
+		if e.firstReady(j, now, wall) == nil {
 			continue
 		}
 		found = append(found, e.rank(j, now))
@@ -94,11 +109,11 @@
 	return found
 }
 
-// firstReady returns the first task of a job that can start, or nil. Members of gangs count only if gangs is set.
-func (e *Engine) firstReady(j *job, now, wall time.Time, gangs bool) *task {
+// firstReady returns the first task of a job that can start, or nil.
+func (e *Engine) firstReady(j *job, now, wall time.Time) *task {
 	for i := range j.groups {
 		g := &j.groups[i]
-		if !gangs && j.Steps[g.step].Gang || !e.groupReady(j, g, wall) {
+		if !e.groupReady(j, g, wall) {
 			continue
 		}
 		for _, t := range g.tasks {
--- a/workflow/engine/standstill_test.go
+++ b/workflow/engine/standstill_test.go
@@ -193,3 +193,24 @@
 		f.Check(f.now.Sub(began) <= maxStandstill, qt.IsTrue, qt.Commentf("%d rejections: starts after %v", rejections, f.now.Sub(began)))
 	}
 }
+
+// Guards against a job of which nothing runs although a task of one step could, because the first ready task of another step has no
+// place (issue 25: LOST).
+func TestIdleJobStartsTaskOfAnyStep(t *testing.T) {
+	h, x, running := newBestEffortJobBesideBusyService(t, 1)
+	large, bestEffort := step(1), step(1)
+	large.Need.MilliCores = 9000
+	bestEffort.BestEffort, bestEffort.Image = true, "filling"
+	job := h.job(large, bestEffort)
+	job.Steps[1].After = nil
+	h.engine.Add(job, nil, h.now, h.now)
+	for end := h.now.Add(maxStandstill); h.now.Before(end); h.now = h.now.Add(standstillStep) {
+		h.report("a", x, running, nil)
+		for _, s := range h.plan()["a"].Starts {
+			if jobOf(s.Task) == job.ID {
+				return
+			}
+		}
+	}
+	h.Fatal("no task of the job starts")
+}
--- a/workflow/engine/waiting.go
+++ b/workflow/engine/waiting.go
@@ -51,7 +51,7 @@
 		if now.Sub(j.acceptedAt) < minExplainedAge || now.Sub(j.waitExplainedAt) < waitExplainInterval {
 			continue
 		}
-		t := e.firstReady(j, now, wall, true)
+		t := e.firstReady(j, now, wall)
 		if t == nil {
 			continue
 		}
