--- a/workflow/engine/idle.go
+++ b/workflow/engine/idle.go
@@ -40,7 +40,7 @@
 	State     IdleState
 	// Duration is how long no run of the job has been listed.
 	Duration time.Duration
-	// Reserved is the fraction of all CPU that is reserved.
+	// Reserved is the fraction of the CPU of the job's pool that is reserved.
 	Reserved float64
 	// Rejections is the number of executors that each filter rejects for a waiting task, apart from the filters that are skipped
 	// for jobs without a run; Admitting is the number of executors that none rejects.
@@ -106,7 +106,7 @@
 }
 
 func (e *Engine) explainIdleJob(j *job, t *task, now time.Time) Idle {
-	found := Idle{Job: j.ID, Task: t.name, State: t.idleState(now), Duration: now.Sub(j.noRunSince), Reserved: e.reservedFraction(), Node: t.host}
+	found := Idle{Job: j.ID, Task: t.name, State: t.idleState(now), Duration: now.Sub(j.noRunSince), Reserved: e.reservedFraction(e.queueOf(j).Pool), Node: t.host}
 	if n := e.nodes[t.host]; n != nil {
 		found.ReportAge, found.ListAge = now.Sub(n.reportedAt), now.Sub(n.listedAt)
 	}
--- a/workflow/engine/plan.go
+++ b/workflow/engine/plan.go
@@ -33,15 +33,15 @@
 const (
 	// maxIdleTime is how long a ready job may have no task running while most capacity is unreserved.
 	maxIdleTime = time.Second
-	// lowReservation is the reserved fraction of all CPU below which most capacity counts as unreserved.
+	// lowReservation is the reserved fraction of the CPU of a pool below which most capacity counts as unreserved.
 	lowReservation = 0.6
 )
 
-// startIdleJobs starts one task of each job that has had no task running for maxIdleTime while most capacity is
+// startIdleJobs starts one task of each job that has had no task running for maxIdleTime while most capacity of its pool is
 // unreserved. Otherwise no best-effort task would start while serving tasks are near their latency targets on all
 // executors; pacing of best-effort tasks protects the serving tasks.
 func (e *Engine) startIdleJobs(jobs []candidate, now, wall time.Time) {
-	free := e.reservedFraction() < lowReservation
+	free := map[string]bool{}
 	for _, c := range jobs {
 		j := c.job
 		switch {
@@ -52,10 +52,16 @@
 			j.idleSince = now
 		}
 		// A start that leads to no run does not reset idleSince, and holds other tasks back only while its result is to be expected.
-		if !free || now.Sub(j.idleSince) < maxIdleTime || j.startedSince(now.Add(-maxIdleTime)) {
+		if now.Sub(j.idleSince) < maxIdleTime || j.startedSince(now.Add(-maxIdleTime)) {
 			continue
 		}
-		e.startIdleJob(c, now, wall)
+		pool := c.queue.Pool
+		if _, known := free[pool]; !known {
+			free[pool] = e.reservedFraction(pool) < lowReservation
+		}
+		if free[pool] {
+			e.startIdleJob(c, now, wall)
+		}
 	}
 }
 
@@ -84,11 +90,11 @@
 	return slices.ContainsFunc(j.tasks, func(t *task) bool { return t.phase == workflow.TaskAssigned && t.startedAt.After(since) })
 }
 
-// reservedFraction returns the fraction of all CPU that is reserved. Best-effort tasks reserve none.
-func (e *Engine) reservedFraction() float64 {
+// reservedFraction returns the fraction of the CPU of a pool that is reserved. Best-effort tasks reserve none.
+func (e *Engine) reservedFraction(pool string) float64 {
 	var used, capacity int64
 	for _, n := range e.sortedNodes {
-		if n.known {
+		if n.known && n.executor.Pool == pool {
 			used += n.reserved.MilliCores
 			capacity += n.executor.Capacity.MilliCores
 		}
--- a/workflow/engine/standstill_test.go
+++ b/workflow/engine/standstill_test.go
@@ -214,3 +214,37 @@
 	}
 	h.Fatal("no task of the job starts")
 }
+
+// Guards against a job of which nothing runs, in a pool that is mostly free, because the executors of another pool are full
+// (issue 25: LOST).
+func TestIdleJobStartsBesideFullPool(t *testing.T) {
+	h, service, serving := newBestEffortJobBesideBusyService(t, 2)
+	other := queue
+	other.Name, other.Pool = "other", "other"
+	h.engine.Configure(&workflow.Config{Version: 2, Queues: []workflow.Queue{queue, other}, Pools: []workflow.Pool{{Name: "pool"}, {Name: "other"}}})
+	full := step(1)
+	full.Need.MilliCores, full.EstimateMillis = 4000, 100_000
+	nodes := []string{"b", "c", "d", "e"}
+	for range nodes {
+		job := h.job(full)
+		job.Queue = other
+		h.engine.Add(job, nil, h.now, h.now)
+	}
+	running := map[string][]workflow.RunState{}
+	for end := h.now.Add(maxStandstill); h.now.Before(end); h.now = h.now.Add(standstillStep) {
+		h.report("a", service, serving, nil)
+		for _, name := range nodes {
+			x := executor(name, 1)
+			x.Pool = other.Pool
+			h.report(name, x, running[name], nil)
+		}
+		orders := h.plan()
+		if len(orders["a"].Starts) > 0 {
+			return
+		}
+		for _, name := range nodes {
+			running[name] = append(running[name], h.accept(name, orders[name])...)
+		}
+	}
+	h.Fatal("no task starts")
+}
