--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -336,6 +336,7 @@
 		t.notBefore = now.Add(rejectionBackoff)
 		t.node.pauseStarts(pauseAfterRejection(r.Reason), now)
 		e.unassign(t)
+		e.stopRestOfGang(t)
 	default:
 		// The run may have begun or may still begin. It continues if the executor's next lists contain it, and is stopped
 		// otherwise.
@@ -344,6 +345,18 @@
 	}
 }
 
+// stopRestOfGang requests stops of the other members of a gang of which one start was rejected: all of them start together.
+func (e *Engine) stopRestOfGang(t *task) {
+	if !t.step.Gang {
+		return
+	}
+	for _, member := range t.group.tasks {
+		if member.phase == workflow.TaskAssigned {
+			e.requestStop(member, "a member of its gang was not started")
+		}
+	}
+}
+
 const (
 	// rejectionBackoff delays starts of a task after a rejected start, until a report has updated the executor's state.
 	rejectionBackoff = 150 * time.Millisecond
--- a/workflow/engine/order_results_test.go
+++ b/workflow/engine/order_results_test.go
@@ -142,3 +142,31 @@
 		h.Check(starts > 0, qt.Equals, !listed)
 	}
 }
+
+// Guards against a gang that waits for good for a member whose start was rejected, while the others run.
+func TestGangWithRejectedMemberStartsAgain(t *testing.T) {
+	h := newHarness(t)
+	gang := step(2)
+	gang.Gang = true
+	h.engine.Add(h.job(gang), nil, h.now, h.now)
+	x := executor("a", 1)
+	h.report("a", x, nil, nil)
+	starts := h.plan()["a"].Starts
+	h.Assert(starts, qt.HasLen, 2)
+	h.engine.HandleOrderResult("a", 1, &workflow.OrderResult{Task: starts[0].Task, Run: starts[0].Run, Outcome: workflow.OutcomeDone, Sequence: 1}, h.now)
+	h.engine.HandleOrderResult("a", 1, &workflow.OrderResult{Task: starts[1].Task, Run: starts[1].Run, Outcome: workflow.OutcomeRejected, Reason: workflow.ReasonRoom}, h.now)
+	running := []workflow.RunState{{Task: starts[0].Task, Run: starts[0].Run}}
+	var ended []workflow.RunEnd
+	for range 30 {
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.report("a", x, running, ended)
+		orders := h.plan()["a"]
+		if len(orders.Starts) == 2 {
+			return
+		}
+		for _, s := range orders.Stops {
+			running, ended = nil, []workflow.RunEnd{{Number: 1, Task: s.Task, Run: s.Run, How: workflow.EndStopped}}
+		}
+	}
+	h.Fatal("the gang does not start again within 3 s")
+}
