--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -8,8 +8,8 @@
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
-// stopRetry is the time after which an unconfirmed stop is ordered again.
-const stopRetry = 400 * time.Millisecond
+// stopRetry is the time after which an unconfirmed stop is ordered again. The node repeats its call to the executor for 0.8 s.
+const stopRetry = 900 * time.Millisecond
 
 // Cancel cancels a job. It returns false if the job is unknown; the cancellation then takes effect when the job is
 // added, since a new owner may read the two in either order.
