--- a/node/hold.go
+++ b/node/hold.go
@@ -140,8 +140,9 @@
 		wait = sharedHoldWait
 	}
 	now := time.Now()
-	left, renewable := n.leaseEnd.Sub(now), !n.renewedUntil.IsZero() && n.leaseEnd.After(n.renewedUntil) && n.renewedUntil.Sub(now) < urgentRenewal
-	if left > 0 && (left < shortLease || renewable) || n.lastUnknownStart > n.listsCover {
+	left := n.leaseEnd.Sub(now)
+	isShort := left > 0 && (left < shortLease || n.needsRenewal(now))
+	if isShort || n.lastUnknownStart > n.listsCover {
 		wait = shortHoldWait
 	}
 	if n.lists == nil || !n.confirmed {
@@ -153,6 +154,11 @@
 	}
 }
 
+// needsRenewal reports whether the lease that the executor has confirmed ends soon, and a longer one is granted. The caller holds mu.
+func (n *Node) needsRenewal(now time.Time) bool {
+	return !n.renewedUntil.IsZero() && n.leaseEnd.After(n.renewedUntil) && n.renewedUntil.Sub(now) < urgentRenewal
+}
+
 // isBroken reports whether a call failed because its connection was broken or refused.
 func isBroken(err error) bool {
 	reason, rejected := rejectionReason(err)
--- a/workflow/engine/node.go
+++ b/workflow/engine/node.go
@@ -88,8 +88,8 @@
 	aliveAt time.Time
 	// brokenAt is when a connection to that incarnation was first broken or refused since it last responded; zero if none was.
 	brokenAt time.Time
-	// endedAt is when a report last said that the host refuses connections to that incarnation; zero if none did. recordedEnd is the last incarnation whose
-	// end was counted.
+	// endedAt is when a report last said that the host refuses connections to that incarnation; zero if none did. recordedEnd is
+	// the last incarnation whose end was counted.
 	endedAt     time.Time
 	recordedEnd string
 	lapsedRuns  []crashedRun
