--- /dev/null
+++ b/review/_standin/case_gang.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// gangLayout has four executors. Two of them are of the kind that the gang needs.
+var gangLayout = layout{fronts: 3, sides: 4, cpu: 16000, kinds: []string{"a", "b"}, routes: []map[string]any{route("r-build", "/build/", 0, 4)}}
+
+func init() { register("gang", gangLayout, playGang) }
+
+const (
+	gangSize = 2
+	gangCPU  = 2000
+	// gangWork is how long the gang works, and greyTime how long one executor fails all that it starts.
+	gangWork = 1500 * time.Millisecond
+	greyTime = 3 * time.Second
+	// failAfter is when a run fails on that executor.
+	failAfter = 300 * time.Millisecond
+	// finishTime is the bound finish_s, and standstill how long a job must not have nothing running after it.
+	finishTime = 14 * time.Second
+	standstill = 3 * time.Second
+	gangLimit  = 30 * time.Second
+)
+
+// playGang hands in a job with one gang, each member of which runs on an executor of its own. One executor fails what it starts
+// for a short time, so that the gang has to start again.
+func playGang(f *fleet, trouble bool) (broken []string, err error) {
+	grey, greyUntil := "", time.Time{}
+	if trouble {
+		// The last executor of the kind fails all that it starts, until some seconds after the job is handed in.
+		grey = f.executors[len(f.executors)-1].name
+		greyUntil = time.Now().Add(greyTime)
+		f.rec.addf("executor %s fails all that it starts for %v", grey, greyTime)
+	}
+	f.shop.needOf = func(string) int64 { return gangCPU }
+	f.shop.workOf = func(executor, _ string, _ int) work {
+		if executor == grey && time.Now().Before(greyUntil) {
+			return work{takes: failAfter, how: "failed", gang: gangSize}
+		}
+		return work{takes: gangWork, how: "done", gang: gangSize}
+	}
+	id := newID()
+	path := "/build/" + id
+	body := job(step(gangSize, gangCPU, gangWork, map[string]any{"gang": true, "antiAffinity": 1, "requirements": "b"}))
+	if status := f.submit(path, body); status != 200 {
+		return nil, fmt.Errorf("the job wasn't accepted: %d", status)
+	}
+	handedIn := time.Now()
+	last, idleSince, longest := "", time.Now(), time.Duration(0)
+	for time.Since(handedIn) < gangLimit {
+		if f.isRunning(id) {
+			idleSince = time.Now()
+		}
+		if time.Since(handedIn) > finishTime {
+			longest = max(longest, min(time.Since(idleSince), time.Since(handedIn)-finishTime))
+		}
+		state := f.state(0, path)
+		if state != last {
+			f.rec.addf("GET %s: %s", path, state)
+			last = state
+		}
+		if state == "completed" || state == "failed" || state == "cancelled" {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	failures := 0
+	for _, e := range f.shop.endsOf(id) {
+		if e.how == "failed" {
+			failures++
+		}
+	}
+	f.rec.addf("the job is shown as %q; %d starts, %d ends `failed`, maxAttempts 4; nothing of it ran for %v at a stretch from %v after it was handed in, with all executors up, sound and empty",
+		last, len(f.shop.startsOf(id)), failures, longest.Round(time.Millisecond), finishTime)
+	if (last == "pending" || last == "running") && longest >= standstill {
+		broken = append(broken, fmt.Sprintf("LOST: for %v job %s had nothing running while its turn had come and its executors were empty", longest.Round(time.Millisecond), id))
+	}
+	if last == "failed" && failures < 4 {
+		broken = append(broken, fmt.Sprintf("LOST: job %s is shown as `failed` after %d ends `failed`", id, failures))
+	}
+	return broken, nil
+}
