--- /dev/null
+++ b/review/_standin/case_saved.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// savedLayout has seven executors, of which one crashes.
+var savedLayout = layout{fronts: 3, sides: 7, cpu: 16000, kinds: []string{"a"}, routes: []map[string]any{route("r-build", "/build/", 2, 4)}}
+
+func init() { register("saved", savedLayout, playSaved) }
+
+const (
+	savedGang = 3
+	savedCPU  = 1800
+	// savedWork is how long the gang works. One executor crashes savedAge after it has begun, and is down for savedDown.
+	savedWork  = 6 * time.Second
+	savedAge   = 2550 * time.Millisecond
+	savedDown  = 3 * time.Second
+	savedLimit = 45 * time.Second
+	// nearTime is the time around a disruption in which ends don't count: contactMs.
+	nearTime = 3 * time.Second
+)
+
+// playSaved hands in a job with a gang whose tasks have checkpoints, and crashes the executor of one member while it works.
+func playSaved(f *fleet, trouble bool) (broken []string, err error) {
+	f.shop.needOf = func(string) int64 { return savedCPU }
+	f.shop.workOf = func(string, string, int) work {
+		return work{takes: savedWork, how: "done", gang: savedGang, saves: true}
+	}
+	id := newID()
+	body := job(step(savedGang, savedCPU, savedWork, map[string]any{"gang": true, "antiAffinity": 1, "checkpointing": true}))
+	if status := f.submit("/build/"+id, body); status != 200 {
+		return nil, fmt.Errorf("the job wasn't accepted: %d", status)
+	}
+	up := time.Now()
+	if trouble {
+		up = f.crashMember(id)
+	}
+	f.awaitEnd([]string{id}, "/build/", savedLimit)
+	alone := 0
+	for _, e := range f.shop.endsOf(id) {
+		// The run has begun to wait gangTimeout before its end.
+		if e.how == "alone" && e.at.Add(-gangTimeout).After(up.Add(nearTime)) {
+			if alone++; alone <= 3 {
+				broken = append(broken, fmt.Sprintf("GANG: run %d of %s ends `alone` on %s, with all executors up since %v", e.run, e.task, e.executor, e.at.Sub(up).Round(time.Millisecond)))
+			}
+		}
+	}
+	f.rec.addf("%d starts, %d ends `alone` out of reach of the crash; the job is shown as %q", len(f.shop.startsOf(id)), alone, f.state(0, "/build/"+id))
+	return broken, nil
+}
+
+// crashMember crashes the executor of the first member that has started, savedAge after its start. It returns when the executor is
+// up again.
+func (f *fleet) crashMember(id string) time.Time {
+	for len(f.shop.startsOf(id)) < savedGang {
+		time.Sleep(10 * time.Millisecond)
+	}
+	start := f.shop.startsOf(id)[0]
+	time.Sleep(time.Until(start.at.Add(savedAge)))
+	for _, x := range f.executors {
+		if x.name == start.executor {
+			x.crash()
+			time.Sleep(savedDown)
+			_ = x.start()
+		}
+	}
+	return time.Now()
+}
