--- a/review/_standin/executor.go
+++ b/review/_standin/executor.go
@@ -22,6 +22,8 @@
 	heartbeatTime = 1500 * time.Millisecond
 	maxEnds       = 500
 	savePeriod    = 500 * time.Millisecond
+	// drainTime is how long an executor that drains works on, a little longer than the bound drainMs.
+	drainTime = 2200 * time.Millisecond
 )
 
 // waitsForNewEnd is set if a hold call waits for an end after its arrival even while older ends are listed again. The pages leave
@@ -89,6 +91,8 @@
 	done     chan struct{}
 	fence    int64
 	deadline time.Time
+	// draining is set once the executor is to leave.
+	draining bool
 	running  map[string]*run
 	// last is the highest run of a task that was stopped or has ended here.
 	last     map[string]int
@@ -183,23 +187,10 @@
 func (l *life) clockMs(at time.Time) int64 { return at.Sub(l.born).Milliseconds() + 1000 }
 
 func (l *life) heartbeats() {
-	client := &http.Client{Timeout: time.Second}
 	for {
-		l.x.mu.Lock()
-		l.sequence++
-		body, _ := json.Marshal(map[string]any{
-			"service": l.x.service, "address": l.x.address, "zone": l.x.zone, "version": "v1", "slots": 8, "state": "ready",
-			"coldRemainingMs": 0, "capacity": map[string]int64{"cpu": l.x.cpu, "memMb": l.x.mem, "gpu": 0}, "labels": l.x.labels,
-			"clockMs": l.clockMs(time.Now()), "born": l.born.UnixMilli(), "sequence": l.sequence,
-		})
-		l.x.mu.Unlock()
-		request, _ := http.NewRequest(http.MethodPut, "http://"+l.x.control+"/v1/executors/"+l.id, bytes.NewReader(body))
-		request.Header.Set("Content-Type", "application/json")
 		pause := heartbeatTime
-		if response, err := client.Do(request); err != nil {
+		if !l.heartbeat() {
 			pause = 200 * time.Millisecond
-		} else {
-			_ = response.Body.Close()
 		}
 		select {
 		case <-l.done:
@@ -209,6 +200,56 @@
 	}
 }
 
+// heartbeat sends a heartbeat, and reports whether it was acknowledged.
+func (l *life) heartbeat() bool {
+	l.x.mu.Lock()
+	l.sequence++
+	beat := map[string]any{
+		"service": l.x.service, "address": l.x.address, "zone": l.x.zone, "version": "v1", "slots": 8, "state": "ready",
+		"coldRemainingMs": 0, "capacity": map[string]int64{"cpu": l.x.cpu, "memMb": l.x.mem, "gpu": 0}, "labels": l.x.labels,
+		"clockMs": l.clockMs(time.Now()), "born": l.born.UnixMilli(), "sequence": l.sequence,
+	}
+	if l.draining {
+		beat["state"], beat["remainingMs"] = "draining", drainTime.Milliseconds()
+	}
+	l.x.mu.Unlock()
+	return l.x.register(http.MethodPut, l.id, beat)
+}
+
+// register sends a call to the control address of the host, and reports whether it was acknowledged.
+func (x *executor) register(method, id string, body any) bool {
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	request, err := http.NewRequest(method, "http://"+x.control+"/v1/executors/"+id, bytes.NewReader(data))
+	if err != nil {
+		panic(err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := (&http.Client{Timeout: time.Second}).Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode/100 == 2
+}
+
+// leave announces that the executor drains, and ends it drainTime after that is acknowledged.
+func (x *executor) leave() {
+	x.mu.Lock()
+	l := x.life
+	l.draining = true
+	x.mu.Unlock()
+	x.shop.rec.addf("executor %s drains", x.name)
+	for !l.heartbeat() {
+		time.Sleep(200 * time.Millisecond)
+	}
+	time.Sleep(drainTime)
+	x.shop.rec.addf("executor %s leaves, acknowledged: %v", x.name, x.register(http.MethodDelete, l.id, struct{}{}))
+	x.crash()
+}
+
 func (l *life) watchLease() {
 	for {
 		select {
