--- a/review/_standin/case_fills.go
+++ b/review/_standin/case_fills.go
@@ -9,8 +9,8 @@
 	"time"
 )
 
-// fillsLayout has seven executors, one of which is taken away. Jobs that last come before batch jobs.
-var fillsLayout = layout{fronts: 3, sides: 7, cpu: 16000, kinds: []string{"a"}, routes: []map[string]any{
+// fillsLayout has 16 executors, so that one is within a share of 0.065. Jobs that last come before batch jobs.
+var fillsLayout = layout{fronts: 3, sides: 16, cpu: 16000, kinds: []string{"a"}, routes: []map[string]any{
 	route("r-pool", "/pool/", 0, 2), route("r-build", "/build/", 2, 4),
 }}
 
@@ -24,7 +24,7 @@
 	// twice as long.
 	batchTasks    = 10
 	batchCPU      = 1600
-	batchInterval = 400 * time.Millisecond
+	batchInterval = 180 * time.Millisecond
 	batchWork     = 3 * time.Second
 	// batchLead is how long batch jobs come before an executor is taken away, and batchWatch how long they come afterwards.
 	batchLead  = 12 * time.Second
--- a/review/_standin/case_gang.go
+++ b/review/_standin/case_gang.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// gangLayout has four executors. Two of them are of the kind that the gang needs.
-var gangLayout = layout{fronts: 3, sides: 4, cpu: 16000, kinds: []string{"a", "b"}, routes: []map[string]any{route("r-build", "/build/", 0, 4)}}
+// gangLayout has twelve executors, so that one is within a share of 0.085. Two of them are of the kind that the gang needs.
+var gangLayout = layout{fronts: 3, sides: 12, cpu: 16000, kinds: []string{"a", "a", "a", "a", "a", "b"}, routes: []map[string]any{route("r-build", "/build/", 0, 4)}}
 
 func init() { register("gang", gangLayout, playGang) }
 
--- a/review/_standin/case_saved.go
+++ b/review/_standin/case_saved.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// savedLayout has seven executors, of which one crashes.
-var savedLayout = layout{fronts: 3, sides: 7, cpu: 16000, kinds: []string{"a"}, routes: []map[string]any{route("r-build", "/build/", 2, 4)}}
+// savedLayout has eight executors, so that one is within a share of 0.14.
+var savedLayout = layout{fronts: 3, sides: 8, cpu: 16000, kinds: []string{"a"}, routes: []map[string]any{route("r-build", "/build/", 2, 4)}}
 
 func init() { register("saved", savedLayout, playSaved) }
 
