Tell at each start how the former run ended, and report contradictions

What callers saw: tasks ran twice on real hosts.

Cause: the engine forgot a run as soon as it ceased to count. A run that an executor listed although it had been taken for ended was stopped or passed over without a line.

Change, without any change of decisions: - Each way in which a run ceases to count has a typed cause. The task keeps the run, its executor, the cause, the source of the lease's expiry, the age of the executor's lists and whether the start was confirmed, listed, restored from a record or reassigned. A rejected start doesn't replace what is known of the run before it. - "start ordered" has job_recorded and job_known_ms, and for a run that isn't the first former_run, former_executor, former_end and what was known then. It is still one line for each start. owner_restarts counts them by cause. - A run that is listed as running or done and that this owner took for ended, has assigned elsewhere or doesn't know is a contradiction: one warning line, at most 8 for a report and 8 a second, not repeated while consecutive reports repeat it, and owner_contradictions by kind. Lists that are older than the end, and runs that go on because their task was done otherwise, are none.

completeTask has new parameters, which a test of the order of jobs passes on.

--- /dev/null
+++ b/owner/runs.go
@@ -0,0 +1,106 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/workflow/engine"
+)
+
+const (
+	// contradictionInterval is the time in which at most maxContradictionLines lines on contradictions are logged.
+	contradictionInterval = time.Second
+	maxContradictionLines = 8
+)
+
+// lineLimit limits the number of log lines in an interval.
+type lineLimit struct {
+	since      time.Time
+	lines      int
+	suppressed int
+}
+
+// allow reports whether another line may be logged, and counts it.
+func (l *lineLimit) allow(now time.Time) bool {
+	if now.Sub(l.since) >= contradictionInterval {
+		l.since, l.lines = now, 0
+	}
+	if l.lines == maxContradictionLines {
+		l.suppressed++
+		return false
+	}
+	l.lines++
+	return true
+}
+
+// logStarts logs the starts of a delivery with what the owner knew of the tasks, and counts those that are not the first.
+func (t *term) logStarts(d *engine.NodeOrders) {
+	for i := range d.Orders.Starts {
+		s, basis := &d.Orders.Starts[i], engine.StartBasis{}
+		if i < len(d.Bases) {
+			basis = d.Bases[i]
+		}
+		fields := []any{
+			"task", s.Task, "run", s.Run, "executor", d.Orders.ExecutorIncarnation, "node", d.Node, "epoch", d.Orders.Epoch, "basis", d.Orders.ReportNumber,
+			"job_recorded", basis.JobRecorded, "job_known_ms", basis.JobKnown.Milliseconds(),
+		}
+		if basis.Former != nil {
+			t.metrics.scope.Tagged(map[string]string{"cause": string(basis.Former.Cause)}).Counter("owner_restarts").Inc(1)
+			fields = append(fields, formerRunFields(basis.Former, basis.SinceFormer)...)
+			fields = append(fields, "rejected_starts", basis.RejectedStarts)
+		}
+		t.log.Info("start ordered", fields...)
+	}
+}
+
+// formerRunFields returns the log fields on a run that was taken for ended a time ago.
+func formerRunFields(f *engine.FormerRun, ago time.Duration) []any {
+	fields := []any{
+		"former_run", f.Run, "former_executor", f.Executor, "former_end", f.Cause, "former_ended_ms", ago.Milliseconds(),
+		"former_list_age_ms", ageMillis(f.ListAge), "former_started", f.Started, "former_listed", f.Listed, "restored", f.Restored,
+	}
+	if f.LeaseSource != "" {
+		fields = append(fields, "former_lease_known_from", f.LeaseSource)
+	}
+	if f.Reassigned {
+		fields = append(fields, "former_reassigned", true)
+	}
+	if f.StopReason != "" {
+		fields = append(fields, "former_stop", f.StopReason)
+	}
+	return fields
+}
+
+// ageMillis returns an age in milliseconds, or -1 if it is not known.
+func ageMillis(age time.Duration) int64 {
+	if age == engine.UnknownAge {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
+// logContradictions counts the contradictions between what executors list and what the owner knows, and logs them up to a limit.
+func (t *term) logContradictions(now time.Time) {
+	described, counts := t.engine.TakeContradictions()
+	total := 0
+	for kind, count := range counts {
+		total += count
+		t.metrics.scope.Tagged(map[string]string{"kind": string(kind)}).Counter("owner_contradictions").Inc(int64(count))
+	}
+	t.contradictionLines.suppressed += total - len(described)
+	for i := range described {
+		if !t.contradictionLines.allow(now) {
+			continue
+		}
+		c := &described[i]
+		fields := []any{
+			"kind", c.Kind, "task", c.Task, "run", c.Run, "executor", c.Executor, "node", c.Node, "list_age_ms", ageMillis(c.ListAge),
+			"phase", c.Phase, "current_run", c.CurrentRun, "current_executor", c.CurrentExecutor, "epoch", t.lease.Record.Epoch,
+			"suppressed", t.contradictionLines.suppressed,
+		}
+		t.contradictionLines.suppressed = 0
+		if c.Taken != nil {
+			fields = append(fields, formerRunFields(c.Taken, c.SinceTaken)...)
+		}
+		t.log.Warn("an executor's list contradicts the owner's state", fields...)
+	}
+}
--- /dev/null
+++ b/owner/runs_test.go
@@ -0,0 +1,103 @@
+package owner
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/quetzalshed/quetzalshed/logging"
+	"github.com/quetzalshed/quetzalshed/rpc/rpctest"
+	"github.com/quetzalshed/quetzalshed/workflow"
+	"github.com/quetzalshed/quetzalshed/workflow/engine"
+)
+
+// loggedTerm returns a term whose log lines lines returns, and with metrics in scope.
+func loggedTerm(t *testing.T) (logged *term, scope tally.TestScope, lines func() []map[string]any) {
+	out := &bytes.Buffer{}
+	scope = tally.NewTestScope("", nil)
+	logged = newTerm(t, rpctest.New())
+	logged.log, logged.metrics = logging.New("owner", out, hclog.Info), newMetrics(scope)
+	return logged, scope, func() (read []map[string]any) {
+		for decoder := json.NewDecoder(out); decoder.More(); {
+			var line map[string]any
+			qt.Assert(t, decoder.Decode(&line), qt.IsNil)
+			read = append(read, line)
+		}
+		return read
+	}
+}
+
+// Guards against a second start of a task whose line does not tell how the first run ended, and against more than one line for
+// each start.
+func TestStartLineTellsFormerRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		term, scope, lines := loggedTerm(t)
+		term.logStarts(&engine.NodeOrders{
+			Node: "b", Orders: workflow.Orders{Epoch: 7, Starts: []workflow.StartOrder{{Run: 1}, {Run: 4}}},
+			Bases: []engine.StartBasis{{JobRecorded: true, JobKnown: 3 * time.Second}, {
+				Former: &engine.FormerRun{
+					Run: 1, Executor: "i-a@1", Cause: engine.LeaseExpired, LeaseSource: engine.LeaseOfTakeover, ListAge: engine.UnknownAge, Restored: true,
+				},
+				SinceFormer: 40 * time.Millisecond, RejectedStarts: 2,
+			}},
+		})
+		read := lines()
+		c.Assert(read, qt.HasLen, 2)
+		c.Assert(read[0]["job_recorded"], qt.Equals, true)
+		c.Assert(read[0]["job_known_ms"], qt.Equals, 3000.0)
+		_, isRestart := read[0]["former_run"]
+		c.Assert(isRestart, qt.IsFalse)
+		for field, value := range map[string]any{
+			"epoch": 7.0, "run": 4.0, "former_run": 1.0, "former_executor": "i-a@1", "former_end": string(engine.LeaseExpired), "former_ended_ms": 40.0,
+			"former_list_age_ms": -1.0, "former_started": false, "former_listed": false, "restored": true,
+			"former_lease_known_from": string(engine.LeaseOfTakeover), "rejected_starts": 2.0,
+		} {
+			c.Assert(read[1][field], qt.Equals, value, qt.Commentf("field %s", field))
+		}
+		counter := scope.Snapshot().Counters()["owner_restarts+cause=lease expired"]
+		c.Assert(counter, qt.IsNotNil)
+		c.Assert(counter.Value(), qt.Equals, int64(1))
+	})
+}
+
+// Guards against an unlimited number of lines when many executors list runs that their owner doesn't know, and against
+// contradictions that are neither logged nor counted.
+func TestContradictionLinesAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		term, scope, lines := loggedTerm(t)
+		report := func(number int64) {
+			now := time.Now()
+			for i := range 20 {
+				node := fmt.Sprint("n", i)
+				r := &workflow.Report{Node: node, Address: node, Incarnation: 1, Number: number, Executor: &workflow.Executor{ID: "i-" + node}, Listed: true}
+				for run := range 20 {
+					r.Running = append(r.Running, workflow.RunState{Task: "00000000000000ff.0.0.0", Run: 100*int(number) + run + 1})
+				}
+				term.engine.HandleReport(r, now, now)
+				term.logContradictions(now)
+			}
+		}
+		report(1)
+		read := lines()
+		c.Assert(read, qt.HasLen, maxContradictionLines)
+		c.Assert(read[0]["kind"], qt.Equals, string(engine.JobUnknown))
+		c.Assert(read[0]["@level"], qt.Equals, "warn")
+		time.Sleep(contradictionInterval)
+		report(2)
+		read = lines()
+		c.Assert(read, qt.HasLen, maxContradictionLines)
+		c.Assert(read[0]["suppressed"].(float64) >= 20*20-maxContradictionLines, qt.IsTrue, qt.Commentf("line: %v", read[0]))
+		counter := scope.Snapshot().Counters()["owner_contradictions+kind=job unknown"]
+		c.Assert(counter, qt.IsNotNil)
+		c.Assert(counter.Value(), qt.Equals, int64(2*20*20))
+	})
+}
--- a/owner/serve.go
+++ b/owner/serve.go
@@ -76,6 +76,7 @@
 		var ack int64
 		ack, granted = t.engine.HandleReport(r, now, wall)
 		t.logDepartures()
+		t.logContradictions(now)
 		losses = t.engine.HeadroomLosses(r.Node)
 		if r.TraitsUnknown {
 			traits = t.engine.Traits(r.Node)
@@ -145,10 +146,7 @@
 	if !t.lease.Valid(time.Now()) {
 		t.withholdStarts(d)
 	}
-	for i := range d.Orders.Starts {
-		s := &d.Orders.Starts[i]
-		t.log.Info("start ordered", "task", s.Task, "run", s.Run, "executor", d.Orders.ExecutorIncarnation, "node", d.Node, "epoch", d.Orders.Epoch, "basis", d.Orders.ReportNumber)
-	}
+	t.logStarts(d)
 	for i := range d.Orders.Stops {
 		s := &d.Orders.Stops[i]
 		t.log.Info("stop ordered", "task", s.Task, "run", s.Run, "reason", s.Reason, "executor", d.Orders.ExecutorIncarnation, "node", d.Node, "epoch", d.Orders.Epoch)
--- a/owner/term.go
+++ b/owner/term.go
@@ -107,6 +107,8 @@
 	unreportedLogAt time.Time
 	deletions       []string
 	quarantined     []string
+	// contradictionLines limits the lines on contradictions.
+	contradictionLines lineLimit
 
 	mu    sync.Mutex
 	acked map[string]int64
--- a/workflow/engine/departures.go
+++ b/workflow/engine/departures.go
@@ -51,12 +51,15 @@
 
 // unassignStarted unassigns the tasks of an executor that has ended whose starts are confirmed.
 func (e *Engine) unassignStarted(n *node, r *workflow.Report, crashed bool, now time.Time) {
-	ended := 0
+	ended, cause := 0, ExecutorLeft
+	if r.Executor == nil || !r.Executor.Left {
+		cause = ExecutorCrashed
+	}
 	for _, t := range e.assignedTo(n.executorIncarnation) {
 		if !t.started || t.startedAfter(r) {
 			continue
 		}
-		e.unassign(t)
+		e.unassign(t, cause, now)
 		ended++
 	}
 	if ended == 0 {
@@ -79,6 +82,10 @@
 // delivered them to this owner.
 func (e *Engine) applyLastLists(n *node, r *workflow.Report, now, wall time.Time) {
 	listedAt := now.Add(-time.Duration(r.ListAgeMillis) * time.Millisecond)
+	n.contradictions.next()
+	if r.Listed {
+		n.lists = executorLists{n.executorIncarnation, listedAt}
+	}
 	for i := range r.Running {
 		run := &r.Running[i]
 		if t := e.taskByName(run.Task); t.isRun(n.executorIncarnation, run.Run) {
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -179,7 +179,7 @@
 			e.reassign(t, n, executor.IncarnationID())
 			continue
 		}
-		e.unassign(t)
+		e.unassign(t, ExecutorReplaced, now)
 	}
 }
 
@@ -188,6 +188,7 @@
 	e.untrack(t)
 	t.executorIncarnation, t.host = incarnation, n.name
 	t.listed, t.started, t.startedSequence = false, false, 0
+	t.reassigned = true
 	t.stoppedSequence, t.stopOrderedAt = 0, time.Time{}
 	n.addTask(t)
 	e.track(t)
@@ -220,13 +221,19 @@
 // handleRunEnd processes the end of a run.
 func (e *Engine) handleRunEnd(n *node, incarnation string, end *workflow.RunEnd, now, wall time.Time) {
 	t := e.taskByName(end.Task)
-	if t == nil || t.phase == workflow.TaskDone {
+	if t == nil {
+		return
+	}
+	if end.How == workflow.EndDone {
+		e.checkDone(n, incarnation, t, end.Run, now)
+	}
+	if t.phase == workflow.TaskDone {
 		return
 	}
 	if t.run != end.Run || t.phase == workflow.TaskAssigned && t.executorIncarnation != incarnation {
 		if end.How == workflow.EndDone && end.Run < t.run && !t.step.LongRunning {
 			// An earlier run has finished after all. The later run is then stopped as an orphaned one.
-			e.completeTask(t, wall)
+			e.completeTask(t, end.Run, incarnation, now, wall)
 		}
 		return
 	}
@@ -242,7 +249,7 @@
 			n.recordDuration(t)
 			e.quarantine.RecordSuccess(t.job.ID, n.name, now)
 		}
-		e.completeTask(t, wall)
+		e.completeTask(t, end.Run, incarnation, now, wall)
 		return
 	}
 	if end.How == workflow.EndFailed {
@@ -254,7 +261,7 @@
 		}
 	}
 	if assigned {
-		e.unassign(t)
+		e.unassign(t, listedEnd(end.How), now)
 	}
 	if end.How == workflow.EndFailed && !t.step.LongRunning && !t.job.phase.Final() && e.attemptsExhausted(t) {
 		e.finish(t.job, workflow.Failed, wall)
@@ -273,8 +280,8 @@
 	return failures >= max(e.queueOf(t.job).MaxAttempts, 1)
 }
 
-// completeTask marks a task, or all members of its gang, as done.
-func (e *Engine) completeTask(t *task, wall time.Time) {
+// completeTask marks a task, or all members of its gang, as done by a run on an executor incarnation.
+func (e *Engine) completeTask(t *task, run int, incarnation string, now, wall time.Time) {
 	members := []*task{t}
 	if t.step.Gang {
 		members = t.group.tasks
@@ -284,13 +291,20 @@
 			continue
 		}
 		if m.phase == workflow.TaskAssigned {
+			if m != t {
+				m.keepFormerRun(GangDone, now)
+			} else if m.run != run {
+				m.keepFormerRun(OtherRunDone, now)
+			}
 			e.untrack(m)
 			delete(e.stopping, m)
 		}
 		m.phase = workflow.TaskDone
 		m.clearRun()
 		m.group.done++
+		m.doneRun = m.run
 	}
+	t.doneRun, t.doneExecutor = run, incarnation
 	j := t.job
 	e.markDirty(j)
 	e.needsPlanning = true
@@ -335,7 +349,7 @@
 	case workflow.OutcomeRejected:
 		t.notBefore = now.Add(rejectionBackoff)
 		t.node.pauseStarts(pauseAfterRejection(r.Reason), now)
-		e.unassign(t)
+		e.unassign(t, StartRejected, now)
 		e.stopRestOfGang(t)
 	default:
 		// The run may have begun or may still begin. It continues if the executor's next lists contain it, and is stopped
--- /dev/null
+++ b/workflow/engine/former_runs.go
@@ -0,0 +1,118 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+// EndCause tells why a run of a task has ceased to count as the task's current run.
+type EndCause string
+
+// Causes of the end of a run. Those of a run whose end its executor has listed are "ended " and the reason that it gave.
+const (
+	// LeaseExpired means that the lease of the executor has expired.
+	LeaseExpired EndCause = "lease expired"
+	// ExecutorLeft means that the executor has left as announced.
+	ExecutorLeft EndCause = "executor left"
+	// ExecutorCrashed means that the executor's host has shown that the executor has ended.
+	ExecutorCrashed EndCause = "executor crashed"
+	// ExecutorReplaced means that an executor with another ID has announced itself on the same host.
+	ExecutorReplaced EndCause = "executor replaced"
+	// StartRejected means that the start had no effect.
+	StartRejected EndCause = "start rejected"
+	// UnlistedAndStopped means that the executor did not list the run after it had accepted an order to stop it.
+	UnlistedAndStopped EndCause = "not listed and stopped"
+	// RestoredAsWaiting means that the record of the job says that a former owner had taken the run for ended.
+	RestoredAsWaiting EndCause = "restored as waiting"
+	// OtherRunDone means that an earlier run of the task has finished it.
+	OtherRunDone EndCause = "another run is done"
+	// GangDone means that another member of the gang has finished.
+	GangDone EndCause = "gang is done"
+)
+
+// listedEnd returns the cause for a run whose end the executor has listed.
+func listedEnd(how workflow.EndReason) EndCause { return EndCause("ended " + string(how)) }
+
+// UnknownAge is an age that is not known.
+const UnknownAge = time.Duration(-1)
+
+// FormerRun is the last run of a task before the current one, and what this owner knew of it when it took it for ended.
+type FormerRun struct {
+	Run int
+	// Executor is the executor incarnation; empty if it is not known.
+	Executor string
+	Cause    EndCause
+	// LeaseSource tells how the expiry of the lease was known, if Cause is LeaseExpired.
+	LeaseSource LeaseSource
+	// ListAge is the time since the executor had listed its runs to this owner, or UnknownAge if it had not.
+	ListAge time.Duration
+	// Started is set if the executor had confirmed or listed the start, Listed if it had listed the run to this owner.
+	Started, Listed bool
+	// Restored is set if a former owner had ordered the run, so that this owner knew it from the record of the job.
+	Restored bool
+	// Reassigned is set if the run was ordered to a former incarnation of the executor.
+	Reassigned bool
+	// StopReason is why a stop was requested; empty if none was.
+	StopReason string
+}
+
+// endedRun is a former run with the time at which this owner took it for ended, or read of its end.
+type endedRun struct {
+	FormerRun
+	endedAt time.Time
+}
+
+// StartBasis is what the owner knew of a task when it decided on a start.
+type StartBasis struct {
+	// Former is the last run whose start was not rejected, or if there is none the last rejected one.
+	// It is nil if the task has not run before.
+	Former *FormerRun
+	// SinceFormer is the time since this owner took the former run for ended or read of its end.
+	SinceFormer time.Duration
+	// RejectedStarts is the number of rejected starts since the former run that was not rejected.
+	RejectedStarts int
+	// JobRecorded is set if the job had a record when this owner read it, JobKnown is the time since then.
+	JobRecorded bool
+	JobKnown    time.Duration
+}
+
+// executorLists tells which executor incarnation last listed its runs to this owner, and when.
+type executorLists struct {
+	incarnation string
+	at          time.Time
+}
+
+// keepFormerRun keeps what is known of the current run of an assigned task, which ceases to count. A rejected start does not
+// replace what is known of a run before it.
+func (t *task) keepFormerRun(cause EndCause, now time.Time) {
+	if cause == StartRejected {
+		t.rejected, t.rejectedStarts = t.describeRun(cause, now), t.rejectedStarts+1
+		return
+	}
+	t.former, t.rejected, t.rejectedStarts = t.describeRun(cause, now), nil, 0
+}
+
+func (t *task) describeRun(cause EndCause, now time.Time) *endedRun {
+	f := &endedRun{endedAt: now, FormerRun: FormerRun{
+		Run: t.run, Executor: t.executorIncarnation, Cause: cause, ListAge: UnknownAge, Started: t.started, Listed: t.listed,
+		Restored: t.restored, Reassigned: t.reassigned, StopReason: t.stopReason,
+	}}
+	if t.node != nil && t.node.lists.incarnation == t.executorIncarnation {
+		f.ListAge = max(now.Sub(t.node.lists.at), 0)
+	}
+	return f
+}
+
+// startBasis returns what was known when the current run of the task was ordered.
+func (t *task) startBasis() StartBasis {
+	b := StartBasis{RejectedStarts: t.rejectedStarts, JobRecorded: t.job.recorded, JobKnown: t.startedAt.Sub(t.job.knownAt)}
+	former := t.former
+	if former == nil {
+		former = t.rejected
+	}
+	if former != nil {
+		b.Former, b.SinceFormer = &former.FormerRun, t.startedAt.Sub(former.endedAt)
+	}
+	return b
+}
--- a/workflow/engine/job.go
+++ b/workflow/engine/job.go
@@ -17,7 +17,10 @@
 	endedUnixMillis int64
 	// acceptedAt is when the job was accepted, on the owner's monotonic clock.
 	acceptedAt time.Time
-	cancelled  bool
+	// knownAt is when this owner learned of the job; recorded is set if the job had a record then.
+	knownAt   time.Time
+	recorded  bool
+	cancelled bool
 	// convicted is set once the job is to be given up because a task of it crashes executors.
 	convicted bool
 	// idleSince is when Plan first found the job ready with no task running; zero while a task runs.
--- a/workflow/engine/node.go
+++ b/workflow/engine/node.go
@@ -97,6 +97,9 @@
 	// repeatedProbes is set if one of them is a suspect of several crashes.
 	probes         int
 	repeatedProbes bool
+	// lists tells when the executor last listed its runs, and contradictions what in them contradicts this owner's state.
+	lists          executorLists
+	contradictions reportedContradictions
 	// orphanStopsAt is when stops of orphaned runs were last ordered.
 	orphanStopsAt time.Time
 }
--- a/workflow/engine/order_test.go
+++ b/workflow/engine/order_test.go
@@ -25,7 +25,7 @@
 	j := e.jobs[id]
 	for _, t := range j.tasks[:done] {
 		t.run, t.duration = 1, time.Second
-		e.completeTask(t, now)
+		e.completeTask(t, t.run, t.executorIncarnation, now, now)
 	}
 	return j
 }
--- a/workflow/engine/output.go
+++ b/workflow/engine/output.go
@@ -59,6 +59,8 @@
 	Node    string
 	Address string
 	Orders  workflow.Orders
+	// Bases holds what was known for each of Orders.Starts.
+	Bases []StartBasis
 }
 
 // TakeOrders returns the orders decided since the last call. The caller sets their epoch.
@@ -69,7 +71,8 @@
 		if n == nil {
 			continue
 		}
-		deliveries = append(deliveries, NodeOrders{Node: name, Address: n.address, Orders: n.orders(b, e.settings.LeaseDuration)})
+		orders, bases := n.orders(b, e.settings.LeaseDuration)
+		deliveries = append(deliveries, NodeOrders{Node: name, Address: n.address, Orders: orders, Bases: bases})
 	}
 	clear(e.outbox)
 	slices.SortFunc(deliveries, func(a, b NodeOrders) int {
@@ -81,21 +84,26 @@
 	return deliveries
 }
 
-func (n *node) orders(b *outbox, lease time.Duration) workflow.Orders {
-	o := workflow.Orders{
+// orders returns the orders for the node, and what was known for each start.
+func (n *node) orders(b *outbox, lease time.Duration) (o workflow.Orders, bases []StartBasis) {
+	o = workflow.Orders{
 		Incarnation: n.incarnation, ReportNumber: n.number, ExecutorIncarnation: n.executor.IncarnationID(), Stops: b.stops, Specs: map[string]string{},
 	}
 	if n.leaseGranted {
 		o.LeaseMillis = lease.Milliseconds()
 	}
+	if len(b.starts) > 0 {
+		bases = make([]StartBasis, 0, len(b.starts))
+	}
 	for _, t := range b.starts {
 		if t.phase != workflow.TaskAssigned || t.node != n {
 			continue
 		}
 		o.Specs[t.job.ID] = t.job.Spec
 		o.Starts = append(o.Starts, workflow.StartOrder{RunTraits: t.traits(), Run: t.run, Saved: t.saved})
+		bases = append(bases, t.startBasis())
 	}
-	return o
+	return o, bases
 }
 
 func (t *task) traits() workflow.RunTraits {
--- a/workflow/engine/reconcile.go
+++ b/workflow/engine/reconcile.go
@@ -14,6 +14,8 @@
 func (e *Engine) reconcile(n *node, r *workflow.Report, now, wall time.Time) {
 	incarnation := n.executorIncarnation
 	n.headroomsAt = time.Time{}
+	n.lists = executorLists{incarnation, n.listedAt}
+	n.contradictions.next()
 	present := make(map[string]int, len(r.Running)+len(r.Ended))
 	n.orphanedRuns = n.orphanedRuns[:0]
 	for i := range r.Running {
@@ -22,6 +24,7 @@
 		t := e.taskByName(run.Task)
 		if !t.isRun(incarnation, run.Run) {
 			n.orphanedRuns = append(n.orphanedRuns, *run)
+			e.checkRunning(n, run, now)
 			continue
 		}
 		t.updateProgress(run, n.listedAt)
@@ -39,7 +42,7 @@
 		if present[t.name] >= t.run || t.startPending {
 			continue
 		}
-		e.handleUnlistedRun(t, r)
+		e.handleUnlistedRun(t, r, now)
 	}
 	e.recordAlive(n)
 	e.stopOrphanedRuns(n, now)
@@ -63,12 +66,12 @@
 
 // handleUnlistedRun handles a task that its executor lists neither as running nor as ended. Its start may still arrive,
 // so a stop is ordered before the task is unassigned: an executor never starts a run after an order to stop it.
-func (e *Engine) handleUnlistedRun(t *task, r *workflow.Report) {
+func (e *Engine) handleUnlistedRun(t *task, r *workflow.Report, now time.Time) {
 	if t.startedSequence > r.CoveredSequence && t.startedIncarnation == r.Incarnation {
 		return
 	}
 	if t.stoppedSequence > 0 && t.stoppedIncarnation == r.Incarnation && r.CoveredSequence >= t.stoppedSequence {
-		e.unassign(t)
+		e.unassign(t, UnlistedAndStopped, now)
 		return
 	}
 	if t.stoppedIncarnation != r.Incarnation {
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -86,6 +86,8 @@
 	// idle holds the jobs without a run that the owner has not taken yet; idleSearchedAt is when such jobs were last looked for.
 	idle           []Idle
 	idleSearchedAt time.Time
+	// contradictions holds the contradictions between executors' lists and this owner's state that the owner has not taken yet.
+	contradictions contradictions
 	// waitsToExplain is how many more jobs may be explained before the next Tick.
 	waitsToExplain int
 }
@@ -176,7 +178,7 @@
 		return false
 	}
 	age := max(wall.Sub(time.UnixMilli(spec.AcceptedUnixMillis)), 0)
-	j := &job{Job: spec, phase: workflow.Pending, storedPhase: workflow.Pending, acceptedAt: now.Add(-age)}
+	j := &job{Job: spec, phase: workflow.Pending, storedPhase: workflow.Pending, acceptedAt: now.Add(-age), knownAt: now, recorded: record != nil}
 	j.buildTasks()
 	e.jobs[spec.ID] = j
 	e.activeJobs[spec.ID] = j
@@ -251,10 +253,13 @@
 			t.crashes.suspectSince = now
 			e.crashes.suspects[t] = struct{}{}
 		}
-		t.phase = r.Phase
+		t.phase, t.restored = r.Phase, true
 		switch r.Phase {
 		case workflow.TaskDone:
 			t.group.done++
+			t.doneRun = r.Run
+		case workflow.TaskWaiting:
+			t.keepFormerRun(RestoredAsWaiting, now)
 		case workflow.TaskAssigned:
 			t.executorIncarnation, t.host = r.Life, r.Node
 			e.awaitHost(r.Node)
@@ -276,8 +281,10 @@
 
 func compareTasks(a, b *task) int { return cmp.Compare(a.name, b.name) }
 
-// unassign returns an assigned task to waiting. The caller has made sure that no run of it exists or can still begin.
-func (e *Engine) unassign(t *task) {
+// unassign returns an assigned task to waiting. The caller has made sure that no run of it exists or can still begin, and gives
+// the cause.
+func (e *Engine) unassign(t *task, cause EndCause, now time.Time) {
+	t.keepFormerRun(cause, now)
 	e.quarantine.RecordProbeAbort(t.host)
 	e.untrack(t)
 	delete(e.stopping, t)
@@ -308,6 +315,7 @@
 	t.executorIncarnation, t.host, t.node = "", "", nil
 	t.startPending, t.started, t.listed, t.stopRequested, t.stopReason = false, false, false, false, ""
 	t.startedSequence, t.stoppedSequence = 0, 0
+	t.restored, t.reassigned = false, false
 	t.startedIncarnation, t.stoppedIncarnation = 0, 0
 	t.stopOrderedAt = time.Time{}
 	t.percent, t.usage = 0, 0
--- a/workflow/engine/task.go
+++ b/workflow/engine/task.go
@@ -57,4 +57,16 @@
 	// notBefore is the earliest time of the next start after a rejected one.
 	notBefore time.Time
 	crashes   taskCrashes
+	// restored is set if the current run, or the end of the task, is known from the record of the job.
+	restored bool
+	// reassigned is set if the current run was ordered to a former incarnation of its executor.
+	reassigned bool
+	// former is the last run that has ceased to count, apart from those with rejected starts and the one that has finished the
+	// task; nil if there is none. rejected is the last run since then whose start was rejected, rejectedStarts their number.
+	former         *endedRun
+	rejected       *endedRun
+	rejectedStarts int
+	// doneRun and doneExecutor are the run that has finished the task; the executor is empty if it is not known.
+	doneRun      int
+	doneExecutor string
 }
