Log suspensions, pauses, late renewals and the ages behind rejections

What callers saw: after tasks had run twice, the logs of nodes could not say whether a host had been suspended or its processes had not run, nor by which ages a start had been rejected.

Cause: a node logs when a lease is granted by its owner, not when the executor gets a renewal late, and compares no clocks.

Change, without any change of decisions: - Four times a second a node compares monotonic time and the time since boot. "host was suspended" and "process was paused" tell for how long, at most once in 5 s each with the sum since the last line; node_suspensions, node_pauses. - "lease renewed late" tells that the lease which the executor holds was renewed with less than 1 s left, past its end, or after the host was suspended since the last renewal, at most once a second. - "start rejected" has the ages of the report, the lists and the clock reading, what was left of the lease, and the highest epoch known.

--- a/node/hold.go
+++ b/node/hold.go
@@ -93,6 +93,8 @@
 	covers int64
 	// renewedUntil is the end of the lease that the executor has confirmed.
 	renewedUntil time.Time
+	// called is when the call was made.
+	called clockReading
 }
 
 // holdAnswer is the response to a copy of a hold call. renewed is set if that copy carried the deadline.
@@ -124,6 +126,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.current != nil && n.current.IncarnationID() == h.incarnation {
+		n.logRenewal(h)
 		n.renewedUntil = h.leaseEnd
 	}
 }
@@ -150,7 +153,7 @@
 	}
 	return holdCall{
 		incarnation: n.current.IncarnationID(), fence: n.fence(n.epoch), ack: n.pendingAck(), deadline: n.deadline(now), leaseEnd: n.leaseEnd,
-		wait: wait, covers: n.executedOrders, renewedUntil: n.renewedUntil,
+		wait: wait, covers: n.executedOrders, renewedUntil: n.renewedUntil, called: readClocks(),
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -109,6 +109,8 @@
 	leaseEnd time.Time
 	// renewedUntil is the end of the lease that the executor has last confirmed by its answer to a hold call.
 	renewedUntil time.Time
+	// renewals tells when the executor's lease was last renewed.
+	renewals renewalLog
 	// leaseBound is the latest end of all leases that this process and former ones of the host can have passed on, to whichever
 	// incarnation of the executor.
 	leaseBound   time.Time
@@ -131,8 +133,8 @@
 }
 
 type nodeMetrics struct {
-	starts, rejected, unknown, stops, ends, reports, failedReports, repeated tally.Counter
-	startTime, reportTime                                                    tally.Histogram
+	starts, rejected, unknown, stops, ends, reports, failedReports, repeated, suspensions, pauses tally.Counter
+	startTime, reportTime                                                                         tally.Histogram
 }
 
 // New returns a node that reports under the given name and receives orders at the given address.
@@ -155,6 +157,7 @@
 			unknown: scope.Counter("node_starts_unknown"), stops: scope.Counter("node_stops"),
 			ends: scope.Counter("node_ends"), reports: scope.Counter("node_reports"),
 			failedReports: scope.Counter("node_reports_failed"), repeated: scope.Counter("node_calls_repeated"),
+			suspensions: scope.Counter("node_suspensions"), pauses: scope.Counter("node_pauses"),
 			startTime:  scope.Histogram("node_start_seconds", buckets),
 			reportTime: scope.Histogram("node_report_seconds", buckets),
 		},
@@ -252,6 +255,7 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { n.holdLoop(ctx) })
 	loops.Go(func() { n.reportLoop(ctx) })
+	loops.Go(func() { n.watchPauses(ctx) })
 	loops.Wait()
 }
 
--- a/node/orders.go
+++ b/node/orders.go
@@ -98,7 +98,9 @@
 func (n *Node) start(ctx context.Context, orders *workflow.Orders, s *workflow.StartOrder) workflow.OrderResult {
 	result := workflow.OrderResult{Task: s.Task, Run: s.Run, Outcome: workflow.OutcomeRejected}
 	n.mu.Lock()
-	deadline, reason := n.checkStart(orders, time.Now())
+	now := time.Now()
+	deadline, reason := n.checkStart(orders, now)
+	ages := n.startAges(orders.ReportNumber, now)
 	fence := int64(0)
 	if reason == "" {
 		fence = n.fence(orders.Epoch)
@@ -108,7 +110,7 @@
 	n.mu.Unlock()
 	if reason != "" {
 		n.metrics.rejected.Inc(1)
-		n.log.Info("start rejected", "task", s.Task, "run", s.Run, "reason", reason, "epoch", orders.Epoch, "basis", orders.ReportNumber)
+		n.log.With(ages...).Info("start rejected", "task", s.Task, "run", s.Run, "reason", reason, "epoch", orders.Epoch, "basis", orders.ReportNumber)
 		result.Reason = reason
 		return result
 	}
