--- a/owner/inputs.go
+++ b/owner/inputs.go
@@ -73,7 +73,7 @@
 	}
 	if t.engine.Add(spec, records[id], now, wall) {
 		t.log.Info("job known", "job", id, "queue", spec.Queue.Name, "steps", len(spec.Steps), "revision", item.Revision,
-			"recorded", records[id] != nil, "live", live, "age_ms", wall.UnixMilli()-spec.AcceptedUnixMillis,
+			"recorded", records[id] != nil, "forgotten", t.engine.WasForgotten(id), "live", live, "age_ms", wall.UnixMilli()-spec.AcceptedUnixMillis,
 			"chain_ms", t.engine.CriticalPath(id).Milliseconds(), "objective_ms", t.engine.Objective(id).Milliseconds(),
 			"first_step", spec.Steps[0])
 		delete(records, id)
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -43,6 +43,9 @@
 			"task", s.Task, "run", s.Run, "executor", d.Orders.ExecutorIncarnation, "node", d.Node, "epoch", d.Orders.Epoch, "basis", d.Orders.ReportNumber,
 			"job_recorded", basis.JobRecorded, "job_known_ms", basis.JobKnown.Milliseconds(),
 		}
+		if basis.JobForgotten {
+			fields = append(fields, "job_forgotten", true)
+		}
 		if basis.Former != nil {
 			t.metrics.scope.Tagged(map[string]string{"cause": string(basis.Former.Cause)}).Counter("owner_restarts").Inc(1)
 			fields = append(fields, formerRunFields(basis.Former, basis.SinceFormer)...)
--- a/owner/runs_test.go
+++ b/owner/runs_test.go
@@ -42,7 +42,7 @@
 		term, scope, lines := loggedTerm(t)
 		term.logStarts(&engine.NodeOrders{
 			Node: "b", Orders: workflow.Orders{Epoch: 7, Starts: []workflow.StartOrder{{Run: 1}, {Run: 4}}},
-			Bases: []engine.StartBasis{{JobRecorded: true, JobKnown: 3 * time.Second}, {
+			Bases: []engine.StartBasis{{JobRecorded: true, JobKnown: 3 * time.Second, JobForgotten: true}, {
 				Former: &engine.FormerRun{
 					Run: 1, Executor: "i-a@1", Cause: engine.LeaseExpired, LeaseSource: engine.LeaseOfTakeover, ListAge: engine.UnknownAge, Restored: true,
 				},
@@ -53,6 +53,7 @@
 		c.Assert(read, qt.HasLen, 2)
 		c.Assert(read[0]["job_recorded"], qt.Equals, true)
 		c.Assert(read[0]["job_known_ms"], qt.Equals, 3000.0)
+		c.Assert(read[0]["job_forgotten"], qt.Equals, true)
 		_, isRestart := read[0]["former_run"]
 		c.Assert(isRestart, qt.IsFalse)
 		for field, value := range map[string]any{
--- a/workflow/engine/former_runs.go
+++ b/workflow/engine/former_runs.go
@@ -75,6 +75,8 @@
 	// JobRecorded is set if the job had a record when this owner read it, JobKnown is the time since then.
 	JobRecorded bool
 	JobKnown    time.Duration
+	// JobForgotten is set if this owner had removed the job before.
+	JobForgotten bool
 }
 
 // executorLists tells which executor incarnation last listed its runs to this owner, and when.
@@ -106,7 +108,7 @@
 
 // startBasis returns what was known when the current run of the task was ordered.
 func (t *task) startBasis() StartBasis {
-	b := StartBasis{RejectedStarts: t.rejectedStarts, JobRecorded: t.job.recorded, JobKnown: t.startedAt.Sub(t.job.knownAt)}
+	b := StartBasis{RejectedStarts: t.rejectedStarts, JobRecorded: t.job.recorded, JobKnown: t.startedAt.Sub(t.job.knownAt), JobForgotten: t.job.forgotten}
 	former := t.former
 	if former == nil {
 		former = t.rejected
--- a/workflow/engine/job.go
+++ b/workflow/engine/job.go
@@ -17,9 +17,11 @@
 	endedUnixMillis int64
 	// acceptedAt is when the job was accepted, on the owner's monotonic clock.
 	acceptedAt time.Time
-	// knownAt is when this owner learned of the job; recorded is set if the job had a record then.
+	// knownAt is when this owner learned of the job; recorded is set if the job had a record then, forgotten if this owner had
+	// removed it before.
 	knownAt   time.Time
 	recorded  bool
+	forgotten bool
 	cancelled bool
 	// convicted is set once the job is to be given up because a task of it crashes executors.
 	convicted bool
--- a/workflow/engine/output.go
+++ b/workflow/engine/output.go
@@ -217,4 +217,5 @@
 	}
 	delete(e.activeJobs, id)
 	delete(e.jobs, id)
+	e.forgotten.add(id)
 }
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -86,6 +86,8 @@
 	// idle holds the jobs without a run that the owner has not taken yet; idleSearchedAt is when such jobs were last looked for.
 	idle           []Idle
 	idleSearchedAt time.Time
+	// forgotten holds the jobs that were last removed.
+	forgotten forgottenJobs
 	// contradictions holds the contradictions between executors' lists and this owner's state that the owner has not taken yet.
 	contradictions contradictions
 	// waitsToExplain is how many more jobs may be explained before the next Tick.
@@ -178,7 +180,7 @@
 		return false
 	}
 	age := max(wall.Sub(time.UnixMilli(spec.AcceptedUnixMillis)), 0)
-	j := &job{Job: spec, phase: workflow.Pending, storedPhase: workflow.Pending, acceptedAt: now.Add(-age), knownAt: now, recorded: record != nil}
+	j := &job{Job: spec, phase: workflow.Pending, storedPhase: workflow.Pending, acceptedAt: now.Add(-age), knownAt: now, recorded: record != nil, forgotten: e.WasForgotten(spec.ID)}
 	j.buildTasks()
 	e.jobs[spec.ID] = j
 	e.activeJobs[spec.ID] = j
