Name the phase of the task in lines on contradictions

What operators saw: the phase was a number, and 0 (waiting) for a task that the owner doesn't know.

Change: the line has waiting, assigned, done or unknown.

Evidence: TestContradictionLinesAreLimited checks an unknown task.

--- a/owner/runs.go
+++ b/owner/runs.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/quetzalshed/quetzalshed/workflow"
 	"github.com/quetzalshed/quetzalshed/workflow/engine"
 )
 
@@ -81,6 +82,19 @@
 	return age.Milliseconds()
 }
 
+// phaseName returns the name of the phase of the task of a contradiction, for the log.
+func phaseName(c *engine.Contradiction) string {
+	switch {
+	case !c.TaskKnown:
+		return "unknown"
+	case c.Phase == workflow.TaskAssigned:
+		return "assigned"
+	case c.Phase == workflow.TaskDone:
+		return "done"
+	}
+	return "waiting"
+}
+
 // logContradictions counts the contradictions between what executors list and what the owner knows, and logs them up to a limit.
 func (t *term) logContradictions(now time.Time) {
 	described, counts := t.engine.TakeContradictions()
@@ -97,7 +111,7 @@
 		c := &described[i]
 		fields := []any{
 			"kind", c.Kind, "task", c.Task, "run", c.Run, "executor", c.Executor, "node", c.Node, "list_age_ms", ageMillis(c.ListAge),
-			"phase", c.Phase, "current_run", c.CurrentRun, "current_executor", c.CurrentExecutor, "epoch", t.lease.Record.Epoch,
+			"phase", phaseName(c), "current_run", c.CurrentRun, "current_executor", c.CurrentExecutor, "epoch", t.lease.Record.Epoch,
 			"suppressed", t.contradictionLines.suppressed,
 		}
 		t.contradictionLines.suppressed = 0
--- a/owner/runs_test.go
+++ b/owner/runs_test.go
@@ -91,6 +91,7 @@
 		read := lines()
 		c.Assert(read, qt.HasLen, maxContradictionLines)
 		c.Assert(read[0]["kind"], qt.Equals, string(engine.JobUnknown))
+		c.Assert(read[0]["phase"], qt.Equals, "unknown")
 		c.Assert(read[0]["@level"], qt.Equals, "warn")
 		time.Sleep(contradictionInterval)
 		report(2)
--- a/workflow/engine/contradictions.go
+++ b/workflow/engine/contradictions.go
@@ -46,7 +46,9 @@
 	Taken *FormerRun
 	// SinceTaken is the time since then.
 	SinceTaken time.Duration
-	// Phase, CurrentRun and CurrentExecutor are the state of the task; the executor is empty unless the task is assigned.
+	// Phase, CurrentRun and CurrentExecutor are the state of the task if TaskKnown is set; the executor is empty unless the task is
+	// assigned.
+	TaskKnown       bool
 	Phase           workflow.TaskPhase
 	CurrentRun      int
 	CurrentExecutor string
@@ -189,7 +191,7 @@
 		c.ListAge = max(now.Sub(n.lists.at), 0)
 	}
 	if t != nil {
-		c.Phase, c.CurrentRun, c.CurrentExecutor = t.phase, t.run, t.executorIncarnation
+		c.TaskKnown, c.Phase, c.CurrentRun, c.CurrentExecutor = true, t.phase, t.run, t.executorIncarnation
 		if former := t.formerRun(run, n.executorIncarnation); former != nil {
 			c.Taken, c.SinceTaken = &former.FormerRun, now.Sub(former.endedAt)
 		}
