--- a/kv/kvtest/client.go
+++ b/kv/kvtest/client.go
@@ -26,6 +26,8 @@
 	CommitDelay  time.Duration
 	// Delay is the latency of each call.
 	Delay time.Duration
+	// ListDelay is how long the response to a List takes after the store has read the items.
+	ListDelay time.Duration
 }
 
 // Client is the connection of one process to a store, with its own faults. It implements kv.Store.
@@ -100,7 +102,10 @@
 		return nil, 0, err
 	}
 	items, revision := c.store.list(prefix)
-	return items, revision, nil
+	c.mu.Lock()
+	delay := c.faults.ListDelay
+	c.mu.Unlock()
+	return items, revision, wait(ctx, delay, nil)
 }
 
 // Watch implements kv.Store.
--- a/owner/faults_test.go
+++ b/owner/faults_test.go
@@ -28,7 +28,7 @@
 	return &term{
 		lease: lease, log: hclog.NewNullLogger(), metrics: newMetrics(tally.NoopScope), events: make(chan event, eventQueueSize),
 		rpc:    rpc.NewClientWithTransport(network.Transport("owner")),
-		engine: engine.New(engine.Settings{LeaseDuration: ExecutorLeaseDuration, LeaseExpiry: executorLeaseExpiry, RemoteSlowdown: 1.5, Retention: retention}, time.Now()),
+		engine: engine.New(engine.Settings{LeaseDuration: ExecutorLeaseDuration, LeaseExpiry: executorLeaseExpiry, RemoteSlowdown: 1.5, Retention: defaultRetention}, time.Now()),
 	}
 }
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -65,6 +65,8 @@
 	Scope         tally.Scope
 	// RemoteSlowdown is how many times longer a task runs if its data is not local; 0 means defaultRemoteSlowdown.
 	RemoteSlowdown float64
+	// Retention is how long the state of a finished job is kept; 0 means defaultRetention.
+	Retention time.Duration
 
 	writer *intake.Writer
 
@@ -127,7 +129,7 @@
 	t := &term{
 		lease: lease, store: c.Store, operators: c.Operators, rpc: c.RPC, log: c.Log, metrics: metrics,
 		events: make(chan event, eventQueueSize), loaded: make(chan struct{}), commitDone: make(chan error, 1),
-		remoteSlowdown: cmp.Or(c.RemoteSlowdown, defaultRemoteSlowdown), commitRevision: lease.CommitRevision, acked: map[string]int64{},
+		remoteSlowdown: cmp.Or(c.RemoteSlowdown, defaultRemoteSlowdown), retention: cmp.Or(c.Retention, defaultRetention), commitRevision: lease.CommitRevision, acked: map[string]int64{},
 	}
 	c.Log.Info("ownership taken", "epoch", lease.Record.Epoch)
 	c.setTerm(t)
--- a/owner/term.go
+++ b/owner/term.go
@@ -50,8 +50,8 @@
 	eventQueueSize = 1024
 	// ordersTimeout limits the delivery of orders to a node.
 	ordersTimeout = 2 * time.Second
-	// retention is how long the state of a finished job is kept.
-	retention = 130 * time.Second
+	// defaultRetention is how long the state of a finished job is kept, unless the candidate says otherwise.
+	defaultRetention = 130 * time.Second
 	// collectInterval is how often expired finished jobs are deleted, and collectLimit how many at a time.
 	collectInterval = 2 * time.Second
 	collectLimit    = 8
@@ -89,6 +89,7 @@
 	log            hclog.Logger
 	metrics        metrics
 	remoteSlowdown float64
+	retention      time.Duration
 
 	engine *engine.Engine
 	events chan event
@@ -156,7 +157,7 @@
 	records := t.parseRecords(states)
 	now := time.Now()
 	t.engine = engine.New(engine.Settings{
-		LeaseDuration: ExecutorLeaseDuration, LeaseExpiry: executorLeaseExpiry, RemoteSlowdown: t.remoteSlowdown, Retention: retention, TakeoverSlack: takeoverSlack,
+		LeaseDuration: ExecutorLeaseDuration, LeaseExpiry: executorLeaseExpiry, RemoteSlowdown: t.remoteSlowdown, Retention: t.retention, TakeoverSlack: takeoverSlack,
 		Epoch: t.lease.Record.Epoch,
 	}, now)
 	t.inheritLeases()
--- a/test/workflows/fleet_test.go
+++ b/test/workflows/fleet_test.go
@@ -85,6 +85,8 @@
 	log        hclog.Logger
 	// fetchOrders is set if executors fetch their orders with their heartbeats instead of taking calls.
 	fetchOrders bool
+	// retention is how long owners keep finished jobs; 0 for their default.
+	retention time.Duration
 }
 
 func newFleet(t testing.TB, ctx context.Context, hosts int) *fleet {
@@ -92,8 +94,13 @@
 }
 
 func newFleetOf(t testing.TB, ctx context.Context, hosts int, fetching bool) *fleet {
+	return newRetainingFleet(t, ctx, hosts, fetching, 0)
+}
+
+// newRetainingFleet returns a fleet whose owners keep finished jobs for a given time.
+func newRetainingFleet(t testing.TB, ctx context.Context, hosts int, fetching bool, retention time.Duration) *fleet {
 	f := &fleet{
-		C: qt.New(t), ctx: ctx, fetchOrders: fetching, startedAt: time.Now(), store: kvtest.New(), network: rpctest.New(),
+		C: qt.New(t), ctx: ctx, fetchOrders: fetching, retention: retention, startedAt: time.Now(), store: kvtest.New(), network: rpctest.New(),
 		checker: newInvariantChecker(), log: hclog.NewNullLogger(),
 	}
 	if *logFleet {
@@ -157,7 +164,7 @@
 	n := node.New(h.name, h.name, executor, h.locator, client, log, tally.NoopScope)
 	candidate := &owner.Candidate{
 		Node: h.name, Address: h.name, Store: monitor, Locator: h.locator, Operators: operators{}, RPC: client,
-		Log: log, Scope: tally.NoopScope,
+		Log: log, Scope: tally.NoopScope, Retention: f.retention,
 	}
 	router := mux.NewRouter()
 	n.Register(router)
