Ignore old reads of the inputs of deleted jobs

What callers saw: the tasks of a completed job ran again from run 1 after its state was deleted. Cause: a read of all inputs that was sent before the deletion was applied after engine.Forget. Evidence: TestForgottenJobIsNotAddedByOldRead. Change: the term remembers the revision at which it deleted a job until a read of the inputs has been answered that was sent 10 s or more after the deletion, and ignores inputs of the job that are not newer. A job that is submitted again after its deletion has a higher revision and is added.

--- a/owner/inputs.go
+++ b/owner/inputs.go
@@ -40,6 +40,7 @@
 				send(func() { t.applyInput(e.Item, records, true) })
 			}
 		},
+		OnFresh: func(sentAt time.Time) { send(func() { t.forgotten.prune(sentAt) }) },
 	}
 	follower.Run(ctx)
 }
@@ -49,6 +50,9 @@
 func (t *term) applyInput(item kv.Item, records map[string]*workflow.JobRecord, live bool) {
 	now, wall := time.Now(), time.Now()
 	if id, ok := strings.CutPrefix(item.Key, CancelPrefix); ok {
+		if t.forgotten.covers(id, item.Revision) {
+			return
+		}
 		if t.engine.Cancel(id, wall) {
 			t.log.Debug("job cancelled", "job", id, "revision", item.Revision)
 		}
@@ -58,6 +62,10 @@
 	if !ok {
 		return
 	}
+	if t.forgotten.covers(id, item.Revision) {
+		t.log.Info("input of a deleted job ignored", "job", id, "revision", item.Revision)
+		return
+	}
 	if record := records[id]; record != nil && record.Phase.Final() && len(record.Tasks) == 0 {
 		t.engine.AddEnded(id, record)
 		delete(records, id)
--- a/owner/term.go
+++ b/owner/term.go
@@ -107,6 +107,7 @@
 	// unreportedLogAt is when executors that have not reported are logged; zero once that is done.
 	unreportedLogAt time.Time
 	deletions       []string
+	forgotten       forgottenJobs
 	quarantined     []string
 
 	mu    sync.Mutex
@@ -324,6 +325,7 @@
 	}
 	for _, id := range b.deletions {
 		t.engine.Forget(id)
+		t.forgotten.add(id, t.commitRevision, time.Now())
 	}
 	t.release(b)
 	return nil
