Count the retention of jobs on the monotonic clock

What callers saw: an owner whose wall clock is ahead deletes jobs that have just ended. Cause: the retention was counted by the wall clocks of two hosts. Evidence: TestRetentionIsNotCountedByWallClock. Change: the retention counts from when this owner knows of the end: from the end itself, or from when it read the records. The stored time of the end stays in the record. Where owners change more often than each 130 s, finished jobs are kept until a term lasts that long.

--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -25,10 +25,10 @@
 	return true
 }
 
-// finish moves a job to a final phase and requests stops of its remaining runs.
+// finish moves a job to a final phase and requests stops of its remaining runs. The time carries a reading of the monotonic clock.
 func (e *Engine) finish(j *job, phase workflow.Phase, wall time.Time) {
 	j.phase = phase
-	j.endedUnixMillis = wall.UnixMilli()
+	j.endedUnixMillis, j.endedAt = wall.UnixMilli(), wall
 	delete(e.activeJobs, j.ID)
 	e.markDirty(j)
 	e.needsPlanning = true
--- a/workflow/engine/job.go
+++ b/workflow/engine/job.go
@@ -15,6 +15,9 @@
 	tasks           []*task
 	groups          []group
 	endedUnixMillis int64
+	// endedAt is since when this owner knows that the job has ended, on its monotonic clock. The retention counts from it, since the
+	// wall clocks of owners differ.
+	endedAt time.Time
 	// acceptedAt is when the job was accepted, on the owner's monotonic clock.
 	acceptedAt time.Time
 	cancelled  bool
--- a/workflow/engine/output.go
+++ b/workflow/engine/output.go
@@ -180,13 +180,13 @@
 
 // ExpiredJobs returns up to limit finished jobs whose retention has passed and that have no assigned task. The caller
 // deletes their keys and then calls Forget.
-func (e *Engine) ExpiredJobs(wall time.Time, limit int) []string {
+func (e *Engine) ExpiredJobs(now time.Time, limit int) []string {
 	var ids []string
 	for _, j := range e.jobs {
 		if len(ids) == limit {
 			break
 		}
-		if j.phase.Final() && j.storedPhase.Final() && wall.UnixMilli()-j.endedUnixMillis > e.settings.Retention.Milliseconds() && !j.hasAssignedTask() {
+		if j.phase.Final() && j.storedPhase.Final() && now.Sub(j.endedAt) > e.settings.Retention && !j.hasAssignedTask() {
 			ids = append(ids, j.ID)
 		}
 	}
--- a/workflow/engine/retention_test.go
+++ b/workflow/engine/retention_test.go
@@ -25,7 +25,9 @@
 	}
 	for name, takeover := range map[string]func(h *harness, job workflow.Job, record *workflow.JobRecord){
 		"by its record alone": func(h *harness, job workflow.Job, record *workflow.JobRecord) { h.engine.AddEnded(job.ID, record) },
-		"with its input":      func(h *harness, job workflow.Job, record *workflow.JobRecord) { h.engine.Add(job, record, h.now, h.now) },
+		"with its input": func(h *harness, job workflow.Job, record *workflow.JobRecord) {
+			h.engine.Add(job, record, h.now, h.now)
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t)
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -58,6 +58,8 @@
 	lapsedAt map[string]time.Time
 	// inheritedLeases holds when the leases of executor incarnations have expired, as the former owner has stored it.
 	inheritedLeases map[string]time.Time
+	// loadedAt is when the records were read.
+	loadedAt time.Time
 	// discoveryDeadline is when all executors have had time to announce themselves to a new owner.
 	discoveryDeadline time.Time
 	// hasRestoredRuns is set if restored records named hosts of running tasks; unreportedHosts holds those of these
@@ -114,6 +116,7 @@
 		unreportedSource:     LeaseOfTakeover,
 		inheritedLeases:      map[string]time.Time{},
 		lapsedAt:             map[string]time.Time{},
+		loadedAt:             now,
 		discoveryDeadline:    now.Add(discoveryTimeout),
 		unreportedHosts:      map[string]bool{},
 		dirtyJobs:            map[*job]struct{}{},
@@ -189,7 +192,7 @@
 	e.observeWork(j)
 	if e.pendingCancellations[j.ID] {
 		delete(e.pendingCancellations, j.ID)
-		e.Cancel(j.ID, wall)
+		e.Cancel(j.ID, now)
 	}
 	e.needsPlanning = true
 	return true
@@ -202,7 +205,7 @@
 	}
 	e.jobs[id] = &job{
 		Job: workflow.Job{ID: id}, phase: record.Phase, storedPhase: record.Phase, endedUnixMillis: record.EndedUnixMillis,
-		cancelled: record.Phase == workflow.Cancelled,
+		endedAt: e.loadedAt, cancelled: record.Phase == workflow.Cancelled,
 	}
 	delete(e.pendingCancellations, id)
 }
@@ -238,7 +241,7 @@
 func (e *Engine) restore(j *job, record *workflow.JobRecord, now time.Time) {
 	j.phase = record.Phase
 	j.storedPhase = record.Phase
-	j.endedUnixMillis = record.EndedUnixMillis
+	j.endedUnixMillis, j.endedAt = record.EndedUnixMillis, e.loadedAt
 	j.cancelled = record.Phase == workflow.Cancelled
 	for _, r := range record.Tasks {
 		t := j.findTask(workflow.TaskID{Job: j.ID, Occurrence: r.Occurrence, Step: r.Step, Index: r.Index})
