Show that records that can't be read are taken for tasks that never ran

What callers saw: nothing yet in a record that is kept. A job whose record is skipped starts again from run 1, beside or after its former runs. Cause: term.parseRecords skips what it can't decode and applyInput adds the job without a record; a row of a later version with more cells can't be decoded; a list that is truncated without items, or that isn't the store's, counts as complete.

--- a/workflow/record_test.go
+++ b/workflow/record_test.go
@@ -53,6 +53,17 @@
 	c.Assert(json.Unmarshal([]byte(`{"phase":"running","tasks":[[0,1,2,1]]}`), &read), qt.ErrorMatches, "(?s).*4 cells, 5 to 11 expected.*")
 }
 
+// Guards against an owner that can't read the records of a later version, whose rows have more cells, and runs their tasks again.
+func TestRecordsOfLaterVersions(t *testing.T) {
+	c := qt.New(t)
+	var read workflow.JobRecord
+	later := `{"phase":"running","tasks":[[0,1,2,1,3,4,"life","saved","node",5,6,"more",[7],{"x":8}]],"more":{}}`
+	c.Assert(json.Unmarshal([]byte(later), &read), qt.IsNil)
+	c.Assert(read.Tasks, qt.DeepEquals, []workflow.TaskRecord{
+		{Step: 1, Index: 2, Phase: workflow.TaskAssigned, Run: 3, Failures: 4, Life: "life", Saved: "saved", Node: "node", Crashes: 5, Suspicions: 6},
+	})
+}
+
 // Guards against reports that the owner decodes differently from what the node encoded, and against accepting rows that
 // are truncated or have wrong types. Both JSON decoders must reject those.
 func TestReportRowDecoding(t *testing.T) {
