Read records of later versions, whose rows have more cells

What callers saw: during an upgrade an owner of the former version starts the tasks of a job again whose record the new one has written. Cause: a row with more cells than known was an error. Evidence: TestRecordsOfLaterVersions. Change: further cells of a record's rows are skipped. Rows of reports stay strict (TestReportRowDecoding). Result: the test passes. Versions before this one still can't read longer rows.

--- a/workflow/record.go
+++ b/workflow/record.go
@@ -97,7 +97,7 @@
 // UnmarshalJSONFrom reads the same form.
 func (t *TaskRecord) UnmarshalJSONFrom(dec *jsontext.Decoder) error {
 	phase := 0
-	err := readRow(dec, requiredCells, &t.Occurrence, &t.Step, &t.Index, &phase, &t.Run, &t.Failures, &t.Life, &t.Saved, &t.Node, &t.Crashes, &t.Suspicions)
+	err := readExtensibleRow(dec, requiredCells, &t.Occurrence, &t.Step, &t.Index, &phase, &t.Run, &t.Failures, &t.Life, &t.Saved, &t.Node, &t.Crashes, &t.Suspicions)
 	t.Phase = TaskPhase(phase)
 	return err
 }
--- a/workflow/row.go
+++ b/workflow/row.go
@@ -15,6 +15,15 @@
 // readRow decodes an array into the cells, each an *int, *int64, *float64 or *string. Cells after the required ones may
 // be missing.
 func readRow(dec *jsontext.Decoder, required int, cells ...any) error {
+	return readCells(dec, required, false, cells)
+}
+
+// readExtensibleRow is readRow for rows to which later versions may have added cells, which it skips.
+func readExtensibleRow(dec *jsontext.Decoder, required int, cells ...any) error {
+	return readCells(dec, required, true, cells)
+}
+
+func readCells(dec *jsontext.Decoder, required int, extensible bool, cells []any) error {
 	if token, err := dec.ReadToken(); err != nil {
 		return err
 	} else if token.Kind() != '[' {
@@ -22,6 +31,12 @@
 	}
 	read := 0
 	for ; dec.PeekKind() != ']'; read++ {
+		if extensible && read >= len(cells) {
+			if err := dec.SkipValue(); err != nil {
+				return err
+			}
+			continue
+		}
 		token, err := dec.ReadToken()
 		if err != nil {
 			return err
