Hold the jobs whose records can't be read

What callers saw: a job whose record can't be read is pending, and all its tasks run again from run 1. Cause: parseRecords skipped the record, and a job without a record has not run. Evidence: TestJobWithUnreadableRecordIsNotStarted. Change: such a job is known and running to clients; nothing of it is started, and it can be cancelled.

--- a/owner/inputs.go
+++ b/owner/inputs.go
@@ -66,7 +66,13 @@
 		t.log.Info("input of a deleted job ignored", "job", id, "revision", item.Revision)
 		return
 	}
-	if record := records[id]; record != nil && record.Phase.Final() && len(record.Tasks) == 0 {
+	record, recorded := records[id]
+	if recorded && record == nil {
+		t.engine.AddHeld(id)
+		delete(records, id)
+		return
+	}
+	if record != nil && record.Phase.Final() && len(record.Tasks) == 0 {
 		t.engine.AddEnded(id, record)
 		delete(records, id)
 		return
@@ -79,9 +85,9 @@
 	if live {
 		wall = time.UnixMilli(spec.AcceptedUnixMillis)
 	}
-	if t.engine.Add(spec, records[id], now, wall) {
+	if t.engine.Add(spec, record, now, wall) {
 		t.log.Info("job known", "job", id, "queue", spec.Queue.Name, "steps", len(spec.Steps), "revision", item.Revision,
-			"recorded", records[id] != nil, "live", live, "age_ms", wall.UnixMilli()-spec.AcceptedUnixMillis,
+			"recorded", recorded, "live", live, "age_ms", wall.UnixMilli()-spec.AcceptedUnixMillis,
 			"chain_ms", t.engine.CriticalPath(id).Milliseconds(), "objective_ms", t.engine.Objective(id).Milliseconds(),
 			"first_step", spec.Steps[0])
 		delete(records, id)
--- a/owner/term.go
+++ b/owner/term.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"runtime/debug"
-	"strings"
 	"sync"
 	"time"
 
@@ -181,19 +180,6 @@
 	return run()
 }
 
-func (t *term) parseRecords(items []kv.Item) map[string]*workflow.JobRecord {
-	records := make(map[string]*workflow.JobRecord, len(items))
-	for _, item := range items {
-		record := &workflow.JobRecord{}
-		if err := rpc.Decode(item.Value, record); err != nil {
-			t.log.Error("invalid job record skipped", "key", item.Key, "revision", item.Revision, "error", err)
-			continue
-		}
-		records[strings.TrimPrefix(item.Key, StatePrefix)] = record
-	}
-	return records
-}
-
 func (t *term) applyOperatorState(ctx context.Context, state OperatorState) {
 	apply := func(now, wall time.Time) func() {
 		if state.Config != nil && state.Config.Version != t.engine.ConfigVersion() {
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -210,6 +210,19 @@
 	delete(e.pendingCancellations, id)
 }
 
+// AddHeld adds a job of which it isn't known what has run. Nothing of it is started, and clients see it as running until it is
+// cancelled.
+func (e *Engine) AddHeld(id string) {
+	if _, known := e.jobs[id]; known {
+		return
+	}
+	e.jobs[id] = &job{Job: workflow.Job{ID: id}, phase: workflow.Running, storedPhase: workflow.Running}
+	if e.pendingCancellations[id] {
+		delete(e.pendingCancellations, id)
+		e.Cancel(id, e.loadedAt)
+	}
+}
+
 // awaitHost records that a host had a running task under the former owner.
 func (e *Engine) awaitHost(host string) {
 	e.hasRestoredRuns = true
