Show that an announcement alone ends the runs of another executor

Cause: a report that names another executor at a host ends the former one at the owner, also if the other one has never responded to its node: a new executor, a message of another writer, or one that arrives late. Evidence: TestAnnouncedExecutorDoesNotEndFormerOne, with the executor known to the owner and after a takeover.

--- /dev/null
+++ b/workflow/engine/replacement_test.go
@@ -0,0 +1,72 @@
+package engine_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+// reportUnlisted sends a report of an executor that has not responded to its node.
+func (h *harness) reportUnlisted(node string, x *workflow.Executor) {
+	h.reports[node]++
+	h.engine.HandleReport(&workflow.Report{Node: node, Address: node, Incarnation: 1, Number: h.reports[node], Executor: x}, h.now, h.now)
+}
+
+// Guards against a second run of a task whose executor goes on: another executor was announced at its host, and has never
+// responded there (review/REPORT.md "Seen, but no case").
+func TestAnnouncedExecutorDoesNotEndFormerOne(t *testing.T) {
+	for name, takeover := range map[string]bool{"known executor": false, "after a takeover": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			job := h.job(step(2))
+			h.engine.Add(job, nil, h.now, h.now)
+			h.report("a", executor("a", 1), nil, nil)
+			h.engine.Plan(h.now, h.now)
+			record := h.engine.TakeDirty()[0].Record
+			running := h.accept("a", h.engine.TakeOrders()[0].Orders)
+			h.Assert(running, qt.HasLen, 2)
+			if takeover {
+				h.takeOver(job, record)
+			} else {
+				h.report("a", executor("a", 1), running, nil)
+			}
+			other := executor("a", 5)
+			other.ID = "i-other"
+			h.report("b", executor("b", 1), nil, nil)
+			for range 3 {
+				h.reportUnlisted("a", other)
+				h.Assert(h.plan()["b"].Starts, qt.HasLen, 0, qt.Commentf("the former executor may still run the tasks"))
+				h.now = h.now.Add(900 * time.Millisecond)
+				h.engine.ExpireLeases(h.now)
+			}
+			h.report("a", other, nil, nil)
+			h.report("b", executor("b", 1), nil, nil)
+			orders := h.plan()
+			h.Assert(len(orders["a"].Starts)+len(orders["b"].Starts), qt.Equals, 2, qt.Commentf("the other executor has responded"))
+		})
+	}
+}
+
+// Guards against tasks that never run again because another executor is announced and never responds.
+func TestTasksLapseBesideAnnouncedExecutor(t *testing.T) {
+	h := newHarness(t)
+	h.engine.Add(h.job(step(2)), nil, h.now, h.now)
+	h.report("a", executor("a", 1), nil, nil)
+	running := h.accept("a", h.plan()["a"])
+	h.report("a", executor("a", 1), running, nil)
+	other := executor("a", 5)
+	other.ID = "i-other"
+	lapsed := 0
+	began := h.now
+	for ; lapsed == 0 && h.now.Sub(began) < 20*time.Second; h.now = h.now.Add(100 * time.Millisecond) {
+		h.reportUnlisted("a", other)
+		lapsed = len(h.engine.ExpireLeases(h.now))
+	}
+	h.Assert(lapsed, qt.Equals, 1)
+	h.Assert(h.now.Sub(began) < 7300*time.Millisecond, qt.IsTrue, qt.Commentf("lapsed after %v", h.now.Sub(began)))
+	h.report("b", executor("b", 1), nil, nil)
+	h.Assert(h.plan()["b"].Starts, qt.HasLen, 2)
+}
