End an executor's runs once its successor has responded

What callers saw: tasks ran twice at once after another executor had been announced at the host of theirs. Cause: the owner took a report that names another executor for the end of the former one. Evidence: TestAnnouncedExecutorDoesNotEndFormerOne. Change: the owner keeps the former executor with its tasks until the other one has listed its runs, which shows that it holds the address of the host's executor, or until the host refuses connections. Else the tasks wait for the end of the lease. After a takeover the same holds for executors that only the records name. An executor under the same ID replaces the former one as before: its tasks are reassigned to it, not unassigned. Result: the test passes; TestTasksOfCrashedExecutorRestartAtOnce and the others of test/workflows keep their limits, since a node asks a new executor for its lists at once.

--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -75,8 +75,13 @@
 		if n.known && r.Executor.StartedUnixMillis < n.executor.StartedUnixMillis {
 			return 0, false
 		}
-		e.replaceExecutor(n, r.Executor, now)
+		if e.mayStillRun(n, r) {
+			n.listedAt = time.Time{}
+			return 0, false
+		}
+		e.replaceExecutor(n, r, now)
 	}
+	e.endReplaced(n, r, now)
 	// Draining is never undone within an incarnation: a restarted node may receive an outdated announcement first.
 	draining := r.Executor.Draining || n.executor.Draining
 	if draining != n.executor.Draining {
@@ -118,10 +123,10 @@
 	return now.Sub(n.reportedAt) > lateReportAge && r.Number <= fewReports
 }
 
-// replaceExecutor replaces the executor of a node by another incarnation. All runs on the former one have ended. If the
-// new one has the same ID, it may have received starts meant for the former one, so the tasks are reassigned to it until
-// its lists show whether they run.
-func (e *Engine) replaceExecutor(n *node, executor *workflow.Executor, now time.Time) {
+// replaceExecutor replaces the executor of a node by another incarnation. If the new one has the same ID, it may have received
+// starts meant for the former one, so the tasks are reassigned to it until its lists show whether they run.
+func (e *Engine) replaceExecutor(n *node, r *workflow.Report, now time.Time) {
+	executor := r.Executor
 	if n.known {
 		e.endIncarnation(n, n.executorIncarnation, executor, now)
 		if e.nodeByIncarnation[n.executorIncarnation] == n {
@@ -135,13 +140,13 @@
 	e.quarantine.ForgetWorker(n.name)
 	e.indexDomains()
 	delete(e.unreportedHosts, n.name)
-	incarnation := n.executorIncarnation
-	for former, tasks := range e.assignedTasks {
-		if former != incarnation && (hasExecutorID(former, executor.ID) || onHost(tasks, n.name)) {
+	n.unproven = true
+	for former := range e.assignedTasks {
+		if hasExecutorID(former, executor.ID) {
 			e.endIncarnation(n, former, executor, now)
 		}
 	}
-	for _, t := range e.assignedTasks[incarnation] {
+	for _, t := range e.assignedTasks[n.executorIncarnation] {
 		if t.node == nil {
 			n.addTask(t)
 		}
@@ -161,9 +166,6 @@
 	}
 }
 
-// onHost reports whether the tasks of an incarnation are assigned to a host. A host has one executor at a time.
-func onHost(tasks []*task, host string) bool { return len(tasks) > 0 && tasks[0].host == host }
-
 func hasExecutorID(incarnation, id string) bool {
 	return len(incarnation) > len(id) && incarnation[:len(id)] == id && incarnation[len(id)] == '@'
 }
--- a/workflow/engine/node.go
+++ b/workflow/engine/node.go
@@ -93,6 +93,8 @@
 	endedAt     time.Time
 	recordedEnd string
 	lapsedRuns  []crashedRun
+	// unproven is set until the executor has shown that the former ones of its host have ended.
+	unproven bool
 	// probes is the number of suspects of a crash that run on the executor and have not survived yet, as of the last Plan.
 	// repeatedProbes is set if one of them is a suspect of several crashes.
 	probes         int
