Keep an executor that responds when another one is announced

What callers saw: after a heartbeat of another writer the executor's runs lapsed, and nothing was started there any more. Cause: an announcement with a later start time replaced the executor at once. Evidence: TestForeignAnnouncementDoesNotEndRuns. Change: an announcement under another ID takes the place of the current executor once a call to that fails, at once if the last one has. If the announced executor never responds and another one answers the calls to it, an older announcement takes its place again. A restart under the same ID replaces the former incarnation as before.

--- a/node/departure.go
+++ b/node/departure.go
@@ -60,6 +60,7 @@
 	n.confirmed = false
 	if n.current != nil && n.current.IncarnationID() == incarnation {
 		n.noteConnection(err)
+		n.promoteSuccessor(err)
 	}
 	if broken && n.current != nil && n.current.IncarnationID() == incarnation && n.brokenAt.IsZero() {
 		n.brokenAt = time.Now()
--- a/node/node.go
+++ b/node/node.go
@@ -81,6 +81,8 @@
 	mu sync.Mutex
 	// current is the current incarnation of the executor, or nil if none is known.
 	current *workflow.Executor
+	// successor is another executor that was announced while the current one responded; nil for none.
+	successor *successor
 	// announceSequence is the sequence number of the last announcement of that incarnation.
 	announceSequence int64
 	// shrunkReport is the number of the last report before the capacity of that incarnation shrank.
@@ -161,14 +163,18 @@
 	}
 }
 
-// Announce stores an announcement of the executor. It returns false for an announcement that is older than the last one or
-// comes from a former incarnation.
+// Announce stores an announcement of the executor. It returns false for an announcement that is older than the last one,
+// comes from a former incarnation, or names another executor while the current one responds.
 func (n *Node) Announce(e workflow.Executor, sequence, clockMillis int64) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	return n.announce(e, sequence, clockMillis)
+}
+
+// announce is Announce for callers that hold mu.
+func (n *Node) announce(e workflow.Executor, sequence, clockMillis int64) bool {
 	if n.current != nil && n.current.IncarnationID() != e.IncarnationID() {
-		if e.StartedUnixMillis < n.current.StartedUnixMillis {
-			n.log.Info("announcement of a former executor ignored", "executor", e.IncarnationID(), "current", n.current.IncarnationID())
+		if !n.isReplacedBy(&e, sequence, clockMillis) {
 			return false
 		}
 		n.forgetIncarnation()
@@ -216,7 +222,7 @@
 // forgetIncarnation discards the state of the current incarnation.
 func (n *Node) forgetIncarnation() {
 	n.log.Info("executor replaced", "former", n.current.IncarnationID())
-	n.current, n.lists, n.ack, n.shrunkReport = nil, nil, 0, 0
+	n.current, n.successor, n.lists, n.ack, n.shrunkReport = nil, nil, nil, 0, 0
 	n.endDeparture()
 	n.end = executorEnd{}
 	n.clockAt, n.brokenAt = time.Time{}, time.Time{}
