Take an executor that refuses connections for ended after 0.6 s

What callers saw: tasks of an executor whose server was away for 0.3 s were started elsewhere while they ran on. Cause: refusals over 0.2 s counted as the end. Evidence: TestMomentaryRefusalsDoNotEndRuns. Change: the refusals must last for 0.6 s without an announcement in between. Waiting until the heartbeat is overdue as well was weighed: heartbeats come each 1.5 s, so that crashed tasks would start again 1.5 s or more after the crash, beyond the second that TestTasksOfCrashedExecutorRestartAtOnce allows. What withdraws a reported end stays: lists of the incarnation or an order that it carries out; its runs are then stopped, since their tasks are assigned elsewhere. For that time there are two runs.

--- a/node/end.go
+++ b/node/end.go
@@ -12,9 +12,10 @@
 
 const (
 	// minRefusals is the number of connections in a row that must be refused, over minRefusalTime, until the executor's process
-	// counts as ended. One that has just announced itself may refuse the first ones.
+	// counts as ended. One that has just announced itself may refuse the first ones, and a server may be away for a moment while
+	// the runs go on. Together with the time to start the tasks elsewhere it must stay below a second.
 	minRefusals    = 3
-	minRefusalTime = 200 * time.Millisecond
+	minRefusalTime = 600 * time.Millisecond
 	// connectTimeout limits an attempt to connect to the executor.
 	connectTimeout = 800 * time.Millisecond
 )
@@ -42,7 +43,7 @@
 	return true
 }
 
-// noteOtherResult records a call that was not refused. It doesn't undo an end, since the next incarnation may have caused it.
+// noteOtherResult records a call that was not refused, or an announcement. It doesn't undo an end, since the next incarnation may have caused it.
 func (x *executorEnd) noteOtherResult() { x.refusals = 0 }
 
 // awaitExecutor waits for the announcement of an executor. Until then it observes whether any listens at the executor's address.
--- a/node/node.go
+++ b/node/node.go
@@ -199,6 +199,7 @@
 	if changed && e.Draining {
 		n.log.Info("executor leaves", "executor", e.IncarnationID(), "remaining_ms", e.RemainingMillis)
 	}
+	n.end.noteOtherResult()
 	n.current, n.announceSequence = &e, sequence
 	if n.clockAt.IsZero() && clockMillis > 0 {
 		n.clockMillis, n.clockAt = clockMillis, time.Now()
