Show that a late departure and one refusal end runs that go on

Cause: the announcement of an end names no incarnation and may be that of a former one under the same ID. After it a single refused connection shows that the executor has left (node/departure.go). Evidence: TestLateDepartureAndRefusalDoNotEndRuns.

--- a/test/workflows/refusals_test.go
+++ b/test/workflows/refusals_test.go
@@ -33,3 +33,27 @@
 		})
 	}
 }
+
+// Guards against tasks that are started elsewhere while they run: the announcement of a former executor's end arrives late, and the
+// current one refuses a connection (found by TestRandomFaultsWithRefusedConnections, seed 4102).
+func TestLateDepartureAndRefusalDoNotEndRuns(t *testing.T) {
+	runWithFleet(t, 3, func(f *fleet) {
+		for _, h := range f.hosts {
+			h.executor.SetDuration(5 * time.Second)
+		}
+		job := f.newJob(9)
+		job.Steps[0].EstimateMillis = 5000
+		f.submitUntilAccepted(job)
+		f.waitFor(5*time.Second, func() bool { return f.checker.runningCount() == 9 })
+		for _, h := range f.hosts {
+			description, _ := h.executor.Describe()
+			h.node.Leave(description.ID)
+			h.executor.SetRefusing(true)
+			time.Sleep(100 * time.Millisecond)
+			h.executor.SetRefusing(false)
+			time.Sleep(time.Second)
+		}
+		f.waitCompleted(30*time.Second, job.ID)
+		f.Assert(f.checker.startCount(), qt.Equals, 9)
+	})
+}
