Ask for lasting refusals after the departure of an executor that wasn't draining

What callers saw: two runs of a task at once after a late announcement of a former incarnation's end and one refused connection. Cause: one refusal after such an announcement showed that the executor had left. Change: a planned end follows on a time of draining, which the executor announces itself. Tests: those in node/departure_test.go let the executor drain first, as a planned end does; the case without is a test of its own.

--- a/node/departure.go
+++ b/node/departure.go
@@ -16,12 +16,16 @@
 type departure struct {
 	// announcedAt is when the executor announced its end; zero while it drains.
 	announcedAt time.Time
+	// drained is set if the executor itself has announced that it drains, as it does before a planned end.
+	drained bool
 	// settled is closed when an owner has stored that the incarnation has left, or when another incarnation is known.
 	settled chan struct{}
 	closed  bool
 }
 
-func newDeparture() *departure { return &departure{settled: make(chan struct{})} }
+func newDeparture(drained bool) *departure {
+	return &departure{drained: drained, settled: make(chan struct{})}
+}
 
 // announced reports whether the executor has announced its end. It is false for nil.
 func (d *departure) announced() bool { return d != nil && !d.announcedAt.IsZero() }
@@ -44,7 +48,7 @@
 	n.log.Info("executor announces its end", "executor", n.current.IncarnationID())
 	n.current.Draining = true
 	if n.departure == nil {
-		n.departure = newDeparture()
+		n.departure = newDeparture(false)
 	}
 	n.departure.announcedAt = time.Now()
 	signal(n.wakeHold)
@@ -53,7 +57,8 @@
 
 // handleHoldError processes a hold call to an incarnation that failed, after which the next call may reach another one. broken is
 // set if its connection was broken or refused, which shows that the executor has just ended. If the incarnation had announced its
-// end and its address refuses connections, it has left.
+// end and its address refuses connections, it has left. If it was not draining before, the announcement may be that of a former
+// incarnation, so the address must keep refusing connections.
 func (n *Node) handleHoldError(incarnation string, err error, broken bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -69,6 +74,9 @@
 	if !n.departure.announced() || n.current.Left || n.current.IncarnationID() != incarnation || !errors.Is(err, ErrRefused) {
 		return
 	}
+	if !n.departure.drained && !n.end.confirmed {
+		return
+	}
 	n.log.Info("executor has left", "executor", incarnation, "epoch", n.epoch)
 	n.current.Left = true
 	signal(n.wakeReport)
--- a/node/departure_test.go
+++ b/node/departure_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -13,9 +14,15 @@
 
 const testIncarnation = "i-1@1000"
 
+// drain makes the executor announce that it drains.
+func (n *Node) drain() {
+	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 1000, Draining: true}, 2, 550)
+}
+
 // departedNode returns a node whose executor has left.
 func departedNode() *Node {
 	n := newNode()
+	n.drain()
 	n.Leave("i-1")
 	n.handleHoldError(testIncarnation, ErrRefused, false)
 	return n
@@ -36,6 +43,9 @@
 	n := newNode()
 	n.handleHoldError(testIncarnation, ErrRefused, false)
 	c.Assert(n.nextReport(1).Executor.Left, qt.IsFalse, qt.Commentf("the end is not announced"))
+	n.drain()
+	n.handleHoldError(testIncarnation, ErrRefused, false)
+	c.Assert(n.nextReport(1).Executor.Left, qt.IsFalse, qt.Commentf("the end is not announced"))
 	n.Leave("i-1")
 	c.Assert(n.nextReport(1).Executor.Draining, qt.IsTrue)
 	c.Assert(n.nextReport(1).Executor.Left, qt.IsFalse, qt.Commentf("it may still run its tasks"))
@@ -49,12 +59,27 @@
 	c.Assert(n.nextReport(1).Executor.Left, qt.IsFalse, qt.Commentf("the incarnation still responds"))
 }
 
+// Guards against tasks that are started elsewhere while they run, since the announcement of a former incarnation's end is late and the
+// current one, which doesn't drain, refuses a connection.
+func TestExecutorThatDoesNotDrainHasLeftOnceItKeepsRefusingConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := newNode()
+		n.Leave("i-1")
+		n.handleHoldError(testIncarnation, ErrRefused, false)
+		n.handleHoldError(testIncarnation, ErrRefused, false)
+		c.Assert(n.nextReport(1).Executor.Left, qt.IsFalse)
+		n.refuse()
+		c.Assert(n.nextReport(1).Executor.Left, qt.IsTrue)
+	})
+}
+
 // Guards against an executor that has left and counts as alive again because of an announcement that it sent before, and
 // against a next incarnation under the same ID that counts as ended.
 func TestAnnouncementsAfterDeparture(t *testing.T) {
 	c := qt.New(t)
 	n := departedNode()
-	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 1000}, 2, 600)
+	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 1000}, 3, 600)
 	c.Assert(n.nextReport(1).Executor.Left, qt.IsTrue)
 	c.Assert(n.nextReport(1).Executor.Draining, qt.IsTrue)
 	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 2000}, 1, 100)
--- a/node/node.go
+++ b/node/node.go
@@ -190,7 +190,7 @@
 		e.Draining, e.Left = true, n.current.Left
 	}
 	if e.Draining && n.departure == nil {
-		n.departure = newDeparture()
+		n.departure = newDeparture(true)
 	}
 	changed := n.current == nil || n.current.Draining != e.Draining || n.current.Capacity != e.Capacity
 	if n.current != nil && n.current.Capacity != e.Capacity {
