Play random histories beyond the retention, with late reads and calls

Cause of the gap: no history lasted longer than the retention of 130 s, so that deletions of jobs were never played, no read of the store was answered after later changes, and a call between processes that its caller had given up was never carried out. Change: TestRandomFaultsBeyondRetention with a retention of 10 s, lists answered 10 s late, compaction, owner changes, calls carried out up to 4 s late (rpctest SetLate) and announcements of foreign executors.

--- a/rpc/rpctest/network.go
+++ b/rpc/rpctest/network.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -21,11 +22,15 @@
 	mu          sync.Mutex
 	handlers    map[string]http.Handler
 	partitioned map[string]bool
+	// lateShare is the share of calls that get no response and are carried out late, up to maxLateness after they were sent.
+	lateShare   float64
+	maxLateness time.Duration
+	random      *rand.Rand
 }
 
 // New returns a network without handlers.
 func New() *Network {
-	return &Network{handlers: map[string]http.Handler{}, partitioned: map[string]bool{}}
+	return &Network{handlers: map[string]http.Handler{}, partitioned: map[string]bool{}, random: rand.New(rand.NewPCG(1, 2))}
 }
 
 // Handle registers the handler of an address. A nil handler removes it, so that connections to the address are refused.
@@ -46,6 +51,24 @@
 	n.partitioned[address] = partitioned
 }
 
+// SetLate makes a share of the calls get no response. They are carried out up to maxLateness after they were sent, when their
+// callers may have given up, unless one of the two addresses is then cut off.
+func (n *Network) SetLate(share float64, maxLateness time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lateShare, n.maxLateness = share, maxLateness
+}
+
+// drawLateness returns how long after it was sent a call is carried out without a response; 0 for a call in time.
+func (n *Network) drawLateness() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.lateShare == 0 || n.random.Float64() >= n.lateShare {
+		return 0
+	}
+	return time.Duration(n.random.Int64N(int64(n.maxLateness))) + 1
+}
+
 // Reaches reports whether an address has a handler and is not cut off.
 func (n *Network) Reaches(address string) bool {
 	n.mu.Lock()
@@ -71,10 +94,20 @@
 	if handler == nil {
 		return nil, &net.OpError{Op: "dial", Err: errors.New("connection refused")}
 	}
-	request, err := t.cloneRequest(r)
+	lateness := t.network.drawLateness()
+	ctx := r.Context()
+	if lateness > 0 {
+		ctx = context.WithoutCancel(ctx)
+	}
+	request, err := t.cloneRequest(ctx, r)
 	if err != nil {
 		return nil, err
 	}
+	if lateness > 0 {
+		time.AfterFunc(lateness, func() { t.deliverLate(r.URL.Host, request) })
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
 	if err := sleep(r.Context(), t.network.Delay); err != nil {
 		return nil, err
 	}
@@ -99,14 +132,21 @@
 	}
 }
 
+// deliverLate carries out a call of which the caller gets no response.
+func (t *transport) deliverLate(to string, request *http.Request) {
+	if handler, partitioned := t.lookup(to); handler != nil && !partitioned {
+		handler.ServeHTTP(httptest.NewRecorder(), request)
+	}
+}
+
 func (t *transport) lookup(to string) (http.Handler, bool) {
 	t.network.mu.Lock()
 	defer t.network.mu.Unlock()
 	return t.network.handlers[to], t.network.partitioned[to] || t.network.partitioned[t.from]
 }
 
-// cloneRequest returns the server-side copy of a request. It has the caller's context.
-func (t *transport) cloneRequest(r *http.Request) (*http.Request, error) {
+// cloneRequest returns the server-side copy of a request, with the given context.
+func (t *transport) cloneRequest(ctx context.Context, r *http.Request) (*http.Request, error) {
 	var body []byte
 	if r.Body != nil {
 		data, err := io.ReadAll(r.Body)
@@ -115,7 +155,7 @@
 		}
 		body = data
 	}
-	request := httptest.NewRequestWithContext(r.Context(), r.Method, r.URL.String(), bytes.NewReader(body))
+	request := httptest.NewRequestWithContext(ctx, r.Method, r.URL.String(), bytes.NewReader(body))
 	request.Header = r.Header.Clone()
 	return request, nil
 }
--- a/test/workflows/forgotten_jobs_test.go
+++ b/test/workflows/forgotten_jobs_test.go
@@ -12,8 +12,9 @@
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
-// shortRetention is how long owners keep finished jobs in tests that play beyond it.
-const shortRetention = 6 * time.Second
+// shortRetention is how long owners keep finished jobs in tests that play beyond it. It exceeds the time by which calls of theirs are
+// carried out late, as the default does on a platform.
+const shortRetention = 10 * time.Second
 
 // Guards against tasks that run again after their job was deleted: a read of all inputs was sent before the deletion, and its
 // response arrives afterwards.
--- a/test/workflows/invariants_test.go
+++ b/test/workflows/invariants_test.go
@@ -113,6 +113,20 @@
 	}
 }
 
+// isDone reports whether all tasks of a job have been done, or it was not submitted.
+func (o *invariantChecker) isDone(id string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for step := range o.jobs[id].Steps {
+		for i := range o.jobs[id].Steps[step].Count {
+			if !o.completed[workflow.TaskID{Job: id, Step: step, Index: i}.String()] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 func (o *invariantChecker) foundViolations() []string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/test/workflows/random_faults_test.go
+++ b/test/workflows/random_faults_test.go
@@ -71,6 +71,13 @@
 	"reconnect", "refuse", "store-hangs", "lose", "heal", "remove-owner-key", "end-leases", "end-leases",
 }
 
+// longActionKinds also contain reads of all inputs that are answered late, calls between processes that are carried out late, and
+// announcements of foreign executors. Histories of them go on beyond the retention of finished jobs.
+var longActionKinds = append([]string{"read-late", "read-late", "compact", "compact", "calls-late", "calls-in-time", "foreign"}, leaseActionKinds...)
+
+// maxCallLateness is how much later a call between processes may be carried out.
+const maxCallLateness = 4 * time.Second
+
 const (
 	randomTestHosts = 3
 	// watchedShare is the inverse of the share of histories after which standstills are looked for.
@@ -151,6 +158,14 @@
 		host.executor.SetDelayedShare(0.3)
 	case "on-time":
 		host.executor.SetDelayedShare(0)
+	case "calls-late":
+		h.network.SetLate(0.3, maxCallLateness)
+	case "calls-in-time":
+		h.network.SetLate(0, 0)
+	case "foreign":
+		if !h.stopped[a.host] {
+			host.announceForeign(int64(time.Since(h.startedAt)))
+		}
 	case "cut", "reconnect":
 		h.network.SetPartitioned(host.name, a.kind == "cut")
 	default:
@@ -183,6 +198,8 @@
 		client.SetFaults(kvtest.Faults{Delay: 240 * time.Millisecond})
 	case "heal":
 		client.SetFaults(kvtest.Faults{Delay: storeDelay})
+	case "read-late":
+		client.SetFaults(kvtest.Faults{Delay: storeDelay, ListDelay: shortRetention})
 	case "compact":
 		h.store.Compact()
 	case "remove-owner-key":
@@ -247,6 +264,7 @@
 		h.startIfStopped(i)
 	}
 	h.network.SetPartitioned("entry", false)
+	h.network.SetLate(0, 0)
 	h.entryStore.SetFaults(kvtest.Faults{Delay: storeDelay})
 }
 
@@ -279,6 +297,9 @@
 			ctx, cancel := context.WithTimeout(h.ctx, 3*time.Second)
 			phase, err := h.gateway.State(ctx, id)
 			cancel()
+			if errors.Is(err, gateway.ErrNotFound) && h.retention > 0 && (h.checker.isDone(id) || h.cancelled[id]) {
+				break
+			}
 			if errors.Is(err, gateway.ErrNotFound) {
 				return fmt.Sprintf("accepted job %s is not known", id)
 			}
@@ -333,12 +354,20 @@
 	checkRandomFaults(t, randomFaults{kinds: leaseActionKinds, taskTime: longTaskTime, fetching: true})
 }
 
+// Guards against the same violations, and against jobs that run again once they were deleted, in histories that go on beyond the
+// retention, with late reads, late calls between processes and announcements of foreign executors.
+func TestRandomFaultsBeyondRetention(t *testing.T) {
+	checkRandomFaults(t, randomFaults{kinds: longActionKinds, taskTime: taskTime, retention: shortRetention})
+}
+
 // randomFaults describes the histories of a test.
 type randomFaults struct {
 	kinds    []string
 	taskTime time.Duration
 	// fetching is set if executors fetch their orders.
 	fetching bool
+	// retention is how long owners keep finished jobs; 0 for their default.
+	retention time.Duration
 }
 
 func checkRandomFaults(t *testing.T, faults randomFaults) {
@@ -351,7 +380,7 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			defer time.Sleep(callDrainTime)
 			defer cancel()
-			h := &history{fleet: newFleetOf(t, ctx, randomTestHosts, faults.fetching), stopped: map[int]bool{}, misreported: map[int]bool{}, cancelled: map[string]bool{}}
+			h := &history{fleet: newRetainingFleet(t, ctx, randomTestHosts, faults.fetching, faults.retention), stopped: map[int]bool{}, misreported: map[int]bool{}, cancelled: map[string]bool{}}
 			h.setTaskTime(faults.taskTime)
 			time.Sleep(startupTime)
 			if faults.taskTime == longTaskTime {
