Show that an executor that returns is handed over as lapsed

What callers saw: nothing yet on record. An executor's lease lapses, it responds again and runs other tasks; within 10 s of the lapse the owner hands over before it has stored their ends. The next owner then takes their runs for lost after 1 ms, and starts them again although they have ended `done`, which the executor still lists. Cause: FinalLeases lists an incarnation that has lapsed within 10 s with 1 ms if no task of it is assigned in memory. Evidence: TestExecutorThatReturnsIsNotHandedOverAsLapsed: "i-a@1 is handed over with 1 ms".

--- a/workflow/engine/replacement_test.go
+++ b/workflow/engine/replacement_test.go
@@ -70,3 +70,26 @@
 	h.report("b", executor("b", 1), nil, nil)
 	h.Assert(h.plan()["b"].Starts, qt.HasLen, 2)
 }
+
+// Guards against tasks that the next owner starts again at once: their executor had lapsed, was granted a lease again and started
+// them, and the former owner handed it over as lapsed.
+func TestExecutorThatReturnsIsNotHandedOverAsLapsed(t *testing.T) {
+	h := newHarness(t)
+	h.engine.Add(h.job(step(2)), nil, h.now, h.now)
+	h.report("a", executor("a", 1), nil, nil)
+	h.accept("a", h.plan()["a"])
+	h.now = h.now.Add(7100 * time.Millisecond)
+	h.Assert(h.engine.ExpireLeases(h.now), qt.HasLen, 1)
+	h.report("a", executor("a", 1), nil, nil)
+	running := h.accept("a", h.plan()["a"])
+	h.Assert(running, qt.HasLen, 2)
+	var ended []workflow.RunEnd
+	for i, run := range running {
+		ended = append(ended, workflow.RunEnd{Number: int64(i + 1), Task: run.Task, Run: run.Run, How: workflow.EndDone})
+	}
+	// The record of the ends is not stored before the hand-over.
+	h.report("a", executor("a", 1), nil, ended)
+	for _, lease := range h.engine.FinalLeases(h.now).Executors {
+		h.Assert(lease.LeftMillis > 7000, qt.IsTrue, qt.Commentf("%s is handed over with %d ms", lease.Incarnation, lease.LeftMillis))
+	}
+}
