Forget the lapse of an executor whose lease is renewed

What callers saw: the next owner took runs for lost that were begun after their executor had returned. Cause: the entry of a lapse outlasted a renewal of the lease. Evidence: TestExecutorThatReturnsIsNotHandedOverAsLapsed. Change: a renewal removes the entry; the executor is then handed over under the limit for all others. Result: the test passes.

--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -112,6 +112,7 @@
 		return n.ackedEnd, false
 	}
 	n.leaseExpires, n.leaseSource, n.leaseGranted = now.Add(e.settings.LeaseExpiry), LeaseOfOwner, true
+	delete(e.lapsedAt, n.executorIncarnation)
 	return n.ackedEnd, true
 }
 
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -54,7 +54,8 @@
 	unreportedExpiry time.Time
 	// unreportedSource tells where unreportedExpiry comes from.
 	unreportedSource LeaseSource
-	// lapsedAt holds when the leases of executor incarnations with tasks have recently expired, or such an incarnation has ended.
+	// lapsedAt holds when the leases of executor incarnations with tasks have recently expired, or such an incarnation has ended,
+	// unless they have been renewed since.
 	lapsedAt map[string]time.Time
 	// inheritedLeases holds when the leases of executor incarnations have expired, as the former owner has stored it.
 	inheritedLeases map[string]time.Time
