--- a/owner/inputs.go
+++ b/owner/inputs.go
@@ -40,6 +40,7 @@
 				send(func() { t.applyInput(e.Item, records, true) })
 			}
 		},
+		OnFresh: func(sentAt time.Time) { send(func() { t.forgotten.prune(sentAt) }) },
 	}
 	follower.Run(ctx)
 }
@@ -49,6 +50,9 @@
 func (t *term) applyInput(item kv.Item, records map[string]*workflow.JobRecord, live bool) {
 	now, wall := time.Now(), time.Now()
 	if id, ok := strings.CutPrefix(item.Key, CancelPrefix); ok {
+		if t.forgotten.covers(id, item.Revision) {
+			return
+		}
 		if t.engine.Cancel(id, wall) {
 			t.log.Debug("job cancelled", "job", id, "revision", item.Revision)
 		}
@@ -58,7 +62,17 @@
 	if !ok {
 		return
 	}
-	if record := records[id]; record != nil && record.Phase.Final() && len(record.Tasks) == 0 {
+	if t.forgotten.covers(id, item.Revision) {
+		t.log.Info("input of a deleted job ignored", "job", id, "revision", item.Revision)
+		return
+	}
+	record, recorded := records[id]
+	if recorded && record == nil {
+		t.engine.AddHeld(id)
+		delete(records, id)
+		return
+	}
+	if record != nil && record.Phase.Final() && len(record.Tasks) == 0 {
 		t.engine.AddEnded(id, record)
 		delete(records, id)
 		return
@@ -71,9 +85,9 @@
 	if live {
 		wall = time.UnixMilli(spec.AcceptedUnixMillis)
 	}
-	if t.engine.Add(spec, records[id], now, wall) {
+	if t.engine.Add(spec, record, now, wall) {
 		t.log.Info("job known", "job", id, "queue", spec.Queue.Name, "steps", len(spec.Steps), "revision", item.Revision,
-			"recorded", records[id] != nil, "forgotten", t.engine.WasForgotten(id), "live", live, "age_ms", wall.UnixMilli()-spec.AcceptedUnixMillis,
+			"recorded", recorded, "forgotten", t.engine.WasForgotten(id), "live", live, "age_ms", wall.UnixMilli()-spec.AcceptedUnixMillis,
 			"chain_ms", t.engine.CriticalPath(id).Milliseconds(), "objective_ms", t.engine.Objective(id).Milliseconds(),
 			"first_step", spec.Steps[0])
 		delete(records, id)
--- a/owner/term.go
+++ b/owner/term.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"runtime/debug"
-	"strings"
 	"sync"
 	"time"
 
@@ -50,8 +49,8 @@
 	eventQueueSize = 1024
 	// ordersTimeout limits the delivery of orders to a node.
 	ordersTimeout = 2 * time.Second
-	// retention is how long the state of a finished job is kept.
-	retention = 130 * time.Second
+	// defaultRetention is how long the state of a finished job is kept, unless the candidate says otherwise.
+	defaultRetention = 130 * time.Second
 	// collectInterval is how often expired finished jobs are deleted, and collectLimit how many at a time.
 	collectInterval = 2 * time.Second
 	collectLimit    = 8
@@ -89,6 +88,7 @@
 	log            hclog.Logger
 	metrics        metrics
 	remoteSlowdown float64
+	retention      time.Duration
 
 	engine *engine.Engine
 	events chan event
@@ -106,6 +106,7 @@
 	// unreportedLogAt is when executors that have not reported are logged; zero once that is done.
 	unreportedLogAt time.Time
 	deletions       []string
+	forgotten       forgottenJobs
 	quarantined     []string
 	// contradictionLines limits the lines on contradictions.
 	contradictionLines lineLimit
@@ -158,7 +159,7 @@
 	records := t.parseRecords(states)
 	now := time.Now()
 	t.engine = engine.New(engine.Settings{
-		LeaseDuration: ExecutorLeaseDuration, LeaseExpiry: executorLeaseExpiry, RemoteSlowdown: t.remoteSlowdown, Retention: retention, TakeoverSlack: takeoverSlack,
+		LeaseDuration: ExecutorLeaseDuration, LeaseExpiry: executorLeaseExpiry, RemoteSlowdown: t.remoteSlowdown, Retention: t.retention, TakeoverSlack: takeoverSlack,
 		Epoch: t.lease.Record.Epoch,
 	}, now)
 	t.inheritLeases()
@@ -181,19 +182,6 @@
 	return run()
 }
 
-func (t *term) parseRecords(items []kv.Item) map[string]*workflow.JobRecord {
-	records := make(map[string]*workflow.JobRecord, len(items))
-	for _, item := range items {
-		record := &workflow.JobRecord{}
-		if err := rpc.Decode(item.Value, record); err != nil {
-			t.log.Error("invalid job record skipped", "key", item.Key, "revision", item.Revision, "error", err)
-			continue
-		}
-		records[strings.TrimPrefix(item.Key, StatePrefix)] = record
-	}
-	return records
-}
-
 func (t *term) applyOperatorState(ctx context.Context, state OperatorState) {
 	apply := func(now, wall time.Time) func() {
 		if state.Config != nil && state.Config.Version != t.engine.ConfigVersion() {
@@ -325,6 +313,7 @@
 	}
 	for _, id := range b.deletions {
 		t.engine.Forget(id)
+		t.forgotten.add(id, t.commitRevision, time.Now())
 	}
 	t.release(b)
 	return nil
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -54,10 +54,13 @@
 	unreportedExpiry time.Time
 	// unreportedSource tells where unreportedExpiry comes from.
 	unreportedSource LeaseSource
-	// lapsedAt holds when the leases of executor incarnations with tasks have recently expired, or such an incarnation has ended.
+	// lapsedAt holds when the leases of executor incarnations with tasks have recently expired, or such an incarnation has ended,
+	// unless they have been renewed since.
 	lapsedAt map[string]time.Time
 	// inheritedLeases holds when the leases of executor incarnations have expired, as the former owner has stored it.
 	inheritedLeases map[string]time.Time
+	// loadedAt is when the records were read.
+	loadedAt time.Time
 	// discoveryDeadline is when all executors have had time to announce themselves to a new owner.
 	discoveryDeadline time.Time
 	// hasRestoredRuns is set if restored records named hosts of running tasks; unreportedHosts holds those of these
@@ -118,6 +121,7 @@
 		unreportedSource:     LeaseOfTakeover,
 		inheritedLeases:      map[string]time.Time{},
 		lapsedAt:             map[string]time.Time{},
+		loadedAt:             now,
 		discoveryDeadline:    now.Add(discoveryTimeout),
 		unreportedHosts:      map[string]bool{},
 		dirtyJobs:            map[*job]struct{}{},
@@ -193,7 +197,7 @@
 	e.observeWork(j)
 	if e.pendingCancellations[j.ID] {
 		delete(e.pendingCancellations, j.ID)
-		e.Cancel(j.ID, wall)
+		e.Cancel(j.ID, now)
 	}
 	e.needsPlanning = true
 	return true
@@ -206,11 +210,24 @@
 	}
 	e.jobs[id] = &job{
 		Job: workflow.Job{ID: id}, phase: record.Phase, storedPhase: record.Phase, endedUnixMillis: record.EndedUnixMillis,
-		cancelled: record.Phase == workflow.Cancelled,
+		endedAt: e.loadedAt, cancelled: record.Phase == workflow.Cancelled,
 	}
 	delete(e.pendingCancellations, id)
 }
 
+// AddHeld adds a job of which it isn't known what has run. Nothing of it is started, and clients see it as running until it is
+// cancelled.
+func (e *Engine) AddHeld(id string) {
+	if _, known := e.jobs[id]; known {
+		return
+	}
+	e.jobs[id] = &job{Job: workflow.Job{ID: id}, phase: workflow.Running, storedPhase: workflow.Running}
+	if e.pendingCancellations[id] {
+		delete(e.pendingCancellations, id)
+		e.Cancel(id, e.loadedAt)
+	}
+}
+
 // awaitHost records that a host had a running task under the former owner.
 func (e *Engine) awaitHost(host string) {
 	e.hasRestoredRuns = true
@@ -242,7 +259,7 @@
 func (e *Engine) restore(j *job, record *workflow.JobRecord, now time.Time) {
 	j.phase = record.Phase
 	j.storedPhase = record.Phase
-	j.endedUnixMillis = record.EndedUnixMillis
+	j.endedUnixMillis, j.endedAt = record.EndedUnixMillis, e.loadedAt
 	j.cancelled = record.Phase == workflow.Cancelled
 	for _, r := range record.Tasks {
 		t := j.findTask(workflow.TaskID{Job: j.ID, Occurrence: r.Occurrence, Step: r.Step, Index: r.Index})
