Take an executor for ended only if it neither takes connections nor announces itself

What the soak of real processes shows has the same signature: first run ended done and acknowledged, not stopped, no lease lapsed, executors of several failure domains. An executor that is up refuses connections, too: while its server is away for a moment, or while it has as many as it takes. Landed nodes opened up to 148 at once in the soak when answers were slow, and the platform's services take 64. Change: refusals must last for 2.2 s without an announcement in between. Executors announce themselves each 1.5 s, so one that still does never counts as ended; then only its lease ends its runs. Weighed: no conclusion from refusals at all.

--- a/node/end.go
+++ b/node/end.go
@@ -11,11 +11,14 @@
 )
 
 const (
-	// minRefusals is the number of connections in a row that must be refused, over minRefusalTime, until the executor's process
-	// counts as ended. One that has just announced itself may refuse the first ones, and a server may be away for a moment while
-	// the runs go on. Together with the time to start the tasks elsewhere it must stay below a second.
+	// minRefusals is the number of connections in a row that must be refused, over minRefusalTime and without an announcement in
+	// between, until the executor's process counts as ended. An executor that runs refuses connections, too, while its server is
+	// away for a moment, or while it has as many as it takes. But it announces itself each 1.5 s, and minRefusalTime is longer than
+	// that. Together with the time to start the tasks elsewhere it must stay below three seconds, for which a job may have no run.
 	minRefusals    = 3
-	minRefusalTime = 600 * time.Millisecond
+	minRefusalTime = 2200 * time.Millisecond
+	// refusalCheckInterval is the time between the connections to an executor that isn't known while they are refused.
+	refusalCheckInterval = minRefusalTime / (minRefusals - 1)
 	// connectTimeout limits an attempt to connect to the executor.
 	connectTimeout = 800 * time.Millisecond
 )
@@ -43,7 +46,8 @@
 	return true
 }
 
-// noteOtherResult records a call that was not refused, or an announcement. It doesn't undo an end, since the next incarnation may have caused it.
+// noteOtherResult records a call that was not refused, or an announcement. It doesn't undo an end, since the next incarnation may
+// have caused it.
 func (x *executorEnd) noteOtherResult() { x.refusals = 0 }
 
 // awaitExecutor waits for the announcement of an executor. Until then it observes whether any listens at the executor's address.
@@ -53,7 +57,7 @@
 	n.mu.Unlock()
 	pause := holdWait
 	if !known && n.isRefused(ctx) {
-		pause = holdRetryDelay
+		pause = refusalCheckInterval
 	}
 	n.sleep(ctx, n.wakeHold, pause)
 }
