Limit the connections to an executor

Whether the executors refused connections there isn't on record. Cause: calls without an answer are sent again, each copy over a new connection, and orders arrive in parallel. Nothing limited the connections, while the operator's configuration gives an executor 64. Beyond that it may refuse connections although it runs, which counted as its end. A call that waits for a connection until its time is up has no answer, as before.

--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -45,10 +45,15 @@
 }
 
 // NewClient returns a client with a connection pool of its own.
-func NewClient() *Client {
+func NewClient() *Client { return NewLimitedClient(0) }
+
+// NewLimitedClient returns a client that opens at most the given number of connections to a host; 0 means no limit. Further calls
+// wait until a connection is free or their context ends.
+func NewLimitedClient(maxConnections int) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	return NewClientWithTransport(&http.Transport{
 		DialContext:         dialer.DialContext,
+		MaxConnsPerHost:     maxConnections,
 		MaxIdleConnsPerHost: maxIdleConnectionsPerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
