Let the oracle see starts after ends that are acknowledged later

The oracle of test/workflows knew only starts after the acknowledgement.

Change: invariantChecker keeps the ends of each task that are done and open, notes the first start after each, and records a violation when such an end is acknowledged without a lapse of the lease in between.

--- a/test/workflows/invariants_test.go
+++ b/test/workflows/invariants_test.go
@@ -1,6 +1,7 @@
 package workflows_test
 
 import (
+	"cmp"
 	"fmt"
 	"sync"
 	"time"
@@ -23,6 +24,16 @@
 	// doneOn holds the executor that finished each task last, and taken the tasks whose end was acknowledged.
 	doneOn map[string]string
 	taken  map[string]bool
+	// openEnds holds the runs of each task that have ended done and are not acknowledged.
+	openEnds map[string][]*openEnd
+}
+
+// openEnd is the end of a run that is not acknowledged.
+type openEnd struct {
+	executor string
+	run      int
+	// restart describes the first start of the task after this end; empty if there is none.
+	restart string
 }
 
 func newInvariantChecker() *invariantChecker {
@@ -30,6 +41,7 @@
 		running: map[string]string{}, completed: map[string]bool{}, acknowledged: map[string]string{},
 		jobs: map[string]workflow.Job{}, startsByTask: map[string]int{}, rejectedJobs: map[string]bool{},
 		changedAt: map[string]time.Time{}, doneOn: map[string]string{}, taken: map[string]bool{},
+		openEnds: map[string][]*openEnd{},
 	}
 }
 
@@ -67,6 +79,9 @@
 	if how, acked := o.acknowledged[task]; acked {
 		o.addViolation("%s run %d started on %s after its end was acknowledged: %s", task, run, executor, how)
 	}
+	for _, end := range o.openEnds[task] {
+		end.restart = cmp.Or(end.restart, fmt.Sprintf("run %d started on %s at %v", run, executor, time.Now()))
+	}
 	o.running[task] = executor
 	id, _ := workflow.ParseTaskID(task)
 	if o.rejectedJobs[id.Job] {
@@ -88,7 +103,7 @@
 }
 
 // Ended implements nodetest.Observer.
-func (o *invariantChecker) Ended(executor, task string, _ int, how workflow.EndReason) {
+func (o *invariantChecker) Ended(executor, task string, run int, how workflow.EndReason) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.recordChange(task)
@@ -98,6 +113,7 @@
 	if how == workflow.EndDone {
 		o.completed[task] = true
 		o.doneOn[task] = executor
+		o.openEnds[task] = append(o.openEnds[task], &openEnd{executor: executor, run: run})
 	}
 }
 
@@ -110,6 +126,16 @@
 	}
 	if how == workflow.EndDone && !lapsed {
 		o.acknowledged[task] = fmt.Sprintf("run %d on %s at %v", run, executor, time.Now())
+		o.checkRestart(executor, task, run)
+	}
+}
+
+// checkRestart records a violation if a task was started again between the end of a run and its acknowledgement.
+func (o *invariantChecker) checkRestart(executor, task string, run int) {
+	for _, end := range o.openEnds[task] {
+		if end.executor == executor && end.run == run && end.restart != "" {
+			o.addViolation("%s %s after run %d was done on %s, which was acknowledged later", task, end.restart, run, executor)
+		}
 	}
 }
 
