--- a/node/nodetest/executor.go
+++ b/node/nodetest/executor.go
@@ -67,8 +67,13 @@
 	crashes func(task string) bool
 	lives   int
 	keepsID bool
+	// endsPerResponse is the largest number of ends in one response.
+	endsPerResponse int
 }
 
+// defaultEndsPerResponse is the largest number of ends that the platform's executors list in one response.
+const defaultEndsPerResponse = 500
+
 const (
 	// crashDelay is the time after its start at which a run crashes the executor, and crashDowntime the time until the
 	// executor is back.
@@ -79,7 +84,7 @@
 // New returns an executor whose tasks take the given duration.
 func New(name string, capacity structs.Resources, duration time.Duration, observer Observer) *Executor {
 	x := &Executor{
-		observer: observer, duration: duration, random: rand.New(rand.NewPCG(uint64(len(name)), 7)),
+		observer: observer, duration: duration, random: rand.New(rand.NewPCG(uint64(len(name)), 7)), endsPerResponse: defaultEndsPerResponse,
 		description: workflow.Executor{ID: "i-" + name, Pool: "pool", FailureDomain: "domain", Capacity: capacity},
 	}
 	x.Restart()
@@ -210,6 +215,9 @@
 	x.update(func() { x.description.Capacity = capacity })
 }
 
+// SetEndsPerResponse sets the largest number of ends in one response. Further ends are listed once these are acknowledged.
+func (x *Executor) SetEndsPerResponse(ends int) { x.update(func() { x.endsPerResponse = ends }) }
+
 // SetDraining sets whether the executor announces that it is draining.
 func (x *Executor) SetDraining(draining bool) { x.update(func() { x.description.Draining = draining }) }
 
@@ -469,7 +477,7 @@
 	for _, task := range slices.Sorted(maps.Keys(x.runs)) {
 		lists.Running = append(lists.Running, workflow.RunState{Task: task, Run: x.runs[task].number, Saved: x.runs[task].checkpoint})
 	}
-	for _, e := range x.ended {
+	for _, e := range x.ended[:min(len(x.ended), x.endsPerResponse)] {
 		lists.Ended = append(lists.Ended, e.RunEnd)
 	}
 	return lists
