Take a run for one that never began only on complete lists

Cause: an executor lists up to 500 ends at a time. The engine took a run that was listed neither as running nor as ended for one that never began, ordered a stop, and unassigned the task once the lists covered the stop. Runs whose ends were beyond the listed ones look the same. A slow store keeps the lists at the same ends meanwhile.

Reports of nodes of former versions lack the field and count as incomplete: during a rolling upgrade a start that never arrived there waits for the node's restart or the end of the lease. Reports in tests of the engine, and lists in those of the node, say that they are complete.

--- a/node/departure_test.go
+++ b/node/departure_test.go
@@ -45,7 +45,7 @@
 	c.Assert(n.nextReport(1).Executor.Left, qt.IsFalse)
 	n.handleHoldError(testIncarnation, ErrRefused, false)
 	c.Assert(n.nextReport(1).Executor.Left, qt.IsTrue)
-	n.applyLists(testIncarnation, &RunLists{StartedUnixMillis: 1000}, 0)
+	n.applyLists(testIncarnation, &RunLists{StartedUnixMillis: 1000, EndsComplete: true}, 0)
 	c.Assert(n.nextReport(1).Executor.Left, qt.IsFalse, qt.Commentf("the incarnation still responds"))
 }
 
@@ -68,11 +68,11 @@
 	c := qt.New(t)
 	n := newNode()
 	n.Leave("i-1")
-	n.applyLists(testIncarnation, &RunLists{StartedUnixMillis: 1000}, 0)
+	n.applyLists(testIncarnation, &RunLists{StartedUnixMillis: 1000, EndsComplete: true}, 0)
 	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 1000}, 2, 600)
 	c.Assert(n.nextReport(1).Executor.Draining, qt.IsTrue, qt.Commentf("it may end at any moment"))
 	n.departure.announcedAt = n.departure.announcedAt.Add(-2 * maxDepartureTime)
-	n.applyLists(testIncarnation, &RunLists{StartedUnixMillis: 1000}, 0)
+	n.applyLists(testIncarnation, &RunLists{StartedUnixMillis: 1000, EndsComplete: true}, 0)
 	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 1000}, 3, 700)
 	c.Assert(n.nextReport(1).Executor.Draining, qt.IsFalse)
 	c.Assert(n.settles(t), qt.IsTrue)
@@ -103,7 +103,7 @@
 	n := departedNode()
 	late := n.nextReport(1)
 	settled := n.departure.settled
-	n.applyLists(testIncarnation, &RunLists{StartedUnixMillis: 2000}, 0)
+	n.applyLists(testIncarnation, &RunLists{StartedUnixMillis: 2000, EndsComplete: true}, 0)
 	<-settled
 	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 1000}, 2, 600)
 	n.applyReply(late, &workflow.ReportReply{Epoch: 1}, time.Now())
--- a/node/hold.go
+++ b/node/hold.go
@@ -142,7 +142,9 @@
 	now := time.Now()
 	left := n.leaseEnd.Sub(now)
 	isShort := left > 0 && (left < shortLease || n.needsRenewal(now))
-	if isShort || n.lastUnknownStart > n.listsCover {
+	// A call that waits for long would delay the acknowledgement after which the executor lists further ends.
+	endsFollow := n.lists != nil && !n.lists.EndsComplete
+	if isShort || endsFollow || n.lastUnknownStart > n.listsCover {
 		wait = shortHoldWait
 	}
 	if n.lists == nil || !n.confirmed {
@@ -214,6 +216,9 @@
 	n.brokenAt, n.end = time.Time{}, executorEnd{}
 	n.clockMillis, n.clockAt = lists.ClockMillis, n.listedAt
 	n.logEnds(incarnation, previous, lists)
+	if !lists.EndsComplete && (previous == nil || previous.EndsComplete) {
+		n.log.Info("executor may have more ends than it lists", "executor", incarnation, "listed", len(lists.Ended), "acknowledged", n.ack)
+	}
 	n.pruneTraits(lists)
 	if first || resolved || len(lists.Ended) > 0 && lists.Ended[len(lists.Ended)-1].Number > n.ack {
 		return reportAtOnce
--- a/node/node.go
+++ b/node/node.go
@@ -51,6 +51,9 @@
 	StartedUnixMillis int64
 	Running           []workflow.RunState
 	Ended             []workflow.RunEnd
+	// EndsComplete is set if the executor certainly has no further ends that are not acknowledged. Otherwise it lists the next
+	// ones once the first are acknowledged.
+	EndsComplete bool
 }
 
 // Executor is the interface to the executor on the host of the node.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -95,7 +95,7 @@
 	c := qt.New(t)
 	n := newNode()
 	list := func(numbers ...int64) {
-		lists := &RunLists{StartedUnixMillis: 1000}
+		lists := &RunLists{StartedUnixMillis: 1000, EndsComplete: true}
 		for _, number := range numbers {
 			lists.Ended = append(lists.Ended, workflow.RunEnd{Number: number})
 		}
@@ -121,7 +121,7 @@
 	n := newNode()
 	now := time.Now()
 	n.leaseEnd = now.Add(time.Minute)
-	lists := func() *RunLists { return &RunLists{ClockMillis: 600, StartedUnixMillis: 1000} }
+	lists := func() *RunLists { return &RunLists{ClockMillis: 600, StartedUnixMillis: 1000, EndsComplete: true} }
 	c.Assert(n.applyLists("i-1@1000", lists(), 0), qt.Equals, reportAtOnce)
 	c.Assert(n.applyLists("i-1@1000", lists(), 0), qt.Equals, nothingNew)
 	n.noteUnknownStart(n.countOrder(false))
@@ -171,3 +171,20 @@
 	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 4000}, 1, 0)
 	c.Assert(n.nextReport(1).LeaseBound.LeftMillis > 4900, qt.IsTrue)
 }
+
+// Guards against owners that take lists for complete while the executor has more ends, and against calls that hold back the
+// acknowledgement after which it lists them.
+func TestFurtherEndsAreReportedAndFetched(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	n.leaseEnd = time.Now().Add(time.Minute)
+	ends := []workflow.RunEnd{{Number: 1}, {Number: 2}}
+	n.applyLists("i-1@1000", &RunLists{StartedUnixMillis: 1000, Ended: ends}, 0)
+	c.Assert(n.nextReport(1).EndsComplete, qt.IsFalse)
+	c.Assert(n.nextHold().wait, qt.Equals, shortHoldWait)
+	n.ack = 2
+	c.Assert(n.nextReport(1).EndsComplete, qt.IsFalse, qt.Commentf("the ends that follow are not listed yet"))
+	n.applyLists("i-1@1000", &RunLists{StartedUnixMillis: 1000, EndsComplete: true}, 0)
+	c.Assert(n.nextReport(1).EndsComplete, qt.IsTrue)
+	c.Assert(n.nextHold().wait, qt.Equals, holdWait)
+}
--- a/node/nodetest/executor.go
+++ b/node/nodetest/executor.go
@@ -71,8 +71,8 @@
 	endsPerResponse int
 }
 
-// defaultEndsPerResponse is the largest number of ends that the platform's executors list in one response.
-const defaultEndsPerResponse = 500
+// DefaultEndsPerResponse is the largest number of ends that the platform's executors list in one response.
+const DefaultEndsPerResponse = 500
 
 const (
 	// crashDelay is the time after its start at which a run crashes the executor, and crashDowntime the time until the
@@ -84,7 +84,7 @@
 // New returns an executor whose tasks take the given duration.
 func New(name string, capacity structs.Resources, duration time.Duration, observer Observer) *Executor {
 	x := &Executor{
-		observer: observer, duration: duration, random: rand.New(rand.NewPCG(uint64(len(name)), 7)), endsPerResponse: defaultEndsPerResponse,
+		observer: observer, duration: duration, random: rand.New(rand.NewPCG(uint64(len(name)), 7)), endsPerResponse: DefaultEndsPerResponse,
 		description: workflow.Executor{ID: "i-" + name, Pool: "pool", FailureDomain: "domain", Capacity: capacity},
 	}
 	x.Restart()
@@ -480,5 +480,6 @@
 	for _, e := range x.ended[:min(len(x.ended), x.endsPerResponse)] {
 		lists.Ended = append(lists.Ended, e.RunEnd)
 	}
+	lists.EndsComplete = len(lists.Ended) < x.endsPerResponse
 	return lists
 }
--- a/node/repeat_test.go
+++ b/node/repeat_test.go
@@ -189,7 +189,7 @@
 	for _, runs := range []int{1, 5, 9, 12} {
 		synctest.Test(t, func(t *testing.T) {
 			n := newNode()
-			x := &paceRecorder{lists: &RunLists{ClockMillis: 1, Running: []workflow.RunState{{Task: "s", Run: 1, Usage: 200}}}}
+			x := &paceRecorder{lists: &RunLists{ClockMillis: 1, EndsComplete: true, Running: []workflow.RunState{{Task: "s", Run: 1, Usage: 200}}}}
 			n.traits["s"] = workflow.RunTraits{Task: "s", TargetMillis: 100, Image: "serving"}
 			for i := range runs {
 				name := fmt.Sprintf("b%d", i)
--- a/node/report.go
+++ b/node/report.go
@@ -100,7 +100,7 @@
 	}
 	if n.current != nil && n.lists != nil {
 		r.Listed, r.CoveredSequence, r.ListAgeMillis = true, n.listsCover, time.Since(n.listedAt).Milliseconds()
-		r.Running = n.lists.Running
+		r.Running, r.EndsComplete = n.lists.Running, n.lists.EndsComplete
 		for _, end := range n.lists.Ended {
 			if end.Number > n.ack {
 				r.Ended = append(r.Ended, end)
--- a/workflow/engine/crash_ends_test.go
+++ b/workflow/engine/crash_ends_test.go
@@ -13,7 +13,7 @@
 // reportEnd sends a report of node "a" that its executor has ended, with the executor's last lists.
 func (h *harness) reportEnd(x *workflow.Executor, running []workflow.RunState, ended []workflow.RunEnd) {
 	h.sendEnd(&workflow.Report{
-		Incarnation: 1, Executor: x, Listed: true, Running: running, Ended: ended, ListAgeMillis: 300, BrokenMillis: 300,
+		Incarnation: 1, Executor: x, Listed: true, EndsComplete: true, Running: running, Ended: ended, ListAgeMillis: 300, BrokenMillis: 300,
 		ExecutorEnd: &workflow.ExecutorEnd{CoveredSequence: 1 << 40}, LeaseBound: &workflow.LeaseBound{Epoch: h.epoch, LeftMillis: 6000},
 	})
 }
@@ -119,7 +119,7 @@
 	h.engine = h.newEngine()
 	h.engine.Add(job, &record, h.now, h.now)
 	h.sendEnd(&workflow.Report{
-		Incarnation: 1, Executor: executor("a", 1), Listed: true, LeaseBound: &workflow.LeaseBound{Epoch: 2},
+		Incarnation: 1, Executor: executor("a", 1), Listed: true, EndsComplete: true, LeaseBound: &workflow.LeaseBound{Epoch: 2},
 		ExecutorEnd: &workflow.ExecutorEnd{CoveredSequence: 1, Started: []workflow.RunState{{Task: starts[0].Task, Run: 1}, {Task: starts[1].Task, Run: 0}}},
 	})
 	restarted := h.startsOnB()
@@ -167,7 +167,7 @@
 	h.report("a", executor("a", 1), nil, nil)
 	running := h.accept("a", h.plan()["a"])
 	h.sendEnd(&workflow.Report{
-		Incarnation: 1, Executor: executor("a", 1), Listed: true, ExecutorEnd: &workflow.ExecutorEnd{CoveredSequence: 0}, LeaseBound: &workflow.LeaseBound{},
+		Incarnation: 1, Executor: executor("a", 1), Listed: true, EndsComplete: true, ExecutorEnd: &workflow.ExecutorEnd{CoveredSequence: 0}, LeaseBound: &workflow.LeaseBound{},
 	})
 	h.Assert(h.startsOnB(), qt.HasLen, 0)
 	h.report("a", executor("a", 1), running, nil)
@@ -208,7 +208,7 @@
 			h.now = h.now.Add(100 * time.Millisecond)
 			h.reports["a"]++
 			h.engine.HandleReport(&workflow.Report{
-				Node: "a", Address: "a", Incarnation: 1, Number: h.reports["a"], Executor: test.executor, Listed: true,
+				Node: "a", Address: "a", Incarnation: 1, Number: h.reports["a"], Executor: test.executor, Listed: true, EndsComplete: true,
 				ListAgeMillis: test.listAge.Milliseconds(),
 			}, h.now, h.now)
 			h.Assert(h.plan()["a"].Starts, qt.HasLen, test.starts)
@@ -297,14 +297,14 @@
 	h.now = h.now.Add(300 * time.Millisecond)
 	h.reports["b"]++
 	h.engine.HandleReport(&workflow.Report{
-		Node: "b", Address: "b", Incarnation: 1, Number: h.reports["b"], Executor: executor("b", 1), Listed: true, BrokenMillis: h.now.Sub(crashedAt).Milliseconds(),
+		Node: "b", Address: "b", Incarnation: 1, Number: h.reports["b"], Executor: executor("b", 1), Listed: true, EndsComplete: true, BrokenMillis: h.now.Sub(crashedAt).Milliseconds(),
 		ExecutorEnd: &workflow.ExecutorEnd{CoveredSequence: 1 << 40}, LeaseBound: &workflow.LeaseBound{},
 	}, h.now, h.now)
 	starts := h.plan()["a"].Starts
 	h.Assert(starts, qt.HasLen, 2)
 	h.now = h.now.Add(50 * time.Millisecond)
 	h.sendEnd(&workflow.Report{
-		Incarnation: 1, Executor: executor("a", 1), Listed: true, BrokenMillis: h.now.Sub(crashedAt).Milliseconds(),
+		Incarnation: 1, Executor: executor("a", 1), Listed: true, EndsComplete: true, BrokenMillis: h.now.Sub(crashedAt).Milliseconds(),
 		ExecutorEnd: &workflow.ExecutorEnd{}, LeaseBound: &workflow.LeaseBound{},
 	})
 	for _, s := range starts {
--- a/workflow/engine/crashes_test.go
+++ b/workflow/engine/crashes_test.go
@@ -48,7 +48,7 @@
 	for _, name := range f.names {
 		f.reports[name]++
 		r := &workflow.Report{
-			Node: name, Address: name, Incarnation: f.nodeIncarnation, Number: f.reports[name], Executor: f.executors[name], Listed: true,
+			Node: name, Address: name, Incarnation: f.nodeIncarnation, Number: f.reports[name], Executor: f.executors[name], Listed: true, EndsComplete: true,
 			Running: f.running[name], Ended: f.ended[name], CoveredSequence: 1 << 40,
 		}
 		if at, broken := f.broken[name]; broken {
@@ -239,7 +239,7 @@
 		f.running[name] = append(append([]workflow.RunState{}, f.running[name][:i]...), f.running[name][i+1:]...)
 		f.reports[name]++
 		f.engine.HandleReport(&workflow.Report{
-			Node: name, Address: name, Incarnation: 1, Number: f.reports[name], Executor: f.executors[name], Listed: true,
+			Node: name, Address: name, Incarnation: 1, Number: f.reports[name], Executor: f.executors[name], Listed: true, EndsComplete: true,
 			Running: f.running[name], CoveredSequence: 1 << 40,
 			Ended: []workflow.RunEnd{{Number: f.reports[name], Task: run.Task, Run: run.Run, How: workflow.EndDone}},
 		}, f.now, f.now)
--- a/workflow/engine/departures_test.go
+++ b/workflow/engine/departures_test.go
@@ -92,7 +92,7 @@
 	left := executor("a", 1)
 	left.Draining, left.Left = true, true
 	_, granted := h.engine.HandleReport(&workflow.Report{
-		Node: "a", Address: "a", Incarnation: 1, Number: 1, Executor: left, Listed: true,
+		Node: "a", Address: "a", Incarnation: 1, Number: 1, Executor: left, Listed: true, EndsComplete: true,
 	}, h.now, h.now)
 	h.Assert(granted, qt.IsFalse)
 }
--- a/workflow/engine/engine_test.go
+++ b/workflow/engine/engine_test.go
@@ -77,7 +77,7 @@
 func (h *harness) report(node string, x *workflow.Executor, running []workflow.RunState, ended []workflow.RunEnd) int64 {
 	h.reports[node]++
 	ack, _ := h.engine.HandleReport(&workflow.Report{
-		Node: node, Address: node, Incarnation: 1, Number: h.reports[node], Executor: x, Listed: true,
+		Node: node, Address: node, Incarnation: 1, Number: h.reports[node], Executor: x, Listed: true, EndsComplete: true,
 		Running: running, Ended: ended, CoveredSequence: 1 << 40,
 	}, h.now, h.now)
 	return ack
@@ -138,7 +138,7 @@
 		h.now = h.now.Add(time.Second)
 		h.reports["a"]++
 		h.engine.HandleReport(&workflow.Report{
-			Node: "a", Address: "a", Incarnation: 1, Number: h.reports["a"], Executor: executor("a", 1), Listed: true,
+			Node: "a", Address: "a", Incarnation: 1, Number: h.reports["a"], Executor: executor("a", 1), Listed: true, EndsComplete: true,
 			Running: running, CoveredSequence: 1 << 40, ListAgeMillis: h.now.Sub(silentSince).Milliseconds(),
 		}, h.now, h.now)
 		h.engine.ExpireLeases(h.now)
@@ -181,7 +181,7 @@
 		h.now = h.now.Add(time.Second)
 		h.reports["a"]++
 		h.engine.HandleReport(&workflow.Report{
-			Node: "a", Address: "a", Incarnation: 2, Number: h.reports["a"], Executor: x, Listed: true, CoveredSequence: 5,
+			Node: "a", Address: "a", Incarnation: 2, Number: h.reports["a"], Executor: x, Listed: true, EndsComplete: true, CoveredSequence: 5,
 		}, h.now, h.now)
 	}
 	restarted()
--- a/workflow/engine/idle_test.go
+++ b/workflow/engine/idle_test.go
@@ -19,7 +19,7 @@
 	number := int64(0)
 	report := func(milliCores int64) {
 		number++
-		e.HandleReport(&workflow.Report{Node: "a", Address: "a", Incarnation: 1, Number: number, Listed: true, Executor: &workflow.Executor{
+		e.HandleReport(&workflow.Report{Node: "a", Address: "a", Incarnation: 1, Number: number, Listed: true, EndsComplete: true, Executor: &workflow.Executor{
 			ID: "i-a", StartedUnixMillis: 1, Pool: "pool", FailureDomain: "domain", Capacity: structs.Resources{MilliCores: milliCores, MemoryMB: 8000},
 		}}, now, now)
 	}
--- a/workflow/engine/leases_test.go
+++ b/workflow/engine/leases_test.go
@@ -80,7 +80,7 @@
 		"unknown to the node":  {silent(executor("a", 1), nil), 8660 * time.Millisecond, engine.LeaseOfTakeover},
 		"longer than possible": {silent(executor("a", 1), &workflow.LeaseBound{Epoch: epoch, LeftMillis: 60000}), 8660 * time.Millisecond, engine.LeaseOfTakeover},
 		"renewed": {
-			&workflow.Report{Executor: executor("a", 1), Listed: true, LeaseBound: &workflow.LeaseBound{Epoch: epoch, LeftMillis: 2000}},
+			&workflow.Report{Executor: executor("a", 1), Listed: true, EndsComplete: true, LeaseBound: &workflow.LeaseBound{Epoch: epoch, LeftMillis: 2000}},
 			7060 * time.Millisecond, engine.LeaseOfOwner,
 		},
 	} {
@@ -113,7 +113,7 @@
 	h.report("a", executor("a", 1), running, nil)
 	h.reports["a"]++
 	h.engine.HandleReport(&workflow.Report{
-		Node: "a", Address: "a", Incarnation: 1, Number: h.reports["a"], Executor: executor("a", 1), Listed: true, ListAgeMillis: 2000,
+		Node: "a", Address: "a", Incarnation: 1, Number: h.reports["a"], Executor: executor("a", 1), Listed: true, EndsComplete: true, ListAgeMillis: 2000,
 		Running: running, LeaseBound: &workflow.LeaseBound{LeftMillis: 100},
 	}, h.now, h.now)
 	after, source := h.lapsesAfter()
--- a/workflow/engine/order_results_test.go
+++ b/workflow/engine/order_results_test.go
@@ -40,7 +40,7 @@
 	h.now = h.now.Add(500 * time.Millisecond)
 	h.reports["a"]++
 	h.engine.HandleReport(&workflow.Report{
-		Node: "a", Address: "a", Incarnation: 1, Number: h.reports["a"], Executor: x, Listed: true, CoveredSequence: 2,
+		Node: "a", Address: "a", Incarnation: 1, Number: h.reports["a"], Executor: x, Listed: true, EndsComplete: true, CoveredSequence: 2,
 	}, h.now, h.now)
 	h.Assert(h.plan(), qt.HasLen, 0, qt.Commentf("the lists are older than the start"))
 	h.report("a", x, nil, nil)
@@ -85,11 +85,11 @@
 	h.report("a", leaving, nil, nil)
 	h.engine.Add(h.job(step(1)), nil, h.now, h.now)
 	h.engine.HandleReport(&workflow.Report{
-		Node: "a", Address: "a", Incarnation: 2, Number: 1, Executor: executor("a", 1), Listed: true, CoveredSequence: 1 << 40,
+		Node: "a", Address: "a", Incarnation: 2, Number: 1, Executor: executor("a", 1), Listed: true, EndsComplete: true, CoveredSequence: 1 << 40,
 	}, h.now, h.now)
 	h.Assert(h.plan(), qt.HasLen, 0)
 	h.engine.HandleReport(&workflow.Report{
-		Node: "a", Address: "a", Incarnation: 2, Number: 2, Executor: executor("a", 2), Listed: true, CoveredSequence: 1 << 40,
+		Node: "a", Address: "a", Incarnation: 2, Number: 2, Executor: executor("a", 2), Listed: true, EndsComplete: true, CoveredSequence: 1 << 40,
 	}, h.now, h.now)
 	h.Assert(h.plan()["a"].Starts, qt.HasLen, 1, qt.Commentf("the next incarnation is used"))
 }
@@ -101,7 +101,7 @@
 	e := newEngineWithoutOperatorState(h)
 	e.Add(h.job(step(1)), nil, h.now, h.now)
 	e.HandleReport(&workflow.Report{
-		Node: "a", Address: "a", Incarnation: 1, Number: 1, Executor: executor("a", 1), Listed: true,
+		Node: "a", Address: "a", Incarnation: 1, Number: 1, Executor: executor("a", 1), Listed: true, EndsComplete: true,
 	}, h.now, h.now)
 	e.Plan(h.now, h.now)
 	h.Assert(e.TakeOrders(), qt.HasLen, 0)
--- a/workflow/engine/ranking_test.go
+++ b/workflow/engine/ranking_test.go
@@ -22,7 +22,7 @@
 	e.SetEvacuated(nil)
 	for i := range rapid.IntRange(1, 8).Draw(t, "executors") {
 		name := fmt.Sprintf("host-%d", i)
-		e.HandleReport(&workflow.Report{Node: name, Address: name, Incarnation: 1, Number: 1, Listed: true, Executor: &workflow.Executor{
+		e.HandleReport(&workflow.Report{Node: name, Address: name, Incarnation: 1, Number: 1, Listed: true, EndsComplete: true, Executor: &workflow.Executor{
 			ID: "i-" + name, StartedUnixMillis: 1, Pool: "pool", FailureDomain: "domain", Labels: []string{fmt.Sprintf("r%d", i%2)},
 			Capacity: structs.Resources{MilliCores: int64(1000 * rapid.IntRange(1, 8).Draw(t, "cores")), MemoryMB: 8000},
 		}}, now, now)
@@ -108,7 +108,7 @@
 	now := time.Unix(1000, 0)
 	e := New(Settings{LeaseDuration: time.Second, LeaseExpiry: 2 * time.Second, RemoteSlowdown: 1.5}, now)
 	e.SetEvacuated(nil)
-	e.HandleReport(&workflow.Report{Node: "a", Address: "a", Incarnation: 1, Number: 1, Listed: true, Executor: &workflow.Executor{
+	e.HandleReport(&workflow.Report{Node: "a", Address: "a", Incarnation: 1, Number: 1, Listed: true, EndsComplete: true, Executor: &workflow.Executor{
 		ID: "i-a", StartedUnixMillis: 1, Pool: "pool", Capacity: structs.Resources{MilliCores: 4000, MemoryMB: 8000},
 	}}, now, now)
 	for number := range 2 {
--- a/workflow/engine/reconcile.go
+++ b/workflow/engine/reconcile.go
@@ -36,7 +36,8 @@
 		if t.startPending && now.Sub(t.startedAt) >= startResultTimeout {
 			t.startPending = false
 		}
-		if present[t.name] >= t.run || t.startPending {
+		if present[t.name] >= t.run || t.startPending || !r.EndsComplete {
+			// The end of a run may follow in later lists. Each acknowledgement makes the executor list further ends.
 			continue
 		}
 		e.handleUnlistedRun(t, r)
@@ -61,8 +62,8 @@
 	}
 }
 
-// handleUnlistedRun handles a task that its executor lists neither as running nor as ended. Its start may still arrive,
-// so a stop is ordered before the task is unassigned: an executor never starts a run after an order to stop it.
+// handleUnlistedRun handles a task that its executor lists neither as running nor as ended, in complete lists. Its start may still
+// arrive, so a stop is ordered before the task is unassigned: an executor never starts a run after an order to stop it.
 func (e *Engine) handleUnlistedRun(t *task, r *workflow.Report) {
 	if t.startedSequence > r.CoveredSequence && t.startedIncarnation == r.Incarnation {
 		return
--- a/workflow/engine/simulation_test.go
+++ b/workflow/engine/simulation_test.go
@@ -223,7 +223,7 @@
 	n.number++
 	n.reportDue = s.now.Add(reportInterval)
 	report := workflow.Report{
-		Node: n.name, Address: n.name, Incarnation: 1, Number: n.number, Executor: n.executor, Listed: true, Ended: n.ended,
+		Node: n.name, Address: n.name, Incarnation: 1, Number: n.number, Executor: n.executor, Listed: true, EndsComplete: true, Ended: n.ended,
 		CoveredSequence: 1 << 40,
 	}
 	for _, r := range n.running {
--- a/workflow/engine/unreachable_hosts_test.go
+++ b/workflow/engine/unreachable_hosts_test.go
@@ -47,7 +47,7 @@
 	h := newHarness(t)
 	report := func(incarnation, number int64) bool {
 		_, granted := h.engine.HandleReport(&workflow.Report{
-			Node: "a", Address: "a", Incarnation: incarnation, Number: number, Executor: executor("a", 1), Listed: true,
+			Node: "a", Address: "a", Incarnation: incarnation, Number: number, Executor: executor("a", 1), Listed: true, EndsComplete: true,
 		}, h.now, h.now)
 		return granted
 	}
--- a/workflow/engine/waiting_test.go
+++ b/workflow/engine/waiting_test.go
@@ -16,7 +16,7 @@
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
 	e := newOrderEngine(now)
-	e.HandleReport(&workflow.Report{Node: "a", Address: "a", Incarnation: 1, Number: 1, Listed: true, Executor: &workflow.Executor{
+	e.HandleReport(&workflow.Report{Node: "a", Address: "a", Incarnation: 1, Number: 1, Listed: true, EndsComplete: true, Executor: &workflow.Executor{
 		ID: "i-a", StartedUnixMillis: 1, Pool: "pool", FailureDomain: "domain", Capacity: structs.Resources{MilliCores: 500, MemoryMB: 8000},
 	}}, now, now)
 	j := orderedJob(e, 1, 3, 0, time.Second, now)
--- a/workflow/messages.go
+++ b/workflow/messages.go
@@ -22,6 +22,9 @@
 	ExecutorEnd *ExecutorEnd `json:"executor_end,omitempty"`
 	Running     []RunState   `json:"running,omitempty"`
 	Ended       []RunEnd     `json:"ended,omitempty"`
+	// EndsComplete is set if the executor listed all ends that are not acknowledged. It lists a limited number at a time, and nodes
+	// of former versions don't report whether there are more.
+	EndsComplete bool `json:"ends_complete,omitempty"`
 	// CoveredSequence is the sequence of the last order that had been carried out when the lists were requested.
 	CoveredSequence int64 `json:"covers"`
 	// TraitsUnknown is set if the node lacks the traits of the running tasks, since its process started after them.
