Let each run that is done finish its task

Cause: handleRunEnd let an end done of another run than the assigned one finish the task only if the run was earlier. An end of the same run on another incarnation, to which the task had been moved, and one of a run beyond the job's record had no effect, while their numbers counted as stored, so that the executor forgot them.

Change: an end done of any run finishes a task that isn't long-running. A run that is assigned meanwhile is stopped as an orphaned one.

--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -224,8 +224,9 @@
 		return
 	}
 	if t.run != end.Run || t.phase == workflow.TaskAssigned && t.executorIncarnation != incarnation {
-		if end.How == workflow.EndDone && end.Run < t.run && !t.step.LongRunning {
-			// An earlier run has finished after all. The later run is then stopped as an orphaned one.
+		if end.How == workflow.EndDone && !t.step.LongRunning {
+			// Whichever run has finished the task, it must not start again once this end is acknowledged. The assigned run is then
+			// stopped as an orphaned one.
 			e.completeTask(t, wall)
 		}
 		return
