--- a/owner/owner.go
+++ b/owner/owner.go
@@ -48,8 +48,9 @@
 	reclaimTimeout = 500 * time.Millisecond
 	// createTimeout limits storing a job on behalf of a gateway.
 	createTimeout = 1500 * time.Millisecond
-	// maxReportBytes limits the body of a report, and of a job that a gateway relays.
-	maxReportBytes = 4 << 20
+	// maxReportBytes limits the body of a report, and of a job that a gateway relays. A report holds the lists of runs that an
+	// executor has sent, which may take 4 MiB, and what the node adds.
+	maxReportBytes = 8 << 20
 	// announceTimeout limits one call that announces a new owner.
 	announceTimeout = time.Second
 )
