Play random faults while executors list few ends at a time

Random histories never had more ends than an executor lists at a time.

Change: two tests with jobs of many small tasks, 1 to 6 ends at a time, and a slow store, with called executors and with fetched orders. Restarts of executors are left out: they have an open fault of their own. The limit is lifted for the search for standstills, since executors that fetch their orders would take seconds to list the ends of a step one by one.

--- a/test/workflows/random_faults_test.go
+++ b/test/workflows/random_faults_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/quetzalshed/quetzalshed/gateway"
 	"github.com/quetzalshed/quetzalshed/kv/kvtest"
+	"github.com/quetzalshed/quetzalshed/node/nodetest"
 	"github.com/quetzalshed/quetzalshed/ownership"
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
@@ -71,6 +72,13 @@
 	"reconnect", "refuse", "store-hangs", "lose", "heal", "remove-owner-key", "end-leases", "end-leases",
 }
 
+// manyEndsActionKinds are faults under which ends wait for their acknowledgement. Restarts of executors are left to actionKinds: a start
+// that reaches the next incarnation may run after its task is done, which is an open fault (docs/PROOFS.md).
+var manyEndsActionKinds = []string{
+	"submit", "submit", "submit", "submit", "cancel", "kill", "start", "start", "withdraw", "silence", "respond", "late", "on-time",
+	"refuse", "store-hangs", "lose", "delay", "delay", "heal", "compact", "remove-owner-key", "end-leases", "cut", "reconnect",
+}
+
 const (
 	randomTestHosts = 3
 	// watchedShare is the inverse of the share of histories after which standstills are looked for.
@@ -98,8 +106,13 @@
 	cancelled   map[string]bool
 	// crashes counts the executors that have ended visibly without an announcement. A job may be given up after two.
 	crashes int
+	// manySmall is set if jobs have manySmallFactor times as many tasks, which need as much less.
+	manySmall bool
 }
 
+// manySmallFactor lets enough tasks run on an executor that it has more ends than it lists at a time.
+const manySmallFactor = 5
+
 func (h *history) apply(a action) {
 	if a.host == randomTestHosts {
 		h.applyToEntry(a)
@@ -180,7 +193,7 @@
 	case "lose":
 		client.SetFaults(kvtest.Faults{Delay: storeDelay, ResponseLoss: 0.3, CommitDelay: a.pause})
 	case "delay":
-		client.SetFaults(kvtest.Faults{Delay: 240 * time.Millisecond})
+		client.SetFaults(kvtest.Faults{Delay: slowStoreDelay})
 	case "heal":
 		client.SetFaults(kvtest.Faults{Delay: storeDelay})
 	case "compact":
@@ -196,6 +209,12 @@
 // call counts as accepted.
 func (h *history) submitOnce(counts []int) {
 	job := h.newJob(counts...)
+	for i := range job.Steps {
+		if h.manySmall {
+			job.Steps[i].Count *= manySmallFactor
+			job.Steps[i].Need.MilliCores /= manySmallFactor
+		}
+	}
 	ctx, cancel := context.WithTimeout(h.ctx, 3*time.Second)
 	defer cancel()
 	err := h.gateway.Submit(ctx, &job)
@@ -227,6 +246,13 @@
 	}
 }
 
+// limitEnds sets how many ends the executors list at a time.
+func (h *history) limitEnds(endsPerResponse int) {
+	for _, host := range h.hosts {
+		host.executor.SetEndsPerResponse(endsPerResponse)
+	}
+}
+
 func (h *history) startIfStopped(i int) {
 	if h.stopped[i] {
 		h.hosts[i].start()
@@ -333,19 +359,39 @@
 	checkRandomFaults(t, randomFaults{kinds: leaseActionKinds, taskTime: longTaskTime, fetching: true})
 }
 
+// Guards against tasks that are done and are started again because their executor has more ends than it lists at a time, and against
+// jobs that stand still until it lists them.
+func TestRandomFaultsWithManyEnds(t *testing.T) {
+	checkRandomFaults(t, randomFaults{kinds: manyEndsActionKinds, taskTime: taskTime, manyEnds: true})
+}
+
+// Guards against the same when executors fetch their orders.
+func TestRandomFaultsWithManyEndsAndFetchedOrders(t *testing.T) {
+	checkRandomFaults(t, randomFaults{kinds: manyEndsActionKinds, taskTime: taskTime, manyEnds: true, fetching: true})
+}
+
 // randomFaults describes the histories of a test.
 type randomFaults struct {
 	kinds    []string
 	taskTime time.Duration
 	// fetching is set if executors fetch their orders.
 	fetching bool
+	// manyEnds is set if jobs have many small tasks, executors list few ends at a time, and the store is slow.
+	manyEnds bool
 }
 
+// maxRandomEndsPerResponse limits how many ends executors list at a time in histories with many ends.
+const maxRandomEndsPerResponse = 6
+
 func checkRandomFaults(t *testing.T, faults randomFaults) {
 	rapid.Check(t, func(rt *rapid.T) {
 		actions := drawActions(rt, faults.kinds)
 		// Looking for standstills takes several times as long as the rest of a history.
 		watched := rapid.IntRange(1, watchedShare).Draw(rt, "watched") == watchedShare
+		endsPerResponse := 0
+		if faults.manyEnds {
+			endsPerResponse = rapid.IntRange(1, maxRandomEndsPerResponse).Draw(rt, "ends per response")
+		}
 		failure := ""
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
@@ -353,6 +399,11 @@
 			defer cancel()
 			h := &history{fleet: newFleetOf(t, ctx, randomTestHosts, faults.fetching), stopped: map[int]bool{}, misreported: map[int]bool{}, cancelled: map[string]bool{}}
 			h.setTaskTime(faults.taskTime)
+			if faults.manyEnds {
+				h.manySmall = true
+				h.limitEnds(endsPerResponse)
+				h.setStoreFaults(kvtest.Faults{Delay: slowStoreDelay})
+			}
 			time.Sleep(startupTime)
 			if faults.taskTime == longTaskTime {
 				h.submitOnce([]int{8})
@@ -364,6 +415,8 @@
 			h.clearFaults()
 			h.setTaskTime(taskTime)
 			if watched {
+				// With few ends at a time, executors that fetch their orders would take seconds to list those of a step.
+				h.limitEnds(nodetest.DefaultEndsPerResponse)
 				h.submitLasting()
 				failure = h.watchAfterFaults()
 			}
