Start idle gangs despite earlier failures of their members

Cause: the filter on failed executors kept each member off that executor, so that the gang fitted nowhere. startIdleJobs starts tasks of other idle jobs past that filter, but left gangs out.

Change: startIdleJob starts a whole gang past the same filters. A gang of which members have failed waits 2 s from one such start to the next: it may get the same executor again, and each failure uses up an attempt of the whole gang.

--- a/workflow/engine/plan.go
+++ b/workflow/engine/plan.go
@@ -33,11 +33,14 @@
 const (
 	// maxIdleTime is how long a ready job may have no task running while most capacity is unreserved.
 	maxIdleTime = time.Second
+	// failedGangDelay is the minimum time between two starts of an idle gang of which members have failed. The second may be on the
+	// same executors, which may fail runs for seconds, and each failure uses up an attempt of the whole gang.
+	failedGangDelay = 2 * time.Second
 	// lowReservation is the reserved fraction of the CPU of a pool below which most capacity counts as unreserved.
 	lowReservation = 0.6
 )
 
-// startIdleJobs starts one task of each job that has had no task running for maxIdleTime while most capacity of its pool is
+// startIdleJobs starts one task or gang of each job that has had no task running for maxIdleTime while most capacity of its pool is
 // unreserved. Otherwise no best-effort task would start while serving tasks are near their latency targets on all
 // executors; pacing of best-effort tasks protects the serving tasks.
 func (e *Engine) startIdleJobs(jobs []candidate, now, wall time.Time) {
@@ -65,11 +68,17 @@
 	}
 }
 
-// startIdleJob starts the first ready task of a job for which any executor has room. Members of gangs don't count.
+// startIdleJob starts the first ready task, or all members of the first ready gang, of a job for which executors have room.
 func (e *Engine) startIdleJob(c candidate, now, wall time.Time) {
 	for i := range c.job.groups {
 		g := &c.job.groups[i]
-		if c.job.Steps[g.step].Gang || !e.groupReady(c.job, g, wall) {
+		if !e.groupReady(c.job, g, wall) {
+			continue
+		}
+		if c.job.Steps[g.step].Gang {
+			if !g.failedSince(now.Add(-failedGangDelay)) && e.startGang(g, &placementRequest{engine: e, queue: c.queue, task: g.tasks[0], now: now, relaxed: true}) {
+				return
+			}
 			continue
 		}
 		ready := slices.IndexFunc(g.tasks, func(t *task) bool { return t.canStart(now) })
@@ -85,6 +94,11 @@
 	}
 }
 
+// failedSince reports whether a task of the group has failed and was last started after the given time.
+func (g *group) failedSince(since time.Time) bool {
+	return slices.ContainsFunc(g.tasks, func(t *task) bool { return len(t.failedHosts) > 0 && t.startedAt.After(since) })
+}
+
 // startedSince reports whether a start of an assigned task has been ordered since the given time.
 func (j *job) startedSince(since time.Time) bool {
 	return slices.ContainsFunc(j.tasks, func(t *task) bool { return t.phase == workflow.TaskAssigned && t.startedAt.After(since) })
@@ -196,12 +210,12 @@
 	}
 }
 
-// startGang starts all tasks of a gang with the same run number, or none of them.
-func (e *Engine) startGang(g *group, request *placementRequest) {
+// startGang starts all tasks of a gang with the same run number, or none of them. It reports whether they were started.
+func (e *Engine) startGang(g *group, request *placementRequest) bool {
 	run := 0
 	for _, t := range g.tasks {
 		if !t.canStart(request.now) {
-			return
+			return false
 		}
 		run = max(run, t.run)
 	}
@@ -221,11 +235,12 @@
 		n.removeTask(g.tasks[i])
 	}
 	if len(chosen) < len(g.tasks) {
-		return
+		return false
 	}
 	for i, t := range g.tasks {
 		e.assign(t, chosen[i], run+1, request.now)
 	}
+	return true
 }
 
 // assign assigns a new run of a task to an executor and queues its start order.
