Restart long-running best-effort tasks without waiting for spare CPU

Cause: the filters leftover and interference ask for half of the task's CPU to be spare, and for headroom beside serving tasks. startIdleJobs starts tasks past them, but not of a job of which other tasks run, nor in a pool that is mostly reserved.

Change: a restart of such a task that has waited for 1 s is placed as startIdleJobs places tasks. Pacing protects the serving tasks beside it, as with tasks of idle jobs; on an executor that fetches its orders there is no pacing, so the task may be stopped and placed again there.

--- a/workflow/engine/restarts.go
+++ b/workflow/engine/restarts.go
@@ -46,18 +46,24 @@
 	return found
 }
 
+// isOverdue reports whether a restart has waited for so long that it doesn't wait for spare CPU any longer. Best-effort tasks reserve
+// none, and pacing protects the serving tasks beside them.
+func (r *restart) isOverdue(now time.Time) bool {
+	return r.task.step.BestEffort && now.Sub(r.task.waitingSince) >= maxIdleTime
+}
+
 // startRestarts starts those restarts for which an executor is found.
 func (e *Engine) startRestarts(restarts []restart, now time.Time, unplaceable *unplaceableShapes) {
 	for len(restarts) > 0 {
-		first := restarts[0]
+		first, isOverdue := restarts[0], restarts[0].isOverdue(now)
 		var tasks []*task
-		for len(restarts) > 0 && restarts[0].task.group == first.task.group {
+		for len(restarts) > 0 && restarts[0].task.group == first.task.group && restarts[0].isOverdue(now) == isOverdue {
 			tasks = append(tasks, restarts[0].task)
 			restarts = restarts[1:]
 		}
 		s := shapeOf(first.queue, first.task.step)
-		if !unplaceable.covers(s) {
-			e.startTasks(tasks, &placementRequest{engine: e, queue: first.queue, task: first.task, now: now}, s, unplaceable)
+		if isOverdue || !unplaceable.covers(s) {
+			e.startTasks(tasks, &placementRequest{engine: e, queue: first.queue, task: first.task, now: now, relaxed: isOverdue}, s, unplaceable)
 		}
 	}
 }
