Start the members of a gang with one checkpoint

Cause: the engine kept the checkpoint of each member and started it with its own. All members have to carry the same one, and any member's is valid for the gang.

Change: startGang gives all members the checkpoint that the owner has learned of last; after a change of the owner, before it learns of another, the first one in the job's record.

--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -235,7 +235,7 @@
 		return
 	}
 	if end.Saved != "" {
-		t.saved = end.Saved
+		t.setSaved(end.Saved, now)
 	}
 	assigned := t.phase == workflow.TaskAssigned
 	if end.How == workflow.EndDone {
--- a/workflow/engine/plan.go
+++ b/workflow/engine/plan.go
@@ -237,8 +237,10 @@
 	if len(chosen) < len(g.tasks) {
 		return false
 	}
+	saved := g.newestSaved()
 	for i, t := range g.tasks {
 		e.assign(t, chosen[i], run+1, request.now)
+		t.saved = saved
 	}
 	return true
 }
--- a/workflow/engine/reconcile.go
+++ b/workflow/engine/reconcile.go
@@ -58,7 +58,7 @@
 	t.percent, t.usage = run.Percent, run.Usage
 	t.group.lowestAt = time.Time{}
 	if run.Saved != "" {
-		t.saved = run.Saved
+		t.setSaved(run.Saved, at)
 	}
 }
 
--- a/workflow/engine/task.go
+++ b/workflow/engine/task.go
@@ -21,7 +21,9 @@
 	host     string
 	node     *node
 	failures int
-	saved    string
+	// saved is the newest checkpoint, and savedAt is when this owner learned of it; zero if it is from the job's record.
+	saved   string
+	savedAt time.Time
 
 	// startPending is set while the result of a start order is outstanding.
 	startPending bool
