Reject jobs whose number of tasks wraps around

Cause: Job.Validate added the counts and multiplied them by the occurrences in int, which wraps around.

Change: the limit is divided by the occurrences, and the counts are subtracted from it.

--- a/workflow/job.go
+++ b/workflow/job.go
@@ -108,20 +108,27 @@
 	if j.Occurrences < 0 || j.IntervalMillis < 0 || j.FirstUnixMillis < 0 {
 		add("occurrences", "times and counts must not be negative")
 	}
-	total := 0
 	for i := range j.Steps {
 		validateStep(&j.Steps[i], i, add)
-		total += j.Steps[i].Count
-		if total > MaxTasks {
-			break
-		}
 	}
-	if j.Occurrences > MaxTasks || total*j.OccurrenceCount() > MaxTasks {
+	if j.exceedsMaxTasks() {
 		add("steps", "more than %d tasks", MaxTasks)
 	}
 	return found
 }
 
+// exceedsMaxTasks reports whether the job has more than MaxTasks tasks. Their number may exceed the range of an int.
+func (j *Job) exceedsMaxTasks() bool {
+	left := MaxTasks / j.OccurrenceCount()
+	for i := range j.Steps {
+		if j.Steps[i].Count > left {
+			return true
+		}
+		left -= max(j.Steps[i].Count, 0)
+	}
+	return false
+}
+
 func validateStep(s *Step, number int, add func(key, format string, args ...any)) {
 	place := fmt.Sprintf("steps[%d]", number)
 	if s.Count < 1 {
