Give the node the clocks of its host

The node read the monotonic clock wherever it judged a lease or the age of a report, and tests could not tell that clock from one that counts suspensions: virtual time has a single clock. node.New now takes a clock.Host, with the monotonic clock and the time since boot; the node goes on using the former. clocktest.Host simulates both. In test/workflows a host can be suspended: its monotonic clock stands still, calls from and to it go on when it resumes, with the rest of their time, and its executor goes on. An executor that fetches its orders discards responses that take over a second, as the real ones do.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -13,12 +13,29 @@
 	Now() time.Time
 }
 
+// Host gives the clocks of a host.
+type Host interface {
+	// Clock gives the monotonic clock, which stands still while the host is suspended, as timers do.
+	Clock
+	// SinceBoot returns the time since the host booted, including time in which it was suspended, and false if it can't be read.
+	SinceBoot() (time.Duration, bool)
+}
+
 // System is the clock of the operating system.
 type System struct{}
 
 // Now returns the current time with a monotonic reading.
 func (System) Now() time.Time { return time.Now() }
 
+// SinceBoot implements Host.
+func (System) SinceBoot() (time.Duration, bool) {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return 0, false
+	}
+	return time.Duration(t.Nano()), true
+}
+
 // Manual is a clock that only moves when Advance is called. It is safe for concurrent use.
 type Manual struct {
 	mu  sync.Mutex
@@ -44,14 +61,10 @@
 	}
 }
 
-// SinceBoot returns the time since the host booted, including time in which it was suspended. The monotonic readings of package
-// time exclude that, so a lease that ended during a suspension would still look valid with them. It returns 0 if the clock
-// can't be read.
+// SinceBoot returns the time since the host booted, including time in which it was suspended. It returns 0 if the clock can't be
+// read.
 func SinceBoot() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		// Without this clock, leases are limited only by the monotonic one.
-		return 0
-	}
-	return time.Duration(t.Nano())
+	// Without this clock, leases are limited only by the monotonic one.
+	sinceBoot, _ := System{}.SinceBoot()
+	return sinceBoot
 }
--- a/cmd/quetzalshed-node/main.go
+++ b/cmd/quetzalshed-node/main.go
@@ -9,6 +9,7 @@
 	"github.com/gorilla/mux"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/cmd/internal/program"
 	"github.com/quetzalshed/quetzalshed/node"
 	"github.com/quetzalshed/quetzalshed/owner"
@@ -41,7 +42,7 @@
 		mailbox = node.NewMailbox()
 		executor = mailbox
 	}
-	n := node.New(p.Settings.NodeName, p.Address, executor, p.Locator, p.RPC, p.Log, p.Scope)
+	n := node.New(p.Settings.NodeName, p.Address, executor, p.Locator, p.RPC, clock.System{}, p.Log, p.Scope)
 	candidate := &owner.Candidate{
 		Node: p.Settings.NodeName, Address: p.Address, Store: p.Store, Locator: p.Locator, Operators: p.Operators,
 		RPC: p.RPC, Log: p.Log, Scope: p.Scope, RemoteSlowdown: p.Settings.Bounds.FarX,
--- a/node/departure.go
+++ b/node/departure.go
@@ -46,7 +46,7 @@
 	if n.departure == nil {
 		n.departure = newDeparture()
 	}
-	n.departure.announcedAt = time.Now()
+	n.departure.announcedAt = n.clock.Now()
 	signal(n.wakeHold)
 	signal(n.wakeReport)
 }
@@ -62,7 +62,7 @@
 		n.noteConnection(err)
 	}
 	if broken && n.current != nil && n.current.IncarnationID() == incarnation && n.brokenAt.IsZero() {
-		n.brokenAt = time.Now()
+		n.brokenAt = n.clock.Now()
 		signal(n.wakeReport)
 	}
 	if !n.departure.announced() || n.current.Left || n.current.IncarnationID() != incarnation || !errors.Is(err, ErrRefused) {
--- a/node/hold.go
+++ b/node/hold.go
@@ -109,7 +109,7 @@
 	if !first {
 		ack, wait = 0, 0
 	}
-	if !first && time.Until(h.renewedUntil) >= urgentRenewal {
+	if !first && h.renewedUntil.Sub(n.clock.Now()) >= urgentRenewal {
 		deadline = 0
 	}
 	if !first {
@@ -139,7 +139,7 @@
 	if n.hasServingAndBestEffort() {
 		wait = sharedHoldWait
 	}
-	now := time.Now()
+	now := n.clock.Now()
 	left := n.leaseEnd.Sub(now)
 	isShort := left > 0 && (left < shortLease || n.needsRenewal(now))
 	if isShort || n.lastUnknownStart > n.listsCover {
@@ -169,7 +169,7 @@
 // it. An executor that restarts under the same ID numbers its ends from 1 again, so acknowledging a number that it has not
 // listed could discard ends that were never reported.
 func (n *Node) pendingAck() int64 {
-	if !n.confirmed || time.Since(n.listedAt) > ackWindow {
+	if !n.confirmed || n.clock.Now().Sub(n.listedAt) > ackWindow {
 		return 0
 	}
 	if n.lists == nil || len(n.lists.Ended) == 0 || n.lists.Ended[0].Number > n.ack {
@@ -208,8 +208,9 @@
 	first := n.lists == nil
 	previous := n.lists
 	resolved := n.lastUnknownStart > n.listsCover && n.lastUnknownStart <= covers
-	n.noteResponse(time.Now())
-	n.lists, n.listsCover, n.listedAt, n.confirmed = lists, covers, time.Now(), true
+	now := n.clock.Now()
+	n.noteResponse(now)
+	n.lists, n.listsCover, n.listedAt, n.confirmed = lists, covers, now, true
 	maps.DeleteFunc(n.unlistedStarts, func(sequence int64, _ workflow.RunState) bool { return sequence <= covers })
 	n.brokenAt, n.end = time.Time{}, executorEnd{}
 	n.clockMillis, n.clockAt = lists.ClockMillis, n.listedAt
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/node/sharing"
 	"github.com/quetzalshed/quetzalshed/owner"
 	"github.com/quetzalshed/quetzalshed/ownership"
@@ -75,6 +76,7 @@
 	executor      Executor
 	locator       *ownership.Locator
 	rpc           *rpc.Client
+	clock         clock.Clock
 	log           hclog.Logger
 	metrics       nodeMetrics
 
@@ -136,9 +138,8 @@
 }
 
 // New returns a node that reports under the given name and receives orders at the given address.
-func New(name, address string, executor Executor, locator *ownership.Locator, client *rpc.Client, log hclog.Logger, scope tally.Scope) *Node {
+func New(name, address string, executor Executor, locator *ownership.Locator, client *rpc.Client, host clock.Host, log hclog.Logger, scope tally.Scope) *Node {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)
-	now := time.Now()
 	copies := maxCopies
 	if _, fetches := executor.(*Mailbox); fetches {
 		// An order that is not fetched is withdrawn, so that it certainly has no effect.
@@ -146,8 +147,8 @@
 	}
 	return &Node{
 		copies: copies,
-		name:   name, address: address, incarnation: now.UnixNano(), executor: executor, locator: locator,
-		leaseBound: now.Add(owner.ExecutorLeaseDuration), rpc: client, log: log, reportSentAt: map[int64]time.Time{},
+		name:   name, address: address, incarnation: time.Now().UnixNano(), executor: executor, locator: locator,
+		leaseBound: host.Now().Add(owner.ExecutorLeaseDuration), rpc: client, clock: host, log: log, reportSentAt: map[int64]time.Time{},
 		unlistedStarts: map[int64]workflow.RunState{}, needsTraits: true, traits: map[string]workflow.RunTraits{}, paces: map[string]int{}, nearTarget: map[string]bool{}, pacer: sharing.NewController(),
 		wakeHold: make(chan struct{}, 1), wakeReport: make(chan struct{}, 1),
 		metrics: nodeMetrics{
@@ -195,7 +196,7 @@
 	}
 	n.current, n.announceSequence = &e, sequence
 	if n.clockAt.IsZero() && clockMillis > 0 {
-		n.clockMillis, n.clockAt = clockMillis, time.Now()
+		n.clockMillis, n.clockAt = clockMillis, n.clock.Now()
 	}
 	if changed {
 		signal(n.wakeHold)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/quetzalshed/quetzalshed/clock/clocktest"
 	"github.com/quetzalshed/quetzalshed/kv/kvtest"
 	"github.com/quetzalshed/quetzalshed/owner"
 	"github.com/quetzalshed/quetzalshed/ownership"
@@ -17,10 +18,13 @@
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
-func newNode() *Node {
+func newNode() *Node { return newNodeOn(clocktest.NewHost()) }
+
+// newNodeOn returns a node on a host with the given clocks.
+func newNodeOn(host *clocktest.Host) *Node {
 	log := hclog.NewNullLogger()
 	locator := ownership.NewLocator(kvtest.New().Client(1), log)
-	n := New("n", "a", nil, locator, rpc.NewClient(), log, tally.NoopScope)
+	n := New("n", "a", nil, locator, rpc.NewClient(), host, log, tally.NoopScope)
 	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 1000}, 1, 500)
 	return n
 }
--- a/node/orders.go
+++ b/node/orders.go
@@ -98,7 +98,7 @@
 func (n *Node) start(ctx context.Context, orders *workflow.Orders, s *workflow.StartOrder) workflow.OrderResult {
 	result := workflow.OrderResult{Task: s.Task, Run: s.Run, Outcome: workflow.OutcomeRejected}
 	n.mu.Lock()
-	deadline, reason := n.checkStart(orders, time.Now())
+	deadline, reason := n.checkStart(orders, n.clock.Now())
 	fence := int64(0)
 	if reason == "" {
 		fence = n.fence(orders.Epoch)
--- a/node/repeat_test.go
+++ b/node/repeat_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/quetzalshed/quetzalshed/clock/clocktest"
 	"github.com/quetzalshed/quetzalshed/owner"
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
@@ -149,7 +150,7 @@
 		m := NewMailbox()
 		m.Fetch(firstIncarnation, &RunLists{})
 		n := newNode()
-		n = New(n.name, n.address, m, n.locator, n.rpc, n.log, tally.NoopScope)
+		n = New(n.name, n.address, m, n.locator, n.rpc, clocktest.NewHost(), n.log, tally.NoopScope)
 		order := func() error {
 			return n.repeatOrder(t.Context(), func(ctx context.Context) error { return m.Start(ctx, firstIncarnation, Start{Task: "t", Run: 1}) })
 		}
--- a/node/report.go
+++ b/node/report.go
@@ -56,7 +56,7 @@
 
 func (n *Node) report(ctx context.Context, record workflow.OwnerRecord) error {
 	report := n.nextReport(record.Epoch)
-	sent := time.Now()
+	sent := n.clock.Now()
 	call, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	n.metrics.reports.Inc(1)
@@ -71,7 +71,7 @@
 	if err := response.Decode(&reply); err != nil {
 		return err
 	}
-	n.metrics.reportTime.RecordDuration(time.Since(sent))
+	n.metrics.reportTime.RecordDuration(n.clock.Now().Sub(sent))
 	n.applyReply(report, &reply, sent)
 	return nil
 }
@@ -81,7 +81,7 @@
 func (n *Node) nextReport(epoch int64) *workflow.Report {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := time.Now()
+	now := n.clock.Now()
 	n.epoch = max(n.epoch, epoch)
 	n.reportNumber++
 	n.reportSentAt[n.reportNumber] = now
@@ -96,10 +96,10 @@
 	}
 	r.ExecutorEnd = n.reportedEnd()
 	if n.current != nil && !n.brokenAt.IsZero() {
-		r.BrokenMillis = max(time.Since(n.brokenAt).Milliseconds(), 1)
+		r.BrokenMillis = max(now.Sub(n.brokenAt).Milliseconds(), 1)
 	}
 	if n.current != nil && n.lists != nil {
-		r.Listed, r.CoveredSequence, r.ListAgeMillis = true, n.listsCover, time.Since(n.listedAt).Milliseconds()
+		r.Listed, r.CoveredSequence, r.ListAgeMillis = true, n.listsCover, now.Sub(n.listedAt).Milliseconds()
 		r.Running = n.lists.Running
 		for _, end := range n.lists.Ended {
 			if end.Number > n.ack {
@@ -122,10 +122,11 @@
 		return
 	}
 	n.noteReply(report)
-	hadLease := n.leaseEnd.After(time.Now())
+	now := n.clock.Now()
+	hadLease := n.leaseEnd.After(now)
 	n.extendLease(sent, time.Duration(reply.LeaseMillis)*time.Millisecond)
-	if !hadLease && n.leaseEnd.After(time.Now()) {
-		n.log.Info("lease granted", "epoch", reply.Epoch, "executor", n.current.IncarnationID(), "until_ms", time.Until(n.leaseEnd).Milliseconds())
+	if !hadLease && n.leaseEnd.After(now) {
+		n.log.Info("lease granted", "epoch", reply.Epoch, "executor", n.current.IncarnationID(), "until_ms", n.leaseEnd.Sub(now).Milliseconds())
 		signal(n.wakeHold)
 	}
 	if reply.Ack > n.ack {
--- a/test/workflows/fleet_test.go
+++ b/test/workflows/fleet_test.go
@@ -38,6 +38,8 @@
 	networkDelay = 3 * time.Millisecond
 	// storeDelay is the duration of a call to the store.
 	storeDelay = 4 * time.Millisecond
+	// maxFetchTime is how long a response to a fetch may take: executors discard later ones.
+	maxFetchTime = time.Second
 )
 
 // logFleet makes the nodes and owners of a fleet write their logs, in virtual time.
@@ -66,6 +68,7 @@
 	candidateDone chan struct{}
 	stopCandidacy context.CancelFunc
 	locator       *ownership.Locator
+	suspension    *suspension
 	// fencingToken is the highest fencing token that the executor has fetched.
 	fencingToken int64
 }
@@ -102,7 +105,7 @@
 	f.network.Delay = networkDelay
 	for i := range hosts {
 		name := fmt.Sprintf("host-%d", i)
-		h := &host{fleet: f, name: name, store: f.newStoreClient(uint64(i))}
+		h := &host{fleet: f, name: name, store: f.newStoreClient(uint64(i)), suspension: newSuspension()}
 		h.executor = nodetest.New(name, structs.Resources{MilliCores: 4000, MemoryMB: 8000}, taskTime, f.checker)
 		f.hosts = append(f.hosts, h)
 		h.start()
@@ -145,16 +148,16 @@
 	f := h.fleet
 	ctx, cancel := context.WithCancel(f.ctx)
 	log := f.log.Named(h.name)
-	monitor := kv.NewMonitor(h.store)
+	monitor := kv.NewMonitor(suspendableStore{h.store, h.suspension})
 	h.locator = ownership.NewLocator(monitor, log)
-	client := f.newRPCClient(h.name)
-	var executor node.Executor = h.executor
+	client := rpc.NewClientWithTransport(suspendableTransport{f.network.Transport(h.name), h.suspension})
+	var executor node.Executor = suspendableExecutor{h.executor, h.suspension}
 	var mailbox *node.Mailbox
 	if f.fetchOrders {
 		mailbox = node.NewMailbox()
 		executor = mailbox
 	}
-	n := node.New(h.name, h.name, executor, h.locator, client, log, tally.NoopScope)
+	n := node.New(h.name, h.name, executor, h.locator, client, h.suspension.clocks, log, tally.NoopScope)
 	candidate := &owner.Candidate{
 		Node: h.name, Address: h.name, Store: monitor, Locator: h.locator, Operators: operators{}, RPC: client,
 		Log: log, Scope: tally.NoopScope,
@@ -163,7 +166,7 @@
 	n.Register(router)
 	candidate.Register(router)
 	owner.RegisterAnnounce(router, h.locator)
-	f.network.Handle(h.name, router)
+	f.network.Handle(h.name, h.suspension.handler(router))
 	candidacy, withdraw := context.WithCancel(ctx)
 	h.cancel, h.stopCandidacy, h.candidateDone = cancel, withdraw, make(chan struct{})
 	h.node = n
@@ -184,6 +187,7 @@
 		pause := announceInterval
 		if description, up := h.executor.Describe(); up {
 			description.Unpaced = mailbox != nil
+			h.suspension.await()
 			n.Announce(description, sequence, 0)
 			if mailbox != nil {
 				pause = h.fetchAndExecute(ctx, description.IncarnationID(), mailbox)
@@ -205,7 +209,13 @@
 	if err != nil {
 		return announceInterval
 	}
+	sentAt := time.Now()
+	h.suspension.await()
 	commands := mailbox.Fetch(incarnation, lists)
+	h.suspension.await()
+	if time.Since(sentAt) > maxFetchTime {
+		return commands.FetchAgain
+	}
 	h.fencingToken = max(h.fencingToken, commands.Fence)
 	deadline := int64(0)
 	if commands.LeaseMillis > 0 {
--- /dev/null
+++ b/test/workflows/suspension_test.go
@@ -0,0 +1,169 @@
+package workflows_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/clock/clocktest"
+	"github.com/quetzalshed/quetzalshed/kv"
+	"github.com/quetzalshed/quetzalshed/node"
+)
+
+// suspension simulates a host that is suspended while its executor goes on: its monotonic clock stands still, and calls from and
+// to its process go on only after it has resumed, with the rest of their time.
+type suspension struct {
+	clocks *clocktest.Host
+
+	mu sync.Mutex
+	// resumed is closed unless the host is suspended.
+	resumed chan struct{}
+}
+
+func newSuspension() *suspension {
+	s := &suspension{clocks: clocktest.NewHost(), resumed: make(chan struct{})}
+	close(s.resumed)
+	return s
+}
+
+// suspend suspends the host for a time, unless it is suspended already.
+func (s *suspension) suspend(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case <-s.resumed:
+	default:
+		return
+	}
+	resumed := make(chan struct{})
+	s.resumed = resumed
+	s.clocks.Suspend()
+	time.AfterFunc(d, func() {
+		s.clocks.Resume()
+		close(resumed)
+	})
+}
+
+// await waits until the host is not suspended.
+func (s *suspension) await() {
+	s.mu.Lock()
+	resumed := s.resumed
+	s.mu.Unlock()
+	<-resumed
+}
+
+// call makes a call of the host's process. Its time limit excludes suspensions.
+func (s *suspension) call(ctx context.Context, call func(ctx context.Context)) {
+	s.await()
+	began, beganOnHost := time.Now(), s.clocks.Now()
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			s.await()
+			time.Sleep(time.Since(began) - s.clocks.Now().Sub(beganOnHost))
+		}
+		cancel()
+	})
+	defer stop()
+	call(running)
+	s.await()
+}
+
+// handler delays the calls that the host receives.
+func (s *suspension) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.await()
+		next.ServeHTTP(w, r)
+		s.await()
+	})
+}
+
+// suspendableTransport is the network as seen by a host.
+type suspendableTransport struct {
+	http.RoundTripper
+	suspension *suspension
+}
+
+func (t suspendableTransport) RoundTrip(r *http.Request) (response *http.Response, err error) {
+	t.suspension.call(r.Context(), func(ctx context.Context) {
+		response, err = t.RoundTripper.RoundTrip(r.WithContext(ctx))
+	})
+	return response, err
+}
+
+// suspendableExecutor is an executor as called by its host.
+type suspendableExecutor struct {
+	node.Executor
+	suspension *suspension
+}
+
+func (x suspendableExecutor) Start(ctx context.Context, incarnation string, s node.Start) (err error) {
+	x.suspension.call(ctx, func(ctx context.Context) { err = x.Executor.Start(ctx, incarnation, s) })
+	return err
+}
+
+func (x suspendableExecutor) Stop(ctx context.Context, incarnation, task string, run int, fence int64) (err error) {
+	x.suspension.call(ctx, func(ctx context.Context) { err = x.Executor.Stop(ctx, incarnation, task, run, fence) })
+	return err
+}
+
+func (x suspendableExecutor) Hold(ctx context.Context, incarnation string, fence, ack, deadlineMillis int64, wait time.Duration) (lists *node.RunLists, err error) {
+	x.suspension.call(ctx, func(ctx context.Context) {
+		lists, err = x.Executor.Hold(ctx, incarnation, fence, ack, deadlineMillis, wait)
+	})
+	return lists, err
+}
+
+func (x suspendableExecutor) Connect(ctx context.Context) (err error) {
+	x.suspension.call(ctx, func(ctx context.Context) { err = x.Executor.Connect(ctx) })
+	return err
+}
+
+// suspendableStore is the store as called by a host.
+type suspendableStore struct {
+	kv.Store
+	suspension *suspension
+}
+
+func (s suspendableStore) Get(ctx context.Context, key string) (item kv.Item, found bool, revision int64, err error) {
+	s.suspension.call(ctx, func(ctx context.Context) { item, found, revision, err = s.Store.Get(ctx, key) })
+	return item, found, revision, err
+}
+
+func (s suspendableStore) List(ctx context.Context, prefix string) (items []kv.Item, revision int64, err error) {
+	s.suspension.call(ctx, func(ctx context.Context) { items, revision, err = s.Store.List(ctx, prefix) })
+	return items, revision, err
+}
+
+func (s suspendableStore) Watch(ctx context.Context, prefix string, after int64, timeout time.Duration) (events []kv.Event, revision int64, err error) {
+	s.suspension.call(ctx, func(ctx context.Context) { events, revision, err = s.Store.Watch(ctx, prefix, after, timeout) })
+	return events, revision, err
+}
+
+func (s suspendableStore) Commit(ctx context.Context, t kv.Transaction) (revision int64, err error) {
+	s.suspension.call(ctx, func(ctx context.Context) { revision, err = s.Store.Commit(ctx, t) })
+	return revision, err
+}
+
+func (s suspendableStore) Grant(ctx context.Context, ttl time.Duration) (lease kv.Lease, err error) {
+	s.suspension.call(ctx, func(ctx context.Context) { lease, err = s.Store.Grant(ctx, ttl) })
+	return lease, err
+}
+
+func (s suspendableStore) KeepAlive(ctx context.Context, id int64) (err error) {
+	s.suspension.call(ctx, func(ctx context.Context) { err = s.Store.KeepAlive(ctx, id) })
+	return err
+}
+
+func (s suspendableStore) Revoke(ctx context.Context, id int64) (err error) {
+	s.suspension.call(ctx, func(ctx context.Context) { err = s.Store.Revoke(ctx, id) })
+	return err
+}
+
+var (
+	_ node.Executor = suspendableExecutor{}
+	_ kv.Store      = suspendableStore{}
+)
