Show that tasks run twice after a node's host was suspended

What users saw: tasks that ran on two executors at once (docs/incidents/twice-real-hosts.md). The tests suspend the host of a node, whose monotonic clock then stands still, while its executor and the owner go on.

--- /dev/null
+++ b/node/suspension_test.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/clock/clocktest"
+	"github.com/quetzalshed/quetzalshed/owner"
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+const testLeaseMillis = int64(owner.ExecutorLeaseDuration / time.Millisecond)
+
+// suspend suspends a host for a time.
+func suspend(host *clocktest.Host, d time.Duration) {
+	host.Suspend()
+	time.Sleep(d)
+	host.Resume()
+}
+
+// executorClock is the clock of an executor, which goes on while the host is suspended.
+type executorClock time.Time
+
+func (c executorClock) millis() int64 { return time.Since(time.Time(c)).Milliseconds() }
+
+// Guards against a lease that a node renews for time that is over: its host was suspended, and the owner has taken the tasks for
+// lost or is about to.
+func TestLeaseIsNotRenewedAfterItExpiredDuringSuspension(t *testing.T) {
+	for _, suspended := range []time.Duration{time.Second, 3 * time.Second, 5 * time.Second, 8 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			host, started := clocktest.NewHost(), executorClock(time.Now())
+			n := newNodeOn(host)
+			time.Sleep(time.Second)
+			report, sent := n.nextReport(1), n.clock.Now()
+			limit := started.millis() + testLeaseMillis
+			n.applyReply(report, &workflow.ReportReply{Epoch: 1, LeaseMillis: testLeaseMillis}, sent)
+			suspend(host, suspended)
+			n.applyLists(testIncarnation, &RunLists{ClockMillis: started.millis(), StartedUnixMillis: 1000}, 0)
+			deadline := n.nextHold().deadline
+			c.Assert(deadline <= limit, qt.IsTrue, qt.Commentf("suspended for %v: the lease ends at %d ms, renewed until %d ms", suspended, limit, deadline))
+		})
+	}
+}
+
+// Guards against a lease that counts from when the reply was processed: the host was suspended between the report and its reply.
+func TestLeaseCountsFromReportAcrossSuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		host, started := clocktest.NewHost(), executorClock(time.Now())
+		n := newNodeOn(host)
+		report, sent := n.nextReport(1), n.clock.Now()
+		limit := started.millis() + testLeaseMillis
+		suspend(host, 4*time.Second)
+		n.applyReply(report, &workflow.ReportReply{Epoch: 1, LeaseMillis: testLeaseMillis}, sent)
+		n.applyLists(testIncarnation, &RunLists{ClockMillis: started.millis(), StartedUnixMillis: 1000}, 0)
+		deadline := n.nextHold().deadline
+		c.Assert(deadline <= limit, qt.IsTrue, qt.Commentf("the lease ends at %d ms, renewed until %d ms", limit, deadline))
+	})
+}
+
+// Guards against a start that is based on a report from before a suspension: its task may run elsewhere by now.
+func TestStartBasedOnReportBeforeSuspensionIsRejected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		host := clocktest.NewHost()
+		n := newNodeOn(host)
+		report := n.nextReport(1)
+		suspend(host, 7*time.Second)
+		_, reason := n.checkStart(&workflow.Orders{
+			Epoch: 1, Incarnation: n.incarnation, ReportNumber: report.Number, LeaseMillis: testLeaseMillis, ExecutorIncarnation: testIncarnation,
+		}, n.clock.Now())
+		c.Assert(reason, qt.Equals, "basis")
+	})
+}
+
+// Guards against lists that look young after a suspension: they don't show that the executor is alive, and its ends may no longer
+// be acknowledged.
+func TestListsAgeDuringSuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		host := clocktest.NewHost()
+		n := newNodeOn(host)
+		n.applyLists(testIncarnation, &RunLists{ClockMillis: 600, StartedUnixMillis: 1000, Ended: []workflow.RunEnd{{Number: 1}}}, 0)
+		n.ack = 1
+		suspend(host, 3*time.Second)
+		c.Check(n.pendingAck(), qt.Equals, int64(0))
+		c.Check(n.nextReport(1).ListAgeMillis, qt.Equals, int64(3000))
+	})
+}
--- a/test/workflows/suspension_test.go
+++ b/test/workflows/suspension_test.go
@@ -5,8 +5,11 @@
 	"errors"
 	"net/http"
 	"sync"
+	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+
 	"github.com/quetzalshed/quetzalshed/clock/clocktest"
 	"github.com/quetzalshed/quetzalshed/kv"
 	"github.com/quetzalshed/quetzalshed/node"
@@ -167,3 +170,65 @@
 	_ node.Executor = suspendableExecutor{}
 	_ kv.Store      = suspendableStore{}
 )
+
+// otherHost returns a host that isn't the owner.
+func (f *fleet) otherHost() *host {
+	owner := f.owner()
+	for _, h := range f.hosts {
+		if h != owner {
+			return h
+		}
+	}
+	return nil
+}
+
+// lapsingTask is a task on a host whose lease lapses.
+type lapsingTask struct {
+	*host
+	incarnation string
+	tasks       []string
+}
+
+// startLasting submits a job of tasks that exceed the lease and returns the host, other than the owner's, that runs some of them.
+func (f *fleet) startLasting() lapsingTask {
+	for _, h := range f.hosts {
+		h.executor.SetDuration(longTaskTime)
+	}
+	f.submit(2 * len(f.hosts))
+	time.Sleep(2 * time.Second)
+	h := f.otherHost()
+	description, _ := h.executor.Describe()
+	incarnation := description.IncarnationID()
+	return lapsingTask{h, incarnation, f.checker.tasksOn(incarnation)}
+}
+
+// Guards against a task that runs twice: the host of its executor was suspended for less than the lease and cut off from the
+// owner afterwards, and renewed the lease for the time of the suspension.
+func TestLeaseEndsWhenHostWasSuspendedAndCutOff(t *testing.T) {
+	runWithFleet(t, 3, func(f *fleet) {
+		h := f.startLasting()
+		f.Assert(len(h.tasks) > 0, qt.IsTrue)
+		h.suspension.suspend(4 * time.Second)
+		f.network.SetPartitioned(h.name, true)
+		f.waitFor(longTaskTime, func() bool { return f.checker.runElsewhere(h.incarnation, h.tasks) })
+		f.Assert(f.checker.foundViolations(), qt.HasLen, 0)
+	})
+}
+
+// Guards against a task that runs twice: a reply to a report is processed after the host was suspended, and the lease counts from
+// then on.
+func TestLeaseEndsWhenReplyIsProcessedAfterSuspension(t *testing.T) {
+	runWithFleet(t, 3, func(f *fleet) {
+		h := f.startLasting()
+		f.Assert(len(h.tasks) > 0, qt.IsTrue)
+		for range 3 {
+			h.suspension.suspend(5 * time.Second)
+			time.Sleep(5*time.Second + holdTime)
+		}
+		f.waitFor(longTaskTime, func() bool { return f.checker.runElsewhere(h.incarnation, h.tasks) })
+		f.Assert(f.checker.foundViolations(), qt.HasLen, 0)
+	})
+}
+
+// holdTime is how long a host is up between two suspensions: long enough for a call to its executor, but not for a report.
+const holdTime = 2 * networkDelay
