Count leases and the ages of reports on a clock that goes on during suspensions

What users saw: tasks that ran on two executors at once. After its host was suspended, a node renewed the lease of its executor for time that was over, and accepted starts and acknowledged ends on reports and lists that looked young.

Cause: it read the monotonic clock, which stands still meanwhile; the owner and the executor go on.

Change: clock.Boot counts the time since boot and is the only clock by which the node judges leases, reports, lists, departures and broken connections. If a host can't tell the time since boot, it goes on with the monotonic clock, and the node logs that. Time limits of calls, paces and the time over which connections must be refused stay on the monotonic clock.

--- a/node/end.go
+++ b/node/end.go
@@ -12,7 +12,8 @@
 
 const (
 	// minRefusals is the number of connections in a row that must be refused, over minRefusalTime, until the executor's process
-	// counts as ended. One that has just announced itself may refuse the first ones.
+	// counts as ended. One that has just announced itself may refuse the first ones. The time excludes suspensions of the host,
+	// since the executor may have been suspended, too.
 	minRefusals    = 3
 	minRefusalTime = 200 * time.Millisecond
 	// connectTimeout limits an attempt to connect to the executor.
--- a/node/node.go
+++ b/node/node.go
@@ -76,7 +76,7 @@
 	executor      Executor
 	locator       *ownership.Locator
 	rpc           *rpc.Client
-	clock         clock.Clock
+	clock         *clock.Boot
 	log           hclog.Logger
 	metrics       nodeMetrics
 
@@ -140,6 +140,10 @@
 // New returns a node that reports under the given name and receives orders at the given address.
 func New(name, address string, executor Executor, locator *ownership.Locator, client *rpc.Client, host clock.Host, log hclog.Logger, scope tally.Scope) *Node {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)
+	boot := clock.NewBoot(host)
+	if !boot.CountsSuspensions() {
+		log.Warn("time since boot can't be read, leases don't count suspensions of the host")
+	}
 	copies := maxCopies
 	if _, fetches := executor.(*Mailbox); fetches {
 		// An order that is not fetched is withdrawn, so that it certainly has no effect.
@@ -148,7 +152,7 @@
 	return &Node{
 		copies: copies,
 		name:   name, address: address, incarnation: time.Now().UnixNano(), executor: executor, locator: locator,
-		leaseBound: host.Now().Add(owner.ExecutorLeaseDuration), rpc: client, clock: host, log: log, reportSentAt: map[int64]time.Time{},
+		leaseBound: boot.Now().Add(owner.ExecutorLeaseDuration), rpc: client, clock: boot, log: log, reportSentAt: map[int64]time.Time{},
 		unlistedStarts: map[int64]workflow.RunState{}, needsTraits: true, traits: map[string]workflow.RunTraits{}, paces: map[string]int{}, nearTarget: map[string]bool{}, pacer: sharing.NewController(),
 		wakeHold: make(chan struct{}, 1), wakeReport: make(chan struct{}, 1),
 		metrics: nodeMetrics{
