Judge the ownership and the engine's leases by the same clock

What callers saw: nothing wrong, but two designs for one thing. The ownership of the jobs was judged by two clocks at a time, the engine's leases by the monotonic one: an owner whose host was suspended held the tasks of lost executors longer by that time, and handed over leases that are too long. Both err on the late side, so no task ran twice for it.

Change: a term has one clock.Boot, by which its ownership, its engine, and what it inherits and hands over are judged. The pair of clocks in ownership is gone, and Lease.Valid takes no time that a caller could have read earlier. Retention of finished jobs gets the time of day, in which the end of a job is recorded.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -60,11 +60,3 @@
 		m.now = m.now.Add(d)
 	}
 }
-
-// SinceBoot returns the time since the host booted, including time in which it was suspended. It returns 0 if the clock can't be
-// read.
-func SinceBoot() time.Duration {
-	// Without this clock, leases are limited only by the monotonic one.
-	sinceBoot, _ := System{}.SinceBoot()
-	return sinceBoot
-}
--- a/owner/commit_test.go
+++ b/owner/commit_test.go
@@ -8,6 +8,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/clock/clocktest"
 	"github.com/quetzalshed/quetzalshed/kv"
 	"github.com/quetzalshed/quetzalshed/kv/kvtest"
 	"github.com/quetzalshed/quetzalshed/ownership"
@@ -20,7 +22,7 @@
 		c := qt.New(t)
 		store := kvtest.New()
 		client := store.Client(1)
-		lease, err := ownership.Acquire(t.Context(), client, workflow.OwnerRecord{Node: "n"}, hclog.NewNullLogger())
+		lease, err := ownership.Acquire(t.Context(), client, workflow.OwnerRecord{Node: "n"}, clock.NewBoot(clocktest.NewHost()), hclog.NewNullLogger())
 		c.Assert(err, qt.IsNil)
 		term := &term{lease: lease, store: client, log: hclog.NewNullLogger(), commitRevision: lease.CommitRevision}
 		put := func(value string) {
--- a/owner/faults_test.go
+++ b/owner/faults_test.go
@@ -12,6 +12,8 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/clock/clocktest"
 	"github.com/quetzalshed/quetzalshed/kv"
 	"github.com/quetzalshed/quetzalshed/kv/kvtest"
 	"github.com/quetzalshed/quetzalshed/ownership"
@@ -23,13 +25,21 @@
 
 // newTerm returns a term with a fresh lease that is not renewed.
 func newTerm(t *testing.T, network *rpctest.Network) *term {
-	lease, err := ownership.Acquire(t.Context(), kvtest.New().Client(1), workflow.OwnerRecord{Node: "n"}, hclog.NewNullLogger())
+	term, _ := newTermOn(t, network)
+	return term
+}
+
+// newTermOn does the same and returns the clocks of the owner's host.
+func newTermOn(t *testing.T, network *rpctest.Network) (*term, *clocktest.Host) {
+	host := clocktest.NewHost()
+	boot := clock.NewBoot(host)
+	lease, err := ownership.Acquire(t.Context(), kvtest.New().Client(1), workflow.OwnerRecord{Node: "n"}, boot, hclog.NewNullLogger())
 	qt.Assert(t, err, qt.IsNil)
 	return &term{
-		lease: lease, log: hclog.NewNullLogger(), metrics: newMetrics(tally.NoopScope), events: make(chan event, eventQueueSize),
+		lease: lease, clock: boot, log: hclog.NewNullLogger(), metrics: newMetrics(tally.NoopScope), events: make(chan event, eventQueueSize),
 		rpc:    rpc.NewClientWithTransport(network.Transport("owner")),
-		engine: engine.New(engine.Settings{LeaseDuration: ExecutorLeaseDuration, LeaseExpiry: executorLeaseExpiry, RemoteSlowdown: 1.5, Retention: retention}, time.Now()),
-	}
+		engine: engine.New(engine.Settings{LeaseDuration: ExecutorLeaseDuration, LeaseExpiry: executorLeaseExpiry, RemoteSlowdown: 1.5, Retention: retention}, boot.Now()),
+	}, host
 }
 
 // Guards against an owner that is paused between planning and delivery and sends starts after its lease has expired, when
@@ -86,7 +96,7 @@
 		}, false)
 		_, known := term.engine.Phase(id)
 		c.Assert(known, qt.IsTrue)
-		term.engine.Plan(time.Now(), time.Now())
+		term.engine.Plan(term.clock.Now(), time.Now())
 	})
 }
 
@@ -112,8 +122,8 @@
 		}
 		add("00000000000000aa", true)
 		add("00000000000000bb", false)
-		live, _ := term.engine.Age("00000000000000aa", time.Now())
-		loaded, _ := term.engine.Age("00000000000000bb", time.Now())
+		live, _ := term.engine.Age("00000000000000aa", term.clock.Now())
+		loaded, _ := term.engine.Age("00000000000000bb", term.clock.Now())
 		c.Assert(live, qt.Equals, time.Duration(0))
 		c.Assert(loaded, qt.Equals, 8*time.Second)
 	})
--- a/owner/inputs.go
+++ b/owner/inputs.go
@@ -47,7 +47,7 @@
 // applyInput adds one job or cancellation to the engine. A live input has just been stored, so its age is taken as zero instead
 // of being computed from the wall clocks of the gateway and this host, which may differ by seconds.
 func (t *term) applyInput(item kv.Item, records map[string]*workflow.JobRecord, live bool) {
-	now, wall := time.Now(), time.Now()
+	now, wall := t.clock.Now(), time.Now()
 	if id, ok := strings.CutPrefix(item.Key, CancelPrefix); ok {
 		if t.engine.Cancel(id, wall) {
 			t.log.Debug("job cancelled", "job", id, "revision", item.Revision)
--- a/owner/leases.go
+++ b/owner/leases.go
@@ -36,7 +36,7 @@
 			return
 		}
 	}
-	leases := t.engine.FinalLeases(time.Now())
+	leases := t.engine.FinalLeases(t.clock.Now())
 	t.leases = &leases
 	err := t.write(ctx, kv.Transaction{})
 	t.log.Info("leases handed over", "epoch", t.lease.Record.Epoch, "executors", len(leases.Executors), "stored", err == nil && ctx.Err() == nil)
--- a/owner/leases_test.go
+++ b/owner/leases_test.go
@@ -10,6 +10,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/clock/clocktest"
 	"github.com/quetzalshed/quetzalshed/kv"
 	"github.com/quetzalshed/quetzalshed/kv/kvtest"
 	"github.com/quetzalshed/quetzalshed/ownership"
@@ -19,7 +21,7 @@
 
 // acquire takes the ownership through a client and returns its term.
 func acquire(t *testing.T, client *kvtest.Client) *term {
-	lease, err := ownership.Acquire(t.Context(), client, workflow.OwnerRecord{Node: "n"}, hclog.NewNullLogger())
+	lease, err := ownership.Acquire(t.Context(), client, workflow.OwnerRecord{Node: "n"}, clock.NewBoot(clocktest.NewHost()), hclog.NewNullLogger())
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, lease, qt.IsNotNil)
 	term := newTerm(t, rpctest.New())
@@ -88,3 +90,19 @@
 		qt.Assert(t, time.Since(started) <= handOverTimeout, qt.IsTrue)
 	})
 }
+
+// Guards against leases that an owner counts as longer than they are, since its host was suspended: tasks of lost executors would
+// wait for that time, too, also under its successor.
+func TestLeasesOfExecutorsExpireWhileOwnersHostIsSuspended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		term, host := newTermOn(t, rpctest.New())
+		left := func() int64 { return term.engine.FinalLeases(term.clock.Now()).OthersMillis }
+		term.engine.InheritLeases(&workflow.OwnerLeases{OthersMillis: 60_000}, term.clock.Now())
+		before := left()
+		host.Suspend()
+		time.Sleep(5 * time.Second)
+		host.Resume()
+		c.Assert(before-left(), qt.Equals, int64(5000))
+	})
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/intake"
 	"github.com/quetzalshed/quetzalshed/kv"
 	"github.com/quetzalshed/quetzalshed/ownership"
@@ -61,8 +62,10 @@
 	Locator       *ownership.Locator
 	Operators     OperatorSource
 	RPC           *rpc.Client
-	Log           hclog.Logger
-	Scope         tally.Scope
+	// Host gives the clocks of this host.
+	Host  clock.Host
+	Log   hclog.Logger
+	Scope tally.Scope
 	// RemoteSlowdown is how many times longer a task runs if its data is not local; 0 means defaultRemoteSlowdown.
 	RemoteSlowdown float64
 
@@ -114,7 +117,8 @@
 // campaign tries to acquire the ownership, and runs one term if it succeeds.
 func (c *Candidate) campaign(ctx context.Context, metrics metrics) {
 	self := workflow.OwnerRecord{Node: c.Node, Address: c.Address}
-	lease, err := ownership.Acquire(ctx, c.Store, self, c.Log)
+	boot := clock.NewBoot(c.Host)
+	lease, err := ownership.Acquire(ctx, c.Store, self, boot, c.Log)
 	if err != nil {
 		c.Log.Debug("ownership not taken", "error", err)
 		c.Locator.Refresh(ctx)
@@ -125,7 +129,7 @@
 		return
 	}
 	t := &term{
-		lease: lease, store: c.Store, operators: c.Operators, rpc: c.RPC, log: c.Log, metrics: metrics,
+		lease: lease, clock: boot, store: c.Store, operators: c.Operators, rpc: c.RPC, log: c.Log, metrics: metrics,
 		events: make(chan event, eventQueueSize), loaded: make(chan struct{}), commitDone: make(chan error, 1),
 		remoteSlowdown: cmp.Or(c.RemoteSlowdown, defaultRemoteSlowdown), commitRevision: lease.CommitRevision, acked: map[string]int64{},
 	}
--- a/owner/serve.go
+++ b/owner/serve.go
@@ -93,7 +93,7 @@
 	if r.Executor != nil {
 		reply.Ack = t.ackedNumber(r.Executor.IncarnationID())
 	}
-	if granted && t.lease.Valid(time.Now()) {
+	if granted && t.lease.Valid() {
 		reply.LeaseMillis = ExecutorLeaseDuration.Milliseconds()
 	}
 	return reply, true
@@ -142,7 +142,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), ordersTimeout)
 	defer cancel()
 	d.Orders.Epoch = t.lease.Record.Epoch
-	if !t.lease.Valid(time.Now()) {
+	if !t.lease.Valid() {
 		t.withholdStarts(d)
 	}
 	for i := range d.Orders.Starts {
--- a/owner/term.go
+++ b/owner/term.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/kv"
 	"github.com/quetzalshed/quetzalshed/ownership"
 	"github.com/quetzalshed/quetzalshed/rpc"
@@ -76,13 +77,15 @@
 	Evacuated []string
 }
 
-// event changes the engine in the loop of the term. The returned function, if any, is called once all changes made so far are
+// event changes the engine in the loop of the term, at a time on the clock of the term and the time of day. The returned function, if any, is called once all changes made so far are
 // stored.
 type event func(now, wall time.Time) func()
 
 // term is the time during which this process holds the ownership once, with its engine and its event loop.
 type term struct {
-	lease          *ownership.Lease
+	lease *ownership.Lease
+	// clock is the one by which the lease and the engine judge times.
+	clock          *clock.Boot
 	store          kv.Store
 	operators      OperatorSource
 	rpc            *rpc.Client
@@ -154,7 +157,7 @@
 		return eris.Wrap(err, "list job records")
 	}
 	records := t.parseRecords(states)
-	now := time.Now()
+	now := t.clock.Now()
 	t.engine = engine.New(engine.Settings{
 		LeaseDuration: ExecutorLeaseDuration, LeaseExpiry: executorLeaseExpiry, RemoteSlowdown: t.remoteSlowdown, Retention: retention, TakeoverSlack: takeoverSlack,
 		Epoch: t.lease.Record.Epoch,
@@ -262,13 +265,13 @@
 }
 
 func (t *term) apply(e event) {
-	if after := e(time.Now(), time.Now()); after != nil {
+	if after := e(t.clock.Now(), time.Now()); after != nil {
 		t.afterCommit = append(t.afterCommit, after)
 	}
 }
 
 func (t *term) tick() {
-	now := time.Now()
+	now := t.clock.Now()
 	t.engine.Tick(now)
 	for _, l := range t.engine.ExpireLeases(now) {
 		t.metrics.lapsed.Inc(1)
@@ -282,13 +285,13 @@
 	t.metrics.assigned.Update(float64(counts.Assigned))
 	if now.Sub(t.lastCollection) > collectInterval {
 		t.lastCollection = now
-		t.deletions = t.engine.ExpiredJobs(now, collectLimit)
+		t.deletions = t.engine.ExpiredJobs(time.Now(), collectLimit)
 	}
 }
 
 // flush plans tasks and starts to store the changes. If nothing has changed, it releases the batch at once.
 func (t *term) flush(ctx context.Context) {
-	t.engine.Plan(time.Now(), time.Now())
+	t.engine.Plan(t.clock.Now(), time.Now())
 	t.logWaits()
 	t.logIdle()
 	b := &batch{
--- a/ownership/lease.go
+++ b/ownership/lease.go
@@ -36,26 +36,18 @@
 	Former       []byte
 	FormerReadAt time.Time
 
-	store     kv.Store
-	leaseID   int64
-	log       hclog.Logger
-	sinceBoot func() time.Duration
+	store   kv.Store
+	leaseID int64
+	clock   *clock.Boot
+	log     hclog.Logger
 
 	mu         sync.Mutex
-	validUntil instant
+	validUntil time.Time
 }
 
-// instant is a point in time on two clocks: the monotonic clock, which stops while the host is suspended, and the time since
-// boot, which includes suspension.
-type instant struct {
-	monotonic time.Time
-	sinceBoot time.Duration
-}
-
-func (i instant) add(d time.Duration) instant { return instant{i.monotonic.Add(d), i.sinceBoot + d} }
-
-// Acquire takes the ownership if there is no owner. It returns nil without an error if another process has it or was faster.
-func Acquire(ctx context.Context, store kv.Store, self workflow.OwnerRecord, log hclog.Logger) (*Lease, error) {
+// Acquire takes the ownership if there is no owner. It returns nil without an error if another process has it or was faster. The
+// lease is judged by the given clock.
+func Acquire(ctx context.Context, store kv.Store, self workflow.OwnerRecord, boot *clock.Boot, log hclog.Logger) (*Lease, error) {
 	value, err := json.Marshal(self)
 	if err != nil {
 		return nil, err
@@ -64,9 +56,9 @@
 	if err != nil {
 		return nil, err
 	}
-	readAt := time.Now()
+	readAt := boot.Now()
 	// The lease is granted last, since it runs while the store answers the calls that follow.
-	sentAt := instant{time.Now(), clock.SinceBoot()}
+	sentAt := boot.Now()
 	lease, err := store.Grant(ctx, LeaseTTL)
 	if err != nil {
 		return nil, err
@@ -82,8 +74,8 @@
 		return nil, err
 	}
 	self.Epoch = revision
-	l := &Lease{Record: self, CommitRevision: revision, Former: commit.Value, FormerReadAt: readAt, store: store, leaseID: lease.ID, log: log, sinceBoot: clock.SinceBoot}
-	l.extend(sentAt.add(lease.TTL))
+	l := &Lease{Record: self, CommitRevision: revision, Former: commit.Value, FormerReadAt: readAt, store: store, leaseID: lease.ID, clock: boot, log: log}
+	l.extend(sentAt.Add(lease.TTL))
 	return l, nil
 }
 
@@ -106,10 +98,10 @@
 }
 
 // Valid reports whether the lease is certainly still held, so that no other process can have the ownership yet.
-func (l *Lease) Valid(now time.Time) bool {
+func (l *Lease) Valid() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return now.Before(l.validUntil.monotonic) && l.sinceBoot() < l.validUntil.sinceBoot
+	return l.clock.Now().Before(l.validUntil)
 }
 
 // KeepAlive renews the lease until the store reports that it has ended, and then returns true. It returns false when ctx ends.
@@ -134,7 +126,7 @@
 func (l *Lease) renew(ctx context.Context, ended chan<- struct{}) {
 	call, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	sentAt := instant{time.Now(), l.sinceBoot()}
+	sentAt := l.clock.Now()
 	err := l.store.KeepAlive(call, l.leaseID)
 	switch {
 	case errors.Is(err, kv.ErrLeaseNotFound):
@@ -145,15 +137,15 @@
 	case err != nil:
 		l.log.Debug("ownership lease not renewed", "epoch", l.Record.Epoch, "error", err)
 	default:
-		l.extend(sentAt.add(LeaseTTL))
+		l.extend(sentAt.Add(LeaseTTL))
 	}
 }
 
 // extend moves the end of the validity forward. Earlier ends are ignored, as renewals may complete out of order.
-func (l *Lease) extend(until instant) {
+func (l *Lease) extend(until time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if until.monotonic.After(l.validUntil.monotonic) {
+	if until.After(l.validUntil) {
 		l.validUntil = until
 	}
 }
--- a/ownership/locator_test.go
+++ b/ownership/locator_test.go
@@ -9,6 +9,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/quetzalshed/quetzalshed/clock"
+	"github.com/quetzalshed/quetzalshed/clock/clocktest"
 	"github.com/quetzalshed/quetzalshed/kv"
 	"github.com/quetzalshed/quetzalshed/kv/kvtest"
 	"github.com/quetzalshed/quetzalshed/workflow"
@@ -41,7 +43,7 @@
 
 // acquire takes the ownership through a client without faults.
 func acquire(c *qt.C, store *kvtest.Store) *Lease {
-	lease, err := Acquire(context.Background(), store.Client(1), workflow.OwnerRecord{Node: "n", Address: "10.0.0.1:7"}, hclog.NewNullLogger())
+	lease, err := Acquire(context.Background(), store.Client(1), workflow.OwnerRecord{Node: "n", Address: "10.0.0.1:7"}, clock.NewBoot(clocktest.NewHost()), hclog.NewNullLogger())
 	c.Assert(err, qt.IsNil)
 	c.Assert(lease, qt.IsNotNil)
 	return lease
--- a/test/workflows/fleet_test.go
+++ b/test/workflows/fleet_test.go
@@ -160,7 +160,7 @@
 	n := node.New(h.name, h.name, executor, h.locator, client, h.suspension.clocks, log, tally.NoopScope)
 	candidate := &owner.Candidate{
 		Node: h.name, Address: h.name, Store: monitor, Locator: h.locator, Operators: operators{}, RPC: client,
-		Log: log, Scope: tally.NoopScope,
+		Host: h.suspension.clocks, Log: log, Scope: tally.NoopScope,
 	}
 	router := mux.NewRouter()
 	n.Register(router)
