Don't hand out starts after their deadline to executors that fetch their orders

What callers saw: nothing yet. An owner that has taken the task for lost may have started it elsewhere. Executors that are called reject such a start as late, by the deadline that it carries; those that fetch their orders get no deadline for a single start.

Change: the mailbox compares the deadline of a start with the executor's clock when it is fetched, and rejects it as late.

Result: TestMailboxRejectsStartsAfterTheirDeadline failed before (both starts are handed out, the late one after 9000 ms of the executor's clock with a deadline of 7000 ms) and passes.

--- a/node/mailbox.go
+++ b/node/mailbox.go
@@ -90,13 +90,16 @@
 	return commands
 }
 
-// addTo adds an order to commands. It returns an error if the order is for another incarnation or from a former owner.
+// addTo adds an order to commands. It returns an error if the order is for another incarnation or from a former owner, or if it is a
+// start whose lease has ended: the time limit of the order stands still while this host is suspended.
 func (m *Mailbox) addTo(o *queuedOrder, commands *Commands) error {
 	switch {
 	case o.incarnation != m.incarnation:
 		return ErrOtherIncarnation
 	case o.fence() < commands.Fence:
 		return &RejectedError{Reason: "fence"}
+	case o.start != nil && o.start.DeadlineMillis < m.lists.ClockMillis:
+		return &RejectedError{Reason: "late"}
 	case o.start != nil:
 		commands.Starts = append(commands.Starts, *o.start)
 		m.deadline = max(m.deadline, o.start.DeadlineMillis)
--- a/node/mailbox_test.go
+++ b/node/mailbox_test.go
@@ -114,3 +114,21 @@
 		c.Assert(errors.As(<-late, &rejected), qt.IsTrue)
 	})
 }
+
+// Guards against a start that is handed out after its lease has ended, together with a newer lease: its task may run elsewhere.
+// The time limit of the order stands still while the host is suspended.
+func TestMailboxRejectsStartsAfterTheirDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		m := NewMailbox()
+		m.Fetch(firstIncarnation, &RunLists{ClockMillis: 1000})
+		late := startInBackground(t, m, firstIncarnation, Start{Task: "t", Run: 1, Fence: 5, DeadlineMillis: 7000})
+		inTime := startInBackground(t, m, firstIncarnation, Start{Task: "u", Run: 1, Fence: 5, DeadlineMillis: 15000})
+		commands := m.Fetch(firstIncarnation, &RunLists{ClockMillis: 9000})
+		c.Check(commands.Starts, qt.HasLen, 1)
+		c.Check(commands.LeaseMillis, qt.Equals, int64(15000-9000)-maxResponseDelay.Milliseconds())
+		var rejected *RejectedError
+		c.Check(errors.As(<-late, &rejected), qt.IsTrue)
+		c.Check(<-inTime, qt.IsNil)
+	})
+}
