Discard lists whose response is processed after the time limit of the call

What callers saw: nothing yet. The age of an executor's lists counts from when the node processes the response. If its host was suspended after the executor had answered, or the process was stopped, lists from long ago look young: they are reported as such, and the ends in them may be acknowledged. The time limit of the call doesn't help, since timers stand still, too.

Change: the node compares the time that a hold call took with its limit, on the clock that goes on during suspensions.

Result: TestListsProcessedAfterSuspensionDoNotCount failed before (lists from before a suspension of 4 s are reported as 50 ms old) and passes.

--- a/node/hold.go
+++ b/node/hold.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"sync"
 	"time"
@@ -47,12 +48,7 @@
 			n.awaitExecutor(ctx)
 			continue
 		}
-		call, cancel := context.WithTimeout(ctx, hold.wait+holdResponseMargin)
-		answer, err := repeat(call, repetition{patience: hold.wait, copies: n.copies}, func(ctx context.Context, first bool) (holdAnswer, error) {
-			return n.sendHold(ctx, &hold, first)
-		})
-		broken := call.Err() == nil && isBroken(err)
-		cancel()
+		answer, broken, err := n.callExecutor(ctx, &hold)
 		if err != nil {
 			failures++
 			n.handleHoldError(hold.incarnation, err, broken)
@@ -80,6 +76,26 @@
 	}
 }
 
+// errLateResponse is the result of a hold call whose response is processed after its time limit, although the limit has not
+// cancelled the call.
+var errLateResponse = fmt.Errorf("%w: response after the time limit", errInconclusive)
+
+// callExecutor makes a hold call. broken is set if its connection was broken or refused. Time limits stand still while the host is
+// suspended, so a response may be processed when its lists are long out of date.
+func (n *Node) callExecutor(ctx context.Context, hold *holdCall) (answer holdAnswer, broken bool, err error) {
+	limit := hold.wait + holdResponseMargin
+	call, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	sentAt := n.clock.Now()
+	answer, err = repeat(call, repetition{patience: hold.wait, copies: n.copies}, func(ctx context.Context, first bool) (holdAnswer, error) {
+		return n.sendHold(ctx, hold, first)
+	})
+	if err == nil && n.clock.Now().Sub(sentAt) > limit {
+		err = errLateResponse
+	}
+	return answer, call.Err() == nil && isBroken(err), err
+}
+
 // holdCall holds the parameters of a hold call.
 type holdCall struct {
 	// incarnation is empty if no executor is known.
--- a/node/suspension_test.go
+++ b/node/suspension_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -91,3 +92,38 @@
 		c.Check(n.nextReport(1).ListAgeMillis, qt.Equals, int64(3000))
 	})
 }
+
+// slowExecutor answers the first hold call after the host was suspended, and no other call.
+type slowExecutor struct {
+	Executor
+	host     *clocktest.Host
+	answered bool
+}
+
+func (x *slowExecutor) Hold(ctx context.Context, _ string, _, _, _ int64, _ time.Duration) (*RunLists, error) {
+	if x.answered {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	x.answered = true
+	suspend(x.host, 4*time.Second)
+	return &RunLists{ClockMillis: 600, StartedUnixMillis: 1000, Ended: []workflow.RunEnd{{Number: 1}}}, nil
+}
+
+// Guards against lists that look young because their age counts from when the response was processed: the host was suspended
+// since the executor sent it.
+func TestListsProcessedAfterSuspensionDoNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		host := clocktest.NewHost()
+		n := newNodeOn(host)
+		n.executor, n.copies = &slowExecutor{host: host}, 1
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		go n.holdLoop(ctx)
+		time.Sleep(4*time.Second + holdRetryDelay/2)
+		report := n.nextReport(1)
+		c.Check(report.Listed, qt.IsFalse, qt.Commentf("lists are reported as %d ms old", report.ListAgeMillis))
+	})
+}
