Judge leases of the project's own interface on a clock that goes on during suspensions

What callers saw: nothing known. Shards' owners, agents and entries judged the validity of an ownership, the leases of tasks and registrations, and the age of the configuration on the monotonic clock.

Change: the kernel gives all modules a clock.Boot.

Result: TestClockOfModulesCountsSuspensions failed with the former clock and passes. The tests of kernel, entry, shard, gossip, idempotency and agent pass. A suspended agent or owner was not tested as a whole.

--- a/entry/jobs/module.go
+++ b/entry/jobs/module.go
@@ -9,6 +9,7 @@
 	"github.com/gorilla/mux"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/findings"
 	"github.com/quetzalshed/quetzalshed/kernel"
 	"github.com/quetzalshed/quetzalshed/shard"
@@ -50,7 +51,7 @@
 	}
 	m.scope = c.Metrics.SubScope("jobs")
 	client := shard.NewClient(dependencies.Owners, dependencies.Store, c.Clock)
-	m.service = NewService(dependencies.Store, c.Clock, dependencies.Follower, client)
+	m.service = NewService(dependencies.Store, clock.System{}, dependencies.Follower, client)
 	m.Routes(c.Router)
 	return nil
 }
--- a/kernel/process.go
+++ b/kernel/process.go
@@ -74,6 +74,7 @@
 // Process runs the modules and HTTP servers of one role.
 type Process struct {
 	context     *Context
+	host        clock.Host
 	moduleOrder []string
 	draining    atomic.Bool
 	// started is set once all modules have started.
@@ -93,7 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{context: &Context{Role: role, modules: map[string]Module{}}}
+	p := &Process{context: &Context{Role: role, modules: map[string]Module{}}, host: clock.System{}}
 	file.Decode("process", &p.context.Process)
 	for _, info := range infos {
 		module := info.New()
@@ -143,7 +144,7 @@
 	if os.Getenv("GOMEMLIMIT") == "" {
 		debug.SetMemoryLimit(c.Process.MemoryLimit)
 	}
-	c.Clock = clock.System{}
+	c.Clock = clock.NewBoot(p.host)
 	c.StartedUnixNano = time.Now().UnixNano()
 	c.Incarnation = newIncarnation()
 	c.Log = hclog.New(&hclog.LoggerOptions{
