Add suspended hosts to the random histories

Three tests suspend hosts for 1 to 10 s, once or twice with up to 0.2 s between, beside partitions, lost processes, faults of the store and ends of its leases: with tasks that exceed the leases, the same with executors that fetch their orders, and with short tasks. At the end of a history all hosts resume.

--- a/test/workflows/random_faults_test.go
+++ b/test/workflows/random_faults_test.go
@@ -71,8 +71,17 @@
 	"reconnect", "refuse", "store-hangs", "lose", "heal", "remove-owner-key", "end-leases", "end-leases",
 }
 
+// suspensionActionKinds are hosts that are suspended, and the faults that make leases expire or change the owner.
+var suspensionActionKinds = []string{
+	"submit", "suspend", "suspend", "suspend", "suspend-twice", "suspend-twice", "suspend-twice", "cut", "cut", "cut", "reconnect",
+	"reconnect", "kill", "start", "start", "withdraw", "silence", "respond", "refuse", "store-hangs", "lose", "heal", "heal",
+	"remove-owner-key", "end-leases",
+}
+
 const (
 	randomTestHosts = 3
+	// maxWakeTime is how long a host that is suspended twice is up in between.
+	maxWakeTime = 200 * time.Millisecond
 	// watchedShare is the inverse of the share of histories after which standstills are looked for.
 	watchedShare = 5
 )
@@ -151,6 +160,11 @@
 		host.executor.SetDelayedShare(0.3)
 	case "on-time":
 		host.executor.SetDelayedShare(0)
+	case "suspend":
+		host.suspension.suspend(time.Second + 3*a.pause)
+	case "suspend-twice":
+		host.suspension.suspend(time.Second + a.pause)
+		time.AfterFunc(time.Second+a.pause+a.pause%maxWakeTime, func() { host.suspension.suspend(time.Second + 3*a.pause) })
 	case "cut", "reconnect":
 		h.network.SetPartitioned(host.name, a.kind == "cut")
 	default:
@@ -237,6 +251,7 @@
 // clearFaults removes all faults and restarts what was stopped.
 func (h *history) clearFaults() {
 	for i, host := range h.hosts {
+		host.suspension.end()
 		host.store.SetFaults(kvtest.Faults{Delay: storeDelay})
 		h.network.SetPartitioned(host.name, false)
 		host.executor.SetUnresponsive(false)
@@ -333,6 +348,21 @@
 	checkRandomFaults(t, randomFaults{kinds: leaseActionKinds, taskTime: longTaskTime, fetching: true})
 }
 
+// Guards against tasks that run twice after the host of a node or of the owner was suspended, and its monotonic clock stood still.
+func TestRandomSuspensions(t *testing.T) {
+	checkRandomFaults(t, randomFaults{kinds: suspensionActionKinds, taskTime: longTaskTime})
+}
+
+// Guards against the same when executors fetch their orders.
+func TestRandomSuspensionsWithFetchedOrders(t *testing.T) {
+	checkRandomFaults(t, randomFaults{kinds: suspensionActionKinds, taskTime: longTaskTime, fetching: true})
+}
+
+// Guards against the same with tasks that end while their hosts are suspended.
+func TestRandomSuspensionsWithShortTasks(t *testing.T) {
+	checkRandomFaults(t, randomFaults{kinds: suspensionActionKinds, taskTime: taskTime})
+}
+
 // randomFaults describes the histories of a test.
 type randomFaults struct {
 	kinds    []string
--- a/test/workflows/suspension_test.go
+++ b/test/workflows/suspension_test.go
@@ -23,6 +23,8 @@
 	mu sync.Mutex
 	// resumed is closed unless the host is suspended.
 	resumed chan struct{}
+	// ended is set once the host is not suspended any more.
+	ended bool
 }
 
 func newSuspension() *suspension {
@@ -31,22 +33,42 @@
 	return s
 }
 
+func (s *suspension) isSuspended() bool {
+	select {
+	case <-s.resumed:
+		return false
+	default:
+		return true
+	}
+}
+
 // suspend suspends the host for a time, unless it is suspended already.
 func (s *suspension) suspend(d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	select {
-	case <-s.resumed:
-	default:
+	if s.ended || s.isSuspended() {
 		return
 	}
-	resumed := make(chan struct{})
-	s.resumed = resumed
+	s.resumed = make(chan struct{})
 	s.clocks.Suspend()
-	time.AfterFunc(d, func() {
+	time.AfterFunc(d, s.resume)
+}
+
+func (s *suspension) resume() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isSuspended() {
 		s.clocks.Resume()
-		close(resumed)
-	})
+		close(s.resumed)
+	}
+}
+
+// end resumes the host, which is not suspended any more.
+func (s *suspension) end() {
+	s.resume()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
 }
 
 // await waits until the host is not suspended.
