Check a start again when it is sent

What callers saw: nothing yet. A node checked the age of the report that a start is based on when the order arrived. If the host was suspended before the call to the executor, or between copies of it, the start went out unchecked. The deadline in it has passed by then, but executors were seen to run starts after their deadline (docs/design.md, open questions).

Change: each copy of a start is sent only if the lease granted on that report has not expired on the clock that counts suspensions; otherwise it counts as rejected ("basis").

Result: TestStartIsCheckedAgainWhenItIsSent failed without the check (the executor gets the start after a suspension of 7 s) and passes.

--- a/node/orders.go
+++ b/node/orders.go
@@ -25,6 +25,9 @@
 	maxOrdersBytes = 4 << 20
 )
 
+// reasonOutdated is the reason for rejecting starts that are based on a report that is too old.
+const reasonOutdated = "basis"
+
 var errNotOwner = errors.New("node: the process is not the owner")
 
 // Register adds the handler for orders to the router.
@@ -66,7 +69,6 @@
 // checkStart checks whether a start is still allowed. It returns the end of the lease on the executor's clock, or the reason for
 // rejecting the start. It also extends the lease if the orders contain a longer one.
 func (n *Node) checkStart(orders *workflow.Orders, now time.Time) (deadline int64, reason string) {
-	reportSentAt, known := n.reportSentAt[orders.ReportNumber]
 	switch {
 	case orders.Epoch < n.epoch || orders.Epoch < n.locator.Epoch():
 		return 0, "epoch"
@@ -76,13 +78,13 @@
 		return 0, "draining"
 	case n.end.confirmed:
 		return 0, workflow.ReasonUnreachable
-	case orders.Incarnation != n.incarnation || !known || now.Sub(reportSentAt) >= owner.ExecutorLeaseDuration:
-		return 0, "basis"
+	case n.isOutdated(orders, now):
+		return 0, reasonOutdated
 	case orders.ReportNumber <= n.shrunkReport:
 		// The owner decided on the start before it knew that the capacity has shrunk.
 		return 0, workflow.ReasonRoom
 	}
-	n.extendLease(reportSentAt, time.Duration(orders.LeaseMillis)*time.Millisecond)
+	n.extendLease(n.reportSentAt[orders.ReportNumber], time.Duration(orders.LeaseMillis)*time.Millisecond)
 	if n.leaseEnd.Sub(now) < minLeaseLeft {
 		return 0, "grant"
 	}
@@ -113,11 +115,10 @@
 		return result
 	}
 	startedAt := time.Now()
-	err := n.repeatOrder(ctx, func(ctx context.Context) error {
-		return n.executor.Start(ctx, orders.ExecutorIncarnation, Start{
-			Task: s.Task, Run: s.Run, Spec: orders.Specs[jobOf(s.Task)], Checkpoint: s.Saved, Ticket: s.Ticket, Fence: fence, DeadlineMillis: deadline,
-		})
-	})
+	call := Start{
+		Task: s.Task, Run: s.Run, Spec: orders.Specs[jobOf(s.Task)], Checkpoint: s.Saved, Ticket: s.Ticket, Fence: fence, DeadlineMillis: deadline,
+	}
+	err := n.repeatOrder(ctx, func(ctx context.Context) error { return n.sendStart(ctx, orders, &call) })
 	n.metrics.startTime.RecordDuration(time.Since(startedAt))
 	result.Sequence = n.countStart(orders.ExecutorIncarnation, s, err == nil)
 	switch {
@@ -139,6 +140,23 @@
 	return result
 }
 
+// isOutdated reports whether the lease that was granted on the report on which orders are based has expired. The caller holds mu.
+func (n *Node) isOutdated(orders *workflow.Orders, now time.Time) bool {
+	reportSentAt, known := n.reportSentAt[orders.ReportNumber]
+	return orders.Incarnation != n.incarnation || !known || now.Sub(reportSentAt) >= owner.ExecutorLeaseDuration
+}
+
+// sendStart sends a copy of a start. The host may have been suspended since the start was checked.
+func (n *Node) sendStart(ctx context.Context, orders *workflow.Orders, call *Start) error {
+	n.mu.Lock()
+	outdated := n.isOutdated(orders, n.clock.Now())
+	n.mu.Unlock()
+	if outdated {
+		return &RejectedError{Reason: reasonOutdated}
+	}
+	return n.executor.Start(ctx, orders.ExecutorIncarnation, *call)
+}
+
 // stop stops one run.
 func (n *Node) stop(ctx context.Context, orders *workflow.Orders, s *workflow.StopOrder) workflow.OrderResult {
 	result := workflow.OrderResult{Task: s.Task, Run: s.Run, Stop: true, Outcome: workflow.OutcomeUnknown}
--- a/node/suspension_test.go
+++ b/node/suspension_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -127,3 +128,34 @@
 		c.Check(report.Listed, qt.IsFalse, qt.Commentf("lists are reported as %d ms old", report.ListAgeMillis))
 	})
 }
+
+// startRecorder counts the starts that reach an executor.
+type startRecorder struct {
+	Executor
+	starts int
+}
+
+func (r *startRecorder) Start(context.Context, string, Start) error {
+	r.starts++
+	return nil
+}
+
+// Guards against a start that is sent after a suspension although it was checked before: its task may run elsewhere by now.
+func TestStartIsCheckedAgainWhenItIsSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		host, recorder := clocktest.NewHost(), &startRecorder{}
+		n := newNodeOn(host)
+		n.executor = recorder
+		orders := &workflow.Orders{
+			Epoch: 1, Incarnation: n.incarnation, ReportNumber: n.nextReport(1).Number, LeaseMillis: testLeaseMillis, ExecutorIncarnation: testIncarnation,
+		}
+		_, reason := n.checkStart(orders, n.clock.Now())
+		c.Assert(reason, qt.Equals, "")
+		c.Assert(n.sendStart(t.Context(), orders, &Start{}), qt.IsNil)
+		suspend(host, 7*time.Second)
+		var rejected *RejectedError
+		c.Check(errors.As(n.sendStart(t.Context(), orders, &Start{}), &rejected), qt.IsTrue)
+		c.Check(recorder.starts, qt.Equals, 1)
+	})
+}
