--- a/node/departure.go
+++ b/node/departure.go
@@ -50,7 +50,7 @@
 	if n.departure == nil {
 		n.departure = newDeparture(false)
 	}
-	n.departure.announcedAt = time.Now()
+	n.departure.announcedAt = n.clock.Now()
 	signal(n.wakeHold)
 	signal(n.wakeReport)
 }
@@ -68,7 +68,7 @@
 		n.promoteSuccessor(err)
 	}
 	if broken && n.current != nil && n.current.IncarnationID() == incarnation && n.brokenAt.IsZero() {
-		n.brokenAt = time.Now()
+		n.brokenAt = n.clock.Now()
 		signal(n.wakeReport)
 	}
 	if !n.departure.announced() || n.current.Left || n.current.IncarnationID() != incarnation || !errors.Is(err, ErrRefused) {
--- a/node/hold.go
+++ b/node/hold.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"sync"
 	"time"
@@ -47,12 +48,7 @@
 			n.awaitExecutor(ctx)
 			continue
 		}
-		call, cancel := context.WithTimeout(ctx, hold.wait+holdResponseMargin)
-		answer, err := repeat(call, repetition{patience: hold.wait, copies: n.copies}, func(ctx context.Context, first bool) (holdAnswer, error) {
-			return n.sendHold(ctx, &hold, first)
-		})
-		broken := call.Err() == nil && isBroken(err)
-		cancel()
+		answer, broken, err := n.callExecutor(ctx, &hold)
 		if err != nil {
 			failures++
 			n.handleHoldError(hold.incarnation, err, broken)
@@ -80,6 +76,26 @@
 	}
 }
 
+// errLateResponse is the result of a hold call whose response is processed after its time limit, although the limit has not
+// cancelled the call.
+var errLateResponse = fmt.Errorf("%w: response after the time limit", errInconclusive)
+
+// callExecutor makes a hold call. broken is set if its connection was broken or refused. Time limits stand still while the host is
+// suspended, so a response may be processed when its lists are long out of date.
+func (n *Node) callExecutor(ctx context.Context, hold *holdCall) (answer holdAnswer, broken bool, err error) {
+	limit := hold.wait + holdResponseMargin
+	call, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	sentAt := n.clock.Now()
+	answer, err = repeat(call, repetition{patience: hold.wait, copies: n.copies}, func(ctx context.Context, first bool) (holdAnswer, error) {
+		return n.sendHold(ctx, hold, first)
+	})
+	if err == nil && n.clock.Now().Sub(sentAt) > limit {
+		err = errLateResponse
+	}
+	return answer, call.Err() == nil && isBroken(err), err
+}
+
 // holdCall holds the parameters of a hold call.
 type holdCall struct {
 	// incarnation is empty if no executor is known.
@@ -93,8 +109,9 @@
 	covers int64
 	// renewedUntil is the end of the lease that the executor has confirmed.
 	renewedUntil time.Time
-	// called is when the call was made.
-	called clockReading
+	// calledAt is when the call was made, and clocks are the readings of the host's clocks at that time.
+	calledAt time.Time
+	clocks   clockReading
 }
 
 // holdAnswer is the response to a copy of a hold call. renewed is set if that copy carried the deadline.
@@ -111,7 +128,7 @@
 	if !first {
 		ack, wait = 0, 0
 	}
-	if !first && time.Until(h.renewedUntil) >= urgentRenewal {
+	if !first && h.renewedUntil.Sub(n.clock.Now()) >= urgentRenewal {
 		deadline = 0
 	}
 	if !first {
@@ -142,7 +159,7 @@
 	if n.hasServingAndBestEffort() {
 		wait = sharedHoldWait
 	}
-	now := time.Now()
+	now := n.clock.Now()
 	left := n.leaseEnd.Sub(now)
 	isShort := left > 0 && (left < shortLease || n.needsRenewal(now))
 	// A call that waits for long would delay the acknowledgement after which the executor lists further ends.
@@ -155,7 +172,7 @@
 	}
 	return holdCall{
 		incarnation: n.current.IncarnationID(), fence: n.fence(n.epoch), ack: n.pendingAck(), deadline: n.deadline(now), leaseEnd: n.leaseEnd,
-		wait: wait, covers: n.executedOrders, renewedUntil: n.renewedUntil, called: readClocks(),
+		wait: wait, covers: n.executedOrders, renewedUntil: n.renewedUntil, calledAt: now, clocks: readClocks(n.host),
 	}
 }
 
@@ -174,7 +191,7 @@
 // it. An executor that restarts under the same ID numbers its ends from 1 again, so acknowledging a number that it has not
 // listed could discard ends that were never reported.
 func (n *Node) pendingAck() int64 {
-	if !n.confirmed || time.Since(n.listedAt) > ackWindow {
+	if !n.confirmed || n.clock.Now().Sub(n.listedAt) > ackWindow {
 		return 0
 	}
 	if n.lists == nil || len(n.lists.Ended) == 0 || n.lists.Ended[0].Number > n.ack {
@@ -213,8 +230,9 @@
 	first := n.lists == nil
 	previous := n.lists
 	resolved := n.lastUnknownStart > n.listsCover && n.lastUnknownStart <= covers
-	n.noteResponse(time.Now())
-	n.lists, n.listsCover, n.listedAt, n.confirmed = lists, covers, time.Now(), true
+	now := n.clock.Now()
+	n.noteResponse(now)
+	n.lists, n.listsCover, n.listedAt, n.confirmed = lists, covers, now, true
 	maps.DeleteFunc(n.unlistedStarts, func(sequence int64, _ workflow.RunState) bool { return sequence <= covers })
 	n.brokenAt, n.end = time.Time{}, executorEnd{}
 	n.clockMillis, n.clockAt = lists.ClockMillis, n.listedAt
--- a/node/pauses.go
+++ b/node/pauses.go
@@ -18,13 +18,19 @@
 	pauseLogInterval = 5 * time.Second
 )
 
-// clockReading is a reading of both clocks. sinceBoot goes on while the host is suspended and is 0 if it can't be read.
+// clockReading is a reading of both clocks of a host. sinceBoot goes on while the host is suspended and is 0 if it can't be read.
 type clockReading struct {
 	monotonic time.Time
 	sinceBoot time.Duration
 }
 
-func readClocks() clockReading { return clockReading{time.Now(), clock.SinceBoot()} }
+func readClocks(host clock.Host) clockReading {
+	r := clockReading{monotonic: host.Now()}
+	if sinceBoot, ok := host.SinceBoot(); ok {
+		r.sinceBoot = sinceBoot
+	}
+	return r
+}
 
 // suspendedSince returns for how long the host was suspended since an earlier reading; 0 if a clock could not be read.
 func (r clockReading) suspendedSince(earlier clockReading) time.Duration {
@@ -75,10 +81,10 @@
 
 // watchPauses logs and counts suspensions of the host and pauses of the process until ctx ends.
 func (n *Node) watchPauses(ctx context.Context) {
-	w := pauseWatch{last: readClocks()}
+	w := pauseWatch{last: readClocks(n.host)}
 	for ctx.Err() == nil {
 		n.sleep(ctx, nil, pauseCheckInterval)
-		r := readClocks()
+		r := readClocks(n.host)
 		w.check(r)
 		n.logPauses(&w, r.monotonic)
 	}
--- a/node/pauses_test.go
+++ b/node/pauses_test.go
@@ -85,11 +85,11 @@
 			n, lines := loggedNode(t)
 			n.epoch = 9
 			first := clockReading{time.Unix(1000, 0), time.Hour}
-			n.noteRenewal(&holdCall{incarnation: "i-1@1000", called: first, leaseEnd: first.monotonic.Add(6 * time.Second)})
+			n.noteRenewal(&holdCall{incarnation: "i-1@1000", calledAt: first.monotonic, clocks: first, leaseEnd: first.monotonic.Add(6 * time.Second)})
 			second := clockReading{first.monotonic.Add(time.Second), first.sinceBoot + time.Second + test.suspended}
 			for range 2 {
 				n.noteRenewal(&holdCall{
-					incarnation: "i-1@1000", called: second, renewedUntil: second.monotonic.Add(test.left), leaseEnd: second.monotonic.Add(6 * time.Second),
+					incarnation: "i-1@1000", calledAt: second.monotonic, clocks: second, renewedUntil: second.monotonic.Add(test.left), leaseEnd: second.monotonic.Add(6 * time.Second),
 				})
 			}
 			read := lines()
--- a/node/renewals.go
+++ b/node/renewals.go
@@ -19,18 +19,18 @@
 // suspended. The caller holds mu.
 func (n *Node) logRenewal(h *holdCall) {
 	former := n.renewals.last
-	n.renewals.last = h.called
+	n.renewals.last = h.clocks
 	if h.renewedUntil.IsZero() || !h.leaseEnd.After(h.renewedUntil) {
 		return
 	}
-	left, suspended := h.renewedUntil.Sub(h.called.monotonic), time.Duration(0)
+	left, suspended := h.renewedUntil.Sub(h.calledAt), time.Duration(0)
 	if !former.monotonic.IsZero() {
-		suspended = h.called.suspendedSince(former)
+		suspended = h.clocks.suspendedSince(former)
 	}
-	if left >= shortRenewal && suspended < minSuspension || h.called.monotonic.Sub(n.renewals.loggedAt) < renewalLogInterval {
+	if left >= shortRenewal && suspended < minSuspension || h.calledAt.Sub(n.renewals.loggedAt) < renewalLogInterval {
 		return
 	}
-	n.renewals.loggedAt = h.called.monotonic
+	n.renewals.loggedAt = h.calledAt
 	n.log.Warn("lease renewed late", "executor", h.incarnation, "epoch", n.epoch, "left_ms", left.Milliseconds(), "suspended_ms", suspended.Milliseconds(),
-		"deadline_ms", h.deadline, "until_ms", h.leaseEnd.Sub(h.called.monotonic).Milliseconds())
+		"deadline_ms", h.deadline, "until_ms", h.leaseEnd.Sub(h.calledAt).Milliseconds())
 }
--- a/node/successor.go
+++ b/node/successor.go
@@ -32,7 +32,7 @@
 	if n.successor == nil {
 		n.log.Warn("another executor announced", "executor", e.IncarnationID(), "pool", e.Pool, "current", n.current.IncarnationID(), "responded", n.lists != nil)
 	}
-	n.successor = &successor{*e, sequence, clockMillis, time.Now()}
+	n.successor = &successor{*e, sequence, clockMillis, n.clock.Now()}
 	return false
 }
 
@@ -40,7 +40,7 @@
 // An older one takes its place only if the call was answered by another executor. The caller holds mu.
 func (n *Node) promoteSuccessor(err error) {
 	s := n.successor
-	if s == nil || n.current == nil || time.Since(s.at) > successorTimeout {
+	if s == nil || n.current == nil || n.clock.Now().Sub(s.at) > successorTimeout {
 		return
 	}
 	if s.executor.StartedUnixMillis < n.current.StartedUnixMillis && !errors.Is(err, ErrOtherIncarnation) {
--- a/owner/records_test.go
+++ b/owner/records_test.go
@@ -34,7 +34,7 @@
 			}, time.Now(), time.Now())
 			term.engine.Plan(time.Now(), time.Now())
 			c.Assert(term.engine.TakeOrders(), qt.HasLen, 0, qt.Commentf("%s", record))
-			term.engine.Cancel(id, time.Now())
+			term.engine.Cancel(id, time.Now(), time.Now())
 			c.Assert(term.engine.TakeDirty(), qt.HasLen, 1, qt.Commentf("it can be cancelled"))
 		})
 	}
--- a/owner/serve.go
+++ b/owner/serve.go
@@ -55,9 +55,9 @@
 
 // cancel cancels a job and waits until the cancellation is stored.
 func (t *term) cancel(ctx context.Context, id string) (found, stored bool) {
-	applied, stored := t.applyAndWait(ctx, cancelTimeout, func(_, wall time.Time) {
+	applied, stored := t.applyAndWait(ctx, cancelTimeout, func(now, wall time.Time) {
 		if _, found = t.engine.Phase(id); found {
-			t.engine.Cancel(id, wall)
+			t.engine.Cancel(id, now, wall)
 		}
 	})
 	if !applied {
@@ -94,7 +94,7 @@
 	if r.Executor != nil {
 		reply.Ack = t.ackedNumber(r.Executor.IncarnationID())
 	}
-	if granted && t.lease.Valid(time.Now()) {
+	if granted && t.lease.Valid() {
 		reply.LeaseMillis = ExecutorLeaseDuration.Milliseconds()
 	}
 	return reply, true
@@ -143,7 +143,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), ordersTimeout)
 	defer cancel()
 	d.Orders.Epoch = t.lease.Record.Epoch
-	if !t.lease.Valid(time.Now()) {
+	if !t.lease.Valid() {
 		t.withholdStarts(d)
 	}
 	t.logStarts(d)
--- a/workflow/engine/engine_test.go
+++ b/workflow/engine/engine_test.go
@@ -117,7 +117,7 @@
 func TestCancellationBeforeAdd(t *testing.T) {
 	h := newHarness(t)
 	job := h.job(step(1))
-	h.engine.Cancel(job.ID, h.now)
+	h.engine.Cancel(job.ID, h.now, h.now)
 	h.engine.Add(job, nil, h.now, h.now)
 	h.report("a", executor("a", 1), nil, nil)
 	h.Assert(h.plan(), qt.HasLen, 0)
@@ -217,7 +217,7 @@
 	x := executor("a", 1)
 	h.report("a", x, nil, nil)
 	running := h.accept("a", h.plan()["a"])
-	h.engine.Cancel(first.ID, h.now)
+	h.engine.Cancel(first.ID, h.now, h.now)
 	h.engine.Add(second, nil, h.now, h.now)
 	orders := h.plan()["a"]
 	h.Assert(orders.Starts, qt.HasLen, 0)
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -13,22 +13,22 @@
 
 // Cancel cancels a job. It returns false if the job is unknown; the cancellation then takes effect when the job is
 // added, since a new owner may read the two in either order.
-func (e *Engine) Cancel(id string, wall time.Time) bool {
+func (e *Engine) Cancel(id string, now, wall time.Time) bool {
 	j := e.jobs[id]
 	if j == nil {
 		e.pendingCancellations[id] = true
 		return false
 	}
 	if !j.phase.Final() {
-		e.finish(j, workflow.Cancelled, wall)
+		e.finish(j, workflow.Cancelled, now, wall)
 	}
 	return true
 }
 
 // finish moves a job to a final phase and requests stops of its remaining runs. The time carries a reading of the monotonic clock.
-func (e *Engine) finish(j *job, phase workflow.Phase, wall time.Time) {
+func (e *Engine) finish(j *job, phase workflow.Phase, now, wall time.Time) {
 	j.phase = phase
-	j.endedUnixMillis, j.endedAt = wall.UnixMilli(), wall
+	j.endedUnixMillis, j.endedAt = wall.UnixMilli(), now
 	delete(e.activeJobs, j.ID)
 	e.markDirty(j)
 	e.needsPlanning = true
@@ -268,7 +268,7 @@
 		e.unassign(t, listedEnd(end.How), now)
 	}
 	if end.How == workflow.EndFailed && !t.step.LongRunning && !t.job.phase.Final() && e.attemptsExhausted(t) {
-		e.finish(t.job, workflow.Failed, wall)
+		e.finish(t.job, workflow.Failed, now, wall)
 	}
 }
 
@@ -316,7 +316,7 @@
 		e.observeDuration(t.group)
 	}
 	if !j.phase.Final() && j.isComplete() {
-		e.finish(j, workflow.Completed, wall)
+		e.finish(j, workflow.Completed, now, wall)
 	}
 }
 
--- a/workflow/engine/order_results_test.go
+++ b/workflow/engine/order_results_test.go
@@ -125,7 +125,7 @@
 		var running []workflow.RunState
 		if listed {
 			running = []workflow.RunState{{Task: job.ID + ".0.0.0", Run: 1}}
-			h.engine.Cancel(job.ID, h.now)
+			h.engine.Cancel(job.ID, h.now, h.now)
 		}
 		starts, stops := 0, 0
 		for range 100 {
--- a/workflow/engine/plan.go
+++ b/workflow/engine/plan.go
@@ -10,7 +10,7 @@
 // Plan decides which waiting tasks start now. The decisions take effect in the engine immediately; the caller fetches
 // the orders with TakeOrders once the records that TakeDirty returns are stored.
 func (e *Engine) Plan(now, wall time.Time) {
-	e.giveUpCrashing(wall)
+	e.giveUpCrashing(now, wall)
 	e.orderStops(now)
 	if !e.needsPlanning || !e.operatorStateLoaded {
 		return
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -197,7 +197,7 @@
 	e.observeWork(j)
 	if e.pendingCancellations[j.ID] {
 		delete(e.pendingCancellations, j.ID)
-		e.Cancel(j.ID, now)
+		e.Cancel(j.ID, now, wall)
 	}
 	e.needsPlanning = true
 	return true
@@ -224,7 +224,7 @@
 	e.jobs[id] = &job{Job: workflow.Job{ID: id}, phase: workflow.Running, storedPhase: workflow.Running}
 	if e.pendingCancellations[id] {
 		delete(e.pendingCancellations, id)
-		e.Cancel(id, e.loadedAt)
+		e.Cancel(id, e.loadedAt, e.loadedAt)
 	}
 }
 
