--- a/test/workflows/random_faults_test.go
+++ b/test/workflows/random_faults_test.go
@@ -360,6 +360,12 @@
 	checkRandomFaults(t, randomFaults{kinds: longActionKinds, taskTime: taskTime, retention: shortRetention})
 }
 
+// Guards against tasks that are started elsewhere before the lease of a silent executor has expired, under late calls between
+// processes and announcements of foreign executors.
+func TestRandomLeaseFaultsWithLateCalls(t *testing.T) {
+	checkRandomFaults(t, randomFaults{kinds: longActionKinds, taskTime: longTaskTime, retention: shortRetention})
+}
+
 // randomFaults describes the histories of a test.
 type randomFaults struct {
 	kinds    []string
