Play real processes under drawn faults and look for tasks that run twice

The soak starts the gateways and nodes as separate processes, plays the store, executors and clients, injects faults that are drawn from a seed, and checks from what the executors see that no task runs twice.

--- /dev/null
+++ b/test/soak/clients_test.go
@@ -0,0 +1,228 @@
+package soak
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	service   = "motion7a"
+	queueHost = "jobs.example"
+	// clientTimeout is how long a client waits for a response, and submitTries how often it submits a job at most.
+	clientTimeout = 3 * time.Second
+	submitTries   = 6
+	// repeatShare of the accepted jobs are submitted again up to repeatTime later.
+	repeatShare = 0.05
+	repeatTime  = 6 * time.Second
+	cancelShare = 0.02
+	cancelTime  = 8 * time.Second
+	askInterval = 700 * time.Millisecond
+	askTime     = 40 * time.Second
+)
+
+// jobKind is a kind of jobs that clients submit.
+type jobKind struct {
+	prefix       string
+	perSecond    float64
+	steps, tasks int
+	cpu          int64
+	takes        time.Duration
+	longRunning  bool
+	errors       float64
+}
+
+var jobKinds = []jobKind{
+	{"/lint/", 7, 2, 6, 480, 640 * time.Millisecond, false, 0.03},
+	{"/build/", 1.5, 2, 8, 3500, 1700 * time.Millisecond, false, 0.04},
+	{"/serve/", 0.05, 1, 6, 900, 20 * time.Second, true, 0.02},
+}
+
+// runWork is what a run does.
+type runWork struct {
+	cpu   int64
+	takes time.Duration
+	how   string
+}
+
+// work returns what a run does, which follows from the seed and its name.
+func (f *fleet) work(task string, number int) runWork {
+	id, _, _ := strings.Cut(task, ".")
+	kind := jobKinds[int(id[0]-'a')%len(jobKinds)]
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%d/%s/%d", f.seed, task, number)
+	draw := rand.New(rand.NewPCG(h.Sum64(), 0))
+	w := runWork{cpu: kind.cpu, takes: time.Duration(float64(kind.takes) * min(0.1+draw.ExpFloat64(), 5)), how: "done"}
+	if kind.longRunning {
+		// Tasks that are to last run until they fail.
+		w.how = "failed"
+	} else if draw.Float64() < kind.errors {
+		w.how = "failed"
+		w.takes = time.Duration(float64(w.takes) * draw.Float64())
+	}
+	return w
+}
+
+// clients submit jobs at random times until they are stopped.
+type clients struct {
+	fleet   *fleet
+	done    chan struct{}
+	workers sync.WaitGroup
+	mu      sync.Mutex
+	draw    *rand.Rand
+	states  map[string]int
+}
+
+func startClients(f *fleet, draw *rand.Rand) *clients {
+	c := &clients{fleet: f, done: make(chan struct{}), draw: draw, states: map[string]int{}}
+	for number, kind := range jobKinds {
+		c.workers.Go(func() { c.submitAll(number, kind) })
+	}
+	return c
+}
+
+func (c *clients) stop() {
+	close(c.done)
+	c.workers.Wait()
+}
+
+func (c *clients) count(state string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.states[state]++
+}
+
+func (c *clients) summary() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return fmt.Sprintf("jobs %v", c.states)
+}
+
+func (c *clients) float() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.draw.Float64()
+}
+
+// pause waits, and reports whether the clients go on.
+func (c *clients) pause(d time.Duration) bool {
+	select {
+	case <-c.done:
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func (c *clients) submitAll(number int, kind jobKind) {
+	for c.pause(time.Duration(c.float() * 2 / kind.perSecond * float64(time.Second))) {
+		c.mu.Lock()
+		id := fmt.Sprintf("%c%015x", 'a'+rune(number), c.draw.Uint64()>>4)
+		tasks := 1 + c.draw.IntN(2*kind.tasks)
+		steps := 1 + c.draw.IntN(kind.steps)
+		c.mu.Unlock()
+		c.workers.Go(func() { c.follow(kind, kind.prefix+id, jobBody(kind, steps, tasks)) })
+	}
+}
+
+func jobBody(kind jobKind, steps, tasks int) map[string]any {
+	rows := []map[string]any{}
+	for i := range steps {
+		row := map[string]any{"count": tasks, "cpu": kind.cpu, "memMb": 64, "estimatedMs": kind.takes.Milliseconds()}
+		if i > 0 {
+			row["after"] = []int{i - 1}
+		}
+		if kind.longRunning {
+			row["longRunning"] = true
+		}
+		rows = append(rows, row)
+	}
+	return map[string]any{"spec": "motion clash check", "steps": rows}
+}
+
+// follow submits a job and asks for its state until it has ended.
+func (c *clients) follow(kind jobKind, path string, body map[string]any) {
+	if !c.submit(path, body) {
+		c.count("rejected")
+		return
+	}
+	c.count("accepted")
+	if c.float() < repeatShare {
+		delay := time.Duration(c.float() * float64(repeatTime))
+		time.AfterFunc(delay, func() { c.call(http.MethodPost, path, body) })
+	}
+	cancelled := kind.longRunning || c.float() < cancelShare
+	cancelAt := time.Now().Add(time.Duration(c.float() * float64(cancelTime)))
+	for until := time.Now().Add(askTime); time.Now().Before(until) && c.pause(askInterval); {
+		if cancelled && time.Now().After(cancelAt) {
+			if status, _ := c.call(http.MethodDelete, path, nil); status/100 == 2 {
+				c.count("cancelled")
+				return
+			}
+			continue
+		}
+		status, response := c.call(http.MethodGet, path, nil)
+		var answer struct {
+			State string `json:"state"`
+		}
+		if status != http.StatusOK || json.Unmarshal(response, &answer) != nil {
+			continue
+		}
+		if answer.State == "completed" || answer.State == "failed" {
+			c.count(answer.State)
+			return
+		}
+	}
+	c.count("not ended")
+}
+
+// submit submits a job, and again while the result is unknown or it was rejected. It reports whether it was accepted.
+func (c *clients) submit(path string, body map[string]any) bool {
+	for range submitTries {
+		if status, _ := c.call(http.MethodPost, path, body); status/100 == 2 {
+			return true
+		}
+		if !c.pause(time.Duration(c.float() * float64(time.Second))) {
+			return false
+		}
+	}
+	return false
+}
+
+// call sends one request to some gateway. status is 0 if there was no response.
+func (c *clients) call(method, path string, body any) (status int, response []byte) {
+	var reader io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			panic(err)
+		}
+		reader = bytes.NewReader(data)
+	}
+	gateway := c.fleet.realAddress(int(c.float()*frontHosts), frontPort)
+	request, err := http.NewRequest(method, "http://"+gateway+path, reader)
+	if err != nil {
+		panic(err)
+	}
+	request.Host = queueHost
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Quetzalshed-Deadline-Remaining", "3000")
+	client := &http.Client{Timeout: clientTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	answer, err := client.Do(request)
+	if err != nil {
+		return 0, nil
+	}
+	defer answer.Body.Close()
+	response, err = io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return answer.StatusCode, response
+}
--- /dev/null
+++ b/test/soak/executorfaults_test.go
@@ -0,0 +1,89 @@
+package soak
+
+import (
+	"syscall"
+	"time"
+)
+
+func init() {
+	executorFaults := map[string]func(i *injector) executorFault{
+		"slow": func(i *injector) executorFault {
+			return executorFault{delay: i.between(200*time.Millisecond, 2*time.Second)}
+		},
+		"lose":   func(i *injector) executorFault { return executorFault{lose: i.draw.Float64()} },
+		"refuse": func(i *injector) executorFault { return executorFault{refuse: i.draw.Float64()} },
+		"late": func(i *injector) executorFault {
+			return executorFault{late: i.draw.Float64(), lateTime: i.between(time.Second, 8*time.Second)}
+		},
+	}
+	for name, fault := range executorFaults {
+		faultKinds["executor-"+name] = func(i *injector) {
+			some := sides(i.some())
+			for _, host := range some {
+				i.executor(host).setFault(fault(i))
+			}
+			i.wait(time.Second, 10*time.Second)
+			for _, host := range some {
+				i.executor(host).setFault(executorFault{})
+			}
+		}
+	}
+	faultKinds["executor-limit"] = func(i *injector) {
+		some := sides(i.some())
+		for _, host := range some {
+			i.apps[host].setLimit(maxConnections)
+			i.executor(host).setFault(executorFault{delay: i.between(200*time.Millisecond, 2*time.Second)})
+		}
+		i.wait(time.Second, 10*time.Second)
+		for _, host := range some {
+			i.apps[host].setLimit(0)
+			i.executor(host).setFault(executorFault{})
+		}
+	}
+	faultKinds["executor-crash"] = func(i *injector) { i.crash([]int{i.side()}) }
+	faultKinds["executor-crash-many"] = func(i *injector) { i.crash(sides(i.some())) }
+	faultKinds["executor-leave"] = func(i *injector) {
+		x := i.executor(i.side())
+		x.leave()
+		i.wait(0, 5*time.Second)
+		i.restart(x, i.draw.IntN(2) == 0)
+	}
+	faultKinds["host-loss"] = func(i *injector) {
+		some := sides(i.some())
+		off := i.between(0, 5*time.Second)
+		for _, host := range some {
+			i.processes[host].signal(syscall.SIGKILL, off)
+		}
+		i.crash(some)
+	}
+}
+
+// crash crashes executors and starts them again after a time, under the same or another ID.
+func (i *injector) crash(some []int) {
+	for _, host := range some {
+		i.executor(host).end("crashes")
+	}
+	i.wait(0, 5*time.Second)
+	sameID := i.draw.IntN(2) == 0
+	for _, host := range some {
+		i.restart(i.executor(host), sameID)
+	}
+}
+
+// restart starts an executor until that succeeds.
+func (i *injector) restart(x *executor, sameID bool) {
+	for range 100 {
+		err := x.start(sameID)
+		if err == nil {
+			return
+		}
+		i.record.addf("executor %s not started: %v", x.name, err)
+		time.Sleep(heartbeatRetry)
+	}
+}
+
+func (x *executor) setFault(fault executorFault) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.fault = fault
+}
--- /dev/null
+++ b/test/soak/faults_test.go
@@ -0,0 +1,146 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// injector injects the faults of one series. Several series overlap.
+type injector struct {
+	*fleet
+	draw *rand.Rand
+}
+
+// faultKinds holds the kinds of faults. Each injects one, and returns once it has healed.
+var faultKinds = map[string]func(i *injector){}
+
+const (
+	maxSeries = 3
+	// maxDrawnKinds is how many kinds a drawn selection has at most.
+	maxDrawnKinds = 8
+	shortestPause = 200 * time.Millisecond
+	longestPause  = 5 * time.Second
+)
+
+// injectFaults injects faults for a time. It draws the kinds if none are given.
+func injectFaults(f *fleet, draw *rand.Rand, kinds []string, length time.Duration) {
+	if kinds == nil {
+		for kind := range faultKinds {
+			kinds = append(kinds, kind)
+		}
+		sort.Strings(kinds)
+		draw.Shuffle(len(kinds), func(a, b int) { kinds[a], kinds[b] = kinds[b], kinds[a] })
+		kinds = kinds[:2+draw.IntN(maxDrawnKinds-1)]
+	}
+	series := 1 + draw.IntN(maxSeries)
+	pause := shortestPause + time.Duration(draw.Int64N(int64(longestPause-shortestPause)))
+	f.record.addf("%d series of faults %s, pauses up to %v", series, strings.Join(kinds, ","), pause)
+	until := time.Now().Add(length)
+	var all sync.WaitGroup
+	for range series {
+		i := &injector{f, rand.New(rand.NewPCG(draw.Uint64(), 0))}
+		all.Go(func() {
+			for time.Now().Before(until) {
+				i.wait(0, pause)
+				kind := kinds[i.draw.IntN(len(kinds))]
+				f.record.addf("fault %s", kind)
+				faultKinds[kind](i)
+				f.record.addf("fault %s is over", kind)
+				f.record.flush()
+			}
+		})
+	}
+	all.Wait()
+}
+
+// wait waits for a drawn time.
+func (i *injector) wait(least, most time.Duration) { time.Sleep(i.between(least, most)) }
+
+func (i *injector) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(i.draw.Float64()*float64(most-least))
+}
+
+// side returns a drawn host with a node; the owner's in a third of the cases.
+func (i *injector) side() int {
+	if owner := i.owner(); owner != nil && i.draw.IntN(3) == 0 {
+		return owner.host
+	}
+	return frontHosts + i.draw.IntN(sideHosts)
+}
+
+// some returns a drawn selection of hosts: one, some, a zone or all.
+func (i *injector) some() []int {
+	all := i.draw.Perm(hosts)
+	switch i.draw.IntN(4) {
+	case 0:
+		return []int{i.side()}
+	case 1:
+		return all[:2+i.draw.IntN(hosts/2)]
+	case 2:
+		return i.zone()
+	}
+	return all
+}
+
+func (i *injector) zone() []int {
+	zone := zoneOf(i.draw.IntN(3))
+	return slices.DeleteFunc(i.draw.Perm(hosts), func(host int) bool { return zoneOf(host) != zone })
+}
+
+// sides returns the hosts with nodes among some.
+func sides(some []int) []int {
+	return slices.DeleteFunc(slices.Clone(some), func(host int) bool { return host < frontHosts })
+}
+
+func (i *injector) executor(host int) *executor { return i.executors[host-frontHosts] }
+
+func init() {
+	faultKinds["kill"] = func(i *injector) {
+		i.processes[i.draw.IntN(hosts)].signal(syscall.SIGKILL, i.between(0, 4*time.Second))
+	}
+	faultKinds["kill-owner"] = func(i *injector) {
+		if owner := i.owner(); owner != nil {
+			owner.signal(syscall.SIGKILL, i.between(0, 4*time.Second))
+		}
+	}
+	faultKinds["kill-many"] = func(i *injector) {
+		off := i.between(0, 2*time.Second)
+		for _, host := range i.some() {
+			i.processes[host].signal(syscall.SIGKILL, off)
+		}
+		i.wait(2*time.Second, 8*time.Second)
+	}
+	faultKinds["terminate"] = func(i *injector) {
+		for _, host := range i.some() {
+			i.processes[host].terminate()
+			i.wait(0, 1500*time.Millisecond)
+		}
+	}
+	faultKinds["freeze"] = func(i *injector) { i.freeze(i.draw.IntN(hosts)) }
+	faultKinds["freeze-owner"] = func(i *injector) {
+		if owner := i.owner(); owner != nil {
+			i.freeze(owner.host)
+		}
+	}
+	faultKinds["freeze-many"] = func(i *injector) { i.freeze(i.some()...) }
+}
+
+// freeze stops processes for a time, and continues them at once or one by one.
+func (i *injector) freeze(some ...int) {
+	for _, host := range some {
+		i.processes[host].signal(syscall.SIGSTOP, 0)
+	}
+	i.wait(time.Second, 10*time.Second)
+	spread := i.draw.IntN(2) == 0
+	for _, host := range some {
+		i.processes[host].signal(syscall.SIGCONT, 0)
+		if spread {
+			i.wait(0, 500*time.Millisecond)
+		}
+	}
+}
--- /dev/null
+++ b/test/soak/fleet_test.go
@@ -0,0 +1,257 @@
+package soak
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/ownership"
+)
+
+// Hosts are numbered: first those of gateways, then those of nodes.
+const (
+	frontHosts = 3
+	sideHosts  = 11
+	hosts      = frontHosts + sideHosts
+)
+
+const (
+	frontPort    = 8161
+	readyPort    = 8167
+	controlPort  = 8166
+	appPort      = 8165
+	internalPort = 7720
+	storePort    = 8169
+)
+
+const (
+	readyTimeout  = 15 * time.Second
+	readyInterval = 100 * time.Millisecond
+	// warmUp is how long executors announce themselves before the clients start.
+	warmUp = 3 * time.Second
+)
+
+// fleet is a deployment on loopback addresses. Each process has its own view of the addresses of the others, which leads
+// through proxies.
+type fleet struct {
+	seed      uint64
+	record    *journal
+	dir       string
+	programs  string
+	network   string
+	store     *kvStore
+	oracle    *oracle
+	executors []*executor
+	processes []*process
+	// peers holds the links from host to host, storeLinks those to the store, and apps those from a node to its executor.
+	peers      [hosts][hosts]*link
+	storeLinks [hosts]*link
+	apps       [hosts]*link
+	servers    []*http.Server
+	anchor     net.Listener
+}
+
+func newFleet(draw *rand.Rand, record *journal, dir, programs string) (*fleet, error) {
+	f := &fleet{seed: *seedFlag, record: record, dir: dir, programs: programs, store: newKVStore(), oracle: newOracle(record)}
+	if err := f.reserveNetwork(); err != nil {
+		return nil, err
+	}
+	for host := range hosts {
+		name, program := fmt.Sprintf("front-%s-%d", zoneOf(host), 1+host/3), "quetzalshed-gateway"
+		if host >= frontHosts {
+			name, program = fmt.Sprintf("side-%s-%d", zoneOf(host), 1+(host-frontHosts)/3), "quetzalshed-node"
+			f.executors = append(f.executors, &executor{
+				fleet: f, name: name, host: host, zone: zoneOf(host), rate: slowestClock + (1-slowestClock)*draw.Float64(),
+				waitsForNewEnd: draw.IntN(2) == 0,
+			})
+		}
+		f.processes = append(f.processes, &process{fleet: f, name: name, host: host, program: filepath.Join(programs, program)})
+	}
+	return f, nil
+}
+
+// reserveNetwork takes a network of its own, so that several fleets can run side by side.
+func (f *fleet) reserveNetwork() error {
+	for second := 16; second < 250; second++ {
+		network := fmt.Sprintf("127.%d.", second)
+		anchor, err := net.Listen("tcp", fmt.Sprintf("%s100.99:%d", network, storePort))
+		if err == nil {
+			f.network, f.anchor = network, anchor
+			return nil
+		}
+	}
+	return fmt.Errorf("no loopback network is free")
+}
+
+func zoneOf(host int) string { return []string{"nrv-a", "prn-a", "trt-a"}[host%3] }
+
+// realAddress returns the address on which a process or an executor of a host listens.
+func (f *fleet) realAddress(host, port int) string {
+	return fmt.Sprintf("%s100.%d:%d", f.network, 100+host, port)
+}
+
+// seenAddress returns the address under which a host reaches another one.
+func (f *fleet) seenAddress(by, host, port int) string {
+	return fmt.Sprintf("%s%d.%d:%d", f.network, 110+by, 100+host, port)
+}
+
+func (f *fleet) storeAddress(by int) string {
+	return fmt.Sprintf("%s%d.200:%d", f.network, 110+by, storePort)
+}
+
+// view returns a function that replaces the addresses of processes in messages to a host by those that it reaches them under.
+func (f *fleet) view(host int) func([]byte) []byte {
+	from, to := []byte(f.network+"100."), fmt.Appendf(nil, "%s%d.", f.network, 110+host)
+	own, self := []byte(f.seenAddress(host, host, internalPort)), []byte(f.realAddress(host, internalPort))
+	return func(data []byte) []byte {
+		if !bytes.Contains(data, from) {
+			return data
+		}
+		return bytes.ReplaceAll(bytes.ReplaceAll(data, from, to), own, self)
+	}
+}
+
+// start starts the store, the links, the programs and the executors, and waits until the gateways are ready.
+func (f *fleet) start() error {
+	for host := range hosts {
+		if err := f.connect(host); err != nil {
+			return err
+		}
+	}
+	f.store.put("op/config", operatorConfig())
+	for _, p := range f.processes {
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	for _, x := range f.executors {
+		if err := x.start(false); err != nil {
+			return err
+		}
+	}
+	for host := range frontHosts {
+		if !f.awaitReady(host) {
+			return fmt.Errorf("gateway of host %d isn't ready", host)
+		}
+	}
+	time.Sleep(warmUp)
+	return nil
+}
+
+// connect sets up the links of a host.
+func (f *fleet) connect(host int) error {
+	storeServer := fmt.Sprintf("%s100.%d:%d", f.network, 200+host, storePort)
+	listener, err := net.Listen("tcp", storeServer)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: f.store.handler(f.processes[host].name, f.view(host))}
+	f.servers = append(f.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	if f.storeLinks[host], err = newLink(f.storeAddress(host), storeServer, nil); err != nil {
+		return err
+	}
+	for other := range hosts {
+		if other == host {
+			continue
+		}
+		if f.peers[host][other], err = newLink(f.seenAddress(host, other, internalPort), f.realAddress(other, internalPort), f.view(other)); err != nil {
+			return err
+		}
+	}
+	if host >= frontHosts {
+		f.apps[host], err = newLink(f.seenAddress(host, host, appPort), f.realAddress(host, appPort), nil)
+	}
+	return err
+}
+
+func operatorConfig() map[string]any {
+	routes := []map[string]any{}
+	for i, kind := range jobKinds {
+		routes = append(routes, map[string]any{
+			"name": strings.Trim(kind.prefix, "/"), "host": queueHost, "prefix": kind.prefix, "kind": "unsafe", "timeoutMs": 3000,
+			"targetLatencyMs": 1000, "priority": i % 2, "service": service, "maxAttempts": 4, "stretch": 2.0,
+		})
+	}
+	return map[string]any{
+		"version": 7, "routes": routes,
+		"services": []map[string]any{{"name": service, "healthPath": "/health", "preconditions": true, "spare": false}},
+		"limits":   map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	}
+}
+
+func (f *fleet) awaitReady(host int) bool {
+	for until := time.Now().Add(readyTimeout); time.Now().Before(until); time.Sleep(readyInterval) {
+		if response, err := http.Get("http://" + f.realAddress(host, readyPort) + "/v1/ready"); err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// settings returns the settings file of a host.
+func (f *fleet) settings(host int) string {
+	p := f.processes[host]
+	var b strings.Builder
+	line := func(format string, args ...any) { fmt.Fprintf(&b, format+"\n", args...) }
+	line("nodeName: %q\nip: \"%s100.%d\"\nzone: %q\nlisten:", p.name, f.network, 100+host, zoneOf(host))
+	if host < frontHosts {
+		line("  front: %q\n  ready: %q", f.realAddress(host, frontPort), f.realAddress(host, readyPort))
+	} else {
+		line("  control: %q\napp: %q\nservice: %q", f.realAddress(host, controlPort), f.seenAddress(host, host, appPort), service)
+	}
+	line("internalPorts:\n  - %d\n  - %d", internalPort, internalPort+15)
+	line("bootstrap: true\nheartbeatMs: %d\ncommands: \"invocation\"", heartbeatTime.Milliseconds())
+	line("bounds:\n  contactMs: 3000\n  graceS: %g\n  holdMaxMs: %d\n  stopTimeoutMs: 200\n  gangTimeoutMs: 3000\n  farX: 1.5", graceTime.Seconds(), holdMax.Milliseconds())
+	line("platform:\n  address: %q\n  form: \"kv\"\n  historyS: %g\n  ttlMinMs: %d", f.storeAddress(host), historyTime.Seconds(), minLeaseTTL.Milliseconds())
+	return b.String()
+}
+
+// owner returns the process that owns the jobs, or nil if none does.
+func (f *fleet) owner() *process {
+	value, ok := f.store.value(ownership.OwnerKey)
+	var holder struct {
+		Node string `json:"node"`
+	}
+	if !ok || json.Unmarshal(value, &holder) != nil {
+		return nil
+	}
+	for _, p := range f.processes {
+		if p.name == holder.Node {
+			return p
+		}
+	}
+	return nil
+}
+
+// stop ends everything that the fleet has started.
+func (f *fleet) stop() {
+	for _, p := range f.processes {
+		p.stop()
+	}
+	for _, x := range f.executors {
+		x.end("is stopped")
+	}
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+	f.store.stop()
+	_ = f.anchor.Close()
+	f.record.flush()
+}
+
+// writeSettings writes the settings file of a host and returns its path.
+func (f *fleet) writeSettings(host int) (string, error) {
+	path := filepath.Join(f.dir, f.processes[host].name+".yaml")
+	return path, os.WriteFile(path, []byte(f.settings(host)), 0o600)
+}
--- /dev/null
+++ b/test/soak/kv_test.go
@@ -0,0 +1,319 @@
+package soak
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// kvStore stands in for the platform's metadata store.
+type kvStore struct {
+	mu        sync.Mutex
+	revision  int64
+	items     map[string]*kvItem
+	history   []kvEvent
+	compacted int64
+	// keep is how long the history is kept.
+	keep      time.Duration
+	leases    map[int64]*kvLease
+	lastLease int64
+	changed   chan struct{}
+	faults    map[string]*storeFault
+	done      chan struct{}
+	stopOnce  sync.Once
+}
+
+type kvItem struct {
+	Key       string `json:"key"`
+	Value     []byte `json:"value"`
+	Revision  int64  `json:"revision"`
+	CreateRev int64  `json:"createRev"`
+	Lease     int64  `json:"lease"`
+}
+
+type kvEvent struct {
+	Key       string `json:"key"`
+	Value     []byte `json:"value,omitempty"`
+	Revision  int64  `json:"revision"`
+	CreateRev int64  `json:"createRev,omitempty"`
+	Lease     int64  `json:"lease,omitempty"`
+	Deleted   bool   `json:"deleted,omitempty"`
+	at        time.Time
+}
+
+type kvLease struct {
+	ttl   time.Duration
+	until time.Time
+}
+
+const (
+	historyTime        = 20 * time.Second
+	minLeaseTTL        = time.Second
+	pageItems          = 500
+	pageBytes          = 1 << 20
+	maxTransactionRows = 32
+	leaseCheckInterval = 10 * time.Millisecond
+)
+
+func newKVStore() *kvStore {
+	s := &kvStore{
+		revision: 100, keep: historyTime, items: map[string]*kvItem{}, leases: map[int64]*kvLease{}, changed: make(chan struct{}),
+		faults: map[string]*storeFault{}, done: make(chan struct{}),
+	}
+	go s.expire()
+	return s
+}
+
+func (s *kvStore) stop() { s.stopOnce.Do(func() { close(s.done) }) }
+
+// put writes a key as the operator does.
+func (s *kvStore) put(key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.write(key, data, 0)
+	s.notify()
+}
+
+func (s *kvStore) write(key string, value []byte, lease int64) {
+	created := s.revision
+	if old := s.items[key]; old != nil {
+		created = old.CreateRev
+	}
+	s.items[key] = &kvItem{key, value, s.revision, created, lease}
+	s.history = append(s.history, kvEvent{Key: key, Value: value, Revision: s.revision, CreateRev: created, Lease: lease, at: time.Now()})
+}
+
+func (s *kvStore) remove(key string) {
+	if s.items[key] != nil {
+		delete(s.items, key)
+		s.history = append(s.history, kvEvent{Key: key, Revision: s.revision, Deleted: true, at: time.Now()})
+	}
+}
+
+func (s *kvStore) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire ends leases and drops old history until the store stops.
+func (s *kvStore) expire() {
+	ticker := time.NewTicker(leaseCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.done:
+			return
+		case <-ticker.C:
+		}
+		s.mu.Lock()
+		now := time.Now()
+		for id, l := range s.leases {
+			if now.After(l.until) {
+				s.endLease(id)
+			}
+		}
+		s.compact(now.Add(-s.keep))
+		s.mu.Unlock()
+	}
+}
+
+// compact drops the history before a time.
+func (s *kvStore) compact(before time.Time) {
+	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].at.After(before) })
+	if first > 0 {
+		s.compacted = s.history[first-1].Revision
+		s.history = s.history[first:]
+	}
+}
+
+func (s *kvStore) endLease(id int64) {
+	delete(s.leases, id)
+	var keys []string
+	for key, item := range s.items {
+		if item.Lease == id {
+			keys = append(keys, key)
+		}
+	}
+	if len(keys) == 0 {
+		return
+	}
+	sort.Strings(keys)
+	s.revision++
+	for _, key := range keys {
+		s.remove(key)
+	}
+	s.notify()
+}
+
+// value returns a stored value.
+func (s *kvStore) value(key string) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	item := s.items[key]
+	if item == nil {
+		return nil, false
+	}
+	return item.Value, true
+}
+
+// endLeaseOf ends the lease of a key.
+func (s *kvStore) endLeaseOf(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if item := s.items[key]; item != nil && item.Lease != 0 {
+		s.endLease(item.Lease)
+	}
+}
+
+// execute executes a call that doesn't wait, and returns the status and the body of the response.
+func (s *kvStore) execute(method string, u *url.URL, body []byte) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch path := u.Path; {
+	case path == "/v1/kv-key":
+		return s.get(u.Query().Get("key"))
+	case path == "/v1/kv-range":
+		return s.list(u.Query().Get("prefix"), u.Query().Get("after"))
+	case path == "/v1/kv-txn":
+		return s.commit(body)
+	case path == "/v1/kv-lease":
+		return s.grant(body)
+	case strings.HasPrefix(path, "/v1/kv-keep/"):
+		return s.renew(strings.TrimPrefix(path, "/v1/kv-keep/"))
+	case method == http.MethodDelete && strings.HasPrefix(path, "/v1/kv-lease-end/"):
+		id, _ := strconv.ParseInt(strings.TrimPrefix(path, "/v1/kv-lease-end/"), 10, 64)
+		if s.leases[id] == nil {
+			return http.StatusNotFound, struct{}{}
+		}
+		s.endLease(id)
+		return http.StatusOK, struct{}{}
+	}
+	return http.StatusBadRequest, struct{}{}
+}
+
+func (s *kvStore) get(key string) (int, any) {
+	item := s.items[key]
+	if item == nil {
+		return http.StatusNotFound, map[string]any{"storeRevision": s.revision}
+	}
+	return http.StatusOK, struct {
+		kvItem
+		StoreRevision int64 `json:"storeRevision"`
+	}{*item, s.revision}
+}
+
+func (s *kvStore) list(prefix, after string) (int, any) {
+	var keys []string
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	found, size, truncated := []kvItem{}, 0, false
+	for _, key := range keys {
+		item := s.items[key]
+		if size += len(item.Value); len(found) == pageItems || len(found) > 0 && size > pageBytes {
+			truncated = true
+			break
+		}
+		found = append(found, *item)
+	}
+	return http.StatusOK, map[string]any{"items": found, "truncated": truncated, "storeRevision": s.revision}
+}
+
+func (s *kvStore) commit(data []byte) (int, any) {
+	var body struct {
+		Precondition []struct {
+			Key      string `json:"key"`
+			Revision int64  `json:"revision"`
+		} `json:"precondition"`
+		Puts []struct {
+			Key   string `json:"key"`
+			Value []byte `json:"value"`
+			Lease int64  `json:"lease"`
+		} `json:"puts"`
+		Remove []string `json:"remove"`
+	}
+	if err := json.Unmarshal(data, &body); err != nil || len(body.Precondition)+len(body.Puts)+len(body.Remove) > maxTransactionRows {
+		return http.StatusBadRequest, struct{}{}
+	}
+	holds, current := true, []kvItem{}
+	for _, c := range body.Precondition {
+		revision := int64(0)
+		if item := s.items[c.Key]; item != nil {
+			revision = item.Revision
+			current = append(current, *item)
+		}
+		holds = holds && revision == c.Revision
+	}
+	if !holds {
+		return http.StatusPreconditionFailed, map[string]any{"items": current}
+	}
+	for _, p := range body.Puts {
+		if p.Lease != 0 && s.leases[p.Lease] == nil {
+			return http.StatusNotFound, struct{}{}
+		}
+	}
+	s.revision++
+	for _, p := range body.Puts {
+		s.write(p.Key, p.Value, p.Lease)
+	}
+	for _, key := range body.Remove {
+		s.remove(key)
+	}
+	s.notify()
+	return http.StatusOK, map[string]any{"revision": s.revision}
+}
+
+func (s *kvStore) grant(data []byte) (int, any) {
+	var body struct {
+		TTLMs int64 `json:"ttlMs"`
+	}
+	ttl := time.Duration(0)
+	if json.Unmarshal(data, &body) == nil {
+		ttl = time.Duration(body.TTLMs) * time.Millisecond
+	}
+	if ttl < minLeaseTTL {
+		return http.StatusBadRequest, struct{}{}
+	}
+	s.lastLease++
+	s.leases[s.lastLease] = &kvLease{ttl, time.Now().Add(ttl)}
+	return http.StatusOK, map[string]any{"lease": s.lastLease, "ttlMs": body.TTLMs}
+}
+
+func (s *kvStore) renew(id string) (int, any) {
+	number, _ := strconv.ParseInt(id, 10, 64)
+	l := s.leases[number]
+	if l == nil {
+		return http.StatusNotFound, struct{}{}
+	}
+	l.until = time.Now().Add(l.ttl)
+	return http.StatusOK, map[string]any{"ttlMs": l.ttl.Milliseconds()}
+}
+
+// events returns the events after a revision. ok is false if they are no longer available.
+func (s *kvStore) events(prefix string, after int64) (found []kvEvent, revision int64, changed <-chan struct{}, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after < s.compacted {
+		return nil, 0, nil, false
+	}
+	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Revision > after })
+	for _, e := range s.history[first:] {
+		if strings.HasPrefix(e.Key, prefix) {
+			found = append(found, e)
+		}
+	}
+	return found, s.revision, s.changed, true
+}
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,116 @@
+// Package soak runs the programs as separate processes in real time, injects faults that are drawn from a seed, and checks that
+// no task runs twice. A stand-in plays the platform's store, the executors and the clients; all traffic crosses loopback proxies.
+package soak
+
+import (
+	"flag"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+var (
+	seedFlag     = flag.Uint64("soak.seed", 1, "seed of the load and the faults")
+	secondsFlag  = flag.Int("soak.seconds", 45, "seconds during which faults are injected")
+	kindsFlag    = flag.String("soak.kinds", "", "comma-separated kinds of faults; a drawn selection if empty")
+	programsFlag = flag.String("soak.programs", "", "directory of the built programs; they are built if empty")
+	dirFlag      = flag.String("soak.dir", "", "directory that keeps the logs of failed runs, in a subdirectory for each seed")
+	keepFlag     = flag.Bool("soak.keep", false, "keep the logs of runs without findings, too")
+)
+
+// settleTime is how long a run goes on after the last fault, so that late acknowledgements are seen.
+const settleTime = 12 * time.Second
+
+func TestSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs in real time")
+	}
+	programs := *programsFlag
+	if programs == "" {
+		programs = buildPrograms(t)
+	}
+	dir := runDirectory(t)
+	record, err := openJournal(filepath.Join(dir, "journal.txt"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer record.close()
+	draw := rand.New(rand.NewPCG(*seedFlag, 0))
+	f, err := newFleet(draw, record, dir, programs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.stop()
+	if err := f.start(); err != nil {
+		t.Fatalf("fleet not started, logs in %s: %v", dir, err)
+	}
+	clients := startClients(f, rand.New(rand.NewPCG(*seedFlag, 1)))
+	injectFaults(f, rand.New(rand.NewPCG(*seedFlag, 2)), chosenKinds(t), time.Duration(*secondsFlag)*time.Second)
+	time.Sleep(settleTime)
+	clients.stop()
+	f.stop()
+	record.addf("%s", f.oracle.summary(clients))
+	t.Log(f.oracle.summary(clients))
+	findings := f.oracle.findings()
+	for i, finding := range findings {
+		path := filepath.Join(dir, "finding-"+strconv.Itoa(i+1)+".txt")
+		if err := f.explain(path, finding); err != nil {
+			t.Error(err)
+		}
+		t.Errorf("%s; see %s", finding.what, path)
+	}
+	if len(findings) == 0 && !*keepFlag && *dirFlag != "" {
+		_ = os.RemoveAll(dir)
+	}
+}
+
+func buildPrograms(t *testing.T) string {
+	dir := t.TempDir()
+	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../../cmd/quetzalshed-gateway", "../../cmd/quetzalshed-node")
+	if output, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("programs not built: %v\n%s", err, output)
+	}
+	return dir
+}
+
+func runDirectory(t *testing.T) string {
+	if *dirFlag == "" {
+		dir, err := os.MkdirTemp("", "soak-")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() {
+			if !t.Failed() {
+				_ = os.RemoveAll(dir)
+			}
+		})
+		return dir
+	}
+	dir, err := filepath.Abs(filepath.Join(*dirFlag, strconv.FormatUint(*seedFlag, 10)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = os.RemoveAll(dir)
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
+
+func chosenKinds(t *testing.T) []string {
+	if *kindsFlag == "" {
+		return nil
+	}
+	kinds := strings.Split(*kindsFlag, ",")
+	for _, kind := range kinds {
+		if faultKinds[kind] == nil {
+			t.Fatalf("no fault kind %q", kind)
+		}
+	}
+	return kinds
+}
--- /dev/null
+++ b/test/soak/storecalls_test.go
@@ -0,0 +1,167 @@
+package soak
+
+import (
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// storeFault is a fault of the store for one caller.
+type storeFault struct {
+	delay time.Duration
+	// status is the status with which all calls are refused; 0 if none.
+	status int
+	// reset resets the connection of each call, and silent leaves each call without a response.
+	reset, silent bool
+	// lose is the share of calls whose responses are lost, and late the share that is executed lateTime later and not answered.
+	lose, late float64
+	lateTime   time.Duration
+}
+
+const (
+	storeAnswerTime = 4 * time.Millisecond
+	// silentTime is how long a call without a response keeps its connection.
+	silentTime = 15 * time.Second
+)
+
+// setFault sets the fault for callers; nil ends it.
+func (s *kvStore) setFault(fault *storeFault, callers ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, caller := range callers {
+		s.faults[caller] = fault
+	}
+}
+
+func (s *kvStore) faultOf(caller string) storeFault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if fault := s.faults[caller]; fault != nil {
+		return *fault
+	}
+	return storeFault{}
+}
+
+// handler serves one caller. rewrite adapts the addresses of processes in what it reads.
+func (s *kvStore) handler(caller string, rewrite func([]byte) []byte) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		fault := s.faultOf(caller)
+		time.Sleep(max(fault.delay, storeAnswerTime))
+		// A call of that time sees the fault that holds when it is executed.
+		fault = s.faultOf(caller)
+		switch {
+		case fault.reset:
+			panic(http.ErrAbortHandler)
+		case fault.silent:
+			leaveUnanswered(r)
+		case fault.status != 0:
+			w.WriteHeader(fault.status)
+			return
+		}
+		if r.URL.Path == "/v1/kv-watch" {
+			s.watch(w, r, caller, rewrite)
+			return
+		}
+		if rand.Float64() < fault.late {
+			time.AfterFunc(time.Duration(rand.Float64()*float64(fault.lateTime)), func() { s.execute(r.Method, r.URL, body) })
+			leaveUnanswered(r)
+		}
+		status, response := s.execute(r.Method, r.URL, body)
+		if rand.Float64() < fault.lose {
+			leaveUnanswered(r)
+		}
+		writeJSON(w, status, adapt(response, rewrite))
+	})
+}
+
+// leaveUnanswered keeps the connection without a response until the caller gives up, and ends it.
+func leaveUnanswered(r *http.Request) {
+	select {
+	case <-r.Context().Done():
+	case <-time.After(silentTime):
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (s *kvStore) watch(w http.ResponseWriter, r *http.Request, caller string, rewrite func([]byte) []byte) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(q.Get("waitMs"))
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	for waiting := true; ; {
+		events, revision, changed, ok := s.events(q.Get("prefix"), after)
+		if !ok {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(events) > 0 || !waiting {
+			if fault := s.faultOf(caller); fault.silent {
+				leaveUnanswered(r)
+			}
+			if events == nil {
+				events = []kvEvent{}
+			}
+			writeJSON(w, http.StatusOK, adapt(map[string]any{"events": events, "storeRevision": revision}, rewrite))
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-deadline:
+			waiting = false
+		}
+	}
+}
+
+// adapt rewrites the addresses of processes in a response.
+func adapt(response any, rewrite func([]byte) []byte) any {
+	rewriteItem := func(key string, value []byte) []byte {
+		if strings.HasPrefix(key, "qz/nodes/") || strings.HasPrefix(key, "qz/owner/") {
+			return rewrite(value)
+		}
+		return value
+	}
+	fields, ok := response.(map[string]any)
+	if !ok {
+		if single, ok := response.(struct {
+			kvItem
+			StoreRevision int64 `json:"storeRevision"`
+		}); ok {
+			single.Value = rewriteItem(single.Key, single.Value)
+			return single
+		}
+		return response
+	}
+	switch items := fields["items"].(type) {
+	case []kvItem:
+		for i := range items {
+			items[i].Value = rewriteItem(items[i].Key, items[i].Value)
+		}
+	}
+	switch events := fields["events"].(type) {
+	case []kvEvent:
+		for i := range events {
+			events[i].Value = rewriteItem(events[i].Key, events[i].Value)
+		}
+	}
+	return fields
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
