Soak: refuse connections to executors that are up, on request

The interface of the platform doesn't say whether an executor that is up may refuse connections, so the kind is injected only if asked for.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -19,6 +19,17 @@
 // faultKinds holds the kinds of faults. Each injects one, and returns once it has healed.
 var faultKinds = map[string]func(i *injector){}
 
+// questionableKinds holds kinds of faults that the platform's interface neither names nor rules out. They are injected only if they
+// are asked for.
+var questionableKinds = map[string]func(i *injector){}
+
+func faultKind(kind string) func(i *injector) {
+	if inject := faultKinds[kind]; inject != nil {
+		return inject
+	}
+	return questionableKinds[kind]
+}
+
 const (
 	maxSeries = 3
 	// maxDrawnKinds is how many kinds a drawn selection has at most.
@@ -49,7 +60,7 @@
 				i.wait(0, pause)
 				kind := kinds[i.draw.IntN(len(kinds))]
 				f.record.addf("fault %s", kind)
-				faultKinds[kind](i)
+				faultKind(kind)(i)
 				f.record.addf("fault %s is over", kind)
 				f.record.flush()
 			}
--- a/test/soak/linkfaults_test.go
+++ b/test/soak/linkfaults_test.go
@@ -21,6 +21,7 @@
 	faultKinds["app-half"] = func(i *injector) { i.hold(i.appLinks(), false) }
 	faultKinds["app-delay"] = func(i *injector) { i.delay(i.appLinks()) }
 	faultKinds["app-reset"] = func(i *injector) { i.reset(i.appLinks()) }
+	questionableKinds["app-refuse"] = func(i *injector) { i.refuse(i.appLinks()) }
 	faultKinds["cut-off"] = func(i *injector) {
 		links := i.linksToStore()
 		i.hold(append(links, i.peerLinks()...), true)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -108,7 +108,7 @@
 	}
 	kinds := strings.Split(*kindsFlag, ",")
 	for _, kind := range kinds {
-		if faultKinds[kind] == nil {
+		if faultKind(kind) == nil {
 			t.Fatalf("no fault kind %q", kind)
 		}
 	}
