--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"context"
+	"crypto/sha256"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -36,6 +38,11 @@
 	maxDrawnKinds = 8
 	shortestPause = 200 * time.Millisecond
 	longestPause  = 5 * time.Second
+	// throttlePeriod is the period of which throttled processes run a part.
+	throttlePeriod = 100 * time.Millisecond
+	// maxBurners is how many processors are kept busy at most, with hashes of burnBytes each.
+	maxBurners = 3
+	burnBytes  = 1 << 20
 )
 
 // injectFaults injects faults for a time. It draws the kinds if none are given.
@@ -132,6 +139,8 @@
 			i.wait(0, 1500*time.Millisecond)
 		}
 	}
+	faultKinds["throttle"] = func(i *injector) { i.throttle(i.some()...) }
+	faultKinds["burn"] = func(i *injector) { i.burn() }
 	faultKinds["freeze"] = func(i *injector) { i.freeze(i.draw.IntN(hosts)) }
 	faultKinds["freeze-owner"] = func(i *injector) {
 		if owner := i.owner(); owner != nil {
@@ -141,6 +150,36 @@
 	faultKinds["freeze-many"] = func(i *injector) { i.freeze(i.some()...) }
 }
 
+// throttle lets processes run only a part of each short period for a time.
+func (i *injector) throttle(some ...int) {
+	runs := i.between(throttlePeriod/20, throttlePeriod/2)
+	for until := time.Now().Add(i.between(2*time.Second, 10*time.Second)); time.Now().Before(until); {
+		for _, host := range some {
+			i.processes[host].send(syscall.SIGSTOP)
+		}
+		time.Sleep(throttlePeriod - runs)
+		for _, host := range some {
+			i.processes[host].send(syscall.SIGCONT)
+		}
+		time.Sleep(runs)
+	}
+}
+
+// burn keeps processors busy beside the fleet for a time.
+func (i *injector) burn() {
+	ctx, cancel := context.WithTimeout(context.Background(), i.between(time.Second, 6*time.Second))
+	defer cancel()
+	var all sync.WaitGroup
+	for range 1 + i.draw.IntN(maxBurners) {
+		all.Go(func() {
+			for ctx.Err() == nil {
+				sha256.Sum256(make([]byte, burnBytes))
+			}
+		})
+	}
+	all.Wait()
+}
+
 // freeze stops processes for a time, and continues them at once or one by one.
 func (i *injector) freeze(some ...int) {
 	for _, host := range some {
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -97,6 +97,15 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
+// send sends a signal that doesn't end the program.
+func (p *process) send(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil && !p.stopped {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
 // terminate sends SIGTERM, and SIGKILL after graceTime.
 func (p *process) terminate() {
 	p.mu.Lock()
