--- a/test/soak/link_test.go
+++ b/test/soak/link_test.go
@@ -24,6 +24,8 @@
 	there  direction
 	back   direction
 	change chan struct{}
+	// opened counts the connections so far. Those up to silentUpTo pass on nothing any more.
+	opened, silentUpTo int
 }
 
 // direction is the state of one way of a link.
@@ -79,6 +81,13 @@
 	l.change = make(chan struct{})
 }
 
+// silence lets the open connections pass on nothing any more, while new ones work.
+func (l *link) silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silentUpTo = l.opened
+}
+
 // setLimit sets the number of connections above which new ones are reset or refused; 0 means none.
 func (l *link) setLimit(limit int, refuse bool) {
 	l.mu.Lock()
@@ -116,7 +125,7 @@
 func (l *link) serve(client net.Conn) {
 	server, err := net.DialTimeout("tcp", l.target, linkDialTimeout)
 	if err != nil {
-		l.await(&l.there)
+		l.await(0, &l.there)
 		abort(client)
 		return
 	}
@@ -128,6 +137,8 @@
 		return
 	}
 	l.conns[client] = server
+	l.opened++
+	number := l.opened
 	l.peak = max(l.peak, len(l.conns))
 	full := l.refuseAtLimit && l.limit > 0 && len(l.conns) >= l.limit
 	l.mu.Unlock()
@@ -135,8 +146,8 @@
 		l.refuse()
 	}
 	var pumps sync.WaitGroup
-	pumps.Go(func() { l.pump(server, client, &l.there, l.rewrite) })
-	pumps.Go(func() { l.pump(client, server, &l.back, nil) })
+	pumps.Go(func() { l.pump(server, client, number, &l.there, l.rewrite) })
+	pumps.Go(func() { l.pump(client, server, number, &l.back, nil) })
 	pumps.Wait()
 	_ = client.Close()
 	_ = server.Close()
@@ -150,11 +161,11 @@
 }
 
 // pump copies one way of a connection. An end of the source is passed on after all bytes before it.
-func (l *link) pump(to, from net.Conn, d *direction, rewrite func([]byte) []byte) {
+func (l *link) pump(to, from net.Conn, number int, d *direction, rewrite func([]byte) []byte) {
 	buffer := make([]byte, linkChunk)
 	for {
 		n, err := from.Read(buffer)
-		l.await(d)
+		l.await(number, d)
 		if n > 0 {
 			data := buffer[:n]
 			if rewrite != nil {
@@ -174,15 +185,15 @@
 	}
 }
 
-// await waits for the delay of a direction, and until it isn't held.
-func (l *link) await(d *direction) {
+// await waits for the delay of a direction, and until neither it is held nor the connection of that number is silent.
+func (l *link) await(number int, d *direction) {
 	l.mu.Lock()
 	delay := d.delay
 	l.mu.Unlock()
 	time.Sleep(delay)
 	for {
 		l.mu.Lock()
-		held, change := d.held, l.change
+		held, change := d.held || number != 0 && number <= l.silentUpTo, l.change
 		l.mu.Unlock()
 		if !held {
 			return
--- a/test/soak/linkfaults_test.go
+++ b/test/soak/linkfaults_test.go
@@ -1,6 +1,9 @@
 package soak
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Longest delays of links.
 const (
@@ -21,6 +24,12 @@
 	faultKinds["app-half"] = func(i *injector) { i.hold(i.appLinks(), false) }
 	faultKinds["app-delay"] = func(i *injector) { i.delay(i.appLinks()) }
 	faultKinds["app-reset"] = func(i *injector) { i.reset(i.appLinks()) }
+	faultKinds["channels-silent"] = func(i *injector) {
+		for _, l := range slices.Concat(i.linksToStore(), i.peerLinks(), i.appLinks()) {
+			l.silence()
+		}
+		i.wait(0, 3*time.Second)
+	}
 	questionableKinds["app-refuse"] = func(i *injector) { i.refuse(i.appLinks()) }
 	faultKinds["cut-off"] = func(i *injector) {
 		links := i.linksToStore()
