--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -234,6 +235,14 @@
 	return nil
 }
 
+// links returns all links of the fleet.
+func (f *fleet) links() (all []*link) {
+	for host := range hosts {
+		all = append(append(all, f.peers[host][:]...), f.storeLinks[host], f.apps[host])
+	}
+	return slices.DeleteFunc(all, func(l *link) bool { return l == nil })
+}
+
 // peakConnections returns the largest number of connections that a node has had to its executor.
 func (f *fleet) peakConnections() int {
 	peak := 0
@@ -257,6 +266,10 @@
 		_ = s.Close()
 	}
 	f.store.stop()
+	for _, l := range f.links() {
+		l.refuse()
+		l.reset()
+	}
 	_ = f.anchor.Close()
 	f.record.flush()
 }
