--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -5,10 +5,12 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -21,6 +23,7 @@
 	kindsFlag    = flag.String("soak.kinds", "", "comma-separated kinds of faults; a drawn selection if empty")
 	programsFlag = flag.String("soak.programs", "", "directory of the built programs; they are built if empty")
 	dirFlag      = flag.String("soak.dir", "", "directory that keeps the logs of failed runs, in a subdirectory for each seed")
+	listFlag     = flag.Bool("soak.list", false, "print the kinds of faults and play nothing")
 	keepFlag     = flag.Bool("soak.keep", false, "keep the logs of runs without findings, too")
 )
 
@@ -31,6 +34,12 @@
 	if testing.Short() {
 		t.Skip("runs in real time")
 	}
+	if *listFlag {
+		for _, kind := range slices.Sorted(maps.Keys(faultKinds)) {
+			fmt.Println("kind", kind)
+		}
+		return
+	}
 	programs := *programsFlag
 	if programs == "" {
 		programs = buildPrograms(t)
