--- a/test/soak/clients_test.go
+++ b/test/soak/clients_test.go
@@ -84,6 +84,7 @@
 
 func startClients(f *fleet, draw *rand.Rand) *clients {
 	c := &clients{fleet: f, done: make(chan struct{}), draw: draw, states: map[string]int{}}
+	f.clients = c
 	for number, kind := range jobKinds {
 		c.workers.Go(func() { c.submitAll(number, kind) })
 	}
@@ -125,16 +126,21 @@
 
 func (c *clients) submitAll(number int, kind jobKind) {
 	for c.pause(time.Duration(c.float() * 2 / kind.perSecond * float64(time.Second))) {
-		c.mu.Lock()
-		id := fmt.Sprintf("%c%015x", 'a'+rune(number), c.draw.Uint64()>>4)
-		tasks := 1 + c.draw.IntN(2*kind.tasks)
-		steps := 1 + c.draw.IntN(kind.steps)
-		c.mu.Unlock()
-		body := c.jobBody(kind, id, steps, tasks)
-		c.workers.Go(func() { c.follow(kind, kind.prefix+id, body) })
+		c.submitOne(number, kind, 1)
 	}
 }
 
+// submitOne submits a job whose steps are some times as wide as usual.
+func (c *clients) submitOne(number int, kind jobKind, wide int) {
+	c.mu.Lock()
+	id := fmt.Sprintf("%c%015x", 'a'+rune(number), c.draw.Uint64()>>4)
+	tasks := wide * (1 + c.draw.IntN(2*kind.tasks))
+	steps := 1 + c.draw.IntN(kind.steps)
+	c.mu.Unlock()
+	body := c.jobBody(kind, id, steps, tasks)
+	c.workers.Go(func() { c.follow(kind, kind.prefix+id, body) })
+}
+
 func (c *clients) jobBody(kind jobKind, id string, steps, tasks int) map[string]any {
 	rows := []map[string]any{}
 	for i := range steps {
--- a/test/soak/executorfaults_test.go
+++ b/test/soak/executorfaults_test.go
@@ -10,6 +10,9 @@
 		"slow": func(i *injector) executorFault {
 			return executorFault{delay: i.between(200*time.Millisecond, 2*time.Second)}
 		},
+		"hang":   func(i *injector) executorFault { return executorFault{hang: i.draw.Float64()} },
+		"fail":   func(i *injector) executorFault { return executorFault{fail: i.draw.Float64()} },
+		"work":   func(i *injector) executorFault { return executorFault{slow: 1 + 6*i.draw.Float64()} },
 		"lose":   func(i *injector) executorFault { return executorFault{lose: i.draw.Float64()} },
 		"refuse": func(i *injector) executorFault { return executorFault{refuse: i.draw.Float64()} },
 		"late": func(i *injector) executorFault {
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -35,6 +35,8 @@
 const (
 	readyTimeout  = 15 * time.Second
 	readyInterval = 100 * time.Millisecond
+	configKey     = "op/config"
+	firstVersion  = 7
 	// warmUp is how long executors announce themselves before the clients start.
 	warmUp = 3 * time.Second
 )
@@ -56,6 +58,7 @@
 	storeLinks [hosts]*link
 	apps       [hosts]*link
 	servers    []*http.Server
+	clients    *clients
 	anchor     net.Listener
 }
 
@@ -126,7 +129,7 @@
 			return err
 		}
 	}
-	f.store.put("op/config", operatorConfig())
+	f.store.put(configKey, operatorConfig(firstVersion))
 	for _, p := range f.processes {
 		if err := p.start(); err != nil {
 			return err
@@ -173,7 +176,7 @@
 	return err
 }
 
-func operatorConfig() map[string]any {
+func operatorConfig(version int) map[string]any {
 	routes := []map[string]any{}
 	for i, kind := range jobKinds {
 		routes = append(routes, map[string]any{
@@ -182,7 +185,7 @@
 		})
 	}
 	return map[string]any{
-		"version": 7, "routes": routes,
+		"version": version, "routes": routes,
 		"services": []map[string]any{{"name": service, "healthPath": "/health", "preconditions": true, "spare": false}},
 		"limits":   map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	}
--- a/test/soak/kv_test.go
+++ b/test/soak/kv_test.go
@@ -84,6 +84,15 @@
 	s.notify()
 }
 
+// delete removes a key as the operator does.
+func (s *kvStore) delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.remove(key)
+	s.notify()
+}
+
 func (s *kvStore) write(key string, value []byte, lease int64) {
 	created := s.revision
 	if old := s.items[key]; old != nil {
--- a/test/soak/orders_test.go
+++ b/test/soak/orders_test.go
@@ -16,6 +16,27 @@
 	// orders that are not answered and carried out up to lateTime later.
 	refuse, lose, late float64
 	lateTime           time.Duration
+	// hang is the share of runs that never end, and fail that of runs that fail soon. Others take slow times as long; 0 means once.
+	hang, fail, slow float64
+}
+
+const (
+	hungTime = time.Hour
+	failTime = 200 * time.Millisecond
+)
+
+// harm changes what a run does by the fault.
+func (f *executorFault) harm(w runWork) runWork {
+	if f.slow > 0 {
+		w.takes = time.Duration(f.slow * float64(w.takes))
+	}
+	if rand.Float64() < f.fail {
+		w.how, w.takes = "failed", failTime
+	}
+	if rand.Float64() < f.hang {
+		w.takes = hungTime
+	}
+	return w
 }
 
 type orderBody struct {
@@ -140,7 +161,7 @@
 	if b.Run <= l.last[b.Task] || l.running[b.Task] != nil {
 		return l.reject("old")
 	}
-	work := l.x.fleet.work(b.Task, b.Run)
+	work := l.x.fault.harm(l.x.fleet.work(b.Task, b.Run))
 	used := work.cpu
 	for _, r := range l.running {
 		used += r.need
