--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -3,6 +3,7 @@
 package soak
 
 import (
+	"bytes"
 	"flag"
 	"fmt"
 	"maps"
@@ -75,11 +76,31 @@
 		}
 		t.Errorf("%s; see %s", finding.what, path)
 	}
-	if len(findings) == 0 && !*keepFlag && *dirFlag != "" {
+	reportCrashes(t, dir)
+	if !t.Failed() && !*keepFlag && *dirFlag != "" {
 		_ = os.RemoveAll(dir)
 	}
 }
 
+// reportCrashes fails the test for each log of a process that shows a panic or a data race.
+func reportCrashes(t *testing.T, dir string) {
+	logs, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	if err != nil {
+		t.Error(err)
+	}
+	for _, path := range logs {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			t.Error(err)
+		}
+		for _, sign := range []string{"WARNING: DATA RACE", "panic: ", "fatal error: ", "the owner's state is broken"} {
+			if bytes.Contains(data, []byte(sign)) {
+				t.Errorf("%q in %s", sign, path)
+			}
+		}
+	}
+}
+
 func buildPrograms(t *testing.T) string {
 	dir := t.TempDir()
 	build := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "../../cmd/quetzalshed-gateway", "../../cmd/quetzalshed-node")
