--- a/test/soak/linkfaults_test.go
+++ b/test/soak/linkfaults_test.go
@@ -9,6 +9,8 @@
 const (
 	longestLinkDelay = 800 * time.Millisecond
 	longestCut       = 12 * time.Second
+	shortestRefusal  = 300 * time.Millisecond
+	shortRefusal     = 600 * time.Millisecond
 )
 
 func init() {
@@ -16,7 +18,7 @@
 	faultKinds["peers-half"] = func(i *injector) { i.hold(i.peerLinks(), false) }
 	faultKinds["peers-delay"] = func(i *injector) { i.delay(i.peerLinks()) }
 	faultKinds["peers-reset"] = func(i *injector) { i.reset(i.peerLinks()) }
-	faultKinds["peers-refuse"] = func(i *injector) { i.refuse(i.peerLinks()) }
+	faultKinds["peers-refuse"] = func(i *injector) { i.refuse(i.peerLinks(), longestCut, true) }
 	faultKinds["store-hold"] = func(i *injector) { i.hold(i.linksToStore(), true) }
 	faultKinds["store-half"] = func(i *injector) { i.hold(i.linksToStore(), false) }
 	faultKinds["store-channels"] = func(i *injector) { i.reset(i.linksToStore()) }
@@ -30,7 +32,9 @@
 		}
 		i.wait(0, 3*time.Second)
 	}
-	questionableKinds["app-refuse"] = func(i *injector) { i.refuse(i.appLinks()) }
+	questionableKinds["app-refuse"] = func(i *injector) { i.refuse(i.appLinks(), longestCut, true) }
+	questionableKinds["app-refuse-short"] = func(i *injector) { i.refuse(i.appLinks(), shortRefusal, true) }
+	questionableKinds["app-refuse-new"] = func(i *injector) { i.refuse(i.appLinks(), longestCut, false) }
 	faultKinds["cut-off"] = func(i *injector) {
 		links := i.linksToStore()
 		i.hold(append(links, i.peerLinks()...), true)
@@ -105,13 +109,15 @@
 	}
 }
 
-// refuse refuses new connections and resets the open ones for a time.
-func (i *injector) refuse(links []*link) {
+// refuse refuses new connections for a time, and resets the open ones if reset is set.
+func (i *injector) refuse(links []*link, longest time.Duration, reset bool) {
 	for _, l := range links {
 		l.refuse()
-		l.reset()
+		if reset {
+			l.reset()
+		}
 	}
-	i.wait(300*time.Millisecond, longestCut)
+	i.wait(shortestRefusal, longest)
 	for _, l := range links {
 		if err := l.open(); err != nil {
 			i.record.addf("link not opened again: %v", err)
