--- a/test/soak/executor_test.go
+++ b/test/soak/executor_test.go
@@ -41,8 +41,10 @@
 	// waitsForNewEnd is set if a hold call waits for an end after its arrival even while older ends are listed again.
 	waitsForNewEnd bool
 
-	mu     sync.Mutex
-	life   *life
+	mu   sync.Mutex
+	life *life
+	// former is the life before.
+	former *life
 	lives  int
 	lastID string
 	fault  executorFault
@@ -124,7 +126,7 @@
 	if l == nil {
 		return
 	}
-	x.life = nil
+	x.life, x.former = nil, l
 	close(l.done)
 	if !dark {
 		x.fleet.apps[x.host].refuse()
@@ -158,7 +160,13 @@
 
 // heartbeat sends a heartbeat, and reports whether it was acknowledged.
 func (l *life) heartbeat() bool {
+	return l.x.register(http.MethodPut, l.id, l.beat())
+}
+
+// beat returns the body of the next heartbeat.
+func (l *life) beat() map[string]any {
 	l.x.mu.Lock()
+	defer l.x.mu.Unlock()
 	l.sequence++
 	beat := map[string]any{
 		"service": service, "address": l.x.fleet.realAddress(l.x.host, appPort), "zone": l.x.zone, "version": "v1", "slots": 8,
@@ -168,8 +176,7 @@
 	if l.draining {
 		beat["state"], beat["remainingMs"] = "draining", drainTime.Milliseconds()
 	}
-	l.x.mu.Unlock()
-	return l.x.register(http.MethodPut, l.id, beat)
+	return beat
 }
 
 // register sends a call to the control address of the host, and reports whether it was acknowledged.
--- a/test/soak/executorfaults_test.go
+++ b/test/soak/executorfaults_test.go
@@ -1,6 +1,9 @@
 package soak
 
 import (
+	"maps"
+	"net/http"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -54,6 +57,7 @@
 		i.wait(0, 5*time.Second)
 		i.restart(x, i.draw.IntN(2) == 0)
 	}
+	faultKinds["beats"] = func(i *injector) { i.sendStrayBeats(i.executor(i.side())) }
 	faultKinds["host-loss"] = func(i *injector) {
 		some := sides(i.some())
 		off := i.between(0, 5*time.Second)
@@ -64,6 +68,24 @@
 	}
 }
 
+// sendStrayBeats sends calls of the former life that were delayed, and heartbeats that can't be read.
+func (i *injector) sendStrayBeats(x *executor) {
+	x.mu.Lock()
+	life, former := x.life, x.former
+	x.mu.Unlock()
+	if former != nil {
+		x.register(http.MethodPut, former.id, former.beat())
+		x.register(http.MethodDelete, former.id, struct{}{})
+	}
+	if life != nil {
+		beat := life.beat()
+		fields := slices.Sorted(maps.Keys(beat))
+		beat[fields[i.draw.IntN(len(fields))]] = []any{struct{}{}}
+		x.register(http.MethodPut, life.id, beat)
+	}
+	i.wait(0, time.Second)
+}
+
 // limitConnections limits the connections to slow executors for a time.
 func (i *injector) limitConnections(refuse bool) {
 	some := sides(i.some())
