--- a/test/soak/operatorfaults_test.go
+++ b/test/soak/operatorfaults_test.go
@@ -6,6 +6,9 @@
 	// burstJobs jobs come at once, with steps up to burstWidth times as wide as usual.
 	burstJobs  = 15
 	burstWidth = 4
+	// manyJobs jobs of many small tasks come at once. The store is slow when these end, from slowLead before.
+	manyJobs = 36
+	slowLead = time.Second
 )
 
 func init() {
@@ -16,6 +19,14 @@
 		}
 		i.wait(time.Second, 6*time.Second)
 	}
+	requestedKinds["many-ends"] = func(i *injector) {
+		const number = 3
+		for range manyJobs {
+			i.clients.submitOne(number, jobKinds[number], 1)
+		}
+		time.Sleep(jobKinds[number].takes - slowLead)
+		i.setStoreFault(&storeFault{delay: slowStoreTime}, i.draw.Perm(hosts))
+	}
 	faultKinds["evacuate"] = func(i *injector) {
 		key := "op/evacuate/" + zoneOf(i.draw.IntN(3))
 		i.store.put(key, struct{}{})
