--- a/test/soak/executor_test.go
+++ b/test/soak/executor_test.go
@@ -119,7 +119,7 @@
 
 // end ends the life at once: everything that runs is lost. Its connections are reset and its port has no listener then, unless its
 // host doesn't respond either.
-func (x *executor) end(cause string, dark bool) {
+func (x *executor) end(cause string, silent bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	l := x.life
@@ -128,7 +128,7 @@
 	}
 	x.life, x.former = nil, l
 	close(l.done)
-	if !dark {
+	if !silent {
 		x.fleet.apps[x.host].refuse()
 		x.fleet.apps[x.host].reset()
 	}
--- a/test/soak/executorfaults_test.go
+++ b/test/soak/executorfaults_test.go
@@ -36,7 +36,7 @@
 	}
 	faultKinds["executor-limit"] = func(i *injector) { i.limitConnections(false) }
 	requestedKinds["executor-limit-refuse"] = func(i *injector) { i.limitConnections(true) }
-	faultKinds["executor-dark"] = func(i *injector) {
+	faultKinds["executor-silent"] = func(i *injector) {
 		some := sides(i.some())
 		for _, host := range some {
 			i.apps[host].set(direction{held: true}, direction{held: true})
@@ -57,7 +57,7 @@
 		i.wait(0, 5*time.Second)
 		i.restart(x, i.draw.IntN(2) == 0)
 	}
-	faultKinds["beats"] = func(i *injector) { i.sendStrayBeats(i.executor(i.side())) }
+	faultKinds["stray-heartbeats"] = func(i *injector) { i.sendStrayHeartbeats(i.executor(i.side())) }
 	faultKinds["host-loss"] = func(i *injector) {
 		some := sides(i.some())
 		off := i.between(0, 5*time.Second)
@@ -68,8 +68,8 @@
 	}
 }
 
-// sendStrayBeats sends calls of the former life that were delayed, and heartbeats that can't be read.
-func (i *injector) sendStrayBeats(x *executor) {
+// sendStrayHeartbeats sends calls of the former life that were delayed, and heartbeats that can't be read.
+func (i *injector) sendStrayHeartbeats(x *executor) {
 	x.mu.Lock()
 	life, former := x.life, x.former
 	x.mu.Unlock()
--- a/test/soak/explain_test.go
+++ b/test/soak/explain_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -32,15 +33,16 @@
 	return os.WriteFile(path, []byte(found.what+"\n\n"+strings.Join(lines, "\n")+"\n"), 0o600)
 }
 
-// concerns reports whether a line names the task, or an executor without naming another task.
+// concerns reports whether a line names the task, or an executor without naming another task, or tells of a fault or an owner.
 func concerns(line string, names []string) bool {
-	if strings.Contains(line, names[0]) || strings.Contains(line, " fault ") || strings.Contains(line, " process side") || strings.Contains(line, "ownership") {
+	if containsAny(line, names[0], " fault ", " process side", "ownership") {
 		return true
 	}
-	if strings.Contains(line, `"task":`) || strings.Contains(line, "late order") || strings.Contains(line, " start of ") || strings.Contains(line, " end of ") || strings.Contains(line, " stop of ") {
-		return false
-	}
-	return strings.Contains(line, names[1]) || strings.Contains(line, names[2])
+	return containsAny(line, names[1:]...) && !containsAny(line, `"task":`, "late order", " start of ", " end of ", " stop of ")
+}
+
+func containsAny(line string, parts ...string) bool {
+	return slices.ContainsFunc(parts, func(part string) bool { return strings.Contains(line, part) })
 }
 
 // timeOf returns the time of a line of the journal or of a log.
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -40,9 +40,9 @@
 	longestPause  = 5 * time.Second
 	// throttlePeriod is the period of which throttled processes run a part.
 	throttlePeriod = 100 * time.Millisecond
-	// maxBurners is how many processors are kept busy at most, with hashes of burnBytes each.
-	maxBurners = 3
-	burnBytes  = 1 << 20
+	// maxBusy is how many processors are kept busy at most, with hashes of busyBytes each.
+	maxBusy   = 3
+	busyBytes = 1 << 20
 )
 
 // injectFaults injects faults for a time. It draws the kinds if none are given.
@@ -140,7 +140,7 @@
 		}
 	}
 	faultKinds["throttle"] = func(i *injector) { i.throttle(i.some()...) }
-	faultKinds["burn"] = func(i *injector) { i.burn() }
+	faultKinds["busy-processors"] = func(i *injector) { i.keepBusy() }
 	faultKinds["freeze"] = func(i *injector) { i.freeze(i.draw.IntN(hosts)) }
 	faultKinds["freeze-owner"] = func(i *injector) {
 		if owner := i.owner(); owner != nil {
@@ -165,15 +165,15 @@
 	}
 }
 
-// burn keeps processors busy beside the fleet for a time.
-func (i *injector) burn() {
+// keepBusy keeps processors busy beside the fleet for a time.
+func (i *injector) keepBusy() {
 	ctx, cancel := context.WithTimeout(context.Background(), i.between(time.Second, 6*time.Second))
 	defer cancel()
 	var all sync.WaitGroup
-	for range 1 + i.draw.IntN(maxBurners) {
+	for range 1 + i.draw.IntN(maxBusy) {
 		all.Go(func() {
 			for ctx.Err() == nil {
-				sha256.Sum256(make([]byte, burnBytes))
+				sha256.Sum256(make([]byte, busyBytes))
 			}
 		})
 	}
--- a/test/soak/oracle_test.go
+++ b/test/soak/oracle_test.go
@@ -154,6 +154,12 @@
 	o.record.addf("%s", f.what)
 }
 
+func (o *oracle) startCount() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.starts
+}
+
 func (o *oracle) findings() []finding {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -34,6 +34,9 @@
 // maxExplained is how many findings are listed and explained at most. The journal names all of them.
 const maxExplained = 25
 
+// minStartsPerSecond is how many starts a run must have on average; some 100 come without faults.
+const minStartsPerSecond = 10
+
 func TestSoak(t *testing.T) {
 	if testing.Short() {
 		t.Skip("runs in real time")
@@ -44,25 +47,14 @@
 		}
 		return
 	}
-	programs := *programsFlag
-	if programs == "" {
-		programs = buildPrograms(t)
-	}
 	dir := runDirectory(t)
 	record, err := openJournal(filepath.Join(dir, "journal.txt"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer record.close()
-	draw := rand.New(rand.NewPCG(*seedFlag, 0))
-	f, err := newFleet(draw, record, dir, programs)
-	if err != nil {
-		t.Fatal(err)
-	}
+	f := startFleet(t, dir, record)
 	defer f.stop()
-	if err := f.start(); err != nil {
-		t.Fatalf("fleet not started, logs in %s: %v", dir, err)
-	}
 	clients := startClients(f, rand.New(rand.NewPCG(*seedFlag, 1)))
 	injectFaults(f, rand.New(rand.NewPCG(*seedFlag, 2)), chosenKinds(t), time.Duration(*secondsFlag)*time.Second)
 	time.Sleep(settleTime)
@@ -71,9 +63,37 @@
 	summary := fmt.Sprintf("%s; %s; at most %d connections to an executor", f.oracle.summary(), clients.summary(), f.peakConnections())
 	record.addf("%s", summary)
 	t.Log(summary)
+	if starts := f.oracle.startCount(); starts < minStartsPerSecond**secondsFlag {
+		t.Errorf("only %d starts, so that the run shows nothing", starts)
+	}
+	reportFindings(t, f)
+	reportCrashes(t, dir)
+	if !t.Failed() && !*keepFlag && *dirFlag != "" {
+		_ = os.RemoveAll(dir)
+	}
+}
+
+func startFleet(t *testing.T, dir string, record *journal) *fleet {
+	programs := *programsFlag
+	if programs == "" {
+		programs = buildPrograms(t)
+	}
+	f, err := newFleet(rand.New(rand.NewPCG(*seedFlag, 0)), record, dir, programs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := f.start(); err != nil {
+		f.stop()
+		t.Fatalf("fleet not started, logs in %s: %v", dir, err)
+	}
+	return f
+}
+
+// reportFindings fails the test for each finding, and explains the first ones in files.
+func reportFindings(t *testing.T, f *fleet) {
 	findings := f.oracle.findings()
 	for i, finding := range findings[:min(len(findings), maxExplained)] {
-		path := filepath.Join(dir, "finding-"+strconv.Itoa(i+1)+".txt")
+		path := filepath.Join(f.dir, "finding-"+strconv.Itoa(i+1)+".txt")
 		if err := f.explain(path, finding); err != nil {
 			t.Error(err)
 		}
@@ -82,10 +102,6 @@
 	if len(findings) > maxExplained {
 		t.Errorf("%d findings in all", len(findings))
 	}
-	reportCrashes(t, dir)
-	if !t.Failed() && !*keepFlag && *dirFlag != "" {
-		_ = os.RemoveAll(dir)
-	}
 }
 
 // reportCrashes fails the test for each log of a process that shows a panic or a data race.
