--- a/test/soak/executorfaults_test.go
+++ b/test/soak/executorfaults_test.go
@@ -34,8 +34,7 @@
 			}
 		}
 	}
-	faultKinds["executor-limit"] = func(i *injector) { i.limitConnections(false) }
-	requestedKinds["executor-limit-refuse"] = func(i *injector) { i.limitConnections(true) }
+	requestedKinds["executor-limit-refuse"] = func(i *injector) { i.refuseAtLimit() }
 	faultKinds["executor-silent"] = func(i *injector) {
 		some := sides(i.some())
 		for _, host := range some {
@@ -86,16 +85,16 @@
 	i.wait(0, time.Second)
 }
 
-// limitConnections limits the connections to slow executors for a time.
-func (i *injector) limitConnections(refuse bool) {
+// refuseAtLimit lets slow executors refuse connections above their limit for a time, which are reset otherwise.
+func (i *injector) refuseAtLimit() {
 	some := sides(i.some())
 	for _, host := range some {
-		i.apps[host].setLimit(maxConnections, refuse)
+		i.apps[host].setRefuseAtLimit(true)
 		i.executor(host).setFault(executorFault{delay: i.between(200*time.Millisecond, 2*time.Second)})
 	}
 	i.wait(time.Second, 10*time.Second)
 	for _, host := range some {
-		i.apps[host].setLimit(0, false)
+		i.apps[host].setRefuseAtLimit(false)
 		i.executor(host).setFault(executorFault{})
 		if err := i.apps[host].open(); err != nil {
 			i.record.addf("link not opened again: %v", err)
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -171,7 +171,9 @@
 		}
 	}
 	if host >= frontHosts {
-		f.apps[host], err = newLink(f.seenAddress(host, host, appPort), f.realAddress(host, appPort), nil)
+		if f.apps[host], err = newLink(f.seenAddress(host, host, appPort), f.realAddress(host, appPort), nil); err == nil {
+			f.apps[host].setLimit(maxConnections)
+		}
 	}
 	return err
 }
--- a/test/soak/link_test.go
+++ b/test/soak/link_test.go
@@ -81,18 +81,25 @@
 	l.change = make(chan struct{})
 }
 
-// silence lets the open connections pass on nothing any more, while new ones work.
+// silence lets the open connections pass on nothing any more, while new ones work. They don't count for the limit.
 func (l *link) silence() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.silentUpTo = l.opened
+	clear(l.conns)
 }
 
-// setLimit sets the number of connections above which new ones are reset or refused; 0 means none.
-func (l *link) setLimit(limit int, refuse bool) {
+func (l *link) setLimit(limit int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.limit, l.refuseAtLimit = limit, refuse
+	l.limit = limit
+}
+
+// setRefuseAtLimit sets whether connections above the limit are refused or reset.
+func (l *link) setRefuseAtLimit(refuse bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refuseAtLimit = refuse
 }
 
 // reset resets all connections.
