--- /dev/null
+++ b/test/soak/executorfaults_test.go
@@ -0,0 +1,133 @@
+package soak
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"syscall"
+	"time"
+)
+
+func init() {
+	executorFaults := map[string]func(i *injector) executorFault{
+		"slow": func(i *injector) executorFault {
+			return executorFault{delay: i.between(200*time.Millisecond, 2*time.Second)}
+		},
+		"hang":   func(i *injector) executorFault { return executorFault{hang: i.draw.Float64()} },
+		"fail":   func(i *injector) executorFault { return executorFault{fail: i.draw.Float64()} },
+		"work":   func(i *injector) executorFault { return executorFault{slow: 1 + 6*i.draw.Float64()} },
+		"lose":   func(i *injector) executorFault { return executorFault{lose: i.draw.Float64()} },
+		"refuse": func(i *injector) executorFault { return executorFault{refuse: i.draw.Float64()} },
+		"late": func(i *injector) executorFault {
+			return executorFault{late: i.draw.Float64(), lateTime: i.between(time.Second, 8*time.Second)}
+		},
+	}
+	for name, fault := range executorFaults {
+		faultKinds["executor-"+name] = func(i *injector) {
+			some := sides(i.some())
+			for _, host := range some {
+				i.executor(host).setFault(fault(i))
+			}
+			i.wait(time.Second, 10*time.Second)
+			for _, host := range some {
+				i.executor(host).setFault(executorFault{})
+			}
+		}
+	}
+	requestedKinds["executor-limit-refuse"] = func(i *injector) { i.refuseAtLimit() }
+	faultKinds["executor-silent"] = func(i *injector) {
+		some := sides(i.some())
+		for _, host := range some {
+			i.apps[host].set(direction{held: true}, direction{held: true})
+			i.executor(host).end("crashes", true)
+		}
+		i.wait(0, 5*time.Second)
+		for _, host := range some {
+			i.restart(i.executor(host), false)
+			i.apps[host].reset()
+			i.heal([]*link{i.apps[host]})
+		}
+	}
+	faultKinds["executor-crash"] = func(i *injector) { i.crash([]int{i.side()}) }
+	faultKinds["executor-crash-many"] = func(i *injector) { i.crash(sides(i.some())) }
+	faultKinds["executor-leave"] = func(i *injector) {
+		x := i.executor(i.side())
+		x.leave()
+		i.wait(0, 5*time.Second)
+		i.restart(x, i.draw.IntN(2) == 0)
+	}
+	faultKinds["stray-heartbeats"] = func(i *injector) { i.sendStrayHeartbeats(i.executor(i.side())) }
+	faultKinds["host-loss"] = func(i *injector) {
+		some := sides(i.some())
+		off := i.between(0, 5*time.Second)
+		for _, host := range some {
+			i.processes[host].signal(syscall.SIGKILL, off)
+		}
+		i.crash(some)
+	}
+}
+
+// sendStrayHeartbeats sends calls of the former life that were delayed, and heartbeats that can't be read.
+func (i *injector) sendStrayHeartbeats(x *executor) {
+	x.mu.Lock()
+	life, former := x.life, x.former
+	x.mu.Unlock()
+	if former != nil {
+		x.register(http.MethodPut, former.id, former.beat())
+		x.register(http.MethodDelete, former.id, struct{}{})
+	}
+	if life != nil {
+		beat := life.beat()
+		fields := slices.Sorted(maps.Keys(beat))
+		beat[fields[i.draw.IntN(len(fields))]] = []any{struct{}{}}
+		x.register(http.MethodPut, life.id, beat)
+	}
+	i.wait(0, time.Second)
+}
+
+// refuseAtLimit lets slow executors refuse connections above their limit for a time, which are reset otherwise.
+func (i *injector) refuseAtLimit() {
+	some := sides(i.some())
+	for _, host := range some {
+		i.apps[host].setRefuseAtLimit(true)
+		i.executor(host).setFault(executorFault{delay: i.between(200*time.Millisecond, 2*time.Second)})
+	}
+	i.wait(time.Second, 10*time.Second)
+	for _, host := range some {
+		i.apps[host].setRefuseAtLimit(false)
+		i.executor(host).setFault(executorFault{})
+		if err := i.apps[host].open(); err != nil {
+			i.record.addf("link not opened again: %v", err)
+		}
+	}
+}
+
+// crash crashes executors and starts them again after a time, under the same or another ID.
+func (i *injector) crash(some []int) {
+	for _, host := range some {
+		i.executor(host).end("crashes", false)
+	}
+	i.wait(0, 5*time.Second)
+	sameID := i.draw.IntN(2) == 0
+	for _, host := range some {
+		i.restart(i.executor(host), sameID)
+	}
+}
+
+// restart starts an executor until that succeeds.
+func (i *injector) restart(x *executor, sameID bool) {
+	for range 100 {
+		err := x.start(sameID)
+		if err == nil {
+			return
+		}
+		i.record.addf("executor %s not started: %v", x.name, err)
+		time.Sleep(heartbeatRetry)
+	}
+}
+
+func (x *executor) setFault(fault executorFault) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.fault = fault
+}
