--- a/node/departure_test.go
+++ b/node/departure_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -13,9 +14,15 @@
 
 const testIncarnation = "i-1@1000"
 
+// drain makes the executor announce that it drains.
+func (n *Node) drain() {
+	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 1000, Draining: true}, 2, 550)
+}
+
 // departedNode returns a node whose executor has left.
 func departedNode() *Node {
 	n := newNode()
+	n.drain()
 	n.Leave("i-1")
 	n.handleHoldError(testIncarnation, ErrRefused, false)
 	return n
@@ -36,6 +43,9 @@
 	n := newNode()
 	n.handleHoldError(testIncarnation, ErrRefused, false)
 	c.Assert(n.nextReport(1).Executor.Left, qt.IsFalse, qt.Commentf("the end is not announced"))
+	n.drain()
+	n.handleHoldError(testIncarnation, ErrRefused, false)
+	c.Assert(n.nextReport(1).Executor.Left, qt.IsFalse, qt.Commentf("the end is not announced"))
 	n.Leave("i-1")
 	c.Assert(n.nextReport(1).Executor.Draining, qt.IsTrue)
 	c.Assert(n.nextReport(1).Executor.Left, qt.IsFalse, qt.Commentf("it may still run its tasks"))
@@ -45,16 +55,31 @@
 	c.Assert(n.nextReport(1).Executor.Left, qt.IsFalse)
 	n.handleHoldError(testIncarnation, ErrRefused, false)
 	c.Assert(n.nextReport(1).Executor.Left, qt.IsTrue)
-	n.applyLists(testIncarnation, &RunLists{StartedUnixMillis: 1000}, 0)
+	n.applyLists(testIncarnation, &RunLists{StartedUnixMillis: 1000, EndsComplete: true}, 0)
 	c.Assert(n.nextReport(1).Executor.Left, qt.IsFalse, qt.Commentf("the incarnation still responds"))
 }
 
+// Guards against tasks that are started elsewhere while they run, since the announcement of a former incarnation's end is late and the
+// current one, which doesn't drain, refuses a connection.
+func TestExecutorThatDoesNotDrainHasLeftOnceItKeepsRefusingConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := newNode()
+		n.Leave("i-1")
+		n.handleHoldError(testIncarnation, ErrRefused, false)
+		n.handleHoldError(testIncarnation, ErrRefused, false)
+		c.Assert(n.nextReport(1).Executor.Left, qt.IsFalse)
+		n.refuse()
+		c.Assert(n.nextReport(1).Executor.Left, qt.IsTrue)
+	})
+}
+
 // Guards against an executor that has left and counts as alive again because of an announcement that it sent before, and
 // against a next incarnation under the same ID that counts as ended.
 func TestAnnouncementsAfterDeparture(t *testing.T) {
 	c := qt.New(t)
 	n := departedNode()
-	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 1000}, 2, 600)
+	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 1000}, 3, 600)
 	c.Assert(n.nextReport(1).Executor.Left, qt.IsTrue)
 	c.Assert(n.nextReport(1).Executor.Draining, qt.IsTrue)
 	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 2000}, 1, 100)
@@ -68,11 +93,11 @@
 	c := qt.New(t)
 	n := newNode()
 	n.Leave("i-1")
-	n.applyLists(testIncarnation, &RunLists{StartedUnixMillis: 1000}, 0)
+	n.applyLists(testIncarnation, &RunLists{StartedUnixMillis: 1000, EndsComplete: true}, 0)
 	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 1000}, 2, 600)
 	c.Assert(n.nextReport(1).Executor.Draining, qt.IsTrue, qt.Commentf("it may end at any moment"))
 	n.departure.announcedAt = n.departure.announcedAt.Add(-2 * maxDepartureTime)
-	n.applyLists(testIncarnation, &RunLists{StartedUnixMillis: 1000}, 0)
+	n.applyLists(testIncarnation, &RunLists{StartedUnixMillis: 1000, EndsComplete: true}, 0)
 	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 1000}, 3, 700)
 	c.Assert(n.nextReport(1).Executor.Draining, qt.IsFalse)
 	c.Assert(n.settles(t), qt.IsTrue)
@@ -103,7 +128,7 @@
 	n := departedNode()
 	late := n.nextReport(1)
 	settled := n.departure.settled
-	n.applyLists(testIncarnation, &RunLists{StartedUnixMillis: 2000}, 0)
+	n.applyLists(testIncarnation, &RunLists{StartedUnixMillis: 2000, EndsComplete: true}, 0)
 	<-settled
 	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 1000}, 2, 600)
 	n.applyReply(late, &workflow.ReportReply{Epoch: 1}, time.Now())
--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/node/sharing"
 	"github.com/quetzalshed/quetzalshed/owner"
 	"github.com/quetzalshed/quetzalshed/ownership"
@@ -51,6 +52,9 @@
 	StartedUnixMillis int64
 	Running           []workflow.RunState
 	Ended             []workflow.RunEnd
+	// EndsComplete is set if the executor certainly has no further ends that are not acknowledged. Otherwise it lists the next
+	// ones once the first are acknowledged.
+	EndsComplete bool
 }
 
 // Executor is the interface to the executor on the host of the node.
@@ -75,12 +79,16 @@
 	executor      Executor
 	locator       *ownership.Locator
 	rpc           *rpc.Client
+	clock         *clock.Boot
+	host          clock.Host
 	log           hclog.Logger
 	metrics       nodeMetrics
 
 	mu sync.Mutex
 	// current is the current incarnation of the executor, or nil if none is known.
 	current *workflow.Executor
+	// successor is another executor that was announced while the current one responded; nil for none.
+	successor *successor
 	// announceSequence is the sequence number of the last announcement of that incarnation.
 	announceSequence int64
 	// shrunkReport is the number of the last report before the capacity of that incarnation shrank.
@@ -109,6 +117,8 @@
 	leaseEnd time.Time
 	// renewedUntil is the end of the lease that the executor has last confirmed by its answer to a hold call.
 	renewedUntil time.Time
+	// renewals tells when the executor's lease was last renewed.
+	renewals renewalLog
 	// leaseBound is the latest end of all leases that this process and former ones of the host can have passed on, to whichever
 	// incarnation of the executor.
 	leaseBound   time.Time
@@ -131,14 +141,17 @@
 }
 
 type nodeMetrics struct {
-	starts, rejected, unknown, stops, ends, reports, failedReports, repeated tally.Counter
-	startTime, reportTime                                                    tally.Histogram
+	starts, rejected, unknown, stops, ends, reports, failedReports, repeated, suspensions, pauses tally.Counter
+	startTime, reportTime                                                                         tally.Histogram
 }
 
 // New returns a node that reports under the given name and receives orders at the given address.
-func New(name, address string, executor Executor, locator *ownership.Locator, client *rpc.Client, log hclog.Logger, scope tally.Scope) *Node {
+func New(name, address string, executor Executor, locator *ownership.Locator, client *rpc.Client, host clock.Host, log hclog.Logger, scope tally.Scope) *Node {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)
-	now := time.Now()
+	boot := clock.NewBoot(host)
+	if !boot.CountsSuspensions() {
+		log.Warn("time since boot can't be read, leases don't count suspensions of the host")
+	}
 	copies := maxCopies
 	if _, fetches := executor.(*Mailbox); fetches {
 		// An order that is not fetched is withdrawn, so that it certainly has no effect.
@@ -146,8 +159,8 @@
 	}
 	return &Node{
 		copies: copies,
-		name:   name, address: address, incarnation: now.UnixNano(), executor: executor, locator: locator,
-		leaseBound: now.Add(owner.ExecutorLeaseDuration), rpc: client, log: log, reportSentAt: map[int64]time.Time{},
+		name:   name, address: address, incarnation: time.Now().UnixNano(), executor: executor, locator: locator,
+		leaseBound: boot.Now().Add(owner.ExecutorLeaseDuration), rpc: client, clock: boot, host: host, log: log, reportSentAt: map[int64]time.Time{},
 		unlistedStarts: map[int64]workflow.RunState{}, needsTraits: true, traits: map[string]workflow.RunTraits{}, paces: map[string]int{}, nearTarget: map[string]bool{}, pacer: sharing.NewController(),
 		wakeHold: make(chan struct{}, 1), wakeReport: make(chan struct{}, 1),
 		metrics: nodeMetrics{
@@ -155,20 +168,25 @@
 			unknown: scope.Counter("node_starts_unknown"), stops: scope.Counter("node_stops"),
 			ends: scope.Counter("node_ends"), reports: scope.Counter("node_reports"),
 			failedReports: scope.Counter("node_reports_failed"), repeated: scope.Counter("node_calls_repeated"),
+			suspensions: scope.Counter("node_suspensions"), pauses: scope.Counter("node_pauses"),
 			startTime:  scope.Histogram("node_start_seconds", buckets),
 			reportTime: scope.Histogram("node_report_seconds", buckets),
 		},
 	}
 }
 
-// Announce stores an announcement of the executor. It returns false for an announcement that is older than the last one or
-// comes from a former incarnation.
+// Announce stores an announcement of the executor. It returns false for an announcement that is older than the last one,
+// comes from a former incarnation, or names another executor while the current one responds.
 func (n *Node) Announce(e workflow.Executor, sequence, clockMillis int64) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	return n.announce(e, sequence, clockMillis)
+}
+
+// announce is Announce for callers that hold mu.
+func (n *Node) announce(e workflow.Executor, sequence, clockMillis int64) bool {
 	if n.current != nil && n.current.IncarnationID() != e.IncarnationID() {
-		if e.StartedUnixMillis < n.current.StartedUnixMillis {
-			n.log.Info("announcement of a former executor ignored", "executor", e.IncarnationID(), "current", n.current.IncarnationID())
+		if !n.isReplacedBy(&e, sequence, clockMillis) {
 			return false
 		}
 		n.forgetIncarnation()
@@ -184,7 +202,7 @@
 		e.Draining, e.Left = true, n.current.Left
 	}
 	if e.Draining && n.departure == nil {
-		n.departure = newDeparture()
+		n.departure = newDeparture(true)
 	}
 	changed := n.current == nil || n.current.Draining != e.Draining || n.current.Capacity != e.Capacity
 	if n.current != nil && n.current.Capacity != e.Capacity {
@@ -193,9 +211,10 @@
 	if changed && e.Draining {
 		n.log.Info("executor leaves", "executor", e.IncarnationID(), "remaining_ms", e.RemainingMillis)
 	}
+	n.end.noteOtherResult()
 	n.current, n.announceSequence = &e, sequence
 	if n.clockAt.IsZero() && clockMillis > 0 {
-		n.clockMillis, n.clockAt = clockMillis, time.Now()
+		n.clockMillis, n.clockAt = clockMillis, n.clock.Now()
 	}
 	if changed {
 		signal(n.wakeHold)
@@ -216,7 +235,7 @@
 // forgetIncarnation discards the state of the current incarnation.
 func (n *Node) forgetIncarnation() {
 	n.log.Info("executor replaced", "former", n.current.IncarnationID())
-	n.current, n.lists, n.ack, n.shrunkReport = nil, nil, 0, 0
+	n.current, n.successor, n.lists, n.ack, n.shrunkReport = nil, nil, nil, 0, 0
 	n.endDeparture()
 	n.end = executorEnd{}
 	n.clockAt, n.brokenAt = time.Time{}, time.Time{}
@@ -252,6 +271,7 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { n.holdLoop(ctx) })
 	loops.Go(func() { n.reportLoop(ctx) })
+	loops.Go(func() { n.watchPauses(ctx) })
 	loops.Wait()
 }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/quetzalshed/quetzalshed/clock/clocktest"
 	"github.com/quetzalshed/quetzalshed/kv/kvtest"
 	"github.com/quetzalshed/quetzalshed/owner"
 	"github.com/quetzalshed/quetzalshed/ownership"
@@ -17,10 +18,13 @@
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
-func newNode() *Node {
+func newNode() *Node { return newNodeOn(clocktest.NewHost()) }
+
+// newNodeOn returns a node on a host with the given clocks.
+func newNodeOn(host *clocktest.Host) *Node {
 	log := hclog.NewNullLogger()
 	locator := ownership.NewLocator(kvtest.New().Client(1), log)
-	n := New("n", "a", nil, locator, rpc.NewClient(), log, tally.NoopScope)
+	n := New("n", "a", nil, locator, rpc.NewClient(), host, log, tally.NoopScope)
 	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 1000}, 1, 500)
 	return n
 }
@@ -95,7 +99,7 @@
 	c := qt.New(t)
 	n := newNode()
 	list := func(numbers ...int64) {
-		lists := &RunLists{StartedUnixMillis: 1000}
+		lists := &RunLists{StartedUnixMillis: 1000, EndsComplete: true}
 		for _, number := range numbers {
 			lists.Ended = append(lists.Ended, workflow.RunEnd{Number: number})
 		}
@@ -121,7 +125,7 @@
 	n := newNode()
 	now := time.Now()
 	n.leaseEnd = now.Add(time.Minute)
-	lists := func() *RunLists { return &RunLists{ClockMillis: 600, StartedUnixMillis: 1000} }
+	lists := func() *RunLists { return &RunLists{ClockMillis: 600, StartedUnixMillis: 1000, EndsComplete: true} }
 	c.Assert(n.applyLists("i-1@1000", lists(), 0), qt.Equals, reportAtOnce)
 	c.Assert(n.applyLists("i-1@1000", lists(), 0), qt.Equals, nothingNew)
 	n.noteUnknownStart(n.countOrder(false))
@@ -171,3 +175,20 @@
 	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 4000}, 1, 0)
 	c.Assert(n.nextReport(1).LeaseBound.LeftMillis > 4900, qt.IsTrue)
 }
+
+// Guards against owners that take lists for complete while the executor has more ends, and against calls that hold back the
+// acknowledgement after which it lists them.
+func TestFurtherEndsAreReportedAndFetched(t *testing.T) {
+	c := qt.New(t)
+	n := newNode()
+	n.leaseEnd = time.Now().Add(time.Minute)
+	ends := []workflow.RunEnd{{Number: 1}, {Number: 2}}
+	n.applyLists("i-1@1000", &RunLists{StartedUnixMillis: 1000, Ended: ends}, 0)
+	c.Assert(n.nextReport(1).EndsComplete, qt.IsFalse)
+	c.Assert(n.nextHold().wait, qt.Equals, shortHoldWait)
+	n.ack = 2
+	c.Assert(n.nextReport(1).EndsComplete, qt.IsFalse, qt.Commentf("the ends that follow are not listed yet"))
+	n.applyLists("i-1@1000", &RunLists{StartedUnixMillis: 1000, EndsComplete: true}, 0)
+	c.Assert(n.nextReport(1).EndsComplete, qt.IsTrue)
+	c.Assert(n.nextHold().wait, qt.Equals, holdWait)
+}
--- a/node/repeat_test.go
+++ b/node/repeat_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/quetzalshed/quetzalshed/clock/clocktest"
 	"github.com/quetzalshed/quetzalshed/owner"
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
@@ -149,7 +150,7 @@
 		m := NewMailbox()
 		m.Fetch(firstIncarnation, &RunLists{})
 		n := newNode()
-		n = New(n.name, n.address, m, n.locator, n.rpc, n.log, tally.NoopScope)
+		n = New(n.name, n.address, m, n.locator, n.rpc, clocktest.NewHost(), n.log, tally.NoopScope)
 		order := func() error {
 			return n.repeatOrder(t.Context(), func(ctx context.Context) error { return m.Start(ctx, firstIncarnation, Start{Task: "t", Run: 1}) })
 		}
@@ -189,7 +190,7 @@
 	for _, runs := range []int{1, 5, 9, 12} {
 		synctest.Test(t, func(t *testing.T) {
 			n := newNode()
-			x := &paceRecorder{lists: &RunLists{ClockMillis: 1, Running: []workflow.RunState{{Task: "s", Run: 1, Usage: 200}}}}
+			x := &paceRecorder{lists: &RunLists{ClockMillis: 1, EndsComplete: true, Running: []workflow.RunState{{Task: "s", Run: 1, Usage: 200}}}}
 			n.traits["s"] = workflow.RunTraits{Task: "s", TargetMillis: 100, Image: "serving"}
 			for i := range runs {
 				name := fmt.Sprintf("b%d", i)
--- a/owner/forgotten_test.go
+++ b/owner/forgotten_test.go
@@ -43,6 +43,7 @@
 		term := acquire(t, client)
 		late := &lateLists{Client: client}
 		term.store, term.operators, term.loaded, term.acked = late, noOperators{}, make(chan struct{}), map[string]int64{}
+		term.retention, term.forgotten = defaultRetention, forgottenJobs{}
 		record := workflow.JobRecord{Phase: workflow.Completed, EndedUnixMillis: time.Now().UnixMilli()}
 		_, err := client.Commit(t.Context(), kv.Transaction{Puts: []kv.Put{
 			{Key: JobPrefix + id, Value: []byte(`{"id":"` + id + `","steps":[{"count":1}]}`)}, {Key: StatePrefix + id, Value: record.Encode()},
@@ -51,7 +52,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
 		go func() { ended <- term.run(ctx) }()
-		time.Sleep(retention - time.Second)
+		time.Sleep(defaultRetention - time.Second)
 		late.delay.Store(int64(3 * collectInterval))
 		_, err = client.Commit(t.Context(), kv.Transaction{Puts: []kv.Put{{Key: "other"}}})
 		c.Assert(err, qt.IsNil)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/intake"
 	"github.com/quetzalshed/quetzalshed/kv"
 	"github.com/quetzalshed/quetzalshed/ownership"
@@ -48,8 +49,9 @@
 	reclaimTimeout = 500 * time.Millisecond
 	// createTimeout limits storing a job on behalf of a gateway.
 	createTimeout = 1500 * time.Millisecond
-	// maxReportBytes limits the body of a report, and of a job that a gateway relays.
-	maxReportBytes = 4 << 20
+	// maxReportBytes limits the body of a report, and of a job that a gateway relays. A report holds the lists of runs that an
+	// executor has sent, which may take 4 MiB, and what the node adds.
+	maxReportBytes = 8 << 20
 	// announceTimeout limits one call that announces a new owner.
 	announceTimeout = time.Second
 )
@@ -61,10 +63,14 @@
 	Locator       *ownership.Locator
 	Operators     OperatorSource
 	RPC           *rpc.Client
-	Log           hclog.Logger
-	Scope         tally.Scope
+	// Host gives the clocks of this host.
+	Host  clock.Host
+	Log   hclog.Logger
+	Scope tally.Scope
 	// RemoteSlowdown is how many times longer a task runs if its data is not local; 0 means defaultRemoteSlowdown.
 	RemoteSlowdown float64
+	// Retention is how long the state of a finished job is kept; 0 means defaultRetention.
+	Retention time.Duration
 
 	writer *intake.Writer
 
@@ -114,7 +120,8 @@
 // campaign tries to acquire the ownership, and runs one term if it succeeds.
 func (c *Candidate) campaign(ctx context.Context, metrics metrics) {
 	self := workflow.OwnerRecord{Node: c.Node, Address: c.Address}
-	lease, err := ownership.Acquire(ctx, c.Store, self, c.Log)
+	boot := clock.NewBoot(c.Host)
+	lease, err := ownership.Acquire(ctx, c.Store, self, boot, c.Log)
 	if err != nil {
 		c.Log.Debug("ownership not taken", "error", err)
 		c.Locator.Refresh(ctx)
@@ -125,9 +132,9 @@
 		return
 	}
 	t := &term{
-		lease: lease, store: c.Store, operators: c.Operators, rpc: c.RPC, log: c.Log, metrics: metrics,
+		lease: lease, clock: boot, store: c.Store, operators: c.Operators, rpc: c.RPC, log: c.Log, metrics: metrics,
 		events: make(chan event, eventQueueSize), loaded: make(chan struct{}), commitDone: make(chan error, 1),
-		remoteSlowdown: cmp.Or(c.RemoteSlowdown, defaultRemoteSlowdown), commitRevision: lease.CommitRevision, acked: map[string]int64{},
+		remoteSlowdown: cmp.Or(c.RemoteSlowdown, defaultRemoteSlowdown), retention: cmp.Or(c.Retention, defaultRetention), commitRevision: lease.CommitRevision, acked: map[string]int64{}, forgotten: forgottenJobs{},
 	}
 	c.Log.Info("ownership taken", "epoch", lease.Record.Epoch)
 	c.setTerm(t)
--- a/owner/serve.go
+++ b/owner/serve.go
@@ -55,9 +55,9 @@
 
 // cancel cancels a job and waits until the cancellation is stored.
 func (t *term) cancel(ctx context.Context, id string) (found, stored bool) {
-	applied, stored := t.applyAndWait(ctx, cancelTimeout, func(_, wall time.Time) {
+	applied, stored := t.applyAndWait(ctx, cancelTimeout, func(now, wall time.Time) {
 		if _, found = t.engine.Phase(id); found {
-			t.engine.Cancel(id, wall)
+			t.engine.Cancel(id, now, wall)
 		}
 	})
 	if !applied {
@@ -76,6 +76,7 @@
 		var ack int64
 		ack, granted = t.engine.HandleReport(r, now, wall)
 		t.logDepartures()
+		t.logContradictions(now)
 		losses = t.engine.HeadroomLosses(r.Node)
 		if r.TraitsUnknown {
 			traits = t.engine.Traits(r.Node)
@@ -93,7 +94,7 @@
 	if r.Executor != nil {
 		reply.Ack = t.ackedNumber(r.Executor.IncarnationID())
 	}
-	if granted && t.lease.Valid(time.Now()) {
+	if granted && t.lease.Valid() {
 		reply.LeaseMillis = ExecutorLeaseDuration.Milliseconds()
 	}
 	return reply, true
@@ -142,13 +143,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), ordersTimeout)
 	defer cancel()
 	d.Orders.Epoch = t.lease.Record.Epoch
-	if !t.lease.Valid(time.Now()) {
+	if !t.lease.Valid() {
 		t.withholdStarts(d)
 	}
-	for i := range d.Orders.Starts {
-		s := &d.Orders.Starts[i]
-		t.log.Info("start ordered", "task", s.Task, "run", s.Run, "executor", d.Orders.ExecutorIncarnation, "node", d.Node, "epoch", d.Orders.Epoch, "basis", d.Orders.ReportNumber)
-	}
+	t.logStarts(d)
 	for i := range d.Orders.Stops {
 		s := &d.Orders.Stops[i]
 		t.log.Info("stop ordered", "task", s.Task, "run", s.Run, "reason", s.Reason, "executor", d.Orders.ExecutorIncarnation, "node", d.Node, "epoch", d.Orders.Epoch)
--- a/owner/term.go
+++ b/owner/term.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"runtime/debug"
-	"strings"
 	"sync"
 	"time"
 
@@ -14,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/kv"
 	"github.com/quetzalshed/quetzalshed/ownership"
 	"github.com/quetzalshed/quetzalshed/rpc"
@@ -50,8 +50,8 @@
 	eventQueueSize = 1024
 	// ordersTimeout limits the delivery of orders to a node.
 	ordersTimeout = 2 * time.Second
-	// retention is how long the state of a finished job is kept.
-	retention = 130 * time.Second
+	// defaultRetention is how long the state of a finished job is kept, unless the candidate says otherwise.
+	defaultRetention = 130 * time.Second
 	// collectInterval is how often expired finished jobs are deleted, and collectLimit how many at a time.
 	collectInterval = 2 * time.Second
 	collectLimit    = 8
@@ -76,19 +76,22 @@
 	Evacuated []string
 }
 
-// event changes the engine in the loop of the term. The returned function, if any, is called once all changes made so far are
+// event changes the engine in the loop of the term, at a time on the clock of the term and the time of day. The returned function, if any, is called once all changes made so far are
 // stored.
 type event func(now, wall time.Time) func()
 
 // term is the time during which this process holds the ownership once, with its engine and its event loop.
 type term struct {
-	lease          *ownership.Lease
+	lease *ownership.Lease
+	// clock is the one by which the lease and the engine judge times.
+	clock          *clock.Boot
 	store          kv.Store
 	operators      OperatorSource
 	rpc            *rpc.Client
 	log            hclog.Logger
 	metrics        metrics
 	remoteSlowdown float64
+	retention      time.Duration
 
 	engine *engine.Engine
 	events chan event
@@ -106,7 +109,10 @@
 	// unreportedLogAt is when executors that have not reported are logged; zero once that is done.
 	unreportedLogAt time.Time
 	deletions       []string
+	forgotten       forgottenJobs
 	quarantined     []string
+	// contradictionLines limits the lines on contradictions.
+	contradictionLines lineLimit
 
 	mu    sync.Mutex
 	acked map[string]int64
@@ -154,9 +160,9 @@
 		return eris.Wrap(err, "list job records")
 	}
 	records := t.parseRecords(states)
-	now := time.Now()
+	now := t.clock.Now()
 	t.engine = engine.New(engine.Settings{
-		LeaseDuration: ExecutorLeaseDuration, LeaseExpiry: executorLeaseExpiry, RemoteSlowdown: t.remoteSlowdown, Retention: retention, TakeoverSlack: takeoverSlack,
+		LeaseDuration: ExecutorLeaseDuration, LeaseExpiry: executorLeaseExpiry, RemoteSlowdown: t.remoteSlowdown, Retention: t.retention, TakeoverSlack: takeoverSlack,
 		Epoch: t.lease.Record.Epoch,
 	}, now)
 	t.inheritLeases()
@@ -179,19 +185,6 @@
 	return run()
 }
 
-func (t *term) parseRecords(items []kv.Item) map[string]*workflow.JobRecord {
-	records := make(map[string]*workflow.JobRecord, len(items))
-	for _, item := range items {
-		record := &workflow.JobRecord{}
-		if err := rpc.Decode(item.Value, record); err != nil {
-			t.log.Error("invalid job record skipped", "key", item.Key, "revision", item.Revision, "error", err)
-			continue
-		}
-		records[strings.TrimPrefix(item.Key, StatePrefix)] = record
-	}
-	return records
-}
-
 func (t *term) applyOperatorState(ctx context.Context, state OperatorState) {
 	apply := func(now, wall time.Time) func() {
 		if state.Config != nil && state.Config.Version != t.engine.ConfigVersion() {
@@ -262,13 +255,13 @@
 }
 
 func (t *term) apply(e event) {
-	if after := e(time.Now(), time.Now()); after != nil {
+	if after := e(t.clock.Now(), time.Now()); after != nil {
 		t.afterCommit = append(t.afterCommit, after)
 	}
 }
 
 func (t *term) tick() {
-	now := time.Now()
+	now := t.clock.Now()
 	t.engine.Tick(now)
 	for _, l := range t.engine.ExpireLeases(now) {
 		t.metrics.lapsed.Inc(1)
@@ -282,13 +275,13 @@
 	t.metrics.assigned.Update(float64(counts.Assigned))
 	if now.Sub(t.lastCollection) > collectInterval {
 		t.lastCollection = now
-		t.deletions = t.engine.ExpiredJobs(now, collectLimit)
+		t.deletions = t.engine.ExpiredJobs(t.clock.Now(), collectLimit)
 	}
 }
 
 // flush plans tasks and starts to store the changes. If nothing has changed, it releases the batch at once.
 func (t *term) flush(ctx context.Context) {
-	t.engine.Plan(time.Now(), time.Now())
+	t.engine.Plan(t.clock.Now(), time.Now())
 	t.logWaits()
 	t.logIdle()
 	b := &batch{
@@ -323,6 +316,7 @@
 	}
 	for _, id := range b.deletions {
 		t.engine.Forget(id)
+		t.forgotten.add(id, t.commitRevision, time.Now())
 	}
 	t.release(b)
 	return nil
--- a/test/workflows/random_faults_test.go
+++ b/test/workflows/random_faults_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/quetzalshed/quetzalshed/gateway"
 	"github.com/quetzalshed/quetzalshed/kv/kvtest"
+	"github.com/quetzalshed/quetzalshed/node/nodetest"
 	"github.com/quetzalshed/quetzalshed/ownership"
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
@@ -71,8 +72,31 @@
 	"reconnect", "refuse", "store-hangs", "lose", "heal", "remove-owner-key", "end-leases", "end-leases",
 }
 
+// longActionKinds also contain reads of all inputs that are answered late, calls between processes that are carried out late, and
+// announcements of foreign executors. Histories of them go on beyond the retention of finished jobs.
+var longActionKinds = append([]string{"read-late", "read-late", "compact", "compact", "calls-late", "calls-in-time", "foreign"}, leaseActionKinds...)
+
+// maxCallLateness is how much later a call between processes may be carried out.
+const maxCallLateness = 4 * time.Second
+
+// manyEndsActionKinds are faults under which ends wait for their acknowledgement. Restarts of executors are left to actionKinds: a start
+// that reaches the next incarnation may run after its task is done, which is an open fault (docs/PROOFS.md).
+var manyEndsActionKinds = []string{
+	"submit", "submit", "submit", "submit", "cancel", "kill", "start", "start", "withdraw", "silence", "respond", "late", "on-time",
+	"refuse", "store-hangs", "lose", "delay", "delay", "heal", "compact", "remove-owner-key", "end-leases", "cut", "reconnect",
+}
+
+// suspensionActionKinds are hosts that are suspended, and the faults that make leases expire or change the owner.
+var suspensionActionKinds = []string{
+	"submit", "suspend", "suspend", "suspend", "suspend-twice", "suspend-twice", "suspend-twice", "cut", "cut", "cut", "reconnect",
+	"reconnect", "kill", "start", "start", "withdraw", "silence", "respond", "refuse", "store-hangs", "lose", "heal", "heal",
+	"remove-owner-key", "end-leases",
+}
+
 const (
 	randomTestHosts = 3
+	// maxWakeTime is how long a host that is suspended twice is up in between.
+	maxWakeTime = 200 * time.Millisecond
 	// watchedShare is the inverse of the share of histories after which standstills are looked for.
 	watchedShare = 5
 )
@@ -98,8 +122,13 @@
 	cancelled   map[string]bool
 	// crashes counts the executors that have ended visibly without an announcement. A job may be given up after two.
 	crashes int
+	// manySmall is set if jobs have manySmallFactor times as many tasks, which need as much less.
+	manySmall bool
 }
 
+// manySmallFactor lets enough tasks run on an executor that it has more ends than it lists at a time.
+const manySmallFactor = 5
+
 func (h *history) apply(a action) {
 	if a.host == randomTestHosts {
 		h.applyToEntry(a)
@@ -139,7 +168,7 @@
 		host.executor.Leave()
 	case "refuse-shortly":
 		host.executor.SetRefusing(true)
-		time.Sleep(a.pause % refusingTime)
+		time.Sleep(a.pause)
 		if _, up := host.executor.Describe(); up {
 			host.executor.SetRefusing(false)
 		}
@@ -151,6 +180,19 @@
 		host.executor.SetDelayedShare(0.3)
 	case "on-time":
 		host.executor.SetDelayedShare(0)
+	case "calls-late":
+		h.network.SetLate(0.3, maxCallLateness)
+	case "calls-in-time":
+		h.network.SetLate(0, 0)
+	case "foreign":
+		if !h.stopped[a.host] {
+			host.announceForeign(int64(time.Since(h.startedAt)))
+		}
+	case "suspend":
+		host.suspension.suspend(time.Second + 3*a.pause)
+	case "suspend-twice":
+		host.suspension.suspend(time.Second + a.pause)
+		time.AfterFunc(time.Second+a.pause+a.pause%maxWakeTime, func() { host.suspension.suspend(time.Second + 3*a.pause) })
 	case "cut", "reconnect":
 		h.network.SetPartitioned(host.name, a.kind == "cut")
 	default:
@@ -180,9 +222,11 @@
 	case "lose":
 		client.SetFaults(kvtest.Faults{Delay: storeDelay, ResponseLoss: 0.3, CommitDelay: a.pause})
 	case "delay":
-		client.SetFaults(kvtest.Faults{Delay: 240 * time.Millisecond})
+		client.SetFaults(kvtest.Faults{Delay: slowStoreDelay})
 	case "heal":
 		client.SetFaults(kvtest.Faults{Delay: storeDelay})
+	case "read-late":
+		client.SetFaults(kvtest.Faults{Delay: storeDelay, ListDelay: shortRetention})
 	case "compact":
 		h.store.Compact()
 	case "remove-owner-key":
@@ -196,6 +240,12 @@
 // call counts as accepted.
 func (h *history) submitOnce(counts []int) {
 	job := h.newJob(counts...)
+	for i := range job.Steps {
+		if h.manySmall {
+			job.Steps[i].Count *= manySmallFactor
+			job.Steps[i].Need.MilliCores /= manySmallFactor
+		}
+	}
 	ctx, cancel := context.WithTimeout(h.ctx, 3*time.Second)
 	defer cancel()
 	err := h.gateway.Submit(ctx, &job)
@@ -227,6 +277,13 @@
 	}
 }
 
+// limitEnds sets how many ends the executors list at a time.
+func (h *history) limitEnds(endsPerResponse int) {
+	for _, host := range h.hosts {
+		host.executor.SetEndsPerResponse(endsPerResponse)
+	}
+}
+
 func (h *history) startIfStopped(i int) {
 	if h.stopped[i] {
 		h.hosts[i].start()
@@ -237,6 +294,7 @@
 // clearFaults removes all faults and restarts what was stopped.
 func (h *history) clearFaults() {
 	for i, host := range h.hosts {
+		host.suspension.end()
 		host.store.SetFaults(kvtest.Faults{Delay: storeDelay})
 		h.network.SetPartitioned(host.name, false)
 		host.executor.SetUnresponsive(false)
@@ -247,6 +305,7 @@
 		h.startIfStopped(i)
 	}
 	h.network.SetPartitioned("entry", false)
+	h.network.SetLate(0, 0)
 	h.entryStore.SetFaults(kvtest.Faults{Delay: storeDelay})
 }
 
@@ -279,6 +338,9 @@
 			ctx, cancel := context.WithTimeout(h.ctx, 3*time.Second)
 			phase, err := h.gateway.State(ctx, id)
 			cancel()
+			if errors.Is(err, gateway.ErrNotFound) && h.retention > 0 && (h.checker.isDone(id) || h.cancelled[id]) {
+				break
+			}
 			if errors.Is(err, gateway.ErrNotFound) {
 				return fmt.Sprintf("accepted job %s is not known", id)
 			}
@@ -333,26 +395,80 @@
 	checkRandomFaults(t, randomFaults{kinds: leaseActionKinds, taskTime: longTaskTime, fetching: true})
 }
 
+// Guards against the same violations, and against jobs that run again once they were deleted, in histories that go on beyond the
+// retention, with late reads, late calls between processes and announcements of foreign executors.
+func TestRandomFaultsBeyondRetention(t *testing.T) {
+	checkRandomFaults(t, randomFaults{kinds: longActionKinds, taskTime: taskTime, retention: shortRetention})
+}
+
+// Guards against tasks that are done and are started again because their executor has more ends than it lists at a time, and against
+// jobs that stand still until it lists them.
+func TestRandomFaultsWithManyEnds(t *testing.T) {
+	checkRandomFaults(t, randomFaults{kinds: manyEndsActionKinds, taskTime: taskTime, manyEnds: true})
+}
+
+// Guards against the same when executors fetch their orders.
+func TestRandomFaultsWithManyEndsAndFetchedOrders(t *testing.T) {
+	checkRandomFaults(t, randomFaults{kinds: manyEndsActionKinds, taskTime: taskTime, manyEnds: true, fetching: true})
+}
+
+// Guards against tasks that run twice after the host of a node or of the owner was suspended, and its monotonic clock stood still.
+func TestRandomSuspensions(t *testing.T) {
+	checkRandomFaults(t, randomFaults{kinds: suspensionActionKinds, taskTime: longTaskTime})
+}
+
+// Guards against the same when executors fetch their orders.
+func TestRandomSuspensionsWithFetchedOrders(t *testing.T) {
+	checkRandomFaults(t, randomFaults{kinds: suspensionActionKinds, taskTime: longTaskTime, fetching: true})
+}
+
+// Guards against the same with tasks that end while their hosts are suspended.
+func TestRandomSuspensionsWithShortTasks(t *testing.T) {
+	checkRandomFaults(t, randomFaults{kinds: suspensionActionKinds, taskTime: taskTime})
+}
+
+// Guards against tasks that are started elsewhere before the lease of a silent executor has expired, under late calls between
+// processes and announcements of foreign executors.
+func TestRandomLeaseFaultsWithLateCalls(t *testing.T) {
+	checkRandomFaults(t, randomFaults{kinds: longActionKinds, taskTime: longTaskTime, retention: shortRetention})
+}
+
 // randomFaults describes the histories of a test.
 type randomFaults struct {
 	kinds    []string
 	taskTime time.Duration
 	// fetching is set if executors fetch their orders.
 	fetching bool
+	// retention is how long owners keep finished jobs; 0 for their default.
+	retention time.Duration
+	// manyEnds is set if jobs have many small tasks, executors list few ends at a time, and the store is slow.
+	manyEnds bool
 }
 
+// maxRandomEndsPerResponse limits how many ends executors list at a time in histories with many ends.
+const maxRandomEndsPerResponse = 6
+
 func checkRandomFaults(t *testing.T, faults randomFaults) {
 	rapid.Check(t, func(rt *rapid.T) {
 		actions := drawActions(rt, faults.kinds)
 		// Looking for standstills takes several times as long as the rest of a history.
 		watched := rapid.IntRange(1, watchedShare).Draw(rt, "watched") == watchedShare
+		endsPerResponse := 0
+		if faults.manyEnds {
+			endsPerResponse = rapid.IntRange(1, maxRandomEndsPerResponse).Draw(rt, "ends per response")
+		}
 		failure := ""
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			defer time.Sleep(callDrainTime)
 			defer cancel()
-			h := &history{fleet: newFleetOf(t, ctx, randomTestHosts, faults.fetching), stopped: map[int]bool{}, misreported: map[int]bool{}, cancelled: map[string]bool{}}
+			h := &history{fleet: newRetainingFleet(t, ctx, randomTestHosts, faults.fetching, faults.retention), stopped: map[int]bool{}, misreported: map[int]bool{}, cancelled: map[string]bool{}}
 			h.setTaskTime(faults.taskTime)
+			if faults.manyEnds {
+				h.manySmall = true
+				h.limitEnds(endsPerResponse)
+				h.setStoreFaults(kvtest.Faults{Delay: slowStoreDelay})
+			}
 			time.Sleep(startupTime)
 			if faults.taskTime == longTaskTime {
 				h.submitOnce([]int{8})
@@ -364,6 +480,8 @@
 			h.clearFaults()
 			h.setTaskTime(taskTime)
 			if watched {
+				// With few ends at a time, executors that fetch their orders would take seconds to list those of a step.
+				h.limitEnds(nodetest.DefaultEndsPerResponse)
 				h.submitLasting()
 				failure = h.watchAfterFaults()
 			}
--- /dev/null
+++ b/test/workflows/refusals_test.go
@@ -0,0 +1,60 @@
+package workflows_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against tasks that run twice at once, since their executor refuses connections for a while: its server is away, or it has as
+// many connections as it takes. It announces itself and lists its runs again afterwards.
+func TestRefusalsOfAnnouncedExecutorDoNotEndRuns(t *testing.T) {
+	for _, refused := range []time.Duration{100, 300, 500, 1000, 2000, 3000, 4500} {
+		refused *= time.Millisecond
+		t.Run(fmt.Sprint(refused), func(t *testing.T) {
+			runWithFleet(t, 3, func(f *fleet) {
+				for _, h := range f.hosts {
+					h.executor.SetDuration(20 * time.Second)
+				}
+				job := f.newJob(9)
+				job.Steps[0].EstimateMillis = 20000
+				f.submitUntilAccepted(job)
+				f.waitFor(5*time.Second, func() bool { return f.checker.runningCount() == 9 })
+				for _, h := range f.hosts {
+					h.executor.SetRefusing(true)
+					time.Sleep(refused)
+					h.executor.SetRefusing(false)
+					time.Sleep(time.Second)
+				}
+				f.waitCompleted(30*time.Second, job.ID)
+				f.Assert(f.checker.startCount(), qt.Equals, 9)
+			})
+		})
+	}
+}
+
+// Guards against tasks that are started elsewhere while they run: the announcement of a former executor's end arrives late, and the
+// current one refuses a connection (found by TestRandomFaultsWithRefusedConnections, seed 4102).
+func TestLateDepartureAndRefusalDoNotEndRuns(t *testing.T) {
+	runWithFleet(t, 3, func(f *fleet) {
+		for _, h := range f.hosts {
+			h.executor.SetDuration(5 * time.Second)
+		}
+		job := f.newJob(9)
+		job.Steps[0].EstimateMillis = 5000
+		f.submitUntilAccepted(job)
+		f.waitFor(5*time.Second, func() bool { return f.checker.runningCount() == 9 })
+		for _, h := range f.hosts {
+			description, _ := h.executor.Describe()
+			h.node.Leave(description.ID)
+			h.executor.SetRefusing(true)
+			time.Sleep(100 * time.Millisecond)
+			h.executor.SetRefusing(false)
+			time.Sleep(time.Second)
+		}
+		f.waitCompleted(30*time.Second, job.ID)
+		f.Assert(f.checker.startCount(), qt.Equals, 9)
+	})
+}
--- a/workflow/engine/crashes.go
+++ b/workflow/engine/crashes.go
@@ -392,11 +392,11 @@
 }
 
 // giveUpCrashing fails the jobs of the convicted tasks.
-func (e *Engine) giveUpCrashing(wall time.Time) {
+func (e *Engine) giveUpCrashing(now, wall time.Time) {
 	for _, t := range e.crashes.convicted {
 		if !t.job.phase.Final() {
 			e.crashes.givenUp = append(e.crashes.givenUp, t.crashing())
-			e.finish(t.job, workflow.Failed, wall)
+			e.finish(t.job, workflow.Failed, now, wall)
 		}
 	}
 	e.crashes.convicted = nil
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -13,22 +13,22 @@
 
 // Cancel cancels a job. It returns false if the job is unknown; the cancellation then takes effect when the job is
 // added, since a new owner may read the two in either order.
-func (e *Engine) Cancel(id string, wall time.Time) bool {
+func (e *Engine) Cancel(id string, now, wall time.Time) bool {
 	j := e.jobs[id]
 	if j == nil {
 		e.pendingCancellations[id] = true
 		return false
 	}
 	if !j.phase.Final() {
-		e.finish(j, workflow.Cancelled, wall)
+		e.finish(j, workflow.Cancelled, now, wall)
 	}
 	return true
 }
 
-// finish moves a job to a final phase and requests stops of its remaining runs.
-func (e *Engine) finish(j *job, phase workflow.Phase, wall time.Time) {
+// finish moves a job to a final phase and requests stops of its remaining runs. The time carries a reading of the monotonic clock.
+func (e *Engine) finish(j *job, phase workflow.Phase, now, wall time.Time) {
 	j.phase = phase
-	j.endedUnixMillis = wall.UnixMilli()
+	j.endedUnixMillis, j.endedAt = wall.UnixMilli(), now
 	delete(e.activeJobs, j.ID)
 	e.markDirty(j)
 	e.needsPlanning = true
@@ -75,8 +75,13 @@
 		if n.known && r.Executor.StartedUnixMillis < n.executor.StartedUnixMillis {
 			return 0, false
 		}
-		e.replaceExecutor(n, r.Executor, now)
+		if e.mayStillRun(n, r) {
+			n.listedAt = time.Time{}
+			return 0, false
+		}
+		e.replaceExecutor(n, r, now)
 	}
+	e.endReplaced(n, r, now)
 	// Draining is never undone within an incarnation: a restarted node may receive an outdated announcement first.
 	draining := r.Executor.Draining || n.executor.Draining
 	if draining != n.executor.Draining {
@@ -107,6 +112,7 @@
 		return n.ackedEnd, false
 	}
 	n.leaseExpires, n.leaseSource, n.leaseGranted = now.Add(e.settings.LeaseExpiry), LeaseOfOwner, true
+	delete(e.lapsedAt, n.executorIncarnation)
 	return n.ackedEnd, true
 }
 
@@ -118,10 +124,10 @@
 	return now.Sub(n.reportedAt) > lateReportAge && r.Number <= fewReports
 }
 
-// replaceExecutor replaces the executor of a node by another incarnation. All runs on the former one have ended. If the
-// new one has the same ID, it may have received starts meant for the former one, so the tasks are reassigned to it until
-// its lists show whether they run.
-func (e *Engine) replaceExecutor(n *node, executor *workflow.Executor, now time.Time) {
+// replaceExecutor replaces the executor of a node by another incarnation. If the new one has the same ID, it may have received
+// starts meant for the former one, so the tasks are reassigned to it until its lists show whether they run.
+func (e *Engine) replaceExecutor(n *node, r *workflow.Report, now time.Time) {
+	executor := r.Executor
 	if n.known {
 		e.endIncarnation(n, n.executorIncarnation, executor, now)
 		if e.nodeByIncarnation[n.executorIncarnation] == n {
@@ -135,13 +141,13 @@
 	e.quarantine.ForgetWorker(n.name)
 	e.indexDomains()
 	delete(e.unreportedHosts, n.name)
-	incarnation := n.executorIncarnation
-	for former, tasks := range e.assignedTasks {
-		if former != incarnation && (hasExecutorID(former, executor.ID) || onHost(tasks, n.name)) {
+	n.unproven = true
+	for former := range e.assignedTasks {
+		if hasExecutorID(former, executor.ID) {
 			e.endIncarnation(n, former, executor, now)
 		}
 	}
-	for _, t := range e.assignedTasks[incarnation] {
+	for _, t := range e.assignedTasks[n.executorIncarnation] {
 		if t.node == nil {
 			n.addTask(t)
 		}
@@ -161,9 +167,6 @@
 	}
 }
 
-// onHost reports whether the tasks of an incarnation are assigned to a host. A host has one executor at a time.
-func onHost(tasks []*task, host string) bool { return len(tasks) > 0 && tasks[0].host == host }
-
 func hasExecutorID(incarnation, id string) bool {
 	return len(incarnation) > len(id) && incarnation[:len(id)] == id && incarnation[len(id)] == '@'
 }
@@ -179,7 +182,7 @@
 			e.reassign(t, n, executor.IncarnationID())
 			continue
 		}
-		e.unassign(t)
+		e.unassign(t, ExecutorReplaced, now)
 	}
 }
 
@@ -188,6 +191,7 @@
 	e.untrack(t)
 	t.executorIncarnation, t.host = incarnation, n.name
 	t.listed, t.started, t.startedSequence = false, false, 0
+	t.reassigned = true
 	t.stoppedSequence, t.stopOrderedAt = 0, time.Time{}
 	n.addTask(t)
 	e.track(t)
@@ -220,13 +224,20 @@
 // handleRunEnd processes the end of a run.
 func (e *Engine) handleRunEnd(n *node, incarnation string, end *workflow.RunEnd, now, wall time.Time) {
 	t := e.taskByName(end.Task)
-	if t == nil || t.phase == workflow.TaskDone {
+	if t == nil {
+		return
+	}
+	if end.How == workflow.EndDone {
+		e.checkDone(n, incarnation, t, end.Run, now)
+	}
+	if t.phase == workflow.TaskDone {
 		return
 	}
 	if t.run != end.Run || t.phase == workflow.TaskAssigned && t.executorIncarnation != incarnation {
-		if end.How == workflow.EndDone && end.Run < t.run && !t.step.LongRunning {
-			// An earlier run has finished after all. The later run is then stopped as an orphaned one.
-			e.completeTask(t, wall)
+		if end.How == workflow.EndDone && !t.step.LongRunning {
+			// Whichever run has finished the task, it must not start again once this end is acknowledged. The assigned run is then
+			// stopped as an orphaned one.
+			e.completeTask(t, end.Run, incarnation, now, wall)
 		}
 		return
 	}
@@ -234,7 +245,7 @@
 		return
 	}
 	if end.Saved != "" {
-		t.saved = end.Saved
+		t.setSaved(end.Saved, now)
 	}
 	assigned := t.phase == workflow.TaskAssigned
 	if end.How == workflow.EndDone {
@@ -242,7 +253,7 @@
 			n.recordDuration(t)
 			e.quarantine.RecordSuccess(t.job.ID, n.name, now)
 		}
-		e.completeTask(t, wall)
+		e.completeTask(t, end.Run, incarnation, now, wall)
 		return
 	}
 	if end.How == workflow.EndFailed {
@@ -254,10 +265,10 @@
 		}
 	}
 	if assigned {
-		e.unassign(t)
+		e.unassign(t, listedEnd(end.How), now)
 	}
 	if end.How == workflow.EndFailed && !t.step.LongRunning && !t.job.phase.Final() && e.attemptsExhausted(t) {
-		e.finish(t.job, workflow.Failed, wall)
+		e.finish(t.job, workflow.Failed, now, wall)
 	}
 }
 
@@ -273,8 +284,8 @@
 	return failures >= max(e.queueOf(t.job).MaxAttempts, 1)
 }
 
-// completeTask marks a task, or all members of its gang, as done.
-func (e *Engine) completeTask(t *task, wall time.Time) {
+// completeTask marks a task, or all members of its gang, as done by a run on an executor incarnation.
+func (e *Engine) completeTask(t *task, run int, incarnation string, now, wall time.Time) {
 	members := []*task{t}
 	if t.step.Gang {
 		members = t.group.tasks
@@ -284,13 +295,20 @@
 			continue
 		}
 		if m.phase == workflow.TaskAssigned {
+			if m != t {
+				m.keepFormerRun(GangDone, now)
+			} else if m.run != run {
+				m.keepFormerRun(OtherRunDone, now)
+			}
 			e.untrack(m)
 			delete(e.stopping, m)
 		}
 		m.phase = workflow.TaskDone
 		m.clearRun()
 		m.group.done++
+		m.doneRun = m.run
 	}
+	t.doneRun, t.doneExecutor = run, incarnation
 	j := t.job
 	e.markDirty(j)
 	e.needsPlanning = true
@@ -298,7 +316,7 @@
 		e.observeDuration(t.group)
 	}
 	if !j.phase.Final() && j.isComplete() {
-		e.finish(j, workflow.Completed, wall)
+		e.finish(j, workflow.Completed, now, wall)
 	}
 }
 
@@ -335,7 +353,7 @@
 	case workflow.OutcomeRejected:
 		t.notBefore = now.Add(rejectionBackoff)
 		t.node.pauseStarts(pauseAfterRejection(r.Reason), now)
-		e.unassign(t)
+		e.unassign(t, StartRejected, now)
 		e.stopRestOfGang(t)
 	default:
 		// The run may have begun or may still begin. It continues if the executor's next lists contain it, and is stopped
--- a/workflow/engine/reconcile.go
+++ b/workflow/engine/reconcile.go
@@ -14,6 +14,8 @@
 func (e *Engine) reconcile(n *node, r *workflow.Report, now, wall time.Time) {
 	incarnation := n.executorIncarnation
 	n.headroomsAt = time.Time{}
+	n.lists = executorLists{incarnation, n.listedAt}
+	n.contradictions.next()
 	present := make(map[string]int, len(r.Running)+len(r.Ended))
 	n.orphanedRuns = n.orphanedRuns[:0]
 	for i := range r.Running {
@@ -22,6 +24,7 @@
 		t := e.taskByName(run.Task)
 		if !t.isRun(incarnation, run.Run) {
 			n.orphanedRuns = append(n.orphanedRuns, *run)
+			e.checkRunning(n, run, now)
 			continue
 		}
 		t.updateProgress(run, n.listedAt)
@@ -36,10 +39,11 @@
 		if t.startPending && now.Sub(t.startedAt) >= startResultTimeout {
 			t.startPending = false
 		}
-		if present[t.name] >= t.run || t.startPending {
+		if present[t.name] >= t.run || t.startPending || !r.EndsComplete {
+			// The end of a run may follow in later lists. Each acknowledgement makes the executor list further ends.
 			continue
 		}
-		e.handleUnlistedRun(t, r)
+		e.handleUnlistedRun(t, r, now)
 	}
 	e.recordAlive(n)
 	e.stopOrphanedRuns(n, now)
@@ -57,18 +61,18 @@
 	t.percent, t.usage = run.Percent, run.Usage
 	t.group.lowestAt = time.Time{}
 	if run.Saved != "" {
-		t.saved = run.Saved
+		t.setSaved(run.Saved, at)
 	}
 }
 
-// handleUnlistedRun handles a task that its executor lists neither as running nor as ended. Its start may still arrive,
-// so a stop is ordered before the task is unassigned: an executor never starts a run after an order to stop it.
-func (e *Engine) handleUnlistedRun(t *task, r *workflow.Report) {
+// handleUnlistedRun handles a task that its executor lists neither as running nor as ended, in complete lists. Its start may still
+// arrive, so a stop is ordered before the task is unassigned: an executor never starts a run after an order to stop it.
+func (e *Engine) handleUnlistedRun(t *task, r *workflow.Report, now time.Time) {
 	if t.startedSequence > r.CoveredSequence && t.startedIncarnation == r.Incarnation {
 		return
 	}
 	if t.stoppedSequence > 0 && t.stoppedIncarnation == r.Incarnation && r.CoveredSequence >= t.stoppedSequence {
-		e.unassign(t)
+		e.unassign(t, UnlistedAndStopped, now)
 		return
 	}
 	if t.stoppedIncarnation != r.Incarnation {
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -54,10 +54,13 @@
 	unreportedExpiry time.Time
 	// unreportedSource tells where unreportedExpiry comes from.
 	unreportedSource LeaseSource
-	// lapsedAt holds when the leases of executor incarnations with tasks have recently expired, or such an incarnation has ended.
+	// lapsedAt holds when the leases of executor incarnations with tasks have recently expired, or such an incarnation has ended,
+	// unless they have been renewed since.
 	lapsedAt map[string]time.Time
 	// inheritedLeases holds when the leases of executor incarnations have expired, as the former owner has stored it.
 	inheritedLeases map[string]time.Time
+	// loadedAt is when the records were read.
+	loadedAt time.Time
 	// discoveryDeadline is when all executors have had time to announce themselves to a new owner.
 	discoveryDeadline time.Time
 	// hasRestoredRuns is set if restored records named hosts of running tasks; unreportedHosts holds those of these
@@ -86,6 +89,10 @@
 	// idle holds the jobs without a run that the owner has not taken yet; idleSearchedAt is when such jobs were last looked for.
 	idle           []Idle
 	idleSearchedAt time.Time
+	// forgotten holds the jobs that were last removed.
+	forgotten forgottenJobs
+	// contradictions holds the contradictions between executors' lists and this owner's state that the owner has not taken yet.
+	contradictions contradictions
 	// waitsToExplain is how many more jobs may be explained before the next Tick.
 	waitsToExplain int
 }
@@ -114,6 +121,7 @@
 		unreportedSource:     LeaseOfTakeover,
 		inheritedLeases:      map[string]time.Time{},
 		lapsedAt:             map[string]time.Time{},
+		loadedAt:             now,
 		discoveryDeadline:    now.Add(discoveryTimeout),
 		unreportedHosts:      map[string]bool{},
 		dirtyJobs:            map[*job]struct{}{},
@@ -176,7 +184,7 @@
 		return false
 	}
 	age := max(wall.Sub(time.UnixMilli(spec.AcceptedUnixMillis)), 0)
-	j := &job{Job: spec, phase: workflow.Pending, storedPhase: workflow.Pending, acceptedAt: now.Add(-age)}
+	j := &job{Job: spec, phase: workflow.Pending, storedPhase: workflow.Pending, acceptedAt: now.Add(-age), knownAt: now, recorded: record != nil, forgotten: e.WasForgotten(spec.ID)}
 	j.buildTasks()
 	e.jobs[spec.ID] = j
 	e.activeJobs[spec.ID] = j
@@ -189,7 +197,7 @@
 	e.observeWork(j)
 	if e.pendingCancellations[j.ID] {
 		delete(e.pendingCancellations, j.ID)
-		e.Cancel(j.ID, wall)
+		e.Cancel(j.ID, now, wall)
 	}
 	e.needsPlanning = true
 	return true
@@ -202,11 +210,24 @@
 	}
 	e.jobs[id] = &job{
 		Job: workflow.Job{ID: id}, phase: record.Phase, storedPhase: record.Phase, endedUnixMillis: record.EndedUnixMillis,
-		cancelled: record.Phase == workflow.Cancelled,
+		endedAt: e.loadedAt, cancelled: record.Phase == workflow.Cancelled,
 	}
 	delete(e.pendingCancellations, id)
 }
 
+// AddHeld adds a job of which it isn't known what has run. Nothing of it is started, and clients see it as running until it is
+// cancelled.
+func (e *Engine) AddHeld(id string) {
+	if _, known := e.jobs[id]; known {
+		return
+	}
+	e.jobs[id] = &job{Job: workflow.Job{ID: id}, phase: workflow.Running, storedPhase: workflow.Running}
+	if e.pendingCancellations[id] {
+		delete(e.pendingCancellations, id)
+		e.Cancel(id, e.loadedAt, e.loadedAt)
+	}
+}
+
 // awaitHost records that a host had a running task under the former owner.
 func (e *Engine) awaitHost(host string) {
 	e.hasRestoredRuns = true
@@ -238,7 +259,7 @@
 func (e *Engine) restore(j *job, record *workflow.JobRecord, now time.Time) {
 	j.phase = record.Phase
 	j.storedPhase = record.Phase
-	j.endedUnixMillis = record.EndedUnixMillis
+	j.endedUnixMillis, j.endedAt = record.EndedUnixMillis, e.loadedAt
 	j.cancelled = record.Phase == workflow.Cancelled
 	for _, r := range record.Tasks {
 		t := j.findTask(workflow.TaskID{Job: j.ID, Occurrence: r.Occurrence, Step: r.Step, Index: r.Index})
@@ -251,10 +272,13 @@
 			t.crashes.suspectSince = now
 			e.crashes.suspects[t] = struct{}{}
 		}
-		t.phase = r.Phase
+		t.phase, t.restored = r.Phase, true
 		switch r.Phase {
 		case workflow.TaskDone:
 			t.group.done++
+			t.doneRun = r.Run
+		case workflow.TaskWaiting:
+			t.keepFormerRun(RestoredAsWaiting, now)
 		case workflow.TaskAssigned:
 			t.executorIncarnation, t.host = r.Life, r.Node
 			e.awaitHost(r.Node)
@@ -276,8 +300,10 @@
 
 func compareTasks(a, b *task) int { return cmp.Compare(a.name, b.name) }
 
-// unassign returns an assigned task to waiting. The caller has made sure that no run of it exists or can still begin.
-func (e *Engine) unassign(t *task) {
+// unassign returns an assigned task to waiting. The caller has made sure that no run of it exists or can still begin, and gives
+// the cause.
+func (e *Engine) unassign(t *task, cause EndCause, now time.Time) {
+	t.keepFormerRun(cause, now)
 	e.quarantine.RecordProbeAbort(t.host)
 	e.untrack(t)
 	delete(e.stopping, t)
@@ -308,6 +334,7 @@
 	t.executorIncarnation, t.host, t.node = "", "", nil
 	t.startPending, t.started, t.listed, t.stopRequested, t.stopReason = false, false, false, false, ""
 	t.startedSequence, t.stoppedSequence = 0, 0
+	t.restored, t.reassigned = false, false
 	t.startedIncarnation, t.stoppedIncarnation = 0, 0
 	t.stopOrderedAt = time.Time{}
 	t.percent, t.usage = 0, 0
--- a/workflow/engine/takeover_test.go
+++ b/workflow/engine/takeover_test.go
@@ -46,7 +46,7 @@
 	job := h.job(step(1))
 	h.engine.AddEnded(job.ID, &workflow.JobRecord{Phase: workflow.Completed, EndedUnixMillis: h.now.UnixMilli()})
 	h.engine.Add(job, nil, h.now, h.now)
-	h.engine.Cancel(job.ID, h.now)
+	h.engine.Cancel(job.ID, h.now, h.now)
 	h.report("a", executor("a", 1), []workflow.RunState{{Task: job.ID + ".0.0.0", Run: 1}}, nil)
 	orders := h.plan()["a"]
 	h.Assert(orders.Starts, qt.HasLen, 0)
