--- a/test/soak/executor_test.go
+++ b/test/soak/executor_test.go
@@ -48,6 +48,8 @@
 	lives  int
 	lastID string
 	fault  executorFault
+	// muted is set while the executor's heartbeats are lost.
+	muted bool
 }
 
 // life is one lifetime of an executor. Its fields are guarded by the lock of the executor.
@@ -160,7 +162,11 @@
 
 // heartbeat sends a heartbeat, and reports whether it was acknowledged.
 func (l *life) heartbeat() bool {
-	return l.x.register(http.MethodPut, l.id, l.beat())
+	beat := l.beat()
+	l.x.mu.Lock()
+	muted := l.x.muted
+	l.x.mu.Unlock()
+	return !muted && l.x.register(http.MethodPut, l.id, beat)
 }
 
 // beat returns the body of the next heartbeat.
--- a/test/soak/executorfaults_test.go
+++ b/test/soak/executorfaults_test.go
@@ -131,3 +131,9 @@
 	defer x.mu.Unlock()
 	x.fault = fault
 }
+
+func (x *executor) setMuted(muted bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.muted = muted
+}
--- a/test/soak/linkfaults_test.go
+++ b/test/soak/linkfaults_test.go
@@ -33,6 +33,18 @@
 		i.wait(0, 3*time.Second)
 	}
 	requestedKinds["app-refuse"] = func(i *injector) { i.refuse(i.appLinks(), longestCut, true) }
+	requestedKinds["app-refuse-muted"] = func(i *injector) {
+		some := sides(i.some())
+		var links []*link
+		for _, host := range some {
+			links = append(links, i.apps[host])
+			i.executor(host).setMuted(true)
+		}
+		i.refuse(links, longestCut, true)
+		for _, host := range some {
+			i.executor(host).setMuted(false)
+		}
+	}
 	requestedKinds["app-refuse-short"] = func(i *injector) { i.refuse(i.appLinks(), shortRefusal, true) }
 	requestedKinds["app-refuse-new"] = func(i *injector) { i.refuse(i.appLinks(), longestCut, false) }
 	faultKinds["cut-off"] = func(i *injector) {
