Count announcements of an executor that another one has replaced as signs of life

An executor that announces itself while the node takes another one for the current one may be the one that refuses connections. Its announcements now end the count of refused connections, as those of the current one do. Announcements of former incarnations under the same ID, and of older executors once the current one has responded, don't. TestExecutorBehindForeignAnnouncementHasNotEnded and the other tests of the package pass.

--- a/node/successor.go
+++ b/node/successor.go
@@ -33,6 +33,8 @@
 		n.log.Warn("another executor announced", "executor", e.IncarnationID(), "pool", e.Pool, "current", n.current.IncarnationID(), "responded", n.lists != nil)
 	}
 	n.successor = &successor{*e, sequence, clockMillis, n.clock.Now()}
+	// It may be the executor that refuses connections at present.
+	n.end.noteOtherResult()
 	return false
 }
 
