Don't take refused connections around a pause of the process for the end of an executor

Refusals that are more than 1.5 s apart don't count as refusals in a row: while the process is paused, no connection is tried, and announcements wait to be processed.

--- a/node/end.go
+++ b/node/end.go
@@ -20,6 +20,9 @@
 	minRefusalTime = 2200 * time.Millisecond
 	// refusalCheckInterval is the time between the connections to an executor that isn't known while they are refused.
 	refusalCheckInterval = minRefusalTime / (minRefusals - 1)
+	// maxRefusalGap is the longest time between two refusals in a row. In a longer one the process was paused, so that announcements
+	// may still wait to be processed.
+	maxRefusalGap = refusalCheckInterval + 400*time.Millisecond
 	// connectTimeout limits an attempt to connect to the executor.
 	connectTimeout = 800 * time.Millisecond
 )
@@ -27,18 +30,22 @@
 // executorEnd follows whether the executor's address refuses connections, since the current incarnation is known, or the last one
 // was forgotten.
 type executorEnd struct {
-	// refusals counts the refused connections in a row, the first of them at refusedAt.
-	refusals  int
-	refusedAt time.Time
+	// refusals counts the refused connections in a row, the first of them at refusedAt, the last one at lastRefusedAt.
+	refusals                 int
+	refusedAt, lastRefusedAt time.Time
 	// confirmed is set once there were enough of them. All incarnations up to then have ended.
 	confirmed bool
 }
 
 // noteRefused records a refused connection, and reports whether it shows that the executor has ended.
 func (x *executorEnd) noteRefused(now time.Time) bool {
+	if now.Sub(x.lastRefusedAt) > maxRefusalGap {
+		x.refusals = 0
+	}
 	if x.refusals == 0 {
 		x.refusedAt = now
 	}
+	x.lastRefusedAt = now
 	x.refusals++
 	if x.confirmed || x.refusals < minRefusals || now.Sub(x.refusedAt) < minRefusalTime {
 		return false
