Don't take a report of an executor for a proof that a later one has ended

Tasks of executors that started after the one that a report names stay assigned until their executor is reported, or their lease has expired.

--- a/workflow/engine/replacement.go
+++ b/workflow/engine/replacement.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/quetzalshed/quetzalshed/workflow"
@@ -26,12 +28,20 @@
 	}
 	n.unproven = false
 	for former, tasks := range e.assignedTasks {
-		if former != n.executorIncarnation && onHost(tasks, n.name) {
+		if former != n.executorIncarnation && onHost(tasks, n.name) && !startedAfter(former, r.Executor) {
 			e.endIncarnation(n, former, r.Executor, now)
 		}
 	}
 	e.needsPlanning = true
 }
 
+// startedAfter reports whether an incarnation started after an executor that a report names. The report may be late, and doesn't show
+// the end of a later executor.
+func startedAfter(incarnation string, executor *workflow.Executor) bool {
+	started := incarnation[strings.LastIndexByte(incarnation, '@')+1:]
+	startedUnixMillis, err := strconv.ParseInt(started, 10, 64)
+	return err == nil && startedUnixMillis > executor.StartedUnixMillis
+}
+
 // onHost reports whether the tasks of an incarnation are assigned to a host. A host has one executor at a time.
 func onHost(tasks []*task, host string) bool { return len(tasks) > 0 && tasks[0].host == host }
