Add a failing test for refused connections beside a foreign announcement

Without it prints "run 2 started on i-host-1 while it runs on i-host-0" (TWICE). With it, 12 starts instead of 9: three runs lapse 0.9 s after their node was granted a lease. A signal from the announcement cuts the wait for the grant short, and the next hold call, without a deadline, waits for a second.

--- a/test/workflows/foreign_announcements_test.go
+++ b/test/workflows/foreign_announcements_test.go
@@ -46,3 +46,27 @@
 		})
 	}
 }
+
+// Guards against runs that are started elsewhere while they go on: their executor refuses connections and announces itself, and the
+// node has taken another executor, which was announced once, for the one at its host.
+func TestForeignAnnouncementAndRefusalsDoNotEndRuns(t *testing.T) {
+	runWithFleet(t, 3, func(f *fleet) {
+		for _, h := range f.hosts {
+			h.executor.SetDuration(20 * time.Second)
+		}
+		job := f.newJob(9)
+		job.Steps[0].EstimateMillis = 20000
+		f.submitUntilAccepted(job)
+		f.waitFor(5*time.Second, func() bool { return f.checker.runningCount() == 9 })
+		for i, h := range f.hosts {
+			h.executor.SetRefusing(true)
+			time.Sleep(300 * time.Millisecond)
+			h.announceForeign(int64(i + 1))
+			time.Sleep(3700 * time.Millisecond)
+			h.executor.SetRefusing(false)
+			time.Sleep(2500 * time.Millisecond)
+		}
+		f.waitCompleted(40*time.Second, job.ID)
+		f.Assert(f.checker.startCount(), qt.Equals, 9)
+	})
+}
