Let hold calls wait only shortly until a lease is granted

A node that has just learned of its executor, or that has taken it back after the announcement of another one, called it for up to a second without a deadline while the executor's lease ran out.

--- a/node/hold.go
+++ b/node/hold.go
@@ -164,7 +164,10 @@
 	isShort := left > 0 && (left < shortLease || n.needsRenewal(now))
 	// A call that waits for long would delay the acknowledgement after which the executor lists further ends.
 	endsFollow := n.lists != nil && !n.lists.EndsComplete
-	if isShort || endsFollow || n.lastUnknownStart > n.listsCover {
+	// A lease may be granted at any moment, and the executor may need it soon: runs outlast the node's process, and the announcement
+	// of another executor.
+	isAwaited := n.leaseEnd.IsZero()
+	if isShort || isAwaited || endsFollow || n.lastUnknownStart > n.listsCover {
 		wait = shortHoldWait
 	}
 	if n.lists == nil || !n.confirmed {
