--- a/owner/serve.go
+++ b/owner/serve.go
@@ -160,7 +160,7 @@
 		t.log.Warn("no response to orders", "node", d.Node, "executor", d.Orders.ExecutorIncarnation, "starts", len(d.Orders.Starts), "stops", len(d.Orders.Stops), "error", err)
 		reply = undeliveredReply(d, err)
 	}
-	t.applyResults(d.Node, reply)
+	t.applyResults(d, reply)
 }
 
 // withholdStarts removes the starts and the lease renewal from a delivery whose ownership lease may have expired since the
@@ -176,15 +176,17 @@
 	}
 	d.Orders.Starts, d.Orders.LeaseMillis = nil, 0
 	if len(reply.Results) > 0 {
-		t.applyResults(d.Node, reply)
+		t.applyResults(d, reply)
 	}
 }
 
-// applyResults passes the results of orders to the engine.
-func (t *term) applyResults(node string, reply *workflow.OrdersReply) {
+// applyResults passes the results of the orders of a delivery to the engine.
+func (t *term) applyResults(d *engine.NodeOrders, reply *workflow.OrdersReply) {
+	node, executor := d.Node, d.Orders.ExecutorIncarnation
 	apply := func(now, _ time.Time) func() {
 		for i := range reply.Results {
 			r := &reply.Results[i]
+			r.Executor = executor
 			if r.Outcome != workflow.OutcomeDone {
 				t.metrics.rejected.Inc(1)
 				t.log.Info("order not accepted", "task", r.Task, "run", r.Run, "stop", r.Stop, "node", node, "outcome", r.Outcome, "reason", r.Reason)
--- a/workflow/messages.go
+++ b/workflow/messages.go
@@ -145,6 +145,8 @@
 	Reason  string  `json:"reason,omitempty"`
 	// Sequence is the number of orders that the node's process had carried out.
 	Sequence int64 `json:"sequence"`
+	// Executor is the executor incarnation that the order was for. The owner sets it; empty if it is not known.
+	Executor string `json:"-"`
 }
 
 // OrdersReply is the reply to Orders.
