Judge results of orders by the incarnation that they were for

A stop that a former incarnation has accepted shows nothing of the next one under the same ID, and a start that it has accepted doesn't run there.

--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -335,8 +335,10 @@
 	if t == nil || t.phase != workflow.TaskAssigned || t.run != r.Run || t.node == nil || t.node.name != node {
 		return
 	}
+	// The task may have been reassigned to the next incarnation, of which the result shows nothing.
+	ofFormer := r.Executor != "" && r.Executor != t.executorIncarnation
 	if r.Stop {
-		if r.Outcome == workflow.OutcomeDone {
+		if r.Outcome == workflow.OutcomeDone && !ofFormer {
 			t.stoppedSequence, t.stoppedIncarnation = r.Sequence, incarnation
 		}
 		return
@@ -348,7 +350,7 @@
 	switch r.Outcome {
 	case workflow.OutcomeDone:
 		t.node.rejections = 0
-		t.started = true
+		t.started = t.started || !ofFormer
 		t.startedSequence, t.startedIncarnation = r.Sequence, incarnation
 	case workflow.OutcomeRejected:
 		t.notBefore = now.Add(rejectionBackoff)
