Add failing tests for executors that return after a foreign announcement

Once the owner has taken the announced executor for that of the host, since the one that runs there has no tasks, or its lease has expired, it ignores all reports of the latter for ever: it started earlier.

--- a/test/workflows/foreign_announcements_test.go
+++ b/test/workflows/foreign_announcements_test.go
@@ -70,3 +70,23 @@
 		f.Assert(f.checker.startCount(), qt.Equals, 9)
 	})
 }
+
+// Guards against idle executors that are never used again: another one was announced at their hosts while they were silent for a
+// moment.
+func TestIdleExecutorsAreUsedAfterForeignAnnouncement(t *testing.T) {
+	runWithFleet(t, 3, func(f *fleet) {
+		time.Sleep(3 * time.Second)
+		for _, h := range f.hosts {
+			h.executor.SetRefusing(true)
+		}
+		time.Sleep(300 * time.Millisecond)
+		for _, h := range f.hosts {
+			h.announceForeign(1)
+			h.executor.SetRefusing(false)
+		}
+		time.Sleep(5 * time.Second)
+		id := f.submit(12)
+		f.waitFor(5*time.Second, func() bool { return f.checker.runningCount() == 12 })
+		f.waitCompleted(10*time.Second, id)
+	})
+}
