Use the executor that lists its runs at a host again after a foreign announcement

An owner rejects reports of an executor that started earlier than the current one of the host, unless the latter has never listed its runs and has another ID. Reports of a node come in order, so a late one can't undo the change.

--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -72,7 +72,7 @@
 		return 0, false
 	}
 	if !n.known || n.executorIncarnation != r.Executor.IncarnationID() {
-		if n.known && r.Executor.StartedUnixMillis < n.executor.StartedUnixMillis {
+		if n.known && r.Executor.StartedUnixMillis < n.executor.StartedUnixMillis && !n.isForeign(r) {
 			return 0, false
 		}
 		if e.mayStillRun(n, r) {
--- a/workflow/engine/replacement.go
+++ b/workflow/engine/replacement.go
@@ -20,6 +20,12 @@
 		len(e.assignedTasks[n.executorIncarnation]) > 0
 }
 
+// isForeign reports whether a report shows that another executor runs on the host than the one that was announced last: that one has
+// never listed its runs, and an earlier one with another ID lists them.
+func (n *node) isForeign(r *workflow.Report) bool {
+	return r.Listed && n.lists.incarnation != n.executorIncarnation && !hasExecutorID(n.executorIncarnation, r.Executor.ID)
+}
+
 // endReplaced ends the former executors of a host once a report shows that they have ended. Until then their tasks stay assigned,
 // at most as long as their leases.
 func (e *Engine) endReplaced(n *node, r *workflow.Report, now time.Time) {
