Use an executor that restarts under its ID with an earlier time of day

A response with an earlier start than that of the current incarnation, after this has responded, is that of a later one: the node waits for its announcement, and the owner takes over what it lists. A late announcement alone still changes nothing.

--- a/node/hold.go
+++ b/node/hold.go
@@ -225,7 +225,8 @@
 	}
 	if lists.StartedUnixMillis != 0 && lists.StartedUnixMillis != n.current.StartedUnixMillis {
 		n.log.Info("another incarnation of the executor responds", "executor", incarnation, "born", lists.StartedUnixMillis)
-		if lists.StartedUnixMillis > n.current.StartedUnixMillis {
+		// An earlier start after the current incarnation has responded is that of a later one: the time of day was set back.
+		if lists.StartedUnixMillis > n.current.StartedUnixMillis || n.lists != nil {
 			n.forgetIncarnation()
 		}
 		return otherIncarnation
--- a/workflow/engine/replacement.go
+++ b/workflow/engine/replacement.go
@@ -21,9 +21,10 @@
 }
 
 // isForeign reports whether a report shows that another executor runs on the host than the one that was announced last: that one has
-// never listed its runs, and an earlier one with another ID lists them.
+// never listed its runs, and an earlier one with another ID lists them. An executor with the same ID that lists its runs has started
+// after the time of day was set back.
 func (n *node) isForeign(r *workflow.Report) bool {
-	return r.Listed && n.lists.incarnation != n.executorIncarnation && !hasExecutorID(n.executorIncarnation, r.Executor.ID)
+	return r.Listed && (n.lists.incarnation != n.executorIncarnation || hasExecutorID(n.executorIncarnation, r.Executor.ID))
 }
 
 // endReplaced ends the former executors of a host once a report shows that they have ended. Until then their tasks stay assigned,
