--- a/workflow/engine/replacement.go
+++ b/workflow/engine/replacement.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/quetzalshed/quetzalshed/workflow"
@@ -18,6 +20,13 @@
 		len(e.assignedTasks[n.executorIncarnation]) > 0
 }
 
+// isForeign reports whether a report shows that another executor runs on the host than the one that was announced last: that one has
+// never listed its runs, and an earlier one with another ID lists them. An executor with the same ID that lists its runs has started
+// after the time of day was set back.
+func (n *node) isForeign(r *workflow.Report) bool {
+	return r.Listed && (n.lists.incarnation != n.executorIncarnation || hasExecutorID(n.executorIncarnation, r.Executor.ID))
+}
+
 // endReplaced ends the former executors of a host once a report shows that they have ended. Until then their tasks stay assigned,
 // at most as long as their leases.
 func (e *Engine) endReplaced(n *node, r *workflow.Report, now time.Time) {
@@ -26,12 +35,20 @@
 	}
 	n.unproven = false
 	for former, tasks := range e.assignedTasks {
-		if former != n.executorIncarnation && onHost(tasks, n.name) {
+		if former != n.executorIncarnation && onHost(tasks, n.name) && !startedAfter(former, r.Executor) {
 			e.endIncarnation(n, former, r.Executor, now)
 		}
 	}
 	e.needsPlanning = true
 }
 
+// startedAfter reports whether an incarnation started after an executor that a report names. The report may be late, and doesn't show
+// the end of a later executor.
+func startedAfter(incarnation string, executor *workflow.Executor) bool {
+	started := incarnation[strings.LastIndexByte(incarnation, '@')+1:]
+	startedUnixMillis, err := strconv.ParseInt(started, 10, 64)
+	return err == nil && startedUnixMillis > executor.StartedUnixMillis
+}
+
 // onHost reports whether the tasks of an incarnation are assigned to a host. A host has one executor at a time.
 func onHost(tasks []*task, host string) bool { return len(tasks) > 0 && tasks[0].host == host }
