Guard the fencing token of a simulated executor in the tests of the fleet

Cause: a process that is killed while its host is suspended goes on with its last fetch beside the next process; both change the token, which the test kept without a lock. No code outside of the tests is concerned. Change: the token is changed atomically.

--- a/test/workflows/fleet_test.go
+++ b/test/workflows/fleet_test.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -69,8 +70,9 @@
 	stopCandidacy context.CancelFunc
 	locator       *ownership.Locator
 	suspension    *suspension
-	// fencingToken is the highest fencing token that the executor has fetched.
-	fencingToken int64
+	// fencingToken is the highest fencing token that the executor has fetched. A process that was killed while its host was suspended
+	// may still pass one on beside the next process.
+	fencingToken atomic.Int64
 }
 
 // fleet holds a set of hosts, the store and one gateway.
@@ -212,7 +214,7 @@
 func (h *host) fetchAndExecute(ctx context.Context, incarnation string, mailbox *node.Mailbox) time.Duration {
 	call, cancel := context.WithTimeout(ctx, announceInterval)
 	defer cancel()
-	lists, err := h.executor.Hold(call, incarnation, h.fencingToken, 0, 0, 0)
+	lists, err := h.executor.Hold(call, incarnation, h.fencingToken.Load(), 0, 0, 0)
 	if err != nil {
 		return announceInterval
 	}
@@ -223,7 +225,7 @@
 	if time.Since(sentAt) > maxFetchTime {
 		return commands.FetchAgain
 	}
-	h.fencingToken = max(h.fencingToken, commands.Fence)
+	h.raiseFence(commands.Fence)
 	deadline := int64(0)
 	if commands.LeaseMillis > 0 {
 		deadline = lists.ClockMillis + commands.LeaseMillis
@@ -239,6 +241,12 @@
 	return commands.FetchAgain
 }
 
+// raiseFence records a fencing token that the executor has fetched.
+func (h *host) raiseFence(fence int64) {
+	for known := h.fencingToken.Load(); fence > known && !h.fencingToken.CompareAndSwap(known, fence); known = h.fencingToken.Load() {
+	}
+}
+
 // kill ends the node process without handing over the ownership.
 func (h *host) kill() {
 	h.store.SetFaults(kvtest.Faults{Unavailable: true})
