Owner: name the deleted jobs by what they are

forgottenJobs existed in the owner and in the engine with different contents: the owner keeps deletions until no older read of the inputs can arrive, the engine keeps the IDs of removed jobs for the log. Behaviour is unchanged.

Run: go build ./..., go vet ./owner, go test ./owner.

--- a/owner/forgotten_test.go
+++ b/owner/deleted_test.go
@@ -43,7 +43,7 @@
 		term := acquire(t, client)
 		late := &lateLists{Client: client}
 		term.store, term.operators, term.loaded, term.acked = late, noOperators{}, make(chan struct{}), map[string]int64{}
-		term.retention, term.forgotten = defaultRetention, forgottenJobs{}
+		term.retention, term.deletedJobs = defaultRetention, deletedJobs{}
 		record := workflow.JobRecord{Phase: workflow.Completed, EndedUnixMillis: time.Now().UnixMilli()}
 		_, err := client.Commit(t.Context(), kv.Transaction{Puts: []kv.Put{
 			{Key: JobPrefix + id, Value: []byte(`{"id":"` + id + `","steps":[{"count":1}]}`)}, {Key: StatePrefix + id, Value: record.Encode()},
--- a/owner/inputs.go
+++ b/owner/inputs.go
@@ -40,7 +40,7 @@
 				send(func() { t.applyInput(e.Item, records, true) })
 			}
 		},
-		OnFresh: func(sentAt time.Time) { send(func() { t.forgotten.prune(sentAt) }) },
+		OnFresh: func(sentAt time.Time) { send(func() { t.deletedJobs.expire(sentAt) }) },
 	}
 	follower.Run(ctx)
 }
@@ -50,7 +50,7 @@
 func (t *term) applyInput(item kv.Item, records map[string]*workflow.JobRecord, live bool) {
 	now, wall := t.clock.Now(), time.Now()
 	if id, ok := strings.CutPrefix(item.Key, CancelPrefix); ok {
-		if t.forgotten.covers(id, item.Revision) {
+		if t.deletedJobs.precedesDeletion(id, item.Revision) {
 			return
 		}
 		if t.engine.Cancel(id, now, wall) {
@@ -62,7 +62,7 @@
 	if !ok {
 		return
 	}
-	if t.forgotten.covers(id, item.Revision) {
+	if t.deletedJobs.precedesDeletion(id, item.Revision) {
 		t.log.Info("input of a deleted job ignored", "job", id, "revision", item.Revision)
 		return
 	}
--- a/owner/term.go
+++ b/owner/term.go
@@ -109,7 +109,7 @@
 	// unreportedLogAt is when executors that have not reported are logged; zero once that is done.
 	unreportedLogAt time.Time
 	deletions       []string
-	forgotten       forgottenJobs
+	deletedJobs     deletedJobs
 	quarantined     []string
 	// contradictionLines limits the lines on contradictions.
 	contradictionLines lineLimit
@@ -316,7 +316,7 @@
 	}
 	for _, id := range b.deletions {
 		t.engine.Forget(id)
-		t.forgotten.add(id, t.commitRevision, time.Now())
+		t.deletedJobs.add(id, t.commitRevision, time.Now())
 	}
 	t.release(b)
 	return nil
