Engine: name the three times of an end by what they hold

endedAt meant different things in three types. It is now endReportedAt in node (the report that showed the end of the incarnation), endKnownAt in job (since when this owner knows of the end) and takenForEndedAt in endedRun (when the run was taken for ended). Behaviour is unchanged.

--- a/workflow/engine/contradictions.go
+++ b/workflow/engine/contradictions.go
@@ -106,7 +106,7 @@
 		return
 	}
 	former := t.formerRun(run.Run, n.executorIncarnation)
-	if former != nil && (former.isSuperseded() || !n.lists.at.After(former.endedAt)) {
+	if former != nil && (former.isSuperseded() || !n.lists.at.After(former.takenForEndedAt)) {
 		// The owner knows that the run may go on, or the lists are older than the end.
 		return
 	}
@@ -193,7 +193,7 @@
 	if t != nil {
 		c.TaskKnown, c.Phase, c.CurrentRun, c.CurrentExecutor = true, t.phase, t.run, t.executorIncarnation
 		if former := t.formerRun(run, n.executorIncarnation); former != nil {
-			c.Taken, c.SinceTaken = &former.FormerRun, now.Sub(former.endedAt)
+			c.Taken, c.SinceTaken = &former.FormerRun, now.Sub(former.takenForEndedAt)
 		}
 	}
 	e.contradictions.described = append(e.contradictions.described, c)
--- a/workflow/engine/departures.go
+++ b/workflow/engine/departures.go
@@ -40,13 +40,13 @@
 	})
 	// The executor has not crashed with its whole host if it has responded to the current process of the node.
 	e.recordEnd(n, n.executorIncarnation, runs, !r.Listed, now)
-	n.endedAt = now
+	n.endReportedAt = now
 	e.unassignStarted(n, r, !n.executor.Draining, now)
 }
 
 // hasEnded reports whether the host of an executor has shown its end, and the executor has not listed its runs since.
 func (n *node) hasEnded(listedAt time.Time) bool {
-	return !n.endedAt.IsZero() && !listedAt.After(n.endedAt)
+	return !n.endReportedAt.IsZero() && !listedAt.After(n.endReportedAt)
 }
 
 // unassignStarted unassigns the tasks of an executor that has ended whose starts are confirmed.
@@ -75,7 +75,7 @@
 }
 
 func init() {
-	registerStaticFilter("ended", func(_ *placementRequest, n *node) bool { return n.endedAt.IsZero() })
+	registerStaticFilter("ended", func(_ *placementRequest, n *node) bool { return n.endReportedAt.IsZero() })
 }
 
 // applyLastLists updates the tasks of an executor that has ended from the last lists of its runs: no other report may have
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -28,7 +28,7 @@
 // finish moves a job to a final phase and requests stops of its remaining runs. The time carries a reading of the monotonic clock.
 func (e *Engine) finish(j *job, phase workflow.Phase, now, wall time.Time) {
 	j.phase = phase
-	j.endedUnixMillis, j.endedAt = wall.UnixMilli(), now
+	j.endedUnixMillis, j.endKnownAt = wall.UnixMilli(), now
 	delete(e.activeJobs, j.ID)
 	e.markDirty(j)
 	e.needsPlanning = true
@@ -105,7 +105,7 @@
 	if n.hasEnded(listedAt) {
 		return 0, false
 	}
-	n.endedAt, n.recordedEnd = time.Time{}, ""
+	n.endReportedAt, n.recordedEnd = time.Time{}, ""
 	n.listedAt = listedAt
 	e.reconcile(n, r, now, wall)
 	if now.Sub(n.listedAt) > maxLeaseListAge {
@@ -135,7 +135,7 @@
 		}
 	}
 	n.executor, n.known, n.ackedEnd, n.orphanedRuns, n.rejections = *executor, true, 0, nil, 0
-	n.endedAt = time.Time{}
+	n.endReportedAt = time.Time{}
 	n.executorIncarnation = executor.IncarnationID()
 	e.nodeByIncarnation[n.executorIncarnation] = n
 	e.quarantine.ForgetWorker(n.name)
--- a/workflow/engine/former_runs.go
+++ b/workflow/engine/former_runs.go
@@ -57,10 +57,11 @@
 	StopReason string
 }
 
-// endedRun is a former run with the time at which this owner took it for ended, or read of its end.
+// endedRun is a former run.
 type endedRun struct {
 	FormerRun
-	endedAt time.Time
+	// takenForEndedAt is when this owner took the run for ended, or read of its end.
+	takenForEndedAt time.Time
 }
 
 // StartBasis is what the owner knew of a task when it decided on a start.
@@ -96,7 +97,7 @@
 }
 
 func (t *task) describeRun(cause EndCause, now time.Time) *endedRun {
-	f := &endedRun{endedAt: now, FormerRun: FormerRun{
+	f := &endedRun{takenForEndedAt: now, FormerRun: FormerRun{
 		Run: t.run, Executor: t.executorIncarnation, Cause: cause, ListAge: UnknownAge, Started: t.started, Listed: t.listed,
 		Restored: t.restored, Reassigned: t.reassigned, StopReason: t.stopReason,
 	}}
@@ -114,7 +115,7 @@
 		former = t.rejected
 	}
 	if former != nil {
-		b.Former, b.SinceFormer = &former.FormerRun, t.startedAt.Sub(former.endedAt)
+		b.Former, b.SinceFormer = &former.FormerRun, t.startedAt.Sub(former.takenForEndedAt)
 	}
 	return b
 }
--- a/workflow/engine/node.go
+++ b/workflow/engine/node.go
@@ -88,11 +88,11 @@
 	aliveAt time.Time
 	// brokenAt is when a connection to that incarnation was first broken or refused since it last responded; zero if none was.
 	brokenAt time.Time
-	// endedAt is when a report last said that the host refuses connections to that incarnation; zero if none did. recordedEnd is
-	// the last incarnation whose end was counted.
-	endedAt     time.Time
-	recordedEnd string
-	lapsedRuns  []crashedRun
+	// endReportedAt is when a report last said that the host refuses connections to that incarnation; zero if none did.
+	// recordedEnd is the last incarnation whose end was counted.
+	endReportedAt time.Time
+	recordedEnd   string
+	lapsedRuns    []crashedRun
 	// unproven is set until the executor has shown that the former ones of its host have ended.
 	unproven bool
 	// probes is the number of suspects of a crash that run on the executor and have not survived yet, as of the last Plan.
--- a/workflow/engine/output.go
+++ b/workflow/engine/output.go
@@ -194,7 +194,7 @@
 		if len(ids) == limit {
 			break
 		}
-		if j.phase.Final() && j.storedPhase.Final() && now.Sub(j.endedAt) > e.settings.Retention && !j.hasAssignedTask() {
+		if j.phase.Final() && j.storedPhase.Final() && now.Sub(j.endKnownAt) > e.settings.Retention && !j.hasAssignedTask() {
 			ids = append(ids, j.ID)
 		}
 	}
--- a/workflow/engine/probes.go
+++ b/workflow/engine/probes.go
@@ -10,7 +10,7 @@
 // isProbe reports whether a suspect runs, or may run, and has not lasted long enough for other tasks to start beside it.
 func (t *task) isProbe() bool {
 	switch {
-	case t.node == nil || !t.node.endedAt.IsZero():
+	case t.node == nil || !t.node.endReportedAt.IsZero():
 		return false
 	case t.startPending || t.begunAt().IsZero() || !t.node.brokenAt.IsZero():
 		return true
--- a/workflow/engine/replacement.go
+++ b/workflow/engine/replacement.go
@@ -14,7 +14,7 @@
 // mayStillRun reports whether the executor of a node may still run tasks although a report names another one. An executor with
 // the same ID is the same one after a restart, and one whose host has shown its end before doesn't run.
 func (e *Engine) mayStillRun(n *node, r *workflow.Report) bool {
-	return n.known && n.endedAt.IsZero() && !provesEndOfFormer(r) && !hasExecutorID(n.executorIncarnation, r.Executor.ID) &&
+	return n.known && n.endReportedAt.IsZero() && !provesEndOfFormer(r) && !hasExecutorID(n.executorIncarnation, r.Executor.ID) &&
 		len(e.assignedTasks[n.executorIncarnation]) > 0
 }
 
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -210,7 +210,7 @@
 	}
 	e.jobs[id] = &job{
 		Job: workflow.Job{ID: id}, phase: record.Phase, storedPhase: record.Phase, endedUnixMillis: record.EndedUnixMillis,
-		endedAt: e.loadedAt, cancelled: record.Phase == workflow.Cancelled,
+		endKnownAt: e.loadedAt, cancelled: record.Phase == workflow.Cancelled,
 	}
 	delete(e.pendingCancellations, id)
 }
@@ -259,7 +259,7 @@
 func (e *Engine) restore(j *job, record *workflow.JobRecord, now time.Time) {
 	j.phase = record.Phase
 	j.storedPhase = record.Phase
-	j.endedUnixMillis, j.endedAt = record.EndedUnixMillis, e.loadedAt
+	j.endedUnixMillis, j.endKnownAt = record.EndedUnixMillis, e.loadedAt
 	j.cancelled = record.Phase == workflow.Cancelled
 	for _, r := range record.Tasks {
 		t := j.findTask(workflow.TaskID{Job: j.ID, Occurrence: r.Occurrence, Step: r.Step, Index: r.Index})
