--- /dev/null
+++ b/workflow/engine/ends.go
@@ -0,0 +1,130 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+// handleRunEnd processes the end of a run.
+func (e *Engine) handleRunEnd(n *node, incarnation string, end *workflow.RunEnd, now, wall time.Time) {
+	t := e.taskByName(end.Task)
+	if t == nil {
+		return
+	}
+	if end.How == workflow.EndDone {
+		e.checkDone(n, incarnation, t, end.Run, now)
+	}
+	if t.phase == workflow.TaskDone {
+		return
+	}
+	if t.run != end.Run || t.phase == workflow.TaskAssigned && t.executorIncarnation != incarnation {
+		if end.How == workflow.EndDone && !t.step.LongRunning {
+			// Whichever run has finished the task, it must not start again once this end is acknowledged. The assigned run is then
+			// stopped as an orphaned one.
+			e.completeTask(t, end.Run, incarnation, now, wall)
+		}
+		return
+	}
+	if t.phase == workflow.TaskWaiting && end.How != workflow.EndDone {
+		return
+	}
+	if end.Saved != "" {
+		t.setSaved(end.Saved, now)
+	}
+	assigned := t.phase == workflow.TaskAssigned
+	if end.How == workflow.EndDone {
+		if assigned {
+			n.recordDuration(t)
+			e.quarantine.RecordSuccess(t.job.ID, n.name, now)
+		}
+		e.completeTask(t, end.Run, incarnation, now, wall)
+		return
+	}
+	if end.How == workflow.EndFailed {
+		t.failures++
+		t.failedHosts = append(t.failedHosts, n.name)
+		if !t.step.LongRunning {
+			// A failure of a long-running task does not indicate a fault of the executor.
+			e.quarantine.RecordFailure(t.job.ID, n.name, now)
+		}
+	}
+	if assigned {
+		e.unassign(t, listedEnd(end.How), now)
+	}
+	if end.How == workflow.EndFailed && !t.step.LongRunning && !t.job.phase.Final() && e.attemptsExhausted(t) {
+		e.finish(t.job, workflow.Failed, now, wall)
+	}
+}
+
+// attemptsExhausted reports whether the failures of a task, or of its whole gang, have reached the queue's limit.
+func (e *Engine) attemptsExhausted(t *task) bool {
+	failures := t.failures
+	if t.step.Gang {
+		failures = 0
+		for _, member := range t.group.tasks {
+			failures += member.failures
+		}
+	}
+	return failures >= max(e.queueOf(t.job).MaxAttempts, 1)
+}
+
+// completeTask marks a task, or all members of its gang, as done by a run on an executor incarnation.
+func (e *Engine) completeTask(t *task, run int, incarnation string, now, wall time.Time) {
+	members := []*task{t}
+	if t.step.Gang {
+		members = t.group.tasks
+	}
+	for _, m := range members {
+		if m.phase == workflow.TaskDone {
+			continue
+		}
+		if m.phase == workflow.TaskAssigned {
+			if m != t {
+				m.keepFormerRun(GangDone, now)
+			} else if m.run != run {
+				m.keepFormerRun(OtherRunDone, now)
+			}
+			e.untrack(m)
+			delete(e.stopping, m)
+		}
+		m.phase = workflow.TaskDone
+		m.clearRun()
+		m.group.done++
+		m.doneRun = m.run
+	}
+	t.doneRun, t.doneExecutor = run, incarnation
+	j := t.job
+	e.markDirty(j)
+	e.needsPlanning = true
+	if t.group.done == len(t.group.tasks) {
+		e.observeDuration(t.group)
+	}
+	if !j.phase.Final() && j.isComplete() {
+		e.finish(j, workflow.Completed, now, wall)
+	}
+}
+
+// isComplete reports whether all tasks of the job are done.
+func (j *job) isComplete() bool {
+	for i := range j.groups {
+		if j.groups[i].done < len(j.groups[i].tasks) {
+			return false
+		}
+	}
+	return true
+}
+
+// finish moves a job to a final phase and requests stops of its remaining runs. The time carries a reading of the monotonic clock.
+func (e *Engine) finish(j *job, phase workflow.Phase, now, wall time.Time) {
+	j.phase = phase
+	j.endedUnixMillis, j.endKnownAt = wall.UnixMilli(), now
+	delete(e.activeJobs, j.ID)
+	e.markDirty(j)
+	e.needsPlanning = true
+	for _, t := range j.tasks {
+		if t.phase == workflow.TaskAssigned {
+			e.requestStop(t, "its job has ended")
+		}
+	}
+}
--- a/workflow/engine/replacement.go
+++ b/workflow/engine/replacement.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/quetzalshed/quetzalshed/workflow"
@@ -35,3 +36,83 @@
 
 // onHost reports whether the tasks of an incarnation are assigned to a host. A host has one executor at a time.
 func onHost(tasks []*task, host string) bool { return len(tasks) > 0 && tasks[0].host == host }
+
+// replaceExecutor replaces the executor of a node by another incarnation. If the new one has the same ID, it may have received
+// starts meant for the former one, so the tasks are reassigned to it until its lists show whether they run.
+func (e *Engine) replaceExecutor(n *node, r *workflow.Report, now time.Time) {
+	executor := r.Executor
+	if n.known {
+		e.endIncarnation(n, n.executorIncarnation, executor, now)
+		if e.nodeByIncarnation[n.executorIncarnation] == n {
+			delete(e.nodeByIncarnation, n.executorIncarnation)
+		}
+	}
+	n.executor, n.known, n.ackedEnd, n.orphanedRuns, n.rejections = *executor, true, 0, nil, 0
+	n.endReportedAt = time.Time{}
+	n.executorIncarnation = executor.IncarnationID()
+	e.nodeByIncarnation[n.executorIncarnation] = n
+	e.quarantine.ForgetWorker(n.name)
+	e.indexDomains()
+	delete(e.unreportedHosts, n.name)
+	n.unproven = true
+	for former := range e.assignedTasks {
+		if hasExecutorID(former, executor.ID) {
+			e.endIncarnation(n, former, executor, now)
+		}
+	}
+	for _, t := range e.assignedTasks[n.executorIncarnation] {
+		if t.node == nil {
+			n.addTask(t)
+		}
+	}
+	e.needsPlanning = true
+}
+
+// indexDomains numbers the executors within each failure domain.
+func (e *Engine) indexDomains() {
+	counts := map[string]int{}
+	for _, n := range e.sortedNodes {
+		if !n.known {
+			continue
+		}
+		n.domainIndex = counts[n.executor.FailureDomain]
+		counts[n.executor.FailureDomain]++
+	}
+}
+
+// hasExecutorID reports whether an incarnation is one of the executor with the given ID.
+func hasExecutorID(incarnation, id string) bool {
+	return len(incarnation) > len(id) && incarnation[:len(id)] == id && incarnation[len(id)] == '@'
+}
+
+// endIncarnation unassigns or reassigns the tasks of a former incarnation of an executor.
+func (e *Engine) endIncarnation(n *node, former string, executor *workflow.Executor, now time.Time) {
+	if former == executor.IncarnationID() {
+		return
+	}
+	e.recordReplacement(n, former, executor, now)
+	for _, t := range e.assignedTo(former) {
+		if hasExecutorID(former, executor.ID) {
+			e.reassign(t, n, executor.IncarnationID())
+			continue
+		}
+		e.unassign(t, ExecutorReplaced, now)
+	}
+}
+
+// reassign moves an assigned task to another executor incarnation.
+func (e *Engine) reassign(t *task, n *node, incarnation string) {
+	e.untrack(t)
+	t.executorIncarnation, t.host = incarnation, n.name
+	t.listed, t.started, t.startedSequence = false, false, 0
+	t.reassigned = true
+	t.stoppedSequence, t.stopOrderedAt = 0, time.Time{}
+	n.addTask(t)
+	e.track(t)
+	e.markDirty(t.job)
+}
+
+// assignedTo returns a copy of the tasks assigned to an incarnation, for callers that unassign some of them.
+func (e *Engine) assignedTo(incarnation string) []*task {
+	return slices.Clone(e.assignedTasks[incarnation])
+}
