--- a/node/node.go
+++ b/node/node.go
@@ -92,7 +92,10 @@
 }
 
 // New returns a node that reports under the given name and receives orders at the given address.
-func New(name, address string, executor Executor, locator *ownership.Locator, client *rpc.Client, host clock.Host, log hclog.Logger, scope tally.Scope) *Node {
+func New(
+	name, address string, executor Executor, locator *ownership.Locator, client *rpc.Client, host clock.Host, log hclog.Logger,
+	scope tally.Scope,
+) *Node {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)
 	boot := clock.NewBoot(host)
 	if !boot.CountsSuspensions() {
@@ -106,8 +109,10 @@
 	return &Node{
 		copies: copies,
 		name:   name, address: address, incarnation: time.Now().UnixNano(), executor: executor, locator: locator,
-		leaseBound: boot.Now().Add(owner.ExecutorLeaseDuration), rpc: client, clock: boot, host: host, log: log, reportSentAt: map[int64]time.Time{},
-		unlistedStarts: map[int64]workflow.RunState{}, needsTraits: true, traits: map[string]workflow.RunTraits{}, paces: map[string]int{}, nearTarget: map[string]bool{}, pacer: sharing.NewController(),
+		leaseBound: boot.Now().Add(owner.ExecutorLeaseDuration), rpc: client, clock: boot, host: host, log: log,
+		reportSentAt: map[int64]time.Time{}, unlistedStarts: map[int64]workflow.RunState{},
+		needsTraits: true, traits: map[string]workflow.RunTraits{}, paces: map[string]int{}, nearTarget: map[string]bool{},
+		pacer:    sharing.NewController(),
 		wakeHold: make(chan struct{}, 1), wakeReport: make(chan struct{}, 1),
 		metrics: nodeMetrics{
 			starts: scope.Counter("node_starts"), rejected: scope.Counter("node_starts_rejected"),
--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -18,7 +18,8 @@
 	return metrics{
 		commits: scope.Counter("owner_commits"), changes: scope.Counter("owner_changes"),
 		orders: scope.Counter("owner_orders"), rejected: scope.Counter("owner_orders_rejected"),
-		lapsed: scope.Counter("owner_lapsed_executors"), departed: scope.Counter("owner_departed_executors"), ended: scope.Counter("owner_ended_executors"), quarantined: scope.Counter("owner_quarantined_executors"),
+		lapsed: scope.Counter("owner_lapsed_executors"), departed: scope.Counter("owner_departed_executors"),
+		ended: scope.Counter("owner_ended_executors"), quarantined: scope.Counter("owner_quarantined_executors"),
 		crashed: scope.Counter("owner_crashed_executors"), givenUp: scope.Counter("owner_given_up_jobs"),
 		commitTime: scope.Histogram("owner_commit_seconds", tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 2, 12)),
 		jobs:       scope.Gauge("owner_jobs_active"), assigned: scope.Gauge("owner_tasks_assigned"),
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -134,7 +134,8 @@
 	t := &term{
 		lease: lease, clock: boot, store: c.Store, operators: c.Operators, rpc: c.RPC, log: c.Log, metrics: metrics,
 		events: make(chan event, eventQueueSize), loaded: make(chan struct{}), commitDone: make(chan error, 1),
-		remoteSlowdown: cmp.Or(c.RemoteSlowdown, defaultRemoteSlowdown), retention: cmp.Or(c.Retention, defaultRetention), commitRevision: lease.CommitRevision, acked: map[string]int64{}, deletedJobs: deletedJobs{},
+		remoteSlowdown: cmp.Or(c.RemoteSlowdown, defaultRemoteSlowdown), retention: cmp.Or(c.Retention, defaultRetention),
+		commitRevision: lease.CommitRevision, acked: map[string]int64{}, deletedJobs: deletedJobs{},
 	}
 	c.Log.Info("ownership taken", "epoch", lease.Record.Epoch)
 	c.setTerm(t)
--- a/owner/term.go
+++ b/owner/term.go
@@ -119,8 +119,8 @@
 	records := t.parseRecords(states)
 	now := t.clock.Now()
 	t.engine = engine.New(engine.Settings{
-		LeaseDuration: ExecutorLeaseDuration, LeaseExpiry: executorLeaseExpiry, RemoteSlowdown: t.remoteSlowdown, Retention: t.retention, TakeoverSlack: takeoverSlack,
-		Epoch: t.lease.Record.Epoch,
+		LeaseDuration: ExecutorLeaseDuration, LeaseExpiry: executorLeaseExpiry, TakeoverSlack: takeoverSlack,
+		RemoteSlowdown: t.remoteSlowdown, Retention: t.retention, Epoch: t.lease.Record.Epoch,
 	}, now)
 	t.inheritLeases()
 	t.unreportedLogAt = now.Add(unreportedLogDelay)
--- a/test/soak/oracle_test.go
+++ b/test/soak/oracle_test.go
@@ -179,7 +179,13 @@
 	for _, moment := range []struct {
 		what string
 		at   time.Time
-	}{{"stop ordered", r.stopped}, {"ended " + r.how, r.endedAt}, {"acknowledged", r.ackedAt}, {"lapsed", r.lapsedAt}, {"lost, executor " + r.how, r.lostAt}} {
+	}{
+		{"stop ordered", r.stopped},
+		{"ended " + r.how, r.endedAt},
+		{"acknowledged", r.ackedAt},
+		{"lapsed", r.lapsedAt},
+		{"lost, executor " + r.how, r.lostAt},
+	} {
 		if !moment.at.IsZero() {
 			fmt.Fprintf(&b, ", %s %s", moment.what, moment.at.UTC().Format(journalTime))
 		}
--- a/test/workflows/random_faults_test.go
+++ b/test/workflows/random_faults_test.go
@@ -63,7 +63,9 @@
 
 // crashActionKinds also contain executors that end without an announcement or refuse connections for a moment, and restarts of
 // processes beside them.
-var crashActionKinds = append([]string{"die", "die", "die", "refuse-shortly", "kill", "start", "start", "restart", "late"}, departureActionKinds...)
+var crashActionKinds = append([]string{
+	"die", "die", "die", "refuse-shortly", "kill", "start", "start", "restart", "late",
+}, departureActionKinds...)
 
 // leaseActionKinds are the faults that make leases expire or change the owner. Restarts of executors are left to actionKinds: a
 // start that reaches the next incarnation keeps a deadline of the former one's clock, which is an open fault (docs/PROOFS.md).
@@ -74,7 +76,9 @@
 
 // longActionKinds also contain reads of all inputs that are answered late, calls between processes that are carried out late, and
 // announcements of foreign executors. Histories of them go on beyond the retention of finished jobs.
-var longActionKinds = append([]string{"read-late", "read-late", "compact", "compact", "calls-late", "calls-in-time", "foreign"}, leaseActionKinds...)
+var longActionKinds = append([]string{
+	"read-late", "read-late", "compact", "compact", "calls-late", "calls-in-time", "foreign",
+}, leaseActionKinds...)
 
 // maxCallLateness is how much later a call between processes may be carried out.
 const maxCallLateness = 4 * time.Second
@@ -462,7 +466,10 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			defer time.Sleep(callDrainTime)
 			defer cancel()
-			h := &history{fleet: newRetainingFleet(t, ctx, randomTestHosts, faults.fetching, faults.retention), stopped: map[int]bool{}, misreported: map[int]bool{}, cancelled: map[string]bool{}}
+			h := &history{
+				fleet:   newRetainingFleet(t, ctx, randomTestHosts, faults.fetching, faults.retention),
+				stopped: map[int]bool{}, misreported: map[int]bool{}, cancelled: map[string]bool{},
+			}
 			h.setTaskTime(faults.taskTime)
 			if faults.manyEnds {
 				h.manySmall = true
--- a/workflow/engine/former_runs.go
+++ b/workflow/engine/former_runs.go
@@ -109,7 +109,10 @@
 
 // startBasis returns what was known when the current run of the task was ordered.
 func (t *task) startBasis() StartBasis {
-	b := StartBasis{RejectedStarts: t.rejectedStarts, JobRecorded: t.job.recorded, JobKnown: t.startedAt.Sub(t.job.knownAt), JobForgotten: t.job.forgotten}
+	b := StartBasis{
+		RejectedStarts: t.rejectedStarts, JobRecorded: t.job.recorded, JobKnown: t.startedAt.Sub(t.job.knownAt),
+		JobForgotten: t.job.forgotten,
+	}
 	former := t.former
 	if former == nil {
 		former = t.rejected
--- a/workflow/engine/output.go
+++ b/workflow/engine/output.go
@@ -87,7 +87,8 @@
 // orders returns the orders for the node, and what was known for each start.
 func (n *node) orders(b *outbox, lease time.Duration) (o workflow.Orders, bases []StartBasis) {
 	o = workflow.Orders{
-		Incarnation: n.incarnation, ReportNumber: n.number, ExecutorIncarnation: n.executor.IncarnationID(), Stops: b.stops, Specs: map[string]string{},
+		Incarnation: n.incarnation, ReportNumber: n.number, ExecutorIncarnation: n.executor.IncarnationID(),
+		Stops: b.stops, Specs: map[string]string{},
 	}
 	if n.leaseGranted {
 		o.LeaseMillis = lease.Milliseconds()
--- a/workflow/engine/reconcile.go
+++ b/workflow/engine/reconcile.go
@@ -90,6 +90,7 @@
 	}
 	n.orphanStopsAt = now
 	for _, run := range n.orphanedRuns {
-		e.outboxFor(n.name).stops = append(e.outboxFor(n.name).stops, workflow.StopOrder{Task: run.Task, Run: run.Run, Reason: "no task is assigned to it"})
+		b := e.outboxFor(n.name)
+		b.stops = append(b.stops, workflow.StopOrder{Task: run.Task, Run: run.Run, Reason: "no task is assigned to it"})
 	}
 }
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -184,7 +184,10 @@
 		return false
 	}
 	age := max(wall.Sub(time.UnixMilli(spec.AcceptedUnixMillis)), 0)
-	j := &job{Job: spec, phase: workflow.Pending, storedPhase: workflow.Pending, acceptedAt: now.Add(-age), knownAt: now, recorded: record != nil, forgotten: e.WasForgotten(spec.ID)}
+	j := &job{
+		Job: spec, phase: workflow.Pending, storedPhase: workflow.Pending, acceptedAt: now.Add(-age), knownAt: now,
+		recorded: record != nil, forgotten: e.WasForgotten(spec.ID),
+	}
 	j.buildTasks()
 	e.jobs[spec.ID] = j
 	e.activeJobs[spec.ID] = j
