Engine: split HandleReport

The lookup of the node is now nodeNamed, and the choice between the known executor and the reported one is takeExecutor; the statements keep their order. Behaviour is unchanged.

--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -37,13 +37,7 @@
 // records are stored, and whether the lease is renewed. It is not renewed when the executor has stopped responding, or has
 // not responded yet: otherwise its tasks would count as running for as long as its node is up.
 func (e *Engine) HandleReport(r *workflow.Report, now, wall time.Time) (ack int64, granted bool) {
-	n := e.nodes[r.Node]
-	if n == nil {
-		n = &node{name: r.Node, leaseExpires: e.unreportedExpiry, leaseSource: LeaseOfTakeover}
-		e.nodes[r.Node] = n
-		i, _ := slices.BinarySearchFunc(e.sortedNodes, n, func(a, b *node) int { return cmp.Compare(a.name, b.name) })
-		e.sortedNodes = slices.Insert(e.sortedNodes, i, n)
-	}
+	n := e.nodeNamed(r.Node)
 	if r.Incarnation < n.incarnation && !n.clockSetBack(r, now) || r.Incarnation == n.incarnation && r.Number <= n.number {
 		return 0, false
 	}
@@ -57,24 +51,9 @@
 		}
 		return 0, false
 	}
-	if !n.known || n.executorIncarnation != r.Executor.IncarnationID() {
-		if n.known && r.Executor.StartedUnixMillis < n.executor.StartedUnixMillis {
-			return 0, false
-		}
-		if e.mayStillRun(n, r) {
-			n.listedAt = time.Time{}
-			return 0, false
-		}
-		e.replaceExecutor(n, r, now)
-	}
-	e.endReplaced(n, r, now)
-	// Draining is never undone within an incarnation: a restarted node may receive an outdated announcement first.
-	draining := r.Executor.Draining || n.executor.Draining
-	if draining != n.executor.Draining {
-		e.needsPlanning = true
+	if !e.takeExecutor(n, r, now) {
+		return 0, false
 	}
-	n.executor = *r.Executor
-	n.executor.Draining = draining
 	if r.Executor.Left {
 		e.endDeparted(n, r, now, wall)
 		return 0, false
@@ -102,6 +81,42 @@
 	return n.ackedEnd, true
 }
 
+// nodeNamed returns the node with a name, and adds it if it is new.
+func (e *Engine) nodeNamed(name string) *node {
+	n := e.nodes[name]
+	if n == nil {
+		n = &node{name: name, leaseExpires: e.unreportedExpiry, leaseSource: LeaseOfTakeover}
+		e.nodes[name] = n
+		i, _ := slices.BinarySearchFunc(e.sortedNodes, n, func(a, b *node) int { return cmp.Compare(a.name, b.name) })
+		e.sortedNodes = slices.Insert(e.sortedNodes, i, n)
+	}
+	return n
+}
+
+// takeExecutor takes over the executor that a report names, in place of another one if that has ended. It returns false if the
+// report is to be ignored: it names an older executor than the known one, or the known one may still run tasks.
+func (e *Engine) takeExecutor(n *node, r *workflow.Report, now time.Time) bool {
+	if !n.known || n.executorIncarnation != r.Executor.IncarnationID() {
+		if n.known && r.Executor.StartedUnixMillis < n.executor.StartedUnixMillis {
+			return false
+		}
+		if e.mayStillRun(n, r) {
+			n.listedAt = time.Time{}
+			return false
+		}
+		e.replaceExecutor(n, r, now)
+	}
+	e.endReplaced(n, r, now)
+	// Draining is never undone within an incarnation: a restarted node may receive an outdated announcement first.
+	draining := r.Executor.Draining || n.executor.Draining
+	if draining != n.executor.Draining {
+		e.needsPlanning = true
+	}
+	n.executor = *r.Executor
+	n.executor.Draining = draining
+	return true
+}
+
 // clockSetBack reports whether a report with a lower incarnation comes from a newer process of the node, because the
 // host's wall clock was set back in between. In that case the former process has stopped reporting, and the newer one
 // has sent only a few reports.
