Workflow tests: write a check and a setup once

The check of the time until tasks run again stood in seven places, the setup of running tasks in two. They are now assertRestartedWithin and submitRunning. The limits, the order of the steps and what is checked are the same.

--- a/test/workflows/crashed_executors_test.go
+++ b/test/workflows/crashed_executors_test.go
@@ -29,7 +29,7 @@
 					lost.start()
 				}
 				tasks.assertRestarted(lostAt)
-				f.Assert(time.Since(lostAt) <= maxCrashStandstill, qt.IsTrue, qt.Commentf("restarted after %v", time.Since(lostAt)))
+				f.assertRestartedWithin(maxCrashStandstill, lostAt)
 			})
 		})
 	}
@@ -48,7 +48,7 @@
 		leaving.kill()
 		leaving.start()
 		tasks.assertRestarted(leftAt)
-		f.Assert(time.Since(leftAt) <= maxCrashStandstill, qt.IsTrue, qt.Commentf("restarted after %v", time.Since(leftAt)))
+		f.assertRestartedWithin(maxCrashStandstill, leftAt)
 	})
 }
 
@@ -67,7 +67,7 @@
 					time.Sleep(pause)
 					f.changeOwner(planned)
 					tasks.assertRestarted(lostAt)
-					f.Assert(time.Since(lostAt) <= takeoverTime+maxCrashStandstill, qt.IsTrue, qt.Commentf("restarted after %v", time.Since(lostAt)))
+					f.assertRestartedWithin(takeoverTime+maxCrashStandstill, lostAt)
 				})
 			})
 		}
--- a/test/workflows/departed_executors_test.go
+++ b/test/workflows/departed_executors_test.go
@@ -86,7 +86,7 @@
 		time.Sleep(2 * time.Second)
 		f.handOver()
 		f.waitFor(30*time.Second, func() bool { return f.checker.runningCount() == 4 })
-		f.Assert(time.Since(leftAt) <= maxStandstill, qt.IsTrue, qt.Commentf("restarted after %v", time.Since(leftAt)))
+		f.assertRestartedWithin(maxStandstill, leftAt)
 		f.Assert(f.checker.foundViolations(), qt.HasLen, 0)
 	})
 }
@@ -103,7 +103,7 @@
 		leftAt := time.Now()
 		leaving.stop()
 		f.waitFor(30*time.Second, func() bool { return f.checker.runningCount() == 4 })
-		f.Assert(time.Since(leftAt) <= maxStandstill, qt.IsTrue, qt.Commentf("restarted after %v", time.Since(leftAt)))
+		f.assertRestartedWithin(maxStandstill, leftAt)
 		f.Assert(f.checker.foundViolations(), qt.HasLen, 0)
 	})
 }
@@ -127,7 +127,7 @@
 		f.owner().kill()
 		<-stopped
 		f.waitFor(30*time.Second, func() bool { return f.checker.runningCount() == 4 })
-		f.Assert(time.Since(leftAt) <= maxStandstill, qt.IsTrue, qt.Commentf("restarted after %v", time.Since(leftAt)))
+		f.assertRestartedWithin(maxStandstill, leftAt)
 		f.Assert(f.checker.foundViolations(), qt.HasLen, 0)
 	})
 }
--- a/test/workflows/refusals_test.go
+++ b/test/workflows/refusals_test.go
@@ -8,6 +8,18 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// submitRunning submits a job whose tasks run for the given time, and waits until all of them run. It returns the ID of the job.
+func (f *fleet) submitRunning(count int, duration time.Duration) string {
+	for _, h := range f.hosts {
+		h.executor.SetDuration(duration)
+	}
+	job := f.newJob(count)
+	job.Steps[0].EstimateMillis = duration.Milliseconds()
+	f.submitUntilAccepted(job)
+	f.waitFor(5*time.Second, func() bool { return f.checker.runningCount() == count })
+	return job.ID
+}
+
 // Guards against tasks that run twice at once, since their executor refuses connections for a while: its server is away, or it has as
 // many connections as it takes. It announces itself and lists its runs again afterwards.
 func TestRefusalsOfAnnouncedExecutorDoNotEndRuns(t *testing.T) {
@@ -15,20 +27,14 @@
 		refused *= time.Millisecond
 		t.Run(fmt.Sprint(refused), func(t *testing.T) {
 			runWithFleet(t, 3, func(f *fleet) {
-				for _, h := range f.hosts {
-					h.executor.SetDuration(20 * time.Second)
-				}
-				job := f.newJob(9)
-				job.Steps[0].EstimateMillis = 20000
-				f.submitUntilAccepted(job)
-				f.waitFor(5*time.Second, func() bool { return f.checker.runningCount() == 9 })
+				id := f.submitRunning(9, 20*time.Second)
 				for _, h := range f.hosts {
 					h.executor.SetRefusing(true)
 					time.Sleep(refused)
 					h.executor.SetRefusing(false)
 					time.Sleep(time.Second)
 				}
-				f.waitCompleted(30*time.Second, job.ID)
+				f.waitCompleted(30*time.Second, id)
 				f.Assert(f.checker.startCount(), qt.Equals, 9)
 			})
 		})
@@ -39,13 +45,7 @@
 // current one refuses a connection (found by TestRandomFaultsWithRefusedConnections, seed 4102).
 func TestLateDepartureAndRefusalDoNotEndRuns(t *testing.T) {
 	runWithFleet(t, 3, func(f *fleet) {
-		for _, h := range f.hosts {
-			h.executor.SetDuration(5 * time.Second)
-		}
-		job := f.newJob(9)
-		job.Steps[0].EstimateMillis = 5000
-		f.submitUntilAccepted(job)
-		f.waitFor(5*time.Second, func() bool { return f.checker.runningCount() == 9 })
+		id := f.submitRunning(9, 5*time.Second)
 		for _, h := range f.hosts {
 			description, _ := h.executor.Describe()
 			h.node.Leave(description.ID)
@@ -54,7 +54,7 @@
 			h.executor.SetRefusing(false)
 			time.Sleep(time.Second)
 		}
-		f.waitCompleted(30*time.Second, job.ID)
+		f.waitCompleted(30*time.Second, id)
 		f.Assert(f.checker.startCount(), qt.Equals, 9)
 	})
 }
--- a/test/workflows/silent_executors_test.go
+++ b/test/workflows/silent_executors_test.go
@@ -19,6 +19,13 @@
 	f.owner().kill()
 }
 
+// assertRestartedWithin is called once tasks run again, and fails if that is later than the limit after since.
+func (f *fleet) assertRestartedWithin(limit time.Duration, since time.Time) {
+	f.Helper()
+	stood := time.Since(since)
+	f.Assert(stood <= limit, qt.IsTrue, qt.Commentf("restarted after %v", stood))
+}
+
 // lostTasks holds the tasks that ran on an executor when it was lost.
 type lostTasks struct {
 	fleet       *fleet
@@ -39,7 +46,7 @@
 	f := l.fleet
 	f.Helper()
 	f.waitFor(30*time.Second, func() bool { return f.checker.runElsewhere(l.incarnation, l.tasks) })
-	f.Assert(time.Since(since) <= maxStandstill, qt.IsTrue, qt.Commentf("restarted after %v", time.Since(since)))
+	f.assertRestartedWithin(maxStandstill, since)
 	f.Assert(f.checker.foundViolations(), qt.HasLen, 0)
 }
 
