Tests of node and owner: read log lines in one place

Both decoded the lines of a logger by the same code. It is now loggingtest.New, which also replaces the imports that only this needed. What the tests check is the same.

--- a/node/pauses_test.go
+++ b/node/pauses_test.go
@@ -1,31 +1,20 @@
 package node
 
 import (
-	"bytes"
-	"encoding/json"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/hashicorp/go-hclog"
 
-	"github.com/quetzalshed/quetzalshed/logging"
+	"github.com/quetzalshed/quetzalshed/logging/loggingtest"
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
 // loggedNode returns a node whose log lines lines returns.
 func loggedNode(t *testing.T) (n *Node, lines func() []map[string]any) {
 	n = newNode()
-	out := &bytes.Buffer{}
-	n.log = logging.New("node", out, hclog.Info)
-	return n, func() (read []map[string]any) {
-		for decoder := json.NewDecoder(out); decoder.More(); {
-			var line map[string]any
-			qt.Assert(t, decoder.Decode(&line), qt.IsNil)
-			read = append(read, line)
-		}
-		return read
-	}
+	n.log, lines = loggingtest.New(t, "node")
+	return n, lines
 }
 
 // Guards against a suspension of the host or a pause of the process that the log doesn't tell, and against a line for each of
--- a/owner/runs_test.go
+++ b/owner/runs_test.go
@@ -1,18 +1,15 @@
 package owner
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/hashicorp/go-hclog"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/quetzalshed/quetzalshed/logging"
+	"github.com/quetzalshed/quetzalshed/logging/loggingtest"
 	"github.com/quetzalshed/quetzalshed/rpc/rpctest"
 	"github.com/quetzalshed/quetzalshed/workflow"
 	"github.com/quetzalshed/quetzalshed/workflow/engine"
@@ -20,18 +17,11 @@
 
 // loggedTerm returns a term whose log lines lines returns, and with metrics in scope.
 func loggedTerm(t *testing.T) (logged *term, scope tally.TestScope, lines func() []map[string]any) {
-	out := &bytes.Buffer{}
 	scope = tally.NewTestScope("", nil)
 	logged = newTerm(t, rpctest.New())
-	logged.log, logged.metrics = logging.New("owner", out, hclog.Info), newMetrics(scope)
-	return logged, scope, func() (read []map[string]any) {
-		for decoder := json.NewDecoder(out); decoder.More(); {
-			var line map[string]any
-			qt.Assert(t, decoder.Decode(&line), qt.IsNil)
-			read = append(read, line)
-		}
-		return read
-	}
+	logged.log, lines = loggingtest.New(t, "owner")
+	logged.metrics = newMetrics(scope)
+	return logged, scope, lines
 }
 
 // Guards against a second start of a task whose line does not tell how the first run ended, and against more than one line for
