--- a/workflow/engine/crash_ends_test.go
+++ b/workflow/engine/crash_ends_test.go
@@ -87,12 +87,7 @@
 // Guards against tasks that wait because the owner has changed after the crash: the last lists tell it which starts took effect.
 func TestTasksOfCrashedExecutorRestartAfterTakeover(t *testing.T) {
 	h := newHarness(t)
-	job := h.job(step(2))
-	h.engine.Add(job, nil, h.now, h.now)
-	h.report("a", executor("a", 1), nil, nil)
-	h.engine.Plan(h.now, h.now)
-	record := h.engine.TakeDirty()[0].Record
-	running := h.accept("a", h.engine.TakeOrders()[0].Orders)
+	job, record, running := h.assigned(executor("a", 1))
 	h.epoch = 2
 	h.engine = h.newEngine()
 	h.engine.Add(job, &record, h.now, h.now)
--- a/workflow/engine/departures_test.go
+++ b/workflow/engine/departures_test.go
@@ -15,12 +15,7 @@
 func TestTasksOfDepartedExecutorRestartAtOnce(t *testing.T) {
 	for _, takeover := range []bool{false, true} {
 		h := newHarness(t)
-		job := h.job(step(2))
-		h.engine.Add(job, nil, h.now, h.now)
-		h.report("a", executor("a", 1), nil, nil)
-		h.engine.Plan(h.now, h.now)
-		record := h.engine.TakeDirty()[0].Record
-		running := h.accept("a", h.engine.TakeOrders()[0].Orders)
+		job, record, running := h.assigned(executor("a", 1))
 		if takeover {
 			h.engine = h.newEngine()
 			h.engine.Add(job, &record, h.now, h.now)
--- a/workflow/engine/replacement_test.go
+++ b/workflow/engine/replacement_test.go
@@ -21,12 +21,7 @@
 	for name, takeover := range map[string]bool{"known executor": false, "after a takeover": true} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t)
-			job := h.job(step(2))
-			h.engine.Add(job, nil, h.now, h.now)
-			h.report("a", executor("a", 1), nil, nil)
-			h.engine.Plan(h.now, h.now)
-			record := h.engine.TakeDirty()[0].Record
-			running := h.accept("a", h.engine.TakeOrders()[0].Orders)
+			job, record, running := h.assigned(executor("a", 1))
 			h.Assert(running, qt.HasLen, 2)
 			if takeover {
 				h.takeOver(job, record)
