Engine: say once what now and wall hold

The comments named a monotonic reading, which the times of the owner's clock no longer have. The package comment now tells the two parameters apart, and two comments no longer speak of a monotonic clock. Only comments are changed.

--- a/workflow/engine/ends.go
+++ b/workflow/engine/ends.go
@@ -115,7 +115,7 @@
 	return true
 }
 
-// finish moves a job to a final phase and requests stops of its remaining runs. The time carries a reading of the monotonic clock.
+// finish moves a job to a final phase and requests stops of its remaining runs.
 func (e *Engine) finish(j *job, phase workflow.Phase, now, wall time.Time) {
 	j.phase = phase
 	j.endedUnixMillis, j.endKnownAt = wall.UnixMilli(), now
--- a/workflow/engine/job.go
+++ b/workflow/engine/job.go
@@ -18,7 +18,7 @@
 	// endKnownAt is since when this owner knows that the job has ended, on its clock. The retention counts from it, since the
 	// wall clocks of owners differ.
 	endKnownAt time.Time
-	// acceptedAt is when the job was accepted, on the owner's monotonic clock.
+	// acceptedAt is when the job was accepted, on the owner's clock.
 	acceptedAt time.Time
 	// knownAt is when this owner learned of the job; recorded is set if the job had a record then, forgotten if this owner had
 	// removed it before.
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -1,5 +1,8 @@
 // Package engine schedules the tasks of jobs on executors. It is a state machine that does no I/O: the owner passes in
-// events with a monotonic clock reading, and carries out the engine's decisions once they are stored.
+// events with the time, and carries out the engine's decisions once they are stored.
+//
+// Two times are passed in. now is the time on the owner's clock, which goes on while the host is suspended; the engine measures
+// all durations by it. wall is the time of day, for what is stored or set as such: when jobs were accepted, are due and ended.
 package engine
 
 import (
