Node: name the full pace where a run starts

The literal 100 is sharing.FullPace, which the other paces use. Behaviour is unchanged.

Run: go build ./..., go vet ./node, go test ./node.

--- a/node/orders.go
+++ b/node/orders.go
@@ -9,6 +9,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/quetzalshed/quetzalshed/node/sharing"
 	"github.com/quetzalshed/quetzalshed/owner"
 	"github.com/quetzalshed/quetzalshed/rpc"
 	"github.com/quetzalshed/quetzalshed/workflow"
@@ -107,7 +108,7 @@
 	if reason == "" {
 		fence = n.fence(orders.Epoch)
 		n.traits[s.Task] = s.RunTraits
-		n.paces[s.Task] = 100
+		n.paces[s.Task] = sharing.FullPace
 	}
 	n.mu.Unlock()
 	if reason != "" {
