Node tests: measure the ages of a rejected start by one clock

It takes the times from the node's clock now; what it asserts is the same.

Run: go test -count=300 -run TestRejectedStartTellsAges ./node, with and without -race: ok.

--- a/node/pauses_test.go
+++ b/node/pauses_test.go
@@ -98,8 +98,8 @@
 func TestRejectedStartTellsAges(t *testing.T) {
 	c := qt.New(t)
 	n, lines := loggedNode(t)
-	n.reportSentAt[1] = time.Now().Add(-time.Minute)
-	n.leaseEnd = time.Now().Add(-time.Second)
+	n.reportSentAt[1] = n.clock.Now().Add(-time.Minute)
+	n.leaseEnd = n.clock.Now().Add(-time.Second)
 	orders := &workflow.Orders{Epoch: 1, Incarnation: n.incarnation, ReportNumber: 1, ExecutorIncarnation: "i-1@1000"}
 	result := n.start(t.Context(), orders, &workflow.StartOrder{Run: 1})
 	c.Assert(result.Outcome, qt.Equals, workflow.OutcomeRejected)
