--- a/workflow/engine/output.go
+++ b/workflow/engine/output.go
@@ -87,7 +87,8 @@
 // orders returns the orders for the node, and what was known for each start.
 func (n *node) orders(b *outbox, lease time.Duration) (o workflow.Orders, bases []StartBasis) {
 	o = workflow.Orders{
-		Incarnation: n.incarnation, ReportNumber: n.number, ExecutorIncarnation: n.executor.IncarnationID(), Stops: b.stops, Specs: map[string]string{},
+		Incarnation: n.incarnation, ReportNumber: n.number, ExecutorIncarnation: n.executor.IncarnationID(),
+		Stops: b.stops, Specs: map[string]string{},
 	}
 	if n.leaseGranted {
 		o.LeaseMillis = lease.Milliseconds()
@@ -194,7 +195,7 @@
 		if len(ids) == limit {
 			break
 		}
-		if j.phase.Final() && j.storedPhase.Final() && now.Sub(j.endedAt) > e.settings.Retention && !j.hasAssignedTask() {
+		if j.phase.Final() && j.storedPhase.Final() && now.Sub(j.endKnownAt) > e.settings.Retention && !j.hasAssignedTask() {
 			ids = append(ids, j.ID)
 		}
 	}
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -1,5 +1,8 @@
 // Package engine schedules the tasks of jobs on executors. It is a state machine that does no I/O: the owner passes in
-// events with a monotonic clock reading, and carries out the engine's decisions once they are stored.
+// events with the time, and carries out the engine's decisions once they are stored.
+//
+// Two times are passed in. now is the time on the owner's clock, which goes on while the host is suspended; the engine measures
+// all durations by it. wall is the time of day, for what is stored or set as such: when jobs were accepted, are due and ended.
 package engine
 
 import (
@@ -184,7 +187,10 @@
 		return false
 	}
 	age := max(wall.Sub(time.UnixMilli(spec.AcceptedUnixMillis)), 0)
-	j := &job{Job: spec, phase: workflow.Pending, storedPhase: workflow.Pending, acceptedAt: now.Add(-age), knownAt: now, recorded: record != nil, forgotten: e.WasForgotten(spec.ID)}
+	j := &job{
+		Job: spec, phase: workflow.Pending, storedPhase: workflow.Pending, acceptedAt: now.Add(-age), knownAt: now,
+		recorded: record != nil, forgotten: e.WasForgotten(spec.ID),
+	}
 	j.buildTasks()
 	e.jobs[spec.ID] = j
 	e.activeJobs[spec.ID] = j
@@ -210,7 +216,7 @@
 	}
 	e.jobs[id] = &job{
 		Job: workflow.Job{ID: id}, phase: record.Phase, storedPhase: record.Phase, endedUnixMillis: record.EndedUnixMillis,
-		endedAt: e.loadedAt, cancelled: record.Phase == workflow.Cancelled,
+		endKnownAt: e.loadedAt, cancelled: record.Phase == workflow.Cancelled,
 	}
 	delete(e.pendingCancellations, id)
 }
@@ -259,7 +265,7 @@
 func (e *Engine) restore(j *job, record *workflow.JobRecord, now time.Time) {
 	j.phase = record.Phase
 	j.storedPhase = record.Phase
-	j.endedUnixMillis, j.endedAt = record.EndedUnixMillis, e.loadedAt
+	j.endedUnixMillis, j.endKnownAt = record.EndedUnixMillis, e.loadedAt
 	j.cancelled = record.Phase == workflow.Cancelled
 	for _, r := range record.Tasks {
 		t := j.findTask(workflow.TaskID{Job: j.ID, Occurrence: r.Occurrence, Step: r.Step, Index: r.Index})
