Hold the tasks of an executor that takes no connections until its lease has expired

Cause: refusals and missing announcements over 2.2 s counted as the end of an executor and of its runs. An executor that is cut off from its node with resets shows the same, and runs on. Absence of signs is no proof. Change: such an executor gets no starts, and its crash is counted. Its tasks stay assigned until its lease has expired, or until the next incarnation has responded at its address. One that had announced that it drains still ends at once. Refused connections no longer prove the end of a former executor beside an announcement either.

--- a/node/end.go
+++ b/node/end.go
@@ -14,7 +14,7 @@
 	// minRefusals is the number of connections in a row that must be refused, over minRefusalTime and without an announcement in
 	// between, until the executor's process counts as ended. An executor that runs refuses connections, too, while its server is
 	// away for a moment, or while it has as many as it takes. But it announces itself each 1.5 s, and minRefusalTime is longer than
-	// that. Together with the time to start the tasks elsewhere it must stay below three seconds, for which a job may have no run.
+	// that. Its runs don't end by it unless the executor drains: it may be cut off from its node.
 	// The time excludes suspensions of the host, since the executor may have been suspended, too.
 	minRefusals    = 3
 	minRefusalTime = 2200 * time.Millisecond
--- a/owner/logs.go
+++ b/owner/logs.go
@@ -41,12 +41,12 @@
 	t.quarantined = quarantined
 }
 
-// logDepartures logs and counts the executors that have ended with tasks.
+// logDepartures logs and counts the executors with tasks that have left, or that take no connections.
 func (t *term) logDepartures() {
 	for _, d := range t.engine.TakeDepartures() {
-		if d.Crashed {
+		if d.Held {
 			t.metrics.ended.Inc(1)
-			t.log.Info("tasks of an executor that has crashed are unassigned", "executor", d.Incarnation, "node", d.Node, "tasks", d.Tasks, "epoch", t.lease.Record.Epoch)
+			t.log.Info("executor takes no connections, its tasks are held until its lease has expired", "executor", d.Incarnation, "node", d.Node, "tasks", d.Tasks, "epoch", t.lease.Record.Epoch)
 			continue
 		}
 		t.metrics.departed.Inc(1)
--- a/workflow/engine/departures.go
+++ b/workflow/engine/departures.go
@@ -7,12 +7,12 @@
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
-// Departure describes an executor that has ended while tasks were assigned to it, and whose end its host has shown.
+// Departure describes an executor with assigned tasks that has left, or that neither takes connections nor announces itself.
 type Departure struct {
 	Node, Incarnation string
-	// Crashed is set if the executor wasn't draining.
-	Crashed bool
-	// Tasks is the number of tasks that have been unassigned.
+	// Held is set if the executor hadn't announced its end. Its tasks stay assigned until its lease has expired.
+	Held bool
+	// Tasks is the number of tasks that have been unassigned, or are held.
 	Tasks int
 }
 
@@ -21,11 +21,14 @@
 // incarnation under the executor's ID.
 func (e *Engine) endDeparted(n *node, r *workflow.Report, now, wall time.Time) {
 	e.applyLastLists(n, r, now, wall)
-	e.unassignStarted(n, r, false, now)
+	e.unassignStarted(n, r, now)
 }
 
-// endCrashed does the same for an executor that has ended without having announced it, and counts the crash unless it was draining.
-func (e *Engine) endCrashed(n *node, r *workflow.Report, now, wall time.Time) {
+// endRefusing handles an executor that refuses connections without having announced its end. It gets no starts, and the crash is
+// counted. The refusals don't prove the end of its runs: they may go on while the executor is cut off from its node. So its tasks stay
+// assigned until its lease has expired, or until the next incarnation has responded. A draining executor has announced its end, and
+// ends as one that has left.
+func (e *Engine) endRefusing(n *node, r *workflow.Report, now, wall time.Time) {
 	if !n.known || r.LeaseBound == nil || r.LeaseBound.Epoch < e.settings.Epoch {
 		// A report for a former owner may be older than the incarnation.
 		return
@@ -40,8 +43,15 @@
 	})
 	// The executor has not crashed with its whole host if it has responded to the current process of the node.
 	e.recordEnd(n, n.executorIncarnation, runs, !r.Listed, now)
+	isNew := n.endReportedAt.IsZero()
 	n.endReportedAt = now
-	e.unassignStarted(n, r, !n.executor.Draining, now)
+	if n.executor.Draining {
+		e.unassignStarted(n, r, now)
+		return
+	}
+	if held := len(e.assignedTasks[n.executorIncarnation]); isNew && held > 0 {
+		e.departures = append(e.departures, Departure{Node: n.name, Incarnation: n.executorIncarnation, Held: true, Tasks: held})
+	}
 }
 
 // hasEnded reports whether the host of an executor has shown its end, and the executor has not listed its runs since.
@@ -49,24 +59,21 @@
 	return !n.endReportedAt.IsZero() && !listedAt.After(n.endReportedAt)
 }
 
-// unassignStarted unassigns the tasks of an executor that has ended whose starts are confirmed.
-func (e *Engine) unassignStarted(n *node, r *workflow.Report, crashed bool, now time.Time) {
-	ended, cause := 0, ExecutorLeft
-	if r.Executor == nil || !r.Executor.Left {
-		cause = ExecutorCrashed
-	}
+// unassignStarted unassigns the tasks of an executor that has left whose starts are confirmed.
+func (e *Engine) unassignStarted(n *node, r *workflow.Report, now time.Time) {
+	ended := 0
 	for _, t := range e.assignedTo(n.executorIncarnation) {
 		if !t.started || t.startedAfter(r) {
 			continue
 		}
-		e.unassign(t, cause, now)
+		e.unassign(t, ExecutorLeft, now)
 		ended++
 	}
 	if ended == 0 {
 		return
 	}
 	e.lapsedAt[n.executorIncarnation] = now
-	e.departures = append(e.departures, Departure{Node: n.name, Incarnation: n.executorIncarnation, Crashed: crashed, Tasks: ended})
+	e.departures = append(e.departures, Departure{Node: n.name, Incarnation: n.executorIncarnation, Tasks: ended})
 }
 
 // startedAfter reports whether a run was started after what a report says of the end of its executor.
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -47,7 +47,7 @@
 	if r.Executor == nil {
 		n.listedAt = time.Time{}
 		if r.ExecutorEnd != nil {
-			e.endCrashed(n, r, now, wall)
+			e.endRefusing(n, r, now, wall)
 		}
 		return 0, false
 	}
@@ -60,7 +60,7 @@
 	}
 	n.brokenAt = brokenAt(r, now)
 	if r.ExecutorEnd != nil {
-		e.endCrashed(n, r, now, wall)
+		e.endRefusing(n, r, now, wall)
 		return 0, false
 	}
 	if !r.Listed {
--- a/workflow/engine/former_runs.go
+++ b/workflow/engine/former_runs.go
@@ -15,9 +15,7 @@
 	LeaseExpired EndCause = "lease expired"
 	// ExecutorLeft means that the executor has left as announced.
 	ExecutorLeft EndCause = "executor left"
-	// ExecutorCrashed means that the executor's host has shown that the executor has ended.
-	ExecutorCrashed EndCause = "executor crashed"
-	// ExecutorReplaced means that an executor with another ID has announced itself on the same host.
+	// ExecutorReplaced means that an executor with another ID has responded on the same host.
 	ExecutorReplaced EndCause = "executor replaced"
 	// StartRejected means that the start had no effect.
 	StartRejected EndCause = "start rejected"
--- a/workflow/engine/replacement.go
+++ b/workflow/engine/replacement.go
@@ -10,14 +10,14 @@
 )
 
 // provesEndOfFormer reports whether a report shows that no other executor than the one that it names runs on its host: that one
-// has responded at the address of the host's executor, or the address refuses connections. An announcement alone shows nothing: it
+// has responded at the address of the host's executor. Refused connections show nothing of what runs, nor does an announcement: it
 // may come from another writer, be late, or name an executor that is still to come.
-func provesEndOfFormer(r *workflow.Report) bool { return r.Listed || r.ExecutorEnd != nil }
+func provesEndOfFormer(r *workflow.Report) bool { return r.Listed }
 
 // mayStillRun reports whether the executor of a node may still run tasks although a report names another one. An executor with
-// the same ID is the same one after a restart, and one whose host has shown its end before doesn't run.
+// the same ID is the same one after a restart.
 func (e *Engine) mayStillRun(n *node, r *workflow.Report) bool {
-	return n.known && n.endReportedAt.IsZero() && !provesEndOfFormer(r) && !hasExecutorID(n.executorIncarnation, r.Executor.ID) &&
+	return n.known && !provesEndOfFormer(r) && !hasExecutorID(n.executorIncarnation, r.Executor.ID) &&
 		len(e.assignedTasks[n.executorIncarnation]) > 0
 }
 
