Add failing tests for superseded runs that cease to count before they end

Callers saw a task start on an executor that runs as many tasks of its step as it may (ROUTE). TestSupersededRunEndsWithLease passes: it guards the fix against runs that hold their place for ever.

--- /dev/null
+++ b/workflow/engine/superseded_runs_test.go
@@ -0,0 +1,99 @@
+package engine_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+// supersededRun is a job with two tasks. The first has a run on node "c", and an earlier run on node "a" has finished it. The second
+// has not started. Node "a" drains, so that "c" is the only one on which it may start.
+type supersededRun struct {
+	*harness
+	job workflow.Job
+	run workflow.RunState
+}
+
+// newSupersededRun adds two tasks of a step, of which an executor holds only one, and lets the run of the first be superseded.
+func newSupersededRun(t *testing.T, step workflow.Step) *supersededRun {
+	s := &supersededRun{harness: newHarness(t)}
+	s.job = s.harness.job(step)
+	s.engine.Add(s.job, nil, s.now, s.now)
+	s.report("a", executor("a", 1), nil, nil)
+	first := s.accept("a", s.plan()["a"])
+	s.Assert(first, qt.HasLen, 1)
+	s.now = s.now.Add(leaseExpiry + time.Millisecond)
+	s.engine.ExpireLeases(s.now)
+	s.report("c", executor("c", 1), nil, nil)
+	second := s.accept("c", s.plan()["c"])
+	s.Assert(second, qt.DeepEquals, []workflow.RunState{{Task: first[0].Task, Run: 2}})
+	s.run = second[0]
+	s.report("c", executor("c", 1), second, nil)
+	draining := executor("a", 1)
+	draining.Draining = true
+	s.report("a", draining, nil, []workflow.RunEnd{{Number: 1, Task: first[0].Task, Run: 1, How: workflow.EndDone}})
+	return s
+}
+
+// limited returns a step of which an executor may run one task.
+func limited() workflow.Step {
+	s := step(2)
+	s.PerExecutor = 1
+	return s
+}
+
+// Guards against a start beyond the limit of a step on an executor whose run of another task of the step has been superseded and
+// has not ended (incident ROUTE).
+func TestSupersededRunCountsForLimitOfStep(t *testing.T) {
+	s := newSupersededRun(t, limited())
+	orders := s.plan()["c"]
+	s.Assert(orders.Starts, qt.HasLen, 0)
+	s.Assert(orders.Stops, qt.HasLen, 1)
+	s.Assert(orders.Stops[0].Task, qt.Equals, s.run.Task)
+	s.accept("c", orders)
+	s.report("c", executor("c", 1), nil, []workflow.RunEnd{{Number: 2, Task: s.run.Task, Run: 2, How: workflow.EndStopped}})
+	s.Assert(s.plan()["c"].Starts, qt.HasLen, 1)
+}
+
+// Guards against an owner that starts more on an executor than it holds beside a superseded run (LIMIT, where executors don't
+// reject such starts).
+func TestSupersededRunKeepsItsRoom(t *testing.T) {
+	large := step(2)
+	large.Need = structs.Resources{MilliCores: 3000, MemoryMB: 100}
+	s := newSupersededRun(t, large)
+	s.Assert(s.plan()["c"].Starts, qt.HasLen, 0)
+	s.report("c", executor("c", 1), nil, []workflow.RunEnd{{Number: 2, Task: s.run.Task, Run: 2, How: workflow.EndStopped}})
+	s.Assert(s.plan()["c"].Starts, qt.HasLen, 1)
+}
+
+// Guards against a superseded run that a new owner doesn't know of: its start may be carried out after the owner's first lists.
+func TestNewOwnerKnowsSupersededRun(t *testing.T) {
+	s := newSupersededRun(t, limited())
+	record := s.engine.TakeDirty()[0].Record
+	s.epoch++
+	s.takeOver(s.job, record)
+	s.report("c", executor("c", 1), nil, nil)
+	orders := s.plan()["c"]
+	s.Assert(orders.Starts, qt.HasLen, 0)
+	s.Assert(orders.Stops, qt.HasLen, 1)
+	s.accept("c", orders)
+	s.report("c", executor("c", 1), nil, nil)
+	s.Assert(s.plan()["c"].Starts, qt.HasLen, 1)
+}
+
+// Guards against a superseded run that holds its place for ever: it ends with the lease of its executor at the latest.
+func TestSupersededRunEndsWithLease(t *testing.T) {
+	s := newSupersededRun(t, limited())
+	s.now = s.now.Add(leaseExpiry + time.Millisecond)
+	s.engine.ExpireLeases(s.now)
+	s.report("d", executor("d", 1), nil, nil)
+	starts := s.plan()["d"].Starts
+	s.Assert(starts, qt.HasLen, 1)
+	s.report("d", executor("d", 1), nil, []workflow.RunEnd{{Number: 1, Task: starts[0].Task, Run: starts[0].Run, How: workflow.EndDone}})
+	s.plan()
+	s.Assert(s.phase(s.job.ID), qt.Equals, workflow.Completed)
+}
