Let runs keep their places on executors until their ends are proved

Cause: when an earlier run finished a task while a later one was assigned, completeTask untracked the later run. Its place in the count of its step, its reservation and its lease were forgotten although it went on until its executor had listed it as one that matches no task, up to a second later. The record of the job lost it, too, so that a new owner didn't know of it. Change: a task that is done keeps its run until the end of that run is proved in one of the ways that hold for assigned tasks (listed end, expired lease, accepted stop and complete lists, next incarnation, rejected start). The stop is ordered at once instead of after the next list. Members of a gang whose other member has finished keep their places until their own ends are listed.

--- a/workflow/engine/contradictions.go
+++ b/workflow/engine/contradictions.go
@@ -106,8 +106,8 @@
 		return
 	}
 	former := t.formerRun(run.Run, n.executorIncarnation)
-	if former != nil && (former.isSuperseded() || !n.lists.at.After(former.takenForEndedAt)) {
-		// The owner knows that the run may go on, or the lists are older than the end.
+	if former != nil && !n.lists.at.After(former.takenForEndedAt) {
+		// The lists are older than the end.
 		return
 	}
 	e.addContradiction(n, t.kindOfRunning(run.Run), run.Task, run.Run, t, now)
@@ -144,14 +144,16 @@
 // kindOfDone returns the kind of contradiction in the end of a run that has finished the task; empty if there is none.
 func (t *task) kindOfDone(run int, incarnation string) ContradictionKind {
 	switch {
-	case t.isRun(incarnation, run), t.run == 0 && t.job.phase.Final():
+	case t.run == 0 && t.job.phase.Final():
 		// The record of a finished job lacks the runs that have ended.
 		return ""
 	case t.phase == workflow.TaskDone:
-		if run == t.doneRun && (t.doneExecutor == "" || t.doneExecutor == incarnation) {
+		if t.doneRun == 0 || run == t.doneRun && (t.doneExecutor == "" || t.doneExecutor == incarnation) {
 			return ""
 		}
 		return DoneTwice
+	case t.isRun(incarnation, run):
+		return ""
 	case run > t.run:
 		return RunUnknown
 	case t.phase == workflow.TaskAssigned:
@@ -170,9 +172,6 @@
 	return nil
 }
 
-// isSuperseded reports whether the run ceased to count because its task was done otherwise, so that it goes on until it is stopped.
-func (f *FormerRun) isSuperseded() bool { return f.Cause == OtherRunDone || f.Cause == GangDone }
-
 // addContradiction counts and describes a contradiction unless the previous report had it. t is nil if the task is not known.
 func (e *Engine) addContradiction(n *node, kind ContradictionKind, name string, run int, t *task, now time.Time) {
 	if !n.contradictions.add(contradictionKey{name, run, kind}) {
--- a/workflow/engine/departures.go
+++ b/workflow/engine/departures.go
@@ -66,7 +66,7 @@
 		if !t.started || t.startedAfter(r) {
 			continue
 		}
-		e.unassign(t, ExecutorLeft, now)
+		e.releaseRun(t, ExecutorLeft, now)
 		ended++
 	}
 	if ended == 0 {
@@ -111,9 +111,9 @@
 	}
 }
 
-// isRun reports whether a task is assigned to an executor incarnation with the given run.
+// isRun reports whether the run that a task has is the given one on an executor incarnation.
 func (t *task) isRun(incarnation string, run int) bool {
-	return t != nil && t.phase == workflow.TaskAssigned && t.executorIncarnation == incarnation && t.run == run
+	return t != nil && t.hasRun() && t.executorIncarnation == incarnation && t.run == run
 }
 
 // TakeDepartures returns the executors that have ended with tasks since the last call.
--- a/workflow/engine/ends.go
+++ b/workflow/engine/ends.go
@@ -16,12 +16,14 @@
 		e.checkDone(n, incarnation, t, end.Run, now)
 	}
 	if t.phase == workflow.TaskDone {
+		if t.isRun(incarnation, end.Run) {
+			e.releaseRun(t, listedEnd(end.How), now)
+		}
 		return
 	}
 	if t.run != end.Run || t.phase == workflow.TaskAssigned && t.executorIncarnation != incarnation {
 		if end.How == workflow.EndDone && !t.step.LongRunning {
-			// Whichever run has finished the task, it must not start again once this end is acknowledged. The assigned run is then
-			// stopped as an orphaned one.
+			// Whichever run has finished the task, it must not start again once this end is acknowledged.
 			e.completeTask(t, end.Run, incarnation, now, wall)
 		}
 		return
@@ -50,7 +52,7 @@
 		}
 	}
 	if assigned {
-		e.unassign(t, listedEnd(end.How), now)
+		e.releaseRun(t, listedEnd(end.How), now)
 	}
 	if end.How == workflow.EndFailed && !t.step.LongRunning && !t.job.phase.Final() && e.attemptsExhausted(t) {
 		e.finish(t.job, workflow.Failed, now, wall)
@@ -69,7 +71,8 @@
 	return failures >= max(e.queueOf(t.job).MaxAttempts, 1)
 }
 
-// completeTask marks a task, or all members of its gang, as done by a run on an executor incarnation.
+// completeTask marks a task, or all members of its gang, as done by a run on an executor incarnation. The other runs that this
+// supersedes, and those of the other members, keep their places on their executors until their ends are proved.
 func (e *Engine) completeTask(t *task, run int, incarnation string, now, wall time.Time) {
 	members := []*task{t}
 	if t.step.Gang {
@@ -79,21 +82,17 @@
 		if m.phase == workflow.TaskDone {
 			continue
 		}
-		if m.phase == workflow.TaskAssigned {
-			if m != t {
-				m.keepFormerRun(GangDone, now)
-			} else if m.run != run {
-				m.keepFormerRun(OtherRunDone, now)
-			}
-			e.untrack(m)
-			delete(e.stopping, m)
+		switch {
+		case m == t && m.isRun(incarnation, run):
+			e.removeRun(m)
+		case m.hasRun() && (m == t || m.run != run):
+			e.requestStop(m, "its task is done")
 		}
 		m.phase = workflow.TaskDone
-		m.clearRun()
 		m.group.done++
-		m.doneRun = m.run
+		m.doneRun = run
 	}
-	t.doneRun, t.doneExecutor = run, incarnation
+	t.doneExecutor = incarnation
 	j := t.job
 	e.markDirty(j)
 	e.needsPlanning = true
--- a/workflow/engine/former_runs.go
+++ b/workflow/engine/former_runs.go
@@ -23,10 +23,6 @@
 	UnlistedAndStopped EndCause = "not listed and stopped"
 	// RestoredAsWaiting means that the record of the job says that a former owner had taken the run for ended.
 	RestoredAsWaiting EndCause = "restored as waiting"
-	// OtherRunDone means that an earlier run of the task has finished it.
-	OtherRunDone EndCause = "another run is done"
-	// GangDone means that another member of the gang has finished.
-	GangDone EndCause = "gang is done"
 )
 
 // listedEnd returns the cause for a run whose end the executor has listed.
--- a/workflow/engine/leases.go
+++ b/workflow/engine/leases.go
@@ -126,7 +126,7 @@
 			e.recordLapse(n, now)
 		}
 		for _, t := range slices.Clone(tasks) {
-			e.unassign(t, LeaseExpired, now)
+			e.releaseRun(t, LeaseExpired, now)
 			t.former.LeaseSource = source
 		}
 		e.lapsedAt[incarnation] = now
--- a/workflow/engine/order_results.go
+++ b/workflow/engine/order_results.go
@@ -21,7 +21,7 @@
 // HandleOrderResult processes the result of an order to a node. Undelivered orders have no sequence.
 func (e *Engine) HandleOrderResult(node string, incarnation int64, r *workflow.OrderResult, now time.Time) {
 	t := e.taskByName(r.Task)
-	if t == nil || t.phase != workflow.TaskAssigned || t.run != r.Run || t.node == nil || t.node.name != node {
+	if t == nil || !t.hasRun() || t.run != r.Run || t.node == nil || t.node.name != node {
 		return
 	}
 	// The task may have been reassigned to the next incarnation, of which the result shows nothing.
@@ -44,7 +44,7 @@
 	case workflow.OutcomeRejected:
 		t.notBefore = now.Add(rejectionBackoff)
 		t.node.pauseStarts(pauseAfterRejection(r.Reason), now)
-		e.unassign(t, StartRejected, now)
+		e.releaseRun(t, StartRejected, now)
 		e.stopRestOfGang(t)
 	default:
 		// The run may have begun or may still begin. It continues if the executor's next lists contain it, and is stopped
--- a/workflow/engine/output.go
+++ b/workflow/engine/output.go
@@ -33,7 +33,7 @@
 func (j *job) record() workflow.JobRecord {
 	r := workflow.JobRecord{Phase: j.phase, EndedUnixMillis: j.endedUnixMillis}
 	for _, t := range j.tasks {
-		if t.run == 0 || j.phase.Final() && t.phase != workflow.TaskAssigned {
+		if t.run == 0 || j.phase.Final() && !t.hasRun() {
 			continue
 		}
 		r.Tasks = append(r.Tasks, workflow.TaskRecord{
@@ -187,7 +187,7 @@
 	return c
 }
 
-// ExpiredJobs returns up to limit finished jobs whose retention has passed and that have no assigned task. The caller
+// ExpiredJobs returns up to limit finished jobs whose retention has passed and that have no run. The caller
 // deletes their keys and then calls Forget.
 func (e *Engine) ExpiredJobs(now time.Time, limit int) []string {
 	var ids []string
@@ -195,16 +195,14 @@
 		if len(ids) == limit {
 			break
 		}
-		if j.phase.Final() && j.storedPhase.Final() && now.Sub(j.endKnownAt) > e.settings.Retention && !j.hasAssignedTask() {
+		if j.phase.Final() && j.storedPhase.Final() && now.Sub(j.endKnownAt) > e.settings.Retention && !j.hasRun() {
 			ids = append(ids, j.ID)
 		}
 	}
 	return ids
 }
 
-func (j *job) hasAssignedTask() bool {
-	return slices.ContainsFunc(j.tasks, func(t *task) bool { return t.phase == workflow.TaskAssigned })
-}
+func (j *job) hasRun() bool { return slices.ContainsFunc(j.tasks, (*task).hasRun) }
 
 // hasListedRun reports whether an executor lists a run of the job.
 func (j *job) hasListedRun() bool {
--- a/workflow/engine/reconcile.go
+++ b/workflow/engine/reconcile.go
@@ -72,7 +72,7 @@
 		return
 	}
 	if t.stoppedSequence > 0 && t.stoppedIncarnation == r.Incarnation && r.CoveredSequence >= t.stoppedSequence {
-		e.unassign(t, UnlistedAndStopped, now)
+		e.releaseRun(t, UnlistedAndStopped, now)
 		return
 	}
 	if t.stoppedIncarnation != r.Incarnation {
--- a/workflow/engine/replacement.go
+++ b/workflow/engine/replacement.go
@@ -113,7 +113,7 @@
 			e.reassign(t, n, executor.IncarnationID())
 			continue
 		}
-		e.unassign(t, ExecutorReplaced, now)
+		e.releaseRun(t, ExecutorReplaced, now)
 	}
 }
 
@@ -129,7 +129,7 @@
 	e.markDirty(t.job)
 }
 
-// assignedTo returns a copy of the tasks assigned to an incarnation, for callers that unassign some of them.
+// assignedTo returns a copy of the tasks assigned to an incarnation, for callers that release runs of some of them.
 func (e *Engine) assignedTo(incarnation string) []*task {
 	return slices.Clone(e.assignedTasks[incarnation])
 }
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -49,9 +49,9 @@
 	// node.
 	sortedNodes       []*node
 	nodeByIncarnation map[string]*node
-	// assignedTasks holds the tasks that may be running, by executor incarnation and sorted by name.
+	// assignedTasks holds the tasks with a run, by executor incarnation and sorted by name.
 	assignedTasks map[string][]*task
-	// stopping holds the assigned tasks for which a stop is requested.
+	// stopping holds the tasks of which the run is to be stopped.
 	stopping map[*task]struct{}
 	// unreportedExpiry is when the leases of executor incarnations that no node has reported have expired.
 	unreportedExpiry time.Time
@@ -283,12 +283,16 @@
 		case workflow.TaskDone:
 			t.group.done++
 			t.doneRun = r.Run
+			if r.Life != "" {
+				// Which run has finished the task isn't recorded.
+				t.doneRun = 0
+				e.restoreRun(t, &r)
+				e.requestStop(t, "its task is done")
+			}
 		case workflow.TaskWaiting:
 			t.keepFormerRun(RestoredAsWaiting, now)
 		case workflow.TaskAssigned:
-			t.executorIncarnation, t.host = r.Life, r.Node
-			e.awaitHost(r.Node)
-			e.track(t)
+			e.restoreRun(t, &r)
 			if j.phase.Final() {
 				e.requestStop(t, "its job has ended")
 			}
@@ -296,7 +300,14 @@
 	}
 }
 
-// track adds an assigned task to the list of its executor incarnation.
+// restoreRun takes the run of a task over from the record of its job.
+func (e *Engine) restoreRun(t *task, r *workflow.TaskRecord) {
+	t.executorIncarnation, t.host = r.Life, r.Node
+	e.awaitHost(r.Node)
+	e.track(t)
+}
+
+// track adds a task to the list of the executor incarnation that has its run.
 func (e *Engine) track(t *task) {
 	tasks := e.assignedTasks[t.executorIncarnation]
 	if i, found := slices.BinarySearchFunc(tasks, t, compareTasks); !found {
@@ -306,17 +317,24 @@
 
 func compareTasks(a, b *task) int { return cmp.Compare(a.name, b.name) }
 
-// unassign returns an assigned task to waiting. The caller has made sure that no run of it exists or can still begin, and gives
-// the cause.
-func (e *Engine) unassign(t *task, cause EndCause, now time.Time) {
+// releaseRun lets go of the run of a task, whose place on its executor becomes free. An assigned task waits again. The caller has
+// made sure that the run has ended and can't begin any more, and gives the cause.
+func (e *Engine) releaseRun(t *task, cause EndCause, now time.Time) {
 	t.keepFormerRun(cause, now)
 	e.quarantine.RecordProbeAbort(t.host)
+	e.removeRun(t)
+	if t.phase == workflow.TaskAssigned {
+		t.phase = workflow.TaskWaiting
+	}
+	e.markDirty(t.job)
+	e.needsPlanning = true
+}
+
+// removeRun removes the run of a task from its executor.
+func (e *Engine) removeRun(t *task) {
 	e.untrack(t)
 	delete(e.stopping, t)
-	t.phase = workflow.TaskWaiting
 	t.clearRun()
-	e.markDirty(t.job)
-	e.needsPlanning = true
 }
 
 func (e *Engine) untrack(t *task) {
--- a/workflow/engine/task.go
+++ b/workflow/engine/task.go
@@ -14,8 +14,10 @@
 	id    workflow.TaskID
 	name  string
 
-	phase               workflow.TaskPhase
-	run                 int
+	phase workflow.TaskPhase
+	run   int
+	// executorIncarnation is the executor incarnation that may have the newest run; empty if the task has no run. A task that is
+	// done has one if another run has finished it, or another member of its gang, until the end of its own run is proved.
 	executorIncarnation string
 	// host is the node name of the executor incarnation. It is set even before the node has reported.
 	host     string
@@ -68,7 +70,10 @@
 	former         *endedRun
 	rejected       *endedRun
 	rejectedStarts int
-	// doneRun and doneExecutor are the run that has finished the task; the executor is empty if it is not known.
+	// doneRun and doneExecutor are the run that has finished the task; 0 and empty if they are not known.
 	doneRun      int
 	doneExecutor string
 }
+
+// hasRun reports whether a run of the task may exist or begin.
+func (t *task) hasRun() bool { return t.phase == workflow.TaskAssigned || t.executorIncarnation != "" }
--- a/workflow/record.go
+++ b/workflow/record.go
@@ -30,7 +30,7 @@
 	TaskWaiting TaskPhase = iota
 	// TaskAssigned means that a run may exist on the recorded executor incarnation.
 	TaskAssigned
-	// TaskDone means that the task has finished.
+	// TaskDone means that the task has finished. A run of it may still exist on the recorded executor incarnation, if there is one.
 	TaskDone
 )
 
@@ -42,7 +42,7 @@
 	Phase      TaskPhase
 	// Run is the number of the newest run.
 	Run int
-	// Life is the executor incarnation that the newest run was assigned to; Node is its host.
+	// Life is the executor incarnation that the newest run was assigned to, and Node is its host; both are empty once it has ended.
 	Life string
 	Node string
 	// Failures is the number of failed runs.
