Stop members of a gang that go on although another member has finished

A member keeps its place until its own end is listed. All members of one run end together, but nothing ordered a stop of one that its executor still lists: it would hold its place for as long as its lease is renewed. It is stopped as any run whose task is done. TestMemberOfDoneGangKeepsItsPlace fails without this change (no stop) and on (a start in the member's place).

--- a/workflow/engine/ends.go
+++ b/workflow/engine/ends.go
@@ -6,6 +6,9 @@
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
+// reasonTaskDone is the reason of the stop of a run whose task another run has finished, or another member of its gang.
+const reasonTaskDone = "its task is done"
+
 // handleRunEnd processes the end of a run.
 func (e *Engine) handleRunEnd(n *node, incarnation string, end *workflow.RunEnd, now, wall time.Time) {
 	t := e.taskByName(end.Task)
@@ -86,7 +89,7 @@
 		case m == t && m.isRun(incarnation, run):
 			e.removeRun(m)
 		case m.hasRun() && (m == t || m.run != run):
-			e.requestStop(m, "its task is done")
+			e.requestStop(m, reasonTaskDone)
 		}
 		m.phase = workflow.TaskDone
 		m.group.done++
--- a/workflow/engine/reconcile.go
+++ b/workflow/engine/reconcile.go
@@ -28,6 +28,9 @@
 			continue
 		}
 		t.updateProgress(run, n.listedAt)
+		if t.phase == workflow.TaskDone {
+			e.requestStop(t, reasonTaskDone)
+		}
 	}
 	for i := range r.Ended {
 		end := &r.Ended[i]
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -287,7 +287,7 @@
 				// Which run has finished the task isn't recorded.
 				t.doneRun = 0
 				e.restoreRun(t, &r)
-				e.requestStop(t, "its task is done")
+				e.requestStop(t, reasonTaskDone)
 			}
 		case workflow.TaskWaiting:
 			t.keepFormerRun(RestoredAsWaiting, now)
--- a/workflow/engine/superseded_runs_test.go
+++ b/workflow/engine/superseded_runs_test.go
@@ -97,3 +97,27 @@
 	s.plan()
 	s.Assert(s.phase(s.job.ID), qt.Equals, workflow.Completed)
 }
+
+// Guards against a start in the place of a member of a gang that has not ended, though another member has, and against members that
+// go on for ever.
+func TestMemberOfDoneGangKeepsItsPlace(t *testing.T) {
+	h := newHarness(t)
+	gang := limited()
+	gang.Gang, gang.Need.MilliCores = true, 4000
+	job := h.job(gang, step(1))
+	h.engine.Add(job, nil, h.now, h.now)
+	h.report("a", executor("a", 1), nil, nil)
+	h.report("b", executor("b", 1), nil, nil)
+	orders := h.plan()
+	member, other := h.accept("a", orders["a"])[0], h.accept("b", orders["b"])[0]
+	draining := executor("b", 1)
+	draining.Draining = true
+	h.report("b", draining, nil, []workflow.RunEnd{{Number: 1, Task: other.Task, Run: 1, How: workflow.EndDone}})
+	h.Assert(h.plan()["a"].Starts, qt.HasLen, 0)
+	h.report("a", executor("a", 1), []workflow.RunState{member}, nil)
+	orders = h.plan()
+	h.Assert(orders["a"].Starts, qt.HasLen, 0)
+	h.Assert(orders["a"].Stops, qt.HasLen, 1)
+	h.report("a", executor("a", 1), nil, []workflow.RunEnd{{Number: 1, Task: member.Task, Run: 1, How: workflow.EndDone}})
+	h.Assert(h.plan()["a"].Starts, qt.HasLen, 1)
+}
