Check each copy of a start that is sent again like the first one

What callers would have seen: a start that was decided for one incarnation of an executor reaches the next one under its ID, which may lack the label of the step (ROUTE), although its node knows of it; or a start of an owner that has been superseded, or on an executor that drains. Cause: a start without an answer is sent up to five times within 0.8 s, but only the age of its basis was checked for each copy. The header that names the executor holds its ID only, so that the next incarnation takes the copy. Change: each copy is checked for everything that forbids a start. A copy that was sent before stays without a conclusive answer, so that the outcome stays unknown.

--- a/node/orders.go
+++ b/node/orders.go
@@ -67,23 +67,31 @@
 	return reply
 }
 
-// checkStart checks whether a start is still allowed. It returns the end of the lease on the executor's clock, or the reason for
-// rejecting the start. It also extends the lease if the orders contain a longer one.
-func (n *Node) checkStart(orders *workflow.Orders, now time.Time) (deadline int64, reason string) {
+// refusal returns the reason for which a start may not be sent, or not any more; empty if there is none. The caller holds mu.
+func (n *Node) refusal(orders *workflow.Orders, now time.Time) string {
 	switch {
 	case orders.Epoch < n.epoch || orders.Epoch < n.locator.Epoch():
-		return 0, "epoch"
+		return "epoch"
 	case n.current == nil || n.current.IncarnationID() != orders.ExecutorIncarnation:
-		return 0, "life"
+		return "life"
 	case n.current.Draining:
-		return 0, "draining"
+		return "draining"
 	case n.end.confirmed:
-		return 0, workflow.ReasonUnreachable
+		return workflow.ReasonUnreachable
 	case n.isOutdated(orders, now):
-		return 0, reasonOutdated
+		return reasonOutdated
 	case orders.ReportNumber <= n.shrunkReport:
 		// The owner decided on the start before it knew that the capacity has shrunk.
-		return 0, workflow.ReasonRoom
+		return workflow.ReasonRoom
+	}
+	return ""
+}
+
+// checkStart checks whether a start is still allowed. It returns the end of the lease on the executor's clock, or the reason for
+// rejecting the start. It also extends the lease if the orders contain a longer one. The caller holds mu.
+func (n *Node) checkStart(orders *workflow.Orders, now time.Time) (deadline int64, reason string) {
+	if reason := n.refusal(orders, now); reason != "" {
+		return 0, reason
 	}
 	n.extendLease(n.reportSentAt[orders.ReportNumber], time.Duration(orders.LeaseMillis)*time.Millisecond)
 	if n.leaseEnd.Sub(now) < minLeaseLeft {
@@ -149,13 +157,14 @@
 	return orders.Incarnation != n.incarnation || !known || now.Sub(reportSentAt) >= owner.ExecutorLeaseDuration
 }
 
-// sendStart sends a copy of a start. The host may have been suspended since the start was checked.
+// sendStart sends a copy of a start, unless the node has learned since the start was checked that it may not be sent any more. The
+// host may also have been suspended since then.
 func (n *Node) sendStart(ctx context.Context, orders *workflow.Orders, call *Start) error {
 	n.mu.Lock()
-	outdated := n.isOutdated(orders, n.clock.Now())
+	reason := n.refusal(orders, n.clock.Now())
 	n.mu.Unlock()
-	if outdated {
-		return &RejectedError{Reason: reasonOutdated}
+	if reason != "" {
+		return &RejectedError{Reason: reason}
 	}
 	return n.executor.Start(ctx, orders.ExecutorIncarnation, *call)
 }
