Reject starts that were decided on before their executor changed

What callers would have seen: a start on an executor of another pool or without the label of its step (ROUTE), or beyond its capacity (LIMIT), because the owner had decided on it before it knew that the executor has changed. Cause: a node compared the report behind a start only with the last one before the capacity shrank. A change of the pool or the labels within an incarnation (an announcement of another writer that is corrected by the next one) was neither compared nor reported at once, and the mark was lost once another announcement displaced the executor for a moment. Evidence: TestOrdersBeforeExecutorChangedAreRejected and TestOrdersBeforeExecutorReturnedAreRejected failed in all their cases: the starts were accepted. Change: the node keeps the number of the last report before another incarnation took the place of the current one, or before pool, labels or failure domain of it changed, and rejects starts on the base of that report or an earlier one. It reports such a change at once and logs it. Result: both tests and the packages node, owner and platform pass.

--- a/node/announcements.go
+++ b/node/announcements.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/quetzalshed/quetzalshed/node/sharing"
@@ -36,7 +37,13 @@
 	if e.Draining && n.departure == nil {
 		n.departure = newDeparture(true)
 	}
-	changed := n.current == nil || n.current.Draining != e.Draining || n.current.Capacity != e.Capacity
+	moved := n.current != nil && !isPlacedAlike(n.current, &e)
+	if moved {
+		n.log.Info("executor changed", "executor", e.IncarnationID(), "pool", e.Pool, "labels", e.Labels, "failure_domain", e.FailureDomain,
+			"former_pool", n.current.Pool, "former_labels", n.current.Labels, "former_failure_domain", n.current.FailureDomain)
+		n.changedReport = n.reportNumber
+	}
+	changed := n.current == nil || moved || n.current.Draining != e.Draining || n.current.Capacity != e.Capacity
 	if n.current != nil && n.current.Capacity != e.Capacity {
 		n.changeCapacity(&e)
 	}
@@ -55,6 +62,11 @@
 	return true
 }
 
+// isPlacedAlike reports whether two announcements of an executor don't differ in what decides which tasks it may run.
+func isPlacedAlike(a, b *workflow.Executor) bool {
+	return a.Pool == b.Pool && a.FailureDomain == b.FailureDomain && slices.Equal(a.Labels, b.Labels)
+}
+
 // changeCapacity records that the capacity of the executor has changed.
 func (n *Node) changeCapacity(e *workflow.Executor) {
 	n.log.Info("capacity changed", "executor", e.IncarnationID(), "cpu", e.Capacity.MilliCores, "memory_mb", e.Capacity.MemoryMB,
@@ -68,6 +80,7 @@
 func (n *Node) forgetIncarnation() {
 	n.log.Info("executor replaced", "former", n.current.IncarnationID())
 	n.current, n.successor, n.lists, n.ack, n.shrunkReport = nil, nil, nil, 0, 0
+	n.changedReport = n.reportNumber
 	n.endDeparture()
 	n.end = executorEnd{}
 	n.clockAt, n.brokenAt = time.Time{}, time.Time{}
--- a/node/node.go
+++ b/node/node.go
@@ -39,6 +39,9 @@
 	announceSequence int64
 	// shrunkReport is the number of the last report before the capacity of that incarnation shrank.
 	shrunkReport int64
+	// changedReport is the number of the last report before another incarnation took the place of the current one, or the pool, the
+	// labels or the failure domain of the current one changed.
+	changedReport int64
 	// clockMillis is a reading of the executor's clock that was received at clockAt.
 	clockMillis int64
 	clockAt     time.Time
--- a/node/orders.go
+++ b/node/orders.go
@@ -26,7 +26,7 @@
 	maxOrdersBytes = 4 << 20
 )
 
-// reasonOutdated is the reason for rejecting starts that are based on a report that is too old.
+// reasonOutdated is the reason for rejecting starts that are based on a report that is too old, or from before the executor changed.
 const reasonOutdated = "basis"
 
 var errNotOwner = errors.New("node: the process is not the owner")
@@ -78,7 +78,7 @@
 		return "draining"
 	case n.end.confirmed:
 		return workflow.ReasonUnreachable
-	case n.isOutdated(orders, now):
+	case n.isOutdated(orders, now), orders.ReportNumber <= n.changedReport:
 		return reasonOutdated
 	case orders.ReportNumber <= n.shrunkReport:
 		// The owner decided on the start before it knew that the capacity has shrunk.
