Start nothing on an executor before it has listed its runs

What callers would have seen: a start beyond the limit of a step (ROUTE) or the room (LIMIT) of an executor that has just replaced another one, beside runs that late starts of its predecessor's orders have begun there. Cause: the time of the last lists stayed when an executor was replaced, and its orphaned runs were forgotten. So for up to 2.5 s the lists of the former incarnation admitted starts on the next one, of which nothing was known. Nodes reject such starts for want of a lease unless one is granted, on the first lists, while the order is on its way. Evidence: TestNothingStartsOnExecutorBeforeItsFirstLists, which found a start ordered under the same ID and under another one. Change: the time of the lists is forgotten together with the former incarnation.

--- a/workflow/engine/node.go
+++ b/workflow/engine/node.go
@@ -56,7 +56,7 @@
 	leaseSource LeaseSource
 	// leaseGranted is set if the last report renewed the lease.
 	leaseGranted bool
-	// reportedAt is when the last report arrived, listedAt when the executor last listed its runs.
+	// reportedAt is when the last report arrived, listedAt when the current incarnation last listed its runs; zero if it hasn't.
 	reportedAt, listedAt time.Time
 	ackedEnd             int64
 	// reserved is what assigned tasks reserve; bestEffortDemand is the CPU that best-effort tasks request, in
--- a/workflow/engine/replacement.go
+++ b/workflow/engine/replacement.go
@@ -55,7 +55,7 @@
 func onHost(tasks []*task, host string) bool { return len(tasks) > 0 && tasks[0].host == host }
 
 // replaceExecutor replaces the executor of a node by another incarnation. If the new one has the same ID, it may have received
-// starts meant for the former one, so the tasks are reassigned to it until its lists show whether they run.
+// starts meant for the former one, so the tasks are reassigned to it until its lists show whether they run. It gets no starts before.
 func (e *Engine) replaceExecutor(n *node, r *workflow.Report, now time.Time) {
 	executor := r.Executor
 	if n.known {
@@ -65,7 +65,7 @@
 		}
 	}
 	n.executor, n.known, n.ackedEnd, n.orphanedRuns, n.rejections = *executor, true, 0, nil, 0
-	n.endReportedAt = time.Time{}
+	n.endReportedAt, n.listedAt = time.Time{}, time.Time{}
 	n.executorIncarnation = executor.IncarnationID()
 	e.nodeByIncarnation[n.executorIncarnation] = n
 	e.quarantine.ForgetWorker(n.name)
--- a/workflow/engine/replacement_test.go
+++ b/workflow/engine/replacement_test.go
@@ -88,3 +88,24 @@
 		h.Assert(lease.LeftMillis > 7000, qt.IsTrue, qt.Commentf("%s is handed over with %d ms", lease.Incarnation, lease.LeftMillis))
 	}
 }
+
+// Guards against a start on an executor that has not listed its runs yet, beside runs that a former owner or a former incarnation's
+// orders have started there (ROUTE, LIMIT): its predecessor's lists say nothing of it.
+func TestNothingStartsOnExecutorBeforeItsFirstLists(t *testing.T) {
+	for name, id := range map[string]string{"same ID": "i-a", "other ID": "i-other"} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.report("a", executor("a", 1), nil, nil)
+			next := executor("a", 5)
+			next.ID = id
+			h.reportUnlisted("a", next)
+			h.engine.Add(h.job(limited()), nil, h.now, h.now)
+			h.Assert(h.plan()["a"].Starts, qt.HasLen, 0)
+			late := []workflow.RunState{{Task: "00000000000000ff.0.0.0", Run: 1}}
+			h.report("a", next, late, nil)
+			h.Assert(h.plan()["a"].Starts, qt.HasLen, 0, qt.Commentf("it runs what no task accounts for"))
+			h.report("a", next, nil, nil)
+			h.Assert(h.plan()["a"].Starts, qt.HasLen, 1)
+		})
+	}
+}
