Stop tasks on the next incarnation of their executor if its kind forbids them

Cause: tasks are reassigned to the next incarnation, as a start may reach it late, without a look at its kind. A run that it lists then counts as the task's own. Evidence: TestTaskIsStoppedOnNextIncarnationOfOtherKind; before, no stop was ordered in the three cases of another pool, another label and too little capacity. Change: if pool, label or capacity forbid the task, a stop is ordered at once, without waiting for the lists. A start that comes after it is rejected by the executor, and a run that came before ends. Tasks on incarnations of the same kind go on as before.

--- a/workflow/engine/replacement.go
+++ b/workflow/engine/replacement.go
@@ -110,23 +110,33 @@
 	e.recordReplacement(n, former, executor, now)
 	for _, t := range e.assignedTo(former) {
 		if hasExecutorID(former, executor.ID) {
-			e.reassign(t, n, executor.IncarnationID())
+			e.reassign(t, n, executor)
 			continue
 		}
 		e.releaseRun(t, ExecutorReplaced, now)
 	}
 }
 
-// reassign moves an assigned task to another executor incarnation.
-func (e *Engine) reassign(t *task, n *node, incarnation string) {
+// reassign moves the run of a task to another incarnation of its executor. If that is of a kind that may not run the task, a stop is
+// ordered before its lists show whether the start has reached it: an executor doesn't start a run that it was told to stop.
+func (e *Engine) reassign(t *task, n *node, executor *workflow.Executor) {
 	e.untrack(t)
-	t.executorIncarnation, t.host = incarnation, n.name
+	t.executorIncarnation, t.host = executor.IncarnationID(), n.name
 	t.listed, t.started, t.startedSequence = false, false, 0
 	t.reassigned = true
 	t.stoppedSequence, t.stopOrderedAt = 0, time.Time{}
 	n.addTask(t)
 	e.track(t)
 	e.markDirty(t.job)
+	if !e.suits(t, executor) {
+		e.requestStop(t, "the next incarnation of its executor may not run it")
+	}
+}
+
+// suits reports whether an executor is of a kind that may run a task, whatever else it runs.
+func (e *Engine) suits(t *task, executor *workflow.Executor) bool {
+	return executor.Pool == e.queueOf(t.job).Pool && (t.step.Label == "" || executor.HasLabel(t.step.Label)) &&
+		t.step.Reserved().Fits(executor.Capacity)
 }
 
 // assignedTo returns a copy of the tasks assigned to an incarnation, for callers that release runs of some of them.
