Count runs of records that are read after the lists of their executors

What callers could have seen: a start beyond the limit of a step (ROUTE) or the room of an executor (LIMIT) beside a run that a former owner had ordered. Cause: a run from a job's record was attached to its executor only when that executor became known afterwards. If it had reported before, the run counted for neither its step nor its room, and orders' results for it were ignored. The owner takes reports only once it has read all jobs, so that no way through it is known; nothing in the engine demanded that order. Evidence: TestRunOfRecordReadAfterListsCounts, listed and not listed: a second task was started beyond the limit. Change: a restored run is attached to its executor if that is known.

--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -300,11 +300,14 @@
 	}
 }
 
-// restoreRun takes the run of a task over from the record of its job.
+// restoreRun takes the run of a task over from the record of its job. Its executor may have reported already.
 func (e *Engine) restoreRun(t *task, r *workflow.TaskRecord) {
 	t.executorIncarnation, t.host = r.Life, r.Node
 	e.awaitHost(r.Node)
 	e.track(t)
+	if n := e.nodeByIncarnation[r.Life]; n != nil {
+		n.addTask(t)
+	}
 }
 
 // track adds a task to the list of the executor incarnation that has its run.
--- a/workflow/engine/takeover_test.go
+++ b/workflow/engine/takeover_test.go
@@ -54,3 +54,37 @@
 	h.Assert(h.phase(job.ID), qt.Equals, workflow.Completed)
 	h.Assert(h.engine.ExpiredJobs(h.now.Add(3*time.Minute), 8), qt.DeepEquals, []string{job.ID})
 }
+
+// Guards against a start beyond the limit of a step on an executor whose lists have reached a new owner before the record of the job
+// (ROUTE): the run that the record names counts there, whether the lists show it or its start is still to be carried out.
+func TestRunOfRecordReadAfterListsCounts(t *testing.T) {
+	for name, listed := range map[string]bool{"listed": true, "not listed": false} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			job := h.job(limited())
+			h.engine.Add(job, nil, h.now, h.now)
+			h.report("a", executor("a", 1), nil, nil)
+			h.engine.Plan(h.now, h.now)
+			record := h.engine.TakeDirty()[0].Record
+			running := h.accept("a", h.engine.TakeOrders()[0].Orders)
+			h.Assert(running, qt.HasLen, 1)
+			h.engine = h.newEngine()
+			if listed {
+				h.report("a", executor("a", 1), running, nil)
+			} else {
+				h.report("a", executor("a", 1), nil, nil)
+			}
+			h.engine.Add(job, &record, h.now, h.now)
+			for range 2 {
+				h.Assert(h.plan()["a"].Starts, qt.HasLen, 0)
+				h.now = h.now.Add(time.Second)
+				if listed {
+					h.report("a", executor("a", 1), running, nil)
+				}
+			}
+			h.engine.HandleOrderResult("a", 1, &workflow.OrderResult{Task: running[0].Task, Run: 1, Stop: true, Outcome: workflow.OutcomeDone, Sequence: 2}, h.now)
+			h.report("a", executor("a", 1), nil, nil)
+			h.Assert(h.plan()["a"].Starts, qt.HasLen, 1)
+		})
+	}
+}
