Check starts again when an executor fetches them

What callers would have seen: where executors fetch their orders, a start on one that is too small (LIMIT), lacks the label of the step (ROUTE) or drains, because it was handed out in the response to the very announcement that says so. Cause: a start waits for up to 0.8 s until it is fetched. Then only its incarnation, its fencing token and its deadline were checked, and not what the node has learned since: a smaller capacity, another kind, the end of the executor, a newer owner. Change: a start carries the check that the node makes before it sends one, and the mailbox repeats it right before the start is handed out. Such a start is rejected, which is conclusive: nothing of it has left the node.

--- a/node/executor.go
+++ b/node/executor.go
@@ -31,6 +31,9 @@
 	Fence                          int64
 	// DeadlineMillis is the end of the lease of all runs on the executor, in milliseconds of the executor's clock.
 	DeadlineMillis int64
+	// Refusal returns the reason for which the start may not be sent any more, and empty as long as it may. An Executor that keeps
+	// starts back calls it right before it sends one. It is nil if nothing forbids the start.
+	Refusal func() string
 }
 
 // RunLists holds the running and ended runs that an executor lists.
--- a/node/mailbox.go
+++ b/node/mailbox.go
@@ -91,24 +91,37 @@
 }
 
 // addTo adds an order to commands. It returns an error if the order is for another incarnation or from a former owner, or if it is a
-// start whose lease has ended: the time limit of the order stands still while this host is suspended.
+// start that is forbidden by now.
 func (m *Mailbox) addTo(o *queuedOrder, commands *Commands) error {
 	switch {
 	case o.incarnation != m.incarnation:
 		return ErrOtherIncarnation
 	case o.fence() < commands.Fence:
 		return &RejectedError{Reason: "fence"}
-	case o.start != nil && o.start.DeadlineMillis < m.lists.ClockMillis:
-		return &RejectedError{Reason: "late"}
-	case o.start != nil:
-		commands.Starts = append(commands.Starts, *o.start)
-		m.deadline = max(m.deadline, o.start.DeadlineMillis)
-	default:
+	case o.stop != nil:
 		commands.Stops = append(commands.Stops, *o.stop)
+		return nil
+	}
+	if reason := m.refusal(o.start); reason != "" {
+		return &RejectedError{Reason: reason}
 	}
+	commands.Starts = append(commands.Starts, *o.start)
+	m.deadline = max(m.deadline, o.start.DeadlineMillis)
 	return nil
 }
 
+// refusal returns the reason for which a start that was queued may not be handed out; empty if there is none. Its lease may have ended,
+// since the time limit of the order stands still while this host is suspended, and the executor may have changed.
+func (m *Mailbox) refusal(s *Start) string {
+	switch {
+	case s.DeadlineMillis < m.lists.ClockMillis:
+		return "late"
+	case s.Refusal == nil:
+		return ""
+	}
+	return s.Refusal()
+}
+
 // Start implements Executor.
 func (m *Mailbox) Start(ctx context.Context, incarnation string, s Start) error {
 	return m.enqueue(ctx, &queuedOrder{incarnation: incarnation, start: &s})
--- a/node/orders.go
+++ b/node/orders.go
@@ -129,7 +129,7 @@
 	call := Start{
 		Task: s.Task, Run: s.Run, Spec: orders.Specs[jobOf(s.Task)], Checkpoint: s.Saved, Ticket: s.Ticket, Fence: fence, DeadlineMillis: deadline,
 	}
-	err := n.repeatOrder(ctx, func(ctx context.Context) error { return n.sendStart(ctx, orders, &call) })
+	err := n.repeatOrder(ctx, func(ctx context.Context) error { return n.sendStart(ctx, orders, call) })
 	n.metrics.startTime.RecordDuration(time.Since(startedAt))
 	result.Sequence = n.countStart(orders.ExecutorIncarnation, s, err == nil)
 	switch {
@@ -159,14 +159,16 @@
 
 // sendStart sends a copy of a start, unless the node has learned since the start was checked that it may not be sent any more. The
 // host may also have been suspended since then.
-func (n *Node) sendStart(ctx context.Context, orders *workflow.Orders, call *Start) error {
-	n.mu.Lock()
-	reason := n.refusal(orders, n.clock.Now())
-	n.mu.Unlock()
-	if reason != "" {
+func (n *Node) sendStart(ctx context.Context, orders *workflow.Orders, call Start) error {
+	call.Refusal = func() string {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.refusal(orders, n.clock.Now())
+	}
+	if reason := call.Refusal(); reason != "" {
 		return &RejectedError{Reason: reason}
 	}
-	return n.executor.Start(ctx, orders.ExecutorIncarnation, *call)
+	return n.executor.Start(ctx, orders.ExecutorIncarnation, call)
 }
 
 // stop stops one run.
--- a/node/suspension_test.go
+++ b/node/suspension_test.go
@@ -152,10 +152,10 @@
 		}
 		_, reason := n.checkStart(orders, n.clock.Now())
 		c.Assert(reason, qt.Equals, "")
-		c.Assert(n.sendStart(t.Context(), orders, &Start{}), qt.IsNil)
+		c.Assert(n.sendStart(t.Context(), orders, Start{}), qt.IsNil)
 		suspend(host, 7*time.Second)
 		var rejected *RejectedError
-		c.Check(errors.As(n.sendStart(t.Context(), orders, &Start{}), &rejected), qt.IsTrue)
+		c.Check(errors.As(n.sendStart(t.Context(), orders, Start{}), &rejected), qt.IsTrue)
 		c.Check(recorder.starts, qt.Equals, 1)
 	})
 }
