Keep runs on their host when their executor is announced on another one

What callers would have seen: a start beyond the limit of a step on an executor (ROUTE), or a task that runs twice (TWICE), after another writer had announced the ID of an executor at the address of another host whose own executor had no tasks. Cause: tasks were moved to whichever host last reported the executor's ID, so that their places on the first host became free while they ran on. If even the start times agreed, the lease of the second host counted for them, and they were taken for ended when that expired. Evidence: TestRunsStayOnTheirHostWhenTheirExecutorIsAnnouncedElsewhere: with the same incarnation run 2 of a task was ordered while run 1 went on, with a later one a second task of a step with a limit of one was. Change: an executor has one host. A report that names an executor with tasks on another host is ignored until they have ended there, and the lease of an incarnation is looked up at the host of its tasks. The index of incarnations over all hosts is gone. Result: the test passes.

--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -94,8 +94,12 @@
 }
 
 // takeExecutor takes over the executor that a report names, in place of another one if that has ended. It returns false if the
-// report is to be ignored: it names an older executor than the known one, or the known one may still run tasks.
+// report is to be ignored: it names an older executor than the known one, or one of another host, or the known one may still run tasks.
 func (e *Engine) takeExecutor(n *node, r *workflow.Report, now time.Time) bool {
+	if e.hasTasksElsewhere(n, r.Executor) {
+		n.listedAt = time.Time{}
+		return false
+	}
 	if !n.known || n.executorIncarnation != r.Executor.IncarnationID() {
 		if n.known && r.Executor.StartedUnixMillis < n.executor.StartedUnixMillis && !n.isForeign(r) {
 			return false
--- a/workflow/engine/leases.go
+++ b/workflow/engine/leases.go
@@ -80,14 +80,11 @@
 // leaseOf returns when the lease of an incarnation with assigned tasks has expired.
 func (e *Engine) leaseOf(incarnation string, tasks []*task) (time.Time, LeaseSource) {
 	expires, source := e.unreportedExpiry, e.unreportedSource
-	n := e.nodeByIncarnation[incarnation]
-	if n != nil && n.leaseSource == LeaseOfOwner {
+	// The node of the host may have reported without knowing an executor.
+	n := e.nodes[tasks[0].host]
+	if n != nil && n.runsIncarnation(incarnation) && n.leaseSource == LeaseOfOwner {
 		return n.leaseExpires, n.leaseSource
 	}
-	if n == nil {
-		// The node of the host may have reported without knowing an executor.
-		n = e.nodes[tasks[0].host]
-	}
 	if n != nil && n.leaseSource == LeaseOfNode && n.leaseExpires.Before(expires) {
 		expires, source = n.leaseExpires, n.leaseSource
 	}
@@ -122,7 +119,7 @@
 			continue
 		}
 		lapsed = append(lapsed, Lapse{incarnation, len(tasks), source})
-		if n := e.nodeByIncarnation[incarnation]; n != nil {
+		if n := e.nodes[tasks[0].host]; n != nil && n.runsIncarnation(incarnation) {
 			e.recordLapse(n, now)
 		}
 		for _, t := range slices.Clone(tasks) {
--- a/workflow/engine/node.go
+++ b/workflow/engine/node.go
@@ -106,6 +106,11 @@
 	orphanStopsAt time.Time
 }
 
+// runsIncarnation reports whether an incarnation is the current one of the host's executor.
+func (n *node) runsIncarnation(incarnation string) bool {
+	return n.known && n.executorIncarnation == incarnation
+}
+
 func (n *node) addTask(t *task) {
 	t.node = n
 	n.headroomsAt = time.Time{}
--- a/workflow/engine/output.go
+++ b/workflow/engine/output.go
@@ -183,7 +183,11 @@
 	for _, tasks := range e.assignedTasks {
 		c.Assigned += len(tasks)
 	}
-	c.Executors = len(e.nodeByIncarnation)
+	for _, n := range e.sortedNodes {
+		if n.known {
+			c.Executors++
+		}
+	}
 	return c
 }
 
--- a/workflow/engine/replacement.go
+++ b/workflow/engine/replacement.go
@@ -21,6 +21,26 @@
 		len(e.assignedTasks[n.executorIncarnation]) > 0
 }
 
+// hasTasksElsewhere reports whether an executor that the node of a host reports has tasks on another host. An executor has one host,
+// under whichever incarnation, so that the announcement comes from another writer, and says nothing of those tasks.
+func (e *Engine) hasTasksElsewhere(n *node, x *workflow.Executor) bool {
+	if incarnation := x.IncarnationID(); n.known && n.executorIncarnation == incarnation {
+		return isElsewhere(e.assignedTasks[incarnation], n.name)
+	}
+	for incarnation, tasks := range e.assignedTasks {
+		if hasExecutorID(incarnation, x.ID) && isElsewhere(tasks, n.name) {
+			return true
+		}
+	}
+	return false
+}
+
+// isElsewhere reports whether the tasks of an incarnation are on another host than the given one. Records of former versions don't
+// name the host.
+func isElsewhere(tasks []*task, host string) bool {
+	return len(tasks) > 0 && tasks[0].host != "" && tasks[0].host != host
+}
+
 // isForeign reports whether a report shows that another executor runs on the host than the one that was announced last: that one has
 // never listed its runs, and an earlier one with another ID lists them. An executor with the same ID that lists its runs has started
 // after the time of day was set back.
@@ -60,14 +80,10 @@
 	executor := r.Executor
 	if n.known {
 		e.endIncarnation(n, n.executorIncarnation, executor, now)
-		if e.nodeByIncarnation[n.executorIncarnation] == n {
-			delete(e.nodeByIncarnation, n.executorIncarnation)
-		}
 	}
 	n.executor, n.known, n.ackedEnd, n.orphanedRuns, n.rejections = *executor, true, 0, nil, 0
 	n.endReportedAt, n.listedAt = time.Time{}, time.Time{}
 	n.executorIncarnation = executor.IncarnationID()
-	e.nodeByIncarnation[n.executorIncarnation] = n
 	e.quarantine.ForgetWorker(n.name)
 	e.indexDomains()
 	delete(e.unreportedHosts, n.name)
@@ -79,6 +95,7 @@
 	}
 	for _, t := range e.assignedTasks[n.executorIncarnation] {
 		if t.node == nil {
+			t.host = n.name
 			n.addTask(t)
 		}
 	}
--- a/workflow/engine/return_test.go
+++ b/workflow/engine/return_test.go
@@ -45,3 +45,33 @@
 	h.report("a", executor("a", 1), nil, nil)
 	h.Assert(h.plan()["a"].Stops, qt.HasLen, 1, qt.Commentf("the task is assigned to it, and the start may reach it late"))
 }
+
+// Guards against runs that lose their places, or are taken for ended, because the ID of their executor is announced on another host
+// (ROUTE, TWICE): they go on, and their executor lists them.
+func TestRunsStayOnTheirHostWhenTheirExecutorIsAnnouncedElsewhere(t *testing.T) {
+	for name, born := range map[string]int64{"the same incarnation": 1, "a later one": 5} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.engine.Add(h.job(limited()), nil, h.now, h.now)
+			h.report("a", executor("a", 1), nil, nil)
+			running := h.accept("a", h.plan()["a"])
+			h.Assert(running, qt.HasLen, 1)
+			h.report("a", executor("a", 1), running, nil)
+			otherPool := executor("b", 1)
+			otherPool.Pool = "other"
+			h.report("b", otherPool, nil, nil)
+			h.reportUnlisted("b", executor("a", born))
+			for range 12 {
+				orders := h.plan()
+				for _, node := range []string{"a", "b"} {
+					h.Assert(orders[node].Starts, qt.HasLen, 0)
+					h.Assert(orders[node].Stops, qt.HasLen, 0)
+				}
+				h.now = h.now.Add(900 * time.Millisecond)
+				h.report("a", executor("a", 1), running, nil)
+				h.report("b", otherPool, nil, nil)
+				h.Assert(h.engine.ExpireLeases(h.now), qt.HasLen, 0)
+			}
+		})
+	}
+}
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -45,10 +45,8 @@
 	// activeJobs holds the unfinished jobs.
 	activeJobs map[string]*job
 	nodes      map[string]*node
-	// sortedNodes holds the same nodes sorted by name; nodeByIncarnation maps each reported executor incarnation to its
-	// node.
-	sortedNodes       []*node
-	nodeByIncarnation map[string]*node
+	// sortedNodes holds the same nodes sorted by name.
+	sortedNodes []*node
 	// assignedTasks holds the tasks with a run, by executor incarnation and sorted by name.
 	assignedTasks map[string][]*task
 	// stopping holds the tasks of which the run is to be stopped.
@@ -117,7 +115,6 @@
 		pendingCancellations: map[string]bool{},
 		activeJobs:           map[string]*job{},
 		nodes:                map[string]*node{},
-		nodeByIncarnation:    map[string]*node{},
 		assignedTasks:        map[string][]*task{},
 		stopping:             map[*task]struct{}{},
 		unreportedExpiry:     now.Add(settings.LeaseExpiry + settings.TakeoverSlack),
@@ -305,7 +302,7 @@
 	t.executorIncarnation, t.host = r.Life, r.Node
 	e.awaitHost(r.Node)
 	e.track(t)
-	if n := e.nodeByIncarnation[r.Life]; n != nil {
+	if n := e.nodes[r.Node]; n != nil && n.runsIncarnation(r.Life) {
 		n.addTask(t)
 	}
 }
