--- a/owner/faults_test.go
+++ b/owner/faults_test.go
@@ -86,6 +86,8 @@
 			"", "null", "[]", `{"id":"` + id + `"}`, `{"id":"` + id + `","steps":[]}`, `{"id":"` + id + `","steps":[{"count":1,"after":[7]}]}`,
 			`{"id":"` + id + `","steps":[{"count":-1}]}`, `{"id":"` + id + `","steps":"none"}`, `{"id":"other","steps":[{"count":1}]}`,
 			`{"id":"` + id + `","occurrences":1000000000,"steps":[{"count":1}]}`,
+			`{"id":"` + id + `","steps":[{"count":2,"per_executor":-1}]}`, `{"id":"` + id + `","steps":[{"count":2,"per_executor":1.5}]}`,
+			`{"id":"` + id + `","steps":[{"count":2,"per_executor":"1"}]}`, `{"id":"` + id + `","steps":[{"count":2,"label":5}]}`,
 		} {
 			term.applyInput(kv.Item{Key: JobPrefix + id, Value: []byte(value)}, nil, true)
 			_, known := term.engine.Phase(id)
