--- a/node/orders.go
+++ b/node/orders.go
@@ -26,7 +26,7 @@
 	maxOrdersBytes = 4 << 20
 )
 
-// reasonOutdated is the reason for rejecting starts that are based on a report that is too old.
+// reasonOutdated is the reason for rejecting starts that are based on a report that is too old, or from before the executor changed.
 const reasonOutdated = "basis"
 
 var errNotOwner = errors.New("node: the process is not the owner")
@@ -67,23 +67,31 @@
 	return reply
 }
 
-// checkStart checks whether a start is still allowed. It returns the end of the lease on the executor's clock, or the reason for
-// rejecting the start. It also extends the lease if the orders contain a longer one.
-func (n *Node) checkStart(orders *workflow.Orders, now time.Time) (deadline int64, reason string) {
+// refusal returns the reason for which a start may not be sent, or not any more; empty if there is none. The caller holds mu.
+func (n *Node) refusal(orders *workflow.Orders, now time.Time) string {
 	switch {
 	case orders.Epoch < n.epoch || orders.Epoch < n.locator.Epoch():
-		return 0, "epoch"
+		return "epoch"
 	case n.current == nil || n.current.IncarnationID() != orders.ExecutorIncarnation:
-		return 0, "life"
+		return "life"
 	case n.current.Draining:
-		return 0, "draining"
+		return "draining"
 	case n.end.confirmed:
-		return 0, workflow.ReasonUnreachable
-	case n.isOutdated(orders, now):
-		return 0, reasonOutdated
+		return workflow.ReasonUnreachable
+	case n.isOutdated(orders, now), orders.ReportNumber <= n.changedReport:
+		return reasonOutdated
 	case orders.ReportNumber <= n.shrunkReport:
 		// The owner decided on the start before it knew that the capacity has shrunk.
-		return 0, workflow.ReasonRoom
+		return workflow.ReasonRoom
+	}
+	return ""
+}
+
+// checkStart checks whether a start is still allowed. It returns the end of the lease on the executor's clock, or the reason for
+// rejecting the start. It also extends the lease if the orders contain a longer one. The caller holds mu.
+func (n *Node) checkStart(orders *workflow.Orders, now time.Time) (deadline int64, reason string) {
+	if reason := n.refusal(orders, now); reason != "" {
+		return 0, reason
 	}
 	n.extendLease(n.reportSentAt[orders.ReportNumber], time.Duration(orders.LeaseMillis)*time.Millisecond)
 	if n.leaseEnd.Sub(now) < minLeaseLeft {
@@ -121,7 +129,7 @@
 	call := Start{
 		Task: s.Task, Run: s.Run, Spec: orders.Specs[jobOf(s.Task)], Checkpoint: s.Saved, Ticket: s.Ticket, Fence: fence, DeadlineMillis: deadline,
 	}
-	err := n.repeatOrder(ctx, func(ctx context.Context) error { return n.sendStart(ctx, orders, &call) })
+	err := n.repeatOrder(ctx, func(ctx context.Context) error { return n.sendStart(ctx, orders, call) })
 	n.metrics.startTime.RecordDuration(time.Since(startedAt))
 	result.Sequence = n.countStart(orders.ExecutorIncarnation, s, err == nil)
 	switch {
@@ -149,15 +157,18 @@
 	return orders.Incarnation != n.incarnation || !known || now.Sub(reportSentAt) >= owner.ExecutorLeaseDuration
 }
 
-// sendStart sends a copy of a start. The host may have been suspended since the start was checked.
-func (n *Node) sendStart(ctx context.Context, orders *workflow.Orders, call *Start) error {
-	n.mu.Lock()
-	outdated := n.isOutdated(orders, n.clock.Now())
-	n.mu.Unlock()
-	if outdated {
-		return &RejectedError{Reason: reasonOutdated}
+// sendStart sends a copy of a start, unless the node has learned since the start was checked that it may not be sent any more. The
+// host may also have been suspended since then.
+func (n *Node) sendStart(ctx context.Context, orders *workflow.Orders, call Start) error {
+	call.Refusal = func() string {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.refusal(orders, n.clock.Now())
+	}
+	if reason := call.Refusal(); reason != "" {
+		return &RejectedError{Reason: reason}
 	}
-	return n.executor.Start(ctx, orders.ExecutorIncarnation, *call)
+	return n.executor.Start(ctx, orders.ExecutorIncarnation, call)
 }
 
 // stop stops one run.
--- a/workflow/engine/node.go
+++ b/workflow/engine/node.go
@@ -56,7 +56,7 @@
 	leaseSource LeaseSource
 	// leaseGranted is set if the last report renewed the lease.
 	leaseGranted bool
-	// reportedAt is when the last report arrived, listedAt when the executor last listed its runs.
+	// reportedAt is when the last report arrived, listedAt when the current incarnation last listed its runs; zero if it hasn't.
 	reportedAt, listedAt time.Time
 	ackedEnd             int64
 	// reserved is what assigned tasks reserve; bestEffortDemand is the CPU that best-effort tasks request, in
@@ -106,6 +106,11 @@
 	orphanStopsAt time.Time
 }
 
+// runsIncarnation reports whether an incarnation is the current one of the host's executor.
+func (n *node) runsIncarnation(incarnation string) bool {
+	return n.known && n.executorIncarnation == incarnation
+}
+
 func (n *node) addTask(t *task) {
 	t.node = n
 	n.headroomsAt = time.Time{}
--- a/workflow/engine/replacement.go
+++ b/workflow/engine/replacement.go
@@ -21,6 +21,26 @@
 		len(e.assignedTasks[n.executorIncarnation]) > 0
 }
 
+// hasTasksElsewhere reports whether an executor that the node of a host reports has tasks on another host. An executor has one host,
+// under whichever incarnation, so that the announcement comes from another writer, and says nothing of those tasks.
+func (e *Engine) hasTasksElsewhere(n *node, x *workflow.Executor) bool {
+	if incarnation := x.IncarnationID(); n.known && n.executorIncarnation == incarnation {
+		return isElsewhere(e.assignedTasks[incarnation], n.name)
+	}
+	for incarnation, tasks := range e.assignedTasks {
+		if hasExecutorID(incarnation, x.ID) && isElsewhere(tasks, n.name) {
+			return true
+		}
+	}
+	return false
+}
+
+// isElsewhere reports whether the tasks of an incarnation are on another host than the given one. Records of former versions don't
+// name the host.
+func isElsewhere(tasks []*task, host string) bool {
+	return len(tasks) > 0 && tasks[0].host != "" && tasks[0].host != host
+}
+
 // isForeign reports whether a report shows that another executor runs on the host than the one that was announced last: that one has
 // never listed its runs, and an earlier one with another ID lists them. An executor with the same ID that lists its runs has started
 // after the time of day was set back.
@@ -55,19 +75,15 @@
 func onHost(tasks []*task, host string) bool { return len(tasks) > 0 && tasks[0].host == host }
 
 // replaceExecutor replaces the executor of a node by another incarnation. If the new one has the same ID, it may have received
-// starts meant for the former one, so the tasks are reassigned to it until its lists show whether they run.
+// starts meant for the former one, so the tasks are reassigned to it until its lists show whether they run. It gets no starts before.
 func (e *Engine) replaceExecutor(n *node, r *workflow.Report, now time.Time) {
 	executor := r.Executor
 	if n.known {
 		e.endIncarnation(n, n.executorIncarnation, executor, now)
-		if e.nodeByIncarnation[n.executorIncarnation] == n {
-			delete(e.nodeByIncarnation, n.executorIncarnation)
-		}
 	}
 	n.executor, n.known, n.ackedEnd, n.orphanedRuns, n.rejections = *executor, true, 0, nil, 0
-	n.endReportedAt = time.Time{}
+	n.endReportedAt, n.listedAt = time.Time{}, time.Time{}
 	n.executorIncarnation = executor.IncarnationID()
-	e.nodeByIncarnation[n.executorIncarnation] = n
 	e.quarantine.ForgetWorker(n.name)
 	e.indexDomains()
 	delete(e.unreportedHosts, n.name)
@@ -79,6 +95,7 @@
 	}
 	for _, t := range e.assignedTasks[n.executorIncarnation] {
 		if t.node == nil {
+			t.host = n.name
 			n.addTask(t)
 		}
 	}
@@ -110,23 +127,33 @@
 	e.recordReplacement(n, former, executor, now)
 	for _, t := range e.assignedTo(former) {
 		if hasExecutorID(former, executor.ID) {
-			e.reassign(t, n, executor.IncarnationID())
+			e.reassign(t, n, executor)
 			continue
 		}
 		e.releaseRun(t, ExecutorReplaced, now)
 	}
 }
 
-// reassign moves an assigned task to another executor incarnation.
-func (e *Engine) reassign(t *task, n *node, incarnation string) {
+// reassign moves the run of a task to another incarnation of its executor. If that is of a kind that may not run the task, a stop is
+// ordered before its lists show whether the start has reached it: an executor doesn't start a run that it was told to stop.
+func (e *Engine) reassign(t *task, n *node, executor *workflow.Executor) {
 	e.untrack(t)
-	t.executorIncarnation, t.host = incarnation, n.name
+	t.executorIncarnation, t.host = executor.IncarnationID(), n.name
 	t.listed, t.started, t.startedSequence = false, false, 0
 	t.reassigned = true
 	t.stoppedSequence, t.stopOrderedAt = 0, time.Time{}
 	n.addTask(t)
 	e.track(t)
 	e.markDirty(t.job)
+	if !e.suits(t, executor) {
+		e.requestStop(t, "the next incarnation of its executor may not run it")
+	}
+}
+
+// suits reports whether an executor is of a kind that may run a task, whatever else it runs.
+func (e *Engine) suits(t *task, executor *workflow.Executor) bool {
+	return executor.Pool == e.queueOf(t.job).Pool && (t.step.Label == "" || executor.HasLabel(t.step.Label)) &&
+		t.step.Reserved().Fits(executor.Capacity)
 }
 
 // assignedTo returns a copy of the tasks assigned to an incarnation, for callers that release runs of some of them.
