Show a job as completed only once no start of it may be sent

Change: a job whose tasks are all done is finished once the result of each start is known. A new owner waits for the node of an executor with a run that a former owner has ordered. A cancellation in between counts.

--- a/workflow/engine/ends.go
+++ b/workflow/engine/ends.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/quetzalshed/quetzalshed/workflow"
@@ -99,8 +100,22 @@
 	if t.group.done == len(t.group.tasks) {
 		e.observeDuration(t.group)
 	}
-	if !j.phase.Final() && j.isComplete() {
-		e.finish(j, workflow.Completed, now, wall)
+	if j.isComplete() {
+		e.completing[j] = struct{}{}
+		e.completeJobs(now, wall)
+	}
+}
+
+// completeJobs moves jobs whose tasks are all done to their final phase, unless a start of one of them may still be sent.
+func (e *Engine) completeJobs(now, wall time.Time) {
+	for j := range e.completing {
+		if !j.phase.Final() && slices.ContainsFunc(j.tasks, (*task).mayBeSent) {
+			continue
+		}
+		delete(e.completing, j)
+		if !j.phase.Final() {
+			e.finish(j, workflow.Completed, now, wall)
+		}
 	}
 }
 
--- a/workflow/engine/output.go
+++ b/workflow/engine/output.go
@@ -213,6 +213,7 @@
 func (e *Engine) Forget(id string) {
 	if j := e.jobs[id]; j != nil {
 		delete(e.dirtyJobs, j)
+		delete(e.completing, j)
 	}
 	delete(e.activeJobs, id)
 	delete(e.jobs, id)
--- a/workflow/engine/pending_starts_test.go
+++ b/workflow/engine/pending_starts_test.go
@@ -82,3 +82,42 @@
 	s.engine.ExpireLeases(s.now)
 	s.Assert(s.reportDone(), qt.Equals, int64(2))
 }
+
+// Guards against a task that starts after its job was shown as completed, for the same reason (TWICE).
+func TestJobIsCompletedOnceStartIsAnswered(t *testing.T) {
+	for _, outcome := range []workflow.Outcome{workflow.OutcomeDone, workflow.OutcomeRejected, workflow.OutcomeUnknown} {
+		t.Run(string(outcome), func(t *testing.T) {
+			s := newPendingStart(t)
+			s.reportDone()
+			s.plan()
+			s.Assert(s.phase(s.job.ID), qt.Equals, workflow.Running)
+			s.answerStart(outcome)
+			s.plan()
+			s.Assert(s.phase(s.job.ID), qt.Equals, workflow.Completed)
+		})
+	}
+}
+
+// Guards against a job that is never completed since its owner has changed before the start was answered.
+func TestNewOwnerCompletesJobOnceNodeOfStartKnowsIt(t *testing.T) {
+	s := newPendingStart(t)
+	s.reportDone()
+	record := s.engine.TakeDirty()[0].Record
+	s.epoch++
+	s.takeOver(s.job, record)
+	s.plan()
+	s.Assert(s.phase(s.job.ID), qt.Equals, workflow.Running)
+	s.report("c", executor("c", 1), nil, nil)
+	s.plan()
+	s.Assert(s.phase(s.job.ID), qt.Equals, workflow.Completed)
+}
+
+// Guards against a job that is completed after its cancellation because all of its tasks are done.
+func TestJobWithPendingStartCanBeCancelled(t *testing.T) {
+	s := newPendingStart(t)
+	s.reportDone()
+	s.engine.Cancel(s.job.ID, s.now, s.now)
+	s.answerStart(workflow.OutcomeUnknown)
+	s.plan()
+	s.Assert(s.phase(s.job.ID), qt.Equals, workflow.Cancelled)
+}
--- a/workflow/engine/plan.go
+++ b/workflow/engine/plan.go
@@ -11,6 +11,7 @@
 // the orders with TakeOrders once the records that TakeDirty returns are stored.
 func (e *Engine) Plan(now, wall time.Time) {
 	e.giveUpCrashing(now, wall)
+	e.completeJobs(now, wall)
 	e.orderStops(now)
 	if !e.needsPlanning || !e.operatorStateLoaded {
 		return
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -44,6 +44,8 @@
 	pendingCancellations map[string]bool
 	// activeJobs holds the unfinished jobs.
 	activeJobs map[string]*job
+	// completing holds the jobs whose tasks are all done while a start of one of them may still be sent.
+	completing map[*job]struct{}
 	nodes      map[string]*node
 	// sortedNodes holds the same nodes sorted by name; nodeByIncarnation maps each reported executor incarnation to its
 	// node.
@@ -116,6 +118,7 @@
 		jobs:                 map[string]*job{},
 		pendingCancellations: map[string]bool{},
 		activeJobs:           map[string]*job{},
+		completing:           map[*job]struct{}{},
 		nodes:                map[string]*node{},
 		nodeByIncarnation:    map[string]*node{},
 		assignedTasks:        map[string][]*task{},
@@ -298,6 +301,9 @@
 			}
 		}
 	}
+	if j.isComplete() && !j.phase.Final() {
+		e.completing[j] = struct{}{}
+	}
 }
 
 // restoreRun takes the run of a task over from the record of its job.
