Send no start after its owner has given it up

The node ends its calls only once the connection of the owner breaks. If the owner's host is lost it doesn't, and starts that wait behind others without answers were sent after up to 0.8 s for each eight of them. Change: a node ends the calls for a set of orders after the time after which the owner gives them up, and rejects starts that it has not sent by then.

--- a/node/orders.go
+++ b/node/orders.go
@@ -44,8 +44,11 @@
 	rpc.WriteJSON(w, http.StatusOK, n.execute(r.Context(), &orders))
 }
 
-// execute executes each order by a call to the executor and returns the results.
+// execute executes each order by a call to the executor and returns the results. The owner gives orders up after OrdersTimeout. A node
+// doesn't hear of that if the host of the owner is lost, so it ends its calls itself.
 func (n *Node) execute(ctx context.Context, orders *workflow.Orders) *workflow.OrdersReply {
+	ctx, cancel := context.WithTimeout(ctx, owner.OrdersTimeout)
+	defer cancel()
 	reply := &workflow.OrdersReply{Incarnation: n.incarnation}
 	reply.Results = make([]workflow.OrderResult, len(orders.Starts)+len(orders.Stops))
 	slots := make(chan struct{}, maxParallelOrders)
@@ -149,8 +152,11 @@
 	return orders.Incarnation != n.incarnation || !known || now.Sub(reportSentAt) >= owner.ExecutorLeaseDuration
 }
 
-// sendStart sends a copy of a start. The host may have been suspended since the start was checked.
+// sendStart sends a copy of a start, unless its time has passed. The host may have been suspended since the start was checked.
 func (n *Node) sendStart(ctx context.Context, orders *workflow.Orders, call *Start) error {
+	if ctx.Err() != nil {
+		return ErrNotDelivered
+	}
 	n.mu.Lock()
 	outdated := n.isOutdated(orders, n.clock.Now())
 	n.mu.Unlock()
--- a/owner/serve.go
+++ b/owner/serve.go
@@ -140,7 +140,7 @@
 
 // deliver sends orders to a node and passes their results to the engine.
 func (t *term) deliver(d *engine.NodeOrders) {
-	ctx, cancel := context.WithTimeout(context.Background(), ordersTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), OrdersTimeout)
 	defer cancel()
 	d.Orders.Epoch = t.lease.Record.Epoch
 	if !t.lease.Valid() {
@@ -197,7 +197,7 @@
 	}
 	select {
 	case t.events <- apply:
-	case <-time.After(ordersTimeout):
+	case <-time.After(OrdersTimeout):
 	}
 }
 
--- a/owner/term.go
+++ b/owner/term.go
@@ -34,6 +34,8 @@
 	// restart of the tasks of a lost executor: executorLeaseExpiry, which follows from it, and takeoverSlack together must
 	// stay below nine seconds, after which a long-running task counts as lost.
 	ExecutorLeaseDuration = 6500 * time.Millisecond
+	// OrdersTimeout limits the delivery of orders to a node, and how long the node goes on sending them to the executor.
+	OrdersTimeout = 2 * time.Second
 	// executorLeaseExpiry is the time after which an executor's lease has certainly expired: executors' clocks may be up to 2% slow.
 	executorLeaseExpiry = ExecutorLeaseDuration + ExecutorLeaseDuration/25 + 300*time.Millisecond
 	// takeoverSlack is how long a former owner whose key was deleted may still consider itself the owner: slightly longer than
@@ -47,8 +49,6 @@
 	inputWatchTimeout = 2 * time.Second
 	// eventQueueSize limits the events that wait for the engine; senders block when the queue is full.
 	eventQueueSize = 1024
-	// ordersTimeout limits the delivery of orders to a node.
-	ordersTimeout = 2 * time.Second
 	// defaultRetention is how long the state of a finished job is kept, unless the candidate says otherwise.
 	defaultRetention = 130 * time.Second
 	// collectInterval is how often expired finished jobs are deleted, and collectLimit how many at a time.
