Count jobs as waiting until an executor has begun them

Cause: a job counted as waiting while its stored phase was pending. It becomes running when its first start is ordered. With orders that get no answer and are carried out seconds later or never, many jobs are running by that phase although nothing of them runs. Change: a job counts until an executor has confirmed or listed a start of it, or listed an end of a run, whichever run that was. The record of a job tells so in a new field, which former versions ignore; it is written with the next change of the record, so that it costs no write. Records without it tell by finished, failed and saved tasks; otherwise a new owner counts the job until an executor lists it. The phase of a job, which clients and the planning use, is unchanged.

--- a/workflow/engine/departures.go
+++ b/workflow/engine/departures.go
@@ -102,7 +102,7 @@
 	if r.ExecutorEnd != nil {
 		for _, run := range r.ExecutorEnd.Started {
 			if t := e.taskByName(run.Task); t.isRun(n.executorIncarnation, run.Run) {
-				t.started = true
+				t.confirmStart()
 			}
 		}
 	}
--- a/workflow/engine/ends.go
+++ b/workflow/engine/ends.go
@@ -13,6 +13,7 @@
 	if t == nil {
 		return
 	}
+	t.job.begun = true
 	if end.How == workflow.EndDone {
 		e.checkDone(n, incarnation, t, end.Run, now)
 	}
--- a/workflow/engine/job.go
+++ b/workflow/engine/job.go
@@ -15,6 +15,8 @@
 	tasks           []*task
 	groups          []group
 	endedUnixMillis int64
+	// begun is set once an executor has confirmed or listed a start of a task. The phase is running as soon as a start is ordered.
+	begun bool
 	// endKnownAt is since when this owner knows that the job has ended, on its clock. The retention counts from it, since the
 	// wall clocks of owners differ.
 	endKnownAt time.Time
--- a/workflow/engine/order_results.go
+++ b/workflow/engine/order_results.go
@@ -39,7 +39,9 @@
 	switch r.Outcome {
 	case workflow.OutcomeDone:
 		t.node.rejections = 0
-		t.started = t.started || !ofFormer
+		if !ofFormer {
+			t.confirmStart()
+		}
 		t.startedSequence, t.startedIncarnation = r.Sequence, incarnation
 	case workflow.OutcomeRejected:
 		t.notBefore = now.Add(rejectionBackoff)
--- a/workflow/engine/output.go
+++ b/workflow/engine/output.go
@@ -31,7 +31,7 @@
 
 // record returns the stored form of a job. For a finished job it contains only the tasks that may still be running.
 func (j *job) record() workflow.JobRecord {
-	r := workflow.JobRecord{Phase: j.phase, EndedUnixMillis: j.endedUnixMillis}
+	r := workflow.JobRecord{Phase: j.phase, Begun: j.begun, EndedUnixMillis: j.endedUnixMillis}
 	for _, t := range j.tasks {
 		if t.run == 0 || j.phase.Final() && !t.hasRun() {
 			continue
@@ -161,11 +161,12 @@
 	return j.storedPhase, true
 }
 
-// Waiting returns the number of a queue's accepted jobs without a due time of which no task has started.
+// Waiting returns the number of a queue's accepted jobs without a due time of which no task has started. An order is no start: it may
+// be carried out seconds later or not at all. Jobs whose first runs only a former owner has seen count until executors list them.
 func (e *Engine) Waiting(queue string) int {
 	count := 0
 	for _, j := range e.jobs {
-		if j.Queue.Name == queue && j.storedPhase == workflow.Pending && j.Occurrences == 0 {
+		if j.Queue.Name == queue && !j.begun && !j.storedPhase.Final() && j.Occurrences == 0 {
 			count++
 		}
 	}
--- a/workflow/engine/reconcile.go
+++ b/workflow/engine/reconcile.go
@@ -22,6 +22,9 @@
 		run := &r.Running[i]
 		present[run.Task] = max(present[run.Task], run.Run)
 		t := e.taskByName(run.Task)
+		if t != nil {
+			t.job.begun = true
+		}
 		if !t.isRun(incarnation, run.Run) {
 			n.orphanedRuns = append(n.orphanedRuns, *run)
 			e.checkRunning(n, run, now)
@@ -56,7 +59,8 @@
 // updateProgress updates a task from the state of its run that the executor listed at the given time.
 func (t *task) updateProgress(run *workflow.RunState, at time.Time) {
 	if !t.listed {
-		t.listed, t.started, t.progressedAt = true, true, at
+		t.confirmStart()
+		t.listed, t.progressedAt = true, at
 	}
 	if run.Percent != t.percent || run.Saved != t.saved {
 		t.progressedAt = at
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -270,6 +270,7 @@
 	j.storedPhase = record.Phase
 	j.endedUnixMillis, j.endKnownAt = record.EndedUnixMillis, e.loadedAt
 	j.cancelled = record.Phase == workflow.Cancelled
+	j.begun = record.Begun
 	for _, r := range record.Tasks {
 		t := j.findTask(workflow.TaskID{Job: j.ID, Occurrence: r.Occurrence, Step: r.Step, Index: r.Index})
 		if t == nil {
@@ -282,6 +283,8 @@
 			e.crashes.suspects[t] = struct{}{}
 		}
 		t.phase, t.restored = r.Phase, true
+		// Records of former versions don't tell whether the job has begun.
+		j.begun = j.begun || r.Phase == workflow.TaskDone || r.Failures > 0 || r.Saved != ""
 		switch r.Phase {
 		case workflow.TaskDone:
 			t.group.done++
--- a/workflow/engine/task.go
+++ b/workflow/engine/task.go
@@ -75,5 +75,8 @@
 	doneExecutor string
 }
 
+// confirmStart notes that the executor has confirmed or listed the start of the run that the task has.
+func (t *task) confirmStart() { t.started, t.job.begun = true, true }
+
 // hasRun reports whether a run of the task may exist or begin.
 func (t *task) hasRun() bool { return t.phase == workflow.TaskAssigned || t.executorIncarnation != "" }
--- a/workflow/record.go
+++ b/workflow/record.go
@@ -106,6 +106,8 @@
 type JobRecord struct {
 	Phase Phase        `json:"phase"`
 	Tasks []TaskRecord `json:"tasks,omitempty"`
+	// Begun is set if an executor had confirmed or listed a start of a task when the record was written.
+	Begun bool `json:"begun,omitempty"`
 	// EndedUnixMillis is when the job reached a final phase, in milliseconds since 1970.
 	EndedUnixMillis int64 `json:"ended_unix_ms,omitempty"`
 }
@@ -127,6 +129,9 @@
 		}
 		b = append(b, ']')
 	}
+	if r.Begun {
+		b = append(b, `,"begun":true`...)
+	}
 	if r.EndedUnixMillis != 0 {
 		b = append(b, `,"ended_unix_ms":`...)
 		b = strconv.AppendInt(b, r.EndedUnixMillis, 10)
--- a/workflow/record_test.go
+++ b/workflow/record_test.go
@@ -26,7 +26,9 @@
 				Crashes: crashed * rapid.IntRange(1, 9).Draw(t, "crashes"), Suspicions: crashed * rapid.IntRange(0, 9).Draw(t, "suspicions"),
 			}
 		})
-		record := workflow.JobRecord{Phase: workflow.Running, EndedUnixMillis: int64(number.Draw(t, "ended"))}
+		record := workflow.JobRecord{
+			Phase: workflow.Running, Begun: rapid.Bool().Draw(t, "begun"), EndedUnixMillis: int64(number.Draw(t, "ended")),
+		}
 		if tasks := rapid.SliceOfN(task, 0, 5).Draw(t, "tasks"); len(tasks) > 0 {
 			record.Tasks = tasks
 		}
