--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -44,6 +44,8 @@
 	pendingCancellations map[string]bool
 	// activeJobs holds the unfinished jobs.
 	activeJobs map[string]*job
+	// completing holds the jobs whose tasks are all done while a start of one of them may still be sent.
+	completing map[*job]struct{}
 	nodes      map[string]*node
 	// sortedNodes holds the same nodes sorted by name.
 	sortedNodes []*node
@@ -114,6 +116,7 @@
 		jobs:                 map[string]*job{},
 		pendingCancellations: map[string]bool{},
 		activeJobs:           map[string]*job{},
+		completing:           map[*job]struct{}{},
 		nodes:                map[string]*node{},
 		assignedTasks:        map[string][]*task{},
 		stopping:             map[*task]struct{}{},
@@ -264,6 +267,7 @@
 	j.storedPhase = record.Phase
 	j.endedUnixMillis, j.endKnownAt = record.EndedUnixMillis, e.loadedAt
 	j.cancelled = record.Phase == workflow.Cancelled
+	j.begun = record.Begun
 	for _, r := range record.Tasks {
 		t := j.findTask(workflow.TaskID{Job: j.ID, Occurrence: r.Occurrence, Step: r.Step, Index: r.Index})
 		if t == nil {
@@ -276,6 +280,8 @@
 			e.crashes.suspects[t] = struct{}{}
 		}
 		t.phase, t.restored = r.Phase, true
+		// Records of former versions don't tell whether the job has begun.
+		j.begun = j.begun || r.Phase == workflow.TaskDone || r.Failures > 0 || r.Saved != ""
 		switch r.Phase {
 		case workflow.TaskDone:
 			t.group.done++
@@ -295,6 +301,9 @@
 			}
 		}
 	}
+	if j.isComplete() && !j.phase.Final() {
+		e.completing[j] = struct{}{}
+	}
 }
 
 // restoreRun takes the run of a task over from the record of its job. Its executor may have reported already.
