Tell in `start ordered` what admitted the start

Callers saw a task start where its step may not run (ROUTE), and the logs didn't tell what its owner had taken for given. Cause: the basis of a start held what was known of the task, and nothing of the executor that it was judged by. Change: the basis is kept when the start is decided, and not collected when the orders are taken. It names the version of the configuration, the queue and its pool (`queue_removed` if the configuration lacks it, `executor_pool` if that is another one), and, only for a step with a label or a limit, the label, the executor's labels, the limit and how many of the step's tasks the owner counted on the executor with this one.

--- a/owner/runs.go
+++ b/owner/runs.go
@@ -11,6 +11,8 @@
 	// contradictionInterval is the time in which at most maxContradictionLines lines on contradictions are logged.
 	contradictionInterval = time.Second
 	maxContradictionLines = 8
+	// maxLoggedLabels limits the labels of an executor in a line. Executors announce two: their kind and their rack.
+	maxLoggedLabels = 8
 )
 
 // lineLimit limits the number of log lines in an interval.
@@ -33,7 +35,7 @@
 	return true
 }
 
-// logStarts logs the starts of a delivery with what the owner knew of the tasks, and counts those that are not the first.
+// logStarts logs the starts of a delivery with what they were based on, and counts those that are not the first.
 func (t *term) logStarts(d *engine.NodeOrders) {
 	for i := range d.Orders.Starts {
 		s, basis := &d.Orders.Starts[i], engine.StartBasis{}
@@ -44,6 +46,7 @@
 			"task", s.Task, "run", s.Run, "executor", d.Orders.ExecutorIncarnation, "node", d.Node, "epoch", d.Orders.Epoch, "basis", d.Orders.ReportNumber,
 			"job_recorded", basis.JobRecorded, "job_known_ms", basis.JobKnown.Milliseconds(),
 		}
+		fields = append(fields, admissionFields(&basis.Admission)...)
 		if basis.JobForgotten {
 			fields = append(fields, "job_forgotten", true)
 		}
@@ -56,6 +59,24 @@
 	}
 }
 
+// admissionFields returns the log fields on what allowed a start. Most steps have neither a label nor a limit, and short lines.
+func admissionFields(a *engine.Admission) []any {
+	fields := []any{"config", a.ConfigVersion, "queue", a.Queue, "pool", a.Pool}
+	if a.QueueRemoved {
+		fields = append(fields, "queue_removed", true)
+	}
+	if a.ExecutorPool != a.Pool {
+		fields = append(fields, "executor_pool", a.ExecutorPool)
+	}
+	if a.Label != "" || a.Limit > 0 {
+		fields = append(fields, "label", a.Label, "executor_labels", loggedLabels(a.ExecutorLabels), "limit", a.Limit, "counted", a.Counted)
+	}
+	return fields
+}
+
+// loggedLabels returns those labels of an executor that a line names.
+func loggedLabels(labels []string) []string { return labels[:min(len(labels), maxLoggedLabels)] }
+
 // formerRunFields returns the log fields on a run that was taken for ended a time ago.
 func formerRunFields(f *engine.FormerRun, ago time.Duration) []any {
 	fields := []any{
--- a/owner/runs_test.go
+++ b/owner/runs_test.go
@@ -59,6 +59,37 @@
 	})
 }
 
+// Guards against a start line that lacks what admitted the start, and against long lines of steps without a constraint.
+func TestStartLineTellsAdmission(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		term, _, lines := loggedTerm(t)
+		term.logStarts(&engine.NodeOrders{
+			Orders: workflow.Orders{Starts: make([]workflow.StartOrder, 3)},
+			Bases: []engine.StartBasis{
+				{Admission: engine.Admission{ConfigVersion: 4, Queue: "checks", Pool: "pool", ExecutorPool: "pool", ExecutorLabels: []string{"fast"}}},
+				{Admission: engine.Admission{Label: "fast", Limit: 2, Counted: 1, ExecutorLabels: []string{"fast", "r1", "3", "4", "5", "6", "7", "8", "9"}}},
+				{Admission: engine.Admission{Pool: "pool", ExecutorPool: "other", QueueRemoved: true}},
+			},
+		})
+		read := lines()
+		c.Assert(read, qt.HasLen, 3)
+		for field, value := range map[string]any{"config": 4.0, "queue": "checks", "pool": "pool"} {
+			c.Assert(read[0][field], qt.Equals, value, qt.Commentf("field %s", field))
+		}
+		for _, field := range []string{"label", "executor_labels", "limit", "counted", "queue_removed", "executor_pool"} {
+			_, found := read[0][field]
+			c.Assert(found, qt.IsFalse, qt.Commentf("field %s", field))
+		}
+		for field, value := range map[string]any{"label": "fast", "limit": 2.0, "counted": 1.0} {
+			c.Assert(read[1][field], qt.Equals, value, qt.Commentf("field %s", field))
+		}
+		c.Assert(read[1]["executor_labels"], qt.HasLen, maxLoggedLabels)
+		c.Assert(read[2]["queue_removed"], qt.Equals, true)
+		c.Assert(read[2]["executor_pool"], qt.Equals, "other")
+	})
+}
+
 // Guards against an unlimited number of lines when many executors list runs that their owner doesn't know, and against
 // contradictions that are neither logged nor counted.
 func TestContradictionLinesAreLimited(t *testing.T) {
--- a/workflow/engine/former_runs.go
+++ b/workflow/engine/former_runs.go
@@ -58,8 +58,9 @@
 	takenForEndedAt time.Time
 }
 
-// StartBasis is what the owner knew of a task when it decided on a start.
+// StartBasis is what the owner knew of a task, and what admitted it to its executor, when the owner decided on a start.
 type StartBasis struct {
+	Admission Admission
 	// Former is the last run whose start was not rejected, or if there is none the last rejected one.
 	// It is nil if the task has not run before.
 	Former *FormerRun
@@ -101,9 +102,10 @@
 	return f
 }
 
-// startBasis returns what was known when the current run of the task was ordered.
-func (t *task) startBasis() StartBasis {
+// startBasis returns what is known when the current run of the task is assigned.
+func (e *Engine) startBasis(t *task) StartBasis {
 	b := StartBasis{
+		Admission:      e.admission(t),
 		RejectedStarts: t.rejectedStarts, JobRecorded: t.job.recorded, JobKnown: t.startedAt.Sub(t.job.knownAt),
 		JobForgotten: t.job.forgotten,
 	}
--- a/workflow/engine/output.go
+++ b/workflow/engine/output.go
@@ -59,7 +59,7 @@
 	Node    string
 	Address string
 	Orders  workflow.Orders
-	// Bases holds what was known for each of Orders.Starts.
+	// Bases holds what each of Orders.Starts was based on when it was decided.
 	Bases []StartBasis
 }
 
@@ -84,7 +84,7 @@
 	return deliveries
 }
 
-// orders returns the orders for the node, and what was known for each start.
+// orders returns the orders for the node, and what each start was based on.
 func (n *node) orders(b *outbox, lease time.Duration) (o workflow.Orders, bases []StartBasis) {
 	o = workflow.Orders{
 		Incarnation: n.incarnation, ReportNumber: n.number, ExecutorIncarnation: n.executor.IncarnationID(),
@@ -96,13 +96,14 @@
 	if len(b.starts) > 0 {
 		bases = make([]StartBasis, 0, len(b.starts))
 	}
-	for _, t := range b.starts {
+	for i := range b.starts {
+		t := b.starts[i].task
 		if t.phase != workflow.TaskAssigned || t.node != n {
 			continue
 		}
 		o.Specs[t.job.ID] = t.job.Spec
 		o.Starts = append(o.Starts, workflow.StartOrder{RunTraits: t.traits(), Run: t.run, Saved: t.saved})
-		bases = append(bases, t.startBasis())
+		bases = append(bases, b.starts[i].basis)
 	}
 	return o, bases
 }
--- a/workflow/engine/plan.go
+++ b/workflow/engine/plan.go
@@ -260,7 +260,8 @@
 		t.job.phase = workflow.Running
 	}
 	e.markDirty(t.job)
-	e.outboxFor(n.name).starts = append(e.outboxFor(n.name).starts, t)
+	b := e.outboxFor(n.name)
+	b.starts = append(b.starts, plannedStart{t, e.startBasis(t)})
 }
 
 // orderStops orders the requested stops and repeats those that are not confirmed.
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -102,10 +102,16 @@
 
 // outbox collects the orders for a node until the records behind them are stored.
 type outbox struct {
-	starts []*task
+	starts []plannedStart
 	stops  []workflow.StopOrder
 }
 
+// plannedStart is a start with what it was based on when it was decided.
+type plannedStart struct {
+	task  *task
+	basis StartBasis
+}
+
 // New returns an engine without jobs. Executor incarnations that no node reports are taken as ended after
 // settings.LeaseExpiry and TakeoverSlack.
 func New(settings Settings, now time.Time) *Engine {
