Log and count superseded runs and their ends

That a run had ceased to count before its end showed in no line but the stop that followed. Cause: nothing was logged when a run finished a task of which another run was assigned. Change: the owner logs `run superseded` when this happens, with the superseded run, its executor and the run that has finished the task, and `superseded run ended` with the cause and how long the run kept its place since then. The metrics owner_superseded_runs and owner_superseded_ends{cause} count all of them; at most 32 lines of each kind are logged in a second. A new owner tells the ends of superseded runs that it knows from records as `restored`.

--- a/owner/loop.go
+++ b/owner/loop.go
@@ -79,6 +79,7 @@
 	t.logUnreported(now)
 	t.logQuarantine(now)
 	t.logCrashes()
+	t.logSuperseded(now)
 	counts := t.engine.Counts()
 	t.metrics.jobs.Update(float64(counts.Active))
 	t.metrics.assigned.Update(float64(counts.Assigned))
--- a/owner/metrics.go
+++ b/owner/metrics.go
@@ -8,10 +8,10 @@
 
 // metrics holds the metrics of an owner.
 type metrics struct {
-	commits, changes, orders, rejected, lapsed, departed, ended, quarantined, crashed, givenUp tally.Counter
-	commitTime                                                                                 tally.Histogram
-	jobs, assigned                                                                             tally.Gauge
-	scope                                                                                      tally.Scope
+	commits, changes, orders, rejected, lapsed, departed, ended, quarantined, crashed, givenUp, superseded tally.Counter
+	commitTime                                                                                             tally.Histogram
+	jobs, assigned                                                                                         tally.Gauge
+	scope                                                                                                  tally.Scope
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -21,6 +21,7 @@
 		lapsed: scope.Counter("owner_lapsed_executors"), departed: scope.Counter("owner_departed_executors"),
 		ended: scope.Counter("owner_ended_executors"), quarantined: scope.Counter("owner_quarantined_executors"),
 		crashed: scope.Counter("owner_crashed_executors"), givenUp: scope.Counter("owner_given_up_jobs"),
+		superseded: scope.Counter("owner_superseded_runs"),
 		commitTime: scope.Histogram("owner_commit_seconds", tally.MustMakeExponentialDurationBuckets(2*time.Millisecond, 2, 12)),
 		jobs:       scope.Gauge("owner_jobs_active"), assigned: scope.Gauge("owner_tasks_assigned"),
 		scope: scope,
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -8,26 +8,26 @@
 )
 
 const (
-	// contradictionInterval is the time in which at most maxContradictionLines lines on contradictions are logged.
-	contradictionInterval = time.Second
+	// limitInterval is the time in which at most maxContradictionLines lines on contradictions are logged.
+	limitInterval         = time.Second
 	maxContradictionLines = 8
 	// maxLoggedLabels limits the labels of an executor in a line. Executors announce two: their kind and their rack.
 	maxLoggedLabels = 8
 )
 
-// lineLimit limits the number of log lines in an interval.
+// lineLimit limits the number of log lines of a kind in a limitInterval.
 type lineLimit struct {
 	since      time.Time
 	lines      int
 	suppressed int
 }
 
-// allow reports whether another line may be logged, and counts it.
-func (l *lineLimit) allow(now time.Time) bool {
-	if now.Sub(l.since) >= contradictionInterval {
+// allow reports whether another line may be logged if maxLines are allowed in each interval, and counts it.
+func (l *lineLimit) allow(now time.Time, maxLines int) bool {
+	if now.Sub(l.since) >= limitInterval {
 		l.since, l.lines = now, 0
 	}
-	if l.lines == maxContradictionLines {
+	if l.lines == maxLines {
 		l.suppressed++
 		return false
 	}
@@ -35,6 +35,13 @@
 	return true
 }
 
+// takeSuppressed returns the number of lines that were not logged since the last call.
+func (l *lineLimit) takeSuppressed() int {
+	suppressed := l.suppressed
+	l.suppressed = 0
+	return suppressed
+}
+
 // logStarts logs the starts of a delivery with what they were based on, and counts those that are not the first.
 func (t *term) logStarts(d *engine.NodeOrders) {
 	for i := range d.Orders.Starts {
@@ -126,16 +133,15 @@
 	}
 	t.contradictionLines.suppressed += total - len(described)
 	for i := range described {
-		if !t.contradictionLines.allow(now) {
+		if !t.contradictionLines.allow(now, maxContradictionLines) {
 			continue
 		}
 		c := &described[i]
 		fields := []any{
 			"kind", c.Kind, "task", c.Task, "run", c.Run, "executor", c.Executor, "node", c.Node, "list_age_ms", ageMillis(c.ListAge),
 			"phase", phaseName(c), "current_run", c.CurrentRun, "current_executor", c.CurrentExecutor, "epoch", t.lease.Record.Epoch,
-			"suppressed", t.contradictionLines.suppressed,
+			"suppressed", t.contradictionLines.takeSuppressed(),
 		}
-		t.contradictionLines.suppressed = 0
 		if c.Taken != nil {
 			fields = append(fields, formerRunFields(c.Taken, c.SinceTaken)...)
 		}
--- a/owner/runs_test.go
+++ b/owner/runs_test.go
@@ -114,7 +114,7 @@
 		c.Assert(read[0]["kind"], qt.Equals, string(engine.JobUnknown))
 		c.Assert(read[0]["phase"], qt.Equals, "unknown")
 		c.Assert(read[0]["@level"], qt.Equals, "warn")
-		time.Sleep(contradictionInterval)
+		time.Sleep(limitInterval)
 		report(2)
 		read = lines()
 		c.Assert(read, qt.HasLen, maxContradictionLines)
--- a/owner/serve.go
+++ b/owner/serve.go
@@ -77,6 +77,7 @@
 		ack, granted = t.engine.HandleReport(r, now, wall)
 		t.logDepartures()
 		t.logContradictions(now)
+		t.logSuperseded(now)
 		losses = t.engine.HeadroomLosses(r.Node)
 		if r.TraitsUnknown {
 			traits = t.engine.Traits(r.Node)
--- a/owner/term.go
+++ b/owner/term.go
@@ -98,6 +98,8 @@
 	quarantined     []string
 	// contradictionLines limits the lines on contradictions.
 	contradictionLines lineLimit
+	// supersededLines limits the lines on superseded runs, supersededEndLines those on their ends.
+	supersededLines, supersededEndLines lineLimit
 
 	mu    sync.Mutex
 	acked map[string]int64
--- a/workflow/engine/ends.go
+++ b/workflow/engine/ends.go
@@ -86,7 +86,7 @@
 		case m == t && m.isRun(incarnation, run):
 			e.removeRun(m)
 		case m.hasRun() && (m == t || m.run != run):
-			e.requestStop(m, "its task is done")
+			e.supersede(m, run, incarnation, now)
 		}
 		m.phase = workflow.TaskDone
 		m.group.done++
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -125,6 +125,9 @@
 	return now.Sub(n.reportedAt) > lateReportAge && r.Number <= fewReports
 }
 
+// stopOfDone is the reason of the stop of a run whose task is done.
+const stopOfDone = "its task is done"
+
 // requestStop marks a run to be stopped by the next Plan. The first reason given is kept.
 func (e *Engine) requestStop(t *task, reason string) {
 	t.stopRequested = true
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -96,6 +96,8 @@
 	forgotten forgottenJobs
 	// contradictions holds the contradictions between executors' lists and this owner's state that the owner has not taken yet.
 	contradictions contradictions
+	// superseded holds the superseded runs, and the ends of such runs, that the owner has not taken yet.
+	superseded Superseded
 	// waitsToExplain is how many more jobs may be explained before the next Tick.
 	waitsToExplain int
 }
@@ -293,7 +295,8 @@
 				// Which run has finished the task isn't recorded.
 				t.doneRun = 0
 				e.restoreRun(t, &r)
-				e.requestStop(t, "its task is done")
+				e.requestStop(t, stopOfDone)
+				t.supersededAt = now
 			}
 		case workflow.TaskWaiting:
 			t.keepFormerRun(RestoredAsWaiting, now)
@@ -327,6 +330,7 @@
 // made sure that the run has ended and can't begin any more, and gives the cause.
 func (e *Engine) releaseRun(t *task, cause EndCause, now time.Time) {
 	t.keepFormerRun(cause, now)
+	e.recordSupersededEnd(t, cause, now)
 	e.quarantine.RecordProbeAbort(t.host)
 	e.removeRun(t)
 	if t.phase == workflow.TaskAssigned {
@@ -366,7 +370,7 @@
 	t.startedSequence, t.stoppedSequence = 0, 0
 	t.restored, t.reassigned = false, false
 	t.startedIncarnation, t.stoppedIncarnation = 0, 0
-	t.stopOrderedAt = time.Time{}
+	t.stopOrderedAt, t.supersededAt = time.Time{}, time.Time{}
 	t.percent, t.usage = 0, 0
 	t.crashes.listedSince = time.Time{}
 }
--- a/workflow/engine/superseded_runs_test.go
+++ b/workflow/engine/superseded_runs_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/quetzalshed/quetzalshed/structs"
 	"github.com/quetzalshed/quetzalshed/workflow"
+	"github.com/quetzalshed/quetzalshed/workflow/engine"
 )
 
 // supersededRun is a job with two tasks. The first has a run on node "c", and an earlier run on node "a" has finished it. The second
@@ -97,3 +98,60 @@
 	s.plan()
 	s.Assert(s.phase(s.job.ID), qt.Equals, workflow.Completed)
 }
+
+// Guards against a superseded run that no line tells of, neither when it loses its task nor when its place becomes free (incident
+// ROUTE), and against a line for each report that repeats it.
+func TestSupersededRunIsTold(t *testing.T) {
+	s := newSupersededRun(t, limited())
+	taken := s.engine.TakeSuperseded()
+	s.Assert(taken, qt.DeepEquals, engine.Superseded{RunCount: 1, Runs: []engine.SupersededRun{{
+		Task: s.run.Task, Run: 2, Executor: "i-c@1", Node: "c", DoneRun: 1, DoneExecutor: "i-a@1", Listed: true,
+	}}})
+	s.now = s.now.Add(700 * time.Millisecond)
+	for range 3 {
+		s.report("c", executor("c", 1), []workflow.RunState{s.run}, nil)
+	}
+	s.Assert(s.engine.TakeSuperseded(), qt.DeepEquals, engine.Superseded{})
+	for range 2 {
+		s.report("c", executor("c", 1), nil, []workflow.RunEnd{{Number: 2, Task: s.run.Task, Run: 2, How: workflow.EndStopped}})
+	}
+	s.Assert(s.engine.TakeSuperseded(), qt.DeepEquals, engine.Superseded{
+		EndCounts: map[engine.EndCause]int{"ended stopped": 1},
+		Ends: []engine.SupersededEnd{{
+			Task: s.run.Task, Run: 2, Executor: "i-c@1", Node: "c", Cause: "ended stopped", Held: 700 * time.Millisecond,
+		}},
+	})
+}
+
+// Guards against a superseded run whose end is not told since a former owner saw it superseded, and against one that is counted by
+// each owner.
+func TestNewOwnerTellsEndOfSupersededRun(t *testing.T) {
+	s := newSupersededRun(t, limited())
+	record := s.engine.TakeDirty()[0].Record
+	s.epoch++
+	s.takeOver(s.job, record)
+	s.Assert(s.engine.TakeSuperseded(), qt.DeepEquals, engine.Superseded{})
+	s.now = s.now.Add(time.Second)
+	s.report("c", executor("c", 1), nil, []workflow.RunEnd{{Number: 2, Task: s.run.Task, Run: 2, How: workflow.EndDone}})
+	ends := s.engine.TakeSuperseded().Ends
+	s.Assert(ends, qt.HasLen, 1)
+	s.Assert(ends[0].Held, qt.Equals, time.Second)
+	s.Assert(ends[0].Restored, qt.IsTrue)
+}
+
+// Guards against ordinary ends, and the members of a gang that end one after the other, that are told as superseded runs.
+func TestOrdinaryEndsSupersedeNothing(t *testing.T) {
+	h := newHarness(t)
+	gang := step(2)
+	gang.Gang = true
+	h.engine.Add(h.job(gang), nil, h.now, h.now)
+	h.report("a", executor("a", 1), nil, nil)
+	running := h.accept("a", h.plan()["a"])
+	h.Assert(running, qt.HasLen, 2)
+	h.report("a", executor("a", 1), running, nil)
+	h.report("a", executor("a", 1), running[1:], []workflow.RunEnd{{Number: 1, Task: running[0].Task, Run: 1, How: workflow.EndDone}})
+	h.report("a", executor("a", 1), nil, []workflow.RunEnd{
+		{Number: 1, Task: running[0].Task, Run: 1, How: workflow.EndDone}, {Number: 2, Task: running[1].Task, Run: 1, How: workflow.EndDone},
+	})
+	h.Assert(h.engine.TakeSuperseded(), qt.DeepEquals, engine.Superseded{})
+}
--- a/workflow/engine/task.go
+++ b/workflow/engine/task.go
@@ -43,6 +43,8 @@
 	// stoppedSequence is the node's order sequence when the executor accepted the stop; 0 before.
 	stoppedSequence    int64
 	stoppedIncarnation int64
+	// supersededAt is when the run was superseded, or when this owner read of that; zero if it is not.
+	supersededAt time.Time
 
 	startedAt time.Time
 	// duration is how long the successful run took; 0 if unknown.
