Warn of runs on executors where they may not run

Callers saw a task start where its step may not run (ROUTE), and no line or metric of the owner told of it. Cause: the owner compared what executors list with its own assignments only, and not with the constraints of the steps. Change: each report is checked for runs beyond their step's limit on one executor, without their step's label, in a pool to which no configuration known to this owner sends the queue, and beyond the capacity. The owner logs `an executor runs a task that may not run there` and counts owner_misplaced_runs{kind}, once for each run and kind for as long as the run is listed; at most 8 lines in a second. Of runs that are too many together, those that this owner started last are told.

--- a/owner/serve.go
+++ b/owner/serve.go
@@ -78,6 +78,7 @@
 		t.logDepartures()
 		t.logContradictions(now)
 		t.logSuperseded(now)
+		t.logMisplaced(now)
 		losses = t.engine.HeadroomLosses(r.Node)
 		if r.TraitsUnknown {
 			traits = t.engine.Traits(r.Node)
--- a/owner/term.go
+++ b/owner/term.go
@@ -100,6 +100,8 @@
 	contradictionLines lineLimit
 	// supersededLines limits the lines on superseded runs, supersededEndLines those on their ends.
 	supersededLines, supersededEndLines lineLimit
+	// misplacedLines limits the lines on misplaced runs.
+	misplacedLines lineLimit
 
 	mu    sync.Mutex
 	acked map[string]int64
--- a/workflow/engine/reconcile.go
+++ b/workflow/engine/reconcile.go
@@ -18,10 +18,14 @@
 	n.contradictions.next()
 	present := make(map[string]int, len(r.Running)+len(r.Ended))
 	n.orphanedRuns = n.orphanedRuns[:0]
+	listed := e.listedRuns[:0]
 	for i := range r.Running {
 		run := &r.Running[i]
 		present[run.Task] = max(present[run.Task], run.Run)
 		t := e.taskByName(run.Task)
+		if t != nil {
+			listed = append(listed, listedRun{t, run.Run})
+		}
 		if !t.isRun(incarnation, run.Run) {
 			n.orphanedRuns = append(n.orphanedRuns, *run)
 			e.checkRunning(n, run, now)
@@ -29,6 +33,8 @@
 		}
 		t.updateProgress(run, n.listedAt)
 	}
+	e.checkPlacement(n, listed, now)
+	e.listedRuns = listed
 	for i := range r.Ended {
 		end := &r.Ended[i]
 		present[end.Task] = max(present[end.Task], end.Run)
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -98,6 +98,13 @@
 	contradictions contradictions
 	// superseded holds the superseded runs, and the ends of such runs, that the owner has not taken yet.
 	superseded Superseded
+	// misplaced holds the misplaced runs that the owner has not taken yet.
+	misplaced misplacedRuns
+	// formerPools holds the pools of queues by former configurations, the newest last.
+	formerPools []queuePool
+	// listedRuns and groupCounts are reused for each report.
+	listedRuns  []listedRun
+	groupCounts []groupCount
 	// waitsToExplain is how many more jobs may be explained before the next Tick.
 	waitsToExplain int
 }
@@ -151,6 +158,7 @@
 	if config.Version < e.config.Version {
 		return false
 	}
+	e.keepFormerPools(config)
 	e.config = config
 	e.needsPlanning = true
 	return true
