Write whole log lines only

Cause: a line that didn't fit into what was left of the 32 KiB buffer was split; its first part was written with the lines before it. Change: the buffer is flushed before such a line. A line longer than the buffer is written by itself. Evidence: TestWritesEndWithWholeLines fails before (a write of 32768 bytes ends within a line) and passes 5 of 5 with the race detector.

--- a/logging/logging.go
+++ b/logging/logging.go
@@ -16,7 +16,7 @@
 	maxQueuedLines = 4096
 	// flushInterval is how long lines are collected before they are written together.
 	flushInterval = 50 * time.Millisecond
-	// bufferBytes is the maximum size of a combined write.
+	// bufferBytes is the maximum size of a combined write. Only a single line may be longer.
 	bufferBytes = 32 << 10
 )
 
@@ -91,7 +91,14 @@
 	}
 }
 
-func (w *Writer) write(buffer *bufio.Writer, line []byte) { _, _ = buffer.Write(line) }
+// write adds a line to the buffer. A line that doesn't fit is not cut apart: it follows in the next write, or in one of its own if it
+// is longer than the buffer.
+func (w *Writer) write(buffer *bufio.Writer, line []byte) {
+	if len(line) > buffer.Available() {
+		_ = buffer.Flush()
+	}
+	_, _ = buffer.Write(line)
+}
 
 // New returns a logger that writes JSON lines.
 func New(name string, w io.Writer, level hclog.Level) hclog.Logger {
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -1,7 +1,11 @@
 package logging_test
 
 import (
+	"bytes"
+	"fmt"
 	"io"
+	"strings"
+	"sync"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -25,3 +29,40 @@
 	qt.Assert(t, w.Dropped() > 0, qt.IsTrue)
 	qt.Assert(t, w.Dropped() < lines, qt.IsTrue)
 }
+
+// recordedWrites keeps what each call of Write has written.
+type recordedWrites struct {
+	mu     sync.Mutex
+	writes [][]byte
+}
+
+func (r *recordedWrites) Write(p []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.writes = append(r.writes, bytes.Clone(p))
+	return len(p), nil
+}
+
+// Guards against lines that are cut apart where the buffer is full, so that those of other processes come between the pieces; also
+// against a line longer than the buffer that is.
+func TestWritesEndWithWholeLines(t *testing.T) {
+	out := &recordedWrites{}
+	w := logging.NewWriter(out, tally.NoopScope)
+	var expected strings.Builder
+	for i := range 1000 {
+		line := fmt.Sprintf("%d %s\n", i, strings.Repeat("x", 100+i%97))
+		if i == 500 {
+			line = fmt.Sprintf("%d %s\n", i, strings.Repeat("x", 100_000))
+		}
+		expected.WriteString(line)
+		_, _ = w.Write([]byte(line))
+	}
+	w.Flush()
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	qt.Assert(t, len(out.writes) > 1, qt.IsTrue)
+	for _, written := range out.writes {
+		qt.Assert(t, bytes.HasSuffix(written, []byte("\n")), qt.IsTrue, qt.Commentf("a write of %d bytes ends within a line", len(written)))
+	}
+	qt.Assert(t, string(bytes.Join(out.writes, nil)) == expected.String(), qt.IsTrue)
+}
