Limit combined writes of log lines to what a pipe takes up as a whole

Callers saw lines cut apart and missing although each write ended with a line. Cause: lines were written together in up to 32 KiB. A pipe takes up to 4096 bytes (PIPE_BUF) as a whole; a longer write may be cut apart by other writers of the pipe, and a collector that reads 8 KiB at a time gets pieces of it. Change: lines are written together in up to 4096 bytes. TestWritesEndWithWholeLines checks the length, too.

--- a/logging/logging.go
+++ b/logging/logging.go
@@ -16,8 +16,9 @@
 	maxQueuedLines = 4096
 	// flushInterval is how long lines are collected before they are written together.
 	flushInterval = 50 * time.Millisecond
-	// bufferBytes is the maximum size of a combined write. Only a single line may be longer.
-	bufferBytes = 32 << 10
+	// bufferBytes is the maximum size of a combined write; only a single line may be longer. It is PIPE_BUF of Linux: a pipe takes up
+	// to that as a whole, so that other processes' output never comes between, and collectors read at least as much at a time.
+	bufferBytes = 4 << 10
 )
 
 // Writer writes lines to another writer in the background. It implements io.Writer and is safe for concurrent use.
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -43,7 +43,10 @@
 	return len(p), nil
 }
 
-// Guards against lines that are cut apart where the buffer is full, so that those of other processes come between the pieces; also
+// pipeBuffer is PIPE_BUF of Linux, up to which a write to a pipe is not cut apart.
+const pipeBuffer = 4096
+
+// Guards against lines that are cut apart where the buffer is full or the pipe cuts a write, so that those of other processes come between the pieces; also
 // against a line longer than the buffer that is.
 func TestWritesEndWithWholeLines(t *testing.T) {
 	out := &recordedWrites{}
@@ -63,6 +66,8 @@
 	qt.Assert(t, len(out.writes) > 1, qt.IsTrue)
 	for _, written := range out.writes {
 		qt.Assert(t, bytes.HasSuffix(written, []byte("\n")), qt.IsTrue, qt.Commentf("a write of %d bytes ends within a line", len(written)))
+		isSingle := bytes.IndexByte(written, '\n') == len(written)-1
+		qt.Assert(t, len(written) <= pipeBuffer || isSingle, qt.IsTrue, qt.Commentf("a write of several lines with %d bytes", len(written)))
 	}
 	qt.Assert(t, string(bytes.Join(out.writes, nil)) == expected.String(), qt.IsTrue)
 }
