Log up to 128 superseded runs in a second

Each of these runs has a `start ordered` and a `run started` already, so that a higher limit adds little. Evidence: the test of the owner, now with 300 runs at once.

--- a/owner/superseded.go
+++ b/owner/superseded.go
@@ -3,7 +3,7 @@
 import "time"
 
 // maxSupersededLines is how many lines on superseded runs, and how many on their ends, are logged in a limitInterval.
-const maxSupersededLines = 32
+const maxSupersededLines = 128
 
 // logSuperseded counts the runs whose tasks other runs have finished, and the ends of such runs, and logs them up to a limit.
 func (t *term) logSuperseded(now time.Time) {
--- a/owner/superseded_test.go
+++ b/owner/superseded_test.go
@@ -31,7 +31,7 @@
 func TestSupersededRunsAreLoggedAndLimited(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		const tasks = 100
+		const tasks = 300
 		term, scope, lines := loggedTerm(t)
 		first, second := newRestoredTasks(term, tasks)
 		report := func(node string, number int64, ended []workflow.RunEnd) []map[string]any {
--- a/workflow/engine/superseded.go
+++ b/workflow/engine/superseded.go
@@ -4,7 +4,7 @@
 
 // maxDescribedSuperseded limits the superseded runs that are described between two calls of TakeSuperseded, and their ends; further
 // ones are only counted.
-const maxDescribedSuperseded = 32
+const maxDescribedSuperseded = 128
 
 // SupersededRun is a run whose task another run has finished. It keeps its place on its executor until its end is proved.
 type SupersededRun struct {
