--- a/logging/logging.go
+++ b/logging/logging.go
@@ -16,8 +16,9 @@
 	maxQueuedLines = 4096
 	// flushInterval is how long lines are collected before they are written together.
 	flushInterval = 50 * time.Millisecond
-	// bufferBytes is the maximum size of a combined write.
-	bufferBytes = 32 << 10
+	// bufferBytes is the maximum size of a combined write; only a single line may be longer. It is PIPE_BUF of Linux: a pipe takes up
+	// to that as a whole, so that other processes' output never comes between, and collectors read at least as much at a time.
+	bufferBytes = 4 << 10
 )
 
 // Writer writes lines to another writer in the background. It implements io.Writer and is safe for concurrent use.
@@ -91,7 +92,14 @@
 	}
 }
 
-func (w *Writer) write(buffer *bufio.Writer, line []byte) { _, _ = buffer.Write(line) }
+// write adds a line to the buffer. A line that doesn't fit is not cut apart: it follows in the next write, or in one of its own if it
+// is longer than the buffer.
+func (w *Writer) write(buffer *bufio.Writer, line []byte) {
+	if len(line) > buffer.Available() {
+		_ = buffer.Flush()
+	}
+	_, _ = buffer.Write(line)
+}
 
 // New returns a logger that writes JSON lines.
 func New(name string, w io.Writer, level hclog.Level) hclog.Logger {
--- a/node/orders_limit_test.go
+++ b/node/orders_limit_test.go
@@ -29,6 +29,13 @@
 	return ctx.Err()
 }
 
+// starts returns the number of starts that were sent.
+func (s *silentExecutor) starts() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sent)
+}
+
 // Guards against starts that are sent seconds after their owner has given them up, and that no stop precedes: they waited behind others
 // that got no answer, and the host of the owner was lost, so that the node didn't hear of it (TWICE).
 func TestStartsAreNotSentAfterOwnerHasGivenThemUp(t *testing.T) {
--- a/node/resent_starts_test.go
+++ b/node/resent_starts_test.go
@@ -1,9 +1,6 @@
 package node
 
 import (
-	"context"
-	"errors"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,18 +12,6 @@
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
-// silentExecutor counts the copies of starts that reach it and answers none of them.
-type silentExecutor struct {
-	Executor
-	starts atomic.Int32
-}
-
-func (x *silentExecutor) Start(ctx context.Context, _ string, _ Start) error {
-	x.starts.Add(1)
-	<-ctx.Done()
-	return errors.New("no response")
-}
-
 // startOrders returns the order of one start that is decided on the next report to an owner.
 func (n *Node) startOrders() *workflow.Orders {
 	return &workflow.Orders{
@@ -54,10 +39,10 @@
 				results := make(chan workflow.OrderResult, 1)
 				go func() { results <- n.execute(t.Context(), orders).Results[0] }()
 				time.Sleep(repeatInterval / 2)
-				c.Assert(executor.starts.Load(), qt.Equals, int32(1))
+				c.Assert(executor.starts(), qt.Equals, 1)
 				change(n)
 				result := <-results
-				c.Check(executor.starts.Load(), qt.Equals, int32(1))
+				c.Check(executor.starts(), qt.Equals, 1)
 				c.Check(result.Outcome, qt.Equals, workflow.OutcomeUnknown, qt.Commentf("the first copy may have been carried out"))
 			})
 		})
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -8,24 +8,26 @@
 )
 
 const (
-	// contradictionInterval is the time in which at most maxContradictionLines lines on contradictions are logged.
-	contradictionInterval = time.Second
+	// limitInterval is the time in which at most maxContradictionLines lines on contradictions are logged.
+	limitInterval         = time.Second
 	maxContradictionLines = 8
+	// maxLoggedLabels limits the labels of an executor in a line. Executors announce two: their kind and their rack.
+	maxLoggedLabels = 8
 )
 
-// lineLimit limits the number of log lines in an interval.
+// lineLimit limits the number of log lines of a kind in a limitInterval.
 type lineLimit struct {
 	since      time.Time
 	lines      int
 	suppressed int
 }
 
-// allow reports whether another line may be logged, and counts it.
-func (l *lineLimit) allow(now time.Time) bool {
-	if now.Sub(l.since) >= contradictionInterval {
+// allow reports whether another line may be logged if maxLines are allowed in each interval, and counts it.
+func (l *lineLimit) allow(now time.Time, maxLines int) bool {
+	if now.Sub(l.since) >= limitInterval {
 		l.since, l.lines = now, 0
 	}
-	if l.lines == maxContradictionLines {
+	if l.lines == maxLines {
 		l.suppressed++
 		return false
 	}
@@ -33,7 +35,14 @@
 	return true
 }
 
-// logStarts logs the starts of a delivery with what the owner knew of the tasks, and counts those that are not the first.
+// takeSuppressed returns the number of lines that were not logged since the last call.
+func (l *lineLimit) takeSuppressed() int {
+	suppressed := l.suppressed
+	l.suppressed = 0
+	return suppressed
+}
+
+// logStarts logs the starts of a delivery with what they were based on, and counts those that are not the first.
 func (t *term) logStarts(d *engine.NodeOrders) {
 	for i := range d.Orders.Starts {
 		s, basis := &d.Orders.Starts[i], engine.StartBasis{}
@@ -44,6 +53,7 @@
 			"task", s.Task, "run", s.Run, "executor", d.Orders.ExecutorIncarnation, "node", d.Node, "epoch", d.Orders.Epoch, "basis", d.Orders.ReportNumber,
 			"job_recorded", basis.JobRecorded, "job_known_ms", basis.JobKnown.Milliseconds(),
 		}
+		fields = append(fields, admissionFields(&basis.Admission)...)
 		if basis.JobForgotten {
 			fields = append(fields, "job_forgotten", true)
 		}
@@ -56,6 +66,24 @@
 	}
 }
 
+// admissionFields returns the log fields on what allowed a start. Most steps have neither a label nor a limit, and short lines.
+func admissionFields(a *engine.Admission) []any {
+	fields := []any{"config", a.ConfigVersion, "queue", a.Queue, "pool", a.Pool}
+	if a.QueueRemoved {
+		fields = append(fields, "queue_removed", true)
+	}
+	if a.ExecutorPool != a.Pool {
+		fields = append(fields, "executor_pool", a.ExecutorPool)
+	}
+	if a.Label != "" || a.Limit > 0 {
+		fields = append(fields, "label", a.Label, "executor_labels", loggedLabels(a.ExecutorLabels), "limit", a.Limit, "counted", a.Counted)
+	}
+	return fields
+}
+
+// loggedLabels returns those labels of an executor that a line names.
+func loggedLabels(labels []string) []string { return labels[:min(len(labels), maxLoggedLabels)] }
+
 // formerRunFields returns the log fields on a run that was taken for ended a time ago.
 func formerRunFields(f *engine.FormerRun, ago time.Duration) []any {
 	fields := []any{
@@ -105,16 +133,15 @@
 	}
 	t.contradictionLines.suppressed += total - len(described)
 	for i := range described {
-		if !t.contradictionLines.allow(now) {
+		if !t.contradictionLines.allow(now, maxContradictionLines) {
 			continue
 		}
 		c := &described[i]
 		fields := []any{
 			"kind", c.Kind, "task", c.Task, "run", c.Run, "executor", c.Executor, "node", c.Node, "list_age_ms", ageMillis(c.ListAge),
 			"phase", phaseName(c), "current_run", c.CurrentRun, "current_executor", c.CurrentExecutor, "epoch", t.lease.Record.Epoch,
-			"suppressed", t.contradictionLines.suppressed,
+			"suppressed", t.contradictionLines.takeSuppressed(),
 		}
-		t.contradictionLines.suppressed = 0
 		if c.Taken != nil {
 			fields = append(fields, formerRunFields(c.Taken, c.SinceTaken)...)
 		}
--- a/owner/term.go
+++ b/owner/term.go
@@ -98,6 +98,10 @@
 	quarantined     []string
 	// contradictionLines limits the lines on contradictions.
 	contradictionLines lineLimit
+	// supersededLines limits the lines on superseded runs, supersededEndLines those on their ends.
+	supersededLines, supersededEndLines lineLimit
+	// misplacedLines limits the lines on misplaced runs.
+	misplacedLines lineLimit
 
 	mu    sync.Mutex
 	acked map[string]int64
--- a/workflow/engine/state.go
+++ b/workflow/engine/state.go
@@ -96,16 +96,31 @@
 	forgotten forgottenJobs
 	// contradictions holds the contradictions between executors' lists and this owner's state that the owner has not taken yet.
 	contradictions contradictions
+	// superseded holds the superseded runs, and the ends of such runs, that the owner has not taken yet.
+	superseded Superseded
+	// misplaced holds the misplaced runs that the owner has not taken yet.
+	misplaced misplacedRuns
+	// formerPools holds the pools of queues by former configurations, the newest last.
+	formerPools []queuePool
+	// listedRuns and groupCounts are reused for each report.
+	listedRuns  []listedRun
+	groupCounts []groupCount
 	// waitsToExplain is how many more jobs may be explained before the next Tick.
 	waitsToExplain int
 }
 
 // outbox collects the orders for a node until the records behind them are stored.
 type outbox struct {
-	starts []*task
+	starts []plannedStart
 	stops  []workflow.StopOrder
 }
 
+// plannedStart is a start with what it was based on when it was decided.
+type plannedStart struct {
+	task  *task
+	basis StartBasis
+}
+
 // New returns an engine without jobs. Executor incarnations that no node reports are taken as ended after
 // settings.LeaseExpiry and TakeoverSlack.
 func New(settings Settings, now time.Time) *Engine {
@@ -143,6 +158,7 @@
 	if config.Version < e.config.Version {
 		return false
 	}
+	e.keepFormerPools(config)
 	e.config = config
 	e.needsPlanning = true
 	return true
@@ -290,7 +306,8 @@
 				// Which run has finished the task isn't recorded.
 				t.doneRun = 0
 				e.restoreRun(t, &r)
-				e.requestStop(t, reasonTaskDone)
+				e.requestStop(t, stopOfDone)
+				t.supersededAt = now
 			}
 		case workflow.TaskWaiting:
 			t.keepFormerRun(RestoredAsWaiting, now)
@@ -330,6 +347,7 @@
 // made sure that the run has ended and can't begin any more, and gives the cause.
 func (e *Engine) releaseRun(t *task, cause EndCause, now time.Time) {
 	t.keepFormerRun(cause, now)
+	e.recordSupersededEnd(t, cause, now)
 	e.quarantine.RecordProbeAbort(t.host)
 	e.removeRun(t)
 	if t.phase == workflow.TaskAssigned {
@@ -369,7 +387,7 @@
 	t.startedSequence, t.stoppedSequence = 0, 0
 	t.restored, t.reassigned = false, false
 	t.startedIncarnation, t.stoppedIncarnation = 0, 0
-	t.stopOrderedAt = time.Time{}
+	t.stopOrderedAt, t.supersededAt = time.Time{}, time.Time{}
 	t.percent, t.usage = 0, 0
 	t.crashes.listedSince = time.Time{}
 }
