Name both incarnations where a node rejects a start

Callers could not tell from `start rejected` which executor the owner had judged, and which one the host had. Change: the line names the executor incarnation that the start was ordered for and, if the host has another one, that one with its pool and labels. Evidence: TestRejectedStartTellsOtherIncarnation.

--- a/node/ages.go
+++ b/node/ages.go
@@ -22,3 +22,16 @@
 		"lease_left_ms", leaseLeft, "known_epoch", max(n.epoch, n.locator.Epoch()),
 	}
 }
+
+// incarnationFields returns the log fields on the incarnation that a start was ordered for and, if it isn't the current one, on that:
+// the owner has judged another one than the host has. The caller holds mu.
+func (n *Node) incarnationFields(ordered string) []any {
+	fields := []any{"executor", ordered}
+	switch {
+	case n.current == nil:
+		return append(fields, "current_executor", "")
+	case n.current.IncarnationID() != ordered:
+		return append(fields, "current_executor", n.current.IncarnationID(), "current_pool", n.current.Pool, "current_labels", n.current.Labels)
+	}
+	return fields
+}
--- a/node/orders.go
+++ b/node/orders.go
@@ -103,7 +103,7 @@
 	n.mu.Lock()
 	now := n.clock.Now()
 	deadline, reason := n.checkStart(orders, now)
-	ages := n.startAges(orders.ReportNumber, now)
+	basis := append(n.startAges(orders.ReportNumber, now), n.incarnationFields(orders.ExecutorIncarnation)...)
 	fence := int64(0)
 	if reason == "" {
 		fence = n.fence(orders.Epoch)
@@ -113,7 +113,7 @@
 	n.mu.Unlock()
 	if reason != "" {
 		n.metrics.rejected.Inc(1)
-		n.log.With(ages...).Info("start rejected", "task", s.Task, "run", s.Run, "reason", reason, "epoch", orders.Epoch, "basis", orders.ReportNumber)
+		n.log.With(basis...).Info("start rejected", "task", s.Task, "run", s.Run, "reason", reason, "epoch", orders.Epoch, "basis", orders.ReportNumber)
 		result.Reason = reason
 		return result
 	}
--- a/node/pauses_test.go
+++ b/node/pauses_test.go
@@ -111,3 +111,27 @@
 	c.Assert(read[0]["list_age_ms"], qt.Equals, float64(unknownAge))
 	c.Assert(read[0]["known_epoch"], qt.Equals, 0.0)
 }
+
+// Guards against a rejected start of which nothing tells that its owner had judged another executor than the host has.
+func TestRejectedStartTellsOtherIncarnation(t *testing.T) {
+	c := qt.New(t)
+	n, lines := loggedNode(t)
+	rejected := func(ordered string) map[string]any {
+		lines()
+		result := n.start(t.Context(), &workflow.Orders{Epoch: 1, Incarnation: n.incarnation, ReportNumber: 1, ExecutorIncarnation: ordered}, &workflow.StartOrder{Run: 1})
+		c.Assert(result.Outcome, qt.Equals, workflow.OutcomeRejected)
+		return lines()[0]
+	}
+	n.current = &workflow.Executor{ID: "i-2", StartedUnixMillis: 2000, Pool: "pool", Labels: []string{"slow"}}
+	line := rejected("i-1@1000")
+	for field, value := range map[string]any{
+		"reason": "life", "executor": "i-1@1000", "current_executor": "i-2@2000", "current_pool": "pool", "current_labels": []any{"slow"},
+	} {
+		c.Assert(line[field], qt.DeepEquals, value, qt.Commentf("field %s", field))
+	}
+	line = rejected("i-2@2000")
+	c.Assert(line["reason"], qt.Equals, "basis")
+	c.Assert(line["executor"], qt.Equals, "i-2@2000")
+	_, found := line["current_executor"]
+	c.Assert(found, qt.IsFalse)
+}
