--- a/node/announcements.go
+++ b/node/announcements.go
@@ -27,7 +27,7 @@
 	}
 	if n.current == nil {
 		n.end = executorEnd{}
-		n.log.Info("executor found", "executor", e.IncarnationID(), "pool", e.Pool, "cpu", e.Capacity.MilliCores, "memory_mb", e.Capacity.MemoryMB, "failure_domain", e.FailureDomain)
+		n.log.Info("executor found", "executor", e.IncarnationID(), "pool", e.Pool, "cpu", e.Capacity.MilliCores, "memory_mb", e.Capacity.MemoryMB, "failure_domain", e.FailureDomain, "labels", e.Labels)
 	}
 	if n.departure.announced() {
 		// An announcement that was sent before the end may arrive after it.
--- a/node/pauses_test.go
+++ b/node/pauses_test.go
@@ -135,3 +135,16 @@
 	_, found := line["current_executor"]
 	c.Assert(found, qt.IsFalse)
 }
+
+// Guards against an executor whose labels no line tells, so that a start without its label can't be judged from the logs.
+func TestFoundExecutorTellsLabels(t *testing.T) {
+	c := qt.New(t)
+	n, lines := loggedNode(t)
+	n.current = nil
+	n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 1000, Pool: "pool", Labels: []string{"fast", "r1"}}, 1, 500)
+	read := lines()
+	c.Assert(read, qt.HasLen, 1)
+	c.Assert(read[0]["@message"], qt.Equals, "executor found")
+	c.Assert(read[0]["pool"], qt.Equals, "pool")
+	c.Assert(read[0]["labels"], qt.DeepEquals, []any{"fast", "r1"})
+}
