Withdraw the crash of an executor that lists its runs again

A job was given up without fault (LOST) after three executors in turn had given no answers under its tasks until their leases had expired, although each listed its runs again in the same incarnation. Cause: an executor whose lease expires while its node reports counts as crashed. That was never corrected. Change: the crash is withdrawn once the executor lists its runs later than that, for the tasks of which nothing else has become known since. Crashes that refused connections or another incarnation show count as before. A new owner doesn't withdraw the crashes that a former one has counted.

--- a/workflow/engine/crashes.go
+++ b/workflow/engine/crashes.go
@@ -226,15 +226,17 @@
 // hasCrashed reports whether an executor has crashed under the task before.
 func (r crashedRun) hasCrashed() bool { return r.task.crashes.total > 0 }
 
-// recordLapse records that the lease of an executor has expired. It has crashed if its node still reports. Otherwise the host may
-// be cut off, and the next incarnation shows whether the executor has crashed.
+// recordLapse records that the lease of an executor has expired. It has crashed if its node still reports, unless it lists its runs
+// again. Otherwise the host may be cut off, and the next incarnation shows whether the executor has crashed.
 func (e *Engine) recordLapse(n *node, now time.Time) {
 	if n.executor.Draining || n.recordedEnd == n.executorIncarnation {
 		return
 	}
 	runs := e.crashedRuns(n, n.executorIncarnation)
 	if now.Sub(n.reportedAt) < reportTimeout {
+		n.presumed = presumeCrash(n, runs, now)
 		e.recordCrash(n, n.executorIncarnation, runs, now)
+		n.presumed.noteCounts()
 		return
 	}
 	n.lapsedRuns = append(n.lapsedRuns, runs...)
@@ -369,6 +371,7 @@
 // recordAlive clears the tasks whose runs have lasted longer than those that ended with a crash. The executor listed its runs at
 // n.listedAt.
 func (e *Engine) recordAlive(n *node) {
+	e.withdrawCrash(n)
 	n.aliveAt, n.lapsedRuns = n.listedAt, nil
 	for _, t := range e.assignedTasks[n.executorIncarnation] {
 		if !t.listed {
--- a/workflow/engine/node.go
+++ b/workflow/engine/node.go
@@ -93,6 +93,8 @@
 	endReportedAt time.Time
 	recordedEnd   string
 	lapsedRuns    []crashedRun
+	// presumed is the crash that was presumed when the lease last expired, until the executor lists its runs again.
+	presumed presumedCrash
 	// unproven is set until the executor has shown that the former ones of its host have ended.
 	unproven bool
 	// probes is the number of suspects of a crash that run on the executor and have not survived yet, as of the last Plan.
