End no runs by refused connections after the late end of a former incarnation

What callers would have seen: a task that runs twice, or a start in the place of one that goes on (ROUTE, LIMIT): the announcement of the end of an executor's former incarnation arrives late, and the current one, which has the same ID and doesn't drain, is cut off from its node for 2.2 s. Also, such an executor was not used again until its next start. Cause: the announcement doesn't name the incarnation. The node nevertheless reported the current one as draining, which owners never undo, and as left once its address had refused connections for 2.2 s. In the engine the tasks of an executor so reported were started elsewhere at once. Change: the announcement of an end is a fact of its own in reports (end_announced) beside draining. It forbids starts, and ends runs only together with the executor's own announcement that it drains and a refused connection. Otherwise runs are held until the lease has expired or the next incarnation has responded. A planned stop of a node doesn't wait for an end that it can't report.

--- a/node/announcements.go
+++ b/node/announcements.go
@@ -30,13 +30,14 @@
 		n.end = executorEnd{}
 		n.log.Info("executor found", "executor", e.IncarnationID(), "pool", e.Pool, "cpu", e.Capacity.MilliCores, "memory_mb", e.Capacity.MemoryMB, "failure_domain", e.FailureDomain)
 	}
-	if n.departure.announced() {
-		// An announcement that was sent before the end may arrive after it.
-		e.Draining, e.Left = true, n.current.Left
-	}
 	if e.Draining && n.departure == nil {
 		n.departure = newDeparture(true)
 	}
+	if n.departure.announced() {
+		// An announcement that was sent before the end may arrive after it.
+		n.departure.drained = n.departure.drained || e.Draining
+		e.Draining, e.EndAnnounced, e.Left = n.departure.drained, true, n.current.Left
+	}
 	moved := n.current != nil && !isPlacedAlike(n.current, &e)
 	if moved {
 		n.log.Info("executor changed", "executor", e.IncarnationID(), "pool", e.Pool, "labels", e.Labels, "failure_domain", e.FailureDomain,
--- a/node/departure.go
+++ b/node/departure.go
@@ -46,7 +46,7 @@
 		return
 	}
 	n.log.Info("executor announces its end", "executor", n.current.IncarnationID())
-	n.current.Draining = true
+	n.current.EndAnnounced = true
 	if n.departure == nil {
 		n.departure = newDeparture(false)
 	}
@@ -58,7 +58,7 @@
 // handleHoldError processes a hold call to an incarnation that failed, after which the next call may reach another one. broken is
 // set if its connection was broken or refused, which shows that the executor has just ended. If the incarnation had announced its
 // end and its address refuses connections, it has left. If it was not draining before, the announcement may be that of a former
-// incarnation, so the address must keep refusing connections.
+// incarnation, and refused connections prove nothing: then only its lease shows when its runs have ended.
 func (n *Node) handleHoldError(incarnation string, err error, broken bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -74,7 +74,7 @@
 	if !n.departure.announced() || n.current.Left || n.current.IncarnationID() != incarnation || !errors.Is(err, ErrRefused) {
 		return
 	}
-	if !n.departure.drained && !n.end.confirmed {
+	if !n.departure.drained {
 		return
 	}
 	n.log.Info("executor has left", "executor", incarnation, "epoch", n.epoch)
@@ -86,7 +86,7 @@
 func (n *Node) noteResponse(now time.Time) {
 	if n.departure.announced() && (n.current.Left || now.Sub(n.departure.announcedAt) > maxDepartureTime) {
 		n.log.Warn("executor responds after it announced its end", "executor", n.current.IncarnationID(), "reported", n.current.Left)
-		n.current.Left = false
+		n.current.Left, n.current.EndAnnounced = false, false
 		n.endDeparture()
 	}
 }
@@ -104,12 +104,11 @@
 	}
 }
 
-// AwaitDeparture waits, if the executor drains or has announced its end, until an owner has stored that it has left. After
-// the node's process has ended, nobody could report it, and the executor's tasks would wait until its lease has certainly
-// expired.
+// AwaitDeparture waits, if the executor drains, until an owner has stored that it has left. After the node's process has ended,
+// nobody could report it, and the executor's tasks would wait until its lease has certainly expired.
 func (n *Node) AwaitDeparture(ctx context.Context) {
 	n.mu.Lock()
-	if n.departure == nil {
+	if n.departure == nil || !n.departure.drained {
 		n.mu.Unlock()
 		return
 	}
--- a/node/orders.go
+++ b/node/orders.go
@@ -74,7 +74,7 @@
 		return "epoch"
 	case n.current == nil || n.current.IncarnationID() != orders.ExecutorIncarnation:
 		return "life"
-	case n.current.Draining:
+	case n.current.MayEnd():
 		return "draining"
 	case n.end.confirmed:
 		return workflow.ReasonUnreachable
--- a/workflow/engine/crash_ends_test.go
+++ b/workflow/engine/crash_ends_test.go
@@ -106,6 +106,33 @@
 	h.Assert(crashes, qt.HasLen, 0)
 }
 
+// Guards against a second run of a task, or a start in its place (ROUTE, LIMIT), while its executor goes on and refuses connections: the
+// end of an executor under its ID was announced, which may be that of a former incarnation.
+func TestRefusingExecutorThatDoesNotDrainKeepsItsRuns(t *testing.T) {
+	h := newHarness(t)
+	h.startOnA(1)
+	leaving := executor("a", 1)
+	leaving.EndAnnounced = true
+	h.reportEnd(leaving, nil, nil)
+	h.Assert(h.startsAfterLease(), qt.HasLen, 1)
+	h.Assert(h.engine.TakeDepartures(), qt.DeepEquals, []engine.Departure{{Node: "a", Incarnation: "i-a@1", Held: true, Tasks: 1}})
+	crashes, _ := h.engine.TakeCrashes()
+	h.Assert(crashes, qt.HasLen, 0)
+}
+
+// Guards against an executor that its owner uses although it may end, or never uses again because the end of a former incarnation was
+// announced late.
+func TestExecutorIsUsedAgainAfterFalseAnnouncementOfItsEnd(t *testing.T) {
+	h := newHarness(t)
+	h.engine.Add(h.job(step(1)), nil, h.now, h.now)
+	leaving := executor("a", 1)
+	leaving.EndAnnounced = true
+	h.report("a", leaving, nil, nil)
+	h.Assert(h.plan()["a"].Starts, qt.HasLen, 0)
+	h.report("a", executor("a", 1), nil, nil)
+	h.Assert(h.plan()["a"].Starts, qt.HasLen, 1)
+}
+
 // Guards against tasks that wait for longer than the lease that the node reports, because the owner has changed after the crash.
 func TestTasksOfCrashedExecutorRestartAfterTakeover(t *testing.T) {
 	for _, newProcess := range []bool{false, true} {
--- a/workflow/engine/crashes.go
+++ b/workflow/engine/crashes.go
@@ -203,7 +203,7 @@
 	if n.known && n.executorIncarnation == former {
 		runs = append(runs, n.lapsedRuns...)
 		n.lapsedRuns = nil
-		if n.executor.Draining {
+		if n.executor.MayEnd() {
 			return
 		}
 	}
@@ -229,7 +229,7 @@
 // recordLapse records that the lease of an executor has expired. It has crashed if its node still reports. Otherwise the host may
 // be cut off, and the next incarnation shows whether the executor has crashed.
 func (e *Engine) recordLapse(n *node, now time.Time) {
-	if n.executor.Draining || n.recordedEnd == n.executorIncarnation {
+	if n.executor.MayEnd() || n.recordedEnd == n.executorIncarnation {
 		return
 	}
 	runs := e.crashedRuns(n, n.executorIncarnation)
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -112,12 +112,12 @@
 	}
 	e.endReplaced(n, r, now)
 	// Draining is never undone within an incarnation: a restarted node may receive an outdated announcement first.
-	draining := r.Executor.Draining || n.executor.Draining
-	if draining != n.executor.Draining {
-		e.needsPlanning = true
-	}
+	draining, mayEnd := r.Executor.Draining || n.executor.Draining, n.executor.MayEnd()
 	n.executor = *r.Executor
 	n.executor.Draining = draining
+	if n.executor.MayEnd() != mayEnd {
+		e.needsPlanning = true
+	}
 	return true
 }
 
--- a/workflow/engine/placement.go
+++ b/workflow/engine/placement.go
@@ -130,7 +130,7 @@
 func init() {
 	registerStaticFilter("pool", func(p *placementRequest, n *node) bool { return n.executor.Pool == p.queue.Pool })
 	registerStaticFilter("present", func(p *placementRequest, n *node) bool {
-		return !n.executor.Draining && p.now.Sub(n.reportedAt) < reportTimeout && p.now.Sub(n.listedAt) < maxListAge && !p.now.Before(n.noStartsUntil)
+		return !n.executor.MayEnd() && p.now.Sub(n.reportedAt) < reportTimeout && p.now.Sub(n.listedAt) < maxListAge && !p.now.Before(n.noStartsUntil)
 	})
 	registerStaticFilter("evacuated", func(p *placementRequest, n *node) bool { return !p.engine.evacuated[n.executor.FailureDomain] })
 	registerStaticFilter("label", func(p *placementRequest, n *node) bool {
--- a/workflow/executor.go
+++ b/workflow/executor.go
@@ -62,10 +62,15 @@
 	// Draining is set if the executor will shut down, at the earliest after RemainingMillis.
 	Draining        bool  `json:"draining,omitempty"`
 	RemainingMillis int64 `json:"remaining_ms,omitempty"`
+	// EndAnnounced is set if the end of an executor under its ID was announced. That may be late, and mean a former incarnation.
+	EndAnnounced bool `json:"end_announced,omitempty"`
 	// Left is set once the executor has shut down as planned. Everything that ran on the incarnation has ended.
 	Left bool `json:"left,omitempty"`
 }
 
+// MayEnd reports whether the executor may end at any moment, so that it gets no starts.
+func (e *Executor) MayEnd() bool { return e.Draining || e.EndAnnounced }
+
 // IncarnationID returns the identifier of the incarnation.
 func (e *Executor) IncarnationID() string { return FormatIncarnationID(e.ID, e.StartedUnixMillis) }
 
