Check in the soak that tasks start only where they may

Its oracle now finds a start (1) beyond the limit of a step on one life of an executor, where a run counts until it has ended there, (2) on an executor without the label of the step, (3) of a service to which no configuration has sent the queue, and (4) beyond the capacity of an executor that rejects nothing. Jobs draw limits, labels and a second occurrence, executors are of two services, draw whether they are guarded and draw a kind for each life, and configurations move queues between the services. Two kinds of faults are new: late-orders-kills and app-cut-lease (executors that are cut off from their nodes for 7 to 12 s while owners are killed). A run without starts at limits shows nothing and fails.

--- a/test/soak/clients_test.go
+++ b/test/soak/clients_test.go
@@ -8,14 +8,15 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
+	"strconv"
 	"sync"
 	"time"
 )
 
 const (
-	service   = "motion7a"
-	queueHost = "jobs.example"
+	firstService  = "motion7a"
+	secondService = "joint2c"
+	queueHost     = "jobs.example"
 	// clientTimeout is how long a client waits for a response, and submitTries how often it submits a job at most.
 	clientTimeout = 3 * time.Second
 	submitTries   = 6
@@ -29,8 +30,14 @@
 	// rareLabel is a label of one executor.
 	rareLabel    = "b"
 	steadySpread = 200 * time.Millisecond
+	// repeatedShare of the steps of short tasks are those of jobs with two overlapping occurrences.
+	repeatedShare    = 0.1
+	repeatedInterval = 400 * time.Millisecond
 )
 
+// kindLabels are the labels of the kinds of executors, each of which has one.
+var kindLabels = []string{"a", "c"}
+
 // jobKind is a kind of jobs that clients submit.
 type jobKind struct {
 	prefix       string
@@ -42,18 +49,40 @@
 	errors       float64
 	// copied is the share of steps of which copies may run, and apart that of steps that limit the tasks on an executor.
 	copied, apart float64
-	// needs is a label that executors must have.
+	// needs is a label that executors must have; others draw one of the kinds for a share of their steps.
 	needs string
+	picky float64
+	// services are those to which configurations send the queue, the first one at the start.
+	services []string
 	// steady is set if all tasks take nearly the same time.
 	steady bool
 }
 
 var jobKinds = []jobKind{
-	{prefix: "/lint/", perSecond: 7, steps: 2, tasks: 6, cpu: 480, takes: 640 * time.Millisecond, errors: 0.03, copied: 0.3, apart: 0.15},
-	{prefix: "/build/", perSecond: 1.5, steps: 2, tasks: 8, cpu: 3500, takes: 1700 * time.Millisecond, errors: 0.04},
-	{prefix: "/serve/", perSecond: 0.05, steps: 1, tasks: 6, cpu: 900, takes: 20 * time.Second, longRunning: true, errors: 0.02, apart: 0.5},
+	{
+		prefix: "/lint/", perSecond: 7, steps: 2, tasks: 6, cpu: 480, takes: 640 * time.Millisecond, errors: 0.03, copied: 0.2, apart: 0.3, picky: 0.25,
+		services: []string{secondService, firstService},
+	},
+	{
+		prefix: "/build/", perSecond: 1.5, steps: 2, tasks: 8, cpu: 3500, takes: 1700 * time.Millisecond, errors: 0.04, apart: 0.7, picky: 0.25,
+		services: []string{firstService},
+	},
+	{
+		prefix: "/serve/", perSecond: 0.05, steps: 1, tasks: 6, cpu: 900, takes: 20 * time.Second, longRunning: true, errors: 0.02, apart: 0.5,
+		services: []string{secondService, firstService},
+	},
 	// Jobs of this kind come only in bursts.
-	{prefix: "/tiny/", steps: 1, tasks: 25, cpu: 10, takes: 4 * time.Second, needs: rareLabel, steady: true},
+	{prefix: "/tiny/", steps: 1, tasks: 25, cpu: 10, takes: 4 * time.Second, needs: rareLabel, steady: true, services: []string{firstService}},
+}
+
+// kindOf returns the kind of the job of a task, which its ID begins with.
+func kindOf(task string) *jobKind { return &jobKinds[int(task[0]-'a')%len(jobKinds)] }
+
+// drawFor returns a source of draws that follow from the seed and a name.
+func (f *fleet) drawFor(name string) *rand.Rand {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%d/%s", f.seed, name)
+	return rand.New(rand.NewPCG(h.Sum64(), 0))
 }
 
 // runWork is what a run does.
@@ -65,11 +94,7 @@
 
 // work returns what a run does, which follows from the seed and its name.
 func (f *fleet) work(task string, number int) runWork {
-	id, _, _ := strings.Cut(task, ".")
-	kind := jobKinds[int(id[0]-'a')%len(jobKinds)]
-	h := fnv.New64a()
-	fmt.Fprintf(h, "%d/%s/%d", f.seed, task, number)
-	draw := rand.New(rand.NewPCG(h.Sum64(), 0))
+	kind, draw := kindOf(task), f.drawFor(fmt.Sprintf("%s/%d", task, number))
 	w := runWork{cpu: kind.cpu, takes: time.Duration(float64(kind.takes) * min(0.1+draw.ExpFloat64(), 5)), how: "done"}
 	if kind.steady {
 		w.takes = kind.takes + time.Duration(draw.Float64()*float64(steadySpread))
@@ -166,19 +191,36 @@
 		if kind.longRunning {
 			row["longRunning"] = true
 		}
-		if kind.needs != "" {
-			row["requirements"] = kind.needs
+		rule := c.drawRule(kind)
+		c.fleet.oracle.setRule(stepName{id, strconv.Itoa(i)}, rule)
+		if rule.label != "" {
+			row["requirements"] = rule.label
 		}
-		if c.float() < kind.copied {
+		if rule.copied {
 			row["speculative"] = true
-			c.fleet.oracle.allowCopies(fmt.Sprintf("%s.0.%d", id, i))
 		}
-		if c.float() < kind.apart {
-			row["antiAffinity"] = 2
+		if rule.limit > 0 {
+			row["antiAffinity"] = rule.limit
 		}
 		rows = append(rows, row)
 	}
-	return map[string]any{"spec": "motion clash check", "steps": rows}
+	body := map[string]any{"spec": "motion clash check", "steps": rows}
+	if !kind.longRunning && c.float() < repeatedShare {
+		body["repeatCount"], body["startAtMs"], body["intervalMs"] = 2, time.Now().UnixMilli(), repeatedInterval.Milliseconds()
+	}
+	return body
+}
+
+// drawRule draws what a step says of its tasks. Most limits are 1 or 2.
+func (c *clients) drawRule(kind jobKind) stepRule {
+	rule := stepRule{label: kind.needs, copied: c.float() < kind.copied}
+	if c.float() < kind.apart {
+		rule.limit = 1 + int(4*c.float()*c.float())
+	}
+	if c.float() < kind.picky {
+		rule.label = kindLabels[int(c.float()*float64(len(kindLabels)))]
+	}
+	return rule
 }
 
 // follow submits a job and asks for its state until it has ended.
--- a/test/soak/executor_test.go
+++ b/test/soak/executor_test.go
@@ -27,7 +27,6 @@
 	// drainTime is how long an executor goes on after its departure was acknowledged, and drainPatience after one that wasn't.
 	drainTime     = 2200 * time.Millisecond
 	drainPatience = 6 * time.Second
-	executorCPU   = 32000
 	executorMemMB = 128000
 )
 
@@ -40,6 +39,7 @@
 	rate  float64
 	// waitsForNewEnd is set if a hold call waits for an end after its arrival even while older ends are listed again.
 	waitsForNewEnd bool
+	service        serviceKind
 
 	mu   sync.Mutex
 	life *life
@@ -62,6 +62,7 @@
 	fence    int64
 	deadline int64
 	draining bool
+	labels   []string
 	running  map[string]*run
 	// last is the highest run of a task that was stopped or has ended here.
 	last     map[string]int
@@ -108,12 +109,12 @@
 	}
 	l := &life{
 		x: x, id: x.lastID, born: time.Now(), done: make(chan struct{}), running: map[string]*run{}, last: map[string]int{},
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), labels: x.drawLabels(),
 	}
 	l.server = &http.Server{Handler: l.handler()}
 	x.life = l
 	go func() { _ = l.server.Serve(listener) }()
-	x.fleet.record.addf("executor %s is up", l.name())
+	x.fleet.record.addf("executor %s is up, service %s, labels %v", l.name(), x.service.name, l.labels)
 	go l.heartbeats()
 	go l.watchLease()
 	return x.fleet.apps[x.host].open()
@@ -175,9 +176,9 @@
 	defer l.x.mu.Unlock()
 	l.sequence++
 	beat := map[string]any{
-		"service": service, "address": l.x.fleet.realAddress(l.x.host, appPort), "zone": l.x.zone, "version": "v1", "slots": 8,
-		"state": "ready", "coldRemainingMs": 0, "capacity": map[string]int64{"cpu": executorCPU, "memMb": executorMemMB, "gpu": 0},
-		"labels": l.x.labels(), "clockMs": l.clock(), "born": l.born.UnixMilli(), "sequence": l.sequence,
+		"service": l.x.service.name, "address": l.x.fleet.realAddress(l.x.host, appPort), "zone": l.x.zone, "version": "v1", "slots": 8,
+		"state": "ready", "coldRemainingMs": 0, "capacity": map[string]int64{"cpu": l.x.service.cpu, "memMb": executorMemMB, "gpu": 0},
+		"labels": l.labels, "clockMs": l.clock(), "born": l.born.UnixMilli(), "sequence": l.sequence,
 	}
 	if l.draining {
 		beat["state"], beat["remainingMs"] = "draining", drainTime.Milliseconds()
@@ -185,8 +186,13 @@
 	return beat
 }
 
-func (x *executor) labels() []string {
-	labels := []string{"a", "r-" + x.zone}
+// drawLabels draws the labels of a life, which follow from the seed. One in three lives has the second kind.
+func (x *executor) drawLabels() []string {
+	kind := kindLabels[0]
+	if draw := x.fleet.drawFor(fmt.Sprintf("%s/%d", x.name, x.lives)); draw.IntN(3) == 0 {
+		kind = kindLabels[1]
+	}
+	labels := []string{kind, "r-" + x.zone}
 	if x.host == frontHosts {
 		labels = append(labels, rareLabel)
 	}
@@ -239,6 +245,14 @@
 	}
 }
 
+// used returns the CPU of everything that runs.
+func (l *life) used() (cpu int64) {
+	for _, r := range l.running {
+		cpu += r.need
+	}
+	return cpu
+}
+
 func (l *life) watchLease() {
 	for {
 		select {
--- a/test/soak/executorfaults_test.go
+++ b/test/soak/executorfaults_test.go
@@ -34,6 +34,16 @@
 			}
 		}
 	}
+	faultKinds["late-orders-kills"] = func(i *injector) {
+		some := sides(i.some())
+		for _, host := range some {
+			i.executor(host).setFault(executorFault{late: mostOrders, lateTime: longestLateTime})
+		}
+		i.killOwners(i.between(lateOrdersTime/2, lateOrdersTime))
+		for _, host := range some {
+			i.executor(host).setFault(executorFault{})
+		}
+	}
 	requestedKinds["executor-limit-refuse"] = func(i *injector) { i.refuseAtLimit() }
 	faultKinds["executor-silent"] = func(i *injector) {
 		some := sides(i.some())
@@ -67,6 +77,25 @@
 	}
 }
 
+// Orders are carried out late for up to lateOrdersTime, mostOrders of them up to longestLateTime late. Owners are killed in between
+// after up to ownerTime each.
+const (
+	lateOrdersTime  = 16 * time.Second
+	longestLateTime = 10 * time.Second
+	mostOrders      = 0.95
+	ownerTime       = 8 * time.Second
+)
+
+// killOwners lasts for a time, in which it kills one owner after the other.
+func (i *injector) killOwners(length time.Duration) {
+	for until := time.Now().Add(length); time.Now().Before(until); {
+		i.wait(0, min(ownerTime, time.Until(until)))
+		if owner := i.owner(); owner != nil {
+			owner.signal(syscall.SIGKILL, i.between(0, 2*time.Second))
+		}
+	}
+}
+
 // sendStrayHeartbeats sends calls of the former life that were delayed, and heartbeats that can't be read.
 func (i *injector) sendStrayHeartbeats(x *executor) {
 	x.mu.Lock()
--- a/test/soak/explain_test.go
+++ b/test/soak/explain_test.go
@@ -9,9 +9,14 @@
 	"strings"
 )
 
-// explain writes a finding with the lines of the journal and of the logs that name its task or its executors.
+// explain writes a finding with the lines of the journal and of the logs that name its tasks or its executors.
 func (f *fleet) explain(path string, found finding) error {
-	names := []string{found.first.task, found.first.life.id, found.second.life.id}
+	tasks, lives := []string{found.start.task}, []string{found.start.life.id}
+	runs := []string{fmt.Sprintf("start of %s: %v", found.start.task, found.start)}
+	for _, r := range found.beside {
+		tasks, lives = append(tasks, r.task), append(lives, r.life.id)
+		runs = append(runs, fmt.Sprintf("beside %s: %v", r.task, r))
+	}
 	files, err := filepath.Glob(filepath.Join(f.dir, "*.log"))
 	if err != nil {
 		return err
@@ -24,21 +29,21 @@
 		}
 		source := strings.TrimSuffix(filepath.Base(file), filepath.Ext(file))
 		for _, line := range strings.Split(string(data), "\n") {
-			if concerns(line, names) {
+			if concerns(line, tasks, lives) {
 				lines = append(lines, fmt.Sprintf("%s %-14s %s", timeOf(line), source, strings.TrimPrefix(line, timeOf(line)+" ")))
 			}
 		}
 	}
 	sort.Strings(lines)
-	return os.WriteFile(path, []byte(found.what+"\n\n"+strings.Join(lines, "\n")+"\n"), 0o600)
+	return os.WriteFile(path, []byte(found.what+"\n\n"+strings.Join(runs, "\n")+"\n\n"+strings.Join(lines, "\n")+"\n"), 0o600)
 }
 
-// concerns reports whether a line names the task, or an executor without naming another task, or tells of a fault or an owner.
-func concerns(line string, names []string) bool {
-	if containsAny(line, names[0], " fault ", " process side", "ownership") {
+// concerns reports whether a line names a task, or an executor without naming another task, or tells of a fault or an owner.
+func concerns(line string, tasks, lives []string) bool {
+	if containsAny(line, tasks...) || containsAny(line, " fault ", " process side", " sends queue ", "ownership") {
 		return true
 	}
-	return containsAny(line, names[1:]...) && !containsAny(line, `"task":`, "late order", " start of ", " end of ", " stop of ")
+	return containsAny(line, lives...) && !containsAny(line, `"task":`, "late order", " start of ", " end of ", " stop of ")
 }
 
 func containsAny(line string, parts ...string) bool {
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -37,10 +38,21 @@
 	readyInterval = 100 * time.Millisecond
 	configKey     = "op/config"
 	firstVersion  = 7
+	// secondHosts is how many of the last hosts have executors of the second service.
+	secondHosts = 4
 	// warmUp is how long executors announce themselves before the clients start.
 	warmUp = 3 * time.Second
 )
 
+// serviceKind is a kind of executors.
+type serviceKind struct {
+	name string
+	// cpu is the capacity of an executor, in thousandths of a core.
+	cpu int64
+	// guarded is set if the executors reject starts that don't fit.
+	guarded bool
+}
+
 // fleet is a deployment on loopback addresses. Each process has its own view of the addresses of the others, which leads
 // through proxies.
 type fleet struct {
@@ -60,6 +72,7 @@
 	servers    []*http.Server
 	clients    *clients
 	anchor     net.Listener
+	services   []serviceKind
 }
 
 func newFleet(draw *rand.Rand, record *journal, dir, programs string) (*fleet, error) {
@@ -67,13 +80,17 @@
 	if err := f.reserveNetwork(); err != nil {
 		return nil, err
 	}
+	f.services = []serviceKind{
+		{name: firstService, cpu: 32000, guarded: draw.IntN(3) > 0},
+		{name: secondService, cpu: 16000, guarded: draw.IntN(3) == 0},
+	}
 	for host := range hosts {
 		name, program := fmt.Sprintf("front-%s-%d", zoneOf(host), 1+host/3), "quetzalshed-gateway"
 		if host >= frontHosts {
 			name, program = fmt.Sprintf("side-%s-%d", zoneOf(host), 1+(host-frontHosts)/3), "quetzalshed-node"
 			f.executors = append(f.executors, &executor{
 				fleet: f, name: name, host: host, zone: zoneOf(host), rate: slowestClock + (1-slowestClock)*draw.Float64(),
-				waitsForNewEnd: draw.IntN(2) == 0,
+				waitsForNewEnd: draw.IntN(2) == 0, service: f.serviceOf(host),
 			})
 		}
 		f.processes = append(f.processes, &process{fleet: f, name: name, host: host, program: filepath.Join(programs, program)})
@@ -94,6 +111,13 @@
 	return fmt.Errorf("no loopback network is free")
 }
 
+func (f *fleet) serviceOf(host int) serviceKind {
+	if host >= hosts-secondHosts {
+		return f.services[1]
+	}
+	return f.services[0]
+}
+
 func zoneOf(host int) string { return []string{"nrv-a", "prn-a", "trt-a"}[host%3] }
 
 // realAddress returns the address on which a process or an executor of a host listens.
@@ -129,7 +153,7 @@
 			return err
 		}
 	}
-	f.store.put(configKey, operatorConfig(firstVersion))
+	f.configure(firstVersion, func(*jobKind) string { return "" })
 	for _, p := range f.processes {
 		if err := p.start(); err != nil {
 			return err
@@ -178,19 +202,26 @@
 	return err
 }
 
-func operatorConfig(version int) map[string]any {
+// configure writes a configuration. serviceOf draws the service of a queue; empty stands for the first one.
+func (f *fleet) configure(version int, serviceOf func(*jobKind) string) {
 	routes := []map[string]any{}
 	for i, kind := range jobKinds {
+		service := cmp.Or(serviceOf(&kind), kind.services[0])
+		f.oracle.nameService(kind.prefix, service)
+		f.record.addf("configuration %d sends queue %s to %s", version, kind.prefix, service)
 		routes = append(routes, map[string]any{
 			"name": strings.Trim(kind.prefix, "/"), "host": queueHost, "prefix": kind.prefix, "kind": "unsafe", "timeoutMs": 3000,
 			"targetLatencyMs": 1000, "priority": i % 2, "service": service, "maxAttempts": 4, "stretch": 2.0,
 		})
 	}
-	return map[string]any{
-		"version": version, "routes": routes,
-		"services": []map[string]any{{"name": service, "healthPath": "/health", "preconditions": true, "spare": false}},
-		"limits":   map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	services := []map[string]any{}
+	for _, s := range f.services {
+		services = append(services, map[string]any{"name": s.name, "healthPath": "/health", "preconditions": s.guarded, "spare": false})
 	}
+	f.store.put(configKey, map[string]any{
+		"version": version, "routes": routes, "services": services,
+		"limits": map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
 }
 
 func (f *fleet) awaitReady(host int) bool {
@@ -214,7 +245,7 @@
 	if host < frontHosts {
 		line("  front: %q\n  ready: %q", f.realAddress(host, frontPort), f.realAddress(host, readyPort))
 	} else {
-		line("  control: %q\napp: %q\nservice: %q", f.realAddress(host, controlPort), f.seenAddress(host, host, appPort), service)
+		line("  control: %q\napp: %q\nservice: %q", f.realAddress(host, controlPort), f.seenAddress(host, host, appPort), f.serviceOf(host).name)
 	}
 	line("internalPorts:\n  - %d\n  - %d", internalPort, internalPort+15)
 	line("bootstrap: true\nheartbeatMs: %d\ncommands: \"invocation\"", heartbeatTime.Milliseconds())
--- a/test/soak/linkfaults_test.go
+++ b/test/soak/linkfaults_test.go
@@ -9,6 +9,8 @@
 const (
 	longestLinkDelay = 800 * time.Millisecond
 	longestCut       = 12 * time.Second
+	// shortestLeaseCut is about as long as a lease.
+	shortestLeaseCut = 7 * time.Second
 	shortestRefusal  = 300 * time.Millisecond
 	shortRefusal     = 600 * time.Millisecond
 )
@@ -26,6 +28,21 @@
 	faultKinds["app-half"] = func(i *injector) { i.hold(i.appLinks(), false) }
 	faultKinds["app-delay"] = func(i *injector) { i.delay(i.appLinks()) }
 	faultKinds["app-reset"] = func(i *injector) { i.reset(i.appLinks()) }
+	// Leases lapse while executors are cut off from their nodes. Ends before that are listed once they are back.
+	faultKinds["app-cut-lease"] = func(i *injector) {
+		links := i.appLinks()
+		back := i.draw.IntN(3) == 0
+		for _, l := range links {
+			l.set(direction{held: !back}, direction{held: true})
+		}
+		cut := i.between(shortestLeaseCut, longestCut)
+		if i.draw.IntN(2) == 0 {
+			i.killOwners(cut)
+		} else {
+			time.Sleep(cut)
+		}
+		i.heal(links)
+	}
 	faultKinds["channels-silent"] = func(i *injector) {
 		for _, l := range slices.Concat(i.linksToStore(), i.peerLinks(), i.appLinks()) {
 			l.silence()
--- a/test/soak/operatorfaults_test.go
+++ b/test/soak/operatorfaults_test.go
@@ -37,7 +37,7 @@
 		i.store.mu.Lock()
 		version := firstVersion + int(i.store.revision)
 		i.store.mu.Unlock()
-		i.store.put(configKey, operatorConfig(version))
+		i.configure(version, func(kind *jobKind) string { return kind.services[i.draw.IntN(len(kind.services))] })
 		i.wait(0, 2*time.Second)
 	}
 }
--- a/test/soak/oracle_test.go
+++ b/test/soak/oracle_test.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// oracle checks that no task runs twice, from what the executors see.
+// oracle checks from what the executors see that no task runs twice, and that each starts only where it may run.
 type oracle struct {
 	mu     sync.Mutex
 	record *journal
@@ -15,11 +15,14 @@
 	// unacked holds the ends of each life that are not acknowledged, by number.
 	unacked map[*life]map[int64]*runSeen
 	found   []finding
-	// copied holds the steps of which copies may run, as the beginning of the names of their tasks.
-	copied map[string]bool
+	// rules holds where the tasks of each step may run, and named the services to which a configuration has ever sent a queue.
+	rules  map[stepName]stepRule
+	named  map[string]map[string]bool
 	starts int
 	ends   map[string]int
 	lapses int
+	// atLimit counts the starts that brought a step to its limit on an executor, and labelled those of steps with a label.
+	atLimit, labelled int
 }
 
 type taskSeen struct{ runs []*runSeen }
@@ -35,16 +38,31 @@
 	ackedAt, lapsedAt, lostAt time.Time
 }
 
-// finding is a violation: second must not have started.
+// ruleName names a rule of the platform that the oracle checks.
+type ruleName string
+
+const (
+	ruleTwice ruleName = "TWICE"
+	ruleRoute ruleName = "ROUTE"
+	ruleLimit ruleName = "LIMIT"
+)
+
+// finding is a start that breaks a rule, with the runs beside which it does so.
 type finding struct {
-	what          string
-	first, second *runSeen
+	rule   ruleName
+	what   string
+	start  *runSeen
+	beside []*runSeen
 }
 
 func newOracle(record *journal) *oracle {
-	return &oracle{record: record, tasks: map[string]*taskSeen{}, unacked: map[*life]map[int64]*runSeen{}, copied: map[string]bool{}, ends: map[string]int{}}
+	return &oracle{
+		record: record, tasks: map[string]*taskSeen{}, unacked: map[*life]map[int64]*runSeen{}, rules: map[stepName]stepRule{},
+		named: map[string]map[string]bool{}, ends: map[string]int{},
+	}
 }
 
+// started notes a start on an executor, whose lock is held.
 func (o *oracle) started(l *life, r *run, fence int64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -59,12 +77,13 @@
 	for _, former := range task.runs {
 		switch {
 		case former.endedAt.IsZero() && former.lostAt.IsZero():
-			o.find("runs of one task at once", former, seen)
+			o.findTwice("runs of one task at once", former, seen)
 		case former.how == "done" && !former.ackedAt.IsZero() && former.lapsedAt.IsZero():
-			o.find("a start after an acknowledged end", former, seen)
+			o.findTwice("a start after an acknowledged end", former, seen)
 		}
 	}
 	task.runs = append(task.runs, seen)
+	o.checkPlacement(l, r, seen)
 }
 
 // acknowledged notes that ackCursor has reached an end. Starts since the end then break the rule, unless the lease has lapsed.
@@ -82,7 +101,7 @@
 	}
 	for _, later := range o.tasks[end.task].runs {
 		if later != end && later.started.After(end.endedAt) {
-			o.find("a start after an end that is acknowledged later", end, later)
+			o.findTwice("a start after an end that is acknowledged later", end, later)
 		}
 	}
 }
@@ -138,26 +157,24 @@
 	panic("run without a start")
 }
 
-// allowCopies notes that copies of the tasks of a step may run.
-func (o *oracle) allowCopies(step string) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.copied[step] = true
+// findTwice notes that second must not have started, unless copies of its task may run.
+func (o *oracle) findTwice(what string, first, second *runSeen) {
+	if !o.rules[stepOf(first.task)].copied {
+		o.find(ruleTwice, fmt.Sprintf("%s: first %v, second %v", what, first, second), second, first)
+	}
 }
 
-func (o *oracle) find(what string, first, second *runSeen) {
-	if o.copied[first.task[:strings.LastIndexByte(first.task, '.')]] {
-		return
-	}
-	f := finding{what: fmt.Sprintf("TWICE: %s: %s, first %v, second %v", what, first.task, first, second), first: first, second: second}
+func (o *oracle) find(broken ruleName, what string, start *runSeen, beside ...*runSeen) {
+	f := finding{rule: broken, what: fmt.Sprintf("%s: %s: %s", broken, start.task, what), start: start, beside: beside}
 	o.found = append(o.found, f)
 	o.record.addf("%s", f.what)
 }
 
-func (o *oracle) startCount() int {
+// counts returns how many starts there were, and the least of those that a constraint of placement concerned.
+func (o *oracle) counts() (starts, constrained int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.starts
+	return o.starts, min(o.atLimit, o.labelled)
 }
 
 func (o *oracle) findings() []finding {
@@ -169,7 +186,11 @@
 func (o *oracle) summary() string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return fmt.Sprintf("%d starts, ends %v, %d lapsed leases, %d findings", o.starts, o.ends, o.lapses, len(o.found))
+	broken := map[ruleName]int{}
+	for _, f := range o.found {
+		broken[f.rule]++
+	}
+	return fmt.Sprintf("%d starts, ends %v, %d lapsed leases, %d starts at limits, %d with labels, %d findings %v", o.starts, o.ends, o.lapses, o.atLimit, o.labelled, len(o.found), broken)
 }
 
 // String describes a run.
--- a/test/soak/orders_test.go
+++ b/test/soak/orders_test.go
@@ -162,11 +162,7 @@
 		return l.reject("old")
 	}
 	work := l.x.fault.harm(l.x.fleet.work(b.Task, b.Run))
-	used := work.cpu
-	for _, r := range l.running {
-		used += r.need
-	}
-	if used > executorCPU {
+	if l.x.service.guarded && l.used()+work.cpu > l.x.service.cpu {
 		return l.reject("room")
 	}
 	r := &run{life: l, task: b.Task, number: b.Run, need: work.cpu, takes: work.takes, begun: time.Now()}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -1,5 +1,5 @@
 // Package soak runs the programs as separate processes in real time, injects faults that are drawn from a seed, and checks that
-// no task runs twice. A stand-in plays the platform's store, the executors and the clients; all traffic crosses loopback proxies.
+// no task runs twice or starts where it may not run. A stand-in plays the platform's store, the executors and the clients; all traffic crosses loopback proxies.
 package soak
 
 import (
@@ -60,8 +60,8 @@
 	summary := fmt.Sprintf("%s; %s; at most %d connections to an executor", f.oracle.summary(), clients.summary(), f.peakConnections())
 	record.addf("%s", summary)
 	t.Log(summary)
-	if starts := f.oracle.startCount(); starts < minStartsPerSecond**secondsFlag {
-		t.Errorf("only %d starts, so that the run shows nothing", starts)
+	if starts, constrained := f.oracle.counts(); starts < minStartsPerSecond**secondsFlag || constrained < *secondsFlag {
+		t.Errorf("only %d starts, %d at limits or with labels, so that the run shows nothing", starts, constrained)
 	}
 	reportFindings(t, f)
 	reportCrashes(t, dir)
