Check the constraints of placement in the random histories

Callers saw tasks start where their step may not run (ROUTE). The random histories in virtual time had no limits, labels, pools or capacities to break, so that none of them could find it. Change: each start that a simulated executor begins is checked against what the executor announces, the queue's pools in any configuration so far, and all runs that have not ended there, including those being stopped. This holds in all tests on fleets; starts may exceed a capacity that a test has just changed. TestRandomFaultsWithConstraints draws limits, labels, gangs and sizes for jobs, and pools, labels, capacities and guards for executors and those that replace them; configurations move or drop the queue. It draws them after all else, so that the histories of the other tests stay the same. One done member of a gang now stands for all where later steps wait for it. Simulated executors can be replaced at the same address, and can reject starts beyond their capacity. Restarts under the same ID are left out of the new histories, since they meet the open fault of late starts. So are standstills.

--- a/node/nodetest/executor.go
+++ b/node/nodetest/executor.go
@@ -21,9 +21,9 @@
 
 // Observer is notified of everything that executors do, so that a test can check it.
 type Observer interface {
-	// Started is called when a run starts, Ended when it has ended, and Acknowledged when its end is acknowledged. lapsed is
-	// true if the lease expired between the end and the acknowledgement.
-	Started(executor, task string, run int, spec string)
+	// Started is called when a run starts, with what the executor announces, Ended when it has ended, and Acknowledged when its end
+	// is acknowledged. lapsed is true if the lease expired between the end and the acknowledgement.
+	Started(executor workflow.Executor, task string, run int, spec string)
 	Ended(executor, task string, run int, how workflow.EndReason)
 	Acknowledged(executor, task string, run int, how workflow.EndReason, lapsed bool)
 }
@@ -58,11 +58,15 @@
 	lastNumber   int64
 	unresponsive bool
 	// refusing is set while no process listens at the executor's address, so that connections are refused.
-	refusing  bool
-	faults    CallFaults
-	random    *rand.Rand
-	durations func(task string) time.Duration
-	failing   bool
+	refusing bool
+	faults   CallFaults
+	// delayedCalls is the number of delayed calls that have not been carried out.
+	delayedCalls int
+	random       *rand.Rand
+	durations    func(task string) time.Duration
+	// reservations returns what a task reserves. It is set if the executor rejects starts beyond its capacity.
+	reservations func(task string) structs.Resources
+	failing      bool
 	// crashes decides whether a run crashes the executor, and lives counts the IDs that it has had.
 	crashes func(task string) bool
 	lives   int
@@ -142,17 +146,32 @@
 	x.Leave()
 	time.AfterFunc(crashDowntime, func() {
 		x.update(func() {
-			if x.keepsID {
-				return
+			if !x.keepsID {
+				x.changeID()
 			}
-			x.lives++
-			name, _, _ := strings.Cut(x.description.ID, "/")
-			x.description.ID = name + "/" + strconv.Itoa(x.lives)
 		})
 		x.Restart()
 	})
 }
 
+// Replace ends all runs and starts another executor at the same address, which announces itself under another ID and with the given
+// change.
+func (x *Executor) Replace(change func(*workflow.Executor)) {
+	x.Crash()
+	x.update(func() {
+		x.changeID()
+		change(&x.description)
+	})
+	x.Restart()
+}
+
+// changeID gives the executor an ID that it has not had.
+func (x *Executor) changeID() {
+	x.lives++
+	name, _, _ := strings.Cut(x.description.ID, "/")
+	x.description.ID = name + "/" + strconv.Itoa(x.lives)
+}
+
 // SetUnresponsive sets whether calls get no response and have no effect.
 func (x *Executor) SetUnresponsive(unresponsive bool) {
 	x.update(func() { x.unresponsive = unresponsive })
@@ -189,6 +208,13 @@
 	x.SetCallFaults(CallFaults{Delayed: share, MaxDelay: defaultMaxCallDelay})
 }
 
+// DelayedCalls returns the number of delayed calls that have not been carried out.
+func (x *Executor) DelayedCalls() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.delayedCalls
+}
+
 // SetFailing sets whether all runs that complete fail.
 func (x *Executor) SetFailing(failing bool) { x.update(func() { x.failing = failing }) }
 
@@ -210,7 +236,25 @@
 	return x.duration
 }
 
-// SetCapacity sets the capacity that the executor announces. It starts whatever it is ordered to start.
+// SetGuarded makes the executor reject starts beyond its capacity, given what each task reserves. With nil it starts whatever it is
+// ordered to start.
+func (x *Executor) SetGuarded(reservations func(task string) structs.Resources) {
+	x.update(func() { x.reservations = reservations })
+}
+
+// hasRoom reports whether a task fits beside the runs that the executor has.
+func (x *Executor) hasRoom(task string) bool {
+	if x.reservations == nil {
+		return true
+	}
+	reserved := x.reservations(task)
+	for other := range x.runs {
+		reserved = reserved.Add(x.reservations(other))
+	}
+	return reserved.Fits(x.description.Capacity)
+}
+
+// SetCapacity sets the capacity that the executor announces.
 func (x *Executor) SetCapacity(capacity structs.Resources) {
 	x.update(func() { x.description.Capacity = capacity })
 }
@@ -324,10 +368,12 @@
 		<-ctx.Done()
 		return errNoAnswer
 	case delayed:
+		x.delayedCalls++
 		called := x.description.ID
 		time.AfterFunc(minCallDelay+time.Duration(x.random.Int64N(int64(x.faults.MaxDelay-minCallDelay))), func() {
 			x.mu.Lock()
 			defer x.mu.Unlock()
+			x.delayedCalls--
 			if !x.down && x.description.ID == called {
 				x.advance()
 				_ = order(false)
@@ -355,6 +401,8 @@
 			return &node.RejectedError{Reason: "old"}
 		case time.Now().After(deadline):
 			return &node.RejectedError{Reason: "late"}
+		case !x.hasRoom(s.Task):
+			return &node.RejectedError{Reason: workflow.ReasonRoom}
 		}
 		x.fence = s.Fence
 		if deadline.After(x.deadline) {
@@ -365,7 +413,7 @@
 		x.highestRun[s.Task] = s.Run
 		x.advanceAt(endsAt)
 		x.advanceAt(x.deadline)
-		x.observer.Started(x.description.IncarnationID(), s.Task, s.Run, s.Spec)
+		x.observer.Started(x.description, s.Task, s.Run, s.Spec)
 		if x.crashes != nil && x.crashes(s.Task) {
 			lifetime := x.description.IncarnationID()
 			time.AfterFunc(crashDelay, func() { x.crashUnderRun(lifetime) })
--- a/test/workflows/capacity_test.go
+++ b/test/workflows/capacity_test.go
@@ -16,6 +16,8 @@
 
 // setCapacity sets the capacity of a host's executor in cores.
 func (h *host) setCapacity(cores int64) {
+	description, _ := h.executor.Describe()
+	h.fleet.checker.recordCapacityChange(description.ID)
 	h.executor.SetCapacity(structs.Resources{MilliCores: cores * 1000, MemoryMB: 8000})
 }
 
--- a/test/workflows/fleet_test.go
+++ b/test/workflows/fleet_test.go
@@ -48,16 +48,6 @@
 
 var testQueue = workflow.Queue{Name: "checks", Pool: "pool", MaxAttempts: 3, Stretch: 1.5, ObjectiveMillis: 250}
 
-// operators provides a fixed configuration.
-type operators struct{}
-
-func (operators) Follow(ctx context.Context, apply func(owner.OperatorState)) {
-	apply(owner.OperatorState{Config: &workflow.Config{
-		Version: 1, Queues: []workflow.Queue{testQueue}, Pools: []workflow.Pool{{Name: "pool", Guarded: true}},
-	}})
-	<-ctx.Done()
-}
-
 // host simulates a host with an executor and a node process.
 type host struct {
 	fleet         *fleet
@@ -85,6 +75,7 @@
 	store      *kvtest.Store
 	network    *rpctest.Network
 	checker    *invariantChecker
+	operators  *operators
 	hosts      []*host
 	gateway    *gateway.Gateway
 	entryStore *kvtest.Client
@@ -110,6 +101,7 @@
 		C: qt.New(t), ctx: ctx, fetchOrders: fetching, retention: retention, startedAt: time.Now(), store: kvtest.New(), network: rpctest.New(),
 		checker: newInvariantChecker(), log: hclog.NewNullLogger(),
 	}
+	f.operators = newOperators(f.checker)
 	if *logFleet {
 		f.log = hclog.New(&hclog.LoggerOptions{Level: hclog.Info, Output: os.Stderr, TimeFormat: "05.000"})
 	}
@@ -132,7 +124,7 @@
 	locator := ownership.NewLocator(monitor, hclog.NewNullLogger())
 	g := gateway.New(monitor, locator, f.newRPCClient(address), hclog.NewNullLogger(), tally.NoopScope)
 	go locator.Run(f.ctx)
-	go g.Run(f.ctx, operators{})
+	go g.Run(f.ctx, f.operators)
 	return g
 }
 
@@ -170,7 +162,7 @@
 	}
 	n := node.New(h.name, h.name, executor, h.locator, client, h.suspension.clocks, log, tally.NoopScope)
 	candidate := &owner.Candidate{
-		Node: h.name, Address: h.name, Store: monitor, Locator: h.locator, Operators: operators{}, RPC: client,
+		Node: h.name, Address: h.name, Store: monitor, Locator: h.locator, Operators: f.operators, RPC: client,
 		Host: h.suspension.clocks, Log: log, Scope: tally.NoopScope, Retention: f.retention,
 	}
 	router := mux.NewRouter()
--- a/test/workflows/invariants_test.go
+++ b/test/workflows/invariants_test.go
@@ -25,7 +25,8 @@
 	doneOn map[string]string
 	taken  map[string]bool
 	// openEnds holds the runs of each task that have ended done and are not acknowledged.
-	openEnds map[string][]*openEnd
+	openEnds  map[string][]*openEnd
+	placement *placementOracle
 }
 
 // openEnd is the end of a run that is not acknowledged.
@@ -41,7 +42,7 @@
 		running: map[string]string{}, completed: map[string]bool{}, acknowledged: map[string]string{},
 		jobs: map[string]workflow.Job{}, startsByTask: map[string]int{}, rejectedJobs: map[string]bool{},
 		changedAt: map[string]time.Time{}, doneOn: map[string]string{}, taken: map[string]bool{},
-		openEnds: map[string][]*openEnd{},
+		openEnds: map[string][]*openEnd{}, placement: newPlacementOracle(),
 	}
 }
 
@@ -68,9 +69,10 @@
 }
 
 // Started implements nodetest.Observer.
-func (o *invariantChecker) Started(executor, task string, run int, spec string) {
+func (o *invariantChecker) Started(x workflow.Executor, task string, run int, spec string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	executor := x.IncarnationID()
 	o.startsByTask[task]++
 	o.recordChange(task)
 	if other, twice := o.running[task]; twice {
@@ -93,13 +95,28 @@
 		return
 	}
 	for _, after := range job.Steps[id.Step].After {
-		for i := range job.Steps[after].Count {
-			before := workflow.TaskID{Job: id.Job, Step: after, Index: i}.String()
-			if !o.completed[before] {
-				o.addViolation("%s started before %s was done", task, before)
-			}
+		if before := o.unfinished(job, after); before != "" {
+			o.addViolation("%s started before %s was done", task, before)
 		}
 	}
+	for _, violation := range o.placement.started(x, task, o.jobs) {
+		o.addViolation("%s run %d started on %s %s", task, run, executor, violation)
+	}
+}
+
+// unfinished returns a task of a step that has not been done, or "". One done member of a gang stands for all of them.
+func (o *invariantChecker) unfinished(job workflow.Job, step int) string {
+	missing := ""
+	for i := range job.Steps[step].Count {
+		task := workflow.TaskID{Job: job.ID, Step: step, Index: i}.String()
+		switch {
+		case !o.completed[task]:
+			missing = task
+		case job.Steps[step].Gang:
+			return ""
+		}
+	}
+	return missing
 }
 
 // Ended implements nodetest.Observer.
@@ -107,6 +124,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.recordChange(task)
+	o.placement.ended(executor, task)
 	if o.running[task] == executor {
 		delete(o.running, task)
 	}
@@ -144,10 +162,8 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for step := range o.jobs[id].Steps {
-		for i := range o.jobs[id].Steps[step].Count {
-			if !o.completed[workflow.TaskID{Job: id, Step: step, Index: i}.String()] {
-				return false
-			}
+		if o.unfinished(o.jobs[id], step) != "" {
+			return false
 		}
 	}
 	return true
--- a/test/workflows/random_faults_test.go
+++ b/test/workflows/random_faults_test.go
@@ -51,6 +51,8 @@
 	host   int
 	counts []int
 	pause  time.Duration
+	// constraints are those of what the action submits or starts; nil in histories without constraints.
+	constraints *constraints
 }
 
 var actionKinds = []string{
@@ -126,6 +128,8 @@
 	cancelled   map[string]bool
 	// crashes counts the executors that have ended visibly without an announcement. A job may be given up after two.
 	crashes int
+	// constrained is set if jobs and executors have the constraints of the actions.
+	constrained bool
 	// manySmall is set if jobs have manySmallFactor times as many tasks, which need as much less.
 	manySmall bool
 }
@@ -184,6 +188,9 @@
 		host.executor.SetDelayedShare(0.3)
 	case "on-time":
 		host.executor.SetDelayedShare(0)
+	case "replace":
+		h.crashes++
+		h.replaceExecutor(a.host, a.constraints.executor)
 	case "calls-late":
 		h.network.SetLate(0.3, maxCallLateness)
 	case "calls-in-time":
@@ -216,7 +223,7 @@
 func (h *history) applyToStore(a action, client *kvtest.Client) {
 	switch a.kind {
 	case "submit":
-		h.submitOnce(a.counts)
+		h.submitOnce(a)
 	case "cancel":
 		h.cancel()
 	case "refuse":
@@ -231,6 +238,8 @@
 		client.SetFaults(kvtest.Faults{Delay: storeDelay})
 	case "read-late":
 		client.SetFaults(kvtest.Faults{Delay: storeDelay, ListDelay: shortRetention})
+	case "configure":
+		h.operators.configure(configuredQueues[a.host]...)
 	case "compact":
 		h.store.Compact()
 	case "remove-owner-key":
@@ -242,9 +251,12 @@
 
 // submitOnce submits a job without repeating the call. Only a definite rejection is recorded as such, and only a successful
 // call counts as accepted.
-func (h *history) submitOnce(counts []int) {
-	job := h.newJob(counts...)
+func (h *history) submitOnce(a action) {
+	job := h.newJob(a.counts...)
 	for i := range job.Steps {
+		if a.constraints != nil {
+			a.constraints.steps[i].apply(&job.Steps[i])
+		}
 		if h.manySmall {
 			job.Steps[i].Count *= manySmallFactor
 			job.Steps[i].Need.MilliCores /= manySmallFactor
@@ -308,6 +320,9 @@
 		}
 		h.startIfStopped(i)
 	}
+	if h.constrained {
+		h.operators.configure(testQueue)
+	}
 	h.network.SetPartitioned("entry", false)
 	h.network.SetLate(0, 0)
 	h.entryStore.SetFaults(kvtest.Faults{Delay: storeDelay})
@@ -445,6 +460,8 @@
 	fetching bool
 	// retention is how long owners keep finished jobs; 0 for their default.
 	retention time.Duration
+	// constrained is set if jobs, executors and configurations differ in what may run where.
+	constrained bool
 	// manyEnds is set if jobs have many small tasks, executors list few ends at a time, and the store is slow.
 	manyEnds bool
 }
@@ -461,6 +478,12 @@
 		if faults.manyEnds {
 			endsPerResponse = rapid.IntRange(1, maxRandomEndsPerResponse).Draw(rt, "ends per response")
 		}
+		var executors []executorTraits
+		if faults.constrained {
+			// The oracle of standstills doesn't know where a task may run.
+			watched = false
+			executors = drawConstraints(rt, actions)
+		}
 		failure := ""
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
@@ -468,7 +491,10 @@
 			defer cancel()
 			h := &history{
 				fleet:   newRetainingFleet(t, ctx, randomTestHosts, faults.fetching, faults.retention),
-				stopped: map[int]bool{}, misreported: map[int]bool{}, cancelled: map[string]bool{},
+				stopped: map[int]bool{}, misreported: map[int]bool{}, cancelled: map[string]bool{}, constrained: faults.constrained,
+			}
+			for i, traits := range executors {
+				h.replaceExecutor(i, traits)
 			}
 			h.setTaskTime(faults.taskTime)
 			if faults.manyEnds {
@@ -478,7 +504,7 @@
 			}
 			time.Sleep(startupTime)
 			if faults.taskTime == longTaskTime {
-				h.submitOnce([]int{8})
+				h.submitOnce(action{counts: []int{8}})
 			}
 			for _, a := range actions {
 				h.apply(a)
