Count the bytes of an announcement in its test with the process's own listener

Callers saw nothing of this. The test of the entry's byte limit had a second listener that counts received and sent bytes. It now uses that of the kernel, exported as CountTraffic, and reads its counters after the server has closed, since the kernel's listener counts bytes once they are sent. The metrics keep their names.

--- a/agent/announcer/wire_bytes_test.go
+++ b/agent/announcer/wire_bytes_test.go
@@ -1,11 +1,9 @@
 package announcer
 
 import (
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,44 +20,14 @@
 	"github.com/quetzalshed/quetzalshed/structs"
 )
 
-// countingListener counts the bytes that its connections receive and send.
-type countingListener struct {
-	net.Listener
-	received, sent atomic.Int64
-}
-
-func (l *countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countingConn{conn, l}, nil
-}
-
-type countingConn struct {
-	net.Conn
-	listener *countingListener
-}
-
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.listener.received.Add(int64(n))
-	return n, err
-}
-
-// Write counts the bytes before it sends them, so that the count is complete when the client has received the response.
-func (c *countingConn) Write(p []byte) (int, error) {
-	c.listener.sent.Add(int64(len(p)))
-	return c.Conn.Write(p)
-}
-
 type upstreams []structs.Upstream
 
 func (u upstreams) Upstreams() []structs.Upstream { return u }
 func (upstreams) Leaving() bool                   { return false }
 
-// startEntryModule starts the module entry.requests with a limit of 100 bytes per second for announcements.
-func startEntryModule(t *testing.T, incarnation string) *countingListener {
+// startEntryModule starts the module entry.requests with a limit of 100 bytes per second for announcements. It
+// counts its traffic in a scope.
+func startEntryModule(t *testing.T, incarnation string, traffic tally.Scope) *httptest.Server {
 	m := &requests.Module{}
 	file, err := settings.Parse("test.ini", []byte("[entry.requests]\nannounce_bytes_per_second=100\nannounce_min=100ms\n"))
 	qt.Assert(t, err, qt.IsNil)
@@ -71,11 +39,10 @@
 		Metrics: tally.NoopScope, Tracer: noop.NewTracerProvider().Tracer(""), Clock: clock.System{}, Router: router,
 	}), qt.IsNil)
 	server := httptest.NewUnstartedServer(http.HandlerFunc(router.ServeHTTP))
-	listener := &countingListener{Listener: server.Listener}
-	server.Listener = listener
+	server.Listener = kernel.CountTraffic(server.Listener, traffic)
 	server.Start()
 	t.Cleanup(server.Close)
-	return listener
+	return server
 }
 
 // The entry must count at least the bytes that an announcement and its reply take on the wire, or the limit is exceeded,
@@ -88,7 +55,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			const incarnation = "0123456789abcdef"
-			wire := startEntryModule(t, incarnation)
+			traffic := tally.NewTestScope("", nil)
+			entry := startEntryModule(t, incarnation, traffic)
 			p := newEntryClient(&Module{
 				settings: Settings{Interval: time.Second, Timeout: 5 * time.Second, Address: netip.MustParseAddrPort("127.0.0.1:7001")},
 				context: &kernel.Context{
@@ -96,13 +64,17 @@
 					Incarnation: incarnation, StartedUnixNano: 1_700_000_000_000_000_000,
 				},
 				log: hclog.NewNullLogger(), source: list, connectionsLost: tally.NoopScope.Counter(""), entryRestarts: tally.NoopScope.Counter(""),
-			}, netip.MustParseAddrPort(wire.Addr().String()))
-			defer p.client.CloseIdleConnections()
+			}, netip.MustParseAddrPort(entry.Listener.Addr().String()))
 			interval, err := p.send(t.Context())
 			qt.Assert(t, err, qt.IsNil)
 			counted := interval.Milliseconds() / 10
-			sum := wire.received.Load() + wire.sent.Load()
-			t.Logf("%d bytes received, %d sent, %d counted", wire.received.Load(), wire.sent.Load(), counted)
+			// The bytes of the response are counted once they are sent, and Close waits for that.
+			p.client.CloseIdleConnections()
+			entry.Close()
+			counters := traffic.Snapshot().Counters()
+			received, sent := counters["http.received_bytes+"].Value(), counters["http.sent_bytes+"].Value()
+			sum := received + sent
+			t.Logf("%d bytes received, %d sent, %d counted", received, sent, counted)
 			// The entry's count assumes the longest addresses and numbers.
 			qt.Assert(t, counted >= sum && counted <= sum+24, qt.IsTrue, qt.Commentf("%d bytes, %d counted", sum, counted))
 		})
--- a/kernel/process.go
+++ b/kernel/process.go
@@ -185,7 +185,7 @@
 		_ = main.Close()
 		return nil, eris.Wrap(err, "admin address")
 	}
-	return map[*http.Server]net.Listener{p.server: countTraffic(main, p.context.Metrics), p.admin: admin}, nil
+	return map[*http.Server]net.Listener{p.server: CountTraffic(main, p.context.Metrics), p.admin: admin}, nil
 }
 
 // shutdown drains all modules concurrently while the servers still respond, then stops the servers and the modules.
--- a/kernel/traffic.go
+++ b/kernel/traffic.go
@@ -13,7 +13,9 @@
 	received, sent tally.Counter
 }
 
-func countTraffic(listener net.Listener, scope tally.Scope) net.Listener {
+// CountTraffic returns a listener that counts the traffic of its connections in the metrics http.received_bytes and http.sent_bytes
+// of a scope.
+func CountTraffic(listener net.Listener, scope tally.Scope) net.Listener {
 	http := scope.SubScope("http")
 	return &countingListener{listener, http.Counter("received_bytes"), http.Counter("sent_bytes")}
 }
