--- a/cmd/quetzalctl/change.go
+++ b/cmd/quetzalctl/change.go
@@ -65,45 +65,61 @@
 }
 
 func inventoryCommand(o *options) *cobra.Command {
-	var check bool
 	var rules string
-	var flags changeFlags
-	apply := &cobra.Command{
-		Use: "apply FILE", Short: "Replace the inventory with a CSV or JSON file", Args: cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			if check {
-				return validateAndPrint(cmd, args[0], args[0], rules)
-			}
-			query := url.Values{"format": {string(inventoryFormat(args[0]))}, "file": {args[0]}}
-			return applyFile(cmd, o, flags, "/v1/config/inventory", query, args[0], config.MaxInventoryBytes)
+	apply := applyCommand(o, &appliedFile{
+		short: "Replace the inventory with a CSV or JSON file", path: "/v1/config/inventory", limit: config.MaxInventoryBytes,
+		query: func(file string) url.Values {
+			return url.Values{"format": {string(inventoryFormat(file))}, "file": {file}}
 		},
-	}
-	apply.Flags().BoolVar(&check, "check", false, "validate the file without calling an entry")
+		validate: func(file string) error { return validateFiles(file, rules) },
+	})
 	apply.Flags().StringVar(&rules, "rules", "", "with --check: rules file to check against the inventory")
-	flags.add(apply)
-	group := &cobra.Command{Use: "inventory", Short: "Change the inventory"}
-	group.AddCommand(apply)
-	return group
+	return groupOf(apply, "inventory", "Change the inventory")
 }
 
 func rulesCommand(o *options) *cobra.Command {
-	var check bool
 	var inventory string
+	apply := applyCommand(o, &appliedFile{
+		short: "Replace the rules with an INI file", path: "/v1/config/rules", limit: config.MaxRulesBytes,
+		query:    func(file string) url.Values { return url.Values{"file": {file}} },
+		validate: func(file string) error { return validateFiles(inventory, file) },
+	})
+	apply.Flags().StringVar(&inventory, "inventory", "", "with --check: inventory to check the rules against")
+	return groupOf(apply, "rules", "Change the rules")
+}
+
+// appliedFile describes a part of the configuration that is replaced with a file.
+type appliedFile struct {
+	short, path string
+	limit       int64
+	query       func(file string) url.Values
+	validate    func(file string) error
+}
+
+// applyCommand returns the command that replaces a part of the configuration, or validates the file if --check is given.
+func applyCommand(o *options, f *appliedFile) *cobra.Command {
+	var check bool
 	var flags changeFlags
 	apply := &cobra.Command{
-		Use: "apply FILE", Short: "Replace the rules with an INI file", Args: cobra.ExactArgs(1),
+		Use: "apply FILE", Short: f.short, Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			if check {
-				return validateAndPrint(cmd, args[0], inventory, args[0])
+			if !check {
+				return applyFile(cmd, o, flags, f.path, f.query(args[0]), args[0], f.limit)
+			}
+			if err := f.validate(args[0]); err != nil {
+				return err
 			}
-			return applyFile(cmd, o, flags, "/v1/config/rules", url.Values{"file": {args[0]}}, args[0], config.MaxRulesBytes)
+			return printValid(cmd, args[0])
 		},
 	}
 	apply.Flags().BoolVar(&check, "check", false, "validate the file without calling an entry")
-	apply.Flags().StringVar(&inventory, "inventory", "", "with --check: inventory to check the rules against")
 	flags.add(apply)
-	group := &cobra.Command{Use: "rules", Short: "Change the rules"}
-	group.AddCommand(apply)
+	return apply
+}
+
+func groupOf(cmd *cobra.Command, use, short string) *cobra.Command {
+	group := &cobra.Command{Use: use, Short: short}
+	group.AddCommand(cmd)
 	return group
 }
 
--- a/cmd/quetzalctl/files.go
+++ b/cmd/quetzalctl/files.go
@@ -64,14 +64,6 @@
 	return parsed, nil
 }
 
-// validateAndPrint validates an inventory and rules, and prints that the named file, which is one of them, is valid.
-func validateAndPrint(cmd *cobra.Command, name, inventoryPath, rulesPath string) error {
-	if err := validateFiles(inventoryPath, rulesPath); err != nil {
-		return err
-	}
-	return printValid(cmd, name)
-}
-
 func printValid(cmd *cobra.Command, path string) error {
 	_, err := fmt.Fprintln(cmd.OutOrStdout(), path+": valid")
 	return err
