Give the tests of lost executors one start, change of owner and final check

Callers see nothing of this. The tests of crashed, departed and silent executors repeated how long-running tasks are started, how owners are changed after pauses and what must hold in the end.

--- a/test/workflows/crashed_executors_test.go
+++ b/test/workflows/crashed_executors_test.go
@@ -17,9 +17,7 @@
 	for _, nodeEnds := range []time.Duration{-1, 0, 50 * time.Millisecond, 150 * time.Millisecond} {
 		t.Run(fmt.Sprint(nodeEnds), func(t *testing.T) {
 			runWithFleet(t, 8, func(f *fleet) {
-				f.submitLongRunning(4)
-				lost := f.busyHostBesideOwner()
-				tasks := f.tasksOf(lost)
+				lost, tasks := f.startLongRunning()
 				lost.executor.Leave()
 				lostAt := time.Now()
 				if nodeEnds >= 0 {
@@ -36,11 +34,8 @@
 // Guards against a departure that is forgotten, since the node's process ends between its announcement and the report.
 func TestTasksOfDepartedExecutorRestartAfterNodeRestart(t *testing.T) {
 	runWithFleet(t, 8, func(f *fleet) {
-		f.submitLongRunning(4)
-		leaving := f.busyHostBesideOwner()
-		tasks := f.tasksOf(leaving)
-		leaving.executor.SetDraining(true)
-		time.Sleep(drainTime)
+		leaving, tasks := f.startLongRunning()
+		leaving.drain()
 		leaving.depart()
 		leftAt := time.Now()
 		leaving.kill()
@@ -56,14 +51,11 @@
 		for pause := time.Duration(0); pause < 800*time.Millisecond; pause += 90 * time.Millisecond {
 			t.Run(fmt.Sprintf("planned=%v/%v", planned, pause), func(t *testing.T) {
 				runWithFleet(t, 8, func(f *fleet) {
-					f.submitLongRunning(4)
-					lost := f.busyHostBesideOwner()
-					tasks := f.tasksOf(lost)
+					lost, tasks := f.startLongRunning()
 					lost.stopCandidacy()
 					lost.executor.Leave()
 					lostAt := time.Now()
-					time.Sleep(pause)
-					f.changeOwner(planned)
+					f.changeOwners(planned, pause)
 					tasks.assertRestarted(lostAt)
 				})
 			})
--- a/test/workflows/departed_executors_test.go
+++ b/test/workflows/departed_executors_test.go
@@ -64,6 +64,29 @@
 // drainTime is how long an executor drains before it leaves.
 const drainTime = 3 * time.Second
 
+// drain announces that the executor of a host drains, and waits for drainTime.
+func (h *host) drain() {
+	h.executor.SetDraining(true)
+	time.Sleep(drainTime)
+}
+
+// drainBusyHost starts four long-running tasks and returns a host beside the owner that runs some of them, once it has drained.
+func (f *fleet) drainBusyHost() *host {
+	f.submitLongRunning(4)
+	h := f.busyHostBesideOwner()
+	h.drain()
+	return h
+}
+
+// assertAllRestarted waits until all tasks of drainBusyHost run. It fails if that is later than maxStandstill after since, or if a
+// task had two runs at once.
+func (f *fleet) assertAllRestarted(since time.Time) {
+	f.Helper()
+	f.waitFor(30*time.Second, func() bool { return f.checker.runningCount() == 4 })
+	f.assertRestartedWithin(maxStandstill, since)
+	f.Assert(f.checker.foundViolations(), qt.HasLen, 0)
+}
+
 // depart ends the executor of a host, which announces its end.
 func (h *host) depart() {
 	description, _ := h.executor.Describe()
@@ -75,46 +98,33 @@
 // stopped, and the owner hands over before the lease has expired (incident inc1: LOST).
 func TestTasksOfDepartedExecutorRestartDespiteHandOver(t *testing.T) {
 	runWithFleet(t, 6, func(f *fleet) {
-		f.submitLongRunning(4)
-		leaving := f.busyHostBesideOwner()
-		leaving.executor.SetDraining(true)
-		time.Sleep(drainTime)
+		leaving := f.drainBusyHost()
 		leaving.depart()
 		leftAt := time.Now()
 		time.Sleep(time.Second)
 		leaving.kill()
 		time.Sleep(2 * time.Second)
 		f.handOver()
-		f.waitFor(30*time.Second, func() bool { return f.checker.runningCount() == 4 })
-		f.assertRestartedWithin(maxStandstill, leftAt)
-		f.Assert(f.checker.foundViolations(), qt.HasLen, 0)
+		f.assertAllRestarted(leftAt)
 	})
 }
 
 // Guards against a departure that no owner learns of because the host is stopped while there is no owner.
 func TestDepartureIsReportedBeforeHostStops(t *testing.T) {
 	runWithFleet(t, 6, func(f *fleet) {
-		f.submitLongRunning(4)
-		leaving := f.busyHostBesideOwner()
-		leaving.executor.SetDraining(true)
-		time.Sleep(drainTime)
+		leaving := f.drainBusyHost()
 		f.owner().kill()
 		leaving.depart()
 		leftAt := time.Now()
 		leaving.stop()
-		f.waitFor(30*time.Second, func() bool { return f.checker.runningCount() == 4 })
-		f.assertRestartedWithin(maxStandstill, leftAt)
-		f.Assert(f.checker.foundViolations(), qt.HasLen, 0)
+		f.assertAllRestarted(leftAt)
 	})
 }
 
 // Guards against a departure that is forgotten because a slow store had not taken it yet when its host and then the owner ended.
 func TestDepartureIsStoredBeforeHostStops(t *testing.T) {
 	runWithFleet(t, 6, func(f *fleet) {
-		f.submitLongRunning(4)
-		leaving := f.busyHostBesideOwner()
-		leaving.executor.SetDraining(true)
-		time.Sleep(drainTime)
+		leaving := f.drainBusyHost()
 		f.owner().store.SetFaults(kvtest.Faults{Delay: 700 * time.Millisecond})
 		leaving.depart()
 		leftAt := time.Now()
@@ -126,8 +136,6 @@
 		time.Sleep(600 * time.Millisecond)
 		f.owner().kill()
 		<-stopped
-		f.waitFor(30*time.Second, func() bool { return f.checker.runningCount() == 4 })
-		f.assertRestartedWithin(maxStandstill, leftAt)
-		f.Assert(f.checker.foundViolations(), qt.HasLen, 0)
+		f.assertAllRestarted(leftAt)
 	})
 }
--- a/test/workflows/silent_executors_test.go
+++ b/test/workflows/silent_executors_test.go
@@ -19,6 +19,14 @@
 	f.owner().kill()
 }
 
+// changeOwners ends the term of the owner after each of the pauses.
+func (f *fleet) changeOwners(planned bool, pauses ...time.Duration) {
+	for _, pause := range pauses {
+		time.Sleep(pause)
+		f.changeOwner(planned)
+	}
+}
+
 // assertRestartedWithin is called once tasks run again, and fails if that is later than the limit after since.
 func (f *fleet) assertRestartedWithin(limit time.Duration, since time.Time) {
 	f.Helper()
@@ -33,6 +41,13 @@
 	tasks       []string
 }
 
+// startLongRunning starts four long-running tasks and returns a host beside the owner that runs some of them, with these.
+func (f *fleet) startLongRunning() (*host, lostTasks) {
+	f.submitLongRunning(4)
+	h := f.busyHostBesideOwner()
+	return h, f.tasksOf(h)
+}
+
 func (f *fleet) tasksOf(h *host) lostTasks {
 	description, _ := h.executor.Describe()
 	tasks := f.checker.tasksOn(description.IncarnationID())
@@ -50,6 +65,13 @@
 	f.Assert(f.checker.foundViolations(), qt.HasLen, 0)
 }
 
+// assertRestartedOnceEnded waits until the tasks have ended where they ran, and then as assertRestarted from that moment.
+func (l lostTasks) assertRestartedOnceEnded() {
+	l.fleet.Helper()
+	l.fleet.waitFor(30*time.Second, func() bool { return l.fleet.checker.runningOn(l.incarnation) == 0 })
+	l.assertRestarted(time.Now())
+}
+
 // Guards against long-running tasks that stand still for longer the later the owner changes after the loss of their executor,
 // whose node still runs and knows its lease (incident inc1: LOST).
 func TestTasksOfLostExecutorRestartDespiteNewOwners(t *testing.T) {
@@ -64,17 +86,12 @@
 		} {
 			t.Run(fmt.Sprintf("planned=%v/%v", planned, changes), func(t *testing.T) {
 				runWithFleet(t, 8, func(f *fleet) {
-					f.submitLongRunning(4)
-					lost := f.busyHostBesideOwner()
-					tasks := f.tasksOf(lost)
+					lost, tasks := f.startLongRunning()
 					// As the owner it would be stopped.
 					lost.stopCandidacy()
 					lost.executor.Crash()
 					lostAt := time.Now()
-					for _, pause := range changes {
-						time.Sleep(pause)
-						f.changeOwner(planned)
-					}
+					f.changeOwners(planned, changes...)
 					tasks.assertRestarted(lostAt)
 				})
 			})
@@ -88,15 +105,11 @@
 		for pause := 200 * time.Millisecond; pause < 8*time.Second; pause += 700 * time.Millisecond {
 			t.Run(fmt.Sprintf("planned=%v/%v", planned, pause), func(t *testing.T) {
 				runWithFleet(t, 8, func(f *fleet) {
-					f.submitLongRunning(4)
-					silent := f.busyHostBesideOwner()
-					tasks := f.tasksOf(silent)
+					silent, tasks := f.startLongRunning()
 					silent.stopCandidacy()
 					silent.executor.SetUnresponsive(true)
-					time.Sleep(pause)
-					f.changeOwner(planned)
-					f.waitFor(30*time.Second, func() bool { return f.checker.runningOn(tasks.incarnation) == 0 })
-					tasks.assertRestarted(time.Now())
+					f.changeOwners(planned, pause)
+					tasks.assertRestartedOnceEnded()
 				})
 			})
 		}
@@ -116,16 +129,11 @@
 	} {
 		t.Run(fmt.Sprint(changes), func(t *testing.T) {
 			runWithFleet(t, 8, func(f *fleet) {
-				f.submitLongRunning(4)
-				lost := f.busyHostBesideOwner()
-				tasks := f.tasksOf(lost)
+				lost, tasks := f.startLongRunning()
 				lost.kill()
 				lost.executor.Crash()
 				lostAt := time.Now()
-				for _, pause := range changes {
-					time.Sleep(pause)
-					f.changeOwner(true)
-				}
+				f.changeOwners(true, changes...)
 				tasks.assertRestarted(lostAt)
 			})
 		})
@@ -138,14 +146,10 @@
 	for pause := 200 * time.Millisecond; pause < 8*time.Second; pause += 700 * time.Millisecond {
 		t.Run(pause.String(), func(t *testing.T) {
 			runWithFleet(t, 8, func(f *fleet) {
-				f.submitLongRunning(4)
-				lost := f.busyHostBesideOwner()
-				tasks := f.tasksOf(lost)
+				lost, tasks := f.startLongRunning()
 				lost.kill()
-				time.Sleep(pause)
-				f.changeOwner(true)
-				f.waitFor(30*time.Second, func() bool { return f.checker.runningOn(tasks.incarnation) == 0 })
-				tasks.assertRestarted(time.Now())
+				f.changeOwners(true, pause)
+				tasks.assertRestartedOnceEnded()
 			})
 		})
 	}
