--- a/workflow/engine/contradictions_test.go
+++ b/workflow/engine/contradictions_test.go
@@ -12,10 +12,7 @@
 
 // lapseAndRestart starts tasks on node "a", lets its lease expire and starts the tasks again on "b". It returns the first runs.
 func (h *harness) lapseAndRestart(tasks int) (first []workflow.RunState) {
-	h.engine.Add(h.job(step(tasks)), nil, h.now, h.now)
-	h.report("a", executor("a", 1), nil, nil)
-	first = h.accept("a", h.plan()["a"])
-	h.Assert(first, qt.HasLen, tasks)
+	_, first = h.startJob(executor("a", 1), step(tasks))
 	h.report("a", executor("a", 1), first, nil)
 	h.now = h.now.Add(7100 * time.Millisecond)
 	h.engine.ExpireLeases(h.now)
--- a/workflow/engine/crash_ends_test.go
+++ b/workflow/engine/crash_ends_test.go
@@ -34,11 +34,7 @@
 
 // startOnA starts the tasks of a new job on node "a" and returns the job and its runs.
 func (h *harness) startOnA(tasks int) (job workflow.Job, running []workflow.RunState) {
-	job = h.job(step(tasks))
-	h.engine.Add(job, nil, h.now, h.now)
-	h.report("a", executor("a", 1), nil, nil)
-	running = h.accept("a", h.plan()["a"])
-	h.Assert(running, qt.HasLen, tasks)
+	job, running = h.startJob(executor("a", 1), step(tasks))
 	h.now = h.now.Add(2 * time.Second)
 	return job, running
 }
@@ -170,7 +166,7 @@
 	start := h.plan()["a"].Starts[0]
 	h.reportEnd(executor("a", 1), nil, nil)
 	h.Assert(h.startsOnB(), qt.HasLen, 0)
-	h.engine.HandleOrderResult("a", 1, &workflow.OrderResult{Task: start.Task, Run: 1, Outcome: workflow.OutcomeUnknown, Sequence: 1}, h.now)
+	h.answer("a", start, workflow.OutcomeUnknown)
 	h.reportEnd(executor("a", 1), nil, nil)
 	h.Assert(h.startsOnB(), qt.HasLen, 0)
 	h.report("a", executor("a", 2), []workflow.RunState{{Task: start.Task, Run: 1}}, nil)
@@ -181,9 +177,7 @@
 // overtaken the report.
 func TestStartAfterReportedEndIsKept(t *testing.T) {
 	h := newHarness(t)
-	h.engine.Add(h.job(step(1)), nil, h.now, h.now)
-	h.report("a", executor("a", 1), nil, nil)
-	running := h.accept("a", h.plan()["a"])
+	_, running := h.startJob(executor("a", 1), step(1))
 	h.sendEnd(&workflow.Report{
 		Incarnation: 1, Executor: executor("a", 1), Listed: true, EndsComplete: true, ExecutorEnd: &workflow.ExecutorEnd{CoveredSequence: 0}, LeaseBound: &workflow.LeaseBound{},
 	})
--- a/workflow/engine/departures_test.go
+++ b/workflow/engine/departures_test.go
@@ -42,11 +42,7 @@
 	h := newHarness(t)
 	checkpointed := step(3)
 	checkpointed.Checkpoints = true
-	job := h.job(checkpointed)
-	h.engine.Add(job, nil, h.now, h.now)
-	h.report("a", executor("a", 1), nil, nil)
-	running := h.accept("a", h.plan()["a"])
-	h.Assert(running, qt.HasLen, 3)
+	job, running := h.startJob(executor("a", 1), checkpointed)
 	running[0].Saved = "half"
 	ended := []workflow.RunEnd{
 		{Number: 1, Task: running[1].Task, Run: 1, How: workflow.EndDone}, {Number: 2, Task: running[2].Task, Run: 1, How: workflow.EndFailed},
@@ -72,7 +68,7 @@
 	h.engine.Add(h.job(step(1)), nil, h.now, h.now)
 	h.report("a", executor("a", 1), nil, nil)
 	start := h.plan()["a"].Starts[0]
-	h.engine.HandleOrderResult("a", 1, &workflow.OrderResult{Task: start.Task, Run: 1, Outcome: workflow.OutcomeDone, Sequence: 1}, h.now)
+	h.answer("a", start, workflow.OutcomeDone)
 	h.report("a", executor("a", 2), nil, nil)
 	left := executor("a", 2)
 	left.Draining, left.Left = true, true
--- a/workflow/engine/ends_test.go
+++ b/workflow/engine/ends_test.go
@@ -13,12 +13,8 @@
 // that it lists all of them, as those of older nodes don't (review/1: TWICE).
 func TestTaskMissingFromPartialListsStaysAssigned(t *testing.T) {
 	h := newHarness(t)
-	job := h.job(step(1))
-	h.engine.Add(job, nil, h.now, h.now)
 	x := executor("a", 1)
-	h.report("a", x, nil, nil)
-	running := h.accept("a", h.plan()["a"])
-	h.Assert(running, qt.HasLen, 1)
+	job, running := h.startJob(x, step(1))
 	for range 3 {
 		h.now = h.now.Add(time.Second)
 		h.reports["a"]++
@@ -38,12 +34,8 @@
 // run (TWICE).
 func TestDoneRunOfFormerIncarnationFinishesTask(t *testing.T) {
 	h := newHarness(t)
-	job := h.job(step(1))
-	h.engine.Add(job, nil, h.now, h.now)
 	former := executor("a", 1)
-	h.report("a", former, nil, nil)
-	running := h.accept("a", h.plan()["a"])
-	h.Assert(running, qt.HasLen, 1)
+	job, running := h.startJob(former, step(1))
 	next := executor("b", 2)
 	next.ID = former.ID
 	h.report("b", next, nil, nil)
--- a/workflow/engine/engine_test.go
+++ b/workflow/engine/engine_test.go
@@ -101,7 +101,7 @@
 // accept confirms all starts and stops of a node and returns the started runs.
 func (h *harness) accept(node string, orders workflow.Orders) (running []workflow.RunState) {
 	for _, s := range orders.Starts {
-		h.engine.HandleOrderResult(node, 1, &workflow.OrderResult{Task: s.Task, Run: s.Run, Outcome: workflow.OutcomeDone, Sequence: 1}, h.now)
+		h.answer(node, s, workflow.OutcomeDone)
 		running = append(running, workflow.RunState{Task: s.Task, Run: s.Run})
 	}
 	for _, s := range orders.Stops {
@@ -110,6 +110,31 @@
 	return running
 }
 
+// startJob reports an executor on node "a" and starts the tasks of a new job with one step on it. It returns the job and its runs.
+func (h *harness) startJob(x *workflow.Executor, step workflow.Step) (job workflow.Job, running []workflow.RunState) {
+	job = h.job(step)
+	h.engine.Add(job, nil, h.now, h.now)
+	h.report("a", x, nil, nil)
+	running = h.accept("a", h.plan()["a"])
+	h.Assert(running, qt.HasLen, step.Count)
+	return job, running
+}
+
+// orderStart runs a planning cycle in which one start is ordered. It returns the order, the result of which is outstanding, and the
+// stored record of the job.
+func (h *harness) orderStart() (workflow.StartOrder, workflow.JobRecord) {
+	h.engine.Tick(h.now)
+	h.engine.Plan(h.now, h.now)
+	changes := h.engine.TakeDirty()
+	h.engine.MarkStored(changes)
+	return h.engine.TakeOrders()[0].Orders.Starts[0], changes[0].Record
+}
+
+// answer passes in the result of a start.
+func (h *harness) answer(node string, start workflow.StartOrder, outcome workflow.Outcome) {
+	h.engine.HandleOrderResult(node, 1, &workflow.OrderResult{Task: start.Task, Run: start.Run, Outcome: outcome, Sequence: 1}, h.now)
+}
+
 func (h *harness) phase(id string) workflow.Phase {
 	phase, _ := h.engine.Phase(id)
 	return phase
@@ -131,11 +156,7 @@
 // the last lists (found by hunt on vaidlusmaja, mix 725681597518: LOST).
 func TestUnresponsiveExecutorLosesItsTasks(t *testing.T) {
 	h := newHarness(t)
-	job := h.job(step(1))
-	h.engine.Add(job, nil, h.now, h.now)
-	h.report("a", executor("a", 1), nil, nil)
-	running := h.accept("a", h.plan()["a"])
-	h.Assert(running, qt.HasLen, 1)
+	_, running := h.startJob(executor("a", 1), step(1))
 	silentSince := h.now
 	for range 12 {
 		h.now = h.now.Add(time.Second)
@@ -156,10 +177,7 @@
 // by TestRandomFaults: a start after an acknowledged end).
 func TestStartReachesTheNextIncarnation(t *testing.T) {
 	h := newHarness(t)
-	job := h.job(step(1))
-	h.engine.Add(job, nil, h.now, h.now)
-	h.report("a", executor("a", 1), nil, nil)
-	running := h.accept("a", h.plan()["a"])
+	job, running := h.startJob(executor("a", 1), step(1))
 	h.reports["a"]++
 	h.engine.HandleReport(&workflow.Report{
 		Node: "a", Address: "a", Incarnation: 1, Number: h.reports["a"], Executor: executor("a", 2),
--- a/workflow/engine/interference_test.go
+++ b/workflow/engine/interference_test.go
@@ -159,10 +159,7 @@
 	serving, bestEffort := step(4), step(3)
 	serving.LongRunning, serving.TargetMillis, serving.Image = true, 100, "serving"
 	bestEffort.BestEffort, bestEffort.Image, bestEffort.Need.MilliCores = true, "filling", 1250
-	h.engine.Add(h.job(serving), nil, h.now, h.now)
-	h.report("a", x, nil, nil)
-	running := h.accept("a", h.plan()["a"])
-	h.Assert(running, qt.HasLen, 4)
+	_, running := h.startJob(x, serving)
 	for i := range running {
 		running[i].Usage = 10
 	}
--- a/workflow/engine/leases_test.go
+++ b/workflow/engine/leases_test.go
@@ -106,10 +106,7 @@
 // Guards against tasks that lapse by what a node reported before the owner renewed its lease.
 func TestNodeDoesNotLimitRenewedLease(t *testing.T) {
 	h := newHarness(t)
-	job := h.job(step(2))
-	h.engine.Add(job, nil, h.now, h.now)
-	h.report("a", executor("a", 1), nil, nil)
-	running := h.accept("a", h.plan()["a"])
+	_, running := h.startJob(executor("a", 1), step(2))
 	h.report("a", executor("a", 1), running, nil)
 	h.reports["a"]++
 	h.engine.HandleReport(&workflow.Report{
--- a/workflow/engine/order_results_test.go
+++ b/workflow/engine/order_results_test.go
@@ -18,7 +18,7 @@
 	x := executor("a", 1)
 	h.report("a", x, nil, nil)
 	start := h.plan()["a"].Starts[0]
-	h.engine.HandleOrderResult("a", 1, &workflow.OrderResult{Task: start.Task, Run: 1, Outcome: workflow.OutcomeUnknown, Sequence: 1}, h.now)
+	h.answer("a", start, workflow.OutcomeUnknown)
 	h.Assert(h.plan(), qt.HasLen, 0)
 	h.now = h.now.Add(500 * time.Millisecond)
 	h.report("a", x, []workflow.RunState{{Task: start.Task, Run: 1, Percent: 50}}, nil)
@@ -153,7 +153,7 @@
 	h.report("a", x, nil, nil)
 	starts := h.plan()["a"].Starts
 	h.Assert(starts, qt.HasLen, 2)
-	h.engine.HandleOrderResult("a", 1, &workflow.OrderResult{Task: starts[0].Task, Run: starts[0].Run, Outcome: workflow.OutcomeDone, Sequence: 1}, h.now)
+	h.answer("a", starts[0], workflow.OutcomeDone)
 	h.engine.HandleOrderResult("a", 1, &workflow.OrderResult{Task: starts[1].Task, Run: starts[1].Run, Outcome: workflow.OutcomeRejected, Reason: workflow.ReasonRoom}, h.now)
 	running := []workflow.RunState{{Task: starts[0].Task, Run: starts[0].Run}}
 	var ended []workflow.RunEnd
--- a/workflow/engine/other_kinds_test.go
+++ b/workflow/engine/other_kinds_test.go
@@ -26,12 +26,9 @@
 			h := newHarness(t)
 			labelled := step(1)
 			labelled.Label = "large"
-			h.engine.Add(h.job(labelled), nil, h.now, h.now)
 			x := executor("a", 1)
 			x.Labels = []string{"large", "r1"}
-			h.report("a", x, nil, nil)
-			running := h.accept("a", h.plan()["a"])
-			h.Assert(running, qt.HasLen, 1)
+			_, running := h.startJob(x, labelled)
 			next := executor("a", 2)
 			next.Labels = x.Labels
 			test.change(next)
--- a/workflow/engine/pending_starts_test.go
+++ b/workflow/engine/pending_starts_test.go
@@ -22,20 +22,12 @@
 
 func newPendingStart(t *testing.T) *pendingStart {
 	s := &pendingStart{harness: newHarness(t)}
-	s.job = s.harness.job(step(1))
-	s.engine.Add(s.job, nil, s.now, s.now)
-	s.report("a", executor("a", 1), nil, nil)
-	first := s.accept("a", s.plan()["a"])
-	s.Assert(first, qt.HasLen, 1)
+	job, first := s.startJob(executor("a", 1), step(1))
+	s.job = job
 	s.now = s.now.Add(leaseExpiry + time.Millisecond)
 	s.engine.ExpireLeases(s.now)
 	s.report("c", executor("c", 1), nil, nil)
-	s.engine.Tick(s.now)
-	s.engine.Plan(s.now, s.now)
-	changes := s.engine.TakeDirty()
-	s.engine.MarkStored(changes)
-	s.record = changes[0].Record
-	s.start = s.engine.TakeOrders()[0].Orders.Starts[0]
+	s.start, s.record = s.orderStart()
 	s.done = workflow.RunEnd{Number: 2, Task: first[0].Task, Run: 1, How: workflow.EndDone}
 	return s
 }
@@ -46,7 +38,7 @@
 }
 
 func (s *pendingStart) answerStart(outcome workflow.Outcome) {
-	s.engine.HandleOrderResult("c", 1, &workflow.OrderResult{Task: s.start.Task, Run: s.start.Run, Outcome: outcome, Sequence: 1}, s.now)
+	s.answer("c", s.start, outcome)
 }
 
 // Guards against a task that starts after its end was acknowledged: the start was ordered before, and waits on its node behind
--- a/workflow/engine/replacement_test.go
+++ b/workflow/engine/replacement_test.go
@@ -48,9 +48,7 @@
 // Guards against tasks that never run again because another executor is announced and never responds.
 func TestTasksLapseBesideAnnouncedExecutor(t *testing.T) {
 	h := newHarness(t)
-	h.engine.Add(h.job(step(2)), nil, h.now, h.now)
-	h.report("a", executor("a", 1), nil, nil)
-	running := h.accept("a", h.plan()["a"])
+	_, running := h.startJob(executor("a", 1), step(2))
 	h.report("a", executor("a", 1), running, nil)
 	other := executor("a", 5)
 	other.ID = "i-other"
@@ -70,9 +68,7 @@
 // them, and the former owner handed it over as lapsed.
 func TestExecutorThatReturnsIsNotHandedOverAsLapsed(t *testing.T) {
 	h := newHarness(t)
-	h.engine.Add(h.job(step(2)), nil, h.now, h.now)
-	h.report("a", executor("a", 1), nil, nil)
-	h.accept("a", h.plan()["a"])
+	h.startJob(executor("a", 1), step(2))
 	h.now = h.now.Add(7100 * time.Millisecond)
 	h.Assert(h.engine.ExpireLeases(h.now), qt.HasLen, 1)
 	h.report("a", executor("a", 1), nil, nil)
--- a/workflow/engine/retention_test.go
+++ b/workflow/engine/retention_test.go
@@ -14,10 +14,7 @@
 func TestRetentionIsNotCountedByWallClock(t *testing.T) {
 	const ahead = time.Hour
 	finished := func(h *harness) workflow.Job {
-		job := h.job(step(1))
-		h.engine.Add(job, nil, h.now, h.now)
-		h.report("a", executor("a", 1), nil, nil)
-		running := h.accept("a", h.plan()["a"])
+		job, running := h.startJob(executor("a", 1), step(1))
 		h.report("a", executor("a", 1), nil, []workflow.RunEnd{{Number: 1, Task: running[0].Task, Run: 1, How: workflow.EndDone}})
 		h.plan()
 		h.Assert(h.phase(job.ID), qt.Equals, workflow.Completed)
--- a/workflow/engine/return_test.go
+++ b/workflow/engine/return_test.go
@@ -37,9 +37,7 @@
 // Guards against an executor that its owner never uses again, since the time of day of its host was set back while it was restarted.
 func TestExecutorThatRestartsWithEarlierTimeIsUsed(t *testing.T) {
 	h := newHarness(t)
-	h.engine.Add(h.job(step(1)), nil, h.now, h.now)
-	h.report("a", executor("a", 5), nil, nil)
-	h.accept("a", h.plan()["a"])
+	h.startJob(executor("a", 5), step(1))
 	h.reportUnlisted("a", executor("a", 1))
 	h.Assert(h.plan(), qt.HasLen, 0, qt.Commentf("the announcement may be late"))
 	h.report("a", executor("a", 1), nil, nil)
--- a/workflow/engine/superseded_runs_test.go
+++ b/workflow/engine/superseded_runs_test.go
@@ -168,10 +168,7 @@
 	h := newHarness(t)
 	gang := step(2)
 	gang.Gang = true
-	h.engine.Add(h.job(gang), nil, h.now, h.now)
-	h.report("a", executor("a", 1), nil, nil)
-	running := h.accept("a", h.plan()["a"])
-	h.Assert(running, qt.HasLen, 2)
+	_, running := h.startJob(executor("a", 1), gang)
 	h.report("a", executor("a", 1), running, nil)
 	h.report("a", executor("a", 1), running[1:], []workflow.RunEnd{{Number: 1, Task: running[0].Task, Run: 1, How: workflow.EndDone}})
 	h.report("a", executor("a", 1), nil, []workflow.RunEnd{
--- a/workflow/engine/waiting_jobs_test.go
+++ b/workflow/engine/waiting_jobs_test.go
@@ -22,17 +22,12 @@
 	w.job = w.harness.job(step(1))
 	w.engine.Add(w.job, nil, w.now, w.now)
 	w.report("a", executor("a", 1), nil, nil)
-	w.engine.Tick(w.now)
-	w.engine.Plan(w.now, w.now)
-	changes := w.engine.TakeDirty()
-	w.engine.MarkStored(changes)
-	w.record = changes[0].Record
-	w.start = w.engine.TakeOrders()[0].Orders.Starts[0]
+	w.start, w.record = w.orderStart()
 	return w
 }
 
 func (w *waitingJob) answerStart(outcome workflow.Outcome) {
-	w.engine.HandleOrderResult("a", 1, &workflow.OrderResult{Task: w.start.Task, Run: w.start.Run, Outcome: outcome, Sequence: 1}, w.now)
+	w.answer("a", w.start, outcome)
 }
 
 func (w *waitingJob) waiting() int { return w.engine.Waiting(queue.Name) }
