Split the engine's handling of crashes by job

Callers see nothing of this. workflow/engine/crashes.go held several jobs: runs and their ages at a crash (crashed_runs.go now), ends of executors (executor_ends.go), suspects (suspects.go), jobs that are given up (convictions.go), and what is known and recorded of crashes (still crashes.go). Constants stand with their uses, those of probes in probes.go. Functions are moved as they are.

--- a/workflow/engine/probes.go
+++ b/workflow/engine/probes.go
@@ -7,6 +7,24 @@
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
+const (
+	// maxProbe is how long at most nothing else starts on an executor that a suspect has started on.
+	maxProbe = 4 * time.Second
+	// quietTime is how long an executor must have been without starts of other jobs before a suspect starts there.
+	quietTime = 300 * time.Millisecond
+	// maxProbeWait is how long a suspect waits for an executor of its own, unless it is one for the second time.
+	maxProbeWait = 1500 * time.Millisecond
+	// maxIsolationWait is how long a suspect waits at most for an executor on which it can be told from other causes. A job may
+	// have nothing running for 3 s if there is room for it.
+	maxIsolationWait = 2 * time.Second
+	// maxProbedShare is the fraction of the executors on which suspects may start at the same time.
+	maxProbedShare = 0.5
+	// suspectTaskWeight and suspectServingWeight are how much suspects prefer executors with one task, or one serving task,
+	// less: all of them end if the executor crashes.
+	suspectTaskWeight    = 0.05
+	suspectServingWeight = 0.5
+)
+
 // isProbe reports whether a suspect runs, or may run, and has not lasted long enough for other tasks to start beside it.
 func (t *task) isProbe() bool {
 	switch {
