Name in the engine what has a run, and what is taken for ended

Callers see nothing of this. Since runs keep their places until their ends are proved, the engine's lists of assigned tasks also hold tasks that are done: assignedTasks and assignedTo are tasksWithRun and tasksOn now, and unassignStarted, which releases runs, is releaseStartedRuns. endIncarnation and endReplaced don't end anything: takeForEnded and takeFormerForEnded. endDeparted and endRefusing handle a departure and refused connections, and are called so. Comments say run where a run is meant; those of RunsAfterDone, CurrentExecutor and Counts.Assigned tell that a task that is done may have a run. Logged texts, metrics and stored records are the same.

--- a/workflow/engine/contradictions.go
+++ b/workflow/engine/contradictions.go
@@ -18,7 +18,7 @@
 	RunsTwice ContradictionKind = "runs twice"
 	// RunsAfterEnd means that the run is running although it was taken for ended; no other run is assigned.
 	RunsAfterEnd ContradictionKind = "runs after end"
-	// RunsAfterDone means that the run is running although the task is done.
+	// RunsAfterDone means that the run is running although the task is done and has no such run any more.
 	RunsAfterDone ContradictionKind = "runs after done"
 	// DoneTwice means that the run has finished the task after another run had.
 	DoneTwice ContradictionKind = "done twice"
@@ -46,8 +46,8 @@
 	Taken *FormerRun
 	// SinceTaken is the time since then.
 	SinceTaken time.Duration
-	// Phase, CurrentRun and CurrentExecutor are the state of the task if TaskKnown is set; the executor is empty unless the task is
-	// assigned.
+	// Phase, CurrentRun and CurrentExecutor are the state of the task if TaskKnown is set; the executor is empty unless the task has
+	// a run.
 	TaskKnown       bool
 	Phase           workflow.TaskPhase
 	CurrentRun      int
--- a/workflow/engine/crash_ends_test.go
+++ b/workflow/engine/crash_ends_test.go
@@ -298,7 +298,7 @@
 	h.Assert(h.startsAfterLease(), qt.HasLen, 3)
 }
 
-// Guards against a job that is given up since several executors crash at once: its tasks, unassigned from the first of them, are
+// Guards against a job that is given up since several executors crash at once: its tasks, released from the first of them, are
 // being started on another one that has crashed as well (found by the bench: LOST).
 func TestStartAfterCrashIsNoCause(t *testing.T) {
 	h := newHarness(t)
--- a/workflow/engine/crashed_runs.go
+++ b/workflow/engine/crashed_runs.go
@@ -32,7 +32,7 @@
 
 // crashedRuns returns the unfinished runs on an incarnation with their ages.
 func (e *Engine) crashedRuns(n *node, incarnation string) []crashedRun {
-	tasks := e.assignedTasks[incarnation]
+	tasks := e.tasksWithRun[incarnation]
 	alive, timed := time.Time{}, false
 	if n.known && n.executorIncarnation == incarnation {
 		alive, timed = n.aliveAt, !n.brokenAt.IsZero()
@@ -57,7 +57,7 @@
 	return runs
 }
 
-// begunAt returns when the run of an assigned task began, as far as this owner knows; zero if it doesn't.
+// begunAt returns when the run that a task has began, as far as this owner knows; zero if it doesn't.
 func (t *task) begunAt() time.Time {
 	if !t.startedAt.IsZero() {
 		return t.startedAt
--- a/workflow/engine/departures.go
+++ b/workflow/engine/departures.go
@@ -7,28 +7,28 @@
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
-// Departure describes an executor with assigned tasks that has left, or that neither takes connections nor announces itself.
+// Departure describes an executor with runs that has left, or that neither takes connections nor announces itself.
 type Departure struct {
 	Node, Incarnation string
-	// Held is set if the executor hadn't announced its end. Its tasks stay assigned until its lease has expired.
+	// Held is set if the executor hadn't announced its end. Its runs keep their places until its lease has expired.
 	Held bool
-	// Tasks is the number of tasks that have been unassigned, or are held.
+	// Tasks is the number of tasks whose runs have been released, or keep their places.
 	Tasks int
 }
 
-// endDeparted unassigns the tasks of an executor that has left: their runs have ended, so they don't wait until its lease has
-// expired. A task whose start may still be carried out stays assigned until then, since the start may reach the next
-// incarnation under the executor's ID.
-func (e *Engine) endDeparted(n *node, r *workflow.Report, now, wall time.Time) {
+// handleDeparture releases the runs of an executor that has left: they have ended, so their tasks don't wait until its lease has
+// expired. A run whose start may still be carried out keeps its place until then, since the start may reach the next incarnation
+// under the executor's ID.
+func (e *Engine) handleDeparture(n *node, r *workflow.Report, now, wall time.Time) {
 	e.applyLastLists(n, r, now, wall)
-	e.unassignStarted(n, r, now)
+	e.releaseStartedRuns(n, r, now)
 }
 
-// endRefusing handles an executor that refuses connections without having announced its end. It gets no starts, and the crash is
-// counted. The refusals don't prove the end of its runs: they may go on while the executor is cut off from its node. So its tasks stay
-// assigned until its lease has expired, or until the next incarnation has responded. A draining executor has announced its end, and
-// ends as one that has left.
-func (e *Engine) endRefusing(n *node, r *workflow.Report, now, wall time.Time) {
+// handleRefusedConnections handles an executor that refuses connections without having announced its end. It gets no starts, and the
+// crash is counted. The refusals don't prove the end of its runs: they may go on while the executor is cut off from its node. So they
+// keep their places until its lease has expired, or until the next incarnation has responded. A draining executor has announced its
+// end, and is handled as one that has left.
+func (e *Engine) handleRefusedConnections(n *node, r *workflow.Report, now, wall time.Time) {
 	if !n.known || r.LeaseBound == nil || r.LeaseBound.Epoch < e.settings.Epoch {
 		// A report for a former owner may be older than the incarnation.
 		return
@@ -46,10 +46,10 @@
 	isNew := n.endReportedAt.IsZero()
 	n.endReportedAt = now
 	if n.executor.Draining {
-		e.unassignStarted(n, r, now)
+		e.releaseStartedRuns(n, r, now)
 		return
 	}
-	if held := len(e.assignedTasks[n.executorIncarnation]); isNew && held > 0 {
+	if held := len(e.tasksWithRun[n.executorIncarnation]); isNew && held > 0 {
 		e.departures = append(e.departures, Departure{Node: n.name, Incarnation: n.executorIncarnation, Held: true, Tasks: held})
 	}
 }
@@ -59,10 +59,10 @@
 	return !n.endReportedAt.IsZero() && !listedAt.After(n.endReportedAt)
 }
 
-// unassignStarted unassigns the tasks of an executor that has left whose starts are confirmed.
-func (e *Engine) unassignStarted(n *node, r *workflow.Report, now time.Time) {
+// releaseStartedRuns releases the runs of an executor that has left whose starts are confirmed.
+func (e *Engine) releaseStartedRuns(n *node, r *workflow.Report, now time.Time) {
 	ended := 0
-	for _, t := range e.assignedTo(n.executorIncarnation) {
+	for _, t := range e.tasksOn(n.executorIncarnation) {
 		if !t.started || t.startedAfter(r) {
 			continue
 		}
--- a/workflow/engine/engine.go
+++ b/workflow/engine/engine.go
@@ -47,15 +47,15 @@
 	nodes      map[string]*node
 	// sortedNodes holds the same nodes sorted by name.
 	sortedNodes []*node
-	// assignedTasks holds the tasks with a run, by executor incarnation and sorted by name.
-	assignedTasks map[string][]*task
+	// tasksWithRun holds the tasks with a run, done ones included, by executor incarnation and sorted by name.
+	tasksWithRun map[string][]*task
 	// stopping holds the tasks of which the run is to be stopped.
 	stopping map[*task]struct{}
 	// unreportedExpiry is when the leases of executor incarnations that no node has reported have expired.
 	unreportedExpiry time.Time
 	// unreportedSource tells where unreportedExpiry comes from.
 	unreportedSource LeaseSource
-	// lapsedAt holds when the leases of executor incarnations with tasks have recently expired, or such an incarnation has ended,
+	// lapsedAt holds when the leases of executor incarnations with runs have recently expired, or such an incarnation has ended,
 	// unless they have been renewed since.
 	lapsedAt map[string]time.Time
 	// inheritedLeases holds when the leases of executor incarnations have expired, as the former owner has stored it.
@@ -131,7 +131,7 @@
 		activeJobs:           map[string]*job{},
 		completing:           map[*job]struct{}{},
 		nodes:                map[string]*node{},
-		assignedTasks:        map[string][]*task{},
+		tasksWithRun:         map[string][]*task{},
 		stopping:             map[*task]struct{}{},
 		unreportedExpiry:     now.Add(settings.LeaseExpiry + settings.TakeoverSlack),
 		unreportedSource:     LeaseOfTakeover,
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -47,7 +47,7 @@
 	if r.Executor == nil {
 		n.listedAt = time.Time{}
 		if r.ExecutorEnd != nil {
-			e.endRefusing(n, r, now, wall)
+			e.handleRefusedConnections(n, r, now, wall)
 		}
 		return 0, false
 	}
@@ -55,12 +55,12 @@
 		return 0, false
 	}
 	if r.Executor.Left {
-		e.endDeparted(n, r, now, wall)
+		e.handleDeparture(n, r, now, wall)
 		return 0, false
 	}
 	n.brokenAt = brokenAt(r, now)
 	if r.ExecutorEnd != nil {
-		e.endRefusing(n, r, now, wall)
+		e.handleRefusedConnections(n, r, now, wall)
 		return 0, false
 	}
 	if !r.Listed {
@@ -110,7 +110,7 @@
 		}
 		e.replaceExecutor(n, r, now)
 	}
-	e.endReplaced(n, r, now)
+	e.takeFormerForEnded(n, r, now)
 	// Draining is never undone within an incarnation: a restarted node may receive an outdated announcement first.
 	draining := r.Executor.Draining || n.executor.Draining
 	if draining != n.executor.Draining {
--- a/workflow/engine/former_runs.go
+++ b/workflow/engine/former_runs.go
@@ -81,8 +81,8 @@
 	at          time.Time
 }
 
-// keepFormerRun keeps what is known of the current run of an assigned task, which ceases to count. A rejected start does not
-// replace what is known of a run before it.
+// keepFormerRun keeps what is known of the current run of a task, which ceases to count. A rejected start does not replace what is
+// known of a run before it.
 func (t *task) keepFormerRun(cause EndCause, now time.Time) {
 	if cause == StartRejected {
 		t.rejected, t.rejectedStarts = t.describeRun(cause, now), t.rejectedStarts+1
--- a/workflow/engine/interference.go
+++ b/workflow/engine/interference.go
@@ -48,7 +48,7 @@
 		return
 	}
 	shares := map[string]float64{}
-	tasks := e.assignedTasks[n.executorIncarnation]
+	tasks := e.tasksWithRun[n.executorIncarnation]
 	for _, t := range tasks {
 		if t.step.BestEffort && t.listed {
 			shares[t.step.Image] += t.usage / capacity
@@ -143,13 +143,13 @@
 		return nil
 	}
 	known := map[string]map[string]float64{}
-	for _, serving := range e.assignedTasks[n.executorIncarnation] {
+	for _, serving := range e.tasksWithRun[n.executorIncarnation] {
 		if serving.step.TargetMillis == 0 || known[serving.step.Image] != nil {
 			continue
 		}
 		row := map[string]float64{}
 		known[serving.step.Image] = row
-		for _, t := range e.assignedTasks[n.executorIncarnation] {
+		for _, t := range e.tasksWithRun[n.executorIncarnation] {
 			if estimate := e.interference.Estimate(serving.step.Image, t.step.Image); t.step.BestEffort && estimate.Known {
 				row[t.step.Image] = estimate.Slowdown - 1
 			}
@@ -167,7 +167,7 @@
 	}
 	baseline, known := serving.baselineLatency(n, now)
 	atFullDemand := serving.headroomAt(baseline)
-	for _, t := range e.assignedTasks[n.executorIncarnation] {
+	for _, t := range e.tasksWithRun[n.executorIncarnation] {
 		if !t.step.BestEffort {
 			continue
 		}
@@ -214,7 +214,7 @@
 		return n.headrooms
 	}
 	n.headrooms, n.headroomsAt = n.headrooms[:0], now
-	for _, t := range e.assignedTasks[n.executorIncarnation] {
+	for _, t := range e.tasksWithRun[n.executorIncarnation] {
 		if t.step.TargetMillis == 0 {
 			continue
 		}
@@ -246,7 +246,7 @@
 }
 
 func (e *Engine) isDisturbed(n *node) bool {
-	for _, t := range e.assignedTasks[n.executorIncarnation] {
+	for _, t := range e.tasksWithRun[n.executorIncarnation] {
 		if t.step.TargetMillis > 0 && t.usage >= evictionThreshold*float64(t.step.TargetMillis) {
 			return true
 		}
@@ -258,7 +258,7 @@
 func (e *Engine) mostDisturbing(n *node) *task {
 	var worst *task
 	maxLoss := 0.0
-	for _, t := range e.assignedTasks[n.executorIncarnation] {
+	for _, t := range e.tasksWithRun[n.executorIncarnation] {
 		if !t.step.BestEffort || !t.step.Checkpoints || t.stopRequested || !t.listed {
 			continue
 		}
--- a/workflow/engine/leases.go
+++ b/workflow/engine/leases.go
@@ -24,7 +24,7 @@
 	LeaseOfTakeover LeaseSource = "takeover"
 )
 
-// Lapse is an executor incarnation whose lease has expired, with the number of its tasks.
+// Lapse is an executor incarnation whose lease has expired, with the number of tasks that had a run on it.
 type Lapse struct {
 	Incarnation string
 	Tasks       int
@@ -54,21 +54,21 @@
 	}
 }
 
-// FinalLeases returns the leases of the executors with assigned tasks for the next owner. This owner must not renew any lease
+// FinalLeases returns the leases of the executors with runs for the next owner. This owner must not renew any lease
 // from then on.
 func (e *Engine) FinalLeases(now time.Time) workflow.OwnerLeases {
-	// A lease that this owner has renewed may belong to an executor whose tasks are still assigned only in the store.
+	// A lease that this owner has renewed may belong to an executor that has runs only in the store.
 	others := max(e.unreportedExpiry.Sub(now), e.settings.LeaseExpiry)
 	leases := workflow.OwnerLeases{OthersMillis: others.Milliseconds() + 1}
-	for incarnation, tasks := range e.assignedTasks {
+	for incarnation, tasks := range e.tasksWithRun {
 		expires, _ := e.leaseOf(incarnation, tasks)
 		leases.Executors = append(leases.Executors, workflow.ExecutorLease{
 			Incarnation: incarnation, LeftMillis: expires.Sub(now).Milliseconds() + 1,
 		})
 	}
 	for incarnation, at := range e.lapsedAt {
-		if e.assignedTasks[incarnation] == nil && now.Sub(at) < lapseStoreTime {
-			// Its tasks may still be assigned in the store.
+		if e.tasksWithRun[incarnation] == nil && now.Sub(at) < lapseStoreTime {
+			// It may still have runs in the store.
 			leases.Executors = append(leases.Executors, workflow.ExecutorLease{Incarnation: incarnation, LeftMillis: 1})
 		}
 	}
@@ -77,7 +77,7 @@
 	return leases
 }
 
-// leaseOf returns when the lease of an incarnation with assigned tasks has expired.
+// leaseOf returns when the lease of an incarnation with runs of the given tasks has expired.
 func (e *Engine) leaseOf(incarnation string, tasks []*task) (time.Time, LeaseSource) {
 	expires, source := e.unreportedExpiry, e.unreportedSource
 	// The node of the host may have reported without knowing an executor.
@@ -94,10 +94,10 @@
 	return expires, source
 }
 
-// Unreported returns the number of executors with assigned tasks whose leases this owner has not renewed, the number of their
-// tasks, and the longest time for which these are held.
+// Unreported returns the number of executors with runs whose leases this owner has not renewed, the number of these runs, and the
+// longest time for which they are held.
 func (e *Engine) Unreported(now time.Time) (executors, held int, longest time.Duration) {
-	for incarnation, tasks := range e.assignedTasks {
+	for incarnation, tasks := range e.tasksWithRun {
 		if expires, source := e.leaseOf(incarnation, tasks); source != LeaseOfOwner {
 			executors++
 			held += len(tasks)
@@ -107,13 +107,13 @@
 	return executors, held, longest
 }
 
-// lapseStoreTime is how long it may take until the end of an executor's tasks is stored. A hand-over lists the executor until then.
+// lapseStoreTime is how long it may take until the end of an executor's runs is stored. A hand-over lists the executor until then.
 const lapseStoreTime = 10 * time.Second
 
-// ExpireLeases unassigns the tasks of executors whose leases have expired and returns these executors.
+// ExpireLeases releases the runs of executors whose leases have expired and returns these executors.
 func (e *Engine) ExpireLeases(now time.Time) (lapsed []Lapse) {
 	maps.DeleteFunc(e.lapsedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= lapseStoreTime })
-	for incarnation, tasks := range e.assignedTasks {
+	for incarnation, tasks := range e.tasksWithRun {
 		expires, source := e.leaseOf(incarnation, tasks)
 		if now.Before(expires) {
 			continue
--- a/workflow/engine/node.go
+++ b/workflow/engine/node.go
@@ -59,7 +59,7 @@
 	// reportedAt is when the last report arrived, listedAt when the current incarnation last listed its runs; zero if it hasn't.
 	reportedAt, listedAt time.Time
 	ackedEnd             int64
-	// reserved is what assigned tasks reserve; bestEffortDemand is the CPU that best-effort tasks request, in
+	// reserved is what tasks with a run reserve; bestEffortDemand is the CPU that best-effort tasks request, in
 	// millicores.
 	reserved         structs.Resources
 	bestEffortDemand int64
@@ -71,7 +71,7 @@
 	// headrooms caches the lowest headroom of the serving tasks of each image as of headroomsAt.
 	headrooms   []imageHeadroom
 	headroomsAt time.Time
-	// orphanedRuns lists the runs on the executor that match no assigned task.
+	// orphanedRuns lists the runs on the executor that no task has.
 	orphanedRuns []workflow.RunState
 	// sampledAt is when latencies were last sampled, bestEffortEvictedAt when a best-effort task was last evicted.
 	sampledAt, bestEffortEvictedAt time.Time
--- a/workflow/engine/order_results.go
+++ b/workflow/engine/order_results.go
@@ -24,7 +24,7 @@
 	if t == nil || !t.hasRun() || t.run != r.Run || t.node == nil || t.node.name != node {
 		return
 	}
-	// The task may have been reassigned to the next incarnation, of which the result shows nothing.
+	// The run may have been moved to the next incarnation, of which the result shows nothing.
 	ofFormer := r.Executor != "" && r.Executor != t.executorIncarnation
 	if r.Stop {
 		if r.Outcome == workflow.OutcomeDone && !ofFormer {
--- a/workflow/engine/output.go
+++ b/workflow/engine/output.go
@@ -114,14 +114,14 @@
 	}
 }
 
-// Traits returns the traits of the tasks that are assigned to a node.
+// Traits returns the traits of the tasks with a run on a node.
 func (e *Engine) Traits(node string) []workflow.RunTraits {
 	n := e.nodes[node]
 	if n == nil || !n.known {
 		return nil
 	}
 	var traits []workflow.RunTraits
-	for _, t := range e.assignedTasks[n.executorIncarnation] {
+	for _, t := range e.tasksWithRun[n.executorIncarnation] {
 		traits = append(traits, t.traits())
 	}
 	return traits
@@ -176,13 +176,15 @@
 
 // Counts holds totals of the engine's state for metrics and logs.
 type Counts struct {
-	Jobs, Active, Assigned, Executors int
+	Jobs, Active int
+	// Assigned is the number of tasks with a run, done ones included.
+	Assigned, Executors int
 }
 
 // Counts returns the current totals.
 func (e *Engine) Counts() Counts {
 	c := Counts{Jobs: len(e.jobs), Active: len(e.activeJobs)}
-	for _, tasks := range e.assignedTasks {
+	for _, tasks := range e.tasksWithRun {
 		c.Assigned += len(tasks)
 	}
 	for _, n := range e.sortedNodes {
--- a/workflow/engine/placement.go
+++ b/workflow/engine/placement.go
@@ -241,7 +241,7 @@
 	return n.executor.Capacity.MilliCores - n.reserved.MilliCores - n.bestEffortDemand + idle
 }
 
-// countTasks returns how many tasks of a group are assigned to the node.
+// countTasks returns how many tasks of a group have a run on the node.
 func (n *node) countTasks(g *group) int {
 	count := 0
 	for _, t := range g.tasks {
--- a/workflow/engine/probes.go
+++ b/workflow/engine/probes.go
@@ -132,12 +132,12 @@
 
 // isQuiet reports whether an executor has had no starts of other jobs for quietTime.
 func (e *Engine) isQuiet(n *node, j *job, now time.Time) bool {
-	return !slices.ContainsFunc(e.assignedTasks[n.executorIncarnation], func(other *task) bool {
+	return !slices.ContainsFunc(e.tasksWithRun[n.executorIncarnation], func(other *task) bool {
 		return other.job != j && (other.startPending || now.Sub(other.startedAt) < quietTime)
 	})
 }
 
 // suspectScore returns how well an executor suits a suspect apart from the scores of its group.
 func (e *Engine) suspectScore(n *node) float64 {
-	return -suspectTaskWeight*float64(len(e.assignedTasks[n.executorIncarnation])) - suspectServingWeight*float64(n.servingCount)
+	return -suspectTaskWeight*float64(len(e.tasksWithRun[n.executorIncarnation])) - suspectServingWeight*float64(n.servingCount)
 }
--- a/workflow/engine/ranking_test.go
+++ b/workflow/engine/ranking_test.go
@@ -29,7 +29,7 @@
 	}
 	e.Add(drawJob(t, 1, workflow.Step{LongRunning: true, TargetMillis: 50, Image: "serving"}), nil, now, now)
 	e.Plan(now, now)
-	for _, tasks := range e.assignedTasks {
+	for _, tasks := range e.tasksWithRun {
 		for _, t := range tasks {
 			t.listed, t.usage, t.startedAt = true, 20, now.Add(-time.Minute)
 		}
--- a/workflow/engine/reconcile.go
+++ b/workflow/engine/reconcile.go
@@ -10,7 +10,7 @@
 // loaded owner may take longer to hear of it.
 const startResultTimeout = 5 * time.Second
 
-// reconcile compares the running and ended runs that an executor lists with the tasks assigned to it.
+// reconcile compares the running and ended runs that an executor lists with the runs that tasks have on it.
 func (e *Engine) reconcile(n *node, r *workflow.Report, now, wall time.Time) {
 	incarnation := n.executorIncarnation
 	n.headroomsAt = time.Time{}
@@ -48,7 +48,7 @@
 			n.ackedEnd = max(n.ackedEnd, end.Number)
 		}
 	}
-	for _, t := range e.assignedTo(incarnation) {
+	for _, t := range e.tasksOn(incarnation) {
 		if t.startPending && now.Sub(t.startedAt) >= startResultTimeout {
 			t.startPending = false
 		}
@@ -80,7 +80,7 @@
 }
 
 // handleUnlistedRun handles a task that its executor lists neither as running nor as ended, in complete lists. Its start may still
-// arrive, so a stop is ordered before the task is unassigned: an executor never starts a run after an order to stop it.
+// arrive, so a stop is ordered before the run is released: an executor never starts a run after an order to stop it.
 func (e *Engine) handleUnlistedRun(t *task, r *workflow.Report, now time.Time) {
 	if t.startedSequence > r.CoveredSequence && t.startedIncarnation == r.Incarnation {
 		return
@@ -97,7 +97,7 @@
 	e.needsPlanning = true
 }
 
-// stopOrphanedRuns orders stops of the runs that match no assigned task.
+// stopOrphanedRuns orders stops of the runs that no task has.
 func (e *Engine) stopOrphanedRuns(n *node, now time.Time) {
 	if len(n.orphanedRuns) == 0 || now.Sub(n.orphanStopsAt) < stopRetry {
 		return
--- a/workflow/engine/replacement.go
+++ b/workflow/engine/replacement.go
@@ -18,16 +18,16 @@
 // the same ID is the same one after a restart.
 func (e *Engine) mayStillRun(n *node, r *workflow.Report) bool {
 	return n.known && !provesEndOfFormer(r) && !hasExecutorID(n.executorIncarnation, r.Executor.ID) &&
-		len(e.assignedTasks[n.executorIncarnation]) > 0
+		len(e.tasksWithRun[n.executorIncarnation]) > 0
 }
 
 // hasTasksElsewhere reports whether an executor that the node of a host reports has tasks on another host. An executor has one host,
 // under whichever incarnation, so that the announcement comes from another writer, and says nothing of those tasks.
 func (e *Engine) hasTasksElsewhere(n *node, x *workflow.Executor) bool {
 	if incarnation := x.IncarnationID(); n.known && n.executorIncarnation == incarnation {
-		return isElsewhere(e.assignedTasks[incarnation], n.name)
+		return isElsewhere(e.tasksWithRun[incarnation], n.name)
 	}
-	for incarnation, tasks := range e.assignedTasks {
+	for incarnation, tasks := range e.tasksWithRun {
 		if hasExecutorID(incarnation, x.ID) && isElsewhere(tasks, n.name) {
 			return true
 		}
@@ -48,16 +48,16 @@
 	return r.Listed && (n.lists.incarnation != n.executorIncarnation || hasExecutorID(n.executorIncarnation, r.Executor.ID))
 }
 
-// endReplaced ends the former executors of a host once a report shows that they have ended. Until then their tasks stay assigned,
-// at most as long as their leases.
-func (e *Engine) endReplaced(n *node, r *workflow.Report, now time.Time) {
+// takeFormerForEnded takes the former executors of a host for ended once a report shows that they have ended. Until then their runs
+// keep their places, at most as long as their leases.
+func (e *Engine) takeFormerForEnded(n *node, r *workflow.Report, now time.Time) {
 	if !n.unproven || !provesEndOfFormer(r) {
 		return
 	}
 	n.unproven = false
-	for former, tasks := range e.assignedTasks {
+	for former, tasks := range e.tasksWithRun {
 		if former != n.executorIncarnation && onHost(tasks, n.name) && !startedAfter(former, r.Executor) {
-			e.endIncarnation(n, former, r.Executor, now)
+			e.takeForEnded(n, former, r.Executor, now)
 		}
 	}
 	e.needsPlanning = true
@@ -71,15 +71,15 @@
 	return err == nil && startedUnixMillis > executor.StartedUnixMillis
 }
 
-// onHost reports whether the tasks of an incarnation are assigned to a host. A host has one executor at a time.
+// onHost reports whether the runs of an incarnation are on a host. A host has one executor at a time.
 func onHost(tasks []*task, host string) bool { return len(tasks) > 0 && tasks[0].host == host }
 
 // replaceExecutor replaces the executor of a node by another incarnation. If the new one has the same ID, it may have received
-// starts meant for the former one, so the tasks are reassigned to it until its lists show whether they run. It gets no starts before.
+// starts meant for the former one, so the runs are moved to it until its lists show whether they exist. It gets no starts before.
 func (e *Engine) replaceExecutor(n *node, r *workflow.Report, now time.Time) {
 	executor := r.Executor
 	if n.known {
-		e.endIncarnation(n, n.executorIncarnation, executor, now)
+		e.takeForEnded(n, n.executorIncarnation, executor, now)
 	}
 	n.executor, n.known, n.ackedEnd, n.orphanedRuns, n.rejections = *executor, true, 0, nil, 0
 	n.endReportedAt, n.listedAt = time.Time{}, time.Time{}
@@ -88,12 +88,12 @@
 	e.indexDomains()
 	delete(e.unreportedHosts, n.name)
 	n.unproven = true
-	for former := range e.assignedTasks {
+	for former := range e.tasksWithRun {
 		if hasExecutorID(former, executor.ID) {
-			e.endIncarnation(n, former, executor, now)
+			e.takeForEnded(n, former, executor, now)
 		}
 	}
-	for _, t := range e.assignedTasks[n.executorIncarnation] {
+	for _, t := range e.tasksWithRun[n.executorIncarnation] {
 		if t.node == nil {
 			t.host = n.name
 			n.addTask(t)
@@ -119,13 +119,14 @@
 	return len(incarnation) > len(id) && incarnation[:len(id)] == id && incarnation[len(id)] == '@'
 }
 
-// endIncarnation unassigns or reassigns the tasks of a former incarnation of an executor.
-func (e *Engine) endIncarnation(n *node, former string, executor *workflow.Executor, now time.Time) {
+// takeForEnded takes a former incarnation of an executor for ended. Its runs are released, or moved to the next incarnation if that
+// has the same ID.
+func (e *Engine) takeForEnded(n *node, former string, executor *workflow.Executor, now time.Time) {
 	if former == executor.IncarnationID() {
 		return
 	}
 	e.recordReplacement(n, former, executor, now)
-	for _, t := range e.assignedTo(former) {
+	for _, t := range e.tasksOn(former) {
 		if hasExecutorID(former, executor.ID) {
 			e.reassign(t, n, executor)
 			continue
@@ -156,7 +157,7 @@
 		t.step.Reserved().Fits(executor.Capacity)
 }
 
-// assignedTo returns a copy of the tasks assigned to an incarnation, for callers that release runs of some of them.
-func (e *Engine) assignedTo(incarnation string) []*task {
-	return slices.Clone(e.assignedTasks[incarnation])
+// tasksOn returns a copy of the tasks with a run on an incarnation, for callers that release some of these runs.
+func (e *Engine) tasksOn(incarnation string) []*task {
+	return slices.Clone(e.tasksWithRun[incarnation])
 }
--- a/workflow/engine/run_places.go
+++ b/workflow/engine/run_places.go
@@ -10,19 +10,19 @@
 
 // track adds a task to the list of the executor incarnation that has its run.
 func (e *Engine) track(t *task) {
-	tasks := e.assignedTasks[t.executorIncarnation]
+	tasks := e.tasksWithRun[t.executorIncarnation]
 	if i, found := slices.BinarySearchFunc(tasks, t, compareTasks); !found {
-		e.assignedTasks[t.executorIncarnation] = slices.Insert(tasks, i, t)
+		e.tasksWithRun[t.executorIncarnation] = slices.Insert(tasks, i, t)
 	}
 }
 
 func (e *Engine) untrack(t *task) {
-	tasks := e.assignedTasks[t.executorIncarnation]
+	tasks := e.tasksWithRun[t.executorIncarnation]
 	if i, found := slices.BinarySearchFunc(tasks, t, compareTasks); found {
 		if tasks = slices.Delete(tasks, i, i+1); len(tasks) == 0 {
-			delete(e.assignedTasks, t.executorIncarnation)
+			delete(e.tasksWithRun, t.executorIncarnation)
 		} else {
-			e.assignedTasks[t.executorIncarnation] = tasks
+			e.tasksWithRun[t.executorIncarnation] = tasks
 		}
 	}
 	if t.node != nil {
--- a/workflow/engine/speed.go
+++ b/workflow/engine/speed.go
@@ -150,7 +150,7 @@
 		if !n.known || now.Sub(n.listedAt) > maxListAge {
 			continue
 		}
-		for _, t := range e.assignedTasks[n.executorIncarnation] {
+		for _, t := range e.tasksWithRun[n.executorIncarnation] {
 			switch {
 			case !t.listed || t.stopRequested:
 			case t.indicatesSpeed():
--- a/workflow/engine/suspects.go
+++ b/workflow/engine/suspects.go
@@ -63,7 +63,7 @@
 // n.listedAt.
 func (e *Engine) recordAlive(n *node) {
 	n.aliveAt, n.lapsedRuns = n.listedAt, nil
-	for _, t := range e.assignedTasks[n.executorIncarnation] {
+	for _, t := range e.tasksWithRun[n.executorIncarnation] {
 		if !t.listed {
 			continue
 		}
--- a/workflow/leases.go
+++ b/workflow/leases.go
@@ -5,7 +5,7 @@
 
 // OwnerLeases is what an owner leaves to its successor about the leases of executors. The times count from when it was stored.
 type OwnerLeases struct {
-	// Executors lists incarnations with assigned tasks.
+	// Executors lists incarnations with runs.
 	Executors []ExecutorLease `json:"executors,omitempty"`
 	// OthersMillis is how long the lease of any other incarnation can last; 0 if the owner can still renew them.
 	OthersMillis int64 `json:"others_ms,omitempty"`
