--- a/workflow/engine/suspects.go
+++ b/workflow/engine/suspects.go
@@ -64,7 +64,7 @@
 func (e *Engine) recordAlive(n *node) {
 	e.withdrawCrash(n)
 	n.aliveAt, n.lapsedRuns = n.listedAt, nil
-	for _, t := range e.assignedTasks[n.executorIncarnation] {
+	for _, t := range e.tasksWithRun[n.executorIncarnation] {
 		if !t.listed {
 			continue
 		}
