Start tasks only under a lease that the owner has renewed

Cause: starts were decided on while lists were up to 2.5 s old, but lists older than 1.3 s don't renew the lease. So after a cut an owner assigned tasks to an executor whose lease had expired for it, sent the starts, took the runs for ended in the next tick, and counted a crash of the executor each time, until jobs were given up. The order named the newest report as its base, one that had renewed nothing: with the next grant the node could accept the start for up to 6.5 s after that report, while the task ran elsewhere. Change: a start needs a lease that this owner has renewed for the incarnation and the node's process, and that lasts long enough for the node to accept the start. Orders name the report that renewed it, so that the node rejects the start before the owner takes the lease for expired. Tests: three tests with leases of 1 s got the product's leases, since none of their executors would get a start.

--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -41,8 +41,11 @@
 	if r.Incarnation < n.incarnation && !n.clockSetBack(r, now) || r.Incarnation == n.incarnation && r.Number <= n.number {
 		return 0, false
 	}
+	if n.incarnation != r.Incarnation {
+		n.leaseReport = 0
+	}
 	n.address, n.incarnation, n.number = r.Address, r.Incarnation, r.Number
-	n.reportedAt, n.leaseGranted = now, false
+	n.reportedAt = now
 	e.applyLeaseBound(n, r.LeaseBound, now)
 	if r.Executor == nil {
 		n.listedAt = time.Time{}
@@ -76,7 +79,7 @@
 	if now.Sub(n.listedAt) > maxLeaseListAge {
 		return n.ackedEnd, false
 	}
-	n.leaseExpires, n.leaseSource, n.leaseGranted = now.Add(e.settings.LeaseExpiry), LeaseOfOwner, true
+	n.leaseExpires, n.leaseSource, n.leaseReport = now.Add(e.settings.LeaseExpiry), LeaseOfOwner, r.Number
 	delete(e.lapsedAt, n.executorIncarnation)
 	return n.ackedEnd, true
 }
--- a/workflow/engine/leases.go
+++ b/workflow/engine/leases.go
@@ -31,6 +31,18 @@
 	Source      LeaseSource
 }
 
+// minLeaseLeft is how long the lease of an executor has to last for a start, as its node counts it. Nodes reject starts with less left.
+const minLeaseLeft = time.Second
+
+// admitsStarts reports whether the lease of an executor's current incarnation lasts long enough for a start.
+func (e *Engine) admitsStarts(n *node, now time.Time) bool {
+	return n.leaseReport > 0 && n.leaseExpires.Sub(now) >= e.settings.LeaseExpiry-e.settings.LeaseDuration+minLeaseLeft
+}
+
+func init() {
+	registerStaticFilter("lease", func(p *placementRequest, n *node) bool { return p.engine.admitsStarts(n, p.now) })
+}
+
 // applyLeaseBound takes over what a node knows of the lease of its executor. Once this owner has renewed the lease, the node's
 // reports may be older than the renewal.
 func (e *Engine) applyLeaseBound(n *node, b *workflow.LeaseBound, now time.Time) {
--- a/workflow/engine/node.go
+++ b/workflow/engine/node.go
@@ -54,8 +54,9 @@
 	leaseExpires time.Time
 	// leaseSource tells where leaseExpires comes from.
 	leaseSource LeaseSource
-	// leaseGranted is set if the last report renewed the lease.
-	leaseGranted bool
+	// leaseReport is the number of the last report that renewed the lease of the current incarnation; 0 if none of the node's process
+	// did.
+	leaseReport int64
 	// reportedAt is when the last report arrived, listedAt when the current incarnation last listed its runs; zero if it hasn't.
 	reportedAt, listedAt time.Time
 	ackedEnd             int64
--- a/workflow/engine/order_test.go
+++ b/workflow/engine/order_test.go
@@ -31,7 +31,7 @@
 }
 
 func newOrderEngine(now time.Time) *Engine {
-	e := New(Settings{LeaseDuration: time.Second, LeaseExpiry: 2 * time.Second, RemoteSlowdown: 1.5}, now)
+	e := New(Settings{LeaseDuration: 6500 * time.Millisecond, LeaseExpiry: 7060 * time.Millisecond, RemoteSlowdown: 1.5}, now)
 	e.Configure(&workflow.Config{Version: 1, Queues: []workflow.Queue{rankingQueue}, Pools: []workflow.Pool{{Name: "pool"}}})
 	e.SetEvacuated(nil)
 	return e
--- a/workflow/engine/output.go
+++ b/workflow/engine/output.go
@@ -84,13 +84,14 @@
 	return deliveries
 }
 
-// orders returns the orders for the node, and what was known for each start.
+// orders returns the orders for the node, and what was known for each start. They name the report that renewed the lease, so that the
+// node rejects starts by the time at which this owner takes the lease for expired.
 func (n *node) orders(b *outbox, lease time.Duration) (o workflow.Orders, bases []StartBasis) {
 	o = workflow.Orders{
-		Incarnation: n.incarnation, ReportNumber: n.number, ExecutorIncarnation: n.executor.IncarnationID(),
+		Incarnation: n.incarnation, ReportNumber: n.leaseReport, ExecutorIncarnation: n.executor.IncarnationID(),
 		Stops: b.stops, Specs: map[string]string{},
 	}
-	if n.leaseGranted {
+	if n.leaseReport > 0 {
 		o.LeaseMillis = lease.Milliseconds()
 	}
 	if len(b.starts) > 0 {
--- a/workflow/engine/ranking_test.go
+++ b/workflow/engine/ranking_test.go
@@ -17,7 +17,7 @@
 // drawEngine returns an engine with executors of random capacity and load, and the current time.
 func drawEngine(t *rapid.T) (*Engine, time.Time) {
 	now := time.Unix(1000, 0)
-	e := New(Settings{LeaseDuration: time.Second, LeaseExpiry: 2 * time.Second, RemoteSlowdown: 1.5}, now.Add(-time.Minute))
+	e := New(Settings{LeaseDuration: 6500 * time.Millisecond, LeaseExpiry: 7060 * time.Millisecond, RemoteSlowdown: 1.5}, now.Add(-time.Minute))
 	e.Configure(&workflow.Config{Version: 1, Queues: []workflow.Queue{rankingQueue}, Pools: []workflow.Pool{{Name: "pool"}}})
 	e.SetEvacuated(nil)
 	for i := range rapid.IntRange(1, 8).Draw(t, "executors") {
@@ -106,7 +106,7 @@
 func TestAvoidedExecutorRunsOtherTasks(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
-	e := New(Settings{LeaseDuration: time.Second, LeaseExpiry: 2 * time.Second, RemoteSlowdown: 1.5}, now)
+	e := New(Settings{LeaseDuration: 6500 * time.Millisecond, LeaseExpiry: 7060 * time.Millisecond, RemoteSlowdown: 1.5}, now)
 	e.SetEvacuated(nil)
 	e.HandleReport(&workflow.Report{Node: "a", Address: "a", Incarnation: 1, Number: 1, Listed: true, EndsComplete: true, Executor: &workflow.Executor{
 		ID: "i-a", StartedUnixMillis: 1, Pool: "pool", Capacity: structs.Resources{MilliCores: 4000, MemoryMB: 8000},
--- a/workflow/engine/replacement.go
+++ b/workflow/engine/replacement.go
@@ -82,7 +82,7 @@
 		e.endIncarnation(n, n.executorIncarnation, executor, now)
 	}
 	n.executor, n.known, n.ackedEnd, n.orphanedRuns, n.rejections = *executor, true, 0, nil, 0
-	n.endReportedAt, n.listedAt = time.Time{}, time.Time{}
+	n.endReportedAt, n.listedAt, n.leaseReport = time.Time{}, time.Time{}, 0
 	n.executorIncarnation = executor.IncarnationID()
 	e.quarantine.ForgetWorker(n.name)
 	e.indexDomains()
--- a/workflow/messages.go
+++ b/workflow/messages.go
@@ -98,7 +98,7 @@
 // Orders is a set of orders from the owner to a node.
 type Orders struct {
 	Epoch int64 `json:"epoch"`
-	// Incarnation and ReportNumber identify the newest report that the owner had received. A node rejects starts once
+	// Incarnation and ReportNumber identify the newest report on which the owner has renewed the lease. A node rejects starts once
 	// the lease granted on that report has expired, so that orders delayed by a network partition don't start tasks
 	// that already run elsewhere.
 	Incarnation  int64 `json:"incarnation"`
