--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -32,9 +32,12 @@
 	return requestedKinds[kind]
 }
 
+// lapsingKinds let leases lapse of executors that come back with ends. Each drawn selection has one of them.
+var lapsingKinds = []string{"app-cut-lease", "late-orders-kills"}
+
 const (
 	maxSeries = 3
-	// maxDrawnKinds is how many kinds a drawn selection has at most.
+	// maxDrawnKinds is how many kinds a drawn selection has at most, besides one of lapsingKinds.
 	maxDrawnKinds = 8
 	shortestPause = 200 * time.Millisecond
 	longestPause  = 5 * time.Second
@@ -53,7 +56,7 @@
 		}
 		sort.Strings(kinds)
 		draw.Shuffle(len(kinds), func(a, b int) { kinds[a], kinds[b] = kinds[b], kinds[a] })
-		kinds = kinds[:2+draw.IntN(maxDrawnKinds-1)]
+		kinds = append(kinds[:2+draw.IntN(maxDrawnKinds-1)], lapsingKinds[draw.IntN(len(lapsingKinds))])
 	}
 	series := 1 + draw.IntN(maxSeries)
 	pause := shortestPause + time.Duration(draw.Int64N(int64(longestPause-shortestPause)))
