Prefer executors that answer orders for starts

Callers saw a job stand still for 3 s (LOST): after a start without an answer its task was started on the same executor again, which left that one without an answer, too, while others had room. Cause: an executor that leaves a start unanswered gets none for 0.15 s only, less than it takes to learn that the start had no effect. Change: for 3 s after an unanswered start or stop, starts prefer other executors by the weight of a whole one. Where nothing else has room, the executor gets them as before. Measured: TestStartsPreferExecutorsThatAnswer fails before.

--- a/workflow/engine/node.go
+++ b/workflow/engine/node.go
@@ -84,6 +84,8 @@
 	// rejections counts these pauses since it last accepted a start.
 	noStartsUntil time.Time
 	rejections    int
+	// unansweredAt is when the executor was last known to have left an order unanswered; zero if it has not.
+	unansweredAt time.Time
 	// aliveAt is when the executor's current incarnation last listed its runs. lapsedRuns are those that it had when its lease
 	// expired, until it lists its runs again.
 	aliveAt time.Time
--- a/workflow/engine/order_results.go
+++ b/workflow/engine/order_results.go
@@ -26,6 +26,9 @@
 	}
 	// The run may have been moved to the next incarnation, of which the result shows nothing.
 	ofFormer := r.Executor != "" && r.Executor != t.executorIncarnation
+	if r.Outcome == workflow.OutcomeUnknown {
+		t.node.unansweredAt = now
+	}
 	if r.Stop {
 		if r.Outcome == workflow.OutcomeDone && !ofFormer {
 			t.stoppedSequence, t.stoppedIncarnation = r.Sequence, incarnation
--- a/workflow/engine/order_results_test.go
+++ b/workflow/engine/order_results_test.go
@@ -170,3 +170,24 @@
 	}
 	h.Fatal("the gang does not start again within 3 s")
 }
+
+// Guards against starts on an executor that has just left one unanswered, while others would take them (LOST).
+func TestStartsPreferExecutorsThatAnswer(t *testing.T) {
+	h := newHarness(t)
+	h.engine.Add(h.job(step(1)), nil, h.now, h.now)
+	h.report("a", executor("a", 1), nil, nil)
+	start := h.plan()["a"].Starts[0]
+	h.engine.HandleOrderResult("a", 1, &workflow.OrderResult{Task: start.Task, Run: 1, Outcome: workflow.OutcomeUnknown, Sequence: 1}, h.now)
+	h.now = h.now.Add(time.Second)
+	h.report("a", executor("a", 1), nil, nil)
+	h.accept("a", h.plan()["a"])
+	small := executor("b", 1)
+	small.Capacity.MilliCores = 1000
+	h.report("b", small, nil, nil)
+	h.report("a", executor("a", 1), nil, nil)
+	orders := h.plan()
+	h.Assert(orders["a"].Starts, qt.HasLen, 0)
+	h.Assert(orders["b"].Starts, qt.HasLen, 1)
+	h.engine.Add(h.job(step(1)), nil, h.now, h.now)
+	h.Assert(h.plan()["a"].Starts, qt.HasLen, 1, qt.Commentf("nothing else has room"))
+}
--- a/workflow/engine/placement.go
+++ b/workflow/engine/placement.go
@@ -111,6 +111,10 @@
 	// their last reports.
 	lateReportAge     = 1300 * time.Millisecond
 	lateReportPenalty = 3
+	// unansweredTime is how long starts prefer other executors than one that has left an order unanswered, by unansweredPenalty: the
+	// task of an unanswered start can't run elsewhere until a stop of it was answered.
+	unansweredTime    = 3 * time.Second
+	unansweredPenalty = 1
 	// discoveryTimeout is how long at most a new owner waits for executors before it places long-running tasks. All
 	// executors announce themselves within this time, and the placement of these tasks decides for long which executors
 	// are free of them.
@@ -186,6 +190,12 @@
 		}
 		return 0
 	})
+	registerScore("unanswered", func(p *placementRequest, n *node) float64 {
+		if !n.unansweredAt.IsZero() && p.now.Sub(n.unansweredAt) < unansweredTime {
+			return -unansweredPenalty
+		}
+		return 0
+	})
 	registerScore("quarantined", func(p *placementRequest, n *node) float64 {
 		if p.task.step.LongRunning && p.engine.quarantine.Admits(n.name, p.now) != quarantine.AdmitAll {
 			return -quarantinePenalty
