Test that random faults keep the limits of steps and the room of executors

The random histories checked no limit on the tasks of a step on one executor (ROUTE) and no room of executors that reject nothing (LIMIT), and their faults hardly ever superseded a run. Change: two tests with jobs of limited steps, runs of 3 s, and executors that are silent until their leases have lapsed. The checker counts the runs of a step, and what all runs need, on the executor of each start.

--- a/test/workflows/fleet_test.go
+++ b/test/workflows/fleet_test.go
@@ -46,6 +46,9 @@
 // logFleet makes the nodes and owners of a fleet write their logs, in virtual time.
 var logFleet = flag.Bool("fleet.log", false, "write the logs of nodes and owners to standard error")
 
+// hostCapacity is the capacity of each executor.
+var hostCapacity = structs.Resources{MilliCores: 4000, MemoryMB: 8000}
+
 var testQueue = workflow.Queue{Name: "checks", Pool: "pool", MaxAttempts: 3, Stretch: 1.5, ObjectiveMillis: 250}
 
 // operators provides a fixed configuration.
@@ -117,7 +120,7 @@
 	for i := range hosts {
 		name := fmt.Sprintf("host-%d", i)
 		h := &host{fleet: f, name: name, store: f.newStoreClient(uint64(i)), suspension: newSuspension()}
-		h.executor = nodetest.New(name, structs.Resources{MilliCores: 4000, MemoryMB: 8000}, taskTime, f.checker)
+		h.executor = nodetest.New(name, hostCapacity, taskTime, f.checker)
 		f.hosts = append(f.hosts, h)
 		h.start()
 	}
--- a/test/workflows/invariants_test.go
+++ b/test/workflows/invariants_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +27,8 @@
 	taken  map[string]bool
 	// openEnds holds the runs of each task that have ended done and are not acknowledged.
 	openEnds map[string][]*openEnd
+	// checksLimits is set if the limits of steps on an executor, and its room, are checked.
+	checksLimits bool
 }
 
 // openEnd is the end of a run that is not acknowledged.
@@ -92,6 +95,9 @@
 		o.addViolation("%s started with a specification that nobody submitted", task)
 		return
 	}
+	if o.checksLimits {
+		o.checkLimits(executor, id, run)
+	}
 	for _, after := range job.Steps[id.Step].After {
 		for i := range job.Steps[after].Count {
 			before := workflow.TaskID{Job: id.Job, Step: after, Index: i}.String()
@@ -102,6 +108,30 @@
 	}
 }
 
+// checkLimits records a violation if an executor runs more tasks of a step than it may, or more than it has room for, after a start.
+func (o *invariantChecker) checkLimits(executor string, started workflow.TaskID, run int) {
+	var beside []string
+	milliCores := int64(0)
+	for task, on := range o.running {
+		id, _ := workflow.ParseTaskID(task)
+		job, known := o.jobs[id.Job]
+		if on != executor || !known {
+			continue
+		}
+		milliCores += job.Steps[id.Step].Need.MilliCores
+		if id.Job == started.Job && id.Step == started.Step && id.Occurrence == started.Occurrence {
+			beside = append(beside, task)
+		}
+	}
+	if limit := o.jobs[started.Job].Steps[started.Step].PerExecutor; limit > 0 && len(beside) > limit {
+		slices.Sort(beside)
+		o.addViolation("%s run %d started on %s beyond the limit %d: %v run there", started, run, executor, limit, beside)
+	}
+	if milliCores > hostCapacity.MilliCores {
+		o.addViolation("%s run %d started on %s beyond its room: runs need %d", started, run, executor, milliCores)
+	}
+}
+
 // Ended implements nodetest.Observer.
 func (o *invariantChecker) Ended(executor, task string, run int, how workflow.EndReason) {
 	o.mu.Lock()
--- a/test/workflows/random_faults_test.go
+++ b/test/workflows/random_faults_test.go
@@ -16,6 +16,7 @@
 	"github.com/quetzalshed/quetzalshed/gateway"
 	"github.com/quetzalshed/quetzalshed/kv/kvtest"
 	"github.com/quetzalshed/quetzalshed/node/nodetest"
+	"github.com/quetzalshed/quetzalshed/owner"
 	"github.com/quetzalshed/quetzalshed/ownership"
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
@@ -90,6 +91,13 @@
 	"refuse", "store-hangs", "lose", "delay", "delay", "heal", "compact", "remove-owner-key", "end-leases", "cut", "reconnect",
 }
 
+// limitActionKinds are the faults under which runs are superseded: leases of executors that are silent lapse, orders are carried out late,
+// and the owner changes. Restarts of executors are left to actionKinds, as above.
+var limitActionKinds = []string{
+	"submit", "submit", "submit", "submit", "lapse", "lapse", "lapse", "late", "late", "on-time", "kill", "start", "start", "withdraw",
+	"cut", "reconnect", "reconnect", "remove-owner-key", "end-leases", "heal",
+}
+
 // suspensionActionKinds are hosts that are suspended, and the faults that make leases expire or change the owner.
 var suspensionActionKinds = []string{
 	"submit", "suspend", "suspend", "suspend", "suspend-twice", "suspend-twice", "suspend-twice", "cut", "cut", "cut", "reconnect",
@@ -128,6 +136,8 @@
 	crashes int
 	// manySmall is set if jobs have manySmallFactor times as many tasks, which need as much less.
 	manySmall bool
+	// limited is set if an executor may run only one or two tasks of a step.
+	limited bool
 }
 
 // manySmallFactor lets enough tasks run on an executor that it has more ends than it lists at a time.
@@ -180,6 +190,9 @@
 		host.executor.Restart()
 	case "silence", "respond":
 		host.executor.SetUnresponsive(a.kind == "silence")
+	case "lapse":
+		host.executor.SetUnresponsive(true)
+		time.AfterFunc(owner.ExecutorLeaseDuration+a.pause, func() { host.executor.SetUnresponsive(false) })
 	case "late":
 		host.executor.SetDelayedShare(0.3)
 	case "on-time":
@@ -249,6 +262,10 @@
 			job.Steps[i].Count *= manySmallFactor
 			job.Steps[i].Need.MilliCores /= manySmallFactor
 		}
+		if h.limited {
+			job.Steps[i].PerExecutor = 1 + (h.jobs+i)%maxRandomLimit
+			job.Steps[i].Count *= limitedFactor
+		}
 	}
 	ctx, cancel := context.WithTimeout(h.ctx, 3*time.Second)
 	defer cancel()
@@ -386,6 +403,15 @@
 	checkRandomFaults(t, randomFaults{kinds: actionKinds, taskTime: taskTime, fetching: true})
 }
 
+const (
+	// mediumTaskTime lets runs end while their executor is silent, and be started again elsewhere before they are listed.
+	mediumTaskTime = 3 * time.Second
+	// maxRandomLimit is the largest limit of a step on an executor.
+	maxRandomLimit = 2
+	// limitedFactor lets tasks of a step wait for a place while others run.
+	limitedFactor = 4
+)
+
 // longTaskTime exceeds the leases of executors, so that a run that is still going on when its task is started elsewhere is seen.
 const longTaskTime = 12 * time.Second
 
@@ -437,6 +463,16 @@
 	checkRandomFaults(t, randomFaults{kinds: longActionKinds, taskTime: longTaskTime, retention: shortRetention})
 }
 
+// Guards against starts beyond the limit of a step on an executor, or beyond its room, beside runs that have not ended (ROUTE, LIMIT).
+func TestRandomFaultsKeepLimits(t *testing.T) {
+	checkRandomFaults(t, randomFaults{kinds: limitActionKinds, taskTime: mediumTaskTime, limited: true})
+}
+
+// Guards against the same when executors fetch their orders.
+func TestRandomFaultsKeepLimitsWithFetchedOrders(t *testing.T) {
+	checkRandomFaults(t, randomFaults{kinds: limitActionKinds, taskTime: mediumTaskTime, limited: true, fetching: true})
+}
+
 // randomFaults describes the histories of a test.
 type randomFaults struct {
 	kinds    []string
@@ -447,6 +483,8 @@
 	retention time.Duration
 	// manyEnds is set if jobs have many small tasks, executors list few ends at a time, and the store is slow.
 	manyEnds bool
+	// limited is set if an executor may run only one or two tasks of a step, and the checker counts them and their needs.
+	limited bool
 }
 
 // maxRandomEndsPerResponse limits how many ends executors list at a time in histories with many ends.
@@ -471,6 +509,7 @@
 				stopped: map[int]bool{}, misreported: map[int]bool{}, cancelled: map[string]bool{},
 			}
 			h.setTaskTime(faults.taskTime)
+			h.limited, h.checker.checksLimits = faults.limited, faults.limited
 			if faults.manyEnds {
 				h.manySmall = true
 				h.limitEnds(endsPerResponse)
