Don't wait for the starts of other members once a gang has finished

What callers would see: after a change of the owner, the end of a gang is not acknowledged, and its job not shown as completed, until the node of each other member has reported, for up to 8.7 s if one doesn't. Ends that the executor lists after it wait, too. Cause: hold the end while the start of another run of the task may still be sent, for a gang that of any member. But a gang finishes only if all members of that run have begun, so that another copy of their starts has no effect. Evidence: TestNewOwnerDoesNotAwaitNodesOfDoneGang and TestResultOfStartIsNotAwaitedOnceGangIsDone: the acknowledgement was 0 instead of 1. Change: a start that is known to have been carried out isn't waited for, and the other members of a run that has finished their gang count as begun.

--- a/workflow/engine/ends.go
+++ b/workflow/engine/ends.go
@@ -89,6 +89,9 @@
 			e.removeRun(m)
 		case m.hasRun() && (m == t || m.run != run):
 			e.supersede(m, run, incarnation, now)
+		case m.hasRun():
+			// A gang finishes only if all members of the run have begun.
+			m.confirmStart()
 		}
 		m.phase = workflow.TaskDone
 		m.group.done++
--- a/workflow/engine/pending_starts.go
+++ b/workflow/engine/pending_starts.go
@@ -6,10 +6,11 @@
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
-// mayBeSent reports whether the start of the run that a task has may still be sent to its executor: its result is outstanding, or a
-// former owner has ordered it on a node that has not reported to this owner, so that it may still follow the former one.
+// mayBeSent reports whether the start of the run that a task has may still be sent to its executor, to any effect: the run isn't known
+// to have begun, and the result of its start is outstanding, or a former owner has ordered it on a node that has not reported to this
+// owner, so that it may still follow the former one.
 func (t *task) mayBeSent() bool {
-	return t.hasRun() && (t.startPending || t.restored && t.node == nil)
+	return t.hasRun() && !t.started && (t.startPending || t.restored && t.node == nil)
 }
 
 // holdsEnd reports whether the end of a run that has finished its task is not to be acknowledged yet: another start of the task may
--- a/workflow/engine/pending_starts_test.go
+++ b/workflow/engine/pending_starts_test.go
@@ -121,3 +121,50 @@
 	s.plan()
 	s.Assert(s.phase(s.job.ID), qt.Equals, workflow.Cancelled)
 }
+
+// pendingGang is a gang with a member on each of the executors "a" and "b", both of which run. The first has finished.
+type pendingGang struct {
+	*harness
+	job    workflow.Job
+	done   workflow.RunEnd
+	record workflow.JobRecord
+}
+
+func newPendingGang(t *testing.T) *pendingGang {
+	g := &pendingGang{harness: newHarness(t)}
+	gang := limited()
+	gang.Gang = true
+	g.job = g.harness.job(gang)
+	g.engine.Add(g.job, nil, g.now, g.now)
+	g.report("a", executor("a", 1), nil, nil)
+	g.report("b", executor("b", 1), nil, nil)
+	g.engine.Tick(g.now)
+	g.engine.Plan(g.now, g.now)
+	changes := g.engine.TakeDirty()
+	g.engine.MarkStored(changes)
+	g.record = changes[0].Record
+	member := g.engine.TakeOrders()[0].Orders.Starts[0]
+	g.done = workflow.RunEnd{Number: 1, Task: member.Task, Run: member.Run, How: workflow.EndDone}
+	return g
+}
+
+// assertCompleted asserts that the end of the first member is acknowledged, and the job completed, without a sign of the other one.
+func (g *pendingGang) assertCompleted() {
+	g.Assert(g.report("a", executor("a", 1), nil, []workflow.RunEnd{g.done}), qt.Equals, int64(1))
+	g.plan()
+	g.Assert(g.phase(g.job.ID), qt.Equals, workflow.Completed)
+}
+
+// Guards against a gang whose end is not acknowledged, and whose job is not shown as completed, for as long as the node of another
+// member doesn't report to a new owner: that member has begun, or the gang couldn't have finished.
+func TestNewOwnerDoesNotAwaitNodesOfDoneGang(t *testing.T) {
+	g := newPendingGang(t)
+	g.epoch++
+	g.takeOver(g.job, g.record)
+	g.assertCompleted()
+}
+
+// Guards against the same while the result of another member's start is outstanding.
+func TestResultOfStartIsNotAwaitedOnceGangIsDone(t *testing.T) {
+	newPendingGang(t).assertCompleted()
+}
