Stop tasks on the next incarnation of their executor that it has no room for together

What callers would see: starts beyond the room of an executor that doesn't reject them (LIMIT): an executor comes back under its ID with less capacity, and several late starts that were meant for its former incarnation reach it. Cause: compares each task with the capacity of the next incarnation alone. Evidence: TestTasksBeyondRoomOfNextIncarnationAreStopped: four tasks of one core each on three cores got no stop. Change: of the tasks that are reassigned, those for which the ones before leave no room are stopped at once, too.

--- a/workflow/engine/other_kinds_test.go
+++ b/workflow/engine/other_kinds_test.go
@@ -1,6 +1,7 @@
 package engine_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -49,3 +50,20 @@
 		})
 	}
 }
+
+// Guards against late starts that together exceed the room of the next incarnation under their executor's ID, though each would fit
+// (LIMIT).
+func TestTasksBeyondRoomOfNextIncarnationAreStopped(t *testing.T) {
+	for capacity, stops := range map[int64]int{4000: 0, 3000: 1, 1500: 3} {
+		t.Run(strconv.FormatInt(capacity, 10), func(t *testing.T) {
+			h := newHarness(t)
+			h.engine.Add(h.job(step(4)), nil, h.now, h.now)
+			h.report("a", executor("a", 1), nil, nil)
+			h.Assert(h.accept("a", h.plan()["a"]), qt.HasLen, 4)
+			next := executor("a", 2)
+			next.Capacity.MilliCores = capacity
+			h.reportUnlisted("a", next)
+			h.Assert(h.plan()["a"].Stops, qt.HasLen, stops)
+		})
+	}
+}
--- a/workflow/engine/replacement.go
+++ b/workflow/engine/replacement.go
@@ -119,41 +119,44 @@
 	return len(incarnation) > len(id) && incarnation[:len(id)] == id && incarnation[len(id)] == '@'
 }
 
-// endIncarnation unassigns or reassigns the tasks of a former incarnation of an executor.
+// endIncarnation unassigns or reassigns the tasks of a former incarnation of an executor. Of those that it reassigns, it stops the ones
+// that the next incarnation may not run or that it has no room for, before the lists show whether the starts have reached it: an executor
+// doesn't start a run that it was told to stop.
 func (e *Engine) endIncarnation(n *node, former string, executor *workflow.Executor, now time.Time) {
 	if former == executor.IncarnationID() {
 		return
 	}
 	e.recordReplacement(n, former, executor, now)
+	room := executor.Capacity
 	for _, t := range e.assignedTo(former) {
-		if hasExecutorID(former, executor.ID) {
-			e.reassign(t, n, executor)
+		if !hasExecutorID(former, executor.ID) {
+			e.releaseRun(t, ExecutorReplaced, now)
+			continue
+		}
+		e.reassign(t, n, executor.IncarnationID())
+		if need := t.step.Reserved(); e.suits(t, executor) && need.Fits(room) {
+			room = room.Sub(need)
 			continue
 		}
-		e.releaseRun(t, ExecutorReplaced, now)
+		e.requestStop(t, "the next incarnation of its executor may not run it")
 	}
 }
 
-// reassign moves the run of a task to another incarnation of its executor. If that is of a kind that may not run the task, a stop is
-// ordered before its lists show whether the start has reached it: an executor doesn't start a run that it was told to stop.
-func (e *Engine) reassign(t *task, n *node, executor *workflow.Executor) {
+// reassign moves the run of a task to another incarnation of its executor.
+func (e *Engine) reassign(t *task, n *node, incarnation string) {
 	e.untrack(t)
-	t.executorIncarnation, t.host = executor.IncarnationID(), n.name
+	t.executorIncarnation, t.host = incarnation, n.name
 	t.listed, t.started, t.startedSequence = false, false, 0
 	t.reassigned = true
 	t.stoppedSequence, t.stopOrderedAt = 0, time.Time{}
 	n.addTask(t)
 	e.track(t)
 	e.markDirty(t.job)
-	if !e.suits(t, executor) {
-		e.requestStop(t, "the next incarnation of its executor may not run it")
-	}
 }
 
-// suits reports whether an executor is of a kind that may run a task, whatever else it runs.
+// suits reports whether an executor is of a kind that may run a task, whatever its size.
 func (e *Engine) suits(t *task, executor *workflow.Executor) bool {
-	return executor.Pool == e.queueOf(t.job).Pool && (t.step.Label == "" || executor.HasLabel(t.step.Label)) &&
-		t.step.Reserved().Fits(executor.Capacity)
+	return executor.Pool == e.queueOf(t.job).Pool && (t.step.Label == "" || executor.HasLabel(t.step.Label))
 }
 
 // assignedTo returns a copy of the tasks assigned to an incarnation, for callers that release runs of some of them.
