Don't give up a job whose tasks are all done while a start is pending

What callers would see: a job that is shown as failed although all of its tasks have ended as done. Cause: since a job whose tasks are all done isn't finished while a start of one of them may still be sent. If a task of it had been convicted of crashing executors just before, and an earlier run had finished it, the next plan gave the job up. Plans wait for the write in progress, so that the two may be seconds apart while the store is slow. Change: such a job is not given up.

--- a/workflow/engine/crashes.go
+++ b/workflow/engine/crashes.go
@@ -391,10 +391,10 @@
 	return max(minSurvival, survivalFactor*t.crashes.age)
 }
 
-// giveUpCrashing fails the jobs of the convicted tasks.
+// giveUpCrashing fails the jobs of the convicted tasks, unless all of their tasks are done by now.
 func (e *Engine) giveUpCrashing(now, wall time.Time) {
 	for _, t := range e.crashes.convicted {
-		if !t.job.phase.Final() {
+		if !t.job.phase.Final() && !t.job.isComplete() {
 			e.crashes.givenUp = append(e.crashes.givenUp, t.crashing())
 			e.finish(t.job, workflow.Failed, now, wall)
 		}
