Don't give up a job for a crashing task that is done

What callers would see: a job that is shown as failed although it could be done: a task of it was convicted of crashing executors, and before the next plan the end of an earlier run was listed that had finished it, so that it starts no more. Cause: the plan gave up the jobs of convicted tasks without a look at what has become of the tasks. Found by reading, not seen in a play.

--- a/workflow/engine/crashes.go
+++ b/workflow/engine/crashes.go
@@ -391,10 +391,14 @@
 	return max(minSurvival, survivalFactor*t.crashes.age)
 }
 
-// giveUpCrashing fails the jobs of the convicted tasks, unless all of their tasks are done by now.
+// giveUpCrashing fails the jobs of the convicted tasks, apart from those that an earlier run has finished in the meantime.
 func (e *Engine) giveUpCrashing(now, wall time.Time) {
 	for _, t := range e.crashes.convicted {
-		if !t.job.phase.Final() && !t.job.isComplete() {
+		switch {
+		case t.job.phase.Final():
+		case t.phase == workflow.TaskDone:
+			t.job.convicted = false
+		default:
 			e.crashes.givenUp = append(e.crashes.givenUp, t.crashing())
 			e.finish(t.job, workflow.Failed, now, wall)
 		}
