--- a/workflow/engine/crash_ends_test.go
+++ b/workflow/engine/crash_ends_test.go
@@ -34,11 +34,7 @@
 
 // startOnA starts the tasks of a new job on node "a" and returns the job and its runs.
 func (h *harness) startOnA(tasks int) (job workflow.Job, running []workflow.RunState) {
-	job = h.job(step(tasks))
-	h.engine.Add(job, nil, h.now, h.now)
-	h.report("a", executor("a", 1), nil, nil)
-	running = h.accept("a", h.plan()["a"])
-	h.Assert(running, qt.HasLen, tasks)
+	job, running = h.startJob(executor("a", 1), step(tasks))
 	h.now = h.now.Add(2 * time.Second)
 	return job, running
 }
@@ -106,6 +102,33 @@
 	h.Assert(crashes, qt.HasLen, 0)
 }
 
+// Guards against a second run of a task, or a start in its place (ROUTE, LIMIT), while its executor goes on and refuses connections: the
+// end of an executor under its ID was announced, which may be that of a former incarnation.
+func TestRefusingExecutorThatDoesNotDrainKeepsItsRuns(t *testing.T) {
+	h := newHarness(t)
+	h.startOnA(1)
+	leaving := executor("a", 1)
+	leaving.EndAnnounced = true
+	h.reportEnd(leaving, nil, nil)
+	h.Assert(h.startsAfterLease(), qt.HasLen, 1)
+	h.Assert(h.engine.TakeDepartures(), qt.DeepEquals, []engine.Departure{{Node: "a", Incarnation: "i-a@1", Held: true, Tasks: 1}})
+	crashes, _ := h.engine.TakeCrashes()
+	h.Assert(crashes, qt.HasLen, 0)
+}
+
+// Guards against an executor that its owner uses although it may end, or never uses again because the end of a former incarnation was
+// announced late.
+func TestExecutorIsUsedAgainAfterFalseAnnouncementOfItsEnd(t *testing.T) {
+	h := newHarness(t)
+	h.engine.Add(h.job(step(1)), nil, h.now, h.now)
+	leaving := executor("a", 1)
+	leaving.EndAnnounced = true
+	h.report("a", leaving, nil, nil)
+	h.Assert(h.plan()["a"].Starts, qt.HasLen, 0)
+	h.report("a", executor("a", 1), nil, nil)
+	h.Assert(h.plan()["a"].Starts, qt.HasLen, 1)
+}
+
 // Guards against tasks that wait for longer than the lease that the node reports, because the owner has changed after the crash.
 func TestTasksOfCrashedExecutorRestartAfterTakeover(t *testing.T) {
 	for _, newProcess := range []bool{false, true} {
@@ -170,7 +193,7 @@
 	start := h.plan()["a"].Starts[0]
 	h.reportEnd(executor("a", 1), nil, nil)
 	h.Assert(h.startsOnB(), qt.HasLen, 0)
-	h.engine.HandleOrderResult("a", 1, &workflow.OrderResult{Task: start.Task, Run: 1, Outcome: workflow.OutcomeUnknown, Sequence: 1}, h.now)
+	h.answer("a", start, workflow.OutcomeUnknown)
 	h.reportEnd(executor("a", 1), nil, nil)
 	h.Assert(h.startsOnB(), qt.HasLen, 0)
 	h.report("a", executor("a", 2), []workflow.RunState{{Task: start.Task, Run: 1}}, nil)
@@ -181,9 +204,7 @@
 // overtaken the report.
 func TestStartAfterReportedEndIsKept(t *testing.T) {
 	h := newHarness(t)
-	h.engine.Add(h.job(step(1)), nil, h.now, h.now)
-	h.report("a", executor("a", 1), nil, nil)
-	running := h.accept("a", h.plan()["a"])
+	_, running := h.startJob(executor("a", 1), step(1))
 	h.sendEnd(&workflow.Report{
 		Incarnation: 1, Executor: executor("a", 1), Listed: true, EndsComplete: true, ExecutorEnd: &workflow.ExecutorEnd{CoveredSequence: 0}, LeaseBound: &workflow.LeaseBound{},
 	})
@@ -304,7 +325,7 @@
 	h.Assert(h.startsAfterLease(), qt.HasLen, 3)
 }
 
-// Guards against a job that is given up since several executors crash at once: its tasks, unassigned from the first of them, are
+// Guards against a job that is given up since several executors crash at once: its tasks, released from the first of them, are
 // being started on another one that has crashed as well (found by the bench: LOST).
 func TestStartAfterCrashIsNoCause(t *testing.T) {
 	h := newHarness(t)
--- a/workflow/engine/state.go
+++ b/workflow/engine/engine.go
@@ -6,8 +6,6 @@
 package engine
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/quetzalshed/quetzalshed/scheduler/interference"
@@ -49,15 +47,15 @@
 	nodes      map[string]*node
 	// sortedNodes holds the same nodes sorted by name.
 	sortedNodes []*node
-	// assignedTasks holds the tasks with a run, by executor incarnation and sorted by name.
-	assignedTasks map[string][]*task
+	// tasksWithRun holds the tasks with a run, done ones included, by executor incarnation and sorted by name.
+	tasksWithRun map[string][]*task
 	// stopping holds the tasks of which the run is to be stopped.
 	stopping map[*task]struct{}
 	// unreportedExpiry is when the leases of executor incarnations that no node has reported have expired.
 	unreportedExpiry time.Time
 	// unreportedSource tells where unreportedExpiry comes from.
 	unreportedSource LeaseSource
-	// lapsedAt holds when the leases of executor incarnations with tasks have recently expired, or such an incarnation has ended,
+	// lapsedAt holds when the leases of executor incarnations with runs have recently expired, or such an incarnation has ended,
 	// unless they have been renewed since.
 	lapsedAt map[string]time.Time
 	// inheritedLeases holds when the leases of executor incarnations have expired, as the former owner has stored it.
@@ -133,7 +131,7 @@
 		activeJobs:           map[string]*job{},
 		completing:           map[*job]struct{}{},
 		nodes:                map[string]*node{},
-		assignedTasks:        map[string][]*task{},
+		tasksWithRun:         map[string][]*task{},
 		stopping:             map[*task]struct{}{},
 		unreportedExpiry:     now.Add(settings.LeaseExpiry + settings.TakeoverSlack),
 		unreportedSource:     LeaseOfTakeover,
@@ -197,73 +195,6 @@
 	return &j.Queue
 }
 
-// Add adds a job with its stored record, which is nil for a new job. It returns false if the job is already known.
-func (e *Engine) Add(spec workflow.Job, record *workflow.JobRecord, now, wall time.Time) bool {
-	if _, known := e.jobs[spec.ID]; known {
-		return false
-	}
-	age := max(wall.Sub(time.UnixMilli(spec.AcceptedUnixMillis)), 0)
-	j := &job{
-		Job: spec, phase: workflow.Pending, storedPhase: workflow.Pending, acceptedAt: now.Add(-age), knownAt: now,
-		recorded: record != nil, forgotten: e.WasForgotten(spec.ID),
-	}
-	j.buildTasks()
-	e.jobs[spec.ID] = j
-	e.activeJobs[spec.ID] = j
-	if record != nil {
-		e.restore(j, record, now)
-	}
-	if j.phase.Final() {
-		delete(e.activeJobs, j.ID)
-	}
-	e.observeWork(j)
-	if e.pendingCancellations[j.ID] {
-		delete(e.pendingCancellations, j.ID)
-		e.Cancel(j.ID, now, wall)
-	}
-	e.needsPlanning = true
-	return true
-}
-
-// AddEnded adds a finished job that has no runs left, from its record alone.
-func (e *Engine) AddEnded(id string, record *workflow.JobRecord) {
-	if _, known := e.jobs[id]; known {
-		return
-	}
-	e.jobs[id] = &job{
-		Job: workflow.Job{ID: id}, phase: record.Phase, storedPhase: record.Phase, endedUnixMillis: record.EndedUnixMillis,
-		endKnownAt: e.loadedAt, cancelled: record.Phase == workflow.Cancelled,
-	}
-	delete(e.pendingCancellations, id)
-}
-
-// AddHeld adds a job of which it isn't known what has run. Nothing of it is started, and clients see it as running until it is
-// cancelled.
-func (e *Engine) AddHeld(id string) {
-	if _, known := e.jobs[id]; known {
-		return
-	}
-	e.jobs[id] = &job{Job: workflow.Job{ID: id}, phase: workflow.Running, storedPhase: workflow.Running}
-	if e.pendingCancellations[id] {
-		delete(e.pendingCancellations, id)
-		e.Cancel(id, e.loadedAt, e.loadedAt)
-	}
-}
-
-// awaitHost records that a host had a running task under the former owner.
-func (e *Engine) awaitHost(host string) {
-	e.hasRestoredRuns = true
-	if n := e.nodes[host]; n == nil || !n.known {
-		e.unreportedHosts[host] = true
-	}
-}
-
-// executorsDiscovered reports whether the executors are known over which long-running tasks have to be spread: all hosts
-// with running tasks have reported, or the discovery deadline has passed.
-func (e *Engine) executorsDiscovered(now time.Time) bool {
-	return e.hasRestoredRuns && len(e.unreportedHosts) == 0 || !now.Before(e.discoveryDeadline)
-}
-
 // taskByName returns the task with the given name, or nil.
 func (e *Engine) taskByName(name string) *task {
 	id, ok := workflow.ParseTaskID(name)
@@ -277,120 +208,5 @@
 	return j.findTask(id)
 }
 
-// restore sets the state of a job from its record.
-func (e *Engine) restore(j *job, record *workflow.JobRecord, now time.Time) {
-	j.phase = record.Phase
-	j.storedPhase = record.Phase
-	j.endedUnixMillis, j.endKnownAt = record.EndedUnixMillis, e.loadedAt
-	j.cancelled = record.Phase == workflow.Cancelled
-	j.begun = record.Begun
-	for _, r := range record.Tasks {
-		t := j.findTask(workflow.TaskID{Job: j.ID, Occurrence: r.Occurrence, Step: r.Step, Index: r.Index})
-		if t == nil {
-			continue
-		}
-		t.run, t.failures, t.saved = r.Run, r.Failures, r.Saved
-		t.crashes.total, t.crashes.suspicions = r.Crashes, r.Suspicions
-		if t.isSuspect() {
-			t.crashes.suspectSince = now
-			e.crashes.suspects[t] = struct{}{}
-		}
-		t.phase, t.restored = r.Phase, true
-		// Records of former versions don't tell whether the job has begun.
-		j.begun = j.begun || r.Phase == workflow.TaskDone || r.Failures > 0 || r.Saved != ""
-		switch r.Phase {
-		case workflow.TaskDone:
-			t.group.done++
-			t.doneRun = r.Run
-			if r.Life != "" {
-				// Which run has finished the task isn't recorded.
-				t.doneRun = 0
-				e.restoreRun(t, &r)
-				e.requestStop(t, stopOfDone)
-				t.supersededAt = now
-			}
-		case workflow.TaskWaiting:
-			t.keepFormerRun(RestoredAsWaiting, now)
-		case workflow.TaskAssigned:
-			e.restoreRun(t, &r)
-			if j.phase.Final() {
-				e.requestStop(t, "its job has ended")
-			}
-		}
-	}
-	if j.isComplete() && !j.phase.Final() {
-		e.completing[j] = struct{}{}
-	}
-}
-
-// restoreRun takes the run of a task over from the record of its job. Its executor may have reported already.
-func (e *Engine) restoreRun(t *task, r *workflow.TaskRecord) {
-	t.executorIncarnation, t.host = r.Life, r.Node
-	e.awaitHost(r.Node)
-	e.track(t)
-	if n := e.nodes[r.Node]; n != nil && n.runsIncarnation(r.Life) {
-		n.addTask(t)
-	}
-}
-
-// track adds a task to the list of the executor incarnation that has its run.
-func (e *Engine) track(t *task) {
-	tasks := e.assignedTasks[t.executorIncarnation]
-	if i, found := slices.BinarySearchFunc(tasks, t, compareTasks); !found {
-		e.assignedTasks[t.executorIncarnation] = slices.Insert(tasks, i, t)
-	}
-}
-
-func compareTasks(a, b *task) int { return cmp.Compare(a.name, b.name) }
-
-// releaseRun lets go of the run of a task, whose place on its executor becomes free. An assigned task waits again. The caller has
-// made sure that the run has ended and can't begin any more, and gives the cause.
-func (e *Engine) releaseRun(t *task, cause EndCause, now time.Time) {
-	t.keepFormerRun(cause, now)
-	e.recordSupersededEnd(t, cause, now)
-	e.quarantine.RecordProbeAbort(t.host)
-	e.removeRun(t)
-	if t.phase == workflow.TaskAssigned {
-		t.phase = workflow.TaskWaiting
-	}
-	e.markDirty(t.job)
-	e.needsPlanning = true
-}
-
-// removeRun removes the run of a task from its executor.
-func (e *Engine) removeRun(t *task) {
-	e.untrack(t)
-	delete(e.stopping, t)
-	t.clearRun()
-}
-
-func (e *Engine) untrack(t *task) {
-	tasks := e.assignedTasks[t.executorIncarnation]
-	if i, found := slices.BinarySearchFunc(tasks, t, compareTasks); found {
-		if tasks = slices.Delete(tasks, i, i+1); len(tasks) == 0 {
-			delete(e.assignedTasks, t.executorIncarnation)
-		} else {
-			e.assignedTasks[t.executorIncarnation] = tasks
-		}
-	}
-	if t.node != nil {
-		t.node.removeTask(t)
-	}
-}
-
-func (t *task) clearRun() {
-	if t.started {
-		t.waitingSince = time.Time{}
-	}
-	t.executorIncarnation, t.host, t.node = "", "", nil
-	t.startPending, t.started, t.listed, t.stopRequested, t.stopReason = false, false, false, false, ""
-	t.startedSequence, t.stoppedSequence = 0, 0
-	t.restored, t.reassigned = false, false
-	t.startedIncarnation, t.stoppedIncarnation = 0, 0
-	t.stopOrderedAt, t.supersededAt = time.Time{}, time.Time{}
-	t.percent, t.usage = 0, 0
-	t.crashes.listedSince = time.Time{}
-}
-
 // markDirty marks a job whose record has changed and has to be stored.
 func (e *Engine) markDirty(j *job) { e.dirtyJobs[j] = struct{}{} }
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -41,13 +41,16 @@
 	if r.Incarnation < n.incarnation && !n.clockSetBack(r, now) || r.Incarnation == n.incarnation && r.Number <= n.number {
 		return 0, false
 	}
+	if n.incarnation != r.Incarnation {
+		n.leaseReport = 0
+	}
 	n.address, n.incarnation, n.number = r.Address, r.Incarnation, r.Number
-	n.reportedAt, n.leaseGranted = now, false
+	n.reportedAt = now
 	e.applyLeaseBound(n, r.LeaseBound, now)
 	if r.Executor == nil {
 		n.listedAt = time.Time{}
 		if r.ExecutorEnd != nil {
-			e.endRefusing(n, r, now, wall)
+			e.handleRefusedConnections(n, r, now, wall)
 		}
 		return 0, false
 	}
@@ -55,12 +58,12 @@
 		return 0, false
 	}
 	if r.Executor.Left {
-		e.endDeparted(n, r, now, wall)
+		e.handleDeparture(n, r, now, wall)
 		return 0, false
 	}
 	n.brokenAt = brokenAt(r, now)
 	if r.ExecutorEnd != nil {
-		e.endRefusing(n, r, now, wall)
+		e.handleRefusedConnections(n, r, now, wall)
 		return 0, false
 	}
 	if !r.Listed {
@@ -76,7 +79,7 @@
 	if now.Sub(n.listedAt) > maxLeaseListAge {
 		return n.ackedEnd, false
 	}
-	n.leaseExpires, n.leaseSource, n.leaseGranted = now.Add(e.settings.LeaseExpiry), LeaseOfOwner, true
+	n.leaseExpires, n.leaseSource, n.leaseReport = now.Add(e.settings.LeaseExpiry), LeaseOfOwner, r.Number
 	delete(e.lapsedAt, n.executorIncarnation)
 	return n.ackedEnd, true
 }
@@ -110,14 +113,14 @@
 		}
 		e.replaceExecutor(n, r, now)
 	}
-	e.endReplaced(n, r, now)
+	e.takeFormerForEnded(n, r, now)
 	// Draining is never undone within an incarnation: a restarted node may receive an outdated announcement first.
-	draining := r.Executor.Draining || n.executor.Draining
-	if draining != n.executor.Draining {
-		e.needsPlanning = true
-	}
+	draining, mayEnd := r.Executor.Draining || n.executor.Draining, n.executor.MayEnd()
 	n.executor = *r.Executor
 	n.executor.Draining = draining
+	if n.executor.MayEnd() != mayEnd {
+		e.needsPlanning = true
+	}
 	return true
 }
 
--- a/workflow/engine/node.go
+++ b/workflow/engine/node.go
@@ -54,12 +54,13 @@
 	leaseExpires time.Time
 	// leaseSource tells where leaseExpires comes from.
 	leaseSource LeaseSource
-	// leaseGranted is set if the last report renewed the lease.
-	leaseGranted bool
+	// leaseReport is the number of the last report that renewed the lease of the current incarnation; 0 if none of the node's process
+	// did.
+	leaseReport int64
 	// reportedAt is when the last report arrived, listedAt when the current incarnation last listed its runs; zero if it hasn't.
 	reportedAt, listedAt time.Time
 	ackedEnd             int64
-	// reserved is what assigned tasks reserve; bestEffortDemand is the CPU that best-effort tasks request, in
+	// reserved is what tasks with a run reserve; bestEffortDemand is the CPU that best-effort tasks request, in
 	// millicores.
 	reserved         structs.Resources
 	bestEffortDemand int64
@@ -71,7 +72,7 @@
 	// headrooms caches the lowest headroom of the serving tasks of each image as of headroomsAt.
 	headrooms   []imageHeadroom
 	headroomsAt time.Time
-	// orphanedRuns lists the runs on the executor that match no assigned task.
+	// orphanedRuns lists the runs on the executor that no task has.
 	orphanedRuns []workflow.RunState
 	// sampledAt is when latencies were last sampled, bestEffortEvictedAt when a best-effort task was last evicted.
 	sampledAt, bestEffortEvictedAt time.Time
@@ -93,6 +94,8 @@
 	endReportedAt time.Time
 	recordedEnd   string
 	lapsedRuns    []crashedRun
+	// presumed is the crash that was presumed when the lease last expired, until the executor lists its runs again.
+	presumed presumedCrash
 	// unproven is set until the executor has shown that the former ones of its host have ended.
 	unproven bool
 	// probes is the number of suspects of a crash that run on the executor and have not survived yet, as of the last Plan.
