--- a/workflow/engine/convictions.go
+++ b/workflow/engine/convictions.go
@@ -33,10 +33,14 @@
 // isOfConvictedJob reports whether the run belongs to a job that is given up because a task of it crashes executors.
 func (r crashedRun) isOfConvictedJob() bool { return r.task.job.convicted && r.task.isSuspect() }
 
-// giveUpCrashing fails the jobs of the convicted tasks.
+// giveUpCrashing fails the jobs of the convicted tasks, apart from those that an earlier run has finished in the meantime.
 func (e *Engine) giveUpCrashing(now, wall time.Time) {
 	for _, t := range e.crashes.convicted {
-		if !t.job.phase.Final() {
+		switch {
+		case t.job.phase.Final():
+		case t.phase == workflow.TaskDone:
+			t.job.convicted = false
+		default:
 			e.crashes.givenUp = append(e.crashes.givenUp, t.crashing())
 			e.finish(t.job, workflow.Failed, now, wall)
 		}
