--- a/node/orders.go
+++ b/node/orders.go
@@ -20,8 +20,6 @@
 	orderTimeout = 800 * time.Millisecond
 	// maxParallelOrders limits the number of concurrent calls to the executor.
 	maxParallelOrders = 8
-	// minLeaseLeft is the minimum remaining time of the lease for a start.
-	minLeaseLeft = time.Second
 	// maxOrdersBytes limits the body of an orders request.
 	maxOrdersBytes = 4 << 20
 )
@@ -97,7 +95,7 @@
 		return 0, reason
 	}
 	n.extendLease(n.reportSentAt[orders.ReportNumber], time.Duration(orders.LeaseMillis)*time.Millisecond)
-	if n.leaseEnd.Sub(now) < minLeaseLeft {
+	if n.leaseEnd.Sub(now) < workflow.MinStartLease {
 		return 0, "grant"
 	}
 	n.epoch = orders.Epoch
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -1,5 +1,6 @@
 // Package soak runs the programs as separate processes in real time, injects faults that are drawn from a seed, and checks that
-// no task runs twice or starts where it may not run. A stand-in plays the platform's store, the executors and the clients; all traffic crosses loopback proxies.
+// no task runs twice or starts where it may not run. A stand-in plays the platform's store, the executors and the clients; all traffic
+// crosses loopback proxies.
 package soak
 
 import (
--- a/workflow/engine/leases.go
+++ b/workflow/engine/leases.go
@@ -31,12 +31,9 @@
 	Source      LeaseSource
 }
 
-// minLeaseLeft is how long the lease of an executor has to last for a start, as its node counts it. Nodes reject starts with less left.
-const minLeaseLeft = time.Second
-
 // admitsStarts reports whether the lease of an executor's current incarnation lasts long enough for a start.
 func (e *Engine) admitsStarts(n *node, now time.Time) bool {
-	return n.leaseReport > 0 && n.leaseExpires.Sub(now) >= e.settings.LeaseExpiry-e.settings.LeaseDuration+minLeaseLeft
+	return n.leaseReport > 0 && n.leaseExpires.Sub(now) >= e.settings.LeaseExpiry-e.settings.LeaseDuration+workflow.MinStartLease
 }
 
 func init() {
--- a/workflow/engine/misplaced.go
+++ b/workflow/engine/misplaced.go
@@ -106,7 +106,7 @@
 	described int
 }
 
-// checkPlacement looks for runs that may not run on the executor that lists them. Each is told once for as long as it is listed.
+// checkPlacement looks for runs that may not run on the executor that lists them. Each is described once for as long as it is listed.
 func (e *Engine) checkPlacement(n *node, listed []listedRun, now time.Time) {
 	p := &placementCheck{engine: e, node: n, listed: listed, now: now}
 	p.forgetUnlisted()
--- a/workflow/engine/misplaced_test.go
+++ b/workflow/engine/misplaced_test.go
@@ -45,14 +45,14 @@
 	h.report("b", executor("b", 1), second, nil)
 	h.report("b", executor("b", 1), append(first, second...), nil)
 	_, counts = h.engine.TakeMisplaced()
-	h.Assert(counts, qt.HasLen, 0, qt.Commentf("the same run was told before"))
+	h.Assert(counts, qt.HasLen, 0, qt.Commentf("the same run has been described before"))
 	third := workflow.RunState{Task: second[0].Task, Run: 2}
 	h.report("b", executor("b", 1), append(first, third), nil)
 	_, counts = h.engine.TakeMisplaced()
 	h.Assert(counts, qt.DeepEquals, map[engine.MisplacedKind]int{engine.MisplacedLimit: 1}, qt.Commentf("another run"))
 }
 
-// Guards against a superseded run beside another of its step that is told without saying so.
+// Guards against a superseded run beside another of its step that is described without saying so.
 func TestMisplacedRunTellsThatItIsSuperseded(t *testing.T) {
 	s := newSupersededRun(t, limited())
 	other := workflow.RunState{Task: s.job.ID + ".0.0.1", Run: 9}
--- a/workflow/engine/node.go
+++ b/workflow/engine/node.go
@@ -107,7 +107,7 @@
 	// lists tells when the executor last listed its runs, and contradictions what in them contradicts this owner's state.
 	lists          executorLists
 	contradictions reportedContradictions
-	// misplaced holds the runs that the executor lists and that were told as misplaced.
+	// misplaced holds the runs that the executor lists and that have been described as misplaced.
 	misplaced map[misplacedKey]struct{}
 	// orphanStopsAt is when stops of orphaned runs were last ordered.
 	orphanStopsAt time.Time
--- a/workflow/engine/superseded_runs_test.go
+++ b/workflow/engine/superseded_runs_test.go
@@ -147,7 +147,7 @@
 	})
 }
 
-// Guards against a superseded run whose end is not told since a former owner saw it superseded, and against one that is counted by
+// Guards against a superseded run whose end is not described since a former owner saw it superseded, and against one that is counted by
 // each owner.
 func TestNewOwnerTellsEndOfSupersededRun(t *testing.T) {
 	s := newSupersededRun(t, limited())
@@ -163,7 +163,7 @@
 	s.Assert(ends[0].Restored, qt.IsTrue)
 }
 
-// Guards against ordinary ends, and the members of a gang that end one after the other, that are told as superseded runs.
+// Guards against ordinary ends, and the members of a gang that end one after the other, that are described as superseded runs.
 func TestOrdinaryEndsSupersedeNothing(t *testing.T) {
 	h := newHarness(t)
 	gang := step(2)
--- a/workflow/leases.go
+++ b/workflow/leases.go
@@ -1,5 +1,11 @@
 package workflow
 
+import "time"
+
+// MinStartLease is how long the lease of an executor has to last for a start, as its node counts it. Nodes reject starts with less left,
+// and owners order none.
+const MinStartLease = time.Second
+
 // MaxExecutorLeases limits the executors in an OwnerLeases.
 const MaxExecutorLeases = 512
 
