--- a/owner/runs.go
+++ b/owner/runs.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// limitInterval is the time in which at most maxContradictionLines lines on contradictions are logged.
-	limitInterval         = time.Second
+	// limitInterval is the time over which the lines of a kind are limited.
+	limitInterval = time.Second
+	// maxContradictionLines is how many lines on contradictions are logged in a limitInterval.
 	maxContradictionLines = 8
 	// maxLoggedLabels limits the labels of an executor in a line. Executors announce two: their kind and their rack.
 	maxLoggedLabels = 8
