Count no crash for starts that were ordered after an executor had ended

Callers saw a job shown as failed although none of its tasks had failed (LOST). Cause: a new owner orders starts on executors that crashed during the change of owner, until their nodes report the next incarnations. The nodes reject these starts, but the report of the next incarnation may arrive before the rejection. The run then counted as one of the crashed executor's, of age 0, as if the crash had followed from its start. With two such executors in turn the job was given up. Task 0 of a job accepted at 60.37 s is ordered on both (60.78 and 60.84 s), rejected with the reason life on both, and the job is given up at 60.90 s. Change: a run that was ordered after a connection to the executor had broken, and that it hasn't confirmed, isn't one of its runs at the crash. Measured: TestStartsOnCrashedExecutorsAreNoCrashes fails before (a crash is counted).

--- a/workflow/engine/crash_ends_test.go
+++ b/workflow/engine/crash_ends_test.go
@@ -359,3 +359,36 @@
 	h.plan()
 	h.Assert(h.phase(job.ID), qt.Equals, workflow.Running)
 }
+
+// Guards against a job that is given up because its task was ordered on two executors in turn that had crashed before, as a new owner
+// does until their nodes report the next incarnations (LOST).
+func TestStartsOnCrashedExecutorsAreNoCrashes(t *testing.T) {
+	h := newHarness(t)
+	job := h.job(step(1))
+	h.engine.Add(job, nil, h.now, h.now)
+	nodes := []string{"a", "b"}
+	for _, node := range nodes {
+		h.reports[node]++
+		h.engine.HandleReport(&workflow.Report{
+			Node: node, Address: node, Incarnation: 1, Number: h.reports[node], Executor: executor(node, 1), Listed: true, EndsComplete: true,
+			ListAgeMillis: 900, BrokenMillis: 800, CoveredSequence: 1 << 40,
+		}, h.now, h.now)
+	}
+	for range nodes {
+		orders := h.plan()
+		h.Assert(orders, qt.HasLen, 1)
+		h.now = h.now.Add(50 * time.Millisecond)
+		for node := range orders {
+			next := executor(node, 2)
+			next.ID = "i-next-" + node
+			h.report(node, next, nil, nil)
+			next.Draining = true
+			h.report(node, next, nil, nil)
+		}
+	}
+	h.plan()
+	crashes, givenUp := h.engine.TakeCrashes()
+	h.Assert(crashes, qt.HasLen, 0)
+	h.Assert(givenUp, qt.HasLen, 0)
+	h.Assert(h.phase(job.ID), qt.Equals, workflow.Running)
+}
--- a/workflow/engine/crashed_runs.go
+++ b/workflow/engine/crashed_runs.go
@@ -30,7 +30,8 @@
 	timed bool
 }
 
-// crashedRuns returns the unfinished runs on an incarnation with their ages.
+// crashedRuns returns the unfinished runs on an incarnation with their ages, apart from those that were ordered only after a connection
+// to it had broken: unless it has confirmed them, it had ended by then.
 func (e *Engine) crashedRuns(n *node, incarnation string) []crashedRun {
 	tasks := e.tasksWithRun[incarnation]
 	alive, timed := time.Time{}, false
@@ -47,6 +48,9 @@
 	}
 	runs := make([]crashedRun, 0, len(tasks))
 	for _, t := range tasks {
+		if timed && !t.started && t.startedAt.After(n.brokenAt) {
+			continue
+		}
 		begun := t.begunAt()
 		if begun.IsZero() {
 			runs = append(runs, crashedRun{task: t})
