Prefer executors with unbroken connections for starts

Change: an executor whose connection has broken is treated as one that has left an order unanswered until it responds again. Where nothing else has room, it gets starts as before. Measured: TestStartsPreferUnbrokenExecutors fails before (the start goes to the broken one).

--- a/workflow/engine/order_results_test.go
+++ b/workflow/engine/order_results_test.go
@@ -191,3 +191,16 @@
 	h.engine.Add(h.job(step(1)), nil, h.now, h.now)
 	h.Assert(h.plan()["a"].Starts, qt.HasLen, 1, qt.Commentf("nothing else has room"))
 }
+
+// Guards against starts on an executor whose connection has broken, as if it had crashed, while others would take them (LOST).
+func TestStartsPreferUnbrokenExecutors(t *testing.T) {
+	h := newHarness(t)
+	h.engine.Add(h.job(step(1)), nil, h.now, h.now)
+	h.sendReport(workflow.Report{Executor: executor("a", 1), Listed: true, EndsComplete: true, ListAgeMillis: 900, BrokenMillis: 800})
+	h.report("b", executor("b", 1), nil, nil)
+	orders := h.plan()
+	h.Assert(orders["a"].Starts, qt.HasLen, 0)
+	h.Assert(orders["b"].Starts, qt.HasLen, 1)
+	h.engine.Add(h.job(step(4)), nil, h.now, h.now)
+	h.Assert(h.plan()["a"].Starts, qt.Not(qt.HasLen), 0, qt.Commentf("nothing else has room"))
+}
--- a/workflow/engine/placement.go
+++ b/workflow/engine/placement.go
@@ -112,7 +112,8 @@
 	lateReportAge     = 1300 * time.Millisecond
 	lateReportPenalty = 3
 	// unansweredTime is how long starts prefer other executors than one that has left an order unanswered, by unansweredPenalty: the
-	// task of an unanswered start can't run elsewhere until a stop of it was answered.
+	// task of an unanswered start can't run elsewhere until a stop of it was answered. The same holds for one whose connection
+	// has broken, until it responds again: it may have crashed.
 	unansweredTime    = 3 * time.Second
 	unansweredPenalty = 1
 	// discoveryTimeout is how long at most a new owner waits for executors before it places long-running tasks. All
@@ -191,7 +192,8 @@
 		return 0
 	})
 	registerScore("unanswered", func(p *placementRequest, n *node) float64 {
-		if !n.unansweredAt.IsZero() && p.now.Sub(n.unansweredAt) < unansweredTime {
+		isSilent := !n.unansweredAt.IsZero() && p.now.Sub(n.unansweredAt) < unansweredTime
+		if isSilent || !n.brokenAt.IsZero() {
 			return -unansweredPenalty
 		}
 		return 0
