Revert "Ask for an executor's lists at once after it has accepted a stop"

Why is not traced; the lists and reports that it asks for come sooner while executors crash, and more tasks count as suspects.

--- a/node/hold.go
+++ b/node/hold.go
@@ -157,7 +157,7 @@
 	// A lease may be granted at any moment, and the executor may need it soon: runs outlast the node's process, and the announcement
 	// of another executor.
 	isAwaited := n.leaseEnd.IsZero()
-	if isShort || isAwaited || endsFollow || n.awaitedOrder > n.listsCover || n.stopsUnderWay > 0 {
+	if isShort || isAwaited || endsFollow || n.lastUnknownStart > n.listsCover {
 		wait = shortHoldWait
 	}
 	if n.lists == nil || !n.confirmed {
--- a/node/lists.go
+++ b/node/lists.go
@@ -14,7 +14,7 @@
 	// nothingNew means that the lists contain nothing to report before the next regular report.
 	nothingNew listsResult = iota
 	// reportAtOnce means that the lists are the first ones of an incarnation, contain ends that are not acknowledged, or
-	// cover an order that the owner awaits to be covered.
+	// resolve a start without a response.
 	reportAtOnce
 	// otherIncarnation means that the lists are not from the incarnation that was called.
 	otherIncarnation
@@ -37,7 +37,7 @@
 	}
 	first := n.lists == nil
 	previous := n.lists
-	covered := n.awaitedOrder > n.listsCover && n.awaitedOrder <= covers
+	resolved := n.lastUnknownStart > n.listsCover && n.lastUnknownStart <= covers
 	now := n.clock.Now()
 	n.noteResponse(now)
 	n.lists, n.listsCover, n.listedAt, n.confirmed = lists, covers, now, true
@@ -49,7 +49,7 @@
 		n.log.Info("executor may have more ends than it lists", "executor", incarnation, "listed", len(lists.Ended), "acknowledged", n.ack)
 	}
 	n.pruneTraits(lists)
-	if first || covered || len(lists.Ended) > 0 && lists.Ended[len(lists.Ended)-1].Number > n.ack {
+	if first || resolved || len(lists.Ended) > 0 && lists.Ended[len(lists.Ended)-1].Number > n.ack {
 		return reportAtOnce
 	}
 	return nothingNew
--- a/node/node.go
+++ b/node/node.go
@@ -58,11 +58,8 @@
 	brokenAt time.Time
 	// end follows whether that incarnation has ended, or if none is known all former ones.
 	end executorEnd
-	// executedOrders counts the executed orders. awaitedOrder is the number of the last one that the owner awaits to be covered by
-	// lists: a start without a response, or an accepted stop, after which lists show whether the run exists.
-	executedOrders, awaitedOrder int64
-	// stopsUnderWay is the number of stops that are being executed.
-	stopsUnderWay int
+	// executedOrders counts the executed orders, and lastUnknownStart is the number of the last start without a response.
+	executedOrders, lastUnknownStart int64
 	// unlistedStarts holds the runs that the incarnation has accepted, by the numbers of the starts, until its lists cover them.
 	unlistedStarts map[int64]workflow.RunState
 	// leaseEnd is the end of the lease, after which the runs end unless an owner renews it.
--- a/node/orders.go
+++ b/node/orders.go
@@ -188,9 +188,6 @@
 	if isCurrent {
 		fence = n.fence(orders.Epoch)
 	}
-	if !stale && isCurrent {
-		n.stopsUnderWay++
-	}
 	n.mu.Unlock()
 	if stale || !isCurrent {
 		result.Reason = "epoch or incarnation"
@@ -200,10 +197,10 @@
 		return n.executor.Stop(ctx, orders.ExecutorIncarnation, s.Task, s.Run, fence)
 	})
 	result.Sequence = n.countOrder(err == nil)
-	n.noteStop(result.Sequence, err == nil)
 	if err == nil {
 		n.metrics.stops.Inc(1)
 		result.Outcome = workflow.OutcomeDone
+		signal(n.wakeHold)
 	} else {
 		result.Reason = err.Error()
 	}
@@ -230,18 +227,6 @@
 	return n.executedOrders
 }
 
-// noteStop records that a stop has been executed. If the executor has accepted it, the executor's lists are requested at once: unless
-// they contain the run, it doesn't exist.
-func (n *Node) noteStop(sequence int64, accepted bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.stopsUnderWay--
-	if accepted {
-		n.awaitedOrder = max(n.awaitedOrder, sequence)
-		signal(n.wakeHold)
-	}
-}
-
 // noteOrder counts an executed order. The caller holds mu.
 func (n *Node) noteOrder(accepted bool) {
 	n.executedOrders++
@@ -255,7 +240,7 @@
 func (n *Node) noteUnknownStart(sequence int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.awaitedOrder = max(n.awaitedOrder, sequence)
+	n.lastUnknownStart = max(n.lastUnknownStart, sequence)
 	signal(n.wakeHold)
 }
 
