Tell in the log what calls another incarnation of an executor answered

When an executor had restarted under its ID, the node logged that another incarnation responds, but not whether the call carried a deadline, which one, and what the new clock showed, so that a stale lease could not be told from a harmless answer. Answers that arrived after the announcement of the new incarnation left no line at all.

The line now has the deadline, the clock, their difference and the acknowledgement, and is written for each such answer; node_stale_answers counts them. The first lists of an incarnation are logged with its clock and the number of its runs, which are starts for a former incarnation if the node's process has not restarted. No decision changes.

--- a/node/hold.go
+++ b/node/hold.go
@@ -57,6 +57,7 @@
 		}
 		switch n.applyLists(hold.incarnation, answer.lists, hold.covers) {
 		case otherIncarnation:
+			n.noteStaleAnswer(&hold, &answer)
 			n.sleep(ctx, nil, holdRetryDelay)
 		case reportAtOnce:
 			signal(n.wakeReport)
@@ -104,10 +105,12 @@
 	clocks   clockReading
 }
 
-// holdAnswer is the response to a copy of a hold call. renewed is set if that copy carried the deadline.
+// holdAnswer is the response to a copy of a hold call. renewed is set if that copy carried the deadline; ack is the number up to which
+// it acknowledged ends, or 0.
 type holdAnswer struct {
 	lists   *RunLists
 	renewed bool
+	ack     int64
 }
 
 // sendHold sends a copy of a hold call. A copy that is carried out late may reach another incarnation under the executor's ID,
@@ -125,7 +128,7 @@
 		n.metrics.repeated.Inc(1)
 	}
 	lists, err := n.executor.Hold(ctx, h.incarnation, h.fence, ack, deadline, wait)
-	return holdAnswer{lists, deadline > 0}, err
+	return holdAnswer{lists, deadline > 0, ack}, err
 }
 
 // noteRenewal records that the executor has confirmed the deadline of a hold call.
--- a/node/lists.go
+++ b/node/lists.go
@@ -28,7 +28,6 @@
 		return otherIncarnation
 	}
 	if lists.StartedUnixMillis != 0 && lists.StartedUnixMillis != n.current.StartedUnixMillis {
-		n.log.Info("another incarnation of the executor responds", "executor", incarnation, "born", lists.StartedUnixMillis)
 		// An earlier start after the current incarnation has responded is that of a later one: the time of day was set back.
 		if lists.StartedUnixMillis > n.current.StartedUnixMillis || n.lists != nil {
 			n.forgetIncarnation()
@@ -36,6 +35,9 @@
 		return otherIncarnation
 	}
 	first := n.lists == nil
+	if first {
+		n.logFirstAnswer(incarnation, lists)
+	}
 	previous := n.lists
 	resolved := n.lastUnknownStart > n.listsCover && n.lastUnknownStart <= covers
 	now := n.clock.Now()
--- a/node/node.go
+++ b/node/node.go
@@ -90,8 +90,8 @@
 }
 
 type nodeMetrics struct {
-	starts, rejected, unknown, stops, ends, reports, failedReports, repeated, suspensions, pauses tally.Counter
-	startTime, reportTime                                                                         tally.Histogram
+	starts, rejected, unknown, stops, ends, reports, failedReports, repeated, suspensions, pauses, staleAnswers tally.Counter
+	startTime, reportTime                                                                                       tally.Histogram
 }
 
 // New returns a node that reports under the given name and receives orders at the given address.
@@ -123,8 +123,9 @@
 			ends: scope.Counter("node_ends"), reports: scope.Counter("node_reports"),
 			failedReports: scope.Counter("node_reports_failed"), repeated: scope.Counter("node_calls_repeated"),
 			suspensions: scope.Counter("node_suspensions"), pauses: scope.Counter("node_pauses"),
-			startTime:  scope.Histogram("node_start_seconds", buckets),
-			reportTime: scope.Histogram("node_report_seconds", buckets),
+			staleAnswers: scope.Counter("node_stale_answers"),
+			startTime:    scope.Histogram("node_start_seconds", buckets),
+			reportTime:   scope.Histogram("node_report_seconds", buckets),
 		},
 	}
 }
--- a/owner/loop.go
+++ b/owner/loop.go
@@ -74,7 +74,8 @@
 	t.engine.Tick(now)
 	for _, l := range t.engine.ExpireLeases(now) {
 		t.metrics.lapsed.Inc(1)
-		t.log.Info("tasks of an executor have lapsed", "executor", l.Incarnation, "tasks", l.Tasks, "lease_known_from", l.Source, "epoch", t.lease.Record.Epoch)
+		t.log.Info("tasks of an executor have lapsed", "executor", l.Incarnation, "tasks", l.Tasks, "lease_known_from", l.Source, "epoch", t.lease.Record.Epoch,
+			"executor_known_ms", ageMillis(l.Known), "same_id", l.SameID)
 	}
 	t.logUnreported(now)
 	t.logQuarantine(now)
--- a/workflow/engine/leases.go
+++ b/workflow/engine/leases.go
@@ -29,6 +29,10 @@
 	Incarnation string
 	Tasks       int
 	Source      LeaseSource
+	// Known is the time since this owner first heard of the incarnation, or UnknownAge if it has not or knows a later one by now. SameID is
+	// set if the incarnation had then taken the place of another one with the same ID.
+	Known  time.Duration
+	SameID bool
 }
 
 // admitsStarts reports whether the lease of an executor's current incarnation lasts long enough for a start.
@@ -127,10 +131,12 @@
 		if now.Before(expires) {
 			continue
 		}
-		lapsed = append(lapsed, Lapse{incarnation, len(tasks), source})
+		lapse := Lapse{Incarnation: incarnation, Tasks: len(tasks), Source: source, Known: UnknownAge}
 		if n := e.nodes[tasks[0].host]; n != nil && n.runsIncarnation(incarnation) {
+			lapse.Known, lapse.SameID = now.Sub(n.replacedAt), n.replacedSameID
 			e.recordLapse(n, now)
 		}
+		lapsed = append(lapsed, lapse)
 		for _, t := range slices.Clone(tasks) {
 			e.releaseRun(t, LeaseExpired, now)
 			t.former.LeaseSource = source
--- a/workflow/engine/leases_test.go
+++ b/workflow/engine/leases_test.go
@@ -206,3 +206,24 @@
 	}
 	h.Assert(h.engine.FinalLeases(h.now).Executors, qt.HasLen, workflow.MaxExecutorLeases)
 }
+
+// Guards against a lapse within reach of a stale lease whose line doesn't tell that the executor had just restarted under its ID.
+func TestLapseTellsHowLongIncarnationIsKnown(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		h := newHarness(t)
+		if restarted {
+			h.report("a", executor("a", 1), nil, nil)
+			h.now = h.now.Add(time.Minute)
+		}
+		h.assigned(executor("a", 2))
+		known := h.now
+		var lapsed []engine.Lapse
+		for len(lapsed) == 0 && h.now.Sub(known) < time.Minute {
+			h.now = h.now.Add(10 * time.Millisecond)
+			lapsed = h.engine.ExpireLeases(h.now)
+		}
+		h.Assert(lapsed, qt.HasLen, 1)
+		h.Assert(lapsed[0].SameID, qt.Equals, restarted)
+		h.Assert(lapsed[0].Known, qt.Equals, h.now.Sub(known))
+	}
+}
--- a/workflow/engine/node.go
+++ b/workflow/engine/node.go
@@ -50,6 +50,10 @@
 	domainIndex int
 	// executorIncarnation identifies the executor's current incarnation.
 	executorIncarnation string
+	// replacedAt is when this owner first heard of that incarnation. replacedSameID is set if it took the place of another one with the
+	// same ID.
+	replacedAt     time.Time
+	replacedSameID bool
 	// leaseExpires is when all runs on the executor have ended, unless its lease is renewed.
 	leaseExpires time.Time
 	// leaseSource tells where leaseExpires comes from.
