Let simulated executors treat leases and calls of former incarnations as the platform does

An executor of the platform shortens a lease to holdMaxMs by its own clock, takes the deadline of a start that it rejects as old or room, keeps the highest fencing token of any call, and each incarnation has a clock of its own. The simulated one did none of this: leases had no limit, a rejected start had no effect, paces and rejected starts left the token as it was, and clocks started at 0 and were never slow. Calls that met an executor while it was down got no answer, so that none of them could reach the next incarnation under its ID other than by a late execution.

Leases end 10 s after the call by the clock of the executor. SetClock sets the start and the speed of the clocks of the next incarnations, and SetStaleCalls which calls the next incarnation carries out for the former one. Both are off unless a test sets them.

--- a/node/nodetest/calls.go
+++ b/node/nodetest/calls.go
@@ -11,15 +11,64 @@
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
-// callKind tells starts and stops from other calls, and from the repetitions by which a call waits.
+// callKind tells calls apart, and the repetitions by which a hold call waits.
 type callKind int
 
 const (
-	orderCall callKind = iota
-	otherCall
+	startCall callKind = iota
+	stopCall
+	paceCall
+	holdCall
 	waitingCall
 )
 
+// isOrder reports whether a call is a start or a stop.
+func (k callKind) isOrder() bool { return k == startCall || k == stopCall }
+
+// StaleCalls tells which calls that meet an executor while it is down are carried out by its next incarnation, as if their connections
+// were established once the host is back. The others get no answer.
+type StaleCalls struct {
+	Starts, Stops, Holds bool
+	// WaitingHolds are hold calls that wait for an end when the executor crashes. They are carried out once more.
+	WaitingHolds bool
+	// WaitingHoldsBreak is set if such calls fail at once instead, as with a connection that breaks.
+	WaitingHoldsBreak bool
+}
+
+func (s StaleCalls) contain(kind callKind) bool {
+	switch kind {
+	case startCall:
+		return s.Starts
+	case stopCall:
+		return s.Stops
+	case holdCall:
+		return s.Holds
+	case waitingCall:
+		return s.WaitingHolds
+	}
+	return false
+}
+
+// awaitRestart waits until the executor is up, and returns false if a call of a kind isn't carried out then. The caller holds mu.
+func (x *Executor) awaitRestart(ctx context.Context, kind callKind) bool {
+	for x.down {
+		if !x.staleCalls.contain(kind) {
+			return false
+		}
+		restarted := x.restarted
+		x.mu.Unlock()
+		select {
+		case <-restarted:
+		case <-ctx.Done():
+		}
+		x.mu.Lock()
+		if ctx.Err() != nil {
+			return false
+		}
+	}
+	return !x.unresponsive
+}
+
 // drawFault decides whether a call that arrives fails, and how: by at most one of rejected, lost and delayed.
 func (x *Executor) drawFault(kind callKind) (rejected, lost, delayed bool) {
 	if kind == waitingCall {
@@ -27,7 +76,7 @@
 	}
 	u := x.random.Float64()
 	f := x.faults
-	if f.OrdersOnly && kind != orderCall {
+	if f.OrdersOnly && !kind.isOrder() {
 		return false, false, false
 	}
 	return u < f.Rejected, u >= f.Rejected && u < f.Rejected+f.AnswerLost,
@@ -41,7 +90,11 @@
 		x.mu.Unlock()
 		return node.ErrRefused
 	}
-	if x.down || x.unresponsive {
+	if x.down && kind == waitingCall && x.staleCalls.WaitingHoldsBreak {
+		x.mu.Unlock()
+		return errBroken
+	}
+	if x.unresponsive || x.down && !x.awaitRestart(ctx, kind) {
 		x.mu.Unlock()
 		<-ctx.Done()
 		return errNoAnswer
@@ -84,29 +137,26 @@
 
 // Start implements node.Executor.
 func (x *Executor) Start(ctx context.Context, incarnation string, s node.Start) error {
-	return x.handle(ctx, incarnation, orderCall, func(bool) error {
-		deadline := x.born.Add(time.Duration(s.DeadlineMillis) * time.Millisecond)
-		switch {
-		case s.Fence < x.fence:
+	return x.handle(ctx, incarnation, startCall, func(bool) error {
+		if s.Fence < x.fence {
 			return &node.RejectedError{Reason: "fence"}
+		}
+		x.fence = s.Fence
+		x.extend(s.DeadlineMillis)
+		switch {
 		case x.runs[s.Task] != nil && x.runs[s.Task].number == s.Run:
 			return nil
 		case x.highestRun[s.Task] >= s.Run || x.runs[s.Task] != nil:
 			return &node.RejectedError{Reason: "old"}
-		case time.Now().After(deadline):
+		case time.Now().After(x.timeAt(s.DeadlineMillis)):
 			return &node.RejectedError{Reason: "late"}
 		case !x.hasRoom(s.Task):
 			return &node.RejectedError{Reason: workflow.ReasonRoom}
 		}
-		x.fence = s.Fence
-		if deadline.After(x.deadline) {
-			x.deadline = deadline
-		}
 		endsAt := time.Now().Add(x.durationOf(s.Task))
 		x.runs[s.Task] = &run{number: s.Run, endsAt: endsAt, checkpoint: s.Checkpoint}
 		x.highestRun[s.Task] = s.Run
 		x.advanceAt(endsAt)
-		x.advanceAt(x.deadline)
 		x.observer.Started(x.description, s.Task, s.Run, s.Spec)
 		if x.crashes != nil && x.crashes(s.Task) {
 			lifetime := x.description.IncarnationID()
@@ -118,7 +168,7 @@
 
 // Stop implements node.Executor.
 func (x *Executor) Stop(ctx context.Context, incarnation, task string, number int, fence int64) error {
-	return x.handle(ctx, incarnation, orderCall, func(bool) error {
+	return x.handle(ctx, incarnation, stopCall, func(bool) error {
 		if fence < x.fence {
 			return &node.RejectedError{Reason: "fence"}
 		}
@@ -132,9 +182,15 @@
 	})
 }
 
-// SetPace implements node.Executor. It has no effect.
-func (x *Executor) SetPace(ctx context.Context, incarnation, _ string, _, _ int, _ int64) error {
-	return x.handle(ctx, incarnation, otherCall, func(bool) error { return nil })
+// SetPace implements node.Executor. It has no effect but that of its fencing token.
+func (x *Executor) SetPace(ctx context.Context, incarnation, _ string, _, _ int, fence int64) error {
+	return x.handle(ctx, incarnation, paceCall, func(bool) error {
+		if fence < x.fence {
+			return &node.RejectedError{Reason: "fence"}
+		}
+		x.fence = fence
+		return nil
+	})
 }
 
 // Connect implements node.Executor.
@@ -158,20 +214,19 @@
 // Hold implements node.Executor.
 func (x *Executor) Hold(ctx context.Context, incarnation string, fence, ack, deadlineMillis int64, wait time.Duration) (*node.RunLists, error) {
 	until := time.Now().Add(wait)
-	for first := true; ; first = false {
+	// carriedOutBy is the start time of the incarnation that has carried out the call.
+	carriedOutBy := time.Time{}
+	for kind := holdCall; ; kind = waitingCall {
 		var lists *node.RunLists
-		kind := otherCall
-		if !first {
-			kind = waitingCall
-		}
 		err := x.handle(ctx, incarnation, kind, func(responds bool) error {
 			if fence < x.fence {
 				return &node.RejectedError{Reason: "fence"}
 			}
 			x.fence = fence
-			if first {
+			if kind == holdCall || x.staleCalls.WaitingHolds && !carriedOutBy.Equal(x.born) {
 				x.extend(deadlineMillis)
 				x.acknowledge(ack)
+				carriedOutBy = x.born
 			}
 			if responds {
 				lists = x.lists()
@@ -189,14 +244,29 @@
 	}
 }
 
+// extend moves the end of the lease to a reading of the executor's clock, at most maxLease from now, unless it ends later already.
 func (x *Executor) extend(deadlineMillis int64) {
-	deadline := x.born.Add(time.Duration(deadlineMillis) * time.Millisecond)
-	if deadlineMillis > 0 && deadline.After(x.deadline) {
+	if deadlineMillis <= 0 {
+		return
+	}
+	deadline := x.timeAt(min(deadlineMillis, x.clockMillis()+maxLease.Milliseconds()))
+	if deadline.After(x.deadline) {
 		x.deadline = deadline
 		x.advanceAt(deadline)
 	}
 }
 
+// clockMillis returns the reading of the executor's clock.
+func (x *Executor) clockMillis() int64 {
+	return x.clockStart.Milliseconds() + int64(float64(time.Since(x.born).Milliseconds())*x.clockRate)
+}
+
+// timeAt returns when the executor's clock shows the given reading.
+func (x *Executor) timeAt(clockMillis int64) time.Time {
+	sinceStart := time.Duration(clockMillis)*time.Millisecond - x.clockStart
+	return x.born.Add(time.Duration(float64(sinceStart) / x.clockRate))
+}
+
 // advanceAt schedules a call of advance just after t.
 func (x *Executor) advanceAt(t time.Time) {
 	time.AfterFunc(time.Until(t)+time.Millisecond, func() {
@@ -215,7 +285,7 @@
 }
 
 func (x *Executor) lists() *node.RunLists {
-	lists := &node.RunLists{ClockMillis: time.Since(x.born).Milliseconds(), StartedUnixMillis: x.description.StartedUnixMillis}
+	lists := &node.RunLists{ClockMillis: x.clockMillis(), StartedUnixMillis: x.description.StartedUnixMillis}
 	for _, task := range slices.Sorted(maps.Keys(x.runs)) {
 		lists.Running = append(lists.Running, workflow.RunState{Task: task, Run: x.runs[task].number, Saved: x.runs[task].checkpoint})
 	}
--- a/node/nodetest/executor.go
+++ b/node/nodetest/executor.go
@@ -15,7 +15,10 @@
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
-var errNoAnswer = errors.New("nodetest: no answer")
+var (
+	errNoAnswer = errors.New("nodetest: no answer")
+	errBroken   = errors.New("nodetest: connection broken")
+)
 
 // Observer is notified of everything that executors do, so that a test can check it.
 type Observer interface {
@@ -44,12 +47,21 @@
 	observer Observer
 	duration time.Duration
 
-	mu           sync.Mutex
-	description  workflow.Executor
-	down         bool
-	fence        int64
-	deadline     time.Time
-	born         time.Time
+	mu          sync.Mutex
+	description workflow.Executor
+	down        bool
+	fence       int64
+	deadline    time.Time
+	born        time.Time
+	// clockStart is the reading of the clock at which the incarnation has started, and clockRate the speed of the clock.
+	clockStart time.Duration
+	clockRate  float64
+	// nextClockStart and nextClockRate are those of the next incarnation.
+	nextClockStart time.Duration
+	nextClockRate  float64
+	// staleCalls are the calls that are carried out by the next incarnation, and restarted is closed when that starts.
+	staleCalls   StaleCalls
+	restarted    chan struct{}
 	runs         map[string]*run
 	highestRun   map[string]int
 	ended        []endedRun
@@ -81,12 +93,14 @@
 	// executor is back.
 	crashDelay    = 10 * time.Millisecond
 	crashDowntime = 3 * time.Second
+	// maxLease is the longest lease by the executor's clock. Longer ones are shortened to it.
+	maxLease = 10 * time.Second
 )
 
 // New returns an executor whose tasks take the given duration.
 func New(name string, capacity structs.Resources, duration time.Duration, observer Observer) *Executor {
 	x := &Executor{
-		observer: observer, duration: duration, random: rand.New(rand.NewPCG(uint64(len(name)), 7)), endsPerResponse: DefaultEndsPerResponse,
+		observer: observer, duration: duration, nextClockRate: 1, restarted: make(chan struct{}), random: rand.New(rand.NewPCG(uint64(len(name)), 7)), endsPerResponse: DefaultEndsPerResponse,
 		description: workflow.Executor{ID: "i-" + name, Pool: "pool", FailureDomain: "domain", Capacity: capacity},
 	}
 	x.Restart()
@@ -104,10 +118,20 @@
 	x.description.StartedUnixMillis = x.born.UnixMilli()
 	x.fence, x.lastNumber, x.ended = 0, 0, nil
 	x.runs, x.highestRun = map[string]*run{}, map[string]int{}
-	x.deadline = time.Time{}
+	x.deadline, x.clockStart, x.clockRate = time.Time{}, x.nextClockStart, x.nextClockRate
 	x.down, x.refusing = false, false
+	close(x.restarted)
+	x.restarted = make(chan struct{})
+}
+
+// SetClock sets the reading of the clock at which the next incarnations start, and the speed of their clocks.
+func (x *Executor) SetClock(start time.Duration, rate float64) {
+	x.update(func() { x.nextClockStart, x.nextClockRate = start, rate })
 }
 
+// SetStaleCalls sets which calls that meet the executor while it is down are carried out by its next incarnation.
+func (x *Executor) SetStaleCalls(calls StaleCalls) { x.update(func() { x.staleCalls = calls }) }
+
 // Leave ends all runs and the executor's process, as after a planned drain or a crash. Connections are refused until Restart.
 func (x *Executor) Leave() {
 	x.Crash()
