Add failing tests of tasks that run twice after their executor has restarted under its ID

Each test lets one call for the former incarnation be carried out by the next one, which has seen no fencing token: a hold call that waits at the crash, one that arrives 100 ms after it, a start that is carried out, and one that is rejected for want of room. The next incarnation takes its deadline, which is a reading of the former clock, and shortens it to 10 s by its own clock. The owner counts 7.06 s from its last grant. The others have another owner (after a kill, before and after the start of the task; after a hand-over), an executor that is cut off right before a hand-over, and a new process of the node.

--- /dev/null
+++ b/test/workflows/stale_calls_test.go
@@ -0,0 +1,266 @@
+package workflows_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/node/nodetest"
+	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+const (
+	// executorDownTime is how long an executor is down until its next incarnation starts under the same ID.
+	executorDownTime = 600 * time.Millisecond
+	// answerTime is the time in which an executor that is up has answered the calls that waited for it.
+	answerTime = 5 * time.Millisecond
+	// grantTime is the time in which an executor that was announced is granted a lease.
+	grantTime = 200 * time.Millisecond
+	// formerClock and nextClock are the readings of the executor's clock at which its incarnations start. Deadlines on the former clock
+	// exceed all that the next incarnation allows.
+	formerClock = time.Hour
+	nextClock   = time.Second
+	// slowestClock is the speed of the slowest clock of an executor.
+	slowestClock = 0.98
+)
+
+// staleLease is a fleet in which long tasks run on one executor, which restarts under its ID and is cut off soon after.
+type staleLease struct {
+	*fleet
+	*host
+	id, task string
+}
+
+// newStaleLease returns a fleet whose tasks start on one executor alone, on a host beside the owner, until spread is called.
+func newStaleLease(f *fleet) *staleLease {
+	s := &staleLease{fleet: f, host: f.otherHost()}
+	s.stopCandidacy()
+	f.operators.evacuate(heldDomain)
+	for _, h := range f.hosts {
+		h.executor.SetDuration(longTaskTime)
+		if h != s.host {
+			h.label(heldDomain)
+		}
+	}
+	s.executor.SetClock(formerClock, slowestClock)
+	s.label("domain")
+	s.executor.SetClock(nextClock, slowestClock)
+	time.Sleep(2 * announceInterval)
+	return s
+}
+
+// start submits a job of one long task.
+func (s *staleLease) start(milliCores int64) {
+	job := s.newJob(1)
+	job.Steps[0].Label, job.Steps[0].EstimateMillis = runsOnLabel, longTaskTime.Milliseconds()
+	job.Steps[0].Need.MilliCores = milliCores
+	s.submitUntilAccepted(job)
+	s.id, s.task = job.ID, workflow.TaskID{Job: job.ID}.String()
+}
+
+// restart crashes the executor and starts its next incarnation, which carries out the given calls for the former one.
+func (s *staleLease) restart(calls nodetest.StaleCalls, meanwhile func()) {
+	s.executor.SetStaleCalls(calls)
+	s.executor.Crash()
+	crashedAt := time.Now()
+	if meanwhile != nil {
+		meanwhile()
+	}
+	time.Sleep(executorDownTime - time.Since(crashedAt))
+	s.executor.Restart()
+	time.Sleep(answerTime)
+}
+
+// announceNow sends the announcement of an executor that has just started.
+func (s *staleLease) announceNow() {
+	description, _ := s.executor.Describe()
+	s.node.Announce(description, 0, 0)
+}
+
+// awaitRun waits until the task runs on the current incarnation of the executor.
+func (s *staleLease) awaitRun() {
+	s.Helper()
+	description, _ := s.executor.Describe()
+	incarnation := description.IncarnationID()
+	s.waitFor(15*time.Second, func() bool {
+		for _, task := range s.checker.tasksOn(incarnation) {
+			if task == s.task {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// cut cuts off the executor from its node, or both from all others.
+func (s *staleLease) cut(withNode bool) {
+	if withNode {
+		s.network.SetPartitioned(s.host.name, true)
+		return
+	}
+	s.executor.SetUnresponsive(true)
+}
+
+// assertRunsOnce lets the tasks start on the other executors, and fails if the task then runs beside its run on the one that is cut off.
+func (s *staleLease) assertRunsOnce() {
+	s.Helper()
+	description, _ := s.executor.Describe()
+	s.operators.evacuate()
+	starts := s.checker.starts(s.task)
+	s.waitFor(30*time.Second, func() bool {
+		return s.checker.starts(s.task) > starts && s.checker.runElsewhere(description.IncarnationID(), []string{s.task})
+	})
+	s.Assert(s.checker.foundViolations(), qt.HasLen, 0)
+}
+
+// restartAfterHold restarts the executor so that a hold call for the former incarnation is carried out by the next one, and waits until
+// that has a lease.
+func (s *staleLease) restartAfterHold() {
+	s.restart(nodetest.StaleCalls{WaitingHolds: true, Holds: true}, nil)
+	s.announceNow()
+	time.Sleep(grantTime)
+}
+
+// Guards against a task that runs twice: its executor restarted under its ID and carried out a hold call for its former incarnation,
+// whose deadline it keeps beyond what the owner has granted, and was cut off.
+func TestStaleHoldOutlastsLease(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		calls nodetest.StaleCalls
+	}{
+		{"call waits at the crash", nodetest.StaleCalls{WaitingHolds: true}},
+		{"call arrives after the crash", nodetest.StaleCalls{Holds: true, WaitingHoldsBreak: true}},
+	} {
+		for _, withNode := range []bool{false, true} {
+			name := test.name + ", executor is cut off"
+			if withNode {
+				name = test.name + ", host is cut off"
+			}
+			t.Run(name, func(t *testing.T) {
+				runWithFleet(t, 3, func(f *fleet) {
+					s := newStaleLease(f)
+					s.start(1000)
+					s.awaitRun()
+					s.restart(test.calls, nil)
+					s.announceNow()
+					s.awaitRun()
+					s.cut(withNode)
+					s.assertRunsOnce()
+				})
+			})
+		}
+	}
+}
+
+// Guards against the same after a start for the former incarnation that the next one carries out.
+func TestStaleStartOutlastsLease(t *testing.T) {
+	runWithFleet(t, 3, func(f *fleet) {
+		s := newStaleLease(f)
+		s.restart(nodetest.StaleCalls{Starts: true}, func() { s.start(1000) })
+		s.announceNow()
+		s.awaitRun()
+		s.cut(false)
+		s.assertRunsOnce()
+	})
+}
+
+// Guards against the same after a start for the former incarnation that the next one rejects for want of room.
+func TestRejectedStaleStartOutlastsLease(t *testing.T) {
+	runWithFleet(t, 3, func(f *fleet) {
+		s := newStaleLease(f)
+		const large, small = 3000, 400
+		s.executor.SetGuarded(s.reservation)
+		s.restart(nodetest.StaleCalls{Starts: true}, func() {
+			s.start(large)
+			time.Sleep(executorDownTime / 2)
+			s.executor.SetCapacity(structs.Resources{MilliCores: 2 * small, MemoryMB: 8000})
+		})
+		s.announceNow()
+		s.start(small)
+		s.awaitRun()
+		s.cut(false)
+		s.assertRunsOnce()
+	})
+}
+
+// reservation returns what a task reserves.
+func (s *staleLease) reservation(task string) structs.Resources {
+	id, _ := workflow.ParseTaskID(task)
+	s.checker.mu.Lock()
+	defer s.checker.mu.Unlock()
+	job := s.checker.jobs[id.Job]
+	return job.Steps[id.Step].Reserved()
+}
+
+// Guards against the same with an owner that takes over from one whose process was killed, before or after the task starts.
+func TestStaleLeaseIsUnknownToNextOwner(t *testing.T) {
+	testStaleLeaseAcrossOwners(t, func(f *fleet) {
+		former := f.owner()
+		former.kill()
+		former.start()
+	})
+}
+
+// Guards against the same with an owner to which the former one has handed over.
+func TestStaleLeaseIsUnknownAfterHandOver(t *testing.T) {
+	testStaleLeaseAcrossOwners(t, func(f *fleet) { f.handOver() })
+}
+
+func testStaleLeaseAcrossOwners(t *testing.T, end func(f *fleet)) {
+	changeOwner := func(f *fleet) {
+		epoch := f.owner().locator.Epoch()
+		end(f)
+		f.waitFor(5*time.Second, func() bool { return f.owner() != nil && f.owner().locator.Epoch() > epoch })
+		time.Sleep(grantTime)
+	}
+	for _, started := range []bool{false, true} {
+		t.Run(fmt.Sprintf("started=%v", started), func(t *testing.T) {
+			runWithFleet(t, 4, func(f *fleet) {
+				s := newStaleLease(f)
+				s.restartAfterHold()
+				if !started {
+					changeOwner(f)
+				}
+				s.start(1000)
+				s.awaitRun()
+				if started {
+					changeOwner(f)
+				}
+				s.cut(false)
+				s.assertRunsOnce()
+			})
+		})
+	}
+}
+
+// Guards against the same with an owner to which the former one has handed over the expiry of the leases of executors that are cut off.
+func TestStaleLeaseIsLostAtHandOver(t *testing.T) {
+	runWithFleet(t, 4, func(f *fleet) {
+		s := newStaleLease(f)
+		s.restartAfterHold()
+		s.start(1000)
+		s.awaitRun()
+		s.cut(true)
+		f.handOver()
+		s.assertRunsOnce()
+	})
+}
+
+// Guards against the same with a process of the node that doesn't know what its former one has sent.
+func TestStaleLeaseIsUnknownToNextNodeProcess(t *testing.T) {
+	runWithFleet(t, 3, func(f *fleet) {
+		s := newStaleLease(f)
+		s.restart(nodetest.StaleCalls{WaitingHolds: true}, nil)
+		s.kill()
+		s.host.start()
+		s.announceNow()
+		time.Sleep(grantTime)
+		s.start(1000)
+		s.awaitRun()
+		s.cut(false)
+		s.assertRunsOnce()
+	})
+}
