--- a/review/_standin/calls.go
+++ b/review/_standin/calls.go
@@ -72,7 +72,7 @@
 }
 
 func (l *life) handleStart(w http.ResponseWriter, _ *http.Request, b *orderBody) {
-	rec := l.x.shop.rec
+	rec := l.x.workload.rec
 	if r := l.running[b.Task]; r != nil && r.run == b.Run {
 		l.accept(w)
 		return
@@ -92,19 +92,19 @@
 	}
 	used := int64(0)
 	for _, r := range l.running {
-		used += l.x.shop.needOf(r.task)
+		used += l.x.workload.needOf(r.task)
 	}
-	if used+l.x.shop.needOf(b.Task) > l.x.cpu {
+	if used+l.x.workload.needOf(b.Task) > l.x.cpu {
 		refuse("room")
 		return
 	}
-	r := &run{life: l, task: b.Task, run: b.Run, work: l.x.shop.workOf(l.x.name, b.Task, b.Run), present: time.Now(), start: b.Checkpoint, saved: b.Checkpoint}
+	r := &run{life: l, task: b.Task, run: b.Run, work: l.x.workload.workOf(l.x.name, b.Task, b.Run), present: time.Now(), start: b.Checkpoint, saved: b.Checkpoint}
 	l.running[b.Task] = r
 	rec.addf("start of %s run %d on %s, checkpoint %q", b.Task, b.Run, l.x.name, b.Checkpoint)
-	l.x.shop.seeStart(l.x.name, b.Task, b.Run)
+	l.x.workload.recordStart(l.x.name, b.Task, b.Run)
 	l.accept(w)
 	if r.work.gang > 0 {
-		go l.x.shop.gather(r)
+		go l.x.workload.gather(r)
 		return
 	}
 	r.begin()
@@ -115,13 +115,13 @@
 	r := l.running[b.Task]
 	if r != nil && r.run <= b.Run && !r.stopping {
 		r.stopping = true
-		l.x.shop.rec.addf("stop of %s run %d on %s", b.Task, b.Run, l.x.name)
+		l.x.workload.rec.addf("stop of %s run %d on %s", b.Task, b.Run, l.x.name)
 		time.AfterFunc(stopTime, func() {
 			l.x.mu.Lock()
 			l.end(r, "stopped")
 			l.x.mu.Unlock()
 			if r.work.gang > 0 {
-				l.x.shop.breakGang(r)
+				l.x.workload.breakGang(r)
 			}
 		})
 	}
@@ -133,7 +133,7 @@
 func (l *life) handleHold(w http.ResponseWriter, r *http.Request, b *orderBody) {
 	l.extend(b.DeadlineMs)
 	for len(l.ends) > 0 && l.ends[0].number <= b.AckCursor {
-		l.x.shop.seeAck(l, l.ends[0].number)
+		l.x.workload.recordAck(l, l.ends[0].number)
 		l.ends = l.ends[1:]
 	}
 	deadline := time.After(time.Duration(b.WaitMs) * time.Millisecond)
@@ -161,7 +161,7 @@
 		if !r.begun.IsZero() && r.work.takes > 0 {
 			percent = min(100*float64(r.resumed()+time.Since(r.begun))/float64(r.work.takes), 100)
 		}
-		running = append(running, []any{r.task, r.run, r.checkpoint(), int(percent), float64(l.x.shop.needOf(r.task))})
+		running = append(running, []any{r.task, r.run, r.checkpoint(), int(percent), float64(l.x.workload.needOf(r.task))})
 	}
 	ended := [][]any{}
 	for _, e := range l.ends[:min(len(l.ends), maxEnds)] {
--- a/review/_standin/case_count.go
+++ b/review/_standin/case_count.go
@@ -11,24 +11,24 @@
 func init() { register("count", countLayout, playCount) }
 
 const (
-	// absurdCount times absurdRepeats is 2 to the power of 64.
-	absurdCount   = int64(1) << 62
-	absurdRepeats = 4
-	// soundBefore and soundAfter are the numbers of sound jobs, so that one of 20 can never be done.
+	// overflowCount times overflowRepeats is 2 to the power of 64, which overflows a count of 64 bits.
+	overflowCount   = int64(1) << 62
+	overflowRepeats = 4
+	// soundBefore and soundAfter are the numbers of ordinary jobs, so that one of 20 can never be done.
 	soundBefore = 10
 	soundAfter  = 9
 	countWork   = 800 * time.Millisecond
 	countLimit  = 40 * time.Second
-	// faultEnds and faultMachines are how often the processes of how many machines end by themselves in a fault: a tenth of the
-	// machines, and two at least.
+	// The rule is broken if the processes of faultMachines machines have each ended by themselves faultEnds times. faultMachines is
+	// a tenth of the machines, and at least two.
 	faultEnds     = 3
 	faultMachines = 2
 )
 
-// playCount hands in a job that can never be done, beside sound ones.
+// playCount submits a job that can never be done, beside ordinary ones.
 func playCount(f *fleet, trouble bool) (broken []string, err error) {
-	f.shop.needOf = func(string) int64 { return 240 }
-	f.shop.workOf = func(string, string, int) work { return work{takes: countWork, how: "done"} }
+	f.workload.needOf = func(string) int64 { return 240 }
+	f.workload.workOf = func(string, string, int) work { return work{takes: countWork, how: "done"} }
 	sound := func() string {
 		path := "/check/" + newID()
 		f.submit(path, job(step(4, 240, countWork, nil)))
@@ -39,10 +39,10 @@
 		paths = append(paths, sound())
 	}
 	if trouble {
-		poison := job(step(1, 240, countWork, nil))
-		poison["steps"].([]map[string]any)[0]["count"] = absurdCount
-		poison["repeatCount"], poison["startAtMs"], poison["intervalMs"] = absurdRepeats, time.Now().UnixMilli(), 1000
-		f.submit("/check/"+newID(), poison)
+		impossible := job(step(1, 240, countWork, nil))
+		impossible["steps"].([]map[string]any)[0]["count"] = overflowCount
+		impossible["repeatCount"], impossible["startAtMs"], impossible["intervalMs"] = overflowRepeats, time.Now().UnixMilli(), 1000
+		f.submit("/check/"+newID(), impossible)
 	}
 	for range soundAfter {
 		paths = append(paths, sound())
@@ -67,13 +67,13 @@
 	return broken, nil
 }
 
-// standstills asks for the states of jobs until all are completed or countLimit is over. It returns for how long each of the others
-// had nothing running at a stretch, counted from finishTime after the last one was handed in.
+// standstills asks for the states of jobs until all are completed or countLimit has passed. It returns the longest time without a
+// break for which each of the others had nothing running, counted from finishTime after the last submission.
 func (f *fleet) standstills(paths []string) map[string]time.Duration {
 	states, longest, idleSince := map[string]string{}, map[string]time.Duration{}, map[string]time.Time{}
-	handedIn := time.Now()
-	judgedFrom := handedIn.Add(finishTime)
-	for time.Since(handedIn) < countLimit {
+	submittedAt := time.Now()
+	judgedFrom := submittedAt.Add(finishTime)
+	for time.Since(submittedAt) < countLimit {
 		done := 0
 		for _, path := range paths {
 			if states[path] == "completed" {
--- a/review/_standin/case_ends.go
+++ b/review/_standin/case_ends.go
@@ -12,7 +12,7 @@
 func init() { register("ends", endsLayout, playEnds) }
 
 const (
-	// endsJobs jobs of endsTasks tasks come at once.
+	// endsJobs jobs of endsTasks tasks are submitted at once.
 	endsJobs  = 36
 	endsTasks = 34
 	// endsCPU lets an executor run more tasks than it lists ends in one response.
@@ -24,18 +24,18 @@
 	slowTime       = 4500 * time.Millisecond
 	slowLead       = time.Second
 	endsLimit      = 50 * time.Second
-	// companionLead is how long the serving task and the one that fills have run before.
+	// companionLead is how long the serving task and the best-effort task run before the jobs are submitted.
 	companionLead = 3 * time.Second
-	// endsShown limits the broken rules that are listed one by one.
+	// endsShown limits the violations that are listed one by one.
 	endsShown = 5
 )
 
-// playEnds hands in jobs with many small tasks, which end while the store is slow. No executor, process or connection fails. A
-// serving task and one that fills run beside them, as on most executors.
+// playEnds submits jobs with many small tasks, which end while the store is slow. No executor, process or connection fails. A
+// serving task and a best-effort task run beside them, as on most executors.
 func playEnds(f *fleet, trouble bool) (broken []string, err error) {
-	f.shop.needOf = func(string) int64 { return endsCPU }
+	f.workload.needOf = func(string) int64 { return endsCPU }
 	companions := map[string]bool{}
-	f.shop.workOf = func(_, task string, _ int) work {
+	f.workload.workOf = func(_, task string, _ int) work {
 		if companions[task[:16]] {
 			return work{takes: endsLimit, how: "done"}
 		}
@@ -70,7 +70,7 @@
 		f.slowStore()
 	}
 	f.awaitEnd(ids, "/build/", endsLimit)
-	// Ends that are taken note of later count, too.
+	// Ends that are acknowledged later count, too.
 	time.Sleep(2 * time.Second)
 	for _, id := range ids {
 		broken = append(broken, f.startsAfterDone(id)...)
@@ -113,20 +113,20 @@
 }
 
 // startsAfterDone returns the starts of tasks of a job after a run of them has ended done, if the ackCursor has reached that end.
-// Ends of executors whose lease has lapsed don't count.
+// Ends of executors whose lease has expired don't count.
 func (f *fleet) startsAfterDone(id string) (broken []string) {
-	done, lapsed := map[string]endSeen{}, map[string]bool{}
-	for _, e := range f.shop.endsOf(id) {
+	done, lapsed := map[string]observedEnd{}, map[string]bool{}
+	for _, e := range f.workload.endsOf(id) {
 		if e.how == "lapsed" {
 			lapsed[e.executor] = true
 		}
 	}
-	for _, e := range f.shop.endsOf(id) {
+	for _, e := range f.workload.endsOf(id) {
 		if _, seen := done[e.task]; e.how == "done" && e.acked && !lapsed[e.executor] && !seen {
 			done[e.task] = e
 		}
 	}
-	starts := f.shop.startsOf(id)
+	starts := f.workload.startsOf(id)
 	perExecutor := map[string]int{}
 	for _, s := range starts {
 		perExecutor[s.executor]++
--- a/review/_standin/case_fills.go
+++ b/review/_standin/case_fills.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// fillsLayout has 16 executors, so that one is within a share of 0.065. Jobs that last come before batch jobs.
+// fillsLayout has 16 executors, so that one is within a share of 0.065. Long-running jobs have a higher priority than batch jobs.
 var fillsLayout = layout{fronts: 3, sides: 16, cpu: 16000, kinds: []string{"a"}, routes: []map[string]any{
 	route("r-pool", "/pool/", 0, 2), route("r-build", "/build/", 2, 4),
 }}
@@ -17,32 +17,32 @@
 func init() { register("fills", fillsLayout, playFills) }
 
 const (
-	// fillsTasks tasks last and fill.
+	// fillsTasks is the number of long-running best-effort tasks.
 	fillsTasks = 3
 	fillsCPU   = 12000
-	// Batch jobs of batchTasks tasks come each batchInterval, more than the executors can run. Their tasks take from batchWork to
-	// twice as long.
+	// A batch job of batchTasks tasks is submitted every batchInterval, which is more than the executors can run. Its tasks take
+	// from batchWork to twice as long.
 	batchTasks    = 10
 	batchCPU      = 1600
 	batchInterval = 180 * time.Millisecond
 	batchWork     = 3 * time.Second
-	// batchLead is how long batch jobs come before an executor is taken away, and batchWatch how long they come afterwards.
+	// batchLead is how long batch jobs are submitted before an executor is removed, and batchWatch for how long after that.
 	batchLead  = 12 * time.Second
 	batchWatch = 24 * time.Second
-	// lastsBound is how long after its last run a task that lasts may be without one: 3 s that begin 6 s after it.
+	// lastsBound is how long a long-running task may be without a run: 3 s, counted from 6 s after its last run.
 	lastsBound = 9 * time.Second
 )
 
-// playFills runs a few tasks that last and fill beside many batch tasks, and takes away an executor that runs one of the former.
+// playFills runs a few long-running best-effort tasks beside many batch tasks, and removes an executor that runs one of the former.
 func playFills(f *fleet, trouble bool) (broken []string, err error) {
 	id := newID()
-	f.shop.needOf = func(task string) int64 {
+	f.workload.needOf = func(task string) int64 {
 		if strings.HasPrefix(task, id) {
 			return 0
 		}
 		return batchCPU
 	}
-	f.shop.workOf = func(_, task string, _ int) work {
+	f.workload.workOf = func(_, task string, _ int) work {
 		if strings.HasPrefix(task, id) {
 			return work{takes: time.Hour, how: "done"}
 		}
@@ -60,7 +60,7 @@
 	batch.Go(func() { f.sendBatch(stop) })
 	time.Sleep(batchLead)
 	lostAt, lost := time.Now(), ""
-	if starts := f.shop.startsOf(id); trouble && len(starts) > 0 {
+	if starts := f.workload.startsOf(id); trouble && len(starts) > 0 {
 		lost = starts[0].executor
 		for _, x := range f.executors {
 			if x.name == lost {
@@ -75,7 +75,7 @@
 	return f.waitsToLast(id, lost, lostAt), nil
 }
 
-// sendBatch hands in batch jobs until stop is closed.
+// sendBatch submits batch jobs until stop is closed.
 func (f *fleet) sendBatch(stop <-chan struct{}) {
 	counts := map[int]int{}
 	for i := 0; ; i++ {
@@ -93,7 +93,7 @@
 // waitsToLast returns the tasks of a job that had no run for longer than lastsBound after their executor had left.
 func (f *fleet) waitsToLast(id, lost string, lostAt time.Time) (broken []string) {
 	gone, again := map[string]bool{}, map[string]time.Time{}
-	starts := f.shop.startsOf(id)
+	starts := f.workload.startsOf(id)
 	for _, s := range starts {
 		switch {
 		case s.at.Before(lostAt) && s.executor == lost:
@@ -122,9 +122,9 @@
 
 // startsBetween counts the starts of all jobs between two times.
 func (f *fleet) startsBetween(from, to time.Time) (count int) {
-	f.shop.mu.Lock()
-	defer f.shop.mu.Unlock()
-	for _, s := range f.shop.starts {
+	f.workload.mu.Lock()
+	defer f.workload.mu.Unlock()
+	for _, s := range f.workload.starts {
 		if s.at.After(from) && s.at.Before(to) {
 			count++
 		}
--- a/review/_standin/case_saved.go
+++ b/review/_standin/case_saved.go
@@ -18,14 +18,14 @@
 	savedAge   = 2550 * time.Millisecond
 	savedDown  = 3 * time.Second
 	savedLimit = 45 * time.Second
-	// nearTime is the time around a disruption in which ends don't count: contactMs.
+	// nearTime is how long after a disruption ends don't count (contactMs).
 	nearTime = 3 * time.Second
 )
 
-// playSaved hands in a job with a gang whose tasks have checkpoints, and crashes the executor of one member while it works.
+// playSaved submits a job with a gang whose tasks have checkpoints, and crashes the executor of one member while it works.
 func playSaved(f *fleet, trouble bool) (broken []string, err error) {
-	f.shop.needOf = func(string) int64 { return savedCPU }
-	f.shop.workOf = func(string, string, int) work {
+	f.workload.needOf = func(string) int64 { return savedCPU }
+	f.workload.workOf = func(string, string, int) work {
 		return work{takes: savedWork, how: "done", gang: savedGang, saves: true}
 	}
 	id := newID()
@@ -39,25 +39,25 @@
 	}
 	f.awaitEnd([]string{id}, "/build/", savedLimit)
 	alone := 0
-	for _, e := range f.shop.endsOf(id) {
-		// The run has begun to wait gangTimeout before its end.
+	for _, e := range f.workload.endsOf(id) {
+		// The run began to wait gangTimeout before its end.
 		if e.how == "alone" && e.at.Add(-gangTimeout).After(up.Add(nearTime)) {
 			if alone++; alone <= 3 {
 				broken = append(broken, fmt.Sprintf("GANG: run %d of %s ends `alone` on %s, with all executors up since %v", e.run, e.task, e.executor, e.at.Sub(up).Round(time.Millisecond)))
 			}
 		}
 	}
-	f.rec.addf("%d starts, %d ends `alone` out of reach of the crash; the job is shown as %q", len(f.shop.startsOf(id)), alone, f.state(0, "/build/"+id))
+	f.rec.addf("%d starts, %d ends `alone` out of reach of the crash; the job is shown as %q", len(f.workload.startsOf(id)), alone, f.state(0, "/build/"+id))
 	return broken, nil
 }
 
 // crashMember crashes the executor of the first member that has started, savedAge after its start. It returns when the executor is
 // up again.
 func (f *fleet) crashMember(id string) time.Time {
-	for len(f.shop.startsOf(id)) < savedGang {
+	for len(f.workload.startsOf(id)) < savedGang {
 		time.Sleep(10 * time.Millisecond)
 	}
-	start := f.shop.startsOf(id)[0]
+	start := f.workload.startsOf(id)[0]
 	time.Sleep(time.Until(start.at.Add(savedAge)))
 	for _, x := range f.executors {
 		if x.name == start.executor {
--- a/review/_standin/client.go
+++ b/review/_standin/client.go
@@ -48,7 +48,7 @@
 	return answer.StatusCode, response
 }
 
-// submit hands a job in, and again while the result is unknown or it was rejected. It returns the last status.
+// submit submits a job, and repeats that while the result is unknown or a rejection. It returns the last status.
 func (f *fleet) submit(path string, body any) int {
 	status := 0
 	for try := range maxTries {
--- a/review/_standin/executor.go
+++ b/review/_standin/executor.go
@@ -26,18 +26,18 @@
 
 // executor stands in for the executor of one side host. Each life is lost with its crash.
 type executor struct {
-	shop    *shop
-	name    string
-	address string
-	control string
-	zone    string
-	service string
-	labels  []string
-	cpu     int64
-	mem     int64
-	mu      sync.Mutex
-	life    *life
-	lives   int
+	workload *workload
+	name     string
+	address  string
+	control  string
+	zone     string
+	service  string
+	labels   []string
+	cpu      int64
+	mem      int64
+	mu       sync.Mutex
+	life     *life
+	lives    int
 }
 
 // life is one life of an executor.
@@ -88,7 +88,7 @@
 	l.server = &http.Server{Handler: mux}
 	go func() { _ = l.server.Serve(listener) }()
 	x.life = l
-	x.shop.rec.addf("executor %s is up as %s", x.name, l.id)
+	x.workload.rec.addf("executor %s is up as %s", x.name, l.id)
 	go l.heartbeats()
 	go l.watchLease()
 	return nil
@@ -108,7 +108,7 @@
 	lost := []string{}
 	for name, r := range l.running {
 		if r.work.gang > 0 {
-			defer func() { go x.shop.breakGang(r) }()
+			defer func() { go x.workload.breakGang(r) }()
 		}
 		lost = append(lost, fmt.Sprintf("%s run %d", name, r.run))
 		if r.gangTimer != nil {
@@ -116,7 +116,7 @@
 		}
 	}
 	slices.Sort(lost)
-	x.shop.rec.addf("executor %s crashes, %d runs are lost: %s", x.name, len(lost), strings.Join(lost, ", "))
+	x.workload.rec.addf("executor %s crashes, %d runs are lost: %s", x.name, len(lost), strings.Join(lost, ", "))
 }
 
 func (l *life) alive() bool { return l.x.life == l }
@@ -178,12 +178,12 @@
 	l := x.life
 	l.draining = true
 	x.mu.Unlock()
-	x.shop.rec.addf("executor %s drains", x.name)
+	x.workload.rec.addf("executor %s drains", x.name)
 	for !l.heartbeat() {
 		time.Sleep(200 * time.Millisecond)
 	}
 	time.Sleep(drainTime)
-	x.shop.rec.addf("executor %s leaves, acknowledged: %v", x.name, x.register(http.MethodDelete, l.id, struct{}{}))
+	x.workload.rec.addf("executor %s leaves, acknowledged: %v", x.name, x.register(http.MethodDelete, l.id, struct{}{}))
 	x.crash()
 }
 
--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -37,7 +37,7 @@
 	queueHost           = "jobs.example"
 )
 
-// layout says how many hosts a fleet has.
+// layout describes the hosts and queues of a fleet.
 type layout struct {
 	fronts, sides int
 	cpu           int64
@@ -61,7 +61,7 @@
 	dir       string
 	network   string
 	store     *store
-	shop      *shop
+	workload  *workload
 	executors []*executor
 	processes []*process
 	servers   []*http.Server
@@ -96,7 +96,7 @@
 		}
 	}
 	f.store = newStore()
-	f.shop = &shop{rec: rec, gangs: map[string]map[string]*run{}}
+	f.workload = &workload{rec: rec, gangs: map[string]map[string]*run{}}
 	return f, nil
 }
 
@@ -144,7 +144,7 @@
 		host := 2 + f.layout.fronts + i
 		name := fmt.Sprintf("side-%s-%d", zoneOf(i), 1+i/3)
 		f.executors = append(f.executors, &executor{
-			shop: f.shop, name: name, address: f.address(host, appPort), control: f.address(host, controlPort), zone: zoneOf(i),
+			workload: f.workload, name: name, address: f.address(host, appPort), control: f.address(host, controlPort), zone: zoneOf(i),
 			service: service, labels: []string{f.layout.kinds[i%len(f.layout.kinds)], fmt.Sprintf("r-%d", i/3)}, cpu: f.layout.cpu, mem: 64000,
 		})
 		f.addProcess(host, name, "target/quetzalshed-node", "side", sideMemory)
@@ -270,7 +270,7 @@
 	f.rec.addf("process of %s: %s; it is started again", name, state)
 }
 
-// deathsOf returns how often processes have ended, by name.
+// deathCounts returns how often processes have ended, by name.
 func (f *fleet) deathCounts() map[string]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/review/_standin/gang.go
+++ b/review/_standin/gang.go
@@ -14,15 +14,15 @@
 }
 
 // gather adds a run to its gang. The members begin once all of them are present; a member that has waited gangTimeout ends alone.
-func (s *shop) gather(r *run) {
-	s.mu.Lock()
+func (w *workload) gather(r *run) {
+	w.mu.Lock()
 	key := gangOf(r)
-	if s.gangs[key] == nil {
-		s.gangs[key] = map[string]*run{}
+	if w.gangs[key] == nil {
+		w.gangs[key] = map[string]*run{}
 	}
-	s.gangs[key][r.task] = r
-	members := s.membersOf(key)
-	s.mu.Unlock()
+	w.gangs[key][r.task] = r
+	members := w.membersOf(key)
+	w.mu.Unlock()
 	if len(members) < r.work.gang {
 		r.gangTimer = time.AfterFunc(gangTimeout, func() {
 			r.life.x.mu.Lock()
@@ -42,20 +42,20 @@
 	}
 }
 
-func (s *shop) membersOf(key string) []*run {
+func (w *workload) membersOf(key string) []*run {
 	var members []*run
-	for _, m := range s.gangs[key] {
+	for _, m := range w.gangs[key] {
 		members = append(members, m)
 	}
 	return members
 }
 
 // endGang ends a gang by the end of one of its members: together if it is done, and otherwise the others are broken.
-func (s *shop) endGang(r *run) {
+func (w *workload) endGang(r *run) {
 	if r.work.how == "done" {
-		s.mu.Lock()
-		members := s.membersOf(gangOf(r))
-		s.mu.Unlock()
+		w.mu.Lock()
+		members := w.membersOf(gangOf(r))
+		w.mu.Unlock()
 		for _, m := range members {
 			if m.work.how != "done" {
 				return
@@ -69,14 +69,14 @@
 	r.life.x.mu.Lock()
 	r.life.end(r, r.work.how)
 	r.life.x.mu.Unlock()
-	s.breakGang(r)
+	w.breakGang(r)
 }
 
 // breakGang ends the other members of a gang of which one has ended.
-func (s *shop) breakGang(r *run) {
-	s.mu.Lock()
-	members := s.membersOf(gangOf(r))
-	s.mu.Unlock()
+func (w *workload) breakGang(r *run) {
+	w.mu.Lock()
+	members := w.membersOf(gangOf(r))
+	w.mu.Unlock()
 	for _, m := range members {
 		if m == r {
 			continue
--- a/review/_standin/runs.go
+++ b/review/_standin/runs.go
@@ -42,7 +42,7 @@
 	r.begun = time.Now()
 	time.AfterFunc(r.work.takes-r.resumed(), func() {
 		if r.work.gang > 0 {
-			r.life.x.shop.endGang(r)
+			r.life.x.workload.endGang(r)
 			return
 		}
 		r.life.x.mu.Lock()
@@ -60,7 +60,7 @@
 	l.last[r.task] = max(l.last[r.task], r.run)
 	l.number++
 	l.ends = append(l.ends, endRow{l.number, r.task, r.run, how, r.checkpoint()})
-	l.x.shop.seeEnd(l, r, how)
+	l.x.workload.recordEnd(l, r, how)
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
