--- a/workflow/engine/crash_ends_test.go
+++ b/workflow/engine/crash_ends_test.go
@@ -26,9 +26,7 @@
 }
 
 func (h *harness) sendEnd(r *workflow.Report) {
-	h.reports["a"]++
-	r.Node, r.Address, r.Number = "a", "a", h.reports["a"]
-	_, granted := h.engine.HandleReport(r, h.now, h.now)
+	_, granted := h.send("a", r)
 	h.Assert(granted, qt.IsFalse)
 }
 
@@ -245,11 +243,10 @@
 			h.reportEnd(executor("a", 1), nil, nil)
 			h.engine.Add(h.job(step(1)), nil, h.now, h.now)
 			h.now = h.now.Add(100 * time.Millisecond)
-			h.reports["a"]++
-			h.engine.HandleReport(&workflow.Report{
-				Node: "a", Address: "a", Incarnation: 1, Number: h.reports["a"], Executor: test.executor, Listed: true, EndsComplete: true,
+			h.send("a", &workflow.Report{
+				Incarnation: 1, Executor: test.executor, Listed: true, EndsComplete: true,
 				ListAgeMillis: test.listAge.Milliseconds(),
-			}, h.now, h.now)
+			})
 			h.Assert(h.plan()["a"].Starts, qt.HasLen, test.starts)
 		})
 	}
@@ -334,11 +331,10 @@
 	h.report("b", executor("b", 1), nil, nil)
 	h.accept("b", h.plan()["b"])
 	h.now = h.now.Add(300 * time.Millisecond)
-	h.reports["b"]++
-	h.engine.HandleReport(&workflow.Report{
-		Node: "b", Address: "b", Incarnation: 1, Number: h.reports["b"], Executor: executor("b", 1), Listed: true, EndsComplete: true,
+	h.send("b", &workflow.Report{
+		Incarnation: 1, Executor: executor("b", 1), Listed: true, EndsComplete: true,
 		BrokenMillis: 290, ExecutorEnd: &workflow.ExecutorEnd{CoveredSequence: 1 << 40}, LeaseBound: &workflow.LeaseBound{},
-	}, h.now, h.now)
+	})
 	h.now = h.now.Add(leaseExpiry)
 	h.report("a", executor("a", 1), nil, nil)
 	crashedAt := h.now.Add(10 * time.Millisecond)
@@ -368,11 +364,10 @@
 	h.engine.Add(job, nil, h.now, h.now)
 	nodes := []string{"a", "b"}
 	for _, node := range nodes {
-		h.reports[node]++
-		h.engine.HandleReport(&workflow.Report{
-			Node: node, Address: node, Incarnation: 1, Number: h.reports[node], Executor: executor(node, 1), Listed: true, EndsComplete: true,
+		h.send(node, &workflow.Report{
+			Incarnation: 1, Executor: executor(node, 1), Listed: true, EndsComplete: true,
 			ListAgeMillis: 900, BrokenMillis: 800, CoveredSequence: 1 << 40,
-		}, h.now, h.now)
+		})
 	}
 	for range nodes {
 		orders := h.plan()
--- a/workflow/engine/crash_fleet_test.go
+++ b/workflow/engine/crash_fleet_test.go
@@ -46,9 +46,8 @@
 // reportAll sends a report of each node.
 func (f *crashFleet) reportAll() {
 	for _, name := range f.names {
-		f.reports[name]++
 		r := &workflow.Report{
-			Node: name, Address: name, Incarnation: f.nodeIncarnation, Number: f.reports[name], Executor: f.executors[name], Listed: true, EndsComplete: true,
+			Incarnation: f.nodeIncarnation, Executor: f.executors[name], Listed: true, EndsComplete: true,
 			Running: f.running[name], Ended: f.ended[name], CoveredSequence: 1 << 40,
 		}
 		if at, broken := f.broken[name]; broken {
@@ -58,7 +57,7 @@
 		if at, silent := f.silent[name]; silent {
 			r.ListAgeMillis = f.now.Sub(at).Milliseconds()
 		}
-		f.engine.HandleReport(r, f.now, f.now)
+		f.send(name, r)
 	}
 }
 
@@ -128,12 +127,11 @@
 			continue
 		}
 		f.running[name] = append(append([]workflow.RunState{}, f.running[name][:i]...), f.running[name][i+1:]...)
-		f.reports[name]++
-		f.engine.HandleReport(&workflow.Report{
-			Node: name, Address: name, Incarnation: 1, Number: f.reports[name], Executor: f.executors[name], Listed: true, EndsComplete: true,
+		f.send(name, &workflow.Report{
+			Incarnation: 1, Executor: f.executors[name], Listed: true, EndsComplete: true,
 			Running: f.running[name], CoveredSequence: 1 << 40,
-			Ended: []workflow.RunEnd{{Number: f.reports[name], Task: run.Task, Run: run.Run, How: workflow.EndDone}},
-		}, f.now, f.now)
+			Ended: []workflow.RunEnd{{Number: f.reports[name] + 1, Task: run.Task, Run: run.Run, How: workflow.EndDone}},
+		})
 		return
 	}
 }
--- a/workflow/engine/departures_test.go
+++ b/workflow/engine/departures_test.go
@@ -82,9 +82,7 @@
 	h := newHarness(t)
 	left := executor("a", 1)
 	left.Draining, left.Left = true, true
-	_, granted := h.engine.HandleReport(&workflow.Report{
-		Node: "a", Address: "a", Incarnation: 1, Number: 1, Executor: left, Listed: true, EndsComplete: true,
-	}, h.now, h.now)
+	_, granted := h.send("a", &workflow.Report{Incarnation: 1, Executor: left, Listed: true, EndsComplete: true})
 	h.Assert(granted, qt.IsFalse)
 }
 
--- a/workflow/engine/ends_test.go
+++ b/workflow/engine/ends_test.go
@@ -17,10 +17,7 @@
 	job, running := h.startJob(x, step(1))
 	for range 3 {
 		h.now = h.now.Add(time.Second)
-		h.reports["a"]++
-		h.engine.HandleReport(&workflow.Report{
-			Node: "a", Address: "a", Incarnation: 1, Number: h.reports["a"], Executor: x, Listed: true, CoveredSequence: 1 << 40,
-		}, h.now, h.now)
+		h.send("a", &workflow.Report{Incarnation: 1, Executor: x, Listed: true, CoveredSequence: 1 << 40})
 		orders := h.plan()["a"]
 		h.Assert(orders.Starts, qt.HasLen, 0)
 		h.Assert(orders.Stops, qt.HasLen, 0)
--- a/workflow/engine/engine_test.go
+++ b/workflow/engine/engine_test.go
@@ -76,13 +76,19 @@
 	}
 }
 
+// send sends a report of a node with the next number.
+func (h *harness) send(node string, r *workflow.Report) (ack int64, granted bool) {
+	h.reports[node]++
+	r.Node, r.Address, r.Number = node, node, h.reports[node]
+	return h.engine.HandleReport(r, h.now, h.now)
+}
+
 // report sends a report that covers all orders sent so far.
 func (h *harness) report(node string, x *workflow.Executor, running []workflow.RunState, ended []workflow.RunEnd) int64 {
-	h.reports[node]++
-	ack, _ := h.engine.HandleReport(&workflow.Report{
-		Node: node, Address: node, Incarnation: 1, Number: h.reports[node], Executor: x, Listed: true, EndsComplete: true,
+	ack, _ := h.send(node, &workflow.Report{
+		Incarnation: 1, Executor: x, Listed: true, EndsComplete: true,
 		Running: running, Ended: ended, CoveredSequence: 1 << 40,
-	}, h.now, h.now)
+	})
 	return ack
 }
 
@@ -160,11 +166,10 @@
 	silentSince := h.now
 	for range 12 {
 		h.now = h.now.Add(time.Second)
-		h.reports["a"]++
-		h.engine.HandleReport(&workflow.Report{
-			Node: "a", Address: "a", Incarnation: 1, Number: h.reports["a"], Executor: executor("a", 1), Listed: true, EndsComplete: true,
+		h.send("a", &workflow.Report{
+			Incarnation: 1, Executor: executor("a", 1), Listed: true, EndsComplete: true,
 			Running: running, CoveredSequence: 1 << 40, ListAgeMillis: h.now.Sub(silentSince).Milliseconds(),
-		}, h.now, h.now)
+		})
 		h.engine.ExpireLeases(h.now)
 	}
 	h.report("b", executor("b", 1), nil, nil)
@@ -178,10 +183,7 @@
 func TestStartReachesTheNextIncarnation(t *testing.T) {
 	h := newHarness(t)
 	job, running := h.startJob(executor("a", 1), step(1))
-	h.reports["a"]++
-	h.engine.HandleReport(&workflow.Report{
-		Node: "a", Address: "a", Incarnation: 1, Number: h.reports["a"], Executor: executor("a", 2),
-	}, h.now, h.now)
+	h.reportUnlisted("a", executor("a", 2))
 	h.Assert(h.plan(), qt.HasLen, 0)
 	h.report("a", executor("a", 2), nil, []workflow.RunEnd{{Number: 1, Task: running[0].Task, Run: 1, How: workflow.EndDone}})
 	h.plan()
@@ -200,10 +202,7 @@
 	h.engine.HandleOrderResult("a", 1, &workflow.OrderResult{Task: start.Task, Run: 1, Stop: true, Outcome: workflow.OutcomeDone, Sequence: 9}, h.now)
 	restarted := func() {
 		h.now = h.now.Add(time.Second)
-		h.reports["a"]++
-		h.engine.HandleReport(&workflow.Report{
-			Node: "a", Address: "a", Incarnation: 2, Number: h.reports["a"], Executor: x, Listed: true, EndsComplete: true, CoveredSequence: 5,
-		}, h.now, h.now)
+		h.send("a", &workflow.Report{Incarnation: 2, Executor: x, Listed: true, EndsComplete: true, CoveredSequence: 5})
 	}
 	restarted()
 	stops := h.plan()["a"].Stops
--- a/workflow/engine/former_runs_test.go
+++ b/workflow/engine/former_runs_test.go
@@ -33,9 +33,8 @@
 
 // sendReport sends a report of node "a" with the next number.
 func (h *harness) sendReport(r workflow.Report) {
-	h.reports["a"]++
-	r.Node, r.Address, r.Incarnation, r.Number = "a", "a", 1, h.reports["a"]
-	h.engine.HandleReport(&r, h.now, h.now)
+	r.Incarnation = 1
+	h.send("a", &r)
 }
 
 func endedBy(how workflow.EndReason) func(h *harness, job workflow.Job, run workflow.RunState) {
--- a/workflow/engine/leases_test.go
+++ b/workflow/engine/leases_test.go
@@ -18,10 +18,7 @@
 	h.report("a", executor("a", 1), nil, nil)
 	for range 8 {
 		h.now = h.now.Add(900 * time.Millisecond)
-		h.reports["a"]++
-		_, granted := h.engine.HandleReport(&workflow.Report{
-			Node: "a", Address: "a", Incarnation: 2, Number: h.reports["a"], Executor: executor("a", 1),
-		}, h.now, h.now)
+		_, granted := h.send("a", &workflow.Report{Incarnation: 2, Executor: executor("a", 1)})
 		h.Assert(granted, qt.IsFalse)
 	}
 }
@@ -108,11 +105,10 @@
 	h := newHarness(t)
 	_, running := h.startJob(executor("a", 1), step(2))
 	h.report("a", executor("a", 1), running, nil)
-	h.reports["a"]++
-	h.engine.HandleReport(&workflow.Report{
-		Node: "a", Address: "a", Incarnation: 1, Number: h.reports["a"], Executor: executor("a", 1), Listed: true, EndsComplete: true, ListAgeMillis: 2000,
+	h.send("a", &workflow.Report{
+		Incarnation: 1, Executor: executor("a", 1), Listed: true, EndsComplete: true, ListAgeMillis: 2000,
 		Running: running, LeaseBound: &workflow.LeaseBound{LeftMillis: 100},
-	}, h.now, h.now)
+	})
 	after, source := h.lapsesAfter()
 	h.Assert(after, qt.Equals, 7060*time.Millisecond)
 	h.Assert(source, qt.Equals, engine.LeaseOfOwner)
--- a/workflow/engine/order_results_test.go
+++ b/workflow/engine/order_results_test.go
@@ -38,10 +38,7 @@
 	start := h.plan()["a"].Starts[0]
 	h.engine.HandleOrderResult("a", 1, &workflow.OrderResult{Task: start.Task, Run: 1, Outcome: workflow.OutcomeUnknown, Sequence: 3}, h.now)
 	h.now = h.now.Add(500 * time.Millisecond)
-	h.reports["a"]++
-	h.engine.HandleReport(&workflow.Report{
-		Node: "a", Address: "a", Incarnation: 1, Number: h.reports["a"], Executor: x, Listed: true, EndsComplete: true, CoveredSequence: 2,
-	}, h.now, h.now)
+	h.send("a", &workflow.Report{Incarnation: 1, Executor: x, Listed: true, EndsComplete: true, CoveredSequence: 2})
 	h.Assert(h.plan(), qt.HasLen, 0, qt.Commentf("the lists are older than the start"))
 	h.report("a", x, nil, nil)
 	orders := h.plan()["a"]
--- a/workflow/engine/replacement_test.go
+++ b/workflow/engine/replacement_test.go
@@ -11,8 +11,7 @@
 
 // reportUnlisted sends a report of an executor that has not responded to its node.
 func (h *harness) reportUnlisted(node string, x *workflow.Executor) {
-	h.reports[node]++
-	h.engine.HandleReport(&workflow.Report{Node: node, Address: node, Incarnation: 1, Number: h.reports[node], Executor: x}, h.now, h.now)
+	h.send(node, &workflow.Report{Incarnation: 1, Executor: x})
 }
 
 // Guards against a second run of a task whose executor goes on: another executor was announced at its host, and has never
--- a/workflow/engine/silent_executors_test.go
+++ b/workflow/engine/silent_executors_test.go
@@ -14,11 +14,10 @@
 	silentSince := h.now
 	for range 10 {
 		h.now = h.now.Add(time.Second)
-		h.reports[node]++
-		h.engine.HandleReport(&workflow.Report{
-			Node: node, Address: node, Incarnation: 1, Number: h.reports[node], Executor: executor(node, 1), Listed: true, EndsComplete: true,
+		h.send(node, &workflow.Report{
+			Incarnation: 1, Executor: executor(node, 1), Listed: true, EndsComplete: true,
 			Running: running, CoveredSequence: 1 << 40, ListAgeMillis: h.now.Sub(silentSince).Milliseconds(),
-		}, h.now, h.now)
+		})
 		h.engine.ExpireLeases(h.now)
 	}
 }
--- a/workflow/engine/start_leases_test.go
+++ b/workflow/engine/start_leases_test.go
@@ -11,11 +11,10 @@
 
 // reportLists sends a report of node "a" with lists of the given age.
 func (h *harness) reportLists(age time.Duration) {
-	h.reports["a"]++
-	h.engine.HandleReport(&workflow.Report{
-		Node: "a", Address: "a", Incarnation: 1, Number: h.reports["a"], Executor: executor("a", 1), Listed: true, EndsComplete: true,
+	h.send("a", &workflow.Report{
+		Incarnation: 1, Executor: executor("a", 1), Listed: true, EndsComplete: true,
 		ListAgeMillis: age.Milliseconds(), CoveredSequence: 1 << 40,
-	}, h.now, h.now)
+	})
 }
 
 // Guards against a start on an executor whose lease has expired, or does so before the node would accept the start: the task was taken
@@ -72,15 +71,12 @@
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t)
 			h.reportLists(0)
-			h.reports["a"]++
-			next.Node, next.Address, next.Number, next.Listed, next.EndsComplete = "a", "a", h.reports["a"], true, true
-			next.ListAgeMillis = 1500
-			h.engine.HandleReport(&next, h.now, h.now)
+			next.Listed, next.EndsComplete, next.ListAgeMillis = true, true, 1500
+			h.send("a", &next)
 			h.engine.Add(h.job(step(1)), nil, h.now, h.now)
 			h.Assert(h.plan()["a"].Starts, qt.HasLen, 0)
-			next.Number++
 			next.ListAgeMillis = 0
-			h.engine.HandleReport(&next, h.now, h.now)
+			h.send("a", &next)
 			orders := h.plan()["a"]
 			h.Assert(orders.Starts, qt.HasLen, 1)
 			h.Assert(orders.ReportNumber, qt.Equals, next.Number)
