--- a/workflow/engine/crash_ends_test.go
+++ b/workflow/engine/crash_ends_test.go
@@ -131,15 +131,9 @@
 func TestTasksOfCrashedExecutorRestartAfterTakeover(t *testing.T) {
 	for _, newProcess := range []bool{false, true} {
 		h := newHarness(t)
-		job := h.job(step(2))
-		h.engine.Add(job, nil, h.now, h.now)
-		h.report("a", executor("a", 1), nil, nil)
-		h.engine.Plan(h.now, h.now)
-		record := h.engine.TakeDirty()[0].Record
-		running := h.accept("a", h.engine.TakeOrders()[0].Orders)
+		job, record, running := h.assigned(executor("a", 1))
 		h.epoch = 2
-		h.engine = h.newEngine()
-		h.engine.Add(job, &record, h.now, h.now)
+		h.takeOver(job, record)
 		if newProcess {
 			h.reportEndByNewProcess()
 		} else {
@@ -160,8 +154,7 @@
 	record := h.engine.TakeDirty()[0].Record
 	starts := h.engine.TakeOrders()[0].Orders.Starts
 	h.epoch = 2
-	h.engine = h.newEngine()
-	h.engine.Add(job, &record, h.now, h.now)
+	h.takeOver(job, record)
 	h.sendEnd(&workflow.Report{
 		Incarnation: 1, Executor: executor("a", 1), Listed: true, EndsComplete: true, LeaseBound: &workflow.LeaseBound{Epoch: 2},
 		ExecutorEnd: &workflow.ExecutorEnd{CoveredSequence: 1, Started: []workflow.RunState{{Task: starts[0].Task, Run: 1}, {Task: starts[1].Task, Run: 0}}},
--- a/workflow/engine/crashes_test.go
+++ b/workflow/engine/crashes_test.go
@@ -91,8 +91,7 @@
 	f.Assert(record.Tasks, qt.HasLen, 1)
 	f.Assert(record.Tasks[0].Crashes, qt.Equals, 1)
 	f.Assert(record.Tasks[0].Suspicions, qt.Equals, 1)
-	f.engine = f.newEngine()
-	f.engine.Add(bad, &record, f.now, f.now)
+	f.takeOver(bad, record)
 	for range 24 {
 		f.round(func(_, name string) { f.crash(name) })
 	}
--- a/workflow/engine/departures_test.go
+++ b/workflow/engine/departures_test.go
@@ -17,8 +17,7 @@
 		h := newHarness(t)
 		job, record, running := h.assigned(executor("a", 1))
 		if takeover {
-			h.engine = h.newEngine()
-			h.engine.Add(job, &record, h.now, h.now)
+			h.takeOver(job, record)
 		} else {
 			running = nil
 		}
--- a/workflow/engine/engine_test.go
+++ b/workflow/engine/engine_test.go
@@ -221,8 +221,7 @@
 	h.report("a", executor("a", 1), nil, nil)
 	h.engine.Plan(h.now, h.now)
 	record := h.engine.TakeDirty()[0].Record
-	h.engine = h.newEngine()
-	h.engine.Add(job, &record, h.now, h.now)
+	h.takeOver(job, record)
 	x := executor("a", 5)
 	x.ID = "i-other"
 	h.report("a", x, nil, nil)
--- a/workflow/engine/gang_checkpoints_test.go
+++ b/workflow/engine/gang_checkpoints_test.go
@@ -31,11 +31,10 @@
 	assertOneCheckpoint(h, h.plan())
 
 	// A new owner reads what the former one has stored, which may be from between two ends.
-	record := &workflow.JobRecord{Phase: workflow.Running, Tasks: []workflow.TaskRecord{
+	record := workflow.JobRecord{Phase: workflow.Running, Tasks: []workflow.TaskRecord{
 		{Index: 0, Phase: workflow.TaskWaiting, Run: 1, Saved: "older"}, {Index: 1, Phase: workflow.TaskWaiting, Run: 1, Saved: "newer"},
 	}}
-	h.engine = h.newEngine()
-	h.engine.Add(job, record, h.now, h.now)
+	h.takeOver(job, record)
 	for _, node := range []string{"a", "b"} {
 		h.report(node, executor(node, 1), nil, nil)
 	}
--- a/workflow/engine/takeover_test.go
+++ b/workflow/engine/takeover_test.go
@@ -26,8 +26,7 @@
 	h.engine.Add(job, nil, h.now, h.now)
 	h.engine.Plan(h.now, h.now)
 	record := h.engine.TakeDirty()[0].Record
-	h.engine = h.newEngine()
-	h.engine.Add(job, &record, h.now, h.now)
+	h.takeOver(job, record)
 	starts := 0
 	for i, node := range nodes {
 		next := executor(node, 2)
