Build the engine's serving and best-effort test steps, and crashes of a task's executors, in one place

Five tests described the serving step, and two the executor whose serving task is near its target; three crashed the executor of a task on each start. The tests assert what they asserted.

--- a/workflow/engine/crash_fleet_test.go
+++ b/workflow/engine/crash_fleet_test.go
@@ -107,7 +107,20 @@
 	f.engine.ExpireLeases(f.now)
 }
 
-func nothing(string, string) {}
+// ignoreStart is a callback of round for tests in which starts have no effect.
+func ignoreStart(string, string) {}
+
+// crashOnStart returns a callback of round that crashes the executor that a task is started on, each time.
+func (f *crashFleet) crashOnStart(task string) func(started, name string) {
+	return func(started, name string) {
+		if started == task {
+			f.crash(name)
+		}
+	}
+}
+
+// firstTask returns the name of the first task of a job.
+func firstTask(job workflow.Job) string { return job.ID + ".0.0.0" }
 
 // longStep returns a step whose tasks run for long.
 func longStep(count int) workflow.Step {
@@ -161,10 +174,10 @@
 	f.reportAll()
 	for range jobs {
 		job := f.job(longStep(1))
-		tasks = append(tasks, job.ID+".0.0.0")
+		tasks = append(tasks, firstTask(job))
 		f.engine.Add(job, nil, f.now, f.now)
 	}
-	f.round(nothing)
+	f.round(ignoreStart)
 	f.Assert(f.running["a"], qt.HasLen, jobs)
 	f.crash("a")
 	for _, name := range names[1:] {
@@ -172,7 +185,7 @@
 		f.executors[name].Draining = false
 	}
 	for len(f.broken) > 0 {
-		f.round(nothing)
+		f.round(ignoreStart)
 	}
 	return f, tasks
 }
--- a/workflow/engine/crashes_test.go
+++ b/workflow/engine/crashes_test.go
@@ -18,7 +18,7 @@
 	steady := f.job(serving)
 	f.engine.Add(steady, nil, f.now, f.now)
 	for range 8 {
-		f.round(nothing)
+		f.round(ignoreStart)
 	}
 	bad := f.job(longStep(3))
 	others := []workflow.Job{f.job(longStep(3)), f.job(longStep(3))}
@@ -26,21 +26,17 @@
 		f.engine.Add(job, nil, f.now, f.now)
 	}
 	for range 60 {
-		f.round(func(task, name string) {
-			if task == bad.ID+".0.0.0" {
-				f.crash(name)
-			}
-		})
+		f.round(f.crashOnStart(firstTask(bad)))
 	}
 	f.Assert(f.phase(bad.ID), qt.Equals, workflow.Failed)
-	f.Assert(f.starts[bad.ID+".0.0.0"], qt.Equals, 2)
+	f.Assert(f.starts[firstTask(bad)], qt.Equals, 2)
 	f.Assert(f.phase(steady.ID), qt.Equals, workflow.Running)
 	for _, job := range others {
 		f.Assert(f.phase(job.ID), qt.Equals, workflow.Running)
 	}
 	crashes, givenUp := f.engine.TakeCrashes()
 	f.Assert(givenUp, qt.HasLen, 1)
-	f.Assert(givenUp[0].Task, qt.Equals, bad.ID+".0.0.0")
+	f.Assert(givenUp[0].Task, qt.Equals, firstTask(bad))
 	for _, c := range crashes {
 		for _, s := range c.Suspects {
 			id, _ := workflow.ParseTaskID(s.Task)
@@ -60,7 +56,7 @@
 			f.engine.Add(f.job(longStep(1)), nil, f.now, f.now)
 		}
 		f.round(func(task, name string) {
-			if task == bad.ID+".0.0.0" {
+			if task == firstTask(bad) {
 				host, begun = name, f.now
 			}
 		})
@@ -74,7 +70,7 @@
 		}
 	}
 	f.Assert(f.phase(bad.ID), qt.Equals, workflow.Failed)
-	f.Assert(f.starts[bad.ID+".0.0.0"] <= 5, qt.IsTrue, qt.Commentf("%d starts", f.starts[bad.ID+".0.0.0"]))
+	f.Assert(f.starts[firstTask(bad)] <= 5, qt.IsTrue, qt.Commentf("%d starts", f.starts[firstTask(bad)]))
 }
 
 // Guards against an owner that doesn't know the crashes under its predecessors.
@@ -84,7 +80,7 @@
 	f.engine.Add(bad, nil, f.now, f.now)
 	f.round(func(_, name string) { f.crash(name) })
 	for len(f.broken) > 0 {
-		f.round(nothing)
+		f.round(ignoreStart)
 	}
 	f.plan()
 	record := f.records[bad.ID]
@@ -96,7 +92,7 @@
 		f.round(func(_, name string) { f.crash(name) })
 	}
 	f.Assert(f.phase(bad.ID), qt.Equals, workflow.Failed)
-	f.Assert(f.starts[bad.ID+".0.0.0"] <= 3, qt.IsTrue, qt.Commentf("%d starts", f.starts[bad.ID+".0.0.0"]))
+	f.Assert(f.starts[firstTask(bad)] <= 3, qt.IsTrue, qt.Commentf("%d starts", f.starts[firstTask(bad)]))
 }
 
 // Guards against a task that crashes one executor after the other and is never given up because the node's process beside each of
@@ -105,7 +101,7 @@
 	f := newCrashFleet(t, "a")
 	job := f.job(step(1))
 	f.engine.Add(job, nil, f.now, f.now)
-	task := job.ID + ".0.0.0"
+	task := firstTask(job)
 	for f.phase(job.ID) != workflow.Failed {
 		f.Assert(f.starts[task] <= 5, qt.IsTrue, qt.Commentf("%d starts", f.starts[task]))
 		f.round(func(_, name string) { f.crash(name) })
@@ -127,14 +123,10 @@
 	bad := f.job(lasting)
 	f.engine.Add(bad, nil, f.now, f.now)
 	for range 60 {
-		f.round(func(task, name string) {
-			if task == bad.ID+".0.0.0" {
-				f.crash(name)
-			}
-		})
+		f.round(f.crashOnStart(firstTask(bad)))
 	}
 	f.Assert(f.phase(bad.ID), qt.Equals, workflow.Failed)
-	f.Assert(f.starts[bad.ID+".0.0.0"], qt.Equals, 2)
+	f.Assert(f.starts[firstTask(bad)], qt.Equals, 2)
 }
 
 // Guards against a gang of which one task crashes the executors of the gang, one after the other.
@@ -147,7 +139,7 @@
 	for range 80 {
 		crashed := false
 		f.round(func(task, name string) {
-			if task == bad.ID+".0.0.0" {
+			if task == firstTask(bad) {
 				f.crash(name)
 				crashed = true
 			}
@@ -159,7 +151,7 @@
 		}
 	}
 	f.Assert(f.phase(bad.ID), qt.Equals, workflow.Failed)
-	f.Assert(f.starts[bad.ID+".0.0.0"] <= 3, qt.IsTrue, qt.Commentf("%d starts", f.starts[bad.ID+".0.0.0"]))
+	f.Assert(f.starts[firstTask(bad)] <= 3, qt.IsTrue, qt.Commentf("%d starts", f.starts[firstTask(bad)]))
 }
 
 // Guards against long-running tasks that are given up because executors crash again and again for other reasons.
@@ -173,11 +165,11 @@
 	host, begun := "", time.Time{}
 	for range 200 {
 		f.round(func(_, name string) { host, begun = name, f.now })
-		if host != "" && f.now.Sub(begun) >= ages[f.starts[job.ID+".0.0.0"]%len(ages)] {
+		if host != "" && f.now.Sub(begun) >= ages[f.starts[firstTask(job)]%len(ages)] {
 			f.crash(host)
 			host = ""
 		}
 	}
-	f.Assert(f.starts[job.ID+".0.0.0"] > 8, qt.IsTrue)
+	f.Assert(f.starts[firstTask(job)] > 8, qt.IsTrue)
 	f.Assert(f.phase(job.ID), qt.Equals, workflow.Running)
 }
--- a/workflow/engine/domains_test.go
+++ b/workflow/engine/domains_test.go
@@ -31,9 +31,7 @@
 	reportAll()
 	h.now = h.now.Add(1900 * time.Millisecond)
 	reportAll()
-	serving := step(24)
-	serving.LongRunning, serving.TargetMillis, serving.Image = true, 100, "serving"
-	h.engine.Add(h.job(serving), nil, h.now, h.now)
+	h.engine.Add(h.job(servingStep(24, 100)), nil, h.now, h.now)
 	used := map[string]int{}
 	for name := range h.plan() {
 		used[hosts[name].FailureDomain]++
--- a/workflow/engine/engine_test.go
+++ b/workflow/engine/engine_test.go
@@ -68,6 +68,20 @@
 	return workflow.Step{Count: count, Need: structs.Resources{MilliCores: 1000, MemoryMB: 100}, EstimateMillis: 800}
 }
 
+// servingStep returns a step of long-running tasks with a latency target.
+func servingStep(count int, targetMillis int64) workflow.Step {
+	s := step(count)
+	s.LongRunning, s.TargetMillis, s.Image = true, targetMillis, "serving"
+	return s
+}
+
+// bestEffortStep returns a step of best-effort tasks.
+func bestEffortStep(count int) workflow.Step {
+	s := step(count)
+	s.BestEffort, s.Image = true, "filling"
+	return s
+}
+
 // executor returns an executor with four cores on a node.
 func executor(node string, born int64) *workflow.Executor {
 	return &workflow.Executor{
@@ -333,20 +347,22 @@
 // newBestEffortJobBesideBusyService returns an executor whose serving task is near its latency target, and submits a
 // job of best-effort tasks.
 func newBestEffortJobBesideBusyService(t *testing.T, tasks int) (*harness, *workflow.Executor, []workflow.RunState) {
-	h := newHarness(t)
-	serving, bestEffort := step(1), step(tasks)
-	serving.LongRunning, serving.TargetMillis, serving.Image = true, 50, "serving"
-	bestEffort.BestEffort, bestEffort.Image = true, "filling"
-	h.engine.Add(h.job(serving), nil, h.now, h.now)
-	x := executor("a", 1)
+	h, x := newHarness(t), executor("a", 1)
+	return h, x, h.addBestEffortJobBesideService(x, 48, tasks)
+}
+
+// addBestEffortJobBesideService starts a serving task with the given latency, of a target of 50 ms, on an executor of node "a", and
+// submits a job of best-effort tasks. It returns the run of the serving task.
+func (h *harness) addBestEffortJobBesideService(x *workflow.Executor, latencyMillis float64, tasks int) []workflow.RunState {
+	h.engine.Add(h.job(servingStep(1, 50)), nil, h.now, h.now)
 	h.report("a", x, nil, nil)
 	h.now = h.now.Add(2 * time.Second)
 	h.report("a", x, nil, nil)
 	running := h.accept("a", h.plan()["a"])
 	h.Assert(running, qt.HasLen, 1)
-	running[0].Usage = 48
-	h.engine.Add(h.job(bestEffort), nil, h.now, h.now)
-	return h, x, running
+	running[0].Usage = latencyMillis
+	h.engine.Add(h.job(bestEffortStep(tasks)), nil, h.now, h.now)
+	return running
 }
 
 // Guards against a job that has no running task for more than three seconds because a start without a result resets its
--- a/workflow/engine/interference_test.go
+++ b/workflow/engine/interference_test.go
@@ -20,14 +20,14 @@
 // newSharingHarness runs a best-effort task for 15 s beside a serving task whose latency it raises to disturbed, in
 // percent of the target. All other latencies are 25%.
 func newSharingHarness(t *testing.T, disturbed float64) *sharingHarness {
-	s := &sharingHarness{harness: newHarness(t), nodes: []string{"a", "b"}, running: map[string][]workflow.RunState{}, bestEffort: step(1)}
+	s := &sharingHarness{harness: newHarness(t), nodes: []string{"a", "b"}, running: map[string][]workflow.RunState{}, bestEffort: bestEffortStep(1)}
 	for range 2 {
 		s.reportAll()
 		s.now = s.now.Add(1900 * time.Millisecond)
 	}
-	serving := step(2)
-	serving.LongRunning, serving.TargetMillis, serving.Image, serving.PerExecutor = true, 100, "serving", 1
-	s.bestEffort.BestEffort, s.bestEffort.Image, s.bestEffort.Checkpoints = true, "filling", true
+	serving := servingStep(2, 100)
+	serving.PerExecutor = 1
+	s.bestEffort.Checkpoints = true
 	s.engine.Add(s.job(serving), nil, s.now, s.now)
 	for node, orders := range s.plan() {
 		s.running[node] = s.accept(node, orders)
@@ -156,10 +156,9 @@
 	h := newHarness(t)
 	h.now = h.now.Add(2 * time.Second)
 	x := executor("a", 1)
-	serving, bestEffort := step(4), step(3)
-	serving.LongRunning, serving.TargetMillis, serving.Image = true, 100, "serving"
-	bestEffort.BestEffort, bestEffort.Image, bestEffort.Need.MilliCores = true, "filling", 1250
-	_, running := h.startJob(x, serving)
+	bestEffort := bestEffortStep(3)
+	bestEffort.Need.MilliCores = 1250
+	_, running := h.startJob(x, servingStep(4, 100))
 	for i := range running {
 		running[i].Usage = 10
 	}
--- a/workflow/engine/speed_test.go
+++ b/workflow/engine/speed_test.go
@@ -106,19 +106,9 @@
 	c := qt.New(t)
 	starts := func(unpaced bool) int {
 		h := newHarness(t)
-		serving, bestEffort := step(1), step(1)
-		serving.LongRunning, serving.TargetMillis, serving.Image = true, 50, "serving"
-		bestEffort.BestEffort, bestEffort.Image = true, "filling"
 		x := executor("a", 1)
 		x.Unpaced = unpaced
-		h.engine.Add(h.job(serving), nil, h.now, h.now)
-		h.report("a", x, nil, nil)
-		h.now = h.now.Add(2 * time.Second)
-		h.report("a", x, nil, nil)
-		running := h.accept("a", h.plan()["a"])
-		h.Assert(running, qt.HasLen, 1)
-		running[0].Usage = 10
-		h.engine.Add(h.job(bestEffort), nil, h.now, h.now)
+		running := h.addBestEffortJobBesideService(x, 10, 1)
 		h.report("a", x, running, nil)
 		return len(h.plan()["a"].Starts)
 	}
--- a/workflow/engine/standstill_test.go
+++ b/workflow/engine/standstill_test.go
@@ -198,10 +198,9 @@
 // place (issue 25: LOST).
 func TestIdleJobStartsTaskOfAnyStep(t *testing.T) {
 	h, x, running := newBestEffortJobBesideBusyService(t, 1)
-	large, bestEffort := step(1), step(1)
+	large := step(1)
 	large.Need.MilliCores = 9000
-	bestEffort.BestEffort, bestEffort.Image = true, "filling"
-	job := h.job(large, bestEffort)
+	job := h.job(large, bestEffortStep(1))
 	job.Steps[1].After = nil
 	h.engine.Add(job, nil, h.now, h.now)
 	for end := h.now.Add(maxStandstill); h.now.Before(end); h.now = h.now.Add(standstillStep) {
--- a/workflow/engine/suspects_test.go
+++ b/workflow/engine/suspects_test.go
@@ -20,7 +20,7 @@
 	for _, job := range jobs {
 		f.engine.Add(job, nil, f.now, f.now)
 	}
-	f.round(nothing)
+	f.round(ignoreStart)
 	f.Assert(f.running["a"], qt.HasLen, 4)
 	for _, name := range f.names[1:] {
 		f.restore(name)
@@ -28,14 +28,14 @@
 	}
 	f.crash("a")
 	for range 7 {
-		f.round(nothing)
+		f.round(ignoreStart)
 	}
-	f.Assert(f.starts[jobs[0].ID+".0.0.0"], qt.Equals, 2)
-	f.Assert(f.starts[jobs[1].ID+".0.0.0"], qt.Equals, 2)
+	f.Assert(f.starts[firstTask(jobs[0])], qt.Equals, 2)
+	f.Assert(f.starts[firstTask(jobs[1])], qt.Equals, 2)
 	fresh := f.job(longStep(8))
 	f.engine.Add(fresh, nil, f.now, f.now)
-	f.round(nothing)
-	f.Assert(f.starts[fresh.ID+".0.0.0"], qt.Equals, 1)
+	f.round(ignoreStart)
+	f.Assert(f.starts[firstTask(fresh)], qt.Equals, 1)
 	for name, running := range f.running {
 		owners := map[string]bool{}
 		for _, run := range running {
@@ -76,7 +76,7 @@
 			names := f.names
 			f.names = nil
 			for range 20 {
-				f.round(nothing)
+				f.round(ignoreStart)
 			}
 			f.names = names
 			f.restore("a")
@@ -86,11 +86,11 @@
 		t.Run(test.name, func(t *testing.T) {
 			f := newCrashFleet(t, "a")
 			f.engine.Add(f.job(longStep(1)), nil, f.now, f.now)
-			f.round(nothing)
+			f.round(ignoreStart)
 			f.Assert(f.running["a"], qt.HasLen, 1)
 			test.end(f)
 			for range 20 {
-				f.round(nothing)
+				f.round(ignoreStart)
 			}
 			crashes, _ := f.engine.TakeCrashes()
 			f.Assert(crashes, qt.HasLen, test.crashes)
@@ -111,15 +111,15 @@
 		crashing = false
 	})
 	for len(f.broken) > 0 {
-		f.round(nothing)
+		f.round(ignoreStart)
 	}
-	f.round(nothing)
+	f.round(ignoreStart)
 	f.Assert(f.records[job.ID].Tasks[0].Crashes, qt.Equals, 1)
 	for range 4 {
-		f.round(nothing)
+		f.round(ignoreStart)
 	}
 	f.Assert(f.records[job.ID].Tasks[0].Crashes, qt.Equals, 0)
-	f.Assert(f.starts[job.ID+".0.0.0"], qt.Equals, 2)
+	f.Assert(f.starts[firstTask(job)], qt.Equals, 2)
 }
 
 // Guards against long-running tasks that stand still while suspects of a crash hold all executors that have room (seen in a play:
@@ -136,14 +136,14 @@
 	f.engine.Add(short, nil, f.now, f.now)
 	starts := f.plan()["a"].Starts
 	f.Assert(starts, qt.HasLen, 1)
-	f.Assert(starts[0].Task, qt.Equals, long.ID+".0.0.0")
+	f.Assert(starts[0].Task, qt.Equals, firstTask(long))
 }
 
 // Guards against a queue of suspects that grows faster than they can be started one job at a time.
 func TestWaitingSuspectsShareExecutors(t *testing.T) {
 	f, suspects := crashWithJobs(t, 9, "a", "b")
 	for range 5 {
-		f.round(nothing)
+		f.round(ignoreStart)
 	}
 	for _, task := range suspects {
 		f.Assert(f.starts[task], qt.Equals, 2)
