--- a/workflow/engine/idle_test.go
+++ b/workflow/engine/idle_test.go
@@ -6,7 +6,6 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/quetzalshed/quetzalshed/structs"
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
@@ -15,13 +14,11 @@
 func TestJobWithoutRunIsExplained(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
-	e := newOrderEngine(now)
+	e := newConfiguredEngine(now)
 	number := int64(0)
 	report := func(milliCores int64) {
 		number++
-		e.HandleReport(&workflow.Report{Node: "a", Address: "a", Incarnation: 1, Number: number, Listed: true, EndsComplete: true, Executor: &workflow.Executor{
-			ID: "i-a", StartedUnixMillis: 1, Pool: "pool", FailureDomain: "domain", Capacity: structs.Resources{MilliCores: milliCores, MemoryMB: 8000},
-		}}, now, now)
+		reportExecutor(e, number, milliCores, now)
 	}
 	idle := func() []Idle {
 		e.Tick(now)
--- a/workflow/engine/order_test.go
+++ b/workflow/engine/order_test.go
@@ -30,19 +30,27 @@
 	return j
 }
 
-func newOrderEngine(now time.Time) *Engine {
+// newConfiguredEngine returns an engine with one queue and one pool.
+func newConfiguredEngine(now time.Time) *Engine {
 	e := New(Settings{LeaseDuration: 6500 * time.Millisecond, LeaseExpiry: 7060 * time.Millisecond, RemoteSlowdown: 1.5}, now)
 	e.Configure(&workflow.Config{Version: 1, Queues: []workflow.Queue{rankingQueue}, Pools: []workflow.Pool{{Name: "pool"}}})
 	e.SetEvacuated(nil)
 	return e
 }
 
+// reportExecutor sends a report with the given number of an executor of node "a" that runs nothing.
+func reportExecutor(e *Engine, number, milliCores int64, now time.Time) {
+	e.HandleReport(&workflow.Report{Node: "a", Address: "a", Incarnation: 1, Number: number, Listed: true, EndsComplete: true, Executor: &workflow.Executor{
+		ID: "i-a", StartedUnixMillis: 1, Pool: "pool", FailureDomain: "domain", Capacity: structs.Resources{MilliCores: milliCores, MemoryMB: 8000},
+	}}, now, now)
+}
+
 // Guards against jobs of which the last task waits behind the first tasks of others in a burst: it is late by then, and all
 // that was done for it is lost.
 func TestLateJobWithLittleLeftGoesBeforeAFreshOne(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
-	e := newOrderEngine(now)
+	e := newConfiguredEngine(now)
 	begun := orderedJob(e, 1, 16, 15, time.Second, now)
 	now = now.Add(2500 * time.Millisecond)
 	fresh := orderedJob(e, 2, 16, 0, time.Second, now)
@@ -55,7 +63,7 @@
 func TestLargeJobIsWorthNearlyAsMuchForEachCoreSecond(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
-	e := newOrderEngine(now)
+	e := newConfiguredEngine(now)
 	for number := range 40 {
 		orderedJob(e, number, 8, 0, time.Second, now)
 	}
@@ -70,7 +78,7 @@
 func TestLearnedDurationsReplaceWrongEstimates(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
-	e := newOrderEngine(now)
+	e := newConfiguredEngine(now)
 	random := rand.New(rand.NewPCG(1, 1))
 	for number := range 60 {
 		estimate := time.Duration(math.Exp(random.NormFloat64()) * float64(time.Second))
@@ -112,7 +120,7 @@
 func TestAbsurdRequestDoesNotChangeMeanWork(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
-	e := newOrderEngine(now)
+	e := newConfiguredEngine(now)
 	for number := range 40 {
 		orderedJob(e, number, 8, 0, time.Second, now)
 	}
@@ -129,7 +137,7 @@
 func TestLearnedQueuesAreBounded(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
-	e := newOrderEngine(now)
+	e := newConfiguredEngine(now)
 	for number := range maxLearnedQueues + 10 {
 		e.Add(workflow.Job{
 			ID: fmt.Sprintf("%016x", number), AcceptedUnixMillis: now.UnixMilli(),
@@ -145,7 +153,7 @@
 func TestOrderOfJobsIsTotal(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
-	e := newOrderEngine(now)
+	e := newConfiguredEngine(now)
 	var found []candidate
 	for number := range 30 {
 		j := orderedJob(e, number, 1+number%5, number%2*(number%5), time.Duration(1+number%3)*time.Second, now)
--- a/workflow/engine/ranking_test.go
+++ b/workflow/engine/ranking_test.go
@@ -17,9 +17,7 @@
 // drawEngine returns an engine with executors of random capacity and load, and the current time.
 func drawEngine(t *rapid.T) (*Engine, time.Time) {
 	now := time.Unix(1000, 0)
-	e := New(Settings{LeaseDuration: 6500 * time.Millisecond, LeaseExpiry: 7060 * time.Millisecond, RemoteSlowdown: 1.5}, now.Add(-time.Minute))
-	e.Configure(&workflow.Config{Version: 1, Queues: []workflow.Queue{rankingQueue}, Pools: []workflow.Pool{{Name: "pool"}}})
-	e.SetEvacuated(nil)
+	e := newConfiguredEngine(now.Add(-time.Minute))
 	for i := range rapid.IntRange(1, 8).Draw(t, "executors") {
 		name := fmt.Sprintf("host-%d", i)
 		e.HandleReport(&workflow.Report{Node: name, Address: name, Incarnation: 1, Number: 1, Listed: true, EndsComplete: true, Executor: &workflow.Executor{
--- a/workflow/engine/waiting_test.go
+++ b/workflow/engine/waiting_test.go
@@ -5,9 +5,6 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-
-	"github.com/quetzalshed/quetzalshed/structs"
-	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
 // Guards against jobs that wait without any trace of the reason, and against a line for each plan: the reason is given once,
@@ -15,10 +12,8 @@
 func TestWaitIsExplainedOncePerReason(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
-	e := newOrderEngine(now)
-	e.HandleReport(&workflow.Report{Node: "a", Address: "a", Incarnation: 1, Number: 1, Listed: true, EndsComplete: true, Executor: &workflow.Executor{
-		ID: "i-a", StartedUnixMillis: 1, Pool: "pool", FailureDomain: "domain", Capacity: structs.Resources{MilliCores: 500, MemoryMB: 8000},
-	}}, now, now)
+	e := newConfiguredEngine(now)
+	reportExecutor(e, 1, 500, now)
 	j := orderedJob(e, 1, 3, 0, time.Second, now)
 	plan := func() []Wait {
 		e.Tick(now)
