--- a/workflow/engine/engine_test.go
+++ b/workflow/engine/engine_test.go
@@ -68,6 +68,20 @@
 	return workflow.Step{Count: count, Need: structs.Resources{MilliCores: 1000, MemoryMB: 100}, EstimateMillis: 800}
 }
 
+// servingStep returns a step of long-running tasks with a latency target.
+func servingStep(count int, targetMillis int64) workflow.Step {
+	s := step(count)
+	s.LongRunning, s.TargetMillis, s.Image = true, targetMillis, "serving"
+	return s
+}
+
+// bestEffortStep returns a step of best-effort tasks.
+func bestEffortStep(count int) workflow.Step {
+	s := step(count)
+	s.BestEffort, s.Image = true, "filling"
+	return s
+}
+
 // executor returns an executor with four cores on a node.
 func executor(node string, born int64) *workflow.Executor {
 	return &workflow.Executor{
@@ -76,13 +90,19 @@
 	}
 }
 
+// send sends a report of a node with the next number.
+func (h *harness) send(node string, r *workflow.Report) (ack int64, granted bool) {
+	h.reports[node]++
+	r.Node, r.Address, r.Number = node, node, h.reports[node]
+	return h.engine.HandleReport(r, h.now, h.now)
+}
+
 // report sends a report that covers all orders sent so far.
 func (h *harness) report(node string, x *workflow.Executor, running []workflow.RunState, ended []workflow.RunEnd) int64 {
-	h.reports[node]++
-	ack, _ := h.engine.HandleReport(&workflow.Report{
-		Node: node, Address: node, Incarnation: 1, Number: h.reports[node], Executor: x, Listed: true, EndsComplete: true,
+	ack, _ := h.send(node, &workflow.Report{
+		Incarnation: 1, Executor: x, Listed: true, EndsComplete: true,
 		Running: running, Ended: ended, CoveredSequence: 1 << 40,
-	}, h.now, h.now)
+	})
 	return ack
 }
 
@@ -160,11 +180,10 @@
 	silentSince := h.now
 	for range 12 {
 		h.now = h.now.Add(time.Second)
-		h.reports["a"]++
-		h.engine.HandleReport(&workflow.Report{
-			Node: "a", Address: "a", Incarnation: 1, Number: h.reports["a"], Executor: executor("a", 1), Listed: true, EndsComplete: true,
+		h.send("a", &workflow.Report{
+			Incarnation: 1, Executor: executor("a", 1), Listed: true, EndsComplete: true,
 			Running: running, CoveredSequence: 1 << 40, ListAgeMillis: h.now.Sub(silentSince).Milliseconds(),
-		}, h.now, h.now)
+		})
 		h.engine.ExpireLeases(h.now)
 	}
 	h.report("b", executor("b", 1), nil, nil)
@@ -178,10 +197,7 @@
 func TestStartReachesTheNextIncarnation(t *testing.T) {
 	h := newHarness(t)
 	job, running := h.startJob(executor("a", 1), step(1))
-	h.reports["a"]++
-	h.engine.HandleReport(&workflow.Report{
-		Node: "a", Address: "a", Incarnation: 1, Number: h.reports["a"], Executor: executor("a", 2),
-	}, h.now, h.now)
+	h.reportUnlisted("a", executor("a", 2))
 	h.Assert(h.plan(), qt.HasLen, 0)
 	h.report("a", executor("a", 2), nil, []workflow.RunEnd{{Number: 1, Task: running[0].Task, Run: 1, How: workflow.EndDone}})
 	h.plan()
@@ -200,10 +216,7 @@
 	h.engine.HandleOrderResult("a", 1, &workflow.OrderResult{Task: start.Task, Run: 1, Stop: true, Outcome: workflow.OutcomeDone, Sequence: 9}, h.now)
 	restarted := func() {
 		h.now = h.now.Add(time.Second)
-		h.reports["a"]++
-		h.engine.HandleReport(&workflow.Report{
-			Node: "a", Address: "a", Incarnation: 2, Number: h.reports["a"], Executor: x, Listed: true, EndsComplete: true, CoveredSequence: 5,
-		}, h.now, h.now)
+		h.send("a", &workflow.Report{Incarnation: 2, Executor: x, Listed: true, EndsComplete: true, CoveredSequence: 5})
 	}
 	restarted()
 	stops := h.plan()["a"].Stops
@@ -222,8 +235,7 @@
 	h.report("a", executor("a", 1), nil, nil)
 	h.engine.Plan(h.now, h.now)
 	record := h.engine.TakeDirty()[0].Record
-	h.engine = h.newEngine()
-	h.engine.Add(job, &record, h.now, h.now)
+	h.takeOver(job, record)
 	x := executor("a", 5)
 	x.ID = "i-other"
 	h.report("a", x, nil, nil)
@@ -335,20 +347,22 @@
 // newBestEffortJobBesideBusyService returns an executor whose serving task is near its latency target, and submits a
 // job of best-effort tasks.
 func newBestEffortJobBesideBusyService(t *testing.T, tasks int) (*harness, *workflow.Executor, []workflow.RunState) {
-	h := newHarness(t)
-	serving, bestEffort := step(1), step(tasks)
-	serving.LongRunning, serving.TargetMillis, serving.Image = true, 50, "serving"
-	bestEffort.BestEffort, bestEffort.Image = true, "filling"
-	h.engine.Add(h.job(serving), nil, h.now, h.now)
-	x := executor("a", 1)
+	h, x := newHarness(t), executor("a", 1)
+	return h, x, h.addBestEffortJobBesideService(x, 48, tasks)
+}
+
+// addBestEffortJobBesideService starts a serving task with the given latency, of a target of 50 ms, on an executor of node "a", and
+// submits a job of best-effort tasks. It returns the run of the serving task.
+func (h *harness) addBestEffortJobBesideService(x *workflow.Executor, latencyMillis float64, tasks int) []workflow.RunState {
+	h.engine.Add(h.job(servingStep(1, 50)), nil, h.now, h.now)
 	h.report("a", x, nil, nil)
 	h.now = h.now.Add(2 * time.Second)
 	h.report("a", x, nil, nil)
 	running := h.accept("a", h.plan()["a"])
 	h.Assert(running, qt.HasLen, 1)
-	running[0].Usage = 48
-	h.engine.Add(h.job(bestEffort), nil, h.now, h.now)
-	return h, x, running
+	running[0].Usage = latencyMillis
+	h.engine.Add(h.job(bestEffortStep(tasks)), nil, h.now, h.now)
+	return running
 }
 
 // Guards against a job that has no running task for more than three seconds because a start without a result resets its
