Let simulated executors be set back in time and delay calls by a given time

SetTimeOfDay changes the start times of the next incarnations, as after the time of day of the host was set. CallFaults.MinDelay sets when delayed calls are carried out at the earliest, and AcknowledgementsOnly limits faults to hold calls that acknowledge ends. Without them the simulated executor behaves as before.

--- a/node/nodetest/calls.go
+++ b/node/nodetest/calls.go
@@ -1,6 +1,7 @@
 package nodetest
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -19,6 +20,8 @@
 	stopCall
 	paceCall
 	holdCall
+	// acknowledgingCall is a hold call that acknowledges ends.
+	acknowledgingCall
 	waitingCall
 )
 
@@ -41,7 +44,7 @@
 		return s.Starts
 	case stopCall:
 		return s.Stops
-	case holdCall:
+	case holdCall, acknowledgingCall:
 		return s.Holds
 	case waitingCall:
 		return s.WaitingHolds
@@ -76,7 +79,7 @@
 	}
 	u := x.random.Float64()
 	f := x.faults
-	if f.OrdersOnly && !kind.isOrder() {
+	if f.OrdersOnly && !kind.isOrder() || f.AcknowledgementsOnly && kind != acknowledgingCall {
 		return false, false, false
 	}
 	return u < f.Rejected, u >= f.Rejected && u < f.Rejected+f.AnswerLost,
@@ -117,7 +120,8 @@
 	case delayed:
 		x.delayedCalls++
 		called := x.description.ID
-		time.AfterFunc(minCallDelay+time.Duration(x.random.Int64N(int64(x.faults.MaxDelay-minCallDelay))), func() {
+		minDelay := cmp.Or(x.faults.MinDelay, minCallDelay)
+		time.AfterFunc(minDelay+time.Duration(x.random.Int64N(max(int64(x.faults.MaxDelay-minDelay), 1))), func() {
 			x.mu.Lock()
 			defer x.mu.Unlock()
 			x.delayedCalls--
@@ -216,14 +220,18 @@
 	until := time.Now().Add(wait)
 	// carriedOutBy is the start time of the incarnation that has carried out the call.
 	carriedOutBy := time.Time{}
-	for kind := holdCall; ; kind = waitingCall {
+	kind := holdCall
+	if ack > 0 {
+		kind = acknowledgingCall
+	}
+	for ; ; kind = waitingCall {
 		var lists *node.RunLists
 		err := x.handle(ctx, incarnation, kind, func(responds bool) error {
 			if fence < x.fence {
 				return &node.RejectedError{Reason: "fence"}
 			}
 			x.fence = fence
-			if kind == holdCall || x.staleCalls.WaitingHolds && !carriedOutBy.Equal(x.born) {
+			if carriedOutBy.IsZero() || x.staleCalls.WaitingHolds && !carriedOutBy.Equal(x.born) {
 				x.extend(deadlineMillis)
 				x.acknowledge(ack)
 				carriedOutBy = x.born
--- a/node/nodetest/executor.go
+++ b/node/nodetest/executor.go
@@ -59,6 +59,8 @@
 	// nextClockStart and nextClockRate are those of the next incarnation.
 	nextClockStart time.Duration
 	nextClockRate  float64
+	// startOffset is added to the start times of the next incarnations.
+	startOffset time.Duration
 	// staleCalls are the calls that are carried out by the next incarnation, and restarted is closed when that starts.
 	staleCalls   StaleCalls
 	restarted    chan struct{}
@@ -115,7 +117,7 @@
 		x.observer.Ended(x.description.IncarnationID(), task, r.number, workflow.EndLapsed)
 	}
 	x.born = time.Now()
-	x.description.StartedUnixMillis = x.born.UnixMilli()
+	x.description.StartedUnixMillis = x.born.Add(x.startOffset).UnixMilli()
 	x.fence, x.lastNumber, x.ended = 0, 0, nil
 	x.runs, x.highestRun = map[string]*run{}, map[string]int{}
 	x.deadline, x.clockStart, x.clockRate = time.Time{}, x.nextClockStart, x.nextClockRate
@@ -129,6 +131,9 @@
 	x.update(func() { x.nextClockStart, x.nextClockRate = start, rate })
 }
 
+// SetTimeOfDay sets by how much the time of day differs from now on, as in the start times of the next incarnations.
+func (x *Executor) SetTimeOfDay(offset time.Duration) { x.update(func() { x.startOffset = offset }) }
+
 // SetStaleCalls sets which calls that meet the executor while it is down are carried out by its next incarnation.
 func (x *Executor) SetStaleCalls(calls StaleCalls) { x.update(func() { x.staleCalls = calls }) }
 
@@ -205,11 +210,12 @@
 	Rejected float64
 	// AnswerLost calls take effect at once and get no response.
 	AnswerLost float64
-	// Delayed calls get no response and take effect between 2 s and MaxDelay later.
-	Delayed  float64
-	MaxDelay time.Duration
-	// OrdersOnly is set if all calls but starts and stops are free of faults.
-	OrdersOnly bool
+	// Delayed calls get no response and take effect between MinDelay, or 2 s if that is 0, and MaxDelay later.
+	Delayed            float64
+	MinDelay, MaxDelay time.Duration
+	// OrdersOnly is set if all calls but starts and stops are free of faults, AcknowledgementsOnly if all but hold calls that
+	// acknowledge ends are.
+	OrdersOnly, AcknowledgementsOnly bool
 }
 
 const (
