--- a/test/workflows/stale_calls_test.go
+++ b/test/workflows/stale_calls_test.go
@@ -52,8 +52,8 @@
 	return s
 }
 
-// start submits a job of one long task.
-func (s *staleLease) start(milliCores int64) {
+// submitOne submits a job of one task.
+func (s *staleLease) submitOne(milliCores int64) {
 	job := s.newJob(1)
 	job.Steps[0].Label, job.Steps[0].EstimateMillis = runsOnLabel, longTaskTime.Milliseconds()
 	job.Steps[0].Need.MilliCores = milliCores
@@ -142,7 +142,7 @@
 			t.Run(name, func(t *testing.T) {
 				runWithFleet(t, 3, func(f *fleet) {
 					s := newStaleLease(f)
-					s.start(1000)
+					s.submitOne(1000)
 					s.awaitRun()
 					s.restart(test.calls, nil)
 					s.announceNow()
@@ -159,7 +159,7 @@
 func TestStaleStartOutlastsLease(t *testing.T) {
 	runWithFleet(t, 3, func(f *fleet) {
 		s := newStaleLease(f)
-		s.restart(nodetest.StaleCalls{Starts: true}, func() { s.start(1000) })
+		s.restart(nodetest.StaleCalls{Starts: true}, func() { s.submitOne(1000) })
 		s.announceNow()
 		s.awaitRun()
 		s.cut(false)
@@ -174,12 +174,12 @@
 		const large, small = 3000, 400
 		s.executor.SetGuarded(s.reservation)
 		s.restart(nodetest.StaleCalls{Starts: true}, func() {
-			s.start(large)
+			s.submitOne(large)
 			time.Sleep(executorDownTime / 2)
 			s.executor.SetCapacity(structs.Resources{MilliCores: 2 * small, MemoryMB: 8000})
 		})
 		s.announceNow()
-		s.start(small)
+		s.submitOne(small)
 		s.awaitRun()
 		s.cut(false)
 		s.assertRunsOnce()
@@ -224,7 +224,7 @@
 				if !started {
 					changeOwner(f)
 				}
-				s.start(1000)
+				s.submitOne(1000)
 				s.awaitRun()
 				if started {
 					changeOwner(f)
@@ -241,7 +241,7 @@
 	runWithFleet(t, 4, func(f *fleet) {
 		s := newStaleLease(f)
 		s.restartAfterHold()
-		s.start(1000)
+		s.submitOne(1000)
 		s.awaitRun()
 		s.cut(true)
 		f.handOver()
@@ -255,10 +255,10 @@
 		s := newStaleLease(f)
 		s.restart(nodetest.StaleCalls{WaitingHolds: true}, nil)
 		s.kill()
-		s.host.start()
+		s.start()
 		s.announceNow()
 		time.Sleep(grantTime)
-		s.start(1000)
+		s.submitOne(1000)
 		s.awaitRun()
 		s.cut(false)
 		s.assertRunsOnce()
