Set paces that are not known, and forget those of former incarnations

Best-effort tasks could stay at a low pace, or at none, with nothing to protect: a new process of the node, and a process whose executor has been replaced by the next incarnation under its ID, took an unknown pace for the full one. A former process had set another one, or a call for the former incarnation had reached the next one with a run that was started there in the same way. The other way round, a call that was answered while the next incarnation was announced left its pace as known, so that the run there kept its full pace.

An unknown pace is set once, also if it is the full one, and a pace is kept only for the incarnation that was called. That costs one call to the executor of the own host for each best-effort run after such a change.

--- a/node/paces.go
+++ b/node/paces.go
@@ -61,7 +61,9 @@
 		return
 	}
 	n.mu.Lock()
-	n.paces[c.run.Task] = c.percent
+	if n.current != nil && n.current.IncarnationID() == incarnation {
+		n.paces[c.run.Task] = c.percent
+	}
 	n.mu.Unlock()
 	n.log.Info("pace set", "task", c.run.Task, "run", c.run.Run, "percent", c.percent, "executor", incarnation)
 }
@@ -97,11 +99,8 @@
 	}
 	for i, percent := range n.pacer.Paces(n.disturbances(bestEffort), now) {
 		run := bestEffort[i]
-		current, known := n.paces[run.Task]
-		if !known {
-			current = sharing.FullPace
-		}
-		if current != percent {
+		// An unknown pace may have been set by a former process, or by a call for a former incarnation.
+		if current, known := n.paces[run.Task]; !known || current != percent {
 			changes = append(changes, paceChange{run, percent})
 		}
 	}
