--- a/entry/requests/entry_test.go
+++ b/entry/requests/entry_test.go
@@ -199,17 +199,24 @@
 	qt.Assert(t, one.AttemptsReceived(), qt.Equals, before)
 }
 
-// Guards against a shutdown that interrupts active requests (P9) or accepts new ones.
-func TestDrain(t *testing.T) {
-	e := newEntry(t, nil, nil)
-	agent := newAgent(t, "a", e)
+// holdRequest sends a request to an agent that runs it once its ReleaseHeld is called, and waits until it has arrived there. The outcome
+// is sent to answered.
+func holdRequest(t *testing.T, e *testEntry) (agent *forwardtest.Agent, answered <-chan string) {
+	agent = newAgent(t, "a", e)
 	agent.FaultFor = always(forwardtest.RunOnRelease)
-	answered := make(chan string, 1)
+	outcomes := make(chan string, 1)
 	go func() {
 		response, _ := e.call(t, http.MethodGet, "/s/price/p", "", structs.HeaderTimeoutMillis, "20000")
-		answered <- outcome(response)
+		outcomes <- outcome(response)
 	}()
 	poll.Until(t, "the attempt arrives", func() bool { return agent.AttemptsReceived() == 1 })
+	return agent, outcomes
+}
+
+// Guards against a shutdown that interrupts active requests (P9) or accepts new ones.
+func TestDrain(t *testing.T) {
+	e := newEntry(t, nil, nil)
+	agent, answered := holdRequest(t, e)
 	drained := make(chan error, 1)
 	go func() { drained <- e.Drain(t.Context()) }()
 	poll.Until(t, "the entry rejects requests", func() bool {
@@ -272,14 +279,7 @@
 // Guards against holding requests beyond the limit instead of rejecting them with a Retry-After.
 func TestEntryLimit(t *testing.T) {
 	e := newEntry(t, nil, func(s *Settings) { s.MaxInFlight, s.MaxWaiting, s.MaxWait = 1, 0, time.Minute })
-	agent := newAgent(t, "a", e)
-	agent.FaultFor = always(forwardtest.RunOnRelease)
-	answered := make(chan string, 1)
-	go func() {
-		response, _ := e.call(t, http.MethodGet, "/s/price/p", "", structs.HeaderTimeoutMillis, "20000")
-		answered <- outcome(response)
-	}()
-	poll.Until(t, "the attempt arrives", func() bool { return agent.AttemptsReceived() == 1 })
+	agent, answered := holdRequest(t, e)
 	response, _ := e.call(t, http.MethodGet, "/s/price/p", "", structs.HeaderTimeoutMillis, "60000")
 	qt.Assert(t, outcome(response), qt.Equals, "503 not-run")
 	qt.Assert(t, response.Header.Get("Retry-After"), qt.Equals, "1")
