--- a/shard/lifecycle/machine_test.go
+++ b/shard/lifecycle/machine_test.go
@@ -60,13 +60,19 @@
 	return f.LiveAttempts()[AllocationID(structs.TaskID{JobID: "a"}, f.state.Jobs["a"].Tasks[0].Attempt)].Alloc
 }
 
-// newFixtureWithStartedTask returns a fixture with a job of one task whose start was sent to worker "w".
-func newFixtureWithStartedTask() (*fixture, structs.Allocation) {
+// newFixtureWithPlacedTask returns a fixture with a job whose task 0 is to be started on worker "w", and is durable.
+func newFixtureWithPlacedTask(kind structs.JobKind, tasks int) (*fixture, structs.Allocation) {
 	f := newFixture(NewState())
-	f.accept(structs.KindBatch, 1)
+	f.accept(kind, tasks)
 	f.sendHeartbeat("w", 7, nil)
 	alloc := f.place("w")
 	f.commit()
+	return f, alloc
+}
+
+// newFixtureWithStartedTask returns a fixture with a job of one task whose start was sent to worker "w".
+func newFixtureWithStartedTask() (*fixture, structs.Allocation) {
+	f, alloc := newFixtureWithPlacedTask(structs.KindBatch, 1)
 	f.sendHeartbeat("w", 7, nil)
 	return f, alloc
 }
@@ -92,11 +98,7 @@
 // Guards against a result that the agent discards before it is durable.
 func TestResultIsAcknowledgedOnceDurable(t *testing.T) {
 	c := qt.New(t)
-	f := newFixture(NewState())
-	f.accept(structs.KindBatch, 2)
-	f.sendHeartbeat("w", 7, nil)
-	alloc := f.place("w")
-	f.commit()
+	f, alloc := newFixtureWithPlacedTask(structs.KindBatch, 2)
 	c.Assert(f.sendHeartbeat("w", 7, nil, resultOf(alloc, structs.TaskFinished)).AckResults, qt.HasLen, 0)
 	c.Assert(f.sendHeartbeat("w", 7, nil, resultOf(alloc, structs.TaskFinished)).AckResults, qt.HasLen, 0)
 	f.commit()
@@ -148,11 +150,7 @@
 // Guards against a start that is withdrawn while it can still arrive, and against one that is offered indefinitely.
 func TestUndeliveredStartIsRequeuedOnceExpired(t *testing.T) {
 	c := qt.New(t)
-	f := newFixture(NewState())
-	f.accept(structs.KindService, 1)
-	f.sendHeartbeat("w", 7, nil)
-	f.place("w")
-	f.commit()
+	f, _ := newFixtureWithPlacedTask(structs.KindService, 1)
 	f.now = f.now.Add(time.Second)
 	_, ok := f.StartRequest("w", f.now, true)
 	c.Assert(ok, qt.IsTrue)
@@ -288,11 +286,7 @@
 // Guards against an attempt that starts twice because its host was lost after the start and returned immediately.
 func TestStartIsNotOfferedToALaterProcess(t *testing.T) {
 	c := qt.New(t)
-	f := newFixture(NewState())
-	f.accept(structs.KindBatch, 1)
-	f.sendHeartbeat("w", 7, nil)
-	f.place("w")
-	f.commit()
+	f, _ := newFixtureWithPlacedTask(structs.KindBatch, 1)
 	c.Assert(f.sendHeartbeat("w", 7, nil).Start, qt.HasLen, 1)
 	reply, err := f.Heartbeat(f.now, f.now, structs.Heartbeat{
 		Worker: structs.Worker{Name: "w"}, Incarnation: "later", StartedUnixNano: 1, Sequence: 1, Epoch: 7,
