--- a/test/faultnet/faultnet_test.go
+++ b/test/faultnet/faultnet_test.go
@@ -73,6 +73,17 @@
 	return conn
 }
 
+// assertEchoed sends a text and asserts that it comes back as it was sent. It writes and reads at once, as the text may exceed the
+// buffers of the connection.
+func assertEchoed(c *qt.C, conn net.Conn, text string) {
+	c.Helper()
+	go func() { _, _ = io.WriteString(conn, text) }()
+	got := make([]byte, len(text))
+	_, err := io.ReadFull(conn, got)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(got) == text, qt.IsTrue)
+}
+
 func roundTrip(c *qt.C, conn net.Conn, line string) string {
 	_, err := io.WriteString(conn, line+"\n")
 	c.Assert(err, qt.IsNil)
@@ -155,13 +166,7 @@
 	eventually(c, "the server has responded", func() bool { return e.count() == 4 })
 	expectNoData(c, held)
 	f.SetDelay(ToClient, time.Millisecond)
-	conn := dial(c, f)
-	text := strings.Repeat("0123456789", 100_000)
-	go func() { _, _ = io.WriteString(conn, text) }()
-	got := make([]byte, len(text))
-	_, err = io.ReadFull(conn, got)
-	c.Assert(err, qt.IsNil)
-	c.Assert(string(got) == text, qt.IsTrue)
+	assertEchoed(c, dial(c, f), strings.Repeat("0123456789", 100_000))
 }
 
 // Guards against a truncation that delivers more or fewer bytes than its limit, or that resets the connection.
@@ -266,13 +271,8 @@
 	f.SetClientDelay(func(net.Addr) DelayFunc {
 		return func(Direction) time.Duration { return time.Duration(calls.Add(1)%5) * time.Millisecond }
 	})
-	conn := dial(c, f)
 	text := strings.Repeat("0123456789", 100_000)
-	go func() { _, _ = io.WriteString(conn, text) }()
-	got := make([]byte, len(text))
-	_, err = io.ReadFull(conn, got)
-	c.Assert(err, qt.IsNil)
-	c.Assert(string(got) == text, qt.IsTrue)
+	assertEchoed(c, dial(c, f), text)
 	c.Assert(calls.Load() > 2, qt.IsTrue)
 	expectNoData(c, held)
 	c.Assert(e.count(), qt.Equals, len(text))
