--- a/workflow/engine/crashes.go
+++ b/workflow/engine/crashes.go
@@ -15,7 +15,7 @@
 	// others.
 	maxUnsuspectedCrashes = 3
 	// crashAvoidance is how long a suspect is not started on the host on which an executor has crashed under it, so that a host
-	// that fails repeatedly does not convict it.
+	// that fails repeatedly does not make its job given up.
 	crashAvoidance = 5 * time.Second
 )
 
@@ -27,10 +27,10 @@
 	// of these executors that are up, of upNodes.
 	probedJobs           map[*job]*node
 	probedNodes, upNodes int
-	// convicted holds the tasks whose jobs the next Plan gives up.
-	convicted []*task
-	crashes   []Crash
-	givenUp   []CrashingTask
+	// crashing holds the tasks that crash executors and whose jobs the next Plan gives up.
+	crashing []*task
+	crashes  []Crash
+	givenUp  []CrashingTask
 }
 
 func newCrashState() crashState {
@@ -78,9 +78,9 @@
 	return CrashingTask{Task: t.name, Crashes: t.crashes.total, Suspicions: t.crashes.suspicions}
 }
 
-// recordCrash records the crash of an executor and decides which of its tasks are suspects and which are convicted.
+// recordCrash records the crash of an executor and decides which of its tasks are suspects, and which jobs are to be given up.
 func (e *Engine) recordCrash(n *node, incarnation string, runs []crashedRun, now time.Time) {
-	isExplained := slices.ContainsFunc(runs, crashedRun.isOfConvictedJob)
+	isExplained := slices.ContainsFunc(runs, crashedRun.isOfCrashingJob)
 	runs = withoutEnded(runs)
 	if len(runs) == 0 {
 		return
@@ -113,9 +113,9 @@
 		t.crashes.suspectSince = now
 		t.avoidedHost, t.avoidedUntil = n.name, now.Add(crashAvoidance)
 		isSuspect := slices.ContainsFunc(suspects, func(s crashedRun) bool { return s.task == t })
-		if r.isConvicted(alone && isSuspect, isExplained) {
-			e.crashes.convicted = append(e.crashes.convicted, t)
-			t.job.convicted = true
+		if r.exceedsCrashLimits(alone && isSuspect, isExplained) {
+			e.crashes.crashing = append(e.crashes.crashing, t)
+			t.job.crashing = true
 		}
 	}
 	crash := Crash{Node: n.name, Executor: incarnation, Runs: len(runs)}
--- a/workflow/engine/crashes_of_done_tasks_test.go
+++ b/workflow/engine/crashes_of_done_tasks_test.go
@@ -8,9 +8,9 @@
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
-// convictDoneTask convicts the first task of a job of crashing executors and then reports that its earlier run has finished it, and that
-// of the second task as well. The start of the next run of the second task has no answer. It returns that start and its node.
-func (h *harness) convictDoneTask(job workflow.Job) (pending workflow.StartOrder, node string) {
+// crashUnderDoneTask makes the first task of a job crash executors until the job is to be given up, and then reports that earlier runs
+// have finished both tasks. The start of the next run of the second task has no answer. It returns that start and its node.
+func (h *harness) crashUnderDoneTask(job workflow.Job) (pending workflow.StartOrder, node string) {
 	h.engine.Add(job, &workflow.JobRecord{Phase: workflow.Running, Tasks: []workflow.TaskRecord{
 		{Index: 0, Phase: workflow.TaskWaiting, Run: 1, Crashes: 4, Suspicions: 2}, {Index: 1, Phase: workflow.TaskWaiting, Run: 1},
 	}}, h.now, h.now)
@@ -37,7 +37,7 @@
 func TestDoneJobIsNotGivenUpWhileStartIsPending(t *testing.T) {
 	h := newHarness(t)
 	job := h.job(step(2))
-	pending, node := h.convictDoneTask(job)
+	pending, node := h.crashUnderDoneTask(job)
 	h.plan()
 	h.Assert(h.phase(job.ID), qt.Equals, workflow.Running)
 	h.engine.HandleOrderResult(node, 1, &workflow.OrderResult{Task: pending.Task, Run: 2, Outcome: workflow.OutcomeDone, Sequence: 1}, h.now)
@@ -49,7 +49,7 @@
 func TestJobIsNotGivenUpForDoneTask(t *testing.T) {
 	h := newHarness(t)
 	job := h.job(step(2), step(1))
-	h.convictDoneTask(job)
+	h.crashUnderDoneTask(job)
 	h.plan()
 	h.Assert(h.phase(job.ID), qt.Equals, workflow.Running)
 }
--- a/workflow/engine/job.go
+++ b/workflow/engine/job.go
@@ -28,8 +28,8 @@
 	recorded  bool
 	forgotten bool
 	cancelled bool
-	// convicted is set once the job is to be given up because a task of it crashes executors.
-	convicted bool
+	// crashing is set once the job is to be given up because a task of it crashes executors.
+	crashing bool
 	// idleSince is when Plan first found the job ready with no task running; zero while a task runs.
 	idleSince time.Time
 	// noRunSince is when no executor was first found to list a run of the job although a task was ready; zero while one does.
