--- a/clock/boot.go
+++ b/clock/boot.go
@@ -2,11 +2,11 @@
 
 import "time"
 
-// Boot is a clock that goes on while the host is suspended. Leases, permissions that end, and the ages of reports are judged by it:
-// other hosts and executors go on, too. It is not affected by changes of the time of day.
+// Boot is a clock that keeps running while the host is suspended. It measures leases, other permissions that expire, and the ages of
+// reports, since other hosts and executors keep running too. It is not affected by changes of the time of day.
 //
-// Its times have no monotonic reading and are to be compared only with times of the same clock. If the host can't tell the time
-// since it booted, the clock goes on with the monotonic one.
+// Its times have no monotonic reading and may be compared only with times of the same clock. If the time since boot can't be read, the
+// clock follows the monotonic clock.
 type Boot struct {
 	host Host
 	// origin is when the clock was created on the monotonic clock, and sinceBoot the time since boot at that moment.
--- a/clock/boot_test.go
+++ b/clock/boot_test.go
@@ -36,7 +36,7 @@
 
 func (unreadable) SinceBoot() (time.Duration, bool) { return 0, false }
 
-// Guards against a clock that stands still altogether if the time since boot can't be read.
+// Guards against a clock that stops if the time since boot can't be read.
 func TestBootClockFallsBackToMonotonicClock(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -16,8 +16,9 @@
 	maxQueuedLines = 4096
 	// flushInterval is how long lines are collected before they are written together.
 	flushInterval = 50 * time.Millisecond
-	// bufferBytes is the maximum size of a combined write; only a single line may be longer. It is PIPE_BUF of Linux: a pipe takes up
-	// to that as a whole, so that other processes' output never comes between, and collectors read at least as much at a time.
+	// bufferBytes is the maximum size of a combined write; only a single line may be longer. It is PIPE_BUF of Linux: writes to a pipe
+	// of up to that size are atomic, so they are never interleaved with output of other processes, and collectors read at least as
+	// much at a time.
 	bufferBytes = 4 << 10
 )
 
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -43,11 +43,11 @@
 	return len(p), nil
 }
 
-// pipeBuffer is PIPE_BUF of Linux, up to which a write to a pipe is not cut apart.
+// pipeBuffer is PIPE_BUF of Linux, the size up to which a write to a pipe is atomic.
 const pipeBuffer = 4096
 
-// Guards against lines that are cut apart where the buffer is full or the pipe cuts a write, so that those of other processes come between the pieces; also
-// against a line longer than the buffer that is.
+// Guards against lines that are split across two writes, or by the pipe, so that lines of other processes are interleaved with the
+// parts; also against a line longer than the buffer that is split.
 func TestWritesEndWithWholeLines(t *testing.T) {
 	out := &recordedWrites{}
 	w := logging.NewWriter(out, tally.NoopScope)
--- a/workflow/engine/crashed_runs.go
+++ b/workflow/engine/crashed_runs.go
@@ -30,8 +30,8 @@
 	timed bool
 }
 
-// crashedRuns returns the unfinished runs on an incarnation with their ages, apart from those that were ordered only after a connection
-// to it had broken: unless it has confirmed them, it had ended by then.
+// crashedRuns returns the unfinished runs on an incarnation with their ages. It leaves out unconfirmed runs that were ordered after a
+// connection to the incarnation had broken, by which time it had ended.
 func (e *Engine) crashedRuns(n *node, incarnation string) []crashedRun {
 	tasks := e.tasksWithRun[incarnation]
 	alive, timed := time.Time{}, false
@@ -61,7 +61,7 @@
 	return runs
 }
 
-// begunAt returns when the run that a task has began, as far as this owner knows; zero if it doesn't.
+// begunAt returns when the current run of the task began, or the zero time if this owner doesn't know.
 func (t *task) begunAt() time.Time {
 	if !t.startedAt.IsZero() {
 		return t.startedAt
--- a/workflow/engine/order_results_test.go
+++ b/workflow/engine/order_results_test.go
@@ -140,7 +140,7 @@
 	}
 }
 
-// Guards against a gang that waits for good for a member whose start was rejected, while the others run.
+// Guards against a gang that waits for ever for a member whose start was rejected, while the others run.
 func TestGangWithRejectedMemberStartsAgain(t *testing.T) {
 	h := newHarness(t)
 	gang := step(2)
--- a/workflow/engine/output.go
+++ b/workflow/engine/output.go
@@ -163,8 +163,9 @@
 	return j.storedPhase, true
 }
 
-// Waiting returns the number of a queue's accepted jobs without a due time of which no task has started. An order is no start: it may
-// be carried out seconds later or not at all. Jobs whose first runs only a former owner has seen count until executors list them.
+// Waiting returns the number of a queue's accepted jobs without a due time of which no task has started. An ordered start doesn't count
+// as started, since it may be carried out seconds later or not at all. Jobs whose first runs only a former owner has seen count until
+// executors list them.
 func (e *Engine) Waiting(queue string) int {
 	count := 0
 	for _, j := range e.jobs {
--- a/workflow/engine/pending_starts_test.go
+++ b/workflow/engine/pending_starts_test.go
@@ -9,8 +9,8 @@
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
-// pendingStart is a job with one task. The lease of executor "a" has expired, which then lists that its run of the task is done. Before,
-// the next run was ordered on executor "c", and the result of this start is outstanding.
+// pendingStart is a job with one task. The lease of executor "a" has expired and the next run was ordered on executor "c", where the
+// result of the start is outstanding. Then "a" lists that its run of the task is done.
 type pendingStart struct {
 	*harness
 	job  workflow.Job
@@ -41,7 +41,7 @@
 	s.answer("c", s.start, outcome)
 }
 
-// Guards against a task that starts after its end was acknowledged: the start was ordered before, and waits on its node behind
+// Guards against a task that starts after its end was acknowledged: the start was ordered before, and is queued on its node behind
 // others that get no answer (TWICE).
 func TestEndIsNotAcknowledgedBeforeStartIsAnswered(t *testing.T) {
 	for _, outcome := range []workflow.Outcome{workflow.OutcomeDone, workflow.OutcomeRejected, workflow.OutcomeUnknown} {
@@ -56,7 +56,7 @@
 	}
 }
 
-// Guards against the same start if a former owner has ordered it: it is sent unless its node knows the new owner.
+// Guards against a start by a former owner after the end was acknowledged: the node sends it until it knows the new owner.
 func TestEndIsNotAcknowledgedBeforeNodeOfStartKnowsOwner(t *testing.T) {
 	s := newPendingStart(t)
 	s.epoch++
@@ -66,7 +66,7 @@
 	s.Assert(s.reportDone(), qt.Equals, int64(2))
 }
 
-// Guards against ends that are never acknowledged since the node of a start is lost.
+// Guards against ends that are never acknowledged because the node of another start is lost.
 func TestEndIsAcknowledgedOnceLeaseOfStartHasExpired(t *testing.T) {
 	s := newPendingStart(t)
 	s.Assert(s.reportDone(), qt.Equals, int64(1))
@@ -75,7 +75,7 @@
 	s.Assert(s.reportDone(), qt.Equals, int64(2))
 }
 
-// Guards against a task that starts after its job was shown as completed, for the same reason (TWICE).
+// Guards against a task that starts after its job was shown as completed, while the result of the start is outstanding (TWICE).
 func TestJobIsCompletedOnceStartIsAnswered(t *testing.T) {
 	for _, outcome := range []workflow.Outcome{workflow.OutcomeDone, workflow.OutcomeRejected, workflow.OutcomeUnknown} {
 		t.Run(string(outcome), func(t *testing.T) {
@@ -90,7 +90,7 @@
 	}
 }
 
-// Guards against a job that is never completed since its owner has changed before the start was answered.
+// Guards against a job that is never completed because the owner changed before the start was answered.
 func TestNewOwnerCompletesJobOnceNodeOfStartKnowsIt(t *testing.T) {
 	s := newPendingStart(t)
 	s.reportDone()
@@ -140,15 +140,16 @@
 	return g
 }
 
-// assertCompleted asserts that the end of the first member is acknowledged, and the job completed, without a sign of the other one.
+// assertCompleted asserts that the end of the first member is acknowledged and the job completed, although nothing is known of the other
+// member.
 func (g *pendingGang) assertCompleted() {
 	g.Assert(g.report("a", executor("a", 1), nil, []workflow.RunEnd{g.done}), qt.Equals, int64(1))
 	g.plan()
 	g.Assert(g.phase(g.job.ID), qt.Equals, workflow.Completed)
 }
 
-// Guards against a gang whose end is not acknowledged, and whose job is not shown as completed, for as long as the node of another
-// member doesn't report to a new owner: that member has begun, or the gang couldn't have finished.
+// Guards against a finished gang whose end isn't acknowledged, and whose job isn't shown as completed, until the node of another member
+// reports to a new owner. That isn't needed: all members of a finished gang have begun.
 func TestNewOwnerDoesNotAwaitNodesOfDoneGang(t *testing.T) {
 	g := newPendingGang(t)
 	g.epoch++
@@ -156,7 +157,7 @@
 	g.assertCompleted()
 }
 
-// Guards against the same while the result of another member's start is outstanding.
+// Guards against a finished gang whose end isn't acknowledged while the result of another member's start is outstanding.
 func TestResultOfStartIsNotAwaitedOnceGangIsDone(t *testing.T) {
 	newPendingGang(t).assertCompleted()
 }
--- a/workflow/engine/placement_world_test.go
+++ b/workflow/engine/placement_world_test.go
@@ -15,7 +15,7 @@
 type pendingOrders struct {
 	engine.NodeOrders
 	until time.Time
-	// givenUp is set once the owner has taken them for unanswered.
+	// givenUp is set once the owner counts them as unanswered.
 	givenUp bool
 }
 
@@ -26,7 +26,7 @@
 	results        []workflow.OrderResult
 }
 
-// placementWorld runs an engine against hosts with faults, and checks where the starts that it orders may lead.
+// placementWorld runs an engine against hosts with faults, and checks the starts that it orders against all runs that may exist.
 type placementWorld struct {
 	engine *engine.Engine
 	now    time.Time
@@ -39,7 +39,8 @@
 	jobs      []workflow.Job
 	records   map[string]workflow.JobRecord
 	cancelled map[string]bool
-	// changes, uncommitted and storedAcks are what a batch stores, and its orders and acknowledgements; acks are those of the next one.
+	// changes holds the records that the current batch stores, uncommitted its orders, and storedAcks its acknowledgements. acks holds
+	// the acknowledgements of the next batch.
 	changes          []engine.Change
 	uncommitted      []engine.NodeOrders
 	acks, storedAcks map[string]int64
@@ -132,7 +133,7 @@
 	case "wait":
 		w.wait(placementWaits[a.pick%len(placementWaits)])
 	case "lapse":
-		// The leases of the executors that don't respond run out.
+		// The leases of the executors that don't respond expire.
 		for range a.pick {
 			w.wait(time.Second)
 			w.reportAll()
@@ -244,7 +245,7 @@
 	w.engine.ExpireLeases(w.now)
 }
 
-// round lets everything happen that happens without faults, within moments.
+// round delivers all reports, orders and results at once, as without faults.
 func (w *placementWorld) round() {
 	w.wait(placementWaits[0])
 	w.reportAll()
@@ -257,7 +258,7 @@
 	w.results = nil
 }
 
-// deliverFrom delivers the orders from the given one on.
+// deliverFrom delivers the orders from the given index on.
 func (w *placementWorld) deliverFrom(i, outcome int) {
 	for len(w.orders) > i {
 		w.deliver(i, outcome)
@@ -308,7 +309,7 @@
 	}
 }
 
-// flush plans, and begins to store what has changed.
+// flush plans, and begins to store the changed records.
 func (w *placementWorld) flush() {
 	if w.changes != nil || w.uncommitted != nil {
 		return
@@ -322,7 +323,7 @@
 	}
 }
 
-// commit stores what flush began to, and releases the orders and acknowledgements.
+// commit finishes what flush began, and releases the orders and acknowledgements.
 func (w *placementWorld) commit() {
 	w.store()
 	w.engine.MarkStored(w.changes)
@@ -343,7 +344,7 @@
 	}
 }
 
-// changeOwner lets another owner take over. What the former one began to store is stored or lost.
+// changeOwner lets another owner take over. The batch that the former one was storing is stored or lost.
 func (w *placementWorld) changeOwner(stored bool) {
 	if stored {
 		w.store()
@@ -367,7 +368,7 @@
 	}
 }
 
-// giveUp makes the owner take orders for unanswered. They may still reach their node.
+// giveUp makes the owner count orders as unanswered. They may still reach their node.
 func (w *placementWorld) giveUp(o *pendingOrders) {
 	if o.givenUp {
 		return
--- a/workflow/engine/plan.go
+++ b/workflow/engine/plan.go
@@ -34,8 +34,8 @@
 const (
 	// maxIdleTime is how long a ready job may have no task running while most capacity is unreserved.
 	maxIdleTime = time.Second
-	// failedGangDelay is the minimum time between two starts of an idle gang of which members have failed. The second may be on the
-	// same executors, which may fail runs for seconds, and each failure uses up an attempt of the whole gang.
+	// failedGangDelay is the minimum time between two starts of an idle gang with members that have failed. The next start may be on
+	// the same executors, which may fail runs for seconds, and each failure uses up an attempt of the whole gang.
 	failedGangDelay = 2 * time.Second
 	// lowReservation is the reserved fraction of the CPU of a pool below which most capacity counts as unreserved.
 	lowReservation = 0.6
@@ -55,7 +55,7 @@
 		case j.idleSince.IsZero():
 			j.idleSince = now
 		}
-		// A start that leads to no run does not reset idleSince, and holds other tasks back only while its result is to be expected.
+		// A start that leads to no run does not reset idleSince, and delays other tasks only while its result can still arrive.
 		if now.Sub(j.idleSince) < maxIdleTime || j.startedSince(now.Add(-maxIdleTime)) {
 			continue
 		}
@@ -117,7 +117,7 @@
 	return float64(used) / float64(max(capacity, 1))
 }
 
-// readyJobs returns the jobs that have tasks to start, in the order in which they get what is free.
+// readyJobs returns the jobs that have tasks to start, in the order in which they get free capacity.
 func (e *Engine) readyJobs(now, wall time.Time) []candidate {
 	var found []candidate
 	for _, j := range e.activeJobs {
--- a/workflow/engine/presumed_crashes.go
+++ b/workflow/engine/presumed_crashes.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// presumedCrash is the crash of an executor that is presumed since its lease has expired while its node reports: the executor may have
-// given no answers for another reason.
+// presumedCrash is the crash of an executor that is only presumed, because its lease has expired while its node reports: the executor
+// may have given no answers for another reason.
 type presumedCrash struct {
 	incarnation string
 	// at is when the lease had expired.
@@ -11,13 +11,13 @@
 	counts []presumedCount
 }
 
-// presumedCount holds what was known of the crashes under a task before and after the presumed one.
+// presumedCount holds the crashes of a task before and after the presumed one was counted.
 type presumedCount struct {
 	task          *task
 	before, after taskCrashes
 }
 
-// presumeCrash returns a presumed crash with what is known before it is recorded.
+// presumeCrash returns a presumed crash with the counts of its tasks before it is counted.
 func presumeCrash(n *node, runs []crashedRun, now time.Time) presumedCrash {
 	p := presumedCrash{incarnation: n.executorIncarnation, at: now}
 	for _, r := range runs {
@@ -26,7 +26,7 @@
 	return p
 }
 
-// noteCounts keeps what is known after the presumed crash was recorded.
+// noteCounts records the counts after the presumed crash was counted.
 func (p *presumedCrash) noteCounts() {
 	for i := range p.counts {
 		p.counts[i].after = p.counts[i].task.crashes
@@ -34,7 +34,7 @@
 }
 
 // withdrawCrash withdraws the presumed crash of an executor that has listed its runs again, at n.listedAt. Its node may repeat older
-// lists until then. What has become known of a task since the crash was presumed stays.
+// lists until then. Tasks whose crashes have changed since the crash was presumed keep them.
 func (e *Engine) withdrawCrash(n *node) {
 	presumed := n.presumed
 	if presumed.incarnation != n.executorIncarnation || !n.listedAt.After(presumed.at) {
--- a/workflow/engine/probes.go
+++ b/workflow/engine/probes.go
@@ -8,19 +8,19 @@
 )
 
 const (
-	// maxProbe is how long at most nothing else starts on an executor that a suspect has started on.
+	// maxProbe is the maximum time for which nothing else starts on an executor after a suspect has started there.
 	maxProbe = 4 * time.Second
 	// quietTime is how long an executor must have been without starts of other jobs before a suspect starts there.
 	quietTime = 300 * time.Millisecond
-	// maxProbeWait is how long a suspect waits for an executor of its own, unless it is one for the second time.
+	// maxProbeWait is how long a suspect of one crash waits for an executor without other suspects.
 	maxProbeWait = 1500 * time.Millisecond
-	// maxIsolationWait is how long a suspect waits at most for an executor on which it can be told from other causes. A job may
-	// have nothing running for 3 s if there is room for it.
+	// maxIsolationWait is the maximum time for which a suspect waits for an executor on which a crash would show whether it is the
+	// cause. A job may have nothing running for 3 s while there is room for it.
 	maxIsolationWait = 2 * time.Second
 	// maxProbedShare is the fraction of the executors on which suspects may start at the same time.
 	maxProbedShare = 0.5
-	// suspectTaskWeight and suspectServingWeight are how much suspects prefer executors with one task, or one serving task,
-	// less: all of them end if the executor crashes.
+	// suspectTaskWeight and suspectServingWeight lower the score of an executor for a suspect by each task, or each serving task, on
+	// it: all of them end if the executor crashes.
 	suspectTaskWeight    = 0.05
 	suspectServingWeight = 0.5
 )
@@ -125,7 +125,7 @@
 	})
 }
 
-// awaitsIsolation reports whether a suspect starts only where it can be told from other causes of a crash.
+// awaitsIsolation reports whether a suspect starts only on an executor on which a crash would show whether it is the cause.
 func (t *task) awaitsIsolation(now time.Time) bool {
 	return t.isSuspect() && now.Sub(t.crashes.suspectSince) < maxIsolationWait
 }
--- a/workflow/engine/run_places.go
+++ b/workflow/engine/run_places.go
@@ -32,7 +32,7 @@
 
 func compareTasks(a, b *task) int { return cmp.Compare(a.name, b.name) }
 
-// releaseRun lets go of the run of a task, whose place on its executor becomes free. An assigned task waits again. The caller has
+// releaseRun removes the run of a task from its executor, where its place becomes free. An assigned task waits again. The caller has
 // made sure that the run has ended and can't begin any more, and gives the cause.
 func (e *Engine) releaseRun(t *task, cause EndCause, now time.Time) {
 	t.keepFormerRun(cause, now)
--- a/workflow/engine/simulated_hosts_test.go
+++ b/workflow/engine/simulated_hosts_test.go
@@ -82,7 +82,7 @@
 	}
 }
 
-// list makes the node list the runs of the executor, and learn of it.
+// list makes the node fetch the lists of the executor, which also makes the executor known to it.
 func (h *faultyHost) list(now time.Time) {
 	if h.silent {
 		return
@@ -94,7 +94,7 @@
 	}
 }
 
-// announce makes the node learn of an executor from an announcement alone. It may not be the one that runs.
+// announce makes the node learn of an executor from an announcement alone. The executor may differ from the one that runs.
 func (h *faultyHost) announce(x workflow.Executor) { h.known, h.lists = x, nil }
 
 // report returns the next report of the node, with the last lists.
--- a/workflow/engine/superseded.go
+++ b/workflow/engine/superseded.go
@@ -26,8 +26,8 @@
 	Cause          EndCause
 	// Held is how long the run kept its place after it had been superseded or, if Restored is set, after this owner had read of it.
 	Held time.Duration
-	// Restored is set if this owner knows from the record of the job that the task is done and that its newest run may go on. That
-	// may also be the run of a member of a gang that has finished.
+	// Restored is set if this owner knows from the record of the job that the task is done and that its newest run may still run. That
+	// run may also be one of a gang that another member has finished.
 	Restored bool
 }
 
--- a/workflow/engine/suspects.go
+++ b/workflow/engine/suspects.go
@@ -11,8 +11,9 @@
 
 func (t *task) isSuspect() bool { return t.crashes.suspicions > 0 }
 
-// suspectsOf returns the runs that may have caused a crash: those from whose start it followed, first those of suspects of an
-// earlier one; or else those of such suspects, or else those that had begun shortly before, or else all but the old ones.
+// suspectsOf returns the runs that may have caused a crash, by the first of these rules that applies to any run: the crash followed
+// from its start and its task was a suspect before; the crash followed from its start; its task was a suspect before and it wasn't old;
+// it had begun shortly before; it wasn't old.
 func suspectsOf(runs []crashedRun) []crashedRun {
 	for _, suspected := range []func(r *crashedRun) bool{
 		func(r *crashedRun) bool { return r.task.isSuspect() && r.isSudden() },
@@ -34,8 +35,8 @@
 	return nil
 }
 
-// countCrash counts the crash for the task of a run. An age that differs much from those at earlier crashes shows that the task was
-// not the cause of all of them, so that counting begins anew.
+// countCrash counts the crash for the task of a run. If the age of the run differs much from the ages at earlier crashes, the task was
+// not the cause of all of them, so the count restarts.
 func (e *Engine) countCrash(r *crashedRun) {
 	c := &r.task.crashes
 	if r.known && (r.age >= maxCrashAge || c.age > 0 && !similarAges(min(c.minAge, r.age), max(c.age, r.age))) {
--- a/workflow/engine/waiting_jobs_test.go
+++ b/workflow/engine/waiting_jobs_test.go
@@ -40,8 +40,7 @@
 	return []workflow.RunEnd{{Number: 1, Task: w.start.Task, Run: w.start.Run, How: how}}
 }
 
-// Guards against jobs that are not counted as waiting although no executor has begun them, since starts of them were ordered and
-// get no answer (MIXED).
+// Guards against jobs that aren't counted as waiting because starts of them were ordered, although no executor has begun them (MIXED).
 func TestJobWaitsUntilStartIsConfirmed(t *testing.T) {
 	w := newWaitingJob(t)
 	w.Assert(w.waiting(), qt.Equals, 1, qt.Commentf("the result is outstanding"))
@@ -52,7 +51,7 @@
 	w.Assert(w.engine.Waiting("other"), qt.Equals, 0)
 }
 
-// Guards against jobs that wait for ever by the count: each sign of a run counts.
+// Guards against jobs that are counted as waiting for ever although they have begun: any sign of a run is enough.
 func TestJobHasBegunWithAnySignOfRun(t *testing.T) {
 	signs := map[string]func(w *waitingJob){
 		"start confirmed": func(w *waitingJob) { w.answerStart(workflow.OutcomeDone) },
@@ -81,8 +80,7 @@
 	}
 }
 
-// Guards against a new owner that takes a start which its predecessor has ordered for a run, or a job that has begun for one that
-// hasn't.
+// Guards against a new owner that takes a start ordered by its predecessor for a run, or counts a job that has begun as waiting.
 func TestNewOwnerCountsWaitingJobs(t *testing.T) {
 	w := newWaitingJob(t)
 	w.epoch++
@@ -97,7 +95,7 @@
 	w.Assert(w.waiting(), qt.Equals, 0, qt.Commentf("the run has ended, and its task waits again"))
 }
 
-// Guards against a count of jobs that have ended without having begun.
+// Guards against counting jobs as waiting that have ended without having begun.
 func TestCancelledJobDoesNotWait(t *testing.T) {
 	w := newWaitingJob(t)
 	w.engine.Cancel(w.job.ID, w.now, w.now)
@@ -105,7 +103,7 @@
 	w.Assert(w.waiting(), qt.Equals, 0)
 }
 
-// Guards against a count of jobs that wait for their due times.
+// Guards against counting jobs as waiting that are not due yet.
 func TestScheduledJobDoesNotWait(t *testing.T) {
 	h := newHarness(t)
 	job := h.job(step(1))
