--- a/test/workflows/crashed_executors_test.go
+++ b/test/workflows/crashed_executors_test.go
@@ -31,7 +31,7 @@
 	}
 }
 
-// Guards against a departure that is forgotten, since the node's process ends between its announcement and the report.
+// Guards against a departure that is lost because the node's process ends between its announcement and the report.
 func TestTasksOfDepartedExecutorRestartAfterNodeRestart(t *testing.T) {
 	runWithFleet(t, 8, func(f *fleet) {
 		leaving, tasks := f.startLongRunning()
@@ -45,7 +45,7 @@
 	})
 }
 
-// Guards against the same if the owner changes at any moment around the report of the crash.
+// Guards against tasks that wait for longer than a lease if the owner changes at any moment around the report of the crash.
 func TestTasksOfCrashedExecutorRestartDespiteNewOwners(t *testing.T) {
 	for _, planned := range []bool{true, false} {
 		for pause := time.Duration(0); pause < 800*time.Millisecond; pause += 90 * time.Millisecond {
@@ -86,7 +86,7 @@
 						}
 						time.Sleep(700 * time.Millisecond)
 					}
-					// Jobs under which executors crash again and again may be given up.
+					// Jobs may be given up if executors crash repeatedly under their tasks.
 					for _, id := range ids {
 						f.waitFor(3*time.Minute, func() bool { return f.phase(id).Final() })
 					}
--- a/test/workflows/crashing_tasks_test.go
+++ b/test/workflows/crashing_tasks_test.go
@@ -94,7 +94,7 @@
 	})
 }
 
-// Guards against the same if the executors come back under their IDs, where starts meant for their former incarnations may arrive.
+// Guards against such a task if the executors return under the same IDs, where starts meant for former incarnations may arrive.
 func TestCrashingTaskIsGivenUpIfExecutorsKeepTheirIDs(t *testing.T) {
 	runWithFleet(t, 6, func(f *fleet) {
 		for _, h := range f.hosts {
@@ -106,7 +106,7 @@
 	})
 }
 
-// Guards against an owner that doesn't know which executors have crashed under a task before it took over (issue 22: BUDGET).
+// Guards against a new owner that doesn't count the executors that crashed under a task before it took over (issue 22: BUDGET).
 func TestCrashingTaskIsGivenUpDespiteTakeovers(t *testing.T) {
 	runWithFleet(t, 6, func(f *fleet) {
 		crashing, others, tasks := f.submitCrashing(2)
@@ -121,7 +121,7 @@
 	})
 }
 
-// Guards against a job that is given up because executors crash for reasons of their own while its tasks run.
+// Guards against a job that is given up because executors crash for other reasons while its tasks run.
 func TestCrashesOfExecutorsFailNoJob(t *testing.T) {
 	runWithFleet(t, 6, func(f *fleet) {
 		var ids []string
--- a/test/workflows/foreign_announcements_test.go
+++ b/test/workflows/foreign_announcements_test.go
@@ -10,7 +10,7 @@
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
-// announceForeign announces an executor at a host that doesn't run there, and that seems to be newer than the host's.
+// announceForeign announces at a host an executor that doesn't run there and seems to be newer than the host's own.
 func (h *host) announceForeign(sequence int64) {
 	h.node.Announce(workflow.Executor{
 		ID: "i-foreign", Pool: "foreign", FailureDomain: "domain", StartedUnixMillis: time.Now().Add(time.Hour).UnixMilli(),
@@ -18,8 +18,8 @@
 	}, sequence, 0)
 }
 
-// Guards against runs that lapse or run twice because another executor is announced at their host while theirs goes on, also
-// while theirs is silent for a moment.
+// Guards against tasks that lose their lease or run twice because another executor is announced at their host while theirs keeps
+// running, also if theirs is silent for a moment.
 func TestForeignAnnouncementDoesNotEndRuns(t *testing.T) {
 	for name, silence := range map[string]time.Duration{"responding": 0, "silent for a moment": 2500 * time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
@@ -47,8 +47,8 @@
 	}
 }
 
-// Guards against runs that are started elsewhere while they go on: their executor refuses connections and announces itself, and the
-// node has taken another executor, which was announced once, for the one at its host.
+// Guards against tasks that are started elsewhere while they run: their executor refuses connections but announces itself, and the node
+// has taken another executor, which was announced once, for the one at its host.
 func TestForeignAnnouncementAndRefusalsDoNotEndRuns(t *testing.T) {
 	runWithFleet(t, 3, func(f *fleet) {
 		for _, h := range f.hosts {
@@ -71,8 +71,8 @@
 	})
 }
 
-// Guards against idle executors that are never used again: another one was announced at their hosts while they were silent for a
-// moment.
+// Guards against idle executors that are never used again because another one was announced at their hosts while they were silent for
+// a moment.
 func TestIdleExecutorsAreUsedAfterForeignAnnouncement(t *testing.T) {
 	runWithFleet(t, 3, func(f *fleet) {
 		time.Sleep(3 * time.Second)
--- a/test/workflows/forgotten_jobs_test.go
+++ b/test/workflows/forgotten_jobs_test.go
@@ -12,12 +12,12 @@
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
-// shortRetention is how long owners keep finished jobs in tests that play beyond it. It exceeds the time by which calls of theirs are
-// carried out late, as the default does on a platform.
+// shortRetention is how long owners keep finished jobs in tests that last beyond it. It exceeds the delay of calls that are carried out
+// late, as the default does on a platform.
 const shortRetention = 10 * time.Second
 
-// Guards against tasks that run again after their job was deleted: a read of all inputs was sent before the deletion, and its
-// response arrives afterwards.
+// Guards against tasks that run again after their job was deleted, because the response to a read of all inputs from before the
+// deletion arrives afterwards.
 func TestForgottenJobIsNotAddedByOldRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
--- a/test/workflows/many_ends_test.go
+++ b/test/workflows/many_ends_test.go
@@ -20,7 +20,7 @@
 	checkManyEnds(t, false)
 }
 
-// Guards against the same when executors fetch their orders.
+// Guards against tasks that are started again after they are done when executors fetch their orders.
 func TestTasksBeyondListedEndsRunOnceWithFetchedOrders(t *testing.T) {
 	checkManyEnds(t, true)
 }
--- a/test/workflows/placement_test.go
+++ b/test/workflows/placement_test.go
@@ -21,7 +21,7 @@
 	runs map[string]map[string]bool
 	// pools holds the pools to which any configuration so far sends each queue.
 	pools map[string]map[string]bool
-	// changingUntil holds the times until which starts may exceed the capacity of each executor, by ID: it was changed.
+	// changingUntil holds, by ID, until when starts may exceed the capacity of an executor that was changed.
 	changingUntil map[string]time.Time
 }
 
@@ -103,7 +103,7 @@
 	return structs.Resources{}
 }
 
-// Guards against an oracle that misses starts that break a constraint, or takes others for such.
+// Guards against an oracle that misses starts that break a constraint, or reports others.
 func TestPlacementOracle(t *testing.T) {
 	job := workflow.Job{ID: "0000000000000001", Queue: testQueue, Steps: []workflow.Step{{
 		Count: 9, PerExecutor: 2, Label: "ssd", Need: structs.Resources{MilliCores: 1000},
--- a/test/workflows/refusals_test.go
+++ b/test/workflows/refusals_test.go
@@ -20,8 +20,8 @@
 	return job.ID
 }
 
-// Guards against tasks that run twice at once, since their executor refuses connections for a while: its server is away, it has as many
-// connections as it takes, or it is cut off from its node, so that its announcements are lost as well.
+// Guards against two runs of a task at once because its executor refuses connections for a while: its server is down, it has reached its
+// limit of connections, or it is cut off from its node, so that its announcements are lost as well.
 func TestRefusingExecutorKeepsItsRuns(t *testing.T) {
 	for _, announced := range []bool{true, false} {
 		for _, refused := range []time.Duration{100, 300, 500, 1000, 2000, 3000, 4500} {
--- a/test/workflows/silent_executors_test.go
+++ b/test/workflows/silent_executors_test.go
@@ -65,7 +65,7 @@
 	f.Assert(f.checker.foundViolations(), qt.HasLen, 0)
 }
 
-// assertRestartedOnceEnded waits until the tasks have ended where they ran, and then as assertRestarted from that moment.
+// assertRestartedOnceEnded waits until the tasks have ended where they ran, and then asserts that they restart, as assertRestarted does.
 func (l lostTasks) assertRestartedOnceEnded() {
 	l.fleet.Helper()
 	l.fleet.waitFor(30*time.Second, func() bool { return l.fleet.checker.runningOn(l.incarnation) == 0 })
@@ -87,7 +87,7 @@
 			t.Run(fmt.Sprintf("planned=%v/%v", planned, changes), func(t *testing.T) {
 				runWithFleet(t, 8, func(f *fleet) {
 					lost, tasks := f.startLongRunning()
-					// As the owner it would be stopped.
+					// The owner would be stopped by changeOwners.
 					lost.stopCandidacy()
 					lost.executor.Crash()
 					lostAt := time.Now()
@@ -117,7 +117,7 @@
 }
 
 // Guards against long-running tasks that stand still for longer the later the owner hands over after the loss of their host,
-// of which nobody but the former owner knows the lease (incident inc1: LOST).
+// whose lease only the former owner knows (incident inc1: LOST).
 func TestTasksOfLostHostRestartDespiteHandOver(t *testing.T) {
 	for _, changes := range [][]time.Duration{
 		{200 * time.Millisecond},
@@ -162,7 +162,7 @@
 			t.Run(fmt.Sprintf("alone=%v/%v", alone, pause), func(t *testing.T) {
 				runWithFleet(t, 8, func(f *fleet) {
 					lost := f.owner()
-					// The tasks run on all executors but two, and the owner's is none of these.
+					// The tasks run on all executors but two; the owner's is not one of the two.
 					spare := slices.DeleteFunc(slices.Clone(f.hosts), func(h *host) bool { return h == lost })[:2]
 					for _, h := range spare {
 						h.executor.SetDraining(true)
--- a/test/workflows/standstill_test.go
+++ b/test/workflows/standstill_test.go
@@ -29,7 +29,7 @@
 // standstillOracle finds jobs that stand still although they could run. It judges by what the executors observe alone.
 type standstillOracle struct {
 	*fleet
-	// jobs holds the IDs of the accepted jobs that nobody has cancelled.
+	// jobs holds the IDs of the accepted jobs that haven't been cancelled.
 	jobs []string
 	// mayFail holds the jobs that may be given up, since a task of theirs crashes executors.
 	mayFail map[string]bool
--- a/test/workflows/superseded_runs_test.go
+++ b/test/workflows/superseded_runs_test.go
@@ -12,11 +12,11 @@
 )
 
 const (
-	// runsOnLabel is the label of the executors on which the tasks of a superseding may run.
+	// runsOnLabel is the label of the executors that may run the tasks of a supersedingFleet.
 	runsOnLabel = "ssd"
-	// heldDomain is the failure domain of the executors on which they run again. It is evacuated until then.
+	// heldDomain is the failure domain of the executors that run the tasks again. It is evacuated until then.
 	heldDomain = "held"
-	// supersededTime is how long a run takes that is to be superseded.
+	// supersededTime is the run time of runs that are to be superseded.
 	supersededTime = 20 * time.Second
 	// lapseTime is the time after which the lease of an executor that has become silent has expired.
 	lapseTime = 8 * time.Second
@@ -24,18 +24,18 @@
 	maxOrderDelay = 6 * time.Second
 )
 
-// superseding is a fleet in which executors are cut off until their leases have expired, so that the tasks of a job run again on
-// others. The first runs have ended done meanwhile.
-type superseding struct {
+// supersedingFleet is a fleet with executors that are cut off until their leases have expired, so that the tasks of a job run again on
+// others. The first runs end as done while their executors are cut off.
+type supersedingFleet struct {
 	*fleet
 	cut, others []*host
 	job         workflow.Job
 }
 
-// newSuperseding lets the tasks of a step start on as many hosts as are cut off then. The other executors can run them once the
-// leases of these have expired, and a further task of the same size waits.
-func newSuperseding(f *fleet, cut int, step workflow.Step) *superseding {
-	s := &superseding{fleet: f, cut: f.hosts[:cut], others: f.hosts[cut : 2*cut]}
+// newSupersedingFleet starts the tasks of a step on the given number of hosts and cuts the executors of these off until their leases
+// have expired. Tasks beyond that number wait. The other executors can run the tasks again once runAgain is called.
+func newSupersedingFleet(f *fleet, cut int, step workflow.Step) *supersedingFleet {
+	s := &supersedingFleet{fleet: f, cut: f.hosts[:cut], others: f.hosts[cut : 2*cut]}
 	f.operators.evacuate(heldDomain)
 	for _, h := range s.cut {
 		h.label("domain")
@@ -52,7 +52,7 @@
 	f.submitUntilAccepted(s.job)
 	f.waitFor(3*time.Second, func() bool { return f.checker.runningCount() == cut })
 	for _, h := range s.cut {
-		// Nothing else starts there once they are back.
+		// Nothing else starts there once they respond again.
 		h.executor.SetDraining(true)
 	}
 	time.Sleep(announceInterval + time.Second)
@@ -64,18 +64,18 @@
 	return s
 }
 
-// label replaces the executor of a host by one of a failure domain that has the label of the tasks.
+// label replaces the executor of a host by one in the given failure domain that has the label of the tasks.
 func (h *host) label(domain string) {
 	h.executor.Replace(func(e *workflow.Executor) { e.Labels, e.FailureDomain = []string{runsOnLabel}, domain })
 }
 
 // task returns the name of a task of the job.
-func (s *superseding) task(index int) string {
+func (s *supersedingFleet) task(index int) string {
 	return workflow.TaskID{Job: s.job.ID, Index: index}.String()
 }
 
 // runAgain lets the tasks run on the other hosts.
-func (s *superseding) runAgain() {
+func (s *supersedingFleet) runAgain() {
 	s.operators.evacuate()
 	s.waitFor(5*time.Second, func() bool { return s.checker.runningCount() == len(s.others) })
 	for i := range s.others {
@@ -84,7 +84,7 @@
 }
 
 // reconnect lets the first executors list the ends of the first runs, and waits until these are acknowledged.
-func (s *superseding) reconnect() {
+func (s *supersedingFleet) reconnect() {
 	for _, h := range s.cut {
 		h.executor.SetUnresponsive(false)
 	}
@@ -92,7 +92,7 @@
 }
 
 // changeOwner makes the owner hand over, and waits for the next one.
-func (s *superseding) changeOwner() {
+func (s *supersedingFleet) changeOwner() {
 	former := s.owner()
 	former.stopCandidacy()
 	<-former.candidateDone
@@ -104,7 +104,7 @@
 	o.change(func(s *owner.OperatorState) { s.Evacuated = domains })
 }
 
-// isTaken reports whether the end of a done run of a task was acknowledged.
+// isTaken reports whether the end of a run that has finished a task was acknowledged.
 func (o *invariantChecker) isTaken(task string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -118,11 +118,11 @@
 	return step
 }
 
-// Guards against a start beyond the limit of its step, or beyond the capacity of an executor, beside a run that is to be stopped since
-// an earlier run has finished its task (incident ROUTE).
+// Guards against a start beyond the limit of its step, or beyond the capacity of an executor, beside a superseded run that has not been
+// stopped yet (incident ROUTE).
 func TestStartBesideSupersededRun(t *testing.T) {
 	runWithFleet(t, 3, func(f *fleet) {
-		s := newSuperseding(f, 1, oneOnEach(2))
+		s := newSupersedingFleet(f, 1, oneOnEach(2))
 		s.runAgain()
 		s.reconnect()
 		s.waitCompleted(time.Minute, s.job.ID)
@@ -130,10 +130,10 @@
 	})
 }
 
-// Guards against the same with another owner between the start of the second run and the end of the first.
+// Guards against a start beside a superseded run if the owner changes between the start of the second run and the end of the first.
 func TestStartBesideSupersededRunOfFormerOwner(t *testing.T) {
 	runWithFleet(t, 3, func(f *fleet) {
-		s := newSuperseding(f, 1, oneOnEach(2))
+		s := newSupersedingFleet(f, 1, oneOnEach(2))
 		s.runAgain()
 		s.changeOwner()
 		time.Sleep(2 * announceInterval)
@@ -143,12 +143,12 @@
 	})
 }
 
-// Guards against a start beside a member of a gang of which an earlier run has finished, on an executor without room for both.
+// Guards against a start beside a superseded gang member on an executor without room for both.
 func TestStartBesideSupersededGang(t *testing.T) {
 	runWithFleet(t, 4, func(f *fleet) {
 		gang := oneOnEach(2)
 		gang.Gang, gang.Need.MilliCores = true, 3000
-		s := newSuperseding(f, 2, gang)
+		s := newSupersedingFleet(f, 2, gang)
 		s.runAgain()
 		waiting := f.newJob(2)
 		waiting.Steps[0].Label, waiting.Steps[0].Need.MilliCores = runsOnLabel, 3000
@@ -158,8 +158,8 @@
 	})
 }
 
-// supersedeLateStart lets the start of the second run be carried out late, and the first run be known as done before.
-func (s *superseding) supersedeLateStart() {
+// supersedeLateStart delays the start of the second run until the first run is known to have finished the task.
+func (s *supersedingFleet) supersedeLateStart() {
 	x := s.others[0].executor
 	x.SetCallFaults(nodetest.CallFaults{Delayed: 1, MaxDelay: maxOrderDelay, OrdersOnly: true})
 	s.operators.evacuate()
@@ -168,21 +168,21 @@
 	s.Assert(s.checker.starts(s.task(0)), qt.Equals, 1)
 }
 
-// Guards against a start beside a run whose start is carried out once its task is done.
+// Guards against a start beside a run whose own start is carried out only after its task is done.
 func TestStartBesideSupersededLateRun(t *testing.T) {
 	runWithFleet(t, 3, func(f *fleet) {
-		s := newSuperseding(f, 1, oneOnEach(2))
+		s := newSupersedingFleet(f, 1, oneOnEach(2))
 		s.supersedeLateStart()
 		s.others[0].executor.SetCallFaults(nodetest.CallFaults{})
 		s.waitCompleted(time.Minute, s.job.ID)
 	})
 }
 
-// Guards against the same with a new owner, which knows of the run from the record of its task. The fencing token of its first call
-// blocks the late start as well, so that the test also passes without the record.
+// Guards against a start beside such a late run under a new owner, which knows the run from the record of its task. The fencing token of
+// the new owner's first call blocks the late start as well, so the test also passes without the record.
 func TestStartBesideSupersededLateRunOfFormerOwner(t *testing.T) {
 	runWithFleet(t, 3, func(f *fleet) {
-		s := newSuperseding(f, 1, oneOnEach(2))
+		s := newSupersedingFleet(f, 1, oneOnEach(2))
 		s.supersedeLateStart()
 		s.changeOwner()
 		s.others[0].executor.SetCallFaults(nodetest.CallFaults{})
--- a/test/workflows/suspension_test.go
+++ b/test/workflows/suspension_test.go
@@ -15,8 +15,8 @@
 	"github.com/quetzalshed/quetzalshed/node"
 )
 
-// suspension simulates a host that is suspended while its executor goes on: its monotonic clock stands still, and calls from and
-// to its process go on only after it has resumed, with the rest of their time.
+// suspension simulates a host that is suspended while its executor keeps running: its monotonic clock stops, and calls from and to its
+// process continue only after it has resumed, with the rest of their time limits.
 type suspension struct {
 	clocks *clocktest.Host
 
@@ -204,14 +204,14 @@
 	return nil
 }
 
-// lapsingTask is a task on a host whose lease lapses.
+// lapsingTask is a task on a host whose lease expires.
 type lapsingTask struct {
 	*host
 	incarnation string
 	tasks       []string
 }
 
-// startLasting submits a job of tasks that exceed the lease and returns the host, other than the owner's, that runs some of them.
+// startLasting submits a job whose tasks run for longer than the lease, and returns a host beside the owner that runs some of them.
 func (f *fleet) startLasting() lapsingTask {
 	for _, h := range f.hosts {
 		h.executor.SetDuration(longTaskTime)
@@ -224,8 +224,8 @@
 	return lapsingTask{h, incarnation, f.checker.tasksOn(incarnation)}
 }
 
-// Guards against a task that runs twice: the host of its executor was suspended for less than the lease and cut off from the
-// owner afterwards, and renewed the lease for the time of the suspension.
+// Guards against a task that runs twice because its node prolongs the lease by the time of a suspension: the host was suspended for
+// less than the lease, and cut off from the owner afterwards.
 func TestLeaseEndsWhenHostWasSuspendedAndCutOff(t *testing.T) {
 	runWithFleet(t, 3, func(f *fleet) {
 		h := f.startLasting()
@@ -237,8 +237,8 @@
 	})
 }
 
-// Guards against a task that runs twice: a reply to a report is processed after the host was suspended, and the lease counts from
-// then on.
+// Guards against a task that runs twice because the lease counts from when the reply to a report is processed, which is after a
+// suspension of the host.
 func TestLeaseEndsWhenReplyIsProcessedAfterSuspension(t *testing.T) {
 	runWithFleet(t, 3, func(f *fleet) {
 		h := f.startLasting()
--- a/test/workflows/unanswered_calls_test.go
+++ b/test/workflows/unanswered_calls_test.go
@@ -18,15 +18,15 @@
 	maxIdleTime = 3 * time.Second
 )
 
-// loseAnswers makes all executors leave a share of the calls without an answer.
+// loseAnswers makes all executors leave the given share of the calls without an answer.
 func (f *fleet) loseAnswers(share float64) {
 	for _, h := range f.hosts {
 		h.executor.SetDelayedShare(share)
 	}
 }
 
-// Guards against jobs that stand still because a start without an answer, and a stop of it without an answer, are each waited for
-// before the task is started again (issue 25: LOST).
+// Guards against jobs that stand still because the owner waits for an unanswered start, and then for the unanswered stop of it, before
+// it starts the task again (issue 25: LOST).
 func TestStartsWithoutAnswerDoNotStopJobs(t *testing.T) {
 	runWithFleet(t, 6, func(f *fleet) {
 		f.loseAnswers(unansweredShare)
@@ -59,8 +59,8 @@
 	})
 }
 
-// Guards against tasks that wait for the lease of an executor that has stopped fetching its orders, although an order that is not
-// fetched has no effect.
+// Guards against tasks that wait for the lease of an executor that no longer fetches its orders, although an order that isn't fetched
+// has no effect.
 func TestTasksStartBesideSilentFetcher(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
