Start nothing on an executor that may hold a lease from calls for its former incarnation

Cause: calls name the executor's ID only. Until an incarnation has seen its own fencing token, it carries out calls that were meant for the former one, and takes their deadline, a reading of another clock, up to the longest lease that it grants: 10 s by its own clock, 10.2 s if that is slow. A deadline never shortens. The owner counted 7.06 s from its last grant, and a new owner at most 8.7 s. Copies of calls and starts do the same as holds, and also starts that the executor rejects as old or for want of room.

Change: the node keeps the calls with a deadline of which it isn't proved that they reached the incarnation that they were meant for. It is proved by an answer that names the incarnation, by the clock reading in the answer to a start, or by such an answer to a later call. The owner starts nothing there until a lease that it has granted lasts as long, so that whatever it, a new owner or a next process of the node counts is enough. Runs that are there already, by a late start, keep their places until the stale lease has expired. A new process of the node doesn't know what its former one has sent and says so; the owner disregards that if it knows the incarnation, has read of a run that was ordered on it, or nobody has granted a lease before.

The stored rows of tasks get a cell for runs that were moved to the next incarnation; owners of former versions skip it.

--- a/node/executor.go
+++ b/node/executor.go
@@ -34,6 +34,8 @@
 	// Refusal returns the reason for which the start may not be sent any more, and empty as long as it may. An Executor that keeps
 	// starts back calls it right before it sends one. It is nil if nothing forbids the start.
 	Refusal func() string
+	// Answered receives the reading of the executor's clock in its answer, whether it accepts the start or not. It is nil if nobody asks.
+	Answered func(clockMillis int64)
 }
 
 // RunLists holds the running and ended runs that an executor lists.
--- a/node/hold.go
+++ b/node/hold.go
@@ -55,6 +55,7 @@
 		if answer.renewed {
 			n.noteRenewal(&hold)
 		}
+		n.boundStaleLease(&hold, answer.lists)
 		switch n.applyLists(hold.incarnation, answer.lists, hold.covers) {
 		case otherIncarnation:
 			n.noteStaleAnswer(&hold, &answer)
@@ -91,8 +92,10 @@
 type holdCall struct {
 	// incarnation is empty if no executor is known.
 	incarnation string
-	fence, ack  int64
-	// deadline is the end of the lease on the executor's clock, leaseEnd the same on this host's.
+	// epoch is that of the fencing token; 0 if no owner is known.
+	epoch, fence, ack int64
+	// deadline is the end of the lease on the executor's clock, or 0 if the call doesn't renew the lease. leaseEnd is the same on this
+	// host's clock.
 	deadline int64
 	leaseEnd time.Time
 	wait     time.Duration
@@ -115,7 +118,7 @@
 
 // sendHold sends a copy of a hold call. A copy that is carried out late may reach another incarnation under the executor's ID,
 // which has neither listed the acknowledged ends nor the same clock. So copies beyond the first carry no acknowledgement, and the
-// deadline only if the executor needs it soon.
+// deadline only if the executor needs it soon and no other incarnation is known.
 func (n *Node) sendHold(ctx context.Context, h *holdCall, first bool) (holdAnswer, error) {
 	ack, deadline, wait := h.ack, h.deadline, h.wait
 	if !first {
@@ -127,7 +130,11 @@
 	if !first {
 		n.metrics.repeated.Inc(1)
 	}
+	n.mu.Lock()
+	number, deadline := n.sendLeaseCall(h.incarnation, deadline)
+	n.mu.Unlock()
 	lists, err := n.executor.Hold(ctx, h.incarnation, h.fence, ack, deadline, wait)
+	n.noteLeaseCall(h.incarnation, number, lists, err)
 	return holdAnswer{lists, deadline > 0, ack}, err
 }
 
@@ -166,8 +173,9 @@
 	if n.lists == nil || !n.confirmed {
 		wait = 0
 	}
+	epoch := max(n.epoch, n.locator.Epoch())
 	return holdCall{
-		incarnation: n.current.IncarnationID(), fence: n.fence(n.epoch), ack: n.pendingAck(), deadline: n.deadline(now), leaseEnd: n.leaseEnd,
+		incarnation: n.current.IncarnationID(), epoch: epoch, fence: n.fence(epoch), ack: n.pendingAck(), deadline: n.deadline(now), leaseEnd: n.leaseEnd,
 		wait: wait, covers: n.executedOrders, renewedUntil: n.renewedUntil, calledAt: now, clocks: readClocks(n.host),
 	}
 }
--- a/node/lease.go
+++ b/node/lease.go
@@ -9,9 +9,7 @@
 		return
 	}
 	n.leaseEnd = end
-	if end.After(n.leaseBound) {
-		n.leaseBound = end
-	}
+	n.raiseLeaseBound(end)
 }
 
 const (
--- a/node/node.go
+++ b/node/node.go
@@ -70,7 +70,18 @@
 	renewals renewalLog
 	// leaseBound is the latest end of all leases that this process and former ones of the host can have passed on, to whichever
 	// incarnation of the executor.
-	leaseBound   time.Time
+	leaseBound time.Time
+	// leaseCalls holds the calls that may give the next incarnation a lease, and staleLease the lease that the current incarnation may
+	// have from such calls. Calls of former processes of the node may be carried out until formerCallsUntil. firstID is the ID of the
+	// executor that was announced first.
+	leaseCalls       leaseCalls
+	firstID          string
+	staleLease       staleLease
+	formerCallsUntil time.Time
+	// maxLease is the longest lease that the executor takes, by its own clock.
+	maxLease time.Duration
+	// fetches is set if the executor fetches its orders.
+	fetches      bool
 	epoch        int64
 	ack          int64
 	reportSentAt map[int64]time.Time
@@ -105,14 +116,16 @@
 		log.Warn("time since boot can't be read, leases don't count suspensions of the host")
 	}
 	copies := maxCopies
-	if _, fetches := executor.(*Mailbox); fetches {
+	_, fetches := executor.(*Mailbox)
+	if fetches {
 		// An order that is not fetched is withdrawn, so that it certainly has no effect.
 		copies = 1
 	}
 	return &Node{
 		copies: copies,
 		name:   name, address: address, incarnation: time.Now().UnixNano(), executor: executor, locator: locator,
-		leaseBound: boot.Now().Add(owner.ExecutorLeaseDuration), rpc: client, clock: boot, host: host, log: log,
+		leaseBound: boot.Now().Add(owner.ExecutorLeaseDuration), leaseCalls: leaseCalls{open: map[int64]leaseCall{}},
+		formerCallsUntil: boot.Now().Add(staleCallLimit), maxLease: DefaultMaxLease, fetches: fetches, rpc: client, clock: boot, host: host, log: log,
 		reportSentAt: map[int64]time.Time{}, unlistedStarts: map[int64]workflow.RunState{},
 		needsTraits: true, traits: map[string]workflow.RunTraits{}, paces: map[string]int{}, nearTarget: map[string]bool{},
 		pacer:    sharing.NewController(),
--- a/node/nodetest/calls.go
+++ b/node/nodetest/calls.go
@@ -141,7 +141,10 @@
 
 // Start implements node.Executor.
 func (x *Executor) Start(ctx context.Context, incarnation string, s node.Start) error {
-	return x.handle(ctx, incarnation, startCall, func(bool) error {
+	return x.handle(ctx, incarnation, startCall, func(responds bool) error {
+		if responds && s.Answered != nil {
+			s.Answered(x.clockMillis())
+		}
 		if s.Fence < x.fence {
 			return &node.RejectedError{Reason: "fence"}
 		}
--- a/node/orders.go
+++ b/node/orders.go
@@ -24,8 +24,13 @@
 	maxOrdersBytes = 4 << 20
 )
 
-// reasonOutdated is the reason for rejecting starts that are based on a report that is too old, or from before the executor changed.
-const reasonOutdated = "basis"
+const (
+	// reasonOutdated is the reason for rejecting starts that are based on a report that is too old, or from before the executor changed.
+	reasonOutdated = "basis"
+	// reasonOld is the reason for which an executor rejects a start of a run that is not higher than one that it has had or was told to
+	// stop.
+	reasonOld = "old"
+)
 
 var errNotOwner = errors.New("node: the process is not the owner")
 
@@ -169,10 +174,26 @@
 		defer n.mu.Unlock()
 		return n.refusal(orders, n.clock.Now())
 	}
-	if reason := call.Refusal(); reason != "" {
+	number, reason := n.beginStart(orders, call.DeadlineMillis)
+	if reason != "" {
 		return &RejectedError{Reason: reason}
 	}
-	return n.executor.Start(ctx, orders.ExecutorIncarnation, call)
+	call.Answered = func(clockMillis int64) { n.noteAnswerClock(number, clockMillis) }
+	err := n.executor.Start(ctx, orders.ExecutorIncarnation, call)
+	n.noteLeaseCall(orders.ExecutorIncarnation, number, nil, err)
+	return err
+}
+
+// beginStart records a copy of a start that is about to be sent. It returns the number of the call, or the reason for which it may not
+// be sent.
+func (n *Node) beginStart(orders *workflow.Orders, deadline int64) (number int64, reason string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if reason := n.refusal(orders, n.clock.Now()); reason != "" {
+		return 0, reason
+	}
+	number, _ = n.sendLeaseCall(orders.ExecutorIncarnation, deadline)
+	return number, ""
 }
 
 // stop stops one run.
--- a/node/report.go
+++ b/node/report.go
@@ -94,6 +94,7 @@
 		executor := *n.current
 		r.Executor = &executor
 	}
+	r.StaleLease = n.reportedStaleLease(now)
 	r.ExecutorEnd = n.reportedEnd()
 	if n.current != nil && !n.brokenAt.IsZero() {
 		r.BrokenMillis = max(now.Sub(n.brokenAt).Milliseconds(), 1)
@@ -122,6 +123,9 @@
 		return
 	}
 	n.noteReply(report)
+	if reply.NoFormerLeases {
+		n.formerCallsUntil = time.Time{}
+	}
 	now := n.clock.Now()
 	hadLease := n.leaseEnd.After(now)
 	n.extendLease(sent, time.Duration(reply.LeaseMillis)*time.Millisecond)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -69,6 +69,8 @@
 	Scope tally.Scope
 	// RemoteSlowdown is how many times longer a task runs if its data is not local; 0 means defaultRemoteSlowdown.
 	RemoteSlowdown float64
+	// StopTime is the time that an executor may take to stop a task.
+	StopTime time.Duration
 	// Retention is how long the state of a finished job is kept; 0 means defaultRetention.
 	Retention time.Duration
 
@@ -135,6 +137,7 @@
 		lease: lease, clock: boot, store: c.Store, operators: c.Operators, rpc: c.RPC, log: c.Log, metrics: metrics,
 		events: make(chan event, eventQueueSize), loaded: make(chan struct{}), commitDone: make(chan error, 1),
 		remoteSlowdown: cmp.Or(c.RemoteSlowdown, defaultRemoteSlowdown), retention: cmp.Or(c.Retention, defaultRetention),
+		stopMargin:     max(minStopMargin, c.StopTime),
 		commitRevision: lease.CommitRevision, acked: map[string]int64{}, deletedJobs: deletedJobs{},
 	}
 	c.Log.Info("ownership taken", "epoch", lease.Record.Epoch)
--- a/owner/serve.go
+++ b/owner/serve.go
@@ -71,10 +71,11 @@
 func (t *term) report(ctx context.Context, r *workflow.Report) (workflow.ReportReply, bool) {
 	var traits []workflow.RunTraits
 	var losses map[string]map[string]float64
-	granted := false
+	granted, noFormerLeases := false, false
 	applied, stored := t.applyAndWait(ctx, reportReplyTimeout, func(now, wall time.Time) {
 		var ack int64
 		ack, granted = t.engine.HandleReport(r, now, wall)
+		noFormerLeases = t.engine.IsFirstProcess(r.Node)
 		t.logDepartures()
 		t.logContradictions(now)
 		t.logSuperseded(now)
@@ -92,7 +93,7 @@
 	if !applied || r.Executor != nil && r.Executor.Left && !stored {
 		return workflow.ReportReply{}, false
 	}
-	reply := workflow.ReportReply{Epoch: t.lease.Record.Epoch, Traits: traits, HeadroomLosses: losses}
+	reply := workflow.ReportReply{Epoch: t.lease.Record.Epoch, Traits: traits, HeadroomLosses: losses, NoFormerLeases: noFormerLeases}
 	if r.Executor != nil {
 		reply.Ack = t.ackedNumber(r.Executor.IncarnationID())
 	}
--- a/owner/term.go
+++ b/owner/term.go
@@ -37,7 +37,9 @@
 	// OrdersTimeout limits the delivery of orders to a node, and how long the node goes on sending them to the executor.
 	OrdersTimeout = 2 * time.Second
 	// executorLeaseExpiry is the time after which an executor's lease has certainly expired: executors' clocks may be up to 2% slow.
-	executorLeaseExpiry = ExecutorLeaseDuration + ExecutorLeaseDuration/25 + 300*time.Millisecond
+	executorLeaseExpiry = ExecutorLeaseDuration + ExecutorLeaseDuration/25 + minStopMargin
+	// minStopMargin is how long after the end of its lease an executor takes to stop its tasks at least, as far as the owner counts.
+	minStopMargin = 300 * time.Millisecond
 	// takeoverSlack is how long a former owner whose key was deleted may still consider itself the owner: slightly longer than
 	// the lease of its key.
 	takeoverSlack = ownership.LeaseTTL + 100*time.Millisecond
@@ -76,6 +78,7 @@
 	log            hclog.Logger
 	metrics        metrics
 	remoteSlowdown float64
+	stopMargin     time.Duration
 	retention      time.Duration
 
 	engine *engine.Engine
@@ -124,6 +127,7 @@
 	now := t.clock.Now()
 	t.engine = engine.New(engine.Settings{
 		LeaseDuration: ExecutorLeaseDuration, LeaseExpiry: executorLeaseExpiry, TakeoverSlack: takeoverSlack,
+		StopMargin: t.stopMargin, FirstOwner: t.lease.Former == nil,
 		RemoteSlowdown: t.remoteSlowdown, Retention: t.retention, Epoch: t.lease.Record.Epoch,
 	}, now)
 	t.inheritLeases()
--- a/workflow/engine/adding_jobs.go
+++ b/workflow/engine/adding_jobs.go
@@ -107,7 +107,7 @@
 
 // restoreRun takes the run of a task over from the record of its job. Its executor may have reported already.
 func (e *Engine) restoreRun(t *task, r *workflow.TaskRecord) {
-	t.executorIncarnation, t.host = r.Life, r.Node
+	t.executorIncarnation, t.host, t.reassigned = r.Life, r.Node, r.Reassigned
 	e.awaitHost(r.Node)
 	e.track(t)
 	if n := e.nodes[r.Node]; n != nil && n.runsIncarnation(r.Life) {
--- a/workflow/engine/engine.go
+++ b/workflow/engine/engine.go
@@ -24,6 +24,10 @@
 	RemoteSlowdown float64
 	// TakeoverSlack is how long a former owner may still grant leases after the current one has taken over.
 	TakeoverSlack time.Duration
+	// StopMargin is how long after the end of its lease an executor may take to stop its tasks.
+	StopMargin time.Duration
+	// FirstOwner is set if nobody has owned the jobs before.
+	FirstOwner bool
 	// Epoch is the epoch of the owner.
 	Epoch int64
 	// Retention is how long the state of a finished job stays readable.
--- a/workflow/engine/engine_test.go
+++ b/workflow/engine/engine_test.go
@@ -36,14 +36,26 @@
 // newEngineWithoutOperatorState returns an engine that has received neither configuration nor evacuated failure
 // domains.
 func newEngineWithoutOperatorState(h *harness) *engine.Engine {
-	return engine.New(engine.Settings{
+	return engine.New(h.settings(), h.now)
+}
+
+func (h *harness) settings() engine.Settings {
+	return engine.Settings{
 		LeaseDuration: 6500 * time.Millisecond, LeaseExpiry: leaseExpiry, TakeoverSlack: 1600 * time.Millisecond, RemoteSlowdown: 1.5,
 		Retention: 130 * time.Second, Epoch: h.epoch,
-	}, h.now)
+	}
+}
+
+func (h *harness) newEngine() *engine.Engine { return configured(newEngineWithoutOperatorState(h)) }
+
+// newFirstEngine returns the engine of an owner that nobody has preceded.
+func (h *harness) newFirstEngine() *engine.Engine {
+	settings := h.settings()
+	settings.FirstOwner = true
+	return configured(engine.New(settings, h.now))
 }
 
-func (h *harness) newEngine() *engine.Engine {
-	e := newEngineWithoutOperatorState(h)
+func configured(e *engine.Engine) *engine.Engine {
 	e.Configure(&workflow.Config{Version: 1, Queues: []workflow.Queue{queue}, Pools: []workflow.Pool{{Name: "pool"}}})
 	e.SetEvacuated(nil)
 	return e
--- a/workflow/engine/events.go
+++ b/workflow/engine/events.go
@@ -42,7 +42,7 @@
 		return 0, false
 	}
 	if n.incarnation != r.Incarnation {
-		n.leaseReport = 0
+		n.leaseReport, n.hadLeaseBefore = 0, n.hadLease
 	}
 	n.address, n.incarnation, n.number = r.Address, r.Incarnation, r.Number
 	n.reportedAt = now
@@ -57,6 +57,7 @@
 	if !e.takeExecutor(n, r, now) {
 		return 0, false
 	}
+	e.applyStaleLease(n, r, now)
 	if r.Executor.Left {
 		e.handleDeparture(n, r, now, wall)
 		return 0, false
@@ -79,7 +80,7 @@
 	if now.Sub(n.listedAt) > maxLeaseListAge {
 		return n.ackedEnd, false
 	}
-	n.leaseExpires, n.leaseSource, n.leaseReport = now.Add(e.settings.LeaseExpiry), LeaseOfOwner, r.Number
+	n.leaseExpires, n.leaseSource, n.leaseReport, n.hadLease = now.Add(e.settings.LeaseExpiry), LeaseOfOwner, r.Number, true
 	delete(e.lapsedAt, n.executorIncarnation)
 	return n.ackedEnd, true
 }
--- a/workflow/engine/leases.go
+++ b/workflow/engine/leases.go
@@ -96,7 +96,8 @@
 	// The node of the host may have reported without knowing an executor.
 	n := e.nodes[tasks[0].host]
 	if n != nil && n.runsIncarnation(incarnation) && n.leaseSource == LeaseOfOwner {
-		return n.leaseExpires, n.leaseSource
+		// A run that was started by a stale call may have no other lease.
+		return latest(n.leaseExpires, n.staleLease.expires), n.leaseSource
 	}
 	if n != nil && n.leaseSource == LeaseOfNode && n.leaseExpires.Before(expires) {
 		expires, source = n.leaseExpires, n.leaseSource
@@ -107,6 +108,14 @@
 	return expires, source
 }
 
+// latest returns the later one of two times.
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // Unreported returns the number of executors with runs whose leases this owner has not renewed, the number of these runs, and the
 // longest time for which they are held.
 func (e *Engine) Unreported(now time.Time) (executors, held int, longest time.Duration) {
--- a/workflow/engine/node.go
+++ b/workflow/engine/node.go
@@ -61,6 +61,11 @@
 	// leaseReport is the number of the last report that renewed the lease of the current incarnation; 0 if none of the node's process
 	// did.
 	leaseReport int64
+	// hadLease is set once this owner has granted a lease to an executor of the host, and hadLeaseBefore if it had done so before the
+	// present process of the host's node.
+	hadLease, hadLeaseBefore bool
+	// staleLease is the lease that the current incarnation may hold from calls for former ones.
+	staleLease staleLease
 	// reportedAt is when the last report arrived, listedAt when the current incarnation last listed its runs; zero if it hasn't.
 	reportedAt, listedAt time.Time
 	ackedEnd             int64
--- a/workflow/engine/output.go
+++ b/workflow/engine/output.go
@@ -39,7 +39,7 @@
 		r.Tasks = append(r.Tasks, workflow.TaskRecord{
 			Occurrence: t.id.Occurrence, Step: t.id.Step, Index: t.id.Index, Phase: t.phase, Run: t.run,
 			Life: t.executorIncarnation, Node: t.host, Failures: t.failures, Saved: t.saved,
-			Crashes: t.crashes.total, Suspicions: t.crashes.suspicions,
+			Crashes: t.crashes.total, Suspicions: t.crashes.suspicions, Reassigned: t.reassigned && t.hasRun(),
 		})
 	}
 	return r
--- a/workflow/engine/replacement.go
+++ b/workflow/engine/replacement.go
@@ -82,6 +82,7 @@
 		e.takeForEnded(n, n.executorIncarnation, executor, now)
 	}
 	n.replacedAt, n.replacedSameID = now, n.known && hasExecutorID(n.executorIncarnation, executor.ID)
+	n.forgetStaleLease(executor.ID)
 	n.executor, n.known, n.ackedEnd, n.orphanedRuns, n.rejections = *executor, true, 0, nil, 0
 	n.endReportedAt, n.listedAt, n.leaseReport = time.Time{}, time.Time{}, 0
 	n.executorIncarnation = executor.IncarnationID()
--- a/workflow/messages.go
+++ b/workflow/messages.go
@@ -31,6 +31,18 @@
 	TraitsUnknown bool `json:"unaware,omitempty"`
 	// LeaseBound limits the lease of the host's executor; nil from nodes that don't know it.
 	LeaseBound *LeaseBound `json:"lease_bound,omitempty"`
+	// StaleLease is the lease that Executor may hold from calls that were meant for its former incarnations; nil if there is none.
+	StaleLease *StaleLease `json:"stale_lease,omitempty"`
+}
+
+// StaleLease is the lease that an executor incarnation may hold from calls that were meant for former ones under its ID.
+type StaleLease struct {
+	// LeftMillis is how long after the report was created the lease lasts at most.
+	LeftMillis int64 `json:"left_ms,omitempty"`
+	// Unbounded is set until the incarnation has answered a call with its own fencing token. Until then further calls may reach it.
+	Unbounded bool `json:"unbounded,omitempty"`
+	// OfFormerProcess is set if only calls of former processes of the node can have given the lease, of which it doesn't know.
+	OfFormerProcess bool `json:"of_former_process,omitempty"`
 }
 
 // ExecutorEnd is the end of an executor that its host has shown by refusing connections.
@@ -58,6 +70,8 @@
 	Ack int64 `json:"ack"`
 	// LeaseMillis is the lease duration: how long after it sent the report the node may keep tasks running.
 	LeaseMillis int64 `json:"grant_ms"`
+	// NoFormerLeases is set if no owner has granted a lease to a former process of the node, so that none of its calls can be under way.
+	NoFormerLeases bool `json:"no_former_leases,omitempty"`
 	// HeadroomLosses is the headroom that a best-effort image, at full use of an executor, takes from a serving image,
 	// as far as it is known: by serving image, then by best-effort image. Headroom is the latency target of a serving
 	// task divided by its latency.
--- a/workflow/record.go
+++ b/workflow/record.go
@@ -53,6 +53,8 @@
 	// which the task may have been the cause.
 	Crashes    int
 	Suspicions int
+	// Reassigned is set if the newest run was ordered to a former incarnation of the executor and may have reached Life.
+	Reassigned bool
 }
 
 // MarshalJSON encodes the record as an array without trailing empty cells, since a job may have thousands of tasks.
@@ -71,7 +73,8 @@
 	}
 	texts := [...]string{t.Life, t.Saved, t.Node}
 	last := len(texts)
-	for last > 0 && texts[last-1] == "" && t.Crashes == 0 {
+	hasCounts := t.Crashes > 0 || t.Reassigned
+	for last > 0 && texts[last-1] == "" && !hasCounts {
 		last--
 	}
 	if last > 0 || t.Failures > 0 {
@@ -82,12 +85,15 @@
 		b = append(b, ',')
 		b = appendString(b, text)
 	}
-	if t.Crashes > 0 {
+	if hasCounts {
 		b = append(b, ',')
 		b = strconv.AppendInt(b, int64(t.Crashes), 10)
 		b = append(b, ',')
 		b = strconv.AppendInt(b, int64(t.Suspicions), 10)
 	}
+	if t.Reassigned {
+		b = append(b, ",1"...)
+	}
 	return append(b, ']')
 }
 
@@ -96,9 +102,9 @@
 
 // UnmarshalJSONFrom reads the same form.
 func (t *TaskRecord) UnmarshalJSONFrom(dec *jsontext.Decoder) error {
-	phase := 0
-	err := readExtensibleRow(dec, requiredCells, &t.Occurrence, &t.Step, &t.Index, &phase, &t.Run, &t.Failures, &t.Life, &t.Saved, &t.Node, &t.Crashes, &t.Suspicions)
-	t.Phase = TaskPhase(phase)
+	phase, reassigned := 0, 0
+	err := readExtensibleRow(dec, requiredCells, &t.Occurrence, &t.Step, &t.Index, &phase, &t.Run, &t.Failures, &t.Life, &t.Saved, &t.Node, &t.Crashes, &t.Suspicions, &reassigned)
+	t.Phase, t.Reassigned = TaskPhase(phase), reassigned != 0
 	return err
 }
 
