Renew leases only by calls that the executor answers at once

Hold calls that wait carry no deadline any more. A call that is answered at once renews the lease, right after another answer, when it has become longer by half a second. An executor that leaves calls unanswered and needs the renewal soon gets it for up to 3 s after its last answer, as in TestLeasesOutlastManyRenewalsWithoutAnswer. Executors that fetch their orders get renewals as before.

--- a/node/hold.go
+++ b/node/hold.go
@@ -18,6 +18,11 @@
 	shortHoldWait = 100 * time.Millisecond
 	// urgentRenewal is the remaining time of the lease that the executor has confirmed below which each copy of a call renews it.
 	urgentRenewal = 3 * time.Second
+	// renewalWindow is how long after an answer the next call may renew the lease, and minRenewal by how much it does at least. An
+	// executor that needs the renewal soon and leaves some calls unanswered gets it up to urgentRenewalWindow after its last answer.
+	renewalWindow       = 250 * time.Millisecond
+	urgentRenewalWindow = 3 * time.Second
+	minRenewal          = 500 * time.Millisecond
 	// holdResponseMargin is how much longer than the wait a response may take.
 	holdResponseMargin = 800 * time.Millisecond
 	// holdRetryDelay is the pause after a failed call.
@@ -173,13 +178,36 @@
 	if n.lists == nil || !n.confirmed {
 		wait = 0
 	}
+	deadline := int64(0)
+	if n.renewsLease(now) {
+		deadline = n.deadline(now)
+	}
+	if deadline > 0 && !n.fetches {
+		wait = 0
+	}
 	epoch := max(n.epoch, n.locator.Epoch())
 	return holdCall{
-		incarnation: n.current.IncarnationID(), epoch: epoch, fence: n.fence(epoch), ack: n.pendingAck(), deadline: n.deadline(now), leaseEnd: n.leaseEnd,
+		incarnation: n.current.IncarnationID(), epoch: epoch, fence: n.fence(epoch), ack: n.pendingAck(), deadline: deadline, leaseEnd: n.leaseEnd,
 		wait: wait, covers: n.executedOrders, renewedUntil: n.renewedUntil, calledAt: now, clocks: readClocks(n.host),
 	}
 }
 
+// renewsLease reports whether the next hold call renews the lease. Only calls that are answered at once do, right after another answer:
+// a call that is on its way while the executor restarts under its ID gives the next incarnation the lease. The caller holds mu.
+func (n *Node) renewsLease(now time.Time) bool {
+	if n.fetches {
+		return true
+	}
+	switch age := now.Sub(n.listedAt); {
+	case n.lists == nil || n.leaseEnd.Sub(n.renewedUntil) < minRenewal:
+		return false
+	case n.renewedUntil.Sub(now) < urgentRenewal && age <= urgentRenewalWindow:
+		return true
+	default:
+		return n.confirmed && age <= renewalWindow
+	}
+}
+
 // needsRenewal reports whether the lease that the executor has confirmed ends soon, and a longer one is granted. The caller holds mu.
 func (n *Node) needsRenewal(now time.Time) bool {
 	return !n.renewedUntil.IsZero() && n.leaseEnd.After(n.renewedUntil) && n.renewedUntil.Sub(now) < urgentRenewal
--- a/node/stale_calls_test.go
+++ b/node/stale_calls_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/quetzalshed/quetzalshed/clock/clocktest"
+	"github.com/quetzalshed/quetzalshed/owner"
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
@@ -173,6 +174,30 @@
 	})
 }
 
+// Guards against calls that give the next incarnation a lease while they wait for the end of a run, and against renewals that get no
+// answer: the executor may have restarted meanwhile.
+func TestOnlyCallsRightAfterAnAnswerRenewTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := newLeasedNode(clocktest.NewHost())
+		renewal := n.nextHold()
+		c.Assert(renewal.deadline > 0, qt.IsTrue)
+		c.Assert(renewal.wait, qt.Equals, time.Duration(0))
+		n.noteRenewal(&renewal)
+		waiting := n.nextHold()
+		c.Assert(waiting.deadline, qt.Equals, int64(0))
+		c.Assert(waiting.wait, qt.Equals, holdWait)
+
+		time.Sleep(time.Second)
+		n.extendLease(n.clock.Now(), owner.ExecutorLeaseDuration)
+		c.Assert(n.nextHold().deadline, qt.Equals, int64(0), qt.Commentf("the last answer is a second old"))
+		n.answerHold(testIncarnation, 1000, formerClockMillis+1000)
+		c.Assert(n.nextHold().deadline > 0, qt.IsTrue)
+		n.handleHoldError(testIncarnation, errors.New("no answer"), false)
+		c.Assert(n.nextHold().deadline, qt.Equals, int64(0), qt.Commentf("the last call got no answer"))
+	})
+}
+
 // Guards against a copy of a hold call that carries the deadline of the former incarnation when the next one is known.
 func TestCopyForFormerIncarnationCarriesNoDeadline(t *testing.T) {
 	c := qt.New(t)
