--- a/clock/boot_test.go
+++ b/clock/boot_test.go
@@ -11,8 +11,8 @@
 	"github.com/quetzalshed/quetzalshed/clock/clocktest"
 )
 
-// Guards against a clock of leases that stands still while the host is suspended, or whose times contain a monotonic reading,
-// with which package time would compare them instead.
+// Guards against a clock for leases that stops while the host is suspended, or whose times have a monotonic reading, which package time
+// would then use for comparisons.
 func TestBootClockGoesOnDuringSuspension(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
@@ -31,7 +31,7 @@
 	})
 }
 
-// unreadable is a host that can't tell the time since it booted.
+// unreadable is a host whose time since boot can't be read.
 type unreadable struct{ *clocktest.Host }
 
 func (unreadable) SinceBoot() (time.Duration, bool) { return 0, false }
--- a/clock/clock.go
+++ b/clock/clock.go
@@ -13,9 +13,9 @@
 	Now() time.Time
 }
 
-// Host gives the clocks of a host.
+// Host provides the clocks of a host.
 type Host interface {
-	// Clock gives the monotonic clock, which stands still while the host is suspended, as timers do.
+	// Clock is the monotonic clock, which stops while the host is suspended, as timers do.
 	Clock
 	// SinceBoot returns the time since the host booted, including time in which it was suspended, and false if it can't be read.
 	SinceBoot() (time.Duration, bool)
--- a/kernel/clock_test.go
+++ b/kernel/clock_test.go
@@ -10,7 +10,7 @@
 	"github.com/quetzalshed/quetzalshed/clock/clocktest"
 )
 
-// Guards against leases and ages that stand still while the host is suspended: modules judge them by the clock of the context.
+// Guards against leases and ages that don't advance while the host is suspended: modules measure them by the clock of the context.
 func TestClockOfModulesCountsSuspensions(t *testing.T) {
 	c := qt.New(t)
 	registerRecorders(t, map[string][]string{"a": nil}, nil)
--- a/kernel/context.go
+++ b/kernel/context.go
@@ -23,7 +23,7 @@
 	Log             hclog.Logger
 	Metrics         tally.Scope
 	Tracer          trace.Tracer
-	// Clock is the one by which leases, permissions and ages are judged. It doesn't follow changes of the time of day.
+	// Clock measures leases, other permissions that expire, and ages. It doesn't follow changes of the time of day.
 	Clock clock.Clock
 	// Router routes requests to the process's main address.
 	Router *mux.Router
--- a/ownership/lease.go
+++ b/ownership/lease.go
@@ -31,7 +31,7 @@
 	Record workflow.OwnerRecord
 	// CommitRevision is the revision of CommitKey right after the ownership was acquired.
 	CommitRevision int64
-	// Former is the value of CommitKey that the last owner left, if any; nobody has owned the jobs since. It was read at
+	// Former is the value of CommitKey that the last owner left, if any; there has been no owner since. It was read at
 	// FormerReadAt.
 	Former       []byte
 	FormerReadAt time.Time
@@ -46,7 +46,7 @@
 }
 
 // Acquire takes the ownership if there is no owner. It returns nil without an error if another process has it or was faster. The
-// lease is judged by the given clock.
+// lease is measured by the given clock.
 func Acquire(ctx context.Context, store kv.Store, self workflow.OwnerRecord, boot *clock.Boot, log hclog.Logger) (*Lease, error) {
 	value, err := json.Marshal(self)
 	if err != nil {
--- a/rpc/rpctest/network.go
+++ b/rpc/rpctest/network.go
@@ -59,7 +59,7 @@
 	n.lateShare, n.maxLateness = share, maxLateness
 }
 
-// drawLateness returns how long after it was sent a call is carried out without a response; 0 for a call in time.
+// drawLateness returns the delay after which a call is carried out without a response; 0 for a call that isn't late.
 func (n *Network) drawLateness() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/shard/renewal.go
+++ b/shard/renewal.go
@@ -40,7 +40,7 @@
 			case <-ticker.C:
 			}
 			sent := o.clock.Now()
-			// A call that is under way when the acquisition ends goes on: the owner's next renewal may come too late.
+			// A call that is in progress when the acquisition ends is completed: the owner's next renewal may come too late.
 			switch err := o.store.KeepAlive(ctx, lease); {
 			case err == nil:
 				r.prove(sent)
--- a/workflow/engine/contradictions.go
+++ b/workflow/engine/contradictions.go
@@ -34,7 +34,7 @@
 	JobUnknown ContradictionKind = "job unknown"
 )
 
-// Contradiction is a run that an executor lists as running or done and that this owner had taken for ended, or did not know.
+// Contradiction is a run that an executor lists as running or done although this owner had taken it for ended or did not know it.
 type Contradiction struct {
 	Kind ContradictionKind
 	Task string
@@ -141,7 +141,7 @@
 	}
 }
 
-// kindOfDone returns the kind of contradiction in the end of a run that has finished the task; empty if there is none.
+// kindOfDone returns how the end of a run that has finished the task contradicts this owner's state; empty if it does not.
 func (t *task) kindOfDone(run int, incarnation string) ContradictionKind {
 	switch {
 	case t.run == 0 && t.job.phase.Final():
--- a/workflow/engine/crash_ends_test.go
+++ b/workflow/engine/crash_ends_test.go
@@ -53,8 +53,8 @@
 	return h.startsOnB()
 }
 
-// Guards against a second run of a task whose executor refuses connections while it runs it, and against tasks that wait for longer
-// than its lease, also if a new process of its node doesn't know the executor.
+// Guards against a second run of a task while its executor runs it but refuses connections, and against tasks that wait for longer than
+// the lease of such an executor, also if a new process of its node doesn't know the executor.
 func TestTasksOfRefusingExecutorRestartAfterItsLease(t *testing.T) {
 	for _, newProcess := range []bool{false, true} {
 		h := newHarness(t)
@@ -87,7 +87,7 @@
 	h.Assert(h.plan(), qt.HasLen, 0)
 }
 
-// Guards against a crash that counts for an executor that was draining, of which no announcement of its end arrived.
+// Guards against a crash that is counted for a draining executor because the announcement of its end was lost.
 func TestEndOfDrainingExecutorIsNoCrash(t *testing.T) {
 	h := newHarness(t)
 	h.startOnA(1)
@@ -100,8 +100,8 @@
 	h.Assert(crashes, qt.HasLen, 0)
 }
 
-// Guards against a second run of a task, or a start in its place (ROUTE, LIMIT), while its executor goes on and refuses connections: the
-// end of an executor under its ID was announced, which may be that of a former incarnation.
+// Guards against a second run of a task, or a start in its place (ROUTE, LIMIT), while its executor keeps running but refuses
+// connections: the end that was announced for its ID may be that of a former incarnation.
 func TestRefusingExecutorThatDoesNotDrainKeepsItsRuns(t *testing.T) {
 	h := newHarness(t)
 	h.startOnA(1)
@@ -114,8 +114,8 @@
 	h.Assert(crashes, qt.HasLen, 0)
 }
 
-// Guards against an executor that its owner uses although it may end, or never uses again because the end of a former incarnation was
-// announced late.
+// Guards against starts on an executor that may end, and against one that is never used again because the end of a former incarnation
+// was announced late.
 func TestExecutorIsUsedAgainAfterFalseAnnouncementOfItsEnd(t *testing.T) {
 	h := newHarness(t)
 	h.engine.Add(h.job(step(1)), nil, h.now, h.now)
@@ -143,8 +143,8 @@
 	}
 }
 
-// Guards against a crash that doesn't count for a task whose run the executor had accepted and not yet listed, and against one that
-// counts again under the next owner for a task of which nobody knows whether its run has begun.
+// Guards against a crash that doesn't count for a task whose run the executor had accepted but not listed yet, and against one that the
+// next owner counts for a task whose run is not known to have begun.
 func TestAcceptedStartsAreKnownAfterTakeover(t *testing.T) {
 	h := newHarness(t)
 	job := h.job(step(2))
@@ -165,7 +165,7 @@
 	h.Assert(crashes[0].Runs, qt.Equals, 1)
 }
 
-// Guards against finished work that is done again and checkpoints that are lost, since the end of the executor overtook them.
+// Guards against finished work that is repeated and checkpoints that are lost because they are only in the report of the executor's end.
 func TestLastListsOfCrashedExecutorCount(t *testing.T) {
 	h := newHarness(t)
 	_, running := h.startOnA(2)
@@ -191,8 +191,8 @@
 	h.Assert(h.startsOnB(), qt.HasLen, 0, qt.Commentf("it has reached the next incarnation"))
 }
 
-// Guards against a second run of a task that the executor has started after its host had seemed to show its end: the result has
-// overtaken the report.
+// Guards against a second run of a task that the executor has started after its end was reported in error: the result of the start
+// arrives before the report.
 func TestStartAfterReportedEndIsKept(t *testing.T) {
 	h := newHarness(t)
 	_, running := h.startJob(executor("a", 1), step(1))
@@ -204,8 +204,8 @@
 	h.Assert(h.startsOnB(), qt.HasLen, 0)
 }
 
-// Guards against a second run of a task because of a report that a former owner should have got, or that a newer one has overtaken:
-// the incarnation that runs the task may have started since.
+// Guards against a second run of a task because of a report that was meant for a former owner, or is older than the newest one: the
+// incarnation that runs the task may have started since.
 func TestOldReportOfEndIsIgnored(t *testing.T) {
 	h := newHarness(t)
 	h.epoch = 2
@@ -219,7 +219,7 @@
 	h.Assert(h.startsOnB(), qt.HasLen, 0)
 }
 
-// Guards against starts on an executor that has ended, and against one that gets no more starts although it runs.
+// Guards against starts on an executor that has ended, and against an executor that gets no more starts although it runs.
 func TestEndedExecutorGetsNoStartsUntilItListsRuns(t *testing.T) {
 	for _, test := range []struct {
 		name     string
@@ -245,8 +245,8 @@
 	}
 }
 
-// Guards against a crash that counts twice, as the end of the executor and as its replacement or the end of its lease, and against
-// suspects because the whole host has restarted.
+// Guards against a crash that is counted twice, as the end of the executor and again as its replacement or the end of its lease, and
+// against suspects of a crash when the whole host has restarted.
 func TestReportedCrashCountsOnce(t *testing.T) {
 	for _, test := range []struct {
 		name             string
@@ -298,8 +298,8 @@
 	}
 }
 
-// Guards against suspects that wait for longer than the lease, since one of their job had an unconfirmed start on the executor that
-// has ended and all of them have to start beside it.
+// Guards against suspects that wait for longer than the lease of the ended executor because all suspects of a job have to start on one
+// executor, and one of them has an unconfirmed start on the ended one.
 func TestUnconfirmedStartHoldsNoOtherSuspectBack(t *testing.T) {
 	h := newHarness(t)
 	h.engine.Add(h.job(step(3)), nil, h.now, h.now)
@@ -315,8 +315,8 @@
 	h.Assert(h.startsAfterLease(), qt.HasLen, 3)
 }
 
-// Guards against a job that is given up since several executors crash at once: its tasks, released from the first of them, are
-// being started on another one that has crashed as well (found by the bench: LOST).
+// Guards against a job that is given up because several executors crash at once: its tasks, released from the first executor, are being
+// started on another one that has crashed as well (LOST).
 func TestStartAfterCrashIsNoCause(t *testing.T) {
 	h := newHarness(t)
 	job := h.job(step(2))
--- a/workflow/engine/executor_ends.go
+++ b/workflow/engine/executor_ends.go
@@ -47,8 +47,8 @@
 	e.recordCrash(n, former, runs, now)
 }
 
-// recordHostRestart counts the end of an executor that may have crashed by itself: its node's process has restarted, too. It makes
-// no task a suspect.
+// recordHostRestart counts the end of an executor whose node's process has restarted as well, so that the whole host may have restarted
+// or the executor may have crashed by itself. It makes no task a suspect.
 func (e *Engine) recordHostRestart(runs []crashedRun) {
 	for _, r := range withoutEnded(runs) {
 		r.task.crashes.total++
--- a/workflow/engine/former_runs.go
+++ b/workflow/engine/former_runs.go
@@ -28,7 +28,7 @@
 // listedEnd returns the cause for a run whose end the executor has listed.
 func listedEnd(how workflow.EndReason) EndCause { return EndCause("ended " + string(how)) }
 
-// UnknownAge is an age that is not known.
+// UnknownAge stands for an unknown age.
 const UnknownAge = time.Duration(-1)
 
 // FormerRun is the last run of a task before the current one, and what this owner knew of it when it took it for ended.
@@ -58,7 +58,7 @@
 	takenForEndedAt time.Time
 }
 
-// StartBasis is what the owner knew of a task, and what admitted it to its executor, when the owner decided on a start.
+// StartBasis is what the owner knew of a task, and why its executor was admitted, when the owner decided on a start.
 type StartBasis struct {
 	Admission Admission
 	// Former is the last run whose start was not rejected, or if there is none the last rejected one.
@@ -81,8 +81,8 @@
 	at          time.Time
 }
 
-// keepFormerRun keeps what is known of the current run of a task, which ceases to count. A rejected start does not replace what is
-// known of a run before it.
+// keepFormerRun records the current run of a task as its former run, before it ceases to be the current one. A rejected start does not
+// replace the run before it.
 func (t *task) keepFormerRun(cause EndCause, now time.Time) {
 	if cause == StartRejected {
 		t.rejected, t.rejectedStarts = t.describeRun(cause, now), t.rejectedStarts+1
--- a/workflow/engine/gang_failures_test.go
+++ b/workflow/engine/gang_failures_test.go
@@ -26,9 +26,9 @@
 // (review/3: LOST).
 func TestGangStartsAgainAfterEachMemberFailedOnOneExecutor(t *testing.T) {
 	h := newHarness(t)
-	patient := queue
-	patient.MaxAttempts = 4
-	h.engine.Configure(&workflow.Config{Version: 2, Queues: []workflow.Queue{patient}, Pools: []workflow.Pool{{Name: "pool"}}})
+	fourAttempts := queue
+	fourAttempts.MaxAttempts = 4
+	h.engine.Configure(&workflow.Config{Version: 2, Queues: []workflow.Queue{fourAttempts}, Pools: []workflow.Pool{{Name: "pool"}}})
 	gang := step(2)
 	gang.Gang, gang.PerExecutor = true, 1
 	h.engine.Add(h.job(gang), nil, h.now, h.now)
--- a/workflow/engine/misplaced.go
+++ b/workflow/engine/misplaced.go
@@ -33,8 +33,8 @@
 	MisplacedCapacity MisplacedKind = "capacity"
 )
 
-// MisplacedRun is a run that an executor lists as running and that may not run there. Of several runs that are too many together, the
-// ones that this owner started last are misplaced.
+// MisplacedRun is a run that an executor lists as running and that may not run there. If several runs together exceed a limit, the ones
+// that this owner started last are misplaced.
 type MisplacedRun struct {
 	Kind           MisplacedKind
 	Task           string
@@ -106,7 +106,7 @@
 	described int
 }
 
-// checkPlacement looks for runs that may not run on the executor that lists them. Each is described once for as long as it is listed.
+// checkPlacement looks for runs that may not run on the executor that lists them. Each is described once while it is listed.
 func (e *Engine) checkPlacement(n *node, listed []listedRun, now time.Time) {
 	p := &placementCheck{engine: e, node: n, listed: listed, now: now}
 	p.forgetUnlisted()
@@ -131,7 +131,7 @@
 	}
 }
 
-// forgetUnlisted forgets the misplaced runs that the executor lists no longer.
+// forgetUnlisted forgets the misplaced runs that the executor no longer lists.
 func (p *placementCheck) forgetUnlisted() {
 	for key := range p.node.misplaced {
 		if !slices.ContainsFunc(p.listed, func(l listedRun) bool { return l.task.name == key.task && l.run == key.run }) {
@@ -262,7 +262,7 @@
 	return ""
 }
 
-// keepFormerPools keeps the pools that queues lose with another configuration, since runs that were started there go on.
+// keepFormerPools keeps the pools that queues lose with another configuration, since runs that were started there continue.
 func (e *Engine) keepFormerPools(next *workflow.Config) {
 	for i := range e.config.Queues {
 		q := &e.config.Queues[i]
--- a/workflow/engine/waiting.go
+++ b/workflow/engine/waiting.go
@@ -11,7 +11,7 @@
 	// job.
 	minExplainedAge     = 500 * time.Millisecond
 	waitExplainInterval = time.Second
-	// maxWaitsExplained bounds the jobs that are explained between two calls of Tick, since each takes a look at all
+	// maxWaitsExplained bounds the jobs that are explained between two calls of Tick, since each explanation examines all
 	// executors and may be logged.
 	maxWaitsExplained = 2
 	// noExecutorReason is the reason of a wait if no executor is known.
--- a/workflow/executor.go
+++ b/workflow/executor.go
@@ -62,7 +62,8 @@
 	// Draining is set if the executor will shut down, at the earliest after RemainingMillis.
 	Draining        bool  `json:"draining,omitempty"`
 	RemainingMillis int64 `json:"remaining_ms,omitempty"`
-	// EndAnnounced is set if the end of an executor under its ID was announced. That may be late, and mean a former incarnation.
+	// EndAnnounced is set if the end of an executor under this ID was announced. The announcement may be late and concern a former
+	// incarnation.
 	EndAnnounced bool `json:"end_announced,omitempty"`
 	// Left is set once the executor has shut down as planned. Everything that ran on the incarnation has ended.
 	Left bool `json:"left,omitempty"`
--- a/workflow/leases.go
+++ b/workflow/leases.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// MinStartLease is how long the lease of an executor has to last for a start, as its node counts it. Nodes reject starts with less left,
-// and owners order none.
+// MinStartLease is the minimum time that must be left of an executor's lease, as its node counts it, for a start. Nodes reject starts
+// with less left, and owners order none.
 const MinStartLease = time.Second
 
 // MaxExecutorLeases limits the executors in an OwnerLeases.
