--- a/test/guarantees/partition_test.go
+++ b/test/guarantees/partition_test.go
@@ -28,25 +28,20 @@
 
 // isolate drops all traffic between the agent of a host and all other entries and agents, in both directions. The agent
 // still reaches itself, its worker and the store.
-func (f *fleet) isolate(h *host) {
-	for _, other := range f.allProcesses() {
-		if other != h.process {
-			other.peerLink.Partition(h.name)
-			h.peerLink.Partition(other.name)
-			h.requestLink.Partition(other.name)
-			h.workerLink.Partition(other.name)
-		}
-	}
-}
+func (f *fleet) isolate(h *host) { f.forEachPeerLink(h, (*faultnet.Forwarder).Partition) }
 
 // reconnect undoes isolate.
-func (f *fleet) reconnect(h *host) {
+func (f *fleet) reconnect(h *host) { f.forEachPeerLink(h, (*faultnet.Forwarder).Heal) }
+
+// forEachPeerLink calls set for each link between the agent of a host and the other entries and agents, with the name of the process
+// that sends over it.
+func (f *fleet) forEachPeerLink(h *host, set func(link *faultnet.Forwarder, sender string)) {
 	for _, other := range f.allProcesses() {
 		if other != h.process {
-			other.peerLink.Heal(h.name)
-			h.peerLink.Heal(other.name)
-			h.requestLink.Heal(other.name)
-			h.workerLink.Heal(other.name)
+			set(other.peerLink, h.name)
+			set(h.peerLink, other.name)
+			set(h.requestLink, other.name)
+			set(h.workerLink, other.name)
 		}
 	}
 }
