Take no late announcement of a former end for the end of a draining executor

If the next incarnation under its ID drained when that of the former one arrived, a single refused connection counted as its end, and its tasks started elsewhere while it ran on.

For 15 s after another incarnation under the same ID was known, an announced end is ambiguous, and one refused connection proves nothing.

A new process of the node doesn't know the former incarnation and still takes the refusal for the end.

--- a/node/announcements.go
+++ b/node/announcements.go
@@ -77,9 +77,16 @@
 	}
 }
 
+// formerIncarnation is an incarnation of the executor that another one has replaced.
+type formerIncarnation struct {
+	id         string
+	replacedAt time.Time
+}
+
 // forgetIncarnation discards the state of the current incarnation.
 func (n *Node) forgetIncarnation() {
 	n.log.Info("executor replaced", "former", n.current.IncarnationID())
+	n.former = formerIncarnation{n.current.ID, n.clock.Now()}
 	n.current, n.successor, n.lists, n.ack, n.shrunkReport = nil, nil, nil, 0, 0
 	n.changedReport = n.reportNumber
 	n.endDeparture()
--- a/node/departure.go
+++ b/node/departure.go
@@ -12,12 +12,17 @@
 // announcement was wrong or meant for a former incarnation.
 const maxDepartureTime = 2 * time.Second
 
+// maxAnnouncementDelay is how much later the announcement of the end of an executor may arrive.
+const maxAnnouncementDelay = 15 * time.Second
+
 // departure is the planned end of an executor incarnation.
 type departure struct {
 	// announcedAt is when the executor announced its end; zero while it drains.
 	announcedAt time.Time
 	// drained is set if the executor itself has announced that it drains, as it does before a planned end.
 	drained bool
+	// ambiguous is set if the announcement of the end may be one of a former incarnation under the same ID.
+	ambiguous bool
 	// settled is closed when an owner has stored that the incarnation has left, or when another incarnation is known.
 	settled chan struct{}
 	closed  bool
@@ -50,7 +55,9 @@
 	if n.departure == nil {
 		n.departure = newDeparture(false)
 	}
-	n.departure.announcedAt = n.clock.Now()
+	now := n.clock.Now()
+	n.departure.announcedAt = now
+	n.departure.ambiguous = n.former.id == id && now.Sub(n.former.replacedAt) < maxAnnouncementDelay
 	signal(n.wakeHold)
 	signal(n.wakeReport)
 }
@@ -58,7 +65,8 @@
 // handleHoldError processes a hold call to an incarnation that failed, after which the next call may reach another one. broken is
 // set if its connection was broken or refused, which shows that the executor has just ended. If the incarnation had announced its
 // end and its address refuses connections, it has left. If it was not draining before, the announcement may be that of a former
-// incarnation, and refused connections prove nothing: then only its lease shows when its runs have ended.
+// incarnation, and refused connections prove nothing: then only its lease shows when its runs have ended. The same holds for one refused
+// connection if that incarnation was known until shortly before.
 func (n *Node) handleHoldError(incarnation string, err error, broken bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -74,7 +82,7 @@
 	if !n.departure.announced() || n.current.Left || n.current.IncarnationID() != incarnation || !errors.Is(err, ErrRefused) {
 		return
 	}
-	if !n.departure.drained {
+	if !n.departure.drained || n.departure.ambiguous {
 		return
 	}
 	n.log.Info("executor has left", "executor", incarnation, "epoch", n.epoch)
--- a/node/node.go
+++ b/node/node.go
@@ -33,6 +33,8 @@
 	mu sync.Mutex
 	// current is the current incarnation of the executor, or nil if none is known.
 	current *workflow.Executor
+	// former is the incarnation before the current one; zero if none is known.
+	former formerIncarnation
 	// successor is another executor that was announced while the current one responded; nil for none.
 	successor *successor
 	// announceSequence is the sequence number of the last announcement of that incarnation.
--- a/test/workflows/stale_orders_test.go
+++ b/test/workflows/stale_orders_test.go
@@ -156,3 +156,27 @@
 		s.Assert(s.checker.foundViolations(), qt.HasLen, 0)
 	})
 }
+
+// Guards against a task that runs twice: the end that the former incarnation of its executor has announced becomes known late, while the
+// next one drains and refuses a connection.
+func TestLateDepartureOfFormerIncarnationEndsNoRuns(t *testing.T) {
+	runWithFleet(t, 3, func(f *fleet) {
+		s := newStaleLease(f)
+		s.restart(nodetest.StaleCalls{}, nil)
+		time.Sleep(2 * announceInterval)
+		s.submitOne(1000)
+		s.awaitRun()
+		s.drain()
+		description, _ := s.executor.Describe()
+		s.node.Leave(description.ID)
+		s.operators.evacuate()
+		s.executor.SetRefusing(true)
+		time.Sleep(holdRefusalTime)
+		s.executor.SetRefusing(false)
+		time.Sleep(longTaskTime)
+		s.Assert(s.checker.foundViolations(), qt.HasLen, 0)
+	})
+}
+
+// holdRefusalTime is how long an executor refuses connections so that the next hold call meets a refusal.
+const holdRefusalTime = 1200 * time.Millisecond
