Acknowledge ends only by calls that the executor answers at once

A task could start again after its end was acknowledged (TWICE): an executor restarted under its ID, its next incarnation carried out a start and then a hold call that were meant for the former one, and the acknowledgement in that call discarded the end of the run there, which had never been listed.

Cause: acknowledgements went in hold calls that wait for the end of a run for up to a second, so that one was often on its way at a crash.

Change: a call with an acknowledgement doesn't wait, and is followed by one that does. It is sent right after an answer, as before.

TestCallsThatWaitAcknowledgeNoEnds.

--- a/node/hold.go
+++ b/node/hold.go
@@ -182,12 +182,13 @@
 	if n.renewsLease(now) {
 		deadline = n.deadline(now)
 	}
-	if deadline > 0 && !n.fetches {
+	ack := n.pendingAck()
+	if (deadline > 0 || ack > 0) && !n.fetches {
 		wait = 0
 	}
 	epoch := n.callEpoch()
 	return holdCall{
-		incarnation: n.current.IncarnationID(), epoch: epoch, fence: n.fence(epoch), ack: n.pendingAck(), deadline: deadline, leaseEnd: n.leaseEnd,
+		incarnation: n.current.IncarnationID(), epoch: epoch, fence: n.fence(epoch), ack: ack, deadline: deadline, leaseEnd: n.leaseEnd,
 		wait: wait, covers: n.executedOrders, renewedUntil: n.renewedUntil, calledAt: now, clocks: readClocks(n.host),
 	}
 }
--- a/node/stale_calls_test.go
+++ b/node/stale_calls_test.go
@@ -198,6 +198,26 @@
 	})
 }
 
+// Guards against an acknowledgement that is on its way while the executor restarts: the next incarnation numbers its ends from 1, and
+// discards one that it has never listed.
+func TestCallsThatWaitAcknowledgeNoEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := newLeasedNode(clocktest.NewHost())
+		renewal := n.nextHold()
+		n.noteRenewal(&renewal)
+		n.ack = 2
+		n.applyLists(testIncarnation, &RunLists{StartedUnixMillis: 1000, Ended: []workflow.RunEnd{{Number: 1}, {Number: 2}}, EndsComplete: true}, 0)
+		acknowledging := n.nextHold()
+		c.Assert(acknowledging.ack, qt.Equals, int64(2))
+		c.Assert(acknowledging.wait, qt.Equals, time.Duration(0))
+		n.applyLists(testIncarnation, &RunLists{StartedUnixMillis: 1000, EndsComplete: true}, 0)
+		waiting := n.nextHold()
+		c.Assert(waiting.ack, qt.Equals, int64(0))
+		c.Assert(waiting.wait, qt.Equals, holdWait)
+	})
+}
+
 // Guards against a copy of a hold call that carries the deadline of the former incarnation when the next one is known.
 func TestCopyForFormerIncarnationCarriesNoDeadline(t *testing.T) {
 	c := qt.New(t)
