--- a/workflow/engine/stale_leases.go
+++ b/workflow/engine/stale_leases.go
@@ -61,5 +61,5 @@
 }
 
 func init() {
-	registerStaticFilter("stale lease", func(_ *placementRequest, n *node) bool { return n.outlastsStaleLease() })
+	registerStaticFilter("stale_lease", func(_ *placementRequest, n *node) bool { return n.outlastsStaleLease() })
 }
