--- a/test/workflows/random_faults_test.go
+++ b/test/workflows/random_faults_test.go
@@ -100,6 +100,13 @@
 	"remove-owner-key", "end-leases",
 }
 
+// shortRestartActionKinds are executors that restart under their ID, with calls on their way, and are cut off soon after, and the faults
+// that change the owner or restart nodes.
+var shortRestartActionKinds = []string{
+	"submit", "submit", "restart-shortly", "restart-and-silence", "restart-and-silence", "restart-and-cut", "restart-and-cut", "respond",
+	"respond", "reconnect", "reconnect", "kill", "start", "start", "withdraw", "heal", "remove-owner-key", "end-leases",
+}
+
 const (
 	randomTestHosts = 3
 	// maxWakeTime is how long a host that is suspended twice is up in between.
@@ -210,6 +217,14 @@
 	checkRandomFaults(t, randomFaults{kinds: limitActionKinds, taskTime: mediumTaskTime, limited: true, fetching: true})
 }
 
+// Guards against the same violations when executors restart under their ID and carry out calls for their former incarnations.
+func TestRandomShortRestarts(t *testing.T) {
+	checkRandomFaults(t, randomFaults{
+		kinds: shortRestartActionKinds, taskTime: longTaskTime,
+		staleCalls: nodetest.StaleCalls{Starts: true, Stops: true, Holds: true, WaitingHoldsBreak: true},
+	})
+}
+
 // randomFaults describes the histories of a test.
 type randomFaults struct {
 	kinds    []string
@@ -224,6 +239,8 @@
 	manyEnds bool
 	// limited is set if an executor may run only one or two tasks of a step.
 	limited bool
+	// staleCalls are the calls for former incarnations that executors carry out.
+	staleCalls nodetest.StaleCalls
 }
 
 // maxRandomEndsPerResponse limits how many ends executors list at a time in histories with many ends.
@@ -244,6 +261,10 @@
 			watched = false
 			executors = drawConstraints(rt, actions)
 		}
+		if faults.staleCalls != (nodetest.StaleCalls{}) {
+			// The oracle of standstills doesn't know of jobs that are given up since executors crash under them again and again.
+			watched = false
+		}
 		failure := ""
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
@@ -257,6 +278,7 @@
 				h.replaceExecutor(i, traits)
 			}
 			h.setTaskTime(faults.taskTime)
+			h.setStaleCalls(faults.staleCalls)
 			h.limited = faults.limited
 			if faults.manyEnds {
 				h.manySmall = true
--- a/test/workflows/random_history_test.go
+++ b/test/workflows/random_history_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/quetzalshed/quetzalshed/gateway"
 	"github.com/quetzalshed/quetzalshed/kv/kvtest"
+	"github.com/quetzalshed/quetzalshed/node/nodetest"
 	"github.com/quetzalshed/quetzalshed/owner"
 	"github.com/quetzalshed/quetzalshed/ownership"
 	"github.com/quetzalshed/quetzalshed/workflow"
@@ -80,6 +81,8 @@
 		}
 	case "restart":
 		host.executor.Restart()
+	case "restart-shortly", "restart-and-silence", "restart-and-cut":
+		h.restartShortly(host, a)
 	case "silence", "respond":
 		host.executor.SetUnresponsive(a.kind == "silence")
 	case "lapse":
@@ -112,6 +115,32 @@
 	}
 }
 
+// restartShortly restarts an executor under its ID. In the other kinds it submits a job, of which the executor with the most room gets
+// tasks, and cuts off the executor from its node, or both from all others, soon after.
+func (h *history) restartShortly(host *host, a action) {
+	h.crashes++
+	host.executor.Crash()
+	time.Sleep(executorDownTime)
+	host.executor.Restart()
+	if description, up := host.executor.Describe(); up {
+		host.node.Announce(description, 0, 0)
+	}
+	if a.kind == "restart-shortly" {
+		return
+	}
+	time.Sleep(grantTime)
+	h.submitOnce(a)
+	time.Sleep(a.pause % maxPauseBeforeCut)
+	if a.kind == "restart-and-cut" {
+		h.network.SetPartitioned(host.name, true)
+		return
+	}
+	host.executor.SetUnresponsive(true)
+}
+
+// maxPauseBeforeCut is how long after the start of tasks on the next incarnation that is cut off.
+const maxPauseBeforeCut = time.Second
+
 func (h *history) applyToEntry(a action) {
 	switch a.kind {
 	case "cut", "reconnect":
@@ -198,6 +227,13 @@
 	}
 }
 
+// setStaleCalls sets which calls the next incarnations of the executors carry out for the former ones.
+func (h *history) setStaleCalls(calls nodetest.StaleCalls) {
+	for _, host := range h.hosts {
+		host.executor.SetStaleCalls(calls)
+	}
+}
+
 // limitEnds sets how many ends the executors list at a time.
 func (h *history) limitEnds(endsPerResponse int) {
 	for _, host := range h.hosts {
