--- /dev/null
+++ b/test/workflows/review_stale_calls_test.go
@@ -0,0 +1,95 @@
+package workflows_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/node/nodetest"
+	"github.com/quetzalshed/quetzalshed/workflow"
+)
+
+// Guards against a task that runs twice: the next incarnation of its executor carries out its start and answers the node, and both have
+// been cut off from the owner, which counts the lease of the former incarnation.
+func TestStaleStartRunsOnCutOffHost(t *testing.T) {
+	runWithFleet(t, 3, func(f *fleet) {
+		s := newStaleLease(f)
+		s.restart(nodetest.StaleCalls{Starts: true}, func() {
+			s.submitOne(1000)
+			time.Sleep(grantTime)
+			s.cut(true)
+		})
+		s.announceNow()
+		time.Sleep(grantTime)
+		s.Assert(s.checker.starts(s.task), qt.Equals, 1)
+		s.assertRunsOnce()
+	})
+}
+
+// Guards against the same with an owner that learns of the stale lease after a hand-over, but hasn't renewed the lease: the incarnation
+// was cut off after its first answers, and these reach the owner late.
+func TestStaleStartOutlastsLeaseAfterHandOver(t *testing.T) {
+	runWithFleet(t, 4, func(f *fleet) {
+		s := newStaleLease(f)
+		s.restart(nodetest.StaleCalls{Starts: true}, func() {
+			s.submitOne(1000)
+			time.Sleep(grantTime)
+			s.cut(true)
+		})
+		s.announceNow()
+		time.Sleep(10 * answerTime)
+		s.executor.SetUnresponsive(true)
+		f.handOver()
+		time.Sleep(1500 * time.Millisecond)
+		s.network.SetPartitioned(s.host.name, false)
+		s.Assert(s.checker.starts(s.task), qt.Equals, 1)
+		s.assertRunsOnce()
+	})
+}
+
+// Guards against the same with a new process of the node that hears of another executor before the one under the former ID starts.
+func TestStaleStartOfFormerProcessRunsAfterForeignAnnouncement(t *testing.T) {
+	for name, foreign := range map[string]bool{"no other executor": false, "another executor": true} {
+		t.Run(name, func(t *testing.T) {
+			runWithFleet(t, 3, func(f *fleet) {
+				s := newStaleLease(f)
+				const delay = 900 * time.Millisecond
+				s.mute.Store(true)
+				lateAt := s.startLate(delay)
+				s.executor.Crash()
+				s.kill()
+				s.start()
+				if foreign {
+					s.node.Announce(workflow.Executor{ID: "i-foreign", StartedUnixMillis: time.Now().UnixMilli(), Pool: "pool", FailureDomain: "domain"}, 1, 0)
+				}
+				time.Sleep(executorDownTime)
+				s.executor.Restart()
+				s.executor.SetCallFaults(nodetest.CallFaults{})
+				time.Sleep(time.Until(lateAt) + answerTime)
+				s.Assert(s.checker.starts(s.task), qt.Equals, 1)
+				s.announceNow()
+				time.Sleep(grantTime)
+				s.cut(false)
+				s.assertRunsOnce()
+			})
+		})
+	}
+}
+
+// Guards against a run that lapses although its owner has granted a longer lease: the executor carries out all calls and its answers are
+// lost for some seconds.
+func TestRunLapsesWhileAnswersAreLost(t *testing.T) {
+	runWithFleet(t, 3, func(f *fleet) {
+		s := newStaleLease(f)
+		s.submitOne(1000)
+		s.awaitRun()
+		time.Sleep(3 * time.Second)
+		s.executor.SetCallFaults(nodetest.CallFaults{AnswerLost: 1})
+		time.Sleep(6800 * time.Millisecond)
+		s.executor.SetCallFaults(nodetest.CallFaults{})
+		time.Sleep(time.Second)
+		description, _ := s.executor.Describe()
+		s.Assert(s.checker.tasksOn(description.IncarnationID()), qt.DeepEquals, []string{s.task})
+	})
+}
