--- a/test/workflows/review_stale_calls_test.go
+++ b/test/workflows/review_stale_calls_test.go
@@ -76,3 +76,45 @@
 		})
 	}
 }
+
+// Guards against the same with an owner to which the former one has handed over the end of the stale lease: it counts at most what it
+// counts for executors of which it has been told nothing.
+func TestInheritedStaleLeaseIsCutShort(t *testing.T) {
+	for name, withNode := range map[string]bool{"executor is cut off": false, "host is cut off": true} {
+		t.Run(name, func(t *testing.T) {
+			runWithFleet(t, 4, func(f *fleet) {
+				s := newStaleLease(f)
+				s.restart(nodetest.StaleCalls{Starts: true}, func() { s.submitOne(1000) })
+				s.announceNow()
+				s.awaitRun()
+				time.Sleep(grantTime)
+				s.cut(withNode)
+				f.handOver()
+				s.assertRunsOnce()
+			})
+		})
+	}
+}
+
+// Guards against the same with an owner that takes over from one that was killed.
+func TestStaleLeaseOfStaleStartOutlastsTakeover(t *testing.T) {
+	for name, withNode := range map[string]bool{"executor is cut off": false, "host is cut off": true} {
+		t.Run(name, func(t *testing.T) {
+			runWithFleet(t, 4, func(f *fleet) {
+				s := newStaleLease(f)
+				s.restart(nodetest.StaleCalls{Starts: true}, func() {
+					s.submitOne(1000)
+					time.Sleep(grantTime)
+					former := f.owner()
+					former.kill()
+					former.start()
+				})
+				s.announceNow()
+				time.Sleep(10 * answerTime)
+				s.Assert(s.checker.starts(s.task), qt.Equals, 1)
+				s.cut(withNode)
+				s.assertRunsOnce()
+			})
+		})
+	}
+}
