--- a/test/workflows/review_stale_calls_test.go
+++ b/test/workflows/review_stale_calls_test.go
@@ -118,3 +118,28 @@
 		})
 	}
 }
+
+// Guards against the same with a next process of the node, which limits the lease by what ordinary leases last, and a next owner, which
+// relies on that.
+func TestStaleLeaseIsUnknownToNextNodeProcessAndOwner(t *testing.T) {
+	for name, ownerEnds := range map[string]bool{"owner stays": false, "owner is killed": true} {
+		t.Run(name, func(t *testing.T) {
+			runWithFleet(t, 4, func(f *fleet) {
+				s := newStaleLease(f)
+				s.restart(nodetest.StaleCalls{Starts: true}, func() { s.submitOne(1000) })
+				s.announceNow()
+				s.awaitRun()
+				time.Sleep(grantTime)
+				s.cut(false)
+				s.kill()
+				s.start()
+				if ownerEnds {
+					former := f.owner()
+					former.kill()
+					former.start()
+				}
+				s.assertRunsOnce()
+			})
+		})
+	}
+}
