Let a new owner count stale leases for as long as the former one did

The next owner took the end of the lease that it had inherited only where it was earlier than what it counts for executors of which it knows nothing (7.06 s after a hand-over), disregarded what the node reported of the stale lease unless it had renewed the lease itself, and counted 8.7 s for a run that the former owner had moved to that incarnation. The owner also told a process of a node that no former one had had a lease while it disregarded its reports, since the time of day had been set back, and kept a stale lease that the node had disproved.

Change: the reported stale lease counts whatever the source of the granted one, an inherited end counts as it is, and runs that a former owner has moved count with the longest stale lease after the takeover, unless the node knows better. What a node reports last of a stale lease counts.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -43,6 +43,8 @@
 	electionJitter = 120 * time.Millisecond
 	// defaultRemoteSlowdown is used when the platform doesn't configure RemoteSlowdown.
 	defaultRemoteSlowdown = 1.5
+	// defaultMaxLease is used when the platform doesn't configure MaxLease.
+	defaultMaxLease = 10 * time.Second
 	// loadTimeout is how long a request waits while a new owner loads the jobs.
 	loadTimeout = 500 * time.Millisecond
 	// reclaimTimeout limits the attempt to revoke the ownership of a former process of this host.
@@ -69,8 +71,9 @@
 	Scope tally.Scope
 	// RemoteSlowdown is how many times longer a task runs if its data is not local; 0 means defaultRemoteSlowdown.
 	RemoteSlowdown float64
-	// StopTime is the time that an executor may take to stop a task.
-	StopTime time.Duration
+	// MaxLease is the longest lease that executors take, by their own clocks; 0 means defaultMaxLease. StopTime is the time that an
+	// executor may take to stop a task.
+	MaxLease, StopTime time.Duration
 	// Retention is how long the state of a finished job is kept; 0 means defaultRetention.
 	Retention time.Duration
 
@@ -138,6 +141,7 @@
 		events: make(chan event, eventQueueSize), loaded: make(chan struct{}), commitDone: make(chan error, 1),
 		remoteSlowdown: cmp.Or(c.RemoteSlowdown, defaultRemoteSlowdown), retention: cmp.Or(c.Retention, defaultRetention),
 		stopMargin:     max(minStopMargin, c.StopTime),
+		maxLease:       cmp.Or(c.MaxLease, defaultMaxLease),
 		commitRevision: lease.CommitRevision, acked: map[string]int64{}, deletedJobs: deletedJobs{},
 	}
 	c.Log.Info("ownership taken", "epoch", lease.Record.Epoch)
--- a/owner/serve.go
+++ b/owner/serve.go
@@ -75,7 +75,7 @@
 	applied, stored := t.applyAndWait(ctx, reportReplyTimeout, func(now, wall time.Time) {
 		var ack int64
 		ack, granted = t.engine.HandleReport(r, now, wall)
-		noFormerLeases = t.engine.IsFirstProcess(r.Node)
+		noFormerLeases = t.engine.IsFirstProcess(r.Node, r.Incarnation)
 		t.logDepartures()
 		t.logContradictions(now)
 		t.logSuperseded(now)
--- a/owner/term.go
+++ b/owner/term.go
@@ -38,7 +38,7 @@
 	OrdersTimeout = 2 * time.Second
 	// executorLeaseExpiry is the time after which an executor's lease has certainly expired: executors' clocks may be up to 2% slow.
 	executorLeaseExpiry = ExecutorLeaseDuration + ExecutorLeaseDuration/25 + minStopMargin
-	// minStopMargin is how long after the end of its lease an executor takes to stop its tasks at least, as far as the owner counts.
+	// minStopMargin is the least time that the owner allows an executor for stopping its tasks after the end of their lease.
 	minStopMargin = 300 * time.Millisecond
 	// takeoverSlack is how long a former owner whose key was deleted may still consider itself the owner: slightly longer than
 	// the lease of its key.
@@ -78,8 +78,10 @@
 	log            hclog.Logger
 	metrics        metrics
 	remoteSlowdown float64
-	stopMargin     time.Duration
-	retention      time.Duration
+	// maxLease is the longest lease that executors take, by their own clocks, and stopMargin how long after its end they may take to stop
+	// their tasks.
+	maxLease, stopMargin time.Duration
+	retention            time.Duration
 
 	engine *engine.Engine
 	events chan event
@@ -127,7 +129,7 @@
 	now := t.clock.Now()
 	t.engine = engine.New(engine.Settings{
 		LeaseDuration: ExecutorLeaseDuration, LeaseExpiry: executorLeaseExpiry, TakeoverSlack: takeoverSlack,
-		StopMargin: t.stopMargin, FirstOwner: t.lease.Former == nil,
+		StaleLeaseExpiry: clock.LongestOnSlowClock(t.maxLease) + t.stopMargin, StopMargin: t.stopMargin, FirstOwner: t.lease.Former == nil,
 		RemoteSlowdown: t.remoteSlowdown, Retention: t.retention, Epoch: t.lease.Record.Epoch,
 	}, now)
 	t.inheritLeases()
--- a/workflow/engine/adding_jobs.go
+++ b/workflow/engine/adding_jobs.go
@@ -107,7 +107,7 @@
 
 // restoreRun takes the run of a task over from the record of its job. Its executor may have reported already.
 func (e *Engine) restoreRun(t *task, r *workflow.TaskRecord) {
-	t.executorIncarnation, t.host, t.reassigned = r.Life, r.Node, r.Reassigned
+	t.executorIncarnation, t.host, t.reassigned, t.reassignedBefore = r.Life, r.Node, r.Reassigned, r.Reassigned
 	e.awaitHost(r.Node)
 	e.track(t)
 	if n := e.nodes[r.Node]; n != nil && n.runsIncarnation(r.Life) {
--- a/workflow/engine/engine.go
+++ b/workflow/engine/engine.go
@@ -24,6 +24,9 @@
 	RemoteSlowdown float64
 	// TakeoverSlack is how long a former owner may still grant leases after the current one has taken over.
 	TakeoverSlack time.Duration
+	// StaleLeaseExpiry is the time after the first answer of an executor incarnation to a call with its own fencing token at which none
+	// of its tasks can still be running by a stale lease.
+	StaleLeaseExpiry time.Duration
 	// StopMargin is how long after the end of its lease an executor may take to stop its tasks.
 	StopMargin time.Duration
 	// FirstOwner is set if nobody has owned the jobs before.
--- a/workflow/engine/leases.go
+++ b/workflow/engine/leases.go
@@ -92,18 +92,30 @@
 
 // leaseOf returns when the lease of an incarnation with runs of the given tasks has expired.
 func (e *Engine) leaseOf(incarnation string, tasks []*task) (time.Time, LeaseSource) {
+	expires, source := e.grantedLeaseOf(incarnation, tasks)
+	// A run that a stale call has started may have no other lease.
+	if n := e.nodes[tasks[0].host]; n != nil {
+		expires = latest(expires, n.staleLease.expires)
+	}
+	return expires, source
+}
+
+// grantedLeaseOf is leaseOf without the stale lease that the executor's node has reported to this owner.
+func (e *Engine) grantedLeaseOf(incarnation string, tasks []*task) (time.Time, LeaseSource) {
 	expires, source := e.unreportedExpiry, e.unreportedSource
 	// The node of the host may have reported without knowing an executor.
 	n := e.nodes[tasks[0].host]
 	if n != nil && n.runsIncarnation(incarnation) && n.leaseSource == LeaseOfOwner {
-		// A run that was started by a stale call may have no other lease.
-		return latest(n.leaseExpires, n.staleLease.expires), n.leaseSource
+		return n.leaseExpires, n.leaseSource
 	}
-	if n != nil && n.leaseSource == LeaseOfNode && n.leaseExpires.Before(expires) {
-		expires, source = n.leaseExpires, n.leaseSource
-	}
-	if inherited, found := e.inheritedLeases[incarnation]; found && inherited.Before(expires) {
+	if inherited, found := e.inheritedLeases[incarnation]; found {
+		// The former owner may have known of a stale lease, which lasts longer than granted ones.
 		expires, source = inherited, LeaseOfFormerOwner
+	} else if hasReassigned(tasks) {
+		expires = latest(expires, e.loadedAt.Add(e.settings.StaleLeaseExpiry))
+	}
+	if n != nil && n.leaseSource == LeaseOfNode && n.leaseExpires.Before(expires) && !hasReassigned(tasks) {
+		expires, source = n.leaseExpires, n.leaseSource
 	}
 	return expires, source
 }
--- a/workflow/engine/replacement.go
+++ b/workflow/engine/replacement.go
@@ -149,7 +149,7 @@
 	e.untrack(t)
 	t.executorIncarnation, t.host = incarnation, n.name
 	t.listed, t.started, t.startedSequence = false, false, 0
-	t.reassigned = true
+	t.reassigned, t.reassignedBefore = true, false
 	t.stoppedSequence, t.stopOrderedAt = 0, time.Time{}
 	n.addTask(t)
 	e.track(t)
--- a/workflow/engine/run_places.go
+++ b/workflow/engine/run_places.go
@@ -60,7 +60,7 @@
 	t.executorIncarnation, t.host, t.node = "", "", nil
 	t.startPending, t.started, t.listed, t.stopRequested, t.stopReason = false, false, false, false, ""
 	t.startedSequence, t.stoppedSequence = 0, 0
-	t.restored, t.reassigned = false, false
+	t.restored, t.reassigned, t.reassignedBefore = false, false, false
 	t.startedIncarnation, t.stoppedIncarnation = 0, 0
 	t.stopOrderedAt, t.supersededAt = time.Time{}, time.Time{}
 	t.percent, t.usage = 0, 0
--- a/workflow/engine/review_stale_leases_test.go
+++ b/workflow/engine/stale_lease_reports_test.go
@@ -50,7 +50,7 @@
 	h.reportStale(x, 2, nil)
 	h.reports["a"] = 0
 	h.reportStale(x, 1, nil)
-	h.Assert(h.engine.IsFirstProcess("a"), qt.IsFalse)
+	h.Assert(h.engine.IsFirstProcess("a", 1), qt.IsFalse)
 }
 
 // Guards against an executor that gets no start for seconds although its node no longer reports a stale lease.
--- a/workflow/engine/stale_leases.go
+++ b/workflow/engine/stale_leases.go
@@ -22,22 +22,32 @@
 // applyStaleLease takes over what a report says of the stale lease of its executor, which is that of the node.
 func (e *Engine) applyStaleLease(n *node, r *workflow.Report, now time.Time) {
 	s := r.StaleLease
-	if s != nil && s.OfFormerProcess && (n.staleLease.bounded || e.IsFirstProcess(n.name) || e.hasOrderedRun(n.executorIncarnation)) {
+	if s != nil && s.OfFormerProcess && (n.staleLease.bounded || e.IsFirstProcess(n.name, r.Incarnation) || e.hasOrderedRun(n.executorIncarnation)) {
 		s = nil
 	}
-	if s != nil && s.LeftMillis > 0 {
+	switch {
+	case s != nil && s.LeftMillis > 0:
 		left := time.Duration(s.LeftMillis) * time.Millisecond
-		n.staleLease.expires = latest(n.staleLease.expires, now.Add(left+e.settings.StopMargin))
+		n.staleLease.expires = now.Add(left + e.settings.StopMargin)
+	case r.Listed && r.StaleLease == nil:
+		n.staleLease.expires = time.Time{}
 	}
 	if r.Listed && (s == nil || !s.Unbounded) {
 		n.staleLease.bounded = true
 	}
 }
 
-// IsFirstProcess reports whether no owner has granted a lease to a former process of a host's node.
-func (e *Engine) IsFirstProcess(host string) bool {
+// IsFirstProcess reports whether no owner has granted a lease to a former process of a host's node. process is the start time of the
+// present one.
+func (e *Engine) IsFirstProcess(host string, process int64) bool {
 	n := e.nodes[host]
-	return n != nil && e.settings.FirstOwner && !n.hadLeaseBefore
+	return n != nil && n.incarnation == process && e.settings.FirstOwner && !n.hadLeaseBefore
+}
+
+// hasReassigned reports whether a former owner has moved one of the tasks to the incarnation that has them, so that a stale call may have
+// started it there.
+func hasReassigned(tasks []*task) bool {
+	return slices.ContainsFunc(tasks, func(t *task) bool { return t.reassignedBefore })
 }
 
 // hasOrderedRun reports whether a former owner has ordered a run on an incarnation. It did so only once its own lease outlasted a
--- a/workflow/engine/task.go
+++ b/workflow/engine/task.go
@@ -67,6 +67,8 @@
 	restored bool
 	// reassigned is set if the current run was ordered to a former incarnation of its executor.
 	reassigned bool
+	// reassignedBefore is set if a former owner has moved the current run to that incarnation.
+	reassignedBefore bool
 	// former is the last run that has ceased to count, apart from those with rejected starts and the one that has finished the
 	// task; nil if there is none. rejected is the last run since then whose start was rejected, rejectedStarts their number.
 	former         *endedRun
