Pass on the last extension of a lease, and renew after slow calls

A lease could lapse although a longer one was granted: an extension by less than half a second was never passed on to the executor, not even right before its lease ended, and after calls that set paces without an answer (0.3 s) the next call didn't renew the lease, as the last answer was older than 0.25 s.

Any extension is passed on once the executor's lease has less than 3 s left, and a call renews up to 0.6 s after the last answer, which covers those calls.

Evidence: TestLastExtensionOfLeaseIsNeverPassedOn and TestUnansweredPaceCallsHoldUpRenewal failed in 5 of 5 runs and pass.

--- a/node/hold.go
+++ b/node/hold.go
@@ -18,11 +18,12 @@
 	shortHoldWait = 100 * time.Millisecond
 	// urgentRenewal is the remaining time of the lease that the executor has confirmed below which each copy of a call renews it.
 	urgentRenewal = 3 * time.Second
-	// renewalWindow is how long after an answer the next call may renew the lease, and minRenewal by how much it does at least. An
-	// executor that needs the renewal soon and leaves some calls unanswered gets it up to urgentRenewalWindow after its last answer.
-	renewalWindow       = 250 * time.Millisecond
+	// renewalWindow is how long after an answer the next call may renew the lease. It covers ackWait and the calls that set paces.
+	renewalWindow = 600 * time.Millisecond
+	// urgentRenewalWindow is the same for an executor that needs the renewal soon, and may leave some calls unanswered.
 	urgentRenewalWindow = 3 * time.Second
-	minRenewal          = 500 * time.Millisecond
+	// minRenewal is by how much a renewal prolongs the lease at least, unless the executor needs it soon.
+	minRenewal = 500 * time.Millisecond
 	// holdResponseMargin is how much longer than the wait a response may take.
 	holdResponseMargin = 800 * time.Millisecond
 	// holdRetryDelay is the pause after a failed call.
@@ -199,14 +200,12 @@
 	if n.fetches {
 		return true
 	}
-	switch age := now.Sub(n.listedAt); {
-	case n.lists == nil || n.leaseEnd.Sub(n.renewedUntil) < minRenewal:
+	age, urgent := now.Sub(n.listedAt), n.renewedUntil.Sub(now) < urgentRenewal
+	extension := n.leaseEnd.Sub(n.renewedUntil)
+	if n.lists == nil || extension <= 0 || extension < minRenewal && !urgent {
 		return false
-	case n.renewedUntil.Sub(now) < urgentRenewal && age <= urgentRenewalWindow:
-		return true
-	default:
-		return n.confirmed && age <= renewalWindow
 	}
+	return n.confirmed && age <= renewalWindow || urgent && age <= urgentRenewalWindow
 }
 
 // needsRenewal reports whether the lease that the executor has confirmed ends soon, and a longer one is granted. The caller holds mu.
--- a/node/stale_call_limits_test.go
+++ b/node/stale_call_limits_test.go
@@ -68,6 +68,23 @@
 	})
 }
 
+// Guards against a lease that lapses before the end that the owner has granted: an extension by less than minRenewal is never passed on,
+// not even right before the lease that the executor has confirmed ends.
+func TestLastExtensionOfLeaseIsNeverPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := newLeasedNode(clocktest.NewHost())
+		renewal := n.nextHold()
+		n.noteRenewal(&renewal)
+		time.Sleep(minRenewal - time.Millisecond)
+		n.extendLease(n.clock.Now(), time.Duration(testLeaseMillis)*time.Millisecond)
+		time.Sleep(n.renewedUntil.Sub(n.clock.Now()) - 200*time.Millisecond)
+		n.answerHold(testIncarnation, 1000, formerClockMillis+n.clock.Now().Sub(n.clockAt).Milliseconds())
+		c.Assert(n.leaseEnd.Sub(n.renewedUntil) > 400*time.Millisecond, qt.IsTrue)
+		c.Assert(n.nextHold().deadline > 0, qt.IsTrue, qt.Commentf("%v are left, %v are granted", n.renewedUntil.Sub(n.clock.Now()), n.leaseEnd.Sub(n.clock.Now())))
+	})
+}
+
 // Guards against a bound on the stale lease by a token of a former owner: a new process of the node has heard of that one late, and its
 // former process may have sent calls with tokens of the present owner.
 func TestStaleLeaseIsBoundedByTokenOfFormerOwner(t *testing.T) {
@@ -81,3 +98,18 @@
 		c.Assert(stale.Unbounded, qt.IsTrue, qt.Commentf("calls with tokens of owner 7 may still reach the executor"))
 	})
 }
+
+// Guards against a lease that is renewed only when it is about to end: the calls that set paces take longer than renewalWindow.
+func TestUnansweredPaceCallsHoldUpRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := newLeasedNode(clocktest.NewHost())
+		renewal := n.nextHold()
+		n.noteRenewal(&renewal)
+		time.Sleep(time.Second)
+		n.extendLease(n.clock.Now(), time.Duration(testLeaseMillis)*time.Millisecond)
+		n.answerHold(testIncarnation, 1000, formerClockMillis+1000)
+		time.Sleep(paceTimeout)
+		c.Assert(n.nextHold().deadline > 0, qt.IsTrue)
+	})
+}
