Stop runs on the node once the granted lease has ended and a stale one lasts

A task could run twice (TWICE): a stale start runs on the next incarnation of an executor, and its node is cut off together with it before the owner hears of that incarnation. The owner counts the lease of the former one, 7.06 s, and the run lasts up to 10.2 s.

While the executor may hold a stale lease and no granted one lasts, the node orders stops of the runs that it lists.

--- a/node/lease.go
+++ b/node/lease.go
@@ -9,6 +9,9 @@
 		return
 	}
 	n.leaseEnd = end
+	if end.After(n.grantedUntil) {
+		n.grantedUntil = end
+	}
 	n.raiseLeaseBound(end)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -73,6 +73,9 @@
 	// leaseBound is the latest end of all leases that this process and former ones of the host can have passed on, to whichever
 	// incarnation of the executor.
 	leaseBound time.Time
+	// grantedUntil is the latest end of all leases that owners have granted to this process, for whichever incarnation, or may have
+	// granted to former ones.
+	grantedUntil time.Time
 	// leaseCalls holds the calls that may give the next incarnation a lease, and staleLease the lease that the current incarnation may
 	// have from such calls. Calls of former processes of the node may be carried out until formerCallsUntil. firstID is the ID of the
 	// executor that was the first to respond to this process.
@@ -127,7 +130,7 @@
 	return &Node{
 		copies: copies,
 		name:   name, address: address, incarnation: time.Now().UnixNano(), executor: executor, locator: locator,
-		leaseBound:       boot.Now().Add(owner.ExecutorLeaseDuration),
+		leaseBound: boot.Now().Add(owner.ExecutorLeaseDuration), grantedUntil: boot.Now().Add(owner.ExecutorLeaseDuration),
 		leaseCalls:       leaseCalls{open: map[int64]leaseCall{}},
 		formerCallsUntil: host.Now().Add(staleCallLimit), maxLease: DefaultMaxLease, fetches: fetches, rpc: client, clock: boot, host: host, log: log,
 		reportSentAt: map[int64]time.Time{}, unlistedStarts: map[int64]workflow.RunState{},
--- a/node/stale_calls.go
+++ b/node/stale_calls.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"time"
@@ -191,6 +192,40 @@
 	return lists.StartedUnixMillis != 0 && workflow.FormatIncarnationID(executorID(incarnation), lists.StartedUnixMillis) == incarnation
 }
 
+// stopRunsBeyondLease stops the runs that the executor lists once the leases that owners have granted have ended while a stale lease lasts
+// on: whoever is cut off from this node counts the granted ones only.
+func (n *Node) stopRunsBeyondLease(ctx context.Context) {
+	for _, run := range n.runsBeyondLease() {
+		n.log.Warn("run stopped beyond the granted lease", "task", run.task, "run", run.number, "executor", run.incarnation)
+		if err := n.executor.Stop(ctx, run.incarnation, run.task, run.number, run.fence); err != nil {
+			n.log.Warn("run not stopped", "task", run.task, "run", run.number, "executor", run.incarnation, "error", err)
+		}
+	}
+}
+
+// runToStop is a run of an incarnation, with the fencing token of the call that stops it.
+type runToStop struct {
+	incarnation, task string
+	number            int
+	fence             int64
+}
+
+// runsBeyondLease returns the runs that the current incarnation lists while it may hold a stale lease, if no granted lease lasts.
+func (n *Node) runsBeyondLease() []runToStop {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.clock.Now()
+	if n.current == nil || n.lists == nil || !n.confirmed || !n.staleLease.end.After(now) || n.grantedUntil.After(now) {
+		return nil
+	}
+	runs := make([]runToStop, len(n.lists.Running))
+	for i := range n.lists.Running {
+		run := &n.lists.Running[i]
+		runs[i] = runToStop{n.current.IncarnationID(), run.Task, run.Run, n.fence(n.callEpoch())}
+	}
+	return runs
+}
+
 // hasFormerCalls reports whether the current incarnation may receive calls of former processes of the node: they were meant for the
 // executor that has first responded to this process, or for one that is older than the process.
 func (n *Node) hasFormerCalls() bool {
