Don't raise the fencing tokens of executors that fetch their orders

Jobs stood still: a new process of a node called an executor that fetches its orders with a lower token than its former process had raised to, and the executor discarded each answer until the owner changed. It doesn't tell its node that it did.

Cause: raised tokens there, too. Such executors get no stale calls, since an answer to the former incarnation doesn't reach the next one.

--- a/node/lease.go
+++ b/node/lease.go
@@ -55,8 +55,12 @@
 // callEpoch returns the epoch of calls to the executor.
 func (n *Node) callEpoch() int64 { return max(n.epoch, n.locator.Epoch()) }
 
-// passToken makes the tokens of the next incarnation exceed those of the current one. The caller holds mu.
+// passToken makes the tokens of the next incarnation exceed those of the current one. An executor that fetches its orders gets no stale
+// calls, and can't tell that it has seen a higher token. The caller holds mu.
 func (n *Node) passToken() {
+	if n.fetches {
+		return
+	}
 	epoch := n.callEpoch()
 	n.tokenFloor.raise(epoch, n.incarnationToken(epoch), 1)
 	n.tokenFloor.step = 1
