Let simulated executors crash when a renewal arrives

Since hold calls that wait carry no deadline, so that no stale call of the simulated executor carries one: the calls that it could hand to its next incarnation wait at the crash or arrive after it.

CrashAtRenewal crashes the executor when a hold call with a deadline arrives. The next incarnation under its ID carries that call out before any other, however long the executor is down and even if the caller has given up; the answer arrives or is lost.

--- a/node/nodetest/calls.go
+++ b/node/nodetest/calls.go
@@ -52,6 +52,80 @@
 	return false
 }
 
+// renewalCrash is a crash at the arrival of a renewal: a hold call with a deadline.
+type renewalCrash struct {
+	// answered is set if the answer of the next incarnation reaches the caller.
+	answered bool
+	crashed  chan struct{}
+}
+
+// staleRenewal is a renewal that is carried out by the next incarnation under the executor's ID.
+type staleRenewal struct {
+	id                         string
+	fence, ack, deadlineMillis int64
+	// lists receives the answer. It is closed without one if another ID is in use.
+	lists chan *node.RunLists
+}
+
+// CrashAtRenewal crashes the executor when the next hold call with a deadline arrives, and closes the returned channel then. The next
+// incarnation under its ID carries out that call before any other, however long the executor is down; its answer arrives if answered is
+// set.
+func (x *Executor) CrashAtRenewal(answered bool) (crashed <-chan struct{}) {
+	crash := &renewalCrash{answered: answered, crashed: make(chan struct{})}
+	x.update(func() { x.renewalCrash = crash })
+	return crash.crashed
+}
+
+// crashUnder crashes the executor if a renewal that arrives is to do so, and returns nil otherwise.
+func (x *Executor) crashUnder(incarnation string, renewal staleRenewal) *renewalCrash {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	crash := x.renewalCrash
+	id, _, _ := strings.Cut(incarnation, "@")
+	if crash == nil || x.down || x.unresponsive || x.refusing || id != x.description.ID {
+		return nil
+	}
+	x.advance()
+	x.crash()
+	renewal.id = id
+	x.renewalCrash, x.staleRenewal = nil, &renewal
+	close(crash.crashed)
+	return crash
+}
+
+// carryOutStaleRenewal carries out the renewal that has met a crash. The caller holds mu.
+func (x *Executor) carryOutStaleRenewal() {
+	renewal := x.staleRenewal
+	if renewal == nil {
+		return
+	}
+	x.staleRenewal = nil
+	defer close(renewal.lists)
+	if renewal.id != x.description.ID {
+		return
+	}
+	x.fence = renewal.fence
+	x.extend(renewal.deadlineMillis)
+	x.acknowledge(renewal.ack)
+	renewal.lists <- x.lists()
+}
+
+// awaitStaleAnswer returns the answer to a renewal that has met a crash.
+func awaitStaleAnswer(ctx context.Context, crash *renewalCrash, renewal staleRenewal) (*node.RunLists, error) {
+	if crash.answered {
+		select {
+		case lists, sameID := <-renewal.lists:
+			if !sameID {
+				return nil, node.ErrOtherIncarnation
+			}
+			return lists, nil
+		case <-ctx.Done():
+		}
+	}
+	<-ctx.Done()
+	return nil, errNoAnswer
+}
+
 // awaitRestart waits until the executor is up, and returns false if a call of a kind isn't carried out then. The caller holds mu.
 func (x *Executor) awaitRestart(ctx context.Context, kind callKind) bool {
 	for x.down {
@@ -220,6 +294,12 @@
 
 // Hold implements node.Executor.
 func (x *Executor) Hold(ctx context.Context, incarnation string, fence, ack, deadlineMillis int64, wait time.Duration) (*node.RunLists, error) {
+	if deadlineMillis > 0 {
+		renewal := staleRenewal{fence: fence, ack: ack, deadlineMillis: deadlineMillis, lists: make(chan *node.RunLists, 1)}
+		if crash := x.crashUnder(incarnation, renewal); crash != nil {
+			return awaitStaleAnswer(ctx, crash, renewal)
+		}
+	}
 	until := time.Now().Add(wait)
 	// carriedOutBy is the start time of the incarnation that has carried out the call.
 	carriedOutBy := time.Time{}
--- a/node/nodetest/executor.go
+++ b/node/nodetest/executor.go
@@ -62,8 +62,11 @@
 	// startOffset is added to the start times of the next incarnations.
 	startOffset time.Duration
 	// staleCalls are the calls that are carried out by the next incarnation, and restarted is closed when that starts.
-	staleCalls   StaleCalls
-	restarted    chan struct{}
+	staleCalls StaleCalls
+	restarted  chan struct{}
+	// renewalCrash is set if the executor crashes when a renewal arrives, and staleRenewal is a renewal that has met such a crash.
+	renewalCrash *renewalCrash
+	staleRenewal *staleRenewal
 	runs         map[string]*run
 	highestRun   map[string]int
 	ended        []endedRun
@@ -122,6 +125,7 @@
 	x.runs, x.highestRun = map[string]*run{}, map[string]int{}
 	x.deadline, x.clockStart, x.clockRate = time.Time{}, x.nextClockStart, x.nextClockRate
 	x.down, x.refusing = false, false
+	x.carryOutStaleRenewal()
 	close(x.restarted)
 	x.restarted = make(chan struct{})
 }
@@ -147,9 +151,10 @@
 func (x *Executor) SetRefusing(refusing bool) { x.update(func() { x.refusing = refusing }) }
 
 // Crash ends all runs, as a loss of the executor's host does. Calls get no response until Restart.
-func (x *Executor) Crash() {
-	x.mu.Lock()
-	defer x.mu.Unlock()
+func (x *Executor) Crash() { x.update(x.crash) }
+
+// crash is Crash by a caller that holds mu.
+func (x *Executor) crash() {
 	for task, r := range x.runs {
 		x.observer.Ended(x.description.IncarnationID(), task, r.number, workflow.EndLapsed)
 	}
