Test stale leases with renewals that are on their way at a crash

Six tests get cases in which the executor crashes when a renewal arrives, which its next incarnation carries out; the former cases stay, some under longer names. An owner that knows a stale lease waits for its end before it starts the tasks elsewhere, and a node that reaches its executor may stop its runs. So there are new cases in which the executor and its host are cut off before the owner's term ends.

--- a/test/workflows/stale_calls_test.go
+++ b/test/workflows/stale_calls_test.go
@@ -26,6 +26,8 @@
 	// exceed all that the next incarnation allows.
 	formerClock = time.Hour
 	nextClock   = time.Second
+	// renewalLimit is the time in which an executor with a lease gets a renewal.
+	renewalLimit = 10 * time.Second
 	// slowestClock is the speed of the slowest clock of an executor.
 	slowestClock = 0.98
 )
@@ -82,6 +84,41 @@
 	time.Sleep(answerTime)
 }
 
+// staleHold is a way in which a hold call for the former incarnation is on its way when the executor restarts.
+type staleHold struct {
+	name  string
+	calls nodetest.StaleCalls
+	// atRenewal is set if the executor crashes when a call with a deadline arrives, which the next incarnation carries out, and answered
+	// if its answer arrives.
+	atRenewal, answered bool
+}
+
+// staleRenewals are those in which the call certainly carries a deadline.
+var staleRenewals = []staleHold{
+	{name: "renewal is answered", atRenewal: true, answered: true},
+	{name: "answer to renewal is lost", atRenewal: true},
+}
+
+// restartUnder restarts the executor with a stale hold.
+func (s *staleLease) restartUnder(hold staleHold) { s.restartUnderAfter(executorDownTime, hold) }
+
+// restartUnderAfter is restartUnder of an executor that is down for a given time.
+func (s *staleLease) restartUnderAfter(downTime time.Duration, hold staleHold) {
+	if !hold.atRenewal {
+		s.restartAfter(downTime, hold.calls, nil)
+		return
+	}
+	s.executor.SetStaleCalls(hold.calls)
+	select {
+	case <-s.executor.CrashAtRenewal(hold.answered):
+	case <-time.After(renewalLimit):
+		s.Fatalf("no renewal arrives for %v", renewalLimit)
+	}
+	time.Sleep(downTime)
+	s.executor.Restart()
+	time.Sleep(answerTime)
+}
+
 // announceNow sends the announcement of an executor that has just started.
 func (s *staleLease) announceNow() {
 	description, _ := s.executor.Describe()
@@ -112,6 +149,52 @@
 	s.executor.SetUnresponsive(true)
 }
 
+// cutAll cuts off the executor from its node, and both from all others, so that the node can't stop its runs.
+func (s *staleLease) cutAll() {
+	s.cut(false)
+	s.cut(true)
+}
+
+// cuts are the ways in which the executor is cut off. A next owner knows no more of its lease than the former one has handed over.
+var cuts = []struct {
+	name  string
+	apply func(s *staleLease)
+}{
+	{"executor is cut off", func(s *staleLease) { s.cut(false) }},
+	{"host is cut off", func(s *staleLease) { s.cut(true) }},
+	{"host is cut off and owner hands over", func(s *staleLease) {
+		s.stopCandidacy()
+		s.cut(true)
+		s.endTerm((*fleet).handOver)
+	}},
+	{"executor and host are cut off and owner hands over", func(s *staleLease) {
+		s.stopCandidacy()
+		s.cutAll()
+		s.endTerm((*fleet).handOver)
+	}},
+	{"executor and host are cut off and owner is killed", func(s *staleLease) {
+		s.stopCandidacy()
+		s.cutAll()
+		s.endTerm((*fleet).killOwner)
+	}},
+}
+
+// killOwner kills the owner's process and starts it again.
+func (f *fleet) killOwner() {
+	former := f.owner()
+	former.kill()
+	former.start()
+}
+
+// endTerm ends the owner's term, and waits until the next owner has granted leases.
+func (f *fleet) endTerm(end func(f *fleet)) {
+	f.Helper()
+	epoch := f.owner().locator.Epoch()
+	end(f)
+	f.waitFor(5*time.Second, func() bool { return f.owner() != nil && f.owner().locator.Epoch() > epoch })
+	time.Sleep(grantTime)
+}
+
 // assertRunsOnce lets the tasks start on the other executors, and fails if the task then runs beside its run on the one that is cut off.
 func (s *staleLease) assertRunsOnce() {
 	s.Helper()
@@ -124,10 +207,13 @@
 	s.Assert(s.checker.foundViolations(), qt.HasLen, 0)
 }
 
+// waitingOrLateHold is a hold call that waits at the crash or arrives after it.
+var waitingOrLateHold = staleHold{name: "call waits at the crash or arrives after it", calls: nodetest.StaleCalls{WaitingHolds: true, Holds: true}}
+
 // restartAfterHold restarts the executor so that a hold call for the former incarnation is carried out by the next one, and waits until
 // that has a lease.
-func (s *staleLease) restartAfterHold() {
-	s.restart(nodetest.StaleCalls{WaitingHolds: true, Holds: true}, nil)
+func (s *staleLease) restartAfterHold(hold staleHold) {
+	s.restartUnder(hold)
 	s.announceNow()
 	time.Sleep(grantTime)
 }
@@ -135,27 +221,20 @@
 // Guards against a task that runs twice: its executor restarted under its ID and carried out a hold call for its former incarnation,
 // whose deadline it keeps beyond what the owner has granted, and was cut off.
 func TestStaleHoldOutlastsLease(t *testing.T) {
-	for _, test := range []struct {
-		name  string
-		calls nodetest.StaleCalls
-	}{
-		{"call waits at the crash", nodetest.StaleCalls{WaitingHolds: true}},
-		{"call arrives after the crash", nodetest.StaleCalls{Holds: true, WaitingHoldsBreak: true}},
-	} {
-		for _, withNode := range []bool{false, true} {
-			name := test.name + ", executor is cut off"
-			if withNode {
-				name = test.name + ", host is cut off"
-			}
-			t.Run(name, func(t *testing.T) {
+	for _, hold := range append([]staleHold{
+		{name: "call waits at the crash", calls: nodetest.StaleCalls{WaitingHolds: true}},
+		{name: "call arrives after the crash", calls: nodetest.StaleCalls{Holds: true, WaitingHoldsBreak: true}},
+	}, staleRenewals...) {
+		for _, cut := range cuts {
+			t.Run(hold.name+", "+cut.name, func(t *testing.T) {
 				runWithFleet(t, 3, func(f *fleet) {
 					s := newStaleLease(f)
 					s.submitOne(1000)
 					s.awaitRun()
-					s.restart(test.calls, nil)
+					s.restartUnder(hold)
 					s.announceNow()
 					s.awaitRun()
-					s.cut(withNode)
+					cut.apply(s)
 					s.assertRunsOnce()
 				})
 			})
@@ -205,39 +284,42 @@
 
 // Guards against the same with an owner that takes over from one whose process was killed, before or after the task starts.
 func TestStaleLeaseIsUnknownToNextOwner(t *testing.T) {
-	testStaleLeaseAcrossOwners(t, func(f *fleet) {
-		former := f.owner()
-		former.kill()
-		former.start()
-	})
+	testStaleLeaseAcrossOwners(t, (*fleet).killOwner)
 }
 
 // Guards against the same with an owner to which the former one has handed over.
 func TestStaleLeaseIsUnknownAfterHandOver(t *testing.T) {
-	testStaleLeaseAcrossOwners(t, func(f *fleet) { f.handOver() })
+	testStaleLeaseAcrossOwners(t, (*fleet).handOver)
 }
 
 func testStaleLeaseAcrossOwners(t *testing.T, end func(f *fleet)) {
-	changeOwner := func(f *fleet) {
-		epoch := f.owner().locator.Epoch()
-		end(f)
-		f.waitFor(5*time.Second, func() bool { return f.owner() != nil && f.owner().locator.Epoch() > epoch })
-		time.Sleep(grantTime)
-	}
-	for _, started := range []bool{false, true} {
-		t.Run(fmt.Sprintf("started=%v", started), func(t *testing.T) {
+	for _, hold := range append([]staleHold{waitingOrLateHold}, staleRenewals...) {
+		for _, started := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, started=%v", hold.name, started), func(t *testing.T) {
+				runWithFleet(t, 4, func(f *fleet) {
+					s := newStaleLease(f)
+					s.restartAfterHold(hold)
+					if !started {
+						f.endTerm(end)
+					}
+					s.submitOne(1000)
+					s.awaitRun()
+					if started {
+						f.endTerm(end)
+					}
+					s.cut(false)
+					s.assertRunsOnce()
+				})
+			})
+		}
+		t.Run(hold.name+", next owner never hears from the host", func(t *testing.T) {
 			runWithFleet(t, 4, func(f *fleet) {
 				s := newStaleLease(f)
-				s.restartAfterHold()
-				if !started {
-					changeOwner(f)
-				}
+				s.restartAfterHold(hold)
 				s.submitOne(1000)
 				s.awaitRun()
-				if started {
-					changeOwner(f)
-				}
-				s.cut(false)
+				s.cutAll()
+				f.endTerm(end)
 				s.assertRunsOnce()
 			})
 		})
@@ -246,55 +328,70 @@
 
 // Guards against the same with an owner to which the former one has handed over the expiry of the leases of executors that are cut off.
 func TestStaleLeaseIsLostAtHandOver(t *testing.T) {
-	runWithFleet(t, 4, func(f *fleet) {
-		s := newStaleLease(f)
-		s.restartAfterHold()
-		s.submitOne(1000)
-		s.awaitRun()
-		s.cut(true)
-		f.handOver()
-		s.assertRunsOnce()
-	})
+	for _, hold := range append([]staleHold{waitingOrLateHold}, staleRenewals...) {
+		for _, all := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, executor is cut off from its node=%v", hold.name, all), func(t *testing.T) {
+				runWithFleet(t, 4, func(f *fleet) {
+					s := newStaleLease(f)
+					s.restartAfterHold(hold)
+					s.submitOne(1000)
+					s.awaitRun()
+					if all {
+						s.cut(false)
+					}
+					s.cut(true)
+					f.handOver()
+					s.assertRunsOnce()
+				})
+			})
+		}
+	}
 }
 
 // Guards against the same with a process of the node that doesn't know what its former one has sent.
 func TestStaleLeaseIsUnknownToNextNodeProcess(t *testing.T) {
-	runWithFleet(t, 3, func(f *fleet) {
-		s := newStaleLease(f)
-		s.restart(nodetest.StaleCalls{WaitingHolds: true}, nil)
-		s.kill()
-		s.start()
-		s.announceNow()
-		time.Sleep(grantTime)
-		s.submitOne(1000)
-		s.awaitRun()
-		s.cut(false)
-		s.assertRunsOnce()
-	})
+	for _, hold := range append([]staleHold{{name: "call waits at the crash", calls: nodetest.StaleCalls{WaitingHolds: true}}}, staleRenewals...) {
+		for _, cut := range cuts {
+			t.Run(hold.name+", "+cut.name, func(t *testing.T) {
+				runWithFleet(t, 3, func(f *fleet) {
+					s := newStaleLease(f)
+					s.restartUnder(hold)
+					s.kill()
+					s.start()
+					s.announceNow()
+					time.Sleep(grantTime)
+					s.submitOne(1000)
+					s.awaitRun()
+					cut.apply(s)
+					s.assertRunsOnce()
+				})
+			})
+		}
+	}
 }
 
 // staleHistory describes what happens around a restart of an executor that carries out holds for its former incarnation.
 type staleHistory struct {
-	calls nodetest.StaleCalls
+	hold staleHold
 	// downTime is how long the executor is down, startAfter when the task is submitted after the restart, negative for before the crash,
 	// and cutAfter when the executor is cut off after the start of the task on the next incarnation.
 	downTime, startAfter, cutAfter time.Duration
-	cutWithNode                    bool
+	// cutWithNode is set if the host is cut off, cutAll if the executor is cut off from its node as well.
+	cutWithNode, cutAll bool
 	// interruption ends the owner's term or the node's process, at a time after the restart.
 	interruption      string
 	interruptionAfter time.Duration
 }
 
-func drawStaleHistory(t *rapid.T) staleHistory {
+func drawStaleHistory(t *rapid.T, holds []staleHold) staleHistory {
 	millis := func(name string, from, to int) time.Duration {
 		return time.Duration(rapid.IntRange(from, to).Draw(t, name)) * time.Millisecond
 	}
 	return staleHistory{
-		calls: rapid.SampledFrom([]nodetest.StaleCalls{
-			{WaitingHolds: true}, {Holds: true, WaitingHoldsBreak: true}, {Holds: true, WaitingHolds: true}, {Holds: true},
-		}).Draw(t, "calls"),
+		hold:     rapid.SampledFrom(holds).Draw(t, "hold"),
 		downTime: millis("down", 50, 1500), startAfter: millis("start", -1500, 1500), cutAfter: millis("cut", 0, 2500),
 		cutWithNode:       rapid.Bool().Draw(t, "cut with node"),
+		cutAll:            rapid.Bool().Draw(t, "cut all"),
 		interruption:      rapid.SampledFrom([]string{"", "", "kill", "hand over", "node"}).Draw(t, "interruption"),
 		interruptionAfter: millis("interruption", 0, 3000),
 	}
@@ -326,7 +423,7 @@
 		s.submitOne(1000)
 		time.Sleep(-h.startAfter)
 	}
-	s.restartAfter(h.downTime, h.calls, nil)
+	s.restartUnderAfter(h.downTime, h.hold)
 	s.announceNow()
 	time.AfterFunc(h.interruptionAfter, func() { s.interrupt(h.interruption) })
 	if h.startAfter >= 0 {
@@ -338,6 +435,9 @@
 	s.waitFor(30*time.Second, func() bool { return s.checker.runningOn(incarnation) > 0 })
 	time.Sleep(h.cutAfter)
 	s.cut(h.cutWithNode)
+	if h.cutAll {
+		s.cutAll()
+	}
 	s.operators.evacuate()
 	time.Sleep(2 * longTaskTime)
 	return s.checker.foundViolations()
@@ -345,8 +445,21 @@
 
 // Guards against the same at any time of the restart, the start of the task, the cut and the change of the owner or the node's process.
 func TestRandomStaleHolds(t *testing.T) {
+	t.Run("hold calls", func(t *testing.T) {
+		checkRandomStaleHolds(t, []staleHold{
+			{calls: nodetest.StaleCalls{WaitingHolds: true}},
+			{calls: nodetest.StaleCalls{Holds: true, WaitingHoldsBreak: true}},
+			{calls: nodetest.StaleCalls{Holds: true, WaitingHolds: true}},
+			{calls: nodetest.StaleCalls{Holds: true}},
+		})
+	})
+	t.Run("renewals", func(t *testing.T) { checkRandomStaleHolds(t, staleRenewals) })
+}
+
+// checkRandomStaleHolds plays random histories with some of the given holds.
+func checkRandomStaleHolds(t *testing.T, holds []staleHold) {
 	rapid.Check(t, func(rt *rapid.T) {
-		history := drawStaleHistory(rt)
+		history := drawStaleHistory(rt, holds)
 		var violations []string
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
