Let the soak's clients keep their connections

Each call of a client opened a connection of its own, so that no play showed what becomes of requests on open connections when a gateway is killed or told to end. Clients now keep idle connections and use them until the process is gone.

--- a/test/soak/clients_test.go
+++ b/test/soak/clients_test.go
@@ -20,6 +20,8 @@
 	// clientTimeout is how long a client waits for a response, and submitTries how often it submits a job at most.
 	clientTimeout = 3 * time.Second
 	submitTries   = 6
+	// keptConnections is how many idle connections to each gateway are kept for further calls.
+	keptConnections = 100
 	// repeatShare of the accepted jobs are submitted again up to repeatTime later.
 	repeatShare = 0.05
 	repeatTime  = 6 * time.Second
@@ -117,10 +119,14 @@
 	mu      sync.Mutex
 	draw    *rand.Rand
 	states  map[string]int
+	http    *http.Client
 }
 
 func startClients(f *fleet, draw *rand.Rand) *clients {
-	c := &clients{fleet: f, done: make(chan struct{}), draw: draw, states: map[string]int{}}
+	c := &clients{
+		fleet: f, done: make(chan struct{}), draw: draw, states: map[string]int{},
+		http: &http.Client{Timeout: clientTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: keptConnections}},
+	}
 	f.clients = c
 	for number, kind := range jobKinds {
 		if kind.perSecond == 0 {
@@ -290,8 +296,7 @@
 	request.Host = queueHost
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Quetzalshed-Deadline-Remaining", "3000")
-	client := &http.Client{Timeout: clientTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	answer, err := client.Do(request)
+	answer, err := c.http.Do(request)
 	if err != nil {
 		return 0, nil
 	}
