Let the soak's executors start again as PROTOCOL.md says

The clock of each incarnation started at 1,000 ms and the connections of the one before were reset, so an incarnation under a used ID never got a call that was meant for the former one: neither its lease nor its starts could come from there.

- The clock of each life starts at a drawn value of up to an hour and is up to 2% slow.
- An executor may be dark: its port keeps listening, and calls that have no response yet and those that come meanwhile are carried out by the next life under the ID that they name, up to 0.4 s after its start, beside new calls.
The labels stay then.
Crashes that refuse connections lose the calls as before.
- A start of a run that is there extends the lease, too.

--- a/test/soak/executor_test.go
+++ b/test/soak/executor_test.go
@@ -21,9 +21,9 @@
 	listedEnds       = 500
 	maxConnections   = 64
 	leaseCheckTime   = 5 * time.Millisecond
-	// clockStart is the clock of an executor at its start, and slowestClock the rate of the slowest one.
-	clockStart   = 1000
-	slowestClock = 0.98
+	// latestClockStart is the largest value at which the clock of a life starts, and slowestClock the rate of the slowest one.
+	latestClockStart = time.Hour
+	slowestClock     = 0.98
 	// drainTime is how long an executor goes on after its departure was acknowledged, and drainPatience after one that wasn't.
 	drainTime     = 2200 * time.Millisecond
 	drainPatience = 6 * time.Second
@@ -36,13 +36,16 @@
 	name  string
 	host  int
 	zone  string
-	rate  float64
 	// waitsForNewEnd is set if a hold call waits for an end after its arrival even while older ends are listed again.
 	waitsForNewEnd bool
 	service        serviceKind
 
 	mu   sync.Mutex
 	life *life
+	// server serves all lives from a start until an end that closes the connections.
+	server *http.Server
+	// back is closed when the next life begins for which calls wait; it is nil if none wait.
+	back chan struct{}
 	// former is the life before.
 	former *life
 	lives  int
@@ -54,12 +57,15 @@
 
 // life is one lifetime of an executor. Its fields are guarded by the lock of the executor.
 type life struct {
-	x        *executor
-	id       string
-	born     time.Time
-	server   *http.Server
-	done     chan struct{}
-	fence    int64
+	x    *executor
+	id   string
+	born time.Time
+	// clockStart is the reading of the clock at the start in milliseconds, and rate how fast it runs.
+	clockStart int64
+	rate       float64
+	done       chan struct{}
+	fence      int64
+	// deadline is the end of the lease on the clock; 0 if there is none.
 	deadline int64
 	draining bool
 	labels   []string
@@ -99,30 +105,63 @@
 	if x.life != nil {
 		return nil
 	}
-	listener, err := net.Listen("tcp", x.fleet.realAddress(x.host, appPort))
-	if err != nil {
-		return err
+	if x.back == nil {
+		listener, err := net.Listen("tcp", x.fleet.realAddress(x.host, appPort))
+		if err != nil {
+			return err
+		}
+		server := &http.Server{Handler: x.handler()}
+		x.server = server
+		go func() { _ = server.Serve(listener) }()
 	}
 	x.lives++
 	if !sameID || x.lastID == "" {
 		x.lastID = fmt.Sprintf("i-%s-%d", x.name, x.lives)
 	}
-	l := &life{
-		x: x, id: x.lastID, born: time.Now(), done: make(chan struct{}), running: map[string]*run{}, last: map[string]int{},
-		changed: make(chan struct{}), labels: x.drawLabels(),
+	l := newLife(x)
+	if x.back != nil && sameID {
+		// Starts that are on their way reach it, so its kind stays.
+		l.labels = x.former.labels
 	}
-	l.server = &http.Server{Handler: l.handler()}
-	x.life = l
-	go func() { _ = l.server.Serve(listener) }()
-	x.fleet.record.addf("executor %s is up, service %s, labels %v", l.name(), x.service.name, l.labels)
+	x.begin(l)
+	x.fleet.record.addf("executor %s is up, service %s, labels %v, clock %d at rate %.4f", l.name(), x.service.name, l.labels, l.clockStart, l.rate)
 	go l.heartbeats()
 	go l.watchLease()
 	return x.fleet.apps[x.host].open()
 }
 
-// end ends the life at once: everything that runs is lost. Its connections are reset and its port has no listener then, unless its
-// host doesn't respond either.
-func (x *executor) end(cause string, silent bool) {
+// newLife draws the next life of an executor, which follows from the seed.
+func newLife(x *executor) *life {
+	draw := x.fleet.drawFor(fmt.Sprintf("clock of %s/%d", x.name, x.lives))
+	return &life{
+		x: x, id: x.lastID, born: time.Now(), clockStart: draw.Int64N(latestClockStart.Milliseconds()), rate: slowestClock + (1-slowestClock)*draw.Float64(),
+		done: make(chan struct{}), running: map[string]*run{}, last: map[string]int{}, changed: make(chan struct{}), labels: x.drawLabels(),
+	}
+}
+
+// begin makes a life the current one, which carries out the calls that wait.
+func (x *executor) begin(l *life) {
+	x.life = l
+	if x.back != nil {
+		close(x.back)
+		x.back = nil
+	}
+}
+
+// ending is how the end of a life shows to its callers.
+type ending int
+
+const (
+	// connectionsReset means that connections are reset and that the port has no listener any more.
+	connectionsReset ending = iota
+	// hostSilent means that nothing shows, since the host doesn't respond either.
+	hostSilent
+	// callsWait means that calls without a response, and those that come until the next life begins, wait for that life.
+	callsWait
+)
+
+// end ends the life at once: everything that runs is lost.
+func (x *executor) end(cause string, how ending) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	l := x.life
@@ -131,11 +170,15 @@
 	}
 	x.life, x.former = nil, l
 	close(l.done)
-	if !silent {
+	if how == connectionsReset {
 		x.fleet.apps[x.host].refuse()
 		x.fleet.apps[x.host].reset()
 	}
-	_ = l.server.Close()
+	if how == callsWait {
+		x.back = make(chan struct{})
+	} else {
+		_ = x.server.Close()
+	}
 	x.fleet.record.addf("executor %s %s with %d runs", l.name(), cause, len(l.running))
 	x.fleet.oracle.lifeEnded(l, cause)
 }
@@ -144,7 +187,7 @@
 
 // clock returns the time on the executor's own clock in milliseconds.
 func (l *life) clock() int64 {
-	return clockStart + int64(float64(time.Since(l.born).Microseconds())*l.x.rate/1000)
+	return l.clockStart + int64(float64(time.Since(l.born).Microseconds())*l.rate/1000)
 }
 
 func (l *life) heartbeats() {
@@ -241,7 +284,7 @@
 	still := l.alive()
 	x.mu.Unlock()
 	if still {
-		x.end("leaves", false)
+		x.end("leaves", connectionsReset)
 	}
 }
 
--- a/test/soak/executorfaults_test.go
+++ b/test/soak/executorfaults_test.go
@@ -49,7 +49,7 @@
 		some := sides(i.some())
 		for _, host := range some {
 			i.apps[host].set(direction{held: true}, direction{held: true})
-			i.executor(host).end("crashes", true)
+			i.executor(host).end("crashes", hostSilent)
 		}
 		i.wait(0, 5*time.Second)
 		for _, host := range some {
@@ -134,7 +134,7 @@
 // crash crashes executors and starts them again after a time, under the same or another ID.
 func (i *injector) crash(some []int) {
 	for _, host := range some {
-		i.executor(host).end("crashes", false)
+		i.executor(host).end("crashes", connectionsReset)
 	}
 	i.wait(0, 5*time.Second)
 	sameID := i.draw.IntN(2) == 0
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -22,6 +22,7 @@
 	frontHosts = 3
 	sideHosts  = 11
 	hosts      = frontHosts + sideHosts
+	zones      = 3
 )
 
 const (
@@ -89,8 +90,7 @@
 		if host >= frontHosts {
 			name, program = fmt.Sprintf("side-%s-%d", zoneOf(host), 1+(host-frontHosts)/3), "quetzalshed-node"
 			f.executors = append(f.executors, &executor{
-				fleet: f, name: name, host: host, zone: zoneOf(host), rate: slowestClock + (1-slowestClock)*draw.Float64(),
-				waitsForNewEnd: draw.IntN(2) == 0, service: f.serviceOf(host),
+				fleet: f, name: name, host: host, zone: zoneOf(host), waitsForNewEnd: draw.IntN(2) == 0, service: f.serviceOf(host),
 			})
 		}
 		f.processes = append(f.processes, &process{fleet: f, name: name, host: host, program: filepath.Join(programs, program)})
@@ -118,7 +118,7 @@
 	return f.services[0]
 }
 
-func zoneOf(host int) string { return []string{"nrv-a", "prn-a", "trt-a"}[host%3] }
+func zoneOf(host int) string { return []string{"nrv-a", "prn-a", "trt-a"}[host%zones] }
 
 // realAddress returns the address on which a process or an executor of a host listens.
 func (f *fleet) realAddress(host, port int) string {
@@ -296,7 +296,7 @@
 		p.stop()
 	}
 	for _, x := range f.executors {
-		x.end("is stopped", false)
+		x.end("is stopped", connectionsReset)
 	}
 	for _, s := range f.servers {
 		_ = s.Close()
--- a/test/soak/oracle_test.go
+++ b/test/soak/oracle_test.go
@@ -21,6 +21,8 @@
 	starts int
 	ends   map[string]int
 	lapses int
+	// staleRenewals counts the calls that another life had received, or none, and that extended a lease.
+	staleRenewals int
 	// atLimit counts the starts that brought a step to its limit on an executor, and labelled those of steps with a label.
 	atLimit, labelled int
 }
@@ -136,6 +138,14 @@
 	}
 }
 
+// staleRenewal notes that a call that l has not received itself extended its lease.
+func (o *oracle) staleRenewal(l *life, left time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.staleRenewals++
+	o.record.addf("executor %s: lease extended to %v by a call from before its start", l.name(), left)
+}
+
 // lifeEnded notes that everything that ran on an executor is gone.
 func (o *oracle) lifeEnded(l *life, cause string) {
 	o.mu.Lock()
@@ -190,7 +200,7 @@
 	for _, f := range o.found {
 		broken[f.rule]++
 	}
-	return fmt.Sprintf("%d starts, ends %v, %d lapsed leases, %d starts at limits, %d with labels, %d findings %v", o.starts, o.ends, o.lapses, o.atLimit, o.labelled, len(o.found), broken)
+	return fmt.Sprintf("%d starts, ends %v, %d lapsed leases, %d extended by calls from before a restart, %d starts at limits, %d with labels, %d findings %v", o.starts, o.ends, o.lapses, o.staleRenewals, o.atLimit, o.labelled, len(o.found), broken)
 }
 
 // String describes a run.
--- a/test/soak/orders_test.go
+++ b/test/soak/orders_test.go
@@ -23,6 +23,8 @@
 const (
 	hungTime = time.Hour
 	failTime = 200 * time.Millisecond
+	// waitingCallDelay is how long after the start of a life the calls that have waited for it are carried out at most.
+	waitingCallDelay = 400 * time.Millisecond
 )
 
 // harm changes what a run does by the fault.
@@ -48,89 +50,127 @@
 	WaitMs       int64  `json:"waitMs"`
 }
 
-func (l *life) handler() http.Handler {
+// call is a call to an executor, which any life under the ID that it names carries out unless its connection was reset before.
+type call struct {
+	orderBody
+	// instance is the ID that it names; empty if it names none.
+	instance string
+	// server is the server that it has reached, and receiver the life; nil if it came between two lives.
+	server   *http.Server
+	receiver *life
+	// effect carries it out.
+	effect func(*life, *orderBody) (int, map[string]any)
+}
+
+func (x *executor) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/run-start", l.order(l.startRun))
-	mux.HandleFunc("POST /v1/run-stop", l.order(l.stopRun))
-	mux.HandleFunc("POST /v1/pace", l.order(func(*orderBody) (int, map[string]any) { return l.accept() }))
-	mux.HandleFunc("POST /v1/hold", l.hold)
+	mux.HandleFunc("POST /v1/run-start", x.order((*life).startRun))
+	mux.HandleFunc("POST /v1/run-stop", x.order((*life).stopRun))
+	mux.HandleFunc("POST /v1/pace", x.order(func(l *life, _ *orderBody) (int, map[string]any) { return l.accept() }))
+	mux.HandleFunc("POST /v1/hold", x.hold)
 	return mux
 }
 
 // order serves an order under the fault of the executor.
-func (l *life) order(carryOut func(*orderBody) (int, map[string]any)) http.HandlerFunc {
+func (x *executor) order(effect func(*life, *orderBody) (int, map[string]any)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		b, fault, ok := l.admit(w, r)
+		c := &call{effect: effect}
+		fault, ok := x.receive(w, r, c)
 		if !ok {
 			return
 		}
 		if rand.Float64() < fault.late {
-			time.AfterFunc(time.Duration(rand.Float64()*float64(fault.lateTime)), func() { l.carryOutLate(b, carryOut) })
+			time.AfterFunc(time.Duration(rand.Float64()*float64(fault.lateTime)), func() { x.carryOutLate(c) })
 			leaveUnanswered(r)
 		}
-		status, response := l.carryOut(b, carryOut)
-		l.answer(w, r, fault, status, response)
+		_, status, response := x.carryOut(c)
+		answer(w, r, fault, status, response)
 	}
 }
 
-// admit reads a call, and answers it if it is meant for another lifetime or refused.
-func (l *life) admit(w http.ResponseWriter, r *http.Request) (*orderBody, executorFault, bool) {
-	b := &orderBody{}
+// receive reads a call, and answers it if it can't be read or is refused.
+func (x *executor) receive(w http.ResponseWriter, r *http.Request, c *call) (executorFault, bool) {
 	data, err := io.ReadAll(r.Body)
 	if err != nil {
-		return nil, executorFault{}, false
+		return executorFault{}, false
 	}
-	if json.Unmarshal(data, b) != nil {
+	if json.Unmarshal(data, &c.orderBody) != nil {
 		w.WriteHeader(http.StatusBadRequest)
-		return nil, executorFault{}, false
+		return executorFault{}, false
 	}
-	l.x.mu.Lock()
-	fault := l.x.fault
-	l.x.mu.Unlock()
+	c.instance = r.Header.Get("Quetzalshed-Expected-Instance")
+	x.mu.Lock()
+	fault := x.fault
+	c.server, c.receiver = x.server, x.life
+	x.mu.Unlock()
 	if fault.delay > 0 {
 		time.Sleep(time.Duration(rand.Float64() * float64(fault.delay) / 2))
 	}
-	if want := r.Header.Get("Quetzalshed-Expected-Instance"); want != "" && want != l.id {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return nil, fault, false
-	}
-	if rand.Float64() < fault.refuse {
+	if c.receiver != nil && rand.Float64() < fault.refuse {
 		w.WriteHeader(http.StatusServiceUnavailable)
-		return nil, fault, false
+		return fault, false
 	}
-	return b, fault, true
+	return fault, true
 }
 
-// answer sends a response under the fault of the executor.
-func (l *life) answer(w http.ResponseWriter, r *http.Request, fault executorFault, status int, response map[string]any) {
+// answer sends a response under the fault of the executor; status is 0 if there is none.
+func answer(w http.ResponseWriter, r *http.Request, fault executorFault, status int, response map[string]any) {
+	if status == 0 {
+		panic(http.ErrAbortHandler)
+	}
 	if fault.delay > 0 {
 		time.Sleep(time.Duration(rand.Float64() * float64(fault.delay) / 2))
 	}
 	if rand.Float64() < fault.lose {
 		leaveUnanswered(r)
 	}
+	if response == nil {
+		w.WriteHeader(status)
+		return
+	}
 	writeJSON(w, status, response)
 }
 
-func (l *life) carryOutLate(b *orderBody, carryOut func(*orderBody) (int, map[string]any)) {
-	l.x.mu.Lock()
-	defer l.x.mu.Unlock()
-	if l.alive() && l.passFence(b) {
-		l.x.fleet.record.addf("late order for %s run %d on %s", b.Task, b.Run, l.name())
-		carryOut(b)
+func (x *executor) carryOutLate(c *call) {
+	if l, status, _ := x.carryOut(c); status == http.StatusOK {
+		x.fleet.record.addf("late order for %s run %d on %s", c.Task, c.Run, l.name())
 	}
 }
 
-func (l *life) carryOut(b *orderBody, carryOut func(*orderBody) (int, map[string]any)) (int, map[string]any) {
-	l.x.mu.Lock()
-	defer l.x.mu.Unlock()
-	if !l.alive() {
-		panic(http.ErrAbortHandler)
+// carryOut carries out a call on the current life, or on the next one if calls wait for it. It returns no life and no status if the
+// call is lost.
+func (x *executor) carryOut(c *call) (l *life, status int, response map[string]any) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.awaitLife()
+	l = x.life
+	switch {
+	case l == nil || c.server != x.server:
+		return nil, 0, nil
+	case c.instance != "" && c.instance != l.id:
+		return l, http.StatusMisdirectedRequest, nil
+	case !l.passFence(&c.orderBody):
+		status, response = l.reject("fence")
+		return l, status, response
 	}
-	if !l.passFence(b) {
-		return l.reject("fence")
+	before := l.deadline
+	status, response = c.effect(l, &c.orderBody)
+	if c.receiver != l && l.deadline > before {
+		x.fleet.oracle.staleRenewal(l, time.Duration(l.deadline-l.clock())*time.Millisecond)
+	}
+	return l, status, response
+}
+
+// awaitLife waits for the life that calls wait for, and a little longer: it serves new calls at the same time. The caller holds the
+// lock, which is released meanwhile.
+func (x *executor) awaitLife() {
+	for x.back != nil {
+		back := x.back
+		x.mu.Unlock()
+		<-back
+		time.Sleep(time.Duration(rand.Float64() * float64(waitingCallDelay)))
+		x.mu.Lock()
 	}
-	return carryOut(b)
 }
 
 func (l *life) passFence(b *orderBody) bool {
@@ -152,6 +192,7 @@
 func (l *life) startRun(b *orderBody) (int, map[string]any) {
 	l.checkLease()
 	if r := l.running[b.Task]; r != nil && r.number == b.Run {
+		l.extend(b.DeadlineMs)
 		return l.accept()
 	}
 	if l.clock() >= b.DeadlineMs {
@@ -195,26 +236,24 @@
 	return l.accept()
 }
 
-// hold serves a hold call, which may wait for an end.
-func (l *life) hold(w http.ResponseWriter, r *http.Request) {
-	b, fault, ok := l.admit(w, r)
+// hold serves a hold call, which may wait for an end. If the life ends meanwhile, the next one serves the call if calls wait for it.
+func (x *executor) hold(w http.ResponseWriter, r *http.Request) {
+	c := &call{effect: (*life).renew}
+	fault, ok := x.receive(w, r, c)
 	if !ok {
 		return
 	}
-	if status, response := l.carryOut(b, l.renew); status != http.StatusOK {
-		l.answer(w, r, fault, status, response)
-		return
-	}
-	l.awaitEnd(r, time.Duration(b.WaitMs)*time.Millisecond)
-	l.x.mu.Lock()
-	if !l.alive() {
-		l.x.mu.Unlock()
-		panic(http.ErrAbortHandler)
+	deadline := time.Now().Add(time.Duration(c.WaitMs) * time.Millisecond)
+	var status int
+	var response map[string]any
+	for response == nil {
+		var l *life
+		if l, status, response = x.carryOut(c); status != http.StatusOK {
+			break
+		}
+		response = l.awaitLists(r, time.Until(deadline))
 	}
-	l.checkLease()
-	response := l.lists()
-	l.x.mu.Unlock()
-	l.answer(w, r, fault, http.StatusOK, response)
+	answer(w, r, fault, status, response)
 }
 
 // renew renews the lease and forgets acknowledged ends.
@@ -230,8 +269,8 @@
 	return l.accept()
 }
 
-// awaitEnd waits until an end is listed.
-func (l *life) awaitEnd(r *http.Request, wait time.Duration) {
+// awaitLists waits until an end is listed, and returns the lists; nil if the life has ended.
+func (l *life) awaitLists(r *http.Request, wait time.Duration) map[string]any {
 	deadline := time.After(wait)
 	l.x.mu.Lock()
 	defer l.x.mu.Unlock()
@@ -250,6 +289,11 @@
 		}
 		l.x.mu.Lock()
 	}
+	if !l.alive() {
+		return nil
+	}
+	l.checkLease()
+	return l.lists()
 }
 
 func (l *life) lists() map[string]any {
--- a/test/soak/placement_check_test.go
+++ b/test/soak/placement_check_test.go
@@ -3,12 +3,21 @@
 import (
 	"path/filepath"
 	"testing"
-	"time"
 )
 
 // testLife returns a life of an executor without a process beside it. Its lock is held until the test ends, so that its runs don't
 // end by themselves.
 func testLife(t *testing.T, service serviceKind, labels ...string) *life {
+	x := testExecutor(t, service)
+	l := newLife(x)
+	l.labels = labels
+	x.begin(l)
+	x.mu.Lock()
+	t.Cleanup(x.mu.Unlock)
+	return l
+}
+
+func testExecutor(t *testing.T, service serviceKind) *executor {
 	record, err := openJournal(filepath.Join(t.TempDir(), "journal.txt"))
 	if err != nil {
 		t.Fatal(err)
@@ -16,15 +25,13 @@
 	t.Cleanup(record.close)
 	f := &fleet{record: record, oracle: newOracle(record)}
 	f.oracle.nameService("/lint/", firstService)
-	x := &executor{fleet: f, service: service, rate: 1}
-	l := &life{x: x, id: "i-1", born: time.Now(), labels: labels, running: map[string]*run{}, last: map[string]int{}, changed: make(chan struct{})}
-	x.life = l
-	x.mu.Lock()
+	x := &executor{fleet: f, service: service, lastID: "i-1"}
 	t.Cleanup(func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
 		x.life = nil
-		x.mu.Unlock()
 	})
-	return l
+	return x
 }
 
 func (l *life) startTasks(tasks ...string) {
