Restart executors under their IDs and cut them off in the soak

No kind of fault of the soak did both, no task there lasted longer than a lease but those that run until they fail, and no call reached the next incarnation.

executor-restart-cut: the executors of a failure domain are dark for 0.4 to 0.8 s, start again under their IDs, and 1.2 to 2.6 s later are cut off from their nodes for 8 to 10 s, once or twice. executor-restart-cut-kill also kills the owner in between. Series take different failure domains: a node can't know of an incarnation that starts while the executor is cut off. A new kind of jobs has tasks that last 13 s.

--- a/test/soak/clients_test.go
+++ b/test/soak/clients_test.go
@@ -75,6 +75,8 @@
 	},
 	// Jobs of this kind come only in bursts.
 	{prefix: "/tiny/", steps: 1, tasks: 25, cpu: 10, takes: 4 * time.Second, needs: rareLabel, steady: true, services: []string{firstService}},
+	// Tasks of this kind last longer than any lease.
+	{prefix: "/render/", perSecond: 0.7, steps: 1, tasks: 6, cpu: 900, takes: 13 * time.Second, steady: true, services: []string{firstService, secondService}},
 }
 
 // kindOf returns the kind of the job of a task, which its ID begins with.
--- a/test/soak/executorfaults_test.go
+++ b/test/soak/executorfaults_test.go
@@ -58,6 +58,8 @@
 			i.heal([]*link{i.apps[host]})
 		}
 	}
+	requestedKinds["executor-restart-cut"] = func(i *injector) { i.restartAndCut(func(between time.Duration) { time.Sleep(between) }) }
+	requestedKinds["executor-restart-cut-kill"] = func(i *injector) { i.restartAndCut(i.killOwnerWithin) }
 	faultKinds["executor-crash"] = func(i *injector) { i.crash([]int{i.side()}) }
 	faultKinds["executor-crash-many"] = func(i *injector) { i.crash(sides(i.some())) }
 	faultKinds["executor-leave"] = func(i *injector) {
@@ -96,6 +98,73 @@
 	}
 }
 
+// The executors of a failure domain start again under their IDs after up to longestDarkTime, and are cut off from their nodes
+// some time after that.
+const (
+	shortestDarkTime   = 400 * time.Millisecond
+	longestDarkTime    = 800 * time.Millisecond
+	shortestUpTime     = 1200 * time.Millisecond
+	longestUpTime      = 2600 * time.Millisecond
+	shortestRestartCut = 8 * time.Second
+	longestRestartCut  = 10 * time.Second
+	maxRestartCuts     = 2
+	restartCutPause    = 3 * time.Second
+)
+
+// restartAndCut restarts the executors of a failure domain under their IDs, calls between for a time, and then cuts them off from
+// their nodes for about as long as a lease. Series that overlap take other failure domains: a node can't know of a life that begins
+// while it is cut off.
+func (i *injector) restartAndCut(between func(time.Duration)) {
+	zone := <-i.restartZones
+	defer func() { i.restartZones <- zone }()
+	some := sides(i.hostsIn(zone))
+	for cuts := 1 + i.draw.IntN(maxRestartCuts); cuts > 0; cuts-- {
+		i.restartDark(some)
+		between(i.between(shortestUpTime, longestUpTime))
+		i.cutExecutors(some)
+		i.wait(0, restartCutPause)
+	}
+}
+
+// restartDark restarts executors under their IDs. Their open connections are reset at once, or wait as the new ones do.
+func (i *injector) restartDark(some []int) {
+	for _, host := range some {
+		i.executor(host).end("crashes", callsWait)
+		if i.draw.IntN(2) == 0 {
+			i.apps[host].reset()
+		}
+	}
+	i.wait(shortestDarkTime, longestDarkTime)
+	for _, host := range some {
+		i.restart(i.executor(host), true)
+	}
+}
+
+// cutExecutors holds up everything between executors and their nodes for a time.
+func (i *injector) cutExecutors(some []int) {
+	var links []*link
+	for _, host := range some {
+		links = append(links, i.apps[host])
+		i.apps[host].set(direction{held: true}, direction{held: true})
+		i.executor(host).setMuted(true)
+	}
+	i.wait(shortestRestartCut, longestRestartCut)
+	i.heal(links)
+	for _, host := range some {
+		i.executor(host).setMuted(false)
+	}
+}
+
+// killOwnerWithin lasts for a time, in which it kills the owner.
+func (i *injector) killOwnerWithin(length time.Duration) {
+	before := i.between(0, length)
+	time.Sleep(before)
+	if owner := i.owner(); owner != nil {
+		owner.signal(syscall.SIGKILL, i.between(0, 2*time.Second))
+	}
+	time.Sleep(length - before)
+}
+
 // sendStrayHeartbeats sends calls of the former life that were delayed, and heartbeats that can't be read.
 func (i *injector) sendStrayHeartbeats(x *executor) {
 	x.mu.Lock()
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -22,7 +22,7 @@
 var faultKinds = map[string]func(i *injector){}
 
 // requestedKinds holds kinds of faults that are injected only if they are asked for, since the platform's interface neither
-// names nor rules them out.
+// names nor rules them out, or since KNOWN-RED.txt lists what they find.
 var requestedKinds = map[string]func(i *injector){}
 
 func faultKind(kind string) func(i *injector) {
@@ -103,14 +103,14 @@
 	case 1:
 		return all[:2+i.draw.IntN(hosts/2)]
 	case 2:
-		return i.zone()
+		return i.hostsIn(i.draw.IntN(zones))
 	}
 	return all
 }
 
-func (i *injector) zone() []int {
-	zone := zoneOf(i.draw.IntN(3))
-	return slices.DeleteFunc(i.draw.Perm(hosts), func(host int) bool { return zoneOf(host) != zone })
+// hostsIn returns the hosts in a zone in a drawn order.
+func (i *injector) hostsIn(zone int) []int {
+	return slices.DeleteFunc(i.draw.Perm(hosts), func(host int) bool { return host%zones != zone })
 }
 
 // sides returns the hosts with nodes among some.
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -74,6 +74,8 @@
 	clients    *clients
 	anchor     net.Listener
 	services   []serviceKind
+	// restartZones holds the zones whose executors no series restarts and cuts off at the moment.
+	restartZones chan int
 }
 
 func newFleet(draw *rand.Rand, record *journal, dir, programs string) (*fleet, error) {
@@ -81,6 +83,10 @@
 	if err := f.reserveNetwork(); err != nil {
 		return nil, err
 	}
+	f.restartZones = make(chan int, zones)
+	for _, zone := range draw.Perm(zones) {
+		f.restartZones <- zone
+	}
 	f.services = []serviceKind{
 		{name: firstService, cpu: 32000, guarded: draw.IntN(3) > 0},
 		{name: secondService, cpu: 16000, guarded: draw.IntN(3) == 0},
--- a/test/soak/operatorfaults_test.go
+++ b/test/soak/operatorfaults_test.go
@@ -28,7 +28,7 @@
 		i.setStoreFault(&storeFault{delay: slowStoreTime}, i.draw.Perm(hosts))
 	}
 	faultKinds["evacuate"] = func(i *injector) {
-		key := "op/evacuate/" + zoneOf(i.draw.IntN(3))
+		key := "op/evacuate/" + zoneOf(i.draw.IntN(zones))
 		i.store.put(key, struct{}{})
 		i.wait(time.Second, 8*time.Second)
 		i.store.delete(key)
