--- a/test/soak/link_test.go
+++ b/test/soak/link_test.go
@@ -81,6 +81,13 @@
 	l.change = make(chan struct{})
 }
 
+// isHeld reports whether the bytes of a way are held up.
+func (l *link) isHeld() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.there.held || l.back.held
+}
+
 // silence lets the open connections pass on nothing any more, while new ones work. They don't count for the limit.
 func (l *link) silence() {
 	l.mu.Lock()
