--- a/test/soak/executorfaults_test.go
+++ b/test/soak/executorfaults_test.go
@@ -58,8 +58,8 @@
 			i.heal([]*link{i.apps[host]})
 		}
 	}
-	requestedKinds["executor-restart-cut"] = func(i *injector) { i.restartAndCut(func(between time.Duration) { time.Sleep(between) }) }
-	requestedKinds["executor-restart-cut-kill"] = func(i *injector) { i.restartAndCut(i.killOwnerWithin) }
+	faultKinds["executor-restart-cut"] = func(i *injector) { i.restartAndCut(func(between time.Duration) { time.Sleep(between) }) }
+	faultKinds["executor-restart-cut-kill"] = func(i *injector) { i.restartAndCut(i.killOwnerWithin) }
 	faultKinds["executor-crash"] = func(i *injector) { i.crash([]int{i.side()}) }
 	faultKinds["executor-crash-many"] = func(i *injector) { i.crash(sides(i.some())) }
 	faultKinds["executor-leave"] = func(i *injector) {
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -22,7 +22,7 @@
 var faultKinds = map[string]func(i *injector){}
 
 // requestedKinds holds kinds of faults that are injected only if they are asked for, since the platform's interface neither
-// names nor rules them out, or since KNOWN-RED.txt lists what they find.
+// names nor rules them out.
 var requestedKinds = map[string]func(i *injector){}
 
 func faultKind(kind string) func(i *injector) {
@@ -35,9 +35,12 @@
 // lapsingKinds let leases lapse of executors that come back with ends. Each drawn selection has one of them.
 var lapsingKinds = []string{"app-cut-lease", "late-orders-kills"}
 
+// restartKinds let executors start again under their IDs. Each drawn selection has one of them, too.
+var restartKinds = []string{"executor-restart-cut", "executor-restart-cut-kill"}
+
 const (
 	maxSeries = 3
-	// maxDrawnKinds is how many kinds a drawn selection has at most, besides one of lapsingKinds.
+	// maxDrawnKinds is how many kinds a drawn selection has at most, besides one of lapsingKinds and one of restartKinds.
 	maxDrawnKinds = 8
 	shortestPause = 200 * time.Millisecond
 	longestPause  = 5 * time.Second
@@ -56,7 +59,7 @@
 		}
 		sort.Strings(kinds)
 		draw.Shuffle(len(kinds), func(a, b int) { kinds[a], kinds[b] = kinds[b], kinds[a] })
-		kinds = append(kinds[:2+draw.IntN(maxDrawnKinds-1)], lapsingKinds[draw.IntN(len(lapsingKinds))])
+		kinds = append(kinds[:2+draw.IntN(maxDrawnKinds-1)], lapsingKinds[draw.IntN(len(lapsingKinds))], restartKinds[draw.IntN(len(restartKinds))])
 	}
 	series := 1 + draw.IntN(maxSeries)
 	pause := shortestPause + time.Duration(draw.Int64N(int64(longestPause-shortestPause)))
