--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -35,9 +35,12 @@
 // lapsingKinds let leases lapse of executors that come back with ends. Each drawn selection has one of them.
 var lapsingKinds = []string{"app-cut-lease", "late-orders-kills"}
 
+// restartKinds let executors start again under their IDs. Each drawn selection has one of them, too.
+var restartKinds = []string{"executor-restart-cut", "executor-restart-cut-kill"}
+
 const (
 	maxSeries = 3
-	// maxDrawnKinds is how many kinds a drawn selection has at most, besides one of lapsingKinds.
+	// maxDrawnKinds is how many kinds a drawn selection has at most, besides one of lapsingKinds and one of restartKinds.
 	maxDrawnKinds = 8
 	shortestPause = 200 * time.Millisecond
 	longestPause  = 5 * time.Second
@@ -56,7 +59,7 @@
 		}
 		sort.Strings(kinds)
 		draw.Shuffle(len(kinds), func(a, b int) { kinds[a], kinds[b] = kinds[b], kinds[a] })
-		kinds = append(kinds[:2+draw.IntN(maxDrawnKinds-1)], lapsingKinds[draw.IntN(len(lapsingKinds))])
+		kinds = append(kinds[:2+draw.IntN(maxDrawnKinds-1)], lapsingKinds[draw.IntN(len(lapsingKinds))], restartKinds[draw.IntN(len(restartKinds))])
 	}
 	series := 1 + draw.IntN(maxSeries)
 	pause := shortestPause + time.Duration(draw.Int64N(int64(longestPause-shortestPause)))
@@ -103,14 +106,14 @@
 	case 1:
 		return all[:2+i.draw.IntN(hosts/2)]
 	case 2:
-		return i.zone()
+		return i.hostsIn(i.draw.IntN(zones))
 	}
 	return all
 }
 
-func (i *injector) zone() []int {
-	zone := zoneOf(i.draw.IntN(3))
-	return slices.DeleteFunc(i.draw.Perm(hosts), func(host int) bool { return zoneOf(host) != zone })
+// hostsIn returns the hosts in a zone in a drawn order.
+func (i *injector) hostsIn(zone int) []int {
+	return slices.DeleteFunc(i.draw.Perm(hosts), func(host int) bool { return host%zones != zone })
 }
 
 // sides returns the hosts with nodes among some.
