--- a/workflow/engine/stale_leases.go
+++ b/workflow/engine/stale_leases.go
@@ -13,7 +13,8 @@
 
 // staleLease is what is known of the stale lease of a host's executor.
 type staleLease struct {
-	// bounded is set once the current incarnation can get no further one. That holds for good: it has seen its own fencing token.
+	// bounded is set once it is known that the current incarnation has none, or can get no further one. That holds for good: it has seen
+	// its own fencing token.
 	bounded bool
 	// expires is when it has ended; zero if there was none.
 	expires time.Time
--- a/workflow/messages.go
+++ b/workflow/messages.go
@@ -31,7 +31,8 @@
 	TraitsUnknown bool `json:"unaware,omitempty"`
 	// LeaseBound limits the lease of the host's executor; nil from nodes that don't know it.
 	LeaseBound *LeaseBound `json:"lease_bound,omitempty"`
-	// StaleLease is the lease that Executor may hold from calls that were meant for its former incarnations; nil if there is none.
+	// StaleLease is the lease that Executor may hold from calls that were meant for its former incarnations. It is nil if there is none, as
+	// for executors that fetch their orders, and from nodes of former versions.
 	StaleLease *StaleLease `json:"stale_lease,omitempty"`
 }
 
