Probe an executor before a new process of its node takes it for one with a stale lease

After a loss of power of all hosts, and after each restart of a node with another owner, executors got no start for 3.4 to 4.0 s: a new process of a node can't know what its former one has sent.

Change: the first call of a process to an incarnation in its first minute has a fencing token below those of all owners. If the incarnation accepts it, it has seen no token, and so has carried out no call of a former process. If its first answer to a call with a token of an owner follows within 0.4 s, it holds no stale lease of a former process; a call that arrives between the two is the remaining risk. If it rejects the call, nothing changes.

Three tests of hold calls mark the probe as done before they ask for the calls that follow it.

TestUntouchedExecutorHoldsNoStaleLease, TestOldProbeProvesNothing; the tests of stale calls of former processes pass as before.

--- a/node/announcements.go
+++ b/node/announcements.go
@@ -94,7 +94,7 @@
 	n.end = executorEnd{}
 	n.clockAt, n.brokenAt = time.Time{}, time.Time{}
 	n.leaseEnd, n.renewedUntil = time.Time{}, time.Time{}
-	n.staleLease = staleLease{}
+	n.staleLease, n.probe = staleLease{}, tokenProbe{}
 	n.pacer = sharing.NewController()
 	clear(n.unlistedStarts)
 	clear(n.paces)
--- a/node/hold.go
+++ b/node/hold.go
@@ -189,6 +189,9 @@
 		wait = 0
 	}
 	epoch := n.callEpoch()
+	if n.probes() {
+		epoch, deadline, ack, wait = 0, 0, 0, 0
+	}
 	return holdCall{
 		incarnation: n.current.IncarnationID(), epoch: epoch, fence: n.fence(epoch), ack: ack, deadline: deadline, leaseEnd: n.leaseEnd,
 		wait: wait, covers: n.executedOrders, renewedUntil: n.renewedUntil, calledAt: now, clocks: readClocks(n.host),
--- a/node/hold_wait_test.go
+++ b/node/hold_wait_test.go
@@ -14,6 +14,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		n := newNode()
+		n.probe.rejected = true
 		n.applyLists(testIncarnation, &RunLists{StartedUnixMillis: 1000, ClockMillis: 500, EndsComplete: true}, 0)
 		call := n.nextHold()
 		c.Assert(call.deadline, qt.Equals, int64(0))
--- a/node/lease.go
+++ b/node/lease.go
@@ -73,6 +73,10 @@
 // handleFenceRejection raises the token after the current incarnation has rejected it: it has seen one that a former process of the node had
 // raised. The steps double, since it isn't known by how much. The caller holds mu.
 func (n *Node) handleFenceRejection() {
+	if n.probes() {
+		n.probe.rejected = true
+		return
+	}
 	epoch := n.callEpoch()
 	n.tokenFloor.step = max(2*n.tokenFloor.step, 1)
 	n.tokenFloor.raise(epoch, n.incarnationToken(epoch), n.tokenFloor.step)
--- a/node/node.go
+++ b/node/node.go
@@ -83,6 +83,7 @@
 	firstID          string
 	staleLease       staleLease
 	formerCallsUntil time.Time
+	probe            tokenProbe
 	// maxLease is the longest lease that the executor takes, by its own clock.
 	maxLease time.Duration
 	// fetches is set if the executor fetches its orders.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -157,6 +157,7 @@
 func TestUnknownStartIsResolvedAtOnce(t *testing.T) {
 	c := qt.New(t)
 	n := newNode()
+	n.probe.rejected = true
 	now := time.Now()
 	n.leaseEnd = now.Add(time.Minute)
 	lists := func() *RunLists { return &RunLists{ClockMillis: 600, StartedUnixMillis: 1000, EndsComplete: true} }
@@ -215,6 +216,7 @@
 func TestFurtherEndsAreReportedAndFetched(t *testing.T) {
 	c := qt.New(t)
 	n := newNode()
+	n.probe.rejected = true
 	n.leaseEnd = time.Now().Add(time.Minute)
 	ends := []workflow.RunEnd{{Number: 1}, {Number: 2}}
 	n.applyLists("i-1@1000", &RunLists{StartedUnixMillis: 1000, Ended: ends}, 0)
--- a/node/stale_call_limits_test.go
+++ b/node/stale_call_limits_test.go
@@ -113,3 +113,42 @@
 		c.Assert(n.nextHold().deadline > 0, qt.IsTrue)
 	})
 }
+
+// Guards against an executor that gets no start for seconds after all hosts have lost power: it had seen no token when the new process of
+// its node first called it, so that no call of the former process had reached it.
+func TestUntouchedExecutorHoldsNoStaleLease(t *testing.T) {
+	for _, rejected := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			n := newNode()
+			n.epoch = 7
+			probe := n.nextHold()
+			c.Assert(probe.epoch, qt.Equals, int64(0))
+			c.Assert(probe.fence < 1<<incarnationBits, qt.IsTrue)
+			if rejected {
+				n.handleHoldError(testIncarnation, &RejectedError{Reason: reasonFence}, false)
+			} else {
+				n.boundStaleLease(&probe, &RunLists{StartedUnixMillis: 1000})
+			}
+			hold := n.nextHold()
+			c.Assert(hold.epoch, qt.Equals, int64(7))
+			n.boundStaleLease(&hold, &RunLists{StartedUnixMillis: 1000})
+			c.Assert(n.nextReport(7).StaleLease != nil, qt.Equals, rejected)
+		})
+	}
+}
+
+// Guards against a probe that tells of a time long before the first answer to a call with a token of an owner: stale calls may have arrived since.
+func TestOldProbeProvesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := newNode()
+		n.epoch = 7
+		probe := n.nextHold()
+		n.boundStaleLease(&probe, &RunLists{StartedUnixMillis: 1000})
+		time.Sleep(maxProbeAge + time.Millisecond)
+		hold := n.nextHold()
+		n.boundStaleLease(&hold, &RunLists{StartedUnixMillis: 1000})
+		c.Assert(n.nextReport(7).StaleLease, qt.IsNotNil)
+	})
+}
--- a/node/stale_lease.go
+++ b/node/stale_lease.go
@@ -66,6 +66,27 @@
 	return n.host.Now().Before(n.formerCallsUntil) && (n.firstID == "" || n.current.ID == n.firstID || n.current.StartedUnixMillis <= n.incarnation/int64(time.Millisecond))
 }
 
+// maxProbeAge is how long before the first answer to a call with a token of an owner an incarnation must have accepted one without.
+const maxProbeAge = 400 * time.Millisecond
+
+// tokenProbe tells whether the current incarnation had seen no fencing token when it was called with one that is below those of all owners:
+// it then had carried out no call of a former process of the node.
+type tokenProbe struct {
+	// acceptedAt is when such a call was last sent that the incarnation has accepted; zero if none was.
+	acceptedAt time.Time
+	// rejected is set once it has rejected one.
+	rejected bool
+}
+
+func (p *tokenProbe) isRecent(now time.Time) bool {
+	return !p.rejected && !p.acceptedAt.IsZero() && now.Sub(p.acceptedAt) <= maxProbeAge
+}
+
+// probes reports whether the next hold call has a token below those of all owners. The caller holds mu.
+func (n *Node) probes() bool {
+	return !n.fetches && !n.staleLease.bounded && n.hasFormerCalls() && !n.probe.rejected && n.probe.acceptedAt.IsZero()
+}
+
 // boundStaleLease bounds the stale lease of the current incarnation, which has answered a call with its own fencing token. Only a token
 // of the highest known epoch is certainly higher than those of a former process of the node.
 func (n *Node) boundStaleLease(hold *holdCall, lists *RunLists) {
@@ -74,12 +95,15 @@
 	if n.current == nil || n.current.IncarnationID() != hold.incarnation || !isFrom(lists, hold.incarnation) {
 		return
 	}
+	if hold.epoch == 0 {
+		n.probe.acceptedAt = hold.calledAt
+	}
 	if n.fetches || n.isStaleLeaseBounded(hold.epoch) {
 		return
 	}
 	deadline, own := n.leaseCalls.latestDeadline(hold.incarnation, n.host.Now())
 	lease := time.Duration(deadline-lists.ClockMillis) * time.Millisecond
-	if n.hasFormerCalls() {
+	if n.hasFormerCalls() && !n.probe.isRecent(n.clock.Now()) {
 		lease = n.maxLease
 	}
 	n.staleLease = staleLease{bounded: true, epoch: hold.epoch, ofFormerProcess: !own}
