--- a/workflow/engine/admission_test.go
+++ b/workflow/engine/admission_test.go
@@ -21,8 +21,8 @@
 	return x
 }
 
-// Guards against a start that breaks a constraint and of which nothing tells what its owner took for given (incident ROUTE), and
-// against a basis as of the delivery instead of the decision.
+// Guards against a start that breaks a constraint and is logged without what its owner assumed (incident ROUTE), or with the state at
+// its delivery instead of the decision.
 func TestStartTellsWhatAdmittedIt(t *testing.T) {
 	h := newHarness(t)
 	limited := step(3)
@@ -45,8 +45,8 @@
 	}
 }
 
-// Guards against a start for a queue that the configuration has dropped, or sends elsewhere than when the job was accepted, that
-// doesn't tell so.
+// Guards against a start that doesn't say that the configuration has dropped its queue, or sends it to another pool than when the job
+// was accepted.
 func TestStartTellsPoolOfItsQueue(t *testing.T) {
 	for name, test := range map[string]struct {
 		queues    []workflow.Queue
--- a/workflow/engine/contradictions_test.go
+++ b/workflow/engine/contradictions_test.go
@@ -24,8 +24,8 @@
 	return first
 }
 
-// Guards against a run that an executor lists as running while another run of its task is assigned, and that no line tells of; and
-// against a line for each report that repeats it.
+// Guards against a run that is listed as running while another run of its task is assigned and that isn't logged, or is logged again
+// for each report that repeats it.
 func TestRunThatOutlivesItsLeaseIsContradiction(t *testing.T) {
 	h := newHarness(t)
 	first := h.lapseAndRestart(1)
@@ -47,7 +47,7 @@
 	h.Assert(counts, qt.HasLen, 0)
 }
 
-// Guards against a task that two runs have done without a line that tells so, also if the second end comes after the task is done.
+// Guards against a task that two runs have finished without a log line, also if the second end arrives once the task is done.
 func TestSecondDoneIsContradiction(t *testing.T) {
 	h := newHarness(t)
 	first := h.lapseAndRestart(1)[0]
@@ -60,7 +60,7 @@
 	found, _ := h.engine.TakeContradictions()
 	h.Assert(found, qt.HasLen, 1)
 	h.Assert(found[0].Kind, qt.Equals, engine.DoneElsewhere)
-	// The owner knows that the second run goes on until it is stopped.
+	// The owner knows that the second run continues until it is stopped.
 	h.report("b", executor("b", 1), []workflow.RunState{{Task: first.Task, Run: 2}}, nil)
 	found, _ = h.engine.TakeContradictions()
 	h.Assert(found, qt.HasLen, 0)
@@ -73,7 +73,7 @@
 	h.Assert(found[0].CurrentExecutor, qt.Equals, "i-b@1")
 }
 
-// Guards against kinds of contradictions that are taken for others, or not found.
+// Guards against contradictions that are missed or reported as another kind.
 func TestKindsOfContradictions(t *testing.T) {
 	h := newHarness(t)
 	job := h.job(step(1))
@@ -102,7 +102,7 @@
 	}
 }
 
-// Guards against ends and starts that nobody misjudged but that count as contradictions.
+// Guards against ordinary ends and starts that are reported as contradictions.
 func TestOrdinaryEndsAreNoContradictions(t *testing.T) {
 	h := newHarness(t)
 	gang := step(2)
@@ -126,7 +126,7 @@
 	h.Assert(counts, qt.HasLen, 0)
 }
 
-// Guards against lists that are older than the end of a lease and that count as a contradiction.
+// Guards against contradictions that are reported because of lists from before the end of a lease.
 func TestOldListsAreNoContradiction(t *testing.T) {
 	h := newHarness(t)
 	first := h.lapseAndRestart(1)
@@ -135,7 +135,7 @@
 	h.Assert(counts, qt.HasLen, 0)
 }
 
-// Guards against more described contradictions for a report than the log can take; all of them are counted.
+// Guards against more described contradictions for one report than the log can hold; all of them are counted.
 func TestDescribedContradictionsAreBounded(t *testing.T) {
 	h := newHarness(t)
 	var running []workflow.RunState
--- a/workflow/engine/crashes_test.go
+++ b/workflow/engine/crashes_test.go
@@ -45,7 +45,8 @@
 	}
 }
 
-// Guards against a task that crashes its executors long after its start, beside tasks that have just started, without end.
+// Guards against a task that is never given up because it crashes its executors long after its start, beside tasks that have just
+// started.
 func TestLateCrashingTaskIsGivenUp(t *testing.T) {
 	f := newCrashFleet(t, "a", "b", "c", "d")
 	bad := f.job(longStep(1))
@@ -73,7 +74,7 @@
 	f.Assert(f.starts[firstTask(bad)] <= 5, qt.IsTrue, qt.Commentf("%d starts", f.starts[firstTask(bad)]))
 }
 
-// Guards against an owner that doesn't know the crashes under its predecessors.
+// Guards against a new owner that doesn't count the crashes under former owners.
 func TestCrashesAreKnownToNextOwner(t *testing.T) {
 	f := newCrashFleet(t, "a", "b")
 	bad := f.job(longStep(1))
@@ -95,8 +96,8 @@
 	f.Assert(f.starts[firstTask(bad)] <= 3, qt.IsTrue, qt.Commentf("%d starts", f.starts[firstTask(bad)]))
 }
 
-// Guards against a task that crashes one executor after the other and is never given up because the node's process beside each of
-// them restarts as well (found by TestCrashingTaskIsGivenUpDespiteTakeovers beside other tests: six starts).
+// Guards against a task that crashes one executor after the other and is never given up because the processes of their nodes restart
+// as well (six starts before the fix).
 func TestCrashingTaskIsGivenUpDespiteNodeRestarts(t *testing.T) {
 	f := newCrashFleet(t, "a")
 	job := f.job(step(1))
@@ -115,7 +116,7 @@
 	}
 }
 
-// Guards against a long-running task that crashes one executor after the other: it has no limit of attempts.
+// Guards against a long-running task that crashes one executor after the other without end: it has no limit of attempts.
 func TestCrashingLongRunningTaskIsGivenUp(t *testing.T) {
 	f := newCrashFleet(t, "a", "b", "c")
 	lasting := longStep(2)
@@ -129,7 +130,7 @@
 	f.Assert(f.starts[firstTask(bad)], qt.Equals, 2)
 }
 
-// Guards against a gang of which one task crashes the executors of the gang, one after the other.
+// Guards against a gang that is never given up although one of its tasks crashes one executor after the other.
 func TestCrashingGangIsGivenUp(t *testing.T) {
 	f := newCrashFleet(t, "a", "b", "c", "d", "e")
 	gang := longStep(3)
--- a/workflow/engine/domains_test.go
+++ b/workflow/engine/domains_test.go
@@ -11,7 +11,7 @@
 )
 
 // Guards against losing all executors without serving tasks at once: when their failure domain is evacuated or lost, the images
-// that disturb serving tasks anywhere else have no place left (found on sellaforja-norte, scale-1).
+// that disturb serving tasks everywhere else can't be placed.
 func TestFreeExecutorsAreSpreadOverDomains(t *testing.T) {
 	h := newHarness(t)
 	hosts := map[string]*workflow.Executor{}
--- a/workflow/engine/engine_test.go
+++ b/workflow/engine/engine_test.go
@@ -161,7 +161,7 @@
 }
 
 // Guards against an owner that starts a cancelled job: a new owner reads cancellations before jobs, since their keys
-// sort first (found with vaidlusmaja, day trouble-1).
+// sort first.
 func TestCancellationBeforeAdd(t *testing.T) {
 	h := newHarness(t)
 	job := h.job(step(1))
@@ -173,7 +173,7 @@
 }
 
 // Guards against tasks that stay assigned to an executor that has terminated while its node keeps running and repeats
-// the last lists (found by hunt on vaidlusmaja, mix 725681597518: LOST).
+// the last lists (LOST in `fleetbench hunt`, mix 725681597518).
 func TestUnresponsiveExecutorLosesItsTasks(t *testing.T) {
 	h := newHarness(t)
 	_, running := h.startJob(executor("a", 1), step(1))
@@ -192,8 +192,8 @@
 	h.Assert(orders["b"].Starts[0].Run, qt.Equals, 2)
 }
 
-// Guards against a second run of a task whose start reached the next incarnation of an executor with the same ID (found
-// by TestRandomFaults: a start after an acknowledged end).
+// Guards against a second run of a task whose start reached the next incarnation of an executor with the same ID: a start after an
+// acknowledged end.
 func TestStartReachesTheNextIncarnation(t *testing.T) {
 	h := newHarness(t)
 	job, running := h.startJob(executor("a", 1), step(1))
@@ -204,8 +204,7 @@
 	h.Assert(h.phase(job.ID), qt.Equals, workflow.Completed)
 }
 
-// Guards against a task that never runs again because its stop was accepted by a process of the node that has since
-// ended (found by TestRandomFaults: a job that never ends).
+// Guards against a job that never ends because the stop of its task was accepted by a process of the node that has since ended.
 func TestStopAcceptedByFormerProcess(t *testing.T) {
 	h := newHarness(t)
 	h.engine.Add(h.job(step(1)), nil, h.now, h.now)
@@ -227,7 +226,7 @@
 }
 
 // Guards against a task that waits for the lease of an executor to expire although, after a new owner has read the
-// task's record, another executor ID reports from the same host (found with bagmati-quotes, day trouble-1).
+// task's record, another executor ID reports from the same host.
 func TestRestoredTaskOnReplacedExecutorRestarts(t *testing.T) {
 	h := newHarness(t)
 	job := h.job(step(1))
--- a/workflow/engine/late_reports_test.go
+++ b/workflow/engine/late_reports_test.go
@@ -6,8 +6,8 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Guards against a second run of a task that goes on: a report of an executor that was at the host before reaches the next owner
-// late, and its lists are taken for a proof that the later executor has ended.
+// Guards against a second run of a task that still runs: a late report of the host's former executor reaches the next owner, and its
+// lists are taken for proof that the later executor has ended.
 func TestLateReportDoesNotEndLaterExecutor(t *testing.T) {
 	h := newHarness(t)
 	job := h.job(step(2))
--- a/workflow/engine/misplaced_test.go
+++ b/workflow/engine/misplaced_test.go
@@ -19,8 +19,8 @@
 	return running
 }
 
-// Guards against an executor that runs more tasks of a step than its limit and that no line tells of (incident ROUTE), and against
-// a line for each report.
+// Guards against runs beyond the limit of a step on an executor that aren't logged (incident ROUTE), or are logged again for each
+// report.
 func TestRunBeyondLimitOfStepIsMisplaced(t *testing.T) {
 	h := newHarness(t)
 	h.engine.Add(h.job(limited()), nil, h.now, h.now)
@@ -52,7 +52,7 @@
 	h.Assert(counts, qt.DeepEquals, map[engine.MisplacedKind]int{engine.MisplacedLimit: 1}, qt.Commentf("another run"))
 }
 
-// Guards against a superseded run beside another of its step that is described without saying so.
+// Guards against a description of a misplaced run that doesn't say that the run is superseded.
 func TestMisplacedRunTellsThatItIsSuperseded(t *testing.T) {
 	s := newSupersededRun(t, limited())
 	other := workflow.RunState{Task: s.job.ID + ".0.0.1", Run: 9}
@@ -63,7 +63,7 @@
 	s.Assert(found[0].Superseded, qt.IsTrue)
 }
 
-// Guards against a run on an executor without the label of its step that no line tells of.
+// Guards against a run on an executor without the label of its step that isn't logged.
 func TestRunWithoutItsLabelIsMisplaced(t *testing.T) {
 	h := newHarness(t)
 	s := step(1)
@@ -81,8 +81,8 @@
 	h.Assert(found[0].ExecutorLabels, qt.DeepEquals, []string{"slow"})
 }
 
-// Guards against a run in a pool to which no configuration sends its queue that no line tells of, and against lines on runs that were
-// started before their queue was moved.
+// Guards against a run in a pool to which no configuration sends its queue that isn't logged, and against log lines for runs that
+// were started before their queue was moved.
 func TestRunInAnotherPoolIsMisplaced(t *testing.T) {
 	h := newHarness(t)
 	h.engine.Add(h.job(step(1)), nil, h.now, h.now)
@@ -110,7 +110,7 @@
 	h.Assert(m.ConfigVersion, qt.Equals, int64(3))
 }
 
-// Guards against a new owner that takes runs for misplaced since it has no configuration yet.
+// Guards against a new owner that takes runs for misplaced because it has no configuration yet.
 func TestNoRunIsMisplacedBeforeFirstConfiguration(t *testing.T) {
 	h := newHarness(t)
 	h.engine = newEngineWithoutOperatorState(h)
@@ -129,7 +129,7 @@
 	h.Assert(found[0].SinceStart, qt.Equals, engine.UnknownAge)
 }
 
-// Guards against runs that reserve more than their executor has and that no line tells of.
+// Guards against runs that reserve more than the capacity of their executor and that aren't logged.
 func TestRunsBeyondCapacityAreMisplaced(t *testing.T) {
 	h := newHarness(t)
 	h.engine.Add(h.job(step(4)), nil, h.now, h.now)
@@ -148,7 +148,7 @@
 	h.Assert(found[0].Capacity, qt.Equals, smaller.Capacity)
 }
 
-// Guards against more descriptions for a report than the log can take; all of the runs are counted.
+// Guards against more described runs for one report than the log can hold; all of them are counted.
 func TestDescribedMisplacedRunsAreBounded(t *testing.T) {
 	h := newHarness(t)
 	s := step(500)
@@ -165,7 +165,7 @@
 	h.Assert(counts, qt.DeepEquals, map[engine.MisplacedKind]int{engine.MisplacedLabel: 500, engine.MisplacedLimit: 499})
 }
 
-// Guards against lines on runs that are where they may be, under load.
+// Guards against log lines for correctly placed runs, under load.
 func TestOrdinaryRunsAreNotMisplaced(t *testing.T) {
 	s := newSimulation(11, 1)
 	s.submitServing(0.5)
--- a/workflow/engine/order_test.go
+++ b/workflow/engine/order_test.go
@@ -45,8 +45,8 @@
 	}}, now, now)
 }
 
-// Guards against jobs of which the last task waits behind the first tasks of others in a burst: it is late by then, and all
-// that was done for it is lost.
+// Guards against jobs whose last task waits behind the first tasks of others in a burst: such a job is late by then, and the work done
+// for it is wasted.
 func TestLateJobWithLittleLeftGoesBeforeAFreshOne(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
--- a/workflow/engine/other_kinds_test.go
+++ b/workflow/engine/other_kinds_test.go
@@ -10,8 +10,8 @@
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
-// Guards against a task that starts late, or goes on, on the next incarnation under its executor's ID although that is in another
-// pool, lacks the label of the step or is too small for it (ROUTE, LIMIT).
+// Guards against a task that starts late, or keeps running, on the next incarnation under its executor's ID although that is in
+// another pool, lacks the label of the step or is too small for it (ROUTE, LIMIT).
 func TestTaskIsStoppedOnNextIncarnationOfOtherKind(t *testing.T) {
 	for name, test := range map[string]struct {
 		change func(x *workflow.Executor)
@@ -48,8 +48,8 @@
 	}
 }
 
-// Guards against late starts that together exceed the room of the next incarnation under their executor's ID, though each would fit
-// (LIMIT).
+// Guards against late starts that together exceed the capacity of the next incarnation under their executor's ID, although each fits
+// alone (LIMIT).
 func TestTasksBeyondRoomOfNextIncarnationAreStopped(t *testing.T) {
 	for capacity, stops := range map[int64]int{4000: 0, 3000: 1, 1500: 3} {
 		t.Run(strconv.FormatInt(capacity, 10), func(t *testing.T) {
--- a/workflow/engine/replacement_test.go
+++ b/workflow/engine/replacement_test.go
@@ -14,7 +14,7 @@
 	h.send(node, &workflow.Report{Incarnation: 1, Executor: x})
 }
 
-// Guards against a second run of a task whose executor goes on: another executor was announced at its host, and has never
+// Guards against a second run of a task whose executor keeps running: another executor was announced at its host, but has never
 // responded there (review/REPORT.md "Seen, but no case").
 func TestAnnouncedExecutorDoesNotEndFormerOne(t *testing.T) {
 	for name, takeover := range map[string]bool{"known executor": false, "after a takeover": true} {
@@ -63,8 +63,8 @@
 	h.Assert(h.plan()["b"].Starts, qt.HasLen, 2)
 }
 
-// Guards against tasks that the next owner starts again at once: their executor had lapsed, was granted a lease again and started
-// them, and the former owner handed it over as lapsed.
+// Guards against tasks that the next owner starts again at once because the former owner handed their executor over as lapsed: its
+// lease had expired, but it was granted another one and started them.
 func TestExecutorThatReturnsIsNotHandedOverAsLapsed(t *testing.T) {
 	h := newHarness(t)
 	h.startJob(executor("a", 1), step(2))
@@ -84,8 +84,8 @@
 	}
 }
 
-// Guards against a start on an executor that has not listed its runs yet, beside runs that a former owner or a former incarnation's
-// orders have started there (ROUTE, LIMIT): its predecessor's lists say nothing of it.
+// Guards against a start on an executor that has not listed its runs yet, beside runs that a former owner, or orders for a former
+// incarnation, have started there (ROUTE, LIMIT): the lists of the former incarnation don't contain them.
 func TestNothingStartsOnExecutorBeforeItsFirstLists(t *testing.T) {
 	for name, id := range map[string]string{"same ID": "i-a", "other ID": "i-other"} {
 		t.Run(name, func(t *testing.T) {
--- a/workflow/engine/return_test.go
+++ b/workflow/engine/return_test.go
@@ -7,8 +7,8 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Guards against an executor that its owner never uses again: another one that seems to be newer was announced at its host, and has
-// never responded there.
+// Guards against an executor that its owner never uses again because another one, which seems to be newer, was announced at its host
+// but has never responded there.
 func TestExecutorReturnsAfterForeignAnnouncement(t *testing.T) {
 	for name, withTasks := range map[string]bool{"idle": false, "with tasks": true} {
 		t.Run(name, func(t *testing.T) {
@@ -34,7 +34,7 @@
 	}
 }
 
-// Guards against an executor that its owner never uses again, since the time of day of its host was set back while it was restarted.
+// Guards against an executor that its owner never uses again because the time of day of its host was set back during its restart.
 func TestExecutorThatRestartsWithEarlierTimeIsUsed(t *testing.T) {
 	h := newHarness(t)
 	h.startJob(executor("a", 5), step(1))
@@ -45,7 +45,7 @@
 }
 
 // Guards against runs that lose their places, or are taken for ended, because the ID of their executor is announced on another host
-// (ROUTE, TWICE): they go on, and their executor lists them.
+// while the executor still lists them (ROUTE, TWICE).
 func TestRunsStayOnTheirHostWhenTheirExecutorIsAnnouncedElsewhere(t *testing.T) {
 	for name, born := range map[string]int64{"the same incarnation": 1, "a later one": 5} {
 		t.Run(name, func(t *testing.T) {
--- a/workflow/engine/room_test.go
+++ b/workflow/engine/room_test.go
@@ -88,7 +88,7 @@
 }
 
 // Guards against a long-running task whose executor has left and that waits for as long as shorter tasks arrive, since they
-// take each part of the room that it needs (found by hunt on vaidlusmaja-grown: tasks waited for 40 s).
+// take each part of the room that it needs (LOST: tasks waited for 40 s).
 func TestDisplacedTaskStartsBetweenShorterOnes(t *testing.T) {
 	const (
 		interval = 100 * time.Millisecond
@@ -119,7 +119,7 @@
 }
 
 // Guards against a long-running task whose executor has left and that waits for as long as jobs arrive that fit fewer
-// executors (found by hunt on vaidlusmaja-grown: LOST at 55.51 s).
+// executors (LOST at 55.51 s in `fleetbench hunt`).
 func TestDisplacedTaskStartsBeforeNewOnes(t *testing.T) {
 	b := newBusyHarness(t, time.Hour)
 	for range 4 {
--- a/workflow/engine/silent_executors_test.go
+++ b/workflow/engine/silent_executors_test.go
@@ -9,7 +9,7 @@
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
-// lapse lets the lease of an executor expire that gives no answers, while its node goes on to report.
+// lapse lets the lease of an executor expire: it gives no answers, while its node keeps reporting.
 func (h *harness) lapse(node string, running []workflow.RunState) {
 	silentSince := h.now
 	for range 10 {
@@ -37,8 +37,8 @@
 	return nil
 }
 
-// Guards against a job that is given up without fault because its executors gave no answers for a while: an executor that lists its
-// runs again has not crashed (LOST, found by reading).
+// Guards against a faultless job that is given up because its executors gave no answers for a while: an executor that lists its runs
+// again has not crashed (LOST).
 func TestJobOfSilentExecutorsIsNotGivenUp(t *testing.T) {
 	h := newHarness(t)
 	job := h.job(step(1))
--- a/workflow/engine/start_leases_test.go
+++ b/workflow/engine/start_leases_test.go
@@ -17,8 +17,8 @@
 	})
 }
 
-// Guards against a start on an executor whose lease has expired, or does so before the node would accept the start: the task was taken
-// for ended at once, while the order could still be carried out under the next lease (ROUTE, TWICE), and the executor for crashed.
+// Guards against a start on an executor whose lease has expired, or expires before the node would accept the start. The task would be
+// taken for ended at once, and the executor for crashed, while the order could still be carried out under the next lease (ROUTE, TWICE).
 func TestNothingStartsUnderExpiredLease(t *testing.T) {
 	for name, test := range map[string]struct {
 		sinceRenewal time.Duration
@@ -47,8 +47,8 @@
 	}
 }
 
-// Guards against a start that a node accepts after its owner has taken the lease for expired (ROUTE, TWICE): it was decided on a report
-// that had not renewed the lease, and so stays in date for longer than the lease.
+// Guards against a start that a node accepts after its owner has taken the lease for expired (ROUTE, TWICE): a start that is based on a
+// report that did not renew the lease stays valid for longer than the lease.
 func TestStartsAreBasedOnReportThatRenewedLease(t *testing.T) {
 	h := newHarness(t)
 	h.reportLists(0)
@@ -61,8 +61,8 @@
 	h.Assert(orders.LeaseMillis, qt.Equals, int64(6500))
 }
 
-// Guards against starts that are based on a report of a former process of the node, or of a former incarnation of the executor, of
-// which the lease says nothing.
+// Guards against starts that are based on a report of a former process of the node, or of a former incarnation of the executor: that
+// report did not renew the present lease.
 func TestLeaseOfFormerProcessAdmitsNoStart(t *testing.T) {
 	for name, next := range map[string]workflow.Report{
 		"process":     {Incarnation: 2, Executor: executor("a", 1)},
--- a/workflow/engine/superseded_runs_test.go
+++ b/workflow/engine/superseded_runs_test.go
@@ -60,8 +60,8 @@
 	s.Assert(s.plan()["c"].Starts, qt.HasLen, 1)
 }
 
-// Guards against an owner that starts more on an executor than it holds beside a superseded run (LIMIT, where executors don't
-// reject such starts).
+// Guards against starts that exceed the capacity of an executor beside a superseded run (LIMIT, where executors don't reject such
+// starts).
 func TestSupersededRunKeepsItsRoom(t *testing.T) {
 	large := step(2)
 	large.Need = structs.Resources{MilliCores: 3000, MemoryMB: 100}
@@ -71,7 +71,7 @@
 	s.Assert(s.plan()["c"].Starts, qt.HasLen, 1)
 }
 
-// Guards against a superseded run that a new owner doesn't know of: its start may be carried out after the owner's first lists.
+// Guards against a superseded run that a new owner doesn't count: its start may be carried out after the lists that the owner gets first.
 func TestNewOwnerKnowsSupersededRun(t *testing.T) {
 	s := newSupersededRun(t, limited())
 	record := s.engine.TakeDirty()[0].Record
@@ -86,7 +86,7 @@
 	s.Assert(s.plan()["c"].Starts, qt.HasLen, 1)
 }
 
-// Guards against a superseded run that holds its place for ever: it ends with the lease of its executor at the latest.
+// Guards against a superseded run that keeps its place after the lease of its executor has expired, by which it has ended.
 func TestSupersededRunEndsWithLease(t *testing.T) {
 	s := newSupersededRun(t, limited())
 	s.now = s.now.Add(leaseExpiry + time.Millisecond)
@@ -99,8 +99,8 @@
 	s.Assert(s.phase(s.job.ID), qt.Equals, workflow.Completed)
 }
 
-// Guards against a start in the place of a member of a gang that has not ended, though another member has, and against members that
-// go on for ever.
+// Guards against a start in the place of a gang member that still runs after another member has finished the gang, and against such a
+// member that is never stopped.
 func TestMemberOfDoneGangKeepsItsPlace(t *testing.T) {
 	h := newHarness(t)
 	gang := limited()
@@ -123,8 +123,8 @@
 	h.Assert(h.plan()["a"].Starts, qt.HasLen, 1)
 }
 
-// Guards against a superseded run that no line tells of, neither when it loses its task nor when its place becomes free (incident
-// ROUTE), and against a line for each report that repeats it.
+// Guards against a superseded run that isn't logged when it is superseded and when its place becomes free (incident ROUTE), or is
+// logged again for each report that repeats it.
 func TestSupersededRunIsTold(t *testing.T) {
 	s := newSupersededRun(t, limited())
 	taken := s.engine.TakeSuperseded()
@@ -147,8 +147,8 @@
 	})
 }
 
-// Guards against a superseded run whose end is not described since a former owner saw it superseded, and against one that is counted by
-// each owner.
+// Guards against a superseded run whose end isn't described because it was superseded under a former owner, or that is counted again
+// by each owner.
 func TestNewOwnerTellsEndOfSupersededRun(t *testing.T) {
 	s := newSupersededRun(t, limited())
 	record := s.engine.TakeDirty()[0].Record
@@ -163,7 +163,7 @@
 	s.Assert(ends[0].Restored, qt.IsTrue)
 }
 
-// Guards against ordinary ends, and the members of a gang that end one after the other, that are described as superseded runs.
+// Guards against ordinary ends, or gang members that end one after the other, that are described as superseded runs.
 func TestOrdinaryEndsSupersedeNothing(t *testing.T) {
 	h := newHarness(t)
 	gang := step(2)
--- a/workflow/engine/suspects_test.go
+++ b/workflow/engine/suspects_test.go
@@ -8,8 +8,8 @@
 	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
-// Guards against suspects of several jobs on one executor, whose crash would not show the cause, and against other tasks that
-// are started beside them and end with them.
+// Guards against suspects of several jobs on one executor, whose crash would not show which job is the cause, and against other tasks
+// that are started beside suspects and are lost with them.
 func TestSuspectsOfOneJobStartApart(t *testing.T) {
 	f := newCrashFleet(t, "a", "b", "c", "d")
 	jobs := []workflow.Job{f.job(longStep(2)), f.job(longStep(2))}
@@ -49,7 +49,7 @@
 	f.Assert(crashes[0].Suspects, qt.HasLen, 4)
 }
 
-// Guards against suspects where no executor has crashed: it left as planned, its host restarted, or its host was cut off.
+// Guards against suspects of a crash that wasn't one: the executor left as planned, or its host restarted or was cut off.
 func TestEndsThatAreNoCrashes(t *testing.T) {
 	for _, test := range []struct {
 		name    string
@@ -122,8 +122,7 @@
 	f.Assert(f.starts[firstTask(job)], qt.Equals, 2)
 }
 
-// Guards against long-running tasks that stand still while suspects of a crash hold all executors that have room (seen in a play:
-// LOST).
+// Guards against long-running tasks that don't start while suspects of a crash occupy all executors that have room (LOST).
 func TestLongRunningTasksStartBesideSuspects(t *testing.T) {
 	f, suspects := crashWithJobs(t, 1, "a")
 	restarted := f.accept("a", f.plan()["a"])
@@ -139,7 +138,7 @@
 	f.Assert(starts[0].Task, qt.Equals, firstTask(long))
 }
 
-// Guards against a queue of suspects that grows faster than they can be started one job at a time.
+// Guards against suspects that wait for ever because crashes add them faster than they start one job at a time.
 func TestWaitingSuspectsShareExecutors(t *testing.T) {
 	f, suspects := crashWithJobs(t, 9, "a", "b")
 	for range 5 {
--- a/workflow/engine/takeover_test.go
+++ b/workflow/engine/takeover_test.go
@@ -55,7 +55,7 @@
 }
 
 // Guards against a start beyond the limit of a step on an executor whose lists have reached a new owner before the record of the job
-// (ROUTE): the run that the record names counts there, whether the lists show it or its start is still to be carried out.
+// (ROUTE): the run in the record counts there, whether the lists contain it or its start is still to be carried out.
 func TestRunOfRecordReadAfterListsCounts(t *testing.T) {
 	for name, listed := range map[string]bool{"listed": true, "not listed": false} {
 		t.Run(name, func(t *testing.T) {
