--- a/node/announcements.go
+++ b/node/announcements.go
@@ -26,6 +26,9 @@
 	} else if n.current != nil && sequence <= n.announceSequence {
 		return false
 	}
+	if n.firstID == "" {
+		n.firstID = e.ID
+	}
 	if n.current == nil {
 		n.end = executorEnd{}
 		n.log.Info("executor found", "executor", e.IncarnationID(), "pool", e.Pool, "cpu", e.Capacity.MilliCores, "memory_mb", e.Capacity.MemoryMB, "failure_domain", e.FailureDomain, "labels", e.Labels)
@@ -77,15 +80,24 @@
 	}
 }
 
+// formerIncarnation is an incarnation of the executor that another one has replaced.
+type formerIncarnation struct {
+	id         string
+	replacedAt time.Time
+}
+
 // forgetIncarnation discards the state of the current incarnation.
 func (n *Node) forgetIncarnation() {
-	n.log.Info("executor replaced", "former", n.current.IncarnationID())
+	n.log.Info("executor replaced", "former", n.current.IncarnationID(), "unlisted_starts", len(n.unlistedStarts))
+	n.passToken()
+	n.former = formerIncarnation{n.current.ID, n.clock.Now()}
 	n.current, n.successor, n.lists, n.ack, n.shrunkReport = nil, nil, nil, 0, 0
 	n.changedReport = n.reportNumber
 	n.endDeparture()
 	n.end = executorEnd{}
 	n.clockAt, n.brokenAt = time.Time{}, time.Time{}
 	n.leaseEnd, n.renewedUntil = time.Time{}, time.Time{}
+	n.staleLease = staleLease{}
 	n.pacer = sharing.NewController()
 	clear(n.unlistedStarts)
 	clear(n.paces)
--- a/node/hold.go
+++ b/node/hold.go
@@ -18,6 +18,11 @@
 	shortHoldWait = 100 * time.Millisecond
 	// urgentRenewal is the remaining time of the lease that the executor has confirmed below which each copy of a call renews it.
 	urgentRenewal = 3 * time.Second
+	// renewalWindow is how long after an answer the next call may renew the lease, and minRenewal by how much it does at least. An
+	// executor that needs the renewal soon and leaves some calls unanswered gets it up to urgentRenewalWindow after its last answer.
+	renewalWindow       = 250 * time.Millisecond
+	urgentRenewalWindow = 3 * time.Second
+	minRenewal          = 500 * time.Millisecond
 	// holdResponseMargin is how much longer than the wait a response may take.
 	holdResponseMargin = 800 * time.Millisecond
 	// holdRetryDelay is the pause after a failed call.
@@ -55,8 +60,10 @@
 		if answer.renewed {
 			n.noteRenewal(&hold)
 		}
+		n.boundStaleLease(&hold, answer.lists)
 		switch n.applyLists(hold.incarnation, answer.lists, hold.covers) {
 		case otherIncarnation:
+			n.noteStaleAnswer(&hold, &answer)
 			n.sleep(ctx, nil, holdRetryDelay)
 		case reportAtOnce:
 			signal(n.wakeReport)
@@ -90,8 +97,10 @@
 type holdCall struct {
 	// incarnation is empty if no executor is known.
 	incarnation string
-	fence, ack  int64
-	// deadline is the end of the lease on the executor's clock, leaseEnd the same on this host's.
+	// epoch is that of the fencing token; 0 if no owner is known.
+	epoch, fence, ack int64
+	// deadline is the end of the lease on the executor's clock, or 0 if the call doesn't renew the lease. leaseEnd is the same on this
+	// host's clock.
 	deadline int64
 	leaseEnd time.Time
 	wait     time.Duration
@@ -104,15 +113,17 @@
 	clocks   clockReading
 }
 
-// holdAnswer is the response to a copy of a hold call. renewed is set if that copy carried the deadline.
+// holdAnswer is the response to a copy of a hold call. renewed is set if that copy carried the deadline; ack is the number up to which
+// it acknowledged ends, or 0.
 type holdAnswer struct {
 	lists   *RunLists
 	renewed bool
+	ack     int64
 }
 
 // sendHold sends a copy of a hold call. A copy that is carried out late may reach another incarnation under the executor's ID,
 // which has neither listed the acknowledged ends nor the same clock. So copies beyond the first carry no acknowledgement, and the
-// deadline only if the executor needs it soon.
+// deadline only if the executor needs it soon and no other incarnation is known.
 func (n *Node) sendHold(ctx context.Context, h *holdCall, first bool) (holdAnswer, error) {
 	ack, deadline, wait := h.ack, h.deadline, h.wait
 	if !first {
@@ -124,8 +135,12 @@
 	if !first {
 		n.metrics.repeated.Inc(1)
 	}
+	n.mu.Lock()
+	number, deadline := n.sendLeaseCall(h.incarnation, deadline)
+	n.mu.Unlock()
 	lists, err := n.executor.Hold(ctx, h.incarnation, h.fence, ack, deadline, wait)
-	return holdAnswer{lists, deadline > 0}, err
+	n.noteLeaseCall(h.incarnation, number, lists, err)
+	return holdAnswer{lists, deadline > 0, ack}, err
 }
 
 // noteRenewal records that the executor has confirmed the deadline of a hold call.
@@ -163,12 +178,37 @@
 	if n.lists == nil || !n.confirmed {
 		wait = 0
 	}
+	deadline := int64(0)
+	if n.renewsLease(now) {
+		deadline = n.deadline(now)
+	}
+	ack := n.pendingAck()
+	if (deadline > 0 || ack > 0) && !n.fetches {
+		wait = 0
+	}
+	epoch := n.callEpoch()
 	return holdCall{
-		incarnation: n.current.IncarnationID(), fence: n.fence(n.epoch), ack: n.pendingAck(), deadline: n.deadline(now), leaseEnd: n.leaseEnd,
+		incarnation: n.current.IncarnationID(), epoch: epoch, fence: n.fence(epoch), ack: ack, deadline: deadline, leaseEnd: n.leaseEnd,
 		wait: wait, covers: n.executedOrders, renewedUntil: n.renewedUntil, calledAt: now, clocks: readClocks(n.host),
 	}
 }
 
+// renewsLease reports whether the next hold call renews the lease. Only calls that are answered at once do, right after another answer:
+// a call that is on its way while the executor restarts under its ID gives the next incarnation the lease. The caller holds mu.
+func (n *Node) renewsLease(now time.Time) bool {
+	if n.fetches {
+		return true
+	}
+	switch age := now.Sub(n.listedAt); {
+	case n.lists == nil || n.leaseEnd.Sub(n.renewedUntil) < minRenewal:
+		return false
+	case n.renewedUntil.Sub(now) < urgentRenewal && age <= urgentRenewalWindow:
+		return true
+	default:
+		return n.confirmed && age <= renewalWindow
+	}
+}
+
 // needsRenewal reports whether the lease that the executor has confirmed ends soon, and a longer one is granted. The caller holds mu.
 func (n *Node) needsRenewal(now time.Time) bool {
 	return !n.renewedUntil.IsZero() && n.leaseEnd.After(n.renewedUntil) && n.renewedUntil.Sub(now) < urgentRenewal
--- a/node/node.go
+++ b/node/node.go
@@ -33,6 +33,8 @@
 	mu sync.Mutex
 	// current is the current incarnation of the executor, or nil if none is known.
 	current *workflow.Executor
+	// former is the incarnation before the current one; zero if none is known.
+	former formerIncarnation
 	// successor is another executor that was announced while the current one responded; nil for none.
 	successor *successor
 	// announceSequence is the sequence number of the last announcement of that incarnation.
@@ -70,8 +72,20 @@
 	renewals renewalLog
 	// leaseBound is the latest end of all leases that this process and former ones of the host can have passed on, to whichever
 	// incarnation of the executor.
-	leaseBound   time.Time
+	leaseBound time.Time
+	// leaseCalls holds the calls that may give the next incarnation a lease, and staleLease the lease that the current incarnation may
+	// have from such calls. Calls of former processes of the node may be carried out until formerCallsUntil. firstID is the ID of the
+	// executor that was announced first.
+	leaseCalls       leaseCalls
+	firstID          string
+	staleLease       staleLease
+	formerCallsUntil time.Time
+	// maxLease is the longest lease that the executor takes, by its own clock.
+	maxLease time.Duration
+	// fetches is set if the executor fetches its orders.
+	fetches      bool
 	epoch        int64
+	tokenFloor   tokenFloor
 	ack          int64
 	reportSentAt map[int64]time.Time
 	reportNumber int64
@@ -90,8 +104,8 @@
 }
 
 type nodeMetrics struct {
-	starts, rejected, unknown, stops, ends, reports, failedReports, repeated, suspensions, pauses tally.Counter
-	startTime, reportTime                                                                         tally.Histogram
+	starts, rejected, unknown, stops, ends, reports, failedReports, repeated, suspensions, pauses, staleAnswers tally.Counter
+	startTime, reportTime                                                                                       tally.Histogram
 }
 
 // New returns a node that reports under the given name and receives orders at the given address.
@@ -105,14 +119,16 @@
 		log.Warn("time since boot can't be read, leases don't count suspensions of the host")
 	}
 	copies := maxCopies
-	if _, fetches := executor.(*Mailbox); fetches {
+	_, fetches := executor.(*Mailbox)
+	if fetches {
 		// An order that is not fetched is withdrawn, so that it certainly has no effect.
 		copies = 1
 	}
 	return &Node{
 		copies: copies,
 		name:   name, address: address, incarnation: time.Now().UnixNano(), executor: executor, locator: locator,
-		leaseBound: boot.Now().Add(owner.ExecutorLeaseDuration), rpc: client, clock: boot, host: host, log: log,
+		leaseBound: boot.Now().Add(owner.ExecutorLeaseDuration), leaseCalls: leaseCalls{open: map[int64]leaseCall{}},
+		formerCallsUntil: boot.Now().Add(staleCallLimit), maxLease: DefaultMaxLease, fetches: fetches, rpc: client, clock: boot, host: host, log: log,
 		reportSentAt: map[int64]time.Time{}, unlistedStarts: map[int64]workflow.RunState{},
 		needsTraits: true, traits: map[string]workflow.RunTraits{}, paces: map[string]int{}, nearTarget: map[string]bool{},
 		pacer:    sharing.NewController(),
@@ -123,8 +139,9 @@
 			ends: scope.Counter("node_ends"), reports: scope.Counter("node_reports"),
 			failedReports: scope.Counter("node_reports_failed"), repeated: scope.Counter("node_calls_repeated"),
 			suspensions: scope.Counter("node_suspensions"), pauses: scope.Counter("node_pauses"),
-			startTime:  scope.Histogram("node_start_seconds", buckets),
-			reportTime: scope.Histogram("node_report_seconds", buckets),
+			staleAnswers: scope.Counter("node_stale_answers"),
+			startTime:    scope.Histogram("node_start_seconds", buckets),
+			reportTime:   scope.Histogram("node_report_seconds", buckets),
 		},
 	}
 }
--- a/workflow/engine/leases.go
+++ b/workflow/engine/leases.go
@@ -29,6 +29,10 @@
 	Incarnation string
 	Tasks       int
 	Source      LeaseSource
+	// Known is the time since this owner first heard of the incarnation, or UnknownAge if it has not or knows a later one by now. SameID is
+	// set if the incarnation had then taken the place of another one with the same ID.
+	Known  time.Duration
+	SameID bool
 }
 
 // admitsStarts reports whether the lease of an executor's current incarnation lasts long enough for a start.
@@ -92,7 +96,8 @@
 	// The node of the host may have reported without knowing an executor.
 	n := e.nodes[tasks[0].host]
 	if n != nil && n.runsIncarnation(incarnation) && n.leaseSource == LeaseOfOwner {
-		return n.leaseExpires, n.leaseSource
+		// A run that was started by a stale call may have no other lease.
+		return latest(n.leaseExpires, n.staleLease.expires), n.leaseSource
 	}
 	if n != nil && n.leaseSource == LeaseOfNode && n.leaseExpires.Before(expires) {
 		expires, source = n.leaseExpires, n.leaseSource
@@ -103,6 +108,14 @@
 	return expires, source
 }
 
+// latest returns the later one of two times.
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // Unreported returns the number of executors with runs whose leases this owner has not renewed, the number of these runs, and the
 // longest time for which they are held.
 func (e *Engine) Unreported(now time.Time) (executors, held int, longest time.Duration) {
@@ -127,10 +140,12 @@
 		if now.Before(expires) {
 			continue
 		}
-		lapsed = append(lapsed, Lapse{incarnation, len(tasks), source})
+		lapse := Lapse{Incarnation: incarnation, Tasks: len(tasks), Source: source, Known: UnknownAge}
 		if n := e.nodes[tasks[0].host]; n != nil && n.runsIncarnation(incarnation) {
+			lapse.Known, lapse.SameID = now.Sub(n.replacedAt), n.replacedSameID
 			e.recordLapse(n, now)
 		}
+		lapsed = append(lapsed, lapse)
 		for _, t := range slices.Clone(tasks) {
 			e.releaseRun(t, LeaseExpired, now)
 			t.former.LeaseSource = source
--- a/workflow/engine/output.go
+++ b/workflow/engine/output.go
@@ -39,7 +39,7 @@
 		r.Tasks = append(r.Tasks, workflow.TaskRecord{
 			Occurrence: t.id.Occurrence, Step: t.id.Step, Index: t.id.Index, Phase: t.phase, Run: t.run,
 			Life: t.executorIncarnation, Node: t.host, Failures: t.failures, Saved: t.saved,
-			Crashes: t.crashes.total, Suspicions: t.crashes.suspicions,
+			Crashes: t.crashes.total, Suspicions: t.crashes.suspicions, Reassigned: t.reassigned && t.hasRun(),
 		})
 	}
 	return r
@@ -163,8 +163,9 @@
 	return j.storedPhase, true
 }
 
-// Waiting returns the number of a queue's accepted jobs without a due time of which no task has started. An order is no start: it may
-// be carried out seconds later or not at all. Jobs whose first runs only a former owner has seen count until executors list them.
+// Waiting returns the number of a queue's accepted jobs without a due time of which no task has started. An ordered start doesn't count
+// as started, since it may be carried out seconds later or not at all. Jobs whose first runs only a former owner has seen count until
+// executors list them.
 func (e *Engine) Waiting(queue string) int {
 	count := 0
 	for _, j := range e.jobs {
