Simulate the time that executors take to stop a run

The simulated executor ended a stopped run at once, so that no test could show this.

nodetest.Executor.SetStopTime sets how long each later stop takes; the answer comes at once, and the run keeps its place until then. The fleet of test/workflows has a stop time for its executors, nodes and owners, which is 0 as before unless a test sets it. Nodes know it by Node.SetStopTime from the settings; nothing depends on it yet.

The tests of node and the TestStale tests of test/workflows pass.

--- a/cmd/quetzalshed-node/main.go
+++ b/cmd/quetzalshed-node/main.go
@@ -45,6 +45,7 @@
 	}
 	n := node.New(p.Settings.NodeName, p.Address, executor, p.Locator, p.RPC, clock.System{}, p.Log, p.Scope)
 	n.SetMaxLease(p.Settings.MaxLease())
+	n.SetStopTime(p.Settings.StopTime())
 	candidate := &owner.Candidate{
 		Node: p.Settings.NodeName, Address: p.Address, Store: p.Store, Locator: p.Locator, Operators: p.Operators,
 		RPC: p.RPC, Host: clock.System{}, Log: p.Log, Scope: p.Scope, RemoteSlowdown: p.Settings.Bounds.FarX,
--- a/node/node.go
+++ b/node/node.go
@@ -86,6 +86,8 @@
 	probe            tokenProbe
 	// maxLease is the longest lease that the executor takes, by its own clock.
 	maxLease time.Duration
+	// stopTime is the longest time that the executor takes to stop a run.
+	stopTime time.Duration
 	// fetches is set if the executor fetches its orders.
 	fetches      bool
 	epoch        int64
--- a/node/nodetest/calls.go
+++ b/node/nodetest/calls.go
@@ -256,13 +256,22 @@
 		x.fence = fence
 		x.highestRun[task] = max(x.highestRun[task], number)
 		if r := x.runs[task]; r != nil && r.number <= number {
-			r.stopping = true
-			x.advance()
+			x.stop(r)
 		}
 		return nil
 	})
 }
 
+// stop begins to stop a run, unless it is being stopped already.
+func (x *Executor) stop(r *run) {
+	if !r.stopsAt.IsZero() {
+		return
+	}
+	r.stopsAt = time.Now().Add(x.stopTime)
+	x.advance()
+	x.advanceAt(r.stopsAt)
+}
+
 // SetPace implements node.Executor. It has no effect but that of its fencing token.
 func (x *Executor) SetPace(ctx context.Context, incarnation, _ string, _, _ int, fence int64) error {
 	return x.handle(ctx, incarnation, paceCall, func(bool) error {
--- a/node/nodetest/executor.go
+++ b/node/nodetest/executor.go
@@ -33,7 +33,16 @@
 	number     int
 	endsAt     time.Time
 	checkpoint string
-	stopping   bool
+	// stopsAt is when a stop will have ended the run; zero if it isn't being stopped.
+	stopsAt time.Time
+}
+
+// end returns when and how the run ends unless its lease expires before: by itself or by a stop.
+func (r *run) end() (time.Time, workflow.EndReason) {
+	if !r.stopsAt.IsZero() && r.stopsAt.Before(r.endsAt) {
+		return r.stopsAt, workflow.EndStopped
+	}
+	return r.endsAt, workflow.EndDone
 }
 
 type endedRun struct {
@@ -47,7 +56,9 @@
 	observer Observer
 	duration time.Duration
 
-	mu          sync.Mutex
+	mu sync.Mutex
+	// stopTime is how long a stop takes.
+	stopTime    time.Duration
 	description workflow.Executor
 	down        bool
 	fence       int64
@@ -248,6 +259,10 @@
 	return x.delayedCalls
 }
 
+// SetStopTime sets how long each later stop takes. Until it has ended, a stopped run is listed as running, keeps its place, can still
+// finish by itself, and lapses with the lease; the answer to the stop comes at once.
+func (x *Executor) SetStopTime(d time.Duration) { x.update(func() { x.stopTime = d }) }
+
 // SetFailing sets whether all runs that complete fail.
 func (x *Executor) SetFailing(failing bool) { x.update(func() { x.failing = failing }) }
 
@@ -328,15 +343,13 @@
 	}
 	for _, task := range slices.Sorted(maps.Keys(x.runs)) {
 		r := x.runs[task]
-		how := workflow.EndDone
+		endsAt, how := r.end()
 		switch {
-		case now.After(x.deadline) && !r.endsAt.Before(x.deadline):
+		case now.After(x.deadline) && !endsAt.Before(x.deadline):
 			how = workflow.EndLapsed
-		case r.stopping && now.Before(r.endsAt):
-			how = workflow.EndStopped
-		case now.Before(r.endsAt):
+		case now.Before(endsAt):
 			continue
-		case x.failing:
+		case how == workflow.EndDone && x.failing:
 			how = workflow.EndFailed
 		}
 		x.finish(task, r, how)
--- a/node/stale_lease.go
+++ b/node/stale_lease.go
@@ -14,6 +14,9 @@
 // SetMaxLease sets the longest lease that the executor takes, by its own clock. It is called before Run.
 func (n *Node) SetMaxLease(d time.Duration) { n.maxLease = d }
 
+// SetStopTime sets the longest time that the executor takes to stop a run. It is called before Run.
+func (n *Node) SetStopTime(d time.Duration) { n.stopTime = d }
+
 // staleLease is the lease that the current incarnation may hold from stale calls.
 type staleLease struct {
 	// bounded is set once the incarnation has answered a call with its own fencing token, so that no stale call has an effect any more.
--- a/test/workflows/faults_test.go
+++ b/test/workflows/faults_test.go
@@ -23,11 +23,19 @@
 
 // runWithFleet runs a test against a new fleet in virtual time.
 func runWithFleet(t *testing.T, hosts int, test func(f *fleet)) {
+	runWithStopTime(t, hosts, 0, test)
+}
+
+// stopTimes are how long stops take in the tests that depend on it: the settings of the deployments say 200, 400 and 900 ms.
+var stopTimes = []time.Duration{0, 200 * time.Millisecond, 400 * time.Millisecond, 900 * time.Millisecond, 1500 * time.Millisecond}
+
+// runWithStopTime is runWithFleet with executors that take a given time to stop a run.
+func runWithStopTime(t *testing.T, hosts int, stopTime time.Duration, test func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer time.Sleep(callDrainTime)
 		defer cancel()
-		f := newFleet(t, ctx, hosts)
+		f := newFleetWithStopTime(t, ctx, hosts, stopTime)
 		time.Sleep(startupTime)
 		test(f)
 	})
--- a/test/workflows/fleet_test.go
+++ b/test/workflows/fleet_test.go
@@ -88,6 +88,8 @@
 	retention time.Duration
 	// memoryMB is the memory of the hosts of processes that are started from now on, which limits the tasks of an owner; 0 for no limit.
 	memoryMB int64
+	// stopTime is how long executors take to stop a run, as nodes and owners know from their settings.
+	stopTime time.Duration
 }
 
 func newFleet(t testing.TB, ctx context.Context, hosts int) *fleet {
@@ -108,11 +110,16 @@
 	return (&fleet{memoryMB: memoryMB}).setUp(t, ctx, hosts)
 }
 
+// newFleetWithStopTime returns a fleet whose executors take a given time to stop a run.
+func newFleetWithStopTime(t testing.TB, ctx context.Context, hosts int, stopTime time.Duration) *fleet {
+	return (&fleet{stopTime: stopTime}).setUp(t, ctx, hosts)
+}
+
 // setUp starts a fleet with the options that are set.
 func (f *fleet) setUp(t testing.TB, ctx context.Context, hosts int) *fleet {
 	*f = fleet{
-		C: qt.New(t), ctx: ctx, fetchOrders: f.fetchOrders, retention: f.retention, memoryMB: f.memoryMB, startedAt: time.Now(), store: kvtest.New(), network: rpctest.New(),
-		checker: newInvariantChecker(), log: hclog.NewNullLogger(),
+		C: qt.New(t), ctx: ctx, fetchOrders: f.fetchOrders, retention: f.retention, memoryMB: f.memoryMB, stopTime: f.stopTime, startedAt: time.Now(),
+		store: kvtest.New(), network: rpctest.New(), checker: newInvariantChecker(), log: hclog.NewNullLogger(),
 	}
 	f.operators = newOperators(f.checker)
 	if *logFleet {
@@ -123,6 +130,7 @@
 		name := fmt.Sprintf("host-%d", i)
 		h := &host{fleet: f, name: name, store: f.newStoreClient(uint64(i)), suspension: newSuspension()}
 		h.executor = nodetest.New(name, structs.Resources{MilliCores: 4000, MemoryMB: 8000}, taskTime, f.checker)
+		h.executor.SetStopTime(f.stopTime)
 		f.hosts = append(f.hosts, h)
 		h.start()
 	}
@@ -175,9 +183,10 @@
 		executor = mailbox
 	}
 	n := node.New(h.name, h.name, executor, h.locator, client, h.suspension.clocks, log, tally.NoopScope)
+	n.SetStopTime(f.stopTime)
 	candidate := &owner.Candidate{
 		Node: h.name, Address: h.name, Store: monitor, Locator: h.locator, Operators: f.operators, RPC: client,
-		Host: h.suspension.clocks, Log: log, Scope: tally.NoopScope, Retention: f.retention, MemoryMB: f.memoryMB,
+		Host: h.suspension.clocks, Log: log, Scope: tally.NoopScope, Retention: f.retention, MemoryMB: f.memoryMB, StopTime: f.stopTime,
 	}
 	router := mux.NewRouter()
 	n.Register(router)
