Show that a task runs twice where a stop takes 900 ms

The next incarnation of an executor carries out the start of run 1 and is cut off from the owner with its host. The owner counts the granted lease and starts run 2 7.06 s after the last grant. The node beside the executor stops run 1 only when the granted lease has ended, 560 ms before.

--- a/test/workflows/stale_starts_test.go
+++ b/test/workflows/stale_starts_test.go
@@ -15,18 +15,39 @@
 func TestStaleStartRunsOnCutOffHost(t *testing.T) {
 	runWithFleet(t, 3, func(f *fleet) {
 		s := newStaleLease(f)
-		s.restart(nodetest.StaleCalls{Starts: true}, func() {
-			s.submitOne(1000)
-			time.Sleep(grantTime)
-			s.cut(true)
-		})
-		s.announceNow()
-		time.Sleep(grantTime)
-		s.Assert(s.checker.starts(s.task), qt.Equals, 1)
+		s.runStaleStartAndCutHostOff()
 		s.assertRunsOnce()
 	})
 }
 
+// runStaleStartAndCutHostOff makes the next incarnation of the executor carry out the task's start and answer the node, after both have
+// been cut off from the owner.
+func (s *staleLease) runStaleStartAndCutHostOff() {
+	s.Helper()
+	s.restart(nodetest.StaleCalls{Starts: true}, func() {
+		s.submitOne(1000)
+		time.Sleep(grantTime)
+		s.cut(true)
+	})
+	s.announceNow()
+	time.Sleep(grantTime)
+	s.Assert(s.checker.starts(s.task), qt.Equals, 1)
+}
+
+// Guards against a task that runs twice as in TestStaleStartRunsOnCutOffHost: the node's stop of the stale start's run takes so long that
+// the owner starts the next run before it has ended.
+func TestStaleStartIsStoppedAfterNextRunStarts(t *testing.T) {
+	for _, stopTime := range stopTimes {
+		t.Run(stopTime.String(), func(t *testing.T) {
+			runWithStopTime(t, 3, stopTime, func(f *fleet) {
+				s := newStaleLease(f)
+				s.runStaleStartAndCutHostOff()
+				s.assertRunsOnce()
+			})
+		})
+	}
+}
+
 // Guards against the same with an owner that learns of the stale lease after a hand-over, but hasn't renewed the lease: the incarnation
 // was cut off after its first answers, and these reach the owner late.
 func TestStaleStartOutlastsLeaseAfterHandOver(t *testing.T) {
