Log how long stops take and what an owner didn't know at a lapse

The logs couldn't tell the hypotheses apart: the line of a stop beyond the granted lease named the run only, no line told when the stop was answered or how long it took, and a lapse didn't tell whether the owner knew of a stale lease.

At the node: - "run stopped beyond the granted lease" has how long the granted lease, the stale one and the least count of an owner last; "stop beyond the granted lease accepted" or "run not stopped" follows with the answer - "run ended" has stop_ms where the run was told to stop, and "run stopped" has call_ms - "runs may have outlasted the lease that an owner counts", once for an incarnation, when its lists show runs beyond that count - node_stop_seconds, node_stops_beyond_lease, node_runs_beyond_count

At the owner: - "tasks of an executor have lapsed" has the starts that nothing has confirmed, the runs that were moved from a former incarnation, and whether a stale lease was counted; owner_lapsed_unconfirmed_runs - "start ordered" has former_end_seen: false for ends that were only counted

No decision depends on any of it.

--- a/node/lists.go
+++ b/node/lists.go
@@ -50,6 +50,7 @@
 	n.brokenAt, n.end = time.Time{}, executorEnd{}
 	n.clockMillis, n.clockAt = lists.ClockMillis, n.listedAt
 	n.logEnds(incarnation, previous, lists)
+	n.logRunsBeyondCount(incarnation, lists)
 	if !lists.EndsComplete && (previous == nil || previous.EndsComplete) {
 		n.log.Info("executor may have more ends than it lists", "executor", incarnation, "listed", len(lists.Ended), "acknowledged", n.ack)
 	}
@@ -70,7 +71,8 @@
 	for i := range lists.Ended {
 		if end := &lists.Ended[i]; end.Number > last {
 			n.metrics.ends.Inc(1)
-			n.log.Info("run ended", "task", end.Task, "run", end.Run, "how", end.How, "executor", incarnation, "number", end.Number)
+			fields := []any{"task", end.Task, "run", end.Run, "how", end.How, "executor", incarnation, "number", end.Number}
+			n.log.Info("run ended", append(fields, n.stopFields(incarnation, end)...)...)
 		}
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -103,6 +103,8 @@
 	// nearTarget holds the serving images whose latency has been near its target since the pace was last full.
 	nearTarget map[string]bool
 	pacer      *sharing.Controller
+	// stopTimes tells how long stops take.
+	stopTimes stopTimes
 	// copies is how often a call to the executor is sent at most.
 	copies     int
 	wakeHold   chan struct{}
@@ -112,6 +114,7 @@
 type nodeMetrics struct {
 	starts, rejected, unknown, stops, ends, reports, failedReports, repeated, suspensions, pauses, staleAnswers tally.Counter
 	startTime, reportTime                                                                                       tally.Histogram
+	stopping                                                                                                    stopMetrics
 }
 
 // New returns a node that reports under the given name and receives orders at the given address.
@@ -149,6 +152,7 @@
 			staleAnswers: scope.Counter("node_stale_answers"),
 			startTime:    scope.Histogram("node_start_seconds", buckets),
 			reportTime:   scope.Histogram("node_report_seconds", buckets),
+			stopping:     newStopMetrics(scope),
 		},
 	}
 }
--- a/node/orders.go
+++ b/node/orders.go
@@ -218,6 +218,8 @@
 		result.Reason = "epoch or incarnation"
 		return result
 	}
+	n.noteStop(orders.ExecutorIncarnation, s.Task, s.Run)
+	sentAt := n.clock.Now()
 	err := n.repeatOrder(ctx, func(ctx context.Context) error {
 		return n.executor.Stop(ctx, orders.ExecutorIncarnation, s.Task, s.Run, fence)
 	})
@@ -229,7 +231,8 @@
 	} else {
 		result.Reason = err.Error()
 	}
-	n.log.Info("run stopped", "task", s.Task, "run", s.Run, "executor", orders.ExecutorIncarnation, "outcome", result.Outcome, "reason", result.Reason)
+	n.log.Info("run stopped", "task", s.Task, "run", s.Run, "executor", orders.ExecutorIncarnation, "outcome", result.Outcome, "reason", result.Reason,
+		"call_ms", n.clock.Now().Sub(sentAt).Milliseconds())
 	return result
 }
 
--- a/node/stale_lease.go
+++ b/node/stale_lease.go
@@ -33,10 +33,10 @@
 // on: whoever is cut off from this node counts the granted ones only.
 func (n *Node) stopRunsBeyondLease(ctx context.Context) {
 	for _, run := range n.runsBeyondLease() {
-		n.log.Warn("run stopped beyond the granted lease", "task", run.task, "run", run.number, "executor", run.incarnation)
-		if err := n.executor.Stop(ctx, run.incarnation, run.task, run.number, run.fence); err != nil {
-			n.log.Warn("run not stopped", "task", run.task, "run", run.number, "executor", run.incarnation, "error", err)
-		}
+		n.noteStopBeyondLease(run.incarnation, run.task, run.number)
+		sentAt := n.clock.Now()
+		err := n.executor.Stop(ctx, run.incarnation, run.task, run.number, run.fence)
+		n.logStopAnswer(run.incarnation, run.task, run.number, sentAt, err)
 	}
 }
 
--- a/owner/logs.go
+++ b/owner/logs.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/quetzalshed/quetzalshed/workflow/engine"
 )
 
 const (
@@ -41,6 +43,17 @@
 	t.quarantined = quarantined
 }
 
+// logLapses logs and counts the executors whose leases have expired, and the runs among theirs whose starts are not confirmed.
+func (t *term) logLapses(lapses []engine.Lapse) {
+	for i := range lapses {
+		l := &lapses[i]
+		t.metrics.lapsed.Inc(1)
+		t.metrics.lapsedUnconfirmed.Inc(int64(l.Unconfirmed))
+		t.log.Info("tasks of an executor have lapsed", "executor", l.Incarnation, "tasks", l.Tasks, "unconfirmed", l.Unconfirmed, "moved", l.Moved,
+			"lease_known_from", l.Source, "stale_lease", l.StaleLease, "epoch", t.lease.Record.Epoch, "executor_known_ms", ageMillis(l.Known), "same_id", l.SameID)
+	}
+}
+
 // logDepartures logs and counts the executors with tasks that have left, or that take no connections.
 func (t *term) logDepartures() {
 	for _, d := range t.engine.TakeDepartures() {
--- a/owner/loop.go
+++ b/owner/loop.go
@@ -72,11 +72,7 @@
 func (t *term) tick() {
 	now := t.clock.Now()
 	t.engine.Tick(now)
-	for _, l := range t.engine.ExpireLeases(now) {
-		t.metrics.lapsed.Inc(1)
-		t.log.Info("tasks of an executor have lapsed", "executor", l.Incarnation, "tasks", l.Tasks, "lease_known_from", l.Source, "epoch", t.lease.Record.Epoch,
-			"executor_known_ms", ageMillis(l.Known), "same_id", l.SameID)
-	}
+	t.logLapses(t.engine.ExpireLeases(now))
 	t.logUnreported(now)
 	t.logQuarantine(now)
 	t.logCrashes()
--- a/owner/runs.go
+++ b/owner/runs.go
@@ -88,7 +88,7 @@
 // formerRunFields returns the log fields on a run that was taken for ended a time ago.
 func formerRunFields(f *engine.FormerRun, ago time.Duration) []any {
 	fields := []any{
-		"former_run", f.Run, "former_executor", f.Executor, "former_end", f.Cause, "former_ended_ms", ago.Milliseconds(),
+		"former_run", f.Run, "former_executor", f.Executor, "former_end", f.Cause, "former_end_seen", f.Cause.Seen(), "former_ended_ms", ago.Milliseconds(),
 		"former_list_age_ms", ageMillis(f.ListAge), "former_started", f.Started, "former_listed", f.Listed, "restored", f.Restored,
 	}
 	if f.LeaseSource != "" {
--- a/owner/runs_test.go
+++ b/owner/runs_test.go
@@ -47,7 +47,7 @@
 		_, isRestart := read[0]["former_run"]
 		c.Assert(isRestart, qt.IsFalse)
 		for field, value := range map[string]any{
-			"epoch": 7.0, "run": 4.0, "former_run": 1.0, "former_executor": "i-a@1", "former_end": string(engine.LeaseExpired), "former_ended_ms": 40.0,
+			"epoch": 7.0, "run": 4.0, "former_run": 1.0, "former_executor": "i-a@1", "former_end": string(engine.LeaseExpired), "former_end_seen": false, "former_ended_ms": 40.0,
 			"former_list_age_ms": -1.0, "former_started": false, "former_listed": false, "restored": true,
 			"former_lease_known_from": string(engine.LeaseOfTakeover), "rejected_starts": 2.0,
 		} {
--- a/workflow/engine/former_runs.go
+++ b/workflow/engine/former_runs.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"strings"
 	"time"
 
 	"github.com/quetzalshed/quetzalshed/workflow"
@@ -26,7 +27,15 @@
 )
 
 // listedEnd returns the cause for a run whose end the executor has listed.
-func listedEnd(how workflow.EndReason) EndCause { return EndCause("ended " + string(how)) }
+func listedEnd(how workflow.EndReason) EndCause { return EndCause(listedEndPrefix + string(how)) }
+
+const listedEndPrefix = "ended "
+
+// Seen reports whether the executor has shown the end: it has listed it, or rejected the start. Other ends are counted or inferred, and the
+// run may go on if the count is wrong.
+func (c EndCause) Seen() bool {
+	return c == StartRejected || strings.HasPrefix(string(c), listedEndPrefix)
+}
 
 // UnknownAge stands for an unknown age.
 const UnknownAge = time.Duration(-1)
--- a/workflow/engine/leases.go
+++ b/workflow/engine/leases.go
@@ -24,17 +24,6 @@
 	LeaseOfTakeover LeaseSource = "takeover"
 )
 
-// Lapse is an executor incarnation whose lease has expired, with the number of tasks that had a run on it.
-type Lapse struct {
-	Incarnation string
-	Tasks       int
-	Source      LeaseSource
-	// Known is the time since this owner first heard of the incarnation, or UnknownAge if it has not or knows a later one by now. SameID is
-	// set if the incarnation had then taken the place of another one with the same ID.
-	Known  time.Duration
-	SameID bool
-}
-
 // admitsStarts reports whether the lease of an executor's current incarnation lasts long enough for a start.
 func (e *Engine) admitsStarts(n *node, now time.Time) bool {
 	return n.leaseReport > 0 && n.leaseExpires.Sub(now) >= e.settings.LeaseExpiry-e.settings.LeaseDuration+workflow.MinStartLease
@@ -152,12 +141,10 @@
 		if now.Before(expires) {
 			continue
 		}
-		lapse := Lapse{Incarnation: incarnation, Tasks: len(tasks), Source: source, Known: UnknownAge}
+		lapsed = append(lapsed, e.describeLapse(incarnation, tasks, source, now))
 		if n := e.nodes[tasks[0].host]; n != nil && n.runsIncarnation(incarnation) {
-			lapse.Known, lapse.SameID = now.Sub(n.replacedAt), n.replacedSameID
 			e.recordLapse(n, now)
 		}
-		lapsed = append(lapsed, lapse)
 		for _, t := range slices.Clone(tasks) {
 			e.releaseRun(t, LeaseExpired, now)
 			t.former.LeaseSource = source
