Simulate slow answers and starts that arrive just before a stop

fleet.owner took the record of the first host that had one, and so named a former owner where the process of that host had been killed. It takes the latest epoch now.

--- a/node/nodetest/calls.go
+++ b/node/nodetest/calls.go
@@ -192,18 +192,7 @@
 		<-ctx.Done()
 		return errNoAnswer
 	case delayed:
-		x.delayedCalls++
-		called := x.description.ID
-		minDelay := cmp.Or(x.faults.MinDelay, minCallDelay)
-		time.AfterFunc(minDelay+time.Duration(x.random.Int64N(max(int64(x.faults.MaxDelay-minDelay), 1))), func() {
-			x.mu.Lock()
-			defer x.mu.Unlock()
-			x.delayedCalls--
-			if !x.down && x.description.ID == called {
-				x.advance()
-				_ = order(false)
-			}
-		})
+		x.delay(kind, order)
 		x.mu.Unlock()
 		<-ctx.Done()
 		return errNoAnswer
@@ -213,9 +202,59 @@
 	return order(true)
 }
 
+// delay makes a call take effect later, if the executor is up under the same ID then. The caller holds mu.
+func (x *Executor) delay(kind callKind, order func(responds bool) error) {
+	x.delayedCalls++
+	called := x.description.ID
+	carryOut := func() {
+		x.delayedCalls--
+		if !x.down && x.description.ID == called {
+			x.advance()
+			_ = order(false)
+		}
+	}
+	if kind == startCall && x.faults.StartsUntilStop {
+		x.startsUntilStop = append(x.startsUntilStop, carryOut)
+		return
+	}
+	minDelay := cmp.Or(x.faults.MinDelay, minCallDelay)
+	delay := minDelay + time.Duration(x.random.Int64N(max(int64(x.faults.MaxDelay-minDelay), 1)))
+	time.AfterFunc(delay, func() { x.update(carryOut) })
+}
+
+// carryOutStartsUntilStop carries out the starts that were delayed until the next stop. The caller holds mu.
+func (x *Executor) carryOutStartsUntilStop() {
+	for _, carryOut := range x.startsUntilStop {
+		carryOut()
+	}
+	x.startsUntilStop = nil
+}
+
+// answer executes a call as handle does, and answers it with the executor's delay.
+func (x *Executor) answer(ctx context.Context, incarnation string, kind callKind, order func(responds bool) error) error {
+	err := x.handle(ctx, incarnation, kind, order)
+	return cmp.Or(x.delayAnswer(ctx), err)
+}
+
+// delayAnswer waits for as long as answers take, and returns errNoAnswer if ctx ends before.
+func (x *Executor) delayAnswer(ctx context.Context) error {
+	x.mu.Lock()
+	delay := x.answerDelay
+	x.mu.Unlock()
+	if delay == 0 {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+		return errNoAnswer
+	case <-time.After(delay):
+		return nil
+	}
+}
+
 // Start implements node.Executor.
 func (x *Executor) Start(ctx context.Context, incarnation string, s node.Start) error {
-	return x.handle(ctx, incarnation, startCall, func(responds bool) error {
+	return x.answer(ctx, incarnation, startCall, func(responds bool) error {
 		if responds && s.Answered != nil {
 			s.Answered(x.clockMillis())
 		}
@@ -249,7 +288,8 @@
 
 // Stop implements node.Executor.
 func (x *Executor) Stop(ctx context.Context, incarnation, task string, number int, fence int64) error {
-	return x.handle(ctx, incarnation, stopCall, func(bool) error {
+	return x.answer(ctx, incarnation, stopCall, func(bool) error {
+		x.carryOutStartsUntilStop()
 		if fence < x.fence {
 			return &node.RejectedError{Reason: "fence"}
 		}
@@ -274,7 +314,7 @@
 
 // SetPace implements node.Executor. It has no effect but that of its fencing token.
 func (x *Executor) SetPace(ctx context.Context, incarnation, _ string, _, _ int, fence int64) error {
-	return x.handle(ctx, incarnation, paceCall, func(bool) error {
+	return x.answer(ctx, incarnation, paceCall, func(bool) error {
 		if fence < x.fence {
 			return &node.RejectedError{Reason: "fence"}
 		}
@@ -334,6 +374,9 @@
 			return nil
 		})
 		if err != nil || len(lists.Ended) > 0 || !time.Now().Before(until) {
+			if late := x.delayAnswer(ctx); late != nil {
+				return nil, late
+			}
 			return lists, err
 		}
 		select {
--- a/node/nodetest/executor.go
+++ b/node/nodetest/executor.go
@@ -58,7 +58,9 @@
 
 	mu sync.Mutex
 	// stopTime is how long a stop takes.
-	stopTime    time.Duration
+	stopTime time.Duration
+	// answerDelay is how long the answers to calls take, which are carried out at once.
+	answerDelay time.Duration
 	description workflow.Executor
 	down        bool
 	fence       int64
@@ -88,8 +90,10 @@
 	faults   CallFaults
 	// delayedCalls is the number of delayed calls that have not been carried out.
 	delayedCalls int
-	random       *rand.Rand
-	durations    func(task string) time.Duration
+	// startsUntilStop carry out the starts that are delayed until the next stop.
+	startsUntilStop []func()
+	random          *rand.Rand
+	durations       func(task string) time.Duration
 	// reservations returns what a task reserves. It is set if the executor rejects starts beyond its capacity.
 	reservations func(task string) structs.Resources
 	failing      bool
@@ -232,6 +236,8 @@
 	// OrdersOnly is set if all calls but starts and stops are free of faults, AcknowledgementsOnly if all but hold calls that
 	// acknowledge ends are.
 	OrdersOnly, AcknowledgementsOnly bool
+	// StartsUntilStop is set if delayed starts take effect just before the next stop instead.
+	StartsUntilStop bool
 }
 
 const (
@@ -263,6 +269,9 @@
 // finish by itself, and lapses with the lease; the answer to the stop comes at once.
 func (x *Executor) SetStopTime(d time.Duration) { x.update(func() { x.stopTime = d }) }
 
+// SetAnswerDelay sets how long the answers to later calls take, which are carried out at once.
+func (x *Executor) SetAnswerDelay(d time.Duration) { x.update(func() { x.answerDelay = d }) }
+
 // SetFailing sets whether all runs that complete fail.
 func (x *Executor) SetFailing(failing bool) { x.update(func() { x.failing = failing }) }
 
--- a/test/workflows/fleet_test.go
+++ b/test/workflows/fleet_test.go
@@ -273,15 +273,18 @@
 	h.store.SetFaults(kvtest.Faults{Delay: storeDelay})
 }
 
-// owner returns the host that holds the ownership according to the hosts' own state, or nil.
+// owner returns the host that holds the ownership according to the hosts' own state, or nil. The state of a process that was killed
+// may name a former owner.
 func (f *fleet) owner() *host {
+	var latest workflow.OwnerRecord
 	for _, h := range f.hosts {
-		if record, present := h.locator.Current(); present {
-			for _, other := range f.hosts {
-				if other.name == record.Node {
-					return other
-				}
-			}
+		if record, present := h.locator.Current(); present && record.Epoch > latest.Epoch {
+			latest = record
+		}
+	}
+	for _, h := range f.hosts {
+		if h.name == latest.Node {
+			return h
 		}
 	}
 	return nil
