--- a/test/workflows/faults_test.go
+++ b/test/workflows/faults_test.go
@@ -29,6 +29,9 @@
 // stopTimes are how long stops take in the tests that depend on it: the settings of the deployments say 200, 400 and 900 ms.
 var stopTimes = []time.Duration{0, 200 * time.Millisecond, 400 * time.Millisecond, 900 * time.Millisecond, 1500 * time.Millisecond}
 
+// longestStopTime is the longest one that the settings of a deployment say.
+const longestStopTime = 900 * time.Millisecond
+
 // runWithStopTime is runWithFleet with executors that take a given time to stop a run.
 func runWithStopTime(t *testing.T, hosts int, stopTime time.Duration, test func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
--- a/test/workflows/stale_calls_test.go
+++ b/test/workflows/stale_calls_test.go
@@ -37,6 +37,8 @@
 	*fleet
 	*host
 	id, task string
+	// cutAt is when the host was cut off.
+	cutAt time.Time
 }
 
 // newStaleLease returns a fleet whose tasks start on one executor alone, on a host beside the owner, until spread is called.
@@ -143,6 +145,7 @@
 // cut cuts off the executor from its node, or both from all others.
 func (s *staleLease) cut(withNode bool) {
 	if withNode {
+		s.cutAt = time.Now()
 		s.network.SetPartitioned(s.host.name, true)
 		return
 	}
