--- a/test/workflows/ends_counted_unseen_test.go
+++ b/test/workflows/ends_counted_unseen_test.go
@@ -166,3 +166,18 @@
 		})
 	}
 }
+
+// Guards against the same while a draining executor, which is cut off from its node, refuses connections: the owner takes it for ended.
+func TestDrainingExecutorThatRefusesConnectionsCountsAsEnded(t *testing.T) {
+	for _, stopTime := range stopTimes {
+		t.Run(stopTime.String(), func(t *testing.T) {
+			runWithStopTime(t, 4, stopTime, func(f *fleet) {
+				s := newStaleLease(f)
+				s.run()
+				s.drain()
+				s.refuseConnections()
+				s.assertRunsOnce()
+			})
+		})
+	}
+}
--- a/test/workflows/stale_starts_test.go
+++ b/test/workflows/stale_starts_test.go
@@ -23,9 +23,15 @@
 // runStaleStartAndCutHostOff makes the next incarnation of the executor carry out the task's start and answer the node, after both have
 // been cut off from the owner.
 func (s *staleLease) runStaleStartAndCutHostOff() {
+	s.Helper()
+	s.runStaleStartOf(func() { s.submitOne(1000) })
+}
+
+// runStaleStartOf is runStaleStartAndCutHostOff of a task that submit submits.
+func (s *staleLease) runStaleStartOf(submit func()) {
 	s.Helper()
 	s.restart(nodetest.StaleCalls{Starts: true}, func() {
-		s.submitOne(1000)
+		submit()
 		time.Sleep(grantTime)
 		s.cut(true)
 	})
