End runs under a stale lease before their tasks may run elsewhere

Cause: the next incarnation of an executor holds a stale lease that the owner, cut off from both, doesn't know of. The owner counts the granted lease and starts the task elsewhere 7.06 s after its last grant. The node began to stop the run when the granted lease had ended, that is 0.56 s before, after a hold call had been answered, one call after the other and without a repetition if one failed. Where a stop takes 900 ms the run ends too late.

Change: a loop of its own (node/stale_stops.go) stops all runs under a stale lease, listed ones and accepted starts that aren't listed yet, eight calls at a time. It begins the stop time of the settings and 2 s (owner.OrdersTimeout: stops were held up for 1.8 s) before owner.MinStopMargin after the end of the granted lease. A stop is repeated until the executor accepts it, and again if the run is still listed after the stop time. Copies are no longer sent once the owner has renewed the lease. An owner that renews the lease on a report that names the stale one waits for its end; only a next owner that takes over without a hand-over may then count less, and it adds owner.TakeoverSlack, so the stops begin 1.6 s later. Times are read from the clock that counts suspensions. A process that was paused past the due time stops the runs as it goes on, which may be too late.

Runs without a stale lease, and those whose stale lease ends before the owner counts the granted one as ended, are left alone: these are all runs that an owner has started on the incarnation since it has reported the stale lease.

--- a/node/announcements.go
+++ b/node/announcements.go
@@ -95,6 +95,7 @@
 	n.clockAt, n.brokenAt = time.Time{}, time.Time{}
 	n.leaseEnd, n.renewedUntil = time.Time{}, time.Time{}
 	n.staleLease, n.probe = staleLease{}, tokenProbe{}
+	n.staleStops = map[staleRun]*staleStop{}
 	n.pacer = sharing.NewController()
 	clear(n.unlistedStarts)
 	clear(n.paces)
--- a/node/hold.go
+++ b/node/hold.go
@@ -70,7 +70,6 @@
 			signal(n.wakeReport)
 			n.sleep(ctx, n.wakeHold, ackWait)
 		}
-		n.stopRunsBeyondLease(ctx)
 		n.adjustPaces(ctx)
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -84,6 +84,8 @@
 	staleLease       staleLease
 	formerCallsUntil time.Time
 	probe            tokenProbe
+	// staleStops holds the stops of runs under the stale lease.
+	staleStops map[staleRun]*staleStop
 	// maxLease is the longest lease that the executor takes, by its own clock.
 	maxLease time.Duration
 	// stopTime is the longest time that the executor takes to stop a run.
@@ -109,6 +111,7 @@
 	copies     int
 	wakeHold   chan struct{}
 	wakeReport chan struct{}
+	wakeStops  chan struct{}
 }
 
 type nodeMetrics struct {
@@ -141,8 +144,9 @@
 		formerCallsUntil: host.Now().Add(staleCallLimit), maxLease: DefaultMaxLease, fetches: fetches, rpc: client.WithMaxResponse(maxReportReplyBytes), clock: boot, host: host, log: log,
 		reportSentAt: map[int64]time.Time{}, unlistedStarts: map[int64]workflow.RunState{},
 		needsTraits: true, traits: map[string]workflow.RunTraits{}, paces: map[string]int{}, nearTarget: map[string]bool{},
-		pacer:    sharing.NewController(),
-		wakeHold: make(chan struct{}, 1), wakeReport: make(chan struct{}, 1),
+		pacer:      sharing.NewController(),
+		staleStops: map[staleRun]*staleStop{},
+		wakeHold:   make(chan struct{}, 1), wakeReport: make(chan struct{}, 1), wakeStops: make(chan struct{}, 1),
 		metrics: nodeMetrics{
 			starts: scope.Counter("node_starts"), rejected: scope.Counter("node_starts_rejected"),
 			unknown: scope.Counter("node_starts_unknown"), stops: scope.Counter("node_stops"),
@@ -169,6 +173,7 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { n.holdLoop(ctx) })
 	loops.Go(func() { n.reportLoop(ctx) })
+	loops.Go(func() { n.staleStopLoop(ctx) })
 	loops.Go(func() { n.watchPauses(ctx) })
 	loops.Wait()
 }
--- a/node/report.go
+++ b/node/report.go
@@ -133,6 +133,9 @@
 	now := n.clock.Now()
 	hadLease := n.leaseEnd.After(now)
 	n.extendLease(sent, time.Duration(reply.LeaseMillis)*time.Millisecond)
+	if reply.LeaseMillis > 0 {
+		n.noteGrant(report, sent)
+	}
 	if !hadLease && n.leaseEnd.After(now) {
 		n.log.Info("lease granted", "epoch", reply.Epoch, "executor", n.current.IncarnationID(), "until_ms", n.leaseEnd.Sub(now).Milliseconds())
 		signal(n.wakeHold)
--- a/node/stale_lease.go
+++ b/node/stale_lease.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"time"
 
 	"github.com/quetzalshed/quetzalshed/clock"
@@ -21,46 +20,16 @@
 type staleLease struct {
 	// bounded is set once the incarnation has answered a call with its own fencing token, so that no stale call has an effect any more.
 	bounded bool
+	// boundedAt is when that answer arrived.
+	boundedAt time.Time
 	// end is when the lease has ended at the latest; zero if there is none.
 	end time.Time
 	// ofFormerProcess is set if only calls of a former process of the node can have given the lease.
 	ofFormerProcess bool
 	// epoch is that of the fencing token in the call that bounded it.
 	epoch int64
-}
-
-// stopRunsBeyondLease stops the runs that the executor lists once the leases that owners have granted have ended while a stale lease lasts
-// on: whoever is cut off from this node counts the granted ones only.
-func (n *Node) stopRunsBeyondLease(ctx context.Context) {
-	for _, run := range n.runsBeyondLease() {
-		n.noteStopBeyondLease(run.incarnation, run.task, run.number)
-		sentAt := n.clock.Now()
-		err := n.executor.Stop(ctx, run.incarnation, run.task, run.number, run.fence)
-		n.logStopAnswer(run.incarnation, run.task, run.number, sentAt, err)
-	}
-}
-
-// runToStop is a run of an incarnation, with the fencing token of the call that stops it.
-type runToStop struct {
-	incarnation, task string
-	number            int
-	fence             int64
-}
-
-// runsBeyondLease returns the runs that the current incarnation lists while it may hold a stale lease, if no granted lease lasts.
-func (n *Node) runsBeyondLease() []runToStop {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := n.clock.Now()
-	if n.current == nil || n.lists == nil || !n.confirmed || !n.staleLease.end.After(now) || n.grantedUntil.After(now) {
-		return nil
-	}
-	runs := make([]runToStop, len(n.lists.Running))
-	for i := range n.lists.Running {
-		run := &n.lists.Running[i]
-		runs[i] = runToStop{n.current.IncarnationID(), run.Task, run.Run, n.fence(n.callEpoch())}
-	}
-	return runs
+	// counted is set once an owner has renewed the granted lease on a report that told it of this one, so that it waits for both to end.
+	counted bool
 }
 
 // hasFormerCalls reports whether the current incarnation may receive calls of former processes of the node: they were meant for the
@@ -109,13 +78,14 @@
 	if n.hasFormerCalls() && !n.probe.isRecent(n.clock.Now()) {
 		lease = n.maxLease
 	}
-	n.staleLease = staleLease{bounded: true, epoch: hold.epoch, ofFormerProcess: !own}
+	now := n.clock.Now()
+	n.staleLease = staleLease{bounded: true, boundedAt: now, epoch: hold.epoch, ofFormerProcess: !own}
 	if lease <= 0 {
 		return
 	}
-	now := n.clock.Now()
 	n.staleLease.end = now.Add(clock.LongestOnSlowClock(min(lease, n.maxLease)))
 	n.raiseLeaseBound(n.staleLease.end)
+	signal(n.wakeStops)
 	n.log.Info("executor may hold a lease from calls for a former incarnation", "executor", hold.incarnation, "left_ms", n.staleLease.end.Sub(now).Milliseconds(),
 		"deadline_ms", deadline, "clock_ms", lists.ClockMillis, "of_former_process", !own, "open_calls", len(n.leaseCalls.open))
 }
@@ -126,6 +96,15 @@
 	return epoch == 0 || s.bounded && !(s.ofFormerProcess && s.epoch < epoch && n.hasFormerCalls())
 }
 
+// noteGrant records that an owner has renewed the granted lease on a report that was sent at a time. The caller holds mu.
+func (n *Node) noteGrant(report *workflow.Report, sent time.Time) {
+	s := report.StaleLease
+	if s == nil || sent.Add(time.Duration(s.LeftMillis)*time.Millisecond).Before(n.staleLease.end) {
+		return
+	}
+	n.staleLease.counted = true
+}
+
 // reportedStaleLease returns what a report to the owner of an epoch says of the stale lease; nil if there is none. The caller holds mu.
 func (n *Node) reportedStaleLease(now time.Time) *workflow.StaleLease {
 	if n.current == nil || n.fetches {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -146,7 +146,7 @@
 		lease: lease, clock: boot, store: c.Store, operators: c.Operators, rpc: c.RPC.WithMaxResponse(maxReplyBytes), log: c.Log, metrics: metrics,
 		events: make(chan event, eventQueueSize), loaded: make(chan struct{}), commitDone: make(chan error, 1),
 		remoteSlowdown: cmp.Or(c.RemoteSlowdown, defaultRemoteSlowdown), retention: cmp.Or(c.Retention, defaultRetention),
-		stopMargin:     max(minStopMargin, c.StopTime),
+		stopMargin:     max(MinStopMargin, c.StopTime),
 		maxLease:       cmp.Or(c.MaxLease, defaultMaxLease),
 		maxTasks:       admission.MaxTasks(c.MemoryMB),
 		commitRevision: lease.CommitRevision, acked: map[string]int64{}, deletedJobs: deletedJobs{},
--- a/owner/term.go
+++ b/owner/term.go
@@ -31,18 +31,22 @@
 const (
 	// ExecutorLeaseDuration is how long an executor keeps running its tasks unless an owner renews its lease. It covers a
 	// takeover by another owner, most restarts of a node, and store outages of more than six seconds. It also delays the
-	// restart of the tasks of a lost executor: executorLeaseExpiry, which follows from it, and takeoverSlack together must
+	// restart of the tasks of a lost executor: executorLeaseExpiry, which follows from it, and TakeoverSlack together must
 	// stay below nine seconds, after which a long-running task counts as lost.
 	ExecutorLeaseDuration = 6500 * time.Millisecond
 	// OrdersTimeout limits the delivery of orders to a node, and how long the node goes on sending them to the executor.
 	OrdersTimeout = 2 * time.Second
 	// executorLeaseExpiry is the time after which an executor's lease has certainly expired: executors' clocks may be up to 2% slow.
-	executorLeaseExpiry = ExecutorLeaseDuration + ExecutorLeaseDuration/25 + minStopMargin
-	// minStopMargin is the least time that the owner allows an executor for stopping its tasks after the end of their lease.
-	minStopMargin = 300 * time.Millisecond
-	// takeoverSlack is how long a former owner whose key was deleted may still consider itself the owner: slightly longer than
+	executorLeaseExpiry = ExecutorLeaseDuration + LeaseExpiryMargin
+	// LeaseExpiryMargin is how long after the end of a lease that it has granted an owner may start the tasks of a lost executor elsewhere.
+	// Owners of all versions count it, whatever the stop time in the settings, and whether the node has confirmed the end or not.
+	LeaseExpiryMargin = ExecutorLeaseDuration/25 + MinStopMargin
+	// MinStopMargin is the part of LeaseExpiryMargin that the owner allows an executor for stopping its tasks. The rest covers the drift of
+	// the executor's clock.
+	MinStopMargin = 300 * time.Millisecond
+	// TakeoverSlack is how long a former owner whose key was deleted may still consider itself the owner: slightly longer than
 	// the lease of its key.
-	takeoverSlack = ownership.LeaseTTL + 100*time.Millisecond
+	TakeoverSlack = ownership.LeaseTTL + 100*time.Millisecond
 	// flushInterval is the minimum time between two writes, so that changes are batched.
 	flushInterval = 20 * time.Millisecond
 	// tickInterval is how often the engine checks for timeouts.
@@ -133,7 +137,7 @@
 	records := t.parseRecords(states)
 	now := t.clock.Now()
 	t.engine = engine.New(engine.Settings{
-		LeaseDuration: ExecutorLeaseDuration, LeaseExpiry: executorLeaseExpiry, TakeoverSlack: takeoverSlack,
+		LeaseDuration: ExecutorLeaseDuration, LeaseExpiry: executorLeaseExpiry, TakeoverSlack: TakeoverSlack,
 		StaleLeaseExpiry: clock.LongestOnSlowClock(t.maxLease) + t.stopMargin, StopMargin: t.stopMargin, FirstOwner: t.lease.Former == nil,
 		RemoteSlowdown: t.remoteSlowdown, Retention: t.retention, Epoch: t.lease.Record.Epoch,
 	}, now)
--- a/owner/term_test.go
+++ b/owner/term_test.go
@@ -16,6 +16,6 @@
 		// maxLeaseListAge is the maximum age of lists for which the owner still grants a lease.
 		maxLeaseListAge = 1300 * time.Millisecond
 	)
-	qt.Assert(t, executorLeaseExpiry+takeoverSlack < limit, qt.IsTrue)
+	qt.Assert(t, executorLeaseExpiry+TakeoverSlack < limit, qt.IsTrue)
 	qt.Assert(t, executorLeaseExpiry+maxLeaseListAge < limit, qt.IsTrue)
 }
--- /dev/null
+++ b/test/workflows/stale_stops_test.go
@@ -0,0 +1,32 @@
+package workflows_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/node/nodetest"
+)
+
+// Guards against a node that stops the run of a stale start sooner than it has to: the host is cut off from the owner for as long as a
+// takeover lasts, and the owner goes on with the run.
+func TestRunOfStaleStartOutlastsShortCut(t *testing.T) {
+	const cutTime = 3 * time.Second
+	for _, stopTime := range []time.Duration{0, 900 * time.Millisecond} {
+		t.Run(stopTime.String(), func(t *testing.T) {
+			runWithStopTime(t, 3, stopTime, func(f *fleet) {
+				s := newStaleLease(f)
+				s.restart(nodetest.StaleCalls{Starts: true}, func() { s.submitOne(1000) })
+				s.announceNow()
+				s.awaitRun()
+				time.Sleep(time.Second)
+				s.cut(true)
+				time.Sleep(cutTime)
+				s.network.SetPartitioned(s.host.name, false)
+				s.waitCompleted(2*longTaskTime, s.id)
+				s.Assert(s.checker.starts(s.task), qt.Equals, 1)
+			})
+		})
+	}
+}
--- a/test/workflows/stops_beyond_lease_test.go
+++ b/test/workflows/stops_beyond_lease_test.go
@@ -21,8 +21,12 @@
 	pauseTime = 3 * time.Second
 )
 
-// faultTimes are how long before the end of a granted lease, which was renewed when its host was cut off, a fault of the node begins.
-var faultTimes = []time.Duration{2 * time.Second, time.Second, 500 * time.Millisecond, 0}
+// faultTimes are how long before the end of a granted lease, which was renewed when its host was cut off, a fault of the node begins, and
+// earlyFaultTimes are those before it may stop the run.
+var (
+	faultTimes      = []time.Duration{2 * time.Second, time.Second, 500 * time.Millisecond, 0}
+	earlyFaultTimes = []time.Duration{4 * time.Second, 3 * time.Second}
+)
 
 // testStopBeyondLease runs a test for each stop time: a stale start has been carried out, its host is cut off, and disturb is called.
 func testStopBeyondLease(t *testing.T, stopTimes []time.Duration, disturb func(s *staleLease)) {
@@ -103,8 +107,13 @@
 	testStopBeyondLease(t, stopTimes, (*staleLease).cutAll)
 }
 
-// Guards against the same where the process of the node is paused when the stop is due.
-func TestNodeIsPausedWhenStopIsDue(t *testing.T) {
+// Guards against the same where the process of the node is paused while a stop may be under way.
+func TestNodeIsPausedWhenStopIsDue(t *testing.T) { testPausedNode(t, faultTimes) }
+
+// Guards against the same where the process is paused before it may stop the run, and until that is too late.
+func TestNodeIsPausedBeforeStopIsDue(t *testing.T) { testPausedNode(t, earlyFaultTimes) }
+
+func testPausedNode(t *testing.T, faultTimes []time.Duration) {
 	for _, before := range faultTimes {
 		t.Run(before.String(), func(t *testing.T) {
 			testStopBeyondLease(t, stopTimes, func(s *staleLease) {
@@ -115,8 +124,13 @@
 	}
 }
 
-// Guards against the same where the process of the node is killed when the stop is due, for good or until the next one starts.
-func TestNodeIsKilledWhenStopIsDue(t *testing.T) {
+// Guards against the same where the process of the node is killed while a stop may be under way, for good or until the next one starts.
+func TestNodeIsKilledWhenStopIsDue(t *testing.T) { testKilledNode(t, faultTimes) }
+
+// Guards against the same where the process is killed before it may stop the run.
+func TestNodeIsKilledBeforeStopIsDue(t *testing.T) { testKilledNode(t, earlyFaultTimes) }
+
+func testKilledNode(t *testing.T, faultTimes []time.Duration) {
 	for name, starts := range map[string]bool{"for good": false, "next process starts": true} {
 		for _, before := range faultTimes {
 			t.Run(name+", "+before.String(), func(t *testing.T) {
