Don't stop long-running tasks that fill and save checkpoints

Such a task was stopped when a serving task beside it came near its target, or when it got little CPU, whatever other tasks of its step were away (AVAIL).

Cause: evictBestEffort and moveIfStarved asked for checkpoints only. The rule table says that long-running tasks are stopped only when their job ends, and mayMiss is read by nothing else.

Change: isMovable excludes long-running tasks. Those beside a serving task are still paced by the node.

--- a/workflow/engine/interference.go
+++ b/workflow/engine/interference.go
@@ -259,12 +259,18 @@
 	return false
 }
 
-// mostDisturbing returns the best-effort task with checkpoints that takes the most headroom on an executor, or nil.
+// isMovable reports whether a run may be stopped so that its task continues from a checkpoint on another executor. Of a long-running
+// step only so many tasks may be away at a time, for whatever cause, so its tasks are stopped only when their job ends.
+func (t *task) isMovable() bool {
+	return t.step.BestEffort && t.step.Checkpoints && !t.step.LongRunning
+}
+
+// mostDisturbing returns the movable task that takes the most headroom on an executor, or nil.
 func (e *Engine) mostDisturbing(n *node) *task {
 	var worst *task
 	maxLoss := 0.0
 	for _, t := range e.tasksWithRun[n.executorIncarnation] {
-		if !t.step.BestEffort || !t.step.Checkpoints || t.stopRequested || !t.listed {
+		if !t.isMovable() || t.stopRequested || !t.listed {
 			continue
 		}
 		if loss := e.maxHeadroomLoss(n, t.step.Image) * cpuShare(t.step, n); loss > maxLoss {
--- a/workflow/engine/plan_test.go
+++ b/workflow/engine/plan_test.go
@@ -121,6 +121,13 @@
 // addBestEffortJobBesideService starts a serving task with the given latency, of a target of 50 ms, on an executor of node "a", and
 // submits a job of best-effort tasks. It returns the run of the serving task.
 func (h *harness) addBestEffortJobBesideService(x *workflow.Executor, latencyMillis float64, tasks int) []workflow.RunState {
+	running := h.startService(x, latencyMillis)
+	h.engine.Add(h.job(bestEffortStep(tasks)), nil, h.now, h.now)
+	return running
+}
+
+// startService starts a serving task with the given latency and a target of 50 ms on node "a".
+func (h *harness) startService(x *workflow.Executor, latencyMillis float64) []workflow.RunState {
 	h.engine.Add(h.job(servingStep(1, 50)), nil, h.now, h.now)
 	h.report("a", x, nil, nil)
 	h.now = h.now.Add(2 * time.Second)
@@ -128,7 +135,6 @@
 	running := h.accept("a", h.plan()["a"])
 	h.Assert(running, qt.HasLen, 1)
 	running[0].Usage = latencyMillis
-	h.engine.Add(h.job(bestEffortStep(tasks)), nil, h.now, h.now)
 	return running
 }
 
--- a/workflow/engine/speed.go
+++ b/workflow/engine/speed.go
@@ -155,7 +155,7 @@
 			case !t.listed || t.stopRequested:
 			case t.indicatesSpeed():
 				e.restartIfSlow(t, n, now)
-			case t.step.BestEffort && t.step.Checkpoints:
+			case t.isMovable():
 				e.moveIfStarved(t, n, now)
 			}
 		}
