Test starts, gangs and cancellations while stops take time

The owner counts many other things on a run that is being stopped: its place on an executor, the limit of its step, the next run of its gang, the end of a cancelled job. No test had stops that take time.

--- a/test/workflows/random_faults_test.go
+++ b/test/workflows/random_faults_test.go
@@ -241,6 +241,8 @@
 	limited bool
 	// staleCalls are the calls for former incarnations that executors carry out.
 	staleCalls nodetest.StaleCalls
+	// stopTimes are the times that executors may take to stop a run, of which each history draws one; stops take no time if there are none.
+	stopTimes []time.Duration
 }
 
 // maxRandomEndsPerResponse limits how many ends executors list at a time in histories with many ends.
@@ -265,13 +267,17 @@
 			// The oracle of standstills doesn't know of jobs that are given up since executors crash under them again and again.
 			watched = false
 		}
+		options := fleet{fetchOrders: faults.fetching, retention: faults.retention}
+		if len(faults.stopTimes) > 0 {
+			options.stopTime = rapid.SampledFrom(faults.stopTimes).Draw(rt, "stop time")
+		}
 		failure := ""
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			defer time.Sleep(callDrainTime)
 			defer cancel()
 			h := &history{
-				fleet:   newRetainingFleet(t, ctx, randomTestHosts, faults.fetching, faults.retention),
+				fleet:   options.setUp(t, ctx, randomTestHosts),
 				stopped: map[int]bool{}, misreported: map[int]bool{}, cancelled: map[string]bool{}, constrained: faults.constrained,
 			}
 			for i, traits := range executors {
