Tell which incarnation a call has met before it was sent

What callers saw: nothing yet. An Executor could say that another incarnation answered (ErrOtherIncarnation), but not which one, so that the node had to wait for an answer to a hold call, or for the announcement, to learn of it.

Change: OtherIncarnationError is an ErrOtherIncarnation with the start time of the incarnation that was met. A hold call that returns it replaces the current incarnation by the same rule as lists of another incarnation do.

--- a/node/departure.go
+++ b/node/departure.go
@@ -76,6 +76,10 @@
 		if reason, _ := rejectionReason(err); reason == reasonFence {
 			n.handleFenceRejection()
 		}
+		var other *OtherIncarnationError
+		if errors.As(err, &other) {
+			n.noteOtherIncarnation(other.StartedUnixMillis)
+		}
 		n.promoteSuccessor(err)
 	}
 	if broken && n.current != nil && n.current.IncarnationID() == incarnation && n.brokenAt.IsZero() {
--- a/node/executor.go
+++ b/node/executor.go
@@ -19,6 +19,16 @@
 	ErrRefused = fmt.Errorf("%w: connection refused", ErrNotDelivered)
 )
 
+// OtherIncarnationError is an ErrOtherIncarnation that tells which incarnation the call has reached.
+type OtherIncarnationError struct{ StartedUnixMillis int64 }
+
+func (e *OtherIncarnationError) Error() string {
+	return fmt.Sprintf("%v, started at %d", ErrOtherIncarnation, e.StartedUnixMillis)
+}
+
+// Is reports whether target is ErrOtherIncarnation.
+func (e *OtherIncarnationError) Is(target error) bool { return target == ErrOtherIncarnation }
+
 // RejectedError means that the executor rejected a call, which had no effect.
 type RejectedError struct{ Reason string }
 
--- a/node/lists.go
+++ b/node/lists.go
@@ -28,10 +28,7 @@
 		return otherIncarnation
 	}
 	if lists.StartedUnixMillis != 0 && lists.StartedUnixMillis != n.current.StartedUnixMillis {
-		// An earlier start after the current incarnation has responded is that of a later one: the time of day was set back.
-		if lists.StartedUnixMillis > n.current.StartedUnixMillis || n.lists != nil {
-			n.forgetIncarnation()
-		}
+		n.noteOtherIncarnation(lists.StartedUnixMillis)
 		return otherIncarnation
 	}
 	first := n.lists == nil
@@ -61,6 +58,14 @@
 	return nothingNew
 }
 
+// noteOtherIncarnation forgets the current incarnation if another one that has answered is a later one. An earlier start after the current
+// incarnation has responded is that of a later one: the time of day was set back. The caller holds mu.
+func (n *Node) noteOtherIncarnation(startedUnixMillis int64) {
+	if startedUnixMillis > n.current.StartedUnixMillis || n.lists != nil {
+		n.forgetIncarnation()
+	}
+}
+
 // logEnds logs the ends that the previous lists did not contain.
 func (n *Node) logEnds(incarnation string, previous, lists *RunLists) {
 	var last int64
