--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -53,10 +53,23 @@
 
 // NewLimitedClient returns a client that opens at most the given number of connections to a host; 0 means no limit. Further calls
 // wait until a connection is free or their context ends.
-func NewLimitedClient(maxConnections int) *Client {
+func NewLimitedClient(maxConnections int) *Client { return NewDialingClient(maxConnections, Dial) }
+
+// A DialFunc opens a connection. Its context has the values of the context of the call for which the connection is opened, but
+// doesn't end with that call, since a later one may use the connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial opens a connection as clients do by default.
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	return dialer.DialContext(ctx, network, address)
+}
+
+// NewDialingClient returns a client like NewLimitedClient that opens its connections by dial. If that returns a net.OpError with the
+// operation "dial", the error of the call matches ErrNotSent and wraps that error.
+func NewDialingClient(maxConnections int, dial DialFunc) *Client {
 	return NewClientWithTransport(&http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial,
 		MaxConnsPerHost:     maxConnections,
 		MaxIdleConnsPerHost: maxIdleConnectionsPerHost,
 		IdleConnTimeout:     idleTimeout,
@@ -123,7 +136,7 @@
 			return nil, eris.Wrapf(ErrRefused, "%s %s: %v", method, url, err)
 		}
 		if failedBeforeConnecting(err) {
-			return nil, eris.Wrapf(ErrNotSent, "%s %s: %v", method, url, err)
+			return nil, fmt.Errorf("%w: %s %s: %w", ErrNotSent, method, url, err)
 		}
 		return nil, eris.Wrapf(ErrNoResponse, "%s %s: %v", method, url, err)
 	}
