--- a/node/stale_stops.go
+++ b/node/stale_stops.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/owner"
 )
 
@@ -81,12 +82,29 @@
 		return false
 	}
 	due := n.staleRunLimit().Add(-n.stopTime - staleStopAllowance)
-	if reported := n.staleLease.boundedAt.Add(staleReportTime); reported.After(due) {
-		due = reported
+	if n.staleLease.ofFormerProcess && n.outlivesStaleCalls() {
+		// Nothing but the restart of the node's process speaks for a stale lease, and all other runs lapse with the granted one.
+		due = latest(due, n.grantedUntil)
 	}
+	due = latest(due, n.staleLease.boundedAt.Add(staleReportTime))
 	return !n.clock.Now().Before(due)
 }
 
+// outlivesStaleCalls reports whether the current incarnation started so long ago by the time of day that the leases of all calls for former
+// ones have ended. The caller holds mu.
+func (n *Node) outlivesStaleCalls() bool {
+	age := time.Duration(time.Now().UnixMilli()-n.current.StartedUnixMillis) * time.Millisecond
+	return age > staleCallLimit+clock.LongestOnSlowClock(n.maxLease)
+}
+
+// latest returns the later one of two times.
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // staleRunLimit returns when the runs under the stale lease must have ended. The rest of owner.LeaseExpiryMargin is left to the drift of the
 // clocks. The caller holds mu.
 func (n *Node) staleRunLimit() time.Time {
--- a/node/stale_stops_test.go
+++ b/node/stale_stops_test.go
@@ -321,3 +321,41 @@
 		f.Check(x.copies(staleTask(0)), qt.Equals, 1)
 	})
 }
+
+// Guards against a new process of the node that stops the runs of an executor that has not restarted, while the owner is out of touch for a
+// moment: it knows nothing of its former process's calls. Guards as well against one that stops the runs of an executor that has just
+// restarted too late.
+func TestNewProcessStopsRunsOfYoungIncarnationsEarly(t *testing.T) {
+	const stopTime = 900 * time.Millisecond
+	for name, test := range map[string]struct{ age, left time.Duration }{
+		"young": {time.Second, owner.OrdersTimeout + stopTime},
+		"old":   {2 * time.Minute, owner.LeaseExpiryMargin},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				x, startedAt := newStopExecutor(acceptAtOnce), time.Now()
+				started := startedAt.Add(-test.age).UnixMilli()
+				n := newNode()
+				n.executor, n.epoch = x, 7
+				n.SetStopTime(stopTime)
+				n.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: started}, 2, 0)
+				incarnation := n.current.IncarnationID()
+				lists := &RunLists{ClockMillis: nextClockMillis, StartedUnixMillis: started, Running: []workflow.RunState{{Task: staleTask(0), Run: 1}}}
+				n.boundStaleLease(&holdCall{incarnation: incarnation, epoch: 7}, lists)
+				n.applyLists(incarnation, lists, 0)
+				c.Assert(n.staleLease.ofFormerProcess, qt.IsTrue)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer synctest.Wait()
+				defer cancel()
+				go n.staleStopLoop(ctx)
+				restartsAt := startedAt.Add(owner.ExecutorLeaseDuration + owner.LeaseExpiryMargin)
+				time.Sleep(time.Until(restartsAt))
+				sent := x.firstSent(staleTask(0))
+				c.Assert(sent.IsZero(), qt.IsFalse)
+				left := restartsAt.Sub(sent)
+				c.Check(left > test.left-2*staleStopInterval && left < test.left+owner.LeaseExpiryMargin, qt.IsTrue, qt.Commentf("%v left", left))
+			})
+		})
+	}
+}
