Don't count a crash for a run that its executor never ran

Callers can be shown a job as failed without cause (LOST, "shown as failed"): its task counted as the cause of crashes of an executor on which it never ran.

Cause: a run that is moved to the next incarnation of its executor is stopped once that doesn't list it. Between the answer to the stop and the lists that cover it, the run still counts as one that the executor has; if that crashes in between, the crash counted for the run's task, as for a run that was there.

Change: crashedRuns leaves out unconfirmed runs of which the incarnation has accepted a stop.

--- a/workflow/engine/crash_ends_test.go
+++ b/workflow/engine/crash_ends_test.go
@@ -380,3 +380,20 @@
 	h.Assert(givenUp, qt.HasLen, 0)
 	h.Assert(h.phase(job.ID), qt.Equals, workflow.Running)
 }
+
+// Guards against a job that is given up without cause: an executor crashes right after it has accepted the stop of a run that it had not
+// listed and so never ran, and the crash counts for the run's task (found by TestRandomFaultsWithRefusedConnections, seed 5481, with stops
+// that take 900 ms).
+func TestCrashAfterStopOfUnlistedRunIsNotCounted(t *testing.T) {
+	h := newHarness(t)
+	_, running := h.startOnA(1)
+	h.report("a", executor("a", 2), nil, nil)
+	orders := h.plan()["a"]
+	h.Assert(orders.Stops, qt.DeepEquals, []workflow.StopOrder{{Task: running[0].Task, Run: 1, Reason: "its executor doesn't list it"}})
+	h.accept("a", orders)
+	h.engine.TakeCrashes()
+	h.now = h.now.Add(time.Second)
+	h.reportEnd(executor("a", 2), nil, nil)
+	crashes, _ := h.engine.TakeCrashes()
+	h.Assert(crashes, qt.HasLen, 0)
+}
--- a/workflow/engine/crashed_runs.go
+++ b/workflow/engine/crashed_runs.go
@@ -31,7 +31,8 @@
 }
 
 // crashedRuns returns the unfinished runs on an incarnation with their ages. It leaves out unconfirmed runs that were ordered after a
-// connection to the incarnation had broken, by which time it had ended.
+// connection to the incarnation had broken, by which time it had ended, and those of which the incarnation has accepted a stop: a run
+// that it hadn't listed by then doesn't begin any more.
 func (e *Engine) crashedRuns(n *node, incarnation string) []crashedRun {
 	tasks := e.tasksWithRun[incarnation]
 	alive, timed := time.Time{}, false
@@ -48,7 +49,7 @@
 	}
 	runs := make([]crashedRun, 0, len(tasks))
 	for _, t := range tasks {
-		if timed && !t.started && t.startedAt.After(n.brokenAt) {
+		if !t.started && (timed && t.startedAt.After(n.brokenAt) || t.stoppedSequence > 0) {
 			continue
 		}
 		begun := t.begunAt()
