--- a/test/workflows/random_faults_test.go
+++ b/test/workflows/random_faults_test.go
@@ -115,6 +115,19 @@
 	watchedShare = 5
 )
 
+// drawStopTime draws how long stops take. It is drawn last, so that the rest of a seed's history doesn't depend on it.
+func drawStopTime(t *rapid.T) time.Duration {
+	return time.Duration(rapid.IntRange(0, int(longestStopTime.Milliseconds())).Draw(t, "stop time")) * time.Millisecond
+}
+
+// drawStopTime draws how long stops take in a history.
+func (f *randomFaults) drawStopTime(t *rapid.T) time.Duration {
+	if len(f.stopTimes) == 0 {
+		return drawStopTime(t)
+	}
+	return rapid.SampledFrom(f.stopTimes).Draw(t, "stop time")
+}
+
 func drawActions(t *rapid.T, kinds []string) []action {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) action {
 		return action{
@@ -241,7 +254,7 @@
 	limited bool
 	// staleCalls are the calls for former incarnations that executors carry out.
 	staleCalls nodetest.StaleCalls
-	// stopTimes are the times that executors may take to stop a run, of which each history draws one; stops take no time if there are none.
+	// stopTimes are the times that executors may take to stop a run, of which each history draws one; up to longestStopTime if there are none.
 	stopTimes []time.Duration
 }
 
@@ -267,10 +280,7 @@
 			// The oracle of standstills doesn't know of jobs that are given up since executors crash under them again and again.
 			watched = false
 		}
-		options := fleet{fetchOrders: faults.fetching, retention: faults.retention}
-		if len(faults.stopTimes) > 0 {
-			options.stopTime = rapid.SampledFrom(faults.stopTimes).Draw(rt, "stop time")
-		}
+		options := fleet{fetchOrders: faults.fetching, retention: faults.retention, stopTime: faults.drawStopTime(rt)}
 		failure := ""
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
--- a/test/workflows/stale_calls_test.go
+++ b/test/workflows/stale_calls_test.go
@@ -463,12 +463,13 @@
 func checkRandomStaleHolds(t *testing.T, holds []staleHold) {
 	rapid.Check(t, func(rt *rapid.T) {
 		history := drawStaleHistory(rt, holds)
+		stopTime := drawStopTime(rt)
 		var violations []string
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			defer time.Sleep(callDrainTime)
 			defer cancel()
-			f := newFleet(t, ctx, 4)
+			f := newFleetWithStopTime(t, ctx, 4, stopTime)
 			time.Sleep(startupTime)
 			violations = newStaleLease(f).play(history)
 		})
--- a/test/workflows/standstill_faults_test.go
+++ b/test/workflows/standstill_faults_test.go
@@ -180,12 +180,13 @@
 		plans := drawJobPlans(rt, faults.deadly)
 		hosts := rapid.Permutation([]int{0, 1, 2, 3, 4, 5}).Draw(rt, "hosts")[:rapid.IntRange(1, maxFaultyHosts).Draw(rt, "faulty")]
 		after := rapid.IntRange(0, len(plans)).Draw(rt, "jobs before faults")
+		stopTime := drawStopTime(rt)
 		failure := ""
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			defer time.Sleep(callDrainTime)
 			defer cancel()
-			f := newFleet(t, ctx, standstillHosts)
+			f := newFleetWithStopTime(t, ctx, standstillHosts, stopTime)
 			f.setDurations()
 			time.Sleep(startupTime)
 			failure = f.runLastingFaults(&faults, plans, hosts, after)
