Let connections to an executor of the soak end with their incarnation

Change: while calls wait for the next life of an executor, only those on connections that no former life has served reach it; the others are aborted, as by a reset. Orders that are left unanswered and carried out late still reach any life under their ID.

--- a/test/soak/executor_test.go
+++ b/test/soak/executor_test.go
@@ -110,7 +110,7 @@
 		if err != nil {
 			return err
 		}
-		server := &http.Server{Handler: x.handler()}
+		server := &http.Server{Handler: x.handler(), ConnContext: withConnection}
 		x.server = server
 		go func() { _ = server.Serve(listener) }()
 	}
@@ -156,7 +156,7 @@
 	connectionsReset ending = iota
 	// hostSilent means that nothing shows, since the host doesn't respond either.
 	hostSilent
-	// callsWait means that calls without a response, and those that come until the next life begins, wait for that life.
+	// callsWait means that the connections end, and that calls on those which are opened until the next life begins wait for that life.
 	callsWait
 )
 
--- a/test/soak/orders_test.go
+++ b/test/soak/orders_test.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"time"
 
@@ -52,7 +54,8 @@
 	WaitMs       int64  `json:"waitMs"`
 }
 
-// call is a call to an executor, which any life under the ID that it names carries out unless its connection was reset before.
+// call is a call to an executor. A life under the ID that it names carries it out unless its connection was reset before, or has carried a
+// call to another life: such a connection ends with that life. What is left are connections that were opened between two lives.
 type call struct {
 	orderBody
 	// instance is the ID that it names; empty if it names none.
@@ -60,10 +63,34 @@
 	// server is the server that it has reached, and receiver the life; nil if it came between two lives.
 	server   *http.Server
 	receiver *life
+	// connection is the one on which it came, and late is set if it is left unanswered and carried out by whichever life there is then.
+	connection *connection
+	late       bool
 	// effect carries it out.
 	effect func(*life, *orderBody) (int, map[string]any)
 }
 
+// connection is a connection to an executor. Its field is guarded by the lock of the executor.
+type connection struct {
+	// life is the first one that has received a call on it; nil if none has.
+	life *life
+}
+
+// connectionKey is the key of the connection in the context of a request.
+type connectionKey struct{}
+
+func withConnection(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, &connection{})
+}
+
+// bind binds the connection to a life, and reports whether no other one has received a call on it.
+func (c *connection) bind(l *life) bool {
+	if c.life == nil {
+		c.life = l
+	}
+	return c.life == l
+}
+
 func (x *executor) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/run-start", x.order((*life).startRun))
@@ -82,6 +109,7 @@
 			return
 		}
 		if rand.Float64() < fault.late {
+			c.late = true
 			time.AfterFunc(time.Duration(rand.Float64()*float64(fault.lateTime)), func() { x.carryOutLate(c) })
 			platformtest.LeaveUnanswered(r)
 		}
@@ -101,9 +129,13 @@
 		return executorFault{}, false
 	}
 	c.instance = r.Header.Get("Quetzalshed-Expected-Instance")
+	c.connection = r.Context().Value(connectionKey{}).(*connection)
 	x.mu.Lock()
 	fault := x.fault
 	c.server, c.receiver = x.server, x.life
+	if x.life != nil {
+		c.connection.bind(x.life)
+	}
 	x.mu.Unlock()
 	if fault.delay > 0 {
 		time.Sleep(time.Duration(rand.Float64() * float64(fault.delay) / 2))
@@ -147,7 +179,7 @@
 	x.awaitLife()
 	l = x.life
 	switch {
-	case l == nil || c.server != x.server:
+	case l == nil || c.server != x.server || !c.late && !c.connection.bind(l):
 		return nil, 0, nil
 	case c.instance != "" && c.instance != l.id:
 		return l, http.StatusMisdirectedRequest, nil
