--- a/test/workflows/fleet_test.go
+++ b/test/workflows/fleet_test.go
@@ -92,10 +92,6 @@
 	stopTime time.Duration
 }
 
-func newFleet(t testing.TB, ctx context.Context, hosts int) *fleet {
-	return newFleetOf(t, ctx, hosts, false)
-}
-
 func newFleetOf(t testing.TB, ctx context.Context, hosts int, fetching bool) *fleet {
 	return newRetainingFleet(t, ctx, hosts, fetching, 0)
 }
