Stop runs at once if no time is left for the first report

A node that learns of an incarnation late, after a pause, let its runs go on for 250 ms more, so that an owner in touch could renew the lease.

Change: the 250 ms are given only if a stop that begins after them still ends in time.

Result: TestLateFirstAnswerStopsRunsAtOnce fails without the change and passes with it, as does TestFirstReportRenewsLeaseBeforeRunsAreStopped, which guards the 250 ms where there is time.

--- a/node/stale_stops.go
+++ b/node/stale_stops.go
@@ -22,8 +22,8 @@
 	// staleStopInterval is the time between two checks while a stale lease lasts on. Timers stand still while the host is suspended, so it
 	// is also the longest delay after a suspension.
 	staleStopInterval = 50 * time.Millisecond
-	// staleReportTime is how long after the first answer of an incarnation its runs are left alone: an owner that is in touch renews the
-	// lease on the report of that answer.
+	// staleReportTime is how long after the first answer of an incarnation its runs are left alone if that leaves the time for a stop: an
+	// owner that is in touch renews the lease on the report of that answer.
 	staleReportTime = 250 * time.Millisecond
 )
 
@@ -81,12 +81,15 @@
 	if !end.After(n.grantedUntil.Add(owner.LeaseExpiryMargin)) {
 		return false
 	}
-	due := n.staleRunLimit().Add(-n.stopTime - staleStopAllowance)
+	limit := n.staleRunLimit()
+	due := limit.Add(-n.stopTime - staleStopAllowance)
 	if n.staleLease.ofFormerProcess && n.outlivesStaleCalls() {
 		// Nothing but the restart of the node's process speaks for a stale lease, and all other runs lapse with the granted one.
 		due = latest(due, n.grantedUntil)
 	}
-	due = latest(due, n.staleLease.boundedAt.Add(staleReportTime))
+	if reported := n.staleLease.boundedAt.Add(staleReportTime); !reported.Add(n.stopTime).After(limit) {
+		due = latest(due, reported)
+	}
 	return !n.clock.Now().Before(due)
 }
 
--- a/node/stale_stops_test.go
+++ b/node/stale_stops_test.go
@@ -312,6 +312,19 @@
 	})
 }
 
+// Guards against a node that waits for the reply to its first report of an incarnation when no time is left for that.
+func TestLateFirstAnswerStopsRunsAtOnce(t *testing.T) {
+	x := newStopExecutor(acceptAtOnce)
+	runWithStaleRuns(t, 900*time.Millisecond, x, 1, func(f *staleFixture) {
+		f.Announce(workflow.Executor{ID: "i-1", StartedUnixMillis: 8000}, 1, nextClockMillis)
+		time.Sleep(time.Until(f.grantedAt.Add(owner.ExecutorLeaseDuration)))
+		f.boundStaleLease(&holdCall{incarnation: "i-1@8000", epoch: 1}, &RunLists{ClockMillis: nextClockMillis, StartedUnixMillis: 8000})
+		f.applyLists("i-1@8000", &RunLists{ClockMillis: nextClockMillis, StartedUnixMillis: 8000, Running: f.running}, 0)
+		time.Sleep(staleStopInterval)
+		f.Check(x.copies(staleTask(0)), qt.Equals, 1)
+	})
+}
+
 // Guards against a node that counts the granted lease as longer than it is, since its host was suspended: an owner goes on counting.
 func TestStaleRunIsStoppedAfterSuspension(t *testing.T) {
 	x := newStopExecutor(acceptAtOnce)
