Test stops that executors have accepted and that had no effect

Callers have not seen this. An executor that fetches its orders may lose an answer that holds a stop, which the node counts as accepted.

Change: an engine test, and TestStopsInLostAnswersAreOrderedAgain with executors that lose answers for a second after a cancellation, with stops of 0 to 2500 ms.

Measured: both pass on this code and fail with the condition taken out.

--- a/test/workflows/fleet_test.go
+++ b/test/workflows/fleet_test.go
@@ -63,6 +63,8 @@
 	suspension    *suspension
 	// mute is set while the executor's announcements are lost.
 	mute atomic.Bool
+	// losesAnswers is set while the executor that fetches its orders gets no answers.
+	losesAnswers atomic.Bool
 	// fencingToken is the highest fencing token that the executor has fetched. A process that was killed while its host was suspended
 	// may still pass one on beside the next process.
 	fencingToken atomic.Int64
@@ -235,6 +237,9 @@
 	h.suspension.await()
 	commands := mailbox.Fetch(incarnation, lists)
 	h.suspension.await()
+	if h.losesAnswers.Load() {
+		return announceInterval
+	}
 	if time.Since(sentAt) > maxFetchTime {
 		return commands.FetchAgain
 	}
--- a/test/workflows/slow_stops_test.go
+++ b/test/workflows/slow_stops_test.go
@@ -1,7 +1,9 @@
 package workflows_test
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -55,6 +57,57 @@
 	}
 }
 
+// Guards against tasks of a cancelled job that run on, or a start in the place of one (LIMIT), since their executors have fetched the stops in
+// answers that were lost: the owner counts such a stop as accepted.
+func TestStopsInLostAnswersAreOrderedAgain(t *testing.T) {
+	for _, stopTime := range longStopTimes {
+		t.Run(stopTime.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer time.Sleep(callDrainTime)
+				defer cancel()
+				f := (&fleet{fetchOrders: true, stopTime: stopTime}).setUp(t, ctx, 3)
+				time.Sleep(startupTime)
+				f.testStopsInLostAnswers()
+			})
+		})
+	}
+}
+
+// testStopsInLostAnswers cancels a job that fills all executors, while another one waits.
+func (f *fleet) testStopsInLostAnswers() {
+	f.Helper()
+	f.setDuration(endlessTime)
+	id := f.submit(12)
+	f.waitFor(10*time.Second, func() bool { return f.checker.runningCount() == 12 })
+	f.submit(12)
+	for _, h := range f.hosts {
+		h.losesAnswers.Store(true)
+	}
+	f.Assert(f.gateway.Cancel(f.ctx, id), qt.IsNil)
+	time.Sleep(disturbedTime)
+	for _, h := range f.hosts {
+		h.losesAnswers.Store(false)
+	}
+	time.Sleep(cancellationBound + f.stopTime - disturbedTime)
+	f.Assert(f.checker.runningOf(id), qt.Equals, 0)
+	f.waitFor(10*time.Second, func() bool { return f.checker.runningCount() == 12 })
+	f.Assert(f.checker.foundViolations(), qt.HasLen, 0)
+}
+
+// runningOf returns how many runs of a job exist.
+func (o *invariantChecker) runningOf(job string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	count := 0
+	for task := range o.running {
+		if id, _ := workflow.ParseTaskID(task); id.Job == job {
+			count++
+		}
+	}
+	return count
+}
+
 // setDuration sets how long the runs take that start from now on.
 func (f *fleet) setDuration(d time.Duration) {
 	for _, h := range f.hosts {
--- a/workflow/engine/ends_test.go
+++ b/workflow/engine/ends_test.go
@@ -61,3 +61,20 @@
 		h.Assert(h.phase(job.ID), qt.Equals, workflow.Completed)
 	}
 }
+
+// Guards against a cancelled task that runs on since the stop that its executor has accepted had no effect: an executor that fetches its
+// orders may not have received the answer.
+func TestAcceptedStopIsOrderedAgainWhileRunIsListed(t *testing.T) {
+	h := newHarness(t)
+	x := executor("a", 1)
+	job, running := h.startJob(x, step(1))
+	h.report("a", x, running, nil)
+	h.engine.Cancel(job.ID, h.now, h.now)
+	for range 3 {
+		orders := h.plan()["a"]
+		h.Assert(orders.Stops, qt.HasLen, 1)
+		h.accept("a", orders)
+		h.now = h.now.Add(time.Second)
+		h.report("a", x, running, nil)
+	}
+}
