--- a/test/workflows/random_history_test.go
+++ b/test/workflows/random_history_test.go
@@ -108,6 +108,8 @@
 	case "suspend-twice":
 		host.suspension.suspend(time.Second + a.pause)
 		time.AfterFunc(time.Second+a.pause+a.pause%maxWakeTime, func() { host.suspension.suspend(time.Second + 3*a.pause) })
+	case "lose-answers", "get-answers":
+		host.losesAnswers.Store(a.kind == "lose-answers")
 	case "cut", "reconnect":
 		h.network.SetPartitioned(host.name, a.kind == "cut")
 	default:
@@ -256,6 +258,7 @@
 		h.network.SetPartitioned(host.name, false)
 		host.executor.SetUnresponsive(false)
 		host.executor.SetDelayedShare(0)
+		host.losesAnswers.Store(false)
 		if _, up := host.executor.Describe(); !up || h.misreported[i] {
 			host.executor.Restart()
 		}
--- a/test/workflows/slow_stops_test.go
+++ b/test/workflows/slow_stops_test.go
@@ -178,9 +178,10 @@
 	checkRandomFaults(t, randomFaults{kinds: stopActionKinds, taskTime: mediumTaskTime, limited: true, stopTimes: longStopTimes})
 }
 
-// Guards against the same when executors fetch their orders.
+// Guards against the same when executors fetch their orders and lose answers.
 func TestRandomStopsKeepLimitsWithFetchedOrders(t *testing.T) {
-	checkRandomFaults(t, randomFaults{kinds: stopActionKinds, taskTime: mediumTaskTime, limited: true, fetching: true, stopTimes: longStopTimes})
+	kinds := append([]string{"lose-answers", "lose-answers", "get-answers"}, stopActionKinds...)
+	checkRandomFaults(t, randomFaults{kinds: kinds, taskTime: mediumTaskTime, limited: true, fetching: true, stopTimes: longStopTimes})
 }
 
 // Guards against the same with gangs, and with executors of several kinds that are replaced by others.
