Write the file of TestFollowFile in one step

Cause: os.WriteFile truncates the file before it writes it, and the test sends itself a signal each 10 ms, of which one was still pending, so that the file was read while it was empty.

--- a/hosting/hosting_test.go
+++ b/hosting/hosting_test.go
@@ -86,7 +86,12 @@
 func TestFollowFile(t *testing.T) {
 	c := qt.New(t)
 	path := filepath.Join(t.TempDir(), "file")
-	write := func(content string) { c.Assert(os.WriteFile(path, []byte(content), 0o600), qt.IsNil) }
+	// A signal that is still pending must not show the file between its truncation and the write of its content.
+	write := func(content string) {
+		next := path + ".next"
+		c.Assert(os.WriteFile(next, []byte(content), 0o600), qt.IsNil)
+		c.Assert(os.Rename(next, path), qt.IsNil)
+	}
 	write("a")
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
