Test stops of stale starts' runs that are held up, lost or not answered

The test holds each stop up for 1.8 s, loses 7 of 10, or loses each answer, at stop times of 0 to 1500 ms.

--- a/test/workflows/stale_stops_test.go
+++ b/test/workflows/stale_stops_test.go
@@ -49,3 +49,23 @@
 		}
 	}
 }
+
+// Guards against the same where the executor carries the stop out late, or gives no answer to it: a stop without an answer proves nothing.
+func TestStopOfStaleStartsRunIsHeldUp(t *testing.T) {
+	for name, faults := range map[string]nodetest.CallFaults{
+		"held up":     {OrdersOnly: true, Delayed: 1, MinDelay: 1800 * time.Millisecond},
+		"lost":        {OrdersOnly: true, Delayed: 0.7, MinDelay: time.Minute},
+		"answer lost": {OrdersOnly: true, AnswerLost: 1},
+	} {
+		for _, stopTime := range stopTimes {
+			t.Run(fmt.Sprintf("%s, %v", name, stopTime), func(t *testing.T) {
+				runWithStopTime(t, 3, stopTime, func(f *fleet) {
+					s := newStaleLease(f)
+					s.runStaleStartAndCutHostOff()
+					s.executor.SetCallFaults(faults)
+					s.assertRunsOnce()
+				})
+			})
+		}
+	}
+}
