Test nodes that are paused or killed well before their stop is due

The pauses of the tests of a node that is paused when the stop is due lasted 3 s from their beginning, so that one that began early ended in time. They last until 3 s after the end of the granted lease now, and the earlier faults begin 5, 4 and 3 s before it.

--- a/test/workflows/stops_beyond_lease_test.go
+++ b/test/workflows/stops_beyond_lease_test.go
@@ -17,15 +17,15 @@
 const (
 	// slowAnswerTime is how long a slow executor takes to answer a call, within the time limits of the node's calls.
 	slowAnswerTime = 700 * time.Millisecond
-	// pauseTime is how long the process of a node is paused.
-	pauseTime = 3 * time.Second
+	// wakeTime is how long after the end of a granted lease the process of a node that was paused goes on.
+	wakeTime = 3 * time.Second
 )
 
-// faultTimes are how long before the end of a granted lease, which was renewed when its host was cut off, a fault of the node begins, and
-// earlyFaultTimes are those before it may stop the run.
+// faultTimes are how long before the end of a granted lease, which was renewed when its host was cut off, a fault of the node begins.
+// earlyFaultTimes are those that may leave no time for a stop.
 var (
 	faultTimes      = []time.Duration{2 * time.Second, time.Second, 500 * time.Millisecond, 0}
-	earlyFaultTimes = []time.Duration{4 * time.Second, 3 * time.Second}
+	earlyFaultTimes = []time.Duration{5 * time.Second, 4 * time.Second, 3 * time.Second}
 )
 
 // testStopBeyondLease runs a test for each stop time: a stale start has been carried out, its host is cut off, and disturb is called.
@@ -107,30 +107,30 @@
 	testStopBeyondLease(t, stopTimes, (*staleLease).cutAll)
 }
 
-// Guards against the same where the process of the node is paused while a stop may be under way.
-func TestNodeIsPausedWhenStopIsDue(t *testing.T) { testPausedNode(t, faultTimes) }
+// Guards against the same where the process of the node is paused when the stop is due.
+func TestNodeIsPausedWhenStopIsDue(t *testing.T) { testPauseOfNode(t, faultTimes) }
 
-// Guards against the same where the process is paused before it may stop the run, and until that is too late.
-func TestNodeIsPausedBeforeStopIsDue(t *testing.T) { testPausedNode(t, earlyFaultTimes) }
+// Guards against the same where the process of the node is paused before the stop is due.
+func TestNodeIsPausedBeforeStopIsDue(t *testing.T) { testPauseOfNode(t, earlyFaultTimes) }
 
-func testPausedNode(t *testing.T, faultTimes []time.Duration) {
+func testPauseOfNode(t *testing.T, faultTimes []time.Duration) {
 	for _, before := range faultTimes {
 		t.Run(before.String(), func(t *testing.T) {
 			testStopBeyondLease(t, stopTimes, func(s *staleLease) {
 				s.awaitFaultTime(before)
-				s.suspension.suspend(pauseTime)
+				s.suspension.suspend(before + wakeTime)
 			})
 		})
 	}
 }
 
-// Guards against the same where the process of the node is killed while a stop may be under way, for good or until the next one starts.
-func TestNodeIsKilledWhenStopIsDue(t *testing.T) { testKilledNode(t, faultTimes) }
+// Guards against the same where the process of the node is killed when the stop is due, for good or until the next one starts.
+func TestNodeIsKilledWhenStopIsDue(t *testing.T) { testKillOfNode(t, faultTimes) }
 
-// Guards against the same where the process is killed before it may stop the run.
-func TestNodeIsKilledBeforeStopIsDue(t *testing.T) { testKilledNode(t, earlyFaultTimes) }
+// Guards against the same where the process of the node is killed before the stop is due.
+func TestNodeIsKilledBeforeStopIsDue(t *testing.T) { testKillOfNode(t, earlyFaultTimes) }
 
-func testKilledNode(t *testing.T, faultTimes []time.Duration) {
+func testKillOfNode(t *testing.T, faultTimes []time.Duration) {
 	for name, starts := range map[string]bool{"for good": false, "next process starts": true} {
 		for _, before := range faultTimes {
 			t.Run(name+", "+before.String(), func(t *testing.T) {
