Split the files of package ingress by job

conn.go held the listener with its bound, the lists of connections and the deadlines of one connection; body.go the accounting of a body, reading it and the responses to refused requests; ingress_test.go the harness and the tests of bodies, connections and limits (585 lines).

listener.go, conn_list.go, read_body.go and responses.go take the parts of the code; harness_test.go, body_test.go, conn_test.go and limits_test.go those of the tests. Behaviour and tests are unchanged.

--- /dev/null
+++ b/ingress/conn_test.go
@@ -0,0 +1,188 @@
+package ingress
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a connection bound that closes the wrong connection: idle ones come first, in the order in which they became
+// idle, then incomplete ones by age, and one with a complete request is never closed.
+func TestConnectionBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		release := make(chan struct{})
+		s := newServer(Limits{Connections: 8}, 8, func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/wait" {
+				<-release
+			}
+			readAndEcho(1000)(w, r)
+		})
+		defer s.close()
+		waiting, body, header, silent := s.dial(), s.dial(), s.dial(), s.dial()
+		waiting.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+		time.Sleep(10 * time.Millisecond)
+		header.send("GET / HTTP/1.1\r\nHo")
+		body.send(post(10) + "1")
+		time.Sleep(10 * time.Millisecond)
+		c.Assert(waiting.isOpen() && body.isOpen() && header.isOpen() && silent.isOpen(), qt.IsTrue)
+
+		// The bound of a share of 8 sixteenths is 4.
+		idle := s.dial() // Closes header, which is incomplete since it was accepted; body is so since it is awaited.
+		c.Assert(header.isOpen(), qt.IsFalse)
+		c.Assert(body.isOpen() && silent.isOpen() && waiting.isOpen(), qt.IsTrue)
+		idle.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		time.Sleep(10 * time.Millisecond)
+		next := s.dial()
+		c.Assert(idle.isOpen(), qt.IsFalse)
+		c.Assert(body.isOpen() && silent.isOpen() && waiting.isOpen(), qt.IsTrue)
+		for range 3 {
+			c.Assert(next.isOpen(), qt.IsTrue)
+			next.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+			time.Sleep(10 * time.Millisecond)
+			next = s.dial()
+		}
+		c.Assert(silent.isOpen() || body.isOpen(), qt.IsFalse)
+		c.Assert(next.isOpen(), qt.IsFalse, qt.Commentf("all others have a complete request"))
+		close(release)
+		synctest.Wait()
+		c.Assert(waiting.isOpen(), qt.IsTrue)
+		_ = waiting.Close()
+		<-waiting.ended
+		c.Assert(waiting.received.String(), qt.Contains, "200 OK")
+		c.Assert(s.count(connectionRefused), qt.Equals, int64(1))
+		c.Assert(s.count(idleClosed), qt.Equals, int64(1))
+		c.Assert(s.count(incompleteClosed), qt.Equals, int64(3))
+	})
+}
+
+// Guards against a client that holds a connection, whose request is complete, for ever by not reading its responses, and against
+// closing that of a client which is only slow.
+func TestClientsMustReadResponses(t *testing.T) {
+	for _, reads := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			const responses = 50
+			s := newServer(NewLimits(184, 4100), MainShare, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "x") })
+			defer s.close()
+			near, far := net.Pipe()
+			s.listener.accepted <- far
+			go func() { _, _ = io.WriteString(near, strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", responses)) }()
+			start, received := time.Now(), 0
+			if !reads {
+				time.Sleep(maxWriteTime + time.Second)
+			}
+			for reader := bufio.NewReader(near); ; received++ {
+				response, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					break
+				}
+				_, _ = io.Copy(io.Discard, response.Body)
+				time.Sleep(4 * time.Second)
+			}
+			if reads {
+				c.Assert(received, qt.Equals, responses, qt.Commentf("after %v", time.Since(start)))
+			} else {
+				c.Assert(received, qt.Equals, 0)
+				c.Assert(s.count(responseStalled), qt.Equals, int64(1))
+			}
+			_ = near.Close()
+		})
+	}
+}
+
+// Guards against limits that replace those of a handler which reserves memory and limits times itself, and against one that keeps
+// the handler's write deadline for the next request.
+func TestHandlersMayLimitThemselves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const readTime, writeTime = 2 * maxBodyTime, time.Second
+		s := newServer(Limits{BodyBytes: 1000}, MainShare, func(w http.ResponseWriter, r *http.Request) {
+			ReservesItself(r)
+			control := http.NewResponseController(w)
+			_ = control.SetReadDeadline(time.Now().Add(readTime))
+			data, err := io.ReadAll(r.Body)
+			if err != nil {
+				w.WriteHeader(http.StatusTeapot)
+				return
+			}
+			_ = control.SetReadDeadline(time.Time{})
+			_ = control.SetWriteDeadline(time.Now().Add(writeTime))
+			fmt.Fprintf(w, "%d bytes", len(data))
+		})
+		defer s.close()
+		slow := s.dial()
+		slow.send(post(5000) + "1")
+		time.Sleep(readTime - time.Second)
+		slow.send(strings.Repeat("x", 4999))
+		// The write deadline of the response must not end the response to the next request.
+		time.Sleep(writeTime + time.Second)
+		slow.send(post(2) + "12")
+		synctest.Wait()
+		_ = slow.Close()
+		<-slow.ended
+		c.Assert(slow.received.String(), qt.Contains, "5000 bytes")
+		c.Assert(slow.received.String(), qt.Contains, "2 bytes")
+		silent := s.dial()
+		start := time.Now()
+		silent.send(post(5000) + "1")
+		<-silent.ended
+		c.Assert(silent.endedAt.Sub(start), qt.Equals, readTime)
+
+		near, far := net.Pipe()
+		s.listener.accepted <- far
+		go func() { _, _ = io.WriteString(near, post(1)+"1") }()
+		start = time.Now()
+		time.Sleep(writeTime + time.Millisecond)
+		_, err := near.Read(make([]byte, 1))
+		c.Assert(err, qt.IsNotNil, qt.Commentf("after %v", time.Since(start)))
+		_ = near.Close()
+	})
+}
+
+// Guards against headers of many short lines, which take many times their size when they are decoded, and against counting the
+// lines of a body or of further requests.
+func TestHeaderLinesAreLimited(t *testing.T) {
+	lines := func(n int) string { return strings.Repeat("a: b\r\n", n) }
+	body := strings.Repeat("\n", 3000)
+	for _, test := range []struct {
+		name, request string
+		// cut is where the request is divided into two pieces.
+		cut    int
+		served bool
+	}{
+		{"few", "GET / HTTP/1.1\r\nHost: h\r\n" + lines(100) + "\r\n", 0, true},
+		{"many", "GET / HTTP/1.1\r\nHost: h\r\n" + lines(130) + "\r\n", 0, false},
+		{"many in two pieces", "GET / HTTP/1.1\r\nHost: h\r\n" + lines(130) + "\r\n", 300, false},
+		{"endless", "GET / HTTP/1.1\r\nHost: h\r\n" + lines(2000), 700, false},
+		{"body", post(3000) + body, 0, true},
+		{"body in a piece of its own", post(3000) + body, len(post(3000)), true},
+		{"body after some of the header", post(3000) + body, 10, true},
+		{"pipelined", strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 100), 0, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				s := newServer(NewLimits(184, 4100), MainShare, readAndEcho(8<<20))
+				defer s.close()
+				client := s.dial()
+				client.send(test.request[:test.cut])
+				time.Sleep(time.Millisecond)
+				client.send(test.request[test.cut:])
+				synctest.Wait()
+				_ = client.Close()
+				<-client.ended
+				c.Assert(strings.Contains(client.received.String(), "200 OK"), qt.Equals, test.served, qt.Commentf("%.200s", client.received.String()))
+				c.Assert(s.count(headerTooLong) == 0, qt.Equals, test.served)
+			})
+		})
+	}
+}
