List the modules of the guarantees tests once

Three files of test/guarantees imported the same eleven modules for their registration. The modules of the test binary, and so behaviour and tests, are unchanged. Ran: go test ./test/guarantees; gofumpt and go vet.

--- a/test/guarantees/process_test.go
+++ b/test/guarantees/process_test.go
@@ -12,18 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	_ "github.com/quetzalshed/quetzalshed/agent/announcer"
-	_ "github.com/quetzalshed/quetzalshed/agent/requests"
-	_ "github.com/quetzalshed/quetzalshed/agent/runner"
-	_ "github.com/quetzalshed/quetzalshed/config/configmodule"
-	_ "github.com/quetzalshed/quetzalshed/entry/jobs"
-	_ "github.com/quetzalshed/quetzalshed/entry/operators"
-	_ "github.com/quetzalshed/quetzalshed/entry/requests"
-	_ "github.com/quetzalshed/quetzalshed/gossip"
 	"github.com/quetzalshed/quetzalshed/kernel"
-	_ "github.com/quetzalshed/quetzalshed/scheduler/plugins"
-	_ "github.com/quetzalshed/quetzalshed/shard"
-	_ "github.com/quetzalshed/quetzalshed/store/storemodule"
 	"github.com/quetzalshed/quetzalshed/test/faultnet"
 	"github.com/quetzalshed/quetzalshed/test/processtest"
 )
