Name the gateway's queries for load summaries

want, ask, asked, askPause and receiveNone of package gateway could mean the wish for room, the request, its end or its time. Queues with recent submissions are active queues (markActive, activeAt, activeWindow), requests for summaries are queries (beginQuery, endQuery, queryDone, queriedAt, queryLoad, newSummaryRequest, summaryWait, maxSummaryQueries), an answer without a summary is recorded with recordNoSummary and pauses queries for noSummaryPause, and recentJobs.footprint returns the footprint of recent jobs. TestAsksAreLimited is TestQueriesAreLimited, with the same checks.

Only names and comments change; metrics, headers and log lines are the same. Behaviour is unchanged.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -31,7 +31,7 @@
 // admit decides whether a job may be stored. If so, it counts the job as being stored and returns since when. A job that was submitted
 // here before without a rejection, or that the store may hold, is admitted in any case, so that no rejection contradicts an acceptance.
 func (g *Gateway) admit(ctx context.Context, job *workflow.Job, request *admission.Request) (since time.Time, err error) {
-	g.loads.want(job.Queue.Name, time.Now())
+	g.loads.markActive(job.Queue.Name, time.Now())
 	g.recent.beginWait(request)
 	defer g.recent.endWait(request)
 	g.refreshLoad(ctx, &job.Queue, request)
--- a/gateway/load_queries.go
+++ b/gateway/load_queries.go
@@ -13,17 +13,17 @@
 )
 
 const (
-	// askWait is how long the submission of a job waits for summaries, and maxAsks for how many.
-	askWait = 150 * time.Millisecond
-	maxAsks = 3
+	// summaryWait and maxSummaryQueries limit for how long, and for how many summaries, the submission of a job waits.
+	summaryWait       = 150 * time.Millisecond
+	maxSummaryQueries = 3
 )
 
 // refreshLoad asks the owner for a summary of a queue if the gateway has received none for admission.FreshAge, or if it needs a higher
 // grant for the job. Large jobs wait for the answer, and others if they need a higher grant.
 func (g *Gateway) refreshLoad(ctx context.Context, q *workflow.Queue, request *admission.Request) {
-	timer := time.NewTimer(askWait)
+	timer := time.NewTimer(summaryWait)
 	defer timer.Stop()
-	for range maxAsks {
+	for range maxSummaryQueries {
 		now := time.Now()
 		s := g.snapshot(q, request, now)
 		needsGrant, pause := admission.NeedsGrant(&s, request), admission.FreshAge
@@ -35,19 +35,19 @@
 		if _, present := g.locator.Current(); !present {
 			return
 		}
-		asked, isFirst := g.loads.beginAsk(q.Name, pause, now)
-		if asked == nil {
+		queryDone, isFirst := g.loads.beginQuery(q.Name, pause, now)
+		if queryDone == nil {
 			return
 		}
 		if isFirst {
 			g.metrics.loadAsked.Inc(1)
-			go g.askLoad(context.WithoutCancel(ctx), q.Name, asked)
+			go g.queryLoad(context.WithoutCancel(ctx), q.Name, queryDone)
 		}
 		if !request.IsLarge() && !needsGrant {
 			return
 		}
 		select {
-		case <-asked:
+		case <-queryDone:
 		case <-timer.C:
 			return
 		case <-ctx.Done():
@@ -56,18 +56,18 @@
 	}
 }
 
-func (g *Gateway) askLoad(ctx context.Context, queue string, asked chan struct{}) {
-	defer g.loads.endAsk(queue, asked)
+func (g *Gateway) queryLoad(ctx context.Context, queue string, queryDone chan struct{}) {
+	defer g.loads.endQuery(queue, queryDone)
 	var status workflow.QueueStatus
-	if err := g.queryOwnerFor(ctx, owner.QueuePath+url.PathEscape(queue), g.ask(queue), &status); err != nil {
+	if err := g.queryOwnerFor(ctx, owner.QueuePath+url.PathEscape(queue), g.newSummaryRequest(queue), &status); err != nil {
 		g.log.Debug("no summary of the load", "queue", queue, "error", err)
 	}
 }
 
-// ask returns the request for a summary of a queue. For small jobs it asks for room for twice as many as the gateway has got lately, since
-// that many may follow.
-func (g *Gateway) ask(queue string) *admission.Ask {
-	want := g.recent.want(time.Now())
+// newSummaryRequest returns the request for a summary of a queue. For small jobs it asks for room for twice as many as the gateway has
+// got lately, since that many may follow.
+func (g *Gateway) newSummaryRequest(queue string) *admission.Ask {
+	want := g.recent.footprint(time.Now())
 	want.Small = 2*want.Small + admission.SmallGrant
 	return &admission.Ask{Gateway: g.instance, Want: want, Queue: queue}
 }
@@ -78,7 +78,7 @@
 	text := response.Header.Get(admission.Header)
 	if text == "" {
 		if response.Status == http.StatusOK {
-			g.loads.receiveNone(now)
+			g.loads.recordNoSummary(now)
 		}
 		return
 	}
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -8,12 +8,12 @@
 )
 
 const (
-	// wantedWindow is how long after a submission the gateway asks for summaries of its queue.
-	wantedWindow = 10 * time.Second
-	// askPause is how long the gateway doesn't ask an owner that has answered without a summary, since its version has none.
-	askPause = 30 * time.Second
-	// maxWantedQueues bounds the queues of which summaries are kept. Beyond it, all are asked for anew.
-	maxWantedQueues = 256
+	// activeWindow is how long after a submission the gateway asks for summaries of its queue.
+	activeWindow = 10 * time.Second
+	// noSummaryPause is how long the gateway doesn't ask an owner that has answered without a summary, since its version has none.
+	noSummaryPause = 30 * time.Second
+	// maxActiveQueues bounds the queues of which summaries are kept. Beyond it, all are dropped and queried again.
+	maxActiveQueues = 256
 	// summaryResolution is the unit of ages in summaries, by which they may be too low.
 	summaryResolution = time.Millisecond
 )
@@ -34,49 +34,50 @@
 	mu sync.Mutex
 	// newest is the newest summary of any queue, nil before the first.
 	newest *receivedSummary
-	queues map[string]*wantedQueue
-	// pausedUntil is when an owner without summaries may be asked again.
+	queues map[string]*activeQueue
+	// pausedUntil is when an owner without summaries may be queried again.
 	pausedUntil time.Time
 }
 
-// wantedQueue is a queue that jobs are submitted to.
-type wantedQueue struct {
-	wantedAt, askedAt time.Time
+// activeQueue is a queue that jobs were submitted to within activeWindow.
+type activeQueue struct {
+	// activeAt is when a job was last submitted, or a summary was last queried for a submission.
+	activeAt, queriedAt time.Time
 	// summary is the newest one with the load of the queue, nil before the first.
 	summary *receivedSummary
-	// asked is closed once the query in progress has ended; nil if there is none.
-	asked chan struct{}
+	// queryDone is closed once the query in progress has ended; nil if there is none.
+	queryDone chan struct{}
 }
 
-func newLoads() *loads { return &loads{queues: map[string]*wantedQueue{}} }
+func newLoads() *loads { return &loads{queues: map[string]*activeQueue{}} }
 
-// want records that a job was submitted to a queue.
-func (l *loads) want(queue string, now time.Time) {
+// markActive records that a job was submitted to a queue.
+func (l *loads) markActive(queue string, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.queue(queue).wantedAt = now
+	l.queue(queue).activeAt = now
 }
 
 // queue returns the state of a queue. The caller holds the lock.
-func (l *loads) queue(name string) *wantedQueue {
+func (l *loads) queue(name string) *activeQueue {
 	q := l.queues[name]
 	if q == nil {
-		if len(l.queues) >= maxWantedQueues {
+		if len(l.queues) >= maxActiveQueues {
 			clear(l.queues)
 		}
-		q = &wantedQueue{}
+		q = &activeQueue{}
 		l.queues[name] = q
 	}
 	return q
 }
 
-// nextQueue returns the wanted queue with the oldest summary. It returns false if no jobs have been submitted for a while.
+// nextQueue returns the active queue with the oldest summary. It returns false if no jobs have been submitted for a while.
 func (l *loads) nextQueue(now time.Time) (name string, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var oldest time.Time
 	for candidate, q := range l.queues {
-		if now.Sub(q.wantedAt) > wantedWindow {
+		if now.Sub(q.activeAt) > activeWindow {
 			delete(l.queues, candidate)
 			continue
 		}
@@ -107,11 +108,11 @@
 	}
 }
 
-// receiveNone records that an owner has answered without a summary.
-func (l *loads) receiveNone(now time.Time) {
+// recordNoSummary records that an owner has answered without a summary.
+func (l *loads) recordNoSummary(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.pausedUntil = now.Add(askPause)
+	l.pausedUntil = now.Add(noSummaryPause)
 }
 
 // current returns the newest summary with the load of a queue and the newest of any queue, nil if there are none. Summaries of owners
@@ -128,29 +129,29 @@
 	return load, newest
 }
 
-// beginAsk returns a channel that is closed when the query for a queue's summary in progress has ended, or nil if the gateway must not
+// beginQuery returns a channel that is closed when the query for a queue's summary in progress has ended, or nil if the gateway must not
 // ask: it has asked within the given pause, or the owner has no summaries. isFirst is set if the caller has to make the query and then
-// call endAsk.
-func (l *loads) beginAsk(queue string, pause time.Duration, now time.Time) (asked chan struct{}, isFirst bool) {
+// call endQuery.
+func (l *loads) beginQuery(queue string, pause time.Duration, now time.Time) (queryDone chan struct{}, isFirst bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	q := l.queue(queue)
-	if q.asked != nil {
-		return q.asked, false
+	if q.queryDone != nil {
+		return q.queryDone, false
 	}
-	if now.Sub(q.askedAt) < pause || now.Before(l.pausedUntil) {
+	if now.Sub(q.queriedAt) < pause || now.Before(l.pausedUntil) {
 		return nil, false
 	}
-	q.wantedAt, q.askedAt, q.asked = now, now, make(chan struct{})
-	return q.asked, true
+	q.activeAt, q.queriedAt, q.queryDone = now, now, make(chan struct{})
+	return q.queryDone, true
 }
 
-// endAsk ends the query that began with the given channel.
-func (l *loads) endAsk(queue string, asked chan struct{}) {
+// endQuery ends the query that began with the given channel.
+func (l *loads) endQuery(queue string, queryDone chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if q := l.queues[queue]; q != nil && q.asked == asked {
-		q.asked = nil
+	if q := l.queues[queue]; q != nil && q.queryDone == queryDone {
+		q.queryDone = nil
 	}
-	close(asked)
+	close(queryDone)
 }
--- a/gateway/loads_test.go
+++ b/gateway/loads_test.go
@@ -30,8 +30,8 @@
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
 	l := newLoads()
-	l.want("a", now)
-	l.want("b", now)
+	l.markActive("a", now)
+	l.markActive("b", now)
 	l.receive(summaryOf(2, 5, "a"), now, now)
 	l.receive(summaryOf(2, 4, "a"), now, now)
 	l.receive(summaryOf(1, 9, "b"), now, now)
@@ -56,7 +56,7 @@
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
 	l := newLoads()
-	l.want("a", now)
+	l.markActive("a", now)
 	s := summaryOf(1, 1, "a")
 	s.Age = 300 * time.Millisecond
 	l.receive(s, now, now.Add(200*time.Millisecond))
@@ -65,7 +65,7 @@
 	c.Assert(load.takenBefore, qt.Equals, now.Add(-100*time.Millisecond))
 }
 
-// Guards against a queue that is never asked for, and against requests for summaries without submissions.
+// Guards against a queue that is never queried, and against requests for summaries without submissions.
 func TestQueueWithOldestSummaryIsNext(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
@@ -73,7 +73,7 @@
 	_, ok := l.nextQueue(now)
 	c.Assert(ok, qt.IsFalse)
 	for _, name := range []string{"a", "b", "c"} {
-		l.want(name, now)
+		l.markActive(name, now)
 	}
 	for i, want := range []string{"a", "b", "c", "a", "b"} {
 		at := now.Add(time.Duration(i) * time.Millisecond)
@@ -81,30 +81,30 @@
 		c.Assert(name, qt.Equals, want)
 		l.receive(summaryOf(1, int64(i), name), at, at)
 	}
-	_, ok = l.nextQueue(now.Add(wantedWindow + time.Second))
+	_, ok = l.nextQueue(now.Add(activeWindow + time.Second))
 	c.Assert(ok, qt.IsFalse)
 	c.Assert(l.queues, qt.HasLen, 0)
 }
 
 // Guards against more than one query at a time, against queries in quick succession, and against queries to owners without summaries.
-func TestAsksAreLimited(t *testing.T) {
+func TestQueriesAreLimited(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
 	l := newLoads()
-	asked, isFirst := l.beginAsk("a", time.Second, now)
+	queryDone, isFirst := l.beginQuery("a", time.Second, now)
 	c.Assert(isFirst, qt.IsTrue)
-	other, isFirst := l.beginAsk("a", time.Second, now)
+	other, isFirst := l.beginQuery("a", time.Second, now)
 	c.Assert(isFirst, qt.IsFalse)
-	c.Assert(other, qt.Equals, asked)
-	l.endAsk("a", asked)
+	c.Assert(other, qt.Equals, queryDone)
+	l.endQuery("a", queryDone)
 	<-other
-	other, _ = l.beginAsk("a", time.Second, now.Add(999*time.Millisecond))
+	other, _ = l.beginQuery("a", time.Second, now.Add(999*time.Millisecond))
 	c.Assert(other, qt.IsNil)
-	asked, _ = l.beginAsk("a", time.Second, now.Add(time.Second))
-	c.Assert(asked, qt.IsNotNil)
-	l.receiveNone(now.Add(time.Second))
-	l.endAsk("a", asked)
-	other, _ = l.beginAsk("a", time.Second, now.Add(10*time.Second))
+	queryDone, _ = l.beginQuery("a", time.Second, now.Add(time.Second))
+	c.Assert(queryDone, qt.IsNotNil)
+	l.recordNoSummary(now.Add(time.Second))
+	l.endQuery("a", queryDone)
+	other, _ = l.beginQuery("a", time.Second, now.Add(10*time.Second))
 	c.Assert(other, qt.IsNil)
 }
 
--- a/gateway/recent.go
+++ b/gateway/recent.go
@@ -75,8 +75,8 @@
 	r.waiting = r.waiting.Sub(admission.GrantOf(request))
 }
 
-// want returns the footprint of the jobs that have been accepted lately, are being stored or have not been decided on yet.
-func (r *recentJobs) want(now time.Time) admission.Grant {
+// footprint returns the footprint of the jobs that have been accepted lately, are being stored or have not been decided on yet.
+func (r *recentJobs) footprint(now time.Time) admission.Grant {
 	accepted := r.tasksSince(now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -15,8 +15,8 @@
 // queryOwner sends a query to the owner. It asks for a summary of the load with it while jobs are submitted.
 func (g *Gateway) queryOwner(ctx context.Context, path string, into any) error {
 	var ask *admission.Ask
-	if queue, wanted := g.loads.nextQueue(time.Now()); wanted {
-		ask = g.ask(queue)
+	if queue, ok := g.loads.nextQueue(time.Now()); ok {
+		ask = g.newSummaryRequest(queue)
 	}
 	return g.queryOwnerFor(ctx, path, ask, into)
 }
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -29,7 +29,7 @@
 		return eris.Wrap(ErrUnavailable, err.Error())
 	}
 	request := admission.NewRequest(job)
-	storing, err := g.admit(ctx, job, &request)
+	storingSince, err := g.admit(ctx, job, &request)
 	if err != nil {
 		return err
 	}
@@ -41,7 +41,7 @@
 	g.metrics.acceptTime.RecordDuration(took)
 	g.recordSubmission(job, repeated, err, took)
 	g.submitted.end(job.ID)
-	g.recent.end(&job.Queue, &request, storing, time.Now(), !repeated && !errors.Is(err, ErrUnavailable))
+	g.recent.end(&job.Queue, &request, storingSince, time.Now(), !repeated && !errors.Is(err, ErrUnavailable))
 	return err
 }
 
