Name what package ingress exempts, watches and logs

ReservesItself read like a question, transfer.due and watchBytes hid that they are a read deadline and the size of a read, and a type lines held the state that limits the log. They are ExemptBody, transfer.readDeadline, watchReadBytes and logLimiter. The package comment names all limits and says untrusted clients; the comments on write deadlines, heap fractions, the program text and two tests say directly what holds and why.

Only names and comments change; metrics, log lines and their fields are the same. Behaviour is unchanged.

--- a/agent/requests/serve.go
+++ b/agent/requests/serve.go
@@ -33,7 +33,7 @@
 		m.reply(out, id, notRun(reasonBadRequest, 0), nil)
 		return
 	}
-	ingress.ReservesItself(r)
+	ingress.ExemptBody(r)
 	_ = out.control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	a, reason := m.readAttempt(id, r)
 	if reason != "" {
--- a/entry/requests/body.go
+++ b/entry/requests/body.go
@@ -53,7 +53,7 @@
 
 // newCallerBody wraps the body of the request, whose memory and time are limited here.
 func newCallerBody(w http.ResponseWriter, r *http.Request) *callerBody {
-	ingress.ReservesItself(r)
+	ingress.ExemptBody(r)
 	b := &callerBody{ReadCloser: r.Body, writer: w, complete: r.ContentLength == 0}
 	r.Body = b
 	return b
--- a/ingress/bench_test.go
+++ b/ingress/bench_test.go
@@ -11,8 +11,8 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// BenchmarkRequest measures an ordinary request with a body of 300 bytes on a kept connection, with the limits, without them, and
-// with http.MaxBytesReader and io.ReadAll, which read bodies before.
+// BenchmarkRequest measures a request with a body of 300 bytes on a persistent connection, with the limits, without them, and with
+// http.MaxBytesReader and io.ReadAll instead of this package.
 func BenchmarkRequest(b *testing.B) {
 	readAll := func(w http.ResponseWriter, r *http.Request) {
 		data, _ := io.ReadAll(http.MaxBytesReader(w, r.Body, 1000))
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -93,9 +93,9 @@
 	}
 }
 
-// ReservesItself excludes the body of a request from the limits on memory and time, for handlers that apply their own. It must be
+// ExemptBody excludes the body of a request from the limits on memory and time, for handlers that apply their own. It must be
 // called before the body is read.
-func ReservesItself(r *http.Request) {
+func ExemptBody(r *http.Request) {
 	b, ok := r.Body.(*body)
 	if !ok {
 		return
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -47,19 +47,19 @@
 // minExtension is the least extension of a read deadline, so that small pieces don't extend it each time.
 const minExtension = 250 * time.Millisecond
 
-// due returns when the next byte must have arrived.
-func (t *transfer) due() time.Time {
+// readDeadline returns when the next byte must have arrived.
+func (t *transfer) readDeadline() time.Time {
 	earned := time.Duration(float64(t.received) / minBodyRate * float64(time.Second))
 	return t.started.Add(min(bodyGrace+earned, maxBodyTime))
 }
 
-// watchBytes is the size of the reads by which package http watches a connection for its end while a request is processed. It
+// watchReadBytes is the size of the reads by which package http watches a connection for its end while a request is processed. It
 // starts them at the end of the body, before the reader of the body learns of it. Reads of a body have the size of a buffer.
-const watchBytes = 1
+const watchReadBytes = 1
 
 // Read reads from the connection.
 func (c *conn) Read(p []byte) (int, error) {
-	if len(p) == watchBytes {
+	if len(p) == watchReadBytes {
 		return c.Conn.Read(p)
 	}
 	if !c.receiving.Load() {
@@ -101,8 +101,8 @@
 	return true
 }
 
-// Write writes to the connection. A client that doesn't read its responses must not keep the connection, which counts as one with
-// a complete request. The deadline is moved seldom, since each ordinary response takes one write.
+// Write writes to the connection with a deadline: a connection with a complete request is never closed for another one, so a client
+// that doesn't read its responses would hold it for ever. The deadline is moved seldom, since each ordinary response takes one write.
 func (c *conn) Write(p []byte) (int, error) {
 	now := time.Now()
 	if c.writeUntil.Load()-now.UnixNano() < int64(minWriteTime) {
@@ -154,9 +154,9 @@
 	if t.fixed {
 		return
 	}
-	if due := t.due(); due.Sub(t.deadline) >= minExtension {
-		t.deadline = due
-		_ = c.Conn.SetReadDeadline(due)
+	if deadline := t.readDeadline(); deadline.Sub(t.deadline) >= minExtension {
+		t.deadline = deadline
+		_ = c.Conn.SetReadDeadline(deadline)
 	}
 }
 
--- a/ingress/conn_test.go
+++ b/ingress/conn_test.go
@@ -64,8 +64,8 @@
 	})
 }
 
-// Guards against a client that holds a connection, whose request is complete, for ever by not reading its responses, and against
-// closing that of a client which is only slow.
+// Guards against a client that holds a connection with a complete request for ever by not reading its responses, and against closing
+// the connection of a client that only reads slowly.
 func TestClientsMustReadResponses(t *testing.T) {
 	for _, reads := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
@@ -99,14 +99,14 @@
 	}
 }
 
-// Guards against limits that replace those of a handler which reserves memory and limits times itself, and against one that keeps
-// the handler's write deadline for the next request.
+// Guards against limits that override those of a handler that reserves memory and sets deadlines itself, and against a write deadline
+// of a handler that stays in force for the next request.
 func TestHandlersMayLimitThemselves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		const readTime, writeTime = 2 * maxBodyTime, time.Second
 		s := newServer(Limits{BodyBytes: 1000}, MainShare, func(w http.ResponseWriter, r *http.Request) {
-			ReservesItself(r)
+			ExemptBody(r)
 			control := http.NewResponseController(w)
 			_ = control.SetReadDeadline(time.Now().Add(readTime))
 			data, err := io.ReadAll(r.Body)
--- a/ingress/events.go
+++ b/ingress/events.go
@@ -33,22 +33,23 @@
 // logInterval is the least time between two log lines about one kind of event.
 const logInterval = 10 * time.Second
 
-// events counts events and logs the first of each kind in a while.
+// events counts events and logs at most one of each kind per logInterval.
 type events struct {
 	log      hclog.Logger
 	counters [eventKinds]tally.Counter
-	lines    *lines
+	limiter  *logLimiter
 }
 
-type lines struct {
+// logLimiter limits how often each kind of event is logged.
+type logLimiter struct {
 	mu sync.Mutex
-	// last is when each kind of event was logged last, and unlogged is how many have occurred since.
+	// last is when each kind of event was last logged, and unlogged is how many have occurred since.
 	last     [eventKinds]time.Time
 	unlogged [eventKinds]int64
 }
 
 func newEvents(log hclog.Logger, scope tally.Scope) events {
-	e := events{log: log, lines: &lines{}}
+	e := events{log: log, limiter: &logLimiter{}}
 	for kind, name := range eventNames {
 		e.counters[kind] = scope.Counter(name)
 	}
@@ -58,16 +59,16 @@
 func (e *events) record(kind event, args ...any) {
 	e.counters[kind].Inc(1)
 	now := time.Now()
-	e.lines.mu.Lock()
-	quiet := now.Sub(e.lines.last[kind]) < logInterval
-	suppressed := e.lines.unlogged[kind]
-	if quiet {
-		e.lines.unlogged[kind]++
+	e.limiter.mu.Lock()
+	suppress := now.Sub(e.limiter.last[kind]) < logInterval
+	unlogged := e.limiter.unlogged[kind]
+	if suppress {
+		e.limiter.unlogged[kind]++
 	} else {
-		e.lines.last[kind], e.lines.unlogged[kind] = now, 0
+		e.limiter.last[kind], e.limiter.unlogged[kind] = now, 0
 	}
-	e.lines.mu.Unlock()
-	if !quiet {
-		e.log.Warn("incoming requests limited", append([]any{"kind", eventNames[kind], "since_last_line", suppressed}, args...)...)
+	e.limiter.mu.Unlock()
+	if !suppress {
+		e.log.Warn("incoming requests limited", append([]any{"kind", eventNames[kind], "since_last_line", unlogged}, args...)...)
 	}
 }
--- a/ingress/limiter.go
+++ b/ingress/limiter.go
@@ -1,5 +1,5 @@
-// Package ingress bounds what the HTTP servers of a process take in from clients that nobody controls: the memory of all bodies,
-// the time that a body takes, and the open connections.
+// Package ingress limits what untrusted clients can use of the HTTP servers of a process: the memory of all bodies, the time that a
+// body or a response takes, the lines of a header, and the open connections.
 package ingress
 
 import (
@@ -27,7 +27,7 @@
 	bodies connList
 }
 
-// NewLimiter returns a limiter that applies limits to all servers that it is set up with.
+// NewLimiter returns a limiter that applies limits to all servers that Protect sets up.
 func NewLimiter(limits Limits, log hclog.Logger, scope tally.Scope) *Limiter {
 	lim := &Limiter{limits: limits, events: newEvents(log, scope.SubScope("ingress")), bodies: connList{kind: bodyList}}
 	if limits.BodyBytes > 0 {
--- a/ingress/limits.go
+++ b/ingress/limits.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Limits bounds what the HTTP servers of a process take in. Zero values mean no limit.
+// Limits are the limits of the HTTP servers of a process. Zero values mean no limit.
 type Limits struct {
 	// BodyBytes is the memory for bodies that are being read or processed, including what decoding them allocates.
 	BodyBytes int64
@@ -29,8 +29,8 @@
 	// MB is the unit of the memory limit in the settings, in bytes. The smaller of the usual meanings is safe for both.
 	MB = 1_000_000
 
-	// programBytes is the memory that the program text takes: 14.5 MB are resident in a gateway that has served some requests,
-	// and the text has 22 MB.
+	// programBytes is the memory that the program text takes: 14.5 MB of its 22 MB are resident in a gateway that has served some
+	// requests.
 	programBytes = 20 * MB
 	// systemDivisor is the fraction of the memory that is left to the operating system, for instance for bytes that connections
 	// have received and that have not been read, and for garbage beyond the soft memory limit of the Go runtime.
@@ -79,7 +79,8 @@
 	// maxBodyTime is how long a body may take in total. The clients of a queue give up after 3 s unless it sets a timeout, and
 	// the largest body between processes (8 MiB) takes 7 s on the slowest link.
 	maxBodyTime = 30 * time.Second
-	// maxWriteTime and minWriteTime limit how long a client may take to accept a part of a response: between the two.
+	// A client may take between minWriteTime and maxWriteTime to accept a part of a response, since the deadline is moved only once
+	// less than minWriteTime is left.
 	maxWriteTime = 30 * time.Second
 	minWriteTime = 20 * time.Second
 	// lingerTime is how long the rest of a refused body may take. If a connection is closed with unread bytes, it is reset, and
@@ -112,11 +113,9 @@
 	return l
 }
 
-const (
-	// Fractions of a soft memory limit of the Go runtime. The product's own processes bound requests that they forward by budgets
-	// of their own.
-	heapBodyDivisor, heapConnectionDivisor = 8, 4
-)
+// heapBodyDivisor and heapConnectionDivisor are the fractions of a soft memory limit of the Go runtime for bodies and connections.
+// Entries and agents limit the requests that they forward by budgets of their own.
+const heapBodyDivisor, heapConnectionDivisor = 8, 4
 
 // HeapLimits returns the limits for a process with a soft memory limit of its own in bytes, and a number of file descriptors that
 // is 0 if it is unknown.
