Let receivers and variables follow the names of their types

They now follow the present names.

Only local names, one test field, one test name and comments change. Behaviour is unchanged.

--- a/agent/announcer/entry_client.go
+++ b/agent/announcer/entry_client.go
@@ -52,62 +52,62 @@
 }
 
 func newEntryClient(m *Module, address netip.AddrPort) *entryClient {
-	p := &entryClient{
+	c := &entryClient{
 		module: m, url: "http://" + address.String() + "/v1/announce",
 		wake: make(chan struct{}, 1), disconnected: make(chan struct{}, 1),
 	}
 	transport := &http.Transport{
 		MaxIdleConns: 1, IdleConnTimeout: maxInterval * 2, DisableCompression: true,
-		DialContext: dialWatched(&net.Dialer{Timeout: m.settings.Timeout}, p.onDisconnect),
+		DialContext: dialWatched(&net.Dialer{Timeout: m.settings.Timeout}, c.onDisconnect),
 	}
-	p.client = &http.Client{Transport: transport, Timeout: m.settings.Timeout}
-	return p
+	c.client = &http.Client{Transport: transport, Timeout: m.settings.Timeout}
+	return c
 }
 
 // onDisconnect counts and signals that the entry has closed a connection.
-func (p *entryClient) onDisconnect() {
-	p.module.connectionsLost.Inc(1)
+func (c *entryClient) onDisconnect() {
+	c.module.connectionsLost.Inc(1)
 	select {
-	case p.disconnected <- struct{}{}:
+	case c.disconnected <- struct{}{}:
 	default:
 	}
 }
 
 // trigger requests an announcement without waiting for the interval. done, if not nil, is closed after the announcement.
-func (p *entryClient) trigger(done chan struct{}) {
+func (c *entryClient) trigger(done chan struct{}) {
 	if done != nil {
-		p.mu.Lock()
-		p.waiting = append(p.waiting, done)
-		p.mu.Unlock()
+		c.mu.Lock()
+		c.waiting = append(c.waiting, done)
+		c.mu.Unlock()
 	}
 	select {
-	case p.wake <- struct{}{}:
+	case c.wake <- struct{}{}:
 	default:
 	}
 }
 
-func (p *entryClient) run(ctx context.Context) {
-	defer p.client.CloseIdleConnections()
+func (c *entryClient) run(ctx context.Context) {
+	defer c.client.CloseIdleConnections()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-p.disconnected:
+		case <-c.disconnected:
 			// An entry that has restarted knows no upstreams. All agents notice the restart at the same time, so each waits
 			// for a random part of Interval. While the entry is down, announcements are repeated at Interval.
-			timer.Reset(rand.N(p.module.settings.Interval))
+			timer.Reset(rand.N(c.module.settings.Interval))
 			continue
 		case <-timer.C:
-		case <-p.wake:
+		case <-c.wake:
 		}
-		p.mu.Lock()
-		waiting := p.waiting
-		p.waiting = nil
-		p.mu.Unlock()
-		next, err := p.send(ctx)
-		p.recordResult(err)
+		c.mu.Lock()
+		waiting := c.waiting
+		c.waiting = nil
+		c.mu.Unlock()
+		next, err := c.send(ctx)
+		c.recordResult(err)
 		for _, done := range waiting {
 			close(done)
 		}
@@ -133,36 +133,36 @@
 }
 
 // recordResult counts an announcement, and logs when the entry starts or stops accepting announcements.
-func (p *entryClient) recordResult(err error) {
+func (c *entryClient) recordResult(err error) {
 	if err == nil {
-		p.module.sent.Inc(1)
+		c.module.sent.Inc(1)
 	} else {
-		p.module.failed.Inc(1)
+		c.module.failed.Inc(1)
 	}
-	if p.failing == (err != nil) {
+	if c.failing == (err != nil) {
 		return
 	}
-	p.failing = err != nil
-	if p.failing {
-		p.module.log.Warn("entry does not take announcements", "url", p.url, "error", err)
+	c.failing = err != nil
+	if c.failing {
+		c.module.log.Warn("entry does not take announcements", "url", c.url, "error", err)
 		return
 	}
-	p.module.log.Info("entry takes announcements", "url", p.url)
+	c.module.log.Info("entry takes announcements", "url", c.url)
 }
 
 // send sends one announcement and returns the time until the next one.
-func (p *entryClient) send(ctx context.Context) (time.Duration, error) {
-	interval := p.module.settings.Interval
-	body, err := json.Marshal(p.module.announcement())
+func (c *entryClient) send(ctx context.Context) (time.Duration, error) {
+	interval := c.module.settings.Interval
+	body, err := json.Marshal(c.module.announcement())
 	if err != nil {
 		return interval, eris.Wrap(err, "encoding the announcement")
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, p.url, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url, bytes.NewReader(body))
 	if err != nil {
 		return interval, eris.Wrap(err, "building the announcement")
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := p.client.Do(request)
+	response, err := c.client.Do(request)
 	if err != nil {
 		return interval, eris.Wrap(err, "announcing")
 	}
@@ -181,22 +181,22 @@
 	if err := json.Unmarshal(raw, &reply); err != nil {
 		return interval, eris.Wrap(err, "decoding the reply")
 	}
-	p.recordIncarnation(reply.Incarnation)
+	c.recordIncarnation(reply.Incarnation)
 	if reply.NextAfterMillis > 0 {
 		millis := min(max(reply.NextAfterMillis, minInterval.Milliseconds()), maxInterval.Milliseconds())
 		interval = time.Duration(millis) * time.Millisecond
 	}
 	if response.Close {
-		interval = min(interval, maxIntervalsAfterClose*p.module.settings.Interval)
+		interval = min(interval, maxIntervalsAfterClose*c.module.settings.Interval)
 	}
 	return interval, nil
 }
 
 // recordIncarnation stores the incarnation of the entry, and counts and logs a restart if it has changed.
-func (p *entryClient) recordIncarnation(incarnation string) {
-	if p.incarnation != "" && p.incarnation != incarnation {
-		p.module.entryRestarts.Inc(1)
-		p.module.log.Info("entry has restarted", "url", p.url, "incarnation", incarnation)
+func (c *entryClient) recordIncarnation(incarnation string) {
+	if c.incarnation != "" && c.incarnation != incarnation {
+		c.module.entryRestarts.Inc(1)
+		c.module.log.Info("entry has restarted", "url", c.url, "incarnation", incarnation)
 	}
-	p.incarnation = incarnation
+	c.incarnation = incarnation
 }
--- a/agent/requests/latency.go
+++ b/agent/requests/latency.go
@@ -69,11 +69,11 @@
 }
 
 // all returns the upstreams sorted by service.
-func (d *upstreamRegistry) all() []*upstream {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	list := make([]*upstream, 0, len(d.byService))
-	for _, u := range d.byService {
+func (reg *upstreamRegistry) all() []*upstream {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	list := make([]*upstream, 0, len(reg.byService))
+	for _, u := range reg.byService {
 		list = append(list, u)
 	}
 	slices.SortFunc(list, func(a, b *upstream) int { return cmp.Compare(a.service, b.service) })
--- a/agent/requests/upstream_registry.go
+++ b/agent/requests/upstream_registry.go
@@ -79,34 +79,34 @@
 }
 
 // register adds or renews an upstream.
-func (d *upstreamRegistry) register(r structs.UpstreamRegistration, address netip.AddrPort) registerResult {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.clock.Now()
-	old, exists := d.byService[r.Service]
+func (reg *upstreamRegistry) register(r structs.UpstreamRegistration, address netip.AddrPort) registerResult {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	now := reg.clock.Now()
+	old, exists := reg.byService[r.Service]
 	switch {
 	case exists && old.leaving:
 		return stillLeaving
 	case exists && old.address == address && old.slots == r.Slots && old.connections == r.Connections:
-		return d.renewLocked(old, now)
-	case d.closed:
+		return reg.renewLocked(old, now)
+	case reg.closed:
 		return stillLeaving
-	case exists && now.Sub(old.renewed) < d.lease:
+	case exists && now.Sub(old.renewed) < reg.lease:
 		return conflicting
 	case exists:
-		d.removeLocked(old)
-	case len(d.byService) >= maxUpstreams:
+		reg.removeLocked(old)
+	case len(reg.byService) >= maxUpstreams:
 		return tooMany
 	}
-	d.byService[r.Service] = &upstream{
+	reg.byService[r.Service] = &upstream{
 		service: r.Service, address: address, slots: r.Slots, connections: r.Connections, renewed: now,
-		admission: limit.NewAdmission(limit.QueueLimits{Slots: r.Slots, MaxWaiting: d.queue}, d.clock),
+		admission: limit.NewAdmission(limit.QueueLimits{Slots: r.Slots, MaxWaiting: reg.queue}, reg.clock),
 		pool:      &pool{address: address, limit: r.Connections, maxIdle: r.Slots}, removed: make(chan struct{}),
 	}
 	return registered
 }
 
-func (d *upstreamRegistry) renewLocked(u *upstream, now time.Time) registerResult {
+func (reg *upstreamRegistry) renewLocked(u *upstream, now time.Time) registerResult {
 	u.renewed = now
 	if !u.expired {
 		return renewed
@@ -118,13 +118,13 @@
 
 // find returns the upstream that accepts new requests for a service, or the reason why there is none. A leaving upstream
 // accepts requests until its admission is closed, since entries learn of the change with a delay.
-func (d *upstreamRegistry) find(service string) (u *upstream, reason string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.closed {
-		return d.byService[service], reasonDraining
+func (reg *upstreamRegistry) find(service string) (u *upstream, reason string) {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	if reg.closed {
+		return reg.byService[service], reasonDraining
 	}
-	if u = d.byService[service]; u == nil || u.expired {
+	if u = reg.byService[service]; u == nil || u.expired {
 		return nil, reasonNoUpstream
 	}
 	return u, ""
@@ -132,10 +132,10 @@
 
 // markLeaving marks an upstream as leaving. first is false if it already was. allowed is false if the remote IP address
 // or the stated address, unless empty, doesn't match the upstream's.
-func (d *upstreamRegistry) markLeaving(service, stated, remote string) (u *upstream, first, allowed bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	u = d.byService[service]
+func (reg *upstreamRegistry) markLeaving(service, stated, remote string) (u *upstream, first, allowed bool) {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	u = reg.byService[service]
 	if u == nil {
 		return nil, false, true
 	}
@@ -154,15 +154,15 @@
 }
 
 // remove removes an upstream, closes its admission and its connections.
-func (d *upstreamRegistry) remove(u *upstream) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.removeLocked(u)
+func (reg *upstreamRegistry) remove(u *upstream) {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	reg.removeLocked(u)
 }
 
-func (d *upstreamRegistry) removeLocked(u *upstream) {
-	if d.byService[u.service] == u {
-		delete(d.byService, u.service)
+func (reg *upstreamRegistry) removeLocked(u *upstream) {
+	if reg.byService[u.service] == u {
+		delete(reg.byService, u.service)
 	}
 	u.admission.Close()
 	u.pool.close()
@@ -171,13 +171,13 @@
 // expire marks the upstreams that haven't renewed in time as expired and returns the services of those that are newly
 // expired. An expired upstream is removed once it has no requests; a leaving one is skipped. Waiting requests of an
 // expired upstream are refused when they get a slot. It also closes connections that have been idle for too long.
-func (d *upstreamRegistry) expire() (expired []string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.clock.Now()
-	for _, u := range d.byService {
+func (reg *upstreamRegistry) expire() (expired []string) {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	now := reg.clock.Now()
+	for _, u := range reg.byService {
 		u.pool.closeExpiredIdle()
-		if u.leaving || now.Sub(u.renewed) < d.lease {
+		if u.leaving || now.Sub(u.renewed) < reg.lease {
 			continue
 		}
 		if !u.expired {
@@ -186,37 +186,37 @@
 			expired = append(expired, u.service)
 		}
 		if load := u.admission.Load(); load.Running+load.Queued == 0 {
-			d.removeLocked(u)
+			reg.removeLocked(u)
 		}
 	}
 	return expired
 }
 
 // close makes the registry refuse all further requests.
-func (d *upstreamRegistry) close() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.closed = true
-	for _, u := range d.byService {
+func (reg *upstreamRegistry) close() {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	reg.closed = true
+	for _, u := range reg.byService {
 		u.admission.Close()
 	}
 }
 
 // closePools closes the connections to all upstreams.
-func (d *upstreamRegistry) closePools() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, u := range d.byService {
+func (reg *upstreamRegistry) closePools() {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	for _, u := range reg.byService {
 		u.pool.close()
 	}
 }
 
 // list returns the upstreams that haven't expired as they are announced, sorted by service.
-func (d *upstreamRegistry) list() []structs.Upstream {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	list := make([]structs.Upstream, 0, len(d.byService))
-	for _, u := range d.byService {
+func (reg *upstreamRegistry) list() []structs.Upstream {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	list := make([]structs.Upstream, 0, len(reg.byService))
+	for _, u := range reg.byService {
 		if u.expired {
 			continue
 		}
--- a/agent/runner/finish_test.go
+++ b/agent/runner/finish_test.go
@@ -114,9 +114,9 @@
 	}), qt.IsTrue)
 }
 
-// Guards against inquiries to a lost host that delay the restart of its tasks: the host never answers, so no wait
+// Guards against worker queries to a lost host that delay the restart of its tasks: the host never answers, so no wait
 // beyond the lease is needed.
-func TestInquiriesToLostHostDelayNoRestart(t *testing.T) {
+func TestWorkerQueriesToLostHostDelayNoRestart(t *testing.T) {
 	assert := qt.New(t)
 	c, n := newClusterWithTaskNearEnd(t)
 	n.killAgent()
--- a/agent/runner/lease_table_test.go
+++ b/agent/runner/lease_table_test.go
@@ -115,22 +115,22 @@
 	heartbeats  int
 }
 
-func (f *stubOwner) Epoch(context.Context, int) (int64, error) { return f.storedEpoch, nil }
+func (o *stubOwner) Epoch(context.Context, int) (int64, error) { return o.storedEpoch, nil }
 
-func (f *stubOwner) Heartbeat(_ context.Context, _ int, hb structs.Heartbeat) (structs.HeartbeatReply, error) {
-	f.heartbeats++
-	return f.reply(hb), nil
+func (o *stubOwner) Heartbeat(_ context.Context, _ int, hb structs.Heartbeat) (structs.HeartbeatReply, error) {
+	o.heartbeats++
+	return o.reply(hb), nil
 }
 
 // stubConfiguration is a Configuration that allows a number of starts.
 type stubConfiguration struct{ allowed int }
 
-func (g *stubConfiguration) MayStart(string) (bool, string) {
-	g.allowed--
-	return g.allowed >= 0, "the domain is out of service"
+func (c *stubConfiguration) MayStart(string) (bool, string) {
+	c.allowed--
+	return c.allowed >= 0, "the domain is out of service"
 }
-func (g *stubConfiguration) Revision() int64                         { return 0 }
-func (g *stubConfiguration) Relay(structs.HeartbeatReply, time.Time) {}
+func (c *stubConfiguration) Revision() int64                         { return 0 }
+func (c *stubConfiguration) Relay(structs.HeartbeatReply, time.Time) {}
 
 func newTestRunner(c clock.Clock, w worker.Worker, owner Transport, allowed int) *Runner {
 	return New(newTestLeaseTable(), w, c, &stubConfiguration{allowed}, owner, nil, hclog.NewNullLogger())
--- a/limit/admission.go
+++ b/limit/admission.go
@@ -68,14 +68,14 @@
 	return a.queue.Load()
 }
 
-func (a *Admission) apply(c Decisions) {
-	for _, id := range c.Start {
+func (a *Admission) apply(d Decisions) {
+	for _, id := range d.Start {
 		close(a.tickets[id].ready)
 	}
-	for i := range c.Refuse {
-		t := a.tickets[c.Refuse[i].ID]
+	for i := range d.Refuse {
+		t := a.tickets[d.Refuse[i].ID]
 		delete(a.tickets, t.id)
-		t.refusal = &c.Refuse[i]
+		t.refusal = &d.Refuse[i]
 		close(t.ready)
 	}
 }
--- a/limit/inflight.go
+++ b/limit/inflight.go
@@ -55,14 +55,14 @@
 }
 
 // before orders waiters by rank, then by deadline, then by arrival.
-func (w *waiter) before(o *waiter) bool {
-	if w.rank != o.rank {
-		return w.rank < o.rank
+func (w *waiter) before(other *waiter) bool {
+	if w.rank != other.rank {
+		return w.rank < other.rank
 	}
-	if !w.deadline.Equal(o.deadline) {
-		return w.deadline.Before(o.deadline)
+	if !w.deadline.Equal(other.deadline) {
+		return w.deadline.Before(other.deadline)
 	}
-	return w.arrival < o.arrival
+	return w.arrival < other.arrival
 }
 
 // Acquire waits for admission. It holds memory for the request's body right away; a request whose body doesn't fit is
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -82,13 +82,13 @@
 	arrival uint64
 }
 
-func (w queueEntry) compare(o queueEntry) int {
+func (e queueEntry) compare(other queueEntry) int {
 	switch {
-	case w.Rank != o.Rank:
-		return w.Rank - o.Rank
-	case !w.Deadline.Equal(o.Deadline):
-		return w.Deadline.Compare(o.Deadline)
-	case w.arrival < o.arrival:
+	case e.Rank != other.Rank:
+		return e.Rank - other.Rank
+	case !e.Deadline.Equal(other.Deadline):
+		return e.Deadline.Compare(other.Deadline)
+	case e.arrival < other.arrival:
 		return -1
 	}
 	return 1
@@ -161,27 +161,27 @@
 }
 
 func (q *Queue) schedule(now time.Time) Decisions {
-	var c Decisions
-	q.refuseLate(&c, now)
+	var d Decisions
+	q.refuseLate(&d, now)
 	for len(q.waiting) > 0 && len(q.running) < q.limits.Slots {
 		next := q.waiting[0]
 		q.waiting = slices.Delete(q.waiting, 0, 1)
 		q.running[next.ID] = now
-		c.Start = append(c.Start, next.ID)
+		d.Start = append(d.Start, next.ID)
 	}
 	for len(q.waiting) > q.limits.MaxWaiting {
 		last := q.waiting[len(q.waiting)-1]
 		finish := q.estimate(len(q.waiting)-1, now)
 		q.waiting = q.waiting[:len(q.waiting)-1]
-		c.Refuse = append(c.Refuse, q.newRefusal(last.Request, ReasonQueueFull, finish, now))
+		d.Refuse = append(d.Refuse, q.newRefusal(last.Request, ReasonQueueFull, finish, now))
 	}
-	return c
+	return d
 }
 
 // refuseLate refuses waiting requests that would miss their deadlines even if they and everything ahead of them took only
 // the 10th percentile of the observed service times. Offer uses the mean for most new requests; the more optimistic
 // estimate keeps noise from refusing requests that were already accepted.
-func (q *Queue) refuseLate(c *Decisions, now time.Time) {
+func (q *Queue) refuseLate(d *Decisions, now time.Time) {
 	if len(q.waiting) == 0 {
 		return
 	}
@@ -196,7 +196,7 @@
 		slot := earliestIndex(free)
 		finish := free[slot].Add(s.low)
 		if finish.After(w.Deadline) || !now.Before(w.Deadline) {
-			c.Refuse = append(c.Refuse, q.newRefusal(w.Request, ReasonTooLate, finish, now))
+			d.Refuse = append(d.Refuse, q.newRefusal(w.Request, ReasonTooLate, finish, now))
 			continue
 		}
 		free[slot] = finish
--- a/scheduler/fixture_test.go
+++ b/scheduler/fixture_test.go
@@ -57,9 +57,9 @@
 // to be harmless.
 type fixedEstimates map[[2]string]interference.Estimate
 
-func (p fixedEstimates) Estimate(service, batch string) interference.Estimate {
-	if e, ok := p[[2]string{service, batch}]; ok {
-		return e
+func (e fixedEstimates) Estimate(service, batch string) interference.Estimate {
+	if estimate, ok := e[[2]string{service, batch}]; ok {
+		return estimate
 	}
 	return interference.Estimate{Slowdown: 1, Known: true}
 }
--- a/scheduler/interference_simulation_test.go
+++ b/scheduler/interference_simulation_test.go
@@ -28,7 +28,7 @@
 	random              *rand.Rand
 	planner             scheduler.Planner
 	model               *interference.Model
-	s                   scheduler.Snapshot
+	snapshot            scheduler.Snapshot
 	ends                map[string]time.Time
 	jobs                int
 	pendingMeasurements []measurement
@@ -45,9 +45,9 @@
 }
 
 func newSimulation(seed uint64, aware bool) *simulation {
-	x := &simulation{random: rand.New(rand.NewPCG(seed, 4)), model: interference.New(interference.Config{}), ends: map[string]time.Time{}}
+	s := &simulation{random: rand.New(rand.NewPCG(seed, 4)), model: interference.New(interference.Config{}), ends: map[string]time.Time{}}
 	if aware {
-		x.s.Interference = x.model
+		s.snapshot.Interference = s.model
 	}
 	classes := []string{"price", "motion", "search"}
 	for i := range 11 {
@@ -57,54 +57,54 @@
 			service.Class = classes[(i+k*(1+i%2))%3]
 			w.Running = append(w.Running, running(service, i*2+k, 0))
 		}
-		x.s.Workers = append(x.s.Workers, w)
+		s.snapshot.Workers = append(s.snapshot.Workers, w)
 	}
-	return x
+	return s
 }
 
-func (x *simulation) step(now time.Time) {
+func (s *simulation) step(now time.Time) {
 	workers := map[string]*scheduler.WorkerView{}
-	for i := range x.s.Workers {
-		w := &x.s.Workers[i]
+	for i := range s.snapshot.Workers {
+		w := &s.snapshot.Workers[i]
 		workers[w.Name] = w
 		w.Running = slices.DeleteFunc(w.Running, func(t scheduler.RunningTask) bool {
-			end, ok := x.ends[t.AllocationID]
+			end, ok := s.ends[t.AllocationID]
 			if ok = ok && !end.After(now); ok {
-				x.finished += t.WorkDone
+				s.finished += t.WorkDone
 			}
 			return ok
 		})
 	}
-	if x.random.Float64() < 0.5 {
-		x.jobs++
-		job := newJob(fmt.Sprintf("b%05d", x.jobs), structs.KindBatch, int64(1000*(1+x.random.IntN(3))))
-		job.Class = []string{"render", "index", "pack"}[x.random.IntN(3)]
-		job.ExpectedSeconds = 30 + x.random.ExpFloat64()*60
-		x.s.Pending = append(x.s.Pending, scheduler.PendingTask{Job: job})
+	if s.random.Float64() < 0.5 {
+		s.jobs++
+		job := newJob(fmt.Sprintf("b%05d", s.jobs), structs.KindBatch, int64(1000*(1+s.random.IntN(3))))
+		job.Class = []string{"render", "index", "pack"}[s.random.IntN(3)]
+		job.ExpectedSeconds = 30 + s.random.ExpFloat64()*60
+		s.snapshot.Pending = append(s.snapshot.Pending, scheduler.PendingTask{Job: job})
 	}
-	for _, p := range x.planner.Plan(x.s, now).Place {
-		i := slices.IndexFunc(x.s.Pending, func(t scheduler.PendingTask) bool { return t.ID() == p.Task })
-		length := time.Duration(x.s.Pending[i].Job.ExpectedSeconds * float64(time.Second))
-		task := running(x.s.Pending[i].Job, 0, length)
-		x.ends[task.AllocationID] = now.Add(length)
-		x.s.Pending = slices.Delete(x.s.Pending, i, i+1)
+	for _, p := range s.planner.Plan(s.snapshot, now).Place {
+		i := slices.IndexFunc(s.snapshot.Pending, func(t scheduler.PendingTask) bool { return t.ID() == p.Task })
+		length := time.Duration(s.snapshot.Pending[i].Job.ExpectedSeconds * float64(time.Second))
+		task := running(s.snapshot.Pending[i].Job, 0, length)
+		s.ends[task.AllocationID] = now.Add(length)
+		s.snapshot.Pending = slices.Delete(s.snapshot.Pending, i, i+1)
 		workers[p.Worker].Running = append(workers[p.Worker].Running, task)
 	}
-	for i := range x.s.Workers {
-		x.measure(&x.s.Workers[i], now)
+	for i := range s.snapshot.Workers {
+		s.measure(&s.snapshot.Workers[i], now)
 	}
-	for len(x.pendingMeasurements) > 0 && now.Sub(x.pendingMeasurements[0].at) >= 5*time.Second {
-		m := x.pendingMeasurements[0]
-		x.model.Observe(m.worker, m.service, m.millis, now.Sub(m.at), now)
-		x.pendingMeasurements = x.pendingMeasurements[1:]
+	for len(s.pendingMeasurements) > 0 && now.Sub(s.pendingMeasurements[0].at) >= 5*time.Second {
+		m := s.pendingMeasurements[0]
+		s.model.Observe(m.worker, m.service, m.millis, now.Sub(m.at), now)
+		s.pendingMeasurements = s.pendingMeasurements[1:]
 	}
-	x.model.Advance(now)
+	s.model.Advance(now)
 }
 
 // measure records the slowdown of the worker's replicas and queues a latency sample of each for the model.
-func (x *simulation) measure(w *scheduler.WorkerView, now time.Time) {
+func (s *simulation) measure(w *scheduler.WorkerView, now time.Time) {
 	loads := w.BatchLoads()
-	x.model.SetLoads(w.Name, loads, now)
+	s.model.SetLoads(w.Name, loads, now)
 	for i := range w.Running {
 		t := &w.Running[i]
 		if t.Job.Kind != structs.KindService {
@@ -114,21 +114,21 @@
 		for _, load := range loads {
 			factor += slowdowns[[2]string{t.Job.Class, load.Class}] * load.Share
 		}
-		x.latencies = append(x.latencies, factor)
-		x.pendingMeasurements = append(x.pendingMeasurements, measurement{w.Name, t.Job.Class, 20 * factor * (0.95 + 0.1*x.random.Float64()), now})
+		s.latencies = append(s.latencies, factor)
+		s.pendingMeasurements = append(s.pendingMeasurements, measurement{w.Name, t.Job.Class, 20 * factor * (0.95 + 0.1*s.random.Float64()), now})
 	}
 }
 
 // run simulates an hour. It returns the fraction of replica seconds above the interference limit, the 99th percentile
 // of the slowdown, and the hours of finished batch work.
-func (x *simulation) run() (slow, p99, finished float64) {
+func (s *simulation) run() (slow, p99, finished float64) {
 	for second := range 3600 {
-		x.step(now.Add(time.Duration(second) * time.Second))
+		s.step(now.Add(time.Duration(second) * time.Second))
 	}
-	slices.Sort(x.latencies)
-	above, _ := slices.BinarySearch(x.latencies, scheduler.DefaultInterferenceLimit)
-	n := len(x.latencies)
-	return 1 - float64(above)/float64(n), x.latencies[n*99/100], x.finished.Hours()
+	slices.Sort(s.latencies)
+	above, _ := slices.BinarySearch(s.latencies, scheduler.DefaultInterferenceLimit)
+	n := len(s.latencies)
+	return 1 - float64(above)/float64(n), s.latencies[n*99/100], s.finished.Hours()
 }
 
 // Checks that placement with the interference model halves the time that services are slowed down too much, and costs
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -172,9 +172,9 @@
 }
 
 // Estimate returns the recorded estimate of a pair. Pairs that were not recorded count as unknown.
-func (p recordedEstimates) Estimate(service, batch string) interference.Estimate {
-	if e, ok := p[[2]string{service, batch}]; ok {
-		return e
+func (e recordedEstimates) Estimate(service, batch string) interference.Estimate {
+	if estimate, ok := e[[2]string{service, batch}]; ok {
+		return estimate
 	}
 	return interference.Estimate{Slowdown: 1}
 }
--- a/shard/step.go
+++ b/shard/step.go
@@ -119,13 +119,13 @@
 		o.mu.Unlock()
 		return nil
 	}
-	b, err := t.nextRecordWrite(o.config.SnapshotEvery, o.clock.Now())
+	write, err := t.nextRecordWrite(o.config.SnapshotEvery, o.clock.Now())
 	o.mu.Unlock()
-	if err != nil || b == nil {
+	if err != nil || write == nil {
 		return err
 	}
 	sent := o.clock.Now()
-	err = appendRecord(ctx, o.store, o.config.Shard, b.record, b.raw)
+	err = appendRecord(ctx, o.store, o.config.Shard, write.record, write.raw)
 	o.mu.Lock()
 	if t.ended {
 		o.mu.Unlock()
@@ -138,18 +138,18 @@
 		o.mu.Unlock()
 		return eris.Wrap(err, "appending a record")
 	}
-	t.committed(b, sent)
+	t.committed(write, sent)
 	o.mu.Unlock()
-	if b.snapshot == nil {
+	if write.snapshot == nil {
 		return nil
 	}
-	return o.writeSnapshot(ctx, t, b)
+	return o.writeSnapshot(ctx, t, write)
 }
 
 // writeSnapshot replaces the snapshot. The revision check prevents a paused former owner from restoring an older
 // snapshot.
-func (o *Owner) writeSnapshot(ctx context.Context, t *term, b *recordWrite) error {
-	entry, err := o.store.Put(ctx, snapshotKey(o.config.Shard), b.snapshot, store.PutOptions{IfRevision: t.snapshotRevision})
+func (o *Owner) writeSnapshot(ctx context.Context, t *term, write *recordWrite) error {
+	entry, err := o.store.Put(ctx, snapshotKey(o.config.Shard), write.snapshot, store.PutOptions{IfRevision: t.snapshotRevision})
 	if errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrUnknownResult) {
 		current, readErr := o.store.Get(ctx, snapshotKey(o.config.Shard))
 		if readErr != nil {
@@ -168,7 +168,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	t.snapshotRevision, t.snapshotSequence = entry.Revision, b.record.Sequence
+	t.snapshotRevision, t.snapshotSequence = entry.Revision, write.record.Sequence
 	return nil
 }
 
--- a/shard/term.go
+++ b/shard/term.go
@@ -109,14 +109,14 @@
 		return nil, nil
 	}
 	count := min(len(pending), maxRecordEvents)
-	b := &recordWrite{count: count}
-	b.record = Record{Sequence: t.nextSequence, Epoch: t.machine.Epoch(), Owner: t.id, Events: slices.Clone(pending[:count])}
+	write := &recordWrite{count: count}
+	write.record = Record{Sequence: t.nextSequence, Epoch: t.machine.Epoch(), Owner: t.id, Events: slices.Clone(pending[:count])}
 	var err error
-	if b.raw, err = json.Marshal(b.record); err != nil {
+	if write.raw, err = json.Marshal(write.record); err != nil {
 		return nil, eris.Wrap(err, "encoding a record")
 	}
 	if count == len(pending) && t.nextSequence-t.snapshotSequence >= snapshotEvery {
-		b.snapshot, err = encodeSnapshot(Snapshot{
+		write.snapshot, err = encodeSnapshot(Snapshot{
 			Sequence: t.nextSequence, Epoch: t.machine.Epoch(), EpochRecords: t.epochRecords, State: t.machine.State(),
 			ModelSummary: t.models.summary(now), FormerPeriods: t.successorWait(now),
 		})
@@ -124,15 +124,15 @@
 			return nil, err
 		}
 	}
-	t.unresolved = b
-	return b, nil
+	t.unresolved = write
+	return write, nil
 }
 
 // committed marks a record as durable; sent is when its append was sent.
-func (t *term) committed(b *recordWrite, sent time.Time) {
+func (t *term) committed(write *recordWrite, sent time.Time) {
 	t.unresolved = nil
-	t.machine.Committed(b.count)
-	t.storedRecords = append(t.storedRecords, b.record.Sequence)
+	t.machine.Committed(write.count)
+	t.storedRecords = append(t.storedRecords, write.record.Sequence)
 	t.nextSequence++
 	t.provenAt = sent
 	t.signal()
