--- a/test/soak/executor_test.go
+++ b/test/soak/executor_test.go
@@ -13,7 +13,6 @@
 // Limits of executors, as in the settings of the processes.
 const (
 	holdMax       = 10 * time.Second
-	stopTime      = 80 * time.Millisecond
 	heartbeatTime = 1500 * time.Millisecond
 	// heartbeatTimeout is how long a response to a heartbeat may take, and heartbeatRetry the pause after a failed one.
 	heartbeatTimeout = time.Second
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -83,6 +83,8 @@
 	clients    *clients
 	anchor     net.Listener
 	services   []serviceKind
+	// stopTime is the time that an executor may take to stop a run, by the settings of the processes.
+	stopTime time.Duration
 	// restartZones holds the zones whose executors no series restarts and cuts off at the moment.
 	restartZones chan int
 }
@@ -92,6 +94,8 @@
 	if err := f.reserveNetwork(); err != nil {
 		return nil, err
 	}
+	f.stopTime = time.Duration(f.drawFor("stop time").Int64N(int64(platformtest.LongestStopTime) + 1)).Round(time.Millisecond)
+	record.addf("a stop takes %v at most", f.stopTime)
 	f.restartZones = make(chan int, zones)
 	for _, zone := range draw.Perm(zones) {
 		f.restartZones <- zone
@@ -255,7 +259,7 @@
 func (f *fleet) settings(host int) string {
 	s := platformtest.Settings{
 		Name: f.processes[host].name, IP: fmt.Sprintf("%s100.%d", f.network, 100+host), Zone: zoneOf(host), InternalPort: internalPort,
-		Store: f.storeAddress(host), Heartbeat: heartbeatTime, MaxLease: holdMax, Grace: graceTime,
+		Store: f.storeAddress(host), Heartbeat: heartbeatTime, MaxLease: holdMax, Grace: graceTime, StopTime: f.stopTime,
 	}
 	if host < frontHosts {
 		s.Front, s.Ready = f.realAddress(host, frontPort), f.realAddress(host, readyPort)
--- a/test/soak/orders_test.go
+++ b/test/soak/orders_test.go
@@ -261,7 +261,7 @@
 	if r != nil && r.number <= b.Run && !r.stopping {
 		r.stopping = true
 		l.x.fleet.oracle.stopped(l, r)
-		time.AfterFunc(time.Duration(rand.Float64()*float64(stopTime)), func() {
+		time.AfterFunc(time.Duration(rand.Float64()*float64(l.x.fleet.stopTime)), func() {
 			l.x.mu.Lock()
 			defer l.x.mu.Unlock()
 			l.endRun(r, "stopped")
--- a/test/untrusted/platform_test.go
+++ b/test/untrusted/platform_test.go
@@ -70,7 +70,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	settings := platformtest.Settings{
 		Name: "a-1", IP: ip, Zone: "a", InternalPort: internalPort, Store: server.Listener.Addr().String(),
-		Heartbeat: heartbeat, MaxLease: maxLease, Grace: grace, MemoryMB: l.memoryMB, MaxFDs: l.descriptors,
+		Heartbeat: heartbeat, MaxLease: maxLease, Grace: grace, StopTime: platformtest.LongestStopTime, MemoryMB: l.memoryMB, MaxFDs: l.descriptors,
 	}
 	role(&settings)
 	path := filepath.Join(t.TempDir(), "settings.yaml")
