Take the stop time of the review's executors from the settings

Each play now draws a stop time of 0 to 900 ms for its settings, records it, and each stop takes up to that.

--- a/review/_standin/calls.go
+++ b/review/_standin/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"time"
@@ -116,7 +117,7 @@
 	if r != nil && r.run <= b.Run && !r.stopping {
 		r.stopping = true
 		l.x.workload.rec.addf("stop of %s run %d on %s", b.Task, b.Run, l.x.name)
-		time.AfterFunc(stopTime, func() {
+		time.AfterFunc(time.Duration(rand.Float64()*float64(l.x.stopTime)), func() {
 			l.x.mu.Lock()
 			l.end(r, "stopped")
 			l.x.mu.Unlock()
--- a/review/_standin/executor.go
+++ b/review/_standin/executor.go
@@ -14,12 +14,13 @@
 
 // Limits of executors, as in the settings of the processes.
 const (
-	holdMax       = 10 * time.Second
-	gangTimeout   = 3 * time.Second
-	stopTime      = 50 * time.Millisecond
-	heartbeatTime = 1500 * time.Millisecond
-	maxEnds       = 500
-	savePeriod    = 500 * time.Millisecond
+	holdMax     = 10 * time.Second
+	gangTimeout = 3 * time.Second
+	// longestStopTime is the longest stop time in the settings of a deployment.
+	longestStopTime = 900 * time.Millisecond
+	heartbeatTime   = 1500 * time.Millisecond
+	maxEnds         = 500
+	savePeriod      = 500 * time.Millisecond
 	// drainTime is how long an executor that drains works on, a little longer than the bound drainMs.
 	drainTime = 2200 * time.Millisecond
 )
@@ -35,6 +36,8 @@
 	labels   []string
 	cpu      int64
 	mem      int64
+	// stopTime is the longest time that a stop takes.
+	stopTime time.Duration
 	mu       sync.Mutex
 	life     *life
 	lives    int
--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -65,6 +65,8 @@
 	executors []*executor
 	processes []*process
 	servers   []*http.Server
+	// stopTime is the time that an executor may take to stop a run, by the settings of the processes.
+	stopTime time.Duration
 
 	mu      sync.Mutex
 	stopped bool
@@ -88,7 +90,8 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{layout: l, rec: rec, dir: dir}
+	f := &fleet{layout: l, rec: rec, dir: dir, stopTime: rand.N(longestStopTime + 1).Round(time.Millisecond)}
+	rec.addf("a stop takes %v at most", f.stopTime)
 	for range 100 {
 		f.network = fmt.Sprintf("127.%d.%d.", 16+rand.IntN(200), 1+rand.IntN(250))
 		if f.isFree() {
@@ -146,6 +149,7 @@
 		f.executors = append(f.executors, &executor{
 			workload: f.workload, name: name, address: f.address(host, appPort), control: f.address(host, controlPort), zone: zoneOf(i),
 			service: service, labels: []string{f.layout.kinds[i%len(f.layout.kinds)], fmt.Sprintf("r-%d", i/3)}, cpu: f.layout.cpu, mem: 64000,
+			stopTime: f.stopTime,
 		})
 		f.addProcess(host, name, "target/quetzalshed-node", "side", sideMemory)
 	}
@@ -204,7 +208,7 @@
 	line("internalPorts:\n  - %d\n  - %d", internalPort, internalPort+15)
 	line("bootstrap: true\ndiscovery: \"local\"\nentry: \"vip\"\nheartbeatMs: 1500")
 	line("limits:\n  cores: 1\n  memoryMb: %d", memoryMB)
-	line("bounds:\n  contactMs: 3000\n  graceS: 6\n  holdMaxMs: 10000\n  stopTimeoutMs: 200\n  gangTimeoutMs: 3000\n  farX: 1.5\n  leaseMs: 3000")
+	line("bounds:\n  contactMs: 3000\n  graceS: 6\n  holdMaxMs: 10000\n  stopTimeoutMs: %d\n  gangTimeoutMs: 3000\n  farX: 1.5\n  leaseMs: 3000", f.stopTime.Milliseconds())
 	line("commands: \"invocation\"")
 	if class == "side" {
 		line("app: %q\nservice: %q", f.address(host, appPort), service)
