Set the defaults of property tests in one place

Fourteen packages each set rapid's seed, and some its checks, steps and fail files, in a TestMain or init of their own, in three ways. rapidtest.Main does it for all of them. test/workflows keeps its own, which also changes the checks of single tests.

Two packages (agent/runner, scheduler) took a flag with rapid's own default value for no flag; there, too, -rapid.seed=0 and -rapid.checks=100 now count as given. A failing test still makes go test exit with 1.

--- a/agent/requests/attempt_tracker_test.go
+++ b/agent/requests/attempt_tracker_test.go
@@ -1,7 +1,6 @@
 package requests
 
 import (
-	"flag"
 	"fmt"
 	"strings"
 	"testing"
@@ -12,12 +11,11 @@
 
 	"github.com/quetzalshed/quetzalshed/clock"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/test/rapidtest"
 )
 
-// The seed is fixed so that each run checks the same cases; -rapid.seed and -rapid.checks select others.
-func init() {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
+func TestMain(m *testing.M) {
+	rapidtest.Main(m, map[string]string{"seed": "1", "nofailfile": "true"})
 }
 
 // expectedAttempt is the model's state of one attempt. It is never dropped.
--- a/agent/runner/model_test.go
+++ b/agent/runner/model_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -15,23 +13,13 @@
 	"github.com/quetzalshed/quetzalshed/config"
 	"github.com/quetzalshed/quetzalshed/store/storetest"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/test/rapidtest"
 	"github.com/quetzalshed/quetzalshed/worker/workertest"
 )
 
-// defaultChecks is the default number of runs. With the race detector each run takes about a quarter of a second.
-const defaultChecks = "40"
-
-// TestMain sets a fixed seed and number of runs for rapid unless they are given as flags.
+// TestMain limits the checks of rapid: with the race detector each takes about a quarter of a second.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
-		_ = f.Value.Set("20261204")
-	}
-	if f := flag.Lookup("rapid.checks"); f != nil && f.Value.String() == f.DefValue {
-		_ = f.Value.Set(defaultChecks)
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
+	rapidtest.Main(m, map[string]string{"seed": "20261204", "checks": "40", "nofailfile": "true"})
 }
 
 // model is the rapid state machine of a cluster under faults.
--- a/entry/requests/outcomes_test.go
+++ b/entry/requests/outcomes_test.go
@@ -1,10 +1,8 @@
 package requests
 
 import (
-	"flag"
 	"fmt"
 	"net/http"
-	"os"
 	"sync"
 	"testing"
 	"time"
@@ -15,14 +13,12 @@
 	"github.com/quetzalshed/quetzalshed/forward/forwardtest"
 	"github.com/quetzalshed/quetzalshed/store/storetest"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/test/rapidtest"
 )
 
-// TestMain fixes the seed of rapid and limits its checks and steps, because each step takes real time. Flags override these.
+// TestMain limits the checks and steps of rapid, because each step takes real time.
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261204")
-	_ = flag.Set("rapid.checks", "25")
-	_ = flag.Set("rapid.steps", "20")
-	os.Exit(m.Run())
+	rapidtest.Main(m, map[string]string{"seed": "20261204", "checks": "25", "steps": "20"})
 }
 
 // fleetModel is a small fleet, together with a model of the requests that were sent to it.
--- a/forward/main_test.go
+++ b/forward/main_test.go
@@ -1,13 +1,11 @@
 package forward
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/quetzalshed/quetzalshed/test/rapidtest"
 )
 
-// TestMain sets a fixed seed for rapid. -rapid.seed overrides it.
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261204")
-	os.Exit(m.Run())
+	rapidtest.Main(m, map[string]string{"seed": "20261204"})
 }
--- a/gateway/loads_test.go
+++ b/gateway/loads_test.go
@@ -1,24 +1,19 @@
 package gateway
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"github.com/quetzalshed/quetzalshed/test/rapidtest"
 	"github.com/quetzalshed/quetzalshed/workflow"
 	"github.com/quetzalshed/quetzalshed/workflow/admission"
 )
 
-// TestMain fixes the seed, so that each run checks the same cases. The flags -rapid.seed and -rapid.checks override it.
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	flag.Parse()
-	os.Exit(m.Run())
+	rapidtest.Main(m, map[string]string{"seed": "1", "nofailfile": "true"})
 }
 
 func summaryOf(epoch, sequence int64, queue string) admission.Summary {
--- a/gossip/main_test.go
+++ b/gossip/main_test.go
@@ -1,14 +1,11 @@
 package gossip_test
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/quetzalshed/quetzalshed/test/rapidtest"
 )
 
-// TestMain sets a fixed seed, so that each run checks the same cases. -rapid.seed and -rapid.checks override the
-// defaults.
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261204")
-	os.Exit(m.Run())
+	rapidtest.Main(m, map[string]string{"seed": "20261204"})
 }
--- a/idempotency/claim_test.go
+++ b/idempotency/claim_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -16,12 +14,11 @@
 	"github.com/quetzalshed/quetzalshed/limit"
 	"github.com/quetzalshed/quetzalshed/store"
 	"github.com/quetzalshed/quetzalshed/store/storetest"
+	"github.com/quetzalshed/quetzalshed/test/rapidtest"
 )
 
-// TestMain fixes the seed of rapid; -rapid.seed overrides it.
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261204")
-	os.Exit(m.Run())
+	rapidtest.Main(m, map[string]string{"seed": "20261204"})
 }
 
 var ctx = context.Background()
--- a/limit/queue_test.go
+++ b/limit/queue_test.go
@@ -1,20 +1,18 @@
 package limit
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"github.com/quetzalshed/quetzalshed/test/rapidtest"
 )
 
-// The seed is fixed so that each run checks the same cases. Override it with -rapid.seed, and their number with
-// -rapid.checks.
-func init() {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
+func TestMain(m *testing.M) {
+	rapidtest.Main(m, map[string]string{"seed": "1", "nofailfile": "true"})
 }
 
 var queueStart = time.Unix(1_000_000, 0)
--- a/scheduler/fixture_test.go
+++ b/scheduler/fixture_test.go
@@ -1,9 +1,7 @@
 package scheduler_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -11,6 +9,7 @@
 	"github.com/quetzalshed/quetzalshed/scheduler/interference"
 	"github.com/quetzalshed/quetzalshed/scheduler/quarantine"
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/test/rapidtest"
 )
 
 var now = time.Date(2026, 5, 4, 10, 0, 0, 0, time.UTC)
@@ -69,12 +68,6 @@
 
 func (a fixedAdmissions) Admits(worker string, _ time.Time) quarantine.Admission { return a[worker] }
 
-// TestMain fixes the seed of the property tests unless one is given, so that a commit always gives the same result.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = seed.Value.Set("1")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
+	rapidtest.Main(m, map[string]string{"seed": "1", "nofailfile": "true"})
 }
--- a/workflow/admission/decide_test.go
+++ b/workflow/admission/decide_test.go
@@ -1,9 +1,7 @@
 package admission_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -11,16 +9,13 @@
 	"pgregory.net/rapid"
 
 	"github.com/quetzalshed/quetzalshed/structs"
+	"github.com/quetzalshed/quetzalshed/test/rapidtest"
 	"github.com/quetzalshed/quetzalshed/workflow"
 	"github.com/quetzalshed/quetzalshed/workflow/admission"
 )
 
-// TestMain fixes the seed, so that each run checks the same cases. The flags -rapid.seed and -rapid.checks override it.
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	flag.Parse()
-	os.Exit(m.Run())
+	rapidtest.Main(m, map[string]string{"seed": "1", "nofailfile": "true"})
 }
 
 // newJob returns a job of one step: tasks of one core that last a second, with an objective of 2 s.
--- a/workflow/engine/main_test.go
+++ b/workflow/engine/main_test.go
@@ -1,15 +1,11 @@
 package engine
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/quetzalshed/quetzalshed/test/rapidtest"
 )
 
-// TestMain fixes the seed, so that each run checks the same cases. The flags -rapid.seed and -rapid.checks override it.
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	flag.Parse()
-	os.Exit(m.Run())
+	rapidtest.Main(m, map[string]string{"seed": "1", "nofailfile": "true"})
 }
