--- a/test/soak/executor_check_test.go
+++ b/test/soak/executor_check_test.go
@@ -34,7 +34,7 @@
 			l := x.life
 			start := func(task string, run int, fence int64, left time.Duration) string {
 				body := orderBody{Task: task, Run: run, FencingToken: fence, DeadlineMs: l.clock() + left.Milliseconds()}
-				_, _, response := x.carryOut(&call{orderBody: body, receiver: l, effect: (*life).startRun})
+				_, _, response := x.carryOut(&call{orderBody: body, receiver: l, connection: &connection{}, effect: (*life).startRun})
 				reason, _ := response["reason"].(string)
 				return reason
 			}
