--- a/workflow/engine/engine.go
+++ b/workflow/engine/engine.go
@@ -29,8 +29,8 @@
 	StaleLeaseExpiry time.Duration
 	// StopMargin is how long after the end of its lease an executor may take to stop its tasks.
 	StopMargin time.Duration
-	// UnlistedMargin is by how much later than the lease of its executor a run may end that the executor has not listed. Another incarnation
-	// may have started it under a lease that nobody has reported, and the node on its host may have to stop it.
+	// UnlistedMargin is added to the lease of an executor for runs that it has not listed: another incarnation may have started them under a
+	// lease that nobody has reported, so that the node on its host has to stop them.
 	UnlistedMargin time.Duration
 	// FirstOwner is set if nobody has owned the jobs before.
 	FirstOwner bool
--- a/workflow/engine/interference.go
+++ b/workflow/engine/interference.go
@@ -259,8 +259,8 @@
 	return false
 }
 
-// isMovable reports whether a run may be stopped so that its task continues from a checkpoint on another executor. Of a long-running
-// step only so many tasks may be away at a time, for whatever cause, so its tasks are stopped only when their job ends.
+// isMovable reports whether a run may be stopped so that its task continues from a checkpoint on another executor. Tasks of long-running
+// steps are stopped only when their job ends, since only so many of them may be away at a time.
 func (t *task) isMovable() bool {
 	return t.step.BestEffort && t.step.Checkpoints && !t.step.LongRunning
 }
--- a/workflow/engine/leases.go
+++ b/workflow/engine/leases.go
@@ -40,7 +40,7 @@
 		return
 	}
 	left := time.Duration(b.LeftMillis) * time.Millisecond
-	// LeaseExpiry exceeds LeaseDuration by the drift of the executor's clock and the time that it takes to stop.
+	// LeaseExpiry exceeds LeaseDuration by the drift of the executor's clock and the time that it takes to end its runs.
 	if expires := now.Add(left + e.settings.LeaseExpiry - e.settings.LeaseDuration); expires.Before(n.leaseExpires) {
 		n.leaseExpires, n.leaseSource = expires, LeaseOfNode
 	}
@@ -146,15 +146,15 @@
 			return now.Before(expires)
 		})
 		if len(ended) > 0 {
-			lapsed = append(lapsed, e.lapse(incarnation, ended, source, now))
+			lapsed = append(lapsed, e.releaseLapsed(incarnation, ended, source, now))
 		}
 	}
 	slices.SortFunc(lapsed, func(a, b Lapse) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
 	return lapsed
 }
 
-// lapse releases the runs of the given tasks on an incarnation whose lease has expired.
-func (e *Engine) lapse(incarnation string, tasks []*task, source LeaseSource, now time.Time) Lapse {
+// releaseLapsed releases the runs of the given tasks on an incarnation whose lease has expired.
+func (e *Engine) releaseLapsed(incarnation string, tasks []*task, source LeaseSource, now time.Time) Lapse {
 	l := e.describeLapse(incarnation, tasks, source, now)
 	if n := e.nodes[tasks[0].host]; n != nil && n.runsIncarnation(incarnation) {
 		if _, hasLapsed := e.lapsedAt[incarnation]; !hasLapsed {
--- a/workflow/engine/unlisted_runs.go
+++ b/workflow/engine/unlisted_runs.go
@@ -3,8 +3,9 @@
 import "time"
 
 // The answer to a start doesn't name the incarnation that has carried it out. So a run that its executor has not listed may have been started
-// by the next incarnation, under a stale lease that this owner hasn't heard of if both it and its node were cut off. The node then stops the
-// run at the end of the granted lease, which takes the stop time of the settings.
+// by the next incarnation, under a stale lease that this owner hasn't heard of if both it and its node were cut off. The node stops the run
+// in time, unless it is of a former version or was paused: it then begins when the granted lease has ended, and a stop takes the time in the
+// settings.
 
 // runLeaseOf is leaseOf for the run of one of the tasks.
 func (e *Engine) runLeaseOf(incarnation string, tasks []*task, t *task) (time.Time, LeaseSource) {
