Name the longest stop time and the timed stops in the node apart

stopTime, stopTimes and staleStops were easily confused. The time at which stops have to begin is a function of its own.

--- a/node/node.go
+++ b/node/node.go
@@ -88,8 +88,8 @@
 	staleStops map[staleRun]*staleStop
 	// maxLease is the longest lease that the executor takes, by its own clock.
 	maxLease time.Duration
-	// stopTime is the longest time that the executor takes to stop a run.
-	stopTime time.Duration
+	// maxStopTime is the longest time that the executor takes to stop a run.
+	maxStopTime time.Duration
 	// fetches is set if the executor fetches its orders.
 	fetches      bool
 	epoch        int64
@@ -105,8 +105,8 @@
 	// nearTarget holds the serving images whose latency has been near its target since the pace was last full.
 	nearTarget map[string]bool
 	pacer      *sharing.Controller
-	// stopTimes tells how long stops take.
-	stopTimes stopTimes
+	// timedStops tells how long stops take.
+	timedStops timedStops
 	// copies is how often a call to the executor is sent at most.
 	copies     int
 	wakeHold   chan struct{}
--- a/node/stale_lease.go
+++ b/node/stale_lease.go
@@ -14,7 +14,7 @@
 func (n *Node) SetMaxLease(d time.Duration) { n.maxLease = d }
 
 // SetStopTime sets the longest time that the executor takes to stop a run. It is called before Run.
-func (n *Node) SetStopTime(d time.Duration) { n.stopTime = d }
+func (n *Node) SetStopTime(d time.Duration) { n.maxStopTime = d }
 
 // staleLease is the lease that the current incarnation may hold from stale calls.
 type staleLease struct {
--- a/node/stale_stops.go
+++ b/node/stale_stops.go
@@ -77,23 +77,25 @@
 	if n.current == nil {
 		return false
 	}
-	end := n.staleLease.end.Add(max(n.stopTime, owner.MinStopMargin))
-	if !end.After(n.grantedUntil.Add(owner.LeaseExpiryMargin)) {
-		return false
-	}
+	end := n.staleLease.end.Add(max(n.maxStopTime, owner.MinStopMargin))
+	return end.After(n.grantedUntil.Add(owner.LeaseExpiryMargin)) && !n.clock.Now().Before(n.staleStopsDueAt())
+}
+
+// staleStopsDueAt returns when the stops of the runs under the stale lease have to begin. The caller holds mu.
+func (n *Node) staleStopsDueAt() time.Time {
 	limit := n.staleRunLimit()
-	due := limit.Add(-n.stopTime - staleStopAllowance)
+	due := limit.Add(-n.maxStopTime - staleStopAllowance)
 	if n.staleLease.ofFormerProcess && n.outlivesStaleCalls() {
 		// Nothing but the restart of the node's process speaks for a stale lease, and all other runs lapse with the granted one.
 		due = latest(due, n.grantedUntil)
 	}
-	if reported := n.staleLease.boundedAt.Add(staleReportTime); !reported.Add(n.stopTime).After(limit) {
+	if reported := n.staleLease.boundedAt.Add(staleReportTime); !reported.Add(n.maxStopTime).After(limit) {
 		due = latest(due, reported)
 	}
-	return !n.clock.Now().Before(due)
+	return due
 }
 
-// outlivesStaleCalls reports whether the current incarnation started so long ago by the time of day that the leases of all calls for former
+// outlivesStaleCalls reports by the time of day whether the current incarnation started so long ago that the leases of all calls for former
 // ones have ended. The caller holds mu.
 func (n *Node) outlivesStaleCalls() bool {
 	age := time.Duration(time.Now().UnixMilli()-n.current.StartedUnixMillis) * time.Millisecond
@@ -113,8 +115,8 @@
 func (n *Node) staleRunLimit() time.Time {
 	limit := n.grantedUntil.Add(owner.MinStopMargin)
 	if n.staleLease.counted {
-		// The owner that has granted the lease waits for the stale one, too. One that takes over from it without a hand-over doesn't know of
-		// it, and counts the granted one from its takeover and owner.TakeoverSlack.
+		// The owner that has granted the lease waits for the end of the stale one, too. An owner that takes over without a hand-over doesn't
+		// know of the stale one, and counts the granted one from its takeover and owner.TakeoverSlack.
 		limit = limit.Add(owner.TakeoverSlack)
 	}
 	return limit
@@ -177,7 +179,7 @@
 	if stop.acceptedAt.IsZero() {
 		return n.clock.Now().Sub(stop.sentAt) >= staleStopInterval
 	}
-	return n.listedAt.After(stop.acceptedAt.Add(n.stopTime + staleStopInterval))
+	return n.listedAt.After(stop.acceptedAt.Add(n.maxStopTime + staleStopInterval))
 }
 
 // stopStaleRun sends the stop of one run, and repeats it within orderTimeout.
--- a/node/stop_times.go
+++ b/node/stop_times.go
@@ -44,15 +44,15 @@
 	logged, accepted, failed bool
 }
 
-// stopTimes holds the stops whose ends are not listed yet, and for which incarnation runs beyond the count of an owner have been logged.
-type stopTimes struct {
+// timedStops holds the stops whose ends are not listed yet, and for which incarnation runs beyond the count of an owner have been logged.
+type timedStops struct {
 	stops    map[timedRun]*timedStop
 	loggedOf string
 }
 
 // sent records that a run is about to be stopped, and returns its stop; nil if there are too many. Later calls of the same stop don't
 // change when it was first sent.
-func (s *stopTimes) sent(run timedRun, now time.Time) *timedStop {
+func (s *timedStops) sent(run timedRun, now time.Time) *timedStop {
 	maps.DeleteFunc(s.stops, func(_ timedRun, stop *timedStop) bool { return now.Sub(stop.sentAt) > stopTimingLimit })
 	if s.stops == nil {
 		s.stops = map[timedRun]*timedStop{}
@@ -64,7 +64,7 @@
 }
 
 // ended returns how long ago a run was told to stop, and forgets its stop; false if it was not.
-func (s *stopTimes) ended(run timedRun, now time.Time) (time.Duration, bool) {
+func (s *timedStops) ended(run timedRun, now time.Time) (time.Duration, bool) {
 	stop := s.stops[run]
 	if stop == nil {
 		return 0, false
@@ -75,7 +75,7 @@
 
 // isAnswerNew reports whether the answer to a stop is the first of its kind, so that a stop that is repeated until its end is listed has
 // few lines.
-func (s *stopTimes) isAnswerNew(run timedRun, err error) bool {
+func (s *timedStops) isAnswerNew(run timedRun, err error) bool {
 	stop := s.stops[run]
 	if stop == nil {
 		return false
@@ -93,7 +93,7 @@
 func (n *Node) noteStop(incarnation, task string, number int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.stopTimes.sent(timedRun{incarnation, task, number}, n.clock.Now())
+	n.timedStops.sent(timedRun{incarnation, task, number}, n.clock.Now())
 }
 
 // noteStopBeyondLease records that a run which goes on under a stale lease is about to be stopped, and logs and counts that once.
@@ -111,7 +111,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clock.Now()
-	stop := n.stopTimes.sent(run, now)
+	stop := n.timedStops.sent(run, now)
 	if stop == nil || stop.logged {
 		return nil, false
 	}
@@ -123,7 +123,7 @@
 func (n *Node) logStopAnswer(incarnation, task string, number int, sentAt time.Time, err error) {
 	n.mu.Lock()
 	now := n.clock.Now()
-	fields, isNew := n.leaseFields(now), n.stopTimes.isAnswerNew(timedRun{incarnation, task, number}, err)
+	fields, isNew := n.leaseFields(now), n.timedStops.isAnswerNew(timedRun{incarnation, task, number}, err)
 	n.mu.Unlock()
 	if !isNew {
 		return
@@ -153,7 +153,7 @@
 // stopFields returns the log fields on the stop of a run of which the executor has listed the end; none if it was not told to stop. The
 // caller holds mu.
 func (n *Node) stopFields(incarnation string, end *workflow.RunEnd) []any {
-	duration, stopped := n.stopTimes.ended(timedRun{incarnation, end.Task, end.Run}, n.clock.Now())
+	duration, stopped := n.timedStops.ended(timedRun{incarnation, end.Task, end.Run}, n.clock.Now())
 	if !stopped {
 		return nil
 	}
@@ -167,10 +167,10 @@
 // incarnation. Their tasks may run elsewhere, too. The caller holds mu.
 func (n *Node) logRunsBeyondCount(incarnation string, lists *RunLists) {
 	now := n.clock.Now()
-	if len(lists.Running) == 0 || n.stopTimes.loggedOf == incarnation || now.Before(n.countedUntil()) {
+	if len(lists.Running) == 0 || n.timedStops.loggedOf == incarnation || now.Before(n.countedUntil()) {
 		return
 	}
-	n.stopTimes.loggedOf = incarnation
+	n.timedStops.loggedOf = incarnation
 	n.metrics.stopping.beyondCount.Inc(int64(len(lists.Running)))
 	n.log.With(n.leaseFields(now)...).Warn("runs may have outlasted the lease that an owner counts", "executor", incarnation,
 		"running", len(lists.Running), "task", lists.Running[0].Task, "run", lists.Running[0].Run)
--- a/node/stop_times_test.go
+++ b/node/stop_times_test.go
@@ -159,7 +159,7 @@
 // Guards against stops of runs that never end, which would fill the memory of the node.
 func TestTimedStopsAreBounded(t *testing.T) {
 	c := qt.New(t)
-	var s stopTimes
+	var s timedStops
 	began := time.Unix(1000, 0)
 	for i := range 2 * maxTimedStops {
 		s.sent(timedRun{testIncarnation, fmt.Sprintf("j.0.0.%d", i), 1}, began)
