--- a/review/_fleet2/client.go
+++ b/review/_fleet2/client.go
@@ -24,21 +24,6 @@
 	return &client{deployment: d, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}}
 }
 
-// quietState asks for the state of a job without a line in the record.
-func (c *client) quietState(prefix, id string) {
-	request, err := http.NewRequest(http.MethodGet, "http://"+c.deployment.address(100, frontPort)+prefix+id, nil)
-	if err != nil {
-		panic(err)
-	}
-	request.Host = queueHost
-	limited := *c.http
-	limited.Timeout = clientDeadline
-	if response, err := limited.Do(request); err == nil {
-		_, _ = io.Copy(io.Discard, response.Body)
-		_ = response.Body.Close()
-	}
-}
-
 // call sends one request and returns the status, which is 0 if there was no response in time, and the body.
 func (c *client) call(method, path string, body any, wait time.Duration) (status int, answer string) {
 	var reader io.Reader
--- a/review/_fleet2/stop.go
+++ b/review/_fleet2/stop.go
@@ -18,7 +18,8 @@
 	freezeTime = 800 * time.Millisecond
 	// takeoverTime is how long another process may take to own the jobs.
 	takeoverTime = 2 * time.Second
-	stopTasks    = 300
+	// stopTasks is the number of tasks of each job.
+	stopTasks = 300
 )
 
 // ownerStopsAfterFreeze plays planned stops of the process that owns the jobs. With trouble, its machine stands still for a moment, in
@@ -40,11 +41,6 @@
 			go c.submit(prefix, id, "drawing", step{"count": stopTasks, "cpu": 120, "memMb": 10, "estimatedMs": 1000})
 		}
 	}
-	done := make(chan struct{})
-	defer close(done)
-	for range 24 {
-		go d.askForStates(c, prefix, done)
-	}
 	stops := 0
 	for until := time.Now().Add(stopPlayTime); time.Now().Before(until); stops++ {
 		submit(4)
@@ -71,18 +67,6 @@
 	return verdict{text: fmt.Sprintf("no task of %d jobs has run twice in %d stops", len(ids), stops)}, nil
 }
 
-// askForStates asks for the states of jobs until done is closed, as clients do.
-func (d *deployment) askForStates(c *client, prefix string, done <-chan struct{}) {
-	for {
-		select {
-		case <-done:
-			return
-		case <-time.After(5 * time.Millisecond):
-		}
-		c.quietState(prefix, fmt.Sprintf("%016x", 0xe000000+rand.IntN(20)))
-	}
-}
-
 // owner returns the name of the host whose process owns the jobs: the one that last wrote to the store under a condition.
 func (d *deployment) owner() (string, error) {
 	var holder struct {
