--- a/test/workflows/stale_calls_test.go
+++ b/test/workflows/stale_calls_test.go
@@ -41,6 +41,18 @@
 	cutAt time.Time
 }
 
+// variants are the names of the two variants of a test, the second of which has what the test names.
+type variants struct{ without, with string }
+
+// runBothVariants runs both variants of a test, each with a stale lease in a fleet of its own.
+func runBothVariants(t *testing.T, hosts int, names variants, test func(s *staleLease, with bool)) {
+	for name, with := range map[string]bool{names.without: false, names.with: true} {
+		t.Run(name, func(t *testing.T) {
+			runWithFleet(t, hosts, func(f *fleet) { test(newStaleLease(f), with) })
+		})
+	}
+}
+
 // newStaleLease returns a fleet whose tasks start on one executor alone, on a host beside the owner, until spread is called.
 func newStaleLease(f *fleet) *staleLease {
 	s := &staleLease{fleet: f, host: f.otherHost()}
--- a/test/workflows/stale_starts_test.go
+++ b/test/workflows/stale_starts_test.go
@@ -77,96 +77,76 @@
 
 // Guards against the same with a new process of the node that hears of another executor before the one under the former ID starts.
 func TestStaleStartOfFormerProcessRunsAfterForeignAnnouncement(t *testing.T) {
-	for name, foreign := range map[string]bool{"no other executor": false, "another executor": true} {
-		t.Run(name, func(t *testing.T) {
-			runWithFleet(t, 3, func(f *fleet) {
-				s := newStaleLease(f)
-				const delay = 900 * time.Millisecond
-				s.mute.Store(true)
-				lateAt := s.startLate(delay)
-				s.executor.Crash()
-				s.kill()
-				s.start()
-				if foreign {
-					s.node.Announce(workflow.Executor{ID: "i-foreign", StartedUnixMillis: time.Now().UnixMilli(), Pool: "pool", FailureDomain: "domain"}, 1, 0)
-				}
-				time.Sleep(executorDownTime)
-				s.executor.Restart()
-				s.executor.SetCallFaults(nodetest.CallFaults{})
-				time.Sleep(time.Until(lateAt) + answerTime)
-				s.Assert(s.checker.starts(s.task), qt.Equals, 1)
-				s.announceNow()
-				time.Sleep(grantTime)
-				s.cut(false)
-				s.assertRunsOnce()
-			})
-		})
-	}
+	runBothVariants(t, 3, variants{"no other executor", "another executor"}, func(s *staleLease, foreign bool) {
+		const delay = 900 * time.Millisecond
+		s.mute.Store(true)
+		lateAt := s.startLate(delay)
+		s.executor.Crash()
+		s.kill()
+		s.start()
+		if foreign {
+			s.node.Announce(workflow.Executor{ID: "i-foreign", StartedUnixMillis: time.Now().UnixMilli(), Pool: "pool", FailureDomain: "domain"}, 1, 0)
+		}
+		time.Sleep(executorDownTime)
+		s.executor.Restart()
+		s.executor.SetCallFaults(nodetest.CallFaults{})
+		time.Sleep(time.Until(lateAt) + answerTime)
+		s.Assert(s.checker.starts(s.task), qt.Equals, 1)
+		s.announceNow()
+		time.Sleep(grantTime)
+		s.cut(false)
+		s.assertRunsOnce()
+	})
 }
 
 // Guards against the same with an owner to which the former one has handed over the end of the stale lease: it counts at most what it
 // counts for executors of which it has been told nothing.
 func TestInheritedStaleLeaseIsCutShort(t *testing.T) {
-	for name, withNode := range map[string]bool{"executor is cut off": false, "host is cut off": true} {
-		t.Run(name, func(t *testing.T) {
-			runWithFleet(t, 4, func(f *fleet) {
-				s := newStaleLease(f)
-				s.restart(nodetest.StaleCalls{Starts: true}, func() { s.submitOne(1000) })
-				s.announceNow()
-				s.awaitRun()
-				time.Sleep(grantTime)
-				s.cut(withNode)
-				f.handOver()
-				s.assertRunsOnce()
-			})
-		})
-	}
+	runBothVariants(t, 4, variants{"executor is cut off", "host is cut off"}, func(s *staleLease, withNode bool) {
+		s.restart(nodetest.StaleCalls{Starts: true}, func() { s.submitOne(1000) })
+		s.announceNow()
+		s.awaitRun()
+		time.Sleep(grantTime)
+		s.cut(withNode)
+		s.fleet.handOver()
+		s.assertRunsOnce()
+	})
 }
 
 // Guards against the same with an owner that takes over from one that was killed.
 func TestStaleLeaseOfStaleStartOutlastsTakeover(t *testing.T) {
-	for name, withNode := range map[string]bool{"executor is cut off": false, "host is cut off": true} {
-		t.Run(name, func(t *testing.T) {
-			runWithFleet(t, 4, func(f *fleet) {
-				s := newStaleLease(f)
-				s.restart(nodetest.StaleCalls{Starts: true}, func() {
-					s.submitOne(1000)
-					time.Sleep(grantTime)
-					former := f.owner()
-					former.kill()
-					former.start()
-				})
-				s.announceNow()
-				time.Sleep(10 * answerTime)
-				s.Assert(s.checker.starts(s.task), qt.Equals, 1)
-				s.cut(withNode)
-				s.assertRunsOnce()
-			})
+	runBothVariants(t, 4, variants{"executor is cut off", "host is cut off"}, func(s *staleLease, withNode bool) {
+		s.restart(nodetest.StaleCalls{Starts: true}, func() {
+			s.submitOne(1000)
+			time.Sleep(grantTime)
+			former := s.fleet.owner()
+			former.kill()
+			former.start()
 		})
-	}
+		s.announceNow()
+		time.Sleep(10 * answerTime)
+		s.Assert(s.checker.starts(s.task), qt.Equals, 1)
+		s.cut(withNode)
+		s.assertRunsOnce()
+	})
 }
 
 // Guards against the same with a next process of the node, which limits the lease by what ordinary leases last, and a next owner, which
 // relies on that.
 func TestStaleLeaseIsUnknownToNextNodeProcessAndOwner(t *testing.T) {
-	for name, ownerEnds := range map[string]bool{"owner stays": false, "owner is killed": true} {
-		t.Run(name, func(t *testing.T) {
-			runWithFleet(t, 4, func(f *fleet) {
-				s := newStaleLease(f)
-				s.restart(nodetest.StaleCalls{Starts: true}, func() { s.submitOne(1000) })
-				s.announceNow()
-				s.awaitRun()
-				time.Sleep(grantTime)
-				s.cut(false)
-				s.kill()
-				s.start()
-				if ownerEnds {
-					former := f.owner()
-					former.kill()
-					former.start()
-				}
-				s.assertRunsOnce()
-			})
-		})
-	}
+	runBothVariants(t, 4, variants{"owner stays", "owner is killed"}, func(s *staleLease, ownerEnds bool) {
+		s.restart(nodetest.StaleCalls{Starts: true}, func() { s.submitOne(1000) })
+		s.announceNow()
+		s.awaitRun()
+		time.Sleep(grantTime)
+		s.cut(false)
+		s.kill()
+		s.start()
+		if ownerEnds {
+			former := s.fleet.owner()
+			former.kill()
+			former.start()
+		}
+		s.assertRunsOnce()
+	})
 }
