Never take a write that the end of a term has cut off for a stored one

Cause: at a planned stop, term.write returned nil for a write that was not known to be stored, which is also its result for a stored one. The loop takes ready cases in any order, so after a pause it could take that nil before the end of the term, and release the batch: ends were acknowledged and starts sent of which the next owner found no record.

Change: a term always ends with an error, errTermEnded or errOwnershipLost, and so does a write that it cuts off. The loop looks at the end of the term after each round of events, before it releases or begins a batch.

Two tests asserted nil as the result of a term or write that was cut off; they now assert errTermEnded, which is as strict.

--- a/owner/commit.go
+++ b/owner/commit.go
@@ -29,7 +29,8 @@
 	Leases *workflow.OwnerLeases `json:"leases,omitempty"`
 }
 
-// commit stores a batch, split into several transactions if it is large. The rows of one job are never split.
+// commit stores a batch, and returns nil only if all of it is known to be stored. A large batch is split into several transactions; the
+// rows of one job are never split.
 func (t *term) commit(ctx context.Context, b *batch) error {
 	var puts []kv.Put
 	for _, c := range b.changes {
@@ -57,8 +58,8 @@
 	return nil
 }
 
-// write retries a transaction until it is known to be applied. Each transaction is conditional on the revision of the
-// previous one, so that neither a former owner nor a delayed write can overwrite newer records.
+// write retries a transaction until it is known to be applied, and returns an error if ctx ends before. Each transaction is conditional
+// on the revision of the previous one, so that neither a former owner nor a delayed write can overwrite newer records.
 func (t *term) write(ctx context.Context, transaction kv.Transaction) error {
 	t.commitCount++
 	mark := commitMark{t.lease.Record.Epoch, t.commitCount, t.leases}
@@ -81,7 +82,7 @@
 			return nil
 		}
 		if ctx.Err() != nil {
-			return t.endError(ctx)
+			return termError(ctx)
 		}
 		var conflict *kv.ConflictError
 		if errors.As(err, &conflict) {
@@ -99,7 +100,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return t.endError(ctx)
+			return termError(ctx)
 		case <-time.After(commitRetryDelay):
 		}
 	}
--- a/owner/deleted_test.go
+++ b/owner/deleted_test.go
@@ -65,6 +65,6 @@
 		c.Assert(term.query(t.Context(), func() { _, known = term.engine.Phase(id) }), qt.IsTrue)
 		c.Check(known, qt.IsFalse)
 		cancel()
-		c.Assert(<-ended, qt.IsNil)
+		c.Assert(<-ended, qt.ErrorIs, errTermEnded)
 	})
 }
--- a/owner/leases.go
+++ b/owner/leases.go
@@ -39,5 +39,5 @@
 	leases := t.engine.FinalLeases(t.clock.Now())
 	t.leases = &leases
 	err := t.write(ctx, kv.Transaction{})
-	t.log.Info("leases handed over", "epoch", t.lease.Record.Epoch, "executors", len(leases.Executors), "stored", err == nil && ctx.Err() == nil)
+	t.log.Info("leases handed over", "epoch", t.lease.Record.Epoch, "executors", len(leases.Executors), "stored", err == nil)
 }
--- a/owner/leases_test.go
+++ b/owner/leases_test.go
@@ -71,7 +71,7 @@
 		client.SetFaults(kvtest.Faults{ResponseLoss: 1})
 		ctx, cancel := context.WithCancel(t.Context())
 		time.AfterFunc(100*time.Millisecond, cancel)
-		c.Assert(term.write(ctx, kv.Transaction{Puts: []kv.Put{{Key: "record", Value: []byte("1")}}}), qt.IsNil)
+		c.Assert(term.write(ctx, kv.Transaction{Puts: []kv.Put{{Key: "record", Value: []byte("1")}}}), qt.ErrorIs, errTermEnded)
 		client.SetFaults(kvtest.Faults{})
 		term.handOver()
 		term.lease.Release()
--- a/owner/loop.go
+++ b/owner/loop.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// loop applies inputs and events, plans tasks and stores the changes until the term ends.
+// loop applies inputs and events, plans tasks and stores the changes until the term ends. It always returns an error.
 func (t *term) loop(ctx context.Context, inputs <-chan func()) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -15,7 +15,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return t.endError(ctx)
+			return termError(ctx)
 		case f := <-inputs:
 			f()
 		case e := <-t.events:
@@ -29,6 +29,10 @@
 		case <-flush.C:
 		}
 		t.applyPending(inputs)
+		if ctx.Err() != nil {
+			// A pause of the host may leave events waiting beside the end of the term. None of them may release a batch any more.
+			return termError(ctx)
+		}
 		if t.committing == nil {
 			if wait := flushInterval - time.Since(t.lastFlush); wait > 0 {
 				flush.Reset(wait)
@@ -39,12 +43,13 @@
 	}
 }
 
-// endError returns errOwnershipLost if the ownership was lost, and nil if the term ends for another reason.
-func (t *term) endError(ctx context.Context) error {
+// termError returns why a term whose context has ended is over: errOwnershipLost, or errTermEnded for any other reason. It is never nil,
+// so that a write that the end of the term has cut off can't be taken for a stored one.
+func termError(ctx context.Context) error {
 	if errors.Is(context.Cause(ctx), errOwnershipLost) {
 		return errOwnershipLost
 	}
-	return nil
+	return errTermEnded
 }
 
 // applyPending applies all inputs and events that are already queued, so that they share one write.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -161,7 +161,7 @@
 	cancel(nil)
 	c.setTerm(nil)
 	c.Log.Info("ownership ended", "epoch", lease.Record.Epoch, "error", err)
-	if err == nil {
+	if errors.Is(err, errTermEnded) {
 		t.handOver()
 	}
 	if !errors.Is(err, errOwnershipLost) {
--- a/owner/term.go
+++ b/owner/term.go
@@ -65,8 +65,11 @@
 )
 
 var (
+	// errOwnershipLost ends a term when another process is, or may be, the owner.
 	errOwnershipLost = errors.New("owner: ownership lost")
-	errTermPanicked  = errors.New("owner: panic in the loop of the term")
+	// errTermEnded ends a term at a planned stop, while this process still holds the ownership.
+	errTermEnded    = errors.New("owner: term ended")
+	errTermPanicked = errors.New("owner: panic in the loop of the term")
 )
 
 // event changes the engine in the loop of the term. now is the time on the clock of the term, wall the time of day. The returned
@@ -121,7 +124,8 @@
 	acked map[string]int64
 }
 
-// run loads the jobs and runs the loop until the ownership is lost or ctx ends. It returns errOwnershipLost in the first case.
+// run loads the jobs and runs the loop until the ownership is lost or ctx ends. It returns errOwnershipLost or errTermEnded then, and
+// another error if the term has failed.
 func (t *term) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
