Split orders to a node by the size of the requests that it accepts

Cause: all starts for a node were sent in one request, 4.7 MB as JSON that escapes < and >. The node takes 4 MiB and refuses more before it executes anything. The owner took the refusal for a lost answer, had the runs stopped and planned the same request again.

Change: orders are split by an upper bound of their encoded size below the limit that the node has, and by the number whose results fit into the reply. Requests follow one another, and none is sent after one without an answer. A refusal counts as a rejection. Calls and rows don't escape <, > and &. The reply to a report holds at most 3 MiB of traits.

Evidence: without the split, TestLargeDeliveriesReachTheNode finds that the node accepts none of 1,000 starts; the largest messages of each kind are tested.

--- a/node/node.go
+++ b/node/node.go
@@ -141,7 +141,7 @@
 		name:   name, address: address, incarnation: time.Now().UnixNano(), executor: executor, locator: locator,
 		leaseBound: boot.Now().Add(owner.ExecutorLeaseDuration), grantedUntil: boot.Now().Add(owner.ExecutorLeaseDuration),
 		leaseCalls:       leaseCalls{open: map[int64]leaseCall{}},
-		formerCallsUntil: host.Now().Add(staleCallLimit), maxLease: DefaultMaxLease, fetches: fetches, rpc: client.WithMaxResponse(maxReportReplyBytes), clock: boot, host: host, log: log,
+		formerCallsUntil: host.Now().Add(staleCallLimit), maxLease: DefaultMaxLease, fetches: fetches, rpc: client.WithMaxResponse(owner.MaxReportReplyBytes), clock: boot, host: host, log: log,
 		reportSentAt: map[int64]time.Time{}, unlistedStarts: map[int64]workflow.RunState{},
 		needsTraits: true, traits: map[string]workflow.RunTraits{}, paces: map[string]int{}, nearTarget: map[string]bool{},
 		pacer:      sharing.NewController(),
--- a/node/orders.go
+++ b/node/orders.go
@@ -20,8 +20,6 @@
 	orderTimeout = 800 * time.Millisecond
 	// maxParallelOrders limits the number of concurrent calls to the executor.
 	maxParallelOrders = 8
-	// maxOrdersBytes limits the body of an orders request.
-	maxOrdersBytes = 4 << 20
 )
 
 const (
@@ -45,7 +43,7 @@
 
 func (n *Node) handleOrders(w http.ResponseWriter, r *http.Request) {
 	var orders workflow.Orders
-	if !rpc.ReadJSON(w, r, maxOrdersBytes, &orders) {
+	if !rpc.ReadJSON(w, r, owner.MaxOrdersBytes, &orders) {
 		return
 	}
 	rpc.WriteJSON(w, http.StatusOK, n.execute(r.Context(), &orders))
--- a/node/report.go
+++ b/node/report.go
@@ -10,10 +10,6 @@
 )
 
 const (
-	// maxReportReplyBytes limits the owner's reply to a report, which holds the properties of the tasks of an executor and the learned
-	// losses.
-	maxReportReplyBytes = 4 << 20
-
 	// reportInterval is the time between reports when there is nothing new.
 	reportInterval = 900 * time.Millisecond
 	// reportTimeout limits one report.
--- /dev/null
+++ b/owner/message_sizes_test.go
@@ -0,0 +1,179 @@
+package owner
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/quetzalshed/quetzalshed/rpc"
+	"github.com/quetzalshed/quetzalshed/rpc/rpctest"
+	"github.com/quetzalshed/quetzalshed/workflow"
+	"github.com/quetzalshed/quetzalshed/workflow/engine"
+)
+
+// errorText is as long as the reasons of nodes for orders without an answer.
+var errorText = strings.Repeat("<no answer> ", 40)
+
+// largeDelivery returns starts, each of a job of its own unless tasksPerJob is larger, and a stop for each start.
+func largeDelivery(starts, tasksPerJob int, specByte, saved string) *engine.NodeOrders {
+	d := &engine.NodeOrders{Node: "node", Address: "node", Orders: workflow.Orders{
+		ExecutorIncarnation: "i@1", LeaseMillis: ExecutorLeaseDuration.Milliseconds(), Specs: map[string]string{},
+	}}
+	for i := range starts {
+		job := fmt.Sprintf("%016x", i/tasksPerJob)
+		task := workflow.TaskID{Job: job, Index: i % tasksPerJob}.String()
+		d.Orders.Specs[job] = strings.Repeat(specByte, workflow.MaxSpecBytes)
+		d.Orders.Starts = append(d.Orders.Starts, workflow.StartOrder{RunTraits: workflow.RunTraits{Task: task, Image: "image"}, Run: 1, Saved: saved})
+		d.Orders.Stops = append(d.Orders.Stops, workflow.StopOrder{Task: task, Run: 1, Reason: "its job has ended"})
+		d.Bases = append(d.Bases, engine.StartBasis{Admission: engine.Admission{Counted: i}})
+	}
+	return d
+}
+
+// nodeWithLimit handles orders as nodes do and returns what it has accepted. It answers each order with a long reason.
+func nodeWithLimit(network *rpctest.Network, accepted *[]workflow.Orders) {
+	network.Handle("node", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var orders workflow.Orders
+		if !rpc.ReadJSON(w, r, MaxOrdersBytes, &orders) {
+			return
+		}
+		*accepted = append(*accepted, orders)
+		reply := workflow.OrdersReply{}
+		for i := range orders.Starts {
+			reply.Results = append(reply.Results, workflow.OrderResult{Task: orders.Starts[i].Task, Run: 1, Outcome: workflow.OutcomeUnknown, Reason: errorText})
+		}
+		rpc.WriteJSON(w, http.StatusOK, reply)
+	}))
+}
+
+// Guards against jobs that never start because the node refuses the request with the starts of all of them (LOST): 395 specifications of
+// 4,000 bytes. Requests hold all orders once, stops first, with the specifications, and their results fit into a reply.
+func TestLargeDeliveriesReachTheNode(t *testing.T) {
+	for name, d := range map[string]*engine.NodeOrders{
+		"one job for each start":          largeDelivery(395, 1, "<", ""),
+		"control characters":              largeDelivery(1000, 1, "\x01", ""),
+		"one large job":                   largeDelivery(workflow.MaxTasks, workflow.MaxTasks, "x", ""),
+		"one large job, long checkpoints": largeDelivery(workflow.MaxTasks, workflow.MaxTasks, "<", strings.Repeat("&", 4000)),
+		"many jobs with the fewest bytes": largeDelivery(20000, 1, "", ""),
+		"a single start of great length":  largeDelivery(1, 1, "x", strings.Repeat("x", MaxOrdersBytes/maxEscapedBytes)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				network := rpctest.New()
+				var accepted []workflow.Orders
+				nodeWithLimit(network, &accepted)
+				term := newTerm(t, network)
+				for _, request := range splitOrders(d) {
+					c.Assert(len(request.Bases), qt.Equals, len(request.Orders.Starts))
+				}
+				go term.deliver(d)
+				results := 0
+				for results < len(d.Orders.Starts) {
+					select {
+					case apply := <-term.events:
+						apply(time.Now(), time.Now())
+					case <-time.After(time.Minute):
+						c.Fatalf("the node has accepted %d of %d starts", results, len(d.Orders.Starts))
+					}
+					results = 0
+					for _, orders := range accepted {
+						results += len(orders.Starts)
+					}
+				}
+				synctest.Wait()
+				var starts []workflow.StartOrder
+				stops := 0
+				for _, orders := range accepted {
+					c.Assert(len(starts) == 0 || len(orders.Stops) == 0, qt.IsTrue, qt.Commentf("a stop after a start"))
+					starts, stops = append(starts, orders.Starts...), stops+len(orders.Stops)
+					for i := range orders.Starts {
+						id, _ := workflow.ParseTaskID(orders.Starts[i].Task)
+						c.Assert(orders.Specs[id.Job], qt.Equals, d.Orders.Specs[id.Job])
+					}
+				}
+				c.Assert(slices.Equal(starts, d.Orders.Starts), qt.IsTrue)
+				c.Assert(stops, qt.Equals, len(d.Orders.Stops))
+			})
+		})
+	}
+}
+
+// Guards against a refused request that counts as one without an answer: its runs were taken for possibly started, and the owner had them
+// stopped before it planned the same request again.
+func TestRefusedOrdersAreRejected(t *testing.T) {
+	for status, want := range map[int]workflow.Outcome{
+		http.StatusBadRequest: workflow.OutcomeRejected, http.StatusRequestEntityTooLarge: workflow.OutcomeRejected,
+		http.StatusServiceUnavailable: workflow.OutcomeRejected, http.StatusInternalServerError: workflow.OutcomeUnknown,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			network := rpctest.New()
+			network.Handle("node", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { rpc.WriteJSON(w, status, struct{}{}) }))
+			term, d := newTerm(t, network), largeDelivery(1, 1, "x", "")
+			_, err := term.sendOrders(t.Context(), d)
+			qt.Assert(t, undeliveredReply(d, err).Results[0].Outcome, qt.Equals, want, qt.Commentf("status %d", status))
+		})
+	}
+}
+
+// Guards against later requests of a delivery that are sent although the first got no answer, when the lease that they rely on may be over.
+func TestNothingIsSentAfterRequestWithoutAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := rpctest.New()
+		requests := 0
+		network.Handle("node", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			requests++
+			<-r.Context().Done()
+		}))
+		term := newTerm(t, network)
+		d := largeDelivery(2*maxOrdersPerRequest, 1, "", "")
+		d.Orders.Stops = nil
+		term.deliver(d)
+		qt.Assert(t, requests, qt.Equals, 1)
+		qt.Assert(t, term.events, qt.HasLen, 2, qt.Commentf("both requests have results"))
+	})
+}
+
+// Guards against reports that an owner refuses for their size, and a node that counts as lost for that: executors may send lists of 4 MiB.
+func TestReportOfLongestListsIsAccepted(t *testing.T) {
+	const listBytes = 4 << 20
+	report := workflow.Report{Node: "node", Listed: true}
+	saved := strings.Repeat("<é", 50)
+	for bytes := 0; bytes < listBytes; {
+		run := workflow.RunState{Task: workflow.TaskID{Job: strings.Repeat("0", 16), Index: len(report.Running)}.String(), Run: 1, Saved: saved}
+		bytes += len(fmt.Sprintf(`["%s",%d,"%s",0,0],`, run.Task, run.Run, saved))
+		report.Running = append(report.Running, run)
+	}
+	data, err := json.Marshal(&report)
+	qt.Assert(t, err, qt.IsNil)
+	synctest.Test(t, func(t *testing.T) {
+		network := rpctest.New()
+		refused := true
+		network.Handle("owner", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			var received workflow.Report
+			refused = !rpc.ReadJSON(w, r, maxReportBytes, &received)
+		}))
+		_, err := rpc.NewClientWithTransport(network.Transport("node")).Call(t.Context(), http.MethodPost, "http://owner/", nil, &report)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, refused, qt.IsFalse, qt.Commentf("%d bytes with escaped texts", len(data)))
+	})
+}
+
+// Guards against a reply to a report that the node can't read: it holds the traits of all tasks of an executor.
+func TestReplyWithTraitsOfManyTasksIsRead(t *testing.T) {
+	var traits []workflow.RunTraits
+	for i := range 16000 {
+		traits = append(traits, workflow.RunTraits{Task: workflow.TaskID{Job: strings.Repeat("0", 16), Index: i}.String(), Image: strings.Repeat("<", 500)})
+	}
+	data, err := json.Marshal(workflow.ReportReply{Traits: fittingTraits(traits)})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(data) <= MaxReportReplyBytes, qt.IsTrue, qt.Commentf("%d bytes", len(data)))
+	qt.Assert(t, len(fittingTraits(traits[:100])), qt.Equals, 100)
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -56,7 +56,7 @@
 	// maxReportBytes limits the body of a report, and of a job that a gateway relays. A report holds the lists of runs that an
 	// executor has sent, which may take 4 MiB, and what the node adds.
 	maxReportBytes = 8 << 20
-	// maxReplyBytes limits the responses of nodes, which hold a result for each of at most 4 MiB of orders.
+	// maxReplyBytes limits the responses of nodes, which hold a result for each of at most maxOrdersPerRequest orders.
 	maxReplyBytes = 4 << 20
 	// announceTimeout limits one call that announces a new owner.
 	announceTimeout = time.Second
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -114,7 +114,7 @@
 func (c *Client) Call(ctx context.Context, method, url string, header http.Header, body any) (*Response, error) {
 	var reader io.Reader
 	if body != nil {
-		data, err := json.Marshal(body)
+		data, err := encode(body)
 		if err != nil {
 			return nil, eris.Wrap(err, "body of a call")
 		}
@@ -148,6 +148,18 @@
 	return &Response{Status: response.StatusCode, Header: response.Header, Body: data}, nil
 }
 
+// encode returns the JSON encoding of a body. It leaves <, > and & as they are: texts with many of them would take up to six times their
+// length otherwise.
+func encode(body any) ([]byte, error) {
+	var buffer bytes.Buffer
+	encoder := json.NewEncoder(&buffer)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(body); err != nil {
+		return nil, err
+	}
+	return bytes.TrimSuffix(buffer.Bytes(), []byte("\n")), nil
+}
+
 // readResponse reads a response body of the given length, which is negative if it is unknown. A longer one than maxBytes is an
 // error.
 func readResponse(body io.Reader, length, maxBytes int64) ([]byte, error) {
--- a/workflow/row.go
+++ b/workflow/row.go
@@ -1,7 +1,6 @@
 package workflow
 
 import (
-	"encoding/json"
 	"fmt"
 	"strconv"
 
@@ -84,21 +83,12 @@
 	return jsonv2.Unmarshal(data, row, jsontext.AllowInvalidUTF8(true))
 }
 
-// appendString appends a JSON string. Checkpoints and IDs come from executors and may contain any bytes.
+// appendString appends a JSON string with as few escapes as possible, so that rows take about as many bytes as in the lists of
+// executors. Checkpoints and IDs come from these and may contain any bytes; those that are not UTF-8 are replaced.
 func appendString(b []byte, s string) []byte {
-	for i := range len(s) {
-		if s[i] < ' ' || s[i] > '~' || s[i] == '"' || s[i] == '\\' {
-			quoted, err := json.Marshal(s)
-			if err != nil {
-				// Encoding a string never fails.
-				panic(err)
-			}
-			return append(b, quoted...)
-		}
-	}
-	b = append(b, '"')
-	b = append(b, s...)
-	return append(b, '"')
+	// The only error tells that bytes were replaced.
+	b, _ = jsontext.AppendQuote(b, s)
+	return b
 }
 
 // appendDecimal appends a number with one decimal place.
