Keep a cancelled job from being stored by a write that comes late

Cause: the store may carry out an unanswered write seconds later if its condition holds. That of a submission is that the job's key doesn't exist, and a cancellation of a job without a key left nothing behind.

Change: before a 410, the gateway creates a tombstone under the job's key, with a lease, in writes of its own and at a bounded rate. A submission that meets one is answered 503 with Retry-After, or 504 if an earlier attempt of it may still take effect. Owners, states and refused submissions don't take a tombstone for a job.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,9 @@
 	ErrUnavailable = errors.New("gateway: unavailable")
 	// ErrUnsupported means that jobs of the queue can't be run with its configuration. The request had no effect.
 	ErrUnsupported = errors.New("gateway: queue not supported")
+	// ErrCancelled means that a job was cancelled before it was stored. It was not accepted, and no submission of it that was sent before
+	// the cancellation takes effect.
+	ErrCancelled = errors.New("gateway: job was cancelled before it was stored")
 	// ErrNotFound means that no such job exists.
 	ErrNotFound = errors.New("gateway: no such job")
 )
@@ -55,6 +58,9 @@
 	writer  *intake.Writer
 	metrics metrics
 
+	tombstones      *tombstones
+	tombstoneWriter *intake.Writer
+
 	config atomic.Pointer[workflow.Config]
 
 	submitted *submissions
@@ -71,25 +77,27 @@
 }
 
 type metrics struct {
-	accepted, repeated, unavailable, unsupported, unknown, cancelled, states, fallbacks, relayed tally.Counter
-	acceptTime, stateTime                                                                        tally.Histogram
-	loadAsked                                                                                    tally.Counter
-	summaryAge                                                                                   tally.Gauge
-	scope                                                                                        tally.Scope
+	accepted, repeated, unavailable, unsupported, unknown, cancelled, tombstones, states, fallbacks, relayed tally.Counter
+	acceptTime, stateTime                                                                                    tally.Histogram
+	loadAsked                                                                                                tally.Counter
+	summaryAge                                                                                               tally.Gauge
+	scope                                                                                                    tally.Scope
 }
 
 // New returns a gateway. It accepts jobs once Run is called.
 func New(store *kv.Monitor, locator *ownership.Locator, client *rpc.Client, log hclog.Logger, scope tally.Scope) *Gateway {
+	tombstoneWriter := intake.NewWriter(store, log)
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 13)
 	return &Gateway{
 		store: store, locator: locator, rpc: client.WithMaxResponse(maxOwnerReplyBytes), log: log, writer: intake.NewWriter(store, log),
+		tombstones: newTombstones(store, tombstoneWriter), tombstoneWriter: tombstoneWriter,
 		phases: newFinalPhases(), submitted: newSubmissions(),
 		instance: strconv.FormatUint(rand.Uint64(), 36), loads: newLoads(), recent: newRecentJobs(time.Now()),
 		lookups: make(chan struct{}, maxLookups),
 		metrics: metrics{
 			accepted: scope.Counter("jobs_accepted"), repeated: scope.Counter("jobs_repeated"),
 			unavailable: scope.Counter("requests_unavailable"), unsupported: scope.Counter("requests_unsupported"), unknown: scope.Counter("requests_unknown"),
-			cancelled: scope.Counter("jobs_cancelled"), states: scope.Counter("states_asked"),
+			cancelled: scope.Counter("jobs_cancelled"), tombstones: scope.Counter("tombstones_stored"), states: scope.Counter("states_asked"),
 			relayed:    scope.Counter("jobs_relayed"),
 			fallbacks:  scope.Counter("states_from_store"),
 			acceptTime: scope.Histogram("job_accept_seconds", buckets),
@@ -102,6 +110,7 @@
 // Run follows the configuration and writes submitted jobs until ctx ends.
 func (g *Gateway) Run(ctx context.Context, operators owner.OperatorSource) {
 	go g.writer.Run(ctx)
+	go g.tombstoneWriter.Run(ctx)
 	operators.Follow(ctx, func(state owner.OperatorState) {
 		current := g.config.Load()
 		if state.Config == nil || current != nil && state.Config.Version <= current.Version {
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/quetzalshed/quetzalshed/owner"
+	"github.com/quetzalshed/quetzalshed/workflow"
 )
 
 // maxLookups limits how many refused submissions are looked up in the store at a time. Without a limit, clients that are refused
@@ -41,11 +42,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
-	_, found, _, err := g.store.Get(ctx, owner.JobPrefix+id)
+	item, found, _, err := g.store.Get(ctx, owner.JobPrefix+id)
 	switch {
 	case err != nil:
 		return false, eris.Wrapf(ErrUnknown, "the job can't be looked up: %v; %v", err, rejection)
-	case found:
+	case found && !workflow.IsTombstone(item.Value):
 		return true, nil
 	}
 	return false, rejection
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -51,7 +51,8 @@
 	return ErrUnavailable
 }
 
-// relayToOwner sends a change to the owner, which stores it. Errors match ErrNotFound, ErrUnavailable or ErrUnknown.
+// relayToOwner sends a change to the owner, which stores it. Errors match ErrNotFound, ErrCancelled, ErrUnavailable or
+// ErrUnknown.
 func (g *Gateway) relayToOwner(ctx context.Context, path string, body any) error {
 	record, present := g.locator.Current()
 	if !present {
@@ -70,6 +71,8 @@
 		return nil
 	case http.StatusNotFound:
 		return ErrNotFound
+	case http.StatusGone:
+		return ErrCancelled
 	case http.StatusMisdirectedRequest:
 		g.refreshOwner(ctx)
 		return eris.Wrap(ErrUnavailable, "not the owner")
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -46,11 +46,11 @@
 	if !g.store.Healthy() {
 		return "", eris.Wrap(ErrUnavailable, "neither the owner nor the store answers")
 	}
-	_, found, _, err := g.store.Get(ctx, owner.JobPrefix+id)
+	job, found, _, err := g.store.Get(ctx, owner.JobPrefix+id)
 	if err != nil {
 		return "", eris.Wrap(ErrUnavailable, err.Error())
 	}
-	if !found {
+	if !found || workflow.IsTombstone(job.Value) {
 		return "", ErrNotFound
 	}
 	item, found, _, err := g.store.Get(ctx, owner.StatePrefix+id)
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -14,8 +14,8 @@
 	"github.com/quetzalshed/quetzalshed/workflow/admission"
 )
 
-// Submit stores a job. Repeating it has no effect. Errors match ErrUnsupported, ErrUnavailable or ErrUnknown; a job that is rejected for
-// lack of capacity or memory gives a RejectedError.
+// Submit stores a job. Repeating it has no effect. Errors match ErrUnsupported, ErrUnavailable, ErrCancelled or ErrUnknown; a job that is
+// rejected for lack of capacity or memory gives a RejectedError.
 func (g *Gateway) Submit(ctx context.Context, job *workflow.Job) error {
 	started := time.Now()
 	if job.Queue.RequiresTicket {
@@ -34,14 +34,15 @@
 		return err
 	}
 	repeated, err := g.create(ctx, job.ID, value)
-	if errors.Is(err, ErrUnavailable) {
+	if errors.Is(err, ErrUnavailable) || errors.Is(err, ErrCancelled) {
 		repeated, err = g.recallSubmission(job.ID, err)
 	}
 	took := time.Since(started)
 	g.metrics.acceptTime.RecordDuration(took)
 	g.recordSubmission(job, repeated, err, took)
 	g.submitted.end(job.ID)
-	g.recent.end(&job.Queue, &request, storingSince, time.Now(), !repeated && !errors.Is(err, ErrUnavailable))
+	mayBeNew := !repeated && !errors.Is(err, ErrUnavailable) && !errors.Is(err, ErrCancelled)
+	g.recent.end(&job.Queue, &request, storingSince, time.Now(), mayBeNew)
 	return err
 }
 
@@ -49,7 +50,7 @@
 func (g *Gateway) recordSubmission(job *workflow.Job, repeated bool, err error, took time.Duration) {
 	log := g.log.With("job", job.ID, "queue", job.Queue.Name)
 	switch {
-	case errors.Is(err, ErrUnavailable):
+	case errors.Is(err, ErrUnavailable), errors.Is(err, ErrCancelled):
 		g.metrics.unavailable.Inc(1)
 		log.Info("job rejected", "took_ms", took.Milliseconds(), "error", err)
 	case err != nil:
@@ -90,9 +91,9 @@
 func (g *Gateway) create(ctx context.Context, id string, value []byte) (repeated bool, err error) {
 	direct, cancel := context.WithTimeout(ctx, firstPathTimeout)
 	defer cancel()
-	repeated, err = g.writer.Create(direct, owner.JobPrefix+id, value)
+	existing, err := g.writer.Create(direct, owner.JobPrefix+id, value)
 	if err == nil {
-		return repeated, nil
+		return existing != nil, cancelledBefore(existing)
 	}
 	uncertain := errors.Is(err, intake.ErrUnknown)
 	relayErr := g.relayToOwner(ctx, owner.CreatePath+id, json.RawMessage(value))
@@ -100,8 +101,22 @@
 	case relayErr == nil:
 		g.metrics.relayed.Inc(1)
 		return false, nil
+	case errors.Is(relayErr, ErrCancelled) && !uncertain:
+		return false, relayErr
 	case uncertain || errors.Is(relayErr, ErrUnknown):
 		return false, eris.Wrapf(ErrUnknown, "%v; by the owner: %v", err, relayErr)
 	}
 	return false, eris.Wrapf(ErrUnavailable, "%v; by the owner: %v", err, relayErr)
 }
+
+// cancelledBefore returns ErrCancelled if a key that a submission has found shows that its job was cancelled before, and ErrUnknown if the
+// job may be stored all the same once the tombstone is gone.
+func cancelledBefore(existing *intake.Existing) error {
+	switch {
+	case existing == nil || !workflow.IsTombstone(existing.Value):
+		return nil
+	case existing.MayBeReplaced:
+		return eris.Wrap(ErrUnknown, ErrCancelled.Error())
+	}
+	return ErrCancelled
+}
--- a/intake/writer.go
+++ b/intake/writer.go
@@ -3,8 +3,10 @@
 package intake
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -40,12 +42,18 @@
 	inFlight chan struct{}
 }
 
+// Existing is a key that was there before a call of Create.
+type Existing struct {
+	Value []byte
+	// MayBeReplaced is set if an earlier attempt of the call may still create the key once the present one is gone.
+	MayBeReplaced bool
+}
+
 // pendingCreate is a call of Create that waits for its result.
 type pendingCreate struct {
-	ctx     context.Context
-	key     string
-	value   []byte
-	existed bool
+	ctx      context.Context
+	put      kv.Put
+	existing *Existing
 	// uncertain is set when an earlier attempt may have taken effect or may still do so.
 	uncertain bool
 	done      chan error
@@ -56,23 +64,33 @@
 	return &Writer{store: store, log: log, queue: make(chan *pendingCreate, maxQueuedJobs), inFlight: make(chan struct{}, maxConcurrentWrites)}
 }
 
-// Create stores a value under a new key. If the key exists already, existed is true and the stored value is kept. While
-// the store is unhealthy, Create fails without waiting.
-func (w *Writer) Create(ctx context.Context, key string, value []byte) (existed bool, err error) {
+// Create stores a value under a new key. If the key exists already, it is kept and returned; existing is nil if the key was created.
+// While the store is unhealthy, Create fails without waiting.
+func (w *Writer) Create(ctx context.Context, key string, value []byte) (existing *Existing, err error) {
+	return w.create(ctx, kv.Put{Key: key, Value: value})
+}
+
+// CreateLeased does the same with a key that the store deletes when a lease ends. If the lease has ended, the error matches
+// kv.ErrLeaseNotFound and ErrUnavailable.
+func (w *Writer) CreateLeased(ctx context.Context, key string, value []byte, lease int64) (existing *Existing, err error) {
+	return w.create(ctx, kv.Put{Key: key, Value: value, Lease: lease})
+}
+
+func (w *Writer) create(ctx context.Context, put kv.Put) (existing *Existing, err error) {
 	if !w.store.Healthy() {
-		return false, eris.Wrap(ErrUnavailable, "the store doesn't answer")
+		return nil, eris.Wrap(ErrUnavailable, "the store doesn't answer")
 	}
-	c := &pendingCreate{ctx: ctx, key: key, value: value, done: make(chan error, 1)}
+	c := &pendingCreate{ctx: ctx, put: put, done: make(chan error, 1)}
 	select {
 	case w.queue <- c:
 	default:
-		return false, eris.Wrap(ErrUnavailable, "too many jobs wait for a write")
+		return nil, eris.Wrap(ErrUnavailable, "too many keys wait for a write")
 	}
 	select {
 	case err := <-c.done:
-		return c.existed, err
+		return c.existing, err
 	case <-ctx.Done():
-		return false, eris.Wrap(ErrUnknown, "time is up")
+		return nil, eris.Wrap(ErrUnknown, "time is up")
 	}
 }
 
@@ -149,8 +167,8 @@
 func (w *Writer) attempt(batch []*pendingCreate) error {
 	var t kv.Transaction
 	for _, c := range batch {
-		t.Conditions = append(t.Conditions, kv.Condition{Key: c.key})
-		t.Puts = append(t.Puts, kv.Put{Key: c.key, Value: c.value})
+		t.Conditions = append(t.Conditions, kv.Condition{Key: c.put.Key})
+		t.Puts = append(t.Puts, c.put)
 	}
 	_, err := w.store.Commit(context.Background(), t)
 	return err
@@ -166,8 +184,11 @@
 func completeExisting(batch []*pendingCreate, conflict *kv.ConflictError) []*pendingCreate {
 	var rest []*pendingCreate
 	for _, c := range batch {
-		if _, exists := conflict.Find(c.key); exists {
-			c.existed = !c.uncertain
+		if item, exists := conflict.Find(c.put.Key); exists {
+			// An earlier attempt of this call may have created the key.
+			if !c.uncertain || !bytes.Equal(item.Value, c.put.Value) {
+				c.existing = &Existing{Value: item.Value, MayBeReplaced: c.uncertain}
+			}
 			c.done <- nil
 			continue
 		}
@@ -183,7 +204,7 @@
 	for _, c := range batch {
 		switch {
 		case !c.uncertain:
-			c.done <- eris.Wrap(ErrUnavailable, err.Error())
+			c.done <- fmt.Errorf("%w: %w", ErrUnavailable, err)
 		case c.ctx.Err() != nil:
 			c.done <- eris.Wrap(ErrUnknown, err.Error())
 		default:
--- a/owner/inputs.go
+++ b/owner/inputs.go
@@ -59,7 +59,7 @@
 		return
 	}
 	id, ok := strings.CutPrefix(item.Key, JobPrefix)
-	if !ok {
+	if !ok || workflow.IsTombstone(item.Value) {
 		return
 	}
 	if t.deletedJobs.precedesDeletion(id, item.Revision) {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -287,9 +287,14 @@
 		rpc.WriteBodyError(w, readErr)
 		return
 	}
-	_, err := c.writer.Create(ctx, JobPrefix+id, value)
-	c.Log.Info("job relayed", "job", id, "error", err)
+	existing, err := c.writer.Create(ctx, JobPrefix+id, value)
+	cancelled := existing != nil && workflow.IsTombstone(existing.Value)
+	c.Log.Info("job relayed", "job", id, "cancelled", cancelled, "error", err)
 	switch {
+	case cancelled && existing.MayBeReplaced:
+		rpc.WriteJSON(w, http.StatusGatewayTimeout, struct{}{})
+	case cancelled:
+		rpc.WriteJSON(w, http.StatusGone, struct{}{})
 	case err == nil:
 		rpc.WriteJSON(w, http.StatusOK, struct{}{})
 	case errors.Is(err, intake.ErrUnavailable):
--- a/test/workflows/fleet_test.go
+++ b/test/workflows/fleet_test.go
@@ -144,7 +144,11 @@
 
 // newGatewayOver starts a gateway whose calls to other processes go over a transport.
 func (f *fleet) newGatewayOver(transport http.RoundTripper, store *kvtest.Client) *gateway.Gateway {
-	monitor := kv.NewMonitor(store)
+	return f.newGatewayOn(transport, kv.NewMonitor(store))
+}
+
+// newGatewayOn starts a gateway that uses a monitored store.
+func (f *fleet) newGatewayOn(transport http.RoundTripper, monitor *kv.Monitor) *gateway.Gateway {
 	locator := ownership.NewLocator(monitor, hclog.NewNullLogger())
 	g := gateway.New(monitor, locator, rpc.NewClientWithTransport(transport), hclog.NewNullLogger(), tally.NoopScope)
 	go locator.Run(f.ctx)
