Start long-running tasks again that have ended done

Cause: the end done of the present run completed a task, whatever its step; only ends of former runs were told apart.

Change: ends of long-running tasks have a path of their own. Records of former versions that took such a task for done are read as waiting.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -145,6 +145,15 @@
 			i.wait(0, 1500*time.Millisecond)
 		}
 	}
+	faultKinds["freeze-stop-owner"] = func(i *injector) {
+		if owner := i.owner(); owner != nil {
+			owner.signal(syscall.SIGSTOP, 0)
+			i.wait(0, 500*time.Millisecond)
+			owner.terminate()
+			i.wait(0, 2*time.Second)
+			owner.send(syscall.SIGCONT)
+		}
+	}
 	faultKinds["throttle"] = func(i *injector) { i.throttle(i.some()...) }
 	faultKinds["busy-processors"] = func(i *injector) { i.keepBusy() }
 	faultKinds["freeze"] = func(i *injector) { i.freeze(i.draw.IntN(hosts)) }
--- a/test/soak/placement_check_test.go
+++ b/test/soak/placement_check_test.go
@@ -96,3 +96,24 @@
 		t.Errorf("found %v after the ends", found)
 	}
 }
+
+// Guards against an oracle that takes the next run of a task that lasts for a second one, or overlooks that of an ordinary task, and one that
+// overlooks a job that lasts and is shown as ended, or a start of a job that was said not to exist.
+func TestOracleKnowsTasksThatLast(t *testing.T) {
+	for lasts, want := range map[bool]ruleName{false: ruleTwice, true: ruleLost} {
+		l := testLife(t, openService, "a")
+		o := l.x.fleet.oracle
+		o.setRule(stepName{"a1", "0"}, stepRule{lasts: lasts})
+		l.startTasks("a1.0.0.0")
+		l.endRun(l.running["a1.0.0.0"], "done")
+		o.acknowledged(l, l.number)
+		l.startRun(&orderBody{Task: "a1.0.0.0", Run: 2, DeadlineMs: l.clock() + holdMax.Milliseconds(), FencingToken: 1})
+		o.showEnded("a1", "completed")
+		o.deny("a2")
+		l.startTasks("a2.0.0.0")
+		found := o.findings()
+		if len(found) != 2 || found[0].rule != want || found[1].rule != ruleUnasked {
+			t.Errorf("lasts %v: found %v, want %s and %s", lasts, found, want, ruleUnasked)
+		}
+	}
+}
--- a/test/soak/placement_test.go
+++ b/test/soak/placement_test.go
@@ -17,6 +17,8 @@
 	limit int
 	// copied is set if copies of the tasks may run.
 	copied bool
+	// lasts is set if the tasks run until their job is cancelled, however their runs end.
+	lasts bool
 }
 
 // stepOf returns the step of a task.
--- a/workflow/engine/adding_jobs.go
+++ b/workflow/engine/adding_jobs.go
@@ -88,10 +88,10 @@
 			t.crashes.suspectSince = now
 			e.crashes.suspects[t] = struct{}{}
 		}
-		t.phase, t.restored = r.Phase, true
+		t.phase, t.restored = t.restoredPhase(&r), true
 		// Records of former versions don't tell whether the job has begun.
 		j.begun = j.begun || r.Phase == workflow.TaskDone || r.Failures > 0 || r.Saved != ""
-		switch r.Phase {
+		switch t.phase {
 		case workflow.TaskDone:
 			t.group.done++
 			t.doneRun = r.Run
@@ -116,6 +116,17 @@
 	}
 }
 
+// restoredPhase returns the phase of a task with a record. Former versions took long-running tasks for done, which run again.
+func (t *task) restoredPhase(r *workflow.TaskRecord) workflow.TaskPhase {
+	switch {
+	case r.Phase != workflow.TaskDone || !t.step.LongRunning:
+		return r.Phase
+	case r.Life != "":
+		return workflow.TaskAssigned
+	}
+	return workflow.TaskWaiting
+}
+
 // restoreRun takes the run of a task over from the record of its job. Its executor may have reported already.
 func (e *Engine) restoreRun(t *task, r *workflow.TaskRecord) {
 	t.executorIncarnation, t.host, t.reassigned, t.reassignedBefore = r.Life, r.Node, r.Reassigned, r.Reassigned
--- a/workflow/engine/ends.go
+++ b/workflow/engine/ends.go
@@ -14,6 +14,10 @@
 		return
 	}
 	t.job.begun = true
+	if t.step.LongRunning {
+		e.handleLongRunningEnd(n, incarnation, t, end, now)
+		return
+	}
 	if end.How == workflow.EndDone {
 		e.checkDone(n, incarnation, t, end.Run, now)
 	}
@@ -24,7 +28,7 @@
 		return
 	}
 	if t.run != end.Run || t.phase == workflow.TaskAssigned && t.executorIncarnation != incarnation {
-		if end.How == workflow.EndDone && !t.step.LongRunning {
+		if end.How == workflow.EndDone {
 			// Whichever run has finished the task, it must not start again once this end is acknowledged.
 			e.completeTask(t, end.Run, incarnation, now, wall)
 		}
@@ -48,15 +52,12 @@
 	if end.How == workflow.EndFailed {
 		t.failures++
 		t.failedHosts = append(t.failedHosts, n.name)
-		if !t.step.LongRunning {
-			// A failure of a long-running task does not indicate a fault of the executor.
-			e.quarantine.RecordFailure(t.job.ID, n.name, now)
-		}
+		e.quarantine.RecordFailure(t.job.ID, n.name, now)
 	}
 	if assigned {
 		e.releaseRun(t, listedEnd(end.How), now)
 	}
-	if end.How == workflow.EndFailed && !t.step.LongRunning && !t.job.phase.Final() && e.attemptsExhausted(t) {
+	if end.How == workflow.EndFailed && !t.job.phase.Final() && e.attemptsExhausted(t) {
 		e.finish(t.job, workflow.Failed, now, wall)
 	}
 }
--- a/workflow/engine/task.go
+++ b/workflow/engine/task.go
@@ -60,8 +60,10 @@
 	avoidedUntil time.Time
 	// waitingSince is when Plan first found a long-running task ready to run again since its last run.
 	waitingSince time.Time
-	// notBefore is the earliest time of the next start after a rejected one.
+	// notBefore is the earliest time of the next start after a rejected one, or after early ends of a long-running task.
 	notBefore time.Time
+	// earlyEnds is how many runs of a long-running task in a row have ended soon after their start.
+	earlyEnds int
 	crashes   taskCrashes
 	// restored is set if the current run, or the end of the task, is known from the record of the job.
 	restored bool
