Store records of any length, and stop no job for a refused one

Cause: the record of a job held the checkpoints of all tasks, done ones too, and grew beyond the longest value of the store. The owner repeated the refused write for ever, and stores one write at a time.

Change: only tasks that may start again keep checkpoints in the record, of at most 64 KiB; a record that is still too long is stored without the longest ones. The stand-in of the store refuses long values.

--- a/cmd/quetzalshed-node/main.go
+++ b/cmd/quetzalshed-node/main.go
@@ -49,7 +49,7 @@
 	candidate := &owner.Candidate{
 		Node: p.Settings.NodeName, Address: p.Address, Store: p.Store, Locator: p.Locator, Operators: p.Operators,
 		RPC: p.RPC, Host: clock.System{}, Log: p.Log, Scope: p.Scope, RemoteSlowdown: p.Settings.Bounds.FarX,
-		MaxLease: p.Settings.MaxLease(), StopTime: p.Settings.StopTime(), MemoryMB: p.Settings.Limits.MemoryMb,
+		MaxValueBytes: p.Settings.Platform.ValueBytes, MaxLease: p.Settings.MaxLease(), StopTime: p.Settings.StopTime(), MemoryMB: p.Settings.Limits.MemoryMb,
 	}
 	if err := serve(p, n, mailbox, candidate); err != nil {
 		return err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,8 @@
 	ErrUnknown = errors.New("gateway: result unknown")
 	// ErrUnavailable means that the request had no effect and will not have one later.
 	ErrUnavailable = errors.New("gateway: unavailable")
+	// ErrTooLarge means that a job takes more bytes than the store takes for a value. The request had no effect.
+	ErrTooLarge = errors.New("gateway: job too large")
 	// ErrUnsupported means that jobs of the queue can't be run with its configuration. The request had no effect.
 	ErrUnsupported = errors.New("gateway: queue not supported")
 	// ErrCancelled means that a job was cancelled before it was stored. It was not accepted, and no submission of it that was sent before
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -9,13 +9,14 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/quetzalshed/quetzalshed/intake"
+	"github.com/quetzalshed/quetzalshed/kv"
 	"github.com/quetzalshed/quetzalshed/owner"
 	"github.com/quetzalshed/quetzalshed/workflow"
 	"github.com/quetzalshed/quetzalshed/workflow/admission"
 )
 
-// Submit stores a job. Repeating it has no effect. Errors match ErrUnsupported, ErrUnavailable, ErrCancelled or ErrUnknown; a job that is
-// rejected for lack of capacity or memory gives a RejectedError.
+// Submit stores a job. Repeating it has no effect. Errors match ErrUnsupported, ErrTooLarge, ErrUnavailable, ErrCancelled or ErrUnknown; a
+// job that is rejected for lack of capacity or memory gives a RejectedError.
 func (g *Gateway) Submit(ctx context.Context, job *workflow.Job) error {
 	started := time.Now()
 	if job.Queue.RequiresTicket {
@@ -28,6 +29,10 @@
 	if err != nil {
 		return eris.Wrap(ErrUnavailable, err.Error())
 	}
+	if len(value) > kv.DefaultMaxValueBytes {
+		g.metrics.unsupported.Inc(1)
+		return eris.Wrapf(ErrTooLarge, "it takes %d bytes, at most %d are stored", len(value), kv.DefaultMaxValueBytes)
+	}
 	request := admission.NewRequest(job)
 	storingSince, err := g.admit(ctx, job, &request)
 	if err != nil {
--- a/kv/kv.go
+++ b/kv/kv.go
@@ -23,6 +23,9 @@
 	ErrInvalid = errors.New("kv: invalid call")
 )
 
+// DefaultMaxValueBytes is the maximum length of a value unless the platform configures another one.
+const DefaultMaxValueBytes = 1 << 20
+
 // MaxTransactionRows is the maximum number of conditions, writes and deletions of one transaction, counted together.
 const MaxTransactionRows = 32
 
--- a/kv/kvtest/store.go
+++ b/kv/kvtest/store.go
@@ -114,6 +114,11 @@
 	if len(t.Conditions)+len(t.Puts)+len(t.Deletions) > kv.MaxTransactionRows {
 		return 0, kv.ErrInvalid
 	}
+	for _, p := range t.Puts {
+		if len(p.Value) > kv.DefaultMaxValueBytes {
+			return 0, kv.ErrInvalid
+		}
+	}
 	conflict := &kv.ConflictError{}
 	failed := false
 	for _, c := range t.Conditions {
--- a/owner/faults_test.go
+++ b/owner/faults_test.go
@@ -37,8 +37,9 @@
 	qt.Assert(t, err, qt.IsNil)
 	return &term{
 		lease: lease, clock: boot, log: hclog.NewNullLogger(), metrics: newMetrics(tally.NoopScope), events: make(chan event, eventQueueSize),
-		rpc:    rpc.NewClientWithTransport(network.Transport("owner")),
-		engine: engine.New(engine.Settings{LeaseDuration: ExecutorLeaseDuration, LeaseExpiry: executorLeaseExpiry, RemoteSlowdown: 1.5, Retention: defaultRetention}, boot.Now()),
+		maxValueBytes: kv.DefaultMaxValueBytes,
+		rpc:           rpc.NewClientWithTransport(network.Transport("owner")),
+		engine:        engine.New(engine.Settings{LeaseDuration: ExecutorLeaseDuration, LeaseExpiry: executorLeaseExpiry, RemoteSlowdown: 1.5, Retention: defaultRetention}, boot.Now()),
 	}, host
 }
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -80,6 +80,8 @@
 	MaxLease, StopTime time.Duration
 	// Retention is how long the state of a finished job is kept; 0 means defaultRetention.
 	Retention time.Duration
+	// MaxValueBytes is the maximum length of a value of the store; 0 means kv.DefaultMaxValueBytes.
+	MaxValueBytes int
 	// MemoryMB is the memory of the host in MB, which limits the tasks that an owner may hold; 0 for no limit.
 	MemoryMB int64
 
@@ -148,6 +150,7 @@
 		remoteSlowdown: cmp.Or(c.RemoteSlowdown, defaultRemoteSlowdown), retention: cmp.Or(c.Retention, defaultRetention),
 		stopMargin:     max(MinStopMargin, c.StopTime),
 		maxLease:       cmp.Or(c.MaxLease, defaultMaxLease),
+		maxValueBytes:  cmp.Or(c.MaxValueBytes, kv.DefaultMaxValueBytes),
 		maxTasks:       admission.MaxTasks(c.MemoryMB),
 		commitRevision: lease.CommitRevision, acked: map[string]int64{}, deletedJobs: deletedJobs{},
 	}
--- a/owner/term.go
+++ b/owner/term.go
@@ -68,7 +68,9 @@
 	// errOwnershipLost ends a term when another process is, or may be, the owner.
 	errOwnershipLost = errors.New("owner: ownership lost")
 	// errTermEnded ends a term at a planned stop, while this process still holds the ownership.
-	errTermEnded    = errors.New("owner: term ended")
+	errTermEnded = errors.New("owner: term ended")
+	// errWriteRefused means that the store refuses a write for what it contains. It ends the term, since the state in memory can't be stored.
+	errWriteRefused = errors.New("owner: write refused by the store")
 	errTermPanicked = errors.New("owner: panic in the loop of the term")
 )
 
@@ -91,6 +93,7 @@
 	// their tasks.
 	maxLease, stopMargin time.Duration
 	retention            time.Duration
+	maxValueBytes        int
 	// maxTasks is the most tasks that the owner may hold, as package admission counts; 0 for no limit.
 	maxTasks int
 	load     loadState
--- a/workflow/engine/checkpoints.go
+++ b/workflow/engine/checkpoints.go
@@ -2,9 +2,12 @@
 
 import "time"
 
-// setSaved sets the newest checkpoint of a task.
+// maxCheckpointBytes is the maximum length of a checkpoint that is kept. An order with a longer one might never reach its node.
+const maxCheckpointBytes = 64 << 10
+
+// setSaved sets the newest checkpoint of a task. One that is too long is ignored, so that the task starts from an earlier one.
 func (t *task) setSaved(saved string, at time.Time) {
-	if saved != t.saved {
+	if saved != t.saved && len(saved) <= maxCheckpointBytes {
 		t.saved, t.savedAt = saved, at
 	}
 }
--- a/workflow/engine/output.go
+++ b/workflow/engine/output.go
@@ -29,16 +29,21 @@
 	return changes
 }
 
-// record returns the stored form of a job. For a finished job it contains only the tasks that may still be running.
+// record returns the stored form of a job. For a finished job it contains only the tasks that may still be running. Only tasks that may
+// start again have checkpoints.
 func (j *job) record() workflow.JobRecord {
 	r := workflow.JobRecord{Phase: j.phase, Begun: j.begun, EndedUnixMillis: j.endedUnixMillis}
 	for _, t := range j.tasks {
 		if t.run == 0 || j.phase.Final() && !t.hasRun() {
 			continue
 		}
+		saved := t.saved
+		if t.phase == workflow.TaskDone || j.phase.Final() {
+			saved = ""
+		}
 		r.Tasks = append(r.Tasks, workflow.TaskRecord{
 			Occurrence: t.id.Occurrence, Step: t.id.Step, Index: t.id.Index, Phase: t.phase, Run: t.run,
-			Life: t.executorIncarnation, Node: t.host, Failures: t.failures, Saved: t.saved,
+			Life: t.executorIncarnation, Node: t.host, Failures: t.failures, Saved: saved,
 			Crashes: t.crashes.total, Suspicions: t.crashes.suspicions, Reassigned: t.reassigned && t.hasRun(),
 		})
 	}
--- a/workflow/record.go
+++ b/workflow/record.go
@@ -1,6 +1,8 @@
 package workflow
 
 import (
+	"cmp"
+	"slices"
 	"strconv"
 
 	"github.com/go-json-experiment/json/jsontext"
@@ -144,3 +146,29 @@
 	}
 	return append(b, '}')
 }
+
+// EncodeWithin returns the record as JSON of at most the given number of bytes. If it would be longer, it lacks the longest checkpoints, of
+// which dropped is the number; their tasks start from the beginning under the next owner. It is longer only if it is without checkpoints.
+func (r *JobRecord) EncodeWithin(maxBytes int) (encoded []byte, dropped int) {
+	encoded = r.Encode()
+	excess := len(encoded) - maxBytes
+	if excess <= 0 {
+		return encoded, 0
+	}
+	shorter := *r
+	shorter.Tasks = slices.Clone(r.Tasks)
+	longest := make([]*TaskRecord, len(shorter.Tasks))
+	for i := range shorter.Tasks {
+		longest[i] = &shorter.Tasks[i]
+	}
+	slices.SortStableFunc(longest, func(a, b *TaskRecord) int { return cmp.Compare(len(b.Saved), len(a.Saved)) })
+	for _, t := range longest {
+		if excess <= 0 || t.Saved == "" {
+			break
+		}
+		excess -= len(t.Saved)
+		t.Saved = ""
+		dropped++
+	}
+	return shorter.Encode(), dropped
+}
--- a/workflow/record_test.go
+++ b/workflow/record_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"reflect"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -87,3 +88,21 @@
 		c.Assert(jsonv2.Unmarshal([]byte(`{"running":[`+row+`]}`), &readV2), qt.IsNotNil, qt.Commentf(row))
 	}
 }
+
+// Guards against a record that is longer than the store takes, and against one that lacks more checkpoints than necessary.
+func TestEncodeWithinDropsLongestCheckpoints(t *testing.T) {
+	c := qt.New(t)
+	r := workflow.JobRecord{Phase: workflow.Running}
+	for i, length := range []int{10, 500, 0, 90, 400} {
+		r.Tasks = append(r.Tasks, workflow.TaskRecord{Index: i, Phase: workflow.TaskWaiting, Run: 1, Saved: strings.Repeat("x", length)})
+	}
+	for _, test := range []struct{ maxBytes, dropped int }{{2000, 0}, {700, 1}, {300, 2}, {0, 4}} {
+		encoded, dropped := r.EncodeWithin(test.maxBytes)
+		c.Check(dropped, qt.Equals, test.dropped)
+		c.Check(len(encoded) <= test.maxBytes || dropped == 4, qt.IsTrue)
+		var decoded workflow.JobRecord
+		c.Assert(json.Unmarshal(encoded, &decoded), qt.IsNil)
+		c.Check(decoded.Tasks, qt.HasLen, len(r.Tasks))
+	}
+	c.Check(r.Tasks[1].Saved, qt.HasLen, 500)
+}
