Count a failed run of a gang once

Cause: the failures of all members were added up.

Change: a failed run of a gang counts for the member that lists it first. The record names that run, so that the next owner doesn't count it again when it learns of the other members.

--- a/workflow/engine/adding_jobs.go
+++ b/workflow/engine/adding_jobs.go
@@ -82,7 +82,8 @@
 		if t == nil {
 			continue
 		}
-		t.run, t.failures, t.saved = r.Run, r.Failures, r.Saved
+		t.run, t.failures, t.failedRun, t.saved = r.Run, r.Failures, r.FailedRun, r.Saved
+		t.group.failedRun = max(t.group.failedRun, r.FailedRun)
 		t.crashes.total, t.crashes.suspicions = r.Crashes, r.Suspicions
 		if t.isSuspect() {
 			t.crashes.suspectSince = now
--- a/workflow/engine/ends.go
+++ b/workflow/engine/ends.go
@@ -50,7 +50,7 @@
 		return
 	}
 	if end.How == workflow.EndFailed {
-		t.failures++
+		t.countFailure()
 		t.failedHosts = append(t.failedHosts, n.name)
 		e.quarantine.RecordFailure(t.job.ID, n.name, now)
 	}
@@ -62,6 +62,18 @@
 	}
 }
 
+// countFailure counts the failure of the present run. All members of a gang have the same run, which counts once however many of them list
+// it as failed.
+func (t *task) countFailure() {
+	if t.step.Gang {
+		if t.group.failedRun == t.run {
+			return
+		}
+		t.group.failedRun, t.failedRun = t.run, t.run
+	}
+	t.failures++
+}
+
 // attemptsExhausted reports whether the failures of a task, or of its whole gang, have reached the queue's limit.
 func (e *Engine) attemptsExhausted(t *task) bool {
 	failures := t.failures
--- a/workflow/engine/job.go
+++ b/workflow/engine/job.go
@@ -48,6 +48,8 @@
 	occurrence, step int
 	tasks            []*task
 	done             int
+	// failedRun is the last run of a gang that counts as failed.
+	failedRun int
 	// median caches the median duration of the finished tasks when medianOf of them were done.
 	median   time.Duration
 	medianOf int
--- a/workflow/engine/long_running.go
+++ b/workflow/engine/long_running.go
@@ -29,7 +29,7 @@
 	switch end.How {
 	case workflow.EndFailed:
 		// It does not indicate a fault of the executor, so that it doesn't count for the quarantine.
-		t.failures++
+		t.countFailure()
 		t.failedHosts = append(t.failedHosts, n.name)
 		t.pauseAfterEarlyEnd(now)
 	case workflow.EndDone:
--- a/workflow/engine/output.go
+++ b/workflow/engine/output.go
@@ -43,7 +43,7 @@
 		}
 		r.Tasks = append(r.Tasks, workflow.TaskRecord{
 			Occurrence: t.id.Occurrence, Step: t.id.Step, Index: t.id.Index, Phase: t.phase, Run: t.run,
-			Life: t.executorIncarnation, Node: t.host, Failures: t.failures, Saved: saved,
+			Life: t.executorIncarnation, Node: t.host, Failures: t.failures, FailedRun: t.failedRun, Saved: saved,
 			Crashes: t.crashes.total, Suspicions: t.crashes.suspicions, Reassigned: t.reassigned && t.hasRun(),
 		})
 	}
--- a/workflow/engine/task.go
+++ b/workflow/engine/task.go
@@ -20,9 +20,10 @@
 	// done has one if another run has finished it, or another member of its gang, until the end of its own run is proved.
 	executorIncarnation string
 	// host is the node name of the executor incarnation. It is set even before the node has reported.
-	host     string
-	node     *node
-	failures int
+	host string
+	node *node
+	// failures is the number of failed runs that count for the task, and failedRun the last one that counts for it as the member of a gang.
+	failures, failedRun int
 	// saved is the newest checkpoint, and savedAt is when this owner learned of it; zero if it is from the job's record.
 	saved   string
 	savedAt time.Time
--- a/workflow/record.go
+++ b/workflow/record.go
@@ -47,7 +47,7 @@
 	// Life is the executor incarnation that the newest run was assigned to, and Node is its host; both are empty once it has ended.
 	Life string
 	Node string
-	// Failures is the number of failed runs.
+	// Failures is the number of failed runs. A failed run of a gang counts for one of its members, also if several have listed it as failed.
 	Failures int
 	// Saved is the newest known checkpoint.
 	Saved string
@@ -57,6 +57,8 @@
 	Suspicions int
 	// Reassigned is set if the newest run was ordered to a former incarnation of the executor and may have reached Life.
 	Reassigned bool
+	// FailedRun is the last run of a gang that counts in Failures; 0 for other tasks.
+	FailedRun int
 }
 
 // MarshalJSON encodes the record as an array without trailing empty cells, since a job may have thousands of tasks.
@@ -75,7 +77,7 @@
 	}
 	texts := [...]string{t.Life, t.Saved, t.Node}
 	last := len(texts)
-	hasCounts := t.Crashes > 0 || t.Reassigned
+	hasCounts := t.Crashes > 0 || t.Reassigned || t.FailedRun > 0
 	for last > 0 && texts[last-1] == "" && !hasCounts {
 		last--
 	}
@@ -93,8 +95,15 @@
 		b = append(b, ',')
 		b = strconv.AppendInt(b, int64(t.Suspicions), 10)
 	}
-	if t.Reassigned {
-		b = append(b, ",1"...)
+	if t.Reassigned || t.FailedRun > 0 {
+		b = append(b, ',', '0')
+		if t.Reassigned {
+			b[len(b)-1] = '1'
+		}
+	}
+	if t.FailedRun > 0 {
+		b = append(b, ',')
+		b = strconv.AppendInt(b, int64(t.FailedRun), 10)
 	}
 	return append(b, ']')
 }
@@ -105,7 +114,7 @@
 // UnmarshalJSONFrom reads the same form.
 func (t *TaskRecord) UnmarshalJSONFrom(dec *jsontext.Decoder) error {
 	phase, reassigned := 0, 0
-	err := readExtensibleRow(dec, requiredCells, &t.Occurrence, &t.Step, &t.Index, &phase, &t.Run, &t.Failures, &t.Life, &t.Saved, &t.Node, &t.Crashes, &t.Suspicions, &reassigned)
+	err := readExtensibleRow(dec, requiredCells, &t.Occurrence, &t.Step, &t.Index, &phase, &t.Run, &t.Failures, &t.Life, &t.Saved, &t.Node, &t.Crashes, &t.Suspicions, &reassigned, &t.FailedRun)
 	t.Phase, t.Reassigned = TaskPhase(phase), reassigned != 0
 	return err
 }
--- a/workflow/record_test.go
+++ b/workflow/record_test.go
@@ -25,7 +25,7 @@
 				Phase: workflow.TaskPhase(rapid.IntRange(0, 2).Draw(t, "phase")), Run: number.Draw(t, "run"),
 				Life: text.Draw(t, "life"), Node: text.Draw(t, "node"), Failures: number.Draw(t, "failures"), Saved: text.Draw(t, "saved"),
 				Crashes: crashed * rapid.IntRange(1, 9).Draw(t, "crashes"), Suspicions: crashed * rapid.IntRange(0, 9).Draw(t, "suspicions"),
-				Reassigned: rapid.Bool().Draw(t, "reassigned"),
+				Reassigned: rapid.Bool().Draw(t, "reassigned"), FailedRun: rapid.IntRange(0, 3).Draw(t, "failed run"),
 			}
 		})
 		record := workflow.JobRecord{
@@ -54,17 +54,21 @@
 	c.Assert(read.Tasks, qt.DeepEquals, []workflow.TaskRecord{
 		{Step: 1, Index: 2, Phase: workflow.TaskAssigned, Run: 3, Failures: 4, Life: "life", Saved: "saved", Node: "node"},
 	})
-	c.Assert(json.Unmarshal([]byte(`{"phase":"running","tasks":[[0,1,2,1]]}`), &read), qt.ErrorMatches, "(?s).*4 cells, 5 to 12 expected.*")
+	c.Assert(json.Unmarshal([]byte(`{"phase":"running","tasks":[[0,1,2,1,3,4,"life","saved","node",5,6,1]]}`), &read), qt.IsNil)
+	c.Assert(read.Tasks, qt.DeepEquals, []workflow.TaskRecord{
+		{Step: 1, Index: 2, Phase: workflow.TaskAssigned, Run: 3, Failures: 4, Life: "life", Saved: "saved", Node: "node", Crashes: 5, Suspicions: 6, Reassigned: true},
+	})
+	c.Assert(json.Unmarshal([]byte(`{"phase":"running","tasks":[[0,1,2,1]]}`), &read), qt.ErrorMatches, "(?s).*4 cells, 5 to 13 expected.*")
 }
 
 // Guards against an owner that can't read the records of a later version, whose rows have more cells, and runs their tasks again.
 func TestRecordsOfLaterVersions(t *testing.T) {
 	c := qt.New(t)
 	var read workflow.JobRecord
-	later := `{"phase":"running","tasks":[[0,1,2,1,3,4,"life","saved","node",5,6,1,"more",[7],{"x":8}]],"more":{}}`
+	later := `{"phase":"running","tasks":[[0,1,2,1,3,4,"life","saved","node",5,6,1,7,"more",[7],{"x":8}]],"more":{}}`
 	c.Assert(json.Unmarshal([]byte(later), &read), qt.IsNil)
 	c.Assert(read.Tasks, qt.DeepEquals, []workflow.TaskRecord{
-		{Step: 1, Index: 2, Phase: workflow.TaskAssigned, Run: 3, Failures: 4, Life: "life", Saved: "saved", Node: "node", Crashes: 5, Suspicions: 6, Reassigned: true},
+		{Step: 1, Index: 2, Phase: workflow.TaskAssigned, Run: 3, Failures: 4, Life: "life", Saved: "saved", Node: "node", Crashes: 5, Suspicions: 6, Reassigned: true, FailedRun: 7},
 	})
 }
 
