--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,8 +60,7 @@
 	writer  *intake.Writer
 	metrics metrics
 
-	tombstones      *tombstones
-	tombstoneWriter *intake.Writer
+	tombstones *tombstones
 
 	config atomic.Pointer[workflow.Config]
 
@@ -88,12 +87,11 @@
 
 // New returns a gateway. It accepts jobs once Run is called.
 func New(store *kv.Monitor, locator *ownership.Locator, client *rpc.Client, log hclog.Logger, scope tally.Scope) *Gateway {
-	tombstoneWriter := intake.NewWriter(store, log)
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 13)
 	return &Gateway{
 		store: store, locator: locator, rpc: client.WithMaxResponse(maxOwnerReplyBytes), log: log, writer: intake.NewWriter(store, log),
-		tombstones: newTombstones(store, tombstoneWriter), tombstoneWriter: tombstoneWriter,
-		phases: newFinalPhases(), submitted: newSubmissions(),
+		tombstones: newTombstones(store, log),
+		phases:     newFinalPhases(), submitted: newSubmissions(),
 		instance: strconv.FormatUint(rand.Uint64(), 36), loads: newLoads(), recent: newRecentJobs(time.Now()),
 		lookups: make(chan struct{}, maxLookups),
 		metrics: metrics{
@@ -112,7 +110,7 @@
 // Run follows the configuration and writes submitted jobs until ctx ends.
 func (g *Gateway) Run(ctx context.Context, operators owner.OperatorSource) {
 	go g.writer.Run(ctx)
-	go g.tombstoneWriter.Run(ctx)
+	go g.tombstones.run(ctx)
 	operators.Follow(ctx, func(state owner.OperatorState) {
 		current := g.config.Load()
 		if state.Config == nil || current != nil && state.Config.Version <= current.Version {
--- a/gateway/tombstones.go
+++ b/gateway/tombstones.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
 
@@ -27,6 +29,9 @@
 	tombstoneBurst      = 50
 )
 
+// errTombstoneLimit means that clients have cancelled too many jobs that are not stored. The cancellation had no effect.
+var errTombstoneLimit = fmt.Errorf("%w: too many jobs that are not stored are cancelled", ErrUnavailable)
+
 // errJobStored means that a job has been stored, so that it can't get a tombstone.
 var errJobStored = errors.New("gateway: job is stored")
 
@@ -41,39 +46,37 @@
 	usableUntil time.Time
 }
 
-// newTombstones returns a creator of tombstones. writer must not be used for anything else: a lease that has ended makes whole writes fail.
-func newTombstones(store *kv.Monitor, writer *intake.Writer) *tombstones {
+// newTombstones returns a creator of tombstones, which works once run is called. Its writer is not that of the submissions: a lease that has
+// ended makes whole writes fail.
+func newTombstones(store *kv.Monitor, log hclog.Logger) *tombstones {
 	return &tombstones{
-		store: store, writer: writer, limiter: rate.NewLimiter(tombstonesPerSecond, tombstoneBurst), leaseTurn: make(chan struct{}, 1),
+		store: store, writer: intake.NewWriter(store, log), limiter: rate.NewLimiter(tombstonesPerSecond, tombstoneBurst), leaseTurn: make(chan struct{}, 1),
 	}
 }
 
+func (t *tombstones) run(ctx context.Context) { t.writer.Run(ctx) }
+
 // create makes sure that the key of a job that isn't stored holds a tombstone for TombstoneLife. It returns errJobStored if the job is
 // stored. Errors match ErrUnavailable or ErrUnknown otherwise.
 func (t *tombstones) create(ctx context.Context, id string) error {
 	if !t.limiter.Allow() {
-		return eris.Wrap(ErrUnavailable, "too many jobs that are not stored are cancelled")
+		return errTombstoneLimit
 	}
 	lease, err := t.currentLease(ctx)
 	if err != nil {
 		return eris.Wrap(ErrUnavailable, err.Error())
 	}
 	existing, err := t.writer.CreateLeased(ctx, owner.JobPrefix+id, workflow.Tombstone(), lease)
-	switch {
-	case errors.Is(err, intake.ErrUnknown):
-		return eris.Wrap(ErrUnknown, err.Error())
-	case errors.Is(err, kv.ErrLeaseNotFound):
-		t.dropLease(lease)
-		return eris.Wrap(ErrUnavailable, err.Error())
-	case err != nil:
-		return eris.Wrap(ErrUnavailable, err.Error())
-	case existing != nil && !workflow.IsTombstone(existing.Value):
+	if err != nil {
+		return t.writeError(err, lease)
+	}
+	if existing != nil && !workflow.IsTombstone(existing.Value) {
 		return errJobStored
 	}
 	return nil
 }
 
-// renew extends the life of a tombstone that was found in the store.
+// renew gives a tombstone that was found in the store its full life again. It returns errJobStored if the key has changed since.
 func (t *tombstones) renew(ctx context.Context, found kv.Item) error {
 	lease, err := t.currentLease(ctx)
 	if err != nil {
@@ -83,24 +86,29 @@
 		return nil
 	}
 	if !t.limiter.Allow() {
-		return eris.Wrap(ErrUnavailable, "too many jobs that are not stored are cancelled")
+		return errTombstoneLimit
 	}
 	_, err = t.store.Commit(ctx, kv.Transaction{
 		Conditions: []kv.Condition{{Key: found.Key, Revision: found.Revision}},
 		Puts:       []kv.Put{{Key: found.Key, Value: workflow.Tombstone(), Lease: lease}},
 	})
+	if errors.Is(err, kv.ErrConflict) {
+		return errJobStored
+	}
+	return t.writeError(err, lease)
+}
+
+// writeError returns the error of a write of a tombstone with a lease, and nil if there is none.
+func (t *tombstones) writeError(err error, lease int64) error {
 	switch {
-	case errors.Is(err, kv.ErrUnknown):
+	case err == nil:
+		return nil
+	case errors.Is(err, kv.ErrUnknown), errors.Is(err, intake.ErrUnknown):
 		return eris.Wrap(ErrUnknown, err.Error())
-	case errors.Is(err, kv.ErrConflict):
-		return errJobStored
 	case errors.Is(err, kv.ErrLeaseNotFound):
 		t.dropLease(lease)
 	}
-	if err != nil {
-		return eris.Wrap(ErrUnavailable, err.Error())
-	}
-	return nil
+	return eris.Wrap(ErrUnavailable, err.Error())
 }
 
 // currentLease returns a lease that lasts for TombstoneLife at least, and gets one if necessary.
--- a/ownership/lease.go
+++ b/ownership/lease.go
@@ -43,6 +43,7 @@
 
 	mu         sync.Mutex
 	validUntil time.Time
+	released   bool
 }
 
 // Acquire takes the ownership if there is no owner. It returns nil without an error if another process has it or was faster. The
@@ -101,7 +102,7 @@
 func (l *Lease) Valid() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.clock.Now().Before(l.validUntil)
+	return !l.released && l.clock.Now().Before(l.validUntil)
 }
 
 // KeepAlive renews the lease until the store reports that it has ended, and then returns true. It returns false when ctx ends.
@@ -150,8 +151,12 @@
 	}
 }
 
-// Release revokes the lease, so that another process can take over at once.
+// Release revokes the lease, so that another process can take over at once. The lease is not valid from then on, so that no start is sent
+// that waits for its turn.
 func (l *Lease) Release() {
+	l.mu.Lock()
+	l.released = true
+	l.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	if err := l.store.Revoke(ctx, l.leaseID); err != nil {
--- a/ownership/lease_test.go
+++ b/ownership/lease_test.go
@@ -87,3 +87,21 @@
 		})
 	}
 }
+
+// Guards against an owner that sends starts after it has given the ownership up, while another process may have taken over.
+func TestReleasedLeaseIsNotValid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		client := kvtest.New().Client(1)
+		lease, err := Acquire(t.Context(), client, workflow.OwnerRecord{Node: "n"}, clock.NewBoot(clocktest.NewHost()), hclog.NewNullLogger())
+		c.Assert(err, qt.IsNil)
+		client.SetFaults(kvtest.Faults{Unresponsive: true})
+		go lease.Release()
+		synctest.Wait()
+		c.Assert(lease.Valid(), qt.IsFalse)
+		client.SetFaults(kvtest.Faults{})
+		lease.renew(t.Context(), make(chan struct{}, 1))
+		c.Assert(lease.Valid(), qt.IsFalse)
+		time.Sleep(releaseTimeout)
+	})
+}
