Bound the time over which a delivery's requests are sent

A delivery that is split sends its requests one after the other, each of which may take two seconds. The engine gives up a start without a result after five seconds and has its run stopped, so that a later request could send a start after its stop. No request begins later than a second after the first; its starts are reported as rejected and planned again.

--- a/gateway/tombstones.go
+++ b/gateway/tombstones.go
@@ -29,11 +29,12 @@
 	tombstoneBurst      = 50
 )
 
-// errTombstoneLimit means that clients have cancelled too many jobs that are not stored. The cancellation had no effect.
-var errTombstoneLimit = fmt.Errorf("%w: too many jobs that are not stored are cancelled", ErrUnavailable)
-
-// errJobStored means that a job has been stored, so that it can't get a tombstone.
-var errJobStored = errors.New("gateway: job is stored")
+var (
+	// errTombstoneLimit means that clients have cancelled too many jobs that are not stored. The cancellation had no effect.
+	errTombstoneLimit = fmt.Errorf("%w: too many jobs that are not stored are cancelled", ErrUnavailable)
+	// errJobStored means that a job has been stored, so that it can't get a tombstone.
+	errJobStored = errors.New("gateway: job is stored")
+)
 
 // tombstones creates tombstones for jobs that are cancelled before they are stored. The store deletes them with their leases.
 type tombstones struct {
@@ -54,6 +55,7 @@
 	}
 }
 
+// run writes tombstones until ctx ends.
 func (t *tombstones) run(ctx context.Context) { t.writer.Run(ctx) }
 
 // create makes sure that the key of a job that isn't stored holds a tombstone for TombstoneLife. It returns errJobStored if the job is
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -107,8 +107,8 @@
 }
 
 // write retries a transaction until it is known to be applied. It returns errWriteRefused if the store refuses it for what it contains, and
-// another error if ctx ends before or the ownership is lost. Each transaction is conditional
-// on the revision of the previous one, so that neither a former owner nor a delayed write can overwrite newer records.
+// another error if ctx ends before or the ownership is lost. Each transaction is conditional on the revision of the previous one, so that
+// neither a former owner nor a delayed write can overwrite newer records.
 func (t *term) write(ctx context.Context, transaction kv.Transaction) error {
 	t.commitCount++
 	mark := commitMark{t.lease.Record.Epoch, t.commitCount, t.leases}
--- a/owner/deliver.go
+++ b/owner/deliver.go
@@ -13,21 +13,37 @@
 	"github.com/quetzalshed/quetzalshed/workflow/engine"
 )
 
+// maxDeliveryStart is how long after its first request a delivery may begin further ones. With OrdersTimeout it stays below the time after
+// which the engine gives up starts without a result, so that none is sent after the stop that follows.
+const maxDeliveryStart = time.Second
+
+// reasonNotSent is the reason for rejecting starts that were planned and not sent.
+const reasonNotSent = "not sent in time"
+
 // errOrdersRefused means that a node has refused a request before it executed any order of it.
 var errOrdersRefused = errors.New("owner: node refused the orders")
 
 // deliver sends orders to a node, in several requests one after the other if one would be too large, and passes their results to the
-// engine. Once a request gets no response, the orders of the following ones are not sent.
+// engine. Once a request gets no response, or maxDeliveryStart has passed, the orders of the following ones are not sent.
 func (t *term) deliver(d *engine.NodeOrders) {
 	requests := splitOrders(d)
+	began := t.clock.Now()
 	for i, request := range requests {
-		if t.deliverRequest(request) {
-			continue
+		if i > 0 && t.clock.Now().Sub(began) >= maxDeliveryStart {
+			t.withhold(requests[i:], reasonNotSent)
+			return
 		}
-		for _, unsent := range requests[i+1:] {
-			t.applyResults(unsent, undeliveredReply(unsent, rpc.ErrNotSent))
+		if !t.deliverRequest(request) {
+			t.withhold(requests[i+1:], workflow.ReasonUnreachable)
+			return
 		}
-		return
+	}
+}
+
+// withhold reports the orders of requests that are not sent: their starts as rejected, so that the tasks may be placed again.
+func (t *term) withhold(requests []*engine.NodeOrders, reason string) {
+	for _, d := range requests {
+		t.applyResults(d, undeliveredReply(d, workflow.OutcomeRejected, reason))
 	}
 }
 
@@ -51,7 +67,7 @@
 	reply, err := t.sendOrders(ctx, d)
 	if err != nil {
 		t.log.Warn("no results of orders", "node", d.Node, "executor", d.Orders.ExecutorIncarnation, "starts", len(d.Orders.Starts), "stops", len(d.Orders.Stops), "error", err)
-		reply = undeliveredReply(d, err)
+		reply = undeliveredReply(d, startOutcome(err), workflow.ReasonUnreachable)
 	}
 	t.applyResults(d, reply)
 	return err == nil || errors.Is(err, errOrdersRefused)
@@ -115,18 +131,22 @@
 	return reply, nil
 }
 
-// undeliveredReply returns results for orders that the node has not confirmed, for the reason that err gives.
-func undeliveredReply(d *engine.NodeOrders, err error) *workflow.OrdersReply {
-	outcome := workflow.OutcomeUnknown
+// startOutcome returns the outcome of starts whose request has ended with an error.
+func startOutcome(err error) workflow.Outcome {
 	if errors.Is(err, rpc.ErrNotSent) || errors.Is(err, errOrdersRefused) {
-		outcome = workflow.OutcomeRejected
+		return workflow.OutcomeRejected
 	}
+	return workflow.OutcomeUnknown
+}
+
+// undeliveredReply returns results for orders that the node has not confirmed, with the given outcome for starts.
+func undeliveredReply(d *engine.NodeOrders, starts workflow.Outcome, reason string) *workflow.OrdersReply {
 	reply := &workflow.OrdersReply{}
 	for _, s := range d.Orders.Starts {
-		reply.Results = append(reply.Results, workflow.OrderResult{Task: s.Task, Run: s.Run, Outcome: outcome, Reason: workflow.ReasonUnreachable})
+		reply.Results = append(reply.Results, workflow.OrderResult{Task: s.Task, Run: s.Run, Outcome: starts, Reason: reason})
 	}
 	for _, s := range d.Orders.Stops {
-		reply.Results = append(reply.Results, workflow.OrderResult{Task: s.Task, Run: s.Run, Stop: true, Outcome: workflow.OutcomeUnknown, Reason: workflow.ReasonUnreachable})
+		reply.Results = append(reply.Results, workflow.OrderResult{Task: s.Task, Run: s.Run, Stop: true, Outcome: workflow.OutcomeUnknown, Reason: reason})
 	}
 	return reply
 }
--- a/owner/message_sizes_test.go
+++ b/owner/message_sizes_test.go
@@ -116,9 +116,8 @@
 		synctest.Test(t, func(t *testing.T) {
 			network := rpctest.New()
 			network.Handle("node", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { rpc.WriteJSON(w, status, struct{}{}) }))
-			term, d := newTerm(t, network), largeDelivery(1, 1, "x", "")
-			_, err := term.sendOrders(t.Context(), d)
-			qt.Assert(t, undeliveredReply(d, err).Results[0].Outcome, qt.Equals, want, qt.Commentf("status %d", status))
+			_, err := newTerm(t, network).sendOrders(t.Context(), largeDelivery(1, 1, "x", ""))
+			qt.Assert(t, startOutcome(err), qt.Equals, want, qt.Commentf("status %d", status))
 		})
 	}
 }
@@ -141,6 +140,27 @@
 	})
 }
 
+// Guards against starts that are sent after the engine has given them up and has had their runs stopped (TWICE): the requests before them
+// take long.
+func TestLateRequestsOfDeliveryAreNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := rpctest.New()
+		var sentAt []time.Time
+		network.Handle("node", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			sentAt = append(sentAt, time.Now())
+			time.Sleep(OrdersTimeout - 100*time.Millisecond)
+			rpc.WriteJSON(w, http.StatusOK, workflow.OrdersReply{})
+		}))
+		term := newTerm(t, network)
+		d := largeDelivery(3*maxOrdersPerRequest, 1, "", "")
+		began := time.Now()
+		term.deliver(d)
+		qt.Assert(t, sentAt, qt.HasLen, 1)
+		qt.Assert(t, time.Since(began) < maxDeliveryStart+OrdersTimeout, qt.IsTrue)
+		qt.Assert(t, term.events, qt.HasLen, 6, qt.Commentf("each request has results"))
+	})
+}
+
 // Guards against reports that an owner refuses for their size, and a node that counts as lost for that: executors may send lists of 4 MiB.
 func TestReportOfLongestListsIsAccepted(t *testing.T) {
 	const listBytes = 4 << 20
