--- a/test/workflows/late_submissions_test.go
+++ b/test/workflows/late_submissions_test.go
@@ -195,6 +195,7 @@
 // Guards against any order of late writes, repeated submissions and cancellations at several gateways in which a task starts after its job
 // was cancelled, or was said not to exist.
 func TestCancellationsHoldBesideLateWrites(t *testing.T) {
+	setDefaultChecks(t, "15")
 	rapid.Check(t, func(rt *rapid.T) {
 		type step struct {
 			action       string
