Let attempts be slow in a test of the memory of request bodies

Attempts printed at the agent show why: beside other work a body of 1 MB arrives so late that the entry has taken the attempt for lost; the agent rejects what arrives after the question for its state, and the entry sends the request again, as it should. The test counts both. In the same way the critical request could come before the two of low priority that the agent is meant to hold.

The entry of this test now waits a minute for silent connections, since the test isn't about lost attempts, and the test waits for both held attempts. What it asserts is the same.

--- a/entry/requests/memory_test.go
+++ b/entry/requests/memory_test.go
@@ -59,6 +59,8 @@
 	} {
 		e := newEntry(t, nil, func(s *Settings) {
 			s.MaxBytes, s.MinHedge, s.DefaultHedge = 8_000_000, time.Minute, time.Minute
+			// An attempt that the entry takes for lost, since the machine is slow, is sent again and counts twice.
+			s.Silence = time.Minute
 		})
 		agent := newAgent(t, "a", e)
 		agent.FaultFor = func(n int) forwardtest.Fault {
@@ -73,6 +75,8 @@
 			openRequest(t, e, "Quetzalshed-Priority: low\r\nContent-Length: 1000000\r\n\r\n"+body),
 		}
 		waitForHeld(t, e, func(used int64) bool { return used > 2_000_000 })
+		// The agent holds the first two attempts, so those of the opened requests must come before that of the critical one.
+		qt.Assert(t, poll.Reached(func() bool { return agent.AttemptsReceived() == 2 }), qt.IsTrue)
 		refused, got := readOutcome(t, openRequest(t, e, "Quetzalshed-Priority: low\r\n"+rest))
 		qt.Assert(t, got, qt.Equals, "503 not-run")
 		qt.Assert(t, refused.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
