Check random histories beside each other

Most of its tests use one processor at a time, since a history runs in virtual time with little to do at once.

checkRandomFaults marks its test as parallel. A comment of TestRandomFaults that had lost its first lines is restored.

--- a/test/workflows/random_faults_test.go
+++ b/test/workflows/random_faults_test.go
@@ -139,6 +139,8 @@
 	}), 5, 25).Draw(t, "actions")
 }
 
+// Guards against violated guarantees under random series of faults: two concurrent runs of a task, a start before the
+// steps that it depends on, a start after an acknowledged end, a start of a rejected job, and an accepted job that is lost,
 // never ends, or stands still after the faults.
 func TestRandomFaults(t *testing.T) {
 	checkRandomFaults(t, randomFaults{kinds: actionKinds, taskTime: taskTime})
@@ -261,7 +263,9 @@
 // maxRandomEndsPerResponse limits how many ends executors list at a time in histories with many ends.
 const maxRandomEndsPerResponse = 6
 
+// checkRandomFaults checks random histories beside those of other tests, which virtual time allows.
 func checkRandomFaults(t *testing.T, faults randomFaults) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		actions := drawActions(rt, faults.kinds)
 		// Looking for standstills takes several times as long as the rest of a history.
