--- a/test/workflows/random_history_test.go
+++ b/test/workflows/random_history_test.go
@@ -321,6 +321,3 @@
 	}
 	return ""
 }
-
-// Guards against violated guarantees under random series of faults: two concurrent runs of a task, a start before the
-// steps that it depends on, a start after an acknowledged end, a start of a rejected job, and an accepted job that is lost,
